--- /dev/null
+++ b/playground/startPlayground.ts
@@ -0,0 +1,95 @@
+/** The real gateways and schedulers on stand-ins in one process, for tests and trials. */
+import { resolveSettings } from '../src/settings/resolveSettings.js'
+import { gatewaySettingsSchema, schedulerSettingsSchema, standinSettingsSchema } from '../src/settings/settingsSchemas.js'
+import { exampleRecords } from '../src/bin/exampleRecords.js'
+import type { RunningProcess } from '../src/bin/runBinary.js'
+import { startGateway, startScheduler } from '../src/bin/startHosts.js'
+import type { RunningGateway } from '../src/bin/startHosts.js'
+import { startStandins } from '../src/bin/startStandins.js'
+import type { RunningStandins } from '../src/bin/startStandins.js'
+import { MemoryConfiguration } from '../src/tasks/configuration/memoryConfiguration.js'
+
+export interface PlaygroundOptions {
+  engines?: number
+  services?: number
+  schedulers?: number
+  gateways?: number
+  /** Further lines of the stand-ins' INI file, such as `[store]\nloadMs = 50`. */
+  standinSettings?: string
+}
+
+export interface Playground {
+  standins: RunningStandins
+  gateways: RunningGateway[]
+  schedulers: RunningProcess[]
+  configuration: MemoryConfiguration
+  stop: () => Promise<void>
+}
+
+const peerKey = 'playground-peer-key'
+
+/**
+ * Starts a small system on free ports.
+ *
+ * @example
+ * const playground = await startPlayground({ engines: 2, schedulers: 2 })
+ */
+export async function startPlayground (options: PlaygroundOptions = {}): Promise<Playground> {
+  const { engines = 2, services = 1, schedulers = 1, gateways = 1, standinSettings = '' } = options
+  const standins = await startStandins(resolveSettings('playground', `
+[platform]
+listLagMs = 20
+[engines]
+count = ${engines}
+firstPort = 0
+stepBaseMs = 2
+[services]
+count = ${services}
+firstPort = 0
+[store]
+loadMs = 20
+${standinSettings}`, standinSettingsSchema))
+  const configuration = new MemoryConfiguration()
+  configuration.applyRecords(1, exampleRecords)
+  const playground: Playground = {
+    standins,
+    gateways: [],
+    schedulers: [],
+    configuration,
+    stop: async () => {
+      await Promise.all(playground.gateways.map(async gateway => await gateway.stop()))
+      await Promise.all(playground.schedulers.map(async scheduler => await scheduler.stop()))
+      await standins.stop()
+    }
+  }
+  for (let index = 1; index <= schedulers; index++) playground.schedulers.push(await addScheduler(standins, index))
+  for (let index = 1; index <= gateways; index++) playground.gateways.push(await addGateway(playground, index))
+  return playground
+}
+
+async function addScheduler (standins: RunningStandins, index: number): Promise<RunningProcess> {
+  return await startScheduler(resolveSettings('playground', `
+[host]
+id = scheduler-${index}
+zone = az-${index}
+[platform]
+address = 127.0.0.1:0
+[peers]
+port = 0
+key = ${peerKey}`, schedulerSettingsSchema), standins.platform)
+}
+
+async function addGateway (playground: Playground, index: number): Promise<RunningGateway> {
+  return await startGateway(resolveSettings('playground', `
+[host]
+id = gateway-${index}
+zone = az-${index}
+[platform]
+address = 127.0.0.1:0
+[peers]
+key = ${peerKey}
+[callers]
+port = 0
+[operators]
+port = 0`, gatewaySettingsSchema), playground.standins.platform, playground.configuration)
+}
--- /dev/null
+++ b/src/adapters/clock/systemClock.ts
@@ -0,0 +1,20 @@
+/** The clock of the machine. */
+import type { Clock } from '../../ports/clock.js'
+
+/**
+ * Creates the clock that daemons run on.
+ *
+ * @example
+ * const clock = createSystemClock()
+ * const startedMs = clock.readMonotonic()
+ */
+export function createSystemClock (): Clock {
+  return {
+    readMonotonic: () => performance.now(),
+    readWall: () => Date.now(),
+    setTimer: (run, delayMs) => {
+      const timeout = setTimeout(run, Math.max(0, delayMs))
+      return { cancel: () => clearTimeout(timeout) }
+    }
+  }
+}
--- /dev/null
+++ b/src/adapters/memoryPlatform/memoryObjects.ts
@@ -0,0 +1,18 @@
+/** The object store in memory. */
+import type { Objects } from '../../ports/objects.js'
+
+export class MemoryObjects implements Objects {
+  #objects = new Map<string, Uint8Array>()
+
+  async writeObject (key: string, bytes: Uint8Array): Promise<void> {
+    this.#objects.set(key, Uint8Array.from(bytes))
+  }
+
+  async readObject (key: string): Promise<Uint8Array | undefined> {
+    return this.#objects.get(key)
+  }
+
+  async removeObject (key: string): Promise<void> {
+    this.#objects.delete(key)
+  }
+}
--- /dev/null
+++ b/src/adapters/openaiEngine/openaiEngine.ts
@@ -0,0 +1,88 @@
+/** Engines that speak the OpenAI API with orders for LoRA adapters. */
+import { Pool } from 'undici'
+import type { Dispatcher } from 'undici'
+import { Value } from '@sinclair/typebox/value'
+import { engineReportSchema } from '../../ports/engine.js'
+import type { AdapterOrder, Engine, EngineReport, GenerateOrder, GenerateEvent, Generation, OrderOutcome } from '../../ports/engine.js'
+import { runGeneration } from './runGeneration.js'
+
+/** A load may wait for the weight store; the engine answers when it has ended. */
+const loadTimeoutMs = 60_000
+const unloadTimeoutMs = 5_000
+const reportTimeoutMs = 2_000
+const maxConnectionsPerEngine = 512
+
+/** Keeps one pool of connections for each engine. */
+export class OpenaiEngine implements Engine {
+  #pools = new Map<string, Pool>()
+
+  async readReport (address: string): Promise<EngineReport> {
+    const response = await this.#getPool(address).request({
+      method: 'GET', path: '/report', headersTimeout: reportTimeoutMs, bodyTimeout: reportTimeoutMs
+    })
+    return Value.Parse(engineReportSchema, await response.body.json())
+  }
+
+  async loadAdapter (address: string, order: AdapterOrder): Promise<OrderOutcome> {
+    return await this.#sendOrder(address, '/v1/load_lora_adapter', order, loadTimeoutMs)
+  }
+
+  async unloadAdapter (address: string, order: AdapterOrder): Promise<OrderOutcome> {
+    return await this.#sendOrder(address, '/v1/unload_lora_adapter', order, unloadTimeoutMs)
+  }
+
+  generate (address: string, order: GenerateOrder, send: (event: GenerateEvent) => void): Generation {
+    return runGeneration(this.#getPool(address), address, order, send)
+  }
+
+  /** Closes every connection. */
+  async close (): Promise<void> {
+    await Promise.all([...this.#pools.values()].map(async pool => await pool.destroy()))
+    this.#pools.clear()
+  }
+
+  #getPool (address: string): Pool {
+    let pool = this.#pools.get(address)
+    if (!pool) {
+      pool = new Pool(`http://${address}`, { connections: maxConnectionsPerEngine, pipelining: 1 })
+      this.#pools.set(address, pool)
+    }
+    return pool
+  }
+
+  async #sendOrder (address: string, path: string, order: AdapterOrder, timeoutMs: number): Promise<OrderOutcome> {
+    const body = JSON.stringify({
+      lora_name: order.handle, lora_path: `${order.adapter}@${order.version}`, fencing: order.fencing
+    })
+    try {
+      const response = await this.#getPool(address).request({
+        method: 'POST', path, body, headers: { 'content-type': 'application/json' }, headersTimeout: timeoutMs, bodyTimeout: timeoutMs
+      })
+      return await readOrderOutcome(response)
+    } catch (error) {
+      return { verdict: 'unknown', message: (error as Error).message }
+    }
+  }
+}
+
+async function readOrderOutcome (response: Dispatcher.ResponseData): Promise<OrderOutcome> {
+  const text = await response.body.text()
+  if (response.statusCode === 200) return { verdict: 'done' }
+  const error = parseEngineError(text)
+  return { verdict: 'refused', code: error.code, message: error.message }
+}
+
+interface EngineError {
+  code: string
+  message: string
+}
+
+/** Reads the OpenAI error shape; anything else becomes an error named `engine_error`. */
+export function parseEngineError (text: string): EngineError {
+  try {
+    const { error } = JSON.parse(text) as { error?: Partial<EngineError> }
+    return { code: error?.code ?? 'engine_error', message: error?.message ?? text.slice(0, 200) }
+  } catch {
+    return { code: 'engine_error', message: text.slice(0, 200) }
+  }
+}
--- /dev/null
+++ b/src/adapters/plainService/plainService.ts
@@ -0,0 +1,62 @@
+/** Plain HTTP services. */
+import { Pool } from 'undici'
+import type { Service, ServiceCall, ServiceOutcome } from '../../ports/service.js'
+import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
+import type { RequestFailure } from '../../schemas/verdict.js'
+
+const answerTimeoutMs = 30_000
+const maxConnectionsPerService = 128
+const neverSentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH'])
+
+/** Keeps one pool of connections for each service endpoint. */
+export class PlainService implements Service {
+  #pools = new Map<string, Pool>()
+
+  async call (address: string, call: ServiceCall, signal: AbortSignal): Promise<ServiceOutcome> {
+    try {
+      const response = await this.#getPool(address).request({
+        method: call.method as 'GET',
+        path: call.path,
+        headers: { ...call.headers, 'x-request-id': `${call.requestId}/${call.attempt}` },
+        body: call.body.length > 0 ? call.body : null,
+        headersTimeout: answerTimeoutMs,
+        bodyTimeout: answerTimeoutMs,
+        signal
+      })
+      const body = new Uint8Array(await response.body.arrayBuffer())
+      return { type: 'answered', status: response.statusCode, headers: flattenHeaders(response.headers), body }
+    } catch (error) {
+      return { type: 'failed', failure: createServiceFailure(address, error as NodeJS.ErrnoException) }
+    }
+  }
+
+  /** Closes every connection. */
+  async close (): Promise<void> {
+    await Promise.all([...this.#pools.values()].map(async pool => await pool.destroy()))
+    this.#pools.clear()
+  }
+
+  #getPool (address: string): Pool {
+    let pool = this.#pools.get(address)
+    if (!pool) {
+      pool = new Pool(`http://${address}`, { connections: maxConnectionsPerService, pipelining: 1 })
+      this.#pools.set(address, pool)
+    }
+    return pool
+  }
+}
+
+function createServiceFailure (address: string, error: NodeJS.ErrnoException): RequestFailure {
+  if (neverSentCodes.has(error.code ?? '')) {
+    return createNotRun('endpoint_unreachable', `no connection to ${address}: ${error.code}`, 503)
+  }
+  return createMayHaveRun('endpoint_lost', `the connection to ${address} was lost: ${error.message}`, 502)
+}
+
+function flattenHeaders (headers: Record<string, string | string[] | undefined>): Record<string, string> {
+  const flat: Record<string, string> = {}
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined) flat[name] = Array.isArray(value) ? value.join(', ') : value
+  }
+  return flat
+}
--- /dev/null
+++ b/src/bin/quickstart.ts
@@ -0,0 +1,69 @@
+/** The whole system in one process on memory stand-ins: what `npm start` runs. */
+import { defaultCallersPort } from '../constants.js'
+import { openLogs } from '../createLog.js'
+import { resolveSettings } from '../settings/resolveSettings.js'
+import { gatewaySettingsSchema, schedulerSettingsSchema, standinSettingsSchema } from '../settings/settingsSchemas.js'
+import { MemoryConfiguration } from '../tasks/configuration/memoryConfiguration.js'
+import { exampleCallerKey, exampleRecords } from './exampleRecords.js'
+import { exitWithError, stopOnSignals } from './runBinary.js'
+import type { RunningProcess } from './runBinary.js'
+import { startGateway, startScheduler } from './startHosts.js'
+import { startStandins } from './startStandins.js'
+
+const peerKey = 'quick-start-peer-key'
+
+async function startQuickstart (): Promise<RunningProcess> {
+  const standins = await startStandins(resolveSettings('quickstart', `
+[engines]
+count = 3
+firstPort = 0
+[services]
+count = 2
+firstPort = 0
+[platform]
+listLagMs = 100`, standinSettingsSchema))
+  const configuration = new MemoryConfiguration()
+  configuration.applyRecords(1, exampleRecords)
+  const scheduler = await startScheduler(resolveSettings('quickstart', `
+[host]
+id = scheduler-1
+zone = az-1
+[platform]
+address = 127.0.0.1:0
+[peers]
+port = 0
+key = ${peerKey}`, schedulerSettingsSchema), standins.platform)
+  const gateway = await startGateway(resolveSettings('quickstart', `
+[host]
+id = gateway-1
+zone = az-1
+[platform]
+address = 127.0.0.1:0
+[peers]
+key = ${peerKey}
+[callers]
+port = ${process.env.SEDGEVALVE_CALLERS_PORT ?? defaultCallersPort}`, gatewaySettingsSchema), standins.platform, configuration)
+  printWelcome(gateway.callersPort)
+  return {
+    stop: async () => {
+      await gateway.stop()
+      await scheduler.stop()
+      await standins.stop()
+    }
+  }
+}
+
+function printWelcome (callersPort: number): void {
+  process.stdout.write(`sedgevalve runs on built-in stand-ins: 3 engines, 2 services.
+Callers connect to http://127.0.0.1:${callersPort}. Try:
+
+  curl -N http://127.0.0.1:${callersPort}/v1/chat/completions \\
+    -H 'Authorization: Bearer ${exampleCallerKey}' -H 'Content-Type: application/json' \\
+    -d '{"model": "cluj-tax", "stream": true, "messages": [{"role": "user", "content": "Is the claim valid?"}]}'
+
+Ctrl-C ends it.
+`)
+}
+
+startQuickstart().then(stopOnSignals, error => exitWithError('sedgevalve', error))
+openLogs()
--- /dev/null
+++ b/src/bin/runBinary.ts
@@ -0,0 +1,101 @@
+/** What every daemon does with its command line, its settings and its signals. */
+import { parseArgs } from 'node:util'
+import type { Static, TObject } from '@sinclair/typebox'
+import { productVersion } from '../constants.js'
+import { openLogs } from '../createLog.js'
+import { readSettings } from '../settings/resolveSettings.js'
+import { createSettingsError, isSettingsError, wrongSettingsExitCode } from '../settings/settingsError.js'
+
+export interface RunningProcess {
+  /** Ends gracefully. */
+  stop: () => Promise<void>
+}
+
+export interface BinaryOptions<T extends TObject> {
+  name: string
+  /** One line that says what the binary does. */
+  purpose: string
+  schema: T
+  start: (settings: Readonly<Static<T>>) => Promise<RunningProcess>
+}
+
+/** Runs a daemon until SIGINT or SIGTERM; a second signal ends it at once. */
+export async function runBinary<T extends TObject> (options: BinaryOptions<T>): Promise<void> {
+  try {
+    const { values, positionals } = readCommandLine(options.name)
+    if (values.help) {
+      process.stdout.write(renderHelp(options))
+      return
+    }
+    if (values.version) {
+      process.stdout.write(`${options.name} ${productVersion}\n`)
+      return
+    }
+    const file = positionals[0]
+    if (file === undefined) throw createSettingsError(`no settings file is named; run "${options.name} FILE.ini"`)
+    const settings = readSettings(file, options.schema)
+    if (values.check) {
+      process.stdout.write(`${file}: the settings are right\n`)
+      return
+    }
+    openLogs()
+    stopOnSignals(await startChecked(file, options, settings))
+  } catch (error) {
+    exitWithError(options.name, error as Error)
+  }
+}
+
+function readCommandLine (name: string) {
+  try {
+    return parseArgs({
+      allowPositionals: true,
+      options: { help: { type: 'boolean', short: 'h' }, version: { type: 'boolean' }, check: { type: 'boolean' } }
+    })
+  } catch (error) {
+    throw createSettingsError(`${(error as Error).message}; see "${name} --help"`)
+  }
+}
+
+function renderHelp (options: BinaryOptions<TObject>): string {
+  return [
+    `${options.name}: ${options.purpose}`, '',
+    `  ${options.name} FILE.ini           runs with these settings`,
+    `  ${options.name} --check FILE.ini   checks the settings and ends`,
+    `  ${options.name} --version`,
+    `  ${options.name} --help`, ''
+  ].join('\n')
+}
+
+/** Turns a port in use into an error of the settings that named it. */
+async function startChecked<T extends TObject> (
+  file: string, options: BinaryOptions<T>, settings: Readonly<Static<T>>
+): Promise<RunningProcess> {
+  try {
+    return await options.start(settings)
+  } catch (error) {
+    const { code, message } = error as NodeJS.ErrnoException
+    if (code === 'EADDRINUSE' || message.includes('is not free')) {
+      throw createSettingsError(`${file}: a port is in use (${message}); expected a free port`)
+    }
+    throw error
+  }
+}
+
+/** Ends the process when a signal comes. */
+export function stopOnSignals (running: RunningProcess): void {
+  let isStopping = false
+  const stop = async (): Promise<void> => {
+    if (isStopping) process.exit(1)
+    isStopping = true
+    await running.stop()
+    process.exit(0)
+  }
+  process.on('SIGINT', stop)
+  process.on('SIGTERM', stop)
+}
+
+/** Prints one line and ends; wrong settings have an exit code of their own. */
+export function exitWithError (name: string, error: Error): never {
+  process.stderr.write(`${name}: ${error.message}\n`)
+  process.exit(isSettingsError(error) ? wrongSettingsExitCode : 1)
+}
--- /dev/null
+++ b/src/bin/startHosts.ts
@@ -0,0 +1,95 @@
+/** Wires gateways and schedulers to a platform, for the binaries and the quick start alike. */
+import xxhash from 'xxhash-wasm'
+import type { Platform } from '../adapters/httpPlatform/httpPlatform.js'
+import { createSystemClock } from '../adapters/clock/systemClock.js'
+import { OpenaiEngine } from '../adapters/openaiEngine/openaiEngine.js'
+import { grpcPeerTransport } from '../adapters/peerLink/grpcPeerLink.js'
+import { PlainService } from '../adapters/plainService/plainService.js'
+import { createFirstComePlanner } from '../core/firstComePlanner.js'
+import { chooseLeastLoaded } from '../core/leastLoadedChoice.js'
+import { repeatTask } from '../repeatTask.js'
+import type { ConfigurationView } from '../schemas/configuration.js'
+import type { HostListEntry } from '../schemas/hostList.js'
+import type { GatewaySettings, SchedulerSettings } from '../settings/settingsSchemas.js'
+import { GatewayTask } from '../tasks/gateway/gatewayTask.js'
+import { RendezvousOwnership } from '../tasks/ownership/rendezvousOwnership.js'
+import { SchedulerTask } from '../tasks/scheduler/schedulerTask.js'
+import type { RunningProcess } from './runBinary.js'
+
+const announceIntervalMs = 1000
+
+export interface RunningGateway extends RunningProcess {
+  readonly callersPort: number
+}
+
+/** Starts a gateway on a platform. */
+export async function startGateway (
+  settings: GatewaySettings, platform: Platform, configuration: ConfigurationView
+): Promise<RunningGateway> {
+  const { h64ToString } = await xxhash()
+  const { host, callers, peers } = settings
+  const service = new PlainService()
+  const gateway = new GatewayTask({
+    hostId: host.id,
+    zone: host.zone,
+    clock: createSystemClock(),
+    hostList: platform.hostList,
+    configuration,
+    chooseEndpoint: chooseLeastLoaded,
+    random: Math.random,
+    hashText: h64ToString,
+    service,
+    peerTransport: grpcPeerTransport,
+    peerKey: peers.key,
+    callers
+  })
+  await gateway.start()
+  return {
+    callersPort: gateway.callersPort,
+    stop: async () => {
+      await gateway.stop()
+      await service.close()
+    }
+  }
+}
+
+/** Starts a scheduler on a platform. */
+export async function startScheduler (settings: SchedulerSettings, platform: Platform): Promise<RunningProcess> {
+  const { h32 } = await xxhash()
+  const { host, peers } = settings
+  const clock = createSystemClock()
+  const engine = new OpenaiEngine()
+  const scheduler = new SchedulerTask({
+    hostId: host.id,
+    zone: host.zone,
+    clock,
+    engine,
+    createPlanner: createFirstComePlanner,
+    createOwnership: send => new RendezvousOwnership({ clock, hostList: platform.hostList, hostId: host.id, hashText: h32, send }),
+    requestPermit: async () => () => {},
+    peerTransport: grpcPeerTransport,
+    peers
+  })
+  await scheduler.start()
+  const announcement = announceHost(platform, {
+    kind: 'scheduler', id: host.id, zone: host.zone, address: `${peers.address}:${scheduler.port}`, presence: 'live'
+  })
+  return {
+    stop: async () => {
+      await announcement.stop()
+      await scheduler.stop()
+      await engine.close()
+    }
+  }
+}
+
+/** Keeps a host on the platform's list until it stops. */
+function announceHost (platform: Platform, entry: HostListEntry): RunningProcess {
+  const repetition = repeatTask(createSystemClock(), announceIntervalMs, async () => await platform.hostList.announceEntry(entry), () => {})
+  return {
+    stop: async () => {
+      repetition.stop()
+      await platform.hostList.withdrawEntry(entry.id).catch(() => {})
+    }
+  }
+}
--- /dev/null
+++ b/src/core/firstComePlanner.ts
@@ -0,0 +1,173 @@
+/** The simplest planner: first come, first served, with the least recently used adapter unloaded. */
+import { createNotRun } from '../schemas/verdict.js'
+import type { DecisionDraft } from '../schemas/decision.js'
+import { formatAdapter } from './formatAdapter.js'
+import type {
+  Admission, CreatePlanner, EndpointExpectation, EndpointPlan, EndpointPlanner, EndpointShape, PlannedDispatch, QueuedRequest
+} from './planner.js'
+
+const maxQueued = 2000
+const expectedRunMs = 1000
+const expectedLoadMs = 1500
+
+interface Resident {
+  adapter: string
+  version: string
+  handle: string | undefined
+  running: number
+  usedAtMs: number
+  isUnloading: boolean
+}
+
+/** Creates a planner that serves requests in order of arrival. */
+export const createFirstComePlanner: CreatePlanner = shape => new FirstComePlanner(shape)
+
+class FirstComePlanner implements EndpointPlanner {
+  #shape: EndpointShape
+  #queue: QueuedRequest[] = []
+  #running = new Map<string, Resident>()
+  #residents = new Map<string, Resident>()
+
+  constructor (shape: EndpointShape) {
+    this.#shape = shape
+  }
+
+  addRequest (request: QueuedRequest): Admission {
+    const decision = this.#describe('admit', request, 'the queue has room')
+    if (this.#queue.length >= maxQueued) {
+      const failure = createNotRun('queue_full', `the queue of endpoint "${this.#shape.endpointId}" is full`, 429, expectedRunMs)
+      return { isAdmitted: false, failure, decision: { ...decision, kind: 'refuse', reason: failure.message } }
+    }
+    this.#queue.push(request)
+    return { isAdmitted: true, decision }
+  }
+
+  removeRequest (requestId: string, attempt: number): void {
+    this.#queue = this.#queue.filter(request => request.requestId !== requestId || request.attempt !== attempt)
+    this.recordFinished(requestId, attempt)
+  }
+
+  recordFirstToken (): void {}
+
+  recordFinished (requestId: string, attempt: number): void {
+    const resident = this.#running.get(`${requestId}/${attempt}`)
+    if (!resident) return
+    resident.running--
+    this.#running.delete(`${requestId}/${attempt}`)
+  }
+
+  recordLoaded (adapter: string, version: string, handle: string, nowMs: number): void {
+    const name = formatAdapter(adapter, version)
+    const resident = this.#residents.get(name) ?? this.#addResident(adapter, version, nowMs)
+    resident.handle = handle
+  }
+
+  recordLoadFailed (adapter: string, version: string): void {
+    this.#residents.delete(formatAdapter(adapter, version))
+  }
+
+  recordUnloaded (handle: string): void {
+    for (const [name, resident] of this.#residents) {
+      if (resident.handle === handle) this.#residents.delete(name)
+    }
+  }
+
+  recordUnloadFailed (handle: string): void {
+    for (const resident of this.#residents.values()) {
+      if (resident.handle === handle) resident.isUnloading = false
+    }
+  }
+
+  recordRestarted (): void {
+    this.#residents.clear()
+    this.#running.clear()
+  }
+
+  plan (nowMs: number): EndpointPlan {
+    const plan: EndpointPlan = { dispatches: [], loads: [], unloads: [], failures: [], wakeAtMs: undefined }
+    const waiting: QueuedRequest[] = []
+    for (const request of this.#queue) {
+      const dispatch = this.#planRequest(request, plan, nowMs)
+      if (dispatch) plan.dispatches.push(dispatch)
+      else waiting.push(request)
+    }
+    this.#queue = waiting
+    return plan
+  }
+
+  readExpectation (): EndpointExpectation {
+    const residents = [...this.#residents.values()].filter(resident => !resident.isUnloading)
+    const listNames = (isLoaded: boolean): string[] => residents
+      .filter(resident => (resident.handle !== undefined) === isLoaded)
+      .map(resident => formatAdapter(resident.adapter, resident.version))
+    return {
+      queued: this.#queue.length,
+      expectedWaitMs: this.#queue.length * expectedRunMs / this.#shape.batchLimit,
+      expectedLoadMs,
+      loaded: listNames(true),
+      loading: listNames(false)
+    }
+  }
+
+  #planRequest (request: QueuedRequest, plan: EndpointPlan, nowMs: number): PlannedDispatch | undefined {
+    const resident = this.#residents.get(formatAdapter(request.adapter, request.version))
+    if (!resident) {
+      this.#planLoad(request, plan, nowMs)
+      return undefined
+    }
+    if (!resident.handle || resident.isUnloading || this.#running.size >= this.#shape.batchLimit) return undefined
+    resident.running++
+    resident.usedAtMs = nowMs
+    this.#running.set(`${request.requestId}/${request.attempt}`, resident)
+    const decision = this.#describe('dispatch', request, 'the adapter is loaded and the batch has room')
+    return { requestId: request.requestId, attempt: request.attempt, handle: resident.handle, priority: 0, decision }
+  }
+
+  #planLoad (request: QueuedRequest, plan: EndpointPlan, nowMs: number): void {
+    if (this.#residents.size >= this.#shape.slots) {
+      this.#planUnload(request, plan)
+      return
+    }
+    this.#addResident(request.adapter, request.version, nowMs)
+    plan.loads.push({
+      adapter: request.adapter,
+      version: request.version,
+      slackMs: request.dueAtMs - nowMs,
+      decision: this.#describe('load', request, 'a slot is free')
+    })
+  }
+
+  #planUnload (request: QueuedRequest, plan: EndpointPlan): void {
+    const residents = [...this.#residents.values()]
+    if (residents.some(resident => resident.isUnloading)) return
+    const wanted = new Set(this.#queue.map(queued => formatAdapter(queued.adapter, queued.version)))
+    const idle = residents
+      .filter(resident => resident.handle && resident.running === 0 && !wanted.has(formatAdapter(resident.adapter, resident.version)))
+      .sort((left, right) => left.usedAtMs - right.usedAtMs)[0]
+    if (!idle) return
+    idle.isUnloading = true
+    plan.unloads.push({ handle: idle.handle!, decision: this.#describe('unload', request, 'the least recently used adapter makes room') })
+  }
+
+  #addResident (adapter: string, version: string, nowMs: number): Resident {
+    const resident: Resident = { adapter, version, handle: undefined, running: 0, usedAtMs: nowMs, isUnloading: false }
+    this.#residents.set(formatAdapter(adapter, version), resident)
+    return resident
+  }
+
+  #describe (kind: DecisionDraft['kind'], request: QueuedRequest, reason: string): DecisionDraft {
+    return {
+      kind,
+      requestId: request.requestId,
+      attempt: request.attempt,
+      className: request.className,
+      adapter: request.adapter,
+      version: request.version,
+      endpointId: this.#shape.endpointId,
+      considered: [],
+      chosen: this.#shape.endpointId,
+      reason,
+      waits: []
+    }
+  }
+}
--- /dev/null
+++ b/src/schemas/peerMessage.ts
@@ -0,0 +1,163 @@
+/** Messages between gateways and schedulers; each link carries them in order, in batches. */
+import { Type } from '@sinclair/typebox'
+import type { Static } from '@sinclair/typebox'
+import { requestFailureSchema } from './verdict.js'
+import { decisionSchema } from './decision.js'
+import { targetSchema } from './configuration.js'
+
+/** First message on a link, from the side that opened it. */
+export const helloSchema = Type.Object({
+  type: Type.Literal('hello'),
+  hostId: Type.String(),
+  role: Type.Union([Type.Literal('gateway'), Type.Literal('scheduler')]),
+  zone: Type.String(),
+  version: Type.String()
+})
+
+/** Asks the owner of an endpoint to run one attempt of a request. */
+export const dispatchSchema = Type.Object({
+  type: Type.Literal('dispatch'),
+  requestId: Type.String(),
+  attempt: Type.Integer(),
+  endpointId: Type.String(),
+  adapter: Type.String(),
+  version: Type.String(),
+  baseModel: Type.String(),
+  className: Type.String(),
+  target: targetSchema,
+  /** Time since the caller's request arrived, in milliseconds; no clocks are compared. */
+  ageMs: Type.Number(),
+  /** Time left until the target, in milliseconds; may be negative. */
+  dueInMs: Type.Number(),
+  callerName: Type.String(),
+  /** Hash of what the request asks, for recognising requests that crash endpoints. */
+  fingerprint: Type.String(),
+  promptTokens: Type.Integer(),
+  maxTokens: Type.Integer(),
+  path: Type.String(),
+  body: Type.String(),
+  isStream: Type.Boolean()
+})
+export type Dispatch = Static<typeof dispatchSchema>
+
+export const cancelSchema = Type.Object({
+  type: Type.Literal('cancel'),
+  requestId: Type.String(),
+  attempt: Type.Integer()
+})
+
+/** Part of an answer; `sequence` counts from 0 within an attempt. */
+export const answerDataSchema = Type.Object({
+  type: Type.Literal('answerData'),
+  requestId: Type.String(),
+  attempt: Type.Integer(),
+  sequence: Type.Integer(),
+  data: Type.String()
+})
+/** The whole answer has been sent; `sequence` is the number of parts. */
+export const answerEndSchema = Type.Object({
+  type: Type.Literal('answerEnd'),
+  requestId: Type.String(),
+  attempt: Type.Integer(),
+  sequence: Type.Integer()
+})
+export const answerFailedSchema = Type.Object({
+  type: Type.Literal('answerFailed'),
+  requestId: Type.String(),
+  attempt: Type.Integer(),
+  failure: requestFailureSchema
+})
+
+/** What a scheduler tells about an endpoint that it owns. */
+export const endpointSummarySchema = Type.Object({
+  endpointId: Type.String(),
+  zone: Type.String(),
+  baseModel: Type.String(),
+  fencing: Type.Integer(),
+  isReady: Type.Boolean(),
+  slots: Type.Integer(),
+  batchLimit: Type.Integer(),
+  running: Type.Integer(),
+  queued: Type.Integer(),
+  /** Expected wait of a new request for a loaded adapter, in milliseconds. */
+  expectedWaitMs: Type.Number(),
+  /** Expected time of a load from now, its wait for a slot and the budget included, in milliseconds. */
+  expectedLoadMs: Type.Number(),
+  /** `adapter@version` of each adapter that is loaded and usable. */
+  loaded: Type.Array(Type.String()),
+  /** `adapter@version` of each adapter that is being loaded or is queued for it. */
+  loading: Type.Array(Type.String())
+})
+export type EndpointSummary = Static<typeof endpointSummarySchema>
+
+/** The endpoints that a scheduler owns; replaces the one before. */
+export const endpointSummariesSchema = Type.Object({
+  type: Type.Literal('endpointSummaries'),
+  hostId: Type.String(),
+  sequence: Type.Integer(),
+  isLeaving: Type.Boolean(),
+  endpoints: Type.Array(endpointSummarySchema)
+})
+export type EndpointSummaries = Static<typeof endpointSummariesSchema>
+
+/** Decisions taken on the sender, for `explain` and `watch`. */
+export const decisionsSchema = Type.Object({
+  type: Type.Literal('decisions'),
+  decisions: Type.Array(decisionSchema)
+})
+
+/** Fingerprints that were running when an endpoint crashed; counts only rise. */
+export const suspectsSchema = Type.Object({
+  type: Type.Literal('suspects'),
+  suspects: Type.Array(Type.Object({
+    fingerprint: Type.String(),
+    /** Names of the crashes, `endpointId/incarnation`. */
+    crashes: Type.Array(Type.String())
+  }))
+})
+
+/** Tells the newest configuration version that the sender has in force, with recent changes. */
+export const configurationNewsSchema = Type.Object({
+  type: Type.Literal('configurationNews'),
+  version: Type.Integer(),
+  changes: Type.Array(Type.Unknown())
+})
+
+/** Asks the owner of a load permit for one adapter load, and its answers. */
+export const permitRequestSchema = Type.Object({
+  type: Type.Literal('permitRequest'),
+  permitRequestId: Type.String(),
+  endpointId: Type.String(),
+  /** Time left until the load is needed, in milliseconds; smaller is more urgent. */
+  slackMs: Type.Number()
+})
+export const permitGrantSchema = Type.Object({
+  type: Type.Literal('permitGrant'),
+  permitRequestId: Type.String()
+})
+export const permitReleaseSchema = Type.Object({
+  type: Type.Literal('permitRelease'),
+  permitRequestId: Type.String()
+})
+
+/** Asks a host something for an operator; the answer comes with the same id. */
+export const querySchema = Type.Object({
+  type: Type.Literal('query'),
+  queryId: Type.String(),
+  /** What is asked: `dump`, `explain` or `status`. */
+  subject: Type.String(),
+  argument: Type.String()
+})
+export const queryAnswerSchema = Type.Object({
+  type: Type.Literal('queryAnswer'),
+  queryId: Type.String(),
+  answer: Type.Unknown()
+})
+
+export const peerMessageSchema = Type.Union([
+  helloSchema, dispatchSchema, cancelSchema, answerDataSchema, answerEndSchema, answerFailedSchema,
+  endpointSummariesSchema, decisionsSchema, suspectsSchema, configurationNewsSchema,
+  permitRequestSchema, permitGrantSchema, permitReleaseSchema, querySchema, queryAnswerSchema
+])
+export type PeerMessage = Static<typeof peerMessageSchema>
+export type PeerMessageOf<T extends PeerMessage['type']> = Extract<PeerMessage, { type: T }>
--- /dev/null
+++ b/src/settings/resolveSettings.ts
@@ -0,0 +1,60 @@
+/** Turns an INI file into frozen, checked settings. */
+import { readFileSync } from 'node:fs'
+import { parse } from 'ini'
+import type { Static, TObject, TSchema } from '@sinclair/typebox'
+import { Value } from '@sinclair/typebox/value'
+import type { ValueError } from '@sinclair/typebox/value'
+import { createSettingsError } from './settingsError.js'
+
+/**
+ * Reads and checks a settings file; `file` is `-` for the schema's defaults alone.
+ * Throws an error that names file, section, key and what is expected.
+ *
+ * @example
+ * const settings = readSettings('gateway.ini', gatewaySettingsSchema)
+ */
+export function readSettings<T extends TObject> (file: string, schema: T): Readonly<Static<T>> {
+  return resolveSettings(file, file === '-' ? '' : readText(file), schema)
+}
+
+function readText (file: string): string {
+  try {
+    return readFileSync(file, 'utf8')
+  } catch (error) {
+    throw createSettingsError(`${file}: the file cannot be read (${(error as NodeJS.ErrnoException).code}); name an existing INI file`)
+  }
+}
+
+/** Checks the text of a settings file; see `readSettings`. */
+export function resolveSettings<T extends TObject> (file: string, text: string, schema: T): Readonly<Static<T>> {
+  const raw = structuredClone(parse(text)) as Record<string, unknown>
+  const settings = Value.Convert(schema, Value.Default(schema, raw))
+  const error = Value.Errors(schema, settings).First()
+  if (error) throw createSettingsError(`${file}: ${describeError(error, schema)}`)
+  return freezeDeep(settings as Static<T>)
+}
+
+function describeError (error: ValueError, schema: TObject): string {
+  const [section = '', key] = error.path.slice(1).split('/')
+  const sectionSchema = schema.properties[section]
+  if (key === undefined && !sectionSchema) {
+    return `section [${section}] is unknown; expected one of ${listNames(schema)}`
+  }
+  if (key === undefined) return `section [${section}] is missing or not a section; it takes ${listNames(sectionSchema)}`
+  const keySchema = (sectionSchema as TObject | undefined)?.properties?.[key] as TSchema | undefined
+  if (!keySchema) return `[${section}] ${key} is unknown; expected one of ${listNames(sectionSchema)}`
+  return `[${section}] ${key} is ${formatValue(error.value)}; expected ${keySchema.description ?? error.message}`
+}
+
+function listNames (schema: TSchema | undefined): string {
+  return Object.keys((schema as TObject | undefined)?.properties ?? {}).join(', ')
+}
+
+function formatValue (value: unknown): string {
+  return value === undefined ? 'missing' : JSON.stringify(value)
+}
+
+function freezeDeep<T> (value: T): Readonly<T> {
+  if (typeof value === 'object' && value !== null) Object.values(value).forEach(freezeDeep)
+  return Object.freeze(value)
+}
--- /dev/null
+++ b/src/settings/settingsSchemas.ts
@@ -0,0 +1,85 @@
+/** The settings of each binary; descriptions are what a wrong value is told to be. */
+import { Type } from '@sinclair/typebox'
+import type { Static, TObject, TProperties } from '@sinclair/typebox'
+import { defaultCallersPort, defaultOperatorsPort } from '../constants.js'
+
+const ipPattern = '^[0-9]{1,3}(\\.[0-9]{1,3}){3}$|^[0-9a-fA-F:]+$'
+const addressPattern = '^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$'
+
+/** A section that may be left out where all its keys have defaults. */
+function createSection<T extends TProperties> (properties: T): TObject<T> {
+  return Type.Object(properties, { additionalProperties: false, default: {} })
+}
+
+const nameType = Type.String({ pattern: '^[A-Za-z0-9][A-Za-z0-9._-]*$', description: 'a name of letters, digits, ".", "_" and "-"' })
+const ipType = Type.String({ pattern: ipPattern, default: '127.0.0.1', description: 'an IP number such as 10.0.0.7' })
+const addressType = Type.String({ pattern: addressPattern, description: 'an IP number and a port such as 10.0.0.7:7490' })
+const keyType = Type.String({ minLength: 16, description: 'a shared key of at least 16 characters' })
+
+function createPortType (port: number): ReturnType<typeof Type.Integer> {
+  return Type.Integer({ minimum: 0, maximum: 65535, default: port, description: 'a port from 0 to 65535; 0 takes a free one' })
+}
+
+const hostSection = createSection({ id: nameType, zone: nameType })
+const platformSection = createSection({ address: addressType })
+
+/** `[metrics] statsd`: where metrics go; left out, none are sent. */
+const metricsSection = createSection({ statsd: Type.Optional(addressType) })
+
+export const gatewaySettingsSchema = createSection({
+  host: hostSection,
+  platform: platformSection,
+  /** `key`: shared by all hosts of the system. */
+  peers: createSection({ key: keyType }),
+  callers: createSection({ address: ipType, port: createPortType(defaultCallersPort) }),
+  operators: createSection({ address: ipType, port: createPortType(defaultOperatorsPort) }),
+  metrics: metricsSection
+})
+export type GatewaySettings = Readonly<Static<typeof gatewaySettingsSchema>>
+
+export const schedulerSettingsSchema = createSection({
+  host: hostSection,
+  platform: platformSection,
+  peers: createSection({ address: ipType, port: createPortType(7500), key: keyType }),
+  /** What the weight store allows all hosts together. */
+  store: createSection({
+    loadsPerSecond: Type.Number({ exclusiveMinimum: 0, default: 4, description: 'a number of loads a second above 0' }),
+    loadsAtFullSpeed: Type.Integer({ minimum: 1, default: 3, description: 'a whole number of loads from 1' })
+  }),
+  metrics: metricsSection
+})
+export type SchedulerSettings = Readonly<Static<typeof schedulerSettingsSchema>>
+
+const countType = Type.Integer({ minimum: 0, default: 0, description: 'a whole number from 0' })
+const millisecondsType = (ms: number): ReturnType<typeof Type.Number> =>
+  Type.Number({ minimum: 0, default: ms, description: 'a time in milliseconds from 0' })
+
+export const standinSettingsSchema = createSection({
+  platform: createSection({
+    address: ipType,
+    port: createPortType(7490),
+    listLagMs: millisecondsType(500)
+  }),
+  engines: createSection({
+    count: countType,
+    /** Engines take this port and those after it; 0 takes free ones. */
+    firstPort: createPortType(7600),
+    zones: Type.Integer({ minimum: 1, default: 3, description: 'a number of availability zones from 1' }),
+    baseModel: Type.String({ default: 'base-1', minLength: 1, description: 'the name of a base model' }),
+    slots: Type.Integer({ minimum: 1, default: 8, description: 'a number of adapter slots from 1' }),
+    batchLimit: Type.Integer({ minimum: 1, default: 16, description: 'a number of requests from 1' }),
+    stepBaseMs: millisecondsType(18),
+    stepPerRequestMs: millisecondsType(0.5),
+    prefillPerTokenMs: millisecondsType(0.05)
+  }),
+  store: createSection({
+    loadMs: millisecondsType(650),
+    loadsAtFullSpeed: Type.Integer({ minimum: 1, default: 3, description: 'a whole number of loads from 1' })
+  }),
+  services: createSection({
+    name: Type.String({ default: 'claims', minLength: 1, description: 'the name of a service' }),
+    count: countType,
+    firstPort: createPortType(7700)
+  })
+})
+export type StandinSettings = Readonly<Static<typeof standinSettingsSchema>>
--- /dev/null
+++ b/src/tasks/gateway/callerAccess.ts
@@ -0,0 +1,40 @@
+/** Who a caller is and what the caller's key reaches. */
+import { createHash, timingSafeEqual } from 'node:crypto'
+import type { ConfigurationView, KeyRecord } from '../../schemas/configuration.js'
+import { createNotRun } from '../../schemas/verdict.js'
+import type { RequestFailure } from '../../schemas/verdict.js'
+
+/** Either a value or the failure that the caller is told. */
+export type Checked<T> = { isValid: true, value: T } | { isValid: false, failure: RequestFailure }
+
+/** Hashes a key as it is registered: SHA-256 in lower-case hex. */
+export function hashKey (key: string): string {
+  return createHash('sha256').update(key).digest('hex')
+}
+
+/**
+ * Finds the record of the key in an `Authorization: Bearer` header.
+ *
+ * @example
+ * findCaller(configuration, 'Bearer sv-counter-1', 'caller')
+ */
+export function findCaller (
+  configuration: ConfigurationView, authorization: string | undefined, role: KeyRecord['role']
+): Checked<KeyRecord> {
+  const key = /^Bearer (.+)$/i.exec(authorization ?? '')?.[1]
+  if (key === undefined) return refuse(createNotRun('key_missing', 'the request has no "Authorization: Bearer" header', 401))
+  const hash = hashKey(key.trim())
+  const record = configuration.findKeyByHash(hash)
+  const isKnown = record !== undefined && timingSafeEqual(Buffer.from(record.hash), Buffer.from(hash))
+  if (!isKnown || record.role !== role) return refuse(createNotRun('key_unknown', `the key is not registered for a ${role}`, 401))
+  return { isValid: true, value: record }
+}
+
+/** Whether a list of names, in which `*` stands for all, holds a name. */
+export function isNameAllowed (names: string[], name: string): boolean {
+  return names.includes('*') || names.includes(name)
+}
+
+function refuse (failure: RequestFailure): { isValid: false, failure: RequestFailure } {
+  return { isValid: false, failure }
+}
--- /dev/null
+++ b/src/tasks/gateway/callersServer.ts
@@ -0,0 +1,121 @@
+/** The callers' port: the OpenAI API and the way to plain services. */
+import { randomUUID } from 'node:crypto'
+import type { AddressInfo } from 'node:net'
+import fastify from 'fastify'
+import type { FastifyError, FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
+import { maxHeaderBytes, maxRequestBodyBytes } from '../../constants.js'
+import type { Clock } from '../../ports/clock.js'
+import type { ConfigurationView } from '../../schemas/configuration.js'
+import { createNotRun } from '../../schemas/verdict.js'
+import type { RequestFailure } from '../../schemas/verdict.js'
+import { AnswerWriter } from './answerWriter.js'
+import { findCaller } from './callerAccess.js'
+import { renderErrorBody, renderErrorHeaders } from './callerError.js'
+import { addModelsRoute } from './modelsRoute.js'
+import type { RequestRouter } from './requestRouter.js'
+import { resolveRequest } from './resolveRequest.js'
+import type { ServiceRouter } from './serviceRouter.js'
+import { addServicesRoute } from './servicesRoute.js'
+import type { HashText } from './resolveRequest.js'
+
+export interface CallersServerOptions {
+  address: string
+  /** 0 takes a free port. */
+  port: number
+  clock: Clock
+  configuration: ConfigurationView
+  router: RequestRouter
+  services: ServiceRouter
+  hashText: HashText
+}
+
+/** What the routes of the callers' port share. */
+export type CallersContext = Omit<CallersServerOptions, 'address' | 'port'>
+
+export interface CallersServer {
+  readonly port: number
+  /** Ends once every answer in progress has been sent. */
+  stop: () => Promise<void>
+}
+
+/** Starts the callers' port. Rejects where the port is in use. */
+export async function startCallersServer (options: CallersServerOptions): Promise<CallersServer> {
+  const server = fastify({
+    bodyLimit: maxRequestBodyBytes,
+    http: { maxHeaderSize: maxHeaderBytes },
+    forceCloseConnections: 'idle',
+    return503OnClosing: false
+  })
+  addErrorHandlers(server)
+  addCompletionRoutes(server, options)
+  addModelsRoute(server, options)
+  await addServicesRoute(server, options)
+  await server.listen({ host: options.address, port: options.port })
+  const { port } = server.server.address() as AddressInfo
+  return { port, stop: async () => await server.close() }
+}
+
+/** Sends a failure in the shape that every error of this port has. */
+export function sendFailure (reply: FastifyReply, failure: RequestFailure): FastifyReply {
+  return reply.code(failure.status).headers(renderErrorHeaders(failure)).type('application/json').send(renderErrorBody(failure))
+}
+
+function addErrorHandlers (server: FastifyInstance): void {
+  server.setErrorHandler<FastifyError>((error, _request, reply) => {
+    sendFailure(reply, createHttpFailure(error))
+  })
+  server.setNotFoundHandler((request, reply) => {
+    sendFailure(reply, createNotRun('path_not_found', `path "${request.url.slice(0, 200)}" does not exist for ${request.method}`, 404))
+  })
+}
+
+function createHttpFailure (error: FastifyError): RequestFailure {
+  const status = error.statusCode ?? 500
+  if (status === 413) return createNotRun('body_too_large', `the body is larger than ${maxRequestBodyBytes} bytes`, 413)
+  if (status === 415) return createNotRun('content_type_unsupported', 'the body is not "application/json"', 415)
+  if (status < 500) return createNotRun('invalid_body', `the body is not valid: ${error.message}`, status)
+  return createNotRun('internal_error', 'the gateway failed before the request was sent on', 500)
+}
+
+function addCompletionRoutes (server: FastifyInstance, context: CallersContext): void {
+  for (const path of ['/v1/chat/completions', '/v1/completions'] as const) {
+    server.post(path, (request, reply) => handleCompletion(context, path, request, reply))
+  }
+}
+
+function handleCompletion (
+  context: CallersContext, path: '/v1/chat/completions' | '/v1/completions', request: FastifyRequest, reply: FastifyReply
+): void {
+  const requestId = `req-${randomUUID()}`
+  reply.header('sedgevalve-request-id', requestId)
+  const caller = findCaller(context.configuration, request.headers.authorization, 'caller')
+  if (!caller.isValid) {
+    sendFailure(reply, caller.failure)
+    return
+  }
+  const resolved = resolveRequest(context.configuration, {
+    requestId,
+    path,
+    body: request.body,
+    className: readHeader(request, 'sedgevalve-class'),
+    idempotencyKey: readHeader(request, 'idempotency-key'),
+    caller: caller.value,
+    arrivedAtMs: context.clock.readMonotonic(),
+    arrivedAtWallMs: context.clock.readWall()
+  }, context.hashText)
+  if (!resolved.isValid) {
+    sendFailure(reply, resolved.failure)
+    return
+  }
+  reply.hijack()
+  const cancel = (): void => context.router.cancelRequest(requestId)
+  const writer = new AnswerWriter({ response: reply.raw, request: resolved.value, cancel })
+  reply.raw.on('close', cancel)
+  context.router.startRequest(resolved.value, event => writer.receive(event))
+}
+
+/** Reads a header that may stand once. */
+export function readHeader (request: FastifyRequest, name: string): string | undefined {
+  const value = request.headers[name]
+  return Array.isArray(value) ? value[0] : value
+}
--- /dev/null
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -0,0 +1,91 @@
+/** The gateway: takes callers' requests and has schedulers run them. */
+import { createLog } from '../../createLog.js'
+import type { ChooseEndpoint } from '../../core/endpointChoice.js'
+import { RetryBudget, defaultRetryBudget } from '../../core/retryBudget.js'
+import type { Clock } from '../../ports/clock.js'
+import type { HostList } from '../../ports/hostList.js'
+import type { PeerTransport } from '../../ports/peers.js'
+import type { Service } from '../../ports/service.js'
+import type { ConfigurationView } from '../../schemas/configuration.js'
+import { startCallersServer } from './callersServer.js'
+import type { CallersServer } from './callersServer.js'
+import { RequestRouter } from './requestRouter.js'
+import type { HashText } from './resolveRequest.js'
+import { SchedulerLinks } from './schedulerLinks.js'
+import { ServiceRouter } from './serviceRouter.js'
+
+const log = createLog('gateway')
+
+export interface GatewayTaskOptions {
+  hostId: string
+  zone: string
+  clock: Clock
+  hostList: HostList
+  service: Service
+  configuration: ConfigurationView
+  chooseEndpoint: ChooseEndpoint
+  random: () => number
+  hashText: HashText
+  peerTransport: PeerTransport
+  peerKey: string
+  callers: { address: string, port: number }
+}
+
+export class GatewayTask {
+  #options: GatewayTaskOptions
+  #links: SchedulerLinks
+  #router: RequestRouter
+  #services: ServiceRouter
+  #callers: CallersServer | undefined
+
+  constructor (options: GatewayTaskOptions) {
+    this.#options = options
+    const { clock, hostList, hostId, zone, peerTransport, peerKey } = options
+    this.#links = new SchedulerLinks({
+      clock,
+      hostList,
+      hostId,
+      zone,
+      peerTransport,
+      peerKey,
+      receiveMessage: (from, message) => this.#router.receiveMessage(from, message),
+      receiveClosed: from => this.#router.receiveClosed(from),
+      receiveChange: () => this.#router.receiveChange(),
+      receiveList: entries => this.#services.receiveList(entries)
+    })
+    this.#services = new ServiceRouter({ clock, zone, service: options.service })
+    this.#router = new RequestRouter({
+      clock,
+      zone,
+      links: this.#links,
+      chooseEndpoint: options.chooseEndpoint,
+      retryBudget: new RetryBudget(defaultRetryBudget, clock.readMonotonic()),
+      random: options.random,
+      recordDecision: () => {}
+    })
+  }
+
+  /** Port on which callers connect, once started. */
+  get callersPort (): number {
+    return this.#callers?.port ?? 0
+  }
+
+  /** Runs requests of this process's own, such as those of jobs. */
+  get router (): RequestRouter {
+    return this.#router
+  }
+
+  async start (): Promise<void> {
+    this.#links.start()
+    const { clock, configuration, hashText, callers } = this.#options
+    this.#callers = await startCallersServer({ ...callers, clock, configuration, router: this.#router, services: this.#services, hashText })
+    log('Gateway "%s" takes callers on port %d.', this.#options.hostId, this.callersPort)
+  }
+
+  /** Takes no new connections and ends when every answer in progress has been sent. */
+  async stop (): Promise<void> {
+    await this.#callers?.stop()
+    this.#links.stop()
+    log('Gateway "%s" has stopped.', this.#options.hostId)
+  }
+}
--- /dev/null
+++ b/src/tasks/gateway/modelsRoute.ts
@@ -0,0 +1,53 @@
+/** `GET /v1/models`: the adapters that a key reaches, in pages. */
+import type { FastifyInstance } from 'fastify'
+import { Type } from '@sinclair/typebox'
+import { Value } from '@sinclair/typebox/value'
+import type { AdapterRecord, ConfigurationView, KeyRecord } from '../../schemas/configuration.js'
+import { createNotRun } from '../../schemas/verdict.js'
+import { findCaller, isNameAllowed } from './callerAccess.js'
+import { sendFailure } from './callersServer.js'
+import type { CallersContext } from './callersServer.js'
+
+const maxPage = 1000
+const querySchema = Type.Object({
+  after: Type.Optional(Type.String()),
+  limit: Type.Optional(Type.Integer({ minimum: 1, maximum: maxPage }))
+})
+
+/** Adds the route; `after` names the last adapter of the page before. */
+export function addModelsRoute (server: FastifyInstance, context: CallersContext): void {
+  server.get('/v1/models', (request, reply) => {
+    const caller = findCaller(context.configuration, request.headers.authorization, 'caller')
+    if (!caller.isValid) return sendFailure(reply, caller.failure)
+    const query = Value.Convert(querySchema, request.query)
+    if (!Value.Check(querySchema, query)) {
+      return sendFailure(reply, createNotRun('invalid_query', `"limit" is a whole number from 1 to ${maxPage}, "after" a name`, 400))
+    }
+    return renderPage(context.configuration, caller.value, query.after ?? '', query.limit ?? maxPage)
+  })
+}
+
+function renderPage (configuration: ConfigurationView, caller: KeyRecord, after: string, limit: number): unknown {
+  const records = listReachable(configuration, caller, after, limit + 1)
+  const page = records.slice(0, limit)
+  return {
+    object: 'list',
+    data: page.map(record => ({
+      id: record.name, object: 'model', owned_by: record.baseModel, versions: record.versions, current_version: record.currentVersion
+    })),
+    has_more: records.length > limit,
+    last_id: page.at(-1)?.name ?? null
+  }
+}
+
+function listReachable (configuration: ConfigurationView, caller: KeyRecord, after: string, limit: number): AdapterRecord[] {
+  const found: AdapterRecord[] = []
+  let position = after
+  while (found.length < limit) {
+    const records = configuration.listRecords('adapter', position, maxPage) as AdapterRecord[]
+    found.push(...records.filter(record => isNameAllowed(caller.adapters, record.name)))
+    if (records.length < maxPage) break
+    position = records.at(-1)!.name
+  }
+  return found.slice(0, limit)
+}
--- /dev/null
+++ b/src/tasks/gateway/requestRouter.ts
@@ -0,0 +1,263 @@
+/** Runs callers' requests: chooses endpoints, sends attempts, passes answers on and retries by verdict. */
+import { formatAdapter } from '../../core/formatAdapter.js'
+import type { ChooseEndpoint } from '../../core/endpointChoice.js'
+import type { RetryBudget } from '../../core/retryBudget.js'
+import { isDeferrable } from '../../core/targetTime.js'
+import type { Clock, Timer } from '../../ports/clock.js'
+import type { RecordDecision } from '../../schemas/decision.js'
+import type { PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
+import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
+import type { RequestFailure } from '../../schemas/verdict.js'
+import type { SchedulerLinks } from './schedulerLinks.js'
+import type { AnswerEvent, AnswerSource, RoutedRequest, SendAnswer } from './routedRequest.js'
+
+/** A takeover of endpoints ends within this time; after it a request without an endpoint is refused. */
+const maxWaitForEndpointMs = 10_000
+const maxAttempts = 6
+const retryAfterNoEndpointMs = 2000
+
+export interface RequestRouterOptions {
+  clock: Clock
+  zone: string
+  links: Pick<SchedulerLinks, 'listViews' | 'send' | 'recordSent'>
+  chooseEndpoint: ChooseEndpoint
+  retryBudget: RetryBudget
+  random: () => number
+  recordDecision: RecordDecision
+}
+
+interface RunningRequest {
+  request: RoutedRequest
+  send: SendAnswer
+  attempt: number
+  /** Host and endpoint of the current attempt; undefined while the request waits for an endpoint. */
+  target: { hostId: string, endpointId: string } | undefined
+  nextSequence: number
+  hasSentData: boolean
+  avoidEndpoints: string[]
+  waitingSinceMs: number | undefined
+  waitTimer: Timer | undefined
+}
+
+type AnswerMessage = PeerMessageOf<'answerData'> | PeerMessageOf<'answerEnd'> | PeerMessageOf<'answerFailed'>
+
+export class RequestRouter {
+  #options: RequestRouterOptions
+  #running = new Map<string, RunningRequest>()
+
+  constructor (options: RequestRouterOptions) {
+    this.#options = options
+  }
+
+  /** Number of requests that have no final answer yet. */
+  get running (): number {
+    return this.#running.size
+  }
+
+  /** Runs a request; `send` gets its answer. */
+  startRequest (request: RoutedRequest, send: SendAnswer): void {
+    const running: RunningRequest = {
+      request,
+      send,
+      attempt: 0,
+      target: undefined,
+      nextSequence: 0,
+      hasSentData: false,
+      avoidEndpoints: [],
+      waitingSinceMs: undefined,
+      waitTimer: undefined
+    }
+    this.#running.set(request.requestId, running)
+    this.#options.retryBudget.recordFirstAttempt()
+    this.#startAttempt(running)
+  }
+
+  /** Gives a request up because its caller has gone; no event follows. */
+  cancelRequest (requestId: string): void {
+    const running = this.#running.get(requestId)
+    if (!running) return
+    this.#cancelAttempt(running)
+    this.#remove(running)
+  }
+
+  receiveMessage (hostId: string, message: PeerMessage): void {
+    if (message.type === 'answerData' || message.type === 'answerEnd' || message.type === 'answerFailed') {
+      this.#receiveAnswer(hostId, message)
+    }
+  }
+
+  /** The link to a host has closed: nobody can tell whether its attempts ran. */
+  receiveClosed (hostId: string): void {
+    for (const running of [...this.#running.values()]) {
+      if (running.target?.hostId !== hostId) continue
+      this.#receiveFailure(running, createMayHaveRun('scheduler_lost', `the link to scheduler "${hostId}" was lost`, 502))
+    }
+  }
+
+  /** Endpoints have changed; tries the requests that wait for one. */
+  receiveChange (): void {
+    for (const running of [...this.#running.values()]) {
+      if (running.waitingSinceMs !== undefined) this.#dispatch(running)
+    }
+  }
+
+  // Attempts
+
+  #startAttempt (running: RunningRequest): void {
+    running.attempt++
+    running.nextSequence = 0
+    this.#dispatch(running)
+  }
+
+  #dispatch (running: RunningRequest): void {
+    const { request, attempt } = running
+    const { links, chooseEndpoint, clock, random, recordDecision } = this.#options
+    const nowMs = clock.readMonotonic()
+    const choice = chooseEndpoint({
+      requestId: request.requestId,
+      attempt,
+      adapter: request.adapter,
+      version: request.version,
+      baseModel: request.baseModel,
+      className: request.className,
+      dueInMs: request.dueAtMs - nowMs,
+      isDeferrable: isDeferrable(request.target),
+      promptTokens: request.promptTokens,
+      avoidEndpoints: running.avoidEndpoints,
+      zone: this.#options.zone
+    }, links.listViews(), random)
+    if (!choice.isChosen) {
+      this.#waitForEndpoint(running, choice.decision.reason, nowMs)
+      return
+    }
+    this.#stopWaiting(running)
+    recordDecision(choice.decision)
+    running.target = { hostId: choice.hostId, endpointId: choice.endpointId }
+    links.recordSent(choice.hostId, choice.endpointId, formatAdapter(request.adapter, request.version))
+    links.send(choice.hostId, createDispatch(request, attempt, choice.endpointId, nowMs))
+  }
+
+  #waitForEndpoint (running: RunningRequest, reason: string, nowMs: number): void {
+    running.target = undefined
+    running.avoidEndpoints = []
+    if (running.waitingSinceMs !== undefined) return
+    running.waitingSinceMs = nowMs
+    running.waitTimer = this.#options.clock.setTimer(() => {
+      this.#finishFailed(running, createNotRun('no_endpoint', reason, 503, retryAfterNoEndpointMs))
+    }, maxWaitForEndpointMs)
+  }
+
+  #stopWaiting (running: RunningRequest): void {
+    running.waitingSinceMs = undefined
+    running.waitTimer?.cancel()
+  }
+
+  #cancelAttempt (running: RunningRequest): void {
+    if (!running.target) return
+    this.#options.links.send(running.target.hostId, {
+      type: 'cancel', requestId: running.request.requestId, attempt: running.attempt
+    })
+  }
+
+  // Answers
+
+  #receiveAnswer (hostId: string, message: AnswerMessage): void {
+    const running = this.#running.get(message.requestId)
+    // Whatever comes from a superseded attempt, or from a host that does not run the attempt, is dropped.
+    if (!running?.target || running.attempt !== message.attempt || running.target.hostId !== hostId) return
+    const source: AnswerSource = { endpointId: running.target.endpointId, attempt: running.attempt }
+    if (message.type === 'answerFailed') {
+      this.#receiveFailure(running, message.failure)
+    } else if (message.sequence !== running.nextSequence) {
+      this.#receiveGap(running, message.sequence)
+    } else if (message.type === 'answerData') {
+      running.nextSequence++
+      running.hasSentData = true
+      running.send({ type: 'data', data: message.data, source })
+    } else {
+      this.#remove(running)
+      running.send({ type: 'end', source })
+    }
+  }
+
+  /** A part that came before is dropped; a missing part ends the attempt. */
+  #receiveGap (running: RunningRequest, sequence: number): void {
+    if (sequence < running.nextSequence) return
+    this.#cancelAttempt(running)
+    this.#receiveFailure(running, createMayHaveRun('answer_gap', `part ${running.nextSequence} of the answer is missing`, 502))
+  }
+
+  #receiveFailure (running: RunningRequest, failure: RequestFailure): void {
+    const obstacle = this.#findRetryObstacle(running, failure)
+    if (obstacle !== undefined) {
+      this.#finishFailed(running, running.hasSentData ? { ...failure, verdict: 'mayHaveRun' } : failure)
+      return
+    }
+    if (running.target) running.avoidEndpoints.push(running.target.endpointId)
+    this.#options.recordDecision({
+      kind: 'retry',
+      requestId: running.request.requestId,
+      attempt: running.attempt,
+      className: running.request.className,
+      adapter: running.request.adapter,
+      version: running.request.version,
+      ...(running.target && { endpointId: running.target.endpointId }),
+      verdict: failure.verdict,
+      considered: [],
+      chosen: 'retry',
+      reason: failure.message,
+      waits: []
+    })
+    this.#startAttempt(running)
+  }
+
+  /** Names what stands against a retry; undefined where one is allowed, which it then takes from the budget. */
+  #findRetryObstacle (running: RunningRequest, failure: RequestFailure): string | undefined {
+    if (running.hasSentData) return 'part of the answer was sent'
+    if (failure.verdict === 'ran') return 'the request ran'
+    if (failure.verdict === 'mayHaveRun' && !running.request.isRepeatable) return 'the request may not run twice'
+    if (isCallersFault(failure)) return 'another endpoint would refuse it too'
+    if (running.attempt >= maxAttempts) return 'too many attempts'
+    if (!this.#options.retryBudget.takeRetry(this.#options.clock.readMonotonic())) return 'the retry budget is used up'
+    return undefined
+  }
+
+  #finishFailed (running: RunningRequest, failure: RequestFailure): void {
+    this.#remove(running)
+    running.send({ type: 'failed', failure } satisfies AnswerEvent)
+  }
+
+  #remove (running: RunningRequest): void {
+    running.waitTimer?.cancel()
+    this.#running.delete(running.request.requestId)
+  }
+}
+
+/** Statuses of the 4xx range are final, but for a handle that has gone and a full queue. */
+function isCallersFault (failure: RequestFailure): boolean {
+  const isClientStatus = failure.status >= 400 && failure.status < 500
+  return isClientStatus && failure.code !== 'handle_unknown' && failure.status !== 429
+}
+
+function createDispatch (request: RoutedRequest, attempt: number, endpointId: string, nowMs: number): PeerMessageOf<'dispatch'> {
+  return {
+    type: 'dispatch',
+    requestId: request.requestId,
+    attempt,
+    endpointId,
+    adapter: request.adapter,
+    version: request.version,
+    baseModel: request.baseModel,
+    className: request.className,
+    target: request.target,
+    ageMs: nowMs - request.arrivedAtMs,
+    dueInMs: request.dueAtMs - nowMs,
+    callerName: request.callerName,
+    fingerprint: request.fingerprint,
+    promptTokens: request.promptTokens,
+    maxTokens: request.maxTokens,
+    path: request.path,
+    body: request.body,
+    isStream: request.isStream
+  }
+}
--- /dev/null
+++ b/src/tasks/gateway/resolveRequest.ts
@@ -0,0 +1,136 @@
+/** Checks a caller's request for a model and fixes its adapter, version, class and target. */
+import { Type } from '@sinclair/typebox'
+import type { Static } from '@sinclair/typebox'
+import { TypeCompiler } from '@sinclair/typebox/compiler'
+import { computeDueInMs } from '../../core/targetTime.js'
+import { maxIdempotencyKeyBytes } from '../../constants.js'
+import type { AdapterRecord, ClassRecord, ConfigurationView, KeyRecord } from '../../schemas/configuration.js'
+import { createNotRun } from '../../schemas/verdict.js'
+import { isNameAllowed } from './callerAccess.js'
+import type { Checked } from './callerAccess.js'
+import type { RoutedRequest } from './routedRequest.js'
+
+const charactersPerToken = 4
+const defaultMaxTokens = 256
+
+const sharedFields = {
+  model: Type.String({ minLength: 1 }),
+  stream: Type.Optional(Type.Boolean()),
+  max_tokens: Type.Optional(Type.Integer({ minimum: 1, maximum: 131072 }))
+}
+const chatSchema = Type.Object({
+  ...sharedFields,
+  messages: Type.Array(Type.Object({ role: Type.String(), content: Type.Unknown() }), { minItems: 1 })
+})
+const completionSchema = Type.Object({
+  ...sharedFields,
+  prompt: Type.Union([Type.String(), Type.Array(Type.Unknown())])
+})
+const chatCheck = TypeCompiler.Compile(chatSchema)
+const completionCheck = TypeCompiler.Compile(completionSchema)
+type ModelBody = Static<typeof chatSchema> | Static<typeof completionSchema>
+
+export interface ModelRequest {
+  requestId: string
+  path: '/v1/chat/completions' | '/v1/completions'
+  /** Parsed JSON body. */
+  body: unknown
+  /** Value of `Sedgevalve-Class`. */
+  className: string | undefined
+  idempotencyKey: string | undefined
+  caller: KeyRecord
+  arrivedAtMs: number
+  arrivedAtWallMs: number
+}
+
+/** Hashes a text; the same on every host. */
+export type HashText = (text: string) => string
+
+/** Resolves a request, or says what is wrong with it. */
+export function resolveRequest (
+  configuration: ConfigurationView, request: ModelRequest, hashText: HashText
+): Checked<RoutedRequest> {
+  const body = checkBody(request)
+  if (!body.isValid) return body
+  const { idempotencyKey } = request
+  if (idempotencyKey !== undefined && Buffer.byteLength(idempotencyKey) > maxIdempotencyKeyBytes) {
+    return refuse('idempotency_key_too_long', `the Idempotency-Key is longer than ${maxIdempotencyKeyBytes} bytes`)
+  }
+  const version = resolveVersion(configuration, request.caller, body.value.model)
+  if (!version.isValid) return version
+  const classRecord = resolveClass(configuration, request, version.value.adapter)
+  if (!classRecord.isValid) return classRecord
+  return { isValid: true, value: createRoutedRequest(request, body.value, version.value, classRecord.value, hashText) }
+}
+
+function createRoutedRequest (
+  request: ModelRequest, body: ModelBody, resolved: ResolvedVersion, classRecord: ClassRecord, hashText: HashText
+): RoutedRequest {
+  const { model, ...bodyWithoutModel } = body
+  const text = JSON.stringify(bodyWithoutModel)
+  return {
+    requestId: request.requestId,
+    callerName: request.caller.name,
+    adapter: resolved.adapter.name,
+    version: resolved.version,
+    baseModel: resolved.adapter.baseModel,
+    className: classRecord.name,
+    target: classRecord.target,
+    arrivedAtMs: request.arrivedAtMs,
+    dueAtMs: request.arrivedAtMs + computeDueInMs(classRecord.target, request.arrivedAtWallMs),
+    isRepeatable: request.idempotencyKey === undefined,
+    fingerprint: hashText(`${request.path} ${resolved.adapter.name}@${resolved.version} ${text}`),
+    promptTokens: Math.ceil(text.length / charactersPerToken),
+    maxTokens: body.max_tokens ?? defaultMaxTokens,
+    path: request.path,
+    body: text,
+    isStream: body.stream === true
+  }
+}
+
+function checkBody (request: ModelRequest): Checked<ModelBody> {
+  const check = request.path === '/v1/chat/completions' ? chatCheck : completionCheck
+  if (check.Check(request.body)) return { isValid: true, value: request.body as ModelBody }
+  const error = check.Errors(request.body).First()
+  const field = error?.path.slice(1).replaceAll('/', '.') || 'body'
+  return refuse('invalid_body', `field "${field}" of the request is wrong: ${error?.message.toLowerCase()}`)
+}
+
+interface ResolvedVersion {
+  adapter: AdapterRecord
+  version: string
+}
+
+/** Reads `adapter@version`, or `adapter` for its current version. */
+function resolveVersion (configuration: ConfigurationView, caller: KeyRecord, model: string): Checked<ResolvedVersion> {
+  const [name = '', wanted] = model.split('@')
+  const adapter = configuration.findAdapter(name)
+  // A key learns nothing about adapters that it does not reach.
+  if (!adapter || !isNameAllowed(caller.adapters, name)) {
+    return refuse('model_not_found', `adapter "${name}" does not exist or the key does not reach it`, 404)
+  }
+  const version = wanted ?? adapter.currentVersion
+  if (!adapter.versions.includes(version)) {
+    return refuse('model_not_found', `version "${version}" does not exist in adapter "${name}"`, 404)
+  }
+  return { isValid: true, value: { adapter, version } }
+}
+
+function resolveClass (configuration: ConfigurationView, request: ModelRequest, adapter: AdapterRecord): Checked<ClassRecord> {
+  const { caller } = request
+  const name = request.className ?? adapter.defaultClass ?? caller.defaultClass
+  if (name === undefined) {
+    return refuse('class_missing', 'the request names no class in "Sedgevalve-Class", and neither its adapter nor its key has a default')
+  }
+  const record = configuration.findClass(name)
+  if (!record) return refuse('class_not_found', `class "${name}" does not exist`)
+  const isDefault = request.className === undefined
+  if (!isDefault && !isNameAllowed(caller.classes, name)) {
+    return refuse('class_not_allowed', `the key may not ask for class "${name}"`, 403)
+  }
+  return { isValid: true, value: record }
+}
+
+function refuse (code: string, message: string, status = 400): { isValid: false, failure: ReturnType<typeof createNotRun> } {
+  return { isValid: false, failure: createNotRun(code, message, status) }
+}
--- /dev/null
+++ b/src/tasks/gateway/servicesRoute.ts
@@ -0,0 +1,74 @@
+/** `/services/{name}/{path}`: calls of plain services, with any method. */
+import { randomUUID } from 'node:crypto'
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
+import { isCallIdempotent } from '../../core/serviceRoute.js'
+import { createNotRun } from '../../schemas/verdict.js'
+import { findCaller, isNameAllowed } from './callerAccess.js'
+import type { Checked } from './callerAccess.js'
+import { readHeader, sendFailure } from './callersServer.js'
+import type { CallersContext } from './callersServer.js'
+import type { RoutedCall, ServiceResult } from './serviceRouter.js'
+
+/** Headers that belong to one connection, or to the system, and are not passed on. */
+const ownHeaders = new Set([
+  'connection', 'keep-alive', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'proxy-authorization', 'proxy-authenticate',
+  'host', 'content-length', 'authorization', 'sedgevalve-class', 'expect'
+])
+
+/** Adds the route in a scope of its own, where bodies stay as they came. */
+export async function addServicesRoute (server: FastifyInstance, context: CallersContext): Promise<void> {
+  await server.register(async scope => {
+    scope.removeAllContentTypeParsers()
+    scope.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body))
+    scope.all('/services/:name/*', async (request, reply) => await handleCall(context, request, reply))
+  })
+}
+
+async function handleCall (context: CallersContext, request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+  const requestId = `req-${randomUUID()}`
+  reply.header('sedgevalve-request-id', requestId)
+  const call = resolveCall(context, request, requestId)
+  if (!call.isValid) return sendFailure(reply, call.failure)
+  const abort = new AbortController()
+  reply.raw.on('close', () => abort.abort())
+  const result = await context.services.runCall(call.value, abort.signal)
+  return sendResult(reply, result)
+}
+
+function resolveCall (context: CallersContext, request: FastifyRequest, requestId: string): Checked<RoutedCall> {
+  const caller = findCaller(context.configuration, request.headers.authorization, 'caller')
+  if (!caller.isValid) return caller
+  const { name } = request.params as { name: string }
+  const record = context.configuration.findService(name)
+  if (!record || !isNameAllowed(caller.value.services, name)) {
+    const message = `service "${name}" does not exist or the key does not reach it`
+    return { isValid: false, failure: createNotRun('service_not_found', message, 404) }
+  }
+  const path = request.url.slice(`/services/${name}`.length)
+  const value: RoutedCall = {
+    requestId,
+    service: name,
+    isRepeatable: readHeader(request, 'idempotency-key') === undefined && isCallIdempotent(record, request.method, path),
+    method: request.method,
+    path,
+    headers: selectHeaders(request.headers),
+    body: Buffer.isBuffer(request.body) ? request.body : new Uint8Array()
+  }
+  return { isValid: true, value }
+}
+
+function sendResult (reply: FastifyReply, result: ServiceResult): FastifyReply {
+  reply.header('sedgevalve-attempt', String(result.attempt))
+  if (result.endpointId !== '') reply.header('sedgevalve-endpoint', result.endpointId)
+  if (result.outcome.type === 'failed') return sendFailure(reply, result.outcome.failure)
+  const { status, headers, body } = result.outcome
+  return reply.code(status).headers(selectHeaders(headers)).send(Buffer.from(body))
+}
+
+function selectHeaders (headers: Record<string, string | string[] | undefined>): Record<string, string> {
+  const selected: Record<string, string> = {}
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined && !ownHeaders.has(name)) selected[name] = Array.isArray(value) ? value.join(', ') : value
+  }
+  return selected
+}
--- /dev/null
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -0,0 +1,369 @@
+/** Owns one endpoint: carries out the plans made for it and relays what its engine sends. */
+import { createLog } from '../../createLog.js'
+import { formatAdapter, parseHandle } from '../../core/formatAdapter.js'
+import type { EndpointPlan, EndpointPlanner, PlannedDispatch, PlannedFailure, PlannedLoad, PlannedUnload } from '../../core/planner.js'
+import type { Clock, Timer } from '../../ports/clock.js'
+import type { Engine, EngineReport, GenerateEvent, Generation } from '../../ports/engine.js'
+import { repeatTask } from '../../repeatTask.js'
+import type { Repetition } from '../../repeatTask.js'
+import type { RecordDecision } from '../../schemas/decision.js'
+import type { EngineEntry } from '../../schemas/hostList.js'
+import type { Dispatch, EndpointSummary, PeerMessage } from '../../schemas/peerMessage.js'
+import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
+import type { RequestFailure } from '../../schemas/verdict.js'
+import type { Ownership } from '../ownership/ownership.js'
+
+const log = createLog('scheduler')
+const reportIntervalMs = 250
+/** An engine that gives no report this often is taken for lost. */
+const maxMissedReports = 4
+
+/** Asks for leave to load from the weight store; resolves to the function that gives it back. */
+export type RequestPermit = (endpointId: string, slackMs: number) => Promise<() => void>
+
+export interface EndpointTaskOptions {
+  clock: Clock
+  engine: Engine
+  entry: EngineEntry
+  fencing: number
+  /** Handles that a former owner may still unload. */
+  unsafeHandles: string[]
+  planner: EndpointPlanner
+  ownership: Pick<Ownership, 'isOwner' | 'createHandle' | 'writeUnloadIntent'>
+  requestPermit: RequestPermit
+  recordDecision: RecordDecision
+  /** Called with what ran on the endpoint when its engine went away. */
+  receiveCrash: (crash: EndpointCrash) => void
+  /** Called when the summary has changed in a way that gateways should know at once. */
+  receiveChange: () => void
+}
+
+export interface EndpointCrash {
+  endpointId: string
+  incarnation: string
+  fingerprints: string[]
+}
+
+/** Sends a message to the gateway that asked. */
+export type Reply = (message: PeerMessage) => void
+
+interface Attempt {
+  dispatch: Dispatch
+  reply: Reply
+  handle: string | undefined
+  generation: Generation | undefined
+  sequence: number
+}
+
+export class EndpointTask {
+  #options: EndpointTaskOptions
+  #entry: EngineEntry
+  #attempts = new Map<string, Attempt>()
+  #incarnation: string | undefined
+  #missedReports = 0
+  #isReady = false
+  #isStopping = false
+  #wake: Timer | undefined
+  #isPlanning = false
+  #reports: Repetition | undefined
+
+  constructor (options: EndpointTaskOptions) {
+    this.#options = options
+    this.#entry = options.entry
+  }
+
+  get endpointId (): string {
+    return this.#entry.id
+  }
+
+  get running (): number {
+    return [...this.#attempts.values()].filter(attempt => attempt.generation).length
+  }
+
+  start (): void {
+    this.#reports = repeatTask(this.#options.clock, reportIntervalMs, async () => await this.#readReport(),
+      error => this.#receiveMissedReport(error))
+  }
+
+  /** Takes no new work, fails what is queued as not run and resolves when what runs has ended. */
+  async drain (): Promise<void> {
+    this.#isStopping = true
+    this.#failQueued(createNotRun('scheduler_leaving', `the owner of endpoint "${this.endpointId}" is leaving`, 503))
+    this.#options.receiveChange()
+    while (this.#attempts.size > 0) {
+      await new Promise<void>(resolve => this.#options.clock.setTimer(resolve, 20))
+    }
+  }
+
+  /** Stops at once; what still runs is failed as it stands. */
+  stop (reason: string): void {
+    this.#isStopping = true
+    this.#reports?.stop()
+    this.#wake?.cancel()
+    for (const attempt of [...this.#attempts.values()]) {
+      const isSent = attempt.generation !== undefined
+      attempt.generation?.cancel()
+      this.#fail(attempt, isSent
+        ? createMayHaveRun('owner_changed', `endpoint "${this.endpointId}" changed its owner: ${reason}`, 502)
+        : createNotRun('owner_changed', `endpoint "${this.endpointId}" changed its owner: ${reason}`, 503))
+    }
+  }
+
+  receiveEntry (entry: EngineEntry): void {
+    this.#entry = entry
+    if (entry.presence === 'leaving') {
+      this.#failQueued(createNotRun('endpoint_leaving', `endpoint "${entry.id}" is leaving`, 503))
+    }
+    this.#options.receiveChange()
+  }
+
+  receiveDispatch (dispatch: Dispatch, reply: Reply): void {
+    const attempt: Attempt = { dispatch, reply, handle: undefined, generation: undefined, sequence: 0 }
+    this.#attempts.set(formatAttempt(dispatch), attempt)
+    const refusal = this.#findRefusal()
+    if (refusal) {
+      this.#fail(attempt, refusal)
+      return
+    }
+    const nowMs = this.#options.clock.readMonotonic()
+    const admission = this.#options.planner.addRequest({
+      requestId: dispatch.requestId,
+      attempt: dispatch.attempt,
+      adapter: dispatch.adapter,
+      version: dispatch.version,
+      className: dispatch.className,
+      target: dispatch.target,
+      callerName: dispatch.callerName,
+      fingerprint: dispatch.fingerprint,
+      promptTokens: dispatch.promptTokens,
+      maxTokens: dispatch.maxTokens,
+      arrivedAtMs: nowMs - dispatch.ageMs,
+      dueAtMs: nowMs + dispatch.dueInMs
+    }, nowMs)
+    this.#options.recordDecision(admission.decision)
+    if (admission.isAdmitted) this.#plan()
+    else this.#fail(attempt, admission.failure)
+  }
+
+  receiveCancel (requestId: string, attemptNumber: number): void {
+    const attempt = this.#attempts.get(formatAttempt({ requestId, attempt: attemptNumber }))
+    if (!attempt) return
+    attempt.generation?.cancel()
+    this.#forget(attempt)
+  }
+
+  /** Gives up everything that a gateway has asked for, when its link has closed. */
+  receiveClosedLink (reply: Reply): void {
+    for (const attempt of [...this.#attempts.values()]) {
+      if (attempt.reply === reply) this.receiveCancel(attempt.dispatch.requestId, attempt.dispatch.attempt)
+    }
+  }
+
+  readSummary (): EndpointSummary {
+    const expectation = this.#options.planner.readExpectation(this.#options.clock.readMonotonic())
+    return {
+      endpointId: this.endpointId,
+      zone: this.#entry.zone,
+      baseModel: this.#entry.baseModel,
+      fencing: this.#options.fencing,
+      isReady: this.#findRefusal() === undefined,
+      slots: this.#entry.slots,
+      batchLimit: this.#entry.batchLimit,
+      running: this.running,
+      ...expectation
+    }
+  }
+
+  #findRefusal (): RequestFailure | undefined {
+    const id = this.endpointId
+    if (this.#isStopping) return createNotRun('scheduler_leaving', `the owner of endpoint "${id}" is leaving`, 503)
+    if (this.#entry.presence === 'leaving') return createNotRun('endpoint_leaving', `endpoint "${id}" is leaving`, 503)
+    if (!this.#isReady) return createNotRun('endpoint_not_ready', `endpoint "${id}" is not ready`, 503)
+    if (!this.#options.ownership.isOwner(id)) return createNotRun('not_owner', `this host does not own endpoint "${id}"`, 503)
+    return undefined
+  }
+
+  // Planning
+
+  #plan (): void {
+    if (this.#isPlanning || this.#isStopping || !this.#isReady) return
+    this.#isPlanning = true
+    this.#wake?.cancel()
+    const nowMs = this.#options.clock.readMonotonic()
+    const plan = this.#options.planner.plan(nowMs)
+    this.#carryOut(plan)
+    if (plan.wakeAtMs !== undefined) this.#wake = this.#options.clock.setTimer(() => this.#plan(), plan.wakeAtMs - nowMs)
+    this.#isPlanning = false
+  }
+
+  #carryOut (plan: EndpointPlan): void {
+    for (const failure of plan.failures) this.#carryOutFailure(failure)
+    for (const dispatch of plan.dispatches) this.#carryOutDispatch(dispatch)
+    for (const unload of plan.unloads) this.#carryOutUnload(unload)
+    for (const load of plan.loads) this.#carryOutLoad(load)
+    if (plan.loads.length > 0) this.#options.receiveChange()
+  }
+
+  #carryOutFailure (planned: PlannedFailure): void {
+    this.#options.recordDecision(planned.decision)
+    const attempt = this.#attempts.get(formatAttempt(planned))
+    if (attempt) this.#fail(attempt, planned.failure)
+  }
+
+  #carryOutDispatch (planned: PlannedDispatch): void {
+    const attempt = this.#attempts.get(formatAttempt(planned))
+    if (!attempt) return
+    const { dispatch } = attempt
+    this.#options.recordDecision({ ...planned.decision, handle: planned.handle })
+    attempt.handle = planned.handle
+    attempt.generation = this.#options.engine.generate(this.#entry.address, {
+      requestId: dispatch.requestId,
+      attempt: dispatch.attempt,
+      handle: planned.handle,
+      model: formatAdapter(dispatch.adapter, dispatch.version),
+      priority: planned.priority,
+      path: dispatch.path,
+      body: dispatch.body,
+      isStream: dispatch.isStream
+    }, event => this.#receiveEvent(attempt, event))
+  }
+
+  async #carryOutUnload (planned: PlannedUnload): Promise<void> {
+    const { ownership, planner, clock, engine, fencing } = this.#options
+    const parsed = parseHandle(planned.handle)
+    const mayUnload = parsed !== undefined && await ownership.writeUnloadIntent(this.endpointId, planned.handle)
+    if (!mayUnload || !ownership.isOwner(this.endpointId)) {
+      planner.recordUnloadFailed(planned.handle, clock.readMonotonic())
+      return
+    }
+    this.#options.recordDecision(planned.decision)
+    const outcome = await engine.unloadAdapter(this.#entry.address, { ...parsed, handle: planned.handle, fencing })
+    if (outcome.verdict === 'done' || (outcome.verdict === 'refused' && outcome.code === 'handle_unknown')) {
+      planner.recordUnloaded(planned.handle, clock.readMonotonic())
+    } else {
+      log('Unload of "%s" on "%s" was not carried out: %s.', planned.handle, this.endpointId, outcome.message)
+      planner.recordUnloadFailed(planned.handle, clock.readMonotonic())
+    }
+    this.#options.receiveChange()
+    this.#plan()
+  }
+
+  async #carryOutLoad (planned: PlannedLoad): Promise<void> {
+    const { adapter, version } = planned
+    const { ownership, planner, clock, engine, fencing } = this.#options
+    const incarnation = this.#incarnation
+    const release = await this.#options.requestPermit(this.endpointId, planned.slackMs)
+    const handle = ownership.createHandle(this.endpointId, adapter, version)
+    if (!handle || this.#isStopping || incarnation !== this.#incarnation) {
+      release()
+      planner.recordLoadFailed(adapter, version, clock.readMonotonic())
+      return
+    }
+    this.#options.recordDecision({ ...planned.decision, handle })
+    const outcome = await engine.loadAdapter(this.#entry.address, { adapter, version, handle, fencing })
+    release()
+    if (incarnation !== this.#incarnation) return
+    if (outcome.verdict === 'done') {
+      planner.recordLoaded(adapter, version, handle, clock.readMonotonic())
+    } else {
+      log('Load of "%s" on "%s" failed: %s.', handle, this.endpointId, outcome.message)
+      planner.recordLoadFailed(adapter, version, clock.readMonotonic())
+    }
+    this.#options.receiveChange()
+    this.#plan()
+  }
+
+  // Answers
+
+  #receiveEvent (attempt: Attempt, event: GenerateEvent): void {
+    const { requestId, attempt: number } = attempt.dispatch
+    if (event.type === 'data') {
+      if (attempt.sequence === 0) this.#options.planner.recordFirstToken(requestId, number, this.#options.clock.readMonotonic())
+      attempt.reply({ type: 'answerData', requestId, attempt: number, sequence: attempt.sequence++, data: event.data })
+    } else if (event.type === 'end') {
+      attempt.reply({ type: 'answerEnd', requestId, attempt: number, sequence: attempt.sequence })
+      this.#finish(attempt)
+    } else {
+      this.#fail(attempt, event.failure)
+      if (event.isEndpointLost) this.#receiveMissedReport(new Error(event.failure.message))
+    }
+  }
+
+  #finish (attempt: Attempt): void {
+    const { requestId, attempt: number } = attempt.dispatch
+    this.#attempts.delete(formatAttempt(attempt.dispatch))
+    this.#options.planner.recordFinished(requestId, number, this.#options.clock.readMonotonic())
+    this.#plan()
+  }
+
+  #fail (attempt: Attempt, failure: RequestFailure): void {
+    const { requestId, attempt: number } = attempt.dispatch
+    attempt.reply({ type: 'answerFailed', requestId, attempt: number, failure })
+    this.#forget(attempt)
+  }
+
+  #forget (attempt: Attempt): void {
+    const { requestId, attempt: number } = attempt.dispatch
+    this.#attempts.delete(formatAttempt(attempt.dispatch))
+    this.#options.planner.removeRequest(requestId, number, this.#options.clock.readMonotonic())
+    this.#plan()
+  }
+
+  #failQueued (failure: RequestFailure): void {
+    for (const attempt of [...this.#attempts.values()]) {
+      if (!attempt.generation) this.#fail(attempt, failure)
+    }
+  }
+
+  // Reports
+
+  async #readReport (): Promise<void> {
+    const report = await this.#options.engine.readReport(this.#entry.address)
+    this.#missedReports = 0
+    if (report.incarnation !== this.#incarnation) this.#receiveIncarnation(report)
+    if (!this.#isReady) {
+      this.#isReady = true
+      this.#options.receiveChange()
+    }
+    this.#plan()
+  }
+
+  #receiveIncarnation (report: EngineReport): void {
+    if (this.#incarnation !== undefined) this.#receiveRestart()
+    this.#incarnation = report.incarnation
+    const nowMs = this.#options.clock.readMonotonic()
+    for (const { handle, state } of report.adapters) {
+      const parsed = parseHandle(handle)
+      if (!parsed || state !== 'loaded' || this.#options.unsafeHandles.includes(handle)) continue
+      this.#options.planner.recordLoaded(parsed.adapter, parsed.version, handle, nowMs)
+    }
+  }
+
+  #receiveRestart (): void {
+    log('Engine "%s" has restarted empty.', this.endpointId)
+    const lost = [...this.#attempts.values()].filter(attempt => attempt.generation)
+    this.#options.receiveCrash({
+      endpointId: this.endpointId,
+      incarnation: this.#incarnation ?? '',
+      fingerprints: lost.map(attempt => attempt.dispatch.fingerprint)
+    })
+    this.#options.planner.recordRestarted(this.#options.clock.readMonotonic())
+    for (const attempt of lost) {
+      attempt.generation?.cancel()
+      this.#fail(attempt, createMayHaveRun('endpoint_lost', `endpoint "${this.endpointId}" restarted while the request ran`, 502))
+    }
+  }
+
+  #receiveMissedReport (error: Error): void {
+    this.#missedReports++
+    if (!this.#isReady || this.#missedReports < maxMissedReports) return
+    log('Engine "%s" gives no report: %s.', this.endpointId, error.message)
+    this.#isReady = false
+    this.#failQueued(createNotRun('endpoint_not_ready', `endpoint "${this.endpointId}" gives no answer`, 503))
+    this.#options.receiveChange()
+  }
+}
+
+function formatAttempt (names: { requestId: string, attempt: number }): string {
+  return `${names.requestId}/${names.attempt}`
+}
