Recognise requests that crash endpoints, and limit what callers may send

Cause: a request that crashed an engine was retried on the next one, and its caller could send it again; strangers' bodies were read before their key was checked. Keys are checked before the body is read; headers, bodies, running requests and slow senders have limits with errors of their own. Shutdown closes idle connections.

--- a/src/schemas/peerMessage.ts
+++ b/src/schemas/peerMessage.ts
@@ -32,6 +32,8 @@
   callerName: Type.String(),
   /** Hash of what the request asks, for recognising requests that crash endpoints. */
   fingerprint: Type.String(),
+  /** Whether the request ran on an endpoint that crashed; it is kept apart from others of its kind. */
+  isSuspect: Type.Boolean(),
   promptTokens: Type.Integer(),
   maxTokens: Type.Integer(),
   path: Type.String(),
--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -5,7 +5,7 @@
 import type { FastifyError, FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { maxHeaderBytes, maxRequestBodyBytes } from '../../constants.js'
 import type { Clock } from '../../ports/clock.js'
-import type { ConfigurationView } from '../../schemas/configuration.js'
+import type { ConfigurationView, KeyRecord } from '../../schemas/configuration.js'
 import { createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
 import { AnswerWriter } from './answerWriter.js'
@@ -18,6 +18,12 @@
 import { addServicesRoute } from './servicesRoute.js'
 import type { HashText } from './resolveRequest.js'
 
+const healthPath = '/healthz'
+const maxRequestReadMs = 30_000
+const idleSweepMs = 100
+const maxRunningRequests = 10_000
+const retryAfterFullMs = 1000
+
 export interface CallersServerOptions {
   address: string
   /** 0 takes a free port. */
@@ -38,21 +44,70 @@
   stop: () => Promise<void>
 }
 
+declare module 'fastify' {
+  interface FastifyRequest {
+    /** Record of the caller's key; set before the body is read. */
+    caller: KeyRecord | undefined
+  }
+}
+
 /** Starts the callers' port. Rejects where the port is in use. */
 export async function startCallersServer (options: CallersServerOptions): Promise<CallersServer> {
   const server = fastify({
     bodyLimit: maxRequestBodyBytes,
     http: { maxHeaderSize: maxHeaderBytes },
+    requestTimeout: maxRequestReadMs,
     forceCloseConnections: 'idle',
-    return503OnClosing: false
+    return503OnClosing: false,
+    clientErrorHandler: (error, socket) => {
+      if (socket.writable) socket.end(renderClientError(error))
+    }
   })
   addErrorHandlers(server)
+  addCallerCheck(server, options)
   addCompletionRoutes(server, options)
   addModelsRoute(server, options)
   await addServicesRoute(server, options)
   await server.listen({ host: options.address, port: options.port })
   const { port } = server.server.address() as AddressInfo
-  return { port, stop: async () => await server.close() }
+  return { port, stop: async () => await stopServer(server) }
+}
+
+/** Closes connections as soon as their answer has been sent, so that keep-alive does not hold the server open. */
+async function stopServer (server: FastifyInstance): Promise<void> {
+  const sweep = setInterval(() => server.server.closeIdleConnections(), idleSweepMs)
+  await server.close()
+  clearInterval(sweep)
+}
+
+/** Refuses strangers before their body is read. */
+function addCallerCheck (server: FastifyInstance, context: CallersContext): void {
+  server.decorateRequest('caller', undefined)
+  server.addHook('onRequest', async (request, reply) => {
+    reply.header('sedgevalve-request-id', `req-${randomUUID()}`)
+    if (request.url === healthPath) return
+    const caller = findCaller(context.configuration, request.headers.authorization, 'caller')
+    if (!caller.isValid) return sendFailure(reply, caller.failure)
+    request.caller = caller.value
+    if (context.router.running >= maxRunningRequests) {
+      return sendFailure(reply, createNotRun('gateway_full', `this host runs ${maxRunningRequests} requests already`, 503, retryAfterFullMs))
+    }
+  })
+  server.get(healthPath, async () => ({ status: 'ok' }))
+}
+
+/** What a client gets that sends something other than HTTP, or too many headers. */
+function renderClientError (error: NodeJS.ErrnoException): string {
+  const isOverflow = error.code === 'HPE_HEADER_OVERFLOW'
+  const failure = isOverflow
+    ? createNotRun('headers_too_large', `the headers are larger than ${maxHeaderBytes} bytes`, 431)
+    : createNotRun('invalid_http', 'the request is not valid HTTP, or did not come in time', 400)
+  const body = renderErrorBody(failure)
+  return [
+    `HTTP/1.1 ${isOverflow ? '431 Request Header Fields Too Large' : '400 Bad Request'}`,
+    'sedgevalve-verdict: not-run', 'content-type: application/json', `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close', '', body
+  ].join('\r\n')
 }
 
 /** Sends a failure in the shape that every error of this port has. */
@@ -86,20 +141,14 @@
 function handleCompletion (
   context: CallersContext, path: '/v1/chat/completions' | '/v1/completions', request: FastifyRequest, reply: FastifyReply
 ): void {
-  const requestId = `req-${randomUUID()}`
-  reply.header('sedgevalve-request-id', requestId)
-  const caller = findCaller(context.configuration, request.headers.authorization, 'caller')
-  if (!caller.isValid) {
-    sendFailure(reply, caller.failure)
-    return
-  }
+  const requestId = readRequestId(reply)
   const resolved = resolveRequest(context.configuration, {
     requestId,
     path,
     body: request.body,
     className: readHeader(request, 'sedgevalve-class'),
     idempotencyKey: readHeader(request, 'idempotency-key'),
-    caller: caller.value,
+    caller: request.caller!,
     arrivedAtMs: context.clock.readMonotonic(),
     arrivedAtWallMs: context.clock.readWall()
   }, context.hashText)
@@ -114,6 +163,11 @@
   context.router.startRequest(resolved.value, event => writer.receive(event))
 }
 
+/** The id that the request was given on arrival. */
+export function readRequestId (reply: FastifyReply): string {
+  return String(reply.getHeader('sedgevalve-request-id'))
+}
+
 /** Reads a header that may stand once. */
 export function readHeader (request: FastifyRequest, name: string): string | undefined {
   const value = request.headers[name]
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -2,6 +2,7 @@
 import { createLog } from '../../createLog.js'
 import type { ChooseEndpoint } from '../../core/endpointChoice.js'
 import { RetryBudget, defaultRetryBudget } from '../../core/retryBudget.js'
+import { SuspectRegister } from '../../core/suspects.js'
 import type { Clock } from '../../ports/clock.js'
 import type { HostList } from '../../ports/hostList.js'
 import type { PeerTransport } from '../../ports/peers.js'
@@ -60,6 +61,7 @@
       links: this.#links,
       chooseEndpoint: options.chooseEndpoint,
       retryBudget: new RetryBudget(defaultRetryBudget, clock.readMonotonic()),
+      suspects: new SuspectRegister(),
       random: options.random,
       recordDecision: () => {}
     })
--- a/src/tasks/gateway/modelsRoute.ts
+++ b/src/tasks/gateway/modelsRoute.ts
@@ -4,7 +4,7 @@
 import { Value } from '@sinclair/typebox/value'
 import type { AdapterRecord, ConfigurationView, KeyRecord } from '../../schemas/configuration.js'
 import { createNotRun } from '../../schemas/verdict.js'
-import { findCaller, isNameAllowed } from './callerAccess.js'
+import { isNameAllowed } from './callerAccess.js'
 import { sendFailure } from './callersServer.js'
 import type { CallersContext } from './callersServer.js'
 
@@ -17,13 +17,11 @@
 /** Adds the route; `after` names the last adapter of the page before. */
 export function addModelsRoute (server: FastifyInstance, context: CallersContext): void {
   server.get('/v1/models', (request, reply) => {
-    const caller = findCaller(context.configuration, request.headers.authorization, 'caller')
-    if (!caller.isValid) return sendFailure(reply, caller.failure)
     const query = Value.Convert(querySchema, request.query)
     if (!Value.Check(querySchema, query)) {
       return sendFailure(reply, createNotRun('invalid_query', `"limit" is a whole number from 1 to ${maxPage}, "after" a name`, 400))
     }
-    return renderPage(context.configuration, caller.value, query.after ?? '', query.limit ?? maxPage)
+    return renderPage(context.configuration, request.caller!, query.after ?? '', query.limit ?? maxPage)
   })
 }
 
--- a/src/tasks/gateway/requestRouter.ts
+++ b/src/tasks/gateway/requestRouter.ts
@@ -1,7 +1,9 @@
 /** Runs callers' requests: chooses endpoints, sends attempts, passes answers on and retries by verdict. */
+import { maxCrashesPerRequest } from '../../constants.js'
 import { formatAdapter } from '../../core/formatAdapter.js'
 import type { ChooseEndpoint } from '../../core/endpointChoice.js'
 import type { RetryBudget } from '../../core/retryBudget.js'
+import type { SuspectRegister, SuspectState } from '../../core/suspects.js'
 import { isDeferrable } from '../../core/targetTime.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { RecordDecision } from '../../schemas/decision.js'
@@ -15,6 +17,7 @@
 const maxWaitForEndpointMs = 10_000
 const maxAttempts = 6
 const retryAfterNoEndpointMs = 2000
+const crashMessage = `requests with this content have crashed ${maxCrashesPerRequest} endpoints and are not run again; change the request`
 
 export interface RequestRouterOptions {
   clock: Clock
@@ -22,6 +25,7 @@
   links: Pick<SchedulerLinks, 'listViews' | 'send' | 'recordSent'>
   chooseEndpoint: ChooseEndpoint
   retryBudget: RetryBudget
+  suspects: SuspectRegister
   random: () => number
   recordDecision: RecordDecision
 }
@@ -56,6 +60,10 @@
 
   /** Runs a request; `send` gets its answer. */
   startRequest (request: RoutedRequest, send: SendAnswer): void {
+    if (this.#findSuspectState(request) === 'refused') {
+      send({ type: 'failed', failure: createNotRun('request_crashes_endpoints', crashMessage, 422) })
+      return
+    }
     const running: RunningRequest = {
       request,
       send,
@@ -81,7 +89,8 @@
   }
 
   receiveMessage (hostId: string, message: PeerMessage): void {
-    if (message.type === 'answerData' || message.type === 'answerEnd' || message.type === 'answerFailed') {
+    if (message.type === 'suspects') this.#receiveSuspects(message)
+    else if (message.type === 'answerData' || message.type === 'answerEnd' || message.type === 'answerFailed') {
       this.#receiveAnswer(hostId, message)
     }
   }
@@ -101,6 +110,15 @@
     }
   }
 
+  #receiveSuspects (message: PeerMessageOf<'suspects'>): void {
+    const nowMs = this.#options.clock.readMonotonic()
+    for (const record of message.suspects) this.#options.suspects.addRecord(record, nowMs)
+  }
+
+  #findSuspectState (request: RoutedRequest): SuspectState {
+    return this.#options.suspects.findState(request.fingerprint, this.#options.clock.readMonotonic())
+  }
+
   // Attempts
 
   #startAttempt (running: RunningRequest): void {
@@ -134,7 +152,9 @@
     recordDecision(choice.decision)
     running.target = { hostId: choice.hostId, endpointId: choice.endpointId }
     links.recordSent(choice.hostId, choice.endpointId, formatAdapter(request.adapter, request.version))
-    links.send(choice.hostId, createDispatch(request, attempt, choice.endpointId, nowMs))
+    links.send(choice.hostId, {
+      ...createDispatch(request, attempt, choice.endpointId, nowMs), isSuspect: this.#findSuspectState(request) === 'suspect'
+    })
   }
 
   #waitForEndpoint (running: RunningRequest, reason: string, nowMs: number): void {
@@ -176,6 +196,7 @@
       running.send({ type: 'data', data: message.data, source })
     } else {
       this.#remove(running)
+      this.#options.suspects.recordFinished(running.request.fingerprint, this.#options.clock.readMonotonic())
       running.send({ type: 'end', source })
     }
   }
@@ -188,6 +209,10 @@
   }
 
   #receiveFailure (running: RunningRequest, failure: RequestFailure): void {
+    if (this.#findSuspectState(running.request) === 'refused') {
+      this.#finishFailed(running, createMayHaveRun('request_crashes_endpoints', crashMessage, 422))
+      return
+    }
     const obstacle = this.#findRetryObstacle(running, failure)
     if (obstacle !== undefined) {
       this.#finishFailed(running, running.hasSentData ? { ...failure, verdict: 'mayHaveRun' } : failure)
@@ -239,7 +264,7 @@
   return isClientStatus && failure.code !== 'handle_unknown' && failure.status !== 429
 }
 
-function createDispatch (request: RoutedRequest, attempt: number, endpointId: string, nowMs: number): PeerMessageOf<'dispatch'> {
+function createDispatch (request: RoutedRequest, attempt: number, endpointId: string, nowMs: number): Omit<PeerMessageOf<'dispatch'>, 'isSuspect'> {
   return {
     type: 'dispatch',
     requestId: request.requestId,
--- a/src/tasks/gateway/servicesRoute.ts
+++ b/src/tasks/gateway/servicesRoute.ts
@@ -1,11 +1,10 @@
 /** `/services/{name}/{path}`: calls of plain services, with any method. */
-import { randomUUID } from 'node:crypto'
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { isCallIdempotent } from '../../core/serviceRoute.js'
 import { createNotRun } from '../../schemas/verdict.js'
-import { findCaller, isNameAllowed } from './callerAccess.js'
+import { isNameAllowed } from './callerAccess.js'
 import type { Checked } from './callerAccess.js'
-import { readHeader, sendFailure } from './callersServer.js'
+import { readHeader, readRequestId, sendFailure } from './callersServer.js'
 import type { CallersContext } from './callersServer.js'
 import type { RoutedCall, ServiceResult } from './serviceRouter.js'
 
@@ -25,9 +24,7 @@
 }
 
 async function handleCall (context: CallersContext, request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
-  const requestId = `req-${randomUUID()}`
-  reply.header('sedgevalve-request-id', requestId)
-  const call = resolveCall(context, request, requestId)
+  const call = resolveCall(context, request, readRequestId(reply))
   if (!call.isValid) return sendFailure(reply, call.failure)
   const abort = new AbortController()
   reply.raw.on('close', () => abort.abort())
@@ -36,11 +33,9 @@
 }
 
 function resolveCall (context: CallersContext, request: FastifyRequest, requestId: string): Checked<RoutedCall> {
-  const caller = findCaller(context.configuration, request.headers.authorization, 'caller')
-  if (!caller.isValid) return caller
   const { name } = request.params as { name: string }
   const record = context.configuration.findService(name)
-  if (!record || !isNameAllowed(caller.value.services, name)) {
+  if (!record || !isNameAllowed(request.caller!.services, name)) {
     const message = `service "${name}" does not exist or the key does not reach it`
     return { isValid: false, failure: createNotRun('service_not_found', message, 404) }
   }
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -17,6 +17,8 @@
 const reportIntervalMs = 250
 /** An engine that gives no report this often is taken for lost. */
 const maxMissedReports = 4
+/** After a lost connection, an engine that gives no report for this time is taken for crashed. */
+const lossCheckMs = 1000
 
 /** Asks for leave to load from the weight store; resolves to the function that gives it back. */
 export type RequestPermit = (endpointId: string, slackMs: number) => Promise<() => void>
@@ -41,6 +43,7 @@
 export interface EndpointCrash {
   endpointId: string
   incarnation: string
+  /** Fingerprints of the requests that ran. */
   fingerprints: string[]
 }
 
@@ -66,6 +69,8 @@
   #wake: Timer | undefined
   #isPlanning = false
   #reports: Repetition | undefined
+  #heldSuspects: Attempt[] = []
+  #lossCheck: Promise<void> | undefined
 
   constructor (options: EndpointTaskOptions) {
     this.#options = options
@@ -125,6 +130,23 @@
       this.#fail(attempt, refusal)
       return
     }
+    if (dispatch.isSuspect && this.#hasSuspect(attempt)) this.#heldSuspects.push(attempt)
+    else this.#admit(attempt)
+  }
+
+  /** Suspects never run beside each other, so that a crash tells which of them caused it. */
+  #hasSuspect (except: Attempt): boolean {
+    return [...this.#attempts.values()].some(attempt => attempt !== except && attempt.dispatch.isSuspect)
+  }
+
+  #admitHeldSuspect (): void {
+    const isBusy = [...this.#attempts.values()].some(attempt => attempt.dispatch.isSuspect && !this.#heldSuspects.includes(attempt))
+    const next = isBusy ? undefined : this.#heldSuspects.shift()
+    if (next) this.#admit(next)
+  }
+
+  #admit (attempt: Attempt): void {
+    const { dispatch } = attempt
     const nowMs = this.#options.clock.readMonotonic()
     const admission = this.#options.planner.addRequest({
       requestId: dispatch.requestId,
@@ -283,16 +305,51 @@
     } else if (event.type === 'end') {
       attempt.reply({ type: 'answerEnd', requestId, attempt: number, sequence: attempt.sequence })
       this.#finish(attempt)
+    } else if (event.isEndpointLost) {
+      this.#receiveLoss(attempt, event.failure)
     } else {
       this.#fail(attempt, event.failure)
-      if (event.isEndpointLost) this.#receiveMissedReport(new Error(event.failure.message))
     }
   }
 
+  /**
+   * A connection was lost while a request ran. Whether the engine crashed decides whether the request is a suspect,
+   * and gateways must know that before they try it elsewhere.
+   */
+  async #receiveLoss (attempt: Attempt, failure: RequestFailure): Promise<void> {
+    if (failure.verdict !== 'notRun') {
+      this.#lossCheck ??= this.#checkLoss()
+      await this.#lossCheck
+    }
+    if (this.#attempts.get(formatAttempt(attempt.dispatch)) === attempt) this.#fail(attempt, failure)
+  }
+
+  async #checkLoss (): Promise<void> {
+    const { clock, engine } = this.#options
+    const incarnation = this.#incarnation
+    const silence = new Promise<undefined>(resolve => clock.setTimer(() => resolve(undefined), lossCheckMs))
+    const report = await Promise.race([engine.readReport(this.#entry.address).catch(() => undefined), silence])
+    this.#lossCheck = undefined
+    if (incarnation !== this.#incarnation || report?.incarnation === incarnation) return
+    this.#reportCrash()
+    this.#isReady = false
+    this.#options.receiveChange()
+  }
+
+  #reportCrash (): void {
+    const lost = [...this.#attempts.values()].filter(attempt => attempt.generation)
+    this.#options.receiveCrash({
+      endpointId: this.endpointId,
+      incarnation: this.#incarnation ?? '',
+      fingerprints: lost.map(attempt => attempt.dispatch.fingerprint)
+    })
+  }
+
   #finish (attempt: Attempt): void {
     const { requestId, attempt: number } = attempt.dispatch
     this.#attempts.delete(formatAttempt(attempt.dispatch))
     this.#options.planner.recordFinished(requestId, number, this.#options.clock.readMonotonic())
+    if (attempt.dispatch.isSuspect) this.#admitHeldSuspect()
     this.#plan()
   }
 
@@ -306,6 +363,10 @@
     const { requestId, attempt: number } = attempt.dispatch
     this.#attempts.delete(formatAttempt(attempt.dispatch))
     this.#options.planner.removeRequest(requestId, number, this.#options.clock.readMonotonic())
+    if (attempt.dispatch.isSuspect) {
+      this.#heldSuspects = this.#heldSuspects.filter(held => held !== attempt)
+      this.#admitHeldSuspect()
+    }
     this.#plan()
   }
 
@@ -342,11 +403,7 @@
   #receiveRestart (): void {
     log('Engine "%s" has restarted empty.', this.endpointId)
     const lost = [...this.#attempts.values()].filter(attempt => attempt.generation)
-    this.#options.receiveCrash({
-      endpointId: this.endpointId,
-      incarnation: this.#incarnation ?? '',
-      fingerprints: lost.map(attempt => attempt.dispatch.fingerprint)
-    })
+    if (lost.length > 0) this.#reportCrash()
     this.#options.planner.recordRestarted(this.#options.clock.readMonotonic())
     for (const attempt of lost) {
       attempt.generation?.cancel()
--- a/src/tasks/scheduler/schedulerTask.ts
+++ b/src/tasks/scheduler/schedulerTask.ts
@@ -1,5 +1,6 @@
 /** The scheduler: owns endpoints, answers gateways and tells them what its endpoints hold. */
 import { createLog } from '../../createLog.js'
+import { SuspectRegister } from '../../core/suspects.js'
 import type { CreatePlanner } from '../../core/planner.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Engine } from '../../ports/engine.js'
@@ -46,6 +47,7 @@
   #change: Timer | undefined
   #sequence = 0
   #isLeaving = false
+  #suspects = new SuspectRegister()
 
   constructor (options: SchedulerTaskOptions) {
     this.#options = options
@@ -87,6 +89,7 @@
     if (message.type === 'hello') {
       this.#links.set(link, { link, reply: answer => link.send(answer) })
       link.send(this.#createSummaries())
+      link.send({ type: 'suspects', suspects: this.#suspects.listRecords() })
     } else if (message.type === 'dispatch') {
       this.#receiveDispatch(link, message)
     } else if (message.type === 'cancel') {
@@ -153,6 +156,11 @@
 
   #receiveCrash (crash: EndpointCrash): void {
     log('Engine "%s" went away with %d requests on it.', crash.endpointId, crash.fingerprints.length)
+    const crashes = [`${crash.endpointId}/${crash.incarnation}`]
+    const suspects = crash.fingerprints.map(fingerprint => ({ fingerprint, crashes }))
+    const nowMs = this.#options.clock.readMonotonic()
+    for (const suspect of suspects) this.#suspects.addRecord(suspect, nowMs)
+    for (const { link } of this.#links.values()) link.send({ type: 'suspects', suspects })
   }
 
   #receiveChange (): void {
