Resolve table writes whose answer was lost; state the interface of configuration changes

Cause: a writer that loses the table's answer cannot tell whether its write took effect, now or later. Change: each transaction carries a token row; a lost answer is resolved by reading the token back and fencing an absent one with a tombstone. Limits on the size of a transaction are part of the port. The types of a configuration change are stated for those who build on them. Shown: with a reader that does not fence, the late write takes effect after 'not applied' was said (its own scenario). Conclusion: 'applied' and 'not applied' stay true; 'unknown' is left only while the table is silent.

--- /dev/null
+++ b/features/steps/tableWriter.ts
@@ -0,0 +1,90 @@
+/** Steps of writes whose answer is lost. */
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { createPlatformFaults } from '../../src/adapters/memoryPlatform/platformFaults.js'
+import type { PlatformFaults } from '../../src/adapters/memoryPlatform/platformFaults.js'
+import { createFaultyPlatform } from '../../src/adapters/memoryPlatform/faultyPlatform.js'
+import { MemoryHostList } from '../../src/adapters/memoryPlatform/memoryHostList.js'
+import { MemoryObjects } from '../../src/adapters/memoryPlatform/memoryObjects.js'
+import { MemoryTable } from '../../src/adapters/memoryPlatform/memoryTable.js'
+import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
+import type { Table } from '../../src/ports/table.js'
+import { TableWriter } from '../../src/tasks/table/tableWriter.js'
+import type { FindFate, WriteResult } from '../../src/tasks/table/tableWriter.js'
+import { settle } from '../support/settle.js'
+
+interface WriterWorld {
+  clock: VirtualClock
+  faults: PlatformFaults
+  rows: MemoryTable
+  writer: TableWriter
+  result: WriteResult
+}
+
+/** Believes what it reads, as if nothing could be under way. */
+const readBackOnce: FindFate = async (table, token) => {
+  const [row] = await table.readRows([`tokens/${token}`])
+  return row ? { verdict: 'applied', version: row.version } : { verdict: 'notApplied', cause: 'unavailable' }
+}
+
+function openWriter (world: WriterWorld, findFate?: FindFate): void {
+  world.clock = new VirtualClock()
+  world.faults = createPlatformFaults()
+  world.rows = new MemoryTable()
+  const { table } = createFaultyPlatform({
+    clock: world.clock,
+    faults: world.faults,
+    table: world.rows,
+    objects: new MemoryObjects(),
+    hostList: new MemoryHostList(world.clock, 0)
+  })
+  world.writer = new TableWriter({ table, clock: world.clock, ...(findFate && { findFate }) })
+}
+
+async function countRows (table: Table, prefix: string): Promise<number> {
+  return (await table.listRows({ prefix, after: '', limit: 100 })).length
+}
+
+Given('a table writer', function (this: WriterWorld) { openWriter(this) })
+
+Given('a table writer that does not fence', function (this: WriterWorld) { openWriter(this, readBackOnce) })
+
+Given('the platform\'s fault {string} is set to {int}', function (this: WriterWorld, fault: 'lostAnswers', value: number) {
+  this.faults[fault] = value
+})
+
+Given('the table goes down as soon as the answer is lost', function (this: WriterWorld) {
+  const { faults } = this
+  let left = faults.lostAnswers
+  Object.defineProperty(faults, 'lostAnswers', {
+    get: () => left,
+    set: (value: number) => {
+      left = value
+      faults.isTableDown = true
+    }
+  })
+})
+
+When('the row {string} is written', async function (this: WriterWorld, key: string) {
+  this.result = await settle(this.clock, this.writer.write({ checks: [], writes: [{ key, value: 1 }] }))
+})
+
+Then('the writer says {string}', function (this: WriterWorld, verdict: string) {
+  assert.equal(this.result.verdict, verdict)
+})
+
+Then('after {int} seconds the row {string} is {word}', async function (this: WriterWorld, seconds: number, key: string, state: string) {
+  await this.clock.runUntilSettled(this.clock.readMonotonic() + seconds * 1000)
+  assert.equal(await countRows(this.rows, key), state === 'present' ? 1 : 0)
+})
+
+Then('once the table is back the writer says {string}', async function (this: WriterWorld, verdict: string) {
+  assert.ok(this.result.verdict === 'unknown')
+  this.faults.isTableDown = false
+  const result = await settle(this.clock, this.writer.resolve(this.result.pending, 1000))
+  assert.equal(result.verdict, verdict)
+})
+
+Then('the table holds {int} token(s)', async function (this: WriterWorld, count: number) {
+  assert.equal(await countRows(this.rows, 'tokens/'), count)
+})
--- a/src/ports/table.ts
+++ b/src/ports/table.ts
@@ -2,6 +2,13 @@
 import { Type } from '@sinclair/typebox'
 import type { Static } from '@sinclair/typebox'
 
+/** Most rows that one transaction may write. */
+export const maxTransactionRows = 100
+/** Most bytes that the writes of one transaction may take as JSON. */
+export const maxTransactionBytes = 1024 * 1024
+/** Most rows that one read or one list returns. */
+export const maxReadRows = 1000
+
 export const tableRowSchema = Type.Object({
   key: Type.String(),
   value: Type.Unknown(),
@@ -51,10 +58,10 @@
 }
 
 export interface Table {
-  /** Reads rows by key; absent rows are left out. Rejects with a `PlatformUnavailable` error. */
+  /** Reads at most `maxReadRows` rows by key; absent rows are left out. Rejects with a `PlatformUnavailable` error. */
   readRows: (keys: string[]) => Promise<TableRow[]>
-  /** Lists rows in key order. Rejects with a `PlatformUnavailable` error. */
+  /** Lists rows in key order, at most `maxReadRows`. Rejects with a `PlatformUnavailable` error. */
   listRows: (range: RowRange) => Promise<TableRow[]>
-  /** Applies all writes if all checks hold. Never rejects. */
+  /** Applies all writes if all checks hold. Rejects only for a transaction over the limits, which is a fault of the writer. */
   transact: (transaction: Transaction) => Promise<TransactionOutcome>
 }
--- a/src/schemas/configuration.ts
+++ b/src/schemas/configuration.ts
@@ -79,7 +79,10 @@
   classRecordSchema, adapterRecordSchema, serviceRecordSchema, endpointRecordSchema, keyRecordSchema
 ])
 export type ConfigurationRecord = Static<typeof configurationRecordSchema>
-export type ConfigurationKind = ConfigurationRecord['kind']
+export const configurationKindSchema = Type.Union([
+  Type.Literal('class'), Type.Literal('adapter'), Type.Literal('service'), Type.Literal('endpoint'), Type.Literal('key')
+])
+export type ConfigurationKind = Static<typeof configurationKindSchema>
 
 /** What a host reads of the configuration in force. Records are frozen. */
 export interface ConfigurationView {
