--- /dev/null
+++ b/bench/path/childProcesses.ts
@@ -0,0 +1,64 @@
+/** Starts the binaries as processes of their own and reads what they cost. */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+
+const binFolder = fileURLToPath(new URL('../../src/bin/', import.meta.url))
+const startTimeoutMs = 10_000
+/** Linux counts processor time in hundredths of a second. */
+const ticksPerSecond = 100
+
+export interface BenchProcess {
+  name: string
+  pid: number
+  stop: () => Promise<void>
+}
+
+/** What a process has used since it started. */
+export interface ProcessUse {
+  processorSeconds: number
+  residentMegabytes: number
+}
+
+/** Starts `sedgevalve-<binary>` with settings and waits for a line of its log. */
+export async function startBinary (binary: string, settings: string, readyPattern: RegExp): Promise<BenchProcess> {
+  const file = join(mkdtempSync(join(tmpdir(), 'sedgevalve-bench-')), `${binary}.ini`)
+  writeFileSync(file, settings)
+  const child = spawn(process.execPath, [join(binFolder, `${binary}.js`), file], { stdio: ['ignore', 'ignore', 'pipe'] })
+  await waitForLine(child, readyPattern)
+  return {
+    name: binary,
+    pid: child.pid!,
+    stop: async () => {
+      child.kill('SIGTERM')
+      await new Promise(resolve => child.once('exit', resolve))
+    }
+  }
+}
+
+async function waitForLine (child: ChildProcess, pattern: RegExp): Promise<void> {
+  let seen = ''
+  await new Promise<void>((resolve, reject) => {
+    const timer = setTimeout(() => reject(new Error(`the process did not start: ${seen}`)), startTimeoutMs)
+    child.once('exit', () => reject(new Error(`the process ended: ${seen}`)))
+    child.stderr!.on('data', (bytes: Buffer) => {
+      seen = (seen + bytes.toString()).slice(-4000)
+      if (!pattern.test(seen)) return
+      clearTimeout(timer)
+      resolve()
+    })
+  })
+}
+
+/** Reads what a process has used since it started. */
+export function readProcessUse (pid: number): ProcessUse {
+  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').replace(/^.*\) /, '').split(' ')
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8')
+  return {
+    processorSeconds: (Number(fields[11]) + Number(fields[12])) / ticksPerSecond,
+    residentMegabytes: Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / 1024
+  }
+}
--- a/src/bin/standin.ts
+++ b/src/bin/standin.ts
@@ -1,10 +1,13 @@
 #!/usr/bin/env node
 /** `sedgevalve-standin`: small stand-ins of the platform, the engines and the plain services. */
+import { createLog } from '../createLog.js'
 import { standinSettingsSchema } from '../settings/settingsSchemas.js'
 import { startPlatformServer } from '../standin/platformServer.js'
 import { runBinary } from './runBinary.js'
 import { startStandins } from './startStandins.js'
 
+const log = createLog('standin')
+
 runBinary({
   name: 'sedgevalve-standin',
   purpose: 'stand-ins of platform, engines and services, for tests and trials',
@@ -13,6 +16,7 @@
     const standins = await startStandins(settings)
     const { address, port } = settings.platform
     const server = await startPlatformServer({ address, port, ...standins.platform })
+    log('Stand-ins run: the platform at %s, %d engines, %d services.', server.address, standins.engines.length, standins.services.length)
     return {
       stop: async () => {
         await server.stop()
