Give the stand-in engine fencing, faults, pre-emption, cold start and streams that resume

Cause: the stand-in could not fail in the ways that the system must survive, and a broken connection to an engine ended the answer.

Faults are switched by `setFaults` or `POST /faults`. Events carry `id:`; an answer is kept for some seconds and read again by `GET /v1/streams/{requestId}/{attempt}?from=N`. The adapter of engines drops what came twice, sees a gap, and says where an answer can be resumed; the scheduler resumes it through one small module. A hang-up alone no longer stops the work at once: cancelling is an order of its own.

Interfaces: `EngineModel.loadAdapter` and `unloadAdapter` take the fencing number as a second argument that may be left out; `WeightStore.readWeights` resolves to false where the store is down; `WeightStoreOptions.loadsPerSecond` and `EngineModelOptions.coldStartMs`, `preemptionGap`, `faults`, `prefixCache`, `receiveRestart` may be left out.

--- a/src/adapters/openaiEngine/openaiEngine.ts
+++ b/src/adapters/openaiEngine/openaiEngine.ts
@@ -4,6 +4,7 @@
 import { Value } from '@sinclair/typebox/value'
 import { engineReportSchema } from '../../ports/engine.js'
 import type { AdapterOrder, Engine, EngineReport, GenerateOrder, GenerateEvent, Generation, OrderOutcome } from '../../ports/engine.js'
+import { parseEngineError } from './engineError.js'
 import { runGeneration } from './runGeneration.js'
 
 /** A load may wait for the weight store; the engine answers when it has ended. */
@@ -11,10 +12,21 @@
 const unloadTimeoutMs = 5_000
 const reportTimeoutMs = 2_000
 const maxConnectionsPerEngine = 512
+/** An engine that sends nothing of an answer for so long has stalled. */
+const defaultIdleTimeoutMs = 30_000
+
+export interface OpenaiEngineOptions {
+  idleTimeoutMs?: number
+}
 
 /** Keeps one pool of connections for each engine. */
 export class OpenaiEngine implements Engine {
   #pools = new Map<string, Pool>()
+  #idleTimeoutMs: number
+
+  constructor (options: OpenaiEngineOptions = {}) {
+    this.#idleTimeoutMs = options.idleTimeoutMs ?? defaultIdleTimeoutMs
+  }
 
   async readReport (address: string): Promise<EngineReport> {
     const response = await this.#getPool(address).request({
@@ -32,7 +44,7 @@
   }
 
   generate (address: string, order: GenerateOrder, send: (event: GenerateEvent) => void): Generation {
-    return runGeneration(this.#getPool(address), address, order, send)
+    return runGeneration(this.#getPool(address), address, order, this.#idleTimeoutMs, send)
   }
 
   /** Closes every connection. */
@@ -71,18 +83,3 @@
   const error = parseEngineError(text)
   return { verdict: 'refused', code: error.code, message: error.message }
 }
-
-interface EngineError {
-  code: string
-  message: string
-}
-
-/** Reads the OpenAI error shape; anything else becomes an error named `engine_error`. */
-export function parseEngineError (text: string): EngineError {
-  try {
-    const { error } = JSON.parse(text) as { error?: Partial<EngineError> }
-    return { code: error?.code ?? 'engine_error', message: error?.message ?? text.slice(0, 200) }
-  } catch {
-    return { code: 'engine_error', message: text.slice(0, 200) }
-  }
-}
--- a/src/adapters/openaiEngine/runGeneration.ts
+++ b/src/adapters/openaiEngine/runGeneration.ts
@@ -1,15 +1,17 @@
-/** Runs one request on an engine and turns its answer into events. */
+/** Runs one request on an engine, or resumes its answer, and turns the answer into events. */
 import { StringDecoder } from 'node:string_decoder'
 import type { Dispatcher, Pool } from 'undici'
 import type { GenerateEvent, GenerateOrder, Generation } from '../../ports/engine.js'
 import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
-import { parseEngineError } from './openaiEngine.js'
+import { parseEngineError } from './engineError.js'
+import { EventReader } from './eventReader.js'
 
-const eventEnd = '\n\n'
-const lastEvent = 'data: [DONE]'
 /** Errors after which the engine certainly has not seen the request. */
 const neverSentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH'])
+/** Errors of an engine that holds the connection and sends nothing. */
+const idleCodes = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT'])
+const cancelTimeoutMs = 2000
 
 type Send = (event: GenerateEvent) => void
 
@@ -21,9 +23,9 @@
   #send: Send
   #controller: Dispatcher.DispatchController | undefined
   #decoder = new StringDecoder('utf8')
+  #events: EventReader
   #status = 0
-  #rest = ''
-  #isDone = false
+  #body = ''
   #isClosed = false
 
   constructor (address: string, order: GenerateOrder, send: Send) {
@@ -31,6 +33,7 @@
     this.#order = order
     this.#handleField = createHandlePattern(order.handle)
     this.#send = send
+    this.#events = new EventReader(order.resumeFrom ?? 0)
   }
 
   cancel (): void {
@@ -48,36 +51,44 @@
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.#rest += this.#decoder.write(chunk)
-    if (this.#status === 200 && this.#order.isStream) this.#sendWholeEvents()
+    const text = this.#decoder.write(chunk)
+    if (this.#status === 200 && this.#order.isStream) this.#receiveEvents(text)
+    else this.#body += text
   }
 
   onResponseEnd (): void {
     if (this.#isClosed) return
-    if (this.#status !== 200) this.#fail(createEngineRefusal(this.#status, this.#rest), false)
-    else if (!this.#order.isStream) this.#finish(this.#rest)
-    else if (this.#isDone) this.#finish('')
-    else this.#fail(createMayHaveRun('answer_cut', `the answer from ${this.#address} ended before its last event`, 502), false)
+    if (this.#status !== 200) this.#receiveRefusal()
+    else if (!this.#order.isStream) this.#finish(this.#body)
+    else this.#failCut()
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
     if (this.#isClosed) return
     const code = (error as NodeJS.ErrnoException).code ?? ''
     if (neverSentCodes.has(code)) {
-      this.#fail(createNotRun('endpoint_unreachable', `no connection to ${this.#address}: ${code}`, 503), true)
+      this.#fail(this.#createUnreachable(code), true)
+    } else if (idleCodes.has(code)) {
+      this.#fail(createMayHaveRun('endpoint_stalled', `${this.#address} sent nothing for too long`, 504), false)
     } else {
-      this.#fail(createMayHaveRun('endpoint_lost', `the connection to ${this.#address} was lost: ${error.message}`, 502), true)
+      const failure = createMayHaveRun('endpoint_lost', `the connection to ${this.#address} was lost: ${error.message}`, 502)
+      this.#fail(failure, true, this.#findResumePoint())
     }
   }
 
-  /** Passes on what has come up to the last whole event, so that no event is ever split. */
-  #sendWholeEvents (): void {
-    const end = this.#rest.lastIndexOf(eventEnd)
-    if (end < 0) return
-    const data = this.#rest.slice(0, end + eventEnd.length)
-    this.#rest = this.#rest.slice(end + eventEnd.length)
-    if (data.trimEnd().endsWith(lastEvent)) this.#isDone = true
-    if (!this.#isClosed) this.#sendData(data)
+  #createUnreachable (code: string): RequestFailure {
+    const message = `no connection to ${this.#address}: ${code}`
+    return this.#order.resumeFrom === undefined
+      ? createNotRun('endpoint_unreachable', message, 503)
+      : createMayHaveRun('endpoint_unreachable', message, 502)
+  }
+
+  #receiveEvents (text: string): void {
+    if (this.#isClosed) return
+    const events = this.#events.read(text)
+    if (events.length > 0) this.#sendData(events)
+    if (this.#events.state === 'done') this.#finish('')
+    else if (this.#events.state === 'gap') this.#failGap()
   }
 
   /** Shows the caller the adapter and version in place of the handle. */
@@ -91,35 +102,71 @@
     this.#send({ type: 'end' })
   }
 
-  #fail (failure: RequestFailure, isEndpointLost: boolean): void {
+  #failCut (): void {
+    const failure = createMayHaveRun('answer_cut', `the answer from ${this.#address} ended before its last event`, 502)
+    this.#fail(failure, false, this.#findResumePoint())
+  }
+
+  #failGap (): void {
+    const failure = createMayHaveRun('answer_gap', `event ${this.#events.nextId} of the answer from ${this.#address} is missing`, 502)
+    this.#fail(failure, false, this.#findResumePoint())
+    this.#controller?.abort(new Error(failure.message))
+  }
+
+  /** An engine that does not know an answer any more can not tell that it did not run. */
+  #receiveRefusal (): void {
+    const error = parseEngineError(this.#body)
+    const isUnknown = this.#order.resumeFrom !== undefined || (this.#status >= 500 && this.#status !== 503)
+    const failure = isUnknown
+      ? createMayHaveRun(error.code, error.message, 502)
+      : createNotRun(error.code, error.message, this.#status)
+    this.#fail(failure, false)
+  }
+
+  /** A whole answer is asked for again from its start; a stream without numbers cannot be continued. */
+  #findResumePoint (): number | undefined {
+    if (!this.#order.isStream) return 0
+    return this.#events.isNumbered ? this.#events.nextId : undefined
+  }
+
+  #fail (failure: RequestFailure, isEndpointLost: boolean, resumeFrom?: number): void {
     this.#isClosed = true
-    this.#send({ type: 'failed', failure, isEndpointLost })
+    this.#send({ type: 'failed', failure, isEndpointLost, ...(resumeFrom !== undefined && { resumeFrom }) })
   }
 }
 
-/** The engine answered that it does not run the request. */
-function createEngineRefusal (status: number, text: string): RequestFailure {
-  const error = parseEngineError(text)
-  if (status >= 500 && status !== 503) return createMayHaveRun(error.code, error.message, 502)
-  return createNotRun(error.code, error.message, status)
+/** Starts a request or resumes its answer; see `Engine.generate`. */
+export function runGeneration (pool: Pool, address: string, order: GenerateOrder, idleTimeoutMs: number, send: Send): Generation {
+  const handler = new GenerationHandler(address, order, send)
+  const timeouts = { headersTimeout: idleTimeoutMs, bodyTimeout: idleTimeoutMs }
+  const streamPath = `/v1/streams/${order.requestId}/${order.attempt}`
+  pool.dispatch(order.resumeFrom === undefined
+    ? { method: 'POST', path: order.path, body: addModel(order.body, order.handle), headers: createHeaders(order), ...timeouts }
+    : { method: 'GET', path: `${streamPath}?from=${order.resumeFrom}`, ...timeouts }, handler)
+  return {
+    cancel: () => {
+      handler.cancel()
+      cancelOnEngine(pool, streamPath)
+    }
+  }
 }
 
-/** Starts a request; see `Engine.generate`. */
-export function runGeneration (pool: Pool, address: string, order: GenerateOrder, send: Send): Generation {
-  const handler = new GenerationHandler(address, order, send)
-  pool.dispatch({
-    method: 'POST',
-    path: order.path,
-    body: addModel(order.body, order.handle),
-    headers: {
-      'content-type': 'application/json',
-      'x-request-id': `${order.requestId}/${order.attempt}`,
-      'x-priority': String(order.priority)
-    },
-    headersTimeout: 0,
-    bodyTimeout: 0
-  }, handler)
-  return { cancel: () => handler.cancel() }
+/** A closed connection alone does not stop the work, since the answer could be resumed. */
+async function cancelOnEngine (pool: Pool, path: string): Promise<void> {
+  try {
+    const response = await pool.request({ method: 'DELETE', path, headersTimeout: cancelTimeoutMs, bodyTimeout: cancelTimeoutMs })
+    await response.body.dump()
+  } catch {
+    // The engine gives up an answer that nobody resumes.
+  }
+}
+
+function createHeaders (order: GenerateOrder): Record<string, string> {
+  return {
+    'content-type': 'application/json',
+    'x-request-id': `${order.requestId}/${order.attempt}`,
+    'x-priority': String(order.priority)
+  }
 }
 
 /** Puts the model's name in front of a JSON object that has none, without parsing it again. */
--- a/src/bin/startStandins.ts
+++ b/src/bin/startStandins.ts
@@ -1,17 +1,23 @@
 /** Starts the stand-ins of platform, engines and services in this process. */
 import { randomUUID } from 'node:crypto'
+import xxhash from 'xxhash-wasm'
 import { createSystemClock } from '../adapters/clock/systemClock.js'
 import type { Platform } from '../adapters/httpPlatform/httpPlatform.js'
 import { MemoryHostList } from '../adapters/memoryPlatform/memoryHostList.js'
 import { MemoryObjects } from '../adapters/memoryPlatform/memoryObjects.js'
 import { MemoryTable } from '../adapters/memoryPlatform/memoryTable.js'
+import type { Clock } from '../ports/clock.js'
+import type { HostListEntry } from '../schemas/hostList.js'
 import type { StandinSettings } from '../settings/settingsSchemas.js'
 import { startStandinEngine } from '../standin/engineServer.js'
 import type { StandinEngine } from '../standin/engineServer.js'
+import { PrefixCache } from '../standin/prefixCache.js'
 import { startStandinService } from '../standin/serviceServer.js'
 import type { StandinService } from '../standin/serviceServer.js'
 import { WeightStore } from '../standin/weightStore.js'
 
+type Presence = HostListEntry['presence']
+
 export interface RunningStandins {
   platform: Platform & { hostList: MemoryHostList }
   engines: StandinEngine[]
@@ -39,44 +45,60 @@
 async function startEngine (
   settings: StandinSettings, index: number, store: WeightStore, hostList: MemoryHostList
 ): Promise<StandinEngine> {
-  const { baseModel, slots, batchLimit, stepBaseMs, stepPerRequestMs, prefillPerTokenMs, firstPort, zones } = settings.engines
-  const engine = await startStandinEngine({
-    clock: createSystemClock(),
-    store,
-    incarnation: randomUUID(),
-    slots,
-    batchLimit,
-    stepBaseMs,
-    stepPerRequestMs,
-    prefillPerTokenMs,
-    address: settings.platform.address,
-    port: firstPort === 0 ? 0 : firstPort + index
-  })
-  hostList.addEntry({
+  const { baseModel, firstPort, zones, fencing, reportLagMs, preemptionGap, ...shape } = settings.engines
+  const clock = createSystemClock()
+  const { h64ToString } = await xxhash()
+  const createEntry = (address: string, presence: Presence): HostListEntry => ({
     kind: 'engine',
     id: `engine-${index + 1}`,
     zone: `az-${index % zones + 1}`,
-    address: engine.address,
-    presence: 'live',
+    address,
+    presence,
     baseModel,
-    slots,
-    batchLimit
+    slots: shape.slots,
+    batchLimit: shape.batchLimit
+  })
+  const engine: StandinEngine = await startStandinEngine({
+    ...shape,
+    clock,
+    store,
+    incarnation: randomUUID(),
+    prefixCache: createPrefixCache(settings, clock),
+    hashText: h64ToString,
+    ...(preemptionGap > 0 && { preemptionGap }),
+    address: settings.platform.address,
+    port: firstPort === 0 ? 0 : firstPort + index,
+    setLeaving: isLeaving => hostList.addEntry(createEntry(engine.address, isLeaving ? 'leaving' : 'live'))
   })
+  engine.setFaults({ fencing, reportLagMs })
+  hostList.addEntry(createEntry(engine.address, 'live'))
   return engine
 }
 
+function createPrefixCache (settings: StandinSettings, clock: Clock): PrefixCache {
+  const { cacheBlocks, cacheEventLagMs, loseEveryNthCacheEvent } = settings.engines
+  return new PrefixCache({
+    clock, maxBlocks: cacheBlocks, eventLagMs: cacheEventLagMs, loseEveryNthEvent: loseEveryNthCacheEvent
+  })
+}
+
 async function startService (settings: StandinSettings, index: number, hostList: MemoryHostList): Promise<StandinService> {
   const { name, firstPort } = settings.services
-  const service = await startStandinService({
-    address: settings.platform.address, port: firstPort === 0 ? 0 : firstPort + index, service: name
-  })
-  hostList.addEntry({
+  const createEntry = (address: string, presence: Presence): HostListEntry => ({
     kind: 'service',
     id: `${name}-${index + 1}`,
     zone: `az-${index % settings.engines.zones + 1}`,
-    address: service.address,
-    presence: 'live',
+    address,
+    presence,
     service: name
   })
+  const service: StandinService = await startStandinService({
+    clock: createSystemClock(),
+    address: settings.platform.address,
+    port: firstPort === 0 ? 0 : firstPort + index,
+    service: name,
+    setLeaving: isLeaving => hostList.addEntry(createEntry(service.address, isLeaving ? 'leaving' : 'live'))
+  })
+  hostList.addEntry(createEntry(service.address, 'live'))
   return service
 }
--- a/src/ports/engine.ts
+++ b/src/ports/engine.ts
@@ -51,16 +51,21 @@
   /** JSON object without `model`; the adapter of the engine adds the handle. */
   body: string
   isStream: boolean
+  /** Number of the stream's event to go on from; the request is not sent again. Undefined starts the request. */
+  resumeFrom?: number
 }
 
-/** `data` holds whole server-sent events for streams, else the JSON body. */
+/**
+ * `data` holds whole server-sent events for streams, else the JSON body.
+ * A failure with `resumeFrom` broke the connection alone: the rest of the answer can be asked for from there.
+ */
 export type GenerateEvent =
   | { type: 'data', data: string }
   | { type: 'end' }
-  | { type: 'failed', failure: RequestFailure, isEndpointLost: boolean }
+  | { type: 'failed', failure: RequestFailure, isEndpointLost: boolean, resumeFrom?: number }
 
 export interface Generation {
-  /** Stops the work on the engine; no event comes after it. */
+  /** Stops the work on the engine, also where the connection has broken; no event comes after it. */
   cancel: () => void
 }
 
--- a/src/settings/settingsSchemas.ts
+++ b/src/settings/settingsSchemas.ts
@@ -70,11 +70,25 @@
     batchLimit: Type.Integer({ minimum: 1, default: 16, description: 'a number of requests from 1' }),
     stepBaseMs: millisecondsType(18),
     stepPerRequestMs: millisecondsType(0.5),
-    prefillPerTokenMs: millisecondsType(0.05)
+    prefillPerTokenMs: millisecondsType(0.05),
+    /** Time that a restarted engine serves nothing. */
+    coldStartMs: millisecondsType(0),
+    /** Age of what the load reports tell. */
+    reportLagMs: millisecondsType(0),
+    /** Whether the engines refuse orders with an old fencing number, or ignore the number. */
+    fencing: Type.Union([Type.Literal('refuse'), Type.Literal('ignore')], { default: 'refuse', description: '"refuse" or "ignore"' }),
+    /** A full batch gives way to a request whose priority number is smaller by this much; 0 never does. */
+    preemptionGap: Type.Number({ minimum: 0, default: 1, description: 'a difference of priorities from 0; 0 for none' }),
+    /** Blocks of 64 characters of prompts that an engine remembers. */
+    cacheBlocks: Type.Integer({ minimum: 0, default: 4096, description: 'a number of blocks from 0' }),
+    cacheEventLagMs: millisecondsType(200),
+    /** Every event of the cache whose number divides by this is lost; 0 loses none. */
+    loseEveryNthCacheEvent: Type.Integer({ minimum: 0, default: 0, description: 'a whole number from 0' })
   }),
   store: createSection({
     loadMs: millisecondsType(650),
-    loadsAtFullSpeed: Type.Integer({ minimum: 1, default: 3, description: 'a whole number of loads from 1' })
+    loadsAtFullSpeed: Type.Integer({ minimum: 1, default: 3, description: 'a whole number of loads from 1' }),
+    loadsPerSecond: Type.Number({ exclusiveMinimum: 0, default: 4.5, description: 'a number of loads a second above 0' })
   }),
   services: createSection({
     name: Type.String({ default: 'claims', minLength: 1, description: 'the name of a service' }),
--- a/src/standin/engineServer.ts
+++ b/src/standin/engineServer.ts
@@ -1,9 +1,16 @@
 /** The HTTP face of a stand-in engine, in the OpenAI conventions. */
 import type { AddressInfo } from 'node:net'
+import { Value } from '@sinclair/typebox/value'
 import fastify from 'fastify'
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
+import { formatChunk, formatEvent, formatToken, formatWhole } from './completionFormat.js'
+import type { CompletionBody } from './completionFormat.js'
 import { EngineModel } from './engineModel.js'
 import type { EngineModelOptions, EngineRun, ModelOutcome } from './engineModel.js'
+import { EngineFaults, faultChangeSchema } from './engineFaults.js'
+import type { FaultChange } from './engineFaults.js'
+import { EngineStream } from './engineStream.js'
+import { splitBlocks } from './prefixCache.js'
 
 export interface StandinServer {
   readonly address: string
@@ -12,28 +19,24 @@
 
 export interface StandinEngine extends StandinServer {
   readonly model: EngineModel
+  /** Switches faults, as `POST /faults` does. */
+  setFaults: (change: FaultChange) => void
 }
 
 export interface StandinEngineOptions extends EngineModelOptions {
   address: string
   /** 0 takes a free port. */
   port: number
-}
-
-interface OrderBody {
-  lora_name: string
-}
-
-interface CompletionBody {
-  model: string
-  stream?: boolean
-  max_tokens?: number
-  prompt?: unknown
-  messages?: unknown
+  /** Shows the engine as leaving on the list of hosts, or as live. */
+  setLeaving?: (isLeaving: boolean) => void
+  /** Names the blocks of prompts; without it no prompt is cached. */
+  hashText?: (text: string) => string
 }
 
 const defaultMaxTokens = 16
 const charactersPerToken = 4
+const maxBodyBytes = 8 * 1024 * 1024
+const journalPageSize = 10_000
 
 /**
  * Starts a stand-in engine.
@@ -42,93 +45,195 @@
  * const engine = await startStandinEngine({ address: '127.0.0.1', port: 0, ...model })
  */
 export async function startStandinEngine (options: StandinEngineOptions): Promise<StandinEngine> {
-  const model = new EngineModel(options)
-  const server = fastify({ bodyLimit: 8 * 1024 * 1024, forceCloseConnections: true })
-  addOrderRoutes(server, model)
-  addCompletionRoutes(server, model)
-  server.get('/report', async () => model.readReport())
-  server.get('/journal', async () => model.journal)
-  await server.listen({ host: options.address, port: options.port })
-  const { port } = server.server.address() as AddressInfo
-  return { model, address: `${options.address}:${port}`, stop: async () => await server.close() }
+  const server = new EngineServer(options)
+  await server.start()
+  return server
 }
 
-function addOrderRoutes (server: FastifyInstance, model: EngineModel): void {
-  server.post<{ Body: OrderBody }>('/v1/load_lora_adapter', async (request, reply) => {
-    return sendOutcome(reply, await model.loadAdapter(request.body.lora_name))
-  })
-  server.post<{ Body: OrderBody }>('/v1/unload_lora_adapter', async (request, reply) => {
-    return sendOutcome(reply, model.unloadAdapter(request.body.lora_name))
-  })
-}
+class EngineServer implements StandinEngine {
+  #options: StandinEngineOptions
+  #server: FastifyInstance
+  #streams = new Map<string, EngineStream>()
+  #runs = new Map<string, EngineRun>()
+  readonly model: EngineModel
+  address = ''
 
-function sendOutcome (reply: FastifyReply, outcome: ModelOutcome): unknown {
-  if (outcome.isDone) return { status: 'done' }
-  reply.code(outcome.status)
-  return { error: { code: outcome.code, message: outcome.message } }
-}
+  constructor (options: StandinEngineOptions) {
+    this.#options = options
+    this.model = new EngineModel({
+      ...options, faults: options.faults ?? new EngineFaults(), receiveRestart: () => this.#receiveRestart()
+    })
+    this.#server = fastify({ bodyLimit: maxBodyBytes, forceCloseConnections: true })
+    this.#addOrderRoutes()
+    this.#addCompletionRoutes()
+    this.#addStreamRoutes()
+    this.#addTestRoutes()
+  }
+
+  async start (): Promise<void> {
+    const { address, port } = this.#options
+    await this.#server.listen({ host: address, port })
+    const bound = this.#server.server.address() as AddressInfo
+    this.address = `${address}:${bound.port}`
+  }
+
+  async stop (): Promise<void> {
+    this.#dropStreams()
+    await this.#server.close()
+  }
+
+  setFaults (change: FaultChange): void {
+    const { restart, leaving, ...switches } = change
+    this.model.faults.apply(switches)
+    if (leaving !== undefined) this.#options.setLeaving?.(leaving)
+    if (restart) this.model.restart()
+  }
+
+  #addOrderRoutes (): void {
+    interface Order { Body: { lora_name: string, fencing?: number } }
+    this.#server.post<Order>('/v1/load_lora_adapter', async ({ body }, reply) =>
+      sendOutcome(reply, await this.model.loadAdapter(body.lora_name, body.fencing)))
+    this.#server.post<Order>('/v1/unload_lora_adapter', async ({ body }, reply) =>
+      sendOutcome(reply, this.model.unloadAdapter(body.lora_name, body.fencing)))
+    this.#server.get('/report', async (_request, reply) => {
+      if (this.model.isStarting) return await reply.code(503).send({ error: { code: 'engine_starting', message: 'the engine is starting' } })
+      return this.model.readReport()
+    })
+    this.#server.get<{ Querystring: { after?: string } }>('/cache-events', async request =>
+      this.#options.prefixCache?.listEvents(Number(request.query.after ?? 0)) ?? [])
+  }
+
+  #addCompletionRoutes (): void {
+    for (const path of ['/v1/chat/completions', '/v1/completions']) {
+      this.#server.post<{ Body: CompletionBody }>(path, (request, reply) => this.#startRun(path, request, reply))
+    }
+  }
 
-function addCompletionRoutes (server: FastifyInstance, model: EngineModel): void {
-  for (const path of ['/v1/chat/completions', '/v1/completions']) {
-    server.post<{ Body: CompletionBody }>(path, (request, reply) => {
-      const answer = createAnswer(path, request, reply)
-      const outcome = model.addRun(answer.run)
-      if (!outcome.isDone) {
-        reply.send(sendOutcome(reply, outcome))
+  #addStreamRoutes (): void {
+    interface StreamRequest { Params: { requestId: string, attempt: string }, Querystring: { from?: string } }
+    const path = '/v1/streams/:requestId/:attempt'
+    this.#server.get<StreamRequest>(path, (request, reply) => {
+      const stream = this.#streams.get(`${request.params.requestId}/${request.params.attempt}`)
+      if (!stream) {
+        reply.code(404).send({ error: { code: 'stream_unknown', message: 'the engine keeps no such answer' } })
         return
       }
       reply.hijack()
-      answer.open()
-      reply.raw.on('close', () => model.cancelRun(answer.run))
+      stream.attach(reply.raw, Number(request.query.from ?? 0))
+    })
+    this.#server.delete<StreamRequest>(path, async request => {
+      this.#cancel(`${request.params.requestId}/${request.params.attempt}`)
+      return {}
     })
   }
-}
 
-interface Answer {
-  run: EngineRun
-  open: () => void
-}
+  #addTestRoutes (): void {
+    this.#server.get<{ Querystring: { after?: string } }>('/journal', async request =>
+      this.model.journalPages.readPage(Number(request.query.after ?? 0), journalPageSize))
+    this.#server.post('/faults', async (request, reply) => {
+      const change = Value.Parse(faultChangeSchema, request.body)
+      reply.raw.on('finish', () => this.setFaults(change))
+      return {}
+    })
+  }
+
+  #startRun (path: string, request: FastifyRequest<{ Body: CompletionBody }>, reply: FastifyReply): void {
+    const key = String(request.headers['x-request-id'] ?? '/0')
+    const { run, stream, isStalled } = this.#createRun(path, key, request)
+    const outcome: ModelOutcome = isStalled ? { isDone: true } : this.model.addRun(run)
+    if (!outcome.isDone) {
+      reply.send(sendOutcome(reply, outcome))
+      return
+    }
+    this.#runs.set(key, run)
+    this.#streams.set(key, stream)
+    reply.hijack()
+    stream.attach(reply.raw, 0)
+  }
+
+  #createRun (path: string, key: string, request: FastifyRequest<{ Body: CompletionBody }>) {
+    const { body } = request
+    const isChat = path.includes('chat')
+    const prompt = JSON.stringify(body.messages ?? body.prompt ?? '')
+    const faults = this.model.faults.takeStreamFaults()
+    const stream = new EngineStream({
+      clock: this.#options.clock,
+      contentType: body.stream ? 'text/event-stream' : 'application/json',
+      faults,
+      cancel: () => this.#cancel(key),
+      forget: () => this.#forget(key)
+    })
+    const [requestId = '', attempt] = key.split('/')
+    const run: EngineRun = {
+      requestId,
+      attempt: Number(attempt),
+      handle: body.model,
+      priority: Number(request.headers['x-priority'] ?? 0),
+      promptTokens: Math.ceil(prompt.length / charactersPerToken),
+      maxTokens: body.max_tokens ?? defaultMaxTokens,
+      prefixBlocks: this.#splitPrompt(body.model, prompt),
+      isCrashing: this.model.faults.hasCrashMarker(prompt),
+      ...createWriters(isChat, body, requestId, stream)
+    }
+    return { run, stream, isStalled: faults.isStalled }
+  }
+
+  #splitPrompt (handle: string, prompt: string): string[] {
+    const { hashText, prefixCache } = this.#options
+    return hashText && prefixCache ? splitBlocks(handle.split('#')[0]!, prompt, hashText) : []
+  }
 
-/** Every token names the handle and its place, so that a mixed-up answer shows. */
-export function formatToken (handle: string, requestId: string, index: number): string {
-  return index === 0 ? `[${handle} ${requestId}]` : ` t${index}`
+  #cancel (key: string): void {
+    const run = this.#runs.get(key)
+    if (run) this.model.cancelRun(run)
+    this.#streams.get(key)?.drop()
+    this.#forget(key)
+  }
+
+  #forget (key: string): void {
+    this.#runs.delete(key)
+    this.#streams.delete(key)
+  }
+
+  #receiveRestart (): void {
+    this.#dropStreams()
+    this.#server.server.closeAllConnections()
+  }
+
+  #dropStreams (): void {
+    for (const stream of this.#streams.values()) stream.drop()
+    this.#streams.clear()
+    this.#runs.clear()
+  }
 }
 
-function createAnswer (path: string, request: FastifyRequest<{ Body: CompletionBody }>, reply: FastifyReply): Answer {
-  const { body } = request
-  const [requestId, attempt] = String(request.headers['x-request-id'] ?? '/0').split('/')
-  const isChat = path.includes('chat')
+/** Streams number each event; a whole answer is one frame. */
+function createWriters (
+  isChat: boolean, body: CompletionBody, requestId: string, stream: EngineStream
+): Pick<EngineRun, 'sendToken' | 'finish'> {
+  const { model } = body
+  if (body.stream) {
+    return {
+      sendToken: index => stream.write(formatEvent(index, formatChunk(isChat, model, formatToken(model, requestId, index)))),
+      finish: () => {
+        stream.write(formatEvent(stream.length, '[DONE]'))
+        stream.finish()
+      }
+    }
+  }
   const texts: string[] = []
-  const run: EngineRun = {
-    requestId: requestId ?? '',
-    attempt: Number(attempt),
-    handle: body.model,
-    priority: Number(request.headers['x-priority'] ?? 0),
-    promptTokens: Math.ceil(JSON.stringify(body.messages ?? body.prompt ?? '').length / charactersPerToken),
-    maxTokens: body.max_tokens ?? defaultMaxTokens,
-    sendToken: index => {
-      const text = formatToken(body.model, run.requestId, index)
-      if (body.stream) reply.raw.write(`data: ${JSON.stringify(formatChunk(isChat, body.model, text))}\n\n`)
-      else texts.push(text)
-    },
+  const promptTokens = Math.ceil(JSON.stringify(body.messages ?? body.prompt ?? '').length / charactersPerToken)
+  return {
+    sendToken: index => { texts.push(formatToken(model, requestId, index)) },
     finish: () => {
-      if (body.stream) reply.raw.end('data: [DONE]\n\n')
-      else reply.raw.end(JSON.stringify(formatWhole(isChat, body.model, texts.join(''), run)))
+      stream.write(formatWhole(isChat, { model, text: texts.join(''), promptTokens, completionTokens: texts.length }))
+      stream.finish()
     }
   }
-  const contentType = body.stream ? 'text/event-stream' : 'application/json'
-  return { run, open: () => { reply.raw.writeHead(200, { 'content-type': contentType }) } }
 }
 
-function formatChunk (isChat: boolean, model: string, text: string): unknown {
-  return isChat
-    ? { object: 'chat.completion.chunk', model, choices: [{ index: 0, delta: { content: text } }] }
-    : { object: 'text_completion', model, choices: [{ index: 0, text }] }
-}
-
-function formatWhole (isChat: boolean, model: string, text: string, run: EngineRun): unknown {
-  const usage = { prompt_tokens: run.promptTokens, completion_tokens: run.maxTokens, total_tokens: run.promptTokens + run.maxTokens }
-  return isChat
-    ? { object: 'chat.completion', model, choices: [{ index: 0, message: { role: 'assistant', content: text }, finish_reason: 'stop' }], usage }
-    : { object: 'text_completion', model, choices: [{ index: 0, text, finish_reason: 'stop' }], usage }
+function sendOutcome (reply: FastifyReply, outcome: ModelOutcome): unknown {
+  if (outcome.isDone) return { status: 'done' }
+  reply.code(outcome.status)
+  return { error: { code: outcome.code, message: outcome.message } }
 }
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -3,7 +3,7 @@
 import { formatAdapter, parseHandle } from '../../core/formatAdapter.js'
 import type { EndpointPlan, EndpointPlanner, PlannedDispatch, PlannedFailure, PlannedLoad, PlannedUnload } from '../../core/planner.js'
 import type { Clock, Timer } from '../../ports/clock.js'
-import type { Engine, EngineReport, GenerateEvent, Generation } from '../../ports/engine.js'
+import type { Engine, EngineReport, GenerateEvent, GenerateOrder, Generation } from '../../ports/engine.js'
 import { repeatTask } from '../../repeatTask.js'
 import type { Repetition } from '../../repeatTask.js'
 import type { RecordDecision } from '../../schemas/decision.js'
@@ -12,6 +12,7 @@
 import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
 import type { Ownership } from '../ownership/ownership.js'
+import { defaultPlanResume, startResumedGeneration } from './resumeGeneration.js'
 
 const log = createLog('scheduler')
 const reportIntervalMs = 250
@@ -238,7 +239,7 @@
     const { dispatch } = attempt
     this.#options.recordDecision({ ...planned.decision, handle: planned.handle })
     attempt.handle = planned.handle
-    attempt.generation = this.#options.engine.generate(this.#entry.address, {
+    const order: GenerateOrder = {
       requestId: dispatch.requestId,
       attempt: dispatch.attempt,
       handle: planned.handle,
@@ -247,7 +248,15 @@
       path: dispatch.path,
       body: dispatch.body,
       isStream: dispatch.isStream
-    }, event => this.#receiveEvent(attempt, event))
+    }
+    attempt.generation = startResumedGeneration({
+      clock: this.#options.clock,
+      engine: this.#options.engine,
+      address: this.#entry.address,
+      order,
+      planResume: defaultPlanResume,
+      send: event => this.#receiveEvent(attempt, event)
+    })
   }
 
   async #carryOutUnload (planned: PlannedUnload): Promise<void> {
--- /dev/null
+++ b/src/tasks/scheduler/resumeGeneration.ts
@@ -0,0 +1,67 @@
+/** Continues the answers of an engine whose connection broke, so that each event is passed on once. */
+import type { Clock, Timer } from '../../ports/clock.js'
+import type { Engine, GenerateEvent, GenerateOrder, Generation } from '../../ports/engine.js'
+
+const resumeDelaysMs = [10, 50, 200, 500]
+
+/** Says how long to wait before the n-th resume in a row that brought nothing; undefined gives up. */
+export type PlanResume = (failedResumes: number) => number | undefined
+
+export const defaultPlanResume: PlanResume = failedResumes => resumeDelaysMs[failedResumes]
+
+export interface ResumedGenerationOptions {
+  clock: Clock
+  engine: Pick<Engine, 'generate'>
+  address: string
+  order: GenerateOrder
+  planResume: PlanResume
+  send: (event: GenerateEvent) => void
+}
+
+class ResumedGeneration implements Generation {
+  #options: ResumedGenerationOptions
+  #current: Generation
+  #timer: Timer | undefined
+  #failedResumes = 0
+  #isCancelled = false
+
+  constructor (options: ResumedGenerationOptions) {
+    this.#options = options
+    this.#current = this.#generate(options.order)
+  }
+
+  cancel (): void {
+    this.#isCancelled = true
+    this.#timer?.cancel()
+    this.#current.cancel()
+  }
+
+  #generate (order: GenerateOrder): Generation {
+    return this.#options.engine.generate(this.#options.address, order, event => this.#receive(event))
+  }
+
+  #receive (event: GenerateEvent): void {
+    if (this.#isCancelled) return
+    if (event.type === 'data') this.#failedResumes = 0
+    const delayMs = event.type === 'failed' && event.resumeFrom !== undefined
+      ? this.#options.planResume(this.#failedResumes)
+      : undefined
+    if (event.type !== 'failed' || delayMs === undefined) {
+      this.#options.send(event)
+      return
+    }
+    this.#failedResumes++
+    const order: GenerateOrder = { ...this.#options.order, resumeFrom: event.resumeFrom! }
+    this.#timer = this.#options.clock.setTimer(() => { this.#current = this.#generate(order) }, delayMs)
+  }
+}
+
+/**
+ * Runs a request as `Engine.generate` does, and resumes its answer where the engine still has it.
+ *
+ * @example
+ * const generation = startResumedGeneration({ clock, engine, address, order, planResume: defaultPlanResume, send })
+ */
+export function startResumedGeneration (options: ResumedGenerationOptions): Generation {
+  return new ResumedGeneration(options)
+}
