Add the bench of decisions with its baselines

Cause: nothing measured the decisions. Change: seeded traces of both users run through the real router, endpoint task and decisions on a virtual clock with the stand-in engines' time model; bounds on load stalls and batch efficiency; baselines least-loaded and rendezvous.

--- /dev/null
+++ b/bench/decisions/decisionsBench.ts
@@ -0,0 +1,64 @@
+/** `npm run bench:decisions`: runs policies over traces and prints their measures beside the bounds. */
+import { parseArgs } from 'node:util'
+import { computeBounds } from './bounds.js'
+import type { Bounds } from './bounds.js'
+import { computeMeasures } from './measures.js'
+import type { Measures } from './measures.js'
+import { policies } from './policies.js'
+import { runTrace } from './runTrace.js'
+import { buildTrace, traceNames } from './traces.js'
+import type { TraceName } from './traces.js'
+import { blueMahoe, scutire } from './workload.js'
+
+const { values } = parseArgs({
+  options: {
+    traces: { type: 'string', default: traceNames.join(',') },
+    users: { type: 'string', default: 'scutire,bluemahoe' },
+    seeds: { type: 'string', default: '1' },
+    policies: { type: 'string', default: policies.map(policy => policy.name).join(',') }
+  }
+})
+
+function formatRow (cells: string[]): string {
+  const widths = [10, 9, 6, 14, 9, 9, 8, 8, 6, 8, 8, 8]
+  return cells.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join(' ')
+}
+
+function formatRatio (value: number, bound: number): string {
+  return bound === 0 ? '-' : (value / bound).toFixed(2)
+}
+
+function printRow (names: string[], measures: Measures, bounds: Bounds): void {
+  process.stdout.write(`${formatRow([
+    ...names,
+    formatRatio(measures.urgentStallMs, bounds.urgentStallMs),
+    formatRatio(measures.stallMs, bounds.stallMs),
+    measures.batchEfficiency.toFixed(3),
+    formatRatio(measures.batchEfficiency, bounds.batchEfficiency),
+    String(measures.loads),
+    measures.goodput.toFixed(2),
+    measures.planMicroseconds.toFixed(1),
+    measures.chooseMicroseconds.toFixed(1)
+  ])} ${measures.classes.map(formatClass).join(' | ')}\n`)
+}
+
+function formatClass (measures: Measures['classes'][number]): string {
+  const { name, requests, met, refused, late, stallSeconds } = measures
+  return `${name} ${requests} met ${(met * 100).toFixed(1)}% late ${late} refused ${refused} stall ${stallSeconds.toFixed(3)}s`
+}
+
+process.stdout.write(`${formatRow(
+  ['user', 'trace', 'seed', 'policy', 'urgent/b', 'stall/b', 'batch', 'batch/b', 'loads', 'goodput', 'plan us', 'choose us']
+)} classes\n`)
+for (const deployment of [scutire, blueMahoe].filter(({ name }) => values.users.split(',').includes(name))) {
+  for (const name of values.traces.split(',') as TraceName[]) {
+    for (const seed of values.seeds.split(',').map(Number)) {
+      const trace = buildTrace(deployment, name, seed)
+      const bounds = computeBounds(trace)
+      for (const policy of policies.filter(other => values.policies.split(',').includes(other.name))) {
+        const run = await runTrace(trace, policy)
+        printRow([deployment.name, name, String(seed), policy.name], computeMeasures(trace, run), bounds)
+      }
+    }
+  }
+}
