--- /dev/null
+++ b/features/access.feature
@@ -0,0 +1,48 @@
+Feature: Who may come in
+  Each port takes its own keys alone, and says no before it reads a body.
+
+  Background:
+    Given a system with 1 engine, 1 scheduler and 1 gateway
+
+  Scenario Outline: Strangers and wrong roles on the operators' port
+    When somebody sends <method> "<path>" with key "<key>" to the operators' port
+    Then the operators' answer has status 401 and code "<code>"
+    And the operators' port has counted 1 bad input "<code>"
+
+    Examples:
+      | method | path                   | key                   | code        |
+      | GET    | /api/status            |                       | key_missing |
+      | GET    | /api/status            | sv-nobody             | key_unknown |
+      | GET    | /api/status            | sv-example-caller-key | key_unknown |
+      | GET    | /api/watch             | sv-example-caller-key | key_unknown |
+      | GET    | /api/dump/gateway-1    | sv-example-caller-key | key_unknown |
+      | GET    | /api/explain/req-1     | sv-example-caller-key | key_unknown |
+
+  Scenario: An operator's key opens nothing for callers
+    When somebody asks the callers' port with the operator's key
+    Then the answer has status 401
+    And the answer says verdict "not-run" and code "key_unknown"
+
+  Scenario: A registered operator's key opens the operators' port, until it is a caller's
+    Given key "sv-second-operator" is registered for an operator
+    When somebody sends GET "/api/status" with key "sv-second-operator" to the operators' port
+    Then the operators' answer has status 200
+    Given key "sv-second-operator" is registered for a caller
+    When somebody sends GET "/api/status" with key "sv-second-operator" to the operators' port
+    Then the operators' answer has status 401 and code "key_unknown"
+
+  Scenario: A stranger on the peers' port
+    When a stranger opens a link to the scheduler with key "not-the-key-of-the-peers"
+    Then the link is closed and the stranger has received nothing
+
+  Scenario Outline: Bad input on the operators' port
+    When an operator reads "<path>"
+    Then the operators' answer has status <status> and code "<code>"
+    And the operators' port has counted 1 bad input "<code>"
+
+    Examples:
+      | path                     | status | code               |
+      | /api/nothing             | 404    | path_not_found     |
+      | /api/explain/a_b%22      | 400    | invalid_request_id |
+      | /api/watch?weight=3      | 400    | invalid_query      |
+      | /api/watch?class=a&class=b | 400  | invalid_query      |
--- /dev/null
+++ b/features/steps/operators.ts
@@ -0,0 +1,162 @@
+/** Steps of the operators' port. */
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import type { HostListEntry } from '../../src/schemas/hostList.js'
+import type { Story } from '../../src/schemas/operatorMessage.js'
+import type { SystemStatus } from '../../src/tasks/operators/statusRoutes.js'
+import { hashKey } from '../../src/tasks/gateway/callerAccess.js'
+import { exampleCallerKey, exampleOperatorKey } from '../../src/bin/exampleRecords.js'
+import { grpcPeerTransport } from '../../src/adapters/peerLink/grpcPeerLink.js'
+import { OperatorSession } from '../support/operatorSession.js'
+import { waitUntil } from '../support/waitUntil.js'
+import type { SystemWorld } from '../support/world.js'
+
+const sessions = new WeakMap<SystemWorld, OperatorSession>()
+
+function getSession (world: SystemWorld): OperatorSession {
+  const session = sessions.get(world) ?? new OperatorSession(world)
+  sessions.set(world, session)
+  return session
+}
+
+When('an operator reads {string}', async function (this: SystemWorld, path: string) {
+  await getSession(this).send('GET', path, exampleOperatorKey)
+})
+
+When('a stranger reads {string} of the operators\' port', async function (this: SystemWorld, path: string) {
+  await getSession(this).send('GET', path, '')
+})
+
+When('somebody sends {word} {string} with key {string} to the operators\' port',
+  async function (this: SystemWorld, method: string, path: string, key: string) {
+    await getSession(this).send(method, path, key)
+  })
+
+When('an operator reads {string} until it shows {int} endpoints', async function (this: SystemWorld, path: string, count: number) {
+  const session = getSession(this)
+  await waitUntil(async () => {
+    const status = await session.send('GET', path, exampleOperatorKey) as SystemStatus
+    return status.schedulers.flatMap(scheduler => scheduler.endpoints).filter(endpoint => endpoint.isReady).length === count
+  })
+})
+
+Then('the status names gateways {string} and {string}', async function (this: SystemWorld, first: string, second: string) {
+  const session = getSession(this)
+  await waitUntil(async () => {
+    const status = await session.send('GET', '/api/status', exampleOperatorKey) as SystemStatus
+    return status.gateways.includes(first) && status.gateways.includes(second)
+  })
+})
+
+When('an operator explains the request on gateway {int}', async function (this: SystemWorld, gateway: number) {
+  const session = getSession(this)
+  const requestId = this.answer!.headers.get('sedgevalve-request-id')
+  await waitUntil(async () => {
+    const story = await session.send('GET', `/api/explain/${requestId}`, exampleOperatorKey, gateway) as Story
+    return session.status === 200 && story.outcome === 'answered'
+  })
+})
+
+Then('the story says {string}, class {string} and version {string}',
+  function (this: SystemWorld, outcome: string, className: string, version: string) {
+    const story = getSession(this).body as Story
+    assert.deepEqual([story.outcome, story.className, story.version], [outcome, className, version])
+    assert.match(story.admission, /first token within/)
+  })
+
+Then('attempt {int} of the story has an endpoint, a handle and verdict {string}',
+  function (this: SystemWorld, number: number, verdict: string) {
+    const attempt = (getSession(this).body as Story).attempts.find(candidate => candidate.attempt === number)!
+    assert.equal(attempt.endpointId, this.answer!.headers.get('sedgevalve-endpoint'))
+    assert.match(attempt.handle ?? '', /^cluj-tax@2#/)
+    assert.equal(attempt.verdict, verdict)
+  })
+
+Then('the story names a load as a turn', function (this: SystemWorld) {
+  const story = getSession(this).body as Story
+  assert.ok(story.turns.some(turn => turn.startsWith('load on "engine-')), story.turns.join('; '))
+})
+
+Then('the operators\' answer has status {int}', function (this: SystemWorld, status: number) {
+  assert.equal(getSession(this).status, status, getSession(this).text)
+})
+
+Then('the operators\' answer has status {int} and code {string}', function (this: SystemWorld, status: number, code: string) {
+  const session = getSession(this)
+  assert.equal(session.status, status, session.text)
+  assert.equal((session.body as { error: { code: string } }).error.code, code)
+})
+
+Then('the operators\' port has counted {int} bad input {string}', async function (this: SystemWorld, count: number, code: string) {
+  const dump = await getSession(this).send('GET', '/api/dump/gateway-1', exampleOperatorKey) as { badInput: Record<string, number> }
+  assert.equal(dump.badInput[code], count)
+})
+
+Given('an operator watches {string} on gateway {int}', async function (this: SystemWorld, filter: string, gateway: number) {
+  await getSession(this).openFeed(filter, gateway)
+})
+
+Then('the feed shows decisions {string} of the request', async function (this: SystemWorld, kinds: string) {
+  const session = getSession(this)
+  const requestId = this.answer!.headers.get('sedgevalve-request-id')!
+  for (const kind of kinds.split(', ')) {
+    await waitUntil(async () => session.lastFeed.some(decision => decision.kind === kind && decision.requestId === requestId))
+  }
+})
+
+Then('the feed shows decisions of hosts {string} and {string}', function (this: SystemWorld, first: string, second: string) {
+  const hosts = new Set(getSession(this).lastFeed.map(decision => decision.host))
+  assert.ok(hosts.has(first) && hosts.has(second), [...hosts].join(', '))
+})
+
+Then('the first feed has shown nothing', function (this: SystemWorld) {
+  assert.deepEqual(getSession(this).feeds[0], [])
+})
+
+Then('the dump has role {string} and none of the keys', function (this: SystemWorld, role: string) {
+  const session = getSession(this)
+  assert.equal((session.body as { role: string }).role, role, session.text)
+  for (const secret of ['playground-peer-key', exampleCallerKey, exampleOperatorKey, hashKey(exampleCallerKey), hashKey(exampleOperatorKey)]) {
+    assert.ok(!session.text.includes(secret), `the dump holds "${secret}"`)
+  }
+})
+
+Then('the page comes with a policy that allows its own script alone', function (this: SystemWorld) {
+  const session = getSession(this)
+  assert.equal(session.status, 200)
+  assert.match(session.headers!.get('content-security-policy') ?? '', /default-src 'none'; script-src 'sha256-/)
+  assert.ok(!/(?:src|href)=["']?(?:https?:)?\/\//.test(session.text), 'the page names another host')
+})
+
+Given('key {string} is registered for a(n) {word}', function (this: SystemWorld, key: string, role: 'caller' | 'operator') {
+  const { configuration } = this.playground!
+  configuration.applyRecords(configuration.version + 1, [
+    { kind: 'key', name: 'second', role, hash: hashKey(key), adapters: ['*'], services: ['*'], classes: ['*'] }
+  ])
+})
+
+When('somebody asks the callers\' port with the operator\'s key', async function (this: SystemWorld) {
+  await this.call('/v1/models', undefined, { authorization: `Bearer ${exampleOperatorKey}` })
+})
+
+When('a stranger opens a link to the scheduler with key {string}', async function (this: SystemWorld, key: string) {
+  const { hostList } = this.playground!.standins.platform
+  const findScheduler = async (): Promise<HostListEntry | undefined> =>
+    (await hostList.listEntries()).find(candidate => candidate.kind === 'scheduler')
+  await waitUntil(async () => await findScheduler() !== undefined)
+  const entry = (await findScheduler())!
+  const session = getSession(this)
+  await new Promise<void>(resolve => {
+    grpcPeerTransport.open({
+      address: entry.address,
+      hostId: entry.id,
+      key,
+      hello: { type: 'hello', hostId: 'stranger', role: 'gateway', zone: 'az-1', version: '0' },
+      events: { receive: (_link, message) => session.strangersMessages.push(message), closed: () => resolve() }
+    })
+  })
+})
+
+Then('the link is closed and the stranger has received nothing', function (this: SystemWorld) {
+  assert.deepEqual(getSession(this).strangersMessages, [])
+})
--- a/playground/startPlayground.ts
+++ b/playground/startPlayground.ts
@@ -1,12 +1,13 @@
 /** The real gateways and schedulers on stand-ins in one process, for tests and trials. */
 import { resolveSettings } from '../src/settings/resolveSettings.js'
 import { gatewaySettingsSchema, schedulerSettingsSchema, standinSettingsSchema } from '../src/settings/settingsSchemas.js'
-import { exampleRecords } from '../src/bin/exampleRecords.js'
+import { exampleOperatorKey, exampleRecords } from '../src/bin/exampleRecords.js'
 import type { RunningProcess } from '../src/bin/runBinary.js'
 import { startGateway, startScheduler } from '../src/bin/startHosts.js'
 import type { RunningGateway } from '../src/bin/startHosts.js'
 import { startStandins } from '../src/bin/startStandins.js'
 import type { RunningStandins } from '../src/bin/startStandins.js'
+import { hashKey } from '../src/tasks/gateway/callerAccess.js'
 import { MemoryConfiguration } from '../src/tasks/configuration/memoryConfiguration.js'
 
 export interface PlaygroundOptions {
@@ -91,5 +92,6 @@
 [callers]
 port = 0
 [operators]
-port = 0`, gatewaySettingsSchema), playground.standins.platform, playground.configuration)
+port = 0
+keyHash = ${hashKey(exampleOperatorKey)}`, gatewaySettingsSchema), playground.standins.platform, playground.configuration)
 }
--- a/src/bin/exampleRecords.ts
+++ b/src/bin/exampleRecords.ts
@@ -3,6 +3,7 @@
 import { hashKey } from '../tasks/gateway/callerAccess.js'
 
 export const exampleCallerKey = 'sv-example-caller-key'
+export const exampleOperatorKey = 'sv-example-operator-key'
 
 export const exampleRecords: ConfigurationRecord[] = [
   { kind: 'class', name: 'counter', target: { kind: 'firstTokenWithin', ms: 2000 } },
--- a/src/bin/quickstart.ts
+++ b/src/bin/quickstart.ts
@@ -1,10 +1,11 @@
 /** The whole system in one process on memory stand-ins: what `npm start` runs. */
-import { defaultCallersPort } from '../constants.js'
+import { defaultCallersPort, defaultOperatorsPort } from '../constants.js'
 import { openLogs } from '../createLog.js'
 import { resolveSettings } from '../settings/resolveSettings.js'
 import { gatewaySettingsSchema, schedulerSettingsSchema, standinSettingsSchema } from '../settings/settingsSchemas.js'
+import { hashKey } from '../tasks/gateway/callerAccess.js'
 import { MemoryConfiguration } from '../tasks/configuration/memoryConfiguration.js'
-import { exampleCallerKey, exampleRecords } from './exampleRecords.js'
+import { exampleCallerKey, exampleOperatorKey, exampleRecords } from './exampleRecords.js'
 import { exitWithError, stopOnSignals } from './runBinary.js'
 import type { RunningProcess } from './runBinary.js'
 import { startGateway, startScheduler } from './startHosts.js'
@@ -42,8 +43,11 @@
 [peers]
 key = ${peerKey}
 [callers]
-port = ${process.env.SEDGEVALVE_CALLERS_PORT ?? defaultCallersPort}`, gatewaySettingsSchema), standins.platform, configuration)
-  printWelcome(gateway.callersPort)
+port = ${process.env.SEDGEVALVE_CALLERS_PORT ?? defaultCallersPort}
+[operators]
+port = ${process.env.SEDGEVALVE_OPERATORS_PORT ?? defaultOperatorsPort}
+keyHash = ${hashKey(exampleOperatorKey)}`, gatewaySettingsSchema), standins.platform, configuration)
+  printWelcome(gateway.callersPort, gateway.operatorsPort)
   return {
     stop: async () => {
       await gateway.stop()
@@ -53,7 +57,7 @@
   }
 }
 
-function printWelcome (callersPort: number): void {
+function printWelcome (callersPort: number, operatorsPort: number): void {
   process.stdout.write(`sedgevalve runs on built-in stand-ins: 3 engines, 2 services.
 Callers connect to http://127.0.0.1:${callersPort}. Try:
 
@@ -61,6 +65,11 @@
     -H 'Authorization: Bearer ${exampleCallerKey}' -H 'Content-Type: application/json' \\
     -d '{"model": "cluj-tax", "stream": true, "messages": [{"role": "user", "content": "Is the claim valid?"}]}'
 
+Operators open http://127.0.0.1:${operatorsPort} in a browser, with the key ${exampleOperatorKey}. Or:
+
+  export SEDGEVALVE_OPERATOR_KEY=${exampleOperatorKey} SEDGEVALVE_ADDRESS=127.0.0.1:${operatorsPort}
+  node dist/src/bin/sedgevalvectl.js status
+
 Ctrl-C ends it.
 `)
 }
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -11,15 +11,18 @@
 import type { ConfigurationView } from '../schemas/configuration.js'
 import type { HostListEntry } from '../schemas/hostList.js'
 import type { GatewaySettings, SchedulerSettings } from '../settings/settingsSchemas.js'
+import { DecisionStore } from '../tasks/decisions/decisionStore.js'
 import { GatewayTask } from '../tasks/gateway/gatewayTask.js'
 import { RendezvousOwnership } from '../tasks/ownership/rendezvousOwnership.js'
 import { SchedulerTask } from '../tasks/scheduler/schedulerTask.js'
 import type { RunningProcess } from './runBinary.js'
+import { createOperators } from './startOperators.js'
 
 const announceIntervalMs = 1000
 
 export interface RunningGateway extends RunningProcess {
   readonly callersPort: number
+  readonly operatorsPort: number
 }
 
 /** Starts a gateway on a platform. */
@@ -29,10 +32,12 @@
   const { h64ToString } = await xxhash()
   const { host, callers, peers } = settings
   const service = new PlainService()
+  const clock = createSystemClock()
+  const decisions = new DecisionStore({ hostId: host.id, clock })
   const gateway = new GatewayTask({
     hostId: host.id,
     zone: host.zone,
-    clock: createSystemClock(),
+    clock,
     hostList: platform.hostList,
     configuration,
     chooseEndpoint: chooseLeastLoaded,
@@ -41,13 +46,23 @@
     service,
     peerTransport: grpcPeerTransport,
     peerKey: peers.key,
-    callers
+    callers,
+    recordDecision: draft => decisions.record(draft),
+    receiveOperatorMessage: (_from, message) => operators.receiveMessage(message)
   })
+  const operators = createOperators({ settings, platform, clock, configuration, decisions, gateway })
   await gateway.start()
+  await operators.start()
+  const announcement = announceHost(platform, {
+    kind: 'gateway', id: host.id, zone: host.zone, address: `${settings.operators.address}:${operators.port}`, presence: 'live'
+  })
   return {
     callersPort: gateway.callersPort,
+    operatorsPort: operators.port,
     stop: async () => {
+      await announcement.stop()
       await gateway.stop()
+      await operators.stop()
       await service.close()
     }
   }
--- /dev/null
+++ b/src/bin/startOperators.ts
@@ -0,0 +1,35 @@
+/** Wires the operators' port to a gateway. */
+import type { Platform } from '../adapters/httpPlatform/httpPlatform.js'
+import type { Clock } from '../ports/clock.js'
+import type { ConfigurationView } from '../schemas/configuration.js'
+import type { GatewaySettings } from '../settings/settingsSchemas.js'
+import type { DecisionStore } from '../tasks/decisions/decisionStore.js'
+import type { GatewayTask } from '../tasks/gateway/gatewayTask.js'
+import { BadInput } from '../tasks/metrics/badInput.js'
+import { OperatorsTask } from '../tasks/operators/operatorsTask.js'
+
+export interface OperatorsWiring {
+  settings: GatewaySettings
+  platform: Platform
+  clock: Clock
+  configuration: ConfigurationView
+  decisions: DecisionStore
+  gateway: GatewayTask
+}
+
+/** Creates the operators' task of a gateway; the caller starts it. */
+export function createOperators (wiring: OperatorsWiring): OperatorsTask {
+  const { settings, platform, clock, configuration, decisions, gateway } = wiring
+  return new OperatorsTask({
+    hostId: settings.host.id,
+    zone: settings.host.zone,
+    clock,
+    hostList: platform.hostList,
+    configuration,
+    decisions,
+    links: gateway.links,
+    operators: settings.operators,
+    describeGateway: () => gateway.describeState(),
+    badInput: new BadInput(() => {})
+  })
+}
--- /dev/null
+++ b/src/core/requestStory.ts
@@ -0,0 +1,90 @@
+/** Puts one request's story together from the decisions of several hosts, whose clocks are not compared. */
+import type { Decision, Wait } from '../schemas/decision.js'
+import type { Story, StoryAttempt } from '../schemas/operatorMessage.js'
+
+/** Order of the kinds within one attempt. */
+const stages: Array<Decision['kind']> = [
+  'chooseEndpoint', 'admit', 'refuse', 'suspect', 'unload', 'load', 'dispatch', 'retry', 'finish', 'fail'
+]
+
+/**
+ * Builds the story of a request; undefined where nothing is known of it.
+ *
+ * @example
+ * buildStory('req-7', decisions, [])?.attempts[0]?.waits // [{ cause: 'load', ms: 620 }]
+ */
+export function buildStory (requestId: string, decisions: Decision[], silentHosts: string[]): Story | undefined {
+  const own = decisions.filter(decision => decision.requestId === requestId)
+  const first = own[0]
+  if (!first) return undefined
+  const numbers = [...new Set(own.flatMap(decision => decision.attempt ?? []))].sort((left, right) => left - right)
+  const ordered = listInOrder(own)
+  const admission = own.find(decision => decision.kind === 'admit' && decision.attempt === undefined)
+  return {
+    requestId,
+    outcome: findOutcome(own),
+    ...selectNames(admission ?? first),
+    admission: admission?.reason ?? 'the gateway that admitted the request has given no answer',
+    attempts: numbers.map(attempt => buildAttempt(attempt, ordered)),
+    turns: listTurns(ordered, decisions),
+    decisions: ordered,
+    silentHosts
+  }
+}
+
+function selectNames (decision: Decision): Pick<Story, 'className' | 'adapter' | 'version'> {
+  const { className, adapter, version } = decision
+  return { ...(className && { className }), ...(adapter && { adapter }), ...(version && { version }) }
+}
+
+function findOutcome (own: Decision[]): Story['outcome'] {
+  if (own.some(decision => decision.kind === 'finish')) return 'answered'
+  if (own.some(decision => decision.kind === 'fail')) return 'failed'
+  return own.some(decision => decision.kind === 'refuse' && decision.attempt === undefined) ? 'refused' : 'running'
+}
+
+function listInOrder (own: Decision[]): Decision[] {
+  const rate = (decision: Decision): number => (decision.attempt ?? 0) * 100 + stages.indexOf(decision.kind)
+  return [...own].sort((left, right) => rate(left) - rate(right))
+}
+
+function buildAttempt (attempt: number, ordered: Decision[]): StoryAttempt {
+  const own = ordered.filter(decision => decision.attempt === attempt)
+  const choice = own.find(decision => decision.kind === 'chooseEndpoint')
+  const dispatch = own.find(decision => decision.kind === 'dispatch')
+  const end = own.find(decision => ['finish', 'fail', 'retry'].includes(decision.kind))
+  const scheduler = own.find(decision => decision.kind === 'admit' || decision.kind === 'dispatch' || decision.kind === 'refuse')
+  const endpointId = choice?.endpointId ?? scheduler?.endpointId
+  return {
+    attempt,
+    ...(endpointId && { endpointId }),
+    ...(scheduler && { host: scheduler.host }),
+    ...(dispatch?.handle && { handle: dispatch.handle }),
+    ...(end?.verdict && { verdict: end.verdict }),
+    choice: choice?.reason ?? '',
+    end: end?.reason ?? 'not ended',
+    waits: resolveWaits(own, dispatch)
+  }
+}
+
+/** Waits as the decisions give them; time between admission and dispatch that none of them names was spent in the queue. */
+function resolveWaits (own: Decision[], dispatch: Decision | undefined): Wait[] {
+  const named = own.flatMap(decision => decision.waits).filter(wait => wait.ms > 0)
+  const admit = own.find(decision => decision.kind === 'admit')
+  if (!admit || !dispatch || admit.host !== dispatch.host) return named
+  const namedMs = named.reduce((sum, wait) => sum + wait.ms, 0)
+  const restMs = Math.round(dispatch.atMs - admit.atMs - namedMs)
+  return restMs > 1 ? [...named, { cause: 'queue', ms: restMs }] : named
+}
+
+/** Names the decisions that changed the request's way, those of others on its endpoint among them. */
+function listTurns (ordered: Decision[], all: Decision[]): string[] {
+  const turns = ordered.filter(decision => ['retry', 'refuse', 'suspect', 'load', 'unload'].includes(decision.kind))
+  const related = all.filter(decision => decision.requestId !== ordered[0]?.requestId)
+  return [...turns, ...related].map(decision => describeTurn(decision))
+}
+
+function describeTurn (decision: Decision): string {
+  const place = decision.endpointId === undefined ? '' : ` on "${decision.endpointId}"`
+  return `${decision.kind}${place}, decided by "${decision.host}": ${decision.reason}`
+}
--- a/src/schemas/peerMessage.ts
+++ b/src/schemas/peerMessage.ts
@@ -102,10 +102,12 @@
 })
 export type EndpointSummaries = Static<typeof endpointSummariesSchema>
 
-/** Decisions taken on the sender, for `explain` and `watch`. */
+/** Decisions taken on the sender, to a host that watches. */
 export const decisionsSchema = Type.Object({
   type: Type.Literal('decisions'),
-  decisions: Type.Array(decisionSchema)
+  decisions: Type.Array(decisionSchema),
+  /** How many more there were since the last message, beyond the bound on their rate. */
+  missed: Type.Integer()
 })
 
 /** Fingerprints that were running when an endpoint crashed; counts only rise. */
@@ -146,7 +148,7 @@
 export const querySchema = Type.Object({
   type: Type.Literal('query'),
   queryId: Type.String(),
-  /** What is asked: `dump`, `explain` or `status`. */
+  /** What is asked: `dump`, `explain`, `status` or `watch`. */
   subject: Type.String(),
   argument: Type.String()
 })
--- a/src/settings/settingsSchemas.ts
+++ b/src/settings/settingsSchemas.ts
@@ -16,6 +16,8 @@
 const addressType = Type.String({ pattern: addressPattern, description: 'an IP number and a port such as 10.0.0.7:7490' })
 const keyType = Type.String({ minLength: 16, description: 'a shared key of at least 16 characters' })
 
+const keyHashType = Type.String({ pattern: '^[0-9a-f]{64}$', description: 'the SHA-256 of a key in lower-case hex; "sedgevalvectl key hash" prints it' })
+
 function createPortType (port: number): ReturnType<typeof Type.Integer> {
   return Type.Integer({ minimum: 0, maximum: 65535, default: port, description: 'a port from 0 to 65535; 0 takes a free one' })
 }
@@ -32,7 +34,8 @@
   /** `key`: shared by all hosts of the system. */
   peers: createSection({ key: keyType }),
   callers: createSection({ address: ipType, port: createPortType(defaultCallersPort) }),
-  operators: createSection({ address: ipType, port: createPortType(defaultOperatorsPort) }),
+  /** `keyHash`: a key that opens the operators' port before any is registered. */
+  operators: createSection({ address: ipType, port: createPortType(defaultOperatorsPort), keyHash: Type.Optional(keyHashType) }),
   metrics: metricsSection
 })
 export type GatewaySettings = Readonly<Static<typeof gatewaySettingsSchema>>
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -1,6 +1,7 @@
 /** The gateway: takes callers' requests and has schedulers run them. */
+import { productVersion } from '../../constants.js'
 import { createLog } from '../../createLog.js'
-import type { ChooseEndpoint } from '../../core/endpointChoice.js'
+import type { ChooseEndpoint, EndpointView } from '../../core/endpointChoice.js'
 import { RetryBudget, defaultRetryBudget } from '../../core/retryBudget.js'
 import { SuspectRegister } from '../../core/suspects.js'
 import type { Clock } from '../../ports/clock.js'
@@ -8,6 +9,8 @@
 import type { PeerTransport } from '../../ports/peers.js'
 import type { Service } from '../../ports/service.js'
 import type { ConfigurationView } from '../../schemas/configuration.js'
+import type { RecordDecision } from '../../schemas/decision.js'
+import type { PeerMessage } from '../../schemas/peerMessage.js'
 import { startCallersServer } from './callersServer.js'
 import type { CallersServer } from './callersServer.js'
 import { RequestRouter } from './requestRouter.js'
@@ -30,6 +33,21 @@
   peerTransport: PeerTransport
   peerKey: string
   callers: { address: string, port: number }
+  recordDecision: RecordDecision
+  /** Gets what schedulers send for operators: answers to queries, and decisions. */
+  receiveOperatorMessage: (hostId: string, message: PeerMessage) => void
+}
+
+/** What a dump tells of a gateway. */
+export interface GatewayState {
+  host: string
+  zone: string
+  version: string
+  callersPort: number
+  runningRequests: number
+  configurationVersion: number
+  schedulers: string[]
+  endpoints: EndpointView[]
 }
 
 export class GatewayTask {
@@ -49,7 +67,7 @@
       zone,
       peerTransport,
       peerKey,
-      receiveMessage: (from, message) => this.#router.receiveMessage(from, message),
+      receiveMessage: (from, message) => this.#receiveMessage(from, message),
       receiveClosed: from => this.#router.receiveClosed(from),
       receiveChange: () => this.#router.receiveChange(),
       receiveList: entries => this.#services.receiveList(entries)
@@ -63,7 +81,7 @@
       retryBudget: new RetryBudget(defaultRetryBudget, clock.readMonotonic()),
       suspects: new SuspectRegister(),
       random: options.random,
-      recordDecision: () => {}
+      recordDecision: options.recordDecision
     })
   }
 
@@ -72,11 +90,30 @@
     return this.#callers?.port ?? 0
   }
 
+  get links (): SchedulerLinks {
+    return this.#links
+  }
+
   /** Runs requests of this process's own, such as those of jobs. */
   get router (): RequestRouter {
     return this.#router
   }
 
+  /** Describes the state of the gateway, without secrets. */
+  describeState (): GatewayState {
+    const { hostId, zone, configuration } = this.#options
+    return {
+      host: hostId,
+      zone,
+      version: productVersion,
+      callersPort: this.callersPort,
+      runningRequests: this.#router.running,
+      configurationVersion: configuration.version,
+      schedulers: this.#links.listHostIds(),
+      endpoints: this.#links.listViews()
+    }
+  }
+
   async start (): Promise<void> {
     this.#links.start()
     const { clock, configuration, hashText, callers } = this.#options
@@ -90,4 +127,9 @@
     this.#links.stop()
     log('Gateway "%s" has stopped.', this.#options.hostId)
   }
+
+  #receiveMessage (hostId: string, message: PeerMessage): void {
+    if (message.type === 'queryAnswer' || message.type === 'decisions') this.#options.receiveOperatorMessage(hostId, message)
+    else this.#router.receiveMessage(hostId, message)
+  }
 }
--- a/src/tasks/gateway/requestRouter.ts
+++ b/src/tasks/gateway/requestRouter.ts
@@ -10,6 +10,8 @@
 import type { PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
 import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
+import { describeAdmission, describeDecision } from './describeDecision.js'
+import type { RequestDecision } from './describeDecision.js'
 import type { SchedulerLinks } from './schedulerLinks.js'
 import type { AnswerEvent, AnswerSource, RoutedRequest, SendAnswer } from './routedRequest.js'
 
@@ -61,6 +63,7 @@
   /** Runs a request; `send` gets its answer. */
   startRequest (request: RoutedRequest, send: SendAnswer): void {
     if (this.#findSuspectState(request) === 'refused') {
+      this.#options.recordDecision(describeDecision(request, { kind: 'refuse', verdict: 'notRun', chosen: 'refused', reason: crashMessage }))
       send({ type: 'failed', failure: createNotRun('request_crashes_endpoints', crashMessage, 422) })
       return
     }
@@ -76,6 +79,7 @@
       waitTimer: undefined
     }
     this.#running.set(request.requestId, running)
+    this.#options.recordDecision(describeAdmission(request))
     this.#options.retryBudget.recordFirstAttempt()
     this.#startAttempt(running)
   }
@@ -85,6 +89,7 @@
     const running = this.#running.get(requestId)
     if (!running) return
     this.#cancelAttempt(running)
+    this.#recordEnd(running, { kind: 'fail', verdict: 'mayHaveRun', chosen: 'cancelled', reason: 'the caller hung up' })
     this.#remove(running)
   }
 
@@ -195,6 +200,7 @@
       running.hasSentData = true
       running.send({ type: 'data', data: message.data, source })
     } else {
+      this.#recordEnd(running, { kind: 'finish', verdict: 'ran', chosen: 'answered', reason: 'the whole answer was sent' })
       this.#remove(running)
       this.#options.suspects.recordFinished(running.request.fingerprint, this.#options.clock.readMonotonic())
       running.send({ type: 'end', source })
@@ -219,20 +225,7 @@
       return
     }
     if (running.target) running.avoidEndpoints.push(running.target.endpointId)
-    this.#options.recordDecision({
-      kind: 'retry',
-      requestId: running.request.requestId,
-      attempt: running.attempt,
-      className: running.request.className,
-      adapter: running.request.adapter,
-      version: running.request.version,
-      ...(running.target && { endpointId: running.target.endpointId }),
-      verdict: failure.verdict,
-      considered: [],
-      chosen: 'retry',
-      reason: failure.message,
-      waits: []
-    })
+    this.#recordEnd(running, { kind: 'retry', verdict: failure.verdict, chosen: 'retry', reason: failure.message })
     this.#startAttempt(running)
   }
 
@@ -248,10 +241,18 @@
   }
 
   #finishFailed (running: RunningRequest, failure: RequestFailure): void {
+    this.#recordEnd(running, { kind: 'fail', verdict: failure.verdict, chosen: failure.code, reason: failure.message })
     this.#remove(running)
     running.send({ type: 'failed', failure } satisfies AnswerEvent)
   }
 
+  /** Records how the current attempt ended. */
+  #recordEnd (running: RunningRequest, decision: RequestDecision): void {
+    const { request, attempt, target } = running
+    const place = target && { endpointId: target.endpointId }
+    this.#options.recordDecision(describeDecision(request, { attempt, ...place, ...decision }))
+  }
+
   #remove (running: RunningRequest): void {
     running.waitTimer?.cancel()
     this.#running.delete(running.request.requestId)
--- a/src/tasks/gateway/schedulerLinks.ts
+++ b/src/tasks/gateway/schedulerLinks.ts
@@ -58,6 +58,11 @@
     for (const scheduler of this.#schedulers.values()) scheduler.link.close()
   }
 
+  /** Lists the schedulers to which a link is open. */
+  listHostIds (): string[] {
+    return [...this.#schedulers.keys()]
+  }
+
   /** Sends a message; false where there is no link to the host. */
   send (hostId: string, message: PeerMessage): boolean {
     const scheduler = this.#schedulers.get(hostId)
--- /dev/null
+++ b/src/tasks/operators/explainRoute.ts
@@ -0,0 +1,52 @@
+/** `GET /api/explain/{request}`: one request's story, from whichever host is asked. */
+import type { FastifyInstance } from 'fastify'
+import { Value } from '@sinclair/typebox/value'
+import { buildStory } from '../../core/requestStory.js'
+import type { Decision } from '../../schemas/decision.js'
+import { explainPartSchema } from '../../schemas/operatorMessage.js'
+import type { ExplainPart, Story } from '../../schemas/operatorMessage.js'
+import { createNotRun } from '../../schemas/verdict.js'
+import { sendOperatorFailure } from './operatorsServer.js'
+import type { OperatorsContext } from './operatorsContext.js'
+import type { HostAnswer } from './peerQueries.js'
+
+const idPattern = /^[A-Za-z0-9-]{1,100}$/
+
+interface ExplainRequest {
+  Params: { requestId: string }
+  Querystring: { scope?: string }
+}
+
+/** Adds the route; with `?scope=local` it answers what this gateway alone has kept. */
+export function addExplainRoute (server: FastifyInstance, context: OperatorsContext): void {
+  server.get<ExplainRequest>('/api/explain/:requestId', async (request, reply) => {
+    const { requestId } = request.params
+    if (!idPattern.test(requestId)) {
+      return sendOperatorFailure(context, reply, createNotRun('invalid_request_id', 'a request id has letters, digits and "-" alone', 400))
+    }
+    if (request.query.scope === 'local') return readOwnPart(context, requestId)
+    const story = await requestStory(context, requestId, request.headers.authorization ?? '')
+    return story ?? sendOperatorFailure(context, reply, createNotRun('request_unknown',
+      `request "${requestId}" is unknown to the hosts that answered; it is mistyped, or too old to be kept`, 404))
+  })
+}
+
+function readOwnPart (context: OperatorsContext, requestId: string): ExplainPart {
+  return { host: context.hostId, decisions: context.decisions.findByRequest(requestId) }
+}
+
+async function requestStory (context: OperatorsContext, requestId: string, authorization: string): Promise<Story | undefined> {
+  const path = `/api/explain/${requestId}?scope=local`
+  const [gateways, schedulers] = await Promise.all([
+    context.gateways.requestAll(path, authorization),
+    context.peers.requestAll('explain', requestId)
+  ])
+  const answers = [...gateways, ...schedulers]
+  const decisions = [...readOwnPart(context, requestId).decisions, ...answers.flatMap(readDecisions)]
+  const silent = answers.filter(({ answer }) => !Value.Check(explainPartSchema, answer)).map(({ host }) => host)
+  return buildStory(requestId, decisions, silent)
+}
+
+function readDecisions ({ answer }: HostAnswer): Decision[] {
+  return Value.Check(explainPartSchema, answer) ? answer.decisions : []
+}
--- /dev/null
+++ b/src/tasks/operators/operatorsContext.ts
@@ -0,0 +1,23 @@
+/** What the routes of the operators' port share. */
+import type { Clock } from '../../ports/clock.js'
+import type { ConfigurationView } from '../../schemas/configuration.js'
+import type { DecisionStore } from '../decisions/decisionStore.js'
+import type { GatewayQueries } from './gatewayQueries.js'
+import type { LiveFeed } from './liveFeed.js'
+import type { PeerQueries } from './peerQueries.js'
+
+export interface OperatorsContext {
+  hostId: string
+  zone: string
+  clock: Clock
+  configuration: ConfigurationView
+  /** SHA-256, in hex, of the operator's key of the settings. */
+  settingsKeyHash: string | undefined
+  decisions: DecisionStore
+  peers: PeerQueries
+  gateways: GatewayQueries
+  feed: LiveFeed
+  /** Whole state of this process, without secrets. */
+  describeState: () => unknown
+  countBadInput: (code: string) => void
+}
--- /dev/null
+++ b/src/tasks/operators/operatorsServer.ts
@@ -0,0 +1,86 @@
+/** The operators' port: registrations, stories of requests, the live feed and the page. */
+import type { AddressInfo } from 'node:net'
+import fastify from 'fastify'
+import type { FastifyError, FastifyInstance, FastifyReply } from 'fastify'
+import { maxHeaderBytes } from '../../constants.js'
+import { createNotRun } from '../../schemas/verdict.js'
+import type { RequestFailure } from '../../schemas/verdict.js'
+import { renderErrorBody, renderErrorHeaders } from '../gateway/callerError.js'
+import { addExplainRoute } from './explainRoute.js'
+import { checkOperator } from './operatorAccess.js'
+import type { Operator } from './operatorAccess.js'
+import type { OperatorsContext } from './operatorsContext.js'
+import { addPageRoute } from './pageRoute.js'
+import { addStatusRoutes } from './statusRoutes.js'
+import { addWatchRoute } from './watchRoute.js'
+
+/** Room for a registration of tens of thousands of adapters at once. */
+const maxOperatorBodyBytes = 16 * 1024 * 1024
+const maxRequestReadMs = 60_000
+
+declare module 'fastify' {
+  interface FastifyRequest {
+    /** Set before the body is read. */
+    operator: Operator | undefined
+  }
+}
+
+export interface OperatorsServer {
+  readonly port: number
+  stop: () => Promise<void>
+}
+
+/** Starts the operators' port. Rejects where the port is in use. */
+export async function startOperatorsServer (
+  context: OperatorsContext, listen: { address: string, port: number }
+): Promise<OperatorsServer> {
+  const server = fastify({
+    bodyLimit: maxOperatorBodyBytes,
+    http: { maxHeaderSize: maxHeaderBytes },
+    requestTimeout: maxRequestReadMs,
+    forceCloseConnections: true
+  })
+  addErrorHandlers(server, context)
+  addPageRoute(server)
+  await server.register(async scope => addOperatorRoutes(scope, context))
+  await server.listen({ host: listen.address, port: listen.port })
+  const { port } = server.server.address() as AddressInfo
+  return { port, stop: async () => await server.close() }
+}
+
+/** Every path below `/api` takes an operator's key; it is checked before the body is read. */
+function addOperatorRoutes (scope: FastifyInstance, context: OperatorsContext): void {
+  scope.decorateRequest('operator', undefined)
+  scope.addHook('onRequest', async (request, reply) => {
+    reply.header('cache-control', 'no-store')
+    const operator = checkOperator(context.configuration, context.settingsKeyHash, request.headers.authorization)
+    if (!operator.isValid) return sendOperatorFailure(context, reply, operator.failure)
+    request.operator = operator.value
+  })
+  addExplainRoute(scope, context)
+  addStatusRoutes(scope, context)
+  addWatchRoute(scope, context)
+}
+
+/** Sends a failure and counts it as bad input under its code. */
+export function sendOperatorFailure (context: OperatorsContext, reply: FastifyReply, failure: RequestFailure): FastifyReply {
+  context.countBadInput(failure.code)
+  return reply.code(failure.status).headers(renderErrorHeaders(failure)).type('application/json').send(renderErrorBody(failure))
+}
+
+function addErrorHandlers (server: FastifyInstance, context: OperatorsContext): void {
+  server.setErrorHandler<FastifyError>((error, _request, reply) => {
+    sendOperatorFailure(context, reply, createHttpFailure(error))
+  })
+  server.setNotFoundHandler((request, reply) => {
+    sendOperatorFailure(context, reply, createNotRun('path_not_found', `path "${request.url.slice(0, 200)}" does not exist for ${request.method}`, 404))
+  })
+}
+
+function createHttpFailure (error: FastifyError): RequestFailure {
+  const status = error.statusCode ?? 500
+  if (status === 413) return createNotRun('body_too_large', `the body is larger than ${maxOperatorBodyBytes} bytes`, 413)
+  if (status === 415) return createNotRun('content_type_unsupported', 'the body is not "application/json"', 415)
+  if (status < 500) return createNotRun('invalid_body', `the body is not valid: ${error.message}`, status)
+  return createNotRun('internal_error', 'the gateway failed; its log names the cause', 500)
+}
--- /dev/null
+++ b/src/tasks/operators/operatorsTask.ts
@@ -0,0 +1,88 @@
+/** Serves operators on one gateway process. */
+import { createLog } from '../../createLog.js'
+import type { Clock } from '../../ports/clock.js'
+import type { HostList } from '../../ports/hostList.js'
+import type { ConfigurationView } from '../../schemas/configuration.js'
+import type { PeerMessage } from '../../schemas/peerMessage.js'
+import type { DecisionStore } from '../decisions/decisionStore.js'
+import type { BadInput } from '../metrics/badInput.js'
+import { GatewayQueries } from './gatewayQueries.js'
+import { LiveFeed } from './liveFeed.js'
+import { startOperatorsServer } from './operatorsServer.js'
+import type { OperatorsServer } from './operatorsServer.js'
+import { PeerQueries } from './peerQueries.js'
+import type { QueryLinks } from './peerQueries.js'
+
+const log = createLog('operators')
+
+export interface OperatorsTaskOptions {
+  hostId: string
+  zone: string
+  clock: Clock
+  hostList: HostList
+  configuration: ConfigurationView
+  decisions: DecisionStore
+  links: QueryLinks
+  operators: { address: string, port: number, keyHash?: string }
+  /** State of the gateway, without secrets. */
+  describeGateway: () => unknown
+  badInput: BadInput
+}
+
+export class OperatorsTask {
+  #options: OperatorsTaskOptions
+  #peers: PeerQueries
+  #gateways: GatewayQueries
+  #feed: LiveFeed
+  #server: OperatorsServer | undefined
+
+  constructor (options: OperatorsTaskOptions) {
+    this.#options = options
+    const { clock, decisions, hostId, hostList, links } = options
+    this.#peers = new PeerQueries(clock, links)
+    this.#gateways = new GatewayQueries({ hostId, hostList })
+    this.#feed = new LiveFeed({ hostId, clock, decisions, peers: this.#peers, gateways: this.#gateways })
+  }
+
+  /** Port on which operators connect, once started. */
+  get port (): number {
+    return this.#server?.port ?? 0
+  }
+
+  async start (): Promise<void> {
+    const { operators, badInput, ...rest } = this.#options
+    this.#server = await startOperatorsServer({
+      ...rest,
+      settingsKeyHash: operators.keyHash,
+      peers: this.#peers,
+      gateways: this.#gateways,
+      feed: this.#feed,
+      describeState: () => this.describeState(),
+      countBadInput: code => badInput.count(code)
+    }, operators)
+    log('Gateway "%s" takes operators on port %d.', this.#options.hostId, this.port)
+  }
+
+  /** Takes what schedulers send for operators. */
+  receiveMessage (message: PeerMessage): void {
+    if (message.type === 'queryAnswer') this.#peers.receiveAnswer(message)
+    else if (message.type === 'decisions') this.#feed.receiveDecisions(message)
+  }
+
+  /** Describes the state of this process, without secrets. */
+  describeState (): unknown {
+    return {
+      role: 'gateway',
+      gateway: this.#options.describeGateway(),
+      decisions: this.#options.decisions.describeState(),
+      watchers: this.#feed.watchers,
+      badInput: this.#options.badInput.describeState()
+    }
+  }
+
+  async stop (): Promise<void> {
+    this.#feed.stop()
+    await this.#server?.stop()
+    await this.#gateways.close()
+  }
+}
--- /dev/null
+++ b/src/tasks/operators/watchRoute.ts
@@ -0,0 +1,40 @@
+/** `GET /api/watch`: decisions as they are taken, as server-sent events. */
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
+import { Value } from '@sinclair/typebox/value'
+import { decisionFilterSchema } from '../../core/decisionFilter.js'
+import { createNotRun } from '../../schemas/verdict.js'
+import { sendOperatorFailure } from './operatorsServer.js'
+import type { OperatorsContext } from './operatorsContext.js'
+import { WatchStream } from './watchStream.js'
+
+const maxWatchers = 100
+
+interface WatchQuery {
+  Querystring: Record<string, string>
+}
+
+/** Adds the route; the query takes the fields of a filter, and `scope=local` for this gateway alone. */
+export function addWatchRoute (server: FastifyInstance, context: OperatorsContext): void {
+  server.get<WatchQuery>('/api/watch', async (request, reply) => {
+    const { scope, ...filter } = request.query
+    if (!Value.Check(decisionFilterSchema, filter)) {
+      const fields = Object.keys(decisionFilterSchema.properties).join(', ')
+      return sendOperatorFailure(context, reply, createNotRun('invalid_query', `the filter is wrong; it takes ${fields}, each once`, 400))
+    }
+    if (context.feed.watchers >= maxWatchers) {
+      return sendOperatorFailure(context, reply, createNotRun('too_many_watchers', `this host has ${maxWatchers} watchers; end one or ask another host`, 503))
+    }
+    openStream(context, request, reply, filter, scope === 'local' ? 'local' : 'all')
+  })
+}
+
+function openStream (
+  context: OperatorsContext, request: FastifyRequest, reply: FastifyReply, filter: Record<string, string>, scope: 'all' | 'local'
+): void {
+  reply.hijack()
+  reply.raw.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store' })
+  const stream = new WatchStream(reply.raw, filter)
+  const stop = context.feed.addWatcher(stream, { filter, scope, authorization: request.headers.authorization ?? '' })
+  reply.raw.on('close', stop)
+  reply.raw.on('error', stop)
+}
--- /dev/null
+++ b/src/tasks/scheduler/describeEndpoint.ts
@@ -0,0 +1,53 @@
+/** Describes an endpoint for operators: its slots, who runs and who waits. */
+import { formatTarget } from '../../core/formatTarget.js'
+import type { EndpointState } from '../../schemas/operatorMessage.js'
+import type { Dispatch } from '../../schemas/peerMessage.js'
+
+const maxListedRequests = 100
+
+/** An attempt as the endpoint's task holds it. */
+export interface DescribedAttempt {
+  dispatch: Dispatch
+  receivedAtMs: number
+  handle: string | undefined
+}
+
+type Requests = Pick<EndpointState, 'runningCount' | 'running' | 'queues'>
+
+/**
+ * Describes the attempts on one endpoint; of those that run, the first hundred are listed.
+ *
+ * @example
+ * describeAttempts(attempts, clock.readMonotonic()).queues
+ */
+export function describeAttempts (attempts: DescribedAttempt[], nowMs: number): Requests {
+  const running = attempts.filter(attempt => attempt.handle !== undefined)
+  const waiting = attempts.filter(attempt => attempt.handle === undefined)
+  return {
+    runningCount: running.length,
+    running: running.slice(0, maxListedRequests).map(attempt => describeRunning(attempt, nowMs)),
+    queues: describeQueues(waiting, nowMs)
+  }
+}
+
+function describeRunning (attempt: DescribedAttempt, nowMs: number): EndpointState['running'][number] {
+  const { requestId, attempt: number, className, adapter, version } = attempt.dispatch
+  return { requestId, attempt: number, className, adapter, version, handle: attempt.handle ?? '', ageMs: computeAgeMs(attempt, nowMs) }
+}
+
+function describeQueues (waiting: DescribedAttempt[], nowMs: number): EndpointState['queues'] {
+  const queues = new Map<string, EndpointState['queues'][number]>()
+  for (const attempt of waiting) {
+    const { className, target } = attempt.dispatch
+    const queue = queues.get(className) ?? { className, target: formatTarget(target), queued: 0, oldestMs: 0, dueInMs: Infinity }
+    queue.queued++
+    queue.oldestMs = Math.max(queue.oldestMs, computeAgeMs(attempt, nowMs))
+    queue.dueInMs = Math.min(queue.dueInMs, attempt.dispatch.dueInMs - (nowMs - attempt.receivedAtMs))
+    queues.set(className, queue)
+  }
+  return [...queues.values()]
+}
+
+function computeAgeMs (attempt: DescribedAttempt, nowMs: number): number {
+  return attempt.dispatch.ageMs + nowMs - attempt.receivedAtMs
+}
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -8,10 +8,12 @@
 import type { Repetition } from '../../repeatTask.js'
 import type { RecordDecision } from '../../schemas/decision.js'
 import type { EngineEntry } from '../../schemas/hostList.js'
+import type { EndpointState } from '../../schemas/operatorMessage.js'
 import type { Dispatch, EndpointSummary, PeerMessage } from '../../schemas/peerMessage.js'
 import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
 import type { Ownership } from '../ownership/ownership.js'
+import { describeAttempts } from './describeEndpoint.js'
 import { defaultPlanResume, startResumedGeneration } from './resumeGeneration.js'
 
 const log = createLog('scheduler')
@@ -54,6 +56,7 @@
 interface Attempt {
   dispatch: Dispatch
   reply: Reply
+  receivedAtMs: number
   handle: string | undefined
   generation: Generation | undefined
   sequence: number
@@ -124,7 +127,8 @@
   }
 
   receiveDispatch (dispatch: Dispatch, reply: Reply): void {
-    const attempt: Attempt = { dispatch, reply, handle: undefined, generation: undefined, sequence: 0 }
+    const receivedAtMs = this.#options.clock.readMonotonic()
+    const attempt: Attempt = { dispatch, reply, receivedAtMs, handle: undefined, generation: undefined, sequence: 0 }
     this.#attempts.set(formatAttempt(dispatch), attempt)
     const refusal = this.#findRefusal()
     if (refusal) {
@@ -197,6 +201,13 @@
     }
   }
 
+  /** Describes the endpoint for operators. */
+  describeState (): Omit<EndpointState, 'host'> {
+    const { queued, ...summary } = this.readSummary()
+    const attempts = describeAttempts([...this.#attempts.values()], this.#options.clock.readMonotonic())
+    return { ...summary, presence: this.#entry.presence, ...attempts }
+  }
+
   #findRefusal (): RequestFailure | undefined {
     const id = this.endpointId
     if (this.#isStopping) return createNotRun('scheduler_leaving', `the owner of endpoint "${id}" is leaving`, 503)
--- /dev/null
+++ b/src/tasks/scheduler/schedulerQueries.ts
@@ -0,0 +1,85 @@
+/** Answers what gateways ask a scheduler on behalf of operators. */
+import { Value } from '@sinclair/typebox/value'
+import { decisionFilterSchema } from '../../core/decisionFilter.js'
+import type { Clock } from '../../ports/clock.js'
+import type { Decision } from '../../schemas/decision.js'
+import type { EndpointState, ExplainPart, SchedulerStatus } from '../../schemas/operatorMessage.js'
+import type { PeerMessageOf } from '../../schemas/peerMessage.js'
+import type { DecisionFeed } from '../decisions/decisionFeed.js'
+import type { DecisionStore } from '../decisions/decisionStore.js'
+import type { Reply } from './endpointTask.js'
+
+const minuteMs = 60_000
+
+export interface SchedulerQueriesOptions {
+  hostId: string
+  zone: string
+  clock: Clock
+  decisions: DecisionStore
+  feed: DecisionFeed
+  isLeaving: () => boolean
+  describeEndpoints: () => EndpointState[]
+  /** The whole state of the process, for `dump`. */
+  describeState: () => unknown
+}
+
+export class SchedulerQueries {
+  #options: SchedulerQueriesOptions
+
+  constructor (options: SchedulerQueriesOptions) {
+    this.#options = options
+  }
+
+  receive (query: PeerMessageOf<'query'>, reply: Reply): void {
+    reply({ type: 'queryAnswer', queryId: query.queryId, answer: this.#findAnswer(query, reply) })
+  }
+
+  #findAnswer (query: PeerMessageOf<'query'>, reply: Reply): unknown {
+    switch (query.subject) {
+      case 'explain': return this.#findPart(query.argument)
+      case 'status': return this.#describeStatus()
+      case 'dump': return this.#options.describeState()
+      case 'watch': return this.#addWatcher(query.argument, reply)
+      default: return { error: `subject "${query.subject}" is unknown` }
+    }
+  }
+
+  /** Adds to the request's own decisions the loads and unloads that it may have waited for. */
+  #findPart (requestId: string): ExplainPart {
+    const { decisions, hostId } = this.#options
+    const own = decisions.findByRequest(requestId)
+    const related = own.length === 0 ? [] : decisions.listEvents(event => event.requestId !== requestId && isLoadFor(event, own))
+    return { host: hostId, decisions: [...own, ...related] }
+  }
+
+  #describeStatus (): SchedulerStatus {
+    const { hostId, zone, clock, decisions, isLeaving, describeEndpoints } = this.#options
+    const sinceMs = clock.readWall() - minuteMs
+    const loads = decisions.listEvents(event => event.kind === 'load' && event.atMs >= sinceMs)
+    return { host: hostId, zone, isLeaving: isLeaving(), endpoints: describeEndpoints(), loadsLastMinute: loads.length }
+  }
+
+  #addWatcher (argument: string, reply: Reply): unknown {
+    const filter = parseFilter(argument)
+    if (!filter) return { error: 'the filter of "watch" is wrong' }
+    this.#options.feed.addSubscription(reply, filter)
+    return { isWatching: true }
+  }
+}
+
+function parseFilter (argument: string): ReturnType<typeof Value.Decode<typeof decisionFilterSchema>> | undefined {
+  try {
+    return Value.Decode(decisionFilterSchema, JSON.parse(argument))
+  } catch {
+    return undefined
+  }
+}
+
+/** A load of the same adapter on the same endpoint, between the request's first and last decision there. */
+function isLoadFor (event: Decision, own: Decision[]): boolean {
+  if (event.kind !== 'load' && event.kind !== 'unload') return false
+  const first = own.find(decision => decision.endpointId === event.endpointId)
+  const last = own.findLast(decision => decision.endpointId === event.endpointId)
+  return first !== undefined && last !== undefined && event.adapter === first.adapter && event.version === first.version &&
+    event.atMs >= first.atMs && event.atMs <= last.atMs
+}
--- a/src/tasks/scheduler/schedulerTask.ts
+++ b/src/tasks/scheduler/schedulerTask.ts
@@ -1,4 +1,5 @@
 /** The scheduler: owns endpoints, answers gateways and tells them what its endpoints hold. */
+import { productVersion } from '../../constants.js'
 import { createLog } from '../../createLog.js'
 import { SuspectRegister } from '../../core/suspects.js'
 import type { CreatePlanner } from '../../core/planner.js'
@@ -7,13 +8,16 @@
 import type { PeerLink, PeerServer, PeerTransport } from '../../ports/peers.js'
 import { repeatTask } from '../../repeatTask.js'
 import type { Repetition } from '../../repeatTask.js'
-import type { Decision, DecisionDraft } from '../../schemas/decision.js'
 import type { EngineEntry } from '../../schemas/hostList.js'
-import type { Dispatch, PeerMessage } from '../../schemas/peerMessage.js'
+import type { EndpointState } from '../../schemas/operatorMessage.js'
+import type { Dispatch, PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
 import { createNotRun } from '../../schemas/verdict.js'
+import { DecisionFeed } from '../decisions/decisionFeed.js'
+import { DecisionStore } from '../decisions/decisionStore.js'
 import type { Ownership, OwnershipEvent, SendOwnershipEvent } from '../ownership/ownership.js'
 import { EndpointTask } from './endpointTask.js'
 import type { EndpointCrash, Reply, RequestPermit } from './endpointTask.js'
+import { SchedulerQueries } from './schedulerQueries.js'
 
 const log = createLog('scheduler')
 const summaryIntervalMs = 250
@@ -48,9 +52,26 @@
   #sequence = 0
   #isLeaving = false
   #suspects = new SuspectRegister()
+  #decisions: DecisionStore
+  #feed: DecisionFeed
+  #queries: SchedulerQueries
 
   constructor (options: SchedulerTaskOptions) {
     this.#options = options
+    const { hostId, zone, clock } = options
+    this.#decisions = new DecisionStore({ hostId, clock })
+    this.#feed = new DecisionFeed(clock)
+    this.#decisions.addWatcher(decision => this.#feed.receiveDecision(decision))
+    this.#queries = new SchedulerQueries({
+      hostId,
+      zone,
+      clock,
+      decisions: this.#decisions,
+      feed: this.#feed,
+      isLeaving: () => this.#isLeaving,
+      describeEndpoints: () => this.#describeEndpoints(),
+      describeState: () => this.describeState()
+    })
     this.#ownership = options.createOwnership(event => this.#receiveOwnership(event))
   }
 
@@ -59,6 +80,23 @@
     return this.#server?.port ?? 0
   }
 
+  /** Describes the state of this process, without secrets. */
+  describeState (): unknown {
+    const { hostId, zone } = this.#options
+    return {
+      role: 'scheduler',
+      host: hostId,
+      zone,
+      version: productVersion,
+      isLeaving: this.#isLeaving,
+      links: [...this.#links.keys()].map(link => link.hostId),
+      owned: this.#ownership.listOwned(),
+      endpoints: this.#describeEndpoints(),
+      suspects: this.#suspects.listRecords(),
+      decisions: { ...this.#decisions.describeState(), remoteWatchers: this.#feed.watchers }
+    }
+  }
+
   async start (): Promise<void> {
     this.#server = await this.#options.peerTransport.serve({
       ...this.#options.peers,
@@ -80,6 +118,7 @@
     await Promise.all([...this.#endpoints.values()].map(async endpoint => await endpoint.drain()))
     await this.#ownership.stop()
     this.#summaries?.stop()
+    this.#feed.stop()
     this.#change?.cancel()
     await this.#server?.stop()
     log('Scheduler "%s" has stopped.', this.#options.hostId)
@@ -92,15 +131,23 @@
       link.send({ type: 'suspects', suspects: this.#suspects.listRecords() })
     } else if (message.type === 'dispatch') {
       this.#receiveDispatch(link, message)
+    } else if (message.type === 'query') {
+      this.#receiveQuery(link, message)
     } else if (message.type === 'cancel') {
       for (const endpoint of this.#endpoints.values()) endpoint.receiveCancel(message.requestId, message.attempt)
     }
   }
 
+  #receiveQuery (link: PeerLink, query: PeerMessageOf<'query'>): void {
+    const open = this.#links.get(link)
+    if (open) this.#queries.receive(query, open.reply)
+  }
+
   #receiveClosed (link: PeerLink): void {
     const open = this.#links.get(link)
     if (!open) return
     this.#links.delete(link)
+    this.#feed.removeSubscription(open.reply)
     for (const endpoint of this.#endpoints.values()) endpoint.receiveClosedLink(open.reply)
   }
 
@@ -141,7 +188,7 @@
       planner: createPlanner({ endpointId: entry.id, slots: entry.slots, batchLimit: entry.batchLimit }),
       ownership: this.#ownership,
       requestPermit,
-      recordDecision: draft => this.#recordDecision(draft),
+      recordDecision: draft => this.#decisions.record(draft),
       receiveCrash: crash => this.#receiveCrash(crash),
       receiveChange: () => this.#receiveChange()
     })
@@ -149,9 +196,8 @@
     endpoint.start()
   }
 
-  #recordDecision (draft: DecisionDraft): void {
-    const decision: Decision = { ...draft, host: this.#options.hostId, atMs: this.#options.clock.readWall() }
-    for (const { link } of this.#links.values()) link.send({ type: 'decisions', decisions: [decision] })
+  #describeEndpoints (): EndpointState[] {
+    return [...this.#endpoints.values()].map(endpoint => ({ ...endpoint.describeState(), host: this.#options.hostId }))
   }
 
   #receiveCrash (crash: EndpointCrash): void {
