Decide by slack: queues by adapter, gathered loads, eviction by forecast, early refusal

Cause: in order of arrival, a queue behind one cold adapter or a long batch makes urgent work late. Change: createSlackPlanners and chooseByCost, used by the hosts. Urgent requests go by their latest start; deferrable ones are held for others of their adapter; a slot goes to the need that is due first, taken from the resident whose loss is forecast to cost the least stalls; requests that cannot meet their target are refused with a time to come back.

--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -5,8 +5,8 @@
 import { OpenaiEngine } from '../adapters/openaiEngine/openaiEngine.js'
 import { grpcPeerTransport } from '../adapters/peerLink/grpcPeerLink.js'
 import { PlainService } from '../adapters/plainService/plainService.js'
-import { createFirstComePlanner } from '../core/firstComePlanner.js'
-import { chooseLeastLoaded } from '../core/leastLoadedChoice.js'
+import { chooseByCost } from '../core/costChoice.js'
+import { createSlackPlanners } from '../core/slackPlanner.js'
 import { repeatTask } from '../repeatTask.js'
 import type { ConfigurationView } from '../schemas/configuration.js'
 import type { HostListEntry } from '../schemas/hostList.js'
@@ -40,7 +40,7 @@
     clock,
     hostList: platform.hostList,
     configuration,
-    chooseEndpoint: chooseLeastLoaded,
+    chooseEndpoint: chooseByCost,
     random: Math.random,
     hashText: h64ToString,
     service,
@@ -79,7 +79,7 @@
     zone: host.zone,
     clock,
     engine,
-    createPlanner: createFirstComePlanner,
+    createPlanner: createSlackPlanners(),
     createOwnership: send => new RendezvousOwnership({ clock, hostList: platform.hostList, hostId: host.id, hashText: h32, send }),
     requestPermit: async () => () => {},
     peerTransport: grpcPeerTransport,
--- /dev/null
+++ b/src/core/decisionDraft.ts
@@ -0,0 +1,27 @@
+/** Builds the record of a decision about a request on an endpoint. */
+import type { DecisionDraft } from '../schemas/decision.js'
+import type { QueuedRequest } from './planner.js'
+
+/**
+ * Builds a draft without candidates or waits.
+ *
+ * @example
+ * createDraft('load', request, 'engine-3', 'two requests wait for the adapter')
+ */
+export function createDraft (
+  kind: DecisionDraft['kind'], request: QueuedRequest, endpointId: string, reason: string
+): DecisionDraft {
+  return {
+    kind,
+    requestId: request.requestId,
+    attempt: request.attempt,
+    className: request.className,
+    adapter: request.adapter,
+    version: request.version,
+    endpointId,
+    considered: [],
+    chosen: endpointId,
+    reason,
+    waits: []
+  }
+}
--- a/src/core/firstComePlanner.ts
+++ b/src/core/firstComePlanner.ts
@@ -49,6 +49,8 @@
 
   recordFirstToken (): void {}
 
+  recordLoadStarted (): void {}
+
   recordFinished (requestId: string, attempt: number): void {
     const resident = this.#running.get(`${requestId}/${attempt}`)
     if (!resident) return
@@ -104,6 +106,8 @@
       queued: this.#queue.length,
       expectedWaitMs: this.#queue.length * expectedRunMs / this.#shape.batchLimit,
       expectedLoadMs,
+      serviceIntervalMs: expectedRunMs / this.#shape.batchLimit,
+      evictionCostMs: 0,
       loaded: listNames(true),
       loading: listNames(false)
     }
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -70,6 +70,10 @@
   queued: number
   expectedWaitMs: number
   expectedLoadMs: number
+  /** Time between two starts when the batch is full, in milliseconds. */
+  serviceIntervalMs: number
+  /** Forecast of the stalls that giving up a slot for another adapter would cause, in milliseconds. */
+  evictionCostMs: number
   loaded: string[]
   loading: string[]
 }
@@ -85,6 +89,8 @@
   removeRequest: (requestId: string, attempt: number, nowMs: number) => void
   recordFirstToken: (requestId: string, attempt: number, nowMs: number) => void
   recordFinished: (requestId: string, attempt: number, nowMs: number) => void
+  /** A planned load has got its permit and is ordered now. */
+  recordLoadStarted: (adapter: string, version: string, nowMs: number) => void
   /** The adapter became usable under a handle, by a planned load or by adoption. */
   recordLoaded: (adapter: string, version: string, handle: string, nowMs: number) => void
   recordLoadFailed: (adapter: string, version: string, nowMs: number) => void
--- /dev/null
+++ b/src/core/slackPlanner.ts
@@ -0,0 +1,373 @@
+/** The planner of an endpoint: urgency from slack, gathered batches, loads and evictions by forecast of stalls. */
+import { AdapterDemand } from './adapterDemand.js'
+import { AdapterSlots, isUsable } from './adapterSlots.js'
+import type { Resident } from './adapterSlots.js'
+import type { FindRefusal } from './admission.js'
+import { createDraft } from './decisionDraft.js'
+import { formatAdapter } from './formatAdapter.js'
+import { LoadBackOff } from './loadBackOff.js'
+import { LoadNeeds } from './loadNeeds.js'
+import { defaultSlackPlannerOptions } from './plannerOptions.js'
+import type { SlackPlannerOptions } from './plannerOptions.js'
+import type {
+  Admission, CreatePlanner, EndpointExpectation, EndpointPlan, EndpointPlanner, EndpointShape, PlannedDispatch, QueuedRequest
+} from './planner.js'
+import { computeWaits } from './requestWaits.js'
+import { RunTimes } from './runTimes.js'
+import { createNotRun } from '../schemas/verdict.js'
+import { formatKey, WaitingRequests } from './waitingRequests.js'
+import type { AdapterQueue, LoadNeed, WaitingRequest } from './waitingRequests.js'
+
+/** Priorities on the engine; smaller runs first. */
+const urgentPriority = 0
+const deferrablePriority = 1
+
+interface RunningRequest {
+  request: QueuedRequest
+  resident: Resident
+  dispatchedAtMs: number
+}
+
+/**
+ * Creates planners that meet targets by slack.
+ *
+ * @example
+ * const createPlanner = createSlackPlanners({ spareSlots: 2 })
+ */
+export function createSlackPlanners (options: Partial<SlackPlannerOptions> = {}): CreatePlanner {
+  return shape => new SlackPlanner(shape, { ...defaultSlackPlannerOptions, ...options })
+}
+
+class SlackPlanner implements EndpointPlanner {
+  #shape: EndpointShape
+  #options: SlackPlannerOptions
+  #slots: AdapterSlots
+  #waiting: WaitingRequests
+  #needs: LoadNeeds
+  #backOff: LoadBackOff
+  #findRefusal: FindRefusal
+  #demand = new AdapterDemand()
+  #times = new RunTimes()
+  #running = new Map<string, RunningRequest>()
+
+  constructor (shape: EndpointShape, options: SlackPlannerOptions) {
+    this.#shape = shape
+    this.#options = options
+    this.#slots = new AdapterSlots(shape.slots)
+    this.#waiting = new WaitingRequests(options.computeFairDelayMs)
+    this.#backOff = new LoadBackOff(options.computeBackOffMs)
+    this.#findRefusal = options.createAdmission()
+    this.#needs = new LoadNeeds({
+      gatherCount: options.gatherCount,
+      computeHoldMs: options.computeHoldMs,
+      computeCriticalMs: () => this.#criticalMs,
+      findRetryMs: name => this.#backOff.findRetryMs(name)
+    })
+  }
+
+  // Requests
+
+  addRequest (request: QueuedRequest, nowMs: number): Admission {
+    const isUrgent = !this.#options.mayWait(request)
+    const name = formatAdapter(request.adapter, request.version)
+    if (isUrgent) this.#demand.recordArrival(name, nowMs)
+    const latestStartMs = this.#computeLatestStartMs(request)
+    const expectedStartMs = this.#computeExpectedStartMs(request, isUrgent, name, nowMs)
+    const failure = this.#findRefusal(request, {
+      endpointId: this.#shape.endpointId,
+      queued: this.#waiting.size,
+      maxQueued: this.#options.maxQueued,
+      isUrgent,
+      expectedStartMs,
+      slackMs: latestStartMs - nowMs + (isUrgent ? this.#computeGraceMs(request) : 0),
+      serviceIntervalMs: this.#serviceIntervalMs
+    }, nowMs)
+    if (failure) return { isAdmitted: false, failure, decision: this.#describe('refuse', request, failure.message) }
+    const giveUpAtMs = isUrgent ? request.dueAtMs + this.#computeGraceMs(request) : Infinity
+    const { group } = this.#waiting.add(request, isUrgent, latestStartMs, giveUpAtMs, this.#serviceIntervalMs, nowMs)
+    this.#updateNeed(group, nowMs)
+    const reason = `the request is expected to start in ${Math.round(expectedStartMs)} ms, of ${Math.round(latestStartMs - nowMs)} ms left`
+    return { isAdmitted: true, decision: this.#describe('admit', request, reason) }
+  }
+
+  removeRequest (requestId: string, attempt: number, nowMs: number): void {
+    const waiting = this.#waiting.find(requestId, attempt)
+    if (waiting) this.#removeWaiting(waiting, nowMs)
+    else this.#removeRunning(requestId, attempt)
+  }
+
+  recordFirstToken (requestId: string, attempt: number, nowMs: number): void {
+    const running = this.#running.get(formatKey(requestId, attempt))
+    if (running) this.#times.recordFirstToken(nowMs - running.dispatchedAtMs)
+  }
+
+  recordFinished (requestId: string, attempt: number, nowMs: number): void {
+    const running = this.#removeRunning(requestId, attempt)
+    if (running) this.#times.recordRun(nowMs - running.dispatchedAtMs, running.request.maxTokens)
+  }
+
+  // Slots
+
+  recordLoadStarted (adapter: string, version: string, nowMs: number): void {
+    const resident = this.#slots.find(formatAdapter(adapter, version))
+    if (resident) resident.startedAtMs = nowMs
+  }
+
+  recordLoaded (adapter: string, version: string, handle: string, nowMs: number): void {
+    const name = formatAdapter(adapter, version)
+    const planned = this.#slots.find(name)
+    const resident = planned ?? this.#slots.add(adapter, version, nowMs)
+    resident.handle = handle
+    resident.loadedAtMs = nowMs
+    if (planned) this.#times.recordLoad(nowMs - planned.plannedAtMs)
+    this.#backOff.recordLoaded(name)
+    const group = this.#waiting.findGroup(name)
+    if (group) this.#needs.remove(group)
+  }
+
+  recordLoadFailed (adapter: string, version: string, nowMs: number): void {
+    const name = formatAdapter(adapter, version)
+    this.#backOff.recordFailed(name, nowMs)
+    this.#removeResident(name, nowMs)
+  }
+
+  recordUnloaded (handle: string, nowMs: number): void {
+    const resident = this.#slots.findByHandle(handle)
+    if (resident) this.#removeResident(resident.name, nowMs)
+  }
+
+  recordUnloadFailed (handle: string): void {
+    const resident = this.#slots.findByHandle(handle)
+    if (resident) resident.isUnloading = false
+  }
+
+  recordRestarted (nowMs: number): void {
+    this.#slots.clear()
+    this.#running.clear()
+    for (const group of this.#waiting.listGroups()) this.#needs.update(group, nowMs)
+  }
+
+  // Plans
+
+  plan (nowMs: number): EndpointPlan {
+    const plan: EndpointPlan = { dispatches: [], loads: [], unloads: [], failures: [], wakeAtMs: undefined }
+    this.#backOff.removeExpired(nowMs)
+    this.#needs.updateDue(nowMs)
+    this.#planFailures(plan, nowMs)
+    this.#planDispatches(plan, nowMs)
+    this.#planLoads(plan, nowMs)
+    const wakeAtMs = Math.min(this.#waiting.findNextExpiryMs() ?? Infinity, this.#needs.findNextChangeMs() ?? Infinity)
+    if (Number.isFinite(wakeAtMs)) plan.wakeAtMs = Math.max(nowMs + 1, wakeAtMs)
+    return plan
+  }
+
+  readExpectation (nowMs: number): EndpointExpectation {
+    const loaded: string[] = []
+    const loading: string[] = []
+    for (const resident of this.#slots.list()) {
+      if (isUsable(resident)) loaded.push(resident.name)
+      else if (!resident.handle) loading.push(resident.name)
+    }
+    const victim = this.#slots.free > 0 ? undefined : this.#findVictim(nowMs)
+    return {
+      queued: this.#waiting.size,
+      expectedWaitMs: this.#computeBatchWaitMs(this.#waiting.urgentCount),
+      expectedLoadMs: this.#computeLoadWaitMs(nowMs),
+      serviceIntervalMs: this.#serviceIntervalMs,
+      evictionCostMs: victim ? this.#computeEvictionCostMs(victim, nowMs) : 0,
+      loaded,
+      loading
+    }
+  }
+
+  #planFailures (plan: EndpointPlan, nowMs: number): void {
+    for (let waiting = this.#waiting.takeExpired(nowMs); waiting; waiting = this.#waiting.takeExpired(nowMs)) {
+      const { request, group } = waiting
+      this.#updateNeed(group, nowMs)
+      const waitMs = Math.max(this.#computeBatchWaitMs(this.#waiting.urgentCount), this.#slots.find(group.name)?.handle ? 0 : this.#computeLoadWaitMs(nowMs))
+      const message = `the target of class "${request.className}" passed before endpoint "${this.#shape.endpointId}" could start the request`
+      const failure = createNotRun('target_passed', message, 503, Math.ceil(Math.max(this.#serviceIntervalMs, waitMs)))
+      const decision = this.#describe('refuse', request, message)
+      plan.failures.push({ requestId: request.requestId, attempt: request.attempt, failure, decision })
+    }
+  }
+
+  #planDispatches (plan: EndpointPlan, nowMs: number): void {
+    while (this.#running.size < this.#shape.batchLimit) {
+      const next = this.#findNextRequest(nowMs)
+      if (!next) return
+      plan.dispatches.push(this.#dispatch(next.waiting, next.resident, nowMs))
+    }
+  }
+
+  /** Finds the urgent request that must start first, else the deferrable one. */
+  #findNextRequest (nowMs: number): { waiting: WaitingRequest, resident: Resident } | undefined {
+    const criticalUntilMs = nowMs + this.#criticalMs
+    const mayWakeIdle = this.#slots.free + this.#slots.idle > this.#options.spareSlots
+    let best: { waiting: WaitingRequest, resident: Resident } | undefined
+    let bestRank = Infinity
+    for (const resident of this.#slots.list()) {
+      if (!isUsable(resident)) continue
+      const group = this.#waiting.findGroup(resident.name)
+      const urgent = group?.firstUrgent
+      const deferrable = group?.firstDeferrable
+      if (urgent && urgent.orderMs < bestRank) {
+        best = { waiting: urgent, resident }
+        bestRank = urgent.orderMs
+      }
+      if (!deferrable) continue
+      const isCritical = deferrable.latestStartMs <= criticalUntilMs
+      if (!isCritical && resident.running === 0 && !mayWakeIdle) continue
+      // Work that may still wait ranks after everything that is urgent or critical.
+      const rank = isCritical ? deferrable.latestStartMs : Number.MAX_SAFE_INTEGER + deferrable.orderMs
+      if (rank >= bestRank) continue
+      best = { waiting: deferrable, resident }
+      bestRank = rank
+    }
+    return best
+  }
+
+  #dispatch (waiting: WaitingRequest, resident: Resident, nowMs: number): PlannedDispatch {
+    const { request, isUrgent } = waiting
+    this.#waiting.remove(waiting)
+    this.#running.set(formatKey(request.requestId, request.attempt), { request, resident, dispatchedAtMs: nowMs })
+    resident.running++
+    resident.busyUntilMs = Math.max(resident.busyUntilMs, nowMs + this.#times.computeRunMs(request.maxTokens))
+    const reason = isUrgent ? 'its start is due first among the urgent' : 'the batch has room beside the urgent'
+    const decision = { ...this.#describe('dispatch', request, reason), waits: computeWaits(waiting, resident, nowMs) }
+    const priority = isUrgent ? urgentPriority : deferrablePriority
+    return { requestId: request.requestId, attempt: request.attempt, handle: resident.handle!, priority, decision }
+  }
+
+  #planLoads (plan: EndpointPlan, nowMs: number): void {
+    let openings = this.#options.maxPendingLoads - this.#slots.pending
+    // A slot that is being unloaded is kept for the first need.
+    let awaited = this.#slots.unloading
+    while (openings > 0) {
+      const need = this.#needs.firstUrgent
+      if (!need) break
+      openings--
+      if (this.#slots.free > 0) this.#planLoad(plan, need, nowMs)
+      else if (awaited > 0) break
+      else if (this.#planUnload(plan, need, nowMs)) awaited++
+      else break
+      if (awaited > 0) break
+    }
+    if (openings > 0 && awaited === 0 && !this.#needs.firstUrgent) this.#planRipeLoad(plan, nowMs)
+  }
+
+  /** Loads for deferrable work while nothing urgent waits and slots stay idle for what is urgent. */
+  #planRipeLoad (plan: EndpointPlan, nowMs: number): void {
+    const need = this.#needs.firstRipe
+    if (!need || this.#slots.pending > 0 || this.#running.size >= this.#shape.batchLimit) return
+    if (this.#slots.free + this.#slots.idle <= this.#options.spareSlots) return
+    if (this.#slots.free > 0) this.#planLoad(plan, need, nowMs)
+    else this.#planUnload(plan, need, nowMs)
+  }
+
+  #planLoad (plan: EndpointPlan, need: LoadNeed, nowMs: number): void {
+    const { group } = need
+    this.#slots.add(group.adapter, group.version, nowMs)
+    this.#needs.remove(group)
+    const first = group.firstUrgent ?? group.firstDeferrable!
+    const reason = `${group.urgentCount} urgent and ${group.deferrableCount} deferrable requests wait for the adapter`
+    const decision = this.#describe('load', first.request, reason)
+    plan.loads.push({ adapter: group.adapter, version: group.version, slackMs: need.neededAtMs - nowMs, decision })
+  }
+
+  #planUnload (plan: EndpointPlan, need: LoadNeed, nowMs: number): boolean {
+    const victim = this.#findVictim(nowMs)
+    if (!victim) return false
+    victim.isUnloading = true
+    const costMs = this.#computeEvictionCostMs(victim, nowMs)
+    const first = need.group.firstUrgent ?? need.group.firstDeferrable!
+    const considered = [...this.#slots.list()].map(resident => ({
+      name: resident.handle ?? resident.name,
+      costMs: this.#computeEvictionCostMs(resident, nowMs),
+      note: resident.running > 0 ? `runs ${resident.running} requests` : 'idle'
+    }))
+    const reason = `adapter "${need.group.name}" needs the slot; losing "${victim.name}" is expected to cost ${costMs.toFixed(1)} ms of stalls a second`
+    plan.unloads.push({ handle: victim.handle!, decision: { ...this.#describe('unload', first.request, reason), considered, chosen: victim.handle! } })
+    return true
+  }
+
+  #findVictim (nowMs: number): Resident | undefined {
+    return this.#slots.findVictim(resident => {
+      const group = this.#waiting.findGroup(resident.name)
+      return group && group.urgentCount > 0 ? Infinity : this.#computeEvictionCostMs(resident, nowMs)
+    })
+  }
+
+  // Expectations
+
+  get #serviceIntervalMs (): number {
+    return this.#times.runMs / this.#shape.batchLimit
+  }
+
+  get #criticalMs (): number {
+    return this.#options.computeCriticalMs(this.#times.runMs, this.#times.loadMs)
+  }
+
+  #computeGraceMs (request: QueuedRequest): number {
+    return this.#options.computeGraceMs(request.dueAtMs - request.arrivedAtMs)
+  }
+
+  #computeLatestStartMs (request: QueuedRequest): number {
+    const isFirstToken = request.target.kind === 'firstTokenWithin'
+    return request.dueAtMs - (isFirstToken ? this.#times.firstTokenMs : this.#times.computeRunMs(request.maxTokens))
+  }
+
+  /** Stall forecast of losing a resident, in milliseconds of stall a second; queued work of its own counts as an arrival. */
+  #computeEvictionCostMs (resident: Resident, nowMs: number): number {
+    const queued = this.#waiting.findGroup(resident.name)?.deferrableCount ?? 0
+    return (this.#demand.computeRate(resident.name, nowMs) + queued * 0.01) * this.#times.loadMs
+  }
+
+  #computeBatchWaitMs (ahead: number): number {
+    return Math.max(0, this.#running.size + ahead + 1 - this.#shape.batchLimit) * this.#serviceIntervalMs
+  }
+
+  #computeLoadWaitMs (nowMs: number): number {
+    return this.#slots.computeSlotWaitMs(nowMs) + this.#times.loadMs * (1 + this.#slots.pending / this.#options.maxPendingLoads)
+  }
+
+  #computeExpectedStartMs (request: QueuedRequest, isUrgent: boolean, name: string, nowMs: number): number {
+    const ofCaller = (this.#waiting.countCallerQueued(request) + 1) * Math.max(1, this.#waiting.countActiveCallers(request.className))
+    const ahead = isUrgent ? Math.min(this.#waiting.urgentCount, ofCaller) : this.#waiting.size
+    const batchWaitMs = this.#computeBatchWaitMs(ahead)
+    const resident = this.#slots.find(name)
+    if (resident?.handle) return batchWaitMs
+    if (resident) return Math.max(batchWaitMs, resident.plannedAtMs + this.#times.loadMs - nowMs)
+    return Math.max(batchWaitMs, this.#computeLoadWaitMs(nowMs), this.#backOff.findRetryMs(name) - nowMs)
+  }
+
+  // State
+
+  #updateNeed (group: AdapterQueue, nowMs: number): void {
+    if (!this.#slots.find(group.name)) this.#needs.update(group, nowMs)
+  }
+
+  #removeWaiting (waiting: WaitingRequest, nowMs: number): void {
+    this.#waiting.remove(waiting)
+    this.#updateNeed(waiting.group, nowMs)
+  }
+
+  #removeRunning (requestId: string, attempt: number): RunningRequest | undefined {
+    const key = formatKey(requestId, attempt)
+    const running = this.#running.get(key)
+    if (!running) return undefined
+    this.#running.delete(key)
+    running.resident.running--
+    return running
+  }
+
+  #removeResident (name: string, nowMs: number): void {
+    this.#slots.remove(name)
+    const group = this.#waiting.findGroup(name)
+    if (group) this.#needs.update(group, nowMs)
+  }
+
+  #describe (kind: Parameters<typeof createDraft>[0], request: QueuedRequest, reason: string): ReturnType<typeof createDraft> {
+    return createDraft(kind, request, this.#shape.endpointId, reason)
+  }
+}
--- a/src/schemas/peerMessage.ts
+++ b/src/schemas/peerMessage.ts
@@ -85,6 +85,10 @@
   expectedWaitMs: Type.Number(),
   /** Expected time of a load from now, its wait for a slot and the budget included, in milliseconds. */
   expectedLoadMs: Type.Number(),
+  /** Time between two starts when the batch is full, in milliseconds. */
+  serviceIntervalMs: Type.Number(),
+  /** Forecast of the stalls that giving up a slot for another adapter would cause, in milliseconds. */
+  evictionCostMs: Type.Number(),
   /** `adapter@version` of each adapter that is loaded and usable. */
   loaded: Type.Array(Type.String()),
   /** `adapter@version` of each adapter that is being loaded or is queued for it. */
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -302,6 +302,7 @@
       return
     }
     this.#options.recordDecision({ ...planned.decision, handle })
+    planner.recordLoadStarted(adapter, version, clock.readMonotonic())
     const outcome = await engine.loadAdapter(this.#entry.address, { adapter, version, handle, fencing })
     release()
     if (incarnation !== this.#incarnation) return
