Keep the configuration in the table, and in force on every host

Cause: each gateway had records of its own, built in; nothing could be changed, raced, lost or cut off. The loser of a race is shown the winner's record and version; bulk registrations are all or nothing. A change is called accepted once more than half of the schedulers confirmed it; a gateway that reaches neither the table nor most schedulers refuses new work as not run within 4 s. Quick start, playground and stand-in register through the same path. Shown (features/configuration.feature, virtual clock): races, lost and late writes, table down, cuts, restarts, 5,000 adapters at once, 700 changes slept through. Switched off by passed-in functions: without the rule for a cut-off host it serves without an accepted change; without the order of versions a late message reverts one. Conclusion: an accepted change is in force within 5 s on every host that takes new work; what rests on the lagging list is said in docs/design/configuration.md.

--- a/features/steps/operators.ts
+++ b/features/steps/operators.ts
@@ -1,6 +1,7 @@
 /** Steps of the operators' port. */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
+import type { KeyRecord } from '../../src/schemas/configuration.js'
 import type { HostListEntry } from '../../src/schemas/hostList.js'
 import type { Story } from '../../src/schemas/operatorMessage.js'
 import type { SystemStatus } from '../../src/tasks/operators/statusRoutes.js'
@@ -128,11 +129,10 @@
   assert.ok(!/(?:src|href)=["']?(?:https?:)?\/\//.test(session.text), 'the page names another host')
 })
 
-Given('key {string} is registered for a(n) {word}', function (this: SystemWorld, key: string, role: 'caller' | 'operator') {
-  const { configuration } = this.playground!
-  configuration.applyRecords(configuration.version + 1, [
-    { kind: 'key', name: 'second', role, hash: hashKey(key), adapters: ['*'], services: ['*'], classes: ['*'] }
-  ])
+Given('key {string} is registered for a(n) {word}', async function (this: SystemWorld, key: string, role: 'caller' | 'operator') {
+  const record: KeyRecord = { kind: 'key', name: 'second', role, hash: hashKey(key), adapters: ['*'], services: ['*'], classes: ['*'] }
+  const result = await this.playground!.gateways[0]!.configuration.changeRecords({ puts: [record], removes: [], ifVersions: [] })
+  assert.equal(result.type, 'accepted')
 })
 
 When('somebody asks the callers\' port with the operator\'s key', async function (this: SystemWorld) {
--- /dev/null
+++ b/features/support/configurationHosts.ts
@@ -0,0 +1,75 @@
+/** The configuration tasks of several hosts on a virtual clock, with links that can be cut. */
+import { createPlatformFaults } from '../../src/adapters/memoryPlatform/platformFaults.js'
+import type { PlatformFaults } from '../../src/adapters/memoryPlatform/platformFaults.js'
+import type { HostListEntry } from '../../src/schemas/hostList.js'
+import type { ConfigurationNews } from '../../src/schemas/peerMessage.js'
+import { ConfigurationTask } from '../../src/tasks/configuration/configurationTask.js'
+import type { ConfigurationTaskOptions } from '../../src/tasks/configuration/configurationTask.js'
+import { createVirtualPlatform } from './virtualPlatform.js'
+
+const linkDelayMs = 2
+
+export interface ConfigurationHost {
+  hostId: string
+  task: ConfigurationTask
+  faults: PlatformFaults
+  /** Resolves once the host has read the configuration. */
+  started: Promise<void>
+}
+
+export class ConfigurationHosts {
+  readonly platform = createVirtualPlatform()
+  readonly hosts = new Map<string, ConfigurationHost>()
+  readonly sent: Array<{ from: string, to: string, news: ConfigurationNews }> = []
+  #cut = new Set<string>()
+  #rules: Partial<ConfigurationTaskOptions>
+
+  /** `rules` replace those of the product, to show what rests on them. */
+  constructor (rules: Partial<ConfigurationTaskOptions> = {}) {
+    this.#rules = rules
+  }
+
+  /** Starts a host, or starts it again with an empty memory. */
+  startHost (hostId: string): ConfigurationHost {
+    this.hosts.get(hostId)?.task.stop()
+    const { clock, connect } = this.platform
+    const faults = createPlatformFaults()
+    const task = new ConfigurationTask({ hostId, clock, table: connect(faults).table, ...this.#rules })
+    task.setPeers({ listHosts: () => this.#listLinked(hostId), send: (to, news) => this.#send(hostId, to, news) })
+    const host = { hostId, task, faults, started: task.start() }
+    this.hosts.set(hostId, host)
+    for (const { task } of this.hosts.values()) task.receiveList(this.#listEntries())
+    return host
+  }
+
+  /** Cuts or mends every link of a host. */
+  setCut (hostId: string, isCut: boolean): void {
+    if (isCut) this.#cut.add(hostId)
+    else this.#cut.delete(hostId)
+  }
+
+  /** Delivers a message once more, however late. */
+  deliverNews (to: string, from: string, news: ConfigurationNews): void {
+    this.hosts.get(to)?.task.receiveNews(from, news)
+  }
+
+  #listEntries (): HostListEntry[] {
+    return [...this.hosts.keys()].map(id => ({
+      kind: id.startsWith('scheduler') ? 'scheduler' : 'gateway', id, zone: 'az-1', address: '10.0.0.1:1', presence: 'live'
+    }))
+  }
+
+  /** Links stand between gateways and schedulers. */
+  #listLinked (hostId: string): string[] {
+    const role = hostId.split('-')[0]!
+    return [...this.hosts.keys()].filter(other => !other.startsWith(role) && !this.#cut.has(other) && !this.#cut.has(hostId))
+  }
+
+  #send (from: string, to: string, news: ConfigurationNews): void {
+    const copy = structuredClone(news)
+    this.sent.push({ from, to, news: copy })
+    this.platform.clock.setTimer(() => {
+      if (this.#listLinked(from).includes(to)) this.deliverNews(to, from, copy)
+    }, linkDelayMs)
+  }
+}
--- a/playground/startPlayground.ts
+++ b/playground/startPlayground.ts
@@ -2,13 +2,13 @@
 import { resolveSettings } from '../src/settings/resolveSettings.js'
 import { gatewaySettingsSchema, schedulerSettingsSchema, standinSettingsSchema } from '../src/settings/settingsSchemas.js'
 import { exampleOperatorKey, exampleRecords } from '../src/bin/exampleRecords.js'
+import { registerRecords } from '../src/bin/registerRecords.js'
 import type { RunningProcess } from '../src/bin/runBinary.js'
 import { startGateway, startScheduler } from '../src/bin/startHosts.js'
 import type { RunningGateway } from '../src/bin/startHosts.js'
 import { startStandins } from '../src/bin/startStandins.js'
 import type { RunningStandins } from '../src/bin/startStandins.js'
 import { hashKey } from '../src/tasks/gateway/callerAccess.js'
-import { MemoryConfiguration } from '../src/tasks/configuration/memoryConfiguration.js'
 
 export interface PlaygroundOptions {
   engines?: number
@@ -23,7 +23,6 @@
   standins: RunningStandins
   gateways: RunningGateway[]
   schedulers: RunningProcess[]
-  configuration: MemoryConfiguration
   stop: () => Promise<void>
 }
 
@@ -50,13 +49,11 @@
 [store]
 loadMs = 20
 ${standinSettings}`, standinSettingsSchema))
-  const configuration = new MemoryConfiguration()
-  configuration.applyRecords(1, exampleRecords)
+  await registerRecords(standins.platform.table, exampleRecords)
   const playground: Playground = {
     standins,
     gateways: [],
     schedulers: [],
-    configuration,
     stop: async () => {
       await Promise.all(playground.gateways.map(async gateway => await gateway.stop()))
       await Promise.all(playground.schedulers.map(async scheduler => await scheduler.stop()))
@@ -93,5 +90,5 @@
 port = 0
 [operators]
 port = 0
-keyHash = ${hashKey(exampleOperatorKey)}`, gatewaySettingsSchema), playground.standins.platform, playground.configuration)
+keyHash = ${hashKey(exampleOperatorKey)}`, gatewaySettingsSchema), playground.standins.platform)
 }
--- a/src/bin/quickstart.ts
+++ b/src/bin/quickstart.ts
@@ -4,8 +4,8 @@
 import { resolveSettings } from '../settings/resolveSettings.js'
 import { gatewaySettingsSchema, schedulerSettingsSchema, standinSettingsSchema } from '../settings/settingsSchemas.js'
 import { hashKey } from '../tasks/gateway/callerAccess.js'
-import { MemoryConfiguration } from '../tasks/configuration/memoryConfiguration.js'
 import { exampleCallerKey, exampleOperatorKey, exampleRecords } from './exampleRecords.js'
+import { registerRecords } from './registerRecords.js'
 import { exitWithError, stopOnSignals } from './runBinary.js'
 import type { RunningProcess } from './runBinary.js'
 import { startGateway, startScheduler } from './startHosts.js'
@@ -23,8 +23,7 @@
 firstPort = 0
 [platform]
 listLagMs = 100`, standinSettingsSchema))
-  const configuration = new MemoryConfiguration()
-  configuration.applyRecords(1, exampleRecords)
+  await registerRecords(standins.platform.table, exampleRecords)
   const scheduler = await startScheduler(resolveSettings('quickstart', `
 [host]
 id = scheduler-1
@@ -46,7 +45,7 @@
 port = ${process.env.SEDGEVALVE_CALLERS_PORT ?? defaultCallersPort}
 [operators]
 port = ${process.env.SEDGEVALVE_OPERATORS_PORT ?? defaultOperatorsPort}
-keyHash = ${hashKey(exampleOperatorKey)}`, gatewaySettingsSchema), standins.platform, configuration)
+keyHash = ${hashKey(exampleOperatorKey)}`, gatewaySettingsSchema), standins.platform)
   printWelcome(gateway.callersPort, gateway.operatorsPort)
   return {
     stop: async () => {
--- a/src/bin/standin.ts
+++ b/src/bin/standin.ts
@@ -3,6 +3,8 @@
 import { createLog } from '../createLog.js'
 import { standinSettingsSchema } from '../settings/settingsSchemas.js'
 import { startPlatformServer } from '../standin/platformServer.js'
+import { exampleRecords } from './exampleRecords.js'
+import { registerRecords } from './registerRecords.js'
 import { runBinary } from './runBinary.js'
 import { startStandins } from './startStandins.js'
 
@@ -15,6 +17,7 @@
   start: async settings => {
     const standins = await startStandins(settings)
     const { address, port } = settings.platform
+    if (settings.platform.exampleRecords) await registerRecords(standins.platform.table, exampleRecords)
     const server = await startPlatformServer({ address, port, ...standins.platform })
     log('Stand-ins run: the platform at %s, %d engines, %d services.', server.address, standins.engines.length, standins.services.length)
     return {
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -8,10 +8,10 @@
 import { chooseByCost } from '../core/costChoice.js'
 import { createSlackPlanners } from '../core/slackPlanner.js'
 import { repeatTask } from '../repeatTask.js'
-import type { ConfigurationView } from '../schemas/configuration.js'
 import type { HostListEntry } from '../schemas/hostList.js'
 import type { GatewaySettings, SchedulerSettings } from '../settings/settingsSchemas.js'
 import { DecisionStore } from '../tasks/decisions/decisionStore.js'
+import { ConfigurationTask } from '../tasks/configuration/configurationTask.js'
 import { GatewayTask } from '../tasks/gateway/gatewayTask.js'
 import { RendezvousOwnership } from '../tasks/ownership/rendezvousOwnership.js'
 import { SchedulerTask } from '../tasks/scheduler/schedulerTask.js'
@@ -23,17 +23,17 @@
 export interface RunningGateway extends RunningProcess {
   readonly callersPort: number
   readonly operatorsPort: number
+  readonly configuration: ConfigurationTask
 }
 
-/** Starts a gateway on a platform. */
-export async function startGateway (
-  settings: GatewaySettings, platform: Platform, configuration: ConfigurationView
-): Promise<RunningGateway> {
+/** Starts a gateway on a platform, once it has read the configuration. */
+export async function startGateway (settings: GatewaySettings, platform: Platform): Promise<RunningGateway> {
   const { h64ToString } = await xxhash()
   const { host, callers, peers } = settings
   const service = new PlainService()
   const clock = createSystemClock()
   const decisions = new DecisionStore({ hostId: host.id, clock })
+  const configuration = new ConfigurationTask({ hostId: host.id, clock, table: platform.table })
   const gateway = new GatewayTask({
     hostId: host.id,
     zone: host.zone,
@@ -50,7 +50,8 @@
     recordDecision: draft => decisions.record(draft),
     receiveOperatorMessage: (_from, message) => operators.receiveMessage(message)
   })
-  const operators = createOperators({ settings, platform, clock, configuration, decisions, gateway })
+  const operators = createOperators({ settings, platform, clock, configuration: configuration.view, decisions, gateway })
+  await configuration.start()
   await gateway.start()
   await operators.start()
   const announcement = announceHost(platform, {
@@ -59,21 +60,24 @@
   return {
     callersPort: gateway.callersPort,
     operatorsPort: operators.port,
+    configuration,
     stop: async () => {
       await announcement.stop()
       await gateway.stop()
       await operators.stop()
+      configuration.stop()
       await service.close()
     }
   }
 }
 
-/** Starts a scheduler on a platform. */
+/** Starts a scheduler on a platform, once it has read the configuration. */
 export async function startScheduler (settings: SchedulerSettings, platform: Platform): Promise<RunningProcess> {
   const { h32 } = await xxhash()
   const { host, peers } = settings
   const clock = createSystemClock()
   const engine = new OpenaiEngine()
+  const configuration = new ConfigurationTask({ hostId: host.id, clock, table: platform.table })
   const scheduler = new SchedulerTask({
     hostId: host.id,
     zone: host.zone,
@@ -82,9 +86,11 @@
     createPlanner: createSlackPlanners(),
     createOwnership: send => new RendezvousOwnership({ clock, hostList: platform.hostList, hostId: host.id, hashText: h32, send }),
     requestPermit: async () => () => {},
+    configuration,
     peerTransport: grpcPeerTransport,
     peers
   })
+  await configuration.start()
   await scheduler.start()
   const announcement = announceHost(platform, {
     kind: 'scheduler', id: host.id, zone: host.zone, address: `${peers.address}:${scheduler.port}`, presence: 'live'
@@ -93,6 +99,7 @@
     stop: async () => {
       await announcement.stop()
       await scheduler.stop()
+      configuration.stop()
       await engine.close()
     }
   }
--- a/src/schemas/configuration.ts
+++ b/src/schemas/configuration.ts
@@ -84,10 +84,31 @@
 ])
 export type ConfigurationKind = Static<typeof configurationKindSchema>
 
+export const recordNameSchema = Type.Object({ kind: configurationKindSchema, name: Type.String() }, { additionalProperties: false })
+/** Names one record. */
+export type RecordName = Static<typeof recordNameSchema>
+
+export const configurationChangeSchema = Type.Object({
+  /** The version that the change leads to, from the one before it. */
+  version: Type.Integer({ minimum: 1 }),
+  puts: Type.Array(configurationRecordSchema),
+  removes: Type.Array(recordNameSchema)
+})
+/** One accepted change. */
+export type ConfigurationChange = Static<typeof configurationChangeSchema>
+
+/** A record with the configuration version that last changed it. */
+export interface VersionedRecord {
+  version: number
+  record: ConfigurationRecord
+}
+
 /** What a host reads of the configuration in force. Records are frozen. */
 export interface ConfigurationView {
   /** Rises with every accepted change; 0 before the first was seen. */
   readonly version: number
+  /** Whether every accepted change is certainly in force here; without it the host takes no new work of callers. */
+  isCurrent: () => boolean
   findClass: (name: string) => ClassRecord | undefined
   findAdapter: (name: string) => AdapterRecord | undefined
   findService: (name: string) => ServiceRecord | undefined
--- a/src/schemas/peerMessage.ts
+++ b/src/schemas/peerMessage.ts
@@ -3,7 +3,7 @@
 import type { Static } from '@sinclair/typebox'
 import { requestFailureSchema } from './verdict.js'
 import { decisionSchema } from './decision.js'
-import { targetSchema } from './configuration.js'
+import { configurationChangeSchema, targetSchema } from './configuration.js'
 
 /** First message on a link, from the side that opened it. */
 export const helloSchema = Type.Object({
@@ -124,12 +124,13 @@
   }))
 })
 
-/** Tells the newest configuration version that the sender has in force, with recent changes. */
+/** Tells the newest configuration version that the sender has in force, with the changes that the receiver lacks. */
 export const configurationNewsSchema = Type.Object({
   type: Type.Literal('configurationNews'),
   version: Type.Integer(),
-  changes: Type.Array(Type.Unknown())
+  changes: Type.Array(configurationChangeSchema)
 })
+export type ConfigurationNews = Static<typeof configurationNewsSchema>
 
 /** Asks the owner of a load permit for one adapter load, and its answers. */
 export const permitRequestSchema = Type.Object({
--- a/src/settings/settingsSchemas.ts
+++ b/src/settings/settingsSchemas.ts
@@ -61,7 +61,9 @@
   platform: createSection({
     address: ipType,
     port: createPortType(7490),
-    listLagMs: millisecondsType(500)
+    listLagMs: millisecondsType(500),
+    /** Whether the table begins with the registrations of the quick start. */
+    exampleRecords: Type.Boolean({ default: true, description: 'true or false' })
   }),
   engines: createSection({
     count: countType,
--- a/src/tasks/configuration/configurationChange.ts
+++ b/src/tasks/configuration/configurationChange.ts
@@ -1,12 +1,8 @@
 /** A change of the configuration, as an operator asks for it, and what becomes of it. */
 import { Type } from '@sinclair/typebox'
 import type { Static } from '@sinclair/typebox'
-import { configurationKindSchema, configurationRecordSchema } from '../../schemas/configuration.js'
-import type { ConfigurationKind, ConfigurationRecord } from '../../schemas/configuration.js'
-
-export const recordNameSchema = Type.Object({ kind: configurationKindSchema, name: Type.String() }, { additionalProperties: false })
-/** Names one record. */
-export type RecordName = Static<typeof recordNameSchema>
+import { configurationKindSchema, configurationRecordSchema, recordNameSchema } from '../../schemas/configuration.js'
+import type { ConfigurationKind, ConfigurationRecord, RecordName, VersionedRecord } from '../../schemas/configuration.js'
 
 export const recordVersionSchema = Type.Object({
   kind: configurationKindSchema,
@@ -25,12 +21,6 @@
 /** Applied as a whole or not at all. */
 export type ChangeRequest = Static<typeof changeRequestSchema>
 
-/** A record with the configuration version that last changed it. */
-export interface VersionedRecord {
-  version: number
-  record: ConfigurationRecord
-}
-
 /** What is wrong with one record of a change. */
 export interface ChangeProblem {
   kind: ConfigurationKind
--- a/src/tasks/configuration/memoryConfiguration.ts
+++ b/src/tasks/configuration/memoryConfiguration.ts
@@ -1,41 +1,89 @@
 /** The configuration in force on this host, in memory. */
 import type {
-  AdapterRecord, ClassRecord, ConfigurationKind, ConfigurationRecord, ConfigurationView, EndpointRecord, KeyRecord, ServiceRecord
+  AdapterRecord, ClassRecord, ConfigurationChange, ConfigurationKind, ConfigurationRecord, ConfigurationView, EndpointRecord,
+  KeyRecord, RecordName, ServiceRecord, VersionedRecord
 } from '../../schemas/configuration.js'
 
+export interface MemoryConfigurationOptions {
+  /** Whether every accepted change is certainly in force; always, where it is left out. */
+  isCurrent?: () => boolean
+  /** Whether a change that leads to `next` may be applied upon `version`. */
+  isNext?: (version: number, next: number) => boolean
+}
+
+/** Changes are applied in order, each once. */
+export function isNextVersion (version: number, next: number): boolean {
+  return next === version + 1
+}
+
 /** Holds records by kind and name; versions only rise. */
 export class MemoryConfiguration implements ConfigurationView {
-  #records = new Map<string, ConfigurationRecord>()
+  #records = new Map<string, VersionedRecord>()
   #keysByHash = new Map<string, KeyRecord>()
   #sortedNames = new Map<ConfigurationKind, string[]>()
   #version = 0
+  #isCurrent: () => boolean
+  #isNext: (version: number, next: number) => boolean
+
+  constructor (options: MemoryConfigurationOptions = {}) {
+    this.#isCurrent = options.isCurrent ?? (() => true)
+    this.#isNext = options.isNext ?? isNextVersion
+  }
 
   get version (): number {
     return this.#version
   }
 
+  isCurrent (): boolean {
+    return this.#isCurrent()
+  }
+
   /** Puts records in force; returns false, and changes nothing, where the version is not newer. */
   applyRecords (version: number, records: ConfigurationRecord[]): boolean {
     if (version <= this.#version) return false
     this.#version = version
-    for (const record of records) this.#setRecord(Object.freeze(record))
+    for (const record of records) this.#setRecord({ version, record })
+    return true
+  }
+
+  /** Puts a change in force; returns false, and changes nothing, where it is not the next one. */
+  applyChange (change: ConfigurationChange): boolean {
+    if (!this.#isNext(this.#version, change.version)) return false
+    this.#version = change.version
+    for (const name of change.removes) this.#removeRecord(name)
+    for (const record of change.puts) this.#setRecord({ version: change.version, record })
+    return true
+  }
+
+  /** Replaces all records; returns false, and changes nothing, where the version is not newer. */
+  applySnapshot (version: number, records: VersionedRecord[]): boolean {
+    if (version <= this.#version) return false
+    this.#version = version
+    this.#records.clear()
+    this.#keysByHash.clear()
+    this.#sortedNames.clear()
+    for (const record of records) this.#setRecord(record)
     return true
   }
 
+  findRecord (name: RecordName): VersionedRecord | undefined {
+    return this.#records.get(formatKey(name))
+  }
+
   findClass (name: string): ClassRecord | undefined {
-    return this.#records.get(`class/${name}`) as ClassRecord | undefined
+    return this.findRecord({ kind: 'class', name })?.record as ClassRecord | undefined
   }
 
   findAdapter (name: string): AdapterRecord | undefined {
-    return this.#records.get(`adapter/${name}`) as AdapterRecord | undefined
+    return this.findRecord({ kind: 'adapter', name })?.record as AdapterRecord | undefined
   }
 
   findService (name: string): ServiceRecord | undefined {
-    return this.#records.get(`service/${name}`) as ServiceRecord | undefined
+    return this.findRecord({ kind: 'service', name })?.record as ServiceRecord | undefined
   }
 
   findEndpoint (name: string): EndpointRecord | undefined {
-    return this.#records.get(`endpoint/${name}`) as EndpointRecord | undefined
+    return this.findRecord({ kind: 'endpoint', name })?.record as EndpointRecord | undefined
   }
 
   findKeyByHash (hash: string): KeyRecord | undefined {
@@ -43,26 +91,47 @@
   }
 
   listRecords (kind: ConfigurationKind, after: string, limit: number): ConfigurationRecord[] {
+    return this.listVersioned(kind, after, limit).map(({ record }) => record)
+  }
+
+  /** As `listRecords`, with the version of each record. */
+  listVersioned (kind: ConfigurationKind, after: string, limit: number): VersionedRecord[] {
     const names = this.#listNames(kind)
     const start = names.findIndex(name => name > after)
     if (start < 0) return []
     return names.slice(start, start + limit).map(name => this.#records.get(`${kind}/${name}`)!)
   }
 
-  #setRecord (record: ConfigurationRecord): void {
-    const key = `${record.kind}/${record.name}`
-    const before = this.#records.get(key)
-    if (before?.kind === 'key') this.#keysByHash.delete(before.hash)
+  /** Every record, in no order. */
+  listAll (): VersionedRecord[] {
+    return [...this.#records.values()]
+  }
+
+  #setRecord (versioned: VersionedRecord): void {
+    const { record } = versioned
+    const before = this.#records.get(formatKey(record))
+    if (before?.record.kind === 'key') this.#keysByHash.delete(before.record.hash)
     if (!before) this.#sortedNames.delete(record.kind)
-    this.#records.set(key, record)
+    this.#records.set(formatKey(record), Object.freeze({ ...versioned, record: Object.freeze(record) }))
     if (record.kind === 'key') this.#keysByHash.set(record.hash, record)
   }
 
+  #removeRecord (name: RecordName): void {
+    const before = this.findRecord(name)
+    if (before?.record.kind === 'key') this.#keysByHash.delete(before.record.hash)
+    this.#records.delete(formatKey(name))
+    this.#sortedNames.delete(name.kind)
+  }
+
   #listNames (kind: ConfigurationKind): string[] {
     const known = this.#sortedNames.get(kind)
     if (known) return known
-    const names = [...this.#records.values()].filter(record => record.kind === kind).map(record => record.name).sort()
+    const names = this.listAll().filter(({ record }) => record.kind === kind).map(({ record }) => record.name).sort()
     this.#sortedNames.set(kind, names)
     return names
   }
 }
+
+function formatKey ({ kind, name }: RecordName): string {
+  return `${kind}/${name}`
+}
--- a/src/tasks/gateway/callerAccess.ts
+++ b/src/tasks/gateway/callerAccess.ts
@@ -4,6 +4,8 @@
 import { createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
 
+const retryAfterUnconfirmedMs = 2000
+
 /** Either a value or the failure that the caller is told. */
 export type Checked<T> = { isValid: true, value: T } | { isValid: false, failure: RequestFailure }
 
@@ -21,6 +23,7 @@
 export function findCaller (
   configuration: ConfigurationView, authorization: string | undefined, role: KeyRecord['role']
 ): Checked<KeyRecord> {
+  if (role === 'caller' && !configuration.isCurrent()) return refuse(createConfigurationUnconfirmed())
   const key = /^Bearer (.+)$/i.exec(authorization ?? '')?.[1]
   if (key === undefined) return refuse(createNotRun('key_missing', 'the request has no "Authorization: Bearer" header', 401))
   const hash = hashKey(key.trim())
@@ -35,6 +38,11 @@
   return names.includes('*') || names.includes(name)
 }
 
+function createConfigurationUnconfirmed (): RequestFailure {
+  const message = 'the host reaches neither the table nor most schedulers, so that it may lack an accepted change; ask another host'
+  return createNotRun('configuration_unconfirmed', message, 503, retryAfterUnconfirmedMs)
+}
+
 function refuse (failure: RequestFailure): { isValid: false, failure: RequestFailure } {
   return { isValid: false, failure }
 }
--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -93,7 +93,10 @@
       return sendFailure(reply, createNotRun('gateway_full', `this host runs ${maxRunningRequests} requests already`, 503, retryAfterFullMs))
     }
   })
-  server.get(healthPath, async () => ({ status: 'ok' }))
+  server.get(healthPath, (_request, reply) => {
+    const isCurrent = context.configuration.isCurrent()
+    return reply.code(isCurrent ? 200 : 503).send({ status: isCurrent ? 'ok' : 'configuration unconfirmed' })
+  })
 }
 
 /** What a client gets that sends something other than HTTP, or too many headers. */
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -8,9 +8,9 @@
 import type { HostList } from '../../ports/hostList.js'
 import type { PeerTransport } from '../../ports/peers.js'
 import type { Service } from '../../ports/service.js'
-import type { ConfigurationView } from '../../schemas/configuration.js'
 import type { RecordDecision } from '../../schemas/decision.js'
 import type { PeerMessage } from '../../schemas/peerMessage.js'
+import type { ConfigurationTask } from '../configuration/configurationTask.js'
 import { startCallersServer } from './callersServer.js'
 import type { CallersServer } from './callersServer.js'
 import { RequestRouter } from './requestRouter.js'
@@ -26,7 +26,8 @@
   clock: Clock
   hostList: HostList
   service: Service
-  configuration: ConfigurationView
+  /** Started and stopped by its owner. */
+  configuration: ConfigurationTask
   chooseEndpoint: ChooseEndpoint
   random: () => number
   hashText: HashText
@@ -68,10 +69,17 @@
       peerTransport,
       peerKey,
       receiveMessage: (from, message) => this.#receiveMessage(from, message),
-      receiveClosed: from => this.#router.receiveClosed(from),
+      receiveClosed: from => {
+        this.#router.receiveClosed(from)
+        options.configuration.receiveClosed(from)
+      },
       receiveChange: () => this.#router.receiveChange(),
-      receiveList: entries => this.#services.receiveList(entries)
+      receiveList: entries => {
+        this.#services.receiveList(entries)
+        options.configuration.receiveList(entries)
+      }
     })
+    options.configuration.setPeers({ listHosts: () => this.#links.listHosts(), send: (to, news) => this.#links.send(to, news) })
     this.#services = new ServiceRouter({ clock, zone, service: options.service })
     this.#router = new RequestRouter({
       clock,
@@ -108,7 +116,7 @@
       version: productVersion,
       callersPort: this.callersPort,
       runningRequests: this.#router.running,
-      configurationVersion: configuration.version,
+      configurationVersion: configuration.view.version,
       schedulers: this.#links.listHostIds(),
       endpoints: this.#links.listViews()
     }
@@ -117,7 +125,9 @@
   async start (): Promise<void> {
     this.#links.start()
     const { clock, configuration, hashText, callers } = this.#options
-    this.#callers = await startCallersServer({ ...callers, clock, configuration, router: this.#router, services: this.#services, hashText })
+    this.#callers = await startCallersServer({
+      ...callers, clock, configuration: configuration.view, router: this.#router, services: this.#services, hashText
+    })
     log('Gateway "%s" takes callers on port %d.', this.#options.hostId, this.callersPort)
   }
 
@@ -130,6 +140,7 @@
 
   #receiveMessage (hostId: string, message: PeerMessage): void {
     if (message.type === 'queryAnswer' || message.type === 'decisions') this.#options.receiveOperatorMessage(hostId, message)
+    else if (message.type === 'configurationNews') this.#options.configuration.receiveNews(hostId, message)
     else this.#router.receiveMessage(hostId, message)
   }
 }
--- a/src/tasks/scheduler/schedulerTask.ts
+++ b/src/tasks/scheduler/schedulerTask.ts
@@ -11,6 +11,7 @@
 import type { EngineEntry } from '../../schemas/hostList.js'
 import type { EndpointState } from '../../schemas/operatorMessage.js'
 import type { Dispatch, PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
+import type { ConfigurationTask } from '../configuration/configurationTask.js'
 import { createNotRun } from '../../schemas/verdict.js'
 import { DecisionFeed } from '../decisions/decisionFeed.js'
 import { DecisionStore } from '../decisions/decisionStore.js'
@@ -32,6 +33,8 @@
   createPlanner: CreatePlanner
   createOwnership: (send: SendOwnershipEvent) => Ownership
   requestPermit: RequestPermit
+  /** Started and stopped by its owner. */
+  configuration: ConfigurationTask
   peerTransport: PeerTransport
   peers: { address: string, port: number, key: string }
 }
@@ -73,6 +76,10 @@
       describeState: () => this.describeState()
     })
     this.#ownership = options.createOwnership(event => this.#receiveOwnership(event))
+    options.configuration.setPeers({
+      listHosts: () => [...this.#links.keys()].map(link => link.hostId),
+      send: (hostId, news) => this.#findLink(hostId)?.send(news)
+    })
   }
 
   /** Port on which peers connect, once started. */
@@ -133,6 +140,8 @@
       this.#receiveDispatch(link, message)
     } else if (message.type === 'query') {
       this.#receiveQuery(link, message)
+    } else if (message.type === 'configurationNews') {
+      this.#options.configuration.receiveNews(link.hostId, message)
     } else if (message.type === 'cancel') {
       for (const endpoint of this.#endpoints.values()) endpoint.receiveCancel(message.requestId, message.attempt)
     }
@@ -148,9 +157,14 @@
     if (!open) return
     this.#links.delete(link)
     this.#feed.removeSubscription(open.reply)
+    this.#options.configuration.receiveClosed(link.hostId)
     for (const endpoint of this.#endpoints.values()) endpoint.receiveClosedLink(open.reply)
   }
 
+  #findLink (hostId: string): PeerLink | undefined {
+    return [...this.#links.keys()].find(link => link.hostId === hostId)
+  }
+
   #receiveDispatch (link: PeerLink, dispatch: Dispatch): void {
     const open = this.#links.get(link)
     if (!open) return
