Gather deferrable work where its adapter is, and hold it longer

Cause: a long queue on the endpoint that holds an adapter sent its deferrable work elsewhere; one adapter of the trace was loaded 30 times, mostly for two to four deferrable requests. Idle residents with deferrable work waiting were evicted before it was dispatched. Change: a load for deferrable work costs half of its time left; work is held for half of its slack in place of 0.3; deferrable work is dispatched to idle residents.

--- a/src/core/costChoice.ts
+++ b/src/core/costChoice.ts
@@ -15,8 +15,8 @@
   strayLoadMs: number
   /** Stalls caused to others within this time count against a load, in milliseconds. */
   evictionHorizonMs: number
-  /** Cost of a load for work that may wait, in milliseconds; it gathers where the adapter is. */
-  deferrableLoadMs: number
+  /** Cost of a load for work that may wait, as a part of the time left; such work gathers where its adapter is. */
+  deferrableLoadPart: number
 }
 
 export const defaultCostChoiceOptions: CostChoiceOptions = Object.freeze({
@@ -25,7 +25,7 @@
   preferredEndpoints: 2,
   strayLoadMs: 400,
   evictionHorizonMs: 5000,
-  deferrableLoadMs: 10_000
+  deferrableLoadPart: 0.5
 })
 
 const maxConsidered = 4
@@ -98,9 +98,9 @@
     return { name: summary.endpointId, costMs: Math.max(waitMs, summary.expectedLoadMs / 2), note: 'the adapter is being loaded' }
   }
   if (hasReplica && !options.mayReplicate) return { name: summary.endpointId, costMs: Infinity, note: 'the adapter is loaded elsewhere' }
-  const loadMs = request.isDeferrable ? options.deferrableLoadMs : summary.expectedLoadMs * (1 + view.loadsSentSince.length / 2)
+  const loadMs = request.isDeferrable ? options.deferrableLoadPart * request.dueInMs : summary.expectedLoadMs * (1 + view.loadsSentSince.length / 2)
   const strayMs = rank < options.preferredEndpoints ? rank : options.strayLoadMs + rank
-  const evictionMs = summary.evictionCostMs * options.evictionHorizonMs / 1000
+  const evictionMs = request.isDeferrable ? 0 : summary.evictionCostMs * options.evictionHorizonMs / 1000
   const costMs = Math.max(waitMs, loadMs) + strayMs + evictionMs
   return { name: summary.endpointId, costMs, note: hasReplica ? 'another replica is worth its load' : 'the adapter needs a load' }
 }
--- a/src/core/plannerOptions.ts
+++ b/src/core/plannerOptions.ts
@@ -35,7 +35,7 @@
   spareSlots: 1,
   gatherCount: 8,
   mayWait: (request: QueuedRequest) => isDeferrable(request.target),
-  computeHoldMs: (slackMs: number) => 0.3 * slackMs,
+  computeHoldMs: (slackMs: number) => 0.5 * slackMs,
   computeCriticalMs: (runMs: number, loadMs: number) => 4 * runMs + 4 * loadMs,
   computeGraceMs: (targetMs: number) => 0.5 * targetMs,
   computeFairDelayMs,
--- a/src/core/slackPlanner.ts
+++ b/src/core/slackPlanner.ts
@@ -203,7 +203,6 @@
   /** Finds the urgent request that must start first, else the deferrable one. */
   #findNextRequest (nowMs: number): { waiting: WaitingRequest, resident: Resident } | undefined {
     const criticalUntilMs = nowMs + this.#criticalMs
-    const mayWakeIdle = this.#slots.free + this.#slots.idle > this.#options.spareSlots
     let best: { waiting: WaitingRequest, resident: Resident } | undefined
     let bestRank = Infinity
     for (const resident of this.#slots.list()) {
@@ -217,7 +216,6 @@
       }
       if (!deferrable) continue
       const isCritical = deferrable.latestStartMs <= criticalUntilMs
-      if (!isCritical && resident.running === 0 && !mayWakeIdle) continue
       // Work that may still wait ranks after everything that is urgent or critical.
       const rank = isCritical ? deferrable.latestStartMs : Number.MAX_SAFE_INTEGER + deferrable.orderMs
       if (rank >= bestRank) continue
