--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -50,7 +50,7 @@
     recordDecision: draft => decisions.record(draft),
     receiveOperatorMessage: (_from, message) => operators.receiveMessage(message)
   })
-  const operators = createOperators({ settings, platform, clock, configuration: configuration.view, decisions, gateway })
+  const operators = createOperators({ settings, platform, clock, configuration, decisions, gateway })
   await configuration.start()
   await gateway.start()
   await operators.start()
@@ -86,6 +86,7 @@
     createPlanner: createSlackPlanners(),
     createOwnership: send => new RendezvousOwnership({ clock, hostList: platform.hostList, hostId: host.id, hashText: h32, send }),
     requestPermit: async () => () => {},
+    loadBudget: settings.store,
     configuration,
     peerTransport: grpcPeerTransport,
     peers
--- a/src/bin/startOperators.ts
+++ b/src/bin/startOperators.ts
@@ -1,8 +1,8 @@
 /** Wires the operators' port to a gateway. */
 import type { Platform } from '../adapters/httpPlatform/httpPlatform.js'
 import type { Clock } from '../ports/clock.js'
-import type { ConfigurationView } from '../schemas/configuration.js'
 import type { GatewaySettings } from '../settings/settingsSchemas.js'
+import type { ConfigurationTask } from '../tasks/configuration/configurationTask.js'
 import type { DecisionStore } from '../tasks/decisions/decisionStore.js'
 import type { GatewayTask } from '../tasks/gateway/gatewayTask.js'
 import { BadInput } from '../tasks/metrics/badInput.js'
@@ -12,7 +12,7 @@
   settings: GatewaySettings
   platform: Platform
   clock: Clock
-  configuration: ConfigurationView
+  configuration: ConfigurationTask
   decisions: DecisionStore
   gateway: GatewayTask
 }
@@ -25,7 +25,8 @@
     zone: settings.host.zone,
     clock,
     hostList: platform.hostList,
-    configuration,
+    configuration: configuration.view,
+    operations: configuration,
     decisions,
     links: gateway.links,
     operators: settings.operators,
--- a/src/core/requestStory.ts
+++ b/src/core/requestStory.ts
@@ -67,14 +67,15 @@
   }
 }
 
-/** Waits as the decisions give them; time between admission and dispatch that none of them names was spent in the queue. */
+/** Waits as the decisions give them; of what none of them names, the time from an own load to the dispatch is the load's. */
 function resolveWaits (own: Decision[], dispatch: Decision | undefined): Wait[] {
   const named = own.flatMap(decision => decision.waits).filter(wait => wait.ms > 0)
   const admit = own.find(decision => decision.kind === 'admit')
-  if (!admit || !dispatch || admit.host !== dispatch.host) return named
-  const namedMs = named.reduce((sum, wait) => sum + wait.ms, 0)
-  const restMs = Math.round(dispatch.atMs - admit.atMs - namedMs)
-  return restMs > 1 ? [...named, { cause: 'queue', ms: restMs }] : named
+  if (!admit || !dispatch || admit.host !== dispatch.host || named.length > 0) return named
+  const load = own.find(decision => decision.kind === 'load' && decision.host === dispatch.host)
+  const loadMs = load ? dispatch.atMs - load.atMs : 0
+  const waits: Wait[] = [{ cause: 'load', ms: loadMs }, { cause: 'queue', ms: dispatch.atMs - admit.atMs - loadMs }]
+  return waits.filter(wait => wait.ms > 1)
 }
 
 /** Names the decisions that changed the request's way, those of others on its endpoint among them. */
--- a/src/schemas/operatorMessage.ts
+++ b/src/schemas/operatorMessage.ts
@@ -54,7 +54,9 @@
   isLeaving: Type.Boolean(),
   endpoints: Type.Array(endpointStateSchema),
   /** Loads ordered in the last minute by this host. */
-  loadsLastMinute: Type.Integer()
+  loadsLastMinute: Type.Integer(),
+  /** What the weight store allows all hosts together, by this host's settings. */
+  loadBudget: Type.Object({ loadsPerSecond: Type.Number(), loadsAtFullSpeed: Type.Integer() })
 })
 export type SchedulerStatus = Static<typeof schedulerStatusSchema>
 
--- a/src/tasks/gateway/callerAccess.ts
+++ b/src/tasks/gateway/callerAccess.ts
@@ -29,7 +29,7 @@
   const hash = hashKey(key.trim())
   const record = configuration.findKeyByHash(hash)
   const isKnown = record !== undefined && timingSafeEqual(Buffer.from(record.hash), Buffer.from(hash))
-  if (!isKnown || record.role !== role) return refuse(createNotRun('key_unknown', `the key is not registered for a ${role}`, 401))
+  if (!isKnown || record.role !== role) return refuse(createNotRun('key_unknown', `the key is not registered for role "${role}"`, 401))
   return { isValid: true, value: record }
 }
 
--- a/src/tasks/operators/operatorsContext.ts
+++ b/src/tasks/operators/operatorsContext.ts
@@ -1,6 +1,7 @@
 /** What the routes of the operators' port share. */
 import type { Clock } from '../../ports/clock.js'
 import type { ConfigurationView } from '../../schemas/configuration.js'
+import type { ConfigurationOperations } from '../configuration/configurationChange.js'
 import type { DecisionStore } from '../decisions/decisionStore.js'
 import type { GatewayQueries } from './gatewayQueries.js'
 import type { LiveFeed } from './liveFeed.js'
@@ -13,6 +14,8 @@
   configuration: ConfigurationView
   /** SHA-256, in hex, of the operator's key of the settings. */
   settingsKeyHash: string | undefined
+  /** Reads and changes registrations. */
+  operations: ConfigurationOperations
   decisions: DecisionStore
   peers: PeerQueries
   gateways: GatewayQueries
--- a/src/tasks/operators/operatorsTask.ts
+++ b/src/tasks/operators/operatorsTask.ts
@@ -4,6 +4,7 @@
 import type { HostList } from '../../ports/hostList.js'
 import type { ConfigurationView } from '../../schemas/configuration.js'
 import type { PeerMessage } from '../../schemas/peerMessage.js'
+import type { ConfigurationOperations } from '../configuration/configurationChange.js'
 import type { DecisionStore } from '../decisions/decisionStore.js'
 import type { BadInput } from '../metrics/badInput.js'
 import { GatewayQueries } from './gatewayQueries.js'
@@ -21,6 +22,7 @@
   clock: Clock
   hostList: HostList
   configuration: ConfigurationView
+  operations: ConfigurationOperations
   decisions: DecisionStore
   links: QueryLinks
   operators: { address: string, port: number, keyHash?: string }
--- a/src/tasks/scheduler/schedulerQueries.ts
+++ b/src/tasks/scheduler/schedulerQueries.ts
@@ -17,6 +17,7 @@
   clock: Clock
   decisions: DecisionStore
   feed: DecisionFeed
+  loadBudget: SchedulerStatus['loadBudget']
   isLeaving: () => boolean
   describeEndpoints: () => EndpointState[]
   /** The whole state of the process, for `dump`. */
@@ -53,10 +54,10 @@
   }
 
   #describeStatus (): SchedulerStatus {
-    const { hostId, zone, clock, decisions, isLeaving, describeEndpoints } = this.#options
+    const { hostId, zone, clock, decisions, isLeaving, describeEndpoints, loadBudget } = this.#options
     const sinceMs = clock.readWall() - minuteMs
     const loads = decisions.listEvents(event => event.kind === 'load' && event.atMs >= sinceMs)
-    return { host: hostId, zone, isLeaving: isLeaving(), endpoints: describeEndpoints(), loadsLastMinute: loads.length }
+    return { host: hostId, zone, isLeaving: isLeaving(), endpoints: describeEndpoints(), loadsLastMinute: loads.length, loadBudget }
   }
 
   #addWatcher (argument: string, reply: Reply): unknown {
--- a/src/tasks/scheduler/schedulerTask.ts
+++ b/src/tasks/scheduler/schedulerTask.ts
@@ -9,7 +9,7 @@
 import { repeatTask } from '../../repeatTask.js'
 import type { Repetition } from '../../repeatTask.js'
 import type { EngineEntry } from '../../schemas/hostList.js'
-import type { EndpointState } from '../../schemas/operatorMessage.js'
+import type { EndpointState, SchedulerStatus } from '../../schemas/operatorMessage.js'
 import type { Dispatch, PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
 import type { ConfigurationTask } from '../configuration/configurationTask.js'
 import { createNotRun } from '../../schemas/verdict.js'
@@ -33,6 +33,8 @@
   createPlanner: CreatePlanner
   createOwnership: (send: SendOwnershipEvent) => Ownership
   requestPermit: RequestPermit
+  /** What the weight store allows all hosts together; shown to operators. */
+  loadBudget: SchedulerStatus['loadBudget']
   /** Started and stopped by its owner. */
   configuration: ConfigurationTask
   peerTransport: PeerTransport
@@ -71,6 +73,7 @@
       clock,
       decisions: this.#decisions,
       feed: this.#feed,
+      loadBudget: options.loadBudget,
       isLeaving: () => this.#isLeaving,
       describeEndpoints: () => this.#describeEndpoints(),
       describeState: () => this.describeState()
