Claim work that may run at most once before it is dispatched

Cause: an Idempotency-Key only switched retries off; a second request with the key ran again, on any host. Change: requests for models and calls of services that carry a key are claimed by a row in the table before dispatch. The same key anywhere gets the stored answer (Sedgevalve-Replayed), 409 while it runs or may have run, 422 for another body. Claimed work goes on when its caller hangs up. Writes of the same few milliseconds share a transaction, each by its own checks. Shown (features/claims.feature on a virtual clock, features/claimsPath.feature on the real system): both hosts at once, a host that dies, lost and late writes, table down before, during and after, expiry. Without the check in the table the work runs twice; without the fence a late claim blocks a key that nobody ran. Conclusion: one run and one answer for each key. The second try of work that ran, made while the table is down, is refused as not run, and its message says that it speaks of this request alone.

--- a/features/steps/tableWriter.ts
+++ b/features/steps/tableWriter.ts
@@ -1,17 +1,15 @@
 /** Steps of writes whose answer is lost. */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { createPlatformFaults } from '../../src/adapters/memoryPlatform/platformFaults.js'
 import type { PlatformFaults } from '../../src/adapters/memoryPlatform/platformFaults.js'
-import { createFaultyPlatform } from '../../src/adapters/memoryPlatform/faultyPlatform.js'
-import { MemoryHostList } from '../../src/adapters/memoryPlatform/memoryHostList.js'
-import { MemoryObjects } from '../../src/adapters/memoryPlatform/memoryObjects.js'
-import { MemoryTable } from '../../src/adapters/memoryPlatform/memoryTable.js'
-import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
+import type { MemoryTable } from '../../src/adapters/memoryPlatform/memoryTable.js'
+import type { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
 import type { Table } from '../../src/ports/table.js'
 import { TableWriter } from '../../src/tasks/table/tableWriter.js'
 import type { FindFate, WriteResult } from '../../src/tasks/table/tableWriter.js'
+import { goDownWithAnswer, readBackOnce } from '../support/tableFaults.js'
 import { settle } from '../support/settle.js'
+import { createVirtualPlatform } from '../support/virtualPlatform.js'
 
 interface WriterWorld {
   clock: VirtualClock
@@ -21,24 +19,10 @@
   result: WriteResult
 }
 
-/** Believes what it reads, as if nothing could be under way. */
-const readBackOnce: FindFate = async (table, token) => {
-  const [row] = await table.readRows([`tokens/${token}`])
-  return row ? { verdict: 'applied', version: row.version } : { verdict: 'notApplied', cause: 'unavailable' }
-}
-
 function openWriter (world: WriterWorld, findFate?: FindFate): void {
-  world.clock = new VirtualClock()
-  world.faults = createPlatformFaults()
-  world.rows = new MemoryTable()
-  const { table } = createFaultyPlatform({
-    clock: world.clock,
-    faults: world.faults,
-    table: world.rows,
-    objects: new MemoryObjects(),
-    hostList: new MemoryHostList(world.clock, 0)
-  })
-  world.writer = new TableWriter({ table, clock: world.clock, ...(findFate && { findFate }) })
+  const { clock, faults, rows, table } = createVirtualPlatform()
+  Object.assign(world, { clock, faults, rows })
+  world.writer = new TableWriter({ table, clock, ...(findFate && { findFate }) })
 }
 
 async function countRows (table: Table, prefix: string): Promise<number> {
@@ -54,15 +38,7 @@
 })
 
 Given('the table goes down as soon as the answer is lost', function (this: WriterWorld) {
-  const { faults } = this
-  let left = faults.lostAnswers
-  Object.defineProperty(faults, 'lostAnswers', {
-    get: () => left,
-    set: (value: number) => {
-      left = value
-      faults.isTableDown = true
-    }
-  })
+  goDownWithAnswer(this.faults)
 })
 
 When('the row {string} is written', async function (this: WriterWorld, key: string) {
--- a/features/support/world.ts
+++ b/features/support/world.ts
@@ -21,8 +21,11 @@
     return this.playground
   }
 
+  /** Index of the gateway that callers ask. */
+  gateway = 0
+
   get callersUrl (): string {
-    return `http://127.0.0.1:${this.playground?.gateways[0]?.callersPort}`
+    return `http://127.0.0.1:${this.playground?.gateways[this.gateway]?.callersPort}`
   }
 
   /** Sends a JSON body as the example caller, or a GET where there is none. */
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -15,6 +15,7 @@
 import { GatewayTask } from '../tasks/gateway/gatewayTask.js'
 import { RendezvousOwnership } from '../tasks/ownership/rendezvousOwnership.js'
 import { SchedulerTask } from '../tasks/scheduler/schedulerTask.js'
+import { startState } from './startState.js'
 import type { RunningProcess } from './runBinary.js'
 import { createOperators } from './startOperators.js'
 
@@ -34,12 +35,14 @@
   const clock = createSystemClock()
   const decisions = new DecisionStore({ hostId: host.id, clock })
   const configuration = new ConfigurationTask({ hostId: host.id, clock, table: platform.table })
+  const state = startState(host.id, clock, platform)
   const gateway = new GatewayTask({
     hostId: host.id,
     zone: host.zone,
     clock,
     hostList: platform.hostList,
     configuration,
+    claims: state.claims,
     chooseEndpoint: chooseByCost,
     random: Math.random,
     hashText: h64ToString,
@@ -65,6 +68,7 @@
       await announcement.stop()
       await gateway.stop()
       await operators.stop()
+      await state.stop()
       configuration.stop()
       await service.close()
     }
--- a/src/tasks/gateway/answerWriter.ts
+++ b/src/tasks/gateway/answerWriter.ts
@@ -1,13 +1,13 @@
 /** Writes one answer to its caller, streamed or whole, and marks it when it is not whole. */
-import type { ServerResponse } from 'node:http'
 import { maxBufferedAnswerBytes } from '../../constants.js'
 import { createMayHaveRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
+import type { AnswerResponse } from './answerRecorder.js'
 import { renderErrorBody, renderErrorHeaders } from './callerError.js'
 import type { AnswerEvent, AnswerSource, RoutedRequest } from './routedRequest.js'
 
 export interface AnswerWriterOptions {
-  response: ServerResponse
+  response: AnswerResponse
   request: Pick<RoutedRequest, 'requestId' | 'adapter' | 'version' | 'isStream'>
   /** Gives up the request when its caller does not read. */
   cancel: () => void
--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -8,9 +8,13 @@
 import type { ConfigurationView, KeyRecord } from '../../schemas/configuration.js'
 import { createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
+import { hashParts } from '../claims/claimRow.js'
+import type { ClaimedWork } from '../claims/claimRow.js'
+import type { ClaimTask } from '../claims/claimTask.js'
 import { AnswerWriter } from './answerWriter.js'
 import { findCaller } from './callerAccess.js'
 import { renderErrorBody, renderErrorHeaders } from './callerError.js'
+import { runClaimedCompletion } from './claimedRequests.js'
 import { addModelsRoute } from './modelsRoute.js'
 import type { RequestRouter } from './requestRouter.js'
 import { resolveRequest } from './resolveRequest.js'
@@ -32,6 +36,7 @@
   configuration: ConfigurationView
   router: RequestRouter
   services: ServiceRouter
+  claims: ClaimTask
   hashText: HashText
 }
 
@@ -137,13 +142,13 @@
 
 function addCompletionRoutes (server: FastifyInstance, context: CallersContext): void {
   for (const path of ['/v1/chat/completions', '/v1/completions'] as const) {
-    server.post(path, (request, reply) => handleCompletion(context, path, request, reply))
+    server.post(path, async (request, reply) => await handleCompletion(context, path, request, reply))
   }
 }
 
-function handleCompletion (
+async function handleCompletion (
   context: CallersContext, path: '/v1/chat/completions' | '/v1/completions', request: FastifyRequest, reply: FastifyReply
-): void {
+): Promise<FastifyReply> {
   const requestId = readRequestId(reply)
   const resolved = resolveRequest(context.configuration, {
     requestId,
@@ -155,15 +160,22 @@
     arrivedAtMs: context.clock.readMonotonic(),
     arrivedAtWallMs: context.clock.readWall()
   }, context.hashText)
-  if (!resolved.isValid) {
-    sendFailure(reply, resolved.failure)
-    return
-  }
+  const work = readClaimedWork(request, reply, [path, readHeader(request, 'sedgevalve-class') ?? '', JSON.stringify(request.body)])
+  if (work) return await runClaimedCompletion(context, work, resolved, reply)
+  if (!resolved.isValid) return sendFailure(reply, resolved.failure)
   reply.hijack()
   const cancel = (): void => context.router.cancelRequest(requestId)
   const writer = new AnswerWriter({ response: reply.raw, request: resolved.value, cancel })
   reply.raw.on('close', cancel)
   context.router.startRequest(resolved.value, event => writer.receive(event))
+  return reply
+}
+
+/** Reads what a request claims by its `Idempotency-Key`; undefined where it has none. `parts` are what it asks. */
+export function readClaimedWork (request: FastifyRequest, reply: FastifyReply, parts: Array<string | Uint8Array>): ClaimedWork | undefined {
+  const idempotencyKey = readHeader(request, 'idempotency-key')
+  if (idempotencyKey === undefined) return undefined
+  return { callerName: request.caller!.name, idempotencyKey, bodyHash: hashParts(parts), requestId: readRequestId(reply) }
 }
 
 /** The id that the request was given on arrival. */
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -10,6 +10,7 @@
 import type { Service } from '../../ports/service.js'
 import type { RecordDecision } from '../../schemas/decision.js'
 import type { PeerMessage } from '../../schemas/peerMessage.js'
+import type { ClaimTask } from '../claims/claimTask.js'
 import type { ConfigurationTask } from '../configuration/configurationTask.js'
 import { startCallersServer } from './callersServer.js'
 import type { CallersServer } from './callersServer.js'
@@ -28,6 +29,7 @@
   service: Service
   /** Started and stopped by its owner. */
   configuration: ConfigurationTask
+  claims: ClaimTask
   chooseEndpoint: ChooseEndpoint
   random: () => number
   hashText: HashText
@@ -79,7 +81,7 @@
         options.configuration.receiveList(entries)
       }
     })
-    options.configuration.setPeers({ listHosts: () => this.#links.listHosts(), send: (to, news) => this.#links.send(to, news) })
+    options.configuration.setPeers({ listHosts: () => this.#links.listHostIds(), send: (to, news) => this.#links.send(to, news) })
     this.#services = new ServiceRouter({ clock, zone, service: options.service })
     this.#router = new RequestRouter({
       clock,
@@ -124,9 +126,9 @@
 
   async start (): Promise<void> {
     this.#links.start()
-    const { clock, configuration, hashText, callers } = this.#options
+    const { clock, configuration, claims, hashText, callers } = this.#options
     this.#callers = await startCallersServer({
-      ...callers, clock, configuration: configuration.view, router: this.#router, services: this.#services, hashText
+      ...callers, clock, configuration: configuration.view, router: this.#router, services: this.#services, claims, hashText
     })
     log('Gateway "%s" takes callers on port %d.', this.#options.hostId, this.callersPort)
   }
@@ -134,6 +136,7 @@
   /** Takes no new connections and ends when every answer in progress has been sent. */
   async stop (): Promise<void> {
     await this.#callers?.stop()
+    await this.#options.claims.drain()
     this.#links.stop()
     log('Gateway "%s" has stopped.', this.#options.hostId)
   }
--- a/src/tasks/gateway/schedulerLinks.ts
+++ b/src/tasks/gateway/schedulerLinks.ts
@@ -70,11 +70,6 @@
     return scheduler !== undefined
   }
 
-  /** Lists the hosts to which a link is open. */
-  listHosts (): string[] {
-    return [...this.#schedulers.keys()]
-  }
-
   /** Counts a dispatched attempt until the next summary shows it. */
   recordSent (hostId: string, endpointId: string, adapterName: string): void {
     const scheduler = this.#schedulers.get(hostId)
--- a/src/tasks/gateway/servicesRoute.ts
+++ b/src/tasks/gateway/servicesRoute.ts
@@ -4,7 +4,8 @@
 import { createNotRun } from '../../schemas/verdict.js'
 import { isNameAllowed } from './callerAccess.js'
 import type { Checked } from './callerAccess.js'
-import { readHeader, readRequestId, sendFailure } from './callersServer.js'
+import { runClaimedCall } from './claimedRequests.js'
+import { readClaimedWork, readHeader, readRequestId, sendFailure } from './callersServer.js'
 import type { CallersContext } from './callersServer.js'
 import type { RoutedCall, ServiceResult } from './serviceRouter.js'
 
@@ -25,6 +26,8 @@
 
 async function handleCall (context: CallersContext, request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
   const call = resolveCall(context, request, readRequestId(reply))
+  const work = readClaimedWork(request, reply, [request.method, request.url, Buffer.isBuffer(request.body) ? request.body : ''])
+  if (work) return await runClaimedCall(context, work, call, reply, sendResult)
   if (!call.isValid) return sendFailure(reply, call.failure)
   const abort = new AbortController()
   reply.raw.on('close', () => abort.abort())
