--- /dev/null
+++ b/features/support/runBinary.ts
@@ -0,0 +1,36 @@
+/** Runs a binary to its end and reads what it printed. */
+import { execFile } from 'node:child_process'
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+
+const binFolder = fileURLToPath(new URL('../../src/bin/', import.meta.url))
+const limitMs = 45_000
+
+export interface BinaryResult {
+  code: number
+  output: string
+  errors: string
+}
+
+/**
+ * Runs `sedgevalve-<binary>` and waits for its end.
+ *
+ * @example
+ * const { code, errors } = await runBinaryToEnd('gateway', ['missing.ini'])
+ */
+export async function runBinaryToEnd (binary: string, args: string[]): Promise<BinaryResult> {
+  return await new Promise(resolve => {
+    execFile(process.execPath, [join(binFolder, `${binary}.js`), ...args], { timeout: limitMs }, (error, output, errors) => {
+      resolve({ code: typeof error?.code === 'number' ? error.code : error ? -1 : 0, output, errors })
+    })
+  })
+}
+
+/** Writes settings to a file of a new folder and returns its path. */
+export function writeSettings (text: string): string {
+  const file = join(mkdtempSync(join(tmpdir(), 'sedgevalve-test-')), 'settings.ini')
+  writeFileSync(file, text)
+  return file
+}
--- a/src/adapters/peerLink/grpcPeerLink.ts
+++ b/src/adapters/peerLink/grpcPeerLink.ts
@@ -9,6 +9,9 @@
 
 const log = createLog('peers')
 
+// The library prints lines of its own; what matters is told by errors and by this part's log.
+grpc.setLogVerbosity(grpc.logVerbosity.NONE)
+
 type Stream = grpc.ClientDuplexStream<PeerMessage[], PeerMessage[]> | grpc.ServerDuplexStream<PeerMessage[], PeerMessage[]>
 
 /** One stream; gathers the messages of a turn of the event loop into one batch. */
--- a/src/bin/runBinary.ts
+++ b/src/bin/runBinary.ts
@@ -3,6 +3,8 @@
 import type { Static, TObject } from '@sinclair/typebox'
 import { productVersion } from '../constants.js'
 import { openLogs } from '../createLog.js'
+import { describePortInUse } from '../settings/portInUse.js'
+import type { Sections } from '../settings/portInUse.js'
 import { readSettings } from '../settings/resolveSettings.js'
 import { createSettingsError, isSettingsError, wrongSettingsExitCode } from '../settings/settingsError.js'
 
@@ -73,10 +75,8 @@
   try {
     return await options.start(settings)
   } catch (error) {
-    const { code, message } = error as NodeJS.ErrnoException
-    if (code === 'EADDRINUSE' || message.includes('is not free')) {
-      throw createSettingsError(`${file}: a port is in use (${message}); expected a free port`)
-    }
+    const message = describePortInUse(settings as Sections, error as Error)
+    if (message !== undefined) throw createSettingsError(`${file}: ${message}`)
     throw error
   }
 }
--- a/src/settings/resolveSettings.ts
+++ b/src/settings/resolveSettings.ts
@@ -4,6 +4,7 @@
 import type { Static, TObject, TSchema } from '@sinclair/typebox'
 import { Value } from '@sinclair/typebox/value'
 import type { ValueError } from '@sinclair/typebox/value'
+import { convertValues } from './convertValues.js'
 import { createSettingsError } from './settingsError.js'
 
 /**
@@ -28,7 +29,7 @@
 /** Checks the text of a settings file; see `readSettings`. */
 export function resolveSettings<T extends TObject> (file: string, text: string, schema: T): Readonly<Static<T>> {
   const raw = structuredClone(parse(text)) as Record<string, unknown>
-  const settings = Value.Convert(schema, Value.Default(schema, raw))
+  const settings = Value.Default(schema, convertValues(schema, raw))
   const error = Value.Errors(schema, settings).First()
   if (error) throw createSettingsError(`${file}: ${describeError(error, schema)}`)
   return freezeDeep(settings as Static<T>)
@@ -43,14 +44,15 @@
   if (key === undefined) return `section [${section}] is missing or not a section; it takes ${listNames(sectionSchema)}`
   const keySchema = (sectionSchema as TObject | undefined)?.properties?.[key] as TSchema | undefined
   if (!keySchema) return `[${section}] ${key} is unknown; expected one of ${listNames(sectionSchema)}`
-  return `[${section}] ${key} is ${formatValue(error.value)}; expected ${keySchema.description ?? error.message}`
+  return `[${section}] ${key} is ${formatValue(keySchema, error.value)}; expected ${keySchema.description ?? error.message}`
 }
 
 function listNames (schema: TSchema | undefined): string {
   return Object.keys((schema as TObject | undefined)?.properties ?? {}).join(', ')
 }
 
-function formatValue (value: unknown): string {
+function formatValue (schema: TSchema, value: unknown): string {
+  if (schema.isSecret && value !== undefined) return 'not accepted'
   return value === undefined ? 'missing' : JSON.stringify(value)
 }
 
--- a/src/settings/settingsSchemas.ts
+++ b/src/settings/settingsSchemas.ts
@@ -3,8 +3,11 @@
 import type { Static, TObject, TProperties } from '@sinclair/typebox'
 import { defaultCallersPort, defaultOperatorsPort } from '../constants.js'
 
-const ipPattern = '^[0-9]{1,3}(\\.[0-9]{1,3}){3}$|^[0-9a-fA-F:]+$'
-const addressPattern = '^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$'
+const byte = '(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])'
+const ip4 = `${byte}(\\.${byte}){3}`
+const ip6 = '[0-9a-fA-F]*:[0-9a-fA-F:.]*'
+const ipPattern = `^(${ip4}|${ip6})$`
+const addressPattern = `^(${ip4}|\\[${ip6}\\]):[0-9]{1,5}$`
 
 /** A section that may be left out where all its keys have defaults. */
 function createSection<T extends TProperties> (properties: T): TObject<T> {
@@ -14,7 +17,8 @@
 const nameType = Type.String({ pattern: '^[A-Za-z0-9][A-Za-z0-9._-]*$', description: 'a name of letters, digits, ".", "_" and "-"' })
 const ipType = Type.String({ pattern: ipPattern, default: '127.0.0.1', description: 'an IP number such as 10.0.0.7' })
 const addressType = Type.String({ pattern: addressPattern, description: 'an IP number and a port such as 10.0.0.7:7490' })
-const keyType = Type.String({ minLength: 16, description: 'a shared key of at least 16 characters' })
+/** Its value is never printed. */
+const keyType = Type.String({ minLength: 16, isSecret: true, description: 'a shared key of at least 16 characters' })
 
 const keyHashType = Type.String({ pattern: '^[0-9a-f]{64}$', description: 'the SHA-256 of a key in lower-case hex; "sedgevalvectl key hash" prints it' })
 
@@ -69,10 +73,10 @@
     count: countType,
     /** Engines take this port and those after it; 0 takes free ones. */
     firstPort: createPortType(7600),
-    zones: Type.Integer({ minimum: 1, default: 3, description: 'a number of availability zones from 1' }),
+    zones: Type.Integer({ minimum: 1, default: 3, description: 'a whole number of availability zones from 1' }),
     baseModel: Type.String({ default: 'base-1', minLength: 1, description: 'the name of a base model' }),
-    slots: Type.Integer({ minimum: 1, default: 8, description: 'a number of adapter slots from 1' }),
-    batchLimit: Type.Integer({ minimum: 1, default: 16, description: 'a number of requests from 1' }),
+    slots: Type.Integer({ minimum: 1, default: 8, description: 'a whole number of adapter slots from 1' }),
+    batchLimit: Type.Integer({ minimum: 1, default: 16, description: 'a whole number of requests from 1' }),
     stepBaseMs: millisecondsType(18),
     stepPerRequestMs: millisecondsType(0.5),
     prefillPerTokenMs: millisecondsType(0.05),
@@ -85,7 +89,7 @@
     /** A full batch gives way to a request whose priority number is smaller by this much; 0 never does. */
     preemptionGap: Type.Number({ minimum: 0, default: 1, description: 'a difference of priorities from 0; 0 for none' }),
     /** Blocks of 64 characters of prompts that an engine remembers. */
-    cacheBlocks: Type.Integer({ minimum: 0, default: 4096, description: 'a number of blocks from 0' }),
+    cacheBlocks: Type.Integer({ minimum: 0, default: 4096, description: 'a whole number of blocks from 0' }),
     cacheEventLagMs: millisecondsType(200),
     /** Every event of the cache whose number divides by this is lost; 0 loses none. */
     loseEveryNthCacheEvent: Type.Integer({ minimum: 0, default: 0, description: 'a whole number from 0' })
