Try the ports of the settings before anything starts

Change: each port that the settings name is opened and closed first. A port lost between the two is still told by the start.

--- a/src/bin/runBinary.ts
+++ b/src/bin/runBinary.ts
@@ -3,6 +3,7 @@
 import type { Static, TObject } from '@sinclair/typebox'
 import { productVersion } from '../constants.js'
 import { openLogs } from '../createLog.js'
+import { checkPorts } from './checkPorts.js'
 import { describePortInUse } from '../settings/portInUse.js'
 import type { Sections } from '../settings/portInUse.js'
 import { readSettings } from '../settings/resolveSettings.js'
@@ -40,6 +41,7 @@
       process.stdout.write(`${file}: the settings are right\n`)
       return
     }
+    await checkPorts(file, settings as Sections)
     openLogs()
     stopOnSignals(await startChecked(file, options, settings))
   } catch (error) {
--- a/src/settings/portInUse.ts
+++ b/src/settings/portInUse.ts
@@ -1,40 +1,55 @@
 /** Says which setting named a port that could not be opened. */
-
 import VError from 'verror'
 
 /** Settings of any binary. */
 export type Sections = Readonly<Record<string, Readonly<Record<string, unknown>>>>
 
-interface PortSetting {
+export interface ListenAddress {
+  address: string
+  port: number
   section: string
   key: string
-  value: number
 }
 
-/** Errors of a port or address that the machine does not give. */
-const openErrors: Record<string, string> = {
+/** What would do in place of a port or address that cannot be opened. */
+const expectations: Record<string, string> = {
   EADDRINUSE: 'a free port',
   EACCES: 'a port that the process may open',
   EADDRNOTAVAIL: 'an IP number of this machine'
 }
 
+/** Lists every address and port that settings have a process listen on; a `firstPort` stands for `count` of them. */
+export function listListenAddresses (settings: Sections): ListenAddress[] {
+  const listens: ListenAddress[] = []
+  for (const [section, keys] of Object.entries(settings)) {
+    const address = String(keys.address ?? settings.platform?.address ?? '127.0.0.1')
+    if (typeof keys.port === 'number') listens.push({ address, port: keys.port, section, key: 'port' })
+    const count = typeof keys.firstPort === 'number' ? Number(keys.count) : 0
+    for (let index = 0; index < count; index++) {
+      listens.push({ address, port: Number(keys.firstPort) + index, section, key: 'firstPort' })
+    }
+  }
+  return listens.filter(({ section, key }) => settings[section]?.[key] !== 0)
+}
+
 /**
  * Describes a failure to listen by section, key and what is expected; undefined for any other error.
  *
  * @example
- * describePortInUse(settings, error) // '[callers] port is 7480, which is in use (EADDRINUSE); expected a free port'
+ * describePortInUse(settings, error) // '[callers] port is 7480, which cannot be opened (EADDRINUSE); expected a free port'
  */
 export function describePortInUse (settings: Sections, error: Error): string | undefined {
   const code = readCode(error)
-  const expected = openErrors[code]
+  const expected = expectations[code]
   if (expected === undefined) return undefined
   const port = readPort(error)
-  const setting = findPortSetting(settings, port)
-  if (!setting) return `port ${port} cannot be opened (${code}); expected ${expected}`
-  const { section, key, value } = setting
-  const address = code === 'EADDRNOTAVAIL' ? `[${section}] address is ${String(settings[section]?.address)}` : `[${section}] ${key} is ${value}`
-  const detail = value === port || code === 'EADDRNOTAVAIL' ? code : `${code} for ${port}`
-  return `${address}, which cannot be opened (${detail}); expected ${expected}`
+  const listen = listListenAddresses(settings).find(other => other.port === port)
+  if (!listen) return `port ${port} cannot be opened (${code}); expected ${expected}`
+  const { section, key, address } = listen
+  if (code === 'EADDRNOTAVAIL') return `[${section}] address is ${address}, which cannot be opened (${code}); expected ${expected}`
+  const value = settings[section]![key]
+  const detail = value === port ? code : `${code} for ${port}`
+  return `[${section}] ${key} is ${value}, which cannot be opened (${detail}); expected ${expected}`
 }
 
 function readCode (error: Error): string {
@@ -46,14 +61,3 @@
   const { port } = error as Error & { port?: number }
   return port ?? Number(/:(\d+)\b/.exec(error.message)?.[1] ?? 0)
 }
-
-/** The setting with this port, or the one that begins the range it falls into. */
-function findPortSetting (settings: Sections, port: number): PortSetting | undefined {
-  const found: PortSetting[] = []
-  for (const [section, keys] of Object.entries(settings)) {
-    for (const [key, value] of Object.entries(keys)) {
-      if (/port$/i.test(key) && typeof value === 'number' && value !== 0 && value <= port) found.push({ section, key, value })
-    }
-  }
-  return found.sort((left, right) => right.value - left.value).find(({ key, value }) => value === port || key === 'firstPort')
-}
