Give up the slot that costs least, busy ones included

Cause: only idle residents could be evicted, so hot adapters that were idle for a moment went while cold ones ran on; half of the urgent reloads came within 6 s of the eviction. Change: the cost of a slot is the wait until it is idle plus the stalls forecast for the next 10 s; a busy resident of least cost takes no new requests until it is idle, unless urgent work for it arrives. Gateways see the same cost.

--- a/src/core/adapterSlots.ts
+++ b/src/core/adapterSlots.ts
@@ -35,10 +35,6 @@
     return this.#count(resident => resident.handle === undefined)
   }
 
-  get unloading (): number {
-    return this.#count(resident => resident.isUnloading)
-  }
-
   /** Loaded residents that run nothing and are not being unloaded. */
   get idle (): number {
     return this.#count(isIdle)
@@ -84,22 +80,23 @@
     this.#residents.clear()
   }
 
-  /** Finds the idle resident whose loss costs least; undefined where none may go. */
+  /** Finds the loaded resident whose slot costs least to give up; undefined where all are being loaded or unloaded. */
   findVictim (computeCost: (resident: Resident) => number): Resident | undefined {
-    return findLeast(this.#residents.values(), isIdle, computeCost)
-  }
-
-  /** Finds the busy resident that is expected to fall idle first. */
-  findDrainable (mayDrain: (resident: Resident) => boolean): Resident | undefined {
-    return findLeast(this.#residents.values(), resident => isUsable(resident) && mayDrain(resident), resident => resident.busyUntilMs)
+    let least: Resident | undefined
+    let leastCost = Infinity
+    for (const resident of this.#residents.values()) {
+      if (!isUsable(resident)) continue
+      const cost = computeCost(resident)
+      if (cost >= leastCost) continue
+      least = resident
+      leastCost = cost
+    }
+    return least
   }
 
-  /** Time until a slot can be given up, in milliseconds; 0 where one is free or idle. */
-  computeSlotWaitMs (nowMs: number): number {
-    if (this.free > 0 || this.idle > 0 || this.unloading > 0) return 0
-    let firstMs = Infinity
-    for (const resident of this.#residents.values()) if (resident.handle) firstMs = Math.min(firstMs, resident.busyUntilMs)
-    return Number.isFinite(firstMs) ? Math.max(0, firstMs - nowMs) : 0
+  /** Residents that give up their slots, at once or when what they run has ended. */
+  get leaving (): number {
+    return this.#count(resident => resident.isUnloading || resident.isDraining)
   }
 
   #count (matches: (resident: Resident) => boolean): number {
@@ -115,20 +112,5 @@
 }
 
 function isIdle (resident: Resident): boolean {
-  return resident.handle !== undefined && !resident.isUnloading && resident.running === 0
-}
-
-function findLeast (
-  residents: Iterable<Resident>, matches: (resident: Resident) => boolean, computeCost: (resident: Resident) => number
-): Resident | undefined {
-  let least: Resident | undefined
-  let leastCost = Infinity
-  for (const resident of residents) {
-    if (!matches(resident)) continue
-    const cost = computeCost(resident)
-    if (cost >= leastCost) continue
-    least = resident
-    leastCost = cost
-  }
-  return least
+  return isUsable(resident) && resident.running === 0
 }
--- a/src/core/costChoice.ts
+++ b/src/core/costChoice.ts
@@ -13,8 +13,6 @@
   preferredEndpoints: number
   /** Cost of a load outside the preferred endpoints, in milliseconds. */
   strayLoadMs: number
-  /** Stalls caused to others within this time count against a load, in milliseconds. */
-  evictionHorizonMs: number
   /** Cost of a load for work that may wait, as a part of the time left; such work gathers where its adapter is. */
   deferrableLoadPart: number
 }
@@ -24,7 +22,6 @@
   emptyPlaceMs: 2,
   preferredEndpoints: 2,
   strayLoadMs: 400,
-  evictionHorizonMs: 5000,
   deferrableLoadPart: 0.5
 })
 
@@ -100,7 +97,7 @@
   if (hasReplica && !options.mayReplicate) return { name: summary.endpointId, costMs: Infinity, note: 'the adapter is loaded elsewhere' }
   const loadMs = request.isDeferrable ? options.deferrableLoadPart * request.dueInMs : summary.expectedLoadMs * (1 + view.loadsSentSince.length / 2)
   const strayMs = rank < options.preferredEndpoints ? rank : options.strayLoadMs + rank
-  const evictionMs = request.isDeferrable ? 0 : summary.evictionCostMs * options.evictionHorizonMs / 1000
+  const evictionMs = request.isDeferrable ? 0 : summary.evictionCostMs
   const costMs = Math.max(waitMs, loadMs) + strayMs + evictionMs
   return { name: summary.endpointId, costMs, note: hasReplica ? 'another replica is worth its load' : 'the adapter needs a load' }
 }
--- a/src/core/plannerOptions.ts
+++ b/src/core/plannerOptions.ts
@@ -14,6 +14,8 @@
   maxPendingLoads: number
   /** Slots that deferrable work leaves idle, so that an urgent load finds one. */
   spareSlots: number
+  /** Arrivals within this time count as the loss of an adapter that gives up its slot. */
+  evictionHorizonMs: number
   /** Deferrable requests of one adapter that are worth a load at once. */
   gatherCount: number
   /** Whether nobody waits for the request, so that it may be gathered into a batch. */
@@ -33,6 +35,7 @@
   maxQueued: 2000,
   maxPendingLoads: 3,
   spareSlots: 1,
+  evictionHorizonMs: 10_000,
   gatherCount: 8,
   mayWait: (request: QueuedRequest) => isDeferrable(request.target),
   computeHoldMs: (slackMs: number) => 0.5 * slackMs,
--- a/src/core/slackPlanner.ts
+++ b/src/core/slackPlanner.ts
@@ -21,6 +21,8 @@
 /** Priorities on the engine; smaller runs first. */
 const urgentPriority = 0
 const deferrablePriority = 1
+/** Part of an urgent stall that a queued deferrable request counts when its adapter is lost. */
+const queuedShare = 0.2
 
 interface RunningRequest {
   request: QueuedRequest
@@ -82,6 +84,9 @@
       slackMs: latestStartMs - nowMs + (isUrgent ? this.#computeGraceMs(request) : 0),
       serviceIntervalMs: this.#serviceIntervalMs
     }, nowMs)
+    const resident = this.#slots.find(name)
+    // An adapter that is asked for again keeps its slot.
+    if (resident && isUrgent) resident.isDraining = false
     if (failure) return { isAdmitted: false, failure, decision: this.#describe('refuse', request, failure.message) }
     const giveUpAtMs = isUrgent ? request.dueAtMs + this.#computeGraceMs(request) : Infinity
     const { group } = this.#waiting.add(request, isUrgent, latestStartMs, giveUpAtMs, this.#serviceIntervalMs, nowMs)
@@ -168,13 +173,12 @@
       if (isUsable(resident)) loaded.push(resident.name)
       else if (!resident.handle) loading.push(resident.name)
     }
-    const victim = this.#slots.free > 0 ? undefined : this.#findVictim(nowMs)
     return {
       queued: this.#waiting.size,
       expectedWaitMs: this.#computeBatchWaitMs(this.#waiting.urgentCount),
-      expectedLoadMs: this.#computeLoadWaitMs(nowMs),
+      expectedLoadMs: this.#computeLoadWaitMs(),
       serviceIntervalMs: this.#serviceIntervalMs,
-      evictionCostMs: victim ? this.#computeEvictionCostMs(victim, nowMs) : 0,
+      evictionCostMs: this.#computeLeastEvictionCostMs(nowMs),
       loaded,
       loading
     }
@@ -184,7 +188,7 @@
     for (let waiting = this.#waiting.takeExpired(nowMs); waiting; waiting = this.#waiting.takeExpired(nowMs)) {
       const { request, group } = waiting
       this.#updateNeed(group, nowMs)
-      const waitMs = Math.max(this.#computeBatchWaitMs(this.#waiting.urgentCount), this.#slots.find(group.name)?.handle ? 0 : this.#computeLoadWaitMs(nowMs))
+      const waitMs = Math.max(this.#computeBatchWaitMs(this.#waiting.urgentCount), this.#slots.find(group.name)?.handle ? 0 : this.#computeLoadWaitMs())
       const message = `the target of class "${request.className}" passed before endpoint "${this.#shape.endpointId}" could start the request`
       const failure = createNotRun('target_passed', message, 503, Math.ceil(Math.max(this.#serviceIntervalMs, waitMs)))
       const decision = this.#describe('refuse', request, message)
@@ -238,20 +242,28 @@
   }
 
   #planLoads (plan: EndpointPlan, nowMs: number): void {
+    this.#planDrainedUnloads(plan, nowMs)
     let openings = this.#options.maxPendingLoads - this.#slots.pending
-    // A slot that is being unloaded is kept for the first need.
-    let awaited = this.#slots.unloading
-    while (openings > 0) {
+    while (openings > 0 && this.#slots.free > 0) {
       const need = this.#needs.firstUrgent
       if (!need) break
+      this.#planLoad(plan, need, nowMs)
       openings--
-      if (this.#slots.free > 0) this.#planLoad(plan, need, nowMs)
-      else if (awaited > 0) break
-      else if (this.#planUnload(plan, need, nowMs)) awaited++
-      else break
-      if (awaited > 0) break
     }
-    if (openings > 0 && awaited === 0 && !this.#needs.firstUrgent) this.#planRipeLoad(plan, nowMs)
+    const need = this.#needs.firstUrgent
+    // A slot that is being given up is kept for the first need.
+    if (openings <= 0 || this.#slots.leaving > 0) return
+    if (need) this.#planUnload(plan, need, nowMs)
+    else this.#planRipeLoad(plan, nowMs)
+  }
+
+  #planDrainedUnloads (plan: EndpointPlan, nowMs: number): void {
+    for (const resident of this.#slots.list()) {
+      if (!resident.isDraining || resident.isUnloading || resident.running > 0) continue
+      const need = this.#needs.firstUrgent ?? this.#needs.firstRipe
+      resident.isDraining = false
+      if (need) this.#unload(plan, resident, need, nowMs)
+    }
   }
 
   /** Loads for deferrable work while nothing urgent waits and slots stay idle for what is urgent. */
@@ -273,26 +285,30 @@
     plan.loads.push({ adapter: group.adapter, version: group.version, slackMs: need.neededAtMs - nowMs, decision })
   }
 
-  #planUnload (plan: EndpointPlan, need: LoadNeed, nowMs: number): boolean {
+  /** Gives up the slot that costs least: at once where it is idle, else when what runs there has ended. */
+  #planUnload (plan: EndpointPlan, need: LoadNeed, nowMs: number): void {
     const victim = this.#findVictim(nowMs)
-    if (!victim) return false
+    if (!victim) return
+    if (victim.running > 0) victim.isDraining = true
+    else this.#unload(plan, victim, need, nowMs)
+  }
+
+  #unload (plan: EndpointPlan, victim: Resident, need: LoadNeed, nowMs: number): void {
     victim.isUnloading = true
-    const costMs = this.#computeEvictionCostMs(victim, nowMs)
     const first = need.group.firstUrgent ?? need.group.firstDeferrable!
     const considered = [...this.#slots.list()].map(resident => ({
       name: resident.handle ?? resident.name,
-      costMs: this.#computeEvictionCostMs(resident, nowMs),
+      costMs: this.#computeVictimCostMs(resident, nowMs),
       note: resident.running > 0 ? `runs ${resident.running} requests` : 'idle'
     }))
-    const reason = `adapter "${need.group.name}" needs the slot; losing "${victim.name}" is expected to cost ${costMs.toFixed(1)} ms of stalls a second`
+    const reason = `adapter "${need.group.name}" needs the slot, and the loss of "${victim.name}" is forecast to cost least`
     plan.unloads.push({ handle: victim.handle!, decision: { ...this.#describe('unload', first.request, reason), considered, chosen: victim.handle! } })
-    return true
   }
 
   #findVictim (nowMs: number): Resident | undefined {
     return this.#slots.findVictim(resident => {
       const group = this.#waiting.findGroup(resident.name)
-      return group && group.urgentCount > 0 ? Infinity : this.#computeEvictionCostMs(resident, nowMs)
+      return group && group.urgentCount > 0 ? Infinity : this.#computeVictimCostMs(resident, nowMs)
     })
   }
 
@@ -315,18 +331,27 @@
     return request.dueAtMs - (isFirstToken ? this.#times.firstTokenMs : this.#times.computeRunMs(request.maxTokens))
   }
 
-  /** Stall forecast of losing a resident, in milliseconds of stall a second; queued work of its own counts as an arrival. */
-  #computeEvictionCostMs (resident: Resident, nowMs: number): number {
+  /** Cost of giving a resident's slot up: the wait until it is idle and the forecast of the stalls that its loss causes. */
+  #computeVictimCostMs (resident: Resident, nowMs: number): number {
+    const busyMs = resident.running > 0 ? Math.max(0, resident.busyUntilMs - nowMs) : 0
     const queued = this.#waiting.findGroup(resident.name)?.deferrableCount ?? 0
-    return (this.#demand.computeRate(resident.name, nowMs) + queued * 0.01) * this.#times.loadMs
+    const arrivals = this.#demand.computeRate(resident.name, nowMs) * this.#options.evictionHorizonMs / 1000
+    return busyMs + (arrivals + queued * queuedShare) * this.#times.loadMs
+  }
+
+  /** What the next load costs others: nothing with a free slot, else the slot that costs least. */
+  #computeLeastEvictionCostMs (nowMs: number): number {
+    if (this.#slots.free > 0) return 0
+    const victim = this.#findVictim(nowMs)
+    return victim ? this.#computeVictimCostMs(victim, nowMs) : this.#options.evictionHorizonMs
   }
 
   #computeBatchWaitMs (ahead: number): number {
     return Math.max(0, this.#running.size + ahead + 1 - this.#shape.batchLimit) * this.#serviceIntervalMs
   }
 
-  #computeLoadWaitMs (nowMs: number): number {
-    return this.#slots.computeSlotWaitMs(nowMs) + this.#times.loadMs * (1 + this.#slots.pending / this.#options.maxPendingLoads)
+  #computeLoadWaitMs (): number {
+    return this.#times.loadMs * (1 + this.#slots.pending / this.#options.maxPendingLoads)
   }
 
   #computeExpectedStartMs (request: QueuedRequest, isUrgent: boolean, name: string, nowMs: number): number {
@@ -336,7 +361,7 @@
     const resident = this.#slots.find(name)
     if (resident?.handle) return batchWaitMs
     if (resident) return Math.max(batchWaitMs, resident.plannedAtMs + this.#times.loadMs - nowMs)
-    return Math.max(batchWaitMs, this.#computeLoadWaitMs(nowMs), this.#backOff.findRetryMs(name) - nowMs)
+    return Math.max(batchWaitMs, this.#computeLoadWaitMs(), this.#backOff.findRetryMs(name) - nowMs)
   }
 
   // State
