Judge "not run" by all attempts of a request, found by random histories

Change: the last failure's verdict is joined with that of earlier attempts, in both routers. A refused resume counts as a lost endpoint, so that the scheduler checks whether the engine has crashed.

--- a/src/adapters/openaiEngine/runGeneration.ts
+++ b/src/adapters/openaiEngine/runGeneration.ts
@@ -113,14 +113,16 @@
     this.#controller?.abort(new Error(failure.message))
   }
 
-  /** An engine that does not know an answer any more can not tell that it did not run. */
   #receiveRefusal (): void {
     const error = parseEngineError(this.#body)
-    const isUnknown = this.#order.resumeFrom !== undefined || (this.#status >= 500 && this.#status !== 503)
-    const failure = isUnknown
-      ? createMayHaveRun(error.code, error.message, 502)
-      : createNotRun(error.code, error.message, this.#status)
-    this.#fail(failure, false)
+    if (this.#order.resumeFrom !== undefined) {
+      // The engine has lost the answer, so it has probably restarted.
+      this.#fail(createMayHaveRun(error.code, error.message, 502), true)
+    } else if (this.#status >= 500 && this.#status !== 503) {
+      this.#fail(createMayHaveRun(error.code, error.message, 502), false)
+    } else {
+      this.#fail(createNotRun(error.code, error.message, this.#status), false)
+    }
   }
 
   /** A whole answer is asked for again from its start; a stream without numbers cannot be continued. */
--- a/src/schemas/verdict.ts
+++ b/src/schemas/verdict.ts
@@ -46,3 +46,13 @@
 export function createMayHaveRun (code: string, message: string, status: number): RequestFailure {
   return { verdict: 'mayHaveRun', code, message, status }
 }
+
+/**
+ * Judges a request by all its attempts: where an earlier one may have run, the last one's `notRun` does not hold for the request.
+ *
+ * @example
+ * addEarlierAttempts(createNotRun('no_endpoint', 'no endpoint', 503), true).verdict // 'mayHaveRun'
+ */
+export function addEarlierAttempts (last: RequestFailure, mayHaveRun: boolean): RequestFailure {
+  return mayHaveRun && last.verdict === 'notRun' ? { ...last, verdict: 'mayHaveRun' } : last
+}
--- a/src/tasks/gateway/requestRouter.ts
+++ b/src/tasks/gateway/requestRouter.ts
@@ -8,7 +8,7 @@
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { RecordDecision } from '../../schemas/decision.js'
 import type { PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
-import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
+import { addEarlierAttempts, createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
 import { describeAdmission, describeDecision } from './describeDecision.js'
 import type { RequestDecision } from './describeDecision.js'
@@ -40,6 +40,8 @@
   target: { hostId: string, endpointId: string } | undefined
   nextSequence: number
   hasSentData: boolean
+  /** Whether an earlier attempt may have run; then the caller is never told that the request was not run. */
+  mayHaveRun: boolean
   avoidEndpoints: string[]
   waitingSinceMs: number | undefined
   waitTimer: Timer | undefined
@@ -74,6 +76,7 @@
       target: undefined,
       nextSequence: 0,
       hasSentData: false,
+      mayHaveRun: false,
       avoidEndpoints: [],
       waitingSinceMs: undefined,
       waitTimer: undefined
@@ -221,10 +224,11 @@
     }
     const obstacle = this.#findRetryObstacle(running, failure)
     if (obstacle !== undefined) {
-      this.#finishFailed(running, running.hasSentData ? { ...failure, verdict: 'mayHaveRun' } : failure)
+      this.#finishFailed(running, failure)
       return
     }
     if (running.target) running.avoidEndpoints.push(running.target.endpointId)
+    if (failure.verdict !== 'notRun') running.mayHaveRun = true
     this.#recordEnd(running, { kind: 'retry', verdict: failure.verdict, chosen: 'retry', reason: failure.message })
     this.#startAttempt(running)
   }
@@ -240,7 +244,8 @@
     return undefined
   }
 
-  #finishFailed (running: RunningRequest, failure: RequestFailure): void {
+  #finishFailed (running: RunningRequest, last: RequestFailure): void {
+    const failure = addEarlierAttempts(last, running.hasSentData || running.mayHaveRun)
     this.#recordEnd(running, { kind: 'fail', verdict: failure.verdict, chosen: failure.code, reason: failure.message })
     this.#remove(running)
     running.send({ type: 'failed', failure } satisfies AnswerEvent)
--- a/src/tasks/gateway/serviceRouter.ts
+++ b/src/tasks/gateway/serviceRouter.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../../ports/clock.js'
 import type { Service, ServiceCall, ServiceOutcome } from '../../ports/service.js'
 import type { HostListEntry, ServiceEntry } from '../../schemas/hostList.js'
-import { createNotRun } from '../../schemas/verdict.js'
+import { addEarlierAttempts, createNotRun } from '../../schemas/verdict.js'
 
 const maxAttempts = 3
 const retryAfterNoEndpointMs = 2000
@@ -58,7 +58,7 @@
     while (this.#isRetryAllowed(call, result) && tried.length < maxAttempts && !signal.aborted) {
       const next = await this.#runAttempt(call, tried, signal)
       if (next.endpointId === '') return result
-      result = next
+      result = joinResults(result, next)
     }
     return result
   }
@@ -109,3 +109,9 @@
     this.#underWay.set(endpointId, (this.#underWay.get(endpointId) ?? 0) + change)
   }
 }
+
+function joinResults (earlier: ServiceResult, next: ServiceResult): ServiceResult {
+  if (earlier.outcome.type === 'answered' || next.outcome.type === 'answered') return next
+  const failure = addEarlierAttempts(next.outcome.failure, earlier.outcome.failure.verdict !== 'notRun')
+  return { ...next, outcome: { type: 'failed', failure } }
+}
