Own endpoints by leases in the platform's table

Cause: ownership followed the lagging list alone, so two schedulers could own one endpoint, a paused one never noticed, and nothing told a successor which handles it may use or unload.

Change: one renewal row for a host and one row for an endpoint, takeover by compare-and-set with a fencing number, expiry by the watcher's own monotonic clock, and a bounded rendezvous spread with hand-over of the surplus. The endpoint's row lists the handles that a successor may adopt; the others are open, and their loader may unload them without a write, also while the table is down. A successor unloads nothing of a former owner before that one stepped down, or was silent for 20 s in which half of its witnesses reached the table. A lost endpoint is drained, not cut off. An unload whose answer was lost is repeated until its outcome is known.

--- a/bench/decisions/runTrace.ts
+++ b/bench/decisions/runTrace.ts
@@ -174,12 +174,14 @@
         kind: 'engine', id, zone: `az-${index % deployment.zones}`, address: String(index), presence: 'live', baseModel: 'base', slots, batchLimit
       },
       fencing: 1,
-      unsafeHandles: [],
+      adoptableHandles: [],
       planner: measurePlanner(this.#policy.createPlanner({ endpointId: id, slots, batchLimit }), this.#result.planning),
       ownership: {
         isOwner: () => true,
         createHandle: (endpointId, adapter, version) => `${formatHandle(adapter, version, index, ++sequence)}`,
-        writeUnloadIntent: async () => true
+        writeUnloadIntent: async () => true,
+        recordReport: () => {},
+        listRemovable: () => []
       },
       requestPermit: async (_endpointId, slackMs) => await this.#requestPermit(slackMs),
       recordDecision: () => {},
--- /dev/null
+++ b/features/ownership.feature
@@ -0,0 +1,118 @@
+Feature: Ownership of endpoints
+  One scheduler owns an endpoint at a time, by a lease in the table; an adapter that serves a request is never unloaded.
+
+  Scenario: Endpoints are spread over the schedulers
+    Given schedulers 1, 2, 3, 4 on a table with 8 engines
+    When the schedulers run for 10 seconds
+    Then every endpoint has one owner
+    And each scheduler owns 2 endpoints
+
+  Scenario: The first scheduler hands endpoints over to those that come after it
+    Given schedulers 1 on a table with 6 engines
+    When the schedulers run for 2 seconds
+    Then each scheduler owns 6 endpoints
+    When schedulers 2, 3 start
+    And the schedulers run for 20 seconds
+    Then every endpoint has one owner
+    And each scheduler owns 2 endpoints
+
+  Scenario: A killed scheduler's endpoints have an owner again within 10 seconds
+    Given schedulers 1, 2, 3 on a table with 6 engines
+    When the schedulers run for 5 seconds
+    And scheduler 1 is killed
+    And the schedulers run for 10 seconds
+    Then every endpoint has one owner
+    And each scheduler owns 3 endpoints
+
+  Scenario: A successor uses adopted handles and frees the slots of the others
+    Given schedulers 1, 2 on a table with 1 engine
+    When the schedulers run for 2 seconds
+    And the owner loads 4 adapters on "engine-1"
+    And the schedulers run for 4 seconds
+    And the owner of "engine-1" is killed
+    And the schedulers run for 8 seconds
+    Then the owner of "engine-1" may use 3 handles
+    And "engine-1" holds 4 handles
+    When the schedulers run for 25 seconds
+    Then "engine-1" holds 3 handles
+
+  Scenario: An orderly hand-over leaves every handle usable and cuts nothing off
+    Given schedulers 1, 2 on a table with 1 engine
+    When the schedulers run for 2 seconds
+    And the owner loads 4 adapters on "engine-1"
+    And the schedulers run for 2 seconds
+    And the owner of "engine-1" has a request and stops
+    And the schedulers run for 8 seconds
+    Then the stopping scheduler still owns "engine-1"
+    When its request ends
+    And the schedulers run for 3 seconds
+    Then the owner of "engine-1" may use 4 handles
+    And the owner of "engine-1" may unload each of them
+
+  Scenario: A paused owner notices before it gives an order
+    Given schedulers 1, 2 on a table with 1 engine
+    When the schedulers run for 2 seconds
+    And the owner of "engine-1" is paused for 30 seconds
+    Then the paused scheduler does not own "engine-1"
+    And every endpoint has one owner
+
+  Scenario: Without the limit on serving a paused owner gives orders after it was replaced
+    Given schedulers without the limit on serving, 1, 2 on a table with 1 engine
+    When the schedulers run for 2 seconds
+    And the owner of "engine-1" is paused for 30 seconds
+    Then the paused scheduler owns "engine-1"
+
+  Scenario: An outage of an hour
+    Given schedulers 1, 2, 3 on a table with 3 engines
+    When the schedulers run for 5 seconds
+    And the owner loads 4 adapters on "engine-1"
+    And the schedulers run for 5 seconds
+    And the table is down for 3600 seconds
+    Then every endpoint has one owner
+    And the owner of "engine-1" can swap an adapter
+    When the table is back
+    And the schedulers run for 10 seconds
+    Then every endpoint has one owner
+    And no endpoint has changed its owner
+
+  Scenario: An owner that alone is cut off from the table and its peers stops serving
+    Given schedulers 1, 2, 3 on a table with 3 engines
+    When the schedulers run for 5 seconds
+    And the owner of "engine-1" is cut off from the table and its peers
+    And the schedulers run for 12 seconds
+    Then the scheduler that is cut off does not own "engine-1"
+    And every endpoint has one owner
+
+  Scenario: Answers of the table that are lost change no owner
+    Given schedulers 1, 2 on a table with 2 engines
+    When the schedulers run for 5 seconds
+    And the next 3 answers to each scheduler are lost
+    And the schedulers run for 20 seconds
+    Then every endpoint has one owner
+    And no endpoint has changed its owner
+
+  Scenario: A takeover whose write takes effect late
+    Given schedulers 1, 2 on a table with 2 engines
+    When the schedulers run for 5 seconds
+    And scheduler 1 is killed
+    And the next 8 writes of scheduler 2 take effect 700 milliseconds late
+    And the schedulers run for 20 seconds
+    Then every endpoint has one owner
+
+  Scenario: Reads and writes of nine schedulers stay far below the table's limit
+    Given schedulers 1, 2, 3, 4, 5, 6, 7, 8, 9 on a table with 12 engines
+    When the schedulers run for 20 seconds
+    Then the table has no more than 40 reads and 40 writes a second
+
+  Scenario: Nothing breaks the promises under faults in any order
+    When 60 random histories of 40 steps run with seed 7
+    Then no history breaks a promise
+
+  Scenario Outline: The random histories find a mechanism that is switched off
+    When 300 random histories of 40 steps run with seed 7 without <mechanism>
+    Then some history breaks a promise
+
+    Examples:
+      | mechanism              |
+      | the wait for the former owner |
+      | the unload intent      |
--- /dev/null
+++ b/features/steps/ownership.ts
@@ -0,0 +1,189 @@
+/** Steps of the ownership of endpoints. */
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { defaultOwnershipPolicy } from '../../src/core/ownershipPolicy.js'
+import type { OwnershipPolicy } from '../../src/core/ownershipPolicy.js'
+import { OwnershipCluster } from '../support/ownershipCluster.js'
+import type { ClusterHost } from '../support/ownershipCluster.js'
+import { findBrokenHistory } from '../support/ownershipCommands.js'
+import { settle } from '../support/settle.js'
+
+interface OwnershipWorld {
+  cluster: OwnershipCluster
+  /** The scheduler that was paused, stopped or cut off. */
+  former: ClusterHost
+  ownersBefore: string[]
+  broken: string | undefined
+}
+
+const withoutMechanism: Record<string, Partial<OwnershipPolicy>> = {
+  'the wait for the former owner': { hasEnded: () => true },
+  'the unload intent': { isOpen: () => true },
+  'the limit on serving': { mayServe: (_nowMs, servesUntilMs) => servesUntilMs > 0 }
+}
+
+function parseIndexes (text: string): number[] {
+  return text.split(',').map(Number)
+}
+
+function openCluster (world: OwnershipWorld, indexes: string, engines: number, policy: OwnershipPolicy = defaultOwnershipPolicy): void {
+  world.cluster = new OwnershipCluster({ engines, changeOptions: options => ({ ...options, policy }) })
+  for (const index of parseIndexes(indexes)) world.cluster.addHost(index)
+}
+
+function findOwner (world: OwnershipWorld, endpointId: string): ClusterHost {
+  const [owner] = world.cluster.listOwners(endpointId)
+  assert.ok(owner, `no scheduler owns "${endpointId}"`)
+  return owner
+}
+
+function listOwnerIds (world: OwnershipWorld): string[] {
+  return [...world.cluster.engines.keys()].map(endpointId => world.cluster.listOwners(endpointId).map(host => host.hostId).join())
+}
+
+function listUsable (host: ClusterHost, endpointId: string): number {
+  const used = host.endpoints.get(endpointId)!
+  return used.adoptable.size
+}
+
+Given(/^schedulers ([\d, ]+) on a table with (\d+) engines?$/, function (this: OwnershipWorld, indexes: string, engines: string) {
+  openCluster(this, indexes, Number(engines))
+})
+
+Given(/^schedulers without (the limit on serving), ([\d, ]+) on a table with (\d+) engine$/,
+  function (this: OwnershipWorld, mechanism: string, indexes: string, engines: string) {
+    openCluster(this, indexes, Number(engines), { ...defaultOwnershipPolicy, ...withoutMechanism[mechanism] })
+  })
+
+When(/^schedulers ([\d, ]+) start$/, function (this: OwnershipWorld, indexes: string) {
+  for (const index of parseIndexes(indexes)) this.cluster.addHost(index)
+})
+
+When('the schedulers run for {int} seconds', async function (this: OwnershipWorld, seconds: number) {
+  this.ownersBefore = listOwnerIds(this)
+  await this.cluster.run(seconds * 1000)
+})
+
+When('scheduler {int} is killed', function (this: OwnershipWorld, index: number) {
+  this.cluster.hosts.get(`scheduler-${index}`)!.clock.kill()
+})
+
+When('the owner of {string} is killed', function (this: OwnershipWorld, endpointId: string) {
+  findOwner(this, endpointId).clock.kill()
+})
+
+When('the owner loads {int} adapters on {string}', function (this: OwnershipWorld, count: number, endpointId: string) {
+  const owner = findOwner(this, endpointId)
+  for (let index = 1; index <= count; index++) assert.ok(owner.load(endpointId, `adapter-${index}`))
+})
+
+When('the owner of {string} has a request and stops', function (this: OwnershipWorld, endpointId: string) {
+  this.former = findOwner(this, endpointId)
+  assert.ok(this.former.startRequest(endpointId, 0))
+  this.former.leave()
+})
+
+When('its request ends', function (this: OwnershipWorld) {
+  this.former.endRequest('engine-1')
+})
+
+When('the owner of {string} is paused for {int} seconds', async function (this: OwnershipWorld, endpointId: string, seconds: number) {
+  this.former = findOwner(this, endpointId)
+  this.former.clock.pause()
+  await this.cluster.run(seconds * 1000)
+})
+
+When('the owner of {string} is cut off from the table and its peers', function (this: OwnershipWorld, endpointId: string) {
+  this.former = findOwner(this, endpointId)
+  this.former.isCutOff = true
+  this.former.faults.isTableDown = true
+})
+
+When('the table is down for {int} seconds', async function (this: OwnershipWorld, seconds: number) {
+  this.ownersBefore = listOwnerIds(this)
+  this.cluster.setTableDown(true)
+  await this.cluster.run(seconds * 1000)
+})
+
+When('the table is back', function (this: OwnershipWorld) {
+  this.cluster.setTableDown(false)
+})
+
+When('the next {int} answers to each scheduler are lost', function (this: OwnershipWorld, count: number) {
+  for (const host of this.cluster.hosts.values()) host.faults.lostAnswers = count
+})
+
+When('the next {int} writes of scheduler {int} take effect {int} milliseconds late',
+  function (this: OwnershipWorld, count: number, index: number, lateMs: number) {
+    const { faults } = this.cluster.hosts.get(`scheduler-${index}`)!
+    faults.lateWrites = count
+    faults.lateMs = lateMs
+  })
+
+When(/^(\d+) random histories of (\d+) steps run with seed (\d+)(?: without (.+))?$/,
+  async function (this: OwnershipWorld, runs: string, steps: string, seed: string, mechanism: string | null) {
+    const policy = { ...defaultOwnershipPolicy, ...(mechanism ? withoutMechanism[mechanism] : {}) }
+    this.broken = await findBrokenHistory({ seed: Number(seed), runs: Number(runs), steps: Number(steps), policy })
+  })
+
+Then('every endpoint has one owner', function (this: OwnershipWorld) {
+  for (const endpointId of this.cluster.engines.keys()) {
+    assert.equal(this.cluster.listOwners(endpointId).length, 1, `owners of ${endpointId}`)
+  }
+  assert.deepEqual(this.cluster.listViolations(), [])
+})
+
+Then('each scheduler owns {int} endpoint(s)', function (this: OwnershipWorld, count: number) {
+  const running = [...this.cluster.hosts.values()].filter(host => host.clock.isRunning)
+  assert.deepEqual(running.map(host => host.ownership.listOwned().length), running.map(() => count))
+})
+
+Then('the owner of {string} may use {int} handles', function (this: OwnershipWorld, endpointId: string, count: number) {
+  assert.equal(listUsable(findOwner(this, endpointId), endpointId), count)
+})
+
+Then('{string} holds {int} handles', function (this: OwnershipWorld, endpointId: string, count: number) {
+  assert.equal(this.cluster.findEngine(endpointId).handles.length, count)
+})
+
+Then('the owner of {string} may unload each of them', async function (this: OwnershipWorld, endpointId: string) {
+  const owner = findOwner(this, endpointId)
+  while (this.cluster.findEngine(endpointId).handles.length > 0) {
+    assert.ok(await settle(this.cluster.clock, owner.unloadOne(endpointId, 0)))
+  }
+  assert.deepEqual(this.cluster.listViolations(), [])
+})
+
+Then('the owner of {string} can swap an adapter', async function (this: OwnershipWorld, endpointId: string) {
+  const owner = findOwner(this, endpointId)
+  assert.ok(await settle(this.cluster.clock, owner.unloadOne(endpointId, 0)))
+  assert.ok(owner.load(endpointId, 'cold'))
+})
+
+Then('the stopping scheduler still owns {string}', function (this: OwnershipWorld, endpointId: string) {
+  assert.equal(findOwner(this, endpointId), this.former)
+})
+
+Then(/^the (?:paused scheduler|scheduler that is cut off) (owns|does not own) "(.+)"$/,
+  function (this: OwnershipWorld, state: string, endpointId: string) {
+    assert.equal(this.former.ownership.isOwner(endpointId), state === 'owns')
+  })
+
+Then('no endpoint has changed its owner', function (this: OwnershipWorld) {
+  assert.deepEqual(listOwnerIds(this), this.ownersBefore)
+})
+
+Then('the table has no more than {int} reads and {int} writes a second', function (this: OwnershipWorld, reads: number, writes: number) {
+  const seconds = this.cluster.clock.readMonotonic() / 1000
+  const { calls } = this.cluster
+  assert.ok(calls.reads / seconds <= reads, `${calls.reads / seconds} reads a second`)
+  assert.ok(calls.writes / seconds <= writes, `${calls.writes / seconds} writes a second`)
+})
+
+Then('no history breaks a promise', function (this: OwnershipWorld) {
+  assert.equal(this.broken, undefined)
+})
+
+Then('some history breaks a promise', function (this: OwnershipWorld) {
+  assert.notEqual(this.broken, undefined)
+})
--- /dev/null
+++ b/features/support/ownershipCluster.ts
@@ -0,0 +1,246 @@
+/** Several schedulers' ownership on one table, on a virtual clock, each with faults of its own. */
+import { MemoryHostList } from '../../src/adapters/memoryPlatform/memoryHostList.js'
+import { MemoryObjects } from '../../src/adapters/memoryPlatform/memoryObjects.js'
+import { MemoryTable } from '../../src/adapters/memoryPlatform/memoryTable.js'
+import { createFaultyPlatform } from '../../src/adapters/memoryPlatform/faultyPlatform.js'
+import { createPlatformFaults } from '../../src/adapters/memoryPlatform/platformFaults.js'
+import type { PlatformFaults } from '../../src/adapters/memoryPlatform/platformFaults.js'
+import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
+import type { Table } from '../../src/ports/table.js'
+import { LeaseOwnership } from '../../src/tasks/ownership/leaseOwnership.js'
+import type { LeaseOwnershipOptions } from '../../src/tasks/ownership/leaseOwnership.js'
+import type { OwnershipEvent } from '../../src/tasks/ownership/ownership.js'
+import { OwnershipEngine } from './ownershipEngine.js'
+import { PausableClock } from './pausableClock.js'
+
+const reportIntervalMs = 250
+const tableDelayMs = 2
+
+export interface ClusterOptions {
+  engines: number
+  slots?: number
+  /** Changes the options of every host, to switch a mechanism off. */
+  changeOptions?: (options: LeaseOwnershipOptions) => LeaseOwnershipOptions
+}
+
+interface UsedEndpoint {
+  fencing: number
+  adoptable: Set<string>
+  /** Handles of this host's running requests. */
+  running: string[]
+  /** Handles that get no more requests because their unload is under way. */
+  unloading: Set<string>
+  isClosed: boolean
+}
+
+/** One scheduler: ownership with the least code that uses it as the real scheduler does. */
+export class ClusterHost {
+  readonly ownership: LeaseOwnership
+  readonly clock: PausableClock
+  readonly faults: PlatformFaults
+  readonly endpoints = new Map<string, UsedEndpoint>()
+  /** Set where the host's links to its peers are cut. */
+  isCutOff = false
+  #cluster: OwnershipCluster
+  readonly hostId: string
+
+  constructor (cluster: OwnershipCluster, hostId: string, zone: string) {
+    this.#cluster = cluster
+    this.hostId = hostId
+    this.clock = new PausableClock(cluster.clock)
+    this.faults = createPlatformFaults({ delayMs: tableDelayMs })
+    const { table, hostList } = createFaultyPlatform({
+      clock: this.clock, faults: this.faults, table: cluster.countCalls(), objects: new MemoryObjects(), hostList: cluster.hostList
+    })
+    this.ownership = new LeaseOwnership(cluster.options.changeOptions({
+      clock: this.clock,
+      table,
+      hostList,
+      holder: { hostId, session: `${hostId}-session` },
+      zone,
+      hashText,
+      listOutageReports: () => cluster.listOutageReports(this),
+      send: event => this.#receive(event)
+    }))
+    this.ownership.start()
+    this.#repeatReport()
+  }
+
+  /** Gives a request to a handle of the endpoint; false where nothing was run. */
+  startRequest (endpointId: string, pick: number): boolean {
+    const used = this.endpoints.get(endpointId)
+    if (!used || used.isClosed || !this.clock.isRunning || !this.ownership.isOwner(endpointId)) return false
+    const handles = this.#listUsable(endpointId)
+    const handle = handles[pick % Math.max(1, handles.length)]
+    if (!handle || !this.#cluster.findEngine(endpointId).startRequest(handle, this.hostId)) return false
+    used.running.push(handle)
+    return true
+  }
+
+  endRequest (endpointId: string): void {
+    const used = this.endpoints.get(endpointId)
+    const handle = used?.running.shift()
+    if (!used || !handle) return
+    this.#cluster.findEngine(endpointId).endRequest(handle)
+    this.#releaseIfDone(endpointId)
+  }
+
+  /** Loads one more adapter; false where that is not possible now. */
+  load (endpointId: string, adapter: string): boolean {
+    const handle = this.clock.isRunning ? this.ownership.createHandle(endpointId, adapter, '1') : undefined
+    return handle !== undefined && this.#cluster.findEngine(endpointId).load(handle)
+  }
+
+  /** Unloads an idle handle, as the planner would: another one where the first may not be unloaded. */
+  async unloadOne (endpointId: string, pick: number): Promise<boolean> {
+    const used = this.endpoints.get(endpointId)
+    const idle = this.#listUsable(endpointId).filter(handle => !used!.running.includes(handle))
+    for (let index = 0; index < idle.length; index++) {
+      const handle = idle[(index + pick) % idle.length]!
+      if (await this.#unload(endpointId, handle)) return true
+    }
+    return false
+  }
+
+  /** Hands every endpoint over as its requests end, as a scheduler that stops gracefully. */
+  leave (): void {
+    this.ownership.leave()
+    for (const endpointId of [...this.endpoints.keys()]) this.#close(endpointId)
+  }
+
+  async #unload (endpointId: string, handle: string): Promise<boolean> {
+    const used = this.endpoints.get(endpointId)
+    if (!used || used.isClosed) return false
+    used.unloading.add(handle)
+    if (!await this.ownership.writeUnloadIntent(endpointId, handle)) {
+      used.unloading.delete(handle)
+      return false
+    }
+    this.#cluster.findEngine(endpointId).recordIntent(handle, this.hostId)
+    // The process may be paused before the order is under way.
+    await new Promise<void>(resolve => { this.clock.setTimer(resolve, tableDelayMs) })
+    this.#cluster.findEngine(endpointId).unload(handle, this.hostId)
+    return true
+  }
+
+  #listUsable (endpointId: string): string[] {
+    const used = this.endpoints.get(endpointId)
+    if (!used) return []
+    return this.#cluster.findEngine(endpointId).handles
+      .filter(handle => !used.unloading.has(handle))
+      .filter(handle => used.adoptable.has(handle) || handle.includes(`#${used.fencing}.`))
+  }
+
+  #receive (event: OwnershipEvent): void {
+    if (event.type === 'gained') {
+      const { entry, fencing, adoptableHandles } = event
+      this.endpoints.set(entry.id, { fencing, adoptable: new Set(adoptableHandles), running: [], unloading: new Set(), isClosed: false })
+    } else if (event.type !== 'changed') {
+      this.#close(event.endpointId)
+    }
+  }
+
+  #close (endpointId: string): void {
+    const used = this.endpoints.get(endpointId)
+    if (!used) return
+    used.isClosed = true
+    this.#releaseIfDone(endpointId)
+  }
+
+  #releaseIfDone (endpointId: string): void {
+    const used = this.endpoints.get(endpointId)
+    if (!used?.isClosed || used.running.length > 0) return
+    this.endpoints.delete(endpointId)
+    this.ownership.release(endpointId, used.fencing)
+  }
+
+  #repeatReport (): void {
+    for (const [endpointId, used] of this.endpoints) {
+      const engine = this.#cluster.findEngine(endpointId)
+      if (used.isClosed) continue
+      this.ownership.recordReport(endpointId, engine.readReport(), this.clock.readMonotonic())
+      for (const handle of this.ownership.listRemovable(endpointId)) engine.unload(handle, this.hostId)
+    }
+    this.clock.setTimer(() => this.#repeatReport(), reportIntervalMs)
+  }
+}
+
+export class OwnershipCluster {
+  readonly clock = new VirtualClock()
+  readonly table = new MemoryTable()
+  readonly hostList = new MemoryHostList(this.clock, 0)
+  readonly engines = new Map<string, OwnershipEngine>()
+  readonly hosts = new Map<string, ClusterHost>()
+  readonly options: Required<ClusterOptions>
+  readonly calls = { reads: 0, writes: 0 }
+
+  constructor (options: ClusterOptions) {
+    this.options = { slots: 4, changeOptions: given => given, ...options }
+    for (let index = 1; index <= options.engines; index++) this.#addEngine(`engine-${index}`, `az-${(index - 1) % 3 + 1}`)
+  }
+
+  addHost (index: number): ClusterHost {
+    const host = new ClusterHost(this, `scheduler-${index}`, `az-${(index - 1) % 3 + 1}`)
+    this.hosts.set(host.hostId, host)
+    return host
+  }
+
+  findEngine (endpointId: string): OwnershipEngine {
+    return this.engines.get(endpointId)!
+  }
+
+  /** Hosts that say they own the endpoint. */
+  listOwners (endpointId: string): ClusterHost[] {
+    return [...this.hosts.values()].filter(host => host.clock.isRunning && host.ownership.isOwner(endpointId))
+  }
+
+  listViolations (): string[] {
+    return [...this.engines.values()].flatMap(engine => engine.violations)
+  }
+
+  listOutageReports (asking: ClusterHost): string[] {
+    return [...this.hosts.values()]
+      .filter(host => host !== asking && host.clock.isRunning && !host.isCutOff && !asking.isCutOff && host.ownership.hasOutage())
+      .map(host => host.hostId)
+  }
+
+  setTableDown (isTableDown: boolean): void {
+    for (const host of this.hosts.values()) host.faults.isTableDown = isTableDown
+  }
+
+  async run (ms: number): Promise<void> {
+    await this.clock.runUntilSettled(this.clock.readMonotonic() + ms)
+  }
+
+  countCalls (): Table {
+    const { table, calls } = this
+    return {
+      readRows: async keys => {
+        calls.reads++
+        return await table.readRows(keys)
+      },
+      listRows: async range => {
+        calls.reads++
+        return await table.listRows(range)
+      },
+      transact: async transaction => {
+        calls.writes++
+        return await table.transact(transaction)
+      }
+    }
+  }
+
+  #addEngine (id: string, zone: string): void {
+    this.engines.set(id, new OwnershipEngine(this.options.slots))
+    this.hostList.addEntry({
+      kind: 'engine', id, zone, address: '127.0.0.1:1', presence: 'live', baseModel: 'base-1', slots: this.options.slots, batchLimit: 16
+    })
+  }
+}
+
+/** FNV-1a over 32 bits. */
+export function hashText (text: string): number {
+  let hash = 0x811c9dc5
+  for (let index = 0; index < text.length; index++) hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193) >>> 0
+  return hash
+}
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -1,4 +1,5 @@
 /** Wires gateways and schedulers to a platform, for the binaries and the quick start alike. */
+import { randomUUID } from 'node:crypto'
 import xxhash from 'xxhash-wasm'
 import type { Platform } from '../adapters/httpPlatform/httpPlatform.js'
 import { createSystemClock } from '../adapters/clock/systemClock.js'
@@ -13,7 +14,7 @@
 import { DecisionStore } from '../tasks/decisions/decisionStore.js'
 import { ConfigurationTask } from '../tasks/configuration/configurationTask.js'
 import { GatewayTask } from '../tasks/gateway/gatewayTask.js'
-import { RendezvousOwnership } from '../tasks/ownership/rendezvousOwnership.js'
+import { LeaseOwnership } from '../tasks/ownership/leaseOwnership.js'
 import { SchedulerTask } from '../tasks/scheduler/schedulerTask.js'
 import { startState } from './startState.js'
 import type { RunningProcess } from './runBinary.js'
@@ -88,7 +89,16 @@
     clock,
     engine,
     createPlanner: createSlackPlanners(),
-    createOwnership: send => new RendezvousOwnership({ clock, hostList: platform.hostList, hostId: host.id, hashText: h32, send }),
+    createOwnership: send => new LeaseOwnership({
+      clock,
+      table: platform.table,
+      hostList: platform.hostList,
+      holder: { hostId: host.id, session: randomUUID() },
+      zone: host.zone,
+      hashText: h32,
+      listOutageReports: () => [],
+      send
+    }),
     requestPermit: async () => () => {},
     loadBudget: settings.store,
     configuration,
--- a/src/core/adapterSlots.ts
+++ b/src/core/adapterSlots.ts
@@ -11,6 +11,8 @@
   /** When the last of the requests that run is expected to end. */
   busyUntilMs: number
   isUnloading: boolean
+  /** May not be unloaded before this time, because the last unload was not carried out. */
+  keptUntilMs: number
   /** Takes no more requests, so that its slot falls free. */
   isDraining: boolean
   plannedAtMs: number
@@ -21,6 +23,7 @@
 
 export class AdapterSlots {
   #limit: number
+  #blocked = 0
   #residents = new Map<string, Resident>()
 
   constructor (limit: number) {
@@ -28,7 +31,12 @@
   }
 
   get free (): number {
-    return this.#limit - this.#residents.size
+    return this.#limit - this.#blocked - this.#residents.size
+  }
+
+  /** Sets how many slots hold adapters that no request may use. */
+  setBlocked (count: number): void {
+    this.#blocked = count
   }
 
   get pending (): number {
@@ -58,6 +66,7 @@
       running: 0,
       busyUntilMs: nowMs,
       isUnloading: false,
+      keptUntilMs: nowMs,
       isDraining: false,
       plannedAtMs: nowMs,
       startedAtMs: undefined,
--- a/src/core/firstComePlanner.ts
+++ b/src/core/firstComePlanner.ts
@@ -9,6 +9,7 @@
 const maxQueued = 2000
 const expectedRunMs = 1000
 const expectedLoadMs = 1500
+const keepAfterFailedUnloadMs = 2000
 
 interface Resident {
   adapter: string
@@ -17,6 +18,8 @@
   running: number
   usedAtMs: number
   isUnloading: boolean
+  /** No unload is planned before this time, because the last one was not carried out. */
+  keptUntilMs: number
 }
 
 /** Creates a planner that serves requests in order of arrival. */
@@ -27,6 +30,7 @@
   #queue: QueuedRequest[] = []
   #running = new Map<string, Resident>()
   #residents = new Map<string, Resident>()
+  #blockedSlots = 0
 
   constructor (shape: EndpointShape) {
     this.#shape = shape
@@ -74,12 +78,18 @@
     }
   }
 
-  recordUnloadFailed (handle: string): void {
+  recordUnloadFailed (handle: string, nowMs: number): void {
     for (const resident of this.#residents.values()) {
-      if (resident.handle === handle) resident.isUnloading = false
+      if (resident.handle !== handle) continue
+      resident.isUnloading = false
+      resident.keptUntilMs = nowMs + keepAfterFailedUnloadMs
     }
   }
 
+  recordBlockedSlots (count: number): void {
+    this.#blockedSlots = count
+  }
+
   recordRestarted (): void {
     this.#residents.clear()
     this.#running.clear()
@@ -128,8 +138,8 @@
   }
 
   #planLoad (request: QueuedRequest, plan: EndpointPlan, nowMs: number): void {
-    if (this.#residents.size >= this.#shape.slots) {
-      this.#planUnload(request, plan)
+    if (this.#residents.size + this.#blockedSlots >= this.#shape.slots) {
+      this.#planUnload(request, plan, nowMs)
       return
     }
     this.#addResident(request.adapter, request.version, nowMs)
@@ -141,12 +151,12 @@
     })
   }
 
-  #planUnload (request: QueuedRequest, plan: EndpointPlan): void {
+  #planUnload (request: QueuedRequest, plan: EndpointPlan, nowMs: number): void {
     const residents = [...this.#residents.values()]
     if (residents.some(resident => resident.isUnloading)) return
     const wanted = new Set(this.#queue.map(queued => formatAdapter(queued.adapter, queued.version)))
     const idle = residents
-      .filter(resident => resident.handle && resident.running === 0 && !wanted.has(formatAdapter(resident.adapter, resident.version)))
+      .filter(resident => resident.handle && resident.running === 0 && resident.keptUntilMs <= nowMs && !wanted.has(formatAdapter(resident.adapter, resident.version)))
       .sort((left, right) => left.usedAtMs - right.usedAtMs)[0]
     if (!idle) return
     idle.isUnloading = true
@@ -154,7 +164,7 @@
   }
 
   #addResident (adapter: string, version: string, nowMs: number): Resident {
-    const resident: Resident = { adapter, version, handle: undefined, running: 0, usedAtMs: nowMs, isUnloading: false }
+    const resident: Resident = { adapter, version, handle: undefined, running: 0, usedAtMs: nowMs, isUnloading: false, keptUntilMs: nowMs }
     this.#residents.set(formatAdapter(adapter, version), resident)
     return resident
   }
--- /dev/null
+++ b/src/core/ownershipPolicy.ts
@@ -0,0 +1,17 @@
+/** The rules of ownership that safety rests on, as functions, so that tests can switch each one off. */
+import type { FormerState } from './ownershipFormer.js'
+
+export interface OwnershipPolicy {
+  /** Whether an owner may serve now, given until when its last proof of ownership lasts. */
+  mayServe: (nowMs: number, servesUntilMs: number) => boolean
+  /** Whether a former owner can no longer send requests. */
+  hasEnded: (state: FormerState) => boolean
+  /** Whether a handle may be unloaded without a write, given whether the table may show it as adoptable. */
+  isOpen: (mayBeAdoptable: boolean) => boolean
+}
+
+export const defaultOwnershipPolicy: OwnershipPolicy = Object.freeze<OwnershipPolicy>({
+  mayServe: (nowMs, servesUntilMs) => nowMs < servesUntilMs,
+  hasEnded: state => state !== 'mayServe',
+  isOpen: mayBeAdoptable => !mayBeAdoptable
+})
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -95,8 +95,13 @@
   recordLoaded: (adapter: string, version: string, handle: string, nowMs: number) => void
   recordLoadFailed: (adapter: string, version: string, nowMs: number) => void
   recordUnloaded: (handle: string, nowMs: number) => void
-  /** A planned unload was not carried out; the handle is usable again. */
+  /**
+   * A planned unload was not carried out; the handle is usable again. Another handle should be tried next: while the
+   * table is down, only some of them may be unloaded.
+   */
   recordUnloadFailed: (handle: string, nowMs: number) => void
+  /** So many slots hold adapters that no request may use and that the planner cannot unload. */
+  recordBlockedSlots: (count: number, nowMs: number) => void
   /** The engine lost everything; returns nothing, the scheduler fails what ran. */
   recordRestarted: (nowMs: number) => void
   plan: (nowMs: number) => EndpointPlan
--- a/src/core/slackPlanner.ts
+++ b/src/core/slackPlanner.ts
@@ -23,6 +23,8 @@
 const deferrablePriority = 1
 /** Part of an urgent stall that a queued deferrable request counts when its adapter is lost. */
 const queuedShare = 0.2
+/** While the table is down some adapters cannot be unloaded; others are tried meanwhile. */
+const keepAfterFailedUnloadMs = 2000
 
 interface RunningRequest {
   request: QueuedRequest
@@ -141,9 +143,15 @@
     if (resident) this.#removeResident(resident.name, nowMs)
   }
 
-  recordUnloadFailed (handle: string): void {
+  recordUnloadFailed (handle: string, nowMs: number): void {
     const resident = this.#slots.findByHandle(handle)
-    if (resident) resident.isUnloading = false
+    if (!resident) return
+    resident.isUnloading = false
+    resident.keptUntilMs = nowMs + keepAfterFailedUnloadMs
+  }
+
+  recordBlockedSlots (count: number): void {
+    this.#slots.setBlocked(count)
   }
 
   recordRestarted (nowMs: number): void {
@@ -308,7 +316,8 @@
   #findVictim (nowMs: number): Resident | undefined {
     return this.#slots.findVictim(resident => {
       const group = this.#waiting.findGroup(resident.name)
-      return group && group.urgentCount > 0 ? Infinity : this.#computeVictimCostMs(resident, nowMs)
+      const isKept = resident.keptUntilMs > nowMs
+      return isKept || (group && group.urgentCount > 0) ? Infinity : this.#computeVictimCostMs(resident, nowMs)
     })
   }
 
--- /dev/null
+++ b/src/schemas/ownershipRows.ts
@@ -0,0 +1,57 @@
+/** Rows in which schedulers agree on who owns which endpoint. */
+import { Type } from '@sinclair/typebox'
+import type { Static } from '@sinclair/typebox'
+
+/** One process of a scheduler; `session` differs after every restart. */
+export const holderSchema = Type.Object({ hostId: Type.String(), session: Type.String() })
+export type Holder = Static<typeof holderSchema>
+
+export const heldLeaseSchema = Type.Object({ endpointId: Type.String(), fencing: Type.Integer() })
+export type HeldLease = Static<typeof heldLeaseSchema>
+
+/** The one row that a scheduler renews for all its leases. */
+export const hostRowSchema = Type.Object({
+  hostId: Type.String(),
+  session: Type.String(),
+  zone: Type.String(),
+  /** Rises with each renewal. */
+  counter: Type.Integer(),
+  isLeaving: Type.Boolean(),
+  /** Hosts, the holder among them, of which more than half must report an outage before the holder serves through one. */
+  witnesses: Type.Array(Type.String()),
+  /** Leases under which the holder may still have a request on an endpoint. */
+  held: Type.Array(heldLeaseSchema)
+})
+export type HostRow = Static<typeof hostRowSchema>
+
+/** A former owner that may still send requests to the handles that it loaded. */
+export const formerOwnerSchema = Type.Object({
+  hostId: Type.String(),
+  session: Type.String(),
+  fencing: Type.Integer()
+})
+export type FormerOwner = Static<typeof formerOwnerSchema>
+
+export const endpointRowSchema = Type.Object({
+  endpointId: Type.String(),
+  /** Absent while nobody owns the endpoint. */
+  owner: Type.Optional(holderSchema),
+  /** Rises with each change of owner. */
+  fencing: Type.Integer(),
+  /** Handles that no owner unloads before it has taken them off this list; a successor may use these alone. */
+  adoptable: Type.Array(Type.String()),
+  former: Type.Array(formerOwnerSchema)
+})
+export type EndpointRow = Static<typeof endpointRowSchema>
+
+export const ownershipPrefix = 'ownership/'
+
+/** Formats the key of a scheduler's renewal row. */
+export function formatHostKey (hostId: string): string {
+  return `${ownershipPrefix}host/${hostId}`
+}
+
+/** Formats the key of an endpoint's row. */
+export function formatEndpointKey (endpointId: string): string {
+  return `${ownershipPrefix}endpoint/${endpointId}`
+}
--- /dev/null
+++ b/src/tasks/scheduler/endpointHandles.ts
@@ -0,0 +1,82 @@
+/** Which handles of an endpoint its owner may use, and how they are unloaded. */
+import { createLog } from '../../createLog.js'
+import { parseHandle } from '../../core/formatAdapter.js'
+import type { Clock } from '../../ports/clock.js'
+import type { Engine, EngineReport, OrderOutcome } from '../../ports/engine.js'
+import type { Ownership } from '../ownership/ownership.js'
+
+const log = createLog('scheduler')
+const repeatDelayMs = 500
+
+/** `kept`: certainly not unloaded, and usable; `unknown`: an order may still take effect. */
+export type UnloadOutcome = 'unloaded' | 'kept' | 'unknown'
+
+export interface EndpointHandlesOptions {
+  clock: Clock
+  engine: Pick<Engine, 'unloadAdapter'>
+  endpointId: string
+  fencing: number
+  /** Handles of former owners that may be used. */
+  adoptableHandles: string[]
+  ownership: Pick<Ownership, 'isOwner' | 'writeUnloadIntent' | 'recordReport' | 'listRemovable'>
+}
+
+export class EndpointHandles {
+  #options: EndpointHandlesOptions
+  #adoptable: Set<string>
+  #removing = new Set<string>()
+
+  constructor (options: EndpointHandlesOptions) {
+    this.#options = options
+    this.#adoptable = new Set(options.adoptableHandles)
+  }
+
+  /** Whether requests may be given to a handle. */
+  isUsable (handle: string): boolean {
+    return this.#adoptable.has(handle) || parseHandle(handle)?.fencing === this.#options.fencing
+  }
+
+  /** Takes a report, orders what may be removed to be unloaded, and counts the slots that are not usable. */
+  receiveReport (address: string, report: EngineReport, readAtMs: number): number {
+    const { ownership, endpointId } = this.#options
+    ownership.recordReport(endpointId, report, readAtMs)
+    for (const handle of ownership.listRemovable(endpointId)) this.#remove(address, handle)
+    return report.adapters.filter(({ handle }) => !this.isUsable(handle)).length
+  }
+
+  /** Unloads a handle that gets no requests any more; `recordOrder` is called where the order is given. */
+  async unload (address: string, handle: string, recordOrder: () => void): Promise<UnloadOutcome> {
+    const { ownership, endpointId } = this.#options
+    const mayUnload = await ownership.writeUnloadIntent(endpointId, handle)
+    if (!mayUnload || !ownership.isOwner(endpointId)) return 'kept'
+    recordOrder()
+    const outcome = await this.#order(address, handle)
+    if (outcome.verdict === 'done') return 'unloaded'
+    log('Unload of "%s" on "%s" was not carried out: %s.', handle, endpointId, outcome.message)
+    return outcome.verdict === 'refused' ? 'kept' : 'unknown'
+  }
+
+  async #remove (address: string, handle: string): Promise<void> {
+    if (this.#removing.has(handle)) return
+    this.#removing.add(handle)
+    const outcome = await this.#order(address, handle)
+    log('Handle "%s" of a former owner of "%s" was ordered to be unloaded: %s.', handle, this.#options.endpointId, outcome.verdict)
+    this.#removing.delete(handle)
+  }
+
+  /**
+   * Repeats the order until its outcome is known: an order that may still take effect makes the handle unusable.
+   * `unknown` is returned only where the order may not be given any more.
+   */
+  async #order (address: string, handle: string): Promise<OrderOutcome> {
+    const { clock, engine, ownership, endpointId, fencing } = this.#options
+    const { adapter, version } = parseHandle(handle)!
+    for (;;) {
+      const outcome = await engine.unloadAdapter(address, { adapter, version, handle, fencing })
+      if (outcome.verdict === 'refused' && outcome.code === 'handle_unknown') return { verdict: 'done' }
+      if (outcome.verdict !== 'unknown') return outcome
+      await new Promise<void>(resolve => { clock.setTimer(resolve, repeatDelayMs) })
+      if (!ownership.isOwner(endpointId)) return outcome
+    }
+  }
+}
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -14,6 +14,7 @@
 import type { RequestFailure } from '../../schemas/verdict.js'
 import type { Ownership } from '../ownership/ownership.js'
 import { describeAttempts } from './describeEndpoint.js'
+import { EndpointHandles } from './endpointHandles.js'
 import { defaultPlanResume, startResumedGeneration } from './resumeGeneration.js'
 
 const log = createLog('scheduler')
@@ -31,10 +32,10 @@
   engine: Engine
   entry: EngineEntry
   fencing: number
-  /** Handles that a former owner may still unload. */
-  unsafeHandles: string[]
+  /** Handles of former owners that requests may be given to. */
+  adoptableHandles: string[]
   planner: EndpointPlanner
-  ownership: Pick<Ownership, 'isOwner' | 'createHandle' | 'writeUnloadIntent'>
+  ownership: Pick<Ownership, 'isOwner' | 'createHandle' | 'writeUnloadIntent' | 'recordReport' | 'listRemovable'>
   requestPermit: RequestPermit
   recordDecision: RecordDecision
   /** Called with what ran on the endpoint when its engine went away. */
@@ -75,16 +76,22 @@
   #reports: Repetition | undefined
   #heldSuspects: Attempt[] = []
   #lossCheck: Promise<void> | undefined
+  #handles: EndpointHandles
 
   constructor (options: EndpointTaskOptions) {
     this.#options = options
     this.#entry = options.entry
+    this.#handles = new EndpointHandles({ ...options, endpointId: options.entry.id })
   }
 
   get endpointId (): string {
     return this.#entry.id
   }
 
+  get fencing (): number {
+    return this.#options.fencing
+  }
+
   get running (): number {
     return [...this.#attempts.values()].filter(attempt => attempt.generation).length
   }
@@ -104,18 +111,11 @@
     }
   }
 
-  /** Stops at once; what still runs is failed as it stands. */
-  stop (reason: string): void {
+  /** Ends the task; to be called when nothing runs any more. */
+  stop (): void {
     this.#isStopping = true
     this.#reports?.stop()
     this.#wake?.cancel()
-    for (const attempt of [...this.#attempts.values()]) {
-      const isSent = attempt.generation !== undefined
-      attempt.generation?.cancel()
-      this.#fail(attempt, isSent
-        ? createMayHaveRun('owner_changed', `endpoint "${this.endpointId}" changed its owner: ${reason}`, 502)
-        : createNotRun('owner_changed', `endpoint "${this.endpointId}" changed its owner: ${reason}`, 503))
-    }
   }
 
   receiveEntry (entry: EngineEntry): void {
@@ -248,6 +248,10 @@
     const attempt = this.#attempts.get(formatAttempt(planned))
     if (!attempt) return
     const { dispatch } = attempt
+    if (!this.#options.ownership.isOwner(this.endpointId)) {
+      this.#fail(attempt, this.#findRefusal()!)
+      return
+    }
     this.#options.recordDecision({ ...planned.decision, handle: planned.handle })
     attempt.handle = planned.handle
     const order: GenerateOrder = {
@@ -271,21 +275,10 @@
   }
 
   async #carryOutUnload (planned: PlannedUnload): Promise<void> {
-    const { ownership, planner, clock, engine, fencing } = this.#options
-    const parsed = parseHandle(planned.handle)
-    const mayUnload = parsed !== undefined && await ownership.writeUnloadIntent(this.endpointId, planned.handle)
-    if (!mayUnload || !ownership.isOwner(this.endpointId)) {
-      planner.recordUnloadFailed(planned.handle, clock.readMonotonic())
-      return
-    }
-    this.#options.recordDecision(planned.decision)
-    const outcome = await engine.unloadAdapter(this.#entry.address, { ...parsed, handle: planned.handle, fencing })
-    if (outcome.verdict === 'done' || (outcome.verdict === 'refused' && outcome.code === 'handle_unknown')) {
-      planner.recordUnloaded(planned.handle, clock.readMonotonic())
-    } else {
-      log('Unload of "%s" on "%s" was not carried out: %s.', planned.handle, this.endpointId, outcome.message)
-      planner.recordUnloadFailed(planned.handle, clock.readMonotonic())
-    }
+    const { planner, clock, recordDecision } = this.#options
+    const outcome = await this.#handles.unload(this.#entry.address, planned.handle, () => recordDecision(planned.decision))
+    if (outcome === 'unloaded') planner.recordUnloaded(planned.handle, clock.readMonotonic())
+    else if (outcome === 'kept') planner.recordUnloadFailed(planned.handle, clock.readMonotonic())
     this.#options.receiveChange()
     this.#plan()
   }
@@ -400,8 +393,11 @@
   // Reports
 
   async #readReport (): Promise<void> {
-    const report = await this.#options.engine.readReport(this.#entry.address)
+    const { clock, engine, planner } = this.#options
+    const readAtMs = clock.readMonotonic()
+    const report = await engine.readReport(this.#entry.address)
     this.#missedReports = 0
+    planner.recordBlockedSlots(this.#handles.receiveReport(this.#entry.address, report, readAtMs), clock.readMonotonic())
     if (report.incarnation !== this.#incarnation) this.#receiveIncarnation(report)
     if (!this.#isReady) {
       this.#isReady = true
@@ -416,7 +412,7 @@
     const nowMs = this.#options.clock.readMonotonic()
     for (const { handle, state } of report.adapters) {
       const parsed = parseHandle(handle)
-      if (!parsed || state !== 'loaded' || this.#options.unsafeHandles.includes(handle)) continue
+      if (!parsed || state !== 'loaded' || !this.#handles.isUsable(handle)) continue
       this.#options.planner.recordLoaded(parsed.adapter, parsed.version, handle, nowMs)
     }
   }
--- a/src/tasks/scheduler/schedulerTask.ts
+++ b/src/tasks/scheduler/schedulerTask.ts
@@ -50,6 +50,8 @@
   #options: SchedulerTaskOptions
   #ownership: Ownership
   #endpoints = new Map<string, EndpointTask>()
+  /** Endpoints that are being handed over, until what runs on them has ended. */
+  #handOvers = new Map<EndpointTask, Promise<void>>()
   #links = new Map<PeerLink, OpenLink>()
   #server: PeerServer | undefined
   #summaries: Repetition | undefined
@@ -125,7 +127,8 @@
   async stop (): Promise<void> {
     this.#isLeaving = true
     this.#sendSummaries()
-    await Promise.all([...this.#endpoints.values()].map(async endpoint => await endpoint.drain()))
+    this.#ownership.leave()
+    await Promise.all(this.#listTasks().map(async endpoint => await this.#handOver(endpoint)))
     await this.#ownership.stop()
     this.#summaries?.stop()
     this.#feed.stop()
@@ -146,7 +149,7 @@
     } else if (message.type === 'configurationNews') {
       this.#options.configuration.receiveNews(link.hostId, message)
     } else if (message.type === 'cancel') {
-      for (const endpoint of this.#endpoints.values()) endpoint.receiveCancel(message.requestId, message.attempt)
+      for (const endpoint of this.#listTasks()) endpoint.receiveCancel(message.requestId, message.attempt)
     }
   }
 
@@ -161,7 +164,7 @@
     this.#links.delete(link)
     this.#feed.removeSubscription(open.reply)
     this.#options.configuration.receiveClosed(link.hostId)
-    for (const endpoint of this.#endpoints.values()) endpoint.receiveClosedLink(open.reply)
+    for (const endpoint of this.#listTasks()) endpoint.receiveClosedLink(open.reply)
   }
 
   #findLink (hostId: string): PeerLink | undefined {
@@ -183,25 +186,45 @@
   #receiveOwnership (event: OwnershipEvent): void {
     if (event.type === 'gained') {
       log('Endpoint "%s" is owned now, with fencing number %d.', event.entry.id, event.fencing)
-      this.#startEndpoint(event.entry, event.fencing, event.unsafeHandles)
+      this.#startEndpoint(event.entry, event.fencing, event.adoptableHandles)
     } else if (event.type === 'changed') {
       this.#endpoints.get(event.entry.id)?.receiveEntry(event.entry)
     } else {
-      log('Endpoint "%s" is no longer owned: %s.', event.endpointId, event.reason)
-      this.#endpoints.get(event.endpointId)?.stop(event.reason)
-      this.#endpoints.delete(event.endpointId)
+      const endpoint = this.#endpoints.get(event.endpointId)
+      log('Endpoint "%s" is handed over: %s.', event.endpointId, event.reason)
+      if (endpoint) this.#handOver(endpoint)
     }
     this.#receiveChange()
   }
 
-  #startEndpoint (entry: EngineEntry, fencing: number, unsafeHandles: string[]): void {
+  /** Lets what runs end, and only then gives the endpoint to its next owner. */
+  async #handOver (endpoint: EndpointTask): Promise<void> {
+    const handOver = this.#handOvers.get(endpoint) ?? this.#drainAndRelease(endpoint)
+    this.#handOvers.set(endpoint, handOver)
+    await handOver
+  }
+
+  async #drainAndRelease (endpoint: EndpointTask): Promise<void> {
+    await endpoint.drain()
+    endpoint.stop()
+    if (this.#endpoints.get(endpoint.endpointId) === endpoint) this.#endpoints.delete(endpoint.endpointId)
+    await this.#ownership.release(endpoint.endpointId, endpoint.fencing)
+    this.#handOvers.delete(endpoint)
+    this.#receiveChange()
+  }
+
+  #listTasks (): EndpointTask[] {
+    return [...new Set([...this.#endpoints.values(), ...this.#handOvers.keys()])]
+  }
+
+  #startEndpoint (entry: EngineEntry, fencing: number, adoptableHandles: string[]): void {
     const { clock, engine, createPlanner, requestPermit } = this.#options
     const endpoint = new EndpointTask({
       clock,
       engine,
       entry,
       fencing,
-      unsafeHandles,
+      adoptableHandles,
       planner: createPlanner({ endpointId: entry.id, slots: entry.slots, batchLimit: entry.batchLimit }),
       ownership: this.#ownership,
       requestPermit,
