Send metrics, write dumps and count bad input on every port

Cause: stalls and batch efficiency, the users' two measures, could be read nowhere; a process's state could be asked for only over its port; refused input was not counted. SIGUSR2 writes a process's state as one line of JSON. Failed loads, changes of ownership and of links become decisions. Strangers and wrong input are counted by code on the callers', operators' and peers' ports. A key put in place of its hash is not printed.

--- a/features/access.feature
+++ b/features/access.feature
@@ -34,6 +34,11 @@
   Scenario: A stranger on the peers' port
     When a stranger opens a link to the scheduler with key "not-the-key-of-the-peers"
     Then the link is closed and the stranger has received nothing
+    And host "scheduler-1" has counted bad input "peer_key_unknown"
+
+  Scenario: Strangers on the callers' port are counted
+    When somebody asks the callers' port with the operator's key
+    Then host "gateway-1" has counted bad input "key_unknown"
 
   Scenario Outline: Bad input on the operators' port
     When an operator reads "<path>"
@@ -46,3 +51,18 @@
       | /api/explain/a_b%22      | 400    | invalid_request_id |
       | /api/watch?weight=3      | 400    | invalid_query      |
       | /api/watch?class=a&class=b | 400  | invalid_query      |
+
+  Scenario Outline: Wrong changes change nothing and name no key
+    When an operator posts <body> as "<type>" to "/api/changes"
+    Then the operators' answer has status <status> and code "<code>"
+    And the operators' answer does not hold "sv-secret"
+    And the operators' port has counted 1 bad input "<code>"
+
+    Examples:
+      | body                                                                    | type             | status | code                     |
+      | {"puts":                                                                | application/json | 400    | invalid_body             |
+      | {"puts":[]}                                                             | application/json | 400    | invalid_change           |
+      | {"puts":[{"kind":"key","name":"a","hash":"sv-secret"}],"removes":[],"ifVersions":[]} | application/json | 400 | invalid_change |
+      | {"puts":[{"kind":"class","name":"a b"}],"removes":[],"ifVersions":[]}   | application/json | 400    | invalid_change           |
+      | hello                                                                   | image/png        | 415    | content_type_unsupported |
+      | 17 MiB                                                                  | application/json | 413    | body_too_large           |
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -22,6 +22,9 @@
   Scenario: A wrong shared key is not printed
     Then the gateway's settings "[host]\nid = g\nzone = z\n[platform]\naddress = 127.0.0.1:1\n[peers]\nkey = hunter2" are refused with "[peers] key is not accepted; expected a shared key of at least 16 characters"
 
+  Scenario: A key put in place of its hash is not printed
+    Then the gateway's settings "[host]\nid = g\nzone = z\n[platform]\naddress = 127.0.0.1:1\n[peers]\nkey = 0123456789abcdef\n[operators]\nkeyHash = hunter2" are refused with "[operators] keyHash is not accepted; expected the SHA-256 of a key"
+
   Scenario Outline: Command lines of each binary
     When "<binary>" is run with "--help"
     Then it ends with code 0 and prints "--check FILE.ini"
--- a/features/steps/operators.ts
+++ b/features/steps/operators.ts
@@ -160,3 +160,20 @@
 Then('the link is closed and the stranger has received nothing', function (this: SystemWorld) {
   assert.deepEqual(getSession(this).strangersMessages, [])
 })
+
+When(/^an operator posts (.*) as "(.*)" to "(.*)"$/, async function (this: SystemWorld, text: string, type: string, path: string) {
+  const body = text === '17 MiB' ? 'x'.repeat(17 * 1024 * 1024) : text
+  await getSession(this).send('POST', path, exampleOperatorKey, 1, { body, type })
+})
+
+Then('the operators\' answer does not hold {string}', function (this: SystemWorld, text: string) {
+  assert.ok(!getSession(this).text.includes(text), getSession(this).text)
+})
+
+Then('host {string} has counted bad input {string}', async function (this: SystemWorld, host: string, code: string) {
+  const session = getSession(this)
+  await waitUntil(async () => {
+    const dump = await session.send('GET', `/api/dump/${host}`, exampleOperatorKey) as { badInput?: Record<string, number> }
+    return (dump.badInput?.[code] ?? 0) > 0
+  })
+})
--- a/features/support/operatorSession.ts
+++ b/features/support/operatorSession.ts
@@ -26,8 +26,12 @@
   }
 
   /** Sends a request, keeps its answer and returns the parsed body; an empty key sends no header. */
-  async send (method: string, path: string, key: string, gateway = 1): Promise<unknown> {
-    const response = await fetch(`${this.#formatUrl(gateway)}${path}`, { method, headers: key === '' ? {} : { authorization: `Bearer ${key}` } })
+  async send (method: string, path: string, key: string, gateway = 1, content?: { body: string, type: string }): Promise<unknown> {
+    const response = await fetch(`${this.#formatUrl(gateway)}${path}`, {
+      method,
+      headers: { ...(key !== '' && { authorization: `Bearer ${key}` }), ...(content && { 'content-type': content.type }) },
+      ...(content && { body: content.body })
+    })
     this.status = response.status
     this.headers = response.headers
     this.text = await response.text()
--- a/features/support/runBinary.ts
+++ b/features/support/runBinary.ts
@@ -1,5 +1,6 @@
 /** Runs a binary to its end and reads what it printed. */
-import { execFile } from 'node:child_process'
+import { execFile, spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
 import { mkdtempSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -34,3 +35,29 @@
   writeFileSync(file, text)
   return file
 }
+
+export interface BinaryProcess {
+  process: ChildProcess
+  output: string
+  errors: string
+  /** Ends the process with SIGTERM and waits for it. */
+  stop: () => Promise<void>
+}
+
+/** Starts a binary that runs on. */
+export function startBinary (binary: string, environment: Record<string, string>): BinaryProcess {
+  const child = spawn(process.execPath, [join(binFolder, `${binary}.js`)], { env: { ...process.env, ...environment } })
+  const ended = new Promise<void>(resolve => child.on('exit', () => resolve()))
+  const running: BinaryProcess = {
+    process: child,
+    output: '',
+    errors: '',
+    stop: async () => {
+      child.kill('SIGTERM')
+      await ended
+    }
+  }
+  child.stdout.on('data', part => { running.output += String(part) })
+  child.stderr.on('data', part => { running.errors += String(part) })
+  return running
+}
--- a/playground/startPlayground.ts
+++ b/playground/startPlayground.ts
@@ -17,6 +17,8 @@
   gateways?: number
   /** Further lines of the stand-ins' INI file, such as `[store]\nloadMs = 50`. */
   standinSettings?: string
+  /** `ip:port` to which gateways and schedulers send metrics. */
+  statsd?: string
 }
 
 export interface Playground {
@@ -36,6 +38,7 @@
  */
 export async function startPlayground (options: PlaygroundOptions = {}): Promise<Playground> {
   const { engines = 2, services = 1, schedulers = 1, gateways = 1, standinSettings = '' } = options
+  const metrics = options.statsd === undefined ? '' : `[metrics]\nstatsd = ${options.statsd}`
   const standins = await startStandins(resolveSettings('playground', `
 [platform]
 listLagMs = 20
@@ -60,12 +63,12 @@
       await standins.stop()
     }
   }
-  for (let index = 1; index <= schedulers; index++) playground.schedulers.push(await addScheduler(standins, index))
-  for (let index = 1; index <= gateways; index++) playground.gateways.push(await addGateway(playground, index))
+  for (let index = 1; index <= schedulers; index++) playground.schedulers.push(await addScheduler(standins, index, metrics))
+  for (let index = 1; index <= gateways; index++) playground.gateways.push(await addGateway(playground, index, metrics))
   return playground
 }
 
-async function addScheduler (standins: RunningStandins, index: number): Promise<RunningProcess> {
+async function addScheduler (standins: RunningStandins, index: number, metrics: string): Promise<RunningProcess> {
   return await startScheduler(resolveSettings('playground', `
 [host]
 id = scheduler-${index}
@@ -74,10 +77,11 @@
 address = 127.0.0.1:0
 [peers]
 port = 0
-key = ${peerKey}`, schedulerSettingsSchema), standins.platform)
+key = ${peerKey}
+${metrics}`, schedulerSettingsSchema), standins.platform)
 }
 
-async function addGateway (playground: Playground, index: number): Promise<RunningGateway> {
+async function addGateway (playground: Playground, index: number, metrics: string): Promise<RunningGateway> {
   return await startGateway(resolveSettings('playground', `
 [host]
 id = gateway-${index}
@@ -90,5 +94,6 @@
 port = 0
 [operators]
 port = 0
-keyHash = ${hashKey(exampleOperatorKey)}`, gatewaySettingsSchema), playground.standins.platform)
+keyHash = ${hashKey(exampleOperatorKey)}
+${metrics}`, gatewaySettingsSchema), playground.standins.platform)
 }
--- a/src/bin/quickstart.ts
+++ b/src/bin/quickstart.ts
@@ -48,6 +48,7 @@
 keyHash = ${hashKey(exampleOperatorKey)}`, gatewaySettingsSchema), standins.platform)
   printWelcome(gateway.callersPort, gateway.operatorsPort)
   return {
+    describeState: () => ({ gateway: gateway.describeState?.(), scheduler: scheduler.describeState?.() }),
     stop: async () => {
       await gateway.stop()
       await scheduler.stop()
--- a/src/bin/runBinary.ts
+++ b/src/bin/runBinary.ts
@@ -10,6 +10,8 @@
 import { createSettingsError, isSettingsError, wrongSettingsExitCode } from '../settings/settingsError.js'
 
 export interface RunningProcess {
+  /** The state of every task, for dumps, without secrets. */
+  describeState?: () => unknown
   /** Ends gracefully. */
   stop: () => Promise<void>
 }
@@ -83,8 +85,9 @@
   }
 }
 
-/** Ends the process when a signal comes. */
+/** Ends the process when a signal comes; SIGUSR2 writes its state to the standard error as one line of JSON. */
 export function stopOnSignals (running: RunningProcess): void {
+  process.on('SIGUSR2', () => process.stderr.write(`${JSON.stringify(running.describeState?.() ?? {})}\n`))
   let isStopping = false
   const stop = async (): Promise<void> => {
     if (isStopping) process.exit(1)
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -17,7 +17,9 @@
 import { LeaseOwnership } from '../tasks/ownership/leaseOwnership.js'
 import { SchedulerTask } from '../tasks/scheduler/schedulerTask.js'
 import { startState } from './startState.js'
+import { describeProcess } from './describeProcess.js'
 import type { RunningProcess } from './runBinary.js'
+import { createMetrics } from './startMetrics.js'
 import { createOperators } from './startOperators.js'
 
 const announceIntervalMs = 1000
@@ -52,12 +54,26 @@
     peerKey: peers.key,
     callers,
     recordDecision: draft => decisions.record(draft),
+    countBadInput: code => metrics.badInput.count(code),
     receiveOperatorMessage: (_from, message) => operators.receiveMessage(message)
   })
-  const operators = createOperators({ settings, platform, clock, configuration, decisions, gateway })
+  const metrics = createMetrics({
+    settings, role: 'gateway', clock, decisions, describeEndpoints: () => [], readRunningRequests: () => gateway.router.running
+  })
+  const describeState = (): unknown => describeProcess('gateway', {
+    gateway: () => gateway.describeState(),
+    configuration: () => configuration.describeState(),
+    operators: () => operators.describeState(),
+    decisions: () => decisions.describeState(),
+    badInput: () => metrics.badInput.describeState()
+  })
+  const operators = createOperators({
+    settings, platform, clock, configuration, decisions, gateway, badInput: metrics.badInput, describeProcess: describeState
+  })
   await configuration.start()
   await gateway.start()
   await operators.start()
+  metrics.start()
   const announcement = announceHost(platform, {
     kind: 'gateway', id: host.id, zone: host.zone, address: `${settings.operators.address}:${operators.port}`, presence: 'live'
   })
@@ -65,9 +81,11 @@
     callersPort: gateway.callersPort,
     operatorsPort: operators.port,
     configuration,
+    describeState,
     stop: async () => {
       await announcement.stop()
       await gateway.stop()
+      await metrics.stop()
       await operators.stop()
       await state.stop()
       configuration.stop()
@@ -83,6 +101,7 @@
   const clock = createSystemClock()
   const engine = new OpenaiEngine()
   const configuration = new ConfigurationTask({ hostId: host.id, clock, table: platform.table })
+  const decisions = new DecisionStore({ hostId: host.id, clock })
   const scheduler = new SchedulerTask({
     hostId: host.id,
     zone: host.zone,
@@ -100,20 +119,40 @@
       send
     }),
     requestPermit: async () => () => {},
+    decisions,
+    receiveRefusal: () => metrics.badInput.count('peer_key_unknown'),
+    describeProcess: () => describeState(),
     loadBudget: settings.store,
     configuration,
     peerTransport: grpcPeerTransport,
     peers
   })
+  const metrics = createMetrics({
+    settings,
+    role: 'scheduler',
+    clock,
+    decisions,
+    describeEndpoints: () => scheduler.describeEndpoints(),
+    readRunningRequests: () => scheduler.describeEndpoints().reduce((sum, endpoint) => sum + endpoint.runningCount, 0)
+  })
+  const describeState = (): unknown => describeProcess('scheduler', {
+    scheduler: () => scheduler.describeState(),
+    configuration: () => configuration.describeState(),
+    decisions: () => decisions.describeState(),
+    badInput: () => metrics.badInput.describeState()
+  })
   await configuration.start()
   await scheduler.start()
+  metrics.start()
   const announcement = announceHost(platform, {
     kind: 'scheduler', id: host.id, zone: host.zone, address: `${peers.address}:${scheduler.port}`, presence: 'live'
   })
   return {
+    describeState,
     stop: async () => {
       await announcement.stop()
       await scheduler.stop()
+      await metrics.stop()
       configuration.stop()
       await engine.close()
     }
--- a/src/bin/startOperators.ts
+++ b/src/bin/startOperators.ts
@@ -5,7 +5,7 @@
 import type { ConfigurationTask } from '../tasks/configuration/configurationTask.js'
 import type { DecisionStore } from '../tasks/decisions/decisionStore.js'
 import type { GatewayTask } from '../tasks/gateway/gatewayTask.js'
-import { BadInput } from '../tasks/metrics/badInput.js'
+import type { BadInput } from '../tasks/metrics/badInput.js'
 import { OperatorsTask } from '../tasks/operators/operatorsTask.js'
 
 export interface OperatorsWiring {
@@ -15,11 +15,13 @@
   configuration: ConfigurationTask
   decisions: DecisionStore
   gateway: GatewayTask
+  badInput: BadInput
+  describeProcess: () => unknown
 }
 
 /** Creates the operators' task of a gateway; the caller starts it. */
 export function createOperators (wiring: OperatorsWiring): OperatorsTask {
-  const { settings, platform, clock, configuration, decisions, gateway } = wiring
+  const { settings, platform, clock, configuration, decisions, gateway, badInput, describeProcess } = wiring
   return new OperatorsTask({
     hostId: settings.host.id,
     zone: settings.host.zone,
@@ -30,7 +32,7 @@
     decisions,
     links: gateway.links,
     operators: settings.operators,
-    describeGateway: () => gateway.describeState(),
-    badInput: new BadInput(() => {})
+    badInput,
+    describeProcess
   })
 }
--- a/src/core/requestStory.ts
+++ b/src/core/requestStory.ts
@@ -2,6 +2,9 @@
 import type { Decision, Wait } from '../schemas/decision.js'
 import type { Story, StoryAttempt } from '../schemas/operatorMessage.js'
 
+/** Shorter waits are left out of stories. */
+const minWaitMs = 1
+
 /** Order of the kinds within one attempt. */
 const stages: Array<Decision['kind']> = [
   'chooseEndpoint', 'admit', 'refuse', 'suspect', 'unload', 'load', 'dispatch', 'retry', 'finish', 'fail'
@@ -63,19 +66,22 @@
     ...(end?.verdict && { verdict: end.verdict }),
     choice: choice?.reason ?? '',
     end: end?.reason ?? 'not ended',
-    waits: resolveWaits(own, dispatch)
+    waits: resolveWaits(own, dispatch ?? own.find(decision => decision.kind === 'refuse'))
   }
 }
 
-/** Waits as the decisions give them; of what none of them names, the time from an own load to the dispatch is the load's. */
-function resolveWaits (own: Decision[], dispatch: Decision | undefined): Wait[] {
-  const named = own.flatMap(decision => decision.waits).filter(wait => wait.ms > 0)
+/**
+ * Waits as the decisions give them. Where none does, the time from the admission to the dispatch, or to the refusal,
+ * was spent in the queue, and from a load of the request's own on for that load.
+ */
+function resolveWaits (own: Decision[], end: Decision | undefined): Wait[] {
+  const named = own.flatMap(decision => decision.waits).filter(wait => wait.ms >= minWaitMs)
   const admit = own.find(decision => decision.kind === 'admit')
-  if (!admit || !dispatch || admit.host !== dispatch.host || named.length > 0) return named
-  const load = own.find(decision => decision.kind === 'load' && decision.host === dispatch.host)
-  const loadMs = load ? dispatch.atMs - load.atMs : 0
-  const waits: Wait[] = [{ cause: 'load', ms: loadMs }, { cause: 'queue', ms: dispatch.atMs - admit.atMs - loadMs }]
-  return waits.filter(wait => wait.ms > 1)
+  if (!admit || !end || admit.host !== end.host || named.length > 0) return named
+  const load = own.find(decision => decision.kind === 'load' && decision.host === end.host)
+  const loadMs = load ? end.atMs - load.atMs : 0
+  const waits: Wait[] = [{ cause: 'load', ms: loadMs }, { cause: 'queue', ms: end.atMs - admit.atMs - loadMs }]
+  return waits.filter(wait => wait.ms >= minWaitMs)
 }
 
 /** Names the decisions that changed the request's way, those of others on its endpoint among them. */
--- a/src/ctl/clientSettings.ts
+++ b/src/ctl/clientSettings.ts
@@ -13,7 +13,7 @@
 export const clientSettingsSchema = Type.Object({
   operators: Type.Object({
     address: Type.Optional(Type.String({ pattern: addressPattern, description: 'an IP number and a port such as 10.0.0.7:7481' })),
-    key: Type.Optional(Type.String({ minLength: 1, description: 'an operator\'s key' }))
+    key: Type.Optional(Type.String({ minLength: 1, isSecret: true, description: 'an operator\'s key' }))
   }, { additionalProperties: false, default: {} })
 }, { additionalProperties: false, default: {} })
 
--- a/src/settings/settingsSchemas.ts
+++ b/src/settings/settingsSchemas.ts
@@ -20,7 +20,10 @@
 /** Its value is never printed. */
 const keyType = Type.String({ minLength: 16, isSecret: true, description: 'a shared key of at least 16 characters' })
 
-const keyHashType = Type.String({ pattern: '^[0-9a-f]{64}$', description: 'the SHA-256 of a key in lower-case hex; "sedgevalvectl key hash" prints it' })
+/** A secret, since a key may be put here by mistake. */
+const keyHashType = Type.String({
+  pattern: '^[0-9a-f]{64}$', isSecret: true, description: 'the SHA-256 of a key in lower-case hex; "sedgevalvectl key hash" prints it'
+})
 
 function createPortType (port: number): ReturnType<typeof Type.Integer> {
   return Type.Integer({ minimum: 0, maximum: 65535, default: port, description: 'a port from 0 to 65535; 0 takes a free one' })
--- a/src/tasks/configuration/configurationTask.ts
+++ b/src/tasks/configuration/configurationTask.ts
@@ -41,6 +41,15 @@
   return confirmedAgeMs <= maxUnconfirmedMs || isUpToDateWithMost
 }
 
+/** What a dump tells of the configuration. */
+export interface ConfigurationState {
+  version: number
+  /** Whether accepted changes are certainly in force here. */
+  isCurrent: boolean
+  /** Number of records of each kind. */
+  records: Record<string, number>
+}
+
 export class ConfigurationTask implements ConfigurationOperations {
   #options: ConfigurationTaskOptions
   #store: ConfigurationStore
@@ -79,6 +88,13 @@
     this.#news.stop()
   }
 
+  /** Describes what is in force, without the records themselves. */
+  describeState (): ConfigurationState {
+    const records: Record<string, number> = {}
+    for (const { record: { kind } } of this.#configuration.listAll()) records[kind] = (records[kind] ?? 0) + 1
+    return { version: this.#configuration.version, isCurrent: this.#isCurrent(), records }
+  }
+
   setPeers (peers: ConfigurationPeers): void {
     this.#news.setPeers(peers)
   }
--- a/src/tasks/decisions/decisionStore.ts
+++ b/src/tasks/decisions/decisionStore.ts
@@ -4,8 +4,8 @@
 import type { Decision, DecisionDraft } from '../../schemas/decision.js'
 
 const defaultMaxBytes = 32 * 1024 * 1024
-/** Decisions of these kinds are few and outlast those of requests. */
-const eventKinds = new Set(['load', 'unload', 'ownership', 'configuration', 'membership', 'suspect'])
+/** Decisions of these kinds, and those without a request, are few and outlast the others. */
+const eventKinds = new Set(['load', 'unload', 'suspect'])
 const maxEvents = 2000
 const maxRecent = 200
 
@@ -62,7 +62,7 @@
     this.#keep(decision)
     this.#recent.push(decision)
     if (this.#recent.length >= 2 * maxRecent) this.#recent = this.#recent.slice(-maxRecent)
-    if (eventKinds.has(decision.kind)) this.#keepEvent(decision)
+    if (eventKinds.has(decision.kind) || decision.requestId === undefined) this.#keepEvent(decision)
     for (const receive of this.#watchers) receive(decision)
   }
 
--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -38,6 +38,8 @@
   services: ServiceRouter
   claims: ClaimTask
   hashText: HashText
+  /** Counts refused input by the code of its error. */
+  countBadInput: (code: string) => void
 }
 
 /** What the routes of the callers' port share. */
@@ -50,6 +52,10 @@
 }
 
 declare module 'fastify' {
+  interface FastifyInstance {
+    /** Counts refused input by the code of its error. */
+    countBadInput: (code: string) => void
+  }
   interface FastifyRequest {
     /** Record of the caller's key; set before the body is read. */
     caller: KeyRecord | undefined
@@ -65,9 +71,11 @@
     forceCloseConnections: 'idle',
     return503OnClosing: false,
     clientErrorHandler: (error, socket) => {
+      options.countBadInput(error.code === 'HPE_HEADER_OVERFLOW' ? 'headers_too_large' : 'invalid_http')
       if (socket.writable) socket.end(renderClientError(error))
     }
   })
+  server.decorate('countBadInput', options.countBadInput)
   addErrorHandlers(server)
   addCallerCheck(server, options)
   addCompletionRoutes(server, options)
@@ -120,6 +128,7 @@
 
 /** Sends a failure in the shape that every error of this port has. */
 export function sendFailure (reply: FastifyReply, failure: RequestFailure): FastifyReply {
+  if (failure.status < 500) reply.server.countBadInput(failure.code)
   return reply.code(failure.status).headers(renderErrorHeaders(failure)).type('application/json').send(renderErrorBody(failure))
 }
 
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -37,6 +37,7 @@
   peerKey: string
   callers: { address: string, port: number }
   recordDecision: RecordDecision
+  countBadInput: (code: string) => void
   /** Gets what schedulers send for operators: answers to queries, and decisions. */
   receiveOperatorMessage: (hostId: string, message: PeerMessage) => void
 }
@@ -73,8 +74,10 @@
       receiveMessage: (from, message) => this.#receiveMessage(from, message),
       receiveClosed: from => {
         this.#router.receiveClosed(from)
+        this.#recordMembership(from, 'lost', 'the link to it is closed')
         options.configuration.receiveClosed(from)
       },
+      receiveOpened: to => this.#recordMembership(to, 'joined', 'it has told its endpoints over a new link'),
       receiveChange: () => this.#router.receiveChange(),
       receiveList: entries => {
         this.#services.receiveList(entries)
@@ -126,9 +129,9 @@
 
   async start (): Promise<void> {
     this.#links.start()
-    const { clock, configuration, claims, hashText, callers } = this.#options
+    const { clock, configuration, claims, hashText, callers, countBadInput } = this.#options
     this.#callers = await startCallersServer({
-      ...callers, clock, configuration: configuration.view, router: this.#router, services: this.#services, claims, hashText
+      ...callers, clock, configuration: configuration.view, router: this.#router, services: this.#services, claims, hashText, countBadInput
     })
     log('Gateway "%s" takes callers on port %d.', this.#options.hostId, this.callersPort)
   }
@@ -141,6 +144,11 @@
     log('Gateway "%s" has stopped.', this.#options.hostId)
   }
 
+  #recordMembership (hostId: string, chosen: string, reason: string): void {
+    const about = `scheduler "${hostId}" ${chosen}: ${reason}`
+    this.#options.recordDecision({ kind: 'membership', considered: [], chosen: `${hostId} ${chosen}`, reason: about, waits: [] })
+  }
+
   #receiveMessage (hostId: string, message: PeerMessage): void {
     if (message.type === 'queryAnswer' || message.type === 'decisions') this.#options.receiveOperatorMessage(hostId, message)
     else if (message.type === 'configurationNews') this.#options.configuration.receiveNews(hostId, message)
--- a/src/tasks/gateway/schedulerLinks.ts
+++ b/src/tasks/gateway/schedulerLinks.ts
@@ -21,6 +21,8 @@
   peerTransport: PeerTransport
   peerKey: string
   receiveMessage: (hostId: string, message: PeerMessage) => void
+  /** The host's endpoints are known for the first time on this link. */
+  receiveOpened: (hostId: string) => void
   /** Everything that was sent to the host and not yet answered is lost. */
   receiveClosed: (hostId: string) => void
   /** The endpoints that can be chosen have changed. */
@@ -127,8 +129,13 @@
   #receiveSummaries (hostId: string, summaries: EndpointSummaries): void {
     const scheduler = this.#schedulers.get(hostId)
     if (!scheduler) return
+    const isFirst = scheduler.summaries === undefined
     scheduler.summaries = summaries
     scheduler.sentSince.clear()
+    if (isFirst) {
+      log('Link to scheduler "%s" is open.', hostId)
+      this.#options.receiveOpened(hostId)
+    }
     this.#options.receiveChange()
   }
 
--- a/src/tasks/operators/operatorsContext.ts
+++ b/src/tasks/operators/operatorsContext.ts
@@ -21,6 +21,6 @@
   gateways: GatewayQueries
   feed: LiveFeed
   /** Whole state of this process, without secrets. */
-  describeState: () => unknown
+  describeProcess: () => unknown
   countBadInput: (code: string) => void
 }
--- a/src/tasks/operators/operatorsTask.ts
+++ b/src/tasks/operators/operatorsTask.ts
@@ -26,8 +26,8 @@
   decisions: DecisionStore
   links: QueryLinks
   operators: { address: string, port: number, keyHash?: string }
-  /** State of the gateway, without secrets. */
-  describeGateway: () => unknown
+  /** State of the whole process, without secrets. */
+  describeProcess: () => unknown
   badInput: BadInput
 }
 
@@ -59,7 +59,6 @@
       peers: this.#peers,
       gateways: this.#gateways,
       feed: this.#feed,
-      describeState: () => this.describeState(),
       countBadInput: code => badInput.count(code)
     }, operators)
     log('Gateway "%s" takes operators on port %d.', this.#options.hostId, this.port)
@@ -71,15 +70,9 @@
     else if (message.type === 'decisions') this.#feed.receiveDecisions(message)
   }
 
-  /** Describes the state of this process, without secrets. */
-  describeState (): unknown {
-    return {
-      role: 'gateway',
-      gateway: this.#options.describeGateway(),
-      decisions: this.#options.decisions.describeState(),
-      watchers: this.#feed.watchers,
-      badInput: this.#options.badInput.describeState()
-    }
+  /** Describes the state of this task. */
+  describeState (): { port: number, watchers: number } {
+    return { port: this.port, watchers: this.#feed.watchers }
   }
 
   async stop (): Promise<void> {
--- a/src/tasks/operators/statusRoutes.ts
+++ b/src/tasks/operators/statusRoutes.ts
@@ -54,7 +54,7 @@
 }
 
 async function requestDump (context: OperatorsContext, host: string, isLocal: boolean, authorization: string): Promise<unknown> {
-  if (host === context.hostId) return context.describeState()
+  if (host === context.hostId) return context.describeProcess()
   if (isLocal) return undefined
   if (context.peers.listHostIds().includes(host)) return await context.peers.request(host, 'dump', '')
   const gateway = (await context.gateways.listOthers()).find(entry => entry.id === host)
--- a/src/tasks/scheduler/describeEndpoint.ts
+++ b/src/tasks/scheduler/describeEndpoint.ts
@@ -1,5 +1,7 @@
 /** Describes an endpoint for operators: its slots, who runs and who waits. */
 import { formatTarget } from '../../core/formatTarget.js'
+import type { PlannedLoad } from '../../core/planner.js'
+import type { DecisionDraft } from '../../schemas/decision.js'
 import type { EndpointState } from '../../schemas/operatorMessage.js'
 import type { Dispatch } from '../../schemas/peerMessage.js'
 
@@ -51,3 +53,10 @@
 function computeAgeMs (attempt: DescribedAttempt, nowMs: number): number {
   return attempt.dispatch.ageMs + nowMs - attempt.receivedAtMs
 }
+
+/** Describes a load that failed; it concerns every request that waits for the adapter, and so names none. */
+export function describeFailedLoad (
+  endpointId: string, { adapter, version }: PlannedLoad, handle: string, message: string
+): DecisionDraft {
+  return { kind: 'fail', endpointId, adapter, version, handle, considered: [], chosen: 'load failed', reason: message, waits: [] }
+}
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -13,7 +13,7 @@
 import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
 import type { Ownership } from '../ownership/ownership.js'
-import { describeAttempts } from './describeEndpoint.js'
+import { describeAttempts, describeFailedLoad } from './describeEndpoint.js'
 import { EndpointHandles } from './endpointHandles.js'
 import { defaultPlanResume, startResumedGeneration } from './resumeGeneration.js'
 
@@ -303,6 +303,7 @@
       planner.recordLoaded(adapter, version, handle, clock.readMonotonic())
     } else {
       log('Load of "%s" on "%s" failed: %s.', handle, this.endpointId, outcome.message)
+      this.#options.recordDecision(describeFailedLoad(this.endpointId, planned, handle, outcome.message))
       planner.recordLoadFailed(adapter, version, clock.readMonotonic())
     }
     this.#options.receiveChange()
--- a/src/tasks/scheduler/schedulerQueries.ts
+++ b/src/tasks/scheduler/schedulerQueries.ts
@@ -76,9 +76,9 @@
   }
 }
 
-/** A load of the same adapter on the same endpoint, between the request's first and last decision there. */
+/** A load, or a failed one, of the same adapter on the same endpoint, between the request's first and last decision there. */
 function isLoadFor (event: Decision, own: Decision[]): boolean {
-  if (event.kind !== 'load' && event.kind !== 'unload') return false
+  if (!['load', 'unload', 'fail'].includes(event.kind)) return false
   const first = own.find(decision => decision.endpointId === event.endpointId)
   const last = own.findLast(decision => decision.endpointId === event.endpointId)
   return first !== undefined && last !== undefined && event.adapter === first.adapter && event.version === first.version &&
--- a/src/tasks/scheduler/schedulerTask.ts
+++ b/src/tasks/scheduler/schedulerTask.ts
@@ -2,6 +2,7 @@
 import { productVersion } from '../../constants.js'
 import { createLog } from '../../createLog.js'
 import { SuspectRegister } from '../../core/suspects.js'
+import type { SuspectRecord } from '../../core/suspects.js'
 import type { CreatePlanner } from '../../core/planner.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Engine } from '../../ports/engine.js'
@@ -14,8 +15,8 @@
 import type { ConfigurationTask } from '../configuration/configurationTask.js'
 import { createNotRun } from '../../schemas/verdict.js'
 import { DecisionFeed } from '../decisions/decisionFeed.js'
-import { DecisionStore } from '../decisions/decisionStore.js'
-import type { Ownership, OwnershipEvent, SendOwnershipEvent } from '../ownership/ownership.js'
+import type { DecisionStore } from '../decisions/decisionStore.js'
+import type { OwnedEndpoint, Ownership, OwnershipEvent, SendOwnershipEvent } from '../ownership/ownership.js'
 import { EndpointTask } from './endpointTask.js'
 import type { EndpointCrash, Reply, RequestPermit } from './endpointTask.js'
 import { SchedulerQueries } from './schedulerQueries.js'
@@ -33,6 +34,11 @@
   createPlanner: CreatePlanner
   createOwnership: (send: SendOwnershipEvent) => Ownership
   requestPermit: RequestPermit
+  decisions: DecisionStore
+  /** Called for each stranger who was refused on the peers' port. */
+  receiveRefusal: () => void
+  /** State of the whole process, without secrets. */
+  describeProcess: () => unknown
   /** What the weight store allows all hosts together; shown to operators. */
   loadBudget: SchedulerStatus['loadBudget']
   /** Started and stopped by its owner. */
@@ -46,6 +52,19 @@
   reply: Reply
 }
 
+/** What a dump tells of a scheduler. */
+export interface SchedulerState {
+  host: string
+  zone: string
+  version: string
+  isLeaving: boolean
+  links: string[]
+  owned: OwnedEndpoint[]
+  endpoints: EndpointState[]
+  suspects: SuspectRecord[]
+  remoteWatchers: number
+}
+
 export class SchedulerTask {
   #options: SchedulerTaskOptions
   #ownership: Ownership
@@ -66,7 +85,7 @@
   constructor (options: SchedulerTaskOptions) {
     this.#options = options
     const { hostId, zone, clock } = options
-    this.#decisions = new DecisionStore({ hostId, clock })
+    this.#decisions = options.decisions
     this.#feed = new DecisionFeed(clock)
     this.#decisions.addWatcher(decision => this.#feed.receiveDecision(decision))
     this.#queries = new SchedulerQueries({
@@ -77,8 +96,8 @@
       feed: this.#feed,
       loadBudget: options.loadBudget,
       isLeaving: () => this.#isLeaving,
-      describeEndpoints: () => this.#describeEndpoints(),
-      describeState: () => this.describeState()
+      describeEndpoints: () => this.describeEndpoints(),
+      describeState: options.describeProcess
     })
     this.#ownership = options.createOwnership(event => this.#receiveOwnership(event))
     options.configuration.setPeers({
@@ -93,19 +112,18 @@
   }
 
   /** Describes the state of this process, without secrets. */
-  describeState (): unknown {
+  describeState (): SchedulerState {
     const { hostId, zone } = this.#options
     return {
-      role: 'scheduler',
       host: hostId,
       zone,
       version: productVersion,
       isLeaving: this.#isLeaving,
       links: [...this.#links.keys()].map(link => link.hostId),
       owned: this.#ownership.listOwned(),
-      endpoints: this.#describeEndpoints(),
+      endpoints: this.describeEndpoints(),
       suspects: this.#suspects.listRecords(),
-      decisions: { ...this.#decisions.describeState(), remoteWatchers: this.#feed.watchers }
+      remoteWatchers: this.#feed.watchers
     }
   }
 
@@ -116,7 +134,7 @@
         receive: (link, message) => this.#receive(link, message),
         closed: link => this.#receiveClosed(link)
       },
-      receiveRefusal: () => {}
+      receiveRefusal: this.#options.receiveRefusal
     })
     this.#ownership.start()
     this.#summaries = repeatTask(this.#options.clock, summaryIntervalMs, async () => this.#sendSummaries(), () => {})
@@ -186,17 +204,23 @@
   #receiveOwnership (event: OwnershipEvent): void {
     if (event.type === 'gained') {
       log('Endpoint "%s" is owned now, with fencing number %d.', event.entry.id, event.fencing)
+      this.#recordOwnership(event.entry.id, 'gained', `the host owns it now, with fencing number ${event.fencing}`)
       this.#startEndpoint(event.entry, event.fencing, event.adoptableHandles)
     } else if (event.type === 'changed') {
       this.#endpoints.get(event.entry.id)?.receiveEntry(event.entry)
     } else {
       const endpoint = this.#endpoints.get(event.endpointId)
+      this.#recordOwnership(event.endpointId, 'lost', event.reason)
       log('Endpoint "%s" is handed over: %s.', event.endpointId, event.reason)
       if (endpoint) this.#handOver(endpoint)
     }
     this.#receiveChange()
   }
 
+  #recordOwnership (endpointId: string, chosen: string, reason: string): void {
+    this.#decisions.record({ kind: 'ownership', endpointId, considered: [], chosen, reason, waits: [] })
+  }
+
   /** Lets what runs end, and only then gives the endpoint to its next owner. */
   async #handOver (endpoint: EndpointTask): Promise<void> {
     const handOver = this.#handOvers.get(endpoint) ?? this.#drainAndRelease(endpoint)
@@ -236,7 +260,8 @@
     endpoint.start()
   }
 
-  #describeEndpoints (): EndpointState[] {
+  /** Describes the endpoints that this host owns. */
+  describeEndpoints (): EndpointState[] {
     return [...this.#endpoints.values()].map(endpoint => ({ ...endpoint.describeState(), host: this.#options.hostId }))
   }
 
