Take jobs that may wait, and run each to one stored answer

Cause: work that may wait had to hold a connection open; it was lost with its host. Change: POST, GET and DELETE /v1/jobs. A job is durable in table and object store before 202; any gateway takes it from the queue by compare-and-set, under one lease a process that watchers judge by their own clocks; its end checks that it has not ended or changed hands. A submission under the same key is the same job. Work that may run at most once is not begun again. Found on the way: a job that was late was refused by the scheduler's admission for ever, since its target had passed; seen on the real system as a job that never left the queue. A late or refused job now asks for more time at each try. Conclusion: accepted jobs end once; an outage is told before acceptance.

--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -46,6 +46,7 @@
     hostList: platform.hostList,
     configuration,
     claims: state.claims,
+    jobs: state.jobs,
     chooseEndpoint: chooseByCost,
     random: Math.random,
     hashText: h64ToString,
@@ -72,6 +73,8 @@
   })
   await configuration.start()
   await gateway.start()
+  const jobRunner = state.createJobRunner(gateway.router)
+  jobRunner.start()
   await operators.start()
   metrics.start()
   const announcement = announceHost(platform, {
@@ -84,6 +87,7 @@
     describeState,
     stop: async () => {
       await announcement.stop()
+      await jobRunner.stop()
       await gateway.stop()
       await metrics.stop()
       await operators.stop()
--- a/src/schemas/storedAnswer.ts
+++ b/src/schemas/storedAnswer.ts
@@ -1,23 +1,27 @@
-/** A caller's answer as it is kept for later: in a row where it is small, else in the object store. */
+/** Content and answers as they are kept for later: in a row where small, else in the object store. */
 import { Type } from '@sinclair/typebox'
 import type { Static } from '@sinclair/typebox'
 
-export const answerHeadSchema = Type.Object({
-  status: Type.Integer(),
-  headers: Type.Record(Type.String(), Type.String())
-})
-export type AnswerHead = Static<typeof answerHeadSchema>
-
-export const answerReferenceSchema = Type.Object({
-  ...answerHeadSchema.properties,
-  /** The body in base64; left out where it stands in the object store. */
+const contentFields = {
+  /** The content in base64; left out where it stands in the object store. */
   body: Type.Optional(Type.String()),
   objectKey: Type.Optional(Type.String())
+}
+export const contentReferenceSchema = Type.Object(contentFields)
+/** Where content is kept. */
+export type ContentReference = Static<typeof contentReferenceSchema>
+
+export const answerReferenceSchema = Type.Object({
+  status: Type.Integer(),
+  headers: Type.Record(Type.String(), Type.String()),
+  ...contentFields
 })
 /** Where an answer is kept. */
 export type AnswerReference = Static<typeof answerReferenceSchema>
 
 /** A whole answer. */
-export interface StoredAnswer extends AnswerHead {
+export interface StoredAnswer {
+  status: number
+  headers: Record<string, string>
   body: Uint8Array
 }
--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -11,10 +11,12 @@
 import { hashParts } from '../claims/claimRow.js'
 import type { ClaimedWork } from '../claims/claimRow.js'
 import type { ClaimTask } from '../claims/claimTask.js'
+import type { JobStore } from '../jobs/jobStore.js'
 import { AnswerWriter } from './answerWriter.js'
 import { findCaller } from './callerAccess.js'
 import { renderErrorBody, renderErrorHeaders } from './callerError.js'
 import { runClaimedCompletion } from './claimedRequests.js'
+import { addJobsRoute } from './jobsRoute.js'
 import { addModelsRoute } from './modelsRoute.js'
 import type { RequestRouter } from './requestRouter.js'
 import { resolveRequest } from './resolveRequest.js'
@@ -37,6 +39,7 @@
   router: RequestRouter
   services: ServiceRouter
   claims: ClaimTask
+  jobs: JobStore
   hashText: HashText
   /** Counts refused input by the code of its error. */
   countBadInput: (code: string) => void
@@ -80,6 +83,7 @@
   addCallerCheck(server, options)
   addCompletionRoutes(server, options)
   addModelsRoute(server, options)
+  addJobsRoute(server, options)
   await addServicesRoute(server, options)
   await server.listen({ host: options.address, port: options.port })
   const { port } = server.server.address() as AddressInfo
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -11,6 +11,7 @@
 import type { RecordDecision } from '../../schemas/decision.js'
 import type { PeerMessage } from '../../schemas/peerMessage.js'
 import type { ClaimTask } from '../claims/claimTask.js'
+import type { JobStore } from '../jobs/jobStore.js'
 import type { ConfigurationTask } from '../configuration/configurationTask.js'
 import { startCallersServer } from './callersServer.js'
 import type { CallersServer } from './callersServer.js'
@@ -30,6 +31,7 @@
   /** Started and stopped by its owner. */
   configuration: ConfigurationTask
   claims: ClaimTask
+  jobs: JobStore
   chooseEndpoint: ChooseEndpoint
   random: () => number
   hashText: HashText
@@ -129,9 +131,17 @@
 
   async start (): Promise<void> {
     this.#links.start()
-    const { clock, configuration, claims, hashText, callers, countBadInput } = this.#options
+    const { clock, configuration, claims, jobs, hashText, callers, countBadInput } = this.#options
     this.#callers = await startCallersServer({
-      ...callers, clock, configuration: configuration.view, router: this.#router, services: this.#services, claims, hashText, countBadInput
+      ...callers,
+      clock,
+      configuration: configuration.view,
+      router: this.#router,
+      services: this.#services,
+      claims,
+      jobs,
+      hashText,
+      countBadInput
     })
     log('Gateway "%s" takes callers on port %d.', this.#options.hostId, this.callersPort)
   }
--- /dev/null
+++ b/src/tasks/gateway/jobsRoute.ts
@@ -0,0 +1,152 @@
+/** `/v1/jobs`: work that may wait. Accepted means durable. */
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
+import { Type } from '@sinclair/typebox'
+import { Value } from '@sinclair/typebox/value'
+import type { JobRow } from '../../schemas/jobRows.js'
+import { createNotRun } from '../../schemas/verdict.js'
+import type { RequestFailure } from '../../schemas/verdict.js'
+import { hashParts } from '../claims/claimRow.js'
+import type { Job } from '../jobs/jobStore.js'
+import { readHeader, readRequestId, sendFailure } from './callersServer.js'
+import type { CallersContext } from './callersServer.js'
+import { renderErrorBody } from './callerError.js'
+import { resolveRequest } from './resolveRequest.js'
+import type { RoutedRequest } from './routedRequest.js'
+
+const maxPage = 100
+const retryAfterUnavailableMs = 2000
+const jobSchema = Type.Object({
+  path: Type.Union([Type.Literal('/v1/chat/completions'), Type.Literal('/v1/completions')]),
+  body: Type.Object({}, { additionalProperties: true }),
+  /** Whether a run whose end is unknown may not be repeated. */
+  run_at_most_once: Type.Optional(Type.Boolean())
+}, { additionalProperties: false })
+const pageSchema = Type.Object({
+  after: Type.Optional(Type.String()),
+  limit: Type.Optional(Type.Integer({ minimum: 1, maximum: maxPage }))
+})
+
+/** Adds the routes of jobs. */
+export function addJobsRoute (server: FastifyInstance, context: CallersContext): void {
+  server.post('/v1/jobs', async (request, reply) => await submitJob(context, request, reply))
+  server.get('/v1/jobs', async (request, reply) => await guardPlatform(reply, async () => await listJobs(context, request, reply)))
+  server.get<{ Params: { id: string } }>('/v1/jobs/:id', async (request, reply) =>
+    await guardPlatform(reply, async () => await sendJob(context, request, reply)))
+  server.delete<{ Params: { id: string } }>('/v1/jobs/:id', async (request, reply) =>
+    await guardPlatform(reply, async () => await cancelJob(context, request, reply)))
+}
+
+async function submitJob (context: CallersContext, request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+  const { body } = request
+  if (!Value.Check(jobSchema, body)) {
+    const error = Value.Errors(jobSchema, body).First()
+    return sendFailure(reply, createNotRun('invalid_body', `field "${error?.path.slice(1)}" of the job is wrong: ${error?.message}`, 400))
+  }
+  const idempotencyKey = readHeader(request, 'idempotency-key')
+  const className = readHeader(request, 'sedgevalve-class')
+  const acceptedAtWallMs = context.clock.readWall()
+  const arrivedAtMs = context.clock.readMonotonic()
+  const resolved = resolveRequest(context.configuration, {
+    requestId: readRequestId(reply),
+    path: body.path,
+    body: { ...body.body, stream: false },
+    className,
+    idempotencyKey,
+    caller: request.caller!,
+    arrivedAtMs,
+    arrivedAtWallMs: acceptedAtWallMs
+  }, context.hashText)
+  if (!resolved.isValid) return sendFailure(reply, resolved.failure)
+  const result = await context.jobs.submitJob({
+    idempotencyKey,
+    bodyHash: hashParts([className ?? '', JSON.stringify(body)]),
+    acceptedAtWallMs,
+    dueAtWallMs: acceptedAtWallMs + resolved.value.dueAtMs - arrivedAtMs,
+    runsAtMostOnce: body.run_at_most_once === true,
+    request: selectJobRequest(resolved.value)
+  })
+  if (result.type === 'refused') return sendFailure(reply, result.failure)
+  return reply.code(202).header('location', `/v1/jobs/${result.job.id}`).send(renderJob(result.job))
+}
+
+/** What is kept of a request: everything that is fixed once. */
+function selectJobRequest (request: RoutedRequest): Parameters<CallersContext['jobs']['submitJob']>[0]['request'] {
+  const { callerName, adapter, version, baseModel, className, target, fingerprint, promptTokens, maxTokens, path, body } = request
+  return { callerName, adapter, version, baseModel, className, target, fingerprint, promptTokens, maxTokens, path, body }
+}
+
+async function listJobs (context: CallersContext, request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+  const query = Value.Convert(pageSchema, request.query)
+  if (!Value.Check(pageSchema, query)) {
+    return sendFailure(reply, createNotRun('invalid_query', `"limit" is a whole number from 1 to ${maxPage}, "after" a job's id`, 400))
+  }
+  const limit = query.limit ?? maxPage
+  const rows = await context.jobs.listJobs(request.caller!.name, query.after ?? '', limit + 1)
+  const page = rows.slice(0, limit)
+  return reply.send({ object: 'list', data: page.map(renderJob), has_more: rows.length > limit, last_id: page.at(-1)?.id ?? null })
+}
+
+async function sendJob (
+  context: CallersContext, request: FastifyRequest<{ Params: { id: string } }>, reply: FastifyReply
+): Promise<FastifyReply> {
+  const job = await context.jobs.readJob(request.caller!.name, request.params.id)
+  if (!job) return sendFailure(reply, createJobNotFound(request.params.id))
+  const answer = await context.jobs.readAnswer(job.row)
+  return reply.send({
+    ...renderJob(job.row),
+    state: renderState(job),
+    ...(answer && { answer: { status: answer.status, headers: answer.headers, body: JSON.parse(Buffer.from(answer.body).toString()) } })
+  })
+}
+
+async function cancelJob (
+  context: CallersContext, request: FastifyRequest<{ Params: { id: string } }>, reply: FastifyReply
+): Promise<FastifyReply> {
+  const { name } = request.caller!
+  const { id } = request.params
+  const job = await context.jobs.readJob(name, id)
+  if (!job) return sendFailure(reply, createJobNotFound(id))
+  if (job.row.state === 'queued') {
+    const result = await context.jobs.cancelJob(job)
+    if (result.verdict === 'unknown' || (result.verdict === 'notApplied' && result.cause === 'unavailable')) {
+      return sendFailure(reply, createUnavailable())
+    }
+  }
+  const after = await context.jobs.readJob(name, id)
+  return reply.send(after ? renderJob(after.row) : {})
+}
+
+/** Tells an outage of the platform as what it is. */
+async function guardPlatform (reply: FastifyReply, run: () => Promise<FastifyReply>): Promise<FastifyReply> {
+  try {
+    return await run()
+  } catch {
+    return sendFailure(reply, createUnavailable())
+  }
+}
+
+function renderState ({ row, queue }: Job): string {
+  return row.state === 'queued' && queue?.row.runner !== undefined ? 'running' : row.state
+}
+
+function renderJob (row: JobRow): Record<string, unknown> {
+  return {
+    object: 'job',
+    id: row.id,
+    state: row.state,
+    adapter: row.adapter,
+    version: row.version,
+    class: row.className,
+    accepted_at: new Date(row.acceptedAtWallMs).toISOString(),
+    due_at: new Date(row.dueAtWallMs).toISOString(),
+    ...(row.failure && JSON.parse(renderErrorBody(row.failure)))
+  }
+}
+
+function createJobNotFound (id: string): RequestFailure {
+  return createNotRun('job_not_found', `job "${id.slice(0, 100)}" does not exist, or is another caller's`, 404)
+}
+
+function createUnavailable (): RequestFailure {
+  return createNotRun('jobs_unavailable', 'the platform gives no answer about jobs at the moment', 503, retryAfterUnavailableMs)
+}
--- /dev/null
+++ b/src/tasks/jobs/jobRunner.ts
@@ -0,0 +1,248 @@
+/** Takes jobs from the queue, runs them like callers' requests and stores one answer for each. */
+import { randomUUID } from 'node:crypto'
+import { createLog } from '../../createLog.js'
+import type { Clock } from '../../ports/clock.js'
+import { repeatTask } from '../../repeatTask.js'
+import type { Repetition } from '../../repeatTask.js'
+import type { JobRequest } from '../../schemas/jobRows.js'
+import type { StoredAnswer } from '../../schemas/storedAnswer.js'
+import { createMayHaveRun } from '../../schemas/verdict.js'
+import type { RequestFailure } from '../../schemas/verdict.js'
+import type { AnswerEvent, RoutedRequest } from '../gateway/routedRequest.js'
+import type { RequestRouter } from '../gateway/requestRouter.js'
+import { collectAnswer } from '../gateway/collectAnswer.js'
+import type { Job, JobStore, QueuedJob } from './jobStore.js'
+import type { RunnerLeases } from './runnerLeases.js'
+
+const log = createLog('jobs')
+const scanIntervalMs = 2000
+const renewIntervalMs = 5000
+const maxRunningJobs = 64
+/** Places of the queue that one scan reads. */
+const scanLimit = 256
+/** A job that was not run is left to others, or to later, for this time. */
+const backoffMs = 5000
+/** A late job asks for its answer within this time, and for twice as much after each time that it was not run. */
+const minAllowanceMs = 5000
+const maxAllowanceMs = 4 * 3600 * 1000
+const finishIntervalMs = 1000
+/** A job that still cannot run this long after its time fails. */
+const maxLatenessMs = 24 * 3600 * 1000
+const maxDrainMs = 30_000
+const drainIntervalMs = 50
+
+interface BackOff {
+  untilMs: number
+  /** How often in a row the job was not run here. */
+  count: number
+}
+
+export interface JobRunnerOptions {
+  /** Unique to this process. */
+  runner: string
+  clock: Clock
+  random: () => number
+  store: JobStore
+  leases: RunnerLeases
+  router: Pick<RequestRouter, 'startRequest' | 'cancelRequest'>
+  /** Whether a job whose former run may have run must not run again; see `isRepeatForbidden`. */
+  isRepeatForbidden?: (job: Job, queued: QueuedJob) => boolean
+}
+
+interface RunningJob {
+  queued: QueuedJob
+  requestId: string | undefined
+}
+
+/** Work that may run at most once is not begun again after a run of whose end nothing is known. */
+export function isRepeatForbidden (job: Job, queued: QueuedJob): boolean {
+  return job.row.runsAtMostOnce && queued.row.openRuns > 1
+}
+
+export class JobRunner {
+  #options: JobRunnerOptions
+  #running = new Map<string, RunningJob>()
+  #backOffs = new Map<string, BackOff>()
+  #scans: Repetition | undefined
+  #renewals: Repetition | undefined
+  #hasLease = false
+  #isStopped = false
+
+  constructor (options: JobRunnerOptions) {
+    this.#options = options
+  }
+
+  /** Number of jobs that this process runs. */
+  get running (): number {
+    return this.#running.size
+  }
+
+  start (): void {
+    const { clock } = this.#options
+    this.#scans = repeatTask(clock, scanIntervalMs, async () => await this.#scanQueue(),
+      error => log('The queue of jobs was not read: %s.', error.message))
+    this.#renewals = repeatTask(clock, renewIntervalMs, async () => await this.#renew(),
+      error => log('The lease of the job runner was not renewed: %s.', error.message))
+  }
+
+  /** Takes no more jobs and ends once those that run have ended, or after half a minute. */
+  async stop (): Promise<void> {
+    const { clock, leases } = this.#options
+    this.#scans?.stop()
+    const endMs = clock.readMonotonic() + maxDrainMs
+    while (this.#running.size > 0 && clock.readMonotonic() < endMs) await this.#wait(drainIntervalMs)
+    this.#isStopped = true
+    this.#renewals?.stop()
+    for (const queueKey of [...this.#running.keys()]) this.#dropRun(queueKey)
+    if (this.#hasLease) await leases.withdrawLease()
+  }
+
+  async #scanQueue (): Promise<void> {
+    const free = maxRunningJobs - this.#running.size
+    if (free <= 0) return
+    const { store, leases, random, runner } = this.#options
+    const queue = await store.listQueue(scanLimit)
+    this.#forgetBackOffs(queue)
+    const places = queue.filter(place => !this.#running.has(place.queueKey) && !this.#isBackedOff(place))
+    const gone = await leases.findGone(places.flatMap(({ row }) => row.runner !== undefined && row.runner !== runner ? [row.runner] : []))
+    const open = places.filter(({ row }) => row.runner === undefined || row.runner === runner || gone.has(row.runner))
+    if (open.length === 0 || !await this.#holdLease()) return
+    // Hosts that scan at the same moment pick different places out of those that are due first.
+    const first = open.slice(0, free * 2).map(place => ({ place, rank: random() }))
+    const picked = first.sort((left, right) => left.rank - right.rank).slice(0, free)
+    for (const { place } of picked) this.#startJob(place)
+  }
+
+  /** Forgets jobs that have left the queue, as far as this scan saw it. */
+  #forgetBackOffs (queue: QueuedJob[]): void {
+    const seen = new Set(queue.map(place => place.queueKey))
+    const isWhole = queue.length < scanLimit
+    for (const queueKey of this.#backOffs.keys()) {
+      if (isWhole && !seen.has(queueKey)) this.#backOffs.delete(queueKey)
+    }
+  }
+
+  async #holdLease (): Promise<boolean> {
+    if (!this.#hasLease) this.#hasLease = await this.#options.leases.renewLease()
+    return this.#hasLease
+  }
+
+  #startJob (place: QueuedJob): void {
+    this.#running.set(place.queueKey, { queued: place, requestId: undefined })
+    const run = async (): Promise<void> => {
+      const queued = await this.#options.store.takeJob(place, this.#options.runner)
+      if (queued) await this.#runJob(queued)
+    }
+    run()
+      .catch((error: Error) => {
+        log('Job "%s" was not run: %s.', place.row.jobKey, error.message)
+        this.#backOff(place, backoffMs)
+      })
+      .finally(() => this.#running.delete(place.queueKey))
+  }
+
+  async #runJob (queued: QueuedJob): Promise<void> {
+    const { store, isRepeatForbidden: isForbidden = isRepeatForbidden } = this.#options
+    const job = await store.readJobByKey(queued.row.jobKey)
+    if (!job || job.row.state !== 'queued') return
+    if (isForbidden(job, queued)) {
+      await this.#finish(job, queued, createMayHaveRun('runner_lost', 'the host that ran the job went away, and the job may run only once', 502))
+      return
+    }
+    const request = await store.readRequest(job.row)
+    const requestId = `${job.row.id}-${randomUUID().slice(0, 8)}`
+    const end = await this.#runRequest(job, queued, request, requestId)
+    if (this.#running.get(queued.queueKey)?.requestId !== requestId) return
+    if (!('verdict' in end) || this.#isFinal(job, end)) await this.#finish(job, queued, end)
+    else await this.#release(queued, end)
+  }
+
+  async #runRequest (
+    job: Job, queued: QueuedJob, request: JobRequest, requestId: string
+  ): Promise<StoredAnswer | RequestFailure> {
+    const { clock, router } = this.#options
+    const nowMs = clock.readMonotonic()
+    const dueInMs = this.#computeDueInMs(job, queued)
+    const routed: RoutedRequest = {
+      ...request,
+      requestId,
+      // Nobody waits for its first token, whatever its class says of other requests.
+      target: { kind: 'finishWithin', ms: Math.ceil(dueInMs) },
+      arrivedAtMs: nowMs,
+      dueAtMs: nowMs + dueInMs,
+      isRepeatable: !job.row.runsAtMostOnce,
+      isStream: false
+    }
+    this.#running.set(queued.queueKey, { queued, requestId })
+    return await collectAnswer(routed, (send: (event: AnswerEvent) => void) => router.startRequest(routed, send),
+      () => router.cancelRequest(requestId))
+  }
+
+  /** An accepted job is run even if late: schedulers refuse what cannot end by its time, so it asks for more time then. */
+  #computeDueInMs (job: Job, { queueKey }: QueuedJob): number {
+    const leftMs = job.row.dueAtWallMs - this.#options.clock.readWall()
+    const count = this.#backOffs.get(queueKey)?.count ?? 0
+    if (leftMs > 0 && count === 0) return leftMs
+    return Math.max(leftMs, Math.min(maxAllowanceMs, minAllowanceMs * 2 ** count))
+  }
+
+  /** Whether another run would end the same way, or must not be. */
+  #isFinal (job: Job, failure: RequestFailure): boolean {
+    if (failure.verdict === 'ran') return true
+    if (failure.verdict === 'mayHaveRun' && job.row.runsAtMostOnce) return true
+    const isRefusedForGood = failure.status >= 400 && failure.status < 500 && failure.status !== 429
+    return isRefusedForGood || this.#options.clock.readWall() > job.row.dueAtWallMs + maxLatenessMs
+  }
+
+  async #release (queued: QueuedJob, failure: RequestFailure): Promise<void> {
+    this.#backOff(queued, Math.max(backoffMs, failure.retryAfterMs ?? 0))
+    await this.#options.store.releaseJob(queued)
+  }
+
+  /** Writes the end of a job until the table has it, or another end stands. */
+  async #finish (job: Job, queued: QueuedJob, end: StoredAnswer | RequestFailure): Promise<void> {
+    while (!this.#isStopped) {
+      const result = await this.#options.store.finishJob(job, queued, end).catch(() => undefined)
+      if (result?.verdict === 'applied') {
+        this.#backOffs.delete(queued.queueKey)
+        return
+      }
+      if (result?.verdict === 'notApplied' && result.cause === 'conflict') {
+        log('The end of job "%s" was dropped: the job has ended or changed hands.', job.row.id)
+        return
+      }
+      await this.#wait(finishIntervalMs)
+    }
+  }
+
+  async #renew (): Promise<void> {
+    if (this.#running.size === 0) return
+    if (!await this.#options.leases.renewLease()) return
+    const started = [...this.#running].filter(([, job]) => job.requestId !== undefined).map(([queueKey]) => queueKey)
+    if (started.length === 0) return
+    const places = new Map((await this.#options.store.readQueue(started)).map(place => [place.queueKey, place]))
+    for (const queueKey of started) {
+      if (places.get(queueKey)?.row.runner !== this.#options.runner) this.#dropRun(queueKey)
+    }
+  }
+
+  /** The job was cancelled, or has changed hands: its run has no use any longer. */
+  #dropRun (queueKey: string): void {
+    const requestId = this.#running.get(queueKey)?.requestId
+    this.#running.delete(queueKey)
+    if (requestId !== undefined) this.#options.router.cancelRequest(requestId)
+  }
+
+  #backOff ({ queueKey }: QueuedJob, ms: number): void {
+    const count = (this.#backOffs.get(queueKey)?.count ?? 0) + 1
+    this.#backOffs.set(queueKey, { untilMs: this.#options.clock.readMonotonic() + ms, count })
+  }
+
+  #isBackedOff ({ queueKey }: QueuedJob): boolean {
+    return (this.#backOffs.get(queueKey)?.untilMs ?? 0) > this.#options.clock.readMonotonic()
+  }
+
+  async #wait (ms: number): Promise<void> {
+    await new Promise<void>(resolve => { this.#options.clock.setTimer(resolve, ms) })
+  }
+}
--- /dev/null
+++ b/src/tasks/jobs/jobStore.ts
@@ -0,0 +1,244 @@
+/** Jobs as rows of the table: each change is a compare-and-set, so that a job ends once. */
+import { createHash, randomUUID } from 'node:crypto'
+import type { Static, TSchema } from '@sinclair/typebox'
+import { Value } from '@sinclair/typebox/value'
+import VError from 'verror'
+import type { Objects } from '../../ports/objects.js'
+import type { Table, TableRow } from '../../ports/table.js'
+import { jobRequestSchema, jobRowSchema, queueRowSchema } from '../../schemas/jobRows.js'
+import type { JobRequest, JobRow, QueueRow } from '../../schemas/jobRows.js'
+import type { StoredAnswer } from '../../schemas/storedAnswer.js'
+import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
+import type { RequestFailure } from '../../schemas/verdict.js'
+import type { BatchWriter } from '../table/batchWriter.js'
+import { readAnswer, readContent, removeContent, writeAnswer, writeContent } from '../table/contentStore.js'
+import type { WriteResult } from '../table/tableWriter.js'
+
+export const jobPrefix = 'jobs/'
+const queuePrefix = 'jobQueue/'
+const retryAfterUnavailableMs = 2000
+/** Digits of a wall-clock time in milliseconds, so that keys sort by it. */
+const timeDigits = 15
+
+export interface JobStoreOptions {
+  table: Table
+  objects: Objects
+  batches: Pick<BatchWriter, 'write'>
+}
+
+export interface JobDraft {
+  /** The same key of the same caller is the same job. */
+  idempotencyKey: string | undefined
+  bodyHash: string
+  acceptedAtWallMs: number
+  dueAtWallMs: number
+  runsAtMostOnce: boolean
+  request: JobRequest
+}
+
+/** A job with its place in the queue, as they were read together. */
+export interface Job {
+  key: string
+  version: number
+  row: JobRow
+  queue: { version: number, row: QueueRow } | undefined
+}
+
+export type SubmitResult = { type: 'accepted', job: JobRow } | { type: 'refused', failure: RequestFailure }
+
+/** A job in the queue and who runs it. */
+export interface QueuedJob {
+  queueKey: string
+  version: number
+  row: QueueRow
+}
+
+/** Reads reject with a `PlatformUnavailable` error where the platform gives no answer. */
+export class JobStore {
+  #options: JobStoreOptions
+
+  constructor (options: JobStoreOptions) {
+    this.#options = options
+  }
+
+  /** Accepts a job once it is durable, or finds the job that the same key stands for. Never rejects. */
+  async submitJob (draft: JobDraft): Promise<SubmitResult> {
+    const { objects, batches } = this.#options
+    const { callerName } = draft.request
+    const id = createJobId(callerName, draft.idempotencyKey)
+    const key = formatJobKey(callerName, id)
+    try {
+      const bytes = Buffer.from(JSON.stringify(draft.request))
+      const request = await writeContent(objects, `jobRequests/${key}/${randomUUID()}`, bytes)
+      const row = createJobRow(id, key, draft, request)
+      const queue: QueueRow = { jobKey: key, openRuns: 0 }
+      const result = await batches.write({
+        checks: [{ key, version: 0 }], writes: [{ key, value: row }, { key: row.queueKey, value: queue }]
+      })
+      if (result.verdict === 'applied') return { type: 'accepted', job: row }
+      if (result.verdict === 'unknown') return { type: 'refused', failure: createUnknown() }
+      await removeContent(objects, request)
+      if (result.cause === 'conflict') return findSameJob(result.conflicts.find(found => found.key === key), draft)
+    } catch {
+      // The object store gave no answer: no row names the object, so that the job does not exist.
+    }
+    return { type: 'refused', failure: createUnavailable() }
+  }
+
+  /** Reads one job of a caller. */
+  async readJob (callerName: string, id: string): Promise<Job | undefined> {
+    return await this.readJobByKey(formatJobKey(callerName, id))
+  }
+
+  async readJobByKey (key: string): Promise<Job | undefined> {
+    const { table } = this.#options
+    const [found] = await table.readRows([key])
+    if (!found) return undefined
+    const row = readValue(jobRowSchema, found)
+    if (row.state !== 'queued') return { key, version: found.version, row, queue: undefined }
+    const rows = await table.readRows([key, row.queueKey])
+    const again = rows.find(candidate => candidate.key === key)
+    const queue = rows.find(candidate => candidate.key === row.queueKey)
+    if (!again) return undefined
+    return {
+      key,
+      version: again.version,
+      row: readValue(jobRowSchema, again),
+      queue: queue && { version: queue.version, row: readValue(queueRowSchema, queue) }
+    }
+  }
+
+  /** Lists jobs of a caller in order of id, after the given id. */
+  async listJobs (callerName: string, after: string, limit: number): Promise<JobRow[]> {
+    const prefix = formatJobKey(callerName, '')
+    const rows = await this.#options.table.listRows({ prefix, after: after === '' ? '' : `${prefix}${after}`, limit })
+    return rows.map(row => readValue(jobRowSchema, row))
+  }
+
+  async readAnswer (row: JobRow): Promise<StoredAnswer | undefined> {
+    return row.answer && await readAnswer(this.#options.objects, row.answer)
+  }
+
+  async readRequest (row: JobRow): Promise<JobRequest> {
+    const bytes = await readContent(this.#options.objects, row.request)
+    const request: unknown = JSON.parse(Buffer.from(bytes).toString())
+    if (!Value.Check(jobRequestSchema, request)) throw new VError('the request of job "%s" does not match its schema', row.id)
+    return request
+  }
+
+  /** Lists the queue in order of due time. */
+  async listQueue (limit: number): Promise<QueuedJob[]> {
+    const rows = await this.#options.table.listRows({ prefix: queuePrefix, after: '', limit })
+    return rows.map(row => ({ queueKey: row.key, version: row.version, row: readValue(queueRowSchema, row) }))
+  }
+
+  /** Reads places of the queue; those that have gone are left out. */
+  async readQueue (queueKeys: string[]): Promise<QueuedJob[]> {
+    const rows = await this.#options.table.readRows(queueKeys)
+    return rows.map(row => ({ queueKey: row.key, version: row.version, row: readValue(queueRowSchema, row) }))
+  }
+
+  /** Takes a job for a runner, from the queue or from a runner that is gone; undefined where another was faster. */
+  async takeJob (queued: QueuedJob, runner: string): Promise<QueuedJob | undefined> {
+    const { jobKey, openRuns } = queued.row
+    // A take whose answer was lost began no run.
+    const isOwn = queued.row.runner === runner
+    return await this.#writeQueue(queued, { jobKey, runner, openRuns: isOwn ? openRuns : openRuns + 1 })
+  }
+
+  /** Puts a job that was not run back for any runner. */
+  async releaseJob (queued: QueuedJob): Promise<void> {
+    const { jobKey, openRuns } = queued.row
+    await this.#writeQueue(queued, { jobKey, openRuns: openRuns - 1 })
+  }
+
+  /** Ends a job with its one answer, or with a failure that stands; a job that has changed hands stays as it is. */
+  async finishJob (job: Job, queued: QueuedJob, end: StoredAnswer | RequestFailure): Promise<WriteResult> {
+    if ('verdict' in end) return await this.#endJob(job, queued.version, { ...job.row, state: 'failed', failure: end })
+    const { objects } = this.#options
+    const answer = await writeAnswer(objects, `jobAnswers/${job.key}/${randomUUID()}`, end)
+    const result = await this.#endJob(job, queued.version, { ...job.row, state: 'finished', answer })
+    if (result.verdict === 'notApplied') await removeContent(objects, answer).catch(() => {})
+    return result
+  }
+
+  /** Cancels a job that has not ended. */
+  async cancelJob (job: Job): Promise<WriteResult> {
+    return await this.#endJob(job, undefined, { ...job.row, state: 'cancelled' })
+  }
+
+  /** Removes the objects of a job whose row has gone. */
+  async removeBelongings (row: TableRow): Promise<void> {
+    const job = readValue(jobRowSchema, row)
+    await removeContent(this.#options.objects, job.request)
+    if (job.answer) await removeContent(this.#options.objects, job.answer)
+  }
+
+  /** The row of the job checks that it has not ended; that of the queue, where given, that it has not changed hands. */
+  async #endJob (job: Job, queueVersion: number | undefined, row: JobRow): Promise<WriteResult> {
+    return await this.#options.batches.write({
+      checks: [
+        { key: job.key, version: job.version },
+        ...(queueVersion === undefined ? [] : [{ key: row.queueKey, version: queueVersion }])
+      ],
+      writes: [{ key: job.key, value: row }, { key: row.queueKey, value: null }]
+    })
+  }
+
+  async #writeQueue ({ queueKey, version }: QueuedJob, row: QueueRow): Promise<QueuedJob | undefined> {
+    const result = await this.#options.batches.write({
+      checks: [{ key: queueKey, version }], writes: [{ key: queueKey, value: row }]
+    })
+    return result.verdict === 'applied' ? { queueKey, version: result.version, row } : undefined
+  }
+}
+
+/** Whether the row of a job is kept however old it is. */
+export function isJobOpen (row: TableRow): boolean {
+  return readValue(jobRowSchema, row).state === 'queued'
+}
+
+function createJobId (callerName: string, idempotencyKey: string | undefined): string {
+  if (idempotencyKey === undefined) return `job-${randomUUID()}`
+  return `job-${hashText(`${callerName.length}:${callerName}${idempotencyKey}`)}`
+}
+
+function formatJobKey (callerName: string, id: string): string {
+  return `${jobPrefix}${hashText(callerName).slice(0, 16)}/${id}`
+}
+
+function createJobRow (id: string, key: string, draft: JobDraft, request: JobRow['request']): JobRow {
+  const { bodyHash, acceptedAtWallMs, dueAtWallMs, runsAtMostOnce } = draft
+  const { callerName, adapter, version, className } = draft.request
+  const due = String(Math.max(0, Math.round(dueAtWallMs))).padStart(timeDigits, '0')
+  const queueKey = `${queuePrefix}${due}/${key.slice(jobPrefix.length)}`
+  return {
+    id, state: 'queued', callerName, bodyHash, adapter, version, className, acceptedAtWallMs, dueAtWallMs, runsAtMostOnce, queueKey, request
+  }
+}
+
+function findSameJob (found: TableRow | undefined, draft: JobDraft): SubmitResult {
+  if (!found) return { type: 'refused', failure: createUnavailable() }
+  const job = readValue(jobRowSchema, found)
+  if (job.bodyHash === draft.bodyHash) return { type: 'accepted', job }
+  const message = `job "${job.id}" was submitted with the same Idempotency-Key and asks something else; use a new key`
+  return { type: 'refused', failure: createNotRun('idempotency_key_reused', message, 422) }
+}
+
+function createUnavailable (): RequestFailure {
+  return createNotRun('jobs_unavailable', 'the platform gave no answer, so that the job was not accepted', 503, retryAfterUnavailableMs)
+}
+
+function createUnknown (): RequestFailure {
+  const message = 'the platform\'s answer was lost, so that the job may have been accepted; submit it again with the same Idempotency-Key'
+  return { ...createMayHaveRun('job_unknown', message, 503), retryAfterMs: retryAfterUnavailableMs }
+}
+
+function readValue<T extends TSchema> (schema: T, row: TableRow): Static<T> {
+  if (!Value.Check(schema, row.value)) throw new VError('row "%s" does not match its schema', row.key)
+  return row.value as Static<T>
+}
+
+function hashText (text: string): string {
+  return createHash('sha256').update(text).digest('hex').slice(0, 32)
+}
