Link schedulers to each other: members, suspects, outage reports and the store's budget

Cause: schedulers had links to gateways alone. A new host was known only when the lagging list showed it, a suspect only where its crash was seen, every scheduler loaded as if the weight store were its own, and an owner had no way to tell an outage of the table from being cut off alone.

Change: each scheduler opens a link to every other one and tells whom it knows, which crashes it has heard of, and that the table gives it no answer. The budget is granted by the owners of the first endpoints, one permit each, so that it follows the leases and needs neither a coordinator nor the table.

--- /dev/null
+++ b/features/permits.feature
@@ -0,0 +1,37 @@
+Feature: The weight store's budget
+  The loads of all hosts together stay within the store's budget, without a coordinator and without the table.
+
+  Scenario: Loads of all hosts keep to rate and concurrency
+    Given peers 1, 2, 3 that own engines 1, 2, 3 with 4 loads a second, 2 at full speed
+    When every peer asks for 20 loads of 400 milliseconds
+    And the peers run for 20000 milliseconds
+    Then 60 loads have run
+    And no more than 2 loads ran at once
+    And no second had more than 6 loads
+
+  Scenario: The most urgent load goes first, whoever asks
+    Given peers 1, 2, 3 that own engines 1, 2, 3 with 4 loads a second, 1 at full speed
+    When peer 1 asks for load "running" with 0 milliseconds of slack
+    And the peers run for 10 milliseconds
+    And peer 2 asks for load "patient" with 60000 milliseconds of slack
+    And peer 3 asks for load "urgent" with 300 milliseconds of slack
+    And the peers run for 5000 milliseconds
+    Then the loads ran in the order "running, urgent, patient"
+
+  Scenario: Loads go on when a granter goes away and its endpoint changes hands
+    Given peers 1, 2, 3 that own engines 1, 2, 3 with 4 loads a second, 2 at full speed
+    When every peer asks for 4 loads of 400 milliseconds
+    And the peers run for 500 milliseconds
+    And peer 1 goes away and peer 3 owns its engine 4000 milliseconds later
+    And the peers run for 10000 milliseconds
+    Then all loads of the peers that are left have run
+    And no more than 2 loads ran at once
+
+  Scenario: A holder that goes away does not keep its permit
+    Given peers 1, 2, 3 that own engines 1, 2, 3 with 4 loads a second, 1 at full speed
+    When peer 3 asks for a load that never ends
+    And the peers run for 1000 milliseconds
+    And peer 3 goes away
+    And peer 2 asks for load "next" with 0 milliseconds of slack
+    And the peers run for 10000 milliseconds
+    Then the loads ran in the order "endless, next"
--- /dev/null
+++ b/features/steps/peers.ts
@@ -0,0 +1,148 @@
+/** Steps of what schedulers tell each other, and of the budget that they share. */
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { PeerCluster } from '../support/peerCluster.js'
+import type { PeerHost } from '../support/peerCluster.js'
+
+interface PeersWorld {
+  peers: PeerCluster
+  asked: Map<string, number>
+}
+
+const loadMs = 400
+
+function findPeer (world: PeersWorld, index: number | string): PeerHost {
+  return world.peers.hosts.get(`scheduler-${index}`)!
+}
+
+function listPeers (world: PeersWorld): PeerHost[] {
+  return [...world.peers.hosts.values()]
+}
+
+async function openPeers (world: PeersWorld, indexes: string, options: ConstructorParameters<typeof PeerCluster>[0]): Promise<void> {
+  world.peers = new PeerCluster(options)
+  world.asked = new Map()
+  for (const index of indexes.split(',')) await world.peers.addHost(Number(index))
+}
+
+function ask (world: PeersWorld, hostId: string, name: string, slackMs: number, durationMs: number): void {
+  world.asked.set(hostId, (world.asked.get(hostId) ?? 0) + 1)
+  world.peers.load(hostId, name, slackMs, durationMs)
+}
+
+Given(/^peers ([\d, ]+) on a list that lags (\d+) milliseconds$/, async function (this: PeersWorld, indexes: string, lagMs: string) {
+  await openPeers(this, indexes, { listLagMs: Number(lagMs) })
+})
+
+Given(/^peers ([\d, ]+) that own engines [\d, ]+ with (\d+) loads a second, (\d+) at full speed$/,
+  async function (this: PeersWorld, indexes: string, loadsPerSecond: string, loadsAtFullSpeed: string) {
+    const budget = { loadsPerSecond: Number(loadsPerSecond), loadsAtFullSpeed: Number(loadsAtFullSpeed) }
+    await openPeers(this, indexes, { listLagMs: 0, budget })
+    this.peers.owners = listPeers(this).map(({ hostId }, index) => ({ endpointId: `engine-${index + 1}`, hostId, fencing: 1 }))
+    await this.peers.run(2000)
+  })
+
+When('the peers run for {int} milliseconds', async function (this: PeersWorld, ms: number) {
+  await this.peers.run(ms)
+})
+
+When('the list lags a minute behind and peer {int} joins that knows peer {int}', async function (this: PeersWorld, index: number, known: number) {
+  this.peers.setListLag(60_000)
+  const { exchange } = await this.peers.addHost(index)
+  const { hostId, address } = findPeer(this, known)
+  exchange.receiveMessage(hostId, { type: 'members', members: [{ hostId, zone: 'az-1', address }] })
+})
+
+When('peer {int} goes away', function (this: PeersWorld, index: number) {
+  this.peers.kill(`scheduler-${index}`)
+})
+
+When('peer {int} goes away and peer {int} owns its engine {int} milliseconds later',
+  async function (this: PeersWorld, index: number, successor: number, ms: number) {
+    this.peers.kill(`scheduler-${index}`)
+    await this.peers.run(ms)
+    this.peers.owners = this.peers.owners.map(owner => owner.hostId === `scheduler-${index}`
+      ? { ...owner, hostId: `scheduler-${successor}`, fencing: 2 }
+      : owner)
+  })
+
+When('peer {int} sees request {string} crash {string}', function (this: PeersWorld, index: number, fingerprint: string, crash: string) {
+  findPeer(this, index).exchange.addSuspects({ type: 'suspects', suspects: [{ fingerprint, crashes: [crash] }] })
+})
+
+When(/^the table gives peers ([\d, ]+) no answer$/, function (this: PeersWorld, indexes: string) {
+  for (const index of indexes.split(',')) findPeer(this, index.trim()).hasOutage = true
+})
+
+When('the table answers peer {int} again', function (this: PeersWorld, index: number) {
+  findPeer(this, index).hasOutage = false
+})
+
+When('every peer asks for {int} loads of {int} milliseconds', function (this: PeersWorld, count: number, ms: number) {
+  for (const { hostId } of listPeers(this)) {
+    for (let index = 0; index < count; index++) ask(this, hostId, `${hostId}/${index}`, 1000, ms)
+  }
+})
+
+When('peer {int} asks for load {string} with {int} milliseconds of slack', function (this: PeersWorld, index: number, name: string, slackMs: number) {
+  ask(this, `scheduler-${index}`, name, slackMs, loadMs)
+})
+
+When('peer {int} asks for a load that never ends', function (this: PeersWorld, index: number) {
+  ask(this, `scheduler-${index}`, 'endless', 0, 3600_000)
+})
+
+Then('every peer knows every other', function (this: PeersWorld) {
+  for (const { hostId, exchange } of listPeers(this)) {
+    const others = listPeers(this).map(peer => peer.hostId).filter(other => other !== hostId)
+    assert.deepEqual(exchange.listMembers().map(member => member.hostId).sort(), others.sort(), `peers of ${hostId}`)
+  }
+})
+
+Then('gateways were told of peer {int}', function (this: PeersWorld, index: number) {
+  for (const { hostId, told } of listPeers(this)) {
+    if (hostId === `scheduler-${index}`) continue
+    const isTold = told.some(message => message.type === 'members' && message.members.some(member => member.hostId === `scheduler-${index}`))
+    assert.ok(isTold, `gateways of ${hostId}`)
+  }
+})
+
+Then('every peer refuses request {string}', function (this: PeersWorld, fingerprint: string) {
+  for (const { suspects } of listPeers(this)) assert.equal(suspects.findState(fingerprint, this.peers.clock.readMonotonic()), 'refused')
+})
+
+Then('a peer {int} that joins now refuses request {string} after {int} milliseconds',
+  async function (this: PeersWorld, index: number, fingerprint: string, ms: number) {
+    const { suspects } = await this.peers.addHost(index)
+    await this.peers.run(ms)
+    assert.equal(suspects.findState(fingerprint, this.peers.clock.readMonotonic()), 'refused')
+  })
+
+Then('peer {int} has outage reports of {string}', function (this: PeersWorld, index: number, hosts: string) {
+  assert.equal(findPeer(this, index).exchange.listOutageReports().sort().join(', '), hosts)
+})
+
+Then('{int} loads have run', function (this: PeersWorld, count: number) {
+  assert.equal(this.peers.loads.order.length, count)
+})
+
+Then('no more than {int} loads ran at once', function (this: PeersWorld, count: number) {
+  assert.ok(this.peers.loads.mostRunning <= count, `${this.peers.loads.mostRunning} loads`)
+})
+
+Then('no second had more than {int} loads', function (this: PeersWorld, count: number) {
+  const { startedAtMs } = this.peers.loads
+  for (const startMs of startedAtMs) {
+    assert.ok(startedAtMs.filter(atMs => atMs >= startMs && atMs < startMs + 1000).length <= count)
+  }
+})
+
+Then('all loads of the peers that are left have run', function (this: PeersWorld) {
+  for (const { hostId } of listPeers(this)) {
+    assert.equal(this.peers.loads.order.filter(name => name.startsWith(`${hostId}/`)).length, this.asked.get(hostId), hostId)
+  }
+})
+
+Then('the loads ran in the order {string}', function (this: PeersWorld, order: string) {
+  assert.equal(this.peers.loads.order.join(', '), order)
+})
--- /dev/null
+++ b/features/support/peerCluster.ts
@@ -0,0 +1,126 @@
+/** Several schedulers' exchange with their peers, on a virtual clock. */
+import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
+import { MemoryHostList } from '../../src/adapters/memoryPlatform/memoryHostList.js'
+import { SuspectRegister } from '../../src/core/suspects.js'
+import type { PeerLink } from '../../src/ports/peers.js'
+import type { PeerMessage } from '../../src/schemas/peerMessage.js'
+import { PeerExchange } from '../../src/tasks/membership/peerExchange.js'
+import type { EndpointOwner } from '../../src/tasks/ownership/ownership.js'
+import { MemoryTransport } from './memoryTransport.js'
+
+export interface PeerHost {
+  hostId: string
+  address: string
+  exchange: PeerExchange
+  suspects: SuspectRegister
+  hasOutage: boolean
+  /** What a gateway of this host was told. */
+  told: PeerMessage[]
+}
+
+export interface PeerClusterOptions {
+  listLagMs: number
+  budget?: { loadsPerSecond: number, loadsAtFullSpeed: number }
+}
+
+/** Loads that run under a permit, with what the budget has to hold. */
+export interface LoadJournal {
+  startedAtMs: number[]
+  running: number
+  mostRunning: number
+  order: string[]
+}
+
+export class PeerCluster {
+  readonly clock = new VirtualClock()
+  readonly transport = new MemoryTransport(this.clock)
+  readonly hosts = new Map<string, PeerHost>()
+  readonly loads: LoadJournal = { startedAtMs: [], running: 0, mostRunning: 0, order: [] }
+  /** Owners of the endpoints, as every host has read them. */
+  owners: EndpointOwner[] = []
+  #options: PeerClusterOptions
+  #hostList: MemoryHostList
+  #listLagMs: number
+
+  constructor (options: PeerClusterOptions) {
+    this.#options = options
+    this.#listLagMs = options.listLagMs
+    this.#hostList = new MemoryHostList(this.clock, 0)
+  }
+
+  /** Sets how long the list takes to show what happens from now on. */
+  setListLag (lagMs: number): void {
+    this.#listLagMs = lagMs
+  }
+
+  async addHost (index: number): Promise<PeerHost> {
+    const hostId = `scheduler-${index}`
+    const address = `10.0.0.${index}:7500`
+    const suspects = new SuspectRegister()
+    const told: PeerMessage[] = []
+    const host: PeerHost = { hostId, address, suspects, told, hasOutage: false, exchange: undefined! }
+    host.exchange = new PeerExchange({
+      clock: this.clock,
+      hostId,
+      hostList: this.#hostList,
+      peerTransport: this.transport,
+      peerKey: 'k',
+      budget: this.#options.budget ?? { loadsPerSecond: 4, loadsAtFullSpeed: 2 },
+      ownership: { listOwners: () => this.owners, hasOutage: () => host.hasOutage },
+      suspects,
+      sendGateways: message => { told.push(message) },
+      receiveOther: () => {}
+    })
+    this.hosts.set(hostId, host)
+    await this.#serve(host)
+    host.exchange.start({ hostId, zone: 'az-1', address })
+    this.clock.setTimer(() => {
+      this.#hostList.addEntry({ kind: 'scheduler', id: hostId, zone: 'az-1', address, presence: 'live' })
+    }, this.#listLagMs)
+    return host
+  }
+
+  /** The host is gone at once; its links close. */
+  kill (hostId: string): void {
+    const host = this.hosts.get(hostId)!
+    this.hosts.delete(hostId)
+    this.#hostList.removeEntry(hostId)
+    this.transport.cut(host.address)
+    host.exchange.stop()
+  }
+
+  async run (ms: number): Promise<void> {
+    await this.clock.runUntilSettled(this.clock.readMonotonic() + ms)
+  }
+
+  /** Runs one load under a permit. */
+  async load (hostId: string, name: string, slackMs: number, loadMs: number): Promise<void> {
+    const release = await this.hosts.get(hostId)!.exchange.requestPermit('engine-1', slackMs)
+    const { loads } = this
+    loads.startedAtMs.push(this.clock.readMonotonic())
+    loads.order.push(name)
+    loads.running++
+    loads.mostRunning = Math.max(loads.mostRunning, loads.running)
+    this.clock.setTimer(() => {
+      loads.running--
+      release()
+    }, loadMs)
+  }
+
+  async #serve (host: PeerHost): Promise<void> {
+    const [address = '', port] = host.address.split(':')
+    await this.transport.serve({
+      address,
+      port: Number(port),
+      key: 'k',
+      receiveRefusal: () => {},
+      events: {
+        receive: (link: PeerLink, message) => {
+          if (message.type === 'hello') host.exchange.receiveHello(message, answer => link.send(answer))
+          else host.exchange.receiveMessage(link.hostId, message)
+        },
+        closed: () => {}
+      }
+    })
+  }
+}
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -112,20 +112,20 @@
     clock,
     engine,
     createPlanner: createSlackPlanners(),
-    createOwnership: send => new LeaseOwnership({
+    createOwnership: (send, listOutageReports) => new LeaseOwnership({
       clock,
       table: platform.table,
       hostList: platform.hostList,
       holder: { hostId: host.id, session: randomUUID() },
       zone: host.zone,
       hashText: h32,
-      listOutageReports: () => [],
+      listOutageReports,
       send
     }),
-    requestPermit: async () => () => {},
     decisions,
     receiveRefusal: () => metrics.badInput.count('peer_key_unknown'),
     describeProcess: () => describeState(),
+    hostList: platform.hostList,
     loadBudget: settings.store,
     configuration,
     peerTransport: grpcPeerTransport,
--- a/src/core/ownershipTimes.ts
+++ b/src/core/ownershipTimes.ts
@@ -7,7 +7,7 @@
 /** A counter must also have stood still in this many reads, so that a slow table expires nobody. */
 export const minStillReads = 4
 /** An owner gives no request or order later than this after its last proven renewal was sent. */
-export const servingLimitMs = 10_000
+export const servingLimitMs = 12_000
 /** A host that has had no answer from the table for this long tells its peers so. */
 export const outageThresholdMs = 8000
 /** How long a peer's report of an outage counts. */
--- a/src/schemas/peerMessage.ts
+++ b/src/schemas/peerMessage.ts
@@ -11,7 +11,9 @@
   hostId: Type.String(),
   role: Type.Union([Type.Literal('gateway'), Type.Literal('scheduler')]),
   zone: Type.String(),
-  version: Type.String()
+  version: Type.String(),
+  /** `ip:port` on which a scheduler takes links. */
+  address: Type.Optional(Type.String())
 })
 
 /** Asks the owner of an endpoint to run one attempt of a request. */
@@ -132,9 +134,28 @@
 })
 export type ConfigurationNews = Static<typeof configurationNewsSchema>
 
-/** Asks the owner of a load permit for one adapter load, and its answers. */
+export const memberSchema = Type.Object({
+  hostId: Type.String(),
+  zone: Type.String(),
+  /** `ip:port` of the peers' port. */
+  address: Type.String()
+})
+export type Member = Static<typeof memberSchema>
+
+/** Schedulers that the sender has a link to, so that peers know them before the list shows them. */
+export const membersSchema = Type.Object({
+  type: Type.Literal('members'),
+  members: Type.Array(memberSchema)
+})
+
+/** The table has given the sender no answer for long; repeated while that lasts. */
+export const tableOutageSchema = Type.Object({ type: Type.Literal('tableOutage') })
+
+/** Asks the granter of one permit of the weight store's budget for one adapter load, and its answers. */
 export const permitRequestSchema = Type.Object({
   type: Type.Literal('permitRequest'),
+  /** Which of the permits is asked for, from 0. */
+  permit: Type.Integer(),
   permitRequestId: Type.String(),
   endpointId: Type.String(),
   /** Time left until the load is needed, in milliseconds; smaller is more urgent. */
@@ -142,10 +163,12 @@
 })
 export const permitGrantSchema = Type.Object({
   type: Type.Literal('permitGrant'),
+  permit: Type.Integer(),
   permitRequestId: Type.String()
 })
 export const permitReleaseSchema = Type.Object({
   type: Type.Literal('permitRelease'),
+  permit: Type.Integer(),
   permitRequestId: Type.String()
 })
 
@@ -166,7 +189,7 @@
 export const peerMessageSchema = Type.Union([
   helloSchema, dispatchSchema, cancelSchema, answerDataSchema, answerEndSchema, answerFailedSchema,
   endpointSummariesSchema, decisionsSchema, suspectsSchema, configurationNewsSchema,
-  permitRequestSchema, permitGrantSchema, permitReleaseSchema, querySchema, queryAnswerSchema
+  membersSchema, tableOutageSchema, permitRequestSchema, permitGrantSchema, permitReleaseSchema, querySchema, queryAnswerSchema
 ])
 export type PeerMessage = Static<typeof peerMessageSchema>
 export type PeerMessageOf<T extends PeerMessage['type']> = Extract<PeerMessage, { type: T }>
--- a/src/tasks/gateway/schedulerLinks.ts
+++ b/src/tasks/gateway/schedulerLinks.ts
@@ -7,8 +7,9 @@
 import { productVersion } from '../../constants.js'
 import { repeatTask } from '../../repeatTask.js'
 import type { Repetition } from '../../repeatTask.js'
-import type { HostListEntry, SchedulerEntry } from '../../schemas/hostList.js'
-import type { EndpointSummaries, PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
+import type { HostListEntry } from '../../schemas/hostList.js'
+import type { EndpointSummaries, Member, PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
+import { KnownSchedulers } from '../membership/knownSchedulers.js'
 
 const log = createLog('links')
 const listIntervalMs = 500
@@ -43,6 +44,7 @@
 
 export class SchedulerLinks {
   #options: SchedulerLinksOptions
+  #known = new KnownSchedulers()
   #schedulers = new Map<string, Scheduler>()
   #repetition: Repetition | undefined
 
@@ -57,6 +59,7 @@
 
   stop (): void {
     this.#repetition?.stop()
+    this.#repetition = undefined
     for (const scheduler of this.#schedulers.values()) scheduler.link.close()
   }
 
@@ -100,32 +103,42 @@
   async #readList (): Promise<void> {
     const entries = await this.#options.hostList.listEntries()
     this.#options.receiveList(entries)
-    for (const entry of entries) {
-      if (entry.kind === 'scheduler' && !this.#schedulers.has(entry.id)) this.#openLink(entry)
-    }
+    this.#known.receiveList(entries)
+    this.#openLinks()
+  }
+
+  #openLinks (): void {
+    for (const member of this.#known.list()) if (!this.#schedulers.has(member.hostId)) this.#openLink(member)
   }
 
-  #openLink (entry: SchedulerEntry): void {
+  #openLink (member: Member): void {
     const { hostId, zone, peerKey } = this.#options
     const hello: PeerMessageOf<'hello'> = { type: 'hello', hostId, role: 'gateway', zone, version: productVersion }
     const link = this.#options.peerTransport.open({
-      address: entry.address,
-      hostId: entry.id,
+      address: member.address,
+      hostId: member.hostId,
       key: peerKey,
       hello,
       events: {
-        receive: (_link, message) => this.#receive(entry.id, message),
-        closed: closed => this.#receiveClosed(entry.id, closed)
+        receive: (_link, message) => this.#receive(member.hostId, message),
+        closed: closed => this.#receiveClosed(member.hostId, closed)
       }
     })
-    this.#schedulers.set(entry.id, { link, summaries: undefined, sentSince: new Map() })
+    this.#schedulers.set(member.hostId, { link, summaries: undefined, sentSince: new Map() })
   }
 
   #receive (hostId: string, message: PeerMessage): void {
     if (message.type === 'endpointSummaries') this.#receiveSummaries(hostId, message)
+    else if (message.type === 'members') this.#receiveMembers(message.members)
     else this.#options.receiveMessage(hostId, message)
   }
 
+  /** A scheduler tells of others, which the list may not show yet. */
+  #receiveMembers (members: Member[]): void {
+    this.#known.addMembers(members)
+    if (this.#repetition) this.#openLinks()
+  }
+
   #receiveSummaries (hostId: string, summaries: EndpointSummaries): void {
     const scheduler = this.#schedulers.get(hostId)
     if (!scheduler) return
@@ -143,6 +156,7 @@
     if (this.#schedulers.get(hostId)?.link !== link) return
     log('Link to scheduler "%s" is closed.', hostId)
     this.#schedulers.delete(hostId)
+    this.#known.forgetTold(hostId)
     this.#options.receiveClosed(hostId)
   }
 }
--- /dev/null
+++ b/src/tasks/membership/peerExchange.ts
@@ -0,0 +1,125 @@
+/** What schedulers tell each other: who is there, suspects, an outage of the table, and permits of the store's budget. */
+import { createLog } from '../../createLog.js'
+import { outageReportMs } from '../../core/ownershipTimes.js'
+import type { SuspectRegister } from '../../core/suspects.js'
+import type { Clock } from '../../ports/clock.js'
+import type { HostList } from '../../ports/hostList.js'
+import type { PeerTransport } from '../../ports/peers.js'
+import { repeatTask } from '../../repeatTask.js'
+import type { Repetition } from '../../repeatTask.js'
+import type { Member, PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
+import type { Ownership } from '../ownership/ownership.js'
+import { PermitTask } from '../permits/permitTask.js'
+import { SchedulerPeers } from './schedulerPeers.js'
+
+const log = createLog('membership')
+const outageIntervalMs = 500
+
+export interface PeerExchangeOptions {
+  clock: Clock
+  hostId: string
+  hostList: HostList
+  peerTransport: PeerTransport
+  peerKey: string
+  budget: { loadsPerSecond: number, loadsAtFullSpeed: number }
+  ownership: Pick<Ownership, 'listOwners' | 'hasOutage'>
+  suspects: SuspectRegister
+  /** Sends a message to every gateway. */
+  sendGateways: (message: PeerMessage) => void
+  /** Gets what another scheduler sends for other parts. */
+  receiveOther: (hostId: string, message: PeerMessage) => void
+}
+
+export class PeerExchange {
+  #options: PeerExchangeOptions
+  #peers: SchedulerPeers
+  #permits: PermitTask
+  #outageAtMs = new Map<string, number>()
+  #repetition: Repetition | undefined
+
+  constructor (options: PeerExchangeOptions) {
+    this.#options = options
+    const { clock, hostId, ownership, budget } = options
+    this.#peers = new SchedulerPeers({
+      ...options,
+      receiveMessage: (from, message) => this.receiveMessage(from, message),
+      receiveOpened: () => this.#sendMembers(),
+      receiveClosed: from => {
+        this.#permits.receiveClosed(from)
+        this.#sendMembers()
+      }
+    })
+    this.#permits = new PermitTask({
+      clock,
+      hostId,
+      budget,
+      listOwners: () => ownership.listOwners(),
+      send: (to, message) => this.#peers.send(to, message)
+    })
+  }
+
+  /** Starts to open links to peers; `own` is what they are told of this scheduler. */
+  start (own: Member): void {
+    this.#peers.start(own)
+    this.#permits.start()
+    this.#repetition = repeatTask(this.#options.clock, outageIntervalMs, async () => {
+      if (this.#options.ownership.hasOutage()) this.#peers.sendAll({ type: 'tableOutage' })
+    }, () => {})
+  }
+
+  stop (): void {
+    this.#repetition?.stop()
+    this.#permits.stop()
+    this.#peers.stop()
+  }
+
+  listMembers (): Member[] {
+    return this.#peers.listMembers()
+  }
+
+  /** Hosts that lately told that the table gives them no answer. */
+  listOutageReports (): string[] {
+    const nowMs = this.#options.clock.readMonotonic()
+    return [...this.#outageAtMs].filter(([, atMs]) => nowMs - atMs < outageReportMs).map(([hostId]) => hostId)
+  }
+
+  async requestPermit (endpointId: string, slackMs: number): Promise<() => void> {
+    return await this.#permits.requestPermit(endpointId, slackMs)
+  }
+
+  /** Takes the hello of a host that has opened a link to this one, and answers it. */
+  receiveHello (hello: PeerMessageOf<'hello'>, reply: (message: PeerMessage) => void): void {
+    const { hostId, zone, address, role } = hello
+    if (role === 'scheduler' && address !== undefined) this.#peers.addMembers([{ hostId, zone, address }])
+    reply({ type: 'suspects', suspects: this.#options.suspects.listRecords() })
+    reply({ type: 'members', members: this.#peers.listMembers() })
+  }
+
+  /** Takes a message of another scheduler. */
+  receiveMessage (hostId: string, message: PeerMessage): void {
+    if (message.type === 'members') this.#peers.addMembers(message.members)
+    else if (message.type === 'suspects') this.addSuspects(message)
+    else if (message.type === 'tableOutage') this.#outageAtMs.set(hostId, this.#options.clock.readMonotonic())
+    else if (message.type === 'permitRequest' || message.type === 'permitGrant' || message.type === 'permitRelease') {
+      this.#permits.receiveMessage(hostId, message)
+    } else {
+      this.#options.receiveOther(hostId, message)
+    }
+  }
+
+  /** Merges what is known of crashes, and tells everyone what is news. */
+  addSuspects ({ suspects }: PeerMessageOf<'suspects'>): void {
+    const nowMs = this.#options.clock.readMonotonic()
+    const news = suspects.filter(suspect => this.#options.suspects.addRecord(suspect, nowMs))
+    if (news.length === 0) return
+    log('%d requests ran on an endpoint when it crashed.', news.length)
+    this.#peers.sendAll({ type: 'suspects', suspects: news })
+    this.#options.sendGateways({ type: 'suspects', suspects: news })
+  }
+
+  #sendMembers (): void {
+    const message: PeerMessage = { type: 'members', members: this.#peers.listMembers() }
+    this.#peers.sendAll(message)
+    this.#options.sendGateways(message)
+  }
+}
--- /dev/null
+++ b/src/tasks/membership/schedulerPeers.ts
@@ -0,0 +1,123 @@
+/** Keeps a link from this scheduler to every other one. */
+import { productVersion } from '../../constants.js'
+import { createLog } from '../../createLog.js'
+import type { Clock } from '../../ports/clock.js'
+import type { HostList } from '../../ports/hostList.js'
+import type { PeerLink, PeerTransport } from '../../ports/peers.js'
+import { repeatTask } from '../../repeatTask.js'
+import type { Repetition } from '../../repeatTask.js'
+import type { Member, PeerMessage } from '../../schemas/peerMessage.js'
+import { KnownSchedulers } from './knownSchedulers.js'
+
+const log = createLog('membership')
+const listIntervalMs = 500
+
+export interface SchedulerPeersOptions {
+  clock: Clock
+  hostList: HostList
+  peerTransport: PeerTransport
+  peerKey: string
+  receiveMessage: (hostId: string, message: PeerMessage) => void
+  /** A peer has answered on its link for the first time. */
+  receiveOpened: (hostId: string) => void
+  receiveClosed: (hostId: string) => void
+}
+
+interface Peer {
+  member: Member
+  link: PeerLink
+  hasAnswered: boolean
+}
+
+export class SchedulerPeers {
+  #options: SchedulerPeersOptions
+  #known = new KnownSchedulers()
+  #peers = new Map<string, Peer>()
+  #own: Member | undefined
+  #repetition: Repetition | undefined
+
+  constructor (options: SchedulerPeersOptions) {
+    this.#options = options
+  }
+
+  /** Starts to open links; `own` is what peers are told of this scheduler. */
+  start (own: Member): void {
+    this.#own = own
+    this.#repetition = repeatTask(this.#options.clock, listIntervalMs, async () => await this.#readList(), error => {
+      log('The list of hosts was not read: %s.', error.message)
+      this.#openLinks()
+    })
+  }
+
+  stop (): void {
+    this.#repetition?.stop()
+    this.#repetition = undefined
+    for (const peer of [...this.#peers.values()]) peer.link.close()
+  }
+
+  /** Lists the schedulers that have answered, without this one. */
+  listMembers (): Member[] {
+    return [...this.#peers.values()].filter(peer => peer.hasAnswered).map(peer => peer.member)
+  }
+
+  /** Takes what a peer tells of schedulers, itself among them. */
+  addMembers (members: Member[]): void {
+    this.#known.addMembers(members)
+    if (this.#repetition) this.#openLinks()
+  }
+
+  send (hostId: string, message: PeerMessage): void {
+    this.#peers.get(hostId)?.link.send(message)
+  }
+
+  sendAll (message: PeerMessage): void {
+    for (const { link } of this.#peers.values()) link.send(message)
+  }
+
+  async #readList (): Promise<void> {
+    this.#known.receiveList(await this.#options.hostList.listEntries())
+    this.#openLinks()
+  }
+
+  #openLinks (): void {
+    for (const member of this.#known.list()) {
+      if (member.hostId !== this.#own?.hostId && !this.#peers.has(member.hostId)) this.#openLink(member)
+    }
+  }
+
+  #openLink (member: Member): void {
+    const { peerTransport, peerKey } = this.#options
+    const { hostId, address } = member
+    const link = peerTransport.open({
+      address,
+      hostId,
+      key: peerKey,
+      hello: { type: 'hello', role: 'scheduler', version: productVersion, ...this.#own! },
+      events: {
+        receive: (_link, message) => this.#receive(hostId, message),
+        closed: closed => this.#receiveClosed(hostId, closed)
+      }
+    })
+    this.#peers.set(hostId, { member, link, hasAnswered: false })
+  }
+
+  #receive (hostId: string, message: PeerMessage): void {
+    const peer = this.#peers.get(hostId)
+    if (peer && !peer.hasAnswered) {
+      peer.hasAnswered = true
+      log('Scheduler "%s" at %s is a peer now.', hostId, peer.member.address)
+      this.#options.receiveOpened(hostId)
+    }
+    this.#options.receiveMessage(hostId, message)
+  }
+
+  #receiveClosed (hostId: string, link: PeerLink): void {
+    const peer = this.#peers.get(hostId)
+    if (peer?.link !== link) return
+    this.#peers.delete(hostId)
+    this.#known.forgetTold(hostId)
+    if (!peer.hasAnswered) return
+    log('Scheduler "%s" is no longer a peer: its link has closed.', hostId)
+    this.#options.receiveClosed(hostId)
+  }
+}
--- a/src/tasks/ownership/leaseOwnership.ts
+++ b/src/tasks/ownership/leaseOwnership.ts
@@ -18,7 +18,7 @@
 import { EndpointLease } from './endpointLease.js'
 import { HostLease } from './hostLease.js'
 import type { HostLeaseContent } from './hostLease.js'
-import type { OwnedEndpoint, Ownership, SendOwnershipEvent } from './ownership.js'
+import type { EndpointOwner, OwnedEndpoint, Ownership, SendOwnershipEvent } from './ownership.js'
 import { readOwnershipRows } from './ownershipRead.js'
 import type { OwnershipRead } from './ownershipRead.js'
 import { takeEndpoint } from './takeEndpoint.js'
@@ -57,6 +57,8 @@
   /** Lost leases under which a request may still run. */
   #ending = new Map<string, HeldLease>()
   #engines = new Map<string, EngineEntry>()
+  /** The rows as last read. */
+  #read: OwnershipRead | undefined
   #freeSinceMs = new Map<string, number>()
   #yieldedAtMs: number
   #wroteAdoptableAtMs = -Infinity
@@ -117,7 +119,15 @@
     return [...this.#leases].map(([endpointId, { fencing }]) => ({ endpointId, fencing }))
   }
 
-  /** Whether this host should tell its peers that the table gives no answer. */
+  listOwners (): EndpointOwner[] {
+    return [...this.#engines.keys()].sort().map(endpointId => {
+      const lease = this.#leases.get(endpointId)
+      if (lease) return { endpointId, hostId: this.#options.holder.hostId, fencing: lease.fencing }
+      const row = this.#read?.endpoints.get(endpointId)?.row
+      return { endpointId, hostId: row?.owner?.hostId, fencing: row?.fencing ?? 0 }
+    })
+  }
+
   hasOutage (): boolean {
     return this.#host.hasOutage()
   }
@@ -155,6 +165,7 @@
       for (const lease of this.#leases.values()) lease.recordFailedRead()
       return
     }
+    this.#read = read
     this.#watch.recordRead(read.hosts, nowMs)
     this.#checkLeases(read)
     await this.#repeatReleases()
--- a/src/tasks/ownership/ownership.ts
+++ b/src/tasks/ownership/ownership.ts
@@ -18,6 +18,13 @@
   fencing: number
 }
 
+export interface EndpointOwner {
+  endpointId: string
+  /** Undefined where nobody owns the endpoint. */
+  hostId: string | undefined
+  fencing: number
+}
+
 export interface Ownership {
   start: () => void
   /** Takes no more endpoints from now on; those that are owned stay so. */
@@ -27,6 +34,10 @@
   /** Hands every endpoint over; resolves when that is written, or cannot be. */
   stop: () => Promise<void>
   listOwned: () => OwnedEndpoint[]
+  /** Lists every endpoint with its owner as last read, in order of name. */
+  listOwners: () => EndpointOwner[]
+  /** Whether the table has given no answer for so long that peers should be told. */
+  hasOutage: () => boolean
   /** Whether the host may give an order or a request to the endpoint at this moment. */
   isOwner: (endpointId: string) => boolean
   /** Makes the handle of a new load; undefined where the endpoint is not owned. */
--- /dev/null
+++ b/src/tasks/permits/permitTask.ts
@@ -0,0 +1,145 @@
+/** Shares the weight store's budget between all schedulers without a coordinator; see docs/design/store-budget.md. */
+import type { Clock } from '../../ports/clock.js'
+import { repeatTask } from '../../repeatTask.js'
+import type { Repetition } from '../../repeatTask.js'
+import type { PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
+import type { EndpointOwner } from '../ownership/ownership.js'
+import { PermitGranter } from './permitGranter.js'
+
+const grantersIntervalMs = 250
+/** A request that still waits is sent again after this time, as its granter may have changed. */
+const askIntervalMs = 1000
+/** Loads that an earlier granter allowed end within this time, as a rule. */
+const changeHoldMs = 2000
+
+export interface PermitTaskOptions {
+  clock: Clock
+  hostId: string
+  /** What the weight store allows all hosts together. */
+  budget: { loadsPerSecond: number, loadsAtFullSpeed: number }
+  /** Owners of the endpoints in order of the endpoints' names. */
+  listOwners: () => EndpointOwner[]
+  send: (hostId: string, message: PeerMessage) => void
+}
+
+interface WaitingRequest {
+  endpointId: string
+  /** When the load is needed. */
+  neededAtMs: number
+  /** Granter that was asked for each permit. */
+  askedHosts: Array<string | undefined>
+  askedAtMs: number
+  resolve: (release: () => void) => void
+}
+
+type PermitMessage = PeerMessageOf<'permitRequest'> | PeerMessageOf<'permitGrant'> | PeerMessageOf<'permitRelease'>
+
+/** There are as many permits as loads at full speed; the owner of the n-th endpoint grants the n-th permit. */
+export class PermitTask {
+  #options: PermitTaskOptions
+  #granters = new Map<number, PermitGranter>()
+  #waiting = new Map<string, WaitingRequest>()
+  #sequence = 0
+  #repetition: Repetition | undefined
+
+  constructor (options: PermitTaskOptions) {
+    this.#options = options
+  }
+
+  start (): void {
+    this.#repetition = repeatTask(this.#options.clock, grantersIntervalMs, async () => this.#updateGranters(), () => {})
+  }
+
+  stop (): void {
+    this.#repetition?.stop()
+    for (const granter of this.#granters.values()) granter.stop()
+    this.#granters.clear()
+  }
+
+  /** Resolves, when a load may start, to the function that gives the permit back. */
+  async requestPermit (endpointId: string, slackMs: number): Promise<() => void> {
+    const permitRequestId = String(++this.#sequence)
+    const neededAtMs = this.#options.clock.readMonotonic() + slackMs
+    return await new Promise(resolve => {
+      const request: WaitingRequest = { endpointId, neededAtMs, askedHosts: [], askedAtMs: -Infinity, resolve }
+      this.#waiting.set(permitRequestId, request)
+      this.#ask(permitRequestId, request)
+    })
+  }
+
+  /** Takes a message of a peer, or of this host to itself. */
+  receiveMessage (hostId: string, message: PermitMessage): void {
+    if (message.type === 'permitGrant') this.#receiveGrant(hostId, message)
+    else if (message.type === 'permitRequest') this.#granters.get(message.permit)?.receiveRequest(hostId, message)
+    else this.#granters.get(message.permit)?.receiveRelease(hostId, message.permitRequestId)
+  }
+
+  /** The link to a host has closed. */
+  receiveClosed (hostId: string): void {
+    for (const granter of this.#granters.values()) granter.receiveClosed(hostId)
+    for (const { askedHosts } of this.#waiting.values()) {
+      askedHosts.forEach((asked, permit) => { if (asked === hostId) askedHosts[permit] = undefined })
+    }
+  }
+
+  #updateGranters (): void {
+    this.#listGranters().forEach((owner, permit) => this.#updateGranter(permit, owner))
+    for (const [permitRequestId, request] of this.#waiting) this.#ask(permitRequestId, request)
+  }
+
+  #updateGranter (permit: number, owner: EndpointOwner | undefined): void {
+    const isOwn = owner?.hostId === this.#options.hostId
+    const granter = this.#granters.get(permit)
+    if (granter && !isOwn) {
+      granter.stop()
+      this.#granters.delete(permit)
+    } else if (!granter && isOwn) {
+      const { clock, budget } = this.#options
+      this.#granters.set(permit, new PermitGranter({
+        clock,
+        permit,
+        loadsPerSecond: budget.loadsPerSecond / budget.loadsAtFullSpeed,
+        holdMs: owner.fencing > 1 ? changeHoldMs : 0,
+        sendGrant: (hostId, grant) => this.#send(hostId, grant)
+      }))
+    }
+  }
+
+  /** Lists the granter of each permit. */
+  #listGranters (): Array<EndpointOwner | undefined> {
+    const owners = this.#options.listOwners()
+    return Array.from({ length: this.#options.budget.loadsAtFullSpeed }, (_, permit) => owners[permit % Math.max(1, owners.length)])
+  }
+
+  /** Queues a request with every granter; the first grant counts. */
+  #ask (permitRequestId: string, request: WaitingRequest): void {
+    const nowMs = this.#options.clock.readMonotonic()
+    const isRepeated = nowMs - request.askedAtMs >= askIntervalMs
+    if (isRepeated) request.askedAtMs = nowMs
+    this.#listGranters().forEach((granter, permit) => {
+      const hostId = granter?.hostId
+      if (hostId === undefined || (!isRepeated && request.askedHosts[permit] === hostId)) return
+      request.askedHosts[permit] = hostId
+      const { endpointId, neededAtMs } = request
+      this.#send(hostId, { type: 'permitRequest', permit, permitRequestId, endpointId, slackMs: neededAtMs - nowMs })
+    })
+  }
+
+  #receiveGrant (hostId: string, { permit, permitRequestId }: PeerMessageOf<'permitGrant'>): void {
+    const request = this.#waiting.get(permitRequestId)
+    const release = (granter: string, index: number): void =>
+      this.#send(granter, { type: 'permitRelease', permit: index, permitRequestId })
+    if (!request) {
+      release(hostId, permit)
+      return
+    }
+    this.#waiting.delete(permitRequestId)
+    request.askedHosts.forEach((asked, index) => { if (asked !== undefined && index !== permit) release(asked, index) })
+    request.resolve(() => release(hostId, permit))
+  }
+
+  #send (hostId: string, message: PermitMessage): void {
+    if (hostId === this.#options.hostId) queueMicrotask(() => this.receiveMessage(hostId, message))
+    else this.#options.send(hostId, message)
+  }
+}
--- a/src/tasks/scheduler/schedulerTask.ts
+++ b/src/tasks/scheduler/schedulerTask.ts
@@ -6,19 +6,21 @@
 import type { CreatePlanner } from '../../core/planner.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Engine } from '../../ports/engine.js'
+import type { HostList } from '../../ports/hostList.js'
 import type { PeerLink, PeerServer, PeerTransport } from '../../ports/peers.js'
 import { repeatTask } from '../../repeatTask.js'
 import type { Repetition } from '../../repeatTask.js'
 import type { EngineEntry } from '../../schemas/hostList.js'
 import type { EndpointState, SchedulerStatus } from '../../schemas/operatorMessage.js'
-import type { Dispatch, PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
+import type { Dispatch, Member, PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
 import type { ConfigurationTask } from '../configuration/configurationTask.js'
 import { createNotRun } from '../../schemas/verdict.js'
 import { DecisionFeed } from '../decisions/decisionFeed.js'
 import type { DecisionStore } from '../decisions/decisionStore.js'
+import { PeerExchange } from '../membership/peerExchange.js'
 import type { OwnedEndpoint, Ownership, OwnershipEvent, SendOwnershipEvent } from '../ownership/ownership.js'
 import { EndpointTask } from './endpointTask.js'
-import type { EndpointCrash, Reply, RequestPermit } from './endpointTask.js'
+import type { EndpointCrash, Reply } from './endpointTask.js'
 import { SchedulerQueries } from './schedulerQueries.js'
 
 const log = createLog('scheduler')
@@ -32,14 +34,15 @@
   clock: Clock
   engine: Engine
   createPlanner: CreatePlanner
-  createOwnership: (send: SendOwnershipEvent) => Ownership
-  requestPermit: RequestPermit
+  /** The second function lists hosts that lately told that the table gives them no answer. */
+  createOwnership: (send: SendOwnershipEvent, listOutageReports: () => string[]) => Ownership
+  hostList: HostList
   decisions: DecisionStore
   /** Called for each stranger who was refused on the peers' port. */
   receiveRefusal: () => void
   /** State of the whole process, without secrets. */
   describeProcess: () => unknown
-  /** What the weight store allows all hosts together; shown to operators. */
+  /** What the weight store allows all hosts together. */
   loadBudget: SchedulerStatus['loadBudget']
   /** Started and stopped by its owner. */
   configuration: ConfigurationTask
@@ -50,6 +53,7 @@
 interface OpenLink {
   link: PeerLink
   reply: Reply
+  role: PeerMessageOf<'hello'>['role']
 }
 
 /** What a dump tells of a scheduler. */
@@ -59,6 +63,7 @@
   version: string
   isLeaving: boolean
   links: string[]
+  peers: Member[]
   owned: OwnedEndpoint[]
   endpoints: EndpointState[]
   suspects: SuspectRecord[]
@@ -81,6 +86,7 @@
   #decisions: DecisionStore
   #feed: DecisionFeed
   #queries: SchedulerQueries
+  #exchange: PeerExchange
 
   constructor (options: SchedulerTaskOptions) {
     this.#options = options
@@ -99,7 +105,18 @@
       describeEndpoints: () => this.describeEndpoints(),
       describeState: options.describeProcess
     })
-    this.#ownership = options.createOwnership(event => this.#receiveOwnership(event))
+    this.#ownership = options.createOwnership(event => this.#receiveOwnership(event), () => this.#exchange.listOutageReports())
+    this.#exchange = new PeerExchange({
+      ...options,
+      peerKey: options.peers.key,
+      budget: options.loadBudget,
+      ownership: this.#ownership,
+      suspects: this.#suspects,
+      sendGateways: message => this.#sendGateways(message),
+      receiveOther: (from, message) => {
+        if (message.type === 'configurationNews') options.configuration.receiveNews(from, message)
+      }
+    })
     options.configuration.setPeers({
       listHosts: () => [...this.#links.keys()].map(link => link.hostId),
       send: (hostId, news) => this.#findLink(hostId)?.send(news)
@@ -120,6 +137,7 @@
       version: productVersion,
       isLeaving: this.#isLeaving,
       links: [...this.#links.keys()].map(link => link.hostId),
+      peers: this.#exchange.listMembers(),
       owned: this.#ownership.listOwned(),
       endpoints: this.describeEndpoints(),
       suspects: this.#suspects.listRecords(),
@@ -136,6 +154,8 @@
       },
       receiveRefusal: this.#options.receiveRefusal
     })
+    const { hostId, zone, peers } = this.#options
+    this.#exchange.start({ hostId, zone, address: `${peers.address}:${this.port}` })
     this.#ownership.start()
     this.#summaries = repeatTask(this.#options.clock, summaryIntervalMs, async () => this.#sendSummaries(), () => {})
     log('Scheduler "%s" takes links of peers on port %d.', this.#options.hostId, this.port)
@@ -148,6 +168,7 @@
     this.#ownership.leave()
     await Promise.all(this.#listTasks().map(async endpoint => await this.#handOver(endpoint)))
     await this.#ownership.stop()
+    this.#exchange.stop()
     this.#summaries?.stop()
     this.#feed.stop()
     this.#change?.cancel()
@@ -157,9 +178,10 @@
 
   #receive (link: PeerLink, message: PeerMessage): void {
     if (message.type === 'hello') {
-      this.#links.set(link, { link, reply: answer => link.send(answer) })
-      link.send(this.#createSummaries())
-      link.send({ type: 'suspects', suspects: this.#suspects.listRecords() })
+      const reply: Reply = answer => link.send(answer)
+      this.#links.set(link, { link, reply, role: message.role })
+      if (message.role === 'gateway') link.send(this.#createSummaries())
+      this.#exchange.receiveHello(message, reply)
     } else if (message.type === 'dispatch') {
       this.#receiveDispatch(link, message)
     } else if (message.type === 'query') {
@@ -168,6 +190,8 @@
       this.#options.configuration.receiveNews(link.hostId, message)
     } else if (message.type === 'cancel') {
       for (const endpoint of this.#listTasks()) endpoint.receiveCancel(message.requestId, message.attempt)
+    } else if (this.#links.get(link)?.role === 'scheduler') {
+      this.#exchange.receiveMessage(link.hostId, message)
     }
   }
 
@@ -242,7 +266,7 @@
   }
 
   #startEndpoint (entry: EngineEntry, fencing: number, adoptableHandles: string[]): void {
-    const { clock, engine, createPlanner, requestPermit } = this.#options
+    const { clock, engine, createPlanner } = this.#options
     const endpoint = new EndpointTask({
       clock,
       engine,
@@ -251,7 +275,7 @@
       adoptableHandles,
       planner: createPlanner({ endpointId: entry.id, slots: entry.slots, batchLimit: entry.batchLimit }),
       ownership: this.#ownership,
-      requestPermit,
+      requestPermit: async (endpointId, slackMs) => await this.#exchange.requestPermit(endpointId, slackMs),
       recordDecision: draft => this.#decisions.record(draft),
       receiveCrash: crash => this.#receiveCrash(crash),
       receiveChange: () => this.#receiveChange()
@@ -269,9 +293,7 @@
     log('Engine "%s" went away with %d requests on it.', crash.endpointId, crash.fingerprints.length)
     const crashes = [`${crash.endpointId}/${crash.incarnation}`]
     const suspects = crash.fingerprints.map(fingerprint => ({ fingerprint, crashes }))
-    const nowMs = this.#options.clock.readMonotonic()
-    for (const suspect of suspects) this.#suspects.addRecord(suspect, nowMs)
-    for (const { link } of this.#links.values()) link.send({ type: 'suspects', suspects })
+    this.#exchange.addSuspects({ type: 'suspects', suspects })
   }
 
   #receiveChange (): void {
@@ -293,8 +315,10 @@
   }
 
   #sendSummaries (): void {
-    if (this.#links.size === 0) return
-    const summaries = this.#createSummaries()
-    for (const { link } of this.#links.values()) link.send(summaries)
+    if (this.#links.size > 0) this.#sendGateways(this.#createSummaries())
+  }
+
+  #sendGateways (message: PeerMessage): void {
+    for (const { link, role } of this.#links.values()) if (role === 'gateway') link.send(message)
   }
 }
