Tell the stories of plain calls and of refused requests

Cause: calls of plain services and requests that were refused before any attempt left no decision, and the wait for an endpoint to appear was told nowhere, so explain knew nothing of them. Change: the gateway records admission, choice, retries and end of plain calls, refusals of callers with a known key, and the wait for an endpoint. Strangers are counted alone, so that they cannot drive out what is kept of callers' requests. Conclusion: any request id that a caller with a key was given has a story.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -44,3 +44,13 @@
   Scenario: The live page needs nothing from elsewhere
     When a stranger reads "/" of the operators' port
     Then the page comes with a policy that allows its own script alone
+
+  Scenario: The story of a call of a plain service
+    Given a caller posts "hello" to service path "/services/claims/decisions"
+    When an operator explains the request on gateway 2
+    Then the story's admission says "the call may run once only"
+
+  Scenario: The story of a request that was refused at once
+    Given a caller asks for 5 tokens from "nobody"
+    When an operator reads the story of the refused request on gateway 2
+    Then the story's admission says "refused: adapter "nobody" does not exist"
--- a/features/steps/operators.ts
+++ b/features/steps/operators.ts
@@ -58,6 +58,20 @@
   })
 })
 
+When('an operator reads the story of the refused request on gateway {int}', async function (this: SystemWorld, gateway: number) {
+  const session = getSession(this)
+  const requestId = this.answer!.headers.get('sedgevalve-request-id')
+  await waitUntil(async () => {
+    const story = await session.send('GET', `/api/explain/${requestId}`, exampleOperatorKey, gateway) as Story
+    return session.status === 200 && story.outcome === 'refused'
+  })
+})
+
+Then(/^the story's admission says "(.*)"$/, function (this: SystemWorld, text: string) {
+  const { admission } = getSession(this).body as Story
+  assert.ok(admission.includes(text), admission)
+})
+
 Then('the story says {string}, class {string} and version {string}',
   function (this: SystemWorld, outcome: string, className: string, version: string) {
     const story = getSession(this).body as Story
--- a/src/core/requestStory.ts
+++ b/src/core/requestStory.ts
@@ -27,7 +27,7 @@
     requestId,
     outcome: findOutcome(own),
     ...selectNames(admission ?? first),
-    admission: admission?.reason ?? 'the gateway that admitted the request has given no answer',
+    admission: describeAdmission(admission, own),
     attempts: numbers.map(attempt => buildAttempt(attempt, ordered)),
     turns: listTurns(ordered, decisions),
     decisions: ordered,
@@ -35,6 +35,12 @@
   }
 }
 
+function describeAdmission (admission: Decision | undefined, own: Decision[]): string {
+  if (admission) return admission.reason
+  const refusal = own.find(decision => decision.kind === 'refuse' && decision.attempt === undefined)
+  return refusal ? `refused: ${refusal.reason}` : 'the gateway that admitted the request has given no answer'
+}
+
 function selectNames (decision: Decision): Pick<Story, 'className' | 'adapter' | 'version'> {
   const { className, adapter, version } = decision
   return { ...(className && { className }), ...(adapter && { adapter }), ...(version && { version }) }
--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -41,10 +41,18 @@
   claims: ClaimTask
   jobs: JobStore
   hashText: HashText
-  /** Counts refused input by the code of its error. */
-  countBadInput: (code: string) => void
+  receiveRefusal: ReceiveRefusal
 }
 
+/** A request that was refused before any attempt. */
+export interface Refusal {
+  requestId: string
+  /** Undefined where the request showed no known key. */
+  callerName: string | undefined
+  failure: RequestFailure
+}
+export type ReceiveRefusal = (refusal: Refusal) => void
+
 /** What the routes of the callers' port share. */
 export type CallersContext = Omit<CallersServerOptions, 'address' | 'port'>
 
@@ -56,8 +64,7 @@
 
 declare module 'fastify' {
   interface FastifyInstance {
-    /** Counts refused input by the code of its error. */
-    countBadInput: (code: string) => void
+    receiveRefusal: ReceiveRefusal
   }
   interface FastifyRequest {
     /** Record of the caller's key; set before the body is read. */
@@ -74,11 +81,12 @@
     forceCloseConnections: 'idle',
     return503OnClosing: false,
     clientErrorHandler: (error, socket) => {
-      options.countBadInput(error.code === 'HPE_HEADER_OVERFLOW' ? 'headers_too_large' : 'invalid_http')
-      if (socket.writable) socket.end(renderClientError(error))
+      const failure = createClientFailure(error)
+      options.receiveRefusal({ requestId: '', callerName: undefined, failure })
+      if (socket.writable) socket.end(renderClientError(failure))
     }
   })
-  server.decorate('countBadInput', options.countBadInput)
+  server.decorate('receiveRefusal', options.receiveRefusal)
   addErrorHandlers(server)
   addCallerCheck(server, options)
   addCompletionRoutes(server, options)
@@ -116,23 +124,31 @@
   })
 }
 
-/** What a client gets that sends something other than HTTP, or too many headers. */
-function renderClientError (error: NodeJS.ErrnoException): string {
-  const isOverflow = error.code === 'HPE_HEADER_OVERFLOW'
-  const failure = isOverflow
+/** Names what a client did that sent something other than HTTP, or too many headers. */
+function createClientFailure (error: NodeJS.ErrnoException): RequestFailure {
+  return error.code === 'HPE_HEADER_OVERFLOW'
     ? createNotRun('headers_too_large', `the headers are larger than ${maxHeaderBytes} bytes`, 431)
     : createNotRun('invalid_http', 'the request is not valid HTTP, or did not come in time', 400)
+}
+
+/** What such a client gets. */
+function renderClientError (failure: RequestFailure): string {
   const body = renderErrorBody(failure)
   return [
-    `HTTP/1.1 ${isOverflow ? '431 Request Header Fields Too Large' : '400 Bad Request'}`,
+    `HTTP/1.1 ${failure.status === 431 ? '431 Request Header Fields Too Large' : '400 Bad Request'}`,
     'sedgevalve-verdict: not-run', 'content-type: application/json', `content-length: ${Buffer.byteLength(body)}`,
     'connection: close', '', body
   ].join('\r\n')
 }
 
-/** Sends a failure in the shape that every error of this port has. */
+/** Refuses a request before any attempt. */
 export function sendFailure (reply: FastifyReply, failure: RequestFailure): FastifyReply {
-  if (failure.status < 500) reply.server.countBadInput(failure.code)
+  reply.server.receiveRefusal({ requestId: readRequestId(reply), callerName: reply.request.caller?.name, failure })
+  return writeFailure(reply, failure)
+}
+
+/** Writes a failure in the shape that every error of this port has. */
+export function writeFailure (reply: FastifyReply, failure: RequestFailure): FastifyReply {
   return reply.code(failure.status).headers(renderErrorHeaders(failure)).type('application/json').send(renderErrorBody(failure))
 }
 
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -14,7 +14,7 @@
 import type { JobStore } from '../jobs/jobStore.js'
 import type { ConfigurationTask } from '../configuration/configurationTask.js'
 import { startCallersServer } from './callersServer.js'
-import type { CallersServer } from './callersServer.js'
+import type { CallersServer, Refusal } from './callersServer.js'
 import { RequestRouter } from './requestRouter.js'
 import type { HashText } from './resolveRequest.js'
 import { SchedulerLinks } from './schedulerLinks.js'
@@ -87,7 +87,7 @@
       }
     })
     options.configuration.setPeers({ listHosts: () => this.#links.listHostIds(), send: (to, news) => this.#links.send(to, news) })
-    this.#services = new ServiceRouter({ clock, zone, service: options.service })
+    this.#services = new ServiceRouter({ clock, zone, service: options.service, recordDecision: options.recordDecision })
     this.#router = new RequestRouter({
       clock,
       zone,
@@ -131,7 +131,7 @@
 
   async start (): Promise<void> {
     this.#links.start()
-    const { clock, configuration, claims, jobs, hashText, callers, countBadInput } = this.#options
+    const { clock, configuration, claims, jobs, hashText, callers } = this.#options
     this.#callers = await startCallersServer({
       ...callers,
       clock,
@@ -141,7 +141,7 @@
       claims,
       jobs,
       hashText,
-      countBadInput
+      receiveRefusal: refusal => this.#receiveRefusal(refusal)
     })
     log('Gateway "%s" takes callers on port %d.', this.#options.hostId, this.callersPort)
   }
@@ -154,6 +154,16 @@
     log('Gateway "%s" has stopped.', this.#options.hostId)
   }
 
+  /** Strangers are counted alone, so that they cannot drive out what is kept of callers' requests. */
+  #receiveRefusal ({ requestId, callerName, failure }: Refusal): void {
+    if (failure.status < 500) this.#options.countBadInput(failure.code)
+    if (callerName === undefined) return
+    const reason = `${failure.message} (caller "${callerName}")`
+    this.#options.recordDecision({
+      kind: 'refuse', requestId, verdict: failure.verdict, considered: [], chosen: failure.code, reason, waits: []
+    })
+  }
+
   #recordMembership (hostId: string, chosen: string, reason: string): void {
     const about = `scheduler "${hostId}" ${chosen}: ${reason}`
     this.#options.recordDecision({ kind: 'membership', considered: [], chosen: `${hostId} ${chosen}`, reason: about, waits: [] })
--- a/src/tasks/gateway/requestRouter.ts
+++ b/src/tasks/gateway/requestRouter.ts
@@ -6,7 +6,7 @@
 import type { SuspectRegister, SuspectState } from '../../core/suspects.js'
 import { isDeferrable } from '../../core/targetTime.js'
 import type { Clock, Timer } from '../../ports/clock.js'
-import type { RecordDecision } from '../../schemas/decision.js'
+import type { RecordDecision, Wait } from '../../schemas/decision.js'
 import type { PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
 import { addEarlierAttempts, createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
@@ -156,8 +156,9 @@
       this.#waitForEndpoint(running, choice.decision.reason, nowMs)
       return
     }
+    const waits: Wait[] = running.waitingSinceMs === undefined ? [] : [{ cause: 'queue', ms: nowMs - running.waitingSinceMs }]
     this.#stopWaiting(running)
-    recordDecision(choice.decision)
+    recordDecision({ ...choice.decision, waits })
     running.target = { hostId: choice.hostId, endpointId: choice.endpointId }
     links.recordSent(choice.hostId, choice.endpointId, formatAdapter(request.adapter, request.version))
     links.send(choice.hostId, {
--- a/src/tasks/gateway/serviceRouter.ts
+++ b/src/tasks/gateway/serviceRouter.ts
@@ -1,8 +1,10 @@
 /** Sends calls to plain services: to the least busy endpoint, again only where that can do no harm. */
 import type { Clock } from '../../ports/clock.js'
 import type { Service, ServiceCall, ServiceOutcome } from '../../ports/service.js'
+import type { RecordDecision, Wait } from '../../schemas/decision.js'
 import type { HostListEntry, ServiceEntry } from '../../schemas/hostList.js'
 import { addEarlierAttempts, createNotRun } from '../../schemas/verdict.js'
+import { describeAdmittedCall, describeCallChoice, describeCallEnd } from './describeCall.js'
 
 const maxAttempts = 3
 const retryAfterNoEndpointMs = 2000
@@ -15,6 +17,7 @@
   clock: Clock
   zone: string
   service: Service
+  recordDecision: RecordDecision
 }
 
 export interface RoutedCall {
@@ -53,18 +56,22 @@
   /** Runs a call; aborting the signal gives it up. */
   async runCall (call: RoutedCall, signal: AbortSignal): Promise<ServiceResult> {
     const tried: string[] = []
-    await this.#waitForEndpoint(call.service, signal)
-    let result = await this.#runAttempt(call, tried, signal)
+    this.#options.recordDecision(describeAdmittedCall(call))
+    const waits = await this.#waitForEndpoint(call.service, signal)
+    let result = await this.#runAttempt(call, tried, signal, waits)
     while (this.#isRetryAllowed(call, result) && tried.length < maxAttempts && !signal.aborted) {
-      const next = await this.#runAttempt(call, tried, signal)
-      if (next.endpointId === '') return result
+      this.#options.recordDecision(describeCallEnd(call, result, 'retry'))
+      const next = await this.#runAttempt(call, tried, signal, [])
+      if (next.endpointId === '') break
       result = joinResults(result, next)
     }
+    this.#options.recordDecision(describeCallEnd(call, result))
     return result
   }
 
-  async #waitForEndpoint (service: string, signal: AbortSignal): Promise<void> {
-    if (this.#chooseEndpoint(service, [])) return
+  async #waitForEndpoint (service: string, signal: AbortSignal): Promise<Wait[]> {
+    if (this.#chooseEndpoint(service, [])) return []
+    const startedMs = this.#options.clock.readMonotonic()
     await new Promise<void>(resolve => {
       const finish = (): void => {
         timer.cancel()
@@ -76,6 +83,7 @@
       this.#waiting.add(wake)
       signal.addEventListener('abort', finish, { once: true })
     })
+    return [{ cause: 'queue', ms: this.#options.clock.readMonotonic() - startedMs }]
   }
 
   #isRetryAllowed (call: RoutedCall, { outcome, endpointId }: ServiceResult): boolean {
@@ -83,7 +91,7 @@
     return outcome.failure.verdict === 'notRun' || (call.isRepeatable && outcome.failure.verdict === 'mayHaveRun')
   }
 
-  async #runAttempt (call: RoutedCall, tried: string[], signal: AbortSignal): Promise<ServiceResult> {
+  async #runAttempt (call: RoutedCall, tried: string[], signal: AbortSignal, waits: Wait[]): Promise<ServiceResult> {
     const entry = this.#chooseEndpoint(call.service, tried)
     if (!entry) {
       const failure = createNotRun('no_endpoint', `no endpoint serves service "${call.service}" at the moment`, 503, retryAfterNoEndpointMs)
@@ -91,6 +99,7 @@
     }
     tried.push(entry.id)
     const attempt: ServiceCall = { ...call, attempt: tried.length }
+    this.#options.recordDecision(describeCallChoice(call, entry, tried.length, waits))
     this.#count(entry.id, 1)
     const outcome = await this.#options.service.call(entry.address, attempt, signal)
     this.#count(entry.id, -1)
--- a/src/tasks/gateway/servicesRoute.ts
+++ b/src/tasks/gateway/servicesRoute.ts
@@ -5,7 +5,7 @@
 import { isNameAllowed } from './callerAccess.js'
 import type { Checked } from './callerAccess.js'
 import { runClaimedCall } from './claimedRequests.js'
-import { readClaimedWork, readHeader, readRequestId, sendFailure } from './callersServer.js'
+import { readClaimedWork, readHeader, readRequestId, sendFailure, writeFailure } from './callersServer.js'
 import type { CallersContext } from './callersServer.js'
 import type { RoutedCall, ServiceResult } from './serviceRouter.js'
 
@@ -58,7 +58,7 @@
 function sendResult (reply: FastifyReply, result: ServiceResult): FastifyReply {
   reply.header('sedgevalve-attempt', String(result.attempt))
   if (result.endpointId !== '') reply.header('sedgevalve-endpoint', result.endpointId)
-  if (result.outcome.type === 'failed') return sendFailure(reply, result.outcome.failure)
+  if (result.outcome.type === 'failed') return writeFailure(reply, result.outcome.failure)
   const { status, headers, body } = result.outcome
   return reply.code(status).headers(selectHeaders(headers)).send(Buffer.from(body))
 }
