--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -37,7 +37,8 @@
   hashText: HashText
   peerTransport: PeerTransport
   peerKey: string
-  callers: { address: string, port: number }
+  /** Where callers connect; left out, the gateway runs only requests of its own process. */
+  callers?: { address: string, port: number }
   recordDecision: RecordDecision
   countBadInput: (code: string) => void
   /** Gets what schedulers send for operators: answers to queries, and decisions. */
@@ -132,6 +133,7 @@
   async start (): Promise<void> {
     this.#links.start()
     const { clock, configuration, claims, jobs, hashText, callers } = this.#options
+    if (!callers) return
     this.#callers = await startCallersServer({
       ...callers,
       clock,
--- a/src/tasks/gateway/requestRouter.ts
+++ b/src/tasks/gateway/requestRouter.ts
@@ -30,6 +30,8 @@
   suspects: SuspectRegister
   random: () => number
   recordDecision: RecordDecision
+  /** Joins the last failure with earlier attempts; passed in so that tests can switch it off. */
+  joinAttempts?: typeof addEarlierAttempts
 }
 
 interface RunningRequest {
@@ -50,11 +52,11 @@
 type AnswerMessage = PeerMessageOf<'answerData'> | PeerMessageOf<'answerEnd'> | PeerMessageOf<'answerFailed'>
 
 export class RequestRouter {
-  #options: RequestRouterOptions
+  #options: Required<RequestRouterOptions>
   #running = new Map<string, RunningRequest>()
 
   constructor (options: RequestRouterOptions) {
-    this.#options = options
+    this.#options = { joinAttempts: addEarlierAttempts, ...options }
   }
 
   /** Number of requests that have no final answer yet. */
@@ -219,6 +221,7 @@
   }
 
   #receiveFailure (running: RunningRequest, failure: RequestFailure): void {
+    if (failure.verdict !== 'notRun') running.mayHaveRun = true
     if (this.#findSuspectState(running.request) === 'refused') {
       this.#finishFailed(running, createMayHaveRun('request_crashes_endpoints', crashMessage, 422))
       return
@@ -246,7 +249,7 @@
   }
 
   #finishFailed (running: RunningRequest, last: RequestFailure): void {
-    const failure = addEarlierAttempts(last, running.hasSentData || running.mayHaveRun)
+    const failure = this.#options.joinAttempts(last, running.hasSentData || running.mayHaveRun)
     this.#recordEnd(running, { kind: 'fail', verdict: failure.verdict, chosen: failure.code, reason: failure.message })
     this.#remove(running)
     running.send({ type: 'failed', failure } satisfies AnswerEvent)
