Follow what an engine really holds, and give back what cannot be served

Cause: found by fuzzing. (1) A load that an engine carried out after its answer was lost, or after a restart, kept a slot that nobody knew of; later loads found no slot, without end. (2) With every slot held by adapters of a killed owner, requests waited for as long as that owner might return, beside engines that were free. (3) An endpoint that was leaving got work 8 s after the list showed it while the table was slow: the list was read between reads of the table. Change: handles that a report shows and nobody follows are used, or unloaded where the adapter has another; an endpoint with no usable slot, or with no slot for an adapter until 5 s after a request was due, gives the request back as not run; the list is read apart from the leases. Reading reports and holding suspects are modules of their own.

--- a/src/core/formatAdapter.ts
+++ b/src/core/formatAdapter.ts
@@ -21,6 +21,7 @@
 }
 
 export interface ParsedHandle {
+  handle: string
   adapter: string
   version: string
   fencing: number
@@ -30,5 +31,5 @@
 export function parseHandle (handle: string): ParsedHandle | undefined {
   const match = /^([^@#]+)@([^@#]+)#(\d+)\.(\d+)$/.exec(handle)
   if (!match) return undefined
-  return { adapter: match[1]!, version: match[2]!, fencing: Number(match[3]) }
+  return { handle, adapter: match[1]!, version: match[2]!, fencing: Number(match[3]) }
 }
--- a/src/tasks/ownership/leaseOwnership.ts
+++ b/src/tasks/ownership/leaseOwnership.ts
@@ -30,6 +30,7 @@
 const yieldIntervalMs = 2000
 const adoptableIntervalMs = 1500
 const outageCheckMs = 500
+const listIntervalMs = 500
 const writeTimeoutMs = 500
 const maxReleaseAttempts = 3
 
@@ -65,6 +66,7 @@
   #isLeaving = false
   #cycle: Repetition | undefined
   #outageCheck: Repetition | undefined
+  #list: Repetition | undefined
   #runningCycle: Promise<void> = Promise.resolve()
 
   constructor (options: LeaseOwnershipOptions) {
@@ -78,6 +80,8 @@
 
   start (): void {
     const { clock } = this.#options
+    // Apart from the cycle, so that a slow table does not delay the news that an endpoint is leaving.
+    this.#list = repeatTask(clock, listIntervalMs, async () => await this.#readList(), () => {})
     this.#cycle = repeatTask(clock, leaseCycleMs, async () => {
       this.#runningCycle = this.#runCycle()
       await this.#runningCycle
@@ -93,6 +97,7 @@
     this.#isLeaving = true
     this.#cycle?.stop()
     this.#outageCheck?.stop()
+    this.#list?.stop()
     await this.#runningCycle.catch(() => {})
     const owned = this.listOwned()
     await Promise.all(owned.map(async ({ endpointId, fencing }) => await this.release(endpointId, fencing)))
@@ -156,7 +161,6 @@
   // One cycle: renew, read, then act on what was read
 
   async #runCycle (): Promise<void> {
-    await this.#readList()
     const isRenewed = await this.#host.renew(this.#createContent())
     const read = isRenewed ? await readOwnershipRows(this.#options.table) : undefined
     const nowMs = this.#options.clock.readMonotonic()
--- a/src/tasks/scheduler/endpointHandles.ts
+++ b/src/tasks/scheduler/endpointHandles.ts
@@ -1,6 +1,7 @@
 /** Which handles of an endpoint its owner may use, and how they are unloaded. */
 import { createLog } from '../../createLog.js'
 import { parseHandle } from '../../core/formatAdapter.js'
+import type { ParsedHandle } from '../../core/formatAdapter.js'
 import type { Clock } from '../../ports/clock.js'
 import type { Engine, EngineReport, OrderOutcome } from '../../ports/engine.js'
 import type { Ownership } from '../ownership/ownership.js'
@@ -25,6 +26,8 @@
   #options: EndpointHandlesOptions
   #adoptable: Set<string>
   #removing = new Set<string>()
+  /** Handles whose state on the engine the task follows: ordered, in use or ordered to be unloaded. */
+  #known = new Set<string>()
 
   constructor (options: EndpointHandlesOptions) {
     this.#options = options
@@ -36,6 +39,28 @@
     return this.#adoptable.has(handle) || parseHandle(handle)?.fencing === this.#options.fencing
   }
 
+  /** Follows a handle from the order to load it on. */
+  recordOrdered (handle: string): void {
+    this.#known.add(handle)
+  }
+
+  /** The outcome of a load was lost; a report will show whether the engine has the handle. */
+  recordLost (handle: string): void {
+    this.#known.delete(handle)
+  }
+
+  /** The engine has lost everything. */
+  recordRestarted (): void {
+    this.#known.clear()
+  }
+
+  /** Lists usable handles that the engine holds and that are not followed yet; follows them from now on. */
+  takeStrays (report: EngineReport): ParsedHandle[] {
+    const strays = report.adapters.filter(({ handle, state }) => state === 'loaded' && this.isUsable(handle) && !this.#known.has(handle))
+    for (const { handle } of strays) this.#known.add(handle)
+    return strays.flatMap(({ handle }) => parseHandle(handle) ?? [])
+  }
+
   /** Takes a report, orders what may be removed to be unloaded, and counts the slots that are not usable. */
   receiveReport (address: string, report: EngineReport, readAtMs: number): number {
     const { ownership, endpointId } = this.#options
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -1,28 +1,28 @@
 /** Owns one endpoint: carries out the plans made for it and relays what its engine sends. */
 import { createLog } from '../../createLog.js'
-import { formatAdapter, parseHandle } from '../../core/formatAdapter.js'
+import { formatAdapter } from '../../core/formatAdapter.js'
+import type { ParsedHandle } from '../../core/formatAdapter.js'
 import type { EndpointPlan, EndpointPlanner, PlannedDispatch, PlannedFailure, PlannedLoad, PlannedUnload } from '../../core/planner.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Engine, EngineReport, GenerateEvent, GenerateOrder, Generation } from '../../ports/engine.js'
-import { repeatTask } from '../../repeatTask.js'
-import type { Repetition } from '../../repeatTask.js'
 import type { RecordDecision } from '../../schemas/decision.js'
 import type { EngineEntry } from '../../schemas/hostList.js'
 import type { EndpointState } from '../../schemas/operatorMessage.js'
 import type { Dispatch, EndpointSummary, PeerMessage } from '../../schemas/peerMessage.js'
-import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
+import { createMayHaveRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
+import { createBlocked, createEndpointLeaving, createNotOwner, createNoSlot, createNotReady, createSchedulerLeaving } from './endpointRefusals.js'
+import { SuspectGate } from './suspectGate.js'
 import type { Ownership } from '../ownership/ownership.js'
 import { describeAttempts, describeFailedLoad } from './describeEndpoint.js'
 import { EndpointHandles } from './endpointHandles.js'
+import { EngineWatch } from './engineWatch.js'
+import type { EngineWatchEvent } from './engineWatch.js'
 import { defaultPlanResume, startResumedGeneration } from './resumeGeneration.js'
 
 const log = createLog('scheduler')
-const reportIntervalMs = 250
-/** An engine that gives no report this often is taken for lost. */
-const maxMissedReports = 4
-/** After a lost connection, an engine that gives no report for this time is taken for crashed. */
-const lossCheckMs = 1000
+/** A request that is due this long and has no adapter here is given back. */
+const overdueMs = 5000
 
 /** Asks for leave to load from the weight store; resolves to the function that gives it back. */
 export type RequestPermit = (endpointId: string, slackMs: number) => Promise<() => void>
@@ -67,21 +67,25 @@
   #options: EndpointTaskOptions
   #entry: EngineEntry
   #attempts = new Map<string, Attempt>()
-  #incarnation: string | undefined
-  #missedReports = 0
-  #isReady = false
+  #isBlocked = false
   #isStopping = false
   #wake: Timer | undefined
   #isPlanning = false
-  #reports: Repetition | undefined
-  #heldSuspects: Attempt[] = []
-  #lossCheck: Promise<void> | undefined
+  #suspects = new SuspectGate<Attempt>()
   #handles: EndpointHandles
+  #watch: EngineWatch
 
   constructor (options: EndpointTaskOptions) {
     this.#options = options
     this.#entry = options.entry
     this.#handles = new EndpointHandles({ ...options, endpointId: options.entry.id })
+    this.#watch = new EngineWatch({
+      clock: options.clock,
+      engine: options.engine,
+      endpointId: options.entry.id,
+      findAddress: () => this.#entry.address,
+      send: event => this.#receiveWatch(event)
+    })
   }
 
   get endpointId (): string {
@@ -97,14 +101,13 @@
   }
 
   start (): void {
-    this.#reports = repeatTask(this.#options.clock, reportIntervalMs, async () => await this.#readReport(),
-      error => this.#receiveMissedReport(error))
+    this.#watch.start()
   }
 
   /** Takes no new work, fails what is queued as not run and resolves when what runs has ended. */
   async drain (): Promise<void> {
     this.#isStopping = true
-    this.#failQueued(createNotRun('scheduler_leaving', `the owner of endpoint "${this.endpointId}" is leaving`, 503))
+    this.#failQueued(createSchedulerLeaving(this.endpointId))
     this.#options.receiveChange()
     while (this.#attempts.size > 0) {
       await new Promise<void>(resolve => this.#options.clock.setTimer(resolve, 20))
@@ -114,15 +117,13 @@
   /** Ends the task; to be called when nothing runs any more. */
   stop (): void {
     this.#isStopping = true
-    this.#reports?.stop()
+    this.#watch.stop()
     this.#wake?.cancel()
   }
 
   receiveEntry (entry: EngineEntry): void {
     this.#entry = entry
-    if (entry.presence === 'leaving') {
-      this.#failQueued(createNotRun('endpoint_leaving', `endpoint "${entry.id}" is leaving`, 503))
-    }
+    if (entry.presence === 'leaving') this.#failQueued(createEndpointLeaving(entry.id))
     this.#options.receiveChange()
   }
 
@@ -135,19 +136,7 @@
       this.#fail(attempt, refusal)
       return
     }
-    if (dispatch.isSuspect && this.#hasSuspect(attempt)) this.#heldSuspects.push(attempt)
-    else this.#admit(attempt)
-  }
-
-  /** Suspects never run beside each other, so that a crash tells which of them caused it. */
-  #hasSuspect (except: Attempt): boolean {
-    return [...this.#attempts.values()].some(attempt => attempt !== except && attempt.dispatch.isSuspect)
-  }
-
-  #admitHeldSuspect (): void {
-    const isBusy = [...this.#attempts.values()].some(attempt => attempt.dispatch.isSuspect && !this.#heldSuspects.includes(attempt))
-    const next = isBusy ? undefined : this.#heldSuspects.shift()
-    if (next) this.#admit(next)
+    if (!dispatch.isSuspect || this.#suspects.mayEnter(attempt)) this.#admit(attempt)
   }
 
   #admit (attempt: Attempt): void {
@@ -210,17 +199,18 @@
 
   #findRefusal (): RequestFailure | undefined {
     const id = this.endpointId
-    if (this.#isStopping) return createNotRun('scheduler_leaving', `the owner of endpoint "${id}" is leaving`, 503)
-    if (this.#entry.presence === 'leaving') return createNotRun('endpoint_leaving', `endpoint "${id}" is leaving`, 503)
-    if (!this.#isReady) return createNotRun('endpoint_not_ready', `endpoint "${id}" is not ready`, 503)
-    if (!this.#options.ownership.isOwner(id)) return createNotRun('not_owner', `this host does not own endpoint "${id}"`, 503)
+    if (this.#isStopping) return createSchedulerLeaving(id)
+    if (this.#entry.presence === 'leaving') return createEndpointLeaving(id)
+    if (!this.#watch.isReady) return createNotReady(id)
+    if (!this.#options.ownership.isOwner(id)) return createNotOwner(id)
+    if (this.#isBlocked) return createBlocked(id)
     return undefined
   }
 
   // Planning
 
   #plan (): void {
-    if (this.#isPlanning || this.#isStopping || !this.#isReady) return
+    if (this.#isPlanning || this.#isStopping || !this.#watch.isReady) return
     this.#isPlanning = true
     this.#wake?.cancel()
     const nowMs = this.#options.clock.readMonotonic()
@@ -286,19 +276,21 @@
   async #carryOutLoad (planned: PlannedLoad): Promise<void> {
     const { adapter, version } = planned
     const { ownership, planner, clock, engine, fencing } = this.#options
-    const incarnation = this.#incarnation
+    const { incarnation } = this.#watch
     const release = await this.#options.requestPermit(this.endpointId, planned.slackMs)
     const handle = ownership.createHandle(this.endpointId, adapter, version)
-    if (!handle || this.#isStopping || incarnation !== this.#incarnation) {
+    if (!handle || this.#isStopping || incarnation !== this.#watch.incarnation) {
       release()
       planner.recordLoadFailed(adapter, version, clock.readMonotonic())
       return
     }
     this.#options.recordDecision({ ...planned.decision, handle })
     planner.recordLoadStarted(adapter, version, clock.readMonotonic())
+    this.#handles.recordOrdered(handle)
     const outcome = await engine.loadAdapter(this.#entry.address, { adapter, version, handle, fencing })
     release()
-    if (incarnation !== this.#incarnation) return
+    if (incarnation !== this.#watch.incarnation) return
+    if (outcome.verdict === 'unknown') this.#handles.recordLost(handle)
     if (outcome.verdict === 'done') {
       planner.recordLoaded(adapter, version, handle, clock.readMonotonic())
     } else {
@@ -324,38 +316,31 @@
       this.#receiveLoss(attempt, event.failure)
     } else {
       this.#fail(attempt, event.failure)
+      if (event.failure.code === 'handle_unknown' && attempt.handle) this.#receiveMissingHandle(attempt.handle)
     }
   }
 
+  /** The engine no longer has a handle that the planner counts on. */
+  #receiveMissingHandle (handle: string): void {
+    this.#options.planner.recordUnloaded(handle, this.#options.clock.readMonotonic())
+    this.#plan()
+  }
+
   /**
    * A connection was lost while a request ran. Whether the engine crashed decides whether the request is a suspect,
    * and gateways must know that before they try it elsewhere.
    */
   async #receiveLoss (attempt: Attempt, failure: RequestFailure): Promise<void> {
-    if (failure.verdict !== 'notRun') {
-      this.#lossCheck ??= this.#checkLoss()
-      await this.#lossCheck
-    }
+    if (failure.verdict !== 'notRun') await this.#watch.checkLoss()
     if (this.#attempts.get(formatAttempt(attempt.dispatch)) === attempt) this.#fail(attempt, failure)
   }
 
-  async #checkLoss (): Promise<void> {
-    const { clock, engine } = this.#options
-    const incarnation = this.#incarnation
-    const silence = new Promise<undefined>(resolve => clock.setTimer(() => resolve(undefined), lossCheckMs))
-    const report = await Promise.race([engine.readReport(this.#entry.address).catch(() => undefined), silence])
-    this.#lossCheck = undefined
-    if (incarnation !== this.#incarnation || report?.incarnation === incarnation) return
-    this.#reportCrash()
-    this.#isReady = false
-    this.#options.receiveChange()
-  }
-
-  #reportCrash (): void {
+  #reportCrash (incarnation: string): void {
     const lost = [...this.#attempts.values()].filter(attempt => attempt.generation)
+    if (lost.length === 0) return
     this.#options.receiveCrash({
       endpointId: this.endpointId,
-      incarnation: this.#incarnation ?? '',
+      incarnation,
       fingerprints: lost.map(attempt => attempt.dispatch.fingerprint)
     })
   }
@@ -364,7 +349,7 @@
     const { requestId, attempt: number } = attempt.dispatch
     this.#attempts.delete(formatAttempt(attempt.dispatch))
     this.#options.planner.recordFinished(requestId, number, this.#options.clock.readMonotonic())
-    if (attempt.dispatch.isSuspect) this.#admitHeldSuspect()
+    this.#leaveGate(attempt)
     this.#plan()
   }
 
@@ -378,13 +363,15 @@
     const { requestId, attempt: number } = attempt.dispatch
     this.#attempts.delete(formatAttempt(attempt.dispatch))
     this.#options.planner.removeRequest(requestId, number, this.#options.clock.readMonotonic())
-    if (attempt.dispatch.isSuspect) {
-      this.#heldSuspects = this.#heldSuspects.filter(held => held !== attempt)
-      this.#admitHeldSuspect()
-    }
+    this.#leaveGate(attempt)
     this.#plan()
   }
 
+  #leaveGate (attempt: Attempt): void {
+    const next = attempt.dispatch.isSuspect ? this.#suspects.leave(attempt) : undefined
+    if (next) this.#admit(next)
+  }
+
   #failQueued (failure: RequestFailure): void {
     for (const attempt of [...this.#attempts.values()]) {
       if (!attempt.generation) this.#fail(attempt, failure)
@@ -393,49 +380,67 @@
 
   // Reports
 
-  async #readReport (): Promise<void> {
-    const { clock, engine, planner } = this.#options
-    const readAtMs = clock.readMonotonic()
-    const report = await engine.readReport(this.#entry.address)
-    this.#missedReports = 0
-    planner.recordBlockedSlots(this.#handles.receiveReport(this.#entry.address, report, readAtMs), clock.readMonotonic())
-    if (report.incarnation !== this.#incarnation) this.#receiveIncarnation(report)
-    if (!this.#isReady) {
-      this.#isReady = true
-      this.#options.receiveChange()
-    }
+  /** Slots that hold adapters of former owners; where that is all of them, requests go to other endpoints. */
+  #receiveBlockedSlots (count: number): void {
+    const wasBlocked = this.#isBlocked
+    this.#isBlocked = count >= this.#entry.slots
+    this.#options.planner.recordBlockedSlots(count, this.#options.clock.readMonotonic())
+    if (this.#isBlocked === wasBlocked) return
+    if (this.#isBlocked) this.#failQueued(createBlocked(this.endpointId))
+    this.#options.receiveChange()
+  }
+
+  #receiveWatch (event: EngineWatchEvent): void {
+    if (event.type === 'report') this.#receiveReport(event.report, event.readAtMs)
+    else if (event.type === 'restarted') this.#receiveRestart(event.incarnation)
+    else if (event.type === 'crashed') this.#reportCrash(event.incarnation)
+    else if (event.type === 'silent') this.#failQueued(createNotReady(this.endpointId))
+    else if (event.type === 'lost') this.#failRunning()
+    if (event.type !== 'report') this.#options.receiveChange()
+  }
+
+  #receiveReport (report: EngineReport, readAtMs: number): void {
+    this.#receiveBlockedSlots(this.#handles.receiveReport(this.#entry.address, report, readAtMs))
+    for (const stray of this.#handles.takeStrays(report)) this.#receiveStray(stray)
+    this.#returnOverdue()
     this.#plan()
   }
 
-  #receiveIncarnation (report: EngineReport): void {
-    if (this.#incarnation !== undefined) this.#receiveRestart()
-    this.#incarnation = report.incarnation
+  /** Another endpoint may have room for an adapter that got no slot here until long after the request was due. */
+  #returnOverdue (): void {
     const nowMs = this.#options.clock.readMonotonic()
-    for (const { handle, state } of report.adapters) {
-      const parsed = parseHandle(handle)
-      if (!parsed || state !== 'loaded' || !this.#handles.isUsable(handle)) continue
-      this.#options.planner.recordLoaded(parsed.adapter, parsed.version, handle, nowMs)
+    const { loaded } = this.#options.planner.readExpectation(nowMs)
+    for (const attempt of [...this.#attempts.values()]) {
+      const { dispatch, receivedAtMs, generation } = attempt
+      const isOverdue = nowMs > receivedAtMs + Math.max(0, dispatch.dueInMs) + overdueMs
+      if (generation || !isOverdue || loaded.includes(formatAdapter(dispatch.adapter, dispatch.version))) continue
+      this.#fail(attempt, createNoSlot(this.endpointId, dispatch.adapter))
     }
   }
 
-  #receiveRestart (): void {
-    log('Engine "%s" has restarted empty.', this.endpointId)
-    const lost = [...this.#attempts.values()].filter(attempt => attempt.generation)
-    if (lost.length > 0) this.#reportCrash()
+  /** Uses a handle that a former owner handed over, or whose load ended unseen; a second one of an adapter is unloaded. */
+  #receiveStray ({ handle, adapter, version }: ParsedHandle): void {
+    const { planner, clock } = this.#options
+    const nowMs = clock.readMonotonic()
+    const { loaded, loading } = planner.readExpectation(nowMs)
+    const name = formatAdapter(adapter, version)
+    if (loaded.includes(name) || loading.includes(name)) this.#handles.unload(this.#entry.address, handle, () => {})
+    else planner.recordLoaded(adapter, version, handle, nowMs)
+  }
+
+  #receiveRestart (incarnation: string): void {
+    this.#reportCrash(incarnation)
+    this.#handles.recordRestarted()
     this.#options.planner.recordRestarted(this.#options.clock.readMonotonic())
-    for (const attempt of lost) {
-      attempt.generation?.cancel()
-      this.#fail(attempt, createMayHaveRun('endpoint_lost', `endpoint "${this.endpointId}" restarted while the request ran`, 502))
-    }
+    this.#failRunning()
   }
 
-  #receiveMissedReport (error: Error): void {
-    this.#missedReports++
-    if (!this.#isReady || this.#missedReports < maxMissedReports) return
-    log('Engine "%s" gives no report: %s.', this.endpointId, error.message)
-    this.#isReady = false
-    this.#failQueued(createNotRun('endpoint_not_ready', `endpoint "${this.endpointId}" gives no answer`, 503))
-    this.#options.receiveChange()
+  #failRunning (): void {
+    for (const attempt of [...this.#attempts.values()]) {
+      if (!attempt.generation) continue
+      attempt.generation.cancel()
+      this.#fail(attempt, createMayHaveRun('endpoint_lost', `endpoint "${this.endpointId}" was lost while the request ran`, 502))
+    }
   }
 }
 
