Fuzz the system on a virtual clock against the promises

Change: the real gateways and schedulers, with leases, permits, claims, configuration and jobs, run over fakes at the ports: hosts that pause and die, cut links, engines that restart, stall and fail loads, a table that is down, slow, loses answers or applies writes late; requests of all kinds and operators that race. An oracle that knows the promises alone reads the engines' journals and what callers were told. Three seeds and each sequence that once broke a promise are tests.

--- /dev/null
+++ b/features/fuzz.feature
@@ -0,0 +1,26 @@
+Feature: Fuzzing against the promises
+  Sequences of requests, faults and operators' changes run over the real tasks on a virtual clock. An oracle that knows
+  the promises alone reads what callers were told and the journals of the engines.
+
+  Scenario Outline: Seed <seed>
+    When 40 sequences are fuzzed with seed <seed>
+    Then no promise is broken
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  # Each of these broke a promise once.
+  Scenario Outline: <fault>
+    When this sequence runs: '<sequence>'
+    Then no promise is broken
+
+    Examples:
+      | fault | sequence |
+      | a lost attempt followed by one that is refused | stallEngine(0),stallEngine(2),request({"gateway":0,"model":"alpha","tokens":1,"content":"crash one","className":"urgent"}),leaveEngine(1),advance(8000),advance(3500) |
+      | a load that an engine carries out after its restart | request({"gateway":0,"model":"alpha","tokens":1,"content":"hello","className":"later"}),request({"gateway":0,"model":"gamma","tokens":1,"content":"hello","className":"later"}),stopScheduler(0),restartEngine(1),pause(0),stallEngine(0),stallEngine(2),request({"gateway":3,"model":"theta@2","tokens":1,"content":"hello","className":"urgent"}),advance(8000),advance(5) |
+      | every slot blocked by adapters of a killed owner | request({"gateway":0,"model":"alpha","tokens":1,"content":"hello","className":"later"}),request({"gateway":0,"model":"eta","tokens":1,"content":"hello","className":"later"}),stopScheduler(1),advance(8000),request({"gateway":0,"model":"alpha@2","tokens":1,"content":"hello","className":"urgent"}),killScheduler(3),addScheduler(0),killScheduler(0),setTableDown(true),returnEngine(0) |
+      | no slot to be had beside adapters of a killed owner | request({"gateway":0,"model":"epsilon","tokens":1,"content":"hello","className":"urgent"}),leaveEngine(0),request({"gateway":0,"model":"eta","tokens":1,"content":"hello","className":"later"}),stopScheduler(4),advance(8000),advance(8000),request({"gateway":0,"model":"alpha","tokens":1,"content":"hello","className":"urgent"}),addScheduler(0),request({"gateway":0,"model":"alpha","tokens":1,"content":"hello","className":"later"}),setTableDown(true),killScheduler(0),killScheduler(0),returnEngine(0) |
+      | an endpoint that leaves while the table is slow | slowTable(1500),leaveEngine(2),delayWrites(1),advance(8000),request({"gateway":0,"model":"zeta","tokens":1,"content":"hello","className":"urgent"}),advance(900),stopScheduler(0) |
--- /dev/null
+++ b/fuzz/commands.ts
@@ -0,0 +1,167 @@
+/** What may happen to the fuzzed system, in any order, as commands of fast-check. */
+import fc from 'fast-check'
+import { crashMarker } from './fakeEngines.js'
+import type { FakeHost } from './fakeHost.js'
+import { fuzzAdapters } from './fuzzSystem.js'
+import type { ChangePlan, FuzzSystem, RequestPlan } from './fuzzSystem.js'
+
+/** The oracle knows promises alone, so commands need no model of the state. */
+export type FuzzModel = Record<string, never>
+export type FuzzCommand = fc.AsyncCommand<FuzzModel, FuzzSystem>
+
+type Step = (system: FuzzSystem) => void | Promise<void>
+
+class NamedCommand implements FuzzCommand {
+  #name: string
+  #step: Step
+
+  constructor (name: string, step: Step) {
+    this.#name = name
+    this.#step = step
+  }
+
+  check (): boolean {
+    return true
+  }
+
+  async run (_model: FuzzModel, system: FuzzSystem): Promise<void> {
+    await this.#step(system)
+    await system.advance(1)
+  }
+
+  toString (): string {
+    return this.#name
+  }
+}
+
+/** Creates a command from its name and argument, as they stand in a printed sequence. */
+const creators = new Map<string, (value: unknown) => FuzzCommand>()
+
+function createCommands<T> (arbitrary: fc.Arbitrary<T>, name: string, step: (system: FuzzSystem, value: T) => void | Promise<void>): fc.Arbitrary<FuzzCommand> {
+  const create = (value: T): FuzzCommand => new NamedCommand(`${name}(${JSON.stringify(value)})`, system => step(system, value))
+  creators.set(name, value => create(value as T))
+  return arbitrary.map(create)
+}
+
+/**
+ * Reads a sequence as the fuzzer prints it, so that it can be run again.
+ *
+ * @example
+ * parseSequence('restartEngine(1),advance(900)')
+ */
+export function parseSequence (text: string): FuzzCommand[] {
+  return text.trim().split(/,(?=[a-zA-Z]+\()/).map(part => {
+    const match = /^([a-zA-Z]+)\((.*)\)$/.exec(part.trim())
+    const create = creators.get(match?.[1] ?? '')
+    if (!match || !create) throw new Error(`command "${part}" does not exist`)
+    return create(JSON.parse(match[2]!))
+  })
+}
+
+const requestArbitrary: fc.Arbitrary<RequestPlan> = fc.record({
+  gateway: fc.nat(3),
+  model: fc.tuple(fc.constantFrom(...fuzzAdapters), fc.constantFrom('', '@1', '@2')).map(([name, version]) => name + version),
+  tokens: fc.integer({ min: 1, max: 30 }),
+  content: fc.constantFrom('hello', 'hello', 'hello', 'again', `${crashMarker} one`, `${crashMarker} two`),
+  className: fc.constantFrom('urgent', 'urgent', 'later')
+})
+
+/** Work that may run at most once; the caller asks again under the same key, at any gateway. */
+const claimedArbitrary: fc.Arbitrary<RequestPlan> = fc.record({
+  gateway: fc.nat(3),
+  model: fc.constant('alpha@1'),
+  tokens: fc.constant(5),
+  content: fc.constant('decide'),
+  className: fc.constant('urgent'),
+  key: fc.constantFrom('key-1', 'key-2', 'key-3')
+})
+
+function pickHost (hosts: Array<{ host: FakeHost }>, index: number, state: FakeHost['state']): FakeHost | undefined {
+  const matching = hosts.filter(({ host }) => host.state === state)
+  return matching[index % Math.max(1, matching.length)]?.host
+}
+
+function countRunning (hosts: Array<{ host: FakeHost }>): number {
+  return hosts.filter(({ host }) => host.state === 'running').length
+}
+
+function cutPair (system: FuzzSystem, [left, right]: readonly [number, number]): void {
+  const hosts = [...system.schedulers, ...system.gateways].map(({ host }) => host)
+  const first = hosts[left % hosts.length]!
+  const second = hosts[right % hosts.length]!
+  if (first !== second) system.network.cut(first.id, second.id)
+}
+
+const hostCommands = [
+  createCommands(fc.nat(7), 'killScheduler', (system, index) => {
+    const host = pickHost(system.schedulers, index, 'running')
+    if (host && countRunning(system.schedulers) > 1) system.killHost(host)
+  }),
+  createCommands(fc.nat(7), 'killGateway', (system, index) => {
+    const host = pickHost(system.gateways, index, 'running')
+    if (host && countRunning(system.gateways) > 1) system.killHost(host)
+  }),
+  createCommands(fc.constant(0), 'addScheduler', system => {
+    if (countRunning(system.schedulers) < 4) system.addScheduler()
+  }),
+  createCommands(fc.constant(0), 'addGateway', system => {
+    if (countRunning(system.gateways) < 3) system.addGateway()
+  }),
+  createCommands(fc.nat(7), 'stopScheduler', (system, index) => system.stopScheduler(index)),
+  createCommands(fc.nat(7), 'pause', (system, index) => {
+    const host = pickHost([...system.schedulers, ...system.gateways], index, 'running')
+    if (!host) return
+    host.pause()
+    system.network.watchPause(host)
+  }),
+  createCommands(fc.nat(7), 'wake', (system, index) => pickHost([...system.schedulers, ...system.gateways], index, 'paused')?.wake()),
+  createCommands(fc.tuple(fc.nat(7), fc.nat(7)), 'cut', cutPair),
+  createCommands(fc.constant(0), 'healCuts', system => system.network.heal())
+]
+
+const engineCommands = [
+  createCommands(fc.nat(2), 'restartEngine', (system, index) => system.pickEngine(index).restart()),
+  createCommands(fc.nat(2), 'stallEngine', (system, index) => { system.pickEngine(index).isStalled = true }),
+  createCommands(fc.nat(2), 'resumeEngine', (system, index) => { system.pickEngine(index).isStalled = false }),
+  createCommands(fc.tuple(fc.nat(2), fc.integer({ min: 1, max: 3 })), 'failLoads', (system, [index, count]) => {
+    system.pickEngine(index).loadFailuresLeft = count
+  }),
+  createCommands(fc.nat(2), 'leaveEngine', (system, index) => system.setEngineEntry(system.pickEngine(index).id, 'leaving')),
+  createCommands(fc.nat(2), 'returnEngine', (system, index) => system.setEngineEntry(system.pickEngine(index).id, 'live'))
+]
+
+const changeArbitrary: fc.Arbitrary<ChangePlan> = fc.record({
+  gateway: fc.nat(3), adapter: fc.constantFrom(...fuzzAdapters.slice(0, 2)), currentVersion: fc.constantFrom('1', '2')
+})
+
+const operatorCommands = [
+  createCommands(changeArbitrary, 'change', (system, plan) => system.changeVersion(plan)),
+  createCommands(fc.tuple(changeArbitrary, changeArbitrary), 'raceChanges', (system, plans) => plans.forEach(plan => system.changeVersion(plan)))
+]
+
+const platformCommands = [
+  createCommands(fc.boolean(), 'setTableDown', (system, isDown) => { system.platform.isDown = isDown }),
+  createCommands(fc.integer({ min: 1, max: 3 }), 'loseAnswers', (system, count) => { system.platform.answersToLose = count }),
+  createCommands(fc.integer({ min: 1, max: 2 }), 'delayWrites', (system, count) => { system.platform.writesToDelay = count }),
+  createCommands(fc.constantFrom(0, 300, 1500), 'slowTable', (system, ms) => { system.platform.slownessMs = ms })
+]
+
+const callerCommands = [
+  createCommands(requestArbitrary, 'request', (system, plan) => system.sendRequest(plan)),
+  createCommands(claimedArbitrary, 'claimed', (system, plan) => system.sendRequest(plan)),
+  createCommands(fc.nat(20), 'cancel', (system, index) => system.cancelRequest(index)),
+  createCommands(fc.constantFrom(5, 40, 200, 900, 3500, 8000), 'advance', async (system, ms) => await system.advance(ms))
+]
+
+/** Requests and time come far more often than faults, so that faults meet work under way. */
+export function createFuzzCommands (maxCommands: number): fc.Arbitrary<Iterable<FuzzCommand>> {
+  const weighted = [
+    ...Array.from({ length: 5 }, () => callerCommands[0]!), callerCommands[1]!, callerCommands[1]!, callerCommands[2]!,
+    ...Array.from({ length: 4 }, () => callerCommands[3]!)
+  ]
+  return fc.commands<FuzzModel, FuzzSystem, false>([
+    fc.oneof(...weighted), fc.oneof(...weighted), fc.oneof(...weighted),
+    fc.oneof(...hostCommands), fc.oneof(...engineCommands), fc.oneof(...platformCommands),
+    fc.oneof(...operatorCommands)
+  ], { maxCommands, size: 'max' }) as fc.Arbitrary<Iterable<FuzzCommand>>
+}
--- /dev/null
+++ b/fuzz/fuzzHosts.ts
@@ -0,0 +1,135 @@
+/** Starts gateways and schedulers of the fuzzed system, each on a host of its own. */
+import type { VirtualClock } from '../src/adapters/clock/virtualClock.js'
+import type { MemoryObjects } from '../src/adapters/memoryPlatform/memoryObjects.js'
+import { chooseByCost } from '../src/core/costChoice.js'
+import type { CreatePlanner } from '../src/core/planner.js'
+import { ClaimTask } from '../src/tasks/claims/claimTask.js'
+import { ConfigurationTask } from '../src/tasks/configuration/configurationTask.js'
+import { DecisionStore } from '../src/tasks/decisions/decisionStore.js'
+import { GatewayTask } from '../src/tasks/gateway/gatewayTask.js'
+import { JobRunner } from '../src/tasks/jobs/jobRunner.js'
+import { JobStore } from '../src/tasks/jobs/jobStore.js'
+import { RunnerLeases } from '../src/tasks/jobs/runnerLeases.js'
+import { LeaseOwnership } from '../src/tasks/ownership/leaseOwnership.js'
+import { SchedulerTask } from '../src/tasks/scheduler/schedulerTask.js'
+import { BatchWriter } from '../src/tasks/table/batchWriter.js'
+import { TableWriter } from '../src/tasks/table/tableWriter.js'
+import { createHostEngine } from './fakeEngines.js'
+import type { FakeEngine } from './fakeEngines.js'
+import type { FakeHost } from './fakeHost.js'
+import type { FakeNetwork } from './fakeNetwork.js'
+import type { FakePlatform } from './fakePlatform.js'
+
+const peerKey = 'fuzz-peer-key-00000'
+
+/** What all hosts share. */
+export interface FuzzSurroundings {
+  clock: VirtualClock
+  platform: FakePlatform
+  objects: MemoryObjects
+  network: FakeNetwork
+  engines: Map<string, FakeEngine>
+}
+
+export interface FuzzScheduler {
+  host: FakeHost
+  task: SchedulerTask
+  configuration: ConfigurationTask
+  /** Whether the host has read the configuration and serves. */
+  isServing: boolean
+}
+
+export interface FuzzGateway {
+  host: FakeHost
+  task: GatewayTask
+  configuration: ConfigurationTask
+  claims: ClaimTask
+  jobs: JobStore
+  /** Whether the host has read the configuration and serves. */
+  isServing: boolean
+}
+
+export function createConfiguration (host: FakeHost, platform: FakePlatform): ConfigurationTask {
+  return new ConfigurationTask({ hostId: host.id, clock: host.clock, table: platform.createTable(host) })
+}
+
+/** Starts a scheduler; it serves, and is listed, once it has read the configuration. */
+export function startFuzzScheduler (surroundings: FuzzSurroundings, host: FakeHost, createPlanner: CreatePlanner): FuzzScheduler {
+  const { clock, platform, network, engines } = surroundings
+  const configuration = createConfiguration(host, platform)
+  const task = new SchedulerTask({
+    hostId: host.id,
+    zone: host.zone,
+    clock: host.clock,
+    engine: createHostEngine(host, engines, clock),
+    createPlanner,
+    hostList: platform.createHostList(host),
+    createOwnership: (send, listOutageReports) => new LeaseOwnership({
+      clock: host.clock,
+      table: platform.createTable(host),
+      hostList: platform.createHostList(host),
+      holder: { hostId: host.id, session: host.id },
+      zone: host.zone,
+      hashText: hashNumber,
+      listOutageReports,
+      send
+    }),
+    configuration,
+    loadBudget: { loadsPerSecond: 4, loadsAtFullSpeed: 3 },
+    peerTransport: network.createTransport(host),
+    peers: { address: '127.0.0.1', port: 0, key: peerKey },
+    decisions: new DecisionStore({ hostId: host.id, clock: host.clock }),
+    receiveRefusal: () => {},
+    describeProcess: () => ({})
+  })
+  const scheduler: FuzzScheduler = { host, task, configuration, isServing: false }
+  configuration.start().then(async () => await task.start()).then(() => {
+    scheduler.isServing = true
+    platform.setEntry(host.id, { kind: 'scheduler', id: host.id, zone: host.zone, address: `127.0.0.1:${task.port}`, presence: 'live' })
+  }, () => {})
+  return scheduler
+}
+
+/** Starts a gateway without a callers' port; it serves once it has read the configuration. */
+export function startFuzzGateway (surroundings: FuzzSurroundings, host: FakeHost): FuzzGateway {
+  const { platform, objects, network } = surroundings
+  const configuration = createConfiguration(host, platform)
+  const table = platform.createTable(host)
+  const writer = new TableWriter({ table, clock: host.clock })
+  const batches = new BatchWriter({ clock: host.clock, writer })
+  const claims = new ClaimTask({ hostId: host.id, clock: host.clock, table, objects, writer, batches })
+  const jobs = new JobStore({ table, objects, batches })
+  const task = new GatewayTask({
+    hostId: host.id,
+    zone: host.zone,
+    clock: host.clock,
+    hostList: platform.createHostList(host),
+    peerTransport: network.createTransport(host),
+    service: { call: async () => { throw new Error('no services are fuzzed here') } },
+    configuration,
+    claims,
+    jobs,
+    chooseEndpoint: chooseByCost,
+    random: () => 0.5,
+    hashText: text => text,
+    recordDecision: () => {},
+    countBadInput: () => {},
+    receiveOperatorMessage: () => {},
+    peerKey
+  })
+  const leases = new RunnerLeases({ runner: host.id, hostId: host.id, clock: host.clock, table, batches })
+  const runner = new JobRunner({ runner: host.id, clock: host.clock, random: () => 0.5, store: jobs, leases, router: task.router })
+  const gateway: FuzzGateway = { host, task, configuration, claims, jobs, isServing: false }
+  configuration.start().then(async () => await task.start()).then(() => {
+    gateway.isServing = true
+    runner.start()
+  }, () => {})
+  return gateway
+}
+
+/** A small hash that spreads names. */
+function hashNumber (text: string): number {
+  let hash = 2166136261
+  for (const character of text) hash = Math.imul(hash ^ character.codePointAt(0)!, 16777619)
+  return hash >>> 0
+}
--- /dev/null
+++ b/fuzz/oracle.ts
@@ -0,0 +1,83 @@
+/** The oracle: it knows the promises to users and nothing of how they are kept. */
+import { leavingGraceMs } from '../src/constants.js'
+import { parseHandle } from '../src/core/formatAdapter.js'
+import { renderAnswer } from './fakeEngines.js'
+import type { FuzzSystem } from './fuzzSystem.js'
+import type { Violation } from './promises.js'
+
+interface Started {
+  engineId: string
+  requestId: string
+  handle: string
+  atMs: number
+}
+
+function listStarted (system: FuzzSystem): Started[] {
+  return [...system.engines.values()].flatMap(engine => engine.started.map(run => ({ engineId: engine.id, ...run })))
+}
+
+function checkAdapters (system: FuzzSystem): Violation[] {
+  const callers = new Map(system.callers.map(record => [record.requestId, record]))
+  return listStarted(system).flatMap(({ requestId, handle, engineId }) => {
+    const record = callers.get(requestId)!
+    const parsed = parseHandle(handle)
+    if (parsed?.adapter === record.adapter && parsed.version === record.version) return []
+    return [{ promise: 'rightAdapter', detail: `${requestId} asked for ${record.adapter}@${record.version} and ran on ${handle} of ${engineId}` }]
+  })
+}
+
+function checkUnloads (system: FuzzSystem): Violation[] {
+  return [...system.engines.values()].flatMap(engine => engine.unloadedWhileServing.map((handle): Violation => (
+    { promise: 'neverUnloadedWhileServing', detail: `${handle} of ${engine.id} was unloaded while it served` })))
+}
+
+/** A request with a key may get the answer of an earlier one with the same key. */
+function checkWholeAnswers (system: FuzzSystem): Violation[] {
+  const started = listStarted(system)
+  return system.callers.filter(record => record.outcome === 'whole').flatMap(record => {
+    const answering = record.isReplayed
+      ? system.callers.filter(other => other.idempotencyKey === record.idempotencyKey).map(other => other.requestId)
+      : [record.requestId]
+    const runs = started.filter(run => answering.includes(run.requestId))
+    if (runs.some(run => renderAnswer(run.handle, run.requestId, record.tokens) === record.text)) return []
+    return [{ promise: 'wholeAnswer', detail: `${record.requestId} of ${record.tokens} tokens was told "${record.text}" as whole` }]
+  })
+}
+
+function checkNotRun (system: FuzzSystem): Violation[] {
+  const started = new Set(listStarted(system).map(run => run.requestId))
+  return system.callers
+    .filter(record => record.failure?.verdict === 'notRun' && started.has(record.requestId))
+    .map(record => ({ promise: 'notRunMeansNotRun', detail: `${record.requestId} ran, but was told ${record.failure!.code} as not run` }))
+}
+
+function checkAtMostOnce (system: FuzzSystem): Violation[] {
+  const keys = new Map(system.callers.flatMap(record => record.idempotencyKey ? [[record.requestId, record.idempotencyKey] as const] : []))
+  const runs = new Map<string, string[]>()
+  for (const { requestId, engineId } of listStarted(system)) {
+    const key = keys.get(requestId)
+    if (key) runs.set(key, [...runs.get(key) ?? [], `${requestId} on ${engineId}`])
+  }
+  return [...runs].filter(([, starts]) => starts.length > 1).map(([key, starts]) => (
+    { promise: 'atMostOnce', detail: `work with key "${key}" ran ${starts.length} times: ${starts.join(', ')}` }))
+}
+
+function checkLeaving (system: FuzzSystem): Violation[] {
+  return listStarted(system).flatMap(run => {
+    const leaving = system.leavings.find(({ engineId, fromMs, untilMs }) =>
+      engineId === run.engineId && run.atMs > fromMs + leavingGraceMs && run.atMs < untilMs)
+    if (!leaving) return []
+    return [{ promise: 'leavingGetsNoWork', detail: `${run.requestId} started on ${run.engineId} ${run.atMs - leaving.fromMs} ms after it left` }]
+  })
+}
+
+function checkAnswered (system: FuzzSystem): Violation[] {
+  return system.callers.filter(record => record.outcome === 'open').map(record => (
+    { promise: 'everyRequestAnswered', detail: `${record.requestId} has no answer ${system.clock.readMonotonic() - record.startedAtMs} ms after it came` }))
+}
+
+/** Holds everything that callers were told against the journals of the engines. */
+export function findViolations (system: FuzzSystem): Violation[] {
+  const checks = [checkAdapters, checkUnloads, checkWholeAnswers, checkNotRun, checkAtMostOnce, checkLeaving, checkAnswered]
+  return [...system.observed, ...checks.flatMap(check => check(system))]
+}
--- /dev/null
+++ b/fuzz/runFuzz.ts
@@ -0,0 +1,76 @@
+/** Runs sequences of commands and holds each against the oracle. */
+import fc from 'fast-check'
+import { createFuzzCommands } from './commands.js'
+import type { FuzzCommand, FuzzModel } from './commands.js'
+import { FuzzSystem, allMechanisms } from './fuzzSystem.js'
+import type { FuzzMechanisms } from './fuzzSystem.js'
+import { findViolations } from './oracle.js'
+import type { PromiseName } from './promises.js'
+
+export interface FuzzOptions {
+  seed: number
+  runs: number
+  maxCommands: number
+  mechanisms?: FuzzMechanisms
+}
+
+export interface FuzzReport {
+  runs: number
+  requests: number
+  whole: number
+  failed: number
+  cancelled: number
+  engineStarts: number
+  engineCrashes: number
+  /** First broken promise with the shortest sequence that was found to break it. */
+  failure: { promises: PromiseName[], message: string, sequence: string } | undefined
+}
+
+/** Runs one sequence of commands and lets the system settle. */
+export async function runSequence (commands: Iterable<FuzzCommand>, mechanisms = allMechanisms): Promise<FuzzSystem> {
+  const system = new FuzzSystem(mechanisms)
+  await system.start()
+  await fc.asyncModelRun(() => ({ model: {} as FuzzModel, real: system }), commands)
+  await system.heal()
+  return system
+}
+
+/** Runs the fuzzer; every violation of a promise is a failure. */
+export async function runFuzz (options: FuzzOptions): Promise<FuzzReport> {
+  const report: FuzzReport = { runs: 0, requests: 0, whole: 0, failed: 0, cancelled: 0, engineStarts: 0, engineCrashes: 0, failure: undefined }
+  let promises: PromiseName[] = []
+  const property = fc.asyncProperty(createFuzzCommands(options.maxCommands), async commands => {
+    const system = await runSequence(commands, options.mechanisms)
+    countRun(report, system)
+    const violations = findViolations(system)
+    if (violations.length === 0) return
+    promises = violations.map(violation => violation.promise)
+    throw new Error(violations.map(({ promise, detail }) => `${promise}: ${detail}`).join('\n'))
+  })
+  const details = await fc.check(property, {
+    seed: options.seed, numRuns: options.runs, interruptAfterTimeLimit: maxSeconds * 1000
+  })
+  report.runs = details.numRuns
+  if (details.failed) {
+    const error = details.errorInstance as Error | undefined
+    const sequence = String(details.counterexample?.[0]).replace(/ \/\*replayPath.*$/, '')
+    report.failure = { promises, message: error?.message ?? 'interrupted', sequence }
+  }
+  return report
+}
+
+/** A sequence that is being shortened is given up after this time. */
+const maxSeconds = 1200
+
+function countRun (report: FuzzReport, system: FuzzSystem): void {
+  report.requests += system.callers.length
+  for (const record of system.callers) {
+    if (record.outcome === 'whole') report.whole++
+    if (record.outcome === 'failed') report.failed++
+    if (record.outcome === 'cancelled') report.cancelled++
+  }
+  for (const engine of system.engines.values()) {
+    report.engineStarts += engine.started.length
+    report.engineCrashes += engine.crashes
+  }
+}
