Show operators the jobs of all callers, and every task in dumps

Cause: jobs could be seen by their callers alone, and dumps lacked what is known of owners, permits, claims, jobs and the requests under way. Change: operators list, show and cancel jobs; a dump holds the state of each task, with lists of requests cut at a hundred. Conclusion: an ended job is refused to be cancelled, and says why.

--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -95,6 +95,25 @@
     Then the client ends with code 4
     And the client notes "not registered for role "operator""
 
+  Scenario: Jobs of all callers
+    Given class "soon" finishes within 4000 ms
+    And gateway 1 is asked to accept a job for "cluj-tax"
+    When an operator lists jobs until the job is "finished"
+    And an operator runs "job remove example-caller" with the job
+    Then the client ends with code 4
+    And the client notes "was not cancelled: it is finished"
+    When an operator runs "job show nobody" with the job
+    Then the client ends with code 4
+    And the client notes "of caller "nobody" does not exist"
+
+  Scenario: A job that has not ended is cancelled
+    Given class "soon" finishes within 60000 ms
+    And an operator has run "adapter set nowhere --base-model base-9 --versions 1"
+    And gateway 1 is asked to accept a job for "nowhere"
+    When an operator runs "job remove example-caller" with the job
+    Then the client ends with code 0
+    And the client prints "state: cancelled"
+
   Scenario: A story, a dump and a live feed
     Given a caller asks for 3 tokens from "cluj-tax"
     When an operator runs "explain" with the request
--- a/features/steps/ctl.ts
+++ b/features/steps/ctl.ts
@@ -4,6 +4,7 @@
 import { formatTarget } from '../../src/core/formatTarget.js'
 import { exampleCallerKey } from '../../src/bin/exampleRecords.js'
 import { hashKey } from '../../src/tasks/gateway/callerAccess.js'
+import type { OperatorJob } from '../../src/tasks/operators/jobRoutes.js'
 import { ClientRun } from '../support/clientRun.js'
 import { waitUntil } from '../support/waitUntil.js'
 import type { SystemWorld } from '../support/world.js'
@@ -132,3 +133,14 @@
   run.abort.abort()
   await ended
 })
+
+When('an operator lists jobs until the job is {string}', async function (this: SystemWorld & { jobId: string }, state: string) {
+  await waitUntil(async () => {
+    const { output } = await runWords(this, ['job', 'list', '--json', '--caller', 'example-caller'])
+    return (JSON.parse(output) as OperatorJob[]).some(job => job.id === this.jobId && job.state === state)
+  })
+})
+
+When('an operator runs {string} with the job', async function (this: SystemWorld & { jobId: string }, line: string) {
+  await runWords(this, [...line.split(' '), this.jobId])
+})
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -61,19 +61,21 @@
   const metrics = createMetrics({
     settings, role: 'gateway', clock, decisions, describeEndpoints: () => [], readRunningRequests: () => gateway.router.running
   })
+  const jobRunner = state.createJobRunner(gateway.router)
   const describeState = (): unknown => describeProcess('gateway', {
     gateway: () => gateway.describeState(),
     configuration: () => configuration.describeState(),
+    claims: () => state.claims.describeState(),
+    jobs: () => ({ running: jobRunner.running }),
     operators: () => operators.describeState(),
     decisions: () => decisions.describeState(),
     badInput: () => metrics.badInput.describeState()
   })
   const operators = createOperators({
-    settings, platform, clock, configuration, decisions, gateway, badInput: metrics.badInput, describeProcess: describeState
+    settings, platform, clock, configuration, jobs: state.jobs, decisions, gateway, badInput: metrics.badInput, describeProcess: describeState
   })
   await configuration.start()
   await gateway.start()
-  const jobRunner = state.createJobRunner(gateway.router)
   jobRunner.start()
   await operators.start()
   metrics.start()
--- a/src/bin/startOperators.ts
+++ b/src/bin/startOperators.ts
@@ -4,6 +4,7 @@
 import type { GatewaySettings } from '../settings/settingsSchemas.js'
 import type { ConfigurationTask } from '../tasks/configuration/configurationTask.js'
 import type { DecisionStore } from '../tasks/decisions/decisionStore.js'
+import type { JobStore } from '../tasks/jobs/jobStore.js'
 import type { GatewayTask } from '../tasks/gateway/gatewayTask.js'
 import type { BadInput } from '../tasks/metrics/badInput.js'
 import { OperatorsTask } from '../tasks/operators/operatorsTask.js'
@@ -13,6 +14,7 @@
   platform: Platform
   clock: Clock
   configuration: ConfigurationTask
+  jobs: JobStore
   decisions: DecisionStore
   gateway: GatewayTask
   badInput: BadInput
@@ -21,7 +23,7 @@
 
 /** Creates the operators' task of a gateway; the caller starts it. */
 export function createOperators (wiring: OperatorsWiring): OperatorsTask {
-  const { settings, platform, clock, configuration, decisions, gateway, badInput, describeProcess } = wiring
+  const { settings, platform, clock, configuration, jobs, decisions, gateway, badInput, describeProcess } = wiring
   return new OperatorsTask({
     hostId: settings.host.id,
     zone: settings.host.zone,
@@ -29,6 +31,7 @@
     hostList: platform.hostList,
     configuration: configuration.view,
     operations: configuration,
+    jobs,
     decisions,
     links: gateway.links,
     operators: settings.operators,
--- a/src/ctl/allCommands.ts
+++ b/src/ctl/allCommands.ts
@@ -5,6 +5,7 @@
 import { createCompletionCommand } from './commands/completionCommand.js'
 import { endpointCommands } from './commands/endpointCommands.js'
 import { explainCommand } from './commands/explainCommand.js'
+import { jobCommands } from './commands/jobCommands.js'
 import { keyCommands } from './commands/keyCommands.js'
 import { serviceCommands } from './commands/serviceCommands.js'
 import { dumpCommand, statusCommand } from './commands/statusCommand.js'
@@ -13,6 +14,6 @@
 
 export const allCommands: AnyCommand[] = [
   statusCommand, explainCommand, watchCommand, dumpCommand,
-  ...classCommands, ...adapterCommands, ...versionCommands, ...serviceCommands, ...endpointCommands, ...keyCommands,
+  ...classCommands, ...adapterCommands, ...versionCommands, ...serviceCommands, ...endpointCommands, ...keyCommands, ...jobCommands,
   createCompletionCommand(() => allCommands)
 ]
--- a/src/tasks/claims/claimTask.ts
+++ b/src/tasks/claims/claimTask.ts
@@ -107,6 +107,10 @@
       : { state: 'mayHaveRun', ...this.#createFields(claim.work), message: failure.message })
   }
 
+  describeState (): { openClaims: number } {
+    return { openClaims: this.#open.size }
+  }
+
   /** Ends once every claim of this process is settled, or after half a minute. */
   async drain (): Promise<void> {
     const { clock } = this.#options
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -16,6 +16,7 @@
 import { startCallersServer } from './callersServer.js'
 import type { CallersServer, Refusal } from './callersServer.js'
 import { RequestRouter } from './requestRouter.js'
+import type { RouterState } from './requestRouter.js'
 import type { HashText } from './resolveRequest.js'
 import { SchedulerLinks } from './schedulerLinks.js'
 import { ServiceRouter } from './serviceRouter.js'
@@ -51,7 +52,7 @@
   zone: string
   version: string
   callersPort: number
-  runningRequests: number
+  requests: RouterState
   configurationVersion: number
   schedulers: string[]
   endpoints: EndpointView[]
@@ -123,7 +124,7 @@
       zone,
       version: productVersion,
       callersPort: this.callersPort,
-      runningRequests: this.#router.running,
+      requests: this.#router.describeState(),
       configurationVersion: configuration.view.version,
       schedulers: this.#links.listHostIds(),
       endpoints: this.#links.listViews()
--- a/src/tasks/gateway/requestRouter.ts
+++ b/src/tasks/gateway/requestRouter.ts
@@ -18,6 +18,7 @@
 /** A takeover of endpoints ends within this time; after it a request without an endpoint is refused. */
 const maxWaitForEndpointMs = 10_000
 const maxAttempts = 6
+const maxListedRequests = 100
 const retryAfterNoEndpointMs = 2000
 const crashMessage = `requests with this content have crashed ${maxCrashesPerRequest} endpoints and are not run again; change the request`
 
@@ -49,6 +50,23 @@
   waitTimer: Timer | undefined
 }
 
+/** What a dump tells of the requests of a gateway. */
+export interface RouterState {
+  running: number
+  oldest: Array<{
+    requestId: string
+    className: string
+    /** `adapter@version`. */
+    adapter: string
+    attempt: number
+    ageMs: number
+    dueInMs: number
+    isWaitingForEndpoint: boolean
+    hostId?: string
+    endpointId?: string
+  }>
+}
+
 type AnswerMessage = PeerMessageOf<'answerData'> | PeerMessageOf<'answerEnd'> | PeerMessageOf<'answerFailed'>
 
 export class RequestRouter {
@@ -64,6 +82,25 @@
     return this.#running.size
   }
 
+  /** Describes the oldest requests that have no final answer yet. */
+  describeState (): RouterState {
+    const nowMs = this.#options.clock.readMonotonic()
+    const oldest = [...this.#running.values()].slice(0, maxListedRequests)
+    return {
+      running: this.running,
+      oldest: oldest.map(({ request, attempt, target, waitingSinceMs }) => ({
+        requestId: request.requestId,
+        className: request.className,
+        adapter: formatAdapter(request.adapter, request.version),
+        attempt,
+        ageMs: nowMs - request.arrivedAtMs,
+        dueInMs: request.dueAtMs - nowMs,
+        isWaitingForEndpoint: waitingSinceMs !== undefined,
+        ...target
+      }))
+    }
+  }
+
   /** Runs a request; `send` gets its answer. */
   startRequest (request: RoutedRequest, send: SendAnswer): void {
     if (this.#findSuspectState(request) === 'refused') {
--- a/src/tasks/jobs/jobStore.ts
+++ b/src/tasks/jobs/jobStore.ts
@@ -115,6 +115,16 @@
     return rows.map(row => readValue(jobRowSchema, row))
   }
 
+  /** Lists at most `maxReadRows` jobs of one caller or of all in order of key, after the given key, with their places in the queue. */
+  async listPage (callerName: string | undefined, after: string, limit: number): Promise<Job[]> {
+    const { table } = this.#options
+    const prefix = callerName === undefined ? jobPrefix : formatJobKey(callerName, '')
+    const jobs = (await table.listRows({ prefix, after, limit })).map(found => ({ ...found, row: readValue(jobRowSchema, found) }))
+    const queueKeys = jobs.filter(({ row }) => row.state === 'queued').map(({ row }) => row.queueKey)
+    const queue = new Map((await this.readQueue(queueKeys)).map(place => [place.queueKey, place]))
+    return jobs.map(({ key, version, row }) => ({ key, version, row, queue: queue.get(row.queueKey) }))
+  }
+
   async readAnswer (row: JobRow): Promise<StoredAnswer | undefined> {
     return row.answer && await readAnswer(this.#options.objects, row.answer)
   }
--- a/src/tasks/membership/peerExchange.ts
+++ b/src/tasks/membership/peerExchange.ts
@@ -10,6 +10,7 @@
 import type { Member, PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
 import type { Ownership } from '../ownership/ownership.js'
 import { PermitTask } from '../permits/permitTask.js'
+import type { PermitState } from '../permits/permitTask.js'
 import { SchedulerPeers } from './schedulerPeers.js'
 
 const log = createLog('membership')
@@ -30,6 +31,14 @@
   receiveOther: (hostId: string, message: PeerMessage) => void
 }
 
+/** What a dump tells of the other schedulers. */
+export interface PeerExchangeState {
+  peers: Member[]
+  /** Hosts that tell of an outage of the table. */
+  outageReports: string[]
+  permits: PermitState
+}
+
 export class PeerExchange {
   #options: PeerExchangeOptions
   #peers: SchedulerPeers
@@ -67,6 +76,10 @@
     }, () => {})
   }
 
+  describeState (): PeerExchangeState {
+    return { peers: this.listMembers(), outageReports: this.listOutageReports(), permits: this.#permits.describeState() }
+  }
+
   stop (): void {
     this.#repetition?.stop()
     this.#permits.stop()
--- a/src/tasks/operators/operatorsContext.ts
+++ b/src/tasks/operators/operatorsContext.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../../ports/clock.js'
 import type { ConfigurationView } from '../../schemas/configuration.js'
 import type { ConfigurationOperations } from '../configuration/configurationChange.js'
+import type { JobStore } from '../jobs/jobStore.js'
 import type { DecisionStore } from '../decisions/decisionStore.js'
 import type { GatewayQueries } from './gatewayQueries.js'
 import type { LiveFeed } from './liveFeed.js'
@@ -16,6 +17,7 @@
   settingsKeyHash: string | undefined
   /** Reads and changes registrations. */
   operations: ConfigurationOperations
+  jobs: Pick<JobStore, 'listPage' | 'readJob' | 'cancelJob'>
   decisions: DecisionStore
   peers: PeerQueries
   gateways: GatewayQueries
--- a/src/tasks/operators/operatorsServer.ts
+++ b/src/tasks/operators/operatorsServer.ts
@@ -11,6 +11,7 @@
 import type { Operator } from './operatorAccess.js'
 import type { OperatorsContext } from './operatorsContext.js'
 import { addPageRoute } from './pageRoute.js'
+import { addJobRoutes } from './jobRoutes.js'
 import { addRecordRoutes } from './recordRoutes.js'
 import { addStatusRoutes } from './statusRoutes.js'
 import { addWatchRoute } from './watchRoute.js'
@@ -62,6 +63,7 @@
   addStatusRoutes(scope, context)
   addWatchRoute(scope, context)
   addRecordRoutes(scope, context)
+  addJobRoutes(scope, context)
 }
 
 /** Sends a failure and counts it as bad input under its code. */
--- a/src/tasks/operators/operatorsTask.ts
+++ b/src/tasks/operators/operatorsTask.ts
@@ -9,6 +9,7 @@
 import type { BadInput } from '../metrics/badInput.js'
 import { GatewayQueries } from './gatewayQueries.js'
 import { LiveFeed } from './liveFeed.js'
+import type { OperatorsContext } from './operatorsContext.js'
 import { startOperatorsServer } from './operatorsServer.js'
 import type { OperatorsServer } from './operatorsServer.js'
 import { PeerQueries } from './peerQueries.js'
@@ -23,6 +24,7 @@
   hostList: HostList
   configuration: ConfigurationView
   operations: ConfigurationOperations
+  jobs: OperatorsContext['jobs']
   decisions: DecisionStore
   links: QueryLinks
   operators: { address: string, port: number, keyHash?: string }
--- a/src/tasks/permits/permitGranter.ts
+++ b/src/tasks/permits/permitGranter.ts
@@ -59,6 +59,12 @@
     }
   }
 
+  /** Counts the permits that are asked for and those that are granted. */
+  describeState (): { waiting: number, granted: number } {
+    const granted = [...this.#asked.values()].filter(asked => asked.limit !== undefined).length
+    return { waiting: this.#asked.size - granted, granted }
+  }
+
   stop (): void {
     this.#wake?.cancel()
     for (const asked of this.#asked.values()) asked.limit?.cancel()
--- a/src/tasks/permits/permitTask.ts
+++ b/src/tasks/permits/permitTask.ts
@@ -34,6 +34,12 @@
 
 type PermitMessage = PeerMessageOf<'permitRequest'> | PeerMessageOf<'permitGrant'> | PeerMessageOf<'permitRelease'>
 
+/** What a dump tells of permits. */
+export interface PermitState {
+  waitingLoads: number
+  granters: Array<{ permit: number, waiting: number, granted: number }>
+}
+
 /** There are as many permits as loads at full speed; the owner of the n-th endpoint grants the n-th permit. */
 export class PermitTask {
   #options: PermitTaskOptions
@@ -56,6 +62,12 @@
     this.#granters.clear()
   }
 
+  /** Describes the loads of this host that wait for a permit, and the permits that it grants. */
+  describeState (): PermitState {
+    const granters = [...this.#granters].map(([permit, granter]) => ({ permit, ...granter.describeState() }))
+    return { waitingLoads: this.#waiting.size, granters }
+  }
+
   /** Resolves, when a load may start, to the function that gives the permit back. */
   async requestPermit (endpointId: string, slackMs: number): Promise<() => void> {
     const permitRequestId = String(++this.#sequence)
--- a/src/tasks/scheduler/schedulerTask.ts
+++ b/src/tasks/scheduler/schedulerTask.ts
@@ -12,13 +12,14 @@
 import type { Repetition } from '../../repeatTask.js'
 import type { EngineEntry } from '../../schemas/hostList.js'
 import type { EndpointState, SchedulerStatus } from '../../schemas/operatorMessage.js'
-import type { Dispatch, Member, PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
+import type { Dispatch, PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
 import type { ConfigurationTask } from '../configuration/configurationTask.js'
 import { createNotRun } from '../../schemas/verdict.js'
 import { DecisionFeed } from '../decisions/decisionFeed.js'
 import type { DecisionStore } from '../decisions/decisionStore.js'
 import { PeerExchange } from '../membership/peerExchange.js'
-import type { OwnedEndpoint, Ownership, OwnershipEvent, SendOwnershipEvent } from '../ownership/ownership.js'
+import type { PeerExchangeState } from '../membership/peerExchange.js'
+import type { EndpointOwner, OwnedEndpoint, Ownership, OwnershipEvent, SendOwnershipEvent } from '../ownership/ownership.js'
 import { EndpointTask } from './endpointTask.js'
 import type { EndpointCrash, Reply } from './endpointTask.js'
 import { SchedulerQueries } from './schedulerQueries.js'
@@ -57,13 +58,15 @@
 }
 
 /** What a dump tells of a scheduler. */
-export interface SchedulerState {
+export interface SchedulerState extends PeerExchangeState {
   host: string
   zone: string
   version: string
   isLeaving: boolean
   links: string[]
-  peers: Member[]
+  /** Every endpoint with its owner as last read. */
+  owners: EndpointOwner[]
+  hasTableOutage: boolean
   owned: OwnedEndpoint[]
   endpoints: EndpointState[]
   suspects: SuspectRecord[]
@@ -137,7 +140,9 @@
       version: productVersion,
       isLeaving: this.#isLeaving,
       links: [...this.#links.keys()].map(link => link.hostId),
-      peers: this.#exchange.listMembers(),
+      owners: this.#ownership.listOwners(),
+      hasTableOutage: this.#ownership.hasOutage(),
+      ...this.#exchange.describeState(),
       owned: this.#ownership.listOwned(),
       endpoints: this.describeEndpoints(),
       suspects: this.#suspects.listRecords(),
