--- a/playground/startPlayground.ts
+++ b/playground/startPlayground.ts
@@ -25,6 +25,10 @@
   standins: RunningStandins
   gateways: RunningGateway[]
   schedulers: RunningProcess[]
+  /** Starts one more scheduler under a name of its own. */
+  addScheduler: () => Promise<void>
+  /** Starts one more gateway under a name of its own. */
+  addGateway: () => Promise<void>
   stop: () => Promise<void>
 }
 
@@ -53,22 +57,26 @@
 loadMs = 20
 ${standinSettings}`, standinSettingsSchema))
   await registerRecords(standins.platform.table, exampleRecords)
+  let startedSchedulers = 0
+  let startedGateways = 0
   const playground: Playground = {
     standins,
     gateways: [],
     schedulers: [],
+    addScheduler: async () => { playground.schedulers.push(await startNamedScheduler(standins, ++startedSchedulers, metrics)) },
+    addGateway: async () => { playground.gateways.push(await startNamedGateway(standins, ++startedGateways, metrics)) },
     stop: async () => {
       await Promise.all(playground.gateways.map(async gateway => await gateway.stop()))
       await Promise.all(playground.schedulers.map(async scheduler => await scheduler.stop()))
       await standins.stop()
     }
   }
-  for (let index = 1; index <= schedulers; index++) playground.schedulers.push(await addScheduler(standins, index, metrics))
-  for (let index = 1; index <= gateways; index++) playground.gateways.push(await addGateway(playground, index, metrics))
+  for (let index = 1; index <= schedulers; index++) await playground.addScheduler()
+  for (let index = 1; index <= gateways; index++) await playground.addGateway()
   return playground
 }
 
-async function addScheduler (standins: RunningStandins, index: number, metrics: string): Promise<RunningProcess> {
+async function startNamedScheduler (standins: RunningStandins, index: number, metrics: string): Promise<RunningProcess> {
   return await startScheduler(resolveSettings('playground', `
 [host]
 id = scheduler-${index}
@@ -81,7 +89,7 @@
 ${metrics}`, schedulerSettingsSchema), standins.platform)
 }
 
-async function addGateway (playground: Playground, index: number, metrics: string): Promise<RunningGateway> {
+async function startNamedGateway (standins: RunningStandins, index: number, metrics: string): Promise<RunningGateway> {
   return await startGateway(resolveSettings('playground', `
 [host]
 id = gateway-${index}
@@ -95,5 +103,5 @@
 [operators]
 port = 0
 keyHash = ${hashKey(exampleOperatorKey)}
-${metrics}`, gatewaySettingsSchema), playground.standins.platform)
+${metrics}`, gatewaySettingsSchema), standins.platform)
 }
