Grant a permit that is asked for before the granter has taken note of its part

Cause: a granter came to be in a turn of 250 ms; a request that came before was dropped and sent again 3 s later, past the target of an urgent class.

Change: a request makes the host look whether it grants the permit.

--- a/features/permits.feature
+++ b/features/permits.feature
@@ -35,3 +35,10 @@
     And peer 2 asks for load "next" with 0 milliseconds of slack
     And the peers run for 10000 milliseconds
     Then the loads ran in the order "endless, next"
+
+  Scenario: A host that has just become the owner grants at once
+    Given peers 1, 2, 3 on a list that lags 0 milliseconds
+    When the peers run for 1600 milliseconds
+    And peer 1 owns engine 1 and peer 2 asks for load "first" at the same time
+    And the peers run for 100 milliseconds
+    Then the loads ran in the order "first"
--- a/features/steps/peers.ts
+++ b/features/steps/peers.ts
@@ -94,6 +94,12 @@
   ask(this, `scheduler-${index}`, name, slackMs, loadMs)
 })
 
+When('peer {int} owns engine {int} and peer {int} asks for load {string} at the same time',
+  function (this: PeersWorld, owner: number, engine: number, asking: number, name: string) {
+    this.peers.owners = [{ endpointId: `engine-${engine}`, hostId: `scheduler-${owner}`, fencing: 1 }]
+    ask(this, `scheduler-${asking}`, name, 0, loadMs)
+  })
+
 When('peer {int} asks for a load that never ends', function (this: PeersWorld, index: number) {
   ask(this, `scheduler-${index}`, 'endless', 0, 3600_000)
 })
--- a/src/tasks/permits/permitTask.ts
+++ b/src/tasks/permits/permitTask.ts
@@ -82,7 +82,7 @@
   /** Takes a message of a peer, or of this host to itself. */
   receiveMessage (hostId: string, message: PermitMessage): void {
     if (message.type === 'permitGrant') this.#receiveGrant(hostId, message)
-    else if (message.type === 'permitRequest') this.#granters.get(message.permit)?.receiveRequest(hostId, message)
+    else if (message.type === 'permitRequest') this.#receiveRequest(hostId, message)
     else this.#granters.get(message.permit)?.receiveRelease(hostId, message.permitRequestId)
   }
 
@@ -94,6 +94,12 @@
     }
   }
 
+  /** A request that comes before this host has taken note of its part is not lost. */
+  #receiveRequest (hostId: string, request: PeerMessageOf<'permitRequest'>): void {
+    this.#updateGranter(request.permit, this.#listGranters()[request.permit])
+    this.#granters.get(request.permit)?.receiveRequest(hostId, request)
+  }
+
   #updateGranters (): void {
     this.#listGranters().forEach((owner, permit) => this.#updateGranter(permit, owner))
     for (const [permitRequestId, request] of this.#waiting) this.#ask(permitRequestId, request)
