Fill batches to a target, keep places for the urgent, and make replicas cost

Cause: urgent requests waited behind full batches and loaded a second replica elsewhere; at 80% of capacity evenly spread batches are three quarters full whatever the order of the queue. Change: deferrable work leaves one batch place empty; a replica costs a second and a load has one preferred endpoint by rendezvous hashing; the wait for deferrable work to move elsewhere is 0.35 of its time left; forecast from the last arrival and a long-term rate; [targets] batchFill makes endpoints stand by that running requests would not fill so far.

--- a/bench/decisions/policies.ts
+++ b/bench/decisions/policies.ts
@@ -1,7 +1,7 @@
 /** The policies that the bench compares, baselines first. */
 import { createFirstComePlanner } from '../../src/core/firstComePlanner.js'
 import type { ChooseEndpoint } from '../../src/core/endpointChoice.js'
-import { chooseByCost } from '../../src/core/costChoice.js'
+import { createCostChoice } from '../../src/core/costChoice.js'
 import { chooseLeastLoaded } from '../../src/core/leastLoadedChoice.js'
 import { computeHash } from '../../src/core/rendezvousHash.js'
 import { createSlackPlanners } from '../../src/core/slackPlanner.js'
@@ -17,7 +17,7 @@
 }
 
 export const policies: Policy[] = [
-  { name: 'least-loaded', createPlanner: createFirstComePlanner, chooseEndpoint: chooseLeastLoaded },
-  { name: 'rendezvous', createPlanner: createFirstComePlanner, chooseEndpoint: chooseRendezvous },
-  { name: 'slack', createPlanner: createSlackPlanners(), chooseEndpoint: chooseByCost }
+  { name: 'least-loaded', createPlanner: createFirstComePlanner, createChoice: () => chooseLeastLoaded },
+  { name: 'rendezvous', createPlanner: createFirstComePlanner, createChoice: () => chooseRendezvous },
+  { name: 'slack', createPlanner: createSlackPlanners(), createChoice: ({ batchFillTarget }) => createCostChoice({ batchFillTarget }) }
 ]
--- a/bench/decisions/runTrace.ts
+++ b/bench/decisions/runTrace.ts
@@ -14,12 +14,12 @@
 import { createRandom } from './traces.js'
 import { VirtualEngines } from './virtualEngines.js'
 import type { LoadTimes } from './virtualEngines.js'
-import type { Trace, TraceRequest } from './workload.js'
+import type { Deployment, Trace, TraceRequest } from './workload.js'
 
 export interface Policy {
   name: string
   createPlanner: CreatePlanner
-  chooseEndpoint: ChooseEndpoint
+  createChoice: (deployment: Deployment) => ChooseEndpoint
 }
 
 /** What became of a request; times in milliseconds of the trace. */
@@ -173,7 +173,8 @@
       entry: {
         kind: 'engine', id, zone: `az-${index % deployment.zones}`, address: String(index), presence: 'live', baseModel: 'base', slots, batchLimit
       },
-      fencing: 1,
+      // Each endpoint has a fencing number of its own, so that handles are unique in the journal.
+      fencing: index,
       adoptableHandles: [],
       planner: measurePlanner(this.#policy.createPlanner({ endpointId: id, slots, batchLimit }), this.#result.planning),
       ownership: {
@@ -198,7 +199,7 @@
       clock: this.#clock,
       zone,
       random: this.#random,
-      chooseEndpoint: measureChoice(this.#policy.chooseEndpoint, this.#result.choosing),
+      chooseEndpoint: measureChoice(this.#policy.createChoice(this.#trace.deployment), this.#result.choosing),
       sendDispatch: (endpointId, message, receive) => {
         const endpoint = this.#endpoints[Number(endpointId.split('-')[1])]!
         this.#clock.setTimer(() => endpoint.receiveDispatch(message, receive), linkDelayMs)
--- a/bench/decisions/workload.ts
+++ b/bench/decisions/workload.ts
@@ -29,6 +29,8 @@
   loadMs: number
   loadsPerSecond: number
   loadsAtFullSpeed: number
+  /** How full batches are to be; 0 where load stalls weigh more. */
+  batchFillTarget: number
   classes: WorkClass[]
 }
 
@@ -45,6 +47,7 @@
   ...engineShape,
   loadsPerSecond: 4.5,
   loadsAtFullSpeed: 3,
+  batchFillTarget: 0,
   classes: [
     {
       name: 'counter',
@@ -87,6 +90,7 @@
   ...engineShape,
   loadsPerSecond: 3,
   loadsAtFullSpeed: 2,
+  batchFillTarget: 0.9,
   classes: [
     {
       name: 'lesson',
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -6,7 +6,7 @@
 import { OpenaiEngine } from '../adapters/openaiEngine/openaiEngine.js'
 import { grpcPeerTransport } from '../adapters/peerLink/grpcPeerLink.js'
 import { PlainService } from '../adapters/plainService/plainService.js'
-import { chooseByCost } from '../core/costChoice.js'
+import { createCostChoice } from '../core/costChoice.js'
 import { createSlackPlanners } from '../core/slackPlanner.js'
 import { repeatTask } from '../repeatTask.js'
 import type { HostListEntry } from '../schemas/hostList.js'
@@ -47,7 +47,7 @@
     configuration,
     claims: state.claims,
     jobs: state.jobs,
-    chooseEndpoint: chooseByCost,
+    chooseEndpoint: createCostChoice({ batchFillTarget: settings.targets.batchFill }),
     random: Math.random,
     hashText: h64ToString,
     service,
--- a/src/core/adapterDemand.ts
+++ b/src/core/adapterDemand.ts
@@ -1,18 +1,19 @@
-/** Forecasts how often each adapter is asked for, from a fast and a slow decaying count. */
+/** Forecasts how often each adapter is asked for, from its last arrival and a slowly decaying count. */
 
 export interface DemandOptions {
-  /** Time after which an arrival counts 1/e in the fast rate, in milliseconds. */
-  fastTermMs: number
-  slowTermMs: number
-  /** Adapters that are remembered; the least asked for are forgotten. */
+  /** A caller that has asked is likely to ask again within about this time, in milliseconds. */
+  recencyTermMs: number
+  /** Time after which an arrival counts 1/e in the long-term rate, in milliseconds. */
+  rateTermMs: number
+  /** Adapters that are remembered; those not asked for the longest are forgotten. */
   maxAdapters: number
 }
 
-export const defaultDemandOptions: DemandOptions = Object.freeze({ fastTermMs: 20_000, slowTermMs: 240_000, maxAdapters: 4096 })
+export const defaultDemandOptions: DemandOptions = Object.freeze({ recencyTermMs: 10_000, rateTermMs: 240_000, maxAdapters: 4096 })
 
 interface Demand {
-  fast: number
-  slow: number
+  /** Arrivals, decayed up to the last one. */
+  count: number
   seenAtMs: number
 }
 
@@ -26,31 +27,23 @@
   }
 
   recordArrival (name: string, nowMs: number): void {
-    const demand = this.#demands.get(name) ?? { fast: 0, slow: 0, seenAtMs: nowMs }
-    this.#decay(demand, nowMs)
-    demand.fast++
-    demand.slow++
+    const demand = this.#demands.get(name) ?? { count: 0, seenAtMs: nowMs }
+    demand.count = 1 + demand.count * Math.exp((demand.seenAtMs - nowMs) / this.#options.rateTermMs)
+    demand.seenAtMs = nowMs
     // Deleting first keeps the map in order of the last arrival.
     this.#demands.delete(name)
     this.#demands.set(name, demand)
     if (this.#demands.size > this.#options.maxAdapters) this.#demands.delete(this.#demands.keys().next().value!)
   }
 
-  /** Forecast arrivals a second: the higher of the recent and the long-term rate. */
+  /** Forecast arrivals a second: the long-term rate, and the next request of a caller who has just asked. */
   computeRate (name: string, nowMs: number): number {
     const demand = this.#demands.get(name)
     if (!demand) return 0
-    const { fastTermMs, slowTermMs } = this.#options
+    const { recencyTermMs, rateTermMs } = this.#options
     const ageMs = nowMs - demand.seenAtMs
-    const fast = demand.fast * Math.exp(-ageMs / fastTermMs) / fastTermMs
-    const slow = demand.slow * Math.exp(-ageMs / slowTermMs) / slowTermMs
-    return Math.max(fast, slow) * 1000
-  }
-
-  #decay (demand: Demand, nowMs: number): void {
-    const ageMs = nowMs - demand.seenAtMs
-    demand.fast *= Math.exp(-ageMs / this.#options.fastTermMs)
-    demand.slow *= Math.exp(-ageMs / this.#options.slowTermMs)
-    demand.seenAtMs = nowMs
+    const recent = Math.exp(-ageMs / recencyTermMs) / recencyTermMs
+    const longTerm = demand.count * Math.exp(-ageMs / rateTermMs) / rateTermMs
+    return (recent + longTerm) * 1000
   }
 }
--- a/src/core/costChoice.ts
+++ b/src/core/costChoice.ts
@@ -7,6 +7,12 @@
 export interface CostChoiceOptions {
   /** Whether a load beside a busy replica is weighed; without it an adapter stays where it is loaded. */
   mayReplicate: boolean
+  /** Cost of another replica beside one that is loaded, as it takes a slot from others, in milliseconds. */
+  replicaMs: number
+  /** How full batches are to be, 0 to 1: endpoints that the running requests don't fill so far stand by; 0 uses all alike. */
+  batchFillTarget: number
+  /** Cost of an endpoint that stands by, in milliseconds. */
+  standbyMs: number
   /** Cost of a batch place left empty, which fills one endpoint's batch before the next one's, in milliseconds. */
   emptyPlaceMs: number
   /** Endpoints in which an adapter is loaded by preference, so that gateways agree without messages. */
@@ -19,10 +25,13 @@
 
 export const defaultCostChoiceOptions: CostChoiceOptions = Object.freeze({
   mayReplicate: true,
+  replicaMs: 1000,
+  batchFillTarget: 0,
+  standbyMs: 1500,
   emptyPlaceMs: 2,
-  preferredEndpoints: 2,
+  preferredEndpoints: 1,
   strayLoadMs: 400,
-  deferrableLoadPart: 0.5
+  deferrableLoadPart: 0.35
 })
 
 const maxConsidered = 4
@@ -46,11 +55,13 @@
 ): ReturnType<ChooseEndpoint> {
   const name = formatAdapter(request.adapter, request.version)
   const usable = views.filter(view => isUsable(view, request))
-  const ranks = rankEndpoints(name, usable)
+  const standby = findStandby(usable, options.batchFillTarget)
+  const ranks = rankEndpoints(name, usable, standby)
   const hasReplica = usable.some(({ summary }) => summary.loaded.includes(name) || summary.loading.includes(name))
   const ratings: Rating[] = usable.map((view, index) => ({
     view, candidate: rateEndpoint(request, view, name, ranks[index]!, hasReplica, options)
   }))
+  for (const { view, candidate } of ratings) if (standby.has(view)) candidate.costMs += request.isDeferrable ? request.dueInMs / 2 : options.standbyMs
   ratings.sort((left, right) => left.candidate.costMs - right.candidate.costMs)
   const draft: DecisionDraft = {
     kind: 'chooseEndpoint',
@@ -75,9 +86,21 @@
   return summary.isReady && summary.baseModel === request.baseModel && !request.avoidEndpoints.includes(summary.endpointId)
 }
 
-/** Ranks endpoints by rendezvous hashing, 0 first. */
-function rankEndpoints (name: string, views: EndpointView[]): number[] {
-  const weights = views.map(({ summary }) => computeHash(`${name} ${summary.endpointId}`))
+/** Finds the endpoints that the running requests would leave empty, were batches filled one endpoint after the other. */
+function findStandby (views: EndpointView[], fillTarget: number): Set<EndpointView> {
+  if (fillTarget === 0) return new Set()
+  const ordered = [...views].sort((left, right) => left.summary.endpointId < right.summary.endpointId ? -1 : 1)
+  let running = views.reduce((sum, { summary, sentSince }) => sum + summary.running + sentSince, 0)
+  return new Set(ordered.filter(({ summary }) => {
+    const isNeeded = running >= 0
+    running -= summary.batchLimit * fillTarget
+    return !isNeeded
+  }))
+}
+
+/** Ranks endpoints by rendezvous hashing, 0 first, those that stand by last. */
+function rankEndpoints (name: string, views: EndpointView[], standby: Set<EndpointView>): number[] {
+  const weights = views.map(view => standby.has(view) ? -1 : computeHash(`${name} ${view.summary.endpointId}`))
   return weights.map(weight => weights.reduce((rank, other) => rank + Number(other > weight), 0))
 }
 
@@ -92,13 +115,14 @@
     return { name: summary.endpointId, costMs: waitMs + fillMs, note: 'the adapter is loaded' }
   }
   if (summary.loading.includes(name) || view.loadsSentSince.includes(name)) {
-    return { name: summary.endpointId, costMs: Math.max(waitMs, summary.expectedLoadMs / 2), note: 'the adapter is being loaded' }
+    return { name: summary.endpointId, costMs: Math.max(waitMs, summary.expectedLoadMs / 2) + fillMs, note: 'the adapter is being loaded' }
   }
   if (hasReplica && !options.mayReplicate) return { name: summary.endpointId, costMs: Infinity, note: 'the adapter is loaded elsewhere' }
   const loadMs = request.isDeferrable ? options.deferrableLoadPart * request.dueInMs : summary.expectedLoadMs * (1 + view.loadsSentSince.length / 2)
   const strayMs = rank < options.preferredEndpoints ? rank : options.strayLoadMs + rank
   const evictionMs = request.isDeferrable ? 0 : summary.evictionCostMs
-  const costMs = Math.max(waitMs, loadMs) + strayMs + evictionMs
+  const replicaMs = hasReplica && !request.isDeferrable ? options.replicaMs : 0
+  const costMs = Math.max(waitMs, loadMs) + strayMs + evictionMs + replicaMs + fillMs
   return { name: summary.endpointId, costMs, note: hasReplica ? 'another replica is worth its load' : 'the adapter needs a load' }
 }
 
--- a/src/core/plannerOptions.ts
+++ b/src/core/plannerOptions.ts
@@ -14,6 +14,10 @@
   maxPendingLoads: number
   /** Slots that deferrable work leaves idle, so that an urgent load finds one. */
   spareSlots: number
+  /** Batch places that deferrable work leaves empty for urgent requests. */
+  sparePlaces: number
+  /** Batch places that must be empty before an adapter is loaded for deferrable work. */
+  gatherRoom: number
   /** Arrivals within this time count as the loss of an adapter that gives up its slot. */
   evictionHorizonMs: number
   /** Deferrable requests of one adapter that are worth a load at once. */
@@ -35,6 +39,8 @@
   maxQueued: 2000,
   maxPendingLoads: 3,
   spareSlots: 1,
+  sparePlaces: 1,
+  gatherRoom: 1,
   evictionHorizonMs: 10_000,
   gatherCount: 8,
   mayWait: (request: QueuedRequest) => isDeferrable(request.target),
--- a/src/core/slackPlanner.ts
+++ b/src/core/slackPlanner.ts
@@ -228,6 +228,7 @@
       }
       if (!deferrable) continue
       const isCritical = deferrable.latestStartMs <= criticalUntilMs
+      if (!isCritical && this.#running.size >= this.#shape.batchLimit - this.#options.sparePlaces) continue
       // Work that may still wait ranks after everything that is urgent or critical.
       const rank = isCritical ? deferrable.latestStartMs : Number.MAX_SAFE_INTEGER + deferrable.orderMs
       if (rank >= bestRank) continue
@@ -277,7 +278,7 @@
   /** Loads for deferrable work while nothing urgent waits and slots stay idle for what is urgent. */
   #planRipeLoad (plan: EndpointPlan, nowMs: number): void {
     const need = this.#needs.firstRipe
-    if (!need || this.#slots.pending > 0 || this.#running.size >= this.#shape.batchLimit) return
+    if (!need || this.#slots.pending > 0 || this.#running.size >= this.#shape.batchLimit - this.#options.gatherRoom) return
     if (this.#slots.free + this.#slots.idle <= this.#options.spareSlots) return
     if (this.#slots.free > 0) this.#planLoad(plan, need, nowMs)
     else this.#planUnload(plan, need, nowMs)
--- a/src/settings/settingsSchemas.ts
+++ b/src/settings/settingsSchemas.ts
@@ -43,6 +43,10 @@
   callers: createSection({ address: ipType, port: createPortType(defaultCallersPort) }),
   /** `keyHash`: a key that opens the operators' port before any is registered. */
   operators: createSection({ address: ipType, port: createPortType(defaultOperatorsPort), keyHash: Type.Optional(keyHashType) }),
+  /** `batchFill`: how full batches are to be before work is spread over more endpoints; 0 where load stalls weigh more. */
+  targets: createSection({
+    batchFill: Type.Number({ minimum: 0, maximum: 1, default: 0, description: 'a part of a batch from 0 to 1' })
+  }),
   metrics: metricsSection
 })
 export type GatewaySettings = Readonly<Static<typeof gatewaySettingsSchema>>
