Wait for the list of hosts before a change is called accepted; record versions as decisions

Cause: a gateway that had not read the list of hosts knew of no schedulers, took that for none to wait for, and called a change accepted that nobody had confirmed (found by reading; now a scenario). Change: with links but no list yet, acceptance waits. Each version that comes into force is a decision for watch.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -112,6 +112,11 @@
     Then "gateway-2" answers "ticket 7" without running it
     And the work has run 1 time
 
+  Scenario: Claims and answers of the same moment share transactions
+    When "gateway-1" is asked 100 times at once, each under a key of its own, and answers all
+    Then the work has run 100 times
+    And the table has taken at most 10 transactions
+
   Scenario: Claims are kept for a day, and not much longer
     Given the sweep of old rows runs
     When "gateway-1" is asked "check in" under key "k1" and answers with 9000 characters
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -101,6 +101,11 @@
     When "gateway-1" sets class "counter" to 2000 ms
     Then after 5 seconds "gateway-2" takes new work without class "counter"
 
+  Scenario: A host that has not read the list yet does not call a change accepted
+    Given "gateway-1" knows the list of hosts only after 2 seconds
+    When "gateway-1" sets class "counter" to 2000 ms
+    Then the change is "accepted" after at least 2 seconds
+
   Scenario: A change that few schedulers confirm is not called accepted
     Given "scheduler-1" and "scheduler-2" reach neither table nor peers
     When "gateway-1" sets class "counter" to 2000 ms
--- a/features/steps/claims.ts
+++ b/features/steps/claims.ts
@@ -138,6 +138,24 @@
     await askAtOnce(this, [host, host], body, key)
   })
 
+When('{string} is asked {int} times at once, each under a key of its own, and answers all',
+  async function (this: ClaimsWorld, host: string, count: number) {
+    const claims = this.hosts.get(host)!
+    const asked = Array.from({ length: count }, async (_, index) => {
+      const work = { callerName: 'front-desk', idempotencyKey: `k${index}`, bodyHash: hashParts(['x']), requestId: `req-${index}` }
+      const result = await claims.takeClaim(work)
+      record(this, host, result)
+      assert.ok(result.type === 'claimed')
+      await claims.storeAnswer(result.claim, { status: 200, headers: {}, body: Buffer.from('done') })
+    })
+    await settle(this.platform.clock, Promise.all(asked))
+  })
+
+Then('the table has taken at most {int} transactions', async function (this: ClaimsWorld, count: number) {
+  const outcome = await this.platform.rows.transact({ token: 'count', checks: [], writes: [] })
+  assert.ok(outcome.verdict === 'applied' && outcome.version - 1 <= count, JSON.stringify(outcome))
+})
+
 When('{int} seconds pass', async function (this: ClaimsWorld, seconds: number) { await passMs(this, seconds * 1000) })
 
 When('the claims\' table is back', function (this: ClaimsWorld) { this.platform.faults.isTableDown = false })
--- a/features/steps/configuration.ts
+++ b/features/steps/configuration.ts
@@ -11,6 +11,7 @@
   hosts: ConfigurationHosts
   names: string[]
   results: ChangeResult[]
+  knownAtMs: number
 }
 
 async function startHosts (world: HostsWorld, names: string[], rules: Partial<ConfigurationTaskOptions> = {}): Promise<void> {
@@ -159,6 +160,18 @@
   this.hosts.setCut(name, false)
 })
 
+Given('{string} knows the list of hosts only after {int} seconds', function (this: HostsWorld, name: string, seconds: number) {
+  const { clock } = this.hosts.platform
+  this.knownAtMs = clock.readMonotonic() + seconds * 1000
+  this.hosts.startHost(name, false)
+  clock.setTimer(() => this.hosts.tellList(name), seconds * 1000)
+})
+
+Then('the change is {string} after at least {int} seconds', function (this: HostsWorld, type: string, _seconds: number) {
+  assert.deepEqual(this.results.map(result => result.type), [type])
+  assert.ok(this.hosts.platform.clock.readMonotonic() >= this.knownAtMs)
+})
+
 Then('the change is {string}', function (this: HostsWorld, type: string) {
   assert.deepEqual(this.results.map(result => result.type), [type])
 })
--- a/features/support/configurationHosts.ts
+++ b/features/support/configurationHosts.ts
@@ -30,7 +30,7 @@
   }
 
   /** Starts a host, or starts it again with an empty memory. */
-  startHost (hostId: string): ConfigurationHost {
+  startHost (hostId: string, knowsList = true): ConfigurationHost {
     this.hosts.get(hostId)?.task.stop()
     const { clock, connect } = this.platform
     const faults = createPlatformFaults()
@@ -38,10 +38,17 @@
     task.setPeers({ listHosts: () => this.#listLinked(hostId), send: (to, news) => this.#send(hostId, to, news) })
     const host = { hostId, task, faults, started: task.start() }
     this.hosts.set(hostId, host)
-    for (const { task } of this.hosts.values()) task.receiveList(this.#listEntries())
+    for (const other of this.hosts.keys()) {
+      if (knowsList || other !== hostId) this.tellList(other)
+    }
     return host
   }
 
+  /** Tells a host the list of hosts. */
+  tellList (hostId: string): void {
+    this.hosts.get(hostId)?.task.receiveList(this.#listEntries())
+  }
+
   /** Cuts or mends every link of a host. */
   setCut (hostId: string, isCut: boolean): void {
     if (isCut) this.#cut.add(hostId)
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -37,7 +37,9 @@
   const service = new PlainService()
   const clock = createSystemClock()
   const decisions = new DecisionStore({ hostId: host.id, clock })
-  const configuration = new ConfigurationTask({ hostId: host.id, clock, table: platform.table })
+  const configuration = new ConfigurationTask({
+    hostId: host.id, clock, table: platform.table, recordDecision: draft => decisions.record(draft)
+  })
   const state = startState(host.id, clock, platform)
   const gateway = new GatewayTask({
     hostId: host.id,
--- a/src/tasks/configuration/configurationNewsTask.ts
+++ b/src/tasks/configuration/configurationNewsTask.ts
@@ -42,10 +42,11 @@
 
 export class ConfigurationNewsTask {
   #options: ConfigurationNewsTaskOptions
-  #peers: ConfigurationPeers = { listHosts: () => [], send: () => {} }
+  #peers: ConfigurationPeers | undefined
   #kept: KeptChange[] = []
   #told = new Map<string, ToldVersion>()
-  #schedulers = new Set<string>()
+  /** Schedulers on the list; undefined until it was read. */
+  #schedulers: Set<string> | undefined
   #confirmations = new Set<Confirmation>()
   #repetition: Repetition | undefined
 
@@ -88,17 +89,18 @@
 
   /** Tells every peer. */
   announceVersion (): void {
-    for (const hostId of this.#peers.listHosts()) this.#sendNews(hostId)
+    for (const hostId of this.#peers?.listHosts() ?? []) this.#sendNews(hostId)
   }
 
   /** Whether more than half of the schedulers told a version of at least the given one lately. */
   isHeardByMost (version: number): boolean {
     const sinceMs = this.#options.clock.readMonotonic() - maxNewsAgeMs
-    const heard = [...this.#schedulers].filter(hostId => {
+    const schedulers = [...this.#schedulers ?? []]
+    const heard = schedulers.filter(hostId => {
       const told = this.#told.get(hostId)
       return told !== undefined && told.atMs >= sinceMs && told.version >= version
     })
-    return heard.length * 2 > this.#schedulers.size
+    return heard.length * 2 > schedulers.length
   }
 
   /** Whether most schedulers were heard lately, and none of the peers told of a version that is missing here. */
@@ -114,7 +116,7 @@
 
   /** Waits until more than half of the schedulers have a version in force; false where the time ran out. */
   async waitForMost (version: number, timeoutMs: number): Promise<boolean> {
-    if (this.#schedulers.size === 0 || this.isHeardByMost(version)) return true
+    if (this.#isAlone() || this.isHeardByMost(version)) return true
     return await new Promise<boolean>(resolve => {
       const finish = (isConfirmed: boolean): void => {
         timer.cancel()
@@ -129,13 +131,18 @@
 
   #checkConfirmations (): void {
     for (const confirmation of [...this.#confirmations]) {
-      if (this.isHeardByMost(confirmation.version)) confirmation.resolve()
+      if (this.#isAlone() || this.isHeardByMost(confirmation.version)) confirmation.resolve()
     }
   }
 
+  /** Without links, or schedulers on the list, the table is the only way to any host. */
+  #isAlone (): boolean {
+    return !this.#peers || this.#schedulers?.size === 0
+  }
+
   #sendNews (hostId: string): void {
     const version = this.#options.readVersion()
-    this.#peers.send(hostId, { type: 'configurationNews', version, changes: this.#listMissing(hostId) })
+    this.#peers?.send(hostId, { type: 'configurationNews', version, changes: this.#listMissing(hostId) })
   }
 
   /** Changes that the peer lacks; none where it has told nothing yet or lacks too much. */
--- a/src/tasks/configuration/configurationTask.ts
+++ b/src/tasks/configuration/configurationTask.ts
@@ -5,6 +5,7 @@
 import { repeatTask } from '../../repeatTask.js'
 import type { Repetition } from '../../repeatTask.js'
 import type { ConfigurationChange, ConfigurationKind, ConfigurationView, RecordName, VersionedRecord } from '../../schemas/configuration.js'
+import type { RecordDecision } from '../../schemas/decision.js'
 import type { HostListEntry } from '../../schemas/hostList.js'
 import type { ConfigurationNews } from '../../schemas/peerMessage.js'
 import { TableWriter } from '../table/tableWriter.js'
@@ -30,6 +31,7 @@
   hostId: string
   clock: Clock
   table: Table
+  recordDecision?: RecordDecision
   /** Whether a change may be applied upon a version; see `isNextVersion`. */
   isNext?: (version: number, next: number) => boolean
   /** Whether accepted changes are certainly in force, from the time since the table confirmed it and what peers tell. */
@@ -194,6 +196,7 @@
     if (this.#configuration.version >= wanted) return
     const snapshot = await this.#store.readSnapshot()
     if (snapshot && this.#configuration.applySnapshot(snapshot.version, snapshot.records)) {
+      this.#recordVersion(`${snapshot.records.length} records of a snapshot`)
       log('Configuration version %d is in force, from a snapshot of %d records.', snapshot.version, snapshot.records.length)
     }
     for (const change of await this.#store.readChanges(this.#configuration.version)) this.#applyChange(change)
@@ -202,9 +205,15 @@
   #applyChange (change: ConfigurationChange): void {
     if (!this.#configuration.applyChange(change)) return
     this.#news.recordChange(change)
+    this.#recordVersion(`${change.puts.length} records put, ${change.removes.length} removed`)
     log('Configuration version %d is in force: %d records put, %d removed.', change.version, change.puts.length, change.removes.length)
   }
 
+  #recordVersion (reason: string): void {
+    const chosen = `version ${this.#configuration.version}`
+    this.#options.recordDecision?.({ kind: 'configuration', considered: [], chosen, reason, waits: [] })
+  }
+
   #readVersion (name: RecordName): RecordVersion {
     return { kind: name.kind, name: name.name, version: this.#configuration.findRecord(name)?.version ?? 0 }
   }
