--- a/src/adapters/httpPlatform/httpPlatform.ts
+++ b/src/adapters/httpPlatform/httpPlatform.ts
@@ -6,7 +6,7 @@
 import type { HostList } from '../../ports/hostList.js'
 import type { Objects } from '../../ports/objects.js'
 import { createPlatformUnavailable } from '../../ports/platformUnavailable.js'
-import { tableRowSchema, transactionOutcomeSchema } from '../../ports/table.js'
+import { checkTransactionSize, tableRowSchema, transactionOutcomeSchema } from '../../ports/table.js'
 import type { RowRange, Table, TableRow, Transaction, TransactionOutcome } from '../../ports/table.js'
 import { hostListEntrySchema } from '../../schemas/hostList.js'
 import type { HostListEntry } from '../../schemas/hostList.js'
@@ -64,6 +64,7 @@
 }
 
 async function sendTransaction (call: Call, transaction: Transaction): Promise<TransactionOutcome> {
+  checkTransactionSize(transaction)
   try {
     const response = await call('POST', '/table/transact', transaction)
     const answer: unknown = await response.body.json()
--- a/src/adapters/memoryPlatform/memoryTable.ts
+++ b/src/adapters/memoryPlatform/memoryTable.ts
@@ -1,6 +1,5 @@
 /** The table service in memory, with the behaviour of the HTTP stand-in. */
-import VError from 'verror'
-import { maxReadRows, maxTransactionBytes, maxTransactionRows } from '../../ports/table.js'
+import { checkTransactionSize, maxReadRows } from '../../ports/table.js'
 import type { RowRange, Table, TableRow, Transaction, TransactionOutcome } from '../../ports/table.js'
 
 /** Holds rows in key order and applies transactions one at a time. */
@@ -27,7 +26,7 @@
   }
 
   async transact (transaction: Transaction): Promise<TransactionOutcome> {
-    checkSize(transaction)
+    checkTransactionSize(transaction)
     const failed = transaction.checks.filter(check => (this.#rows.get(check.key)?.version ?? 0) !== check.version)
     if (failed.length > 0) {
       return { verdict: 'notApplied', cause: 'conflict', conflicts: await this.readRows(failed.map(check => check.key)) }
@@ -47,14 +46,6 @@
   }
 }
 
-function checkSize ({ writes }: Transaction): void {
-  if (writes.length > maxTransactionRows) {
-    throw new VError('the transaction writes %d rows; the table takes at most %d', writes.length, maxTransactionRows)
-  }
-  const bytes = Buffer.byteLength(JSON.stringify(writes))
-  if (bytes > maxTransactionBytes) throw new VError('the transaction has %d bytes; the table takes at most %d', bytes, maxTransactionBytes)
-}
-
 /** Finds the first index whose key is not less than the given one. */
 function findFirstIndex (keys: string[], key: string): number {
   let low = 0
--- a/src/bin/startStandins.ts
+++ b/src/bin/startStandins.ts
@@ -2,10 +2,13 @@
 import { randomUUID } from 'node:crypto'
 import xxhash from 'xxhash-wasm'
 import { createSystemClock } from '../adapters/clock/systemClock.js'
+import { createFaultyPlatform } from '../adapters/memoryPlatform/faultyPlatform.js'
 import type { Platform } from '../adapters/httpPlatform/httpPlatform.js'
 import { MemoryHostList } from '../adapters/memoryPlatform/memoryHostList.js'
 import { MemoryObjects } from '../adapters/memoryPlatform/memoryObjects.js'
 import { MemoryTable } from '../adapters/memoryPlatform/memoryTable.js'
+import { createPlatformFaults } from '../adapters/memoryPlatform/platformFaults.js'
+import type { PlatformFaults } from '../adapters/memoryPlatform/platformFaults.js'
 import type { Clock } from '../ports/clock.js'
 import type { HostListEntry } from '../schemas/hostList.js'
 import type { StandinSettings } from '../settings/settingsSchemas.js'
@@ -19,7 +22,9 @@
 type Presence = HostListEntry['presence']
 
 export interface RunningStandins {
-  platform: Platform & { hostList: MemoryHostList }
+  platform: Platform
+  /** Switches for the faults of the platform; each may be changed at any time. */
+  platformFaults: PlatformFaults
   engines: StandinEngine[]
   services: StandinService[]
   store: WeightStore
@@ -35,11 +40,16 @@
   for (let index = 0; index < settings.engines.count; index++) engines.push(await startEngine(settings, index, store, hostList))
   const services: StandinService[] = []
   for (let index = 0; index < settings.services.count; index++) services.push(await startService(settings, index, hostList))
-  const platform = { table: new MemoryTable(), objects: new MemoryObjects(), hostList, close: async () => {} }
+  const { writesPerSecond, readsPerSecond } = settings.platform
+  const platformFaults = createPlatformFaults({ writesPerSecond, readsPerSecond })
+  const platform = {
+    ...createFaultyPlatform({ clock, faults: platformFaults, table: new MemoryTable(), objects: new MemoryObjects(), hostList }),
+    close: async () => {}
+  }
   const stop = async (): Promise<void> => {
     await Promise.all([...engines, ...services].map(async server => await server.stop()))
   }
-  return { platform, engines, services, store, stop }
+  return { platform, platformFaults, engines, services, store, stop }
 }
 
 async function startEngine (
--- a/src/ports/table.ts
+++ b/src/ports/table.ts
@@ -1,6 +1,7 @@
 /** The platform's transactional table service. */
 import { Type } from '@sinclair/typebox'
 import type { Static } from '@sinclair/typebox'
+import VError from 'verror'
 
 /** Most rows that one transaction may write. */
 export const maxTransactionRows = 100
@@ -65,3 +66,12 @@
   /** Applies all writes if all checks hold. Rejects only for a transaction over the limits, which is a fault of the writer. */
   transact: (transaction: Transaction) => Promise<TransactionOutcome>
 }
+
+/** Throws where a transaction is over the limits. */
+export function checkTransactionSize ({ writes }: Transaction): void {
+  if (writes.length > maxTransactionRows) {
+    throw new VError('the transaction writes %d rows; the table takes at most %d', writes.length, maxTransactionRows)
+  }
+  const bytes = Buffer.byteLength(JSON.stringify(writes))
+  if (bytes > maxTransactionBytes) throw new VError('the transaction has %d bytes; the table takes at most %d', bytes, maxTransactionBytes)
+}
--- a/src/settings/settingsSchemas.ts
+++ b/src/settings/settingsSchemas.ts
@@ -73,6 +73,9 @@
     address: ipType,
     port: createPortType(7490),
     listLagMs: millisecondsType(500),
+    /** Calls over these limits are turned away; 0 sets no limit. */
+    writesPerSecond: Type.Integer({ minimum: 0, default: 400, description: 'a whole number of transactions a second from 0' }),
+    readsPerSecond: Type.Integer({ minimum: 0, default: 2000, description: 'a whole number of reads a second from 0' }),
     /** Whether the table begins with the registrations of the quick start. */
     exampleRecords: Type.Boolean({ default: true, description: 'true or false' })
   }),
--- a/src/standin/platformServer.ts
+++ b/src/standin/platformServer.ts
@@ -3,8 +3,11 @@
 import fastify from 'fastify'
 import type { FastifyInstance } from 'fastify'
 import { Value } from '@sinclair/typebox/value'
-import type { MemoryHostList } from '../adapters/memoryPlatform/memoryHostList.js'
+import { platformFaultsSchema } from '../adapters/memoryPlatform/platformFaults.js'
+import type { PlatformFaults } from '../adapters/memoryPlatform/platformFaults.js'
+import type { HostList } from '../ports/hostList.js'
 import type { Objects } from '../ports/objects.js'
+import { isPlatformUnavailable } from '../ports/platformUnavailable.js'
 import type { RowRange, Table, Transaction } from '../ports/table.js'
 import { hostListEntrySchema } from '../schemas/hostList.js'
 import type { StandinServer } from './engineServer.js'
@@ -17,13 +20,19 @@
   port: number
   table: Table
   objects: Objects
-  hostList: MemoryHostList
+  hostList: HostList
+  /** Switches of the services above; `POST /faults` changes them. */
+  faults: PlatformFaults
 }
 
-/** Starts the stand-in platform. */
+/** Starts the stand-in platform; its services fail as their switches say. */
 export async function startPlatformServer (options: PlatformServerOptions): Promise<StandinServer> {
   const server = fastify({ bodyLimit: maxBodyBytes, forceCloseConnections: true })
   server.addContentTypeParser('application/octet-stream', { parseAs: 'buffer' }, (_request, body, done) => done(null, body))
+  server.setErrorHandler(async (error: Error, _request, reply) => {
+    return await reply.code(isPlatformUnavailable(error) ? 503 : 500).send({ message: error.message })
+  })
+  addFaultsRoute(server, options.faults)
   addTableRoutes(server, options.table)
   addObjectRoutes(server, options.objects)
   addHostRoutes(server, options.hostList)
@@ -35,7 +44,29 @@
 function addTableRoutes (server: FastifyInstance, table: Table): void {
   server.post<{ Body: { keys: string[] } }>('/table/read', async request => await table.readRows(request.body.keys))
   server.post<{ Body: RowRange }>('/table/list', async request => await table.listRows(request.body))
-  server.post<{ Body: Transaction }>('/table/transact', async request => await table.transact(request.body))
+  server.post<{ Body: Transaction }>('/table/transact', async (request, reply) => {
+    const outcome = await table.transact(request.body)
+    // A lost answer is a connection that breaks.
+    if (outcome.verdict === 'unknown') {
+      reply.hijack()
+      reply.raw.destroy()
+      return reply
+    }
+    const isDown = outcome.verdict === 'notApplied' && outcome.cause === 'unavailable'
+    return await reply.code(isDown ? 503 : 200).send(outcome)
+  })
+}
+
+/** `POST /faults` sets the switches that its body names and answers with all of them. */
+function addFaultsRoute (server: FastifyInstance, faults: PlatformFaults): void {
+  server.post('/faults', async (request, reply) => {
+    const next = { ...faults, ...(request.body as Partial<PlatformFaults>) }
+    if (!Value.Check(platformFaultsSchema, next)) {
+      const error = Value.Errors(platformFaultsSchema, next).First()
+      return await reply.code(400).send({ message: `switch "${error?.path.slice(1)}" is wrong: ${error?.message}` })
+    }
+    return Object.assign(faults, next)
+  })
 }
 
 function addObjectRoutes (server: FastifyInstance, objects: Objects): void {
@@ -54,14 +85,14 @@
   })
 }
 
-function addHostRoutes (server: FastifyInstance, hostList: MemoryHostList): void {
+function addHostRoutes (server: FastifyInstance, hostList: HostList): void {
   server.get('/hosts', async () => await hostList.listEntries())
   server.put<{ Params: { id: string } }>('/hosts/:id', async request => {
-    hostList.addEntry(Value.Parse(hostListEntrySchema, request.body))
+    await hostList.announceEntry(Value.Parse(hostListEntrySchema, request.body))
     return {}
   })
   server.delete<{ Params: { id: string } }>('/hosts/:id', async request => {
-    hostList.removeEntry(request.params.id)
+    await hostList.withdrawEntry(request.params.id)
     return {}
   })
 }
