Keep handle and waits of an attempt where its gateway is

Cause: after the scheduler that had run a request was killed, explain said that the request had no handle and had not waited; only the scheduler had known. Change: a scheduler tells the gateway, in a message that travels with the first of the answer, under which handle it dispatched an attempt and what the attempt had waited for; the gateway keeps that with the attempt's end, and names the owner it chose. A story says which host gave no answer. Conclusion: the story of an answered request stays whole without its scheduler.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -45,6 +45,13 @@
     When a stranger reads "/" of the operators' port
     Then the page comes with a policy that allows its own script alone
 
+  Scenario: A story outlives the scheduler that ran the request
+    Given a caller asks for 5 tokens from "cluj-tax"
+    And the scheduler has gone
+    When an operator explains the request on gateway 2
+    Then attempt 1 of the story has an endpoint, a handle and verdict "ran"
+    And attempt 1 of the story tells a wait for "load"
+
   Scenario: The story of a call of a plain service
     Given a caller posts "hello" to service path "/services/claims/decisions"
     When an operator explains the request on gateway 2
--- a/features/steps/operators.ts
+++ b/features/steps/operators.ts
@@ -87,6 +87,16 @@
     assert.equal(attempt.verdict, verdict)
   })
 
+Given('the scheduler has gone', async function (this: SystemWorld) {
+  await this.playground!.schedulers.pop()!.stop()
+})
+
+Then('attempt {int} of the story tells a wait for {string}', function (this: SystemWorld, number: number, cause: string) {
+  const attempt = (getSession(this).body as Story).attempts.find(candidate => candidate.attempt === number)!
+  assert.ok(attempt.waits.some(wait => wait.cause === cause), JSON.stringify(attempt.waits))
+  assert.equal(attempt.host, undefined, 'the scheduler has given no answer')
+})
+
 Then('the story names a load as a turn', function (this: SystemWorld) {
   const story = getSession(this).body as Story
   assert.ok(story.turns.some(turn => turn.startsWith('load on "engine-')), story.turns.join('; '))
--- a/src/core/requestStory.ts
+++ b/src/core/requestStory.ts
@@ -64,15 +64,16 @@
   const end = own.find(decision => ['finish', 'fail', 'retry'].includes(decision.kind))
   const scheduler = own.find(decision => decision.kind === 'admit' || decision.kind === 'dispatch' || decision.kind === 'refuse')
   const endpointId = choice?.endpointId ?? scheduler?.endpointId
+  const handle = dispatch?.handle ?? end?.handle
   return {
     attempt,
     ...(endpointId && { endpointId }),
     ...(scheduler && { host: scheduler.host }),
-    ...(dispatch?.handle && { handle: dispatch.handle }),
+    ...(handle && { handle }),
     ...(end?.verdict && { verdict: end.verdict }),
     choice: choice?.reason ?? '',
     end: end?.reason ?? 'not ended',
-    waits: resolveWaits(own, dispatch ?? own.find(decision => decision.kind === 'refuse'))
+    waits: resolveWaits(own, dispatch ?? own.find(decision => decision.kind === 'refuse'), end)
   }
 }
 
@@ -80,13 +81,16 @@
  * Waits as the decisions give them. Where none does, the time from the admission to the dispatch, or to the refusal,
  * was spent in the queue, and from a load of the request's own on for that load.
  */
-function resolveWaits (own: Decision[], end: Decision | undefined): Wait[] {
-  const named = own.flatMap(decision => decision.waits).filter(wait => wait.ms >= minWaitMs)
+function resolveWaits (own: Decision[], start: Decision | undefined, end: Decision | undefined): Wait[] {
+  // The gateway's record of the end repeats the waits, and stands in for a scheduler that gives no answer.
+  const before = own.filter(decision => decision !== end)
+  const told = before.some(decision => decision.kind === 'dispatch') || !end ? before : [...before, end]
+  const named = told.flatMap(decision => decision.waits).filter(wait => wait.ms >= minWaitMs)
   const admit = own.find(decision => decision.kind === 'admit')
-  if (!admit || !end || admit.host !== end.host || named.length > 0) return named
-  const load = own.find(decision => decision.kind === 'load' && decision.host === end.host)
-  const loadMs = load ? end.atMs - load.atMs : 0
-  const waits: Wait[] = [{ cause: 'load', ms: loadMs }, { cause: 'queue', ms: end.atMs - admit.atMs - loadMs }]
+  if (!admit || !start || admit.host !== start.host || named.length > 0) return named
+  const load = own.find(decision => decision.kind === 'load' && decision.host === start.host)
+  const loadMs = load ? start.atMs - load.atMs : 0
+  const waits: Wait[] = [{ cause: 'load', ms: loadMs }, { cause: 'queue', ms: start.atMs - admit.atMs - loadMs }]
   return waits.filter(wait => wait.ms >= minWaitMs)
 }
 
--- a/src/ctl/commands/explainCommand.ts
+++ b/src/ctl/commands/explainCommand.ts
@@ -39,7 +39,7 @@
 
 function renderAttempt (attempt: StoryAttempt): string[] {
   return [
-    `attempt ${attempt.attempt}: on "${attempt.endpointId ?? 'unknown'}" of "${attempt.host ?? 'unknown'}", handle ${attempt.handle ?? 'none'}`,
+    `attempt ${attempt.attempt}: on "${attempt.endpointId ?? 'unknown'}" of ${attempt.host ? `"${attempt.host}"` : 'a host that gave no answer'}, handle ${attempt.handle ?? 'none'}`,
     `  chosen:  ${attempt.choice || 'unknown'}`,
     `  waited:  ${renderWaits(attempt.waits)}`,
     `  ended:   ${attempt.verdict ?? 'running'}: ${attempt.end}`
--- a/src/schemas/peerMessage.ts
+++ b/src/schemas/peerMessage.ts
@@ -2,7 +2,7 @@
 import { Type } from '@sinclair/typebox'
 import type { Static } from '@sinclair/typebox'
 import { requestFailureSchema } from './verdict.js'
-import { decisionSchema } from './decision.js'
+import { decisionSchema, waitSchema } from './decision.js'
 import { configurationChangeSchema, targetSchema } from './configuration.js'
 
 /** First message on a link, from the side that opened it. */
@@ -50,6 +50,15 @@
   attempt: Type.Integer()
 })
 
+/** The attempt was sent to its engine; lets the gateway tell its story even when the scheduler has gone. */
+export const dispatchedSchema = Type.Object({
+  type: Type.Literal('dispatched'),
+  requestId: Type.String(),
+  attempt: Type.Integer(),
+  handle: Type.String(),
+  waits: Type.Array(waitSchema)
+})
+
 /** Part of an answer; `sequence` counts from 0 within an attempt. */
 export const answerDataSchema = Type.Object({
   type: Type.Literal('answerData'),
@@ -205,7 +214,7 @@
 })
 
 export const peerMessageSchema = Type.Union([
-  helloSchema, dispatchSchema, cancelSchema, answerDataSchema, answerEndSchema, answerFailedSchema,
+  helloSchema, dispatchSchema, cancelSchema, dispatchedSchema, answerDataSchema, answerEndSchema, answerFailedSchema,
   endpointSummariesSchema, endpointChangesSchema, decisionsSchema, suspectsSchema, configurationNewsSchema,
   membersSchema, tableOutageSchema, permitRequestSchema, permitGrantSchema, permitReleaseSchema, querySchema, queryAnswerSchema
 ])
--- a/src/tasks/gateway/describeDecision.ts
+++ b/src/tasks/gateway/describeDecision.ts
@@ -6,7 +6,7 @@
 
 /** What differs from one decision to the next. */
 export type RequestDecision = Pick<DecisionDraft, 'kind' | 'chosen' | 'reason'> &
-  Partial<Pick<DecisionDraft, 'attempt' | 'endpointId' | 'verdict'>>
+  Partial<Pick<DecisionDraft, 'attempt' | 'endpointId' | 'handle' | 'verdict' | 'waits'>>
 
 /**
  * Describes a decision about a request.
--- a/src/tasks/gateway/requestRouter.ts
+++ b/src/tasks/gateway/requestRouter.ts
@@ -41,6 +41,8 @@
   attempt: number
   /** Host and endpoint of the current attempt; undefined while the request waits for an endpoint. */
   target: { hostId: string, endpointId: string } | undefined
+  /** Told by the scheduler once the current attempt was sent to its engine. */
+  dispatched: PeerMessageOf<'dispatched'> | undefined
   nextSequence: number
   hasSentData: boolean
   /** Whether an earlier attempt may have run; then the caller is never told that the request was not run. */
@@ -113,6 +115,7 @@
       send,
       attempt: 0,
       target: undefined,
+      dispatched: undefined,
       nextSequence: 0,
       hasSentData: false,
       mayHaveRun: false,
@@ -137,11 +140,17 @@
 
   receiveMessage (hostId: string, message: PeerMessage): void {
     if (message.type === 'suspects') this.#receiveSuspects(message)
+    else if (message.type === 'dispatched') this.#receiveDispatched(hostId, message)
     else if (message.type === 'answerData' || message.type === 'answerEnd' || message.type === 'answerFailed') {
       this.#receiveAnswer(hostId, message)
     }
   }
 
+  #receiveDispatched (hostId: string, message: PeerMessageOf<'dispatched'>): void {
+    const running = this.#running.get(message.requestId)
+    if (running?.attempt === message.attempt && running.target?.hostId === hostId) running.dispatched = message
+  }
+
   /** The link to a host has closed: nobody can tell whether its attempts ran. */
   receiveClosed (hostId: string): void {
     for (const running of [...this.#running.values()]) {
@@ -171,6 +180,7 @@
   #startAttempt (running: RunningRequest): void {
     running.attempt++
     running.nextSequence = 0
+    running.dispatched = undefined
     this.#dispatch(running)
   }
 
@@ -197,7 +207,7 @@
     }
     const waits: Wait[] = running.waitingSinceMs === undefined ? [] : [{ cause: 'queue', ms: nowMs - running.waitingSinceMs }]
     this.#stopWaiting(running)
-    recordDecision({ ...choice.decision, waits })
+    recordDecision({ ...choice.decision, reason: `${choice.decision.reason}; its owner is "${choice.hostId}"`, waits })
     running.target = { hostId: choice.hostId, endpointId: choice.endpointId }
     links.recordSent(choice.hostId, choice.endpointId, formatAdapter(request.adapter, request.version))
     links.send(choice.hostId, {
@@ -294,9 +304,10 @@
 
   /** Records how the current attempt ended. */
   #recordEnd (running: RunningRequest, decision: RequestDecision): void {
-    const { request, attempt, target } = running
+    const { request, attempt, target, dispatched } = running
     const place = target && { endpointId: target.endpointId }
-    this.#options.recordDecision(describeDecision(request, { attempt, ...place, ...decision }))
+    const run = dispatched && { handle: dispatched.handle, waits: dispatched.waits }
+    this.#options.recordDecision(describeDecision(request, { attempt, ...place, ...run, ...decision }))
   }
 
   #remove (running: RunningRequest): void {
--- a/src/tasks/scheduler/describeEndpoint.ts
+++ b/src/tasks/scheduler/describeEndpoint.ts
@@ -1,9 +1,9 @@
 /** Describes an endpoint for operators: its slots, who runs and who waits. */
 import { formatTarget } from '../../core/formatTarget.js'
-import type { PlannedLoad } from '../../core/planner.js'
+import type { PlannedDispatch, PlannedLoad } from '../../core/planner.js'
 import type { DecisionDraft } from '../../schemas/decision.js'
 import type { EndpointState } from '../../schemas/operatorMessage.js'
-import type { Dispatch } from '../../schemas/peerMessage.js'
+import type { Dispatch, PeerMessageOf } from '../../schemas/peerMessage.js'
 
 const maxListedRequests = 100
 
@@ -60,3 +60,8 @@
 ): DecisionDraft {
   return { kind: 'fail', endpointId, adapter, version, handle, considered: [], chosen: 'load failed', reason: message, waits: [] }
 }
+
+/** Tells the gateway that its attempt was sent to the engine, and what it has waited for. */
+export function describeDispatch ({ requestId, attempt, handle, decision }: PlannedDispatch): PeerMessageOf<'dispatched'> {
+  return { type: 'dispatched', requestId, attempt, handle, waits: decision.waits }
+}
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -4,7 +4,7 @@
 import type { ParsedHandle } from '../../core/formatAdapter.js'
 import type { EndpointPlan, EndpointPlanner, PlannedDispatch, PlannedFailure, PlannedLoad, PlannedUnload } from '../../core/planner.js'
 import type { Clock, Timer } from '../../ports/clock.js'
-import type { Engine, EngineReport, GenerateEvent, GenerateOrder, Generation } from '../../ports/engine.js'
+import type { Engine, EngineReport, GenerateEvent, Generation } from '../../ports/engine.js'
 import type { RecordDecision } from '../../schemas/decision.js'
 import type { EngineEntry } from '../../schemas/hostList.js'
 import type { EndpointState } from '../../schemas/operatorMessage.js'
@@ -14,7 +14,8 @@
 import { createBlocked, createEndpointLeaving, createNotOwner, createNoSlot, createNotReady, createSchedulerLeaving } from './endpointRefusals.js'
 import { SuspectGate } from './suspectGate.js'
 import type { Ownership } from '../ownership/ownership.js'
-import { describeAttempts, describeFailedLoad } from './describeEndpoint.js'
+import { createGenerateOrder } from './createGenerateOrder.js'
+import { describeAttempts, describeDispatch, describeFailedLoad } from './describeEndpoint.js'
 import { EndpointHandles } from './endpointHandles.js'
 import { EngineWatch } from './engineWatch.js'
 import type { EngineWatchEvent } from './engineWatch.js'
@@ -244,21 +245,12 @@
     }
     this.#options.recordDecision({ ...planned.decision, handle: planned.handle })
     attempt.handle = planned.handle
-    const order: GenerateOrder = {
-      requestId: dispatch.requestId,
-      attempt: dispatch.attempt,
-      handle: planned.handle,
-      model: formatAdapter(dispatch.adapter, dispatch.version),
-      priority: planned.priority,
-      path: dispatch.path,
-      body: dispatch.body,
-      isStream: dispatch.isStream
-    }
+    attempt.reply(describeDispatch(planned))
     attempt.generation = startResumedGeneration({
       clock: this.#options.clock,
       engine: this.#options.engine,
       address: this.#entry.address,
-      order,
+      order: createGenerateOrder(dispatch, planned),
       planResume: defaultPlanResume,
       send: event => this.#receiveEvent(attempt, event)
     })
