Bound the memory of kept decisions, not only their packed bytes

Change: packed decisions stand in two blocks of half the bytes each, linked by request; the older block is dropped whole when the younger is full.

--- a/src/tasks/decisions/decisionStore.ts
+++ b/src/tasks/decisions/decisionStore.ts
@@ -2,6 +2,7 @@
 import { Packr } from 'msgpackr'
 import type { Clock } from '../../ports/clock.js'
 import type { Decision, DecisionDraft } from '../../schemas/decision.js'
+import { DecisionGeneration } from './decisionGeneration.js'
 
 const defaultMaxBytes = 32 * 1024 * 1024
 /** Decisions of these kinds, and those without a request, are few and outlast the others. */
@@ -20,6 +21,7 @@
 
 export interface DecisionStoreState {
   decisions: number
+  /** Requests with a decision that is kept; one that spans both halves counts twice. */
   requests: number
   bytes: number
   maxBytes: number
@@ -28,20 +30,14 @@
   watchers: number
 }
 
-interface Entry {
-  requestId: string | undefined
-  bytes: Uint8Array
-}
-
 export class DecisionStore {
   #options: DecisionStoreOptions
   #maxBytes: number
   #packr = new Packr({ structures: [] })
-  #entries = new Map<number, Entry>()
-  #sequencesByRequest = new Map<string, number[]>()
-  #first = 0
-  #next = 0
-  #bytes = 0
+  /** Each may take half of the bytes; the older one is dropped whole when the younger is full. */
+  #older: DecisionGeneration | undefined
+  #younger: DecisionGeneration
+  #dropped = 0
   #events: Decision[] = []
   #recent: Decision[] = []
   #watchers = new Set<ReceiveDecision>()
@@ -49,6 +45,7 @@
   constructor (options: DecisionStoreOptions) {
     this.#options = options
     this.#maxBytes = options.maxBytes ?? defaultMaxBytes
+    this.#younger = this.#createGeneration()
   }
 
   /**
@@ -68,8 +65,8 @@
 
   /** Lists what is kept of one request, oldest first. */
   findByRequest (requestId: string): Decision[] {
-    const sequences = this.#sequencesByRequest.get(requestId) ?? []
-    return sequences.map(sequence => this.#packr.unpack(this.#entries.get(sequence)!.bytes) as Decision)
+    const packed = [this.#older, this.#younger].flatMap(generation => generation?.findByRequest(requestId) ?? [])
+    return packed.map(bytes => this.#packr.unpack(bytes) as Decision)
   }
 
   /** Lists decisions about the system itself that the test accepts, oldest first. */
@@ -89,40 +86,29 @@
   }
 
   describeState (): DecisionStoreState {
+    const generations = [this.#younger, ...(this.#older ? [this.#older] : [])]
+    const sum = (read: (generation: DecisionGeneration) => number): number => generations.reduce((total, generation) => total + read(generation), 0)
     return {
-      decisions: this.#entries.size,
-      requests: this.#sequencesByRequest.size,
-      bytes: this.#bytes,
+      decisions: sum(generation => generation.count),
+      requests: sum(generation => generation.requests),
+      bytes: sum(generation => generation.usedBytes),
       maxBytes: this.#maxBytes,
-      dropped: this.#first,
+      dropped: this.#dropped,
       watchers: this.#watchers.size
     }
   }
 
-  #keep (decision: Decision): void {
-    const bytes = this.#packr.pack(decision)
-    const sequence = this.#next++
-    this.#entries.set(sequence, { requestId: decision.requestId, bytes })
-    this.#bytes += bytes.length
-    if (decision.requestId !== undefined) this.#addToIndex(decision.requestId, sequence)
-    while (this.#bytes > this.#maxBytes) this.#forgetFirst()
-  }
-
-  #addToIndex (requestId: string, sequence: number): void {
-    const known = this.#sequencesByRequest.get(requestId)
-    if (known) known.push(sequence)
-    else this.#sequencesByRequest.set(requestId, [sequence])
+  #createGeneration (): DecisionGeneration {
+    return new DecisionGeneration(Math.floor(this.#maxBytes / 2))
   }
 
-  #forgetFirst (): void {
-    const entry = this.#entries.get(this.#first)!
-    this.#entries.delete(this.#first)
-    this.#first++
-    this.#bytes -= entry.bytes.length
-    if (entry.requestId === undefined) return
-    const sequences = this.#sequencesByRequest.get(entry.requestId)!
-    sequences.shift()
-    if (sequences.length === 0) this.#sequencesByRequest.delete(entry.requestId)
+  #keep (decision: Decision): void {
+    const bytes = this.#packr.pack(decision)
+    if (this.#younger.add(bytes, decision.requestId)) return
+    this.#dropped += this.#older?.count ?? 0
+    this.#older = this.#younger
+    this.#younger = this.#createGeneration()
+    if (!this.#younger.add(bytes, decision.requestId)) this.#dropped++
   }
 
   #keepEvent (decision: Decision): void {
