Guide operators from install to the first incident

Cause: the operators' port, client, metrics and page had no documents. Change: a guide, a page for each command, pages on metrics, access and the live page, and why decisions stay on their hosts. Tests hold the pages against the client's commands and options and against the metrics that are sent. Conclusion: each command, option and metric is named in its page.

--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -123,6 +123,9 @@
     When an operator runs "watch --class counter --json" until it shows a decision of a caller's next request
     Then the client ends with code 0
 
+  Scenario: Every command has a page
+    Then every command has a page that names its actions, arguments and options
+
   Scenario: Completion knows every command
     When an operator runs "completion"
     Then the client prints "class) words='list show set remove'"
--- a/features/metrics.feature
+++ b/features/metrics.feature
@@ -10,6 +10,7 @@
     And metric "waits.p95_ms" of class "counter" and cause "load" is within 2 of 200
     And metric "dispatches" of class "counter" is 100
     And at most 40 lines were sent
+    And the page on metrics names each of them
 
   Scenario: Batch efficiency is the share of the places in busy batches
     Given a process that sends metrics
--- a/features/steps/ctl.ts
+++ b/features/steps/ctl.ts
@@ -1,6 +1,9 @@
 /** Steps of the operators' client. */
 import assert from 'node:assert/strict'
+import { readFileSync } from 'node:fs'
 import { Given, Then, When } from '@cucumber/cucumber'
+import { allCommands } from '../../src/ctl/allCommands.js'
+import { formatUsage } from '../../src/ctl/renderHelp.js'
 import { formatTarget } from '../../src/core/formatTarget.js'
 import { exampleCallerKey } from '../../src/bin/exampleRecords.js'
 import { hashKey } from '../../src/tasks/gateway/callerAccess.js'
@@ -144,3 +147,12 @@
 When('an operator runs {string} with the job', async function (this: SystemWorld & { jobId: string }, line: string) {
   await runWords(this, [...line.split(' '), this.jobId])
 })
+
+Then('every command has a page that names its actions, arguments and options', function () {
+  for (const command of allCommands) {
+    const page = readFileSync(`docs/operations/commands/${command.words[0]}.md`, 'utf8')
+    for (const text of [formatUsage(command), ...Object.keys(command.options).map(name => `--${name}`)]) {
+      assert.ok(page.includes(text), `the page of "${command.words.join(' ')}" lacks "${text}"`)
+    }
+  }
+})
--- a/features/steps/metrics.ts
+++ b/features/steps/metrics.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict'
 import { createSocket } from 'node:dgram'
 import type { Socket } from 'node:dgram'
+import { readFileSync } from 'node:fs'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
 import type { MetricTags } from '../../src/ports/metrics.js'
@@ -118,6 +119,14 @@
   assert.ok(this.lines.length <= count, String(this.lines.length))
 })
 
+Then('the page on metrics names each of them', function (this: MetricsWorld) {
+  const page = readFileSync('docs/operations/metrics.md', 'utf8')
+  for (const { name } of this.lines) {
+    const base = name.replace(/\.(count|sum_ms|p\d+_ms)$/, '')
+    assert.ok(page.includes(`\`${base}\``), `the page lacks "${base}"`)
+  }
+})
+
 Given('a StatsD server and a system that sends to it', async function (this: MetricsWorld) {
   this.serverText = ''
   this.server = createSocket('udp4')
--- a/features/steps/operators.ts
+++ b/features/steps/operators.ts
@@ -150,6 +150,7 @@
   const session = getSession(this)
   assert.equal(session.status, 200)
   assert.match(session.headers!.get('content-security-policy') ?? '', /default-src 'none'; script-src 'sha256-/)
+  assert.ok(!/innerHTML|insertAdjacentHTML|document\.write/.test(session.text), 'the page takes text for markup')
   assert.ok(!/(?:src|href)=["']?(?:https?:)?\/\//.test(session.text), 'the page names another host')
 })
 
--- a/src/tasks/scheduler/schedulerTask.ts
+++ b/src/tasks/scheduler/schedulerTask.ts
@@ -297,6 +297,8 @@
 
   #receiveCrash (crash: EndpointCrash): void {
     log('Engine "%s" went away with %d requests on it.', crash.endpointId, crash.fingerprints.length)
+    const reason = `the engine went away with ${crash.fingerprints.length} requests on it, which are suspects now`
+    this.#decisions.record({ kind: 'suspect', endpointId: crash.endpointId, considered: [], chosen: 'suspects', reason, waits: [] })
     const crashes = [`${crash.endpointId}/${crash.incarnation}`]
     const suspects = crash.fingerprints.map(fingerprint => ({ fingerprint, crashes }))
     this.#exchange.addSuspects({ type: 'suspects', suspects })
