--- a/fuzz/fuzzHosts.ts
+++ b/fuzz/fuzzHosts.ts
@@ -2,7 +2,6 @@
 import type { VirtualClock } from '../src/adapters/clock/virtualClock.js'
 import type { MemoryObjects } from '../src/adapters/memoryPlatform/memoryObjects.js'
 import { chooseByCost } from '../src/core/costChoice.js'
-import type { CreatePlanner } from '../src/core/planner.js'
 import { ClaimTask } from '../src/tasks/claims/claimTask.js'
 import { ConfigurationTask } from '../src/tasks/configuration/configurationTask.js'
 import { DecisionStore } from '../src/tasks/decisions/decisionStore.js'
@@ -19,6 +18,7 @@
 import type { FakeHost } from './fakeHost.js'
 import type { FakeNetwork } from './fakeNetwork.js'
 import type { FakePlatform } from './fakePlatform.js'
+import type { FuzzMechanisms } from './fuzzSystem.js'
 
 const peerKey = 'fuzz-peer-key-00000'
 
@@ -54,7 +54,7 @@
 }
 
 /** Starts a scheduler; it serves, and is listed, once it has read the configuration. */
-export function startFuzzScheduler (surroundings: FuzzSurroundings, host: FakeHost, createPlanner: CreatePlanner): FuzzScheduler {
+export function startFuzzScheduler (surroundings: FuzzSurroundings, host: FakeHost, mechanisms: FuzzMechanisms): FuzzScheduler {
   const { clock, platform, network, engines } = surroundings
   const configuration = createConfiguration(host, platform)
   const task = new SchedulerTask({
@@ -62,7 +62,7 @@
     zone: host.zone,
     clock: host.clock,
     engine: createHostEngine(host, engines, clock),
-    createPlanner,
+    createPlanner: mechanisms.createPlanner,
     hostList: platform.createHostList(host),
     createOwnership: (send, listOutageReports) => new LeaseOwnership({
       clock: host.clock,
@@ -71,7 +71,7 @@
       holder: { hostId: host.id, session: host.id },
       zone: host.zone,
       hashText: hashNumber,
-      listOutageReports,
+      listOutageReports: () => mechanisms.filterOutageReports(listOutageReports()),
       send
     }),
     configuration,
--- a/fuzz/fuzzSystem.ts
+++ b/fuzz/fuzzSystem.ts
@@ -61,9 +61,11 @@
 /** Mechanisms that can be switched off, to show that the oracle notices. */
 export interface FuzzMechanisms {
   createPlanner: CreatePlanner
+  /** What schedulers believe of their peers' reports that the table is down. */
+  filterOutageReports: (hostIds: string[]) => string[]
 }
 
-export const allMechanisms: FuzzMechanisms = { createPlanner: createSlackPlanners() }
+export const allMechanisms: FuzzMechanisms = { createPlanner: createSlackPlanners(), filterOutageReports: hostIds => hostIds }
 
 /** A change that an operator was told is accepted. */
 export interface AcceptedChange {
@@ -169,7 +171,7 @@
   }
 
   addScheduler (): void {
-    this.schedulers.push(startFuzzScheduler(this, this.#createHost('scheduler'), this.#mechanisms.createPlanner))
+    this.schedulers.push(startFuzzScheduler(this, this.#createHost('scheduler'), this.#mechanisms))
   }
 
   addGateway (): void {
