Test each mechanism of the decisions, on and switched off

Cause: nothing failed when a mechanism of the planner or the choice was lost. Change: scenarios for starvation, urgent work passing, grouping, refusal with a time to come back, fairness between callers, back-off, replicas, agreement between gateways and the waits of a dispatch; each outline has one example with the mechanism off, by an option passed in, and shows the opposite outcome. Conclusion: each mechanism is what gives its effect.

--- /dev/null
+++ b/features/steps/decisionsPlanner.ts
@@ -0,0 +1,218 @@
+/** Steps of the decisions about an endpoint. */
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { createCostChoice } from '../../src/core/costChoice.js'
+import type { ChoiceRequest, EndpointView } from '../../src/core/endpointChoice.js'
+import type { SlackPlannerOptions } from '../../src/core/plannerOptions.js'
+import type { Target } from '../../src/schemas/configuration.js'
+import { PlannerTrial } from '../support/plannerTrial.js'
+import type { TrialOptions, TrialRequest } from '../support/plannerTrial.js'
+
+interface DecisionsWorld {
+  options: TrialOptions
+  trial: PlannerTrial
+  sent: Map<string, TrialRequest>
+  arrivedAtMs: Map<string, number>
+  views: EndpointView[]
+  chosen: string | undefined
+  agreed: number
+}
+
+/** Options that switch one mechanism off. */
+const mechanisms: Record<string, Partial<SlackPlannerOptions>> = {
+  'all mechanisms on': {},
+  'without criticality': { computeCriticalMs: () => -Infinity },
+  'without slack': { mayWait: () => false, computeOrderMs: request => request.arrivedAtMs, computeFairDelayMs: () => 0 },
+  'without gathering': { computeHoldMs: () => 0 },
+  'without admission': { createAdmission: () => () => undefined },
+  'without fairness': { computeFairDelayMs: () => 0 },
+  'without back-off': { computeBackOffMs: () => 0 }
+}
+
+function parseTarget (kind: string, ms: number): Target {
+  return kind === 'to finish' ? { kind: 'finishWithin', ms } : { kind: 'firstTokenWithin', ms }
+}
+
+function send (world: DecisionsWorld, atMs: number, adapter: string, callerName: string, target: Target): void {
+  const number = [...world.sent.values()].filter(request => request.adapter === adapter).length + 1
+  const request = { requestId: `${adapter}-${number}`, adapter, callerName, target }
+  world.sent.set(request.requestId, request)
+  world.arrivedAtMs.set(request.requestId, atMs)
+  world.trial.addAt(atMs, request)
+}
+
+Given(/^an endpoint with (\d+) slots and a batch of (\d+), runs of (\d+) ms and loads of (\d+) ms, (.+)$/,
+  function (this: DecisionsWorld, slots: string, batchLimit: string, runMs: string, loadMs: string, mechanism: string) {
+    this.options = {
+      shape: { slots: Number(slots), batchLimit: Number(batchLimit) },
+      runMs: Number(runMs),
+      loadMs: Number(loadMs),
+      brokenAdapters: [],
+      planner: mechanisms[mechanism]!
+    }
+    this.trial = new PlannerTrial(this.options)
+    this.sent = new Map()
+    this.arrivedAtMs = new Map()
+  })
+
+Given('loads of adapter {string} fail', function (this: DecisionsWorld, adapter: string) {
+  this.options.brokenAdapters.push(adapter)
+})
+
+When(/^adapter "(.+)" gets (\d+) requests? of caller "(.+)" at (\d+) ms, (to finish|with its first token) within (\d+) ms$/,
+  function (this: DecisionsWorld, adapter: string, count: string, caller: string, atMs: string, kind: string, ms: string) {
+    for (let index = 0; index < Number(count); index++) send(this, Number(atMs), adapter, caller, parseTarget(kind, Number(ms)))
+  })
+
+When(/^adapter "(.+)" gets (\d+) requests of caller "(.+)" every (\d+) ms, each with its first token within (\d+) ms$/,
+  function (this: DecisionsWorld, adapter: string, count: string, caller: string, everyMs: string, ms: string) {
+    for (let index = 0; index < Number(count); index++) {
+      send(this, index * Number(everyMs), adapter, caller, { kind: 'firstTokenWithin', ms: Number(ms) })
+    }
+  })
+
+When(/^adapters "(.+)" get (\d+) requests each in turn, one every (\d+) ms, to finish within (\d+) ms$/,
+  function (this: DecisionsWorld, names: string, count: string, everyMs: string, ms: string) {
+    const adapters = names.split(', ')
+    for (let index = 0; index < Number(count) * adapters.length; index++) {
+      send(this, index * Number(everyMs), adapters[index % adapters.length]!, 'office', { kind: 'finishWithin', ms: Number(ms) })
+    }
+  })
+
+When('refused requests come back when they were told', function (this: DecisionsWorld) {
+  for (let round = 0; round < 10; round++) {
+    this.trial.clock.runUntil(this.trial.clock.readMonotonic() + 1)
+    const nowMs = this.trial.clock.readMonotonic()
+    for (const [requestId, failure] of this.trial.failures) {
+      this.trial.failures.delete(requestId)
+      this.arrivedAtMs.set(requestId, nowMs + failure.retryAfterMs!)
+      this.trial.addAt(nowMs + failure.retryAfterMs!, this.sent.get(requestId)!)
+    }
+    this.trial.clock.runUntil(nowMs + 1000)
+  }
+})
+
+Then('after {int} ms request {string} has started {word} {int} ms',
+  function (this: DecisionsWorld, atMs: number, requestId: string, side: string, limitMs: number) {
+    this.trial.clock.runUntil(atMs)
+    const startedAtMs = this.trial.startedAtMs.get(requestId) ?? Infinity
+    assert.equal(startedAtMs < limitMs, side === 'before', `it started at ${startedAtMs} ms`)
+  })
+
+Then(/^after (\d+) ms every request has started, with (at most|more than) (\d+) loads$/,
+  function (this: DecisionsWorld, atMs: string, side: string, limit: string) {
+    this.trial.clock.runUntil(Number(atMs))
+    assert.equal(this.trial.startedAtMs.size, this.sent.size)
+    assert.equal(this.trial.loads.length <= Number(limit), side === 'at most', `there were ${this.trial.loads.length} loads`)
+  })
+
+Then('at {int} ms {word} requests are refused as not run, each with its own time to come back',
+  function (this: DecisionsWorld, atMs: number, outcome: string) {
+    this.trial.clock.runUntil(atMs)
+    const failures = [...this.trial.failures.values()]
+    assert.equal(failures.length > 0, outcome === 'some')
+    assert.ok(failures.every(failure => failure.verdict === 'notRun'))
+    const times = failures.map(failure => failure.retryAfterMs)
+    assert.ok(times.every(ms => ms !== undefined && ms > 0))
+    assert.equal(new Set(times).size, times.length)
+  })
+
+Then('after {int} ms every request has started within {int} ms of its last arrival',
+  function (this: DecisionsWorld, atMs: number, limitMs: number) {
+    this.trial.clock.runUntil(atMs)
+    for (const [requestId, arrivedAtMs] of this.arrivedAtMs) {
+      const waitMs = (this.trial.startedAtMs.get(requestId) ?? Infinity) - arrivedAtMs
+      assert.ok(waitMs <= limitMs, `request "${requestId}" started ${waitMs} ms after it arrived`)
+    }
+  })
+
+Then(/^after (\d+) ms adapter "(.+)" was loaded (at most|more than) (\d+) times$/,
+  function (this: DecisionsWorld, atMs: string, adapter: string, side: string, limit: string) {
+    this.trial.clock.runUntil(Number(atMs))
+    const count = this.trial.loads.filter(loaded => loaded === adapter).length
+    assert.equal(count <= Number(limit), side === 'at most', `it was loaded ${count} times`)
+  })
+
+Then('after {int} ms request {string} waited {string}', function (this: DecisionsWorld, atMs: number, requestId: string, text: string) {
+  this.trial.clock.runUntil(atMs)
+  assert.equal(this.trial.waits.get(requestId)!.map(({ cause, ms }) => `${cause} ${ms}`).join(', '), text)
+})
+
+// Choice of an endpoint
+
+function createView (endpointId: string, loaded: string[], expectedWaitMs: number): EndpointView {
+  return {
+    hostId: 'host-1',
+    sentSince: 0,
+    loadsSentSince: [],
+    summary: {
+      endpointId,
+      zone: 'az-1',
+      baseModel: 'base',
+      fencing: 1,
+      isReady: true,
+      slots: 8,
+      batchLimit: 16,
+      running: 0,
+      queued: 0,
+      expectedWaitMs,
+      expectedLoadMs: 650,
+      serviceIntervalMs: 100,
+      evictionCostMs: 0,
+      loaded,
+      loading: []
+    }
+  }
+}
+
+const choiceRequest: ChoiceRequest = {
+  requestId: 'r1',
+  attempt: 1,
+  adapter: 'hot',
+  version: '1',
+  baseModel: 'base',
+  className: 'counter',
+  dueInMs: 2000,
+  isDeferrable: false,
+  promptTokens: 1,
+  avoidEndpoints: [],
+  zone: 'az-1'
+}
+
+Given('endpoint {string} has adapter {string} loaded and a wait of {int} ms',
+  function (this: DecisionsWorld, endpointId: string, adapter: string, waitMs: number) {
+    this.views = [createView(endpointId, [`${adapter}@1`], waitMs)]
+  })
+
+Given('endpoint {string} is empty', function (this: DecisionsWorld, endpointId: string) {
+  this.views.push(createView(endpointId, [], 0))
+})
+
+Given('{int} endpoints that are empty', function (this: DecisionsWorld, count: number) {
+  this.views = Array.from({ length: count }, (_, index) => createView(`engine-${index}`, [], 0))
+})
+
+When('a gateway chooses an endpoint for adapter {string}, {word} replicas',
+  function (this: DecisionsWorld, adapter: string, mechanism: string) {
+    const choice = createCostChoice({ mayReplicate: mechanism === 'with' })({ ...choiceRequest, adapter }, this.views, () => 0)
+    this.chosen = choice.isChosen ? choice.endpointId : undefined
+  })
+
+Then('it chooses {string}', function (this: DecisionsWorld, endpointId: string) {
+  assert.equal(this.chosen, endpointId)
+})
+
+When('two gateways that list them in opposite order choose for {int} cold adapters, {word} a preferred endpoint',
+  function (this: DecisionsWorld, count: number, mechanism: string) {
+    const choose = createCostChoice(mechanism === 'with' ? {} : { computeStrayMs: () => 0 })
+    this.agreed = 0
+    for (let index = 0; index < count; index++) {
+      const request = { ...choiceRequest, adapter: `cold-${index}` }
+      const choices = [choose(request, this.views, () => 0), choose(request, [...this.views].reverse(), () => 0)]
+      if (choices[0]!.decision.chosen === choices[1]!.decision.chosen) this.agreed++
+    }
+  })
+
+Then(/^they agree on (all|less than) (\d+)$/, function (this: DecisionsWorld, outcome: string, count: string) {
+  assert.equal(this.agreed === Number(count), outcome === 'all', `they agreed on ${this.agreed}`)
+})
--- /dev/null
+++ b/features/support/plannerTrial.ts
@@ -0,0 +1,88 @@
+/** One planner on a virtual clock, with runs and loads of fixed length. */
+import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
+import { formatHandle } from '../../src/core/formatAdapter.js'
+import type { EndpointPlanner, EndpointShape, PlannedDispatch, PlannedLoad, QueuedRequest } from '../../src/core/planner.js'
+import type { SlackPlannerOptions } from '../../src/core/plannerOptions.js'
+import { createSlackPlanners } from '../../src/core/slackPlanner.js'
+import type { Wait } from '../../src/schemas/decision.js'
+import type { RequestFailure } from '../../src/schemas/verdict.js'
+
+export interface TrialOptions {
+  shape: Omit<EndpointShape, 'endpointId'>
+  runMs: number
+  loadMs: number
+  /** Adapters whose loads fail. */
+  brokenAdapters: string[]
+  planner: Partial<SlackPlannerOptions>
+}
+
+export type TrialRequest = Pick<QueuedRequest, 'requestId' | 'adapter' | 'target' | 'callerName'>
+
+export class PlannerTrial {
+  readonly clock = new VirtualClock()
+  readonly startedAtMs = new Map<string, number>()
+  readonly failures = new Map<string, RequestFailure>()
+  readonly waits = new Map<string, Wait[]>()
+  readonly loads: string[] = []
+  #options: TrialOptions
+  #planner: EndpointPlanner
+
+  constructor (options: TrialOptions) {
+    this.#options = options
+    this.#planner = createSlackPlanners(options.planner)({ endpointId: 'engine-1', ...options.shape })
+  }
+
+  /** Sends a request at a time of the clock; its target is of a kind that has a length. */
+  addAt (atMs: number, request: TrialRequest): void {
+    this.clock.setTimer(() => this.#add(request, atMs), atMs)
+  }
+
+  #add (request: TrialRequest, nowMs: number): void {
+    const lengthMs = 'ms' in request.target ? request.target.ms : 0
+    const admission = this.#planner.addRequest({
+      ...request,
+      attempt: 1,
+      version: '1',
+      className: request.target.kind,
+      fingerprint: '',
+      promptTokens: 1,
+      maxTokens: 10,
+      arrivedAtMs: nowMs,
+      dueAtMs: nowMs + lengthMs
+    }, nowMs)
+    if (!admission.isAdmitted) this.failures.set(request.requestId, admission.failure)
+    this.#plan()
+  }
+
+  #plan (): void {
+    const nowMs = this.clock.readMonotonic()
+    const plan = this.#planner.plan(nowMs)
+    for (const { requestId, failure } of plan.failures) this.failures.set(requestId, failure)
+    for (const dispatch of plan.dispatches) this.#dispatch(dispatch, nowMs)
+    for (const load of plan.loads) this.#load(load)
+    for (const { handle } of plan.unloads) this.#planner.recordUnloaded(handle, nowMs)
+    if (plan.unloads.length > 0) this.#plan()
+    else if (plan.wakeAtMs !== undefined) this.clock.setTimer(() => this.#plan(), plan.wakeAtMs - nowMs)
+  }
+
+  #dispatch ({ requestId, decision }: PlannedDispatch, nowMs: number): void {
+    this.startedAtMs.set(requestId, nowMs)
+    this.waits.set(requestId, decision.waits)
+    this.clock.setTimer(() => {
+      this.#planner.recordFinished(requestId, 1, this.clock.readMonotonic())
+      this.#plan()
+    }, this.#options.runMs)
+  }
+
+  #load ({ adapter, version }: PlannedLoad): void {
+    const { loadMs, brokenAdapters } = this.#options
+    const handle = formatHandle(adapter, version, 1, this.loads.push(adapter))
+    this.#planner.recordLoadStarted(adapter, version, this.clock.readMonotonic())
+    this.clock.setTimer(() => {
+      const nowMs = this.clock.readMonotonic()
+      if (brokenAdapters.includes(adapter)) this.#planner.recordLoadFailed(adapter, version, nowMs)
+      else this.#planner.recordLoaded(adapter, version, handle, nowMs)
+      this.#plan()
+    }, loadMs)
+  }
+}
--- a/src/core/costChoice.ts
+++ b/src/core/costChoice.ts
@@ -15,22 +15,25 @@
   standbyMs: number
   /** Cost of a batch place left empty, which fills one endpoint's batch before the next one's, in milliseconds. */
   emptyPlaceMs: number
-  /** Endpoints in which an adapter is loaded by preference, so that gateways agree without messages. */
-  preferredEndpoints: number
-  /** Cost of a load outside the preferred endpoints, in milliseconds. */
-  strayLoadMs: number
+  /**
+   * Cost of a load by the endpoint's rank in rendezvous hashing, in milliseconds. Gateways that rank alike agree on where
+   * an adapter is loaded without messages.
+   */
+  computeStrayMs: (rank: number) => number
   /** Cost of a load for work that may wait, as a part of the time left; such work gathers where its adapter is. */
   deferrableLoadPart: number
 }
 
+/** Cost of a load outside the preferred endpoint. */
+const strayLoadMs = 400
+
 export const defaultCostChoiceOptions: CostChoiceOptions = Object.freeze({
   mayReplicate: true,
   replicaMs: 1000,
   batchFillTarget: 0,
   standbyMs: 1500,
   emptyPlaceMs: 2,
-  preferredEndpoints: 1,
-  strayLoadMs: 400,
+  computeStrayMs: (rank: number) => rank === 0 ? 0 : strayLoadMs + rank,
   deferrableLoadPart: 0.35
 })
 
@@ -119,7 +122,7 @@
   }
   if (hasReplica && !options.mayReplicate) return { name: summary.endpointId, costMs: Infinity, note: 'the adapter is loaded elsewhere' }
   const loadMs = request.isDeferrable ? options.deferrableLoadPart * request.dueInMs : summary.expectedLoadMs * (1 + view.loadsSentSince.length / 2)
-  const strayMs = rank < options.preferredEndpoints ? rank : options.strayLoadMs + rank
+  const strayMs = options.computeStrayMs(rank)
   const evictionMs = request.isDeferrable ? 0 : summary.evictionCostMs
   const replicaMs = hasReplica && !request.isDeferrable ? options.replicaMs : 0
   const costMs = Math.max(waitMs, loadMs) + strayMs + evictionMs + replicaMs + fillMs
--- a/src/core/plannerOptions.ts
+++ b/src/core/plannerOptions.ts
@@ -24,6 +24,8 @@
   gatherCount: number
   /** Whether nobody waits for the request, so that it may be gathered into a batch. */
   mayWait: (request: QueuedRequest) => boolean
+  /** Order among waiting requests, smaller first, from the latest time to start in milliseconds. */
+  computeOrderMs: (request: QueuedRequest, latestStartMs: number) => number
   /** How long a deferrable request is held for others of its adapter, from its slack in milliseconds. */
   computeHoldMs: (slackMs: number) => number
   /** How long before its latest start deferrable work becomes urgent, from the expected run and load in milliseconds. */
@@ -44,6 +46,7 @@
   evictionHorizonMs: 10_000,
   gatherCount: 8,
   mayWait: (request: QueuedRequest) => isDeferrable(request.target),
+  computeOrderMs: (_request: QueuedRequest, latestStartMs: number) => latestStartMs,
   computeHoldMs: (slackMs: number) => 0.5 * slackMs,
   computeCriticalMs: (runMs: number, loadMs: number) => 4 * runMs + 4 * loadMs,
   computeGraceMs: (targetMs: number) => 0.5 * targetMs,
--- a/src/core/slackPlanner.ts
+++ b/src/core/slackPlanner.ts
@@ -91,7 +91,9 @@
     if (resident && isUrgent) resident.isDraining = false
     if (failure) return { isAdmitted: false, failure, decision: this.#describe('refuse', request, failure.message) }
     const giveUpAtMs = isUrgent ? request.dueAtMs + this.#computeGraceMs(request) : Infinity
-    const { group } = this.#waiting.add(request, isUrgent, latestStartMs, giveUpAtMs, this.#serviceIntervalMs, nowMs)
+    const { group } = this.#waiting.add({
+      request, isUrgent, latestStartMs, giveUpAtMs, orderMs: this.#options.computeOrderMs(request, latestStartMs)
+    }, this.#serviceIntervalMs, nowMs)
     this.#updateNeed(group, nowMs)
     const reason = `the request is expected to start in ${Math.round(expectedStartMs)} ms, of ${Math.round(latestStartMs - nowMs)} ms left`
     return { isAdmitted: true, decision: this.#describe('admit', request, reason) }
--- a/src/core/waitingRequests.ts
+++ b/src/core/waitingRequests.ts
@@ -3,6 +3,9 @@
 import { formatAdapter } from './formatAdapter.js'
 import type { QueuedRequest } from './planner.js'
 
+/** What is known of a request when it is queued. */
+export type Arrival = Pick<WaitingRequest, 'request' | 'isUrgent' | 'latestStartMs' | 'giveUpAtMs' | 'orderMs'>
+
 export interface WaitingRequest {
   request: QueuedRequest
   group: AdapterQueue
@@ -102,9 +105,9 @@
     return this.#callers.get(className)?.size ?? 0
   }
 
-  add (
-    request: QueuedRequest, isUrgent: boolean, latestStartMs: number, giveUpAtMs: number, serviceIntervalMs: number, nowMs: number
-  ): WaitingRequest {
+  /** Queues a request; a caller's own queue puts it back by its fair share. */
+  add (arrival: Arrival, serviceIntervalMs: number, nowMs: number): WaitingRequest {
+    const { request, isUrgent, latestStartMs, giveUpAtMs, orderMs } = arrival
     const callers = this.#getCallers(request.className)
     const caller = callers.get(request.callerName) ?? { queued: 0 }
     callers.set(request.callerName, caller)
@@ -112,7 +115,7 @@
       request,
       group: this.#getGroup(request),
       isUrgent,
-      orderMs: latestStartMs + this.#computeFairDelayMs(caller.queued, callers.size, serviceIntervalMs),
+      orderMs: orderMs + this.#computeFairDelayMs(caller.queued, callers.size, serviceIntervalMs),
       latestStartMs,
       addedAtMs: nowMs,
       giveUpAtMs,
