Let no endpoint stand by while loads are slow

Cause: with batchFill, peaks and lessons' bursts took the slots that standing by kept closed; loads filled the budget, refused attempts asked for further loads elsewhere, and targets were missed until the peak had passed. Change: no endpoint stands by where loads take more than a second on average.

--- a/src/core/costChoice.ts
+++ b/src/core/costChoice.ts
@@ -11,6 +11,8 @@
   replicaMs: number
   /** How full batches are to be, 0 to 1: endpoints that the running requests don't fill so far stand by; 0 uses all alike. */
   batchFillTarget: number
+  /** Where loads take longer than this on average, in milliseconds, no endpoint stands by, as its slots are needed. */
+  maxStandbyLoadMs: number
   /** Cost of an endpoint that stands by, in milliseconds. */
   standbyMs: number
   /** Cost of a batch place left empty, which fills one endpoint's batch before the next one's, in milliseconds. */
@@ -31,6 +33,7 @@
   mayReplicate: true,
   replicaMs: 1000,
   batchFillTarget: 0,
+  maxStandbyLoadMs: 1000,
   standbyMs: 1500,
   emptyPlaceMs: 2,
   computeStrayMs: (isPreferred: boolean) => isPreferred ? 0 : strayLoadMs,
@@ -58,7 +61,7 @@
 ): ReturnType<ChooseEndpoint> {
   const name = formatAdapter(request.adapter, request.version)
   const usable = views.filter(view => isUsable(view, request))
-  const standby = findStandby(usable, options.batchFillTarget)
+  const standby = findStandby(usable, options)
   const preferred = findPreferred(name, usable, standby)
   const hasReplica = usable.some(({ summary }) => summary.loaded.includes(name) || summary.loading.includes(name))
   const ratings: Rating[] = usable.map(view => ({
@@ -90,13 +93,16 @@
 }
 
 /** Finds the endpoints that the running requests would leave empty, were batches filled one endpoint after the other. */
-function findStandby (views: EndpointView[], fillTarget: number): Set<EndpointView> {
-  if (fillTarget === 0) return new Set()
+function findStandby (views: EndpointView[], options: CostChoiceOptions): Set<EndpointView> {
+  const { batchFillTarget, maxStandbyLoadMs } = options
+  if (batchFillTarget === 0) return new Set()
+  const loadMs = views.reduce((sum, { summary }) => sum + summary.expectedLoadMs, 0) / views.length
+  if (loadMs > maxStandbyLoadMs) return new Set()
   const ordered = [...views].sort((left, right) => left.summary.endpointId < right.summary.endpointId ? -1 : 1)
   let running = views.reduce((sum, { summary, sentSince }) => sum + summary.running + sentSince, 0)
   return new Set(ordered.filter(({ summary }) => {
     const isNeeded = running >= 0
-    running -= summary.batchLimit * fillTarget
+    running -= summary.batchLimit * batchFillTarget
     return !isNeeded
   }))
 }
