Store answers of any length, and ask at once for more time for a late job

Cause: on separate processes a job of 400 tokens ran to its end on the engine and then stood as running without end. Its answer went to the object store under a key of over 100 characters, which the stand-in's router answered with 404; the runner tried again without a word. The same held for claims with answers over 2 KiB. Change: the stand-in takes keys of 1,024 characters; a long key is a scenario on both stand-ins. A runner logs why a job goes back or is not written. A job refused as out of reach asks for more time at once instead of after a back-off. Conclusion: long answers are kept over HTTP as in memory.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -94,6 +94,16 @@
       | in memory |
       | over HTTP |
 
+  Scenario Outline: An object with a long key
+    Given a platform <kind>
+    When an object with a key of 300 characters is written
+    Then that object is there
+
+    Examples:
+      | kind      |
+      | in memory |
+      | over HTTP |
+
   Scenario Outline: The list of hosts is old, or silent
     Given a platform <kind>
     When host "gateway-1" is announced
--- a/features/steps/platform.ts
+++ b/features/steps/platform.ts
@@ -21,6 +21,7 @@
   setFault: (name: string, value: unknown) => Promise<boolean>
   outcome: TransactionOutcome
   outcomes: TransactionOutcome[]
+  longKey: string
   stopPlatform: (() => Promise<void>) | undefined
 }
 
@@ -103,6 +104,15 @@
   await this.platform.objects.writeObject(key, Buffer.from(key))
 })
 
+When('an object with a key of {int} characters is written', async function (this: PlatformWorld, length: number) {
+  this.longKey = `answers/${'x'.repeat(length - 8)}`
+  await this.platform.objects.writeObject(this.longKey, Buffer.from('here'))
+})
+
+Then('that object is there', async function (this: PlatformWorld) {
+  assert.equal(Buffer.from((await this.platform.objects.readObject(this.longKey))!).toString(), 'here')
+})
+
 When('the object {string} is removed', async function (this: PlatformWorld, key: string) { await this.platform.objects.removeObject(key) })
 
 When('host {string} is announced', async function (this: PlatformWorld, id: string) {
--- a/src/standin/platformServer.ts
+++ b/src/standin/platformServer.ts
@@ -12,6 +12,8 @@
 import { hostListEntrySchema } from '../schemas/hostList.js'
 import type { StandinServer } from './engineServer.js'
 
+/** Longest key of an object, as it stands in a path. */
+const maxKeyLength = 1024
 const maxBodyBytes = 64 * 1024 * 1024
 
 export interface PlatformServerOptions {
@@ -27,7 +29,7 @@
 
 /** Starts the stand-in platform; its services fail as their switches say. */
 export async function startPlatformServer (options: PlatformServerOptions): Promise<StandinServer> {
-  const server = fastify({ bodyLimit: maxBodyBytes, forceCloseConnections: true })
+  const server = fastify({ bodyLimit: maxBodyBytes, routerOptions: { maxParamLength: maxKeyLength }, forceCloseConnections: true })
   server.addContentTypeParser('application/octet-stream', { parseAs: 'buffer' }, (_request, body, done) => done(null, body))
   server.setErrorHandler(async (error: Error, _request, reply) => {
     return await reply.code(isPlatformUnavailable(error) ? 503 : 500).send({ message: error.message })
--- a/src/tasks/jobs/jobRunner.ts
+++ b/src/tasks/jobs/jobRunner.ts
@@ -22,7 +22,7 @@
 const scanLimit = 256
 /** A job that was not run is left to others, or to later, for this time. */
 const backoffMs = 5000
-/** A late job asks for its answer within this time, and for twice as much after each time that it was not run. */
+/** A late job asks for its answer within this time, and for twice as much after each refusal as out of reach. */
 const minAllowanceMs = 5000
 const maxAllowanceMs = 4 * 3600 * 1000
 const finishIntervalMs = 1000
@@ -31,12 +31,6 @@
 const maxDrainMs = 30_000
 const drainIntervalMs = 50
 
-interface BackOff {
-  untilMs: number
-  /** How often in a row the job was not run here. */
-  count: number
-}
-
 export interface JobRunnerOptions {
   /** Unique to this process. */
   runner: string
@@ -62,7 +56,8 @@
 export class JobRunner {
   #options: JobRunnerOptions
   #running = new Map<string, RunningJob>()
-  #backOffs = new Map<string, BackOff>()
+  /** Times until which jobs are left alone here, by place in the queue. */
+  #backOffs = new Map<string, number>()
   #scans: Repetition | undefined
   #renewals: Repetition | undefined
   #hasLease = false
@@ -150,19 +145,31 @@
       return
     }
     const request = await store.readRequest(job.row)
-    const requestId = `${job.row.id}-${randomUUID().slice(0, 8)}`
-    const end = await this.#runRequest(job, queued, request, requestId)
-    if (this.#running.get(queued.queueKey)?.requestId !== requestId) return
+    const end = await this.#runInTime(job, queued, request)
+    if (!end) return
     if (!('verdict' in end) || this.#isFinal(job, end)) await this.#finish(job, queued, end)
     else await this.#release(queued, end)
   }
 
+  /**
+   * Asks for more time as long as schedulers refuse what cannot end by then: an accepted job is run even if late.
+   * Undefined where the job was cancelled or has changed hands meanwhile.
+   */
+  async #runInTime (job: Job, queued: QueuedJob, request: JobRequest): Promise<StoredAnswer | RequestFailure | undefined> {
+    for (let allowanceMs = this.#computeLeftMs(job); ;) {
+      const requestId = `${job.row.id}-${randomUUID().slice(0, 8)}`
+      const end = await this.#runRequest(job, queued, request, requestId, allowanceMs)
+      if (this.#running.get(queued.queueKey)?.requestId !== requestId) return undefined
+      if (!('verdict' in end) || end.code !== 'target_out_of_reach' || allowanceMs >= maxAllowanceMs) return end
+      allowanceMs = Math.max(minAllowanceMs, allowanceMs * 2)
+    }
+  }
+
   async #runRequest (
-    job: Job, queued: QueuedJob, request: JobRequest, requestId: string
+    job: Job, queued: QueuedJob, request: JobRequest, requestId: string, dueInMs: number
   ): Promise<StoredAnswer | RequestFailure> {
     const { clock, router } = this.#options
     const nowMs = clock.readMonotonic()
-    const dueInMs = this.#computeDueInMs(job, queued)
     const routed: RoutedRequest = {
       ...request,
       requestId,
@@ -178,12 +185,9 @@
       () => router.cancelRequest(requestId))
   }
 
-  /** An accepted job is run even if late: schedulers refuse what cannot end by its time, so it asks for more time then. */
-  #computeDueInMs (job: Job, { queueKey }: QueuedJob): number {
+  #computeLeftMs (job: Job): number {
     const leftMs = job.row.dueAtWallMs - this.#options.clock.readWall()
-    const count = this.#backOffs.get(queueKey)?.count ?? 0
-    if (leftMs > 0 && count === 0) return leftMs
-    return Math.max(leftMs, Math.min(maxAllowanceMs, minAllowanceMs * 2 ** count))
+    return leftMs > 0 ? leftMs : minAllowanceMs
   }
 
   /** Whether another run would end the same way, or must not be. */
@@ -195,6 +199,7 @@
   }
 
   async #release (queued: QueuedJob, failure: RequestFailure): Promise<void> {
+    log('Job "%s" was not run and goes back into the queue: %s.', queued.row.jobKey, failure.message)
     this.#backOff(queued, Math.max(backoffMs, failure.retryAfterMs ?? 0))
     await this.#options.store.releaseJob(queued)
   }
@@ -211,6 +216,7 @@
         log('The end of job "%s" was dropped: the job has ended or changed hands.', job.row.id)
         return
       }
+      log('The end of job "%s" was not written; it is tried again.', job.row.id)
       await this.#wait(finishIntervalMs)
     }
   }
@@ -234,12 +240,11 @@
   }
 
   #backOff ({ queueKey }: QueuedJob, ms: number): void {
-    const count = (this.#backOffs.get(queueKey)?.count ?? 0) + 1
-    this.#backOffs.set(queueKey, { untilMs: this.#options.clock.readMonotonic() + ms, count })
+    this.#backOffs.set(queueKey, this.#options.clock.readMonotonic() + ms)
   }
 
   #isBackedOff ({ queueKey }: QueuedJob): boolean {
-    return (this.#backOffs.get(queueKey)?.untilMs ?? 0) > this.#options.clock.readMonotonic()
+    return (this.#backOffs.get(queueKey) ?? 0) > this.#options.clock.readMonotonic()
   }
 
   async #wait (ms: number): Promise<void> {
