Count what is no request at all on each port, and keep refusals short

Cause: what was not HTTP, or had too many headers, was not counted on the operators' port, and a peer's unreadable message nowhere; a refusal kept the name that a caller had sent at any length, so that few requests could drive out all that is kept for stories. Change: both HTTP ports share one handler for what cannot be read; the peers' port counts batches that cannot be decoded; a kept refusal is cut at 300 characters. Conclusion: a name of 100,000 letters leaves less than 20,000 bytes.

--- a/features/access.feature
+++ b/features/access.feature
@@ -36,6 +36,13 @@
     Then the link is closed and the stranger has received nothing
     And host "scheduler-1" has counted bad input "peer_key_unknown"
 
+  Scenario: A peer that sends something other than messages
+    When a peer with the right key sends "not a batch of messages"
+    Then its link is closed
+    And host "scheduler-1" has counted bad input "peer_message_invalid"
+    When a caller asks for 3 tokens from "kit-tutor"
+    Then the answer has status 200
+
   Scenario: Strangers on the callers' port are counted
     When somebody asks the callers' port with the operator's key
     Then host "gateway-1" has counted bad input "key_unknown"
@@ -66,3 +73,20 @@
       | {"puts":[{"kind":"class","name":"a b"}],"removes":[],"ifVersions":[]}   | application/json | 400    | invalid_change           |
       | hello                                                                   | image/png        | 415    | content_type_unsupported |
       | 17 MiB                                                                  | application/json | 413    | body_too_large           |
+
+  Scenario Outline: What is not HTTP, on either port
+    When somebody writes <text> to the <port> port
+    Then the connection is answered with status <status> and ended
+    And host "gateway-1" has counted bad input "<code>"
+
+    Examples:
+      | port       | text                    | status | code              |
+      | operators' | "JUNK"                  | 400    | invalid_http      |
+      | callers'   | "JUNK"                  | 400    | invalid_http      |
+      | operators' | a header of 20000 bytes | 431    | headers_too_large |
+      | callers'   | a header of 20000 bytes | 431    | headers_too_large |
+
+  Scenario: A long name in a refused request is not kept whole
+    When a caller asks for 3 tokens from an adapter with a name of 100000 letters
+    Then the answer has status 404
+    And the gateway keeps less than 20000 bytes of decisions
--- a/features/steps/operators.ts
+++ b/features/steps/operators.ts
@@ -1,25 +1,14 @@
 /** Steps of the operators' port. */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import type { KeyRecord } from '../../src/schemas/configuration.js'
-import type { HostListEntry } from '../../src/schemas/hostList.js'
 import type { Story } from '../../src/schemas/operatorMessage.js'
 import type { SystemStatus } from '../../src/tasks/operators/statusRoutes.js'
 import { hashKey } from '../../src/tasks/gateway/callerAccess.js'
 import { exampleCallerKey, exampleOperatorKey } from '../../src/bin/exampleRecords.js'
-import { grpcPeerTransport } from '../../src/adapters/peerLink/grpcPeerLink.js'
-import { OperatorSession } from '../support/operatorSession.js'
+import { getSession } from '../support/operatorSession.js'
 import { waitUntil } from '../support/waitUntil.js'
 import type { SystemWorld } from '../support/world.js'
 
-const sessions = new WeakMap<SystemWorld, OperatorSession>()
-
-function getSession (world: SystemWorld): OperatorSession {
-  const session = sessions.get(world) ?? new OperatorSession(world)
-  sessions.set(world, session)
-  return session
-}
-
 When('an operator reads {string}', async function (this: SystemWorld, path: string) {
   await getSession(this).send('GET', path, exampleOperatorKey)
 })
@@ -154,38 +143,6 @@
   assert.ok(!/(?:src|href)=["']?(?:https?:)?\/\//.test(session.text), 'the page names another host')
 })
 
-Given('key {string} is registered for a(n) {word}', async function (this: SystemWorld, key: string, role: 'caller' | 'operator') {
-  const record: KeyRecord = { kind: 'key', name: 'second', role, hash: hashKey(key), adapters: ['*'], services: ['*'], classes: ['*'] }
-  const result = await this.playground!.gateways[0]!.configuration.changeRecords({ puts: [record], removes: [], ifVersions: [] })
-  assert.equal(result.type, 'accepted')
-})
-
-When('somebody asks the callers\' port with the operator\'s key', async function (this: SystemWorld) {
-  await this.call('/v1/models', undefined, { authorization: `Bearer ${exampleOperatorKey}` })
-})
-
-When('a stranger opens a link to the scheduler with key {string}', async function (this: SystemWorld, key: string) {
-  const { hostList } = this.playground!.standins.platform
-  const findScheduler = async (): Promise<HostListEntry | undefined> =>
-    (await hostList.listEntries()).find(candidate => candidate.kind === 'scheduler')
-  await waitUntil(async () => await findScheduler() !== undefined)
-  const entry = (await findScheduler())!
-  const session = getSession(this)
-  await new Promise<void>(resolve => {
-    grpcPeerTransport.open({
-      address: entry.address,
-      hostId: entry.id,
-      key,
-      hello: { type: 'hello', hostId: 'stranger', role: 'gateway', zone: 'az-1', version: '0' },
-      events: { receive: (_link, message) => session.strangersMessages.push(message), closed: () => resolve() }
-    })
-  })
-})
-
-Then('the link is closed and the stranger has received nothing', function (this: SystemWorld) {
-  assert.deepEqual(getSession(this).strangersMessages, [])
-})
-
 When(/^an operator posts (.*) as "(.*)" to "(.*)"$/, async function (this: SystemWorld, text: string, type: string, path: string) {
   const body = text === '17 MiB' ? 'x'.repeat(17 * 1024 * 1024) : text
   await getSession(this).send('POST', path, exampleOperatorKey, 1, { body, type })
--- a/features/support/operatorSession.ts
+++ b/features/support/operatorSession.ts
@@ -1,6 +1,5 @@
 /** What an operator does on the operators' ports in one scenario. */
 import type { Decision } from '../../src/schemas/decision.js'
-import type { PeerMessage } from '../../src/schemas/peerMessage.js'
 import { EventParser } from '../../src/tasks/operators/eventParser.js'
 import { exampleOperatorKey } from '../../src/bin/exampleRecords.js'
 import { waitUntil } from './waitUntil.js'
@@ -15,7 +14,6 @@
   feeds: Decision[][] = []
   /** Hosts that the last feed watches. */
   watchedHosts: string[] = []
-  strangersMessages: PeerMessage[] = []
 
   constructor (world: SystemWorld) {
     this.#world = world
@@ -64,3 +62,12 @@
     return `http://127.0.0.1:${this.#world.playground!.gateways[gateway - 1]!.operatorsPort}`
   }
 }
+
+const sessions = new WeakMap<SystemWorld, OperatorSession>()
+
+/** The session of a scenario. */
+export function getSession (world: SystemWorld): OperatorSession {
+  const session = sessions.get(world) ?? new OperatorSession(world)
+  sessions.set(world, session)
+  return session
+}
--- a/src/adapters/peerLink/grpcPeerLink.ts
+++ b/src/adapters/peerLink/grpcPeerLink.ts
@@ -76,10 +76,10 @@
 async function servePeerLinks (options: ServePeersOptions): Promise<PeerServer> {
   const server = new grpc.Server(channelOptions)
   const openStreams = new Set<PeerLink>()
-  server.addService({ link: linkMethod }, {
+  server.addService({ link: createServedMethod(options) }, {
     link: (stream: grpc.ServerDuplexStream<PeerMessage[], PeerMessage[]>) => {
       if (!isSameKey(String(stream.metadata.get(peerKeyHeader)[0] ?? ''), options.key)) {
-        options.receiveRefusal()
+        options.receiveRefusal('peer_key_unknown')
         log('A stranger at %s was refused: its key is not the key of the peers.', stream.getPeer())
         stream.emit('error', { code: grpc.status.UNAUTHENTICATED, details: 'the key is not the key of the peers' })
         return
@@ -107,6 +107,21 @@
   }
 }
 
+/** Tells of batches that cannot be read; gRPC then ends their link. */
+function createServedMethod (options: ServePeersOptions): typeof linkMethod {
+  return {
+    ...linkMethod,
+    requestDeserialize: bytes => {
+      try {
+        return linkMethod.requestDeserialize(bytes)
+      } catch (error) {
+        options.receiveRefusal('peer_message_invalid')
+        throw error
+      }
+    }
+  }
+}
+
 async function bindServer (server: grpc.Server, address: string): Promise<number> {
   return await new Promise((resolve, reject) => {
     server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (error, port) => {
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -134,7 +134,7 @@
       send
     }),
     decisions,
-    receiveRefusal: () => metrics.badInput.count('peer_key_unknown'),
+    receiveRefusal: code => metrics.badInput.count(code),
     describeProcess: () => describeState(),
     hostList: platform.hostList,
     loadBudget: settings.store,
--- a/src/ports/peers.ts
+++ b/src/ports/peers.ts
@@ -16,6 +16,9 @@
   closed: (link: PeerLink) => void
 }
 
+/** What was refused on the peers' port. */
+export type PeerRefusal = 'peer_key_unknown' | 'peer_message_invalid'
+
 export interface ServePeersOptions {
   /** IP number to listen on. */
   address: string
@@ -24,8 +27,8 @@
   /** Key that every peer must show. */
   key: string
   events: PeerLinkEvents
-  /** Called for each stranger that was refused. */
-  receiveRefusal: () => void
+  /** Called for each stranger and each message that was refused. */
+  receiveRefusal: (code: PeerRefusal) => void
 }
 
 export interface PeerServer {
--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -16,6 +16,7 @@
 import { findCaller } from './callerAccess.js'
 import { renderErrorBody, renderErrorHeaders } from './callerError.js'
 import { runClaimedCompletion } from './claimedRequests.js'
+import { createClientErrorHandler } from './clientErrors.js'
 import { addJobsRoute } from './jobsRoute.js'
 import { addModelsRoute } from './modelsRoute.js'
 import type { RequestRouter } from './requestRouter.js'
@@ -80,11 +81,7 @@
     requestTimeout: maxRequestReadMs,
     forceCloseConnections: 'idle',
     return503OnClosing: false,
-    clientErrorHandler: (error, socket) => {
-      const failure = createClientFailure(error)
-      options.receiveRefusal({ requestId: '', callerName: undefined, failure })
-      if (socket.writable) socket.end(renderClientError(failure))
-    }
+    clientErrorHandler: createClientErrorHandler(failure => options.receiveRefusal({ requestId: '', callerName: undefined, failure }))
   })
   server.decorate('receiveRefusal', options.receiveRefusal)
   addErrorHandlers(server)
@@ -124,23 +121,6 @@
   })
 }
 
-/** Names what a client did that sent something other than HTTP, or too many headers. */
-function createClientFailure (error: NodeJS.ErrnoException): RequestFailure {
-  return error.code === 'HPE_HEADER_OVERFLOW'
-    ? createNotRun('headers_too_large', `the headers are larger than ${maxHeaderBytes} bytes`, 431)
-    : createNotRun('invalid_http', 'the request is not valid HTTP, or did not come in time', 400)
-}
-
-/** What such a client gets. */
-function renderClientError (failure: RequestFailure): string {
-  const body = renderErrorBody(failure)
-  return [
-    `HTTP/1.1 ${failure.status === 431 ? '431 Request Header Fields Too Large' : '400 Bad Request'}`,
-    'sedgevalve-verdict: not-run', 'content-type: application/json', `content-length: ${Buffer.byteLength(body)}`,
-    'connection: close', '', body
-  ].join('\r\n')
-}
-
 /** Refuses a request before any attempt. */
 export function sendFailure (reply: FastifyReply, failure: RequestFailure): FastifyReply {
   reply.server.receiveRefusal({ requestId: readRequestId(reply), callerName: reply.request.caller?.name, failure })
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -22,6 +22,7 @@
 import { ServiceRouter } from './serviceRouter.js'
 
 const log = createLog('gateway')
+const maxReasonLength = 300
 
 export interface GatewayTaskOptions {
   hostId: string
@@ -161,7 +162,8 @@
   #receiveRefusal ({ requestId, callerName, failure }: Refusal): void {
     if (failure.status < 500) this.#options.countBadInput(failure.code)
     if (callerName === undefined) return
-    const reason = `${failure.message} (caller "${callerName}")`
+    // A message may hold what the caller sent, at any length.
+    const reason = `${failure.message.slice(0, maxReasonLength)} (caller "${callerName}")`
     this.#options.recordDecision({
       kind: 'refuse', requestId, verdict: failure.verdict, considered: [], chosen: failure.code, reason, waits: []
     })
--- a/src/tasks/operators/operatorsServer.ts
+++ b/src/tasks/operators/operatorsServer.ts
@@ -6,6 +6,7 @@
 import { createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
 import { renderErrorBody, renderErrorHeaders } from '../gateway/callerError.js'
+import { createClientErrorHandler } from '../gateway/clientErrors.js'
 import { addExplainRoute } from './explainRoute.js'
 import { checkOperator } from './operatorAccess.js'
 import type { Operator } from './operatorAccess.js'
@@ -40,7 +41,8 @@
     bodyLimit: maxOperatorBodyBytes,
     http: { maxHeaderSize: maxHeaderBytes },
     requestTimeout: maxRequestReadMs,
-    forceCloseConnections: true
+    forceCloseConnections: true,
+    clientErrorHandler: createClientErrorHandler(failure => context.countBadInput(failure.code))
   })
   addErrorHandlers(server, context)
   addPageRoute(server)
--- a/src/tasks/scheduler/schedulerTask.ts
+++ b/src/tasks/scheduler/schedulerTask.ts
@@ -7,7 +7,7 @@
 import type { Clock } from '../../ports/clock.js'
 import type { Engine } from '../../ports/engine.js'
 import type { HostList } from '../../ports/hostList.js'
-import type { PeerLink, PeerServer, PeerTransport } from '../../ports/peers.js'
+import type { PeerLink, PeerRefusal, PeerServer, PeerTransport } from '../../ports/peers.js'
 import type { EngineEntry } from '../../schemas/hostList.js'
 import type { EndpointState, SchedulerStatus } from '../../schemas/operatorMessage.js'
 import type { Dispatch, PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
@@ -35,8 +35,8 @@
   createOwnership: (send: SendOwnershipEvent, listOutageReports: () => string[]) => Ownership
   hostList: HostList
   decisions: DecisionStore
-  /** Called for each stranger who was refused on the peers' port. */
-  receiveRefusal: () => void
+  /** Called for each stranger and each message that was refused on the peers' port. */
+  receiveRefusal: (code: PeerRefusal) => void
   /** State of the whole process, without secrets. */
   describeProcess: () => unknown
   /** What the weight store allows all hosts together. */
