Test that a registered operator's key opens nothing for callers

Cause: only the key of the settings was tried on the callers' port, which would refuse it also without the check of the role. Change: the scenario of a registered operator's key tries the callers' port too.

--- a/features/access.feature
+++ b/features/access.feature
@@ -19,7 +19,7 @@
       | GET    | /api/explain/req-1     | sv-example-caller-key | key_unknown |
 
   Scenario: An operator's key opens nothing for callers
-    When somebody asks the callers' port with the operator's key
+    When somebody asks the callers' port with key "sv-example-operator-key"
     Then the answer has status 401
     And the answer says verdict "not-run" and code "key_unknown"
 
@@ -27,6 +27,8 @@
     Given key "sv-second-operator" is registered for an operator
     When somebody sends GET "/api/status" with key "sv-second-operator" to the operators' port
     Then the operators' answer has status 200
+    When somebody asks the callers' port with key "sv-second-operator"
+    Then the answer has status 401
     Given key "sv-second-operator" is registered for a caller
     When somebody sends GET "/api/status" with key "sv-second-operator" to the operators' port
     Then the operators' answer has status 401 and code "key_unknown"
@@ -44,7 +46,7 @@
     Then the answer has status 200
 
   Scenario: Strangers on the callers' port are counted
-    When somebody asks the callers' port with the operator's key
+    When somebody asks the callers' port with key "sv-example-operator-key"
     Then host "gateway-1" has counted bad input "key_unknown"
 
   Scenario Outline: Bad input on the operators' port
--- a/features/steps/access.ts
+++ b/features/steps/access.ts
@@ -34,8 +34,8 @@
   assert.equal(result.type, 'accepted')
 })
 
-When('somebody asks the callers\' port with the operator\'s key', async function (this: AccessWorld) {
-  await this.call('/v1/models', undefined, { authorization: `Bearer ${exampleOperatorKey}` })
+When('somebody asks the callers\' port with key {string}', async function (this: AccessWorld, key: string) {
+  await this.call('/v1/models', undefined, { authorization: `Bearer ${key}` })
 })
 
 When('a stranger opens a link to the scheduler with key {string}', async function (this: AccessWorld, key: string) {
