Give back requests that an endpoint has no slot for, and check suspects at dispatch

Cause: found by fuzzing. (1) A job stayed in the queue without end: its endpoint's slots were all bound to a killed owner, and gateways kept choosing it. (2) A request that was queued while its like crashed two endpoints was dispatched later and crashed a third. Change: ownership says which handles may be unloaded; an endpoint that can free no slot tells a long load time and gives back what needs one. Before each dispatch the owner looks up what is known of the content.

--- a/bench/decisions/runTrace.ts
+++ b/bench/decisions/runTrace.ts
@@ -181,11 +181,13 @@
         isOwner: () => true,
         createHandle: (endpointId, adapter, version) => `${formatHandle(adapter, version, index, ++sequence)}`,
         writeUnloadIntent: async () => true,
+        mayUnload: () => true,
         recordReport: () => {},
         listRemovable: () => []
       },
       requestPermit: async (_endpointId, slackMs) => await this.#requestPermit(slackMs),
       recordDecision: () => {},
+      findSuspectState: () => 'clear',
       receiveCrash: () => {},
       receiveChange: () => this.#clock.setTimer(() => this.#sendSummaries(index % deployment.hosts), changeDelayMs)
     })
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -14,10 +14,8 @@
 import { DecisionStore } from '../tasks/decisions/decisionStore.js'
 import { ConfigurationTask } from '../tasks/configuration/configurationTask.js'
 import { GatewayTask } from '../tasks/gateway/gatewayTask.js'
-import type { GatewayTaskOptions } from '../tasks/gateway/gatewayTask.js'
 import { LeaseOwnership } from '../tasks/ownership/leaseOwnership.js'
 import { SchedulerTask } from '../tasks/scheduler/schedulerTask.js'
-import type { SchedulerTaskOptions } from '../tasks/scheduler/schedulerTask.js'
 import { startState } from './startState.js'
 import { describeProcess } from './describeProcess.js'
 import type { RunningProcess } from './runBinary.js'
@@ -32,10 +30,8 @@
   readonly configuration: ConfigurationTask
 }
 
-/** Starts a gateway on a platform, with parts replaced by tests, once it has read the configuration. */
-export async function startGateway (
-  settings: GatewaySettings, platform: Platform, replaced: Partial<GatewayTaskOptions> = {}
-): Promise<RunningGateway> {
+/** Starts a gateway on a platform, once it has read the configuration. */
+export async function startGateway (settings: GatewaySettings, platform: Platform): Promise<RunningGateway> {
   const { h64ToString } = await xxhash()
   const { host, callers, peers } = settings
   const service = new PlainService()
@@ -62,8 +58,7 @@
     callers,
     recordDecision: draft => decisions.record(draft),
     countBadInput: code => metrics.badInput.count(code),
-    receiveOperatorMessage: (_from, message) => operators.receiveMessage(message),
-    ...replaced
+    receiveOperatorMessage: (_from, message) => operators.receiveMessage(message)
   })
   const metrics = createMetrics({
     settings, role: 'gateway', clock, decisions, describeEndpoints: () => [], readRunningRequests: () => gateway.router.running
@@ -107,10 +102,8 @@
   }
 }
 
-/** Starts a scheduler on a platform, with parts replaced by tests, once it has read the configuration. */
-export async function startScheduler (
-  settings: SchedulerSettings, platform: Platform, replaced: Partial<SchedulerTaskOptions> = {}
-): Promise<RunningProcess> {
+/** Starts a scheduler on a platform, once it has read the configuration. */
+export async function startScheduler (settings: SchedulerSettings, platform: Platform): Promise<RunningProcess> {
   const { h32 } = await xxhash()
   const { host, peers } = settings
   const clock = createSystemClock()
@@ -140,8 +133,7 @@
     loadBudget: settings.store,
     configuration,
     peerTransport: grpcPeerTransport,
-    peers,
-    ...replaced
+    peers
   })
   const metrics = createMetrics({
     settings,
--- a/src/standin/engineFaults.ts
+++ b/src/standin/engineFaults.ts
@@ -68,16 +68,15 @@
     return true
   }
 
-  /** A whole answer has no frames to double or delay. */
-  takeStreamFaults (isStream: boolean): StreamFaults {
+  takeStreamFaults (): StreamFaults {
     const { cutStreams } = this.#change
     const isCut = cutStreams !== undefined && cutStreams.count > 0
     if (isCut) cutStreams.count--
     return {
       isStalled: this.#takeOne('stallRequests'),
       cutAfterTokens: isCut ? cutStreams.afterTokens : undefined,
-      isDuplicated: isStream && this.#takeOne('duplicateFrames'),
-      isLate: isStream && this.#takeOne('lateFrames')
+      isDuplicated: this.#takeOne('duplicateFrames'),
+      isLate: this.#takeOne('lateFrames')
     }
   }
 
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -3,7 +3,9 @@
 import { createLog } from '../../createLog.js'
 import type { ChooseEndpoint, EndpointView } from '../../core/endpointChoice.js'
 import { RetryBudget, defaultRetryBudget } from '../../core/retryBudget.js'
+import type { RequestRules } from '../../core/requestRules.js'
 import { SuspectRegister } from '../../core/suspects.js'
+import type { SuspectOptions } from '../../core/suspects.js'
 import type { Clock } from '../../ports/clock.js'
 import type { HostList } from '../../ports/hostList.js'
 import type { PeerTransport } from '../../ports/peers.js'
@@ -35,6 +37,9 @@
   claims: ClaimTask
   jobs: JobStore
   chooseEndpoint: ChooseEndpoint
+  /** Left out, the rules that the promises rest on. */
+  requestRules?: RequestRules
+  suspectOptions?: SuspectOptions
   random: () => number
   hashText: HashText
   peerTransport: PeerTransport
@@ -97,7 +102,8 @@
       links: this.#links,
       chooseEndpoint: options.chooseEndpoint,
       retryBudget: new RetryBudget(defaultRetryBudget, clock.readMonotonic()),
-      suspects: new SuspectRegister(),
+      suspects: new SuspectRegister(options.suspectOptions),
+      ...(options.requestRules && { rules: options.requestRules }),
       random: options.random,
       recordDecision: options.recordDecision
     })
--- a/src/tasks/gateway/requestRouter.ts
+++ b/src/tasks/gateway/requestRouter.ts
@@ -1,15 +1,17 @@
 /** Runs callers' requests: chooses endpoints, sends attempts, passes answers on and retries by verdict. */
-import { maxCrashesPerRequest } from '../../constants.js'
 import { formatAdapter } from '../../core/formatAdapter.js'
 import type { ChooseEndpoint } from '../../core/endpointChoice.js'
+import { requestRules } from '../../core/requestRules.js'
+import type { RequestRules } from '../../core/requestRules.js'
 import type { RetryBudget } from '../../core/retryBudget.js'
 import type { SuspectRegister, SuspectState } from '../../core/suspects.js'
 import { isDeferrable } from '../../core/targetTime.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { RecordDecision, Wait } from '../../schemas/decision.js'
 import type { PeerMessage, PeerMessageOf } from '../../schemas/peerMessage.js'
-import { addEarlierAttempts, createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
+import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
+import { createCrashRefusal } from '../scheduler/endpointRefusals.js'
 import { describeAdmission, describeDecision } from './describeDecision.js'
 import type { RequestDecision } from './describeDecision.js'
 import type { SchedulerLinks } from './schedulerLinks.js'
@@ -20,7 +22,6 @@
 const maxAttempts = 6
 const maxListedRequests = 100
 const retryAfterNoEndpointMs = 2000
-const crashMessage = `requests with this content have crashed ${maxCrashesPerRequest} endpoints and are not run again; change the request`
 
 export interface RequestRouterOptions {
   clock: Clock
@@ -31,8 +32,7 @@
   suspects: SuspectRegister
   random: () => number
   recordDecision: RecordDecision
-  /** Joins the last failure with earlier attempts; passed in so that tests can switch it off. */
-  joinAttempts?: typeof addEarlierAttempts
+  rules?: RequestRules
 }
 
 interface RunningRequest {
@@ -76,7 +76,7 @@
   #running = new Map<string, RunningRequest>()
 
   constructor (options: RequestRouterOptions) {
-    this.#options = { joinAttempts: addEarlierAttempts, ...options }
+    this.#options = { rules: requestRules, ...options }
   }
 
   /** Number of requests that have no final answer yet. */
@@ -106,8 +106,8 @@
   /** Runs a request; `send` gets its answer. */
   startRequest (request: RoutedRequest, send: SendAnswer): void {
     if (this.#findSuspectState(request) === 'refused') {
-      this.#options.recordDecision(describeDecision(request, { kind: 'refuse', verdict: 'notRun', chosen: 'refused', reason: crashMessage }))
-      send({ type: 'failed', failure: createNotRun('request_crashes_endpoints', crashMessage, 422) })
+      this.#options.recordDecision(describeDecision(request, { kind: 'refuse', verdict: 'notRun', chosen: 'refused', reason: createCrashRefusal().message }))
+      send({ type: 'failed', failure: createCrashRefusal() })
       return
     }
     const running: RunningRequest = {
@@ -241,13 +241,17 @@
 
   #receiveAnswer (hostId: string, message: AnswerMessage): void {
     const running = this.#running.get(message.requestId)
-    // Whatever comes from a superseded attempt, or from a host that does not run the attempt, is dropped.
-    if (!running?.target || running.attempt !== message.attempt || running.target.hostId !== hostId) return
-    const source: AnswerSource = { endpointId: running.target.endpointId, attempt: running.attempt }
+    if (!running?.target) return
+    const { attempt, nextSequence, target: { endpointId, hostId: targetHostId } } = running
+    const sequence = message.type === 'answerFailed' ? undefined : message.sequence
+    const check = this.#options.rules.checkAnswer(
+      { attempt, hostId: targetHostId, nextSequence }, { attempt: message.attempt, hostId, sequence })
+    if (check === 'drop') return
+    const source: AnswerSource = { endpointId, attempt }
     if (message.type === 'answerFailed') {
       this.#receiveFailure(running, message.failure)
-    } else if (message.sequence !== running.nextSequence) {
-      this.#receiveGap(running, message.sequence)
+    } else if (check === 'gap') {
+      this.#receiveGap(running)
     } else if (message.type === 'answerData') {
       running.nextSequence++
       running.hasSentData = true
@@ -260,9 +264,7 @@
     }
   }
 
-  /** A part that came before is dropped; a missing part ends the attempt. */
-  #receiveGap (running: RunningRequest, sequence: number): void {
-    if (sequence < running.nextSequence) return
+  #receiveGap (running: RunningRequest): void {
     this.#cancelAttempt(running)
     this.#receiveFailure(running, createMayHaveRun('answer_gap', `part ${running.nextSequence} of the answer is missing`, 502))
   }
@@ -270,7 +272,7 @@
   #receiveFailure (running: RunningRequest, failure: RequestFailure): void {
     if (failure.verdict !== 'notRun') running.mayHaveRun = true
     if (this.#findSuspectState(running.request) === 'refused') {
-      this.#finishFailed(running, createMayHaveRun('request_crashes_endpoints', crashMessage, 422))
+      this.#finishFailed(running, { ...createCrashRefusal(), verdict: 'mayHaveRun' })
       return
     }
     const obstacle = this.#findRetryObstacle(running, failure)
@@ -287,8 +289,7 @@
   /** Names what stands against a retry; undefined where one is allowed, which it then takes from the budget. */
   #findRetryObstacle (running: RunningRequest, failure: RequestFailure): string | undefined {
     if (running.hasSentData) return 'part of the answer was sent'
-    if (failure.verdict === 'ran') return 'the request ran'
-    if (failure.verdict === 'mayHaveRun' && !running.request.isRepeatable) return 'the request may not run twice'
+    if (!this.#options.rules.mayRepeat(failure.verdict, running.request.isRepeatable)) return 'the request may not run twice'
     if (isCallersFault(failure)) return 'another endpoint would refuse it too'
     if (running.attempt >= maxAttempts) return 'too many attempts'
     if (!this.#options.retryBudget.takeRetry(this.#options.clock.readMonotonic())) return 'the retry budget is used up'
@@ -296,7 +297,7 @@
   }
 
   #finishFailed (running: RunningRequest, last: RequestFailure): void {
-    const failure = this.#options.joinAttempts(last, running.hasSentData || running.mayHaveRun)
+    const failure = this.#options.rules.joinAttempts(last, running.hasSentData || running.mayHaveRun)
     this.#recordEnd(running, { kind: 'fail', verdict: failure.verdict, chosen: failure.code, reason: failure.message })
     this.#remove(running)
     running.send({ type: 'failed', failure } satisfies AnswerEvent)
--- a/src/tasks/ownership/endpointLease.ts
+++ b/src/tasks/ownership/endpointLease.ts
@@ -117,13 +117,13 @@
   listRemovable (): string[] {
     return [...this.#seen.values()]
       .filter(({ handle, isLoaded }) => isLoaded && parseHandle(handle) !== undefined)
-      .filter(({ handle }) => !this.#isUsable(handle) && this.#mayUnload(handle))
+      .filter(({ handle }) => !this.#isUsable(handle) && this.mayUnload(handle))
       .map(({ handle }) => handle)
   }
 
   /** Writes that the handle will be unloaded, unless the rows have left that to this host already. */
   async writeUnloadIntent (handle: string): Promise<boolean> {
-    if (!this.#mayUnload(handle)) return false
+    if (!this.mayUnload(handle)) return false
     if (!this.#options.policy.isOpen(this.#mayBeAdoptable(handle))) {
       this.#condemned.add(handle)
       const isWritten = await this.#queueWrite(() => this.#createRow(this.#row.adoptable.filter(other => other !== handle)))
@@ -168,7 +168,7 @@
   }
 
   /** A handle that another owner loaded must have been idle since every former owner ended. */
-  #mayUnload (handle: string): boolean {
+  mayUnload (handle: string): boolean {
     if (parseHandle(handle)?.fencing === this.fencing) return true
     return this.#reportedAtMs >= this.#formersEndedAtMs && this.#seen.get(handle)?.isIdle === true
   }
--- a/src/tasks/ownership/leaseOwnership.ts
+++ b/src/tasks/ownership/leaseOwnership.ts
@@ -21,7 +21,6 @@
 import type { EndpointOwner, OwnedEndpoint, Ownership, SendOwnershipEvent } from './ownership.js'
 import { readOwnershipRows } from './ownershipRead.js'
 import type { OwnershipRead } from './ownershipRead.js'
-import { removeDeadHost } from './removeDeadHost.js'
 import { takeEndpoint } from './takeEndpoint.js'
 
 const log = createLog('ownership')
@@ -65,7 +64,6 @@
   #yieldedAtMs: number
   #wroteAdoptableAtMs = -Infinity
   #isLeaving = false
-  #isOutage = false
   #cycle: Repetition | undefined
   #outageCheck: Repetition | undefined
   #list: Repetition | undefined
@@ -152,6 +150,10 @@
     return lease !== undefined && this.isOwner(endpointId) && await lease.writeUnloadIntent(handle) && this.isOwner(endpointId)
   }
 
+  mayUnload (endpointId: string, handle: string): boolean {
+    return this.#leases.get(endpointId)?.mayUnload(handle) ?? false
+  }
+
   recordReport (endpointId: string, report: EngineReport, readAtMs: number): void {
     this.#leases.get(endpointId)?.recordReport(report, readAtMs)
   }
@@ -166,7 +168,6 @@
     const isRenewed = await this.#host.renew(this.#createContent())
     const read = isRenewed ? await readOwnershipRows(this.#options.table) : undefined
     const nowMs = this.#options.clock.readMonotonic()
-    this.#logOutage(read === undefined)
     if (!read) {
       this.#watch.recordFailedRead(nowMs)
       for (const lease of this.#leases.values()) lease.recordFailedRead()
@@ -180,13 +181,6 @@
     await this.#takeFree(read, nowMs)
     this.#yieldSurplus(read, nowMs)
     await this.#writeAdoptable(nowMs)
-    await removeDeadHost(this.#options.holder.hostId, this.#watch, read, this.#writer, nowMs)
-  }
-
-  #logOutage (isOutage: boolean): void {
-    if (isOutage === this.#isOutage) return
-    this.#isOutage = isOutage
-    log(isOutage ? 'The leases were not renewed: the table gives no answer.' : 'The leases are renewed.')
   }
 
   #createContent (): HostLeaseContent {
--- a/src/tasks/ownership/ownership.ts
+++ b/src/tasks/ownership/ownership.ts
@@ -46,6 +46,8 @@
   writeUnloadIntent: (endpointId: string, handle: string) => Promise<boolean>
   /** Takes a report of the engine; `readAtMs` is the time before it was asked for. */
   recordReport: (endpointId: string, report: EngineReport, readAtMs: number) => void
+  /** Whether an unload of the handle is allowed as far as is known; a handle of a former owner may have to stay. */
+  mayUnload: (endpointId: string, handle: string) => boolean
   /** Lists handles that nobody uses and that may be unloaded without an intent. */
   listRemovable: (endpointId: string) => string[]
 }
--- a/src/tasks/scheduler/endpointHandles.ts
+++ b/src/tasks/scheduler/endpointHandles.ts
@@ -2,6 +2,7 @@
 import { createLog } from '../../createLog.js'
 import { parseHandle } from '../../core/formatAdapter.js'
 import type { ParsedHandle } from '../../core/formatAdapter.js'
+import type { PlannedLoad } from '../../core/planner.js'
 import type { Clock } from '../../ports/clock.js'
 import type { Engine, EngineReport, OrderOutcome } from '../../ports/engine.js'
 import type { Ownership } from '../ownership/ownership.js'
@@ -12,14 +13,28 @@
 /** `kept`: certainly not unloaded, and usable; `unknown`: an order may still take effect. */
 export type UnloadOutcome = 'unloaded' | 'kept' | 'unknown'
 
+/** Slots that the owner cannot free, because a former owner may still use what they hold. */
+export interface BoundSlots {
+  /** Slots whose adapters get no requests. */
+  unusable: number
+  /** Slots whose adapters get requests, but may not be unloaded. */
+  kept: number
+}
+
+export interface LoadOutcome {
+  handle: string
+  /** Why the adapter cannot be used; undefined where it is loaded. */
+  failure: string | undefined
+}
+
 export interface EndpointHandlesOptions {
   clock: Clock
-  engine: Pick<Engine, 'unloadAdapter'>
+  engine: Pick<Engine, 'loadAdapter' | 'unloadAdapter'>
   endpointId: string
   fencing: number
   /** Handles of former owners that may be used. */
   adoptableHandles: string[]
-  ownership: Pick<Ownership, 'isOwner' | 'writeUnloadIntent' | 'recordReport' | 'listRemovable'>
+  ownership: Pick<Ownership, 'isOwner' | 'createHandle' | 'writeUnloadIntent' | 'mayUnload' | 'recordReport' | 'listRemovable'>
 }
 
 export class EndpointHandles {
@@ -39,14 +54,19 @@
     return this.#adoptable.has(handle) || parseHandle(handle)?.fencing === this.#options.fencing
   }
 
-  /** Follows a handle from the order to load it on. */
-  recordOrdered (handle: string): void {
+  /** Loads an adapter under a new handle; undefined where the endpoint is not owned, so that no order was given. */
+  async load (address: string, { adapter, version }: Pick<PlannedLoad, 'adapter' | 'version'>, recordOrder: (handle: string) => void): Promise<LoadOutcome | undefined> {
+    const { ownership, engine, endpointId, fencing } = this.#options
+    const handle = ownership.createHandle(endpointId, adapter, version)
+    if (!handle) return undefined
+    recordOrder(handle)
     this.#known.add(handle)
-  }
-
-  /** The outcome of a load was lost; a report will show whether the engine has the handle. */
-  recordLost (handle: string): void {
-    this.#known.delete(handle)
+    const outcome = await engine.loadAdapter(address, { adapter, version, handle, fencing })
+    if (outcome.verdict === 'done') return { handle, failure: undefined }
+    log('Load of "%s" on "%s" failed: %s.', handle, endpointId, outcome.message)
+    // Where the answer was lost, a report will show whether the engine has the handle.
+    if (outcome.verdict === 'unknown') this.#known.delete(handle)
+    return { handle, failure: outcome.message }
   }
 
   /** The engine has lost everything. */
@@ -61,12 +81,14 @@
     return strays.flatMap(({ handle }) => parseHandle(handle) ?? [])
   }
 
-  /** Takes a report, orders what may be removed to be unloaded, and counts the slots that are not usable. */
-  receiveReport (address: string, report: EngineReport, readAtMs: number): number {
+  /** Takes a report, orders what may be removed to be unloaded, and counts the slots that are bound to former owners. */
+  receiveReport (address: string, report: EngineReport, readAtMs: number): BoundSlots {
     const { ownership, endpointId } = this.#options
     ownership.recordReport(endpointId, report, readAtMs)
     for (const handle of ownership.listRemovable(endpointId)) this.#remove(address, handle)
-    return report.adapters.filter(({ handle }) => !this.isUsable(handle)).length
+    const unusable = report.adapters.filter(({ handle }) => !this.isUsable(handle)).length
+    const kept = report.adapters.filter(({ handle }) => this.isUsable(handle) && !ownership.mayUnload(endpointId, handle)).length
+    return { unusable, kept }
   }
 
   /** Unloads a handle that gets no requests any more; `recordOrder` is called where the order is given. */
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -1,8 +1,8 @@
 /** Owns one endpoint: carries out the plans made for it and relays what its engine sends. */
-import { createLog } from '../../createLog.js'
 import { formatAdapter } from '../../core/formatAdapter.js'
 import type { ParsedHandle } from '../../core/formatAdapter.js'
 import type { EndpointPlan, EndpointPlanner, PlannedDispatch, PlannedFailure, PlannedLoad, PlannedUnload } from '../../core/planner.js'
+import type { SuspectState } from '../../core/suspects.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Engine, EngineReport, GenerateEvent, Generation } from '../../ports/engine.js'
 import type { RecordDecision } from '../../schemas/decision.js'
@@ -17,13 +17,15 @@
 import { createGenerateOrder } from './createGenerateOrder.js'
 import { describeAttempts, describeDispatch, describeFailedLoad } from './describeEndpoint.js'
 import { EndpointHandles } from './endpointHandles.js'
+import type { BoundSlots } from './endpointHandles.js'
 import { EngineWatch } from './engineWatch.js'
 import type { EngineWatchEvent } from './engineWatch.js'
 import { defaultPlanResume, startResumedGeneration } from './resumeGeneration.js'
 
-const log = createLog('scheduler')
 /** A request that is due this long and has no adapter here is given back. */
 const overdueMs = 5000
+/** Told as the time of a load where no slot can be freed. */
+const noLoadMs = 600_000
 
 /** Asks for leave to load from the weight store; resolves to the function that gives it back. */
 export type RequestPermit = (endpointId: string, slackMs: number) => Promise<() => void>
@@ -36,9 +38,10 @@
   /** Handles of former owners that requests may be given to. */
   adoptableHandles: string[]
   planner: EndpointPlanner
-  ownership: Pick<Ownership, 'isOwner' | 'createHandle' | 'writeUnloadIntent' | 'recordReport' | 'listRemovable'>
+  ownership: Pick<Ownership, 'isOwner' | 'createHandle' | 'writeUnloadIntent' | 'mayUnload' | 'recordReport' | 'listRemovable'>
   requestPermit: RequestPermit
   recordDecision: RecordDecision
+  findSuspectState: (fingerprint: string) => SuspectState
   /** Called with what ran on the endpoint when its engine went away. */
   receiveCrash: (crash: EndpointCrash) => void
   /** Called when the summary has changed in a way that gateways should know at once. */
@@ -69,6 +72,7 @@
   #entry: EngineEntry
   #attempts = new Map<string, Attempt>()
   #isBlocked = false
+  #canLoad = true
   #isStopping = false
   #wake: Timer | undefined
   #isPlanning = false
@@ -187,7 +191,8 @@
       slots: this.#entry.slots,
       batchLimit: this.#entry.batchLimit,
       running: this.running,
-      ...expectation
+      ...expectation,
+      ...(!this.#canLoad && { expectedLoadMs: noLoadMs })
     }
   }
 
@@ -243,6 +248,11 @@
       this.#fail(attempt, this.#findRefusal()!)
       return
     }
+    const suspicion = this.#suspects.findObstacle(attempt, dispatch, this.#options.findSuspectState)
+    if (suspicion) {
+      this.#fail(attempt, suspicion)
+      return
+    }
     this.#options.recordDecision({ ...planned.decision, handle: planned.handle })
     attempt.handle = planned.handle
     attempt.reply(describeDispatch(planned))
@@ -267,27 +277,20 @@
 
   async #carryOutLoad (planned: PlannedLoad): Promise<void> {
     const { adapter, version } = planned
-    const { ownership, planner, clock, engine, fencing } = this.#options
+    const { planner, clock, recordDecision } = this.#options
     const { incarnation } = this.#watch
     const release = await this.#options.requestPermit(this.endpointId, planned.slackMs)
-    const handle = ownership.createHandle(this.endpointId, adapter, version)
-    if (!handle || this.#isStopping || incarnation !== this.#watch.incarnation) {
-      release()
-      planner.recordLoadFailed(adapter, version, clock.readMonotonic())
-      return
-    }
-    this.#options.recordDecision({ ...planned.decision, handle })
-    planner.recordLoadStarted(adapter, version, clock.readMonotonic())
-    this.#handles.recordOrdered(handle)
-    const outcome = await engine.loadAdapter(this.#entry.address, { adapter, version, handle, fencing })
+    const mayLoad = !this.#isStopping && incarnation === this.#watch.incarnation
+    const load = mayLoad && await this.#handles.load(this.#entry.address, planned, handle => {
+      recordDecision({ ...planned.decision, handle })
+      planner.recordLoadStarted(adapter, version, clock.readMonotonic())
+    })
     release()
-    if (incarnation !== this.#watch.incarnation) return
-    if (outcome.verdict === 'unknown') this.#handles.recordLost(handle)
-    if (outcome.verdict === 'done') {
-      planner.recordLoaded(adapter, version, handle, clock.readMonotonic())
+    if (load && incarnation !== this.#watch.incarnation) return
+    if (load && load.failure === undefined) {
+      planner.recordLoaded(adapter, version, load.handle, clock.readMonotonic())
     } else {
-      log('Load of "%s" on "%s" failed: %s.', handle, this.endpointId, outcome.message)
-      this.#options.recordDecision(describeFailedLoad(this.endpointId, planned, handle, outcome.message))
+      if (load) recordDecision(describeFailedLoad(this.endpointId, planned, load.handle, load.failure!))
       planner.recordLoadFailed(adapter, version, clock.readMonotonic())
     }
     this.#options.receiveChange()
@@ -372,14 +375,14 @@
 
   // Reports
 
-  /** Slots that hold adapters of former owners; where that is all of them, requests go to other endpoints. */
-  #receiveBlockedSlots (count: number): void {
-    const wasBlocked = this.#isBlocked
-    this.#isBlocked = count >= this.#entry.slots
-    this.#options.planner.recordBlockedSlots(count, this.#options.clock.readMonotonic())
-    if (this.#isBlocked === wasBlocked) return
-    if (this.#isBlocked) this.#failQueued(createBlocked(this.endpointId))
-    this.#options.receiveChange()
+  /** Slots that are bound to former owners; where that is all of them, requests that need a load go elsewhere. */
+  #receiveBoundSlots ({ unusable, kept }: BoundSlots): void {
+    const { slots } = this.#entry
+    const couldLoad = this.#canLoad
+    this.#isBlocked = unusable >= slots
+    this.#canLoad = unusable + kept < slots
+    this.#options.planner.recordBlockedSlots(unusable, this.#options.clock.readMonotonic())
+    if (this.#canLoad !== couldLoad) this.#options.receiveChange()
   }
 
   #receiveWatch (event: EngineWatchEvent): void {
@@ -392,31 +395,36 @@
   }
 
   #receiveReport (report: EngineReport, readAtMs: number): void {
-    this.#receiveBlockedSlots(this.#handles.receiveReport(this.#entry.address, report, readAtMs))
+    this.#receiveBoundSlots(this.#handles.receiveReport(this.#entry.address, report, readAtMs))
     for (const stray of this.#handles.takeStrays(report)) this.#receiveStray(stray)
-    this.#returnOverdue()
+    this.#returnUnservable()
     this.#plan()
   }
 
-  /** Another endpoint may have room for an adapter that got no slot here until long after the request was due. */
-  #returnOverdue (): void {
+  /** Gives back what cannot be served here: no slot can be freed, or none was until long after the request was due. */
+  #returnUnservable (): void {
     const nowMs = this.#options.clock.readMonotonic()
-    const { loaded } = this.#options.planner.readExpectation(nowMs)
+    const resident = this.#listResident()
     for (const attempt of [...this.#attempts.values()]) {
       const { dispatch, receivedAtMs, generation } = attempt
       const isOverdue = nowMs > receivedAtMs + Math.max(0, dispatch.dueInMs) + overdueMs
-      if (generation || !isOverdue || loaded.includes(formatAdapter(dispatch.adapter, dispatch.version))) continue
+      if (generation || (this.#canLoad && !isOverdue) || resident.has(formatAdapter(dispatch.adapter, dispatch.version))) continue
       this.#fail(attempt, createNoSlot(this.endpointId, dispatch.adapter))
     }
   }
 
+  /** Adapters that are loaded or being loaded. */
+  #listResident (): Set<string> {
+    const { loaded, loading } = this.#options.planner.readExpectation(this.#options.clock.readMonotonic())
+    return new Set([...loaded, ...loading])
+  }
+
   /** Uses a handle that a former owner handed over, or whose load ended unseen; a second one of an adapter is unloaded. */
   #receiveStray ({ handle, adapter, version }: ParsedHandle): void {
     const { planner, clock } = this.#options
     const nowMs = clock.readMonotonic()
-    const { loaded, loading } = planner.readExpectation(nowMs)
-    const name = formatAdapter(adapter, version)
-    if (loaded.includes(name) || loading.includes(name)) this.#handles.unload(this.#entry.address, handle, () => {})
+    const isResident = this.#listResident().has(formatAdapter(adapter, version))
+    if (isResident) this.#handles.unload(this.#entry.address, handle, () => {})
     else planner.recordLoaded(adapter, version, handle, nowMs)
   }
 
--- a/src/tasks/scheduler/schedulerTask.ts
+++ b/src/tasks/scheduler/schedulerTask.ts
@@ -2,7 +2,7 @@
 import { productVersion } from '../../constants.js'
 import { createLog } from '../../createLog.js'
 import { SuspectRegister } from '../../core/suspects.js'
-import type { SuspectRecord } from '../../core/suspects.js'
+import type { SuspectOptions, SuspectRecord } from '../../core/suspects.js'
 import type { CreatePlanner } from '../../core/planner.js'
 import type { Clock } from '../../ports/clock.js'
 import type { Engine } from '../../ports/engine.js'
@@ -31,6 +31,7 @@
   clock: Clock
   engine: Engine
   createPlanner: CreatePlanner
+  suspectOptions?: SuspectOptions
   /** The second function lists hosts that lately told that the table gives them no answer. */
   createOwnership: (send: SendOwnershipEvent, listOutageReports: () => string[]) => Ownership
   hostList: HostList
@@ -79,7 +80,7 @@
   #server: PeerServer | undefined
   #summaries: SummaryFeed
   #isLeaving = false
-  #suspects = new SuspectRegister()
+  #suspects: SuspectRegister
   #decisions: DecisionStore
   #feed: DecisionFeed
   #queries: SchedulerQueries
@@ -87,6 +88,7 @@
 
   constructor (options: SchedulerTaskOptions) {
     this.#options = options
+    this.#suspects = new SuspectRegister(options.suspectOptions)
     const { hostId, zone, clock } = options
     this.#decisions = options.decisions
     this.#feed = new DecisionFeed(clock)
@@ -283,6 +285,7 @@
       ownership: this.#ownership,
       requestPermit: async (endpointId, slackMs) => await this.#exchange.requestPermit(endpointId, slackMs),
       recordDecision: draft => this.#decisions.record(draft),
+      findSuspectState: fingerprint => this.#suspects.findState(fingerprint, clock.readMonotonic()),
       receiveCrash: crash => this.#receiveCrash(crash),
       receiveChange: () => this.#summaries.receiveChange()
     })
--- a/src/tasks/scheduler/suspectGate.ts
+++ b/src/tasks/scheduler/suspectGate.ts
@@ -1,4 +1,8 @@
 /** Lets the suspects of one endpoint run one at a time, so that a crash tells which of them caused it. */
+import type { SuspectState } from '../../core/suspects.js'
+import type { Dispatch } from '../../schemas/peerMessage.js'
+import type { RequestFailure } from '../../schemas/verdict.js'
+import { createCrashRefusal, createSuspectHeld } from './endpointRefusals.js'
 
 export class SuspectGate<T> {
   #current: T | undefined
@@ -23,4 +27,17 @@
     this.#current = this.#held.shift()
     return this.#current
   }
+
+  /** Another request with the same content may have crashed endpoints while this one was queued. */
+  findObstacle (
+    suspect: T, dispatch: Dispatch, findSuspectState: (fingerprint: string) => SuspectState
+  ): RequestFailure | undefined {
+    const state = findSuspectState(dispatch.fingerprint)
+    if (state === 'refused') return createCrashRefusal()
+    if (state === 'clear' || dispatch.isSuspect) return undefined
+    if (this.#current !== undefined) return createSuspectHeld(dispatch.endpointId)
+    this.#current = suspect
+    dispatch.isSuspect = true
+    return undefined
+  }
 }
