Fuzz jobs and show that the oracle notices each mechanism that is off

Change: jobs, bursts, repeated messages and graceful stops under work are among the commands; sequences are longer. For each promise its mechanism is switched off by a passed-in function, and the fuzzer, or a recorded sequence, must find it broken.

--- a/features/fuzz.feature
+++ b/features/fuzz.feature
@@ -24,3 +24,27 @@
       | every slot blocked by adapters of a killed owner | request({"gateway":0,"model":"alpha","tokens":1,"content":"hello","className":"later"}),request({"gateway":0,"model":"eta","tokens":1,"content":"hello","className":"later"}),stopScheduler(1),advance(8000),request({"gateway":0,"model":"alpha@2","tokens":1,"content":"hello","className":"urgent"}),killScheduler(3),addScheduler(0),killScheduler(0),setTableDown(true),returnEngine(0) |
       | no slot to be had beside adapters of a killed owner | request({"gateway":0,"model":"epsilon","tokens":1,"content":"hello","className":"urgent"}),leaveEngine(0),request({"gateway":0,"model":"eta","tokens":1,"content":"hello","className":"later"}),stopScheduler(4),advance(8000),advance(8000),request({"gateway":0,"model":"alpha","tokens":1,"content":"hello","className":"urgent"}),addScheduler(0),request({"gateway":0,"model":"alpha","tokens":1,"content":"hello","className":"later"}),setTableDown(true),killScheduler(0),killScheduler(0),returnEngine(0) |
       | an endpoint that leaves while the table is slow | slowTable(1500),leaveEngine(2),delayWrites(1),advance(8000),request({"gateway":0,"model":"zeta","tokens":1,"content":"hello","className":"urgent"}),advance(900),stopScheduler(0) |
+      | a request that was queued while its like crashed two endpoints | burst([{"gateway":0,"model":"alpha","tokens":1,"content":"crash one","className":"urgent"},{"gateway":0,"model":"alpha","tokens":1,"content":"hello","className":"urgent"},{"gateway":0,"model":"alpha","tokens":1,"content":"hello","className":"urgent"},{"gateway":0,"model":"alpha","tokens":1,"content":"crash one","className":"later"}]) |
+
+  Scenario Outline: Without the mechanism behind <promise>, the fuzzer finds it broken
+    When the mechanism behind <promise> is switched off and <runs> sequences are fuzzed with seed 1
+    Then <promise> is broken
+
+    Examples:
+      | promise                   | runs |
+      | rightAdapter              | 20   |
+      | neverUnloadedWhileServing | 20   |
+      | wholeAnswer               | 20   |
+      | notRunMeansNotRun         | 20   |
+      | atMostOnce                | 20   |
+      | leavingGetsNoWork         | 20   |
+
+  Scenario Outline: Without the mechanism behind <promise>, this sequence breaks it
+    When the mechanism behind <promise> is switched off and this sequence runs: '<sequence>'
+    Then <promise> is broken
+
+    Examples:
+      | promise             | sequence |
+      | gracefulCutsNothing | stopSchedulerUnderWork(0) |
+      | configurationHolds  | pause(0),advance(3500),change({"gateway":0,"adapter":"alpha","currentVersion":"2"}),advance(8000),slowTable(1500),wake(0),advance(900) |
+      | crashesBounded      | request({"gateway":0,"model":"alpha","tokens":1,"content":"crash one","className":"later"}),advance(8000),advance(8000),request({"gateway":0,"model":"alpha","tokens":1,"content":"crash one","className":"urgent"}) |
--- a/features/steps/fuzz.ts
+++ b/features/steps/fuzz.ts
@@ -2,17 +2,22 @@
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
 import { parseSequence } from '../../fuzz/commands.js'
+import { mechanismsWithout } from '../../fuzz/mechanisms.js'
 import { findViolations } from '../../fuzz/oracle.js'
+import type { PromiseName } from '../../fuzz/promises.js'
 import { runFuzz, runSequence } from '../../fuzz/runFuzz.js'
 
-const maxCommands = 60
+const maxCommands = 40
+const maxSeconds = 600
 
 interface FuzzWorld {
   broken: string[]
+  /** Promises that were broken. */
+  promises: PromiseName[]
 }
 
 When('{int} sequences are fuzzed with seed {int}', async function (this: FuzzWorld, runs: number, seed: number) {
-  const { failure } = await runFuzz({ seed, runs, maxCommands })
+  const { failure } = await runFuzz({ seed, runs, maxCommands, maxSeconds })
   this.broken = failure ? [failure.message, failure.sequence] : []
 })
 
@@ -24,3 +29,21 @@
 Then('no promise is broken', function (this: FuzzWorld) {
   assert.deepEqual(this.broken, [])
 })
+
+When(/^the mechanism behind (\w+) is switched off and (\d+) sequences are fuzzed with seed (\d+)$/,
+  async function (this: FuzzWorld, promise: PromiseName, runs: string, seed: string) {
+    const { failure } = await runFuzz({
+      seed: Number(seed), runs: Number(runs), maxCommands, maxSeconds, isShortened: false, mechanisms: mechanismsWithout[promise]!
+    })
+    this.promises = failure?.promises ?? []
+  })
+
+When(/^the mechanism behind (\w+) is switched off and this sequence runs: '(.*)'$/,
+  async function (this: FuzzWorld, promise: PromiseName, sequence: string) {
+    const system = await runSequence(parseSequence(sequence), mechanismsWithout[promise]!)
+    this.promises = findViolations(system).map(violation => violation.promise)
+  })
+
+Then(/^(\w+) is broken$/, function (this: FuzzWorld, promise: PromiseName) {
+  assert.ok(this.promises.includes(promise), `broken: ${this.promises.join(', ') || 'nothing'}`)
+})
--- a/features/steps/verdicts.ts
+++ b/features/steps/verdicts.ts
@@ -1,6 +1,7 @@
 /** Steps of the verdict on a request that had several attempts. */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
+import { requestRules } from '../../src/core/requestRules.js'
 import { createMayHaveRun, createNotRun } from '../../src/schemas/verdict.js'
 import type { RequestFailure } from '../../src/schemas/verdict.js'
 import { createRouterFixture } from '../support/routerFixture.js'
@@ -28,7 +29,7 @@
 
 Given(/^a request whose first attempt was lost while it ran(, with verdicts left unmerged)?$/,
   function (this: VerdictWorld, isOff: string | null) {
-    this.fixture = createRouterFixture(isOff ? { joinAttempts: last => last } : {})
+    this.fixture = createRouterFixture(isOff ? { rules: { ...requestRules, joinAttempts: last => last } } : {})
     this.fixture.start()
     failLast(this.fixture, lost)
   })
--- a/fuzz/commands.ts
+++ b/fuzz/commands.ts
@@ -3,15 +3,12 @@
 import { crashMarker } from './fakeEngines.js'
 import type { FakeHost } from './fakeHost.js'
 import { fuzzAdapters } from './fuzzSystem.js'
-import type { ChangePlan, FuzzSystem, RequestPlan } from './fuzzSystem.js'
-
-/** The oracle knows promises alone, so commands need no model of the state. */
-export type FuzzModel = Record<string, never>
-export type FuzzCommand = fc.AsyncCommand<FuzzModel, FuzzSystem>
+import type { ChangePlan, FuzzSystem, JobPlan, RequestPlan } from './fuzzSystem.js'
 
 type Step = (system: FuzzSystem) => void | Promise<void>
 
-class NamedCommand implements FuzzCommand {
+/** The oracle knows the promises alone, so a command has no model of the state and may always run. */
+export class FuzzCommand {
   #name: string
   #step: Step
 
@@ -20,11 +17,7 @@
     this.#step = step
   }
 
-  check (): boolean {
-    return true
-  }
-
-  async run (_model: FuzzModel, system: FuzzSystem): Promise<void> {
+  async run (system: FuzzSystem): Promise<void> {
     await this.#step(system)
     await system.advance(1)
   }
@@ -38,7 +31,7 @@
 const creators = new Map<string, (value: unknown) => FuzzCommand>()
 
 function createCommands<T> (arbitrary: fc.Arbitrary<T>, name: string, step: (system: FuzzSystem, value: T) => void | Promise<void>): fc.Arbitrary<FuzzCommand> {
-  const create = (value: T): FuzzCommand => new NamedCommand(`${name}(${JSON.stringify(value)})`, system => step(system, value))
+  const create = (value: T): FuzzCommand => new FuzzCommand(`${name}(${JSON.stringify(value)})`, system => step(system, value))
   creators.set(name, value => create(value as T))
   return arbitrary.map(create)
 }
@@ -76,6 +69,10 @@
   key: fc.constantFrom('key-1', 'key-2', 'key-3')
 })
 
+const jobArbitrary: fc.Arbitrary<JobPlan> = fc.record({
+  gateway: fc.nat(3), model: fc.constantFrom(...fuzzAdapters), tokens: fc.integer({ min: 1, max: 8 }), runsAtMostOnce: fc.boolean()
+})
+
 function pickHost (hosts: Array<{ host: FakeHost }>, index: number, state: FakeHost['state']): FakeHost | undefined {
   const matching = hosts.filter(({ host }) => host.state === state)
   return matching[index % Math.max(1, matching.length)]?.host
@@ -89,29 +86,38 @@
   const hosts = [...system.schedulers, ...system.gateways].map(({ host }) => host)
   const first = hosts[left % hosts.length]!
   const second = hosts[right % hosts.length]!
-  if (first !== second) system.network.cut(first.id, second.id)
+  if (first === second) return
+  system.network.cut(first.id, second.id)
+  system.hadCuts = true
+  system.disturb()
 }
 
 const hostCommands = [
   createCommands(fc.nat(7), 'killScheduler', (system, index) => {
     const host = pickHost(system.schedulers, index, 'running')
-    if (host && countRunning(system.schedulers) > 1) system.killHost(host)
+    if (host && system.listRunningSchedulers().some(other => other.host !== host)) system.killHost(host)
   }),
   createCommands(fc.nat(7), 'killGateway', (system, index) => {
     const host = pickHost(system.gateways, index, 'running')
     if (host && countRunning(system.gateways) > 1) system.killHost(host)
   }),
   createCommands(fc.constant(0), 'addScheduler', system => {
-    if (countRunning(system.schedulers) < 4) system.addScheduler()
+    if (system.listRunningSchedulers().length < 4) system.addScheduler()
   }),
   createCommands(fc.constant(0), 'addGateway', system => {
     if (countRunning(system.gateways) < 3) system.addGateway()
   }),
   createCommands(fc.nat(7), 'stopScheduler', (system, index) => system.stopScheduler(index)),
+  createCommands(fc.nat(7), 'stopSchedulerUnderWork', async (system, index) => {
+    for (const model of fuzzAdapters.slice(0, 3)) system.sendRequest({ gateway: index, model, tokens: 30, content: 'long', className: 'urgent' })
+    await system.advance(600)
+    system.stopScheduler(index)
+  }),
   createCommands(fc.nat(7), 'pause', (system, index) => {
     const host = pickHost([...system.schedulers, ...system.gateways], index, 'running')
     if (!host) return
     host.pause()
+    system.hadCuts = true
     system.network.watchPause(host)
   }),
   createCommands(fc.nat(7), 'wake', (system, index) => pickHost([...system.schedulers, ...system.gateways], index, 'paused')?.wake()),
@@ -120,11 +126,15 @@
 ]
 
 const engineCommands = [
-  createCommands(fc.nat(2), 'restartEngine', (system, index) => system.pickEngine(index).restart()),
+  createCommands(fc.nat(2), 'restartEngine', (system, index) => {
+    system.pickEngine(index).restart()
+    system.disturb()
+  }),
   createCommands(fc.nat(2), 'stallEngine', (system, index) => { system.pickEngine(index).isStalled = true }),
   createCommands(fc.nat(2), 'resumeEngine', (system, index) => { system.pickEngine(index).isStalled = false }),
   createCommands(fc.tuple(fc.nat(2), fc.integer({ min: 1, max: 3 })), 'failLoads', (system, [index, count]) => {
     system.pickEngine(index).loadFailuresLeft = count
+    system.disturb()
   }),
   createCommands(fc.nat(2), 'leaveEngine', (system, index) => system.setEngineEntry(system.pickEngine(index).id, 'leaving')),
   createCommands(fc.nat(2), 'returnEngine', (system, index) => system.setEngineEntry(system.pickEngine(index).id, 'live'))
@@ -139,29 +149,43 @@
   createCommands(fc.tuple(changeArbitrary, changeArbitrary), 'raceChanges', (system, plans) => plans.forEach(plan => system.changeVersion(plan)))
 ]
 
+const networkCommands = [
+  createCommands(fc.integer({ min: 1, max: 4 }), 'repeatMessages', (system, count) => { system.network.messagesToRepeat = count })
+]
+
 const platformCommands = [
   createCommands(fc.boolean(), 'setTableDown', (system, isDown) => { system.platform.isDown = isDown }),
-  createCommands(fc.integer({ min: 1, max: 3 }), 'loseAnswers', (system, count) => { system.platform.answersToLose = count }),
-  createCommands(fc.integer({ min: 1, max: 2 }), 'delayWrites', (system, count) => { system.platform.writesToDelay = count }),
+  createCommands(fc.integer({ min: 1, max: 3 }), 'loseAnswers', (system, count) => {
+    system.platform.answersToLose = count
+    system.disturb()
+  }),
+  createCommands(fc.integer({ min: 1, max: 2 }), 'delayWrites', (system, count) => {
+    system.platform.writesToDelay = count
+    system.disturb()
+  }),
   createCommands(fc.constantFrom(0, 300, 1500), 'slowTable', (system, ms) => { system.platform.slownessMs = ms })
 ]
 
 const callerCommands = [
   createCommands(requestArbitrary, 'request', (system, plan) => system.sendRequest(plan)),
   createCommands(claimedArbitrary, 'claimed', (system, plan) => system.sendRequest(plan)),
+  createCommands(fc.array(requestArbitrary, { minLength: 3, maxLength: 6 }), 'burst', (system, plans) => plans.forEach(plan => system.sendRequest(plan))),
+  createCommands(jobArbitrary, 'job', (system, plan) => system.submitJob(plan)),
   createCommands(fc.nat(20), 'cancel', (system, index) => system.cancelRequest(index)),
   createCommands(fc.constantFrom(5, 40, 200, 900, 3500, 8000), 'advance', async (system, ms) => await system.advance(ms))
 ]
 
 /** Requests and time come far more often than faults, so that faults meet work under way. */
-export function createFuzzCommands (maxCommands: number): fc.Arbitrary<Iterable<FuzzCommand>> {
+export function createFuzzCommands (maxCommands: number): fc.Arbitrary<FuzzCommand[]> {
   const weighted = [
-    ...Array.from({ length: 5 }, () => callerCommands[0]!), callerCommands[1]!, callerCommands[1]!, callerCommands[2]!,
-    ...Array.from({ length: 4 }, () => callerCommands[3]!)
+    ...Array.from({ length: 5 }, () => callerCommands[0]!), callerCommands[1]!, callerCommands[1]!, callerCommands[2]!, callerCommands[3]!, callerCommands[4]!,
+    ...Array.from({ length: 4 }, () => callerCommands[5]!)
   ]
-  return fc.commands<FuzzModel, FuzzSystem, false>([
-    fc.oneof(...weighted), fc.oneof(...weighted), fc.oneof(...weighted),
+  const command = fc.oneof(
+    fc.oneof(...weighted), fc.oneof(...weighted), fc.oneof(...weighted), fc.oneof(...weighted),
     fc.oneof(...hostCommands), fc.oneof(...engineCommands), fc.oneof(...platformCommands),
-    fc.oneof(...operatorCommands)
-  ], { maxCommands, size: 'max' }) as fc.Arbitrary<Iterable<FuzzCommand>>
+    fc.oneof(...operatorCommands), fc.oneof(...networkCommands)
+  )
+  // Without the usual bias towards short sequences, faults meet more work under way.
+  return fc.noBias(fc.array(command, { maxLength: maxCommands, size: 'max' }))
 }
--- a/fuzz/fakeEngines.ts
+++ b/fuzz/fakeEngines.ts
@@ -22,7 +22,15 @@
   sent: number
 }
 
+export interface Crash {
+  /** What was asked of which adapter. */
+  content: string
+  atMs: number
+}
+
 export interface StartedRun {
+  /** What was asked of which adapter. */
+  content: string
   requestId: string
   attempt: number
   handle: string
@@ -49,7 +57,8 @@
   readonly unloadedWhileServing: string[] = []
   loadFailuresLeft = 0
   isStalled = false
-  crashes = 0
+  /** Requests that crashed the engine. */
+  readonly crashes: Crash[] = []
   #clock: VirtualClock
   #slots = new Map<string, Slot>()
   #runs = new Set<Run>()
@@ -119,11 +128,11 @@
       send({ type: 'failed', failure: createNotRun('handle_unknown', `handle "${order.handle}" is not loaded`, 404), isEndpointLost: false })
       return () => {}
     }
-    this.started.push({ requestId: order.requestId, attempt: order.attempt, handle: order.handle, atMs: this.#clock.readMonotonic() })
+    this.started.push({ content: formatContent(order), requestId: order.requestId, attempt: order.attempt, handle: order.handle, atMs: this.#clock.readMonotonic() })
     const run: Run = { order, send, sent: 0 }
     slot.running++
     this.#runs.add(run)
-    if (isCrashing(order)) this.#clock.setTimer(() => { if (this.#runs.has(run)) this.#crash() }, tokenMs / 2)
+    if (isCrashing(order)) this.#clock.setTimer(() => { if (this.#runs.has(run)) this.#crash(order) }, tokenMs / 2)
     else this.#scheduleToken(run)
     return () => this.#removeRun(run)
   }
@@ -142,8 +151,8 @@
     this.#clock.setTimer(() => { this.#isUp = true }, restartMs)
   }
 
-  #crash (): void {
-    this.crashes++
+  #crash (order: GenerateOrder): void {
+    this.crashes.push({ content: formatContent(order), atMs: this.#clock.readMonotonic() })
     this.restart()
   }
 
@@ -223,6 +232,10 @@
 /** Content that crashes every engine that runs it begins with this. */
 export const crashMarker = 'crash'
 
+function formatContent (order: GenerateOrder): string {
+  return `${order.model} ${order.body}`
+}
+
 function isCrashing (order: GenerateOrder): boolean {
   return (JSON.parse(order.body) as FuzzBody).messages[0]!.content.startsWith(crashMarker)
 }
--- a/fuzz/fakeNetwork.ts
+++ b/fuzz/fakeNetwork.ts
@@ -6,6 +6,7 @@
 
 const messageDelayMs = 1
 const connectFailureDelayMs = 100
+const repeatDelayMs = 40
 /** A silent peer is noticed after this time, as with the keepalive of the real links. */
 const silenceTermMs = 3000
 
@@ -33,6 +34,9 @@
     if (this.isClosed || this.host.state !== 'running') return
     const copy = structuredClone(message)
     this.#network.deliver(() => this.peer?.receive(copy))
+    if (message.type === 'answerData' && this.#network.takeRepeat()) {
+      this.#network.deliver(() => this.peer?.receive(structuredClone(copy)), repeatDelayMs)
+    }
   }
 
   close (): void {
@@ -59,6 +63,8 @@
 }
 
 export class FakeNetwork {
+  /** Parts of answers that come again, late. */
+  messagesToRepeat = 0
   #clock: VirtualClock
   #servers = new Map<string, Server>()
   #links: FakeLink[] = []
@@ -78,8 +84,14 @@
     }
   }
 
-  deliver (step: () => void): void {
-    this.#clock.setTimer(step, messageDelayMs)
+  deliver (step: () => void, delayMs = messageDelayMs): void {
+    this.#clock.setTimer(step, delayMs)
+  }
+
+  takeRepeat (): boolean {
+    if (this.messagesToRepeat === 0) return false
+    this.messagesToRepeat--
+    return true
   }
 
   /** Cuts two hosts off from each other; their links break. */
@@ -92,6 +104,10 @@
     this.#cuts.clear()
   }
 
+  get hasCuts (): boolean {
+    return this.#cuts.size > 0
+  }
+
   isCut (left: string, right: string): boolean {
     return this.#cuts.has(formatPair(left, right))
   }
--- a/fuzz/fakePlatform.ts
+++ b/fuzz/fakePlatform.ts
@@ -40,9 +40,9 @@
     return this.#shown.get(id)
   }
 
-  createHostList (host: FakeHost): HostList {
+  createHostList (host: FakeHost, readEntry: (entry: HostListEntry) => HostListEntry = entry => entry): HostList {
     return {
-      listEntries: async () => await host.deliver(Promise.resolve([...this.#shown.values()]), tableDelayMs),
+      listEntries: async () => await host.deliver(Promise.resolve([...this.#shown.values()].map(readEntry)), tableDelayMs),
       announceEntry: async entry => { if (host.state === 'running') this.setEntry(entry.id, entry) },
       withdrawEntry: async id => { if (host.state === 'running') this.setEntry(id, undefined) }
     }
--- a/fuzz/fuzzHosts.ts
+++ b/fuzz/fuzzHosts.ts
@@ -18,7 +18,7 @@
 import type { FakeHost } from './fakeHost.js'
 import type { FakeNetwork } from './fakeNetwork.js'
 import type { FakePlatform } from './fakePlatform.js'
-import type { FuzzMechanisms } from './fuzzSystem.js'
+import type { FuzzMechanisms } from './mechanisms.js'
 
 const peerKey = 'fuzz-peer-key-00000'
 
@@ -29,6 +29,7 @@
   objects: MemoryObjects
   network: FakeNetwork
   engines: Map<string, FakeEngine>
+  mechanisms: FuzzMechanisms
 }
 
 export interface FuzzScheduler {
@@ -37,6 +38,8 @@
   configuration: ConfigurationTask
   /** Whether the host has read the configuration and serves. */
   isServing: boolean
+  /** Whether it is stopping gracefully. */
+  isStopping: boolean
 }
 
 export interface FuzzGateway {
@@ -49,29 +52,32 @@
   isServing: boolean
 }
 
-export function createConfiguration (host: FakeHost, platform: FakePlatform): ConfigurationTask {
-  return new ConfigurationTask({ hostId: host.id, clock: host.clock, table: platform.createTable(host) })
+export function createConfiguration (host: FakeHost, { platform, mechanisms }: FuzzSurroundings): ConfigurationTask {
+  return new ConfigurationTask({ hostId: host.id, clock: host.clock, table: platform.createTable(host), ...mechanisms.configurationRules })
 }
 
 /** Starts a scheduler; it serves, and is listed, once it has read the configuration. */
-export function startFuzzScheduler (surroundings: FuzzSurroundings, host: FakeHost, mechanisms: FuzzMechanisms): FuzzScheduler {
-  const { clock, platform, network, engines } = surroundings
-  const configuration = createConfiguration(host, platform)
+export function startFuzzScheduler (surroundings: FuzzSurroundings, host: FakeHost): FuzzScheduler {
+  const { clock, platform, network, engines, mechanisms } = surroundings
+  const configuration = createConfiguration(host, surroundings)
+  const hostList = platform.createHostList(host, mechanisms.readEntry)
   const task = new SchedulerTask({
     hostId: host.id,
     zone: host.zone,
     clock: host.clock,
     engine: createHostEngine(host, engines, clock),
     createPlanner: mechanisms.createPlanner,
-    hostList: platform.createHostList(host),
+    suspectOptions: mechanisms.suspectOptions,
+    hostList,
     createOwnership: (send, listOutageReports) => new LeaseOwnership({
       clock: host.clock,
       table: platform.createTable(host),
-      hostList: platform.createHostList(host),
+      hostList,
+      policy: mechanisms.ownershipPolicy,
       holder: { hostId: host.id, session: host.id },
       zone: host.zone,
       hashText: hashNumber,
-      listOutageReports: () => mechanisms.filterOutageReports(listOutageReports()),
+      listOutageReports,
       send
     }),
     configuration,
@@ -82,7 +88,7 @@
     receiveRefusal: () => {},
     describeProcess: () => ({})
   })
-  const scheduler: FuzzScheduler = { host, task, configuration, isServing: false }
+  const scheduler: FuzzScheduler = { host, task, configuration, isServing: false, isStopping: false }
   configuration.start().then(async () => await task.start()).then(() => {
     scheduler.isServing = true
     platform.setEntry(host.id, { kind: 'scheduler', id: host.id, zone: host.zone, address: `127.0.0.1:${task.port}`, presence: 'live' })
@@ -92,8 +98,8 @@
 
 /** Starts a gateway without a callers' port; it serves once it has read the configuration. */
 export function startFuzzGateway (surroundings: FuzzSurroundings, host: FakeHost): FuzzGateway {
-  const { platform, objects, network } = surroundings
-  const configuration = createConfiguration(host, platform)
+  const { platform, objects, network, mechanisms } = surroundings
+  const configuration = createConfiguration(host, surroundings)
   const table = platform.createTable(host)
   const writer = new TableWriter({ table, clock: host.clock })
   const batches = new BatchWriter({ clock: host.clock, writer })
@@ -110,6 +116,8 @@
     claims,
     jobs,
     chooseEndpoint: chooseByCost,
+    requestRules: mechanisms.requestRules,
+    suspectOptions: mechanisms.suspectOptions,
     random: () => 0.5,
     hashText: text => text,
     recordDecision: () => {},
--- a/fuzz/fuzzSystem.ts
+++ b/fuzz/fuzzSystem.ts
@@ -1,7 +1,5 @@
 /** The real gateways and schedulers over fakes at the ports, on one virtual clock. */
 import { VirtualClock } from '../src/adapters/clock/virtualClock.js'
-import type { CreatePlanner } from '../src/core/planner.js'
-import { createSlackPlanners } from '../src/core/slackPlanner.js'
 import type { ConfigurationRecord, KeyRecord } from '../src/schemas/configuration.js'
 import type { RequestFailure } from '../src/schemas/verdict.js'
 import { MemoryObjects } from '../src/adapters/memoryPlatform/memoryObjects.js'
@@ -14,6 +12,8 @@
 import { FakePlatform } from './fakePlatform.js'
 import { createConfiguration, startFuzzGateway, startFuzzScheduler } from './fuzzHosts.js'
 import type { FuzzGateway, FuzzScheduler } from './fuzzHosts.js'
+import type { JobDraft } from '../src/tasks/jobs/jobStore.js'
+import type { FuzzMechanisms } from './mechanisms.js'
 import type { Violation } from './promises.js'
 
 const listLagMs = 400
@@ -21,6 +21,11 @@
 const schedulerCount = 3
 const gatewayCount = 2
 const watchIntervalMs = 250
+const disturbanceIntervalMs = 20
+/** Effects of a fault may last this long after its end. */
+const settleMs = 25_000
+/** Takeover of a runner that has gone, then the run itself. */
+const jobSettleMs = 600_000
 /** An accepted change is in force on every host that takes work, within this time. */
 const inForceWithinMs = 5000
 
@@ -40,6 +45,32 @@
   failure: RequestFailure | undefined
   /** Whether the answer is that of an earlier request with the same key. */
   isReplayed: boolean
+  /** Whether a fault stood, or had lately stood, while the request was open. */
+  isDisturbed: boolean
+}
+
+/** A job that was submitted, and whether it was accepted. */
+export interface JobRecord {
+  /** What the job asks; no other job or request asks it. */
+  content: string
+  adapter: string
+  version: string
+  tokens: number
+  runsAtMostOnce: boolean
+  callerName: string
+  id: string | undefined
+  /** Set where the job was refused. */
+  failure: RequestFailure | undefined
+  /** State and answer as stored, read when the system has settled. */
+  state: string | undefined
+  text: string | undefined
+}
+
+export interface JobPlan {
+  gateway: number
+  model: string
+  tokens: number
+  runsAtMostOnce: boolean
 }
 
 export interface Leaving {
@@ -58,15 +89,6 @@
   key?: string | undefined
 }
 
-/** Mechanisms that can be switched off, to show that the oracle notices. */
-export interface FuzzMechanisms {
-  createPlanner: CreatePlanner
-  /** What schedulers believe of their peers' reports that the table is down. */
-  filterOutageReports: (hostIds: string[]) => string[]
-}
-
-export const allMechanisms: FuzzMechanisms = { createPlanner: createSlackPlanners(), filterOutageReports: hostIds => hostIds }
-
 /** A change that an operator was told is accepted. */
 export interface AcceptedChange {
   version: number
@@ -95,6 +117,7 @@
 ]
 
 export class FuzzSystem {
+  readonly mechanisms: FuzzMechanisms
   readonly clock = new VirtualClock(Date.UTC(2026, 0, 1))
   readonly platform = new FakePlatform(this.clock, listLagMs)
   readonly network = new FakeNetwork(this.clock)
@@ -103,17 +126,20 @@
   readonly schedulers: FuzzScheduler[] = []
   readonly gateways: FuzzGateway[] = []
   readonly callers: CallerRecord[] = []
+  readonly jobs: JobRecord[] = []
   readonly accepted: AcceptedChange[] = []
+  /** Whether hosts were ever cut off from each other, or stood still. */
+  hadCuts = false
   /** What broke a promise while the system ran. */
   readonly observed: Violation[] = []
   /** Times for which the list showed an engine as leaving. */
   readonly leavings: Leaving[] = []
-  #mechanisms: FuzzMechanisms
   #started = 0
+  #disturbedAtMs = -Infinity
   #versions = new Map<string, number>()
 
   constructor (mechanisms: FuzzMechanisms) {
-    this.#mechanisms = mechanisms
+    this.mechanisms = mechanisms
   }
 
   async start (): Promise<void> {
@@ -123,6 +149,7 @@
       this.setEngineEntry(id, 'live')
     }
     this.#watchConfiguration()
+    this.#watchDisturbance()
     const registration = this.#register()
     await this.advance(3000)
     await registration
@@ -131,6 +158,27 @@
     await this.advance(6000)
   }
 
+  /** Marks that a fault was caused just now. */
+  disturb (): void {
+    this.#disturbedAtMs = this.clock.readMonotonic()
+    for (const record of this.callers) {
+      if (record.outcome === 'open') record.isDisturbed = true
+    }
+  }
+
+  #isDisturbed (): boolean {
+    const isFaulty = this.platform.isDown || this.platform.slownessMs > 0 || this.network.hasCuts ||
+      [...this.schedulers, ...this.gateways].some(({ host }) => host.state === 'paused') ||
+      [...this.engines.values()].some(engine => !engine.isUp || engine.isStalled)
+    if (isFaulty) this.#disturbedAtMs = this.clock.readMonotonic()
+    return this.clock.readMonotonic() - this.#disturbedAtMs < settleMs
+  }
+
+  #watchDisturbance (): void {
+    if (this.#isDisturbed()) this.callers.forEach(record => { if (record.outcome === 'open') record.isDisturbed = true })
+    this.clock.setTimer(() => this.#watchDisturbance(), disturbanceIntervalMs)
+  }
+
   /** Watches what each host has in force, again and again. */
   #watchConfiguration (): void {
     const newest = Math.max(0, ...this.accepted.filter(change => this.clock.readMonotonic() - change.atMs > inForceWithinMs).map(change => change.version))
@@ -163,7 +211,7 @@
 
   async #register (): Promise<void> {
     const host = new FakeHost('registration', 'az-1', this.clock)
-    const configuration = createConfiguration(host, this.platform)
+    const configuration = createConfiguration(host, this)
     await configuration.start()
     const result = await configuration.changeRecords({ puts: structuredClone(firstRecords), removes: [], ifVersions: [] })
     configuration.stop()
@@ -171,7 +219,7 @@
   }
 
   addScheduler (): void {
-    this.schedulers.push(startFuzzScheduler(this, this.#createHost('scheduler'), this.#mechanisms))
+    this.schedulers.push(startFuzzScheduler(this, this.#createHost('scheduler')))
   }
 
   addGateway (): void {
@@ -208,7 +256,8 @@
       text: '',
       outcome: 'open',
       failure: undefined,
-      isReplayed: false
+      isReplayed: false,
+      isDisturbed: this.#isDisturbed()
     }
     this.callers.push(record)
     if (plan.key === undefined) this.#start(gateway, resolved.value, record, undefined)
@@ -222,8 +271,8 @@
         return
       }
       const failure = event.type === 'failed' ? event.failure : undefined
-      if (claim && failure) gateway.claims.settleFailure(claim, failure)
-      else if (claim) gateway.claims.storeAnswer(claim, { status: 200, headers: {}, body: Buffer.from(record.text) })
+      if (claim && failure && claim.key !== '') gateway.claims.settleFailure(claim, failure)
+      else if (claim && claim.key !== '') gateway.claims.storeAnswer(claim, { status: 200, headers: {}, body: Buffer.from(record.text) })
       this.#end(record, failure ? 'failed' : 'whole', failure)
     })
   }
@@ -231,7 +280,7 @@
   /** As the callers' port does: claims first, runs what it claimed, or tells what became of the earlier request. */
   async #startClaimed (gateway: FuzzGateway, request: RoutedRequest, record: CallerRecord, key: string): Promise<void> {
     const bodyHash = `${request.adapter} ${request.version} ${request.body}`
-    const result = await gateway.claims.takeClaim({ callerName: request.callerName, idempotencyKey: key, bodyHash, requestId: request.requestId })
+    const result = await this.mechanisms.takeClaim(gateway.claims, { callerName: request.callerName, idempotencyKey: key, bodyHash, requestId: request.requestId })
     if (record.outcome !== 'open') return
     if (result.type === 'claimed') {
       this.#start(gateway, request, record, result.claim)
@@ -244,6 +293,49 @@
     }
   }
 
+  /** Submits a job as a caller would. */
+  submitJob (plan: JobPlan): void {
+    const gateway = this.gateways[plan.gateway % this.gateways.length]
+    if (gateway?.host.state !== 'running' || !gateway.isServing || !gateway.configuration.view.isCurrent()) return
+    const content = `job ${this.jobs.length + 1}`
+    const resolved = resolveRequest(gateway.configuration.view, {
+      requestId: content,
+      path: '/v1/chat/completions',
+      body: { model: plan.model, max_tokens: plan.tokens, messages: [{ role: 'user', content }] },
+      className: 'later',
+      idempotencyKey: undefined,
+      caller: callerKey,
+      arrivedAtMs: this.clock.readMonotonic(),
+      arrivedAtWallMs: this.clock.readWall()
+    }, text => text)
+    if (!resolved.isValid) return
+    const { adapter, version, callerName } = resolved.value
+    const record: JobRecord = {
+      content, adapter, version, tokens: plan.tokens, runsAtMostOnce: plan.runsAtMostOnce, callerName, id: undefined, failure: undefined, state: undefined, text: undefined
+    }
+    this.jobs.push(record)
+    gateway.jobs.submitJob(createJobDraft(resolved.value, plan, this.clock.readWall())).then(result => {
+      if (result.type === 'accepted') record.id = result.job.id
+      else record.failure = result.failure
+    }, () => {})
+  }
+
+  /** Lets accepted jobs end and reads what was stored of them. */
+  async #readJobs (): Promise<void> {
+    const accepted = this.jobs.filter(job => job.id !== undefined)
+    if (accepted.length === 0) return
+    await this.advance(jobSettleMs)
+    const gateway = this.gateways.find(({ host, isServing }) => host.state === 'running' && isServing)!
+    const reads = Promise.all(accepted.map(async record => {
+      const job = await gateway.jobs.readJob(record.callerName, record.id!)
+      record.state = job?.row.state
+      const answer = job && await gateway.jobs.readAnswer(job.row)
+      record.text = answer && Buffer.from(answer.body).toString()
+    }))
+    await this.advance(1000)
+    await reads
+  }
+
   /** Has an operator change an adapter's current version; several such changes may race. */
   changeVersion (plan: ChangePlan): void {
     const gateway = this.gateways[plan.gateway % this.gateways.length]
@@ -260,13 +352,19 @@
     return [...this.engines.values()][index % this.engines.size]!
   }
 
+  /** Schedulers that run and will go on to run. */
+  listRunningSchedulers (): FuzzScheduler[] {
+    return this.schedulers.filter(({ host, isStopping }) => host.state === 'running' && !isStopping)
+  }
+
   /** Stops a scheduler gracefully. */
   stopScheduler (index: number): void {
-    const running = this.schedulers.filter(({ host }) => host.state === 'running')
+    const running = this.listRunningSchedulers()
     const scheduler = running[index % Math.max(1, running.length)]
     if (!scheduler || running.length < 2) return
+    scheduler.isStopping = true
     this.platform.setEntry(scheduler.host.id, undefined)
-    scheduler.task.stop().then(() => scheduler.host.kill(), () => {})
+    this.mechanisms.stopScheduler(scheduler.task).then(() => scheduler.host.kill(), () => {})
   }
 
   cancelRequest (index: number): void {
@@ -292,13 +390,15 @@
       this.setEngineEntry(engine.id, 'live')
     }
     for (const { host } of [...this.schedulers, ...this.gateways]) host.wake()
-    while (this.schedulers.filter(({ host }) => host.state === 'running').length < 2) this.addScheduler()
+    while (this.listRunningSchedulers().length < 2) this.addScheduler()
     while (this.gateways.filter(({ host }) => host.state === 'running').length < 1) this.addGateway()
     await this.advance(40_000)
+    await this.#readJobs()
   }
 
   /** Kills a host; the callers of a killed gateway lose their connections. */
   killHost (host: FakeHost): void {
+    this.disturb()
     host.kill()
     this.platform.setEntry(host.id, undefined)
     for (const record of this.callers) {
@@ -307,6 +407,7 @@
   }
 
   #end (record: CallerRecord, outcome: CallerRecord['outcome'], failure: RequestFailure | undefined): void {
+    if (this.#isDisturbed()) record.isDisturbed = true
     record.outcome = outcome
     record.failure = failure
     record.endedAtMs = this.clock.readMonotonic()
@@ -317,3 +418,15 @@
     return new FakeHost(`${role}-${number}`, `az-${number % 3 + 1}`, this.clock)
   }
 }
+
+function createJobDraft (request: RoutedRequest, plan: JobPlan, acceptedAtWallMs: number): JobDraft {
+  const { callerName, adapter, version, baseModel, className, target, fingerprint, promptTokens, maxTokens, path, body } = request
+  return {
+    idempotencyKey: undefined,
+    bodyHash: body,
+    acceptedAtWallMs,
+    dueAtWallMs: acceptedAtWallMs + request.dueAtMs - request.arrivedAtMs,
+    runsAtMostOnce: plan.runsAtMostOnce,
+    request: { callerName, adapter, version, baseModel, className, target, fingerprint, promptTokens, maxTokens, path, body }
+  }
+}
--- a/fuzz/main.ts
+++ b/fuzz/main.ts
@@ -2,6 +2,9 @@
 import { parseArgs } from 'node:util'
 import { parseSequence } from './commands.js'
 import type { FuzzSystem } from './fuzzSystem.js'
+import { allMechanisms, mechanismsWithout } from './mechanisms.js'
+import type { FuzzMechanisms } from './mechanisms.js'
+import type { PromiseName } from './promises.js'
 import { findViolations } from './oracle.js'
 import { runFuzz, runSequence } from './runFuzz.js'
 
@@ -9,14 +12,26 @@
   options: {
     seed: { type: 'string', default: '1' },
     runs: { type: 'string', default: '100' },
+    /** Name of a promise whose mechanism is switched off. */
+    without: { type: 'string' },
     commands: { type: 'string', default: '60' },
+    /** Reports a broken promise as it was found. */
+    unshortened: { type: 'boolean', default: false },
+    seconds: { type: 'string', default: '300' },
     /** A sequence as the fuzzer printed it; it is run once and the state of every host is shown. */
     replay: { type: 'string' }
   }
 })
 
+function selectMechanisms (): FuzzMechanisms {
+  if (values.without === undefined) return allMechanisms
+  const mechanisms = mechanismsWithout[values.without as PromiseName]
+  if (!mechanisms) throw new Error(`no mechanism of promise "${values.without}" can be switched off; there are ${Object.keys(mechanismsWithout).join(', ')}`)
+  return mechanisms
+}
+
 async function replaySequence (text: string): Promise<void> {
-  const system = await runSequence(parseSequence(text))
+  const system = await runSequence(parseSequence(text), selectMechanisms())
   printStates(system)
   const violations = findViolations(system)
   for (const { promise, detail } of violations) console.log(`${promise}: ${detail}`)
@@ -33,10 +48,17 @@
 
 async function runSeed (): Promise<void> {
   const startedMs = performance.now()
-  const report = await runFuzz({ seed: Number(values.seed), runs: Number(values.runs), maxCommands: Number(values.commands) })
+  const report = await runFuzz({
+    seed: Number(values.seed),
+    runs: Number(values.runs),
+    maxCommands: Number(values.commands),
+    maxSeconds: Number(values.seconds),
+    isShortened: !values.unshortened,
+    mechanisms: selectMechanisms()
+  })
   const seconds = ((performance.now() - startedMs) / 1000).toFixed(1)
   console.log(`seed ${values.seed}: ${report.runs} runs in ${seconds} s; ${report.requests} requests: ${report.whole} whole, ` +
-    `${report.failed} failed, ${report.cancelled} cancelled; ${report.engineStarts} starts on engines, ${report.engineCrashes} crashes`)
+    `${report.failed} failed, ${report.cancelled} cancelled; ${report.jobs} jobs; ${report.engineStarts} starts on engines, ${report.engineCrashes} crashes`)
   if (!report.failure) return
   console.log(`broken: ${[...new Set(report.failure.promises)].join(', ')}\n${report.failure.message}`)
   console.log(`run it again with --replay '${report.failure.sequence}'`)
--- a/fuzz/oracle.ts
+++ b/fuzz/oracle.ts
@@ -1,11 +1,15 @@
 /** The oracle: it knows the promises to users and nothing of how they are kept. */
-import { leavingGraceMs } from '../src/constants.js'
+import { leavingGraceMs, maxCrashesPerRequest } from '../src/constants.js'
 import { parseHandle } from '../src/core/formatAdapter.js'
 import { renderAnswer } from './fakeEngines.js'
-import type { FuzzSystem } from './fuzzSystem.js'
+import type { FuzzSystem, JobRecord } from './fuzzSystem.js'
 import type { Violation } from './promises.js'
 
+/** What one host knows of crashes reaches the others within this time. */
+const spreadMs = 5000
+
 interface Started {
+  content: string
   engineId: string
   requestId: string
   handle: string
@@ -18,14 +22,39 @@
 
 function checkAdapters (system: FuzzSystem): Violation[] {
   const callers = new Map(system.callers.map(record => [record.requestId, record]))
-  return listStarted(system).flatMap(({ requestId, handle, engineId }) => {
-    const record = callers.get(requestId)!
+  return listStarted(system).flatMap(({ requestId, content, handle, engineId }) => {
+    const record = callers.get(requestId) ?? findJob(system, content)!
     const parsed = parseHandle(handle)
     if (parsed?.adapter === record.adapter && parsed.version === record.version) return []
     return [{ promise: 'rightAdapter', detail: `${requestId} asked for ${record.adapter}@${record.version} and ran on ${handle} of ${engineId}` }]
   })
 }
 
+function findJob (system: FuzzSystem, content: string): JobRecord | undefined {
+  return system.jobs.find(job => content.includes(`"${job.content}"`))
+}
+
+/** An accepted job ends with its one whole answer, or with a failure that is stored; a refused one never runs. */
+function checkJobs (system: FuzzSystem): Violation[] {
+  const started = listStarted(system)
+  return system.jobs.flatMap((job): Violation[] => {
+    const runs = started.filter(run => findJob(system, run.content) === job)
+    if (job.failure?.verdict === 'notRun' && runs.length > 0) {
+      return [{ promise: 'notRunMeansNotRun', detail: `${job.content} was refused with ${job.failure.code} and ran` }]
+    }
+    if (job.runsAtMostOnce && runs.length > 1) {
+      return [{ promise: 'atMostOnce', detail: `${job.content} may run once and ran ${runs.length} times` }]
+    }
+    if (job.id === undefined) return []
+    if (job.state === undefined || job.state === 'queued') {
+      return [{ promise: 'everyRequestAnswered', detail: `${job.content} was accepted and is ${job.state ?? 'gone'}` }]
+    }
+    const isWhole = runs.some(run => renderAnswer(run.handle, run.requestId, job.tokens) === job.text)
+    if (job.state !== 'finished' || isWhole) return []
+    return [{ promise: 'wholeAnswer', detail: `${job.content} of ${job.tokens} tokens has the answer "${job.text}"` }]
+  })
+}
+
 function checkUnloads (system: FuzzSystem): Violation[] {
   return [...system.engines.values()].flatMap(engine => engine.unloadedWhileServing.map((handle): Violation => (
     { promise: 'neverUnloadedWhileServing', detail: `${handle} of ${engine.id} was unloaded while it served` })))
@@ -71,6 +100,25 @@
   })
 }
 
+/** Where no fault stood while a request was open, schedulers that stop gracefully must not have cut it off. */
+function checkGraceful (system: FuzzSystem): Violation[] {
+  return system.callers
+    .filter(record => !record.isDisturbed && record.idempotencyKey === undefined && record.failure?.verdict === 'mayHaveRun')
+    .map(record => ({ promise: 'gracefulCutsNothing', detail: `${record.requestId} was cut off (${record.failure!.code}) though nothing failed` }))
+}
+
+/** Once a request has crashed two endpoints, hosts that can tell each other let it crash no further ones. */
+function checkCrashes (system: FuzzSystem): Violation[] {
+  if (system.hadCuts) return []
+  const crashes = [...system.engines.values()].flatMap(engine => engine.crashes).sort((left, right) => left.atMs - right.atMs)
+  const contents = new Set(crashes.map(crash => crash.content))
+  return [...contents].flatMap(content => {
+    const times = crashes.filter(crash => crash.content === content).map(crash => crash.atMs)
+    const late = times.slice(maxCrashesPerRequest).filter(atMs => atMs > times[maxCrashesPerRequest - 1]! + spreadMs)
+    return late.map(atMs => ({ promise: 'crashesBounded', detail: `${content} crashed an engine at ${atMs} after ${times.join(', ')}` }))
+  })
+}
+
 function checkAnswered (system: FuzzSystem): Violation[] {
   return system.callers.filter(record => record.outcome === 'open').map(record => (
     { promise: 'everyRequestAnswered', detail: `${record.requestId} has no answer ${system.clock.readMonotonic() - record.startedAtMs} ms after it came` }))
@@ -78,6 +126,6 @@
 
 /** Holds everything that callers were told against the journals of the engines. */
 export function findViolations (system: FuzzSystem): Violation[] {
-  const checks = [checkAdapters, checkUnloads, checkWholeAnswers, checkNotRun, checkAtMostOnce, checkLeaving, checkAnswered]
+  const checks = [checkAdapters, checkUnloads, checkWholeAnswers, checkNotRun, checkAtMostOnce, checkJobs, checkLeaving, checkGraceful, checkCrashes, checkAnswered]
   return [...system.observed, ...checks.flatMap(check => check(system))]
 }
