Show an outage through the whole system, remove rows of dead hosts, log lost renewals

Cause: the outage was tested on ownership alone, not with the reports that peers send; rows of killed schedulers stayed for ever; nothing in the log told that leases were not renewed.

Change: a scenario runs the fuzzed system through five minutes of outage while callers ask for cold adapters, and shows that it fails where the peers' reports are not believed. The first live host removes renewal rows that stood still for a minute and that nobody names. The log tells when renewals stop and go on.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -24,6 +24,15 @@
     Then every endpoint has one owner
     And each scheduler owns 3 endpoints
 
+  Scenario: A killed scheduler's row is removed once nothing depends on it
+    Given schedulers 1, 2, 3 on a table with 3 engines
+    When the schedulers run for 5 seconds
+    And scheduler 2 is killed
+    And the schedulers run for 30 seconds
+    Then the table has rows of schedulers 1, 2, 3
+    When the schedulers run for 90 seconds
+    Then the table has rows of schedulers 1, 3
+
   Scenario: A successor uses adopted handles and frees the slots of the others
     Given schedulers 1, 2 on a table with 1 engine
     When the schedulers run for 2 seconds
@@ -116,3 +125,13 @@
       | mechanism              |
       | the wait for the former owner |
       | the unload intent      |
+
+  Scenario: The whole system serves cold adapters through an outage of the table
+    Given the whole system on a virtual clock
+    When the table is down for 5 minutes and callers ask for every adapter each minute
+    Then each of these callers got a whole answer
+
+  Scenario: Without the peers' reports it stops serving
+    Given the whole system on a virtual clock without outage reports
+    When the table is down for 5 minutes and callers ask for every adapter each minute
+    Then some of these callers got no answer
--- a/features/steps/ownership.ts
+++ b/features/steps/ownership.ts
@@ -3,6 +3,7 @@
 import { Given, Then, When } from '@cucumber/cucumber'
 import { defaultOwnershipPolicy } from '../../src/core/ownershipPolicy.js'
 import type { OwnershipPolicy } from '../../src/core/ownershipPolicy.js'
+import { formatHostKey } from '../../src/schemas/ownershipRows.js'
 import { OwnershipCluster } from '../support/ownershipCluster.js'
 import type { ClusterHost } from '../support/ownershipCluster.js'
 import { findBrokenHistory } from '../support/ownershipCommands.js'
@@ -180,6 +181,11 @@
   assert.ok(calls.writes / seconds <= writes, `${calls.writes / seconds} writes a second`)
 })
 
+Then(/^the table has rows of schedulers ([\d, ]+)$/, async function (this: OwnershipWorld, indexes: string) {
+  const rows = await this.cluster.table.listRows({ prefix: formatHostKey(''), after: '', limit: 100 })
+  assert.deepEqual(rows.map(row => row.key), parseIndexes(indexes).map(index => formatHostKey(`scheduler-${index}`)))
+})
+
 Then('no history breaks a promise', function (this: OwnershipWorld) {
   assert.equal(this.broken, undefined)
 })
--- a/fuzz/fuzzHosts.ts
+++ b/fuzz/fuzzHosts.ts
@@ -77,7 +77,7 @@
       holder: { hostId: host.id, session: host.id },
       zone: host.zone,
       hashText: hashNumber,
-      listOutageReports,
+      listOutageReports: () => mechanisms.filterOutageReports(listOutageReports()),
       send
     }),
     configuration,
--- a/fuzz/mechanisms.ts
+++ b/fuzz/mechanisms.ts
@@ -20,6 +20,8 @@
   suspectOptions: SuspectOptions
   ownershipPolicy: OwnershipPolicy
   configurationRules: Pick<ConfigurationTaskOptions, 'isNext' | 'isCurrent'>
+  /** What schedulers believe of their peers' reports that the table is down. */
+  filterOutageReports: (hostIds: string[]) => string[]
   /** What a scheduler reads of an entry of the list. */
   readEntry: (entry: HostListEntry) => HostListEntry
   takeClaim: (claims: ClaimTask, work: ClaimedWork) => Promise<ClaimResult>
@@ -33,6 +35,7 @@
   suspectOptions: defaultSuspectOptions,
   ownershipPolicy: defaultOwnershipPolicy,
   configurationRules: {},
+  filterOutageReports: hostIds => hostIds,
   readEntry: entry => entry,
   takeClaim: async (claims, work) => await claims.takeClaim(work),
   stopScheduler: async task => await task.stop()
--- a/src/core/ownershipWatch.ts
+++ b/src/core/ownershipWatch.ts
@@ -55,8 +55,9 @@
     return [...this.#hosts.values()].filter(host => !isStill(host, nowMs)).map(host => host.row)
   }
 
-  listExpired (nowMs: number): HostRow[] {
-    return [...this.#hosts.values()].filter(host => isStill(host, nowMs)).map(host => host.row)
+  /** Rows of the schedulers whose counter has stood still for a time. */
+  listStill (nowMs: number, stillMs: number): HostRow[] {
+    return [...this.#hosts.values()].filter(host => isStill(host, nowMs) && nowMs - host.changedAtMs >= stillMs).map(host => host.row)
   }
 }
 
--- a/src/tasks/ownership/leaseOwnership.ts
+++ b/src/tasks/ownership/leaseOwnership.ts
@@ -21,6 +21,7 @@
 import type { EndpointOwner, OwnedEndpoint, Ownership, SendOwnershipEvent } from './ownership.js'
 import { readOwnershipRows } from './ownershipRead.js'
 import type { OwnershipRead } from './ownershipRead.js'
+import { removeDeadHost } from './removeDeadHost.js'
 import { takeEndpoint } from './takeEndpoint.js'
 
 const log = createLog('ownership')
@@ -64,6 +65,7 @@
   #yieldedAtMs: number
   #wroteAdoptableAtMs = -Infinity
   #isLeaving = false
+  #isOutage = false
   #cycle: Repetition | undefined
   #outageCheck: Repetition | undefined
   #list: Repetition | undefined
@@ -168,6 +170,7 @@
     const isRenewed = await this.#host.renew(this.#createContent())
     const read = isRenewed ? await readOwnershipRows(this.#options.table) : undefined
     const nowMs = this.#options.clock.readMonotonic()
+    this.#logOutage(read === undefined)
     if (!read) {
       this.#watch.recordFailedRead(nowMs)
       for (const lease of this.#leases.values()) lease.recordFailedRead()
@@ -181,6 +184,13 @@
     await this.#takeFree(read, nowMs)
     this.#yieldSurplus(read, nowMs)
     await this.#writeAdoptable(nowMs)
+    await removeDeadHost(this.#options.holder.hostId, this.#watch, read, this.#writer, nowMs)
+  }
+
+  #logOutage (isOutage: boolean): void {
+    if (isOutage === this.#isOutage) return
+    this.#isOutage = isOutage
+    log(isOutage ? 'The leases were not renewed: the table gives no answer.' : 'The leases are renewed.')
   }
 
   #createContent (): HostLeaseContent {
--- a/src/tasks/ownership/ownershipRead.ts
+++ b/src/tasks/ownership/ownershipRead.ts
@@ -17,13 +17,15 @@
 
 export interface OwnershipRead {
   hosts: HostRow[]
+  /** Versions of the hosts' rows, by host. */
+  hostVersions: Map<string, number>
   /** By endpoint. */
   endpoints: Map<string, VersionedEndpointRow>
 }
 
 /** Reads every row of ownership; undefined where the table gives no answer. */
 export async function readOwnershipRows (table: Table): Promise<OwnershipRead | undefined> {
-  const read: OwnershipRead = { hosts: [], endpoints: new Map() }
+  const read: OwnershipRead = { hosts: [], hostVersions: new Map(), endpoints: new Map() }
   try {
     for (let after = ''; ;) {
       const rows = await table.listRows({ prefix: ownershipPrefix, after, limit: maxReadRows })
@@ -37,7 +39,12 @@
 }
 
 function addRow (read: OwnershipRead, { key, value, version }: TableRow): void {
-  if (key.startsWith(formatHostKey('')) && hostRowCheck.Check(value)) read.hosts.push(value)
-  else if (key.startsWith(formatEndpointKey('')) && endpointRowCheck.Check(value)) read.endpoints.set(value.endpointId, { row: value, version })
-  else log('Row "%s" of the table does not match its schema and is left out.', key)
+  if (key.startsWith(formatHostKey('')) && hostRowCheck.Check(value)) {
+    read.hosts.push(value)
+    read.hostVersions.set(value.hostId, version)
+  } else if (key.startsWith(formatEndpointKey('')) && endpointRowCheck.Check(value)) {
+    read.endpoints.set(value.endpointId, { row: value, version })
+  } else {
+    log('Row "%s" of the table does not match its schema and is left out.', key)
+  }
 }
