--- /dev/null
+++ b/features/support/brokenParts.ts
@@ -0,0 +1,106 @@
+/** Parts of the system with one mechanism taken out, to show what fails without it. */
+import type { Platform } from '../../src/adapters/httpPlatform/httpPlatform.js'
+import { OpenaiEngine } from '../../src/adapters/openaiEngine/openaiEngine.js'
+import { PlainService } from '../../src/adapters/plainService/plainService.js'
+import { parseHandle } from '../../src/core/formatAdapter.js'
+import type { Engine, GenerateEvent, GenerateOrder } from '../../src/ports/engine.js'
+import type { Service } from '../../src/ports/service.js'
+import { createNotRun } from '../../src/schemas/verdict.js'
+import type { PlaygroundOptions } from '../../playground/startPlayground.js'
+
+/** Changes what the real adapter asks of engines and hears from them. */
+function changeEngine (changeOrder: (order: GenerateOrder) => GenerateOrder, changeEvent: (event: GenerateEvent) => GenerateEvent[]): Engine {
+  const engine = new OpenaiEngine()
+  return {
+    ...bindOrders(engine),
+    generate: (address, order, send) => engine.generate(address, changeOrder(order), event => changeEvent(event).forEach(send))
+  }
+}
+
+function bindOrders (engine: OpenaiEngine): Omit<Engine, 'generate'> {
+  return {
+    readReport: engine.readReport.bind(engine),
+    loadAdapter: engine.loadAdapter.bind(engine),
+    unloadAdapter: engine.unloadAdapter.bind(engine)
+  }
+}
+
+/** Sends each request to the handle that was loaded last, whatever its adapter and version. */
+function useNewestHandle (): Engine {
+  const engine = new OpenaiEngine()
+  const newest = new Map<string, string>()
+  return {
+    ...bindOrders(engine),
+    loadAdapter: async (address, order) => {
+      const outcome = await engine.loadAdapter(address, order)
+      if (outcome.verdict === 'done') newest.set(address, order.handle)
+      return outcome
+    },
+    generate: (address, order, send) => engine.generate(address, { ...order, handle: newest.get(address) ?? order.handle }, send)
+  }
+}
+
+/** Unloads the handle of every tenth request while it runs. */
+function unloadBusy (): Engine {
+  const engine = new OpenaiEngine()
+  let requests = 0
+  return {
+    ...bindOrders(engine),
+    generate: (address, order, send) => {
+      const parsed = parseHandle(order.handle)
+      let isBusy = parsed !== undefined && ++requests % 10 === 0
+      return engine.generate(address, order, event => {
+        if (isBusy && event.type === 'data') engine.unloadAdapter(address, { ...parsed!, handle: order.handle })
+        isBusy = false
+        send(event)
+      })
+    }
+  }
+}
+
+const resumeFromStart = (order: GenerateOrder): GenerateOrder => order.resumeFrom === undefined ? order : { ...order, resumeFrom: 0 }
+
+const keepOrder = (order: GenerateOrder): GenerateOrder => order
+
+const keepEvent = (event: GenerateEvent): GenerateEvent[] => [event]
+
+/** Takes a broken stream for one that has ended. */
+const endBroken = (event: GenerateEvent): GenerateEvent[] => event.type === 'failed' && event.resumeFrom !== undefined && event.resumeFrom > 0
+  ? [{ type: 'data', data: 'data: [DONE]\n\n' }, { type: 'end' }]
+  : [event]
+
+/** Calls every failed request one that was not run, and that another endpoint would refuse too. */
+const callNotRun = (event: GenerateEvent): GenerateEvent[] => event.type === 'failed'
+  ? [{ type: 'failed', failure: createNotRun('endpoint_lost', 'the connection was lost', 400), isEndpointLost: false }]
+  : [event]
+
+/** Calls every lost connection to a service a call that was not run. */
+function callNotRunService (): Service {
+  const service = new PlainService()
+  return {
+    call: async (address, call, signal) => {
+      const outcome = await service.call(address, call, signal)
+      return outcome.type === 'failed' ? { type: 'failed', failure: createNotRun('endpoint_lost', 'the connection was lost', 503) } : outcome
+    }
+  }
+}
+
+function showAllLive (platform: Platform): Platform {
+  const { hostList } = platform
+  const listEntries: typeof hostList.listEntries = async () => (await hostList.listEntries()).map(entry => ({ ...entry, presence: 'live' as const }))
+  return {
+    ...platform,
+    hostList: { listEntries, announceEntry: hostList.announceEntry.bind(hostList), withdrawEntry: hostList.withdrawEntry.bind(hostList) }
+  }
+}
+
+/** The options of a system without the mechanism. */
+export const brokenParts: Record<string, () => PlaygroundOptions> = {
+  'a handle for each version': () => ({ scheduler: { engine: useNewestHandle() } }),
+  'waiting until a handle is idle': () => ({ scheduler: { engine: unloadBusy() } }),
+  'the offset of a resumed stream': () => ({ scheduler: { engine: changeEngine(resumeFromStart, keepEvent) } }),
+  'the last event of a stream': () => ({ scheduler: { engine: changeEngine(keepOrder, endBroken) } }),
+  'the verdict of lost connections': () => ({ scheduler: { engine: changeEngine(keepOrder, callNotRun) } }),
+  'the verdict of lost calls': () => ({ gateway: { service: callNotRunService() } }),
+  'the presence on the list': () => ({ changePlatform: showAllLive })
+}
--- a/playground/startPlayground.ts
+++ b/playground/startPlayground.ts
@@ -1,4 +1,6 @@
 /** The real gateways and schedulers on stand-ins in one process, for tests and trials. */
+import type { Platform } from '../src/adapters/httpPlatform/httpPlatform.js'
+import type { ConfigurationRecord } from '../src/schemas/configuration.js'
 import { resolveSettings } from '../src/settings/resolveSettings.js'
 import { gatewaySettingsSchema, schedulerSettingsSchema, standinSettingsSchema } from '../src/settings/settingsSchemas.js'
 import { exampleOperatorKey, exampleRecords } from '../src/bin/exampleRecords.js'
@@ -9,6 +11,8 @@
 import { startStandins } from '../src/bin/startStandins.js'
 import type { RunningStandins } from '../src/bin/startStandins.js'
 import { hashKey } from '../src/tasks/gateway/callerAccess.js'
+import type { GatewayTaskOptions } from '../src/tasks/gateway/gatewayTask.js'
+import type { SchedulerTaskOptions } from '../src/tasks/scheduler/schedulerTask.js'
 
 export interface PlaygroundOptions {
   engines?: number
@@ -19,6 +23,13 @@
   standinSettings?: string
   /** `ip:port` to which gateways and schedulers send metrics. */
   statsd?: string
+  /** Registered beside those of the quick start. */
+  records?: ConfigurationRecord[]
+  /** Parts of each scheduler and gateway to replace, to show what fails without them. */
+  scheduler?: Partial<SchedulerTaskOptions>
+  gateway?: Partial<GatewayTaskOptions>
+  /** Changes what the schedulers see of the platform. */
+  changePlatform?: (platform: Platform) => Platform
 }
 
 export interface Playground {
@@ -33,6 +44,7 @@
 }
 
 const peerKey = 'playground-peer-key'
+const listPollMs = 5
 
 /**
  * Starts a small system on free ports.
@@ -55,16 +67,19 @@
 firstPort = 0
 [store]
 loadMs = 20
+loadsPerSecond = 200
+loadsAtFullSpeed = 20
 ${standinSettings}`, standinSettingsSchema))
-  await registerRecords(standins.platform.table, exampleRecords)
+  await registerRecords(standins.platform.table, [...exampleRecords, ...options.records ?? []])
+  await waitForList(standins, engines + services)
   let startedSchedulers = 0
   let startedGateways = 0
   const playground: Playground = {
     standins,
     gateways: [],
     schedulers: [],
-    addScheduler: async () => { playground.schedulers.push(await startNamedScheduler(standins, ++startedSchedulers, metrics)) },
-    addGateway: async () => { playground.gateways.push(await startNamedGateway(standins, ++startedGateways, metrics)) },
+    addScheduler: async () => { playground.schedulers.push(await startNamedScheduler(standins, ++startedSchedulers, options, metrics)) },
+    addGateway: async () => { playground.gateways.push(await startNamedGateway(standins, ++startedGateways, options, metrics)) },
     stop: async () => {
       await Promise.all(playground.gateways.map(async gateway => await gateway.stop()))
       await Promise.all(playground.schedulers.map(async scheduler => await scheduler.stop()))
@@ -76,7 +91,17 @@
   return playground
 }
 
-async function startNamedScheduler (standins: RunningStandins, index: number, metrics: string): Promise<RunningProcess> {
+/** Waits until the lagging list shows all engines and services, so that every host starts with them. */
+async function waitForList (standins: RunningStandins, count: number): Promise<void> {
+  while ((await standins.platform.hostList.listEntries()).length < count) {
+    await new Promise(resolve => setTimeout(resolve, listPollMs))
+  }
+}
+
+async function startNamedScheduler (
+  standins: RunningStandins, index: number, options: PlaygroundOptions, metrics: string
+): Promise<RunningProcess> {
+  const platform = options.changePlatform?.(standins.platform) ?? standins.platform
   return await startScheduler(resolveSettings('playground', `
 [host]
 id = scheduler-${index}
@@ -86,10 +111,15 @@
 [peers]
 port = 0
 key = ${peerKey}
-${metrics}`, schedulerSettingsSchema), standins.platform)
+[store]
+loadsPerSecond = 200
+loadsAtFullSpeed = 20
+${metrics}`, schedulerSettingsSchema), platform, options.scheduler)
 }
 
-async function startNamedGateway (standins: RunningStandins, index: number, metrics: string): Promise<RunningGateway> {
+async function startNamedGateway (
+  standins: RunningStandins, index: number, options: PlaygroundOptions, metrics: string
+): Promise<RunningGateway> {
   return await startGateway(resolveSettings('playground', `
 [host]
 id = gateway-${index}
@@ -103,5 +133,5 @@
 [operators]
 port = 0
 keyHash = ${hashKey(exampleOperatorKey)}
-${metrics}`, gatewaySettingsSchema), standins.platform)
+${metrics}`, gatewaySettingsSchema), standins.platform, options.gateway)
 }
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -14,8 +14,10 @@
 import { DecisionStore } from '../tasks/decisions/decisionStore.js'
 import { ConfigurationTask } from '../tasks/configuration/configurationTask.js'
 import { GatewayTask } from '../tasks/gateway/gatewayTask.js'
+import type { GatewayTaskOptions } from '../tasks/gateway/gatewayTask.js'
 import { LeaseOwnership } from '../tasks/ownership/leaseOwnership.js'
 import { SchedulerTask } from '../tasks/scheduler/schedulerTask.js'
+import type { SchedulerTaskOptions } from '../tasks/scheduler/schedulerTask.js'
 import { startState } from './startState.js'
 import { describeProcess } from './describeProcess.js'
 import type { RunningProcess } from './runBinary.js'
@@ -30,8 +32,10 @@
   readonly configuration: ConfigurationTask
 }
 
-/** Starts a gateway on a platform, once it has read the configuration. */
-export async function startGateway (settings: GatewaySettings, platform: Platform): Promise<RunningGateway> {
+/** Starts a gateway on a platform, with parts replaced by tests, once it has read the configuration. */
+export async function startGateway (
+  settings: GatewaySettings, platform: Platform, replaced: Partial<GatewayTaskOptions> = {}
+): Promise<RunningGateway> {
   const { h64ToString } = await xxhash()
   const { host, callers, peers } = settings
   const service = new PlainService()
@@ -58,7 +62,8 @@
     callers,
     recordDecision: draft => decisions.record(draft),
     countBadInput: code => metrics.badInput.count(code),
-    receiveOperatorMessage: (_from, message) => operators.receiveMessage(message)
+    receiveOperatorMessage: (_from, message) => operators.receiveMessage(message),
+    ...replaced
   })
   const metrics = createMetrics({
     settings, role: 'gateway', clock, decisions, describeEndpoints: () => [], readRunningRequests: () => gateway.router.running
@@ -102,8 +107,10 @@
   }
 }
 
-/** Starts a scheduler on a platform, once it has read the configuration. */
-export async function startScheduler (settings: SchedulerSettings, platform: Platform): Promise<RunningProcess> {
+/** Starts a scheduler on a platform, with parts replaced by tests, once it has read the configuration. */
+export async function startScheduler (
+  settings: SchedulerSettings, platform: Platform, replaced: Partial<SchedulerTaskOptions> = {}
+): Promise<RunningProcess> {
   const { h32 } = await xxhash()
   const { host, peers } = settings
   const clock = createSystemClock()
@@ -133,7 +140,8 @@
     loadBudget: settings.store,
     configuration,
     peerTransport: grpcPeerTransport,
-    peers
+    peers,
+    ...replaced
   })
   const metrics = createMetrics({
     settings,
--- a/src/standin/engineFaults.ts
+++ b/src/standin/engineFaults.ts
@@ -68,15 +68,16 @@
     return true
   }
 
-  takeStreamFaults (): StreamFaults {
+  /** A whole answer has no frames to double or delay. */
+  takeStreamFaults (isStream: boolean): StreamFaults {
     const { cutStreams } = this.#change
     const isCut = cutStreams !== undefined && cutStreams.count > 0
     if (isCut) cutStreams.count--
     return {
       isStalled: this.#takeOne('stallRequests'),
       cutAfterTokens: isCut ? cutStreams.afterTokens : undefined,
-      isDuplicated: this.#takeOne('duplicateFrames'),
-      isLate: this.#takeOne('lateFrames')
+      isDuplicated: isStream && this.#takeOne('duplicateFrames'),
+      isLate: isStream && this.#takeOne('lateFrames')
     }
   }
 
--- a/src/standin/engineServer.ts
+++ b/src/standin/engineServer.ts
@@ -155,7 +155,7 @@
     const { body } = request
     const isChat = path.includes('chat')
     const prompt = JSON.stringify(body.messages ?? body.prompt ?? '')
-    const faults = this.model.faults.takeStreamFaults()
+    const faults = this.model.faults.takeStreamFaults(body.stream === true)
     const stream = new EngineStream({
       clock: this.#options.clock,
       contentType: body.stream ? 'text/event-stream' : 'application/json',
--- a/src/tasks/scheduler/resumeGeneration.ts
+++ b/src/tasks/scheduler/resumeGeneration.ts
@@ -47,6 +47,8 @@
       ? this.#options.planResume(this.#failedResumes)
       : undefined
     if (event.type !== 'failed' || delayMs === undefined) {
+      // What is given up must not go on running under an adapter that counts as idle.
+      if (event.type === 'failed' && event.failure.verdict !== 'notRun') this.#current.cancel()
       this.#options.send(event)
       return
     }
