--- a/features/steps/outage.ts
+++ b/features/steps/outage.ts
@@ -1,7 +1,8 @@
 /** Steps of an outage of the table, through the whole system on a virtual clock. */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { FuzzSystem, allMechanisms, fuzzAdapters } from '../../fuzz/fuzzSystem.js'
+import { FuzzSystem, fuzzAdapters } from '../../fuzz/fuzzSystem.js'
+import { allMechanisms } from '../../fuzz/mechanisms.js'
 import type { CallerRecord } from '../../fuzz/fuzzSystem.js'
 
 const minuteMs = 60_000
