Keep a row with a write of unknown fate in one place

Cause: the renewal row and the endpoint's row each had their own copy of it.

Change: LeasedRow holds the row, its version and the pending write; no change of behaviour.

--- a/src/tasks/ownership/endpointLease.ts
+++ b/src/tasks/ownership/endpointLease.ts
@@ -10,7 +10,8 @@
 import { formatEndpointKey } from '../../schemas/ownershipRows.js'
 import type { EndpointRow, Holder } from '../../schemas/ownershipRows.js'
 import type { EngineEntry } from '../../schemas/hostList.js'
-import type { PendingWrite, TableWriter } from '../table/tableWriter.js'
+import type { TableWriter } from '../table/tableWriter.js'
+import { LeasedRow } from './leasedRow.js'
 
 export interface EndpointLeaseOptions {
   clock: Clock
@@ -23,18 +24,11 @@
   policy: OwnershipPolicy
 }
 
-interface PendingRow {
-  write: PendingWrite
-  row: EndpointRow
-}
-
 interface SeenHandle extends HandleUse {
   isLoaded: boolean
   isIdle: boolean
 }
 
-const resolveTimeoutMs = 500
-
 export class EndpointLease {
   entry: EngineEntry
   /** Set once the scheduler was asked to drain the endpoint. */
@@ -42,9 +36,8 @@
   /** Set once the scheduler no longer uses the endpoint; the hand-over is yet to be written. */
   isReleased = false
   #options: EndpointLeaseOptions
-  #row: EndpointRow
-  #version: number
-  #pending: PendingRow | undefined
+  #leased: LeasedRow<EndpointRow>
+  /** The row that a write under way would leave. */
   #written: EndpointRow | undefined
   #lastWrite: Promise<unknown> = Promise.resolve()
   #sequence = 0
@@ -61,14 +54,17 @@
   constructor (options: EndpointLeaseOptions) {
     this.#options = options
     this.entry = options.entry
-    this.#row = options.row
-    this.#version = options.version
+    this.#leased = new LeasedRow(options.writer, options.row, options.version)
     this.#adopted = new Set(options.row.adoptable)
     const nowMs = options.clock.readMonotonic()
     this.#formers = options.row.former.map(former => new FormerOwnerWatch(former, nowMs))
     this.#formersEndedAtMs = this.#formers.length === 0 ? nowMs : Infinity
   }
 
+  get #row (): EndpointRow {
+    return this.#leased.row!
+  }
+
   get fencing (): number {
     return this.#row.fencing
   }
@@ -138,7 +134,7 @@
   async writeAdoptable (): Promise<void> {
     if (!this.#hasReport()) return
     const row = this.#createRow(this.#chooseAdoptable())
-    if (this.#pending || !isSameRow(row, this.#row)) await this.#queueWrite(() => this.#createRow(this.#chooseAdoptable()))
+    if (this.#leased.pendingRow || !isSameRow(row, this.#row)) await this.#queueWrite(() => this.#createRow(this.#chooseAdoptable()))
   }
 
   /** Gives the lease up, with every handle adoptable that is under no order; no order may be given after the call. */
@@ -175,7 +171,7 @@
 
   /** Whether the table may show the handle as adoptable, now or once a write under way takes effect. */
   #mayBeAdoptable (handle: string): boolean {
-    return [this.#row, this.#written, this.#pending?.row].some(row => row?.adoptable.includes(handle))
+    return [this.#row, this.#written, this.#leased.pendingRow].some(row => row?.adoptable.includes(handle))
   }
 
   #createRow (adoptable: string[]): EndpointRow {
@@ -191,32 +187,15 @@
   }
 
   async #write (createRow: () => EndpointRow): Promise<boolean> {
-    if (!await this.#settlePending()) return false
+    if (!await this.#leased.settle()) return false
     const row = createRow()
     const key = formatEndpointKey(row.endpointId)
     this.#written = row
-    const result = await this.#options.writer.write({ checks: [{ key, version: this.#version }], writes: [{ key, value: row }] })
+    const result = await this.#options.writer.write({ checks: [{ key, version: this.#leased.version }], writes: [{ key, value: row }] })
     this.#written = undefined
-    if (result.verdict === 'applied') this.#apply(row, result.version)
-    else if (result.verdict === 'unknown') this.#pending = { write: result.pending, row }
+    this.#leased.recordResult(row, result)
     return result.verdict === 'applied'
   }
-
-  async #settlePending (): Promise<boolean> {
-    if (!this.#pending) return true
-    const { write, row } = this.#pending
-    const result = await this.#options.writer.resolve(write, resolveTimeoutMs)
-    if (result.verdict === 'unknown') return false
-    this.#pending = undefined
-    if (result.verdict === 'applied') this.#apply(row, result.version)
-    return true
-  }
-
-  #apply (row: EndpointRow, version: number): void {
-    this.#row = row
-    this.#version = version
-    this.#pending = undefined
-  }
 }
 
 function isSameRow (left: EndpointRow, right: EndpointRow): boolean {
--- a/src/tasks/ownership/hostLease.ts
+++ b/src/tasks/ownership/hostLease.ts
@@ -6,7 +6,8 @@
 import type { TableRow } from '../../ports/table.js'
 import { formatHostKey } from '../../schemas/ownershipRows.js'
 import type { HeldLease, Holder, HostRow } from '../../schemas/ownershipRows.js'
-import type { PendingWrite, TableWrite, TableWriter, WriteResult } from '../table/tableWriter.js'
+import type { TableWrite, TableWriter, WriteResult } from '../table/tableWriter.js'
+import { LeasedRow } from './leasedRow.js'
 
 export interface HostLeaseOptions {
   clock: Clock
@@ -27,25 +28,17 @@
 
 const log = createLog('ownership')
 
-interface PendingRow {
-  write: PendingWrite
-  row: HostRow
-}
-
-const resolveTimeoutMs = 500
-
 /** Writes the renewal row; at most one write is under way or of unknown fate at a time. */
 export class HostLease {
   #options: HostLeaseOptions
-  #row: HostRow | undefined
-  #version = 0
-  #pending: PendingRow | undefined
+  #row: LeasedRow<HostRow>
   #servesUntilMs = -Infinity
   #provenAtMs = -Infinity
   #renewedAtMs: number
 
   constructor (options: HostLeaseOptions) {
     this.#options = options
+    this.#row = new LeasedRow<HostRow>(options.writer, undefined, 0)
     this.#renewedAtMs = options.clock.readMonotonic()
   }
 
@@ -74,16 +67,14 @@
 
   /** Renews together with other rows, all or nothing. */
   async write (content: HostLeaseContent, others: TableWrite): Promise<WriteResult> {
-    const settled = await this.#settlePending()
-    if (!settled) return { verdict: 'unknown', pending: this.#pending!.write }
+    if (!await this.#row.settle()) return { verdict: 'unknown', pending: this.#row.pendingWrite! }
     const row = this.#createRow(content)
     const result = await this.#options.writer.write({
-      checks: [{ key: this.key, version: this.#version }, ...others.checks],
+      checks: [{ key: this.key, version: this.#row.version }, ...others.checks],
       writes: [{ key: this.key, value: row }, ...others.writes]
     })
-    if (result.verdict === 'unknown') this.#pending = { write: result.pending, row }
-    else if (result.verdict === 'applied') this.#apply(row, result.version)
-    else if (result.cause === 'conflict') this.#receiveConflict(result.conflicts, others.checks.length > 0)
+    this.#row.recordResult(row, result)
+    if (result.verdict === 'notApplied' && result.cause === 'conflict') this.#receiveConflict(result.conflicts, others.checks.length > 0)
     return result
   }
 
@@ -107,45 +98,29 @@
 
   /** Removes the row; to be called when nothing is held any more. */
   async remove (): Promise<void> {
-    if (!await this.#settlePending() || !this.#row) return
+    if (!await this.#row.settle() || !this.#row.row) return
     await this.#options.writer.write({
-      checks: [{ key: this.key, version: this.#version }], writes: [{ key: this.key, value: null }]
+      checks: [{ key: this.key, version: this.#row.version }], writes: [{ key: this.key, value: null }]
     })
   }
 
   /** A renewal of unknown fate may have changed the witnesses; then both sets must confirm. */
   #listWitnessSets (): string[][] {
-    return [this.#row, this.#pending?.row].flatMap(row => row ? [row.witnesses] : [])
+    return [this.#row.row, this.#row.pendingRow].flatMap(row => row ? [row.witnesses] : [])
   }
 
   #createRow (content: HostLeaseContent): HostRow {
     const { holder, zone } = this.#options
-    return { ...holder, zone, counter: (this.#row?.counter ?? 0) + 1, ...content }
-  }
-
-  #apply (row: HostRow, version: number): void {
-    this.#row = row
-    this.#version = version
-    this.#pending = undefined
-  }
-
-  async #settlePending (): Promise<boolean> {
-    if (!this.#pending) return true
-    const { write, row } = this.#pending
-    const result = await this.#options.writer.resolve(write, resolveTimeoutMs)
-    if (result.verdict === 'unknown') return false
-    this.#pending = undefined
-    if (result.verdict === 'applied') this.#apply(row, result.version)
-    return true
+    return { ...holder, zone, counter: (this.#row.row?.counter ?? 0) + 1, ...content }
   }
 
   #receiveConflict (conflicts: TableRow[], hasOtherChecks: boolean): void {
     const found = conflicts.find(row => row.key === this.key)
     if (found) {
-      this.#version = found.version
-      if (this.#row) log('Another scheduler runs as "%s"; give each host an [host] id of its own.', this.#options.holder.hostId)
+      this.#row.setVersion(found.version)
+      if (this.#row.row) log('Another scheduler runs as "%s"; give each host an [host] id of its own.', this.#options.holder.hostId)
     } else if (!hasOtherChecks) {
-      this.#version = 0
+      this.#row.setVersion(0)
     }
   }
 }
