--- /dev/null
+++ b/features/steps/failover.ts
@@ -0,0 +1,124 @@
+/** Steps of processes that die or stop. */
+import assert from 'node:assert/strict'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import type { FaultChange } from '../../src/standin/engineFaults.js'
+import { sendCall } from '../../playground/callerLoad.js'
+import type { CallOptions, CallResult } from '../../playground/callerLoad.js'
+import { formatFindings, judgeCalls } from '../../playground/judgeCalls.js'
+import { readJournals, startProcesses } from '../support/processes.js'
+import type { ProcessSystem } from '../support/processes.js'
+import { waitUntil } from '../support/waitUntil.js'
+
+interface FailoverWorld {
+  system: ProcessSystem | undefined
+  /** The streams through the first and the second gateway. */
+  streams: Array<Promise<CallResult>>
+  results: CallResult[]
+}
+
+const longStreamTokens = 400
+
+function createCall (world: FailoverWorld, gateway: number, prompt: string): CallOptions {
+  return { url: world.system!.urls[gateway - 1]!, model: 'cluj-tax', maxTokens: 4, isStream: true, prompt }
+}
+
+async function postFaults (address: string, change: FaultChange): Promise<void> {
+  await fetch(`http://${address}/faults`, {
+    method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(change)
+  })
+}
+
+Given('processes with {int} engines, {int} schedulers and {int} gateways',
+  async function (this: FailoverWorld, engines: number, schedulers: number, gateways: number) {
+    this.results = []
+    this.system = await startProcesses({ engines, schedulers, gateways })
+    for (let gateway = 1; gateway <= gateways; gateway++) {
+      await waitUntil(async () => (await sendCall(createCall(this, gateway, 'ready?'))).isWhole)
+    }
+  })
+
+After(async function (this: FailoverWorld) { await this.system?.stop() })
+
+Given('requests that contain {string} crash their engine', async function (this: FailoverWorld, crashMarker: string) {
+  await Promise.all(this.system!.engines.map(async address => await postFaults(address, { crashMarker })))
+})
+
+When('the process of scheduler {int} is killed', async function (this: FailoverWorld, number: number) { await this.system!.schedulers[number - 1]!.kill() })
+
+When('gateway {int} is killed', async function (this: FailoverWorld, number: number) { await this.system!.gateways[number - 1]!.kill() })
+
+When('every scheduler is killed', async function (this: FailoverWorld) {
+  await Promise.all(this.system!.schedulers.map(async scheduler => await scheduler.kill()))
+})
+
+When('every scheduler but the last is stopped', function (this: FailoverWorld) {
+  for (const scheduler of this.system!.schedulers.slice(0, -1)) scheduler.stop()
+})
+
+When('gateway {int} is stopped', function (this: FailoverWorld, number: number) { this.system!.gateways[number - 1]!.stop() })
+
+When('a long stream runs through gateway {int} and another through gateway {int}',
+  async function (this: FailoverWorld, first: number, second: number) {
+    const started = [first, second].map(gateway => {
+      let result: Promise<CallResult> | undefined
+      const hasStarted = new Promise<void>(resolve => {
+        const call = { ...createCall(this, gateway, `long ${gateway}`), maxTokens: longStreamTokens, receiveFirstPart: resolve }
+        result = sendCall(call)
+        result.then(() => resolve())
+      })
+      return { hasStarted, result: result! }
+    })
+    this.streams = started.map(({ result }) => result)
+    await Promise.all(started.map(async ({ hasStarted }) => await hasStarted))
+  })
+
+Then('the stream through gateway {int} comes out whole', async function (this: FailoverWorld, number: number) {
+  const result = await this.streams[number - 1]!
+  assert.ok(result.isWhole, `${result.status} ${result.code} after ${result.texts.length} tokens`)
+  assert.equal(result.texts.length, longStreamTokens)
+})
+
+Then('the stream through gateway {int} ends with an error that says {string}', async function (this: FailoverWorld, number: number, verdict: string) {
+  const result = await this.streams[number - 1]!
+  assert.deepEqual([result.isWhole, result.verdict], [false, verdict])
+})
+
+Then('the engines cancel the stream of gateway {int}', async function (this: FailoverWorld, number: number) {
+  const { requestId } = await this.streams[number - 1]!
+  await waitUntil(async () => (await readJournals(this.system!.engines)).flat()
+    .some(entry => entry.kind === 'cancelled' && entry.requestId === requestId))
+})
+
+/** Shows one engine alone as live, so that only it can serve. */
+async function keepOneLive (engines: string[], live: string): Promise<void> {
+  await Promise.all(engines.map(async address => await postFaults(address, { leaving: address !== live })))
+}
+
+Then('every engine serves again', async function (this: FailoverWorld) {
+  const { engines } = this.system!
+  for (const [index, address] of engines.entries()) {
+    await keepOneLive(engines, address)
+    const before = (await readJournals([address]))[0]!.length
+    let sent = 0
+    await waitUntil(async () => {
+      this.results.push(await sendCall(createCall(this, 1 + sent++ % 2, `again ${index} ${sent}`)))
+      return (await readJournals([address]))[0]!.slice(before).some(({ kind }) => kind === 'finished')
+    })
+  }
+})
+
+Then('no promise was broken among the processes', async function (this: FailoverWorld) {
+  const findings = judgeCalls(this.results, (await readJournals(this.system!.engines)).flat())
+  assert.ok(Object.values(findings as unknown as Record<string, string[]>).every(list => list.length === 0), JSON.stringify(findings))
+  assert.ok(this.results.length > 0, formatFindings(findings))
+})
+
+When('{string} is sent through gateway {int} until it is refused with {string}',
+  async function (this: FailoverWorld, prompt: string, gateway: number, code: string) {
+    await waitUntil(async () => (await sendCall(createCall(this, gateway, prompt))).code === code)
+  })
+
+Then('the engines have restarted {int} times', async function (this: FailoverWorld, count: number) {
+  const restarts = (await readJournals(this.system!.engines)).flat().filter(({ kind }) => kind === 'restarted')
+  assert.equal(restarts.length, count)
+})
