--- a/src/core/firstComePlanner.ts
+++ b/src/core/firstComePlanner.ts
@@ -1,6 +1,7 @@
 /** The simplest planner: first come, first served, with the least recently used adapter unloaded. */
 import { createNotRun } from '../schemas/verdict.js'
 import type { DecisionDraft } from '../schemas/decision.js'
+import { createDraft } from './decisionDraft.js'
 import { formatAdapter } from './formatAdapter.js'
 import type {
   Admission, CreatePlanner, EndpointExpectation, EndpointPlan, EndpointPlanner, EndpointShape, PlannedDispatch, QueuedRequest
@@ -170,18 +171,6 @@
   }
 
   #describe (kind: DecisionDraft['kind'], request: QueuedRequest, reason: string): DecisionDraft {
-    return {
-      kind,
-      requestId: request.requestId,
-      attempt: request.attempt,
-      className: request.className,
-      adapter: request.adapter,
-      version: request.version,
-      endpointId: this.#shape.endpointId,
-      considered: [],
-      chosen: this.#shape.endpointId,
-      reason,
-      waits: []
-    }
+    return createDraft(kind, request, this.#shape.endpointId, reason)
   }
 }
