Use a handle again that an engine denied and then reports

Cause: after an engine denied a handle, the scheduler no longer counted it, yet held it for known, so that a report which showed it changed nothing: the slot was lost, loads found none, and the scenario "without a handle for each version" did not end within 60 s. Two features also kept different things under one name of the world. Change: a denied handle is followed anew where a report shows it.

--- a/features/steps/failover.ts
+++ b/features/steps/failover.ts
@@ -10,7 +10,7 @@
 import { waitUntil } from '../support/waitUntil.js'
 
 interface FailoverWorld {
-  system: ProcessSystem | undefined
+  processes: ProcessSystem | undefined
   /** The streams through the first and the second gateway. */
   streams: Array<Promise<CallResult>>
   results: CallResult[]
@@ -19,7 +19,7 @@
 const longStreamTokens = 400
 
 function createCall (world: FailoverWorld, gateway: number, prompt: string): CallOptions {
-  return { url: world.system!.urls[gateway - 1]!, model: 'cluj-tax', maxTokens: 4, isStream: true, prompt }
+  return { url: world.processes!.urls[gateway - 1]!, model: 'cluj-tax', maxTokens: 4, isStream: true, prompt }
 }
 
 async function postFaults (address: string, change: FaultChange): Promise<void> {
@@ -31,31 +31,31 @@
 Given('processes with {int} engines, {int} schedulers and {int} gateways',
   async function (this: FailoverWorld, engines: number, schedulers: number, gateways: number) {
     this.results = []
-    this.system = await startProcesses({ engines, schedulers, gateways })
+    this.processes = await startProcesses({ engines, schedulers, gateways })
     for (let gateway = 1; gateway <= gateways; gateway++) {
       await waitUntil(async () => (await sendCall(createCall(this, gateway, 'ready?'))).isWhole)
     }
   })
 
-After(async function (this: FailoverWorld) { await this.system?.stop() })
+After(async function (this: FailoverWorld) { await this.processes?.stop() })
 
 Given('requests that contain {string} crash their engine', async function (this: FailoverWorld, crashMarker: string) {
-  await Promise.all(this.system!.engines.map(async address => await postFaults(address, { crashMarker })))
+  await Promise.all(this.processes!.engines.map(async address => await postFaults(address, { crashMarker })))
 })
 
-When('the process of scheduler {int} is killed', async function (this: FailoverWorld, number: number) { await this.system!.schedulers[number - 1]!.kill() })
+When('the process of scheduler {int} is killed', async function (this: FailoverWorld, number: number) { await this.processes!.schedulers[number - 1]!.kill() })
 
-When('gateway {int} is killed', async function (this: FailoverWorld, number: number) { await this.system!.gateways[number - 1]!.kill() })
+When('gateway {int} is killed', async function (this: FailoverWorld, number: number) { await this.processes!.gateways[number - 1]!.kill() })
 
 When('every scheduler is killed', async function (this: FailoverWorld) {
-  await Promise.all(this.system!.schedulers.map(async scheduler => await scheduler.kill()))
+  await Promise.all(this.processes!.schedulers.map(async scheduler => await scheduler.kill()))
 })
 
 When('every scheduler but the last is stopped', function (this: FailoverWorld) {
-  for (const scheduler of this.system!.schedulers.slice(0, -1)) scheduler.stop()
+  for (const scheduler of this.processes!.schedulers.slice(0, -1)) scheduler.stop()
 })
 
-When('gateway {int} is stopped', function (this: FailoverWorld, number: number) { this.system!.gateways[number - 1]!.stop() })
+When('gateway {int} is stopped', function (this: FailoverWorld, number: number) { this.processes!.gateways[number - 1]!.stop() })
 
 When('a long stream runs through gateway {int} and another through gateway {int}',
   async function (this: FailoverWorld, first: number, second: number) {
@@ -85,7 +85,7 @@
 
 Then('the engines cancel the stream of gateway {int}', async function (this: FailoverWorld, number: number) {
   const { requestId } = await this.streams[number - 1]!
-  await waitUntil(async () => (await readJournals(this.system!.engines)).flat()
+  await waitUntil(async () => (await readJournals(this.processes!.engines)).flat()
     .some(entry => entry.kind === 'cancelled' && entry.requestId === requestId))
 })
 
@@ -95,7 +95,7 @@
 }
 
 Then('every engine serves again', async function (this: FailoverWorld) {
-  const { engines } = this.system!
+  const { engines } = this.processes!
   for (const [index, address] of engines.entries()) {
     await keepOneLive(engines, address)
     const before = (await readJournals([address]))[0]!.length
@@ -108,7 +108,7 @@
 })
 
 Then('no promise was broken among the processes', async function (this: FailoverWorld) {
-  const findings = judgeCalls(this.results, (await readJournals(this.system!.engines)).flat())
+  const findings = judgeCalls(this.results, (await readJournals(this.processes!.engines)).flat())
   assert.ok(Object.values(findings as unknown as Record<string, string[]>).every(list => list.length === 0), JSON.stringify(findings))
   assert.ok(this.results.length > 0, formatFindings(findings))
 })
@@ -119,6 +119,6 @@
   })
 
 Then('the engines have restarted {int} times', async function (this: FailoverWorld, count: number) {
-  const restarts = (await readJournals(this.system!.engines)).flat().filter(({ kind }) => kind === 'restarted')
+  const restarts = (await readJournals(this.processes!.engines)).flat().filter(({ kind }) => kind === 'restarted')
   assert.equal(restarts.length, count)
 })
--- a/src/tasks/scheduler/endpointHandles.ts
+++ b/src/tasks/scheduler/endpointHandles.ts
@@ -69,6 +69,11 @@
     return { handle, failure: outcome.message }
   }
 
+  /** The engine says that it does not have the handle; where a report shows it all the same, it is used again. */
+  recordMissing (handle: string): void {
+    this.#known.delete(handle)
+  }
+
   /** The engine has lost everything. */
   recordRestarted (): void {
     this.#known.clear()
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -317,6 +317,7 @@
 
   /** The engine no longer has a handle that the planner counts on. */
   #receiveMissingHandle (handle: string): void {
+    this.#handles.recordMissing(handle)
     this.#options.planner.recordUnloaded(handle, this.#options.clock.readMonotonic())
     this.#plan()
   }
