Wait until the list shows a gateway before its dump is asked for

Change: the scenario first waits, with the step that exists for it, until the status names both gateways; what it checks of the dumps stays as it was.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -36,6 +36,7 @@
     When an operator reads "/api/status" until it shows 2 endpoints
     And an operator reads "/api/dump/scheduler-1"
     Then the dump has role "scheduler" and none of the keys
+    And the status names gateways "gateway-1" and "gateway-2"
     When an operator reads "/api/dump/gateway-2"
     Then the dump has role "gateway" and none of the keys
     When an operator reads "/api/dump/nobody"
