--- a/src/core/suspects.ts
+++ b/src/core/suspects.ts
@@ -1,5 +1,7 @@
 /** Recognises requests that crash the endpoints they run on, by a hash of what they ask. */
 import { maxCrashesPerRequest } from '../constants.js'
+import { createNotRun } from '../schemas/verdict.js'
+import type { RequestFailure } from '../schemas/verdict.js'
 
 /** `suspect`: ran on an endpoint that crashed; `refused`: crashed so many that no host runs it. */
 export type SuspectState = 'clear' | 'suspect' | 'refused'
@@ -90,3 +92,9 @@
     }
   }
 }
+
+/** The request is refused on every host. */
+export function createCrashRefusal (): RequestFailure {
+  const message = `requests with this content have crashed ${maxCrashesPerRequest} endpoints and are not run again; change the request`
+  return createNotRun('request_crashes_endpoints', message, 422)
+}
--- a/src/tasks/scheduler/endpointRefusals.ts
+++ b/src/tasks/scheduler/endpointRefusals.ts
@@ -1,5 +1,4 @@
 /** Why an endpoint takes no request at a moment; none of these requests was run. */
-import { maxCrashesPerRequest } from '../../constants.js'
 import { createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
 
@@ -27,12 +26,6 @@
   return createNotRun('no_slot_in_time', `adapter "${adapter}" got no slot of endpoint "${endpointId}" in time`, 503)
 }
 
-/** The request is refused on every host. */
-export function createCrashRefusal (): RequestFailure {
-  const message = `requests with this content have crashed ${maxCrashesPerRequest} endpoints and are not run again; change the request`
-  return createNotRun('request_crashes_endpoints', message, 422)
-}
-
 export function createSuspectHeld (endpointId: string): RequestFailure {
   return createNotRun('suspect_held', `endpoint "${endpointId}" runs another request that may crash endpoints`, 503)
 }
--- a/src/tasks/scheduler/suspectGate.ts
+++ b/src/tasks/scheduler/suspectGate.ts
@@ -1,8 +1,9 @@
 /** Lets the suspects of one endpoint run one at a time, so that a crash tells which of them caused it. */
+import { createCrashRefusal } from '../../core/suspects.js'
 import type { SuspectState } from '../../core/suspects.js'
 import type { Dispatch } from '../../schemas/peerMessage.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
-import { createCrashRefusal, createSuspectHeld } from './endpointRefusals.js'
+import { createSuspectHeld } from './endpointRefusals.js'
 
 export class SuspectGate<T> {
   #current: T | undefined
