Show what a graceful shutdown rests on

Cause: the scenarios on a stopping gateway, a stopping scheduler and a leaving engine had no counterpart with the mechanism switched off, and a leaving plain service had none either, so they would have passed by chance. Ruled out: a switch in the settings; the processes' own scenarios, which cannot be given functions. Change: the wait for running attempts and the rule that running attempts stay are functions of the scheduler's options (core/shutdownRules.ts), the wait for answers in progress is one of the gateway's. The playground's change of the platform reaches gateways too, so that the list's entry of a service can be hidden from them. Conclusion: each of the four mechanisms is shown to be what keeps streams whole and leaving services free.

--- a/bench/decisions/runTrace.ts
+++ b/bench/decisions/runTrace.ts
@@ -5,6 +5,7 @@
 import { LoadBudget } from '../../src/core/loadBudget.js'
 import type { CreatePlanner, EndpointPlanner } from '../../src/core/planner.js'
 import { defaultRetryBudget, RetryBudget } from '../../src/core/retryBudget.js'
+import { shutdownRules } from '../../src/core/shutdownRules.js'
 import { SuspectRegister } from '../../src/core/suspects.js'
 import { computeDueInMs } from '../../src/core/targetTime.js'
 import type { EndpointSummary, PeerMessage } from '../../src/schemas/peerMessage.js'
@@ -188,6 +189,7 @@
       requestPermit: async (_endpointId, slackMs) => await this.#requestPermit(slackMs),
       recordDecision: () => {},
       findSuspectState: () => 'clear',
+      shutdownRules,
       receiveCrash: () => {},
       receiveChange: () => this.#clock.setTimer(() => this.#sendSummaries(index % deployment.hosts), changeDelayMs)
     })
--- a/features/promises.feature
+++ b/features/promises.feature
@@ -69,3 +69,31 @@
     When service 1 has shown as leaving for 3000 ms
     And 20 decisions are posted, 4 at once
     Then service 1 has run none of them
+
+  Scenario: Without the list's entry, a leaving service gets work
+    Given a busy system of 2 engines with 2 slots, without the presence on the list
+    When service 1 has shown as leaving for 3000 ms
+    And 20 decisions are posted, 4 at once
+    Then service 1 has run some of them
+
+  Scenario Outline: What stops or leaves cuts nothing off: <event>
+    Given a busy system of 2 engines with 2 slots
+    When a long stream runs and <event>
+    Then every request was answered whole
+
+    Examples:
+      | event                 |
+      | every gateway stops   |
+      | every scheduler stops |
+      | every engine leaves   |
+
+  Scenario Outline: Without <mechanism>, a stream is cut off when <event>
+    Given a busy system of 2 engines with 2 slots, without <mechanism>
+    When a long stream runs and <event>
+    Then the stream is cut off and says so
+
+    Examples:
+      | mechanism                           | event                 |
+      | the wait for answers in progress    | every gateway stops   |
+      | the wait for running attempts       | every scheduler stops |
+      | the rule that running attempts stay | every engine leaves   |
--- a/features/steps/promises.ts
+++ b/features/steps/promises.ts
@@ -4,6 +4,7 @@
 import { exampleCallerKey } from '../../src/bin/exampleRecords.js'
 import { registerRecords } from '../../src/bin/registerRecords.js'
 import type { ServiceFaults } from '../../src/standin/serviceServer.js'
+import type { Playground } from '../../playground/startPlayground.js'
 import { runLoad, sendCall } from '../../playground/callerLoad.js'
 import type { CallOptions, CallResult } from '../../playground/callerLoad.js'
 import { formatFindings, judgeCalls } from '../../playground/judgeCalls.js'
@@ -13,6 +14,8 @@
 import { waitUntil } from '../support/waitUntil.js'
 import type { SystemWorld } from '../support/world.js'
 
+const longStreamTokens = 1500
+
 interface Decided {
   body: string
   status: number
@@ -193,12 +196,34 @@
   assert.ok(countStarted(this, number) > 0, 'it has started none')
 })
 
+Then('service {int} has run some of them', function (this: PromisesWorld, number: number) {
+  assert.ok(this.playground!.standins.services[number - 1]!.journal.length > this.journalLengths[number - 1]!, 'it has run none')
+})
+
 Then('service {int} has run none of them', function (this: PromisesWorld, number: number) {
   assert.equal(this.playground!.standins.services[number - 1]!.journal.length, this.journalLengths[number - 1])
 })
 
+const stopOrLeave: Record<string, (playground: Playground) => Promise<unknown>> = {
+  'every gateway stops': async ({ gateways }) => await Promise.all(gateways.splice(0).map(async gateway => await gateway.stop())),
+  'every scheduler stops': async ({ schedulers }) => await Promise.all(schedulers.splice(0).map(async scheduler => await scheduler.stop())),
+  'every engine leaves': async ({ standins }) => standins.engines.forEach(engine => engine.setFaults({ leaving: true }))
+}
+
+When(/^a long stream runs and (every .*)$/, async function (this: PromisesWorld, event: string) {
+  const call: CallOptions = { ...createBusyCall(this.callersUrl, 1), maxTokens: longStreamTokens }
+  const { result } = await startLongStream(call)
+  await stopOrLeave[event]!(this.playground!)
+  this.results = [await result]
+})
+
+Then('the stream is cut off and says so', function (this: PromisesWorld) {
+  const [{ isWhole, verdict, texts }] = this.results as [CallResult]
+  assert.deepEqual([isWhole, verdict, texts.length < longStreamTokens], [false, 'may-have-run', true])
+})
+
 /** Starts a long stream and resolves once its first part has come. */
-export async function startLongStream (options: CallOptions): Promise<{ result: Promise<CallResult> }> {
+async function startLongStream (options: CallOptions): Promise<{ result: Promise<CallResult> }> {
   let result: Promise<CallResult> | undefined
   await new Promise<void>((resolve, reject) => {
     result = sendCall({ ...options, receiveFirstPart: resolve })
--- a/features/support/brokenParts.ts
+++ b/features/support/brokenParts.ts
@@ -3,6 +3,7 @@
 import { OpenaiEngine } from '../../src/adapters/openaiEngine/openaiEngine.js'
 import { PlainService } from '../../src/adapters/plainService/plainService.js'
 import { parseHandle } from '../../src/core/formatAdapter.js'
+import { shutdownRules } from '../../src/core/shutdownRules.js'
 import type { Engine, GenerateEvent, GenerateOrder } from '../../src/ports/engine.js'
 import type { Service } from '../../src/ports/service.js'
 import { createNotRun } from '../../src/schemas/verdict.js'
@@ -102,5 +103,8 @@
   'the last event of a stream': () => ({ scheduler: { engine: changeEngine(keepOrder, endBroken) } }),
   'the verdict of lost connections': () => ({ scheduler: { engine: changeEngine(keepOrder, callNotRun) } }),
   'the verdict of lost calls': () => ({ gateway: { service: callNotRunService() } }),
-  'the presence on the list': () => ({ changePlatform: showAllLive })
+  'the presence on the list': () => ({ changePlatform: showAllLive }),
+  'the wait for answers in progress': () => ({ gateway: { stopCallers: async callers => { callers.stop() } } }),
+  'the wait for running attempts': () => ({ scheduler: { shutdownRules: { ...shutdownRules, mayHandOver: () => true } } }),
+  'the rule that running attempts stay': () => ({ scheduler: { shutdownRules: { ...shutdownRules, mayReturn: () => true } } })
 }
--- a/playground/startPlayground.ts
+++ b/playground/startPlayground.ts
@@ -28,7 +28,7 @@
   /** Parts of each scheduler and gateway to replace, to show what fails without them. */
   scheduler?: Partial<SchedulerTaskOptions>
   gateway?: Partial<GatewayTaskOptions>
-  /** Changes what the schedulers see of the platform. */
+  /** Changes what schedulers and gateways see of the platform. */
   changePlatform?: (platform: Platform) => Platform
 }
 
@@ -127,6 +127,7 @@
 async function startNamedGateway (
   standins: RunningStandins, index: number, options: PlaygroundOptions, metrics: string
 ): Promise<RunningGateway> {
+  const platform = options.changePlatform?.(standins.platform) ?? standins.platform
   return await startGateway(resolveSettings('playground', `
 [host]
 id = gateway-${index}
@@ -140,5 +141,5 @@
 [operators]
 port = 0
 keyHash = ${hashKey(exampleOperatorKey)}
-${metrics}`, gatewaySettingsSchema), standins.platform, options.gateway)
+${metrics}`, gatewaySettingsSchema), platform, options.gateway)
 }
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -46,6 +46,8 @@
   peerKey: string
   /** Where callers connect; left out, the gateway runs only requests of its own process. */
   callers?: { address: string, port: number }
+  /** Resolves when the links may be closed; left out, once every answer in progress has been sent. */
+  stopCallers?: (callers: CallersServer) => Promise<void>
   recordDecision: RecordDecision
   countBadInput: (code: string) => void
   /** Gets what schedulers send for operators: answers to queries, and decisions. */
@@ -158,8 +160,9 @@
 
   /** Takes no new connections and ends when every answer in progress has been sent. */
   async stop (): Promise<void> {
-    await this.#callers?.stop()
-    await this.#options.claims.drain()
+    const { claims, stopCallers = async callers => await callers.stop() } = this.#options
+    if (this.#callers) await stopCallers(this.#callers)
+    await claims.drain()
     this.#links.stop()
     log('Gateway "%s" has stopped.', this.#options.hostId)
   }
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -2,6 +2,7 @@
 import { formatAdapter } from '../../core/formatAdapter.js'
 import type { ParsedHandle } from '../../core/formatAdapter.js'
 import type { EndpointPlan, EndpointPlanner, PlannedDispatch, PlannedFailure, PlannedLoad, PlannedUnload } from '../../core/planner.js'
+import type { ShutdownRules } from '../../core/shutdownRules.js'
 import type { SuspectState } from '../../core/suspects.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Engine, EngineReport, GenerateEvent, Generation } from '../../ports/engine.js'
@@ -13,6 +14,7 @@
 import type { RequestFailure } from '../../schemas/verdict.js'
 import { createBlocked, createEndpointLeaving, createNotOwner, createNoSlot, createNotReady, createSchedulerLeaving } from './endpointRefusals.js'
 import { SuspectGate } from './suspectGate.js'
+import type { EndpointCrash } from './suspectGate.js'
 import type { Ownership } from '../ownership/ownership.js'
 import { createGenerateOrder } from './createGenerateOrder.js'
 import { describeAttempts, describeDispatch, describeFailedLoad } from './describeEndpoint.js'
@@ -42,19 +44,13 @@
   requestPermit: RequestPermit
   recordDecision: RecordDecision
   findSuspectState: (fingerprint: string) => SuspectState
+  shutdownRules: ShutdownRules
   /** Called with what ran on the endpoint when its engine went away. */
   receiveCrash: (crash: EndpointCrash) => void
   /** Called when the summary has changed in a way that gateways should know at once. */
   receiveChange: () => void
 }
 
-export interface EndpointCrash {
-  endpointId: string
-  incarnation: string
-  /** Fingerprints of the requests that ran. */
-  fingerprints: string[]
-}
-
 /** Sends a message to the gateway that asked. */
 export type Reply = (message: PeerMessage) => void
 
@@ -114,7 +110,7 @@
     this.#isStopping = true
     this.#failQueued(createSchedulerLeaving(this.endpointId))
     this.#options.receiveChange()
-    while (this.#attempts.size > 0) {
+    while (!this.#options.shutdownRules.mayHandOver(this.#attempts.size)) {
       await new Promise<void>(resolve => this.#options.clock.setTimer(resolve, 20))
     }
   }
@@ -370,7 +366,7 @@
 
   #failQueued (failure: RequestFailure): void {
     for (const attempt of [...this.#attempts.values()]) {
-      if (!attempt.generation) this.#fail(attempt, failure)
+      if (this.#options.shutdownRules.mayReturn(attempt.generation !== undefined)) this.#fail(attempt, failure)
     }
   }
 
--- a/src/tasks/scheduler/schedulerTask.ts
+++ b/src/tasks/scheduler/schedulerTask.ts
@@ -1,6 +1,8 @@
 /** The scheduler: owns endpoints, answers gateways and tells them what its endpoints hold. */
 import { productVersion } from '../../constants.js'
 import { createLog } from '../../createLog.js'
+import { shutdownRules } from '../../core/shutdownRules.js'
+import type { ShutdownRules } from '../../core/shutdownRules.js'
 import { SuspectRegister } from '../../core/suspects.js'
 import type { SuspectOptions, SuspectRecord } from '../../core/suspects.js'
 import type { CreatePlanner } from '../../core/planner.js'
@@ -20,8 +22,9 @@
 import { SummaryFeed } from '../membership/summaryFeed.js'
 import type { EndpointOwner, OwnedEndpoint, Ownership, OwnershipEvent, SendOwnershipEvent } from '../ownership/ownership.js'
 import { EndpointTask } from './endpointTask.js'
-import type { EndpointCrash, Reply } from './endpointTask.js'
+import type { Reply } from './endpointTask.js'
 import { SchedulerQueries } from './schedulerQueries.js'
+import type { EndpointCrash } from './suspectGate.js'
 
 const log = createLog('scheduler')
 
@@ -32,6 +35,8 @@
   engine: Engine
   createPlanner: CreatePlanner
   suspectOptions?: SuspectOptions
+  /** Left out, the rules that a graceful shutdown rests on. */
+  shutdownRules?: ShutdownRules
   /** The second function lists hosts that lately told that the table gives them no answer. */
   createOwnership: (send: SendOwnershipEvent, listOutageReports: () => string[]) => Ownership
   hostList: HostList
@@ -286,6 +291,7 @@
       requestPermit: async (endpointId, slackMs) => await this.#exchange.requestPermit(endpointId, slackMs),
       recordDecision: draft => this.#decisions.record(draft),
       findSuspectState: fingerprint => this.#suspects.findState(fingerprint, clock.readMonotonic()),
+      shutdownRules: this.#options.shutdownRules ?? shutdownRules,
       receiveCrash: crash => this.#receiveCrash(crash),
       receiveChange: () => this.#summaries.receiveChange()
     })
--- a/src/tasks/scheduler/suspectGate.ts
+++ b/src/tasks/scheduler/suspectGate.ts
@@ -5,6 +5,14 @@
 import type { RequestFailure } from '../../schemas/verdict.js'
 import { createSuspectHeld } from './endpointRefusals.js'
 
+/** An engine that went away. */
+export interface EndpointCrash {
+  endpointId: string
+  incarnation: string
+  /** Fingerprints of the requests that ran. */
+  fingerprints: string[]
+}
+
 export class SuspectGate<T> {
   #current: T | undefined
   #held: T[] = []
