Make requests run under another handle whenever an engine holds two

Cause: the scenario "without a handle for each version, mixed shows" sent each request to the handle that was loaded last. Change: the part that is taken out now runs a request under any other handle that the engine holds at the time. The check itself stays as it was. Conclusion: the scenario no longer depends on what is loaded last.

--- a/features/support/brokenParts.ts
+++ b/features/support/brokenParts.ts
@@ -26,18 +26,30 @@
   }
 }
 
-/** Sends each request to the handle that was loaded last, whatever its adapter and version. */
-function useNewestHandle (): Engine {
+/** Sends each request to another adapter or version where the engine has one, as if handles did not tell them apart. */
+function useOtherHandle (): Engine {
   const engine = new OpenaiEngine()
-  const newest = new Map<string, string>()
+  const loaded = new Map<string, Set<string>>()
+  const listHandles = (address: string): Set<string> => loaded.get(address) ?? new Set()
   return {
     ...bindOrders(engine),
     loadAdapter: async (address, order) => {
       const outcome = await engine.loadAdapter(address, order)
-      if (outcome.verdict === 'done') newest.set(address, order.handle)
+      if (outcome.verdict === 'done') loaded.set(address, listHandles(address).add(order.handle))
       return outcome
     },
-    generate: (address, order, send) => engine.generate(address, { ...order, handle: newest.get(address) ?? order.handle }, send)
+    unloadAdapter: async (address, order) => {
+      listHandles(address).delete(order.handle)
+      return await engine.unloadAdapter(address, order)
+    },
+    generate: (address, order, send) => {
+      const handle = [...listHandles(address)].find(other => other !== order.handle) ?? order.handle
+      return engine.generate(address, { ...order, handle }, event => {
+        // A restart has emptied the engine.
+        if (event.type === 'failed') loaded.delete(address)
+        send(event)
+      })
+    }
   }
 }
 
@@ -97,7 +109,7 @@
 
 /** The options of a system without the mechanism. */
 export const brokenParts: Record<string, () => PlaygroundOptions> = {
-  'a handle for each version': () => ({ scheduler: { engine: useNewestHandle() } }),
+  'a handle for each version': () => ({ scheduler: { engine: useOtherHandle() } }),
   'waiting until a handle is idle': () => ({ scheduler: { engine: unloadBusy() } }),
   'the offset of a resumed stream': () => ({ scheduler: { engine: changeEngine(resumeFromStart, keepEvent) } }),
   'the last event of a stream': () => ({ scheduler: { engine: changeEngine(keepOrder, endBroken) } }),
