Let the path's bench write profiles, watch memory and print processor time

Cause: the bench showed that targets of the path were missed, and nothing showed where the time goes, what a long run keeps in memory, or whether the machine had changed.

--- a/bench/path/pathBench.ts
+++ b/bench/path/pathBench.ts
@@ -6,17 +6,12 @@
 import { build } from 'hdr-histogram-js'
 import type { Histogram } from 'hdr-histogram-js'
 import { Pool } from 'undici'
-import { exampleCallerKey } from '../../src/bin/exampleRecords.js'
-import { readProcessUse, startBinary } from './childProcesses.js'
-import type { BenchProcess } from './childProcesses.js'
+import { callerHeaders, model, startArrangement, stopArrangement } from './arrangement.js'
+import type { Arrangement } from './arrangement.js'
+import { watchMemory } from './memoryWatch.js'
+import { measureLoad, runLoad } from './pathLoad.js'
 import { streamAnswer } from './streamClient.js'
 
-const platformPort = 17490
-const enginePort = 17600
-const callersPort = 17480
-const key = 'bench-peer-key-0000'
-const model = 'cluj-tax'
-const callerHeaders = { authorization: `Bearer ${exampleCallerKey}` }
 const microsecondsPerMs = 1000
 
 /** Targets: added time at the 95th percentile; ten times a host's share of the peak. */
@@ -24,32 +19,6 @@
 const minRequestsPerSecond = 280
 const minTokensPerSecond = 80_000
 
-interface Arrangement {
-  standin: BenchProcess
-  scheduler: BenchProcess
-  gateway: BenchProcess
-}
-
-async function startArrangement (): Promise<Arrangement> {
-  const platform = `[platform]\naddress = 127.0.0.1:${platformPort}\n`
-  const standin = await startBinary('standin', `
-[platform]
-port = ${platformPort}
-[engines]
-count = 1
-firstPort = ${enginePort}
-batchLimit = 4000
-stepBaseMs = 1
-stepPerRequestMs = 0
-prefillPerTokenMs = 0
-[store]
-loadMs = 10`, /Stand-ins run/)
-  const scheduler = await startBinary('scheduler', `[host]\nid = scheduler-1\nzone = az-1\n${platform}[peers]\nport = 0\nkey = ${key}\n`, /takes links/)
-  const gateway = await startBinary('gateway',
-    `[host]\nid = gateway-1\nzone = az-1\n${platform}[peers]\nkey = ${key}\n[callers]\nport = ${callersPort}\n[operators]\nport = 0\n`, /takes callers/)
-  return { standin, scheduler, gateway }
-}
-
 async function findHandle (pool: Pool): Promise<string> {
   const response = await pool.request({ method: 'GET', path: '/report' })
   const report = await response.body.json() as { adapters: Array<{ handle: string }> }
@@ -77,65 +46,40 @@
   console.log(`  added                   ${addedMs.map(ms => ms.toFixed(2)).join('  ')}   target: p95 at most ${maxAddedMs} ms: ${addedMs[1]! <= maxAddedMs ? 'met' : 'MISSED'}`)
 }
 
-interface LoadResult {
-  seconds: number
-  requests: number
-  tokens: number
-  failed: number
+async function measurePath (arrangement: Arrangement, gateway: Pool, options: { seconds: number, requests: number, profile?: string }): Promise<void> {
+  const { seconds, requests, profile } = options
+  const engine = new Pool(`http://127.0.0.1:${arrangement.enginePort}`)
+  await measureAddedTime(engine, gateway, requests)
+  const short = await measureLoad(arrangement, gateway, 60, 1, seconds, profile)
+  console.log(`  target: ${minRequestsPerSecond} requests/s for a host: ${short.requests / short.seconds >= minRequestsPerSecond ? 'met' : 'MISSED'}`)
+  const long = await measureLoad(arrangement, gateway, 400, 250, seconds, profile)
+  console.log(`  target: ${minTokensPerSecond} tokens/s for a host: ${long.tokens / long.seconds >= minTokensPerSecond ? 'met' : 'MISSED'}`)
+  await engine.destroy()
 }
 
-/** Runs a closed loop of streams for a time. */
-async function runLoad (gateway: Pool, streams: number, tokens: number, seconds: number): Promise<LoadResult> {
-  const startedMs = performance.now()
-  const endMs = startedMs + seconds * 1000
-  const result: LoadResult = { seconds, requests: 0, tokens: 0, failed: 0 }
-  const runStream = async (): Promise<void> => {
-    while (performance.now() < endMs) {
-      const answer = await streamAnswer(gateway, callerHeaders, model, tokens)
-      result.requests++
-      result.tokens += answer.tokens
-      if (!answer.isWhole || answer.tokens !== tokens) result.failed++
+/**
+ * `--profile FOLDER` writes processor profiles of gateway and scheduler; `--memory SECONDS` measures instead what they
+ * keep in memory under a long load. `--port` sets the callers' port; the others lie above it.
+ */
+async function main (): Promise<void> {
+  const { values } = parseArgs({
+    options: {
+      seconds: { type: 'string', default: '8' },
+      requests: { type: 'string', default: '1500' },
+      port: { type: 'string', default: '17480' },
+      profile: { type: 'string' },
+      memory: { type: 'string' }
     }
-  }
-  await Promise.all(Array.from({ length: streams }, runStream))
-  result.seconds = (performance.now() - startedMs) / 1000
-  return result
-}
-
-async function measureLoad (arrangement: Arrangement, gateway: Pool, streams: number, tokens: number, seconds: number): Promise<LoadResult> {
-  const processes = [arrangement.gateway, arrangement.scheduler, arrangement.standin]
-  const before = processes.map(({ pid }) => readProcessUse(pid))
-  const result = await runLoad(gateway, streams, tokens, seconds)
-  const after = processes.map(({ pid }) => readProcessUse(pid))
-  const requestRate = result.requests / result.seconds
-  const tokenRate = result.tokens / result.seconds
-  console.log(`${streams} streams of ${tokens} tokens for ${result.seconds.toFixed(1)} s: ` +
-    `${requestRate.toFixed(0)} requests/s, ${tokenRate.toFixed(0)} tokens/s, ${result.failed} not whole`)
-  processes.forEach(({ name }, index) => {
-    const cores = (after[index]!.processorSeconds - before[index]!.processorSeconds) / result.seconds
-    console.log(`  ${name.padEnd(10)} ${cores.toFixed(2)} cores, ${(requestRate / cores).toFixed(0)} requests/s and ` +
-      `${(tokenRate / cores).toFixed(0)} tokens/s for a core, ${after[index]!.residentMegabytes.toFixed(0)} MB`)
   })
-  return result
-}
-
-async function main (): Promise<void> {
-  const { values } = parseArgs({ options: { seconds: { type: 'string', default: '8' }, requests: { type: 'string', default: '1500' } } })
-  const seconds = Number(values.seconds)
-  const arrangement = await startArrangement()
-  const engine = new Pool(`http://127.0.0.1:${enginePort}`)
-  const gateway = new Pool(`http://127.0.0.1:${callersPort}`, { connections: 2000 })
+  const { profile, memory } = values
+  const arrangement = await startArrangement({ callersPort: Number(values.port), isProbed: profile !== undefined || memory !== undefined })
+  const gateway = new Pool(`http://127.0.0.1:${arrangement.callersPort}`, { connections: 2000 })
   await streamAnswer(gateway, callerHeaders, model, 1)
   await runLoad(gateway, 20, 5, 1)
-  await measureAddedTime(engine, gateway, Number(values.requests))
-  const short = await measureLoad(arrangement, gateway, 60, 1, seconds)
-  console.log(`  target: ${minRequestsPerSecond} requests/s for a host: ${short.requests / short.seconds >= minRequestsPerSecond ? 'met' : 'MISSED'}`)
-  const long = await measureLoad(arrangement, gateway, 400, 250, seconds)
-  console.log(`  target: ${minTokensPerSecond} tokens/s for a host: ${long.tokens / long.seconds >= minTokensPerSecond ? 'met' : 'MISSED'}`)
-  await Promise.all([engine.destroy(), gateway.destroy()])
-  await arrangement.gateway.stop()
-  await arrangement.scheduler.stop()
-  await arrangement.standin.stop()
+  if (memory !== undefined) await watchMemory(arrangement, gateway, Number(memory))
+  else await measurePath(arrangement, gateway, { seconds: Number(values.seconds), requests: Number(values.requests), ...(profile !== undefined && { profile }) })
+  await gateway.destroy()
+  await stopArrangement(arrangement)
 }
 
 await main()
