--- /dev/null
+++ b/features/relay.feature
@@ -0,0 +1,30 @@
+Feature: What the relay of answers changes and refuses
+
+  Scenario Outline: Adapter and version stand in place of the handle, in model fields alone
+    When an engine sends <sent> under handle "tax@2#1.1"
+    Then callers of "tax@2" see <shown>
+
+    Examples:
+      | sent                                                        | shown                                                   |
+      | data: {"model":"tax@2#1.1"}                                 | data: {"model":"tax@2"}                                 |
+      | data: {"id":1, "model" : "tax@2#1.1"}                       | data: {"id":1, "model" : "tax@2#1.1"}                   |
+      | data: {"model": "tax@2#1.1"}                                | data: {"model": "tax@2"}                                |
+      | data: {"model":"tax@2#1.1"} data: {"model":"tax@2#1.1"}     | data: {"model":"tax@2"} data: {"model":"tax@2"}         |
+      | data: {"model":"tax@2#1.10"}                                | data: {"model":"tax@2#1.10"}                            |
+      | data: {"name":"tax@2#1.1","model":"tax@2#1.1"}              | data: {"name":"tax@2#1.1","model":"tax@2"}              |
+      | data: {"text":"\\"model\\":\\"tax@2#1.1\\""}                | data: {"text":"\\"model\\":\\"tax@2#1.1\\""}            |
+      | "tax@2#1.1"                                                 | "tax@2#1.1"                                             |
+
+  Scenario Outline: A part of an answer that does not match its schema ends the link
+    When a peer sends the batch <batch>
+    Then it is read as <read>
+
+    Examples:
+      | batch                                              | read                        |
+      | [["req-1",1,7,"data: {}"]]                         | part 7 of "req-1", "data: {}" |
+      | [["req-1",1,7,"data: {}","more"]]                  | nothing                     |
+      | [["req-1",1,7]]                                    | nothing                     |
+      | [["req-1",1,"7","data: {}"]]                       | nothing                     |
+      | [["req-1",1,0.5,"data: {}"]]                       | nothing                     |
+      | [[]]                                               | nothing                     |
+      | [null]                                             | nothing                     |
--- a/src/adapters/peerLink/linkMethod.ts
+++ b/src/adapters/peerLink/linkMethod.ts
@@ -22,6 +22,7 @@
 
 /** A part of an answer without the names of its fields; nearly all messages under load are these. */
 type PackedAnswerData = [requestId: string, attempt: number, sequence: number, data: string]
+const packedValues = 4
 
 /** Encodes the messages of one turn of the event loop. */
 export function encodeBatch (messages: PeerMessage[]): Buffer {
@@ -39,9 +40,10 @@
   return [requestId, attempt, sequence, data]
 }
 
-function unpackAnswerData ([requestId, attempt, sequence, data]: unknown[]): PeerMessage {
+function unpackAnswerData (values: unknown[]): PeerMessage {
+  const [requestId, attempt, sequence, data] = values
   const message = { type: 'answerData', requestId, attempt, sequence, data }
-  if (answerDataCheck.Check(message)) return message
+  if (values.length === packedValues && answerDataCheck.Check(message)) return message
   throw createMismatch(message.type)
 }
 
