Keep loads that come too late or that nobody waits for from delaying urgent ones

Loads that waited for a permit when their engine restarted counted as failures and held the endpoint back.

Change: a load that gets its permit is withdrawn where nobody waits for it; late deferrable work is loaded for after all else; admission learns the store's time and the wait for the budget of urgent loads apart, and forgets long waits; a load that was lost by a restart is no failure. Loads for deferrable work take another adapter's slot only where the forecast loss is below the part of its slack that has gone, and a queued deferrable request counts as much as an urgent one when its adapter's slot is weighed. Where batches need not be full, the choice spreads work over endpoints in place of filling one after the other.

--- a/src/core/adapterSlots.ts
+++ b/src/core/adapterSlots.ts
@@ -15,6 +15,8 @@
   keptUntilMs: number
   /** Takes no more requests, so that its slot falls free. */
   isDraining: boolean
+  /** Its load was given up before it began, as nobody waited for it any more. */
+  isWithdrawn: boolean
   plannedAtMs: number
   /** When the load got its permit. */
   startedAtMs: number | undefined
@@ -68,6 +70,7 @@
       isUnloading: false,
       keptUntilMs: nowMs,
       isDraining: false,
+      isWithdrawn: false,
       plannedAtMs: nowMs,
       startedAtMs: undefined,
       loadedAtMs: undefined
--- a/src/core/costChoice.ts
+++ b/src/core/costChoice.ts
@@ -15,8 +15,10 @@
   maxStandbyLoadMs: number
   /** Cost of an endpoint that stands by, in milliseconds. */
   standbyMs: number
-  /** Cost of a batch place left empty, which fills one endpoint's batch before the next one's, in milliseconds. */
+  /** Cost of a batch place left empty, where batches are to be filled one after the other, in milliseconds. */
   emptyPlaceMs: number
+  /** Cost of a batch place in use, where batches need not be full, in milliseconds: it spreads slots and places evenly. */
+  usedPlaceMs: number
   /**
    * Cost of a load by whether rendezvous hashing prefers the endpoint, in milliseconds. Gateways that hash alike agree on
    * where an adapter is loaded without messages.
@@ -35,7 +37,8 @@
   batchFillTarget: 0,
   maxStandbyLoadMs: 1000,
   standbyMs: 1500,
-  emptyPlaceMs: 2,
+  emptyPlaceMs: 10,
+  usedPlaceMs: 20,
   computeStrayMs: (isPreferred: boolean) => isPreferred ? 0 : strayLoadMs,
   deferrableLoadPart: 0.35
 })
@@ -125,23 +128,28 @@
 ): Candidate {
   const { summary } = view
   const waitMs = computeWaitMs(request, view)
-  const emptyPlaces = Math.max(0, summary.batchLimit - summary.running - view.sentSince)
-  const fillMs = waitMs === 0 ? emptyPlaces * options.emptyPlaceMs : 0
+  const placesMs = computePlacesMs(view, waitMs, options)
   if (summary.loaded.includes(name)) {
-    return { name: summary.endpointId, costMs: waitMs + fillMs, note: 'the adapter is loaded' }
+    return { name: summary.endpointId, costMs: waitMs + placesMs, note: 'the adapter is loaded' }
   }
   if (summary.loading.includes(name) || view.loadsSentSince.includes(name)) {
-    return { name: summary.endpointId, costMs: Math.max(waitMs, summary.expectedLoadMs / 2) + fillMs, note: 'the adapter is being loaded' }
+    return { name: summary.endpointId, costMs: Math.max(waitMs, summary.expectedLoadMs / 2) + placesMs, note: 'the adapter is being loaded' }
   }
   if (hasReplica && !options.mayReplicate) return { name: summary.endpointId, costMs: Infinity, note: 'the adapter is loaded elsewhere' }
   const loadMs = request.isDeferrable ? options.deferrableLoadPart * request.dueInMs : summary.expectedLoadMs * (1 + view.loadsSentSince.length / 2)
   const strayMs = options.computeStrayMs(isPreferred)
   const evictionMs = request.isDeferrable ? 0 : summary.evictionCostMs
   const replicaMs = hasReplica && !request.isDeferrable ? options.replicaMs : 0
-  const costMs = Math.max(waitMs, loadMs) + strayMs + evictionMs + replicaMs + fillMs
+  const costMs = Math.max(waitMs, loadMs) + strayMs + evictionMs + replicaMs + placesMs
   return { name: summary.endpointId, costMs, note: hasReplica ? 'another replica is worth its load' : 'the adapter needs a load' }
 }
 
+/** Cost of how full the batch is; where requests wait, it counts as full. */
+function computePlacesMs ({ summary, sentSince }: EndpointView, waitMs: number, options: CostChoiceOptions): number {
+  const used = waitMs > 0 ? summary.batchLimit : Math.min(summary.batchLimit, summary.running + sentSince)
+  return options.batchFillTarget > 0 ? (summary.batchLimit - used) * options.emptyPlaceMs : used * options.usedPlaceMs
+}
+
 /** Expected wait for a place in the batch, with what this gateway has sent since the summary. */
 function computeWaitMs (request: ChoiceRequest, view: EndpointView): number {
   const { summary, sentSince } = view
--- a/src/core/firstComePlanner.ts
+++ b/src/core/firstComePlanner.ts
@@ -54,6 +54,10 @@
 
   recordFirstToken (): void {}
 
+  mayStartLoad (): boolean {
+    return true
+  }
+
   recordLoadStarted (): void {}
 
   recordFinished (requestId: string, attempt: number): void {
--- a/src/core/loadNeeds.ts
+++ b/src/core/loadNeeds.ts
@@ -2,6 +2,9 @@
 import { BinaryHeap } from './binaryHeap.js'
 import type { AdapterQueue, LoadNeed, WaitingRequest } from './waitingRequests.js'
 
+/** Work that is late counts as needed after this time, in milliseconds. */
+const lateLoadMs = 60_000
+
 export interface LoadNeedsOptions {
   /** Deferrable requests of one adapter that are worth a load at once. */
   gatherCount: number
@@ -9,6 +12,8 @@
   computeHoldMs: (slackMs: number) => number
   /** A deferrable request is urgent when its latest start is nearer than this, in milliseconds. */
   computeCriticalMs: () => number
+  /** Whether deferrable work can no longer meet its target. */
+  isLate: (latestStartMs: number, nowMs: number) => boolean
   /** When a load of the adapter may be tried again. */
   findRetryMs: (name: string) => number
 }
@@ -64,8 +69,9 @@
 
   #createNeed (group: AdapterQueue, nowMs: number): LoadNeed | undefined {
     const urgent = group.firstUrgent
+    group.updateLate(waiting => this.#options.isLate(waiting.latestStartMs, nowMs))
     const deferrable = group.firstDeferrable
-    const neededAtMs = Math.min(urgent?.orderMs ?? Infinity, deferrable?.latestStartMs ?? Infinity)
+    const neededAtMs = Math.min(urgent?.orderMs ?? Infinity, group.firstOnTime?.latestStartMs ?? deferrable?.latestStartMs ?? Infinity)
     if (!Number.isFinite(neededAtMs)) return undefined
     const retryAtMs = this.#options.findRetryMs(group.name)
     if (retryAtMs > nowMs) return { group, stage: 'held', neededAtMs, changeAtMs: retryAtMs }
@@ -74,10 +80,12 @@
   }
 
   #createDeferrableNeed (group: AdapterQueue, first: WaitingRequest, nowMs: number): LoadNeed {
-    const { gatherCount, computeHoldMs, computeCriticalMs } = this.#options
+    const { gatherCount, computeHoldMs, computeCriticalMs, isLate } = this.#options
+    // A load that comes too late anyway delays no other: it goes after all that is needed soon.
+    if (isLate(first.latestStartMs, nowMs)) return { group, stage: 'ripe', neededAtMs: nowMs + lateLoadMs, changeAtMs: Infinity }
     const neededAtMs = first.latestStartMs
     const criticalAtMs = neededAtMs - computeCriticalMs()
-    if (criticalAtMs <= nowMs) return { group, stage: 'urgent', neededAtMs, changeAtMs: Infinity }
+    if (criticalAtMs <= nowMs) return { group, stage: 'urgent', neededAtMs, changeAtMs: neededAtMs + 1 }
     const ripeAtMs = Math.min(criticalAtMs, first.addedAtMs + computeHoldMs(neededAtMs - first.addedAtMs))
     if (group.deferrableCount >= gatherCount || ripeAtMs <= nowMs) return { group, stage: 'ripe', neededAtMs, changeAtMs: criticalAtMs }
     return { group, stage: 'held', neededAtMs, changeAtMs: ripeAtMs }
--- a/src/core/loadPlan.ts
+++ b/src/core/loadPlan.ts
@@ -45,7 +45,17 @@
     if (!need || this.#state.slots.pending > 0 || this.#state.running.size >= this.#state.shape.batchLimit - this.#state.options.gatherRoom) return
     if (this.#state.slots.free + this.#state.slots.idle <= this.#state.options.spareSlots) return
     if (this.#state.slots.free > 0) this.#planLoad(plan, need, nowMs)
-    else this.#planUnload(plan, need, nowMs)
+    else if (this.#mayTakeSlot(need, nowMs)) this.#planUnload(plan, need, nowMs)
+  }
+
+  /** Whether deferrable work may cost another adapter its slot: the less of its slack is left, the greater the loss may be. */
+  #mayTakeSlot ({ group }: LoadNeed, nowMs: number): boolean {
+    const victim = this.#forecast.findVictim(nowMs)
+    const first = group.firstDeferrable
+    if (!victim || !first) return false
+    const gonePart = (nowMs - first.addedAtMs) / Math.max(1, first.latestStartMs - first.addedAtMs)
+    const mostLossMs = this.#state.options.computeMostLoss(gonePart) * this.#state.times.loadMs
+    return this.#forecast.computeVictimCostMs(victim, nowMs) <= mostLossMs
   }
 
   #planLoad (plan: EndpointPlan, need: LoadNeed, nowMs: number): void {
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -90,6 +90,8 @@
   recordFirstToken: (requestId: string, attempt: number, nowMs: number) => void
   recordFinished: (requestId: string, attempt: number, nowMs: number) => void
   /** A planned load has got its permit and is ordered now. */
+  /** Whether a planned load that has got its permit is still wanted; where not, the planner gives its slot up. */
+  mayStartLoad: (adapter: string, version: string) => boolean
   recordLoadStarted: (adapter: string, version: string, nowMs: number) => void
   /** The adapter became usable under a handle, by a planned load or by adoption. */
   recordLoaded: (adapter: string, version: string, handle: string, nowMs: number) => void
--- a/src/core/plannerForecast.ts
+++ b/src/core/plannerForecast.ts
@@ -4,9 +4,6 @@
 import type { EndpointExpectation, QueuedRequest } from './planner.js'
 import type { PlannerState } from './plannerState.js'
 
-/** Part of an urgent stall that a queued deferrable request counts when its adapter is lost. */
-const queuedShare = 0.2
-
 export class PlannerForecast {
   #state: PlannerState
 
@@ -24,7 +21,7 @@
     return {
       queued: this.#state.waiting.size,
       expectedWaitMs: this.computeBatchWaitMs(this.#state.waiting.urgentCount),
-      expectedLoadMs: this.computeLoadWaitMs(),
+      expectedLoadMs: this.computeLoadWaitMs(nowMs),
       serviceIntervalMs: this.serviceIntervalMs,
       evictionCostMs: this.computeLeastEvictionCostMs(nowMs),
       loaded,
@@ -50,7 +47,7 @@
     const busyMs = resident.running > 0 ? Math.max(0, resident.busyUntilMs - nowMs) : 0
     const queued = this.#state.waiting.findGroup(resident.name)?.deferrableCount ?? 0
     const arrivals = this.#state.demand.computeRate(resident.name, nowMs) * this.#state.options.evictionHorizonMs / 1000
-    return busyMs + (arrivals + queued * queuedShare) * this.#state.times.loadMs
+    return busyMs + (arrivals + queued) * this.#state.times.loadMs
   }
 
   /** What the next load costs others: nothing with a free slot, else the slot that costs least. */
@@ -64,8 +61,8 @@
     return Math.max(0, this.#state.running.size + ahead + 1 - this.#state.shape.batchLimit) * this.serviceIntervalMs
   }
 
-  computeLoadWaitMs (): number {
-    return this.#state.times.loadMs * (1 + this.#state.slots.pending / this.#state.options.maxPendingLoads)
+  computeLoadWaitMs (nowMs: number): number {
+    return this.#state.loadTimes.computeLoadMs(nowMs) * (1 + this.#state.slots.pending / this.#state.options.maxPendingLoads)
   }
 
   computeExpectedStartMs (request: QueuedRequest, isUrgent: boolean, name: string, nowMs: number): number {
@@ -75,8 +72,8 @@
       : this.computeBatchWaitMs(this.#state.waiting.size) / this.#state.places.computeDeferrableShare(nowMs)
     const resident = this.#state.slots.find(name)
     if (resident?.handle) return batchWaitMs
-    if (resident) return Math.max(batchWaitMs, resident.plannedAtMs + this.#state.times.loadMs - nowMs)
-    return Math.max(batchWaitMs, this.computeLoadWaitMs(), this.#state.backOff.findRetryMs(name) - nowMs)
+    if (resident) return Math.max(batchWaitMs, resident.plannedAtMs + this.#state.loadTimes.computeLoadMs(nowMs) - nowMs)
+    return Math.max(batchWaitMs, this.computeLoadWaitMs(nowMs), this.#state.backOff.findRetryMs(name) - nowMs)
   }
 
   findVictim (nowMs: number): Resident | undefined {
--- a/src/core/plannerOptions.ts
+++ b/src/core/plannerOptions.ts
@@ -30,6 +30,11 @@
   computeHoldMs: (slackMs: number) => number
   /** How long before its latest start deferrable work becomes urgent, from the expected run and load in milliseconds. */
   computeCriticalMs: (runMs: number, loadMs: number) => number
+  /**
+   * Greatest forecast loss, in loads, that an adapter for deferrable work may cause by taking another's slot, from the part
+   * of its slack that has gone.
+   */
+  computeMostLoss: (gonePart: number) => number
   /** Whether deferrable work can no longer meet its target, so that it makes way for work that can. */
   isLate: (latestStartMs: number, nowMs: number) => boolean
   /** How long after its target an urgent request is still worth a start, from the length of its target in milliseconds. */
@@ -51,6 +56,7 @@
   computeOrderMs: (_request: QueuedRequest, latestStartMs: number) => latestStartMs,
   computeHoldMs: (slackMs: number) => 0.5 * slackMs,
   computeCriticalMs: (runMs: number, loadMs: number) => 4 * runMs + 4 * loadMs,
+  computeMostLoss: (gonePart: number) => gonePart,
   isLate: (latestStartMs: number, nowMs: number) => latestStartMs < nowMs,
   computeGraceMs: (targetMs: number) => 0.5 * targetMs,
   computeFairDelayMs,
--- a/src/core/plannerState.ts
+++ b/src/core/plannerState.ts
@@ -5,6 +5,7 @@
 import { createDraft } from './decisionDraft.js'
 import { LoadBackOff } from './loadBackOff.js'
 import { LoadNeeds } from './loadNeeds.js'
+import { LoadTimes } from './loadTimes.js'
 import type { EndpointShape, QueuedRequest } from './planner.js'
 import type { SlackPlannerOptions } from './plannerOptions.js'
 import { PlaceUse } from './placeUse.js'
@@ -25,6 +26,7 @@
   readonly backOff: LoadBackOff
   readonly demand = new AdapterDemand()
   readonly times = new RunTimes()
+  readonly loadTimes = new LoadTimes()
   readonly places = new PlaceUse()
   /** By request and attempt. */
   readonly running = new Map<string, RunningRequest>()
@@ -37,6 +39,7 @@
       gatherCount: options.gatherCount,
       computeHoldMs: options.computeHoldMs,
       computeCriticalMs: () => this.criticalMs,
+      isLate: options.isLate,
       findRetryMs: name => this.backOff.findRetryMs(name)
     })
   }
--- a/src/core/slackPlanner.ts
+++ b/src/core/slackPlanner.ts
@@ -89,9 +89,20 @@
 
   // Slots
 
+  mayStartLoad (adapter: string, version: string): boolean {
+    const name = formatAdapter(adapter, version)
+    const resident = this.#state.slots.find(name)
+    if (!resident || this.#state.waiting.findGroup(name)) return resident !== undefined
+    resident.isWithdrawn = true
+    return false
+  }
+
   recordLoadStarted (adapter: string, version: string, nowMs: number): void {
-    const resident = this.#state.slots.find(formatAdapter(adapter, version))
-    if (resident) resident.startedAtMs = nowMs
+    const name = formatAdapter(adapter, version)
+    const resident = this.#state.slots.find(name)
+    if (!resident) return
+    resident.startedAtMs = nowMs
+    if (this.#state.waiting.findGroup(name)?.firstUrgent) this.#state.loadTimes.recordStarted(nowMs - resident.plannedAtMs, nowMs)
   }
 
   recordLoaded (adapter: string, version: string, handle: string, nowMs: number): void {
@@ -101,6 +112,7 @@
     resident.handle = handle
     resident.loadedAtMs = nowMs
     if (planned) this.#state.times.recordLoad(nowMs - planned.plannedAtMs)
+    if (planned?.startedAtMs !== undefined) this.#state.loadTimes.recordLoaded(nowMs - planned.startedAtMs)
     this.#state.backOff.recordLoaded(name)
     const group = this.#state.waiting.findGroup(name)
     if (group) this.#state.needs.remove(group)
@@ -108,7 +120,7 @@
 
   recordLoadFailed (adapter: string, version: string, nowMs: number): void {
     const name = formatAdapter(adapter, version)
-    this.#state.backOff.recordFailed(name, nowMs)
+    if (!this.#state.slots.find(name)?.isWithdrawn) this.#state.backOff.recordFailed(name, nowMs)
     this.#removeResident(name, nowMs)
   }
 
@@ -157,7 +169,7 @@
     for (let waiting = this.#state.waiting.takeExpired(nowMs); waiting; waiting = this.#state.waiting.takeExpired(nowMs)) {
       const { request, group } = waiting
       this.#updateNeed(group, nowMs)
-      const waitMs = Math.max(this.#forecast.computeBatchWaitMs(this.#state.waiting.urgentCount), this.#state.slots.find(group.name)?.handle ? 0 : this.#forecast.computeLoadWaitMs())
+      const waitMs = Math.max(this.#forecast.computeBatchWaitMs(this.#state.waiting.urgentCount), this.#state.slots.find(group.name)?.handle ? 0 : this.#forecast.computeLoadWaitMs(nowMs))
       const message = `the target of class "${request.className}" passed before endpoint "${this.#state.shape.endpointId}" could start the request`
       const failure = createNotRun('target_passed', message, 503, Math.ceil(Math.max(this.#forecast.serviceIntervalMs, waitMs)))
       const decision = this.#state.describe('refuse', request, message)
--- a/src/core/waitingRequests.ts
+++ b/src/core/waitingRequests.ts
@@ -49,8 +49,13 @@
     return findFirst(this.urgent)
   }
 
+  /** The first deferrable request that can still meet its target. */
+  get firstOnTime (): WaitingRequest | undefined {
+    return findFirst(this.deferrable)
+  }
+
   get firstDeferrable (): WaitingRequest | undefined {
-    return findFirst(this.deferrable) ?? this.firstLate
+    return this.firstOnTime ?? this.firstLate
   }
 
   get firstLate (): WaitingRequest | undefined {
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -276,13 +276,13 @@
     const { planner, clock, recordDecision } = this.#options
     const { incarnation } = this.#watch
     const release = await this.#options.requestPermit(this.endpointId, planned.slackMs)
-    const mayLoad = !this.#isStopping && incarnation === this.#watch.incarnation
+    const mayLoad = !this.#isStopping && incarnation === this.#watch.incarnation && planner.mayStartLoad(adapter, version)
     const load = mayLoad && await this.#handles.load(this.#entry.address, planned, handle => {
       recordDecision({ ...planned.decision, handle })
       planner.recordLoadStarted(adapter, version, clock.readMonotonic())
     })
     release()
-    if (load && incarnation !== this.#watch.incarnation) return
+    if (incarnation !== this.#watch.incarnation) return
     if (load && load.failure === undefined) {
       planner.recordLoaded(adapter, version, load.handle, clock.readMonotonic())
     } else {
