Test that late work and forgotten loads delay no urgent load

Two scenarios with the planner on a virtual clock: urgent work starts before a load for late work (and after it where the mechanism is switched off), and a load whose requests were given up while it waited for its permit never starts. The first, with lateness switched off, showed that a need in the past was placed again without end; a time of change that has passed is no longer set.

--- a/features/decisionsPlanner.feature
+++ b/features/decisionsPlanner.feature
@@ -109,3 +109,23 @@
     Given an endpoint with 2 slots and a batch of 1, runs of 300 ms and loads of 100 ms, all mechanisms on
     When adapter "counter" gets 2 requests of caller "town" at 0 ms, with its first token within 2000 ms
     Then after 1000 ms request "counter-2" waited "load 100, queue 300"
+
+  Scenario Outline: A load for work that is late already goes after the load for urgent work
+    Given an endpoint with 1 slot and a batch of 1, runs of 1000 ms and loads of 100 ms, <mechanism>
+    When adapter "hot" gets 8 requests of caller "town" at 0 ms, with its first token within 60000 ms
+    And adapter "review" gets 1 request of caller "office" at 10 ms, to finish within 5000 ms
+    And adapter "counter" gets 1 request of caller "school" at 7050 ms, with its first token within 5000 ms
+    Then after 60000 ms request "counter-1" has started <outcome> 9000 ms
+
+    Examples:
+      | mechanism                       | outcome |
+      | without admission               | before  |
+      | without admission or late queue | after   |
+
+  Scenario: A load is given up where nobody waits for it when its permit comes
+    Given an endpoint with 2 slots and a batch of 2, runs of 100 ms and loads of 100 ms, all mechanisms on
+    And loads wait 5000 ms for their permits
+    When adapter "counter" gets 1 request of caller "town" at 0 ms, with its first token within 2000 ms
+    And adapter "review" gets 8 requests of caller "office" at 0 ms, to finish within 60000 ms
+    Then after 20000 ms adapter "counter" was loaded at most 0 times
+    And after 20000 ms request "review-8" has started before 12000 ms
--- a/features/steps/decisionsPlanner.ts
+++ b/features/steps/decisionsPlanner.ts
@@ -46,12 +46,13 @@
   world.trial.addAt(atMs, request)
 }
 
-Given(/^an endpoint with (\d+) slots and a batch of (\d+), runs of (\d+) ms and loads of (\d+) ms, (.+)$/,
+Given(/^an endpoint with (\d+) slots? and a batch of (\d+), runs of (\d+) ms and loads of (\d+) ms, (.+)$/,
   function (this: DecisionsWorld, slots: string, batchLimit: string, runMs: string, loadMs: string, mechanism: string) {
     this.options = {
       shape: { slots: Number(slots), batchLimit: Number(batchLimit) },
       runMs: Number(runMs),
       loadMs: Number(loadMs),
+      permitMs: 0,
       brokenAdapters: [],
       planner: mechanisms[mechanism]!
     }
@@ -60,6 +61,10 @@
     this.arrivedAtMs = new Map()
   })
 
+Given('loads wait {int} ms for their permits', function (this: DecisionsWorld, permitMs: number) {
+  this.options.permitMs = permitMs
+})
+
 Given('loads of adapter {string} fail', function (this: DecisionsWorld, adapter: string) {
   this.options.brokenAdapters.push(adapter)
 })
--- a/features/support/plannerTrial.ts
+++ b/features/support/plannerTrial.ts
@@ -11,6 +11,8 @@
   shape: Omit<EndpointShape, 'endpointId'>
   runMs: number
   loadMs: number
+  /** How long a load waits for its permit. */
+  permitMs: number
   /** Adapters whose loads fail. */
   brokenAdapters: string[]
   planner: Partial<SlackPlannerOptions>
@@ -74,8 +76,19 @@
     }, this.#options.runMs)
   }
 
-  #load ({ adapter, version }: PlannedLoad): void {
+  #load (load: PlannedLoad): void {
+    const { permitMs } = this.#options
+    if (permitMs === 0) this.#start(load)
+    else this.clock.setTimer(() => this.#start(load), permitMs)
+  }
+
+  #start ({ adapter, version }: PlannedLoad): void {
     const { loadMs, brokenAdapters } = this.#options
+    if (!this.#planner.mayStartLoad(adapter, version)) {
+      this.#planner.recordLoadFailed(adapter, version, this.clock.readMonotonic())
+      this.#plan()
+      return
+    }
     const handle = formatHandle(adapter, version, 1, this.loads.push(adapter))
     this.#planner.recordLoadStarted(adapter, version, this.clock.readMonotonic())
     this.clock.setTimer(() => {
--- a/src/core/loadNeeds.ts
+++ b/src/core/loadNeeds.ts
@@ -85,7 +85,7 @@
     if (isLate(first.latestStartMs, nowMs)) return { group, stage: 'ripe', neededAtMs: nowMs + lateLoadMs, changeAtMs: Infinity }
     const neededAtMs = first.latestStartMs
     const criticalAtMs = neededAtMs - computeCriticalMs()
-    if (criticalAtMs <= nowMs) return { group, stage: 'urgent', neededAtMs, changeAtMs: neededAtMs + 1 }
+    if (criticalAtMs <= nowMs) return { group, stage: 'urgent', neededAtMs, changeAtMs: neededAtMs >= nowMs ? neededAtMs + 1 : Infinity }
     const ripeAtMs = Math.min(criticalAtMs, first.addedAtMs + computeHoldMs(neededAtMs - first.addedAtMs))
     if (group.deferrableCount >= gatherCount || ripeAtMs <= nowMs) return { group, stage: 'ripe', neededAtMs, changeAtMs: criticalAtMs }
     return { group, stage: 'held', neededAtMs, changeAtMs: ripeAtMs }
