Bound load stalls by what no order of loads avoids; measure recovery and the cost of each decision

Cause: the bound for urgent requests counted a miss of the best eviction as a stall although a load for deferrable work may have served it, so it was no bound, and it left out requests that follow the first one while its load is under way. Change: the bound sums the first load of each adapter that had never been asked for and the rest of it for those who follow; for all requests it adds the first loads of adapters that deferrable work asked for first. The bench prints goodput through the flood and after it, and for decisions the mean, what 99 in 100 keep to, and the greatest.

--- a/bench/decisions/bounds.ts
+++ b/bench/decisions/bounds.ts
@@ -14,15 +14,27 @@
 
 /** Computes the bounds over the measured part of a trace. */
 export function computeBounds (trace: Trace): Bounds {
-  const { deployment, requests, warmUpMs } = trace
-  const measured = requests.filter(request => request.atMs >= warmUpMs)
-  const urgent = measured.filter(request => !isDeferrable(request.workClass.target))
-  const slots = deployment.engines * deployment.slots
-  const urgentStallMs = countBestMisses(urgent.map(request => request.adapter), slots) * deployment.loadMs
-  const urgentAdapters = new Set(urgent.map(request => request.adapter))
-  const deferrableAdapters = new Set(measured.map(request => request.adapter).filter(adapter => !urgentAdapters.has(adapter)))
-  const stallMs = urgentStallMs + Math.max(0, deferrableAdapters.size - slots) * deployment.loadMs
-  return { urgentStallMs, stallMs, batchEfficiency: computeEfficiencyBound(trace, measured) }
+  const measured = trace.requests.filter(request => request.atMs >= trace.warmUpMs)
+  return { ...computeStallBounds(trace), batchEfficiency: computeEfficiencyBound(trace, measured) }
+}
+
+/**
+ * Sums the stalls of adapters that had never been asked for: whoever asks first waits for a whole load, and so does each
+ * urgent request that follows while that load can at the earliest be under way, for the rest of it.
+ */
+export function computeStallBounds ({ requests, deployment, warmUpMs }: Trace): Pick<Bounds, 'urgentStallMs' | 'stallMs'> {
+  const { loadMs } = deployment
+  const firstAtMs = new Map<string, number>()
+  let urgentStallMs = 0
+  let deferrableStallMs = 0
+  for (const { adapter, atMs, workClass } of requests) {
+    const isFirst = !firstAtMs.has(adapter)
+    if (isFirst) firstAtMs.set(adapter, atMs)
+    if (atMs < warmUpMs) continue
+    if (!isDeferrable(workClass.target)) urgentStallMs += Math.max(0, firstAtMs.get(adapter)! + loadMs - atMs)
+    else if (isFirst) deferrableStallMs += loadMs
+  }
+  return { urgentStallMs, stallMs: urgentStallMs + deferrableStallMs }
 }
 
 /**
--- a/bench/decisions/decisionCost.ts
+++ b/bench/decisions/decisionCost.ts
@@ -3,19 +3,20 @@
 import type { ChoiceRequest, EndpointView } from '../../src/core/endpointChoice.js'
 import type { EndpointPlanner, QueuedRequest } from '../../src/core/planner.js'
 import { createSlackPlanners } from '../../src/core/slackPlanner.js'
+import { computeCosts } from './measures.js'
 
 const rounds = 20_000
 const shape = { endpointId: 'engine-1', slots: 8, batchLimit: 16 }
 
-/** Prints microseconds a call for several sizes, one line each. */
+/** Prints microseconds a call for several sizes: mean, what 99 in 100 keep to, and greatest. */
 export function printDecisionCosts (): void {
   process.stdout.write('\nplanner, microseconds for a request (admission, plan, end, plan)\n')
   for (const [queued, adapters] of [[0, 8], [100, 50], [500, 200], [2000, 200], [2000, 2000], [10_000, 3000]] as const) {
-    process.stdout.write(`queue ${queued}, adapters ${adapters}: ${measurePlanner(queued, adapters).toFixed(1)}\n`)
+    process.stdout.write(`queue ${queued}, adapters ${adapters}: ${measurePlanner(queued, adapters)}\n`)
   }
   process.stdout.write('\nchoice, microseconds\n')
   for (const endpoints of [6, 8, 16, 64, 256]) {
-    process.stdout.write(`endpoints ${endpoints}: ${measureChoice(endpoints).toFixed(1)}\n`)
+    process.stdout.write(`endpoints ${endpoints}: ${measureChoice(endpoints)}\n`)
   }
 }
 
@@ -37,32 +38,45 @@
   }
 }
 
-function measurePlanner (queued: number, adapters: number): number {
+function measurePlanner (queued: number, adapters: number): string {
   const planner = createSlackPlanners({ maxQueued: Infinity })(shape)
   for (let slot = 0; slot < shape.slots; slot++) planner.recordLoaded(`hot-${slot}`, '1', `hot-${slot}@1#1.${slot}`, 0)
   for (let index = 0; index < queued; index++) planner.addRequest(createRequest(`q${index}`, `cold-${index % adapters}`, false, 0), 0)
   runRounds(planner, 'warm', rounds / 4)
-  const startMs = performance.now()
-  runRounds(planner, 'r', rounds)
-  return (performance.now() - startMs) / rounds * 1000
+  return formatTimes(runRounds(planner, 'r', rounds))
 }
 
-function runRounds (planner: EndpointPlanner, name: string, count: number): void {
+function runRounds (planner: EndpointPlanner, name: string, count: number): number[] {
+  const times: number[] = []
   for (let round = 0; round < count; round++) {
     const nowMs = round / 10
     const requestId = `${name}${round}`
-    planner.addRequest(createRequest(requestId, `hot-${round % shape.slots}`, true, nowMs), nowMs)
+    const request = createRequest(requestId, `hot-${round % shape.slots}`, true, nowMs)
+    const startMs = performance.now()
+    planner.addRequest(request, nowMs)
     planner.plan(nowMs)
     planner.recordFinished(requestId, 1, nowMs)
     planner.plan(nowMs)
+    times.push(performance.now() - startMs)
   }
+  return times
 }
 
-function measureChoice (endpoints: number): number {
+function measureChoice (endpoints: number): string {
   const views = Array.from({ length: endpoints }, (_, index) => createView(index))
-  const startMs = performance.now()
-  for (let round = 0; round < rounds; round++) chooseByCost(createChoiceRequest(round), views, () => 0)
-  return (performance.now() - startMs) / rounds * 1000
+  const times: number[] = []
+  for (let round = 0; round < rounds; round++) {
+    const request = createChoiceRequest(round)
+    const startMs = performance.now()
+    chooseByCost(request, views, () => 0)
+    times.push(performance.now() - startMs)
+  }
+  return formatTimes(times)
+}
+
+function formatTimes (times: number[]): string {
+  const { mean, ninetyNine, greatest } = computeCosts(times)
+  return [mean, ninetyNine, greatest].map(value => value.toFixed(1)).join(' / ')
 }
 
 function createChoiceRequest (round: number): ChoiceRequest {
--- a/bench/decisions/decisionsBench.ts
+++ b/bench/decisions/decisionsBench.ts
@@ -4,7 +4,7 @@
 import type { Bounds } from './bounds.js'
 import { printDecisionCosts } from './decisionCost.js'
 import { computeMeasures } from './measures.js'
-import type { Measures } from './measures.js'
+import type { CostMeasures, Measures } from './measures.js'
 import { policies } from './policies.js'
 import { runTrace } from './runTrace.js'
 import { buildTrace, traceNames } from './traces.js'
@@ -27,7 +27,7 @@
 const seeds = (values['held-out'] ? heldOutSeeds : values.seeds).split(',').map(Number)
 
 function formatRow (cells: string[]): string {
-  const widths = [10, 9, 6, 14, 9, 9, 8, 8, 6, 8, 8, 8]
+  const widths = [10, 9, 6, 14, 9, 9, 8, 8, 6, 8, 8, 8, 14, 14]
   return cells.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join(' ')
 }
 
@@ -35,6 +35,11 @@
   return bound === 0 ? '-' : (value / bound).toFixed(2)
 }
 
+/** Mean, what 99 in 100 keep to, and greatest, in microseconds. */
+function formatCosts ({ mean, ninetyNine, greatest }: CostMeasures): string {
+  return [mean, ninetyNine, greatest].map(value => value.toFixed(0)).join('/')
+}
+
 function printRow (names: string[], measures: Measures, bounds: Bounds): void {
   process.stdout.write(`${formatRow([
     ...names,
@@ -44,8 +49,10 @@
     formatRatio(measures.batchEfficiency, bounds.batchEfficiency),
     String(measures.loads),
     measures.goodput.toFixed(2),
-    measures.planMicroseconds.toFixed(1),
-    measures.chooseMicroseconds.toFixed(1)
+    measures.goodputThroughFlood.toFixed(2),
+    measures.goodputAfterFlood.toFixed(2),
+    formatCosts(measures.planning),
+    formatCosts(measures.choosing)
   ])} ${measures.classes.map(formatClass).join(' | ')}\n`)
 }
 
@@ -55,7 +62,7 @@
 }
 
 process.stdout.write(`${formatRow(
-  ['user', 'trace', 'seed', 'policy', 'urgent/b', 'stall/b', 'batch', 'batch/b', 'loads', 'goodput', 'plan us', 'choose us']
+  ['user', 'trace', 'seed', 'policy', 'urgent/b', 'stall/b', 'batch', 'batch/b', 'loads', 'goodput', 'flood', 'after', 'plan us', 'choose us']
 )} classes\n`)
 for (const deployment of [scutire, blueMahoe].filter(({ name }) => values.users.split(',').includes(name))) {
   for (const name of values.traces.split(',') as TraceName[]) {
--- a/bench/decisions/measures.ts
+++ b/bench/decisions/measures.ts
@@ -1,7 +1,8 @@
 /** Computes the users' measures from what happened in a run. */
 import { isDeferrable } from '../../src/core/targetTime.js'
 import { parseHandle } from '../../src/core/formatAdapter.js'
-import type { RequestRecord, RunRecord } from './runTrace.js'
+import type { DecisionCost, RequestRecord, RunRecord } from './runTrace.js'
+import { floodTimes } from './traces.js'
 import type { Trace } from './workload.js'
 
 export interface ClassMeasures {
@@ -25,8 +26,18 @@
   loads: number
   /** Requests a second that met their target. */
   goodput: number
-  planMicroseconds: number
-  chooseMicroseconds: number
+  /** The same through the minute of the flood, where a trace has one, and after it. */
+  goodputThroughFlood: number
+  goodputAfterFlood: number
+  planning: CostMeasures
+  choosing: CostMeasures
+}
+
+/** Microseconds a call: mean, what 99 in 100 keep to, and greatest. */
+export interface CostMeasures {
+  mean: number
+  ninetyNine: number
+  greatest: number
 }
 
 /** Computes the measures over the requests that arrived after the warm-up. */
@@ -55,11 +66,27 @@
     batchEfficiency: run.tokens / Math.max(1, run.steps * trace.deployment.batchLimit),
     loads: loads.length,
     goodput: measured.filter(isMet).length / ((trace.endMs - trace.warmUpMs) / 1000),
-    planMicroseconds: run.planning.totalMs / Math.max(1, run.planning.calls) * 1000,
-    chooseMicroseconds: run.choosing.totalMs / Math.max(1, run.choosing.calls) * 1000
+    goodputThroughFlood: computeGoodput(measured, floodTimes.fromMs, floodTimes.untilMs),
+    goodputAfterFlood: computeGoodput(measured, floodTimes.untilMs, trace.endMs),
+    planning: computeCosts(run.planning),
+    choosing: computeCosts(run.choosing)
   }
 }
 
+/** Requests a second that met their target and ended between two times. */
+function computeGoodput (records: RequestRecord[], fromMs: number, untilMs: number): number {
+  const met = records.filter(record => isMet(record) && record.finishedAtMs! >= fromMs && record.finishedAtMs! < untilMs)
+  return met.length / ((untilMs - fromMs) / 1000)
+}
+
+/** Computes the measures of calls from their times in milliseconds. */
+export function computeCosts (cost: DecisionCost): CostMeasures {
+  const sorted = Float64Array.from(cost).sort()
+  const total = sorted.reduce((sum, ms) => sum + ms, 0)
+  const findAt = (part: number): number => (sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0) * 1000
+  return { mean: total / Math.max(1, sorted.length) * 1000, ninetyNine: findAt(0.99), greatest: findAt(1) }
+}
+
 /** Whether the answer came by the target's time. */
 export function isMet (record: RequestRecord): boolean {
   const isFirstToken = record.request.workClass.target.kind === 'firstTokenWithin'
--- a/bench/decisions/runTrace.ts
+++ b/bench/decisions/runTrace.ts
@@ -36,10 +36,8 @@
   refusals: number
 }
 
-export interface DecisionCost {
-  calls: number
-  totalMs: number
-}
+/** Times of calls, in milliseconds. */
+export type DecisionCost = number[]
 
 export interface RunRecord {
   requests: RequestRecord[]
@@ -79,8 +77,7 @@
     this.#trace = trace
     this.#policy = policy
     this.#random = createRandom(trace.seed + 77)
-    const zeroCost = (): DecisionCost => ({ calls: 0, totalMs: 0 })
-    this.#result = { requests: [], loads: new Map(), tokens: 0, steps: 0, planning: zeroCost(), choosing: zeroCost() }
+    this.#result = { requests: [], loads: new Map(), tokens: 0, steps: 0, planning: [], choosing: [] }
     this.#budget = new LoadBudget(trace.deployment, 0)
     this.#engines = new VirtualEngines({
       clock: this.#clock,
@@ -326,8 +323,7 @@
 function measureCall<T> (cost: DecisionCost, call: () => T): T {
   const startMs = performance.now()
   const result = call()
-  cost.totalMs += performance.now() - startMs
-  cost.calls++
+  cost.push(performance.now() - startMs)
   return result
 }
 
--- a/bench/decisions/traces.ts
+++ b/bench/decisions/traces.ts
@@ -14,8 +14,8 @@
 const endMs = 300_000
 const targetUse = 0.8
 const overloadFactor = 3
-const overloadFromMs = 120_000
-const overloadUntilMs = 180_000
+/** When three times the capacity is asked for. */
+export const floodTimes = Object.freeze({ fromMs: 120_000, untilMs: 180_000 })
 /** Part of the adapters whose popularity changes within a trace. */
 const turnover = 0.41
 /** Period of the daily rhythm, compressed. */
@@ -50,7 +50,7 @@
   capacity: { ...steadyShape, rate: () => 1 / targetUse, maxReturns: 2 },
   overload: {
     ...steadyShape,
-    rate: atMs => atMs >= overloadFromMs && atMs < overloadUntilMs ? overloadFactor / targetUse : 1 / targetUse,
+    rate: atMs => atMs >= floodTimes.fromMs && atMs < floodTimes.untilMs ? overloadFactor / targetUse : 1 / targetUse,
     maxReturns: 2
   }
 }
