Let idle schedulers ask their engines and the list of hosts less often

Ruled out: keep-alive of the links (without it 2.97% of a core against 2.94%, and 0.9 KB/s less).

Change: parts of a scheduler share a reading of the list; a list whose text has not changed is not parsed again; checks of the platform's and the engines' answers are compiled; an engine that runs, queues and loads nothing, on an endpoint where nothing waits and no slot is bound to a former owner, is asked once a second. An engine that misses one report is asked at the full pace again, so that it is called silent after 2 s at the most in place of 1 s.

--- a/src/adapters/httpPlatform/httpPlatform.ts
+++ b/src/adapters/httpPlatform/httpPlatform.ts
@@ -2,19 +2,20 @@
 import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 import { Type } from '@sinclair/typebox'
-import { Value } from '@sinclair/typebox/value'
 import type { HostList } from '../../ports/hostList.js'
 import type { Objects } from '../../ports/objects.js'
 import { createPlatformUnavailable } from '../../ports/platformUnavailable.js'
 import { checkTransactionSize, tableRowSchema, transactionOutcomeSchema } from '../../ports/table.js'
 import type { RowRange, Table, TableRow, Transaction, TransactionOutcome } from '../../ports/table.js'
+import { createParser } from '../../schemas/createParser.js'
 import { hostListEntrySchema } from '../../schemas/hostList.js'
 import type { HostListEntry } from '../../schemas/hostList.js'
 
 const requestTimeoutMs = 2000
 const maxConnections = 16
-const rowsSchema = Type.Array(tableRowSchema)
-const entriesSchema = Type.Array(hostListEntrySchema)
+const parseRows = createParser(Type.Array(tableRowSchema))
+const parseEntries = createParser(Type.Array(hostListEntrySchema))
+const parseOutcome = createParser(transactionOutcomeSchema)
 /** Errors after which the platform certainly has not seen the request. */
 const neverSentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT'])
 
@@ -57,8 +58,8 @@
 
 function createHttpTable (call: Call): Table {
   return {
-    readRows: async keys => Value.Parse(rowsSchema, await readJson('table', call('POST', '/table/read', { keys }))) as TableRow[],
-    listRows: async (range: RowRange) => Value.Parse(rowsSchema, await readJson('table', call('POST', '/table/list', range))) as TableRow[],
+    readRows: async keys => parseRows(await readJson('table', call('POST', '/table/read', { keys }))) as TableRow[],
+    listRows: async (range: RowRange) => parseRows(await readJson('table', call('POST', '/table/list', range))) as TableRow[],
     transact: async transaction => await sendTransaction(call, transaction)
   }
 }
@@ -68,7 +69,7 @@
   try {
     const response = await call('POST', '/table/transact', transaction)
     const answer: unknown = await response.body.json()
-    if (response.statusCode === 200) return Value.Parse(transactionOutcomeSchema, answer)
+    if (response.statusCode === 200) return parseOutcome(answer)
     if (response.statusCode === 503) return { verdict: 'notApplied', cause: 'unavailable', conflicts: [] }
     return { verdict: 'unknown', message: `the table answered with status ${response.statusCode}` }
   } catch (error) {
@@ -99,9 +100,17 @@
   }
 }
 
+/** The list is parsed anew only where its text has changed. */
 function createHttpHostList (call: Call): HostList {
+  let lastText: string | undefined
+  let lastEntries: HostListEntry[] = []
   return {
-    listEntries: async () => Value.Parse(entriesSchema, await readJson('host list', call('GET', '/hosts'))),
+    listEntries: async () => {
+      const text = await readText('host list', call('GET', '/hosts'))
+      if (text !== lastText) lastEntries = parseEntries(JSON.parse(text))
+      lastText = text
+      return [...lastEntries]
+    },
     announceEntry: async (entry: HostListEntry) => {
       await readJson('host list', call('PUT', `/hosts/${encodeURIComponent(entry.id)}`, entry))
     },
@@ -110,11 +119,20 @@
 }
 
 async function readJson (service: string, call: Promise<Dispatcher.ResponseData>): Promise<unknown> {
+  const text = await readText(service, call)
+  try {
+    return JSON.parse(text)
+  } catch (error) {
+    throw createPlatformUnavailable(service, error as Error)
+  }
+}
+
+async function readText (service: string, call: Promise<Dispatcher.ResponseData>): Promise<string> {
   try {
     const response = await call
-    const answer: unknown = await response.body.json()
+    const text = await response.body.text()
     if (response.statusCode !== 200) throw new Error(`status ${response.statusCode}`)
-    return answer
+    return text
   } catch (error) {
     throw createPlatformUnavailable(service, error as Error)
   }
--- a/src/adapters/openaiEngine/openaiEngine.ts
+++ b/src/adapters/openaiEngine/openaiEngine.ts
@@ -1,9 +1,9 @@
 /** Engines that speak the OpenAI API with orders for LoRA adapters. */
 import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
-import { Value } from '@sinclair/typebox/value'
 import { engineReportSchema } from '../../ports/engine.js'
 import type { AdapterOrder, Engine, EngineReport, GenerateOrder, GenerateEvent, Generation, OrderOutcome } from '../../ports/engine.js'
+import { createParser } from '../../schemas/createParser.js'
 import { parseEngineError } from './engineError.js'
 import { runGeneration } from './runGeneration.js'
 
@@ -14,6 +14,7 @@
 const maxConnectionsPerEngine = 512
 /** An engine that sends nothing of an answer for so long has stalled. */
 const defaultIdleTimeoutMs = 30_000
+const parseReport = createParser(engineReportSchema)
 
 export interface OpenaiEngineOptions {
   idleTimeoutMs?: number
@@ -32,7 +33,7 @@
     const response = await this.#getPool(address).request({
       method: 'GET', path: '/report', headersTimeout: reportTimeoutMs, bodyTimeout: reportTimeoutMs
     })
-    return Value.Parse(engineReportSchema, await response.body.json())
+    return parseReport(await response.body.json())
   }
 
   async loadAdapter (address: string, order: AdapterOrder): Promise<OrderOutcome> {
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -13,6 +13,7 @@
 import type { GatewaySettings, SchedulerSettings } from '../settings/settingsSchemas.js'
 import { DecisionStore } from '../tasks/decisions/decisionStore.js'
 import { ConfigurationTask } from '../tasks/configuration/configurationTask.js'
+import { createSharedHostList } from '../tasks/membership/sharedHostList.js'
 import { GatewayTask } from '../tasks/gateway/gatewayTask.js'
 import type { GatewayTaskOptions } from '../tasks/gateway/gatewayTask.js'
 import { LeaseOwnership } from '../tasks/ownership/leaseOwnership.js'
@@ -115,6 +116,7 @@
   const { host, peers } = settings
   const clock = createSystemClock()
   const engine = new OpenaiEngine()
+  const hostList = createSharedHostList(platform.hostList, clock)
   const configuration = new ConfigurationTask({ hostId: host.id, clock, table: platform.table })
   const decisions = new DecisionStore({ hostId: host.id, clock })
   const scheduler = new SchedulerTask({
@@ -126,7 +128,7 @@
     createOwnership: (send, listOutageReports) => new LeaseOwnership({
       clock,
       table: platform.table,
-      hostList: platform.hostList,
+      hostList,
       holder: { hostId: host.id, session: randomUUID() },
       zone: host.zone,
       hashText: h32,
@@ -136,7 +138,7 @@
     decisions,
     receiveRefusal: code => metrics.badInput.count(code),
     describeProcess: () => describeState(),
-    hostList: platform.hostList,
+    hostList,
     loadBudget: settings.store,
     configuration,
     peerTransport: grpcPeerTransport,
--- a/src/tasks/scheduler/describeEndpoint.ts
+++ b/src/tasks/scheduler/describeEndpoint.ts
@@ -65,3 +65,13 @@
 export function describeDispatch ({ requestId, attempt, handle, decision }: PlannedDispatch): PeerMessageOf<'dispatched'> {
   return { type: 'dispatched', requestId, attempt, handle, waits: decision.waits }
 }
+
+/**
+ * Formats the key of an attempt.
+ *
+ * @example
+ * formatAttempt({ requestId: 'req-1', attempt: 2 }) // 'req-1/2'
+ */
+export function formatAttempt ({ requestId, attempt }: { requestId: string, attempt: number }): string {
+  return `${requestId}/${attempt}`
+}
--- a/src/tasks/scheduler/endpointHandles.ts
+++ b/src/tasks/scheduler/endpointHandles.ts
@@ -43,12 +43,18 @@
   #removing = new Set<string>()
   /** Handles whose state on the engine the task follows: ordered, in use or ordered to be unloaded. */
   #known = new Set<string>()
+  #boundSlots = 0
 
   constructor (options: EndpointHandlesOptions) {
     this.#options = options
     this.#adoptable = new Set(options.adoptableHandles)
   }
 
+  /** Slots that were bound to former owners when the engine last reported. */
+  get boundSlots (): number {
+    return this.#boundSlots
+  }
+
   /** Whether requests may be given to a handle. */
   isUsable (handle: string): boolean {
     return this.#adoptable.has(handle) || parseHandle(handle)?.fencing === this.#options.fencing
@@ -93,6 +99,7 @@
     for (const handle of ownership.listRemovable(endpointId)) this.#remove(address, handle)
     const unusable = report.adapters.filter(({ handle }) => !this.isUsable(handle)).length
     const kept = report.adapters.filter(({ handle }) => this.isUsable(handle) && !ownership.mayUnload(endpointId, handle)).length
+    this.#boundSlots = unusable + kept
     return { unusable, kept }
   }
 
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -17,7 +17,7 @@
 import type { EndpointCrash } from './suspectGate.js'
 import type { Ownership } from '../ownership/ownership.js'
 import { createGenerateOrder } from './createGenerateOrder.js'
-import { describeAttempts, describeDispatch, describeFailedLoad } from './describeEndpoint.js'
+import { describeAttempts, describeDispatch, describeFailedLoad, formatAttempt } from './describeEndpoint.js'
 import { EndpointHandles } from './endpointHandles.js'
 import type { BoundSlots } from './endpointHandles.js'
 import { EngineWatch } from './engineWatch.js'
@@ -85,6 +85,7 @@
       engine: options.engine,
       endpointId: options.entry.id,
       findAddress: () => this.#entry.address,
+      isQuiet: () => this.#attempts.size === 0 && this.#handles.boundSlots === 0,
       send: event => this.#receiveWatch(event)
     })
   }
@@ -440,7 +441,3 @@
     }
   }
 }
-
-function formatAttempt (names: { requestId: string, attempt: number }): string {
-  return `${names.requestId}/${names.attempt}`
-}
--- a/src/tasks/scheduler/engineWatch.ts
+++ b/src/tasks/scheduler/engineWatch.ts
@@ -7,6 +7,8 @@
 
 const log = createLog('scheduler')
 const reportIntervalMs = 250
+/** While nothing runs or waits on the endpoint, reports are read this often. */
+const quietReportIntervalMs = 1000
 /** An engine that gives no report this often takes no requests. */
 const maxMissedReports = 4
 /** What runs on an engine that has given no report for this time is given up. */
@@ -33,6 +35,8 @@
   engine: Pick<Engine, 'readReport'>
   endpointId: string
   findAddress: () => string
+  /** Whether the owner waits for nothing on the endpoint. */
+  isQuiet: () => boolean
   send: (event: EngineWatchEvent) => void
 }
 
@@ -40,6 +44,8 @@
   #options: EngineWatchOptions
   #incarnation: string | undefined
   #isReady = false
+  /** Whether the last report showed an engine that runs, queues and loads nothing. */
+  #isIdle = false
   #missedReports = 0
   #reportedAtMs: number
   #lossCheck: Promise<void> | undefined
@@ -61,8 +67,9 @@
   }
 
   start (): void {
-    this.#reports = repeatTask(this.#options.clock, reportIntervalMs, async () => await this.#readReport(),
-      error => this.#receiveMissedReport(error))
+    this.#reports = repeatTask(this.#options.clock, reportIntervalMs, async () => {
+      if (!this.#canWait()) await this.#readReport()
+    }, error => this.#receiveMissedReport(error))
   }
 
   stop (): void {
@@ -75,11 +82,19 @@
     await this.#lossCheck
   }
 
+  /** A quiet engine that gives reports is asked less often; one that missed a report is asked at the full pace. */
+  #canWait (): boolean {
+    const { clock, isQuiet } = this.#options
+    const isRecent = clock.readMonotonic() - this.#reportedAtMs < quietReportIntervalMs - reportIntervalMs
+    return this.#isReady && this.#isIdle && this.#missedReports === 0 && isRecent && isQuiet()
+  }
+
   async #readReport (): Promise<void> {
     const { clock, engine, findAddress, send } = this.#options
     const readAtMs = clock.readMonotonic()
     const report = await engine.readReport(findAddress())
     this.#missedReports = 0
+    this.#isIdle = isIdle(report)
     this.#reportedAtMs = clock.readMonotonic()
     if (report.incarnation !== this.#incarnation) this.#receiveIncarnation(report.incarnation)
     if (!this.#isReady) {
@@ -118,3 +133,7 @@
     send({ type: 'crashed', incarnation })
   }
 }
+
+function isIdle ({ running, waiting, adapters }: EngineReport): boolean {
+  return running === 0 && waiting === 0 && adapters.every(({ state }) => state === 'loaded')
+}
