Tell a job's whole story

Cause: a run of a job had a story under an id that nobody is told, and the time before the first run had none.

Change: each step of a job (accepted, run, returned, cancelled, finished, failed) is a decision about the request that bears the job's id; "sedgevalvectl job explain CALLER JOB" shows them with what stands in the table and the stories of the last ten runs, from any gateway. Steps are counted as "jobs" in the metrics.

The scenarios of the client check it for a finished and a cancelled job.

--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -105,6 +105,13 @@
     When an operator runs "job show nobody" with the job
     Then the client ends with code 4
     And the client notes "of caller "nobody" does not exist"
+    When an operator runs "job explain example-caller" with the job
+    Then the client ends with code 0
+    And the client prints "accepted: the job is durable"
+    And the client prints "run: a run begins"
+    And the client prints "finished: the answer is stored"
+    And the client prints "run 1 of those told:"
+    And the client prints "ended:   ran: the whole answer was sent"
 
   Scenario: A job that has not ended is cancelled
     Given class "soon" finishes within 60000 ms
@@ -113,6 +120,8 @@
     When an operator runs "job remove example-caller" with the job
     Then the client ends with code 0
     And the client prints "state: cancelled"
+    When an operator runs "job explain example-caller" with the job
+    Then the client prints "cancelled: cancelled by operator "settings""
 
   Scenario: A story, a dump and a live feed
     Given a caller asks for 3 tokens from "cluj-tax"
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -69,7 +69,7 @@
   const metrics = createMetrics({
     settings, role: 'gateway', clock, decisions, describeEndpoints: () => [], readRunningRequests: () => gateway.router.running
   })
-  const jobRunner = state.createJobRunner(gateway.router)
+  const jobRunner = state.createJobRunner(gateway.router, draft => decisions.record(draft))
   const describeState = (): unknown => describeProcess('gateway', {
     gateway: () => gateway.describeState(),
     configuration: () => configuration.describeState(),
--- a/src/bin/startState.ts
+++ b/src/bin/startState.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import type { Platform } from '../adapters/httpPlatform/httpPlatform.js'
 import type { Clock } from '../ports/clock.js'
+import type { RecordDecision } from '../schemas/decision.js'
 import { claimLifeMs, claimPrefix, readClaimRow } from '../tasks/claims/claimRow.js'
 import { ClaimTask } from '../tasks/claims/claimTask.js'
 import { JobRunner } from '../tasks/jobs/jobRunner.js'
@@ -24,7 +25,7 @@
   readonly claims: ClaimTask
   readonly jobs: JobStore
   /** Creates the runner of jobs; the caller starts and stops it. */
-  createJobRunner: (router: JobRunnerOptions['router']) => JobRunner
+  createJobRunner: (router: JobRunnerOptions['router'], recordDecision: RecordDecision) => JobRunner
 }
 
 /** Starts what a gateway needs to keep claims and jobs. */
@@ -55,10 +56,10 @@
   return {
     claims,
     jobs,
-    createJobRunner: router => {
+    createJobRunner: (router, recordDecision) => {
       const runner = `${hostId}-${randomUUID()}`
       const leases = new RunnerLeases({ runner, hostId, clock, table, batches })
-      return new JobRunner({ runner, clock, random: Math.random, store: jobs, leases, router })
+      return new JobRunner({ runner, clock, random: Math.random, store: jobs, leases, router, recordDecision })
     },
     stop: async () => sweeper.stop()
   }
--- a/src/ctl/commands/jobCommands.ts
+++ b/src/ctl/commands/jobCommands.ts
@@ -1,9 +1,10 @@
 /** `sedgevalvectl job`: work that may wait. */
-import type { JobPage, OperatorJob } from '../../tasks/operators/jobRoutes.js'
+import type { JobPage, JobStory, OperatorJob } from '../../tasks/operators/jobRoutes.js'
 import { createClientError } from '../clientError.js'
 import { readOption } from '../command.js'
 import type { Command, CommandContext } from '../command.js'
 import { formatCell, renderTable } from '../renderTable.js'
+import { renderStory } from './explainCommand.js'
 
 const defaultLimit = 100
 
@@ -25,6 +26,13 @@
     options: {},
     run: async context => printJob(context, await context.client.read(formatJobPath(context)) as OperatorJob)
   },
+  {
+    words: ['job', 'explain'],
+    arguments: ['CALLER', 'JOB'],
+    summary: 'tells a job\'s whole way: when it was accepted, how long it waited, and the story of each run',
+    options: {},
+    run: async context => printJobStory(context, await context.client.read(`${formatJobPath(context)}/story`) as JobStory)
+  },
   {
     words: ['job', 'remove'],
     arguments: ['CALLER', 'JOB'],
@@ -62,3 +70,24 @@
   if (context.isJson) context.print(JSON.stringify(job))
   else Object.entries(job).forEach(([name, value]) => context.print(`${name}: ${formatCell(value)}`))
 }
+
+function printJobStory (context: CommandContext, story: JobStory): void {
+  if (context.isJson) context.print(JSON.stringify(story))
+  else renderJobStory(story).forEach(line => context.print(formatCell(line)))
+}
+
+/** Renders a job's whole way as lines for people. */
+export function renderJobStory ({ job, steps, runs, silentHosts }: JobStory): string[] {
+  return [
+    `job:      ${job.id} of caller "${job.caller}", ${job.state}`,
+    `model:    ${job.adapter}@${job.version}`,
+    `class:    ${job.className}`,
+    `accepted: ${job.acceptedAt}, due ${job.dueAt}`,
+    ...(job.runner === undefined ? [] : [`runner:   ${job.runner}`]),
+    ...(job.failure === undefined ? [] : [`failure:  ${job.failure}`]),
+    ...(steps.length > 0 ? ['steps:'] : ['steps: none is remembered any longer']),
+    ...steps.map(({ atMs, host, step, reason }) => `  ${new Date(atMs).toISOString()} ${host} ${step}: ${reason}`),
+    ...runs.flatMap((run, index) => [`run ${index + 1} of those told:`, ...renderStory(run).map(line => `  ${line}`)]),
+    ...(silentHosts.length > 0 ? [`no answer from: ${silentHosts.join(', ')}; what they know is missing`] : [])
+  ]
+}
--- a/src/schemas/decision.ts
+++ b/src/schemas/decision.ts
@@ -36,6 +36,7 @@
   Type.Literal('ownership'),
   Type.Literal('configuration'),
   Type.Literal('membership'),
+  Type.Literal('job'),
   Type.Literal('suspect')
 ])
 
--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -10,6 +10,7 @@
 import type { RequestFailure } from '../../schemas/verdict.js'
 import { hashParts } from '../claims/claimRow.js'
 import type { ClaimedWork } from '../claims/claimRow.js'
+import type { RecordDecision } from '../../schemas/decision.js'
 import type { ClaimTask } from '../claims/claimTask.js'
 import type { JobStore } from '../jobs/jobStore.js'
 import { AnswerWriter } from './answerWriter.js'
@@ -43,6 +44,7 @@
   jobs: JobStore
   hashText: HashText
   receiveRefusal: ReceiveRefusal
+  recordDecision: RecordDecision
 }
 
 /** A request that was refused before any attempt. */
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -153,7 +153,8 @@
       claims,
       jobs,
       hashText,
-      receiveRefusal: refusal => this.#receiveRefusal(refusal)
+      receiveRefusal: refusal => this.#receiveRefusal(refusal),
+      recordDecision: this.#options.recordDecision
     })
     log('Gateway "%s" takes callers on port %d.', this.#options.hostId, this.callersPort)
   }
--- a/src/tasks/gateway/jobsRoute.ts
+++ b/src/tasks/gateway/jobsRoute.ts
@@ -6,6 +6,7 @@
 import { createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
 import { hashParts } from '../claims/claimRow.js'
+import { describeAcceptance, describeCancellation } from '../jobs/describeJob.js'
 import type { Job } from '../jobs/jobStore.js'
 import { readHeader, readRequestId, sendFailure } from './callersServer.js'
 import type { CallersContext } from './callersServer.js'
@@ -66,6 +67,8 @@
     request: selectJobRequest(resolved.value)
   })
   if (result.type === 'refused') return sendFailure(reply, result.failure)
+  // An earlier submission under the same key has been recorded then.
+  if (result.job.acceptedAtWallMs === acceptedAtWallMs) context.recordDecision(describeAcceptance(result.job))
   return reply.code(202).header('location', `/v1/jobs/${result.job.id}`).send(renderJob(result.job))
 }
 
@@ -111,6 +114,7 @@
     if (result.verdict === 'unknown' || (result.verdict === 'notApplied' && result.cause === 'unavailable')) {
       return sendFailure(reply, createUnavailable())
     }
+    if (result.verdict === 'applied') context.recordDecision(describeCancellation(job.row, `caller "${name}"`))
   }
   const after = await context.jobs.readJob(name, id)
   return reply.send(after ? renderJob(after.row) : {})
--- a/src/tasks/jobs/jobRunner.ts
+++ b/src/tasks/jobs/jobRunner.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../../ports/clock.js'
 import { repeatTask } from '../../repeatTask.js'
 import type { Repetition } from '../../repeatTask.js'
+import type { RecordDecision } from '../../schemas/decision.js'
 import type { JobRequest } from '../../schemas/jobRows.js'
 import type { StoredAnswer } from '../../schemas/storedAnswer.js'
 import { createMayHaveRun } from '../../schemas/verdict.js'
@@ -11,6 +12,7 @@
 import type { AnswerEvent, RoutedRequest } from '../gateway/routedRequest.js'
 import type { RequestRouter } from '../gateway/requestRouter.js'
 import { collectAnswer } from '../gateway/collectAnswer.js'
+import { describeJobEnd, describeReturn, describeRun } from './describeJob.js'
 import type { Job, JobStore, QueuedJob } from './jobStore.js'
 import type { RunnerLeases } from './runnerLeases.js'
 
@@ -39,6 +41,7 @@
   store: JobStore
   leases: RunnerLeases
   router: Pick<RequestRouter, 'startRequest' | 'cancelRequest'>
+  recordDecision?: RecordDecision
   /** Whether a job whose former run may have run must not run again; see `isRepeatForbidden`. */
   isRepeatForbidden?: (job: Job, queued: QueuedJob) => boolean
 }
@@ -148,7 +151,7 @@
     const end = await this.#runInTime(job, queued, request)
     if (!end) return
     if (!('verdict' in end) || this.#isFinal(job, end)) await this.#finish(job, queued, end)
-    else await this.#release(queued, end)
+    else await this.#release(job, queued, end)
   }
 
   /**
@@ -168,8 +171,9 @@
   async #runRequest (
     job: Job, queued: QueuedJob, request: JobRequest, requestId: string, dueInMs: number
   ): Promise<StoredAnswer | RequestFailure> {
-    const { clock, router } = this.#options
+    const { clock, router, recordDecision } = this.#options
     const nowMs = clock.readMonotonic()
+    recordDecision?.(describeRun(job.row, requestId, clock.readWall(), dueInMs))
     const routed: RoutedRequest = {
       ...request,
       requestId,
@@ -198,7 +202,8 @@
     return isRefusedForGood || this.#options.clock.readWall() > job.row.dueAtWallMs + maxLatenessMs
   }
 
-  async #release (queued: QueuedJob, failure: RequestFailure): Promise<void> {
+  async #release (job: Job, queued: QueuedJob, failure: RequestFailure): Promise<void> {
+    this.#options.recordDecision?.(describeReturn(job.row, failure))
     log('Job "%s" was not run and goes back into the queue: %s.', queued.row.jobKey, failure.message)
     this.#backOff(queued, Math.max(backoffMs, failure.retryAfterMs ?? 0))
     await this.#options.store.releaseJob(queued)
@@ -210,6 +215,7 @@
       const result = await this.#options.store.finishJob(job, queued, end).catch(() => undefined)
       if (result?.verdict === 'applied') {
         this.#backOffs.delete(queued.queueKey)
+        this.#options.recordDecision?.(describeJobEnd(job.row, end))
         return
       }
       if (result?.verdict === 'notApplied' && result.cause === 'conflict') {
--- a/src/tasks/metrics/decisionMetrics.ts
+++ b/src/tasks/metrics/decisionMetrics.ts
@@ -42,6 +42,9 @@
     case 'membership':
       series.count(`${decision.kind}.changes`, 1, {})
       break
+    case 'job':
+      series.count('jobs', 1, { ...tags, step: decision.chosen })
+      break
     case 'suspect':
       series.count('suspects', 1, {})
       break
--- a/src/tasks/operators/explainRoute.ts
+++ b/src/tasks/operators/explainRoute.ts
@@ -35,7 +35,8 @@
   return { host: context.hostId, decisions: context.decisions.findByRequest(requestId) }
 }
 
-async function requestStory (context: OperatorsContext, requestId: string, authorization: string): Promise<Story | undefined> {
+/** Asks every host for its part of a story and puts them together; undefined where nobody knows the request. */
+export async function requestStory (context: OperatorsContext, requestId: string, authorization: string): Promise<Story | undefined> {
   const path = `/api/explain/${requestId}?scope=local`
   const [gateways, schedulers] = await Promise.all([
     context.gateways.requestAll(path, authorization),
--- a/src/tasks/operators/jobRoutes.ts
+++ b/src/tasks/operators/jobRoutes.ts
@@ -5,11 +5,16 @@
 import type { JobRow } from '../../schemas/jobRows.js'
 import { createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
+import type { Story } from '../../schemas/operatorMessage.js'
+import { describeCancellation, listRuns } from '../jobs/describeJob.js'
 import type { Job } from '../jobs/jobStore.js'
+import { requestStory } from './explainRoute.js'
 import { sendOperatorFailure } from './operatorsServer.js'
 import type { OperatorsContext } from './operatorsContext.js'
 
 const maxPage = 500
+/** The latest runs of a job whose stories are told. */
+const maxToldRuns = 10
 const retryAfterUnavailableMs = 2000
 
 const pageSchema = Type.Object({
@@ -45,6 +50,15 @@
   next?: string
 }
 
+/** A job's whole way: what stands in the table, the steps that hosts remember, and the story of each run. */
+export interface JobStory {
+  job: OperatorJob
+  steps: Array<{ host: string, atMs: number, step: string, reason: string }>
+  runs: Story[]
+  /** Hosts that gave no answer; what they know is missing. */
+  silentHosts: string[]
+}
+
 export function addJobRoutes (server: FastifyInstance, context: OperatorsContext): void {
   server.get('/api/jobs', async (request, reply) => await guardPlatform(context, reply, async () => {
     const query = Value.Convert(pageSchema, request.query)
@@ -56,9 +70,14 @@
     const job = await context.jobs.readJob(caller, id)
     return job ? renderJob(job) : createJobNotFound(caller, id)
   }))
+  server.get<JobParams>('/api/jobs/:caller/:id/story', async (request, reply) => await guardPlatform(context, reply, async () => {
+    const { caller, id } = request.params
+    const job = await context.jobs.readJob(caller, id)
+    return job ? await requestJobStory(context, renderJob(job), request.headers.authorization ?? '') : createJobNotFound(caller, id)
+  }))
   server.delete<JobParams>('/api/jobs/:caller/:id', async (request, reply) => await guardPlatform(context, reply, async () => {
     const { caller, id } = request.params
-    return await cancelJob(context, caller, id)
+    return await cancelJob(context, caller, id, request.operator?.name ?? '')
   }))
 }
 
@@ -68,22 +87,35 @@
   return { jobs: page.map(renderJob), ...(next !== undefined && { next }) }
 }
 
-async function cancelJob (context: OperatorsContext, caller: string, id: string): Promise<OperatorJob | RequestFailure> {
+async function cancelJob (context: OperatorsContext, caller: string, id: string, operator: string): Promise<OperatorJob | RequestFailure> {
   const job = await context.jobs.readJob(caller, id)
   if (!job) return createJobNotFound(caller, id)
   const result = job.row.state === 'queued' ? await context.jobs.cancelJob(job) : undefined
   if (result?.verdict === 'unknown') {
     return createNotRun('job_unknown', `the platform's answer was lost, so that job "${id}" may be cancelled; read it before trying again`, 504)
   }
+  if (result?.verdict === 'applied') context.decisions.record(describeCancellation(job.row, `operator "${operator}"`))
   if (result?.verdict === 'notApplied' && result.cause === 'unavailable') return createUnavailable()
   const after = await context.jobs.readJob(caller, id)
   if (after?.row.state === 'cancelled') return renderJob(after)
   return createNotRun('job_ended', `job "${id}" was not cancelled: it is ${after?.row.state ?? 'gone'}`, 409)
 }
 
+async function requestJobStory (context: OperatorsContext, job: OperatorJob, authorization: string): Promise<JobStory> {
+  const way = await requestStory(context, job.id, authorization)
+  const decisions = (way?.decisions ?? []).sort((left, right) => left.atMs - right.atMs)
+  const runs = await Promise.all(listRuns(decisions).slice(-maxToldRuns).map(async run => await requestStory(context, run, authorization)))
+  return {
+    job,
+    steps: decisions.map(({ host, atMs, chosen, reason }) => ({ host, atMs, step: chosen, reason })),
+    runs: runs.flatMap(run => run ?? []),
+    silentHosts: way?.silentHosts ?? []
+  }
+}
+
 /** Sends the result, or an outage of the platform as what it is. */
 async function guardPlatform (
-  context: OperatorsContext, reply: FastifyReply, run: () => Promise<JobPage | OperatorJob | RequestFailure>
+  context: OperatorsContext, reply: FastifyReply, run: () => Promise<JobPage | OperatorJob | JobStory | RequestFailure>
 ): Promise<FastifyReply> {
   const result = await run().catch(createUnavailable)
   return 'verdict' in result ? sendOperatorFailure(context, reply, result) : reply.send(result)
