Hold the page on metrics and every shown state against what is sent and set

The names of all metrics are compared with those that the page lists, in both directions. Dumps, status and recent decisions are searched for every key and hash that is set, registered or shown by a stranger, for any field that is named like one, and held below a bound on bytes.

--- a/features/access.feature
+++ b/features/access.feature
@@ -88,6 +88,13 @@
       | operators' | a header of 20000 bytes | 431    | headers_too_large |
       | callers'   | a header of 20000 bytes | 431    | headers_too_large |
 
+  Scenario: No state that a process shows holds a key
+    Given key "sv-second-operator" is registered for an operator
+    When somebody sends GET "/api/status" with key "sv-a-stranger" to the operators' port
+    And somebody asks the callers' port with key "sv-a-stranger"
+    And a caller asks for 3 tokens from "kit-tutor"
+    Then no state that a host shows holds a key that is set or registered, or "sv-a-stranger"
+
   Scenario: A long name in a refused request is not kept whole
     When a caller asks for 3 tokens from an adapter with a name of 100000 letters
     Then the answer has status 404
--- a/features/metrics.feature
+++ b/features/metrics.feature
@@ -18,6 +18,12 @@
     And the metrics of 12 seconds are sent
     Then metric "batch_efficiency.class" of class "overnight" is 0.25
 
+  Scenario: The page on metrics lists what is sent, and nothing else
+    Given a process that sends metrics
+    When a decision of every kind is taken, input is refused and an endpoint has a queue
+    And the metrics of 12 seconds are sent
+    Then the names sent are those that the page on metrics lists
+
   Scenario: Figures reach a StatsD server
     Given a StatsD server and a system that sends to it
     When a caller asks for 3 tokens from "cluj-tax"
--- a/features/steps/access.ts
+++ b/features/steps/access.ts
@@ -5,7 +5,7 @@
 import grpc from '@grpc/grpc-js'
 import { grpcPeerTransport } from '../../src/adapters/peerLink/grpcPeerLink.js'
 import { linkMethod, peerKeyHeader } from '../../src/adapters/peerLink/linkMethod.js'
-import { exampleOperatorKey } from '../../src/bin/exampleRecords.js'
+import { exampleCallerKey, exampleOperatorKey } from '../../src/bin/exampleRecords.js'
 import type { KeyRecord } from '../../src/schemas/configuration.js'
 import type { SchedulerEntry } from '../../src/schemas/hostList.js'
 import type { PeerMessage } from '../../src/schemas/peerMessage.js'
@@ -14,6 +14,9 @@
 import { waitUntil } from '../support/waitUntil.js'
 import type { SystemWorld } from '../support/world.js'
 
+/** Of what one process shows of itself in this small system. */
+const maxStateBytes = 256 * 1024
+
 interface AccessWorld extends SystemWorld {
   strangersMessages: PeerMessage[]
   response: string
@@ -99,3 +102,18 @@
   assert.ok(dump.decisions.decisions > 0)
   assert.ok(dump.decisions.bytes < bytes, String(dump.decisions.bytes))
 })
+
+Then('no state that a host shows holds a key that is set or registered, or {string}', async function (this: SystemWorld, stranger: string) {
+  const session = getSession(this)
+  const registered = this.playground!.gateways[0]!.configuration.listVersioned('key', '', 1000).flatMap(({ record }) => record.kind === 'key' ? [record.hash] : [])
+  assert.ok(registered.length >= 2)
+  const keys = ['playground-peer-key', exampleCallerKey, exampleOperatorKey, 'sv-second-operator', stranger]
+  const secrets = [...registered, ...keys, ...keys.map(key => hashKey(key))]
+  for (const path of ['/api/dump/gateway-1', '/api/dump/scheduler-1', '/api/status', '/api/decisions']) {
+    await session.send('GET', path, exampleOperatorKey)
+    assert.equal(session.status, 200, session.text)
+    assert.ok(session.text.length < maxStateBytes, `${path} has ${session.text.length} bytes`)
+    for (const secret of secrets) assert.ok(!session.text.includes(secret), `${path} holds "${secret}"`)
+    assert.doesNotMatch(session.text, /"\w*(?:key|hash|secret|password)":"/i, path)
+  }
+})
--- a/features/steps/metrics.ts
+++ b/features/steps/metrics.ts
@@ -6,6 +6,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
 import type { MetricTags } from '../../src/ports/metrics.js'
+import { decisionKindSchema } from '../../src/schemas/decision.js'
 import type { WaitCause } from '../../src/schemas/decision.js'
 import type { EndpointState } from '../../src/schemas/operatorMessage.js'
 import { DecisionStore } from '../../src/tasks/decisions/decisionStore.js'
@@ -27,6 +28,7 @@
 interface MetricsWorld extends SystemWorld {
   clock: VirtualClock
   store: DecisionStore
+  task: MetricsTask
   endpoints: EndpointState[]
   lines: Line[]
   server: Socket
@@ -40,16 +42,38 @@
   this.endpoints = []
   this.lines = []
   const add = (name: string, value: number, tags: MetricTags): void => { this.lines.push({ name, value, tags }) }
-  const task = new MetricsTask({
+  this.task = new MetricsTask({
     clock: this.clock,
     output: { sendCount: add, sendGauge: add, close: async () => {} },
     decisions: this.store,
     describeEndpoints: () => this.endpoints,
     readRunningRequests: () => 0
   })
-  task.start()
+  this.task.start()
 })
 
+function createEndpoint (className: string, running: number, batchLimit: number): EndpointState {
+  const run = { requestId: 'req-1', attempt: 1, className, adapter: 'a', version: '1', handle: 'a@1#1.1', ageMs: 0 }
+  return {
+    endpointId: 'engine-1',
+    host: 'host-1',
+    zone: 'az-1',
+    baseModel: 'base-1',
+    presence: 'live',
+    fencing: 1,
+    isReady: true,
+    slots: 8,
+    batchLimit,
+    loaded: [],
+    loading: [],
+    runningCount: running,
+    running: [run],
+    queues: [],
+    expectedWaitMs: 0,
+    expectedLoadMs: 0
+  }
+}
+
 When('{int} requests of class {string} are dispatched after {int} ms for {string} and {int} ms for {string}',
   function (this: MetricsWorld, count: number, className: string, firstMs: number, first: WaitCause, secondMs: number, second: WaitCause) {
     const waits = [{ cause: first, ms: firstMs }, { cause: second, ms: secondMs }]
@@ -58,31 +82,23 @@
 
 When('its endpoint runs {int} of {int} requests of class {string} for {int} seconds and nothing for {int} seconds',
   async function (this: MetricsWorld, running: number, batchLimit: number, className: string, busySeconds: number, idleSeconds: number) {
-    const run = { requestId: 'req-1', attempt: 1, className, adapter: 'a', version: '1', handle: 'a@1#1.1', ageMs: 0 }
-    const endpoint: EndpointState = {
-      endpointId: 'engine-1',
-      host: 'host-1',
-      zone: 'az-1',
-      baseModel: 'base-1',
-      presence: 'live',
-      fencing: 1,
-      isReady: true,
-      slots: 8,
-      batchLimit,
-      loaded: [],
-      loading: [],
-      runningCount: running,
-      running: [run],
-      queues: [],
-      expectedWaitMs: 0,
-      expectedLoadMs: 0
-    }
+    const endpoint = createEndpoint(className, running, batchLimit)
     this.endpoints = [endpoint]
     await this.clock.runUntilSettled(this.clock.readMonotonic() + busySeconds * 1000)
     this.endpoints = [{ ...endpoint, runningCount: 0, running: [] }]
     await this.clock.runUntilSettled(this.clock.readMonotonic() + idleSeconds * 1000 - 1)
   })
 
+When('a decision of every kind is taken, input is refused and an endpoint has a queue', function (this: MetricsWorld) {
+  const queue = { className: 'counter', target: 'finish within 1h', queued: 1, oldestMs: 5, dueInMs: 5 }
+  this.endpoints = [{ ...createEndpoint('counter', 1, 16), queues: [queue] }]
+  this.task.badInput.count('key_unknown')
+  for (const { const: kind } of decisionKindSchema.anyOf) {
+    this.store.record(createDecision(kind, { requestId: 'req-1', className: 'counter', waits: [{ cause: 'load', ms: 5 }] }))
+  }
+  this.store.record(createDecision('fail', { endpointId: 'engine-1' }))
+})
+
 When('a load fails', function (this: MetricsWorld) {
   this.store.record(createDecision('fail', { endpointId: 'engine-1', handle: 'a@1#1.1' }))
 })
@@ -127,6 +143,14 @@
   }
 })
 
+Then('the names sent are those that the page on metrics lists', function (this: MetricsWorld) {
+  const page = readFileSync('docs/operations/metrics.md', 'utf8')
+  const firstCells = page.split('\n').flatMap(line => /^\| (`[^|]*) \|/.exec(line)?.[1] ?? [])
+  const listed = firstCells.flatMap(cell => [...cell.matchAll(/`([^`]+)`/g)].map(match => match[1]!))
+  const sent = this.lines.map(({ name }) => name.replace(/\.(count|sum_ms|p\d+_ms)$/, ''))
+  assert.deepEqual([...new Set(sent)].sort(), listed.sort())
+})
+
 Given('a StatsD server and a system that sends to it', async function (this: MetricsWorld) {
   this.serverText = ''
   this.server = createSocket('udp4')
