Tell how far a large change has come while it is made

Cause: an import of thousands of adapters told only what the client had checked, then how long it waited.

Change: the host that makes a change keeps its step (reading, writing, confirming), the records written so far and the schedulers that have it in force; GET /api/changes tells them and "adapter import" prints them.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -9,6 +9,14 @@
     Then the change is "accepted"
     And after 5 seconds every host has class "counter" at 2000 ms
 
+  Scenario: The host that makes a large change tells how far it has come
+    Given every call of the table takes 50 ms
+    When "gateway-1" registers 20000 adapters and is asked for its progress all the while
+    Then the change is "accepted"
+    And the steps told were "reading, writing, confirming", with ever more of 20000 records written
+    And at the end 3 schedulers were told as those that have to confirm
+    And no change is told as under way any longer
+
   Scenario: Two operators change the same class at the same moment
     Given "gateway-1" has set class "counter" to 2000 ms
     When "gateway-1" and "gateway-2" set class "counter" to 1000 ms and 3000 ms at the same moment
--- a/features/steps/configuration.ts
+++ b/features/steps/configuration.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import type { AdapterRecord, ClassRecord } from '../../src/schemas/configuration.js'
-import type { ChangeRequest, ChangeResult } from '../../src/tasks/configuration/configurationChange.js'
+import type { ChangeProgress, ChangeRequest, ChangeResult } from '../../src/tasks/configuration/configurationChange.js'
 import type { ConfigurationTaskOptions } from '../../src/tasks/configuration/configurationTask.js'
 import { ConfigurationHosts } from '../support/configurationHosts.js'
 import { settle } from '../support/settle.js'
@@ -12,6 +12,7 @@
   names: string[]
   results: ChangeResult[]
   knownAtMs: number
+  progress: ChangeProgress[]
 }
 
 async function startHosts (world: HostsWorld, names: string[], rules: Partial<ConfigurationTaskOptions> = {}): Promise<void> {
@@ -271,3 +272,41 @@
   const rows = await this.hosts.platform.rows.listRows({ prefix: 'configuration/changes/', after: '', limit: 1000 })
   assert.ok(rows.length <= count, `${rows.length} changes`)
 })
+
+Given('every call of the table takes {int} ms', function (this: HostsWorld, ms: number) {
+  for (const { faults } of this.hosts.hosts.values()) faults.delayMs = ms
+})
+
+When('{string} registers {int} adapters and is asked for its progress all the while', async function (this: HostsWorld, name: string, count: number) {
+  const { clock } = this.hosts.platform
+  const { task } = this.hosts.hosts.get(name)!
+  this.progress = []
+  const ask = (): void => {
+    const told = task.describeChange()
+    if (told) this.progress.push(told)
+    clock.setTimer(ask, 1)
+  }
+  ask()
+  const counter = createClass('counter', 2000)
+  await changeAtOnce(this, [[name, { puts: [counter, ...createAdapters(count - 1)] }]])
+})
+
+Then('the steps told were {string}, with ever more of {int} records written', function (this: HostsWorld, steps: string, records: number) {
+  const told = this.progress.map(({ step }) => step)
+  assert.deepEqual(told.filter((step, index) => step !== told[index - 1]), steps.split(', '))
+  const written = this.progress.map(({ writtenRecords }) => writtenRecords)
+  assert.deepEqual(written, [...written].sort((left, right) => left - right))
+  assert.ok(new Set(written).size > 3, [...new Set(written)].join(', '))
+  assert.ok(this.progress.every(progress => progress.records === records))
+  assert.equal(written.at(-1), records)
+})
+
+Then('at the end {int} schedulers were told as those that have to confirm', function (this: HostsWorld, count: number) {
+  const { schedulers, confirmedSchedulers } = this.progress.at(-1)!
+  assert.equal(schedulers, count)
+  assert.ok(confirmedSchedulers <= count)
+})
+
+Then('no change is told as under way any longer', function (this: HostsWorld) {
+  for (const { task } of this.hosts.hosts.values()) assert.equal(task.describeChange(), undefined)
+})
--- a/src/ctl/commands/importAdapters.ts
+++ b/src/ctl/commands/importAdapters.ts
@@ -2,13 +2,14 @@
 import { Value } from '@sinclair/typebox/value'
 import { adapterRecordSchema } from '../../schemas/configuration.js'
 import type { AdapterRecord } from '../../schemas/configuration.js'
+import type { ChangeProgress } from '../../tasks/configuration/configurationChange.js'
 import { changeRecords } from '../changeRecords.js'
 import { createClientError } from '../clientError.js'
 import type { CommandContext } from '../command.js'
 
 const columns = ['name', 'baseModel', 'versions', 'currentVersion', 'defaultClass']
 const progressStep = 2000
-const waitNoteIntervalMs = 2000
+const progressIntervalMs = 500
 const maxListedErrors = 10
 
 /**
@@ -19,14 +20,46 @@
   const file = context.positionals[0]!
   const records = parseAdapters(file, context.readFile(file), context.printNote)
   context.printNote(`${file}: ${records.length} adapters are right; sending them as one change.`)
-  const startedMs = performance.now()
-  const notes = setInterval(() => {
-    context.printNote(`Waiting for the change to be in force (${Math.round((performance.now() - startedMs) / 1000)} s).`)
-  }, waitNoteIntervalMs)
+  const ended = new AbortController()
+  const progress = showProgress(context, ended.signal)
   try {
     await changeRecords(context, { puts: records, removes: [], ifVersions: [] })
   } finally {
-    clearInterval(notes)
+    ended.abort()
+    await progress
+  }
+}
+
+/** Prints what the gateway tells of the change until that has ended, each step once. */
+async function showProgress ({ client, printNote }: CommandContext, ended: AbortSignal): Promise<void> {
+  for (let shown = ''; !ended.aborted;) {
+    const answer = await client.read('/api/changes').catch(() => undefined) as { change: ChangeProgress | null } | undefined
+    const line = answer?.change ? renderProgress(answer.change) : ''
+    if (line !== '' && line !== shown && !ended.aborted) printNote(line)
+    shown = line
+    await new Promise<void>(resolve => {
+      const finish = (): void => {
+        clearTimeout(timer)
+        resolve()
+      }
+      const timer = setTimeout(finish, progressIntervalMs)
+      ended.addEventListener('abort', finish, { once: true })
+    })
+  }
+}
+
+/**
+ * Renders how far the gateway has come with a change.
+ *
+ * @example
+ * renderProgress({ step: 'writing', records: 3000, writtenRecords: 2000, schedulers: 9, confirmedSchedulers: 0 })
+ */
+export function renderProgress (progress: ChangeProgress): string {
+  const { step, records, writtenRecords, schedulers, confirmedSchedulers } = progress
+  switch (step) {
+    case 'reading': return `The gateway checks ${records} records against the configuration in force.`
+    case 'writing': return `The gateway has written ${writtenRecords} of ${records} records.`
+    case 'confirming': return `The change is written and in force on ${confirmedSchedulers} of ${schedulers} schedulers.`
   }
 }
 
--- a/src/tasks/configuration/configurationChange.ts
+++ b/src/tasks/configuration/configurationChange.ts
@@ -54,6 +54,19 @@
   /** The table's answer was lost; the change may have been made. Read the records before trying again. */
   | { type: 'unknown', message: string }
 
+/** How far a change that is under way has come on the host that makes it. */
+export interface ChangeProgress {
+  /** `reading`: brings this host up to date and checks; `writing`: writes to the table; `confirming`: waits until most schedulers have it in force. */
+  step: 'reading' | 'writing' | 'confirming'
+  /** Records that the change puts or removes. */
+  records: number
+  /** Records that the table holds by now; they take effect all at once, at the end. */
+  writtenRecords: number
+  /** Schedulers on the list, and those of them that have the change in force. */
+  schedulers: number
+  confirmedSchedulers: number
+}
+
 /** What the operators' port asks of the configuration. */
 export interface ConfigurationOperations {
   /**
@@ -63,6 +76,8 @@
    * await configuration.changeRecords({ puts: [record], removes: [], ifVersions: [{ kind: 'class', name: 'counter', version: 3 }] })
    */
   changeRecords: (request: ChangeRequest) => Promise<ChangeResult>
+  /** How far the change that this host makes now has come; undefined while it makes none. */
+  describeChange: () => ChangeProgress | undefined
   /** Finds a record with its version, as in force on this host. */
   findRecord: (name: RecordName) => VersionedRecord | undefined
   /** Lists records of a kind in order of name, after the given name. */
--- a/src/tasks/configuration/configurationNewsTask.ts
+++ b/src/tasks/configuration/configurationNewsTask.ts
@@ -6,7 +6,7 @@
 import type { HostListEntry } from '../../schemas/hostList.js'
 import type { ConfigurationNews } from '../../schemas/peerMessage.js'
 
-export const newsIntervalMs = 1000
+export const defaultNewsIntervalMs = 1000
 /** News older than this says nothing about a peer any longer. */
 const maxNewsAgeMs = 4000
 /** Changes kept for peers; older ones are read from the table. */
@@ -23,6 +23,8 @@
 export interface ConfigurationNewsTaskOptions {
   clock: Clock
   readVersion: () => number
+  /** Time between two announcements of a version that has not changed. */
+  newsIntervalMs?: number
 }
 
 interface KeptChange {
@@ -55,7 +57,8 @@
   }
 
   start (): void {
-    this.#repetition = repeatTask(this.#options.clock, newsIntervalMs, async () => this.announceVersion(), () => {})
+    const { clock, newsIntervalMs = defaultNewsIntervalMs } = this.#options
+    this.#repetition = repeatTask(clock, newsIntervalMs, async () => this.announceVersion(), () => {})
   }
 
   stop (): void {
@@ -94,13 +97,19 @@
 
   /** Whether more than half of the schedulers told a version of at least the given one lately. */
   isHeardByMost (version: number): boolean {
+    const { schedulers, heard } = this.countHeard(version)
+    return heard * 2 > schedulers
+  }
+
+  /** Counts the schedulers on the list, and those that told a version of at least the given one lately. */
+  countHeard (version: number): { schedulers: number, heard: number } {
     const sinceMs = this.#options.clock.readMonotonic() - maxNewsAgeMs
     const schedulers = [...this.#schedulers ?? []]
     const heard = schedulers.filter(hostId => {
       const told = this.#told.get(hostId)
       return told !== undefined && told.atMs >= sinceMs && told.version >= version
     })
-    return heard.length * 2 > schedulers.length
+    return { schedulers: schedulers.length, heard: heard.length }
   }
 
   /** Whether most schedulers were heard lately, and none of the peers told of a version that is missing here. */
--- a/src/tasks/configuration/configurationStore.ts
+++ b/src/tasks/configuration/configurationStore.ts
@@ -85,11 +85,13 @@
     throw new VError('the snapshot of the configuration was replaced %d times while it was read', maxSnapshotReads)
   }
 
-  /** Writes the change that follows the head, all of it or nothing. */
-  async writeChange (head: ConfigurationHead, change: ConfigurationChange): Promise<WriteResult> {
+  /** Writes the change that follows the head, all of it or nothing; tells how many records of a large one are written. */
+  async writeChange (
+    head: ConfigurationHead, change: ConfigurationChange, receiveWritten: (records: number) => void = () => {}
+  ): Promise<WriteResult> {
     const isLarge = measureBytes(change) > maxPartBytes
     const value = isLarge
-      ? await this.#writeParts(change.puts.map(record => ({ version: change.version, record })))
+      ? await this.#writeParts(change.puts.map(record => ({ version: change.version, record })), receiveWritten)
       : undefined
     if (value && !value.parts) return value.result
     const row = value ? { ...change, puts: [], parts: value.parts } : change
@@ -143,13 +145,16 @@
     }
   }
 
-  async #writeParts (records: VersionedRecord[]): Promise<{ parts: Parts } | { parts: undefined, result: WriteResult }> {
+  async #writeParts (
+    records: VersionedRecord[], receiveWritten: (records: number) => void = () => {}
+  ): Promise<{ parts: Parts } | { parts: undefined, result: WriteResult }> {
     const parts = { id: randomUUID(), count: 0 }
     const rows = splitRecords(records).map(part => ({ key: formatPartKey(parts, parts.count++), value: { records: part } }))
     for (let index = 0; index < rows.length; index += partsPerTransaction) {
       const result = await this.#writer.write({ checks: [], writes: rows.slice(index, index + partsPerTransaction) })
       // Parts that no change names have no effect, so that a lost answer here is as good as a failure.
       if (result.verdict !== 'applied') return { parts: undefined, result: { verdict: 'notApplied', cause: 'unavailable' } }
+      receiveWritten(rows.slice(0, index + partsPerTransaction).reduce((sum, row) => sum + row.value.records.length, 0))
     }
     return { parts }
   }
--- a/src/tasks/configuration/configurationTask.ts
+++ b/src/tasks/configuration/configurationTask.ts
@@ -10,7 +10,7 @@
 import type { ConfigurationNews } from '../../schemas/peerMessage.js'
 import { TableWriter } from '../table/tableWriter.js'
 import { findConflicts, findProblems } from './checkChange.js'
-import type { ChangeRequest, ChangeResult, ConfigurationOperations, RecordVersion } from './configurationChange.js'
+import type { ChangeProgress, ChangeRequest, ChangeResult, ConfigurationOperations, RecordVersion } from './configurationChange.js'
 import { ConfigurationNewsTask } from './configurationNewsTask.js'
 import type { ConfigurationPeers } from './configurationNewsTask.js'
 import { ConfigurationStore } from './configurationStore.js'
@@ -32,6 +32,8 @@
   clock: Clock
   table: Table
   recordDecision?: RecordDecision
+  /** Time between two announcements to peers of a version that has not changed. */
+  newsIntervalMs?: number
   /** Whether a change may be applied upon a version; see `isNextVersion`. */
   isNext?: (version: number, next: number) => boolean
   /** Whether accepted changes are certainly in force, from the time since the table confirmed it and what peers tell. */
@@ -60,13 +62,14 @@
   #confirmedAtMs: number | undefined
   #repetition: Repetition | undefined
   #running: Promise<unknown> = Promise.resolve()
+  #progress: Pick<ChangeProgress, 'step' | 'records' | 'writtenRecords'> & { version?: number } | undefined
 
   constructor (options: ConfigurationTaskOptions) {
     this.#options = options
-    const { clock, table } = options
+    const { clock, table, newsIntervalMs } = options
     this.#store = new ConfigurationStore(table, new TableWriter({ table, clock }))
     this.#configuration = new MemoryConfiguration({ isCurrent: () => this.#isCurrent(), ...(options.isNext && { isNext: options.isNext }) })
-    this.#news = new ConfigurationNewsTask({ clock, readVersion: () => this.#configuration.version })
+    this.#news = new ConfigurationNewsTask({ clock, readVersion: () => this.#configuration.version, ...(newsIntervalMs && { newsIntervalMs }) })
   }
 
   /** What is in force on this host. */
@@ -137,12 +140,21 @@
       if (!named.has(formatName(name))) expected.push(this.#readVersion(name))
     }
     const result = this.#running.then(async () => await this.#tryChange(request, expected))
-    this.#running = result.catch(() => {})
+    this.#running = result.catch(() => {}).finally(() => { this.#progress = undefined })
     return await result
   }
 
+  describeChange (): ChangeProgress | undefined {
+    if (!this.#progress) return undefined
+    const { version = Infinity, ...progress } = this.#progress
+    const { schedulers, heard } = this.#news.countHeard(version)
+    return { ...progress, schedulers, confirmedSchedulers: heard }
+  }
+
   async #tryChange (request: ChangeRequest, expected: RecordVersion[]): Promise<ChangeResult> {
+    const records = request.puts.length + request.removes.length
     for (let tries = 0; tries < maxChangeTries; tries++) {
+      this.#progress = { step: 'reading', records, writtenRecords: 0 }
       const head = await this.#readTable().catch(() => undefined)
       if (!head) return createUnavailable()
       const conflicts = findConflicts(this.#configuration, expected)
@@ -152,7 +164,9 @@
       // A newer head than what is in force here means that the read was overtaken.
       if (head.version !== this.#configuration.version) continue
       const change = { version: head.version + 1, puts: request.puts, removes: request.removes }
-      const result = await this.#store.writeChange(head, change)
+      const result = await this.#store.writeChange(head, change, writtenRecords => {
+        this.#progress = { step: 'writing', records, writtenRecords }
+      })
       if (result.verdict === 'applied') return await this.#finishChange(head, change)
       if (result.verdict === 'unknown') return { type: 'unknown', message: 'the table\'s answer was lost; the change may have been made' }
       if (result.cause === 'unavailable') return createUnavailable()
@@ -165,6 +179,8 @@
     this.#news.announceVersion()
     if (change.version - (head.snapshot?.version ?? 0) >= changesPerSnapshot) this.#startSnapshot()
     const { version } = change
+    const records = change.puts.length + change.removes.length
+    this.#progress = { step: 'confirming', records, writtenRecords: records, version }
     if (await this.#news.waitForMost(version, confirmTimeoutMs)) return { type: 'accepted', version }
     return { type: 'unconfirmed', version, message: `version ${version} is written, but too few schedulers have confirmed it` }
   }
--- a/src/tasks/operators/recordRoutes.ts
+++ b/src/tasks/operators/recordRoutes.ts
@@ -31,6 +31,7 @@
 
 export function addRecordRoutes (server: FastifyInstance, context: OperatorsContext): void {
   addReadRoutes(server, context)
+  server.get('/api/changes', async () => ({ change: context.operations.describeChange() ?? null }))
   server.post('/api/changes', async (request, reply) => {
     const change = request.body
     if (!Value.Check(changeRequestSchema, change)) {
