--- a/bench/deployment/checkDeployment.ts
+++ b/bench/deployment/checkDeployment.ts
@@ -20,7 +20,9 @@
 
 const adapterCount = 120
 const parallelCalls = 24
-const idleMs = 5000
+/** Time for the runtime to compile what runs at rest. */
+const settleMs = 15_000
+const idleMs = 10_000
 const readyLimitMs = 30_000
 
 /** Switched when the request with this number, counted round 100, is sent; on the engines in turn. */
@@ -122,13 +124,14 @@
 }
 
 function printUses ({ processes }: ExampleDeployment, [start, idle, end]: [Use[], Use[], Use[]], loadSeconds: number): void {
-  console.log('  process        control bytes/s  cores idle  cores loaded  MB')
+  console.log('  process        bytes/s out  bytes/s in  cores idle  cores loaded  MB')
   processes.forEach(({ name }, index) => {
     const [first, second, last] = [start[index]!, idle[index]!, end[index]!]
-    const bytes = (second.writtenBytes - first.writtenBytes) / (idleMs / 1000)
+    const written = (second.writtenBytes - first.writtenBytes) / (idleMs / 1000)
+    const read = (second.readBytes - first.readBytes) / (idleMs / 1000)
     const idleCores = (second.processorSeconds - first.processorSeconds) / (idleMs / 1000)
     const loadedCores = (last.processorSeconds - second.processorSeconds) / loadSeconds
-    console.log(`  ${name.padEnd(13)}  ${bytes.toFixed(0).padStart(15)}  ${idleCores.toFixed(3).padStart(10)}  ` +
+    console.log(`  ${name.padEnd(13)}  ${written.toFixed(0).padStart(11)}  ${read.toFixed(0).padStart(10)}  ${idleCores.toFixed(3).padStart(10)}  ` +
       `${loadedCores.toFixed(3).padStart(12)}  ${last.residentMegabytes.toFixed(0).padStart(3)}`)
   })
 }
@@ -146,6 +149,7 @@
   await registerRecords(platform.table, createRecords(standin.services.name))
   await platform.close()
   await waitUntilReady(deployment)
+  await new Promise(resolve => setTimeout(resolve, settleMs))
   const start = readUses(processes)
   await new Promise(resolve => setTimeout(resolve, idleMs))
   const idle = readUses(processes)
--- a/bench/deployment/exampleProcesses.ts
+++ b/bench/deployment/exampleProcesses.ts
@@ -62,12 +62,14 @@
   processorSeconds: number
   residentMegabytes: number
   writtenBytes: number
+  readBytes: number
 }
 
-/** Reads the use of every process; written bytes are those of all its sockets and its log. */
+/** Reads the use of every process; bytes are those of all its sockets, and of its log. */
 export function readUses (processes: BenchProcess[]): Use[] {
-  return processes.map(({ pid }) => ({
-    ...readProcessUse(pid),
-    writtenBytes: Number(/wchar: (\d+)/.exec(readFileSync(`/proc/${pid}/io`, 'utf8'))?.[1] ?? 0)
-  }))
+  return processes.map(({ pid }) => {
+    const counts = readFileSync(`/proc/${pid}/io`, 'utf8')
+    const readCount = (name: string): number => Number(new RegExp(`${name}: (\\d+)`).exec(counts)?.[1] ?? 0)
+    return { ...readProcessUse(pid), writtenBytes: readCount('wchar'), readBytes: readCount('rchar') }
+  })
 }
--- a/src/adapters/httpPlatform/httpPlatform.ts
+++ b/src/adapters/httpPlatform/httpPlatform.ts
@@ -26,7 +26,7 @@
   close: () => Promise<void>
 }
 
-type Call = (method: Dispatcher.HttpMethod, path: string, body?: unknown) => Promise<Dispatcher.ResponseData>
+type Call = (method: Dispatcher.HttpMethod, path: string, body?: unknown, headers?: Record<string, string>) => Promise<Dispatcher.ResponseData>
 
 /**
  * Connects to the platform at `ip:port`.
@@ -36,11 +36,12 @@
  */
 export function createHttpPlatform (address: string): Platform {
   const pool = new Pool(`http://${address}`, { connections: maxConnections, pipelining: 1 })
-  const call: Call = async (method, path, body) => await pool.request({
+  const call: Call = async (method, path, body, headers = {}) => await pool.request({
     method,
     path,
     headersTimeout: requestTimeoutMs,
     bodyTimeout: requestTimeoutMs,
+    headers,
     ...(body !== undefined && createBody(body))
   })
   return {
@@ -100,16 +101,34 @@
   }
 }
 
-/** The list is parsed anew only where its text has changed. */
+interface KnownList {
+  /** Entity tag of the answer that held the entries. */
+  tag: string
+  entries: HostListEntry[]
+}
+
+/** The list crosses the network only where it has changed since it was read last. */
+async function readHostList (call: Call, known: KnownList | undefined): Promise<KnownList> {
+  try {
+    const response = await call('GET', '/hosts', undefined, known && { 'if-none-match': known.tag })
+    if (known && response.statusCode === 304) {
+      await response.body.dump()
+      return known
+    }
+    const answer: unknown = await response.body.json()
+    if (response.statusCode !== 200) throw new Error(`status ${response.statusCode}`)
+    return { tag: String(response.headers.etag ?? ''), entries: parseEntries(answer) }
+  } catch (error) {
+    throw createPlatformUnavailable('host list', error as Error)
+  }
+}
+
 function createHttpHostList (call: Call): HostList {
-  let lastText: string | undefined
-  let lastEntries: HostListEntry[] = []
+  let known: KnownList | undefined
   return {
     listEntries: async () => {
-      const text = await readText('host list', call('GET', '/hosts'))
-      if (text !== lastText) lastEntries = parseEntries(JSON.parse(text))
-      lastText = text
-      return [...lastEntries]
+      known = await readHostList(call, known)
+      return [...known.entries]
     },
     announceEntry: async (entry: HostListEntry) => {
       await readJson('host list', call('PUT', `/hosts/${encodeURIComponent(entry.id)}`, entry))
@@ -119,20 +138,11 @@
 }
 
 async function readJson (service: string, call: Promise<Dispatcher.ResponseData>): Promise<unknown> {
-  const text = await readText(service, call)
-  try {
-    return JSON.parse(text)
-  } catch (error) {
-    throw createPlatformUnavailable(service, error as Error)
-  }
-}
-
-async function readText (service: string, call: Promise<Dispatcher.ResponseData>): Promise<string> {
   try {
     const response = await call
-    const text = await response.body.text()
+    const answer: unknown = await response.body.json()
     if (response.statusCode !== 200) throw new Error(`status ${response.statusCode}`)
-    return text
+    return answer
   } catch (error) {
     throw createPlatformUnavailable(service, error as Error)
   }
--- a/src/adapters/peerLink/grpcPeerLink.ts
+++ b/src/adapters/peerLink/grpcPeerLink.ts
@@ -5,7 +5,7 @@
 import { createLog } from '../../createLog.js'
 import type { OpenPeerLinkOptions, PeerLink, PeerLinkEvents, PeerServer, PeerTransport, ServePeersOptions } from '../../ports/peers.js'
 import type { PeerMessage } from '../../schemas/peerMessage.js'
-import { channelOptions, linkMethod, peerKeyHeader } from './linkMethod.js'
+import { channelOptions, linkMethod, peerKeyHeader, servedChannelOptions } from './linkMethod.js'
 
 const log = createLog('peers')
 
@@ -74,7 +74,7 @@
  * Listens for links of peers; refuses those that do not show the key.
  */
 async function servePeerLinks (options: ServePeersOptions): Promise<PeerServer> {
-  const server = new grpc.Server(channelOptions)
+  const server = new grpc.Server(servedChannelOptions)
   const openStreams = new Set<PeerLink>()
   server.addService({ link: createServedMethod(options) }, {
     link: (stream: grpc.ServerDuplexStream<PeerMessage[], PeerMessage[]>) => {
--- a/src/adapters/peerLink/linkMethod.ts
+++ b/src/adapters/peerLink/linkMethod.ts
@@ -66,7 +66,7 @@
   responseDeserialize: decodeBatch
 }
 
-/** Connection settings of both sides; a silent peer is noticed within the sum of the two times. */
+/** Connection settings of the side that opened it; a silent peer is noticed within the sum of the two times. */
 export const channelOptions: grpc.ChannelOptions = {
   'grpc.max_receive_message_length': maxBatchBytes,
   'grpc.keepalive_time_ms': 1500,
@@ -76,3 +76,9 @@
   'grpc.use_local_subchannel_pool': 1,
   'grpc-node.flow_control_window': maxUnreadBytes
 }
+
+/**
+ * Connection settings of the side that serves. Schedulers open links to each other, so that this side alone notices only
+ * gateways that have gone without a word, whose requests then end a little later.
+ */
+export const servedChannelOptions: grpc.ChannelOptions = { ...channelOptions, 'grpc.keepalive_time_ms': 8000 }
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -25,7 +25,9 @@
 import { createMetrics } from './startMetrics.js'
 import { createOperators } from './startOperators.js'
 
-const announceIntervalMs = 1000
+const announceIntervalMs = 2000
+/** A gateway tells peers its configuration version this often; a new one is told at once. */
+const gatewayNewsIntervalMs = 4000
 
 export interface RunningGateway extends RunningProcess {
   readonly callersPort: number
@@ -43,7 +45,7 @@
   const clock = createSystemClock()
   const decisions = new DecisionStore({ hostId: host.id, clock })
   const configuration = new ConfigurationTask({
-    hostId: host.id, clock, table: platform.table, recordDecision: draft => decisions.record(draft)
+    hostId: host.id, clock, table: platform.table, newsIntervalMs: gatewayNewsIntervalMs, recordDecision: draft => decisions.record(draft)
   })
   const state = startState(host.id, clock, platform)
   const gateway = new GatewayTask({
--- a/src/standin/platformServer.ts
+++ b/src/standin/platformServer.ts
@@ -1,4 +1,5 @@
 /** The stand-in of the platform over HTTP: table, objects and the list of hosts. */
+import { createHash } from 'node:crypto'
 import type { AddressInfo } from 'node:net'
 import fastify from 'fastify'
 import type { FastifyInstance } from 'fastify'
@@ -88,7 +89,13 @@
 }
 
 function addHostRoutes (server: FastifyInstance, hostList: HostList): void {
-  server.get('/hosts', async () => await hostList.listEntries())
+  server.get('/hosts', async (request, reply) => {
+    const text = JSON.stringify(await hostList.listEntries())
+    const tag = `"${createHash('sha1').update(text).digest('hex')}"`
+    reply.header('etag', tag)
+    if (request.headers['if-none-match'] === tag) return await reply.code(304).send()
+    return await reply.type('application/json').send(text)
+  })
   server.put<{ Params: { id: string } }>('/hosts/:id', async request => {
     await hostList.announceEntry(Value.Parse(hostListEntrySchema, request.body))
     return {}
--- a/src/tasks/gateway/schedulerLinks.ts
+++ b/src/tasks/gateway/schedulerLinks.ts
@@ -13,7 +13,7 @@
 import { KnownSchedulers } from '../membership/knownSchedulers.js'
 
 const log = createLog('links')
-const listIntervalMs = 500
+const listIntervalMs = 1000
 
 export interface SchedulerLinksOptions {
   clock: Clock
--- a/src/tasks/membership/schedulerPeers.ts
+++ b/src/tasks/membership/schedulerPeers.ts
@@ -10,7 +10,7 @@
 import { KnownSchedulers } from './knownSchedulers.js'
 
 const log = createLog('membership')
-const listIntervalMs = 500
+const listIntervalMs = 1000
 
 export interface SchedulerPeersOptions {
   clock: Clock
--- a/src/tasks/ownership/leaseOwnership.ts
+++ b/src/tasks/ownership/leaseOwnership.ts
@@ -31,7 +31,7 @@
 const yieldIntervalMs = 2000
 const adoptableIntervalMs = 1500
 const outageCheckMs = 500
-const listIntervalMs = 500
+const listIntervalMs = 1000
 const writeTimeoutMs = 500
 const maxReleaseAttempts = 3
 
