Refuse peers that send messages out of turn; log links and permits

Cause: a process with the peers' key was heard before its hello: news of the configuration and cancels took effect from hosts without a name. Opened and closed links were logged on the side that opened them alone, and the grant of permits on none.

Change: the first message of a link is its hello, and the only one; anything else is counted as peer_message_unexpected and ends the link. A scheduler logs each link that opens or closes, each permit that it grants from now on or no longer, and that it leaves.

--- a/features/access.feature
+++ b/features/access.feature
@@ -45,6 +45,11 @@
     When a caller asks for 3 tokens from "kit-tutor"
     Then the answer has status 200
 
+  Scenario: A peer that does not begin with a hello
+    When a peer with the right key sends a message before its hello
+    Then its link is closed
+    And host "scheduler-1" has counted bad input "peer_message_unexpected"
+
   Scenario: Strangers on the callers' port are counted
     When somebody asks the callers' port with key "sv-example-operator-key"
     Then host "gateway-1" has counted bad input "key_unknown"
--- a/features/steps/access.ts
+++ b/features/steps/access.ts
@@ -4,7 +4,7 @@
 import { Given, Then, When } from '@cucumber/cucumber'
 import grpc from '@grpc/grpc-js'
 import { grpcPeerTransport } from '../../src/adapters/peerLink/grpcPeerLink.js'
-import { linkMethod, peerKeyHeader } from '../../src/adapters/peerLink/linkMethod.js'
+import { encodeBatch, linkMethod, peerKeyHeader } from '../../src/adapters/peerLink/linkMethod.js'
 import { exampleCallerKey, exampleOperatorKey } from '../../src/bin/exampleRecords.js'
 import type { KeyRecord } from '../../src/schemas/configuration.js'
 import type { SchedulerEntry } from '../../src/schemas/hostList.js'
@@ -59,19 +59,27 @@
   assert.deepEqual(this.strangersMessages, [])
 })
 
-When('a peer with the right key sends {string}', async function (this: AccessWorld, text: string) {
-  const entry = await findScheduler(this)
+async function sendAsPeer (world: AccessWorld, bytes: Uint8Array): Promise<void> {
+  const entry = await findScheduler(world)
   const client = new grpc.Client(entry.address, grpc.credentials.createInsecure())
   const metadata = new grpc.Metadata()
   metadata.set(peerKeyHeader, 'playground-peer-key')
-  const stream = client.makeBidiStreamRequest<string, unknown>(linkMethod.path, message => Buffer.from(message), bytes => bytes, metadata)
+  const stream = client.makeBidiStreamRequest<Uint8Array, unknown>(linkMethod.path, message => Buffer.from(message), answer => answer, metadata)
   const closed = new Promise<void>(resolve => stream.on('status', () => resolve()))
   stream.on('error', () => {})
   stream.on('data', () => {})
-  stream.write(text)
+  stream.write(bytes)
   await closed
-  this.isLinkClosed = true
+  world.isLinkClosed = true
   client.close()
+}
+
+When('a peer with the right key sends {string}', async function (this: AccessWorld, text: string) {
+  await sendAsPeer(this, Buffer.from(text))
+})
+
+When('a peer with the right key sends a message before its hello', async function (this: AccessWorld) {
+  await sendAsPeer(this, encodeBatch([{ type: 'cancel', requestId: 'req-1', attempt: 1 }]))
 })
 
 Then('its link is closed', function (this: AccessWorld) {
--- a/src/ports/peers.ts
+++ b/src/ports/peers.ts
@@ -17,7 +17,7 @@
 }
 
 /** What was refused on the peers' port. */
-export type PeerRefusal = 'peer_key_unknown' | 'peer_message_invalid'
+export type PeerRefusal = 'peer_key_unknown' | 'peer_message_invalid' | 'peer_message_unexpected'
 
 export interface ServePeersOptions {
   /** IP number to listen on. */
--- a/src/tasks/permits/permitTask.ts
+++ b/src/tasks/permits/permitTask.ts
@@ -1,4 +1,5 @@
 /** Shares the weight store's budget between all schedulers without a coordinator; see docs/design/store-budget.md. */
+import { createLog } from '../../createLog.js'
 import type { Clock } from '../../ports/clock.js'
 import { repeatTask } from '../../repeatTask.js'
 import type { Repetition } from '../../repeatTask.js'
@@ -6,6 +7,7 @@
 import type { EndpointOwner } from '../ownership/ownership.js'
 import { PermitGranter } from './permitGranter.js'
 
+const log = createLog('permits')
 const grantersIntervalMs = 250
 /** A request that still waits is sent again after this time, as its granter may have changed. */
 const askIntervalMs = 3000
@@ -111,8 +113,10 @@
     if (granter && !isOwn) {
       granter.stop()
       this.#granters.delete(permit)
+      log('This host no longer grants permit %d of the weight store.', permit)
     } else if (!granter && isOwn) {
       const { clock, budget } = this.#options
+      log('This host grants permit %d of the weight store now, as the owner of endpoint "%s".', permit, owner.endpointId)
       this.#granters.set(permit, new PermitGranter({
         clock,
         permit,
--- a/src/tasks/scheduler/schedulerTask.ts
+++ b/src/tasks/scheduler/schedulerTask.ts
@@ -82,6 +82,8 @@
   /** Endpoints that are being handed over, until what runs on them has ended. */
   #handOvers = new Map<EndpointTask, Promise<void>>()
   #links = new Map<PeerLink, OpenLink>()
+  /** Links whose peer has said hello, those that have closed since among them. */
+  #greeted = new WeakSet<PeerLink>()
   #server: PeerServer | undefined
   #summaries: SummaryFeed
   #isLeaving = false
@@ -177,6 +179,7 @@
   /** Ends gracefully: what runs ends first, then the endpoints are handed over. */
   async stop (): Promise<void> {
     this.#isLeaving = true
+    log('Scheduler "%s" is leaving and hands its endpoints over.', this.#options.hostId)
     this.#summaries.sendChanges()
     this.#ownership.leave()
     await Promise.all(this.#listTasks().map(async endpoint => await this.#handOver(endpoint)))
@@ -189,9 +192,16 @@
   }
 
   #receive (link: PeerLink, message: PeerMessage): void {
-    if (message.type === 'hello') {
+    // A link begins with a hello, and has one alone.
+    if (this.#greeted.has(link) === (message.type === 'hello')) {
+      this.#options.receiveRefusal('peer_message_unexpected')
+      log('A link was closed: it sent a message of type "%s" out of turn.', message.type)
+      link.close()
+    } else if (message.type === 'hello') {
+      this.#greeted.add(link)
       const reply: Reply = answer => link.send(answer)
       this.#links.set(link, { link, reply, role: message.role })
+      log('The link of %s "%s" is open.', message.role, message.hostId)
       if (message.role === 'gateway') this.#summaries.sendAll(reply)
       this.#exchange.receiveHello(message, reply)
     } else if (message.type === 'dispatch') {
@@ -216,6 +226,7 @@
     const open = this.#links.get(link)
     if (!open) return
     this.#links.delete(link)
+    log('The link of %s "%s" is closed.', open.role, link.hostId)
     this.#feed.removeSubscription(open.reply)
     this.#options.configuration.receiveClosed(link.hostId)
     for (const endpoint of this.#listTasks()) endpoint.receiveClosedLink(open.reply)
