Tell resumed answers and waits in the queue in a request's story

Cause: looked at on the example deployment with cut streams: an answer whose connection had broken showed nothing of it; an attempt that its owner gave back from the queue showed "not at all" for its wait; "explain" with a job's id showed half a story.

Change: a resume is a decision, counted in the metrics; the gateway's time from choice to end stands for the wait of an attempt that was queued and never dispatched; "explain" with a job's id names the command that tells its story.

--- a/features/ctl.feature
+++ b/features/ctl.feature
@@ -112,6 +112,9 @@
     And the client prints "finished: the answer is stored"
     And the client prints "run 1 of those told:"
     And the client prints "ended:   ran: the whole answer was sent"
+    When an operator runs "explain" with the job
+    Then the client ends with code 4
+    And the client notes "job explain CALLER"
 
   Scenario: A job that has not ended is cancelled
     Given class "soon" finishes within 60000 ms
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -12,12 +12,23 @@
       | admit          | scheduler-2 | 2       | engine-2 | 1502 |            | the queue has room      |
       | load           | scheduler-2 | 2       | engine-2 | 1600 |            | a slot is free          |
       | dispatch       | scheduler-2 | 2       | engine-2 | 2200 |            | the adapter is loaded   |
+      | resume         | scheduler-2 | 2       | engine-2 | 2300 |            | the connection broke    |
       | finish         | gateway-1   | 2       | engine-2 | 2500 | ran        | the whole answer was sent |
     When the story is built in any order of the decisions
     Then the story's outcome is "answered"
     And attempt 1 ended as "mayHaveRun" because "the link was lost"
     And attempt 2 waited 600 ms for "load" and 98 ms for "queue"
-    And the story's turns are "retry, load"
+    And the story's turns are "retry, load, resume"
+
+  Scenario: An attempt that ended in the queue
+    Given these decisions, with the clock of "scheduler-2" an hour behind
+      | kind           | host        | attempt | endpoint | at   | verdict | reason                |
+      | admit          | gateway-1   |         |          | 1000 |         | version "2" is fixed  |
+      | chooseEndpoint | gateway-1   | 1       | engine-1 | 1001 |         | the adapter is loaded |
+      | admit          | scheduler-2 | 1       | engine-1 | 1002 |         | the queue has room    |
+      | retry          | gateway-1   | 1       | engine-1 | 1401 | notRun  | the owner is leaving  |
+    When the story is built in any order of the decisions
+    Then attempt 1 waited 400 ms for "queue"
 
   Scenario: A host that gave no answer is named
     Given these decisions, with the clock of "scheduler-2" an hour behind
--- a/features/steps/decisions.ts
+++ b/features/steps/decisions.ts
@@ -89,6 +89,10 @@
   assert.deepEqual([found, end], [verdict, reason])
 })
 
+Then('attempt {int} waited {int} ms for {string}', function (this: DecisionsWorld, number: number, ms: number, cause: string) {
+  assert.deepEqual(this.story.attempts.find(({ attempt }) => attempt === number)!.waits, [{ cause, ms }])
+})
+
 Then('attempt {int} waited {int} ms for {string} and {int} ms for {string}',
   function (this: DecisionsWorld, attempt: number, firstMs: number, first: string, secondMs: number, second: string) {
     assert.deepEqual(this.story.attempts[attempt - 1]!.waits, [{ cause: first, ms: firstMs }, { cause: second, ms: secondMs }])
--- a/src/core/requestStory.ts
+++ b/src/core/requestStory.ts
@@ -7,7 +7,7 @@
 
 /** Order of the kinds within one attempt. */
 const stages: Array<Decision['kind']> = [
-  'chooseEndpoint', 'admit', 'refuse', 'suspect', 'unload', 'load', 'dispatch', 'retry', 'finish', 'fail'
+  'chooseEndpoint', 'admit', 'refuse', 'suspect', 'unload', 'load', 'dispatch', 'resume', 'retry', 'finish', 'fail'
 ]
 
 /**
@@ -87,6 +87,7 @@
   const told = before.some(decision => decision.kind === 'dispatch') || !end ? before : [...before, end]
   const named = told.flatMap(decision => decision.waits).filter(wait => wait.ms >= minWaitMs)
   const admit = own.find(decision => decision.kind === 'admit')
+  if (admit && !start && end) return listQueueWait(own, end)
   if (!admit || !start || admit.host !== start.host || named.length > 0) return named
   const load = own.find(decision => decision.kind === 'load' && decision.host === start.host)
   const loadMs = load ? start.atMs - load.atMs : 0
@@ -94,9 +95,16 @@
   return waits.filter(wait => wait.ms >= minWaitMs)
 }
 
+/** An attempt that ended before any dispatch spent the gateway's time from choice to end in the queue. */
+function listQueueWait (own: Decision[], end: Decision): Wait[] {
+  const choice = own.find(decision => decision.kind === 'chooseEndpoint' && decision.host === end.host)
+  const ms = choice ? end.atMs - choice.atMs : 0
+  return ms >= minWaitMs ? [{ cause: 'queue', ms }] : []
+}
+
 /** Names the decisions that changed the request's way, those of others on its endpoint among them. */
 function listTurns (ordered: Decision[], all: Decision[]): string[] {
-  const turns = ordered.filter(decision => ['retry', 'refuse', 'suspect', 'load', 'unload'].includes(decision.kind))
+  const turns = ordered.filter(decision => ['resume', 'retry', 'refuse', 'suspect', 'load', 'unload'].includes(decision.kind))
   const related = all.filter(decision => decision.requestId !== ordered[0]?.requestId)
   return [...turns, ...related].map(decision => describeTurn(decision))
 }
--- a/src/schemas/decision.ts
+++ b/src/schemas/decision.ts
@@ -30,6 +30,7 @@
   Type.Literal('dispatch'),
   Type.Literal('load'),
   Type.Literal('unload'),
+  Type.Literal('resume'),
   Type.Literal('retry'),
   Type.Literal('finish'),
   Type.Literal('fail'),
--- a/src/tasks/metrics/decisionMetrics.ts
+++ b/src/tasks/metrics/decisionMetrics.ts
@@ -26,6 +26,9 @@
     case 'fail':
       recordFailure(series, decision)
       break
+    case 'resume':
+      series.count('resumes', 1, tags)
+      break
     case 'retry':
       series.count('retries', 1, { ...tags, verdict: decision.verdict ?? 'none' })
       break
--- a/src/tasks/operators/explainRoute.ts
+++ b/src/tasks/operators/explainRoute.ts
@@ -26,6 +26,10 @@
     }
     if (request.query.scope === 'local') return readOwnPart(context, requestId)
     const story = await requestStory(context, requestId, request.headers.authorization ?? '')
+    if (story?.decisions.every(({ kind }) => kind === 'job')) {
+      return sendOperatorFailure(context, reply, createNotRun('request_is_job',
+        `"${requestId}" is a job; "sedgevalvectl job explain CALLER ${requestId}" tells its story`, 404))
+    }
     return story ?? sendOperatorFailure(context, reply, createNotRun('request_unknown',
       `request "${requestId}" is unknown to the hosts that answered; it is mistyped, or too old to be kept`, 404))
   })
--- a/src/tasks/scheduler/describeEndpoint.ts
+++ b/src/tasks/scheduler/describeEndpoint.ts
@@ -66,6 +66,12 @@
   return { type: 'dispatched', requestId, attempt, handle, waits: decision.waits }
 }
 
+/** Describes that the connection of a request broke and that the engine is asked for the rest of its answer. */
+export function describeResume ({ decision, handle }: PlannedDispatch, resumeFrom: number): DecisionDraft {
+  const reason = `the connection broke; the engine is asked for the rest, from event ${resumeFrom} on`
+  return { ...decision, kind: 'resume', handle, reason, considered: [], waits: [] }
+}
+
 /**
  * Formats the key of an attempt.
  *
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -17,7 +17,7 @@
 import type { EndpointCrash } from './suspectGate.js'
 import type { Ownership } from '../ownership/ownership.js'
 import { createGenerateOrder } from './createGenerateOrder.js'
-import { describeAttempts, describeDispatch, describeFailedLoad, formatAttempt } from './describeEndpoint.js'
+import { describeAttempts, describeDispatch, describeFailedLoad, describeResume, formatAttempt } from './describeEndpoint.js'
 import { EndpointHandles } from './endpointHandles.js'
 import type { BoundSlots } from './endpointHandles.js'
 import { EngineWatch } from './engineWatch.js'
@@ -254,6 +254,7 @@
     attempt.handle = planned.handle
     attempt.reply(describeDispatch(planned))
     attempt.generation = startResumedGeneration({
+      recordResume: from => this.#options.recordDecision(describeResume(planned, from)),
       clock: this.#options.clock,
       engine: this.#options.engine,
       address: this.#entry.address,
--- a/src/tasks/scheduler/resumeGeneration.ts
+++ b/src/tasks/scheduler/resumeGeneration.ts
@@ -10,6 +10,8 @@
 export const defaultPlanResume: PlanResume = failedResumes => resumeDelaysMs[failedResumes]
 
 export interface ResumedGenerationOptions {
+  /** Called when the rest of an answer is asked for, from the event with this number on. */
+  recordResume?: (resumeFrom: number) => void
   clock: Clock
   engine: Pick<Engine, 'generate'>
   address: string
@@ -54,6 +56,7 @@
     }
     this.#failedResumes++
     const order: GenerateOrder = { ...this.#options.order, resumeFrom: event.resumeFrom! }
+    this.#options.recordResume?.(event.resumeFrom!)
     this.#timer = this.#options.clock.setTimer(() => { this.#current = this.#generate(order) }, delayMs)
   }
 }
