Tell a refusal that led to another attempt once

A request that six owners refused in turn showed each reason twice among what changed its way: the owner's refusal and the gateway's retry. The retry stands for both where the reasons are the same.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -30,6 +30,20 @@
     When the story is built in any order of the decisions
     Then attempt 1 waited 400 ms for "queue"
 
+  Scenario: A refusal that led to another attempt is told once
+    Given these decisions, with the clock of "scheduler-2" an hour behind
+      | kind           | host        | attempt | endpoint | at   | verdict | reason                |
+      | admit          | gateway-1   |         |          | 1000 |         | version "2" is fixed  |
+      | chooseEndpoint | gateway-1   | 1       | engine-1 | 1001 |         | the adapter is loaded |
+      | refuse         | scheduler-2 | 1       | engine-1 | 1002 |         | the target is missed  |
+      | retry          | gateway-1   | 1       | engine-1 | 1003 | notRun  | the target is missed  |
+      | chooseEndpoint | gateway-1   | 2       | engine-2 | 1004 |         | the adapter is loaded |
+      | refuse         | scheduler-2 | 2       | engine-2 | 1005 |         | the queue is full     |
+      | fail           | gateway-1   | 2       | engine-2 | 1006 | notRun  | the queue is full     |
+    When the story is built in any order of the decisions
+    Then the story's outcome is "failed"
+    And the story's turns are "retry, refuse"
+
   Scenario: A host that gave no answer is named
     Given these decisions, with the clock of "scheduler-2" an hour behind
       | kind           | host      | attempt | endpoint | at   | verdict | reason                |
--- a/src/core/requestStory.ts
+++ b/src/core/requestStory.ts
@@ -105,8 +105,11 @@
 /** Names the decisions that changed the request's way, those of others on its endpoint among them. */
 function listTurns (ordered: Decision[], all: Decision[]): string[] {
   const turns = ordered.filter(decision => ['resume', 'retry', 'refuse', 'suspect', 'load', 'unload'].includes(decision.kind))
+  // A refusal that was followed by another attempt is told by that attempt's retry, with the same reason.
+  const isRepeated = (decision: Decision): boolean => decision.kind === 'refuse' &&
+    ordered.some(other => other.kind === 'retry' && other.attempt === decision.attempt && other.reason === decision.reason)
   const related = all.filter(decision => decision.requestId !== ordered[0]?.requestId)
-  return [...turns, ...related].map(decision => describeTurn(decision))
+  return [...turns.filter(turn => !isRepeated(turn)), ...related].map(decision => describeTurn(decision))
 }
 
 function describeTurn (decision: Decision): string {
