Test what a process asks for at rest, and ask quiet engines once a second

The test found that a quiet engine was asked every 750 ms, since the watch looks every 250 ms and took the last look for too late. Held now: how often a quiet and a busy engine are asked, that a silent one is told within 2 s and a restarted one within 1 s, that parts share a reading of the list of hosts, and that the list crosses the network only where it has changed.

--- /dev/null
+++ b/features/idleCost.feature
@@ -0,0 +1,37 @@
+Feature: What a process asks for at rest
+  Idle hosts ask little, and notice changes in time all the same.
+
+  Scenario: A quiet engine is asked once a second, a busy one four times
+    Given the watch of an engine
+    When the watch goes on for 10 seconds
+    Then the engine was asked 10 to 11 times
+    When the endpoint has work
+    And the watch goes on for 10 seconds
+    Then the engine was asked 38 to 41 times
+
+  Scenario: A quiet engine that gives no report is asked at the full pace and called silent within 2 seconds
+    Given the watch of an engine
+    When the watch goes on for 10 seconds
+    And the engine gives no reports
+    And the watch goes on for 2 seconds
+    Then the watch has told "ready, silent"
+
+  Scenario: A quiet engine that has restarted is noticed within a second
+    Given the watch of an engine
+    When the watch goes on for 10 seconds
+    And the watched engine restarts
+    And the watch goes on for 1 second
+    Then the watch has told "ready, restarted"
+
+  Scenario: Parts of a process share a reading of the list of hosts
+    Given a list of hosts that counts its readings
+    When 3 parts read it each second for 10 seconds
+    Then it was read 10 times
+
+  Scenario: The list of hosts crosses the network only where it has changed
+    Given a platform server with host "gateway-1" on its list
+    When the list is read 3 times over HTTP
+    Then the answers had status "200, 304, 304" and showed "gateway-1"
+    When host "gateway-2" joins
+    And the list is read 2 times over HTTP
+    Then the answers had status "200, 304" and showed "gateway-1, gateway-2"
--- a/src/tasks/scheduler/engineWatch.ts
+++ b/src/tasks/scheduler/engineWatch.ts
@@ -85,7 +85,7 @@
   /** A quiet engine that gives reports is asked less often; one that missed a report is asked at the full pace. */
   #canWait (): boolean {
     const { clock, isQuiet } = this.#options
-    const isRecent = clock.readMonotonic() - this.#reportedAtMs < quietReportIntervalMs - reportIntervalMs
+    const isRecent = clock.readMonotonic() - this.#reportedAtMs < quietReportIntervalMs - reportIntervalMs / 2
     return this.#isReady && this.#isIdle && this.#missedReports === 0 && isRecent && isQuiet()
   }
 
