Close the gaps in the limits of the callers' port

Cause, each found by an adversarial request against the running gateway: - A body that stops half-way was let stand for 60 s and more instead of 30 s, and ended as `invalid_http`: with a time for the headers (60 s, the default) above the one for the request, Node.js swaps the two, and it looks only every 30 s. - A connection that was opened and never used held a stopping gateway until the time for headers was over: it does not count as idle. A balancer keeps such connections. - Only requests of adapters counted as open, after their bodies had been read; 10,000 bodies of 1 MiB had room. - The answer of a plain service had no limit. Ruled out, as these held: headers and URLs over the limit, chunked bodies and announced lengths over it, 6,000 requests of one caller at once (429 with Retry-After, 171 MB more at most), hanging up on a stream and on a whole answer, both cancelled on the engine. Change: the time for the headers is set to that of the request, checked each second, with `request_timeout` (408); open requests and their bodies are counted on arrival; a stopping gateway closes unused connections; services' answers end at 4 MiB with verdict `ran`. Conclusion: each limit of bodies, headers, streams and queues has its own error and a scenario.

--- a/features/steps/access.ts
+++ b/features/steps/access.ts
@@ -10,6 +10,7 @@
 import type { SchedulerEntry } from '../../src/schemas/hostList.js'
 import type { PeerMessage } from '../../src/schemas/peerMessage.js'
 import { hashKey } from '../../src/tasks/gateway/callerAccess.js'
+import { halfRequest } from '../support/halfRequest.js'
 import { getSession } from '../support/operatorSession.js'
 import { waitUntil } from '../support/waitUntil.js'
 import type { SystemWorld } from '../support/world.js'
@@ -93,7 +94,8 @@
   const socket = connect(port, '127.0.0.1')
   this.response = ''
   socket.on('data', part => { this.response += String(part) })
-  socket.write(bytes === undefined ? `${text}\r\n\r\n` : `GET / HTTP/1.1\r\nx-long: ${'x'.repeat(Number(bytes))}\r\n\r\n`)
+  if (text === 'half a body') socket.write(halfRequest)
+  else socket.write(bytes === undefined ? `${text}\r\n\r\n` : `GET / HTTP/1.1\r\nx-long: ${'x'.repeat(Number(bytes))}\r\n\r\n`)
   await new Promise<void>(resolve => socket.on('close', () => resolve()))
 })
 
--- a/playground/callerLoad.ts
+++ b/playground/callerLoad.ts
@@ -10,6 +10,8 @@
   isStream: boolean
   prompt: string
   className?: string
+  /** Aborted when the caller hangs up. */
+  signal?: AbortSignal
   /** Called when the first part of a streamed answer has come. */
   receiveFirstPart?: () => void
 }
@@ -45,7 +47,7 @@
   try {
     const response = await fetch(`${options.url}/v1/completions`, {
       method: 'POST',
-      signal: AbortSignal.timeout(maxCallMs),
+      signal: AbortSignal.any([AbortSignal.timeout(maxCallMs), ...options.signal ? [options.signal] : []]),
       headers: createHeaders(options.className),
       body: JSON.stringify({ model: options.model, prompt: options.prompt, max_tokens: options.maxTokens, stream: options.isStream })
     })
--- a/src/adapters/plainService/plainService.ts
+++ b/src/adapters/plainService/plainService.ts
@@ -1,5 +1,6 @@
 /** Plain HTTP services. */
 import { Pool } from 'undici'
+import { maxBufferedAnswerBytes } from '../../constants.js'
 import type { Service, ServiceCall, ServiceOutcome } from '../../ports/service.js'
 import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
@@ -39,7 +40,7 @@
   #getPool (address: string): Pool {
     let pool = this.#pools.get(address)
     if (!pool) {
-      pool = new Pool(`http://${address}`, { connections: maxConnectionsPerService, pipelining: 1 })
+      pool = new Pool(`http://${address}`, { connections: maxConnectionsPerService, pipelining: 1, maxResponseSize: maxBufferedAnswerBytes })
       this.#pools.set(address, pool)
     }
     return pool
@@ -50,6 +51,9 @@
   if (neverSentCodes.has(error.code ?? '')) {
     return createNotRun('endpoint_unreachable', `no connection to ${address}: ${error.code}`, 503)
   }
+  if (error.code === 'UND_ERR_RES_EXCEEDED_MAX_SIZE') {
+    return { verdict: 'ran', code: 'answer_too_large', message: `the answer of ${address} is longer than ${maxBufferedAnswerBytes} bytes`, status: 502 }
+  }
   return createMayHaveRun('endpoint_lost', `the connection to ${address} was lost: ${error.message}`, 502)
 }
 
--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -1,6 +1,6 @@
 /** The callers' port: the OpenAI API and the way to plain services. */
 import { randomUUID } from 'node:crypto'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import fastify from 'fastify'
 import type { FastifyError, FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { maxHeaderBytes, maxRequestBodyBytes } from '../../constants.js'
@@ -20,6 +20,8 @@
 import { createClientErrorHandler } from './clientErrors.js'
 import { addJobsRoute } from './jobsRoute.js'
 import { addModelsRoute } from './modelsRoute.js'
+import { defaultOpenRequestLimits, OpenRequests } from './openRequests.js'
+import type { OpenRequestLimits } from './openRequests.js'
 import type { RequestRouter } from './requestRouter.js'
 import { resolveRequest } from './resolveRequest.js'
 import type { ServiceRouter } from './serviceRouter.js'
@@ -27,15 +29,18 @@
 import type { HashText } from './resolveRequest.js'
 
 const healthPath = '/healthz'
-const maxRequestReadMs = 30_000
+const defaultMaxArrivalMs = 30_000
 const idleSweepMs = 100
-const maxRunningRequests = 10_000
-const retryAfterFullMs = 1000
+/** Time between two searches for requests that did not arrive in time. */
+const maxArrivalCheckMs = 1000
 
 export interface CallersServerOptions {
   address: string
   /** 0 takes a free port. */
   port: number
+  /** Time in which a request must have arrived whole, in milliseconds. */
+  maxArrivalMs?: number
+  openLimits?: OpenRequestLimits
   clock: Clock
   configuration: ConfigurationView
   router: RequestRouter
@@ -77,10 +82,16 @@
 
 /** Starts the callers' port. Rejects where the port is in use. */
 export async function startCallersServer (options: CallersServerOptions): Promise<CallersServer> {
+  const { maxArrivalMs = defaultMaxArrivalMs } = options
   const server = fastify({
     bodyLimit: maxRequestBodyBytes,
-    http: { maxHeaderSize: maxHeaderBytes },
-    requestTimeout: maxRequestReadMs,
+    http: {
+      maxHeaderSize: maxHeaderBytes,
+      // A longer time for the headers alone would count as that for the whole request.
+      headersTimeout: maxArrivalMs,
+      connectionsCheckingInterval: Math.min(maxArrivalMs, maxArrivalCheckMs)
+    },
+    requestTimeout: maxArrivalMs,
     forceCloseConnections: 'idle',
     return503OnClosing: false,
     clientErrorHandler: createClientErrorHandler(failure => options.receiveRefusal({ requestId: '', callerName: undefined, failure }))
@@ -94,18 +105,27 @@
   await addServicesRoute(server, options)
   await server.listen({ host: options.address, port: options.port })
   const { port } = server.server.address() as AddressInfo
-  return { port, stop: async () => await stopServer(server) }
+  const connections = new Set<Socket>()
+  server.server.on('connection', (socket: Socket) => {
+    connections.add(socket)
+    socket.once('close', () => connections.delete(socket))
+  })
+  return { port, stop: async () => await stopServer(server, connections) }
 }
 
-/** Closes connections as soon as their answer has been sent, so that keep-alive does not hold the server open. */
-async function stopServer (server: FastifyInstance): Promise<void> {
-  const sweep = setInterval(() => server.server.closeIdleConnections(), idleSweepMs)
+/** Closes connections without a request, so that neither keep-alive nor one opened beforehand holds the server open. */
+async function stopServer (server: FastifyInstance, connections: Set<Socket>): Promise<void> {
+  const sweep = setInterval(() => {
+    server.server.closeIdleConnections()
+    for (const socket of connections) if (socket.bytesRead === 0) socket.destroy()
+  }, idleSweepMs)
   await server.close()
   clearInterval(sweep)
 }
 
 /** Refuses strangers before their body is read. */
 function addCallerCheck (server: FastifyInstance, context: CallersContext): void {
+  const open = new OpenRequests(context.openLimits ?? defaultOpenRequestLimits)
   server.decorateRequest('caller', undefined)
   server.addHook('onRequest', async (request, reply) => {
     reply.header('sedgevalve-request-id', `req-${randomUUID()}`)
@@ -113,9 +133,9 @@
     const caller = findCaller(context.configuration, request.headers.authorization, 'caller')
     if (!caller.isValid) return sendFailure(reply, caller.failure)
     request.caller = caller.value
-    if (context.router.running >= maxRunningRequests) {
-      return sendFailure(reply, createNotRun('gateway_full', `this host runs ${maxRunningRequests} requests already`, 503, retryAfterFullMs))
-    }
+    const admission = open.admit(request.headers)
+    if (typeof admission !== 'function') return sendFailure(reply, admission)
+    reply.raw.once('close', admission)
   })
   server.get(healthPath, (_request, reply) => {
     const isCurrent = context.configuration.isCurrent()
--- a/src/tasks/gateway/clientErrors.ts
+++ b/src/tasks/gateway/clientErrors.ts
@@ -1,11 +1,16 @@
-/** What a client gets that sends something other than HTTP, or too many headers. */
+/** What a client gets that sends something other than HTTP, too many headers, or a request too slowly. */
 import type { Socket } from 'node:net'
 import { maxHeaderBytes } from '../../constants.js'
 import { createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
 import { renderErrorBody } from './callerError.js'
 
-const headersTooLargeStatus = 431
+/** Status lines by status. */
+const statusLines: Record<number, string> = {
+  400: '400 Bad Request',
+  408: '408 Request Timeout',
+  431: '431 Request Header Fields Too Large'
+}
 
 /**
  * Creates the handler that a server calls for a connection whose request cannot be read.
@@ -26,15 +31,15 @@
 }
 
 function createFailure (error: NodeJS.ErrnoException): RequestFailure {
-  return error.code === 'HPE_HEADER_OVERFLOW'
-    ? createNotRun('headers_too_large', `the headers are larger than ${maxHeaderBytes} bytes`, headersTooLargeStatus)
-    : createNotRun('invalid_http', 'the request is not valid HTTP, or did not come in time', 400)
+  if (error.code === 'HPE_HEADER_OVERFLOW') return createNotRun('headers_too_large', `the headers are larger than ${maxHeaderBytes} bytes`, 431)
+  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') return createNotRun('request_timeout', 'the request did not arrive whole in time', 408)
+  return createNotRun('invalid_http', 'the request is not valid HTTP', 400)
 }
 
 function renderResponse (failure: RequestFailure): string {
   const body = renderErrorBody(failure)
   return [
-    `HTTP/1.1 ${failure.status === headersTooLargeStatus ? '431 Request Header Fields Too Large' : '400 Bad Request'}`,
+    `HTTP/1.1 ${statusLines[failure.status]}`,
     'sedgevalve-verdict: not-run', 'content-type: application/json', `content-length: ${Buffer.byteLength(body)}`,
     'connection: close', '', body
   ].join('\r\n')
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -16,7 +16,7 @@
 import type { JobStore } from '../jobs/jobStore.js'
 import type { ConfigurationTask } from '../configuration/configurationTask.js'
 import { startCallersServer } from './callersServer.js'
-import type { CallersServer, Refusal } from './callersServer.js'
+import type { CallersServer, CallersServerOptions, Refusal } from './callersServer.js'
 import { RequestRouter } from './requestRouter.js'
 import type { RouterState } from './requestRouter.js'
 import type { HashText } from './resolveRequest.js'
@@ -45,7 +45,7 @@
   peerTransport: PeerTransport
   peerKey: string
   /** Where callers connect; left out, the gateway runs only requests of its own process. */
-  callers?: { address: string, port: number }
+  callers?: Pick<CallersServerOptions, 'address' | 'port' | 'maxArrivalMs' | 'openLimits'>
   /** Resolves when the links may be closed; left out, once every answer in progress has been sent. */
   stopCallers?: (callers: CallersServer) => Promise<void>
   recordDecision: RecordDecision
--- a/src/tasks/operators/operatorsServer.ts
+++ b/src/tasks/operators/operatorsServer.ts
@@ -39,7 +39,7 @@
 ): Promise<OperatorsServer> {
   const server = fastify({
     bodyLimit: maxOperatorBodyBytes,
-    http: { maxHeaderSize: maxHeaderBytes },
+    http: { maxHeaderSize: maxHeaderBytes, headersTimeout: maxRequestReadMs },
     requestTimeout: maxRequestReadMs,
     forceCloseConnections: true,
     clientErrorHandler: createClientErrorHandler(failure => context.countBadInput(failure.code))
