Share what fixtures, stand-ins and counting tables wrote twice

Cause: four fixtures held the same idle summary, two the same counting table, engine and service stand-ins the same routes for tests; five functions began with words outside the list of docs/style.md. Change: support/sampleSummary.ts, support/countCalls.ts and standin/testRoutes.ts; closeConnection, waitForPromises, runTransaction, handleRemovedParts and, on the callers' port, runOnPlatform. A service's faults are switched once the change was answered, as an engine's are.

--- a/features/steps/decisionsPlanner.ts
+++ b/features/steps/decisionsPlanner.ts
@@ -6,6 +6,7 @@
 import type { SlackPlannerOptions } from '../../src/core/plannerOptions.js'
 import type { Target } from '../../src/schemas/configuration.js'
 import { PlannerTrial } from '../support/plannerTrial.js'
+import { createSampleSummary } from '../support/sampleSummary.js'
 import type { TrialOptions, TrialRequest } from '../support/plannerTrial.js'
 
 interface DecisionsWorld {
@@ -155,23 +156,7 @@
     hostId: 'host-1',
     sentSince: 0,
     loadsSentSince: [],
-    summary: {
-      endpointId,
-      zone: 'az-1',
-      baseModel: 'base',
-      fencing: 1,
-      isReady: true,
-      slots: 8,
-      batchLimit: 16,
-      running: 0,
-      queued: 0,
-      expectedWaitMs,
-      expectedLoadMs: 650,
-      serviceIntervalMs: 100,
-      evictionCostMs: 0,
-      loaded,
-      loading: []
-    }
+    summary: createSampleSummary(endpointId, { baseModel: 'base', expectedWaitMs, loaded })
   }
 }
 
--- a/features/support/controlTraffic.ts
+++ b/features/support/controlTraffic.ts
@@ -4,6 +4,7 @@
 import type { EndpointSummary } from '../../src/schemas/peerMessage.js'
 import { SummaryFeed } from '../../src/tasks/membership/summaryFeed.js'
 import { PeerCluster } from './peerCluster.js'
+import { createSampleSummary } from './sampleSummary.js'
 
 const slots = 8
 const adapters = 3000
@@ -30,23 +31,9 @@
 }
 
 function createSummary (index: number, pick: PickNumber): EndpointSummary {
-  return {
-    endpointId: `engine-${index}`,
-    zone: 'az-1',
-    baseModel: 'base-1',
-    fencing: 1,
-    isReady: true,
-    slots,
-    batchLimit: 16,
-    running: 0,
-    queued: 0,
-    expectedWaitMs: 0,
-    expectedLoadMs: 650,
-    serviceIntervalMs: 60,
-    evictionCostMs: 1,
-    loaded: Array.from({ length: slots }, () => formatName(pick)),
-    loading: []
-  }
+  return createSampleSummary(`engine-${index}`, {
+    slots, serviceIntervalMs: 60, evictionCostMs: 1, loaded: Array.from({ length: slots }, () => formatName(pick))
+  })
 }
 
 function formatName (pick: PickNumber): string {
--- a/features/support/jobHosts.ts
+++ b/features/support/jobHosts.ts
@@ -11,6 +11,7 @@
 import { RunnerLeases } from '../../src/tasks/jobs/runnerLeases.js'
 import { BatchWriter } from '../../src/tasks/table/batchWriter.js'
 import { TableWriter } from '../../src/tasks/table/tableWriter.js'
+import { countCalls } from './countCalls.js'
 import { createVirtualPlatform } from './virtualPlatform.js'
 
 export interface JobHost {
@@ -82,21 +83,7 @@
   }
 
   #countCalls (table: Table): Table {
-    const { cost } = this
-    return {
-      readRows: async keys => {
-        cost.reads++
-        return await table.readRows(keys)
-      },
-      listRows: async range => {
-        cost.reads++
-        return await table.listRows(range)
-      },
-      transact: async transaction => {
-        cost.writes++
-        return await table.transact(transaction)
-      }
-    }
+    return countCalls(table, this.cost)
   }
 }
 
--- a/features/support/ownershipCluster.ts
+++ b/features/support/ownershipCluster.ts
@@ -6,10 +6,10 @@
 import { createPlatformFaults } from '../../src/adapters/memoryPlatform/platformFaults.js'
 import type { PlatformFaults } from '../../src/adapters/memoryPlatform/platformFaults.js'
 import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
-import type { Table } from '../../src/ports/table.js'
 import { LeaseOwnership } from '../../src/tasks/ownership/leaseOwnership.js'
 import type { LeaseOwnershipOptions } from '../../src/tasks/ownership/leaseOwnership.js'
 import type { OwnershipEvent } from '../../src/tasks/ownership/ownership.js'
+import { countCalls } from './countCalls.js'
 import { OwnershipEngine } from './ownershipEngine.js'
 import { PausableClock } from './pausableClock.js'
 
@@ -62,7 +62,7 @@
     this.clock = new PausableClock(cluster.clock)
     this.faults = createPlatformFaults({ delayMs: tableDelayMs })
     const { table, hostList } = createFaultyPlatform({
-      clock: this.clock, faults: this.faults, table: cluster.countCalls(), objects: new MemoryObjects(), hostList: cluster.hostList
+      clock: this.clock, faults: this.faults, table: countCalls(cluster.table, cluster.calls), objects: new MemoryObjects(), hostList: cluster.hostList
     })
     this.ownership = new LeaseOwnership(cluster.options.changeOptions({
       clock: this.clock,
@@ -224,24 +224,6 @@
     await this.clock.runUntilSettled(this.clock.readMonotonic() + ms)
   }
 
-  countCalls (): Table {
-    const { table, calls } = this
-    return {
-      readRows: async keys => {
-        calls.reads++
-        return await table.readRows(keys)
-      },
-      listRows: async range => {
-        calls.reads++
-        return await table.listRows(range)
-      },
-      transact: async transaction => {
-        calls.writes++
-        return await table.transact(transaction)
-      }
-    }
-  }
-
   #addEngine (id: string, zone: string): void {
     this.engines.set(id, new OwnershipEngine(this.options.slots))
     this.hostList.addEntry({
--- a/features/support/routerFixture.ts
+++ b/features/support/routerFixture.ts
@@ -3,10 +3,11 @@
 import { chooseLeastLoaded } from '../../src/core/leastLoadedChoice.js'
 import { RetryBudget, defaultRetryBudget } from '../../src/core/retryBudget.js'
 import { SuspectRegister } from '../../src/core/suspects.js'
-import type { EndpointSummary, PeerMessage, PeerMessageOf } from '../../src/schemas/peerMessage.js'
+import type { PeerMessage, PeerMessageOf } from '../../src/schemas/peerMessage.js'
 import { RequestRouter } from '../../src/tasks/gateway/requestRouter.js'
 import type { RequestRouterOptions } from '../../src/tasks/gateway/requestRouter.js'
 import type { AnswerEvent, RoutedRequest } from '../../src/tasks/gateway/routedRequest.js'
+import { createSampleSummary } from './sampleSummary.js'
 
 export interface SentMessage {
   hostId: string
@@ -26,26 +27,6 @@
 
 const hostCount = 3
 
-function createSummary (index: number): EndpointSummary {
-  return {
-    endpointId: `engine-${index}`,
-    zone: 'az-1',
-    baseModel: 'base-1',
-    fencing: 1,
-    isReady: true,
-    slots: 4,
-    batchLimit: 8,
-    running: 0,
-    queued: 0,
-    expectedWaitMs: index,
-    expectedLoadMs: 500,
-    serviceIntervalMs: 100,
-    evictionCostMs: 0,
-    loaded: [],
-    loading: []
-  }
-}
-
 const plainRequest: RoutedRequest = {
   requestId: 'req-1',
   callerName: 'caller',
@@ -77,7 +58,7 @@
   const sent: SentMessage[] = []
   const events: AnswerEvent[] = []
   const views = Array.from({ length: hostCount }, (_, index) => (
-    { summary: createSummary(index + 1), hostId: `scheduler-${index + 1}`, sentSince: 0, loadsSentSince: [] }))
+    { summary: createSampleSummary(`engine-${index + 1}`, { expectedWaitMs: index + 1 }), hostId: `scheduler-${index + 1}`, sentSince: 0, loadsSentSince: [] }))
   const router = new RequestRouter({
     clock,
     zone: 'az-1',
--- a/features/support/routerHistory.ts
+++ b/features/support/routerHistory.ts
@@ -8,6 +8,7 @@
 import { createMayHaveRun, createNotRun } from '../../src/schemas/verdict.js'
 import { RequestRouter } from '../../src/tasks/gateway/requestRouter.js'
 import type { AnswerEvent, RoutedRequest } from '../../src/tasks/gateway/routedRequest.js'
+import { createSampleSummary } from './sampleSummary.js'
 
 /** What becomes of one attempt on its engine: it is refused, breaks after some parts, or ends. */
 export type Fate = { type: 'notRun' } | { type: 'broken', parts: number } | { type: 'whole' }
@@ -144,23 +145,7 @@
     hostId,
     sentSince: 0,
     loadsSentSince: [],
-    summary: {
-      endpointId: `engine-${index + 1}`,
-      zone: 'az-1',
-      baseModel: 'base-1',
-      fencing: 1,
-      isReady: true,
-      slots: 8,
-      batchLimit: 16,
-      running: 0,
-      queued: 0,
-      expectedWaitMs: 0,
-      expectedLoadMs: 0,
-      serviceIntervalMs: 0,
-      evictionCostMs: 0,
-      loaded: ['cluj-tax@2'],
-      loading: []
-    }
+    summary: createSampleSummary(`engine-${index + 1}`, { loaded: ['cluj-tax@2'] })
   }))
 }
 
--- a/src/adapters/clock/virtualClock.ts
+++ b/src/adapters/clock/virtualClock.ts
@@ -54,10 +54,10 @@
 
   /** As `runUntil`, but lets promises settle after each timer, so that asynchronous tasks keep up. */
   async runUntilSettled (untilMs: number): Promise<void> {
-    await settlePromises()
+    await waitForPromises()
     for (let next = this.findNextMs(); next !== undefined && next <= untilMs; next = this.findNextMs()) {
       this.runNext()
-      await settlePromises()
+      await waitForPromises()
     }
     this.#nowMs = Math.max(this.#nowMs, untilMs)
   }
@@ -100,6 +100,6 @@
 }
 
 /** Waits until promises that are already settled have run what follows them. */
-async function settlePromises (): Promise<void> {
+async function waitForPromises (): Promise<void> {
   await new Promise<void>(resolve => setImmediate(resolve))
 }
--- a/src/adapters/memoryPlatform/faultyPlatform.ts
+++ b/src/adapters/memoryPlatform/faultyPlatform.ts
@@ -54,12 +54,12 @@
     transact: async transaction => {
       await waitDelay(options)
       if (faults.isTableDown || !writes.takeCall()) return unavailableOutcome
-      return await transactFaulty(options, transaction)
+      return await runTransaction(options, transaction)
     }
   }
 }
 
-async function transactFaulty ({ clock, faults, table }: FaultyPlatformOptions, transaction: Transaction): Promise<TransactionOutcome> {
+async function runTransaction ({ clock, faults, table }: FaultyPlatformOptions, transaction: Transaction): Promise<TransactionOutcome> {
   if (faults.lostWrites > 0) {
     faults.lostWrites--
     return lostOutcome
--- a/src/standin/engineServer.ts
+++ b/src/standin/engineServer.ts
@@ -1,6 +1,5 @@
 /** The HTTP face of a stand-in engine, in the OpenAI conventions. */
 import type { AddressInfo } from 'node:net'
-import { Value } from '@sinclair/typebox/value'
 import fastify from 'fastify'
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { formatChunk, formatEvent, formatToken, formatWhole } from './completionFormat.js'
@@ -11,6 +10,7 @@
 import type { FaultChange } from './engineFaults.js'
 import { EngineStream } from './engineStream.js'
 import { splitBlocks } from './prefixCache.js'
+import { addTestRoutes } from './testRoutes.js'
 
 export interface StandinServer {
   readonly address: string
@@ -36,7 +36,6 @@
 const defaultMaxTokens = 16
 const charactersPerToken = 4
 const maxBodyBytes = 8 * 1024 * 1024
-const journalPageSize = 10_000
 
 /**
  * Starts a stand-in engine.
@@ -67,7 +66,11 @@
     this.#addOrderRoutes()
     this.#addCompletionRoutes()
     this.#addStreamRoutes()
-    this.#addTestRoutes()
+    addTestRoutes(this.#server, {
+      readJournal: (after, limit) => this.model.journalPages.readPage(after, limit),
+      faultsSchema: faultChangeSchema,
+      setFaults: change => this.setFaults(change)
+    })
   }
 
   async start (): Promise<void> {
@@ -127,16 +130,6 @@
     })
   }
 
-  #addTestRoutes (): void {
-    this.#server.get<{ Querystring: { after?: string } }>('/journal', async request =>
-      this.model.journalPages.readPage(Number(request.query.after ?? 0), journalPageSize))
-    this.#server.post('/faults', async (request, reply) => {
-      const change = Value.Parse(faultChangeSchema, request.body)
-      reply.raw.on('finish', () => this.setFaults(change))
-      return {}
-    })
-  }
-
   #startRun (path: string, request: FastifyRequest<{ Body: CompletionBody }>, reply: FastifyReply): void {
     const key = String(request.headers['x-request-id'] ?? '/0')
     const { run, stream, isStalled } = this.#createRun(path, key, request)
--- a/src/standin/serviceServer.ts
+++ b/src/standin/serviceServer.ts
@@ -2,12 +2,12 @@
 import type { AddressInfo } from 'node:net'
 import { Type } from '@sinclair/typebox'
 import type { Static } from '@sinclair/typebox'
-import { Value } from '@sinclair/typebox/value'
 import fastify from 'fastify'
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import type { Clock } from '../ports/clock.js'
 import type { StandinServer } from './engineServer.js'
 import { Journal } from './journal.js'
+import { addTestRoutes } from './testRoutes.js'
 
 export interface ServiceJournalEntry {
   /** `requestId/attempt`. */
@@ -50,8 +50,6 @@
   setFaults: (change: ServiceFaults) => void
 }
 
-const journalPageSize = 10_000
-
 /** Starts a stand-in service. */
 export async function startStandinService (options: StandinServiceOptions): Promise<StandinService> {
   const server = new ServiceServer(options)
@@ -72,11 +70,10 @@
     this.#server = fastify({ forceCloseConnections: true })
     this.#server.removeAllContentTypeParsers()
     this.#server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body))
-    this.#server.get<{ Querystring: { after?: string } }>('/journal', async request =>
-      this.#journal.readPage(Number(request.query.after ?? 0), journalPageSize))
-    this.#server.post('/faults', async request => {
-      this.setFaults(Value.Parse(serviceFaultsSchema, JSON.parse(String(request.body))))
-      return {}
+    addTestRoutes(this.#server, {
+      readJournal: (after, limit) => this.#journal.readPage(after, limit),
+      faultsSchema: serviceFaultsSchema,
+      setFaults: change => this.setFaults(change)
     })
     this.#server.all('/*', async (request, reply) => await this.#runCall(request, reply))
   }
@@ -103,7 +100,7 @@
 
   async #runCall (request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
     if (this.#takeOne('refuse')) return await reply.code(503).send({ error: `service "${this.#options.service}" takes no calls` })
-    if (this.#takeOne('cutBeforeRunning')) return cutConnection(reply)
+    if (this.#takeOne('cutBeforeRunning')) return closeConnection(reply)
     const entry: ServiceJournalEntry = {
       requestId: String(request.headers['x-request-id'] ?? ''),
       method: request.method,
@@ -114,7 +111,7 @@
     const number = ++this.#calls
     const isCut = this.#takeOne('cutAfterRunning')
     await this.#wait(this.#faults.delayMs ?? 0)
-    if (isCut) return cutConnection(reply)
+    if (isCut) return closeConnection(reply)
     return await reply.send({ service: this.#options.service, ...entry, number })
   }
 
@@ -130,7 +127,7 @@
   }
 }
 
-function cutConnection (reply: FastifyReply): FastifyReply {
+function closeConnection (reply: FastifyReply): FastifyReply {
   reply.hijack()
   reply.raw.destroy()
   return reply
--- a/src/tasks/configuration/configurationStore.ts
+++ b/src/tasks/configuration/configurationStore.ts
@@ -79,7 +79,7 @@
     for (let reads = 0; reads < maxSnapshotReads; reads++) {
       const { snapshot } = await this.readHead()
       if (!snapshot) return undefined
-      const records = await this.#readParts(snapshot.parts).catch(ignoreRemovedParts)
+      const records = await this.#readParts(snapshot.parts).catch(handleRemovedParts)
       if (records) return { version: snapshot.version, records }
     }
     throw new VError('the snapshot of the configuration was replaced %d times while it was read', maxSnapshotReads)
@@ -174,7 +174,7 @@
 
 const partsRemovedName = 'PartsRemoved'
 
-function ignoreRemovedParts (error: Error): undefined {
+function handleRemovedParts (error: Error): undefined {
   if (!VError.hasCauseWithName(error, partsRemovedName)) throw error
 }
 
--- a/src/tasks/gateway/jobsRoute.ts
+++ b/src/tasks/gateway/jobsRoute.ts
@@ -30,11 +30,11 @@
 /** Adds the routes of jobs. */
 export function addJobsRoute (server: FastifyInstance, context: CallersContext): void {
   server.post('/v1/jobs', async (request, reply) => await submitJob(context, request, reply))
-  server.get('/v1/jobs', async (request, reply) => await guardPlatform(reply, async () => await listJobs(context, request, reply)))
+  server.get('/v1/jobs', async (request, reply) => await runOnPlatform(reply, async () => await listJobs(context, request, reply)))
   server.get<{ Params: { id: string } }>('/v1/jobs/:id', async (request, reply) =>
-    await guardPlatform(reply, async () => await sendJob(context, request, reply)))
+    await runOnPlatform(reply, async () => await sendJob(context, request, reply)))
   server.delete<{ Params: { id: string } }>('/v1/jobs/:id', async (request, reply) =>
-    await guardPlatform(reply, async () => await cancelJob(context, request, reply)))
+    await runOnPlatform(reply, async () => await cancelJob(context, request, reply)))
 }
 
 async function submitJob (context: CallersContext, request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
@@ -121,7 +121,7 @@
 }
 
 /** Tells an outage of the platform as what it is. */
-async function guardPlatform (reply: FastifyReply, run: () => Promise<FastifyReply>): Promise<FastifyReply> {
+async function runOnPlatform (reply: FastifyReply, run: () => Promise<FastifyReply>): Promise<FastifyReply> {
   try {
     return await run()
   } catch {
