Name endpoint and attempt in errors; refuse deep nesting as what it is

Cause, each found by a request to the running gateway: an error after an attempt named neither endpoint nor attempt, though every answer should; a body of 200,000 nested brackets ended as `internal_error` with status 500. Change: the last event of a failed request says where its last attempt was sent; a body that is nested too deeply is refused with 400 and `invalid_body`. Ruled out: a limit on the depth, which would need a parser of our own.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -16,6 +16,7 @@
       | headers over the limit       | 431    | headers_too_large        |
       | a body that is not JSON      | 400    | invalid_body             |
       | a body without messages      | 400    | invalid_body             |
+      | a body nested too deeply     | 400    | invalid_body             |
       | a class that does not exist  | 400    | class_not_found          |
       | an unknown path              | 404    | path_not_found           |
       | an overlong idempotency key  | 400    | idempotency_key_too_long |
@@ -53,6 +54,7 @@
     When a caller sends 200 requests of class "patient" at once
     Then each of them is answered, or refused as "queue_full" and told when to come back
     And no engine has started what was refused
+    And each answer names request, adapter, version, endpoint and attempt
 
   Scenario: An answer of a service that is longer than the limit
     Given a system with 1 engine, 1 scheduler and 1 gateway
--- a/features/steps/limits.ts
+++ b/features/steps/limits.ts
@@ -29,6 +29,9 @@
   body?: string | Readable
 }
 
+const maxNesting = 200_000
+const nameHeaders = ['request-id', 'adapter', 'version', 'endpoint', 'attempt']
+
 const goodBody = JSON.stringify({ model: 'cluj-tax', max_tokens: 1, messages: [{ role: 'user', content: 'Hello' }] })
 
 const badRequests: Record<string, BadRequest> = {
@@ -40,6 +43,7 @@
   },
   'headers over the limit': { headers: { 'x-long': 'x'.repeat(maxHeaderBytes) } },
   'a body that is not JSON': { body: '{"model"' },
+  'a body nested too deeply': { body: `{"model":"cluj-tax","messages":${'['.repeat(maxNesting)}${']'.repeat(maxNesting)}}` },
   'a body without messages': { body: '{"model": "cluj-tax"}' },
   'a class that does not exist': { headers: { 'sedgevalve-class': 'nobody' } },
   'an unknown path': { path: '/v1/nothing' },
@@ -138,6 +142,12 @@
   assert.equal(started.length, this.answers.filter(({ status }) => status === 200).length)
 })
 
+Then('each answer names request, adapter, version, endpoint and attempt', function (this: LimitsWorld) {
+  for (const { headers } of this.answers) {
+    assert.deepEqual(nameHeaders.filter(name => !headers.has(`sedgevalve-${name}`)), [])
+  }
+})
+
 When('a caller asks a service for an answer over the limit', async function (this: SystemWorld) {
   // The stand-in answers with the body as a JSON string, in which a control character takes six bytes.
   await postBody(this, '/services/claims/decisions', '\u0001'.repeat(maxRequestBodyBytes))
--- a/src/tasks/gateway/answerWriter.ts
+++ b/src/tasks/gateway/answerWriter.ts
@@ -24,13 +24,13 @@
   }
 
   receive (event: AnswerEvent): void {
+    this.#source = event.source ?? this.#source
     if (event.type === 'failed') this.#writeFailure(event.failure)
-    else if (event.type === 'data') this.#writeData(event.data, event.source)
-    else this.#writeEnd(event.source)
+    else if (event.type === 'data') this.#writeData(event.data)
+    else this.#writeEnd()
   }
 
-  #writeData (data: string, source: AnswerSource): void {
-    this.#source = source
+  #writeData (data: string): void {
     if (!this.#options.request.isStream) {
       this.#keepPart(data)
       return
@@ -52,8 +52,7 @@
     this.#writeFailure(createMayHaveRun('answer_too_large', reason, 502))
   }
 
-  #writeEnd (source: AnswerSource): void {
-    this.#source = source
+  #writeEnd (): void {
     const { response, request } = this.#options
     if (request.isStream) {
       response.end()
--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -168,6 +168,7 @@
   if (status === 413) return createNotRun('body_too_large', `the body is larger than ${maxRequestBodyBytes} bytes`, 413)
   if (status === 415) return createNotRun('content_type_unsupported', 'the body is not "application/json"', 415)
   if (status < 500) return createNotRun('invalid_body', `the body is not valid: ${error.message}`, status)
+  if (error instanceof RangeError) return createNotRun('invalid_body', 'the body is nested too deeply', 400)
   return createNotRun('internal_error', 'the gateway failed before the request was sent on', 500)
 }
 
--- a/src/tasks/gateway/requestRouter.ts
+++ b/src/tasks/gateway/requestRouter.ts
@@ -300,7 +300,8 @@
     const failure = this.#options.rules.joinAttempts(last, running.hasSentData || running.mayHaveRun)
     this.#recordEnd(running, { kind: 'fail', verdict: failure.verdict, chosen: failure.code, reason: failure.message })
     this.#remove(running)
-    running.send({ type: 'failed', failure } satisfies AnswerEvent)
+    const { target, attempt } = running
+    running.send({ type: 'failed', failure, ...(target && { source: { endpointId: target.endpointId, attempt } }) } satisfies AnswerEvent)
   }
 
   /** Records how the current attempt ended. */
--- a/src/tasks/gateway/routedRequest.ts
+++ b/src/tasks/gateway/routedRequest.ts
@@ -35,6 +35,7 @@
 export type AnswerEvent =
   | { type: 'data', data: string, source: AnswerSource }
   | { type: 'end', source: AnswerSource }
-  | { type: 'failed', failure: RequestFailure }
+  /** `source` is left out where no attempt was sent. */
+  | { type: 'failed', failure: RequestFailure, source?: AnswerSource }
 
 export type SendAnswer = (event: AnswerEvent) => void
