Fuzz calls of plain services and the weight store's budget

Cause: the fuzzer knew requests for models alone. Calls of plain services were shown on stand-ins only, and no oracle counted the loads of all engines together. Ruled out: a callers' port in the fuzzer; the real router of services, claims and permits run below it as they are. Change: calls (idempotent and not, with and without a key) and endpoints of a service that restart, stall, lose answers, leave and return are commands; a weight store counts loads and can be slow. Conclusion: both are proved as the other promises are; sequences for the budget and the verdict stand in the feature.

--- a/features/fuzz.feature
+++ b/features/fuzz.feature
@@ -39,6 +39,19 @@
       | atMostOnce                | 20   | 1    |
       | leavingGetsNoWork         | 20   | 2    |
 
+  Scenario Outline: Without <mechanism>, the fuzzer finds <promise> broken for calls of plain services
+    When the mechanism behind <mechanism> is switched off and 20 sequences are fuzzed with seed 1
+    Then <promise> is broken
+
+    Examples:
+      | mechanism           | promise    |
+      | callsNotRepeated    | atMostOnce |
+      | lostCallsMayHaveRun | atMostOnce |
+
+  Scenario: A call whose connection was lost may have run, and is told so
+    When the mechanism behind lostCallsMayHaveRun is switched off and this sequence runs: 'leaveService(0),advance(3500),loseCallAnswers([1,1]),call({"gateway":0,"isIdempotent":false}),advance(900)'
+    Then notRunMeansNotRun is broken
+
   Scenario Outline: Without the mechanism behind <promise>, this sequence breaks it
     When the mechanism behind <promise> is switched off and this sequence runs: '<sequence>'
     Then <promise> is broken
@@ -47,4 +60,5 @@
       | promise             | sequence |
       | gracefulCutsNothing | stopSchedulerUnderWork(1) |
       | configurationHolds  | pause(0),advance(3500),change({"gateway":0,"adapter":"alpha","currentVersion":"2"}),advance(8000),slowTable(1500),wake(0),advance(900) |
+      | loadsWithinBudget   | setTableDown(true),advance(8000),slowWeights(3000),burst([{"gateway":0,"model":"alpha","tokens":1,"content":"hello","className":"urgent"},{"gateway":0,"model":"beta","tokens":1,"content":"hello","className":"urgent"},{"gateway":1,"model":"gamma","tokens":1,"content":"hello","className":"urgent"},{"gateway":1,"model":"delta","tokens":1,"content":"hello","className":"urgent"},{"gateway":0,"model":"epsilon","tokens":1,"content":"hello","className":"urgent"},{"gateway":1,"model":"zeta","tokens":1,"content":"hello","className":"urgent"}]),advance(8000) |
       | crashesBounded      | request({"gateway":0,"model":"alpha","tokens":1,"content":"crash one","className":"later"}),advance(8000),advance(8000),request({"gateway":0,"model":"alpha","tokens":1,"content":"crash one","className":"urgent"}) |
--- a/features/steps/fuzz.ts
+++ b/features/steps/fuzz.ts
@@ -3,6 +3,7 @@
 import { Then, When } from '@cucumber/cucumber'
 import { parseSequence } from '../../fuzz/commands.js'
 import { mechanismsWithout } from '../../fuzz/mechanisms.js'
+import type { FuzzMechanisms } from '../../fuzz/mechanisms.js'
 import { findViolations } from '../../fuzz/oracle.js'
 import type { PromiseName } from '../../fuzz/promises.js'
 import { runFuzz, runSequence } from '../../fuzz/runFuzz.js'
@@ -16,6 +17,12 @@
   promises: PromiseName[]
 }
 
+function getMechanisms (name: string): { mechanisms: FuzzMechanisms } {
+  const found = mechanismsWithout[name]
+  assert.ok(found, `mechanism "${name}"`)
+  return { mechanisms: found.mechanisms }
+}
+
 When('{int} sequences are fuzzed with seed {int}', async function (this: FuzzWorld, runs: number, seed: number) {
   const { failure } = await runFuzz({ seed, runs, maxCommands, maxSeconds })
   this.broken = failure ? [failure.message, failure.sequence] : []
@@ -31,16 +38,16 @@
 })
 
 When(/^the mechanism behind (\w+) is switched off and (\d+) sequences are fuzzed with seed (\d+)$/,
-  async function (this: FuzzWorld, promise: PromiseName, runs: string, seed: string) {
+  async function (this: FuzzWorld, name: string, runs: string, seed: string) {
     const { failure } = await runFuzz({
-      seed: Number(seed), runs: Number(runs), maxCommands, maxSeconds, isShortened: false, mechanisms: mechanismsWithout[promise]!
+      seed: Number(seed), runs: Number(runs), maxCommands, maxSeconds, isShortened: false, ...getMechanisms(name)
     })
     this.promises = failure?.promises ?? []
   })
 
 When(/^the mechanism behind (\w+) is switched off and this sequence runs: '(.*)'$/,
-  async function (this: FuzzWorld, promise: PromiseName, sequence: string) {
-    const system = await runSequence(parseSequence(sequence), mechanismsWithout[promise]!)
+  async function (this: FuzzWorld, name: string, sequence: string) {
+    const system = await runSequence(parseSequence(sequence), getMechanisms(name).mechanisms)
     this.promises = findViolations(system).map(violation => violation.promise)
   })
 
--- a/features/steps/outage.ts
+++ b/features/steps/outage.ts
@@ -3,7 +3,7 @@
 import { Given, Then, When } from '@cucumber/cucumber'
 import { FuzzSystem, fuzzAdapters } from '../../fuzz/fuzzSystem.js'
 import { allMechanisms } from '../../fuzz/mechanisms.js'
-import type { CallerRecord } from '../../fuzz/fuzzSystem.js'
+import type { CallerRecord } from '../../fuzz/records.js'
 
 const minuteMs = 60_000
 const settleMs = 10_000
--- a/fuzz/commands.ts
+++ b/fuzz/commands.ts
@@ -3,7 +3,8 @@
 import { crashMarker } from './fakeEngines.js'
 import type { FakeHost } from './fakeHost.js'
 import { fuzzAdapters } from './fuzzSystem.js'
-import type { ChangePlan, FuzzSystem, JobPlan, RequestPlan } from './fuzzSystem.js'
+import type { FuzzSystem } from './fuzzSystem.js'
+import type { CallPlan, ChangePlan, JobPlan, RequestPlan } from './records.js'
 
 type Step = (system: FuzzSystem) => void | Promise<void>
 
@@ -69,6 +70,10 @@
   key: fc.constantFrom('key-1', 'key-2', 'key-3')
 })
 
+const callArbitrary: fc.Arbitrary<CallPlan> = fc.record({
+  gateway: fc.nat(3), isIdempotent: fc.boolean(), key: fc.constantFrom(undefined, undefined, 'desk-1', 'desk-2', 'desk-3')
+})
+
 const jobArbitrary: fc.Arbitrary<JobPlan> = fc.record({
   gateway: fc.nat(3), model: fc.constantFrom(...fuzzAdapters), tokens: fc.integer({ min: 1, max: 8 }), runsAtMostOnce: fc.boolean()
 })
@@ -140,6 +145,22 @@
   createCommands(fc.nat(2), 'returnEngine', (system, index) => system.setEngineEntry(system.pickEngine(index).id, 'live'))
 ]
 
+const serviceCommands = [
+  createCommands(fc.nat(1), 'restartService', (system, index) => {
+    system.pickService(index).restart()
+    system.disturb()
+  }),
+  createCommands(fc.nat(1), 'stallService', (system, index) => { system.pickService(index).isStalled = true }),
+  createCommands(fc.nat(1), 'resumeService', (system, index) => { system.pickService(index).isStalled = false }),
+  createCommands(fc.tuple(fc.nat(1), fc.integer({ min: 1, max: 2 })), 'loseCallAnswers', (system, [index, count]) => {
+    system.pickService(index).answersToLose = count
+    system.disturb()
+  }),
+  createCommands(fc.nat(1), 'leaveService', (system, index) => system.setServiceEntry(system.pickService(index).id, 'leaving')),
+  createCommands(fc.nat(1), 'returnService', (system, index) => system.setServiceEntry(system.pickService(index).id, 'live')),
+  createCommands(fc.constantFrom(400, 3000, 10_000), 'slowWeights', (system, ms) => { system.weights.loadMs = ms })
+]
+
 const changeArbitrary: fc.Arbitrary<ChangePlan> = fc.record({
   gateway: fc.nat(3), adapter: fc.constantFrom(...fuzzAdapters.slice(0, 2)), currentVersion: fc.constantFrom('1', '2')
 })
@@ -170,21 +191,22 @@
   createCommands(requestArbitrary, 'request', (system, plan) => system.sendRequest(plan)),
   createCommands(claimedArbitrary, 'claimed', (system, plan) => system.sendRequest(plan)),
   createCommands(fc.array(requestArbitrary, { minLength: 3, maxLength: 6 }), 'burst', (system, plans) => plans.forEach(plan => system.sendRequest(plan))),
-  createCommands(jobArbitrary, 'job', (system, plan) => system.submitJob(plan)),
-  createCommands(fc.nat(20), 'cancel', (system, index) => system.cancelRequest(index)),
-  createCommands(fc.constantFrom(5, 40, 200, 900, 3500, 8000), 'advance', async (system, ms) => await system.advance(ms))
+  createCommands(jobArbitrary, 'job', (system, plan) => system.submitted.submitJob(plan)),
+  createCommands(fc.nat(20), 'cancel', (system, index) => system.asked.cancelRequest(index)),
+  createCommands(fc.constantFrom(5, 40, 200, 900, 3500, 8000), 'advance', async (system, ms) => await system.advance(ms)),
+  createCommands(callArbitrary, 'call', (system, plan) => system.asked.sendCall(plan))
 ]
 
 /** Requests and time come far more often than faults, so that faults meet work under way. */
 export function createFuzzCommands (maxCommands: number): fc.Arbitrary<FuzzCommand[]> {
   const weighted = [
-    ...Array.from({ length: 5 }, () => callerCommands[0]!), callerCommands[1]!, callerCommands[1]!, callerCommands[2]!, callerCommands[3]!, callerCommands[4]!,
+    ...Array.from({ length: 5 }, () => callerCommands[0]!), callerCommands[1]!, callerCommands[1]!, callerCommands[2]!, callerCommands[3]!, callerCommands[4]!, callerCommands[6]!, callerCommands[6]!,
     ...Array.from({ length: 4 }, () => callerCommands[5]!)
   ]
   const command = fc.oneof(
     fc.oneof(...weighted), fc.oneof(...weighted), fc.oneof(...weighted), fc.oneof(...weighted),
     fc.oneof(...hostCommands), fc.oneof(...engineCommands), fc.oneof(...platformCommands),
-    fc.oneof(...operatorCommands), fc.oneof(...networkCommands)
+    fc.oneof(...operatorCommands), fc.oneof(...networkCommands), fc.oneof(...serviceCommands)
   )
   // Without the usual bias towards short sequences, faults meet more work under way.
   return fc.noBias(fc.array(command, { maxLength: maxCommands, size: 'max' }))
--- a/fuzz/fakeEngines.ts
+++ b/fuzz/fakeEngines.ts
@@ -3,10 +3,10 @@
 import type { AdapterOrder, Engine, EngineReport, GenerateEvent, GenerateOrder, Generation, OrderOutcome } from '../src/ports/engine.js'
 import { createMayHaveRun, createNotRun } from '../src/schemas/verdict.js'
 import type { FakeHost } from './fakeHost.js'
+import type { WeightStore } from './weightStore.js'
 
 const networkDelayMs = 1
 const tokenMs = 15
-const loadMs = 400
 const restartMs = 1500
 export const engineSlots = 3
 export const engineBatchLimit = 4
@@ -60,14 +60,16 @@
   /** Requests that crashed the engine. */
   readonly crashes: Crash[] = []
   #clock: VirtualClock
+  #weights: WeightStore
   #slots = new Map<string, Slot>()
   #runs = new Set<Run>()
   #incarnation = 1
   #isUp = true
   #highestFencing = 0
 
-  constructor (id: string, checksFencing: boolean, clock: VirtualClock) {
+  constructor (id: string, checksFencing: boolean, clock: VirtualClock, weights: WeightStore) {
     this.id = id
+    this.#weights = weights
     this.checksFencing = checksFencing
     this.#clock = clock
   }
@@ -100,7 +102,7 @@
     }
     const incarnation = this.#incarnation
     this.#slots.set(order.handle, { state: 'loading', running: 0 })
-    await new Promise<void>(resolve => this.#clock.setTimer(resolve, loadMs))
+    await this.#weights.readWeights()
     const slot = this.#slots.get(order.handle)
     if (incarnation !== this.#incarnation || !slot) return { verdict: 'unknown', message: 'the engine went away' }
     slot.state = 'loaded'
--- a/fuzz/fuzzHosts.ts
+++ b/fuzz/fuzzHosts.ts
@@ -13,12 +13,15 @@
 import { SchedulerTask } from '../src/tasks/scheduler/schedulerTask.js'
 import { BatchWriter } from '../src/tasks/table/batchWriter.js'
 import { TableWriter } from '../src/tasks/table/tableWriter.js'
+import { createHostService } from './fakeServices.js'
+import type { FakeService } from './fakeServices.js'
 import { createHostEngine } from './fakeEngines.js'
 import type { FakeEngine } from './fakeEngines.js'
 import type { FakeHost } from './fakeHost.js'
 import type { FakeNetwork } from './fakeNetwork.js'
 import type { FakePlatform } from './fakePlatform.js'
 import type { FuzzMechanisms } from './mechanisms.js'
+import { fuzzLoadBudget } from './weightStore.js'
 
 const peerKey = 'fuzz-peer-key-00000'
 
@@ -29,6 +32,7 @@
   objects: MemoryObjects
   network: FakeNetwork
   engines: Map<string, FakeEngine>
+  services: Map<string, FakeService>
   mechanisms: FuzzMechanisms
 }
 
@@ -81,7 +85,7 @@
       send
     }),
     configuration,
-    loadBudget: { loadsPerSecond: 4, loadsAtFullSpeed: 3 },
+    loadBudget: mechanisms.readBudget(fuzzLoadBudget),
     peerTransport: network.createTransport(host),
     peers: { address: '127.0.0.1', port: 0, key: peerKey },
     decisions: new DecisionStore({ hostId: host.id, clock: host.clock }),
@@ -98,7 +102,7 @@
 
 /** Starts a gateway without a callers' port; it serves once it has read the configuration. */
 export function startFuzzGateway (surroundings: FuzzSurroundings, host: FakeHost): FuzzGateway {
-  const { platform, objects, network, mechanisms } = surroundings
+  const { clock, platform, objects, network, services, mechanisms } = surroundings
   const configuration = createConfiguration(host, surroundings)
   const table = platform.createTable(host)
   const writer = new TableWriter({ table, clock: host.clock })
@@ -111,7 +115,7 @@
     clock: host.clock,
     hostList: platform.createHostList(host),
     peerTransport: network.createTransport(host),
-    service: { call: async () => { throw new Error('no services are fuzzed here') } },
+    service: createHostService(host, services, clock, mechanisms.readServiceOutcome),
     configuration,
     claims,
     jobs,
--- a/fuzz/main.ts
+++ b/fuzz/main.ts
@@ -4,7 +4,6 @@
 import type { FuzzSystem } from './fuzzSystem.js'
 import { allMechanisms, mechanismsWithout } from './mechanisms.js'
 import type { FuzzMechanisms } from './mechanisms.js'
-import type { PromiseName } from './promises.js'
 import { findViolations } from './oracle.js'
 import { runFuzz, runSequence } from './runFuzz.js'
 
@@ -12,7 +11,7 @@
   options: {
     seed: { type: 'string', default: '1' },
     runs: { type: 'string', default: '100' },
-    /** Name of a promise whose mechanism is switched off. */
+    /** Name of a promise, or of a mechanism behind one, that is switched off. */
     without: { type: 'string' },
     commands: { type: 'string', default: '60' },
     /** Reports a broken promise as it was found. */
@@ -25,9 +24,9 @@
 
 function selectMechanisms (): FuzzMechanisms {
   if (values.without === undefined) return allMechanisms
-  const mechanisms = mechanismsWithout[values.without as PromiseName]
-  if (!mechanisms) throw new Error(`no mechanism of promise "${values.without}" can be switched off; there are ${Object.keys(mechanismsWithout).join(', ')}`)
-  return mechanisms
+  const found = mechanismsWithout[values.without]
+  if (!found) throw new Error(`no mechanism "${values.without}" can be switched off; there are ${Object.keys(mechanismsWithout).join(', ')}`)
+  return found.mechanisms
 }
 
 async function replaySequence (text: string): Promise<void> {
@@ -58,7 +57,7 @@
   })
   const seconds = ((performance.now() - startedMs) / 1000).toFixed(1)
   console.log(`seed ${values.seed}: ${report.runs} runs in ${seconds} s; ${report.requests} requests: ${report.whole} whole, ` +
-    `${report.failed} failed, ${report.cancelled} cancelled; ${report.jobs} jobs; ${report.engineStarts} starts on engines, ${report.engineCrashes} crashes`)
+    `${report.failed} failed, ${report.cancelled} cancelled; ${report.jobs} jobs; ${report.calls} calls of services, ${report.callStarts} starts; ${report.loads} loads; ${report.engineStarts} starts on engines, ${report.engineCrashes} crashes`)
   if (!report.failure) return
   console.log(`broken: ${[...new Set(report.failure.promises)].join(', ')}\n${report.failure.message}`)
   console.log(`run it again with --replay '${report.failure.sequence}'`)
--- a/fuzz/mechanisms.ts
+++ b/fuzz/mechanisms.ts
@@ -1,4 +1,5 @@
 /** The mechanisms that the promises rest on; each can be switched off, to show that the oracle notices. */
+import type { LoadBudgetOptions } from '../src/core/loadBudget.js'
 import { requestRules } from '../src/core/requestRules.js'
 import type { RequestRules } from '../src/core/requestRules.js'
 import { defaultOwnershipPolicy } from '../src/core/ownershipPolicy.js'
@@ -7,6 +8,7 @@
 import { createSlackPlanners } from '../src/core/slackPlanner.js'
 import { defaultSuspectOptions } from '../src/core/suspects.js'
 import type { SuspectOptions } from '../src/core/suspects.js'
+import type { ServiceOutcome } from '../src/ports/service.js'
 import type { HostListEntry } from '../src/schemas/hostList.js'
 import type { ClaimResult, ClaimTask } from '../src/tasks/claims/claimTask.js'
 import type { ClaimedWork } from '../src/tasks/claims/claimRow.js'
@@ -25,6 +27,12 @@
   /** What a scheduler reads of an entry of the list. */
   readEntry: (entry: HostListEntry) => HostListEntry
   takeClaim: (claims: ClaimTask, work: ClaimedWork) => Promise<ClaimResult>
+  /** Whether a gateway may send a call of a plain service twice. */
+  isCallRepeatable: (isIdempotent: boolean) => boolean
+  /** What a gateway believes of the end of a call. */
+  readServiceOutcome: (outcome: ServiceOutcome) => ServiceOutcome
+  /** What schedulers believe of the weight store's budget. */
+  readBudget: (budget: LoadBudgetOptions) => LoadBudgetOptions
   /** Resolves when the process may end. */
   stopScheduler: (task: SchedulerTask) => Promise<void>
 }
@@ -38,6 +46,9 @@
   filterOutageReports: hostIds => hostIds,
   readEntry: entry => entry,
   takeClaim: async (claims, work) => await claims.takeClaim(work),
+  isCallRepeatable: isIdempotent => isIdempotent,
+  readServiceOutcome: outcome => outcome,
+  readBudget: budget => budget,
   stopScheduler: async task => await task.stop()
 })
 
@@ -64,21 +75,28 @@
   return planner[name].bind(planner)
 }
 
-/** For each promise, the system with the mechanism behind it switched off. */
-export const mechanismsWithout: Partial<Record<PromiseName, FuzzMechanisms>> = {
-  rightAdapter: { ...allMechanisms, createPlanner: createForgetfulPlanner },
-  neverUnloadedWhileServing: { ...allMechanisms, createPlanner: createBlindPlanner },
-  wholeAnswer: { ...allMechanisms, requestRules: { ...requestRules, checkAnswer: () => 'take' } },
-  notRunMeansNotRun: { ...allMechanisms, requestRules: { ...requestRules, joinAttempts: last => last } },
-  atMostOnce: {
-    ...allMechanisms,
-    takeClaim: async (claims, work) => {
-      const result = await claims.takeClaim(work)
-      return result.type === 'claimed' ? result : { type: 'claimed', claim: { key: '', version: 0, work } }
-    }
-  },
-  leavingGetsNoWork: { ...allMechanisms, readEntry: entry => ({ ...entry, presence: 'live' }) },
-  gracefulCutsNothing: { ...allMechanisms, stopScheduler: async () => {} },
-  configurationHolds: { ...allMechanisms, configurationRules: { isNext: () => true, isCurrent: () => true } },
-  crashesBounded: { ...allMechanisms, suspectOptions: { ...defaultSuspectOptions, maxCrashes: Infinity } }
+async function takeEveryClaim (claims: ClaimTask, work: ClaimedWork): Promise<ClaimResult> {
+  const result = await claims.takeClaim(work)
+  return result.type === 'claimed' ? result : { type: 'claimed', claim: { key: '', version: 0, work } }
+}
+
+/** A lost connection is taken for a call that was not run. */
+function takeForNotRun (outcome: ServiceOutcome): ServiceOutcome {
+  return outcome.type === 'failed' ? { type: 'failed', failure: { ...outcome.failure, verdict: 'notRun' } } : outcome
+}
+
+/** For each promise, the system with the mechanism behind it switched off; some promises have more than one. */
+export const mechanismsWithout: Record<string, { promise: PromiseName, mechanisms: FuzzMechanisms }> = {
+  rightAdapter: { promise: 'rightAdapter', mechanisms: { ...allMechanisms, createPlanner: createForgetfulPlanner } },
+  neverUnloadedWhileServing: { promise: 'neverUnloadedWhileServing', mechanisms: { ...allMechanisms, createPlanner: createBlindPlanner } },
+  wholeAnswer: { promise: 'wholeAnswer', mechanisms: { ...allMechanisms, requestRules: { ...requestRules, checkAnswer: () => 'take' } } },
+  notRunMeansNotRun: { promise: 'notRunMeansNotRun', mechanisms: { ...allMechanisms, requestRules: { ...requestRules, joinAttempts: last => last } } },
+  atMostOnce: { promise: 'atMostOnce', mechanisms: { ...allMechanisms, takeClaim: takeEveryClaim } },
+  callsNotRepeated: { promise: 'atMostOnce', mechanisms: { ...allMechanisms, isCallRepeatable: () => true } },
+  lostCallsMayHaveRun: { promise: 'notRunMeansNotRun', mechanisms: { ...allMechanisms, readServiceOutcome: takeForNotRun } },
+  loadsWithinBudget: { promise: 'loadsWithinBudget', mechanisms: { ...allMechanisms, readBudget: () => ({ loadsPerSecond: 1000, loadsAtFullSpeed: 30 }) } },
+  leavingGetsNoWork: { promise: 'leavingGetsNoWork', mechanisms: { ...allMechanisms, readEntry: entry => ({ ...entry, presence: 'live' }) } },
+  gracefulCutsNothing: { promise: 'gracefulCutsNothing', mechanisms: { ...allMechanisms, stopScheduler: async () => {} } },
+  configurationHolds: { promise: 'configurationHolds', mechanisms: { ...allMechanisms, configurationRules: { isNext: () => true, isCurrent: () => true } } },
+  crashesBounded: { promise: 'crashesBounded', mechanisms: { ...allMechanisms, suspectOptions: { ...defaultSuspectOptions, maxCrashes: Infinity } } }
 }
--- a/fuzz/oracle.ts
+++ b/fuzz/oracle.ts
@@ -2,11 +2,16 @@
 import { leavingGraceMs, maxCrashesPerRequest } from '../src/constants.js'
 import { parseHandle } from '../src/core/formatAdapter.js'
 import { renderAnswer } from './fakeEngines.js'
-import type { FuzzSystem, JobRecord } from './fuzzSystem.js'
+import { renderCallAnswer } from './fakeServices.js'
+import type { FuzzSystem } from './fuzzSystem.js'
+import type { AskedRecord, JobRecord } from './records.js'
 import type { Violation } from './promises.js'
+import { fuzzLoadBudget } from './weightStore.js'
 
 /** What one host knows of crashes reaches the others within this time. */
 const spreadMs = 5000
+/** Owners of endpoints, and so granters of loads, stay the same this long after the last change of hosts. */
+const ownersSettleMs = 30_000
 
 interface Started {
   content: string
@@ -20,6 +25,22 @@
   return [...system.engines.values()].flatMap(engine => engine.started.map(run => ({ engineId: engine.id, ...run })))
 }
 
+interface Start {
+  endpointId: string
+  requestId: string
+  atMs: number
+}
+
+/** Starts of requests on engines and of calls on services. */
+function listStarts (system: FuzzSystem): Start[] {
+  return [...system.engines.values(), ...system.services.values()].flatMap(({ id, started }) =>
+    started.map(({ requestId, atMs }) => ({ endpointId: id, requestId, atMs })))
+}
+
+function listAsked (system: FuzzSystem): AskedRecord[] {
+  return [...system.callers, ...system.calls]
+}
+
 function checkAdapters (system: FuzzSystem): Violation[] {
   const callers = new Map(system.callers.map(record => [record.requestId, record]))
   return listStarted(system).flatMap(({ requestId, content, handle, engineId }) => {
@@ -73,36 +94,63 @@
   })
 }
 
+/** The same key may get the answer of an earlier call with the same key. */
+function checkCallAnswers (system: FuzzSystem): Violation[] {
+  const started = new Set(listStarts(system).map(start => start.requestId))
+  return system.calls.filter(record => record.outcome === 'whole').flatMap(record => {
+    const answering = record.isReplayed ? system.calls.filter(other => other.idempotencyKey === record.idempotencyKey) : [record]
+    const isWhole = answering.some(({ requestId }) => started.has(requestId) && renderCallAnswer(requestId, record.content) === record.text)
+    return isWhole ? [] : [{ promise: 'wholeAnswer', detail: `${record.requestId} was told "${record.text}" as whole` }]
+  })
+}
+
 function checkNotRun (system: FuzzSystem): Violation[] {
-  const started = new Set(listStarted(system).map(run => run.requestId))
-  return system.callers
+  const started = new Set(listStarts(system).map(run => run.requestId))
+  return listAsked(system)
     .filter(record => record.failure?.verdict === 'notRun' && started.has(record.requestId))
     .map(record => ({ promise: 'notRunMeansNotRun', detail: `${record.requestId} ran, but was told ${record.failure!.code} as not run` }))
 }
 
+/** Work with one key, and a call that may not be repeated, starts once. */
 function checkAtMostOnce (system: FuzzSystem): Violation[] {
-  const keys = new Map(system.callers.flatMap(record => record.idempotencyKey ? [[record.requestId, record.idempotencyKey] as const] : []))
+  const keys = new Map<string, string>()
+  for (const { requestId, idempotencyKey } of listAsked(system)) if (idempotencyKey !== undefined) keys.set(requestId, idempotencyKey)
+  for (const { requestId, isIdempotent } of system.calls) if (!isIdempotent && !keys.has(requestId)) keys.set(requestId, requestId)
   const runs = new Map<string, string[]>()
-  for (const { requestId, engineId } of listStarted(system)) {
+  for (const { requestId, endpointId } of listStarts(system)) {
     const key = keys.get(requestId)
-    if (key) runs.set(key, [...runs.get(key) ?? [], `${requestId} on ${engineId}`])
+    if (key) runs.set(key, [...runs.get(key) ?? [], `${requestId} on ${endpointId}`])
   }
   return [...runs].filter(([, starts]) => starts.length > 1).map(([key, starts]) => (
-    { promise: 'atMostOnce', detail: `work with key "${key}" ran ${starts.length} times: ${starts.join(', ')}` }))
+    { promise: 'atMostOnce', detail: `work "${key}" ran ${starts.length} times: ${starts.join(', ')}` }))
 }
 
 function checkLeaving (system: FuzzSystem): Violation[] {
-  return listStarted(system).flatMap(run => {
-    const leaving = system.leavings.find(({ engineId, fromMs, untilMs }) =>
-      engineId === run.engineId && run.atMs > fromMs + leavingGraceMs && run.atMs < untilMs)
+  return listStarts(system).flatMap(run => {
+    const leaving = system.leavings.find(({ endpointId, fromMs, untilMs }) =>
+      endpointId === run.endpointId && run.atMs > fromMs + leavingGraceMs && run.atMs < untilMs)
     if (!leaving) return []
-    return [{ promise: 'leavingGetsNoWork', detail: `${run.requestId} started on ${run.engineId} ${run.atMs - leaving.fromMs} ms after it left` }]
+    return [{ promise: 'leavingGetsNoWork', detail: `${run.requestId} started on ${run.endpointId} ${run.atMs - leaving.fromMs} ms after it left` }]
+  })
+}
+
+/** Loads of all engines together; while owners of endpoints change, each permit may be granted by two of them. */
+function checkBudget (system: FuzzSystem): Violation[] {
+  const { loads } = system.weights
+  return loads.flatMap(({ startedAtMs }): Violation[] => {
+    const running = loads.filter(load => load.startedAtMs <= startedAtMs && (load.endedAtMs ?? Infinity) > startedAtMs).length
+    const isChanging = system.hostChanges.some(atMs => atMs <= startedAtMs && startedAtMs - atMs < ownersSettleMs)
+    const limit = fuzzLoadBudget.loadsAtFullSpeed * (isChanging ? 2 : 1)
+    if (running > limit) return [{ promise: 'loadsWithinBudget', detail: `${running} loads ran at once at ${startedAtMs}` }]
+    const lately = loads.filter(load => load.startedAtMs <= startedAtMs && startedAtMs - load.startedAtMs < 1000).length
+    if (lately <= limit + fuzzLoadBudget.loadsPerSecond) return []
+    return [{ promise: 'loadsWithinBudget', detail: `${lately} loads started in the second before ${startedAtMs}` }]
   })
 }
 
 /** Where no fault stood while a request was open, schedulers that stop gracefully must not have cut it off. */
 function checkGraceful (system: FuzzSystem): Violation[] {
-  return system.callers
+  return listAsked(system)
     .filter(record => !record.isDisturbed && record.idempotencyKey === undefined && record.failure?.verdict === 'mayHaveRun')
     .map(record => ({ promise: 'gracefulCutsNothing', detail: `${record.requestId} was cut off (${record.failure!.code}) though nothing failed` }))
 }
@@ -120,12 +168,12 @@
 }
 
 function checkAnswered (system: FuzzSystem): Violation[] {
-  return system.callers.filter(record => record.outcome === 'open').map(record => (
+  return listAsked(system).filter(record => record.outcome === 'open').map(record => (
     { promise: 'everyRequestAnswered', detail: `${record.requestId} has no answer ${system.clock.readMonotonic() - record.startedAtMs} ms after it came` }))
 }
 
 /** Holds everything that callers were told against the journals of the engines. */
 export function findViolations (system: FuzzSystem): Violation[] {
-  const checks = [checkAdapters, checkUnloads, checkWholeAnswers, checkNotRun, checkAtMostOnce, checkJobs, checkLeaving, checkGraceful, checkCrashes, checkAnswered]
+  const checks = [checkAdapters, checkUnloads, checkWholeAnswers, checkCallAnswers, checkNotRun, checkAtMostOnce, checkJobs, checkLeaving, checkGraceful, checkCrashes, checkAnswered, checkBudget]
   return [...system.observed, ...checks.flatMap(check => check(system))]
 }
--- a/fuzz/promises.ts
+++ b/fuzz/promises.ts
@@ -2,7 +2,7 @@
 
 export type PromiseName =
   | 'rightAdapter' | 'neverUnloadedWhileServing' | 'wholeAnswer' | 'notRunMeansNotRun' | 'atMostOnce'
-  | 'leavingGetsNoWork' | 'gracefulCutsNothing' | 'configurationHolds' | 'everyRequestAnswered' | 'crashesBounded'
+  | 'leavingGetsNoWork' | 'gracefulCutsNothing' | 'configurationHolds' | 'everyRequestAnswered' | 'crashesBounded' | 'loadsWithinBudget'
 
 /** A promise that was broken, and how. */
 export interface Violation {
--- a/fuzz/runFuzz.ts
+++ b/fuzz/runFuzz.ts
@@ -26,6 +26,10 @@
   failed: number
   cancelled: number
   jobs: number
+  /** Calls of plain services, and how often one started on an endpoint. */
+  calls: number
+  callStarts: number
+  loads: number
   engineStarts: number
   engineCrashes: number
   /** First broken promise with the shortest sequence that was found to break it. */
@@ -43,7 +47,7 @@
 
 /** Runs the fuzzer; every violation of a promise is a failure. */
 export async function runFuzz (options: FuzzOptions): Promise<FuzzReport> {
-  const report: FuzzReport = { runs: 0, requests: 0, whole: 0, failed: 0, cancelled: 0, jobs: 0, engineStarts: 0, engineCrashes: 0, failure: undefined }
+  const report: FuzzReport = { runs: 0, requests: 0, whole: 0, failed: 0, cancelled: 0, jobs: 0, calls: 0, callStarts: 0, loads: 0, engineStarts: 0, engineCrashes: 0, failure: undefined }
   let promises: PromiseName[] = []
   const property = fc.asyncProperty(createFuzzCommands(options.maxCommands), async commands => {
     const system = await runSequence(commands, options.mechanisms)
@@ -68,6 +72,9 @@
 function countRun (report: FuzzReport, system: FuzzSystem): void {
   report.requests += system.callers.length
   report.jobs += system.jobs.length
+  report.calls += system.calls.length
+  report.loads += system.weights.loads.length
+  for (const service of system.services.values()) report.callStarts += service.started.length
   for (const record of system.callers) {
     if (record.outcome === 'whole') report.whole++
     if (record.outcome === 'failed') report.failed++
--- a/src/tasks/gateway/gatewayTask.ts
+++ b/src/tasks/gateway/gatewayTask.ts
@@ -125,6 +125,11 @@
     return this.#router
   }
 
+  /** Runs calls of plain services of this process's own. */
+  get services (): ServiceRouter {
+    return this.#services
+  }
+
   /** Describes the state of the gateway, without secrets. */
   describeState (): GatewayState {
     const { hostId, zone, configuration } = this.#options
