Free the slots of a scheduler that starts again under its name

Cause: a process that starts under the name of one that crashed overwrites its renewal row, and with it the witnesses by which the others know that the former owner has ended. Handles that were not adoptable stayed bound for 2 h and 1 min, not 20 s. Ruled out: to take the new session for the end of the old process (two may run under one name for a while, and a woken one would serve on); to shorten the bound of 2 h (it is the length of the outage that an owner serves through). Change: the row keeps session, counter and witnesses of the last four processes before it; the watch of former owners goes on with these, and the new process is no witness for the old one. The fuzzer starts schedulers again under their names.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -49,6 +49,18 @@
     When the schedulers run for 25 seconds
     Then "engine-1" holds 3 handles
 
+  Scenario: A scheduler that crashes and starts again under its name leaves no slot bound
+    Given schedulers 1, 2, 3 on a table with 1 engine
+    When the schedulers run for 2 seconds
+    And the owner loads 4 adapters on "engine-1"
+    And the schedulers run for 4 seconds
+    And the owner of "engine-1" is killed and starts again under its name
+    And the schedulers run for 8 seconds
+    Then "engine-1" holds 4 handles
+    When the schedulers run for 25 seconds
+    Then "engine-1" holds 3 handles
+    And the owner of "engine-1" may unload each of them
+
   Scenario: An orderly hand-over leaves every handle usable and cuts nothing off
     Given schedulers 1, 2 on a table with 1 engine
     When the schedulers run for 2 seconds
--- a/features/steps/ownership.ts
+++ b/features/steps/ownership.ts
@@ -123,6 +123,12 @@
   findOwner(this, endpointId).clock.kill()
 })
 
+When('the owner of {string} is killed and starts again under its name', function (this: OwnershipWorld, endpointId: string) {
+  this.former = findOwner(this, endpointId)
+  this.former.clock.kill()
+  this.cluster.addHost(Number(this.former.hostId.replace('scheduler-', '')))
+})
+
 When('the owner loads {int} adapters on {string}', function (this: OwnershipWorld, count: number, endpointId: string) {
   const owner = findOwner(this, endpointId)
   for (let index = 1; index <= count; index++) assert.ok(owner.load(endpointId, `adapter-${index}`))
--- a/features/support/ownershipCluster.ts
+++ b/features/support/ownershipCluster.ts
@@ -68,7 +68,7 @@
       clock: this.clock,
       table,
       hostList,
-      holder: { hostId, session: `${hostId}-session` },
+      holder: { hostId, session: `${hostId}-${++cluster.sessions}` },
       zone,
       hashText,
       listOutageReports: () => cluster.listOutageReports(this),
@@ -184,6 +184,8 @@
   readonly engines = new Map<string, OwnershipEngine>()
   readonly hosts = new Map<string, ClusterHost>()
   readonly options: Required<ClusterOptions>
+  /** Number of processes that were started. */
+  sessions = 0
   readonly calls = { reads: 0, writes: 0 }
 
   constructor (options: ClusterOptions) {
--- a/fuzz/commands.ts
+++ b/fuzz/commands.ts
@@ -102,6 +102,10 @@
     const host = pickHost(system.schedulers, index, 'running')
     if (host && system.listRunningSchedulers().some(other => other.host !== host)) system.killHost(host)
   }),
+  createCommands(fc.nat(7), 'restartScheduler', (system, index) => {
+    const host = pickHost(system.schedulers, index, 'running')
+    if (host) system.restartScheduler(host)
+  }),
   createCommands(fc.nat(7), 'killGateway', (system, index) => {
     const host = pickHost(system.gateways, index, 'running')
     if (host && countRunning(system.gateways) > 1) system.killHost(host)
--- a/fuzz/fakeHost.ts
+++ b/fuzz/fakeHost.ts
@@ -4,8 +4,12 @@
 
 export type HostState = 'running' | 'paused' | 'dead'
 
+let sessions = 0
+
 export class FakeHost {
   readonly id: string
+  /** Differs between processes under one name. */
+  readonly session = `session-${++sessions}`
   readonly zone: string
   readonly clock: Clock
   #virtualClock: VirtualClock
--- a/fuzz/fuzzHosts.ts
+++ b/fuzz/fuzzHosts.ts
@@ -78,7 +78,7 @@
       table: platform.createTable(host),
       hostList,
       policy: mechanisms.ownershipPolicy,
-      holder: { hostId: host.id, session: host.id },
+      holder: { hostId: host.id, session: host.session },
       zone: host.zone,
       hashText: hashNumber,
       listOutageReports: () => mechanisms.filterOutageReports(listOutageReports()),
--- a/fuzz/fuzzSystem.ts
+++ b/fuzz/fuzzSystem.ts
@@ -165,6 +165,12 @@
     this.schedulers.push(startFuzzScheduler(this, this.#createHost('scheduler')))
   }
 
+  /** Kills a scheduler; a new process starts at once under its name. */
+  restartScheduler (host: FakeHost): void {
+    this.killHost(host)
+    this.schedulers.push(startFuzzScheduler(this, new FakeHost(host.id, host.zone, this.clock)))
+  }
+
   addGateway (): void {
     this.gateways.push(startFuzzGateway(this, this.#createHost('gateway')))
   }
--- a/src/core/ownershipFormer.ts
+++ b/src/core/ownershipFormer.ts
@@ -1,5 +1,5 @@
 /** Decides when a former owner can no longer send a request to an endpoint. */
-import type { FormerOwner, HostRow } from '../schemas/ownershipRows.js'
+import type { FormerOwner, HostRow, Predecessor } from '../schemas/ownershipRows.js'
 import { formerOwnerBoundMs, formerOwnerLimitMs } from './ownershipTimes.js'
 
 export interface FormerEvidence {
@@ -45,16 +45,22 @@
 
   #isGone ({ row, isAdvancing }: FormerEvidence, nowMs: number): boolean {
     if (nowMs - this.#silentSinceMs >= formerOwnerLimitMs) return true
-    if (row?.session !== this.former.session) return false
-    if (row.counter !== this.#counter) {
-      this.#counter = row.counter
+    const process = findProcess(this.former, row)
+    if (!process) return false
+    if (process.counter !== this.#counter) {
+      this.#counter = process.counter
       this.#silentSinceMs = nowMs
       this.#reachingSinceMs.clear()
     }
-    for (const hostId of row.witnesses) this.#recordWitness(hostId, isAdvancing(hostId), nowMs)
-    const reaching = row.witnesses.filter(hostId => nowMs - (this.#reachingSinceMs.get(hostId) ?? nowMs) >= formerOwnerBoundMs)
+    const { witnesses } = process
+    // A process that runs under the former owner's name now says nothing of what the former owner reaches.
+    const isReplaced = process !== row
+    for (const hostId of witnesses) {
+      this.#recordWitness(hostId, isAdvancing(hostId) && !(isReplaced && hostId === this.former.hostId), nowMs)
+    }
+    const reaching = witnesses.filter(hostId => nowMs - (this.#reachingSinceMs.get(hostId) ?? nowMs) >= formerOwnerBoundMs)
     // An outage keeps an owner serving only where more than half of its witnesses report one.
-    return row.witnesses.length > 0 && reaching.length * 2 >= row.witnesses.length
+    return witnesses.length > 0 && reaching.length * 2 >= witnesses.length
   }
 
   #recordWitness (hostId: string, isReaching: boolean, nowMs: number): void {
@@ -63,6 +69,11 @@
   }
 }
 
+/** The former owner's own row, or what the next process under its name has kept of it. */
+function findProcess ({ session }: FormerOwner, row: HostRow | undefined): Predecessor | undefined {
+  return row?.session === session ? row : row?.predecessors?.find(predecessor => predecessor.session === session)
+}
+
 /** The row is removed by its own holder alone, and lists a lease until no request of it is left. */
 function hasSteppedDown (former: FormerOwner, { row, endpointId }: FormerEvidence): boolean {
   if (!row) return true
--- a/src/schemas/ownershipRows.ts
+++ b/src/schemas/ownershipRows.ts
@@ -9,6 +9,14 @@
 export const heldLeaseSchema = Type.Object({ endpointId: Type.String(), fencing: Type.Integer() })
 export type HeldLease = Static<typeof heldLeaseSchema>
 
+/** An earlier process under the same host's name, as its row last was. */
+export const predecessorSchema = Type.Object({
+  session: Type.String(),
+  counter: Type.Integer(),
+  witnesses: Type.Array(Type.String())
+})
+export type Predecessor = Static<typeof predecessorSchema>
+
 /** The one row that a scheduler renews for all its leases. */
 export const hostRowSchema = Type.Object({
   hostId: Type.String(),
@@ -20,7 +28,9 @@
   /** Hosts, the holder among them, of which more than half must report an outage before the holder serves through one. */
   witnesses: Type.Array(Type.String()),
   /** Leases under which the holder may still have a request on an endpoint. */
-  held: Type.Array(heldLeaseSchema)
+  held: Type.Array(heldLeaseSchema),
+  /** Processes whose rows this one has overwritten, the latest last. */
+  predecessors: Type.Optional(Type.Array(predecessorSchema))
 })
 export type HostRow = Static<typeof hostRowSchema>
 
--- a/src/tasks/ownership/hostLease.ts
+++ b/src/tasks/ownership/hostLease.ts
@@ -1,11 +1,12 @@
 /** The one row that a scheduler renews, and how long it may serve since. */
+import { Value } from '@sinclair/typebox/value'
 import { createLog } from '../../createLog.js'
 import { servingLimitMs, outageLimitMs, outageReportMs, outageThresholdMs } from '../../core/ownershipTimes.js'
 import type { OwnershipPolicy } from '../../core/ownershipPolicy.js'
 import type { Clock } from '../../ports/clock.js'
 import type { TableRow } from '../../ports/table.js'
-import { formatHostKey } from '../../schemas/ownershipRows.js'
-import type { HeldLease, Holder, HostRow } from '../../schemas/ownershipRows.js'
+import { formatHostKey, hostRowSchema } from '../../schemas/ownershipRows.js'
+import type { HeldLease, Holder, HostRow, Predecessor } from '../../schemas/ownershipRows.js'
 import type { TableWrite, TableWriter, WriteResult } from '../table/tableWriter.js'
 import { LeasedRow } from './leasedRow.js'
 
@@ -27,6 +28,8 @@
 }
 
 const log = createLog('ownership')
+/** Earlier processes that the row remembers. */
+const maxPredecessors = 4
 
 /** Writes the renewal row; at most one write is under way or of unknown fate at a time. */
 export class HostLease {
@@ -35,6 +38,7 @@
   #servesUntilMs = -Infinity
   #provenAtMs = -Infinity
   #renewedAtMs: number
+  #predecessors: Predecessor[] = []
 
   constructor (options: HostLeaseOptions) {
     this.#options = options
@@ -96,9 +100,9 @@
     if (this.hasOutage() && isConfirmed) this.#servesUntilMs = Math.max(this.#servesUntilMs, nowMs + outageReportMs)
   }
 
-  /** Removes the row; to be called when nothing is held any more. */
+  /** Removes the row; to be called when nothing is held any more. A row that tells of earlier processes stays. */
   async remove (): Promise<void> {
-    if (!await this.#row.settle() || !this.#row.row) return
+    if (!await this.#row.settle() || !this.#row.row || this.#predecessors.length > 0) return
     await this.#options.writer.write({
       checks: [{ key: this.key, version: this.#row.version }], writes: [{ key: this.key, value: null }]
     })
@@ -111,18 +115,30 @@
 
   #createRow (content: HostLeaseContent): HostRow {
     const { holder, zone } = this.#options
-    return { ...holder, zone, counter: (this.#row.row?.counter ?? 0) + 1, ...content }
+    const predecessors = this.#predecessors.length === 0 ? {} : { predecessors: this.#predecessors }
+    return { ...holder, zone, counter: (this.#row.row?.counter ?? 0) + 1, ...content, ...predecessors }
   }
 
   #receiveConflict (conflicts: TableRow[], hasOtherChecks: boolean): void {
     const found = conflicts.find(row => row.key === this.key)
     if (found) {
       this.#row.setVersion(found.version)
+      this.#recordPredecessor(found.value)
       if (this.#row.row) log('Another scheduler runs as "%s"; give each host an [host] id of its own.', this.#options.holder.hostId)
     } else if (!hasOtherChecks) {
       this.#row.setVersion(0)
     }
   }
+
+  /** Keeps what the row that is about to be overwritten tells of its process, and of those before it. */
+  #recordPredecessor (value: unknown): void {
+    if (!Value.Check(hostRowSchema, value)) return
+    const { session, counter, witnesses, predecessors = [] } = value
+    const known = [...this.#predecessors, ...predecessors, { session, counter, witnesses }]
+    const latest = new Map(known.map(predecessor => [predecessor.session, predecessor]))
+    latest.delete(this.#options.holder.session)
+    this.#predecessors = [...latest.values()].slice(-maxPredecessors)
+  }
 }
 
 function hasMajority (witnesses: string[], reports: Set<string>): boolean {
