Check ownership again when a request leaves for its engine

Cause: ownership was checked at dispatch alone. A process stopped between that check and its request, also while the connection was being opened, for more than 20 s could send it when a successor was about to unload the adapter. Ruled out: a fresh report before each unload (it shortens the successor's half of the gap, not the former owner's); a check between check and queue (it leaves the wait for a connection open). Change: the engine port takes `mayStart`, which its adapter asks in the step that writes the request; false means not run. The fuzzer stops schedulers at just that point, and its weight store ends the reads of an engine that crashes.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -44,6 +44,14 @@
     When a stream of 100000 tokens is cancelled after its first token
     Then the engine's journal shows the request as "cancelled"
 
+  Scenario: A request that is withdrawn before it leaves does not reach the engine
+    Given a stand-in engine with a loaded adapter
+    When a stream of 8 tokens is withdrawn while its connection is opened
+    Then the answer fails with verdict "notRun" and code "order_withdrawn"
+    And the engine's journal does not show the request
+    When a stream of 8 tokens is generated
+    Then the answer is whole, with each of 8 tokens once
+
   Scenario: Faults are switched over HTTP
     Given a stand-in engine with a loaded adapter
     When the fault {"failLoads":{"count":1,"adapter":"kit-tutor"}} is posted to the engine
--- a/features/steps/standins.ts
+++ b/features/steps/standins.ts
@@ -60,7 +60,7 @@
   }
 }
 
-async function generate (world: StandinWorld, tokens: number, prompt: string): Promise<void> {
+async function generate (world: StandinWorld, tokens: number, prompt: string, mayStart = (): boolean => true): Promise<void> {
   world.events = []
   await new Promise<void>(resolve => startResumedGeneration({
     clock,
@@ -68,6 +68,7 @@
     address: world.standin!.address,
     order: createOrder(tokens, prompt),
     planResume: world.planResume,
+    mayStart,
     send: event => {
       world.events.push(event)
       if (event.type !== 'data') resolve()
@@ -106,9 +107,16 @@
   await generate(this, tokens, prompt)
 })
 
+When('a stream of {int} tokens is withdrawn while its connection is opened', async function (this: StandinWorld, tokens: number) {
+  let isOwned = true
+  const ended = generate(this, tokens, 'Hello', () => isOwned)
+  isOwned = false
+  await ended
+})
+
 When('a stream of {int} tokens is cancelled after its first token', async function (this: StandinWorld, tokens: number) {
   let hasToken = false
-  const generation = this.engine.generate(this.standin!.address, createOrder(tokens, 'Hello'), () => { hasToken = true })
+  const generation = this.engine.generate(this.standin!.address, createOrder(tokens, 'Hello'), () => { hasToken = true }, () => true)
   await waitUntil(() => hasToken)
   generation.cancel()
 })
@@ -141,6 +149,10 @@
   await waitUntil(() => this.standin!.model.journal.some(entry => entry.kind === kind && entry.requestId === 'req-1'))
 })
 
+Then('the engine\'s journal does not show the request', function (this: StandinWorld) {
+  assert.deepEqual(this.standin!.model.journal.filter(entry => entry.requestId === 'req-1'), [])
+})
+
 Then('an order with fencing number {int} to load {string} is refused with code {string}',
   async function (this: StandinWorld, fencing: number, loaded: string, code: string) {
     const outcome = await sendOrder(this, loaded, fencing)
--- a/features/support/brokenParts.ts
+++ b/features/support/brokenParts.ts
@@ -14,7 +14,7 @@
   const engine = new OpenaiEngine()
   return {
     ...bindOrders(engine),
-    generate: (address, order, send) => engine.generate(address, changeOrder(order), event => changeEvent(event).forEach(send))
+    generate: (address, order, send, mayStart) => engine.generate(address, changeOrder(order), event => changeEvent(event).forEach(send), mayStart)
   }
 }
 
@@ -42,13 +42,13 @@
       listHandles(address).delete(order.handle)
       return await engine.unloadAdapter(address, order)
     },
-    generate: (address, order, send) => {
+    generate: (address, order, send, mayStart) => {
       const handle = [...listHandles(address)].find(other => other !== order.handle) ?? order.handle
       return engine.generate(address, { ...order, handle }, event => {
         // A restart has emptied the engine.
         if (event.type === 'failed') loaded.delete(address)
         send(event)
-      })
+      }, mayStart)
     }
   }
 }
@@ -59,14 +59,14 @@
   let requests = 0
   return {
     ...bindOrders(engine),
-    generate: (address, order, send) => {
+    generate: (address, order, send, mayStart) => {
       const parsed = parseHandle(order.handle)
       let isBusy = parsed !== undefined && ++requests % 10 === 0
       return engine.generate(address, order, event => {
         if (isBusy && event.type === 'data') engine.unloadAdapter(address, { ...parsed!, handle: order.handle })
         isBusy = false
         send(event)
-      })
+      }, mayStart)
     }
   }
 }
--- a/fuzz/fakeEngines.ts
+++ b/fuzz/fakeEngines.ts
@@ -6,6 +6,7 @@
 import type { WeightStore } from './weightStore.js'
 
 const networkDelayMs = 1
+const connectDelayMs = 0.1
 const tokenMs = 15
 const restartMs = 1500
 export const engineSlots = 3
@@ -102,7 +103,7 @@
     }
     const incarnation = this.#incarnation
     this.#slots.set(order.handle, { state: 'loading', running: 0 })
-    await this.#weights.readWeights()
+    await this.#weights.readWeights(this.id)
     const slot = this.#slots.get(order.handle)
     if (incarnation !== this.#incarnation || !slot) return { verdict: 'unknown', message: 'the engine went away' }
     slot.state = 'loaded'
@@ -146,6 +147,7 @@
     const runs = [...this.#runs]
     this.#runs.clear()
     this.#slots.clear()
+    this.#weights.endReads(this.id)
     this.#incarnation++
     for (const run of runs) {
       run.send({ type: 'failed', failure: createMayHaveRun('endpoint_lost', 'the connection was reset', 502), isEndpointLost: true })
@@ -198,21 +200,29 @@
     readReport: async address => await host.deliver(delay().then(() => getEngine(address).readReport()), networkDelayMs),
     loadAdapter: async (address, order) => await host.deliver(delay().then(async () => await getEngine(address).loadAdapter(order)), networkDelayMs),
     unloadAdapter: async (address, order) => await host.deliver(delay().then(() => getEngine(address).unloadAdapter(order)), networkDelayMs),
-    generate: (address, order, send) => startGeneration(host, getEngine(address), order, send, clock)
+    generate: (address, order, send, mayStart) => startGeneration(host, getEngine(address), order, { send, mayStart, clock })
   }
 }
 
-function startGeneration (
-  host: FakeHost, engine: FakeEngine, order: GenerateOrder, send: (event: GenerateEvent) => void, clock: VirtualClock
-): Generation {
+interface GenerationOptions {
+  send: (event: GenerateEvent) => void
+  mayStart: () => boolean
+  clock: VirtualClock
+}
+
+/** A request leaves in a later step than it is decided on, as with a connection that has to be opened. */
+function startGeneration (host: FakeHost, engine: FakeEngine, order: GenerateOrder, { send, mayStart, clock }: GenerationOptions): Generation {
   let isCancelled = false
   let stop = (): void => {}
-  clock.setTimer(() => {
+  const receive = (event: GenerateEvent): void => {
+    clock.setTimer(() => host.run(() => { if (!isCancelled) send(event) }), networkDelayMs)
+  }
+  host.takeOrderPause()
+  clock.setTimer(() => host.run(() => {
     if (isCancelled) return
-    stop = engine.run(order, event => {
-      clock.setTimer(() => host.run(() => { if (!isCancelled) send(event) }), networkDelayMs)
-    })
-  }, networkDelayMs)
+    if (mayStart()) clock.setTimer(() => { if (!isCancelled) stop = engine.run(order, receive) }, networkDelayMs)
+    else send({ type: 'failed', failure: createNotRun('order_withdrawn', 'the request was withdrawn', 503), isEndpointLost: false })
+  }), connectDelayMs)
   const cancel = (): void => {
     if (isCancelled) return
     isCancelled = true
--- a/fuzz/fakeHost.ts
+++ b/fuzz/fakeHost.ts
@@ -16,6 +16,7 @@
   #state: HostState = 'running'
   #backlog: Array<() => void> = []
   #diedHandlers: Array<() => void> = []
+  #orderPause: (() => void) | undefined
 
   constructor (id: string, zone: string, virtualClock: VirtualClock) {
     this.id = id
@@ -54,6 +55,20 @@
     if (this.#state === 'running') this.#state = 'paused'
   }
 
+  /** The host stands still right after its next decision to give an engine a request, before the request leaves. */
+  pauseAtOrder (receivePause: () => void): void {
+    this.#orderPause = receivePause
+  }
+
+  /** To be called where a request has been decided on. */
+  takeOrderPause (): void {
+    const receivePause = this.#orderPause
+    this.#orderPause = undefined
+    if (!receivePause || this.#state !== 'running') return
+    this.pause()
+    receivePause()
+  }
+
   /** Everything that came while the host was paused reaches it now, in order. */
   wake (): void {
     if (this.#state !== 'paused') return
--- a/fuzz/weightStore.ts
+++ b/fuzz/weightStore.ts
@@ -7,6 +7,7 @@
 export const fuzzLoadBudget = Object.freeze({ loadsPerSecond: 4, loadsAtFullSpeed: 3 })
 
 export interface WeightLoad {
+  engineId: string
   startedAtMs: number
   endedAtMs: number | undefined
 }
@@ -21,11 +22,16 @@
     this.#clock = clock
   }
 
-  /** Resolves when the weights have been read, also where the engine that asked has gone. */
-  async readWeights (): Promise<void> {
-    const load: WeightLoad = { startedAtMs: this.#clock.readMonotonic(), endedAtMs: undefined }
+  /** Resolves when the weights have been read. */
+  async readWeights (engineId: string): Promise<void> {
+    const load: WeightLoad = { engineId, startedAtMs: this.#clock.readMonotonic(), endedAtMs: undefined }
     this.loads.push(load)
     await new Promise<void>(resolve => this.#clock.setTimer(resolve, this.loadMs ?? defaultLoadMs))
-    load.endedAtMs = this.#clock.readMonotonic()
+    load.endedAtMs ??= this.#clock.readMonotonic()
+  }
+
+  /** The engine is gone, and with it the connections over which it reads. */
+  endReads (engineId: string): void {
+    for (const load of this.loads) if (load.engineId === engineId) load.endedAtMs ??= this.#clock.readMonotonic()
   }
 }
--- a/src/adapters/openaiEngine/openaiEngine.ts
+++ b/src/adapters/openaiEngine/openaiEngine.ts
@@ -44,8 +44,8 @@
     return await this.#sendOrder(address, '/v1/unload_lora_adapter', order, unloadTimeoutMs)
   }
 
-  generate (address: string, order: GenerateOrder, send: (event: GenerateEvent) => void): Generation {
-    return runGeneration(this.#getPool(address), address, order, this.#idleTimeoutMs, send)
+  generate (address: string, order: GenerateOrder, send: (event: GenerateEvent) => void, mayStart: () => boolean): Generation {
+    return runGeneration(this.#getPool(address), address, order, this.#idleTimeoutMs, send, mayStart)
   }
 
   /** Closes every connection. */
--- a/src/adapters/openaiEngine/runGeneration.ts
+++ b/src/adapters/openaiEngine/runGeneration.ts
@@ -15,6 +15,7 @@
 const cancelTimeoutMs = 2000
 
 type Send = (event: GenerateEvent) => void
+type MayStart = () => boolean
 
 /** Receives the parts of one HTTP answer. */
 class GenerationHandler implements Dispatcher.DispatchHandler {
@@ -22,6 +23,7 @@
   #order: GenerateOrder
   #replaceHandle: (data: string) => string
   #send: Send
+  #mayStart: MayStart
   #controller: Dispatcher.DispatchController | undefined
   #decoder = new StringDecoder('utf8')
   #events: EventReader
@@ -29,11 +31,12 @@
   #body = ''
   #isClosed = false
 
-  constructor (address: string, order: GenerateOrder, send: Send) {
+  constructor (address: string, order: GenerateOrder, send: Send, mayStart: MayStart) {
     this.#address = address
     this.#order = order
     this.#replaceHandle = createHandleReplacer(order)
     this.#send = send
+    this.#mayStart = mayStart
     this.#events = new EventReader(order.resumeFrom ?? 0)
   }
 
@@ -42,8 +45,12 @@
     this.#controller?.abort(new Error('the request was cancelled'))
   }
 
+  /** Called in the same step that writes the request to its connection. */
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this.#controller = controller
+    if (!this.#isClosed && this.#order.resumeFrom === undefined && !this.#mayStart()) {
+      this.#fail(createNotRun('order_withdrawn', `the request was withdrawn before it was sent to ${this.#address}`, 503), false)
+    }
     if (this.#isClosed) controller.abort(new Error('the request was cancelled'))
   }
 
@@ -139,8 +146,8 @@
 }
 
 /** Starts a request or resumes its answer; see `Engine.generate`. */
-export function runGeneration (pool: Pool, address: string, order: GenerateOrder, idleTimeoutMs: number, send: Send): Generation {
-  const handler = new GenerationHandler(address, order, send)
+export function runGeneration (pool: Pool, address: string, order: GenerateOrder, idleTimeoutMs: number, send: Send, mayStart: MayStart): Generation {
+  const handler = new GenerationHandler(address, order, send, mayStart)
   const timeouts = { headersTimeout: idleTimeoutMs, bodyTimeout: idleTimeoutMs }
   const streamPath = `/v1/streams/${order.requestId}/${order.attempt}`
   pool.dispatch(order.resumeFrom === undefined
--- a/src/ports/engine.ts
+++ b/src/ports/engine.ts
@@ -76,6 +76,9 @@
   loadAdapter: (address: string, order: AdapterOrder) => Promise<OrderOutcome>
   /** Never rejects. */
   unloadAdapter: (address: string, order: AdapterOrder) => Promise<OrderOutcome>
-  /** Runs one request; events come in order, closed by one `end` or `failed`. */
-  generate: (address: string, order: GenerateOrder, send: (event: GenerateEvent) => void) => Generation
+  /**
+   * Runs one request; events come in order, closed by one `end` or `failed`. `mayStart` is asked when the request leaves,
+   * after any wait for a connection; false fails it as not run.
+   */
+  generate: (address: string, order: GenerateOrder, send: (event: GenerateEvent) => void, mayStart: () => boolean) => Generation
 }
--- a/src/tasks/scheduler/createGenerateOrder.ts
+++ b/src/tasks/scheduler/createGenerateOrder.ts
@@ -8,7 +8,7 @@
  * Creates the order to run one attempt under the planned handle.
  *
  * @example
- * engine.generate(address, createGenerateOrder(dispatch, planned), send)
+ * engine.generate(address, createGenerateOrder(dispatch, planned), send, mayStart)
  */
 export function createGenerateOrder (dispatch: Dispatch, planned: PlannedDispatch): GenerateOrder {
   const { requestId, attempt, adapter, version, path, body, isStream } = dispatch
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -260,7 +260,8 @@
       address: this.#entry.address,
       order: createGenerateOrder(dispatch, planned),
       planResume: defaultPlanResume,
-      send: event => this.#receiveEvent(attempt, event)
+      send: event => this.#receiveEvent(attempt, event),
+      mayStart: () => this.#options.ownership.isOwner(this.endpointId)
     })
   }
 
--- a/src/tasks/scheduler/resumeGeneration.ts
+++ b/src/tasks/scheduler/resumeGeneration.ts
@@ -18,6 +18,8 @@
   order: GenerateOrder
   planResume: PlanResume
   send: (event: GenerateEvent) => void
+  /** See `Engine.generate`. */
+  mayStart: () => boolean
 }
 
 class ResumedGeneration implements Generation {
@@ -39,7 +41,8 @@
   }
 
   #generate (order: GenerateOrder): Generation {
-    return this.#options.engine.generate(this.#options.address, order, event => this.#receive(event))
+    const { engine, address, mayStart } = this.#options
+    return engine.generate(address, order, event => this.#receive(event), mayStart)
   }
 
   #receive (event: GenerateEvent): void {
@@ -65,7 +68,7 @@
  * Runs a request as `Engine.generate` does, and resumes its answer where the engine still has it.
  *
  * @example
- * const generation = startResumedGeneration({ clock, engine, address, order, planResume: defaultPlanResume, send })
+ * const generation = startResumedGeneration({ clock, engine, address, order, planResume: defaultPlanResume, send, mayStart })
  */
 export function startResumedGeneration (options: ResumedGenerationOptions): Generation {
   return new ResumedGeneration(options)
