Count long loads with the next granter of a permit

Ruled out: a longer wait of new granters (it would hold all loads up after each takeover, for as long as the slowest load). Change: a holder announces what it holds to a granter that follows another. The oracle counts lost, late and slow answers of the table as changes of owners. A scenario without the budget shows that more than 2 loads run at once.

--- a/features/permits.feature
+++ b/features/permits.feature
@@ -27,6 +27,25 @@
     Then all loads of the peers that are left have run
     And no more than 2 loads ran at once
 
+  Scenario: Loads that take long count with the next granter too
+    Given peers 1, 2, 3 that own engines 1, 2, 3 with 4 loads a second, 2 at full speed
+    When peer 3 asks for load "long" with 0 milliseconds of slack, which takes 20000 milliseconds
+    And peer 3 asks for load "longer" with 0 milliseconds of slack, which takes 20000 milliseconds
+    And the peers run for 1000 milliseconds
+    And peer 1 goes away and peer 2 owns its engine 4000 milliseconds later
+    And peer 2 asks for load "next" with 0 milliseconds of slack
+    And the peers run for 10000 milliseconds
+    Then the loads ran in the order "long, longer"
+    When the peers run for 10000 milliseconds
+    Then the loads ran in the order "long, longer, next"
+    And no more than 2 loads ran at once
+
+  Scenario: Without the budget all loads run at once
+    Given peers 1, 2, 3 that own engines 1, 2, 3 with 1000 loads a second, 60 at full speed
+    When every peer asks for 20 loads of 400 milliseconds
+    And the peers run for 400 milliseconds
+    Then more than 2 loads ran at once
+
   Scenario: A holder that goes away does not keep its permit
     Given peers 1, 2, 3 that own engines 1, 2, 3 with 4 loads a second, 1 at full speed
     When peer 3 asks for a load that never ends
--- a/features/steps/peers.ts
+++ b/features/steps/peers.ts
@@ -94,6 +94,11 @@
   ask(this, `scheduler-${index}`, name, slackMs, loadMs)
 })
 
+When('peer {int} asks for load {string} with {int} milliseconds of slack, which takes {int} milliseconds',
+  function (this: PeersWorld, index: number, name: string, slackMs: number, durationMs: number) {
+    ask(this, `scheduler-${index}`, name, slackMs, durationMs)
+  })
+
 When('peer {int} owns engine {int} and peer {int} asks for load {string} at the same time',
   function (this: PeersWorld, owner: number, engine: number, asking: number, name: string) {
     this.peers.owners = [{ endpointId: `engine-${engine}`, hostId: `scheduler-${owner}`, fencing: 1 }]
@@ -142,6 +147,10 @@
   assert.ok(this.peers.loads.mostRunning <= count, `${this.peers.loads.mostRunning} loads`)
 })
 
+Then('more than {int} loads ran at once', function (this: PeersWorld, count: number) {
+  assert.ok(this.peers.loads.mostRunning > count, `${this.peers.loads.mostRunning} loads`)
+})
+
 Then('no second had more than {int} loads', function (this: PeersWorld, count: number) {
   const { startedAtMs } = this.peers.loads
   for (const startMs of startedAtMs) {
--- a/fuzz/commands.ts
+++ b/fuzz/commands.ts
@@ -122,6 +122,13 @@
     await system.advance(600)
     system.stopScheduler(index)
   }),
+  createCommands(fc.nat(7), 'pauseAtOrder', (system, index) => {
+    const host = pickHost(system.schedulers, index, 'running')
+    host?.pauseAtOrder(() => {
+      system.hadCuts = true
+      system.network.watchPause(host)
+    })
+  }),
   createCommands(fc.nat(7), 'pause', (system, index) => {
     const host = pickHost([...system.schedulers, ...system.gateways], index, 'running')
     if (!host) return
@@ -182,13 +189,18 @@
   createCommands(fc.boolean(), 'setTableDown', (system, isDown) => { system.platform.isDown = isDown }),
   createCommands(fc.integer({ min: 1, max: 3 }), 'loseAnswers', (system, count) => {
     system.platform.answersToLose = count
+    system.recordHostChange()
     system.disturb()
   }),
   createCommands(fc.integer({ min: 1, max: 2 }), 'delayWrites', (system, count) => {
     system.platform.writesToDelay = count
+    system.recordHostChange()
     system.disturb()
   }),
-  createCommands(fc.constantFrom(0, 300, 1500), 'slowTable', (system, ms) => { system.platform.slownessMs = ms })
+  createCommands(fc.constantFrom(0, 300, 1500), 'slowTable', (system, ms) => {
+    system.platform.slownessMs = ms
+    system.recordHostChange()
+  })
 ]
 
 const callerCommands = [
--- a/fuzz/fuzzSystem.ts
+++ b/fuzz/fuzzSystem.ts
@@ -59,7 +59,7 @@
   readonly observed: Violation[] = []
   /** Times for which the list showed an engine as leaving. */
   readonly leavings: Leaving[] = []
-  /** Times at which hosts came, went, stood still or were cut off. */
+  /** Times at which hosts came, went, stood still or were cut off, or could lose a lease by answers that did not come in time. */
   readonly hostChanges: number[] = []
   #disturbedAtMs = -Infinity
 
--- a/src/core/loadBudget.ts
+++ b/src/core/loadBudget.ts
@@ -71,6 +71,11 @@
     return load
   }
 
+  /** Counts a load that runs under a permit of an earlier granter. */
+  addGranted (permitId: string): void {
+    this.#granted.add(permitId)
+  }
+
   /** Gives a permit back, or withdraws a load that still waits; unknown names are ignored. */
   releasePermit (permitId: string): void {
     if (this.#granted.delete(permitId)) return
--- a/src/schemas/peerMessage.ts
+++ b/src/schemas/peerMessage.ts
@@ -186,7 +186,9 @@
   permitRequestId: Type.String(),
   endpointId: Type.String(),
   /** Time left until the load is needed, in milliseconds; smaller is more urgent. */
-  slackMs: Type.Number()
+  slackMs: Type.Number(),
+  /** Whether the load runs already, under a grant of an earlier granter of the permit. */
+  isHeld: Type.Optional(Type.Literal(true))
 })
 export const permitGrantSchema = Type.Object({
   type: Type.Literal('permitGrant'),
--- a/src/tasks/permits/permitGranter.ts
+++ b/src/tasks/permits/permitGranter.ts
@@ -41,7 +41,13 @@
   receiveRequest (hostId: string, request: PeerMessageOf<'permitRequest'>): void {
     const permitId = formatPermitId(hostId, request.permitRequestId)
     if (this.#asked.has(permitId)) return
-    this.#asked.set(permitId, { hostId, permitRequestId: request.permitRequestId, limit: undefined })
+    const asked: Asked = { hostId, permitRequestId: request.permitRequestId, limit: undefined }
+    this.#asked.set(permitId, asked)
+    if (request.isHeld) {
+      this.#budget.addGranted(permitId)
+      this.#setLimit(permitId, asked, grantLimitMs)
+      return
+    }
     this.#budget.addWaiting({ permitId, neededAtMs: this.#options.clock.readMonotonic() + request.slackMs })
     this.#grant()
   }
--- a/src/tasks/permits/permitTask.ts
+++ b/src/tasks/permits/permitTask.ts
@@ -34,6 +34,14 @@
   resolve: (release: () => void) => void
 }
 
+/** A permit under which a load runs. */
+interface HeldPermit {
+  endpointId: string
+  permit: number
+  /** Every granter that counts it; the latest is last. */
+  granters: string[]
+}
+
 type PermitMessage = PeerMessageOf<'permitRequest'> | PeerMessageOf<'permitGrant'> | PeerMessageOf<'permitRelease'>
 
 /** What a dump tells of permits. */
@@ -47,6 +55,7 @@
   #options: PermitTaskOptions
   #granters = new Map<number, PermitGranter>()
   #waiting = new Map<string, WaitingRequest>()
+  #held = new Map<string, HeldPermit>()
   #sequence = 0
   #repetition: Repetition | undefined
 
@@ -104,9 +113,18 @@
 
   #updateGranters (): void {
     this.#listGranters().forEach((owner, permit) => this.#updateGranter(permit, owner))
+    for (const [permitRequestId, held] of this.#held) this.#announceHeld(permitRequestId, held)
     for (const [permitRequestId, request] of this.#waiting) this.#ask(permitRequestId, request)
   }
 
+  /** A granter that follows another counts the loads that run under its permit. */
+  #announceHeld (permitRequestId: string, { endpointId, permit, granters }: HeldPermit): void {
+    const hostId = this.#listGranters()[permit]?.hostId
+    if (hostId === undefined || hostId === granters.at(-1)) return
+    granters.push(hostId)
+    this.#send(hostId, { type: 'permitRequest', permit, permitRequestId, endpointId, slackMs: 0, isHeld: true })
+  }
+
   #updateGranter (permit: number, owner: EndpointOwner | undefined): void {
     const isOwn = owner?.hostId === this.#options.hostId
     const granter = this.#granters.get(permit)
@@ -157,7 +175,12 @@
     }
     this.#waiting.delete(permitRequestId)
     request.askedHosts.forEach((asked, index) => { if (asked !== undefined && index !== permit) release(asked, index) })
-    request.resolve(() => release(hostId, permit))
+    const held: HeldPermit = { endpointId: request.endpointId, permit, granters: [hostId] }
+    this.#held.set(permitRequestId, held)
+    request.resolve(() => {
+      this.#held.delete(permitRequestId)
+      for (const granter of new Set(held.granters)) release(granter, permit)
+    })
   }
 
   #send (hostId: string, message: PermitMessage): void {
