--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -241,13 +241,10 @@
     const attempt = this.#attempts.get(formatAttempt(planned))
     if (!attempt) return
     const { dispatch } = attempt
-    if (!this.#options.ownership.isOwner(this.endpointId)) {
-      this.#fail(attempt, this.#findRefusal()!)
-      return
-    }
-    const suspicion = this.#suspects.findObstacle(attempt, dispatch, this.#options.findSuspectState)
-    if (suspicion) {
-      this.#fail(attempt, suspicion)
+    const isOwner = this.#options.ownership.isOwner(this.endpointId)
+    const refusal = isOwner ? this.#suspects.findObstacle(attempt, dispatch, this.#options.findSuspectState) : this.#findRefusal()
+    if (refusal) {
+      this.#fail(attempt, refusal)
       return
     }
     this.#options.recordDecision({ ...planned.decision, handle: planned.handle })
