Show an hour without the table through the whole system

Cause: an outage of an hour was shown for ownership alone, and five minutes for the whole system. Ruled out: the full load of five minutes for an hour; 40 requests spread over it meet every adapter and most of its versions. Change: one scenario on the virtual clock: work under a key and a job before it; requests for loaded and cold adapters and calls of the service meanwhile; a key, a job and a change that are refused with their verdicts; after it the one answer, the jobs, a change.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -176,3 +176,14 @@
     Given the whole system on a virtual clock without outage reports
     When the table is down for 5 minutes and callers ask for every adapter each minute
     Then some of these callers got no answer
+
+  Scenario: An hour without the table, through the whole system
+    Given the whole system on a virtual clock
+    And work under a key has been done, and a job has just been accepted
+    When the table is down for 60 minutes and callers ask for two adapters every 3 minutes
+    Then each of these callers got a whole answer
+    And calls of the plain service were answered meanwhile
+    And meanwhile the same key was told "mayHaveRun", a new job "notRun", and no change was accepted
+    When the table answers the whole system again
+    Then the same key gets the one answer, the job has ended, a new one ends, and a change is in force
+    And the oracle finds no promise broken
