Remove objects of jobs whose rows were not written, and test the end of jobs

Cause: where the table went silent at the write of a job's row, the object of its request or answer stayed for good. The expiry of jobs and their deadline had no test. Change: a store removes the object once the table tells that the row was not written, for at most two hours. Conclusion: what stays is the object of a process that dies between two writes.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -48,6 +48,33 @@
       | lostWrites  | it is refused with status 503 and verdict "notRun"   |
       | lateWrites  | it is refused with status 503 and verdict "notRun"   |
 
+  Scenario: A submission whose row is not written leaves no object behind
+    Given the jobs' platform has "lostWrites" set to 1
+    And the table goes down for 60 seconds as soon as a write is lost
+    When a job of 9000 characters is submitted
+    Then it is refused with status 503 and verdict "mayHaveRun"
+    And 0 jobs and 1 object are stored
+    When 1 hour passes
+    Then 0 jobs and 0 objects are stored
+
+  Scenario: Jobs that have ended are kept for a week, those that have not for longer
+    When a job of 9000 characters is submitted
+    And 1 hour passes
+    And from now on the hosts run no jobs, and one sweeps old rows
+    And a job of 9001 characters is submitted
+    And 167 hours pass
+    Then 2 jobs and 3 objects are stored
+    When 12 hours pass
+    Then 1 job and 1 object are stored
+
+  Scenario: A job that cannot be run fails a day after its time
+    Given every run fails as "notRun", to be tried again after 30 minutes
+    When job "a" is submitted, due in 1 second
+    And 23 hours pass
+    Then within 1 seconds job "a" is "queued" and its run is given up
+    When 1 hour passes
+    Then within 3600 seconds job "a" is "failed" with verdict "notRun"
+
   Scenario: The host that runs a job dies
     Given runs take 10 seconds
     When job "a" is submitted
--- a/features/steps/claims.ts
+++ b/features/steps/claims.ts
@@ -8,7 +8,7 @@
 import type { Claim, ClaimResult } from '../../src/tasks/claims/claimTask.js'
 import { BatchWriter } from '../../src/tasks/table/batchWriter.js'
 import { TableWriter } from '../../src/tasks/table/tableWriter.js'
-import { goDownWithAnswer, readBackOnce } from '../support/tableFaults.js'
+import { goDownWith, readBackOnce } from '../support/tableFaults.js'
 import { settle } from '../support/settle.js'
 import { createVirtualPlatform } from '../support/virtualPlatform.js'
 import type { VirtualPlatform } from '../support/virtualPlatform.js'
@@ -93,7 +93,7 @@
 })
 
 Given('the claims\' table goes down as soon as an answer is lost', function (this: ClaimsWorld) {
-  goDownWithAnswer(this.platform.faults)
+  goDownWith('lostAnswers', this.platform.faults)
 })
 
 Given('the sweep of old rows runs', function (this: ClaimsWorld) {
--- a/features/steps/jobs.ts
+++ b/features/steps/jobs.ts
@@ -3,12 +3,15 @@
 import { Given, Then, When } from '@cucumber/cucumber'
 import type { JobRow } from '../../src/schemas/jobRows.js'
 import { createNotRun } from '../../src/schemas/verdict.js'
-import { JobStore } from '../../src/tasks/jobs/jobStore.js'
+import { startState } from '../../src/bin/startState.js'
+import { JobStore, jobPrefix } from '../../src/tasks/jobs/jobStore.js'
 import type { Job, SubmitResult } from '../../src/tasks/jobs/jobStore.js'
 import type { JobRunnerOptions } from '../../src/tasks/jobs/jobRunner.js'
+import type { WriteResult } from '../../src/tasks/table/tableWriter.js'
 import { JobHosts } from '../support/jobHosts.js'
 import type { JobHost } from '../support/jobHosts.js'
 import { settle } from '../support/settle.js'
+import { goDownWith } from '../support/tableFaults.js'
 
 const callerName = 'county-office'
 
@@ -61,7 +64,8 @@
 /** Reads past the table's faults. */
 async function readJob (world: JobsWorld, id: string): Promise<Job | undefined> {
   const { rows, objects } = world.jobHosts.platform
-  const store = new JobStore({ table: rows, objects, batches: { write: async () => ({ verdict: 'notApplied', cause: 'unavailable' }) } })
+  const refuse = async (): Promise<WriteResult> => ({ verdict: 'notApplied', cause: 'unavailable' })
+  const store = new JobStore({ table: rows, objects, batches: { write: refuse }, writer: { resolve: refuse } })
   const job = await store.readJob(callerName, id)
   const answer = job && await store.readAnswer(job.row)
   world.answer = answer && Buffer.from(answer.body).toString()
@@ -108,6 +112,10 @@
   this.jobHosts.failures = Array.from({ length: Number(count) }, () => failure)
 })
 
+Given('every run fails as "notRun", to be tried again after {int} minutes', function (this: JobsWorld, minutes: number) {
+  this.jobHosts.failures = Array.from({ length: 1000 }, () => createNotRun('test', 'not run', 503, minutes * 60_000))
+})
+
 Given('the jobs\' switch {string} is on', function (this: JobsWorld, name: 'isTableDown') { this.jobHosts.platform.faults[name] = true })
 
 Given('the jobs\' platform has {string} set to {int}', function (this: JobsWorld, name: 'lostAnswers', value: number) {
@@ -124,6 +132,26 @@
 
 When('job {string} is submitted', async function (this: JobsWorld, name: string) { await submitOne(this, name) })
 
+Given('the table goes down for {int} seconds as soon as a write is lost', async function (this: JobsWorld, seconds: number) {
+  const { clock, faults } = this.jobHosts.platform
+  goDownWith('lostWrites', faults)
+  clock.setTimer(() => { faults.isTableDown = false }, seconds * 1000)
+})
+
+Given('from now on the hosts run no jobs, and one sweeps old rows', function (this: JobsWorld) {
+  for (const { runner } of this.jobHosts.hosts) runner.stop()
+  const { clock, table, objects, hostList } = this.jobHosts.platform
+  startState('gateway-9', clock, { table, objects, hostList, close: async () => {} })
+})
+
+When(/^(\d+) hours? pass(?:es)?$/, async function (this: JobsWorld, hours: string) { await passMs(this, Number(hours) * 3600 * 1000) })
+
+Then('{int} job(s) and {int} object(s) are stored', async function (this: JobsWorld, jobs: number, objects: number) {
+  const { rows, stored } = this.jobHosts.platform
+  const found = await rows.listRows({ prefix: jobPrefix, after: '', limit: 100 })
+  assert.deepEqual([found.length, stored.keys.length], [jobs, objects])
+})
+
 When('a job of {int} characters is submitted', async function (this: JobsWorld, length: number) {
   await submitOne(this, 'x'.repeat(length))
 })
--- a/features/steps/tableWriter.ts
+++ b/features/steps/tableWriter.ts
@@ -7,7 +7,7 @@
 import type { Table } from '../../src/ports/table.js'
 import { TableWriter } from '../../src/tasks/table/tableWriter.js'
 import type { FindFate, WriteResult } from '../../src/tasks/table/tableWriter.js'
-import { goDownWithAnswer, readBackOnce } from '../support/tableFaults.js'
+import { goDownWith, readBackOnce } from '../support/tableFaults.js'
 import { settle } from '../support/settle.js'
 import { createVirtualPlatform } from '../support/virtualPlatform.js'
 
@@ -38,7 +38,7 @@
 })
 
 Given('the table goes down as soon as the answer is lost', function (this: WriterWorld) {
-  goDownWithAnswer(this.faults)
+  goDownWith('lostAnswers', this.faults)
 })
 
 When('the row {string} is written', async function (this: WriterWorld, key: string) {
--- a/features/support/jobHosts.ts
+++ b/features/support/jobHosts.ts
@@ -51,8 +51,9 @@
     const faults = createPlatformFaults()
     const { table: reached, objects } = connect(faults)
     const table = this.#countCalls(reached)
-    const batches = new BatchWriter({ clock, writer: new TableWriter({ table, clock }) })
-    const store = new JobStore({ table, objects, batches })
+    const writer = new TableWriter({ table, clock })
+    const batches = new BatchWriter({ clock, writer })
+    const store = new JobStore({ table, objects, batches, writer })
     const runnerId = `${hostId}-process`
     const leases = new RunnerLeases({ runner: runnerId, hostId, clock, table, batches })
     const host: JobHost = { hostId, store, faults, underWay: new Set(), isDead: false, runner: undefined! }
--- a/features/support/tableFaults.ts
+++ b/features/support/tableFaults.ts
@@ -8,10 +8,10 @@
   return row ? { verdict: 'applied', version: row.version } : { verdict: 'notApplied', cause: 'unavailable' }
 }
 
-/** The table goes down in the same moment in which the next answer is lost. */
-export function goDownWithAnswer (faults: PlatformFaults): void {
-  let left = faults.lostAnswers
-  Object.defineProperty(faults, 'lostAnswers', {
+/** The table goes down in the same moment in which the next fault of a kind strikes. */
+export function goDownWith (kind: 'lostAnswers' | 'lostWrites', faults: PlatformFaults): void {
+  let left = faults[kind]
+  Object.defineProperty(faults, kind, {
     get: () => left,
     set: (value: number) => {
       left = value
--- a/features/support/virtualPlatform.ts
+++ b/features/support/virtualPlatform.ts
@@ -15,6 +15,8 @@
   faults: PlatformFaults
   /** The rows themselves, past all faults. */
   rows: MemoryTable
+  /** The objects themselves, past all faults. */
+  stored: MemoryObjects
   /** Connects one more client, whose faults are its own. */
   connect: (faults: PlatformFaults) => FaultyPlatform
 }
@@ -23,8 +25,9 @@
   const clock = new VirtualClock(startOfTestsMs)
   const faults = createPlatformFaults()
   const rows = new MemoryTable()
-  const services = { table: rows, objects: new MemoryObjects(), hostList: new MemoryHostList(clock, 0) }
+  const stored = new MemoryObjects()
+  const services = { table: rows, objects: stored, hostList: new MemoryHostList(clock, 0) }
   const shared = createFaultyPlatform({ clock, faults, ...services })
   const connect = (own: PlatformFaults): FaultyPlatform => createFaultyPlatform({ clock, faults: own, ...shared })
-  return { ...shared, clock, faults, rows, connect }
+  return { ...shared, clock, faults, rows, stored, connect }
 }
--- a/fuzz/fuzzHosts.ts
+++ b/fuzz/fuzzHosts.ts
@@ -108,7 +108,7 @@
   const writer = new TableWriter({ table, clock: host.clock })
   const batches = new BatchWriter({ clock: host.clock, writer })
   const claims = new ClaimTask({ hostId: host.id, clock: host.clock, table, objects, writer, batches })
-  const jobs = new JobStore({ table, objects, batches })
+  const jobs = new JobStore({ table, objects, batches, writer })
   const task = new GatewayTask({
     hostId: host.id,
     zone: host.zone,
--- a/src/adapters/memoryPlatform/memoryObjects.ts
+++ b/src/adapters/memoryPlatform/memoryObjects.ts
@@ -4,6 +4,11 @@
 export class MemoryObjects implements Objects {
   #objects = new Map<string, Uint8Array>()
 
+  /** Keys of everything that is stored. */
+  get keys (): string[] {
+    return [...this.#objects.keys()]
+  }
+
   async writeObject (key: string, bytes: Uint8Array): Promise<void> {
     this.#objects.set(key, Uint8Array.from(bytes))
   }
--- a/src/bin/startState.ts
+++ b/src/bin/startState.ts
@@ -33,7 +33,7 @@
   const writer = new TableWriter({ table, clock })
   const batches = new BatchWriter({ clock, writer })
   const claims = new ClaimTask({ hostId, clock, table, objects, writer, batches })
-  const jobs = new JobStore({ table, objects, batches })
+  const jobs = new JobStore({ table, objects, batches, writer })
   const sweeper = new RowSweeper({
     clock,
     table,
--- a/src/tasks/jobs/jobStore.ts
+++ b/src/tasks/jobs/jobStore.ts
@@ -3,20 +3,24 @@
 import type { Static, TSchema } from '@sinclair/typebox'
 import { Value } from '@sinclair/typebox/value'
 import VError from 'verror'
+import { createLog } from '../../createLog.js'
 import type { Objects } from '../../ports/objects.js'
 import type { Table, TableRow } from '../../ports/table.js'
 import { jobRequestSchema, jobRowSchema, queueRowSchema } from '../../schemas/jobRows.js'
 import type { JobRequest, JobRow, QueueRow } from '../../schemas/jobRows.js'
-import type { StoredAnswer } from '../../schemas/storedAnswer.js'
+import type { ContentReference, StoredAnswer } from '../../schemas/storedAnswer.js'
 import { createMayHaveRun, createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
 import type { BatchWriter } from '../table/batchWriter.js'
 import { readAnswer, readContent, removeContent, writeAnswer, writeContent } from '../table/contentStore.js'
-import type { WriteResult } from '../table/tableWriter.js'
+import type { TableWriter, WriteResult } from '../table/tableWriter.js'
 
+const log = createLog('jobs')
 export const jobPrefix = 'jobs/'
 const queuePrefix = 'jobQueue/'
 const retryAfterUnavailableMs = 2000
+/** The fate of a write is asked for as long as an outage may last, and then given up. */
+const resolveTimeoutMs = 2 * 3600 * 1000
 /** Digits of a wall-clock time in milliseconds, so that keys sort by it. */
 const timeDigits = 15
 
@@ -24,6 +28,7 @@
   table: Table
   objects: Objects
   batches: Pick<BatchWriter, 'write'>
+  writer: Pick<TableWriter, 'resolve'>
 }
 
 export interface JobDraft {
@@ -76,8 +81,8 @@
         checks: [{ key, version: 0 }], writes: [{ key, value: row }, { key: row.queueKey, value: queue }]
       })
       if (result.verdict === 'applied') return { type: 'accepted', job: row }
+      this.#removeUnused(result, request)
       if (result.verdict === 'unknown') return { type: 'refused', failure: createUnknown() }
-      await removeContent(objects, request)
       if (result.cause === 'conflict') return findSameJob(result.conflicts.find(found => found.key === key), draft)
     } catch {
       // The object store gave no answer: no row names the object, so that the job does not exist.
@@ -168,7 +173,7 @@
     const { objects } = this.#options
     const answer = await writeAnswer(objects, `jobAnswers/${job.key}/${randomUUID()}`, end)
     const result = await this.#endJob(job, queued.version, { ...job.row, state: 'finished', answer })
-    if (result.verdict === 'notApplied') await removeContent(objects, answer).catch(() => {})
+    this.#removeUnused(result, answer)
     return result
   }
 
@@ -184,6 +189,15 @@
     if (job.answer) await removeContent(this.#options.objects, job.answer)
   }
 
+  /** Removes the object of a row that was not written; where its fate is unknown, once the table tells. Never rejects. */
+  async #removeUnused (result: WriteResult, content: ContentReference): Promise<void> {
+    if (content.objectKey === undefined || result.verdict === 'applied') return
+    const { objects, writer } = this.#options
+    const settled = result.verdict === 'unknown' ? await writer.resolve(result.pending, resolveTimeoutMs) : result
+    if (settled.verdict !== 'notApplied') return
+    await removeContent(objects, content).catch(() => log('Object "%s" of no job was not removed.', content.objectKey))
+  }
+
   /** The row of the job checks that it has not ended; that of the queue, where given, that it has not changed hands. */
   async #endJob (job: Job, queueVersion: number | undefined, row: JobRow): Promise<WriteResult> {
     return await this.#options.batches.write({
