--- a/fuzz/fakeHost.ts
+++ b/fuzz/fakeHost.ts
@@ -55,8 +55,8 @@
     if (this.#state === 'running') this.#state = 'paused'
   }
 
-  /** The host stands still right after its next decision to give an engine a request, before the request leaves. */
-  pauseAtOrder (receivePause: () => void): void {
+  /** The host stands still right after its next decision to give an engine a request, before the request leaves; undefined calls that off. */
+  pauseAtOrder (receivePause: (() => void) | undefined): void {
     this.#orderPause = receivePause
   }
 
--- a/fuzz/fuzzSystem.ts
+++ b/fuzz/fuzzSystem.ts
@@ -242,7 +242,10 @@
       this.setServiceEntry(service.id, 'live')
     }
     this.weights.loadMs = undefined
-    for (const { host } of [...this.schedulers, ...this.gateways]) host.wake()
+    for (const { host } of [...this.schedulers, ...this.gateways]) {
+      host.pauseAtOrder(undefined)
+      host.wake()
+    }
     while (this.listRunningSchedulers().length < 2) this.addScheduler()
     while (this.gateways.filter(({ host }) => host.state === 'running').length < 1) this.addGateway()
     await this.advance(40_000)
