Forget no slot of an engine that the planner does not know

Cause: requests of a patient class waited 30 s and more on engines that ran nothing. The planner counted a slot as free that the engine did not have: every load into it was refused and backed off. And a second handle of an adapter was ordered to be unloaded once; where the engine refused that, as while a cancelled request ran there, the handle was forgotten. Ruled out: permits (none waited), the gateway (it ran nothing), back-off alone.

--- a/src/tasks/scheduler/endpointHandles.ts
+++ b/src/tasks/scheduler/endpointHandles.ts
@@ -13,9 +13,9 @@
 /** `kept`: certainly not unloaded, and usable; `unknown`: an order may still take effect. */
 export type UnloadOutcome = 'unloaded' | 'kept' | 'unknown'
 
-/** Slots that the owner cannot free, because a former owner may still use what they hold. */
+/** Slots that the owner cannot free, because a former owner may still use what they hold, or the engine does. */
 export interface BoundSlots {
-  /** Slots whose adapters get no requests. */
+  /** Slots whose adapters get no requests, and second handles of an adapter. */
   unusable: number
   /** Slots whose adapters get requests, but may not be unloaded. */
   kept: number
@@ -44,6 +44,8 @@
   /** Handles whose state on the engine the task follows: ordered, in use or ordered to be unloaded. */
   #known = new Set<string>()
   #boundSlots = 0
+  /** Second handles of an adapter that are being unloaded. */
+  #surplus = new Set<string>()
 
   constructor (options: EndpointHandlesOptions) {
     this.#options = options
@@ -83,6 +85,7 @@
   /** The engine has lost everything. */
   recordRestarted (): void {
     this.#known.clear()
+    this.#surplus.clear()
   }
 
   /** Lists usable handles that the engine holds and that are not followed yet; follows them from now on. */
@@ -92,17 +95,37 @@
     return strays.flatMap(({ handle }) => parseHandle(handle) ?? [])
   }
 
-  /** Takes a report, orders what may be removed to be unloaded, and counts the slots that are bound to former owners. */
-  receiveReport (address: string, report: EngineReport, readAtMs: number): BoundSlots {
+  /** Takes a report and orders what may be removed to be unloaded. */
+  receiveReport (address: string, report: EngineReport, readAtMs: number): void {
     const { ownership, endpointId } = this.#options
     ownership.recordReport(endpointId, report, readAtMs)
     for (const handle of ownership.listRemovable(endpointId)) this.#remove(address, handle)
-    const unusable = report.adapters.filter(({ handle }) => !this.isUsable(handle)).length
-    const kept = report.adapters.filter(({ handle }) => this.isUsable(handle) && !ownership.mayUnload(endpointId, handle)).length
+  }
+
+  /** Counts the slots that the owner cannot give to another adapter now. */
+  countBoundSlots (report: EngineReport): BoundSlots {
+    const { ownership, endpointId } = this.#options
+    const served = report.adapters.filter(({ handle }) => this.isUsable(handle) && !this.#surplus.has(handle))
+    const kept = served.filter(({ handle }) => !ownership.mayUnload(endpointId, handle)).length
+    const unusable = report.adapters.length - served.length
     this.#boundSlots = unusable + kept
     return { unusable, kept }
   }
 
+  /**
+   * Unloads a second handle of an adapter. An engine may refuse that, as while a cancelled request still runs there;
+   * the handle is then a stray again, so that the slot which it holds is not forgotten.
+   */
+  async unloadSurplus (address: string, handle: string): Promise<void> {
+    this.#surplus.add(handle)
+    const outcome = await this.unload(address, handle, () => {})
+    if (outcome !== 'unloaded') {
+      await new Promise<void>(resolve => { this.#options.clock.setTimer(resolve, repeatDelayMs) })
+      this.#known.delete(handle)
+    }
+    this.#surplus.delete(handle)
+  }
+
   /** Unloads a handle that gets no requests any more; `recordOrder` is called where the order is given. */
   async unload (address: string, handle: string, recordOrder: () => void): Promise<UnloadOutcome> {
     const { ownership, endpointId } = this.#options
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -282,6 +282,7 @@
       planner.recordLoadStarted(adapter, version, clock.readMonotonic())
     })
     release()
+    // After a restart the planner has planned anew; what it knows is not about this load.
     if (incarnation !== this.#watch.incarnation) return
     if (load && load.failure === undefined) {
       planner.recordLoaded(adapter, version, load.handle, clock.readMonotonic())
@@ -392,8 +393,9 @@
   }
 
   #receiveReport (report: EngineReport, readAtMs: number): void {
-    this.#receiveBoundSlots(this.#handles.receiveReport(this.#entry.address, report, readAtMs))
+    this.#handles.receiveReport(this.#entry.address, report, readAtMs)
     for (const stray of this.#handles.takeStrays(report)) this.#receiveStray(stray)
+    this.#receiveBoundSlots(this.#handles.countBoundSlots(report))
     this.#returnUnservable()
     this.#plan()
   }
@@ -421,7 +423,7 @@
     const { planner, clock } = this.#options
     const nowMs = clock.readMonotonic()
     const isResident = this.#listResident().has(formatAdapter(adapter, version))
-    if (isResident) this.#handles.unload(this.#entry.address, handle, () => {})
+    if (isResident) this.#handles.unloadSurplus(this.#entry.address, handle)
     else planner.recordLoaded(adapter, version, handle, nowMs)
   }
 
