Log when a host may serve its endpoints and when its lease has lapsed

Cause: each change of ownership has a logged line, but a lease that lapsed by its own clock, as in an outage or after a pause, had none. Change: the check that runs every 500 ms logs each change.

--- a/src/tasks/ownership/leaseOwnership.ts
+++ b/src/tasks/ownership/leaseOwnership.ts
@@ -66,6 +66,7 @@
   #wroteAdoptableAtMs = -Infinity
   #isLeaving = false
   #isOutage = false
+  #isServing = false
   #cycle: Repetition | undefined
   #outageCheck: Repetition | undefined
   #list: Repetition | undefined
@@ -88,7 +89,10 @@
       this.#runningCycle = this.#runCycle()
       await this.#runningCycle
     }, error => log('The leases were not renewed: %s.', error.message))
-    this.#outageCheck = repeatTask(clock, outageCheckMs, async () => this.#host.extendThroughOutage(), () => {})
+    this.#outageCheck = repeatTask(clock, outageCheckMs, async () => {
+      this.#host.extendThroughOutage()
+      this.#logServing()
+    }, () => {})
   }
 
   leave (): void {
@@ -193,6 +197,13 @@
     log(isOutage ? 'The leases were not renewed: the table gives no answer.' : 'The leases are renewed.')
   }
 
+  #logServing (): void {
+    const isServing = this.#host.isServing()
+    if (isServing === this.#isServing) return
+    this.#isServing = isServing
+    log(isServing ? 'This host may serve the endpoints that it owns.' : 'The lease has lapsed: this host starts no requests until it is renewed.')
+  }
+
   #createContent (): HostLeaseContent {
     const nowMs = this.#options.clock.readMonotonic()
     const live = this.#watch.listLive(nowMs).map(row => row.hostId)
