Take signals before the quick start says that it runs

The quick start printed its welcome before it took signals; one that came between ended the process at once, and SIGTERM would have ended it without its graceful stop. Change: the welcome is printed last.

--- a/src/bin/quickstart.ts
+++ b/src/bin/quickstart.ts
@@ -7,13 +7,12 @@
 import { exampleCallerKey, exampleOperatorKey, exampleRecords } from './exampleRecords.js'
 import { registerRecords } from './registerRecords.js'
 import { exitWithError, stopOnSignals } from './runBinary.js'
-import type { RunningProcess } from './runBinary.js'
 import { startGateway, startScheduler } from './startHosts.js'
 import { startStandins } from './startStandins.js'
 
 const peerKey = 'quick-start-peer-key'
 
-async function startQuickstart (): Promise<RunningProcess> {
+async function startQuickstart (): Promise<void> {
   const standins = await startStandins(resolveSettings('quickstart', `
 [engines]
 count = 3
@@ -46,15 +45,16 @@
 [operators]
 port = ${process.env.SEDGEVALVE_OPERATORS_PORT ?? defaultOperatorsPort}
 keyHash = ${hashKey(exampleOperatorKey)}`, gatewaySettingsSchema), standins.platform)
-  printWelcome(gateway.callersPort, gateway.operatorsPort)
-  return {
+  stopOnSignals({
     describeState: () => ({ gateway: gateway.describeState?.(), scheduler: scheduler.describeState?.() }),
     stop: async () => {
       await gateway.stop()
       await scheduler.stop()
       await standins.stop()
     }
-  }
+  })
+  // Whoever reads that it runs may send a signal at once.
+  printWelcome(gateway.callersPort, gateway.operatorsPort)
 }
 
 function printWelcome (callersPort: number, operatorsPort: number): void {
@@ -74,5 +74,5 @@
 `)
 }
 
-startQuickstart().then(stopOnSignals, error => exitWithError('sedgevalve', error))
+startQuickstart().catch(error => exitWithError('sedgevalve', error))
 openLogs()
