--- a/src/tasks/operators/jobRoutes.ts
+++ b/src/tasks/operators/jobRoutes.ts
@@ -60,22 +60,22 @@
 }
 
 export function addJobRoutes (server: FastifyInstance, context: OperatorsContext): void {
-  server.get('/api/jobs', async (request, reply) => await guardPlatform(context, reply, async () => {
+  server.get('/api/jobs', async (request, reply) => await handlePlatformFailure(context, reply, async () => {
     const query = Value.Convert(pageSchema, request.query)
     if (Value.Check(pageSchema, query)) return await listJobs(context, query.caller, query.after ?? '', query.limit ?? maxPage)
     return createNotRun('invalid_query', `"limit" is a whole number from 1 to ${maxPage}, "after" the position of a page, "caller" a key's name`, 400)
   }))
-  server.get<JobParams>('/api/jobs/:caller/:id', async (request, reply) => await guardPlatform(context, reply, async () => {
+  server.get<JobParams>('/api/jobs/:caller/:id', async (request, reply) => await handlePlatformFailure(context, reply, async () => {
     const { caller, id } = request.params
     const job = await context.jobs.readJob(caller, id)
     return job ? renderJob(job) : createJobNotFound(caller, id)
   }))
-  server.get<JobParams>('/api/jobs/:caller/:id/story', async (request, reply) => await guardPlatform(context, reply, async () => {
+  server.get<JobParams>('/api/jobs/:caller/:id/story', async (request, reply) => await handlePlatformFailure(context, reply, async () => {
     const { caller, id } = request.params
     const job = await context.jobs.readJob(caller, id)
     return job ? await requestJobStory(context, renderJob(job), request.headers.authorization ?? '') : createJobNotFound(caller, id)
   }))
-  server.delete<JobParams>('/api/jobs/:caller/:id', async (request, reply) => await guardPlatform(context, reply, async () => {
+  server.delete<JobParams>('/api/jobs/:caller/:id', async (request, reply) => await handlePlatformFailure(context, reply, async () => {
     const { caller, id } = request.params
     return await cancelJob(context, caller, id, request.operator?.name ?? '')
   }))
@@ -114,7 +114,7 @@
 }
 
 /** Sends the result, or an outage of the platform as what it is. */
-async function guardPlatform (
+async function handlePlatformFailure (
   context: OperatorsContext, reply: FastifyReply, run: () => Promise<JobPage | OperatorJob | JobStory | RequestFailure>
 ): Promise<FastifyReply> {
   const result = await run().catch(createUnavailable)
--- a/src/tasks/scheduler/endpointTask.ts
+++ b/src/tasks/scheduler/endpointTask.ts
@@ -1,7 +1,6 @@
 /** Owns one endpoint: carries out the plans made for it and relays what its engine sends. */
 import { formatAdapter } from '../../core/formatAdapter.js'
-import type { ParsedHandle } from '../../core/formatAdapter.js'
-import type { EndpointPlan, EndpointPlanner, PlannedDispatch, PlannedFailure, PlannedLoad, PlannedUnload } from '../../core/planner.js'
+import type { EndpointPlan, EndpointPlanner, PlannedDispatch, PlannedFailure } from '../../core/planner.js'
 import type { ShutdownRules } from '../../core/shutdownRules.js'
 import type { SuspectState } from '../../core/suspects.js'
 import type { Clock, Timer } from '../../ports/clock.js'
@@ -17,9 +16,9 @@
 import type { EndpointCrash } from './suspectGate.js'
 import type { Ownership } from '../ownership/ownership.js'
 import { createGenerateOrder } from './createGenerateOrder.js'
-import { describeAttempts, describeDispatch, describeFailedLoad, describeResume, formatAttempt } from './describeEndpoint.js'
-import { EndpointHandles } from './endpointHandles.js'
-import type { BoundSlots } from './endpointHandles.js'
+import { describeAttempts, describeDispatch, describeResume, formatAttempt } from './describeEndpoint.js'
+import { EndpointSlots } from './endpointSlots.js'
+import type { RequestPermit } from './endpointSlots.js'
 import { EngineWatch } from './engineWatch.js'
 import type { EngineWatchEvent } from './engineWatch.js'
 import { defaultPlanResume, startResumedGeneration } from './resumeGeneration.js'
@@ -29,9 +28,6 @@
 /** Told as the time of a load where no slot can be freed. */
 const noLoadMs = 600_000
 
-/** Asks for leave to load from the weight store; resolves to the function that gives it back. */
-export type RequestPermit = (endpointId: string, slackMs: number) => Promise<() => void>
-
 export interface EndpointTaskOptions {
   clock: Clock
   engine: Engine
@@ -67,25 +63,30 @@
   #options: EndpointTaskOptions
   #entry: EngineEntry
   #attempts = new Map<string, Attempt>()
-  #isBlocked = false
-  #canLoad = true
   #isStopping = false
   #wake: Timer | undefined
   #isPlanning = false
   #suspects = new SuspectGate<Attempt>()
-  #handles: EndpointHandles
+  #slots: EndpointSlots
   #watch: EngineWatch
 
   constructor (options: EndpointTaskOptions) {
     this.#options = options
     this.#entry = options.entry
-    this.#handles = new EndpointHandles({ ...options, endpointId: options.entry.id })
+    this.#slots = new EndpointSlots({
+      ...options,
+      endpointId: options.entry.id,
+      findEntry: () => this.#entry,
+      findIncarnation: () => this.#watch.incarnation,
+      isStopping: () => this.#isStopping,
+      plan: () => this.#plan()
+    })
     this.#watch = new EngineWatch({
       clock: options.clock,
       engine: options.engine,
       endpointId: options.entry.id,
       findAddress: () => this.#entry.address,
-      isQuiet: () => this.#attempts.size === 0 && this.#handles.boundSlots === 0,
+      isQuiet: () => this.#attempts.size === 0 && this.#slots.boundSlots === 0,
       send: event => this.#receiveWatch(event)
     })
   }
@@ -189,7 +190,7 @@
       batchLimit: this.#entry.batchLimit,
       running: this.running,
       ...expectation,
-      ...(!this.#canLoad && { expectedLoadMs: noLoadMs })
+      ...(!this.#slots.canLoad && { expectedLoadMs: noLoadMs })
     }
   }
 
@@ -206,7 +207,7 @@
     if (this.#entry.presence === 'leaving') return createEndpointLeaving(id)
     if (!this.#watch.isReady) return createNotReady(id)
     if (!this.#options.ownership.isOwner(id)) return createNotOwner(id)
-    if (this.#isBlocked) return createBlocked(id)
+    if (this.#slots.isBlocked) return createBlocked(id)
     return undefined
   }
 
@@ -226,8 +227,8 @@
   #carryOut (plan: EndpointPlan): void {
     for (const failure of plan.failures) this.#carryOutFailure(failure)
     for (const dispatch of plan.dispatches) this.#carryOutDispatch(dispatch)
-    for (const unload of plan.unloads) this.#carryOutUnload(unload)
-    for (const load of plan.loads) this.#carryOutLoad(load)
+    for (const unload of plan.unloads) this.#slots.carryOutUnload(unload)
+    for (const load of plan.loads) this.#slots.carryOutLoad(load)
     if (plan.loads.length > 0) this.#options.receiveChange()
   }
 
@@ -262,38 +263,6 @@
     })
   }
 
-  async #carryOutUnload (planned: PlannedUnload): Promise<void> {
-    const { planner, clock, recordDecision } = this.#options
-    const outcome = await this.#handles.unload(this.#entry.address, planned.handle, () => recordDecision(planned.decision))
-    if (outcome === 'unloaded') planner.recordUnloaded(planned.handle, clock.readMonotonic())
-    else if (outcome === 'kept') planner.recordUnloadFailed(planned.handle, clock.readMonotonic())
-    this.#options.receiveChange()
-    this.#plan()
-  }
-
-  async #carryOutLoad (planned: PlannedLoad): Promise<void> {
-    const { adapter, version } = planned
-    const { planner, clock, recordDecision } = this.#options
-    const { incarnation } = this.#watch
-    const release = await this.#options.requestPermit(this.endpointId, planned.slackMs)
-    const mayLoad = !this.#isStopping && incarnation === this.#watch.incarnation && planner.mayStartLoad(adapter, version)
-    const load = mayLoad && await this.#handles.load(this.#entry.address, planned, handle => {
-      recordDecision({ ...planned.decision, handle })
-      planner.recordLoadStarted(adapter, version, clock.readMonotonic())
-    })
-    release()
-    // After a restart the planner has planned anew; what it knows is not about this load.
-    if (incarnation !== this.#watch.incarnation) return
-    if (load && load.failure === undefined) {
-      planner.recordLoaded(adapter, version, load.handle, clock.readMonotonic())
-    } else {
-      if (load) recordDecision(describeFailedLoad(this.endpointId, planned, load.handle, load.failure!))
-      planner.recordLoadFailed(adapter, version, clock.readMonotonic())
-    }
-    this.#options.receiveChange()
-    this.#plan()
-  }
-
   // Answers
 
   #receiveEvent (attempt: Attempt, event: GenerateEvent): void {
@@ -312,10 +281,8 @@
     }
   }
 
-  /** The engine no longer has a handle that the planner counts on. */
   #receiveMissingHandle (handle: string): void {
-    this.#handles.recordMissing(handle)
-    this.#options.planner.recordUnloaded(handle, this.#options.clock.readMonotonic())
+    this.#slots.recordMissing(handle)
     this.#plan()
   }
 
@@ -373,16 +340,6 @@
 
   // Reports
 
-  /** Slots that are bound to former owners; where that is all of them, requests that need a load go elsewhere. */
-  #receiveBoundSlots ({ unusable, kept }: BoundSlots): void {
-    const { slots } = this.#entry
-    const couldLoad = this.#canLoad
-    this.#isBlocked = unusable >= slots
-    this.#canLoad = unusable + kept < slots
-    this.#options.planner.recordBlockedSlots(unusable, this.#options.clock.readMonotonic())
-    if (this.#canLoad !== couldLoad) this.#options.receiveChange()
-  }
-
   #receiveWatch (event: EngineWatchEvent): void {
     if (event.type === 'report') this.#receiveReport(event.report, event.readAtMs)
     else if (event.type === 'restarted') this.#receiveRestart(event.incarnation)
@@ -393,9 +350,7 @@
   }
 
   #receiveReport (report: EngineReport, readAtMs: number): void {
-    this.#handles.receiveReport(this.#entry.address, report, readAtMs)
-    for (const stray of this.#handles.takeStrays(report)) this.#receiveStray(stray)
-    this.#receiveBoundSlots(this.#handles.countBoundSlots(report))
+    this.#slots.receiveReport(report, readAtMs)
     this.#returnUnservable()
     this.#plan()
   }
@@ -403,34 +358,18 @@
   /** Gives back what cannot be served here: no slot can be freed, or none was until long after the request was due. */
   #returnUnservable (): void {
     const nowMs = this.#options.clock.readMonotonic()
-    const resident = this.#listResident()
+    const resident = this.#slots.listResident()
     for (const attempt of [...this.#attempts.values()]) {
       const { dispatch, receivedAtMs, generation } = attempt
       const isOverdue = nowMs > receivedAtMs + Math.max(0, dispatch.dueInMs) + overdueMs
-      if (generation || (this.#canLoad && !isOverdue) || resident.has(formatAdapter(dispatch.adapter, dispatch.version))) continue
+      if (generation || (this.#slots.canLoad && !isOverdue) || resident.has(formatAdapter(dispatch.adapter, dispatch.version))) continue
       this.#fail(attempt, createNoSlot(this.endpointId, dispatch.adapter))
     }
   }
 
-  /** Adapters that are loaded or being loaded. */
-  #listResident (): Set<string> {
-    const { loaded, loading } = this.#options.planner.readExpectation(this.#options.clock.readMonotonic())
-    return new Set([...loaded, ...loading])
-  }
-
-  /** Uses a handle that a former owner handed over, or whose load ended unseen; a second one of an adapter is unloaded. */
-  #receiveStray ({ handle, adapter, version }: ParsedHandle): void {
-    const { planner, clock } = this.#options
-    const nowMs = clock.readMonotonic()
-    const isResident = this.#listResident().has(formatAdapter(adapter, version))
-    if (isResident) this.#handles.unloadSurplus(this.#entry.address, handle)
-    else planner.recordLoaded(adapter, version, handle, nowMs)
-  }
-
   #receiveRestart (incarnation: string): void {
     this.#reportCrash(incarnation)
-    this.#handles.recordRestarted()
-    this.#options.planner.recordRestarted(this.#options.clock.readMonotonic())
+    this.#slots.recordRestarted()
     this.#failRunning()
   }
 
