--- a/src/core/adapterSlots.ts
+++ b/src/core/adapterSlots.ts
@@ -15,8 +15,6 @@
   keptUntilMs: number
   /** Takes no more requests, so that its slot falls free. */
   isDraining: boolean
-  /** Always there and in no slot, such as the base model itself. */
-  isFixed: boolean
   /** Its load was given up before it began, as nobody waited for it any more. */
   isWithdrawn: boolean
   plannedAtMs: number
@@ -35,7 +33,7 @@
   }
 
   get free (): number {
-    return this.#limit - this.#blocked - this.#count(resident => !resident.isFixed)
+    return this.#limit - this.#blocked - this.#residents.size
   }
 
   /** Sets how many slots hold adapters that no request may use. */
@@ -60,7 +58,7 @@
     return this.#residents.values()
   }
 
-  add (adapter: string, version: string, nowMs: number, isFixed = false): Resident {
+  add (adapter: string, version: string, nowMs: number): Resident {
     const name = formatAdapter(adapter, version)
     const resident: Resident = {
       name,
@@ -72,7 +70,6 @@
       isUnloading: false,
       keptUntilMs: nowMs,
       isDraining: false,
-      isFixed,
       isWithdrawn: false,
       plannedAtMs: nowMs,
       startedAtMs: undefined,
@@ -87,12 +84,6 @@
     return undefined
   }
 
-  /** Finds a loaded resident that holds another version of an adapter, where an engine holds one version at a time. */
-  findOtherVersion (adapter: string, name: string): Resident | undefined {
-    for (const resident of this.#residents.values()) if (resident.adapter === adapter && resident.name !== name) return resident
-    return undefined
-  }
-
   remove (name: string): void {
     this.#residents.delete(name)
   }
@@ -106,7 +97,7 @@
     let least: Resident | undefined
     let leastCost = Infinity
     for (const resident of this.#residents.values()) {
-      if (!isUsable(resident) || resident.isFixed) continue
+      if (!isUsable(resident)) continue
       const cost = computeCost(resident)
       if (cost >= leastCost) continue
       least = resident
@@ -133,5 +124,5 @@
 }
 
 function isIdle (resident: Resident): boolean {
-  return isUsable(resident) && !resident.isFixed && resident.running === 0
+  return isUsable(resident) && resident.running === 0
 }
--- a/src/core/firstComePlanner.ts
+++ b/src/core/firstComePlanner.ts
@@ -73,10 +73,6 @@
     resident.handle = handle
   }
 
-  recordFixed (adapter: string, version: string, handle: string, nowMs: number): void {
-    this.recordLoaded(adapter, version, handle, nowMs)
-  }
-
   recordLoadFailed (adapter: string, version: string): void {
     this.#residents.delete(formatAdapter(adapter, version))
   }
--- a/src/core/loadPlan.ts
+++ b/src/core/loadPlan.ts
@@ -1,5 +1,4 @@
 /** Which adapters an endpoint loads next, and which ones give their slots up for them. */
-import { isUsable } from './adapterSlots.js'
 import type { Resident } from './adapterSlots.js'
 import type { EndpointPlan } from './planner.js'
 import type { PlannerForecast } from './plannerForecast.js'
@@ -20,7 +19,7 @@
     let openings = this.#state.options.maxPendingLoads - this.#state.slots.pending
     while (openings > 0 && this.#state.slots.free > 0) {
       const need = this.#state.needs.firstUrgent
-      if (!need || this.#replaceVersion(plan, need, nowMs)) break
+      if (!need) break
       this.#planLoad(plan, need, nowMs)
       openings--
     }
@@ -40,17 +39,6 @@
     }
   }
 
-  /** Unloads another version of the adapter first, where the engine holds one at a time; true where one stands in the way. */
-  #replaceVersion (plan: EndpointPlan, need: LoadNeed, nowMs: number): boolean {
-    if (this.#state.shape.holdsVersionsTogether ?? true) return false
-    const former = this.#state.slots.findOtherVersion(need.group.adapter, need.group.name)
-    if (!former) return false
-    if (!isUsable(former)) return true
-    if (former.running > 0) former.isDraining = true
-    else this.#unload(plan, former, need, nowMs)
-    return true
-  }
-
   /** Loads for deferrable work while nothing urgent waits and slots stay idle for what is urgent. */
   #planRipeLoad (plan: EndpointPlan, nowMs: number): void {
     const need = this.#state.needs.firstRipe
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -24,8 +24,6 @@
   endpointId: string
   slots: number
   batchLimit: number
-  /** Whether the engine holds several versions of one adapter at a time; where not, one makes way for the other. */
-  holdsVersionsTogether?: boolean
 }
 
 export type Admission =
@@ -97,8 +95,6 @@
   recordLoadStarted: (adapter: string, version: string, nowMs: number) => void
   /** The adapter became usable under a handle, by a planned load or by adoption. */
   recordLoaded: (adapter: string, version: string, handle: string, nowMs: number) => void
-  /** The engine serves this without a slot and for good, such as its base model. */
-  recordFixed: (adapter: string, version: string, handle: string, nowMs: number) => void
   recordLoadFailed: (adapter: string, version: string, nowMs: number) => void
   recordUnloaded: (handle: string, nowMs: number) => void
   /**
--- a/src/core/slackPlanner.ts
+++ b/src/core/slackPlanner.ts
@@ -118,13 +118,6 @@
     if (group) this.#state.needs.remove(group)
   }
 
-  recordFixed (adapter: string, version: string, handle: string, nowMs: number): void {
-    const name = formatAdapter(adapter, version)
-    const resident = this.#state.slots.find(name) ?? this.#state.slots.add(adapter, version, nowMs, true)
-    resident.handle = handle
-    resident.loadedAtMs = nowMs
-  }
-
   recordLoadFailed (adapter: string, version: string, nowMs: number): void {
     const name = formatAdapter(adapter, version)
     if (!this.#state.slots.find(name)?.isWithdrawn) this.#state.backOff.recordFailed(name, nowMs)
