--- a/src/bin/createFront.ts
+++ b/src/bin/createFront.ts
@@ -10,6 +10,7 @@
 import type { HostSettings } from '../schemas/hostSettings.js'
 import type { EndpointEntry } from '../schemas/routing.js'
 import { CallersPort } from '../tasks/front/callersPort.js'
+import { EngineFinder } from '../tasks/front/engineFinder.js'
 import type { FrontContext } from '../tasks/front/frontContext.js'
 import { FrontRequest } from '../tasks/front/frontRequest.js'
 import type { PlaceClient } from '../tasks/front/placeClient.js'
@@ -39,7 +40,8 @@
     share: settings.retryShare, extra: settings.retryExtra, windowMs: settings.retryWindowMs, countHosts: () => board.hosts.size
   })
   const findLink = createLinks(board)
-  const targets = new TargetFinder({ clock, log, board, health, places, zone: settings.zone, random, findLink })
+  const engines = new EngineFinder({ clock, log, board, health, places, random, findLink })
+  const targets = new TargetFinder({ clock, board, health, engines, zone: settings.zone, random, findLink })
   const context: FrontContext = { clock, log, board, health, budget, targets, random, encodeRequestHeaders, decodeAnswerHead, encodeRefusalHeaders }
   const callers = new CallersPort({
     address: settings.callersAddress,
--- /dev/null
+++ b/src/bin/createLeases.ts
@@ -0,0 +1,72 @@
+/** Wires the leases of a host: its access to the store, its watch for outages and its claims. */
+import type { NewsBoard } from '../core/newsBoard.js'
+import type { RowMirror } from '../core/rowMirror.js'
+import type { Clock } from '../ports/clock.js'
+import type { EventLog } from '../ports/eventLog.js'
+import type { Relay } from '../ports/relay.js'
+import type { Store } from '../ports/store.js'
+import type { HostRow } from '../schemas/hostRows.js'
+import { LeaseTask } from '../tasks/leases/leaseTask.js'
+import type { LeaseTaskOptions } from '../tasks/leases/leaseTask.js'
+import { OutageWatch } from '../tasks/leases/outageWatch.js'
+import { StoreAccess } from '../tasks/leases/storeAccess.js'
+import type { NewsTask } from '../tasks/news/newsTask.js'
+import type { PeerTask } from '../tasks/peers/peerTask.js'
+
+export interface LeasePartsOptions {
+  clock: Clock
+  log: EventLog
+  own: LeaseTaskOptions['own']
+  board: NewsBoard
+  mirror: RowMirror
+  news: NewsTask
+  peers: PeerTask
+  store: Store
+  relay: Relay
+  /** Makes the relay's address of a host from its IP number. */
+  formatRelayAddress: (address: string) => string
+  receiveOwnership: LeaseTaskOptions['receiveOwnership']
+}
+
+export interface LeaseParts {
+  leases: LeaseTask
+  outage: OutageWatch
+}
+
+export function createLeases (options: LeasePartsOptions): LeaseParts {
+  const { clock, log, own, board, mirror, news, peers, store, relay, formatRelayAddress } = options
+  const listPeers = (): HostRow[] => [...board.hosts.values()].map(host => host.row).filter(row => row.host !== own.host)
+  const access = new StoreAccess({
+    clock,
+    log,
+    transact: async transaction => await store.transact(transaction),
+    transactByPeer: async (address, transaction) => await relay.transact(address, transaction),
+    listPeers: () => shuffle(listPeers().map(row => formatRelayAddress(row.address))),
+    receiveStoreAnswer: () => news.recordStoreAnswer()
+  })
+  const outage: OutageWatch = new OutageWatch({
+    clock,
+    readStoreAgeMs: () => news.directStoreAgeMs,
+    listPeers,
+    askStoreAge: async address => await peers.askStoreAge(address),
+    isNeeded: () => leases.ownsAny
+  })
+  const leases = new LeaseTask({
+    clock,
+    log,
+    board,
+    own,
+    readsStore: () => news.reachesStore,
+    isRunning: async address => await peers.askStoreAge(address) !== undefined,
+    transact: async transaction => await access.transact(transaction),
+    applyOwnRow: row => mirror.applyOwnRow(row),
+    isOutage: () => outage.isOutage(),
+    receiveOwnership: options.receiveOwnership
+  })
+  return { leases, outage }
+}
+
+/** A new order each time, so that no peer gets all the questions. */
+function shuffle<T> (values: T[]): T[] {
+  return values.map(value => ({ value, rank: Math.random() })).sort((left, right) => left.rank - right.rank).map(({ value }) => value)
+}
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -5,7 +5,6 @@
 import { createHttpRelay } from '../adapters/relay/httpRelay.js'
 import { NewsBoard } from '../core/newsBoard.js'
 import { RowMirror } from '../core/rowMirror.js'
-import { createSlackPlanners } from '../core/slackPlanner.js'
 import { decodePlatformRow, endpointsTable, isSameEndpointNews, operatorsTable } from '../platform/decodeNews.js'
 import { createEngineOrders } from '../platform/engineOrders.js'
 import { createStoreClient } from '../platform/storeClient.js'
@@ -15,8 +14,7 @@
 import { hostsTable } from '../schemas/hostRows.js'
 import { DeskTask } from '../tasks/desk/deskTask.js'
 import { PlaceClient } from '../tasks/front/placeClient.js'
-import { LeaseTask } from '../tasks/leases/leaseTask.js'
-import type { LeaseTaskOptions } from '../tasks/leases/leaseTask.js'
+import type { LeaseTask } from '../tasks/leases/leaseTask.js'
 import { logChange } from '../tasks/news/logChange.js'
 import { NewsTask } from '../tasks/news/newsTask.js'
 import type { NewsTaskOptions } from '../tasks/news/newsTask.js'
@@ -24,6 +22,7 @@
 import { PeerTask } from '../tasks/peers/peerTask.js'
 import { createFront } from './createFront.js'
 import type { Front } from './createFront.js'
+import { createLeases } from './createLeases.js'
 import type { RunningProcess } from './runBinary.js'
 import { startReadiness } from './startReadiness.js'
 import type { Readiness } from './startReadiness.js'
@@ -38,8 +37,6 @@
 const quietMs = 3000
 /** Left of the time between SIGTERM and SIGKILL for the process to end. */
 const exitMarginMs = 700
-/** Loads that one engine takes at a time. */
-const maxPendingLoads = 4
 
 /**
  * Starts a host; it says that it is ready once it knows a configuration and endpoints.
@@ -73,41 +70,38 @@
     clock,
     datagrams,
     own,
-    readStoreAgeMs: () => news.storeAgeMs,
+    readStoreAgeMs: () => news.directStoreAgeMs,
     receiveAtDesk: (message, sender, answer) => desks.receiveMessage(message, sender, answer),
     receiveAnswer: answer => places.receiveAnswer(answer),
     receiveConfirmation: ids => places.receiveConfirmation(ids)
   })
   const places = new PlaceClient({ clock, datagrams, ownAddress: settings.address, deliverLocally: message => peers.deliverLocally(message) })
-  const leaseOptions: LeaseTaskOptions = {
+  const { leases, outage } = createLeases({
     clock,
     log,
-    store,
-    board,
     own,
-    readsStore: () => news.reachesStore,
-    isRunning: async address => await peers.isRunning(address),
-    transactByPeer: async transaction => {
-      const peer = [...board.hosts.values()].find(host => host.row.host !== own.host)
-      if (!peer) return { verdict: 'unknown', reason: 'no peer is known' }
-      return await relay.transact(formatRelayAddress(peer.row.address), transaction)
-    },
-    receiveStoreAnswer: () => news.recordStoreAnswer(),
+    board,
+    mirror,
+    news,
+    peers,
+    store,
+    relay,
+    formatRelayAddress,
     receiveOwnership: (endpointId, fencing) => desks.receiveOwnership(endpointId, fencing)
-  }
-  const leases = new LeaseTask(leaseOptions)
+  })
   const desks = new DeskTask({
     clock,
     log,
     host: settings.hostName,
     board,
-    createPlanner: createSlackPlanners({ maxPendingLoads, computeGraceMs: targetMs => targetMs }),
     openOrders: endpoint => createEngineOrders(endpoint.id, endpoint.address),
     findFencing: endpointId => leases.findFencing(endpointId)
   })
   const front: Front = createFront({ settings, clock, log, board, places })
 
-  const relayServer = await startRelayServer({ address: settings.peersAddress, clock, mirror, store, readStoreAgeMs: () => news.storeAgeMs })
+  const relayServer = await startRelayServer({
+    address: settings.peersAddress, clock, mirror, store, readStoreAgeMs: () => news.storeAgeMs, reachesStore: () => news.reachesStore
+  })
   await front.callers.start()
   const readiness = await startReadiness(settings.readinessAddress, () => board.routes !== undefined && board.endpoints.list(clock.readMonotonic()).length > 0)
   process.on('SIGHUP', () => {
@@ -115,12 +109,14 @@
   })
   news.start()
   leases.start()
+  outage.start()
   log.record('host.started', 'The host has started.', { zone: settings.zone, address: settings.address })
 
   return {
     describeState: () => ({ host: own, desks: desks.describeState(), configuration: board.routes?.configuration.version, storeAgeMs: news.storeAgeMs }),
     stop: async () => {
       await drainHost({ settings, clock, log, readiness, front, leases })
+      outage.stop()
       news.stop()
       places.stop()
       datagrams.close()
--- /dev/null
+++ b/src/core/desk/deskPlanner.ts
@@ -0,0 +1,322 @@
+/**
+ * Decides about the places of one engine: which request gets one now, waits for its adapter, should ask elsewhere or is
+ * refused, and which adapters are loaded and unloaded for those that wait. It does no I/O.
+ */
+import type { DeskLoad } from '../../schemas/datagram.js'
+import { isCrowded } from '../frontChoice.js'
+import { AdapterPlaces } from './adapterPlaces.js'
+import type { PlacedAdapter } from './adapterPlaces.js'
+import { PromptCache } from './promptCache.js'
+import type { PromptPart } from './promptCache.js'
+import { PromptWork } from './promptWork.js'
+
+/** A request that asks for a place. All times are of the owner's monotonic clock. */
+export interface DeskRequest {
+  readonly key: string
+  /** `MODEL/ADAPTER`; the model itself has an empty adapter and needs no slot. */
+  readonly adapter: string
+  readonly isBase: boolean
+  readonly version: number
+  /** When its answer becomes late, and when its caller leaves. */
+  readonly dueAtMs: number
+  readonly leavesAtMs: number
+  readonly promptTokens: number
+  readonly parts: readonly PromptPart[]
+  /** Whether the asker has other engines to ask. */
+  readonly mayDecline: boolean
+}
+
+export type DeskVerdict =
+  | { readonly kind: 'granted' }
+  | { readonly kind: 'queued', readonly expectedMs: number }
+  /** Another engine may serve it sooner; this one would in `expectedMs`. */
+  | { readonly kind: 'declined', readonly expectedMs: number, readonly reason: string }
+  | { readonly kind: 'refused', readonly retryAfterMs: number, readonly reason: string }
+
+export interface DeskPlan {
+  readonly granted: string[]
+  readonly refused: { readonly key: string, readonly retryAfterMs: number, readonly reason: string }[]
+  readonly loads: { readonly adapter: string, readonly version: number }[]
+  readonly unloads: string[]
+  /** When to plan again if nothing happens before. */
+  readonly wakeAtMs: number | undefined
+}
+
+export interface DeskOptions {
+  readonly adapterSlots: number
+  readonly batchLimit: number
+  /** Tokens of the engine's memory that prompts may keep. */
+  readonly cacheTokens: number
+  /** Loads that the engine takes at a time. */
+  readonly maxLoads: number
+  /** Expected time of an adapter's load. */
+  readonly expectLoadMs: (adapter: string, version: number) => number
+}
+
+/** A batch that is full lets the next request in about this much later. */
+const fullBatchMs = 50
+/** How long after its target a request is still worth a start, as a part of the time that it had. */
+const gracePart = 1
+const minGraceMs = 400
+const minRetryAfterMs = 100
+/** A load that failed is not ordered again for this long; most fail because the engine's state has to be read anew. */
+const loadBackOffMs = 150
+
+interface Waiting {
+  request: DeskRequest
+  readMs: number
+}
+
+interface Running {
+  adapter: string
+  isBase: boolean
+  expectedMs: number
+}
+
+export class DeskPlanner {
+  readonly places: AdapterPlaces
+  readonly work = new PromptWork()
+  #options: DeskOptions
+  #cache: PromptCache
+  #waiting = new Map<string, Waiting>()
+  #running = new Map<string, Running>()
+  #failedLoads = new Map<string, number>()
+  #lastReturnMs = 0
+
+  constructor (options: DeskOptions) {
+    this.#options = options
+    this.places = new AdapterPlaces(options.adapterSlots)
+    this.#cache = new PromptCache(options.cacheTokens)
+  }
+
+  get running (): number {
+    return this.#running.size
+  }
+
+  get waiting (): number {
+    return this.#waiting.size
+  }
+
+  readLoad (nowMs: number): DeskLoad {
+    return { use: this.work.readUse(nowMs), backlogMs: this.work.readBacklogMs(nowMs), batchPart: (this.#running.size + this.#waiting.size) / this.#options.batchLimit }
+  }
+
+  // Requests
+
+  add (request: DeskRequest, nowMs: number): DeskVerdict {
+    this.places.recordAsked(request.adapter, nowMs)
+    const missing = this.#cache.countMissing(request.adapter, request.parts, request.promptTokens)
+    const readMs = this.work.computeReadMs(missing, request.promptTokens)
+    const expectedMs = this.#expectStartMs(request, nowMs)
+    if (request.mayDecline) {
+      const reason = this.#findReasonToDecline(request, expectedMs, readMs, nowMs)
+      if (reason !== undefined) return { kind: 'declined', expectedMs: expectedMs + readMs, reason }
+    }
+    const graceMs = Math.max(minGraceMs, gracePart * (request.dueAtMs - nowMs))
+    const latestMs = Math.min(Math.max(request.dueAtMs - readMs - nowMs, 0) + graceMs, request.leavesAtMs - nowMs)
+    if (expectedMs > latestMs) {
+      const reason = `it would start in ${Math.round(expectedMs)} ms and is worth a start within ${Math.round(latestMs)} ms`
+      return { kind: 'refused', retryAfterMs: this.#pickReturn(expectedMs - latestMs, nowMs), reason }
+    }
+    this.#waiting.set(request.key, { request, readMs })
+    return { kind: 'queued', expectedMs }
+  }
+
+  /** A request has ended, was withdrawn or is lost. */
+  remove (key: string): void {
+    this.#waiting.delete(key)
+    const running = this.#running.get(key)
+    if (!running) return
+    this.#running.delete(key)
+    const placed = this.places.find(running.adapter)
+    if (placed && !running.isBase) placed.running = Math.max(0, placed.running - 1)
+  }
+
+  /** The first part of an answer came so long after the request was sent. */
+  recordFirstPart (key: string, measuredMs: number): void {
+    const running = this.#running.get(key)
+    if (running) this.work.recordFirstPart(running.expectedMs, measuredMs)
+  }
+
+  // Adapters
+
+  recordLoaded (adapter: string, version: number, nowMs: number): void {
+    const placed = this.places.find(adapter)
+    if (placed && placed.version === version) {
+      placed.state = 'loaded'
+      placed.usedAtMs = nowMs
+      return
+    }
+    this.places.add(adapter, version, 'loaded', nowMs, nowMs)
+  }
+
+  recordLoadFailed (adapter: string, nowMs: number): void {
+    if (this.places.find(adapter)?.state === 'loading') this.places.remove(adapter)
+    this.#failedLoads.set(adapter, nowMs)
+  }
+
+  recordUnloaded (adapter: string): void {
+    this.places.remove(adapter)
+    this.#cache.forgetAdapter(adapter)
+  }
+
+  recordUnloadFailed (adapter: string, nowMs: number): void {
+    const placed = this.places.find(adapter)
+    if (placed?.state !== 'unloading') return
+    placed.state = 'loaded'
+    placed.usedAtMs = nowMs
+  }
+
+  /** The engine lost everything that it held and ran. */
+  recordRestarted (): void {
+    this.places.clear()
+    this.#cache.clear()
+    this.work.clear()
+    this.#running.clear()
+  }
+
+  /**
+   * Grants places, refuses what waited too long, and orders loads and unloads for the rest; `mayOrder` tells whether the
+   * engine may be given orders now.
+   */
+  plan (nowMs: number, mayOrder: boolean): DeskPlan {
+    const plan: DeskPlan & { wakeAtMs: number | undefined } = { granted: [], refused: [], loads: [], unloads: [], wakeAtMs: undefined }
+    const ordered = [...this.#waiting.values()].sort((left, right) => compareUrgency(left.request, right.request, nowMs))
+    const needed = new Map<string, DeskRequest>()
+    for (const waiting of ordered) {
+      const { request } = waiting
+      if (this.#mayGrant(request)) {
+        if (this.#running.size < this.#options.batchLimit) this.#grant(waiting, plan, nowMs)
+      } else if (!needed.has(request.adapter)) {
+        needed.set(request.adapter, request)
+      }
+    }
+    this.#refuseOverdue(plan, nowMs)
+    if (!mayOrder) return plan
+    for (const request of needed.values()) if (this.#waiting.has(request.key)) this.#planLoad(request, needed, plan, nowMs)
+    return plan
+  }
+
+  #mayGrant (request: DeskRequest): boolean {
+    if (request.isBase) return true
+    const placed = this.places.find(request.adapter)
+    return placed !== undefined && placed.state === 'loaded' && placed.version >= request.version && !placed.isClosing
+  }
+
+  #grant ({ request, readMs }: Waiting, plan: DeskPlan, nowMs: number): void {
+    this.#waiting.delete(request.key)
+    this.#running.set(request.key, { adapter: request.adapter, isBase: request.isBase, expectedMs: this.work.readBacklogMs(nowMs) + readMs })
+    this.work.recordGranted(readMs, nowMs)
+    this.#cache.recordRead(request.adapter, request.parts)
+    const placed = this.places.find(request.adapter)
+    if (placed && !request.isBase) {
+      placed.running++
+      placed.usedAtMs = nowMs
+    }
+    plan.granted.push(request.key)
+  }
+
+  #refuseOverdue (plan: DeskPlan & { wakeAtMs: number | undefined }, nowMs: number): void {
+    for (const { request } of [...this.#waiting.values()]) {
+      const lastMs = Math.min(request.leavesAtMs, request.dueAtMs + Math.max(minGraceMs, gracePart * (request.dueAtMs - nowMs)))
+      if (lastMs > nowMs) {
+        plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, lastMs)
+        continue
+      }
+      this.#waiting.delete(request.key)
+      plan.refused.push({ key: request.key, retryAfterMs: this.#pickReturn(minRetryAfterMs, nowMs), reason: 'its adapter was not loaded in time' })
+    }
+  }
+
+  /** Loads an adapter into a free slot, or has another one make way. */
+  #planLoad (request: DeskRequest, needed: Map<string, DeskRequest>, plan: DeskPlan & { wakeAtMs: number | undefined }, nowMs: number): void {
+    const { places } = this
+    const placed = places.find(request.adapter)
+    if (placed) {
+      if (placed.version < request.version) this.#replaceVersion(placed, plan)
+      return
+    }
+    if (places.loading >= this.#options.maxLoads || this.#backsOff(request.adapter, plan, nowMs)) return
+    if (places.free > 0) {
+      places.add(request.adapter, request.version, 'loading', nowMs + this.#options.expectLoadMs(request.adapter, request.version), nowMs)
+      plan.loads.push({ adapter: request.adapter, version: request.version })
+      return
+    }
+    // One slot on its way for each load that waits for one.
+    if (places.unloading + places.loading >= this.#options.maxLoads) return
+    const victim = places.findVictim(nowMs, name => needed.has(name))
+    if (victim) this.#unload(victim, plan)
+  }
+
+  /** Whether the last load of an adapter failed so lately that the next one has to wait. */
+  #backsOff (adapter: string, plan: DeskPlan & { wakeAtMs: number | undefined }, nowMs: number): boolean {
+    const failedAtMs = this.#failedLoads.get(adapter)
+    if (failedAtMs === undefined) return false
+    if (nowMs - failedAtMs < loadBackOffMs) {
+      plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, failedAtMs + loadBackOffMs)
+      return true
+    }
+    this.#failedLoads.delete(adapter)
+    return false
+  }
+
+  /** An engine holds one version of an adapter at a time; the old one goes when what runs on it has ended. */
+  #replaceVersion (placed: PlacedAdapter, plan: DeskPlan): void {
+    if (placed.state !== 'loaded') return
+    placed.isClosing = true
+    if (placed.running === 0) this.#unload(placed, plan)
+  }
+
+  #unload (placed: PlacedAdapter, plan: DeskPlan): void {
+    placed.state = 'unloading'
+    plan.unloads.push(placed.name)
+  }
+
+  // Expectations
+
+  /** Time until the engine would begin with a request, its load and the prompts before it included. */
+  #expectStartMs (request: DeskRequest, nowMs: number): number {
+    const backlogMs = this.work.readBacklogMs(nowMs)
+    const batchMs = this.#running.size >= this.#options.batchLimit ? fullBatchMs : 0
+    return Math.max(backlogMs, this.#expectAdapterMs(request, nowMs)) + batchMs
+  }
+
+  #expectAdapterMs (request: DeskRequest, nowMs: number): number {
+    if (request.isBase) return 0
+    const { expectLoadMs, maxLoads } = this.#options
+    const loadMs = expectLoadMs(request.adapter, request.version)
+    const placed = this.places.find(request.adapter)
+    if (placed && placed.version >= request.version) {
+      if (placed.state === 'loaded') return 0
+      if (placed.state === 'loading') return Math.max(0, placed.readyAtMs - nowMs)
+    }
+    const queued = new Set<string>()
+    for (const { request: other } of this.#waiting.values()) if (!other.isBase && !this.places.find(other.adapter)) queued.add(other.adapter)
+    const rounds = Math.floor((queued.size + this.places.loading) / maxLoads)
+    const hasSlot = this.places.free + this.places.idle > queued.size
+    // Without an idle adapter a slot falls free when a run ends, which takes about as long as a load.
+    return loadMs * (1 + rounds + (hasSlot ? 0 : 1))
+  }
+
+  #findReasonToDecline (request: DeskRequest, expectedMs: number, readMs: number, nowMs: number): string | undefined {
+    const load = this.readLoad(nowMs)
+    if (isCrowded(load)) return `prompts take ${Math.round(load.use * 100)}% of the engine's time and ${Math.round(load.batchPart * 100)}% of the batch is taken`
+    if (expectedMs + readMs > request.dueAtMs - nowMs) return `it would start in ${Math.round(expectedMs)} ms`
+    return undefined
+  }
+
+  /** When a refused caller should come back: one after the other, once the excess is worked off. */
+  #pickReturn (excessMs: number, nowMs: number): number {
+    const earliestMs = nowMs + Math.max(minRetryAfterMs, excessMs)
+    const intervalMs = 1000 / 50
+    this.#lastReturnMs = Math.min(Math.max(earliestMs, this.#lastReturnMs + intervalMs), earliestMs + 1000)
+    return this.#lastReturnMs - nowMs
+  }
+}
+
+/** What can still be on time goes first, by its due time; what is late goes after it. */
+function compareUrgency (left: DeskRequest, right: DeskRequest, nowMs: number): number {
+  const lateLeft = left.dueAtMs < nowMs ? 1 : 0
+  const lateRight = right.dueAtMs < nowMs ? 1 : 0
+  return lateLeft - lateRight || left.dueAtMs - right.dueAtMs
+}
--- a/src/core/frontChoice.ts
+++ b/src/core/frontChoice.ts
@@ -1,4 +1,5 @@
 /** Which endpoint a front sends a request to, or asks for a place. */
+import type { DeskLoad } from '../schemas/datagram.js'
 import { computeHash } from './rendezvousHash.js'
 
 export interface FrontCandidate {
@@ -11,8 +12,6 @@
   isFailing: boolean
 }
 
-/** Above this part of its places an endpoint passes an adapter's further requests on to the next in rank. */
-export const crowdedPart = 0.75
 /** Another zone costs two crossings of some 1 ms, a fraction of a place. */
 const otherZonePart = 0.02
 
@@ -36,13 +35,31 @@
   return best
 }
 
+export interface EngineCandidate {
+  id: string
+  /** Its owner has just told that it would rather not. */
+  isBusy: boolean
+  isFailing: boolean
+}
+
+/** Above this use and backlog an engine's owner sends requests elsewhere that have somewhere else to go. */
+const crowdedUse = 0.6
+const crowdedBacklogMs = 25
+/** Part of the batch that is full enough to send requests elsewhere. */
+const crowdedBatchPart = 0.85
+
+/** Whether an engine should not get a request that another one can take. */
+export function isCrowded ({ use, backlogMs, batchPart }: DeskLoad): boolean {
+  return (use > crowdedUse && backlogMs > crowdedBacklogMs) || batchPart > crowdedBatchPart
+}
+
 /**
  * Ranks the engines for an adapter. Every host finds the same order by rendezvous hashing, so that an adapter's requests
- * meet where it is loaded; engines that are crowded or fail go behind those that are not.
+ * meet where it is loaded; engines that fail go behind those that do not.
  */
-export function rankEngines (name: string, candidates: readonly FrontCandidate[]): FrontCandidate[] {
+export function rankEngines (name: string, candidates: readonly EngineCandidate[]): EngineCandidate[] {
   return candidates
-    .map(candidate => ({ candidate, group: (candidate.isFailing ? 2 : 0) + (candidate.busyPart > crowdedPart ? 1 : 0), hash: computeHash(`${name} ${candidate.id}`) }))
+    .map(candidate => ({ candidate, group: candidate.isFailing ? 1 : 0, hash: computeHash(`${name} ${candidate.id}`) }))
     .sort((left, right) => left.group - right.group || right.hash - left.hash)
     .map(({ candidate }) => candidate)
 }
--- a/src/core/rowMirror.ts
+++ b/src/core/rowMirror.ts
@@ -76,6 +76,12 @@
     this.applyChanges(table, rows, version)
   }
 
+  /** Takes a row that this host wrote itself, ahead of the news. */
+  applyOwnRow (row: StoreRow): void {
+    this.#applyRow(row)
+    this.#wakeFollowers()
+  }
+
   /** What has changed since a position of this log; everything where the position is unknown. */
   readChanges (logId: string, position: number): MirrorChanges {
     const isKnown = logId === this.logId && position >= this.#logStart && position <= this.position
--- a/src/platform/decodeEndpoint.ts
+++ b/src/platform/decodeEndpoint.ts
@@ -68,7 +68,7 @@
     startedAtMs: report.born,
     models: decodeModels(report.models),
     // The wire's names of coming adapters are MODEL/NAME@VERSION.
-    loading: (report.coming ?? []).map(name => decodeAdapter(name.slice(name.indexOf('/') + 1))),
+    loading: (report.coming ?? []).map(name => ({ model: name.slice(0, name.indexOf('/')), ...decodeAdapter(name.slice(name.indexOf('/') + 1)) })),
     isBusy: report.busy,
     orderCount: report.sequence,
     running: report.running,
--- a/src/platform/engineOrders.ts
+++ b/src/platform/engineOrders.ts
@@ -5,8 +5,8 @@
 import { decodeReport } from './decodeEndpoint.js'
 import { wireHeaders, wirePaths } from './wireNames.js'
 
-/** An order without an answer after this time may still be carried out; engines answer within milliseconds. */
-const orderTimeoutMs = 250
+/** An order without an answer after this time may still be carried out; engines answer within 15 ms. */
+const orderTimeoutMs = 100
 const reportTimeoutMs = 500
 const connectTimeoutMs = 400
 /** Errors after which the engine certainly has not seen the order. */
--- a/src/platform/requestWire.ts
+++ b/src/platform/requestWire.ts
@@ -35,10 +35,15 @@
     promptTokens,
     maxTokens,
     // Parts are ID:TOKENS pairs.
-    promptParts: readText(headers[wireHeaders.promptParts]).split(',').filter(part => part !== '').map(part => part.split(':')[0]!)
+    promptParts: readText(headers[wireHeaders.promptParts]).split(',').filter(part => part !== '').map(decodePart)
   }
 }
 
+function decodePart (part: string): { id: string, tokens: number } {
+  const [id = '', tokens = ''] = part.split(':')
+  return { id, tokens: readNumber(tokens) }
+}
+
 function filterHeaders (message: IncomingMessage): string[] {
   const named = new Set(readText(message.headers.connection).toLowerCase().split(',').map(name => name.trim()))
   const kept: string[] = []
--- a/src/ports/orders.ts
+++ b/src/ports/orders.ts
@@ -32,7 +32,7 @@
 export interface EngineState {
   readonly startedAtMs: number | undefined
   readonly models: readonly LoadedModel[]
-  readonly loading: readonly LoadedAdapter[]
+  readonly loading: readonly (LoadedAdapter & { readonly model: string })[]
   readonly isBusy: boolean
   readonly orderCount: number
   readonly running: number
--- a/src/schemas/callerRequest.ts
+++ b/src/schemas/callerRequest.ts
@@ -19,8 +19,8 @@
   readonly adapter: string
   readonly promptTokens: number
   readonly maxTokens: number
-  /** Ids of the prompt's parts, in order. */
-  readonly promptParts: readonly string[]
+  /** Parts of the prompt that requests share, in order; the last one belongs to the request or its session. */
+  readonly promptParts: readonly { readonly id: string, readonly tokens: number }[]
 }
 
 export interface EndpointLoad {
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -18,18 +18,32 @@
   /** Milliseconds until the answer is late, and until the caller leaves. */
   dueInMs: Type.Number(),
   leavesInMs: Type.Number(),
-  promptTokens: Type.Integer(),
-  maxTokens: Type.Integer(),
+  promptTokens: Type.Number(),
+  maxTokens: Type.Number(),
+  /** Ids of the prompt's parts and their tokens, in order. */
+  parts: Type.Array(Type.Tuple([Type.String(), Type.Number()])),
+  /** Whether the asker would rather go elsewhere than wait here. */
+  mayDecline: Type.Boolean(),
   /** Hash of what the request asks, to recognise one that crashes engines. */
   fingerprint: Type.String()
 })
 export type PlaceAsk = Static<typeof placeAskSchema>
 
+/** How busy an engine is, as its owner knows it. */
+export const deskLoadSchema = Type.Object({
+  /** Part of the engine's time that prompts take. */
+  use: Type.Number(),
+  /** Milliseconds until a prompt that is sent now begins to be read. */
+  backlogMs: Type.Number(),
+  /** Part of the batch that is taken. */
+  batchPart: Type.Number()
+})
+export type DeskLoad = Static<typeof deskLoadSchema>
+
 export const placeGrantSchema = Type.Object({
   type: Type.Literal('grant'),
   id: Type.Integer(),
-  /** Part of the endpoint's places in use, 0 to 1. */
-  load: Type.Number(),
+  load: deskLoadSchema,
   /** Milliseconds that the ask waited at the owner. */
   waitedMs: Type.Number(),
   /** Version of the adapter that is loaded; 0 where unknown. */
@@ -43,13 +57,16 @@
   expectedMs: Type.Number()
 })
 
+/** No place here now. */
 export const placeRefusalSchema = Type.Object({
   type: Type.Literal('refusal'),
   id: Type.Integer(),
   code: Type.String(),
   message: Type.String(),
   retryAfterMs: Type.Number(),
-  load: Type.Number()
+  /** When the request would start here after all; -1 where it would not. */
+  expectedMs: Type.Number(),
+  load: Type.Optional(deskLoadSchema)
 })
 
 /** What became of a place. */
@@ -60,6 +77,8 @@
   /** The endpoint did not run it because the adapter is not there. */
   Type.Literal('missing'),
   Type.Literal('rejected'),
+  /** No connection to the endpoint could be made. */
+  Type.Literal('unreachable'),
   /** Not used, or the caller left. */
   Type.Literal('withdrawn')
 ])
@@ -84,7 +103,7 @@
   type: Type.Literal('pong'),
   echo: Type.Integer(),
   session: Type.String(),
-  /** Milliseconds since the host last reached the store; -1 where it never did. */
+  /** Milliseconds since the host itself last reached the store. */
   storeAgeMs: Type.Number()
 })
 
--- a/src/tasks/desk/deskTask.ts
+++ b/src/tasks/desk/deskTask.ts
@@ -1,5 +1,4 @@
 /** The desks of all endpoints that this host owns, and the asks that reach them. */
-import type { CreatePlanner } from '../../core/planner.js'
 import type { BoardChange, NewsBoard } from '../../core/newsBoard.js'
 import type { Clock } from '../../ports/clock.js'
 import type { DatagramSender } from '../../ports/datagrams.js'
@@ -7,7 +6,6 @@
 import type { EngineOrders } from '../../ports/orders.js'
 import type { HostMessage, PlaceAnswer } from '../../schemas/datagram.js'
 import type { EndpointEntry } from '../../schemas/routing.js'
-import { createNotRun } from '../../schemas/verdict.js'
 import { EndpointDesk } from './endpointDesk.js'
 
 export interface DeskTaskOptions {
@@ -15,7 +13,6 @@
   log: EventLog
   host: string
   board: NewsBoard
-  createPlanner: CreatePlanner
   openOrders: (endpoint: EndpointEntry) => EngineOrders
   findFencing: (endpointId: string) => number | undefined
 }
@@ -58,7 +55,7 @@
       return
     }
     if (desk) desk.receiveAsk(key, message, answer)
-    else answer({ type: 'refusal', id: message.id, code: 'not_owner', message: `this host does not own endpoint "${message.endpointId}"`, retryAfterMs: 0, load: 0 })
+    else answer({ type: 'refusal', id: message.id, code: 'not_owner', message: `this host does not own endpoint "${message.endpointId}"`, retryAfterMs: 0, expectedMs: -1 })
   }
 
   describeState (): unknown {
@@ -73,7 +70,7 @@
   }
 
   #openDesk (endpointId: string): void {
-    const { clock, log, host, board, createPlanner, openOrders } = this.#options
+    const { clock, log, host, board, openOrders } = this.#options
     if (this.#desks.has(endpointId)) return
     const entry = board.endpoints.find(endpointId, clock.readMonotonic())
     const engine = entry && board.routes?.configuration.services.get(entry.service)?.engine
@@ -85,7 +82,6 @@
       entry,
       engine,
       orders: openOrders(entry),
-      planner: createPlanner({ endpointId, slots: engine.adapterSlots, batchLimit: engine.batchLimit, holdsVersionsTogether: false }),
       findFencing: () => this.#options.findFencing(endpointId),
       findVersion: (model, adapter) => board.findAdapterVersion(model, adapter),
       settleMs
@@ -98,6 +94,6 @@
     const desk = this.#desks.get(endpointId)
     if (!desk) return
     this.#desks.delete(endpointId)
-    desk.stop(createNotRun('not_owner', `endpoint "${endpointId}" takes no asks here: ${reason}`, 503))
+    desk.stop(`endpoint "${endpointId}" takes no asks here: ${reason}`)
   }
 }
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -1,12 +1,12 @@
-/** Gives out the places of one engine: queues asks, has adapters loaded and unloaded, and grants places. */
-import type { EndpointPlan, EndpointPlanner, PlannedLoad, PlannedUnload } from '../../core/planner.js'
+/** Gives out the places of one engine: takes asks, has adapters loaded and unloaded, and grants places. */
+import { DeskPlanner } from '../../core/desk/deskPlanner.js'
+import type { DeskPlan, DeskVerdict } from '../../core/desk/deskPlanner.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { EngineOrders, EngineState } from '../../ports/orders.js'
 import type { PlaceAnswer, PlaceAsk, PlaceDone } from '../../schemas/datagram.js'
 import type { EndpointEntry, EngineShape } from '../../schemas/routing.js'
-import { createNotRun } from '../../schemas/verdict.js'
-import type { RequestFailure } from '../../schemas/verdict.js'
+import { EngineWatch } from './engineWatch.js'
 import { LoadWatch } from './loadWatch.js'
 import { OrderLine } from './orderLine.js'
 
@@ -19,7 +19,6 @@
   entry: EndpointEntry
   engine: EngineShape
   orders: EngineOrders
-  planner: EndpointPlanner
   findFencing: () => number | undefined
   /** Newest declared version of an adapter; 0 where none was declared. */
   findVersion: (model: string, adapter: string) => number
@@ -33,20 +32,22 @@
   answer: AnswerAsk
   version: number
   receivedAtMs: number
-  grantedAtMs: number | undefined
+  isGranted: boolean
   /** The last answer, for an ask that comes again. */
   lastAnswer: PlaceAnswer | undefined
 }
 
-/** Reports tell the state as of some hundred milliseconds ago. */
-const reportLagMs = 350
-/** Time between two tries to read the engine's state. */
-const rereadMs = 300
 /** A place whose holder was not heard of any more is free this long after its caller has left. */
 const lostPlaceMs = 1000
 const sweepIntervalMs = 500
 /** Version of adapters for which none was declared. */
 const firstVersion = 1
+/** Loads that one engine takes at a time. */
+const maxLoads = 4
+/** Part of the engine's memory that prompts may be expected to keep beside what runs. */
+const keptPart = 0.6
+/** An accepted unload waits for its runs; it is asked for again after this time. */
+const repeatUnloadMs = 60
 
 export class EndpointDesk {
   #options: EndpointDeskOptions
@@ -54,8 +55,8 @@
   #places = new Map<string, Place>()
   #line: OrderLine
   #loads: LoadWatch
-  #isReady = false
-  #isReading = false
+  #watch: EngineWatch
+  #planner: DeskPlanner
   #isStopped = false
   #wake: Timer | undefined
   #sweep: Timer | undefined
@@ -64,24 +65,27 @@
   constructor (options: EndpointDeskOptions) {
     this.#options = options
     this.#entry = options.entry
-    this.#line = new OrderLine({
-      ...options,
-      endpointId: options.entry.id,
-      receiveMismatch: reason => { this.#readState(reportLagMs, reason) }
+    const { clock, log, engine, orders } = options
+    this.#line = new OrderLine({ ...options, endpointId: options.entry.id, receiveMismatch: reason => this.#watch.checkState(reason) })
+    this.#loads = new LoadWatch({ clock, line: this.#line })
+    this.#watch = new EngineWatch({
+      clock, log, orders, endpointId: options.entry.id, models: engine.models, line: this.#line, receiveState: (state, isRestarted) => this.#takeOver(state, isRestarted)
+    })
+    this.#planner = new DeskPlanner({
+      adapterSlots: engine.adapterSlots,
+      batchLimit: engine.batchLimit,
+      cacheTokens: engine.cacheTokens * keptPart,
+      maxLoads,
+      expectLoadMs: (adapter, version) => this.#loads.computeExpectedMs(adapter, version)
     })
-    this.#loads = new LoadWatch({ clock: options.clock, line: this.#line })
   }
 
   get endpointId (): string {
     return this.#entry.id
   }
 
-  get startedAtMs (): number {
-    return this.#entry.startedAtMs
-  }
-
   start (): void {
-    this.#readState(this.#options.settleMs, 'the host has become the owner')
+    this.#watch.start(this.#options.settleMs)
     const sweep = (): void => {
       this.#sweepPlaces()
       this.#sweep = this.#options.clock.setTimer(sweep, sweepIntervalMs)
@@ -89,19 +93,20 @@
     sweep()
   }
 
-  stop (failure: RequestFailure): void {
+  stop (reason: string): void {
     this.#isStopped = true
     this.#wake?.cancel()
     this.#sweep?.cancel()
+    this.#watch.stop()
     this.#options.orders.close()
-    for (const place of [...this.#places.values()]) if (place.grantedAtMs === undefined) this.#refuse(place, failure)
+    for (const place of [...this.#places.values()]) if (!place.isGranted) this.#refuse(place, 'not_owner', reason, 0)
   }
 
   /** The endpoint's row has changed. */
   receiveEntry (entry: EndpointEntry): void {
     const isRestarted = entry.startedAtMs !== this.#entry.startedAtMs
     this.#entry = entry
-    if (isRestarted) this.#receiveRestart('its entry tells of a new start')
+    if (isRestarted) this.#line.close('its entry tells of a new start')
   }
 
   receiveAsk (key: string, ask: PlaceAsk, answer: AnswerAsk): void {
@@ -110,83 +115,95 @@
       if (known.lastAnswer) answer(known.lastAnswer)
       return
     }
-    const { clock } = this.#options
-    const nowMs = clock.readMonotonic()
+    const nowMs = this.#options.clock.readMonotonic()
     const place: Place = {
-      key, ask, answer, receivedAtMs: nowMs, grantedAtMs: undefined, lastAnswer: undefined, version: this.#findVersion(ask)
+      key, ask, answer, version: this.#findVersion(ask), receivedAtMs: nowMs, isGranted: false, lastAnswer: undefined
     }
     this.#places.set(key, place)
-    if (!this.#isReady || this.#entry.isLeaving) {
-      const reason = this.#entry.isLeaving ? 'is leaving' : 'has not told its state yet'
-      this.#refuse(place, createNotRun('endpoint_not_ready', `endpoint "${this.endpointId}" ${reason}`, 503))
-      return
-    }
-    this.#admit(place, nowMs)
+    const obstacle = this.#findObstacle(place)
+    if (obstacle) this.#refuse(place, obstacle.code, obstacle.reason, 0)
+    else this.#admit(place, nowMs)
   }
 
   receiveDone (key: string, done: PlaceDone): void {
     const place = this.#places.get(key)
     if (!place) return
-    const { planner, clock } = this.#options
-    const nowMs = clock.readMonotonic()
     this.#places.delete(key)
-    if (done.firstPartMs >= 0) planner.recordFirstToken(key, 0, nowMs)
-    if (done.outcome === 'served') planner.recordFinished(key, 0, nowMs)
-    else planner.removeRequest(key, 0, nowMs)
-    if (done.outcome === 'missing') this.#readState(reportLagMs, `adapter "${place.ask.adapter}" was expected there and is missing`)
+    if (done.firstPartMs >= 0 && done.outcome === 'served') this.#planner.recordFirstPart(key, done.firstPartMs)
+    this.#planner.remove(key)
+    if (done.outcome === 'missing') this.#line.close(`adapter "${place.ask.adapter}" was expected there and is missing`)
+    if (done.outcome === 'unreachable' || done.outcome === 'broken') this.#watch.checkReachable()
     this.#plan()
   }
 
   /** A newer version of an adapter was declared: what waits for the old one waits for the new one. */
   receiveVersion (model: string, adapter: string): void {
-    const { planner, clock } = this.#options
-    const nowMs = clock.readMonotonic()
+    const nowMs = this.#options.clock.readMonotonic()
     for (const place of [...this.#places.values()]) {
-      if (place.ask.model !== model || place.ask.adapter !== adapter || place.grantedAtMs !== undefined) continue
-      planner.removeRequest(place.key, 0, nowMs)
+      if (place.ask.model !== model || place.ask.adapter !== adapter || place.isGranted) continue
+      this.#planner.remove(place.key)
       place.version = this.#findVersion(place.ask)
       this.#admit(place, nowMs)
     }
   }
 
   describeState (): unknown {
-    const { planner, clock } = this.#options
-    const granted = [...this.#places.values()].filter(place => place.grantedAtMs !== undefined).length
-    return { ...planner.readExpectation(clock.readMonotonic()), endpointId: this.endpointId, isReady: this.#isReady, granted, queued: this.#places.size - granted }
+    const nowMs = this.#options.clock.readMonotonic()
+    const { running, waiting, places } = this.#planner
+    return {
+      endpointId: this.endpointId, isReady: this.#watch.isReady, running, waiting, load: this.#planner.readLoad(nowMs), pace: this.#planner.work.pace, adapters: places.list()
+    }
   }
 
   #findVersion (ask: PlaceAsk): number {
-    return Math.max(ask.version, this.#options.findVersion(ask.model, ask.adapter))
+    if (ask.adapter === '') return 0
+    return Math.max(ask.version, this.#options.findVersion(ask.model, ask.adapter), firstVersion)
+  }
+
+  /** Why the engine gives no places now, whatever its load. */
+  #findObstacle ({ ask }: Place): { code: string, reason: string } | undefined {
+    if (this.#entry.isLeaving) return { code: 'endpoint_leaving', reason: `endpoint "${this.endpointId}" is leaving` }
+    if (!this.#watch.isReady) return { code: 'endpoint_not_ready', reason: `endpoint "${this.endpointId}" does not tell its state` }
+    const isPlaced = ask.adapter === '' || this.#planner.places.find(formatAdapter(ask)) !== undefined
+    if (isPlaced || this.#options.findFencing() !== undefined) return undefined
+    return { code: 'no_orders', reason: `the owner of endpoint "${this.endpointId}" may not give it orders now` }
   }
 
   // Places
 
   #admit (place: Place, nowMs: number): void {
-    const { ask, version } = place
-    const { planner, log } = this.#options
-    const admission = planner.addRequest({
-      requestId: place.key,
-      attempt: 0,
-      adapter: formatModelAdapter(ask.model, ask.adapter),
-      version: String(ask.adapter === '' ? 0 : version || firstVersion),
-      className: ask.route,
-      target: { kind: 'firstTokenWithin', ms: Math.max(1, ask.dueInMs) },
-      callerName: '',
-      fingerprint: ask.fingerprint,
+    const { ask } = place
+    const verdict = this.#planner.add({
+      key: place.key,
+      adapter: formatAdapter(ask),
+      isBase: ask.adapter === '',
+      version: place.version,
+      dueAtMs: nowMs + ask.dueInMs,
+      leavesAtMs: nowMs + ask.leavesInMs,
       promptTokens: ask.promptTokens,
-      maxTokens: Math.max(1, ask.maxTokens),
-      arrivedAtMs: nowMs,
-      dueAtMs: nowMs + ask.dueInMs
+      parts: ask.parts.map(([id, tokens]) => ({ id, tokens })),
+      mayDecline: ask.mayDecline
     }, nowMs)
-    if (!admission.isAdmitted) {
-      log.record('place.refused', 'Refused a place.', { requestId: ask.requestId, endpointId: this.endpointId, reason: admission.failure.message })
-      this.#refuse(place, admission.failure)
-      return
+    this.#receiveVerdict(place, verdict)
+  }
+
+  #receiveVerdict (place: Place, verdict: DeskVerdict): void {
+    if (verdict.kind === 'declined') {
+      this.#refuse(place, 'crowded', verdict.reason, 0, verdict.expectedMs)
+    } else if (verdict.kind === 'refused') {
+      this.#options.log.record('place.refused', 'Refused a place.', { requestId: place.ask.requestId, endpointId: this.endpointId, reason: verdict.reason, ...this.#describeLoad() })
+      this.#refuse(place, 'out_of_reach', verdict.reason, verdict.retryAfterMs)
+    } else {
+      this.#plan()
+      if (place.lastAnswer === undefined && verdict.kind === 'queued') this.#answer(place, { type: 'queued', id: place.ask.id, expectedMs: verdict.expectedMs })
     }
-    this.#plan()
-    if (place.lastAnswer === undefined) {
-      const { expectedLoadMs, expectedWaitMs } = planner.readExpectation(nowMs)
-      this.#answer(place, { type: 'queued', id: ask.id, expectedMs: Math.max(expectedLoadMs, expectedWaitMs) })
+  }
+
+  #describeLoad (): Record<string, number> {
+    const { places, running, waiting } = this.#planner
+    const { use, backlogMs } = this.#planner.readLoad(this.#options.clock.readMonotonic())
+    return {
+      use: Math.round(use * 100) / 100, backlogMs: Math.round(backlogMs), running, waiting, free: places.free, idle: places.idle, loading: places.loading, unloading: places.unloading
     }
   }
 
@@ -195,19 +212,12 @@
     place.answer(answer)
   }
 
-  #refuse (place: Place, failure: RequestFailure): void {
-    this.#answer(place, {
-      type: 'refusal', id: place.ask.id, code: failure.code, message: failure.message, retryAfterMs: failure.retryAfterMs ?? 0, load: this.#readLoad()
-    })
+  #refuse (place: Place, code: string, message: string, retryAfterMs: number, expectedMs = -1): void {
+    const load = this.#planner.readLoad(this.#options.clock.readMonotonic())
+    this.#answer(place, { type: 'refusal', id: place.ask.id, code, message, retryAfterMs, expectedMs, load })
     this.#places.delete(place.key)
   }
 
-  #readLoad (): number {
-    let granted = 0
-    for (const place of this.#places.values()) if (place.grantedAtMs !== undefined) granted++
-    return granted / this.#options.engine.batchLimit
-  }
-
   /** Frees places whose holders were lost. */
   #sweepPlaces (): void {
     const nowMs = this.#options.clock.readMonotonic()
@@ -215,7 +225,7 @@
     for (const [key, place] of this.#places) {
       if (nowMs - place.receivedAtMs < place.ask.leavesInMs + lostPlaceMs) continue
       this.#places.delete(key)
-      this.#options.planner.removeRequest(key, 0, nowMs)
+      this.#planner.remove(key)
       isChanged = true
       this.#options.log.record('place.lost', 'Freed a place whose holder was not heard of any more.', { requestId: place.ask.requestId, endpointId: this.endpointId })
     }
@@ -225,143 +235,96 @@
   // Plans
 
   #plan (): void {
-    if (this.#isPlanning || this.#isStopped || !this.#isReady) return
+    if (this.#isPlanning || this.#isStopped || !this.#watch.isReady) return
     this.#isPlanning = true
     this.#wake?.cancel()
-    const { planner, clock } = this.#options
+    const { clock } = this.#options
     const nowMs = clock.readMonotonic()
-    const plan = planner.plan(nowMs)
+    const plan = this.#planner.plan(nowMs, this.#line.isOpen)
     this.#carryOut(plan, nowMs)
-    if (plan.wakeAtMs !== undefined) this.#wake = clock.setTimer(() => this.#plan(), plan.wakeAtMs - nowMs)
+    if (plan.wakeAtMs !== undefined) this.#wake = clock.setTimer(() => this.#plan(), Math.max(1, plan.wakeAtMs - nowMs))
     this.#isPlanning = false
   }
 
-  #carryOut (plan: EndpointPlan, nowMs: number): void {
-    for (const { requestId, failure } of plan.failures) {
-      const place = this.#places.get(requestId)
-      if (place) this.#refuse(place, failure)
+  #carryOut (plan: DeskPlan, nowMs: number): void {
+    for (const { key, retryAfterMs, reason } of plan.refused) {
+      const place = this.#places.get(key)
+      if (!place) continue
+      this.#options.log.record('place.overdue', 'Gave a request up that waited for its adapter.', { requestId: place.ask.requestId, endpointId: this.endpointId, adapter: place.ask.adapter, ...this.#describeLoad() })
+      this.#refuse(place, 'overdue', reason, retryAfterMs)
     }
-    for (const { requestId } of plan.dispatches) this.#grant(requestId, nowMs)
-    for (const unload of plan.unloads) this.#carryOutUnload(unload)
-    for (const load of plan.loads) this.#carryOutLoad(load)
+    const load = this.#planner.readLoad(nowMs)
+    for (const key of plan.granted) this.#grant(key, load, nowMs)
+    for (const adapter of plan.unloads) this.#carryOutUnload(adapter)
+    for (const { adapter, version } of plan.loads) this.#carryOutLoad(adapter, version)
   }
 
-  #grant (key: string, nowMs: number): void {
+  #grant (key: string, load: ReturnType<DeskPlanner['readLoad']>, nowMs: number): void {
     const place = this.#places.get(key)
     if (!place) return
-    place.grantedAtMs = nowMs
-    this.#answer(place, {
-      type: 'grant', id: place.ask.id, load: this.#readLoad(), waitedMs: nowMs - place.receivedAtMs, version: place.version
-    })
+    place.isGranted = true
+    // Only versions that operators declared are asked for by number.
+    const version = place.version === firstVersion && this.#options.findVersion(place.ask.model, place.ask.adapter) === 0 ? 0 : place.version
+    this.#answer(place, { type: 'grant', id: place.ask.id, load, waitedMs: nowMs - place.receivedAtMs, version })
   }
 
   // Orders
 
-  async #carryOutLoad (load: PlannedLoad): Promise<void> {
-    const { planner, clock } = this.#options
-    if (!planner.mayStartLoad(load.adapter, load.version)) {
-      planner.recordLoadFailed(load.adapter, load.version, clock.readMonotonic())
-      this.#plan()
-      return
-    }
-    planner.recordLoadStarted(load.adapter, load.version, clock.readMonotonic())
-    const { model, adapter } = parseModelAdapter(load.adapter)
-    const isLoaded = await this.#loads.load({ kind: 'load', model, adapter, version: Number(load.version) })
+  async #carryOutLoad (name: string, version: number): Promise<void> {
+    const { model, adapter } = parseAdapter(name)
+    const isLoaded = await this.#loads.load({ kind: 'load', model, adapter, version })
     if (this.#isStopped) return
-    const nowMs = clock.readMonotonic()
-    if (isLoaded) planner.recordLoaded(load.adapter, load.version, formatHandle(load.adapter, load.version), nowMs)
-    else planner.recordLoadFailed(load.adapter, load.version, nowMs)
+    if (isLoaded) this.#planner.recordLoaded(name, version, this.#options.clock.readMonotonic())
+    else this.#planner.recordLoadFailed(name, this.#options.clock.readMonotonic())
     this.#plan()
   }
 
-  async #carryOutUnload ({ handle }: PlannedUnload): Promise<void> {
-    const { planner, clock } = this.#options
-    const { model, adapter } = parseModelAdapter(handle.slice(0, handle.lastIndexOf('@')))
-    const outcome = await this.#line.submit({ kind: 'unload', model, adapter, version: undefined })
+  async #carryOutUnload (name: string): Promise<void> {
+    const { clock } = this.#options
+    const { model, adapter } = parseAdapter(name)
+    let outcome = await this.#line.submit({ kind: 'unload', model, adapter, version: undefined })
+    while (outcome.verdict === 'accepted' && !this.#isStopped) {
+      // It waits for runs that were sent without a place; the adapter's slot counts as taken until then.
+      await new Promise<void>(resolve => { clock.setTimer(resolve, repeatUnloadMs) })
+      outcome = await this.#line.repeat({ kind: 'unload', model, adapter, version: undefined })
+    }
     if (this.#isStopped) return
-    if (outcome.verdict === 'accepted') await new Promise<void>(resolve => { clock.setTimer(resolve, rereadMs) })
-    const isDone = outcome.verdict === 'holds' || outcome.verdict === 'accepted'
-    if (isDone) planner.recordUnloaded(handle, clock.readMonotonic())
-    else planner.recordUnloadFailed(handle, clock.readMonotonic())
+    if (outcome.verdict === 'holds') this.#planner.recordUnloaded(name)
+    else this.#planner.recordUnloadFailed(name, clock.readMonotonic())
     this.#plan()
   }
 
   // State
 
-  /** Reads the engine's state after a delay, until it answers, and takes it over. */
-  async #readState (delayMs: number, reason: string): Promise<void> {
-    if (this.#isReading) return
-    this.#isReading = true
-    const { clock, orders, log } = this.#options
-    await new Promise<void>(resolve => { clock.setTimer(resolve, delayMs) })
-    while (!this.#isStopped) {
-      try {
-        const state = await orders.readState()
-        log.record('engine.state', 'Read the state of an engine.', { endpointId: this.endpointId, reason, orderCount: state.orderCount, running: state.running })
-        this.#isReading = false
-        await this.#takeOver(state)
-        return
-      } catch (error) {
-        log.record('engine.unreachable', 'An engine did not tell its state; it is asked again.', { endpointId: this.endpointId, error: (error as Error).message })
-        await new Promise<void>(resolve => { clock.setTimer(resolve, rereadMs) })
-      }
-    }
-  }
-
-  async #takeOver (state: EngineState): Promise<void> {
-    const { planner, clock, engine } = this.#options
-    this.#line.recordState(state)
-    const nowMs = clock.readMonotonic()
-    const missing = engine.models.filter(shape => !state.models.some(model => model.name === shape.name))
-    if (missing.length === engine.models.length) {
-      await this.#loadModel(missing[0]!.name, missing[0]!.loadMs)
-      return
-    }
+  /** Takes over what the engine says that it holds. */
+  #takeOver (state: EngineState, isRestarted: boolean): void {
+    const nowMs = this.#options.clock.readMonotonic()
+    if (isRestarted) this.#planner.recordRestarted()
     const listed = new Set<string>()
     for (const model of state.models) {
-      planner.recordFixed(formatModelAdapter(model.name, ''), '0', formatHandle(model.name, '0'), nowMs)
       for (const { name, version } of model.adapters) {
-        const adapter = formatModelAdapter(model.name, name)
-        listed.add(formatHandle(adapter, String(version)))
-        planner.recordLoaded(adapter, String(version), formatHandle(adapter, String(version)), nowMs)
+        const adapter = `${model.name}/${name}`
+        listed.add(adapter)
+        if (this.#planner.places.find(adapter)?.state !== 'unloading') this.#planner.recordLoaded(adapter, version, nowMs)
       }
     }
-    // What is neither listed nor being loaded by this desk is gone.
-    for (const handle of planner.readExpectation(nowMs).loaded) {
-      if (handle.includes('/') && !handle.includes('/@') && !listed.has(handle)) planner.recordUnloaded(handle, nowMs)
+    // What is neither listed nor on its way is gone.
+    for (const { name, state: adapterState } of this.#planner.places.list()) {
+      if (adapterState === 'loaded' && !listed.has(name)) this.#planner.recordUnloaded(name)
     }
-    const foreign = state.loading.filter(({ name, version }) => !this.#loads.isLoading(name, version))
-    planner.recordBlockedSlots(foreign.length, nowMs)
-    if (foreign.length > 0) this.#readState(reportLagMs, 'a former owner\'s loads are under way')
-    this.#isReady = true
+    const foreign = state.loading.filter(({ model, name, version }) => !this.#loads.isLoading(`${model}/${name}`, version))
+    this.#planner.places.setForeign(foreign.length)
+    if (foreign.length > 0) this.#line.close('loads that a former owner ordered are under way')
     this.#plan()
   }
-
-  /** An engine that holds no model is given the first one of its service. */
-  async #loadModel (model: string, loadMs: number): Promise<void> {
-    const outcome = await this.#line.submit({ kind: 'load', model, adapter: undefined, version: undefined })
-    await this.#readState(outcome.verdict === 'accepted' ? loadMs + reportLagMs : rereadMs, `the engine holds no model; its load was ${outcome.verdict}`)
-  }
-
-  #receiveRestart (reason: string): void {
-    const { planner, clock } = this.#options
-    planner.recordRestarted(clock.readMonotonic())
-    this.#isReady = false
-    this.#line.recordState(undefined)
-    this.#readState(0, reason)
-  }
 }
 
-/** An adapter's name among all models of an engine; the model itself has an empty adapter. */
-function formatModelAdapter (model: string, adapter: string): string {
+/** An adapter's name among all models of an engine. */
+function formatAdapter ({ model, adapter }: PlaceAsk): string {
   return `${model}/${adapter}`
 }
 
-function parseModelAdapter (name: string): { model: string, adapter: string } {
+function parseAdapter (name: string): { model: string, adapter: string } {
   const slash = name.indexOf('/')
   return { model: name.slice(0, slash), adapter: name.slice(slash + 1) }
 }
-
-function formatHandle (adapter: string, version: string): string {
-  return `${adapter}@${version}`
-}
--- /dev/null
+++ b/src/tasks/desk/engineWatch.ts
@@ -0,0 +1,131 @@
+/** Knows whether an engine answers, reads its state when that is in doubt, and gives an empty engine its model. */
+import type { Clock, Timer } from '../../ports/clock.js'
+import type { EventLog } from '../../ports/eventLog.js'
+import type { EngineOrders, EngineState } from '../../ports/orders.js'
+import type { ModelShape } from '../../schemas/routing.js'
+import type { OrderLine } from './orderLine.js'
+
+export interface EngineWatchOptions {
+  clock: Clock
+  log: EventLog
+  orders: EngineOrders
+  endpointId: string
+  models: readonly ModelShape[]
+  line: OrderLine
+  /** Takes a state that tells of every order so far; `isRestarted` where the engine has lost what it held before. */
+  receiveState: (state: EngineState, isRestarted: boolean) => void
+}
+
+/** Reports tell the state as of some hundred milliseconds ago. */
+const reportLagMs = 350
+/** Time between two tries to read the engine's state. */
+const rereadMs = 250
+
+export class EngineWatch {
+  #options: EngineWatchOptions
+  #isReady = false
+  #isReading = false
+  #isStopped = false
+  /** Reports read before this time may not tell of the last order. */
+  #notBeforeMs = 0
+  #timer: Timer | undefined
+  #startedAtMs: number | undefined
+  /** Orders in the last report; a smaller number tells of a new start. */
+  #lastCount = 0
+  #wasRestarted = false
+
+  constructor (options: EngineWatchOptions) {
+    this.#options = options
+  }
+
+  /** Whether the engine has told its state and holds a model. */
+  get isReady (): boolean {
+    return this.#isReady
+  }
+
+  start (settleMs: number): void {
+    this.#read(settleMs, 'the host has become the owner')
+  }
+
+  stop (): void {
+    this.#isStopped = true
+    this.#timer?.cancel()
+  }
+
+  /** Something does not fit what is known: reads the state once reports tell of the last order. */
+  checkState (reason: string): void {
+    this.#read(reportLagMs, reason)
+  }
+
+  /** A request or a connection failed: until the engine answers it gives no places. */
+  checkReachable (): void {
+    this.#read(0, 'a request to it failed')
+  }
+
+  async #read (delayMs: number, reason: string): Promise<void> {
+    const { clock } = this.#options
+    this.#notBeforeMs = Math.max(this.#notBeforeMs, clock.readMonotonic() + delayMs)
+    if (this.#isReading || this.#isStopped) return
+    this.#isReading = true
+    let nextDelayMs: number | undefined = delayMs
+    while (nextDelayMs !== undefined && !this.#isStopped) {
+      await this.#pause(nextDelayMs)
+      const earlyMs = this.#notBeforeMs - clock.readMonotonic()
+      nextDelayMs = earlyMs > 0 && this.#options.line.count === undefined ? earlyMs : await this.#readOnce(reason)
+    }
+    this.#isReading = false
+  }
+
+  /** Returns when to read again; undefined where the state was taken. */
+  async #readOnce (reason: string): Promise<number | undefined> {
+    const { orders, log, endpointId, line } = this.#options
+    try {
+      const state = await orders.readState()
+      const startedAtMs = state.startedAtMs ?? 0
+      const isRestarted = this.#startedAtMs !== undefined && (startedAtMs !== this.#startedAtMs || state.orderCount < this.#lastCount)
+      log.record('engine.state', 'Read the state of an engine.', {
+        endpointId, reason, isRestarted, orderCount: state.orderCount, known: line.count, running: state.running, loading: state.loading.length, models: state.models.length
+      })
+      this.#startedAtMs = startedAtMs
+      this.#lastCount = state.orderCount
+      if (isRestarted && line.count !== undefined) {
+        line.close('the engine has started again')
+        this.#isReady = false
+        this.#wasRestarted = true
+        return reportLagMs
+      }
+      const isCurrent = line.count === undefined
+      if (isCurrent) line.recordState(state)
+      if (state.models.length === 0) {
+        this.#isReady = false
+        return state.isBusy ? rereadMs : await this.#loadModel()
+      }
+      this.#isReady = true
+      // While orders go on, a report that lags behind them says only that the engine answers.
+      if (!isCurrent) return undefined
+      this.#options.receiveState(state, isRestarted || this.#wasRestarted)
+      this.#wasRestarted = false
+      return undefined
+    } catch (error) {
+      if (this.#isReady) log.record('engine.lost', 'An engine does not tell its state; it gives no places until it does.', { endpointId, reason, error: (error as Error).message })
+      this.#isReady = false
+      return rereadMs
+    }
+  }
+
+  /** An engine that holds no model is given the first one of its service. */
+  async #loadModel (): Promise<number> {
+    const { models, line, log, endpointId } = this.#options
+    const model = models[0]
+    if (!model) return rereadMs
+    const outcome = await line.submit({ kind: 'load', model: model.name, adapter: undefined, version: undefined })
+    log.record('engine.empty', 'An engine holds no model; its load was ordered.', { endpointId, model: model.name, verdict: outcome.verdict })
+    // What follows has to be read anew, as the engine now counts one more order.
+    line.recordState(undefined)
+    return reportLagMs
+  }
+
+  async #pause (ms: number): Promise<void> {
+    await new Promise<void>(resolve => { this.#timer = this.#options.clock.setTimer(resolve, ms) })
+  }
+}
--- a/src/tasks/desk/loadWatch.ts
+++ b/src/tasks/desk/loadWatch.ts
@@ -34,18 +34,23 @@
     this.#options = options
   }
 
+  /** Whether an adapter, named `MODEL/ADAPTER`, is on its way. */
   isLoading (adapter: string, version: number): boolean {
-    return this.#loading.has(`${adapter}@${version}`)
+    return this.#loading.has(formatLoad(adapter, version))
   }
 
-  /** Expected time of the load of an adapter. */
-  computeExpectedMs (name: string): number {
+  /** Expected time of the load of an adapter, named `MODEL/ADAPTER`. */
+  computeExpectedMs (adapter: string, version: number): number {
+    return this.#expectMs(formatLoad(adapter, version))
+  }
+
+  #expectMs (name: string): number {
     return this.#remembered.has(name) ? this.#warmMs : this.#coldMs
   }
 
   /** Resolves when the adapter is usable, or with false when the load has failed. */
   async load (order: AdapterLoad): Promise<boolean> {
-    const name = `${order.adapter}@${order.version}`
+    const name = formatLoad(`${order.model}/${order.adapter}`, order.version ?? 0)
     this.#loading.add(name)
     try {
       return await this.#load(name, order)
@@ -61,7 +66,7 @@
     if (outcome.verdict === 'holds') return true
     if (outcome.verdict !== 'accepted') return false
     const startedAtMs = clock.readMonotonic()
-    await this.#pause(this.computeExpectedMs(name))
+    await this.#pause(this.#expectMs(name))
     while (clock.readMonotonic() - startedAtMs < maxLoadMs) {
       const probe = await line.probe(order)
       if (probe.verdict === 'holds') {
@@ -86,3 +91,7 @@
     await new Promise<void>(resolve => { this.#options.clock.setTimer(resolve, ms) })
   }
 }
+
+function formatLoad (adapter: string, version: number): string {
+  return `${adapter}@${version}`
+}
--- a/src/tasks/desk/orderLine.ts
+++ b/src/tasks/desk/orderLine.ts
@@ -28,10 +28,32 @@
     this.#options = options
   }
 
+  /** Orders that the engine has accepted, as far as known. */
+  get count (): number | undefined {
+    return this.#count
+  }
+
+  /** Whether an order would be given now. */
+  get isOpen (): boolean {
+    return this.#count !== undefined && this.#options.findFencing() !== undefined
+  }
+
   recordState (state: EngineState | undefined): void {
     this.#count = state?.orderCount
   }
 
+  /** Closes the line until the engine's state is read, as it is not what it should be. */
+  close (reason: string): void {
+    this.#recordMismatch(reason)
+  }
+
+  /** Asks whether an unload that waited for its runs is done, by giving the order again; it is not counted. */
+  async repeat (order: Omit<EngineOrder, 'expectedCount'>): Promise<OrderOutcome> {
+    const turn = this.#tail.then(async () => await this.probe(order))
+    this.#tail = turn
+    return await turn
+  }
+
   /** Gives an order when those before it have been answered. */
   async submit (order: Omit<EngineOrder, 'expectedCount'>): Promise<OrderOutcome> {
     const turn = this.#tail.then(async () => await this.#send(order))
@@ -39,11 +61,14 @@
     return await turn
   }
 
-  /** Asks whether a load is done, by giving the order again. */
+  /**
+   * Asks whether a load is done, by giving the order again. The condition keeps a probe that is carried out late from
+   * loading an adapter that was unloaded since.
+   */
   async probe (order: Omit<EngineOrder, 'expectedCount'>): Promise<OrderOutcome> {
     const fencing = this.#options.findFencing()
-    if (fencing === undefined) return refuse('the host may not give orders now')
-    return await this.#options.orders.send({ ...order, expectedCount: undefined }, { host: this.#options.host, fencing })
+    if (fencing === undefined || this.#count === undefined) return refuse('the host may not give orders now')
+    return await this.#options.orders.send({ ...order, expectedCount: this.#count }, { host: this.#options.host, fencing })
   }
 
   async #send (order: Omit<EngineOrder, 'expectedCount'>): Promise<OrderOutcome> {
@@ -66,7 +91,9 @@
   }
 
   #recordOutcome (order: Omit<EngineOrder, 'expectedCount'>, outcome: OrderOutcome): void {
-    const isCounted = outcome.verdict === 'accepted' || (outcome.verdict === 'holds' && order.kind === 'unload')
+    // Engines count a load when they accept it, and an unload when they carry it out at once; one that waits for its runs
+    // is not counted, nor is an order that held before.
+    const isCounted = order.kind === 'load' ? outcome.verdict === 'accepted' : outcome.verdict === 'holds'
     if (isCounted && this.#count !== undefined) this.#count++
     if (outcome.verdict === 'refused' && outcome.cause === 'conflict') this.#recordMismatch(outcome.reason)
   }
--- a/src/tasks/front/attempt.ts
+++ b/src/tasks/front/attempt.ts
@@ -41,6 +41,8 @@
   #startedAtMs = 0
   #firstPartMs = -1
   #isSent = false
+  /** Whether this attempt's head went to the caller, rather than that of an earlier one. */
+  #hasWrittenHead = false
   #isOver = false
   #head: AnswerHead | undefined
   #held: Buffer[] = []
@@ -112,10 +114,10 @@
     if (this.#isOver || !this.#head) return true
     if (this.#firstPartMs < 0) this.#firstPartMs = this.#context.clock.readMonotonic() - this.#startedAtMs
     if (this.#cutter) return this.#relayEvents(this.#cutter, chunk)
-    if (this.#options.answer.hasHead) return this.#write(chunk)
+    if (this.#hasWrittenHead) return this.#write(chunk)
     this.#held.push(chunk)
     this.#heldBytes += chunk.length
-    if (this.#heldBytes <= maxHeldBytes) return true
+    if (this.#heldBytes <= maxHeldBytes || this.#options.answer.hasHead) return true
     this.#writeHead(this.#head)
     return this.#write(this.#takeHeld())
   }
@@ -151,6 +153,7 @@
 
   #writeHead (head: AnswerHead): void {
     const length = head.contentLength === undefined || this.#cutter ? [] : ['Content-Length', String(head.contentLength)]
+    this.#hasWrittenHead = true
     this.#options.answer.writeHead(head.status, [...head.headers, ...length])
   }
 
@@ -166,8 +169,10 @@
 
   /** Judges a whole answer that is no stream: a success goes to the caller, a failure may be worth another attempt. */
   #judgeWhole (head: AnswerHead): void {
-    const isFailure = head.status >= 500 || head.isNotRun
-    if (!isFailure || this.#options.answer.hasHead) {
+    // The caller already has a part of a stream, which only another part of it can complete.
+    const isResumed = this.#options.answer.hasHead && !this.#hasWrittenHead
+    const isFailure = head.status >= 500 || head.isNotRun || isResumed
+    if (!isFailure || this.#hasWrittenHead) {
       this.#finishAnswer(head)
       return
     }
@@ -175,7 +180,7 @@
     const reason = `the endpoint answered with status ${head.status}`
     const failure: AttemptFailure = { verdict: head.isNotRun ? 'notRun' : 'ran', reason, status: head.status }
     // A promise that nothing ran is the system's to give, once it gives up.
-    const heldAnswer = head.isNotRun ? undefined : { head, body }
+    const heldAnswer = head.isNotRun || isResumed ? undefined : { head, body }
     this.#fail(failure, { ...(heldAnswer && { heldAnswer }), ...(head.retryAfterMs !== undefined && { retryAfterMs: head.retryAfterMs }) })
   }
 
@@ -209,7 +214,7 @@
 
   #describeOutcome (failure: AttemptFailure): PlaceOutcome {
     if (failure.status === 421) return 'missing'
-    if (failure.verdict === 'notRun') return 'rejected'
+    if (failure.verdict === 'notRun') return failure.status === undefined ? 'unreachable' : 'rejected'
     return failure.status === undefined ? 'broken' : 'failed'
   }
 
--- /dev/null
+++ b/src/tasks/front/engineFinder.ts
@@ -0,0 +1,178 @@
+/** Asks the owners of engines for a place, in the order in which a request's adapter should be served. */
+import type { EndpointHealth } from '../../core/endpointHealth.js'
+import { isCrowded, rankEngines } from '../../core/frontChoice.js'
+import type { EngineCandidate } from '../../core/frontChoice.js'
+import type { NewsBoard } from '../../core/newsBoard.js'
+import { isVacant } from '../../core/orderLease.js'
+import { computeHash } from '../../core/rendezvousHash.js'
+import type { Clock } from '../../ports/clock.js'
+import type { EventLog } from '../../ports/eventLog.js'
+import type { DeskLoad } from '../../schemas/datagram.js'
+import type { EndpointEntry } from '../../schemas/routing.js'
+import type { AskOutcome, PlaceClient } from './placeClient.js'
+import type { FindLink, FoundTarget, Target, TargetQuery } from './targetFinder.js'
+
+export interface EngineFinderOptions {
+  clock: Clock
+  log: EventLog
+  board: NewsBoard
+  health: EndpointHealth
+  places: PlaceClient
+  random: () => number
+  findLink: FindLink
+}
+
+interface ToldLoad extends DeskLoad {
+  atMs: number
+}
+
+type Refusal = Extract<AskOutcome, { kind: 'refused' }>
+
+/** An owner that did not answer is not asked again for this long; a takeover takes some 4 s. */
+const avoidOwnerMs = 1000
+/** An engine whose owner said that it gives no places is not asked again for this long. */
+const avoidEngineMs = 250
+/** An adapter that was granted at an endpoint within this time is likely to be there still. */
+const residentTermMs = 20_000
+/** Owners that are asked whether they would rather not, before one has to take the request. */
+const maxPolite = 3
+const maxAsked = 6
+/** What an owner told of its load counts for this long. */
+const loadTermMs = 150
+const noEndpointRetryMs = 300
+/** Priorities on the engine from the route's rank; the engine's default is 5, and 0 is first. */
+const basePriority = 3
+
+export class EngineFinder {
+  #options: EngineFinderOptions
+  /** By session of the owner. */
+  #silentOwners = new Map<string, number>()
+  /** By endpoint. */
+  #closedEngines = new Map<string, number>()
+  #loads = new Map<string, ToldLoad>()
+  /** When an adapter was last granted at an endpoint. */
+  #residents = new Map<string, number>()
+
+  constructor (options: EngineFinderOptions) {
+    this.#options = options
+  }
+
+  async findEngine (query: TargetQuery, usable: EndpointEntry[]): Promise<FoundTarget> {
+    const { model, adapter } = query.request
+    const version = adapter === '' ? 0 : this.#options.board.findAdapterVersion(model, adapter)
+    const name = adapter === '' ? `${model} ${this.#options.random()}` : `${model}/${adapter}@${version}`
+    const ranked = rankEngines(name, usable.map(entry => this.#describe(entry)))
+    const refusals: { endpoint: EndpointEntry, refusal: Refusal }[] = []
+    let polite = 0
+    let asked = 0
+    for (const { id, isBusy } of ranked) {
+      if (asked >= maxAsked || polite >= maxPolite || query.isOver()) break
+      const endpoint = usable.find(entry => entry.id === id)!
+      if (isBusy && polite > 0) continue
+      asked++
+      const found = await this.#try(query, endpoint, name, version, true)
+      if (!found) continue
+      if ('kind' in found && found.kind === 'refused') {
+        refusals.push({ endpoint, refusal: found })
+        if (found.expectedMs >= 0) polite++
+      } else {
+        return found as FoundTarget
+      }
+    }
+    return await this.#insist(query, name, version, refusals)
+  }
+
+  /** All that were asked would rather not: the one that would be soonest has to take the request or refuse it. */
+  async #insist (query: TargetQuery, name: string, version: number, refusals: { endpoint: EndpointEntry, refusal: Refusal }[]): Promise<FoundTarget> {
+    const open = refusals.filter(({ refusal }) => refusal.expectedMs >= 0).sort((left, right) => left.refusal.expectedMs - right.refusal.expectedMs)
+    const soonest = open[0]
+    let last = refusals[0]?.refusal
+    if (soonest && !query.isOver()) {
+      const found = await this.#try(query, soonest.endpoint, name, version, false)
+      if (found && !('code' in found)) return found
+      last = found ?? last
+    }
+    return {
+      kind: 'none',
+      message: last?.message ?? `no owner of an engine of service "${query.service}" answers`,
+      retryAfterMs: last && last.retryAfterMs > 0 ? last.retryAfterMs : noEndpointRetryMs
+    }
+  }
+
+  /** Asks one owner; undefined where it does not answer and the engine cannot be used without it. */
+  async #try (query: TargetQuery, endpoint: EndpointEntry, name: string, version: number, mayDecline: boolean): Promise<FoundTarget | Refusal | undefined> {
+    const address = this.#findOwnerAddress(endpoint)
+    if (address === undefined) return this.#findResident(name, endpoint, version, query)
+    const outcome = await this.#ask(query, endpoint, address, version, mayDecline)
+    const nowMs = this.#options.clock.readMonotonic()
+    if (outcome.kind !== 'silent' && outcome.load) this.#loads.set(endpoint.id, { ...outcome.load, atMs: nowMs })
+    if (outcome.kind === 'granted') {
+      this.#residents.set(`${name} ${endpoint.id}`, nowMs)
+      return { kind: 'found', target: this.#createTarget(endpoint, outcome.version, query, (result, firstPartMs) => outcome.place.end(result, firstPartMs)) }
+    }
+    if (outcome.kind === 'refused') {
+      if (outcome.code === 'no_orders') return this.#findResident(name, endpoint, version, query) ?? outcome
+      if (outcome.expectedMs < 0 && outcome.code !== 'out_of_reach' && outcome.code !== 'overdue') this.#closedEngines.set(endpoint.id, nowMs)
+      return outcome
+    }
+    if (!query.isOver()) this.#recordSilent(address, endpoint, query)
+    return this.#findResident(name, endpoint, version, query)
+  }
+
+  #describe (entry: EndpointEntry): EngineCandidate {
+    const { health, clock } = this.#options
+    const nowMs = clock.readMonotonic()
+    const load = this.#loads.get(entry.id)
+    const isBusy = load !== undefined && nowMs - load.atMs < loadTermMs && isCrowded(load)
+    const isClosed = nowMs - (this.#closedEngines.get(entry.id) ?? -Infinity) < avoidEngineMs
+    return { id: entry.id, isBusy, isFailing: isClosed || (health.isFailing(entry.id) && !health.takeProbe(entry.id, nowMs)) }
+  }
+
+  #findOwnerAddress (endpoint: EndpointEntry): string | undefined {
+    const row = this.#options.board.owners.get(endpoint.id)?.row
+    if (!row || isVacant(row)) return undefined
+    const silentAtMs = this.#silentOwners.get(row.session) ?? -Infinity
+    return this.#options.clock.readMonotonic() - silentAtMs < avoidOwnerMs ? undefined : row.address
+  }
+
+  async #ask (query: TargetQuery, endpoint: EndpointEntry, address: string, version: number, mayDecline: boolean): Promise<AskOutcome> {
+    const { request, route, endsAtMs } = query
+    const nowMs = this.#options.clock.readMonotonic()
+    const pending = this.#options.places.ask(address, {
+      endpointId: endpoint.id,
+      requestId: request.requestId ?? '',
+      model: request.model,
+      adapter: request.adapter,
+      version,
+      route: route.name,
+      rank: route.rank,
+      dueInMs: request.receivedAtMs + route.targetMs - nowMs,
+      leavesInMs: endsAtMs - nowMs,
+      promptTokens: request.promptTokens,
+      maxTokens: request.maxTokens,
+      parts: request.promptParts.map(({ id, tokens }) => [id, tokens]),
+      mayDecline,
+      fingerprint: computeHash(`${request.path} ${request.body?.toString('latin1') ?? ''}`).toString(16)
+    })
+    return await pending.outcome
+  }
+
+  #recordSilent (address: string, endpoint: EndpointEntry, query: TargetQuery): void {
+    const row = this.#options.board.owners.get(endpoint.id)?.row
+    if (row) this.#silentOwners.set(row.session, this.#options.clock.readMonotonic())
+    this.#options.log.record('owner.silent', 'The owner of an endpoint does not answer; it is not asked for a while.', {
+      requestId: query.request.requestId, endpointId: endpoint.id, address, owner: row?.host
+    })
+  }
+
+  /** An engine whose owner does not answer goes on serving what it holds. */
+  #findResident (name: string, endpoint: EndpointEntry, version: number, query: TargetQuery): FoundTarget | undefined {
+    const grantedAtMs = this.#residents.get(`${name} ${endpoint.id}`) ?? -Infinity
+    const isResident = query.request.adapter === '' || this.#options.clock.readMonotonic() - grantedAtMs < residentTermMs
+    return isResident ? { kind: 'found', target: this.#createTarget(endpoint, version, query, () => {}) } : undefined
+  }
+
+  #createTarget (endpoint: EndpointEntry, version: number, { route }: TargetQuery, end: Target['end']): Target {
+    return { endpoint, link: this.#options.findLink(endpoint), version, priority: basePriority + route.rank, end }
+  }
+}
--- a/src/tasks/front/placeClient.ts
+++ b/src/tasks/front/placeClient.ts
@@ -1,7 +1,7 @@
 /** Asks the owners of endpoints for places, and tells them what became of each. */
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Datagrams } from '../../ports/datagrams.js'
-import type { HostMessage, PlaceAnswer, PlaceAsk, PlaceDone, PlaceOutcome } from '../../schemas/datagram.js'
+import type { DeskLoad, HostMessage, PlaceAnswer, PlaceAsk, PlaceDone, PlaceOutcome } from '../../schemas/datagram.js'
 
 export interface PlaceClientOptions {
   clock: Clock
@@ -15,8 +15,16 @@
 export type AskDetails = Omit<PlaceAsk, 'type' | 'id'>
 
 export type AskOutcome =
-  | { readonly kind: 'granted', readonly load: number, readonly version: number, readonly place: Place }
-  | { readonly kind: 'refused', readonly code: string, readonly message: string, readonly retryAfterMs: number, readonly load: number }
+  | { readonly kind: 'granted', readonly load: DeskLoad, readonly version: number, readonly place: Place }
+  | {
+    readonly kind: 'refused'
+    readonly code: string
+    readonly message: string
+    readonly retryAfterMs: number
+    /** When the request would start there after all; -1 where it would not. */
+    readonly expectedMs: number
+    readonly load: DeskLoad | undefined
+  }
   /** The owner does not answer: it, or the way to it, is gone. */
   | { readonly kind: 'silent' }
 
@@ -98,8 +106,8 @@
       const place: Place = { end: (outcome, firstPartMs) => this.#endPlace(open, outcome, firstPartMs) }
       open.settle({ kind: 'granted', load: answer.load, version: answer.version, place })
     } else {
-      const { code, message, retryAfterMs, load } = answer
-      open.settle({ kind: 'refused', code, message, retryAfterMs, load })
+      const { code, message, retryAfterMs, expectedMs, load } = answer
+      open.settle({ kind: 'refused', code, message, retryAfterMs, expectedMs, load })
     }
   }
 
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -6,23 +6,25 @@
 import type { BoardChange, NewsBoard } from '../../core/newsBoard.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
-import type { Store, StoreOutcome, StoreTransaction } from '../../ports/store.js'
-import { encodeHostsRow, formatHostKey, formatOwnerKey, hostsTable } from '../../schemas/hostRows.js'
+import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
+import { decodeHostsRow, encodeHostsRow, formatHostKey, formatOwnerKey, hostsTable } from '../../schemas/hostRows.js'
 import type { HostRow, OwnerRow } from '../../schemas/hostRows.js'
 
 export interface LeaseTaskOptions {
   clock: Clock
   log: EventLog
-  store: Pick<Store, 'transact'>
   board: NewsBoard
   own: { host: string, address: string, zone: string, session: string }
   /** Whether this host reads the store itself, so that another host's silence means something. */
   readsStore: () => boolean
   /** Asks a host directly whether it runs. */
   isRunning: (address: string) => Promise<boolean>
-  /** Carries out a transaction through a peer, where this host does not reach the store. */
-  transactByPeer: (transaction: StoreTransaction) => Promise<StoreOutcome>
-  receiveStoreAnswer: () => void
+  /** Reaches the store, directly or through a peer. */
+  transact: (transaction: StoreTransaction) => Promise<StoreOutcome>
+  /** Takes a row that this host has written, ahead of the news. */
+  applyOwnRow: (row: StoreRow) => void
+  /** Whether the store is away for all hosts, so that nobody can take an endpoint over. */
+  isOutage: () => boolean
   /** Called when this host has begun or ceased to own an endpoint. */
   receiveOwnership: (endpointId: string, fencing: number | undefined) => void
 }
@@ -40,6 +42,8 @@
   #owned = new Map<string, number>()
   #vacantSince = new Map<string, number>()
   #provenAtMs = -Infinity
+  /** Whether the last proof still stands, however old: no pause and no other writer came since. */
+  #hasBeenProven = false
   #renewal = 0
   #rowVersion = 0
   #renewedAtMs = -Infinity
@@ -70,19 +74,24 @@
     for (const endpointId of endpointIds) this.#lose(endpointId, 'the host shuts down')
     const removals = [{ table: hostsTable, key: formatHostKey(this.#options.own.host) }]
     const writes = endpointIds.map(endpointId => this.#createOwnerWrite(endpointId, { host: '', address: '', session: '' }))
-    await this.#transact({ checks: [], writes, removals })
+    await this.#options.transact({ checks: [], writes, removals })
   }
 
   stop (): void {
     this.#timer?.cancel()
   }
 
+  get ownsAny (): boolean {
+    return this.#owned.size > 0
+  }
+
   /** Fencing number under which this host may give the endpoint orders at this moment; undefined where it may not. */
   findFencing (endpointId: string): number | undefined {
     const { clock } = this.#options
     const nowMs = clock.readMonotonic()
     if (this.#pauses.checkPause(nowMs, clock.readWall())) this.#recordPause()
-    return mayOrder(nowMs, this.#provenAtMs) ? this.#owned.get(endpointId) : undefined
+    const isProven = mayOrder(nowMs, this.#provenAtMs) || (this.#hasBeenProven && this.#options.isOutage())
+    return isProven ? this.#owned.get(endpointId) : undefined
   }
 
   receiveChange (change: BoardChange): void {
@@ -102,6 +111,7 @@
 
   #recordPause (): void {
     this.#provenAtMs = -Infinity
+    this.#hasBeenProven = false
     this.#renewedAtMs = -Infinity
     this.#options.log.record('lease.paused', 'The clocks drifted apart, so the process may have stood still; no orders before the next renewal.', {})
   }
@@ -130,27 +140,33 @@
     this.#renewedAtMs = startedAtMs
     const row: HostRow = { ...own, renewal: ++this.#renewal, isLeaving: false }
     const checks = this.#isRegistered() ? [{ table: hostsTable, key: formatHostKey(own.host), version: this.#rowVersion }] : []
-    const outcome = await this.#transact({ checks, writes: [{ table: hostsTable, key: formatHostKey(own.host), value: encodeHostsRow(row) }], removals: [] })
+    const outcome = await this.#options.transact({ checks, writes: [{ table: hostsTable, key: formatHostKey(own.host), value: encodeHostsRow(row) }], removals: [] })
     this.#isRenewing = false
     if (outcome.verdict === 'applied') {
       this.#rowVersion = outcome.version
       this.#provenAtMs = startedAtMs
+      this.#hasBeenProven = true
       return
     }
-    if (outcome.verdict === 'conflict') this.#receiveRenewalConflict(outcome.rows)
+    if (outcome.verdict === 'conflict') this.#receiveRenewalConflict(outcome.rows, row, startedAtMs)
     else log.record('lease.renewalFailed', 'The renewal of the host\'s row failed.', { verdict: outcome.verdict, reason: outcome.reason })
     this.#renewedAtMs = startedAtMs - renewalIntervalMs + stepMs * 2
   }
 
   /** The row is not as this host wrote it last: an earlier renewal went through unseen, or a reader declared this host gone. */
-  #receiveRenewalConflict (rows: readonly { key: string, version: number, value: Uint8Array | undefined }[]): void {
+  #receiveRenewalConflict (rows: readonly StoreRow[], sent: HostRow, startedAtMs: number): void {
     const { own, log } = this.#options
     const current = rows.find(row => row.key === formatHostKey(own.host))
-    const text = current?.value ? Buffer.from(current.value).toString('utf8') : ''
-    const isOwnWrite = text.includes(own.session)
+    const decoded = current?.value && decodeHostsRow(current.key, current.value)
+    const isOwnWrite = decoded?.kind === 'host' && decoded.row.session === own.session
     log.record('lease.conflict', 'The host\'s row was changed by another writer or by a renewal whose answer was lost.', { isOwnWrite })
     this.#rowVersion = isOwnWrite ? current!.version : 0
-    if (isOwnWrite) return
+    if (isOwnWrite) {
+      // This very renewal went through on another way.
+      if (decoded.row.renewal === sent.renewal) this.#provenAtMs = startedAtMs
+      return
+    }
+    this.#hasBeenProven = false
     for (const endpointId of [...this.#owned.keys()]) this.#lose(endpointId, 'this host was declared gone')
   }
 
@@ -170,7 +186,7 @@
       }
       const sinceMs = this.#vacantSince.get(endpoint.endpointId) ?? nowMs
       this.#vacantSince.set(endpoint.endpointId, sinceMs)
-      const rank = rankings.get(endpoint.endpointId)?.indexOf(own.host) ?? -1
+      const rank = isFormerSelf ? 0 : rankings.get(endpoint.endpointId)?.indexOf(own.host) ?? -1
       if (rank < 0 || nowMs - sinceMs < computeClaimDelayMs(rank)) continue
       this.#claimEndpoint(endpoint.endpointId, owner?.fencing ?? 0)
       return
@@ -182,7 +198,7 @@
   async #claimEndpoint (endpointId: string, version: number): Promise<void> {
     const { own, log } = this.#options
     this.#isClaiming = true
-    const outcome = await this.#transact({
+    const outcome = await this.#options.transact({
       checks: [{ table: hostsTable, key: formatOwnerKey(endpointId), version }, { table: hostsTable, key: formatHostKey(own.host), version: this.#rowVersion }],
       writes: [this.#createOwnerWrite(endpointId, own)],
       removals: []
@@ -191,7 +207,9 @@
     this.#vacantSince.delete(endpointId)
     log.record('lease.claimed', 'Asked the store for the ownership of an endpoint that has no owner.', { endpointId, version, verdict: outcome.verdict })
     // A claim whose answer was lost shows in the news, as does one that another host has won.
-    if (outcome.verdict === 'applied') this.#gain(endpointId, outcome.version)
+    if (outcome.verdict !== 'applied') return
+    this.#options.applyOwnRow({ ...this.#createOwnerWrite(endpointId, own), version: outcome.version })
+    this.#gain(endpointId, outcome.version)
   }
 
   #createOwnerWrite (endpointId: string, { host, address, session }: Omit<OwnerRow, 'endpointId'>): { table: string, key: string, value: Uint8Array } {
@@ -229,7 +247,7 @@
       if (!host || owned.length === 0 || name === own.host) continue
       this.#isClaiming = true
       if (!await this.#options.isRunning(host.row.address)) {
-        const outcome = await this.#transact({
+        const outcome = await this.#options.transact({
           checks: [{ table: hostsTable, key: formatHostKey(name), version: host.version }, ...owned.map(([id, { fencing }]) => ({ table: hostsTable, key: formatOwnerKey(id), version: fencing }))],
           writes: owned.map(([id]) => this.#createOwnerWrite(id, { host: '', address: '', session: '' })),
           removals: [{ table: hostsTable, key: formatHostKey(name) }]
@@ -251,7 +269,7 @@
     if (endpointId === undefined || fencing === undefined) return
     this.#lastHandoverMs = nowMs
     this.#lose(endpointId, 'another host has fewer endpoints')
-    const outcome = await this.#transact({
+    const outcome = await this.#options.transact({
       checks: [{ table: hostsTable, key: formatOwnerKey(endpointId), version: fencing }],
       writes: [this.#createOwnerWrite(endpointId, { host: '', address: '', session: '' })],
       removals: []
@@ -274,14 +292,4 @@
     this.#options.log.record('lease.lost', 'This host no longer owns an endpoint.', { endpointId, reason })
     this.#options.receiveOwnership(endpointId, undefined)
   }
-
-  async #transact (transaction: StoreTransaction): Promise<StoreOutcome> {
-    const { store, transactByPeer, receiveStoreAnswer } = this.#options
-    const outcome = await store.transact(transaction)
-    if (outcome.verdict === 'applied' || outcome.verdict === 'conflict') {
-      receiveStoreAnswer()
-      return outcome
-    }
-    return await transactByPeer(transaction)
-  }
 }
--- a/src/tasks/news/newsTask.ts
+++ b/src/tasks/news/newsTask.ts
@@ -65,9 +65,14 @@
     return Math.min(nowMs - this.#storeAnsweredAtMs, nowMs - this.#relayAnsweredAtMs + this.#relayedAgeMs)
   }
 
+  /** Milliseconds since the store itself answered this host. */
+  get directStoreAgeMs (): number {
+    return this.#options.clock.readMonotonic() - this.#storeAnsweredAtMs
+  }
+
   /** Whether this host itself reached the store a short while ago. */
   get reachesStore (): boolean {
-    return this.#options.clock.readMonotonic() - this.#storeAnsweredAtMs < storeAwayMs
+    return this.directStoreAgeMs < storeAwayMs
   }
 
   /** Records an answer of the store to another part of the host. */
--- a/src/tasks/news/relayServer.ts
+++ b/src/tasks/news/relayServer.ts
@@ -16,6 +16,8 @@
   mirror: RowMirror
   store: Store
   readStoreAgeMs: () => number
+  /** Whether the store itself answered this host a short while ago. */
+  reachesStore: () => boolean
 }
 
 export interface RelayServer {
@@ -41,7 +43,11 @@
     }
     return pack({ ...options.mirror.readChanges(query.logId, position), storeAgeMs: options.readStoreAgeMs() })
   })
-  server.post(transactPath, async ({ body }) => pack(await options.store.transact(parseTransaction(unpack(body as Buffer)) as StoreTransaction)))
+  server.post(transactPath, async ({ body }, reply) => {
+    // A peer that is cut off itself says so at once, so that another one is asked.
+    if (!options.reachesStore()) return await reply.code(503).send()
+    return pack(await options.store.transact(parseTransaction(unpack(body as Buffer)) as StoreTransaction))
+  })
   const [host, port] = options.address.split(':')
   await server.listen({ host: host!, port: Number(port) })
   return { stop: async () => await server.close() }
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -22,7 +22,7 @@
 
 export class PeerTask {
   #options: PeerTaskOptions
-  #pings = new Map<number, (isRunning: boolean) => void>()
+  #pings = new Map<number, (storeAgeMs: number | undefined) => void>()
   #nextPing = 1
 
   constructor (options: PeerTaskOptions) {
@@ -35,19 +35,19 @@
     this.#options.receiveAtDesk(message, this.#options.own, answer => this.#options.receiveAnswer(answer))
   }
 
-  /** Asks the host at an IP number whether its process runs. */
-  async isRunning (address: string): Promise<boolean> {
+  /** Asks the host at an IP number when the store last answered it; undefined where the host does not answer. */
+  async askStoreAge (address: string): Promise<number | undefined> {
     const { clock, datagrams } = this.#options
     const echo = this.#nextPing++
-    return await new Promise<boolean>(resolve => {
-      const settle = (isRunning: boolean): void => {
-        if (this.#pings.delete(echo)) resolve(isRunning)
+    return await new Promise<number | undefined>(resolve => {
+      const settle = (storeAgeMs: number | undefined): void => {
+        if (this.#pings.delete(echo)) resolve(storeAgeMs)
       }
       this.#pings.set(echo, settle)
       for (let count = 0; count < pingCount; count++) {
         clock.setTimer(() => { if (this.#pings.has(echo)) datagrams.send(address, { type: 'ping', echo }) }, count * pingTimeoutMs / pingCount)
       }
-      clock.setTimer(() => settle(false), pingTimeoutMs)
+      clock.setTimer(() => settle(undefined), pingTimeoutMs)
     })
   }
 
@@ -61,7 +61,7 @@
     } else if (message.type === 'ping') {
       datagrams.send(sender.address, { type: 'pong', echo: message.echo, session: own.session, storeAgeMs: Math.min(neverMs, readStoreAgeMs()) })
     } else if (message.type === 'pong') {
-      this.#pings.get(message.echo)?.(true)
+      this.#pings.get(message.echo)?.(message.storeAgeMs)
     } else {
       receiveAnswer(message)
     }
