--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -272,10 +272,12 @@
 
   async #carryOutLoad (name: string, version: number): Promise<void> {
     const { model, adapter } = parseAdapter(name)
-    const isLoaded = await this.#loads.load({ kind: 'load', model, adapter, version })
+    const outcome = await this.#loads.load({ kind: 'load', model, adapter, version })
     if (this.#isStopped) return
-    if (isLoaded) this.#planner.recordLoaded(name, version, this.#options.clock.readMonotonic())
-    else this.#planner.recordLoadFailed(name, this.#options.clock.readMonotonic())
+    const nowMs = this.#options.clock.readMonotonic()
+    if (outcome === 'loaded') this.#planner.recordLoaded(name, version, nowMs)
+    else if (outcome === 'refused') this.#planner.recordLoadFailed(name, nowMs)
+    else this.#line.close(`nobody knows whether adapter "${name}" was loaded`)
     this.#plan()
   }
 
@@ -308,11 +310,13 @@
         if (this.#planner.places.find(adapter)?.state !== 'unloading') this.#planner.recordLoaded(adapter, version, nowMs)
       }
     }
+    const coming = state.loading.map(({ model, name, version }) => ({ name: `${model}/${name}`, version }))
     // What is neither listed nor on its way is gone.
-    for (const { name, state: adapterState } of this.#planner.places.list()) {
-      if (adapterState === 'loaded' && !listed.has(name)) this.#planner.recordUnloaded(name)
+    for (const { name, version, state: adapterState } of this.#planner.places.list()) {
+      const isAwaited = adapterState === 'unloading' || this.#loads.isLoading(name, version) || coming.some(other => other.name === name)
+      if (!isAwaited && !listed.has(name)) this.#planner.recordUnloaded(name)
     }
-    const foreign = state.loading.filter(({ model, name, version }) => !this.#loads.isLoading(`${model}/${name}`, version))
+    const foreign = coming.filter(({ name }) => this.#planner.places.find(name) === undefined)
     this.#planner.places.setForeign(foreign.length)
     if (foreign.length > 0) this.#line.close('loads that a former owner ordered are under way')
     this.#plan()
--- a/src/tasks/desk/loadWatch.ts
+++ b/src/tasks/desk/loadWatch.ts
@@ -15,11 +15,14 @@
 const initialWarmMs = 25
 /** Time between two questions whether a load is done. */
 const probeIntervalMs = 20
-/** A load that takes longer than this counts as failed. */
-const maxLoadMs = 4000
+/** A load that was not seen to be done after this time is looked up in the engine's state. */
+const maxLoadMs = 1500
 /** Weight of the newest load in the expected time. */
 const smoothing = 0.2
 
+/** `unknown`: the engine may have the adapter, so its slot counts as taken until the engine's state is read. */
+export type LoadOutcome = 'loaded' | 'refused' | 'unknown'
+
 type AdapterLoad = Omit<EngineOrder, 'expectedCount'>
 
 export class LoadWatch {
@@ -48,8 +51,8 @@
     return this.#remembered.has(name) ? this.#warmMs : this.#coldMs
   }
 
-  /** Resolves when the adapter is usable, or with false when the load has failed. */
-  async load (order: AdapterLoad): Promise<boolean> {
+  /** Resolves when the adapter is usable, or when it will not be by this order. */
+  async load (order: AdapterLoad): Promise<LoadOutcome> {
     const name = formatLoad(`${order.model}/${order.adapter}`, order.version ?? 0)
     this.#loading.add(name)
     try {
@@ -59,24 +62,23 @@
     }
   }
 
-  async #load (name: string, order: AdapterLoad): Promise<boolean> {
+  async #load (name: string, order: AdapterLoad): Promise<LoadOutcome> {
     const { clock, line } = this.#options
     const isWarm = this.#remembered.has(name)
     const outcome = await line.submit(order)
-    if (outcome.verdict === 'holds') return true
-    if (outcome.verdict !== 'accepted') return false
+    if (outcome.verdict === 'holds') return 'loaded'
+    if (outcome.verdict !== 'accepted') return outcome.verdict
     const startedAtMs = clock.readMonotonic()
     await this.#pause(this.#expectMs(name))
     while (clock.readMonotonic() - startedAtMs < maxLoadMs) {
       const probe = await line.probe(order)
       if (probe.verdict === 'holds') {
         this.#record(name, clock.readMonotonic() - startedAtMs, isWarm)
-        return true
+        return 'loaded'
       }
-      if (probe.verdict === 'refused' && probe.cause !== 'conflict') return false
       await this.#pause(probeIntervalMs)
     }
-    return false
+    return 'unknown'
   }
 
   #record (name: string, tookMs: number, isWarm: boolean): void {
