--- a/src/adapters/endpointHttp/httpEndpointLink.ts
+++ b/src/adapters/endpointHttp/httpEndpointLink.ts
@@ -1,5 +1,5 @@
 /** Connections to one endpoint over HTTP/1.1, one request at a time on each. */
-import { Client } from 'undici'
+import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { AnswerReceiver, EndpointLink, OutgoingRequest, Sending } from '../../ports/endpointLink.js'
 
@@ -26,10 +26,23 @@
   return new HttpEndpointLink(options)
 }
 
+/** How a connection ended, as `undici` takes an answer that breaks off for a whole one where the connection was to close. */
+interface ConnectionEnd {
+  hasEnded: boolean
+  wasReset: boolean
+}
+
+interface Connection {
+  client: Client
+  end: ConnectionEnd
+}
+
+const connectSocket = buildConnector({ timeout: connectTimeoutMs })
+
 class HttpEndpointLink implements EndpointLink {
   #options: HttpEndpointLinkOptions
-  #idle: Client[] = []
-  #busy = new Set<Client>()
+  #idle: Connection[] = []
+  #busy = new Set<Connection>()
   #isClosed = false
 
   constructor (options: HttpEndpointLinkOptions) {
@@ -45,10 +58,10 @@
   }
 
   send (request: OutgoingRequest, receiver: AnswerReceiver): Sending {
-    const client = this.#takeClient()
-    this.#busy.add(client)
-    const exchange = new Exchange(receiver, isReusable => this.#release(client, isReusable))
-    client.dispatch({
+    const connection = this.#takeConnection()
+    this.#busy.add(connection)
+    const exchange = new Exchange(receiver, connection.end, isReusable => this.#release(connection, isReusable))
+    connection.client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
       headers: [...request.headers],
@@ -59,30 +72,42 @@
 
   close (): void {
     this.#isClosed = true
-    for (const client of this.#idle) destroyClient(client)
+    for (const { client } of this.#idle) destroyClient(client)
     this.#idle = []
   }
 
   /** The connection that was used last is the least likely to have timed out. */
-  #takeClient (): Client {
+  #takeConnection (): Connection {
     const idle = this.#idle.pop()
     if (idle) return idle
-    return new Client(`http://${this.#options.address}`, {
+    const end: ConnectionEnd = { hasEnded: false, wasReset: false }
+    const client = new Client(`http://${this.#options.address}`, {
       pipelining: 1,
-      connect: { timeout: connectTimeoutMs },
+      connect: (options, callback) => {
+        end.hasEnded = false
+        end.wasReset = false
+        connectSocket(options, (error, socket) => {
+          socket?.on('end', () => { end.hasEnded = true })
+          socket?.on('error', () => { end.wasReset = true })
+          // The connector calls back with either an error or a socket.
+          if (error) callback(error, null)
+          else callback(null, socket!)
+        })
+      },
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: idleTimeoutMs,
       keepAliveMaxTimeout: idleTimeoutMs,
       keepAliveTimeoutThreshold: idleMarginMs
     })
+    return { client, end }
   }
 
-  #release (client: Client, isReusable: boolean): void {
-    if (!this.#busy.delete(client)) return
+  #release (connection: Connection, isReusable: boolean): void {
+    if (!this.#busy.delete(connection)) return
     const isKept = isReusable && !this.#isClosed && this.#idle.length < this.#options.findMaxConnections()
-    if (isKept) this.#idle.push(client)
-    else destroyClient(client)
+    if (isKept) this.#idle.push(connection)
+    else destroyClient(connection.client)
   }
 }
 
@@ -91,17 +116,23 @@
   client.destroy().catch(() => {})
 }
 
+const framingHeaders = new Set(['content-length', 'transfer-encoding'])
+
 type State = 'waiting' | 'sent' | 'ended'
 
 /** One request and its answer. */
 class Exchange implements Dispatcher.DispatchHandler, Sending {
   #receiver: AnswerReceiver
+  #end: ConnectionEnd
   #release: (isReusable: boolean) => void
+  /** Whether the answer tells where its body ends, rather than ending with its connection. */
+  #isFramed = false
   #controller: Dispatcher.DispatchController | undefined
   #state: State = 'waiting'
 
-  constructor (receiver: AnswerReceiver, release: (isReusable: boolean) => void) {
+  constructor (receiver: AnswerReceiver, end: ConnectionEnd, release: (isReusable: boolean) => void) {
     this.#receiver = receiver
+    this.#end = end
     this.#release = release
   }
 
@@ -129,8 +160,9 @@
   onResponseStart (controller: Dispatcher.DispatchController, statusCode: number): void {
     // Interim answers say nothing about the request.
     if (this.#state === 'ended' || statusCode < 200) return
-    const raw = (controller.rawHeaders ?? []) as (Buffer | string)[]
-    this.#receiver.receiveHead(statusCode, raw.map(text => typeof text === 'string' ? text : text.toString('latin1')))
+    const raw = ((controller.rawHeaders ?? []) as (Buffer | string)[]).map(text => typeof text === 'string' ? text : text.toString('latin1'))
+    this.#isFramed = raw.some((name, index) => index % 2 === 0 && framingHeaders.has(name.toLowerCase()))
+    this.#receiver.receiveHead(statusCode, raw)
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -141,8 +173,11 @@
   onResponseEnd (): void {
     if (this.#state === 'ended') return
     this.#state = 'ended'
-    this.#release(true)
-    this.#receiver.receiveEnd()
+    const { hasEnded, wasReset } = this.#end
+    const isBroken = wasReset || (hasEnded && this.#isFramed)
+    this.#release(!hasEnded && !wasReset)
+    if (isBroken) this.#receiver.receiveFailure({ kind: 'lost', reason: 'the connection ended before the answer was whole' })
+    else this.#receiver.receiveEnd()
   }
 
   onResponseError (_controller: Dispatcher.DispatchController | null, error: Error): void {
--- a/src/adapters/eventLog/pinoEventLog.ts
+++ b/src/adapters/eventLog/pinoEventLog.ts
@@ -12,7 +12,7 @@
 }
 
 /** Lines of one kind a second: three times the refusals of a host in the published bursts. */
-const linesPerSecond = 40
+const linesPerSecond = 60
 const burst = 200
 /** Time between two lines that count what was left out. */
 const omittedIntervalMs = 5000
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -33,8 +33,8 @@
   { table: endpointsTable, paceMs: 350, waitMs: 1500 },
   { table: hostsTable, paceMs: 350, waitMs: 1500 }
 ]
-/** Time for the entry to take this host out of rotation: two questions a second apart, and one to spare. */
-const quietMs = 3000
+/** Time for the entry to take this host out of rotation: two questions a second apart, and their answers. */
+const quietMs = 2700
 /** Left of the time between SIGTERM and SIGKILL for the process to end. */
 const exitMarginMs = 700
 
--- a/src/tasks/front/attempt.ts
+++ b/src/tasks/front/attempt.ts
@@ -59,6 +59,11 @@
     return this.#isSent
   }
 
+  /** From sending the request to the first part of the answer; -1 where none came. */
+  get firstPartMs (): number {
+    return this.#firstPartMs
+  }
+
   /** Last whole event that was passed on to the caller. */
   get lastEventId (): number | undefined {
     return this.#cutter?.lastId ?? this.#options.lastEventId
--- a/src/tasks/front/callersPort.ts
+++ b/src/tasks/front/callersPort.ts
@@ -37,6 +37,10 @@
   #options: CallersPortOptions
   #server: Server
   #sockets = new Set<Socket>()
+  /** Connections on which a request is being served. */
+  #used = new Set<Socket>()
+  /** Bytes that a connection had received when it fell idle; more means that a request is arriving. */
+  #readAtIdle = new WeakMap<Socket, number>()
   #active = 0
   #heldBytes = 0
   #isStopping = false
@@ -83,12 +87,19 @@
     this.#isStopping = true
   }
 
-  /** Resolves when nothing runs and callers have had `quietMs` to use their connections, or at the deadline. */
+  /**
+   * Serves new connections for `quietMs`, then takes none and closes each one as soon as nothing runs on it. Resolves when
+   * none is left, or at the deadline.
+   */
   async drain (quietMs: number, deadlineMs: number): Promise<void> {
     const { clock } = this.#options
     const startedAtMs = clock.readMonotonic()
     for (;;) {
       const passedMs = clock.readMonotonic() - startedAtMs
+      if (passedMs >= quietMs) {
+        this.#server.close()
+        this.#closeIdle()
+      }
       if (passedMs >= deadlineMs || (passedMs >= quietMs && this.#active === 0 && this.#sockets.size === 0)) return
       await new Promise<void>(resolve => { clock.setTimer(resolve, stopCheckMs) })
     }
@@ -99,6 +110,14 @@
     for (const socket of this.#sockets) socket.destroy()
   }
 
+  /** A request that crosses the close is not read, so that its caller knows that it did not run. */
+  #closeIdle (): void {
+    for (const socket of this.#sockets) {
+      if (this.#used.has(socket) || socket.bytesRead > (this.#readAtIdle.get(socket) ?? 0)) continue
+      socket.destroy()
+    }
+  }
+
   #receiveRequest (message: IncomingMessage, response: ServerResponse): void {
     const { clock } = this.#options
     const receivedAtMs = clock.readMonotonic()
@@ -106,9 +125,13 @@
     this.#active++
     let served: ServedRequest | undefined
     let hasLeft = false
+    const { socket } = message
+    this.#used.add(socket)
     let heldBytes = 0
     response.on('close', () => {
       this.#active--
+      this.#used.delete(socket)
+      this.#readAtIdle.set(socket, socket.bytesRead)
       this.#heldBytes -= heldBytes
     })
     const answer = new CallerAnswer(response, () => {
--- a/src/tasks/front/frontRequest.ts
+++ b/src/tasks/front/frontRequest.ts
@@ -29,6 +29,8 @@
   #runs = 0
   #sends = 0
   #isOver = false
+  /** Time spent on finding endpoints with a place. */
+  #placeMs = 0
   /** Whether an endpoint may have run the request. */
   #mayHaveRun = false
   #retryAfterMs: number | undefined
@@ -67,10 +69,13 @@
   }
 
   async #run (route: Route): Promise<void> {
+    const { clock } = this.#context
     for (;;) {
+      const soughtAtMs = clock.readMonotonic()
       const found = await this.#context.targets.findTarget({
         request: this.#request, route, service: this.#service, tried: this.#tried, endsAtMs: this.#endsAtMs, isOver: () => this.#isOver
       })
+      this.#placeMs += clock.readMonotonic() - soughtAtMs
       if (this.#isOver) {
         if (found.kind === 'found') found.target.end('withdrawn', -1)
         return
@@ -80,7 +85,7 @@
         return
       }
       const isRepeat = this.#sends > 0
-      if (isRepeat && !this.#context.budget.takeRepeat(this.#service, this.#context.clock.readMonotonic())) {
+      if (isRepeat && !this.#context.budget.takeRepeat(this.#service, clock.readMonotonic())) {
         found.target.end('withdrawn', -1)
         this.#giveUp({ verdict: 'notRun', reason: 'the budget of repeats is used up', status: undefined }, undefined)
         return
@@ -193,6 +198,8 @@
       tried: this.#tried,
       sends: this.#sends,
       runs: this.#runs,
+      placeMs: Math.round(this.#placeMs),
+      firstPartMs: Math.round(this.#attempt?.firstPartMs ?? -1),
       tookMs: Math.round(clock.readMonotonic() - this.#request.receivedAtMs),
       configuration: board.routes?.configuration.version
     })
