Keep rare adapters at their home and notice quick loads

Loads that come from an engine's own memory take 25 ms, but were first asked about after 330 ms where the owner had not seen the adapter before; rare adapters were sent to whatever engine was least busy and brought from the store there.

--- a/src/core/desk/adapterPlaces.ts
+++ b/src/core/desk/adapterPlaces.ts
@@ -18,6 +18,8 @@
 
 /** Time after which a past request counts 1/e in an adapter's use. */
 const useTermMs = 8000
+/** Time after which past reading counts 1/e in an adapter's share of the engine. */
+const shareTermMs = 2000
 /** An adapter that was used this shortly ago is not given up for another while one is older: its next request is near. */
 const minIdleMs = 50
 /** Adapters whose use is remembered beyond those that are loaded. */
@@ -26,21 +28,22 @@
 interface AdapterUse {
   count: number
   atMs: number
+  /** Time that the engine read prompts for the adapter, decayed up to `readAtMs`. */
+  readMs: number
+  readAtMs: number
 }
 
 export class AdapterPlaces {
   #slots: number
   #adapters = new Map<string, PlacedAdapter>()
   #uses = new Map<string, AdapterUse>()
-  /** Slots taken by loads that this host did not order. */
-  #foreign = 0
 
   constructor (slots: number) {
     this.#slots = slots
   }
 
   get free (): number {
-    return this.#slots - this.#foreign - this.#adapters.size
+    return this.#slots - this.#adapters.size
   }
 
   get loading (): number {
@@ -64,10 +67,6 @@
     return [...this.#adapters.values()]
   }
 
-  setForeign (count: number): void {
-    this.#foreign = count
-  }
-
   add (name: string, version: number, state: AdapterState, readyAtMs: number, nowMs: number): PlacedAdapter {
     const adapter: PlacedAdapter = { name, version, state, readyAtMs, running: 0, isClosing: false, usedAtMs: nowMs }
     this.#adapters.set(name, adapter)
@@ -80,11 +79,10 @@
 
   clear (): void {
     this.#adapters.clear()
-    this.#foreign = 0
   }
 
   recordAsked (name: string, nowMs: number): void {
-    const use = this.#uses.get(name) ?? { count: 0, atMs: nowMs }
+    const use = this.#uses.get(name) ?? { count: 0, atMs: nowMs, readMs: 0, readAtMs: nowMs }
     use.count = 1 + use.count * Math.exp((use.atMs - nowMs) / useTermMs)
     use.atMs = nowMs
     // Deleting first keeps the map in order of the last request.
@@ -93,6 +91,20 @@
     if (this.#uses.size > maxRemembered) this.#uses.delete(this.#uses.keys().next().value!)
   }
 
+  /** The engine reads a prompt for the adapter. */
+  recordRead (name: string, readMs: number, nowMs: number): void {
+    const use = this.#uses.get(name)
+    if (!use) return
+    use.readMs = readMs + use.readMs * Math.exp((use.readAtMs - nowMs) / shareTermMs)
+    use.readAtMs = nowMs
+  }
+
+  /** Part of the engine's time that prompts of an adapter took of late. */
+  readShare (name: string, nowMs: number): number {
+    const use = this.#uses.get(name)
+    return use ? use.readMs * Math.exp((use.readAtMs - nowMs) / shareTermMs) / shareTermMs : 0
+  }
+
   /** How often an adapter was asked for of late. */
   readUse (name: string, nowMs: number): number {
     const use = this.#uses.get(name)
--- a/src/core/desk/deskPlanner.ts
+++ b/src/core/desk/deskPlanner.ts
@@ -53,6 +53,12 @@
   readonly expectLoadMs: (adapter: string, version: number) => number
 }
 
+/** An adapter that takes this part of an engine's time is worth a replica on another one. */
+const hotShare = 0.12
+/** A rare adapter stays where it is loaded up to this backlog, which is a quarter of the tightest target. */
+const rareBacklogMs = 150
+/** An adapter that loads this fast is worth a wait for a slot, as another engine would have to bring it from the store. */
+const quickLoadMs = 100
 /** A batch that is full lets the next request in about this much later. */
 const fullBatchMs = 50
 /** How long after its target a request is still worth a start, as a part of the time that it had. */
@@ -140,6 +146,12 @@
 
   // Adapters
 
+  /** A load is under way that this planner did not order, or has forgotten. */
+  recordLoading (adapter: string, version: number, nowMs: number): void {
+    if (this.places.find(adapter)?.version === version) return
+    this.places.add(adapter, version, 'loading', nowMs + this.#options.expectLoadMs(adapter, version), nowMs)
+  }
+
   recordLoaded (adapter: string, version: number, nowMs: number): void {
     const placed = this.places.find(adapter)
     if (placed && placed.version === version) {
@@ -207,6 +219,7 @@
     this.#waiting.delete(request.key)
     this.#running.set(request.key, { adapter: request.adapter, isBase: request.isBase, expectedMs: this.work.readBacklogMs(nowMs) + readMs })
     this.work.recordGranted(readMs, nowMs)
+    this.places.recordRead(request.adapter, readMs, nowMs)
     this.#cache.recordRead(request.adapter, request.parts)
     const placed = this.places.find(request.adapter)
     if (placed && !request.isBase) {
@@ -290,17 +303,35 @@
       if (placed.state === 'loaded') return 0
       if (placed.state === 'loading') return Math.max(0, placed.readyAtMs - nowMs)
     }
-    const queued = new Set<string>()
-    for (const { request: other } of this.#waiting.values()) if (!other.isBase && !this.places.find(other.adapter)) queued.add(other.adapter)
-    const rounds = Math.floor((queued.size + this.places.loading) / maxLoads)
-    const hasSlot = this.places.free + this.places.idle > queued.size
+    const queued = this.#countQueuedAdapters()
+    const rounds = Math.floor((queued + this.places.loading) / maxLoads)
+    const hasSlot = this.places.free + this.places.idle > queued
     // Without an idle adapter a slot falls free when a run ends, which takes about as long as a load.
     return loadMs * (1 + rounds + (hasSlot ? 0 : 1))
   }
 
+  /** Adapters whose load could begin now, beside those that wait for theirs. */
+  #countOpenings (): number {
+    const queued = this.#countQueuedAdapters()
+    return Math.min(this.places.free + this.places.idle, this.#options.maxLoads - this.places.loading) - queued
+  }
+
+  /** Adapters that wait for a load which has not begun. */
+  #countQueuedAdapters (): number {
+    const queued = new Set<string>()
+    for (const { request } of this.#waiting.values()) if (!request.isBase && !this.places.find(request.adapter)) queued.add(request.adapter)
+    return queued.size
+  }
+
   #findReasonToDecline (request: DeskRequest, expectedMs: number, readMs: number, nowMs: number): string | undefined {
     const load = this.readLoad(nowMs)
-    if (isCrowded(load)) return `prompts take ${Math.round(load.use * 100)}% of the engine's time and ${Math.round(load.batchPart * 100)}% of the batch is taken`
+    const isPlaced = request.isBase || this.places.find(request.adapter) !== undefined
+    const isHot = request.isBase || this.places.readShare(request.adapter, nowMs) > hotShare
+    // Another replica of a rare adapter would cost a slot elsewhere for little work.
+    const isTooBusy = isHot ? isCrowded(load) : load.backlogMs > rareBacklogMs || load.batchPart >= 1
+    if (isTooBusy) return `prompts take ${Math.round(load.use * 100)}% of the engine's time and ${Math.round(load.batchPart * 100)}% of the batch is taken`
+    const isQuick = isPlaced || this.#options.expectLoadMs(request.adapter, request.version) < quickLoadMs
+    if (!isQuick && this.#countOpenings() <= 0) return 'no slot or load is free for its adapter'
     if (expectedMs + readMs > request.dueAtMs - nowMs) return `it would start in ${Math.round(expectedMs)} ms`
     return undefined
   }
--- a/src/core/frontChoice.ts
+++ b/src/core/frontChoice.ts
@@ -37,8 +37,6 @@
 
 export interface EngineCandidate {
   id: string
-  /** Its owner has just told that it would rather not. */
-  isBusy: boolean
   isFailing: boolean
 }
 
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -8,6 +8,7 @@
 import type { EndpointEntry, EngineShape } from '../../schemas/routing.js'
 import { EngineWatch } from './engineWatch.js'
 import { LoadWatch } from './loadWatch.js'
+import type { LoadOutcome } from './loadWatch.js'
 import { OrderLine } from './orderLine.js'
 
 export type AnswerAsk = (answer: PlaceAnswer) => void
@@ -67,7 +68,11 @@
     this.#entry = options.entry
     const { clock, log, engine, orders } = options
     this.#line = new OrderLine({ ...options, endpointId: options.entry.id, receiveMismatch: reason => this.#watch.checkState(reason) })
-    this.#loads = new LoadWatch({ clock, line: this.#line })
+    this.#loads = new LoadWatch({
+      clock,
+      line: this.#line,
+      receiveLoaded: (adapter, tookMs, isWarm) => log.record('adapter.loaded', 'An adapter is loaded.', { endpointId: options.entry.id, adapter, tookMs: Math.round(tookMs), isWarm })
+    })
     this.#watch = new EngineWatch({
       clock, log, orders, endpointId: options.entry.id, models: engine.models, line: this.#line, receiveState: (state, isRestarted) => this.#takeOver(state, isRestarted)
     })
@@ -203,7 +208,7 @@
     const { places, running, waiting } = this.#planner
     const { use, backlogMs } = this.#planner.readLoad(this.#options.clock.readMonotonic())
     return {
-      use: Math.round(use * 100) / 100, backlogMs: Math.round(backlogMs), running, waiting, free: places.free, idle: places.idle, loading: places.loading, unloading: places.unloading
+      use: Math.round(use * 100) / 100, pace: Math.round(this.#planner.work.pace * 100) / 100, backlogMs: Math.round(backlogMs), running, waiting, free: places.free, idle: places.idle, loading: places.loading, unloading: places.unloading
     }
   }
 
@@ -272,7 +277,10 @@
 
   async #carryOutLoad (name: string, version: number): Promise<void> {
     const { model, adapter } = parseAdapter(name)
-    const outcome = await this.#loads.load({ kind: 'load', model, adapter, version })
+    this.#receiveLoad(name, version, await this.#loads.load({ kind: 'load', model, adapter, version }))
+  }
+
+  #receiveLoad (name: string, version: number, outcome: LoadOutcome): void {
     if (this.#isStopped) return
     const nowMs = this.#options.clock.readMonotonic()
     if (outcome === 'loaded') this.#planner.recordLoaded(name, version, nowMs)
@@ -316,9 +324,13 @@
       const isAwaited = adapterState === 'unloading' || this.#loads.isLoading(name, version) || coming.some(other => other.name === name)
       if (!isAwaited && !listed.has(name)) this.#planner.recordUnloaded(name)
     }
-    const foreign = coming.filter(({ name }) => this.#planner.places.find(name) === undefined)
-    this.#planner.places.setForeign(foreign.length)
-    if (foreign.length > 0) this.#line.close('loads that a former owner ordered are under way')
+    for (const { name, version } of coming) {
+      if (this.#loads.isLoading(name, version)) continue
+      // Ordered by a former owner, or by this host without an answer.
+      this.#planner.recordLoading(name, version, nowMs)
+      const { model, adapter } = parseAdapter(name)
+      this.#loads.resume({ kind: 'load', model, adapter, version }).then(outcome => this.#receiveLoad(name, version, outcome))
+    }
     this.#plan()
   }
 }
--- a/src/tasks/desk/engineWatch.ts
+++ b/src/tasks/desk/engineWatch.ts
@@ -84,7 +84,7 @@
       const startedAtMs = state.startedAtMs ?? 0
       const isRestarted = this.#startedAtMs !== undefined && (startedAtMs !== this.#startedAtMs || state.orderCount < this.#lastCount)
       log.record('engine.state', 'Read the state of an engine.', {
-        endpointId, reason, isRestarted, orderCount: state.orderCount, known: line.count, running: state.running, loading: state.loading.length, models: state.models.length
+        endpointId, reason, isRestarted, orderCount: state.orderCount, known: line.count, running: state.running, held: state.models.flatMap(model => model.adapters).length, loading: state.loading.length, models: state.models.length
       })
       this.#startedAtMs = startedAtMs
       this.#lastCount = state.orderCount
--- a/src/tasks/desk/loadWatch.ts
+++ b/src/tasks/desk/loadWatch.ts
@@ -1,4 +1,5 @@
 /** Has adapters loaded and notices when each load is done. */
+import { LoadPace } from '../../core/desk/loadPace.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EngineOrder } from '../../ports/orders.js'
 import type { OrderLine } from './orderLine.js'
@@ -6,32 +7,22 @@
 export interface LoadWatchOptions {
   clock: Clock
   line: OrderLine
+  /** Called with each load that was seen to be done. */
+  receiveLoaded: (name: string, tookMs: number, isWarm: boolean) => void
 }
 
-/** Adapters that an engine keeps in its host's memory, from where they load ten times as fast; the published engines keep 108. */
-const rememberedAdapters = 100
-/** Time of a first load before any was seen, in milliseconds; the published sheets say 250 to 288. */
-const initialColdMs = 250
-const initialWarmMs = 25
-/** Time between two questions whether a load is done. */
-const probeIntervalMs = 20
-/** A load that was not seen to be done after this time is looked up in the engine's state. */
-const maxLoadMs = 1500
-/** Weight of the newest load in the expected time. */
-const smoothing = 0.2
-
 /** `unknown`: the engine may have the adapter, so its slot counts as taken until the engine's state is read. */
 export type LoadOutcome = 'loaded' | 'refused' | 'unknown'
 
 type AdapterLoad = Omit<EngineOrder, 'expectedCount'>
 
+/** A load that was not seen to be done after this time is looked up in the engine's state. */
+const maxLoadMs = 1500
+
 export class LoadWatch {
   #options: LoadWatchOptions
+  #pace = new LoadPace()
   #loading = new Set<string>()
-  /** Adapters loaded before, the latest last. */
-  #remembered = new Set<string>()
-  #coldMs = initialColdMs
-  #warmMs = initialWarmMs
 
   constructor (options: LoadWatchOptions) {
     this.#options = options
@@ -44,53 +35,50 @@
 
   /** Expected time of the load of an adapter, named `MODEL/ADAPTER`. */
   computeExpectedMs (adapter: string, version: number): number {
-    return this.#expectMs(formatLoad(adapter, version))
-  }
-
-  #expectMs (name: string): number {
-    return this.#remembered.has(name) ? this.#warmMs : this.#coldMs
+    return this.#pace.expectMs(formatLoad(adapter, version))
   }
 
   /** Resolves when the adapter is usable, or when it will not be by this order. */
   async load (order: AdapterLoad): Promise<LoadOutcome> {
+    return await this.#watch(order, async () => {
+      const outcome = await this.#options.line.submit(order)
+      if (outcome.verdict === 'holds') return 'loaded'
+      return outcome.verdict === 'accepted' ? undefined : outcome.verdict
+    })
+  }
+
+  /** Watches a load that is under way by an earlier order. */
+  async resume (order: AdapterLoad): Promise<LoadOutcome> {
+    return await this.#watch(order, async () => undefined)
+  }
+
+  async #watch (order: AdapterLoad, begin: () => Promise<LoadOutcome | undefined>): Promise<LoadOutcome> {
     const name = formatLoad(`${order.model}/${order.adapter}`, order.version ?? 0)
     this.#loading.add(name)
     try {
-      return await this.#load(name, order)
+      return await begin() ?? await this.#probe(name, order)
     } finally {
       this.#loading.delete(name)
     }
   }
 
-  async #load (name: string, order: AdapterLoad): Promise<LoadOutcome> {
+  async #probe (name: string, order: AdapterLoad): Promise<LoadOutcome> {
     const { clock, line } = this.#options
-    const isWarm = this.#remembered.has(name)
-    const outcome = await line.submit(order)
-    if (outcome.verdict === 'holds') return 'loaded'
-    if (outcome.verdict !== 'accepted') return outcome.verdict
     const startedAtMs = clock.readMonotonic()
-    await this.#pause(this.#expectMs(name))
-    while (clock.readMonotonic() - startedAtMs < maxLoadMs) {
+    let passedMs = 0
+    while (passedMs < maxLoadMs) {
+      await this.#pause(this.#pace.findNextProbeMs(passedMs) - passedMs)
       const probe = await line.probe(order)
-      if (probe.verdict === 'holds') {
-        this.#record(name, clock.readMonotonic() - startedAtMs, isWarm)
-        return 'loaded'
-      }
-      await this.#pause(probeIntervalMs)
+      passedMs = clock.readMonotonic() - startedAtMs
+      if (probe.verdict !== 'holds') continue
+      this.#options.receiveLoaded(name, passedMs, this.#pace.recordLoaded(name, passedMs))
+      return 'loaded'
     }
     return 'unknown'
   }
 
-  #record (name: string, tookMs: number, isWarm: boolean): void {
-    if (isWarm) this.#warmMs += smoothing * (tookMs - this.#warmMs)
-    else this.#coldMs += smoothing * (tookMs - this.#coldMs)
-    this.#remembered.delete(name)
-    this.#remembered.add(name)
-    if (this.#remembered.size > rememberedAdapters) this.#remembered.delete(this.#remembered.values().next().value!)
-  }
-
   async #pause (ms: number): Promise<void> {
-    await new Promise<void>(resolve => { this.#options.clock.setTimer(resolve, ms) })
+    await new Promise<void>(resolve => { this.#options.clock.setTimer(resolve, Math.max(1, ms)) })
   }
 }
 
--- a/src/tasks/desk/orderLine.ts
+++ b/src/tasks/desk/orderLine.ts
@@ -78,9 +78,10 @@
       const fencing = findFencing()
       if (fencing === undefined) return refuse('the host may not give orders now')
       const startedAtMs = clock.readMonotonic()
-      outcome = await orders.send({ ...order, expectedCount: this.#count }, { host, fencing })
+      const expectedCount = this.#count
+      outcome = await orders.send({ ...order, expectedCount }, { host, fencing })
       log.record(`order.${order.kind}`, 'Gave an engine an order.', {
-        endpointId, ...order, expectedCount: this.#count, fencing, attempt, ...outcome, tookMs: Math.round(clock.readMonotonic() - startedAtMs)
+        endpointId, ...order, expectedCount, fencing, attempt, ...outcome, tookMs: Math.round(clock.readMonotonic() - startedAtMs)
       })
       if (outcome.verdict === 'unknown') continue
       this.#recordOutcome(order, outcome)
--- a/src/tasks/front/engineFinder.ts
+++ b/src/tasks/front/engineFinder.ts
@@ -1,16 +1,15 @@
 /** Asks the owners of engines for a place, in the order in which a request's adapter should be served. */
 import type { EndpointHealth } from '../../core/endpointHealth.js'
-import { isCrowded, rankEngines } from '../../core/frontChoice.js'
+import { rankEngines } from '../../core/frontChoice.js'
 import type { EngineCandidate } from '../../core/frontChoice.js'
 import type { NewsBoard } from '../../core/newsBoard.js'
 import { isVacant } from '../../core/orderLease.js'
 import { computeHash } from '../../core/rendezvousHash.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
-import type { DeskLoad } from '../../schemas/datagram.js'
 import type { EndpointEntry } from '../../schemas/routing.js'
 import type { AskOutcome, PlaceClient } from './placeClient.js'
-import type { FindLink, FoundTarget, Target, TargetQuery } from './targetFinder.js'
+import type { FindLink, FoundTarget, PlaceSearch, Target, TargetQuery } from './targetFinder.js'
 
 export interface EngineFinderOptions {
   clock: Clock
@@ -22,10 +21,6 @@
   findLink: FindLink
 }
 
-interface ToldLoad extends DeskLoad {
-  atMs: number
-}
-
 type Refusal = Extract<AskOutcome, { kind: 'refused' }>
 
 /** An owner that did not answer is not asked again for this long; a takeover takes some 4 s. */
@@ -35,10 +30,8 @@
 /** An adapter that was granted at an endpoint within this time is likely to be there still. */
 const residentTermMs = 20_000
 /** Owners that are asked whether they would rather not, before one has to take the request. */
-const maxPolite = 3
-const maxAsked = 6
-/** What an owner told of its load counts for this long. */
-const loadTermMs = 150
+const maxPolite = 4
+const maxAsked = 7
 const noEndpointRetryMs = 300
 /** Priorities on the engine from the route's rank; the engine's default is 5, and 0 is first. */
 const basePriority = 3
@@ -49,7 +42,6 @@
   #silentOwners = new Map<string, number>()
   /** By endpoint. */
   #closedEngines = new Map<string, number>()
-  #loads = new Map<string, ToldLoad>()
   /** When an adapter was last granted at an endpoint. */
   #residents = new Map<string, number>()
 
@@ -63,32 +55,34 @@
     const name = adapter === '' ? `${model} ${this.#options.random()}` : `${model}/${adapter}@${version}`
     const ranked = rankEngines(name, usable.map(entry => this.#describe(entry)))
     const refusals: { endpoint: EndpointEntry, refusal: Refusal }[] = []
+    const search: PlaceSearch = { answers: [], waitedMs: 0 }
     let polite = 0
     let asked = 0
-    for (const { id, isBusy } of ranked) {
+    for (const { id } of ranked) {
       if (asked >= maxAsked || polite >= maxPolite || query.isOver()) break
       const endpoint = usable.find(entry => entry.id === id)!
-      if (isBusy && polite > 0) continue
       asked++
-      const found = await this.#try(query, endpoint, name, version, true)
+      const found = await this.#try(query, endpoint, name, version, true, search)
       if (!found) continue
       if ('kind' in found && found.kind === 'refused') {
         refusals.push({ endpoint, refusal: found })
         if (found.expectedMs >= 0) polite++
       } else {
-        return found as FoundTarget
+        return { ...found as FoundTarget, search }
       }
     }
-    return await this.#insist(query, name, version, refusals)
+    return { ...await this.#insist(query, name, version, refusals, search), search }
   }
 
   /** All that were asked would rather not: the one that would be soonest has to take the request or refuse it. */
-  async #insist (query: TargetQuery, name: string, version: number, refusals: { endpoint: EndpointEntry, refusal: Refusal }[]): Promise<FoundTarget> {
+  async #insist (
+    query: TargetQuery, name: string, version: number, refusals: { endpoint: EndpointEntry, refusal: Refusal }[], search: PlaceSearch
+  ): Promise<FoundTarget> {
     const open = refusals.filter(({ refusal }) => refusal.expectedMs >= 0).sort((left, right) => left.refusal.expectedMs - right.refusal.expectedMs)
     const soonest = open[0]
     let last = refusals[0]?.refusal
     if (soonest && !query.isOver()) {
-      const found = await this.#try(query, soonest.endpoint, name, version, false)
+      const found = await this.#try(query, soonest.endpoint, name, version, false, search)
       if (found && !('code' in found)) return found
       last = found ?? last
     }
@@ -100,13 +94,16 @@
   }
 
   /** Asks one owner; undefined where it does not answer and the engine cannot be used without it. */
-  async #try (query: TargetQuery, endpoint: EndpointEntry, name: string, version: number, mayDecline: boolean): Promise<FoundTarget | Refusal | undefined> {
+  async #try (
+    query: TargetQuery, endpoint: EndpointEntry, name: string, version: number, mayDecline: boolean, search: PlaceSearch
+  ): Promise<FoundTarget | Refusal | undefined> {
     const address = this.#findOwnerAddress(endpoint)
     if (address === undefined) return this.#findResident(name, endpoint, version, query)
     const outcome = await this.#ask(query, endpoint, address, version, mayDecline)
     const nowMs = this.#options.clock.readMonotonic()
-    if (outcome.kind !== 'silent' && outcome.load) this.#loads.set(endpoint.id, { ...outcome.load, atMs: nowMs })
+    search.answers.push(outcome.kind === 'refused' ? outcome.code : outcome.kind)
     if (outcome.kind === 'granted') {
+      search.waitedMs = Math.round(outcome.waitedMs)
       this.#residents.set(`${name} ${endpoint.id}`, nowMs)
       return { kind: 'found', target: this.#createTarget(endpoint, outcome.version, query, (result, firstPartMs) => outcome.place.end(result, firstPartMs)) }
     }
@@ -122,10 +119,8 @@
   #describe (entry: EndpointEntry): EngineCandidate {
     const { health, clock } = this.#options
     const nowMs = clock.readMonotonic()
-    const load = this.#loads.get(entry.id)
-    const isBusy = load !== undefined && nowMs - load.atMs < loadTermMs && isCrowded(load)
     const isClosed = nowMs - (this.#closedEngines.get(entry.id) ?? -Infinity) < avoidEngineMs
-    return { id: entry.id, isBusy, isFailing: isClosed || (health.isFailing(entry.id) && !health.takeProbe(entry.id, nowMs)) }
+    return { id: entry.id, isFailing: isClosed || (health.isFailing(entry.id) && !health.takeProbe(entry.id, nowMs)) }
   }
 
   #findOwnerAddress (endpoint: EndpointEntry): string | undefined {
--- a/src/tasks/front/frontRequest.ts
+++ b/src/tasks/front/frontRequest.ts
@@ -9,7 +9,7 @@
 import type { AttemptResult } from './attempt.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import type { FrontContext } from './frontContext.js'
-import type { Target } from './targetFinder.js'
+import type { PlaceSearch, Target } from './targetFinder.js'
 
 /** Used where the caller does not say how long it waits. */
 const defaultTimeLeftMs = 30_000
@@ -31,6 +31,7 @@
   #isOver = false
   /** Time spent on finding endpoints with a place. */
   #placeMs = 0
+  #searches: PlaceSearch[] = []
   /** Whether an endpoint may have run the request. */
   #mayHaveRun = false
   #retryAfterMs: number | undefined
@@ -76,6 +77,7 @@
         request: this.#request, route, service: this.#service, tried: this.#tried, endsAtMs: this.#endsAtMs, isOver: () => this.#isOver
       })
       this.#placeMs += clock.readMonotonic() - soughtAtMs
+      if (found.search) this.#searches.push(found.search)
       if (this.#isOver) {
         if (found.kind === 'found') found.target.end('withdrawn', -1)
         return
@@ -198,6 +200,7 @@
       tried: this.#tried,
       sends: this.#sends,
       runs: this.#runs,
+      searches: this.#searches,
       placeMs: Math.round(this.#placeMs),
       firstPartMs: Math.round(this.#attempt?.firstPartMs ?? -1),
       tookMs: Math.round(clock.readMonotonic() - this.#request.receivedAtMs),
--- a/src/tasks/front/placeClient.ts
+++ b/src/tasks/front/placeClient.ts
@@ -15,7 +15,7 @@
 export type AskDetails = Omit<PlaceAsk, 'type' | 'id'>
 
 export type AskOutcome =
-  | { readonly kind: 'granted', readonly load: DeskLoad, readonly version: number, readonly place: Place }
+  | { readonly kind: 'granted', readonly load: DeskLoad, readonly waitedMs: number, readonly version: number, readonly place: Place }
   | {
     readonly kind: 'refused'
     readonly code: string
@@ -104,7 +104,7 @@
       this.#waitFor(open, answer.expectedMs + grantMarginMs)
     } else if (answer.type === 'grant') {
       const place: Place = { end: (outcome, firstPartMs) => this.#endPlace(open, outcome, firstPartMs) }
-      open.settle({ kind: 'granted', load: answer.load, version: answer.version, place })
+      open.settle({ kind: 'granted', load: answer.load, waitedMs: answer.waitedMs, version: answer.version, place })
     } else {
       const { code, message, retryAfterMs, expectedMs, load } = answer
       open.settle({ kind: 'refused', code, message, retryAfterMs, expectedMs, load })
--- a/src/tasks/front/targetFinder.ts
+++ b/src/tasks/front/targetFinder.ts
@@ -30,9 +30,17 @@
   isOver: () => boolean
 }
 
+/** How a place was sought, for the log. */
+export interface PlaceSearch {
+  /** What each owner that was asked said, in order: `granted`, a refusal's code, or `silent`. */
+  answers: string[]
+  /** How long the request waited at the owner that granted it, in milliseconds. */
+  waitedMs: number
+}
+
 export type FoundTarget =
-  | { kind: 'found', target: Target }
-  | { kind: 'none', message: string, retryAfterMs: number }
+  | { kind: 'found', target: Target, search?: PlaceSearch }
+  | { kind: 'none', message: string, retryAfterMs: number, search?: PlaceSearch }
 
 export type FindLink = (endpoint: EndpointEntry) => EndpointLink
 
