--- a/src/bin/host.ts
+++ b/src/bin/host.ts
@@ -5,8 +5,12 @@
 import { exitWithError, stopOnSignals } from './runBinary.js'
 import { startHost } from './startHost.js'
 
-try {
-  stopOnSignals(await startHost(readHostSettings(), createSystemClock()))
-} catch (error) {
-  exitWithError('sedgevalve-host', error as Error)
+async function run (): Promise<void> {
+  try {
+    stopOnSignals(await startHost(readHostSettings(), createSystemClock()))
+  } catch (error) {
+    exitWithError('sedgevalve-host', error as Error)
+  }
 }
+
+run()
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -87,7 +87,7 @@
     store,
     relay,
     formatRelayAddress,
-    receiveOwnership: (endpointId, fencing) => desks.receiveOwnership(endpointId, fencing)
+    receiveOwnership: (endpointId, fencing, wasOwn) => desks.receiveOwnership(endpointId, fencing, wasOwn)
   })
   const desks = new DeskTask({
     clock,
--- a/src/core/desk/adapterPlaces.ts
+++ b/src/core/desk/adapterPlaces.ts
@@ -14,6 +14,8 @@
   /** Takes no more requests, as another version or adapter takes its slot. */
   isClosing: boolean
   usedAtMs: number
+  /** Was there when this host took the engine over, so that others may use it. */
+  isAdopted: boolean
 }
 
 /** Time after which a past request counts 1/e in an adapter's use. */
@@ -37,6 +39,8 @@
   #slots: number
   #adapters = new Map<string, PlacedAdapter>()
   #uses = new Map<string, AdapterUse>()
+  /** Nothing that is loaded makes way before this time. */
+  #keptUntilMs = 0
 
   constructor (slots: number) {
     this.#slots = slots
@@ -68,7 +72,7 @@
   }
 
   add (name: string, version: number, state: AdapterState, readyAtMs: number, nowMs: number): PlacedAdapter {
-    const adapter: PlacedAdapter = { name, version, state, readyAtMs, running: 0, isClosing: false, usedAtMs: nowMs }
+    const adapter: PlacedAdapter = { name, version, state, readyAtMs, running: 0, isClosing: false, usedAtMs: nowMs, isAdopted: false }
     this.#adapters.set(name, adapter)
     return adapter
   }
@@ -111,12 +115,19 @@
     return use ? use.count * Math.exp((use.atMs - nowMs) / useTermMs) : 0
   }
 
+  /** Keeps what is loaded now, as requests that this host does not know may use it. */
+  keepAll (untilMs: number): void {
+    this.#keptUntilMs = untilMs
+    for (const adapter of this.#adapters.values()) adapter.isAdopted = true
+  }
+
   /** Finds the adapter that nobody uses and that is asked for least; undefined where all are in use. */
   findVictim (nowMs: number, isWanted: (name: string) => boolean): PlacedAdapter | undefined {
     let victim: PlacedAdapter | undefined
     let leastUse = Infinity
     for (const adapter of this.#adapters.values()) {
       if (adapter.state !== 'loaded' || adapter.running > 0 || adapter.isClosing || isWanted(adapter.name)) continue
+      if (adapter.isAdopted && nowMs < this.#keptUntilMs) continue
       const isFresh = nowMs - adapter.usedAtMs < minIdleMs ? 1e6 : 0
       const use = this.readUse(adapter.name, nowMs) + isFresh
       if (use >= leastUse) continue
--- a/src/tasks/desk/deskTask.ts
+++ b/src/tasks/desk/deskTask.ts
@@ -29,13 +29,14 @@
     this.#options = options
   }
 
-  receiveOwnership (endpointId: string, fencing: number | undefined): void {
+  /** `wasOwn`: the host owned the endpoint before it restarted, so no orders of another one can be on their way. */
+  receiveOwnership (endpointId: string, fencing: number | undefined, wasOwn: boolean): void {
     if (fencing === undefined) {
       this.#owned.delete(endpointId)
       this.#closeDesk(endpointId, 'this host no longer owns it')
     } else {
       this.#owned.add(endpointId)
-      this.#openDesk(endpointId)
+      this.#openDesk(endpointId, wasOwn ? 0 : settleMs)
     }
   }
 
@@ -69,7 +70,7 @@
     else if (!entry && desk) this.#closeDesk(id, 'its entry is gone')
   }
 
-  #openDesk (endpointId: string): void {
+  #openDesk (endpointId: string, settle = settleMs): void {
     const { clock, log, host, board, openOrders } = this.#options
     if (this.#desks.has(endpointId)) return
     const entry = board.endpoints.find(endpointId, clock.readMonotonic())
@@ -84,7 +85,7 @@
       orders: openOrders(entry),
       findFencing: () => this.#options.findFencing(endpointId),
       findVersion: (model, adapter) => board.findAdapterVersion(model, adapter),
-      settleMs
+      settleMs: settle
     })
     this.#desks.set(endpointId, desk)
     desk.start()
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -47,8 +47,8 @@
 const maxLoads = 4
 /** Part of the engine's memory that prompts may be expected to keep beside what runs. */
 const keptPart = 0.6
-/** An accepted unload waits for its runs; it is asked for again after this time. */
-const repeatUnloadMs = 60
+/** Runs that this desk gave no place for, such as those of a former owner, are likely to have ended after this time. */
+const foreignRunMs = 1500
 
 export class EndpointDesk {
   #options: EndpointDeskOptions
@@ -168,7 +168,8 @@
   /** Why the engine gives no places now, whatever its load. */
   #findObstacle ({ ask }: Place): { code: string, reason: string } | undefined {
     if (this.#entry.isLeaving) return { code: 'endpoint_leaving', reason: `endpoint "${this.endpointId}" is leaving` }
-    if (!this.#watch.isReady) return { code: 'endpoint_not_ready', reason: `endpoint "${this.endpointId}" does not tell its state` }
+    // Asks that come before the first report wait for it.
+    if (!this.#watch.isReady && !this.#watch.isStarting) return { code: 'endpoint_not_ready', reason: `endpoint "${this.endpointId}" does not tell its state` }
     const isPlaced = ask.adapter === '' || this.#planner.places.find(formatAdapter(ask)) !== undefined
     if (isPlaced || this.#options.findFencing() !== undefined) return undefined
     return { code: 'no_orders', reason: `the owner of endpoint "${this.endpointId}" may not give it orders now` }
@@ -285,19 +286,14 @@
     const nowMs = this.#options.clock.readMonotonic()
     if (outcome === 'loaded') this.#planner.recordLoaded(name, version, nowMs)
     else if (outcome === 'refused') this.#planner.recordLoadFailed(name, nowMs)
-    else this.#line.close(`nobody knows whether adapter "${name}" was loaded`)
+    else if (outcome === 'unknown') this.#line.close(`nobody knows whether adapter "${name}" was loaded`)
     this.#plan()
   }
 
   async #carryOutUnload (name: string): Promise<void> {
     const { clock } = this.#options
     const { model, adapter } = parseAdapter(name)
-    let outcome = await this.#line.submit({ kind: 'unload', model, adapter, version: undefined })
-    while (outcome.verdict === 'accepted' && !this.#isStopped) {
-      // It waits for runs that were sent without a place; the adapter's slot counts as taken until then.
-      await new Promise<void>(resolve => { clock.setTimer(resolve, repeatUnloadMs) })
-      outcome = await this.#line.repeat({ kind: 'unload', model, adapter, version: undefined })
-    }
+    const outcome = await this.#line.submit({ kind: 'unload', model, adapter, version: undefined })
     if (this.#isStopped) return
     if (outcome.verdict === 'holds') this.#planner.recordUnloaded(name)
     else this.#planner.recordUnloadFailed(name, clock.readMonotonic())
@@ -315,9 +311,12 @@
       for (const { name, version } of model.adapters) {
         const adapter = `${model.name}/${name}`
         listed.add(adapter)
+        this.#loads.settle(adapter, version)
         if (this.#planner.places.find(adapter)?.state !== 'unloading') this.#planner.recordLoaded(adapter, version, nowMs)
       }
     }
+    // What runs beside the places of this desk may use any adapter; an unload would wait for it and hold all orders up.
+    if (state.running > this.#planner.running) this.#planner.places.keepAll(nowMs + foreignRunMs)
     const coming = state.loading.map(({ model, name, version }) => ({ name: `${model}/${name}`, version }))
     // What is neither listed nor on its way is gone.
     for (const { name, version, state: adapterState } of this.#planner.places.list()) {
--- a/src/tasks/desk/engineWatch.ts
+++ b/src/tasks/desk/engineWatch.ts
@@ -33,6 +33,7 @@
   /** Orders in the last report; a smaller number tells of a new start. */
   #lastCount = 0
   #wasRestarted = false
+  #isUnreachable = false
 
   constructor (options: EngineWatchOptions) {
     this.#options = options
@@ -43,6 +44,11 @@
     return this.#isReady
   }
 
+  /** Whether the first report is still awaited, which takes a few hundred milliseconds. */
+  get isStarting (): boolean {
+    return this.#startedAtMs === undefined && !this.#isUnreachable
+  }
+
   start (settleMs: number): void {
     this.#read(settleMs, 'the host has become the owner')
   }
@@ -109,6 +115,7 @@
     } catch (error) {
       if (this.#isReady) log.record('engine.lost', 'An engine does not tell its state; it gives no places until it does.', { endpointId, reason, error: (error as Error).message })
       this.#isReady = false
+      this.#isUnreachable = true
       return rereadMs
     }
   }
--- a/src/tasks/desk/loadWatch.ts
+++ b/src/tasks/desk/loadWatch.ts
@@ -11,8 +11,8 @@
   receiveLoaded: (name: string, tookMs: number, isWarm: boolean) => void
 }
 
-/** `unknown`: the engine may have the adapter, so its slot counts as taken until the engine's state is read. */
-export type LoadOutcome = 'loaded' | 'refused' | 'unknown'
+/** `settled`: the engine's state has told already. `unknown`: the engine may have the adapter, so its slot counts as taken until the engine's state is read. */
+export type LoadOutcome = 'loaded' | 'refused' | 'unknown' | 'settled'
 
 type AdapterLoad = Omit<EngineOrder, 'expectedCount'>
 
@@ -22,7 +22,8 @@
 export class LoadWatch {
   #options: LoadWatchOptions
   #pace = new LoadPace()
-  #loading = new Set<string>()
+  /** Each load that is watched, with a token that is its own. */
+  #loading = new Map<string, symbol>()
 
   constructor (options: LoadWatchOptions) {
     this.#options = options
@@ -54,22 +55,34 @@
 
   async #watch (order: AdapterLoad, begin: () => Promise<LoadOutcome | undefined>): Promise<LoadOutcome> {
     const name = formatLoad(`${order.model}/${order.adapter}`, order.version ?? 0)
-    this.#loading.add(name)
+    const token = Symbol(name)
+    this.#loading.set(name, token)
+    const isWatched = (): boolean => this.#loading.get(name) === token
     try {
-      return await begin() ?? await this.#probe(name, order)
+      return await begin() ?? await this.#probe(name, order, isWatched)
     } finally {
-      this.#loading.delete(name)
+      if (isWatched()) this.#loading.delete(name)
     }
   }
 
-  async #probe (name: string, order: AdapterLoad): Promise<LoadOutcome> {
+  /**
+   * Ends the watch of a load of which the engine's state has told. A probe after that would order the adapter anew once
+   * it is unloaded.
+   */
+  settle (adapter: string, version: number): void {
+    this.#loading.delete(formatLoad(adapter, version))
+  }
+
+  async #probe (name: string, order: AdapterLoad, isWatched: () => boolean): Promise<LoadOutcome> {
     const { clock, line } = this.#options
     const startedAtMs = clock.readMonotonic()
     let passedMs = 0
     while (passedMs < maxLoadMs) {
       await this.#pause(this.#pace.findNextProbeMs(passedMs) - passedMs)
+      if (!isWatched()) return 'settled'
       const probe = await line.probe(order)
       passedMs = clock.readMonotonic() - startedAtMs
+      if (!isWatched()) return 'settled'
       if (probe.verdict !== 'holds') continue
       this.#options.receiveLoaded(name, passedMs, this.#pace.recordLoaded(name, passedMs))
       return 'loaded'
--- a/src/tasks/desk/orderLine.ts
+++ b/src/tasks/desk/orderLine.ts
@@ -17,6 +17,10 @@
 
 /** Tries of an order whose answer was lost; each has the same condition, so that one of them at most is carried out. */
 const maxTries = 4
+/** Time between two questions whether an unload has got its runs out of the way; a run takes some 500 ms. */
+const repeatUnloadMs = 60
+/** An unload that takes longer is looked up in the engine's state. */
+const maxUnloadMs = 4000
 
 export class OrderLine {
   #options: OrderLineOptions
@@ -47,14 +51,10 @@
     this.#recordMismatch(reason)
   }
 
-  /** Asks whether an unload that waited for its runs is done, by giving the order again; it is not counted. */
-  async repeat (order: Omit<EngineOrder, 'expectedCount'>): Promise<OrderOutcome> {
-    const turn = this.#tail.then(async () => await this.probe(order))
-    this.#tail = turn
-    return await turn
-  }
-
-  /** Gives an order when those before it have been answered. */
+  /**
+   * Gives an order when those before it have been carried out or refused. An unload that has to wait for runs holds the
+   * line up, as the engine takes no other order meanwhile.
+   */
   async submit (order: Omit<EngineOrder, 'expectedCount'>): Promise<OrderOutcome> {
     const turn = this.#tail.then(async () => await this.#send(order))
     this.#tail = turn
@@ -84,6 +84,7 @@
         endpointId, ...order, expectedCount, fencing, attempt, ...outcome, tookMs: Math.round(clock.readMonotonic() - startedAtMs)
       })
       if (outcome.verdict === 'unknown') continue
+      if (order.kind === 'unload' && outcome.verdict === 'accepted') return await this.#waitForUnload(order)
       this.#recordOutcome(order, outcome)
       return outcome
     }
@@ -91,6 +92,21 @@
     return outcome
   }
 
+  /** Gives an unload again until the runs that it waits for have ended; engines don't count it. */
+  async #waitForUnload (order: Omit<EngineOrder, 'expectedCount'>): Promise<OrderOutcome> {
+    const { clock, endpointId, log } = this.#options
+    const startedAtMs = clock.readMonotonic()
+    while (clock.readMonotonic() - startedAtMs < maxUnloadMs) {
+      await new Promise<void>(resolve => { clock.setTimer(resolve, repeatUnloadMs) })
+      const outcome = await this.probe(order)
+      if (outcome.verdict !== 'holds') continue
+      log.record('order.unloaded', 'An unload that waited for its runs is done.', { endpointId, adapter: order.adapter, tookMs: Math.round(clock.readMonotonic() - startedAtMs) })
+      return outcome
+    }
+    this.#recordMismatch('an unload waits for runs that do not end')
+    return { verdict: 'unknown', reason: 'an unload waits for runs that do not end' }
+  }
+
   #recordOutcome (order: Omit<EngineOrder, 'expectedCount'>, outcome: OrderOutcome): void {
     // Engines count a load when they accept it, and an unload when they carry it out at once; one that waits for its runs
     // is not counted, nor is an order that held before.
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -25,15 +25,15 @@
   applyOwnRow: (row: StoreRow) => void
   /** Whether the store is away for all hosts, so that nobody can take an endpoint over. */
   isOutage: () => boolean
-  /** Called when this host has begun or ceased to own an endpoint. */
-  receiveOwnership: (endpointId: string, fencing: number | undefined) => void
+  /** Called when this host has begun or ceased to own an endpoint; `wasOwn` where it was its owner before it restarted. */
+  receiveOwnership: (endpointId: string, fencing: number | undefined, wasOwn: boolean) => void
 }
 
 const stepMs = 100
 /** An unrenewed row of a host that owns nothing is written again this often, so that it is known to live. */
 const idleRenewalMs = 20_000
-/** An endpoint that is handed over for an even spread; others wait this long. */
-const handoverIntervalMs = 4000
+/** Time between two endpoints that are handed over for an even spread; each serves nothing new for half a second. */
+const handoverIntervalMs = 10_000
 
 export class LeaseTask {
   #options: LeaseTaskOptions
@@ -188,14 +188,14 @@
       this.#vacantSince.set(endpoint.endpointId, sinceMs)
       const rank = isFormerSelf ? 0 : rankings.get(endpoint.endpointId)?.indexOf(own.host) ?? -1
       if (rank < 0 || nowMs - sinceMs < computeClaimDelayMs(rank)) continue
-      this.#claimEndpoint(endpoint.endpointId, owner?.fencing ?? 0)
+      this.#claimEndpoint(endpoint.endpointId, owner?.fencing ?? 0, isFormerSelf)
       return
     }
     this.#expireHosts(nowMs)
     this.#handOver(endpoints, hosts, nowMs)
   }
 
-  async #claimEndpoint (endpointId: string, version: number): Promise<void> {
+  async #claimEndpoint (endpointId: string, version: number, wasOwn: boolean): Promise<void> {
     const { own, log } = this.#options
     this.#isClaiming = true
     const outcome = await this.#options.transact({
@@ -208,8 +208,8 @@
     log.record('lease.claimed', 'Asked the store for the ownership of an endpoint that has no owner.', { endpointId, version, verdict: outcome.verdict })
     // A claim whose answer was lost shows in the news, as does one that another host has won.
     if (outcome.verdict !== 'applied') return
+    this.#gain(endpointId, outcome.version, wasOwn)
     this.#options.applyOwnRow({ ...this.#createOwnerWrite(endpointId, own), version: outcome.version })
-    this.#gain(endpointId, outcome.version)
   }
 
   #createOwnerWrite (endpointId: string, { host, address, session }: Omit<OwnerRow, 'endpointId'>): { table: string, key: string, value: Uint8Array } {
@@ -279,17 +279,17 @@
 
   // Ownership
 
-  #gain (endpointId: string, fencing: number): void {
+  #gain (endpointId: string, fencing: number, wasOwn = false): void {
     if (this.#isLeaving || (this.#owned.get(endpointId) ?? 0) >= fencing) return
     this.#owned.set(endpointId, fencing)
     this.#options.log.record('lease.gained', 'This host owns an endpoint and gives it orders.', { endpointId, fencing })
-    this.#options.receiveOwnership(endpointId, fencing)
+    this.#options.receiveOwnership(endpointId, fencing, wasOwn)
     if (this.#options.clock.readMonotonic() - this.#provenAtMs > renewalIntervalMs) this.#renewedAtMs = -Infinity
   }
 
   #lose (endpointId: string, reason: string): void {
     if (!this.#owned.delete(endpointId)) return
     this.#options.log.record('lease.lost', 'This host no longer owns an endpoint.', { endpointId, reason })
-    this.#options.receiveOwnership(endpointId, undefined)
+    this.#options.receiveOwnership(endpointId, undefined, false)
   }
 }
--- a/src/tasks/news/relayServer.ts
+++ b/src/tasks/news/relayServer.ts
@@ -25,6 +25,8 @@
 }
 
 const maxWaitMs = 5000
+/** Told as the age of news that never came. */
+const neverMs = 1e9
 const rowNameSchema = Type.Object({ table: Type.Literal(hostsTable), key: Type.String() })
 const parseTransaction = createParser(Type.Object({
   checks: Type.Array(Type.Composite([rowNameSchema, Type.Object({ version: Type.Number() })])),
@@ -41,7 +43,7 @@
     if (query.logId === options.mirror.logId && position === options.mirror.position) {
       await waitForNews(options, Math.min(maxWaitMs, Number(query.waitMs)))
     }
-    return pack({ ...options.mirror.readChanges(query.logId, position), storeAgeMs: options.readStoreAgeMs() })
+    return pack({ ...options.mirror.readChanges(query.logId, position), storeAgeMs: Math.min(neverMs, options.readStoreAgeMs()) })
   })
   server.post(transactPath, async ({ body }, reply) => {
     // A peer that is cut off itself says so at once, so that another one is asked.
