--- a/src/bin/createLeases.ts
+++ b/src/bin/createLeases.ts
@@ -48,7 +48,7 @@
     clock,
     readStoreAgeMs: () => news.directStoreAgeMs,
     listPeers,
-    askStoreAge: async address => await peers.askStoreAge(address),
+    askStoreAge: async address => (await peers.askHost(address))?.storeAgeMs,
     isNeeded: () => leases.ownsAny
   })
   const leases = new LeaseTask({
@@ -57,7 +57,7 @@
     board,
     own,
     readsStore: () => news.reachesStore,
-    isRunning: async address => await peers.askStoreAge(address) !== undefined,
+    isRunning: async row => (await peers.askHost(row.address))?.session === row.session,
     transact: async transaction => await access.transact(transaction),
     applyOwnRow: row => mirror.applyOwnRow(row),
     isOutage: () => outage.isOutage(),
--- a/src/core/desk/promptWork.ts
+++ b/src/core/desk/promptWork.ts
@@ -9,12 +9,12 @@
 /** Time after which past work counts 1/e in the engine's use. */
 const useTermMs = 1000
 /** Weight of the newest observation of the engine's pace. */
-const smoothing = 0.05
+const smoothing = 0.03
 /** Paces beyond these come from something else than the engine's speed. */
-const minPace = 0.5
-const maxPace = 8
-/** Waits shorter than this say little about the pace. */
-const minObservedMs = 20
+const minPace = 0.8
+const maxPace = 4
+/** Waits shorter than this say little about the pace, as an engine's step takes up to 60 ms. */
+const minObservedMs = 60
 
 export class PromptWork {
   #backlogMs = 0
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -17,8 +17,8 @@
   own: { host: string, address: string, zone: string, session: string }
   /** Whether this host reads the store itself, so that another host's silence means something. */
   readsStore: () => boolean
-  /** Asks a host directly whether it runs. */
-  isRunning: (address: string) => Promise<boolean>
+  /** Asks a host directly whether the life of its process that wrote a row still runs. */
+  isRunning: (row: HostRow) => Promise<boolean>
   /** Reaches the store, directly or through a peer. */
   transact: (transaction: StoreTransaction) => Promise<StoreOutcome>
   /** Takes a row that this host has written, ahead of the news. */
@@ -120,7 +120,7 @@
     const { clock } = this.#options
     const nowMs = clock.readMonotonic()
     if (!this.#options.readsStore()) this.#renewals.recordStoreAway(nowMs)
-    const interval = this.#owned.size > 0 ? renewalIntervalMs : idleRenewalMs
+    const interval = this.#owned.size > 0 || !this.#isRegistered() ? renewalIntervalMs : idleRenewalMs
     if (!this.#isLeaving && nowMs - this.#renewedAtMs >= interval) this.#renew()
     if (this.#isLeaving || this.#isClaiming || !this.#isRegistered()) return
     this.#claim(nowMs)
@@ -246,7 +246,7 @@
       const owned = [...board.owners].filter(([, owner]) => owner.row.host === name)
       if (!host || owned.length === 0 || name === own.host) continue
       this.#isClaiming = true
-      if (!await this.#options.isRunning(host.row.address)) {
+      if (!await this.#options.isRunning(host.row)) {
         const outcome = await this.#options.transact({
           checks: [{ table: hostsTable, key: formatHostKey(name), version: host.version }, ...owned.map(([id, { fencing }]) => ({ table: hostsTable, key: formatOwnerKey(id), version: fencing }))],
           writes: owned.map(([id]) => this.#createOwnerWrite(id, { host: '', address: '', session: '' })),
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -14,6 +14,13 @@
   receiveConfirmation: (ids: readonly number[]) => void
 }
 
+/** What a host tells of itself when asked. */
+export interface HostState {
+  readonly session: string
+  /** Milliseconds since the store itself answered it. */
+  readonly storeAgeMs: number
+}
+
 /** A host that does not answer one of three questions within this time counts as not running. */
 const pingTimeoutMs = 250
 const pingCount = 3
@@ -22,7 +29,7 @@
 
 export class PeerTask {
   #options: PeerTaskOptions
-  #pings = new Map<number, (storeAgeMs: number | undefined) => void>()
+  #pings = new Map<number, (state: HostState | undefined) => void>()
   #nextPing = 1
 
   constructor (options: PeerTaskOptions) {
@@ -35,13 +42,13 @@
     this.#options.receiveAtDesk(message, this.#options.own, answer => this.#options.receiveAnswer(answer))
   }
 
-  /** Asks the host at an IP number when the store last answered it; undefined where the host does not answer. */
-  async askStoreAge (address: string): Promise<number | undefined> {
+  /** Asks the host at an IP number how it is; undefined where it does not answer. */
+  async askHost (address: string): Promise<HostState | undefined> {
     const { clock, datagrams } = this.#options
     const echo = this.#nextPing++
-    return await new Promise<number | undefined>(resolve => {
-      const settle = (storeAgeMs: number | undefined): void => {
-        if (this.#pings.delete(echo)) resolve(storeAgeMs)
+    return await new Promise<HostState | undefined>(resolve => {
+      const settle = (state: HostState | undefined): void => {
+        if (this.#pings.delete(echo)) resolve(state)
       }
       this.#pings.set(echo, settle)
       for (let count = 0; count < pingCount; count++) {
@@ -61,7 +68,7 @@
     } else if (message.type === 'ping') {
       datagrams.send(sender.address, { type: 'pong', echo: message.echo, session: own.session, storeAgeMs: Math.min(neverMs, readStoreAgeMs()) })
     } else if (message.type === 'pong') {
-      this.#pings.get(message.echo)?.(message.storeAgeMs)
+      this.#pings.get(message.echo)?.(message)
     } else {
       receiveAnswer(message)
     }
