--- a/src/core/desk/adapterPlaces.ts
+++ b/src/core/desk/adapterPlaces.ts
@@ -46,6 +46,11 @@
     this.#slots = slots
   }
 
+  /** When adopted adapters may make way. */
+  get keptUntilMs (): number {
+    return this.#keptUntilMs
+  }
+
   get free (): number {
     return this.#slots - this.#adapters.size
   }
--- a/src/core/desk/deskPlanner.ts
+++ b/src/core/desk/deskPlanner.ts
@@ -259,6 +259,7 @@
     if (places.unloading + places.loading >= this.#options.maxLoads) return
     const victim = places.findVictim(nowMs, name => needed.has(name))
     if (victim) this.#unload(victim, plan)
+    else if (places.keptUntilMs > nowMs) plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, places.keptUntilMs)
   }
 
   /** Whether the last load of an adapter failed so lately that the next one has to wait. */
