--- a/features/deskPlanner.feature
+++ b/features/deskPlanner.feature
@@ -99,3 +99,9 @@
     When the desk plans for 1000 ms
     And request 1 asks for "a1" with a target of 600 ms
     Then request 1 is granted
+
+  Scenario: One waiting adapter takes one slot, however often the desk plans
+    Given adapters "a1, a2, a3" are loaded at the desk
+    When request 1 asks for "a4"
+    And the desk plans for 100 ms
+    Then the unload of "a1" is ordered
--- a/src/core/desk/deskPlanner.ts
+++ b/src/core/desk/deskPlanner.ts
@@ -205,7 +205,9 @@
     }
     this.#refuseOverdue(plan, nowMs)
     if (!mayOrder) return plan
-    for (const request of needed.values()) if (this.#waiting.has(request.key)) this.#planLoad(request, needed, plan, nowMs)
+    // Slots that are falling free are meant for the most urgent of those that wait.
+    const coming = { slots: this.places.unloading }
+    for (const request of needed.values()) if (this.#waiting.has(request.key)) this.#planLoad(request, needed, coming, plan, nowMs)
     return plan
   }
 
@@ -242,7 +244,9 @@
   }
 
   /** Loads an adapter into a free slot, or has another one make way. */
-  #planLoad (request: DeskRequest, needed: Map<string, DeskRequest>, plan: DeskPlan & { wakeAtMs: number | undefined }, nowMs: number): void {
+  #planLoad (
+    request: DeskRequest, needed: Map<string, DeskRequest>, coming: { slots: number }, plan: DeskPlan & { wakeAtMs: number | undefined }, nowMs: number
+  ): void {
     const { places } = this
     const placed = places.find(request.adapter)
     if (placed) {
@@ -255,7 +259,10 @@
       plan.loads.push({ adapter: request.adapter, version: request.version })
       return
     }
-    // One slot on its way for each load that waits for one.
+    if (coming.slots > 0) {
+      coming.slots--
+      return
+    }
     if (places.unloading + places.loading >= this.#options.maxLoads) return
     const victim = places.findVictim(nowMs, name => needed.has(name))
     if (victim) this.#unload(victim, plan)
