Test the hosts' path before a stand-in of the platform; let the news prove a renewal

One failed first: while answers of the store's writes were lost an owner could not prove its lease and loaded nothing (15 of 20 streams whole); now its own row in the news proves it.

--- /dev/null
+++ b/features/hostFailures.feature
@@ -0,0 +1,43 @@
+Feature: Hosts of the users' platform under failure
+  Hosts come, go and lose the store; engines keep one owner each, and callers are served.
+
+  Scenario: A graceful stop cuts nothing and hands the engines over
+    Given 3 hosts before a platform with 3 engines
+    When host 1 stops while streams are sent through it
+    Then every answer is whole or refused with a time to come back
+    And every engine is owned by a host that runs within 2000 ms
+    And no endpoint saw what no host may do
+
+  Scenario: The store is away for a while
+    Given 3 hosts before a platform with 2 engines of 3 adapter slots
+    When the store is silent for 4000 ms while 40 streams for 8 adapters are sent
+    Then at least 30 streams are whole
+    And no endpoint saw what no host may do
+
+  Scenario Outline: The store is <fault> while hosts start
+    Given a platform with 2 engines whose store is <fault>
+    When 2 hosts start and the store is there again after 1500 ms
+    Then every engine is owned by a host that runs within 4000 ms
+
+    Examples:
+      | fault |
+      | busy  |
+      | reset |
+      | silent |
+
+  Scenario: Answers of the store are lost
+    Given 3 hosts before a platform with 3 engines
+    When the answers of the store's writes are lost for 3000 ms
+    And 20 streams for 5 adapters are sent within 1000 ms
+    Then at least 18 streams are whole
+    And no endpoint saw what no host may do
+
+  Scenario: The store forgets its history
+    Given 2 hosts before a platform with 2 engines
+    When the store forgets its history and a route is added
+    Then the route is known to every host within 2000 ms
+
+  Scenario: A configuration is in force on every host soon
+    Given 3 hosts before a platform with 1 engine
+    When a route is added
+    Then the route is known to every host within 1500 ms
--- /dev/null
+++ b/features/support/hostFleet.ts
@@ -0,0 +1,170 @@
+/** Hosts of the platform's program in this process, before a stand-in of the platform, with callers that use them. */
+import { randomBytes } from 'node:crypto'
+import { Agent, request } from 'undici'
+import type { Dispatcher } from 'undici'
+import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
+import type { RunningProcess } from '../../src/bin/runBinary.js'
+import { startHost } from '../../src/bin/startHost.js'
+import { encodeCallerHeaders, readAnswerMarks } from '../../src/platform/standinWire.js'
+import type { EventFields } from '../../src/ports/eventLog.js'
+import type { HostSettings } from '../../src/schemas/hostSettings.js'
+import { fleetHost, fleetModel, fleetPaths, startFleet } from '../../src/standin/fleet/startFleet.js'
+import type { Fleet, FleetOptions } from '../../src/standin/fleet/startFleet.js'
+import { waitUntil } from './waitUntil.js'
+
+export type CallKind = keyof typeof fleetPaths
+
+export interface LogLine {
+  host: string
+  kind: string
+  fields: EventFields
+}
+
+export interface FleetHost {
+  settings: HostSettings
+  process: RunningProcess | undefined
+}
+
+export interface FleetAnswer {
+  requestId: string
+  status: number
+  body: string
+  signature: string | undefined
+  retryAfterS: number | undefined
+  /** Set where the answer broke off. */
+  error: string | undefined
+  tookMs: number
+}
+
+export interface CallOptions {
+  kind: CallKind
+  host: number
+  adapter?: string
+  timeLeftMs?: number
+  requestId?: string
+  headers?: Record<string, string>
+  signal?: AbortSignal
+}
+
+/** Ports are the same on all hosts; another run on this machine takes others. */
+const basePort = 20_000 + (process.pid % 3000) * 8
+let nextNetwork = 1
+
+export class HostFleet {
+  readonly fleet: Fleet
+  readonly hosts: FleetHost[] = []
+  readonly lines: LogLine[] = []
+  #agent = new Agent({ connections: 64, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
+  #network = nextNetwork++ % 200 + 1
+
+  private constructor (fleet: Fleet) {
+    this.fleet = fleet
+  }
+
+  /** Starts the platform alone; the hosts are told where it is. */
+  static async prepare (hosts: number, options: Partial<FleetOptions> = {}): Promise<HostFleet> {
+    const world = new HostFleet(await startFleet(options))
+    for (let index = 1; index <= hosts; index++) world.hosts.push({ settings: world.#createSettings(index), process: undefined })
+    return world
+  }
+
+  /** Starts the platform and hosts, and waits until every engine has an owner that knows its state. */
+  static async start (hosts: number, options: Partial<FleetOptions> = {}): Promise<HostFleet> {
+    const world = await HostFleet.prepare(hosts, options)
+    await Promise.all(world.hosts.map(async host => await world.startHost(host)))
+    await world.waitForOwners()
+    return world
+  }
+
+  async startHost (host: FleetHost): Promise<void> {
+    const { hostName } = host.settings
+    host.process = await startHost(host.settings, createSystemClock(), () => ({
+      record: (kind, _message, fields = {}) => { this.lines.push({ host: hostName, kind, fields }) },
+      flush: () => {}
+    }))
+  }
+
+  async stopHost (host: FleetHost): Promise<void> {
+    const running = host.process
+    host.process = undefined
+    await running?.stop()
+  }
+
+  async waitForOwners (): Promise<void> {
+    await waitUntil(() => {
+      const known = new Set(this.listLines('engine.state').map(line => line.fields.endpointId))
+      return this.fleet.engines.every(({ id }) => known.has(id))
+    })
+  }
+
+  async call (options: CallOptions): Promise<FleetAnswer> {
+    const { kind, host, adapter, timeLeftMs = 4000, headers = {} } = options
+    const requestId = options.requestId ?? randomBytes(8).toString('hex')
+    const isEngine = kind === 'stream' || kind === 'resumable'
+    const startedAtMs = performance.now()
+    const answer: FleetAnswer = { requestId, status: 0, body: '', signature: undefined, retryAfterS: undefined, error: undefined, tookMs: 0 }
+    try {
+      const response = await request(`http://${this.hosts[host - 1]!.settings.callersAddress}${fleetPaths[kind]}x`, {
+        dispatcher: this.#agent as Dispatcher,
+        method: kind === 'idempotent' ? 'GET' : 'POST',
+        headers: { ...encodeCallerHeaders({ requestId, host: fleetHost, timeLeftMs, ...(isEngine && { model: adapter ? `${fleetModel}/${adapter}` : fleetModel }) }), ...headers },
+        ...(kind !== 'idempotent' && { body: 'a question' }),
+        ...(options.signal && { signal: options.signal })
+      })
+      const marks = readAnswerMarks(response.headers)
+      answer.status = response.statusCode
+      answer.signature = marks.signature
+      answer.retryAfterS = marks.retryAfterS
+      for await (const chunk of response.body) answer.body += (chunk as Buffer).toString('utf8')
+    } catch (error) {
+      answer.error = (error as Error).message
+    }
+    answer.tookMs = performance.now() - startedAtMs
+    return answer
+  }
+
+  /** Status of a plain request to any path of the fleet's host. */
+  async readStatus (host: number, path: string): Promise<number> {
+    const { statusCode, body } = await request(`http://${this.hosts[host - 1]!.settings.callersAddress}${path}`, {
+      dispatcher: this.#agent as Dispatcher, headers: encodeCallerHeaders({ requestId: randomBytes(8).toString('hex'), host: fleetHost, timeLeftMs: 1000 })
+    })
+    await body.dump()
+    return statusCode
+  }
+
+  listLines (kind: string): LogLine[] {
+    return this.lines.filter(line => line.kind === kind)
+  }
+
+  async stop (): Promise<void> {
+    await this.#agent.destroy()
+    await Promise.all(this.hosts.map(async host => await this.stopHost(host)))
+    await this.fleet.stop()
+  }
+
+  #createSettings (index: number): HostSettings {
+    const address = `127.${this.#network}.0.${index}`
+    return Object.freeze({
+      hostName: `host-${index}`,
+      address,
+      zone: index % 2 === 1 ? 'a' : 'b',
+      callersAddress: `${address}:${basePort}`,
+      readinessAddress: `${address}:${basePort + 1}`,
+      peersAddress: `${address}:${basePort + 2}`,
+      datagramPort: basePort + 3,
+      seedAddresses: [],
+      storeAddress: this.fleet.store.address,
+      memoryMb: 350,
+      maxDescriptors: 4000,
+      heartbeatMs: 300,
+      drainMs: 1000,
+      shutdownMs: 3000,
+      configurationMs: 2000,
+      retryShare: 0.2,
+      retryExtra: 60,
+      retryWindowMs: 10_000,
+      leaseMs: 3000,
+      versionMs: 5000
+    })
+  }
+}
--- a/src/adapters/eventLog/pinoEventLog.ts
+++ b/src/adapters/eventLog/pinoEventLog.ts
@@ -11,6 +11,9 @@
   session: string
 }
 
+/** A log that can be emptied before the process ends. */
+export type OpenLog = (options: PinoEventLogOptions) => EventLog & { flush: () => void }
+
 /** Lines of one kind a second: three times the refusals of a host in the published bursts. */
 const linesPerSecond = 60
 const burst = 200
@@ -26,7 +29,7 @@
  * const log = openEventLog({ clock, host: 'front-1', session: 'a1b2' })
  * log.record('store.lost', 'The store does not answer; the host goes on with what it knows.', { ageMs: 900 })
  */
-export function openEventLog (options: PinoEventLogOptions): EventLog & { flush: () => void } {
+export const openEventLog: OpenLog = options => {
   const destination = pino.destination({ dest: 1, sync: false, minLength: 0, maxLength: maxBufferedBytes })
   let dropped = 0
   destination.on('drop', () => { dropped++ })
--- a/src/bin/runBinary.ts
+++ b/src/bin/runBinary.ts
@@ -12,6 +12,8 @@
 export interface RunningProcess {
   /** The state of every task, for dumps, without secrets. */
   describeState?: () => unknown
+  /** The settings file has changed. */
+  reload?: () => void
   /** Ends gracefully. */
   stop: () => Promise<void>
 }
@@ -85,9 +87,10 @@
   }
 }
 
-/** Ends the process when a signal comes; SIGUSR2 writes its state to the standard error as one line of JSON. */
+/** Ends the process when a signal comes, but for SIGHUP, which tells of changed settings; SIGUSR2 writes its state to the standard error as one line of JSON. */
 export function stopOnSignals (running: RunningProcess): void {
   process.on('SIGUSR2', () => process.stderr.write(`${JSON.stringify(running.describeState?.() ?? {})}\n`))
+  process.on('SIGHUP', () => running.reload?.())
   let isStopping = false
   const stop = async (): Promise<void> => {
     if (isStopping) process.exit(1)
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -2,6 +2,7 @@
 import { randomBytes } from 'node:crypto'
 import { openUdpDatagrams } from '../adapters/datagrams/udpDatagrams.js'
 import { openEventLog } from '../adapters/eventLog/pinoEventLog.js'
+import type { OpenLog } from '../adapters/eventLog/pinoEventLog.js'
 import { createHttpRelay } from '../adapters/relay/httpRelay.js'
 import { NewsBoard } from '../core/newsBoard.js'
 import { RowMirror } from '../core/rowMirror.js'
@@ -44,9 +45,9 @@
  * @example
  * const host = await startHost(readHostSettings(), createSystemClock())
  */
-export async function startHost (settings: HostSettings, clock: Clock): Promise<RunningProcess> {
+export async function startHost (settings: HostSettings, clock: Clock, openLog: OpenLog = openEventLog): Promise<RunningProcess> {
   const session = randomBytes(6).toString('hex')
-  const log = openEventLog({ clock, host: settings.hostName, session })
+  const log = openLog({ clock, host: settings.hostName, session })
   const own = { host: settings.hostName, address: settings.address, zone: settings.zone, session }
   const store = createStoreClient(settings.storeAddress)
   const relay = createHttpRelay()
@@ -104,9 +105,6 @@
   })
   await front.callers.start()
   const readiness = await startReadiness(settings.readinessAddress, () => board.routes !== undefined && board.endpoints.list(clock.readMonotonic()).length > 0)
-  process.on('SIGHUP', () => {
-    log.record('settings.reloaded', 'The settings file has changed; what it tells of the store and the bounds is read at the next start.', {})
-  })
   news.start()
   leases.start()
   outage.start()
@@ -114,6 +112,7 @@
 
   return {
     describeState: () => ({ host: own, desks: desks.describeState(), configuration: board.routes?.configuration.version, storeAgeMs: news.storeAgeMs }),
+    reload: () => log.record('settings.reloaded', 'The settings file has changed; what it tells of the store and the bounds is read at the next start.', {}),
     stop: async () => {
       await drainHost({ settings, clock, log, readiness, front, leases })
       outage.stop()
--- /dev/null
+++ b/src/platform/standinWire.ts
@@ -0,0 +1,177 @@
+/** The other side of the platform's messages, for stand-ins: what the store and the endpoints read and write. */
+import { Type } from '@sinclair/typebox'
+import type { StoreOutcome, StoreRow, StoreTransaction } from '../ports/store.js'
+import type { EngineOrder, EngineState, OrderHolder } from '../ports/orders.js'
+import { createParser } from '../schemas/createParser.js'
+import type { AdapterVersion, EndpointEntry, LoadedModel, Route, RoutingConfiguration, ServiceShape } from '../schemas/routing.js'
+import { configurationKey, endpointsTable, operatorsTable, versionKeyPrefix, wireHeaders } from './wireNames.js'
+
+const rowNameSchema = Type.Object({ table: Type.String(), key: Type.String() })
+const parseTransaction = createParser(Type.Object({
+  precondition: Type.Optional(Type.Array(Type.Composite([rowNameSchema, Type.Object({ ver: Type.Number() })]))),
+  writes: Type.Optional(Type.Array(Type.Composite([rowNameSchema, Type.Object({ value: Type.String() })]))),
+  remove: Type.Optional(Type.Array(rowNameSchema))
+}))
+const parseOrder = createParser(Type.Object({
+  operation: Type.Union([Type.Literal('load'), Type.Literal('unload')]),
+  model: Type.String(),
+  adapter: Type.Optional(Type.String()),
+  version: Type.Optional(Type.Number()),
+  precondition: Type.Optional(Type.Number()),
+  holder: Type.String(),
+  fencingToken: Type.Number()
+}))
+
+export function decodeTransaction (body: string): StoreTransaction {
+  const { precondition = [], writes = [], remove = [] } = parseTransaction(JSON.parse(body))
+  return {
+    checks: precondition.map(({ table, key, ver }) => ({ table, key, version: ver })),
+    writes: writes.map(({ table, key, value }) => ({ table, key, value: Buffer.from(value, 'base64') })),
+    removals: remove
+  }
+}
+
+export function encodeRow ({ table, key, version, value }: StoreRow): unknown {
+  return value === undefined
+    ? { table, part: '', key, ver: version, deleted: true }
+    : { table, part: '', key, ver: version, value: Buffer.from(value).toString('base64') }
+}
+
+export function encodeRows (rows: readonly StoreRow[], version: number): string {
+  return JSON.stringify({ rows: rows.map(encodeRow), hasMore: false, ver: version, nowMs: 0 })
+}
+
+/** Status and body of a transaction's answer. */
+export function encodeOutcome (outcome: StoreOutcome, version: number): { status: number, body: string } {
+  if (outcome.verdict === 'applied') return { status: 200, body: JSON.stringify({ ver: outcome.version, nowMs: 0 }) }
+  const rows = outcome.verdict === 'conflict' ? outcome.rows.map(encodeRow) : []
+  return { status: 412, body: JSON.stringify({ rows, ver: version, nowMs: 0 }) }
+}
+
+export function decodeOrder (body: string): { order: EngineOrder, holder: OrderHolder } {
+  const { operation, model, adapter, version, precondition, holder, fencingToken } = parseOrder(JSON.parse(body))
+  return { order: { kind: operation, model, adapter, version, expectedCount: precondition }, holder: { host: holder, fencing: fencingToken } }
+}
+
+export function encodeReport (state: EngineState): string {
+  return JSON.stringify({
+    stage: 'both',
+    born: state.startedAtMs,
+    models: encodeModels(state.models),
+    busy: state.isBusy,
+    sequence: state.orderCount,
+    waiting: state.waiting,
+    running: state.running,
+    coming: state.loading.map(({ model, name, version }) => `${model}/${name}@${version}`)
+  })
+}
+
+function encodeModels (models: readonly LoadedModel[]): unknown {
+  return models.map(({ name, version, adapters }) => ({ name, version, adapters: adapters.map(adapter => `${adapter.name}@${adapter.version}`) }))
+}
+
+/** Row in which an endpoint tells of itself. */
+export function encodeEntryRow (entry: EndpointEntry): { table: string, key: string, value: Uint8Array } {
+  const { service, address, zone, places, isLeaving, goneInMs, startedAtMs, models, orderCount } = entry
+  const body = {
+    service, address, zone, version: 'v1', slots: places, state: isLeaving ? 'draining' : 'ready', remainingMs: goneInMs, born: startedAtMs, models: encodeModels(models), sequence: orderCount
+  }
+  return { table: endpointsTable, key: entry.id, value: Buffer.from(JSON.stringify(body)) }
+}
+
+const kindNames = Object.freeze({ idempotent: 'idempotent', once: 'non_idempotent', stream: 'streaming' })
+
+export function encodeConfigurationRow (configuration: RoutingConfiguration): { table: string, key: string, value: Uint8Array } {
+  const body = {
+    version: configuration.version,
+    routes: configuration.routes.map(encodeRoute),
+    services: [...configuration.services.values()].map(encodeService),
+    limits: configuration.limits
+  }
+  return { table: operatorsTable, key: configurationKey, value: Buffer.from(JSON.stringify(body)) }
+}
+
+function encodeRoute (route: Route): unknown {
+  const { name, hostname, prefix, kind, isResumable, timeoutMs, targetMs, maxGapMs, rank, maxAttempts, targets } = route
+  return { name, hostname, prefix, routeKind: kindNames[kind], resumable: isResumable, timeoutMs, targetLatencyMs: targetMs, targetGapMs: maxGapMs, priority: rank, maxAttempts, trafficSplit: targets }
+}
+
+function encodeService ({ name, maxConnections, engine }: ServiceShape): unknown {
+  if (!engine) return { name, maxConnections }
+  const { batchLimit, cacheTokens, adapterSlots, weightsMb, loadsPerSecond, tokensPerEvent, models } = engine
+  return {
+    name,
+    maxConnections,
+    engine: {
+      slots: batchLimit,
+      kvCacheTokens: cacheTokens,
+      adapterSlotCount: adapterSlots,
+      weightsMb,
+      loadsPerS: loadsPerSecond,
+      stride: tokensPerEvent,
+      models: models.map(model => ({ name: model.name, weightsMb: model.weightsMb, adapterMb: model.adapterMb, loadTimeS: model.loadMs / 1000 }))
+    }
+  }
+}
+
+export function encodeVersionRow ({ model, adapter, version }: AdapterVersion): { table: string, key: string, value: Uint8Array } {
+  return { table: operatorsTable, key: `${versionKeyPrefix}${model}.${adapter}`, value: Buffer.from(JSON.stringify({ model, adapter, version })) }
+}
+
+/** What an endpoint reads of a request that the system sent on. */
+export interface ReceivedMarks {
+  requestId: string | undefined
+  endpointId: string | undefined
+  timeLeftMs: number
+  version: number | undefined
+  model: string
+  adapter: string
+  lastEventId: number
+}
+
+export function decodeMarks (headers: Record<string, string | string[] | undefined>): ReceivedMarks {
+  const read = (name: string): string | undefined => {
+    const value = headers[name]
+    return Array.isArray(value) ? value[0] : value
+  }
+  const modelName = read(wireHeaders.model) ?? ''
+  const slash = modelName.indexOf('/')
+  const version = read(wireHeaders.expectVersion)
+  return {
+    requestId: read(wireHeaders.requestId),
+    endpointId: read(wireHeaders.expectEndpoint),
+    timeLeftMs: Number(read(wireHeaders.timeLeftMs) ?? 0),
+    version: version === undefined ? undefined : Number(version),
+    model: slash < 0 ? modelName : modelName.slice(0, slash),
+    adapter: slash < 0 ? '' : modelName.slice(slash + 1),
+    lastEventId: Number(read(wireHeaders.lastEventId) ?? 0)
+  }
+}
+
+/** Headers of an endpoint's answer: a signed one, or the promise that nothing ran. */
+export function encodeAnswerHeaders (requestId: string, signature: string | undefined): Record<string, string> {
+  return signature === undefined
+    ? { [wireHeaders.requestId]: requestId, [wireHeaders.notRun]: '1' }
+    : { [wireHeaders.requestId]: requestId, [wireHeaders.signature]: signature }
+}
+
+/** Headers of a caller's request, for load generators and tests. */
+export function encodeCallerHeaders (call: { requestId: string, host: string, timeLeftMs: number, model?: string, promptTokens?: number, maxTokens?: number }): Record<string, string> {
+  const headers: Record<string, string> = { host: call.host, [wireHeaders.requestId]: call.requestId, [wireHeaders.timeLeftMs]: String(call.timeLeftMs) }
+  if (call.model !== undefined) {
+    headers[wireHeaders.model] = call.model
+    headers[wireHeaders.tokens] = `${call.promptTokens ?? 100},${call.maxTokens ?? 20}`
+    headers[wireHeaders.promptParts] = `aa01:${call.promptTokens ?? 100}`
+  }
+  return headers
+}
+
+/** Names under which an endpoint signs and promises, for checks of what callers see. */
+export function readAnswerMarks (headers: Record<string, string | string[] | undefined>): { requestId: string | undefined, signature: string | undefined, retryAfterS: number | undefined } {
+  const read = (name: string): string | undefined => {
+    const value = headers[name]
+    return Array.isArray(value) ? value[0] : value
+  }
+  const retryAfter = read(wireHeaders.retryAfter)
+  return { requestId: read(wireHeaders.requestId), signature: read(wireHeaders.signature), retryAfterS: retryAfter === undefined ? undefined : Number(retryAfter) }
+}
--- /dev/null
+++ b/src/standin/fleet/endpointServer.ts
@@ -0,0 +1,204 @@
+/** Serves one endpoint of a stand-in fleet over HTTP: a model engine or a plain service, with faults. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { decodeMarks, decodeOrder, encodeAnswerHeaders, encodeReport } from '../../platform/standinWire.js'
+import type { ReceivedMarks } from '../../platform/standinWire.js'
+import { wirePaths } from '../../platform/wireNames.js'
+import type { FleetEngine } from './fleetEngine.js'
+import type { RunJournal, RunRecord } from './runJournal.js'
+
+/** Parts from 0 to 1 of the requests or orders that a fault strikes. */
+export interface EndpointFaults {
+  /** Takes connections and answers nothing. */
+  isDark: boolean
+  /** Requests that are run and answered with 500. */
+  errors: number
+  /** Answers that break off by a reset. */
+  cuts: number
+  /** Answers without a length that end with their connection. */
+  unframed: number
+  /** Whole answers after which a second one comes. */
+  extras: number
+  /** Orders that get no answer and are carried out late. */
+  lateOrders: number
+}
+
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, extras: 0, lateOrders: 0 })
+
+export interface EndpointServerOptions {
+  id: string
+  service: string
+  listenAddress: string
+  journal: RunJournal
+  random: () => number
+  /** Undefined for a plain service. */
+  engine: FleetEngine | undefined
+  /** Requests that a plain service runs at once. */
+  places: number
+  workMs: number
+}
+
+export interface EndpointServer {
+  readonly address: string
+  setFaults: (faults: Partial<EndpointFaults>) => void
+  /** Drops all connections, as a crash does. */
+  crash: () => void
+  stop: () => Promise<void>
+}
+
+const lateOrderMs = 1500
+const readNow = (): number => performance.now()
+
+export async function startEndpointServer (options: EndpointServerOptions): Promise<EndpointServer> {
+  const endpoint = new Endpoint(options)
+  const [host, port] = options.listenAddress.split(':')
+  await new Promise<void>(resolve => endpoint.server.listen(Number(port), host, resolve))
+  const { address, port: boundPort } = endpoint.server.address() as AddressInfo
+  return {
+    address: `${address}:${boundPort}`,
+    setFaults: faults => { endpoint.faults = { ...endpoint.faults, ...faults } },
+    crash: () => endpoint.crash(),
+    stop: async () => {
+      endpoint.server.closeAllConnections()
+      await new Promise<void>(resolve => endpoint.server.close(() => resolve()))
+    }
+  }
+}
+
+class Endpoint {
+  readonly server: Server
+  faults: EndpointFaults = { ...noEndpointFaults }
+  #options: EndpointServerOptions
+  #running = 0
+
+  constructor (options: EndpointServerOptions) {
+    this.#options = options
+    this.server = createServer((request, response) => { this.#receive(request, response) })
+    this.server.keepAliveTimeout = 30_000
+  }
+
+  crash (): void {
+    this.#options.engine?.restart()
+    this.server.closeAllConnections()
+  }
+
+  async #receive (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(request).catch(() => undefined)
+    if (body === undefined || this.faults.isDark) return
+    const { engine } = this.#options
+    if (engine && request.url === wirePaths.order) this.#receiveOrder(engine, body, response)
+    else if (engine && request.url === wirePaths.report) response.writeHead(200, { 'content-type': 'application/json' }).end(encodeReport(engine.readReport()))
+    else this.#receiveRequest(request, response)
+  }
+
+  #receiveOrder (engine: FleetEngine, body: string, response: ServerResponse): void {
+    const { order, holder } = decodeOrder(body)
+    if (this.#options.random() < this.faults.lateOrders) {
+      setTimeout(() => engine.receiveOrder(order, holder), lateOrderMs).unref()
+      return
+    }
+    response.writeHead(engine.receiveOrder(order, holder)).end()
+  }
+
+  #receiveRequest (request: IncomingMessage, response: ServerResponse): void {
+    const { id, engine, places } = this.#options
+    const marks = decodeMarks(request.headers)
+    const requestId = marks.requestId ?? ''
+    const refusal = marks.endpointId !== undefined && marks.endpointId !== id
+      ? 421
+      : engine ? engine.findRefusal(marks.adapter, marks.version) : this.#running >= places * 4 ? 503 : undefined
+    if (refusal !== undefined) {
+      response.writeHead(refusal, encodeAnswerHeaders(requestId, undefined)).end()
+      return
+    }
+    this.#run(request, response, marks)
+  }
+
+  #run (request: IncomingMessage, response: ServerResponse, marks: ReceivedMarks): void {
+    const { id, service, journal, engine, workMs, random } = this.#options
+    const run = journal.start({
+      requestId: marks.requestId ?? '', endpointId: id, service, path: request.url ?? '', startedAtMs: readNow(), timeLeftMs: marks.timeLeftMs, fromEvent: marks.lastEventId, adapterVersion: marks.version
+    })
+    this.#running++
+    engine?.recordRun(marks.adapter, 1)
+    const finish = (outcome: RunRecord['outcome']): void => {
+      if (run.endedAtMs !== undefined) return
+      run.endedAtMs = readNow()
+      run.outcome = outcome
+      this.#running--
+      engine?.recordRun(marks.adapter, -1)
+    }
+    response.on('close', () => finish('left'))
+    const headers = encodeAnswerHeaders(run.requestId, `signed by ${id}`)
+    if (random() < this.faults.errors) {
+      setTimeout(() => {
+        finish('broken')
+        response.writeHead(500, headers).end('failed')
+      }, workMs / 2)
+    } else if (engine) {
+      this.#stream(engine, response, run, headers, finish)
+    } else {
+      setTimeout(() => this.#answer(request, response, run, headers, finish), workMs)
+    }
+  }
+
+  #answer (request: IncomingMessage, response: ServerResponse, run: RunRecord, headers: Record<string, string>, finish: (outcome: RunRecord['outcome']) => void): void {
+    const { random } = this.#options
+    const body = `done ${run.requestId}`
+    if (random() < this.faults.cuts) {
+      finish('broken')
+      response.writeHead(200, { ...headers, 'content-length': String(body.length) }).write(body.slice(0, 4))
+      setImmediate(() => request.socket.resetAndDestroy())
+    } else if (random() < this.faults.unframed) {
+      finish('whole')
+      request.socket.end(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}connection: close\r\n\r\n${body}`)
+    } else {
+      finish('whole')
+      response.writeHead(200, { ...headers, 'content-length': String(body.length) }).end(body)
+      if (random() < this.faults.extras) setTimeout(() => request.socket.write(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}content-length: ${body.length}\r\n\r\n${body}`), 5)
+    }
+  }
+
+  /** Sends events with rising ids; the number of them follows from the request's id. */
+  #stream (engine: FleetEngine, response: ServerResponse, run: RunRecord, headers: Record<string, string>, finish: (outcome: RunRecord['outcome']) => void): void {
+    const { random } = this.#options
+    const last = countEvents(run.requestId)
+    const cutAfter = random() < this.faults.cuts ? run.fromEvent + Math.floor(random() * last) : Infinity
+    let next = run.fromEvent + 1
+    response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
+    const send = (): void => {
+      if (response.destroyed) return
+      if (next > cutAfter) {
+        finish('broken')
+        // Half an event shows whether only whole ones are passed on.
+        response.write(`id: ${next}\nda`, () => response.socket?.resetAndDestroy())
+        return
+      }
+      if (next > last) {
+        finish('whole')
+        response.end()
+        return
+      }
+      response.write(`id: ${next}\ndata: ${run.requestId} ${next}\n\n`)
+      next++
+      setTimeout(send, engine.options.eventMs)
+    }
+    setTimeout(send, engine.options.eventMs)
+  }
+}
+
+/** Events of the stream that answers a request. */
+export function countEvents (requestId: string): number {
+  return 3 + (Number.parseInt(requestId.slice(-2), 16) || 0) % 8
+}
+
+function formatHeaders (headers: Record<string, string>): string {
+  return Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
+}
+
+async function readBody (request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = []
+  for await (const chunk of request) chunks.push(chunk as Buffer)
+  return Buffer.concat(chunks).toString('utf8')
+}
--- /dev/null
+++ b/src/standin/fleet/startFleet.ts
@@ -0,0 +1,186 @@
+/** Starts a stand-in of the users' platform: its store, model engines and a plain service, each on a loopback address. */
+import type { RoutingConfiguration } from '../../schemas/routing.js'
+import { encodeConfigurationRow, encodeEntryRow, encodeVersionRow } from '../../platform/standinWire.js'
+import { endpointsTable } from '../../platform/wireNames.js'
+import { startEndpointServer } from './endpointServer.js'
+import type { EndpointServer } from './endpointServer.js'
+import { FleetEngine } from './fleetEngine.js'
+import { RowStore } from './rowStore.js'
+import { RunJournal } from './runJournal.js'
+import { startStoreServer } from './storeServer.js'
+import type { StoreServer } from './storeServer.js'
+
+export interface FleetOptions {
+  engines: number
+  services: number
+  adapterSlots: number
+  zones: readonly string[]
+  heartbeatMs: number
+  random: () => number
+}
+
+export interface FleetEndpoint {
+  readonly id: string
+  readonly service: string
+  readonly zone: string
+  readonly engine: FleetEngine | undefined
+  readonly server: EndpointServer
+  isLeaving: boolean
+  /** Whether it tells of itself in the store. */
+  isTelling: boolean
+}
+
+export const fleetModel = 'base'
+export const engineService = 'llm'
+export const plainService = 'desk'
+export const fleetHost = 'fleet.example'
+/** Paths of the routes by what they do. */
+export const fleetPaths = Object.freeze({ stream: '/stream/', once: '/once/', resumable: '/resumable/', idempotent: '/safe/' })
+
+export const defaultFleetOptions: FleetOptions = Object.freeze({
+  engines: 3, services: 2, adapterSlots: 4, zones: ['a', 'b'], heartbeatMs: 300, random: Math.random
+})
+
+/** Entries that were not written for this long are removed, in heartbeats. */
+const lapseHeartbeats = 3
+
+/**
+ * Starts the stand-in; the first configuration is written before it resolves.
+ *
+ * @example
+ * const fleet = await startFleet({ engines: 2 })
+ * fleet.store.address // '127.0.0.1:41873'
+ */
+export async function startFleet (changes: Partial<FleetOptions> = {}): Promise<Fleet> {
+  const options = { ...defaultFleetOptions, ...changes }
+  const rows = new RowStore()
+  const store = await startStoreServer(rows, '127.0.0.1:0')
+  const fleet = new Fleet(options, rows, store)
+  await fleet.start()
+  return fleet
+}
+
+export class Fleet {
+  readonly rows: RowStore
+  readonly store: StoreServer
+  readonly journal = new RunJournal()
+  readonly endpoints: FleetEndpoint[] = []
+  #options: FleetOptions
+  #heartbeat: NodeJS.Timeout | undefined
+  #nextId = 1
+  #version = 1
+
+  constructor (options: FleetOptions, rows: RowStore, store: StoreServer) {
+    this.#options = options
+    this.rows = rows
+    this.store = store
+  }
+
+  /** Routes of the first configuration. */
+  get defaultRoutes (): RoutingConfiguration['routes'] {
+    return createConfiguration(0, this.#options.adapterSlots).routes
+  }
+
+  get engines (): FleetEndpoint[] {
+    return this.endpoints.filter(endpoint => endpoint.engine)
+  }
+
+  async start (): Promise<void> {
+    this.writeConfiguration({})
+    for (let index = 0; index < this.#options.engines; index++) await this.addEndpoint(engineService)
+    for (let index = 0; index < this.#options.services; index++) await this.addEndpoint(plainService)
+    this.#heartbeat = setInterval(() => this.#tellAll(), this.#options.heartbeatMs)
+  }
+
+  /** Writes the next version of the configuration. */
+  writeConfiguration (changes: Partial<Pick<RoutingConfiguration, 'routes'>>): number {
+    const configuration = createConfiguration(this.#version++, this.#options.adapterSlots)
+    this.rows.write(encodeConfigurationRow({ ...configuration, ...changes }))
+    return configuration.version
+  }
+
+  declareVersion (adapter: string, version: number): void {
+    this.rows.write(encodeVersionRow({ model: fleetModel, adapter, version }))
+  }
+
+  async addEndpoint (service: string): Promise<FleetEndpoint> {
+    const { adapterSlots, zones, random } = this.#options
+    const id = `i-${this.#nextId++}`
+    const engine = service === engineService
+      ? new FleetEngine({ id, model: fleetModel, adapterSlots, batchLimit: 16, coldLoadMs: 120, warmLoadMs: 12, reportLagMs: 100, eventMs: 15 }, () => performance.now())
+      : undefined
+    const server = await startEndpointServer({ id, service, listenAddress: '127.0.0.1:0', journal: this.journal, random, engine, places: 6, workMs: 20 })
+    const endpoint: FleetEndpoint = { id, service, zone: zones[this.endpoints.length % zones.length]!, engine, server, isLeaving: false, isTelling: true }
+    this.endpoints.push(endpoint)
+    this.#tell(endpoint)
+    return endpoint
+  }
+
+  /** The endpoint says that it leaves, and goes on serving until it is stopped. */
+  drain (endpoint: FleetEndpoint): void {
+    endpoint.isLeaving = true
+    this.#tell(endpoint)
+  }
+
+  /** Takes an endpoint away; its entry lapses. */
+  async removeEndpoint (endpoint: FleetEndpoint): Promise<void> {
+    endpoint.isTelling = false
+    await endpoint.server.stop()
+    setTimeout(() => this.rows.transact({ checks: [], writes: [], removals: [{ table: endpointsTable, key: endpoint.id }] }), lapseHeartbeats * this.#options.heartbeatMs).unref()
+  }
+
+  /** What endpoints saw that no system may do. */
+  listViolations (): string[] {
+    return this.engines.flatMap(({ id, engine }) => engine!.violations.map(({ rule, detail }) => `${id}: ${rule}: ${detail}`))
+  }
+
+  async stop (): Promise<void> {
+    clearInterval(this.#heartbeat)
+    await Promise.all([this.store.stop(), ...this.endpoints.map(async endpoint => await endpoint.server.stop())])
+  }
+
+  #tellAll (): void {
+    for (const endpoint of this.endpoints) if (endpoint.isTelling) this.#tell(endpoint)
+  }
+
+  #tell ({ id, service, zone, engine, server, isLeaving }: FleetEndpoint): void {
+    this.rows.write(encodeEntryRow({
+      id,
+      service,
+      address: server.address,
+      zone,
+      isLeaving,
+      goneInMs: undefined,
+      places: engine?.options.batchLimit ?? 6,
+      startedAtMs: engine?.startedAtMs ?? 1,
+      models: engine?.describeModels() ?? [],
+      orderCount: engine?.orderCount ?? 0
+    }))
+  }
+}
+
+function createConfiguration (version: number, adapterSlots: number): RoutingConfiguration {
+  const base = { hostname: fleetHost, timeoutMs: 4000, targetMs: 500, maxGapMs: 400, rank: 0, maxAttempts: 2 }
+  const toEngines = [{ service: engineService, weight: 1 }]
+  const toServices = [{ service: plainService, weight: 1 }]
+  return {
+    version,
+    routes: [
+      { ...base, name: 'stream', prefix: fleetPaths.stream, kind: 'stream', isResumable: false, targets: toEngines, maxAttempts: 1 },
+      { ...base, name: 'resumable', prefix: fleetPaths.resumable, kind: 'stream', isResumable: true, targets: toEngines },
+      { ...base, name: 'once', prefix: fleetPaths.once, kind: 'once', isResumable: false, targets: toServices, maxAttempts: 1 },
+      { ...base, name: 'safe', prefix: fleetPaths.idempotent, kind: 'idempotent', isResumable: false, targets: toServices }
+    ],
+    services: new Map([
+      [engineService, {
+        name: engineService,
+        maxConnections: 300,
+        engine: {
+          batchLimit: 16, cacheTokens: 100_000, adapterSlots, weightsMb: 1000, loadsPerSecond: 4, tokensPerEvent: 5, models: [{ name: fleetModel, weightsMb: 900, adapterMb: 10, loadMs: 500 }]
+        }
+      }],
+      [plainService, { name: plainService, maxConnections: 100, engine: undefined }]
+    ]),
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3000, idleTimeoutMs: 5000 }
+  }
+}
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -3,7 +3,7 @@
 import { computeHash } from '../../core/rendezvousHash.js'
 import { findSurplus, rankTakers } from '../../core/ownershipSpread.js'
 import type { SpreadEndpoint, SpreadHost } from '../../core/ownershipSpread.js'
-import type { BoardChange, NewsBoard } from '../../core/newsBoard.js'
+import type { BoardChange, KnownHost, NewsBoard } from '../../core/newsBoard.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
@@ -45,6 +45,8 @@
   /** Whether the last proof still stands, however old: no pause and no other writer came since. */
   #hasBeenProven = false
   #renewal = 0
+  /** When each renewal was sent of which it is not known whether it went through. */
+  #sentRenewals = new Map<number, number>()
   #rowVersion = 0
   #renewedAtMs = -Infinity
   #isRenewing = false
@@ -99,6 +101,7 @@
     const nowMs = clock.readMonotonic()
     if (change.kind === 'host') {
       if (change.host) this.#renewals.recordRow(change.host.row, nowMs)
+      if (change.host) this.#receiveOwnRow(change.host)
       else this.#renewals.recordRemoved(change.name)
       return
     }
@@ -109,9 +112,25 @@
     else this.#lose(endpointId, owner ? `host "${owner.row.host}" owns it now` : 'its row was removed')
   }
 
+  /** The news show that a renewal went through, even where its answer was lost. */
+  #receiveOwnRow ({ row, version }: KnownHost): void {
+    const sentAtMs = this.#sentRenewals.get(row.renewal)
+    if (row.session !== this.#options.own.session || sentAtMs === undefined || version <= this.#rowVersion) return
+    this.#recordRenewed(row.renewal, version, sentAtMs)
+  }
+
+  #recordRenewed (renewal: number, version: number, sentAtMs: number): void {
+    for (const sent of this.#sentRenewals.keys()) if (sent <= renewal) this.#sentRenewals.delete(sent)
+    this.#rowVersion = version
+    this.#provenAtMs = Math.max(this.#provenAtMs, sentAtMs)
+    this.#hasBeenProven = true
+  }
+
   #recordPause (): void {
     this.#provenAtMs = -Infinity
     this.#hasBeenProven = false
+    // What was sent before the pause proves nothing after it.
+    this.#sentRenewals.clear()
     this.#renewedAtMs = -Infinity
     this.#options.log.record('lease.paused', 'The clocks drifted apart, so the process may have stood still; no orders before the next renewal.', {})
   }
@@ -139,33 +158,32 @@
     const startedAtMs = clock.readMonotonic()
     this.#renewedAtMs = startedAtMs
     const row: HostRow = { ...own, renewal: ++this.#renewal, isLeaving: false }
+    this.#sentRenewals.set(row.renewal, startedAtMs)
     const checks = this.#isRegistered() ? [{ table: hostsTable, key: formatHostKey(own.host), version: this.#rowVersion }] : []
     const outcome = await this.#options.transact({ checks, writes: [{ table: hostsTable, key: formatHostKey(own.host), value: encodeHostsRow(row) }], removals: [] })
     this.#isRenewing = false
     if (outcome.verdict === 'applied') {
-      this.#rowVersion = outcome.version
-      this.#provenAtMs = startedAtMs
-      this.#hasBeenProven = true
+      if (this.#sentRenewals.has(row.renewal)) this.#recordRenewed(row.renewal, outcome.version, startedAtMs)
+      else this.#rowVersion = Math.max(this.#rowVersion, outcome.version)
       return
     }
-    if (outcome.verdict === 'conflict') this.#receiveRenewalConflict(outcome.rows, row, startedAtMs)
+    if (outcome.verdict === 'conflict') this.#receiveRenewalConflict(outcome.rows)
     else log.record('lease.renewalFailed', 'The renewal of the host\'s row failed.', { verdict: outcome.verdict, reason: outcome.reason })
     this.#renewedAtMs = startedAtMs - renewalIntervalMs + stepMs * 2
   }
 
   /** The row is not as this host wrote it last: an earlier renewal went through unseen, or a reader declared this host gone. */
-  #receiveRenewalConflict (rows: readonly StoreRow[], sent: HostRow, startedAtMs: number): void {
+  #receiveRenewalConflict (rows: readonly StoreRow[]): void {
     const { own, log } = this.#options
     const current = rows.find(row => row.key === formatHostKey(own.host))
     const decoded = current?.value && decodeHostsRow(current.key, current.value)
     const isOwnWrite = decoded?.kind === 'host' && decoded.row.session === own.session
     log.record('lease.conflict', 'The host\'s row was changed by another writer or by a renewal whose answer was lost.', { isOwnWrite })
-    this.#rowVersion = isOwnWrite ? current!.version : 0
     if (isOwnWrite) {
-      // This very renewal went through on another way.
-      if (decoded.row.renewal === sent.renewal) this.#provenAtMs = startedAtMs
+      this.#receiveOwnRow({ row: decoded.row, version: current!.version })
       return
     }
+    this.#rowVersion = 0
     this.#hasBeenProven = false
     for (const endpointId of [...this.#owned.keys()]) this.#lose(endpointId, 'this host was declared gone')
   }
