Halve the calls to the store, repeat lost orders sooner, load what most wait for first

Renewals have a table of their own, which only readers of the store follow; two hosts read it in a deployment of up to twelve, one a zone in larger ones. An order without an answer is repeated after 45 ms, under the same condition. An adapter that several requests wait for is loaded before one that a single request needs a little earlier; the wait for a slot is told from runs.

--- a/src/bin/createLeases.ts
+++ b/src/bin/createLeases.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from '../ports/eventLog.js'
 import type { Relay } from '../ports/relay.js'
 import type { Store } from '../ports/store.js'
+import { renewalsTable } from '../schemas/hostRows.js'
 import type { HostRow } from '../schemas/hostRows.js'
 import { LeaseTask } from '../tasks/leases/leaseTask.js'
 import type { LeaseTaskOptions } from '../tasks/leases/leaseTask.js'
@@ -59,6 +60,12 @@
     readsStore: () => news.reachesStore,
     isRunning: async row => (await peers.askHost(row.address))?.session === row.session,
     transact: async transaction => await access.transact(transaction),
+    readRenewals: () => {
+      store.readTable(renewalsTable)
+        .then(({ rows, version }) => mirror.applyTable(renewalsTable, rows, version))
+        .catch((error: Error) => log.record('news.storeFailed', 'The renewals could not be read; the next renewal tells.', { error: error.message }))
+    },
+    findRenewalVersion: host => mirror.findRow(renewalsTable, host)?.version,
     applyOwnRow: row => mirror.applyOwnRow(row),
     isOutage: () => outage.isOutage(),
     receiveOwnership: options.receiveOwnership
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -6,13 +6,14 @@
 import { createHttpRelay } from '../adapters/relay/httpRelay.js'
 import { NewsBoard } from '../core/newsBoard.js'
 import { RowMirror } from '../core/rowMirror.js'
+import type { IsSameNews } from '../core/rowMirror.js'
 import { decodePlatformRow, endpointsTable, isSameEndpointNews, operatorsTable } from '../platform/decodeNews.js'
 import { createEngineOrders } from '../platform/engineOrders.js'
 import { createStoreClient } from '../platform/storeClient.js'
 import type { Clock } from '../ports/clock.js'
 import type { EventLog } from '../ports/eventLog.js'
 import type { HostSettings } from '../schemas/hostSettings.js'
-import { hostsTable } from '../schemas/hostRows.js'
+import { hostsTable, renewalsTable } from '../schemas/hostRows.js'
 import { DeskTask } from '../tasks/desk/deskTask.js'
 import { PlaceClient } from '../tasks/front/placeClient.js'
 import type { LeaseTask } from '../tasks/leases/leaseTask.js'
@@ -31,8 +32,9 @@
 /** How the tables are followed: endpoints report all the time, so their changes are taken in steps. */
 const followedTables = [
   { table: operatorsTable, paceMs: 0, waitMs: 2000 },
-  { table: endpointsTable, paceMs: 350, waitMs: 1500 },
-  { table: hostsTable, paceMs: 350, waitMs: 1500 }
+  { table: endpointsTable, paceMs: 500, waitMs: 1000 },
+  { table: hostsTable, paceMs: 100, waitMs: 2000 },
+  { table: renewalsTable, paceMs: 1000, waitMs: 1000 }
 ]
 /** Time for the entry to take this host out of rotation: two questions a second apart, and their answers. */
 const quietMs = 2700
@@ -54,7 +56,7 @@
   const formatRelayAddress = createRelayAddresses(settings.peersAddress)
 
   const board = new NewsBoard(decodePlatformRow)
-  const mirror = new RowMirror(session, isSameEndpointNews, row => {
+  const mirror = new RowMirror(session, isSameNews, row => {
     const change = board.applyRow(row, clock.readMonotonic())
     if (!change) return
     logChange(log, change)
@@ -148,6 +150,9 @@
   readiness.close()
 }
 
+/** Renewals concern only hosts that read them from the store themselves. */
+const isSameNews: IsSameNews = (table, key, before, after) => table === renewalsTable || isSameEndpointNews(table, key, before, after)
+
 /** Every host has its relay on the same port. */
 function createRelayAddresses (ownAddress: string): (address: string) => string {
   const port = ownAddress.split(':')[1]!
--- a/src/core/desk/adapterPlaces.ts
+++ b/src/core/desk/adapterPlaces.ts
@@ -68,6 +68,11 @@
     return this.#count(adapter => adapter.state === 'loaded' && adapter.running === 0 && !adapter.isClosing)
   }
 
+  /** Adapters that serve one request. */
+  get nearlyIdle (): number {
+    return this.#count(adapter => adapter.state === 'loaded' && adapter.running === 1)
+  }
+
   find (name: string): PlacedAdapter | undefined {
     return this.#adapters.get(name)
   }
--- a/src/core/desk/deskPlanner.ts
+++ b/src/core/desk/deskPlanner.ts
@@ -59,15 +59,27 @@
 const rareBacklogMs = 150
 /** An adapter that loads this fast is worth a wait for a slot, as another engine would have to bring it from the store. */
 const quickLoadMs = 100
+/** Each further request that waits for an adapter brings its load forward by this much. */
+const countBonusMs = 150
 /** A batch that is full lets the next request in about this much later. */
 const fullBatchMs = 50
 /** How long after its target a request is still worth a start, as a part of the time that it had. */
 const gracePart = 1
 const minGraceMs = 400
 const minRetryAfterMs = 100
+/** Run of a request before any has ended; the published streams take 400 to 600 ms. */
+const initialRunMs = 500
+/** Weight of the newest run in the usual time. */
+const runSmoothing = 0.05
 /** A load that failed is not ordered again for this long; most fail because the engine's state has to be read anew. */
 const loadBackOffMs = 150
 
+/** An adapter that is waited for: its most urgent request and how many there are. */
+interface LoadNeed {
+  request: DeskRequest
+  count: number
+}
+
 interface Waiting {
   request: DeskRequest
   readMs: number
@@ -77,6 +89,7 @@
   adapter: string
   isBase: boolean
   expectedMs: number
+  grantedAtMs: number
 }
 
 export class DeskPlanner {
@@ -88,6 +101,8 @@
   #running = new Map<string, Running>()
   #failedLoads = new Map<string, number>()
   #lastReturnMs = 0
+  /** Usual time from a grant to the end of the run. */
+  #runMs = initialRunMs
 
   constructor (options: DeskOptions) {
     this.#options = options
@@ -128,12 +143,13 @@
     return { kind: 'queued', expectedMs }
   }
 
-  /** A request has ended, was withdrawn or is lost. */
-  remove (key: string): void {
+  /** A request has ended, was withdrawn or is lost; `nowMs` where it ran to its end. */
+  remove (key: string, nowMs?: number): void {
     this.#waiting.delete(key)
     const running = this.#running.get(key)
     if (!running) return
     this.#running.delete(key)
+    if (nowMs !== undefined) this.#runMs += runSmoothing * (nowMs - running.grantedAtMs - this.#runMs)
     const placed = this.places.find(running.adapter)
     if (placed && !running.isBase) placed.running = Math.max(0, placed.running - 1)
   }
@@ -194,16 +210,19 @@
   plan (nowMs: number, mayOrder: boolean): DeskPlan {
     const plan: DeskPlan & { wakeAtMs: number | undefined } = { granted: [], refused: [], loads: [], unloads: [], wakeAtMs: undefined }
     const ordered = [...this.#waiting.values()].sort((left, right) => compareUrgency(left.request, right.request, nowMs))
-    const needed = new Map<string, DeskRequest>()
+    const needs = new Map<string, LoadNeed>()
     for (const waiting of ordered) {
       const { request } = waiting
       if (this.#mayGrant(request)) {
         if (this.#running.size < this.#options.batchLimit) this.#grant(waiting, plan, nowMs)
-      } else if (!needed.has(request.adapter)) {
-        needed.set(request.adapter, request)
+      } else {
+        const need = needs.get(request.adapter)
+        if (need) need.count++
+        else needs.set(request.adapter, { request, count: 1 })
       }
     }
     this.#refuseOverdue(plan, nowMs)
+    const needed = new Map([...needs].sort(([, left], [, right]) => compareNeeds(left, right, nowMs)).map(([name, { request }]) => [name, request]))
     if (!mayOrder) return plan
     // Slots that are falling free are meant for the most urgent of those that wait.
     const coming = { slots: this.places.unloading }
@@ -219,7 +238,7 @@
 
   #grant ({ request, readMs }: Waiting, plan: DeskPlan, nowMs: number): void {
     this.#waiting.delete(request.key)
-    this.#running.set(request.key, { adapter: request.adapter, isBase: request.isBase, expectedMs: this.work.readBacklogMs(nowMs) + readMs })
+    this.#running.set(request.key, { adapter: request.adapter, isBase: request.isBase, expectedMs: this.work.readBacklogMs(nowMs) + readMs, grantedAtMs: nowMs })
     this.work.recordGranted(readMs, nowMs)
     this.places.recordRead(request.adapter, readMs, nowMs)
     this.#cache.recordRead(request.adapter, request.parts)
@@ -313,9 +332,8 @@
     }
     const queued = this.#countQueuedAdapters()
     const rounds = Math.floor((queued + this.places.loading) / maxLoads)
-    const hasSlot = this.places.free + this.places.idle > queued
-    // Without an idle adapter a slot falls free when a run ends, which takes about as long as a load.
-    return loadMs * (1 + rounds + (hasSlot ? 0 : 1))
+    const missing = queued + 1 - this.places.free - this.places.idle
+    return loadMs * (1 + rounds) + Math.max(0, missing) * this.#expectSlotMs()
   }
 
   /** Adapters whose load could begin now, beside those that wait for theirs. */
@@ -331,6 +349,11 @@
     return queued.size
   }
 
+  /** Time until the next adapter in use falls idle: one that serves a single request does so when that ends. */
+  #expectSlotMs (): number {
+    return this.#runMs / Math.max(1, this.places.nearlyIdle)
+  }
+
   #findReasonToDecline (request: DeskRequest, expectedMs: number, readMs: number, nowMs: number): string | undefined {
     const load = this.readLoad(nowMs)
     const isPlaced = request.isBase || this.places.find(request.adapter) !== undefined
@@ -353,6 +376,13 @@
   }
 }
 
+/** A load for several requests goes before one for a single request that is due a little earlier. */
+function compareNeeds (left: LoadNeed, right: LoadNeed, nowMs: number): number {
+  const lateLeft = left.request.dueAtMs < nowMs ? 1 : 0
+  const lateRight = right.request.dueAtMs < nowMs ? 1 : 0
+  return lateLeft - lateRight || (left.request.dueAtMs - left.count * countBonusMs) - (right.request.dueAtMs - right.count * countBonusMs)
+}
+
 /** What can still be on time goes first, by its due time; what is late goes after it. */
 function compareUrgency (left: DeskRequest, right: DeskRequest, nowMs: number): number {
   const lateLeft = left.dueAtMs < nowMs ? 1 : 0
--- a/src/core/newsBoard.ts
+++ b/src/core/newsBoard.ts
@@ -1,7 +1,7 @@
 /** What a host believes of the configuration, the endpoints, their owners, new versions and the other hosts. */
 import type { StoreRow } from '../ports/store.js'
-import { decodeHostsRow, hostsTable, parseHostsKey } from '../schemas/hostRows.js'
-import type { HostRow, OwnerRow } from '../schemas/hostRows.js'
+import { decodeHostsRow, decodeRenewal, hostsTable, parseHostsKey, renewalsTable } from '../schemas/hostRows.js'
+import type { HostRow, OwnerRow, RenewalRow } from '../schemas/hostRows.js'
 import type { AdapterVersion, EndpointEntry, RoutingConfiguration } from '../schemas/routing.js'
 import { EndpointDirectory } from './endpointDirectory.js'
 import { RouteTable } from './routeTable.js'
@@ -33,6 +33,7 @@
   | { kind: 'endpoint', id: string, entry: EndpointEntry | undefined }
   | { kind: 'owner', endpointId: string, owner: KnownOwner | undefined }
   | { kind: 'host', name: string, host: KnownHost | undefined }
+  | { kind: 'renewal', host: string, renewal: RenewalRow | undefined, version: number }
   | { kind: 'unreadable', table: string, key: string, sample: string }
 
 export class NewsBoard {
@@ -61,6 +62,7 @@
   /** Takes a changed row; returns what it changes, or undefined where it changes nothing. */
   applyRow (row: StoreRow, nowMs: number): BoardChange | undefined {
     if (row.table === hostsTable) return this.#applyHostsRow(row)
+    if (row.table === renewalsTable) return { kind: 'renewal', host: row.key, renewal: row.value && decodeRenewal(row.value), version: row.version }
     const news = this.#decodeNews(row.table, row.key, row.value)
     if (!news) return row.value && describeUnreadable(row)
     if (news.kind === 'configuration') return this.#applyConfiguration(news.configuration)
--- a/src/core/newsSource.ts
+++ b/src/core/newsSource.ts
@@ -7,20 +7,23 @@
   zone: string
 }
 
-/** Hosts of a zone that follow the store; the second one keeps the news flowing while the first one is replaced. */
-export const readersPerZone = 1
+/** With up to so many hosts two readers are enough, in different zones; with more each zone has its own. */
+const fewHosts = 12
+const minReaders = 2
 
 /**
- * Ranks the hosts of a zone as readers of the store; every host finds the same order.
+ * Lists the readers of the store, the best of each zone first; every host finds the same ones.
  *
  * @example
- * rankReaders(hosts, 'sala-unu')[0]?.host
+ * listReaders(hosts).map(reader => reader.host)
  */
-export function rankReaders (hosts: readonly SourceHost[], zone: string): SourceHost[] {
-  return hosts.filter(host => host.zone === zone)
-    .map(host => ({ host, hash: computeHash(`reader ${host.host}`) }))
+export function listReaders (hosts: readonly SourceHost[]): SourceHost[] {
+  const ranked = hosts.map(host => ({ host, hash: computeHash(`reader ${host.host}`) }))
     .sort((left, right) => right.hash - left.hash)
     .map(({ host }) => host)
+  const leaders = ranked.filter((host, index) => ranked.findIndex(other => other.zone === host.zone) === index)
+  const count = hosts.length <= fewHosts ? minReaders : Math.max(minReaders, leaders.length)
+  return [...leaders, ...ranked.filter(host => !leaders.includes(host))].slice(0, count)
 }
 
 /**
@@ -28,12 +31,11 @@
  * reader itself looks at the store first.
  */
 export function listSources (own: SourceHost, hosts: readonly SourceHost[]): (SourceHost | 'store')[] {
-  const zones = [...new Set(hosts.map(host => host.zone))].sort()
-  const readers = rankReaders(hosts, own.zone).slice(0, readersPerZone)
-  const isReader = readers.length < readersPerZone || readers.some(host => host.host === own.host)
-  const near = readers.filter(host => host.host !== own.host)
-  const far = zones.filter(zone => zone !== own.zone)
-    .flatMap(zone => rankReaders(hosts, zone).slice(0, readersPerZone))
+  const readers = listReaders(hosts)
+  const isReader = readers.length < minReaders || readers.some(host => host.host === own.host)
+  const others = readers.filter(host => host.host !== own.host)
+  const near = others.filter(host => host.zone === own.zone)
+  const far = others.filter(host => host.zone !== own.zone)
     .sort((left, right) => computeHash(`${own.host} ${left.host}`) - computeHash(`${own.host} ${right.host}`))
-  return isReader ? ['store', ...near, ...far] : [...near, 'store', ...far]
+  return isReader ? ['store', ...near, ...far] : [...near, ...far, 'store']
 }
--- a/src/core/orderLease.ts
+++ b/src/core/orderLease.ts
@@ -1,15 +1,15 @@
 /** The rules by which one host at a time gives an endpoint orders. */
-import type { HostRow, OwnerRow } from '../schemas/hostRows.js'
+import type { OwnerRow, RenewalRow } from '../schemas/hostRows.js'
 
 /** Time between two renewals of a host's row, in milliseconds. */
-export const renewalIntervalMs = 800
-/** A host gives no orders later than this after it sent its last successful renewal: two renewals may be lost. */
-export const orderLimitMs = 2200
+export const renewalIntervalMs = 1000
+/** A host gives no orders later than this after it sent its last successful renewal: one may be lost and one slow. */
+export const orderLimitMs = 2600
 /**
  * A host whose row has stood still for this long, in the eyes of one that reads the store all the while, has lost its
  * endpoints. The rest beyond `orderLimitMs` covers the way of an order and a slow answer of the store.
  */
-export const expiryMs = 3500
+export const expiryMs = 4000
 /** The steady clock and the time of day may drift apart by this much before a pause is suspected. */
 const maxClockDriftMs = 150
 
@@ -44,10 +44,10 @@
 export class RenewalWatch {
   #hosts = new Map<string, WatchedHost>()
 
-  recordRow (row: HostRow, nowMs: number): void {
-    const known = this.#hosts.get(row.host)
-    if (known?.session === row.session && known.renewal === row.renewal) return
-    this.#hosts.set(row.host, { session: row.session, renewal: row.renewal, stillSinceMs: nowMs })
+  recordRow (host: string, { session, renewal }: RenewalRow, nowMs: number): void {
+    const known = this.#hosts.get(host)
+    if (known?.session === session && known.renewal === renewal) return
+    this.#hosts.set(host, { session, renewal, stillSinceMs: nowMs })
   }
 
   recordRemoved (host: string): void {
--- a/src/platform/engineOrders.ts
+++ b/src/platform/engineOrders.ts
@@ -5,8 +5,6 @@
 import { decodeReport } from './decodeEndpoint.js'
 import { wireHeaders, wirePaths } from './wireNames.js'
 
-/** An order without an answer after this time may still be carried out; engines answer within 15 ms. */
-const orderTimeoutMs = 100
 const reportTimeoutMs = 500
 const connectTimeoutMs = 400
 /** Errors after which the engine certainly has not seen the order. */
@@ -24,20 +22,20 @@
     pipelining: 1, connect: { timeout: connectTimeoutMs }, headersTimeout: 0, bodyTimeout: 0
   })
   return {
-    send: async (order, holder) => await sendOrder(client, endpointId, order, holder),
+    send: async (order, holder, timeoutMs) => await sendOrder(client, endpointId, order, holder, timeoutMs),
     readState: async () => await readState(client, endpointId),
     close: () => { client.destroy() }
   }
 }
 
-async function sendOrder (client: Client, endpointId: string, order: EngineOrder, holder: OrderHolder): Promise<OrderOutcome> {
+async function sendOrder (client: Client, endpointId: string, order: EngineOrder, holder: OrderHolder, timeoutMs: number): Promise<OrderOutcome> {
   try {
     const response = await client.request({
       method: 'POST',
       path: wirePaths.order,
       headers: { 'content-type': 'application/json', [wireHeaders.expectEndpoint]: endpointId },
       body: JSON.stringify(encodeOrder(order, holder)),
-      signal: AbortSignal.timeout(orderTimeoutMs)
+      signal: AbortSignal.timeout(timeoutMs)
     })
     const reason = (await response.body.text()).slice(0, 200)
     return judgeStatus(response.statusCode, reason)
--- a/src/ports/orders.ts
+++ b/src/ports/orders.ts
@@ -41,7 +41,8 @@
 
 /** Reaches one engine as the holder of its lease. */
 export interface EngineOrders {
-  send: (order: EngineOrder, holder: OrderHolder) => Promise<OrderOutcome>
+  /** An order without an answer after `timeoutMs` may still be carried out. */
+  send: (order: EngineOrder, holder: OrderHolder, timeoutMs: number) => Promise<OrderOutcome>
   /** Reads the engine's state as of some hundred milliseconds ago. Rejects where it does not answer. */
   readState: () => Promise<EngineState>
   close: () => void
--- a/src/schemas/hostRows.ts
+++ b/src/schemas/hostRows.ts
@@ -3,8 +3,10 @@
 import type { Static } from '@sinclair/typebox'
 import { TypeCompiler } from '@sinclair/typebox/compiler'
 
-/** Table of the rows of this file. */
+/** Table of hosts and owners, which change rarely, so that every host may follow it. */
 export const hostsTable = 'sedgevalve'
+/** Table of renewals, which change all the time and concern only those that watch over owners. */
+export const renewalsTable = 'sedgevalve-renewals'
 
 const hostKeyPrefix = 'host/'
 const ownerKeyPrefix = 'owner/'
@@ -15,13 +17,19 @@
   zone: Type.String(),
   /** Names one life of the host's process. */
   session: Type.String(),
-  /** Rises with each renewal. */
-  renewal: Type.Integer(),
   /** Whether the host is shutting down and takes no endpoints. */
   isLeaving: Type.Boolean()
 })
 export type HostRow = Static<typeof hostRowSchema>
 
+/** Shows that a host that owns endpoints lives; its key is the host's name. */
+export const renewalRowSchema = Type.Object({
+  session: Type.String(),
+  /** Rises with each renewal. */
+  renewal: Type.Integer()
+})
+export type RenewalRow = Static<typeof renewalRowSchema>
+
 /** Who may give an endpoint orders; the version of the row is the fencing number. */
 export const ownerRowSchema = Type.Object({
   endpointId: Type.String(),
@@ -33,6 +41,7 @@
 export type OwnerRow = Static<typeof ownerRowSchema>
 
 const hostRowCheck = TypeCompiler.Compile(hostRowSchema)
+const renewalRowCheck = TypeCompiler.Compile(renewalRowSchema)
 const ownerRowCheck = TypeCompiler.Compile(ownerRowSchema)
 
 export function formatHostKey (host: string): string {
@@ -68,7 +77,13 @@
   return undefined
 }
 
-export function encodeHostsRow (row: HostRow | OwnerRow): Uint8Array {
+/** Decodes a renewal; undefined where the bytes hold none. */
+export function decodeRenewal (value: Uint8Array): RenewalRow | undefined {
+  const row = parseRow(value)
+  return renewalRowCheck.Check(row) ? row : undefined
+}
+
+export function encodeHostsRow (row: HostRow | OwnerRow | RenewalRow): Uint8Array {
   return Buffer.from(JSON.stringify(row))
 }
 
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -135,7 +135,7 @@
     if (!place) return
     this.#places.delete(key)
     if (done.firstPartMs >= 0 && done.outcome === 'served') this.#planner.recordFirstPart(key, done.firstPartMs)
-    this.#planner.remove(key)
+    this.#planner.remove(key, done.outcome === 'served' ? this.#options.clock.readMonotonic() : undefined)
     if (done.outcome === 'missing') this.#line.close(`adapter "${place.ask.adapter}" was expected there and is missing`)
     if (done.outcome === 'unreachable' || done.outcome === 'broken') this.#watch.checkReachable()
     this.#plan()
--- a/src/tasks/desk/orderLine.ts
+++ b/src/tasks/desk/orderLine.ts
@@ -1,7 +1,7 @@
 /** Gives one engine orders, one after the other, each under the condition that no other came between. */
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
-import type { EngineOrder, EngineOrders, EngineState, OrderOutcome } from '../../ports/orders.js'
+import type { EngineOrder, EngineOrders, EngineState, OrderHolder, OrderOutcome } from '../../ports/orders.js'
 
 export interface OrderLineOptions {
   clock: Clock
@@ -16,7 +16,10 @@
 }
 
 /** Tries of an order whose answer was lost; each has the same condition, so that one of them at most is carried out. */
-const maxTries = 4
+const maxTries = 5
+/** Engines answer within 15 ms; a first try without an answer is repeated soon, as the condition makes that safe. */
+const firstTimeoutMs = 45
+const timeoutMs = 100
 /** Time between two questions whether an unload has got its runs out of the way; a run takes some 500 ms. */
 const repeatUnloadMs = 60
 /** An unload that takes longer is looked up in the engine's state. */
@@ -68,9 +71,10 @@
   async probe (order: Omit<EngineOrder, 'expectedCount'>): Promise<OrderOutcome> {
     const fencing = this.#options.findFencing()
     if (fencing === undefined || this.#count === undefined) return refuse('the host may not give orders now')
-    return await this.#options.orders.send({ ...order, expectedCount: this.#count }, { host: this.#options.host, fencing })
+    return await this.#options.orders.send({ ...order, expectedCount: this.#count }, { host: this.#options.host, fencing }, timeoutMs)
   }
 
+  /** Repeats an order without an answer under the same condition, so that one of the tries at most is carried out. */
   async #send (order: Omit<EngineOrder, 'expectedCount'>): Promise<OrderOutcome> {
     const { clock, host, orders, findFencing, endpointId, log } = this.#options
     let outcome: OrderOutcome = refuse('the engine\'s state is not known')
@@ -79,11 +83,13 @@
       if (fencing === undefined) return refuse('the host may not give orders now')
       const startedAtMs = clock.readMonotonic()
       const expectedCount = this.#count
-      outcome = await orders.send({ ...order, expectedCount }, { host, fencing })
+      outcome = await orders.send({ ...order, expectedCount }, { host, fencing }, attempt === 1 ? firstTimeoutMs : timeoutMs)
       log.record(`order.${order.kind}`, 'Gave an engine an order.', {
         endpointId, ...order, expectedCount, fencing, attempt, ...outcome, tookMs: Math.round(clock.readMonotonic() - startedAtMs)
       })
       if (outcome.verdict === 'unknown') continue
+      const isRepeated = attempt > 1 && isConflict(outcome) ? await this.#isCarriedOut(order, expectedCount, { host, fencing }) : false
+      if (isRepeated) return { verdict: order.kind === 'load' ? 'accepted' : 'holds' }
       if (order.kind === 'unload' && outcome.verdict === 'accepted') return await this.#waitForUnload(order)
       this.#recordOutcome(order, outcome)
       return outcome
@@ -92,6 +98,14 @@
     return outcome
   }
 
+  /** Whether an earlier try was carried out although its answer was lost: then the engine counts one more, and the order holds. */
+  async #isCarriedOut (order: Omit<EngineOrder, 'expectedCount'>, expectedCount: number, holder: OrderHolder): Promise<boolean> {
+    const outcome = await this.#options.orders.send({ ...order, expectedCount: expectedCount + 1 }, holder, timeoutMs)
+    if (outcome.verdict === 'refused' || outcome.verdict === 'unknown') return false
+    if (this.#count === expectedCount) this.#count++
+    return true
+  }
+
   /** Gives an unload again until the runs that it waits for have ended; engines don't count it. */
   async #waitForUnload (order: Omit<EngineOrder, 'expectedCount'>): Promise<OrderOutcome> {
     const { clock, endpointId, log } = this.#options
@@ -121,6 +135,10 @@
   }
 }
 
+function isConflict (outcome: OrderOutcome): boolean {
+  return outcome.verdict === 'refused' && outcome.cause === 'conflict'
+}
+
 function refuse (reason: string): OrderOutcome {
   return { verdict: 'refused', cause: 'unavailable', reason }
 }
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -3,12 +3,12 @@
 import { computeHash } from '../../core/rendezvousHash.js'
 import { findSurplus, rankTakers } from '../../core/ownershipSpread.js'
 import type { SpreadEndpoint, SpreadHost } from '../../core/ownershipSpread.js'
-import type { BoardChange, KnownHost, NewsBoard } from '../../core/newsBoard.js'
+import type { BoardChange, NewsBoard } from '../../core/newsBoard.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
-import { decodeHostsRow, encodeHostsRow, formatHostKey, formatOwnerKey, hostsTable } from '../../schemas/hostRows.js'
-import type { HostRow, OwnerRow } from '../../schemas/hostRows.js'
+import { decodeRenewal, encodeHostsRow, formatHostKey, formatOwnerKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
+import type { HostRow, OwnerRow, RenewalRow } from '../../schemas/hostRows.js'
 
 export interface LeaseTaskOptions {
   clock: Clock
@@ -21,6 +21,10 @@
   isRunning: (row: HostRow) => Promise<boolean>
   /** Reaches the store, directly or through a peer. */
   transact: (transaction: StoreTransaction) => Promise<StoreOutcome>
+  /** Reads the renewals from the store, where the answer to one was lost. */
+  readRenewals: () => void
+  /** Version of a host's renewal, as last read. */
+  findRenewalVersion: (host: string) => number | undefined
   /** Takes a row that this host has written, ahead of the news. */
   applyOwnRow: (row: StoreRow) => void
   /** Whether the store is away for all hosts, so that nobody can take an endpoint over. */
@@ -47,7 +51,8 @@
   #renewal = 0
   /** When each renewal was sent of which it is not known whether it went through. */
   #sentRenewals = new Map<number, number>()
-  #rowVersion = 0
+  /** Version of this host's renewal in the store; 0 before it is registered. */
+  #renewalVersion = 0
   #renewedAtMs = -Infinity
   #isRenewing = false
   #isClaiming = false
@@ -74,7 +79,8 @@
     this.#isLeaving = true
     const endpointIds = [...this.#owned.keys()]
     for (const endpointId of endpointIds) this.#lose(endpointId, 'the host shuts down')
-    const removals = [{ table: hostsTable, key: formatHostKey(this.#options.own.host) }]
+    const { host } = this.#options.own
+    const removals = [{ table: hostsTable, key: formatHostKey(host) }, { table: renewalsTable, key: host }]
     const writes = endpointIds.map(endpointId => this.#createOwnerWrite(endpointId, { host: '', address: '', session: '' }))
     await this.#options.transact({ checks: [], writes, removals })
   }
@@ -99,10 +105,10 @@
   receiveChange (change: BoardChange): void {
     const { clock, own } = this.#options
     const nowMs = clock.readMonotonic()
-    if (change.kind === 'host') {
-      if (change.host) this.#renewals.recordRow(change.host.row, nowMs)
-      if (change.host) this.#receiveOwnRow(change.host)
-      else this.#renewals.recordRemoved(change.name)
+    if (change.kind === 'renewal') {
+      if (change.renewal) this.#renewals.recordRow(change.host, change.renewal, nowMs)
+      else this.#renewals.recordRemoved(change.host)
+      if (change.host === own.host && change.renewal) this.#receiveOwnRenewal(change.renewal, change.version)
       return
     }
     if (change.kind !== 'owner') return
@@ -112,16 +118,16 @@
     else this.#lose(endpointId, owner ? `host "${owner.row.host}" owns it now` : 'its row was removed')
   }
 
-  /** The news show that a renewal went through, even where its answer was lost. */
-  #receiveOwnRow ({ row, version }: KnownHost): void {
-    const sentAtMs = this.#sentRenewals.get(row.renewal)
-    if (row.session !== this.#options.own.session || sentAtMs === undefined || version <= this.#rowVersion) return
-    this.#recordRenewed(row.renewal, version, sentAtMs)
+  /** The store shows that a renewal went through, even where its answer was lost. */
+  #receiveOwnRenewal ({ session, renewal }: RenewalRow, version: number): void {
+    const sentAtMs = this.#sentRenewals.get(renewal)
+    if (session !== this.#options.own.session || sentAtMs === undefined || version <= this.#renewalVersion) return
+    this.#recordRenewed(renewal, version, sentAtMs)
   }
 
   #recordRenewed (renewal: number, version: number, sentAtMs: number): void {
     for (const sent of this.#sentRenewals.keys()) if (sent <= renewal) this.#sentRenewals.delete(sent)
-    this.#rowVersion = version
+    this.#renewalVersion = version
     this.#provenAtMs = Math.max(this.#provenAtMs, sentAtMs)
     this.#hasBeenProven = true
   }
@@ -146,7 +152,7 @@
   }
 
   #isRegistered (): boolean {
-    return this.#rowVersion > 0
+    return this.#renewalVersion > 0
   }
 
   // Renewal
@@ -157,33 +163,36 @@
     const { clock, own, log } = this.#options
     const startedAtMs = clock.readMonotonic()
     this.#renewedAtMs = startedAtMs
-    const row: HostRow = { ...own, renewal: ++this.#renewal, isLeaving: false }
-    this.#sentRenewals.set(row.renewal, startedAtMs)
-    const checks = this.#isRegistered() ? [{ table: hostsTable, key: formatHostKey(own.host), version: this.#rowVersion }] : []
-    const outcome = await this.#options.transact({ checks, writes: [{ table: hostsTable, key: formatHostKey(own.host), value: encodeHostsRow(row) }], removals: [] })
+    const renewal = ++this.#renewal
+    this.#sentRenewals.set(renewal, startedAtMs)
+    const write = { table: renewalsTable, key: own.host, value: encodeHostsRow({ session: own.session, renewal }) }
+    const outcome = await this.#options.transact(this.#isRegistered()
+      ? { checks: [{ table: renewalsTable, key: own.host, version: this.#renewalVersion }], writes: [write], removals: [] }
+      : { checks: [], writes: [write, this.#createHostWrite()], removals: [] })
     this.#isRenewing = false
     if (outcome.verdict === 'applied') {
-      if (this.#sentRenewals.has(row.renewal)) this.#recordRenewed(row.renewal, outcome.version, startedAtMs)
-      else this.#rowVersion = Math.max(this.#rowVersion, outcome.version)
+      if (this.#sentRenewals.has(renewal)) this.#recordRenewed(renewal, outcome.version, startedAtMs)
+      else this.#renewalVersion = Math.max(this.#renewalVersion, outcome.version)
       return
     }
     if (outcome.verdict === 'conflict') this.#receiveRenewalConflict(outcome.rows)
-    else log.record('lease.renewalFailed', 'The renewal of the host\'s row failed.', { verdict: outcome.verdict, reason: outcome.reason })
+    else if (outcome.verdict === 'unknown') this.#options.readRenewals()
+    if (outcome.verdict !== 'conflict') log.record('lease.renewalFailed', 'The renewal of the host\'s row failed.', { verdict: outcome.verdict, reason: outcome.reason })
     this.#renewedAtMs = startedAtMs - renewalIntervalMs + stepMs * 2
   }
 
   /** The row is not as this host wrote it last: an earlier renewal went through unseen, or a reader declared this host gone. */
   #receiveRenewalConflict (rows: readonly StoreRow[]): void {
     const { own, log } = this.#options
-    const current = rows.find(row => row.key === formatHostKey(own.host))
-    const decoded = current?.value && decodeHostsRow(current.key, current.value)
-    const isOwnWrite = decoded?.kind === 'host' && decoded.row.session === own.session
+    const current = rows.find(row => row.key === own.host)
+    const renewal = current?.value && decodeRenewal(current.value)
+    const isOwnWrite = renewal?.session === own.session
     log.record('lease.conflict', 'The host\'s row was changed by another writer or by a renewal whose answer was lost.', { isOwnWrite })
     if (isOwnWrite) {
-      this.#receiveOwnRow({ row: decoded.row, version: current!.version })
+      this.#receiveOwnRenewal(renewal!, current!.version)
       return
     }
-    this.#rowVersion = 0
+    this.#renewalVersion = 0
     this.#hasBeenProven = false
     for (const endpointId of [...this.#owned.keys()]) this.#lose(endpointId, 'this host was declared gone')
   }
@@ -217,7 +226,7 @@
     const { own, log } = this.#options
     this.#isClaiming = true
     const outcome = await this.#options.transact({
-      checks: [{ table: hostsTable, key: formatOwnerKey(endpointId), version }, { table: hostsTable, key: formatHostKey(own.host), version: this.#rowVersion }],
+      checks: [{ table: hostsTable, key: formatOwnerKey(endpointId), version }, { table: renewalsTable, key: own.host, version: this.#renewalVersion }],
       writes: [this.#createOwnerWrite(endpointId, own)],
       removals: []
     })
@@ -230,6 +239,11 @@
     this.#options.applyOwnRow({ ...this.#createOwnerWrite(endpointId, own), version: outcome.version })
   }
 
+  #createHostWrite (): { table: string, key: string, value: Uint8Array } {
+    const { own } = this.#options
+    return { table: hostsTable, key: formatHostKey(own.host), value: encodeHostsRow({ ...own, isLeaving: false }) }
+  }
+
   #createOwnerWrite (endpointId: string, { host, address, session }: Omit<OwnerRow, 'endpointId'>): { table: string, key: string, value: Uint8Array } {
     return { table: hostsTable, key: formatOwnerKey(endpointId), value: encodeHostsRow({ endpointId, host, address, session }) }
   }
@@ -261,14 +275,15 @@
     if (!this.#options.readsStore()) return
     for (const name of this.#renewals.listExpired(nowMs)) {
       const host = board.hosts.get(name)
+      const renewalVersion = this.#options.findRenewalVersion(name)
       const owned = [...board.owners].filter(([, owner]) => owner.row.host === name)
-      if (!host || owned.length === 0 || name === own.host) continue
+      if (!host || renewalVersion === undefined || owned.length === 0 || name === own.host) continue
       this.#isClaiming = true
       if (!await this.#options.isRunning(host.row)) {
         const outcome = await this.#options.transact({
-          checks: [{ table: hostsTable, key: formatHostKey(name), version: host.version }, ...owned.map(([id, { fencing }]) => ({ table: hostsTable, key: formatOwnerKey(id), version: fencing }))],
+          checks: [{ table: renewalsTable, key: name, version: renewalVersion }, ...owned.map(([id, { fencing }]) => ({ table: hostsTable, key: formatOwnerKey(id), version: fencing }))],
           writes: owned.map(([id]) => this.#createOwnerWrite(id, { host: '', address: '', session: '' })),
-          removals: [{ table: hostsTable, key: formatHostKey(name) }]
+          removals: [{ table: hostsTable, key: formatHostKey(name) }, { table: renewalsTable, key: name }]
         })
         const endpointIds = owned.map(([id]) => id)
         log.record('lease.expired', 'A host did not renew its row and does not answer; its endpoints are free.', { lostHost: name, endpointIds, verdict: outcome.verdict })
--- a/src/tasks/news/relayServer.ts
+++ b/src/tasks/news/relayServer.ts
@@ -7,7 +7,7 @@
 import type { Clock } from '../../ports/clock.js'
 import type { Store, StoreTransaction } from '../../ports/store.js'
 import { createParser } from '../../schemas/createParser.js'
-import { hostsTable } from '../../schemas/hostRows.js'
+import { hostsTable, renewalsTable } from '../../schemas/hostRows.js'
 
 export interface RelayServerOptions {
   /** `ip:port`. */
@@ -27,7 +27,7 @@
 const maxWaitMs = 5000
 /** Told as the age of news that never came. */
 const neverMs = 1e9
-const rowNameSchema = Type.Object({ table: Type.Literal(hostsTable), key: Type.String() })
+const rowNameSchema = Type.Object({ table: Type.Union([Type.Literal(hostsTable), Type.Literal(renewalsTable)]), key: Type.String() })
 const parseTransaction = createParser(Type.Object({
   checks: Type.Array(Type.Composite([rowNameSchema, Type.Object({ version: Type.Number() })])),
   writes: Type.Array(Type.Composite([rowNameSchema, Type.Object({ value: Type.Any() })])),
