Take no callers and own no engine on a host that is cut off from its peers

A host that no peer reached while the store showed the others alive kept its engines for as long as it renewed its row, and its callers waited 120 ms for each owner it asked. An owner that stays silent is now asked again after 0.5, 1, 2 and 4 s.

--- a/src/bin/createLeases.ts
+++ b/src/bin/createLeases.ts
@@ -12,6 +12,7 @@
 import { OutageWatch } from '../tasks/leases/outageWatch.js'
 import { StoreAccess } from '../tasks/leases/storeAccess.js'
 import type { NewsTask } from '../tasks/news/newsTask.js'
+import { IsolationWatch } from '../tasks/peers/isolationWatch.js'
 import type { PeerTask } from '../tasks/peers/peerTask.js'
 
 export interface LeasePartsOptions {
@@ -30,6 +31,7 @@
 }
 
 export interface LeaseParts {
+  isolation: IsolationWatch
   leases: LeaseTask
   outage: OutageWatch
 }
@@ -52,12 +54,22 @@
     askStoreAge: async address => (await peers.askHost(address))?.storeAgeMs,
     isNeeded: () => leases.ownsAny
   })
+  const isolation: IsolationWatch = new IsolationWatch({
+    clock,
+    log,
+    readHeardAtMs: () => peers.heardAtMs,
+    readOthersRenewedAtMs: () => news.reachesStore ? leases.othersRenewedAtMs : -Infinity,
+    listPeers,
+    ask: address => { peers.askHost(address) },
+    random: Math.random
+  })
   const leases = new LeaseTask({
     clock,
     log,
     board,
     own,
     readsStore: () => news.reachesStore,
+    isIsolated: () => isolation.isIsolated,
     isRunning: async row => (await peers.askHost(row.address))?.session === row.session,
     transact: async transaction => await access.transact(transaction),
     readRenewals: () => {
@@ -70,7 +82,7 @@
     isOutage: () => outage.isOutage(),
     receiveOwnership: options.receiveOwnership
   })
-  return { leases, outage }
+  return { leases, outage, isolation }
 }
 
 /** A new order each time, so that no peer gets all the questions. */
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -79,7 +79,7 @@
     receiveConfirmation: ids => places.receiveConfirmation(ids)
   })
   const places = new PlaceClient({ clock, datagrams, ownAddress: settings.address, deliverLocally: message => peers.deliverLocally(message) })
-  const { leases, outage } = createLeases({
+  const { leases, outage, isolation } = createLeases({
     clock,
     log,
     own,
@@ -106,10 +106,11 @@
     address: settings.peersAddress, clock, mirror, store, readStoreAgeMs: () => news.storeAgeMs, reachesStore: () => news.reachesStore
   })
   await front.callers.start()
-  const readiness = await startReadiness(settings.readinessAddress, () => board.routes !== undefined && board.endpoints.list(clock.readMonotonic()).length > 0)
+  const readiness = await startReadiness(settings.readinessAddress, () => board.routes !== undefined && !isolation.isIsolated && board.endpoints.list(clock.readMonotonic()).length > 0)
   news.start()
   leases.start()
   outage.start()
+  isolation.start()
   log.record('host.started', 'The host has started.', { zone: settings.zone, address: settings.address })
 
   return {
@@ -118,6 +119,7 @@
     stop: async () => {
       await drainHost({ settings, clock, log, readiness, front, leases })
       outage.stop()
+      isolation.stop()
       news.stop()
       places.stop()
       datagrams.close()
--- a/src/core/orderLease.ts
+++ b/src/core/orderLease.ts
@@ -38,6 +38,8 @@
   session: string
   renewal: number
   stillSinceMs: number
+  /** Whether the renewal was seen to change, rather than read for the first time. */
+  isFresh: boolean
 }
 
 /** Watches renewals by the reader's own clock; no clocks are compared between hosts. */
@@ -47,7 +49,14 @@
   recordRow (host: string, { session, renewal }: RenewalRow, nowMs: number): void {
     const known = this.#hosts.get(host)
     if (known?.session === session && known.renewal === renewal) return
-    this.#hosts.set(host, { session, renewal, stillSinceMs: nowMs })
+    this.#hosts.set(host, { session, renewal, stillSinceMs: nowMs, isFresh: known !== undefined })
+  }
+
+  /** When a renewal of another host than `own` last changed. */
+  readOthersRenewedAtMs (own: string): number {
+    let latestMs = -Infinity
+    for (const [host, { stillSinceMs, isFresh }] of this.#hosts) if (host !== own && isFresh) latestMs = Math.max(latestMs, stillSinceMs)
+    return latestMs
   }
 
   recordRemoved (host: string): void {
@@ -56,7 +65,10 @@
 
   /** While the store cannot be read, nobody's silence counts. */
   recordStoreAway (nowMs: number): void {
-    for (const host of this.#hosts.values()) host.stillSinceMs = nowMs
+    for (const host of this.#hosts.values()) {
+      host.stillSinceMs = nowMs
+      host.isFresh = false
+    }
   }
 
   readStillMs (host: string, nowMs: number): number {
--- a/src/tasks/front/engineFinder.ts
+++ b/src/tasks/front/engineFinder.ts
@@ -21,10 +21,17 @@
   findLink: FindLink
 }
 
+interface Silence {
+  atMs: number
+  /** The owner is not asked again for this long. */
+  avoidMs: number
+}
+
 type Refusal = Extract<AskOutcome, { kind: 'refused' }>
 
-/** An owner that did not answer is not asked again for this long; a takeover takes some 4 s. */
-const avoidOwnerMs = 1000
+/** An owner that did not answer is not asked again for this long, and for twice as long after each further silence. */
+const avoidOwnerMs = 500
+const maxAvoidOwnerMs = 4000
 /** An engine whose owner said that it gives no places is not asked again for this long. */
 const avoidEngineMs = 250
 /** An adapter that was granted at an endpoint within this time is likely to be there still. */
@@ -39,7 +46,7 @@
 export class EngineFinder {
   #options: EngineFinderOptions
   /** By session of the owner. */
-  #silentOwners = new Map<string, number>()
+  #silentOwners = new Map<string, Silence>()
   /** By endpoint. */
   #closedEngines = new Map<string, number>()
   /** When an adapter was last granted at an endpoint. */
@@ -101,6 +108,7 @@
     if (address === undefined) return this.#findResident(name, endpoint, version, query)
     const outcome = await this.#ask(query, endpoint, address, version, mayDecline)
     const nowMs = this.#options.clock.readMonotonic()
+    if (outcome.kind !== 'silent') this.#silentOwners.delete(this.#options.board.owners.get(endpoint.id)?.row.session ?? '')
     search.answers.push(outcome.kind === 'refused' ? outcome.code : outcome.kind)
     if (outcome.kind === 'granted') {
       search.waitedMs = Math.round(outcome.waitedMs)
@@ -126,8 +134,8 @@
   #findOwnerAddress (endpoint: EndpointEntry): string | undefined {
     const row = this.#options.board.owners.get(endpoint.id)?.row
     if (!row || isVacant(row)) return undefined
-    const silentAtMs = this.#silentOwners.get(row.session) ?? -Infinity
-    return this.#options.clock.readMonotonic() - silentAtMs < avoidOwnerMs ? undefined : row.address
+    const silence = this.#silentOwners.get(row.session)
+    return silence && this.#options.clock.readMonotonic() - silence.atMs < silence.avoidMs ? undefined : row.address
   }
 
   async #ask (query: TargetQuery, endpoint: EndpointEntry, address: string, version: number, mayDecline: boolean): Promise<AskOutcome> {
@@ -154,7 +162,12 @@
 
   #recordSilent (address: string, endpoint: EndpointEntry, query: TargetQuery): void {
     const row = this.#options.board.owners.get(endpoint.id)?.row
-    if (row) this.#silentOwners.set(row.session, this.#options.clock.readMonotonic())
+    const nowMs = this.#options.clock.readMonotonic()
+    const before = row && this.#silentOwners.get(row.session)
+    // Requests that were asked for together count as one silence.
+    if (row && !(before && nowMs - before.atMs < before.avoidMs)) {
+      this.#silentOwners.set(row.session, { atMs: nowMs, avoidMs: Math.min(maxAvoidOwnerMs, (before?.avoidMs ?? avoidOwnerMs / 2) * 2) })
+    }
     this.#options.log.record('owner.silent', 'The owner of an endpoint does not answer; it is not asked for a while.', {
       requestId: query.request.requestId, endpointId: endpoint.id, address, owner: row?.host
     })
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -17,6 +17,8 @@
   own: { host: string, address: string, zone: string, session: string }
   /** Whether this host reads the store itself, so that another host's silence means something. */
   readsStore: () => boolean
+  /** Whether this host is cut off from its peers, so that others should own the engines. */
+  isIsolated: () => boolean
   /** Asks a host directly whether the life of its process that wrote a row still runs. */
   isRunning: (row: HostRow) => Promise<boolean>
   /** Reaches the store, directly or through a peer. */
@@ -89,6 +91,25 @@
     this.#timer?.cancel()
   }
 
+  /** When another host's renewal last changed in the store, as far as this host reads it there. */
+  get othersRenewedAtMs (): number {
+    return this.#renewals.readOthersRenewedAtMs(this.#options.own.host)
+  }
+
+  /** Frees all endpoints of this host. */
+  async #giveUp (reason: string): Promise<void> {
+    this.#isClaiming = true
+    const owned = [...this.#owned]
+    for (const [endpointId] of owned) this.#lose(endpointId, reason)
+    const outcome = await this.#options.transact({
+      checks: owned.map(([endpointId, fencing]) => ({ table: hostsTable, key: formatOwnerKey(endpointId), version: fencing })),
+      writes: owned.map(([endpointId]) => this.#createOwnerWrite(endpointId, { host: '', address: '', session: '' })),
+      removals: []
+    })
+    this.#isClaiming = false
+    this.#options.log.record('lease.givenUp', 'Gave all endpoints up.', { reason, endpointIds: owned.map(([endpointId]) => endpointId), verdict: outcome.verdict })
+  }
+
   get ownsAny (): boolean {
     return this.#owned.size > 0
   }
@@ -148,7 +169,8 @@
     const interval = this.#owned.size > 0 || !this.#isRegistered() ? renewalIntervalMs : idleRenewalMs
     if (!this.#isLeaving && nowMs - this.#renewedAtMs >= interval) this.#renew()
     if (this.#isLeaving || this.#isClaiming || !this.#isRegistered()) return
-    this.#claim(nowMs)
+    if (!this.#options.isIsolated()) this.#claim(nowMs)
+    else if (this.#owned.size > 0) this.#giveUp('this host is cut off from its peers')
   }
 
   #isRegistered (): boolean {
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -31,10 +31,20 @@
   #options: PeerTaskOptions
   #pings = new Map<number, (state: HostState | undefined) => void>()
   #nextPing = 1
+  #heardAtMs: number
 
   constructor (options: PeerTaskOptions) {
     this.#options = options
-    options.datagrams.receive((message, sender) => this.#receive(message, sender))
+    this.#heardAtMs = options.clock.readMonotonic()
+    options.datagrams.receive((message, sender) => {
+      this.#heardAtMs = options.clock.readMonotonic()
+      this.#receive(message, sender)
+    })
+  }
+
+  /** When a peer was last heard, or this task began. */
+  get heardAtMs (): number {
+    return this.#heardAtMs
   }
 
   /** Hands a message to this host's own desks, without the network. */
