--- a/features/hostPath.feature
+++ b/features/hostPath.feature
@@ -49,6 +49,12 @@
     When 10 requests of kind "once" are sent
     Then every answer is whole and signed
 
+  Scenario: Answers without a length that are reset are not whole
+    Given 2 hosts before a platform with 1 engine
+    And all answers of services have no length and are reset before their end
+    When 30 requests of kind "once" are sent
+    Then no answer that is not whole looks whole
+
   Scenario: Headers that only the system sets are dropped
     Given 1 host before a platform with 1 engine
     When a caller sends a request that names another endpoint to be expected
--- a/features/steps/hostPath.ts
+++ b/features/steps/hostPath.ts
@@ -13,20 +13,20 @@
 import { waitUntil } from '../support/waitUntil.js'
 
 interface HostsWorld {
-  hosts: HostFleet
+  hostFleet: HostFleet
   answers: FleetAnswer[]
   kinds: Map<string, CallKind>
   crashed: FleetEndpoint
 }
 
 async function startHosts (world: HostsWorld, hosts: number, engines: number, slots = 4): Promise<void> {
-  world.hosts = await HostFleet.start(hosts, { engines, adapterSlots: slots })
+  world.hostFleet = await HostFleet.start(hosts, { engines, adapterSlots: slots })
   world.answers = []
   world.kinds = new Map()
 }
 
 async function call (world: HostsWorld, options: CallOptions): Promise<void> {
-  const answer = await world.hosts.call(options)
+  const answer = await world.hostFleet.call(options)
   world.answers.push(answer)
   world.kinds.set(answer.requestId, options.kind)
 }
@@ -53,11 +53,11 @@
 }
 
 function setFaults (world: HostsWorld, isStruck: (endpoint: FleetEndpoint) => boolean, faults: Partial<EndpointFaults>): void {
-  for (const endpoint of world.hosts.fleet.endpoints) if (isStruck(endpoint)) endpoint.server.setFaults(faults)
+  for (const endpoint of world.hostFleet.fleet.endpoints) if (isStruck(endpoint)) endpoint.server.setFaults(faults)
 }
 
 After(async function (this: HostsWorld) {
-  await this.hosts?.stop()
+  await this.hostFleet?.stop()
 })
 
 Given(/^(\d+) hosts? before a platform with (\d+) engines?$/, async function (this: HostsWorld, hosts: string, engines: string) {
@@ -69,8 +69,8 @@
 })
 
 Given('a platform with {int} engines whose store is {word}', async function (this: HostsWorld, engines: number, fault: StoreFault) {
-  this.hosts = await HostFleet.prepare(2, { engines })
-  this.hosts.fleet.store.setFault(fault)
+  this.hostFleet = await HostFleet.prepare(2, { engines })
+  this.hostFleet.fleet.store.setFault(fault)
 })
 
 Given('half of the streams break off', function (this: HostsWorld) {
@@ -89,6 +89,10 @@
   setFaults(this, endpoint => endpoint.engine === undefined, { unframed: 1 })
 })
 
+Given('all answers of services have no length and are reset before their end', function (this: HostsWorld) {
+  setFaults(this, endpoint => endpoint.engine === undefined, { unframedCuts: 1 })
+})
+
 Given('{int}% of the orders get no answer and are carried out late', function (this: HostsWorld, percent: number) {
   setFaults(this, endpoint => endpoint.engine !== undefined, { lateOrders: percent / 100 })
 })
@@ -99,7 +103,7 @@
 
 When('each kind of request is sent through each host for adapter {string}', async function (this: HostsWorld, adapter: string) {
   const kinds = Object.keys(fleetPaths) as CallKind[]
-  await Promise.all(this.hosts.hosts.flatMap((_, index) => kinds.map(async kind => await call(this, { kind, host: index + 1, adapter }))))
+  await Promise.all(this.hostFleet.hosts.flatMap((_, index) => kinds.map(async kind => await call(this, { kind, host: index + 1, adapter }))))
 })
 
 When('{int} streams for {int} adapters are sent within {int} ms', async function (this: HostsWorld, count: number, adapters: number, withinMs: number) {
@@ -109,17 +113,17 @@
 async function sendStreams (world: HostsWorld, count: number, adapters: number, withinMs: number): Promise<void> {
   await Promise.all(Array.from({ length: count }, async (_, index) => {
     await sleep(index * withinMs / count)
-    await call(world, { kind: 'resumable', host: index % world.hosts.hosts.length + 1, adapter: `a${index % adapters + 1}` })
+    await call(world, { kind: 'resumable', host: index % world.hostFleet.hosts.length + 1, adapter: `a${index % adapters + 1}` })
   }))
 }
 
 When('{int} streams of kind {string} are sent for adapter {string}', async function (this: HostsWorld, count: number, kind: CallKind, adapter: string) {
-  await Promise.all(Array.from({ length: count }, async (_, index) => await call(this, { kind, host: index % this.hosts.hosts.length + 1, adapter })))
+  await Promise.all(Array.from({ length: count }, async (_, index) => await call(this, { kind, host: index % this.hostFleet.hosts.length + 1, adapter })))
 })
 
 When('{int} requests of kind {string} are sent', async function (this: HostsWorld, count: number, kind: CallKind) {
   this.answers = []
-  for (let index = 0; index < count; index++) await call(this, { kind, host: index % this.hosts.hosts.length + 1 })
+  for (let index = 0; index < count; index++) await call(this, { kind, host: index % this.hostFleet.hosts.length + 1 })
 })
 
 When('{int} requests of kind {string} with {int} ms left are sent', async function (this: HostsWorld, count: number, kind: CallKind, timeLeftMs: number) {
@@ -131,14 +135,14 @@
 })
 
 When('the engine that ran most of them crashes', function (this: HostsWorld) {
-  const { fleet } = this.hosts
+  const { fleet } = this.hostFleet
   const countRuns = ({ id }: FleetEndpoint): number => fleet.journal.runs.filter(run => run.endpointId === id).length
   this.crashed = fleet.engines.sort((left, right) => countRuns(right) - countRuns(left))[0]!
   this.crashed.server.crash()
 })
 
 When('engine {int} says that it leaves', function (this: HostsWorld, number: number) {
-  this.hosts.fleet.drain(this.hosts.fleet.engines[number - 1]!)
+  this.hostFleet.fleet.drain(this.hostFleet.fleet.engines[number - 1]!)
 })
 
 When('{int} ms pass', async function (this: HostsWorld, ms: number) {
@@ -146,31 +150,31 @@
 })
 
 When('version {int} of adapter {string} is declared', function (this: HostsWorld, version: number, adapter: string) {
-  this.hosts.fleet.declareVersion(adapter, version)
+  this.hostFleet.fleet.declareVersion(adapter, version)
 })
 
 When('a caller sends a stream and leaves after {int} ms', async function (this: HostsWorld, ms: number) {
   const controller = new AbortController()
   const sent = call(this, { kind: 'resumable', host: 1, signal: controller.signal, requestId: '00000000000000ff' })
-  await waitUntil(() => this.hosts.fleet.journal.runs.length > 0)
+  await waitUntil(() => this.hostFleet.fleet.journal.runs.length > 0)
   await sleep(ms)
   controller.abort()
   await sent
 })
 
 When('host {int} stops while streams are sent through it', async function (this: HostsWorld, number: number) {
-  const host = this.hosts.hosts[number - 1]!
+  const host = this.hostFleet.hosts[number - 1]!
   const streams = Array.from({ length: 20 }, async (_, index) => {
     await sleep(index * 20)
     await call(this, { kind: 'stream', host: number, adapter: `a${index % 3}` })
   })
   await sleep(200)
-  await this.hosts.stopHost(host)
+  await this.hostFleet.stopHost(host)
   await Promise.all(streams)
 })
 
 When('the store is silent for {int} ms while {int} streams for {int} adapters are sent', async function (this: HostsWorld, ms: number, count: number, adapters: number) {
-  const { store } = this.hosts.fleet
+  const { store } = this.hostFleet.fleet
   store.setFault('silent')
   const streams = sendStreams(this, count, adapters, ms)
   await sleep(ms)
@@ -179,21 +183,21 @@
 })
 
 When('{int} hosts start and the store is there again after {int} ms', async function (this: HostsWorld, count: number, ms: number) {
-  const starts = this.hosts.hosts.slice(0, count).map(async host => await this.hosts.startHost(host))
+  const starts = this.hostFleet.hosts.slice(0, count).map(async host => await this.hostFleet.startHost(host))
   await sleep(ms)
-  this.hosts.fleet.store.setFault('none')
+  this.hostFleet.fleet.store.setFault('none')
   await Promise.all(starts)
 })
 
 When('the answers of the store\'s writes are lost for {int} ms', async function (this: HostsWorld, ms: number) {
-  const { store } = this.hosts.fleet
+  const { store } = this.hostFleet.fleet
   store.setFault('lost')
   await sleep(ms)
   store.setFault('none')
 })
 
 function addRoute (world: HostsWorld): void {
-  const { fleet } = world.hosts
+  const { fleet } = world.hostFleet
   const [route] = fleet.defaultRoutes
   fleet.writeConfiguration({ routes: [...fleet.defaultRoutes, { ...route!, name: 'added', prefix: '/added/' }] })
 }
@@ -204,19 +208,19 @@
 
 When('the store forgets its history and a route is added', function (this: HostsWorld) {
   addRoute(this)
-  this.hosts.fleet.rows.forgetHistory()
+  this.hostFleet.fleet.rows.forgetHistory()
 })
 
 Then('the route is known to every host within {int} ms', async function (this: HostsWorld, ms: number) {
   const startedAtMs = performance.now()
-  for (const [index] of this.hosts.hosts.entries()) {
-    await waitUntil(async () => await this.hosts.readStatus(index + 1, '/added/x') !== 404)
+  for (const [index] of this.hostFleet.hosts.entries()) {
+    await waitUntil(async () => await this.hostFleet.readStatus(index + 1, '/added/x') !== 404)
   }
   assert.ok(performance.now() - startedAtMs < ms, `it took ${Math.round(performance.now() - startedAtMs)} ms`)
 })
 
 Then('every engine is owned by a host that runs within {int} ms', async function (this: HostsWorld, ms: number) {
-  const { fleet, hosts } = this.hosts
+  const { fleet, hosts } = this.hostFleet
   const startedAtMs = performance.now()
   await waitUntil(() => {
     const running = new Set(hosts.filter(host => host.process).map(host => host.settings.hostName))
@@ -235,8 +239,8 @@
 
 Then('every answer is whole or refused with a time to come back', function (this: HostsWorld) {
   for (const answer of this.answers) {
-    const isRefused = answer.status === 503 && answer.retryAfterS !== undefined && this.hosts.fleet.journal.listRuns(answer.requestId).length === 0
-    const isUnreached = answer.status === 0 && this.hosts.fleet.journal.listRuns(answer.requestId).length === 0
+    const isRefused = answer.status === 503 && answer.retryAfterS !== undefined && this.hostFleet.fleet.journal.listRuns(answer.requestId).length === 0
+    const isUnreached = answer.status === 0 && this.hostFleet.fleet.journal.listRuns(answer.requestId).length === 0
     assert.ok(isWhole(this, answer) || isRefused || isUnreached, JSON.stringify(answer))
   }
 })
@@ -260,32 +264,32 @@
 })
 
 Then('some streams were resumed', function (this: HostsWorld) {
-  assert.ok(this.hosts.fleet.journal.runs.some(run => run.fromEvent > 0))
+  assert.ok(this.hostFleet.fleet.journal.runs.some(run => run.fromEvent > 0))
 })
 
 Then('no request ran more than once', function (this: HostsWorld) {
-  for (const answer of this.answers) assert.ok(this.hosts.fleet.journal.listRuns(answer.requestId).length <= 1, answer.requestId)
+  for (const answer of this.answers) assert.ok(this.hostFleet.fleet.journal.listRuns(answer.requestId).length <= 1, answer.requestId)
 })
 
 Then('no endpoint saw what no host may do', function (this: HostsWorld) {
-  assert.deepEqual(this.hosts.fleet.listViolations(), [])
+  assert.deepEqual(this.hostFleet.fleet.listViolations(), [])
 })
 
 Then('engine {int} ran none of the last {int}', function (this: HostsWorld, number: number, count: number) {
-  const { fleet } = this.hosts
+  const { fleet } = this.hostFleet
   const { id } = fleet.engines[number - 1]!
   for (const answer of this.answers.slice(-count)) for (const run of fleet.journal.listRuns(answer.requestId)) assert.notEqual(run.endpointId, id)
 })
 
 Then('the last {int} ran on version {int}', function (this: HostsWorld, count: number, version: number) {
   for (const answer of this.answers.slice(-count)) {
-    const runs = this.hosts.fleet.journal.listRuns(answer.requestId)
+    const runs = this.hostFleet.fleet.journal.listRuns(answer.requestId)
     assert.deepEqual(runs.map(run => run.adapterVersion), [version], JSON.stringify(answer))
   }
 })
 
 Then('the engine stops its run within {int} ms', async function (this: HostsWorld, ms: number) {
-  const { runs } = this.hosts.fleet.journal
+  const { runs } = this.hostFleet.fleet.journal
   const startedAtMs = performance.now()
   await waitUntil(() => runs.every(run => run.outcome !== 'running'))
   assert.ok(performance.now() - startedAtMs < ms)
--- a/src/adapters/endpointHttp/httpEndpointLink.ts
+++ b/src/adapters/endpointHttp/httpEndpointLink.ts
@@ -87,7 +87,11 @@
         end.hasEnded = false
         end.wasReset = false
         connectSocket(options, (error, socket) => {
-          socket?.on('end', () => { end.hasEnded = true })
+          socket?.on('end', () => {
+            end.hasEnded = true
+            // A reset that comes together with data shows as an end; only a connection that is still there knows its peer.
+            if (socket.remoteAddress === undefined) end.wasReset = true
+          })
           socket?.on('error', () => { end.wasReset = true })
           // The connector calls back with either an error or a socket.
           if (error) callback(error, null)
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -18,13 +18,15 @@
   cuts: number
   /** Answers without a length that end with their connection. */
   unframed: number
+  /** Answers without a length that are reset before their last bytes. */
+  unframedCuts: number
   /** Whole answers after which a second one comes. */
   extras: number
   /** Orders that get no answer and are carried out late. */
   lateOrders: number
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, extras: 0, lateOrders: 0 })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedCuts: 0, extras: 0, lateOrders: 0 })
 
 export interface EndpointServerOptions {
   id: string
@@ -150,6 +152,9 @@
       finish('broken')
       response.writeHead(200, { ...headers, 'content-length': String(body.length) }).write(body.slice(0, 4))
       setImmediate(() => request.socket.resetAndDestroy())
+    } else if (random() < this.faults.unframedCuts) {
+      finish('broken')
+      request.socket.write(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}connection: close\r\n\r\n${body.slice(0, 4)}`, () => request.socket.resetAndDestroy())
     } else if (random() < this.faults.unframed) {
       finish('whole')
       request.socket.end(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}connection: close\r\n\r\n${body}`)
