Serve hosts' metrics and explain a request from hosts' log lines

Counters and histograms come from the same events as the lines and count also where a line is left out.

--- a/features/support/hostFleet.ts
+++ b/features/support/hostFleet.ts
@@ -78,10 +78,13 @@
 
   async startHost (host: FleetHost): Promise<void> {
     const { hostName } = host.settings
-    host.process = await startHost(host.settings, createSystemClock(), () => ({
-      record: (kind, _message, fields = {}) => { this.lines.push({ host: hostName, kind, fields }) },
-      flush: () => {}
-    }))
+    host.process = await startHost(host.settings, createSystemClock(), {
+      metricsPort: basePort + 4,
+      openLog: () => ({
+        record: (kind, _message, fields = {}) => { this.lines.push({ host: hostName, kind, fields }) },
+        flush: () => {}
+      })
+    })
   }
 
   async stopHost (host: FleetHost): Promise<void> {
--- a/src/bin/createLeases.ts
+++ b/src/bin/createLeases.ts
@@ -52,7 +52,7 @@
     readStoreAgeMs: () => news.directStoreAgeMs,
     listPeers,
     askStoreAge: async address => (await peers.askHost(address))?.storeAgeMs,
-    isNeeded: () => leases.ownsAny
+    isNeeded: () => leases.ownedCount > 0
   })
   const isolation: IsolationWatch = new IsolationWatch({
     clock,
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -11,20 +11,25 @@
 import { createEngineOrders } from '../platform/engineOrders.js'
 import { createStoreClient } from '../platform/storeClient.js'
 import type { Clock } from '../ports/clock.js'
+import type { Datagrams } from '../ports/datagrams.js'
 import type { EventLog } from '../ports/eventLog.js'
+import type { Relay } from '../ports/relay.js'
+import type { Store } from '../ports/store.js'
 import type { HostSettings } from '../schemas/hostSettings.js'
 import { hostsTable, renewalsTable } from '../schemas/hostRows.js'
 import { DeskTask } from '../tasks/desk/deskTask.js'
+import { createCountedLog, HostMetrics } from '../tasks/hostMetrics/hostMetrics.js'
+import { startMetricsServer } from '../tasks/hostMetrics/metricsServer.js'
 import { PlaceClient } from '../tasks/front/placeClient.js'
 import type { LeaseTask } from '../tasks/leases/leaseTask.js'
 import { logChange } from '../tasks/news/logChange.js'
 import { NewsTask } from '../tasks/news/newsTask.js'
-import type { NewsTaskOptions } from '../tasks/news/newsTask.js'
 import { startRelayServer } from '../tasks/news/relayServer.js'
 import { PeerTask } from '../tasks/peers/peerTask.js'
 import { createFront } from './createFront.js'
 import type { Front } from './createFront.js'
 import { createLeases } from './createLeases.js'
+import type { LeaseParts, LeasePartsOptions } from './createLeases.js'
 import type { RunningProcess } from './runBinary.js'
 import { startReadiness } from './startReadiness.js'
 import type { Readiness } from './startReadiness.js'
@@ -41,34 +46,48 @@
 /** Left of the time between SIGTERM and SIGKILL for the process to end. */
 const exitMarginMs = 700
 
-/**
- * Starts a host; it says that it is ready once it knows a configuration and endpoints.
- *
- * @example
- * const host = await startHost(readHostSettings(), createSystemClock())
- */
-export async function startHost (settings: HostSettings, clock: Clock, openLog: OpenLog = openEventLog): Promise<RunningProcess> {
-  const session = randomBytes(6).toString('hex')
-  const log = openLog({ clock, host: settings.hostName, session })
-  const own = { host: settings.hostName, address: settings.address, zone: settings.zone, session }
-  const store = createStoreClient(settings.storeAddress)
-  const relay = createHttpRelay()
-  const formatRelayAddress = createRelayAddresses(settings.peersAddress)
+export interface HostOptions {
+  openLog?: OpenLog
+  /** Where metrics are served on the host's address; left out, they are not. */
+  metricsPort?: number
+}
+
+interface HostParts {
+  board: NewsBoard
+  mirror: RowMirror
+  news: NewsTask
+  places: PlaceClient
+  desks: DeskTask
+  front: Front
+  leaseParts: LeaseParts
+}
+
+/** What a host is built from. */
+interface HostBasis {
+  settings: HostSettings
+  clock: Clock
+  log: EventLog
+  own: LeasePartsOptions['own']
+  store: Store
+  relay: Relay
+  datagrams: Datagrams
+}
 
+/** Creates the tasks of a host and ties them together; nothing runs yet. */
+function createHostParts ({ settings, clock, log, own, store, relay, datagrams }: HostBasis): HostParts {
+  const formatRelayAddress = createRelayAddresses(settings.peersAddress)
   const board = new NewsBoard(decodePlatformRow)
-  const mirror = new RowMirror(session, isSameNews, row => {
+  const mirror = new RowMirror(own.session, isSameNews, row => {
     const change = board.applyRow(row, clock.readMonotonic())
     if (!change) return
     logChange(log, change)
     if (change.kind === 'configuration') front.callers.applyLimits()
-    leases.receiveChange(change)
+    leaseParts.leases.receiveChange(change)
     desks.receiveChange(change)
   })
-  const newsOptions: NewsTaskOptions = {
+  const news = new NewsTask({
     clock, log, store, relay, mirror, board, tables: followedTables, own, seeds: settings.seedAddresses, formatRelayAddress
-  }
-  const news = new NewsTask(newsOptions)
-  const datagrams = await openUdpDatagrams({ address: settings.address, port: settings.datagramPort, host: settings.hostName, session, log })
+  })
   const peers: PeerTask = new PeerTask({
     clock,
     datagrams,
@@ -79,7 +98,7 @@
     receiveConfirmation: ids => places.receiveConfirmation(ids)
   })
   const places = new PlaceClient({ clock, datagrams, ownAddress: settings.address, deliverLocally: message => peers.deliverLocally(message) })
-  const { leases, outage, isolation } = createLeases({
+  const leaseParts: LeaseParts = createLeases({
     clock,
     log,
     own,
@@ -98,19 +117,43 @@
     host: settings.hostName,
     board,
     openOrders: endpoint => createEngineOrders(endpoint.id, endpoint.address),
-    findFencing: endpointId => leases.findFencing(endpointId)
+    findFencing: endpointId => leaseParts.leases.findFencing(endpointId)
   })
   const front: Front = createFront({ settings, clock, log, board, places })
+  return { board, mirror, news, places, desks, front, leaseParts }
+}
+
+/**
+ * Starts a host; it says that it is ready once it knows a configuration and endpoints.
+ *
+ * @example
+ * const host = await startHost(readHostSettings(), createSystemClock())
+ */
+export async function startHost (settings: HostSettings, clock: Clock, options: HostOptions = {}): Promise<RunningProcess> {
+  const session = randomBytes(6).toString('hex')
+  const own = { host: settings.hostName, address: settings.address, zone: settings.zone, session }
+  const lines = (options.openLog ?? openEventLog)({ clock, host: settings.hostName, session })
+  const metrics: HostMetrics = new HostMetrics({
+    readStoreAgeMs: () => news.storeAgeMs,
+    readActiveRequests: () => front.callers.active,
+    readOwnedEndpoints: () => leases.ownedCount,
+    readEndpoints: () => countEndpoints()
+  })
+  const log = createCountedLog(lines, (kind, fields) => metrics.recordEvent(kind, fields))
+  const store = createStoreClient(settings.storeAddress, (call, verdict) => metrics.recordStoreCall(call, verdict))
+  const relay = createHttpRelay()
+  const datagrams = await openUdpDatagrams({ address: settings.address, port: settings.datagramPort, host: settings.hostName, session, log })
+  const { board, mirror, news, places, desks, front, leaseParts } = createHostParts({ settings, clock, log, own, store, relay, datagrams })
+  const { leases, outage, isolation } = leaseParts
+  const countEndpoints = (): number => board.endpoints.list(clock.readMonotonic()).length
 
   const relayServer = await startRelayServer({
     address: settings.peersAddress, clock, mirror, store, readStoreAgeMs: () => news.storeAgeMs, reachesStore: () => news.reachesStore
   })
   await front.callers.start()
-  const readiness = await startReadiness(settings.readinessAddress, () => board.routes !== undefined && !isolation.isIsolated && board.endpoints.list(clock.readMonotonic()).length > 0)
-  news.start()
-  leases.start()
-  outage.start()
-  isolation.start()
+  const readiness = await startReadiness(settings.readinessAddress, () => board.routes !== undefined && !isolation.isIsolated && countEndpoints() > 0)
+  const metricsServer = options.metricsPort === undefined ? undefined : await startMetricsServer(settings.address, options.metricsPort, metrics)
+  for (const task of [news, leases, outage, isolation]) task.start()
   log.record('host.started', 'The host has started.', { zone: settings.zone, address: settings.address })
 
   return {
@@ -118,13 +161,11 @@
     reload: () => log.record('settings.reloaded', 'The settings file has changed; what it tells of the store and the bounds is read at the next start.', {}),
     stop: async () => {
       await drainHost({ settings, clock, log, readiness, front, leases })
-      outage.stop()
-      isolation.stop()
-      news.stop()
-      places.stop()
+      for (const task of [outage, isolation, news, places, metrics]) task.stop()
       datagrams.close()
       await Promise.all([relayServer.stop(), store.close(), relay.close()])
-      log.flush()
+      metricsServer?.close()
+      lines.flush()
     }
   }
 }
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -33,6 +33,9 @@
 const parseApplied = createParser(Type.Object({ ver: Type.Number() }))
 const parseConflict = createParser(Type.Object({ rows: Type.Optional(Type.Array(rowSchema)) }))
 
+/** Called with each call and what became of it, for the metrics. */
+export type ReceiveStoreCall = (call: string, verdict: string) => void
+
 /**
  * Connects to the store at `ip:port`.
  *
@@ -40,18 +43,33 @@
  * const store = createStoreClient('10.200.1.7:8142')
  * const { rows, version } = await store.readTable('op')
  */
-export function createStoreClient (address: string): Store {
+export function createStoreClient (address: string, receiveCall: ReceiveStoreCall = () => {}): Store {
   const pool = new Pool(`http://${address}`, {
     connections: maxConnections, pipelining: 1, connect: { timeout: connectTimeoutMs }, headersTimeout: 0, bodyTimeout: 0
   })
   return {
-    readTable: async table => await readTable(pool, table),
-    followTable: async (table, afterVersion, waitMs) => await followTable(pool, table, afterVersion, waitMs),
-    transact: async transaction => await transact(pool, transaction),
+    readTable: async table => await countCall('read', receiveCall, async () => await readTable(pool, table)),
+    followTable: async (table, afterVersion, waitMs) => await countCall('follow', receiveCall, async () => await followTable(pool, table, afterVersion, waitMs)),
+    transact: async transaction => {
+      const outcome = await transact(pool, transaction)
+      receiveCall('transact', outcome.verdict)
+      return outcome
+    },
     close: async () => await pool.destroy()
   }
 }
 
+async function countCall<T> (call: string, receiveCall: ReceiveStoreCall, run: () => Promise<T>): Promise<T> {
+  try {
+    const result = await run()
+    receiveCall(call, 'answered')
+    return result
+  } catch (error) {
+    receiveCall(call, 'failed')
+    throw error
+  }
+}
+
 async function readTable (pool: Pool, table: string): Promise<StoreRead> {
   const rows: StoreRow[] = []
   let from = ''
--- a/src/tasks/front/frontRequest.ts
+++ b/src/tasks/front/frontRequest.ts
@@ -45,7 +45,7 @@
   }
 
   receiveLeft (): void {
-    this.#finish('left', 'the caller closed its connection')
+    this.#finish('left', 'the caller closed its connection', undefined, 'caller_left')
     this.#attempt?.cancel()
   }
 
@@ -163,12 +163,12 @@
   #passHeldAnswer (held: NonNullable<AttemptResult['heldAnswer']>, reason: string): void {
     this.#answer.writeHead(held.head.status, held.head.headers)
     this.#answer.end(held.body)
-    this.#finish('failed', `${reason}; the answer of an endpoint with status ${held.head.status} is passed on`)
+    this.#finish('failed', `${reason}; the answer of an endpoint with status ${held.head.status} is passed on`, held.head.status, 'endpoint_failed')
   }
 
   #breakOff (reason: string): void {
     this.#answer.breakOff()
-    this.#finish('broken', reason)
+    this.#finish('broken', reason, undefined, 'broken_off')
   }
 
   #refuse (code: string, reason: string, retryAfterMs: number): void {
@@ -182,10 +182,10 @@
       ...this.#context.encodeRefusalHeaders(this.#request.requestId, retryAfterMs), 'Content-Type', 'application/json', 'Content-Length', String(body.length)
     ])
     this.#answer.end(body)
-    this.#finish(status === 503 ? 'refused' : 'failed', reason, status)
+    this.#finish(status === 503 ? 'refused' : 'failed', reason, status, code)
   }
 
-  #finish (outcome: string, reason: string, status?: number): void {
+  #finish (outcome: string, reason: string, status?: number, code?: string): void {
     if (this.#isOver) return
     this.#isOver = true
     this.#timer?.cancel()
@@ -193,6 +193,8 @@
     log.record(`request.${outcome}`, 'A request has ended.', {
       requestId: this.#request.requestId,
       route: this.#route?.name,
+      work: this.#route?.kind,
+      code,
       service: this.#service,
       adapter: this.#request.adapter,
       reason,
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -110,8 +110,8 @@
     this.#options.log.record('lease.givenUp', 'Gave all endpoints up.', { reason, endpointIds: owned.map(([endpointId]) => endpointId), verdict: outcome.verdict })
   }
 
-  get ownsAny (): boolean {
-    return this.#owned.size > 0
+  get ownedCount (): number {
+    return this.#owned.size
   }
 
   /** Fencing number under which this host may give the endpoint orders at this moment; undefined where it may not. */
