--- /dev/null
+++ b/deploy/buildHost.mjs
@@ -0,0 +1,27 @@
+// Builds the host's program into target/: one bundle, its compiled code, and the loader that starts both.
+import { execFileSync } from 'node:child_process'
+import { copyFileSync, mkdirSync, readFileSync } from 'node:fs'
+import { build } from 'esbuild'
+
+const loader = 'target/sedgevalve-host.cjs'
+
+await build({
+  entryPoints: ['src/bin/host.ts'],
+  outfile: 'target/host/bundle.js',
+  bundle: true,
+  minify: true,
+  keepNames: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'iife',
+  banner: { js: '(function (require) {' },
+  footer: { js: '})' },
+  alias: { undici: './deploy/undiciClients.cjs' },
+  logLevel: 'error'
+})
+mkdirSync('target', { recursive: true })
+copyFileSync('deploy/hostLoader.cjs', loader)
+
+// Compiled code fits only the flags that it was made with. The host ends at once, as --help asks for no start.
+const flags = readFileSync('deploy/system.toml', 'utf8').match(/^run = "node (.*) target\//m)[1].split(' ')
+execFileSync(process.execPath, [...flags, loader, '--help'], { env: { ...process.env, SEDGEVALVE_CREATE_CODE_CACHE: '1' }, stdio: ['ignore', 'ignore', 'inherit'] })
--- a/src/adapters/relay/httpRelay.ts
+++ b/src/adapters/relay/httpRelay.ts
@@ -1,7 +1,7 @@
 /** Reaches the relays of peers over HTTP, on their peers' addresses. */
 import { Type } from '@sinclair/typebox'
 import { pack, unpack } from 'msgpackr'
-import { Agent, request } from 'undici'
+import { Agent } from 'undici'
 import VError from 'verror'
 import type { Relay, RelayedNews } from '../../ports/relay.js'
 import type { StoreOutcome } from '../../ports/store.js'
@@ -38,8 +38,8 @@
   return {
     readNews: async (address, logId, position, waitMs) => {
       const query = new URLSearchParams({ logId, position: String(position), waitMs: String(waitMs) })
-      const { statusCode, body } = await request(`http://${address}${newsPath}?${query}`, {
-        dispatcher, signal: AbortSignal.timeout(waitMs + answerTimeoutMs)
+      const { statusCode, body } = await dispatcher.request({
+        origin: `http://${address}`, path: `${newsPath}?${query}`, method: 'GET', signal: AbortSignal.timeout(waitMs + answerTimeoutMs)
       })
       const bytes = Buffer.from(await body.arrayBuffer())
       if (statusCode !== 200) throw new VError('the peer at %s answered with status %d', address, statusCode)
@@ -47,8 +47,8 @@
     },
     transact: async (address, transaction) => {
       try {
-        const { statusCode, body } = await request(`http://${address}${transactPath}`, {
-          dispatcher, method: 'POST', body: pack(transaction), signal: AbortSignal.timeout(answerTimeoutMs * 2)
+        const { statusCode, body } = await dispatcher.request({
+          origin: `http://${address}`, path: transactPath, method: 'POST', body: pack(transaction), signal: AbortSignal.timeout(answerTimeoutMs * 2)
         })
         const bytes = Buffer.from(await body.arrayBuffer())
         if (statusCode === 200) return unpack(bytes) as StoreOutcome
--- a/src/bin/host.ts
+++ b/src/bin/host.ts
@@ -2,18 +2,39 @@
 /** `sedgevalve-host`: the program of every host on the users' platform. */
 import { parseArgs } from 'node:util'
 import { createSystemClock } from '../adapters/clock/systemClock.js'
+import { productVersion } from '../constants.js'
 import { readHostSettings } from '../platform/hostSettings.js'
+import { createSettingsError } from '../settings/settingsError.js'
 import { exitWithError, stopOnSignals } from './runBinary.js'
 import { startHost } from './startHost.js'
 
+const name = 'sedgevalve-host'
+const help = `${name}: serves callers on one host of the users' platform; the platform names the settings file
+
+  ${name} [--metrics PORT]   serves; with metrics on this port of the host's address
+  ${name} --version
+  ${name} --help
+`
+const maxPort = 65_535
+
 async function run (): Promise<void> {
   try {
-    const { values } = parseArgs({ options: { metrics: { type: 'string' } } })
-    const metricsPort = values.metrics === undefined ? undefined : Number(values.metrics)
-    stopOnSignals(await startHost(readHostSettings(), createSystemClock(), metricsPort === undefined ? {} : { metricsPort }))
+    const { values } = parseArgs({ options: { metrics: { type: 'string' }, help: { type: 'boolean', short: 'h' }, version: { type: 'boolean' } } })
+    if (values.help || values.version) {
+      process.stdout.write(values.help ? help : `${name} ${productVersion}\n`)
+      return
+    }
+    const options = values.metrics === undefined ? {} : { metricsPort: parsePort(values.metrics) }
+    stopOnSignals(await startHost(readHostSettings(), createSystemClock(), options))
   } catch (error) {
-    exitWithError('sedgevalve-host', error as Error)
+    exitWithError(name, error as Error)
   }
 }
 
+function parsePort (text: string): number {
+  const port = Number(text)
+  if (!Number.isInteger(port) || port < 1 || port > maxPort) throw createSettingsError(`--metrics names no port: "${text}"; a port is a whole number from 1 to ${maxPort}`)
+  return port
+}
+
 run()
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -152,7 +152,7 @@
   })
   await front.callers.start()
   const readiness = await startReadiness(settings.readinessAddress, () => board.routes !== undefined && !isolation.isIsolated && countEndpoints() > 0)
-  const metricsServer = options.metricsPort === undefined ? undefined : await startMetricsServer(settings.address, options.metricsPort, metrics)
+  const metricsServer = options.metricsPort === undefined ? undefined : await startMetricsServer(`${settings.address}:${options.metricsPort}`, metrics)
   for (const task of [news, leases, outage, isolation]) task.start()
   log.record('host.started', 'The host has started.', { zone: settings.zone, address: settings.address })
 
@@ -163,7 +163,8 @@
       await drainHost({ settings, clock, log, readiness, front, leases })
       for (const task of [outage, isolation, news, places, metrics]) task.stop()
       datagrams.close()
-      await Promise.all([relayServer.stop(), store.close(), relay.close()])
+      relayServer.close()
+      await Promise.all([store.close(), relay.close()])
       metricsServer?.close()
       lines.flush()
     }
--- a/src/bin/startReadiness.ts
+++ b/src/bin/startReadiness.ts
@@ -1,5 +1,5 @@
 /** Tells the platform's entry whether this host takes new connections. */
-import { createServer } from 'node:http'
+import { startHttpServer } from '../adapters/httpServer/httpServer.js'
 
 export interface Readiness {
   /** From now on the host says that it takes none. */
@@ -10,20 +10,9 @@
 /** Starts the answer on `ip:port`. */
 export async function startReadiness (address: string, isReady: () => boolean): Promise<Readiness> {
   let isRefusing = false
-  const server = createServer((_request, response) => {
-    response.writeHead(!isRefusing && isReady() ? 200 : 503, { 'content-length': '0' })
-    response.end()
-  })
-  const [host, port] = address.split(':')
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(Number(port), host, resolve)
-  })
+  const server = await startHttpServer(address, () => ({ status: !isRefusing && isReady() ? 200 : 503 }))
   return {
     refuse: () => { isRefusing = true },
-    close: () => {
-      server.close()
-      server.closeAllConnections()
-    }
+    close: () => server.close()
   }
 }
--- a/src/platform/hostSettings.ts
+++ b/src/platform/hostSettings.ts
@@ -1,9 +1,9 @@
-/** Reads the settings file that the platform writes for each process. */
+/** Reads the settings file that the platform writes for each process, as JSON by our template. */
 import { readFileSync } from 'node:fs'
 import { Type } from '@sinclair/typebox'
 import type { Static } from '@sinclair/typebox'
-import { parse } from 'yaml'
-import { createParser } from '../schemas/createParser.js'
+import { TypeCompiler } from '@sinclair/typebox/compiler'
+import VError from 'verror'
 import type { HostSettings } from '../schemas/hostSettings.js'
 
 const settingsVariable = 'SEDGEVALVE_SETTINGS'
@@ -42,7 +42,7 @@
   platform: Type.Object({ address: Type.String() })
 })
 
-const parseSettingsFile = createParser(settingsFileSchema)
+const settingsCheck = TypeCompiler.Compile(settingsFileSchema)
 
 /** Used where the settings name no time for new adapter versions; the sheets of both deployments name this one. */
 const defaultVersionMs = 5000
@@ -54,7 +54,21 @@
  * readHostSettings().hostName // 'frontend-sala-unu-1'
  */
 export function readHostSettings (file = process.env[settingsVariable] ?? defaultSettingsFile): HostSettings {
-  return decodeSettings(parseSettingsFile(parse(readFileSync(file, 'utf8'))))
+  return decodeSettings(checkSettings(file, parseText(file, readFileSync(file, 'utf8'))))
+}
+
+function parseText (file: string, text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch (error) {
+    throw new VError(error as Error, 'the settings file "%s" holds no JSON', file)
+  }
+}
+
+function checkSettings (file: string, settings: unknown): Static<typeof settingsFileSchema> {
+  if (settingsCheck.Check(settings)) return settings
+  const wrong = settingsCheck.Errors(settings).First()
+  throw new VError('the settings file "%s" is wrong at "%s": %s', file, wrong?.path, wrong?.message)
 }
 
 function decodeSettings (file: Static<typeof settingsFileSchema>): HostSettings {
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -41,6 +41,8 @@
 /** A place whose holder was not heard of any more is free this long after its caller has left. */
 const lostPlaceMs = 1000
 const sweepIntervalMs = 500
+/** Time between two log lines about an engine's load. */
+const reportIntervalMs = 1000
 /** Version of adapters for which none was declared. */
 const firstVersion = 1
 /** Loads that one engine takes at a time. */
@@ -62,6 +64,7 @@
   #wake: Timer | undefined
   #sweep: Timer | undefined
   #isPlanning = false
+  #reportedAtMs = -Infinity
 
   constructor (options: EndpointDeskOptions) {
     this.#options = options
@@ -93,6 +96,7 @@
     this.#watch.start(this.#options.settleMs)
     const sweep = (): void => {
       this.#sweepPlaces()
+      this.#reportLoad()
       this.#sweep = this.#options.clock.setTimer(sweep, sweepIntervalMs)
     }
     sweep()
@@ -238,6 +242,14 @@
     if (isChanged) this.#plan()
   }
 
+  /** One line now and then, so that what the engine could take at a moment can be told afterwards. */
+  #reportLoad (): void {
+    const nowMs = this.#options.clock.readMonotonic()
+    if (nowMs - this.#reportedAtMs < reportIntervalMs) return
+    this.#reportedAtMs = nowMs
+    this.#options.log.record('engine.load', 'The load of an engine.', { endpointId: this.endpointId, isReady: this.#watch.isReady, isOpen: this.#line.isOpen, ...this.#describeLoad() })
+  }
+
   // Plans
 
   #plan (): void {
--- a/src/tasks/front/engineFinder.ts
+++ b/src/tasks/front/engineFinder.ts
@@ -109,7 +109,7 @@
     const outcome = await this.#ask(query, endpoint, address, version, mayDecline)
     const nowMs = this.#options.clock.readMonotonic()
     if (outcome.kind !== 'silent') this.#silentOwners.delete(this.#options.board.owners.get(endpoint.id)?.row.session ?? '')
-    search.answers.push(outcome.kind === 'refused' ? outcome.code : outcome.kind)
+    search.answers.push(`${endpoint.id} ${outcome.kind === 'refused' ? `${outcome.code} ${Math.round(outcome.expectedMs)}` : outcome.kind}`)
     if (outcome.kind === 'granted') {
       search.waitedMs = Math.round(outcome.waitedMs)
       this.#residents.set(`${name} ${endpoint.id}`, nowMs)
--- a/src/tasks/front/targetFinder.ts
+++ b/src/tasks/front/targetFinder.ts
@@ -32,7 +32,7 @@
 
 /** How a place was sought, for the log. */
 export interface PlaceSearch {
-  /** What each owner that was asked said, in order: `granted`, a refusal's code, or `silent`. */
+  /** What each owner that was asked said, in order: the engine, then `granted`, `silent` or a refusal's code with the milliseconds in which the engine would start. */
   answers: string[]
   /** How long the request waited at the owner that granted it, in milliseconds. */
   waitedMs: number
--- a/src/tasks/hostMetrics/metricsServer.ts
+++ b/src/tasks/hostMetrics/metricsServer.ts
@@ -1,33 +1,14 @@
 /** Serves a host's metrics as text. */
-import { createServer } from 'node:http'
+import { startHttpServer } from '../../adapters/httpServer/httpServer.js'
+import type { HttpServer } from '../../adapters/httpServer/httpServer.js'
 import type { HostMetrics } from './hostMetrics.js'
 
-export interface MetricsServer {
-  close: () => void
-}
-
 export const metricsPath = '/metrics'
 
-/** Starts the server on an address and port. */
-export async function startMetricsServer (address: string, port: number, metrics: HostMetrics): Promise<MetricsServer> {
-  const server = createServer((request, response) => {
-    if (request.url !== metricsPath) {
-      response.writeHead(404).end()
-      return
-    }
-    metrics.registry.metrics().then(
-      text => response.writeHead(200, { 'content-type': metrics.registry.contentType }).end(text),
-      (error: Error) => response.writeHead(500).end(error.message)
-    )
-  })
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, address, resolve)
+/** Starts the server on `ip:port`. */
+export async function startMetricsServer (address: string, metrics: HostMetrics): Promise<HttpServer> {
+  return await startHttpServer(address, async ({ url }) => {
+    if (url.pathname !== metricsPath) return { status: 404 }
+    return { status: 200, contentType: metrics.registry.contentType, body: await metrics.registry.metrics() }
   })
-  return {
-    close: () => {
-      server.close()
-      server.closeAllConnections()
-    }
-  }
 }
--- a/src/tasks/news/relayServer.ts
+++ b/src/tasks/news/relayServer.ts
@@ -1,7 +1,8 @@
 /** Serves this host's copy of the store's rows to peers, and carries out transactions for those that are cut off. */
 import { pack, unpack } from 'msgpackr'
-import fastify from 'fastify'
 import { Type } from '@sinclair/typebox'
+import { startHttpServer } from '../../adapters/httpServer/httpServer.js'
+import type { HttpReply, HttpServer } from '../../adapters/httpServer/httpServer.js'
 import { newsPath, transactPath } from '../../adapters/relay/httpRelay.js'
 import type { RowMirror } from '../../core/rowMirror.js'
 import type { Clock } from '../../ports/clock.js'
@@ -20,10 +21,6 @@
   reachesStore: () => boolean
 }
 
-export interface RelayServer {
-  stop: () => Promise<void>
-}
-
 const maxWaitMs = 5000
 /** Told as the age of news that never came. */
 const neverMs = 1e9
@@ -35,24 +32,30 @@
 }))
 
 /** Starts the server; it tells nothing before its host has read the store or a peer. */
-export async function startRelayServer (options: RelayServerOptions): Promise<RelayServer> {
-  const server = fastify({ forceCloseConnections: true })
-  server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body))
-  server.get<{ Querystring: { logId: string, position: string, waitMs: string } }>(newsPath, async ({ query }) => {
-    const position = Number(query.position)
-    if (query.logId === options.mirror.logId && position === options.mirror.position) {
-      await waitForNews(options, Math.min(maxWaitMs, Number(query.waitMs)))
-    }
-    return pack({ ...options.mirror.readChanges(query.logId, position), storeAgeMs: Math.min(neverMs, options.readStoreAgeMs()) })
+export async function startRelayServer (options: RelayServerOptions): Promise<HttpServer> {
+  return await startHttpServer(options.address, async ({ method, url, body }) => {
+    if (method === 'GET' && url.pathname === newsPath) return await serveNews(options, url.searchParams)
+    if (method === 'POST' && url.pathname === transactPath) return await carryOutTransaction(options, body)
+    return { status: 404 }
   })
-  server.post(transactPath, async ({ body }, reply) => {
-    // A peer that is cut off itself says so at once, so that another one is asked.
-    if (!options.reachesStore()) return await reply.code(503).send()
-    return pack(await options.store.transact(parseTransaction(unpack(body as Buffer)) as StoreTransaction))
-  })
-  const [host, port] = options.address.split(':')
-  await server.listen({ host: host!, port: Number(port) })
-  return { stop: async () => await server.close() }
+}
+
+async function serveNews (options: RelayServerOptions, query: URLSearchParams): Promise<HttpReply> {
+  const { mirror, readStoreAgeMs } = options
+  const logId = query.get('logId') ?? ''
+  const position = Number(query.get('position'))
+  if (logId === mirror.logId && position === mirror.position) await waitForNews(options, Math.min(maxWaitMs, Number(query.get('waitMs'))))
+  return createReply({ ...mirror.readChanges(logId, position), storeAgeMs: Math.min(neverMs, readStoreAgeMs()) })
+}
+
+async function carryOutTransaction ({ store, reachesStore }: RelayServerOptions, body: Buffer): Promise<HttpReply> {
+  // A peer that is cut off itself says so at once, so that another one is asked.
+  if (!reachesStore()) return { status: 503 }
+  return createReply(await store.transact(parseTransaction(unpack(body)) as StoreTransaction))
+}
+
+function createReply (message: unknown): HttpReply {
+  return { status: 200, contentType: 'application/octet-stream', body: pack(message) }
 }
 
 /** Resolves when a row has changed in a way that followers should know, or when the time is over. */
