--- a/src/tasks/front/engineFinder.ts
+++ b/src/tasks/front/engineFinder.ts
@@ -112,6 +112,7 @@
     search.answers.push(`${endpoint.id} ${outcome.kind === 'refused' ? `${outcome.code} ${Math.round(outcome.expectedMs)}` : outcome.kind}`)
     if (outcome.kind === 'granted') {
       search.waitedMs = Math.round(outcome.waitedMs)
+      search.load = outcome.load
       this.#residents.set(`${name} ${endpoint.id}`, nowMs)
       return { kind: 'found', target: this.#createTarget(endpoint, outcome.version, query, (result, firstPartMs) => outcome.place.end(result, firstPartMs)) }
     }
--- a/src/tasks/front/frontRequest.ts
+++ b/src/tasks/front/frontRequest.ts
@@ -197,6 +197,7 @@
       code,
       service: this.#service,
       adapter: this.#request.adapter,
+      promptTokens: this.#request.promptTokens,
       reason,
       status,
       tried: this.#tried,
--- a/src/tasks/front/targetFinder.ts
+++ b/src/tasks/front/targetFinder.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../../ports/clock.js'
 import type { EndpointLink } from '../../ports/endpointLink.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
-import type { PlaceOutcome } from '../../schemas/datagram.js'
+import type { DeskLoad, PlaceOutcome } from '../../schemas/datagram.js'
 import type { EndpointEntry, Route } from '../../schemas/routing.js'
 import type { EngineFinder } from './engineFinder.js'
 
@@ -36,6 +36,8 @@
   answers: string[]
   /** How long the request waited at the owner that granted it, in milliseconds. */
   waitedMs: number
+  /** How busy its owner knew the engine to be at the grant. */
+  load?: DeskLoad
 }
 
 export type FoundTarget =
