Let callers that are late anyway wait behind those in time

Cause: after a power cut 400 callers come back within a second, most of them late since their first try; engines served all in the order of their present try, so that newcomers became late too, and refused the rest, who came back again. Load pattern: returners after an outage, and bursts with slots short.

A host learns from the times that callers tell whether a try is their first. Late requests wait while more than 60 ms of prompts are before the engine, growing with age; those whose adapter has no slot are given up one target's time after they became late, the others when their caller stops waiting.

--- a/features/deskPlanner.feature
+++ b/features/deskPlanner.feature
@@ -105,3 +105,35 @@
     When request 1 asks for "a4"
     And the desk plans for 100 ms
     Then the unload of "a1" is ordered
+
+  Scenario: Callers that come back late let those in time go first
+    Given an engine that has 300 ms of prompts before it
+    And adapter "a1" is loaded at the desk
+    When request 1 asks for "a1" that became late 100 ms ago
+    And request 2 asks for "a1"
+    Then request 2 is granted
+    And request 1 is neither granted nor refused
+    When the desk plans for 400 ms
+    Then request 1 is granted
+
+  Scenario: A late request is not put off for ever
+    Given adapter "a1" is loaded at the desk
+    When request 1 asks for "a1" that became late 100 ms ago while the engine always has 200 ms of prompts before it
+    And the desk plans for 1000 ms
+    Then request 1 is granted
+
+  Scenario: Without a slot a request is given up a target's time after it became late
+    Given adapters "a1, a2, a3" are loaded at the desk
+    And requests 1 to 3 run on "a1, a2, a3"
+    When request 4 asks for "a4"
+    And the desk plans for 1100 ms
+    Then request 4 is neither granted nor refused
+    When the desk plans for 200 ms
+    Then request 4 is refused
+
+  Scenario: With a slot a request waits as long as its caller does
+    When request 1 asks for "a1"
+    And the desk plans for 2500 ms
+    Then request 1 is neither granted nor refused
+    When the load of "a1" is done after 100 ms
+    Then request 1 is granted
--- a/features/steps/deskPlanner.ts
+++ b/features/steps/deskPlanner.ts
@@ -13,6 +13,8 @@
   readonly loads: { adapter: string, version: number }[] = []
   readonly unloads: string[] = []
   nowMs = 1000
+  /** Prompts that are kept before the engine, in milliseconds. */
+  backlogMs = 0
 
   constructor (adapterSlots: number, batchLimit: number, loadMs: number) {
     this.planner = new DeskPlanner({ adapterSlots, batchLimit, cacheTokens: 100_000, maxLoads: 4, expectLoadMs: () => loadMs })
@@ -20,7 +22,7 @@
 
   ask (key: string, adapter: string, details: Partial<DeskRequest> = {}, mayOrder = true): DeskVerdict {
     const verdict = this.planner.add({
-      key, adapter: `base/${adapter}`, isBase: adapter === '', version: 1, dueAtMs: this.nowMs + 600, leavesAtMs: this.nowMs + 6000, promptTokens: 650, parts: [], mayDecline: false, ...details
+      key, adapter: `base/${adapter}`, isBase: adapter === '', version: 1, dueAtMs: this.nowMs + 600, uselessAtMs: this.nowMs + 3200, promptTokens: 650, parts: [], mayDecline: false, ...details
     }, this.nowMs)
     if (verdict.kind === 'refused') this.refused.set(key, verdict.retryAfterMs)
     if (verdict.kind === 'declined') this.declined.add(key)
@@ -29,6 +31,7 @@
   }
 
   plan (mayOrder = true): DeskPlan {
+    this.planner.work.recordGranted(Math.max(0, this.backlogMs - this.planner.work.readBacklogMs(this.nowMs)), this.nowMs)
     const plan = this.planner.plan(this.nowMs, mayOrder)
     for (const key of plan.granted) this.granted.add(key)
     for (const { key, retryAfterMs } of plan.refused) this.refused.set(key, retryAfterMs)
@@ -98,6 +101,16 @@
   this.desk.ask(String(key), adapter, { dueAtMs: this.desk.nowMs + targetMs })
 })
 
+When('request {int} asks for {string} that became late {int} ms ago', function (this: DeskWorld, key: number, adapter: string, ms: number) {
+  this.desk.ask(String(key), adapter, { dueAtMs: this.desk.nowMs - ms })
+})
+
+When('request {int} asks for {string} that became late {int} ms ago while the engine always has {int} ms of prompts before it',
+  function (this: DeskWorld, key: number, adapter: string, ms: number, backlogMs: number) {
+    this.desk.backlogMs = backlogMs
+    this.desk.ask(String(key), adapter, { dueAtMs: this.desk.nowMs - ms })
+  })
+
 When('request {int} asks for {string} while no orders may be given', function (this: DeskWorld, key: number, adapter: string) {
   this.desk.ask(String(key), adapter, {}, false)
 })
@@ -147,6 +160,10 @@
   assert.ok(this.desk.granted.has(String(key)))
 })
 
+Then('request {int} is neither granted nor refused', function (this: DeskWorld, key: number) {
+  assert.ok(!this.desk.granted.has(String(key)) && !this.desk.refused.has(String(key)))
+})
+
 Then('request {int} is refused', function (this: DeskWorld, key: number) {
   assert.ok(this.desk.refused.has(String(key)))
 })
--- a/src/bin/createFront.ts
+++ b/src/bin/createFront.ts
@@ -1,5 +1,6 @@
 /** Wires the callers' side of a host. */
 import { openHttpEndpointLink } from '../adapters/endpointHttp/httpEndpointLink.js'
+import { CallerWaits } from '../core/callerWaits.js'
 import { EndpointHealth } from '../core/endpointHealth.js'
 import type { NewsBoard } from '../core/newsBoard.js'
 import { SendBudget } from '../core/sendBudget.js'
@@ -26,6 +27,8 @@
 
 export interface Front {
   callers: CallersPort
+  /** Takes over a new configuration. */
+  applyConfiguration: () => void
 }
 
 /** Part of the memory that bodies of requests may take while they are held. */
@@ -42,7 +45,10 @@
   const findLink = createLinks(board)
   const engines = new EngineFinder({ clock, log, board, health, places, random, findLink })
   const targets = new TargetFinder({ clock, board, health, engines, zone: settings.zone, random, findLink })
-  const context: FrontContext = { clock, log, board, health, budget, targets, random, encodeRequestHeaders, decodeAnswerHead, encodeRefusalHeaders }
+  const waits = new CallerWaits()
+  const context: FrontContext = {
+    clock, log, board, health, budget, targets, waits, random, encodeRequestHeaders, decodeAnswerHead, encodeRefusalHeaders
+  }
   const callers = new CallersPort({
     address: settings.callersAddress,
     clock,
@@ -56,7 +62,13 @@
       return front
     }
   })
-  return { callers }
+  return {
+    callers,
+    applyConfiguration: () => {
+      callers.applyLimits()
+      waits.keepRoutes(new Set(board.routes?.configuration.routes.map(route => route.name)))
+    }
+  }
 }
 
 /** Keeps one link to each endpoint; the hosts share its connections evenly. */
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -81,7 +81,7 @@
     const change = board.applyRow(row, clock.readMonotonic())
     if (!change) return
     logChange(log, change)
-    if (change.kind === 'configuration') front.callers.applyLimits()
+    if (change.kind === 'configuration') front.applyConfiguration()
     leaseParts.leases.receiveChange(change)
     desks.receiveChange(change)
   })
--- a/src/core/desk/deskPlanner.ts
+++ b/src/core/desk/deskPlanner.ts
@@ -17,9 +17,10 @@
   readonly adapter: string
   readonly isBase: boolean
   readonly version: number
-  /** When its answer becomes late, and when its caller leaves. */
+  /** When its answer becomes late, counted from its caller's first try. */
   readonly dueAtMs: number
-  readonly leavesAtMs: number
+  /** From when on a start is of no use, as its caller will have left before the first part. */
+  readonly uselessAtMs: number
   readonly promptTokens: number
   readonly parts: readonly PromptPart[]
   /** Whether the asker has other engines to ask. */
@@ -59,14 +60,22 @@
 const rareBacklogMs = 150
 /** An adapter that loads this fast is worth a wait for a slot, as another engine would have to bring it from the store. */
 const quickLoadMs = 100
+/** A late request goes elsewhere that would wait for more than this part of the time in which a start is of use. */
+const latePolitePart = 0.3
 /** Each further request that waits for an adapter brings its load forward by this much. */
 const countBonusMs = 150
 /** A batch that is full lets the next request in about this much later. */
 const fullBatchMs = 50
-/** How long after its target a request is still worth a start, as a part of the time that it had. */
-const gracePart = 1
-const minGraceMs = 400
+/** A request whose adapter has no slot yet is given up this part of its target's time after it became late, as those in time take the slots that fall free. */
+const slotGracePart = 1
+const minSlotGraceMs = 400
+/** A late request waits while more prompts than this are before the engine, so that those in time go first; */
+const lateBacklogMs = 60
+/** and this part of the time since it became late more, so that it is not put off for ever. */
+const lateAgingPart = 0.2
 const minRetryAfterMs = 100
+/** Least time between two plans for requests that are put off. */
+const minWakeMs = 10
 /** Run of a request before any has ended; the published streams take 400 to 600 ms. */
 const initialRunMs = 500
 /** Weight of the newest run in the usual time. */
@@ -83,6 +92,8 @@
 interface Waiting {
   request: DeskRequest
   readMs: number
+  /** Until when its adapter must have a slot. */
+  slotLimitMs: number
 }
 
 interface Running {
@@ -133,13 +144,12 @@
       const reason = this.#findReasonToDecline(request, expectedMs, readMs, nowMs)
       if (reason !== undefined) return { kind: 'declined', expectedMs: expectedMs + readMs, reason }
     }
-    const graceMs = Math.max(minGraceMs, gracePart * (request.dueAtMs - nowMs))
-    const latestMs = Math.min(Math.max(request.dueAtMs - readMs - nowMs, 0) + graceMs, request.leavesAtMs - nowMs)
+    const latestMs = Math.min(request.uselessAtMs, findSlotLimit(request, nowMs)) - readMs - nowMs
     if (expectedMs > latestMs) {
       const reason = `it would start in ${Math.round(expectedMs)} ms and is worth a start within ${Math.round(latestMs)} ms`
-      return { kind: 'refused', retryAfterMs: this.#pickReturn(expectedMs - latestMs, nowMs), reason }
+      return { kind: 'refused', retryAfterMs: this.#pickReturn(expectedMs - Math.max(0, request.dueAtMs - readMs - nowMs), nowMs), reason }
     }
-    this.#waiting.set(request.key, { request, readMs })
+    this.#waiting.set(request.key, { request, readMs, slotLimitMs: findSlotLimit(request, nowMs) })
     return { kind: 'queued', expectedMs }
   }
 
@@ -214,7 +224,7 @@
     for (const waiting of ordered) {
       const { request } = waiting
       if (this.#mayGrant(request)) {
-        if (this.#running.size < this.#options.batchLimit) this.#grant(waiting, plan, nowMs)
+        if (this.#running.size < this.#options.batchLimit && !this.#isPutOff(request, plan, nowMs)) this.#grant(waiting, plan, nowMs)
       } else {
         const need = needs.get(request.adapter)
         if (need) need.count++
@@ -230,12 +240,25 @@
     return plan
   }
 
+  #hasSlot ({ adapter, isBase, version }: DeskRequest): boolean {
+    return isBase || (this.places.find(adapter)?.version ?? -1) >= version
+  }
+
   #mayGrant (request: DeskRequest): boolean {
     if (request.isBase) return true
     const placed = this.places.find(request.adapter)
     return placed !== undefined && placed.state === 'loaded' && placed.version >= request.version && !placed.isClosing
   }
 
+  /** Whether a late request lets those in time go first. */
+  #isPutOff ({ dueAtMs }: DeskRequest, plan: DeskPlan & { wakeAtMs: number | undefined }, nowMs: number): boolean {
+    if (dueAtMs >= nowMs) return false
+    const excessMs = this.work.readBacklogMs(nowMs) - lateBacklogMs - lateAgingPart * (nowMs - dueAtMs)
+    if (excessMs <= 0) return false
+    plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, nowMs + Math.max(minWakeMs, excessMs))
+    return true
+  }
+
   #grant ({ request, readMs }: Waiting, plan: DeskPlan, nowMs: number): void {
     this.#waiting.delete(request.key)
     this.#running.set(request.key, { adapter: request.adapter, isBase: request.isBase, expectedMs: this.work.readBacklogMs(nowMs) + readMs, grantedAtMs: nowMs })
@@ -251,8 +274,8 @@
   }
 
   #refuseOverdue (plan: DeskPlan & { wakeAtMs: number | undefined }, nowMs: number): void {
-    for (const { request } of [...this.#waiting.values()]) {
-      const lastMs = Math.min(request.leavesAtMs, request.dueAtMs + Math.max(minGraceMs, gracePart * (request.dueAtMs - nowMs)))
+    for (const { request, slotLimitMs } of [...this.#waiting.values()]) {
+      const lastMs = this.#hasSlot(request) ? request.uselessAtMs : Math.min(request.uselessAtMs, slotLimitMs)
       if (lastMs > nowMs) {
         plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, lastMs)
         continue
@@ -363,7 +386,8 @@
     if (isTooBusy) return `prompts take ${Math.round(load.use * 100)}% of the engine's time and ${Math.round(load.batchPart * 100)}% of the batch is taken`
     const isQuick = isPlaced || this.#options.expectLoadMs(request.adapter, request.version) < quickLoadMs
     if (!isQuick && this.#countOpenings() <= 0) return 'no slot or load is free for its adapter'
-    if (expectedMs + readMs > request.dueAtMs - nowMs) return `it would start in ${Math.round(expectedMs)} ms`
+    const inTimeMs = Math.max(request.dueAtMs - nowMs, (request.uselessAtMs - nowMs) * latePolitePart)
+    if (expectedMs + readMs > inTimeMs) return `it would start in ${Math.round(expectedMs)} ms`
     return undefined
   }
 
@@ -376,6 +400,11 @@
   }
 }
 
+/** Until when an adapter's load must begin for a request to be worth its wait. */
+function findSlotLimit ({ dueAtMs }: DeskRequest, nowMs: number): number {
+  return Math.max(dueAtMs, nowMs) + Math.max(minSlotGraceMs, slotGracePart * (dueAtMs - nowMs))
+}
+
 /** A load for several requests goes before one for a single request that is due a little earlier. */
 function compareNeeds (left: LoadNeed, right: LoadNeed, nowMs: number): number {
   const lateLeft = left.request.dueAtMs < nowMs ? 1 : 0
--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -82,19 +82,28 @@
   })
 }
 
+/** Clients abandon a stream after a gap of the longest of two seconds, four targets and eight of the pauses allowed. */
+function computePatienceMs (targetMs: number, maxGapMs: number): number {
+  return Math.max(2000, 4 * targetMs, 8 * maxGapMs)
+}
+
 function decodeRoute (route: Static<typeof routeSchema>): Route {
   // A route has either one service or a split over several.
   const targets = route.trafficSplit ?? (route.service === undefined ? [] : [{ service: route.service, weight: 1 }])
+  const kind = kinds[route.routeKind] ?? 'once'
+  const timeoutMs = route.timeoutMs ?? defaultTimeoutMs
+  const targetMs = route.targetLatencyMs ?? defaultTargetMs
   return {
     name: route.name,
     hostname: route.hostname.toLowerCase(),
     prefix: route.prefix,
     // A kind that is not known is taken as one that must not be repeated.
-    kind: kinds[route.routeKind] ?? 'once',
+    kind,
     isResumable: route.resumable ?? false,
-    timeoutMs: route.timeoutMs ?? defaultTimeoutMs,
-    targetMs: route.targetLatencyMs ?? defaultTargetMs,
+    timeoutMs,
+    targetMs,
     maxGapMs: route.targetGapMs,
+    patienceMs: kind === 'stream' ? computePatienceMs(targetMs, route.targetGapMs ?? 0) : timeoutMs,
     rank: route.priority ?? 0,
     maxAttempts: Math.max(1, route.maxAttempts ?? 1),
     targets
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -15,8 +15,9 @@
   version: Type.Integer(),
   route: Type.String(),
   rank: Type.Integer(),
-  /** Milliseconds until the answer is late, and until the caller leaves. */
+  /** Milliseconds until the answer is late, negative where it is, until a start is of no use, and until the caller leaves. */
   dueInMs: Type.Number(),
+  uselessInMs: Type.Number(),
   leavesInMs: Type.Number(),
   promptTokens: Type.Number(),
   maxTokens: Type.Number(),
--- a/src/schemas/routing.ts
+++ b/src/schemas/routing.ts
@@ -22,6 +22,8 @@
   readonly targetMs: number
   /** Longest pause between two events of a stream that is on time. */
   readonly maxGapMs: number | undefined
+  /** Callers abandon an answer after this long without a part of it. */
+  readonly patienceMs: number
   /** 0 is the most urgent. */
   readonly rank: number
   /** Most endpoints that may run one request. */
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -189,7 +189,7 @@
       isBase: ask.adapter === '',
       version: place.version,
       dueAtMs: nowMs + ask.dueInMs,
-      leavesAtMs: nowMs + ask.leavesInMs,
+      uselessAtMs: nowMs + ask.uselessInMs,
       promptTokens: ask.promptTokens,
       parts: ask.parts.map(([id, tokens]) => ({ id, tokens })),
       mayDecline: ask.mayDecline
--- a/src/tasks/front/engineFinder.ts
+++ b/src/tasks/front/engineFinder.ts
@@ -140,7 +140,7 @@
   }
 
   async #ask (query: TargetQuery, endpoint: EndpointEntry, address: string, version: number, mayDecline: boolean): Promise<AskOutcome> {
-    const { request, route, endsAtMs } = query
+    const { request, route, dueAtMs, endsAtMs } = query
     const nowMs = this.#options.clock.readMonotonic()
     const pending = this.#options.places.ask(address, {
       endpointId: endpoint.id,
@@ -150,7 +150,8 @@
       version,
       route: route.name,
       rank: route.rank,
-      dueInMs: request.receivedAtMs + route.targetMs - nowMs,
+      dueInMs: dueAtMs - nowMs,
+      uselessInMs: Math.min(endsAtMs, request.receivedAtMs + route.patienceMs) - nowMs,
       leavesInMs: endsAtMs - nowMs,
       promptTokens: request.promptTokens,
       maxTokens: request.maxTokens,
--- a/src/tasks/front/frontContext.ts
+++ b/src/tasks/front/frontContext.ts
@@ -1,4 +1,5 @@
 /** What the parts of a front share. */
+import type { CallerWaits } from '../../core/callerWaits.js'
 import type { EndpointHealth } from '../../core/endpointHealth.js'
 import type { NewsBoard } from '../../core/newsBoard.js'
 import type { SendBudget } from '../../core/sendBudget.js'
@@ -14,6 +15,7 @@
   health: EndpointHealth
   budget: SendBudget
   targets: TargetFinder
+  waits: CallerWaits
   /** A random number from 0 up to 1. */
   random: () => number
   encodeRequestHeaders: (request: CallerRequest, mark: SendMark) => string[]
--- a/src/tasks/front/frontRequest.ts
+++ b/src/tasks/front/frontRequest.ts
@@ -22,6 +22,7 @@
   #answer: CallerAnswer
   #route: Route | undefined
   #service = ''
+  #dueAtMs = 0
   #endsAtMs = 0
   #timer: Timer | undefined
   #attempt: Attempt | undefined
@@ -63,18 +64,27 @@
     }
     this.#route = route
     this.#service = pickService(route.targets, random()) ?? ''
+    this.#dueAtMs = request.receivedAtMs + route.targetMs - this.#computeSpentMs(route, request)
     this.#endsAtMs = request.receivedAtMs + Math.min(request.timeLeftMs ?? defaultTimeLeftMs, route.timeoutMs)
     this.#timer = clock.setTimer(() => this.#receiveTimeout(), this.#endsAtMs - clock.readMonotonic())
     budget.recordRequest(this.#service, clock.readMonotonic())
     await this.#run(route)
   }
 
+  /** A caller that comes back has been waiting since its first try. */
+  #computeSpentMs (route: Route, { timeLeftMs }: CallerRequest): number {
+    if (timeLeftMs === undefined) return 0
+    const { waits } = this.#context
+    waits.recordTimeLeft(route.name, timeLeftMs)
+    return waits.computeSpentMs(route.name, timeLeftMs)
+  }
+
   async #run (route: Route): Promise<void> {
     const { clock } = this.#context
     for (;;) {
       const soughtAtMs = clock.readMonotonic()
       const found = await this.#context.targets.findTarget({
-        request: this.#request, route, service: this.#service, tried: this.#tried, endsAtMs: this.#endsAtMs, isOver: () => this.#isOver
+        request: this.#request, route, service: this.#service, tried: this.#tried, dueAtMs: this.#dueAtMs, endsAtMs: this.#endsAtMs, isOver: () => this.#isOver
       })
       this.#placeMs += clock.readMonotonic() - soughtAtMs
       if (found.search) this.#searches.push(found.search)
@@ -198,6 +208,8 @@
       service: this.#service,
       adapter: this.#request.adapter,
       promptTokens: this.#request.promptTokens,
+      timeLeftMs: this.#request.timeLeftMs,
+      spentMs: this.#route && Math.round(this.#request.receivedAtMs + this.#route.targetMs - this.#dueAtMs),
       reason,
       status,
       tried: this.#tried,
--- a/src/tasks/front/targetFinder.ts
+++ b/src/tasks/front/targetFinder.ts
@@ -26,6 +26,8 @@
   service: string
   /** Endpoints that the request was sent to before. */
   tried: readonly string[]
+  /** When its answer becomes late, counted from its caller's first try. */
+  dueAtMs: number
   endsAtMs: number
   isOver: () => boolean
 }
