Claim endpoints as soon as the news tell of a vacancy, several in one transaction

Cause: after a start a host claimed one endpoint in each step of 100 ms, some 0.3 s after it knew the rows; hosts with old news claimed again and again what another one had won. Now a claim follows the news that calls for it, what the host owned before its restart is claimed together, and a conflict tells the winner's rows at once. Claims have a class of their own.

--- a/src/bin/createLeases.ts
+++ b/src/bin/createLeases.ts
@@ -78,7 +78,7 @@
         .catch((error: Error) => log.record('news.storeFailed', 'The renewals could not be read; the next renewal tells.', { error: error.message }))
     },
     findRenewalVersion: host => mirror.findRow(renewalsTable, host)?.version,
-    applyOwnRow: row => mirror.applyOwnRow(row),
+    applyRow: row => mirror.applyOwnRow(row),
     isOutage: () => outage.isOutage(),
     receiveOwnership: options.receiveOwnership
   })
--- a/src/core/orderLease.ts
+++ b/src/core/orderLease.ts
@@ -89,5 +89,5 @@
 /** How long the host of rank `rank` among the takers leaves an endpoint to those before it, in milliseconds. */
 export function computeClaimDelayMs (rank: number): number {
   // One claim and its news take some 100 ms.
-  return rank * 300
+  return rank * 150
 }
--- /dev/null
+++ b/src/tasks/leases/endpointClaims.ts
@@ -0,0 +1,208 @@
+/** Claims endpoints that nobody owns, frees those of hosts that are gone, and hands over what this host has too much of. */
+import { computeClaimDelayMs, isVacant } from '../../core/orderLease.js'
+import type { RenewalWatch } from '../../core/orderLease.js'
+import { findSurplus, rankTakers } from '../../core/ownershipSpread.js'
+import type { SpreadEndpoint, SpreadHost } from '../../core/ownershipSpread.js'
+import type { NewsBoard } from '../../core/newsBoard.js'
+import { computeHash } from '../../core/rendezvousHash.js'
+import type { Clock } from '../../ports/clock.js'
+import type { EventLog } from '../../ports/eventLog.js'
+import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
+import { encodeHostsRow, formatHostKey, formatOwnerKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
+import type { HostRow, OwnerRow } from '../../schemas/hostRows.js'
+
+export interface EndpointClaimsOptions {
+  clock: Clock
+  log: EventLog
+  board: NewsBoard
+  own: { host: string, address: string, zone: string, session: string }
+  renewals: RenewalWatch
+  /** Whether this host reads the store itself, so that another host's silence means something. */
+  readsStore: () => boolean
+  /** Asks a host directly whether the life of its process that wrote a row still runs. */
+  isRunning: (row: HostRow) => Promise<boolean>
+  transact: (transaction: StoreTransaction) => Promise<StoreOutcome>
+  /** Version of a host's renewal, as last read. */
+  findRenewalVersion: (host: string) => number | undefined
+  /** Version of this host's own renewal in the store. */
+  readOwnRenewalVersion: () => number
+  findOwnFencing: (endpointId: string) => number | undefined
+  /** Takes a row of the store ahead of the news. */
+  applyRow: (row: StoreRow) => void
+  gain: (endpointId: string, fencing: number, wasOwn: boolean) => void
+  lose: (endpointId: string, reason: string) => void
+  /** Asks for another step as soon as possible. */
+  wake: () => void
+}
+
+interface Claim {
+  endpointId: string
+  /** Version of the owner's row that is claimed; 0 where there is none. */
+  version: number
+  wasOwn: boolean
+}
+
+/** Time between two endpoints that are handed over for an even spread; each serves nothing new for half a second. */
+const handoverIntervalMs = 10_000
+
+export class EndpointClaims {
+  #options: EndpointClaimsOptions
+  #vacantSince = new Map<string, number>()
+  #isBusy = false
+  /** After a conflict endpoints are claimed one by one, so that one that is lost does not keep the others back. */
+  #isCautious = false
+  #lastHandoverMs: number
+
+  constructor (options: EndpointClaimsOptions) {
+    this.#options = options
+    this.#lastHandoverMs = options.clock.readMonotonic()
+  }
+
+  /** Does what is due, one transaction at a time. */
+  step (nowMs: number): void {
+    if (this.#isBusy) return
+    const endpoints = this.#listEndpoints(nowMs)
+    const hosts = this.#listTakers(nowMs)
+    const claims = this.#listDueClaims(endpoints, hosts, nowMs)
+    if (claims.length > 0) this.#run(async () => await this.#claimAll(this.#isCautious ? claims.slice(0, 1) : claims))
+    else this.#expireHosts(nowMs) ?? this.#handOver(endpoints, hosts, nowMs)
+  }
+
+  /** Frees all endpoints of this host in one transaction; returns what it writes and checks. */
+  static createRelease (owned: Iterable<[string, number]>): Pick<StoreTransaction, 'checks' | 'writes'> {
+    const list = [...owned]
+    return {
+      checks: list.map(([endpointId, fencing]) => ({ table: hostsTable, key: formatOwnerKey(endpointId), version: fencing })),
+      writes: list.map(([endpointId]) => createOwnerWrite(endpointId, noOwner))
+    }
+  }
+
+  /** Runs one transaction; what follows from one that went through is done at once. */
+  #run (work: () => Promise<StoreOutcome | undefined>): true {
+    this.#isBusy = true
+    work().then(outcome => {
+      this.#isBusy = false
+      if (outcome?.verdict === 'applied') this.#options.wake()
+    })
+    return true
+  }
+
+  #listDueClaims (endpoints: SpreadEndpoint[], hosts: SpreadHost[], nowMs: number): Claim[] {
+    const { board, own } = this.#options
+    const rankings = rankTakers(endpoints, hosts, computeHash)
+    const due: Claim[] = []
+    for (const { endpointId } of endpoints) {
+      const owner = board.owners.get(endpointId)
+      const wasOwn = owner?.row.host === own.host && owner.row.session !== own.session
+      if (!isVacant(owner?.row) && !wasOwn) {
+        this.#vacantSince.delete(endpointId)
+        continue
+      }
+      const sinceMs = this.#vacantSince.get(endpointId) ?? nowMs
+      this.#vacantSince.set(endpointId, sinceMs)
+      const rank = wasOwn ? 0 : rankings.get(endpointId)?.indexOf(own.host) ?? -1
+      if (rank >= 0 && nowMs - sinceMs >= computeClaimDelayMs(rank)) due.push({ endpointId, version: owner?.fencing ?? 0, wasOwn })
+    }
+    return due
+  }
+
+  async #claimAll (claims: Claim[]): Promise<StoreOutcome> {
+    const { own, log, transact, applyRow, gain, readOwnRenewalVersion } = this.#options
+    const writes = claims.map(({ endpointId }) => createOwnerWrite(endpointId, own))
+    const outcome = await transact({
+      checks: [
+        ...claims.map(({ endpointId, version }) => ({ table: hostsTable, key: formatOwnerKey(endpointId), version })),
+        { table: renewalsTable, key: own.host, version: readOwnRenewalVersion() }
+      ],
+      writes,
+      removals: []
+    })
+    this.#isCautious = outcome.verdict === 'conflict'
+    log.record('lease.claimed', 'Asked the store for the ownership of endpoints that have no owner.', {
+      endpointIds: claims.map(({ endpointId }) => endpointId), versions: claims.map(({ version }) => version), verdict: outcome.verdict
+    })
+    for (const { endpointId } of claims) this.#vacantSince.delete(endpointId)
+    // A claim whose answer was lost shows in the news. A conflict tells at once who has won.
+    if (outcome.verdict === 'conflict') for (const row of outcome.rows) if (row.table === hostsTable) applyRow(row)
+    if (outcome.verdict !== 'applied') return outcome
+    for (const { endpointId, wasOwn } of claims) gain(endpointId, outcome.version, wasOwn)
+    for (const write of writes) applyRow({ ...write, version: outcome.version })
+    return outcome
+  }
+
+  #listEndpoints (nowMs: number): SpreadEndpoint[] {
+    const { board } = this.#options
+    const services = board.routes?.configuration.services
+    return board.endpoints.list(nowMs)
+      .filter(entry => services?.get(entry.service)?.engine)
+      .map(entry => {
+        const row = board.owners.get(entry.id)?.row
+        return { endpointId: entry.id, zone: entry.zone, ownerId: isVacant(row) ? undefined : row!.host }
+      })
+  }
+
+  /** Hosts that are believed to live: those that renewed lately, and those that own nothing and need not. */
+  #listTakers (nowMs: number): SpreadHost[] {
+    const { board, own, renewals } = this.#options
+    const expired = new Set(renewals.listExpired(nowMs))
+    const owners = new Set([...board.owners.values()].map(owner => owner.row.host))
+    return [...board.hosts.values()]
+      .filter(({ row }) => !row.isLeaving && (row.host === own.host || !owners.has(row.host) || !expired.has(row.host)))
+      .map(({ row }) => ({ hostId: row.host, zone: row.zone }))
+  }
+
+  /** Declares a host gone whose row has stood still although it owns endpoints, and frees them. */
+  #expireHosts (nowMs: number): true | undefined {
+    const { board, own, renewals, findRenewalVersion, readsStore } = this.#options
+    if (!readsStore()) return undefined
+    for (const name of renewals.listExpired(nowMs)) {
+      const host = board.hosts.get(name)
+      const renewalVersion = findRenewalVersion(name)
+      const owned = [...board.owners].filter(([, owner]) => owner.row.host === name).map(([id, { fencing }]): [string, number] => [id, fencing])
+      if (!host || renewalVersion === undefined || owned.length === 0 || name === own.host) continue
+      return this.#run(async () => await this.#expireHost(host.row, renewalVersion, owned))
+    }
+    return undefined
+  }
+
+  async #expireHost (row: HostRow, renewalVersion: number, owned: [string, number][]): Promise<StoreOutcome | undefined> {
+    const { log, isRunning, transact, applyRow } = this.#options
+    if (await isRunning(row)) return undefined
+    const release = EndpointClaims.createRelease(owned)
+    const outcome = await transact({
+      checks: [{ table: renewalsTable, key: row.host, version: renewalVersion }, ...release.checks],
+      writes: release.writes,
+      removals: [{ table: hostsTable, key: formatHostKey(row.host) }, { table: renewalsTable, key: row.host }]
+    })
+    log.record('lease.expired', 'A host did not renew its row and does not answer; its endpoints are free.', { lostHost: row.host, endpointIds: owned.map(([id]) => id), verdict: outcome.verdict })
+    if (outcome.verdict === 'applied') for (const write of release.writes) applyRow({ ...write, version: outcome.version })
+    if (outcome.verdict === 'conflict') for (const current of outcome.rows) if (current.table === hostsTable) applyRow(current)
+    return outcome
+  }
+
+  /** Frees one endpoint where this host owns more than its share, so that a host that has come can take it. */
+  #handOver (endpoints: SpreadEndpoint[], hosts: SpreadHost[], nowMs: number): void {
+    const { own, findOwnFencing } = this.#options
+    if (nowMs - this.#lastHandoverMs < handoverIntervalMs) return
+    const endpointId = findSurplus(own.host, endpoints, hosts, computeHash)
+    const fencing = endpointId === undefined ? undefined : findOwnFencing(endpointId)
+    if (endpointId === undefined || fencing === undefined) return
+    this.#lastHandoverMs = nowMs
+    this.#run(async () => await this.#handOverEndpoint(endpointId, fencing))
+  }
+
+  async #handOverEndpoint (endpointId: string, fencing: number): Promise<StoreOutcome> {
+    const { log, lose, transact } = this.#options
+    lose(endpointId, 'another host has fewer endpoints')
+    const outcome = await transact({ ...EndpointClaims.createRelease([[endpointId, fencing]]), removals: [] })
+    log.record('lease.handedOver', 'Gave an endpoint up for an even spread.', { endpointId, verdict: outcome.verdict })
+    return outcome
+  }
+}
+
+/** What an owner's row says where nobody owns the endpoint. */
+export const noOwner: Omit<OwnerRow, 'endpointId'> = Object.freeze({ host: '', address: '', session: '' })
+
+export function createOwnerWrite (endpointId: string, { host, address, session }: Omit<OwnerRow, 'endpointId'>): { table: string, key: string, value: Uint8Array } {
+  return { table: hostsTable, key: formatOwnerKey(endpointId), value: encodeHostsRow({ endpointId, host, address, session }) }
+}
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -1,14 +1,12 @@
-/** Keeps this host's row, claims endpoints that nobody owns and gives up those of hosts that are gone. */
-import { computeClaimDelayMs, isVacant, mayOrder, PauseDetector, RenewalWatch, renewalIntervalMs } from '../../core/orderLease.js'
-import { computeHash } from '../../core/rendezvousHash.js'
-import { findSurplus, rankTakers } from '../../core/ownershipSpread.js'
-import type { SpreadEndpoint, SpreadHost } from '../../core/ownershipSpread.js'
+/** Keeps this host's row renewed, knows which endpoints the host owns, and tells whether it may give them orders. */
+import { mayOrder, PauseDetector, RenewalWatch, renewalIntervalMs } from '../../core/orderLease.js'
 import type { BoardChange, NewsBoard } from '../../core/newsBoard.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
-import { decodeRenewal, encodeHostsRow, formatHostKey, formatOwnerKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
-import type { HostRow, OwnerRow, RenewalRow } from '../../schemas/hostRows.js'
+import { decodeRenewal, encodeHostsRow, formatHostKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
+import type { HostRow, RenewalRow } from '../../schemas/hostRows.js'
+import { createOwnerWrite, EndpointClaims, noOwner } from './endpointClaims.js'
 
 export interface LeaseTaskOptions {
   clock: Clock
@@ -27,8 +25,8 @@
   readRenewals: () => void
   /** Version of a host's renewal, as last read. */
   findRenewalVersion: (host: string) => number | undefined
-  /** Takes a row that this host has written, ahead of the news. */
-  applyOwnRow: (row: StoreRow) => void
+  /** Takes a row of the store ahead of the news. */
+  applyRow: (row: StoreRow) => void
   /** Whether the store is away for all hosts, so that nobody can take an endpoint over. */
   isOutage: () => boolean
   /** Called when this host has begun or ceased to own an endpoint; `wasOwn` where it was its owner before it restarted. */
@@ -38,15 +36,13 @@
 const stepMs = 100
 /** An unrenewed row of a host that owns nothing is written again this often, so that it is known to live. */
 const idleRenewalMs = 20_000
-/** Time between two endpoints that are handed over for an even spread; each serves nothing new for half a second. */
-const handoverIntervalMs = 10_000
 
 export class LeaseTask {
   #options: LeaseTaskOptions
   #renewals = new RenewalWatch()
   #pauses = new PauseDetector()
+  #claims: EndpointClaims
   #owned = new Map<string, number>()
-  #vacantSince = new Map<string, number>()
   #provenAtMs = -Infinity
   /** Whether the last proof still stands, however old: no pause and no other writer came since. */
   #hasBeenProven = false
@@ -57,23 +53,36 @@
   #renewalVersion = 0
   #renewedAtMs = -Infinity
   #isRenewing = false
-  #isClaiming = false
+  #isGivingUp = false
   #isLeaving = false
-  #lastHandoverMs = 0
+  #isStarted = false
   #timer: Timer | undefined
 
   constructor (options: LeaseTaskOptions) {
     this.#options = options
+    const { clock, log, board, own, readsStore, isRunning, transact, findRenewalVersion, applyRow } = options
+    this.#claims = new EndpointClaims({
+      clock,
+      log,
+      board,
+      own,
+      renewals: this.#renewals,
+      readsStore,
+      isRunning,
+      transact,
+      findRenewalVersion,
+      readOwnRenewalVersion: () => this.#renewalVersion,
+      findOwnFencing: endpointId => this.#owned.get(endpointId),
+      applyRow,
+      gain: (endpointId, fencing, wasOwn) => this.#gain(endpointId, fencing, wasOwn),
+      lose: (endpointId, reason) => this.#lose(endpointId, reason),
+      wake: () => this.#scheduleStep(0)
+    })
   }
 
   start (): void {
-    const { clock } = this.#options
-    this.#lastHandoverMs = clock.readMonotonic()
-    const step = (): void => {
-      this.#step()
-      this.#timer = clock.setTimer(step, stepMs)
-    }
-    step()
+    this.#isStarted = true
+    this.#step()
   }
 
   /** Gives all endpoints up, so that others take them at once. */
@@ -83,11 +92,11 @@
     for (const endpointId of endpointIds) this.#lose(endpointId, 'the host shuts down')
     const { host } = this.#options.own
     const removals = [{ table: hostsTable, key: formatHostKey(host) }, { table: renewalsTable, key: host }]
-    const writes = endpointIds.map(endpointId => this.#createOwnerWrite(endpointId, { host: '', address: '', session: '' }))
-    await this.#options.transact({ checks: [], writes, removals })
+    await this.#options.transact({ checks: [], writes: endpointIds.map(endpointId => createOwnerWrite(endpointId, noOwner)), removals })
   }
 
   stop (): void {
+    this.#isStarted = false
     this.#timer?.cancel()
   }
 
@@ -98,15 +107,11 @@
 
   /** Frees all endpoints of this host. */
   async #giveUp (reason: string): Promise<void> {
-    this.#isClaiming = true
+    this.#isGivingUp = true
     const owned = [...this.#owned]
     for (const [endpointId] of owned) this.#lose(endpointId, reason)
-    const outcome = await this.#options.transact({
-      checks: owned.map(([endpointId, fencing]) => ({ table: hostsTable, key: formatOwnerKey(endpointId), version: fencing })),
-      writes: owned.map(([endpointId]) => this.#createOwnerWrite(endpointId, { host: '', address: '', session: '' })),
-      removals: []
-    })
-    this.#isClaiming = false
+    const outcome = await this.#options.transact({ ...EndpointClaims.createRelease(owned), removals: [] })
+    this.#isGivingUp = false
     this.#options.log.record('lease.givenUp', 'Gave all endpoints up.', { reason, endpointIds: owned.map(([endpointId]) => endpointId), verdict: outcome.verdict })
   }
 
@@ -132,6 +137,8 @@
       if (change.host === own.host && change.renewal) this.#receiveOwnRenewal(change.renewal, change.version)
       return
     }
+    // What has come or fallen vacant may be claimed.
+    if (change.kind === 'endpoint' || change.kind === 'configuration' || change.kind === 'owner') this.#scheduleStep(0)
     if (change.kind !== 'owner') return
     const { endpointId, owner } = change
     const isOwn = owner?.row.host === own.host && owner.row.session === own.session
@@ -148,6 +155,7 @@
 
   #recordRenewed (renewal: number, version: number, sentAtMs: number): void {
     for (const sent of this.#sentRenewals.keys()) if (sent <= renewal) this.#sentRenewals.delete(sent)
+    if (!this.#isRegistered()) this.#scheduleStep(0)
     this.#renewalVersion = version
     this.#provenAtMs = Math.max(this.#provenAtMs, sentAtMs)
     this.#hasBeenProven = true
@@ -168,11 +176,18 @@
     if (!this.#options.readsStore()) this.#renewals.recordStoreAway(nowMs)
     const interval = this.#owned.size > 0 || !this.#isRegistered() ? renewalIntervalMs : idleRenewalMs
     if (!this.#isLeaving && nowMs - this.#renewedAtMs >= interval) this.#renew()
-    if (this.#isLeaving || this.#isClaiming || !this.#isRegistered()) return
-    if (!this.#options.isIsolated()) this.#claim(nowMs)
+    this.#scheduleStep(stepMs)
+    if (this.#isLeaving || this.#isGivingUp || !this.#isRegistered()) return
+    if (!this.#options.isIsolated()) this.#claims.step(nowMs)
     else if (this.#owned.size > 0) this.#giveUp('this host is cut off from its peers')
   }
 
+  #scheduleStep (delayMs: number): void {
+    if (!this.#isStarted) return
+    this.#timer?.cancel()
+    this.#timer = this.#options.clock.setTimer(() => this.#step(), delayMs)
+  }
+
   #isRegistered (): boolean {
     return this.#renewalVersion > 0
   }
@@ -219,119 +234,11 @@
     for (const endpointId of [...this.#owned.keys()]) this.#lose(endpointId, 'this host was declared gone')
   }
 
-  // Claims
-
-  #claim (nowMs: number): void {
-    const { board, own } = this.#options
-    const endpoints = this.#listEndpoints(nowMs)
-    const hosts = this.#listTakers(nowMs)
-    const rankings = rankTakers(endpoints, hosts, computeHash)
-    for (const endpoint of endpoints) {
-      const owner = board.owners.get(endpoint.endpointId)
-      const isFormerSelf = owner?.row.host === own.host && owner.row.session !== own.session
-      if (!isVacant(owner?.row) && !isFormerSelf) {
-        this.#vacantSince.delete(endpoint.endpointId)
-        continue
-      }
-      const sinceMs = this.#vacantSince.get(endpoint.endpointId) ?? nowMs
-      this.#vacantSince.set(endpoint.endpointId, sinceMs)
-      const rank = isFormerSelf ? 0 : rankings.get(endpoint.endpointId)?.indexOf(own.host) ?? -1
-      if (rank < 0 || nowMs - sinceMs < computeClaimDelayMs(rank)) continue
-      this.#claimEndpoint(endpoint.endpointId, owner?.fencing ?? 0, isFormerSelf)
-      return
-    }
-    this.#expireHosts(nowMs)
-    this.#handOver(endpoints, hosts, nowMs)
-  }
-
-  async #claimEndpoint (endpointId: string, version: number, wasOwn: boolean): Promise<void> {
-    const { own, log } = this.#options
-    this.#isClaiming = true
-    const outcome = await this.#options.transact({
-      checks: [{ table: hostsTable, key: formatOwnerKey(endpointId), version }, { table: renewalsTable, key: own.host, version: this.#renewalVersion }],
-      writes: [this.#createOwnerWrite(endpointId, own)],
-      removals: []
-    })
-    this.#isClaiming = false
-    this.#vacantSince.delete(endpointId)
-    log.record('lease.claimed', 'Asked the store for the ownership of an endpoint that has no owner.', { endpointId, version, verdict: outcome.verdict })
-    // A claim whose answer was lost shows in the news, as does one that another host has won.
-    if (outcome.verdict !== 'applied') return
-    this.#gain(endpointId, outcome.version, wasOwn)
-    this.#options.applyOwnRow({ ...this.#createOwnerWrite(endpointId, own), version: outcome.version })
-  }
-
   #createHostWrite (): { table: string, key: string, value: Uint8Array } {
     const { own } = this.#options
     return { table: hostsTable, key: formatHostKey(own.host), value: encodeHostsRow({ ...own, isLeaving: false }) }
   }
 
-  #createOwnerWrite (endpointId: string, { host, address, session }: Omit<OwnerRow, 'endpointId'>): { table: string, key: string, value: Uint8Array } {
-    return { table: hostsTable, key: formatOwnerKey(endpointId), value: encodeHostsRow({ endpointId, host, address, session }) }
-  }
-
-  #listEndpoints (nowMs: number): SpreadEndpoint[] {
-    const { board } = this.#options
-    const services = board.routes?.configuration.services
-    return board.endpoints.list(nowMs)
-      .filter(entry => services?.get(entry.service)?.engine)
-      .map(entry => {
-        const row = board.owners.get(entry.id)?.row
-        return { endpointId: entry.id, zone: entry.zone, ownerId: isVacant(row) ? undefined : row!.host }
-      })
-  }
-
-  /** Hosts that are believed to live: those that renewed lately, and those that own nothing and need not. */
-  #listTakers (nowMs: number): SpreadHost[] {
-    const { board, own } = this.#options
-    const expired = new Set(this.#renewals.listExpired(nowMs))
-    const owners = new Set([...board.owners.values()].map(owner => owner.row.host))
-    return [...board.hosts.values()]
-      .filter(({ row }) => !row.isLeaving && (row.host === own.host || !owners.has(row.host) || !expired.has(row.host)))
-      .map(({ row }) => ({ hostId: row.host, zone: row.zone }))
-  }
-
-  /** Declares a host gone whose row has stood still although it owns endpoints, and frees them. */
-  async #expireHosts (nowMs: number): Promise<void> {
-    const { board, own, log } = this.#options
-    if (!this.#options.readsStore()) return
-    for (const name of this.#renewals.listExpired(nowMs)) {
-      const host = board.hosts.get(name)
-      const renewalVersion = this.#options.findRenewalVersion(name)
-      const owned = [...board.owners].filter(([, owner]) => owner.row.host === name)
-      if (!host || renewalVersion === undefined || owned.length === 0 || name === own.host) continue
-      this.#isClaiming = true
-      if (!await this.#options.isRunning(host.row)) {
-        const outcome = await this.#options.transact({
-          checks: [{ table: renewalsTable, key: name, version: renewalVersion }, ...owned.map(([id, { fencing }]) => ({ table: hostsTable, key: formatOwnerKey(id), version: fencing }))],
-          writes: owned.map(([id]) => this.#createOwnerWrite(id, { host: '', address: '', session: '' })),
-          removals: [{ table: hostsTable, key: formatHostKey(name) }, { table: renewalsTable, key: name }]
-        })
-        const endpointIds = owned.map(([id]) => id)
-        log.record('lease.expired', 'A host did not renew its row and does not answer; its endpoints are free.', { lostHost: name, endpointIds, verdict: outcome.verdict })
-      }
-      this.#isClaiming = false
-      return
-    }
-  }
-
-  /** Frees one endpoint where this host owns more than its share, so that a host that has come can take it. */
-  async #handOver (endpoints: SpreadEndpoint[], hosts: SpreadHost[], nowMs: number): Promise<void> {
-    const { own, log } = this.#options
-    if (nowMs - this.#lastHandoverMs < handoverIntervalMs) return
-    const endpointId = findSurplus(own.host, endpoints, hosts, computeHash)
-    const fencing = endpointId === undefined ? undefined : this.#owned.get(endpointId)
-    if (endpointId === undefined || fencing === undefined) return
-    this.#lastHandoverMs = nowMs
-    this.#lose(endpointId, 'another host has fewer endpoints')
-    const outcome = await this.#options.transact({
-      checks: [{ table: hostsTable, key: formatOwnerKey(endpointId), version: fencing }],
-      writes: [this.#createOwnerWrite(endpointId, { host: '', address: '', session: '' })],
-      removals: []
-    })
-    log.record('lease.handedOver', 'Gave an endpoint up for an even spread.', { endpointId, verdict: outcome.verdict })
-  }
-
   // Ownership
 
   #gain (endpointId: string, fencing: number, wasOwn = false): void {
