--- a/features/callerWaits.feature
+++ b/features/callerWaits.feature
@@ -17,7 +17,7 @@
   Scenario: First tries over new connections tell a little less
     Given 20 first tries on route "counter" with 5993 ms left
     When a caller of "counter" has 5993 ms left
-    Then it has been waiting for 0 ms
+    Then it has been waiting for 7 ms
 
   Scenario: Times that are rare are no habit
     Given 1 first tries on route "counter" with 5000 ms left
@@ -29,6 +29,11 @@
     When a caller of "mixed" has 1000 ms left
     Then it has been waiting for 0 ms
 
+  Scenario: Tries after a second without an answer are no first tries, however many there are
+    Given 60 first tries on route "counter" with 4993 ms left
+    When a caller of "counter" has 4993 ms left
+    Then it has been waiting for 1007 ms
+
   Scenario: A new habit is learned
     Given 2000 first tries on route "counter" with 3000 ms left
     When a caller of "counter" has 3000 ms left
--- a/src/core/callerWaits.ts
+++ b/src/core/callerWaits.ts
@@ -1,8 +1,10 @@
 /** Tells how long a caller has been trying, from the time that it says it will still wait. */
 
-/** A time that this part of a route's requests tell, and at least so many, is one of first tries; later tries tell any. */
-const usualPart = 0.02
+/** The largest time that this part of a route's requests tell, and at least so many, is that of first tries. */
+const usualPart = 0.05
 const usualCount = 4
+/** A time that this part tells is one of first tries too, where a route has callers of several kinds. */
+const majorPart = 0.5
 /** Beyond so many requests the counts are halved, so that a change of the callers' habits is followed. */
 const maxCounted = 1000
 
@@ -35,10 +37,14 @@
   computeSpentMs (route: string, timeLeftMs: number): number {
     const waits = this.#routes.get(route)
     if (!waits) return 0
-    let full = Infinity
-    const least = Math.max(usualCount, usualPart * waits.counted)
-    for (const [value, count] of waits.counts) if (count >= least && value >= Math.round(timeLeftMs)) full = Math.min(full, value)
-    return Number.isFinite(full) ? full - timeLeftMs : 0
+    const rounded = Math.round(timeLeftMs)
+    let full = rounded
+    for (const [value, count] of waits.counts) {
+      if (count < usualCount || count < usualPart * waits.counted || value < rounded) continue
+      if (count >= majorPart * waits.counted) return value - timeLeftMs
+      full = Math.max(full, value)
+    }
+    return Math.max(0, full - timeLeftMs)
   }
 
   /** Drops routes that are no longer configured. */
--- a/src/core/desk/deskPlanner.ts
+++ b/src/core/desk/deskPlanner.ts
@@ -87,6 +87,8 @@
 interface LoadNeed {
   request: DeskRequest
   count: number
+  /** Whether a load that begins now comes too late for an answer in time. */
+  isLate: boolean
 }
 
 interface Waiting {
@@ -224,15 +226,15 @@
     for (const waiting of ordered) {
       const { request } = waiting
       if (this.#mayGrant(request)) {
-        if (this.#running.size < this.#options.batchLimit && !this.#isPutOff(request, plan, nowMs)) this.#grant(waiting, plan, nowMs)
+        if (this.#running.size < this.#options.batchLimit && !this.#isPutOff(waiting, plan, nowMs)) this.#grant(waiting, plan, nowMs)
       } else {
         const need = needs.get(request.adapter)
         if (need) need.count++
-        else needs.set(request.adapter, { request, count: 1 })
+        else needs.set(request.adapter, { request, count: 1, isLate: this.#comesLate(waiting, nowMs) })
       }
     }
     this.#refuseOverdue(plan, nowMs)
-    const needed = new Map([...needs].sort(([, left], [, right]) => compareNeeds(left, right, nowMs)).map(([name, { request }]) => [name, request]))
+    const needed = new Map([...needs].sort(([, left], [, right]) => compareNeeds(left, right)).map(([name, { request }]) => [name, request]))
     if (!mayOrder) return plan
     // Slots that are falling free are meant for the most urgent of those that wait.
     const coming = { slots: this.places.unloading }
@@ -250,15 +252,21 @@
     return placed !== undefined && placed.state === 'loaded' && placed.version >= request.version && !placed.isClosing
   }
 
-  /** Whether a late request lets those in time go first. */
-  #isPutOff ({ dueAtMs }: DeskRequest, plan: DeskPlan & { wakeAtMs: number | undefined }, nowMs: number): boolean {
-    if (dueAtMs >= nowMs) return false
-    const excessMs = this.work.readBacklogMs(nowMs) - lateBacklogMs - lateAgingPart * (nowMs - dueAtMs)
+  /** Whether a request that is or will be late lets those in time go first. */
+  #isPutOff ({ request: { dueAtMs }, readMs }: Waiting, plan: DeskPlan & { wakeAtMs: number | undefined }, nowMs: number): boolean {
+    const backlogMs = this.work.readBacklogMs(nowMs)
+    if (nowMs + backlogMs + readMs <= dueAtMs) return false
+    const excessMs = backlogMs - lateBacklogMs - lateAgingPart * Math.max(0, nowMs - dueAtMs)
     if (excessMs <= 0) return false
     plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, nowMs + Math.max(minWakeMs, excessMs))
     return true
   }
 
+  /** Whether a load that begins now is done too late for an answer in time. */
+  #comesLate ({ request, readMs }: Waiting, nowMs: number): boolean {
+    return nowMs + this.#options.expectLoadMs(request.adapter, request.version) + readMs > request.dueAtMs
+  }
+
   #grant ({ request, readMs }: Waiting, plan: DeskPlan, nowMs: number): void {
     this.#waiting.delete(request.key)
     this.#running.set(request.key, { adapter: request.adapter, isBase: request.isBase, expectedMs: this.work.readBacklogMs(nowMs) + readMs, grantedAtMs: nowMs })
@@ -405,11 +413,12 @@
   return Math.max(dueAtMs, nowMs) + Math.max(minSlotGraceMs, slotGracePart * (dueAtMs - nowMs))
 }
 
-/** A load for several requests goes before one for a single request that is due a little earlier. */
-function compareNeeds (left: LoadNeed, right: LoadNeed, nowMs: number): number {
-  const lateLeft = left.request.dueAtMs < nowMs ? 1 : 0
-  const lateRight = right.request.dueAtMs < nowMs ? 1 : 0
-  return lateLeft - lateRight || (left.request.dueAtMs - left.count * countBonusMs) - (right.request.dueAtMs - right.count * countBonusMs)
+/**
+ * Loads that can still bring an answer in time go first. Of those, one for several requests goes before one for a single
+ * request that is due a little earlier.
+ */
+function compareNeeds (left: LoadNeed, right: LoadNeed): number {
+  return Number(left.isLate) - Number(right.isLate) || (left.request.dueAtMs - left.count * countBonusMs) - (right.request.dueAtMs - right.count * countBonusMs)
 }
 
 /** What can still be on time goes first, by its due time; what is late goes after it. */
