Write renewals together, and claim back what nobody took over

A transaction also counted as not applied when all peers said so while the direct call was still under way.

The first reader gathers renewals over datagrams and writes them in one transaction a second; without its answer a host renews by itself. Endpoints whose row names this host while it does not hold them are claimed anew, which also outdates a late transaction.

--- /dev/null
+++ b/features/leases.feature
@@ -0,0 +1,51 @@
+Feature: Leases of engines on the users' platform
+  One host at a time gives an engine orders, whatever the store does.
+
+  Scenario: Every engine has one owner soon after the start
+    Given 3 lease hosts and 6 engines
+    When 1000 ms pass for the leases
+    Then every engine may be given orders by one host
+
+  Scenario: Renewals of all hosts go to the store together
+    Given 8 lease hosts and 8 engines
+    When 3000 ms pass for the leases
+    And 20 s pass for the leases with at most 2 calls a second to the store
+    Then every engine may be given orders by one host
+
+  Scenario: A store that turns calls away leaves no engine without an owner once it is well
+    Given 2 lease hosts and 5 engines
+    When 1000 ms pass for the leases
+    And a host joins and the store is "busy" while engines should be handed over to it
+    And the store is well again
+    And 3000 ms pass for the leases
+    Then every engine may be given orders by one host
+
+  Scenario: Changes whose answers are lost and that are made late leave one owner
+    Given 2 lease hosts and 5 engines
+    When 1000 ms pass for the leases
+    And a host joins and the store is "lost" while engines should be handed over to it
+    And the store is well again
+    And 8000 ms pass for the leases
+    Then every engine may be given orders by one host
+
+  Scenario: A slow store does not take the right to give orders away
+    Given 7 lease hosts and 6 engines
+    When 3000 ms pass for the leases
+    And the store is slow
+    And 2000 ms pass for the leases
+    And 6000 ms pass for the leases while every engine may be given orders at least 90% of the time
+    Then every engine may be given orders by one host
+
+  Scenario: The host that gathers renewals is gone
+    Given 4 lease hosts and 8 engines
+    When 3000 ms pass for the leases
+    And lease host 1 is killed
+    And 7000 ms pass for the leases
+    Then every engine may be given orders by one host
+
+  Scenario: The host that gathers renewals is cut off from one other
+    Given 4 lease hosts and 8 engines
+    When 3000 ms pass for the leases
+    And lease host 2 is not heard by the others
+    And 5000 ms pass for the leases while every engine may be given orders at least 90% of the time
+    Then every engine may be given orders by one host
--- /dev/null
+++ b/features/steps/leases.ts
@@ -0,0 +1,68 @@
+/** Steps of the leases of engines, on a virtual clock. */
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { LeaseCluster } from '../support/leaseCluster.js'
+import type { StoreState } from '../support/leaseCluster.js'
+
+interface LeasesWorld {
+  cluster: LeaseCluster
+}
+
+/** Time after which hosts hand over what they have too much of. */
+const handoverMs = 10_000
+const stepMs = 100
+
+Given('{int} lease hosts and {int} engines', function (this: LeasesWorld, hosts: number, engines: number) {
+  this.cluster = new LeaseCluster(hosts, engines)
+})
+
+When('{int} ms pass for the leases', async function (this: LeasesWorld, ms: number) {
+  await this.cluster.run(ms)
+})
+
+When('{int} s pass for the leases with at most {int} calls a second to the store', async function (this: LeasesWorld, seconds: number, calls: number) {
+  const before = this.cluster.calls
+  await this.cluster.run(seconds * 1000)
+  assert.ok(this.cluster.calls - before <= calls * seconds, `the store was called ${this.cluster.calls - before} times`)
+})
+
+When('a host joins and the store is {string} while engines should be handed over to it', async function (this: LeasesWorld, state: StoreState) {
+  this.cluster.join()
+  await this.cluster.run(handoverMs - 2500)
+  this.cluster.state = state
+  await this.cluster.run(4000)
+  const lost = this.cluster.hosts.flatMap(({ lines }) => lines.filter(({ kind, fields }) => kind === 'lease.lost' && String(fields.reason).includes('fewer')))
+  assert.ok(lost.length > 0, 'nothing was handed over')
+})
+
+When('the store is well again', function (this: LeasesWorld) {
+  this.cluster.state = 'well'
+})
+
+When('the store is slow', function (this: LeasesWorld) {
+  this.cluster.state = 'slow'
+})
+
+When('lease host {int} is killed', function (this: LeasesWorld, number: number) {
+  this.cluster.kill(this.cluster.hosts[number - 1]!)
+})
+
+When('lease host {int} is not heard by the others', function (this: LeasesWorld, number: number) {
+  this.cluster.hosts[number - 1]!.isHeard = false
+})
+
+When('{int} ms pass for the leases while every engine may be given orders at least {int}% of the time', async function (this: LeasesWorld, ms: number, percent: number) {
+  const engines = this.cluster.rows.listRows('servers').length
+  let served = 0
+  for (let passedMs = 0; passedMs < ms; passedMs += stepMs) {
+    await this.cluster.run(stepMs)
+    served += engines - this.cluster.listUnserved().length
+  }
+  const part = served / (engines * ms / stepMs)
+  assert.ok(part * 100 >= percent, `${Math.round(part * 100)}% of the time`)
+})
+
+Then('every engine may be given orders by one host', function (this: LeasesWorld) {
+  assert.deepEqual(this.cluster.listUnserved(), [])
+  assert.deepEqual(this.cluster.violations, [])
+})
--- a/src/bin/createLeases.ts
+++ b/src/bin/createLeases.ts
@@ -7,8 +7,11 @@
 import type { Store } from '../ports/store.js'
 import { renewalsTable } from '../schemas/hostRows.js'
 import type { HostRow } from '../schemas/hostRows.js'
+import { listReaders } from '../core/newsSource.js'
 import { LeaseTask } from '../tasks/leases/leaseTask.js'
 import type { LeaseTaskOptions } from '../tasks/leases/leaseTask.js'
+import { RenewalClient } from '../tasks/leases/renewalClient.js'
+import { RenewalPool } from '../tasks/leases/renewalPool.js'
 import { OutageWatch } from '../tasks/leases/outageWatch.js'
 import { StoreAccess } from '../tasks/leases/storeAccess.js'
 import type { NewsTask } from '../tasks/news/newsTask.js'
@@ -34,6 +37,8 @@
   isolation: IsolationWatch
   leases: LeaseTask
   outage: OutageWatch
+  renewalPool: RenewalPool
+  renewalClient: RenewalClient
 }
 
 export function createLeases (options: LeasePartsOptions): LeaseParts {
@@ -47,6 +52,14 @@
     listPeers: () => shuffle(listPeers().map(row => formatRelayAddress(row.address))),
     receiveStoreAnswer: () => news.recordStoreAnswer()
   })
+  const renewalPool = new RenewalPool({
+    clock, transact: async transaction => await store.transact(transaction), reachesStore: () => news.reachesStore
+  })
+  const renewalClient = new RenewalClient({
+    clock,
+    findGatherer: () => listReaders([...board.hosts.values()].map(({ row }) => row).filter(row => !row.isLeaving))[0]?.address,
+    send: (address, ask) => peers.sendRenewal(address, ask)
+  })
   const outage: OutageWatch = new OutageWatch({
     clock,
     readStoreAgeMs: () => news.directStoreAgeMs,
@@ -72,6 +85,7 @@
     isIsolated: () => isolation.isIsolated,
     isRunning: async row => (await peers.askHost(row.address))?.session === row.session,
     transact: async transaction => await access.transact(transaction),
+    renewTogether: async (renewal, version) => await renewalClient.renew(renewal, version),
     readRenewals: () => {
       store.readTable(renewalsTable)
         .then(({ rows, version }) => mirror.applyTable(renewalsTable, rows, version))
@@ -82,7 +96,7 @@
     isOutage: () => outage.isOutage(),
     receiveOwnership: options.receiveOwnership
   })
-  return { leases, outage, isolation }
+  return { leases, outage, isolation, renewalPool, renewalClient }
 }
 
 /** A new order each time, so that no peer gets all the questions. */
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -95,7 +95,9 @@
     readStoreAgeMs: () => news.directStoreAgeMs,
     receiveAtDesk: (message, sender, answer) => desks.receiveMessage(message, sender, answer),
     receiveAnswer: answer => places.receiveAnswer(answer),
-    receiveConfirmation: ids => places.receiveConfirmation(ids)
+    receiveConfirmation: ids => places.receiveConfirmation(ids),
+    receiveRenewal: (ask, sender, answer) => leaseParts.renewalPool.receive(ask, sender, answer),
+    receiveRenewalReply: reply => leaseParts.renewalClient.receiveReply(reply)
   })
   const places = new PlaceClient({ clock, datagrams, ownAddress: settings.address, deliverLocally: message => peers.deliverLocally(message) })
   const leaseParts: LeaseParts = createLeases({
@@ -144,7 +146,7 @@
   const relay = createHttpRelay()
   const datagrams = await openUdpDatagrams({ address: settings.address, port: settings.datagramPort, host: settings.hostName, session, log })
   const { board, mirror, news, places, desks, front, leaseParts } = createHostParts({ settings, clock, log, own, store, relay, datagrams })
-  const { leases, outage, isolation } = leaseParts
+  const { leases, outage, isolation, renewalPool, renewalClient } = leaseParts
   const countEndpoints = (): number => board.endpoints.list(clock.readMonotonic()).length
 
   const relayServer = await startRelayServer({
@@ -161,7 +163,7 @@
     reload: () => log.record('settings.reloaded', 'The settings file has changed; what it tells of the store and the bounds is read at the next start.', {}),
     stop: async () => {
       await drainHost({ settings, clock, log, readiness, front, leases })
-      for (const task of [outage, isolation, news, places, metrics]) task.stop()
+      for (const task of [outage, isolation, renewalPool, renewalClient, news, places, metrics]) task.stop()
       datagrams.close()
       relayServer.close()
       await Promise.all([store.close(), relay.close()])
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -108,8 +108,39 @@
   storeAgeMs: Type.Number()
 })
 
+/** A host asks the one that gathers renewals to write its own; asked again under the same id, it is written once. */
+export const renewalAskSchema = Type.Object({
+  type: Type.Literal('renew'),
+  id: Type.Integer(),
+  renewal: Type.Integer(),
+  /** Version that the host's renewal has in the store. */
+  version: Type.Integer()
+})
+export type RenewalAsk = Static<typeof renewalAskSchema>
+
+/** The renewal waits for others, to be written with them. */
+export const renewalQueuedSchema = Type.Object({
+  type: Type.Literal('renewalQueued'),
+  id: Type.Integer(),
+  /** When it will be written, in milliseconds from now. */
+  inMs: Type.Number()
+})
+
+export const renewalAnswerSchema = Type.Object({
+  type: Type.Literal('renewed'),
+  id: Type.Integer(),
+  verdict: Type.Union([Type.Literal('applied'), Type.Literal('conflict'), Type.Literal('failed')]),
+  /** Version of the renewal in the store, where it was written or is another one than expected; 0 where there is none. */
+  version: Type.Integer(),
+  /** What stands in the store instead. */
+  current: Type.Optional(Type.Object({ session: Type.String(), renewal: Type.Integer() }))
+})
+export type RenewalAnswer = Static<typeof renewalAnswerSchema>
+export type RenewalReply = Static<typeof renewalQueuedSchema> | RenewalAnswer
+
 export const hostMessageSchema = Type.Union([
-  placeAskSchema, placeGrantSchema, placeQueuedSchema, placeRefusalSchema, placeDoneSchema, doneReceivedSchema, pingSchema, pongSchema
+  placeAskSchema, placeGrantSchema, placeQueuedSchema, placeRefusalSchema, placeDoneSchema, doneReceivedSchema, pingSchema, pongSchema,
+  renewalAskSchema, renewalQueuedSchema, renewalAnswerSchema
 ])
 export type HostMessage = Static<typeof hostMessageSchema>
 export type PlaceAnswer = Static<typeof placeGrantSchema> | Static<typeof placeQueuedSchema> | Static<typeof placeRefusalSchema>
--- a/src/tasks/leases/endpointClaims.ts
+++ b/src/tasks/leases/endpointClaims.ts
@@ -88,12 +88,13 @@
   }
 
   #listDueClaims (endpoints: SpreadEndpoint[], hosts: SpreadHost[], nowMs: number): Claim[] {
-    const { board, own } = this.#options
+    const { board, own, findOwnFencing } = this.#options
     const rankings = rankTakers(endpoints, hosts, computeHash)
     const due: Claim[] = []
     for (const { endpointId } of endpoints) {
       const owner = board.owners.get(endpointId)
-      const wasOwn = owner?.row.host === own.host && owner.row.session !== own.session
+      // Either from before a restart, or given up by a transaction that the store did not take.
+      const wasOwn = owner?.row.host === own.host && (owner.row.session !== own.session || findOwnFencing(endpointId) === undefined)
       if (!isVacant(owner?.row) && !wasOwn) {
         this.#vacantSince.delete(endpointId)
         continue
@@ -192,9 +193,11 @@
   }
 
   async #handOverEndpoint (endpointId: string, fencing: number): Promise<StoreOutcome> {
-    const { log, lose, transact } = this.#options
+    const { log, lose, transact, applyRow } = this.#options
     lose(endpointId, 'another host has fewer endpoints')
-    const outcome = await transact({ ...EndpointClaims.createRelease([[endpointId, fencing]]), removals: [] })
+    const release = EndpointClaims.createRelease([[endpointId, fencing]])
+    const outcome = await transact({ ...release, removals: [] })
+    if (outcome.verdict === 'applied') for (const write of release.writes) applyRow({ ...write, version: outcome.version })
     log.record('lease.handedOver', 'Gave an endpoint up for an even spread.', { endpointId, verdict: outcome.verdict })
     return outcome
   }
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -6,6 +6,7 @@
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
 import { decodeRenewal, encodeHostsRow, formatHostKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
 import type { HostRow, RenewalRow } from '../../schemas/hostRows.js'
+import type { RenewalAnswer } from '../../schemas/datagram.js'
 import { createOwnerWrite, EndpointClaims, noOwner } from './endpointClaims.js'
 
 export interface LeaseTaskOptions {
@@ -21,6 +22,8 @@
   isRunning: (row: HostRow) => Promise<boolean>
   /** Reaches the store, directly or through a peer. */
   transact: (transaction: StoreTransaction) => Promise<StoreOutcome>
+  /** Has a renewal written together with those of other hosts; undefined where that is not known to have worked. */
+  renewTogether: (renewal: number, version: number) => Promise<RenewalAnswer | undefined>
   /** Reads the renewals from the store, where the answer to one was lost. */
   readRenewals: () => void
   /** Version of a host's renewal, as last read. */
@@ -110,7 +113,9 @@
     this.#isGivingUp = true
     const owned = [...this.#owned]
     for (const [endpointId] of owned) this.#lose(endpointId, reason)
-    const outcome = await this.#options.transact({ ...EndpointClaims.createRelease(owned), removals: [] })
+    const release = EndpointClaims.createRelease(owned)
+    const outcome = await this.#options.transact({ ...release, removals: [] })
+    if (outcome.verdict === 'applied') for (const write of release.writes) this.#options.applyRow({ ...write, version: outcome.version })
     this.#isGivingUp = false
     this.#options.log.record('lease.givenUp', 'Gave all endpoints up.', { reason, endpointIds: owned.map(([endpointId]) => endpointId), verdict: outcome.verdict })
   }
@@ -202,6 +207,14 @@
     this.#renewedAtMs = startedAtMs
     const renewal = ++this.#renewal
     this.#sentRenewals.set(renewal, startedAtMs)
+    // A host without a proof of late needs one at once.
+    const isPatient = this.#isRegistered() && startedAtMs - this.#provenAtMs < 2 * renewalIntervalMs
+    const answer = isPatient ? await this.#options.renewTogether(renewal, this.#renewalVersion) : undefined
+    if (answer) {
+      this.#isRenewing = false
+      this.#receiveRenewalAnswer(answer, renewal, startedAtMs)
+      return
+    }
     const write = { table: renewalsTable, key: own.host, value: encodeHostsRow({ session: own.session, renewal }) }
     const outcome = await this.#options.transact(this.#isRegistered()
       ? { checks: [{ table: renewalsTable, key: own.host, version: this.#renewalVersion }], writes: [write], removals: [] }
@@ -218,6 +231,18 @@
     this.#renewedAtMs = startedAtMs - renewalIntervalMs + stepMs * 2
   }
 
+  #receiveRenewalAnswer ({ verdict, version, current }: RenewalAnswer, renewal: number, startedAtMs: number): void {
+    const { clock, own } = this.#options
+    if (verdict === 'conflict') {
+      this.#receiveRenewalConflict(current ? [{ table: renewalsTable, key: own.host, version, value: encodeHostsRow(current) }] : [])
+      this.#renewedAtMs = startedAtMs - renewalIntervalMs + stepMs * 2
+      return
+    }
+    if (this.#sentRenewals.has(renewal)) this.#recordRenewed(renewal, version, startedAtMs)
+    // Hosts whose renewals were written together send the next ones together.
+    this.#renewedAtMs = clock.readMonotonic() - stepMs
+  }
+
   /** The row is not as this host wrote it last: an earlier renewal went through unseen, or a reader declared this host gone. */
   #receiveRenewalConflict (rows: readonly StoreRow[]): void {
     const { own, log } = this.#options
--- a/src/tasks/leases/storeAccess.ts
+++ b/src/tasks/leases/storeAccess.ts
@@ -40,13 +40,14 @@
       const early = await Promise.race([direct, this.#wait(patienceMs)])
       if (early && isSettled(early)) return early
     }
-    let last: StoreOutcome | undefined
+    let mayBeApplied = false
     for (const address of peers) {
-      const outcome = await Promise.race([direct.then(outcome => isSettled(outcome) ? outcome : new Promise<undefined>(() => {})), this.#options.transactByPeer(address, transaction)])
-      if (outcome && isSettled(outcome)) return outcome
-      last = outcome ?? last
+      const outcome = await Promise.race([direct.then(outcome => isSettled(outcome) ? outcome : new Promise<never>(() => {})), this.#options.transactByPeer(address, transaction)])
+      if (isSettled(outcome)) return outcome
+      mayBeApplied ||= outcome.verdict === 'unknown'
     }
-    return last ?? await direct
+    const last = await direct
+    return mayBeApplied && last.verdict === 'notApplied' ? { verdict: 'unknown', reason: 'a peer did not tell whether the store has applied it' } : last
   }
 
   async #transactDirectly (transaction: StoreTransaction): Promise<StoreOutcome> {
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -1,7 +1,7 @@
 /** Sorts the messages between hosts to those they are for, and finds out whether a host runs. */
 import type { Clock } from '../../ports/clock.js'
 import type { Datagrams, DatagramSender } from '../../ports/datagrams.js'
-import type { HostMessage, PlaceAnswer } from '../../schemas/datagram.js'
+import type { HostMessage, PlaceAnswer, RenewalAsk, RenewalReply } from '../../schemas/datagram.js'
 
 export interface PeerTaskOptions {
   clock: Clock
@@ -12,6 +12,9 @@
   receiveAtDesk: (message: HostMessage, sender: DatagramSender, answer: (message: PlaceAnswer) => void) => void
   receiveAnswer: (answer: PlaceAnswer) => void
   receiveConfirmation: (ids: readonly number[]) => void
+  /** Takes another host's renewal, to be written with others. */
+  receiveRenewal: (ask: RenewalAsk, sender: DatagramSender, answer: (reply: RenewalReply) => void) => void
+  receiveRenewalReply: (reply: RenewalReply) => void
 }
 
 /** What a host tells of itself when asked. */
@@ -52,6 +55,13 @@
     this.#options.receiveAtDesk(message, this.#options.own, answer => this.#options.receiveAnswer(answer))
   }
 
+  /** Sends this host's renewal to the host that gathers them, which may be this one. */
+  sendRenewal (address: string, ask: RenewalAsk): void {
+    const { own, datagrams, receiveRenewal, receiveRenewalReply } = this.#options
+    if (address === own.address) receiveRenewal(ask, own, receiveRenewalReply)
+    else datagrams.send(address, ask)
+  }
+
   /** Asks the host at an IP number how it is; undefined where it does not answer. */
   async askHost (address: string): Promise<HostState | undefined> {
     const { clock, datagrams } = this.#options
@@ -69,7 +79,7 @@
   }
 
   #receive (message: HostMessage, sender: DatagramSender): void {
-    const { datagrams, own, readStoreAgeMs, receiveAtDesk, receiveAnswer, receiveConfirmation } = this.#options
+    const { datagrams, own, readStoreAgeMs, receiveAtDesk, receiveAnswer, receiveConfirmation, receiveRenewal, receiveRenewalReply } = this.#options
     if (message.type === 'ask' || message.type === 'done') {
       receiveAtDesk(message, sender, answer => datagrams.send(sender.address, answer))
       if (message.type === 'done') datagrams.send(sender.address, { type: 'doneReceived', ids: [message.id] })
@@ -79,6 +89,10 @@
       datagrams.send(sender.address, { type: 'pong', echo: message.echo, session: own.session, storeAgeMs: Math.min(neverMs, readStoreAgeMs()) })
     } else if (message.type === 'pong') {
       this.#pings.get(message.echo)?.(message)
+    } else if (message.type === 'renew') {
+      receiveRenewal(message, sender, reply => datagrams.send(sender.address, reply))
+    } else if (message.type === 'renewed' || message.type === 'renewalQueued') {
+      receiveRenewalReply(message)
     } else {
       receiveAnswer(message)
     }
