Use a new engine as soon as its model is loaded, and start hosts faster still

Cause: an engine that came or had crashed served 1.4 s after its entry was known, of which its load took 0.6 s: the owner waited 300 ms for orders of a former owner that there never was, then read lagging reports every 250 ms. It now asks for the load again until it holds. A host that registers knows its own row at once, and leaves what was never its own to others for 400 ms, as a first try took all engines for itself. undici's HTTP/2 and Node's assert are left out of the bundle, process ends and command lines are apart. A second SIGTERM no longer cuts a drain short.

--- a/deploy/buildHost.mjs
+++ b/deploy/buildHost.mjs
@@ -16,7 +16,9 @@
   format: 'iife',
   banner: { js: '(function (require) {' },
   footer: { js: '})' },
-  alias: { undici: './deploy/undiciClients.cjs' },
+  alias: {
+    undici: './deploy/undiciClients.cjs', 'node:assert': './deploy/assert.cjs', assert: './deploy/assert.cjs', 'node:http2': './deploy/http2.cjs'
+  },
   logLevel: 'error'
 })
 mkdirSync('target', { recursive: true })
--- a/features/hostFailures.feature
+++ b/features/hostFailures.feature
@@ -8,6 +8,13 @@
     And every engine is owned by a host that runs within 2000 ms
     And no endpoint saw what no host may do
 
+  Scenario: A new engine without its model serves a second after its load
+    Given 2 hosts before a platform with 1 engine
+    When an engine comes that takes 500 ms to load its model
+    And 1500 ms pass
+    And 20 streams for 20 adapters are sent within 1000 ms
+    Then engine 2 ran some of the last 20
+
   Scenario: The store is away for a while
     Given 3 hosts before a platform with 2 engines of 3 adapter slots
     When the store is silent for 4000 ms while 40 streams for 8 adapters are sent
--- a/features/steps/hostPath.ts
+++ b/features/steps/hostPath.ts
@@ -5,7 +5,7 @@
 import { decodeHostsRow, hostsTable } from '../../src/schemas/hostRows.js'
 import { countEvents } from '../../src/standin/fleet/endpointServer.js'
 import type { EndpointFaults } from '../../src/standin/fleet/endpointServer.js'
-import { fleetPaths } from '../../src/standin/fleet/startFleet.js'
+import { engineService, fleetPaths } from '../../src/standin/fleet/startFleet.js'
 import type { FleetEndpoint } from '../../src/standin/fleet/startFleet.js'
 import type { StoreFault } from '../../src/standin/fleet/storeServer.js'
 import { HostFleet } from '../support/hostFleet.js'
@@ -275,6 +275,15 @@
   assert.deepEqual(this.hostFleet.fleet.listViolations(), [])
 })
 
+When('an engine comes that takes {int} ms to load its model', async function (this: HostsWorld, ms: number) {
+  await this.hostFleet.fleet.addEndpoint(engineService, ms)
+})
+
+Then('engine {int} ran some of the last {int}', function (this: HostsWorld, number: number, count: number) {
+  const engine = this.hostFleet.fleet.engines[number - 1]!
+  assert.ok(this.hostFleet.fleet.journal.runs.slice(-count).some(run => run.endpointId === engine.id))
+})
+
 Then('engine {int} ran none of the last {int}', function (this: HostsWorld, number: number, count: number) {
   const { fleet } = this.hostFleet
   const { id } = fleet.engines[number - 1]!
--- a/src/bin/quickstart.ts
+++ b/src/bin/quickstart.ts
@@ -6,7 +6,7 @@
 import { hashKey } from '../tasks/gateway/callerAccess.js'
 import { exampleCallerKey, exampleOperatorKey, exampleRecords } from './exampleRecords.js'
 import { registerRecords } from './registerRecords.js'
-import { exitWithError, stopOnSignals } from './runBinary.js'
+import { exitWithError, stopOnSignals } from './processEnd.js'
 import { startGateway, startScheduler } from './startHosts.js'
 import { startStandins } from './startStandins.js'
 
--- a/src/bin/runBinary.ts
+++ b/src/bin/runBinary.ts
@@ -7,16 +7,9 @@
 import { describePortInUse } from '../settings/portInUse.js'
 import type { Sections } from '../settings/portInUse.js'
 import { readSettings } from '../settings/resolveSettings.js'
-import { createSettingsError, isSettingsError, wrongSettingsExitCode } from '../settings/settingsError.js'
-
-export interface RunningProcess {
-  /** The state of every task, for dumps, without secrets. */
-  describeState?: () => unknown
-  /** The settings file has changed. */
-  reload?: () => void
-  /** Ends gracefully. */
-  stop: () => Promise<void>
-}
+import { createSettingsError } from '../settings/settingsError.js'
+import { exitWithError, stopOnSignals } from './processEnd.js'
+import type { RunningProcess } from './processEnd.js'
 
 export interface BinaryOptions<T extends TObject> {
   name: string
@@ -26,7 +19,7 @@
   start: (settings: Readonly<Static<T>>) => Promise<RunningProcess>
 }
 
-/** Runs a daemon until SIGINT or SIGTERM; a second signal ends it at once. */
+/** Runs a daemon until SIGINT or SIGTERM. */
 export async function runBinary<T extends TObject> (options: BinaryOptions<T>): Promise<void> {
   try {
     const { values, positionals } = readCommandLine(options.name)
@@ -86,24 +79,3 @@
     throw error
   }
 }
-
-/** Ends the process when a signal comes, but for SIGHUP, which tells of changed settings; SIGUSR2 writes its state to the standard error as one line of JSON. */
-export function stopOnSignals (running: RunningProcess): void {
-  process.on('SIGUSR2', () => process.stderr.write(`${JSON.stringify(running.describeState?.() ?? {})}\n`))
-  process.on('SIGHUP', () => running.reload?.())
-  let isStopping = false
-  const stop = async (): Promise<void> => {
-    if (isStopping) process.exit(1)
-    isStopping = true
-    await running.stop()
-    process.exit(0)
-  }
-  process.on('SIGINT', stop)
-  process.on('SIGTERM', stop)
-}
-
-/** Prints one line and ends; wrong settings have an exit code of their own. */
-export function exitWithError (name: string, error: Error): never {
-  process.stderr.write(`${name}: ${error.message}\n`)
-  process.exit(isSettingsError(error) ? wrongSettingsExitCode : 1)
-}
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -30,7 +30,7 @@
 import type { Front } from './createFront.js'
 import { createLeases } from './createLeases.js'
 import type { LeaseParts, LeasePartsOptions } from './createLeases.js'
-import type { RunningProcess } from './runBinary.js'
+import type { RunningProcess } from './processEnd.js'
 import { startReadiness } from './startReadiness.js'
 import type { Readiness } from './startReadiness.js'
 
--- a/src/bin/startHosts.ts
+++ b/src/bin/startHosts.ts
@@ -21,7 +21,7 @@
 import type { SchedulerTaskOptions } from '../tasks/scheduler/schedulerTask.js'
 import { startState } from './startState.js'
 import { describeProcess } from './describeProcess.js'
-import type { RunningProcess } from './runBinary.js'
+import type { RunningProcess } from './processEnd.js'
 import { createMetrics } from './startMetrics.js'
 import { createOperators } from './startOperators.js'
 
--- a/src/bin/startState.ts
+++ b/src/bin/startState.ts
@@ -13,7 +13,7 @@
 import { BatchWriter } from '../tasks/table/batchWriter.js'
 import { RowSweeper } from '../tasks/table/rowSweeper.js'
 import { TableWriter } from '../tasks/table/tableWriter.js'
-import type { RunningProcess } from './runBinary.js'
+import type { RunningProcess } from './processEnd.js'
 
 /** Rows of writes whose writer has gone before it settled them. */
 const sweptTokens = { prefix: 'tokens/', lifeMs: 24 * 3600 * 1000 }
--- a/src/standin/fleet/fleetEngine.ts
+++ b/src/standin/fleet/fleetEngine.ts
@@ -13,6 +13,8 @@
   reportLagMs: number
   /** Time between two events of a stream. */
   eventMs: number
+  /** Time of the model's load, for an engine that starts without it; 0 for one that has it. */
+  modelLoadMs: number
 }
 
 /** What went wrong that no client of the system may cause; tests expect none. */
@@ -41,6 +43,8 @@
   #unloading = new Set<string>()
   #count = 0
   #fencing = 0
+  /** When the model is there; undefined before its load was ordered. */
+  #modelReadyAtMs: number | undefined
   #reported: EngineState | undefined
   #readNow: () => number
 
@@ -48,6 +52,7 @@
     this.options = options
     this.#readNow = readNow
     this.startedAtMs = Date.now()
+    if (options.modelLoadMs === 0) this.#modelReadyAtMs = 0
     this.#reported = this.#describe()
   }
 
@@ -78,13 +83,15 @@
     this.#fencing = Math.max(this.#fencing, holder.fencing)
     if (this.#unloading.size > 0 && !(order.kind === 'unload' && this.#unloading.has(order.adapter ?? ''))) return 409
     if (order.expectedCount !== undefined && order.expectedCount !== this.#count) return 409
-    if (order.adapter === undefined) return 200
+    if (order.adapter === undefined) return this.#loadModel()
+    if (!this.#hasModel()) return 409
     return order.kind === 'load' ? this.#load(order.adapter, order.version ?? 1) : this.#unload(order.adapter)
   }
 
   /** Whether a request may run now; the status of its refusal otherwise. */
   findRefusal (adapter: string, version: number | undefined): number | undefined {
     this.#finishLoads()
+    if (!this.#hasModel()) return 421
     if (adapter === '') return undefined
     const held = this.#adapters.get(adapter)
     if (held === undefined && this.#loading.has(adapter)) return 503
@@ -113,6 +120,19 @@
     return this.#describe().models
   }
 
+  #hasModel (): boolean {
+    return this.#modelReadyAtMs !== undefined && this.#modelReadyAtMs <= this.#readNow()
+  }
+
+  #loadModel (): number {
+    if (this.#hasModel()) return 200
+    if (this.#modelReadyAtMs !== undefined) return 409
+    this.#count++
+    this.#modelReadyAtMs = this.#readNow() + this.options.modelLoadMs
+    setTimeout(() => this.#report(), this.options.modelLoadMs).unref()
+    return 202
+  }
+
   #load (adapter: string, version: number): number {
     if (this.#adapters.get(adapter) === version) return 200
     const coming = this.#loading.get(adapter)
@@ -165,7 +185,7 @@
     const adapters: LoadedAdapter[] = [...this.#adapters].map(([name, version]) => ({ name, version }))
     return {
       startedAtMs: this.startedAtMs,
-      models: [{ name: model, version: 1, adapters }],
+      models: this.#hasModel() ? [{ name: model, version: 1, adapters }] : [],
       loading: [...this.#loading].map(([name, { version }]) => ({ model, name, version })),
       isBusy: false,
       orderCount: this.#count,
--- a/src/standin/fleet/startFleet.ts
+++ b/src/standin/fleet/startFleet.ts
@@ -103,11 +103,12 @@
     this.rows.write(encodeVersionRow({ model: fleetModel, adapter, version }))
   }
 
-  async addEndpoint (service: string): Promise<FleetEndpoint> {
+  /** `modelLoadMs`: an engine that starts without its model loads it in this time. */
+  async addEndpoint (service: string, modelLoadMs = 0): Promise<FleetEndpoint> {
     const { adapterSlots, zones, random } = this.#options
     const id = `i-${this.#nextId++}`
     const engine = service === engineService
-      ? new FleetEngine({ id, model: fleetModel, adapterSlots, batchLimit: 16, coldLoadMs: 120, warmLoadMs: 12, reportLagMs: 100, eventMs: 15 }, () => performance.now())
+      ? new FleetEngine({ id, model: fleetModel, adapterSlots, batchLimit: 16, coldLoadMs: 120, warmLoadMs: 12, reportLagMs: 100, eventMs: 15, modelLoadMs }, () => performance.now())
       : undefined
     const server = await startEndpointServer({ id, service, listenAddress: '127.0.0.1:0', journal: this.journal, random, engine, places: 6, workMs: 20 })
     const endpoint: FleetEndpoint = { id, service, zone: zones[this.endpoints.length % zones.length]!, engine, server, isLeaving: false, isTelling: true }
--- a/src/tasks/desk/engineWatch.ts
+++ b/src/tasks/desk/engineWatch.ts
@@ -1,7 +1,7 @@
 /** Knows whether an engine answers, reads its state when that is in doubt, and gives an empty engine its model. */
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
-import type { EngineOrders, EngineState } from '../../ports/orders.js'
+import type { EngineOrder, EngineOrders, EngineState } from '../../ports/orders.js'
 import type { ModelShape } from '../../schemas/routing.js'
 import type { OrderLine } from './orderLine.js'
 
@@ -20,6 +20,11 @@
 const reportLagMs = 350
 /** Time between two tries to read the engine's state. */
 const rereadMs = 250
+/** Time between two questions whether a model's load is done, which reports tell only later. */
+const probeModelMs = 60
+/** Beyond so many times its usual load the state of an engine without a model is read again. */
+const maxModelLoads = 4
+const minModelLoadMs = 1000
 
 export class EngineWatch {
   #options: EngineWatchOptions
@@ -120,18 +125,39 @@
     }
   }
 
-  /** An engine that holds no model is given the first one of its service. */
-  async #loadModel (): Promise<number> {
+  /** An engine that holds no model is given the first one of its service; returns when to read the state, unless it is known. */
+  async #loadModel (): Promise<number | undefined> {
     const { models, line, log, endpointId } = this.#options
     const model = models[0]
     if (!model) return rereadMs
-    const outcome = await line.submit({ kind: 'load', model: model.name, adapter: undefined, version: undefined })
+    const order: Omit<EngineOrder, 'expectedCount'> = { kind: 'load', model: model.name, adapter: undefined, version: undefined }
+    const outcome = await line.submit(order)
     log.record('engine.empty', 'An engine holds no model; its load was ordered.', { endpointId, model: model.name, verdict: outcome.verdict })
+    if (outcome.verdict === 'accepted' && await this.#awaitModel(order, model.loadMs)) return undefined
     // What follows has to be read anew, as the engine now counts one more order.
     line.recordState(undefined)
     return reportLagMs
   }
 
+  /** Asks until the model is there; false where it does not come. */
+  async #awaitModel (order: Omit<EngineOrder, 'expectedCount'>, loadMs: number): Promise<boolean> {
+    const { clock, line, log, endpointId } = this.#options
+    const startedAtMs = clock.readMonotonic()
+    while (!this.#isStopped && clock.readMonotonic() - startedAtMs < Math.max(minModelLoadMs, maxModelLoads * loadMs)) {
+      await this.#pause(probeModelMs)
+      const probe = await line.probe(order)
+      if (probe.verdict !== 'holds') continue
+      log.record('engine.modelLoaded', 'An engine has its model and takes requests.', { endpointId, model: order.model, tookMs: Math.round(clock.readMonotonic() - startedAtMs) })
+      this.#isReady = true
+      this.#options.receiveState({
+        startedAtMs: this.#startedAtMs, models: [{ name: order.model, version: 0, adapters: [] }], loading: [], isBusy: false, orderCount: line.count ?? 0, running: 0, waiting: 0
+      }, this.#wasRestarted)
+      this.#wasRestarted = false
+      return true
+    }
+    return false
+  }
+
   async #pause (ms: number): Promise<void> {
     await new Promise<void>(resolve => { this.#timer = this.#options.clock.setTimer(resolve, ms) })
   }
--- a/src/tasks/leases/endpointClaims.ts
+++ b/src/tasks/leases/endpointClaims.ts
@@ -45,6 +45,9 @@
 /** Time between two endpoints that are handed over for an even spread; each serves nothing new for half a second. */
 const handoverIntervalMs = 10_000
 
+/** A host that has just registered leaves endpoints that were never its own to others that start beside it, which would be unknown to it. */
+const newcomerMs = 400
+
 export class EndpointClaims {
   #options: EndpointClaimsOptions
   #vacantSince = new Map<string, number>()
@@ -52,6 +55,7 @@
   /** After a conflict endpoints are claimed one by one, so that one that is lost does not keep the others back. */
   #isCautious = false
   #lastHandoverMs: number
+  #registeredAtMs: number | undefined
 
   constructor (options: EndpointClaimsOptions) {
     this.#options = options
@@ -61,6 +65,7 @@
   /** Does what is due, one transaction at a time. */
   step (nowMs: number): void {
     if (this.#isBusy) return
+    this.#registeredAtMs ??= nowMs
     const endpoints = this.#listEndpoints(nowMs)
     const hosts = this.#listTakers(nowMs)
     const claims = this.#listDueClaims(endpoints, hosts, nowMs)
@@ -90,6 +95,7 @@
   #listDueClaims (endpoints: SpreadEndpoint[], hosts: SpreadHost[], nowMs: number): Claim[] {
     const { board, own, findOwnFencing } = this.#options
     const rankings = rankTakers(endpoints, hosts, computeHash)
+    const isNewcomer = nowMs - this.#registeredAtMs! < newcomerMs
     const due: Claim[] = []
     for (const { endpointId } of endpoints) {
       const owner = board.owners.get(endpointId)
@@ -99,6 +105,7 @@
         this.#vacantSince.delete(endpointId)
         continue
       }
+      if (!wasOwn && isNewcomer) continue
       const sinceMs = this.#vacantSince.get(endpointId) ?? nowMs
       this.#vacantSince.set(endpointId, sinceMs)
       const rank = wasOwn ? 0 : rankings.get(endpointId)?.indexOf(own.host) ?? -1
@@ -126,7 +133,8 @@
     // A claim whose answer was lost shows in the news. A conflict tells at once who has won.
     if (outcome.verdict === 'conflict') for (const row of outcome.rows) if (row.table === hostsTable) applyRow(row)
     if (outcome.verdict !== 'applied') return outcome
-    for (const { endpointId, wasOwn } of claims) gain(endpointId, outcome.version, wasOwn)
+    // Nobody's orders can be on their way to an endpoint that was never owned.
+    for (const { endpointId, version, wasOwn } of claims) gain(endpointId, outcome.version, wasOwn || version === 0)
     for (const write of writes) applyRow({ ...write, version: outcome.version })
     return outcome
   }
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -216,11 +216,13 @@
       return
     }
     const write = { table: renewalsTable, key: own.host, value: encodeHostsRow({ session: own.session, renewal }) }
+    const hostWrite = this.#createHostWrite()
     const outcome = await this.#options.transact(this.#isRegistered()
       ? { checks: [{ table: renewalsTable, key: own.host, version: this.#renewalVersion }], writes: [write], removals: [] }
-      : { checks: [], writes: [write, this.#createHostWrite()], removals: [] })
+      : { checks: [], writes: [write, hostWrite], removals: [] })
     this.#isRenewing = false
     if (outcome.verdict === 'applied') {
+      if (!this.#isRegistered()) this.#options.applyRow({ ...hostWrite, version: outcome.version })
       if (this.#sentRenewals.has(renewal)) this.#recordRenewed(renewal, outcome.version, startedAtMs)
       else this.#renewalVersion = Math.max(this.#renewalVersion, outcome.version)
       return
