Serve what an engine holds while it has no owner

Hosts now register through their seeds, and send requests for adapters that an engine's own entry lists straight to it, up to their share of its batch.

--- a/features/hostFailures.feature
+++ b/features/hostFailures.feature
@@ -21,6 +21,15 @@
     Then at least 30 streams are whole
     And no endpoint saw what no host may do
 
+  Scenario: Engines without an owner serve what they hold
+    Given 2 hosts before a platform with 2 engines
+    When 10 streams for 3 adapters are sent within 300 ms
+    And 500 ms pass
+    And all hosts start again while the store takes no writes
+    And 12 streams for 3 adapters are sent within 300 ms
+    Then at least 10 of the last 12 streams are whole
+    And no endpoint saw what no host may do
+
   Scenario Outline: The store is <fault> while hosts start
     Given a platform with 2 engines whose store is <fault>
     When 2 hosts start and the store is there again after 1500 ms
--- a/features/steps/hostPath.ts
+++ b/features/steps/hostPath.ts
@@ -189,6 +189,20 @@
   await Promise.all(starts)
 })
 
+When('all hosts start again while the store takes no writes', async function (this: HostsWorld) {
+  const { hosts, fleet } = this.hostFleet
+  // What hosts give up as they stop is not written either, as after a power cut.
+  fleet.store.setFault('unwritable')
+  await Promise.all(hosts.map(async host => await this.hostFleet.stopHost(host)))
+  await Promise.all(hosts.map(async host => await this.hostFleet.startHost(host)))
+  await sleep(300)
+})
+
+Then('at least {int} of the last {int} streams are whole', function (this: HostsWorld, least: number, count: number) {
+  const whole = this.answers.slice(-count).filter(answer => isWhole(this, answer))
+  assert.ok(whole.length >= least, `${whole.length} of ${count}`)
+})
+
 When('the answers of the store\'s writes are lost for {int} ms', async function (this: HostsWorld, ms: number) {
   const { store } = this.hostFleet.fleet
   store.setFault('lost')
--- a/src/bin/createLeases.ts
+++ b/src/bin/createLeases.ts
@@ -28,6 +28,8 @@
   peers: PeerTask
   store: Store
   relay: Relay
+  /** Relays' addresses that may answer before any host is known. */
+  seeds: readonly string[]
   /** Makes the relay's address of a host from its IP number. */
   formatRelayAddress: (address: string) => string
   receiveOwnership: LeaseTaskOptions['receiveOwnership']
@@ -42,14 +44,18 @@
 }
 
 export function createLeases (options: LeasePartsOptions): LeaseParts {
-  const { clock, log, own, board, mirror, news, peers, store, relay, formatRelayAddress } = options
+  const { clock, log, own, board, mirror, news, peers, store, relay, seeds, formatRelayAddress } = options
+  const ownRelay = formatRelayAddress(own.address)
   const listPeers = (): HostRow[] => [...board.hosts.values()].map(host => host.row).filter(row => row.host !== own.host)
   const access = new StoreAccess({
     clock,
     log,
     transact: async transaction => await store.transact(transaction),
     transactByPeer: async (address, transaction) => await relay.transact(address, transaction),
-    listPeers: () => shuffle(listPeers().map(row => formatRelayAddress(row.address))),
+    listPeers: () => {
+      const known = listPeers().map(row => formatRelayAddress(row.address))
+      return shuffle(known.length > 0 ? known : seeds.filter(address => address !== ownRelay))
+    },
     receiveStoreAnswer: () => news.recordStoreAnswer()
   })
   const renewalPool = new RenewalPool({
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -110,6 +110,7 @@
     peers,
     store,
     relay,
+    seeds: settings.seedAddresses,
     formatRelayAddress,
     receiveOwnership: (endpointId, fencing, wasOwn) => desks.receiveOwnership(endpointId, fencing, wasOwn)
   })
--- a/src/standin/fleet/storeServer.ts
+++ b/src/standin/fleet/storeServer.ts
@@ -6,8 +6,8 @@
 import { wirePaths } from '../../platform/wireNames.js'
 import type { RowStore } from './rowStore.js'
 
-/** `silent`: takes calls and answers none; `busy`: 503; `reset`: closes connections; `lost`: writes are done and not answered. */
-export type StoreFault = 'none' | 'silent' | 'busy' | 'reset' | 'lost'
+/** `silent`: takes calls and answers none; `busy`: 503; `reset`: closes connections; `lost`: writes are done and not answered; `unwritable`: writes get 503. */
+export type StoreFault = 'none' | 'silent' | 'busy' | 'reset' | 'lost' | 'unwritable'
 
 export interface StoreServer {
   readonly address: string
@@ -28,7 +28,7 @@
       request.socket.resetAndDestroy()
       return
     }
-    if (fault === 'busy') {
+    if (fault === 'busy' || (fault === 'unwritable' && request.method === 'POST')) {
       response.writeHead(503).end()
       return
     }
--- a/src/tasks/front/engineFinder.ts
+++ b/src/tasks/front/engineFinder.ts
@@ -39,6 +39,8 @@
 /** Owners that are asked whether they would rather not, before one has to take the request. */
 const maxPolite = 4
 const maxAsked = 7
+/** Requests that a host may have at an engine without an owner's word, however many hosts there are. */
+const minShare = 2
 const noEndpointRetryMs = 300
 /** Priorities on the engine from the route's rank; the engine's default is 5, and 0 is first. */
 const basePriority = 3
@@ -117,7 +119,10 @@
       return { kind: 'found', target: this.#createTarget(endpoint, outcome.version, query, (result, firstPartMs) => outcome.place.end(result, firstPartMs)) }
     }
     if (outcome.kind === 'refused') {
-      if (outcome.code === 'no_orders') return this.#findResident(name, endpoint, version, query) ?? outcome
+      if (outcome.code === 'no_orders' || outcome.code === 'not_owner') {
+        const resident = this.#findResident(name, endpoint, version, query)
+        if (resident) return resident
+      }
       if (outcome.expectedMs < 0 && outcome.code !== 'out_of_reach' && outcome.code !== 'overdue') this.#closedEngines.set(endpoint.id, nowMs)
       return outcome
     }
@@ -175,14 +180,24 @@
     })
   }
 
-  /** An engine whose owner does not answer goes on serving what it holds. */
+  /** An engine whose owner does not answer goes on serving what it holds, up to this host's share of its batch. */
   #findResident (name: string, endpoint: EndpointEntry, version: number, query: TargetQuery): FoundTarget | undefined {
+    const { clock, board, health } = this.#options
+    const { model, adapter } = query.request
     const grantedAtMs = this.#residents.get(`${name} ${endpoint.id}`) ?? -Infinity
-    const isResident = query.request.adapter === '' || this.#options.clock.readMonotonic() - grantedAtMs < residentTermMs
-    return isResident ? { kind: 'found', target: this.#createTarget(endpoint, version, query, () => {}) } : undefined
+    const isResident = adapter === '' || clock.readMonotonic() - grantedAtMs < residentTermMs || holdsAdapter(endpoint, model, adapter, version)
+    const share = Math.max(minShare, endpoint.places / Math.max(1, board.hosts.size))
+    if (!isResident || health.readInFlight(endpoint.id) >= share) return undefined
+    return { kind: 'found', target: this.#createTarget(endpoint, version, query, () => {}) }
   }
 
   #createTarget (endpoint: EndpointEntry, version: number, { route }: TargetQuery, end: Target['end']): Target {
     return { endpoint, link: this.#options.findLink(endpoint), version, priority: basePriority + route.rank, end }
   }
 }
+
+/** Whether an engine's own entry lists an adapter; nobody changes what it holds while it has no owner. */
+function holdsAdapter (endpoint: EndpointEntry, model: string, adapter: string, version: number): boolean {
+  const held = endpoint.models.find(({ name }) => name === model)?.adapters.find(({ name }) => name === adapter)
+  return held !== undefined && held.version >= version
+}
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -37,6 +37,9 @@
 }
 
 const stepMs = 100
+/** Time to the next try after a renewal that failed, growing with each failure up to half of the time between renewals. */
+const firstRetryMs = 100
+const maxRetryMs = 500
 /** An unrenewed row of a host that owns nothing is written again this often, so that it is known to live. */
 const idleRenewalMs = 20_000
 
@@ -56,6 +59,7 @@
   #renewalVersion = 0
   #renewedAtMs = -Infinity
   #isRenewing = false
+  #failedRenewals = 0
   #isGivingUp = false
   #isLeaving = false
   #isStarted = false
@@ -161,6 +165,7 @@
   #recordRenewed (renewal: number, version: number, sentAtMs: number): void {
     for (const sent of this.#sentRenewals.keys()) if (sent <= renewal) this.#sentRenewals.delete(sent)
     if (!this.#isRegistered()) this.#scheduleStep(0)
+    this.#failedRenewals = 0
     this.#renewalVersion = version
     this.#provenAtMs = Math.max(this.#provenAtMs, sentAtMs)
     this.#hasBeenProven = true
@@ -230,7 +235,8 @@
     if (outcome.verdict === 'conflict') this.#receiveRenewalConflict(outcome.rows)
     else if (outcome.verdict === 'unknown') this.#options.readRenewals()
     if (outcome.verdict !== 'conflict') log.record('lease.renewalFailed', 'The renewal of the host\'s row failed.', { verdict: outcome.verdict, reason: outcome.reason })
-    this.#renewedAtMs = startedAtMs - renewalIntervalMs + stepMs * 2
+    this.#failedRenewals++
+    this.#renewedAtMs = startedAtMs - renewalIntervalMs + Math.min(maxRetryMs, firstRetryMs * this.#failedRenewals)
   }
 
   #receiveRenewalAnswer ({ verdict, version, current }: RenewalAnswer, renewal: number, startedAtMs: number): void {
