Let an adapter's home remember which engine took its requests

Fronts now tell the home, whose owner sends the next request there first.

A host now leaves an engine that it has lost to others for the time of a lease; a scenario that failed before shows it.

--- a/features/deskPlanner.feature
+++ b/features/deskPlanner.feature
@@ -137,3 +137,17 @@
     Then request 1 is neither granted nor refused
     When the load of "a1" is done after 100 ms
     Then request 1 is granted
+
+  Scenario: An adapter that another engine has taken is not loaded at home as well
+    When request 1 asks politely for "a1" that another engine has taken
+    Then request 1 is declined
+    And no load is ordered
+
+  Scenario: An adapter that another engine has taken is used at home where it is loaded
+    Given adapter "a1" is loaded at the desk
+    When request 1 asks politely for "a1" that another engine has taken
+    Then request 1 is granted
+
+  Scenario: A request that nobody else takes is loaded at home
+    When request 1 asks for "a1" that another engine has taken
+    Then 1 load is ordered
--- a/features/leases.feature
+++ b/features/leases.feature
@@ -49,3 +49,10 @@
     And lease host 2 is not heard by the others
     And 5000 ms pass for the leases while every engine may be given orders at least 90% of the time
     Then every engine may be given orders by one host
+
+  Scenario: An engine that was handed over does not come back within the time of a lease
+    Given 2 lease hosts and 5 engines
+    When 1000 ms pass for the leases
+    And a host joins, is given an engine and leaves 300 ms later
+    And 6000 ms pass for the leases
+    Then every engine may be given orders by one host
--- a/features/steps/deskPlanner.ts
+++ b/features/steps/deskPlanner.ts
@@ -22,7 +22,7 @@
 
   ask (key: string, adapter: string, details: Partial<DeskRequest> = {}, mayOrder = true): DeskVerdict {
     const verdict = this.planner.add({
-      key, adapter: `base/${adapter}`, isBase: adapter === '', version: 1, dueAtMs: this.nowMs + 600, uselessAtMs: this.nowMs + 3200, promptTokens: 650, parts: [], mayDecline: false, ...details
+      key, adapter: `base/${adapter}`, isBase: adapter === '', version: 1, dueAtMs: this.nowMs + 600, uselessAtMs: this.nowMs + 3200, promptTokens: 650, parts: [], mayDecline: false, isElsewhere: false, ...details
     }, this.nowMs)
     if (verdict.kind === 'refused') this.refused.set(key, verdict.retryAfterMs)
     if (verdict.kind === 'declined') this.declined.add(key)
@@ -111,6 +111,14 @@
     this.desk.ask(String(key), adapter, { dueAtMs: this.desk.nowMs - ms })
   })
 
+When('request {int} asks politely for {string} that another engine has taken', function (this: DeskWorld, key: number, adapter: string) {
+  this.desk.ask(String(key), adapter, { mayDecline: true, isElsewhere: true })
+})
+
+When('request {int} asks for {string} that another engine has taken', function (this: DeskWorld, key: number, adapter: string) {
+  this.desk.ask(String(key), adapter, { isElsewhere: true })
+})
+
 When('request {int} asks for {string} while no orders may be given', function (this: DeskWorld, key: number, adapter: string) {
   this.desk.ask(String(key), adapter, {}, false)
 })
@@ -164,6 +172,10 @@
   assert.ok(!this.desk.granted.has(String(key)) && !this.desk.refused.has(String(key)))
 })
 
+Then('request {int} is declined', function (this: DeskWorld, key: number) {
+  assert.ok(this.desk.declined.has(String(key)))
+})
+
 Then('request {int} is refused', function (this: DeskWorld, key: number) {
   assert.ok(this.desk.refused.has(String(key)))
 })
--- a/features/steps/leases.ts
+++ b/features/steps/leases.ts
@@ -35,6 +35,15 @@
   assert.ok(lost.length > 0, 'nothing was handed over')
 })
 
+When('a host joins, is given an engine and leaves {int} ms later', async function (this: LeasesWorld, ms: number) {
+  this.cluster.join()
+  const host = this.cluster.hosts.at(-1)!
+  for (let passedMs = 0; host.owned.size === 0 && passedMs < 2 * handoverMs; passedMs += 10) await this.cluster.run(10)
+  assert.ok(host.owned.size > 0, 'nothing was handed over')
+  await this.cluster.run(ms)
+  await this.cluster.leave(host)
+})
+
 When('the store is well again', function (this: LeasesWorld) {
   this.cluster.state = 'well'
 })
--- a/features/support/leaseCluster.ts
+++ b/features/support/leaseCluster.ts
@@ -32,6 +32,8 @@
 const slowMs = 300
 const newsIntervalMs = 50
 const lateMs = 3000
+/** Time of a lease in the published deployments. */
+const leaseMs = 3000
 const tables = [operatorsTable, endpointsTable, hostsTable, renewalsTable]
 
 export class LeaseCluster {
@@ -44,6 +46,8 @@
   calls = 0
   #busyUntilMs = 0
   #lastFencing = new Map<string, number>()
+  /** By engine, when each host could last give it orders. */
+  #held = new Map<string, { holder: string, atMs: number }[]>()
 
   constructor (hosts: number, engines: number) {
     const configuration: RoutingConfiguration = {
@@ -76,6 +80,14 @@
     return this.rows.listRows(endpointsTable).map(row => row.key).filter(id => !served.has(id))
   }
 
+  /** The host gives its engines up and ends. */
+  async leave (host: LeaseHost): Promise<void> {
+    const left = host.leases.leave()
+    await this.run(answerMs * 2)
+    await left
+    this.kill(host)
+  }
+
   kill (host: LeaseHost): void {
     host.isRunning = false
     host.leases.stop()
@@ -109,6 +121,7 @@
       log,
       board,
       own,
+      leaseMs,
       readsStore: () => true,
       isIsolated: () => false,
       isRunning: async row => this.hosts.some(other => other.name === row.host && other.isRunning),
@@ -152,6 +165,21 @@
     return await new Promise(resolve => { this.clock.setTimer(() => resolve(compute()), delayMs) })
   }
 
+  /** A host that takes an engine back from another one within the time of a lease. */
+  #checkTurns (id: string, holder: string): void {
+    const nowMs = this.clock.readMonotonic()
+    const held = this.#held.get(id) ?? []
+    this.#held.set(id, held)
+    const last = held.at(-1)
+    if (last?.holder === holder) {
+      last.atMs = nowMs
+      return
+    }
+    const before = held.findLast(other => other.holder === holder)
+    if (before && nowMs - before.atMs < leaseMs) this.violations.push(`${id} went from ${holder} to another host and back within ${nowMs - before.atMs} ms`)
+    held.push({ holder, atMs: nowMs })
+  }
+
   /** Two hosts that may give an engine orders at the same moment, or one with a lower fencing number after a higher one. */
   #watchOwners (): void {
     for (const { key: id } of this.rows.listRows(endpointsTable)) {
@@ -161,6 +189,7 @@
       if (!holder) continue
       if (holder.fencing < (this.#lastFencing.get(id) ?? 0)) this.violations.push(`${id} has fencing number ${holder.fencing} after a higher one`)
       this.#lastFencing.set(id, holder.fencing)
+      this.#checkTurns(id, holder.name)
     }
     this.clock.setTimer(() => this.#watchOwners(), 10)
   }
--- a/src/bin/createLeases.ts
+++ b/src/bin/createLeases.ts
@@ -22,6 +22,7 @@
   clock: Clock
   log: EventLog
   own: LeaseTaskOptions['own']
+  leaseMs: number
   board: NewsBoard
   mirror: RowMirror
   news: NewsTask
@@ -44,7 +45,7 @@
 }
 
 export function createLeases (options: LeasePartsOptions): LeaseParts {
-  const { clock, log, own, board, mirror, news, peers, store, relay, seeds, formatRelayAddress } = options
+  const { clock, log, own, leaseMs, board, mirror, news, peers, store, relay, seeds, formatRelayAddress } = options
   const ownRelay = formatRelayAddress(own.address)
   const listPeers = (): HostRow[] => [...board.hosts.values()].map(host => host.row).filter(row => row.host !== own.host)
   const access = new StoreAccess({
@@ -87,6 +88,7 @@
     log,
     board,
     own,
+    leaseMs,
     readsStore: () => news.reachesStore,
     isIsolated: () => isolation.isIsolated,
     isRunning: async row => (await peers.askHost(row.address))?.session === row.session,
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -111,6 +111,7 @@
     store,
     relay,
     seeds: settings.seedAddresses,
+    leaseMs: settings.leaseMs,
     formatRelayAddress,
     receiveOwnership: (endpointId, fencing, wasOwn) => desks.receiveOwnership(endpointId, fencing, wasOwn)
   })
--- a/src/core/desk/deskPlanner.ts
+++ b/src/core/desk/deskPlanner.ts
@@ -25,6 +25,8 @@
   readonly parts: readonly PromptPart[]
   /** Whether the asker has other engines to ask. */
   readonly mayDecline: boolean
+  /** Whether another engine took the adapter's requests of late. */
+  readonly isElsewhere: boolean
 }
 
 export type DeskVerdict =
@@ -393,6 +395,7 @@
     const isTooBusy = isHot ? isCrowded(load) : load.backlogMs > rareBacklogMs || load.batchPart >= 1
     if (isTooBusy) return `prompts take ${Math.round(load.use * 100)}% of the engine's time and ${Math.round(load.batchPart * 100)}% of the batch is taken`
     const isQuick = isPlaced || this.#options.expectLoadMs(request.adapter, request.version) < quickLoadMs
+    if (!isQuick && request.isElsewhere) return 'another engine has taken its adapter'
     if (!isQuick && this.#countOpenings() <= 0) return 'no slot or load is free for its adapter'
     const inTimeMs = Math.max(request.dueAtMs - nowMs, (request.uselessAtMs - nowMs) * latePolitePart)
     if (expectedMs + readMs > inTimeMs) return `it would start in ${Math.round(expectedMs)} ms`
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -67,7 +67,9 @@
   retryAfterMs: Type.Number(),
   /** When the request would start here after all; -1 where it would not. */
   expectedMs: Type.Number(),
-  load: Type.Optional(deskLoadSchema)
+  load: Type.Optional(deskLoadSchema),
+  /** Another engine that took the adapter's requests of late. */
+  elsewhere: Type.Optional(Type.String())
 })
 
 /** What became of a place. */
@@ -95,6 +97,17 @@
 })
 export type PlaceDone = Static<typeof placeDoneSchema>
 
+/** Tells an adapter's home which other engine took a request for it. */
+export const placedSchema = Type.Object({
+  type: Type.Literal('placed'),
+  /** The home. */
+  endpointId: Type.String(),
+  model: Type.String(),
+  adapter: Type.String(),
+  takenBy: Type.String()
+})
+export type Placed = Static<typeof placedSchema>
+
 /** Confirms outcomes, so that they are not sent again. */
 export const doneReceivedSchema = Type.Object({ type: Type.Literal('doneReceived'), ids: Type.Array(Type.Integer()) })
 
@@ -139,7 +152,7 @@
 export type RenewalReply = Static<typeof renewalQueuedSchema> | RenewalAnswer
 
 export const hostMessageSchema = Type.Union([
-  placeAskSchema, placeGrantSchema, placeQueuedSchema, placeRefusalSchema, placeDoneSchema, doneReceivedSchema, pingSchema, pongSchema,
+  placeAskSchema, placeGrantSchema, placeQueuedSchema, placeRefusalSchema, placeDoneSchema, placedSchema, doneReceivedSchema, pingSchema, pongSchema,
   renewalAskSchema, renewalQueuedSchema, renewalAnswerSchema
 ])
 export type HostMessage = Static<typeof hostMessageSchema>
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -1,10 +1,11 @@
 /** Gives out the places of one engine: takes asks, has adapters loaded and unloaded, and grants places. */
+import { AdapterDirectory } from '../../core/desk/adapterDirectory.js'
 import { DeskPlanner } from '../../core/desk/deskPlanner.js'
 import type { DeskPlan, DeskVerdict } from '../../core/desk/deskPlanner.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { EngineOrders, EngineState } from '../../ports/orders.js'
-import type { PlaceAnswer, PlaceAsk, PlaceDone } from '../../schemas/datagram.js'
+import type { Placed, PlaceAnswer, PlaceAsk, PlaceDone } from '../../schemas/datagram.js'
 import type { EndpointEntry, EngineShape } from '../../schemas/routing.js'
 import { EngineWatch } from './engineWatch.js'
 import { LoadWatch } from './loadWatch.js'
@@ -60,6 +61,7 @@
   #loads: LoadWatch
   #watch: EngineWatch
   #planner: DeskPlanner
+  #directory = new AdapterDirectory()
   #isStopped = false
   #wake: Timer | undefined
   #sweep: Timer | undefined
@@ -145,6 +147,11 @@
     this.#plan()
   }
 
+  /** Another engine took a request whose adapter has its home here. */
+  receivePlaced ({ model, adapter, takenBy }: Placed): void {
+    if (takenBy !== this.endpointId) this.#directory.record(formatAdapter({ model, adapter }), takenBy, this.#options.clock.readMonotonic())
+  }
+
   /** A newer version of an adapter was declared: what waits for the old one waits for the new one. */
   receiveVersion (model: string, adapter: string): void {
     const nowMs = this.#options.clock.readMonotonic()
@@ -192,7 +199,8 @@
       uselessAtMs: nowMs + ask.uselessInMs,
       promptTokens: ask.promptTokens,
       parts: ask.parts.map(([id, tokens]) => ({ id, tokens })),
-      mayDecline: ask.mayDecline
+      mayDecline: ask.mayDecline,
+      isElsewhere: this.#directory.find(formatAdapter(ask), nowMs) !== undefined
     }, nowMs)
     this.#receiveVerdict(place, verdict)
   }
@@ -223,8 +231,9 @@
   }
 
   #refuse (place: Place, code: string, message: string, retryAfterMs: number, expectedMs = -1): void {
-    const load = this.#planner.readLoad(this.#options.clock.readMonotonic())
-    this.#answer(place, { type: 'refusal', id: place.ask.id, code, message, retryAfterMs, expectedMs, load })
+    const nowMs = this.#options.clock.readMonotonic()
+    const elsewhere = this.#directory.find(formatAdapter(place.ask), nowMs)
+    this.#answer(place, { type: 'refusal', id: place.ask.id, code, message, retryAfterMs, expectedMs, load: this.#planner.readLoad(nowMs), ...(elsewhere !== undefined && { elsewhere }) })
     this.#places.delete(place.key)
   }
 
@@ -347,7 +356,7 @@
 }
 
 /** An adapter's name among all models of an engine. */
-function formatAdapter ({ model, adapter }: PlaceAsk): string {
+function formatAdapter ({ model, adapter }: Pick<PlaceAsk, 'model' | 'adapter'>): string {
   return `${model}/${adapter}`
 }
 
--- a/src/tasks/front/engineFinder.ts
+++ b/src/tasks/front/engineFinder.ts
@@ -65,34 +65,45 @@
     const ranked = rankEngines(name, usable.map(entry => this.#describe(entry)))
     const refusals: { endpoint: EndpointEntry, refusal: Refusal }[] = []
     const search: PlaceSearch = { answers: [], waitedMs: 0 }
+    const home = ranked[0]!.id
+    const order = ranked.map(({ id }) => id)
     let polite = 0
-    let asked = 0
-    for (const { id } of ranked) {
-      if (asked >= maxAsked || polite >= maxPolite || query.isOver()) break
-      const endpoint = usable.find(entry => entry.id === id)!
-      asked++
+    let told: string | undefined
+    for (let asked = 0; asked < Math.min(maxAsked, order.length) && polite < maxPolite && !query.isOver(); asked++) {
+      const endpoint = usable.find(entry => entry.id === order[asked])!
       const found = await this.#try(query, endpoint, name, version, true, search)
       if (!found) continue
-      if ('kind' in found && found.kind === 'refused') {
-        refusals.push({ endpoint, refusal: found })
-        if (found.expectedMs >= 0) polite++
-      } else {
-        return { ...found as FoundTarget, search }
+      if (!('code' in found)) {
+        if (endpoint.id !== told) this.#tellHome(query, home, endpoint.id)
+        return { ...found, search }
       }
+      refusals.push({ endpoint, refusal: found })
+      if (found.expectedMs >= 0) polite++
+      if (found.elsewhere !== undefined && bringForward(order, found.elsewhere, asked + 1)) told = found.elsewhere
     }
-    return { ...await this.#insist(query, name, version, refusals, search), search }
+    return { ...await this.#insist(query, home, name, version, refusals, search), search }
+  }
+
+  /** The home of an adapter sends its next requests to the engine that took this one. */
+  #tellHome ({ request: { model, adapter } }: TargetQuery, home: string, takenBy: string): void {
+    const { board, places } = this.#options
+    const address = board.owners.get(home)?.row.address
+    if (takenBy !== home && adapter !== '' && address) places.tellPlaced(address, { type: 'placed', endpointId: home, model, adapter, takenBy })
   }
 
   /** All that were asked would rather not: the one that would be soonest has to take the request or refuse it. */
   async #insist (
-    query: TargetQuery, name: string, version: number, refusals: { endpoint: EndpointEntry, refusal: Refusal }[], search: PlaceSearch
+    query: TargetQuery, home: string, name: string, version: number, refusals: { endpoint: EndpointEntry, refusal: Refusal }[], search: PlaceSearch
   ): Promise<FoundTarget> {
     const open = refusals.filter(({ refusal }) => refusal.expectedMs >= 0).sort((left, right) => left.refusal.expectedMs - right.refusal.expectedMs)
     const soonest = open[0]
     let last = refusals[0]?.refusal
     if (soonest && !query.isOver()) {
       const found = await this.#try(query, soonest.endpoint, name, version, false, search)
-      if (found && !('code' in found)) return found
+      if (found && !('code' in found)) {
+        this.#tellHome(query, home, soonest.endpoint.id)
+        return found
+      }
       last = found ?? last
     }
     return {
@@ -201,3 +212,11 @@
   const held = endpoint.models.find(({ name }) => name === model)?.adapters.find(({ name }) => name === adapter)
   return held !== undefined && held.version >= version
 }
+
+/** Moves an engine that was not asked yet to a position; false where it cannot be asked. */
+function bringForward (order: string[], id: string, position: number): boolean {
+  const index = order.indexOf(id)
+  if (index < position) return false
+  order.splice(position, 0, ...order.splice(index, 1))
+  return true
+}
--- a/src/tasks/front/placeClient.ts
+++ b/src/tasks/front/placeClient.ts
@@ -1,7 +1,7 @@
 /** Asks the owners of endpoints for places, and tells them what became of each. */
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Datagrams } from '../../ports/datagrams.js'
-import type { DeskLoad, HostMessage, PlaceAnswer, PlaceAsk, PlaceDone, PlaceOutcome } from '../../schemas/datagram.js'
+import type { DeskLoad, HostMessage, Placed, PlaceAnswer, PlaceAsk, PlaceDone, PlaceOutcome } from '../../schemas/datagram.js'
 
 export interface PlaceClientOptions {
   clock: Clock
@@ -24,6 +24,8 @@
     /** When the request would start there after all; -1 where it would not. */
     readonly expectedMs: number
     readonly load: DeskLoad | undefined
+    /** Another engine that took the adapter's requests of late. */
+    readonly elsewhere: string | undefined
   }
   /** The owner does not answer: it, or the way to it, is gone. */
   | { readonly kind: 'silent' }
@@ -96,6 +98,11 @@
     }
   }
 
+  /** Tells the owner of an adapter's home where a request went; nothing depends on its arrival. */
+  tellPlaced (address: string, placed: Placed): void {
+    this.#send(address, placed)
+  }
+
   receiveAnswer (answer: PlaceAnswer): void {
     const open = this.#asks.get(answer.id)
     if (!open) return
@@ -106,8 +113,8 @@
       const place: Place = { end: (outcome, firstPartMs) => this.#endPlace(open, outcome, firstPartMs) }
       open.settle({ kind: 'granted', load: answer.load, waitedMs: answer.waitedMs, version: answer.version, place })
     } else {
-      const { code, message, retryAfterMs, expectedMs, load } = answer
-      open.settle({ kind: 'refused', code, message, retryAfterMs, expectedMs, load })
+      const { code, message, retryAfterMs, expectedMs, load, elsewhere } = answer
+      open.settle({ kind: 'refused', code, message, retryAfterMs, expectedMs, load, elsewhere })
     }
   }
 
--- a/src/tasks/leases/endpointClaims.ts
+++ b/src/tasks/leases/endpointClaims.ts
@@ -16,6 +16,8 @@
   log: EventLog
   board: NewsBoard
   own: { host: string, address: string, zone: string, session: string }
+  /** Time in which orders of two hosts may not follow each other in turn, in milliseconds. */
+  leaseMs: number
   renewals: RenewalWatch
   /** Whether this host reads the store itself, so that another host's silence means something. */
   readsStore: () => boolean
@@ -48,9 +50,14 @@
 /** A host that has just registered leaves endpoints that were never its own to others that start beside it, which would be unknown to it. */
 const newcomerMs = 400
 
+/** Beyond the time of a lease, for orders that arrive late. */
+const turnMarginMs = 300
+
 export class EndpointClaims {
   #options: EndpointClaimsOptions
   #vacantSince = new Map<string, number>()
+  /** When this host last owned an endpoint that it has lost. */
+  #lostAt = new Map<string, number>()
   #isBusy = false
   /** After a conflict endpoints are claimed one by one, so that one that is lost does not keep the others back. */
   #isCautious = false
@@ -62,6 +69,10 @@
     this.#lastHandoverMs = options.clock.readMonotonic()
   }
 
+  recordLost (endpointId: string): void {
+    this.#lostAt.set(endpointId, this.#options.clock.readMonotonic())
+  }
+
   /** Does what is due, one transaction at a time. */
   step (nowMs: number): void {
     if (this.#isBusy) return
@@ -105,7 +116,7 @@
         this.#vacantSince.delete(endpointId)
         continue
       }
-      if (!wasOwn && isNewcomer) continue
+      if (!wasOwn && (isNewcomer || this.#wasLostLately(endpointId, nowMs))) continue
       const sinceMs = this.#vacantSince.get(endpointId) ?? nowMs
       this.#vacantSince.set(endpointId, sinceMs)
       const rank = wasOwn ? 0 : rankings.get(endpointId)?.indexOf(own.host) ?? -1
@@ -114,6 +125,15 @@
     return due
   }
 
+  /** Another host may have given the endpoint orders since; orders of the two would follow each other in turn. */
+  #wasLostLately (endpointId: string, nowMs: number): boolean {
+    const lostAtMs = this.#lostAt.get(endpointId)
+    if (lostAtMs === undefined) return false
+    if (nowMs - lostAtMs < this.#options.leaseMs + turnMarginMs) return true
+    this.#lostAt.delete(endpointId)
+    return false
+  }
+
   async #claimAll (claims: Claim[]): Promise<StoreOutcome> {
     const { own, log, transact, applyRow, gain, readOwnRenewalVersion } = this.#options
     const writes = claims.map(({ endpointId }) => createOwnerWrite(endpointId, own))
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -14,6 +14,8 @@
   log: EventLog
   board: NewsBoard
   own: { host: string, address: string, zone: string, session: string }
+  /** Time in which orders of two hosts may not follow each other in turn, in milliseconds. */
+  leaseMs: number
   /** Whether this host reads the store itself, so that another host's silence means something. */
   readsStore: () => boolean
   /** Whether this host is cut off from its peers, so that others should own the engines. */
@@ -67,12 +69,13 @@
 
   constructor (options: LeaseTaskOptions) {
     this.#options = options
-    const { clock, log, board, own, readsStore, isRunning, transact, findRenewalVersion, applyRow } = options
+    const { clock, log, board, own, leaseMs, readsStore, isRunning, transact, findRenewalVersion, applyRow } = options
     this.#claims = new EndpointClaims({
       clock,
       log,
       board,
       own,
+      leaseMs,
       renewals: this.#renewals,
       readsStore,
       isRunning,
@@ -284,6 +287,7 @@
 
   #lose (endpointId: string, reason: string): void {
     if (!this.#owned.delete(endpointId)) return
+    this.#claims.recordLost(endpointId)
     this.#options.log.record('lease.lost', 'This host no longer owns an endpoint.', { endpointId, reason })
     this.#options.receiveOwnership(endpointId, undefined, false)
   }
