--- a/features/steps/deskPlanner.ts
+++ b/features/steps/deskPlanner.ts
@@ -17,7 +17,7 @@
   backlogMs = 0
 
   constructor (adapterSlots: number, batchLimit: number, loadMs: number) {
-    this.planner = new DeskPlanner({ adapterSlots, batchLimit, cacheTokens: 100_000, maxLoads: 4, expectLoadMs: () => loadMs })
+    this.planner = new DeskPlanner({ adapterSlots, batchLimit, cacheTokens: 100_000, maxLoads: 4, expectLoadMs: () => loadMs, expectColdMs: () => loadMs })
   }
 
   ask (key: string, adapter: string, details: Partial<DeskRequest> = {}, mayOrder = true): DeskVerdict {
--- a/src/core/desk/deskPlanner.ts
+++ b/src/core/desk/deskPlanner.ts
@@ -54,11 +54,13 @@
   readonly maxLoads: number
   /** Expected time of an adapter's load. */
   readonly expectLoadMs: (adapter: string, version: number) => number
+  /** Expected time of a load from the weight store. */
+  readonly expectColdMs: () => number
 }
 
 /** An adapter that takes this part of an engine's time is worth a replica on another one. */
 const hotShare = 0.12
-/** A rare adapter stays where it is loaded up to this backlog, which is a quarter of the tightest target. */
+/** A rare adapter that another engine has too stays up to this backlog, which is a quarter of the tightest target. */
 const rareBacklogMs = 150
 /** An adapter that loads this fast is worth a wait for a slot, as another engine would have to bring it from the store. */
 const quickLoadMs = 100
@@ -392,7 +394,7 @@
     const isPlaced = request.isBase || this.places.find(request.adapter) !== undefined
     const isHot = request.isBase || this.places.readShare(request.adapter, nowMs) > hotShare
     // Another replica of a rare adapter would cost a slot elsewhere for little work.
-    const isTooBusy = isHot ? isCrowded(load) : load.backlogMs > rareBacklogMs || load.batchPart >= 1
+    const isTooBusy = isHot ? isCrowded(load) : load.backlogMs > this.#findRareLimitMs(request, isPlaced) || load.batchPart >= 1
     if (isTooBusy) return `prompts take ${Math.round(load.use * 100)}% of the engine's time and ${Math.round(load.batchPart * 100)}% of the batch is taken`
     const isQuick = isPlaced || this.#options.expectLoadMs(request.adapter, request.version) < quickLoadMs
     if (!isQuick && request.isElsewhere) return 'another engine has taken its adapter'
@@ -402,6 +404,11 @@
     return undefined
   }
 
+  /** Up to which backlog a rare adapter's request stays: bringing the adapter to another engine takes a load's time. */
+  #findRareLimitMs ({ isElsewhere }: DeskRequest, isPlaced: boolean): number {
+    return isPlaced && !isElsewhere ? Math.max(rareBacklogMs, this.#options.expectColdMs()) : rareBacklogMs
+  }
+
   /** When a refused caller should come back: one after the other, once the excess is worked off. */
   #pickReturn (excessMs: number, nowMs: number): number {
     const earliestMs = nowMs + Math.max(minRetryAfterMs, excessMs)
--- a/src/core/desk/loadPace.ts
+++ b/src/core/desk/loadPace.ts
@@ -19,6 +19,11 @@
   #remembered = new Set<string>()
   #coldMs = initialColdMs
 
+  /** Expected time of a load from the weight store. */
+  get coldMs (): number {
+    return this.#coldMs
+  }
+
   /** Expected time of a load. */
   expectMs (name: string): number {
     return this.#remembered.has(name) ? warmMs : this.#coldMs
--- a/src/core/frontChoice.ts
+++ b/src/core/frontChoice.ts
@@ -51,6 +51,22 @@
   return (use > crowdedUse && backlogMs > crowdedBacklogMs) || batchPart > crowdedBatchPart
 }
 
+/**
+ * Finds the engine that keeps track of an adapter; hosts agree on it whatever they have met.
+ *
+ * @example
+ * findHome('base/a3@1', candidates)?.id
+ */
+export function findHome (name: string, candidates: readonly EngineCandidate[]): string | undefined {
+  let home: string | undefined
+  let highest = -Infinity
+  for (const { id } of candidates) {
+    const hash = computeHash(`${name} ${id}`)
+    if (hash > highest) [home, highest] = [id, hash]
+  }
+  return home
+}
+
 /**
  * Ranks the engines for an adapter. Every host finds the same order by rendezvous hashing, so that an adapter's requests
  * meet where it is loaded; engines that fail go behind those that do not.
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -86,7 +86,8 @@
       batchLimit: engine.batchLimit,
       cacheTokens: engine.cacheTokens * keptPart,
       maxLoads,
-      expectLoadMs: (adapter, version) => this.#loads.computeExpectedMs(adapter, version)
+      expectLoadMs: (adapter, version) => this.#loads.computeExpectedMs(adapter, version),
+      expectColdMs: () => this.#loads.coldMs
     })
   }
 
--- a/src/tasks/desk/loadWatch.ts
+++ b/src/tasks/desk/loadWatch.ts
@@ -39,6 +39,11 @@
     return this.#pace.expectMs(formatLoad(adapter, version))
   }
 
+  /** Expected time of a load from the weight store. */
+  get coldMs (): number {
+    return this.#pace.coldMs
+  }
+
   /** Resolves when the adapter is usable, or when it will not be by this order. */
   async load (order: AdapterLoad): Promise<LoadOutcome> {
     return await this.#watch(order, async () => {
--- a/src/tasks/front/engineFinder.ts
+++ b/src/tasks/front/engineFinder.ts
@@ -1,6 +1,6 @@
 /** Asks the owners of engines for a place, in the order in which a request's adapter should be served. */
 import type { EndpointHealth } from '../../core/endpointHealth.js'
-import { rankEngines } from '../../core/frontChoice.js'
+import { findHome, rankEngines } from '../../core/frontChoice.js'
 import type { EngineCandidate } from '../../core/frontChoice.js'
 import type { NewsBoard } from '../../core/newsBoard.js'
 import { isVacant } from '../../core/orderLease.js'
@@ -62,10 +62,11 @@
     const { model, adapter } = query.request
     const version = adapter === '' ? 0 : this.#options.board.findAdapterVersion(model, adapter)
     const name = adapter === '' ? `${model} ${this.#options.random()}` : `${model}/${adapter}@${version}`
-    const ranked = rankEngines(name, usable.map(entry => this.#describe(entry)))
+    const candidates = usable.map(entry => this.#describe(entry))
+    const ranked = rankEngines(name, candidates)
     const refusals: { endpoint: EndpointEntry, refusal: Refusal }[] = []
     const search: PlaceSearch = { answers: [], waitedMs: 0 }
-    const home = ranked[0]!.id
+    const home = findHome(name, candidates)!
     const order = ranked.map(({ id }) => id)
     let polite = 0
     let told: string | undefined
