Tell a new owner what runs at its engine, and use what it holds at once

Fronts now tell a new owner what they run there; it reads the engine's state at once and gives places for what it holds, before orders of the former owner are surely over.

A scenario with long streams and an owner that stops failed before (1 of 6 streams).

--- a/features/deskPlanner.feature
+++ b/features/deskPlanner.feature
@@ -151,3 +151,12 @@
   Scenario: A request that nobody else takes is loaded at home
     When request 1 asks for "a1" that another engine has taken
     Then 1 load is ordered
+
+  Scenario: Requests that run since before a takeover keep their adapters
+    When request 1 runs on "a1" since before this desk
+    And adapters "a1, a2, a3" are loaded at the desk
+    And request 2 asks for "a4"
+    Then the unload of "a2" is ordered
+    When request 1 ends
+    And request 3 asks for "a5"
+    Then the unloads of "a2, a1" are ordered
--- a/features/hostFailures.feature
+++ b/features/hostFailures.feature
@@ -8,6 +8,15 @@
     And every engine is owned by a host that runs within 2000 ms
     And no endpoint saw what no host may do
 
+  Scenario: An engine whose owner stops goes on loading adapters while long streams run
+    Given 3 hosts before a platform with 1 engine of 3 adapter slots
+    When streams of 3 s run for 2 adapters through hosts that do not own the engine
+    And the owner of the engine stops
+    And 500 ms pass
+    And 6 streams for 6 adapters are sent within 1200 ms
+    Then at least 5 of the last 6 streams are whole
+    And no endpoint saw what no host may do
+
   Scenario: A new engine without its model serves a second after its load
     Given 2 hosts before a platform with 1 engine
     When an engine comes that takes 500 ms to load its model
--- a/features/steps/deskPlanner.ts
+++ b/features/steps/deskPlanner.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { DeskPlanner } from '../../src/core/desk/deskPlanner.js'
-import type { DeskPlan, DeskRequest, DeskVerdict } from '../../src/core/desk/deskPlanner.js'
+import type { DeskPlan, DeskRequest, DeskVerdict } from '../../src/core/desk/deskRequest.js'
 
 /** One desk and what it has decided so far. */
 export class DeskTrial {
@@ -89,6 +89,10 @@
   this.desk.planner.places.keepAll(this.desk.nowMs + ms)
 })
 
+When('request {int} runs on {string} since before this desk', function (this: DeskWorld, key: number, adapter: string) {
+  this.desk.planner.adopt(String(key), `base/${adapter}`, false, this.desk.nowMs)
+})
+
 When('request {int} asks for {string}', function (this: DeskWorld, key: number, adapter: string) {
   this.desk.ask(String(key), adapter)
 })
@@ -196,6 +200,10 @@
   assert.deepEqual(this.desk.unloads, [`base/${adapter}`])
 })
 
+Then('the unloads of {string} are ordered', function (this: DeskWorld, names: string) {
+  assert.deepEqual(this.desk.unloads, splitNames(names).map(name => `base/${name}`))
+})
+
 Then('the load of version {int} of {string} is ordered', function (this: DeskWorld, version: number, adapter: string) {
   assert.deepEqual(this.desk.loads, [{ adapter: `base/${adapter}`, version }])
 })
--- a/features/steps/hostPath.ts
+++ b/features/steps/hostPath.ts
@@ -1,5 +1,6 @@
 /** Steps of hosts before a stand-in of the users' platform. */
 import assert from 'node:assert/strict'
+import { randomBytes } from 'node:crypto'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { decodeHostsRow, hostsTable } from '../../src/schemas/hostRows.js'
@@ -52,6 +53,12 @@
   return ids.length === countEvents(answer.requestId) && ids.every((id, index) => id === index + 1)
 }
 
+/** Callers meet hosts that run, each in turn. */
+function pickRunning ({ hostFleet: { hosts } }: HostsWorld, index: number): number {
+  const running = hosts.flatMap((host, position) => host.process ? [position + 1] : [])
+  return running[index % running.length]!
+}
+
 function setFaults (world: HostsWorld, isStruck: (endpoint: FleetEndpoint) => boolean, faults: Partial<EndpointFaults>): void {
   for (const endpoint of world.hostFleet.fleet.endpoints) if (isStruck(endpoint)) endpoint.server.setFaults(faults)
 }
@@ -113,7 +120,7 @@
 async function sendStreams (world: HostsWorld, count: number, adapters: number, withinMs: number): Promise<void> {
   await Promise.all(Array.from({ length: count }, async (_, index) => {
     await sleep(index * withinMs / count)
-    await call(world, { kind: 'resumable', host: index % world.hostFleet.hosts.length + 1, adapter: `a${index % adapters + 1}` })
+    await call(world, { kind: 'resumable', host: pickRunning(world, index), adapter: `a${index % adapters + 1}` })
   }))
 }
 
@@ -162,6 +169,33 @@
   await sent
 })
 
+/** The host that owns the first engine. */
+function findOwner (world: HostsWorld): number {
+  const { fleet, hosts } = world.hostFleet
+  const owner = fleet.rows.listRows(hostsTable).map(row => decodeHostsRow(row.key, row.value!)).find(row => row?.kind === 'owner' && row.name === fleet.engines[0]!.id)
+  assert.ok(owner?.kind === 'owner')
+  return hosts.findIndex(host => host.settings.hostName === owner.row.host) + 1
+}
+
+When('streams of {int} s run for {int} adapters through hosts that do not own the engine', async function (this: HostsWorld, seconds: number, adapters: number) {
+  const owner = findOwner(this)
+  const others = this.hostFleet.hosts.map((_, index) => index + 1).filter(number => number !== owner)
+  // An id that ends so asks for 5 events.
+  const events = 5
+  setFaults(this, () => true, { eventMs: seconds * 1000 / events })
+  for (let index = 0; index < adapters; index++) {
+    call(this, { kind: 'stream', host: others[index % others.length]!, adapter: `long${index}`, requestId: `${randomBytes(7).toString('hex')}02`, timeLeftMs: 8000 })
+  }
+  await waitUntil(() => this.hostFleet.fleet.journal.runs.length === adapters)
+  setFaults(this, () => true, { eventMs: 0 })
+})
+
+When('the owner of the engine stops', async function (this: HostsWorld) {
+  const host = this.hostFleet.hosts[findOwner(this) - 1]!
+  this.hostFleet.stopHost(host)
+  await waitUntil(() => this.hostFleet.listLines('lease.gained').length > 1)
+})
+
 When('host {int} stops while streams are sent through it', async function (this: HostsWorld, number: number) {
   const host = this.hostFleet.hosts[number - 1]!
   const streams = Array.from({ length: 20 }, async (_, index) => {
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -82,6 +82,7 @@
     if (!change) return
     logChange(log, change)
     if (change.kind === 'configuration') front.applyConfiguration()
+    if (change.kind === 'owner') places.receiveOwner(change.endpointId, change.owner?.row.address ?? '')
     leaseParts.leases.receiveChange(change)
     desks.receiveChange(change)
   })
--- a/src/core/desk/deskPlanner.ts
+++ b/src/core/desk/deskPlanner.ts
@@ -5,59 +5,13 @@
 import type { DeskLoad } from '../../schemas/datagram.js'
 import { isCrowded } from '../frontChoice.js'
 import { AdapterPlaces } from './adapterPlaces.js'
-import type { PlacedAdapter } from './adapterPlaces.js'
+import type { AdapterState, PlacedAdapter } from './adapterPlaces.js'
+import { compareNeeds, compareUrgency, findSlotLimit } from './deskOrder.js'
+import type { LoadNeed } from './deskOrder.js'
+import type { DeskOptions, DeskPlan, DeskRequest, DeskVerdict } from './deskRequest.js'
 import { PromptCache } from './promptCache.js'
-import type { PromptPart } from './promptCache.js'
 import { PromptWork } from './promptWork.js'
 
-/** A request that asks for a place. All times are of the owner's monotonic clock. */
-export interface DeskRequest {
-  readonly key: string
-  /** `MODEL/ADAPTER`; the model itself has an empty adapter and needs no slot. */
-  readonly adapter: string
-  readonly isBase: boolean
-  readonly version: number
-  /** When its answer becomes late, counted from its caller's first try. */
-  readonly dueAtMs: number
-  /** From when on a start is of no use, as its caller will have left before the first part. */
-  readonly uselessAtMs: number
-  readonly promptTokens: number
-  readonly parts: readonly PromptPart[]
-  /** Whether the asker has other engines to ask. */
-  readonly mayDecline: boolean
-  /** Whether another engine took the adapter's requests of late. */
-  readonly isElsewhere: boolean
-}
-
-export type DeskVerdict =
-  | { readonly kind: 'granted' }
-  | { readonly kind: 'queued', readonly expectedMs: number }
-  /** Another engine may serve it sooner; this one would in `expectedMs`. */
-  | { readonly kind: 'declined', readonly expectedMs: number, readonly reason: string }
-  | { readonly kind: 'refused', readonly retryAfterMs: number, readonly reason: string }
-
-export interface DeskPlan {
-  readonly granted: string[]
-  readonly refused: { readonly key: string, readonly retryAfterMs: number, readonly reason: string }[]
-  readonly loads: { readonly adapter: string, readonly version: number }[]
-  readonly unloads: string[]
-  /** When to plan again if nothing happens before. */
-  readonly wakeAtMs: number | undefined
-}
-
-export interface DeskOptions {
-  readonly adapterSlots: number
-  readonly batchLimit: number
-  /** Tokens of the engine's memory that prompts may keep. */
-  readonly cacheTokens: number
-  /** Loads that the engine takes at a time. */
-  readonly maxLoads: number
-  /** Expected time of an adapter's load. */
-  readonly expectLoadMs: (adapter: string, version: number) => number
-  /** Expected time of a load from the weight store. */
-  readonly expectColdMs: () => number
-}
-
 /** An adapter that takes this part of an engine's time is worth a replica on another one. */
 const hotShare = 0.12
 /** A rare adapter that another engine has too stays up to this backlog, which is a quarter of the tightest target. */
@@ -66,13 +20,8 @@
 const quickLoadMs = 100
 /** A late request goes elsewhere that would wait for more than this part of the time in which a start is of use. */
 const latePolitePart = 0.3
-/** Each further request that waits for an adapter brings its load forward by this much. */
-const countBonusMs = 150
 /** A batch that is full lets the next request in about this much later. */
 const fullBatchMs = 50
-/** A request whose adapter has no slot yet is given up this part of its target's time after it became late, as those in time take the slots that fall free. */
-const slotGracePart = 1
-const minSlotGraceMs = 400
 /** A late request waits while more prompts than this are before the engine, so that those in time go first; */
 const lateBacklogMs = 60
 /** and this part of the time since it became late more, so that it is not put off for ever. */
@@ -87,14 +36,6 @@
 /** A load that failed is not ordered again for this long; most fail because the engine's state has to be read anew. */
 const loadBackOffMs = 150
 
-/** An adapter that is waited for: its most urgent request and how many there are. */
-interface LoadNeed {
-  request: DeskRequest
-  count: number
-  /** Whether a load that begins now comes too late for an answer in time. */
-  isLate: boolean
-}
-
 interface Waiting {
   request: DeskRequest
   readMs: number
@@ -159,6 +100,14 @@
     return { kind: 'queued', expectedMs }
   }
 
+  /** A request runs that a former owner, or nobody, gave its place. */
+  adopt (key: string, adapter: string, isBase: boolean, nowMs: number): void {
+    if (this.#running.has(key)) return
+    this.#running.set(key, { adapter, isBase, expectedMs: 0, grantedAtMs: nowMs })
+    const placed = this.places.find(adapter)
+    if (placed && !isBase) placed.running++
+  }
+
   /** A request has ended, was withdrawn or is lost; `nowMs` where it ran to its end. */
   remove (key: string, nowMs?: number): void {
     this.#waiting.delete(key)
@@ -181,7 +130,7 @@
   /** A load is under way that this planner did not order, or has forgotten. */
   recordLoading (adapter: string, version: number, nowMs: number): void {
     if (this.places.find(adapter)?.version === version) return
-    this.places.add(adapter, version, 'loading', nowMs + this.#options.expectLoadMs(adapter, version), nowMs)
+    this.#add(adapter, version, 'loading', nowMs + this.#options.expectLoadMs(adapter, version), nowMs)
   }
 
   recordLoaded (adapter: string, version: number, nowMs: number): void {
@@ -191,7 +140,12 @@
       placed.usedAtMs = nowMs
       return
     }
-    this.places.add(adapter, version, 'loaded', nowMs, nowMs)
+    this.#add(adapter, version, 'loaded', nowMs, nowMs)
+  }
+
+  #add (adapter: string, version: number, state: AdapterState, readyAtMs: number, nowMs: number): void {
+    const placed = this.places.add(adapter, version, state, readyAtMs, nowMs)
+    for (const running of this.#running.values()) if (running.adapter === adapter) placed.running++
   }
 
   recordLoadFailed (adapter: string, nowMs: number): void {
@@ -417,23 +371,3 @@
     return this.#lastReturnMs - nowMs
   }
 }
-
-/** Until when an adapter's load must begin for a request to be worth its wait. */
-function findSlotLimit ({ dueAtMs }: DeskRequest, nowMs: number): number {
-  return Math.max(dueAtMs, nowMs) + Math.max(minSlotGraceMs, slotGracePart * (dueAtMs - nowMs))
-}
-
-/**
- * Loads that can still bring an answer in time go first. Of those, one for several requests goes before one for a single
- * request that is due a little earlier.
- */
-function compareNeeds (left: LoadNeed, right: LoadNeed): number {
-  return Number(left.isLate) - Number(right.isLate) || (left.request.dueAtMs - left.count * countBonusMs) - (right.request.dueAtMs - right.count * countBonusMs)
-}
-
-/** What can still be on time goes first, by its due time; what is late goes after it. */
-function compareUrgency (left: DeskRequest, right: DeskRequest, nowMs: number): number {
-  const lateLeft = left.dueAtMs < nowMs ? 1 : 0
-  const lateRight = right.dueAtMs < nowMs ? 1 : 0
-  return lateLeft - lateRight || left.dueAtMs - right.dueAtMs
-}
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -97,6 +97,20 @@
 })
 export type PlaceDone = Static<typeof placeDoneSchema>
 
+/** Tells a new owner of an endpoint which requests of this host run there. */
+export const heldSchema = Type.Object({
+  type: Type.Literal('held'),
+  endpointId: Type.String(),
+  places: Type.Array(Type.Object({
+    id: Type.Integer(),
+    model: Type.String(),
+    adapter: Type.String(),
+    version: Type.Integer(),
+    leavesInMs: Type.Number()
+  }))
+})
+export type Held = Static<typeof heldSchema>
+
 /** Tells an adapter's home which other engine took a request for it. */
 export const placedSchema = Type.Object({
   type: Type.Literal('placed'),
@@ -152,7 +166,7 @@
 export type RenewalReply = Static<typeof renewalQueuedSchema> | RenewalAnswer
 
 export const hostMessageSchema = Type.Union([
-  placeAskSchema, placeGrantSchema, placeQueuedSchema, placeRefusalSchema, placeDoneSchema, placedSchema, doneReceivedSchema, pingSchema, pongSchema,
+  placeAskSchema, placeGrantSchema, placeQueuedSchema, placeRefusalSchema, placeDoneSchema, heldSchema, placedSchema, doneReceivedSchema, pingSchema, pongSchema,
   renewalAskSchema, renewalQueuedSchema, renewalAnswerSchema
 ])
 export type HostMessage = Static<typeof hostMessageSchema>
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -24,9 +24,11 @@
   extras: number
   /** Orders that get no answer and are carried out late. */
   lateOrders: number
+  /** Time between two events of streams that begin now; 0 for the engine's own. */
+  eventMs: number
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedCuts: 0, extras: 0, lateOrders: 0 })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedCuts: 0, extras: 0, lateOrders: 0, eventMs: 0 })
 
 export interface EndpointServerOptions {
   id: string
@@ -169,6 +171,7 @@
   #stream (engine: FleetEngine, response: ServerResponse, run: RunRecord, headers: Record<string, string>, finish: (outcome: RunRecord['outcome']) => void): void {
     const { random } = this.#options
     const last = countEvents(run.requestId)
+    const eventMs = this.faults.eventMs || engine.options.eventMs
     const cutAfter = random() < this.faults.cuts ? run.fromEvent + Math.floor(random() * last) : Infinity
     let next = run.fromEvent + 1
     response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
@@ -187,9 +190,9 @@
       }
       response.write(`id: ${next}\ndata: ${run.requestId} ${next}\n\n`)
       next++
-      setTimeout(send, engine.options.eventMs)
+      setTimeout(send, eventMs)
     }
-    setTimeout(send, engine.options.eventMs)
+    setTimeout(send, eventMs)
   }
 }
 
--- a/src/tasks/desk/deskTask.ts
+++ b/src/tasks/desk/deskTask.ts
@@ -48,6 +48,7 @@
 
   /** Takes an ask or an outcome from a front; `answer` sends a message back to it. */
   receiveMessage (message: HostMessage, sender: Pick<DatagramSender, 'session'>, answer: (message: PlaceAnswer) => void): void {
+    if (message.type === 'held') this.#desks.get(message.endpointId)?.receiveHeld(sender.session, message)
     if (message.type === 'placed') this.#desks.get(message.endpointId)?.receivePlaced(message)
     if (message.type !== 'ask' && message.type !== 'done') return
     const key = `${sender.session}.${message.id}`
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -1,11 +1,11 @@
 /** Gives out the places of one engine: takes asks, has adapters loaded and unloaded, and grants places. */
 import { AdapterDirectory } from '../../core/desk/adapterDirectory.js'
 import { DeskPlanner } from '../../core/desk/deskPlanner.js'
-import type { DeskPlan, DeskVerdict } from '../../core/desk/deskPlanner.js'
+import type { DeskPlan, DeskVerdict } from '../../core/desk/deskRequest.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { EngineOrders, EngineState } from '../../ports/orders.js'
-import type { Placed, PlaceAnswer, PlaceAsk, PlaceDone } from '../../schemas/datagram.js'
+import type { Held, Placed, PlaceAnswer, PlaceAsk, PlaceDone } from '../../schemas/datagram.js'
 import type { EndpointEntry, EngineShape } from '../../schemas/routing.js'
 import { EngineWatch } from './engineWatch.js'
 import { LoadWatch } from './loadWatch.js'
@@ -63,6 +63,8 @@
   #planner: DeskPlanner
   #directory = new AdapterDirectory()
   #isStopped = false
+  /** Whether it is known what the engine holds, although it may not be given orders yet. */
+  #hasEarlyState = false
   #wake: Timer | undefined
   #sweep: Timer | undefined
   #isPlanning = false
@@ -79,7 +81,7 @@
       receiveLoaded: (adapter, tookMs, isWarm) => log.record('adapter.loaded', 'An adapter is loaded.', { endpointId: options.entry.id, adapter, tookMs: Math.round(tookMs), isWarm })
     })
     this.#watch = new EngineWatch({
-      clock, log, orders, endpointId: options.entry.id, models: engine.models, line: this.#line, receiveState: (state, isRestarted) => this.#takeOver(state, isRestarted)
+      clock, log, orders, endpointId: options.entry.id, models: engine.models, line: this.#line, receiveState: (state, isRestarted) => this.#takeOver(state, isRestarted), receiveEarlyState: state => this.#receiveEarlyState(state)
     })
     this.#planner = new DeskPlanner({
       adapterSlots: engine.adapterSlots,
@@ -148,6 +150,18 @@
     this.#plan()
   }
 
+  /** Requests of a front run here without a place that this owner gave. */
+  receiveHeld (session: string, { places }: Held): void {
+    const nowMs = this.#options.clock.readMonotonic()
+    for (const { id, model, adapter, version, leavesInMs } of places) {
+      const key = `${session}.${id}`
+      if (this.#places.has(key)) continue
+      const ask = createHeldAsk(this.endpointId, { id, model, adapter, version, leavesInMs })
+      this.#places.set(key, { key, ask, answer: () => {}, version, receivedAtMs: nowMs, isGranted: true, lastAnswer: undefined })
+      this.#planner.adopt(key, formatAdapter(ask), adapter === '', nowMs)
+    }
+  }
+
   /** Another engine took a request whose adapter has its home here. */
   receivePlaced ({ model, adapter, takenBy }: Placed): void {
     if (takenBy !== this.endpointId) this.#directory.record(formatAdapter({ model, adapter }), takenBy, this.#options.clock.readMonotonic())
@@ -263,7 +277,7 @@
   // Plans
 
   #plan (): void {
-    if (this.#isPlanning || this.#isStopped || !this.#watch.isReady) return
+    if (this.#isPlanning || this.#isStopped || !(this.#watch.isReady || (this.#hasEarlyState && this.#watch.isStarting))) return
     this.#isPlanning = true
     this.#wake?.cancel()
     const { clock } = this.#options
@@ -324,6 +338,13 @@
 
   // State
 
+  #receiveEarlyState (state: EngineState): void {
+    const nowMs = this.#options.clock.readMonotonic()
+    this.#hasEarlyState = true
+    for (const model of state.models) for (const { name, version } of model.adapters) this.#planner.recordLoaded(`${model.name}/${name}`, version, nowMs)
+    this.#plan()
+  }
+
   /** Takes over what the engine says that it holds. */
   #takeOver (state: EngineState, isRestarted: boolean): void {
     const nowMs = this.#options.clock.readMonotonic()
@@ -356,6 +377,11 @@
   }
 }
 
+/** A place that nobody asked this owner for; what only counts before a grant is left open. */
+function createHeldAsk (endpointId: string, held: Held['places'][number]): PlaceAsk {
+  return { type: 'ask', endpointId, requestId: '', route: '', rank: 0, dueInMs: 0, uselessInMs: 0, promptTokens: 0, maxTokens: 0, parts: [], mayDecline: false, fingerprint: '', ...held }
+}
+
 /** An adapter's name among all models of an engine. */
 function formatAdapter ({ model, adapter }: Pick<PlaceAsk, 'model' | 'adapter'>): string {
   return `${model}/${adapter}`
--- a/src/tasks/desk/engineWatch.ts
+++ b/src/tasks/desk/engineWatch.ts
@@ -14,6 +14,8 @@
   line: OrderLine
   /** Takes a state that tells of every order so far; `isRestarted` where the engine has lost what it held before. */
   receiveState: (state: EngineState, isRestarted: boolean) => void
+  /** Takes a state that orders of a former owner may yet change. */
+  receiveEarlyState: (state: EngineState) => void
 }
 
 /** Reports tell the state as of some hundred milliseconds ago. */
@@ -54,7 +56,9 @@
     return this.#startedAtMs === undefined && !this.#isUnreachable
   }
 
+  /** `settleMs`: time in which orders of a former owner may still arrive. */
   start (settleMs: number): void {
+    if (settleMs > 0) this.#readEarly()
     this.#read(settleMs, 'the host has become the owner')
   }
 
@@ -73,6 +77,17 @@
     this.#read(0, 'a request to it failed')
   }
 
+  /** What the engine holds can be used before it may be given orders. */
+  async #readEarly (): Promise<void> {
+    const { orders, log, endpointId, receiveEarlyState } = this.#options
+    try {
+      const state = await orders.readState()
+      if (this.isStarting && !this.#isStopped) receiveEarlyState(state)
+    } catch (error) {
+      log.record('engine.silent', 'A new owner does not reach its engine yet.', { endpointId, error: (error as Error).message })
+    }
+  }
+
   async #read (delayMs: number, reason: string): Promise<void> {
     const { clock } = this.#options
     this.#notBeforeMs = Math.max(this.#notBeforeMs, clock.readMonotonic() + delayMs)
--- a/src/tasks/front/engineFinder.ts
+++ b/src/tasks/front/engineFinder.ts
@@ -8,7 +8,7 @@
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { EndpointEntry } from '../../schemas/routing.js'
-import type { AskOutcome, PlaceClient } from './placeClient.js'
+import type { AskDetails, AskOutcome, PlaceClient } from './placeClient.js'
 import type { FindLink, FoundTarget, PlaceSearch, Target, TargetQuery } from './targetFinder.js'
 
 export interface EngineFinderOptions {
@@ -157,9 +157,13 @@
   }
 
   async #ask (query: TargetQuery, endpoint: EndpointEntry, address: string, version: number, mayDecline: boolean): Promise<AskOutcome> {
+    return await this.#options.places.ask(address, this.#describeAsk(query, endpoint, version, mayDecline)).outcome
+  }
+
+  #describeAsk (query: TargetQuery, endpoint: EndpointEntry, version: number, mayDecline: boolean): AskDetails {
     const { request, route, dueAtMs, endsAtMs } = query
     const nowMs = this.#options.clock.readMonotonic()
-    const pending = this.#options.places.ask(address, {
+    return {
       endpointId: endpoint.id,
       requestId: request.requestId ?? '',
       model: request.model,
@@ -175,8 +179,7 @@
       parts: request.promptParts.map(({ id, tokens }) => [id, tokens]),
       mayDecline,
       fingerprint: computeHash(`${request.path} ${request.body?.toString('latin1') ?? ''}`).toString(16)
-    })
-    return await pending.outcome
+    }
   }
 
   #recordSilent (address: string, endpoint: EndpointEntry, query: TargetQuery): void {
@@ -194,13 +197,15 @@
 
   /** An engine whose owner does not answer goes on serving what it holds, up to this host's share of its batch. */
   #findResident (name: string, endpoint: EndpointEntry, version: number, query: TargetQuery): FoundTarget | undefined {
-    const { clock, board, health } = this.#options
+    const { clock, board, health, places } = this.#options
     const { model, adapter } = query.request
     const grantedAtMs = this.#residents.get(`${name} ${endpoint.id}`) ?? -Infinity
     const isResident = adapter === '' || clock.readMonotonic() - grantedAtMs < residentTermMs || holdsAdapter(endpoint, model, adapter, version)
     const share = Math.max(minShare, endpoint.places / Math.max(1, board.hosts.size))
     if (!isResident || health.readInFlight(endpoint.id) >= share) return undefined
-    return { kind: 'found', target: this.#createTarget(endpoint, version, query, () => {}) }
+    // An owner that does not answer may yet come back, or be followed by another.
+    const place = places.hold(board.owners.get(endpoint.id)?.row.address ?? '', this.#describeAsk(query, endpoint, version, false))
+    return { kind: 'found', target: this.#createTarget(endpoint, version, query, (outcome, firstPartMs) => place.end(outcome, firstPartMs)) }
   }
 
   #createTarget (endpoint: EndpointEntry, version: number, { route }: TargetQuery, end: Target['end']): Target {
--- a/src/tasks/front/placeClient.ts
+++ b/src/tasks/front/placeClient.ts
@@ -1,7 +1,7 @@
 /** Asks the owners of endpoints for places, and tells them what became of each. */
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Datagrams } from '../../ports/datagrams.js'
-import type { DeskLoad, HostMessage, Placed, PlaceAnswer, PlaceAsk, PlaceDone, PlaceOutcome } from '../../schemas/datagram.js'
+import type { DeskLoad, Held, HostMessage, Placed, PlaceAnswer, PlaceAsk, PlaceDone, PlaceOutcome } from '../../schemas/datagram.js'
 
 export interface PlaceClientOptions {
   clock: Clock
@@ -49,6 +49,10 @@
 /** Time between two tellings of an outcome that was not confirmed. */
 const repeatDoneMs = 150
 const maxDoneTries = 8
+/** Time until what runs is told to a new owner once more. */
+const repeatHeldMs = 120
+/** Requests in one message about what runs; each takes some 60 bytes. */
+const maxHeld = 16
 
 interface OpenAsk {
   ask: PlaceAsk
@@ -68,6 +72,8 @@
   #options: PlaceClientOptions
   #asks = new Map<number, OpenAsk>()
   #dones = new Map<number, OpenDone>()
+  /** Requests that run, with the owner that counts each; the address is empty where none does. */
+  #held = new Map<number, OpenAsk>()
   #nextId = 1
   #repeat: Timer | undefined
 
@@ -98,6 +104,27 @@
     }
   }
 
+  /** Takes a place at an endpoint without its owner's word; `address` is empty where there is none. */
+  hold (address: string, details: AskDetails): Place {
+    const id = this.#nextId++
+    const open: OpenAsk = { ask: { type: 'ask', id, ...details }, address, tries: 0, timer: undefined, settle: () => {} }
+    this.#held.set(id, open)
+    if (address !== '') this.#tellHeld(address, details.endpointId, [open])
+    return this.#createPlace(open)
+  }
+
+  /** An endpoint has another owner, or none: the next one is told what runs there. */
+  receiveOwner (endpointId: string, address: string): void {
+    const moved = [...this.#held.values()].filter(open => open.ask.endpointId === endpointId && open.address !== address)
+    for (const open of moved) open.address = address
+    if (address === '' || moved.length === 0) return
+    this.#tellHeld(address, endpointId, moved)
+    // Told twice, as either datagram may be lost.
+    this.#options.clock.setTimer(() => {
+      this.#tellHeld(address, endpointId, moved.filter(open => open.address === address && this.#held.has(open.ask.id)))
+    }, repeatHeldMs)
+  }
+
   /** Tells the owner of an adapter's home where a request went; nothing depends on its arrival. */
   tellPlaced (address: string, placed: Placed): void {
     this.#send(address, placed)
@@ -110,8 +137,8 @@
       open.tries = 0
       this.#waitFor(open, answer.expectedMs + grantMarginMs)
     } else if (answer.type === 'grant') {
-      const place: Place = { end: (outcome, firstPartMs) => this.#endPlace(open, outcome, firstPartMs) }
-      open.settle({ kind: 'granted', load: answer.load, waitedMs: answer.waitedMs, version: answer.version, place })
+      this.#held.set(open.ask.id, open)
+      open.settle({ kind: 'granted', load: answer.load, waitedMs: answer.waitedMs, version: answer.version, place: this.#createPlace(open) })
     } else {
       const { code, message, retryAfterMs, expectedMs, load, elsewhere } = answer
       open.settle({ kind: 'refused', code, message, retryAfterMs, expectedMs, load, elsewhere })
@@ -144,7 +171,21 @@
     }, delayMs)
   }
 
+  #createPlace (open: OpenAsk): Place {
+    return { end: (outcome, firstPartMs) => this.#endPlace(open, outcome, firstPartMs) }
+  }
+
+  #tellHeld (address: string, endpointId: string, opens: readonly OpenAsk[]): void {
+    for (let start = 0; start < opens.length; start += maxHeld) {
+      const places: Held['places'] = opens.slice(start, start + maxHeld)
+        .map(({ ask: { id, model, adapter, version, leavesInMs } }) => ({ id, model, adapter, version, leavesInMs }))
+      this.#send(address, { type: 'held', endpointId, places })
+    }
+  }
+
   #endPlace ({ ask, address }: OpenAsk, outcome: PlaceOutcome, firstPartMs: number): void {
+    this.#held.delete(ask.id)
+    if (address === '') return
     const done: PlaceDone = { type: 'done', id: ask.id, endpointId: ask.endpointId, outcome, firstPartMs }
     if (address !== this.#options.ownAddress) {
       this.#dones.set(ask.id, { done, address, tries: 1 })
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -80,7 +80,7 @@
 
   #receive (message: HostMessage, sender: DatagramSender): void {
     const { datagrams, own, readStoreAgeMs, receiveAtDesk, receiveAnswer, receiveConfirmation, receiveRenewal, receiveRenewalReply } = this.#options
-    if (message.type === 'ask' || message.type === 'done' || message.type === 'placed') {
+    if (message.type === 'ask' || message.type === 'done' || message.type === 'placed' || message.type === 'held') {
       receiveAtDesk(message, sender, answer => datagrams.send(sender.address, answer))
       if (message.type === 'done') datagrams.send(sender.address, { type: 'doneReceived', ids: [message.id] })
     } else if (message.type === 'doneReceived') {
