Let requests wait a moment for what is about to change, and release kept adapters early

Cause: a host that had just started refused what came in the 100 ms before its first news, and what met engines between two owners; after a power cut, engines with idle adapters loaded nothing for 1.5 s, as single runs of dead hosts were still counted. Requests now wait up to 450 ms, in steps of 50, for a starting host's news or an owner; adapters are kept only while more than three requests run that nobody has told of, which is looked at every 300 ms.

Scenarios of both failed before.

--- a/features/deskPlanner.feature
+++ b/features/deskPlanner.feature
@@ -160,3 +160,12 @@
     When request 1 ends
     And request 3 asks for "a5"
     Then the unloads of "a2, a1" are ordered
+
+  Scenario: Adapters that were kept make way once nothing unknown runs any more
+    Given adapters "a1, a2, a3" are loaded at the desk
+    And the engine runs requests that this desk does not know for 500 ms
+    When request 1 asks for "a4"
+    Then no unload is ordered
+    When the desk plans for 100 ms
+    And the engine runs nothing that the desk does not know
+    Then the unload of "a1" is ordered
--- a/features/hostFailures.feature
+++ b/features/hostFailures.feature
@@ -17,6 +17,11 @@
     Then at least 5 of the last 6 streams are whole
     And no endpoint saw what no host may do
 
+  Scenario: Requests that come before the first news of a host wait a moment for them
+    Given a platform with 2 engines whose store is busy
+    When a host starts, 8 requests come at once and the store is there again after 150 ms
+    Then every answer is whole and signed
+
   Scenario: A new engine without its model serves a second after its load
     Given 2 hosts before a platform with 1 engine
     When an engine comes that takes 500 ms to load its model
--- a/features/steps/deskPlanner.ts
+++ b/features/steps/deskPlanner.ts
@@ -93,6 +93,11 @@
   this.desk.planner.adopt(String(key), `base/${adapter}`, false, this.desk.nowMs)
 })
 
+When('the engine runs nothing that the desk does not know', function (this: DeskWorld) {
+  this.desk.planner.places.releaseAll()
+  this.desk.plan()
+})
+
 When('request {int} asks for {string}', function (this: DeskWorld, key: number, adapter: string) {
   this.desk.ask(String(key), adapter)
 })
--- a/features/steps/hostPath.ts
+++ b/features/steps/hostPath.ts
@@ -77,6 +77,8 @@
 
 Given('a platform with {int} engines whose store is {word}', async function (this: HostsWorld, engines: number, fault: StoreFault) {
   this.hostFleet = await HostFleet.prepare(2, { engines })
+  this.answers = []
+  this.kinds = new Map()
   this.hostFleet.fleet.store.setFault(fault)
 })
 
@@ -237,6 +239,14 @@
   assert.ok(whole.length >= least, `${whole.length} of ${count}`)
 })
 
+When('a host starts, {int} requests come at once and the store is there again after {int} ms', async function (this: HostsWorld, count: number, ms: number) {
+  await this.hostFleet.startHost(this.hostFleet.hosts[0]!)
+  const calls = Array.from({ length: count }, async () => await call(this, { kind: 'once', host: 1 }))
+  await sleep(ms)
+  this.hostFleet.fleet.store.setFault('none')
+  await Promise.all(calls)
+})
+
 When('the answers of the store\'s writes are lost for {int} ms', async function (this: HostsWorld, ms: number) {
   const { store } = this.hostFleet.fleet
   store.setFault('lost')
--- a/src/core/desk/adapterPlaces.ts
+++ b/src/core/desk/adapterPlaces.ts
@@ -131,6 +131,11 @@
     for (const adapter of this.#adapters.values()) adapter.isAdopted = true
   }
 
+  /** What was kept may make way again. */
+  releaseAll (): void {
+    this.#keptUntilMs = 0
+  }
+
   /** Finds the adapter that nobody uses and that is asked for least; undefined where all are in use. */
   findVictim (nowMs: number, isWanted: (name: string) => boolean): PlacedAdapter | undefined {
     let victim: PlacedAdapter | undefined
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -50,8 +50,12 @@
 const maxLoads = 4
 /** Part of the engine's memory that prompts may be expected to keep beside what runs. */
 const keptPart = 0.6
-/** Runs that this desk gave no place for, such as those of a former owner, are likely to have ended after this time. */
+/** Runs that no front has told of, as their hosts are gone, have ended or been dropped after this time. */
 const foreignRunMs = 1500
+/** So few of them are likely to leave an adapter that makes way alone. */
+const fewForeignRuns = 3
+/** Time between two looks whether such runs have ended. */
+const foreignCheckMs = 300
 
 export class EndpointDesk {
   #options: EndpointDeskOptions
@@ -338,6 +342,30 @@
 
   // State
 
+  /** What runs beside the places of this desk may use any adapter; an unload would wait for it and hold all orders up. */
+  #keepForForeignRuns (state: EngineState, nowMs: number): void {
+    if (state.running - this.#planner.running <= fewForeignRuns) return
+    this.#planner.places.keepAll(nowMs + foreignRunMs)
+    this.#options.clock.setTimer(() => this.#checkForeignRuns(), foreignCheckMs)
+  }
+
+  async #checkForeignRuns (): Promise<void> {
+    const { clock, orders, log } = this.#options
+    const { places } = this.#planner
+    if (this.#isStopped || clock.readMonotonic() >= places.keptUntilMs) return
+    try {
+      const { running } = await orders.readState()
+      if (running - this.#planner.running <= fewForeignRuns) {
+        places.releaseAll()
+        this.#plan()
+        return
+      }
+    } catch (error) {
+      log.record('engine.silent', 'An engine does not tell what runs there; its adapters are kept a little longer.', { endpointId: this.endpointId, error: (error as Error).message })
+    }
+    clock.setTimer(() => this.#checkForeignRuns(), foreignCheckMs)
+  }
+
   #receiveEarlyState (state: EngineState): void {
     const nowMs = this.#options.clock.readMonotonic()
     this.#hasEarlyState = true
@@ -358,8 +386,7 @@
         if (this.#planner.places.find(adapter)?.state !== 'unloading') this.#planner.recordLoaded(adapter, version, nowMs)
       }
     }
-    // What runs beside the places of this desk may use any adapter; an unload would wait for it and hold all orders up.
-    if (state.running > this.#planner.running) this.#planner.places.keepAll(nowMs + foreignRunMs)
+    this.#keepForForeignRuns(state, nowMs)
     const coming = state.loading.map(({ model, name, version }) => ({ name: `${model}/${name}`, version }))
     // What is neither listed nor on its way is gone.
     for (const { name, version, state: adapterState } of this.#planner.places.list()) {
--- a/src/tasks/front/engineFinder.ts
+++ b/src/tasks/front/engineFinder.ts
@@ -42,6 +42,8 @@
 /** Requests that a host may have at an engine without an owner's word, however many hosts there are. */
 const minShare = 2
 const noEndpointRetryMs = 300
+/** Refusals of owners that know nothing of the load. */
+const passingCodes: ReadonlySet<string> = new Set(['not_owner', 'no_orders', 'endpoint_not_ready', 'endpoint_leaving'])
 /** Priorities on the engine from the route's rank; the engine's default is 5, and 0 is first. */
 const basePriority = 3
 
@@ -110,7 +112,8 @@
     return {
       kind: 'none',
       message: last?.message ?? `no owner of an engine of service "${query.service}" answers`,
-      retryAfterMs: last && last.retryAfterMs > 0 ? last.retryAfterMs : noEndpointRetryMs
+      retryAfterMs: last && last.retryAfterMs > 0 ? last.retryAfterMs : noEndpointRetryMs,
+      isPassing: refusals.every(({ refusal }) => passingCodes.has(refusal.code))
     }
   }
 
--- a/src/tasks/front/frontRequest.ts
+++ b/src/tasks/front/frontRequest.ts
@@ -15,6 +15,10 @@
 const defaultTimeLeftMs = 30_000
 /** Told to callers where nothing better is known. */
 const defaultRetryAfterMs = 200
+/** Time between two looks for what a host that starts, or engines between two owners, will have in a moment. */
+const passingStepMs = 50
+/** A takeover takes some 350 ms, and so do the first news after a start. */
+const maxPassingMs = 450
 
 export class FrontRequest {
   #context: FrontContext
@@ -30,6 +34,8 @@
   #runs = 0
   #sends = 0
   #isOver = false
+  /** Time spent on waiting for what was about to change. */
+  #passingMs = 0
   /** Time spent on finding endpoints with a place. */
   #placeMs = 0
   #searches: PlaceSearch[] = []
@@ -53,6 +59,8 @@
   async serve (): Promise<void> {
     const { board, clock, budget, random } = this.#context
     const request = this.#request
+    while (!board.routes && await this.#waitForChange()) { /* The news of a host that starts come in a moment. */ }
+    if (this.#isOver) return
     if (!board.routes) {
       this.#refuse('no_configuration', 'this host knows no configuration yet', defaultRetryAfterMs)
       return
@@ -92,6 +100,8 @@
         if (found.kind === 'found') found.target.end('withdrawn', -1)
         return
       }
+      if (found.kind === 'none' && found.isPassing && await this.#waitForChange()) continue
+      if (this.#isOver) return
       if (found.kind === 'none') {
         this.#giveUp({ verdict: 'notRun', reason: found.message, status: undefined }, found.retryAfterMs)
         return
@@ -125,6 +135,14 @@
     }
   }
 
+  /** Waits a little for what is about to change; false where that has been long enough. */
+  async #waitForChange (): Promise<boolean> {
+    if (this.#passingMs >= maxPassingMs || this.#isOver) return false
+    this.#passingMs += passingStepMs
+    await new Promise<void>(resolve => { this.#context.clock.setTimer(resolve, passingStepMs) })
+    return !this.#isOver
+  }
+
   /** Runs one attempt; returns what went wrong, or undefined where the caller has its answer. */
   async #send (target: Target, route: Route): Promise<AttemptFailure | undefined> {
     this.#sends++
--- a/src/tasks/front/targetFinder.ts
+++ b/src/tasks/front/targetFinder.ts
@@ -44,7 +44,8 @@
 
 export type FoundTarget =
   | { kind: 'found', target: Target, search?: PlaceSearch }
-  | { kind: 'none', message: string, retryAfterMs: number, search?: PlaceSearch }
+  /** `isPassing`: no owner has judged the request, as owners are changing or starting, which takes a few hundred milliseconds. */
+  | { kind: 'none', message: string, retryAfterMs: number, isPassing: boolean, search?: PlaceSearch }
 
 export type FindLink = (endpoint: EndpointEntry) => EndpointLink
 
@@ -75,7 +76,7 @@
     const usable = (fresh.length > 0 ? fresh : entries).filter(entry => this.#options.findLink(entry).hasRoom)
     if (usable.length === 0) {
       const message = entries.length === 0 ? `no endpoint of service "${query.service}" is ready` : `all connections to service "${query.service}" are in use`
-      return { kind: 'none', message, retryAfterMs: noEndpointRetryMs }
+      return { kind: 'none', message, retryAfterMs: noEndpointRetryMs, isPassing: entries.length === 0 }
     }
     return service?.engine ? await engines.findEngine(query, usable) : this.#findPlain(usable)
   }
--- a/src/tasks/news/newsTask.ts
+++ b/src/tasks/news/newsTask.ts
@@ -40,6 +40,8 @@
 /** A source that failed is not asked again for this long, while there are others. */
 const avoidSourceMs = 2000
 const retryMs = 250
+/** A host that knows nothing yet tries again sooner. */
+const firstRetryMs = 60
 const checkIntervalMs = 200
 
 export class NewsTask {
@@ -147,7 +149,7 @@
       await this.#pause(paceMs - (clock.readMonotonic() - startedAtMs))
     } catch (error) {
       log.record('news.storeFailed', 'A call to the store failed; it is tried again.', { table, error: (error as Error).message })
-      await this.#pause(retryMs * (1 + Math.random()))
+      await this.#pause((mirror.findVersion(table) === undefined ? firstRetryMs : retryMs) * (1 + Math.random()))
     }
   }
 
