--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -4,29 +4,19 @@
 import fastify from 'fastify'
 import type { FastifyError, FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { maxHeaderBytes, maxRequestBodyBytes } from '../../constants.js'
-import type { Clock } from '../../ports/clock.js'
-import type { ConfigurationView, KeyRecord } from '../../schemas/configuration.js'
 import { createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
-import { hashParts } from '../claims/claimRow.js'
-import type { ClaimedWork } from '../claims/claimRow.js'
-import type { RecordDecision } from '../../schemas/decision.js'
-import type { ClaimTask } from '../claims/claimTask.js'
-import type { JobStore } from '../jobs/jobStore.js'
 import { AnswerWriter } from './answerWriter.js'
 import { findCaller } from './callerAccess.js'
-import { renderErrorBody, renderErrorHeaders } from './callerError.js'
+import { readClaimedWork, readHeader, readRequestId, sendFailure } from './callersContext.js'
+import type { CallersContext } from './callersContext.js'
 import { runClaimedCompletion } from './claimedRequests.js'
 import { createClientErrorHandler } from './clientErrors.js'
 import { addJobsRoute } from './jobsRoute.js'
 import { addModelsRoute } from './modelsRoute.js'
 import { defaultOpenRequestLimits, OpenRequests } from './openRequests.js'
-import type { OpenRequestLimits } from './openRequests.js'
-import type { RequestRouter } from './requestRouter.js'
 import { resolveRequest } from './resolveRequest.js'
-import type { ServiceRouter } from './serviceRouter.js'
 import { addServicesRoute } from './servicesRoute.js'
-import type { HashText } from './resolveRequest.js'
 
 const healthPath = '/healthz'
 const defaultMaxArrivalMs = 30_000
@@ -34,52 +24,20 @@
 /** Time between two searches for requests that did not arrive in time. */
 const maxArrivalCheckMs = 1000
 
-export interface CallersServerOptions {
+export interface CallersServerOptions extends CallersContext {
   address: string
   /** 0 takes a free port. */
   port: number
   /** Time in which a request must have arrived whole, in milliseconds. */
   maxArrivalMs?: number
-  openLimits?: OpenRequestLimits
-  clock: Clock
-  configuration: ConfigurationView
-  router: RequestRouter
-  services: ServiceRouter
-  claims: ClaimTask
-  jobs: JobStore
-  hashText: HashText
-  receiveRefusal: ReceiveRefusal
-  recordDecision: RecordDecision
 }
 
-/** A request that was refused before any attempt. */
-export interface Refusal {
-  requestId: string
-  /** Undefined where the request showed no known key. */
-  callerName: string | undefined
-  failure: RequestFailure
-}
-export type ReceiveRefusal = (refusal: Refusal) => void
-
-/** What the routes of the callers' port share. */
-export type CallersContext = Omit<CallersServerOptions, 'address' | 'port'>
-
 export interface CallersServer {
   readonly port: number
   /** Ends once every answer in progress has been sent. */
   stop: () => Promise<void>
 }
 
-declare module 'fastify' {
-  interface FastifyInstance {
-    receiveRefusal: ReceiveRefusal
-  }
-  interface FastifyRequest {
-    /** Record of the caller's key; set before the body is read. */
-    caller: KeyRecord | undefined
-  }
-}
-
 /** Starts the callers' port. Rejects where the port is in use. */
 export async function startCallersServer (options: CallersServerOptions): Promise<CallersServer> {
   const { maxArrivalMs = defaultMaxArrivalMs } = options
@@ -143,17 +101,6 @@
   })
 }
 
-/** Refuses a request before any attempt. */
-export function sendFailure (reply: FastifyReply, failure: RequestFailure): FastifyReply {
-  reply.server.receiveRefusal({ requestId: readRequestId(reply), callerName: reply.request.caller?.name, failure })
-  return writeFailure(reply, failure)
-}
-
-/** Writes a failure in the shape that every error of this port has. */
-export function writeFailure (reply: FastifyReply, failure: RequestFailure): FastifyReply {
-  return reply.code(failure.status).headers(renderErrorHeaders(failure)).type('application/json').send(renderErrorBody(failure))
-}
-
 function addErrorHandlers (server: FastifyInstance): void {
   server.setErrorHandler<FastifyError>((error, _request, reply) => {
     sendFailure(reply, createHttpFailure(error))
@@ -202,21 +149,3 @@
   context.router.startRequest(resolved.value, event => writer.receive(event))
   return reply
 }
-
-/** Reads what a request claims by its `Idempotency-Key`; undefined where it has none. `parts` are what it asks. */
-export function readClaimedWork (request: FastifyRequest, reply: FastifyReply, parts: Array<string | Uint8Array>): ClaimedWork | undefined {
-  const idempotencyKey = readHeader(request, 'idempotency-key')
-  if (idempotencyKey === undefined) return undefined
-  return { callerName: request.caller!.name, idempotencyKey, bodyHash: hashParts(parts), requestId: readRequestId(reply) }
-}
-
-/** The id that the request was given on arrival. */
-export function readRequestId (reply: FastifyReply): string {
-  return String(reply.getHeader('sedgevalve-request-id'))
-}
-
-/** Reads a header that may stand once. */
-export function readHeader (request: FastifyRequest, name: string): string | undefined {
-  const value = request.headers[name]
-  return Array.isArray(value) ? value[0] : value
-}
--- a/src/tasks/gateway/modelsRoute.ts
+++ b/src/tasks/gateway/modelsRoute.ts
@@ -5,8 +5,8 @@
 import type { AdapterRecord, ConfigurationView, KeyRecord } from '../../schemas/configuration.js'
 import { createNotRun } from '../../schemas/verdict.js'
 import { isNameAllowed } from './callerAccess.js'
-import { sendFailure } from './callersServer.js'
-import type { CallersContext } from './callersServer.js'
+import { sendFailure } from './callersContext.js'
+import type { CallersContext } from './callersContext.js'
 
 const maxPage = 1000
 const querySchema = Type.Object({
--- a/src/tasks/gateway/servicesRoute.ts
+++ b/src/tasks/gateway/servicesRoute.ts
@@ -5,8 +5,8 @@
 import { isNameAllowed } from './callerAccess.js'
 import type { Checked } from './callerAccess.js'
 import { runClaimedCall } from './claimedRequests.js'
-import { readClaimedWork, readHeader, readRequestId, sendFailure, writeFailure } from './callersServer.js'
-import type { CallersContext } from './callersServer.js'
+import { readClaimedWork, readHeader, readRequestId, sendFailure, writeFailure } from './callersContext.js'
+import type { CallersContext } from './callersContext.js'
 import type { RoutedCall, ServiceResult } from './serviceRouter.js'
 
 /** Headers that belong to one connection, or to the system, and are not passed on. */
--- a/src/tasks/operators/explainRoute.ts
+++ b/src/tasks/operators/explainRoute.ts
@@ -6,7 +6,7 @@
 import { explainPartSchema } from '../../schemas/operatorMessage.js'
 import type { ExplainPart, Story } from '../../schemas/operatorMessage.js'
 import { createNotRun } from '../../schemas/verdict.js'
-import { sendOperatorFailure } from './operatorsServer.js'
+import { sendOperatorFailure } from './operatorsContext.js'
 import type { OperatorsContext } from './operatorsContext.js'
 import type { HostAnswer } from './peerQueries.js'
 
--- a/src/tasks/operators/jobRoutes.ts
+++ b/src/tasks/operators/jobRoutes.ts
@@ -9,7 +9,7 @@
 import { describeCancellation, listRuns } from '../jobs/describeJob.js'
 import type { Job } from '../jobs/jobStore.js'
 import { requestStory } from './explainRoute.js'
-import { sendOperatorFailure } from './operatorsServer.js'
+import { sendOperatorFailure } from './operatorsContext.js'
 import type { OperatorsContext } from './operatorsContext.js'
 
 const maxPage = 500
--- a/src/tasks/operators/operatorsServer.ts
+++ b/src/tasks/operators/operatorsServer.ts
@@ -1,15 +1,14 @@
 /** The operators' port: registrations, stories of requests, the live feed and the page. */
 import type { AddressInfo } from 'node:net'
 import fastify from 'fastify'
-import type { FastifyError, FastifyInstance, FastifyReply } from 'fastify'
+import type { FastifyError, FastifyInstance } from 'fastify'
 import { maxHeaderBytes } from '../../constants.js'
 import { createNotRun } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
-import { renderErrorBody, renderErrorHeaders } from '../gateway/callerError.js'
 import { createClientErrorHandler } from '../gateway/clientErrors.js'
 import { addExplainRoute } from './explainRoute.js'
 import { checkOperator } from './operatorAccess.js'
-import type { Operator } from './operatorAccess.js'
+import { sendOperatorFailure } from './operatorsContext.js'
 import type { OperatorsContext } from './operatorsContext.js'
 import { addPageRoute } from './pageRoute.js'
 import { addJobRoutes } from './jobRoutes.js'
@@ -21,13 +20,6 @@
 const maxOperatorBodyBytes = 16 * 1024 * 1024
 const maxRequestReadMs = 60_000
 
-declare module 'fastify' {
-  interface FastifyRequest {
-    /** Set before the body is read. */
-    operator: Operator | undefined
-  }
-}
-
 export interface OperatorsServer {
   readonly port: number
   stop: () => Promise<void>
@@ -68,12 +60,6 @@
   addJobRoutes(scope, context)
 }
 
-/** Sends a failure and counts it as bad input under its code. */
-export function sendOperatorFailure (context: OperatorsContext, reply: FastifyReply, failure: RequestFailure): FastifyReply {
-  context.countBadInput(failure.code)
-  return reply.code(failure.status).headers(renderErrorHeaders(failure)).type('application/json').send(renderErrorBody(failure))
-}
-
 function addErrorHandlers (server: FastifyInstance, context: OperatorsContext): void {
   server.setErrorHandler<FastifyError>((error, _request, reply) => {
     sendOperatorFailure(context, reply, createHttpFailure(error))
--- a/src/tasks/operators/recordRoutes.ts
+++ b/src/tasks/operators/recordRoutes.ts
@@ -8,7 +8,7 @@
 import { createNotRun } from '../../schemas/verdict.js'
 import { changeRequestSchema } from '../configuration/configurationChange.js'
 import type { ChangeRequest, ChangeResult } from '../configuration/configurationChange.js'
-import { sendOperatorFailure } from './operatorsServer.js'
+import { sendOperatorFailure } from './operatorsContext.js'
 import type { OperatorsContext } from './operatorsContext.js'
 
 const log = createLog('operators')
--- a/src/tasks/operators/statusRoutes.ts
+++ b/src/tasks/operators/statusRoutes.ts
@@ -5,7 +5,7 @@
 import type { SchedulerStatus } from '../../schemas/operatorMessage.js'
 import { createNotRun } from '../../schemas/verdict.js'
 import { productVersion } from '../../constants.js'
-import { sendOperatorFailure } from './operatorsServer.js'
+import { sendOperatorFailure } from './operatorsContext.js'
 import type { OperatorsContext } from './operatorsContext.js'
 
 const maxDecisions = 200
--- a/src/tasks/operators/watchRoute.ts
+++ b/src/tasks/operators/watchRoute.ts
@@ -3,7 +3,7 @@
 import { Value } from '@sinclair/typebox/value'
 import { decisionFilterSchema } from '../../core/decisionFilter.js'
 import { createNotRun } from '../../schemas/verdict.js'
-import { sendOperatorFailure } from './operatorsServer.js'
+import { sendOperatorFailure } from './operatorsContext.js'
 import type { OperatorsContext } from './operatorsContext.js'
 import { WatchStream } from './watchStream.js'
 
