Refuse requests that crash engines on every host

An engine's owner notices that the engine went away and reports what ran there, by content, to the host that counts that content; from the second crash on all hosts know, and after the third they refuse. Broken connections alone count for nothing, as answers get lost without a crash. A scenario with a stand-in that crashes: 8 tries reach engines at most 6 times, on 3 hosts.

--- a/features/hostFailures.feature
+++ b/features/hostFailures.feature
@@ -22,6 +22,14 @@
     When a host starts, 8 requests come at once and the store is there again after 150 ms
     Then every answer is whole and signed
 
+  Scenario: A request that crashes engines is refused on every host
+    Given 3 hosts before a platform with 3 engines
+    When a request that crashes engines comes 8 times, each time at the next host
+    Then it reached engines at most 6 times
+    And the last 2 answers are refusals for good
+    And 6 streams for 3 adapters are sent within 600 ms
+    And at least 5 of the last 6 streams are whole
+
   Scenario: A new engine without its model serves a second after its load
     Given 2 hosts before a platform with 1 engine
     When an engine comes that takes 500 ms to load its model
--- a/features/steps/hostPath.ts
+++ b/features/steps/hostPath.ts
@@ -18,6 +18,7 @@
   answers: FleetAnswer[]
   kinds: Map<string, CallKind>
   crashed: FleetEndpoint
+  crashingRuns: number
 }
 
 async function startHosts (world: HostsWorld, hosts: number, engines: number, slots = 4): Promise<void> {
@@ -247,6 +248,26 @@
   await Promise.all(calls)
 })
 
+When('a request that crashes engines comes {int} times, each time at the next host', async function (this: HostsWorld, times: number) {
+  const { hosts, fleet } = this.hostFleet
+  const body = 'a question that crashes engines'
+  setFaults(this, endpoint => endpoint.engine !== undefined, { crashBody: body })
+  for (let index = 0; index < times; index++) {
+    await call(this, { kind: 'stream', host: index % hosts.length + 1, adapter: 'a1', body })
+    this.crashingRuns = fleet.journal.runs.length
+    await sleep(1200)
+  }
+  setFaults(this, endpoint => endpoint.engine !== undefined, { crashBody: '' })
+})
+
+Then('it reached engines at most {int} times', function (this: HostsWorld, times: number) {
+  assert.ok(this.crashingRuns <= times, `${this.crashingRuns} times`)
+})
+
+Then('the last {int} answers are refusals for good', function (this: HostsWorld, count: number) {
+  assert.deepEqual(this.answers.slice(-count).map(({ status }) => status), Array(count).fill(422))
+})
+
 When('the answers of the store\'s writes are lost for {int} ms', async function (this: HostsWorld, ms: number) {
   const { store } = this.hostFleet.fleet
   store.setFault('lost')
--- a/features/support/hostFleet.ts
+++ b/features/support/hostFleet.ts
@@ -43,6 +43,7 @@
   timeLeftMs?: number
   requestId?: string
   headers?: Record<string, string>
+  body?: string
   signal?: AbortSignal
 }
 
@@ -101,7 +102,7 @@
   }
 
   async call (options: CallOptions): Promise<FleetAnswer> {
-    const { kind, host, adapter, timeLeftMs = 4000, headers = {} } = options
+    const { kind, host, adapter, timeLeftMs = 4000, headers = {}, body = 'a question' } = options
     const requestId = options.requestId ?? randomBytes(8).toString('hex')
     const isEngine = kind === 'stream' || kind === 'resumable'
     const startedAtMs = performance.now()
@@ -111,7 +112,7 @@
         dispatcher: this.#agent as Dispatcher,
         method: kind === 'idempotent' ? 'GET' : 'POST',
         headers: { ...encodeCallerHeaders({ requestId, host: fleetHost, timeLeftMs, ...(isEngine && { model: adapter ? `${fleetModel}/${adapter}` : fleetModel }) }), ...headers },
-        ...(kind !== 'idempotent' && { body: 'a question' }),
+        ...(kind !== 'idempotent' && { body }),
         ...(options.signal && { signal: options.signal })
       })
       const marks = readAnswerMarks(response.headers)
--- a/src/bin/createFront.ts
+++ b/src/bin/createFront.ts
@@ -23,6 +23,7 @@
   log: EventLog
   board: NewsBoard
   places: PlaceClient
+  findCrashRefusal: FrontContext['findCrashRefusal']
 }
 
 export interface Front {
@@ -36,7 +37,7 @@
 /** Part of an endpoint's connections that all hosts together use, as its operators and health checks need some. */
 const connectionsPart = 0.9
 
-export function createFront ({ settings, clock, log, board, places }: FrontOptions): Front {
+export function createFront ({ settings, clock, log, board, places, findCrashRefusal }: FrontOptions): Front {
   const random = Math.random
   const health = new EndpointHealth()
   const budget = new SendBudget({
@@ -47,7 +48,7 @@
   const targets = new TargetFinder({ clock, board, health, engines, zone: settings.zone, random, findLink })
   const waits = new CallerWaits()
   const context: FrontContext = {
-    clock, log, board, health, budget, targets, waits, random, encodeRequestHeaders, decodeAnswerHead, encodeRefusalHeaders
+    clock, log, board, health, budget, targets, waits, findCrashRefusal, random, encodeRequestHeaders, decodeAnswerHead, encodeRefusalHeaders
   }
   const callers = new CallersPort({
     address: settings.callersAddress,
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -26,6 +26,7 @@
 import { NewsTask } from '../tasks/news/newsTask.js'
 import { startRelayServer } from '../tasks/news/relayServer.js'
 import { PeerTask } from '../tasks/peers/peerTask.js'
+import { SuspectTask } from '../tasks/peers/suspectTask.js'
 import { createFront } from './createFront.js'
 import type { Front } from './createFront.js'
 import { createLeases } from './createLeases.js'
@@ -98,7 +99,12 @@
     receiveAnswer: answer => places.receiveAnswer(answer),
     receiveConfirmation: ids => places.receiveConfirmation(ids),
     receiveRenewal: (ask, sender, answer) => leaseParts.renewalPool.receive(ask, sender, answer),
-    receiveRenewalReply: reply => leaseParts.renewalClient.receiveReply(reply)
+    receiveRenewalReply: reply => leaseParts.renewalClient.receiveReply(reply),
+    receiveCrash: report => suspects.receiveCrash(report),
+    receiveSuspect: record => suspects.receiveSuspect(record)
+  })
+  const suspects = new SuspectTask({
+    clock, log, own, listHosts: () => [...board.hosts.values()].map(host => host.row), send: (address, message) => datagrams.send(address, message)
   })
   const places = new PlaceClient({ clock, datagrams, ownAddress: settings.address, deliverLocally: message => peers.deliverLocally(message) })
   const leaseParts: LeaseParts = createLeases({
@@ -122,9 +128,10 @@
     host: settings.hostName,
     board,
     openOrders: endpoint => createEngineOrders(endpoint.id, endpoint.address),
-    findFencing: endpointId => leaseParts.leases.findFencing(endpointId)
+    findFencing: endpointId => leaseParts.leases.findFencing(endpointId),
+    receiveCrash: (crash, fingerprints) => suspects.reportCrash(crash, fingerprints)
   })
-  const front: Front = createFront({ settings, clock, log, board, places })
+  const front: Front = createFront({ settings, clock, log, board, places, findCrashRefusal: fingerprint => suspects.findRefusal(fingerprint) })
   return { board, mirror, news, places, desks, front, leaseParts }
 }
 
--- a/src/core/suspects.ts
+++ b/src/core/suspects.ts
@@ -94,7 +94,7 @@
 }
 
 /** The request is refused on every host. */
-export function createCrashRefusal (): RequestFailure {
-  const message = `requests with this content have crashed ${maxCrashesPerRequest} endpoints and are not run again; change the request`
+export function createCrashRefusal (maxCrashes = maxCrashesPerRequest): RequestFailure {
+  const message = `requests with this content have crashed ${maxCrashes} endpoints and are not run again; change the request`
   return createNotRun('request_crashes_endpoints', message, 422)
 }
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -26,9 +26,11 @@
   lateOrders: number
   /** Time between two events of streams that begin now; 0 for the engine's own. */
   eventMs: number
+  /** A request with this body crashes the engine that begins to run it; empty for none. */
+  crashBody: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedCuts: 0, extras: 0, lateOrders: 0, eventMs: 0 })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedCuts: 0, extras: 0, lateOrders: 0, eventMs: 0, crashBody: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -93,7 +95,7 @@
     const { engine } = this.#options
     if (engine && request.url === wirePaths.order) this.#receiveOrder(engine, body, response)
     else if (engine && request.url === wirePaths.report) response.writeHead(200, { 'content-type': 'application/json' }).end(encodeReport(engine.readReport()))
-    else this.#receiveRequest(request, response)
+    else this.#receiveRequest(request, response, body)
   }
 
   #receiveOrder (engine: FleetEngine, body: string, response: ServerResponse): void {
@@ -105,7 +107,7 @@
     response.writeHead(engine.receiveOrder(order, holder)).end()
   }
 
-  #receiveRequest (request: IncomingMessage, response: ServerResponse): void {
+  #receiveRequest (request: IncomingMessage, response: ServerResponse, body: string): void {
     const { id, engine, places } = this.#options
     const marks = decodeMarks(request.headers)
     const requestId = marks.requestId ?? ''
@@ -117,6 +119,7 @@
       return
     }
     this.#run(request, response, marks)
+    if (body !== '' && body === this.faults.crashBody) this.crash()
   }
 
   #run (request: IncomingMessage, response: ServerResponse, marks: ReceivedMarks): void {
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -26,6 +26,8 @@
   findVersion: (model: string, adapter: string) => number
   /** Time before the first order, while orders of the former owner may still arrive, in milliseconds. */
   settleMs: number
+  /** The engine went away while requests of these contents ran. */
+  receiveCrash: (crash: string, fingerprints: readonly string[]) => void
 }
 
 interface Place {
@@ -46,6 +48,8 @@
 const reportIntervalMs = 1000
 /** Version of adapters for which none was declared. */
 const firstVersion = 1
+/** An engine's crash is noticed within this time of the first broken connection: a read of its state with its time-out, and one more. */
+const crashNoticeMs = 1500
 /** Loads that one engine takes at a time. */
 const maxLoads = 4
 /** Part of the engine's memory that prompts may be expected to keep beside what runs. */
@@ -72,6 +76,8 @@
   #wake: Timer | undefined
   #sweep: Timer | undefined
   #isPlanning = false
+  /** Contents of requests whose connections broke, in case the engine crashed. */
+  #brokenLately: { fingerprint: string, atMs: number }[] = []
   #reportedAtMs = -Infinity
 
   constructor (options: EndpointDeskOptions) {
@@ -85,7 +91,7 @@
       receiveLoaded: (adapter, tookMs, isWarm) => log.record('adapter.loaded', 'An adapter is loaded.', { endpointId: options.entry.id, adapter, tookMs: Math.round(tookMs), isWarm })
     })
     this.#watch = new EngineWatch({
-      clock, log, orders, endpointId: options.entry.id, models: engine.models, line: this.#line, receiveState: (state, isRestarted) => this.#takeOver(state, isRestarted), receiveEarlyState: state => this.#receiveEarlyState(state)
+      clock, log, orders, endpointId: options.entry.id, models: engine.models, line: this.#line, receiveState: (state, isRestarted) => this.#takeOver(state, isRestarted), receiveEarlyState: state => this.#receiveEarlyState(state), receiveCrash: () => this.#receiveCrash()
     })
     this.#planner = new DeskPlanner({
       adapterSlots: engine.adapterSlots,
@@ -147,6 +153,7 @@
     const place = this.#places.get(key)
     if (!place) return
     this.#places.delete(key)
+    if (done.outcome === 'broken') this.#brokenLately.push({ fingerprint: place.ask.fingerprint, atMs: this.#options.clock.readMonotonic() })
     if (done.firstPartMs >= 0 && done.outcome === 'served') this.#planner.recordFirstPart(key, done.firstPartMs)
     this.#planner.remove(key, done.outcome === 'served' ? this.#options.clock.readMonotonic() : undefined)
     if (done.outcome === 'missing') this.#line.close(`adapter "${place.ask.adapter}" was expected there and is missing`)
@@ -256,9 +263,20 @@
     this.#places.delete(place.key)
   }
 
+  #receiveCrash (): void {
+    const { clock, receiveCrash } = this.#options
+    const nowMs = clock.readMonotonic()
+    const running = [...this.#places.values()].filter(place => place.isGranted).map(place => place.ask.fingerprint)
+    const broken = this.#brokenLately.filter(({ atMs }) => nowMs - atMs < crashNoticeMs).map(({ fingerprint }) => fingerprint)
+    this.#brokenLately = []
+    const fingerprints = [...running, ...broken].filter(fingerprint => fingerprint !== '')
+    if (fingerprints.length > 0) receiveCrash(`${this.endpointId}/${this.#options.host}/${Math.round(nowMs)}`, fingerprints)
+  }
+
   /** Frees places whose holders were lost. */
   #sweepPlaces (): void {
     const nowMs = this.#options.clock.readMonotonic()
+    this.#brokenLately = this.#brokenLately.filter(({ atMs }) => nowMs - atMs < crashNoticeMs)
     let isChanged = false
     for (const [key, place] of this.#places) {
       if (nowMs - place.receivedAtMs < place.ask.leavesInMs + lostPlaceMs) continue
--- a/src/tasks/front/engineFinder.ts
+++ b/src/tasks/front/engineFinder.ts
@@ -4,7 +4,6 @@
 import type { EngineCandidate } from '../../core/frontChoice.js'
 import type { NewsBoard } from '../../core/newsBoard.js'
 import { isVacant } from '../../core/orderLease.js'
-import { computeHash } from '../../core/rendezvousHash.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { EndpointEntry } from '../../schemas/routing.js'
@@ -164,7 +163,7 @@
   }
 
   #describeAsk (query: TargetQuery, endpoint: EndpointEntry, version: number, mayDecline: boolean): AskDetails {
-    const { request, route, dueAtMs, endsAtMs } = query
+    const { request, fingerprint, route, dueAtMs, endsAtMs } = query
     const nowMs = this.#options.clock.readMonotonic()
     return {
       endpointId: endpoint.id,
@@ -181,7 +180,7 @@
       maxTokens: request.maxTokens,
       parts: request.promptParts.map(({ id, tokens }) => [id, tokens]),
       mayDecline,
-      fingerprint: computeHash(`${request.path} ${request.body?.toString('latin1') ?? ''}`).toString(16)
+      fingerprint
     }
   }
 
--- a/src/tasks/front/frontContext.ts
+++ b/src/tasks/front/frontContext.ts
@@ -5,6 +5,7 @@
 import type { SendBudget } from '../../core/sendBudget.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
+import type { RequestFailure } from '../../schemas/verdict.js'
 import type { AnswerHead, CallerRequest, SendMark } from '../../schemas/callerRequest.js'
 import type { TargetFinder } from './targetFinder.js'
 
@@ -16,6 +17,8 @@
   budget: SendBudget
   targets: TargetFinder
   waits: CallerWaits
+  /** The refusal of requests that crash engines, by a hash of what they ask. */
+  findCrashRefusal: (fingerprint: string) => RequestFailure | undefined
   /** A random number from 0 up to 1. */
   random: () => number
   encodeRequestHeaders: (request: CallerRequest, mark: SendMark) => string[]
--- a/src/tasks/front/frontRequest.ts
+++ b/src/tasks/front/frontRequest.ts
@@ -1,6 +1,7 @@
 /** Serves one request: finds its route, sends it to endpoints until one answers, and relays the answer. */
 import { isRepeatable, mayRetry } from '../../core/attemptRules.js'
 import type { AttemptFailure } from '../../core/attemptRules.js'
+import { computeHash } from '../../core/rendezvousHash.js'
 import { pickService } from '../../core/routeTable.js'
 import type { Timer } from '../../ports/clock.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
@@ -26,6 +27,8 @@
   #answer: CallerAnswer
   #route: Route | undefined
   #service = ''
+  /** Hash of what the request asks, computed once for all engines that are asked. */
+  #fingerprint = ''
   #dueAtMs = 0
   #endsAtMs = 0
   #timer: Timer | undefined
@@ -71,11 +74,17 @@
       return
     }
     this.#route = route
+    if (request.model !== '') this.#fingerprint = computeFingerprint(request)
     this.#service = pickService(route.targets, random()) ?? ''
     this.#dueAtMs = request.receivedAtMs + route.targetMs - this.#computeSpentMs(route, request)
     this.#endsAtMs = request.receivedAtMs + Math.min(request.timeLeftMs ?? defaultTimeLeftMs, route.timeoutMs)
     this.#timer = clock.setTimer(() => this.#receiveTimeout(), this.#endsAtMs - clock.readMonotonic())
     budget.recordRequest(this.#service, clock.readMonotonic())
+    const refusal = this.#context.findCrashRefusal(this.#fingerprint)
+    if (refusal) {
+      this.#respond(refusal.status, refusal.code, refusal.message)
+      return
+    }
     await this.#run(route)
   }
 
@@ -92,7 +101,7 @@
     for (;;) {
       const soughtAtMs = clock.readMonotonic()
       const found = await this.#context.targets.findTarget({
-        request: this.#request, route, service: this.#service, tried: this.#tried, dueAtMs: this.#dueAtMs, endsAtMs: this.#endsAtMs, isOver: () => this.#isOver
+        request: this.#request, fingerprint: this.#fingerprint, route, service: this.#service, tried: this.#tried, dueAtMs: this.#dueAtMs, endsAtMs: this.#endsAtMs, isOver: () => this.#isOver
       })
       this.#placeMs += clock.readMonotonic() - soughtAtMs
       if (found.search) this.#searches.push(found.search)
@@ -241,3 +250,10 @@
     })
   }
 }
+
+/** Bytes of a body that tell contents apart. */
+const fingerprintBytes = 16 * 1024
+
+function computeFingerprint ({ path, body }: CallerRequest): string {
+  return computeHash(`${path} ${body?.length ?? 0} ${body?.toString('latin1', 0, fingerprintBytes) ?? ''}`).toString(16)
+}
--- a/src/tasks/front/targetFinder.ts
+++ b/src/tasks/front/targetFinder.ts
@@ -22,6 +22,8 @@
 
 export interface TargetQuery {
   request: CallerRequest
+  /** Hash of what the request asks. */
+  fingerprint: string
   route: Route
   service: string
   /** Endpoints that the request was sent to before. */
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -1,7 +1,8 @@
 /** Sorts the messages between hosts to those they are for, and finds out whether a host runs. */
 import type { Clock } from '../../ports/clock.js'
 import type { Datagrams, DatagramSender } from '../../ports/datagrams.js'
-import type { HostMessage, PlaceAnswer, RenewalAsk, RenewalReply } from '../../schemas/datagram.js'
+import type { SuspectRecord } from '../../core/suspects.js'
+import type { CrashReport, HostMessage, PlaceAnswer, RenewalAsk, RenewalReply } from '../../schemas/datagram.js'
 
 export interface PeerTaskOptions {
   clock: Clock
@@ -15,6 +16,8 @@
   /** Takes another host's renewal, to be written with others. */
   receiveRenewal: (ask: RenewalAsk, sender: DatagramSender, answer: (reply: RenewalReply) => void) => void
   receiveRenewalReply: (reply: RenewalReply) => void
+  receiveCrash: (report: CrashReport) => void
+  receiveSuspect: (record: SuspectRecord) => void
 }
 
 /** What a host tells of itself when asked. */
@@ -89,6 +92,10 @@
       datagrams.send(sender.address, { type: 'pong', echo: message.echo, session: own.session, storeAgeMs: Math.min(neverMs, readStoreAgeMs()) })
     } else if (message.type === 'pong') {
       this.#pings.get(message.echo)?.(message)
+    } else if (message.type === 'crashed') {
+      this.#options.receiveCrash(message)
+    } else if (message.type === 'suspect') {
+      this.#options.receiveSuspect(message)
     } else if (message.type === 'renew') {
       receiveRenewal(message, sender, reply => datagrams.send(sender.address, reply))
     } else if (message.type === 'renewed' || message.type === 'renewalQueued') {
