--- a/features/hostPath.feature
+++ b/features/hostPath.feature
@@ -21,6 +21,12 @@
     Then no answer joins or repeats events
     And some streams were resumed
 
+  Scenario: A stream that breaks off long after its start goes on as well
+    Given 2 hosts before a platform with 2 engines
+    When a stream of kind "resumable" has run for 3400 ms and its engine crashes
+    Then every answer is whole and signed
+    And some streams were resumed
+
   Scenario: A stream that must not be repeated is never run twice
     Given 2 hosts before a platform with 3 engines
     And half of the streams break off
--- a/features/steps/hostPath.ts
+++ b/features/steps/hostPath.ts
@@ -193,6 +193,17 @@
   setFaults(this, () => true, { eventMs: 0 })
 })
 
+When('a stream of kind {string} has run for {int} ms and its engine crashes', async function (this: HostsWorld, kind: CallKind, ms: number) {
+  const { fleet } = this.hostFleet
+  // An id that ends so asks for 8 events, of which the engine sends half before it crashes.
+  setFaults(this, endpoint => endpoint.engine !== undefined, { eventMs: 700 })
+  const answered = call(this, { kind, host: 1, adapter: 'a1', requestId: `${randomBytes(7).toString('hex')}05` })
+  await sleep(ms)
+  setFaults(this, endpoint => endpoint.engine !== undefined, { eventMs: 0 })
+  fleet.endpoints.find(({ id }) => id === fleet.journal.runs.at(-1)!.endpointId)!.server.crash()
+  await answered
+})
+
 When('the owner of the engine stops', async function (this: HostsWorld) {
   const host = this.hostFleet.hosts[findOwner(this) - 1]!
   this.hostFleet.stopHost(host)
--- a/src/tasks/front/attempt.ts
+++ b/src/tasks/front/attempt.ts
@@ -40,6 +40,7 @@
   #sending: Sending | undefined
   #startedAtMs = 0
   #firstPartMs = -1
+  #lastPartAtMs: number | undefined
   #isSent = false
   /** Whether this attempt's head went to the caller, rather than that of an earlier one. */
   #hasWrittenHead = false
@@ -64,6 +65,11 @@
     return this.#firstPartMs
   }
 
+  /** When the last part of the answer went to the caller; undefined where none did. */
+  get lastPartAtMs (): number | undefined {
+    return this.#lastPartAtMs
+  }
+
   /** Last whole event that was passed on to the caller. */
   get lastEventId (): number | undefined {
     return this.#cutter?.lastId ?? this.#options.lastEventId
@@ -153,6 +159,7 @@
     }
     if (cut.count === 0) return true
     if (!this.#options.answer.hasHead) this.#writeHead(this.#head!)
+    this.#lastPartAtMs = this.#context.clock.readMonotonic()
     return this.#write(cut.bytes)
   }
 
--- a/src/tasks/front/engineFinder.ts
+++ b/src/tasks/front/engineFinder.ts
@@ -163,7 +163,7 @@
   }
 
   #describeAsk (query: TargetQuery, endpoint: EndpointEntry, version: number, mayDecline: boolean): AskDetails {
-    const { request, fingerprint, route, dueAtMs, endsAtMs } = query
+    const { request, fingerprint, route, dueAtMs, uselessAtMs, endsAtMs } = query
     const nowMs = this.#options.clock.readMonotonic()
     return {
       endpointId: endpoint.id,
@@ -174,7 +174,7 @@
       route: route.name,
       rank: route.rank,
       dueInMs: dueAtMs - nowMs,
-      uselessInMs: Math.min(endsAtMs, request.receivedAtMs + route.patienceMs) - nowMs,
+      uselessInMs: Math.min(endsAtMs, uselessAtMs) - nowMs,
       leavesInMs: endsAtMs - nowMs,
       promptTokens: request.promptTokens,
       maxTokens: request.maxTokens,
--- a/src/tasks/front/frontRequest.ts
+++ b/src/tasks/front/frontRequest.ts
@@ -30,6 +30,8 @@
   /** Hash of what the request asks, computed once for all engines that are asked. */
   #fingerprint = ''
   #dueAtMs = 0
+  /** When the caller had the last part of a stream. */
+  #lastPartAtMs: number | undefined
   #endsAtMs = 0
   #timer: Timer | undefined
   #attempt: Attempt | undefined
@@ -96,12 +98,20 @@
     return waits.computeSpentMs(route.name, timeLeftMs)
   }
 
+  /** A stream that goes on has until its caller misses the next part. */
+  #computeTimes (route: Route): { dueAtMs: number, uselessAtMs: number } {
+    const lastPartAtMs = this.#lastPartAtMs
+    return lastPartAtMs === undefined
+      ? { dueAtMs: this.#dueAtMs, uselessAtMs: this.#request.receivedAtMs + route.patienceMs }
+      : { dueAtMs: lastPartAtMs + (route.maxGapMs ?? route.targetMs), uselessAtMs: lastPartAtMs + route.patienceMs }
+  }
+
   async #run (route: Route): Promise<void> {
     const { clock } = this.#context
     for (;;) {
       const soughtAtMs = clock.readMonotonic()
       const found = await this.#context.targets.findTarget({
-        request: this.#request, fingerprint: this.#fingerprint, route, service: this.#service, tried: this.#tried, dueAtMs: this.#dueAtMs, endsAtMs: this.#endsAtMs, isOver: () => this.#isOver
+        request: this.#request, fingerprint: this.#fingerprint, route, service: this.#service, tried: this.#tried, ...this.#computeTimes(route), endsAtMs: this.#endsAtMs, isOver: () => this.#isOver
       })
       this.#placeMs += clock.readMonotonic() - soughtAtMs
       if (found.search) this.#searches.push(found.search)
@@ -167,6 +177,7 @@
     })
     this.#attempt = attempt
     const result = await attempt.run()
+    this.#lastPartAtMs = attempt.lastPartAtMs ?? this.#lastPartAtMs
     if (result.kind === 'answered') {
       this.#finish('served', `endpoint "${target.endpoint.id}" answered with status ${result.status}`)
       return undefined
--- a/src/tasks/front/targetFinder.ts
+++ b/src/tasks/front/targetFinder.ts
@@ -28,8 +28,10 @@
   service: string
   /** Endpoints that the request was sent to before. */
   tried: readonly string[]
-  /** When its answer becomes late, counted from its caller's first try. */
+  /** When its answer becomes late, counted from its caller's first try or from the last part of a stream. */
   dueAtMs: number
+  /** From when on a start is of no use, as its caller will have left. */
+  uselessAtMs: number
   endsAtMs: number
   isOver: () => boolean
 }
