Do not tell of endpoint entries that change nothing; shorten the story of a request

Each heartbeat of an engine came as a change to every host: a log line, a pass over the leases, a pass over the placement. Only what it holds and its count of orders had changed, which nobody decides by at that moment. The story of a request also names the engines whose owners it asked, and each change once.

--- a/src/core/newsBoard.ts
+++ b/src/core/newsBoard.ts
@@ -67,9 +67,16 @@
     if (!news) return row.value && describeUnreadable(row)
     if (news.kind === 'configuration') return this.#applyConfiguration(news.configuration)
     if (news.kind === 'version') return this.#applyVersion(news.version)
-    if (news.entry) this.endpoints.recordEntry(news.entry, nowMs)
-    else this.endpoints.recordRemoved(news.id, nowMs, row.value === undefined)
-    return row.value && !news.entry ? describeUnreadable(row) : news
+    if (news.entry) return this.#applyEntry(news.id, news.entry, nowMs)
+    this.endpoints.recordRemoved(news.id, nowMs, row.value === undefined)
+    return row.value ? describeUnreadable(row) : news
+  }
+
+  /** Endpoints write all the time; what they hold and their count of orders concern nobody but who asks. */
+  #applyEntry (id: string, entry: EndpointEntry, nowMs: number): BoardChange | undefined {
+    const before = this.endpoints.find(id, nowMs)
+    this.endpoints.recordEntry(entry, nowMs)
+    return before && isSameEntry(before, entry) ? undefined : { kind: 'endpoint', id, entry }
   }
 
   #applyConfiguration (configuration: RoutingConfiguration): BoardChange | undefined {
@@ -116,3 +123,9 @@
 function describeUnreadable ({ table, key, value }: StoreRow): BoardChange {
   return { kind: 'unreadable', table, key, sample: Buffer.from(value ?? []).toString('utf8', 0, maxSampleBytes) }
 }
+
+/** Whether two entries of an endpoint differ only in what it holds and its count of orders. */
+export function isSameEntry (before: EndpointEntry, after: EndpointEntry): boolean {
+  const format = (entry: EndpointEntry): string => JSON.stringify({ ...entry, models: undefined, orderCount: undefined })
+  return format(before) === format(after)
+}
--- a/src/ctl/hostLog.ts
+++ b/src/ctl/hostLog.ts
@@ -42,14 +42,32 @@
   const first = own[0]
   const last = own.at(-1)
   if (!first || !last) return []
-  const endpointIds = new Set(own.flatMap(({ fields }) => [fields.endpointId, ...(Array.isArray(fields.tried) ? fields.tried : [])]).filter(id => id !== undefined))
+  const endpointIds = new Set(own.flatMap(({ fields }) => listEndpointIds(fields)))
   const startedAt = Math.min(...own.map(line => line.time - Number(line.fields.tookMs ?? 0)))
-  const isNear = ({ time }: HostLogLine): boolean => time >= startedAt - surroundingMs && time <= last.time + surroundingMs
-  return lines.filter(line => own.includes(line) || (isNear(line) && isContext(line, endpointIds))).sort((left, right) => left.time - right.time)
+  const isNear = ({ time }: HostLogLine): boolean => time >= startedAt - beforeMs && time <= last.time + afterMs
+  const story = lines.filter(line => own.includes(line) || (isNear(line) && isContext(line, endpointIds)))
+  return dropEchoes(story.sort((left, right) => left.time - right.time))
 }
 
-/** Events shortly before or after a request that may explain it. */
-const surroundingMs = 1000
+/** Engines that a request ran on, and those whose owners it asked. */
+function listEndpointIds ({ endpointId, tried, searches }: Record<string, unknown>): unknown[] {
+  const answers = Array.isArray(searches) ? searches.flatMap(search => (search as { answers?: string[] }).answers ?? []) : []
+  return [endpointId, ...(Array.isArray(tried) ? tried : []), ...answers.map(answer => answer.split(' ')[0])].filter(id => id !== undefined)
+}
+
+/** Every host tells of a change; the first of them is enough. */
+function dropEchoes (story: HostLogLine[]): HostLogLine[] {
+  const seen = new Set<string>()
+  return story.filter(({ kind, fields }) => {
+    if (!/\.(changed|applied|declared)$/.test(kind)) return true
+    const key = `${kind} ${JSON.stringify(fields)}`
+    return !seen.has(key) && seen.add(key)
+  })
+}
+
+/** Events that may explain a request came within this time before it, or showed this long after its end. */
+const beforeMs = 1000
+const afterMs = 400
 const contextKinds = /^(engine\.|lease\.|owner\.|endpoint\.changed|store\.|peers\.|configuration\.applied|host\.)/
 
 function isContext ({ kind, fields }: HostLogLine, endpointIds: ReadonlySet<unknown>): boolean {
--- a/src/platform/decodeNews.ts
+++ b/src/platform/decodeNews.ts
@@ -1,5 +1,6 @@
 /** Decodes rows of the tables that operators and endpoints write into news for the hosts. */
 import type { AdapterVersion, EndpointEntry, RoutingConfiguration } from '../schemas/routing.js'
+import { isSameEntry } from '../core/newsBoard.js'
 import { decodeAdapterVersion, decodeConfiguration } from './decodeConfiguration.js'
 import { decodeEndpoint } from './decodeEndpoint.js'
 import { configurationKey, endpointsTable, operatorsTable, versionKeyPrefix } from './wireNames.js'
@@ -36,9 +37,6 @@
  */
 export function isSameEndpointNews (table: string, key: string, before: Uint8Array, after: Uint8Array): boolean {
   if (table !== endpointsTable) return false
-  return formatComparable(decodeEndpoint(key, before)) === formatComparable(decodeEndpoint(key, after))
-}
-
-function formatComparable (entry: EndpointEntry | undefined): string {
-  return JSON.stringify({ ...entry, models: undefined, orderCount: undefined })
+  const [older, newer] = [decodeEndpoint(key, before), decodeEndpoint(key, after)]
+  return older !== undefined && newer !== undefined && isSameEntry(older, newer)
 }
