Give no more places for an adapter that its engine says it lacks

The stand-in engine let reports of its former process overwrite those of the new one, for good. Its owner believed them, granted places for the adapter within milliseconds of each 421, and 13 repeats of one request in 20 ms used up the budget of repeats. Ruled out: the suspects themselves (three crashes told, the content refused everywhere) and the change of the news board (same failure without it). The stand-in drops reports of a former process. An owner that hears that an adapter is missing takes it off its list until a later report names it. Scenario 'An adapter that an engine has lost': before, 'the budget of repeats is used up'; after, all 20 streams whole with at most 15 repeats.

--- a/features/hostPath.feature
+++ b/features/hostPath.feature
@@ -80,6 +80,15 @@
     Then at least 18 streams are whole
     And no endpoint saw what no host may do
 
+  Scenario: An adapter that an engine has lost is looked for elsewhere or loaded again
+    Given 2 hosts before a platform with 1 engine
+    When 10 streams of kind "resumable" are sent for adapter "a1"
+    And the engines lose adapter "a1"
+    And 10 streams of kind "resumable" are sent for adapter "a1"
+    Then every answer is whole and signed
+    And at most 15 repeats were sent in all
+    And no endpoint saw what no host may do
+
   Scenario: An endpoint that leaves gets no new work
     Given 2 hosts before a platform with 2 engines
     When engine 1 says that it leaves
--- a/features/steps/hostPath.ts
+++ b/features/steps/hostPath.ts
@@ -151,6 +151,15 @@
   this.crashed.server.crash()
 })
 
+When('the engines lose adapter {string}', function (this: HostsWorld, adapter: string) {
+  for (const { engine } of this.hostFleet.fleet.engines) engine!.loseAdapter(adapter)
+})
+
+Then('at most {int} repeats were sent in all', function (this: HostsWorld, count: number) {
+  const repeats = this.hostFleet.listLines('request.retried')
+  assert.ok(repeats.length <= count, `${repeats.length} repeats`)
+})
+
 When('engine {int} says that it leaves', function (this: HostsWorld, number: number) {
   this.hostFleet.fleet.drain(this.hostFleet.fleet.engines[number - 1]!)
 })
--- a/src/standin/fleet/fleetEngine.ts
+++ b/src/standin/fleet/fleetEngine.ts
@@ -76,6 +76,12 @@
     this.#reported = this.#describe()
   }
 
+  /** The engine loses an adapter by itself; reports tell of it as late as of anything. */
+  loseAdapter (adapter: string): void {
+    this.#adapters.delete(adapter)
+    this.#report()
+  }
+
   /** Carries an order out; returns the status of its answer. */
   receiveOrder (order: EngineOrder, holder: OrderHolder): number {
     this.#finishLoads()
@@ -177,7 +183,10 @@
 
   #report (): void {
     const state = this.#describe()
-    setTimeout(() => { this.#reported = state }, this.options.reportLagMs).unref()
+    setTimeout(() => {
+      // What a process told before its end is not read after it.
+      if (state.startedAtMs === this.startedAtMs) this.#reported = state
+    }, this.options.reportLagMs).unref()
   }
 
   #describe (): EngineState {
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -156,11 +156,19 @@
     if (done.outcome === 'broken') this.#brokenLately.push({ fingerprint: place.ask.fingerprint, atMs: this.#options.clock.readMonotonic() })
     if (done.firstPartMs >= 0 && done.outcome === 'served') this.#planner.recordFirstPart(key, done.firstPartMs)
     this.#planner.remove(key, done.outcome === 'served' ? this.#options.clock.readMonotonic() : undefined)
-    if (done.outcome === 'missing') this.#line.close(`adapter "${place.ask.adapter}" was expected there and is missing`)
+    if (done.outcome === 'missing') this.#receiveMissing(place)
     if (done.outcome === 'unreachable' || done.outcome === 'broken') this.#watch.checkReachable()
     this.#plan()
   }
 
+  /** The engine says that it lacks an adapter: it takes no more requests for it unless its next report lists it. */
+  #receiveMissing ({ ask, version }: Place): void {
+    const adapter = formatAdapter(ask)
+    const placed = this.#planner.places.find(adapter)
+    if (placed?.state === 'loaded' && placed.version === version) this.#planner.recordUnloaded(adapter)
+    this.#line.close(`adapter "${ask.adapter}" was expected there and is missing`)
+  }
+
   /** Requests of a front run here without a place that this owner gave. */
   receiveHeld (session: string, { places }: Held): void {
     const nowMs = this.#options.clock.readMonotonic()
