Pass large rows on compressed, and give up at once what no load can bring in time any more

An owner kept a request without a slot until its caller left, though a load takes 250 ms before the first part; it is now refused when a load that begins comes too late. Scenario 'Without a slot a request is given up once a load would come too late' failed first.

--- a/features/deskPlanner.feature
+++ b/features/deskPlanner.feature
@@ -131,6 +131,15 @@
     When the desk plans for 200 ms
     Then request 4 is refused
 
+  Scenario: Without a slot a request is given up once a load would come too late for its caller
+    Given adapters "a1, a2, a3" are loaded at the desk
+    And requests 1 to 3 run on "a1, a2, a3"
+    When request 4 asks for "a4" and leaves after 700 ms
+    And the desk plans for 400 ms
+    Then request 4 is neither granted nor refused
+    When the desk plans for 60 ms
+    Then request 4 is refused
+
   Scenario: With a slot a request waits as long as its caller does
     When request 1 asks for "a1"
     And the desk plans for 2500 ms
--- /dev/null
+++ b/features/relayedNews.feature
@@ -0,0 +1,13 @@
+Feature: News that hosts pass on to each other
+  Hosts in other zones pay for each byte, and configurations are large.
+
+  Scenario: A large configuration crosses compressed
+    Given a host that relays a configuration of 300000 bytes
+    When 6 followers read its news
+    Then each follower has the configuration as it was written
+    And at most 60000 bytes crossed for each of them
+
+  Scenario: Rows of hosts and endpoints cross as they are
+    Given a host that relays a configuration of 300 bytes
+    When 1 follower reads its news
+    Then each follower has the configuration as it was written
--- a/features/steps/deskPlanner.ts
+++ b/features/steps/deskPlanner.ts
@@ -102,6 +102,10 @@
   this.desk.ask(String(key), adapter)
 })
 
+When('request {int} asks for {string} and leaves after {int} ms', function (this: DeskWorld, key: number, adapter: string, ms: number) {
+  this.desk.ask(String(key), adapter, { uselessAtMs: this.desk.nowMs + ms })
+})
+
 When('{int} ms pass at the desk', function (this: DeskWorld, ms: number) {
   this.desk.nowMs += ms
 })
--- a/features/support/hostFleet.ts
+++ b/features/support/hostFleet.ts
@@ -15,8 +15,11 @@
 export type CallKind = keyof typeof fleetPaths
 
 export interface LogLine {
+  /** Unix milliseconds. */
+  time: number
   host: string
   kind: string
+  message: string
   fields: EventFields
 }
 
@@ -82,7 +85,7 @@
     host.process = await startHost(host.settings, createSystemClock(), {
       metricsPort: basePort + 4,
       openLog: () => ({
-        record: (kind, _message, fields = {}) => { this.lines.push({ host: hostName, kind, fields }) },
+        record: (kind, message, fields = {}) => { this.lines.push({ time: Date.now(), host: hostName, kind, message, fields }) },
         flush: () => {}
       })
     })
@@ -140,6 +143,11 @@
     return this.lines.filter(line => line.kind === kind)
   }
 
+  /** All lines as hosts write them. */
+  formatLines (): string {
+    return this.lines.map(({ fields, ...line }) => JSON.stringify({ ...line, ...fields })).join('\n')
+  }
+
   async stop (): Promise<void> {
     await this.#agent.destroy()
     await Promise.all(this.hosts.map(async host => await this.stopHost(host)))
--- a/src/adapters/relay/httpRelay.ts
+++ b/src/adapters/relay/httpRelay.ts
@@ -3,9 +3,10 @@
 import { pack, unpack } from 'msgpackr'
 import { Agent } from 'undici'
 import VError from 'verror'
-import type { Relay, RelayedNews } from '../../ports/relay.js'
+import type { Relay } from '../../ports/relay.js'
 import type { StoreOutcome } from '../../ports/store.js'
 import { createParser } from '../../schemas/createParser.js'
+import { decodeRow, relayedRowSchema } from './relayedRows.js'
 
 export const newsPath = '/news'
 export const transactPath = '/transact'
@@ -14,14 +15,11 @@
 const answerTimeoutMs = 600
 const connectTimeoutMs = 400
 
-const rowSchema = Type.Object({
-  table: Type.String(), key: Type.String(), version: Type.Number(), value: Type.Optional(Type.Any())
-})
 const parseNews = createParser(Type.Object({
   logId: Type.String(),
   position: Type.Number(),
   isWhole: Type.Boolean(),
-  rows: Type.Array(rowSchema),
+  rows: Type.Array(relayedRowSchema),
   versions: Type.Record(Type.String(), Type.Number()),
   storeAgeMs: Type.Number()
 }))
@@ -43,7 +41,8 @@
       })
       const bytes = Buffer.from(await body.arrayBuffer())
       if (statusCode !== 200) throw new VError('the peer at %s answered with status %d', address, statusCode)
-      return parseNews(unpack(bytes)) as RelayedNews
+      const news = parseNews(unpack(bytes))
+      return { ...news, rows: await Promise.all(news.rows.map(decodeRow)) }
     },
     transact: async (address, transaction) => {
       try {
--- a/src/core/desk/deskPlanner.ts
+++ b/src/core/desk/deskPlanner.ts
@@ -240,8 +240,10 @@
   }
 
   #refuseOverdue (plan: DeskPlan & { wakeAtMs: number | undefined }, nowMs: number): void {
-    for (const { request, slotLimitMs } of [...this.#waiting.values()]) {
-      const lastMs = this.#hasSlot(request) ? request.uselessAtMs : Math.min(request.uselessAtMs, slotLimitMs)
+    for (const { request, slotLimitMs, readMs } of [...this.#waiting.values()]) {
+      const lastMs = this.#hasSlot(request)
+        ? request.uselessAtMs - readMs
+        : Math.min(request.uselessAtMs - readMs - this.#options.expectLoadMs(request.adapter, request.version), slotLimitMs)
       if (lastMs > nowMs) {
         plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, lastMs)
         continue
--- a/src/tasks/news/relayServer.ts
+++ b/src/tasks/news/relayServer.ts
@@ -4,6 +4,7 @@
 import { startHttpServer } from '../../adapters/httpServer/httpServer.js'
 import type { HttpReply, HttpServer } from '../../adapters/httpServer/httpServer.js'
 import { newsPath, transactPath } from '../../adapters/relay/httpRelay.js'
+import { encodeRow } from '../../adapters/relay/relayedRows.js'
 import type { RowMirror } from '../../core/rowMirror.js'
 import type { Clock } from '../../ports/clock.js'
 import type { Store, StoreTransaction } from '../../ports/store.js'
@@ -41,11 +42,15 @@
 }
 
 async function serveNews (options: RelayServerOptions, query: URLSearchParams): Promise<HttpReply> {
-  const { mirror, readStoreAgeMs } = options
+  const { clock, mirror, readStoreAgeMs } = options
   const logId = query.get('logId') ?? ''
   const position = Number(query.get('position'))
   if (logId === mirror.logId && position === mirror.position) await waitForNews(options, Math.min(maxWaitMs, Number(query.get('waitMs'))))
-  return createReply({ ...mirror.readChanges(logId, position), storeAgeMs: Math.min(neverMs, readStoreAgeMs()) })
+  const changes = mirror.readChanges(logId, position)
+  const readAtMs = clock.readMonotonic()
+  const storeAgeMs = readStoreAgeMs()
+  const rows = await Promise.all(changes.rows.map(encodeRow))
+  return createReply({ ...changes, rows, storeAgeMs: Math.min(neverMs, storeAgeMs + clock.readMonotonic() - readAtMs) })
 }
 
 async function carryOutTransaction ({ store, reachesStore }: RelayServerOptions, body: Buffer): Promise<HttpReply> {
