Remember how far each relay's news are known

Scenario 'While the store is away hosts do not read each other's news whole again and again': 834 whole reads of each of four peers in ten seconds before, one now.

Lines about orders had the order's kind in place of their own; they are order.load and order.unload again.

--- a/features/relayedNews.feature
+++ b/features/relayedNews.feature
@@ -11,3 +11,9 @@
     Given a host that relays a configuration of 300 bytes
     When 1 follower reads its news
     Then each follower has the configuration as it was written
+
+  Scenario: While the store is away hosts do not read each other's news whole again and again
+    Given a host that follows 4 peers which have lost the store as well
+    When 10000 ms pass for it
+    Then it has read the news of each peer whole at most 1 time
+    And it has asked its peers at most 80 times
--- a/features/steps/relayedNews.ts
+++ b/features/steps/relayedNews.ts
@@ -2,10 +2,13 @@
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
 import type { HttpServer } from '../../src/adapters/httpServer/httpServer.js'
+import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
 import { createHttpRelay } from '../../src/adapters/relay/httpRelay.js'
+import { NewsBoard } from '../../src/core/newsBoard.js'
 import { RowMirror } from '../../src/core/rowMirror.js'
 import type { RelayedNews } from '../../src/ports/relay.js'
 import type { Store } from '../../src/ports/store.js'
+import { NewsTask } from '../../src/tasks/news/newsTask.js'
 import { startRelayServer } from '../../src/tasks/news/relayServer.js'
 import { startByteCounter } from '../support/byteCounter.js'
 import type { ByteCounter } from '../support/byteCounter.js'
@@ -15,6 +18,9 @@
   relayServer: HttpServer | undefined
   counter: ByteCounter | undefined
   read: RelayedNews[]
+  clock: VirtualClock
+  /** By peer, how often its news were read, and how often whole. */
+  asked: Map<string, { calls: number, whole: number }>
 }
 
 const relayAddress = `127.0.0.1:${19_000 + process.pid % 900}`
@@ -54,3 +60,56 @@
   const each = this.counter!.bytes / this.read.length
   assert.ok(each <= most, `${each} bytes`)
 })
+
+/** Peers answer in 3 ms, with everything where the position is not of their log, else when there is news or `waitMs` are over. */
+Given('a host that follows {int} peers which have lost the store as well', function (this: NewsWorld, count: number) {
+  const clock = new VirtualClock()
+  const asked: NewsWorld['asked'] = new Map()
+  const answerMs = 3
+  const pause = async (ms: number): Promise<void> => await new Promise<void>(resolve => { clock.setTimer(resolve, ms) })
+  const mirror = new RowMirror('own', () => false, () => {})
+  const fail = async (): Promise<never> => {
+    await pause(answerMs)
+    throw new Error('connection refused')
+  }
+  const task = new NewsTask({
+    clock,
+    log: { record: () => {} },
+    store: { followTable: fail, readTable: fail } as unknown as Store,
+    relay: {
+      readNews: async (address, logId, _position, waitMs) => {
+        const peer = asked.get(address) ?? { calls: 0, whole: 0 }
+        asked.set(address, peer)
+        peer.calls++
+        const isWhole = logId !== address
+        if (isWhole) peer.whole++
+        await pause(isWhole ? answerMs : waitMs)
+        return { logId: address, position: 1, isWhole, rows: [], versions: {}, storeAgeMs: 5000 + clock.readMonotonic() }
+      },
+      transact: fail,
+      close: async () => {}
+    },
+    mirror,
+    board: new NewsBoard(() => undefined),
+    tables: [],
+    own: { host: 'own', address: '10.0.0.1', zone: 'a' },
+    seeds: Array.from({ length: count }, (_, index) => `10.0.0.${index + 2}`),
+    formatRelayAddress: address => address
+  })
+  task.start()
+  this.clock = clock
+  this.asked = asked
+})
+
+When('{int} ms pass for it', async function (this: NewsWorld, ms: number) {
+  await this.clock.runUntilSettled(this.clock.readMonotonic() + ms)
+})
+
+Then('it has read the news of each peer whole at most {int} time(s)', function (this: NewsWorld, most: number) {
+  for (const [address, { whole }] of this.asked) assert.ok(whole <= most, `${address}: ${whole} times`)
+})
+
+Then('it has asked its peers at most {int} times', function (this: NewsWorld, most: number) {
+  const calls = [...this.asked.values()].reduce((sum, peer) => sum + peer.calls, 0)
+  assert.ok(calls <= most, `${calls} times`)
+})
--- a/src/adapters/eventLog/pinoEventLog.ts
+++ b/src/adapters/eventLog/pinoEventLog.ts
@@ -55,7 +55,7 @@
 
   record (kind: string, message: string, fields: EventFields = {}): void {
     const nowMs = this.#clock.readMonotonic()
-    if (this.#budget.takeLine(kind, nowMs)) this.#logger.info({ kind, upMs: Math.round(nowMs), ...fields }, message)
+    if (this.#budget.takeLine(kind, nowMs)) this.#logger.info({ ...fields, kind, upMs: Math.round(nowMs) }, message)
   }
 
   reportOmitted (dropped: number): void {
--- a/src/tasks/desk/orderLine.ts
+++ b/src/tasks/desk/orderLine.ts
@@ -85,7 +85,7 @@
       const expectedCount = this.#count
       outcome = await orders.send({ ...order, expectedCount }, { host, fencing }, attempt === 1 ? firstTimeoutMs : timeoutMs)
       log.record(`order.${order.kind}`, 'Gave an engine an order.', {
-        endpointId, ...order, expectedCount, fencing, attempt, ...outcome, tookMs: Math.round(clock.readMonotonic() - startedAtMs)
+        endpointId, model: order.model, adapter: order.adapter, version: order.version, expectedCount, fencing, attempt, ...outcome, tookMs: Math.round(clock.readMonotonic() - startedAtMs)
       })
       if (outcome.verdict === 'unknown') continue
       const isRepeated = attempt > 1 && isConflict(outcome) ? await this.#isCarriedOut(order, expectedCount, { host, fencing }) : false
--- a/src/tasks/news/newsTask.ts
+++ b/src/tasks/news/newsTask.ts
@@ -40,6 +40,8 @@
 /** A source that failed is not asked again for this long, while there are others. */
 const avoidSourceMs = 2000
 const retryMs = 250
+/** Relays whose logs are remembered: more than a deployment of eight zones has readers. */
+const maxRelayLogs = 32
 /** A host that knows nothing yet tries again sooner. */
 const firstRetryMs = 60
 const checkIntervalMs = 200
@@ -52,7 +54,8 @@
   /** Age of the store's word as the relay told it, and when. */
   #relayedAgeMs = Infinity
   #avoided = new Map<string, number>()
-  #relayLog = { address: '', logId: '', position: 0 }
+  /** By relay, up to where its log is known here, so that a change of the source does not cost everything anew. */
+  #relayLogs = new Map<string, { logId: string, position: number }>()
   #isStoreLost = false
   #running = new Set<string>()
   #timer: Timer | undefined
@@ -160,10 +163,10 @@
       await this.#pause(retryMs)
       return
     }
-    if (this.#relayLog.address !== address) this.#relayLog = { address, logId: '', position: 0 }
+    const { logId, position } = this.#relayLogs.get(address) ?? { logId: '', position: 0 }
     try {
-      const news = await relay.readNews(address, this.#relayLog.logId, this.#relayLog.position, relayWaitMs)
-      this.#relayLog = { address, logId: news.logId, position: news.position }
+      const news = await relay.readNews(address, logId, position, relayWaitMs)
+      this.#recordLog(address, { logId: news.logId, position: news.position })
       mirror.applyMirror(news)
       this.#relayAnsweredAtMs = clock.readMonotonic()
       this.#relayedAgeMs = news.storeAgeMs
@@ -176,6 +179,13 @@
     }
   }
 
+  #recordLog (address: string, log: { logId: string, position: number }): void {
+    // Deleting first keeps the map in order of the last read.
+    this.#relayLogs.delete(address)
+    this.#relayLogs.set(address, log)
+    if (this.#relayLogs.size > maxRelayLogs) this.#relayLogs.delete(this.#relayLogs.keys().next().value!)
+  }
+
   /** The best relay that has not failed lately; where all have, the one that failed first. */
   #pickRelay (): string | undefined {
     const { own, seeds, formatRelayAddress, clock } = this.#options
