Keep engines through a planned stop while the store is away, and take none in turn after it

A host that stops now shows first that the store takes its writes, and goes on as owner until it does or its time is over; the release itself is repeated under its conditions.

Rows of owners name who held them before; a host that has just started takes no vacancy that went through another host's hands, and nobody hands an engine over before it has held it for the time of a lease. Scenario 'What the successor of a host gives up at once goes to a third one' failed before.

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -56,3 +56,40 @@
     And a host joins, is given an engine and leaves 300 ms later
     And 6000 ms pass for the leases
     Then every engine may be given orders by one host
+
+  Scenario Outline: A host that leaves while the store takes no writes goes on with its engines until it does
+    Given 3 lease hosts and 6 engines
+    When 2000 ms pass for the leases
+    And the store is "<fault>" and lease host 1 leaves
+    And 1500 ms pass for the leases while every engine may be given orders at least 95% of the time
+    And the store is well again
+    And 1500 ms pass for the leases
+    Then every engine may be given orders by one host
+    And lease host 1 owns nothing
+
+    Examples:
+      | fault |
+      | busy  |
+      | lost  |
+
+  Scenario: A host whose store stays away leaves its engines when its time is over
+    Given 3 lease hosts and 6 engines
+    When 2000 ms pass for the leases
+    And the store is "busy" and lease host 1 leaves
+    And 8000 ms pass for the leases
+    Then lease host 1 owns nothing
+
+  Scenario: A host that starts again at once takes no engine in turn with its successor
+    Given 4 lease hosts and 4 engines
+    When 14000 ms pass for the leases
+    And lease host 2 leaves and starts again 700 ms later
+    And 12000 ms pass for the leases
+    Then every engine may be given orders by one host
+
+  Scenario: What the successor of a host gives up at once goes to a third one
+    Given 4 lease hosts and 4 engines
+    When 14000 ms pass for the leases
+    And all lease hosts but 1 leave and start again 700 ms later
+    And lease host 1 leaves and starts again 300 ms later
+    And 12000 ms pass for the leases
+    Then every engine may be given orders by one host
--- a/features/steps/leases.ts
+++ b/features/steps/leases.ts
@@ -41,7 +41,36 @@
   for (let passedMs = 0; host.owned.size === 0 && passedMs < 2 * handoverMs; passedMs += 10) await this.cluster.run(10)
   assert.ok(host.owned.size > 0, 'nothing was handed over')
   await this.cluster.run(ms)
-  await this.cluster.leave(host)
+  const left = this.cluster.leave(host)
+  await this.cluster.run(500)
+  await left
+})
+
+When('the store is {string} and lease host {int} leaves', function (this: LeasesWorld, state: StoreState, number: number) {
+  this.cluster.state = state
+  this.cluster.leave(this.cluster.hosts[number - 1]!)
+})
+
+When('lease host {int} leaves and starts again {int} ms later', async function (this: LeasesWorld, number: number, ms: number) {
+  const host = this.cluster.hosts[number - 1]!
+  const left = this.cluster.leave(host)
+  await this.cluster.run(ms)
+  await left
+  this.cluster.startAgain(host)
+})
+
+When('all lease hosts but {int} leave and start again {int} ms later', async function (this: LeasesWorld, number: number, ms: number) {
+  const leaving = this.cluster.hosts.filter((_, index) => index !== number - 1)
+  const left = leaving.map(async host => await this.cluster.leave(host))
+  await this.cluster.run(ms)
+  await Promise.all(left)
+  for (const host of leaving) this.cluster.startAgain(host)
+})
+
+Then('lease host {int} owns nothing', function (this: LeasesWorld, number: number) {
+  const { owned, isRunning } = this.cluster.hosts[number - 1]!
+  assert.deepEqual([...owned.keys()], [])
+  assert.ok(!isRunning, 'the host has not left')
 })
 
 When('the store is well again', function (this: LeasesWorld) {
--- a/features/support/leaseCluster.ts
+++ b/features/support/leaseCluster.ts
@@ -19,6 +19,7 @@
 
 export interface LeaseHost {
   name: string
+  address: string
   leases: LeaseTask
   pool: RenewalPool
   isRunning: boolean
@@ -29,6 +30,8 @@
 }
 
 const answerMs = 5
+/** Time that a host has for its end. */
+const maxLeaveMs = 6000
 const slowMs = 300
 const newsIntervalMs = 50
 const lateMs = 3000
@@ -80,14 +83,17 @@
     return this.rows.listRows(endpointsTable).map(row => row.key).filter(id => !served.has(id))
   }
 
-  /** The host gives its engines up and ends. */
+  /** The host gives its engines up and ends; the clock has to be run meanwhile. */
   async leave (host: LeaseHost): Promise<void> {
-    const left = host.leases.leave()
-    await this.run(answerMs * 2)
-    await left
+    await host.leases.leave(maxLeaveMs)
     this.kill(host)
   }
 
+  /** A new life of a host under its name. */
+  startAgain (former: LeaseHost): void {
+    this.hosts.push(this.#createHost(former.name, former.address))
+  }
+
   kill (host: LeaseHost): void {
     host.isRunning = false
     host.leases.stop()
@@ -95,14 +101,14 @@
 
   #createHost (name: string, address: string): LeaseHost {
     const { clock } = this
-    const session = `${name}-life`
+    const session = `${name}-life-${this.hosts.length}`
     const own = { host: name, address, zone: 'zone-1', session }
     const board = new NewsBoard(decodePlatformRow)
     const mirror = new RowMirror(session, () => false, row => {
       const change = board.applyRow(row, clock.readMonotonic())
       if (change) leases.receiveChange(change)
     })
-    const host: LeaseHost = { name, leases: undefined!, pool: undefined!, isRunning: true, isHeard: true, owned: new Map(), lines: [] }
+    const host: LeaseHost = { name, address, leases: undefined!, pool: undefined!, isRunning: true, isHeard: true, owned: new Map(), lines: [] }
     const log = { record: (kind: string, _message: string, fields: Record<string, unknown> = {}) => { host.lines.push({ kind, fields }) } }
     const transact = async (transaction: StoreTransaction): Promise<StoreOutcome> => await this.#transact(transaction)
     const access = new StoreAccess({ clock, log, transact, transactByPeer: async (_address, transaction) => await transact(transaction), listPeers: () => ['peer'], receiveStoreAnswer: () => {} })
--- a/src/adapters/datagrams/udpDatagrams.ts
+++ b/src/adapters/datagrams/udpDatagrams.ts
@@ -40,6 +40,7 @@
   #socket: Socket
   #options: UdpDatagramsOptions
   #receiveMessage: ReceiveMessage = () => {}
+  #isClosed = false
   #outgoing = new Map<string, HostMessage[]>()
 
   constructor (socket: Socket, options: UdpDatagramsOptions) {
@@ -50,7 +51,9 @@
     socket.on('message', (bytes, { address }) => this.#receiveBytes(bytes, address))
   }
 
+  /** A host that ends may still have timers that answer somebody; nobody waits for those answers. */
   send (address: string, message: HostMessage): void {
+    if (this.#isClosed) return
     if (this.#outgoing.size === 0) setImmediate(() => this.#flush())
     const messages = this.#outgoing.get(address)
     if (messages) messages.push(message)
@@ -63,6 +66,7 @@
 
   close (): void {
     this.#flush()
+    this.#isClosed = true
     this.#socket.close()
   }
 
--- a/src/schemas/hostRows.ts
+++ b/src/schemas/hostRows.ts
@@ -36,7 +36,9 @@
   /** Empty where the endpoint has been given up. */
   host: Type.String(),
   address: Type.String(),
-  session: Type.String()
+  session: Type.String(),
+  /** Who owned it before, the last one first; a host that starts again does not know what it owned. */
+  formerHosts: Type.Optional(Type.Array(Type.String()))
 })
 export type OwnerRow = Static<typeof ownerRowSchema>
 
--- a/src/tasks/leases/endpointClaims.ts
+++ b/src/tasks/leases/endpointClaims.ts
@@ -49,6 +49,8 @@
 
 /** A host that has just registered leaves endpoints that were never its own to others that start beside it, which would be unknown to it. */
 const newcomerMs = 400
+/** Former owners that a row names; more do not follow each other within the time of a lease. */
+const maxFormerHosts = 4
 
 /** Beyond the time of a lease, for orders that arrive late. */
 const turnMarginMs = 300
@@ -58,6 +60,7 @@
   #vacantSince = new Map<string, number>()
   /** When this host last owned an endpoint that it has lost. */
   #lostAt = new Map<string, number>()
+  #gainedAt = new Map<string, number>()
   #isBusy = false
   /** After a conflict endpoints are claimed one by one, so that one that is lost does not keep the others back. */
   #isCautious = false
@@ -69,7 +72,12 @@
     this.#lastHandoverMs = options.clock.readMonotonic()
   }
 
+  recordGained (endpointId: string): void {
+    this.#gainedAt.set(endpointId, this.#options.clock.readMonotonic())
+  }
+
   recordLost (endpointId: string): void {
+    this.#gainedAt.delete(endpointId)
     this.#lostAt.set(endpointId, this.#options.clock.readMonotonic())
   }
 
@@ -85,14 +93,21 @@
   }
 
   /** Frees all endpoints of this host in one transaction; returns what it writes and checks. */
-  static createRelease (owned: Iterable<[string, number]>): Pick<StoreTransaction, 'checks' | 'writes'> {
+  createRelease (owned: Iterable<[string, number]>): Pick<StoreTransaction, 'checks' | 'writes'> {
     const list = [...owned]
     return {
       checks: list.map(([endpointId, fencing]) => ({ table: hostsTable, key: formatOwnerKey(endpointId), version: fencing })),
-      writes: list.map(([endpointId]) => createOwnerWrite(endpointId, noOwner))
+      writes: list.map(([endpointId]) => createOwnerWrite(endpointId, { ...noOwner, formerHosts: this.#listFormerHosts(endpointId) }))
     }
   }
 
+  /** Who owned an endpoint, the present owner first. */
+  #listFormerHosts (endpointId: string): string[] {
+    const row = this.#options.board.owners.get(endpointId)?.row
+    const names = [...(isVacant(row) ? [] : [row!.host]), ...row?.formerHosts ?? []]
+    return names.filter((name, index) => names.indexOf(name) === index).slice(0, maxFormerHosts)
+  }
+
   /** Runs one transaction; what follows from one that went through is done at once. */
   #run (work: () => Promise<StoreOutcome | undefined>): true {
     this.#isBusy = true
@@ -127,6 +142,7 @@
 
   /** Another host may have given the endpoint orders since; orders of the two would follow each other in turn. */
   #wasLostLately (endpointId: string, nowMs: number): boolean {
+    if (this.#startedLately(nowMs) && this.#listFormerHosts(endpointId).indexOf(this.#options.own.host) > 0) return true
     const lostAtMs = this.#lostAt.get(endpointId)
     if (lostAtMs === undefined) return false
     if (nowMs - lostAtMs < this.#options.leaseMs + turnMarginMs) return true
@@ -134,9 +150,14 @@
     return false
   }
 
+  /** Whether a life of this host before the present one may have given orders within the time of a lease. */
+  #startedLately (nowMs: number): boolean {
+    return nowMs - this.#registeredAtMs! < this.#options.leaseMs + turnMarginMs
+  }
+
   async #claimAll (claims: Claim[]): Promise<StoreOutcome> {
     const { own, log, transact, applyRow, gain, readOwnRenewalVersion } = this.#options
-    const writes = claims.map(({ endpointId }) => createOwnerWrite(endpointId, own))
+    const writes = claims.map(({ endpointId }) => createOwnerWrite(endpointId, { ...own, formerHosts: this.#listFormerHosts(endpointId).filter(name => name !== own.host) }))
     const outcome = await transact({
       checks: [
         ...claims.map(({ endpointId, version }) => ({ table: hostsTable, key: formatOwnerKey(endpointId), version })),
@@ -197,7 +218,7 @@
   async #expireHost (row: HostRow, renewalVersion: number, owned: [string, number][]): Promise<StoreOutcome | undefined> {
     const { log, isRunning, transact, applyRow } = this.#options
     if (await isRunning(row)) return undefined
-    const release = EndpointClaims.createRelease(owned)
+    const release = this.createRelease(owned)
     const outcome = await transact({
       checks: [{ table: renewalsTable, key: row.host, version: renewalVersion }, ...release.checks],
       writes: release.writes,
@@ -215,15 +236,20 @@
     if (nowMs - this.#lastHandoverMs < handoverIntervalMs) return
     const endpointId = findSurplus(own.host, endpoints, hosts, computeHash)
     const fencing = endpointId === undefined ? undefined : findOwnFencing(endpointId)
-    if (endpointId === undefined || fencing === undefined) return
+    if (endpointId === undefined || fencing === undefined || this.#wasGainedLately(endpointId, nowMs)) return
     this.#lastHandoverMs = nowMs
     this.#run(async () => await this.#handOverEndpoint(endpointId, fencing))
   }
 
+  /** The host that would take it over may be the one that it came from. */
+  #wasGainedLately (endpointId: string, nowMs: number): boolean {
+    return nowMs - (this.#gainedAt.get(endpointId) ?? -Infinity) < this.#options.leaseMs + turnMarginMs
+  }
+
   async #handOverEndpoint (endpointId: string, fencing: number): Promise<StoreOutcome> {
     const { log, lose, transact, applyRow } = this.#options
     lose(endpointId, 'another host has fewer endpoints')
-    const release = EndpointClaims.createRelease([[endpointId, fencing]])
+    const release = this.createRelease([[endpointId, fencing]])
     const outcome = await transact({ ...release, removals: [] })
     if (outcome.verdict === 'applied') for (const write of release.writes) applyRow({ ...write, version: outcome.version })
     log.record('lease.handedOver', 'Gave an endpoint up for an even spread.', { endpointId, verdict: outcome.verdict })
@@ -234,6 +260,6 @@
 /** What an owner's row says where nobody owns the endpoint. */
 export const noOwner: Omit<OwnerRow, 'endpointId'> = Object.freeze({ host: '', address: '', session: '' })
 
-export function createOwnerWrite (endpointId: string, { host, address, session }: Omit<OwnerRow, 'endpointId'>): { table: string, key: string, value: Uint8Array } {
-  return { table: hostsTable, key: formatOwnerKey(endpointId), value: encodeHostsRow({ endpointId, host, address, session }) }
+export function createOwnerWrite (endpointId: string, { host, address, session, formerHosts }: Omit<OwnerRow, 'endpointId'>): { table: string, key: string, value: Uint8Array } {
+  return { table: hostsTable, key: formatOwnerKey(endpointId), value: encodeHostsRow({ endpointId, host, address, session, ...(formerHosts && { formerHosts }) }) }
 }
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -4,10 +4,10 @@
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
-import { decodeRenewal, encodeHostsRow, formatHostKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
+import { decodeRenewal, encodeHostsRow, formatHostKey, formatOwnerKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
 import type { HostRow, RenewalRow } from '../../schemas/hostRows.js'
 import type { RenewalAnswer } from '../../schemas/datagram.js'
-import { createOwnerWrite, EndpointClaims, noOwner } from './endpointClaims.js'
+import { EndpointClaims } from './endpointClaims.js'
 
 export interface LeaseTaskOptions {
   clock: Clock
@@ -44,6 +44,8 @@
 const maxRetryMs = 500
 /** An unrenewed row of a host that owns nothing is written again this often, so that it is known to live. */
 const idleRenewalMs = 20_000
+/** Time between two tries to give all endpoints up; a store that turned a call away answers the next one within some 100 ms. */
+const leaveRetryMs = 100
 
 export class LeaseTask {
   #options: LeaseTaskOptions
@@ -95,14 +97,49 @@
     this.#step()
   }
 
-  /** Gives all endpoints up, so that others take them at once. */
-  async leave (): Promise<void> {
+  /**
+   * Gives all endpoints up, so that others take them at once. While the store takes no writes nobody could, so this host
+   * goes on as their owner, for `maxWaitMs` at the most.
+   */
+  async leave (maxWaitMs: number): Promise<void> {
+    const { clock, log } = this.#options
     this.#isLeaving = true
-    const endpointIds = [...this.#owned.keys()]
-    for (const endpointId of endpointIds) this.#lose(endpointId, 'the host shuts down')
+    const endsAtMs = clock.readMonotonic() + maxWaitMs
+    while (this.#owned.size > 0 && !await this.#proveStore()) {
+      if (clock.readMonotonic() + leaveRetryMs >= endsAtMs) break
+      await this.#pause(leaveRetryMs)
+    }
+    const owned = new Map(this.#owned)
+    for (const endpointId of owned.keys()) this.#lose(endpointId, 'the host shuts down')
     const { host } = this.#options.own
     const removals = [{ table: hostsTable, key: formatHostKey(host) }, { table: renewalsTable, key: host }]
-    await this.#options.transact({ checks: [], writes: endpointIds.map(endpointId => createOwnerWrite(endpointId, noOwner)), removals })
+    for (;;) {
+      const outcome = await this.#options.transact({ ...this.#claims.createRelease(owned), removals })
+      log.record('lease.left', 'Gave all endpoints up, as the host shuts down.', { endpointIds: [...owned.keys()], verdict: outcome.verdict })
+      if (outcome.verdict === 'applied' || clock.readMonotonic() + leaveRetryMs >= endsAtMs) return
+      // A row that another host has written since, or this one by a try whose answer was lost, is no longer this host's to free.
+      if (outcome.verdict === 'conflict') {
+        for (const [endpointId, fencing] of owned) if (outcome.rows.some(({ key, version }) => key === formatOwnerKey(endpointId) && version !== fencing)) owned.delete(endpointId)
+      }
+      await this.#pause(leaveRetryMs)
+    }
+  }
+
+  /** Whether the store takes writes now, shown by a renewal of its own; a conflict comes from another renewal that it took. */
+  async #proveStore (): Promise<boolean> {
+    const { clock, own, transact } = this.#options
+    const renewal = ++this.#renewal
+    const startedAtMs = clock.readMonotonic()
+    this.#sentRenewals.set(renewal, startedAtMs)
+    const outcome = await transact({
+      checks: [{ table: renewalsTable, key: own.host, version: this.#renewalVersion }], writes: [this.#createRenewalWrite(renewal)], removals: []
+    })
+    if (outcome.verdict === 'applied') this.#recordRenewed(renewal, outcome.version, startedAtMs)
+    return outcome.verdict === 'applied' || outcome.verdict === 'conflict'
+  }
+
+  async #pause (ms: number): Promise<void> {
+    await new Promise<void>(resolve => { this.#options.clock.setTimer(resolve, ms) })
   }
 
   stop (): void {
@@ -120,7 +157,7 @@
     this.#isGivingUp = true
     const owned = [...this.#owned]
     for (const [endpointId] of owned) this.#lose(endpointId, reason)
-    const release = EndpointClaims.createRelease(owned)
+    const release = this.#claims.createRelease(owned)
     const outcome = await this.#options.transact({ ...release, removals: [] })
     if (outcome.verdict === 'applied') for (const write of release.writes) this.#options.applyRow({ ...write, version: outcome.version })
     this.#isGivingUp = false
@@ -207,6 +244,11 @@
 
   // Renewal
 
+  #createRenewalWrite (renewal: number): StoreTransaction['writes'][number] {
+    const { host, session } = this.#options.own
+    return { table: renewalsTable, key: host, value: encodeHostsRow({ session, renewal }) }
+  }
+
   async #renew (): Promise<void> {
     if (this.#isRenewing) return
     this.#isRenewing = true
@@ -223,7 +265,7 @@
       this.#receiveRenewalAnswer(answer, renewal, startedAtMs)
       return
     }
-    const write = { table: renewalsTable, key: own.host, value: encodeHostsRow({ session: own.session, renewal }) }
+    const write = this.#createRenewalWrite(renewal)
     const hostWrite = this.#createHostWrite()
     const outcome = await this.#options.transact(this.#isRegistered()
       ? { checks: [{ table: renewalsTable, key: own.host, version: this.#renewalVersion }], writes: [write], removals: [] }
@@ -280,6 +322,7 @@
   #gain (endpointId: string, fencing: number, wasOwn = false): void {
     if (this.#isLeaving || (this.#owned.get(endpointId) ?? 0) >= fencing) return
     this.#owned.set(endpointId, fencing)
+    this.#claims.recordGained(endpointId)
     this.#options.log.record('lease.gained', 'This host owns an endpoint and gives it orders.', { endpointId, fencing })
     this.#options.receiveOwnership(endpointId, fencing, wasOwn)
     if (this.#options.clock.readMonotonic() - this.#provenAtMs > renewalIntervalMs) this.#renewedAtMs = -Infinity
