--- a/src/adapters/datagrams/udpDatagrams.ts
+++ b/src/adapters/datagrams/udpDatagrams.ts
@@ -28,7 +28,8 @@
  * const datagrams = await openUdpDatagrams({ address: '10.1.0.38', port: 7380, host: 'front-1', session, log })
  */
 export async function openUdpDatagrams (options: UdpDatagramsOptions): Promise<Datagrams> {
-  const socket = createSocket('udp4')
+  // Addresses are numbers: without a lookup what is sent last leaves before the socket closes.
+  const socket = createSocket({ type: 'udp4', lookup: (address, _options, receiveAddress) => receiveAddress(null, address, 4) })
   await new Promise<void>((resolve, reject) => {
     socket.once('error', reject)
     socket.bind(options.port, options.address, () => resolve())
