--- a/src/tasks/desk/orderLine.ts
+++ b/src/tasks/desk/orderLine.ts
@@ -106,16 +106,25 @@
     return true
   }
 
-  /** Gives an unload again until the runs that it waits for have ended; engines don't count it. */
+  /**
+   * Gives an unload again until the runs that it waits for have ended. Engines don't count it then; a repeat whose answer
+   * was lost may have been carried out and counted, after which the condition of the next one fails.
+   */
   async #waitForUnload (order: Omit<EngineOrder, 'expectedCount'>): Promise<OrderOutcome> {
-    const { clock, endpointId, log } = this.#options
+    const { clock, endpointId, log, orders, host, findFencing } = this.#options
     const startedAtMs = clock.readMonotonic()
     while (clock.readMonotonic() - startedAtMs < maxUnloadMs) {
       await new Promise<void>(resolve => { clock.setTimer(resolve, repeatUnloadMs) })
-      const outcome = await this.probe(order)
-      if (outcome.verdict !== 'holds') continue
-      log.record('order.unloaded', 'An unload that waited for its runs is done.', { endpointId, adapter: order.adapter, tookMs: Math.round(clock.readMonotonic() - startedAtMs) })
-      return outcome
+      const fencing = findFencing()
+      const expectedCount = this.#count
+      if (fencing === undefined || expectedCount === undefined) continue
+      const outcome = await orders.send({ ...order, expectedCount }, { host, fencing }, timeoutMs)
+      const isCounted = isConflict(outcome) && await this.#isCarriedOut(order, expectedCount, { host, fencing })
+      if (outcome.verdict !== 'holds' && !isCounted) continue
+      log.record('order.unloaded', 'An unload that waited for its runs is done.', {
+        endpointId, adapter: order.adapter, isCounted, tookMs: Math.round(clock.readMonotonic() - startedAtMs)
+      })
+      return { verdict: 'holds' }
     }
     this.#recordMismatch('an unload waits for runs that do not end')
     return { verdict: 'unknown', reason: 'an unload waits for runs that do not end' }
