Let a new owner evict what was loaded last, not what is asked for most

Owners now estimate the use of what they take over by the order of its loads. Ruled out: runs left over from hosts that lost power, as the engine told of none or one. Scenario 'Of adapters whose use a new owner does not know the one that was loaded last makes way' failed first.

--- a/features/deskPlanner.feature
+++ b/features/deskPlanner.feature
@@ -37,6 +37,12 @@
     And request 50 asks for "a4"
     Then the unload of "a2" is ordered
 
+  Scenario: Of adapters whose use a new owner does not know the one that was loaded last makes way
+    Given adapters "a1, a2, a3" are loaded at the desk, as the engine told a new owner
+    When 100 ms pass at the desk
+    And request 50 asks for "a4"
+    Then the unload of "a3" is ordered
+
   Scenario: A load that was never seen done keeps its slot
     When requests 1 to 3 each ask for an adapter of their own
     Then 3 loads are ordered
--- a/features/steps/deskPlanner.ts
+++ b/features/steps/deskPlanner.ts
@@ -77,6 +77,11 @@
   splitNames(names).forEach((name, index) => this.desk.ask(String(Number(first) + index), name))
 })
 
+Given(/^adapters "([^"]+)" are loaded at the desk, as the engine told a new owner$/, function (this: DeskWorld, names: string) {
+  for (const name of splitNames(names)) this.desk.load(name)
+  this.desk.planner.places.estimateUses(splitNames(names).map(name => `base/${name}`), this.desk.nowMs)
+})
+
 Given('{string} was asked for {int} times', function (this: DeskWorld, adapter: string, times: number) {
   for (let count = 0; count < times; count++) this.desk.planner.places.recordAsked(`base/${adapter}`, this.desk.nowMs)
 })
--- a/src/core/desk/adapterPlaces.ts
+++ b/src/core/desk/adapterPlaces.ts
@@ -26,6 +26,8 @@
 const minIdleMs = 50
 /** Adapters whose use is remembered beyond those that are loaded. */
 const maxRemembered = 2048
+/** A use that is only estimated counts less than one request that came. */
+const maxEstimatedUse = 0.5
 
 interface AdapterUse {
   count: number
@@ -105,6 +107,16 @@
     if (this.#uses.size > maxRemembered) this.#uses.delete(this.#uses.keys().next().value!)
   }
 
+  /**
+   * Takes over adapters whose use a former owner knew, in the order of their loads: what has stayed longest while others
+   * were replaced is asked for most.
+   */
+  estimateUses (names: readonly string[], nowMs: number): void {
+    names.forEach((name, index) => {
+      if (!this.#uses.has(name)) this.#uses.set(name, { count: maxEstimatedUse * (names.length - index) / names.length, atMs: nowMs, readMs: 0, readAtMs: nowMs })
+    })
+  }
+
   /** The engine reads a prompt for the adapter. */
   recordRead (name: string, readMs: number, nowMs: number): void {
     const use = this.#uses.get(name)
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -412,6 +412,7 @@
         if (this.#planner.places.find(adapter)?.state !== 'unloading') this.#planner.recordLoaded(adapter, version, nowMs)
       }
     }
+    this.#planner.places.estimateUses([...listed], nowMs)
     this.#keepForForeignRuns(state, nowMs)
     const coming = state.loading.map(({ model, name, version }) => ({ name: `${model}/${name}`, version }))
     // What is neither listed nor on its way is gone.
