--- a/src/ctl/hostLog.ts
+++ b/src/ctl/hostLog.ts
@@ -55,11 +55,11 @@
   return [endpointId, ...(Array.isArray(tried) ? tried : []), ...answers.map(answer => answer.split(' ')[0])].filter(id => id !== undefined)
 }
 
-/** Every host tells of a change; the first of them is enough. */
+/** Every host tells of a change or a call that failed; the first of them is enough. */
 function dropEchoes (story: HostLogLine[]): HostLogLine[] {
   const seen = new Set<string>()
   return story.filter(({ kind, fields }) => {
-    if (!/\.(changed|applied|declared)$/.test(kind)) return true
+    if (!/\.(changed|applied|declared|\w+Failed)$/.test(kind)) return true
     const key = `${kind} ${JSON.stringify(fields)}`
     return !seen.has(key) && seen.add(key)
   })
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -44,8 +44,8 @@
 const maxRetryMs = 500
 /** An unrenewed row of a host that owns nothing is written again this often, so that it is known to live. */
 const idleRenewalMs = 20_000
-/** Time between two tries to give all endpoints up; a store that turned a call away answers the next one within some 100 ms. */
-const leaveRetryMs = 100
+/** Time between two tries to give all endpoints up; a store that is away should not be asked by all at once. */
+const leaveRetryMs = 250
 
 export class LeaseTask {
   #options: LeaseTaskOptions
