--- a/src/core/desk/deskPlanner.ts
+++ b/src/core/desk/deskPlanner.ts
@@ -26,7 +26,12 @@
 const lateBacklogMs = 60
 /** and this part of the time since it became late more, so that it is not put off for ever. */
 const lateAgingPart = 0.2
+/** No caller is told to come back sooner; a load from the store takes 250 ms, so less would only be refused again. */
 const minRetryAfterMs = 100
+/** Time between two refused callers' returns: the 50 a second that an engine starts beside its other work. */
+const returnIntervalMs = 20
+/** No caller is sent away for longer on account of other refused ones: most come once more within a second. */
+const maxReturnSpreadMs = 1000
 /** Least time between two plans for requests that are put off. */
 const minWakeMs = 10
 /** Run of a request before any has ended; the published streams take 400 to 600 ms. */
@@ -368,8 +373,7 @@
   /** When a refused caller should come back: one after the other, once the excess is worked off. */
   #pickReturn (excessMs: number, nowMs: number): number {
     const earliestMs = nowMs + Math.max(minRetryAfterMs, excessMs)
-    const intervalMs = 1000 / 50
-    this.#lastReturnMs = Math.min(Math.max(earliestMs, this.#lastReturnMs + intervalMs), earliestMs + 1000)
+    this.#lastReturnMs = Math.min(Math.max(earliestMs, this.#lastReturnMs + returnIntervalMs), earliestMs + maxReturnSpreadMs)
     return this.#lastReturnMs - nowMs
   }
 }
