--- a/features/hostLogs.feature
+++ b/features/hostLogs.feature
@@ -8,7 +8,7 @@
     Then the last answer is refused as not run
     And the story of the last request holds in this order:
       | kind             | text                   |
-      | engine.load      | "free":0               |
+      | place.overdue    | "free":0,"idle":0      |
       | request.refused  | not loaded in time     |
 
   Scenario: Cut in the middle of a stream
--- a/src/adapters/relay/relayedRows.ts
+++ b/src/adapters/relay/relayedRows.ts
@@ -10,7 +10,7 @@
 })
 export type RelayedRow = Static<typeof relayedRowSchema>
 
-/** Entries of hosts and endpoints stay below; configurations of large deployments hold some 500 KB and shrink to a tenth. */
+/** Entries of hosts and endpoints stay below. Of 300,000 bytes of routes 37,000 crossed, see features/relayedNews.feature. */
 const minDeflatedBytes = 8192
 
 const deflateBytes = promisify(deflate)
--- a/src/tasks/leases/endpointClaims.ts
+++ b/src/tasks/leases/endpointClaims.ts
@@ -142,7 +142,7 @@
 
   /** Another host may have given the endpoint orders since; orders of the two would follow each other in turn. */
   #wasLostLately (endpointId: string, nowMs: number): boolean {
-    if (this.#startedLately(nowMs) && this.#listFormerHosts(endpointId).indexOf(this.#options.own.host) > 0) return true
+    if (this.#hasStartedLately(nowMs) && this.#listFormerHosts(endpointId).indexOf(this.#options.own.host) > 0) return true
     const lostAtMs = this.#lostAt.get(endpointId)
     if (lostAtMs === undefined) return false
     if (nowMs - lostAtMs < this.#options.leaseMs + turnMarginMs) return true
@@ -151,7 +151,7 @@
   }
 
   /** Whether a life of this host before the present one may have given orders within the time of a lease. */
-  #startedLately (nowMs: number): boolean {
+  #hasStartedLately (nowMs: number): boolean {
     return nowMs - this.#registeredAtMs! < this.#options.leaseMs + turnMarginMs
   }
 
