Read the store where no relay reaches it

Ruled out: the positions that are kept for each relay, as no host told of a newer version. A follower now reads the store when the news of all relays are too old, and tries again after 0.7 to 1.4 s while the store does not answer, as there are many followers. Scenario 'A host whose relays have all lost the store reads the store itself' failed first.

--- a/features/relayedNews.feature
+++ b/features/relayedNews.feature
@@ -17,3 +17,10 @@
     When 10000 ms pass for it
     Then it has read the news of each peer whole at most 1 time
     And it has asked its peers at most 80 times
+
+  Scenario: A host whose relays have all lost the store reads the store itself
+    Given a host that follows 2 peers which have lost the store as well
+    When 2000 ms pass for it
+    And the store answers this host
+    And 3000 ms pass for it
+    Then it has read the store
--- a/features/steps/relayedNews.ts
+++ b/features/steps/relayedNews.ts
@@ -5,9 +5,11 @@
 import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
 import { createHttpRelay } from '../../src/adapters/relay/httpRelay.js'
 import { NewsBoard } from '../../src/core/newsBoard.js'
+import { listReaders } from '../../src/core/newsSource.js'
 import { RowMirror } from '../../src/core/rowMirror.js'
 import type { RelayedNews } from '../../src/ports/relay.js'
 import type { Store } from '../../src/ports/store.js'
+import type { HostRow } from '../../src/schemas/hostRows.js'
 import { NewsTask } from '../../src/tasks/news/newsTask.js'
 import { startRelayServer } from '../../src/tasks/news/relayServer.js'
 import { startByteCounter } from '../support/byteCounter.js'
@@ -21,6 +23,8 @@
   clock: VirtualClock
   /** By peer, how often its news were read, and how often whole. */
   asked: Map<string, { calls: number, whole: number }>
+  isStoreReached: boolean
+  readTables: Set<string>
 }
 
 const relayAddress = `127.0.0.1:${19_000 + process.pid % 900}`
@@ -65,9 +69,16 @@
 Given('a host that follows {int} peers which have lost the store as well', function (this: NewsWorld, count: number) {
   const clock = new VirtualClock()
   const asked: NewsWorld['asked'] = new Map()
+  this.readTables = new Set()
+  this.isStoreReached = false
   const answerMs = 3
   const pause = async (ms: number): Promise<void> => await new Promise<void>(resolve => { clock.setTimer(resolve, ms) })
   const mirror = new RowMirror('own', () => false, () => {})
+  const hosts = Array.from({ length: count + 1 }, (_, index) => ({ host: `host-${index}`, address: `10.0.0.${index + 1}`, zone: 'a' }))
+  const readers = listReaders(hosts)
+  const own = hosts.find(host => !readers.includes(host))!
+  const board = new NewsBoard(() => undefined)
+  for (const host of hosts) board.hosts.set(host.host, { row: { ...host, session: 'life', isLeaving: false } as HostRow, version: 1 })
   const fail = async (): Promise<never> => {
     await pause(answerMs)
     throw new Error('connection refused')
@@ -75,7 +86,15 @@
   const task = new NewsTask({
     clock,
     log: { record: () => {} },
-    store: { followTable: fail, readTable: fail } as unknown as Store,
+    store: {
+      followTable: fail,
+      readTable: async (table: string) => {
+        await pause(answerMs)
+        if (!this.isStoreReached) throw new Error('connection refused')
+        this.readTables.add(table)
+        return { rows: [], version: 1 }
+      }
+    } as unknown as Store,
     relay: {
       readNews: async (address, logId, _position, waitMs) => {
         const peer = asked.get(address) ?? { calls: 0, whole: 0 }
@@ -90,10 +109,10 @@
       close: async () => {}
     },
     mirror,
-    board: new NewsBoard(() => undefined),
-    tables: [],
-    own: { host: 'own', address: '10.0.0.1', zone: 'a' },
-    seeds: Array.from({ length: count }, (_, index) => `10.0.0.${index + 2}`),
+    board,
+    tables: [{ table: 'op', paceMs: 0, waitMs: 2000 }],
+    own,
+    seeds: [],
     formatRelayAddress: address => address
   })
   task.start()
@@ -101,6 +120,14 @@
   this.asked = asked
 })
 
+Given('the store answers this host', function (this: NewsWorld) {
+  this.isStoreReached = true
+})
+
+Then('it has read the store', function (this: NewsWorld) {
+  assert.deepEqual([...this.readTables], ['op'])
+})
+
 When('{int} ms pass for it', async function (this: NewsWorld, ms: number) {
   await this.clock.runUntilSettled(this.clock.readMonotonic() + ms)
 })
--- a/src/tasks/news/newsTask.ts
+++ b/src/tasks/news/newsTask.ts
@@ -40,6 +40,8 @@
 /** A source that failed is not asked again for this long, while there are others. */
 const avoidSourceMs = 2000
 const retryMs = 250
+/** Hosts that are no readers try a store that is away less often, as there are many of them; a configuration has 3 s to be in force. */
+const followerRetryMs = 700
 /** Relays whose logs are remembered: more than a deployment of eight zones has readers. */
 const maxRelayLogs = 32
 /** A host that knows nothing yet tries again sooner. */
@@ -106,16 +108,18 @@
       .map(({ row }) => ({ host: row.host, address: row.address, zone: row.zone }))
   }
 
-  /** Whether this host should follow the store now. */
+  #isReader (): boolean {
+    return listSources(this.#options.own, this.#listKnown())[0] === 'store'
+  }
+
+  /** Whether this host should follow the store now: as a reader, or because no relay answers or none of them reaches the store. */
   #mayReadStore (): boolean {
-    const [first] = listSources(this.#options.own, this.#listKnown())
-    return first === 'store' || this.#options.clock.readMonotonic() - this.#relayAnsweredAtMs > relaySilentMs
+    return this.#isReader() || this.#options.clock.readMonotonic() - this.#relayAnsweredAtMs > relaySilentMs || this.storeAgeMs > storeAwayMs
   }
 
   /** Whether this host should follow a peer now. */
   #mayReadRelay (): boolean {
-    const [first] = listSources(this.#options.own, this.#listKnown())
-    return first !== 'store' || !this.reachesStore
+    return !this.#isReader() || !this.reachesStore
   }
 
   #startLoops (): void {
@@ -152,7 +156,8 @@
       await this.#pause(paceMs - (clock.readMonotonic() - startedAtMs))
     } catch (error) {
       log.record('news.storeFailed', 'A call to the store failed; it is tried again.', { table, error: (error as Error).message })
-      await this.#pause((mirror.findVersion(table) === undefined ? firstRetryMs : retryMs) * (1 + Math.random()))
+      const pauseMs = mirror.findVersion(table) === undefined ? firstRetryMs : this.#isReader() ? retryMs : followerRetryMs
+      await this.#pause(pauseMs * (1 + Math.random()))
     }
   }
 
