Tell the age of the news apart from the age of any answer of the store

Cause of CONFIG and DENIED on mix: reads of both readers were reset for seconds while their renewals went through. The answer to a renewal counted as news, so followers took old news for new and did not read the store themselves, and hosts judged others' renewals by rows that they no longer read. Scenario 'Answers to a reader's own writes do not make its news young' failed first.

--- a/features/relayedNews.feature
+++ b/features/relayedNews.feature
@@ -24,3 +24,9 @@
     And the store answers this host
     And 3000 ms pass for it
     Then it has read the store
+
+  Scenario: Answers to a reader's own writes do not make its news young
+    Given a host that reads the store for 4 peers
+    When its reads fail and its writes go through for 4000 ms
+    Then it tells that its news are at least 3500 ms old
+    And it looks for news at its peers
--- a/features/steps/relayedNews.ts
+++ b/features/steps/relayedNews.ts
@@ -21,6 +21,7 @@
   counter: ByteCounter | undefined
   read: RelayedNews[]
   clock: VirtualClock
+  task: NewsTask
   /** By peer, how often its news were read, and how often whole. */
   asked: Map<string, { calls: number, whole: number }>
   isStoreReached: boolean
@@ -65,34 +66,38 @@
   assert.ok(each <= most, `${each} bytes`)
 })
 
-/** Peers answer in 3 ms, with everything where the position is not of their log, else when there is news or `waitMs` are over. */
-Given('a host that follows {int} peers which have lost the store as well', function (this: NewsWorld, count: number) {
+interface FollowedPeers {
+  count: number
+  /** Whether the host under test is a reader of the store. */
+  isReader: boolean
+}
+
+/** Peers have lost the store. They answer in 3 ms, with everything where the position is not of their log, else when `waitMs` are over. */
+function startNews (world: NewsWorld, { count, isReader }: FollowedPeers): void {
   const clock = new VirtualClock()
   const asked: NewsWorld['asked'] = new Map()
-  this.readTables = new Set()
-  this.isStoreReached = false
   const answerMs = 3
   const pause = async (ms: number): Promise<void> => await new Promise<void>(resolve => { clock.setTimer(resolve, ms) })
   const mirror = new RowMirror('own', () => false, () => {})
   const hosts = Array.from({ length: count + 1 }, (_, index) => ({ host: `host-${index}`, address: `10.0.0.${index + 1}`, zone: 'a' }))
   const readers = listReaders(hosts)
-  const own = hosts.find(host => !readers.includes(host))!
+  const own = hosts.find(host => readers.includes(host) === isReader)!
   const board = new NewsBoard(() => undefined)
   for (const host of hosts) board.hosts.set(host.host, { row: { ...host, session: 'life', isLeaving: false } as HostRow, version: 1 })
-  const fail = async (): Promise<never> => {
+  const answer = async <T>(value: T): Promise<T> => {
     await pause(answerMs)
-    throw new Error('connection refused')
+    if (!world.isStoreReached) throw new Error('connection refused')
+    return value
   }
   const task = new NewsTask({
     clock,
     log: { record: () => {} },
     store: {
-      followTable: fail,
+      followTable: async () => await answer({ isComplete: true, rows: [], version: 1 }),
       readTable: async (table: string) => {
-        await pause(answerMs)
-        if (!this.isStoreReached) throw new Error('connection refused')
-        this.readTables.add(table)
-        return { rows: [], version: 1 }
+        const read = await answer({ rows: [], version: 1 })
+        world.readTables.add(table)
+        return read
       }
     } as unknown as Store,
     relay: {
@@ -105,19 +110,50 @@
         await pause(isWhole ? answerMs : waitMs)
         return { logId: address, position: 1, isWhole, rows: [], versions: {}, storeAgeMs: 5000 + clock.readMonotonic() }
       },
-      transact: fail,
+      transact: async () => ({ verdict: 'notApplied', reason: 'the peer does not reach the store' }),
       close: async () => {}
     },
     mirror,
     board,
-    tables: [{ table: 'op', paceMs: 0, waitMs: 2000 }],
+    tables: [{ table: 'op', paceMs: 100, waitMs: 2000 }],
     own,
     seeds: [],
     formatRelayAddress: address => address
   })
   task.start()
-  this.clock = clock
-  this.asked = asked
+  Object.assign(world, { clock, asked, task })
+}
+
+Given('a host that follows {int} peers which have lost the store as well', function (this: NewsWorld, count: number) {
+  this.readTables = new Set()
+  this.isStoreReached = false
+  startNews(this, { count, isReader: false })
+})
+
+Given('a host that reads the store for {int} peers', async function (this: NewsWorld, count: number) {
+  this.readTables = new Set()
+  this.isStoreReached = true
+  startNews(this, { count, isReader: true })
+  await this.clock.runUntilSettled(1000)
+  assert.deepEqual([...this.readTables], ['op'])
+})
+
+When('its reads fail and its writes go through for {int} ms', async function (this: NewsWorld, ms: number) {
+  this.isStoreReached = false
+  this.asked.clear()
+  const writeMs = 200
+  for (let passedMs = 0; passedMs < ms; passedMs += writeMs) {
+    await this.clock.runUntilSettled(this.clock.readMonotonic() + writeMs)
+    this.task.recordStoreAnswer()
+  }
+})
+
+Then('it tells that its news are at least {int} ms old', function (this: NewsWorld, least: number) {
+  assert.ok(this.task.storeAgeMs >= least, `${this.task.storeAgeMs} ms old`)
+})
+
+Then('it looks for news at its peers', function (this: NewsWorld) {
+  assert.ok(this.asked.size > 0)
 })
 
 Given('the store answers this host', function (this: NewsWorld) {
--- a/src/bin/createLeases.ts
+++ b/src/bin/createLeases.ts
@@ -78,7 +78,7 @@
     clock,
     log,
     readHeardAtMs: () => peers.heardAtMs,
-    readOthersRenewedAtMs: () => news.reachesStore ? leases.othersRenewedAtMs : -Infinity,
+    readOthersRenewedAtMs: () => news.readsStore ? leases.othersRenewedAtMs : -Infinity,
     listPeers,
     ask: address => { peers.askHost(address) },
     random: Math.random
@@ -89,7 +89,7 @@
     board,
     own,
     leaseMs,
-    readsStore: () => news.reachesStore,
+    readsStore: () => news.readsStore,
     isIsolated: () => isolation.isIsolated,
     isRunning: async row => (await peers.askHost(row.address))?.session === row.session,
     transact: async transaction => await access.transact(transaction),
--- a/src/tasks/news/newsTask.ts
+++ b/src/tasks/news/newsTask.ts
@@ -52,6 +52,8 @@
   #options: NewsTaskOptions
   #isStopped = false
   #storeAnsweredAtMs = -Infinity
+  /** When a read of one of the tables last went through; answers to writes tell nothing of what others have written. */
+  #newsReadAtMs = -Infinity
   #relayAnsweredAtMs = -Infinity
   /** Age of the store's word as the relay told it, and when. */
   #relayedAgeMs = Infinity
@@ -69,7 +71,7 @@
   /** Milliseconds since this host's news were known to be those of the store. */
   get storeAgeMs (): number {
     const nowMs = this.#options.clock.readMonotonic()
-    return Math.min(nowMs - this.#storeAnsweredAtMs, nowMs - this.#relayAnsweredAtMs + this.#relayedAgeMs)
+    return Math.min(nowMs - this.#newsReadAtMs, nowMs - this.#relayAnsweredAtMs + this.#relayedAgeMs)
   }
 
   /** Milliseconds since the store itself answered this host. */
@@ -77,11 +79,16 @@
     return this.#options.clock.readMonotonic() - this.#storeAnsweredAtMs
   }
 
-  /** Whether this host itself reached the store a short while ago. */
+  /** Whether the store answered this host a short while ago, be it a read or a write. */
   get reachesStore (): boolean {
     return this.directStoreAgeMs < storeAwayMs
   }
 
+  /** Whether this host itself read the store's tables a short while ago. */
+  get readsStore (): boolean {
+    return this.#options.clock.readMonotonic() - this.#newsReadAtMs < storeAwayMs
+  }
+
   /** Records an answer of the store to another part of the host. */
   recordStoreAnswer (): void {
     this.#storeAnsweredAtMs = this.#options.clock.readMonotonic()
@@ -119,7 +126,7 @@
 
   /** Whether this host should follow a peer now. */
   #mayReadRelay (): boolean {
-    return !this.#isReader() || !this.reachesStore
+    return !this.#isReader() || !this.readsStore
   }
 
   #startLoops (): void {
@@ -153,6 +160,7 @@
         mirror.applyTable(table, read.rows, read.version)
       }
       this.recordStoreAnswer()
+      this.#newsReadAtMs = clock.readMonotonic()
       await this.#pause(paceMs - (clock.readMonotonic() - startedAtMs))
     } catch (error) {
       log.record('news.storeFailed', 'A call to the store failed; it is tried again.', { table, error: (error as Error).message })
