--- /dev/null
+++ b/features/steps/hostFailures.ts
@@ -0,0 +1,197 @@
+/** Steps of hosts under failure: of endpoints, the store, owners and whole hosts. */
+import assert from 'node:assert/strict'
+import { randomBytes } from 'node:crypto'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { decodeHostsRow, hostsTable } from '../../src/schemas/hostRows.js'
+import { engineService } from '../../src/standin/fleet/startFleet.js'
+import type { FleetEndpoint } from '../../src/standin/fleet/startFleet.js'
+import type { CallKind } from '../support/hostFleet.js'
+import { call, findOwner, sendStreams, setFaults } from '../support/hostsWorld.js'
+import type { HostsWorld } from '../support/hostsWorld.js'
+import { waitUntil } from '../support/waitUntil.js'
+
+Given('half of the streams break off', function (this: HostsWorld) {
+  setFaults(this, endpoint => endpoint.engine !== undefined, { cuts: 0.5 })
+})
+
+Given('half of the answers of services break off', function (this: HostsWorld) {
+  setFaults(this, endpoint => endpoint.engine === undefined, { cuts: 0.5 })
+})
+
+Given('half of the answers of services come twice', function (this: HostsWorld) {
+  setFaults(this, endpoint => endpoint.engine === undefined, { extras: 0.5 })
+})
+
+Given('all answers of services have no length', function (this: HostsWorld) {
+  setFaults(this, endpoint => endpoint.engine === undefined, { unframed: 1 })
+})
+
+Given('all answers of services have no length and are reset before their end', function (this: HostsWorld) {
+  setFaults(this, endpoint => endpoint.engine === undefined, { unframedCuts: 1 })
+})
+
+Given('{int}% of the orders get no answer and are carried out late', function (this: HostsWorld, percent: number) {
+  setFaults(this, endpoint => endpoint.engine !== undefined, { lateOrders: percent / 100 })
+})
+
+Given('all endpoints are dark', function (this: HostsWorld) {
+  setFaults(this, () => true, { isDark: true })
+})
+
+When('the engine that ran most of them crashes', function (this: HostsWorld) {
+  const { fleet } = this.hostFleet
+  const countRuns = ({ id }: FleetEndpoint): number => fleet.journal.runs.filter(run => run.endpointId === id).length
+  this.crashed = fleet.engines.sort((left, right) => countRuns(right) - countRuns(left))[0]!
+  this.crashed.server.crash()
+})
+
+When('the engines lose adapter {string}', function (this: HostsWorld, adapter: string) {
+  for (const { engine } of this.hostFleet.fleet.engines) engine!.loseAdapter(adapter)
+})
+
+When('engine {int} says that it leaves', function (this: HostsWorld, number: number) {
+  this.hostFleet.fleet.drain(this.hostFleet.fleet.engines[number - 1]!)
+})
+
+When('streams of {int} s run for {int} adapters through hosts that do not own the engine', async function (this: HostsWorld, seconds: number, adapters: number) {
+  const owner = findOwner(this)
+  const others = this.hostFleet.hosts.map((_, index) => index + 1).filter(number => number !== owner)
+  // An id that ends so asks for 5 events.
+  const events = 5
+  setFaults(this, () => true, { eventMs: seconds * 1000 / events })
+  for (let index = 0; index < adapters; index++) {
+    call(this, { kind: 'stream', host: others[index % others.length]!, adapter: `long${index}`, requestId: `${randomBytes(7).toString('hex')}02`, timeLeftMs: 8000 })
+  }
+  await waitUntil(() => this.hostFleet.fleet.journal.runs.length === adapters)
+  setFaults(this, () => true, { eventMs: 0 })
+})
+
+When('a stream of kind {string} has run for {int} ms and its engine crashes', async function (this: HostsWorld, kind: CallKind, ms: number) {
+  const { fleet } = this.hostFleet
+  // An id that ends so asks for 8 events, of which the engine sends half before it crashes.
+  setFaults(this, endpoint => endpoint.engine !== undefined, { eventMs: 700 })
+  const answered = call(this, { kind, host: 1, adapter: 'a1', requestId: `${randomBytes(7).toString('hex')}05` })
+  await sleep(ms)
+  setFaults(this, endpoint => endpoint.engine !== undefined, { eventMs: 0 })
+  fleet.endpoints.find(({ id }) => id === fleet.journal.runs.at(-1)!.endpointId)!.server.crash()
+  await answered
+})
+
+When('the owner of the engine stops', async function (this: HostsWorld) {
+  const host = this.hostFleet.hosts[findOwner(this) - 1]!
+  this.hostFleet.stopHost(host)
+  await waitUntil(() => this.hostFleet.listLines('lease.gained').length > 1)
+})
+
+When('host {int} stops while streams are sent through it', async function (this: HostsWorld, number: number) {
+  const host = this.hostFleet.hosts[number - 1]!
+  const streams = Array.from({ length: 20 }, async (_, index) => {
+    await sleep(index * 20)
+    await call(this, { kind: 'stream', host: number, adapter: `a${index % 3}` })
+  })
+  await sleep(200)
+  await this.hostFleet.stopHost(host)
+  await Promise.all(streams)
+})
+
+When('the store is silent for {int} ms while {int} streams for {int} adapters are sent', async function (this: HostsWorld, ms: number, count: number, adapters: number) {
+  const { store } = this.hostFleet.fleet
+  store.setFault('silent')
+  const streams = sendStreams(this, count, adapters, ms)
+  await sleep(ms)
+  store.setFault('none')
+  await streams
+})
+
+When('{int} hosts start and the store is there again after {int} ms', async function (this: HostsWorld, count: number, ms: number) {
+  const starts = this.hostFleet.hosts.slice(0, count).map(async host => await this.hostFleet.startHost(host))
+  await sleep(ms)
+  this.hostFleet.fleet.store.setFault('none')
+  await Promise.all(starts)
+})
+
+When('all hosts start again while the store takes no writes', async function (this: HostsWorld) {
+  const { hosts, fleet } = this.hostFleet
+  // What hosts give up as they stop is not written either, as after a power cut.
+  fleet.store.setFault('unwritable')
+  await Promise.all(hosts.map(async host => await this.hostFleet.stopHost(host)))
+  await Promise.all(hosts.map(async host => await this.hostFleet.startHost(host)))
+  await sleep(300)
+})
+
+When('a host starts, {int} requests come at once and the store is there again after {int} ms', async function (this: HostsWorld, count: number, ms: number) {
+  await this.hostFleet.startHost(this.hostFleet.hosts[0]!)
+  const calls = Array.from({ length: count }, async () => await call(this, { kind: 'once', host: 1 }))
+  await sleep(ms)
+  this.hostFleet.fleet.store.setFault('none')
+  await Promise.all(calls)
+})
+
+When('a request that crashes engines comes {int} times, each time at the next host', async function (this: HostsWorld, times: number) {
+  const { hosts, fleet } = this.hostFleet
+  const body = 'a question that crashes engines'
+  setFaults(this, endpoint => endpoint.engine !== undefined, { crashBody: body })
+  for (let index = 0; index < times; index++) {
+    await call(this, { kind: 'stream', host: index % hosts.length + 1, adapter: 'a1', body })
+    this.crashingRuns = fleet.journal.runs.length
+    await sleep(1200)
+  }
+  setFaults(this, endpoint => endpoint.engine !== undefined, { crashBody: '' })
+})
+
+Then('it reached engines at most {int} times', function (this: HostsWorld, times: number) {
+  assert.ok(this.crashingRuns <= times, `${this.crashingRuns} times`)
+})
+
+Then('the last {int} answers are refusals for good', function (this: HostsWorld, count: number) {
+  assert.deepEqual(this.answers.slice(-count).map(({ status }) => status), Array(count).fill(422))
+})
+
+When('the answers of the store\'s writes are lost for {int} ms', async function (this: HostsWorld, ms: number) {
+  const { store } = this.hostFleet.fleet
+  store.setFault('lost')
+  await sleep(ms)
+  store.setFault('none')
+})
+
+function addRoute (world: HostsWorld): void {
+  const { fleet } = world.hostFleet
+  const [route] = fleet.defaultRoutes
+  fleet.writeConfiguration({ routes: [...fleet.defaultRoutes, { ...route!, name: 'added', prefix: '/added/' }] })
+}
+
+When('a route is added', function (this: HostsWorld) {
+  addRoute(this)
+})
+
+When('the store forgets its history and a route is added', function (this: HostsWorld) {
+  addRoute(this)
+  this.hostFleet.fleet.rows.forgetHistory()
+})
+
+Then('the route is known to every host within {int} ms', async function (this: HostsWorld, ms: number) {
+  const startedAtMs = performance.now()
+  for (const [index] of this.hostFleet.hosts.entries()) {
+    await waitUntil(async () => await this.hostFleet.readStatus(index + 1, '/added/x') !== 404)
+  }
+  assert.ok(performance.now() - startedAtMs < ms, `it took ${Math.round(performance.now() - startedAtMs)} ms`)
+})
+
+Then('every engine is owned by a host that runs within {int} ms', async function (this: HostsWorld, ms: number) {
+  const { fleet, hosts } = this.hostFleet
+  const startedAtMs = performance.now()
+  await waitUntil(() => {
+    const running = new Set(hosts.filter(host => host.process).map(host => host.settings.hostName))
+    const owners = fleet.rows.listRows(hostsTable).flatMap(row => {
+      const decoded = decodeHostsRow(row.key, row.value!)
+      return decoded?.kind === 'owner' && running.has(decoded.row.host) ? [decoded.name] : []
+    })
+    return fleet.engines.every(({ id }) => owners.includes(id))
+  })
+  assert.ok(performance.now() - startedAtMs < ms, `it took ${Math.round(performance.now() - startedAtMs)} ms`)
+})
+
+When('an engine comes that takes {int} ms to load its model', async function (this: HostsWorld, ms: number) {
+  await this.hostFleet.fleet.addEndpoint(engineService, ms)
+})
--- a/features/steps/hostLogs.ts
+++ b/features/steps/hostLogs.ts
@@ -1,18 +1,13 @@
 import assert from 'node:assert/strict'
-import { randomBytes } from 'node:crypto'
 import { Then, When } from '@cucumber/cucumber'
 import type { DataTable } from '@cucumber/cucumber'
 import { logsCommand } from '../../src/ctl/commands/logsCommand.js'
 import type { CauseCount, HostLogLine } from '../../src/ctl/hostLog.js'
-import type { FleetAnswer, HostFleet } from '../support/hostFleet.js'
-
-interface LogsWorld {
-  hostFleet: HostFleet
-  answers: FleetAnswer[]
-}
+import { call } from '../support/hostsWorld.js'
+import type { HostsWorld } from '../support/hostsWorld.js'
 
 /** Runs the command on the lines of all hosts, with text of other programs among them. */
-function runLogs (world: LogsWorld, values: Record<string, string>): unknown[] {
+function runLogs (world: HostsWorld, values: Record<string, string>): unknown[] {
   const text = `Listening on 127.0.0.1\n${world.hostFleet.formatLines()}\n{"not":"a line"}\n`
   const printed: string[] = []
   logsCommand.runLocally({
@@ -21,18 +16,18 @@
   return printed.map(line => JSON.parse(line))
 }
 
-When('a stream for adapter {string} is sent that leaves after {int} ms', async function (this: LogsWorld, adapter: string, timeLeftMs: number) {
-  this.answers.push(await this.hostFleet.call({ kind: 'stream', host: 1, adapter, timeLeftMs, requestId: randomBytes(8).toString('hex') }))
+When('a stream for adapter {string} is sent that leaves after {int} ms', async function (this: HostsWorld, adapter: string, timeLeftMs: number) {
+  await call(this, { kind: 'stream', host: 1, adapter, timeLeftMs })
 })
 
-Then('the last answer is refused as not run', function (this: LogsWorld) {
+Then('the last answer is refused as not run', function (this: HostsWorld) {
   const { status, retryAfterS, requestId } = this.answers.at(-1)!
   assert.equal(status, 503)
   assert.ok(retryAfterS !== undefined)
   assert.deepEqual(this.hostFleet.fleet.journal.listRuns(requestId), [])
 })
 
-Then('the story of the last request holds in this order:', function (this: LogsWorld, table: DataTable) {
+Then('the story of the last request holds in this order:', function (this: HostsWorld, table: DataTable) {
   const story = runLogs(this, { request: this.answers.at(-1)!.requestId }) as HostLogLine[]
   let from = 0
   for (const { kind, text } of table.hashes()) {
@@ -42,12 +37,12 @@
   }
 })
 
-Then('the causes name {int} refused requests of one cause', function (this: LogsWorld, count: number) {
+Then('the causes name {int} refused requests of one cause', function (this: HostsWorld, count: number) {
   const [causes] = runLogs(this, {}) as [CauseCount[]]
   assert.deepEqual(causes.map(cause => [cause.kind, cause.count]), [['request.refused', count]])
   assert.ok(this.answers.some(({ requestId }) => requestId === causes[0]!.requestId))
 })
 
-Then('the story of request {string} is an error that contains {string}', function (this: LogsWorld, requestId: string, text: string) {
+Then('the story of request {string} is an error that contains {string}', function (this: HostsWorld, requestId: string, text: string) {
   assert.throws(() => runLogs(this, { request: requestId }), (error: Error) => error.message.includes(text))
 })
--- /dev/null
+++ b/features/support/hostsWorld.ts
@@ -0,0 +1,75 @@
+/** What steps of hosts before the stand-in platform share: calls, faults and how answers are judged. */
+import assert from 'node:assert/strict'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { decodeHostsRow, hostsTable } from '../../src/schemas/hostRows.js'
+import { countEvents } from '../../src/standin/fleet/endpointServer.js'
+import type { EndpointFaults } from '../../src/standin/fleet/endpointServer.js'
+import type { FleetEndpoint } from '../../src/standin/fleet/startFleet.js'
+import { HostFleet } from './hostFleet.js'
+import type { CallKind, CallOptions, FleetAnswer } from './hostFleet.js'
+
+export interface HostsWorld {
+  hostFleet: HostFleet
+  answers: FleetAnswer[]
+  kinds: Map<string, CallKind>
+  crashed: FleetEndpoint
+  crashingRuns: number
+}
+
+export async function startHosts (world: HostsWorld, hosts: number, engines: number, slots = 4): Promise<void> {
+  world.hostFleet = await HostFleet.start(hosts, { engines, adapterSlots: slots })
+  world.answers = []
+  world.kinds = new Map()
+}
+
+export async function call (world: HostsWorld, options: CallOptions): Promise<void> {
+  const answer = await world.hostFleet.call(options)
+  world.answers.push(answer)
+  world.kinds.set(answer.requestId, options.kind)
+}
+
+export function isStream (world: HostsWorld, answer: FleetAnswer): boolean {
+  const kind = world.kinds.get(answer.requestId)
+  return kind === 'stream' || kind === 'resumable'
+}
+
+export function listEventIds (answer: FleetAnswer): number[] {
+  return [...answer.body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]))
+}
+
+/** Whether the caller has to take the answer for a whole success. */
+export function looksWhole (answer: FleetAnswer): boolean {
+  return answer.status === 200 && answer.error === undefined
+}
+
+export function isWhole (world: HostsWorld, answer: FleetAnswer): boolean {
+  if (!looksWhole(answer) || answer.signature === undefined) return false
+  if (!isStream(world, answer)) return answer.body === `done ${answer.requestId}`
+  const ids = listEventIds(answer)
+  return ids.length === countEvents(answer.requestId) && ids.every((id, index) => id === index + 1)
+}
+
+/** Callers meet hosts that run, each in turn. */
+export function pickRunning ({ hostFleet: { hosts } }: HostsWorld, index: number): number {
+  const running = hosts.flatMap((host, position) => host.process ? [position + 1] : [])
+  return running[index % running.length]!
+}
+
+export function setFaults (world: HostsWorld, isStruck: (endpoint: FleetEndpoint) => boolean, faults: Partial<EndpointFaults>): void {
+  for (const endpoint of world.hostFleet.fleet.endpoints) if (isStruck(endpoint)) endpoint.server.setFaults(faults)
+}
+
+export async function sendStreams (world: HostsWorld, count: number, adapters: number, withinMs: number): Promise<void> {
+  await Promise.all(Array.from({ length: count }, async (_, index) => {
+    await sleep(index * withinMs / count)
+    await call(world, { kind: 'resumable', host: pickRunning(world, index), adapter: `a${index % adapters + 1}` })
+  }))
+}
+
+/** The host that owns the first engine. */
+export function findOwner (world: HostsWorld): number {
+  const { fleet, hosts } = world.hostFleet
+  const owner = fleet.rows.listRows(hostsTable).map(row => decodeHostsRow(row.key, row.value!)).find(row => row?.kind === 'owner' && row.name === fleet.engines[0]!.id)
+  assert.ok(owner?.kind === 'owner')
+  return hosts.findIndex(host => host.settings.hostName === owner.row.host) + 1
+}
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -1,18 +1,23 @@
 /** Gives out the places of one engine: takes asks, has adapters loaded and unloaded, and grants places. */
 import { AdapterDirectory } from '../../core/desk/adapterDirectory.js'
+import { formatAdapter, parseAdapter } from '../../core/desk/adapterName.js'
+import { BrokenRequests } from '../../core/desk/brokenRequests.js'
 import { DeskPlanner } from '../../core/desk/deskPlanner.js'
+import { describeLoad } from '../../core/desk/describeLoad.js'
 import type { DeskPlan, DeskVerdict } from '../../core/desk/deskRequest.js'
+import { listComing, listHeld } from '../../core/desk/engineHoldings.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { EngineOrders, EngineState } from '../../ports/orders.js'
 import type { Held, Placed, PlaceAnswer, PlaceAsk, PlaceDone } from '../../schemas/datagram.js'
 import type { EndpointEntry, EngineShape } from '../../schemas/routing.js'
 import { EngineWatch } from './engineWatch.js'
+import { ForeignRuns } from './foreignRuns.js'
 import { LoadWatch } from './loadWatch.js'
 import type { LoadOutcome } from './loadWatch.js'
 import { OrderLine } from './orderLine.js'
-
-export type AnswerAsk = (answer: PlaceAnswer) => void
+import { createHeldPlace } from './place.js'
+import type { AnswerAsk, Place } from './place.js'
 
 export interface EndpointDeskOptions {
   clock: Clock
@@ -30,17 +35,6 @@
   receiveCrash: (crash: string, fingerprints: readonly string[]) => void
 }
 
-interface Place {
-  key: string
-  ask: PlaceAsk
-  answer: AnswerAsk
-  version: number
-  receivedAtMs: number
-  isGranted: boolean
-  /** The last answer, for an ask that comes again. */
-  lastAnswer: PlaceAnswer | undefined
-}
-
 /** A place whose holder was not heard of any more is free this long after its caller has left. */
 const lostPlaceMs = 1000
 const sweepIntervalMs = 500
@@ -48,18 +42,10 @@
 const reportIntervalMs = 1000
 /** Version of adapters for which none was declared. */
 const firstVersion = 1
-/** An engine's crash is noticed within this time of the first broken connection: a read of its state with its time-out, and one more. */
-const crashNoticeMs = 1500
 /** Loads that one engine takes at a time. */
 const maxLoads = 4
 /** Part of the engine's memory that prompts may be expected to keep beside what runs. */
 const keptPart = 0.6
-/** Runs that no front has told of, as their hosts are gone, have ended or been dropped after this time. */
-const foreignRunMs = 1500
-/** So few of them are likely to leave an adapter that makes way alone. */
-const fewForeignRuns = 3
-/** Time between two looks whether such runs have ended. */
-const foreignCheckMs = 300
 
 export class EndpointDesk {
   #options: EndpointDeskOptions
@@ -69,6 +55,7 @@
   #loads: LoadWatch
   #watch: EngineWatch
   #planner: DeskPlanner
+  #foreignRuns: ForeignRuns
   #directory = new AdapterDirectory()
   #isStopped = false
   /** Whether it is known what the engine holds, although it may not be given orders yet. */
@@ -76,8 +63,7 @@
   #wake: Timer | undefined
   #sweep: Timer | undefined
   #isPlanning = false
-  /** Contents of requests whose connections broke, in case the engine crashed. */
-  #brokenLately: { fingerprint: string, atMs: number }[] = []
+  #broken = new BrokenRequests()
   #reportedAtMs = -Infinity
 
   constructor (options: EndpointDeskOptions) {
@@ -101,6 +87,9 @@
       expectLoadMs: (adapter, version) => this.#loads.computeExpectedMs(adapter, version),
       expectColdMs: () => this.#loads.coldMs
     })
+    this.#foreignRuns = new ForeignRuns({
+      clock, log, orders, endpointId: options.entry.id, places: this.#planner.places, countOwn: () => this.#planner.running, receiveReleased: () => this.#plan()
+    })
   }
 
   get endpointId (): string {
@@ -122,6 +111,7 @@
     this.#wake?.cancel()
     this.#sweep?.cancel()
     this.#watch.stop()
+    this.#foreignRuns.stop()
     this.#options.orders.close()
     for (const place of [...this.#places.values()]) if (!place.isGranted) this.#refuse(place, 'not_owner', reason, 0)
   }
@@ -153,7 +143,7 @@
     const place = this.#places.get(key)
     if (!place) return
     this.#places.delete(key)
-    if (done.outcome === 'broken') this.#brokenLately.push({ fingerprint: place.ask.fingerprint, atMs: this.#options.clock.readMonotonic() })
+    if (done.outcome === 'broken') this.#broken.record(place.ask.fingerprint, this.#options.clock.readMonotonic())
     if (done.firstPartMs >= 0 && done.outcome === 'served') this.#planner.recordFirstPart(key, done.firstPartMs)
     this.#planner.remove(key, done.outcome === 'served' ? this.#options.clock.readMonotonic() : undefined)
     if (done.outcome === 'missing') this.#receiveMissing(place)
@@ -172,12 +162,11 @@
   /** Requests of a front run here without a place that this owner gave. */
   receiveHeld (session: string, { places }: Held): void {
     const nowMs = this.#options.clock.readMonotonic()
-    for (const { id, model, adapter, version, leavesInMs } of places) {
-      const key = `${session}.${id}`
+    for (const held of places) {
+      const key = `${session}.${held.id}`
       if (this.#places.has(key)) continue
-      const ask = createHeldAsk(this.endpointId, { id, model, adapter, version, leavesInMs })
-      this.#places.set(key, { key, ask, answer: () => {}, version, receivedAtMs: nowMs, isGranted: true, lastAnswer: undefined })
-      this.#planner.adopt(key, formatAdapter(ask), adapter === '', nowMs)
+      this.#places.set(key, createHeldPlace(this.endpointId, key, held, nowMs))
+      this.#planner.adopt(key, formatAdapter(held), held.adapter === '', nowMs)
     }
   }
 
@@ -252,11 +241,7 @@
   }
 
   #describeLoad (): Record<string, number> {
-    const { places, running, waiting } = this.#planner
-    const { use, backlogMs } = this.#planner.readLoad(this.#options.clock.readMonotonic())
-    return {
-      use: Math.round(use * 100) / 100, pace: Math.round(this.#planner.work.pace * 100) / 100, backlogMs: Math.round(backlogMs), running, waiting, free: places.free, idle: places.idle, loading: places.loading, unloading: places.unloading
-    }
+    return describeLoad(this.#planner, this.#options.clock.readMonotonic())
   }
 
   #answer (place: Place, answer: PlaceAnswer): void {
@@ -275,16 +260,14 @@
     const { clock, receiveCrash } = this.#options
     const nowMs = clock.readMonotonic()
     const running = [...this.#places.values()].filter(place => place.isGranted).map(place => place.ask.fingerprint)
-    const broken = this.#brokenLately.filter(({ atMs }) => nowMs - atMs < crashNoticeMs).map(({ fingerprint }) => fingerprint)
-    this.#brokenLately = []
-    const fingerprints = [...running, ...broken].filter(fingerprint => fingerprint !== '')
+    const fingerprints = this.#broken.take(running, nowMs)
     if (fingerprints.length > 0) receiveCrash(`${this.endpointId}/${this.#options.host}/${Math.round(nowMs)}`, fingerprints)
   }
 
   /** Frees places whose holders were lost. */
   #sweepPlaces (): void {
     const nowMs = this.#options.clock.readMonotonic()
-    this.#brokenLately = this.#brokenLately.filter(({ atMs }) => nowMs - atMs < crashNoticeMs)
+    this.#broken.sweep(nowMs)
     let isChanged = false
     for (const [key, place] of this.#places) {
       if (nowMs - place.receivedAtMs < place.ask.leavesInMs + lostPlaceMs) continue
@@ -368,34 +351,10 @@
 
   // State
 
-  /** What runs beside the places of this desk may use any adapter; an unload would wait for it and hold all orders up. */
-  #keepForForeignRuns (state: EngineState, nowMs: number): void {
-    if (state.running - this.#planner.running <= fewForeignRuns) return
-    this.#planner.places.keepAll(nowMs + foreignRunMs)
-    this.#options.clock.setTimer(() => this.#checkForeignRuns(), foreignCheckMs)
-  }
-
-  async #checkForeignRuns (): Promise<void> {
-    const { clock, orders, log } = this.#options
-    const { places } = this.#planner
-    if (this.#isStopped || clock.readMonotonic() >= places.keptUntilMs) return
-    try {
-      const { running } = await orders.readState()
-      if (running - this.#planner.running <= fewForeignRuns) {
-        places.releaseAll()
-        this.#plan()
-        return
-      }
-    } catch (error) {
-      log.record('engine.silent', 'An engine does not tell what runs there; its adapters are kept a little longer.', { endpointId: this.endpointId, error: (error as Error).message })
-    }
-    clock.setTimer(() => this.#checkForeignRuns(), foreignCheckMs)
-  }
-
   #receiveEarlyState (state: EngineState): void {
     const nowMs = this.#options.clock.readMonotonic()
     this.#hasEarlyState = true
-    for (const model of state.models) for (const { name, version } of model.adapters) this.#planner.recordLoaded(`${model.name}/${name}`, version, nowMs)
+    for (const { name, version } of listHeld(state)) this.#planner.recordLoaded(name, version, nowMs)
     this.#plan()
   }
 
@@ -403,45 +362,25 @@
   #takeOver (state: EngineState, isRestarted: boolean): void {
     const nowMs = this.#options.clock.readMonotonic()
     if (isRestarted) this.#planner.recordRestarted()
-    const listed = new Set<string>()
-    for (const model of state.models) {
-      for (const { name, version } of model.adapters) {
-        const adapter = `${model.name}/${name}`
-        listed.add(adapter)
-        this.#loads.settle(adapter, version)
-        if (this.#planner.places.find(adapter)?.state !== 'unloading') this.#planner.recordLoaded(adapter, version, nowMs)
-      }
+    const held = listHeld(state)
+    for (const { name, version } of held) {
+      this.#loads.settle(name, version)
+      if (this.#planner.places.find(name)?.state !== 'unloading') this.#planner.recordLoaded(name, version, nowMs)
     }
-    this.#planner.places.estimateUses([...listed], nowMs)
-    this.#keepForForeignRuns(state, nowMs)
-    const coming = state.loading.map(({ model, name, version }) => ({ name: `${model}/${name}`, version }))
+    this.#planner.places.estimateUses(held.map(({ name }) => name), nowMs)
+    this.#foreignRuns.receiveState(state)
+    const coming = listComing(state)
     // What is neither listed nor on its way is gone.
     for (const { name, version, state: adapterState } of this.#planner.places.list()) {
-      const isAwaited = adapterState === 'unloading' || this.#loads.isLoading(name, version) || coming.some(other => other.name === name)
-      if (!isAwaited && !listed.has(name)) this.#planner.recordUnloaded(name)
+      const isAwaited = adapterState === 'unloading' || this.#loads.isLoading(name, version)
+      if (!isAwaited && ![...held, ...coming].some(other => other.name === name)) this.#planner.recordUnloaded(name)
     }
     for (const { name, version } of coming) {
       if (this.#loads.isLoading(name, version)) continue
       // Ordered by a former owner, or by this host without an answer.
       this.#planner.recordLoading(name, version, nowMs)
-      const { model, adapter } = parseAdapter(name)
-      this.#loads.resume({ kind: 'load', model, adapter, version }).then(outcome => this.#receiveLoad(name, version, outcome))
+      this.#loads.resume({ kind: 'load', ...parseAdapter(name), version }).then(outcome => this.#receiveLoad(name, version, outcome))
     }
     this.#plan()
   }
 }
-
-/** A place that nobody asked this owner for; what only counts before a grant is left open. */
-function createHeldAsk (endpointId: string, held: Held['places'][number]): PlaceAsk {
-  return { type: 'ask', endpointId, requestId: '', route: '', rank: 0, dueInMs: 0, uselessInMs: 0, promptTokens: 0, maxTokens: 0, parts: [], mayDecline: false, fingerprint: '', ...held }
-}
-
-/** An adapter's name among all models of an engine. */
-function formatAdapter ({ model, adapter }: Pick<PlaceAsk, 'model' | 'adapter'>): string {
-  return `${model}/${adapter}`
-}
-
-function parseAdapter (name: string): { model: string, adapter: string } {
-  const slash = name.indexOf('/')
-  return { model: name.slice(0, slash), adapter: name.slice(slash + 1) }
-}
