--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -35,7 +35,11 @@
 import { startReadiness } from './startReadiness.js'
 import type { Readiness } from './startReadiness.js'
 
-/** How the tables are followed: endpoints report all the time, so their changes are taken in steps. */
+/**
+ * How the tables are followed. A configuration has 3 s to be in force, so its table is waited for without a pause. Endpoints
+ * and renewals change all the time and are read in steps, renewals once in each of their intervals. Calls wait for 1 to 2 s, as
+ * a silent connection shows only when they are over.
+ */
 const followedTables = [
   { table: operatorsTable, paceMs: 0, waitMs: 2000 },
   { table: endpointsTable, paceMs: 500, waitMs: 1000 },
--- a/src/core/orderLease.ts
+++ b/src/core/orderLease.ts
@@ -86,8 +86,10 @@
   return row === undefined || row.host === ''
 }
 
+/** One claim and its news take some 100 ms; the next host in rank waits half as long again. */
+const claimTurnMs = 150
+
 /** How long the host of rank `rank` among the takers leaves an endpoint to those before it, in milliseconds. */
 export function computeClaimDelayMs (rank: number): number {
-  // One claim and its news take some 100 ms.
-  return rank * 150
+  return rank * claimTurnMs
 }
--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -82,9 +82,13 @@
   })
 }
 
-/** Clients abandon a stream after a gap of the longest of two seconds, four targets and eight of the pauses allowed. */
+/** Callers leave after a gap of the longest of these three, as the platform's page on callers says. */
+const leastPatienceMs = 2000
+const patienceTargets = 4
+const patienceGaps = 8
+
 function computePatienceMs (targetMs: number, maxGapMs: number): number {
-  return Math.max(2000, 4 * targetMs, 8 * maxGapMs)
+  return Math.max(leastPatienceMs, patienceTargets * targetMs, patienceGaps * maxGapMs)
 }
 
 function decodeRoute (route: Static<typeof routeSchema>): Route {
