Compile at build time what a host runs while it serves

Cause: compiled code held the functions of a start alone, so each process compiled those of its requests anew. Ruled out: no optimising compiler, a later one, baseline code at once, a single thread: none took less.

--- a/deploy/buildHost.mjs
+++ b/deploy/buildHost.mjs
@@ -24,6 +24,17 @@
 mkdirSync('target', { recursive: true })
 copyFileSync('deploy/hostLoader.cjs', loader)
 
-// Compiled code fits only the flags that it was made with. The host ends at once, as --help asks for no start.
+// Compiled code fits only the flags that it was made with. What a host runs while it serves is compiled too.
 const flags = readFileSync('deploy/system.toml', 'utf8').match(/^run = "node (.*) target\//m)[1].split(' ')
-execFileSync(process.execPath, [...flags, loader, '--help'], { env: { ...process.env, SEDGEVALVE_CREATE_CODE_CACHE: '1' }, stdio: ['ignore', 'ignore', 'inherit'] })
+const createCodeCache = { ...process.env, SEDGEVALVE_CREATE_CODE_CACHE: '1' }
+// The host ends at once, as --help asks for no start; the second host of the warm-up needs some compiled code.
+execFileSync(process.execPath, [...flags, loader, '--help'], { env: createCodeCache, stdio: ['ignore', 'ignore', 'inherit'] })
+await build({
+  entryPoints: ['deploy/warmHost.ts'], outfile: 'target/warmHost.mjs', bundle: true, platform: 'node', target: 'node20', format: 'esm', packages: 'external', logLevel: 'error'
+})
+try {
+  execFileSync(process.execPath, ['target/warmHost.mjs', loader, ...flags], { stdio: 'inherit' })
+} catch (error) {
+  // A host without it serves as well; its first requests take longer.
+  process.stderr.write(`sedgevalve-host: the warm-up failed, so that only the code of a start is compiled: ${error.message}\n`)
+}
--- a/src/platform/hostSettings.ts
+++ b/src/platform/hostSettings.ts
@@ -6,7 +6,7 @@
 import VError from 'verror'
 import type { HostSettings } from '../schemas/hostSettings.js'
 
-const settingsVariable = 'SEDGEVALVE_SETTINGS'
+export const settingsVariable = 'SEDGEVALVE_SETTINGS'
 const defaultSettingsFile = '/etc/sedgevalve/settings.yaml'
 
 const settingsFileSchema = Type.Object({
@@ -46,6 +46,8 @@
 
 /** Used where the settings name no time for new adapter versions; the sheets of both deployments name this one. */
 const defaultVersionMs = 5000
+/** Not read by hosts; as in the sheets of both deployments. */
+const defaultPassMs = 120
 
 /**
  * Reads the settings of this process. Throws an error that names the wrong field.
@@ -96,3 +98,30 @@
     versionMs: bounds.version_ms ?? defaultVersionMs
   })
 }
+
+/** Writes settings as the platform writes them; for programs that start hosts without one. */
+export function encodeHostSettings (settings: HostSettings): string {
+  const file: Static<typeof settingsFileSchema> = {
+    nodeName: settings.hostName,
+    ipAddress: settings.address,
+    zone: settings.zone,
+    listenAddresses: { frontend: settings.callersAddress, ready: settings.readinessAddress, controlPlane: settings.peersAddress },
+    internalPortRange: [settings.datagramPort, settings.datagramPort],
+    seedNodes: [...settings.seedAddresses],
+    limits: { memoryMb: settings.memoryMb, fileDescriptors: settings.maxDescriptors },
+    heartbeatIntervalMs: settings.heartbeatMs,
+    bounds: {
+      drainMs: settings.drainMs,
+      gracePeriodS: settings.shutdownMs / 1000,
+      configApplyMs: settings.configurationMs,
+      retryBudgetRatio: settings.retryShare,
+      budgetWindowS: settings.retryWindowMs / 1000,
+      retryBudgetExtra: settings.retryExtra,
+      leaseMs: settings.leaseMs,
+      passMs: defaultPassMs,
+      version_ms: settings.versionMs
+    },
+    platform: { address: settings.storeAddress }
+  }
+  return JSON.stringify(file)
+}
