--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,70 @@
+Feature: The soak of hosts before the stand-in platform
+  Hosts run as processes; faults strike them, their links and the platform from outside, as a seed says. What callers were told
+  is held against what endpoints saw.
+
+  Scenario: A seed always gives the same events
+    When events are planned from seed 7 and from seed 7 again
+    Then both plans are the same and name faults of hosts, links, endpoints and the store
+
+  Scenario: Four hosts keep their promises while faults strike
+    When seed 6 is soaked for 6 seconds
+    Then the soak finds no broken promise
+    And callers got at least 150 whole answers
+
+  Scenario: A host that does not stop gracefully is noticed
+    When seed 1 is soaked for 8 seconds without "gracefulStop"
+    Then the soak finds "stopCutsNothing"
+
+  Scenario: An undisturbed record breaks no promise
+    Given the record of a soak in which nothing went wrong
+    Then the soak finds no broken promise
+
+  Scenario Outline: A record in which <fault> breaks a promise
+    Given the record of a soak in which <fault>
+    Then the soak finds "<promise>"
+
+    Examples:
+      | fault                                               | promise              |
+      | an engine was told to load beyond its slots         | slotsKept            |
+      | an engine got an order from a former holder         | oneHolder            |
+      | half an answer looks whole                          | wholeAnswer          |
+      | a stream skips an event                             | eventsInOrder        |
+      | a request that may run once ran twice               | atMostOnce           |
+      | a refused request ran                               | notRunMeansNotRun    |
+      | an endpoint ran what nobody sent                    | asked                |
+      | a caller waited beyond the time of the route        | answeredInTime       |
+      | a stop cut a request off                            | stopCutsNothing      |
+      | a stop took too long                                | stopCutsNothing      |
+      | an endpoint that left got work                      | drained              |
+      | a host did not take a configuration over            | configurationInForce |
+      | a host forgot a configuration                       | configurationHolds   |
+      | an old version of an adapter ran                    | versionInUse         |
+      | hosts repeated without a bound                      | repeatsBounded       |
+      | a request went on crashing engines                  | crashesBounded       |
+      | a host did not serve after the faults               | servesAgain          |
+      | a host ended by itself                              | keepsRunning         |
+      | a host took too much memory                         | boundedResources     |
+
+  Scenario Outline: What a fault excuses is no finding: <excused>
+    Given the record of a soak in which <excused>
+    Then the soak finds no broken promise
+
+    Examples:
+      | excused                                                       |
+      | a caller waited for a host that stood still                   |
+      | a host cut off from the store knew no new configuration       |
+      | an endpoint that left got work while the store was away       |
+
+  Scenario Outline: A link through the proxy that is <fault>
+    Given a link through the proxy to a server that answers
+    When the link is <fault> and a message is sent
+    Then <arrival>
+
+    Examples:
+      | fault   | arrival                                                                      |
+      | none    | the answer comes at once                                                     |
+      | delayed | the answer comes after 500 ms                                                |
+      | silent  | no answer comes within 400 ms and the server has seen nothing until it heals |
+      | cutUp   | no answer comes within 400 ms and the server has seen nothing until it heals |
+      | cutDown | no answer comes within 400 ms and the server has seen the message            |
+      | reset   | the connection is reset                                                      |
--- /dev/null
+++ b/features/steps/soak.ts
@@ -0,0 +1,127 @@
+/** Steps of the soak, its plan, its checks and its proxy. */
+import assert from 'node:assert/strict'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { checkSoak } from '../../soak/checkSoak.js'
+import { LoopbackProxy } from '../../soak/loopbackProxy.js'
+import type { LinkFault } from '../../soak/loopbackProxy.js'
+import { mechanisms } from '../../soak/mechanisms.js'
+import { runSoak } from '../../soak/runSoak.js'
+import type { SoakReport } from '../../soak/runSoak.js'
+import { createSoakPlan } from '../../soak/soakPlan.js'
+import type { PlannedEvent } from '../../soak/soakPlan.js'
+import type { SoakRecord } from '../../soak/soakRecord.js'
+import { createSoakRecord } from '../support/soakRecords.js'
+import type { SystemWorld } from '../support/world.js'
+import { waitUntil } from '../support/waitUntil.js'
+
+interface SoakWorld extends SystemWorld {
+  plans: PlannedEvent[][]
+  record: SoakRecord
+  report: SoakReport
+  echo: Server
+  proxy: LoopbackProxy
+  proxied: Socket
+  seenByServer: string
+  seenByCaller: string
+  linkError: string
+  sentAtMs: number
+}
+
+const soakStepTimeoutMs = 60_000
+const fleetSize = { hosts: 4, engines: 3, services: 2 }
+
+When('events are planned from seed {int} and from seed {int} again', function (this: SoakWorld, first: number, second: number) {
+  this.plans = [first, second].map(seed => createSoakPlan({ seed, faultsMs: 200_000 }))
+})
+
+Then('both plans are the same and name faults of hosts, links, endpoints and the store', function (this: SoakWorld) {
+  assert.deepEqual(this.plans[0], this.plans[1])
+  const kinds = this.plans[0]!.map(event => event.kind).join(' ')
+  for (const part of ['host', 'Link', 'endpoint', 'store']) assert.ok(kinds.includes(part), part)
+})
+
+When('seed {int} is soaked for {int} seconds', { timeout: soakStepTimeoutMs }, async function (this: SoakWorld, seed: number, seconds: number) {
+  this.report = await runSoak({ seed, faultsMs: seconds * 1000, ...fleetSize })
+  this.record = this.report.record
+})
+
+When('seed {int} is soaked for {int} seconds without {string}', { timeout: soakStepTimeoutMs }, async function (this: SoakWorld, seed: number, seconds: number, without: string) {
+  this.report = await runSoak({ seed, faultsMs: seconds * 1000, ...fleetSize, without, kinds: mechanisms[without]!.kinds })
+  this.record = this.report.record
+})
+
+Given(/^the record of a soak in which (.+)$/, function (this: SoakWorld, happening: string) {
+  this.record = createSoakRecord(happening)
+})
+
+Then('the soak finds no broken promise', function (this: SoakWorld) {
+  assert.deepEqual(checkSoak(this.record), [])
+})
+
+Then('the soak finds {string}', function (this: SoakWorld, promise: string) {
+  assert.ok(checkSoak(this.record).some(broken => broken.promise === promise), JSON.stringify(checkSoak(this.record)))
+})
+
+Then('callers got at least {int} whole answers', function (this: SoakWorld, count: number) {
+  assert.ok(this.report.whole >= count, `${this.report.whole} of ${this.report.calls}`)
+})
+
+Given('a link through the proxy to a server that answers', async function (this: SoakWorld) {
+  this.seenByServer = this.seenByCaller = this.linkError = ''
+  this.echo = createServer(socket => {
+    socket.on('error', () => {})
+    socket.on('data', bytes => {
+      this.seenByServer += bytes.toString()
+      socket.write(`answer to ${bytes.toString()}`)
+    })
+  })
+  await new Promise<void>(resolve => this.echo.listen(0, '127.0.0.1', resolve))
+  this.proxy = await LoopbackProxy.start(`127.0.0.1:${(this.echo.address() as AddressInfo).port}`)
+  const [host, port] = this.proxy.address.split(':')
+  this.proxied = connect({ host: host!, port: Number(port) })
+  this.proxied.on('error', error => { this.linkError = (error as NodeJS.ErrnoException).code ?? '' })
+  this.proxied.on('data', bytes => { this.seenByCaller += bytes.toString() })
+  await new Promise<void>(resolve => this.proxied.once('connect', resolve))
+})
+
+When(/^the link is (none|delayed|silent|cutUp|cutDown|reset) and a message is sent$/, async function (this: SoakWorld, fault: LinkFault) {
+  // The proxy's own connection to the server comes after the caller's.
+  await sleep(50)
+  this.proxy.setFault(fault)
+  this.sentAtMs = performance.now()
+  this.proxied.write('message')
+})
+
+Then('the answer comes at once', async function (this: SoakWorld) {
+  await waitUntil(() => this.seenByCaller === 'answer to message')
+})
+
+Then('the answer comes after {int} ms', async function (this: SoakWorld, ms: number) {
+  await waitUntil(() => this.seenByCaller === 'answer to message')
+  assert.ok(performance.now() - this.sentAtMs >= ms)
+})
+
+Then('no answer comes within {int} ms and the server has seen nothing until it heals', async function (this: SoakWorld, ms: number) {
+  await sleep(ms)
+  assert.deepEqual([this.seenByCaller, this.seenByServer], ['', ''])
+  this.proxy.setFault('none')
+  await waitUntil(() => this.seenByCaller === 'answer to message')
+})
+
+Then('no answer comes within {int} ms and the server has seen the message', async function (this: SoakWorld, ms: number) {
+  await sleep(ms)
+  assert.deepEqual([this.seenByCaller, this.seenByServer], ['', 'message'])
+})
+
+Then('the connection is reset', async function (this: SoakWorld) {
+  await waitUntil(() => this.linkError === 'ECONNRESET')
+})
+
+After(async function (this: SoakWorld) {
+  this.proxied?.destroy()
+  await this.proxy?.stop()
+  this.echo?.close()
+})
--- /dev/null
+++ b/features/support/soakRecords.ts
@@ -0,0 +1,136 @@
+/** Records of soaks that never ran, each with one thing that went wrong. */
+import type { FleetAnswer } from '../../src/standin/fleet/fleetCaller.js'
+import type { RunRecord } from '../../src/standin/fleet/runJournal.js'
+import type { SoakCall, SoakRecord } from '../../soak/soakRecord.js'
+
+const engineId = 'i-1'
+const host = 'host-1'
+
+interface MadeCall {
+  id: string
+  atMs: number
+  answer?: Partial<FleetAnswer>
+  call?: Partial<SoakCall>
+  /** Times from its start at which endpoints ran it. */
+  runs?: number[]
+  run?: Partial<RunRecord>
+}
+
+/** A record of calls of a service, each answered whole after 20 ms where not said otherwise. */
+class RecordMaker {
+  readonly record: SoakRecord = {
+    bounds: {
+      timeoutMs: 4000, patienceMs: 3200, drainMs: 1000, configurationMs: 2000, versionMs: 5000, shutdownMs: 8000, retryShare: 0.2, retryExtra: 20, retryWindowMs: 10_000, memoryMb: 250, maxDescriptors: 2000
+    },
+    calls: [],
+    runs: [],
+    violations: [],
+    spans: [],
+    probes: [],
+    probeIds: new Set(),
+    configurations: [],
+    versions: [],
+    leaving: [],
+    ends: [],
+    peakMemoryMb: 90,
+    peakDescriptors: 80
+  }
+
+  addCall ({ id, atMs, answer, call, runs = [5], run }: MadeCall): void {
+    const tookMs = answer?.tookMs ?? 20
+    this.record.calls.push({
+      answer: { requestId: id, kind: 'once', status: 200, body: `done ${id}`, signature: 'signed', retryAfterS: undefined, error: undefined, tookMs, ...answer },
+      host,
+      life: 1,
+      adapter: undefined,
+      startedAtMs: atMs,
+      endedAtMs: atMs + tookMs,
+      purpose: 'load',
+      ...call
+    })
+    for (const afterMs of runs) this.addRun(id, atMs + afterMs, run)
+  }
+
+  addRun (requestId: string, startedAtMs: number, changes: Partial<RunRecord> = {}): void {
+    const runs = this.record.runs as RunRecord[]
+    runs.push({
+      requestId, endpointId: engineId, service: 'desk', path: '/once/x', startedAtMs, endedAtMs: startedAtMs + 10, outcome: 'whole', timeLeftMs: 4000, fromEvent: 0, adapterVersion: undefined, ...changes
+    })
+  }
+
+  addProbe (version: number, status: number, askedAtMs: number): void {
+    this.record.probes.push({ host, life: 1, version, status, askedAtMs, endedAtMs: askedAtMs + 5 })
+  }
+}
+
+const fillers: Record<string, (maker: RecordMaker) => void> = {
+  'nothing went wrong': maker => {
+    maker.record.configurations.push({ version: 1, atMs: 1000 })
+    maker.addProbe(1, 200, 3600)
+    maker.record.ends.push({ host, code: 0, signal: undefined, asked: 'stop', tookMs: 3000 }, { host, code: undefined, signal: 'SIGKILL', asked: 'kill', tookMs: 2 })
+  },
+  'an engine was told to load beyond its slots': ({ record }) => record.violations.push({ rule: 'overfull', detail: 'load of "a1"' }),
+  'an engine got an order from a former holder': ({ record }) => record.violations.push({ rule: 'fencing', detail: '"host-1" ordered with 3 after 5' }),
+  'half an answer looks whole': maker => maker.addCall({ id: 'half', atMs: 100, answer: { body: 'done ha' } }),
+  'a stream skips an event': maker => maker.addCall({ id: 'skips', atMs: 100, answer: { kind: 'stream', body: 'id: 1\ndata: 1\n\nid: 3\ndata: 3\n\n' } }),
+  'a request that may run once ran twice': maker => maker.addCall({ id: 'twice', atMs: 100, runs: [5, 300] }),
+  'a refused request ran': maker => maker.addCall({ id: 'refused', atMs: 100, answer: { status: 503, retryAfterS: 1, body: '' }, runs: [900] }),
+  'an endpoint ran what nobody sent': maker => maker.addRun('invented', 100),
+  'a caller waited beyond the time of the route': maker => maker.addCall({ id: 'late', atMs: 100, answer: { tookMs: 5600, status: 504 } }),
+  'a stop cut a request off': maker => {
+    maker.record.spans.push({ kind: 'hostStop', host, fromMs: 1000, toMs: 4000 })
+    maker.addCall({ id: 'cut', atMs: 500, answer: { status: 0, error: 'other side closed', tookMs: 600 } })
+  },
+  'a stop took too long': ({ record }) => record.ends.push({ host, code: undefined, signal: 'SIGKILL', asked: 'stop', tookMs: 10_000 }),
+  'an endpoint that left got work': maker => {
+    maker.record.leaving.push({ endpointId: engineId, atMs: 1000 })
+    maker.addCall({ id: 'drained', atMs: 2700 })
+  },
+  'a host did not take a configuration over': maker => {
+    maker.record.configurations.push({ version: 1, atMs: 1000 })
+    maker.addProbe(1, 404, 3600)
+  },
+  'a host forgot a configuration': maker => {
+    maker.record.configurations.push({ version: 1, atMs: 1000 })
+    maker.record.spans.push({ kind: 'storeBusy', host: undefined, fromMs: 1000, toMs: 9000 })
+    maker.addProbe(1, 200, 2000)
+    maker.addProbe(1, 404, 2500)
+  },
+  'an old version of an adapter ran': maker => {
+    maker.record.versions.push({ adapter: 'a1', version: 2, atMs: 1000 })
+    maker.addCall({ id: 'old', atMs: 6100, call: { adapter: 'a1' }, run: { adapterVersion: 1 } })
+  },
+  'hosts repeated without a bound': maker => {
+    for (let index = 0; index < 60; index++) maker.addCall({ id: `repeated ${index}`, atMs: index * 100, answer: { kind: 'idempotent' }, runs: [5, 50] })
+  },
+  'a request went on crashing engines': maker => {
+    for (let index = 0; index < 14; index++) maker.addCall({ id: `crash ${index}`, atMs: index * 500, answer: { kind: 'resumable', status: 502, body: '' }, call: { purpose: 'crashing' } })
+  },
+  'a host did not serve after the faults': maker => maker.addCall({ id: 'calm', atMs: 30_000, answer: { status: 503, retryAfterS: 1, body: '' }, runs: [], call: { purpose: 'calm' } }),
+  'a host ended by itself': ({ record }) => record.ends.push({ host, code: 1, signal: undefined, asked: 'nothing', tookMs: 0 }),
+  'a host took too much memory': ({ record }) => { record.peakMemoryMb = 251 },
+  'a caller waited for a host that stood still': maker => {
+    maker.record.spans.push({ kind: 'hostPause', host, fromMs: 200, toMs: 5500 })
+    maker.addCall({ id: 'late', atMs: 100, answer: { tookMs: 5600, status: 504 } })
+  },
+  'a host cut off from the store knew no new configuration': maker => {
+    maker.record.configurations.push({ version: 1, atMs: 1000 })
+    maker.record.spans.push({ kind: 'storeLinkSilent', host, fromMs: 900, toMs: 3500 })
+    maker.addProbe(1, 404, 3600)
+  },
+  'an endpoint that left got work while the store was away': maker => {
+    maker.record.leaving.push({ endpointId: engineId, atMs: 1000 })
+    maker.record.spans.push({ kind: 'storeBusy', host: undefined, fromMs: 900, toMs: 4000 })
+    maker.addCall({ id: 'drained', atMs: 2700 })
+  }
+}
+
+/** The record of a soak in which one thing happened. */
+export function createSoakRecord (happening: string): SoakRecord {
+  const maker = new RecordMaker()
+  maker.addCall({ id: 'whole', atMs: 50 })
+  const fill = fillers[happening]
+  if (!fill) throw new Error(`no record in which ${happening}`)
+  fill(maker)
+  return maker.record
+}
--- a/soak/checkSoak.ts
+++ b/soak/checkSoak.ts
@@ -19,8 +19,8 @@
 const answerSlackMs = 1000
 /** Lost to the way of an acknowledgement and the clocks of two processes. */
 const noticeSlackMs = 500
-/** A stop must not cut what was sent this long before it. */
-const sentBeforeMs = 300
+/** A host has read by the time of its stop what was sent this long before it, over loopback. */
+const sentBeforeMs = 50
 /** A request may crash this many engines before hosts know it, and as many again from hosts that were told last. */
 const crashesBeforeKnown = 3
 const crashesAfterwards = 3
--- a/soak/soakSystem.ts
+++ b/soak/soakSystem.ts
@@ -22,6 +22,8 @@
 const adapterSlots = 4
 /** Low beside what callers send, so that a host that repeats without a bound shows. */
 const retryExtra = 20
+/** Between events of streams, so that faults meet streams in the middle. */
+const eventMs = 50
 
 export class SoakSystem {
   readonly fleet: Fleet
@@ -56,6 +58,7 @@
     storeLinks.forEach((link, index) => {
       system.hosts.push(new HostProcess({ settings: createSettings(index + 1, link.address), metricsPort: basePort + 4, without, logs, receiveEnd }))
     })
+    for (const { server } of fleet.endpoints) server.setFaults({ eventMs })
     await Promise.all(system.hosts.map(async host => await host.start()))
     return system
   }
