Don't take a late order for the one whose answer was lost

Cause: after a load without an answer whose repeat met another count, the line gave the load again under the next count. Where the one more was an order of before that came late, that loaded an adapter beyond the engine's slots. Ruled out: two owners (no order with an older fencing number was seen), a load by its count's chance after a restart (the order names its engine). The stand-in no longer carries out late orders after a restart.

--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -101,7 +101,11 @@
   #receiveOrder (engine: FleetEngine, body: string, response: ServerResponse): void {
     const { order, holder } = decodeOrder(body)
     if (this.#options.random() < this.faults.lateOrders) {
-      setTimeout(() => engine.receiveOrder(order, holder), lateOrderMs).unref()
+      const { startedAtMs } = engine
+      setTimeout(() => {
+        // An order that names its engine does not reach a later process of it.
+        if (engine.startedAtMs === startedAtMs) engine.receiveOrder(order, holder)
+      }, lateOrderMs).unref()
       return
     }
     response.writeHead(engine.receiveOrder(order, holder)).end()
--- a/src/tasks/desk/orderLine.ts
+++ b/src/tasks/desk/orderLine.ts
@@ -22,6 +22,11 @@
 const timeoutMs = 100
 /** Time between two questions whether an unload has got its runs out of the way; a run takes some 500 ms. */
 const repeatUnloadMs = 60
+/**
+ * An order without an answer may be carried out this long after it was given; the platform's pages say "seconds", and the
+ * stand-in takes 1.5 s. Until then one more order than was counted may be one of before.
+ */
+const lateOrderMs = 5000
 /** An unload that takes longer is looked up in the engine's state. */
 const maxUnloadMs = 4000
 
@@ -30,6 +35,8 @@
   /** Orders that the engine has accepted; undefined until its state is read. */
   #count: number | undefined
   #tail: Promise<unknown> = Promise.resolve()
+  /** Until then orders of before may still be carried out. */
+  #lateUntilMs = Infinity
 
   constructor (options: OrderLineOptions) {
     this.#options = options
@@ -47,6 +54,8 @@
 
   recordState (state: EngineState | undefined): void {
     this.#count = state?.orderCount
+    // What a former owner gave, or this one before it lost count, may come late.
+    this.#expectLateOrders()
   }
 
   /** Closes the line until the engine's state is read, as it is not what it should be. */
@@ -98,11 +107,18 @@
     return outcome
   }
 
-  /** Whether an earlier try was carried out although its answer was lost: then the engine counts one more, and the order holds. */
+  /**
+   * Whether an earlier try was carried out although its answer was lost: then the engine counts one more, and the order holds.
+   * While orders of before may come late, the one more may be one of them, and the question would load an adapter beyond the
+   * engine's slots.
+   */
   async #isCarriedOut (order: Omit<EngineOrder, 'expectedCount'>, expectedCount: number, holder: OrderHolder): Promise<boolean> {
+    if (order.kind === 'load' && this.#options.clock.readMonotonic() < this.#lateUntilMs) return false
     const outcome = await this.#options.orders.send({ ...order, expectedCount: expectedCount + 1 }, holder, timeoutMs)
     if (outcome.verdict === 'refused' || outcome.verdict === 'unknown') return false
     if (this.#count === expectedCount) this.#count++
+    // An unload may have been carried out just now, and the one more have been another order.
+    if (order.kind === 'unload') this.#expectLateOrders()
     return true
   }
 
@@ -138,6 +154,10 @@
     if (outcome.verdict === 'refused' && outcome.cause === 'conflict') this.#recordMismatch(outcome.reason)
   }
 
+  #expectLateOrders (): void {
+    this.#lateUntilMs = this.#options.clock.readMonotonic() + lateOrderMs
+  }
+
   #recordMismatch (reason: string): void {
     this.#count = undefined
     this.#options.receiveMismatch(reason)
