--- a/deploy/buildHost.mjs
+++ b/deploy/buildHost.mjs
@@ -1,9 +1,11 @@
 // Builds the host's program into target/: one bundle, its compiled code, and the loader that starts both.
 import { execFileSync } from 'node:child_process'
-import { copyFileSync, mkdirSync, readFileSync } from 'node:fs'
+import { copyFileSync, mkdirSync, readFileSync, rmSync, statSync } from 'node:fs'
 import { build } from 'esbuild'
 
 const loader = 'target/sedgevalve-host.cjs'
+const warmUp = 'target/warmHost.mjs'
+const cacheFile = 'target/host/bundle.cache'
 
 await build({
   entryPoints: ['src/bin/host.ts'],
@@ -29,12 +31,16 @@
 const createCodeCache = { ...process.env, SEDGEVALVE_CREATE_CODE_CACHE: '1' }
 // The host ends at once, as --help asks for no start; the second host of the warm-up needs some compiled code.
 execFileSync(process.execPath, [...flags, loader, '--help'], { env: createCodeCache, stdio: ['ignore', 'ignore', 'inherit'] })
+const startBytes = statSync(cacheFile).size
 await build({
-  entryPoints: ['deploy/warmHost.ts'], outfile: 'target/warmHost.mjs', bundle: true, platform: 'node', target: 'node20', format: 'esm', packages: 'external', logLevel: 'error'
+  entryPoints: ['deploy/warmHost.ts'], outfile: warmUp, bundle: true, platform: 'node', target: 'node20', format: 'esm', packages: 'external', logLevel: 'error'
 })
 try {
-  execFileSync(process.execPath, ['target/warmHost.mjs', loader, ...flags], { stdio: 'inherit' })
+  execFileSync(process.execPath, [warmUp, loader, ...flags], { stdio: 'inherit' })
 } catch (error) {
   // A host without it serves as well; its first requests take longer.
   process.stderr.write(`sedgevalve-host: the warm-up failed, so that only the code of a start is compiled: ${error.message}\n`)
+} finally {
+  rmSync(warmUp)
 }
+process.stdout.write(`compiled code: ${startBytes} bytes for a start, ${statSync(cacheFile).size} with what a host runs while it serves\n`)
--- a/features/hostSettings.feature
+++ b/features/hostSettings.feature
@@ -30,3 +30,8 @@
     Then the program ends with code 0 and prints "--metrics PORT"
     When the host's program is started with "--metrics 70000"
     Then the program ends with code 2 and prints "--metrics names no port"
+
+  Scenario: The host's program is built with the code that it runs while it serves
+    When the host's program is built
+    Then the build says nothing of a warm-up that failed
+    And the program holds more compiled code than a start needs
--- a/features/steps/hostSettings.ts
+++ b/features/steps/hostSettings.ts
@@ -16,6 +16,9 @@
   programText: string
 }
 
+/** The build takes some 8 s, and longer on a busy machine. */
+const buildTimeoutMs = 60_000
+
 /** The fields that a host reads, as the platform's pages show them. */
 const publishedFields = {
   nodeName: 'frontend-sala-unu-1',
@@ -90,3 +93,19 @@
   assert.equal(this.programCode, code, this.programText)
   assert.ok(this.programText.includes(text), this.programText)
 })
+
+When('the host\'s program is built', { timeout: buildTimeoutMs }, function (this: SettingsWorld) {
+  const { status, stdout, stderr } = spawnSync(process.execPath, ['deploy/buildHost.mjs'], { encoding: 'utf8' })
+  this.programCode = status
+  this.programText = stdout + stderr
+})
+
+Then('the build says nothing of a warm-up that failed', function (this: SettingsWorld) {
+  assert.equal(this.programCode, 0, this.programText)
+  assert.ok(!this.programText.includes('failed'), this.programText)
+})
+
+Then('the program holds more compiled code than a start needs', function (this: SettingsWorld) {
+  const [, startBytes, wholeBytes] = /(\d+) bytes for a start, (\d+) with/.exec(this.programText)!.map(Number)
+  assert.ok(wholeBytes! > startBytes!, this.programText)
+})
