Forget loads of an engine that has started again

Cause: the watch of a load went on after the engine's restart and asked for the load again, under the count of the new process. Where the two counts met, that loaded an adapter that the owner had not planned, in the worst case beyond the slots.

--- a/features/hostFailures.feature
+++ b/features/hostFailures.feature
@@ -22,6 +22,12 @@
     When a host starts, 8 requests come at once and the store is there again after 150 ms
     Then every answer is whole and signed
 
+  Scenario: Engines crash again and again while adapters are loaded
+    Given 2 hosts before a platform with 2 engines of 4 adapter slots
+    When all engines crash 16 times, 230 ms apart, while streams on 10 adapters come
+    Then no endpoint saw what no host may do
+    And no answer joins or repeats events
+
   Scenario: A request that crashes engines is refused on every host
     Given 3 hosts before a platform with 3 engines
     When a request that crashes engines comes 8 times, each time at the next host
--- a/features/steps/hostFailures.ts
+++ b/features/steps/hostFailures.ts
@@ -67,6 +67,16 @@
   setFaults(this, () => true, { eventMs: 0 })
 })
 
+When('all engines crash {int} times, {int} ms apart, while streams on {int} adapters come', async function (this: HostsWorld, times: number, gapMs: number, adapters: number) {
+  const streamsPerCrash = 8
+  const streams = sendStreams(this, times * streamsPerCrash, adapters, times * gapMs)
+  for (let index = 0; index < times; index++) {
+    await sleep(gapMs)
+    for (const { server } of this.hostFleet.fleet.engines) server.crash()
+  }
+  await streams
+})
+
 When('a stream of kind {string} has run for {int} ms and its engine crashes', async function (this: HostsWorld, kind: CallKind, ms: number) {
   const { fleet } = this.hostFleet
   // An id that ends so asks for 8 events, of which the engine sends half before it crashes.
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -361,7 +361,10 @@
   /** Takes over what the engine says that it holds. */
   #takeOver (state: EngineState, isRestarted: boolean): void {
     const nowMs = this.#options.clock.readMonotonic()
-    if (isRestarted) this.#planner.recordRestarted()
+    if (isRestarted) {
+      this.#planner.recordRestarted()
+      this.#loads.forgetLoads()
+    }
     const held = listHeld(state)
     for (const { name, version } of held) {
       this.#loads.settle(name, version)
--- a/src/tasks/desk/loadWatch.ts
+++ b/src/tasks/desk/loadWatch.ts
@@ -78,6 +78,14 @@
     this.#loading.delete(formatLoad(adapter, version))
   }
 
+  /**
+   * Ends the watch of all loads, as the engine has started again without them. A probe would order its adapter anew, beside
+   * what the engine has been given since.
+   */
+  forgetLoads (): void {
+    this.#loading.clear()
+  }
+
   async #probe (name: string, order: AdapterLoad, isWatched: () => boolean): Promise<LoadOutcome> {
     const { clock, line } = this.#options
     const startedAtMs = clock.readMonotonic()
