--- a/soak/mechanisms.ts
+++ b/soak/mechanisms.ts
@@ -51,7 +51,7 @@
   /** All hosts together repeat a part of the requests. */
   repeatBudget: {
     promise: 'repeatsBounded',
-    kinds: ['endpointErrors', 'endpointCuts', 'burst'],
+    kinds: ['allEndpointsFail', 'burst'],
     changeSettings: settings => ({ ...settings, retryShare: 10, retryExtra: 1_000_000 })
   },
   /** Requests that may run once are not repeated. */
--- a/soak/soakCallers.ts
+++ b/soak/soakCallers.ts
@@ -17,6 +17,8 @@
 /** A caller gives up on a host that does not answer at all after this time. */
 const callTimeoutMs = 20_000
 const adapterCount = 10
+/** Callers' own time is up after this, in milliseconds: with the route's, or long after it, so that the route has to end the wait. */
+const callerTimes = [4000, 12_000]
 const kinds: readonly CallKind[] = ['resumable', 'resumable', 'resumable', 'resumable', 'stream', 'stream', 'idempotent', 'idempotent', 'once', 'once']
 
 export interface SoakCallersOptions {
@@ -70,7 +72,7 @@
     const requestId = createRequestId()
     const startedAtMs = performance.now()
     // Hosts know a request that crashes engines by what it asks, so no two callers ask the same.
-    const answer = await this.#caller.call({ kind, requestId, body: `question ${requestId}`, ...(adapter !== undefined && { adapter }), signal: AbortSignal.timeout(callTimeoutMs), ...changes, address: settings.callersAddress })
+    const answer = await this.#caller.call({ kind, requestId, body: `question ${requestId}`, ...(adapter !== undefined && { adapter }), timeLeftMs: this.#pick(callerTimes), signal: AbortSignal.timeout(callTimeoutMs), ...changes, address: settings.callersAddress })
     const call: SoakCall = { answer, host: settings.hostName, life, adapter, startedAtMs, endedAtMs: performance.now(), purpose }
     record.calls.push(call)
     return call
--- a/soak/soakEvents.ts
+++ b/soak/soakEvents.ts
@@ -59,6 +59,7 @@
         host.jumpClock(-jumpMs)
       }),
       allHostsKilled: async event => await this.#strikeAll(event),
+      allEndpointsFail: async event => await this.#failEndpoints(event),
       ...this.#createLinkStrikes(),
       ...this.#createEndpointStrikes(),
       ...this.#createStoreStrikes(),
@@ -196,6 +197,13 @@
     }))
   }
 
+  async #failEndpoints (event: PlannedEvent): Promise<void> {
+    const endpoints = this.#options.system.fleet.endpoints.filter(endpoint => endpoint.isTelling)
+    await Promise.all(endpoints.map(async endpoint => {
+      await this.#hold(event, undefined, this.#findEndpointFault(endpoint, 'errors', value => ({ errors: value })), 1)
+    }))
+  }
+
   async #restart (host: HostProcess, asked: 'kill' | 'stop', awayMs: number): Promise<void> {
     await host.end(asked)
     await sleep(awayMs)
--- a/soak/soakPlan.ts
+++ b/soak/soakPlan.ts
@@ -8,7 +8,7 @@
   'storeLinkDelayed', 'storeLinkSilent', 'storeLinkCutUp', 'storeLinkCutDown', 'storeLinkReset',
   'endpointLinkDelayed', 'endpointLinkSilent', 'endpointLinkCutUp', 'endpointLinkCutDown', 'endpointLinkReset',
   'engineCrash', 'endpointDark', 'endpointErrors', 'endpointCuts', 'lateOrders', 'endpointLeaves',
-  'storeBusy', 'storeSilent', 'storeReset', 'storeAnswersLost', 'storeUnwritable', 'allHostsKilled'
+  'storeBusy', 'storeSilent', 'storeReset', 'storeAnswersLost', 'storeUnwritable', 'allHostsKilled', 'allEndpointsFail'
 ] as const
 export type FaultKind = typeof faultKinds[number]
 
