--- a/deploy/warmHost.ts
+++ b/deploy/warmHost.ts
@@ -10,6 +10,7 @@
 import { encodeHostSettings, settingsVariable } from '../src/platform/hostSettings.js'
 import { FleetCaller } from '../src/standin/fleet/fleetCaller.js'
 import type { CallKind } from '../src/standin/fleet/fleetCaller.js'
+import { createHostSettings, findMetricsPort } from '../src/standin/fleet/hostSettings.js'
 import { startFleet } from '../src/standin/fleet/startFleet.js'
 import type { HostSettings } from '../src/schemas/hostSettings.js'
 
@@ -25,36 +26,10 @@
 const network = '127.231.17'
 const basePort = 21_700 + process.pid % 500 * 8
 
-function createSettings (index: number, storeAddress: string): HostSettings {
-  const address = `${network}.${index}`
-  return {
-    hostName: `host-${index}`,
-    address,
-    zone: index === 1 ? 'a' : 'b',
-    callersAddress: `${address}:${basePort}`,
-    readinessAddress: `${address}:${basePort + 1}`,
-    peersAddress: `${address}:${basePort + 2}`,
-    datagramPort: basePort + 3,
-    seedAddresses: [`${network}.1:${basePort + 2}`],
-    storeAddress,
-    memoryMb: 250,
-    maxDescriptors: 2000,
-    heartbeatMs: 300,
-    drainMs: 1000,
-    shutdownMs: 4000,
-    configurationMs: 2000,
-    retryShare: 0.2,
-    retryExtra: 60,
-    retryWindowMs: 10_000,
-    leaseMs: 3000,
-    versionMs: 5000
-  }
-}
-
 function startHost (settings: HostSettings, environment: NodeJS.ProcessEnv): ChildProcess {
   const file = join(folder, `${settings.hostName}.json`)
   writeFileSync(file, encodeHostSettings(settings))
-  return fork(loader, ['--metrics', String(basePort + 4)], {
+  return fork(loader, ['--metrics', String(findMetricsPort(basePort))], {
     execArgv: flags, stdio: ['ignore', 'ignore', 'inherit', 'ipc'], env: { ...process.env, ...environment, [settingsVariable]: file }
   })
 }
@@ -79,7 +54,9 @@
 mkdirSync(folder, { recursive: true })
 const fleet = await startFleet({ engines: 3, services: 2 })
 const caller = new FleetCaller()
-const settings = [createSettings(1, fleet.store.address), createSettings(2, fleet.store.address)]
+const settings = [1, 2].map(index => createHostSettings(
+  { index, network, basePort, storeAddress: fleet.store.address }, { seedAddresses: [`${network}.1:${basePort + 2}`] }
+))
 const children = [startHost(settings[0]!, { SEDGEVALVE_CREATE_CODE_CACHE: '1' }), startHost(settings[1]!, {})]
 try {
   for (const { readinessAddress } of settings) await waitUntilReady(caller, readinessAddress)
--- a/features/steps/soak.ts
+++ b/features/steps/soak.ts
@@ -13,7 +13,7 @@
 import { createSoakPlan } from '../../soak/soakPlan.js'
 import type { PlannedEvent } from '../../soak/soakPlan.js'
 import type { SoakRecord } from '../../soak/soakRecord.js'
-import { createSoakRecord } from '../support/soakRecords.js'
+import { createSoakRecordOf } from '../support/soakRecords.js'
 import type { SystemWorld } from '../support/world.js'
 import { waitUntil } from '../support/waitUntil.js'
 
@@ -54,7 +54,7 @@
 })
 
 Given(/^the record of a soak in which (.+)$/, function (this: SoakWorld, happening: string) {
-  this.record = createSoakRecord(happening)
+  this.record = createSoakRecordOf(happening)
 })
 
 Then('the soak finds no broken promise', function (this: SoakWorld) {
--- a/features/support/hostFleet.ts
+++ b/features/support/hostFleet.ts
@@ -6,6 +6,7 @@
 import type { HostSettings } from '../../src/schemas/hostSettings.js'
 import { FleetCaller } from '../../src/standin/fleet/fleetCaller.js'
 import type { FleetAnswer, FleetCall } from '../../src/standin/fleet/fleetCaller.js'
+import { createHostSettings, findMetricsPort } from '../../src/standin/fleet/hostSettings.js'
 import { startFleet } from '../../src/standin/fleet/startFleet.js'
 import type { Fleet, FleetOptions } from '../../src/standin/fleet/startFleet.js'
 import { waitUntil } from './waitUntil.js'
@@ -37,7 +38,7 @@
   readonly hosts: FleetHost[] = []
   readonly lines: LogLine[] = []
   #caller = new FleetCaller()
-  #network = nextNetwork++ % 200 + 1
+  #network = `127.${nextNetwork++ % 200 + 1}.0`
 
   private constructor (fleet: Fleet) {
     this.fleet = fleet
@@ -46,7 +47,7 @@
   /** Starts the platform alone; the hosts are told where it is. */
   static async prepare (hosts: number, options: Partial<FleetOptions> = {}): Promise<HostFleet> {
     const world = new HostFleet(await startFleet(options))
-    for (let index = 1; index <= hosts; index++) world.hosts.push({ settings: world.#createSettings(index), process: undefined })
+    for (let index = 1; index <= hosts; index++) world.hosts.push({ settings: createHostSettings({ index, network: world.#network, basePort, storeAddress: world.fleet.store.address }), process: undefined })
     return world
   }
 
@@ -61,7 +62,7 @@
   async startHost (host: FleetHost): Promise<void> {
     const { hostName } = host.settings
     host.process = await startHost(host.settings, createSystemClock(), {
-      metricsPort: basePort + 4,
+      metricsPort: findMetricsPort(basePort),
       openLog: () => ({
         record: (kind, message, fields = {}) => { this.lines.push({ time: Date.now(), host: hostName, kind, message, fields }) },
         flush: () => {}
@@ -109,30 +110,4 @@
   #findCallersAddress (host: number): string {
     return this.hosts[host - 1]!.settings.callersAddress
   }
-
-  #createSettings (index: number): HostSettings {
-    const address = `127.${this.#network}.0.${index}`
-    return Object.freeze({
-      hostName: `host-${index}`,
-      address,
-      zone: index % 2 === 1 ? 'a' : 'b',
-      callersAddress: `${address}:${basePort}`,
-      readinessAddress: `${address}:${basePort + 1}`,
-      peersAddress: `${address}:${basePort + 2}`,
-      datagramPort: basePort + 3,
-      seedAddresses: [],
-      storeAddress: this.fleet.store.address,
-      memoryMb: 350,
-      maxDescriptors: 4000,
-      heartbeatMs: 300,
-      drainMs: 1000,
-      shutdownMs: 3000,
-      configurationMs: 2000,
-      retryShare: 0.2,
-      retryExtra: 60,
-      retryWindowMs: 10_000,
-      leaseMs: 3000,
-      versionMs: 5000
-    })
-  }
 }
--- a/features/support/soakRecords.ts
+++ b/features/support/soakRecords.ts
@@ -1,6 +1,7 @@
 /** Records of soaks that never ran, each with one thing that went wrong. */
 import type { FleetAnswer } from '../../src/standin/fleet/fleetCaller.js'
 import type { RunRecord } from '../../src/standin/fleet/runJournal.js'
+import { createSoakRecord } from '../../soak/soakRecord.js'
 import type { SoakCall, SoakRecord } from '../../soak/soakRecord.js'
 
 const engineId = 'i-1'
@@ -18,23 +19,9 @@
 
 /** A record of calls of a service, each answered whole after 20 ms where not said otherwise. */
 class RecordMaker {
-  readonly record: SoakRecord = {
-    bounds: {
-      timeoutMs: 4000, patienceMs: 3200, drainMs: 1000, configurationMs: 2000, versionMs: 5000, shutdownMs: 8000, retryShare: 0.2, retryExtra: 20, retryWindowMs: 10_000, memoryMb: 250, maxDescriptors: 2000
-    },
-    calls: [],
-    runs: [],
-    violations: [],
-    spans: [],
-    probes: [],
-    probeIds: new Set(),
-    configurations: [],
-    versions: [],
-    leaving: [],
-    ends: [],
-    peakMemoryMb: 90,
-    peakDescriptors: 80
-  }
+  readonly record = createSoakRecord({
+    timeoutMs: 4000, patienceMs: 3200, drainMs: 1000, configurationMs: 2000, versionMs: 5000, shutdownMs: 8000, retryShare: 0.2, retryExtra: 20, retryWindowMs: 10_000, memoryMb: 250, maxDescriptors: 2000
+  }, [])
 
   addCall ({ id, atMs, answer, call, runs = [5], run }: MadeCall): void {
     const tookMs = answer?.tookMs ?? 20
@@ -126,7 +113,7 @@
 }
 
 /** The record of a soak in which one thing happened. */
-export function createSoakRecord (happening: string): SoakRecord {
+export function createSoakRecordOf (happening: string): SoakRecord {
   const maker = new RecordMaker()
   maker.addCall({ id: 'whole', atMs: 50 })
   const fill = fillers[happening]
--- a/soak/hostProcess.ts
+++ b/soak/hostProcess.ts
@@ -22,6 +22,8 @@
 /** As in `deploy/system.toml`. */
 const nodeOptions = ['--max-old-space-size=160', '--max-semi-space-size=4']
 const bytesInKb = 1024
+/** Given to a process beyond its time for a graceful stop, so that a late one is seen as late. */
+const killSlackMs = 2000
 
 export class HostProcess {
   readonly settings: HostSettings
@@ -106,6 +108,3 @@
     }
   }
 }
-
-/** Given to a process beyond its time for a graceful stop, so that a late one is seen as late. */
-const killSlackMs = 2000
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -7,6 +7,7 @@
 import { SoakEvents } from './soakEvents.js'
 import { createRandom, createSoakPlan } from './soakPlan.js'
 import type { PlannedEvent } from './soakPlan.js'
+import { createSoakRecord } from './soakRecord.js'
 import type { SoakRecord } from './soakRecord.js'
 import { SoakSystem } from './soakSystem.js'
 
@@ -56,7 +57,8 @@
   const random = createRandom(seed + loadSeedOffset)
   const ends: SoakRecord['ends'] = []
   const system = await SoakSystem.start({ hosts, engines, services, random, without, logs, receiveEnd: end => ends.push(end) })
-  const record = createRecord(system, ends)
+  const record = createRecord(system)
+  record.ends = ends
   const callers = new SoakCallers({ hosts: system.hosts, record, random })
   const useTimer = setInterval(() => recordUse(system, record), useIntervalMs)
   const load = callers.run()
@@ -85,23 +87,9 @@
   }
 }
 
-function createRecord ({ fleet, hosts }: SoakSystem, ends: SoakRecord['ends']): SoakRecord {
+function createRecord ({ fleet, hosts }: SoakSystem): SoakRecord {
   const { timeoutMs, patienceMs } = fleet.defaultRoutes[0]!
-  return {
-    bounds: { ...hosts[0]!.settings, timeoutMs, patienceMs },
-    calls: [],
-    runs: fleet.journal.runs,
-    violations: [],
-    spans: [],
-    probes: [],
-    probeIds: new Set(),
-    configurations: [],
-    versions: [],
-    leaving: [],
-    ends,
-    peakMemoryMb: 0,
-    peakDescriptors: 0
-  }
+  return createSoakRecord({ ...hosts[0]!.settings, timeoutMs, patienceMs }, fleet.journal.runs)
 }
 
 async function waitForHosts (callers: SoakCallers, count: number): Promise<void> {
--- a/soak/soakRecord.ts
+++ b/soak/soakRecord.ts
@@ -77,3 +77,10 @@
   peakMemoryMb: number
   peakDescriptors: number
 }
+
+/** A record of a soak in which nothing has happened yet; `runs` is the journal of the endpoints. */
+export function createSoakRecord (bounds: SoakBounds, runs: readonly RunRecord[]): SoakRecord {
+  return {
+    bounds, runs, calls: [], violations: [], spans: [], probes: [], probeIds: new Set(), configurations: [], versions: [], leaving: [], ends: [], peakMemoryMb: 0, peakDescriptors: 0
+  }
+}
--- a/soak/soakSystem.ts
+++ b/soak/soakSystem.ts
@@ -3,6 +3,7 @@
 import type { Fleet } from '../src/standin/fleet/startFleet.js'
 import type { HostSettings } from '../src/schemas/hostSettings.js'
 import type { RoutingConfiguration } from '../src/schemas/routing.js'
+import { createHostSettings, findMetricsPort } from '../src/standin/fleet/hostSettings.js'
 import { HostProcess } from './hostProcess.js'
 import { LoopbackProxy } from './loopbackProxy.js'
 import type { ProcessEnd } from './soakRecord.js'
@@ -20,8 +21,12 @@
 /** Ports are the same on all hosts; another run on this machine takes others. */
 const basePort = 44_000 + (process.pid % 2000) * 8
 const adapterSlots = 4
-/** Low beside what callers send, so that a host that repeats without a bound shows. */
-const retryExtra = 20
+const network = `127.${210 + process.pid % 40}.0`
+/**
+ * Memory of the smallest machines of the deployments, and their times for a stop and for a configuration. Few repeats are let
+ * pass beside what callers send, so that a host that repeats without a bound shows.
+ */
+const soakBounds: Partial<HostSettings> = { memoryMb: 250, maxDescriptors: 2000, shutdownMs: 8000, configurationMs: 3000, retryExtra: 20 }
 /** Between events of streams, so that faults meet streams in the middle. */
 const eventMs = 50
 
@@ -56,7 +61,7 @@
     const storeLinks = await Promise.all(Array.from({ length: hosts }, async () => await LoopbackProxy.start(fleet.store.address)))
     const system = new SoakSystem(fleet, storeLinks, endpointLinks)
     storeLinks.forEach((link, index) => {
-      system.hosts.push(new HostProcess({ settings: createSettings(index + 1, link.address), metricsPort: basePort + 4, without, logs, receiveEnd }))
+      system.hosts.push(new HostProcess({ settings: createHostSettings({ index: index + 1, network, basePort, storeAddress: link.address }, soakBounds), metricsPort: findMetricsPort(basePort), without, logs, receiveEnd }))
     })
     for (const { server } of fleet.endpoints) server.setFaults({ eventMs })
     await Promise.all(system.hosts.map(async host => await host.start()))
@@ -87,29 +92,3 @@
 export function formatProbePath (change: number): string {
   return `/probe-${change}/`
 }
-
-function createSettings (index: number, storeAddress: string): HostSettings {
-  const address = `127.${210 + process.pid % 40}.0.${index}`
-  return {
-    hostName: `host-${index}`,
-    address,
-    zone: index % 2 === 1 ? 'a' : 'b',
-    callersAddress: `${address}:${basePort}`,
-    readinessAddress: `${address}:${basePort + 1}`,
-    peersAddress: `${address}:${basePort + 2}`,
-    datagramPort: basePort + 3,
-    seedAddresses: [],
-    storeAddress,
-    memoryMb: 250,
-    maxDescriptors: 2000,
-    heartbeatMs: 300,
-    drainMs: 1000,
-    shutdownMs: 8000,
-    configurationMs: 3000,
-    retryShare: 0.2,
-    retryExtra,
-    retryWindowMs: 10_000,
-    leaseMs: 3000,
-    versionMs: 5000
-  }
-}
