--- a/soak/soakEvents.ts
+++ b/soak/soakEvents.ts
@@ -25,6 +25,9 @@
 const minStruckPart = 0.3
 /** Hosts that lost power are started again within this time. */
 const maxPowerCutMs = 2000
+/** Streams that are sent to a host this long before it is stopped. */
+const streamsAtStop = 5
+const beforeStopMs = 100
 /** An endpoint that leaves goes on serving for this long. */
 const leaveMs = 3000
 /** A request that crashes engines comes this often, so that it would go on crashing them after hosts have to know it. */
@@ -51,7 +54,10 @@
         host.resume()
       }),
       hostKill: async event => await this.#strikeHost(event, async host => await this.#restart(host, 'kill', event.forMs)),
-      hostStop: async event => await this.#strikeHost(event, async host => await this.#restart(host, 'stop', event.forMs)),
+      hostStop: async event => {
+        await this.#openStreams(this.#pickHost(event))
+        await this.#strikeHost(event, async host => await this.#restart(host, 'stop', event.forMs))
+      },
       clockJump: async event => await this.#strikeHost(event, async host => {
         const jumpMs = Math.round((event.size * 2 - 1) * maxJumpMs)
         host.jumpClock(jumpMs)
@@ -175,8 +181,7 @@
   }
 
   async #strikeHost (event: PlannedEvent, run: (host: HostProcess) => Promise<void>): Promise<void> {
-    const { hosts } = this.#options.system
-    const host = hosts[event.target % hosts.length]!
+    const host = this.#pickHost(event)
     if (this.#busyHosts.has(host) || !host.isRunning) return
     this.#busyHosts.add(host)
     const fromMs = performance.now()
@@ -197,6 +202,13 @@
     }))
   }
 
+  /** Begins streams that a stop of the host meets in the middle; the shortest ones take 150 ms. */
+  async #openStreams (host: HostProcess): Promise<void> {
+    const { callers } = this.#options
+    for (let index = 0; index < streamsAtStop; index++) callers.call(host, 'load', { kind: 'stream' })
+    await sleep(beforeStopMs)
+  }
+
   async #failEndpoints (event: PlannedEvent): Promise<void> {
     const endpoints = this.#options.system.fleet.endpoints.filter(endpoint => endpoint.isTelling)
     await Promise.all(endpoints.map(async endpoint => {
@@ -218,6 +230,11 @@
     end()
   }
 
+  #pickHost ({ target }: PlannedEvent): HostProcess {
+    const { hosts } = this.#options.system
+    return hosts[target % hosts.length]!
+  }
+
   #pickEndpoint ({ target }: PlannedEvent): FleetEndpoint {
     const endpoints = this.#options.system.fleet.endpoints.filter(endpoint => endpoint.isTelling)
     return endpoints[target % endpoints.length]!
