--- a/deploy/warmHost.ts
+++ b/deploy/warmHost.ts
@@ -19,7 +19,8 @@
 /** Enough for every path of a calm day to run more than once. */
 const calls = 240
 const callGapMs = 8
-const startTimeoutMs = 5000
+/** Hosts serve half a second after their start, and later where the building machine is busy. */
+const startTimeoutMs = 20_000
 const kinds: readonly CallKind[] = ['resumable', 'stream', 'idempotent', 'once']
 const adapterCount = 12
 /** As on a loopback of which nobody else uses this part. */
