--- a/soak/checkSoak.ts
+++ b/soak/checkSoak.ts
@@ -49,7 +49,7 @@
 })
 
 const checkRuns: Check = ({ calls, runs, probeIds }) => {
-  const runsById = groupRuns(runs, run => run.requestId)
+  const runsById = collectRuns(runs, run => run.requestId)
   const broken = calls.flatMap(({ answer }): BrokenPromise[] => {
     if (answer.kind === 'idempotent' || answer.kind === 'resumable') return []
     const count = runsById.get(answer.requestId)?.length ?? 0
@@ -124,7 +124,7 @@
 
 const checkRepeats: Check = ({ runs, bounds }) => {
   const { retryShare, retryExtra, retryWindowMs } = bounds
-  return [...groupRuns(runs, run => run.service)].flatMap(([service, serviceRuns]) => {
+  return [...collectRuns(runs, run => run.service)].flatMap(([service, serviceRuns]) => {
     const seen = new Set<string>()
     const arrivals = serviceRuns.map(run => {
       const isRepeat = seen.has(run.requestId)
@@ -162,7 +162,7 @@
   return broken
 }
 
-function groupRuns (runs: readonly RunRecord[], readKey: (run: RunRecord) => string): Map<string, RunRecord[]> {
+function collectRuns (runs: readonly RunRecord[], readKey: (run: RunRecord) => string): Map<string, RunRecord[]> {
   const groups = new Map<string, RunRecord[]>()
   for (const run of runs) {
     const group = groups.get(readKey(run))
--- a/soak/hostProcess.ts
+++ b/soak/hostProcess.ts
@@ -77,7 +77,7 @@
     this.#child?.kill('SIGCONT')
   }
 
-  jumpClock (jumpMs: number): void {
+  advanceClock (jumpMs: number): void {
     const command: HostCommand = { jumpMs }
     if (this.#child?.connected) this.#child.send(command, () => {})
   }
--- a/soak/loopbackProxy.ts
+++ b/soak/loopbackProxy.ts
@@ -10,6 +10,7 @@
 
 type Direction = 'up' | 'down'
 
+/** In each direction; beyond the 45 ms after which a first order is repeated, and below the 500 ms of a report. */
 const delayMs = 250
 const heldDirections: Partial<Record<LinkFault, readonly Direction[]>> = { silent: ['up', 'down'], cutUp: ['up'], cutDown: ['down'] }
 
--- a/soak/mechanisms.ts
+++ b/soak/mechanisms.ts
@@ -47,7 +47,7 @@
     }
   },
   /** A host that stood still gives no orders before it has renewed its lease. */
-  pauseNotice: { promise: 'oneHolder', kinds: ['hostPause', 'burst'], changeClock: hidePauses },
+  pauseNotice: { promise: 'oneHolder', kinds: ['hostPause', 'burst'], changeClock: createPauselessClock },
   /** All hosts together repeat a part of the requests. */
   repeatBudget: {
     promise: 'repeatsBounded',
@@ -95,7 +95,7 @@
 const pauseMs = 150
 
 /** A clock on which a pause of the process does not show. */
-function hidePauses (clock: Clock): Clock {
+function createPauselessClock (clock: Clock): Clock {
   let hiddenMs = 0
   let lastMs = clock.readMonotonic()
   const readMonotonic = (): number => {
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -39,8 +39,10 @@
 const startTimeoutMs = 20_000
 /** After the last fault the system has this long to recover, in which entries lapse and engines change hands. */
 const settleMs = 6000
+/** Ten calls of each of four hosts, at the usual rate of the load. */
 const calmCalls = 40
 const calmGapMs = 50
+/** Memory and descriptors are read this often; a burst lasts four times as long. */
 const useIntervalMs = 500
 /** Keeps the draws of callers and endpoints apart from those of the plan. */
 const loadSeedOffset = 1_000_000
@@ -64,7 +66,7 @@
   const load = callers.run()
   try {
     await waitForHosts(callers, hosts)
-    await playEvents(new SoakEvents({ system, callers, record }), plan)
+    await runEvents(new SoakEvents({ system, callers, record }), plan)
     await sleep(settleMs)
     await callCalmly(callers, system)
     await callers.finish()
@@ -100,11 +102,11 @@
   }
 }
 
-async function playEvents (events: SoakEvents, plan: readonly PlannedEvent[]): Promise<void> {
+async function runEvents (events: SoakEvents, plan: readonly PlannedEvent[]): Promise<void> {
   const startedAtMs = performance.now()
   await Promise.all(plan.map(async event => {
     await sleep(event.atMs - (performance.now() - startedAtMs))
-    await events.strike(event)
+    await events.inject(event)
   }))
 }
 
--- a/soak/soakCallers.ts
+++ b/soak/soakCallers.ts
@@ -9,13 +9,18 @@
 /** Requests a second of all callers, and in a burst, for some ten places on engines and a dozen on services. */
 const usualRate = 20
 const burstRate = 90
+/** Long enough for queues at all engines to fill at that rate. */
 const burstMs = 2000
+/** The platform asks once a second; callers here notice sooner which hosts are away, so that more of their calls meet a host. */
 const readinessIntervalMs = 250
 const readinessTimeoutMs = 200
+/** Several probes fall into the time in which a configuration has to be in force. */
 const probeIntervalMs = 400
+/** Shorter than the time of the probed route, which a probe need not wait for. */
 const probeTimeoutMs = 3000
 /** A caller gives up on a host that does not answer at all after this time. */
 const callTimeoutMs = 20_000
+/** Few enough for three engines with four slots to hold, many enough that placing, loads and unloads go on. */
 const adapterCount = 10
 /** Callers' own time is up after this, in milliseconds: with the route's, or long after it, so that the route has to end the wait. */
 const callerTimes = [4000, 12_000]
--- a/soak/soakEvents.ts
+++ b/soak/soakEvents.ts
@@ -1,4 +1,4 @@
-/** Carries planned events out on a running system and notes when each of them struck. */
+/** Injects planned faults and changes into a running system and notes when each of them began and ended. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { EndpointFaults } from '../src/standin/fleet/endpointServer.js'
 import type { FleetEndpoint } from '../src/standin/fleet/startFleet.js'
@@ -17,7 +17,7 @@
   record: SoakRecord
 }
 
-type Strike = (event: PlannedEvent) => Promise<void>
+type Inject = (event: PlannedEvent) => Promise<void>
 
 /** Jumps of the time of day reach an hour in both directions. */
 const maxJumpMs = 3_600_000
@@ -42,69 +42,69 @@
   #endpointFaults = new Map<string, FaultStack<number>>()
   /** Hosts that something has befallen which the next event on them must wait for. */
   #busyHosts = new Set<HostProcess>()
-  #strikes: Record<PlannedEvent['kind'], Strike>
+  #injections: Record<PlannedEvent['kind'], Inject>
 
   constructor (options: SoakEventsOptions) {
     this.#options = options
     this.#storeFaults = new FaultStack<StoreFault>('none', fault => options.system.fleet.store.setFault(fault))
-    this.#strikes = {
-      hostPause: async event => await this.#strikeHost(event, async host => {
+    this.#injections = {
+      hostPause: async event => await this.#injectHostFault(event, async host => {
         host.pause()
         await sleep(event.forMs)
         host.resume()
       }),
-      hostKill: async event => await this.#strikeHost(event, async host => await this.#restart(host, 'kill', event.forMs)),
+      hostKill: async event => await this.#injectHostFault(event, async host => await this.#restart(host, 'kill', event.forMs)),
       hostStop: async event => {
         await this.#openStreams(this.#pickHost(event))
-        await this.#strikeHost(event, async host => await this.#restart(host, 'stop', event.forMs))
+        await this.#injectHostFault(event, async host => await this.#restart(host, 'stop', event.forMs))
       },
-      clockJump: async event => await this.#strikeHost(event, async host => {
+      clockJump: async event => await this.#injectHostFault(event, async host => {
         const jumpMs = Math.round((event.size * 2 - 1) * maxJumpMs)
-        host.jumpClock(jumpMs)
+        host.advanceClock(jumpMs)
         await sleep(event.forMs)
-        host.jumpClock(-jumpMs)
+        host.advanceClock(-jumpMs)
       }),
-      allHostsKilled: async event => await this.#strikeAll(event),
+      allHostsKilled: async event => await this.#injectPowerCut(event),
       allEndpointsFail: async event => await this.#failEndpoints(event),
-      ...this.#createLinkStrikes(),
-      ...this.#createEndpointStrikes(),
-      ...this.#createStoreStrikes(),
+      ...this.#createLinkInjections(),
+      ...this.#createEndpointInjections(),
+      ...this.#createStoreInjections(),
       ...this.#createChanges()
     }
   }
 
   /** Resolves when the event is over. */
-  async strike (event: PlannedEvent): Promise<void> {
-    await this.#strikes[event.kind](event)
+  async inject (event: PlannedEvent): Promise<void> {
+    await this.#injections[event.kind](event)
   }
 
-  #createLinkStrikes (): Record<Extract<PlannedEvent['kind'], `storeLink${string}` | `endpointLink${string}`>, Strike> {
-    const strikeStoreLink = (fault: LinkFault): Strike => async event => {
+  #createLinkInjections (): Record<Extract<PlannedEvent['kind'], `storeLink${string}` | `endpointLink${string}`>, Inject> {
+    const injectStoreLinkFault = (fault: LinkFault): Inject => async event => {
       const { hosts, storeLinks } = this.#options.system
       const index = event.target % hosts.length
       await this.#hold(event, hosts[index], this.#findLink(`store ${index}`, storeLinks[index]!), fault)
     }
-    const strikeEndpointLink = (fault: LinkFault): Strike => async event => {
+    const injectEndpointLinkFault = (fault: LinkFault): Inject => async event => {
       const { endpointLinks } = this.#options.system
       const { id } = this.#pickEndpoint(event)
       await this.#hold(event, undefined, this.#findLink(id, endpointLinks.get(id)!), fault)
     }
     return {
-      storeLinkDelayed: strikeStoreLink('delayed'),
-      storeLinkSilent: strikeStoreLink('silent'),
-      storeLinkCutUp: strikeStoreLink('cutUp'),
-      storeLinkCutDown: strikeStoreLink('cutDown'),
-      storeLinkReset: strikeStoreLink('reset'),
-      endpointLinkDelayed: strikeEndpointLink('delayed'),
-      endpointLinkSilent: strikeEndpointLink('silent'),
-      endpointLinkCutUp: strikeEndpointLink('cutUp'),
-      endpointLinkCutDown: strikeEndpointLink('cutDown'),
-      endpointLinkReset: strikeEndpointLink('reset')
+      storeLinkDelayed: injectStoreLinkFault('delayed'),
+      storeLinkSilent: injectStoreLinkFault('silent'),
+      storeLinkCutUp: injectStoreLinkFault('cutUp'),
+      storeLinkCutDown: injectStoreLinkFault('cutDown'),
+      storeLinkReset: injectStoreLinkFault('reset'),
+      endpointLinkDelayed: injectEndpointLinkFault('delayed'),
+      endpointLinkSilent: injectEndpointLinkFault('silent'),
+      endpointLinkCutUp: injectEndpointLinkFault('cutUp'),
+      endpointLinkCutDown: injectEndpointLinkFault('cutDown'),
+      endpointLinkReset: injectEndpointLinkFault('reset')
     }
   }
 
-  #createEndpointStrikes (): Record<'engineCrash' | 'endpointDark' | 'endpointErrors' | 'endpointCuts' | 'lateOrders' | 'endpointLeaves', Strike> {
-    const strikePart = (field: 'errors' | 'cuts' | 'lateOrders'): Strike => async event => {
+  #createEndpointInjections (): Record<'engineCrash' | 'endpointDark' | 'endpointErrors' | 'endpointCuts' | 'lateOrders' | 'endpointLeaves', Inject> {
+    const injectPartialFault = (field: 'errors' | 'cuts' | 'lateOrders'): Inject => async event => {
       const endpoint = this.#pickEndpoint(event)
       const part = minStruckPart + event.size * (1 - minStruckPart)
       await this.#hold(event, undefined, this.#findEndpointFault(endpoint, field, value => ({ [field]: value })), part)
@@ -118,25 +118,25 @@
       endpointDark: async event => {
         await this.#hold(event, undefined, this.#findEndpointFault(this.#pickEndpoint(event), 'isDark', value => ({ isDark: value > 0 })), 1)
       },
-      endpointErrors: strikePart('errors'),
-      endpointCuts: strikePart('cuts'),
-      lateOrders: strikePart('lateOrders'),
+      endpointErrors: injectPartialFault('errors'),
+      endpointCuts: injectPartialFault('cuts'),
+      lateOrders: injectPartialFault('lateOrders'),
       endpointLeaves: async event => await this.#replaceEndpoint(event)
     }
   }
 
-  #createStoreStrikes (): Record<'storeBusy' | 'storeSilent' | 'storeReset' | 'storeAnswersLost' | 'storeUnwritable', Strike> {
-    const strikeStore = (fault: StoreFault): Strike => async event => await this.#hold(event, undefined, this.#storeFaults, fault)
+  #createStoreInjections (): Record<'storeBusy' | 'storeSilent' | 'storeReset' | 'storeAnswersLost' | 'storeUnwritable', Inject> {
+    const injectStoreFault = (fault: StoreFault): Inject => async event => await this.#hold(event, undefined, this.#storeFaults, fault)
     return {
-      storeBusy: strikeStore('busy'),
-      storeSilent: strikeStore('silent'),
-      storeReset: strikeStore('reset'),
-      storeAnswersLost: strikeStore('lost'),
-      storeUnwritable: strikeStore('unwritable')
+      storeBusy: injectStoreFault('busy'),
+      storeSilent: injectStoreFault('silent'),
+      storeReset: injectStoreFault('reset'),
+      storeAnswersLost: injectStoreFault('lost'),
+      storeUnwritable: injectStoreFault('unwritable')
     }
   }
 
-  #createChanges (): Record<'newConfiguration' | 'newVersion' | 'crashingRequest' | 'burst', Strike> {
+  #createChanges (): Record<'newConfiguration' | 'newVersion' | 'crashingRequest' | 'burst', Inject> {
     const { system, callers, record } = this.#options
     return {
       newConfiguration: async () => { record.configurations.push({ version: system.writeConfiguration(), atMs: performance.now() }) },
@@ -180,7 +180,7 @@
     this.#recordSpan(event, undefined, fromMs)
   }
 
-  async #strikeHost (event: PlannedEvent, run: (host: HostProcess) => Promise<void>): Promise<void> {
+  async #injectHostFault (event: PlannedEvent, run: (host: HostProcess) => Promise<void>): Promise<void> {
     const host = this.#pickHost(event)
     if (this.#busyHosts.has(host) || !host.isRunning) return
     this.#busyHosts.add(host)
@@ -191,7 +191,7 @@
     this.#busyHosts.delete(host)
   }
 
-  async #strikeAll (event: PlannedEvent): Promise<void> {
+  async #injectPowerCut (event: PlannedEvent): Promise<void> {
     const hosts = this.#options.system.hosts.filter(host => !this.#busyHosts.has(host))
     await Promise.all(hosts.map(async host => {
       this.#busyHosts.add(host)
