--- a/features/leases.feature
+++ b/features/leases.feature
@@ -6,6 +6,21 @@
     When 1000 ms pass for the leases
     Then every engine may be given orders by one host
 
+  Scenario: Hosts are not rated for engines while every engine has its owner
+    Given 60 lease hosts and 20 engines
+    When 3000 ms pass for the leases
+    Then every engine may be given orders by one host
+    When 5000 ms pass for the leases without a host being rated for an engine
+    Then every engine may be given orders by one host
+
+  Scenario: A host that owns nothing rarely looks for something to do
+    Given 12 lease hosts and 4 engines
+    When 3000 ms pass for the leases
+    And 5000 ms pass for the leases with at most 12 steps of a host that owns nothing
+    And lease host 1 is killed
+    And 8000 ms pass for the leases
+    Then every engine may be given orders by one host
+
   Scenario: Renewals of all hosts go to the store together
     Given 8 lease hosts and 8 engines
     When 3000 ms pass for the leases
--- a/features/relayedNews.feature
+++ b/features/relayedNews.feature
@@ -30,3 +30,8 @@
     When its reads fail and its writes go through for 4000 ms
     Then it tells that its news are at least 3500 ms old
     And it looks for news at its peers
+
+  Scenario: Sources are ranked when hosts come and go, not each time that news are read
+    Given a host that follows 200 peers which have lost the store as well
+    When 10000 ms pass for it
+    Then it has ranked its sources 1 time
--- a/features/steps/hostPath.ts
+++ b/features/steps/hostPath.ts
@@ -1,6 +1,7 @@
 /** Steps of hosts before a stand-in of the users' platform: starts and requests. */
+import assert from 'node:assert/strict'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { After, Given, When } from '@cucumber/cucumber'
+import { After, Given, Then, When } from '@cucumber/cucumber'
 import { fleetPaths } from '../../src/standin/fleet/startFleet.js'
 import type { StoreFault } from '../../src/standin/fleet/storeServer.js'
 import { HostFleet } from '../support/hostFleet.js'
@@ -69,3 +70,12 @@
   controller.abort()
   await sent
 })
+
+Then('within {int} ms no host sends the others more than {int} bytes a second', async function (this: HostsWorld, ms: number, most: number) {
+  const before = new Map([...this.hostFleet.sent].map(([host, { bytes }]) => [host, bytes]))
+  await sleep(ms)
+  for (const [host, { bytes }] of this.hostFleet.sent) {
+    const each = (bytes - (before.get(host) ?? 0)) * 1000 / ms
+    assert.ok(each <= most, `${host} sent ${Math.round(each)} bytes a second`)
+  }
+})
--- a/features/steps/leases.ts
+++ b/features/steps/leases.ts
@@ -26,6 +26,21 @@
   assert.ok(this.cluster.calls - before <= calls * seconds, `the store was called ${this.cluster.calls - before} times`)
 })
 
+When('{int} ms pass for the leases without a host being rated for an engine', async function (this: LeasesWorld, ms: number) {
+  const before = this.cluster.rankedPairs
+  await this.cluster.run(ms)
+  assert.equal(this.cluster.rankedPairs - before, 0)
+})
+
+When('{int} ms pass for the leases with at most {int} steps of a host that owns nothing', async function (this: LeasesWorld, ms: number, most: number) {
+  const idle = this.cluster.hosts.findLast(({ owned }) => owned.size === 0)!
+  const before = this.cluster.countSteps(idle)
+  await this.cluster.run(ms)
+  assert.equal(idle.owned.size, 0, 'the host has come to own an engine')
+  const steps = this.cluster.countSteps(idle) - before
+  assert.ok(steps <= most, `${steps} steps`)
+})
+
 When('a host joins and the store is {string} while engines should be handed over to it', async function (this: LeasesWorld, state: StoreState) {
   this.cluster.join()
   await this.cluster.run(handoverMs - 2500)
--- a/features/steps/relayedNews.ts
+++ b/features/steps/relayedNews.ts
@@ -5,7 +5,7 @@
 import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
 import { createHttpRelay } from '../../src/adapters/relay/httpRelay.js'
 import { NewsBoard } from '../../src/core/newsBoard.js'
-import { listReaders } from '../../src/core/newsSource.js'
+import { listReaders, SourceList } from '../../src/core/newsSource.js'
 import { RowMirror } from '../../src/core/rowMirror.js'
 import type { RelayedNews } from '../../src/ports/relay.js'
 import type { Store } from '../../src/ports/store.js'
@@ -26,6 +26,8 @@
   asked: Map<string, { calls: number, whole: number }>
   isStoreReached: boolean
   readTables: Set<string>
+  /** How often the hosts were ranked as sources of news. */
+  rankings?: number
 }
 
 const relayAddress = `127.0.0.1:${19_000 + process.pid % 900}`
@@ -117,6 +119,14 @@
     board,
     tables: [{ table: 'op', paceMs: 100, waitMs: 2000 }],
     own,
+    sources: new SourceList({
+      own,
+      listHosts: () => {
+        world.rankings = (world.rankings ?? 0) + 1
+        return hosts
+      },
+      readHostsVersion: () => board.hostsVersion
+    }),
     seeds: [],
     formatRelayAddress: address => address
   })
@@ -124,6 +134,10 @@
   Object.assign(world, { clock, asked, task })
 }
 
+Then('it has ranked its sources {int} time(s)', function (this: NewsWorld, times: number) {
+  assert.equal(this.rankings, times)
+})
+
 Given('a host that follows {int} peers which have lost the store as well', function (this: NewsWorld, count: number) {
   this.readTables = new Set()
   this.isStoreReached = false
--- a/features/support/hostFleet.ts
+++ b/features/support/hostFleet.ts
@@ -1,7 +1,10 @@
 /** Hosts of the platform's program in this process, before a stand-in of the platform, with callers that use them. */
+import { pack } from 'msgpackr'
 import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
+import { openUdpDatagrams } from '../../src/adapters/datagrams/udpDatagrams.js'
 import type { RunningProcess } from '../../src/bin/processEnd.js'
 import { startHost } from '../../src/bin/startHost.js'
+import type { Datagrams } from '../../src/ports/datagrams.js'
 import type { EventFields } from '../../src/ports/eventLog.js'
 import type { HostSettings } from '../../src/schemas/hostSettings.js'
 import { FleetCaller } from '../../src/standin/fleet/fleetCaller.js'
@@ -25,6 +28,12 @@
   process: RunningProcess | undefined
 }
 
+/** What hosts have sent each other. */
+export interface SentBytes {
+  messages: number
+  bytes: number
+}
+
 export interface CallOptions extends Omit<FleetCall, 'address'> {
   host: number
 }
@@ -37,6 +46,8 @@
   readonly fleet: Fleet
   readonly hosts: FleetHost[] = []
   readonly lines: LogLine[] = []
+  /** By host. */
+  readonly sent = new Map<string, SentBytes>()
   #caller = new FleetCaller()
   #network = `127.${nextNetwork++ % 200 + 1}.0`
 
@@ -63,6 +74,7 @@
     const { hostName } = host.settings
     host.process = await startHost(host.settings, createSystemClock(), {
       metricsPort: findMetricsPort(basePort),
+      ports: { openDatagrams: async options => countSent(await openUdpDatagrams(options), this.#findSent(hostName)) },
       openLog: () => ({
         record: (kind, message, fields = {}) => { this.lines.push({ time: Date.now(), host: hostName, kind, message, fields }) },
         flush: () => {}
@@ -107,7 +119,29 @@
     await this.fleet.stop()
   }
 
+  #findSent (hostName: string): SentBytes {
+    const sent = this.sent.get(hostName) ?? { messages: 0, bytes: 0 }
+    this.sent.set(hostName, sent)
+    return sent
+  }
+
   #findCallersAddress (host: number): string {
     return this.hosts[host - 1]!.settings.callersAddress
   }
 }
+
+/** Names of a datagram's host and session, and the heads of its packet. */
+const datagramOverheadBytes = 70
+
+/** Counts each message as a datagram of its own, which is the most that it may cost. */
+function countSent (datagrams: Datagrams, sent: SentBytes): Datagrams {
+  return {
+    send: (address, message) => {
+      sent.messages++
+      sent.bytes += datagramOverheadBytes + pack(message).length
+      datagrams.send(address, message)
+    },
+    receive: receiveMessage => datagrams.receive(receiveMessage),
+    close: () => datagrams.close()
+  }
+}
--- a/features/support/leaseCluster.ts
+++ b/features/support/leaseCluster.ts
@@ -1,6 +1,7 @@
 /** Hosts that share engines by leases in one store, on a virtual clock; the store and the ways to it can fail. */
 import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
 import { NewsBoard } from '../../src/core/newsBoard.js'
+import { PairHashes } from '../../src/core/rendezvousHash.js'
 import { RowMirror } from '../../src/core/rowMirror.js'
 import { decodePlatformRow, endpointsTable, operatorsTable } from '../../src/platform/decodeNews.js'
 import { encodeConfigurationRow, encodeEntryRow } from '../../src/platform/standinWire.js'
@@ -47,6 +48,10 @@
   state: StoreState = 'well'
   /** Transactions that the store was asked for. */
   calls = 0
+  /** Hosts that were rated for an engine, over all hosts. */
+  rankedPairs = 0
+  #hashes = new PairHashes()
+  #steps = new Map<LeaseHost, number>()
   #busyUntilMs = 0
   #lastFencing = new Map<string, number>()
   /** By engine, when each host could last give it orders. */
@@ -73,6 +78,11 @@
     this.hosts.push(this.#createHost(`host-${number}`, `10.0.0.${number}`))
   }
 
+  /** How often a host has looked for what is due. */
+  countSteps (host: LeaseHost): number {
+    return this.#steps.get(host) ?? 0
+  }
+
   async run (ms: number): Promise<void> {
     await this.clock.runUntilSettled(this.clock.readMonotonic() + ms)
   }
@@ -128,8 +138,17 @@
       board,
       own,
       leaseMs,
-      readsStore: () => true,
-      isIsolated: () => false,
+      // Two hosts read the store, as in small deployments; the others learn of renewals from them.
+      readsStore: () => this.hosts.length < 2 || this.hosts.indexOf(host) < 2,
+      hashPair: (endpointId, host) => {
+        this.rankedPairs++
+        return this.#hashes.compute(endpointId, host)
+      },
+      // Asked once in each step.
+      isIsolated: () => {
+        this.#steps.set(host, this.countSteps(host) + 1)
+        return false
+      },
       isRunning: async row => this.hosts.some(other => other.name === row.host && other.isRunning),
       transact: async transaction => await access.transact(transaction),
       renewTogether: async (renewal, version) => await client.renew(renewal, version),
--- a/src/bin/createLeases.ts
+++ b/src/bin/createLeases.ts
@@ -7,7 +7,8 @@
 import type { Store } from '../ports/store.js'
 import { renewalsTable } from '../schemas/hostRows.js'
 import type { HostRow } from '../schemas/hostRows.js'
-import { listReaders } from '../core/newsSource.js'
+import type { SourceList } from '../core/newsSource.js'
+import { PairHashes } from '../core/rendezvousHash.js'
 import { LeaseTask } from '../tasks/leases/leaseTask.js'
 import type { LeaseTaskOptions } from '../tasks/leases/leaseTask.js'
 import { RenewalClient } from '../tasks/leases/renewalClient.js'
@@ -26,6 +27,7 @@
   board: NewsBoard
   mirror: RowMirror
   news: NewsTask
+  sources: SourceList
   peers: PeerTask
   store: Store
   relay: Relay
@@ -45,7 +47,8 @@
 }
 
 export function createLeases (options: LeasePartsOptions): LeaseParts {
-  const { clock, log, own, leaseMs, board, mirror, news, peers, store, relay, seeds, formatRelayAddress } = options
+  const { clock, log, own, leaseMs, board, mirror, news, sources, peers, store, relay, seeds, formatRelayAddress } = options
+  const hashes = new PairHashes()
   const ownRelay = formatRelayAddress(own.address)
   const listPeers = (): HostRow[] => [...board.hosts.values()].map(host => host.row).filter(row => row.host !== own.host)
   const access = new StoreAccess({
@@ -64,12 +67,13 @@
   })
   const renewalClient = new RenewalClient({
     clock,
-    findGatherer: () => listReaders([...board.hosts.values()].map(({ row }) => row).filter(row => !row.isLeaving))[0]?.address,
+    findGatherer: () => sources.read().gathererAddress,
     send: (address, ask) => peers.sendRenewal(address, ask)
   })
   const outage: OutageWatch = new OutageWatch({
     clock,
-    readStoreAgeMs: () => news.directStoreAgeMs,
+    // Renewals go through another host, and so do the news of most hosts: both tell of the store as well as an answer of its own.
+    readStoreAgeMs: () => Math.min(news.directStoreAgeMs, news.storeAgeMs, leases.provenAgeMs),
     listPeers,
     askStoreAge: async address => (await peers.askHost(address))?.storeAgeMs,
     isNeeded: () => leases.ownedCount > 0
@@ -77,7 +81,8 @@
   const isolation: IsolationWatch = new IsolationWatch({
     clock,
     log,
-    readHeardAtMs: () => peers.heardAtMs,
+    // News come over connections of their own, so that in calm times no question is needed.
+    readHeardAtMs: () => Math.max(peers.heardAtMs, news.peerAnsweredAtMs),
     readOthersRenewedAtMs: () => news.readsStore ? leases.othersRenewedAtMs : -Infinity,
     listPeers,
     ask: address => { peers.askHost(address) },
@@ -90,6 +95,7 @@
     own,
     leaseMs,
     readsStore: () => news.readsStore,
+    hashPair: (endpointId, host) => hashes.compute(endpointId, host),
     isIsolated: () => isolation.isIsolated,
     isRunning: async row => (await peers.askHost(row.address))?.session === row.session,
     transact: async transaction => await access.transact(transaction),
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -6,6 +6,7 @@
 import { createHttpRelay } from '../adapters/relay/httpRelay.js'
 import { NewsBoard } from '../core/newsBoard.js'
 import type { DecodeNews } from '../core/newsBoard.js'
+import { SourceList } from '../core/newsSource.js'
 import { RowMirror } from '../core/rowMirror.js'
 import type { IsSameNews } from '../core/rowMirror.js'
 import { decodePlatformRow, endpointsTable, isSameEndpointNews, operatorsTable } from '../platform/decodeNews.js'
@@ -105,14 +106,19 @@
     leaseParts.leases.receiveChange(change)
     desks.receiveChange(change)
   })
+  const sources = new SourceList({
+    own,
+    listHosts: () => [...board.hosts.values()].map(({ row }) => row).filter(row => !row.isLeaving),
+    readHostsVersion: () => board.hostsVersion
+  })
   const news = new NewsTask({
-    clock, log, store, relay, mirror, board, tables: followedTables, own, seeds: settings.seedAddresses, formatRelayAddress
+    clock, log, store, relay, mirror, board, tables: followedTables, own, sources, seeds: settings.seedAddresses, formatRelayAddress
   })
   const peers: PeerTask = new PeerTask({
     clock,
     datagrams,
     own,
-    readStoreAgeMs: () => news.directStoreAgeMs,
+    readStoreAgeMs: () => Math.min(news.directStoreAgeMs, news.storeAgeMs),
     receiveAtDesk: (message, sender, answer) => desks.receiveMessage(message, sender, answer),
     receiveAnswer: answer => places.receiveAnswer(answer),
     receiveConfirmation: ids => places.receiveConfirmation(ids),
@@ -132,6 +138,7 @@
     board,
     mirror,
     news,
+    sources,
     peers,
     store,
     relay,
--- a/src/core/newsBoard.ts
+++ b/src/core/newsBoard.ts
@@ -40,6 +40,7 @@
   readonly endpoints = new EndpointDirectory()
   readonly owners = new Map<string, KnownOwner>()
   readonly hosts = new Map<string, KnownHost>()
+  #hostsVersion = 0
   #decodeNews: DecodeNews
   #routes: RouteTable | undefined
   /** By model and adapter. */
@@ -54,6 +55,11 @@
     return this.#routes
   }
 
+  /** Rises when a host has come, gone or changed. */
+  get hostsVersion (): number {
+    return this.#hostsVersion
+  }
+
   /** The declared version of an adapter; 0 where none was declared. */
   findAdapterVersion (model: string, adapter: string): number {
     return this.#versions.get(`${model}/${adapter}`)?.version ?? 0
@@ -99,6 +105,7 @@
     if (decoded?.kind === 'host') {
       const host = { row: decoded.row, version }
       this.hosts.set(decoded.name, host)
+      this.#hostsVersion++
       return { kind: 'host', name: decoded.name, host }
     }
     if (decoded?.kind === 'owner') {
@@ -108,7 +115,7 @@
     }
     if (value) return describeUnreadable({ table: hostsTable, key, version, value })
     const removed = parseHostsKey(key)
-    if (removed?.kind === 'host') this.hosts.delete(removed.name)
+    if (removed?.kind === 'host' && this.hosts.delete(removed.name)) this.#hostsVersion++
     if (removed?.kind === 'owner') this.owners.delete(removed.name)
     if (!removed) return undefined
     return removed.kind === 'host'
--- a/src/core/newsSource.ts
+++ b/src/core/newsSource.ts
@@ -39,3 +39,51 @@
     .sort((left, right) => computeHash(`${own.host} ${left.host}`) - computeHash(`${own.host} ${right.host}`))
   return isReader ? ['store', ...near, ...far] : [...near, ...far, 'store']
 }
+
+/** Where a host looks for news, as of the hosts that it knows. */
+export interface NewsSources {
+  /** Whether the host is one of the readers. */
+  readonly isReader: boolean
+  /** Addresses of relays, best first. */
+  readonly relayAddresses: readonly string[]
+  /** The reader that gathers renewals; undefined where no host is known. */
+  readonly gathererAddress: string | undefined
+}
+
+export interface SourceListOptions {
+  own: SourceHost
+  listHosts: () => readonly SourceHost[]
+  /** Changes whenever `listHosts` does. */
+  readHostsVersion: () => number
+}
+
+/** Keeps the sources of one host; they are ranked anew only when hosts have come or gone, as ranking reads all of them. */
+export class SourceList {
+  #options: SourceListOptions
+  #sources: NewsSources | undefined
+  #hostsVersion = -1
+
+  constructor (options: SourceListOptions) {
+    this.#options = options
+  }
+
+  read (): NewsSources {
+    const hostsVersion = this.#options.readHostsVersion()
+    if (!this.#sources || hostsVersion !== this.#hostsVersion) {
+      this.#sources = this.#rank()
+      this.#hostsVersion = hostsVersion
+    }
+    return this.#sources
+  }
+
+  #rank (): NewsSources {
+    const { own, listHosts } = this.#options
+    const hosts = listHosts()
+    const sources = listSources(own, hosts)
+    return Object.freeze({
+      isReader: sources[0] === 'store',
+      relayAddresses: sources.flatMap(source => source === 'store' ? [] : [source.address]),
+      gathererAddress: listReaders(hosts)[0]?.address
+    })
+  }
+}
--- a/src/tasks/leases/endpointClaims.ts
+++ b/src/tasks/leases/endpointClaims.ts
@@ -1,10 +1,9 @@
 /** Claims endpoints that nobody owns, frees those of hosts that are gone, and hands over what this host has too much of. */
 import { computeClaimDelayMs, isVacant } from '../../core/orderLease.js'
 import type { RenewalWatch } from '../../core/orderLease.js'
-import { findSurplus, rankTakers } from '../../core/ownershipSpread.js'
-import type { SpreadEndpoint, SpreadHost } from '../../core/ownershipSpread.js'
+import { findSurplus, findTakerRanks } from '../../core/ownershipSpread.js'
+import type { HashPair, SpreadEndpoint, SpreadHost } from '../../core/ownershipSpread.js'
 import type { NewsBoard } from '../../core/newsBoard.js'
-import { computeHash } from '../../core/rendezvousHash.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
@@ -21,6 +20,7 @@
   renewals: RenewalWatch
   /** Whether this host reads the store itself, so that another host's silence means something. */
   readsStore: () => boolean
+  hashPair: HashPair
   /** Asks a host directly whether the life of its process that wrote a row still runs. */
   isRunning: (row: HostRow) => Promise<boolean>
   transact: (transaction: StoreTransaction) => Promise<StoreOutcome>
@@ -37,13 +37,15 @@
   wake: () => void
 }
 
-interface Claim {
+interface VacantEndpoint {
   endpointId: string
-  /** Version of the owner's row that is claimed; 0 where there is none. */
+  /** Version of the owner's row; 0 where there is none. */
   version: number
   wasOwn: boolean
 }
 
+type Claim = VacantEndpoint
+
 /** Time between two endpoints that are handed over for an even spread; each serves nothing new for half a second. */
 const handoverIntervalMs = 10_000
 
@@ -62,6 +64,7 @@
   #lostAt = new Map<string, number>()
   #gainedAt = new Map<string, number>()
   #isBusy = false
+  #hasVacancies = true
   /** After a conflict endpoints are claimed one by one, so that one that is lost does not keep the others back. */
   #isCautious = false
   #lastHandoverMs: number
@@ -81,15 +84,21 @@
     this.#lostAt.set(endpointId, this.#options.clock.readMonotonic())
   }
 
+  /** Whether any endpoint is without an owner, so that claims may soon be due. */
+  get hasVacancies (): boolean {
+    return this.#hasVacancies
+  }
+
   /** Does what is due, one transaction at a time. */
   step (nowMs: number): void {
     if (this.#isBusy) return
     this.#registeredAtMs ??= nowMs
     const endpoints = this.#listEndpoints(nowMs)
-    const hosts = this.#listTakers(nowMs)
-    const claims = this.#listDueClaims(endpoints, hosts, nowMs)
+    const vacant = this.#listVacant(endpoints)
+    this.#hasVacancies = vacant.length > 0
+    const claims = this.#listDueClaims(endpoints, vacant, nowMs)
     if (claims.length > 0) this.#run(async () => await this.#claimAll(this.#isCautious ? claims.slice(0, 1) : claims))
-    else this.#expireHosts(nowMs) ?? this.#handOver(endpoints, hosts, nowMs)
+    else this.#expireHosts(nowMs) ?? this.#handOver(endpoints, nowMs)
   }
 
   /** Frees all endpoints of this host in one transaction; returns what it writes and checks. */
@@ -118,26 +127,33 @@
     return true
   }
 
-  #listDueClaims (endpoints: SpreadEndpoint[], hosts: SpreadHost[], nowMs: number): Claim[] {
+  /** Endpoints that nobody owns, or that were this host's own before a restart or before a release that the store did not take. */
+  #listVacant (endpoints: readonly SpreadEndpoint[]): VacantEndpoint[] {
     const { board, own, findOwnFencing } = this.#options
-    const rankings = rankTakers(endpoints, hosts, computeHash)
-    const isNewcomer = nowMs - this.#registeredAtMs! < newcomerMs
-    const due: Claim[] = []
-    for (const { endpointId } of endpoints) {
+    const vacant: VacantEndpoint[] = []
+    for (const { endpointId, ownerId } of endpoints) {
       const owner = board.owners.get(endpointId)
-      // Either from before a restart, or given up by a transaction that the store did not take.
-      const wasOwn = owner?.row.host === own.host && (owner.row.session !== own.session || findOwnFencing(endpointId) === undefined)
-      if (!isVacant(owner?.row) && !wasOwn) {
-        this.#vacantSince.delete(endpointId)
-        continue
-      }
-      if (!wasOwn && (isNewcomer || this.#wasLostLately(endpointId, nowMs))) continue
-      const sinceMs = this.#vacantSince.get(endpointId) ?? nowMs
-      this.#vacantSince.set(endpointId, sinceMs)
-      const rank = wasOwn ? 0 : rankings.get(endpointId)?.indexOf(own.host) ?? -1
-      if (rank >= 0 && nowMs - sinceMs >= computeClaimDelayMs(rank)) due.push({ endpointId, version: owner?.fencing ?? 0, wasOwn })
+      const wasOwn = ownerId === own.host && (owner?.row.session !== own.session || findOwnFencing(endpointId) === undefined)
+      if (ownerId === undefined || wasOwn) vacant.push({ endpointId, version: owner?.fencing ?? 0, wasOwn })
     }
-    return due
+    return vacant
+  }
+
+  #listDueClaims (endpoints: readonly SpreadEndpoint[], vacant: readonly VacantEndpoint[], nowMs: number): Claim[] {
+    const isNewcomer = nowMs - this.#registeredAtMs! < newcomerMs
+    const claimable = vacant.filter(({ endpointId, wasOwn }) => wasOwn || !(isNewcomer || this.#wasLostLately(endpointId, nowMs)))
+    const before = this.#vacantSince
+    this.#vacantSince = new Map(vacant.flatMap(({ endpointId }) => {
+      const sinceMs = before.get(endpointId) ?? (claimable.some(claim => claim.endpointId === endpointId) ? nowMs : undefined)
+      return sinceMs === undefined ? [] : [[endpointId, sinceMs]]
+    }))
+    if (claimable.length === 0) return []
+    // Hosts are ranked only while there is something to claim; with many hosts that takes longer than all else here.
+    const ranks = claimable.every(({ wasOwn }) => wasOwn) ? undefined : findTakerRanks(this.#options.own.host, endpoints, this.#listTakers(nowMs), this.#options.hashPair)
+    return claimable.filter(({ endpointId, wasOwn }) => {
+      const rank = wasOwn ? 0 : ranks?.get(endpointId)
+      return rank !== undefined && nowMs - this.#vacantSince.get(endpointId)! >= computeClaimDelayMs(rank)
+    })
   }
 
   /** Another host may have given the endpoint orders since; orders of the two would follow each other in turn. */
@@ -231,10 +247,10 @@
   }
 
   /** Frees one endpoint where this host owns more than its share, so that a host that has come can take it. */
-  #handOver (endpoints: SpreadEndpoint[], hosts: SpreadHost[], nowMs: number): void {
-    const { own, findOwnFencing } = this.#options
-    if (nowMs - this.#lastHandoverMs < handoverIntervalMs) return
-    const endpointId = findSurplus(own.host, endpoints, hosts, computeHash)
+  #handOver (endpoints: readonly SpreadEndpoint[], nowMs: number): void {
+    const { own, findOwnFencing, hashPair } = this.#options
+    if (nowMs - this.#lastHandoverMs < handoverIntervalMs || !endpoints.some(({ ownerId }) => ownerId === own.host)) return
+    const endpointId = findSurplus(own.host, endpoints, this.#listTakers(nowMs), hashPair)
     const fencing = endpointId === undefined ? undefined : findOwnFencing(endpointId)
     if (endpointId === undefined || fencing === undefined || this.#wasGainedLately(endpointId, nowMs)) return
     this.#lastHandoverMs = nowMs
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -1,6 +1,7 @@
 /** Keeps this host's row renewed, knows which endpoints the host owns, and tells whether it may give them orders. */
-import { mayOrder, PauseDetector, RenewalWatch, renewalIntervalMs } from '../../core/orderLease.js'
+import { isVacant, mayOrder, PauseDetector, RenewalWatch, renewalIntervalMs } from '../../core/orderLease.js'
 import type { BoardChange, NewsBoard } from '../../core/newsBoard.js'
+import type { HashPair } from '../../core/ownershipSpread.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
@@ -18,6 +19,7 @@
   leaseMs: number
   /** Whether this host reads the store itself, so that another host's silence means something. */
   readsStore: () => boolean
+  hashPair: HashPair
   /** Whether this host is cut off from its peers, so that others should own the engines. */
   isIsolated: () => boolean
   /** Asks a host directly whether the life of its process that wrote a row still runs. */
@@ -39,6 +41,8 @@
 }
 
 const stepMs = 100
+/** A host that owns nothing, with nothing to claim and no renewals to watch, looks this often; changes wake it at once. */
+const idleStepMs = 500
 /** Time to the next try after a renewal that failed, growing with each failure up to half of the time between renewals. */
 const firstRetryMs = 100
 const maxRetryMs = 500
@@ -68,10 +72,11 @@
   #isLeaving = false
   #isStarted = false
   #timer: Timer | undefined
+  #stepDueAtMs = Infinity
 
   constructor (options: LeaseTaskOptions) {
     this.#options = options
-    const { clock, log, board, own, leaseMs, readsStore, isRunning, transact, findRenewalVersion, applyRow } = options
+    const { clock, log, board, own, leaseMs, readsStore, hashPair, isRunning, transact, findRenewalVersion, applyRow } = options
     this.#claims = new EndpointClaims({
       clock,
       log,
@@ -80,6 +85,7 @@
       leaseMs,
       renewals: this.#renewals,
       readsStore,
+      hashPair,
       isRunning,
       transact,
       findRenewalVersion,
@@ -152,6 +158,11 @@
     return this.#renewals.readOthersRenewedAtMs(this.#options.own.host)
   }
 
+  /** Milliseconds since this host sent the last renewal that is known to have gone through. */
+  get provenAgeMs (): number {
+    return this.#options.clock.readMonotonic() - this.#provenAtMs
+  }
+
   /** Frees all endpoints of this host. */
   async #giveUp (reason: string): Promise<void> {
     this.#isGivingUp = true
@@ -186,8 +197,7 @@
       if (change.host === own.host && change.renewal) this.#receiveOwnRenewal(change.renewal, change.version)
       return
     }
-    // What has come or fallen vacant may be claimed.
-    if (change.kind === 'endpoint' || change.kind === 'configuration' || change.kind === 'owner') this.#scheduleStep(0)
+    if (this.#mayOpenClaims(change)) this.#scheduleStep(0)
     if (change.kind !== 'owner') return
     const { endpointId, owner } = change
     const isOwn = owner?.row.host === own.host && owner.row.session === own.session
@@ -195,6 +205,12 @@
     else this.#lose(endpointId, owner ? `host "${owner.row.host}" owns it now` : 'its row was removed')
   }
 
+  /** Whether an endpoint may have come or fallen vacant by a change. */
+  #mayOpenClaims (change: BoardChange): boolean {
+    if (change.kind === 'owner') return isVacant(change.owner?.row) || change.owner?.row.host === this.#options.own.host
+    return change.kind === 'configuration' || (change.kind === 'endpoint' && change.entry !== undefined && isVacant(this.#options.board.owners.get(change.id)?.row))
+  }
+
   /** The store shows that a renewal went through, even where its answer was lost. */
   #receiveOwnRenewal ({ session, renewal }: RenewalRow, version: number): void {
     const sentAtMs = this.#sentRenewals.get(renewal)
@@ -226,16 +242,26 @@
     if (!this.#options.readsStore()) this.#renewals.recordStoreAway(nowMs)
     const interval = this.#owned.size > 0 || !this.#isRegistered() ? renewalIntervalMs : idleRenewalMs
     if (!this.#isLeaving && nowMs - this.#renewedAtMs >= interval) this.#renew()
-    this.#scheduleStep(stepMs)
+    this.#scheduleStep(this.#isIdle() ? idleStepMs : stepMs)
     if (this.#isLeaving || this.#isGivingUp || !this.#isRegistered()) return
     if (!this.#options.isIsolated()) this.#claims.step(nowMs)
     else if (this.#owned.size > 0) this.#giveUp('this host is cut off from its peers')
   }
 
+  #isIdle (): boolean {
+    return this.#isRegistered() && this.#owned.size === 0 && !this.#claims.hasVacancies && !this.#options.readsStore()
+  }
+
+  /** Moves the next step forward to `delayMs` from now; one that is due sooner stays. */
   #scheduleStep (delayMs: number): void {
-    if (!this.#isStarted) return
+    const dueAtMs = this.#options.clock.readMonotonic() + delayMs
+    if (!this.#isStarted || (this.#timer && this.#stepDueAtMs <= dueAtMs)) return
     this.#timer?.cancel()
-    this.#timer = this.#options.clock.setTimer(() => this.#step(), delayMs)
+    this.#stepDueAtMs = dueAtMs
+    this.#timer = this.#options.clock.setTimer(() => {
+      this.#timer = undefined
+      this.#step()
+    }, delayMs)
   }
 
   #isRegistered (): boolean {
--- a/src/tasks/leases/outageWatch.ts
+++ b/src/tasks/leases/outageWatch.ts
@@ -3,7 +3,7 @@
 
 export interface OutageWatchOptions {
   clock: Clock
-  /** Milliseconds since the store itself answered this host. */
+  /** Milliseconds since the store is known to have answered this host, or another one on whose word it relies. */
   readStoreAgeMs: () => number
   listPeers: () => { host: string, address: string }[]
   /** Asks a host when the store last answered it; undefined where it does not answer. */
@@ -12,12 +12,15 @@
   isNeeded: () => boolean
 }
 
-/** A store that has not answered a host for this long is away for it. */
-const awayMs = 900
-/** Time between two rounds of questions. */
-const roundMs = 300
+/**
+ * A store that was not heard of for this long may be away: one renewal and its answer. Two rounds of questions fit before
+ * `orderLimitMs`, after which owners give no orders unless the store is away for all.
+ */
+const awayMs = 1400
+/** Time between two rounds of questions, each to all hosts. */
+const roundMs = 400
 /** How long a peer's word counts. */
-const wordTermMs = 900
+const wordTermMs = 1200
 
 interface Word {
   storeAgeMs: number
--- a/src/tasks/news/newsTask.ts
+++ b/src/tasks/news/newsTask.ts
@@ -1,6 +1,5 @@
 /** Keeps a host's news up to date: from the store where it is a reader, else from a reader near by. */
-import { listSources } from '../../core/newsSource.js'
-import type { SourceHost } from '../../core/newsSource.js'
+import type { SourceHost, SourceList } from '../../core/newsSource.js'
 import type { NewsBoard } from '../../core/newsBoard.js'
 import type { RowMirror } from '../../core/rowMirror.js'
 import type { Clock, Timer } from '../../ports/clock.js'
@@ -26,6 +25,7 @@
   board: NewsBoard
   tables: readonly FollowedTable[]
   own: SourceHost
+  sources: SourceList
   /** Peers' addresses that may answer before any host is known. */
   seeds: readonly string[]
   /** Makes the relay's address of a host from its IP number. */
@@ -84,6 +84,11 @@
     return this.directStoreAgeMs < storeAwayMs
   }
 
+  /** When a peer last gave its news. */
+  get peerAnsweredAtMs (): number {
+    return this.#relayAnsweredAtMs
+  }
+
   /** Whether this host itself read the store's tables a short while ago. */
   get readsStore (): boolean {
     return this.#options.clock.readMonotonic() - this.#newsReadAtMs < storeAwayMs
@@ -110,13 +115,8 @@
     this.#timer?.cancel()
   }
 
-  #listKnown (): SourceHost[] {
-    return [...this.#options.board.hosts.values()].filter(host => !host.row.isLeaving)
-      .map(({ row }) => ({ host: row.host, address: row.address, zone: row.zone }))
-  }
-
   #isReader (): boolean {
-    return listSources(this.#options.own, this.#listKnown())[0] === 'store'
+    return this.#options.sources.read().isReader
   }
 
   /** Whether this host should follow the store now: as a reader, or because no relay answers or none of them reaches the store. */
@@ -201,8 +201,8 @@
 
   /** The best relay that has not failed lately; where all have, the one that failed first. */
   #pickRelay (): string | undefined {
-    const { own, seeds, formatRelayAddress, clock } = this.#options
-    const known = listSources(own, this.#listKnown()).flatMap(source => source === 'store' ? [] : [formatRelayAddress(source.address)])
+    const { own, sources, seeds, formatRelayAddress, clock } = this.#options
+    const known = sources.read().relayAddresses.map(formatRelayAddress)
     const ownAddress = formatRelayAddress(own.address)
     const addresses = [...known, ...seeds].filter((address, index, all) => address !== ownAddress && all.indexOf(address) === index)
     const nowMs = clock.readMonotonic()
--- a/src/tasks/ownership/leaseOwnership.ts
+++ b/src/tasks/ownership/leaseOwnership.ts
@@ -2,8 +2,8 @@
 import { createLog } from '../../createLog.js'
 import { defaultOwnershipPolicy } from '../../core/ownershipPolicy.js'
 import type { OwnershipPolicy } from '../../core/ownershipPolicy.js'
-import { findSurplus, rankTakers } from '../../core/ownershipSpread.js'
-import type { HashText, SpreadEndpoint, SpreadHost } from '../../core/ownershipSpread.js'
+import { findSurplus, findTakerRanks } from '../../core/ownershipSpread.js'
+import type { HashPair, SpreadEndpoint, SpreadHost } from '../../core/ownershipSpread.js'
 import { leaseCycleMs } from '../../core/ownershipTimes.js'
 import { OwnershipWatch } from '../../core/ownershipWatch.js'
 import type { Clock } from '../../ports/clock.js'
@@ -42,7 +42,7 @@
   /** `session` must differ from that of every process before. */
   holder: Holder
   zone: string
-  hashText: HashText
+  hashText: (text: string) => number
   /** Hosts that lately told that the table gives them no answer. */
   listOutageReports: () => string[]
   policy?: OwnershipPolicy
@@ -72,6 +72,8 @@
   #list: Repetition | undefined
   #runningCycle: Promise<void> = Promise.resolve()
 
+  #hashPair: HashPair = (endpointId, hostId) => this.#options.hashText(`${endpointId}/${hostId}`)
+
   constructor (options: LeaseOwnershipOptions) {
     this.#options = options
     const { clock, table, holder, zone, listOutageReports } = options
@@ -263,13 +265,12 @@
   async #takeFree (read: OwnershipRead, nowMs: number): Promise<void> {
     if (this.#isLeaving) return
     const endpoints = this.#listSpread(read, nowMs)
-    const rankings = rankTakers(endpoints, this.#listTakers(nowMs), this.#options.hashText)
-    for (const endpointId of [...this.#freeSinceMs.keys()]) if (!rankings.has(endpointId)) this.#freeSinceMs.delete(endpointId)
-    for (const [endpointId, ranking] of rankings) {
+    const ranks = findTakerRanks(this.#options.holder.hostId, endpoints, this.#listTakers(nowMs), this.#hashPair)
+    for (const endpointId of [...this.#freeSinceMs.keys()]) if (!ranks.has(endpointId)) this.#freeSinceMs.delete(endpointId)
+    for (const [endpointId, rank] of ranks) {
       const freeSinceMs = this.#freeSinceMs.get(endpointId) ?? nowMs
       this.#freeSinceMs.set(endpointId, freeSinceMs)
-      const rank = ranking.indexOf(this.#options.holder.hostId)
-      if (rank >= 0 && nowMs - freeSinceMs >= rank * rankDelayMs) await this.#take(endpointId, read)
+      if (nowMs - freeSinceMs >= rank * rankDelayMs) await this.#take(endpointId, read)
     }
   }
 
@@ -287,8 +288,8 @@
   #yieldSurplus (read: OwnershipRead, nowMs: number): void {
     const isYielding = [...this.#leases.values()].some(lease => lease.isYielding)
     if (this.#isLeaving || isYielding || nowMs - this.#yieldedAtMs < yieldIntervalMs) return
-    const { holder, hashText, send } = this.#options
-    const endpointId = findSurplus(holder.hostId, this.#listSpread(read, nowMs), this.#listTakers(nowMs), hashText)
+    const { holder, send } = this.#options
+    const endpointId = findSurplus(holder.hostId, this.#listSpread(read, nowMs), this.#listTakers(nowMs), this.#hashPair)
     const lease = endpointId === undefined ? undefined : this.#leases.get(endpointId)
     if (!lease || endpointId === undefined) return
     this.#yieldedAtMs = nowMs
--- a/src/tasks/peers/isolationWatch.ts
+++ b/src/tasks/peers/isolationWatch.ts
@@ -15,8 +15,8 @@
   random: () => number
 }
 
-/** Peers are asked once none was heard for this long. */
-const quietMs = 500
+/** Peers are asked once none was heard for this long: a peer's news come every 600 ms, and two rounds of questions fit before the silence counts. */
+const quietMs = 800
 const stepMs = 300
 /** Peers that are asked at a time. */
 const askedPeers = 3
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -1,5 +1,5 @@
 /** Sorts the messages between hosts to those they are for, and finds out whether a host runs. */
-import type { Clock } from '../../ports/clock.js'
+import type { Clock, Timer } from '../../ports/clock.js'
 import type { Datagrams, DatagramSender } from '../../ports/datagrams.js'
 import type { SuspectRecord } from '../../core/suspects.js'
 import type { CrashReport, HostMessage, PlaceAnswer, RenewalAsk, RenewalReply } from '../../schemas/datagram.js'
@@ -70,14 +70,24 @@
     const { clock, datagrams } = this.#options
     const echo = this.#nextPing++
     return await new Promise<HostState | undefined>(resolve => {
+      let timer: Timer | undefined
+      let sent = 0
       const settle = (state: HostState | undefined): void => {
-        if (this.#pings.delete(echo)) resolve(state)
+        if (!this.#pings.delete(echo)) return
+        timer?.cancel()
+        resolve(state)
       }
-      this.#pings.set(echo, settle)
-      for (let count = 0; count < pingCount; count++) {
-        clock.setTimer(() => { if (this.#pings.has(echo)) datagrams.send(address, { type: 'ping', echo }) }, count * pingTimeoutMs / pingCount)
+      const sendNext = (): void => {
+        if (sent === pingCount) {
+          settle(undefined)
+          return
+        }
+        sent++
+        datagrams.send(address, { type: 'ping', echo })
+        timer = clock.setTimer(sendNext, pingTimeoutMs / pingCount)
       }
-      clock.setTimer(() => settle(undefined), pingTimeoutMs)
+      this.#pings.set(echo, settle)
+      sendNext()
     })
   }
 
