A removal after an outage shorter than three heartbeats is no lapse

Entries lapse after three heartbeats of silence, so an outage shorter than that makes none lapse.

Change: the directory is told for how long the store has been away and grants the two seconds only after three heartbeats of it. Test: features/routes.feature, an outage of 3.2 s; failed before.

--- a/features/routes.feature
+++ b/features/routes.feature
@@ -59,11 +59,17 @@
 
   Scenario: Entries that lapse while the store is away stay for two seconds
     Given a directory that knows endpoint "i-1"
-    And the store is away at 10000 ms
+    And the store is away for 4000 ms at 10000 ms
     When the entry of "i-1" is removed at 10500 ms
     Then "i-1" takes work at 11500 ms
     But "i-1" takes no work at 12700 ms
 
+  Scenario: An entry that is removed after an outage shorter than three heartbeats has not lapsed
+    Given a directory that knows endpoint "i-1"
+    And the store is away for 3200 ms at 10000 ms
+    When the entry of "i-1" is removed at 10100 ms
+    Then "i-1" takes no work at 10101 ms
+
   Scenario: Entries that are removed while the store is there are gone at once
     Given a directory that knows endpoint "i-1"
     When the entry of "i-1" is removed at 10500 ms
--- a/features/steps/routes.ts
+++ b/features/steps/routes.ts
@@ -112,8 +112,8 @@
   this.directory.recordEntry(decodeEndpoint(id, Buffer.from(JSON.stringify(soundEntry)))!, 0)
 })
 
-Given('the store is away at {int} ms', function (this: RoutesWorld, nowMs: number) {
-  this.directory.recordStoreAway(nowMs)
+Given('the store is away for {int} ms at {int} ms', function (this: RoutesWorld, ageMs: number, nowMs: number) {
+  this.directory.recordStoreAway(nowMs, ageMs)
 })
 
 When('the entry of {string} is removed at {int} ms', function (this: RoutesWorld, id: string, nowMs: number) {
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -96,7 +96,7 @@
 /** Creates the tasks of a host and ties them together; nothing runs yet. */
 function createHostParts ({ settings, clock, log, own, store, relay, datagrams, ports }: HostBasis): HostParts {
   const formatRelayAddress = createRelayAddresses(settings.peersAddress)
-  const board = new NewsBoard(ports.decodeRow)
+  const board = new NewsBoard(ports.decodeRow, settings.heartbeatMs)
   const mirror = new RowMirror(own.session, isSameNews, row => {
     const change = board.applyRow(row, clock.readMonotonic())
     if (!change) return
--- a/src/core/endpointDirectory.ts
+++ b/src/core/endpointDirectory.ts
@@ -5,6 +5,10 @@
 const lapseGraceMs = 2000
 /** A removal counts as a lapse where the store was away this shortly before. */
 const lapseWindowMs = 4000
+/** Entries lapse after so many heartbeats of silence, so that a store that was away for less time made none lapse. */
+const lapseHeartbeats = 3
+/** Time between two heartbeats in the published deployments. */
+const defaultHeartbeatMs = 1200
 
 interface KnownEndpoint {
   entry: EndpointEntry
@@ -14,11 +18,17 @@
 
 export class EndpointDirectory {
   #endpoints = new Map<string, KnownEndpoint>()
-  #storeAwayAtMs = -Infinity
+  #lapseAfterMs: number
+  /** When the store was last away for long enough that entries may have lapsed. */
+  #lapsesAtMs = -Infinity
 
-  /** The store does not answer at this moment. */
-  recordStoreAway (nowMs: number): void {
-    this.#storeAwayAtMs = nowMs
+  constructor (heartbeatMs = defaultHeartbeatMs) {
+    this.#lapseAfterMs = lapseHeartbeats * heartbeatMs
+  }
+
+  /** The store does not answer at this moment, and has not for `ageMs`. */
+  recordStoreAway (nowMs: number, ageMs: number): void {
+    if (ageMs >= this.#lapseAfterMs) this.#lapsesAtMs = nowMs
   }
 
   recordEntry (entry: EndpointEntry, _nowMs: number): void {
@@ -29,7 +39,7 @@
   recordRemoved (id: string, nowMs: number, mayReturn: boolean): void {
     const known = this.#endpoints.get(id)
     if (!known) return
-    if (mayReturn && nowMs - this.#storeAwayAtMs <= lapseWindowMs && !known.entry.isLeaving) known.removedAtMs ??= nowMs
+    if (mayReturn && nowMs - this.#lapsesAtMs <= lapseWindowMs && !known.entry.isLeaving) known.removedAtMs ??= nowMs
     else this.#endpoints.delete(id)
   }
 
@@ -37,7 +47,7 @@
   find (id: string, nowMs: number): EndpointEntry | undefined {
     const known = this.#endpoints.get(id)
     if (!known) return undefined
-    if (known.removedAtMs !== undefined && nowMs - known.removedAtMs > lapseGraceMs && nowMs - this.#storeAwayAtMs > lapseGraceMs) {
+    if (known.removedAtMs !== undefined && nowMs - known.removedAtMs > lapseGraceMs && nowMs - this.#lapsesAtMs > lapseGraceMs) {
       this.#endpoints.delete(id)
       return undefined
     }
--- a/src/core/newsBoard.ts
+++ b/src/core/newsBoard.ts
@@ -37,7 +37,7 @@
   | { kind: 'unreadable', table: string, key: string, sample: string }
 
 export class NewsBoard {
-  readonly endpoints = new EndpointDirectory()
+  readonly endpoints: EndpointDirectory
   readonly owners = new Map<string, KnownOwner>()
   readonly hosts = new Map<string, KnownHost>()
   #hostsVersion = 0
@@ -46,8 +46,10 @@
   /** By model and adapter. */
   #versions = new Map<string, AdapterVersion>()
 
-  constructor (decodeNews: DecodeNews) {
+  /** `heartbeatMs`: time between two reports of an endpoint in the store. */
+  constructor (decodeNews: DecodeNews, heartbeatMs?: number) {
     this.#decodeNews = decodeNews
+    this.endpoints = new EndpointDirectory(heartbeatMs)
   }
 
   /** Undefined before a configuration is known. */
