A host that starts among others leaves the store to its readers as soon as it knows them

Cause: each host read four tables whole and followed them for some six more calls until the 200 ms check noticed that others are the readers, and for as long as no relay had answered yet.

Change: after each read a host looks whether another source is to be followed; the silence of relays counts from when one was known; renewals are read once the hosts are known, and by readers alone.

Test: relayedNews.feature, a host that starts among 40 peers; failed before with 3 tables read.

--- a/features/relayedNews.feature
+++ b/features/relayedNews.feature
@@ -35,3 +35,9 @@
     Given a host that follows 200 peers which have lost the store as well
     When 10000 ms pass for it
     Then it has ranked its sources 1 time
+
+  Scenario: A host that starts among others leaves the store to the readers at once
+    Given a host that starts among 40 peers which reach the store
+    When 5000 ms pass for it
+    Then it has read 2 tables of the store
+    And it has followed the store with at most 2 calls
--- a/features/steps/relayedNews.ts
+++ b/features/steps/relayedNews.ts
@@ -9,7 +9,7 @@
 import { RowMirror } from '../../src/core/rowMirror.js'
 import type { RelayedNews } from '../../src/ports/relay.js'
 import type { Store } from '../../src/ports/store.js'
-import type { HostRow } from '../../src/schemas/hostRows.js'
+import { encodeHostsRow, formatHostKey, hostsTable, renewalsTable } from '../../src/schemas/hostRows.js'
 import { NewsTask } from '../../src/tasks/news/newsTask.js'
 import { startRelayServer } from '../../src/tasks/news/relayServer.js'
 import { startByteCounter } from '../support/byteCounter.js'
@@ -28,6 +28,8 @@
   readTables: Set<string>
   /** How often the hosts were ranked as sources of news. */
   rankings?: number
+  /** Calls that followed a table of the store. */
+  followed?: number
 }
 
 const relayAddress = `127.0.0.1:${19_000 + process.pid % 900}`
@@ -72,10 +74,14 @@
   count: number
   /** Whether the host under test is a reader of the store. */
   isReader: boolean
+  /** Age of the store's word as peers tell it at the start; it grows with the time. Left out, peers reach the store. */
+  lostMs?: number
+  /** Whether the host has to learn of its peers from the store. */
+  isNew?: boolean
 }
 
 /** Peers have lost the store. They answer in 3 ms, with everything where the position is not of their log, else when `waitMs` are over. */
-function startNews (world: NewsWorld, { count, isReader }: FollowedPeers): void {
+function startNews (world: NewsWorld, { count, isReader, lostMs, isNew = false }: FollowedPeers): void {
   const clock = new VirtualClock()
   const asked: NewsWorld['asked'] = new Map()
   const answerMs = 3
@@ -85,7 +91,10 @@
   const readers = listReaders(hosts)
   const own = hosts.find(host => readers.includes(host) === isReader)!
   const board = new NewsBoard(() => undefined)
-  for (const host of hosts) board.hosts.set(host.host, { row: { ...host, session: 'life', isLeaving: false } as HostRow, version: 1 })
+  const learnHosts = (): void => {
+    for (const host of hosts) board.applyRow({ table: hostsTable, key: formatHostKey(host.host), version: 1, value: encodeHostsRow({ ...host, session: 'life', isLeaving: false }) }, 0)
+  }
+  if (!isNew) learnHosts()
   const answer = async <T>(value: T): Promise<T> => {
     await pause(answerMs)
     if (!world.isStoreReached) throw new Error('connection refused')
@@ -95,10 +104,14 @@
     clock,
     log: { record: () => {} },
     store: {
-      followTable: async () => await answer({ isComplete: true, rows: [], version: 1 }),
+      followTable: async () => {
+        world.followed = (world.followed ?? 0) + 1
+        return await answer({ isComplete: true, rows: [], version: 1 })
+      },
       readTable: async (table: string) => {
         const read = await answer({ rows: [], version: 1 })
         world.readTables.add(table)
+        if (table === hostsTable) learnHosts()
         return read
       }
     } as unknown as Store,
@@ -110,20 +123,20 @@
         const isWhole = logId !== address
         if (isWhole) peer.whole++
         await pause(isWhole ? answerMs : waitMs)
-        return { logId: address, position: 1, isWhole, rows: [], versions: {}, storeAgeMs: 5000 + clock.readMonotonic() }
+        return { logId: address, position: 1, isWhole, rows: [], versions: {}, storeAgeMs: lostMs === undefined ? 100 : lostMs + clock.readMonotonic() }
       },
       transact: async () => ({ verdict: 'notApplied', reason: 'the peer does not reach the store' }),
       close: async () => {}
     },
     mirror,
     board,
-    tables: [{ table: 'op', paceMs: 100, waitMs: 2000 }],
+    tables: [{ table: 'op', paceMs: 100, waitMs: 2000 }, ...isNew ? [{ table: hostsTable, paceMs: 0, waitMs: 2000 }, { table: renewalsTable, paceMs: 0, waitMs: 1000, isForReaders: true }] : []],
     own,
     sources: new SourceList({
       own,
       listHosts: () => {
         world.rankings = (world.rankings ?? 0) + 1
-        return hosts
+        return [...board.hosts.values()].map(({ row }) => row)
       },
       readHostsVersion: () => board.hostsVersion
     }),
@@ -134,6 +147,20 @@
   Object.assign(world, { clock, asked, task })
 }
 
+Given('a host that starts among {int} peers which reach the store', function (this: NewsWorld, count: number) {
+  this.readTables = new Set()
+  this.isStoreReached = true
+  startNews(this, { count, isReader: false, isNew: true })
+})
+
+Then('it has read {int} tables of the store', function (this: NewsWorld, tables: number) {
+  assert.equal(this.readTables.size, tables)
+})
+
+Then('it has followed the store with at most {int} calls', function (this: NewsWorld, most: number) {
+  assert.ok((this.followed ?? 0) <= most, `${this.followed} calls`)
+})
+
 Then('it has ranked its sources {int} time(s)', function (this: NewsWorld, times: number) {
   assert.equal(this.rankings, times)
 })
@@ -141,13 +168,13 @@
 Given('a host that follows {int} peers which have lost the store as well', function (this: NewsWorld, count: number) {
   this.readTables = new Set()
   this.isStoreReached = false
-  startNews(this, { count, isReader: false })
+  startNews(this, { count, isReader: false, lostMs: 5000 })
 })
 
 Given('a host that reads the store for {int} peers', async function (this: NewsWorld, count: number) {
   this.readTables = new Set()
   this.isStoreReached = true
-  startNews(this, { count, isReader: true })
+  startNews(this, { count, isReader: true, lostMs: 5000 })
   await this.clock.runUntilSettled(1000)
   assert.deepEqual([...this.readTables], ['op'])
 })
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -26,6 +26,7 @@
 import type { LeaseTask } from '../tasks/leases/leaseTask.js'
 import { logChange } from '../tasks/news/logChange.js'
 import { NewsTask } from '../tasks/news/newsTask.js'
+import type { FollowedTable } from '../tasks/news/newsTask.js'
 import { startRelayServer } from '../tasks/news/relayServer.js'
 import { PeerTask } from '../tasks/peers/peerTask.js'
 import { SuspectTask } from '../tasks/peers/suspectTask.js'
@@ -42,11 +43,11 @@
  * and renewals change all the time and are read in steps, renewals once in each of their intervals. Calls wait for 1 to 2 s, as
  * a silent connection shows only when they are over.
  */
-const followedTables = [
+const followedTables: readonly FollowedTable[] = [
   { table: operatorsTable, paceMs: 0, waitMs: 2000 },
   { table: endpointsTable, paceMs: 500, waitMs: 1000 },
   { table: hostsTable, paceMs: 100, waitMs: 2000 },
-  { table: renewalsTable, paceMs: 1000, waitMs: 1000 }
+  { table: renewalsTable, paceMs: 1000, waitMs: 1000, isForReaders: true }
 ]
 /** Time for the entry to take this host out of rotation: two questions a second apart, and their answers. */
 const quietMs = 2700
--- a/src/tasks/news/newsTask.ts
+++ b/src/tasks/news/newsTask.ts
@@ -14,6 +14,8 @@
   paceMs: number
   /** How long the store may hold a call back when nothing has changed. */
   waitMs: number
+  /** Whether it concerns only hosts that read the store, so that a host that starts finds out first whether it is one of them. */
+  isForReaders?: boolean
 }
 
 export interface NewsTaskOptions {
@@ -55,6 +57,8 @@
   /** When a read of one of the tables last went through; answers to writes tell nothing of what others have written. */
   #newsReadAtMs = -Infinity
   #relayAnsweredAtMs = -Infinity
+  /** When this host first knew a relay to follow. */
+  #relayKnownAtMs: number | undefined
   /** Age of the store's word as the relay told it, and when. */
   #relayedAgeMs = Infinity
   #avoided = new Map<string, number>()
@@ -121,7 +125,8 @@
 
   /** Whether this host should follow the store now: as a reader, or because no relay answers or none of them reaches the store. */
   #mayReadStore (): boolean {
-    return this.#isReader() || this.#options.clock.readMonotonic() - this.#relayAnsweredAtMs > relaySilentMs || this.storeAgeMs > storeAwayMs
+    const relayedAtMs = Math.max(this.#relayAnsweredAtMs, this.#relayKnownAtMs ?? -Infinity)
+    return this.#isReader() || this.#options.clock.readMonotonic() - relayedAtMs > relaySilentMs || this.storeAgeMs > storeAwayMs
   }
 
   /** Whether this host should follow a peer now. */
@@ -130,17 +135,29 @@
   }
 
   #startLoops (): void {
+    if (this.#options.sources.read().relayAddresses.length > 0) this.#relayKnownAtMs ??= this.#options.clock.readMonotonic()
     for (const table of this.#options.tables) {
-      this.#startLoop(`store ${table.table}`, () => this.#mayReadStore(), async () => await this.#followStore(table))
+      const mayRun = (): boolean => this.#mayReadStore() && (!table.isForReaders || this.#knowsReaders())
+      this.#startLoop(`store ${table.table}`, mayRun, async () => await this.#followStore(table))
     }
     this.#startLoop('relay', () => this.#mayReadRelay(), async () => await this.#followRelay())
   }
 
+  /** Whether the tables that tell who the readers are have been read. */
+  #knowsReaders (): boolean {
+    const { tables, mirror } = this.#options
+    return tables.every(({ table, isForReaders }) => isForReaders || mirror.findVersion(table) !== undefined)
+  }
+
   #startLoop (name: string, mayRun: () => boolean, step: () => Promise<void>): void {
     if (this.#running.has(name) || !mayRun()) return
     this.#running.add(name)
     const run = async (): Promise<void> => {
-      while (!this.#isStopped && mayRun()) await step()
+      while (!this.#isStopped && mayRun()) {
+        await step()
+        // What was read may tell that another source is to be followed.
+        this.#startLoops()
+      }
       this.#running.delete(name)
     }
     run()
@@ -173,7 +190,7 @@
     const { clock, relay, mirror, log } = this.#options
     const address = this.#pickRelay()
     if (address === undefined) {
-      await this.#pause(retryMs)
+      await this.#pause(firstRetryMs)
       return
     }
     const { logId, position } = this.#relayLogs.get(address) ?? { logId: '', position: 0 }
