--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -26,11 +26,15 @@
   lateOrders: number
   /** Time between two events of streams that begin now; 0 for the engine's own. */
   eventMs: number
+  /** Streams send nothing for this long after their second event, and then go on. */
+  silenceMs: number
+  /** Time between two bytes of streams that send one byte now and then and never end; 0 for none. */
+  trickleMs: number
   /** A request with this body crashes the engine that begins to run it; empty for none. */
   crashBody: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedCuts: 0, extras: 0, lateOrders: 0, eventMs: 0, crashBody: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedCuts: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -179,9 +183,15 @@
     const { random } = this.#options
     const last = countEvents(run.requestId)
     const eventMs = this.faults.eventMs || engine.options.eventMs
+    const { silenceMs } = this.faults
     const cutAfter = random() < this.faults.cuts ? run.fromEvent + Math.floor(random() * last) : Infinity
     let next = run.fromEvent + 1
     response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
+    if (this.faults.trickleMs > 0) {
+      const trickle = setInterval(() => response.write(':'), this.faults.trickleMs)
+      response.on('close', () => clearInterval(trickle))
+      return
+    }
     const send = (): void => {
       if (response.destroyed) return
       if (next > cutAfter) {
@@ -197,12 +207,15 @@
       }
       response.write(`id: ${next}\ndata: ${run.requestId} ${next}\n\n`)
       next++
-      setTimeout(send, eventMs)
+      setTimeout(send, next === eventsBeforeSilence + 1 ? eventMs + silenceMs : eventMs)
     }
     setTimeout(send, eventMs)
   }
 }
 
+/** Events that come before the silence of a stream; every stream has one more at least. */
+const eventsBeforeSilence = 2
+
 /** Events of the stream that answers a request. */
 export function countEvents (requestId: string): number {
   return 3 + (Number.parseInt(requestId.slice(-2), 16) || 0) % 8
