Hosts that start together wait a moment before they follow the store; endpoints are read by the time they have to leave

Cause: hosts that start within 0.3 s of each other find few others at their first read, take themselves for readers and begin to follow every table.

Change: 250 ms pass between the first and second read of the hosts' table, 400 ms for the others; renewals come last and for readers alone. Endpoints are read each quarter of the time in which one that leaves must get no more work: 500 ms as before where that is 2 s, 1 s where it is 4 s.

Test: relayedNews.feature, hosts that start together; failed before with 3 tables read.

--- a/features/relayedNews.feature
+++ b/features/relayedNews.feature
@@ -37,7 +37,7 @@
     Then it has ranked its sources 1 time
 
   Scenario: A host that starts among others leaves the store to the readers at once
-    Given a host that starts among 40 peers which reach the store
+    Given a host that starts together with 40 peers which reach the store
     When 5000 ms pass for it
     Then it has read 2 tables of the store
-    And it has followed the store with at most 2 calls
+    And it has followed the store with at most 1 calls
--- a/features/steps/relayedNews.ts
+++ b/features/steps/relayedNews.ts
@@ -91,8 +91,8 @@
   const readers = listReaders(hosts)
   const own = hosts.find(host => readers.includes(host) === isReader)!
   const board = new NewsBoard(() => undefined)
-  const learnHosts = (): void => {
-    for (const host of hosts) board.applyRow({ table: hostsTable, key: formatHostKey(host.host), version: 1, value: encodeHostsRow({ ...host, session: 'life', isLeaving: false }) }, 0)
+  const learnHosts = (known = hosts): void => {
+    for (const host of known) board.applyRow({ table: hostsTable, key: formatHostKey(host.host), version: 1, value: encodeHostsRow({ ...host, session: 'life', isLeaving: false }) }, 0)
   }
   if (!isNew) learnHosts()
   const answer = async <T>(value: T): Promise<T> => {
@@ -104,14 +104,17 @@
     clock,
     log: { record: () => {} },
     store: {
-      followTable: async () => {
+      followTable: async (table: string) => {
         world.followed = (world.followed ?? 0) + 1
-        return await answer({ isComplete: true, rows: [], version: 1 })
+        const changes = await answer({ isComplete: true, rows: [], version: 1 })
+        if (table === hostsTable) learnHosts()
+        return changes
       },
       readTable: async (table: string) => {
         const read = await answer({ rows: [], version: 1 })
         world.readTables.add(table)
-        if (table === hostsTable) learnHosts()
+        // A host that starts together with others finds only itself at first.
+        if (table === hostsTable) learnHosts([own])
         return read
       }
     } as unknown as Store,
@@ -130,7 +133,10 @@
     },
     mirror,
     board,
-    tables: [{ table: 'op', paceMs: 100, waitMs: 2000 }, ...isNew ? [{ table: hostsTable, paceMs: 0, waitMs: 2000 }, { table: renewalsTable, paceMs: 0, waitMs: 1000, isForReaders: true }] : []],
+    tables: [
+      { table: 'op', paceMs: 100, waitMs: 2000, settleMs: 400 },
+      ...isNew ? [{ table: hostsTable, paceMs: 0, waitMs: 2000, settleMs: 250 }, { table: renewalsTable, paceMs: 0, waitMs: 1000, settleMs: 400, isForReaders: true }] : []
+    ],
     own,
     sources: new SourceList({
       own,
@@ -147,7 +153,7 @@
   Object.assign(world, { clock, asked, task })
 }
 
-Given('a host that starts among {int} peers which reach the store', function (this: NewsWorld, count: number) {
+Given('a host that starts together with {int} peers which reach the store', function (this: NewsWorld, count: number) {
   this.readTables = new Set()
   this.isStoreReached = true
   startNews(this, { count, isReader: false, isNew: true })
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -38,17 +38,26 @@
 import { startReadiness } from './startReadiness.js'
 import type { Readiness } from './startReadiness.js'
 
+/** Hosts that start together are registered within 0.3 s of each other and read then who else is there. */
+const hostsSettleMs = 250
+/** By then a host knows whether it is to follow the store. */
+const settleMs = 400
+/** Parts of the time in which an endpoint that leaves must get no more work: a read, its relay and a call that fails fit in it. */
+const drainParts = 4
+
 /**
  * How the tables are followed. A configuration has 3 s to be in force, so its table is waited for without a pause. Endpoints
  * and renewals change all the time and are read in steps, renewals once in each of their intervals. Calls wait for 1 to 2 s, as
  * a silent connection shows only when they are over.
  */
-const followedTables: readonly FollowedTable[] = [
-  { table: operatorsTable, paceMs: 0, waitMs: 2000 },
-  { table: endpointsTable, paceMs: 500, waitMs: 1000 },
-  { table: hostsTable, paceMs: 100, waitMs: 2000 },
-  { table: renewalsTable, paceMs: 1000, waitMs: 1000, isForReaders: true }
-]
+function listFollowedTables ({ drainMs }: HostSettings): FollowedTable[] {
+  return [
+    { table: operatorsTable, paceMs: 0, waitMs: 2000, settleMs },
+    { table: endpointsTable, paceMs: drainMs / drainParts, waitMs: 1000, settleMs },
+    { table: hostsTable, paceMs: 100, waitMs: 2000, settleMs: hostsSettleMs },
+    { table: renewalsTable, paceMs: 1000, waitMs: 1000, settleMs, isForReaders: true }
+  ]
+}
 /** Time for the entry to take this host out of rotation: two questions a second apart, and their answers. */
 const quietMs = 2700
 /** Left of the time between SIGTERM and SIGKILL for the process to end. */
@@ -113,7 +122,7 @@
     readHostsVersion: () => board.hostsVersion
   })
   const news = new NewsTask({
-    clock, log, store, relay, mirror, board, tables: followedTables, own, sources, seeds: settings.seedAddresses, formatRelayAddress
+    clock, log, store, relay, mirror, board, tables: listFollowedTables(settings), own, sources, seeds: settings.seedAddresses, formatRelayAddress
   })
   const peers: PeerTask = new PeerTask({
     clock,
--- a/src/tasks/news/newsTask.ts
+++ b/src/tasks/news/newsTask.ts
@@ -14,6 +14,8 @@
   paceMs: number
   /** How long the store may hold a call back when nothing has changed. */
   waitMs: number
+  /** Time between the first read of the table and the next call, in which hosts that start together learn of each other. */
+  settleMs: number
   /** Whether it concerns only hosts that read the store, so that a host that starts finds out first whether it is one of them. */
   isForReaders?: boolean
 }
@@ -59,6 +61,8 @@
   #relayAnsweredAtMs = -Infinity
   /** When this host first knew a relay to follow. */
   #relayKnownAtMs: number | undefined
+  /** When all tables that concern every host were first known. */
+  #tablesReadAtMs: number | undefined
   /** Age of the store's word as the relay told it, and when. */
   #relayedAgeMs = Infinity
   #avoided = new Map<string, number>()
@@ -137,16 +141,19 @@
   #startLoops (): void {
     if (this.#options.sources.read().relayAddresses.length > 0) this.#relayKnownAtMs ??= this.#options.clock.readMonotonic()
     for (const table of this.#options.tables) {
-      const mayRun = (): boolean => this.#mayReadStore() && (!table.isForReaders || this.#knowsReaders())
+      const mayRun = (): boolean => this.#mayReadStore() && (!table.isForReaders || this.#knowsReaders(table.settleMs))
       this.#startLoop(`store ${table.table}`, mayRun, async () => await this.#followStore(table))
     }
     this.#startLoop('relay', () => this.#mayReadRelay(), async () => await this.#followRelay())
   }
 
-  /** Whether the tables that tell who the readers are have been read. */
-  #knowsReaders (): boolean {
-    const { tables, mirror } = this.#options
-    return tables.every(({ table, isForReaders }) => isForReaders || mirror.findVersion(table) !== undefined)
+  /** Whether all tables that concern every host were known `settleMs` ago, so that the host has learned who the readers are. */
+  #knowsReaders (settleMs: number): boolean {
+    const { tables, mirror, clock } = this.#options
+    if (this.#tablesReadAtMs === undefined && tables.every(({ table, isForReaders }) => isForReaders || mirror.findVersion(table) !== undefined)) {
+      this.#tablesReadAtMs = clock.readMonotonic()
+    }
+    return this.#tablesReadAtMs !== undefined && clock.readMonotonic() - this.#tablesReadAtMs >= settleMs
   }
 
   #startLoop (name: string, mayRun: () => boolean, step: () => Promise<void>): void {
@@ -163,7 +170,7 @@
     run()
   }
 
-  async #followStore ({ table, paceMs, waitMs }: FollowedTable): Promise<void> {
+  async #followStore ({ table, paceMs, waitMs, settleMs }: FollowedTable): Promise<void> {
     const { clock, store, mirror, log } = this.#options
     const startedAtMs = clock.readMonotonic()
     try {
@@ -178,7 +185,7 @@
       }
       this.recordStoreAnswer()
       this.#newsReadAtMs = clock.readMonotonic()
-      await this.#pause(paceMs - (clock.readMonotonic() - startedAtMs))
+      await this.#pause((after === undefined ? settleMs : paceMs) - (clock.readMonotonic() - startedAtMs))
     } catch (error) {
       log.record('news.storeFailed', 'A call to the store failed; it is tried again.', { table, error: (error as Error).message })
       const pauseMs = mirror.findVersion(table) === undefined ? firstRetryMs : this.#isReader() ? retryMs : followerRetryMs
