--- a/src/core/rendezvousHash.ts
+++ b/src/core/rendezvousHash.ts
@@ -18,6 +18,8 @@
   return (hash ^ (hash >>> 16)) >>> 0
 }
 
+/** Keeps a pair apart from the same names the other way round: 2^32 over the golden ratio, as in multiplicative hashing. */
+const orderFactor = 0x9e3779b1
 /** Hashes that are kept; a deployment has fewer hosts and endpoints, and names come and go. */
 const maxKeptHashes = 4096
 
@@ -32,8 +34,7 @@
   #hashes = new Map<string, number>()
 
   compute (left: string, right: string): number {
-    // The factor keeps a pair apart from the same names the other way round.
-    return mixBits(Math.imul(this.#find(left), 0x9e3779b1) ^ this.#find(right))
+    return mixBits(Math.imul(this.#find(left), orderFactor) ^ this.#find(right))
   }
 
   #find (name: string): number {
--- a/src/tasks/leases/endpointClaims.ts
+++ b/src/tasks/leases/endpointClaims.ts
@@ -44,8 +44,6 @@
   wasOwn: boolean
 }
 
-type Claim = VacantEndpoint
-
 /** Time between two endpoints that are handed over for an even spread; each serves nothing new for half a second. */
 const handoverIntervalMs = 10_000
 
@@ -139,14 +137,12 @@
     return vacant
   }
 
-  #listDueClaims (endpoints: readonly SpreadEndpoint[], vacant: readonly VacantEndpoint[], nowMs: number): Claim[] {
+  #listDueClaims (endpoints: readonly SpreadEndpoint[], vacant: readonly VacantEndpoint[], nowMs: number): VacantEndpoint[] {
     const isNewcomer = nowMs - this.#registeredAtMs! < newcomerMs
     const claimable = vacant.filter(({ endpointId, wasOwn }) => wasOwn || !(isNewcomer || this.#wasLostLately(endpointId, nowMs)))
-    const before = this.#vacantSince
-    this.#vacantSince = new Map(vacant.flatMap(({ endpointId }) => {
-      const sinceMs = before.get(endpointId) ?? (claimable.some(claim => claim.endpointId === endpointId) ? nowMs : undefined)
-      return sinceMs === undefined ? [] : [[endpointId, sinceMs]]
-    }))
+    const vacantIds = new Set(vacant.map(({ endpointId }) => endpointId))
+    for (const endpointId of [...this.#vacantSince.keys()]) if (!vacantIds.has(endpointId)) this.#vacantSince.delete(endpointId)
+    for (const { endpointId } of claimable) if (!this.#vacantSince.has(endpointId)) this.#vacantSince.set(endpointId, nowMs)
     if (claimable.length === 0) return []
     // Hosts are ranked only while there is something to claim; with many hosts that takes longer than all else here.
     const ranks = claimable.every(({ wasOwn }) => wasOwn) ? undefined : findTakerRanks(this.#options.own.host, endpoints, this.#listTakers(nowMs), this.#options.hashPair)
@@ -171,7 +167,7 @@
     return nowMs - this.#registeredAtMs! < this.#options.leaseMs + turnMarginMs
   }
 
-  async #claimAll (claims: Claim[]): Promise<StoreOutcome> {
+  async #claimAll (claims: VacantEndpoint[]): Promise<StoreOutcome> {
     const { own, log, transact, applyRow, gain, readOwnRenewalVersion } = this.#options
     const writes = claims.map(({ endpointId }) => createOwnerWrite(endpointId, { ...own, formerHosts: this.#listFormerHosts(endpointId).filter(name => name !== own.host) }))
     const outcome = await transact({
