--- a/features/steps/relayedNews.ts
+++ b/features/steps/relayedNews.ts
@@ -91,10 +91,10 @@
   const readers = listReaders(hosts)
   const own = hosts.find(host => readers.includes(host) === isReader)!
   const board = new NewsBoard(() => undefined)
-  const learnHosts = (known = hosts): void => {
+  const addHosts = (known = hosts): void => {
     for (const host of known) board.applyRow({ table: hostsTable, key: formatHostKey(host.host), version: 1, value: encodeHostsRow({ ...host, session: 'life', isLeaving: false }) }, 0)
   }
-  if (!isNew) learnHosts()
+  if (!isNew) addHosts()
   const answer = async <T>(value: T): Promise<T> => {
     await pause(answerMs)
     if (!world.isStoreReached) throw new Error('connection refused')
@@ -107,14 +107,14 @@
       followTable: async (table: string) => {
         world.followed = (world.followed ?? 0) + 1
         const changes = await answer({ isComplete: true, rows: [], version: 1 })
-        if (table === hostsTable) learnHosts()
+        if (table === hostsTable) addHosts()
         return changes
       },
       readTable: async (table: string) => {
         const read = await answer({ rows: [], version: 1 })
         world.readTables.add(table)
         // A host that starts together with others finds only itself at first.
-        if (table === hostsTable) learnHosts([own])
+        if (table === hostsTable) addHosts([own])
         return read
       }
     } as unknown as Store,
--- a/src/core/rendezvousHash.ts
+++ b/src/core/rendezvousHash.ts
@@ -9,10 +9,10 @@
 export function computeHash (text: string): number {
   let hash = 0x811c9dc5
   for (let index = 0; index < text.length; index++) hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193)
-  return mixBits(hash)
+  return hashBits(hash)
 }
 
-function mixBits (value: number): number {
+function hashBits (value: number): number {
   let hash = Math.imul(value ^ (value >>> 16), 0x85ebca6b)
   hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
   return (hash ^ (hash >>> 16)) >>> 0
@@ -34,7 +34,7 @@
   #hashes = new Map<string, number>()
 
   compute (left: string, right: string): number {
-    return mixBits(Math.imul(this.#find(left), orderFactor) ^ this.#find(right))
+    return hashBits(Math.imul(this.#find(left), orderFactor) ^ this.#find(right))
   }
 
   #find (name: string): number {
--- a/src/tasks/news/newsTask.ts
+++ b/src/tasks/news/newsTask.ts
@@ -141,14 +141,14 @@
   #startLoops (): void {
     if (this.#options.sources.read().relayAddresses.length > 0) this.#relayKnownAtMs ??= this.#options.clock.readMonotonic()
     for (const table of this.#options.tables) {
-      const mayRun = (): boolean => this.#mayReadStore() && (!table.isForReaders || this.#knowsReaders(table.settleMs))
+      const mayRun = (): boolean => this.#mayReadStore() && (!table.isForReaders || this.#hasReadTables(table.settleMs))
       this.#startLoop(`store ${table.table}`, mayRun, async () => await this.#followStore(table))
     }
     this.#startLoop('relay', () => this.#mayReadRelay(), async () => await this.#followRelay())
   }
 
   /** Whether all tables that concern every host were known `settleMs` ago, so that the host has learned who the readers are. */
-  #knowsReaders (settleMs: number): boolean {
+  #hasReadTables (settleMs: number): boolean {
     const { tables, mirror, clock } = this.#options
     if (this.#tablesReadAtMs === undefined && tables.every(({ table, isForReaders }) => isForReaders || mirror.findVersion(table) !== undefined)) {
       this.#tablesReadAtMs = clock.readMonotonic()
