Claim, give up and free engines by what one transaction holds

A host that has over 49 of 55 vacant engines to claim puts them into one transaction, which takes two entries an engine. The store refuses it with 400, nothing changes, and the host sends the same again at its next step. Giving up and freeing the engines of a lost host would have met the same limit.

Change: 45 engines a transaction for claims, releases and the engines of lost hosts; a lost host's own rows go with its last ones. Ruled out: a cap on what a host may own, which would leave engines without an owner after a loss of most hosts.

Tests: leases.feature, one host with 60 engines before a store that takes 100 entries, its leave and its loss; both failed before.

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -6,6 +6,21 @@
     When 1000 ms pass for the leases
     Then every engine may be given orders by one host
 
+  Scenario: A host takes more engines than one transaction holds, and gives them up again
+    Given 1 lease host and 60 engines
+    When 2000 ms pass for the leases
+    Then every engine may be given orders by one host
+    When a host joins, and host 1 leaves
+    And 12000 ms pass for the leases
+    Then every engine may be given orders by one host
+
+  Scenario: More engines than one transaction holds are freed when their host is gone
+    Given 1 lease host and 60 engines
+    When 2000 ms pass for the leases
+    And a host joins, and lease host 1 is killed
+    And 14000 ms pass for the leases
+    Then every engine may be given orders by one host
+
   Scenario: Hosts are not rated for engines while every engine has its owner
     Given 60 lease hosts and 20 engines
     When 3000 ms pass for the leases
--- a/features/steps/leases.ts
+++ b/features/steps/leases.ts
@@ -12,8 +12,8 @@
 const handoverMs = 10_000
 const stepMs = 100
 
-Given('{int} lease hosts and {int} engines', function (this: LeasesWorld, hosts: number, engines: number) {
-  this.cluster = new LeaseCluster(hosts, engines)
+Given(/^(\d+) lease hosts? and (\d+) engines$/, function (this: LeasesWorld, hosts: string, engines: string) {
+  this.cluster = new LeaseCluster(Number(hosts), Number(engines))
 })
 
 When('{int} ms pass for the leases', async function (this: LeasesWorld, ms: number) {
@@ -41,6 +41,20 @@
   assert.ok(steps <= most, `${steps} steps`)
 })
 
+When('a host joins, and host {int} leaves', async function (this: LeasesWorld, number: number) {
+  this.cluster.join()
+  await this.cluster.run(500)
+  const left = this.cluster.leave(this.cluster.hosts[number - 1]!)
+  await this.cluster.run(3000)
+  await left
+})
+
+When('a host joins, and lease host {int} is killed', async function (this: LeasesWorld, number: number) {
+  this.cluster.join()
+  await this.cluster.run(500)
+  this.cluster.kill(this.cluster.hosts[number - 1]!)
+})
+
 When('a host joins and the store is {string} while engines should be handed over to it', async function (this: LeasesWorld, state: StoreState) {
   this.cluster.join()
   await this.cluster.run(handoverMs - 2500)
--- a/features/support/leaseCluster.ts
+++ b/features/support/leaseCluster.ts
@@ -31,6 +31,8 @@
 }
 
 const answerMs = 5
+/** Entries that the store takes in one transaction. */
+const maxEntries = 100
 /** Time that a host has for its end. */
 const maxLeaveMs = 6000
 const slowMs = 300
@@ -174,6 +176,9 @@
 
   async #transact (transaction: StoreTransaction): Promise<StoreOutcome> {
     this.calls++
+    if (transaction.checks.length + transaction.writes.length + transaction.removals.length > maxEntries) {
+      return await this.#answer(() => ({ verdict: 'notApplied', reason: 'the store answered with status 400' }), answerMs)
+    }
     const nowMs = this.clock.readMonotonic()
     if (this.state === 'busy') return await this.#answer(() => ({ verdict: 'notApplied', reason: 'the store answered with status 503' }), answerMs)
     if (this.state === 'lost') {
--- a/src/tasks/leases/endpointClaims.ts
+++ b/src/tasks/leases/endpointClaims.ts
@@ -52,6 +52,12 @@
 /** Former owners that a row names; more do not follow each other within the time of a lease. */
 const maxFormerHosts = 4
 
+/**
+ * Endpoints whose rows one transaction checks and writes: two entries each, beside the rows of the host, where the store
+ * takes 100.
+ */
+export const maxEndpointsAtOnce = 45
+
 /** Beyond the time of a lease, for orders that arrive late. */
 const turnMarginMs = 300
 
@@ -95,11 +101,11 @@
     const vacant = this.#listVacant(endpoints)
     this.#hasVacancies = vacant.length > 0
     const claims = this.#listDueClaims(endpoints, vacant, nowMs)
-    if (claims.length > 0) this.#run(async () => await this.#claimAll(this.#isCautious ? claims.slice(0, 1) : claims))
+    if (claims.length > 0) this.#run(async () => await this.#claimAll(claims.slice(0, this.#isCautious ? 1 : maxEndpointsAtOnce)))
     else this.#expireHosts(nowMs) ?? this.#handOver(endpoints, nowMs)
   }
 
-  /** Frees all endpoints of this host in one transaction; returns what it writes and checks. */
+  /** Frees up to `maxEndpointsAtOnce` endpoints in one transaction; returns what it writes and checks. */
   createRelease (owned: Iterable<[string, number]>): Pick<StoreTransaction, 'checks' | 'writes'> {
     const list = [...owned]
     return {
@@ -230,13 +236,15 @@
   async #expireHost (row: HostRow, renewalVersion: number, owned: [string, number][]): Promise<StoreOutcome | undefined> {
     const { log, isRunning, transact, applyRow } = this.#options
     if (await isRunning(row)) return undefined
-    const release = this.createRelease(owned)
+    // The host's own rows go with its last endpoints.
+    const freed = owned.slice(0, maxEndpointsAtOnce)
+    const release = this.createRelease(freed)
     const outcome = await transact({
       checks: [{ table: renewalsTable, key: row.host, version: renewalVersion }, ...release.checks],
       writes: release.writes,
-      removals: [{ table: hostsTable, key: formatHostKey(row.host) }, { table: renewalsTable, key: row.host }]
+      removals: freed.length < owned.length ? [] : [{ table: hostsTable, key: formatHostKey(row.host) }, { table: renewalsTable, key: row.host }]
     })
-    log.record('lease.expired', 'A host did not renew its row and does not answer; its endpoints are free.', { lostHost: row.host, endpointIds: owned.map(([id]) => id), verdict: outcome.verdict })
+    log.record('lease.expired', 'A host did not renew its row and does not answer; its endpoints are free.', { lostHost: row.host, endpointIds: freed.map(([id]) => id), verdict: outcome.verdict })
     if (outcome.verdict === 'applied') for (const write of release.writes) applyRow({ ...write, version: outcome.version })
     if (outcome.verdict === 'conflict') for (const current of outcome.rows) if (current.table === hostsTable) applyRow(current)
     return outcome
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -8,7 +8,7 @@
 import { decodeRenewal, encodeHostsRow, formatHostKey, formatOwnerKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
 import type { HostRow, RenewalRow } from '../../schemas/hostRows.js'
 import type { RenewalAnswer } from '../../schemas/datagram.js'
-import { EndpointClaims } from './endpointClaims.js'
+import { EndpointClaims, maxEndpointsAtOnce } from './endpointClaims.js'
 
 export interface LeaseTaskOptions {
   clock: Clock
@@ -120,9 +120,16 @@
     const { host } = this.#options.own
     const removals = [{ table: hostsTable, key: formatHostKey(host) }, { table: renewalsTable, key: host }]
     for (;;) {
-      const outcome = await this.#options.transact({ ...this.#claims.createRelease(owned), removals })
-      log.record('lease.left', 'Gave all endpoints up, as the host shuts down.', { endpointIds: [...owned.keys()], verdict: outcome.verdict })
-      if (outcome.verdict === 'applied' || clock.readMonotonic() + leaveRetryMs >= endsAtMs) return
+      const freed = [...owned].slice(0, maxEndpointsAtOnce)
+      const isLast = freed.length === owned.size
+      const outcome = await this.#options.transact({ ...this.#claims.createRelease(freed), removals: isLast ? removals : [] })
+      log.record('lease.left', 'Gave endpoints up, as the host shuts down.', { endpointIds: freed.map(([endpointId]) => endpointId), verdict: outcome.verdict })
+      if (outcome.verdict === 'applied') {
+        if (isLast) return
+        for (const [endpointId] of freed) owned.delete(endpointId)
+        continue
+      }
+      if (clock.readMonotonic() + leaveRetryMs >= endsAtMs) return
       // A row that another host has written since, or this one by a try whose answer was lost, is no longer this host's to free.
       if (outcome.verdict === 'conflict') {
         for (const [endpointId, fencing] of owned) if (outcome.rows.some(({ key, version }) => key === formatOwnerKey(endpointId) && version !== fencing)) owned.delete(endpointId)
@@ -168,11 +175,14 @@
     this.#isGivingUp = true
     const owned = [...this.#owned]
     for (const [endpointId] of owned) this.#lose(endpointId, reason)
-    const release = this.#claims.createRelease(owned)
-    const outcome = await this.#options.transact({ ...release, removals: [] })
-    if (outcome.verdict === 'applied') for (const write of release.writes) this.#options.applyRow({ ...write, version: outcome.version })
+    for (let start = 0; start < owned.length; start += maxEndpointsAtOnce) {
+      const freed = owned.slice(start, start + maxEndpointsAtOnce)
+      const release = this.#claims.createRelease(freed)
+      const outcome = await this.#options.transact({ ...release, removals: [] })
+      if (outcome.verdict === 'applied') for (const write of release.writes) this.#options.applyRow({ ...write, version: outcome.version })
+      this.#options.log.record('lease.givenUp', 'Gave endpoints up.', { reason, endpointIds: freed.map(([endpointId]) => endpointId), verdict: outcome.verdict })
+    }
     this.#isGivingUp = false
-    this.#options.log.record('lease.givenUp', 'Gave all endpoints up.', { reason, endpointIds: owned.map(([endpointId]) => endpointId), verdict: outcome.verdict })
   }
 
   get ownedCount (): number {
