Lines name the content of requests, cut connections and each counted crash

Each request.* line now has the content, request.cut tells of a connection that ended beneath a request and of the life of its endpoint, and suspect.counted of every count. Run: hostFailures.feature:31 and hostLogs.feature, 6 scenarios passed.

--- a/src/tasks/front/frontRequest.ts
+++ b/src/tasks/front/frontRequest.ts
@@ -138,7 +138,7 @@
         return
       }
       this.#context.log.record('request.retried', 'An attempt failed; the request goes to another endpoint.', {
-        requestId: this.#request.requestId, route: route.name, endpointId: found.target.endpoint.id, verdict: failure.verdict, reason: failure.reason, runs: this.#runs
+        requestId: this.#request.requestId, content: this.#fingerprint, route: route.name, endpointId: found.target.endpoint.id, verdict: failure.verdict, reason: failure.reason, runs: this.#runs
       })
     }
   }
@@ -183,6 +183,11 @@
       return undefined
     }
     this.#heldAnswer = result.heldAnswer ?? this.#heldAnswer
+    if (isCut(result.failure)) {
+      this.#context.log.record('request.cut', 'The connection to an endpoint ended beneath a request, which may have run.', {
+        requestId: this.#request.requestId, content: this.#fingerprint, endpointId: target.endpoint.id, startedAtMs: target.endpoint.startedAtMs, reason: result.failure.reason
+      })
+    }
     if (result.failure.verdict !== 'notRun') {
       this.#mayHaveRun = true
       this.#runs++
@@ -240,6 +245,7 @@
     const { clock, log, board } = this.#context
     log.record(`request.${outcome}`, 'A request has ended.', {
       requestId: this.#request.requestId,
+      content: this.#fingerprint,
       route: this.#route?.name,
       work: this.#route?.kind,
       code,
@@ -262,6 +268,11 @@
   }
 }
 
+/** Whether a request that may have run got no answer, as when its endpoint went away. */
+function isCut ({ verdict, status }: AttemptFailure): boolean {
+  return verdict === 'mayHaveRun' && status === undefined
+}
+
 /** Bytes of a body that tell contents apart. */
 const fingerprintBytes = 16 * 1024
 
--- a/src/tasks/peers/suspectTask.ts
+++ b/src/tasks/peers/suspectTask.ts
@@ -43,7 +43,7 @@
   /** An engine of this host went away while requests of these contents ran. */
   reportCrash (crash: string, fingerprints: readonly string[]): void {
     const { log, own, send } = this.#options
-    log.record('engine.crashed', 'An engine went away while requests ran; their contents are counted.', { crash, requests: fingerprints.length })
+    log.record('engine.crashed', 'An engine went away while requests ran; their contents are counted.', { crash, contents: [...new Set(fingerprints)] })
     const byHost = new Map<string, string[]>()
     for (const fingerprint of new Set(fingerprints)) {
       const address = this.#findCounter(fingerprint)
@@ -66,9 +66,10 @@
       this.#counted.delete(fingerprint)
       this.#counted.set(fingerprint, crashes)
       if (this.#counted.size > defaultSuspectOptions.maxSuspects) this.#counted.delete(this.#counted.keys().next().value!)
+      log.record('suspect.counted', 'An engine went away beneath a content.', { content: fingerprint, crash, crashes: crashes.size })
       if (crashes.size < toldCrashes) continue
       const record: SuspectRecord = { fingerprint, crashes: [...crashes] }
-      log.record('suspect.told', 'A content was running when several engines went away; all hosts are told.', { ...record })
+      log.record('suspect.told', 'A content was running when several engines went away; all hosts are told.', { content: fingerprint, crashes: record.crashes })
       this.receiveSuspect(record)
       for (const { address } of listHosts()) if (address !== own.address) send(address, { type: 'suspect', ...record })
     }
@@ -77,7 +78,7 @@
   receiveSuspect ({ fingerprint, crashes }: SuspectRecord): void {
     const { clock, log } = this.#options
     const isNews = this.#register.addRecord({ fingerprint, crashes }, clock.readMonotonic())
-    if (isNews && this.findRefusal(fingerprint)) log.record('suspect.refused', 'Requests of this content are refused from now on, as they crash engines.', { fingerprint, crashes })
+    if (isNews && this.findRefusal(fingerprint)) log.record('suspect.refused', 'Requests of this content are refused from now on, as they crash engines.', { content: fingerprint, crashes })
   }
 
   #findCounter (fingerprint: string): string {
