Failing scenarios of requests that go on crashing endpoints

Callers saw endpoints end beneath the same request again and again. Four scenarios show it on the code as it is, one for each way in which it can happen: at a plain service, while hosts start again, while messages between hosts are lost, and for a request that waits for a place. The stand-in's endpoints of both kinds crash, refuse connections for a while and come back with another start.

--- /dev/null
+++ b/features/crashingRequests.feature
@@ -0,0 +1,42 @@
+Feature: Requests that crash endpoints
+  A request may crash each endpoint that begins to run it, and its caller sends it again. It reaches a few endpoints at most,
+  whatever befalls hosts, the store and messages meanwhile.
+
+  @knownRed
+  Scenario: A request that crashes endpoints of a plain service is refused on every host
+    Given 3 hosts before a platform with 1 engine
+    And crashed endpoints are back after 300 ms
+    When a "once" request that crashes endpoints comes 8 times, each time at the next host
+    Then it reached endpoints at most 6 times
+    And the last 2 answers are refusals for good
+
+  @knownRed
+  Scenario: Hosts that start again know which requests crash engines
+    Given 3 hosts before a platform with 3 engines
+    And crashed endpoints are back after 300 ms
+    When a "stream" request that crashes endpoints comes 8 times, and all hosts start again after every 2nd time
+    Then it reached endpoints at most 6 times
+    And the last 2 answers are refusals for good
+
+  @knownRed
+  Scenario: Hosts learn which requests crash engines although messages between them are lost
+    Given 3 hosts before a platform with 3 engines
+    And crashed endpoints are back after 300 ms
+    And messages between hosts about crashes are lost
+    When a "stream" request that crashes endpoints comes 8 times, each time at the next host
+    Then it reached endpoints at most 6 times
+    And the last 2 answers are refusals for good
+
+  Scenario: Hosts learn which requests crash engines while the store is away
+    Given 3 hosts before a platform with 3 engines
+    And crashed endpoints are back after 300 ms
+    And the store is "silent"
+    When a "stream" request that crashes endpoints comes 8 times, each time at the next host
+    Then it reached endpoints at most 6 times
+    And the last 2 answers are refusals for good
+
+  @knownRed
+  Scenario: A request that turns out to crash endpoints while it waits for a place is refused at once
+    Given a request that waits for a place
+    When its content is found to crash endpoints
+    Then the request is refused for good and not sent
--- /dev/null
+++ b/features/steps/crashingRequests.ts
@@ -0,0 +1,73 @@
+/** Steps of requests that crash the endpoints they run on. */
+import assert from 'node:assert/strict'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Given, Then, When } from '@cucumber/cucumber'
+import type { HostMessage } from '../../src/schemas/datagram.js'
+import type { CallKind } from '../../src/standin/fleet/fleetCaller.js'
+import type { StoreFault } from '../../src/standin/fleet/storeServer.js'
+import { call, setFaults } from '../support/hostsWorld.js'
+import type { HostsWorld } from '../support/hostsWorld.js'
+import { startWaitingRequest } from '../support/waitingRequest.js'
+import type { WaitingRequest } from '../support/waitingRequest.js'
+
+interface WaitingWorld {
+  waiting: WaitingRequest
+}
+
+const crashBody = 'a question that crashes endpoints'
+/** Longer than an endpoint is away, with two of its heartbeats beyond. */
+const gapMs = 1000
+const crashMessages: ReadonlySet<HostMessage['type']> = new Set(['crashed', 'suspect'])
+
+Given('crashed endpoints are back after {int} ms', function (this: HostsWorld, downMs: number) {
+  setFaults(this, () => true, { downMs })
+})
+
+Given('messages between hosts about crashes are lost', function (this: HostsWorld) {
+  this.hostFleet.isLost = ({ type }) => crashMessages.has(type)
+})
+
+Given('the store is {string}', function (this: HostsWorld, fault: StoreFault) {
+  this.hostFleet.fleet.store.setFault(fault)
+})
+
+async function sendCrashing (world: HostsWorld, kind: CallKind, times: number, afterEach: (index: number) => Promise<void>): Promise<void> {
+  const { hosts, fleet } = world.hostFleet
+  setFaults(world, () => true, { crashBody })
+  for (let index = 0; index < times; index++) {
+    await call(world, { kind, host: index % hosts.length + 1, adapter: 'a1', body: crashBody })
+    world.crashingRuns = fleet.journal.runs.length
+    await sleep(gapMs)
+    await afterEach(index)
+  }
+}
+
+When('a {string} request that crashes endpoints comes {int} times, each time at the next host', async function (this: HostsWorld, kind: CallKind, times: number) {
+  await sendCrashing(this, kind, times, async () => {})
+})
+
+When('a {string} request that crashes endpoints comes {int} times, and all hosts start again after every {int}nd time', { timeout: 60_000 }, async function (this: HostsWorld, kind: CallKind, times: number, every: number) {
+  const { hosts } = this.hostFleet
+  await sendCrashing(this, kind, times, async index => {
+    if ((index + 1) % every !== 0 || index + 1 === times) return
+    await Promise.all(hosts.map(async host => await this.hostFleet.stopHost(host)))
+    await Promise.all(hosts.map(async host => await this.hostFleet.startHost(host)))
+    await sleep(gapMs)
+  })
+})
+
+Then('it reached endpoints at most {int} times', function (this: HostsWorld, times: number) {
+  assert.ok(this.crashingRuns <= times, `${this.crashingRuns} times: ${JSON.stringify(this.answers.map(({ status }) => status))}`)
+})
+
+Given('a request that waits for a place', async function (this: WaitingWorld) {
+  this.waiting = await startWaitingRequest()
+})
+
+When('its content is found to crash endpoints', async function (this: WaitingWorld) {
+  await this.waiting.refuseContent()
+})
+
+Then('the request is refused for good and not sent', function (this: WaitingWorld) {
+  assert.deepEqual(this.waiting.read(), { status: 422, sends: 0 })
+})
--- a/features/support/hostFleet.ts
+++ b/features/support/hostFleet.ts
@@ -6,6 +6,7 @@
 import { startHost } from '../../src/bin/startHost.js'
 import type { Datagrams } from '../../src/ports/datagrams.js'
 import type { EventFields } from '../../src/ports/eventLog.js'
+import type { HostMessage } from '../../src/schemas/datagram.js'
 import type { HostSettings } from '../../src/schemas/hostSettings.js'
 import { FleetCaller } from '../../src/standin/fleet/fleetCaller.js'
 import type { FleetAnswer, FleetCall } from '../../src/standin/fleet/fleetCaller.js'
@@ -48,6 +49,8 @@
   readonly lines: LogLine[] = []
   /** By host. */
   readonly sent = new Map<string, SentBytes>()
+  /** Whether the network loses a message between hosts. */
+  isLost: (message: HostMessage) => boolean = () => false
   #caller = new FleetCaller()
   #network = `127.${nextNetwork++ % 200 + 1}.0`
 
@@ -74,7 +77,7 @@
     const { hostName } = host.settings
     host.process = await startHost(host.settings, createSystemClock(), {
       metricsPort: findMetricsPort(basePort),
-      ports: { openDatagrams: async options => countSent(await openUdpDatagrams(options), this.#findSent(hostName)) },
+      ports: { openDatagrams: async options => countSent(await openUdpDatagrams(options), this.#findSent(hostName), message => this.isLost(message)) },
       openLog: () => ({
         record: (kind, message, fields = {}) => { this.lines.push({ time: Date.now(), host: hostName, kind, message, fields }) },
         flush: () => {}
@@ -134,9 +137,10 @@
 const datagramOverheadBytes = 70
 
 /** Counts each message as a datagram of its own, which is the most that it may cost. */
-function countSent (datagrams: Datagrams, sent: SentBytes): Datagrams {
+function countSent (datagrams: Datagrams, sent: SentBytes, isLost: (message: HostMessage) => boolean): Datagrams {
   return {
     send: (address, message) => {
+      if (isLost(message)) return
       sent.messages++
       sent.bytes += datagramOverheadBytes + pack(message).length
       datagrams.send(address, message)
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -30,11 +30,13 @@
   silenceMs: number
   /** Time between two bytes of streams that send one byte now and then and never end; 0 for none. */
   trickleMs: number
-  /** A request with this body crashes the engine that begins to run it; empty for none. */
+  /** A request with this body crashes the endpoint that begins to run it; empty for none. */
   crashBody: string
+  /** Time from a crash to the next start, in which connections are refused; 0 for a start at once. */
+  downMs: number
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedCuts: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedCuts: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', downMs: 0 })
 
 export interface EndpointServerOptions {
   id: string
@@ -51,8 +53,12 @@
 
 export interface EndpointServer {
   readonly address: string
+  /** Unix milliseconds of the process's start; a crash makes it rise. */
+  readonly startedAtMs: number
+  /** Whether the process has crashed and is not back yet. */
+  readonly isDown: boolean
   setFaults: (faults: Partial<EndpointFaults>) => void
-  /** Drops all connections, as a crash does. */
+  /** Drops all connections and everything that the endpoint holds, as a crash does. */
   crash: () => void
   stop: () => Promise<void>
 }
@@ -62,35 +68,67 @@
 
 export async function startEndpointServer (options: EndpointServerOptions): Promise<EndpointServer> {
   const endpoint = new Endpoint(options)
-  const [host, port] = options.listenAddress.split(':')
-  await new Promise<void>(resolve => endpoint.server.listen(Number(port), host, resolve))
-  const { address, port: boundPort } = endpoint.server.address() as AddressInfo
+  await endpoint.listen()
   return {
-    address: `${address}:${boundPort}`,
+    address: endpoint.address,
+    get startedAtMs () { return endpoint.startedAtMs },
+    get isDown () { return endpoint.isDown },
     setFaults: faults => { endpoint.faults = { ...endpoint.faults, ...faults } },
     crash: () => endpoint.crash(),
-    stop: async () => {
-      endpoint.server.closeAllConnections()
-      await new Promise<void>(resolve => endpoint.server.close(() => resolve()))
-    }
+    stop: async () => await endpoint.stop()
   }
 }
 
 class Endpoint {
-  readonly server: Server
   faults: EndpointFaults = { ...noEndpointFaults }
+  address: string
+  #server: Server
   #options: EndpointServerOptions
   #running = 0
+  #startedAtMs = Date.now()
+  #restart: NodeJS.Timeout | undefined
 
   constructor (options: EndpointServerOptions) {
     this.#options = options
-    this.server = createServer((request, response) => { this.#receive(request, response) })
-    this.server.keepAliveTimeout = 30_000
+    this.address = options.listenAddress
+    this.#server = createServer((request, response) => { this.#receive(request, response) })
+    this.#server.keepAliveTimeout = 30_000
+  }
+
+  get startedAtMs (): number {
+    return this.#options.engine?.startedAtMs ?? this.#startedAtMs
+  }
+
+  get isDown (): boolean {
+    return this.#restart !== undefined
+  }
+
+  /** A later process of the endpoint listens at the same address. */
+  async listen (): Promise<void> {
+    const [host, port] = this.address.split(':')
+    await new Promise<void>(resolve => this.#server.listen(Number(port), host, resolve))
+    const { address, port: boundPort } = this.#server.address() as AddressInfo
+    this.address = `${address}:${boundPort}`
   }
 
   crash (): void {
+    const { downMs } = this.faults
     this.#options.engine?.restart()
-    this.server.closeAllConnections()
+    this.#startedAtMs = Math.max(Date.now(), this.#startedAtMs + 1)
+    this.#running = 0
+    this.#server.closeAllConnections()
+    if (downMs === 0 || this.isDown) return
+    this.#server.close()
+    this.#restart = setTimeout(async () => {
+      await this.listen()
+      this.#restart = undefined
+    }, downMs)
+  }
+
+  async stop (): Promise<void> {
+    clearTimeout(this.#restart)
+    this.#server.closeAllConnections()
+    if (this.#server.listening) await new Promise<void>(resolve => this.#server.close(() => resolve()))
   }
 
   async #receive (request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -141,7 +179,7 @@
       if (run.endedAtMs !== undefined) return
       run.endedAtMs = readNow()
       run.outcome = outcome
-      this.#running--
+      this.#running = Math.max(0, this.#running - 1)
       engine?.recordRun(marks.adapter, -1)
     }
     response.on('close', () => finish('left'))
--- a/src/standin/fleet/startFleet.ts
+++ b/src/standin/fleet/startFleet.ts
@@ -145,10 +145,10 @@
   }
 
   #tellAll (): void {
-    for (const endpoint of this.endpoints) if (endpoint.isTelling) this.#tell(endpoint)
+    for (const endpoint of this.endpoints) if (endpoint.isTelling && !endpoint.server.isDown) this.#tell(endpoint)
   }
 
-  #tell ({ id, service, zone, address, engine, isLeaving }: FleetEndpoint): void {
+  #tell ({ id, service, zone, address, engine, server, isLeaving }: FleetEndpoint): void {
     this.rows.write(encodeEntryRow({
       id,
       service,
@@ -157,14 +157,14 @@
       isLeaving,
       goneInMs: undefined,
       places: engine?.options.batchLimit ?? 6,
-      startedAtMs: engine?.startedAtMs ?? 1,
+      startedAtMs: server.startedAtMs,
       models: engine?.describeModels() ?? [],
       orderCount: engine?.orderCount ?? 0
     }))
   }
 }
 
-function createConfiguration (version: number, adapterSlots: number): RoutingConfiguration {
+export function createConfiguration (version: number, adapterSlots: number): RoutingConfiguration {
   const base = { hostname: fleetHost, timeoutMs: 4000, targetMs: 500, maxGapMs: 400, patienceMs: 3200, rank: 0, maxAttempts: 2 }
   const toEngines = [{ service: engineService, weight: 1 }]
   const toServices = [{ service: plainService, weight: 1 }]
