Refuse a request that crashes endpoints also while it waits, and before each repeat

Callers saw endpoints end beneath a request that all hosts knew to crash them. Cause: the refusal was looked up once, when the request arrived, so copies that waited for a place and repeats were sent after the content was known. Now it is looked up before each search for a place and before each send, and what waits is refused at the moment at which the content becomes known, rather than when its place comes.

--- a/features/crashingRequests.feature
+++ b/features/crashingRequests.feature
@@ -35,7 +35,6 @@
     Then it reached endpoints at most 6 times
     And the last 2 answers are refusals for good
 
-  @knownRed
   Scenario: A request that turns out to crash endpoints while it waits for a place is refused at once
     Given a request that waits for a place
     When its content is found to crash endpoints
--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -6,11 +6,13 @@
 import { CallerWaits } from '../../src/core/callerWaits.js'
 import { EndpointHealth } from '../../src/core/endpointHealth.js'
 import { NewsBoard } from '../../src/core/newsBoard.js'
+import { OpenContents } from '../../src/core/openContents.js'
 import { SendBudget } from '../../src/core/sendBudget.js'
 import { createCrashRefusal } from '../../src/core/suspects.js'
 import { decodePlatformRow } from '../../src/platform/decodeNews.js'
 import { decodeAnswerHead, encodeRefusalHeaders, encodeRequestHeaders } from '../../src/platform/requestWire.js'
 import { encodeConfigurationRow } from '../../src/platform/standinWire.js'
+import type { CallerRequest } from '../../src/schemas/callerRequest.js'
 import type { EndpointEntry } from '../../src/schemas/routing.js'
 import { createConfiguration, engineService, fleetHost, fleetModel, fleetPaths } from '../../src/standin/fleet/startFleet.js'
 import { CallerAnswer } from '../../src/tasks/front/callerAnswer.js'
@@ -21,6 +23,7 @@
 export interface WaitingRequest {
   /** Its content is refused from now on; the search then finds a place. */
   refuseContent: () => Promise<void>
+  /** `status`: what the caller was told before the search found a place; 0 for nothing. */
   read: () => { status: number, sends: number }
 }
 
@@ -33,11 +36,14 @@
 export async function startWaitingRequest (): Promise<WaitingRequest> {
   const clock = createSystemClock()
   let status = 0
+  let statusBeforePlace = 0
+  let content = ''
   let sends = 0
   let isRefused = false
   let settleSearch = (_found: FoundTarget): void => {}
   const board = new NewsBoard(decodePlatformRow)
   board.applyRow({ ...encodeConfigurationRow(createConfiguration(1, 4)), version: 1 }, clock.readMonotonic())
+  const openContents = new OpenContents()
   const response = Object.assign(new EventEmitter(), {
     headersSent: false, writeHead: (written: number) => { status = written }, end: () => {}, destroy: () => {}
   })
@@ -49,23 +55,30 @@
     budget: new SendBudget({ share: 0.2, extra: 10, windowMs: 1000, countHosts: () => 1 }),
     targets: { findTarget: async () => await new Promise<FoundTarget>(resolve => { settleSearch = resolve }) },
     waits: new CallerWaits(),
-    findCrashRefusal: () => isRefused ? createCrashRefusal(3) : undefined,
+    findCrashRefusal: (fingerprint: string) => {
+      content = fingerprint
+      return isRefused ? createCrashRefusal(3) : undefined
+    },
+    openContents,
     random: () => 0,
     encodeRequestHeaders,
     decodeAnswerHead,
     encodeRefusalHeaders
   } as unknown as FrontContext
-  const request = new FrontRequest(context, {
+  const served: CallerRequest = {
     requestId: 'r1', method: 'POST', path: `${fleetPaths.stream}x`, host: fleetHost, headers: [], body: Buffer.from('a question'), receivedAtMs: clock.readMonotonic(), timeLeftMs: 4000, lastEventId: undefined, model: fleetModel, adapter: 'a1', promptTokens: 100, maxTokens: 20, promptParts: []
-  }, new CallerAnswer(response as unknown as ServerResponse, () => {}))
+  }
+  const request = new FrontRequest(context, served, new CallerAnswer(response as unknown as ServerResponse, () => {}))
   request.serve()
   const link = { busy: 0, hasRoom: true, close: () => {}, send: () => { sends++; return { cancel: () => {}, resume: () => {} } } }
   return {
     refuseContent: async () => {
       isRefused = true
+      openContents.refuse(content)
+      statusBeforePlace = status
       settleSearch({ kind: 'found', target: { endpoint: engine, link, version: 0, priority: undefined, end: () => {} } })
       await sleep(settleMs)
     },
-    read: () => ({ status, sends })
+    read: () => ({ status: statusBeforePlace, sends })
   }
 }
--- a/src/bin/createFront.ts
+++ b/src/bin/createFront.ts
@@ -3,6 +3,7 @@
 import { CallerWaits } from '../core/callerWaits.js'
 import { EndpointHealth } from '../core/endpointHealth.js'
 import type { NewsBoard } from '../core/newsBoard.js'
+import { OpenContents } from '../core/openContents.js'
 import { SendBudget } from '../core/sendBudget.js'
 import { decodeAnswerHead, decodeRequest, encodeRefusalHeaders, encodeRequestHeaders } from '../platform/requestWire.js'
 import type { Clock } from '../ports/clock.js'
@@ -30,6 +31,8 @@
   callers: CallersPort
   /** Takes over a new configuration. */
   applyConfiguration: () => void
+  /** Ends what waits for a place under a content that was found to crash endpoints. */
+  refuseContent: (fingerprint: string) => void
 }
 
 /** Part of the memory that bodies of requests may take while they are held. */
@@ -47,8 +50,9 @@
   const engines = new EngineFinder({ clock, log, board, health, places, random, findLink })
   const targets = new TargetFinder({ clock, board, health, engines, zone: settings.zone, random, findLink })
   const waits = new CallerWaits()
+  const openContents = new OpenContents()
   const context: FrontContext = {
-    clock, log, board, health, budget, targets, waits, findCrashRefusal, random, encodeRequestHeaders, decodeAnswerHead, encodeRefusalHeaders
+    clock, log, board, health, budget, targets, waits, findCrashRefusal, openContents, random, encodeRequestHeaders, decodeAnswerHead, encodeRefusalHeaders
   }
   const callers = new CallersPort({
     address: settings.callersAddress,
@@ -65,6 +69,7 @@
   })
   return {
     callers,
+    refuseContent: fingerprint => openContents.refuse(fingerprint),
     applyConfiguration: () => {
       callers.applyLimits()
       waits.keepRoutes(new Set(board.routes?.configuration.routes.map(route => route.name)))
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -138,7 +138,12 @@
     receiveSuspect: record => suspects.receiveSuspect(record)
   })
   const suspects = new SuspectTask({
-    clock, log, own, listHosts: () => [...board.hosts.values()].map(host => host.row), send: (address, message) => datagrams.send(address, message)
+    clock,
+    log,
+    own,
+    listHosts: () => [...board.hosts.values()].map(host => host.row),
+    send: (address, message) => datagrams.send(address, message),
+    receiveRefused: fingerprint => front.refuseContent(fingerprint)
   })
   const places = new PlaceClient({ clock, datagrams, ownAddress: settings.address, deliverLocally: message => peers.deliverLocally(message) })
   const leaseParts: LeaseParts = createLeases({
--- a/src/tasks/front/frontContext.ts
+++ b/src/tasks/front/frontContext.ts
@@ -2,6 +2,7 @@
 import type { CallerWaits } from '../../core/callerWaits.js'
 import type { EndpointHealth } from '../../core/endpointHealth.js'
 import type { NewsBoard } from '../../core/newsBoard.js'
+import type { OpenContents } from '../../core/openContents.js'
 import type { SendBudget } from '../../core/sendBudget.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
@@ -19,6 +20,7 @@
   waits: CallerWaits
   /** The refusal of requests that crash engines, by a hash of what they ask. */
   findCrashRefusal: (fingerprint: string) => RequestFailure | undefined
+  openContents: OpenContents
   /** A random number from 0 up to 1. */
   random: () => number
   encodeRequestHeaders: (request: CallerRequest, mark: SendMark) => string[]
--- a/src/tasks/front/frontRequest.ts
+++ b/src/tasks/front/frontRequest.ts
@@ -1,6 +1,7 @@
 /** Serves one request: finds its route, sends it to endpoints until one answers, and relays the answer. */
 import { isRepeatable, mayRetry } from '../../core/attemptRules.js'
 import type { AttemptFailure } from '../../core/attemptRules.js'
+import type { OpenRequest } from '../../core/openContents.js'
 import { computeHash } from '../../core/rendezvousHash.js'
 import { pickService } from '../../core/routeTable.js'
 import type { Timer } from '../../ports/clock.js'
@@ -21,7 +22,7 @@
 /** A takeover takes some 350 ms, and so do the first news after a start. */
 const maxPassingMs = 450
 
-export class FrontRequest {
+export class FrontRequest implements OpenRequest {
   #context: FrontContext
   #request: CallerRequest
   #answer: CallerAnswer
@@ -35,6 +36,7 @@
   #endsAtMs = 0
   #timer: Timer | undefined
   #attempt: Attempt | undefined
+  #isSending = false
   #tried: string[] = []
   #runs = 0
   #sends = 0
@@ -61,8 +63,13 @@
     this.#attempt?.cancel()
   }
 
+  /** What has not been sent yet is refused at once; an attempt under way ends by itself. */
+  receiveRefusal (): void {
+    if (!this.#isSending) this.#refuseCrashing()
+  }
+
   async serve (): Promise<void> {
-    const { board, clock, budget, random } = this.#context
+    const { board, clock, budget, random, openContents } = this.#context
     const request = this.#request
     while (!board.routes && await this.#waitForChange()) { /* The news of a host that starts come in a moment. */ }
     if (this.#isOver) return
@@ -82,14 +89,19 @@
     this.#endsAtMs = request.receivedAtMs + Math.min(request.timeLeftMs ?? defaultTimeLeftMs, route.timeoutMs)
     this.#timer = clock.setTimer(() => this.#receiveTimeout(), this.#endsAtMs - clock.readMonotonic())
     budget.recordRequest(this.#service, clock.readMonotonic())
-    const refusal = this.#context.findCrashRefusal(this.#fingerprint)
-    if (refusal) {
-      this.#respond(refusal.status, refusal.code, refusal.message)
-      return
-    }
+    openContents.add(this.#fingerprint, this)
     await this.#run(route)
   }
 
+  /** Ends a request whose content crashes endpoints; false where it may run. */
+  #refuseCrashing (): boolean {
+    const refusal = this.#context.findCrashRefusal(this.#fingerprint)
+    if (!refusal) return false
+    if (this.#answer.hasHead) this.#breakOff(refusal.message)
+    else this.#respond(refusal.status, refusal.code, refusal.message)
+    return true
+  }
+
   /** A caller that comes back has been waiting since its first try. */
   #computeSpentMs (route: Route, { timeLeftMs }: CallerRequest): number {
     if (timeLeftMs === undefined) return 0
@@ -108,14 +120,14 @@
 
   async #run (route: Route): Promise<void> {
     const { clock } = this.#context
-    for (;;) {
+    while (!this.#refuseCrashing()) {
       const soughtAtMs = clock.readMonotonic()
       const found = await this.#context.targets.findTarget({
         request: this.#request, fingerprint: this.#fingerprint, route, service: this.#service, tried: this.#tried, ...this.#computeTimes(route), endsAtMs: this.#endsAtMs, isOver: () => this.#isOver
       })
       this.#placeMs += clock.readMonotonic() - soughtAtMs
       if (found.search) this.#searches.push(found.search)
-      if (this.#isOver) {
+      if (this.#isOver || this.#refuseCrashing()) {
         if (found.kind === 'found') found.target.end('withdrawn', -1)
         return
       }
@@ -176,7 +188,9 @@
       lastEventId: this.#attempt?.lastEventId
     })
     this.#attempt = attempt
+    this.#isSending = true
     const result = await attempt.run()
+    this.#isSending = false
     this.#lastPartAtMs = attempt.lastPartAtMs ?? this.#lastPartAtMs
     if (result.kind === 'answered') {
       this.#finish('served', `endpoint "${target.endpoint.id}" answered with status ${result.status}`)
@@ -242,7 +256,8 @@
     if (this.#isOver) return
     this.#isOver = true
     this.#timer?.cancel()
-    const { clock, log, board } = this.#context
+    const { clock, log, board, openContents } = this.#context
+    openContents.remove(this.#fingerprint, this)
     log.record(`request.${outcome}`, 'A request has ended.', {
       requestId: this.#request.requestId,
       content: this.#fingerprint,
--- a/src/tasks/peers/suspectTask.ts
+++ b/src/tasks/peers/suspectTask.ts
@@ -17,6 +17,8 @@
   /** All hosts, this one included. */
   listHosts: () => { address: string, host: string }[]
   send: (address: string, message: HostMessage) => void
+  /** Requests of a content are refused from now on. */
+  receiveRefused: (fingerprint: string) => void
 }
 
 /** Engines that a content may crash before it is refused; what the pages allow. */
@@ -78,7 +80,9 @@
   receiveSuspect ({ fingerprint, crashes }: SuspectRecord): void {
     const { clock, log } = this.#options
     const isNews = this.#register.addRecord({ fingerprint, crashes }, clock.readMonotonic())
-    if (isNews && this.findRefusal(fingerprint)) log.record('suspect.refused', 'Requests of this content are refused from now on, as they crash engines.', { content: fingerprint, crashes })
+    if (!isNews || !this.findRefusal(fingerprint)) return
+    log.record('suspect.refused', 'Requests of this content are refused from now on, as they crash engines.', { content: fingerprint, crashes })
+    this.#options.receiveRefused(fingerprint)
   }
 
   #findCounter (fingerprint: string): string {
