Hosts notice crashes beneath their own requests, at plain services too

Callers saw endpoints of plain services end beneath the same request without end, and engines whose owner was gone or changed at that moment. Ends of endpoints that had said that they leave do not count. What owners did for it is gone. A table of signs is played against the decision alone.

--- a/features/crashingRequests.feature
+++ b/features/crashingRequests.feature
@@ -2,7 +2,6 @@
   A request may crash each endpoint that begins to run it, and its caller sends it again. It reaches a few endpoints at most,
   whatever befalls hosts, the store and messages meanwhile.
 
-  @knownRed
   Scenario: A request that crashes endpoints of a plain service is refused on every host
     Given 3 hosts before a platform with 1 engine
     And crashed endpoints are back after 300 ms
@@ -39,3 +38,19 @@
     Given a request that waits for a place
     When its content is found to crash endpoints
     Then the request is refused for good and not sent
+
+  Scenario Outline: Endpoints that end beneath requests
+    Given a watch for crashes
+    When <events>
+    Then the crashes are <crashes>
+
+    Examples:
+      | events                                                                                     | crashes                          |
+      | "a" is cut at "i-1" of start 5, "b" is cut at "i-1" of start 5, "i-1" refuses              | i-1@5/1: a b                     |
+      | "a" is cut at "i-1" of start 5, "i-1" starts at 9                                          | i-1@5/1: a                       |
+      | "a" is cut at "i-1" of start 5, "i-1" starts at 5                                          | none                             |
+      | "a" is cut at "i-1" of start 5, 7000 ms pass, "i-1" starts at 9                            | none                             |
+      | "a" is cut at "i-1" of start 5, "i-1" refuses, "b" that was sent before is cut at "i-1" of start 5 | i-1@5/1: a, i-1@5/1: b   |
+      | "a" is cut at "i-1" of start 5, "i-1" refuses, "i-1" refuses                               | i-1@5/1: a                       |
+      | "a" is cut at "i-1" of start 5, "i-1" refuses, 1000 ms pass, "a" is cut at "i-1" of start 5, "i-1" refuses | i-1@5/1: a, i-1@5/2: a |
+      | "a" is cut at "i-1" of start 5, "i-1" starts at 9, "b" is cut at "i-1" of start 5          | i-1@5/1: a                       |
--- a/features/steps/crashingRequests.ts
+++ b/features/steps/crashingRequests.ts
@@ -2,6 +2,8 @@
 import assert from 'node:assert/strict'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Given, Then, When } from '@cucumber/cucumber'
+import { CrashWatch } from '../../src/core/crashWatch.js'
+import type { CrashNotice } from '../../src/core/crashWatch.js'
 import type { HostMessage } from '../../src/schemas/datagram.js'
 import type { CallKind } from '../../src/standin/fleet/fleetCaller.js'
 import type { StoreFault } from '../../src/standin/fleet/storeServer.js'
@@ -14,6 +16,12 @@
   waiting: WaitingRequest
 }
 
+interface CrashWatchWorld {
+  crashWatch: CrashWatch
+  nowMs: number
+  notices: (CrashNotice | undefined)[]
+}
+
 const crashBody = 'a question that crashes endpoints'
 /** Longer than an endpoint is away, with two of its heartbeats beyond. */
 const gapMs = 1000
@@ -71,3 +79,33 @@
 Then('the request is refused for good and not sent', function (this: WaitingWorld) {
   assert.deepEqual(this.waiting.read(), { status: 422, sends: 0 })
 })
+
+Given('a watch for crashes', function (this: CrashWatchWorld) {
+  this.crashWatch = new CrashWatch()
+  this.nowMs = 0
+  this.notices = []
+})
+
+/** What can be told of endpoints, each as its pattern and what follows from it. */
+const crashSigns: [RegExp, (world: CrashWatchWorld, ...parts: string[]) => void][] = [
+  [/^"(.+)"( that was sent before)? is cut at "(.+)" of start (\d+)$/, (world, content, wasBefore, endpointId, start) => {
+    const sentAtMs = wasBefore ? -1 : world.nowMs
+    world.nowMs++
+    world.notices.push(world.crashWatch.recordCut({ content: content!, endpointId: endpointId!, startedAtMs: Number(start), sentAtMs }, world.nowMs))
+  }],
+  [/^"(.+)" refuses$/, (world, endpointId) => world.notices.push(world.crashWatch.recordRefused(endpointId!, world.nowMs))],
+  [/^"(.+)" starts at (\d+)$/, (world, endpointId, start) => world.notices.push(world.crashWatch.recordStart(endpointId!, Number(start), world.nowMs))],
+  [/^(\d+) ms pass$/, (world, ms) => { world.nowMs += Number(ms) }]
+]
+
+When(/^("a" is cut at .*)$/, function (this: CrashWatchWorld, events: string) {
+  for (const event of events.split(', ')) {
+    const [pattern, record] = crashSigns.find(([candidate]) => candidate.test(event))!
+    record(this, ...pattern.exec(event)!.slice(1))
+  }
+})
+
+Then('the crashes are {}', function (this: CrashWatchWorld, expected: string) {
+  const crashes = this.notices.flatMap(notice => notice ? [`${notice.crash}: ${notice.contents.join(' ')}`] : [])
+  assert.equal(crashes.join(', ') || 'none', expected.trim())
+})
--- a/features/steps/engineWatch.ts
+++ b/features/steps/engineWatch.ts
@@ -80,7 +80,7 @@
     clock, log, endpointId: 'i-1', host: 'host-1', orders: engine, findFencing: () => 1, receiveMismatch: reason => this.engineWatch.checkState(reason)
   })
   this.engineWatch = new EngineWatch({
-    clock, log, orders: engine, endpointId: 'i-1', models: [{ name: 'base', weightsMb: 1, adapterMb: 1, loadMs: 600 }], line, receiveState: () => {}, receiveEarlyState: () => {}, receiveCrash: () => {}
+    clock, log, orders: engine, endpointId: 'i-1', models: [{ name: 'base', weightsMb: 1, adapterMb: 1, loadMs: 600 }], line, receiveState: () => {}, receiveEarlyState: () => {}
   })
   this.engineWatch.start(0)
   await clock.runUntilSettled(0)
--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -70,7 +70,7 @@
   }
   const request = new FrontRequest(context, served, new CallerAnswer(response as unknown as ServerResponse, () => {}))
   request.serve()
-  const link = { busy: 0, hasRoom: true, close: () => {}, send: () => { sends++; return { cancel: () => {}, resume: () => {} } } }
+  const link = { busy: 0, hasRoom: true, close: () => {}, send: () => { sends++; return { cancel: () => {}, resume: () => {} } }, probe: async () => 'open' as const }
   return {
     refuseContent: async () => {
       isRefused = true
--- a/src/adapters/endpointHttp/httpEndpointLink.ts
+++ b/src/adapters/endpointHttp/httpEndpointLink.ts
@@ -1,7 +1,7 @@
 /** Connections to one endpoint over HTTP/1.1, one request at a time on each. */
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
-import type { AnswerReceiver, EndpointLink, OutgoingRequest, Sending } from '../../ports/endpointLink.js'
+import type { AnswerReceiver, EndpointLink, OutgoingRequest, ProbeResult, Sending } from '../../ports/endpointLink.js'
 
 export interface HttpEndpointLinkOptions {
   /** `ip:port`. */
@@ -70,6 +70,17 @@
     return exchange
   }
 
+  async probe (): Promise<ProbeResult> {
+    const [hostname, port] = this.#options.address.split(':')
+    return await new Promise<ProbeResult>(resolve => {
+      connectSocket({ hostname: hostname!, port: port!, protocol: 'http:' }, (error, socket) => {
+        socket?.destroy()
+        if (!error) resolve('open')
+        else resolve((error as NodeJS.ErrnoException).code === 'ECONNREFUSED' ? 'refused' : 'silent')
+      })
+    })
+  }
+
   close (): void {
     this.#isClosed = true
     for (const { client } of this.#idle) destroyClient(client)
--- a/src/bin/createFront.ts
+++ b/src/bin/createFront.ts
@@ -11,6 +11,8 @@
 import type { EventLog } from '../ports/eventLog.js'
 import type { HostSettings } from '../schemas/hostSettings.js'
 import type { EndpointEntry } from '../schemas/routing.js'
+import { CrashTask } from '../tasks/front/crashTask.js'
+import type { CrashTaskOptions } from '../tasks/front/crashTask.js'
 import { CallersPort } from '../tasks/front/callersPort.js'
 import { EngineFinder } from '../tasks/front/engineFinder.js'
 import type { FrontContext } from '../tasks/front/frontContext.js'
@@ -25,6 +27,7 @@
   board: NewsBoard
   places: PlaceClient
   findCrashRefusal: FrontContext['findCrashRefusal']
+  reportCrash: CrashTaskOptions['reportCrash']
 }
 
 export interface Front {
@@ -33,6 +36,8 @@
   applyConfiguration: () => void
   /** Ends what waits for a place under a content that was found to crash endpoints. */
   refuseContent: (fingerprint: string) => void
+  /** An endpoint's entry has changed, or is gone. */
+  receiveEntry: (endpointId: string, entry: EndpointEntry | undefined) => void
 }
 
 /** Part of the memory that bodies of requests may take while they are held. */
@@ -40,7 +45,7 @@
 /** Part of an endpoint's connections that all hosts together use, as its operators and health checks need some. */
 const connectionsPart = 0.9
 
-export function createFront ({ settings, clock, log, board, places, findCrashRefusal }: FrontOptions): Front {
+export function createFront ({ settings, clock, log, board, places, findCrashRefusal, reportCrash }: FrontOptions): Front {
   const random = Math.random
   const health = new EndpointHealth()
   const budget = new SendBudget({
@@ -51,8 +56,11 @@
   const targets = new TargetFinder({ clock, board, health, engines, zone: settings.zone, random, findLink })
   const waits = new CallerWaits()
   const openContents = new OpenContents()
+  const crashes = new CrashTask({
+    clock, log, host: settings.hostName, reportCrash, isLeaving: endpointId => board.endpoints.find(endpointId, clock.readMonotonic())?.isLeaving ?? false
+  })
   const context: FrontContext = {
-    clock, log, board, health, budget, targets, waits, findCrashRefusal, openContents, random, encodeRequestHeaders, decodeAnswerHead, encodeRefusalHeaders
+    clock, log, board, health, budget, targets, waits, findCrashRefusal, openContents, crashes, random, encodeRequestHeaders, decodeAnswerHead, encodeRefusalHeaders
   }
   const callers = new CallersPort({
     address: settings.callersAddress,
@@ -70,6 +78,7 @@
   return {
     callers,
     refuseContent: fingerprint => openContents.refuse(fingerprint),
+    receiveEntry: (endpointId, entry) => crashes.receiveEntry(endpointId, entry),
     applyConfiguration: () => {
       callers.applyLimits()
       waits.keepRoutes(new Set(board.routes?.configuration.routes.map(route => route.name)))
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -113,6 +113,7 @@
     logChange(log, change)
     if (change.kind === 'configuration') front.applyConfiguration()
     if (change.kind === 'owner') places.receiveOwner(change.endpointId, change.owner?.row.address ?? '')
+    if (change.kind === 'endpoint') front.receiveEntry(change.id, change.entry)
     leaseParts.leases.receiveChange(change)
     desks.receiveChange(change)
   })
@@ -168,10 +169,11 @@
     host: settings.hostName,
     board,
     openOrders: endpoint => ports.openOrders(endpoint.id, endpoint.address),
-    findFencing: endpointId => leaseParts.leases.findFencing(endpointId),
-    receiveCrash: (crash, fingerprints) => suspects.reportCrash(crash, fingerprints)
+    findFencing: endpointId => leaseParts.leases.findFencing(endpointId)
+  })
+  const front: Front = createFront({
+    settings, clock, log, board, places, findCrashRefusal: fingerprint => suspects.findRefusal(fingerprint), reportCrash: (crash, contents) => suspects.reportCrash(crash, contents)
   })
-  const front: Front = createFront({ settings, clock, log, board, places, findCrashRefusal: fingerprint => suspects.findRefusal(fingerprint) })
   return { board, mirror, news, places, desks, front, leaseParts }
 }
 
--- a/src/ports/endpointLink.ts
+++ b/src/ports/endpointLink.ts
@@ -31,12 +31,17 @@
   resume: () => void
 }
 
+/** `refused`: no process listens at the endpoint's address; `silent`: no word in time, which tells nothing. */
+export type ProbeResult = 'open' | 'refused' | 'silent'
+
 export interface EndpointLink {
   /** Requests under way. */
   readonly busy: number
   /** Whether another request finds a connection within the cap. */
   readonly hasRoom: boolean
   send: (request: OutgoingRequest, receiver: AnswerReceiver) => Sending
+  /** Makes a connection and closes it. */
+  probe: () => Promise<ProbeResult>
   close: () => void
 }
 
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -24,9 +24,7 @@
   /** Ids of the prompt's parts and their tokens, in order. */
   parts: Type.Array(Type.Tuple([Type.String(), Type.Number()])),
   /** Whether the asker would rather go elsewhere than wait here. */
-  mayDecline: Type.Boolean(),
-  /** Hash of what the request asks, to recognise one that crashes engines. */
-  fingerprint: Type.String()
+  mayDecline: Type.Boolean()
 })
 export type PlaceAsk = Static<typeof placeAskSchema>
 
@@ -111,7 +109,7 @@
 })
 export type Held = Static<typeof heldSchema>
 
-/** An engine went away while requests of these contents ran; told to the host that counts them. */
+/** An endpoint went away while requests of these contents ran; told to the host that counts them. */
 export const crashReportSchema = Type.Object({
   type: Type.Literal('crashed'),
   /** Names the crash, so that it counts once. */
@@ -120,7 +118,7 @@
 })
 export type CrashReport = Static<typeof crashReportSchema>
 
-/** Tells all hosts of a content that several engines went away beneath. */
+/** Tells all hosts of a content that several endpoints went away beneath. */
 export const suspectSchema = Type.Object({ type: Type.Literal('suspect'), fingerprint: Type.String(), crashes: Type.Array(Type.String()) })
 
 /** Tells an adapter's home which other engine took a request for it. */
--- a/src/tasks/desk/deskTask.ts
+++ b/src/tasks/desk/deskTask.ts
@@ -7,7 +7,6 @@
 import type { HostMessage, PlaceAnswer } from '../../schemas/datagram.js'
 import type { EndpointEntry } from '../../schemas/routing.js'
 import { EndpointDesk } from './endpointDesk.js'
-import type { EndpointDeskOptions } from './endpointDesk.js'
 
 export interface DeskTaskOptions {
   clock: Clock
@@ -16,7 +15,6 @@
   board: NewsBoard
   openOrders: (endpoint: EndpointEntry) => EngineOrders
   findFencing: (endpointId: string) => number | undefined
-  receiveCrash: EndpointDeskOptions['receiveCrash']
 }
 
 /** Orders that a former owner sent just before it lost the endpoint arrive within this time. */
@@ -89,8 +87,7 @@
       orders: openOrders(entry),
       findFencing: () => this.#options.findFencing(endpointId),
       findVersion: (model, adapter) => board.findAdapterVersion(model, adapter),
-      settleMs: settle,
-      receiveCrash: this.#options.receiveCrash
+      settleMs: settle
     })
     this.#desks.set(endpointId, desk)
     desk.start()
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -1,7 +1,6 @@
 /** Gives out the places of one engine: takes asks, has adapters loaded and unloaded, and grants places. */
 import { AdapterDirectory } from '../../core/desk/adapterDirectory.js'
 import { formatAdapter, parseAdapter } from '../../core/desk/adapterName.js'
-import { BrokenRequests } from '../../core/desk/brokenRequests.js'
 import { DeskPlanner } from '../../core/desk/deskPlanner.js'
 import { describeLoad } from '../../core/desk/describeLoad.js'
 import type { DeskPlan, DeskVerdict } from '../../core/desk/deskRequest.js'
@@ -31,8 +30,6 @@
   findVersion: (model: string, adapter: string) => number
   /** Time before the first order, while orders of the former owner may still arrive, in milliseconds. */
   settleMs: number
-  /** The engine went away while requests of these contents ran. */
-  receiveCrash: (crash: string, fingerprints: readonly string[]) => void
 }
 
 /** A place whose holder was not heard of any more is free this long after its caller has left. */
@@ -63,7 +60,6 @@
   #wake: Timer | undefined
   #sweep: Timer | undefined
   #isPlanning = false
-  #broken = new BrokenRequests()
   #reportedAtMs = -Infinity
 
   constructor (options: EndpointDeskOptions) {
@@ -77,7 +73,7 @@
       receiveLoaded: (adapter, tookMs, isWarm) => log.record('adapter.loaded', 'An adapter is loaded.', { endpointId: options.entry.id, adapter, tookMs: Math.round(tookMs), isWarm })
     })
     this.#watch = new EngineWatch({
-      clock, log, orders, endpointId: options.entry.id, models: engine.models, line: this.#line, receiveState: (state, isRestarted) => this.#takeOver(state, isRestarted), receiveEarlyState: state => this.#receiveEarlyState(state), receiveCrash: () => this.#receiveCrash()
+      clock, log, orders, endpointId: options.entry.id, models: engine.models, line: this.#line, receiveState: (state, isRestarted) => this.#takeOver(state, isRestarted), receiveEarlyState: state => this.#receiveEarlyState(state)
     })
     this.#planner = new DeskPlanner({
       adapterSlots: engine.adapterSlots,
@@ -143,7 +139,6 @@
     const place = this.#places.get(key)
     if (!place) return
     this.#places.delete(key)
-    if (done.outcome === 'broken') this.#broken.record(place.ask.fingerprint, this.#options.clock.readMonotonic())
     if (done.firstPartMs >= 0 && done.outcome === 'served') this.#planner.recordFirstPart(key, done.firstPartMs)
     this.#planner.remove(key, done.outcome === 'served' ? this.#options.clock.readMonotonic() : undefined)
     if (done.outcome === 'missing') this.#receiveMissing(place)
@@ -256,18 +251,9 @@
     this.#places.delete(place.key)
   }
 
-  #receiveCrash (): void {
-    const { clock, receiveCrash } = this.#options
-    const nowMs = clock.readMonotonic()
-    const running = [...this.#places.values()].filter(place => place.isGranted).map(place => place.ask.fingerprint)
-    const fingerprints = this.#broken.take(running, nowMs)
-    if (fingerprints.length > 0) receiveCrash(`${this.endpointId}/${this.#options.host}/${Math.round(nowMs)}`, fingerprints)
-  }
-
   /** Frees places whose holders were lost. */
   #sweepPlaces (): void {
     const nowMs = this.#options.clock.readMonotonic()
-    this.#broken.sweep(nowMs)
     let isChanged = false
     for (const [key, place] of this.#places) {
       if (nowMs - place.receivedAtMs < place.ask.leavesInMs + lostPlaceMs) continue
--- a/src/tasks/desk/engineWatch.ts
+++ b/src/tasks/desk/engineWatch.ts
@@ -14,8 +14,6 @@
   line: OrderLine
   /** Takes a state that tells of every order so far; `isRestarted` where the engine has lost what it held before. */
   receiveState: (state: EngineState, isRestarted: boolean) => void
-  /** The engine went away, or started anew, and has lost what ran. */
-  receiveCrash: () => void
   /** Takes a state that orders of a former owner may yet change. */
   receiveEarlyState: (state: EngineState) => void
 }
@@ -43,7 +41,6 @@
   #lastCount = 0
   #wasRestarted = false
   #isUnreachable = false
-  #hasToldCrash = false
 
   constructor (options: EngineWatchOptions) {
     this.#options = options
@@ -117,7 +114,6 @@
       })
       this.#startedAtMs = startedAtMs
       this.#lastCount = state.orderCount
-      if (isRestarted) this.#recordCrash()
       if (isRestarted && line.count !== undefined) {
         line.close('the engine has started again')
         this.#isReady = false
@@ -131,14 +127,12 @@
         return state.isBusy ? rereadMs : await this.#loadModel()
       }
       this.#isReady = true
-      this.#hasToldCrash = false
       // While orders go on, a report that lags behind them says only that the engine answers.
       if (!isCurrent) return undefined
       this.#options.receiveState(state, isRestarted || this.#wasRestarted)
       this.#wasRestarted = false
       return undefined
     } catch (error) {
-      if (isGone(error)) this.#recordCrash()
       if (this.#isReady) log.record('engine.lost', 'An engine does not tell its state; it gives no places until it does.', { endpointId, reason, error: (error as Error).message })
       this.#isReady = false
       this.#isUnreachable = true
@@ -146,13 +140,6 @@
     }
   }
 
-  /** One crash is told once, however often it shows. */
-  #recordCrash (): void {
-    if (this.#hasToldCrash) return
-    this.#hasToldCrash = true
-    this.#options.receiveCrash()
-  }
-
   /** An engine that holds no model is given the first one of its service; returns when to read the state, unless it is known. */
   async #loadModel (): Promise<number | undefined> {
     const { models, line, log, endpointId } = this.#options
@@ -190,8 +177,3 @@
     await new Promise<void>(resolve => { this.#timer = this.#options.clock.setTimer(resolve, ms) })
   }
 }
-
-/** Whether nothing listens at the engine's address any more. */
-function isGone (error: unknown): boolean {
-  return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED'
-}
--- a/src/tasks/front/engineFinder.ts
+++ b/src/tasks/front/engineFinder.ts
@@ -163,7 +163,7 @@
   }
 
   #describeAsk (query: TargetQuery, endpoint: EndpointEntry, version: number, mayDecline: boolean): AskDetails {
-    const { request, fingerprint, route, dueAtMs, uselessAtMs, endsAtMs } = query
+    const { request, route, dueAtMs, uselessAtMs, endsAtMs } = query
     const nowMs = this.#options.clock.readMonotonic()
     return {
       endpointId: endpoint.id,
@@ -179,8 +179,7 @@
       promptTokens: request.promptTokens,
       maxTokens: request.maxTokens,
       parts: request.promptParts.map(({ id, tokens }) => [id, tokens]),
-      mayDecline,
-      fingerprint
+      mayDecline
     }
   }
 
--- a/src/tasks/front/frontContext.ts
+++ b/src/tasks/front/frontContext.ts
@@ -8,6 +8,7 @@
 import type { EventLog } from '../../ports/eventLog.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
 import type { AnswerHead, CallerRequest, SendMark } from '../../schemas/callerRequest.js'
+import type { CrashTask } from './crashTask.js'
 import type { TargetFinder } from './targetFinder.js'
 
 export interface FrontContext {
@@ -21,6 +22,7 @@
   /** The refusal of requests that crash engines, by a hash of what they ask. */
   findCrashRefusal: (fingerprint: string) => RequestFailure | undefined
   openContents: OpenContents
+  crashes: CrashTask
   /** A random number from 0 up to 1. */
   random: () => number
   encodeRequestHeaders: (request: CallerRequest, mark: SendMark) => string[]
--- a/src/tasks/front/frontRequest.ts
+++ b/src/tasks/front/frontRequest.ts
@@ -28,7 +28,7 @@
   #answer: CallerAnswer
   #route: Route | undefined
   #service = ''
-  /** Hash of what the request asks, computed once for all engines that are asked. */
+  /** Hash of what the request asks, to recognise one that crashes endpoints. */
   #fingerprint = ''
   #dueAtMs = 0
   /** When the caller had the last part of a stream. */
@@ -83,7 +83,7 @@
       return
     }
     this.#route = route
-    if (request.model !== '') this.#fingerprint = computeFingerprint(request)
+    this.#fingerprint = computeFingerprint(request)
     this.#service = pickService(route.targets, random()) ?? ''
     this.#dueAtMs = request.receivedAtMs + route.targetMs - this.#computeSpentMs(route, request)
     this.#endsAtMs = request.receivedAtMs + Math.min(request.timeLeftMs ?? defaultTimeLeftMs, route.timeoutMs)
@@ -123,7 +123,7 @@
     while (!this.#refuseCrashing()) {
       const soughtAtMs = clock.readMonotonic()
       const found = await this.#context.targets.findTarget({
-        request: this.#request, fingerprint: this.#fingerprint, route, service: this.#service, tried: this.#tried, ...this.#computeTimes(route), endsAtMs: this.#endsAtMs, isOver: () => this.#isOver
+        request: this.#request, route, service: this.#service, tried: this.#tried, ...this.#computeTimes(route), endsAtMs: this.#endsAtMs, isOver: () => this.#isOver
       })
       this.#placeMs += clock.readMonotonic() - soughtAtMs
       if (found.search) this.#searches.push(found.search)
@@ -189,6 +189,7 @@
     })
     this.#attempt = attempt
     this.#isSending = true
+    const sentAtMs = this.#context.clock.readMonotonic()
     const result = await attempt.run()
     this.#isSending = false
     this.#lastPartAtMs = attempt.lastPartAtMs ?? this.#lastPartAtMs
@@ -197,11 +198,7 @@
       return undefined
     }
     this.#heldAnswer = result.heldAnswer ?? this.#heldAnswer
-    if (isCut(result.failure)) {
-      this.#context.log.record('request.cut', 'The connection to an endpoint ended beneath a request, which may have run.', {
-        requestId: this.#request.requestId, content: this.#fingerprint, endpointId: target.endpoint.id, startedAtMs: target.endpoint.startedAtMs, reason: result.failure.reason
-      })
-    }
+    if (isCut(result.failure)) this.#recordCut(target, sentAtMs, result.failure.reason)
     if (result.failure.verdict !== 'notRun') {
       this.#mayHaveRun = true
       this.#runs++
@@ -210,6 +207,13 @@
     return result.failure
   }
 
+  #recordCut ({ endpoint, link }: Target, sentAtMs: number, reason: string): void {
+    const { log, crashes } = this.#context
+    const cut = { endpointId: endpoint.id, startedAtMs: endpoint.startedAtMs, content: this.#fingerprint, sentAtMs }
+    log.record('request.cut', 'The connection to an endpoint ended beneath a request, which may have run.', { requestId: this.#request.requestId, ...cut, reason })
+    crashes.receiveCut(cut, link)
+  }
+
   #receiveTimeout (): void {
     const isSent = this.#attempt?.isSent ?? false
     this.#attempt?.cancel()
--- a/src/tasks/front/targetFinder.ts
+++ b/src/tasks/front/targetFinder.ts
@@ -22,8 +22,6 @@
 
 export interface TargetQuery {
   request: CallerRequest
-  /** Hash of what the request asks. */
-  fingerprint: string
   route: Route
   service: string
   /** Endpoints that the request was sent to before. */
--- a/src/tasks/peers/suspectTask.ts
+++ b/src/tasks/peers/suspectTask.ts
@@ -1,6 +1,6 @@
 /**
- * Finds requests that crash engines and has every host refuse them. For each content one host counts, the first by
- * rendezvous hashing; it tells the others once a second engine went away beneath the same content.
+ * Finds requests that crash endpoints and has every host refuse them. For each content one host counts, the first by
+ * rendezvous hashing; it tells the others once a second endpoint went away beneath the same content.
  */
 import { computeHash } from '../../core/rendezvousHash.js'
 import { createCrashRefusal, defaultSuspectOptions, SuspectRegister } from '../../core/suspects.js'
@@ -21,7 +21,7 @@
   receiveRefused: (fingerprint: string) => void
 }
 
-/** Engines that a content may crash before it is refused; what the pages allow. */
+/** Endpoints that a content may crash before it is refused; what the pages allow. */
 const maxCrashes = 3
 /** From so many crashes on all hosts know, so that the third is noticed wherever the content comes next. */
 const toldCrashes = 2
@@ -42,10 +42,9 @@
     return this.#register.findState(fingerprint, this.#options.clock.readMonotonic()) === 'refused' ? createCrashRefusal(maxCrashes) : undefined
   }
 
-  /** An engine of this host went away while requests of these contents ran. */
+  /** An endpoint went away while requests of these contents ran on it. */
   reportCrash (crash: string, fingerprints: readonly string[]): void {
-    const { log, own, send } = this.#options
-    log.record('engine.crashed', 'An engine went away while requests ran; their contents are counted.', { crash, contents: [...new Set(fingerprints)] })
+    const { own, send } = this.#options
     const byHost = new Map<string, string[]>()
     for (const fingerprint of new Set(fingerprints)) {
       const address = this.#findCounter(fingerprint)
@@ -68,10 +67,10 @@
       this.#counted.delete(fingerprint)
       this.#counted.set(fingerprint, crashes)
       if (this.#counted.size > defaultSuspectOptions.maxSuspects) this.#counted.delete(this.#counted.keys().next().value!)
-      log.record('suspect.counted', 'An engine went away beneath a content.', { content: fingerprint, crash, crashes: crashes.size })
+      log.record('suspect.counted', 'An endpoint went away beneath a content.', { content: fingerprint, crash, crashes: crashes.size })
       if (crashes.size < toldCrashes) continue
       const record: SuspectRecord = { fingerprint, crashes: [...crashes] }
-      log.record('suspect.told', 'A content was running when several engines went away; all hosts are told.', { content: fingerprint, crashes: record.crashes })
+      log.record('suspect.told', 'A content was running when several endpoints went away; all hosts are told.', { content: fingerprint, crashes: record.crashes })
       this.receiveSuspect(record)
       for (const { address } of listHosts()) if (address !== own.address) send(address, { type: 'suspect', ...record })
     }
@@ -81,7 +80,7 @@
     const { clock, log } = this.#options
     const isNews = this.#register.addRecord({ fingerprint, crashes }, clock.readMonotonic())
     if (!isNews || !this.findRefusal(fingerprint)) return
-    log.record('suspect.refused', 'Requests of this content are refused from now on, as they crash engines.', { content: fingerprint, crashes })
+    log.record('suspect.refused', 'Requests of this content are refused from now on, as they crash endpoints.', { content: fingerprint, crashes })
     this.#options.receiveRefused(fingerprint)
   }
 
