A host that has just started knows of no outage of the store

Change: an age that is not known is no outage, neither a host's own nor one that a relay tells, which went as 1e9 ms.

--- a/features/hostFailures.feature
+++ b/features/hostFailures.feature
@@ -36,6 +36,11 @@
     And 6 streams for 3 adapters are sent within 600 ms
     And at least 5 of the last 6 streams are whole
 
+  Scenario: A host that has just started sends nothing to a service whose entry is removed
+    Given 2 hosts before a platform with 1 engine
+    When host 1 starts again, a service's entry is removed while it serves on, and 40 requests come to host 1 within 1500 ms
+    Then the service ran none of the requests that came 500 ms after the removal
+
   Scenario: A new engine without its model serves a second after its load
     Given 2 hosts before a platform with 1 engine
     When an engine comes that takes 500 ms to load its model
--- a/features/steps/hostFailures.ts
+++ b/features/steps/hostFailures.ts
@@ -4,13 +4,18 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { decodeHostsRow, hostsTable } from '../../src/schemas/hostRows.js'
-import { engineService } from '../../src/standin/fleet/startFleet.js'
+import { engineService, fleetPaths } from '../../src/standin/fleet/startFleet.js'
 import type { FleetEndpoint } from '../../src/standin/fleet/startFleet.js'
 import type { CallKind } from '../../src/standin/fleet/fleetCaller.js'
 import { call, findOwner, sendStreams, setFaults } from '../support/hostsWorld.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
 import { waitUntil } from '../support/waitUntil.js'
 
+interface RemovalWorld extends HostsWorld {
+  removed: FleetEndpoint
+  removedAtMs: number
+}
+
 Given('half of the streams break off', function (this: HostsWorld) {
   setFaults(this, endpoint => endpoint.engine !== undefined, { cuts: 0.5 })
 })
@@ -202,6 +207,25 @@
   assert.ok(performance.now() - startedAtMs < ms, `it took ${Math.round(performance.now() - startedAtMs)} ms`)
 })
 
+When('host {int} starts again, a service\'s entry is removed while it serves on, and {int} requests come to host {int} within {int} ms', async function (this: RemovalWorld, number: number, count: number, _host: number, withinMs: number) {
+  const host = this.hostFleet.hosts[number - 1]!
+  await this.hostFleet.stopHost(host)
+  await this.hostFleet.startHost(host)
+  await waitUntil(async () => await this.hostFleet.readStatus(number, `${fleetPaths.idempotent}x`) === 200)
+  this.removed = this.hostFleet.fleet.endpoints.find(({ engine }) => !engine)!
+  this.hostFleet.fleet.forgetEntry(this.removed)
+  this.removedAtMs = performance.now()
+  for (let index = 0; index < count; index++) {
+    await sleep(withinMs / count)
+    await call(this, { kind: 'once', host: number })
+  }
+})
+
+Then('the service ran none of the requests that came {int} ms after the removal', function (this: RemovalWorld, ms: number) {
+  const late = this.hostFleet.fleet.journal.runs.filter(run => run.endpointId === this.removed.id && run.startedAtMs > this.removedAtMs + ms)
+  assert.equal(late.length, 0, `${late.length} requests`)
+})
+
 When('an engine comes that takes {int} ms to load its model', async function (this: HostsWorld, ms: number) {
   await this.hostFleet.fleet.addEndpoint(engineService, ms)
 })
--- a/src/adapters/relay/httpRelay.ts
+++ b/src/adapters/relay/httpRelay.ts
@@ -10,6 +10,8 @@
 
 export const newsPath = '/news'
 export const transactPath = '/transact'
+/** Told as the age of news that never came, as numbers on this way are finite. */
+export const neverMs = 1e9
 
 /** Beyond the time that a call may wait for changes; peers answer within milliseconds. */
 const answerTimeoutMs = 600
@@ -42,7 +44,7 @@
       const bytes = Buffer.from(await body.arrayBuffer())
       if (statusCode !== 200) throw new VError('the peer at %s answered with status %d', address, statusCode)
       const news = parseNews(unpack(bytes))
-      return { ...news, rows: await Promise.all(news.rows.map(decodeRow)) }
+      return { ...news, storeAgeMs: news.storeAgeMs >= neverMs ? Infinity : news.storeAgeMs, rows: await Promise.all(news.rows.map(decodeRow)) }
     },
     transact: async (address, transaction) => {
       try {
--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -3,7 +3,7 @@
 import type { StoreOutcome, StoreTransaction } from './store.js'
 
 export interface RelayedNews extends MirrorChanges {
-  /** Milliseconds since the relay, or whom it follows, last heard from the store. */
+  /** Milliseconds since the relay, or whom it follows, last heard from the store; `Infinity` where neither ever did. */
   readonly storeAgeMs: number
 }
 
--- a/src/standin/fleet/startFleet.ts
+++ b/src/standin/fleet/startFleet.ts
@@ -127,6 +127,12 @@
     this.#tell(endpoint)
   }
 
+  /** Removes an endpoint's entry, as of one that leaves without a word; it goes on serving. */
+  forgetEntry (endpoint: FleetEndpoint): void {
+    endpoint.isTelling = false
+    this.rows.transact({ checks: [], writes: [], removals: [{ table: endpointsTable, key: endpoint.id }] })
+  }
+
   /** Takes an endpoint away; its entry lapses. */
   async removeEndpoint (endpoint: FleetEndpoint): Promise<void> {
     endpoint.isTelling = false
--- a/src/tasks/news/newsTask.ts
+++ b/src/tasks/news/newsTask.ts
@@ -243,7 +243,8 @@
     const { board, clock, log } = this.#options
     const ageMs = this.storeAgeMs
     const isLost = ageMs > storeAwayMs
-    if (isLost) board.endpoints.recordStoreAway(clock.readMonotonic(), ageMs)
+    // A host that never had any news knows of no outage: the time before its start is none.
+    if (isLost && Number.isFinite(ageMs)) board.endpoints.recordStoreAway(clock.readMonotonic(), ageMs)
     if (isLost === this.#isStoreLost) return
     this.#isStoreLost = isLost
     if (isLost) log.record('store.lost', 'No news of the store; the host goes on with what it knows.', { ageMs: Math.round(ageMs) })
--- a/src/tasks/news/relayServer.ts
+++ b/src/tasks/news/relayServer.ts
@@ -3,7 +3,7 @@
 import { Type } from '@sinclair/typebox'
 import { startHttpServer } from '../../adapters/httpServer/httpServer.js'
 import type { HttpReply, HttpServer } from '../../adapters/httpServer/httpServer.js'
-import { newsPath, transactPath } from '../../adapters/relay/httpRelay.js'
+import { neverMs, newsPath, transactPath } from '../../adapters/relay/httpRelay.js'
 import { encodeRow } from '../../adapters/relay/relayedRows.js'
 import type { RowMirror } from '../../core/rowMirror.js'
 import type { Clock } from '../../ports/clock.js'
@@ -23,8 +23,6 @@
 }
 
 const maxWaitMs = 5000
-/** Told as the age of news that never came. */
-const neverMs = 1e9
 const rowNameSchema = Type.Object({ table: Type.Union([Type.Literal(hostsTable), Type.Literal(renewalsTable)]), key: Type.String() })
 const parseTransaction = createParser(Type.Object({
   checks: Type.Array(Type.Composite([rowNameSchema, Type.Object({ version: Type.Number() })])),
