A host that has just started does not say that the store is away

An owner that is cut off from the store asks its peers whether the store is away for all, and goes on giving orders where most say so. Cause: a peer that never reached the store told an age without bound from its first millisecond on, so that peers that had all just started made an outage of what was a cut. Change: a peer that never reached the store tells its own time since its start, and nothing before 1.4 s of it, which counts as no word.

--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -22,25 +22,29 @@
 /** What a host tells of itself when asked. */
 export interface HostState {
   readonly session: string
-  /** Milliseconds since the store itself answered it. */
-  readonly storeAgeMs: number
+  /** Milliseconds since the store itself answered it, or since its start where it never did; undefined where it has just started. */
+  readonly storeAgeMs: number | undefined
 }
 
 /** A host that does not answer one of three questions within this time counts as not running. */
 const pingTimeoutMs = 250
 const pingCount = 3
-/** Told where the host never reached the store. */
-const neverMs = 1e9
+/** Told by a host that has not reached the store yet and has started too recently to say that it is away. */
+const unknownAgeMs = 1e9
+/** Time after which a host that never reached the store may say so; hosts that run take the store for away as late. */
+const firstAnswerMs = 1400
 
 export class PeerTask {
   #options: PeerTaskOptions
   #pings = new Map<number, (state: HostState | undefined) => void>()
   #nextPing = 1
   #heardAtMs: number
+  #startedAtMs: number
 
   constructor (options: PeerTaskOptions) {
     this.#options = options
-    this.#heardAtMs = options.clock.readMonotonic()
+    this.#startedAtMs = options.clock.readMonotonic()
+    this.#heardAtMs = this.#startedAtMs
     options.datagrams.receive((message, sender) => {
       this.#heardAtMs = options.clock.readMonotonic()
       this.#receive(message, sender)
@@ -90,17 +94,25 @@
     })
   }
 
+  #describeStoreAge (): number {
+    const ageMs = this.#options.readStoreAgeMs()
+    const upMs = this.#options.clock.readMonotonic() - this.#startedAtMs
+    if (Number.isFinite(ageMs)) return ageMs
+    return upMs > firstAnswerMs ? upMs : unknownAgeMs
+  }
+
   #receive (message: HostMessage, sender: DatagramSender): void {
-    const { datagrams, own, readStoreAgeMs, receiveAtDesk, receiveAnswer, receiveConfirmation, receiveRenewal, receiveRenewalReply } = this.#options
+    const { datagrams, own, receiveAtDesk, receiveAnswer, receiveConfirmation, receiveRenewal, receiveRenewalReply } = this.#options
     if (message.type === 'ask' || message.type === 'done' || message.type === 'placed' || message.type === 'held') {
       receiveAtDesk(message, sender, answer => datagrams.send(sender.address, answer))
       if (message.type === 'done') datagrams.send(sender.address, { type: 'doneReceived', ids: [message.id] })
     } else if (message.type === 'doneReceived') {
       receiveConfirmation(message.ids)
     } else if (message.type === 'ping') {
-      datagrams.send(sender.address, { type: 'pong', echo: message.echo, session: own.session, storeAgeMs: Math.min(neverMs, readStoreAgeMs()) })
+      datagrams.send(sender.address, { type: 'pong', echo: message.echo, session: own.session, storeAgeMs: this.#describeStoreAge() })
     } else if (message.type === 'pong') {
-      this.#pings.get(message.echo)?.(message)
+      const { session, storeAgeMs } = message
+      this.#pings.get(message.echo)?.({ session, storeAgeMs: storeAgeMs === unknownAgeMs ? undefined : storeAgeMs })
     } else if (message.type === 'suspect') {
       this.#options.receiveSuspect(message)
     } else if (message.type === 'renew') {
