The stand-in strikes even shares of answers, so that a bound on whole answers holds every time

Cause: half of the answers broke off by independent draws, and each request has two attempts, so that by chance some runs stay below the bound. Change: faults that strike a part of what happens take evenly spread draws (multiples of the golden ratio). With exactly half of all answers broken off, at least 26 of 40 requests end whole however the broken ones fall, so 25 can only be missed for a fault of the program.

--- a/src/standin/fleet/startFleet.ts
+++ b/src/standin/fleet/startFleet.ts
@@ -2,6 +2,7 @@
 import type { RoutingConfiguration } from '../../schemas/routing.js'
 import { encodeConfigurationRow, encodeEntryRow, encodeVersionRow } from '../../platform/standinWire.js'
 import { endpointsTable } from '../../platform/wireNames.js'
+import { createEvenDraws } from './createEvenDraws.js'
 import { startEndpointServer } from './endpointServer.js'
 import type { EndpointServer } from './endpointServer.js'
 import { FleetEngine } from './fleetEngine.js'
@@ -16,6 +17,7 @@
   adapterSlots: number
   zones: readonly string[]
   heartbeatMs: number
+  /** Draws that decide which requests a fault strikes; even ones where left out. */
   random: () => number
   /** Returns the address under which hosts reach an endpoint at `ip:port`. */
   openRoute: (id: string, address: string) => Promise<string>
@@ -41,8 +43,8 @@
 /** Paths of the routes by what they do. */
 export const fleetPaths = Object.freeze({ stream: '/stream/', once: '/once/', resumable: '/resumable/', idempotent: '/safe/' })
 
-export const defaultFleetOptions: FleetOptions = Object.freeze({
-  engines: 3, services: 2, adapterSlots: 4, zones: ['a', 'b'], heartbeatMs: 300, random: Math.random, openRoute: async (_id: string, address: string) => address
+export const defaultFleetOptions: Omit<FleetOptions, 'random'> = Object.freeze({
+  engines: 3, services: 2, adapterSlots: 4, zones: ['a', 'b'], heartbeatMs: 300, openRoute: async (_id: string, address: string) => address
 })
 
 /** Entries that were not written for this long are removed, in heartbeats. */
@@ -56,7 +58,7 @@
  * fleet.store.address // '127.0.0.1:41873'
  */
 export async function startFleet (changes: Partial<FleetOptions> = {}): Promise<Fleet> {
-  const options = { ...defaultFleetOptions, ...changes }
+  const options: FleetOptions = { ...defaultFleetOptions, random: createEvenDraws(), ...changes }
   const rows = new RowStore()
   const store = await startStoreServer(rows, '127.0.0.1:0')
   const fleet = new Fleet(options, rows, store)
