Keep to what endpoints say in their answers: that they leave, or want nothing for a while

An endpoint that leaves now says so in every answer, and one that rejects a request with 503 may say for how long it wants nothing. Hosts knew nothing of either: they went on sending until the store told of the leaving, and came back at once to what had rejected them. Now a host that was told sends nothing new to the process that said so, whether or not the store has told it or can be reached: choices leave it out, a grant that comes later is given back, what waits for a place there is placed anew, orders are refused and questions wait. The owner of an engine hears of its leaving, loads nothing there and gives no places for 5 s after the last sign, so that a false one passes; also for leavings that the store tells, what waits there is now released. While all endpoints of a service want nothing, callers are refused at once with the time of the first one, spread over 0.5 s. Times that cannot be read are ignored with a line. Not shown: an engine's signs at hosts that do not own it, as its owner refuses places too.

--- a/src/bin/createFront.ts
+++ b/src/bin/createFront.ts
@@ -2,6 +2,7 @@
 import { openHttpEndpointLink } from '../adapters/endpointHttp/httpEndpointLink.js'
 import { CallerWaits } from '../core/callerWaits.js'
 import { EndpointHealth } from '../core/endpointHealth.js'
+import type { EndpointSigns } from '../core/endpointSigns.js'
 import type { NewsBoard } from '../core/newsBoard.js'
 import { OpenContents } from '../core/openContents.js'
 import { SendBudget } from '../core/sendBudget.js'
@@ -18,6 +19,7 @@
 import type { FrontContext } from '../tasks/front/frontContext.js'
 import { FrontRequest } from '../tasks/front/frontRequest.js'
 import type { PlaceClient } from '../tasks/front/placeClient.js'
+import { SignTask } from '../tasks/front/signTask.js'
 import { TargetFinder } from '../tasks/front/targetFinder.js'
 
 export interface FrontOptions {
@@ -27,6 +29,7 @@
   board: NewsBoard
   places: PlaceClient
   suspects: FrontContext['suspects']
+  signs: EndpointSigns
   reportCrash: CrashTaskOptions['reportCrash']
 }
 
@@ -47,22 +50,32 @@
 /** Part of an endpoint's connections that all hosts together use, as its operators and health checks need some. */
 const connectionsPart = 0.9
 
-export function createFront ({ settings, clock, log, board, places, suspects, reportCrash }: FrontOptions): Front {
+export function createFront ({ settings, clock, log, board, places, suspects, signs, reportCrash }: FrontOptions): Front {
   const random = Math.random
   const health = new EndpointHealth()
   const budget = new SendBudget({
     share: settings.retryShare, extra: settings.retryExtra, windowMs: settings.retryWindowMs, countHosts: () => board.hosts.size
   })
   const findLink = createLinks(board)
+  const signTask = new SignTask({
+    clock,
+    log,
+    signs,
+    tellOwner: leaving => {
+      const address = board.owners.get(leaving.endpointId)?.row.address
+      if (address) places.tellLeaving(address, leaving)
+    },
+    withdrawFrom: (endpointId, reason) => places.withdrawFrom(endpointId, reason)
+  })
   const engines = new EngineFinder({ clock, log, board, health, places, random, findLink })
-  const targets = new TargetFinder({ clock, board, health, engines, zone: settings.zone, random, findLink })
+  const targets = new TargetFinder({ clock, board, health, signs, engines, zone: settings.zone, random, findLink })
   const waits = new CallerWaits()
   const openContents = new OpenContents()
   const crashes = new CrashTask({
     clock, log, reportCrash, isLeaving: endpointId => board.endpoints.find(endpointId, clock.readMonotonic())?.isLeaving ?? false
   })
   const context: FrontContext = {
-    clock, log, board, health, budget, targets, waits, suspects, openContents, crashes, random, encodeRequestHeaders, decodeAnswerHead, encodeRefusalHeaders
+    clock, log, board, health, budget, targets, waits, suspects, openContents, crashes, signs, signTask, random, encodeRequestHeaders, decodeAnswerHead, encodeRefusalHeaders
   }
   const callers = new CallersPort({
     address: settings.callersAddress,
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -4,6 +4,7 @@
 import { openEventLog } from '../adapters/eventLog/pinoEventLog.js'
 import type { OpenLog } from '../adapters/eventLog/pinoEventLog.js'
 import { createHttpRelay } from '../adapters/relay/httpRelay.js'
+import { EndpointSigns } from '../core/endpointSigns.js'
 import { NewsBoard } from '../core/newsBoard.js'
 import type { DecodeNews } from '../core/newsBoard.js'
 import { SourceList } from '../core/newsSource.js'
@@ -19,6 +20,7 @@
 import type { Store } from '../ports/store.js'
 import type { HostSettings } from '../schemas/hostSettings.js'
 import { hostsTable, renewalsTable } from '../schemas/hostRows.js'
+import { createPausedOrders } from '../tasks/desk/pausedOrders.js'
 import { DeskTask } from '../tasks/desk/deskTask.js'
 import { createCountedLog, HostMetrics } from '../tasks/hostMetrics/hostMetrics.js'
 import { startMetricsServer } from '../tasks/hostMetrics/metricsServer.js'
@@ -167,16 +169,17 @@
     formatRelayAddress,
     receiveOwnership: (endpointId, fencing, wasOwn) => desks.receiveOwnership(endpointId, fencing, wasOwn)
   })
+  const signs = new EndpointSigns()
   const desks = new DeskTask({
     clock,
     log,
     host: settings.hostName,
     board,
-    openOrders: endpoint => ports.openOrders(endpoint.id, endpoint.address),
+    openOrders: endpoint => createPausedOrders(ports.openOrders(endpoint.id, endpoint.address), clock, () => signs.readPausedMs(board.endpoints.find(endpoint.id, clock.readMonotonic()) ?? endpoint, clock.readMonotonic())),
     findFencing: endpointId => leaseParts.leases.findFencing(endpointId)
   })
   const front: Front = createFront({
-    settings, clock, log, board, places, suspects, reportCrash: (crash, contents) => suspects.reportCrash(crash, contents)
+    settings, clock, log, board, places, suspects, signs, reportCrash: (crash, contents) => suspects.reportCrash(crash, contents)
   })
   return { board, mirror, news, places, desks, front, leaseParts, suspects }
 }
--- a/src/platform/requestWire.ts
+++ b/src/platform/requestWire.ts
@@ -88,7 +88,9 @@
     values.set(name, rawHeaders[index + 1]!)
     if (!hopHeaders.has(name)) headers.push(rawHeaders[index]!, rawHeaders[index + 1]!)
   }
-  const retryAfterS = readOptionalNumber(values.get(wireHeaders.retryAfter))
+  const retryAfter = values.get(wireHeaders.retryAfter)
+  const retryAfterS = readOptionalNumber(retryAfter)
+  const isRetryAfterValid = retryAfterS !== undefined && retryAfterS >= 0
   const contentLength = readOptionalNumber(values.get('content-length'))
   return {
     status,
@@ -97,7 +99,9 @@
     isSigned: values.has(wireHeaders.signature),
     isNotRun: values.has(wireHeaders.notRun) || status === misdirectedStatus,
     load: decodeLoad(values.get(wireHeaders.load)),
-    retryAfterMs: retryAfterS === undefined ? undefined : retryAfterS * 1000,
+    retryAfterMs: isRetryAfterValid ? retryAfterS * 1000 : undefined,
+    unreadableRetryAfter: isRetryAfterValid ? undefined : retryAfter,
+    isLeaving: values.get(wireHeaders.leaving) === '1',
     contentLength,
     isEncoded: values.has('content-encoding'),
     isClosing: (values.get('connection') ?? '').toLowerCase().includes('close')
--- a/src/platform/standinWire.ts
+++ b/src/platform/standinWire.ts
@@ -74,7 +74,7 @@
 export function encodeEntryRow (entry: EndpointEntry): { table: string, key: string, value: Uint8Array } {
   const { service, address, zone, places, isLeaving, goneInMs, startedAtMs, models, orderCount } = entry
   const body = {
-    service, address, zone, version: 'v1', slots: places, state: isLeaving ? 'draining' : 'ready', remainingMs: goneInMs, born: startedAtMs, models: encodeModels(models), sequence: orderCount
+    service, address, zone, version: 'v1', slots: places, state: isLeaving ? 'draining' : 'ready', remainingMs: goneInMs, born: startedAtMs === 0 ? undefined : startedAtMs, models: encodeModels(models), sequence: orderCount
   }
   return { table: endpointsTable, key: entry.id, value: Buffer.from(JSON.stringify(body)) }
 }
@@ -149,10 +149,20 @@
 }
 
 /** Headers of an endpoint's answer: a signed one, or the promise that nothing ran. */
-export function encodeAnswerHeaders (requestId: string, signature: string | undefined): Record<string, string> {
-  return signature === undefined
-    ? { [wireHeaders.requestId]: requestId, [wireHeaders.notRun]: '1' }
-    : { [wireHeaders.requestId]: requestId, [wireHeaders.signature]: signature }
+export function encodeAnswerHeaders (requestId: string, signature: string | undefined, { isLeaving = false, retryAfter = '' }: AnswerSigns = {}): Record<string, string> {
+  return {
+    [wireHeaders.requestId]: requestId,
+    ...(signature === undefined ? { [wireHeaders.notRun]: '1' } : { [wireHeaders.signature]: signature }),
+    ...(isLeaving && { [wireHeaders.leaving]: '1' }),
+    ...(retryAfter !== '' && { [wireHeaders.retryAfter]: retryAfter })
+  }
+}
+
+/** What an endpoint says of itself in an answer. */
+export interface AnswerSigns {
+  isLeaving?: boolean
+  /** Empty for none. */
+  retryAfter?: string
 }
 
 /** Headers of a caller's request, for load generators and tests. */
--- a/src/platform/wireNames.ts
+++ b/src/platform/wireNames.ts
@@ -12,6 +12,8 @@
   load: 'instance-load',
   notRun: 'not-executed',
   retryAfter: 'retry-after',
+  /** On any answer of an endpoint that leaves. */
+  leaving: 'server-leaving',
   endpointId: 'instance-id',
   model: 'model',
   tokens: 'token-usage',
--- a/src/schemas/callerRequest.ts
+++ b/src/schemas/callerRequest.ts
@@ -39,7 +39,12 @@
   /** The endpoint promises that it did not run the request and never will. */
   readonly isNotRun: boolean
   readonly load: EndpointLoad | undefined
+  /** For how long the endpoint wants nothing from this host. */
   readonly retryAfterMs: number | undefined
+  /** A time to come back that is negative, a date or no number. */
+  readonly unreadableRetryAfter: string | undefined
+  /** The endpoint says that it leaves. */
+  readonly isLeaving: boolean
   /** Length of the body where the answer tells it. */
   readonly contentLength: number | undefined
   readonly isEncoded: boolean
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -123,6 +123,15 @@
 })
 export type Placed = Static<typeof placedSchema>
 
+/** An engine told a front that it leaves; told to the engine's owner. */
+export const leavingSchema = Type.Object({
+  type: Type.Literal('leaving'),
+  endpointId: Type.String(),
+  /** Start of the process that said so. */
+  startedAtMs: Type.Number()
+})
+export type Leaving = Static<typeof leavingSchema>
+
 /** Confirms outcomes, so that they are not sent again. */
 export const doneReceivedSchema = Type.Object({ type: Type.Literal('doneReceived'), ids: Type.Array(Type.Integer()) })
 
@@ -167,7 +176,7 @@
 export type RenewalReply = Static<typeof renewalQueuedSchema> | RenewalAnswer
 
 export const hostMessageSchema = Type.Union([
-  placeAskSchema, placeGrantSchema, placeQueuedSchema, placeRefusalSchema, placeDoneSchema, heldSchema, suspectSchema, placedSchema, doneReceivedSchema, pingSchema, pongSchema,
+  placeAskSchema, placeGrantSchema, placeQueuedSchema, placeRefusalSchema, placeDoneSchema, heldSchema, suspectSchema, placedSchema, leavingSchema, doneReceivedSchema, pingSchema, pongSchema,
   renewalAskSchema, renewalQueuedSchema, renewalAnswerSchema
 ])
 export type HostMessage = Static<typeof hostMessageSchema>
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -34,9 +34,13 @@
   crashBody: string
   /** Time from a crash to the next start, in which connections are refused; 0 for a start at once. */
   downMs: number
+  /** Every answer says that the endpoint leaves. */
+  isLeaving: boolean
+  /** Requests are rejected as if the endpoint were full, with this as the time to come back; empty for none. */
+  retryAfter: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedCuts: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', downMs: 0 })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedCuts: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', downMs: 0, isLeaving: false, retryAfter: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -157,11 +161,17 @@
     const { id, engine, places } = this.#options
     const marks = decodeMarks(request.headers)
     const requestId = marks.requestId ?? ''
+    const { isLeaving, retryAfter } = this.faults
+    if (retryAfter !== '') {
+      this.#options.journal.reject(id, requestId, readNow())
+      response.writeHead(503, encodeAnswerHeaders(requestId, undefined, { isLeaving, retryAfter })).end()
+      return
+    }
     const refusal = marks.endpointId !== undefined && marks.endpointId !== id
       ? 421
       : engine ? engine.findRefusal(marks.adapter, marks.version) : this.#running >= places * 4 ? 503 : undefined
     if (refusal !== undefined) {
-      response.writeHead(refusal, encodeAnswerHeaders(requestId, undefined)).end()
+      response.writeHead(refusal, encodeAnswerHeaders(requestId, undefined, { isLeaving })).end()
       return
     }
     this.#run(request, response, marks)
@@ -183,7 +193,7 @@
       engine?.recordRun(marks.adapter, -1)
     }
     response.on('close', () => finish('left'))
-    const headers = encodeAnswerHeaders(run.requestId, `signed by ${id}`)
+    const headers = encodeAnswerHeaders(run.requestId, `signed by ${id}`, { isLeaving: this.faults.isLeaving })
     if (random() < this.faults.errors) {
       setTimeout(() => {
         finish('broken')
--- a/src/standin/fleet/runJournal.ts
+++ b/src/standin/fleet/runJournal.ts
@@ -16,8 +16,16 @@
   adapterVersion: number | undefined
 }
 
+/** A request that an endpoint did not run. */
+export interface Rejection {
+  requestId: string
+  endpointId: string
+  atMs: number
+}
+
 export class RunJournal {
   readonly runs: RunRecord[] = []
+  readonly rejections: Rejection[] = []
   #byRequest = new Map<string, RunRecord[]>()
 
   start (run: Omit<RunRecord, 'endedAtMs' | 'outcome'>): RunRecord {
@@ -27,6 +35,10 @@
     return record
   }
 
+  reject (endpointId: string, requestId: string, atMs: number): void {
+    this.rejections.push({ requestId, endpointId, atMs })
+  }
+
   listRuns (requestId: string): RunRecord[] {
     return this.#byRequest.get(requestId) ?? []
   }
--- a/src/tasks/desk/deskTask.ts
+++ b/src/tasks/desk/deskTask.ts
@@ -50,6 +50,7 @@
   receiveMessage (message: HostMessage, sender: Pick<DatagramSender, 'session'>, answer: (message: PlaceAnswer) => void): void {
     if (message.type === 'held') this.#desks.get(message.endpointId)?.receiveHeld(sender.session, message)
     if (message.type === 'placed') this.#desks.get(message.endpointId)?.receivePlaced(message)
+    if (message.type === 'leaving') this.#desks.get(message.endpointId)?.receiveLeaving(message)
     if (message.type !== 'ask' && message.type !== 'done') return
     const key = `${sender.session}.${message.id}`
     const desk = this.#desks.get(message.endpointId)
--- a/src/tasks/desk/endpointDesk.ts
+++ b/src/tasks/desk/endpointDesk.ts
@@ -8,7 +8,7 @@
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { EngineOrders, EngineState } from '../../ports/orders.js'
-import type { Held, Placed, PlaceAnswer, PlaceAsk, PlaceDone } from '../../schemas/datagram.js'
+import type { Held, Leaving, Placed, PlaceAnswer, PlaceAsk, PlaceDone } from '../../schemas/datagram.js'
 import type { EndpointEntry, EngineShape } from '../../schemas/routing.js'
 import { EngineWatch } from './engineWatch.js'
 import { ForeignRuns } from './foreignRuns.js'
@@ -35,6 +35,8 @@
 /** A place whose holder was not heard of any more is free this long after its caller has left. */
 const lostPlaceMs = 1000
 const sweepIntervalMs = 500
+/** For how long an owner takes one host's word that an engine leaves; later signs prolong it, and a false one passes. */
+const leavingTermMs = 5000
 /** Time between two log lines about an engine's load. */
 const reportIntervalMs = 1000
 /** Version of adapters for which none was declared. */
@@ -61,6 +63,8 @@
   #sweep: Timer | undefined
   #isPlanning = false
   #reportedAtMs = -Infinity
+  /** Until when the engine counts as leaving by its own answers. */
+  #leavingUntilMs = -Infinity
 
   constructor (options: EndpointDeskOptions) {
     this.#options = options
@@ -116,7 +120,36 @@
   receiveEntry (entry: EndpointEntry): void {
     const isRestarted = entry.startedAtMs !== this.#entry.startedAtMs
     this.#entry = entry
-    if (isRestarted) this.#line.close('its entry tells of a new start')
+    if (isRestarted) {
+      this.#leavingUntilMs = -Infinity
+      this.#line.close('its entry tells of a new start')
+    }
+    if (entry.isLeaving) this.#releaseWaiting()
+  }
+
+  /** A host was told by the engine itself that it leaves. */
+  receiveLeaving ({ startedAtMs }: Leaving): void {
+    if (startedAtMs !== this.#entry.startedAtMs) return
+    const { clock, log } = this.#options
+    const nowMs = clock.readMonotonic()
+    const wasLeaving = this.#isLeaving(nowMs)
+    this.#leavingUntilMs = nowMs + leavingTermMs
+    if (wasLeaving) return
+    log.record('engine.leaving', 'An engine says in its answers that it leaves; it gets no loads and gives no places for a while.', { endpointId: this.endpointId, startedAtMs, remainingMs: leavingTermMs })
+    this.#releaseWaiting()
+  }
+
+  #isLeaving (nowMs: number): boolean {
+    return this.#entry.isLeaving || nowMs < this.#leavingUntilMs
+  }
+
+  /** What waits here is placed elsewhere while there is time to load its adapter there. */
+  #releaseWaiting (): void {
+    for (const place of [...this.#places.values()]) {
+      if (place.isGranted) continue
+      this.#planner.remove(place.key)
+      this.#refuse(place, 'endpoint_leaving', `endpoint "${this.endpointId}" is leaving`, 0)
+    }
   }
 
   receiveAsk (key: string, ask: PlaceAsk, answer: AnswerAsk): void {
@@ -196,7 +229,7 @@
 
   /** Why the engine gives no places now, whatever its load. */
   #findObstacle ({ ask }: Place): { code: string, reason: string } | undefined {
-    if (this.#entry.isLeaving) return { code: 'endpoint_leaving', reason: `endpoint "${this.endpointId}" is leaving` }
+    if (this.#isLeaving(this.#options.clock.readMonotonic())) return { code: 'endpoint_leaving', reason: `endpoint "${this.endpointId}" is leaving` }
     // Asks that come before the first report wait for it.
     if (!this.#watch.isReady && !this.#watch.isStarting) return { code: 'endpoint_not_ready', reason: `endpoint "${this.endpointId}" does not tell its state` }
     const isPlaced = ask.adapter === '' || this.#planner.places.find(formatAdapter(ask)) !== undefined
--- a/src/tasks/front/attempt.ts
+++ b/src/tasks/front/attempt.ts
@@ -108,6 +108,7 @@
   receiveHead (status: number, rawHeaders: readonly string[]): void {
     const head = this.#context.decodeAnswerHead(status, rawHeaders)
     const { target, request, route } = this.#options
+    this.#context.signTask.receiveHead(target.endpoint, head)
     if (head.load) this.#context.health.recordLoad(target.endpoint.id, head.load, this.#context.clock.readMonotonic())
     if (head.requestId !== undefined && head.requestId !== request.requestId) {
       this.#failAndCancel(`the endpoint sent the answer to another request, "${head.requestId}"`)
--- a/src/tasks/front/frontContext.ts
+++ b/src/tasks/front/frontContext.ts
@@ -1,5 +1,6 @@
 /** What the parts of a front share. */
 import type { CallerWaits } from '../../core/callerWaits.js'
+import type { EndpointSigns } from '../../core/endpointSigns.js'
 import type { EndpointHealth } from '../../core/endpointHealth.js'
 import type { NewsBoard } from '../../core/newsBoard.js'
 import type { OpenContents } from '../../core/openContents.js'
@@ -9,6 +10,7 @@
 import type { AnswerHead, CallerRequest, SendMark } from '../../schemas/callerRequest.js'
 import type { SuspectTask } from '../peers/suspectTask.js'
 import type { CrashTask } from './crashTask.js'
+import type { SignTask } from './signTask.js'
 import type { TargetFinder } from './targetFinder.js'
 
 export interface FrontContext {
@@ -23,6 +25,8 @@
   suspects: Pick<SuspectTask, 'findRefusal' | 'isSuspect' | 'recordServed'>
   openContents: OpenContents
   crashes: CrashTask
+  signs: EndpointSigns
+  signTask: SignTask
   /** A random number from 0 up to 1. */
   random: () => number
   encodeRequestHeaders: (request: CallerRequest, mark: SendMark) => string[]
--- a/src/tasks/front/frontRequest.ts
+++ b/src/tasks/front/frontRequest.ts
@@ -137,6 +137,11 @@
         this.#giveUp({ verdict: 'notRun', reason: found.message, status: undefined }, found.retryAfterMs)
         return
       }
+      // The endpoint may have said so while the request waited for its place.
+      if (!this.#context.signs.mayTake(found.target.endpoint, clock.readMonotonic())) {
+        found.target.end('withdrawn', -1)
+        continue
+      }
       const isRepeat = this.#sends > 0
       if (isRepeat && !this.#context.budget.takeRepeat(this.#service, clock.readMonotonic())) {
         found.target.end('withdrawn', -1)
--- a/src/tasks/front/placeClient.ts
+++ b/src/tasks/front/placeClient.ts
@@ -1,7 +1,7 @@
 /** Asks the owners of endpoints for places, and tells them what became of each. */
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Datagrams } from '../../ports/datagrams.js'
-import type { DeskLoad, Held, HostMessage, Placed, PlaceAnswer, PlaceAsk, PlaceDone, PlaceOutcome } from '../../schemas/datagram.js'
+import type { DeskLoad, Held, HostMessage, Leaving, Placed, PlaceAnswer, PlaceAsk, PlaceDone, PlaceOutcome } from '../../schemas/datagram.js'
 
 export interface PlaceClientOptions {
   clock: Clock
@@ -130,6 +130,20 @@
     this.#send(address, placed)
   }
 
+  /** Tells the owner of an engine that it leaves; later signs tell it again where this is lost. */
+  tellLeaving (address: string, leaving: Leaving): void {
+    this.#send(address, leaving)
+  }
+
+  /** Ends what waits for a place at an endpoint, so that it looks for another one. */
+  withdrawFrom (endpointId: string, message: string): void {
+    for (const open of [...this.#asks.values()]) {
+      if (open.ask.endpointId !== endpointId) continue
+      this.#endPlace(open, 'withdrawn', -1)
+      open.settle({ kind: 'refused', code: 'endpoint_leaving', message, retryAfterMs: 0, expectedMs: -1, load: undefined, elsewhere: undefined })
+    }
+  }
+
   receiveAnswer (answer: PlaceAnswer): void {
     const open = this.#asks.get(answer.id)
     if (!open) return
--- a/src/tasks/front/targetFinder.ts
+++ b/src/tasks/front/targetFinder.ts
@@ -1,4 +1,5 @@
 /** Finds an endpoint with a place for a request. */
+import type { EndpointSigns } from '../../core/endpointSigns.js'
 import type { EndpointHealth } from '../../core/endpointHealth.js'
 import { pickLeastBusy } from '../../core/frontChoice.js'
 import type { FrontCandidate } from '../../core/frontChoice.js'
@@ -55,6 +56,7 @@
   clock: Clock
   board: NewsBoard
   health: EndpointHealth
+  signs: EndpointSigns
   engines: EngineFinder
   zone: string
   random: () => number
@@ -62,6 +64,8 @@
 }
 
 const noEndpointRetryMs = 300
+/** Callers that were refused by one pause come back spread over this time, about a target of the published deployments. */
+const returnSpreadMs = 500
 
 export class TargetFinder {
   #options: TargetFinderOptions
@@ -71,9 +75,12 @@
   }
 
   async findTarget (query: TargetQuery): Promise<FoundTarget> {
-    const { board, clock, engines } = this.#options
+    const { board, clock, engines, signs } = this.#options
     const service = board.routes?.configuration.services.get(query.service)
-    const entries = board.endpoints.listUsable(query.service, clock.readMonotonic())
+    const nowMs = clock.readMonotonic()
+    const known = board.endpoints.listUsable(query.service, nowMs).filter(entry => !signs.isLeaving(entry))
+    const entries = known.filter(entry => signs.mayTake(entry, nowMs))
+    if (entries.length === 0 && known.length > 0) return this.#refuseForPauses(query.service, known, nowMs)
     const fresh = entries.filter(entry => !query.tried.includes(entry.id))
     const usable = (fresh.length > 0 ? fresh : entries).filter(entry => this.#options.findLink(entry).hasRoom)
     if (usable.length === 0) {
@@ -83,6 +90,13 @@
     return service?.engine ? await engines.findEngine(query, usable) : this.#findPlain(usable)
   }
 
+  /** All endpoints want nothing for a while: callers come back when the first one does, but not together. */
+  #refuseForPauses (service: string, paused: readonly EndpointEntry[], nowMs: number): FoundTarget {
+    const { signs, random } = this.#options
+    const soonestMs = Math.min(...paused.map(entry => signs.readPausedMs(entry, nowMs)))
+    return { kind: 'none', message: `no endpoint of service "${service}" wants requests now`, retryAfterMs: soonestMs + random() * returnSpreadMs, isPassing: false }
+  }
+
   #findPlain (usable: EndpointEntry[]): FoundTarget {
     const { zone, random, findLink } = this.#options
     const best = pickLeastBusy(usable.map(entry => this.#describe(entry)), zone, random)!
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -103,7 +103,7 @@
 
   #receive (message: HostMessage, sender: DatagramSender): void {
     const { datagrams, own, receiveAtDesk, receiveAnswer, receiveConfirmation, receiveRenewal, receiveRenewalReply } = this.#options
-    if (message.type === 'ask' || message.type === 'done' || message.type === 'placed' || message.type === 'held') {
+    if (message.type === 'ask' || message.type === 'done' || message.type === 'placed' || message.type === 'held' || message.type === 'leaving') {
       receiveAtDesk(message, sender, answer => datagrams.send(sender.address, answer))
       if (message.type === 'done') datagrams.send(sender.address, { type: 'doneReceived', ids: [message.id] })
     } else if (message.type === 'doneReceived') {
