--- a/soak/soakEvents.ts
+++ b/soak/soakEvents.ts
@@ -105,7 +105,7 @@
     }
   }
 
-  #createEndpointInjections (): Record<'engineCrash' | 'endpointDark' | 'endpointErrors' | 'endpointCuts' | 'lateOrders' | 'endpointLeaves', Inject> {
+  #createEndpointInjections (): Record<'engineCrash' | 'endpointDark' | 'endpointErrors' | 'endpointCuts' | 'lateOrders' | 'endpointLeaves' | 'endpointSaysLeaving' | 'endpointWantsNothing', Inject> {
     const injectPartialFault = (field: 'errors' | 'cuts' | 'lateOrders'): Inject => async event => {
       const endpoint = this.#pickEndpoint(event)
       const part = minStruckPart + event.size * (1 - minStruckPart)
@@ -120,6 +120,12 @@
       endpointDark: async event => {
         await this.#hold(event, undefined, this.#findEndpointFault(this.#pickEndpoint(event), 'isDark', value => ({ isDark: value > 0 })), 1)
       },
+      endpointSaysLeaving: async event => {
+        await this.#hold(event, undefined, this.#findEndpointFault(this.#pickEndpoint(event), 'isLeaving', value => ({ isLeaving: value > 0 })), 1)
+      },
+      endpointWantsNothing: async event => {
+        await this.#hold(event, undefined, this.#findEndpointFault(this.#pickEndpoint(event), 'retryAfter', value => ({ retryAfter: value > 0 ? String(value) : '' })), event.size)
+      },
       endpointErrors: injectPartialFault('errors'),
       endpointCuts: injectPartialFault('cuts'),
       lateOrders: injectPartialFault('lateOrders'),
--- a/soak/soakPlan.ts
+++ b/soak/soakPlan.ts
@@ -10,7 +10,11 @@
   'engineCrash', 'endpointDark', 'endpointErrors', 'endpointCuts', 'lateOrders', 'endpointLeaves',
   'storeBusy', 'storeSilent', 'storeReset', 'storeAnswersLost', 'storeUnwritable', 'allHostsKilled', 'allEndpointsFail'
 ] as const
-export type FaultKind = typeof faultKinds[number]
+/** Drawn for seeds from `firstLateSeed` on, so that older seeds keep their events. */
+export const lateFaultKinds = ['endpointSaysLeaving', 'endpointWantsNothing'] as const
+export type FaultKind = typeof faultKinds[number] | typeof lateFaultKinds[number]
+
+const firstLateSeed = 1000
 
 /** What operators and callers do that is no fault, but has promises of its own. */
 export const changeKinds = ['newConfiguration', 'newVersion', 'crashingRequest', 'burst'] as const
@@ -53,7 +57,7 @@
  * @example
  * createSoakPlan({ seed: 7, faultsMs: 20_000 })[0] // { kind: 'storeBusy', atMs: 1813, forMs: 2040, target: 41, size: 0.3 }
  */
-export function createSoakPlan ({ seed, faultsMs, kinds = [...faultKinds, ...changeKinds] }: SoakPlanOptions): PlannedEvent[] {
+export function createSoakPlan ({ seed, faultsMs, kinds = listKinds(seed) }: SoakPlanOptions): PlannedEvent[] {
   const random = createRandom(seed)
   const isSeries = random() < seriesPart
   const events: PlannedEvent[] = []
@@ -68,6 +72,10 @@
   return events
 }
 
+function listKinds (seed: number): (FaultKind | ChangeKind)[] {
+  return [...faultKinds, ...changeKinds, ...(seed >= firstLateSeed ? lateFaultKinds : [])]
+}
+
 /** Numbers from 0 to 1 that follow from a seed. */
 export function createRandom (seed: number): () => number {
   const generator = xoroshiro128plus(seed)
