Tell requests apart by their whole body and their caller

Two requests with the same first 16 KiB and the same length counted as the same content, as those with a long shared prompt may have; a sound one could have been refused beside one that crashes endpoints. Cause: only the first 16 KiB of the body were hashed, to 32 bits, and no caller. Evidence: a table of what may vary and what may not; the row of the last byte of 20,000 could not hold before.

--- a/features/crashingRequests.feature
+++ b/features/crashingRequests.feature
@@ -57,6 +57,19 @@
     When its content is found to crash endpoints
     Then the request is refused for good and not sent
 
+  Scenario Outline: Requests that ask the same
+    Given a request with a body of 20000 bytes
+    When another one differs in <part>
+    Then they ask <same>
+
+    Examples:
+      | part                   | same            |
+      | its id and its time    | the same        |
+      | the events it has      | the same        |
+      | its path               | different things |
+      | its caller             | different things |
+      | the last byte of its body | different things |
+
   Scenario Outline: Endpoints that end beneath requests
     Given a watch for crashes
     When <events>
--- a/features/steps/crashingRequests.ts
+++ b/features/steps/crashingRequests.ts
@@ -1,9 +1,13 @@
 /** Steps of requests that crash the endpoints they run on. */
 import assert from 'node:assert/strict'
 import { setTimeout as sleep } from 'node:timers/promises'
+import type { IncomingMessage } from 'node:http'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { CrashWatch } from '../../src/core/crashWatch.js'
 import type { CrashNotice } from '../../src/core/crashWatch.js'
+import { hashContent } from '../../src/core/requestContent.js'
+import { decodeRequest } from '../../src/platform/requestWire.js'
+import type { CallerRequest } from '../../src/schemas/callerRequest.js'
 import type { HostMessage } from '../../src/schemas/datagram.js'
 import { createRequestId } from '../../src/standin/fleet/fleetCaller.js'
 import type { CallKind, FleetAnswer } from '../../src/standin/fleet/fleetCaller.js'
@@ -22,6 +26,11 @@
   waiting: WaitingRequest
 }
 
+interface ContentWorld {
+  one: CallerRequest
+  other: CallerRequest
+}
+
 interface CrashWatchWorld {
   crashWatch: CrashWatch
   nowMs: number
@@ -169,3 +178,35 @@
   const crashes = this.notices.flatMap(notice => notice ? [`${notice.crash}: ${notice.contents.join(' ')}`] : [])
   assert.equal(crashes.join(', ') || 'none', expected.trim())
 })
+
+interface SentContent {
+  url?: string
+  headers?: Record<string, string>
+  lastByte?: string
+}
+
+function decodeContent ({ url = '/a/x', headers = {}, lastByte = 'a' }: SentContent): CallerRequest {
+  const sent: Record<string, string> = { 'attempt-id': 'r1', 'deadline-ms': '4000', authorization: 'Bearer one', ...headers }
+  const message = { method: 'POST', url, headers: sent, rawHeaders: Object.entries(sent).flat() } as unknown as IncomingMessage
+  return decodeRequest(message, Buffer.from(`${'a'.repeat(19_999)}${lastByte}`), 0)
+}
+
+const contentChanges: Record<string, SentContent> = {
+  'its id and its time': { headers: { 'attempt-id': 'r2', 'deadline-ms': '3000' } },
+  'the events it has': { headers: { 'last-event-id': '4' } },
+  'its path': { url: '/a/y' },
+  'its caller': { headers: { authorization: 'Bearer two' } },
+  'the last byte of its body': { lastByte: 'b' }
+}
+
+Given('a request with a body of 20000 bytes', function (this: ContentWorld) {
+  this.one = decodeContent({})
+})
+
+When('another one differs in {}', function (this: ContentWorld, part: string) {
+  this.other = decodeContent(contentChanges[part.trim()]!)
+})
+
+Then(/^they ask (the same|different things)$/, function (this: ContentWorld, same: string) {
+  assert.equal(hashContent(this.one) === hashContent(this.other), same === 'the same')
+})
--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -68,7 +68,7 @@
     encodeRefusalHeaders
   } as unknown as FrontContext
   const served: CallerRequest = {
-    requestId: 'r1', method: 'POST', path: `${fleetPaths.stream}x`, host: fleetHost, headers: [], body: Buffer.from('a question'), receivedAtMs: clock.readMonotonic(), timeLeftMs: 4000, lastEventId: undefined, model: fleetModel, adapter: 'a1', promptTokens: 100, maxTokens: 20, promptParts: []
+    requestId: 'r1', method: 'POST', callerKey: '', path: `${fleetPaths.stream}x`, host: fleetHost, headers: [], body: Buffer.from('a question'), receivedAtMs: clock.readMonotonic(), timeLeftMs: 4000, lastEventId: undefined, model: fleetModel, adapter: 'a1', promptTokens: 100, maxTokens: 20, promptParts: []
   }
   const request = new FrontRequest(context, served, new CallerAnswer(response as unknown as ServerResponse, () => {}))
   request.serve()
--- a/src/schemas/callerRequest.ts
+++ b/src/schemas/callerRequest.ts
@@ -4,6 +4,8 @@
   /** Names one try of the caller; another try has another id. */
   readonly requestId: string | undefined
   readonly method: string
+  /** Key by which the caller is known; empty where it sent none. */
+  readonly callerKey: string
   readonly path: string
   readonly host: string
   /** Names and values in turn, without those that concern one connection or that only the system sets. */
--- a/src/tasks/front/frontRequest.ts
+++ b/src/tasks/front/frontRequest.ts
@@ -2,7 +2,7 @@
 import { isRepeatable, mayRetry } from '../../core/attemptRules.js'
 import type { AttemptFailure } from '../../core/attemptRules.js'
 import type { OpenRequest } from '../../core/openContents.js'
-import { computeHash } from '../../core/rendezvousHash.js'
+import { hashContent } from '../../core/requestContent.js'
 import { pickService } from '../../core/routeTable.js'
 import type { Timer } from '../../ports/clock.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
@@ -83,7 +83,7 @@
       return
     }
     this.#route = route
-    this.#fingerprint = computeFingerprint(request)
+    this.#fingerprint = hashContent(request)
     this.#service = pickService(route.targets, random()) ?? ''
     this.#dueAtMs = request.receivedAtMs + route.targetMs - this.#computeSpentMs(route, request)
     this.#endsAtMs = request.receivedAtMs + Math.min(request.timeLeftMs ?? defaultTimeLeftMs, route.timeoutMs)
@@ -299,10 +299,3 @@
 function isCut ({ verdict, status }: AttemptFailure): boolean {
   return verdict === 'mayHaveRun' && status === undefined
 }
-
-/** Bytes of a body that tell contents apart. */
-const fingerprintBytes = 16 * 1024
-
-function computeFingerprint ({ path, body }: CallerRequest): string {
-  return computeHash(`${path} ${body?.length ?? 0} ${body?.toString('latin1', 0, fingerprintBytes) ?? ''}`).toString(16)
-}
