A connection on which an answer ends late in a stop takes no further request

Cause, from reading: from 2.7 s of a stop on idle connections are closed by a look every 50 ms; a caller that sends its next request within that time, on a connection whose answer began before the stop and so did not say that it closes, is served, and a stream that takes longer than the rest of the stop is cut. Change: from then on a connection is closed as soon as the answer on it has been sent. Evidence: the scenario 'ends late in a stop' failed before (the following request ran) and passes.

--- a/features/hostFailures.feature
+++ b/features/hostFailures.feature
@@ -41,6 +41,11 @@
     When host 1 starts again, a service's entry is removed while it serves on, and 40 requests come to host 1 within 1500 ms
     Then the service ran none of the requests that came 500 ms after the removal
 
+  Scenario: A connection on which a stream ends late in a stop takes no further request
+    Given a host with 8000 ms to stop before a platform with 1 engine
+    When the host stops while a stream of 3100 ms runs, and another request follows it on its connection at once
+    Then only the stream has run, and it is whole
+
   Scenario: A new engine without its model serves a second after its load
     Given 2 hosts before a platform with 1 engine
     When an engine comes that takes 500 ms to load its model
--- a/features/steps/hostFailures.ts
+++ b/features/steps/hostFailures.ts
@@ -3,10 +3,14 @@
 import { randomBytes } from 'node:crypto'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Given, Then, When } from '@cucumber/cucumber'
+import { Client } from 'undici'
+import { encodeCallerHeaders } from '../../src/platform/standinWire.js'
 import { decodeHostsRow, hostsTable } from '../../src/schemas/hostRows.js'
-import { engineService, fleetPaths } from '../../src/standin/fleet/startFleet.js'
+import { createRequestId, isWhole } from '../../src/standin/fleet/fleetCaller.js'
+import { engineService, fleetHost, fleetModel, fleetPaths } from '../../src/standin/fleet/startFleet.js'
 import type { FleetEndpoint } from '../../src/standin/fleet/startFleet.js'
 import type { CallKind } from '../../src/standin/fleet/fleetCaller.js'
+import { HostFleet } from '../support/hostFleet.js'
 import { call, findOwner, sendStreams, setFaults } from '../support/hostsWorld.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
 import { waitUntil } from '../support/waitUntil.js'
@@ -207,6 +211,41 @@
   assert.ok(performance.now() - startedAtMs < ms, `it took ${Math.round(performance.now() - startedAtMs)} ms`)
 })
 
+Given('a host with {int} ms to stop before a platform with {int} engine', async function (this: HostsWorld, shutdownMs: number, engines: number) {
+  this.hostFleet = await HostFleet.prepare(1, { engines })
+  this.answers = []
+  const host = this.hostFleet.hosts[0]!
+  host.settings = { ...host.settings, shutdownMs }
+  await this.hostFleet.startHost(host)
+  await this.hostFleet.waitForOwners()
+})
+
+When('the host stops while a stream of {int} ms runs, and another request follows it on its connection at once', async function (this: HostsWorld, ms: number) {
+  const host = this.hostFleet.hosts[0]!
+  // An id that ends so asks for 8 events.
+  const streamId = `${randomBytes(7).toString('hex')}05`
+  setFaults(this, () => true, { eventMs: ms / 8 })
+  const client = new Client(`http://${host.settings.callersAddress}`, { pipelining: 1 })
+  const send = async (requestId: string): Promise<string> => {
+    const headers = encodeCallerHeaders({ requestId, host: fleetHost, timeLeftMs: 8000, model: `${fleetModel}/a1` })
+    const { body } = await client.request({ method: 'POST', path: `${fleetPaths.stream}x`, headers, body: requestId })
+    return await body.text()
+  }
+  const streamed = send(streamId)
+  await waitUntil(() => this.hostFleet.fleet.journal.listRuns(streamId).length > 0)
+  const stopped = this.hostFleet.stopHost(host)
+  const body = await streamed
+  const following = send(createRequestId()).catch((error: Error) => error.message)
+  this.answers.push({ requestId: streamId, kind: 'stream', status: 200, body, signature: 's', retryAfterS: undefined, error: undefined, tookMs: 0 })
+  await Promise.all([stopped, following])
+  await client.destroy()
+})
+
+Then('only the stream has run, and it is whole', function (this: HostsWorld) {
+  assert.deepEqual(this.hostFleet.fleet.journal.runs.map(({ requestId }) => requestId), [this.answers[0]!.requestId])
+  assert.ok(isWhole(this.answers[0]!))
+})
+
 When('host {int} starts again, a service\'s entry is removed while it serves on, and {int} requests come to host {int} within {int} ms', async function (this: RemovalWorld, number: number, count: number, _host: number, withinMs: number) {
   const host = this.hostFleet.hosts[number - 1]!
   await this.hostFleet.stopHost(host)
--- a/src/tasks/front/callersPort.ts
+++ b/src/tasks/front/callersPort.ts
@@ -44,6 +44,8 @@
   #active = 0
   #heldBytes = 0
   #isStopping = false
+  /** Whether callers have been told to go elsewhere for long enough, so that connections are closed as they fall idle. */
+  #isClosingIdle = false
 
   constructor (options: CallersPortOptions) {
     this.#options = options
@@ -97,6 +99,7 @@
     for (;;) {
       const passedMs = clock.readMonotonic() - startedAtMs
       if (passedMs >= quietMs) {
+        this.#isClosingIdle = true
         this.#server.close()
         this.#closeIdle()
       }
@@ -133,6 +136,8 @@
       this.#used.delete(socket)
       this.#readAtIdle.set(socket, socket.bytesRead)
       this.#heldBytes -= heldBytes
+      // What came next on the connection might need more time than is left.
+      if (this.#isClosingIdle) socket.destroySoon()
     })
     const answer = new CallerAnswer(response, () => {
       hasLeft = true
