--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -163,7 +163,7 @@
     const requestId = marks.requestId ?? ''
     const { isLeaving, retryAfter } = this.faults
     if (retryAfter !== '') {
-      this.#options.journal.reject(id, requestId, readNow())
+      this.#options.journal.recordRejection(id, requestId, readNow())
       response.writeHead(503, encodeAnswerHeaders(requestId, undefined, { isLeaving, retryAfter })).end()
       return
     }
--- a/src/standin/fleet/runJournal.ts
+++ b/src/standin/fleet/runJournal.ts
@@ -35,7 +35,7 @@
     return record
   }
 
-  reject (endpointId: string, requestId: string, atMs: number): void {
+  recordRejection (endpointId: string, requestId: string, atMs: number): void {
     this.rejections.push({ requestId, endpointId, atMs })
   }
 
--- a/src/tasks/peers/suspectTask.ts
+++ b/src/tasks/peers/suspectTask.ts
@@ -40,7 +40,7 @@
 
 /** Endpoints that a content may crash before it is refused; what the pages allow. */
 const maxCrashes = 3
-/** Rows in one transaction, of which the store takes up to 100 entries. */
+/** Entries that the store takes in one transaction. */
 const maxRowsAtOnce = 100
 /** Time to the next try of a write that failed, in which other hosts are told again as well, as new ones may have started. */
 const retryMs = 500
