Name a request's prompt parts, and whether its answer had begun, in the lines of interrupted requests

Change: request.cut and the lines of ended requests name the shared parts, request.cut whether the answer had begun. Ids of parts are compared in one spelling, and a malformed prefix names none. The stand-in's engines can crash on a part and answer streams with neither a length nor chunks.

--- a/src/platform/requestWire.ts
+++ b/src/platform/requestWire.ts
@@ -35,14 +35,19 @@
     adapter: slash < 0 ? '' : modelName.slice(slash + 1),
     promptTokens,
     maxTokens,
-    // A list of ID:TOKENS pairs.
-    promptSegments: joinHeaderValues(headers[wireHeaders.promptParts]).split(',').filter(segment => segment !== '').map(decodePromptSegment)
+    promptSegments: decodePromptSegments(joinHeaderValues(headers[wireHeaders.promptParts]))
   }
 }
 
-function decodePromptSegment (segment: string): { id: string, tokens: number } {
-  const [id = '', tokens = ''] = segment.split(':')
-  return { id, tokens: parseNumberOrZero(tokens) }
+/** An ID:TOKENS pair; the ID is hexadecimal. Leading zeros are not captured, as the same ID may be written with or without them. */
+const promptSegmentPattern = /^\s*0*([0-9a-f]+):(\d+(?:\.\d+)?)\s*$/i
+
+/** Decodes a list of ID:TOKENS pairs. Returns none if any pair is malformed, as it is then unclear which segment is the last one. */
+function decodePromptSegments (list: string): { id: string, tokens: number }[] {
+  if (list.trim() === '') return []
+  const pairs = list.split(',').map(pair => promptSegmentPattern.exec(pair))
+  if (!pairs.every(pair => pair !== null)) return []
+  return pairs.map(([, id, tokens]) => ({ id: id!.toLowerCase(), tokens: Number(tokens) }))
 }
 
 function filterHeaders (message: IncomingMessage): string[] {
--- a/src/platform/standinWire.ts
+++ b/src/platform/standinWire.ts
@@ -127,6 +127,8 @@
   model: string
   adapter: string
   lastEventId: number
+  /** Ids of the prompt parts without the last one, with leading zeros removed and in lower case. */
+  sharedParts: string[]
 }
 
 export function decodeReceivedHeaders (headers: Record<string, string | string[] | undefined>): ReceivedHeaders {
@@ -144,7 +146,8 @@
     version: version === undefined ? undefined : Number(version),
     model: slash < 0 ? modelName : modelName.slice(0, slash),
     adapter: slash < 0 ? '' : modelName.slice(slash + 1),
-    lastEventId: Number(getHeader(wireHeaders.lastEventId) ?? 0)
+    lastEventId: Number(getHeader(wireHeaders.lastEventId) ?? 0),
+    sharedParts: (getHeader(wireHeaders.promptParts) ?? '').split(',').slice(0, -1).map(part => part.split(':')[0]!.trim().toLowerCase().replace(/^0+(?=.)/, ''))
   }
 }
 
@@ -166,12 +169,12 @@
 }
 
 /** Encodes the headers of a caller's request, for load generators and tests. */
-export function encodeCallerRequestHeaders (request: { requestId: string, host: string, timeLeftMs: number, model?: string, promptTokens?: number, maxTokens?: number }): Record<string, string> {
+export function encodeCallerRequestHeaders (request: { requestId: string, host: string, timeLeftMs: number, model?: string, promptTokens?: number, maxTokens?: number, promptParts?: string }): Record<string, string> {
   const headers: Record<string, string> = { host: request.host, [wireHeaders.requestId]: request.requestId, [wireHeaders.timeLeftMs]: String(request.timeLeftMs) }
   if (request.model !== undefined) {
     headers[wireHeaders.model] = request.model
     headers[wireHeaders.tokens] = `${request.promptTokens ?? 100},${request.maxTokens ?? 20}`
-    headers[wireHeaders.promptParts] = `aa01:${request.promptTokens ?? 100}`
+    headers[wireHeaders.promptParts] = request.promptParts ?? `aa01:${request.promptTokens ?? 100}`
   }
   return headers
 }
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -16,8 +16,10 @@
   errors: number
   /** Answers that break off by a reset. */
   cuts: number
-  /** Answers without a length that end with their connection. */
+  /** Answers, streams too, with neither a length nor chunks that end with their connection. */
   unframed: number
+  /** HTTP version that unframed answers state. */
+  unframedVersion: '1.0' | '1.1'
   /** Answers without a length that are reset before their last bytes. */
   unframedCuts: number
   /** Whole answers after which a second one comes. */
@@ -32,6 +34,8 @@
   trickleMs: number
   /** A request with this body crashes the endpoint that begins to run it; empty for none. */
   crashBody: string
+  /** Requests with one of these prompt parts, other than as the last one, crash the engine that begins to write their answer. */
+  crashParts: readonly string[]
   /** Time from a crash to the next start, in which connections are refused; 0 for a start at once. */
   downMs: number
   /** Every answer says that the endpoint leaves. */
@@ -40,7 +44,7 @@
   retryAfter: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedCuts: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', downMs: 0, isLeaving: false, retryAfter: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], downMs: 0, isLeaving: false, retryAfter: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -61,6 +65,8 @@
   readonly startedAtMs: number
   /** Whether the process has crashed and is not back yet. */
   readonly isDown: boolean
+  /** When the process crashed, in milliseconds of the monotonic clock. */
+  readonly crashTimesMs: readonly number[]
   setFaults: (faults: Partial<EndpointFaults>) => void
   /** Drops all connections and everything that the endpoint holds, as a crash does. */
   crash: () => void
@@ -77,6 +83,7 @@
     address: endpoint.address,
     get startedAtMs () { return endpoint.startedAtMs },
     get isDown () { return endpoint.isDown },
+    crashTimesMs: endpoint.crashTimesMs,
     setFaults: faults => { endpoint.faults = { ...endpoint.faults, ...faults } },
     crash: () => endpoint.crash(),
     stop: async () => await endpoint.stop()
@@ -86,6 +93,7 @@
 class Endpoint {
   faults: EndpointFaults = { ...noEndpointFaults }
   address: string
+  readonly crashTimesMs: number[] = []
   #server: Server
   #options: EndpointServerOptions
   #running = 0
@@ -117,6 +125,7 @@
 
   crash (): void {
     const { downMs } = this.faults
+    this.crashTimesMs.push(readNow())
     this.#options.engine?.restart()
     this.#startedAtMs = Math.max(Date.now(), this.#startedAtMs + 1)
     this.#running = 0
@@ -199,6 +208,11 @@
         finish('broken')
         response.writeHead(500, headers).end('failed')
       }, workMs / 2)
+    } else if (engine && marks.sharedParts.some(part => this.faults.crashParts.includes(part))) {
+      response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' }).flushHeaders()
+      setTimeout(() => { if (!response.destroyed) this.crash() }, engine.options.eventMs)
+    } else if (engine && this.faults.unframed > 0 && random() < this.faults.unframed) {
+      this.#streamUnframed(engine, response, run, headers, finish)
     } else if (engine) {
       this.#stream(engine, response, run, headers, finish)
     } else {
@@ -218,7 +232,7 @@
       request.socket.write(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}connection: close\r\n\r\n${body.slice(0, 4)}`, () => request.socket.resetAndDestroy())
     } else if (random() < this.faults.unframed) {
       finish('whole')
-      request.socket.end(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}connection: close\r\n\r\n${body}`)
+      request.socket.end(formatUnframedHead(this.faults.unframedVersion, headers) + body)
     } else {
       finish('whole')
       response.writeHead(200, { ...headers, 'content-length': String(body.length) }).end(body)
@@ -226,6 +240,28 @@
     }
   }
 
+  /** Sends events over the bare connection, which ends the stream; a stream that is cut ends inside an event. */
+  #streamUnframed (engine: FleetEngine, response: ServerResponse, run: RunRecord, headers: Record<string, string>, finish: (outcome: RunRecord['outcome']) => void): void {
+    const { random } = this.#options
+    const socket = response.socket!
+    const last = countEvents(run.requestId)
+    const cutAfter = random() < this.faults.unframedCuts ? run.fromEvent + Math.floor(random() * last) : Infinity
+    let next = run.fromEvent + 1
+    socket.write(formatUnframedHead(this.faults.unframedVersion, { ...headers, 'content-type': 'text/event-stream' }))
+    const send = (): void => {
+      if (socket.destroyed) return
+      if (next > cutAfter || next > last) {
+        finish(next > cutAfter ? 'broken' : 'whole')
+        socket.end(next > cutAfter ? `id: ${next}\nda` : '')
+        return
+      }
+      socket.write(`id: ${next}\ndata: ${run.requestId} ${next}\n\n`)
+      next++
+      setTimeout(send, engine.options.eventMs)
+    }
+    setTimeout(send, engine.options.eventMs)
+  }
+
   /** Sends events with rising ids; the number of them follows from the request's id. */
   #stream (engine: FleetEngine, response: ServerResponse, run: RunRecord, headers: Record<string, string>, finish: (outcome: RunRecord['outcome']) => void): void {
     const { random } = this.#options
@@ -269,6 +305,11 @@
   return 3 + (Number.parseInt(requestId.slice(-2), 16) || 0) % 8
 }
 
+function formatUnframedHead (version: EndpointFaults['unframedVersion'], headers: Record<string, string>): string {
+  const connection = version === '1.1' ? 'connection: close\r\n' : ''
+  return `HTTP/${version} 200 OK\r\n${formatHeaders(headers)}${connection}\r\n`
+}
+
 function formatHeaders (headers: Record<string, string>): string {
   return Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
 }
--- a/src/standin/fleet/fleetCaller.ts
+++ b/src/standin/fleet/fleetCaller.ts
@@ -30,6 +30,8 @@
   requestId?: string
   headers?: Record<string, string>
   body?: string
+  /** Prompt parts as they are written in the header, such as `aa01:100,bb02:50`; a part of its own if left out. */
+  promptParts?: string
   signal?: AbortSignal
 }
 
@@ -37,14 +39,14 @@
 export class FleetCaller {
   #agent = new Agent({ connections: 64, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
 
-  async call ({ kind, address, adapter, timeLeftMs = 4000, requestId = createRequestId(), headers = {}, body = 'a question', signal }: FleetCall): Promise<FleetAnswer> {
+  async call ({ kind, address, adapter, timeLeftMs = 4000, requestId = createRequestId(), headers = {}, body = 'a question', promptParts, signal }: FleetCall): Promise<FleetAnswer> {
     const startedAtMs = performance.now()
     const answer: FleetAnswer = { requestId, kind, status: 0, body: '', signature: undefined, retryAfterS: undefined, error: undefined, tookMs: 0 }
     try {
       const response = await request(`http://${address}${fleetPaths[kind]}x`, {
         dispatcher: this.#agent as Dispatcher,
         method: kind === 'idempotent' ? 'GET' : 'POST',
-        headers: { ...encodeCallerRequestHeaders({ requestId, host: fleetHost, timeLeftMs, ...(isStreamed(kind) && { model: adapter ? `${fleetModel}/${adapter}` : fleetModel }) }), ...headers },
+        headers: { ...encodeCallerRequestHeaders({ requestId, host: fleetHost, timeLeftMs, ...(isStreamed(kind) && { model: adapter ? `${fleetModel}/${adapter}` : fleetModel, ...(promptParts !== undefined && { promptParts }) }) }), ...headers },
         ...(kind !== 'idempotent' && { body }),
         ...(signal && { signal })
       })
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -3,6 +3,7 @@
 import type { AttemptFailure } from '../../core/retryRules.js'
 import type { InFlightRequest } from '../../core/inFlightRequests.js'
 import { computeRequestFingerprint } from '../../core/requestFingerprint.js'
+import { listSharedParts } from '../../core/sharedParts.js'
 import { pickService } from '../../core/routeTable.js'
 import type { Timer } from '../../ports/clock.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
@@ -30,6 +31,8 @@
   #service = ''
   /** Hash of the request's content, by which requests that crash endpoints are recognized. */
   #fingerprint = ''
+  /** Ids of the prompt segments that other requests may share. */
+  #sharedParts: readonly string[] = []
   #dueAtMs = 0
   /** When the last chunk of a stream was written to the caller; undefined if none was. */
   #lastChunkAtMs: number | undefined
@@ -84,6 +87,7 @@
     }
     this.#route = route
     this.#fingerprint = computeRequestFingerprint(request)
+    this.#sharedParts = listSharedParts(request)
     this.#service = pickService(route.targets, random()) ?? ''
     this.#dueAtMs = request.receivedAtMs + route.targetMs - this.#computeSpentMs(route, request)
     this.#deadlineAtMs = request.receivedAtMs + Math.min(request.timeLeftMs ?? defaultTimeLeftMs, route.timeoutMs)
@@ -220,7 +224,9 @@
   async #recordInterruption ({ endpoint, link }: SelectedEndpoint, sentAtMs: number, reason: string): Promise<void> {
     const { log, crashDetection, suspects } = this.#context
     const interruption = { endpointId: endpoint.id, startedAtMs: endpoint.startedAtMs, content: this.#fingerprint, sentAtMs }
-    log.record('request.cut', 'The connection to an endpoint closed before its response was complete; the request may have run.', { requestId: this.#request.requestId, ...interruption, reason })
+    log.record('request.cut', 'The connection to an endpoint closed before its response was complete; the request may have run.', {
+      requestId: this.#request.requestId, ...interruption, parts: this.#sharedParts, hasBegun: this.#attempt?.hasBegun, reason
+    })
     const firstProbe = crashDetection.receiveInterruption(interruption, link)
     if (suspects.isSuspect(this.#fingerprint)) await firstProbe
   }
@@ -282,6 +288,7 @@
       service: this.#service,
       adapter: this.#request.adapter,
       promptTokens: this.#request.promptTokens,
+      parts: this.#sharedParts,
       timeLeftMs: this.#request.timeLeftMs,
       spentMs: this.#route && Math.round(this.#request.receivedAtMs + this.#route.targetMs - this.#dueAtMs),
       reason,
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -42,6 +42,7 @@
   #firstChunkMs = -1
   #lastChunkAtMs: number | undefined
   #isSent = false
+  #hasBegun = false
   /** Whether this attempt wrote the response head to the caller; an earlier attempt may have written it instead. */
   #hasWrittenHead = false
   #isFinished = false
@@ -60,6 +61,11 @@
     return this.#isSent
   }
 
+  /** Whether the endpoint has begun to write its answer: for a stream a whole event has arrived, otherwise a success response. */
+  get hasBegun (): boolean {
+    return this.#hasBegun
+  }
+
   /** Milliseconds from sending the request to the first chunk of the response; -1 if none has arrived. */
   get firstChunkMs (): number {
     return this.#firstChunkMs
@@ -119,6 +125,7 @@
       return
     }
     this.#head = head
+    this.#hasBegun = route.kind !== 'stream' && status >= 200 && status < 300
     if (route.kind === 'stream' && status >= 200 && status < 300) this.#eventSplitter = new SseEventSplitter(this.#options.lastEventId ?? request.lastEventId)
   }
 
@@ -161,6 +168,7 @@
     if (events.count === 0) return true
     if (!this.#options.response.hasHead) this.#writeHead(this.#head!)
     this.#lastChunkAtMs = this.#context.clock.readMonotonic()
+    this.#hasBegun = true
     return this.#write(events.bytes)
   }
 
