Find the prompt parts that crash engines, and refuse requests with them

Cause: suspicion fell on whole contents, of which no two were alike, so that the part was known to nobody, while the contents of sound neighbours were counted crash after crash (696 counted, 23 refused for good). The class: what identifies a cause was taken to be what identified the last one; and being beside a crash was taken for having caused it. Change: each crash leaves a set of candidates, the parts of requests that had not begun their answers. A part on which an answer has begun is not the cause. Hosts tell each other of each crash, and of answers that prove a part sound; the smallest set of parts that explains the crashes is refused, on every host, before each send and while a request waits, and its crashes are taken off contents and other parts. Two crashes refuse a part that no engine has ever answered, for the time being (503); a third one for good (422); a part that was answered before needs more, and crashes that have no common cause. One host at a time lets one request run as a trial, after 10 s, then 30 s, then ever later; an answer that begins clears the part everywhere. Parts beneath two crashes are rows of the store, which hosts read that start.

--- a/features/crashingPromptParts.feature
+++ b/features/crashingPromptParts.feature
@@ -2,7 +2,6 @@
   One part of a prompt may crash every engine that begins to write an answer on it, in requests of which no two are alike. Few of
   them reach engines, and sound requests that share their caller and other parts are served as before.
 
-  @knownRed
   Scenario Outline: Requests with a part that crashes engines go on reaching them
     Given 3 hosts before a platform with 3 engines
     And crashed endpoints restart after 300 ms
@@ -18,7 +17,6 @@
       | "stream"    | 5    |
       | "resumable" | 30   |
 
-  @knownRed
   Scenario: Two parts that crash engines come at once
     Given 3 hosts before a platform with 3 engines
     And crashed endpoints restart after 300 ms
@@ -28,7 +26,6 @@
     And sound requests sent later than 6000 ms after the fifth crash begin at least half as often as those before the first crash
     And no harmless request is refused permanently
 
-  @knownRed
   Scenario: Hosts learn which parts crash engines although messages between them are lost
     Given 3 hosts before a platform with 3 engines
     And crashed endpoints restart after 300 ms
@@ -38,7 +35,6 @@
     Then at most 3 requests with the part reached engines later than 3000 ms after the fifth crash
     And no harmless request is refused permanently
 
-  @knownRed
   Scenario: Hosts learn which parts crash engines while the store is unavailable
     Given 3 hosts before a platform with 3 engines
     And crashed endpoints restart after 300 ms
@@ -48,7 +44,6 @@
     Then at most 3 requests with the part reached engines later than 3000 ms after the fifth crash
     And no harmless request is refused permanently
 
-  @knownRed
   Scenario: Restarted hosts know which parts crash engines
     Given 3 hosts before a platform with 3 engines
     And crashed endpoints restart after 300 ms
@@ -56,7 +51,6 @@
     When "resumable" requests with the part come 5 times a second for 9000 ms beside 40 sound ones a second, and all hosts restart after 5000 ms
     Then at most 3 requests with the part reached engines later than 3000 ms after the fifth crash
 
-  @knownRed
   Scenario: A part that crashes engines is written differently each time
     Given 3 hosts before a platform with 3 engines
     And crashed endpoints restart after 300 ms
--- a/features/steps/crashingRequests.ts
+++ b/features/steps/crashingRequests.ts
@@ -160,7 +160,7 @@
   [/^"(.+)"( that was sent earlier)? is interrupted at "(.+)" of start (\d+)$/, (world, content, wasSentEarlier, endpointId, start) => {
     const sentAtMs = wasSentEarlier ? -1 : world.nowMs
     world.nowMs++
-    world.notices.push(world.crashDetector.recordInterruption({ content: content!, endpointId: endpointId!, startedAtMs: Number(start), sentAtMs }, world.nowMs))
+    world.notices.push(world.crashDetector.recordInterruption({ content: content!, endpointId: endpointId!, startedAtMs: Number(start), parts: [], hasBegun: false, sentAtMs }, world.nowMs))
   }],
   [/^"(.+)" refuses connections$/, (world, endpointId) => world.notices.push(world.crashDetector.recordConnectionRefused(endpointId!, world.nowMs))],
   [/^"(.+)" reports start (\d+)$/, (world, endpointId, start) => world.notices.push(world.crashDetector.recordProcessStart(endpointId!, Number(start), world.nowMs))],
@@ -175,7 +175,7 @@
 })
 
 Then('the detected crashes are {}', function (this: CrashDetectorWorld, expected: string) {
-  const crashes = this.notices.flatMap(notice => notice ? [`${notice.crash}: ${notice.contents.join(' ')}`] : [])
+  const crashes = this.notices.flatMap(notice => notice ? [`${notice.crash}: ${notice.requests.map(({ content }) => content).join(' ')}`] : [])
   assert.equal(crashes.join(', ') || 'none', expected.trim())
 })
 
--- a/features/steps/peerAges.ts
+++ b/features/steps/peerAges.ts
@@ -30,7 +30,7 @@
     receiveReleaseConfirmation: () => {},
     receiveRenewal: () => {},
     receiveRenewalReply: () => {},
-    receiveSuspectRecord: () => {}
+    receiveSuspectMessage: () => {}
   })
 }
 
--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -63,7 +63,11 @@
         return isRefused ? createCrashRefusal(3) : undefined
       },
       isSuspect: () => false,
-      recordServed: () => {}
+      arePartsSuspect: () => false,
+      tryBeginTrial: () => false,
+      cancelTrial: () => {},
+      recordServed: () => {},
+      recordBegun: () => {}
     },
     inFlightRequests,
     random: () => 0,
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -28,7 +28,7 @@
   log: EventLog
   clusterView: ClusterView
   reservations: ReservationClient
-  suspectContent: ProxyContext['suspects']
+  suspects: ProxyContext['suspects']
   notices: EndpointNotices
   reportCrash: CrashDetectionTaskOptions['reportCrash']
 }
@@ -37,8 +37,8 @@
   callerListener: CallerListener
   /** Applies a new configuration. */
   applyConfiguration: () => void
-  /** Refuses unsent requests with this fingerprint, because their content was found to crash endpoints. */
-  refuseContent: (fingerprint: string) => void
+  /** Refuses requests with this fingerprint, of a content or a prompt part, that was found to crash endpoints. */
+  refuse: (fingerprint: string) => void
   /** Handles an endpoint's entry that was changed, or removed if undefined. */
   receiveEntry: (endpointId: string, entry: EndpointEntry | undefined) => void
   /** Handles the crash of an endpoint that another host detected. */
@@ -50,7 +50,7 @@
 /** Fraction of an endpoint's connection limit that all hosts together use; its operators and health checks need the rest. */
 const usableConnectionsFraction = 0.9
 
-export function createRequestProxy ({ settings, clock, log, clusterView, reservations, suspectContent, notices, reportCrash }: RequestProxyOptions): RequestProxy {
+export function createRequestProxy ({ settings, clock, log, clusterView, reservations, suspects, notices, reportCrash }: RequestProxyOptions): RequestProxy {
   const random = Math.random
   const health = new EndpointHealth()
   const retryBudget = new HostRetryBudget({
@@ -82,7 +82,7 @@
     retryBudget,
     endpointSelector,
     callerTimeouts,
-    suspects: suspectContent,
+    suspects,
     inFlightRequests,
     crashDetection,
     notices,
@@ -107,7 +107,7 @@
   })
   return {
     callerListener,
-    refuseContent: fingerprint => inFlightRequests.refuse(fingerprint),
+    refuse: fingerprint => inFlightRequests.refuse(fingerprint),
     receiveCrash: crash => crashDetection.receiveCrash(crash),
     receiveEntry: (endpointId, entry) => crashDetection.receiveEntry(endpointId, entry),
     applyConfiguration: () => {
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -31,7 +31,8 @@
 import type { WatchedTable } from '../tasks/clusterView/clusterViewTask.js'
 import { startRelayServer } from '../tasks/clusterView/relayServer.js'
 import { PeerTask } from '../tasks/peers/peerTask.js'
-import { SuspectContentTask } from '../tasks/peers/suspectContentTask.js'
+import { createSuspectTasks } from './createSuspectTasks.js'
+import type { SuspectTasks } from './createSuspectTasks.js'
 import { createRequestProxy } from './createRequestProxy.js'
 import type { RequestProxy } from './createRequestProxy.js'
 import { createLeaseComponents } from './createLeaseComponents.js'
@@ -94,7 +95,7 @@
   allocationTask: AllocationTask
   requestProxy: RequestProxy
   leaseComponents: LeaseComponents
-  suspectContent: SuspectContentTask
+  suspectTasks: SuspectTasks
 }
 
 interface HostComponentsOptions {
@@ -118,7 +119,7 @@
     logClusterViewChange(log, change)
     if (change.kind === 'configuration') requestProxy.applyConfiguration()
     if (change.kind === 'owner') reservations.receiveOwnerChange(change.endpointId, change.owner?.row.address ?? '')
-    if (change.kind === 'suspect') suspectContent.applySuspectRow(change.name, change.suspect, change.version)
+    if (change.kind === 'suspect') suspectTasks.applyChange(change)
     if (change.kind === 'endpoint') requestProxy.receiveEntry(change.id, change.entry)
     leaseComponents.leaseTask.receiveChange(change)
     allocationTask.receiveChange(change)
@@ -141,9 +142,9 @@
     receiveReleaseConfirmation: ids => reservations.receiveConfirmation(ids),
     receiveRenewal: (request, sender, reply) => leaseComponents.renewalCollector.handleRequest(request, sender, reply),
     receiveRenewalReply: reply => leaseComponents.renewalClient.receiveReply(reply),
-    receiveSuspectRecord: record => suspectContent.addSuspectRecord(record)
+    receiveSuspectMessage: message => suspectTasks.receiveMessage(message)
   })
-  const suspectContent = new SuspectContentTask({
+  const suspectTasks = createSuspectTasks({
     clock,
     log,
     own,
@@ -151,8 +152,9 @@
     send: (address, message) => datagrams.send(address, message),
     transact: async transaction => await leaseComponents.storeAccess.transact(transaction),
     isStoreUnavailable: () => clusterViewTask.isStale,
+    random: Math.random,
     receiveCrash: crash => requestProxy.receiveCrash(crash),
-    receiveContentRefused: fingerprint => requestProxy.refuseContent(fingerprint)
+    receiveRefused: fingerprint => requestProxy.refuse(fingerprint)
   })
   const reservations = new ReservationClient({ clock, datagrams, ownAddress: settings.address, deliverLocally: message => peers.deliverLocally(message) })
   const leaseComponents: LeaseComponents = createLeaseComponents({
@@ -181,9 +183,9 @@
     findFencingToken: endpointId => leaseComponents.leaseTask.findFencingToken(endpointId)
   })
   const requestProxy: RequestProxy = createRequestProxy({
-    settings, clock, log, clusterView, reservations, suspectContent, notices, reportCrash: (crash, contents) => suspectContent.reportCrash(crash, contents)
+    settings, clock, log, clusterView, reservations, suspects: suspectTasks.checks, notices, reportCrash: suspectTasks.reportCrash
   })
-  return { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectContent }
+  return { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks }
 }
 
 /**
@@ -207,7 +209,7 @@
   const store = ports.createStore(settings.storeAddress, (call, verdict) => metrics.recordStoreCall(call, verdict))
   const relay = createHttpRelay()
   const datagrams = await ports.openDatagrams({ address: settings.address, port: settings.datagramPort, host: settings.hostName, session, log })
-  const { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectContent } = createHostComponents({ settings, clock, log, own, store, relay, datagrams, ports })
+  const { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks } = createHostComponents({ settings, clock, log, own, store, relay, datagrams, ports })
   const { leaseTask, storeOutageDetector, isolationMonitor, renewalCollector, renewalClient } = leaseComponents
   const countEndpoints = (): number => clusterView.endpoints.list(clock.readMonotonic()).length
 
@@ -217,7 +219,7 @@
   await requestProxy.callerListener.start()
   const readinessServer = await startReadinessServer(settings.readinessAddress, () => clusterView.routes !== undefined && !isolationMonitor.isIsolated && countEndpoints() > 0)
   const metricsServer = options.metricsPort === undefined ? undefined : await startMetricsServer(`${settings.address}:${options.metricsPort}`, metrics)
-  for (const task of [clusterViewTask, leaseTask, storeOutageDetector, isolationMonitor, suspectContent]) task.start()
+  for (const task of [clusterViewTask, leaseTask, storeOutageDetector, isolationMonitor, suspectTasks]) task.start()
   log.record('host.started', 'The host has started.', { zone: settings.zone, address: settings.address })
 
   return {
@@ -225,7 +227,7 @@
     reload: () => log.record('settings.reloaded', 'The settings file has changed; its store settings and bounds take effect at the next start.', {}),
     stop: async () => {
       await drainHost({ settings, clock, log, readinessServer, requestProxy, leaseTask })
-      for (const task of [storeOutageDetector, isolationMonitor, renewalCollector, renewalClient, clusterViewTask, reservations, suspectContent, metrics]) task.stop()
+      for (const task of [storeOutageDetector, isolationMonitor, renewalCollector, renewalClient, clusterViewTask, reservations, suspectTasks, metrics]) task.stop()
       datagrams.close()
       relayServer.close()
       await Promise.all([store.close(), relay.close()])
--- a/src/core/crashDetector.ts
+++ b/src/core/crashDetector.ts
@@ -10,6 +10,10 @@
   readonly startedAtMs: number
   /** Hash of the request content. */
   readonly content: string
+  /** Prompt parts that other requests may share. */
+  readonly parts: readonly string[]
+  /** Whether the endpoint had begun its answer, so that the request's parts are not the cause. */
+  readonly hasBegun: boolean
   /** When the request was sent, in milliseconds of the monotonic clock. */
   readonly sentAtMs: number
 }
@@ -18,8 +22,7 @@
 export interface CrashNotice {
   /** Identifies the end of one process; the same on all hosts that detect it. */
   readonly crash: string
-  /** Content hashes of the interrupted requests. */
-  readonly contents: readonly string[]
+  readonly requests: readonly InterruptedRequest[]
 }
 
 /**
@@ -36,24 +39,25 @@
   endCount: number
   /** When the last end was detected; undefined while the process is assumed to be running. */
   endedAtMs: number | undefined
-  interruptions: { contentHash: string, atMs: number }[]
+  interruptions: { request: InterruptedRequest, atMs: number }[]
 }
 
 export class CrashDetector {
   #processes = new Map<string, EndpointProcess>()
 
   /** Returns a notice if the process is already known to have ended; undefined if that is not known yet. */
-  recordInterruption ({ endpointId, startedAtMs, content: contentHash, sentAtMs }: InterruptedRequest, nowMs: number): CrashNotice | undefined {
+  recordInterruption (request: InterruptedRequest, nowMs: number): CrashNotice | undefined {
+    const { endpointId, startedAtMs, sentAtMs } = request
     const process = this.#findOrAdd(endpointId, startedAtMs)
     // A later start is known, so the process that received the request is gone.
-    if (process.startedAtMs > startedAtMs) return { crash: formatCrash(endpointId, startedAtMs, 1), contents: [contentHash] }
+    if (process.startedAtMs > startedAtMs) return { crash: formatCrash(endpointId, startedAtMs, 1), requests: [request] }
     if (process.endedAtMs !== undefined) {
-      if (sentAtMs <= process.endedAtMs) return { crash: formatCrash(endpointId, startedAtMs, process.endCount), contents: [contentHash] }
+      if (sentAtMs <= process.endedAtMs) return { crash: formatCrash(endpointId, startedAtMs, process.endCount), requests: [request] }
       // The request was sent after the detected end, so the endpoint is running again.
       process.endedAtMs = undefined
     }
     process.interruptions = process.interruptions.filter(interruption => nowMs - interruption.atMs < interruptionTtlMs)
-    process.interruptions.push({ contentHash, atMs: nowMs })
+    process.interruptions.push({ request, atMs: nowMs })
     return undefined
   }
 
@@ -94,9 +98,9 @@
   #recordEnd (endpointId: string, process: EndpointProcess, nowMs: number): CrashNotice | undefined {
     if (process.endedAtMs === undefined) process.endCount++
     process.endedAtMs ??= nowMs
-    const contents = process.interruptions.filter(interruption => nowMs - interruption.atMs < interruptionTtlMs).map(interruption => interruption.contentHash)
+    const requests = process.interruptions.filter(interruption => nowMs - interruption.atMs < interruptionTtlMs).map(interruption => interruption.request)
     process.interruptions = []
-    return contents.length === 0 ? undefined : { crash: formatCrash(endpointId, process.startedAtMs, process.endCount), contents }
+    return requests.length === 0 ? undefined : { crash: formatCrash(endpointId, process.startedAtMs, process.endCount), requests }
   }
 
   #findOrAdd (endpointId: string, startedAtMs: number): EndpointProcess {
--- a/src/core/suspectRegistry.ts
+++ b/src/core/suspectRegistry.ts
@@ -1,5 +1,6 @@
 /** Recognizes requests that crash the endpoints they run on, by a hash of the request content. */
 import { maxCrashesPerRequest } from '../constants.js'
+import type { PartVerdict } from './suspectParts.js'
 import { createNotRunFailure } from '../schemas/verdict.js'
 import type { RequestFailure } from '../schemas/verdict.js'
 
@@ -68,6 +69,13 @@
     if (this.findState(fingerprint, nowMs) === 'suspect') this.#suspects.delete(fingerprint)
   }
 
+  /** Removes a crash whose cause has been found elsewhere from all contents, unless they are already refused. */
+  removeCrash (crash: string, nowMs: number): void {
+    for (const [fingerprint, { crashes }] of this.#suspects) {
+      if (crashes.has(crash) && this.findState(fingerprint, nowMs) === 'suspect' && crashes.delete(crash) && crashes.size === 0) this.#suspects.delete(fingerprint)
+    }
+  }
+
   findState (fingerprint: string, nowMs: number): SuspectState {
     const suspect = this.#suspects.get(fingerprint)
     if (!suspect || nowMs - suspect.lastCrashAtMs > this.#options.ttlMs) return 'clear'
@@ -99,3 +107,15 @@
   const message = `requests with this content have crashed ${maxCrashes} endpoints and are not run again; change the request`
   return createNotRunFailure('request_crashes_endpoints', message, 422)
 }
+
+/**
+ * Creates the failure for a request with prompt parts that crash engines. Until more crashes confirm the verdict, the request is
+ * refused for the time being: `trialInMs` is the time until another request with the parts may run.
+ */
+export function createPartRefusal ({ parts, crashes, isConfirmed }: PartVerdict, trialInMs: number): RequestFailure {
+  const names = parts.map(part => `"${part}"`).join(' and ')
+  const message = `requests with the prompt ${parts.length === 1 ? 'part' : 'parts'} ${names} have crashed ${crashes.size} engines and are not run now`
+  return isConfirmed
+    ? createNotRunFailure('prompt_part_crashes_engines', `${message}; change the prompt`, 422)
+    : createNotRunFailure('prompt_part_suspect', message, 503, Math.max(0, trialInMs))
+}
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -112,10 +112,24 @@
 export type RunningRequestsReport = Static<typeof runningRequestsReportSchema>
 
 /**
- * Notifies all hosts of suspect content, which was running when endpoints crashed. Sent ahead of the rows in the
- * store that record the same, and also while these cannot be written.
+ * Notifies all hosts of a suspect content or prompt part, beneath which endpoints crashed. Sent ahead of the rows in the store
+ * that record the same, and also while these cannot be written. The optional fields are present for prompt parts alone.
  */
-export const suspectContentSchema = Type.Object({ type: Type.Literal('suspect'), fingerprint: Type.String(), crashes: Type.Array(Type.String()) })
+export const suspectMessageSchema = Type.Object({
+  type: Type.Literal('suspect'),
+  /** Fingerprint of the content, or of the part as `formatPartFingerprint` returns it. */
+  fingerprint: Type.String(),
+  crashes: Type.Array(Type.String()),
+  /** Content fingerprint of the latest of the requests with the part. */
+  request: Type.Optional(Type.String()),
+  /** How long before the crash that request had been sent, in milliseconds. */
+  sentAgoMs: Type.Optional(Type.Number()),
+  /** Number of answers that the sender knows to have begun on the part. */
+  served: Type.Optional(Type.Integer()),
+  /** Whether an answer has begun on the part since the crashes that the sender knows. */
+  isSound: Type.Optional(Type.Boolean())
+})
+export type SuspectMessage = Static<typeof suspectMessageSchema>
 
 /** Notifies the owner of an adapter's preferred engine which other engine served a request for the adapter. */
 export const servedElsewhereSchema = Type.Object({
@@ -181,7 +195,7 @@
 export type RenewalReply = Static<typeof renewalQueuedSchema> | RenewalResult
 
 export const hostMessageSchema = Type.Union([
-  reservationRequestSchema, reservationGrantSchema, reservationQueuedSchema, reservationRefusalSchema, reservationReleaseSchema, runningRequestsReportSchema, suspectContentSchema, servedElsewhereSchema, endpointLeavingSchema, releaseConfirmationSchema, pingSchema, pongSchema,
+  reservationRequestSchema, reservationGrantSchema, reservationQueuedSchema, reservationRefusalSchema, reservationReleaseSchema, runningRequestsReportSchema, suspectMessageSchema, servedElsewhereSchema, endpointLeavingSchema, releaseConfirmationSchema, pingSchema, pongSchema,
   renewalRequestSchema, renewalQueuedSchema, renewalResultSchema
 ])
 export type HostMessage = Static<typeof hostMessageSchema>
--- a/src/schemas/hostRows.ts
+++ b/src/schemas/hostRows.ts
@@ -11,6 +11,7 @@
 const hostKeyPrefix = 'host/'
 const ownerKeyPrefix = 'owner/'
 const suspectKeyPrefix = 'suspect/'
+const partFingerprintPrefix = 'part:'
 
 export const hostRowSchema = Type.Object({
   host: Type.String(),
@@ -44,14 +45,16 @@
 export type OwnerRow = Static<typeof ownerRowSchema>
 
 /**
- * An endpoint crashed while it ran requests with this content. With one row for each crash, writes need no precondition:
- * any host may write the row, more than once.
+ * An endpoint crashed while it ran requests with this content or prompt part. With one row for each crash, writes need no
+ * precondition: any host may write the row, more than once.
  */
 export const suspectRowSchema = Type.Object({
-  /** Fingerprint (hash) of the requests' content. */
+  /** Fingerprint (hash) of the requests' content, or that of a prompt part as `formatPartFingerprint` returns it. */
   fingerprint: Type.String({ minLength: 1 }),
   /** Name of the crash, the same on all hosts that observed it. */
-  crash: Type.String({ minLength: 1 })
+  crash: Type.String({ minLength: 1 }),
+  /** Content fingerprint of one of the requests with the prompt part; absent in rows of contents. */
+  request: Type.Optional(Type.String())
 })
 export type SuspectRow = Static<typeof suspectRowSchema>
 
@@ -68,10 +71,26 @@
   return `${ownerKeyPrefix}${endpointId}`
 }
 
-export function formatSuspectKey ({ fingerprint, crash }: SuspectRow): string {
+export function formatSuspectKey ({ fingerprint, crash }: Pick<SuspectRow, 'fingerprint' | 'crash'>): string {
   return `${suspectKeyPrefix}${fingerprint}/${crash}`
 }
 
+/** Splits the name of a suspect's row, which is its key without the prefix. Crash names may contain slashes, fingerprints do not. */
+export function parseSuspectName (name: string): Pick<SuspectRow, 'fingerprint' | 'crash'> {
+  const slash = name.indexOf('/')
+  return { fingerprint: name.slice(0, slash), crash: name.slice(slash + 1) }
+}
+
+/** Returns the fingerprint by which rows and messages name a prompt part. */
+export function formatPartFingerprint (part: string): string {
+  return `${partFingerprintPrefix}${part}`
+}
+
+/** Returns the prompt part that a fingerprint names; undefined for the fingerprint of a content. */
+export function parsePartFingerprint (fingerprint: string): string | undefined {
+  return fingerprint.startsWith(partFingerprintPrefix) ? fingerprint.slice(partFingerprintPrefix.length) : undefined
+}
+
 /** A decoded row of the hosts' table. */
 export type DecodedHostsRow =
   | { kind: 'host', name: string, row: HostRow }
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -1,8 +1,7 @@
 /** Dispatches messages between hosts to the parts of this host that they are for, and pings other hosts. */
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Datagrams, DatagramSender } from '../../ports/datagrams.js'
-import type { SuspectRecord } from '../../core/suspectRegistry.js'
-import type { HostMessage, ReservationReply, RenewalRequest, RenewalReply } from '../../schemas/datagram.js'
+import type { HostMessage, ReservationReply, RenewalRequest, RenewalReply, SuspectMessage } from '../../schemas/datagram.js'
 
 export interface PeerTaskOptions {
   clock: Clock
@@ -18,7 +17,7 @@
   /** Receives another host's renewal, to be written to the store together with others. */
   receiveRenewal: (renewal: RenewalRequest, sender: DatagramSender, answer: (reply: RenewalReply) => void) => void
   receiveRenewalReply: (reply: RenewalReply) => void
-  receiveSuspectRecord: (record: SuspectRecord) => void
+  receiveSuspectMessage: (message: SuspectMessage) => void
 }
 
 /** A host's reply to a ping. */
@@ -122,7 +121,7 @@
       const { session, storeAgeMs } = message
       this.#pendingPings.get(message.echo)?.({ session, storeAgeMs: storeAgeMs === unknownAgeMs ? undefined : storeAgeMs })
     } else if (message.type === 'suspect') {
-      this.#options.receiveSuspectRecord(message)
+      this.#options.receiveSuspectMessage(message)
     } else if (message.type === 'renew') {
       receiveRenewal(message, sender, reply => datagrams.send(sender.address, reply))
     } else if (message.type === 'renewed' || message.type === 'renewalQueued') {
--- a/src/tasks/proxy/crashDetectionTask.ts
+++ b/src/tasks/proxy/crashDetectionTask.ts
@@ -11,8 +11,8 @@
   log: EventLog
   /** Whether an endpoint has announced that it is leaving, so that no request is to blame when its process ends. */
   isLeaving: (endpointId: string) => boolean
-  /** Reports that an endpoint crashed while requests with these fingerprints were running on it. */
-  reportCrash: (crash: string, fingerprints: readonly string[]) => void
+  /** Reports that an endpoint crashed while requests of this host were running on it. */
+  reportCrash: (notice: CrashNotice) => void
 }
 
 /** Delays before later probes: a process that exits may close its connections shortly before its listening port. */
@@ -74,7 +74,9 @@
   #report (notice: CrashNotice | undefined, evidence: string): void {
     if (!notice) return
     const { log, reportCrash } = this.#options
-    log.record('endpoint.crashed', 'An endpoint crashed while requests were running on it; the crash is counted against their fingerprints.', { ...notice, sign: evidence })
-    reportCrash(notice.crash, notice.contents)
+    log.record('endpoint.crashed', 'An endpoint crashed while requests were running on it; the crash is counted against them.', {
+      crash: notice.crash, contents: notice.requests.map(({ content }) => content), unanswered: notice.requests.filter(({ hasBegun }) => !hasBegun).length, sign: evidence
+    })
+    reportCrash(notice)
   }
 }
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -7,6 +7,7 @@
 import { pickService } from '../../core/routeTable.js'
 import type { Timer } from '../../ports/clock.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
+import { formatPartFingerprint } from '../../schemas/hostRows.js'
 import type { Route } from '../../schemas/routing.js'
 import { RequestAttempt } from './requestAttempt.js'
 import type { AttemptResult } from './requestAttempt.js'
@@ -33,6 +34,8 @@
   #fingerprint = ''
   /** Ids of the prompt segments that other requests may share. */
   #sharedParts: readonly string[] = []
+  /** Whether the request runs to find whether its parts still crash engines. */
+  #isTrial = false
   #dueAtMs = 0
   /** When the last chunk of a stream was written to the caller; undefined if none was. */
   #lastChunkAtMs: number | undefined
@@ -66,7 +69,7 @@
     this.#attempt?.cancel()
   }
 
-  /** Called when the request's fingerprint is found to crash endpoints. An attempt in progress is not interrupted. */
+  /** Called when the request's content or prompt parts are found to crash endpoints. An attempt in progress is not interrupted. */
   receiveRefusal (): void {
     if (!this.#isSending) this.#refuseIfCrashing()
   }
@@ -93,19 +96,31 @@
     this.#deadlineAtMs = request.receivedAtMs + Math.min(request.timeLeftMs ?? defaultTimeLeftMs, route.timeoutMs)
     this.#timer = clock.setTimer(() => this.#receiveTimeout(), this.#deadlineAtMs - clock.readMonotonic())
     retryBudget.recordRequest(this.#service, clock.readMonotonic())
-    inFlightRequests.add(this.#fingerprint, this)
+    for (const fingerprint of this.#listFingerprints()) inFlightRequests.add(fingerprint, this)
     await this.#run(route)
   }
 
-  /** Refuses the request if its fingerprint is known to crash endpoints; returns false if it may run. */
+  /** Refuses the request if its content or prompt parts are known to crash endpoints; returns false if it may run. */
   #refuseIfCrashing (): boolean {
-    const refusal = this.#context.suspects.findRefusal(this.#fingerprint)
+    const { suspects } = this.#context
+    if (this.#hasEnded || this.#isTrial) return this.#hasEnded
+    const refusal = suspects.findRefusal(this.#fingerprint, this.#sharedParts)
     if (!refusal) return false
+    if (!this.#isSending && suspects.tryBeginTrial(this.#fingerprint, this.#sharedParts)) {
+      this.#isTrial = true
+      return false
+    }
     if (this.#response.hasHead) this.#abort(refusal.message)
-    else this.#respond(refusal.status, refusal.code, refusal.message)
+    else if (refusal.retryAfterMs === undefined) this.#respond(refusal.status, refusal.code, refusal.message)
+    else if (this.#mayHaveRun || this.#isSending) this.#respond(502, refusal.code, refusal.message)
+    else this.#refuse(refusal.code, refusal.message, refusal.retryAfterMs)
     return true
   }
 
+  #listFingerprints (): string[] {
+    return [this.#fingerprint, ...this.#sharedParts.map(formatPartFingerprint)]
+  }
+
   /** Estimates how long the caller has been trying; a caller that retries has been waiting since its first attempt. */
   #computeSpentMs (route: Route, { timeLeftMs }: CallerRequest): number {
     if (timeLeftMs === undefined) return 0
@@ -154,6 +169,7 @@
       }
       const failure = await this.#send(selection.target, route)
       if (!failure || this.#hasEnded) return
+      if (this.#hasEnded || this.#refuseIfCrashing()) return
       if (!canRetryAttempt(failure, this.#createRetryView(route))) {
         this.#giveUp(failure, undefined)
         return
@@ -194,7 +210,8 @@
       target,
       timeLeftMs: this.#deadlineAtMs - this.#context.clock.readMonotonic(),
       isRetryable: isRetryable(route.kind, route.isResumable),
-      lastEventId: this.#attempt?.lastEventId
+      lastEventId: this.#attempt?.lastEventId,
+      receiveBegun: () => this.#context.suspects.recordBegun(this.#sharedParts)
     })
     this.#attempt = attempt
     this.#isSending = true
@@ -203,32 +220,34 @@
     this.#isSending = false
     this.#lastChunkAtMs = attempt.lastChunkAtMs ?? this.#lastChunkAtMs
     if (result.kind === 'answered') {
+      this.#isTrial = false
       this.#context.suspects.recordServed(this.#fingerprint)
       this.#finish('served', `endpoint "${target.endpoint.id}" responded with status ${result.status}`)
       return undefined
     }
     this.#bufferedResponse = result.bufferedResponse ?? this.#bufferedResponse
-    if (isInterrupted(result.failure)) await this.#recordInterruption(target, sentAtMs, result.failure.reason)
     if (result.failure.verdict !== 'notRun') {
       this.#mayHaveRun = true
+      this.#isTrial = false
       this.#runCount++
     }
+    if (isInterrupted(result.failure)) await this.#recordInterruption(target, sentAtMs, result.failure.reason)
     this.#retryAfterMs = result.retryAfterMs ?? this.#retryAfterMs
     return result.failure
   }
 
   /**
-   * Reports that a request ended without a complete response, as its endpoint may have crashed. A request whose fingerprint
-   * is suspect is not retried before the first probe has shown whether this endpoint crashed.
+   * Reports that a request ended without a complete response, as its endpoint may have crashed. A request that may be the cause
+   * is not retried before the first probe has shown whether this endpoint crashed.
    */
   async #recordInterruption ({ endpoint, link }: SelectedEndpoint, sentAtMs: number, reason: string): Promise<void> {
     const { log, crashDetection, suspects } = this.#context
-    const interruption = { endpointId: endpoint.id, startedAtMs: endpoint.startedAtMs, content: this.#fingerprint, sentAtMs }
-    log.record('request.cut', 'The connection to an endpoint closed before its response was complete; the request may have run.', {
-      requestId: this.#request.requestId, ...interruption, parts: this.#sharedParts, hasBegun: this.#attempt?.hasBegun, reason
-    })
+    const hasBegun = this.#attempt!.hasBegun
+    const interruption = { endpointId: endpoint.id, startedAtMs: endpoint.startedAtMs, content: this.#fingerprint, parts: this.#sharedParts, hasBegun, sentAtMs }
+    log.record('request.cut', 'The connection to an endpoint closed before its response was complete; the request may have run.', { requestId: this.#request.requestId, ...interruption, reason })
     const firstProbe = crashDetection.receiveInterruption(interruption, link)
-    if (suspects.isSuspect(this.#fingerprint)) await firstProbe
+    const mayBeCause = !hasBegun && this.#sharedParts.length > 0
+    if (mayBeCause || suspects.isSuspect(this.#fingerprint)) await firstProbe
   }
 
   #receiveTimeout (): void {
@@ -277,8 +296,9 @@
     if (this.#hasEnded) return
     this.#hasEnded = true
     this.#timer?.cancel()
-    const { clock, log, clusterView, inFlightRequests } = this.#context
-    inFlightRequests.remove(this.#fingerprint, this)
+    const { clock, log, clusterView, inFlightRequests, suspects } = this.#context
+    for (const fingerprint of this.#listFingerprints()) inFlightRequests.remove(fingerprint, this)
+    if (this.#isTrial && !this.#isSending) suspects.cancelTrial(this.#sharedParts)
     log.record(`request.${outcome}`, 'A request has ended.', {
       requestId: this.#request.requestId,
       content: this.#fingerprint,
--- a/src/tasks/proxy/proxyContext.ts
+++ b/src/tasks/proxy/proxyContext.ts
@@ -8,11 +8,29 @@
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { ResponseHead, CallerRequest, SystemRequestFields } from '../../schemas/callerRequest.js'
-import type { SuspectContentTask } from '../peers/suspectContentTask.js'
+import type { RequestFailure } from '../../schemas/verdict.js'
 import type { CrashDetectionTask } from './crashDetectionTask.js'
 import type { EndpointNoticeTask } from './endpointNoticeTask.js'
 import type { EndpointSelector } from './endpointSelector.js'
 
+/** Which requests are suspected of crashing endpoints, by their fingerprints and the prompt parts that they share with others. */
+export interface SuspectChecks {
+  /** Returns the failure for a request that is refused; undefined where it may run. */
+  findRefusal: (fingerprint: string, parts: readonly string[]) => RequestFailure | undefined
+  /** Whether an endpoint crashed while a request with this content ran on it. */
+  isSuspect: (fingerprint: string) => boolean
+  /** Whether engines crashed beneath one of these parts, on which no answer has begun as far as known. */
+  arePartsSuspect: (parts: readonly string[]) => boolean
+  /** Lets a refused request run to find whether its parts still crash engines; returns whether it may run. */
+  tryBeginTrial: (fingerprint: string, parts: readonly string[]) => boolean
+  /** Makes a trial due again that was not sent to an engine. */
+  cancelTrial: (parts: readonly string[]) => void
+  /** Records that an endpoint answered a request with this content. */
+  recordServed: (fingerprint: string) => void
+  /** Records that an engine has begun its answer to a request with these parts. */
+  recordBegun: (parts: readonly string[]) => void
+}
+
 export interface ProxyContext {
   clock: Clock
   log: EventLog
@@ -21,8 +39,7 @@
   retryBudget: HostRetryBudget
   endpointSelector: EndpointSelector
   callerTimeouts: CallerTimeouts
-  /** Which request fingerprints are suspected of crashing endpoints. */
-  suspects: Pick<SuspectContentTask, 'findRefusal' | 'isSuspect' | 'recordServed'>
+  suspects: SuspectChecks
   inFlightRequests: InFlightRequests
   crashDetection: CrashDetectionTask
   notices: EndpointNotices
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -19,6 +19,8 @@
   isRetryable: boolean
   /** Id of the last event that the caller received from an earlier attempt. */
   lastEventId: number | undefined
+  /** Called once when the endpoint has begun to write its answer. */
+  receiveBegun: () => void
 }
 
 export interface BufferedResponse {
@@ -125,7 +127,7 @@
       return
     }
     this.#head = head
-    this.#hasBegun = route.kind !== 'stream' && status >= 200 && status < 300
+    if (route.kind !== 'stream' && status >= 200 && status < 300) this.#recordBegun()
     if (route.kind === 'stream' && status >= 200 && status < 300) this.#eventSplitter = new SseEventSplitter(this.#options.lastEventId ?? request.lastEventId)
   }
 
@@ -168,10 +170,16 @@
     if (events.count === 0) return true
     if (!this.#options.response.hasHead) this.#writeHead(this.#head!)
     this.#lastChunkAtMs = this.#context.clock.readMonotonic()
-    this.#hasBegun = true
+    this.#recordBegun()
     return this.#write(events.bytes)
   }
 
+  #recordBegun (): void {
+    if (this.#hasBegun) return
+    this.#hasBegun = true
+    this.#options.receiveBegun()
+  }
+
   #writeHead (head: ResponseHead): void {
     const lengthHeader = head.contentLength === undefined || this.#eventSplitter ? [] : ['Content-Length', String(head.contentLength)]
     this.#hasWrittenHead = true
