Keep a request that may have crashed its engine off the next one

Cause: a broken connection of a request that may run again was repeated whatever lay beneath it, and an attempt in progress was never interrupted. Change: a request whose engine crashed before its answer began is repeated only if engines are known to have answered on its parts; other hosts get 100 ms to say so. An attempt that has not begun its answer is withdrawn as its content or part is refused. Evidence: both new scenarios fail on (2 engines instead of 1; status 0 and no withdrawal) and pass.

--- a/features/crashingPromptParts.feature
+++ b/features/crashingPromptParts.feature
@@ -59,6 +59,13 @@
     Then at most 3 requests with the part reached engines later than 3000 ms after the fifth crash
     And no harmless request is refused permanently
 
+  Scenario: A request that may have crashed its engine is not repeated on the next one
+    Given 3 hosts before a platform with 3 engines
+    And crashed endpoints restart after 300 ms
+    And the prompt part "bad1" crashes engines
+    When a "resumable" request with the prompt parts "aa01:60,bad1:50,c1:30" is sent
+    Then 1 engine has crashed, and the caller got 502
+
   Scenario Outline: Shared parts of a prompt
     Given a request with the prompt parts "<header>"
     Then its shared parts are "<parts>"
--- a/features/crashingRequests.feature
+++ b/features/crashingRequests.feature
@@ -57,6 +57,11 @@
     When its fingerprint is found to crash endpoints
     Then the request is refused permanently and not sent
 
+  Scenario: A request that waits at an endpoint is withdrawn as it is found to crash endpoints
+    Given a request that was sent to an endpoint and has no answer yet
+    When its fingerprint is found to crash endpoints
+    Then the request is refused permanently and withdrawn from the endpoint
+
   Scenario Outline: Request fingerprints
     Given a request with a body of 20000 bytes
     When another one differs in <part>
--- a/features/steps/crashingPromptParts.ts
+++ b/features/steps/crashingPromptParts.ts
@@ -8,7 +8,7 @@
 import { createRequestId } from '../../src/standin/fleet/fleetCaller.js'
 import type { CallKind, FleetAnswer } from '../../src/standin/fleet/fleetCaller.js'
 import type { CallOptions } from '../support/hostFleet.js'
-import { pickRunning, setFaults } from '../support/hostsWorld.js'
+import { call, pickRunning, setFaults } from '../support/hostsWorld.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
 
 interface SentRequest {
@@ -94,6 +94,15 @@
   await sendBoth(this, { kind, spellings: this.crashParts.map(part => `${part}:50`), ratePerS, forMs, soundPerS, restartAfterMs })
 })
 
+When('a {string} request with the prompt parts {string} is sent', async function (this: PartsWorld, kind: CallKind, promptParts: string) {
+  await call(this, { kind, promptParts, adapter: 'a1', host: 1 })
+})
+
+Then('{int} engine has crashed, and the caller got {int}', function (this: PartsWorld, count: number, status: number) {
+  assert.equal(listCrashTimes(this).length, count)
+  assert.equal(this.answers[0]!.status, status)
+})
+
 /** Times at which engines crashed, in order: a request with the part begins its answer once on each engine that it crashes. */
 function listCrashTimes (world: PartsWorld): number[] {
   return world.hostFleet.fleet.engines.flatMap(({ server }) => server.crashTimesMs).sort((left, right) => left - right)
--- a/features/steps/crashingRequests.ts
+++ b/features/steps/crashingRequests.ts
@@ -141,12 +141,21 @@
   this.waiting = await startWaitingRequest()
 })
 
+Given('a request that was sent to an endpoint and has no answer yet', async function (this: WaitingWorld) {
+  this.waiting = await startWaitingRequest()
+  await this.waiting.send()
+})
+
 When('its fingerprint is found to crash endpoints', async function (this: WaitingWorld) {
   await this.waiting.refuseContent()
 })
 
 Then('the request is refused permanently and not sent', function (this: WaitingWorld) {
-  assert.deepEqual(this.waiting.read(), { status: 422, sends: 0 })
+  assert.deepEqual(this.waiting.read(), { status: 422, sends: 0, cancels: 0 })
+})
+
+Then('the request is refused permanently and withdrawn from the endpoint', function (this: WaitingWorld) {
+  assert.deepEqual(this.waiting.read(), { status: 422, sends: 1, cancels: 1 })
 })
 
 Given('a crash detector', function (this: CrashDetectorWorld) {
--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -21,10 +21,12 @@
 import type { EndpointSelection } from '../../src/tasks/proxy/endpointSelector.js'
 
 export interface WaitingRequest {
+  /** Lets the selection finish with an endpoint, which does not answer. */
+  send: () => Promise<void>
   /** Refuses the request's fingerprint from now on, then lets the selection finish with an endpoint. */
   refuseContent: () => Promise<void>
   /** `status`: response status that the caller got before the selection finished; 0 if none. */
-  read: () => { status: number, sends: number }
+  read: () => { status: number, sends: number, cancels: number }
 }
 
 const engine: EndpointEntry = {
@@ -39,6 +41,7 @@
   let statusBeforeSelection = 0
   let requestFingerprint = ''
   let sendCount = 0
+  let cancelCount = 0
   let isRefused = false
   let resolveSelection = (_selection: EndpointSelection): void => {}
   const clusterView = new ClusterView(decodePlatformRow)
@@ -70,6 +73,7 @@
       recordBegun: () => {}
     },
     inFlightRequests,
+    notices: { isAcceptingRequests: () => true } as unknown as ProxyContext['notices'],
     random: () => 0,
     encodeRequestHeaders,
     decodeAnswerHead,
@@ -80,15 +84,19 @@
   }
   const request = new ProxiedRequest(context, callerRequest, new CallerResponse(response as unknown as ServerResponse, () => {}))
   request.serve()
-  const link = { busy: 0, hasRoom: true, close: () => {}, send: () => { sendCount++; return { cancel: () => {}, resume: () => {} } }, probe: async () => 'open' as const }
+  const link = { busy: 0, hasRoom: true, close: () => {}, send: () => { sendCount++; return { cancel: () => { cancelCount++ }, resume: () => {} } }, probe: async () => 'open' as const }
+  const finishSelection = async (): Promise<void> => {
+    resolveSelection({ kind: 'found', target: { endpoint: engine, link, version: 0, priority: undefined, release: () => {} } })
+    await sleep(settleMs)
+  }
   return {
+    send: finishSelection,
     refuseContent: async () => {
       isRefused = true
       inFlightRequests.refuse(requestFingerprint)
       statusBeforeSelection = status
-      resolveSelection({ kind: 'found', target: { endpoint: engine, link, version: 0, priority: undefined, release: () => {} } })
-      await sleep(settleMs)
+      await finishSelection()
     },
-    read: () => ({ status: statusBeforeSelection, sends: sendCount })
+    read: () => ({ status: statusBeforeSelection, sends: sendCount, cancels: cancelCount })
   }
 }
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -210,7 +210,7 @@
       }, workMs / 2)
     } else if (engine && marks.sharedParts.some(part => this.faults.crashParts.includes(part))) {
       response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' }).flushHeaders()
-      setTimeout(() => { if (!response.destroyed) this.crash() }, engine.options.eventMs)
+      setTimeout(() => { if (!response.destroyed) this.crash() }, this.faults.eventMs || engine.options.eventMs)
     } else if (engine && this.faults.unframed > 0 && random() < this.faults.unframed) {
       this.#streamUnframed(engine, response, run, headers, finish)
     } else if (engine) {
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -21,6 +21,8 @@
 const defaultRetryAfterMs = 200
 /** Interval at which a request checks again while this host is starting or the owner of an engine is changing. */
 const transientCheckIntervalMs = 50
+/** Other hosts object within this time if they know the prompt parts of an interrupted request to be sound. */
+const objectionWaitMs = 100
 /** The takeover of an endpoint takes some 350 ms, as do the first cluster updates after a start. */
 const maxTransientWaitMs = 450
 
@@ -36,6 +38,8 @@
   #sharedParts: readonly string[] = []
   /** Whether the request runs to find whether its parts still crash engines. */
   #isTrial = false
+  /** Whether the last attempt's engine crashed before it began its answer on a prompt part that no engine has answered. */
+  #isPossibleCause = false
   #dueAtMs = 0
   /** When the last chunk of a stream was written to the caller; undefined if none was. */
   #lastChunkAtMs: number | undefined
@@ -69,9 +73,13 @@
     this.#attempt?.cancel()
   }
 
-  /** Called when the request's content or prompt parts are found to crash endpoints. An attempt in progress is not interrupted. */
+  /**
+   * Called when the request's content or prompt parts are found to crash endpoints. An attempt in progress is cancelled unless
+   * its answer has begun, as it would crash one more endpoint.
+   */
   receiveRefusal (): void {
-    if (!this.#isSending) this.#refuseIfCrashing()
+    if (this.#isSending && this.#attempt!.hasBegun) return
+    if (this.#refuseIfCrashing()) this.#attempt?.cancel()
   }
 
   async serve (): Promise<void> {
@@ -170,7 +178,8 @@
       const failure = await this.#send(selection.target, route)
       if (!failure || this.#hasEnded) return
       if (this.#hasEnded || this.#refuseIfCrashing()) return
-      if (!canRetryAttempt(failure, this.#createRetryView(route))) {
+      // Repeating a request that may have crashed its engine would take the next one along.
+      if (this.#isPossibleCause || !canRetryAttempt(failure, this.#createRetryView(route))) {
         this.#giveUp(failure, undefined)
         return
       }
@@ -241,13 +250,16 @@
    * is not retried before the first probe has shown whether this endpoint crashed.
    */
   async #recordInterruption ({ endpoint, link }: SelectedEndpoint, sentAtMs: number, reason: string): Promise<void> {
-    const { log, crashDetection, suspects } = this.#context
+    const { clock, log, crashDetection, suspects } = this.#context
     const hasBegun = this.#attempt!.hasBegun
     const interruption = { endpointId: endpoint.id, startedAtMs: endpoint.startedAtMs, content: this.#fingerprint, parts: this.#sharedParts, hasBegun, sentAtMs }
     log.record('request.cut', 'The connection to an endpoint closed before its response was complete; the request may have run.', { requestId: this.#request.requestId, ...interruption, reason })
     const firstProbe = crashDetection.receiveInterruption(interruption, link)
     const mayBeCause = !hasBegun && this.#sharedParts.length > 0
     if (mayBeCause || suspects.isSuspect(this.#fingerprint)) await firstProbe
+    // Other hosts may have seen answers begin on the parts.
+    if (mayBeCause && suspects.arePartsSuspect(this.#sharedParts)) await new Promise<void>(resolve => { clock.setTimer(resolve, objectionWaitMs) })
+    this.#isPossibleCause = mayBeCause && suspects.arePartsSuspect(this.#sharedParts)
   }
 
   #receiveTimeout (): void {
