--- a/src/platform/requestWire.ts
+++ b/src/platform/requestWire.ts
@@ -108,6 +108,7 @@
     retryAfterMs: isRetryAfterValid ? retryAfterS * 1000 : undefined,
     invalidRetryAfter: isRetryAfterValid ? undefined : retryAfter,
     isLeaving: values.get(wireHeaders.leaving) === '1',
+    isFramed: values.has('content-length') || values.has('transfer-encoding'),
     contentLength,
     isEncoded: values.has('content-encoding'),
     isClosing: (values.get('connection') ?? '').toLowerCase().includes('close')
--- a/src/schemas/callerRequest.ts
+++ b/src/schemas/callerRequest.ts
@@ -47,6 +47,8 @@
   readonly invalidRetryAfter: string | undefined
   /** The endpoint reports that it is leaving. */
   readonly isLeaving: boolean
+  /** Whether a length or chunks delimit the body; otherwise the end of the connection does. */
+  readonly isFramed: boolean
   /** Length of the body if the response states it. */
   readonly contentLength: number | undefined
   readonly isEncoded: boolean
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -20,8 +20,10 @@
   unframed: number
   /** HTTP version that unframed answers state. */
   unframedVersion: '1.0' | '1.1'
-  /** Answers without a length that are reset before their last bytes. */
+  /** Unframed answers that are reset before their last bytes or, where they are streams, end inside an event. */
   unframedCuts: number
+  /** Unframed streams that end before their first event. */
+  emptyStreams: number
   /** Whole answers after which a second one comes. */
   extras: number
   /** Orders that get no answer and are carried out late. */
@@ -44,7 +46,7 @@
   retryAfter: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], downMs: 0, isLeaving: false, retryAfter: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], downMs: 0, isLeaving: false, retryAfter: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -246,13 +248,15 @@
     const socket = response.socket!
     const last = countEvents(run.requestId)
     const cutAfter = random() < this.faults.unframedCuts ? run.fromEvent + Math.floor(random() * last) : Infinity
+    const isEmpty = random() < this.faults.emptyStreams
     let next = run.fromEvent + 1
     socket.write(formatUnframedHead(this.faults.unframedVersion, { ...headers, 'content-type': 'text/event-stream' }))
     const send = (): void => {
       if (socket.destroyed) return
-      if (next > cutAfter || next > last) {
-        finish(next > cutAfter ? 'broken' : 'whole')
-        socket.end(next > cutAfter ? `id: ${next}\nda` : '')
+      if (isEmpty || next > cutAfter || next > last) {
+        const isCut = !isEmpty && next > cutAfter
+        finish(isCut || isEmpty ? 'broken' : 'whole')
+        socket.end(isCut ? `id: ${next}\nda` : '')
         return
       }
       socket.write(`id: ${next}\ndata: ${run.requestId} ${next}\n\n`)
