Save the crashes of a part before the second one is known

What callers would see: where all messages between hosts are lost, each host knew of one crash of its own, none saved it, and no host refused the part after five crashes. Cause: rows were written only by a host that had counted two crashes, which took the messages for granted. Change: 200 ms after a crash the host saves what has not been proved sound since; parts that were answered before only from the third crash on. Writes that fail are repeated at growing intervals, as each repeat is told to all hosts.

--- a/src/tasks/peers/suspectPartTask.ts
+++ b/src/tasks/peers/suspectPartTask.ts
@@ -1,6 +1,6 @@
 /**
  * Finds on every host which prompt parts crash engines, and has requests with them refused. Hosts notify each other directly of
- * each crash, and of answers that prove a part sound; parts beneath several crashes are also written to the store.
+ * each crash, and of answers that prove a part sound; crashes beneath parts that may be refused are also written to the store.
  */
 import type { InterruptedRequest } from '../../core/crashDetector.js'
 import { computeHash } from '../../core/rendezvousHash.js'
@@ -34,6 +34,10 @@
 
 /** Limit on the parts that one host reports for one crash; a caller may send prompts of very many parts. */
 const maxReportedParts = 64
+/** Engines that are not at fault have begun to answer within this time. */
+const saveDelayMs = 200
+/** A part that has been answered before is not refused for fewer crashes. */
+const minSavedCrashesIfServed = 3
 /** A trial has shown its result on all hosts within this time, so the hosts become eligible for one in turn. */
 const trialStaggerMs = 2000
 /** Hosts that know a part to be sound spread their objections, so that most of them hear another host's first. */
@@ -121,8 +125,9 @@
       const sentAgoMs = nowMs - sentAtMs
       this.#addCrash({ part, crash, request: content, sentAgoMs })
       this.#options.broadcast({ type: 'suspect', fingerprint: formatPartFingerprint(part), crashes: [crash], request: content, sentAgoMs, served: this.#served.getCount(part) })
-      if (this.#suspects.countCrashes(part) > 1) this.#saveRows(part)
     }
+    // Most parts are found sound at once; rows reach the hosts that messages do not.
+    this.#options.clock.setTimer(() => { for (const [part] of reported) this.#saveRows(part) }, saveDelayMs)
     this.#announceVerdicts()
   }
 
@@ -162,12 +167,15 @@
   #clear (part: string): number {
     const wasRefused = this.isRefused(part)
     const crashCount = this.#suspects.clear(part)
-    if (crashCount > 1) this.#options.rowStore.remove(formatPartFingerprint(part))
+    if (crashCount > 0) this.#options.rowStore.remove(formatPartFingerprint(part))
     if (wasRefused) this.#options.log.record('suspect.partCleared', 'An engine has begun an answer on a refused prompt part, which is accepted again.', { part, crashes: crashCount })
     return crashCount
   }
 
+  /** Saves the crashes of a part that may be refused. */
   #saveRows (part: string): void {
+    const crashCount = this.#suspects.countCrashes(part)
+    if (crashCount === 0 || (this.#served.getCount(part) > 0 && crashCount < minSavedCrashesIfServed)) return
     const fingerprint = formatPartFingerprint(part)
     this.#options.rowStore.save(this.#suspects.listCrashes(part).map(({ crash, request }) => ({ fingerprint, crash, request })))
   }
--- a/src/tasks/peers/suspectRowStore.ts
+++ b/src/tasks/peers/suspectRowStore.ts
@@ -29,8 +29,12 @@
 
 /** Maximum number of entries in one transaction of the store. */
 const maxRowsPerTransaction = 100
-/** Delay before a failed write is retried. Other hosts are notified again each time, as new ones may have started. */
-const retryMs = 500
+/**
+ * Delay before a failed write is retried, doubled after each further failure. Other hosts are notified again each time, as new
+ * ones may have started.
+ */
+const initialRetryMs = 500
+const maxRetryMs = 4000
 /** Maximum number of rows waiting to be written: the requests that run on twelve endpoints at once. */
 const maxUnsavedRows = 768
 /** Maximum number of rows kept in the store, as hosts read all of them when they start. */
@@ -97,17 +101,20 @@
   async #saveRows (): Promise<void> {
     if (this.#isSaving) return
     this.#isSaving = true
+    let retryDelayMs = initialRetryMs
     while (this.#unsavedRows.size > 0 && !this.#isStopped) {
       const batch = [...this.#unsavedRows].slice(0, maxRowsPerTransaction)
       const writes = batch.flatMap(([key, row]) => row ? [{ table: hostsTable, key, value: encodeHostsRow(row) }] : [])
       const removals = batch.flatMap(([key, row]) => row ? [] : [{ table: hostsTable, key }])
       const outcome = await this.#options.transact({ checks: [], writes, removals })
       if (outcome.verdict === 'applied') {
+        retryDelayMs = initialRetryMs
         for (const [key, row] of batch) if (this.#unsavedRows.get(key) === row) this.#unsavedRows.delete(key)
       } else {
         this.#options.log.record('suspect.notSaved', 'Writing crashes to the store failed; notifying the other hosts and retrying.', { rows: batch.length, verdict: outcome.verdict })
         this.#options.notifyHosts(batch.flatMap(([, row]) => row ?? []))
-        await new Promise<void>(resolve => { this.#options.clock.setTimer(resolve, retryMs) })
+        await new Promise<void>(resolve => { this.#options.clock.setTimer(resolve, retryDelayMs) })
+        retryDelayMs = Math.min(maxRetryMs, retryDelayMs * 2)
       }
     }
     this.#isSaving = false
