Tell parts with the same crashes apart by their requests

What callers would see: a host refused a part only together with a sound one that lay beneath the same crashes in other requests, and so went on sending it. Cause: parts that the crashes can't tell apart were refused jointly, whether or not requests hold them together. Change: only parts that share a request are refused jointly; of the others the one in more requests goes first, and the next crash or answer corrects the choice.

--- a/src/core/suspectParts.ts
+++ b/src/core/suspectParts.ts
@@ -64,6 +64,8 @@
   served: number
   /** Crashes that no other part explains. */
   crashes: string[]
+  /** Fingerprints of the requests with the part beneath these crashes. */
+  requests: Set<string>
 }
 
 export class SuspectParts {
@@ -145,17 +147,18 @@
 
   #buildVerdicts (): PartVerdict[] {
     const verdicts: PartVerdict[] = []
-    let candidates = [...this.#suspects].filter(([, { crashes }]) => crashes.size >= minCrashes).map(([part, suspect]): Candidate => ({
-      part, suspect, served: this.#options.countServed(part), crashes: [...suspect.crashes.keys()]
-    }))
+    let candidates = [...this.#suspects].filter(([, { crashes }]) => crashes.size >= minCrashes)
+      .map(([part, suspect]) => createCandidate(part, suspect, this.#options.countServed(part), [...suspect.crashes.keys()]))
     for (;;) {
-      candidates = candidates.filter(isRefusable)
-      const [cause] = candidates.sort((left, right) => Number(left.served > 0) - Number(right.served > 0) || right.crashes.length - left.crashes.length)
+      candidates = candidates.filter(isRefusable).sort(compareCandidates)
+      const [cause] = candidates
       if (!cause) return verdicts
       const explained = new Set(cause.crashes)
-      const equal = candidates.filter(({ crashes }) => crashes.length === explained.size && crashes.every(crash => explained.has(crash)))
+      // Parts of the same requests with the same crashes cannot be told apart.
+      const equal = candidates.filter(({ crashes, requests }) => crashes.length === explained.size && crashes.every(crash => explained.has(crash)) && [...requests].some(request => cause.requests.has(request)))
       verdicts.push(createVerdict(equal, explained))
-      candidates = candidates.filter(candidate => !equal.includes(candidate)).map(candidate => ({ ...candidate, crashes: candidate.crashes.filter(crash => !explained.has(crash)) }))
+      candidates = candidates.filter(candidate => !equal.includes(candidate))
+        .map(({ part, suspect, served, crashes }) => createCandidate(part, suspect, served, crashes.filter(crash => !explained.has(crash))))
     }
   }
 
@@ -178,12 +181,20 @@
   }
 }
 
-function isRefusable ({ suspect, served, crashes }: Candidate): boolean {
-  const evidence = crashes.map(crash => suspect.crashes.get(crash)!)
-  if (new Set(evidence.flatMap(({ requests }) => [...requests])).size < minRequests) return false
-  if (served === 0) return evidence.length >= minCrashes
+function createCandidate (part: string, suspect: Suspect, served: number, crashes: string[]): Candidate {
+  return { part, suspect, served, crashes, requests: new Set(crashes.flatMap(crash => [...suspect.crashes.get(crash)!.requests])) }
+}
+
+/** Orders parts that were never answered first, then those beneath most crashes and in most requests. */
+function compareCandidates (left: Candidate, right: Candidate): number {
+  return Number(left.served > 0) - Number(right.served > 0) || right.crashes.length - left.crashes.length || right.requests.size - left.requests.size
+}
+
+function isRefusable ({ suspect, served, crashes, requests }: Candidate): boolean {
+  if (requests.size < minRequests) return false
+  if (served === 0) return crashes.length >= minCrashes
   const extraCrashes = Math.min(maxExtraCrashes, Math.ceil(Math.log2(1 + served)))
-  return evidence.filter(({ isIndependent }) => isIndependent).length >= minCrashesIfServed + extraCrashes
+  return crashes.filter(crash => suspect.crashes.get(crash)!.isIndependent).length >= minCrashesIfServed + extraCrashes
 }
 
 function createVerdict (equal: readonly Candidate[], crashes: ReadonlySet<string>): PartVerdict {
