Let the soak crash engines by a prompt part

Change: half of the soak's events of crashing requests on streams hold a part that crashes engines, in requests of which no two are alike; sound streams share their first part and one of twenty second ones.

--- a/soak/soakCallers.ts
+++ b/soak/soakCallers.ts
@@ -26,6 +26,14 @@
 const callerTimes = [4000, 12_000]
 const kinds: readonly CallKind[] = ['resumable', 'resumable', 'resumable', 'resumable', 'stream', 'stream', 'idempotent', 'idempotent', 'once', 'once']
 
+/** Second parts of prompts that requests share. */
+const sharedPartCount = 20
+
+/** Formats a prompt of a first part that all requests share, a second one, and the request's own. */
+export function formatPromptParts (part: string, requestId: string): string {
+  return `aa01:60,${part}:40,${requestId}:30`
+}
+
 export interface SoakCallersOptions {
   hosts: readonly HostProcess[]
   record: SoakRecord
@@ -76,8 +84,9 @@
     const { life, settings } = host
     const requestId = createRequestId()
     const startedAtMs = performance.now()
+    const promptParts = formatPromptParts(`b${Number.parseInt(requestId.slice(0, 2), 16) % sharedPartCount}`, requestId)
     // Hosts know a request that crashes engines by what it asks, so no two callers ask the same.
-    const answer = await this.#caller.call({ kind, requestId, body: `question ${requestId}`, ...(adapter !== undefined && { adapter }), timeLeftMs: this.#pick(callerTimes), signal: AbortSignal.timeout(callTimeoutMs), ...changes, address: settings.callersAddress })
+    const answer = await this.#caller.call({ kind, requestId, body: `question ${requestId}`, promptParts, ...(adapter !== undefined && { adapter }), timeLeftMs: this.#pick(callerTimes), signal: AbortSignal.timeout(callTimeoutMs), ...changes, address: settings.callersAddress })
     const call: SoakCall = { answer, host: settings.hostName, life, adapter, startedAtMs, endedAtMs: performance.now(), purpose }
     record.calls.push(call)
     return call
--- a/soak/soakEvents.ts
+++ b/soak/soakEvents.ts
@@ -1,11 +1,13 @@
 /** Injects planned faults and changes into a running system and notes when each of them began and ended. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { EndpointFaults } from '../src/standin/fleet/endpointServer.js'
+import { createRequestId } from '../src/standin/fleet/fleetCaller.js'
 import type { FleetEndpoint } from '../src/standin/fleet/startFleet.js'
 import type { StoreFault } from '../src/standin/fleet/storeServer.js'
 import { FaultStack } from './faultStack.js'
 import type { HostProcess } from './hostProcess.js'
 import type { LinkFault } from './loopbackProxy.js'
+import { formatPromptParts } from './soakCallers.js'
 import type { SoakCallers } from './soakCallers.js'
 import type { PlannedEvent } from './soakPlan.js'
 import type { SoakRecord } from './soakRecord.js'
@@ -34,6 +36,8 @@
 const crashingCalls = 16
 const crashingGapMs = 500
 const crashingBody = 'a question that crashes endpoints'
+/** Events from this size on crash engines by a prompt part. */
+const minSizeOfPart = 0.5
 /** Shorter than the gap, so that the next request may meet the endpoint again. */
 const crashDownMs = 300
 
@@ -154,26 +158,33 @@
         system.fleet.declareVersion(adapter, version)
         record.versions.push({ adapter, version, atMs: performance.now() })
       },
-      crashingRequest: async event => {
-        const fromMs = performance.now()
-        const kind = event.target % 2 === 0 ? 'resumable' : 'once'
-        this.#setCrashBody(crashingBody, crashDownMs)
-        const calls: Promise<unknown>[] = []
-        for (let index = 0; index < crashingCalls; index++) {
-          const hosts = callers.readyHosts
-          if (hosts.length > 0) calls.push(callers.call(hosts[index % hosts.length]!, 'crashing', { kind, body: crashingBody }))
-          await sleep(crashingGapMs)
-        }
-        await Promise.all(calls)
-        this.#setCrashBody('', 0)
-        this.#recordSpan(event, undefined, fromMs)
-      },
+      crashingRequest: async event => await this.#sendCrashingRequests(event),
       burst: async () => callers.startBurst()
     }
   }
 
-  #setCrashBody (crashBody: string, downMs: number): void {
-    for (const { server } of this.#options.system.fleet.endpoints) server.setFaults({ crashBody, downMs })
+  /** Sends requests that crash endpoints by their whole content or, where they are streams, by a prompt part that they share. */
+  async #sendCrashingRequests (event: PlannedEvent): Promise<void> {
+    const { callers } = this.#options
+    const fromMs = performance.now()
+    const kind = event.target % 2 === 0 ? 'resumable' : 'once'
+    const part = `bad${Math.floor(event.size * 0x10000).toString(16)}`
+    const isByPart = kind === 'resumable' && event.size >= minSizeOfPart
+    this.#setCrashFaults(isByPart ? { crashParts: [part] } : { crashBody: crashingBody }, crashDownMs)
+    const calls: Promise<unknown>[] = []
+    for (let index = 0; index < crashingCalls; index++) {
+      const hosts = callers.readyHosts
+      const changes = isByPart ? { kind, promptParts: formatPromptParts(part, createRequestId()) } as const : { kind, body: crashingBody } as const
+      if (hosts.length > 0) calls.push(callers.call(hosts[index % hosts.length]!, 'crashing', changes))
+      await sleep(crashingGapMs)
+    }
+    await Promise.all(calls)
+    this.#setCrashFaults({}, 0)
+    this.#recordSpan(event, undefined, fromMs)
+  }
+
+  #setCrashFaults (faults: Partial<Pick<EndpointFaults, 'crashBody' | 'crashParts'>>, downMs: number): void {
+    for (const { server } of this.#options.system.fleet.endpoints) server.setFaults({ crashBody: '', crashParts: [], ...faults, downMs })
   }
 
   async #replaceEndpoint (event: PlannedEvent): Promise<void> {
