Find parts that crash engines on some adapter versions only

What callers would see: answers on other adapters clear the part again and again, and it goes on crashing engines on one of them. Cause: a part was proved sound by any answer, whatever adapter it was written with. Change: each part also counts together with the adapter version, which needs three crashes and is cleared by an answer on the same version alone; where a part by itself explains the same crashes, it goes first.

--- a/features/crashingPromptParts.feature
+++ b/features/crashingPromptParts.feature
@@ -59,6 +59,15 @@
     Then at most 3 requests with the part reached engines later than 3000 ms after the fifth crash
     And no harmless request is refused permanently
 
+  Scenario: A part crashes engines on one adapter only
+    Given 3 hosts before a platform with 3 engines
+    And crashed endpoints restart after 300 ms
+    And the prompt part "bad1" crashes engines on adapter "a1"
+    When "resumable" requests with the part come 12 times a second for 14000 ms beside 40 sound ones a second
+    Then at most 3 requests with the part reached engines on that adapter later than 3000 ms after the fifth crash
+    And half of those with the part on other adapters are served in the last 3000 ms
+    And no harmless request is refused permanently
+
   Scenario: A request that may have crashed its engine is not repeated on the next one
     Given 3 hosts before a platform with 3 engines
     And crashed endpoints restart after 300 ms
--- a/features/steps/crashingPromptParts.ts
+++ b/features/steps/crashingPromptParts.ts
@@ -13,6 +13,7 @@
 
 interface SentRequest {
   requestId: string
+  adapter: string
   sentAtMs: number
   answer: Promise<FleetAnswer>
 }
@@ -36,10 +37,18 @@
   setFaults(this, ({ engine }) => engine !== undefined, { crashParts: this.crashParts })
 })
 
+Given('the prompt part {string} crashes engines on adapter {string}', function (this: PartsWorld, part: string, crashAdapter: string) {
+  this.crashParts = [part]
+  setFaults(this, ({ engine }) => engine !== undefined, { crashParts: this.crashParts, crashAdapter })
+})
+
 function sendEach (world: PartsWorld, sent: SentRequest[], createCall: (index: number) => Omit<CallOptions, 'host'>): void {
   const requestId = createRequestId()
-  const answer = world.hostFleet.call({ ...createCall(sent.length), requestId, body: `question ${requestId}`, adapter: `a${sent.length % 3 + 1}`, host: pickRunning(world, sent.length) })
-  sent.push({ requestId, sentAtMs: performance.now(), answer })
+  const adapter = `a${sent.length % 3 + 1}`
+  // Each adapter's requests come at all hosts.
+  const host = pickRunning(world, Math.floor(sent.length / 3) + sent.length)
+  const answer = world.hostFleet.call({ ...createCall(sent.length), requestId, body: `question ${requestId}`, adapter, host })
+  sent.push({ requestId, adapter, sentAtMs: performance.now(), answer })
 }
 
 async function repeatDuring (ratePerS: number, forMs: number, act: () => void): Promise<void> {
@@ -108,15 +117,22 @@
   return world.hostFleet.fleet.engines.flatMap(({ server }) => server.crashTimesMs).sort((left, right) => left - right)
 }
 
-Then(/^at most (\d+) requests with the parts? reached engines later than (\d+) ms after the fifth crash$/, function (this: PartsWorld, atMost: number, windowMs: number) {
+Then(/^at most (\d+) requests with the parts? reached engines( on that adapter)? later than (\d+) ms after the fifth crash$/, function (this: PartsWorld, atMost: number, onAdapter: string | null, windowMs: number) {
   const crashTimes = listCrashTimes(this)
-  const ids = new Set(this.crashing.map(({ requestId }) => requestId))
+  const ids = new Set(this.crashing.filter(({ adapter }) => onAdapter === null || adapter === 'a1').map(({ requestId }) => requestId))
   assert.ok(crashTimes.length > 0)
-  const boundMs = (crashTimes[4] ?? crashTimes.at(-1)!) + windowMs
+  const boundMs = (crashTimes[4] ?? crashTimes.at(-1)!) + Number(windowMs)
   const late = this.hostFleet.fleet.journal.runs.filter(run => ids.has(run.requestId) && run.startedAtMs > boundMs)
   assert.ok(late.length <= Number(atMost), `${late.length} of ${ids.size}; ${crashTimes.length} crashes`)
 })
 
+Then('half of those with the part on other adapters are served in the last {int} ms', async function (this: PartsWorld, lastMs: number) {
+  const fromMs = this.crashing.at(-1)!.sentAtMs - lastMs
+  const answers = await Promise.all(this.crashing.filter(({ adapter, sentAtMs }) => adapter !== 'a1' && sentAtMs > fromMs).map(async ({ answer }) => await answer))
+  const served = answers.filter(({ status }) => status === 200)
+  assert.ok(served.length >= answers.length / 2, `${served.length} of ${answers.length}`)
+})
+
 Then('sound requests sent later than {int} ms after the fifth crash begin at least half as often as those before the first crash', async function (this: PartsWorld, settleMs: number) {
   const crashTimes = listCrashTimes(this)
   const measureShare = async (requests: SentRequest[]): Promise<number> => {
--- a/features/suspectParts.feature
+++ b/features/suspectParts.feature
@@ -68,3 +68,14 @@
     When requests with the part "bad" crash engines up to 5 times, 150 ms apart, each beneath sound requests of 2 hosts
     And a host starts
     Then 3000 ms after the last crash every host refuses requests with "bad"
+
+  Scenario Outline: Parts together with adapter versions
+    Given a registry of suspect parts
+    When <events>
+    Then the refused parts are <refused>
+
+    Examples:
+      | events                                                                                                                | refused |
+      | c1 beneath "a a~x@1" of r1, c2 beneath "a a~x@1" of r2, c3 beneath "a a~x@1" of r3                                    | a       |
+      | c1 beneath "a a~x@1" of r1, c2 beneath "a a~x@1" of r2, "a" is answered 1 times                                       | none    |
+      | c1 beneath "a a~x@1" of r1, c2 beneath "a a~x@1" of r2, "a" is answered 1 times, c3 beneath "a a~x@1" of r3           | a~x@1   |
--- a/src/core/suspectParts.ts
+++ b/src/core/suspectParts.ts
@@ -4,8 +4,11 @@
  * parts that explains the crashes is refused.
  */
 
+import { isCombination } from './sharedParts.js'
+
 /** A crash beneath requests with a part, as one host has observed it. */
 export interface PartCrash {
+  /** Id of the part, or the name of its combination with an adapter version. */
   part: string
   /** Crash ID, the same on all hosts. */
   crash: string
@@ -33,6 +36,8 @@
 
 /** Crashes beneath a part on which no answer has ever begun, before it is refused. */
 const minCrashes = 2
+/** Most combinations of a part and an adapter version are rare, so that fewer crashes may lie beneath one by chance. */
+const minCrashesOfCombination = 3
 /** Crashes beneath a part that has been answered before, plus one for each doubling of its answers up to `maxExtraCrashes`. */
 const minCrashesIfServed = 3
 const maxExtraCrashes = 5
@@ -154,8 +159,7 @@
       const [cause] = candidates
       if (!cause) return verdicts
       const explained = new Set(cause.crashes)
-      // Parts of the same requests with the same crashes cannot be told apart.
-      const equal = candidates.filter(({ crashes, requests }) => crashes.length === explained.size && crashes.every(crash => explained.has(crash)) && [...requests].some(request => cause.requests.has(request)))
+      const equal = candidates.filter(candidate => isIndistinguishable(candidate, cause))
       verdicts.push(createVerdict(equal, explained))
       candidates = candidates.filter(candidate => !equal.includes(candidate))
         .map(({ part, suspect, served, crashes }) => createCandidate(part, suspect, served, crashes.filter(crash => !explained.has(crash))))
@@ -185,14 +189,22 @@
   return { part, suspect, served, crashes, requests: new Set(crashes.flatMap(crash => [...suspect.crashes.get(crash)!.requests])) }
 }
 
-/** Orders parts that were never answered first, then those beneath most crashes and in most requests. */
+/** Orders parts that were never answered first, then those beneath most crashes and in most requests; parts go before combinations. */
 function compareCandidates (left: Candidate, right: Candidate): number {
-  return Number(left.served > 0) - Number(right.served > 0) || right.crashes.length - left.crashes.length || right.requests.size - left.requests.size
+  return Number(left.served > 0) - Number(right.served > 0) || right.crashes.length - left.crashes.length ||
+    right.requests.size - left.requests.size || Number(isCombination(left.part)) - Number(isCombination(right.part))
+}
+
+/** Whether a part lies beneath the same crashes as the cause, in the same requests, so that either of them may be at fault. */
+function isIndistinguishable ({ part, crashes, requests }: Candidate, cause: Candidate): boolean {
+  return isCombination(part) === isCombination(cause.part) &&
+    crashes.length === cause.crashes.length && crashes.every(crash => cause.crashes.includes(crash)) &&
+    [...requests].some(request => cause.requests.has(request))
 }
 
-function isRefusable ({ suspect, served, crashes, requests }: Candidate): boolean {
+function isRefusable ({ part, suspect, served, crashes, requests }: Candidate): boolean {
   if (requests.size < minRequests) return false
-  if (served === 0) return crashes.length >= minCrashes
+  if (served === 0) return crashes.length >= (isCombination(part) ? minCrashesOfCombination : minCrashes)
   const extraCrashes = Math.min(maxExtraCrashes, Math.ceil(Math.log2(1 + served)))
   return crashes.filter(crash => suspect.crashes.get(crash)!.isIndependent).length >= minCrashesIfServed + extraCrashes
 }
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -38,6 +38,8 @@
   crashBody: string
   /** Requests with one of these prompt parts, other than as the last one, crash the engine that begins to write their answer. */
   crashParts: readonly string[]
+  /** The adapter on which they do so; empty for all. */
+  crashAdapter: string
   /** Time from a crash to the next start, in which connections are refused; 0 for a start at once. */
   downMs: number
   /** Every answer says that the endpoint leaves. */
@@ -46,7 +48,7 @@
   retryAfter: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], downMs: 0, isLeaving: false, retryAfter: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -210,7 +212,7 @@
         finish('broken')
         response.writeHead(500, headers).end('failed')
       }, workMs / 2)
-    } else if (engine && marks.sharedParts.some(part => this.faults.crashParts.includes(part))) {
+    } else if (engine && this.#isCrashedBy(marks)) {
       response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' }).flushHeaders()
       setTimeout(() => { if (!response.destroyed) this.crash() }, this.faults.eventMs || engine.options.eventMs)
     } else if (engine && this.faults.unframed > 0 && random() < this.faults.unframed) {
@@ -222,6 +224,11 @@
     }
   }
 
+  #isCrashedBy ({ sharedParts, adapter }: ReceivedHeaders): boolean {
+    const { crashParts, crashAdapter } = this.faults
+    return sharedParts.some(part => crashParts.includes(part)) && (crashAdapter === '' || crashAdapter === adapter)
+  }
+
   #answer (request: IncomingMessage, response: ServerResponse, run: RunRecord, headers: Record<string, string>, finish: (outcome: RunRecord['outcome']) => void): void {
     const { random } = this.#options
     const body = `done ${run.requestId}`
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -3,7 +3,7 @@
 import type { AttemptFailure } from '../../core/retryRules.js'
 import type { InFlightRequest } from '../../core/inFlightRequests.js'
 import { computeRequestFingerprint } from '../../core/requestFingerprint.js'
-import { listSharedParts } from '../../core/sharedParts.js'
+import { listSuspectParts } from '../../core/sharedParts.js'
 import { pickService } from '../../core/routeTable.js'
 import type { Timer } from '../../ports/clock.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
@@ -34,8 +34,8 @@
   #service = ''
   /** Hash of the request's content, by which requests that crash endpoints are recognized. */
   #fingerprint = ''
-  /** Ids of the prompt segments that other requests may share. */
-  #sharedParts: readonly string[] = []
+  /** Prompt parts that other requests may share, also together with the adapter version. */
+  #suspectParts: readonly string[] = []
   /** Whether the request runs to find whether its parts still crash engines. */
   #isTrial = false
   /** Whether the last attempt's engine crashed before it began its answer on a prompt part that no engine has answered. */
@@ -98,7 +98,7 @@
     }
     this.#route = route
     this.#fingerprint = computeRequestFingerprint(request)
-    this.#sharedParts = listSharedParts(request)
+    this.#suspectParts = listSuspectParts(request, clusterView.findAdapterVersion(request.model, request.adapter))
     this.#service = pickService(route.targets, random()) ?? ''
     this.#dueAtMs = request.receivedAtMs + route.targetMs - this.#computeSpentMs(route, request)
     this.#deadlineAtMs = request.receivedAtMs + Math.min(request.timeLeftMs ?? defaultTimeLeftMs, route.timeoutMs)
@@ -112,9 +112,9 @@
   #refuseIfCrashing (): boolean {
     const { suspects } = this.#context
     if (this.#hasEnded || this.#isTrial) return this.#hasEnded
-    const refusal = suspects.findRefusal(this.#fingerprint, this.#sharedParts)
+    const refusal = suspects.findRefusal(this.#fingerprint, this.#suspectParts)
     if (!refusal) return false
-    if (!this.#isSending && suspects.tryBeginTrial(this.#fingerprint, this.#sharedParts)) {
+    if (!this.#isSending && suspects.tryBeginTrial(this.#fingerprint, this.#suspectParts)) {
       this.#isTrial = true
       return false
     }
@@ -126,7 +126,7 @@
   }
 
   #listFingerprints (): string[] {
-    return [this.#fingerprint, ...this.#sharedParts.map(formatPartFingerprint)]
+    return [this.#fingerprint, ...this.#suspectParts.map(formatPartFingerprint)]
   }
 
   /** Estimates how long the caller has been trying; a caller that retries has been waiting since its first attempt. */
@@ -220,7 +220,7 @@
       timeLeftMs: this.#deadlineAtMs - this.#context.clock.readMonotonic(),
       isRetryable: isRetryable(route.kind, route.isResumable),
       lastEventId: this.#attempt?.lastEventId,
-      receiveBegun: () => this.#context.suspects.recordBegun(this.#sharedParts)
+      receiveBegun: () => this.#context.suspects.recordBegun(this.#suspectParts)
     })
     this.#attempt = attempt
     this.#isSending = true
@@ -252,14 +252,14 @@
   async #recordInterruption ({ endpoint, link }: SelectedEndpoint, sentAtMs: number, reason: string): Promise<void> {
     const { clock, log, crashDetection, suspects } = this.#context
     const hasBegun = this.#attempt!.hasBegun
-    const interruption = { endpointId: endpoint.id, startedAtMs: endpoint.startedAtMs, content: this.#fingerprint, parts: this.#sharedParts, hasBegun, sentAtMs }
+    const interruption = { endpointId: endpoint.id, startedAtMs: endpoint.startedAtMs, content: this.#fingerprint, parts: this.#suspectParts, hasBegun, sentAtMs }
     log.record('request.cut', 'The connection to an endpoint closed before its response was complete; the request may have run.', { requestId: this.#request.requestId, ...interruption, reason })
     const firstProbe = crashDetection.receiveInterruption(interruption, link)
-    const mayBeCause = !hasBegun && this.#sharedParts.length > 0
+    const mayBeCause = !hasBegun && this.#suspectParts.length > 0
     if (mayBeCause || suspects.isSuspect(this.#fingerprint)) await firstProbe
     // Other hosts may have seen answers begin on the parts.
-    if (mayBeCause && suspects.arePartsSuspect(this.#sharedParts)) await new Promise<void>(resolve => { clock.setTimer(resolve, objectionWaitMs) })
-    this.#isPossibleCause = mayBeCause && suspects.arePartsSuspect(this.#sharedParts)
+    if (mayBeCause && suspects.arePartsSuspect(this.#suspectParts)) await new Promise<void>(resolve => { clock.setTimer(resolve, objectionWaitMs) })
+    this.#isPossibleCause = mayBeCause && suspects.arePartsSuspect(this.#suspectParts)
   }
 
   #receiveTimeout (): void {
@@ -310,7 +310,7 @@
     this.#timer?.cancel()
     const { clock, log, clusterView, inFlightRequests, suspects } = this.#context
     for (const fingerprint of this.#listFingerprints()) inFlightRequests.remove(fingerprint, this)
-    if (this.#isTrial && !this.#isSending) suspects.cancelTrial(this.#sharedParts)
+    if (this.#isTrial && !this.#isSending) suspects.cancelTrial(this.#suspectParts)
     log.record(`request.${outcome}`, 'A request has ended.', {
       requestId: this.#request.requestId,
       content: this.#fingerprint,
@@ -320,7 +320,7 @@
       service: this.#service,
       adapter: this.#request.adapter,
       promptTokens: this.#request.promptTokens,
-      parts: this.#sharedParts,
+      parts: this.#suspectParts,
       timeLeftMs: this.#request.timeLeftMs,
       spentMs: this.#route && Math.round(this.#request.receivedAtMs + this.#route.targetMs - this.#dueAtMs),
       reason,
