Build the verdicts on parts anew as other hosts object

What callers would see: two parts refused jointly stay so after another host has said that one of them is sound, until the next crash or row; meanwhile requests with the other part run. Cause: verdicts are kept until the evidence changes, and an objection changes only the number of answers. Evidence: the scenario with an absent store fails without the change (6 of 7 hosts accept) and passes with it.

--- a/features/steps/suspectParts.ts
+++ b/features/steps/suspectParts.ts
@@ -97,6 +97,13 @@
   }
 })
 
+When('requests with the parts {string} and {string} crash engines {int} times, {int} ms apart', async function (this: PartHostsWorld, sound: string, part: string, count: number, gapMs: number) {
+  for (let index = 0; index < count; index++) {
+    await this.partHosts.run(gapMs)
+    this.partHosts.crash([{ host: index, parts: ['first', sound, part] }])
+  }
+})
+
 When('requests with the part {string} are beneath {int} crashes that they did not cause', async function (this: PartHostsWorld, part: string, count: number) {
   for (let index = 0; index < count; index++) {
     await this.partHosts.run(crashGapMs)
--- a/features/suspectParts.feature
+++ b/features/suspectParts.feature
@@ -63,6 +63,12 @@
     And each trial crashes its engine, for 600000 ms
     Then "bad" was tried at most 5 times, and at most once in the first 30000 ms
 
+  Scenario: Other hosts know that a part is sound which this host takes for a possible cause
+    Given 7 hosts that find suspect parts, of whose messages 0% are lost, and the store is absent
+    When requests with the parts "s7" and "bad" crash engines 2 times, 1 ms apart
+    Then 300 ms after the last crash every host refuses requests with "bad"
+    And no host refuses requests with sound parts alone
+
   Scenario: A host that starts reads which parts are refused
     Given 7 hosts that find suspect parts, of whose messages 0% are lost, and the store is reachable
     When requests with the part "bad" crash engines up to 5 times, 150 ms apart, each beneath sound requests of 2 hosts
--- a/src/core/suspectParts.ts
+++ b/src/core/suspectParts.ts
@@ -113,6 +113,11 @@
     return crashCount
   }
 
+  /** Has the verdicts built anew, as more answers are known to have begun on a part. */
+  invalidateVerdicts (): void {
+    this.#verdicts = undefined
+  }
+
   /** Removes one crash of a part. */
   removeCrash (part: string, crash: string): void {
     const suspect = this.#suspects.get(part)
--- a/src/tasks/peers/suspectPartTask.ts
+++ b/src/tasks/peers/suspectPartTask.ts
@@ -136,6 +136,7 @@
     const part = parsePartFingerprint(fingerprint)!
     if (served > 0) {
       this.#served.merge(part, served)
+      this.#suspects.invalidateVerdicts()
       this.#objections.get(part)?.cancel()
       this.#objections.delete(part)
     }
