--- a/features/crashingPromptParts.feature
+++ b/features/crashingPromptParts.feature
@@ -59,6 +59,13 @@
     Then at most 3 requests with the part reached engines later than 3000 ms after the fifth crash
     And no harmless request is refused permanently
 
+  Scenario: A part that was answered before crashes engines from then on
+    Given 3 hosts before a platform with 3 engines
+    And crashed endpoints restart after 300 ms
+    And the prompt part "b3" crashes engines after 2000 ms
+    When "resumable" requests with the part come 5 times a second for 12000 ms beside 40 sound ones a second
+    Then at most 3 requests with the part reached engines later than 3000 ms after the fifth crash
+
   Scenario: A part crashes engines on one adapter only
     Given 3 hosts before a platform with 3 engines
     And crashed endpoints restart after 300 ms
--- a/features/steps/crashingPromptParts.ts
+++ b/features/steps/crashingPromptParts.ts
@@ -42,6 +42,11 @@
   setFaults(this, ({ engine }) => engine !== undefined, { crashParts: this.crashParts, crashAdapter })
 })
 
+Given('the prompt part {string} crashes engines after {int} ms', function (this: PartsWorld, part: string, afterMs: number) {
+  this.crashParts = [part]
+  setTimeout(() => setFaults(this, ({ engine }) => engine !== undefined, { crashParts: this.crashParts }), afterMs).unref()
+})
+
 function sendEach (world: PartsWorld, sent: SentRequest[], createCall: (index: number) => Omit<CallOptions, 'host'>): void {
   const requestId = createRequestId()
   const adapter = `a${sent.length % 3 + 1}`
