Don't send callers back at once to a trial that another host is about to run

What callers would see: Retry-After 0 with the refusal of a suspect part once its trial is due, so that they come back at once to be refused again until the trial has ended. Now a second at least.

--- a/src/core/suspectRegistry.ts
+++ b/src/core/suspectRegistry.ts
@@ -108,6 +108,9 @@
   return createNotRunFailure('request_crashes_endpoints', message, 422)
 }
 
+/** A trial that is due waits for the next request at another host, and for its answer to begin. */
+const minTrialRetryMs = 1000
+
 /**
  * Creates the failure for a request with prompt parts that crash engines. Until more crashes confirm the verdict, the request is
  * refused for the time being: `trialInMs` is the time until another request with the parts may run.
@@ -117,5 +120,5 @@
   const message = `requests with the prompt ${parts.length === 1 ? 'part' : 'parts'} ${names} have crashed ${crashes.size} engines and are not run now`
   return isConfirmed
     ? createNotRunFailure('prompt_part_crashes_engines', `${message}; change the prompt`, 422)
-    : createNotRunFailure('prompt_part_suspect', message, 503, Math.max(0, trialInMs))
+    : createNotRunFailure('prompt_part_suspect', message, 503, Math.max(minTrialRetryMs, trialInMs))
 }
