--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -3,7 +3,7 @@
 import type { AttemptFailure } from '../../core/retryRules.js'
 import type { InFlightRequest } from '../../core/inFlightRequests.js'
 import { computeRequestFingerprint } from '../../core/requestFingerprint.js'
-import { listSuspectParts } from '../../core/sharedParts.js'
+import { listSharedParts, listSuspectParts } from '../../core/sharedParts.js'
 import { pickService } from '../../core/routeTable.js'
 import type { Timer } from '../../ports/clock.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
@@ -320,7 +320,7 @@
       service: this.#service,
       adapter: this.#request.adapter,
       promptTokens: this.#request.promptTokens,
-      parts: this.#suspectParts,
+      parts: listSharedParts(this.#request),
       timeLeftMs: this.#request.timeLeftMs,
       spentMs: this.#route && Math.round(this.#request.receivedAtMs + this.#route.targetMs - this.#dueAtMs),
       reason,
