--- a/features/steps/suspectParts.ts
+++ b/features/steps/suspectParts.ts
@@ -134,8 +134,8 @@
   for (const { name, sent } of hosts) assert.ok(sent <= bound, `${name} sent ${sent} of ${bound}`)
 })
 
-/** Offers a request with the parts to each host in turn, as callers do; returns the hosts that run it. */
-async function offerRequests (partHosts: SuspectPartHosts, parts: readonly string[], forMs: number, runTrial: (host: number) => boolean): Promise<{ host: number, atMs: number }[]> {
+/** Sends a request with the parts to each host in turn, as callers do; returns the hosts that run it. */
+async function sendRequests (partHosts: SuspectPartHosts, parts: readonly string[], forMs: number, runTrial: (host: number) => boolean): Promise<{ host: number, atMs: number }[]> {
   const trials: { host: number, atMs: number }[] = []
   const endAtMs = partHosts.clock.readMonotonic() + forMs
   for (let index = 0; partHosts.clock.readMonotonic() < endAtMs; index++) {
@@ -152,7 +152,7 @@
 Then('one host lets one request with {string} run within {int} to {int} ms', async function (this: PartHostsWorld & { trialHost: number, trialParts: string[] }, part: string, fromMs: number, toMs: number) {
   const startedAtMs = this.partHosts.clock.readMonotonic()
   this.trialParts = ['first', part]
-  const trials = await offerRequests(this.partHosts, this.trialParts, toMs, () => false)
+  const trials = await sendRequests(this.partHosts, this.trialParts, toMs, () => false)
   assert.equal(trials.length, 1)
   // The crashes came up to one second before.
   assert.ok(trials[0]!.atMs - startedAtMs >= fromMs - 1100, `${trials[0]!.atMs - startedAtMs}`)
@@ -171,7 +171,7 @@
 When('each trial crashes its engine, for {int} ms', { timeout: 30_000 }, async function (this: PartHostsWorld & { trials: { atMs: number }[] }, forMs: number) {
   const startedAtMs = this.partHosts.clock.readMonotonic()
   const parts = ['first', 's1', 'bad']
-  const trials = await offerRequests(this.partHosts, parts, forMs, host => {
+  const trials = await sendRequests(this.partHosts, parts, forMs, host => {
     this.partHosts.crash([{ host, parts }])
     return true
   })
--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -66,7 +66,7 @@
         return isRefused ? createCrashRefusal(3) : undefined
       },
       isSuspect: () => false,
-      arePartsSuspect: () => false,
+      hasSuspectPart: () => false,
       tryBeginTrial: () => false,
       cancelTrial: () => {},
       recordServed: () => {},
--- a/soak/soakCallers.ts
+++ b/soak/soakCallers.ts
@@ -29,7 +29,12 @@
 /** Second parts of prompts that requests share. */
 const sharedPartCount = 20
 
-/** Formats a prompt of a first part that all requests share, a second one, and the request's own. */
+/**
+ * Formats a prompt of a first part that all requests share, a second one, and the request's own.
+ *
+ * @example
+ * formatPromptParts('b3', '9c41') // 'aa01:60,b3:40,9c41:30'
+ */
 export function formatPromptParts (part: string, requestId: string): string {
   return `aa01:60,${part}:40,${requestId}:30`
 }
--- a/src/bin/createSuspectTasks.ts
+++ b/src/bin/createSuspectTasks.ts
@@ -39,13 +39,20 @@
   stop: () => void
 }
 
+/**
+ * Creates the tasks of one host; `start` begins the removal of old rows.
+ *
+ * @example
+ * const tasks = createSuspectTasks({ clock, log, own, listHosts, send, transact, isStoreUnavailable, random, receiveCrash, receiveRefused })
+ * tasks.checks.findRefusal(fingerprint, ['5c1e', '91bd']) // undefined where such a request may run
+ */
 export function createSuspectTasks (options: SuspectTasksOptions): SuspectTasks {
   const { clock, log, own, listHosts, send, transact, isStoreUnavailable, random, receiveCrash, receiveRefused } = options
-  const broadcast = (message: SuspectMessage): void => {
+  const notifyOthers = (message: SuspectMessage): void => {
     for (const { address } of listHosts()) if (address !== own.address) send(address, message)
   }
   const notifyHosts = (rows: readonly SuspectRow[]): void => {
-    for (const { crash, ...row } of rows) broadcast({ type: 'suspect', ...row, crashes: [crash] })
+    for (const { crash, ...row } of rows) notifyOthers({ type: 'suspect', ...row, crashes: [crash] })
   }
   const isCleanupHost = (): boolean => {
     const ranked = listHosts().map(({ host }) => ({ host, hash: computeHash(`remover ${host}`) })).sort((left, right) => right.hash - left.hash)
@@ -62,7 +69,7 @@
     log,
     own,
     listHostNames: () => listHosts().map(({ host }) => host),
-    broadcast,
+    notifyOthers,
     rowStore,
     random,
     receivePartsRefused: parts => receiveRefused(formatPartFingerprint(parts[0]!)),
@@ -72,7 +79,7 @@
     checks: {
       findRefusal: (fingerprint, parts) => contentTask.findRefusal(fingerprint) ?? partTask.findRefusal(parts),
       isSuspect: fingerprint => contentTask.isSuspect(fingerprint),
-      arePartsSuspect: parts => partTask.isSuspect(parts),
+      hasSuspectPart: parts => partTask.hasSuspect(parts),
       tryBeginTrial: (fingerprint, parts) => contentTask.findRefusal(fingerprint) === undefined && partTask.tryBeginTrial(parts),
       cancelTrial: parts => partTask.cancelTrial(parts),
       recordServed: fingerprint => contentTask.recordServed(fingerprint),
--- a/src/core/sharedParts.ts
+++ b/src/core/sharedParts.ts
@@ -31,7 +31,12 @@
   return request.adapter === '' ? parts : [...parts, ...parts.map(part => `${part}${combinationMark}${adapterVersion}`)]
 }
 
-/** Whether a name that `listSuspectParts` returns stands for a part together with an adapter version. */
+/**
+ * Whether a name that `listSuspectParts` returns stands for a part together with an adapter version.
+ *
+ * @example
+ * isCombination('5c1e~a3@2') // true
+ */
 export function isCombination (part: string): boolean {
   return part.includes(combinationMark)
 }
--- a/src/core/suspectRegistry.ts
+++ b/src/core/suspectRegistry.ts
@@ -114,6 +114,9 @@
 /**
  * Creates the failure for a request with prompt parts that crash engines. Until more crashes confirm the verdict, the request is
  * refused for the time being: `trialInMs` is the time until another request with the parts may run.
+ *
+ * @example
+ * createPartRefusal(verdict, 10_000).status // 503, or 422 for a verdict that is confirmed
  */
 export function createPartRefusal ({ parts, crashes, isConfirmed }: PartVerdict, trialInMs: number): RequestFailure {
   const names = parts.map(part => `"${part}"`).join(' and ')
--- a/src/schemas/hostRows.ts
+++ b/src/schemas/hostRows.ts
@@ -75,18 +75,33 @@
   return `${suspectKeyPrefix}${fingerprint}/${crash}`
 }
 
-/** Splits the name of a suspect's row, which is its key without the prefix. Crash names may contain slashes, fingerprints do not. */
+/**
+ * Splits the name of a suspect's row, which is its key without the prefix. Crash names may contain slashes, fingerprints do not.
+ *
+ * @example
+ * parseSuspectName('part:5c1e/i-7f3a@0/1') // { fingerprint: 'part:5c1e', crash: 'i-7f3a@0/1' }
+ */
 export function parseSuspectName (name: string): Pick<SuspectRow, 'fingerprint' | 'crash'> {
   const slash = name.indexOf('/')
   return { fingerprint: name.slice(0, slash), crash: name.slice(slash + 1) }
 }
 
-/** Returns the fingerprint by which rows and messages name a prompt part. */
+/**
+ * Returns the fingerprint by which rows and messages name a prompt part.
+ *
+ * @example
+ * formatPartFingerprint('5c1e') // 'part:5c1e'
+ */
 export function formatPartFingerprint (part: string): string {
   return `${partFingerprintPrefix}${part}`
 }
 
-/** Returns the prompt part that a fingerprint names; undefined for the fingerprint of a content. */
+/**
+ * Returns the prompt part that a fingerprint names; undefined for the fingerprint of a content.
+ *
+ * @example
+ * parsePartFingerprint('part:5c1e') // '5c1e'
+ */
 export function parsePartFingerprint (fingerprint: string): string | undefined {
   return fingerprint.startsWith(partFingerprintPrefix) ? fingerprint.slice(partFingerprintPrefix.length) : undefined
 }
--- a/src/tasks/peers/suspectPartTask.ts
+++ b/src/tasks/peers/suspectPartTask.ts
@@ -23,7 +23,7 @@
   /** Names of all hosts, this one included. */
   listHostNames: () => string[]
   /** Sends a message to all other hosts. */
-  broadcast: (message: SuspectMessage) => void
+  notifyOthers: (message: SuspectMessage) => void
   rowStore: Pick<SuspectRowStore, 'save' | 'remove'>
   random: () => number
   /** Called when requests that hold all of these parts start to be refused. */
@@ -68,7 +68,7 @@
   }
 
   /** Whether engines have crashed beneath one of these parts, on which no answer has begun on any host as far as known. */
-  isSuspect (parts: readonly string[]): boolean {
+  hasSuspect (parts: readonly string[]): boolean {
     return parts.some(part => this.#suspects.countCrashes(part) > 0 && this.#served.getCount(part) === 0)
   }
 
@@ -108,7 +108,7 @@
       const wasKnown = this.#served.getCount(part) > 0
       this.#served.record(part)
       const crashCount = this.#clear(part)
-      if (crashCount > 1 || (crashCount === 1 && !wasKnown)) this.#broadcastSound(part, true)
+      if (crashCount > 1 || (crashCount === 1 && !wasKnown)) this.#announceSound(part, true)
     }
   }
 
@@ -124,7 +124,7 @@
     for (const [part, { content, sentAtMs }] of reported) {
       const sentAgoMs = nowMs - sentAtMs
       this.#addCrash({ part, crash, request: content, sentAgoMs })
-      this.#options.broadcast({ type: 'suspect', fingerprint: formatPartFingerprint(part), crashes: [crash], request: content, sentAgoMs, served: this.#served.getCount(part) })
+      this.#options.notifyOthers({ type: 'suspect', fingerprint: formatPartFingerprint(part), crashes: [crash], request: content, sentAgoMs, served: this.#served.getCount(part) })
     }
     // Most parts are found sound at once; rows reach the hosts that messages do not.
     this.#options.clock.setTimer(() => { for (const [part] of reported) this.#saveRows(part) }, saveDelayMs)
@@ -181,8 +181,8 @@
     this.#options.rowStore.save(this.#suspects.listCrashes(part).map(({ crash, request }) => ({ fingerprint, crash, request })))
   }
 
-  #broadcastSound (part: string, isSound: boolean): void {
-    this.#options.broadcast({ type: 'suspect', fingerprint: formatPartFingerprint(part), crashes: [], served: this.#served.getCount(part), isSound })
+  #announceSound (part: string, isSound: boolean): void {
+    this.#options.notifyOthers({ type: 'suspect', fingerprint: formatPartFingerprint(part), crashes: [], served: this.#served.getCount(part), isSound })
   }
 
   /** Tells the other hosts that this host has seen answers begin on the part, unless another host does so first. */
@@ -192,7 +192,7 @@
     const spreadMs = Math.min(maxObjectionSpreadMs, listHostNames().length * objectionSpreadMsPerHost)
     this.#objections.set(part, clock.setTimer(() => {
       this.#objections.delete(part)
-      this.#broadcastSound(part, false)
+      this.#announceSound(part, false)
     }, random() * spreadMs))
   }
 
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -258,8 +258,8 @@
     const mayBeCause = !hasBegun && this.#suspectParts.length > 0
     if (mayBeCause || suspects.isSuspect(this.#fingerprint)) await firstProbe
     // Other hosts may have seen answers begin on the parts.
-    if (mayBeCause && suspects.arePartsSuspect(this.#suspectParts)) await new Promise<void>(resolve => { clock.setTimer(resolve, objectionWaitMs) })
-    this.#isPossibleCause = mayBeCause && suspects.arePartsSuspect(this.#suspectParts)
+    if (mayBeCause && suspects.hasSuspectPart(this.#suspectParts)) await new Promise<void>(resolve => { clock.setTimer(resolve, objectionWaitMs) })
+    this.#isPossibleCause = mayBeCause && suspects.hasSuspectPart(this.#suspectParts)
   }
 
   #receiveTimeout (): void {
--- a/src/tasks/proxy/proxyContext.ts
+++ b/src/tasks/proxy/proxyContext.ts
@@ -20,7 +20,7 @@
   /** Whether an endpoint crashed while a request with this content ran on it. */
   isSuspect: (fingerprint: string) => boolean
   /** Whether engines crashed beneath one of these parts, on which no answer has begun as far as known. */
-  arePartsSuspect: (parts: readonly string[]) => boolean
+  hasSuspectPart: (parts: readonly string[]) => boolean
   /** Lets a refused request run to find whether its parts still crash engines; returns whether it may run. */
   tryBeginTrial: (fingerprint: string, parts: readonly string[]) => boolean
   /** Makes a trial due again that was not sent to an engine. */
