--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -19,7 +19,7 @@
 import type { Store, StoreOutcome, StoreTransaction } from '../ports/store.js'
 import type { HostMessage } from '../schemas/datagram.js'
 import type { HostSettings } from '../schemas/hostSettings.js'
-import { hostsTable, renewalsTable } from '../schemas/hostRows.js'
+import { renewalsTable } from '../schemas/hostRows.js'
 import { createPausableOrders } from '../tasks/allocation/pausableOrders.js'
 import { AllocationTask } from '../tasks/allocation/allocationTask.js'
 import { createCountingLog, HostMetrics } from '../tasks/hostMetrics/hostMetrics.js'
@@ -28,7 +28,7 @@
 import type { LeaseTask } from '../tasks/leases/leaseTask.js'
 import { logClusterViewChange } from '../tasks/clusterView/logClusterViewChange.js'
 import { ClusterViewTask } from '../tasks/clusterView/clusterViewTask.js'
-import type { WatchedTable } from '../tasks/clusterView/clusterViewTask.js'
+import { listWatchedTables } from '../tasks/clusterView/watchedTables.js'
 import { startRelayServer } from '../tasks/clusterView/relayServer.js'
 import { PeerTask } from '../tasks/peers/peerTask.js'
 import { createSuspectTasks } from './createSuspectTasks.js'
@@ -44,29 +44,6 @@
 import { startReadinessServer } from './startReadinessServer.js'
 import type { ReadinessServer } from './startReadinessServer.js'
 
-/** Hosts that start together are registered within 0.3 s of each other; this delay lets each of them read the others' rows. */
-const hostsInitialDelayMs = 250
-/** After this delay a host knows whether it reads the store itself. */
-const initialDelayMs = 400
-/**
- * Within `drainMs` after an endpoint begins to leave, hosts must stop sending it requests. The interval between reads is
- * `drainMs` divided by this number, so that a read, its relaying and one failed call fit into that time.
- */
-const endpointReadsPerDrain = 4
-
-/**
- * Returns how each table is watched. A new configuration must be in force within 3 s, so calls for its table follow one another
- * without a pause. Endpoints and renewals change all the time, so they are read at intervals, renewals once in each renewal
- * interval. A call waits 1 to 2 s for a change, because a silent connection is noticed only when the call times out.
- */
-function listWatchedTables ({ drainMs }: HostSettings): WatchedTable[] {
-  return [
-    { table: operatorsTable, minIntervalMs: 0, waitMs: 2000, initialDelayMs },
-    { table: endpointsTable, minIntervalMs: drainMs / endpointReadsPerDrain, waitMs: 1000, initialDelayMs },
-    { table: hostsTable, minIntervalMs: 100, waitMs: 2000, initialDelayMs: hostsInitialDelayMs },
-    { table: renewalsTable, minIntervalMs: 1000, waitMs: 1000, initialDelayMs, isForStoreReaders: true }
-  ]
-}
 /** Time until the platform routes no new connections to this host: two readiness checks a second apart, and their responses. */
 const readinessPropagationMs = 2700
 /** Time reserved between the end of draining and SIGKILL, in which the process exits. */
@@ -129,7 +106,7 @@
     getHostsVersion: () => clusterView.hostsVersion
   })
   const clusterViewTask: ClusterViewTask = new ClusterViewTask({
-    clock, log, store, relay, mirror, clusterView, tables: listWatchedTables(settings), own, sources: updateSources, seeds: settings.seedAddresses, formatRelayAddress
+    clock, log, store, relay, mirror, clusterView, tables: listWatchedTables({ operatorsTable, endpointsTable }, settings), own, sources: updateSources, seeds: settings.seedAddresses, formatRelayAddress
   })
   const context = { clock, log, own, clusterView }
   const transact = async (transaction: StoreTransaction): Promise<StoreOutcome> => await leaseComponents.storeAccess.transact(transaction)
