Keep the age of each table within the time in which its changes must be in force

What callers saw: 404 on a route that had been confirmed 2.4 s before (bound 2.0 s), requests at an endpoint that had left.

Cause: no host knew how old its copy of a table was. One number over all tables, set by whichever answered last, hid a watch of the operators' table that hung: a reader noticed after 2,000 + 1,000 ms, and vouched for the table to its followers all along. The bound of the site, configurationMs, was read by nothing.

Change: each table has an age of its own, which relays pass on by table (optional on the wire; hosts of an earlier version give one age for all). A host whose copy is older than half of the bound reads the table from the store itself, whoever it follows. A store reader whose own watch hangs asks the relays too. Hosts that follow retry a failed call to the store once after 0.25 to 0.5 s before they wait longer.

--- a/features/steps/relayedNews.ts
+++ b/features/steps/relayedNews.ts
@@ -47,7 +47,7 @@
   mirror.replaceTable('op', [{ table: 'op', key: 'routes', version: 3, value: this.written }], 3)
   const unusedStore = {} as Store
   this.relayServer = await startRelayServer({
-    address: relayAddress, clock: createSystemClock(), mirror, store: unusedStore, getStoreAgeMs: () => 5, isStoreReachable: () => true
+    address: relayAddress, clock: createSystemClock(), mirror, store: unusedStore, getStoreAgeMs: () => 5, listTableAges: () => ({ op: 5 }), isStoreReachable: () => true
   })
   this.counter = await startByteCounter(relayAddress)
 })
@@ -130,7 +130,8 @@
         const isWhole = logId !== address
         if (isWhole) peer.fullReads++
         await pause(isWhole ? responseMs : waitMs)
-        return { logId: address, position: 1, isWhole, rows: [], versions: {}, storeAgeMs: initialStoreAgeMs === undefined ? 100 : initialStoreAgeMs + clock.readMonotonic() }
+        const storeAgeMs = initialStoreAgeMs === undefined ? 100 : initialStoreAgeMs + clock.readMonotonic()
+        return { logId: address, position: 1, isWhole, rows: [], versions: {}, storeAgeMs, tableAgesMs: { op: storeAgeMs, [hostsTable]: storeAgeMs } }
       },
       transact: async () => ({ verdict: 'notApplied', reason: 'the peer does not reach the store' }),
       close: async () => {}
@@ -138,9 +139,10 @@
     mirror,
     clusterView,
     tables: [
-      { table: 'op', minIntervalMs: 100, waitMs: 2000, initialDelayMs: 400 },
-      ...isNew ? [{ table: hostsTable, minIntervalMs: 0, waitMs: 2000, initialDelayMs: 250 }, { table: renewalsTable, minIntervalMs: 0, waitMs: 1000, initialDelayMs: 400, isForStoreReaders: true }] : []
+      { table: 'op', minIntervalMs: 100, waitMs: 400, responseMs: 600, maxAgeMs: 1000, initialDelayMs: 400 },
+      ...isNew ? [{ table: hostsTable, minIntervalMs: 0, waitMs: 2000, responseMs: 1000, initialDelayMs: 250 }, { table: renewalsTable, minIntervalMs: 0, waitMs: 1000, responseMs: 1000, initialDelayMs: 400, isForStoreReaders: true }] : []
     ],
+    relayWaitMs: 400,
     own,
     sources: new UpdateSourceList({
       own,
--- a/src/adapters/relay/httpRelay.ts
+++ b/src/adapters/relay/httpRelay.ts
@@ -23,7 +23,9 @@
   isWhole: Type.Boolean(),
   rows: Type.Array(relayedRowSchema),
   versions: Type.Record(Type.String(), Type.Number()),
-  storeAgeMs: Type.Number()
+  storeAgeMs: Type.Number(),
+  /** Left out by hosts of an earlier version. */
+  tableAgesMs: Type.Optional(Type.Record(Type.String(), Type.Number()))
 }))
 
 /**
@@ -44,7 +46,9 @@
       const bytes = Buffer.from(await body.arrayBuffer())
       if (statusCode !== 200) throw new VError('the peer at %s answered with status %d', address, statusCode)
       const updates = parseUpdates(unpack(bytes))
-      return { ...updates, storeAgeMs: updates.storeAgeMs >= unknownStoreAgeMs ? Infinity : updates.storeAgeMs, rows: await Promise.all(updates.rows.map(decodeRelayedRow)) }
+      const storeAgeMs = updates.storeAgeMs >= unknownStoreAgeMs ? Infinity : updates.storeAgeMs
+      const tableAgesMs = updates.tableAgesMs ?? Object.fromEntries(Object.keys(updates.versions).map(table => [table, storeAgeMs]))
+      return { ...updates, storeAgeMs, tableAgesMs, rows: await Promise.all(updates.rows.map(decodeRelayedRow)) }
     },
     transact: async (address, transaction) => {
       try {
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -28,7 +28,7 @@
 import type { LeaseTask } from '../tasks/leases/leaseTask.js'
 import { logClusterViewChange } from '../tasks/clusterView/logClusterViewChange.js'
 import { ClusterViewTask } from '../tasks/clusterView/clusterViewTask.js'
-import { listWatchedTables } from '../tasks/clusterView/watchedTables.js'
+import { computeUpdateSchedule } from '../tasks/clusterView/watchedTables.js'
 import { startRelayServer } from '../tasks/clusterView/relayServer.js'
 import { PeerTask } from '../tasks/peers/peerTask.js'
 import { createSuspectTasks } from './createSuspectTasks.js'
@@ -97,7 +97,7 @@
   const mirror = new RowMirror(own.session, isEquivalentValue, row => {
     const change = clusterView.applyRow(row, clock.readMonotonic())
     if (!change) return
-    logClusterViewChange(log, change, () => ({ source: clusterViewTask.updateSource, tableAgesMs: clusterViewTask.listTableReadAges() }))
+    logClusterViewChange(log, change, () => ({ source: clusterViewTask.updateSource, tableAgesMs: clusterViewTask.listTableAges() }))
     dispatchChange(change, { requestProxy, reservations, suspectTasks, leaseComponents, allocationTask, streamTasks })
   })
   const updateSources = new UpdateSourceList({
@@ -106,7 +106,7 @@
     getHostsVersion: () => clusterView.hostsVersion
   })
   const clusterViewTask: ClusterViewTask = new ClusterViewTask({
-    clock, log, store, relay, mirror, clusterView, tables: listWatchedTables({ operatorsTable, endpointsTable }, settings), own, sources: updateSources, seeds: settings.seedAddresses, formatRelayAddress
+    clock, log, store, relay, mirror, clusterView, ...computeUpdateSchedule({ operatorsTable, endpointsTable }, settings), own, sources: updateSources, seeds: settings.seedAddresses, formatRelayAddress
   })
   const context = { clock, log, own, clusterView }
   const transact = async (transaction: StoreTransaction): Promise<StoreOutcome> => await leaseComponents.storeAccess.transact(transaction)
@@ -198,7 +198,7 @@
   const eventLog = (options.openLog ?? openEventLog)({ clock, host: settings.hostName, session })
   const metrics: HostMetrics = new HostMetrics({
     getStoreAgeMs: () => clusterViewTask.storeAgeMs,
-    listTableReadAges: () => clusterViewTask.listTableReadAges(),
+    listTableAges: () => clusterViewTask.listTableAges(),
     getActiveRequestCount: () => requestProxy.callerListener.activeRequestCount,
     getOwnedEndpointCount: () => leaseTask.ownedEndpointCount,
     getKnownEndpointCount: () => countEndpoints()
@@ -213,7 +213,7 @@
   const countEndpoints = (): number => clusterView.endpoints.list(clock.readMonotonic()).length
 
   const relayServer = await startRelayServer({
-    address: settings.peersAddress, clock, mirror, store, getStoreAgeMs: () => clusterViewTask.storeAgeMs, isStoreReachable: () => clusterViewTask.isStoreReachable
+    address: settings.peersAddress, clock, mirror, store, getStoreAgeMs: () => clusterViewTask.storeAgeMs, listTableAges: () => clusterViewTask.listTableAges(), isStoreReachable: () => clusterViewTask.isStoreReachable
   })
   await requestProxy.callerListener.start()
   const readinessServer = await startReadinessServer(settings.readinessAddress, () => clusterView.routes !== undefined && !isolationMonitor.isIsolated && countEndpoints() > 0)
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -8,7 +8,7 @@
 import { createParser } from '../schemas/createParser.js'
 import { wirePaths } from './wireNames.js'
 
-/** Timeout of a call, added to the time that the store is asked to wait; it responds in 4 ms, or in 240 ms when slow. */
+/** Timeout of a call that the store is not asked to delay; it responds in 4 ms, or in 240 ms when slow. */
 const callTimeoutMs = 1000
 const connectTimeoutMs = 500
 /** A larger response is an error. The store sends at most 1 MB of rows, which base64 and JSON make up to three times as long. */
@@ -52,7 +52,7 @@
   return {
     readTable: async table => await reportCallResult('read', receiveCall, async () => await readTable(pool, table)),
     readRow: async (table, key, timeoutMs) => await reportCallResult('readRow', receiveCall, async () => await readRow(pool, table, key, timeoutMs)),
-    watchTable: async (table, afterVersion, waitMs) => await reportCallResult('follow', receiveCall, async () => await watchTable(pool, table, afterVersion, waitMs)),
+    watchTable: async (table, afterVersion, waitMs, responseMs) => await reportCallResult('follow', receiveCall, async () => await watchTable(pool, table, afterVersion, waitMs, responseMs)),
     transact: async transaction => {
       const outcome = await transact(pool, transaction)
       receiveCall('transact', outcome.verdict)
@@ -97,9 +97,9 @@
   return row && decodeRow(row)
 }
 
-async function watchTable (pool: Pool, table: string, afterVersion: number, waitMs: number): Promise<StoreChanges> {
+async function watchTable (pool: Pool, table: string, afterVersion: number, waitMs: number, responseMs: number): Promise<StoreChanges> {
   const query = new URLSearchParams({ table, after: String(afterVersion), waitMs: String(Math.round(waitMs)) })
-  const { status, body } = await callStore(pool, 'GET', `${wirePaths.followRows}?${query}`, undefined, waitMs + callTimeoutMs)
+  const { status, body } = await callStore(pool, 'GET', `${wirePaths.followRows}?${query}`, undefined, waitMs + responseMs)
   if (status === historyGoneStatus) return { isComplete: false }
   if (status !== 200) throw createStatusError(`watching table "${table}"`, status)
   const page = parseRead(body)
--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -5,6 +5,8 @@
 export interface RelayedUpdates extends MirrorChanges {
   /** Milliseconds since the relay, or the relay that it reads from, last received data from the store; `Infinity` if neither ever did. */
   readonly storeAgeMs: number
+  /** By table, milliseconds since the relay's copy last matched the store; tables that it never read are left out. */
+  readonly tableAgesMs: Readonly<Record<string, number>>
 }
 
 export interface Relay {
--- a/src/ports/store.ts
+++ b/src/ports/store.ts
@@ -45,8 +45,8 @@
   readTable: (table: string) => Promise<StoreTableSnapshot>
   /** Reads one row; undefined if there is none. Rejects if the store does not respond within `timeoutMs`. */
   readRow: (table: string, key: string, timeoutMs: number) => Promise<StoreRow | undefined>
-  /** Waits up to `waitMs` for rows that changed after a version. Rejects if the store does not respond. */
-  watchTable: (table: string, afterVersion: number, waitMs: number) => Promise<StoreChanges>
+  /** Waits up to `waitMs` for rows that changed after a version. Rejects if the store does not respond within `responseMs` more. */
+  watchTable: (table: string, afterVersion: number, waitMs: number, responseMs: number) => Promise<StoreChanges>
   transact: (transaction: StoreTransaction) => Promise<StoreOutcome>
   close: () => Promise<void>
 }
--- a/src/tasks/clusterView/clusterViewTask.ts
+++ b/src/tasks/clusterView/clusterViewTask.ts
@@ -2,6 +2,7 @@
 import type { UpdateSourceHost, UpdateSourceList } from '../../core/updateSources.js'
 import type { ClusterView } from '../../core/clusterView.js'
 import type { RowMirror } from '../../core/rowMirror.js'
+import { TableFreshness } from '../../core/tableFreshness.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { Relay } from '../../ports/relay.js'
@@ -14,6 +15,10 @@
   minIntervalMs: number
   /** How long the store may delay its response while nothing has changed (long poll). */
   waitMs: number
+  /** How much longer than `waitMs` a response may take before the call is given up. */
+  responseMs: number
+  /** A copy older than this is read from the store, also by hosts that follow a relay; undefined where only the store's age counts. */
+  maxAgeMs?: number
   /** Time from the start of the first read of the table to the next call; hosts that start together register in it. */
   initialDelayMs: number
   /** Whether only store readers need the table. A starting host then waits until it knows whether it is a store reader. */
@@ -28,6 +33,8 @@
   mirror: RowMirror
   clusterView: ClusterView
   tables: readonly WatchedTable[]
+  /** How long a relay may delay its response while nothing has changed. */
+  relayWaitMs: number
   own: UpdateSourceHost
   sources: UpdateSourceList
   /** Relay addresses for the time in which no host is known yet. */
@@ -36,22 +43,15 @@
   formatRelayAddress: (address: string) => string
 }
 
-/**
- * Above this age the view counts as stale and the store as unavailable: two waits at a relay (600 ms each) and a response that
- * took 250 ms.
- */
+/** Without a read of any table for this long, the view counts as stale and the store as unavailable. */
 const maxStoreAgeMs = 1600
-/** Without a response from any relay for this long, the host reads the store: the longest wait at a relay and one response beyond. */
+/** Without a response from any relay for this long, the host reads the store. */
 const relayTimeoutMs = 1500
-const relayWaitMs = 600
 /** A relay that failed is not tried again for this long, while there are others. */
 const relayBackoffMs = 2000
 const retryMs = 250
-/**
- * Hosts that are not store readers retry an unavailable store less often, as there are many of them; still often enough for a
- * configuration to be applied within 3 s.
- */
-const nonReaderRetryMs = 700
+/** Hosts that are not store readers wait up to this long before they call an unavailable store again, as there are many of them. */
+const maxNonReaderRetryMs = 700
 /** Relays whose log positions are kept: more than the store readers of a deployment in eight zones. */
 const maxRelayPositions = 32
 /** Retry delay of a host that has read nothing yet. */
@@ -66,8 +66,9 @@
   /** When a read of one of the tables last succeeded. Responses to writes don't show what others have written. */
   #tableReadAtMs = -Infinity
   #relayResponseAtMs = -Infinity
-  /** When each table was last read from the store itself, by its name. */
-  #tableReadTimesMs = new Map<string, number>()
+  #freshness = new TableFreshness()
+  /** Calls for a table that failed since the last one that succeeded, by table. */
+  #failedCalls = new Map<string, number>()
   /** Where the rows that are being applied were read: `store` or the address of a relay. */
   #updateSource: string | undefined
   /** When this host first knew of a relay. */
@@ -124,10 +125,9 @@
     return this.#updateSource
   }
 
-  /** Milliseconds since each table was read from the store itself, by table; tables that never were are left out. */
-  listTableReadAges (): Record<string, number> {
-    const nowMs = this.#options.clock.readMonotonic()
-    return Object.fromEntries([...this.#tableReadTimesMs].map(([table, atMs]) => [table, Math.round(nowMs - atMs)]))
+  /** Milliseconds since this host's copy of each table last matched the store, by table; tables that never were read are left out. */
+  listTableAges (): Record<string, number> {
+    return this.#freshness.listAges(this.#options.clock.readMonotonic())
   }
 
   /** Records that the store responded to another part of the host. */
@@ -155,21 +155,27 @@
     return this.#options.sources.getSources().isStoreReader
   }
 
-  /** Whether this host should watch the store now: as a store reader, or because no relay responds or none of them reaches the store. */
-  #shouldWatchStore (): boolean {
+  /** Whether this host should watch a table of the store now: as a store reader, or because no relay keeps the table current. */
+  #shouldWatchStore (table: WatchedTable): boolean {
     const sinceMs = Math.max(this.#relayResponseAtMs, this.#relayKnownAtMs ?? -Infinity)
-    return this.#isStoreReader() || this.#options.clock.readMonotonic() - sinceMs > relayTimeoutMs || this.storeAgeMs > maxStoreAgeMs
+    return this.#isStoreReader() || this.#options.clock.readMonotonic() - sinceMs > relayTimeoutMs || this.#isOutdated(table)
   }
 
   /** Whether this host should watch a relay now. */
   #shouldWatchRelay (): boolean {
-    return !this.#isStoreReader() || !this.isReadingStore
+    return !this.#isStoreReader() || !this.isReadingStore || this.#options.tables.some(table => table.maxAgeMs !== undefined && this.#isOutdated(table))
+  }
+
+  /** Whether the copy of a table may lack a change that ought to be in force soon. */
+  #isOutdated ({ table, maxAgeMs }: WatchedTable): boolean {
+    if (maxAgeMs === undefined) return this.storeAgeMs > maxStoreAgeMs
+    return this.#freshness.getAgeMs(table, this.#options.clock.readMonotonic()) > maxAgeMs
   }
 
   #startLoops (): void {
     if (this.#options.sources.getSources().relayAddresses.length > 0) this.#relayKnownAtMs ??= this.#options.clock.readMonotonic()
     for (const table of this.#options.tables) {
-      const shouldRun = (): boolean => this.#shouldWatchStore() && (!table.isForStoreReaders || this.#hasSettled(table.initialDelayMs))
+      const shouldRun = (): boolean => this.#shouldWatchStore(table) && (!table.isForStoreReaders || this.#hasSettled(table.initialDelayMs))
       this.#startLoop(`store ${table.table}`, shouldRun, async () => await this.#watchStore(table))
     }
     this.#startLoop('relay', () => this.#shouldWatchRelay(), async () => await this.#watchRelay())
@@ -198,12 +204,12 @@
     run()
   }
 
-  async #watchStore ({ table, minIntervalMs, waitMs, initialDelayMs }: WatchedTable): Promise<void> {
+  async #watchStore ({ table, minIntervalMs, waitMs, responseMs, initialDelayMs }: WatchedTable): Promise<void> {
     const { clock, store, mirror, log } = this.#options
     const startedAtMs = clock.readMonotonic()
     try {
       const after = mirror.findTableVersion(table)
-      const changes = after === undefined ? undefined : await store.watchTable(table, after, waitMs)
+      const changes = after === undefined ? undefined : await store.watchTable(table, after, waitMs, responseMs)
       if (changes?.isComplete) {
         this.#applyUpdate('store', () => mirror.applyChanges(table, changes.rows, changes.version))
       } else {
@@ -213,17 +219,25 @@
       }
       this.recordStoreResponse()
       this.#tableReadAtMs = clock.readMonotonic()
-      this.#tableReadTimesMs.set(table, this.#tableReadAtMs)
+      this.#freshness.record(table, this.#tableReadAtMs)
+      this.#failedCalls.delete(table)
       await this.#pause((after === undefined ? initialDelayMs : minIntervalMs) - (clock.readMonotonic() - startedAtMs))
     } catch (error) {
       log.record('news.storeFailed', 'Call to the store failed; retrying.', { table, error: (error as Error).message })
-      const delayMs = mirror.findTableVersion(table) === undefined ? initialRetryMs : this.#isStoreReader() ? retryMs : nonReaderRetryMs
-      await this.#pause(delayMs * (1 + Math.random()))
+      await this.#pause(this.#computeRetryDelayMs(table) * (1 + Math.random()))
     }
   }
 
+  /** The first failure is retried soon by every host: it may be one of a single connection. */
+  #computeRetryDelayMs (table: string): number {
+    const failures = (this.#failedCalls.get(table) ?? 0) + 1
+    this.#failedCalls.set(table, failures)
+    if (this.#options.mirror.findTableVersion(table) === undefined) return initialRetryMs
+    return this.#isStoreReader() || failures === 1 ? retryMs : maxNonReaderRetryMs
+  }
+
   async #watchRelay (): Promise<void> {
-    const { clock, relay, mirror, log } = this.#options
+    const { clock, relay, mirror, log, tables, relayWaitMs } = this.#options
     const address = this.#selectRelay()
     if (address === undefined) {
       await this.#pause(initialRetryMs)
@@ -236,8 +250,10 @@
       this.#applyUpdate(address, () => mirror.applyMirrorChanges(updates))
       this.#relayResponseAtMs = clock.readMonotonic()
       this.#relayStoreAgeMs = updates.storeAgeMs
-      // A relay whose own view is stale is used only while no other has a current one.
-      if (updates.storeAgeMs > maxStoreAgeMs) this.#relayFailedAtMs.set(address, clock.readMonotonic())
+      for (const [table, ageMs] of Object.entries(updates.tableAgesMs)) this.#freshness.record(table, this.#relayResponseAtMs - ageMs)
+      // A relay that is behind is used only while no other has current tables.
+      const isBehind = tables.some(({ table, maxAgeMs }) => maxAgeMs !== undefined && (updates.tableAgesMs[table] ?? Infinity) > maxAgeMs)
+      if (isBehind || updates.storeAgeMs > maxStoreAgeMs) this.#relayFailedAtMs.set(address, clock.readMonotonic())
     } catch (error) {
       this.#relayFailedAtMs.set(address, clock.readMonotonic())
       log.record('news.relayFailed', 'Reading updates from a relay failed; trying another one.', { address, error: (error as Error).message })
--- a/src/tasks/clusterView/logClusterViewChange.ts
+++ b/src/tasks/clusterView/logClusterViewChange.ts
@@ -6,7 +6,7 @@
 export interface ClusterViewChangeOrigin {
   /** `store` or the address of a relay; undefined for rows that this host wrote itself. */
   readonly source: string | undefined
-  /** Milliseconds since each table was read from the store itself, by table. */
+  /** Milliseconds since this host's copy of each table last matched the store before the change, by table. */
   readonly tableAgesMs: Readonly<Record<string, number>>
 }
 
--- a/src/tasks/clusterView/relayServer.ts
+++ b/src/tasks/clusterView/relayServer.ts
@@ -18,6 +18,8 @@
   mirror: RowMirror
   store: Store
   getStoreAgeMs: () => number
+  /** Milliseconds since this host's copy of each table last matched the store, by table. */
+  listTableAges: () => Readonly<Record<string, number>>
   /** Whether the store itself recently responded to this host. */
   isStoreReachable: () => boolean
 }
@@ -40,15 +42,17 @@
 }
 
 async function serveUpdates (options: RelayServerOptions, query: URLSearchParams): Promise<HttpReply> {
-  const { clock, mirror, getStoreAgeMs } = options
+  const { clock, mirror, getStoreAgeMs, listTableAges } = options
   const logId = query.get('logId') ?? ''
   const position = Number(query.get('position'))
   if (logId === mirror.logId && position === mirror.position) await waitForUpdate(options, Math.min(maxWaitMs, Number(query.get('waitMs'))))
   const changes = mirror.getChangesSince(logId, position)
   const readAtMs = clock.readMonotonic()
-  const storeAgeMs = getStoreAgeMs()
+  const [storeAgeMs, ages] = [getStoreAgeMs(), listTableAges()]
   const rows = await Promise.all(changes.rows.map(encodeRelayedRow))
-  return createReply({ ...changes, rows, storeAgeMs: Math.min(unknownStoreAgeMs, storeAgeMs + clock.readMonotonic() - readAtMs) })
+  const encodingMs = clock.readMonotonic() - readAtMs
+  const tableAgesMs = Object.fromEntries(Object.entries(ages).map(([table, ageMs]) => [table, ageMs + encodingMs]))
+  return createReply({ ...changes, rows, storeAgeMs: Math.min(unknownStoreAgeMs, storeAgeMs + encodingMs), tableAgesMs })
 }
 
 async function runTransaction ({ store, isStoreReachable }: RelayServerOptions, body: Buffer): Promise<HttpReply> {
--- a/src/tasks/hostMetrics/hostMetrics.ts
+++ b/src/tasks/hostMetrics/hostMetrics.ts
@@ -5,8 +5,8 @@
 /** Values that the gauges read at each scrape. */
 export interface HostMetricSources {
   getStoreAgeMs: () => number
-  /** Milliseconds since each table was read from the store itself, by table. */
-  listTableReadAges: () => Readonly<Record<string, number>>
+  /** Milliseconds since this host's copy of each table last matched the store, by table. */
+  listTableAges: () => Readonly<Record<string, number>>
   getActiveRequestCount: () => number
   getOwnedEndpointCount: () => number
   getKnownEndpointCount: () => number
@@ -41,10 +41,10 @@
     this.#createGauge('store_age_seconds', 'Age of the news from the store.', () => sources.getStoreAgeMs() / 1000)
     const tableAges = new Gauge({
       name: 'sedgevalve_table_age_seconds',
-      help: 'Time since this host read a table from the store itself.',
+      help: 'Time since this host\'s copy of a table last matched the store.',
       labelNames: ['table'],
       registers: [this.registry],
-      collect: () => { for (const [table, ageMs] of Object.entries(sources.listTableReadAges())) tableAges.set({ table }, ageMs / 1000) }
+      collect: () => { for (const [table, ageMs] of Object.entries(sources.listTableAges())) tableAges.set({ table }, ageMs / 1000) }
     })
     this.#createGauge('active_requests', 'Requests that are being served.', sources.getActiveRequestCount)
     this.#createGauge('owned_endpoints', 'Engines that this host gives orders to.', sources.getOwnedEndpointCount)
