Ignore endpoint entries that can't be used, and go on behind a row that can't be applied

Cause: the values of an entry were checked for their type alone. A software version of any depth went to JSON.stringify, which throws at 200,000 levels; the throw left through the mirror in the middle of a batch, so that its other rows waited for the next call. Ports of 0 and 70000, addresses such as 999.0.0.1 and numbers of 1e300 were taken for those of a usable endpoint.

Change: numbers have the ranges of what they are used for, an address must be one, a software version is a plain value.

14 scenarios failed before: 12 odd entries, a mirror whose receiver fails at a row, and hosts before a fleet in which an entry with port 70000 lies. That a deeply nested version delays a host's other rows lasted one retry only (0.25 s), so that its scenario before a fleet passed before as well.

--- a/features/hostFailures.feature
+++ b/features/hostFailures.feature
@@ -95,3 +95,18 @@
     Given 3 hosts before a platform with 1 engine
     When a route is added
     Then the route is known to every host within 1500 ms
+
+  Scenario Outline: <odd> among the endpoints' entries hides no leaving endpoint
+    Given 2 hosts before a platform with 2 engines
+    When another writer leaves <odd> among the entries and the first engine drains at once
+    And 1000 ms pass
+    And 12 streams for 3 adapters are sent within 600 ms
+    Then every answer is whole or refused with a time to come back
+    And at least 10 of the last 12 streams are whole
+    And the first engine ran none of the requests that came 1000 ms after it began to drain
+
+    Examples:
+      | odd                     |
+      | a deeply nested version |
+      | a port of 70000         |
+      | a sequence of 1e300     |
--- a/features/routes.feature
+++ b/features/routes.feature
@@ -52,6 +52,27 @@
       | slots as a string         |
       | a fractional start time   |
       | invalid JSON              |
+      | a deeply nested version   |
+      | a version that is a list  |
+      | a port of 0               |
+      | a port of 70000           |
+      | an address of dots        |
+      | an address with a part of 999 |
+      | 1e300 slots               |
+      | a start time of 1e300     |
+      | a negative start time     |
+      | a remaining time of 1e300 |
+      | a sequence of 1e300       |
+      | a model version of 1e300  |
+
+  Scenario: An entry whose software version is a number is valid
+    Given the entry of endpoint "i-1" with a version that is a number
+    Then the endpoint can be decoded from it
+
+  Scenario: A row that can't be applied doesn't stop the rows behind it
+    Given a mirror whose receiver fails at row "y"
+    When rows "x", "y" and "z" arrive together as of version 9
+    Then rows "x" and "z" were applied, row "y" was reported, and the table is known up to version 9
 
   Scenario: An entry without a start time is valid
     Given the entry of endpoint "i-1" with no start time
--- a/features/steps/hostFailures.ts
+++ b/features/steps/hostFailures.ts
@@ -4,6 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { Client } from 'undici'
+import { endpointsTable } from '../../src/platform/wireNames.js'
 import { encodeCallerRequestHeaders } from '../../src/platform/standinWire.js'
 import { decodeHostsRow, hostsTable } from '../../src/schemas/hostRows.js'
 import { createRequestId, isWhole } from '../../src/standin/fleet/fleetCaller.js'
@@ -13,6 +14,7 @@
 import { HostFleet } from '../support/hostFleet.js'
 import { call, findOwner, sendStreams, setFaults } from '../support/hostsWorld.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
+import { createDeepEntryText } from '../support/oddEntries.js'
 import { waitUntil } from '../support/waitUntil.js'
 
 interface RemovalWorld extends HostsWorld {
@@ -268,3 +270,23 @@
 When('an engine comes that takes {int} ms to load its model', async function (this: HostsWorld, ms: number) {
   await this.hostFleet.fleet.addEndpoint(engineService, ms)
 })
+
+const oddEntry = { service: engineService, address: '127.0.0.1:70000', zone: 'a', slots: 6, state: 'ready', sequence: 1 }
+const oddEntryTexts: Readonly<Record<string, string>> = Object.freeze({
+  'a deeply nested version': createDeepEntryText({ ...oddEntry, address: '127.0.0.1:9' }),
+  'a port of 70000': JSON.stringify(oddEntry),
+  'a sequence of 1e300': JSON.stringify({ ...oddEntry, address: '127.0.0.1:9', sequence: 1e300 })
+})
+
+When(/^another writer leaves (.+) among the entries and the first engine drains at once$/, function (this: RemovalWorld, odd: string) {
+  const { fleet } = this.hostFleet
+  fleet.rows.write({ table: endpointsTable, key: 'a-odd', value: Buffer.from(oddEntryTexts[odd]!) })
+  this.removed = fleet.engines[0]!
+  this.removedAtMs = performance.now()
+  fleet.drain(this.removed)
+})
+
+Then('the first engine ran none of the requests that came {int} ms after it began to drain', function (this: RemovalWorld, ms: number) {
+  const late = this.hostFleet.fleet.journal.runs.filter(run => run.endpointId === this.removed.id && run.startedAtMs > this.removedAtMs + ms)
+  assert.equal(late.length, 0, `${late.length} requests`)
+})
--- a/features/steps/relayedNews.ts
+++ b/features/steps/relayedNews.ts
@@ -43,7 +43,7 @@
 Given('a host that relays a configuration of {int} bytes', async function (this: UpdatesWorld, bytes: number) {
   const routes = Array.from({ length: Math.ceil(bytes / 60) }, (_, index) => ({ name: `route-${index}`, prefix: `/county/${index * 7919}/` }))
   this.written = Buffer.from(JSON.stringify(routes).slice(0, bytes))
-  const mirror = new RowMirror('relay', () => false, () => {})
+  const mirror = new RowMirror('relay', () => false, () => {}, (_row, error) => { throw error })
   mirror.replaceTable('op', [{ table: 'op', key: 'routes', version: 3, value: this.written }], 3)
   const unusedStore = {} as Store
   this.relayServer = await startRelayServer({
@@ -90,7 +90,7 @@
   const peerReads: UpdatesWorld['peerReads'] = new Map()
   const responseMs = 3
   const pause = async (ms: number): Promise<void> => await new Promise<void>(resolve => { clock.setTimer(resolve, ms) })
-  const mirror = new RowMirror('own', () => false, () => {})
+  const mirror = new RowMirror('own', () => false, () => {}, (_row, error) => { throw error })
   const hosts = Array.from({ length: count + 1 }, (_, index) => ({ host: `host-${index}`, address: `10.0.0.${index + 1}`, zone: 'a' }))
   const readers = selectStoreReaders(hosts)
   const own = hosts.find(host => readers.includes(host) === isReader)!
--- a/features/steps/routes.ts
+++ b/features/steps/routes.ts
@@ -5,6 +5,7 @@
 import { ClusterView } from '../../src/core/clusterView.js'
 import { pickService, RouteTable } from '../../src/core/routeTable.js'
 import { RowMirror } from '../../src/core/rowMirror.js'
+import { createDeepEntryText } from '../support/oddEntries.js'
 import { decodeEndpoint } from '../../src/platform/decodeEndpoint.js'
 import { decodePlatformRow } from '../../src/platform/decodePlatformRow.js'
 import type { EndpointEntry, Route, RouteTarget, RoutingConfiguration } from '../../src/schemas/routing.js'
@@ -14,6 +15,9 @@
   targets: RouteTarget[]
   clusterView: ClusterView
   mirror: RowMirror
+  /** Keys of the rows that the mirror's receiver applied, and those that it failed at with the reason. */
+  received: string[]
+  failedRows: string[]
   entry: EndpointEntry | undefined
   directory: EndpointDirectory
 }
@@ -63,7 +67,7 @@
 })
 
 Given('a mirror that knows row {string} of version {int}', function (this: RoutesWorld, key: string, version: number) {
-  this.mirror = new RowMirror('log', () => false, () => {})
+  this.mirror = new RowMirror('log', () => false, () => {}, (_row, error) => { throw error })
   this.mirror.applyChanges('t', [{ table: 't', key, version, value: Buffer.from('v') }], version)
 })
 
@@ -71,6 +75,25 @@
   this.mirror.applyChanges('t', [{ table: 't', key, version, value: Buffer.from('w') }], version)
 })
 
+Given('a mirror whose receiver fails at row {string}', function (this: RoutesWorld, failingKey: string) {
+  this.received = []
+  this.failedRows = []
+  this.mirror = new RowMirror('log', () => false, ({ key }) => {
+    if (key === failingKey) throw new Error('cannot be applied')
+    this.received.push(key)
+  }, ({ key }, error) => this.failedRows.push(`${key}: ${error.message}`))
+})
+
+When('rows {string}, {string} and {string} arrive together as of version {int}', function (this: RoutesWorld, first: string, second: string, third: string, version: number) {
+  this.mirror.applyChanges('t', [first, second, third].map((key, index) => ({ table: 't', key, version: version - 2 + index, value: Buffer.from('w') })), version)
+})
+
+Then('rows {string} and {string} were applied, row {string} was reported, and the table is known up to version {int}', function (this: RoutesWorld, first: string, second: string, failed: string, version: number) {
+  assert.deepEqual(this.received, [first, second])
+  assert.deepEqual(this.failedRows, [`${failed}: cannot be applied`])
+  assert.equal(this.mirror.findTableVersion('t'), version)
+})
+
 When('the full table as of version {int} arrives without it', function (this: RoutesWorld, version: number) {
   this.mirror.replaceTable('t', [], version)
 })
@@ -91,11 +114,28 @@
   'an unknown state': { ...validEntry, state: 'asleep' },
   'slots as a string': { ...validEntry, slots: 'six' },
   'a fractional start time': { ...validEntry, born: 1.5 },
+  'a version that is a list': { ...validEntry, version: ['2.1'] },
+  'a port of 0': { ...validEntry, address: '10.0.0.1:0' },
+  'a port of 70000': { ...validEntry, address: '10.0.0.1:70000' },
+  'an address of dots': { ...validEntry, address: '...:80' },
+  'an address with a part of 999': { ...validEntry, address: '999.0.0.1:80' },
+  '1e300 slots': { ...validEntry, slots: 1e300 },
+  'a start time of 1e300': { ...validEntry, born: 1e300 },
+  'a negative start time': { ...validEntry, born: -1 },
+  'a remaining time of 1e300': { ...validEntry, remainingMs: 1e300 },
+  'a sequence of 1e300': { ...validEntry, sequence: 1e300 },
+  'a model version of 1e300': { ...validEntry, models: [{ name: 'base', version: 1e300, adapters: [] }] },
+  'a version that is a number': { ...validEntry, version: 3 },
   'no start time': { ...validEntry, born: undefined }
 }
 
+const textsByFault: Record<string, string> = {
+  'invalid JSON': '{"service":',
+  'a deeply nested version': createDeepEntryText(validEntry)
+}
+
 Given(/^the entry of endpoint "([^"]+)" with (.+)$/, function (this: RoutesWorld, id: string, fault: string) {
-  const text = fault === 'invalid JSON' ? '{"service":' : JSON.stringify(entriesByFault[fault])
+  const text = textsByFault[fault] ?? JSON.stringify(entriesByFault[fault])
   this.entry = decodeEndpoint(id, Buffer.from(text))
 })
 
--- a/features/support/leaseCluster.ts
+++ b/features/support/leaseCluster.ts
@@ -121,7 +121,7 @@
     const mirror = new RowMirror(session, () => false, row => {
       const change = clusterView.applyRow(row, clock.readMonotonic())
       if (change) leases.receiveChange(change)
-    })
+    }, (_row, error) => { throw error })
     const host: LeaseHost = { name, address, leases: undefined!, renewalCollector: undefined!, isRunning: true, isReachable: true, owned: new Map(), logRecords: [] }
     const log = { record: (kind: string, _message: string, fields: Record<string, unknown> = {}) => { host.logRecords.push({ kind, fields }) } }
     const transact = async (transaction: StoreTransaction): Promise<StoreOutcome> => await this.#transact(transaction)
--- a/features/support/updateCluster.ts
+++ b/features/support/updateCluster.ts
@@ -109,7 +109,7 @@
     const mirror = new RowMirror(own.host, () => false, row => {
       if (row.table === hostsTable) clusterView.applyRow(row, this.clock.readMonotonic())
       else this.receivedAtMs.set(`${own.host} ${row.table} ${row.version}`, this.clock.readMonotonic())
-    })
+    }, (_row, error) => { throw error })
     const task = new ClusterViewTask({
       clock: this.clock,
       log: { record: () => {} },
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -99,7 +99,7 @@
     if (!change) return
     logClusterViewChange(log, change, () => ({ source: clusterViewTask.updateSource, tableAgesMs: clusterViewTask.listTableAges() }))
     dispatchChange(change, { requestProxy, reservations, suspectTasks, leaseComponents, allocationTask, streamTasks })
-  })
+  }, ({ table, key }, error) => log.record('news.rowFailed', 'A row could not be applied; the rows beside it are.', { table, key, error: error.message }))
   const updateSources = new UpdateSourceList({
     own,
     listHosts: () => [...clusterView.hosts.values()].map(({ row }) => row).filter(row => !row.isLeaving),
--- a/src/core/rowMirror.ts
+++ b/src/core/rowMirror.ts
@@ -22,6 +22,9 @@
 
 export type ReceiveRowChange = (row: StoreRow, previous: Uint8Array | undefined) => void
 
+/** Called with a row that could not be applied, and why; other rows are not affected. */
+export type ReceiveRowFailure = (row: StoreRow, error: Error) => void
+
 /**
  * Applies rows in any order and from any source. A row that is not newer than the known one is dropped, so that a row never
  * reverts to an older value.
@@ -30,16 +33,18 @@
   readonly logId: string
   #isEquivalentValue: IsEquivalentValue
   #receiveRowChange: ReceiveRowChange
+  #receiveRowFailure: ReceiveRowFailure
   #rows = new Map<string, StoreRow>()
   #versions = new Map<string, number>()
   #log: StoreRow[] = []
   #logStart = 0
   #changeCallbacks = new Set<() => void>()
 
-  constructor (logId: string, isEquivalentValue: IsEquivalentValue, receiveRowChange: ReceiveRowChange) {
+  constructor (logId: string, isEquivalentValue: IsEquivalentValue, receiveRowChange: ReceiveRowChange, receiveRowFailure: ReceiveRowFailure) {
     this.logId = logId
     this.#isEquivalentValue = isEquivalentValue
     this.#receiveRowChange = receiveRowChange
+    this.#receiveRowFailure = receiveRowFailure
   }
 
   get position (): number {
@@ -115,9 +120,16 @@
     if (previous && previous.version >= row.version) return
     this.#rows.set(rowId, row)
     if (!previous?.value && !row.value) return
-    const isEquivalent = previous?.value !== undefined && row.value !== undefined && this.#isEquivalentValue(row.table, row.key, previous.value, row.value)
-    if (!isEquivalent) this.#appendToLog(row)
-    this.#receiveRowChange(row, previous?.value)
+    try {
+      if (!this.#isEquivalent(row, previous)) this.#appendToLog(row)
+      this.#receiveRowChange(row, previous?.value)
+    } catch (error) {
+      this.#receiveRowFailure(row, error as Error)
+    }
+  }
+
+  #isEquivalent (row: StoreRow, previous: StoreRow | undefined): boolean {
+    return previous?.value !== undefined && row.value !== undefined && this.#isEquivalentValue(row.table, row.key, previous.value, row.value)
   }
 
   #appendToLog (row: StoreRow): void {
--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -51,7 +51,7 @@
   })
 })
 
-const versionSchema = Type.Object({ model: Type.String(), adapter: Type.String(), version: Type.Number() })
+const versionSchema = Type.Object({ model: Type.String(), adapter: Type.String(), version: Type.Number({ minimum: 0, maximum: Number.MAX_SAFE_INTEGER }) })
 
 const configurationValidator = TypeCompiler.Compile(configurationSchema)
 const versionValidator = TypeCompiler.Compile(versionSchema)
--- a/src/platform/decodeEndpoint.ts
+++ b/src/platform/decodeEndpoint.ts
@@ -1,4 +1,5 @@
 /** Decodes what endpoints publish about themselves: their rows in the store and their state reports. */
+import { isIPv4 } from 'node:net'
 import { Type } from '@sinclair/typebox'
 import type { Static } from '@sinclair/typebox'
 import { TypeCompiler } from '@sinclair/typebox/compiler'
@@ -6,31 +7,37 @@
 import type { EngineState } from '../ports/engineOrders.js'
 import { decodeJson } from './decodeJson.js'
 
+/** More than this many concurrent requests are a mistake of the entry's writer. */
+const maxSlots = 1_000_000
+/** Longest delay of a timer. */
+const maxTimerMs = 2 ** 31 - 1
+const countSchema = Type.Integer({ minimum: 0, maximum: Number.MAX_SAFE_INTEGER })
+
 const modelSchema = Type.Object({
   name: Type.String(),
-  version: Type.Number(),
+  version: Type.Number({ minimum: 0, maximum: Number.MAX_SAFE_INTEGER }),
   adapters: Type.Array(Type.String())
 })
 
 const entrySchema = Type.Object({
   service: Type.String({ minLength: 1 }),
-  address: Type.String({ pattern: '^[0-9.]+:[0-9]{1,5}$' }),
+  address: Type.String(),
   zone: Type.String(),
   /** Version of the endpoint's software, not of its models. */
-  version: Type.Optional(Type.Unknown()),
-  slots: Type.Number({ minimum: 1 }),
+  version: Type.Optional(Type.Union([Type.String(), Type.Number(), Type.Boolean(), Type.Null()])),
+  slots: Type.Number({ minimum: 1, maximum: maxSlots }),
   state: Type.Union([Type.Literal('ready'), Type.Literal('draining')]),
-  remainingMs: Type.Optional(Type.Number()),
-  born: Type.Optional(Type.Integer()),
+  remainingMs: Type.Optional(Type.Number({ maximum: maxTimerMs })),
+  born: Type.Optional(countSchema),
   models: Type.Optional(Type.Array(modelSchema)),
-  sequence: Type.Number()
+  sequence: countSchema
 })
 
 const reportSchema = Type.Object({
-  born: Type.Optional(Type.Integer()),
+  born: Type.Optional(countSchema),
   models: Type.Array(modelSchema),
   busy: Type.Boolean(),
-  sequence: Type.Number(),
+  sequence: countSchema,
   waiting: Type.Number(),
   running: Type.Number(),
   coming: Type.Optional(Type.Array(Type.String()))
@@ -47,7 +54,7 @@
  */
 export function decodeEndpoint (id: string, value: Uint8Array): EndpointEntry | undefined {
   const entry = decodeJson(value)
-  if (!entryValidator.Check(entry)) return undefined
+  if (!entryValidator.Check(entry) || !isUsableAddress(entry.address)) return undefined
   return {
     id,
     service: entry.service,
@@ -63,6 +70,15 @@
   }
 }
 
+const addressPattern = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/
+const maxPort = 65_535
+
+/** Whether a text is the `ip:port` of something that can be connected to. */
+function isUsableAddress (address: string): boolean {
+  const [, host, port] = addressPattern.exec(address) ?? []
+  return host !== undefined && isIPv4(host) && Number(port) >= 1 && Number(port) <= maxPort
+}
+
 /** Decodes an engine's state report; undefined if it is invalid. */
 export function decodeEngineReport (body: Uint8Array): EngineState | undefined {
   const report = decodeJson(body)
