Don't write a request to an endpoint that left while its connection was opened

A connection may take half a second to open.

The link now asks as the connection is open, just before it writes; a request that may not be sent any more fails as not sent, and another endpoint is selected.

--- a/features/endpointSigns.feature
+++ b/features/endpointSigns.feature
@@ -47,6 +47,22 @@
       | says it leaves  |
       | is removed      |
 
+  Scenario Outline: An endpoint leaves while a request waits for a connection to it
+    Given a request that waits for a reservation
+    When the wait ends with a reservation
+    And the entry of that engine <change>
+    Then the request is not written to the connection that opens then
+
+    Examples:
+      | change          |
+      | says it leaves  |
+      | is removed      |
+
+  Scenario: A request that is withdrawn as its connection opens is not sent
+    Given an endpoint that counts requests
+    When a request is sent to it and withdrawn as the connection opens
+    Then the request failed as one that was not sent, and the endpoint received none
+
   Scenario: A host sends no requests to a paused endpoint
     Given 2 hosts before a platform with 1 engine
     When endpoint 1 of "desk" rejects requests with a retry delay of "1.2" seconds
--- a/features/steps/endlessAnswers.ts
+++ b/features/steps/endlessAnswers.ts
@@ -72,7 +72,7 @@
   const link = openHttpEndpointLink({ address: this.address, getMaxConnections: () => 4 })
   this.verdict = 'incomplete'
   const sending = link.send({ method: 'POST', path: '/x', headers: [], body: Buffer.from('a question') }, {
-    receiveSent: () => {},
+    confirmSend: () => true,
     receiveHead: () => {},
     receiveData: () => true,
     receiveEnd: () => { this.verdict = 'complete' },
--- a/features/steps/endpointSigns.ts
+++ b/features/steps/endpointSigns.ts
@@ -1,9 +1,14 @@
 /** Steps for endpoint notices: responses that announce that an endpoint is leaving or paused. */
 import assert from 'node:assert/strict'
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { Given, Then, When } from '@cucumber/cucumber'
+import { After, Given, Then, When } from '@cucumber/cucumber'
 import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
+import { openHttpEndpointLink } from '../../src/adapters/endpointHttp/httpEndpointLink.js'
 import { decodeAnswerHead } from '../../src/platform/requestWire.js'
+import type { SendFailure } from '../../src/ports/endpointLink.js'
 import type { EngineOrders, EngineOrderOutcome } from '../../src/ports/engineOrders.js'
 import type { ResponseHead } from '../../src/schemas/callerRequest.js'
 import type { HostMessage } from '../../src/schemas/datagram.js'
@@ -32,6 +37,12 @@
   waiting: WaitingRequest
 }
 
+interface WithdrawnWorld {
+  countingServer: Server | undefined
+  requestCount: number
+  failure: SendFailure
+}
+
 interface OrdersWorld {
   orders: EngineOrders
   outcome: EngineOrderOutcome
@@ -187,3 +198,34 @@
 When('the wait ends with a reservation', async function (this: WaitingWorld) { await this.waiting.send() })
 
 Then('the request is not sent there', function (this: WaitingWorld) { assert.equal(this.waiting.read().sends, 0) })
+
+Then('the request is not written to the connection that opens then', function (this: WaitingWorld) { assert.equal(this.waiting.openConnection(), false) })
+
+Given('an endpoint that counts requests', async function (this: WithdrawnWorld) {
+  this.requestCount = 0
+  this.countingServer = createServer((_request, response) => {
+    this.requestCount++
+    response.end()
+  })
+  await new Promise<void>(resolve => this.countingServer!.listen(0, '127.0.0.1', resolve))
+})
+
+When('a request is sent to it and withdrawn as the connection opens', async function (this: WithdrawnWorld) {
+  const { port } = this.countingServer!.address() as AddressInfo
+  const link = openHttpEndpointLink({ address: `127.0.0.1:${port}`, getMaxConnections: () => 1 })
+  this.failure = await new Promise<SendFailure>(resolve => link.send({ method: 'POST', path: '/x', headers: [], body: Buffer.from('a question') }, {
+    confirmSend: () => false, receiveHead: () => {}, receiveData: () => true, receiveEnd: () => {}, receiveFailure: resolve
+  }))
+  await sleep(50)
+  link.close()
+})
+
+Then('the request failed as one that was not sent, and the endpoint received none', function (this: WithdrawnWorld) {
+  assert.equal(this.failure.kind, 'notSent')
+  assert.equal(this.requestCount, 0)
+})
+
+After(async function (this: WithdrawnWorld) {
+  this.countingServer?.closeAllConnections()
+  await new Promise<void>(resolve => this.countingServer ? this.countingServer.close(() => resolve()) : resolve())
+})
--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -12,6 +12,7 @@
 import { decodePlatformRow } from '../../src/platform/decodePlatformRow.js'
 import { decodeAnswerHead, encodeRefusalHeaders, encodeRequestHeaders } from '../../src/platform/requestWire.js'
 import { encodeConfigurationRow, encodeEndpointRow } from '../../src/platform/standinWire.js'
+import type { OutgoingRequest, ResponseReceiver } from '../../src/ports/endpointLink.js'
 import type { CallerRequest } from '../../src/schemas/callerRequest.js'
 import type { EndpointEntry } from '../../src/schemas/routing.js'
 import { createConfiguration, engineService, fleetHost, fleetModel, fleetPaths } from '../../src/standin/fleet/startFleet.js'
@@ -25,6 +26,8 @@
   changeEndpoint: (change: Partial<EndpointEntry> | undefined) => void
   /** Lets the selection finish with an endpoint, which does not answer. */
   send: () => Promise<void>
+  /** The connection that the request was given is open now; returns whether the request is written to it. */
+  openConnection: () => boolean
   /** Refuses the request's fingerprint from now on, then lets the selection finish with an endpoint. */
   refuseContent: () => Promise<void>
   /** `status`: response status that the caller got before the selection finished; 0 if none. */
@@ -45,6 +48,7 @@
   let sendCount = 0
   let cancelCount = 0
   let isRefused = false
+  let receiver: ResponseReceiver | undefined
   let resolveSelection = (_selection: EndpointSelection): void => {}
   const clusterView = new ClusterView(decodePlatformRow)
   clusterView.applyRow({ ...encodeConfigurationRow(createConfiguration(1, 4)), version: 1 }, clock.readMonotonic())
@@ -90,7 +94,7 @@
   }
   const request = new ProxiedRequest(context, callerRequest, new CallerResponse(response as unknown as ServerResponse, () => {}))
   request.serve()
-  const link = { busy: 0, hasRoom: true, close: () => {}, send: () => { sendCount++; return { cancel: () => { cancelCount++ }, resume: () => {} } }, probe: async () => 'open' as const }
+  const link = { busy: 0, hasRoom: true, close: () => {}, send: (_request: OutgoingRequest, sender: ResponseReceiver) => { sendCount++; receiver = sender; return { cancel: () => { cancelCount++ }, resume: () => {} } }, probe: async () => 'open' as const }
   const finishSelection = async (): Promise<void> => {
     resolveSelection({ kind: 'found', target: { endpoint: engine, link, version: 0, priority: undefined, isGranted: true, release: () => {} } })
     await sleep(settleMs)
@@ -98,6 +102,7 @@
   return {
     changeEndpoint: change => clusterView.applyRow({ table, key, value: change && encodeEndpointRow({ ...engine, ...change }).value, version: 3 }, clock.readMonotonic()),
     send: finishSelection,
+    openConnection: () => receiver!.confirmSend(),
     refuseContent: async () => {
       isRefused = true
       inFlightRequests.refuse(requestFingerprint)
--- a/src/adapters/endpointHttp/httpEndpointLink.ts
+++ b/src/adapters/endpointHttp/httpEndpointLink.ts
@@ -171,8 +171,11 @@
       controller.abort(new Error('the request was cancelled'))
       return
     }
+    if (!this.#receiver.confirmSend()) {
+      controller.abort(new Error('the request was withdrawn before it was sent'))
+      return
+    }
     this.#state = 'sent'
-    this.#receiver.receiveSent()
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, statusCode: number): void {
--- a/src/ports/endpointLink.ts
+++ b/src/ports/endpointLink.ts
@@ -7,8 +7,8 @@
 export type SendFailure = { readonly kind: 'notSent' | 'lost', readonly reason: string }
 
 export interface ResponseReceiver {
-  /** The request is about to be written to a connection; from now on it may run. */
-  receiveSent: () => void
+  /** The request is about to be written to a connection, which may have taken time to open. Returns false to withdraw it unsent. */
+  confirmSend: () => boolean
   receiveHead: (status: number, rawHeaders: readonly string[]) => void
   /** Returns false to pause the response until `resume` is called. */
   receiveData: (chunk: Buffer) => boolean
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -257,6 +257,7 @@
       timeLeftMs: this.#deadlineAtMs - this.#context.clock.readMonotonic(),
       isRetryable: isRetryable(route.kind, route.isResumable),
       lastEventId: this.#attempt?.lastEventId,
+      isAvailable: () => this.#isAvailable(target.endpoint),
       receiveBegun: () => this.#receiveBegun(route, target)
     })
     this.#attempt = attempt
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -19,6 +19,8 @@
   isRetryable: boolean
   /** Id of the last event that the caller received from an earlier attempt. */
   lastEventId: number | undefined
+  /** Whether the endpoint still accepts the request, asked when a connection to it is open. */
+  isAvailable: () => boolean
   /** Called once when the endpoint has begun to write its answer. */
   receiveBegun: () => void
 }
@@ -109,8 +111,9 @@
 
   // ResponseReceiver
 
-  receiveSent (): void {
-    this.#isSent = true
+  confirmSend (): boolean {
+    this.#isSent = this.#options.isAvailable()
+    return this.#isSent
   }
 
   receiveHead (status: number, rawHeaders: readonly string[]): void {
