Serve requests through another host while a host reaches no endpoint of their service

Each request found out for itself, by time-outs of 0.5 s or its deadline, and no request could go on through a host that reaches the endpoints.

Change: a host knows by its links which endpoints it reaches: connections that fail, and a probe after 0.3 s of silence. While it reaches none of a service, it sends requests to another host, which serves them as a caller's own but never sends them on. At most four hosts are asked; one that can't serve either says so, and is skipped for a while. What a response says of the endpoint stays with the host that sent it there. A stream that broke off goes on at the software version that began it, which both hosts tell each other. Requests that have received nothing for a second on links that lead nowhere are tried elsewhere or answered. What no host can serve is refused at once. The retry budget counts what endpoints may have got, no longer connections that could not be opened.

--- a/features/support/hostFleet.ts
+++ b/features/support/hostFleet.ts
@@ -3,6 +3,8 @@
 import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
 import { openUdpDatagrams } from '../../src/adapters/datagrams/udpDatagrams.js'
 import type { RunningProcess } from '../../src/bin/processExit.js'
+import type { DecodedUpdate } from '../../src/core/clusterView.js'
+import { decodePlatformRow } from '../../src/platform/decodePlatformRow.js'
 import { startHost } from '../../src/bin/startHost.js'
 import type { Datagrams } from '../../src/ports/datagrams.js'
 import type { EventFields } from '../../src/ports/eventLog.js'
@@ -51,6 +53,8 @@
   readonly sent = new Map<string, SentBytes>()
   /** Whether the network loses a message that a host sends to another one. */
   isLost: (message: HostMessage, sender: string) => boolean = () => false
+  /** Address at which a host reaches an endpoint. */
+  findRoute: (host: string, endpointId: string, address: string) => string = (_host, _endpointId, address) => address
   #caller = new FleetCaller()
   #network = `127.${nextNetwork++ % 200 + 1}.0`
 
@@ -77,7 +81,10 @@
     const { hostName } = host.settings
     host.process = await startHost(host.settings, createSystemClock(), {
       metricsPort: findMetricsPort(basePort),
-      ports: { openDatagrams: async options => countSent(await openUdpDatagrams(options), this.#findSent(hostName), message => this.isLost(message, hostName)) },
+      ports: {
+        decodeRow: (table, key, value) => this.#decodeRow(hostName, table, key, value),
+        openDatagrams: async options => countSent(await openUdpDatagrams(options), this.#findSent(hostName), message => this.isLost(message, hostName))
+      },
       openLog: () => ({
         record: (kind, message, fields = {}) => { this.lines.push({ time: Date.now(), host: hostName, kind, message, fields }) },
         flush: () => {}
@@ -122,6 +129,12 @@
     await this.fleet.stop()
   }
 
+  #decodeRow (hostName: string, table: string, key: string, value: Uint8Array | undefined): DecodedUpdate | undefined {
+    const update = decodePlatformRow(table, key, value)
+    if (update?.kind !== 'endpoint' || !update.entry) return update
+    return { ...update, entry: { ...update.entry, address: this.findRoute(hostName, key, update.entry.address) } }
+  }
+
   #findSent (hostName: string): SentBytes {
     const sent = this.sent.get(hostName) ?? { messages: 0, bytes: 0 }
     this.sent.set(hostName, sent)
--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -84,6 +84,7 @@
     notices: { isAcceptingRequests: () => true } as unknown as ProxyContext['notices'],
     noticeTask: { recordSend: () => {} } as unknown as ProxyContext['noticeTask'],
     streamOrigins: { recordBegun: () => {}, recordEnded: () => {}, resolve: async () => ({ kind: 'any' as const }) },
+    forwarder: { isStranded: () => false, selectPeer: () => undefined, recordFailure: () => {}, recordResponse: () => {} },
     random: () => 0,
     encodeRequestHeaders,
     decodeAnswerHead,
--- a/soak/loopbackProxy.ts
+++ b/soak/loopbackProxy.ts
@@ -44,11 +44,26 @@
     }
   }
 
+  /** Refuses new connections, or takes them again; open ones are not affected. */
+  async setRefusing (isRefusing: boolean): Promise<void> {
+    if (isRefusing === !this.#server.listening) return
+    const [host, port] = this.address.split(':')
+    // The server closes once its open connections have ended, but refuses new ones at once.
+    if (isRefusing) this.#server.close()
+    else await new Promise<void>(resolve => this.#listenAgain(Number(port), host!, resolve))
+  }
+
   async stop (): Promise<void> {
     for (const link of this.#links) link.reset()
     await new Promise<void>(resolve => this.#server.close(() => resolve()))
   }
 
+  #listenAgain (port: number, host: string, receiveListening: () => void): void {
+    this.#server = createServer({ allowHalfOpen: true })
+    this.#server.on('connection', socket => this.#accept(socket))
+    this.#server.listen(port, host, receiveListening)
+  }
+
   #accept (caller: Socket): void {
     if (this.#fault === 'reset') {
       caller.on('error', () => {})
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -1,4 +1,5 @@
 /** Creates the components that accept callers' requests and relay them to endpoints. */
+import { openHttpEndpointLink } from '../adapters/endpointHttp/httpEndpointLink.js'
 import { CallerTimeouts } from '../core/callerTimeouts.js'
 import { EndpointHealth } from '../core/endpointHealth.js'
 import type { ClusterView } from '../core/clusterView.js'
@@ -19,6 +20,9 @@
 import { LimitGrantClient } from '../tasks/proxy/limitGrantClient.js'
 import type { ReservationClient } from '../tasks/proxy/reservationClient.js'
 import { ServiceSelector } from '../tasks/proxy/serviceSelector.js'
+import { createForwardedDecoder } from '../tasks/forwarding/forwardingHeaders.js'
+import type { DecodeRequest } from '../tasks/forwarding/forwardingHeaders.js'
+import { RequestForwarder } from '../tasks/forwarding/requestForwarder.js'
 import { EndpointLinks } from '../tasks/proxy/endpointLinks.js'
 import { EndpointSelector } from '../tasks/proxy/endpointSelector.js'
 import { ReachabilityTask } from '../tasks/proxy/reachabilityTask.js'
@@ -26,6 +30,7 @@
 import type { NoticeComponents } from './createNoticeComponents.js'
 
 export interface RequestProxyOptions {
+  own: { host: string, address: string, zone: string }
   settings: HostSettings
   clock: Clock
   log: EventLog
@@ -39,6 +44,9 @@
 
 export interface RequestProxy {
   callerListener: CallerListener
+  /** Takes requests that other hosts send through this one. */
+  forwardingListener: CallerListener
+  forwarder: RequestForwarder
   reachability: ReachabilityTask
   /** Applies a new configuration. */
   applyConfiguration: () => void
@@ -52,8 +60,10 @@
 
 /** Fraction of the memory limit that buffered request bodies may use. */
 const bufferedBodiesMemoryFraction = 0.15
+/** Connections to one other host for forwarded requests; a host serves fewer at a time. */
+const maxForwardingConnections = 512
 
-export function createRequestProxy ({ settings, clock, log, clusterView, reservations, suspects, noticeComponents: { notices, noticeTask }, streamOrigins, reportCrash }: RequestProxyOptions): RequestProxy {
+export function createRequestProxy ({ own, settings, clock, log, clusterView, reservations, suspects, noticeComponents: { notices, noticeTask }, streamOrigins, reportCrash }: RequestProxyOptions): RequestProxy {
   const random = Math.random
   const health = new EndpointHealth()
   const retryBudget = new HostRetryBudget({
@@ -62,11 +72,21 @@
   const links = new EndpointLinks({ clock, clusterView })
   const getLink = (endpoint: EndpointEntry): EndpointLink => links.get(endpoint)
   const reachability = new ReachabilityTask({ clock, log, clusterView, links })
+  // Messages between hosts use the port over UDP, forwarded requests over TCP.
+  const formatForwardingAddress = (address: string): string => `${address}:${settings.datagramPort}`
+  const forwarder = new RequestForwarder({
+    clock,
+    clusterView,
+    own,
+    isStranded: service => reachability.isStranded(service),
+    openLink: address => openHttpEndpointLink({ address: formatForwardingAddress(address), getMaxConnections: () => maxForwardingConnections, readNow: clock.readMonotonic }),
+    random
+  })
   const limitGrants = new LimitGrantClient({ clock, log, clusterView, reservations })
   const engineSelector = new EngineSelector({ clock, log, clusterView, health, reservations, notices, limitGrants, random, getLink })
   const serviceSelector = new ServiceSelector({ clock, clusterView, health, notices, limitGrants, zone: settings.zone, random, getLink })
   const endpointSelector = new EndpointSelector({
-    clock, clusterView, notices, engineSelector, serviceSelector, isRecordedVersion: endpoint => streamOrigins.isRecordedVersion(endpoint), random, getLink
+    clock, clusterView, notices, engineSelector, serviceSelector, isUnreachable: endpointId => reachability.isUnreachable(endpointId), isRecordedVersion: endpoint => streamOrigins.isRecordedVersion(endpoint), random, getLink
   })
   const callerTimeouts = new CallerTimeouts()
   const inFlightRequests = new InFlightRequests()
@@ -86,17 +106,18 @@
     crashDetection,
     notices,
     noticeTask,
+    forwarder,
     streamOrigins,
     random,
     encodeRequestHeaders,
     decodeAnswerHead,
     encodeRefusalHeaders
   }
-  const callerListener = new CallerListener({
-    address: settings.callersAddress,
+  const createListener = (address: string, decode: DecodeRequest): CallerListener => new CallerListener({
+    address,
     clock,
     log,
-    decodeRequest,
+    decodeRequest: decode,
     getLimits: () => clusterView.routes?.configuration.limits,
     maxBufferedBytes: settings.memoryMb * 1024 * 1024 * bufferedBodiesMemoryFraction,
     handleRequest: (request, response) => {
@@ -105,14 +126,19 @@
       return proxiedRequest
     }
   })
+  const callerListener = createListener(settings.callersAddress, decodeRequest)
+  const forwardingListener = createListener(formatForwardingAddress(own.address), createForwardedDecoder(decodeRequest))
   return {
     callerListener,
+    forwardingListener,
+    forwarder,
     reachability,
     refuse: fingerprint => inFlightRequests.refuse(fingerprint),
     receiveCrash: crash => crashDetection.receiveCrash(crash),
     receiveEntry: (endpointId, entry) => crashDetection.receiveEntry(endpointId, entry),
     applyConfiguration: () => {
       callerListener.applyLimits()
+      forwardingListener.applyLimits()
       callerTimeouts.retainRoutes(new Set(clusterView.routes?.configuration.routes.map(route => route.name)))
     }
   }
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -108,7 +108,7 @@
   const clusterViewTask: ClusterViewTask = new ClusterViewTask({
     clock, log, store, relay, mirror, clusterView, ...computeUpdateSchedule({ operatorsTable, endpointsTable }, settings), own, sources: updateSources, seeds: settings.seedAddresses, formatRelayAddress
   })
-  const context = { clock, log, own, clusterView }
+  const context = { clock, log, own, clusterView, store }
   const transact = async (transaction: StoreTransaction): Promise<StoreOutcome> => await leaseComponents.storeAccess.transact(transaction)
   const send = (address: string, message: HostMessage): void => datagrams.send(address, message)
   const isStoreUnavailable = (): boolean => clusterViewTask.isStale
@@ -147,7 +147,6 @@
     clusterViewTask,
     updateSources,
     peers,
-    store,
     relay,
     seeds: settings.seedAddresses,
     leaseMs: settings.leaseMs,
@@ -164,10 +163,10 @@
     findFencingToken: endpointId => leaseComponents.leaseTask.findFencingToken(endpointId)
   })
   const streamTasks = createStreamTasks({
-    ...context, store, transact, isStoreUnavailable, applyRow: row => mirror.applyLocalWrite(row), send, heartbeatMs: settings.heartbeatMs
+    ...context, transact, isStoreUnavailable, applyRow: row => mirror.applyLocalWrite(row), send, heartbeatMs: settings.heartbeatMs
   })
   const requestProxy: RequestProxy = createRequestProxy({
-    settings, clock, log, clusterView, reservations, suspects: suspectTasks.checks, noticeComponents, streamOrigins: streamTasks.origins, reportCrash: suspectTasks.reportCrash
+    own, settings, clock, log, clusterView, reservations, suspects: suspectTasks.checks, noticeComponents, streamOrigins: streamTasks.origins, reportCrash: suspectTasks.reportCrash
   })
   return { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks }
 }
@@ -199,7 +198,7 @@
   const metrics: HostMetrics = new HostMetrics({
     getStoreAgeMs: () => clusterViewTask.storeAgeMs,
     listTableAges: () => clusterViewTask.listTableAges(),
-    getActiveRequestCount: () => requestProxy.callerListener.activeRequestCount,
+    getActiveRequestCount: () => requestProxy.callerListener.activeRequestCount + requestProxy.forwardingListener.activeRequestCount,
     getOwnedEndpointCount: () => leaseTask.ownedEndpointCount,
     getKnownEndpointCount: () => countEndpoints()
   })
@@ -216,6 +215,7 @@
     address: settings.peersAddress, clock, mirror, store, getStoreAgeMs: () => clusterViewTask.storeAgeMs, listTableAges: () => clusterViewTask.listTableAges(), isStoreReachable: () => clusterViewTask.isStoreReachable
   })
   await requestProxy.callerListener.start()
+  await requestProxy.forwardingListener.start()
   const readinessServer = await startReadinessServer(settings.readinessAddress, () => clusterView.routes !== undefined && !isolationMonitor.isIsolated && countEndpoints() > 0)
   const metricsServer = options.metricsPort === undefined ? undefined : await startMetricsServer(`${settings.address}:${options.metricsPort}`, metrics)
   for (const task of [clusterViewTask, leaseTask, storeOutageDetector, isolationMonitor, requestProxy.reachability, suspectTasks, streamTasks]) task.start()
@@ -251,11 +251,14 @@
   log.record('host.stopping', 'The host is shutting down: it reports that it is not ready and completes its running requests.', { active: requestProxy.callerListener.activeRequestCount })
   readinessServer.setNotReady()
   requestProxy.callerListener.disableKeepAlive()
+  requestProxy.forwardingListener.disableKeepAlive()
   const drainMs = settings.shutdownMs - exitMarginMs - (clock.readMonotonic() - startedAtMs)
-  await Promise.all([leaseTask.releaseForShutdown(drainMs), requestProxy.callerListener.drain(readinessPropagationMs, drainMs)])
+  await Promise.all([leaseTask.releaseForShutdown(drainMs), requestProxy.callerListener.drain(readinessPropagationMs, drainMs), requestProxy.forwardingListener.drain(0, drainMs)])
   log.record('host.stopped', 'The host has stopped serving requests.', { active: requestProxy.callerListener.activeRequestCount })
   leaseTask.stop()
   requestProxy.callerListener.close()
+  requestProxy.forwardingListener.close()
+  requestProxy.forwarder.close()
   readinessServer.close()
 }
 
--- a/src/core/endpointReachability.ts
+++ b/src/core/endpointReachability.ts
@@ -34,3 +34,25 @@
   const isWaiting = waitingSinceMs !== undefined && nowMs - waitingSinceMs >= silenceMs
   return isSilent && (isWaiting || isOtherUnreachable)
 }
+
+/** Endpoints that have to be unreachable, if there are as many, so that one that fails doesn't pass for a lost link. */
+const minUnreachable = 2
+
+/**
+ * Whether a host reaches none of a service's endpoints: all are unreachable, or some are and none has shown a sign of itself
+ * for a while. `activities` has an entry for each endpoint, undefined for those that the host never used.
+ *
+ * @example
+ * isServiceStranded([{ lastContactAtMs: 0, waitingSinceMs: 10, connectFailingSinceMs: 800 }], 2000) // true
+ */
+export function isServiceStranded (activities: readonly (LinkActivity | undefined)[], nowMs: number): boolean {
+  const used = activities.filter(activity => activity !== undefined)
+  const unreachableCount = used.filter(activity => isUnreachable(activity, nowMs)).length
+  if (unreachableCount === 0 || unreachableCount < Math.min(minUnreachable, activities.length)) return false
+  return unreachableCount === activities.length || used.every(({ lastContactAtMs }) => nowMs - lastContactAtMs >= minFailingMs)
+}
+
+/** Whether any of the links has shown a sign of its endpoint just now. */
+export function isAnyContactRecent (activities: readonly LinkActivity[], nowMs: number): boolean {
+  return activities.some(({ lastContactAtMs }) => nowMs - lastContactAtMs < silenceMs)
+}
--- a/src/platform/requestWire.ts
+++ b/src/platform/requestWire.ts
@@ -72,7 +72,8 @@
     if (systemFields.lastEventId !== undefined && name.toLowerCase() === wireHeaders.lastEventId) continue
     headers.push(name, request.headers[index + 1]!)
   }
-  headers.push(wireHeaders.expectEndpoint, systemFields.endpointId, wireHeaders.timeLeftMs, String(Math.max(1, Math.floor(systemFields.timeLeftMs))))
+  if (systemFields.endpointId !== undefined) headers.push(wireHeaders.expectEndpoint, systemFields.endpointId)
+  headers.push(wireHeaders.timeLeftMs, String(Math.max(1, Math.floor(systemFields.timeLeftMs))))
   if (systemFields.version > 0) headers.push(wireHeaders.expectVersion, String(systemFields.version))
   if (systemFields.priority !== undefined) headers.push(wireHeaders.priority, String(systemFields.priority))
   if (systemFields.lastEventId !== undefined) headers.push(wireHeaders.lastEventId, String(systemFields.lastEventId))
--- a/src/schemas/callerRequest.ts
+++ b/src/schemas/callerRequest.ts
@@ -1,4 +1,5 @@
 /** A caller's request and the head of an endpoint's response, decoded from their wire names. */
+import type { ForwardedFields } from './forwarding.js'
 
 export interface CallerRequest {
   /** Identifies one attempt by the caller; a retry by the caller has another id. */
@@ -27,6 +28,8 @@
   readonly maxTokens: number
   /** Prompt segments in order; requests share them, except for the last one, which belongs to the request or its session. */
   readonly promptSegments: readonly { readonly id: string, readonly tokens: number }[]
+  /** What the host decided that sent the request through this one; undefined if the caller sent it. */
+  readonly forwarded?: ForwardedFields
 }
 
 export interface EndpointLoad {
@@ -65,7 +68,8 @@
 
 /** Values of the headers that the system adds to a request when it sends it to an endpoint. */
 export interface SystemRequestFields {
-  readonly endpointId: string
+  /** Endpoint that has to answer; undefined where another host selects it. */
+  readonly endpointId: string | undefined
   readonly timeLeftMs: number
   /** Adapter version that the endpoint must have; 0 if none was declared. */
   readonly version: number
--- a/src/tasks/proxy/endpointSelector.ts
+++ b/src/tasks/proxy/endpointSelector.ts
@@ -66,6 +66,8 @@
   notices: EndpointNotices
   engineSelector: EngineSelector
   serviceSelector: ServiceSelector
+  /** Whether this host can open no connection to an endpoint. */
+  isUnreachable: (endpointId: string) => boolean
   /** Whether the store tells that the service has endpoints of this software version. */
   isRecordedVersion: (endpoint: EndpointEntry) => boolean
   random: () => number
@@ -94,8 +96,10 @@
     }
     const accepting = known.filter(entry => notices.isAcceptingRequests(entry, nowMs))
     if (accepting.length === 0 && known.length > 0) return this.#refuseForPauses(query.service, known, nowMs)
-    const unattempted = accepting.filter(entry => !query.attemptedEndpointIds.includes(entry.id))
-    const usable = (unattempted.length > 0 ? unattempted : accepting).filter(entry => this.#options.getLink(entry).hasRoom)
+    const reachable = accepting.filter(({ id }) => !this.#options.isUnreachable(id))
+    const candidates = reachable.length > 0 ? reachable : accepting
+    const unattempted = candidates.filter(entry => !query.attemptedEndpointIds.includes(entry.id))
+    const usable = (unattempted.length > 0 ? unattempted : candidates).filter(entry => this.#options.getLink(entry).hasRoom)
     if (usable.length === 0) {
       const message = accepting.length === 0 ? `no endpoint of service "${query.service}" is ready` : `all connections to service "${query.service}" are in use`
       return { kind: 'none', message, retryAfterMs: noEndpointRetryMs, isTransient: accepting.length === 0 }
--- /dev/null
+++ b/src/tasks/proxy/logRequestEnd.ts
@@ -0,0 +1,64 @@
+/** Logs how a request ended, with all that explains it. */
+import { listSharedParts } from '../../core/sharedParts.js'
+import type { EventLog } from '../../ports/eventLog.js'
+import type { CallerRequest } from '../../schemas/callerRequest.js'
+import type { Route } from '../../schemas/routing.js'
+import type { ReservationSearch } from './endpointSelector.js'
+
+export interface RequestSummary {
+  readonly request: CallerRequest
+  readonly fingerprint: string
+  /** Undefined if the request ended before its route was known. */
+  readonly route: Route | undefined
+  readonly service: string
+  /** When the response was due; this and `nowMs` are of the host's monotonic clock. */
+  readonly dueAtMs: number
+  readonly nowMs: number
+  readonly code: string | undefined
+  readonly reason: string
+  readonly status: number | undefined
+  readonly attemptedEndpointIds: readonly string[]
+  readonly softwareVersions: readonly string[]
+  /** Hosts that the request was sent through. */
+  readonly hosts: readonly string[]
+  readonly sendCount: number
+  readonly runCount: number
+  readonly searches: readonly ReservationSearch[]
+  readonly selectionMs: number
+  /** -1 if no part of a response has arrived. */
+  readonly firstChunkMs: number
+  readonly configurationVersion: number | undefined
+}
+
+/** Records the end of a request; `outcome` is the last part of the line's kind. */
+export function logRequestEnd (log: EventLog, outcome: string, summary: RequestSummary): void {
+  const { request, route, hosts } = summary
+  log.record(`request.${outcome}`, 'A request has ended.', {
+    requestId: request.requestId,
+    content: summary.fingerprint,
+    route: route?.name,
+    work: route?.kind,
+    code: summary.code,
+    service: summary.service,
+    adapter: request.adapter,
+    promptTokens: request.promptTokens,
+    parts: listSharedParts(request),
+    timeLeftMs: request.timeLeftMs,
+    spentMs: route && Math.round(request.receivedAtMs + route.targetMs - summary.dueAtMs),
+    reason: summary.reason,
+    status: summary.status,
+    lastEventId: request.lastEventId,
+    resumedRequestId: request.resumedRequestId,
+    tried: [...summary.attemptedEndpointIds],
+    versions: [...summary.softwareVersions],
+    ...(hosts.length > 0 && { via: [...hosts] }),
+    ...(request.forwarded && { isForwarded: true }),
+    sends: summary.sendCount,
+    runs: summary.runCount,
+    searches: [...summary.searches],
+    placeMs: Math.round(summary.selectionMs),
+    firstPartMs: Math.round(summary.firstChunkMs),
+    tookMs: Math.round(summary.nowMs - request.receivedAtMs),
+    configuration: summary.configurationVersion
+  })
+}
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -1,16 +1,24 @@
 /** Serves one request of a caller: finds its route, sends it to endpoints until one responds, and relays the response. */
-import { isRetryable, canRetryAttempt } from '../../core/retryRules.js'
+import { canRetryAttempt } from '../../core/retryRules.js'
 import type { AttemptFailure } from '../../core/retryRules.js'
 import type { InFlightRequest } from '../../core/inFlightRequests.js'
 import { computeRequestFingerprint } from '../../core/requestFingerprint.js'
-import { listSharedParts, listSuspectParts } from '../../core/sharedParts.js'
+import { listSuspectParts } from '../../core/sharedParts.js'
 import { pickService } from '../../core/routeTable.js'
 import type { Timer } from '../../ports/clock.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
 import { formatPartFingerprint } from '../../schemas/hostRows.js'
-import type { EndpointEntry, Route } from '../../schemas/routing.js'
+import type { Route } from '../../schemas/routing.js'
 import { RequestAttempt } from './requestAttempt.js'
 import type { AttemptResult } from './requestAttempt.js'
+import { createReplyHeaders, createVerdictHeaders } from '../forwarding/forwardingHeaders.js'
+import type { ForwardingPeer } from '../forwarding/requestForwarder.js'
+import { createEndpointTarget } from './attemptTarget.js'
+import type { AttemptTarget } from './attemptTarget.js'
+import { logRequestEnd } from './logRequestEnd.js'
+import { isEndpointAvailable } from './endpointAvailability.js'
+import { RequestRetries } from './requestRetries.js'
+import { ForwardingAttempts } from './forwardingAttempts.js'
 import type { CallerResponse } from './callerResponse.js'
 import type { ProxyContext } from './proxyContext.js'
 import type { ReservationSearch, SelectedEndpoint } from './endpointSelector.js'
@@ -19,6 +27,9 @@
 const defaultTimeLeftMs = 30_000
 /** Sent to callers if no better estimate is known. */
 const defaultRetryAfterMs = 200
+/** When callers may come back whose service no host reaches. */
+const unreachableRetryMs = 500
+const unreachableCode = 'unreachable'
 /** Interval at which a request checks again while this host is starting or the owner of an engine is changing. */
 const transientCheckIntervalMs = 50
 /** Other hosts object within this time if they know the prompt parts of an interrupted request to be sound. */
@@ -30,6 +41,8 @@
   #context: ProxyContext
   #request: CallerRequest
   #response: CallerResponse
+  #forwarding: ForwardingAttempts
+  #retries: RequestRetries
   #route: Route | undefined
   #service = ''
   /** Software version of the endpoints that may go on with the stream; undefined before its first event. */
@@ -70,6 +83,11 @@
     this.#context = context
     this.#request = request
     this.#response = response
+    this.#forwarding = new ForwardingAttempts(context, request)
+    this.#retries = new RequestRetries(context)
+    this.#softwareVersion = request.forwarded?.softwareVersion
+    this.#attemptedEndpointIds = [...request.forwarded?.attemptedEndpointIds ?? []]
+    this.#runCount = request.forwarded?.runs ?? 0
   }
 
   receiveCallerDisconnect (): void {
@@ -103,13 +121,15 @@
     this.#route = route
     this.#fingerprint = computeRequestFingerprint(request)
     this.#suspectParts = listSuspectParts(request, clusterView.findAdapterVersion(request.model, request.adapter))
-    this.#service = pickService(route.targets, random()) ?? ''
+    this.#service = this.#request.forwarded?.service ?? pickService(route.targets, random()) ?? ''
     this.#dueAtMs = request.receivedAtMs + route.targetMs - this.#computeSpentMs(route, request)
     this.#deadlineAtMs = request.receivedAtMs + Math.min(request.timeLeftMs ?? defaultTimeLeftMs, route.timeoutMs)
     this.#timer = clock.setTimer(() => this.#receiveTimeout(), this.#deadlineAtMs - clock.readMonotonic())
-    retryBudget.recordRequest(this.#service, clock.readMonotonic())
+    // The host that forwards a request counts it.
+    if (!request.forwarded) retryBudget.recordRequest(this.#service, clock.readMonotonic())
     for (const fingerprint of this.#listFingerprints()) inFlightRequests.add(fingerprint, this)
-    if (route.kind === 'stream' && request.isResumption && !await this.#resolveStream(route)) return
+    const isResolved = this.#softwareVersion !== undefined
+    if (route.kind === 'stream' && request.isResumption && !isResolved && !await this.#resolveStream(route)) return
     await this.#run(route)
   }
 
@@ -175,6 +195,10 @@
   async #run (route: Route): Promise<void> {
     const { clock } = this.#context
     while (!this.#refuseIfCrashing()) {
+      if (this.#context.forwarder.isStranded(this.#service)) {
+        if (!await this.#forward(route)) return
+        continue
+      }
       const selectionStartedAtMs = clock.readMonotonic()
       const selection = await this.#context.endpointSelector.selectEndpoint({
         request: this.#request, route, service: this.#service, softwareVersion: this.#softwareVersion, isResumed: this.#request.isResumption || this.#response.hasHead, attemptedEndpointIds: this.#attemptedEndpointIds, ...this.#computeDueTimes(route), deadlineAtMs: this.#deadlineAtMs, hasEnded: () => this.#hasEnded
@@ -192,16 +216,16 @@
         return
       }
       // The endpoint may have left, paused or restarted while the request waited for its reservation.
-      if (!this.#isAvailable(selection.target.endpoint)) {
+      if (!isEndpointAvailable(this.#context, selection.target.endpoint)) {
         selection.target.release('withdrawn', -1)
         continue
       }
-      const isRetry = this.#sendCount > 0
-      if (isRetry && !this.#context.retryBudget.takeRetry(this.#service, clock.readMonotonic())) {
+      if (!this.#retries.takeIfNeeded(this.#service)) {
         selection.target.release('withdrawn', -1)
         this.#giveUp({ verdict: 'notRun', reason: 'the retry budget is exhausted', status: undefined }, undefined)
         return
       }
+      const wasAttempted = this.#attemptedEndpointIds.includes(selection.target.endpoint.id)
       const failure = await this.#send(selection.target, route)
       if (!failure || this.#hasEnded) return
       if (this.#hasEnded || this.#refuseIfCrashing()) return
@@ -213,18 +237,11 @@
       this.#context.log.record('request.retried', 'An attempt failed; the request is retried.', {
         requestId: this.#request.requestId, content: this.#fingerprint, route: route.name, endpointId: selection.target.endpoint.id, verdict: failure.verdict, reason: failure.reason, runs: this.#runCount
       })
+      // While no endpoint takes connections, this host may have lost its links to all, which it knows shortly.
+      if (wasAttempted && !this.#attempt?.isSent) await new Promise<void>(resolve => { clock.setTimer(resolve, transientCheckIntervalMs) })
     }
   }
 
-  /** Whether an endpoint that was selected still accepts requests, at the same software version. */
-  #isAvailable (endpoint: EndpointEntry): boolean {
-    const { clock, clusterView, notices } = this.#context
-    const nowMs = clock.readMonotonic()
-    const current = clusterView.endpoints.find(endpoint.id, nowMs)
-    if (!current || current.isLeaving || current.softwareVersion !== endpoint.softwareVersion) return false
-    return notices.isAcceptingRequests(endpoint, nowMs)
-  }
-
   #createRetryView (route: Route): Parameters<typeof canRetryAttempt>[1] {
     return {
       kind: route.kind,
@@ -249,24 +266,13 @@
     this.#sendCount++
     this.#attemptedEndpointIds.push(target.endpoint.id)
     this.#softwareVersions.push(target.endpoint.softwareVersion)
-    const attempt = new RequestAttempt(this.#context, {
-      request: this.#request,
-      response: this.#response,
-      route,
-      target,
-      timeLeftMs: this.#deadlineAtMs - this.#context.clock.readMonotonic(),
-      isRetryable: isRetryable(route.kind, route.isResumable),
-      lastEventId: this.#attempt?.lastEventId,
-      isAvailable: () => this.#isAvailable(target.endpoint),
-      receiveBegun: () => this.#receiveBegun(route, target)
-    })
-    this.#attempt = attempt
-    this.#isSending = true
     this.#context.noticeTask.recordSend(target.endpoint.id, target.isGranted)
     const sentAtMs = this.#context.clock.readMonotonic()
-    const result = await attempt.run()
-    this.#isSending = false
-    this.#lastChunkAtMs = attempt.lastChunkAtMs ?? this.#lastChunkAtMs
+    const result = await this.#runAttempt(route, createEndpointTarget(this.#context, this.#request, target, {
+      isAvailable: () => isEndpointAvailable(this.#context, target.endpoint),
+      receiveBegun: () => this.#receiveBegun(route, target)
+    }), this.#request.forwarded ? createReplyHeaders({ softwareVersion: target.endpoint.softwareVersion }) : [])
+    if (this.#attempt!.isSent) this.#retries.recordArrival()
     if (result.kind === 'answered') {
       this.#isTrial = false
       this.#context.suspects.recordServed(this.#fingerprint)
@@ -285,6 +291,64 @@
     return result.failure
   }
 
+  /** Runs one attempt to its end; `addedHeaders` are added to a success response. */
+  async #runAttempt (route: Route, target: AttemptTarget, addedHeaders: readonly string[]): Promise<AttemptResult> {
+    const attempt = new RequestAttempt(this.#context, {
+      request: this.#request,
+      response: this.#response,
+      route,
+      target,
+      timeLeftMs: this.#deadlineAtMs - this.#context.clock.readMonotonic(),
+      lastEventId: this.#attempt?.lastEventId,
+      addedHeaders
+    })
+    this.#attempt = attempt
+    this.#isSending = true
+    const result = await attempt.run()
+    this.#isSending = false
+    this.#lastChunkAtMs = attempt.lastChunkAtMs ?? this.#lastChunkAtMs
+    return result
+  }
+
+  /**
+   * Sends the request through another host, as this one reaches no endpoint of the service. Returns whether the request is to be
+   * tried once more, through another host or by this one if it reaches endpoints again.
+   */
+  async #forward (route: Route): Promise<boolean> {
+    const { forwarder } = this.#context
+    const peer = this.#forwarding.selectPeer()
+    const isOverBudget = peer && !this.#retries.takeIfNeeded(this.#service)
+    if (!peer || isOverBudget) {
+      const reason = peer ? 'the retry budget is exhausted' : `no endpoint of service "${this.#service}" can be reached`
+      this.#giveUp({ verdict: 'notRun', reason, status: undefined }, unreachableRetryMs, peer ? undefined : unreachableCode)
+      return false
+    }
+    const fields = { service: this.#service, softwareVersion: this.#softwareVersion, attemptedEndpointIds: this.#attemptedEndpointIds, runs: this.#runCount }
+    const result = await this.#runAttempt(route, this.#forwarding.createTarget(peer, fields, () => {
+      if (route.kind === 'stream') this.#softwareVersion = this.#forwarding.softwareVersion ?? this.#softwareVersion
+    }), [])
+    if (result.kind === 'answered') {
+      forwarder.recordResponse(peer)
+      this.#finish('served', `host "${peer.row.host}" responded with status ${result.status}`)
+      return false
+    }
+    return !this.#hasEnded && this.#receiveForwardingFailure(route, peer, result)
+  }
+
+  /** Returns whether a request that another host could not serve is to be tried once more. */
+  #receiveForwardingFailure (route: Route, peer: ForwardingPeer, { failure, bufferedResponse, retryAfterMs }: Extract<AttemptResult, { kind: 'failed' }>): boolean {
+    const verdict = this.#forwarding.recordFailure(peer, failure)
+    if (failure.verdict !== 'notRun') {
+      this.#mayHaveRun = true
+      this.#retries.recordArrival()
+      this.#runCount++
+    }
+    this.#bufferedResponse = bufferedResponse ?? this.#bufferedResponse
+    if (verdict === 'elsewhere' && canRetryAttempt(failure, this.#createRetryView(route))) return true
+    this.#giveUp(failure, retryAfterMs)
+    return false
+  }
+
   /**
    * Reports that a request ended without a complete response, as its endpoint may have crashed. A request that may be the cause
    * is not retried before the first probe has shown whether this endpoint crashed.
@@ -311,11 +375,11 @@
   }
 
   /** Reports a failure to the caller; the response distinguishes a request that was not run from one that may have run. */
-  #giveUp (failure: AttemptFailure, retryAfterMs: number | undefined): void {
+  #giveUp (failure: AttemptFailure, retryAfterMs: number | undefined, code = 'not_run'): void {
     if (this.#hasEnded) return
     if (this.#response.hasHead) this.#abort(failure.reason)
     else if (this.#bufferedResponse) this.#relayBufferedResponse(this.#bufferedResponse, failure.reason)
-    else if (failure.verdict === 'notRun' && !this.#mayHaveRun) this.#refuse('not_run', failure.reason, retryAfterMs ?? this.#retryAfterMs ?? defaultRetryAfterMs)
+    else if (failure.verdict === 'notRun' && !this.#mayHaveRun) this.#refuse(code, failure.reason, retryAfterMs ?? this.#retryAfterMs ?? defaultRetryAfterMs)
     else this.#respond(502, 'endpoint_failed', failure.reason)
   }
 
@@ -338,7 +402,7 @@
     if (this.#hasEnded) return
     const body = Buffer.from(JSON.stringify({ error: code, message: reason }))
     this.#response.writeHead(status, [
-      ...this.#context.encodeRefusalHeaders(this.#request.requestId, retryAfterMs), 'Content-Type', 'application/json', 'Content-Length', String(body.length)
+      ...this.#context.encodeRefusalHeaders(this.#request.requestId, retryAfterMs), ...this.#request.forwarded ? createVerdictHeaders(status, code === unreachableCode || code === 'no_configuration') : [], 'Content-Type', 'application/json', 'Content-Length', String(body.length)
     ])
     this.#response.end(body)
     this.#finish(status === 503 ? 'refused' : 'failed', reason, status, code)
@@ -351,31 +415,25 @@
     const { clock, log, clusterView, inFlightRequests, suspects } = this.#context
     for (const fingerprint of this.#listFingerprints()) inFlightRequests.remove(fingerprint, this)
     if (this.#isTrial && !this.#isSending) suspects.cancelTrial(this.#suspectParts)
-    log.record(`request.${outcome}`, 'A request has ended.', {
-      requestId: this.#request.requestId,
-      content: this.#fingerprint,
-      route: this.#route?.name,
-      work: this.#route?.kind,
-      code,
+    logRequestEnd(log, outcome, {
+      request: this.#request,
+      fingerprint: this.#fingerprint,
+      route: this.#route,
       service: this.#service,
-      adapter: this.#request.adapter,
-      promptTokens: this.#request.promptTokens,
-      parts: listSharedParts(this.#request),
-      timeLeftMs: this.#request.timeLeftMs,
-      spentMs: this.#route && Math.round(this.#request.receivedAtMs + this.#route.targetMs - this.#dueAtMs),
+      dueAtMs: this.#dueAtMs,
+      nowMs: clock.readMonotonic(),
+      code,
       reason,
       status,
-      lastEventId: this.#request.lastEventId,
-      resumedRequestId: this.#request.resumedRequestId,
-      tried: this.#attemptedEndpointIds,
-      versions: this.#softwareVersions,
-      sends: this.#sendCount,
-      runs: this.#runCount,
+      attemptedEndpointIds: this.#attemptedEndpointIds,
+      softwareVersions: this.#softwareVersions,
+      hosts: this.#forwarding.hosts,
+      sendCount: this.#sendCount,
+      runCount: this.#runCount,
       searches: this.#reservationSearches,
-      placeMs: Math.round(this.#selectionMs),
-      firstPartMs: Math.round(this.#attempt?.firstChunkMs ?? -1),
-      tookMs: Math.round(clock.readMonotonic() - this.#request.receivedAtMs),
-      configuration: clusterView.routes?.configuration.version
+      selectionMs: this.#selectionMs,
+      firstChunkMs: this.#attempt?.firstChunkMs ?? -1,
+      configurationVersion: clusterView.routes?.configuration.version
     })
   }
 }
--- a/src/tasks/proxy/proxyContext.ts
+++ b/src/tasks/proxy/proxyContext.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from '../../ports/eventLog.js'
 import type { ResponseHead, CallerRequest, SystemRequestFields } from '../../schemas/callerRequest.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
+import type { RequestForwarder } from '../forwarding/requestForwarder.js'
 import type { StreamOrigins } from '../streams/streamOrigins.js'
 import type { CrashDetectionTask } from './crashDetectionTask.js'
 import type { EndpointNoticeTask } from './endpointNoticeTask.js'
@@ -45,6 +46,7 @@
   crashDetection: CrashDetectionTask
   notices: EndpointNotices
   noticeTask: EndpointNoticeTask
+  forwarder: Pick<RequestForwarder, 'isStranded' | 'selectPeer' | 'recordFailure' | 'recordResponse'>
   streamOrigins: Pick<StreamOrigins, 'recordBegun' | 'recordEnded' | 'resolve'>
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   random: () => number
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -7,22 +7,19 @@
 import type { Route } from '../../schemas/routing.js'
 import type { CallerResponse } from './callerResponse.js'
 import type { ProxyContext } from './proxyContext.js'
-import type { SelectedEndpoint } from './endpointSelector.js'
+import { isResponseTo } from './attemptTarget.js'
+import type { AttemptTarget } from './attemptTarget.js'
 
 export interface RequestAttemptOptions {
   request: CallerRequest
   response: CallerResponse
   route: Route
-  target: SelectedEndpoint
+  target: AttemptTarget
   timeLeftMs: number
-  /** Whether the request may run again after a failure, so that a failed response is worth buffering. */
-  isRetryable: boolean
   /** Id of the last event that the caller received from an earlier attempt. */
   lastEventId: number | undefined
-  /** Whether the endpoint still accepts the request, asked when a connection to it is open. */
-  isAvailable: () => boolean
-  /** Called once when the endpoint has begun to write its answer. */
-  receiveBegun: () => void
+  /** Names and values in turn that are added to a success response. */
+  addedHeaders: readonly string[]
 }
 
 export interface BufferedResponse {
@@ -87,16 +84,14 @@
 
   async run (): Promise<AttemptResult> {
     const { request, target, timeLeftMs, lastEventId } = this.#options
-    const { clock, encodeRequestHeaders, health } = this.#context
+    const { clock, health } = this.#context
     this.#startedAtMs = clock.readMonotonic()
     const result = new Promise<AttemptResult>(resolve => { this.#resolve = resolve })
-    health.recordRequestStart(target.endpoint.id)
+    health.recordRequestStart(target.id)
     this.#requestInFlight = target.link.send({
       method: request.method,
       path: request.path,
-      headers: encodeRequestHeaders(request, {
-        endpointId: target.endpoint.id, timeLeftMs, version: target.version, priority: target.priority, lastEventId
-      }),
+      headers: target.encodeHeaders(request, timeLeftMs, lastEventId),
       body: request.body
     }, this)
     return await result
@@ -112,17 +107,14 @@
   // ResponseReceiver
 
   confirmSend (): boolean {
-    this.#isSent = this.#options.isAvailable()
+    this.#isSent = this.#options.target.isAvailable()
     return this.#isSent
   }
 
   receiveHead (status: number, rawHeaders: readonly string[]): void {
-    const head = this.#context.decodeAnswerHead(status, rawHeaders)
     const { target, request, route } = this.#options
-    const isOwn = head.requestId === undefined || head.requestId === request.requestId
-    this.#context.noticeTask.receiveHead(target.endpoint, head, this.#startedAtMs, isOwn)
-    if (head.load) this.#context.health.recordLoad(target.endpoint.id, head.load, this.#context.clock.readMonotonic())
-    if (!isOwn) {
+    const head = target.decodeHead(status, rawHeaders, this.#startedAtMs)
+    if (!isResponseTo(request, head)) {
       this.#failAndCancel(`the endpoint sent the response to another request, "${head.requestId}"`)
       return
     }
@@ -183,13 +175,13 @@
   #recordBegun (): void {
     if (this.#hasBegun) return
     this.#hasBegun = true
-    this.#options.receiveBegun()
+    this.#options.target.receiveBegun()
   }
 
   #writeHead (head: ResponseHead): void {
     const lengthHeader = head.contentLength === undefined || this.#eventSplitter ? [] : ['Content-Length', String(head.contentLength)]
     this.#hasWrittenHead = true
-    this.#options.response.writeHead(head.status, [...head.headers, ...lengthHeader])
+    this.#options.response.writeHead(head.status, [...head.headers, ...this.#options.addedHeaders, ...lengthHeader])
   }
 
   #write (chunk: Buffer): boolean {
@@ -223,12 +215,12 @@
     const { response, target } = this.#options
     const body = this.#takeBufferedBody()
     if (!response.hasHead) {
-      response.writeHead(head.status, [...head.headers, 'Content-Length', String(body.length)])
+      response.writeHead(head.status, [...head.headers, ...this.#options.addedHeaders, 'Content-Length', String(body.length)])
       response.end(body)
     } else {
       response.end(body.length > 0 ? body : undefined)
     }
-    this.#context.health.recordSuccess(target.endpoint.id, this.#context.clock.readMonotonic() - this.#startedAtMs)
+    this.#context.health.recordSuccess(target.id, this.#context.clock.readMonotonic() - this.#startedAtMs)
     this.#finish('served')
     this.#resolve({ kind: 'answered', status: head.status })
   }
@@ -241,7 +233,7 @@
 
   #fail (failure: AttemptFailure, extra: { bufferedResponse?: BufferedResponse, retryAfterMs?: number } = {}): void {
     const { target } = this.#options
-    if (failure.verdict !== 'notRun' || failure.status === undefined) this.#context.health.recordFailure(target.endpoint.id)
+    if (failure.verdict !== 'notRun' || failure.status === undefined) this.#context.health.recordFailure(target.id)
     this.#eventSplitter?.clear()
     this.#finish(this.#getOutcome(failure))
     this.#resolve({ kind: 'failed', failure, ...extra })
@@ -255,7 +247,7 @@
 
   #finish (outcome: ReleaseOutcome): void {
     this.#isFinished = true
-    this.#context.health.recordRequestEnd(this.#options.target.endpoint.id)
+    this.#context.health.recordRequestEnd(this.#options.target.id)
     this.#options.target.release(outcome, this.#firstChunkMs)
   }
 }
