Release the engines of a host that reaches no endpoint

It now releases them as one that is isolated from its peers does, and claims none, until it reaches endpoints again. The time that must pass before a former owner may claim again holds as before, so that orders of two owners don't alternate.

--- a/features/support/leaseCluster.ts
+++ b/features/support/leaseCluster.ts
@@ -149,6 +149,7 @@
         return this.#hashes.compute(endpointId, host)
       },
       // Called once per step, so it counts the steps.
+      isStranded: () => false,
       isIsolated: () => {
         this.#stepCounts.set(host, this.countSteps(host) + 1)
         return false
--- a/src/bin/createLeaseComponents.ts
+++ b/src/bin/createLeaseComponents.ts
@@ -35,6 +35,7 @@
   seeds: readonly string[]
   /** Returns the relay address of the host with an IP address. */
   formatRelayAddress: (address: string) => string
+  isStranded: LeaseTaskOptions['isStranded']
   receiveOwnership: LeaseTaskOptions['receiveOwnership']
 }
 
@@ -99,6 +100,7 @@
     isReadingStore: () => clusterViewTask.isReadingStore,
     hashPair: (endpointId, host) => hashes.compute(endpointId, host),
     isIsolated: () => isolationMonitor.isIsolated,
+    isStranded: options.isStranded,
     isRunning: async row => (await peers.pingHost(row.address))?.session === row.session,
     transact: async transaction => await storeAccess.transact(transaction),
     renewViaCollector: async (renewal, version) => await renewalClient.renew(renewal, version),
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -151,6 +151,7 @@
     seeds: settings.seedAddresses,
     leaseMs: settings.leaseMs,
     formatRelayAddress,
+    isStranded: () => requestProxy.reachability.isHostStranded,
     receiveOwnership: (endpointId, fencing, wasOwn) => allocationTask.receiveOwnership(endpointId, fencing, wasOwn)
   })
   const allocationTask = new AllocationTask({
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -25,6 +25,8 @@
   hashPair: HashPair
   /** Whether this host is isolated from its peers, so that other hosts should own the engines. */
   isIsolated: () => boolean
+  /** Whether this host has lost its links to all endpoints, so that it can't give orders. */
+  isStranded: () => boolean
   /** Asks a host directly whether the process incarnation that wrote the row is still running. */
   isRunning: (row: HostRow) => Promise<boolean>
   /** Sends a transaction to the store, directly or through a peer. */
@@ -265,8 +267,9 @@
     if (!this.#isLeaving && nowMs - this.#renewalIntervalStartedAtMs >= interval) this.#renew()
     this.#scheduleStep(this.#isIdle() ? idleStepIntervalMs : stepIntervalMs)
     if (this.#isLeaving || this.#isReleasing || !this.#isRegistered()) return
-    if (!this.#options.isIsolated()) this.#reconciler.step(nowMs)
-    else if (this.#ownedEndpoints.size > 0) this.#releaseAll('this host is isolated from its peers')
+    const { isIsolated, isStranded } = this.#options
+    if (!isIsolated() && !isStranded()) this.#reconciler.step(nowMs)
+    else if (this.#ownedEndpoints.size > 0) this.#releaseAll(isIsolated() ? 'this host is isolated from its peers' : 'this host reaches no endpoint')
   }
 
   #isIdle (): boolean {
