Don't take endpoints for crashed while this host reaches none

A refused connection after an interrupted request counts as the endpoint's crash, for which the requests on it are blamed on all hosts. A host whose links refuse connections would have blamed sound requests.

--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -91,7 +91,7 @@
   const callerTimeouts = new CallerTimeouts()
   const inFlightRequests = new InFlightRequests()
   const crashDetection = new CrashDetectionTask({
-    clock, log, reportCrash, isLeaving: endpointId => clusterView.endpoints.find(endpointId, clock.readMonotonic())?.isLeaving ?? false
+    clock, log, reportCrash, hasOtherContact: async endpointId => await reachability.hasOtherContact(endpointId), isLeaving: endpointId => clusterView.endpoints.find(endpointId, clock.readMonotonic())?.isLeaving ?? false
   })
   const context: ProxyContext = {
     clock,
--- a/src/tasks/proxy/crashDetectionTask.ts
+++ b/src/tasks/proxy/crashDetectionTask.ts
@@ -11,6 +11,8 @@
   log: EventLog
   /** Whether an endpoint has announced that it is leaving, so that no request is to blame when its process ends. */
   isLeaving: (endpointId: string) => boolean
+  /** Whether this host reaches another endpoint, or there is none, so that a refused connection speaks of the endpoint alone. */
+  hasOtherContact: (endpointId: string) => Promise<boolean>
   /** Reports that an endpoint crashed while requests of this host were running on it. */
   reportCrash: (notice: CrashNotice) => void
 }
@@ -64,9 +66,9 @@
     this.#firstProbes.delete(endpointId)
   }
 
-  /** Returns whether the endpoint refused the connection, which means that no process listens on its port. */
+  /** Returns whether the endpoint refused the connection, which means that no process listens on its port, unless this host has lost its links to all. */
   async #probeOnce (endpointId: string, link: EndpointLink): Promise<boolean> {
-    if (await link.probe() !== 'refused') return false
+    if (await link.probe() !== 'refused' || !await this.#options.hasOtherContact(endpointId)) return false
     this.#report(this.#detector.recordConnectionRefused(endpointId, this.#options.clock.readMonotonic()), 'the port of the endpoint refuses connections')
     return true
   }
