Don't take an earlier refusal, repeated on a kept connection, for that of the next request

Cause: a refusal without a request's id passed for that of the request in progress. And a request that is sent once more, to the endpoint that had refused it, could get the connection on which it was refused, where the repeated refusal bears its very id. (A refusal with another request's id was told apart before.)

Change: only a refusal that names the request says that it was not run; what became of the request behind any other isn't known, and its connection is closed. A request that is sent again takes another connection than before.

--- a/features/hostFailures.feature
+++ b/features/hostFailures.feature
@@ -110,3 +110,15 @@
       | a deeply nested version |
       | a port of 70000         |
       | a sequence of 1e300     |
+
+  Scenario Outline: A refusal that an endpoint repeats <how> is not taken for that of the next request
+    Given 1 hosts before a platform with 1 engine
+    When services refuse the first request on each connection and repeat that <how> before each later answer
+    And 40 "<kind>" requests come to host 1, 4 at a time
+    Then no request that was refused has run, and no "once" request has run twice
+
+    Examples:
+      | how           | kind       |
+      | as it was     | once       |
+      | without an id | once       |
+      | as it was     | idempotent |
--- a/features/steps/hostFailures.ts
+++ b/features/steps/hostFailures.ts
@@ -290,3 +290,20 @@
   const late = this.hostFleet.fleet.journal.runs.filter(run => run.endpointId === this.removed.id && run.startedAtMs > this.removedAtMs + ms)
   assert.equal(late.length, 0, `${late.length} requests`)
 })
+
+When(/^services refuse the first request on each connection and repeat that (as it was|without an id) before each later answer$/, function (this: HostsWorld, how: string) {
+  setFaults(this, endpoint => endpoint.engine === undefined, { repeatedRefusals: how === 'as it was' ? 'same' : 'unnamed' })
+})
+
+When('{int} {string} requests come to host {int}, {int} at a time', async function (this: HostsWorld, count: number, kind: CallKind, host: number, width: number) {
+  for (let sent = 0; sent < count; sent += width) await Promise.all(Array.from({ length: width }, async () => await call(this, { kind, host, timeLeftMs: 1500 })))
+})
+
+const refusalStatuses = [408, 421, 429, 503]
+
+Then('no request that was refused has run, and no {string} request has run twice', async function (this: HostsWorld, kind: CallKind) {
+  await sleep(100)
+  const { journal } = this.hostFleet.fleet
+  assert.deepEqual(this.answers.filter(({ requestId, status }) => refusalStatuses.includes(status) && journal.listRuns(requestId).length > 0), [])
+  assert.deepEqual(this.answers.filter(answer => answer.kind === kind && journal.listRuns(answer.requestId).length > 1), [])
+})
--- a/src/adapters/endpointHttp/httpEndpointLink.ts
+++ b/src/adapters/endpointHttp/httpEndpointLink.ts
@@ -40,6 +40,8 @@
 interface Connection {
   client: Client
   end: ConnectionEnd
+  /** Id of the last request on the connection. */
+  lastRequestId: string | undefined
 }
 
 const connectSocket = buildConnector({ timeout: connectTimeoutMs })
@@ -74,7 +76,8 @@
   }
 
   send (request: OutgoingRequest, receiver: ResponseReceiver): RequestInFlight {
-    const connection = this.#acquireConnection()
+    const connection = this.#acquireConnection(request.id)
+    connection.lastRequestId = request.id
     const { readNow } = this.#options
     const exchange = new Exchange({
       receiver, end: connection.end, readNow, release: isReusable => this.#release(connection, isReusable), recordContact: () => { this.#lastContactAtMs = readNow() }
@@ -122,9 +125,13 @@
     this.#connectFailingSinceMs = isOpen ? undefined : this.#connectFailingSinceMs ?? nowMs
   }
 
-  /** Reuses the connection that became idle last, which is the least likely to have timed out, or creates one. */
-  #acquireConnection (): Connection {
-    const idle = this.#idle.pop()
+  /**
+   * Reuses the connection that became idle last, which is the least likely to have timed out, or creates one. A request that is
+   * sent again takes another connection than before, as a faulty endpoint may repeat its first response there.
+   */
+  #acquireConnection (requestId: string | undefined): Connection {
+    const index = this.#idle.findLastIndex(({ lastRequestId }) => requestId === undefined || lastRequestId !== requestId)
+    const [idle] = index < 0 ? [] : this.#idle.splice(index, 1)
     if (idle) return idle
     const end: ConnectionEnd = { hasEnded: false, wasReset: false }
     const client = new Client(`http://${this.#options.address}`, {
@@ -151,7 +158,7 @@
       keepAliveMaxTimeout: idleTimeoutMs,
       keepAliveTimeoutThreshold: idleMarginMs
     })
-    return { client, end }
+    return { client, end, lastRequestId: undefined }
   }
 
   #release (connection: Connection, isReusable: boolean): void {
--- a/src/ports/endpointLink.ts
+++ b/src/ports/endpointLink.ts
@@ -18,6 +18,8 @@
 }
 
 export interface OutgoingRequest {
+  /** Id that the endpoint repeats in its response; undefined if the request has none. */
+  readonly id: string | undefined
   readonly method: string
   readonly path: string
   readonly headers: readonly string[]
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -1,7 +1,7 @@
 /** Serves one endpoint of a stand-in fleet over HTTP: a model engine or a plain service, with faults. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { decodeReceivedHeaders, decodeEngineOrder, encodeEndpointResponseHeaders, encodeEngineReport } from '../../platform/standinWire.js'
 import type { ReceivedHeaders } from '../../platform/standinWire.js'
 import { wirePaths } from '../../platform/wireNames.js'
@@ -46,11 +46,16 @@
   isLeaving: boolean
   /** Requests are rejected as if the endpoint were full, with this as the time to come back; empty for none. */
   retryAfter: string
+  /**
+   * Refuses the first request on each connection, and writes that refusal once more before it answers each later one, as the
+   * endpoint wrote it (`same`) or without the request's id (`unnamed`); empty for none.
+   */
+  repeatedRefusals: '' | 'same' | 'unnamed'
   /** Every answer names this as the requests a second that the endpoint takes; empty for none. */
   limit: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', limit: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', limit: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -104,6 +109,8 @@
   #options: EndpointServerOptions
   #running = 0
   #startedAtMs = Date.now()
+  /** Id of the request that was refused on each connection. */
+  #refusedIds = new WeakMap<Socket, string>()
   #restart: NodeJS.Timeout | undefined
 
   constructor (options: EndpointServerOptions) {
@@ -190,10 +197,25 @@
       response.writeHead(refusal, encodeEndpointResponseHeaders(requestId, undefined, { isLeaving, limit })).end()
       return
     }
+    if (this.faults.repeatedRefusals !== '' && this.#repeatRefusal(request, response, requestId)) return
     this.#run(request, response, marks)
     if (body !== '' && body === this.faults.crashBody) this.crash()
   }
 
+  /** Returns whether the request was refused, rather than an earlier refusal repeated before its answer. */
+  #repeatRefusal ({ socket }: IncomingMessage, response: ServerResponse, requestId: string): boolean {
+    const refusedId = this.#refusedIds.get(socket)
+    if (refusedId === undefined) {
+      this.#refusedIds.set(socket, requestId)
+      response.writeHead(503, encodeEndpointResponseHeaders(requestId, undefined)).end()
+      return true
+    }
+    const [, ...unnamed] = Object.entries(encodeEndpointResponseHeaders(refusedId, undefined))
+    const headers = this.faults.repeatedRefusals === 'unnamed' ? Object.fromEntries(unnamed) : encodeEndpointResponseHeaders(refusedId, undefined)
+    socket.write(`HTTP/1.1 503 Service Unavailable\r\n${formatHeaders(headers)}content-length: 0\r\n\r\n`)
+    return false
+  }
+
   #run (request: IncomingMessage, response: ServerResponse, marks: ReceivedHeaders): void {
     const { id, service, journal, engine, workMs, random } = this.#options
     const run = journal.start({
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -89,6 +89,7 @@
     const result = new Promise<AttemptResult>(resolve => { this.#resolve = resolve })
     health.recordRequestStart(target.id)
     this.#requestInFlight = target.link.send({
+      id: request.requestId,
       method: request.method,
       path: request.path,
       headers: target.encodeHeaders(request, timeLeftMs, lastEventId),
@@ -118,6 +119,11 @@
       this.#failAndCancel(`the endpoint sent the response to another request, "${head.requestId}"`)
       return
     }
+    // A faulty endpoint may repeat an earlier refusal, and run the request or be running it.
+    if (head.isNotRun && head.requestId !== request.requestId) {
+      this.#failAndCancel('the endpoint sent a refusal that does not name the request')
+      return
+    }
     if (status >= 200 && status < 300 && (!head.isSigned || head.isEncoded)) {
       this.#failAndCancel('the endpoint sent a success response that is unsigned or has a content encoding')
       return
