Don't end a resumed stream as complete where the next endpoint sends no event

Another operator's report: a stream broke off, the next worker answered with an error, and the stream held the error's text or ended as if it were complete. The error's text or head can't get into a stream here: shown with status 500 and with a refusal. The second can happen.

A stream whose last event had already been passed on, and whose next endpoint only confirms that by an end without framing, is now broken off: the two look the same.

--- a/features/hostFailures.feature
+++ b/features/hostFailures.feature
@@ -122,3 +122,15 @@
       | as it was     | once       |
       | without an id | once       |
       | as it was     | idempotent |
+
+  Scenario Outline: A stream that broke off doesn't get the error of the next engine (<error>)
+    Given 2 hosts before a platform with 2 engines
+    When the streams of the first engine break off, and the second answers with <error>
+    And 16 streams for 2 adapters are sent within 800 ms
+    Then no stream holds anything but its own events, and none that lacks some looks complete
+
+    Examples:
+      | error                          |
+      | status 500                     |
+      | neither a length nor an event  |
+      | a refusal                      |
--- a/features/steps/hostFailures.ts
+++ b/features/steps/hostFailures.ts
@@ -7,7 +7,8 @@
 import { endpointsTable } from '../../src/platform/wireNames.js'
 import { encodeCallerRequestHeaders } from '../../src/platform/standinWire.js'
 import { decodeHostsRow, hostsTable } from '../../src/schemas/hostRows.js'
-import { createRequestId, isWhole } from '../../src/standin/fleet/fleetCaller.js'
+import { createRequestId, isWhole, looksWhole } from '../../src/standin/fleet/fleetCaller.js'
+import type { EndpointFaults } from '../../src/standin/fleet/endpointServer.js'
 import { engineService, fleetHost, fleetModel, fleetPaths } from '../../src/standin/fleet/startFleet.js'
 import type { FleetEndpoint } from '../../src/standin/fleet/startFleet.js'
 import type { CallKind } from '../../src/standin/fleet/fleetCaller.js'
@@ -307,3 +308,24 @@
   assert.deepEqual(this.answers.filter(({ requestId, status }) => refusalStatuses.includes(status) && journal.listRuns(requestId).length > 0), [])
   assert.deepEqual(this.answers.filter(answer => answer.kind === kind && journal.listRuns(answer.requestId).length > 1), [])
 })
+
+const secondEngineFaults: Readonly<Record<string, Partial<EndpointFaults>>> = Object.freeze({
+  'status 500': { errors: 1 },
+  'neither a length nor an event': { unframed: 1, emptyStreams: 1 },
+  'a refusal': { retryAfter: '0' }
+})
+
+When(/^the streams of the first engine break off, and the second answers with (.+)$/, function (this: HostsWorld, error: string) {
+  const [first, second] = this.hostFleet.fleet.engines
+  first!.server.setFaults({ cuts: 1 })
+  second!.server.setFaults(secondEngineFaults[error]!)
+})
+
+Then('no stream holds anything but its own events, and none that lacks some looks complete', function (this: HostsWorld) {
+  for (const answer of this.answers) {
+    const rest = answer.body.replaceAll(new RegExp(`id: \\d+\\ndata: ${answer.requestId} \\d+\\n\\n`, 'g'), '')
+    if (answer.status === 200) assert.equal(rest, '', JSON.stringify(answer))
+    if (looksWhole(answer)) assert.ok(isWhole(answer), JSON.stringify(answer))
+  }
+  assert.ok(this.answers.some(answer => answer.status === 200 && !isWhole(answer)), 'no stream broke off')
+})
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -153,7 +153,7 @@
     } else if (this.#eventSplitter) {
       if (this.#eventSplitter.bufferedBytes > 0) this.#fail({ verdict: 'mayHaveRun', reason: 'the stream ended in the middle of an event', status: undefined })
       // An engine that crashes before its first event closes the connection just as one that has nothing more to send.
-      else if (!head.isFramed && !this.#hasBegun && this.lastEventId === undefined) this.#fail({ verdict: 'mayHaveRun', reason: 'the connection ended before the first event of the stream', status: undefined })
+      else if (!head.isFramed && !this.#hasBegun) this.#fail({ verdict: 'mayHaveRun', reason: 'the connection ended before the first event of the stream', status: undefined })
       else this.#completeResponse(head)
     } else {
       this.#handleCompleteResponse(head)
