Foresee the rejections of brittle endpoints rather than provoke them

Change: while an endpoint says so, a host has at most its share of the requests there that the endpoint runs at once, so that none of them has to wait, and after a rejection it sends nothing for as long as keeps all hosts together within the number, with a random part. Owners of engines plan by slots as before; requests without a grant keep to the share as well. The end shows in the next answer. Values that are not decimal numbers are logged and ignored.

--- /dev/null
+++ b/features/brittleEndpoints.feature
@@ -0,0 +1,32 @@
+Feature: Brittle endpoints
+  An endpoint that says it is brittle falls over when it has to reject more than so many requests in a second.
+
+  Scenario Outline: Services that bear <count> rejections a second don't fall over under a burst
+    Given 3 hosts before a platform with 1 engine
+    When services bear <count> rejections a second
+    And 24 requests come to the hosts in turn within 1000 ms
+    And 1200 requests come to the hosts in turn within 1500 ms
+    Then services have fallen over at most 2 times
+    And at least 150 of the last 1200 answers are whole
+    And every answer is whole or refused with a time to come back
+
+    Examples:
+      | count |
+      | 3     |
+      | 0     |
+      | 1000  |
+
+  Scenario Outline: Parsing of how many rejections an endpoint bears
+    When an endpoint says that it bears "<value>" rejections a second
+    Then the host parses the rejections as <parsed>
+
+    Examples:
+      | value  | parsed     |
+      | 3      | 3          |
+      | 0      | 0          |
+      | 1e3    | unreadable |
+      | -1     | unreadable |
+      | 5, 2   | 2          |
+      | 2, x   | unreadable |
+      |        | unreadable |
+      | 99999999999999999999 | 100000000000000000000 |
--- a/src/bin/createNoticeComponents.ts
+++ b/src/bin/createNoticeComponents.ts
@@ -53,6 +53,8 @@
       for (const { row } of clusterView.hosts.values()) if (row.address !== own.address) datagrams.send(row.address, change)
     },
     receiveLimitChange,
+    countHosts: () => clusterView.hosts.size,
+    random: Math.random,
     withdrawPending: (endpointId, reason) => getReservations().withdrawPending(endpointId, reason)
   })
   return {
--- a/src/core/endpointNotices.ts
+++ b/src/core/endpointNotices.ts
@@ -1,6 +1,6 @@
 /**
- * Tracks notices that endpoints send in the headers of their answers: that they are leaving, accept no requests for a time, or take
- * so many requests a second. A limit holds for all hosts, which tell each other of it; the other notices apply only to the host
+ * Tracks notices that endpoints send in the headers of their answers: that they are leaving, accept no requests for a time, take
+ * so many requests a second, or bear so many rejections. A limit holds for all hosts, which tell each other of it; the other notices apply only to the host
  * that received them.
  */
 import { EndpointLimit } from './endpointLimit.js'
@@ -15,6 +15,8 @@
   isLeaving: boolean
   pausedUntilMs: number
   limit: EndpointLimit
+  /** Rejections a second beyond which the process falls over; undefined if it is not brittle. */
+  maxRejectionsPerSecond: number | undefined
 }
 
 /** Maximum number of endpoints tracked; more than the published deployments have. */
@@ -54,6 +56,20 @@
     return this.#find(process)?.limit.latest
   }
 
+  /** Records what a response said about how many rejections the endpoint bears; returns whether that changed. */
+  recordBrittleness (process: ProcessKey, maxRejectionsPerSecond: number | undefined): boolean {
+    if (maxRejectionsPerSecond === undefined && !this.#find(process)) return false
+    const notice = this.#findOrAdd(process)
+    const hasChanged = notice.maxRejectionsPerSecond !== maxRejectionsPerSecond
+    notice.maxRejectionsPerSecond = maxRejectionsPerSecond
+    return hasChanged
+  }
+
+  /** Rejections a second beyond which the endpoint falls over; undefined if it is not brittle. */
+  getMaxRejections (process: ProcessKey): number | undefined {
+    return this.#find(process)?.maxRejectionsPerSecond
+  }
+
   isLeaving (process: ProcessKey): boolean {
     return this.#find(process)?.isLeaving ?? false
   }
@@ -75,7 +91,7 @@
   #findOrAdd (process: ProcessKey): EndpointNotice {
     const known = this.#find(process)
     if (known) return known
-    const notice: EndpointNotice = { startedAtMs: process.startedAtMs, isLeaving: false, pausedUntilMs: -Infinity, limit: new EndpointLimit() }
+    const notice: EndpointNotice = { startedAtMs: process.startedAtMs, isLeaving: false, pausedUntilMs: -Infinity, limit: new EndpointLimit(), maxRejectionsPerSecond: undefined }
     this.#notices.delete(process.id)
     this.#notices.set(process.id, notice)
     if (this.#notices.size > maxEndpoints) this.#notices.delete(this.#notices.keys().next().value!)
--- a/src/platform/requestWire.ts
+++ b/src/platform/requestWire.ts
@@ -101,8 +101,8 @@
   const retryAfterS = parseOptionalNumber(retryAfter)
   const isRetryAfterValid = retryAfterS !== undefined && retryAfterS >= 0
   const contentLength = parseOptionalNumber(values.get('content-length'))
-  const limits = listHeaderValues(rawHeaders, wireHeaders.limit)
-  const isLimitValid = limits.length > 0 && limits.every(text => decimalPattern.test(text))
+  const limit = decodeLowest(rawHeaders, wireHeaders.limit)
+  const brittleness = decodeLowest(rawHeaders, wireHeaders.brittle)
   return {
     status,
     headers,
@@ -113,8 +113,10 @@
     retryAfterMs: isRetryAfterValid ? retryAfterS * 1000 : undefined,
     invalidRetryAfter: isRetryAfterValid ? undefined : retryAfter,
     isLeaving: values.get(wireHeaders.leaving) === '1',
-    limitPerSecond: isLimitValid ? Math.min(...limits.map(Number)) : undefined,
-    invalidLimit: isLimitValid || limits.length === 0 ? undefined : limits.join(', '),
+    limitPerSecond: limit.value,
+    invalidLimit: limit.invalid,
+    maxRejectionsPerSecond: brittleness.value,
+    invalidMaxRejections: brittleness.invalid,
     isFramed: values.has('content-length') || values.has('transfer-encoding'),
     contentLength,
     isEncoded: values.has('content-encoding'),
@@ -124,6 +126,13 @@
 
 const decimalPattern = /^\d+(\.\d+)?$/
 
+/** Decodes a header with decimal numbers, of which the lowest counts; `invalid` holds the text if any of them is not one. */
+function decodeLowest (rawHeaders: readonly string[], name: string): { value: number | undefined, invalid: string | undefined } {
+  const texts = listHeaderValues(rawHeaders, name)
+  if (texts.length === 0) return { value: undefined, invalid: undefined }
+  return texts.every(text => decimalPattern.test(text)) ? { value: Math.min(...texts.map(Number)), invalid: undefined } : { value: undefined, invalid: texts.join(', ') }
+}
+
 /** Lists the values of a header that may occur more than once, or hold several values separated by commas. */
 function listHeaderValues (rawHeaders: readonly string[], name: string): string[] {
   const lines = rawHeaders.filter((_, index) => index % 2 === 1 && rawHeaders[index - 1]!.toLowerCase() === name)
--- a/src/platform/standinWire.ts
+++ b/src/platform/standinWire.ts
@@ -152,13 +152,14 @@
 }
 
 /** Encodes the headers of an endpoint's response: a signature, or the guarantee that the request was not executed. */
-export function encodeEndpointResponseHeaders (requestId: string, signature: string | undefined, { isLeaving = false, retryAfter = '', limit = '' }: ResponseNotices = {}): Record<string, string> {
+export function encodeEndpointResponseHeaders (requestId: string, signature: string | undefined, { isLeaving = false, retryAfter = '', limit = '', brittle = '' }: ResponseNotices = {}): Record<string, string> {
   return {
     [wireHeaders.requestId]: requestId,
     ...(signature === undefined ? { [wireHeaders.notRun]: '1' } : { [wireHeaders.signature]: signature }),
     ...(isLeaving && { [wireHeaders.leaving]: '1' }),
     ...(retryAfter !== '' && { [wireHeaders.retryAfter]: retryAfter }),
-    ...(limit !== '' && { [wireHeaders.limit]: limit })
+    ...(limit !== '' && { [wireHeaders.limit]: limit }),
+    ...(brittle !== '' && { [wireHeaders.brittle]: brittle })
   }
 }
 
@@ -169,6 +170,8 @@
   retryAfter?: string
   /** Requests a second that it takes; empty string for no limit. */
   limit?: string
+  /** Rejections a second that it bears; empty string for one that is not brittle. */
+  brittle?: string
 }
 
 /** Encodes the headers of a caller's request, for load generators and tests. */
--- a/src/platform/wireNames.ts
+++ b/src/platform/wireNames.ts
@@ -18,6 +18,8 @@
   leaving: 'server-leaving',
   /** Requests a second that an endpoint in need takes from all hosts together. */
   limit: 'server-limit',
+  /** Requests that a brittle endpoint can turn away in a second without falling over. */
+  brittle: 'server-brittle',
   endpointId: 'instance-id',
   model: 'model',
   tokens: 'token-usage',
--- a/src/schemas/callerRequest.ts
+++ b/src/schemas/callerRequest.ts
@@ -56,6 +56,10 @@
   readonly limitPerSecond: number | undefined
   /** The value of a limit header that is not a decimal number. */
   readonly invalidLimit: string | undefined
+  /** Rejections a second beyond which the endpoint falls over; undefined if it doesn't say that it is brittle. */
+  readonly maxRejectionsPerSecond: number | undefined
+  /** The value of that header if it is not a decimal number. */
+  readonly invalidMaxRejections: string | undefined
   /** The endpoint reports that it is leaving. */
   readonly isLeaving: boolean
   /** Whether a length or chunks delimit the body; otherwise the end of the connection does. */
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -51,11 +51,13 @@
    * endpoint wrote it (`same`) or without the request's id (`unnamed`); empty for none.
    */
   repeatedRefusals: '' | 'same' | 'unnamed'
+  /** Every answer says that the endpoint bears so many rejections a second; it lets none wait, and crashes beyond them; empty for none. */
+  brittle: string
   /** Every answer names this as the requests a second that the endpoint takes; empty for none. */
   limit: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', limit: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -112,6 +114,8 @@
   /** Id of the request that was refused on each connection. */
   #refusedIds = new WeakMap<Socket, string>()
   #restart: NodeJS.Timeout | undefined
+  /** When requests were rejected for want of room while the endpoint was brittle. */
+  #rejectionTimesMs: number[] = []
 
   constructor (options: EndpointServerOptions) {
     this.#options = options
@@ -190,11 +194,14 @@
       response.writeHead(503, encodeEndpointResponseHeaders(requestId, undefined, { isLeaving, retryAfter, limit })).end()
       return
     }
+    const { brittle } = this.faults
+    const maxRunning = brittle === '' ? places * 4 : places
     const refusal = marks.endpointId !== undefined && marks.endpointId !== id
       ? 421
-      : engine ? engine.findRefusal(marks.adapter, marks.version) : this.#running >= places * 4 ? 503 : undefined
+      : engine ? engine.findRefusal(marks.adapter, marks.version) : this.#running >= maxRunning ? 503 : undefined
     if (refusal !== undefined) {
-      response.writeHead(refusal, encodeEndpointResponseHeaders(requestId, undefined, { isLeaving, limit })).end()
+      response.writeHead(refusal, encodeEndpointResponseHeaders(requestId, undefined, { isLeaving, limit, brittle })).end()
+      if (refusal === 503 && brittle !== '') this.#recordRejection(Number(brittle))
       return
     }
     if (this.faults.repeatedRefusals !== '' && this.#repeatRefusal(request, response, requestId)) return
@@ -202,6 +209,13 @@
     if (body !== '' && body === this.faults.crashBody) this.crash()
   }
 
+  #recordRejection (maxPerSecond: number): void {
+    this.#rejectionTimesMs = [...this.#rejectionTimesMs.filter(atMs => readNow() - atMs < 1000), readNow()]
+    if (this.#rejectionTimesMs.length <= maxPerSecond || this.isDown) return
+    this.#rejectionTimesMs = []
+    this.crash()
+  }
+
   /** Returns whether the request was refused, rather than an earlier refusal repeated before its answer. */
   #repeatRefusal ({ socket }: IncomingMessage, response: ServerResponse, requestId: string): boolean {
     const refusedId = this.#refusedIds.get(socket)
@@ -231,7 +245,7 @@
       engine?.recordRun(marks.adapter, -1)
     }
     response.on('close', () => finish('left'))
-    const headers = encodeEndpointResponseHeaders(run.requestId, `signed by ${id}`, { isLeaving: this.faults.isLeaving, limit: this.faults.limit })
+    const headers = encodeEndpointResponseHeaders(run.requestId, `signed by ${id}`, { isLeaving: this.faults.isLeaving, limit: this.faults.limit, brittle: this.faults.brittle })
     if (random() < this.faults.errors) {
       setTimeout(() => {
         finish('broken')
--- a/src/tasks/proxy/endpointNoticeTask.ts
+++ b/src/tasks/proxy/endpointNoticeTask.ts
@@ -2,6 +2,7 @@
  * Reads endpoint notices (leaving, paused, limited) from response heads and logs them; notifies the owner of a leaving engine, and
  * all hosts of a limit.
  */
+import { computeBrittlePauseMs } from '../../core/brittleEndpoints.js'
 import type { LimitStatement } from '../../core/endpointLimit.js'
 import type { EndpointNotices } from '../../core/endpointNotices.js'
 import type { Clock } from '../../ports/clock.js'
@@ -20,6 +21,9 @@
   notifyHosts: (change: EndpointLimitChange) => void
   /** Called when the limit of an endpoint has changed, from a response or from another host. */
   receiveLimitChange: (endpointId: string) => void
+  countHosts: () => number
+  /** Returns a number from 0 (inclusive) to 1 (exclusive). */
+  random: () => number
   /** Withdraws requests that wait for a reservation at the endpoint, so that they select another one. */
   withdrawPending: (endpointId: string, reason: string) => void
 }
@@ -62,6 +66,7 @@
     if (head.invalidLimit !== undefined) {
       this.#options.log.record('endpoint.limitUnreadable', 'An endpoint named a limit that is not a decimal number; the limit is ignored.', { endpointId: endpoint.id, value: head.invalidLimit })
     } else if (isOwn) this.#handleLimit(endpoint, head, sentAtMs)
+    if (isOwn && head.status !== misdirectedStatus) this.#handleBrittleness(endpoint, head)
     if (head.status !== serviceUnavailableStatus) return
     if (head.invalidRetryAfter !== undefined) {
       this.#options.log.record('endpoint.pauseUnreadable', 'An endpoint rejected a request with an invalid retry delay; the delay is ignored.', { endpointId: endpoint.id, value: head.invalidRetryAfter })
@@ -129,6 +134,21 @@
     if (this.#limitReports.size > maxLimitReports) this.#limitReports.delete(this.#limitReports.keys().next().value!)
   }
 
+  /** Notes whether an endpoint is brittle; one that has rejected a request gets none from this host for a while. */
+  #handleBrittleness (endpoint: EndpointEntry, { maxRejectionsPerSecond, invalidMaxRejections, status, isNotRun, retryAfterMs }: ResponseHead): void {
+    const { log, notices, countHosts, random } = this.#options
+    const { id, startedAtMs } = endpoint
+    if (invalidMaxRejections !== undefined) {
+      log.record('endpoint.brittlenessUnreadable', 'An endpoint says in a way that is not a decimal number how many rejections it bears; that is ignored.', { endpointId: id, value: invalidMaxRejections })
+      return
+    }
+    if (notices.recordBrittleness(endpoint, maxRejectionsPerSecond)) {
+      log.record('endpoint.brittlenessChanged', 'The rejections a second beyond which an endpoint falls over have changed.', { endpointId: id, startedAtMs, maxRejectionsPerSecond: maxRejectionsPerSecond ?? null })
+    }
+    if (maxRejectionsPerSecond === undefined || status !== serviceUnavailableStatus || !isNotRun) return
+    this.#handlePause(endpoint, Math.max(retryAfterMs ?? 0, computeBrittlePauseMs(maxRejectionsPerSecond, countHosts(), random())))
+  }
+
   #handleLeaving (endpoint: EndpointEntry): void {
     const { clock, log, notices, notifyOwner, withdrawPending } = this.#options
     const { id, startedAtMs } = endpoint
--- a/src/tasks/proxy/engineSelector.ts
+++ b/src/tasks/proxy/engineSelector.ts
@@ -1,4 +1,5 @@
 /** Requests reservations from the owners of engines, in the order in which the engines should serve an adapter. */
+import { computeBrittleShare } from '../../core/brittleEndpoints.js'
 import type { EndpointHealth } from '../../core/endpointHealth.js'
 import { findPreferredEngine, rankEngines } from '../../core/endpointSelection.js'
 import type { EngineCandidate } from '../../core/endpointSelection.js'
@@ -181,11 +182,13 @@
    * the engine is limited, another host has to grant the request.
    */
   async #useWithoutGrant (rankingKey: string, endpoint: EndpointEntry, version: number, query: EndpointQuery): Promise<EndpointSelection | undefined> {
-    const { clock, clusterView, health, limitGrants, reservations } = this.#options
+    const { clock, clusterView, health, limitGrants, notices, reservations } = this.#options
     const { model, adapter } = query.request
     const grantedAtMs = this.#grantedAdapters.get(`${rankingKey} ${endpoint.id}`) ?? -Infinity
     const isLoaded = adapter === '' || clock.readMonotonic() - grantedAtMs < grantedAdapterTtlMs || hasAdapter(endpoint, model, adapter, version)
-    const share = Math.max(minUngrantedRequests, endpoint.places / Math.max(1, clusterView.hosts.size))
+    const hostCount = Math.max(1, clusterView.hosts.size)
+    const isBrittle = notices.getMaxRejections(endpoint) !== undefined
+    const share = isBrittle ? computeBrittleShare(endpoint.places, hostCount) : Math.max(minUngrantedRequests, endpoint.places / hostCount)
     if (!isLoaded || health.getInFlightCount(endpoint.id) >= share) return undefined
     const details = createReservationDetails(query, endpoint, version, false, clock.readMonotonic())
     if (this.#isLimited(endpoint)) {
--- a/src/tasks/proxy/serviceSelector.ts
+++ b/src/tasks/proxy/serviceSelector.ts
@@ -1,4 +1,5 @@
 /** Selects an endpoint of a service without engines: the least busy one or, where endpoints are limited, one that is granted. */
+import { computeBrittleShare } from '../../core/brittleEndpoints.js'
 import type { EndpointHealth } from '../../core/endpointHealth.js'
 import type { EndpointNotices } from '../../core/endpointNotices.js'
 import { pickLeastBusy } from '../../core/endpointSelection.js'
@@ -24,6 +25,8 @@
 
 /** A granter that refused or did not respond is asked again after this time at the earliest. */
 const minAskIntervalMs = 100
+/** When a caller may come back whose service is brittle and busy. */
+const brittleRetryMs = 200
 /** While other endpoints take requests, it is asked again after this time at the latest. */
 const maxAskIntervalMs = 5000
 
@@ -36,8 +39,10 @@
     this.#options = options
   }
 
-  async selectEndpoint (query: EndpointQuery, usable: readonly EndpointEntry[]): Promise<EndpointSelection> {
+  async selectEndpoint (query: EndpointQuery, accepting: readonly EndpointEntry[]): Promise<EndpointSelection> {
     const { clock, notices, random } = this.#options
+    const usable = accepting.filter(entry => this.#hasRoom(entry))
+    if (usable.length === 0) return { kind: 'none', message: `all endpoints of service "${query.service}" are brittle and busy`, retryAfterMs: brittleRetryMs * (1 + random()), isTransient: true }
     const limited = usable.filter(entry => notices.getRate(entry, clock.readMonotonic()) !== undefined)
     const unlimited = usable.filter(entry => !limited.includes(entry))
     for (const { id } of unlimited) this.#nextAskAtMs.delete(id)
@@ -50,6 +55,12 @@
     return createRefusal(`all endpoints of service "${query.service}" take few requests`, Math.max(minAskIntervalMs, waitMs) * (1 + random()))
   }
 
+  /** Whether an endpoint has room for a request of this host; one that is brittle must not be made to reject it. */
+  #hasRoom (entry: EndpointEntry): boolean {
+    const { clusterView, health, notices } = this.#options
+    return notices.getMaxRejections(entry) === undefined || health.getInFlightCount(entry.id) < computeBrittleShare(entry.places, clusterView.hosts.size)
+  }
+
   /** Requests a grant that can be used at once, in random order so that all limited endpoints get requests. */
   async #tryLimited (query: EndpointQuery, limited: readonly EndpointEntry[], hasOthers: boolean): Promise<EndpointSelection | undefined> {
     const { random } = this.#options
