Give up forwarded requests at a host that does not respond

A request that went through another host waited until its deadline if that host froze: its connections stay open. A host that has sent nothing for a second although forwarded requests wait is pinged now; without a reply they fail as lost, and the host is skipped for a while. Found by reading; three scenarios on a virtual clock come with it.

--- a/features/steps/strandedHosts.ts
+++ b/features/steps/strandedHosts.ts
@@ -4,6 +4,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { LoopbackProxy } from '../../soak/loopbackProxy.js'
+import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
+import { RequestForwarder } from '../../src/tasks/forwarding/requestForwarder.js'
 import { decodeHostsRow, hostsTable } from '../../src/schemas/hostRows.js'
 import { isWhole } from '../../src/standin/fleet/fleetCaller.js'
 import type { CallKind } from '../../src/standin/fleet/fleetCaller.js'
@@ -19,6 +21,13 @@
   strandedHost: string
 }
 
+interface ForwarderWorld {
+  clock: VirtualClock
+  silentMs: number
+  /** Arguments of the calls that gave up requests. */
+  abandonedSinceMs: number[]
+}
+
 const kinds: readonly CallKind[] = ['resumable', 'once', 'idempotent', 'stream']
 
 After(async function (this: StrandedWorld) {
@@ -149,3 +158,27 @@
 Then('no endpoint is taken for crashed', function (this: StrandedWorld) { assert.deepEqual(this.hostFleet.listLines('endpoint.crashed'), []) })
 
 Then('no host counts as stranded', function (this: StrandedWorld) { assert.deepEqual(this.hostFleet.listLines('host.stranded'), []) })
+
+Given('a host that has forwarded a request to a peer, and got nothing for {int} ms', function (this: ForwarderWorld, silentMs: number) {
+  this.clock = new VirtualClock()
+  this.abandonedSinceMs = []
+  this.silentMs = silentMs
+})
+
+When(/^the peer responds to (no ping|pings)$/, async function (this: ForwarderWorld, pings: string) {
+  const row = { host: 'host-2', address: '10.0.0.2', zone: 'a', session: 'life', isLeaving: false }
+  const link = {
+    activity: { lastContactAtMs: -Infinity, waitingSinceMs: 0, connectFailingSinceMs: undefined }, busy: 1, hasRoom: true, probe: async () => 'open' as const, abandonSilent: (sinceMs: number) => { this.abandonedSinceMs.push(sinceMs) }, close: () => {}, send: () => ({ cancel: () => {}, resume: () => {} })
+  }
+  const forwarder = new RequestForwarder({
+    clock: this.clock, clusterView: { hosts: new Map([[row.host, { row, version: 1 }]]) }, own: { host: 'host-1', zone: 'a' }, isStranded: () => true, openLink: () => link, isRunning: async () => pings === 'pings', random: () => 0
+  })
+  assert.equal(forwarder.selectPeer([])?.row.host, row.host)
+  forwarder.start()
+  await this.clock.runUntilSettled(this.silentMs)
+  forwarder.stop()
+})
+
+Then(/^the forwarded request is (given up|not touched)$/, function (this: ForwarderWorld, fate: string) {
+  assert.equal(this.abandonedSinceMs.length > 0, fate === 'given up')
+})
--- a/features/strandedHosts.feature
+++ b/features/strandedHosts.feature
@@ -48,3 +48,14 @@
     Given 3 hosts with links of their own to 2 engines and 2 services
     When endpoint 1 of "llm" is silent for 1200 ms while 24 requests of all kinds are sent to host 1
     Then no host counts as stranded
+
+  Scenario Outline: Requests at a host that <state> are <fate>
+    Given a host that has forwarded a request to a peer, and got nothing for <silentMs> ms
+    When the peer <state>
+    Then the forwarded request is <fate>
+
+    Examples:
+      | state               | silentMs | fate       |
+      | responds to no ping | 1500     | given up   |
+      | responds to pings   | 1500     | not touched |
+      | responds to no ping | 500      | not touched |
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -31,6 +31,8 @@
 
 export interface RequestProxyOptions {
   own: { host: string, address: string, zone: string }
+  /** Whether the host at an IP address runs and responds. */
+  isHostRunning: (address: string) => Promise<boolean>
   settings: HostSettings
   clock: Clock
   log: EventLog
@@ -63,7 +65,7 @@
 /** Connections to one other host for forwarded requests; a host serves fewer at a time. */
 const maxForwardingConnections = 512
 
-export function createRequestProxy ({ own, settings, clock, log, clusterView, reservations, suspects, noticeComponents: { notices, noticeTask }, streamOrigins, reportCrash }: RequestProxyOptions): RequestProxy {
+export function createRequestProxy ({ own, isHostRunning, settings, clock, log, clusterView, reservations, suspects, noticeComponents: { notices, noticeTask }, streamOrigins, reportCrash }: RequestProxyOptions): RequestProxy {
   const random = Math.random
   const health = new EndpointHealth()
   const retryBudget = new HostRetryBudget({
@@ -79,6 +81,7 @@
     clusterView,
     own,
     isStranded: service => reachability.isStranded(service),
+    isRunning: isHostRunning,
     openLink: address => openHttpEndpointLink({ address: formatForwardingAddress(address), getMaxConnections: () => maxForwardingConnections, readNow: clock.readMonotonic }),
     random
   })
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -167,7 +167,7 @@
     ...context, transact, isStoreUnavailable, applyRow: row => mirror.applyLocalWrite(row), send, heartbeatMs: settings.heartbeatMs
   })
   const requestProxy: RequestProxy = createRequestProxy({
-    own, settings, clock, log, clusterView, reservations, suspects: suspectTasks.checks, noticeComponents, streamOrigins: streamTasks.origins, reportCrash: suspectTasks.reportCrash
+    own, isHostRunning: async address => await peers.pingHost(address) !== undefined, settings, clock, log, clusterView, reservations, suspects: suspectTasks.checks, noticeComponents, streamOrigins: streamTasks.origins, reportCrash: suspectTasks.reportCrash
   })
   return { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks }
 }
@@ -219,7 +219,7 @@
   await requestProxy.forwardingListener.start()
   const readinessServer = await startReadinessServer(settings.readinessAddress, () => clusterView.routes !== undefined && !isolationMonitor.isIsolated && countEndpoints() > 0)
   const metricsServer = options.metricsPort === undefined ? undefined : await startMetricsServer(`${settings.address}:${options.metricsPort}`, metrics)
-  for (const task of [clusterViewTask, leaseTask, storeOutageDetector, isolationMonitor, requestProxy.reachability, suspectTasks, streamTasks]) task.start()
+  for (const task of [clusterViewTask, leaseTask, storeOutageDetector, isolationMonitor, requestProxy.reachability, requestProxy.forwarder, suspectTasks, streamTasks]) task.start()
   log.record('host.started', 'The host has started.', { zone: settings.zone, address: settings.address })
 
   return {
@@ -259,7 +259,7 @@
   leaseTask.stop()
   requestProxy.callerListener.close()
   requestProxy.forwardingListener.close()
-  requestProxy.forwarder.close()
+  requestProxy.forwarder.stop()
   readinessServer.close()
 }
 
--- a/src/tasks/forwarding/requestForwarder.ts
+++ b/src/tasks/forwarding/requestForwarder.ts
@@ -1,7 +1,7 @@
 /** Selects other hosts through which this host serves requests while it reaches no endpoint of their service. */
 import type { ClusterView } from '../../core/clusterView.js'
 import { PeerBackoff } from '../../core/peerBackoff.js'
-import type { Clock } from '../../ports/clock.js'
+import type { Clock, Timer } from '../../ports/clock.js'
 import type { EndpointLink } from '../../ports/endpointLink.js'
 import type { HostRow } from '../../schemas/hostRows.js'
 
@@ -18,22 +18,36 @@
   isStranded: (service: string) => boolean
   /** Opens the link to the host at an IP address, on which it takes requests of other hosts. */
   openLink: (address: string) => EndpointLink
+  /** Whether the host at an IP address runs and responds. */
+  isRunning: (address: string) => Promise<boolean>
   random: () => number
 }
 
 /** Of this many hosts, picked at random, the one with the fewest forwarded requests gets the next. */
 const comparedPeers = 2
+const checkIntervalMs = 300
+/** A host that has sent nothing for this long, although forwarded requests wait, is asked whether it runs. */
+const maxSilenceMs = 1000
 
 export class RequestForwarder {
   #options: RequestForwarderOptions
   #backoff = new PeerBackoff()
   /** By session, as a host may come back at another address. */
   #links = new Map<string, EndpointLink>()
+  #timer: Timer | undefined
 
   constructor (options: RequestForwarderOptions) {
     this.#options = options
   }
 
+  start (): void {
+    const check = (): void => {
+      for (const { row } of this.#options.clusterView.hosts.values()) this.#abandonIfStopped(row)
+      this.#timer = this.#options.clock.setTimer(check, checkIntervalMs)
+    }
+    check()
+  }
+
   isStranded (service: string): boolean {
     return this.#options.isStranded(service)
   }
@@ -59,7 +73,17 @@
     this.#backoff.recordResponse(row.session)
   }
 
-  close (): void {
+  /** Gives up the requests at a host that has stopped or froze, so that they are tried elsewhere or answered. */
+  async #abandonIfStopped (row: HostRow): Promise<void> {
+    const { clock, isRunning } = this.#options
+    const link = this.#links.get(row.session)
+    if (!link || !isSilent(link, clock.readMonotonic()) || await isRunning(row.address) || !isSilent(link, clock.readMonotonic())) return
+    this.recordFailure({ row, link })
+    link.abandonSilent(clock.readMonotonic() - maxSilenceMs, `host "${row.host}" does not respond`)
+  }
+
+  stop (): void {
+    this.#timer?.cancel()
     for (const link of this.#links.values()) link.close()
     this.#links.clear()
   }
@@ -88,3 +112,7 @@
     }
   }
 }
+
+function isSilent ({ activity: { waitingSinceMs, lastContactAtMs } }: EndpointLink, nowMs: number): boolean {
+  return waitingSinceMs !== undefined && nowMs - Math.max(waitingSinceMs, lastContactAtMs) >= maxSilenceMs
+}
