--- a/features/steps/lateConfigurations.ts
+++ b/features/steps/lateConfigurations.ts
@@ -29,7 +29,7 @@
   'is killed': (_cluster, host) => { host.isKilled = true }
 })
 
-function strikeHost (cluster: UpdateCluster, host: UpdateCluster['hosts'][number], fault: string): void {
+function disturbHost (cluster: UpdateCluster, host: UpdateCluster['hosts'][number], fault: string): void {
   host.isDisturbed = true
   strikes[fault]!(cluster, host)
 }
@@ -40,20 +40,20 @@
 })
 
 When(/^the first store reader (freezes|loses the store|is refused by the store|is killed), and a change is written 0 to 1500 ms later$/, function (this: ChangesWorld, fault: string) {
-  this.strike = async cluster => strikeHost(cluster, cluster.readers[0]!, fault)
+  this.strike = async cluster => disturbHost(cluster, cluster.readers[0]!, fault)
 })
 
 When(/^the first store reader (freezes|loses the store|is killed), the others (freezes|loses the store) (\d+) ms later, and a change is written 0 to 1500 ms later$/, function (this: ChangesWorld, first: string, second: string, apartMs: string) {
   this.strike = async cluster => {
     const [firstReader, ...others] = cluster.readers
-    strikeHost(cluster, firstReader!, first)
+    disturbHost(cluster, firstReader!, first)
     await cluster.run(Number(apartMs))
-    for (const reader of others) strikeHost(cluster, reader, second)
+    for (const reader of others) disturbHost(cluster, reader, second)
   }
 })
 
 When(/^the open calls for (\w+) of all store readers hang, and a change is written 0 to 1500 ms later$/, function (this: ChangesWorld, table: string) {
-  this.strike = async cluster => { for (const reader of cluster.readers) cluster.hangOpenCalls(reader, table) }
+  this.strike = async cluster => { for (const reader of cluster.readers) cluster.holdOpenCalls(reader, table) }
 })
 
 Then(/^every host(?: that no fault touched)? has the change within the bounds, also from a store that takes 200 ms to answer$/, { timeout: 120_000 }, async function (this: ChangesWorld) {
--- a/features/steps/strandedHosts.ts
+++ b/features/steps/strandedHosts.ts
@@ -25,7 +25,7 @@
   clock: VirtualClock
   silentMs: number
   /** Arguments of the calls that gave up requests. */
-  abandonedSinceMs: number[]
+  givenUpSinceMs: number[]
 }
 
 const kinds: readonly CallKind[] = ['resumable', 'once', 'idempotent', 'stream']
@@ -58,7 +58,7 @@
   }))
 }
 
-async function strikeLinks (world: StrandedWorld, hostName: string, fault: string): Promise<void> {
+async function disturbLinks (world: StrandedWorld, hostName: string, fault: string): Promise<void> {
   world.strandedHost = hostName
   for (const [name, link] of world.links) {
     if (!name.startsWith(`${hostName} `)) continue
@@ -69,17 +69,17 @@
 }
 
 When(/^the links of host (\d+) to all endpoints (hang|are reset and refused|live on while new ones are refused)$/, async function (this: StrandedWorld, host: string, fault: string) {
-  await strikeLinks(this, this.hostFleet.hosts[Number(host) - 1]!.settings.hostName, fault)
+  await disturbLinks(this, this.hostFleet.hosts[Number(host) - 1]!.settings.hostName, fault)
 })
 
 When('the links of the first engine\'s owner to all endpoints hang', async function (this: StrandedWorld) {
-  await strikeLinks(this, this.hostFleet.hosts[findOwner(this) - 1]!.settings.hostName, 'hang')
+  await disturbLinks(this, this.hostFleet.hosts[findOwner(this) - 1]!.settings.hostName, 'hang')
   // Requests show the host that its links are gone.
   sendAll(this, findOwner(this), 12, 600).catch(() => {})
 })
 
 When('the links of all hosts to all endpoints are reset and refused', async function (this: StrandedWorld) {
-  for (const { settings } of this.hostFleet.hosts) await strikeLinks(this, settings.hostName, 'are reset and refused')
+  for (const { settings } of this.hostFleet.hosts) await disturbLinks(this, settings.hostName, 'are reset and refused')
   for (let host = 1; host <= this.hostFleet.hosts.length; host++) await sendAll(this, host, 8, 300)
 })
 
@@ -161,14 +161,14 @@
 
 Given('a host that has forwarded a request to a peer, and got nothing for {int} ms', function (this: ForwarderWorld, silentMs: number) {
   this.clock = new VirtualClock()
-  this.abandonedSinceMs = []
+  this.givenUpSinceMs = []
   this.silentMs = silentMs
 })
 
 When(/^the peer responds to (no ping|pings)$/, async function (this: ForwarderWorld, pings: string) {
   const row = { host: 'host-2', address: '10.0.0.2', zone: 'a', session: 'life', isLeaving: false }
   const link = {
-    activity: { lastContactAtMs: -Infinity, waitingSinceMs: 0, connectFailingSinceMs: undefined }, busy: 1, hasRoom: true, probe: async () => 'open' as const, abandonSilent: (sinceMs: number) => { this.abandonedSinceMs.push(sinceMs) }, close: () => {}, send: () => ({ cancel: () => {}, resume: () => {} })
+    activity: { lastContactAtMs: -Infinity, waitingSinceMs: 0, connectFailingSinceMs: undefined }, busy: 1, hasRoom: true, probe: async () => 'open' as const, giveUpSilent: (sinceMs: number) => { this.givenUpSinceMs.push(sinceMs) }, close: () => {}, send: () => ({ cancel: () => {}, resume: () => {} })
   }
   const forwarder = new RequestForwarder({
     clock: this.clock, clusterView: { hosts: new Map([[row.host, { row, version: 1 }]]) }, own: { host: 'host-1', zone: 'a' }, isStranded: () => true, openLink: () => link, isRunning: async () => pings === 'pings', random: () => 0
@@ -180,5 +180,5 @@
 })
 
 Then(/^the forwarded request is (given up|not touched)$/, function (this: ForwarderWorld, fate: string) {
-  assert.equal(this.abandonedSinceMs.length > 0, fate === 'given up')
+  assert.equal(this.givenUpSinceMs.length > 0, fate === 'given up')
 })
--- a/features/support/updateCluster.ts
+++ b/features/support/updateCluster.ts
@@ -59,7 +59,7 @@
       this.#rows.write({ table: hostsTable, key: formatHostKey(own.host), value: encodeHostsRow({ ...own, session: 'life', isLeaving: false }) })
       this.hosts.push(this.#createHost(own, bounds))
     }
-    for (let index = 0; index < endpointCount; index++) this.#beat(`i-${index}`, index * heartbeatMs / endpointCount)
+    for (let index = 0; index < endpointCount; index++) this.#repeatHeartbeat(`i-${index}`, index * heartbeatMs / endpointCount)
   }
 
   /** Starts all hosts and waits until each has settled on its source. */
@@ -89,7 +89,7 @@
   }
 
   /** Calls of a host that are open get no response; later ones do. */
-  hangOpenCalls (host: SimulatedHost, table: string): void {
+  holdOpenCalls (host: SimulatedHost, table: string): void {
     for (const [call, name] of host.openCalls) if (name === table) host.hungCalls.add(call)
   }
 
@@ -97,10 +97,10 @@
     for (const { task } of this.hosts) task.stop()
   }
 
-  #beat (id: string, delayMs: number): void {
+  #repeatHeartbeat (id: string, delayMs: number): void {
     this.clock.setTimer(() => {
       this.#rows.write({ table: endpointsTable, key: id, value: Buffer.from(`${this.clock.readMonotonic()}`) })
-      this.#beat(id, heartbeatMs)
+      this.#repeatHeartbeat(id, heartbeatMs)
     }, delayMs)
   }
 
--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -96,7 +96,7 @@
   const request = new ProxiedRequest(context, callerRequest, new CallerResponse(response as unknown as ServerResponse, () => {}))
   request.serve()
   const activity = { lastContactAtMs: 0, waitingSinceMs: undefined, connectFailingSinceMs: undefined }
-  const link = { busy: 0, hasRoom: true, activity, abandonSilent: () => {}, close: () => {}, send: (_request: OutgoingRequest, sender: ResponseReceiver) => { sendCount++; receiver = sender; return { cancel: () => { cancelCount++ }, resume: () => {} } }, probe: async () => 'open' as const }
+  const link = { busy: 0, hasRoom: true, activity, giveUpSilent: () => {}, close: () => {}, send: (_request: OutgoingRequest, sender: ResponseReceiver) => { sendCount++; receiver = sender; return { cancel: () => { cancelCount++ }, resume: () => {} } }, probe: async () => 'open' as const }
   const finishSelection = async (): Promise<void> => {
     resolveSelection({ kind: 'found', target: { endpoint: engine, link, version: 0, priority: undefined, isGranted: true, release: () => {} } })
     await sleep(settleMs)
--- a/src/adapters/endpointHttp/httpEndpointLink.ts
+++ b/src/adapters/endpointHttp/httpEndpointLink.ts
@@ -104,8 +104,8 @@
     })
   }
 
-  abandonSilent (sinceMs: number, reason: string): void {
-    for (const exchange of [...this.#busy.values()]) if ((exchange.silentSinceMs ?? Infinity) <= sinceMs) exchange.abandon(reason)
+  giveUpSilent (sinceMs: number, reason: string): void {
+    for (const exchange of [...this.#busy.values()]) if ((exchange.silentSinceMs ?? Infinity) <= sinceMs) exchange.giveUp(reason)
     this.#closeIdle()
   }
 
@@ -213,7 +213,7 @@
   }
 
   /** Ends a request that waits in vain, as one whose connection was lost. */
-  abandon (reason: string): void {
+  giveUp (reason: string): void {
     if (this.#state !== 'sent') return
     this.cancel()
     this.#options.receiver.receiveFailure({ kind: 'lost', reason })
--- a/src/ports/endpointLink.ts
+++ b/src/ports/endpointLink.ts
@@ -56,7 +56,7 @@
   /** Opens a connection and closes it again. */
   probe: () => Promise<ProbeResult>
   /** Fails the requests that have received nothing since a time, as their connections lead nowhere. */
-  abandonSilent: (sinceMs: number, reason: string) => void
+  giveUpSilent: (sinceMs: number, reason: string) => void
   close: () => void
 }
 
--- a/src/tasks/forwarding/requestForwarder.ts
+++ b/src/tasks/forwarding/requestForwarder.ts
@@ -42,7 +42,7 @@
 
   start (): void {
     const check = (): void => {
-      for (const { row } of this.#options.clusterView.hosts.values()) this.#abandonIfStopped(row)
+      for (const { row } of this.#options.clusterView.hosts.values()) this.#giveUpIfStopped(row)
       this.#timer = this.#options.clock.setTimer(check, checkIntervalMs)
     }
     check()
@@ -74,12 +74,12 @@
   }
 
   /** Gives up the requests at a host that has stopped or froze, so that they are tried elsewhere or answered. */
-  async #abandonIfStopped (row: HostRow): Promise<void> {
+  async #giveUpIfStopped (row: HostRow): Promise<void> {
     const { clock, isRunning } = this.#options
     const link = this.#links.get(row.session)
     if (!link || !isSilent(link, clock.readMonotonic()) || await isRunning(row.address) || !isSilent(link, clock.readMonotonic())) return
     this.recordFailure({ row, link })
-    link.abandonSilent(clock.readMonotonic() - maxSilenceMs, `host "${row.host}" does not respond`)
+    link.giveUpSilent(clock.readMonotonic() - maxSilenceMs, `host "${row.host}" does not respond`)
   }
 
   stop (): void {
--- a/src/tasks/proxy/reachabilityTask.ts
+++ b/src/tasks/proxy/reachabilityTask.ts
@@ -45,11 +45,9 @@
     this.#timer?.cancel()
   }
 
-  /** Whether this host can open no connection to an endpoint. */
+  /** Whether this host could open no connection to an endpoint at the last check. */
   isUnreachable (endpointId: string): boolean {
-    const { clock, links } = this.#options
-    const link = links.find(endpointId)
-    return link !== undefined && isUnreachable(link.activity, clock.readMonotonic())
+    return this.#unreachableIds.has(endpointId)
   }
 
   /** Whether this host reaches no endpoint of a service, as far as it knows. */
@@ -76,7 +74,7 @@
     const { clock, clusterView } = this.#options
     const nowMs = clock.readMonotonic()
     const endpoints = clusterView.endpoints.list(nowMs)
-    const unreachableIds = new Set(endpoints.filter(({ id }) => this.isUnreachable(id)).map(({ id }) => id))
+    const unreachableIds = new Set(endpoints.filter(({ id }) => this.#isLinkFailing(id, nowMs)).map(({ id }) => id))
     for (const endpoint of endpoints) {
       this.#logChange(endpoint, unreachableIds)
       this.#probeIfNeeded(endpoint, unreachableIds, nowMs)
@@ -86,11 +84,16 @@
     this.#updateStranded(endpoints.filter(({ isLeaving }) => !isLeaving), nowMs)
   }
 
+  #isLinkFailing (endpointId: string, nowMs: number): boolean {
+    const link = this.#options.links.find(endpointId)
+    return link !== undefined && isUnreachable(link.activity, nowMs)
+  }
+
   #updateStranded (endpoints: readonly EndpointEntry[], nowMs: number): void {
     // While every endpoint is in reach, as nearly always, there is nothing to find out.
     const services = this.#unreachableIds.size === 0 ? [] : [...new Set(endpoints.map(({ service }) => service))]
     this.#strandedServices = new Set(services.filter(service => this.#isNoneInReach(endpoints.filter(endpoint => endpoint.service === service), nowMs)))
-    for (const endpoint of endpoints) if (this.#strandedServices.has(endpoint.service)) this.#abandonSilent(endpoint, nowMs)
+    for (const endpoint of endpoints) if (this.#strandedServices.has(endpoint.service)) this.#giveUpSilent(endpoint, nowMs)
     const isHostStranded = this.#strandedServices.size > 0 && this.#isNoneInReach(endpoints, nowMs)
     if (isHostStranded === this.#isHostStranded) return
     this.#isHostStranded = isHostStranded
@@ -104,9 +107,9 @@
   }
 
   /** Requests whose connections lead nowhere are tried elsewhere or answered, rather than held until their deadlines. */
-  #abandonSilent ({ id }: EndpointEntry, nowMs: number): void {
+  #giveUpSilent ({ id }: EndpointEntry, nowMs: number): void {
     const link = this.#options.links.find(id)
-    if (link && this.#unreachableIds.has(id) && nowMs - link.activity.lastContactAtMs >= maxSilenceMs) link.abandonSilent(nowMs - maxSilenceMs, 'this host has lost its links to the endpoints of the service')
+    if (link && this.#unreachableIds.has(id) && nowMs - link.activity.lastContactAtMs >= maxSilenceMs) link.giveUpSilent(nowMs - maxSilenceMs, 'this host has lost its links to the endpoints of the service')
   }
 
   #logChange ({ id, service, address }: EndpointEntry, unreachableIds: ReadonlySet<string>): void {
