Don't take a host for stranded while endpoints that are only idle have not been probed

Two endpoints that failed at once, beside others to which nothing had been sent for 0.6 s, made a host take itself for stranded for a check or two: its requests went through other hosts, and it released its engines. Found by reading, in systems with little traffic.

Nothing heard counts now from the first failed connection on, and for 0.3 s, in which the idle ones answer a probe.

--- a/features/steps/strandedHosts.ts
+++ b/features/steps/strandedHosts.ts
@@ -5,6 +5,8 @@
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { LoopbackProxy } from '../../soak/loopbackProxy.js'
 import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
+import { isServiceStranded } from '../../src/core/endpointReachability.js'
+import type { LinkActivity } from '../../src/ports/endpointLink.js'
 import { RequestForwarder } from '../../src/tasks/forwarding/requestForwarder.js'
 import { decodeHostsRow, hostsTable } from '../../src/schemas/hostRows.js'
 import { isWhole } from '../../src/standin/fleet/fleetCaller.js'
@@ -21,6 +23,10 @@
   strandedHost: string
 }
 
+interface ActivitiesWorld {
+  activities: LinkActivity[]
+}
+
 interface ForwarderWorld {
   clock: VirtualClock
   silentMs: number
@@ -182,3 +188,16 @@
 Then(/^the forwarded request is (given up|not touched)$/, function (this: ForwarderWorld, fate: string) {
   assert.equal(this.givenUpSinceMs.length > 0, fate === 'given up')
 })
+
+Given('a service with two endpoints whose connections fail since {int} ms, and a third one', function (this: ActivitiesWorld, failingMs: number) {
+  const failing = { lastContactAtMs: -failingMs - 1000, waitingSinceMs: undefined, connectFailingSinceMs: -failingMs }
+  this.activities = [failing, failing]
+})
+
+When('the third was last heard {int} ms ago', function (this: ActivitiesWorld, heardMs: number) {
+  this.activities.push({ lastContactAtMs: -heardMs, waitingSinceMs: undefined, connectFailingSinceMs: undefined })
+})
+
+Then(/^the host (reaches|has lost) the service$/, function (this: ActivitiesWorld, state: string) {
+  assert.equal(isServiceStranded(this.activities, 0), state === 'has lost')
+})
--- a/features/strandedHosts.feature
+++ b/features/strandedHosts.feature
@@ -59,3 +59,14 @@
       | responds to no ping | 1500     | given up   |
       | responds to pings   | 1500     | not touched |
       | responds to no ping | 500      | not touched |
+
+  Scenario Outline: Two endpoints that fail strand no host whose third one is only idle
+    Given a service with two endpoints whose connections fail since <failingMs> ms, and a third one
+    When the third was last heard <heardMs> ms ago
+    Then the host <state> the service
+
+    Examples:
+      | failingMs | heardMs | state       |
+      | 50        | 5000    | reaches     |
+      | 400       | 200     | reaches     |
+      | 400       | 5000    | has lost    |
--- a/src/core/endpointReachability.ts
+++ b/src/core/endpointReachability.ts
@@ -40,16 +40,19 @@
 
 /**
  * Whether a host reaches none of a service's endpoints: all are unreachable, or some are and none has shown a sign of itself
- * for a while. `activities` has an entry for each endpoint, undefined for those that the host never used.
+ * since, in a time in which those that are only idle answer a probe. `activities` has an entry for each endpoint, undefined for
+ * those that the host never used.
  *
  * @example
  * isServiceStranded([{ lastContactAtMs: 0, waitingSinceMs: 10, connectFailingSinceMs: 800 }], 2000) // true
  */
 export function isServiceStranded (activities: readonly (LinkActivity | undefined)[], nowMs: number): boolean {
   const used = activities.filter(activity => activity !== undefined)
-  const unreachableCount = used.filter(activity => isUnreachable(activity, nowMs)).length
-  if (unreachableCount === 0 || unreachableCount < Math.min(minUnreachable, activities.length)) return false
-  return unreachableCount === activities.length || used.every(({ lastContactAtMs }) => nowMs - lastContactAtMs >= minFailingMs)
+  const unreachable = used.filter(activity => isUnreachable(activity, nowMs))
+  if (unreachable.length === 0 || unreachable.length < Math.min(minUnreachable, activities.length)) return false
+  if (unreachable.length === activities.length) return true
+  const failingSinceMs = Math.min(...unreachable.map(({ connectFailingSinceMs }) => connectFailingSinceMs!))
+  return nowMs - failingSinceMs >= silenceMs && used.every(({ lastContactAtMs }) => lastContactAtMs < failingSinceMs)
 }
 
 /** Whether any of the links has shown a sign of its endpoint just now. */
