--- a/src/tasks/proxy/logRequestEnd.ts
+++ b/src/tasks/proxy/logRequestEnd.ts
@@ -1,6 +1,6 @@
 /** Logs how a request ended, with all that explains it. */
 import { listSharedParts } from '../../core/sharedParts.js'
-import type { EventLog } from '../../ports/eventLog.js'
+import type { EventFields, EventLog } from '../../ports/eventLog.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
 import type { Route } from '../../schemas/routing.js'
 import type { ReservationSearch } from './endpointSelector.js'
@@ -27,12 +27,14 @@
   readonly selectionMs: number
   /** -1 if no part of a response has arrived. */
   readonly firstChunkMs: number
+  /** When the last attempt was written to its connection and its target was last heard; undefined where that is of no interest. */
+  readonly lastAttempt: { readonly sentAtMs: number | undefined, readonly lastContactAtMs: number } | undefined
   readonly configurationVersion: number | undefined
 }
 
 /** Records the end of a request; `outcome` is the last part of the line's kind. */
 export function logRequestEnd (log: EventLog, outcome: string, summary: RequestSummary): void {
-  const { request, route, hosts } = summary
+  const { request, route, hosts, lastAttempt } = summary
   log.record(`request.${outcome}`, 'A request has ended.', {
     requestId: request.requestId,
     content: summary.fingerprint,
@@ -58,7 +60,16 @@
     searches: [...summary.searches],
     placeMs: Math.round(summary.selectionMs),
     firstPartMs: Math.round(summary.firstChunkMs),
+    ...(lastAttempt && describeLastAttempt(lastAttempt, summary.nowMs)),
     tookMs: Math.round(summary.nowMs - request.receivedAtMs),
     configuration: summary.configurationVersion
   })
 }
+
+/** Milliseconds since the attempt was written and since its target was last heard; absent where neither has happened. */
+function describeLastAttempt ({ sentAtMs, lastContactAtMs }: NonNullable<RequestSummary['lastAttempt']>, nowMs: number): EventFields {
+  return {
+    ...(sentAtMs !== undefined && { sinceSentMs: Math.round(nowMs - sentAtMs) }),
+    ...(Number.isFinite(lastContactAtMs) && { sinceHeardMs: Math.round(nowMs - lastContactAtMs) })
+  }
+}
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -433,6 +433,7 @@
       searches: this.#reservationSearches,
       selectionMs: this.#selectionMs,
       firstChunkMs: this.#attempt?.firstChunkMs ?? -1,
+      lastAttempt: outcome === 'left' ? this.#attempt : undefined,
       configurationVersion: clusterView.routes?.configuration.version
     })
   }
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -42,7 +42,8 @@
   #startedAtMs = 0
   #firstChunkMs = -1
   #lastChunkAtMs: number | undefined
-  #isSent = false
+  /** When the request was written to its connection; undefined before. */
+  #sentAtMs: number | undefined
   #hasBegun = false
   /** Whether this attempt wrote the response head to the caller; an earlier attempt may have written it instead. */
   #hasWrittenHead = false
@@ -59,7 +60,17 @@
   }
 
   get isSent (): boolean {
-    return this.#isSent
+    return this.#sentAtMs !== undefined
+  }
+
+  /** When the request was written to its connection, in monotonic milliseconds; undefined before. */
+  get sentAtMs (): number | undefined {
+    return this.#sentAtMs
+  }
+
+  /** When anything last arrived from the target, in monotonic milliseconds; -Infinity if nothing did. */
+  get lastContactAtMs (): number {
+    return this.#options.target.link.activity.lastContactAtMs
   }
 
   /** Whether the endpoint has begun to write its answer: for a stream a whole event has arrived, otherwise a success response. */
@@ -108,8 +119,9 @@
   // ResponseReceiver
 
   confirmSend (): boolean {
-    this.#isSent = this.#options.target.isAvailable()
-    return this.#isSent
+    if (!this.#options.target.isAvailable()) return false
+    this.#sentAtMs = this.#context.clock.readMonotonic()
+    return true
   }
 
   receiveHead (status: number, rawHeaders: readonly string[]): void {
