Reset the connection of a request that ends before its response is complete

Callers saw requests sent on after they had left, and requests that were given up run beside their repetition: a cancelled request closed its connection in order, so that the kernel went on sending what the endpoint had not received, for as long as it retransmits. When a path that hung lived again, everything that callers had left meanwhile arrived. It is the same on links between hosts, which are of the same class.

Ends of requests are now resets, which drop what is in the send buffer.

The exchange is no longer aborted through undici as well: it took the end of the socket for the end of an aborted response and asserted.

--- a/src/adapters/endpointHttp/httpEndpointLink.ts
+++ b/src/adapters/endpointHttp/httpEndpointLink.ts
@@ -1,7 +1,9 @@
 /** A pool of HTTP/1.1 connections to one endpoint; each connection carries one request at a time. */
+import type { Socket } from 'node:net'
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { EndpointLink, LinkActivity, OutgoingRequest, ResponseReceiver, ProbeResult, RequestInFlight } from '../../ports/endpointLink.js'
+import { resetSocket } from '../tcp/resetSocket.js'
 
 export interface HttpEndpointLinkOptions {
   /** `ip:port`. */
@@ -40,6 +42,8 @@
 interface Connection {
   client: Client
   end: ConnectionEnd
+  /** Undefined until the connection is open. */
+  socket: Socket | undefined
   /** Id of the last request on the connection. */
   lastRequestId: string | undefined
 }
@@ -80,7 +84,7 @@
     connection.lastRequestId = request.id
     const { readNow } = this.#options
     const exchange = new Exchange({
-      receiver, end: connection.end, readNow, release: isReusable => this.#release(connection, isReusable), recordContact: () => { this.#lastContactAtMs = readNow() }
+      receiver, end: connection.end, readNow, release: isReusable => this.#release(connection, isReusable), reset: () => this.#reset(connection), recordContact: () => { this.#lastContactAtMs = readNow() }
     })
     this.#busy.set(connection, exchange)
     connection.client.dispatch({
@@ -134,6 +138,7 @@
     const [idle] = index < 0 ? [] : this.#idle.splice(index, 1)
     if (idle) return idle
     const end: ConnectionEnd = { hasEnded: false, wasReset: false }
+    const connection: Omit<Connection, 'client'> = { end, socket: undefined, lastRequestId: undefined }
     const client = new Client(`http://${this.#options.address}`, {
       pipelining: 1,
       connect: (options, callback) => {
@@ -141,6 +146,7 @@
         end.wasReset = false
         connectSocket(options, (error, socket) => {
           this.#recordConnection(!error)
+          connection.socket = socket ?? undefined
           socket?.on('end', () => {
             end.hasEnded = true
             // A reset that arrives together with data is reported as `end`. After a reset the socket has no remote address.
@@ -158,7 +164,13 @@
       keepAliveMaxTimeout: idleTimeoutMs,
       keepAliveTimeoutThreshold: idleMarginMs
     })
-    return { client, end, lastRequestId: undefined }
+    return Object.assign(connection, { client })
+  }
+
+  /** Closes the connection of a request that ends before its response is complete: whatever of it has not left this host never will. */
+  #reset (connection: Connection): void {
+    if (connection.socket) resetSocket(connection.socket)
+    this.#release(connection, false)
   }
 
   #release (connection: Connection, isReusable: boolean): void {
@@ -183,6 +195,8 @@
   end: ConnectionEnd
   readNow: () => number
   release: (isReusable: boolean) => void
+  /** Releases the connection by a reset. */
+  reset: () => void
   /** Called whenever anything of the response arrives. */
   recordContact: () => void
 }
@@ -208,8 +222,7 @@
   cancel (): void {
     if (this.#state === 'ended') return
     this.#end()
-    this.#controller?.abort(new Error('the request was cancelled'))
-    this.#options.release(false)
+    this.#options.reset()
   }
 
   /** Ends a request that waits in vain, as one whose connection was lost. */
--- a/src/ports/endpointLink.ts
+++ b/src/ports/endpointLink.ts
@@ -27,7 +27,10 @@
 }
 
 export interface RequestInFlight {
-  /** Closes the connection, so that the endpoint stops its work; the receiver is not called again. */
+  /**
+   * Resets the connection, so that the endpoint stops its work, and never gets the request if it has not yet; the receiver is not
+   * called again.
+   */
   cancel: () => void
   /** Continues the response after `receiveData` returned false. */
   resume: () => void
