Let a host that stood still notice the closes of callers before it sends their requests

Callers that left while a host was frozen, starved or held up saw their requests run afterwards: the loop reads a request that lay in the kernel and handles it at once; the close that lies behind it is read in the next turn and becomes known some turns later. In between the request was written to its endpoint.

A monitor finds by its own late check that the process stood still (400 ms; the rule's half second begins at the close). For ten turns of the loop after it, each request waits five turns before it is written, and one whose connection was opened meanwhile is withdrawn. Without a standstill nothing waits.

Evidence: a scenario with callers on a thread of their own, who leave while the process stands still for 1.5 s: all 6 requests reached an endpoint before, none now, and the host has lines for all 6.

--- a/features/departedCallers.feature
+++ b/features/departedCallers.feature
@@ -26,3 +26,8 @@
     And 16 callers send requests of all kinds to host 1 and leave after 200 ms
     And 1500 ms pass
     Then none of their requests began to run after they had left
+  Scenario: Requests that a process reads after it stood still, and whose callers have left, never run
+    Given 1 hosts with links of their own to 1 engines and 2 services
+    When the process stands still for 1500 ms, while 6 callers send a request, and leave 300 ms later
+    And 500 ms pass
+    Then none of their requests reached an endpoint
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -14,6 +14,7 @@
 import { CrashDetectionTask } from '../tasks/proxy/crashDetectionTask.js'
 import type { CrashDetectionTaskOptions } from '../tasks/proxy/crashDetectionTask.js'
 import { CallerListener } from '../tasks/proxy/callerListener.js'
+import type { CallerListenerOptions } from '../tasks/proxy/callerListener.js'
 import { EngineSelector } from '../tasks/proxy/engineSelector.js'
 import type { ProxyContext } from '../tasks/proxy/proxyContext.js'
 import { ProxiedRequest } from '../tasks/proxy/proxiedRequest.js'
@@ -21,11 +22,11 @@
 import type { ReservationClient } from '../tasks/proxy/reservationClient.js'
 import { ServiceSelector } from '../tasks/proxy/serviceSelector.js'
 import { createForwardedDecoder } from '../tasks/forwarding/forwardingHeaders.js'
-import type { DecodeRequest } from '../tasks/forwarding/forwardingHeaders.js'
 import { RequestForwarder } from '../tasks/forwarding/requestForwarder.js'
 import { EndpointLinks } from '../tasks/proxy/endpointLinks.js'
 import { EndpointSelector } from '../tasks/proxy/endpointSelector.js'
 import { ReachabilityTask } from '../tasks/proxy/reachabilityTask.js'
+import { StandstillMonitor } from '../tasks/eventLoop/standstillMonitor.js'
 import type { StreamOrigins } from '../tasks/streams/streamOrigins.js'
 import type { NoticeComponents } from './createNoticeComponents.js'
 
@@ -50,6 +51,7 @@
   forwardingListener: CallerListener
   forwarder: RequestForwarder
   reachability: ReachabilityTask
+  standstill: StandstillMonitor
   /** Applies a new configuration. */
   applyConfiguration: () => void
   /** Refuses requests with this fingerprint, of a content or a prompt part, that was found to crash endpoints. */
@@ -91,6 +93,7 @@
   const endpointSelector = new EndpointSelector({
     clock, clusterView, notices, engineSelector, serviceSelector, isUnreachable: endpointId => reachability.isUnreachable(endpointId), isRecordedVersion: endpoint => streamOrigins.isRecordedVersion(endpoint), random, getLink
   })
+  const standstill = new StandstillMonitor({ clock, log })
   const callerTimeouts = new CallerTimeouts()
   const inFlightRequests = new InFlightRequests()
   const crashDetection = new CrashDetectionTask({
@@ -110,32 +113,22 @@
     notices,
     noticeTask,
     forwarder,
+    standstill,
     streamOrigins,
     random,
     encodeRequestHeaders,
     decodeAnswerHead,
     encodeRefusalHeaders
   }
-  const createListener = (address: string, decode: DecodeRequest): CallerListener => new CallerListener({
-    address,
-    clock,
-    log,
-    decodeRequest: decode,
-    getLimits: () => clusterView.routes?.configuration.limits,
-    maxBufferedBytes: settings.memoryMb * 1024 * 1024 * bufferedBodiesMemoryFraction,
-    handleRequest: (request, response) => {
-      const proxiedRequest = new ProxiedRequest(context, request, response)
-      proxiedRequest.serve()
-      return proxiedRequest
-    }
-  })
-  const callerListener = createListener(settings.callersAddress, decodeRequest)
-  const forwardingListener = createListener(formatForwardingAddress(own.address), createForwardedDecoder(decodeRequest))
+  const maxBufferedBytes = settings.memoryMb * 1024 * 1024 * bufferedBodiesMemoryFraction
+  const callerListener = createListener(context, { address: settings.callersAddress, decodeRequest, maxBufferedBytes })
+  const forwardingListener = createListener(context, { address: formatForwardingAddress(own.address), decodeRequest: createForwardedDecoder(decodeRequest), maxBufferedBytes })
   return {
     callerListener,
     forwardingListener,
     forwarder,
     reachability,
+    standstill,
     refuse: fingerprint => inFlightRequests.refuse(fingerprint),
     receiveCrash: crash => crashDetection.receiveCrash(crash),
     receiveEntry: (endpointId, entry) => crashDetection.receiveEntry(endpointId, entry),
@@ -146,3 +139,18 @@
     }
   }
 }
+
+function createListener (context: ProxyContext, options: Pick<CallerListenerOptions, 'address' | 'decodeRequest' | 'maxBufferedBytes'>): CallerListener {
+  const { clock, log, clusterView } = context
+  return new CallerListener({
+    ...options,
+    clock,
+    log,
+    getLimits: () => clusterView.routes?.configuration.limits,
+    handleRequest: (request, response) => {
+      const proxiedRequest = new ProxiedRequest(context, request, response)
+      proxiedRequest.serve()
+      return proxiedRequest
+    }
+  })
+}
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -25,7 +25,6 @@
 import { createCountingLog, HostMetrics } from '../tasks/hostMetrics/hostMetrics.js'
 import { startMetricsServer } from '../tasks/hostMetrics/metricsServer.js'
 import { ReservationClient } from '../tasks/proxy/reservationClient.js'
-import { StandstillMonitor } from '../tasks/eventLoop/standstillMonitor.js'
 import type { LeaseTask } from '../tasks/leases/leaseTask.js'
 import { logClusterViewChange } from '../tasks/clusterView/logClusterViewChange.js'
 import { ClusterViewTask } from '../tasks/clusterView/clusterViewTask.js'
@@ -213,8 +212,6 @@
   const { leaseTask, storeOutageDetector, isolationMonitor, renewalCollector, renewalClient } = leaseComponents
   const countEndpoints = (): number => clusterView.endpoints.list(clock.readMonotonic()).length
 
-  const standstillMonitor = new StandstillMonitor({ clock, log })
-
   const relayServer = await startRelayServer({
     address: settings.peersAddress, clock, mirror, store, getStoreAgeMs: () => clusterViewTask.storeAgeMs, listTableAges: () => clusterViewTask.listTableAges(), isStoreReachable: () => clusterViewTask.isStoreReachable
   })
@@ -222,7 +219,7 @@
   await requestProxy.forwardingListener.start()
   const readinessServer = await startReadinessServer(settings.readinessAddress, () => clusterView.routes !== undefined && !isolationMonitor.isIsolated && countEndpoints() > 0)
   const metricsServer = options.metricsPort === undefined ? undefined : await startMetricsServer(`${settings.address}:${options.metricsPort}`, metrics)
-  for (const task of [standstillMonitor, clusterViewTask, leaseTask, storeOutageDetector, isolationMonitor, requestProxy.reachability, requestProxy.forwarder, suspectTasks, streamTasks]) task.start()
+  for (const task of [requestProxy.standstill, clusterViewTask, leaseTask, storeOutageDetector, isolationMonitor, requestProxy.reachability, requestProxy.forwarder, suspectTasks, streamTasks]) task.start()
   log.record('host.started', 'The host has started.', { zone: settings.zone, address: settings.address })
 
   return {
@@ -230,7 +227,7 @@
     reload: () => log.record('settings.reloaded', 'The settings file has changed; its store settings and bounds take effect at the next start.', {}),
     stop: async () => {
       await drainHost({ settings, clock, log, readinessServer, requestProxy, leaseTask })
-      for (const task of [standstillMonitor, storeOutageDetector, isolationMonitor, requestProxy.reachability, renewalCollector, renewalClient, clusterViewTask, reservations, suspectTasks, streamTasks, metrics]) task.stop()
+      for (const task of [requestProxy.standstill, storeOutageDetector, isolationMonitor, requestProxy.reachability, renewalCollector, renewalClient, clusterViewTask, reservations, suspectTasks, streamTasks, metrics]) task.stop()
       datagrams.close()
       relayServer.close()
       await Promise.all([store.close(), relay.close()])
--- a/src/tasks/eventLoop/standstillMonitor.ts
+++ b/src/tasks/eventLoop/standstillMonitor.ts
@@ -1,4 +1,8 @@
-/** Detects that the process stood still: stopped, starved of the processor, or held up by one long turn of its event loop. */
+/**
+ * Detects that the process stood still: stopped, starved of the processor, or held up by one long turn of its event loop. What arrived
+ * meanwhile, requests and the closes of their callers alike, is read in the next turns.
+ */
+import { setImmediate as waitForTurn } from 'node:timers/promises'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 
@@ -13,6 +17,10 @@
 }
 
 const checkIntervalMs = 100
+/** In these turns connections are accepted, requests read and closes noticed that came during a standstill. */
+const catchUpTurns = 10
+/** The close of a caller is noticed at the latest this many turns after its request was read, if it had come by then. */
+const closeTurns = 5
 /** A check that comes this long after the one before tells that the process stood still. */
 const minStandstillMs = 400
 
@@ -20,6 +28,8 @@
   #options: StandstillMonitorOptions
   #lastCheck: ClockReadings
   #timer: Timer | undefined
+  /** Standstills after which not everything has been read yet that arrived meanwhile. */
+  #standstills = 0
 
   constructor (options: StandstillMonitorOptions) {
     this.#options = options
@@ -39,12 +49,35 @@
     this.#timer?.cancel()
   }
 
+  /** Whether requests may have been read whose callers' closes have not. */
+  get isCatchingUp (): boolean {
+    this.#detectStandstill()
+    return this.#standstills > 0
+  }
+
+  /** Resolves when the closes are known of callers that have left before a request was read which is in hand now. */
+  async waitForCloses (): Promise<void> {
+    for (let turn = 0; turn < closeTurns; turn++) await waitForTurn()
+  }
+
   #check (): void {
-    const { monotonicMs, wallMs } = this.#computeSinceCheck()
+    this.#detectStandstill()
     this.#lastCheck = this.#readClocks()
+  }
+
+  #detectStandstill (): void {
+    const { monotonicMs, wallMs } = this.#computeSinceCheck()
     // The monotonic clock does not count the time for which a machine was suspended; the time of day does.
     if (Math.max(monotonicMs, wallMs) < minStandstillMs) return
     this.#options.log.record('process.stoodStill', 'The process stood still; requests that arrived meanwhile may be of callers that have left.', { standstillMs: Math.round(monotonicMs), wallMs: Math.round(wallMs) })
+    this.#lastCheck = this.#readClocks()
+    this.#catchUp()
+  }
+
+  async #catchUp (): Promise<void> {
+    this.#standstills++
+    for (let turn = 0; turn < catchUpTurns; turn++) await waitForTurn()
+    this.#standstills--
   }
 
   #computeSinceCheck (): ClockReadings {
--- a/src/tasks/proxy/proxyContext.ts
+++ b/src/tasks/proxy/proxyContext.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from '../../ports/eventLog.js'
 import type { ResponseHead, CallerRequest, SystemRequestFields } from '../../schemas/callerRequest.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
+import type { StandstillMonitor } from '../eventLoop/standstillMonitor.js'
 import type { RequestForwarder } from '../forwarding/requestForwarder.js'
 import type { StreamOrigins } from '../streams/streamOrigins.js'
 import type { CrashDetectionTask } from './crashDetectionTask.js'
@@ -47,6 +48,7 @@
   notices: EndpointNotices
   noticeTask: EndpointNoticeTask
   forwarder: Pick<RequestForwarder, 'isStranded' | 'selectPeer' | 'recordFailure' | 'recordResponse'>
+  standstill: Pick<StandstillMonitor, 'isCatchingUp' | 'waitForCloses'>
   streamOrigins: Pick<StreamOrigins, 'recordBegun' | 'recordEnded' | 'resolve'>
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   random: () => number
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -95,17 +95,20 @@
 
   async run (): Promise<AttemptResult> {
     const { request, target, timeLeftMs, lastEventId } = this.#options
-    const { clock, health } = this.#context
+    const { clock, health, standstill } = this.#context
     this.#startedAtMs = clock.readMonotonic()
     const result = new Promise<AttemptResult>(resolve => { this.#resolve = resolve })
     health.recordRequestStart(target.id)
-    this.#requestInFlight = target.link.send({
-      id: request.requestId,
-      method: request.method,
-      path: request.path,
-      headers: target.encodeHeaders(request, timeLeftMs, lastEventId),
-      body: request.body
-    }, this)
+    if (standstill.isCatchingUp) await standstill.waitForCloses()
+    if (!this.#isFinished) {
+      this.#requestInFlight = target.link.send({
+        id: request.requestId,
+        method: request.method,
+        path: request.path,
+        headers: target.encodeHeaders(request, timeLeftMs, lastEventId),
+        body: request.body
+      }, this)
+    }
     return await result
   }
 
@@ -119,7 +122,8 @@
   // ResponseReceiver
 
   confirmSend (): boolean {
-    if (!this.#options.target.isAvailable()) return false
+    // The caller may have left while the connection was opened and the process stood still.
+    if (this.#context.standstill.isCatchingUp || !this.#options.target.isAvailable()) return false
     this.#sentAtMs = this.#context.clock.readMonotonic()
     return true
   }
