End a request that follows another one on its connection when its caller leaves

A caller that sends requests in a row on one connection and leaves had the first one cancelled, while the others ran to their ends: a response of Node.js that waits for its turn on the connection reports no close. Its request was counted as in progress for ever, so that a planned stop waited for it until the end of the grace.

The listener now ends all requests of a connection when the connection closes. It also no longer closes a connection after its first answer in a stop while a later request on it is in progress.

Evidence: the scenario of two streams in a row ended with one run 'left' and one 'running' before, both 'left' now.

--- a/features/departedCallers.feature
+++ b/features/departedCallers.feature
@@ -31,3 +31,8 @@
     When the process stands still for 1500 ms, while 6 callers send a request, and leave 300 ms later
     And 500 ms pass
     Then none of their requests reached an endpoint
+
+  Scenario: The second of two requests in a row on a connection ends with its caller
+    Given 1 hosts with links of their own to 1 engines and 1 services
+    When a caller sends two streams in a row on one connection, and leaves while both run
+    Then both runs end within 500 ms
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -36,9 +36,8 @@
 export class CallerListener {
   #options: CallerListenerOptions
   #server: Server
-  #sockets = new Set<Socket>()
-  /** Connections with a request in progress. */
-  #activeSockets = new Set<Socket>()
+  /** What ends each request in progress, by its connection. */
+  #sockets = new Map<Socket, Set<() => void>>()
   /** `bytesRead` of a connection when it became idle; a greater value now means that a request is arriving. */
   #bytesReadAtIdle = new WeakMap<Socket, number>()
   #activeRequests = 0
@@ -51,8 +50,13 @@
     this.#options = options
     this.#server = createServer({ maxHeaderSize: maxHeadBytes, requestTimeout: 0 }, (message, response) => this.#receiveRequest(message, response))
     this.#server.on('connection', socket => {
-      this.#sockets.add(socket)
-      socket.on('close', () => this.#sockets.delete(socket))
+      const endRequests = new Set<() => void>()
+      this.#sockets.set(socket, endRequests)
+      socket.on('close', () => {
+        this.#sockets.delete(socket)
+        // The response to a request that follows another one on its connection reports no close before its turn.
+        for (const endRequest of endRequests) endRequest()
+      })
     })
     this.#server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => {
       response.writeContinue()
@@ -110,13 +114,13 @@
 
   close (): void {
     this.#server.close()
-    for (const socket of this.#sockets) socket.destroy()
+    for (const socket of this.#sockets.keys()) socket.destroy()
   }
 
   /** A request that arrives while its connection is being closed is never read, so its caller knows that it did not run. */
   #closeIdleConnections (): void {
-    for (const socket of this.#sockets) {
-      if (this.#activeSockets.has(socket) || socket.bytesRead > (this.#bytesReadAtIdle.get(socket) ?? 0)) continue
+    for (const [socket, { size }] of this.#sockets) {
+      if (size > 0 || socket.bytesRead > (this.#bytesReadAtIdle.get(socket) ?? 0)) continue
       socket.destroy()
     }
   }
@@ -129,20 +133,23 @@
     let handle: RequestHandle | undefined
     let hasDisconnected = false
     const { socket } = message
-    this.#activeSockets.add(socket)
+    const endRequests = this.#sockets.get(socket)!
     let bodyBytes = 0
-    response.on('close', () => {
-      this.#activeRequests--
-      this.#activeSockets.delete(socket)
-      this.#bytesReadAtIdle.set(socket, socket.bytesRead)
-      this.#bufferedBytes -= bodyBytes
-      // A further request on this connection might take longer than the time left until shutdown.
-      if (this.#isClosingIdle) socket.destroySoon()
-    })
     const callerResponse = new CallerResponse(response, () => {
       hasDisconnected = true
       handle?.receiveCallerDisconnect()
     })
+    const endRequest = (): void => {
+      if (!endRequests.delete(endRequest)) return
+      this.#activeRequests--
+      this.#bytesReadAtIdle.set(socket, socket.bytesRead)
+      this.#bufferedBytes -= bodyBytes
+      callerResponse.receiveClose()
+      // A further request on this connection might take longer than the time left until shutdown.
+      if (this.#isClosingIdle && endRequests.size === 0) socket.destroySoon()
+    }
+    endRequests.add(endRequest)
+    response.on('close', endRequest)
     message.on('data', (chunk: Buffer) => {
       bodyBytes += chunk.length
       this.#bufferedBytes += chunk.length
--- a/src/tasks/proxy/callerResponse.ts
+++ b/src/tasks/proxy/callerResponse.ts
@@ -3,19 +3,23 @@
 
 export class CallerResponse {
   #response: ServerResponse
+  #onCallerDisconnect: () => void
   #isEnded = false
 
   constructor (response: ServerResponse, onCallerDisconnect: () => void) {
     this.#response = response
-    response.on('close', () => {
-      if (this.#isEnded) return
-      this.#isEnded = true
-      onCallerDisconnect()
-    })
-    // The `close` event that follows an error is handled above.
+    this.#onCallerDisconnect = onCallerDisconnect
+    // The close that follows an error is passed to `receiveClose`.
     response.on('error', () => {})
   }
 
+  /** Receives that the connection has closed, or that the response has been sent. */
+  receiveClose (): void {
+    if (this.#isEnded) return
+    this.#isEnded = true
+    this.#onCallerDisconnect()
+  }
+
   get isEnded (): boolean {
     return this.#isEnded
   }
