Don't deliver an order after it has timed out

The same cause as that of requests sent on after their callers have left: an order that timed out closed its connection in order, so that one written while the path hung reached its engine when the path lived again, when another host may own the engine.

Calls to an engine follow each other on one connection; the one that was written and has no response resets it when its time is up. Orders that were accepted and carried out late by the engine itself are as before.

Evidence: a scenario in which an order times out on a path that hangs and lives again 0.3 s later: the engine got it before, and does not now.

--- a/features/departedCallers.feature
+++ b/features/departedCallers.feature
@@ -13,6 +13,12 @@
       | cancelled |
       | given up  |
 
+  Scenario: An order that timed out while its path hung is not delivered when the path lives again
+    Given an endpoint behind a path that hangs
+    When an order is sent to it, which times out after 200 ms
+    And the path lives again
+    Then the endpoint gets no whole request
+
   Scenario: A request that is larger than the buffers of its connection is not written to its end after it was cancelled
     Given an endpoint behind a relay that reads nothing
     When a request of 32000000 bytes is written to it
--- a/features/steps/departedCallers.ts
+++ b/features/steps/departedCallers.ts
@@ -9,6 +9,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { LoopbackProxy } from '../../soak/loopbackProxy.js'
 import { openHttpEndpointLink } from '../../src/adapters/endpointHttp/httpEndpointLink.js'
+import { createEngineOrders } from '../../src/platform/engineOrders.js'
 import { encodeCallerRequestHeaders } from '../../src/platform/standinWire.js'
 import type { EndpointLink, RequestInFlight, ResponseReceiver } from '../../src/ports/endpointLink.js'
 import { createRequestId } from '../../src/standin/fleet/fleetCaller.js'
@@ -116,6 +117,13 @@
   await sleep(Number(ms))
 })
 
+When('an order is sent to it, which times out after {int} ms', async function (this: HangingWorld, ms: number) {
+  const orders = createEngineOrders('i-1', this.path.address)
+  const outcome = await orders.send({ kind: 'load', model: 'base', adapter: 'a1', version: 1, expectedCount: 0 }, { host: 'host-1', fencing: 1 }, ms)
+  assert.equal(outcome.verdict, 'unknown')
+  orders.close()
+})
+
 When('the path lives again', async function (this: HangingWorld) {
   this.path.setFault('none')
   await sleep(300)
--- a/src/platform/engineOrders.ts
+++ b/src/platform/engineOrders.ts
@@ -1,6 +1,9 @@
 /** HTTP client that sends orders to an engine and reads its state reports. */
-import { Client } from 'undici'
+import type { Socket } from 'node:net'
+import { buildConnector, Client } from 'undici'
+import type { Dispatcher } from 'undici'
 import VError from 'verror'
+import { resetSocket } from '../adapters/tcp/resetSocket.js'
 import type { EngineOrder, EngineOrders, EngineState, OrderHolder, EngineOrderOutcome } from '../ports/engineOrders.js'
 import { decodeEngineReport } from './decodeEndpoint.js'
 import { wireHeaders, wirePaths } from './wireNames.js'
@@ -20,27 +23,74 @@
  * await orders.send({ kind: 'load', model: 'base', adapter: 'a3', version: 2, expectedCount: 7 }, { host: 'front-1', fencing: 41 })
  */
 export function createEngineOrders (endpointId: string, address: string): EngineOrders {
-  const client = new Client(`http://${address}`, {
-    pipelining: 1, connect: { timeout: connectTimeoutMs }, headersTimeout: 0, bodyTimeout: 0, maxResponseSize: maxResponseBytes
-  })
+  const connection = new EngineConnection(address)
   return {
-    send: async (order, holder, timeoutMs) => await sendOrder(client, endpointId, order, holder, timeoutMs),
-    readState: async () => await readState(client, endpointId),
-    close: () => { client.destroy() }
+    send: async (order, holder, timeoutMs) => await sendOrder(connection, endpointId, order, holder, timeoutMs),
+    readState: async () => await readState(connection, endpointId),
+    close: () => connection.close()
   }
 }
 
-async function sendOrder (client: Client, endpointId: string, order: EngineOrder, holder: OrderHolder, timeoutMs: number): Promise<EngineOrderOutcome> {
+/** One connection, on which calls follow each other. */
+class EngineConnection {
+  #client: Client
+  #socket: Socket | undefined
+  /** Calls without a response yet, in the order in which they are written. */
+  #unanswered = new Set<AbortController>()
+
+  constructor (address: string) {
+    const connectSocket = buildConnector({ timeout: connectTimeoutMs })
+    this.#client = new Client(`http://${address}`, {
+      pipelining: 1,
+      connect: (options, callback) => {
+        connectSocket(options, (...result) => {
+          this.#socket = result[1] ?? undefined
+          callback(...result)
+        })
+      },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      maxResponseSize: maxResponseBytes
+    })
+  }
+
+  async call (options: Dispatcher.RequestOptions, timeoutMs: number): Promise<{ status: number, body: Buffer }> {
+    const call = new AbortController()
+    this.#unanswered.add(call)
+    const timer = setTimeout(() => this.#endLateCall(call), timeoutMs)
+    try {
+      const response = await this.#client.request({ ...options, signal: call.signal })
+      this.#unanswered.delete(call)
+      return { status: response.statusCode, body: Buffer.from(await response.body.arrayBuffer()) }
+    } finally {
+      clearTimeout(timer)
+      this.#unanswered.delete(call)
+    }
+  }
+
+  /** An order that has not reached the engine yet must not do so later, when another host may own the engine. */
+  #endLateCall (call: AbortController): void {
+    const [written] = this.#unanswered
+    if (written === call && this.#socket && !this.#socket.destroyed) resetSocket(this.#socket)
+    else call.abort(new VError('the engine did not answer in time'))
+  }
+
+  close (): void {
+    this.#client.destroy().catch(() => {
+      // The calls that it ends report it themselves.
+    })
+  }
+}
+
+async function sendOrder (connection: EngineConnection, endpointId: string, order: EngineOrder, holder: OrderHolder, timeoutMs: number): Promise<EngineOrderOutcome> {
   try {
-    const response = await client.request({
+    const { status, body } = await connection.call({
       method: 'POST',
       path: wirePaths.order,
       headers: { 'content-type': 'application/json', [wireHeaders.expectEndpoint]: endpointId },
-      body: JSON.stringify(encodeOrder(order, holder)),
-      signal: AbortSignal.timeout(timeoutMs)
-    })
-    const reason = (await response.body.text()).slice(0, 200)
-    return decodeOrderOutcome(response.statusCode, reason)
+      body: JSON.stringify(encodeOrder(order, holder))
+    }, timeoutMs)
+    return decodeOrderOutcome(status, body.toString('utf8').slice(0, 200))
   } catch (error) {
     const { code = '', message } = error as NodeJS.ErrnoException
     if (notSentErrorCodes.has(code)) return { verdict: 'refused', cause: 'unavailable', reason: message }
@@ -72,12 +122,9 @@
   return { verdict: 'unknown', reason: `the engine answered with status ${status}` }
 }
 
-async function readState (client: Client, endpointId: string): Promise<EngineState> {
-  const response = await client.request({
-    method: 'GET', path: wirePaths.report, headers: { [wireHeaders.expectEndpoint]: endpointId }, signal: AbortSignal.timeout(reportTimeoutMs)
-  })
-  const body = new Uint8Array(await response.body.arrayBuffer())
-  const state = response.statusCode === 200 ? decodeEngineReport(body) : undefined
-  if (!state) throw new VError('engine "%s" answered with status %d and without a readable report', endpointId, response.statusCode)
+async function readState (connection: EngineConnection, endpointId: string): Promise<EngineState> {
+  const { status, body } = await connection.call({ method: 'GET', path: wirePaths.report, headers: { [wireHeaders.expectEndpoint]: endpointId } }, reportTimeoutMs)
+  const state = status === 200 ? decodeEngineReport(body) : undefined
+  if (!state) throw new VError('engine "%s" answered with status %d and without a readable report', endpointId, status)
   return state
 }
