Take up a stream only where its service's software versions are known

Operators of similar systems report streams that went on at a worker of another version, at a host that was cut off or stood still while a release began. It can happen here: StreamOrigins answered 'any' where the store did not respond in 150 ms or was unavailable and the host's own view had one version. And where there was one version, the request was not bound to it, so that an endpoint of a second one, which showed while the request waited, could go on with it.

Unknown is an answer of its own now. A host whose store does not respond asks up to 16 others by a ping which versions they know (a field that hosts of the last landing ignore, and do not send back). If half of them reply and all know one version, the stream goes on at that version, which is written to the request; if one knows a second version, the record decides; if fewer reply, the take-up is refused with a time to come back, as this host may be the one that missed a version. So takes-up go on while the store is away for all.

--- /dev/null
+++ b/features/outOfStepHosts.feature
@@ -0,0 +1,26 @@
+Feature: Hosts that may have missed a software version
+  A host that was cut off or stood still knows one software version of a service where there are two by now. A stream that another host
+  began is taken up there only if the store or most other hosts tell that there is one version.
+
+  Scenario Outline: A take-up goes on at any version at a host that is out of step
+    Given a host that knows software version "v1" of a service, and 4 other hosts
+    When the store <store>, and the other hosts know "<versions>"
+    And a caller takes up a stream that another host began
+    Then it <outcome>
+
+    Examples:
+      | store            | versions            | outcome                             |
+      | tells "v1"       |                     | goes on at version "v1"             |
+      | tells "v1 v2"    |                     | is refused                          |
+      | is silent        | v1, v1, v1, v1      | goes on at version "v1"             |
+      | is silent        | v1, v1, ?, ?        | goes on at version "v1"             |
+      | is silent        | v1, v1, v1 v2, v1   | is refused                          |
+      | is silent        | v2, v2, v2, v2      | is refused                          |
+      | is silent        | v1, ?, ?, ?         | is refused with a time to come back |
+      | is silent        | ?, ?, ?, ?          | is refused with a time to come back |
+      | is unavailable   | v1, v1, v1, ?       | goes on at version "v1"             |
+      | is unavailable   | ?, ?, ?, ?          | is refused with a time to come back |
+
+  Scenario: Hosts of two builds understand each other's pings
+    Then a host of the earlier build accepts a ping that asks for software versions
+    And the reply of a host of the earlier build is accepted, and tells no software versions
--- /dev/null
+++ b/features/steps/outOfStepHosts.ts
@@ -0,0 +1,84 @@
+/** Steps of hosts that may have missed a software version of a service. */
+import assert from 'node:assert/strict'
+import { Type } from '@sinclair/typebox'
+import { Value } from '@sinclair/typebox/value'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
+import { ClusterView } from '../../src/core/clusterView.js'
+import { decodePlatformRow } from '../../src/platform/decodePlatformRow.js'
+import { encodeConfigurationRow, encodeEndpointRow } from '../../src/platform/standinWire.js'
+import type { Store, StoreRow } from '../../src/ports/store.js'
+import type { CallerRequest } from '../../src/schemas/callerRequest.js'
+import { pingSchema, pongSchema } from '../../src/schemas/datagram.js'
+import { encodeHostsRow, formatServiceVersionsKey, hostsTable } from '../../src/schemas/hostRows.js'
+import { createConfiguration, engineService } from '../../src/standin/fleet/startFleet.js'
+import { PeerVersions } from '../../src/tasks/streams/peerVersions.js'
+import { StreamOrigins } from '../../src/tasks/streams/streamOrigins.js'
+import type { StreamResolution } from '../../src/tasks/streams/streamOrigins.js'
+
+interface OutOfStepWorld {
+  clusterView: ClusterView
+  store: Pick<Store, 'readRow'>
+  isStoreUnavailable: boolean
+  /** What each other host replies; undefined for one that does not. */
+  replies: Array<string[] | undefined>
+  resolution: StreamResolution
+}
+
+Given('a host that knows software version {string} of a service, and {int} other hosts', function (this: OutOfStepWorld, version: string, peers: number) {
+  this.clusterView = new ClusterView(decodePlatformRow)
+  this.clusterView.applyRow({ ...encodeConfigurationRow(createConfiguration(1, 4)), version: 1 }, performance.now())
+  this.clusterView.applyRow({
+    ...encodeEndpointRow({ id: 'i-1', service: engineService, address: '127.0.0.1:1', zone: 'a', isLeaving: false, goneInMs: undefined, places: 16, softwareVersion: version, startedAtMs: 1, models: [], orderCount: 0 }), version: 2
+  }, performance.now())
+  this.replies = Array.from({ length: peers }, () => undefined)
+})
+
+When(/^the store (?:tells "([^"]*)"|is (silent|unavailable)), and the other hosts know "([^"]*)"$/, function (this: OutOfStepWorld, told: string | undefined, state: string | undefined, versions: string) {
+  const row: StoreRow = { table: hostsTable, key: formatServiceVersionsKey(engineService), version: 3, value: encodeHostsRow({ service: engineService, versions: (told ?? '').split(' ') }) }
+  this.store = {
+    readRow: async (table, key) => {
+      if (state) throw new Error('the store does not respond')
+      return table === row.table && key === row.key ? row : undefined
+    }
+  }
+  this.isStoreUnavailable = state === 'unavailable'
+  if (versions !== '') this.replies = versions.split(', ').map(reply => reply === '?' ? undefined : reply.split(' '))
+})
+
+When('a caller takes up a stream that another host began', async function (this: OutOfStepWorld) {
+  const log = { record: () => {} }
+  const peerVersions = new PeerVersions({
+    log, listPeers: () => this.replies.map((_, index) => String(index)), askPeer: async address => this.replies[Number(address)], random: Math.random
+  })
+  const origins = new StreamOrigins({
+    clock: createSystemClock(), log, clusterView: this.clusterView, store: this.store, isStoreUnavailable: () => this.isStoreUnavailable, findPeerVersions: async service => await peerVersions.find(service), saveRecords: () => {}, entryDelayMs: 1000
+  })
+  const route = this.clusterView.routes!.configuration.routes.find(({ name }) => name === 'resumable')!
+  const request = { requestId: 'b', resumedRequestId: 'a', callerKey: '' } as unknown as CallerRequest
+  this.resolution = await origins.resolve(request, route, engineService)
+})
+
+Then('it goes on at version {string}', function (this: OutOfStepWorld, version: string) {
+  assert.deepEqual(this.resolution, { kind: 'version', origin: { service: engineService, version } })
+})
+
+Then(/^it is refused( with a time to come back)?$/, function (this: OutOfStepWorld, withTime: string | undefined) {
+  assert.equal(this.resolution.kind, 'unknown')
+  if (withTime) assert.ok(this.resolution.kind === 'unknown' && this.resolution.retryAfterMs! > 0)
+})
+
+/** As hosts of commit a9a0bd0 read and write them. */
+const earlierPing = Type.Object({ type: Type.Literal('ping'), echo: Type.Integer() })
+const earlierPong = { type: 'pong', echo: 1, session: 'a', storeAgeMs: 10 }
+
+Then('a host of the earlier build accepts a ping that asks for software versions', function () {
+  const ping = { type: 'ping', echo: 1, service: engineService }
+  assert.ok(Value.Check(pingSchema, ping))
+  assert.ok(Value.Check(earlierPing, ping))
+})
+
+Then('the reply of a host of the earlier build is accepted, and tells no software versions', function () {
+  assert.ok(Value.Check(pongSchema, earlierPong))
+  assert.equal(Value.Cast(pongSchema, earlierPong).softwareVersions, undefined)
+})
--- a/features/steps/softwareVersions.ts
+++ b/features/steps/softwareVersions.ts
@@ -251,6 +251,7 @@
     clusterView: this.clusterView,
     store: { readRow: async () => undefined },
     isStoreUnavailable: () => false,
+    findPeerVersions: async () => undefined,
     saveRecords: records => { this.saved.push(...records) },
     entryDelayMs: 1000
   })
--- a/src/bin/createStreamTasks.ts
+++ b/src/bin/createStreamTasks.ts
@@ -7,6 +7,8 @@
 import type { HostMessage } from '../schemas/datagram.js'
 import type { HostRow } from '../schemas/hostRows.js'
 import type { StreamRecords, StreamRecordsSaved } from '../schemas/streamRows.js'
+import { PeerVersions } from '../tasks/streams/peerVersions.js'
+import type { PeerVersionsOptions } from '../tasks/streams/peerVersions.js'
 import { ServiceVersionTask } from '../tasks/streams/serviceVersionTask.js'
 import { StreamOrigins } from '../tasks/streams/streamOrigins.js'
 import { StreamRecordClient } from '../tasks/streams/streamRecordClient.js'
@@ -25,6 +27,8 @@
   /** Applies a row to this host's own view. */
   applyRow: (row: StoreRow) => void
   send: (address: string, message: HostMessage) => void
+  /** The software versions of a service that the host at an address knows; undefined if it does not reply, or cannot say. */
+  askPeer: PeerVersionsOptions['askPeer']
   /** Interval at which endpoints rewrite their entries. */
   heartbeatMs: number
 }
@@ -45,11 +49,11 @@
  * Creates the tasks of one host.
  *
  * @example
- * const tasks = createStreamTasks({ clock, log, own, clusterView, store, transact, isStoreUnavailable, applyRow, send, heartbeatMs })
- * await tasks.origins.resolve(request, route) // { kind: 'version', origin: { service: 'llm-pool', version: 'v1.1' } }
+ * const tasks = createStreamTasks({ clock, log, own, clusterView, store, transact, isStoreUnavailable, applyRow, send, askPeer, heartbeatMs })
+ * await tasks.origins.resolve(request, route, 'llm-pool') // { kind: 'version', origin: { service: 'llm-pool', version: 'v1.1' } }
  */
 export function createStreamTasks (options: StreamTasksOptions): StreamTasks {
-  const { clock, log, own, clusterView, store, transact, isStoreUnavailable, applyRow, send, heartbeatMs } = options
+  const { clock, log, own, clusterView, store, transact, isStoreUnavailable, applyRow, send, askPeer, heartbeatMs } = options
   const listHosts = (): HostRow[] => [...clusterView.hosts.values()].map(({ row }) => row)
   const recorder = new StreamRecorder({ clock, log, transact, countRecorders: () => countStreamRecorders(listHosts()) })
   const client: StreamRecordClient = new StreamRecordClient({
@@ -60,8 +64,11 @@
       else send(address, message)
     }
   })
+  const peerVersions = new PeerVersions({
+    log, listPeers: () => listHosts().filter(({ host, isLeaving }) => host !== own.host && !isLeaving).map(({ address }) => address), askPeer, random: Math.random
+  })
   const origins = new StreamOrigins({
-    clock, log, clusterView, store, isStoreUnavailable, saveRecords: records => client.record(records), entryDelayMs: entryDelayHeartbeats * heartbeatMs
+    clock, log, clusterView, store, isStoreUnavailable, findPeerVersions: async service => await peerVersions.find(service), saveRecords: records => client.record(records), entryDelayMs: entryDelayHeartbeats * heartbeatMs
   })
   const versionTask = new ServiceVersionTask({ clock, log, own, clusterView, transact, applyRow })
   const sweeper = new StreamRowSweeper({ clock, log, own, listHosts, store, isMixed: () => origins.hasMixedService, remove: keys => recorder.remove(keys) })
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -6,6 +6,7 @@
 import { createHttpRelay } from '../adapters/relay/httpRelay.js'
 import { ClusterView } from '../core/clusterView.js'
 import type { ClusterViewChange, DecodeUpdate } from '../core/clusterView.js'
+import { listServiceVersions } from '../core/serviceVersions.js'
 import { UpdateSourceList } from '../core/updateSources.js'
 import { RowMirror } from '../core/rowMirror.js'
 import type { IsEquivalentValue } from '../core/rowMirror.js'
@@ -17,7 +18,6 @@
 import type { EventLog } from '../ports/eventLog.js'
 import type { Relay } from '../ports/relay.js'
 import type { Store, StoreOutcome, StoreTransaction } from '../ports/store.js'
-import type { HostMessage } from '../schemas/datagram.js'
 import type { HostSettings } from '../schemas/hostSettings.js'
 import { renewalsTable } from '../schemas/hostRows.js'
 import { createPausableOrders } from '../tasks/allocation/pausableOrders.js'
@@ -110,12 +110,12 @@
   })
   const context = { clock, log, own, clusterView, store }
   const transact = async (transaction: StoreTransaction): Promise<StoreOutcome> => await leaseComponents.storeAccess.transact(transaction)
-  const send = (address: string, message: HostMessage): void => datagrams.send(address, message)
   const isStoreUnavailable = (): boolean => clusterViewTask.isStale
   const peers: PeerTask = new PeerTask({
     clock,
     datagrams,
     own,
+    listServiceVersions: service => listServiceVersions(clusterView, service, clock.readMonotonic()),
     getStoreAgeMs: () => Math.min(clusterViewTask.directStoreAgeMs, clusterViewTask.storeAgeMs),
     receiveAllocationMessage: (message, sender, reply) => allocationTask.receiveMessage(message, sender, reply),
     receiveReservationReply: reply => reservations.receiveReply(reply),
@@ -130,7 +130,7 @@
   const suspectTasks = createSuspectTasks({
     ...context,
     listHosts: () => [...clusterView.hosts.values()].map(host => host.row),
-    send,
+    send: (address, message) => datagrams.send(address, message),
     transact,
     isStoreUnavailable,
     random: Math.random,
@@ -164,7 +164,7 @@
     findFencingToken: endpointId => leaseComponents.leaseTask.findFencingToken(endpointId)
   })
   const streamTasks = createStreamTasks({
-    ...context, transact, isStoreUnavailable, applyRow: row => mirror.applyLocalWrite(row), send, heartbeatMs: settings.heartbeatMs
+    ...context, transact, isStoreUnavailable, applyRow: row => mirror.applyLocalWrite(row), send: (address, message) => datagrams.send(address, message), askPeer: async (address, service) => (await peers.pingHost(address, service))?.softwareVersions, heartbeatMs: settings.heartbeatMs
   })
   const requestProxy: RequestProxy = createRequestProxy({
     own, isHostRunning: async address => await peers.pingHost(address) !== undefined, settings, clock, log, clusterView, reservations, suspects: suspectTasks.checks, noticeComponents, streamOrigins: streamTasks.origins, reportCrash: suspectTasks.reportCrash
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -181,13 +181,20 @@
 export const releaseConfirmationSchema = Type.Object({ type: Type.Literal('doneReceived'), ids: Type.Array(Type.Integer()) })
 
 /** Checks whether a host's process is running; the reply returns `echo`. */
-export const pingSchema = Type.Object({ type: Type.Literal('ping'), echo: Type.Integer() })
+export const pingSchema = Type.Object({
+  type: Type.Literal('ping'),
+  echo: Type.Integer(),
+  /** A service whose software versions are asked for. */
+  service: Type.Optional(Type.String())
+})
 export const pongSchema = Type.Object({
   type: Type.Literal('pong'),
   echo: Type.Integer(),
   session: Type.String(),
   /** Milliseconds since the host itself last reached the store. */
-  storeAgeMs: Type.Number()
+  storeAgeMs: Type.Number(),
+  /** Software versions of the service that was asked for, as the host knows them; hosts of earlier versions leave it out. */
+  softwareVersions: Type.Optional(Type.Array(Type.String()))
 })
 
 /** A host asks the renewal collector to write its renewal; a repeated request with the same id is written once. */
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -9,6 +9,8 @@
   datagrams: Datagrams
   own: { address: string, host: string, session: string }
   getStoreAgeMs: () => number
+  /** Lists the software versions of a service that this host knows. */
+  listServiceVersions: (service: string) => string[]
   /** Passes a reservation message (request, release, report) to the allocators; `answer` sends a reply to its sender. */
   receiveAllocationMessage: (message: HostMessage, sender: DatagramSender, answer: (message: ReservationReply) => void) => void
   /** Receives an owner's reply to a reservation request of this host. */
@@ -31,6 +33,8 @@
   readonly session: string
   /** Milliseconds since it last had state of the store, or since its start if it never had; undefined where it has just started. */
   readonly storeAgeMs: number | undefined
+  /** Software versions of the service that was asked for; undefined if none was, or if the host cannot say. */
+  readonly softwareVersions: readonly string[] | undefined
 }
 
 /** A host that replies to none of `pingCount` pings, sent at equal intervals within this time, counts as not running. */
@@ -78,8 +82,8 @@
     else datagrams.send(address, renewal)
   }
 
-  /** Pings the host at an IP address; undefined where it does not reply. */
-  async pingHost (address: string): Promise<HostPingReply | undefined> {
+  /** Pings the host at an IP address, and asks for the software versions of a service if one is named; undefined where it does not reply. */
+  async pingHost (address: string, service?: string): Promise<HostPingReply | undefined> {
     const { clock, datagrams } = this.#options
     const echo = this.#nextEcho++
     return await new Promise<HostPingReply | undefined>(resolve => {
@@ -96,7 +100,7 @@
           return
         }
         sentCount++
-        datagrams.send(address, { type: 'ping', echo })
+        datagrams.send(address, { type: 'ping', echo, ...(service !== undefined && { service }) })
         timer = clock.setTimer(sendNext, pingTimeoutMs / pingCount)
       }
       this.#pendingPings.set(echo, settle)
@@ -123,10 +127,12 @@
     } else if (message.type === 'doneReceived') {
       receiveReleaseConfirmation(message.ids)
     } else if (message.type === 'ping') {
-      datagrams.send(sender.address, { type: 'pong', echo: message.echo, session: own.session, storeAgeMs: this.#computeReportedAgeMs() })
+      datagrams.send(sender.address, {
+        type: 'pong', echo: message.echo, session: own.session, storeAgeMs: this.#computeReportedAgeMs(), ...(message.service !== undefined && { softwareVersions: this.#options.listServiceVersions(message.service) })
+      })
     } else if (message.type === 'pong') {
-      const { session, storeAgeMs } = message
-      this.#pendingPings.get(message.echo)?.({ session, storeAgeMs: storeAgeMs === unknownAgeMs ? undefined : storeAgeMs })
+      const { session, storeAgeMs, softwareVersions } = message
+      this.#pendingPings.get(message.echo)?.({ session, storeAgeMs: storeAgeMs === unknownAgeMs ? undefined : storeAgeMs, softwareVersions })
     } else if (message.type === 'limit') {
       this.#options.receiveLimitStatement(message.endpointId, message)
     } else if (message.type === 'streams') {
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -135,16 +135,14 @@
 
   /** Finds the software version that began the stream which the caller takes up; refuses the request if it is unknown. */
   async #resolveStream (route: Route): Promise<boolean> {
-    const resolution = await this.#context.streamOrigins.resolve(this.#request, route)
+    const resolution = await this.#context.streamOrigins.resolve(this.#request, route, this.#service)
     if (this.#hasEnded) return false
     if (resolution.kind === 'unknown') {
       this.#respond(503, 'stream_unknown', resolution.reason, resolution.retryAfterMs)
       return false
     }
-    if (resolution.kind === 'version') {
-      this.#service = resolution.origin.service
-      this.#softwareVersion = resolution.origin.version
-    }
+    this.#service = resolution.origin.service
+    this.#softwareVersion = resolution.origin.version
     return true
   }
 
--- a/src/tasks/streams/streamOrigins.ts
+++ b/src/tasks/streams/streamOrigins.ts
@@ -18,21 +18,21 @@
   clusterView: ClusterView
   store: Pick<Store, 'readRow'>
   isStoreUnavailable: () => boolean
+  /** Finds the software versions of a service that other hosts know; undefined if most of them do not reply. */
+  findPeerVersions: (service: string) => Promise<string[] | undefined>
   /** Writes where streams were begun to the store. */
   saveRecords: (records: readonly StreamRecord[]) => void
   /** For this long the entry of an endpoint may tell the software version of its former process. */
   entryDelayMs: number
 }
 
-/** `any`: the service has had one software version, so every endpoint can go on. */
 export type StreamResolution =
-  | { readonly kind: 'any' }
   | { readonly kind: 'version', readonly origin: StreamOrigin }
   | { readonly kind: 'unknown', readonly reason: string, readonly retryAfterMs: number | undefined }
 
 /** The store responds in 4 ms, or in 200 ms when it is slow; a caller that waits for longer had better begin anew. */
 const readTimeoutMs = 400
-/** Without a response in this time, a service counts for what the host's own view says. */
+/** Without a response in this time, other hosts are asked. */
 const confirmTimeoutMs = 150
 /** A host that runs writes the record of a stream within this time. */
 const recordDelayMs = 200
@@ -108,8 +108,8 @@
     return this.#mixedServices.size > 0
   }
 
-  /** Finds the version that began the stream which a request takes up. */
-  async resolve (request: CallerRequest, route: Route): Promise<StreamResolution> {
+  /** Finds the version that began the stream which a request takes up; `service` is the one that goes on with it if each has one version. */
+  async resolve (request: CallerRequest, route: Route, service: string): Promise<StreamResolution> {
     const services = route.targets.map(({ service }) => service)
     const key = request.resumedRequestId === undefined ? undefined : computeStreamKey(request.resumedRequestId, request, route)
     const own = key === undefined ? undefined : this.#begun.find(key, this.#options.clock.readMonotonic())
@@ -117,10 +117,15 @@
     if (this.#lookupCount >= maxLookups) return createUnknown('too many streams are being looked up', retryAfterMs)
     this.#lookupCount++
     try {
-      if (!await this.#mayBeMixed(services)) return { kind: 'any' }
-      return key === undefined
-        ? createUnknown('it does not name the request that brought its first event', undefined)
-        : await this.#lookUp(key, services)
+      const versions = await Promise.all(services.map(async name => await this.#findVersions(name)))
+      if (versions.some(found => found !== undefined && found.length > 1)) {
+        return key === undefined ? createUnknown('it does not name the request that brought its first event', undefined) : await this.#lookUp(key, services)
+      }
+      const [version] = versions[services.indexOf(service)] ?? []
+      // While every service has had one version, any of its endpoints can go on.
+      return version !== undefined && !versions.includes(undefined)
+        ? { kind: 'version', origin: { service, version } }
+        : createUnknown('this host does not know which software versions its service has', retryAfterMs)
     } finally {
       this.#lookupCount--
     }
@@ -131,21 +136,28 @@
     return listServiceVersions(clusterView, service, clock.readMonotonic()).length > 1
   }
 
-  /** Whether streams of the services may have been begun at several versions; the store may know of one that this host has not seen. */
-  async #mayBeMixed (services: readonly string[]): Promise<boolean> {
-    const { clock, clusterView, isStoreUnavailable, log, store } = this.#options
-    if (services.some(service => this.#isMixed(service))) return true
-    if (isStoreUnavailable()) return false
+  /**
+   * Finds the versions that a service's streams may have been begun at: those that this host knows, and unless these are several also
+   * those that the store tells or, if it does not respond, other hosts. Undefined if neither can be asked: this host may have missed one.
+   */
+  async #findVersions (service: string): Promise<string[] | undefined> {
+    const { clock, clusterView, findPeerVersions } = this.#options
+    if (this.#isMixed(service)) return listServiceVersions(clusterView, service, clock.readMonotonic())
+    const confirmed = await this.#readVersions(service) ?? await findPeerVersions(service)
+    return confirmed && [...new Set([...confirmed, ...listServiceVersions(clusterView, service, clock.readMonotonic())])]
+  }
+
+  /** Reads the versions of a service from the store; undefined if it does not respond in time. */
+  async #readVersions (service: string): Promise<string[] | undefined> {
+    const { isStoreUnavailable, log, store } = this.#options
+    if (isStoreUnavailable()) return undefined
     try {
-      const rows = await Promise.all(services.map(async service => await store.readRow(hostsTable, formatServiceVersionsKey(service), confirmTimeoutMs)))
-      return rows.some((row, index) => {
-        const decoded = row?.value && decodeHostsRow(row.key, row.value)
-        const known = listServiceVersions(clusterView, services[index]!, clock.readMonotonic())
-        return decoded?.kind === 'versions' && new Set([...decoded.row.versions, ...known]).size > 1
-      })
+      const row = await store.readRow(hostsTable, formatServiceVersionsKey(service), confirmTimeoutMs)
+      const decoded = row?.value && decodeHostsRow(row.key, row.value)
+      return decoded?.kind === 'versions' ? [...decoded.row.versions] : []
     } catch (error) {
-      log.record('stream.versionsUnconfirmed', 'Could not read the software versions of a service; its streams go on by what this host knows.', { services: [...services], error: (error as Error).message })
-      return false
+      log.record('stream.versionsUnconfirmed', 'Could not read the software versions of a service from the store; other hosts are asked.', { service, error: (error as Error).message })
+      return undefined
     }
   }
 
