Test answers whose head stops half-way, at every place and at whole hosts

Operators of similar systems report a 200 with an empty or short body, framed as whole, where a worker stopped in the middle of its answer's head and closed. It can't happen here: the link takes the answer for lost.

The scenarios keep it so: heads that stop at each place on a kept connection, and at whole hosts of which half of the heads stop half-way, also where the requests are sent through another host. They passed as soon as they were written, so they guard and show no fault.

--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -16,6 +16,10 @@
   errors: number
   /** Answers that break off by a reset. */
   cuts: number
+  /** Answers, streams too, that stop in the middle of their head. */
+  headCuts: number
+  /** Whether the connection of a cut head is reset rather than closed. */
+  resetsHeads: boolean
   /** Answers, streams too, with neither a length nor chunks that end with their connection. */
   unframed: number
   /** HTTP version that unframed answers state. */
@@ -57,7 +61,7 @@
   limit: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -251,6 +255,11 @@
         finish('broken')
         response.writeHead(500, headers).end('failed')
       }, workMs / 2)
+    } else if (this.faults.headCuts > 0 && random() < this.faults.headCuts) {
+      setTimeout(() => {
+        finish('broken')
+        this.#cutHead(request, headers)
+      }, workMs / 2)
     } else if (engine && this.#isCrashedBy(marks)) {
       response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' }).flushHeaders()
       setTimeout(() => { if (!response.destroyed) this.crash() }, this.faults.eventMs || engine.options.eventMs)
@@ -263,6 +272,16 @@
     }
   }
 
+  /** Ends the connection somewhere before the blank line that ends the head. */
+  #cutHead ({ socket }: IncomingMessage, headers: Record<string, string>): void {
+    const { random, engine } = this.#options
+    const framing: Record<string, string> = engine ? { 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' } : { 'content-length': '5' }
+    const head = `HTTP/1.1 200 OK\r\n${formatHeaders({ ...headers, ...framing })}`
+    const part = head.slice(0, 1 + Math.floor(random() * head.length))
+    if (this.faults.resetsHeads) socket.write(part, () => socket.resetAndDestroy())
+    else socket.end(part)
+  }
+
   #isCrashedBy ({ sharedParts, adapter }: ReceivedHeaders): boolean {
     const { crashParts, crashAdapter } = this.faults
     return sharedParts.some(part => crashParts.includes(part)) && (crashAdapter === '' || crashAdapter === adapter)
