Answer what a stopping host cannot complete, and leave it to others

Operators of similar systems report requests that came late in the grace of a planned stop, were passed on, and were cut with no answer at its end, among them requests that may not be repeated.

A stopping host now estimates how long the requests of a route take, as TCP estimates round trips, and refuses at once, as not run, what can end neither by that estimate nor by its deadline before the host does. Endpoints are given no more time than the host has left. What has not ended then is answered: 502 where it may have run, 503 where it has not, a stream is broken off; another host that sent a request here is told that a third one may serve it.

Evidence: stoppingHosts.feature.

--- /dev/null
+++ b/features/stoppingHosts.feature
@@ -0,0 +1,26 @@
+Feature: Requests at a host that stops
+  Whatever a host has read is answered before its connection closes, and what it cannot complete in time is left to other hosts.
+
+  Scenario: Requests that are still in progress at the end of the grace are cut without an answer
+    Given 2 hosts with 4000 ms to stop before 1 engine and 2 services
+    When every endpoint takes requests and answers nothing
+    And 8 requests of all kinds with a deadline of 20000 ms are sent to host 1
+    And host 1 stops
+    Then each of them is answered with 502, and runs at most once
+
+  Scenario: A request that comes late in the grace and cannot end in time is passed on
+    Given 2 hosts with 5000 ms to stop before 1 engine and 2 services
+    When streams take 3500 ms at host 1, as several have shown
+    And host 1 stops, and 2400 ms later a stream and a call with a deadline of 20000 ms are sent to it
+    Then the stream is refused within 500 ms with a time to come back, and never runs
+    And the call is answered as a whole
+
+  Scenario Outline: The time that a route's requests take is estimated too low
+    Given requests that took <times> ms
+    Then nearly all are expected to end within <estimate> ms
+
+    Examples:
+      | times                        | estimate |
+      | 400                          | 1200     |
+      | 100, 100, 100, 100, 100, 100 | 147      |
+      | 100, 100, 100, 900           | 1084     |
--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -84,6 +84,7 @@
     notices: { isAcceptingRequests: () => true } as unknown as ProxyContext['notices'],
     noticeTask: { recordSend: () => {} } as unknown as ProxyContext['noticeTask'],
     streamOrigins: { recordBegun: () => {}, recordEnded: () => {}, resolve: async () => ({ kind: 'unknown' as const, reason: 'no stream is taken up here', retryAfterMs: undefined }) },
+    shutdown: { endsAtMs: Infinity, canComplete: () => true, recordServed: () => {} },
     standstill: { isCatchingUp: false, waitForCloses: async () => {} },
     forwarder: { isStranded: () => false, selectPeer: () => undefined, recordFailure: () => {}, recordResponse: () => {} },
     random: () => 0,
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -25,6 +25,7 @@
 import { RequestForwarder } from '../tasks/forwarding/requestForwarder.js'
 import { EndpointLinks } from '../tasks/proxy/endpointLinks.js'
 import { EndpointSelector } from '../tasks/proxy/endpointSelector.js'
+import { ShutdownAdmission } from '../tasks/proxy/shutdownAdmission.js'
 import { ReachabilityTask } from '../tasks/proxy/reachabilityTask.js'
 import { StandstillMonitor } from '../tasks/eventLoop/standstillMonitor.js'
 import type { StreamOrigins } from '../tasks/streams/streamOrigins.js'
@@ -52,6 +53,7 @@
   forwarder: RequestForwarder
   reachability: ReachabilityTask
   standstill: StandstillMonitor
+  shutdown: ShutdownAdmission
   /** Applies a new configuration. */
   applyConfiguration: () => void
   /** Refuses requests with this fingerprint, of a content or a prompt part, that was found to crash endpoints. */
@@ -93,6 +95,7 @@
   const endpointSelector = new EndpointSelector({
     clock, clusterView, notices, engineSelector, serviceSelector, isUnreachable: endpointId => reachability.isUnreachable(endpointId), isRecordedVersion: endpoint => streamOrigins.isRecordedVersion(endpoint), random, getLink
   })
+  const shutdown = new ShutdownAdmission(clock)
   const standstill = new StandstillMonitor({ clock, log })
   const callerTimeouts = new CallerTimeouts()
   const inFlightRequests = new InFlightRequests()
@@ -113,6 +116,7 @@
     notices,
     noticeTask,
     forwarder,
+    shutdown,
     standstill,
     streamOrigins,
     random,
@@ -128,6 +132,7 @@
     forwardingListener,
     forwarder,
     reachability,
+    shutdown,
     standstill,
     refuse: fingerprint => inFlightRequests.refuse(fingerprint),
     receiveCrash: crash => crashDetection.receiveCrash(crash),
@@ -135,7 +140,9 @@
     applyConfiguration: () => {
       callerListener.applyLimits()
       forwardingListener.applyLimits()
-      callerTimeouts.retainRoutes(new Set(clusterView.routes?.configuration.routes.map(route => route.name)))
+      const routes = new Set(clusterView.routes?.configuration.routes.map(route => route.name))
+      callerTimeouts.retainRoutes(routes)
+      shutdown.retainRoutes(routes)
     }
   }
 }
--- a/src/core/retryRules.ts
+++ b/src/core/retryRules.ts
@@ -42,3 +42,13 @@
   if (!isRetryable(context.kind, context.isResumable) || context.possibleRuns >= context.maxAttempts) return false
   return !context.hasSentAnswer || context.kind === 'stream'
 }
+
+/**
+ * Whether a request may have run but got no valid, complete response, for example because its endpoint crashed.
+ *
+ * @example
+ * isInterrupted({ verdict: 'mayHaveRun', reason: 'the connection was reset', status: undefined }) // true
+ */
+export function isInterrupted ({ verdict, status }: AttemptFailure): boolean {
+  return verdict === 'mayHaveRun' && status === undefined
+}
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -16,6 +16,8 @@
   errors: number
   /** Answers that break off by a reset. */
   cuts: number
+  /** Requests that are run and never answered. */
+  silentRuns: number
   /** Answers, streams too, that stop in the middle of their head. */
   headCuts: number
   /** Whether the connection of a cut head is reset rather than closed. */
@@ -61,7 +63,7 @@
   limit: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -250,6 +252,7 @@
     }
     response.on('close', () => finish('left'))
     const headers = encodeEndpointResponseHeaders(run.requestId, `signed by ${id}`, { isLeaving: this.faults.isLeaving, limit: this.faults.limit, brittle: this.faults.brittle })
+    if (this.faults.silentRuns > 0 && random() < this.faults.silentRuns) return
     if (random() < this.faults.errors) {
       setTimeout(() => {
         finish('broken')
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -24,18 +24,24 @@
 export interface RequestHandle {
   /** Called when the caller has disconnected. */
   receiveCallerDisconnect: () => void
+  /** Called when this host stops; ends the request. */
+  receiveStop: () => void
 }
 
 /** Used until a configuration is known. The published configurations have the same values. */
 const defaultLimits: CallerLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
 /** Node.js limit on the size of a request head; fixed at startup, so it exceeds the configured limit, which may change. */
 const maxHeadBytes = 64 * 1024
+/** Time to write the last answers. */
+const answerMs = 200
 /** Interval at which `drain` checks the open connections. */
 const drainCheckIntervalMs = 50
 
 export class CallerListener {
   #options: CallerListenerOptions
   #server: Server
+  /** Requests in progress that have been read. */
+  #handles = new Set<RequestHandle>()
   /** What ends each request in progress, by its connection. */
   #sockets = new Map<Socket, Set<() => void>>()
   /** `bytesRead` of a connection when it became idle; a greater value now means that a request is arriving. */
@@ -112,6 +118,12 @@
     }
   }
 
+  /** Ends the requests that are left, so that each of their callers gets an answer, and resolves when these have been written. */
+  async stop (): Promise<void> {
+    for (const handle of this.#handles) handle.receiveStop()
+    await this.drain(0, answerMs)
+  }
+
   close (): void {
     this.#server.close()
     for (const socket of this.#sockets.keys()) socket.destroy()
@@ -145,6 +157,7 @@
       this.#bytesReadAtIdle.set(socket, socket.bytesRead)
       this.#bufferedBytes -= bodyBytes
       callerResponse.receiveClose()
+      if (handle) this.#handles.delete(handle)
       // A further request on this connection might take longer than the time left until shutdown.
       if (this.#isClosingIdle && endRequests.size === 0) socket.destroySoon()
     }
@@ -158,6 +171,7 @@
       if (hasDisconnected) return
       if (this.#isKeepAliveDisabled) response.shouldKeepAlive = false
       handle = this.#options.handleRequest(this.#options.decodeRequest(message, body, receivedAtMs), callerResponse)
+      this.#handles.add(handle)
     })
   }
 
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -1,5 +1,5 @@
 /** Serves one request of a caller: finds its route, sends it to endpoints until one responds, and relays the response. */
-import { canRetryAttempt } from '../../core/retryRules.js'
+import { canRetryAttempt, isInterrupted } from '../../core/retryRules.js'
 import type { AttemptFailure } from '../../core/retryRules.js'
 import type { InFlightRequest } from '../../core/inFlightRequests.js'
 import { computeRequestFingerprint } from '../../core/requestFingerprint.js'
@@ -18,6 +18,7 @@
 import { logRequestEnd } from './logRequestEnd.js'
 import { isEndpointAvailable } from './endpointAvailability.js'
 import { RequestRetries } from './requestRetries.js'
+import { computeDueTimes, computeSpentMs } from './dueTimes.js'
 import { ForwardingAttempts } from './forwardingAttempts.js'
 import type { CallerResponse } from './callerResponse.js'
 import type { ProxyContext } from './proxyContext.js'
@@ -30,6 +31,11 @@
 /** When callers may come back whose service no host reaches. */
 const unreachableRetryMs = 500
 const unreachableCode = 'unreachable'
+/** When callers may come back whose request this host cannot complete before it stops; other hosts can. */
+const stoppingRetryMs = 100
+const stoppingCode = 'stopping'
+/** What other hosts may serve that have sent the request here. */
+const elsewhereCodes: ReadonlySet<string> = new Set([unreachableCode, stoppingCode, 'no_configuration'])
 /** Interval at which a request checks again while this host is starting or the owner of an engine is changing. */
 const transientCheckIntervalMs = 50
 /** Other hosts object within this time if they know the prompt parts of an interrupted request to be sound. */
@@ -104,8 +110,15 @@
     if (this.#refuseIfCrashing()) this.#attempt?.cancel()
   }
 
+  /** Called when this host stops: tells the caller what has become of its request. */
+  receiveStop (): void {
+    const isSent = this.#isSending && this.#attempt!.isSent
+    this.#attempt?.cancel()
+    this.#giveUp({ verdict: isSent ? 'mayHaveRun' : 'notRun', reason: 'this host has stopped', status: undefined }, stoppingRetryMs, stoppingCode)
+  }
+
   async serve (): Promise<void> {
-    const { clusterView, clock, retryBudget, random, inFlightRequests } = this.#context
+    const { clusterView, clock, callerTimeouts, retryBudget, random, inFlightRequests } = this.#context
     const request = this.#request
     while (!clusterView.routes && await this.#waitForTransient()) { /* A host that is starting receives its first cluster updates shortly. */ }
     if (this.#hasEnded) return
@@ -122,7 +135,7 @@
     this.#fingerprint = computeRequestFingerprint(request)
     this.#suspectParts = listSuspectParts(request, clusterView.findAdapterVersion(request.model, request.adapter))
     this.#service = this.#request.forwarded?.service ?? pickService(route.targets, random()) ?? ''
-    this.#dueAtMs = request.receivedAtMs + route.targetMs - this.#computeSpentMs(route, request)
+    this.#dueAtMs = request.receivedAtMs + route.targetMs - computeSpentMs(callerTimeouts, route, request)
     this.#deadlineAtMs = request.receivedAtMs + Math.min(request.timeLeftMs ?? defaultTimeLeftMs, route.timeoutMs)
     this.#timer = clock.setTimer(() => this.#receiveTimeout(), this.#deadlineAtMs - clock.readMonotonic())
     // The host that forwards a request counts it.
@@ -170,40 +183,35 @@
     return true
   }
 
-  #listFingerprints (): string[] {
-    return [this.#fingerprint, ...this.#suspectParts.map(formatPartFingerprint)]
+  /** Gives the request up if it cannot be expected to end before this host stops; returns false if it may run. */
+  #refuseIfStopping (route: Route): boolean {
+    if (this.#hasEnded || this.#context.shutdown.canComplete(route, this.#deadlineAtMs)) return this.#hasEnded
+    this.#giveUp({ verdict: 'notRun', reason: 'this host stops before the request can be expected to end', status: undefined }, stoppingRetryMs, stoppingCode)
+    return true
   }
 
-  /** Estimates how long the caller has been trying; a caller that retries has been waiting since its first attempt. */
-  #computeSpentMs (route: Route, { timeLeftMs }: CallerRequest): number {
-    if (timeLeftMs === undefined) return 0
-    const { callerTimeouts } = this.#context
-    callerTimeouts.recordTimeLeft(route.name, timeLeftMs)
-    return callerTimeouts.estimateElapsedMs(route.name, timeLeftMs)
+  #getDeadlineAtMs (): number {
+    return Math.min(this.#deadlineAtMs, this.#context.shutdown.endsAtMs)
   }
 
-  /** Computes when the response is due; for a resumed stream, relative to the last chunk that its caller received. */
-  #computeDueTimes (route: Route): { dueAtMs: number, abandonAtMs: number } {
-    const lastChunkAtMs = this.#lastChunkAtMs
-    return lastChunkAtMs === undefined
-      ? { dueAtMs: this.#dueAtMs, abandonAtMs: this.#request.receivedAtMs + route.patienceMs }
-      : { dueAtMs: lastChunkAtMs + (route.maxGapMs ?? route.targetMs), abandonAtMs: lastChunkAtMs + route.patienceMs }
+  #listFingerprints (): string[] {
+    return [this.#fingerprint, ...this.#suspectParts.map(formatPartFingerprint)]
   }
 
   async #run (route: Route): Promise<void> {
     const { clock } = this.#context
-    while (!this.#refuseIfCrashing()) {
+    while (!this.#refuseIfCrashing() && !this.#refuseIfStopping(route)) {
       if (this.#context.forwarder.isStranded(this.#service)) {
         if (!await this.#forward(route)) return
         continue
       }
       const selectionStartedAtMs = clock.readMonotonic()
       const selection = await this.#context.endpointSelector.selectEndpoint({
-        request: this.#request, route, service: this.#service, softwareVersion: this.#softwareVersion, isResumed: this.#request.isResumption || this.#response.hasHead, attemptedEndpointIds: this.#attemptedEndpointIds, ...this.#computeDueTimes(route), deadlineAtMs: this.#deadlineAtMs, hasEnded: () => this.#hasEnded
+        request: this.#request, route, service: this.#service, softwareVersion: this.#softwareVersion, isResumed: this.#request.isResumption || this.#response.hasHead, attemptedEndpointIds: this.#attemptedEndpointIds, ...computeDueTimes({ request: this.#request, route, dueAtMs: this.#dueAtMs, lastChunkAtMs: this.#lastChunkAtMs }), deadlineAtMs: this.#getDeadlineAtMs(), hasEnded: () => this.#hasEnded
       })
       this.#selectionMs += clock.readMonotonic() - selectionStartedAtMs
       if (selection.search) this.#reservationSearches.push(selection.search)
-      if (this.#hasEnded || this.#refuseIfCrashing()) {
+      if (this.#hasEnded || this.#refuseIfCrashing() || this.#refuseIfStopping(route)) {
         if (selection.kind === 'found') selection.target.release('withdrawn', -1)
         return
       }
@@ -246,7 +254,7 @@
       isResumable: route.isResumable,
       possibleRuns: this.#runCount,
       maxAttempts: route.maxAttempts,
-      timeLeftMs: this.#deadlineAtMs - this.#context.clock.readMonotonic(),
+      timeLeftMs: this.#getDeadlineAtMs() - this.#context.clock.readMonotonic(),
       hasSentAnswer: this.#response.hasHead
     }
   }
@@ -275,6 +283,7 @@
       this.#isTrial = false
       this.#context.suspects.recordServed(this.#fingerprint)
       if (route.kind === 'stream') this.#context.streamOrigins.recordEnded(this.#request, route)
+      this.#context.shutdown.recordServed(route, this.#context.clock.readMonotonic() - this.#request.receivedAtMs)
       this.#finish('served', `endpoint "${target.endpoint.id}" responded with status ${result.status}`)
       return undefined
     }
@@ -296,7 +305,7 @@
       response: this.#response,
       route,
       target,
-      timeLeftMs: this.#deadlineAtMs - this.#context.clock.readMonotonic(),
+      timeLeftMs: this.#getDeadlineAtMs() - this.#context.clock.readMonotonic(),
       lastEventId: this.#attempt?.lastEventId,
       addedHeaders
     })
@@ -400,7 +409,7 @@
     if (this.#hasEnded) return
     const body = Buffer.from(JSON.stringify({ error: code, message: reason }))
     this.#response.writeHead(status, [
-      ...this.#context.encodeRefusalHeaders(this.#request.requestId, retryAfterMs), ...this.#request.forwarded ? createVerdictHeaders(status, code === unreachableCode || code === 'no_configuration') : [], 'Content-Type', 'application/json', 'Content-Length', String(body.length)
+      ...this.#context.encodeRefusalHeaders(this.#request.requestId, retryAfterMs), ...this.#request.forwarded ? createVerdictHeaders(status, elsewhereCodes.has(code)) : [], 'Content-Type', 'application/json', 'Content-Length', String(body.length)
     ])
     this.#response.end(body)
     this.#finish(status === 503 ? 'refused' : 'failed', reason, status, code)
@@ -436,8 +445,3 @@
     })
   }
 }
-
-/** Whether a request may have run but got no valid, complete response, for example because its endpoint crashed. */
-function isInterrupted ({ verdict, status }: AttemptFailure): boolean {
-  return verdict === 'mayHaveRun' && status === undefined
-}
--- a/src/tasks/proxy/proxyContext.ts
+++ b/src/tasks/proxy/proxyContext.ts
@@ -15,6 +15,7 @@
 import type { CrashDetectionTask } from './crashDetectionTask.js'
 import type { EndpointNoticeTask } from './endpointNoticeTask.js'
 import type { EndpointSelector } from './endpointSelector.js'
+import type { ShutdownAdmission } from './shutdownAdmission.js'
 
 /** Which requests are suspected of crashing endpoints, by their fingerprints and the prompt parts that they share with others. */
 export interface SuspectChecks {
@@ -48,6 +49,7 @@
   notices: EndpointNotices
   noticeTask: EndpointNoticeTask
   forwarder: Pick<RequestForwarder, 'isStranded' | 'selectPeer' | 'recordFailure' | 'recordResponse'>
+  shutdown: Pick<ShutdownAdmission, 'endsAtMs' | 'canComplete' | 'recordServed'>
   standstill: Pick<StandstillMonitor, 'isCatchingUp' | 'waitForCloses'>
   streamOrigins: Pick<StreamOrigins, 'recordBegun' | 'recordEnded' | 'resolve'>
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
--- /dev/null
+++ b/src/tasks/proxy/shutdownAdmission.ts
@@ -0,0 +1,37 @@
+/** Decides which requests a host that shuts down still serves: those that can be expected to end before it does. */
+import { DurationEstimator } from '../../core/durationEstimator.js'
+import type { Clock } from '../../ports/clock.js'
+import type { Route } from '../../schemas/routing.js'
+
+export class ShutdownAdmission {
+  #clock: Pick<Clock, 'readMonotonic'>
+  #durations = new DurationEstimator()
+  #endsAtMs = Infinity
+
+  constructor (clock: Pick<Clock, 'readMonotonic'>) {
+    this.#clock = clock
+  }
+
+  /** When requests that have not ended are ended, in monotonic milliseconds; Infinity unless the host shuts down. */
+  get endsAtMs (): number {
+    return this.#endsAtMs
+  }
+
+  begin (endsAtMs: number): void {
+    this.#endsAtMs = endsAtMs
+  }
+
+  recordServed (route: Route, ms: number): void {
+    this.#durations.record(route.name, ms)
+  }
+
+  /** Whether a request that is sent now can be expected to end, by its answer or its deadline, before the host does. */
+  canComplete (route: Route, deadlineAtMs: number): boolean {
+    if (this.#endsAtMs === Infinity || deadlineAtMs <= this.#endsAtMs) return true
+    return this.#clock.readMonotonic() + (this.#durations.estimateMs(route.name) ?? Infinity) <= this.#endsAtMs
+  }
+
+  retainRoutes (names: ReadonlySet<string>): void {
+    this.#durations.retainRoutes(names)
+  }
+}
