Expect a request to take as long as the latest ones of its route

A host now keeps what the latest 128 requests of a route took, and serves one that comes in a stop if 95 of 100 of them would end in time, or 99 of 100 where nobody may repeat it.

--- a/features/stoppingHosts.feature
+++ b/features/stoppingHosts.feature
@@ -15,12 +15,15 @@
     Then the stream is refused within 500 ms with a time to come back, and never runs
     And the call is answered as a whole
 
-  Scenario Outline: The time that a route's requests take is estimated too low
-    Given requests that took <times> ms
-    Then nearly all are expected to end within <estimate> ms
+  Scenario Outline: The time that a route's requests take is taken for shorter than it is
+    Given <old> requests that took 9000 ms, and then <short> that took 100 ms and <long> that took 800 ms
+    Then 95% of its requests end within <common> ms, and 99% within <rare> ms
 
     Examples:
-      | times                        | estimate |
-      | 400                          | 1200     |
-      | 100, 100, 100, 100, 100, 100 | 147      |
-      | 100, 100, 100, 900           | 1084     |
+      | old | short | long | common | rare |
+      | 0   | 0     | 1    | 800    | 800  |
+      | 0   | 99    | 1    | 100    | 100  |
+      | 0   | 98    | 2    | 100    | 800  |
+      | 0   | 94    | 6    | 800    | 800  |
+      | 40  | 128   | 0    | 100    | 100  |
+      | 40  | 100   | 0    | 9000   | 9000 |
--- a/src/core/retryRules.ts
+++ b/src/core/retryRules.ts
@@ -24,7 +24,12 @@
 /** No further attempt is started with less time left than this. */
 const minAttemptMs = 30
 
-/** Whether a request that may already have run may run again. */
+/**
+ * Whether a request that may already have run may run again.
+ *
+ * @example
+ * isRetryable('stream', true) // true: its caller may take it up
+ */
 export function isRetryable (kind: RouteKind, isResumable: boolean): boolean {
   return kind === 'idempotent' || (kind === 'stream' && isResumable)
 }
--- a/src/tasks/proxy/shutdownAdmission.ts
+++ b/src/tasks/proxy/shutdownAdmission.ts
@@ -1,11 +1,17 @@
 /** Decides which requests a host that shuts down still serves: those that can be expected to end before it does. */
-import { DurationEstimator } from '../../core/durationEstimator.js'
+import { RecentDurations } from '../../core/recentDurations.js'
+import { isRetryable } from '../../core/retryRules.js'
 import type { Clock } from '../../ports/clock.js'
 import type { Route } from '../../schemas/routing.js'
 
+/** Of the requests that are still served, this fraction ends in time, by the latest ones of their route. */
+const completedFraction = 0.95
+/** As above, for requests that nobody may repeat once they were sent to an endpoint. */
+const completedOnceFraction = 0.99
+
 export class ShutdownAdmission {
   #clock: Pick<Clock, 'readMonotonic'>
-  #durations = new DurationEstimator()
+  #durations = new RecentDurations()
   #endsAtMs = Infinity
 
   constructor (clock: Pick<Clock, 'readMonotonic'>) {
@@ -28,7 +34,8 @@
   /** Whether a request that is sent now can be expected to end, by its answer or its deadline, before the host does. */
   canComplete (route: Route, deadlineAtMs: number): boolean {
     if (this.#endsAtMs === Infinity || deadlineAtMs <= this.#endsAtMs) return true
-    return this.#clock.readMonotonic() + (this.#durations.estimateMs(route.name) ?? Infinity) <= this.#endsAtMs
+    const fraction = isRetryable(route.kind, route.isResumable) ? completedFraction : completedOnceFraction
+    return this.#clock.readMonotonic() + (this.#durations.findQuantileMs(route.name, fraction) ?? Infinity) <= this.#endsAtMs
   }
 
   retainRoutes (names: ReadonlySet<string>): void {
