Deal the places of brittle services to hosts

And a host that had not heard yet that an endpoint was brittle, or its next process after a fall, sent without bound.

The places of all endpoints of a service are dealt to the hosts by turns, in an order that all compute alike, so that the shares of an endpoint sum up to its places and every host has a place somewhere. Where hosts outnumber all places, they share them evenly. One endpoint that says it is brittle speaks for its service.

--- a/features/brittleEndpoints.feature
+++ b/features/brittleEndpoints.feature
@@ -16,7 +16,6 @@
       | 0     |
       | 1000  |
 
-  @knownRed
   Scenario Outline: Services with fewer places than there are hosts don't fall over under a burst
     Given <hosts> hosts before a platform with 1 engine
     When services bear <count> rejections a second
@@ -44,3 +43,17 @@
       | 2, x   | unreadable |
       |        | unreadable |
       | 99999999999999999999 | 100000000000000000000 |
+
+  Scenario Outline: The places of brittle endpoints are dealt to hosts unevenly, or to some not at all
+    Given endpoints of <places> places, and <hosts> hosts
+    When each host computes its shares of them
+    Then the shares of each endpoint sum up to <sums>, and each host has from <least> to <most>
+
+    Examples:
+      | places  | hosts | sums    | least | most |
+      | 6, 6    | 9     | 6, 6    | 1     | 2    |
+      | 6, 6, 6 | 9     | 6, 6, 6 | 2     | 2    |
+      | 6       | 3     | 6       | 2     | 2    |
+      | 1, 4    | 3     | 1, 4    | 1     | 2    |
+      | 2, 2    | 9     | 5, 4    | 1     | 1    |
+      | 6, 6    | 1     | 6, 6    | 12    | 12   |
--- a/features/steps/brittleEndpoints.ts
+++ b/features/steps/brittleEndpoints.ts
@@ -1,7 +1,8 @@
 /** Steps of endpoints that fall over when they have to reject many requests. */
 import assert from 'node:assert/strict'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { Then, When } from '@cucumber/cucumber'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { computeBrittleShares } from '../../src/core/brittleEndpoints.js'
 import { decodeAnswerHead } from '../../src/platform/requestWire.js'
 import { wireHeaders } from '../../src/platform/wireNames.js'
 import type { ResponseHead } from '../../src/schemas/callerRequest.js'
@@ -13,6 +14,13 @@
   head: ResponseHead
 }
 
+interface SharesWorld {
+  endpoints: Array<{ id: string, places: number }>
+  hostNames: string[]
+  /** Shares of each host, by endpoint. */
+  shares: Map<string, number>[]
+}
+
 const restartMs = 400
 
 When('services bear {int} rejections a second', function (this: HostsWorld, count: number) {
@@ -45,3 +53,18 @@
   if (parsed === 'unreadable') assert.notEqual(this.head.invalidMaxRejections, undefined)
   else assert.equal(this.head.maxRejectionsPerSecond, Number(parsed))
 })
+
+Given(/^endpoints of ([\d, ]+) places, and (\d+) hosts$/, function (this: SharesWorld, places: string, hosts: string) {
+  this.endpoints = places.split(', ').map((count, index) => ({ id: `i-${index}`, places: Number(count) }))
+  this.hostNames = Array.from({ length: Number(hosts) }, (_, index) => `host-${index}`)
+})
+
+When('each host computes its shares of them', function (this: SharesWorld) {
+  this.shares = this.hostNames.map(host => computeBrittleShares(this.endpoints, this.hostNames, host))
+})
+
+Then(/^the shares of each endpoint sum up to ([\d, ]+), and each host has from (\d+) to (\d+)$/, function (this: SharesWorld, sums: string, least: string, most: string) {
+  assert.equal(this.endpoints.map(({ id }) => this.shares.reduce((sum, shares) => sum + shares.get(id)!, 0)).join(', '), sums)
+  const ofHosts = this.shares.map(shares => [...shares.values()].reduce((sum, share) => sum + share, 0))
+  assert.deepEqual([Math.min(...ofHosts), Math.max(...ofHosts)], [Number(least), Number(most)])
+})
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -91,7 +91,7 @@
   })
   const limitGrants = new LimitGrantClient({ clock, log, clusterView, reservations })
   const engineSelector = new EngineSelector({ clock, log, clusterView, health, reservations, notices, limitGrants, random, getLink })
-  const serviceSelector = new ServiceSelector({ clock, clusterView, health, notices, limitGrants, zone: settings.zone, random, getLink })
+  const serviceSelector = new ServiceSelector({ clock, clusterView, health, notices, limitGrants, own, random, getLink })
   const endpointSelector = new EndpointSelector({
     clock, clusterView, notices, engineSelector, serviceSelector, isUnreachable: endpointId => reachability.isUnreachable(endpointId), isRecordedVersion: endpoint => streamOrigins.isRecordedVersion(endpoint), random, getLink
   })
--- a/src/tasks/proxy/serviceSelector.ts
+++ b/src/tasks/proxy/serviceSelector.ts
@@ -1,5 +1,5 @@
 /** Selects an endpoint of a service without engines: the least busy one or, where endpoints are limited, one that is granted. */
-import { computeBrittleShare } from '../../core/brittleEndpoints.js'
+import { computeBrittleShares } from '../../core/brittleEndpoints.js'
 import type { EndpointHealth } from '../../core/endpointHealth.js'
 import type { EndpointNotices } from '../../core/endpointNotices.js'
 import { pickLeastBusy } from '../../core/endpointSelection.js'
@@ -14,11 +14,11 @@
 
 export interface ServiceSelectorOptions {
   clock: Clock
-  clusterView: Pick<ClusterView, 'hosts'>
+  clusterView: Pick<ClusterView, 'hosts' | 'endpoints'>
   health: EndpointHealth
   notices: EndpointNotices
   limitGrants: Pick<LimitGrantClient, 'requestGrant'>
-  zone: string
+  own: { host: string, zone: string }
   random: () => number
   getLink: GetEndpointLink
 }
@@ -41,7 +41,7 @@
 
   async selectEndpoint (query: EndpointQuery, accepting: readonly EndpointEntry[]): Promise<EndpointSelection> {
     const { clock, notices, random } = this.#options
-    const usable = accepting.filter(entry => this.#hasRoom(entry))
+    const usable = this.#filterByRoom(query.service, accepting)
     if (usable.length === 0) return { kind: 'none', message: `all endpoints of service "${query.service}" are brittle and busy`, retryAfterMs: brittleRetryMs * (1 + random()), isTransient: true }
     const limited = usable.filter(entry => notices.getRate(entry, clock.readMonotonic()) !== undefined)
     const unlimited = usable.filter(entry => !limited.includes(entry))
@@ -55,10 +55,16 @@
     return createRefusal(`all endpoints of service "${query.service}" take few requests`, Math.max(minAskIntervalMs, waitMs) * (1 + random()))
   }
 
-  /** Whether an endpoint has room for a request of this host; one that is brittle must not be made to reject it. */
-  #hasRoom (entry: EndpointEntry): boolean {
-    const { clusterView, health, notices } = this.#options
-    return notices.getMaxRejections(entry) === undefined || health.getInFlightCount(entry.id) < computeBrittleShare(entry.places, clusterView.hosts.size)
+  /**
+   * Keeps the endpoints that have room for a request of this host. Brittle ones must not be made to reject it; where one endpoint has
+   * said that it is brittle, the others of its service, or its next process, have only not been heard since.
+   */
+  #filterByRoom (service: string, entries: readonly EndpointEntry[]): readonly EndpointEntry[] {
+    const { clock, clusterView, health, notices, own } = this.#options
+    const known = clusterView.endpoints.listUsable(service, clock.readMonotonic())
+    if (known.every(entry => notices.getMaxRejections(entry) === undefined)) return entries
+    const shares = computeBrittleShares(known, [...clusterView.hosts.keys()], own.host)
+    return entries.filter(({ id }) => health.getInFlightCount(id) < (shares.get(id) ?? 0))
   }
 
   /** Requests a grant that can be used at once, in random order so that all limited endpoints get requests. */
@@ -112,8 +118,8 @@
   }
 
   #pickLeastBusy (entries: readonly EndpointEntry[]): EndpointEntry {
-    const { zone, random } = this.#options
-    const best = pickLeastBusy(entries.map(entry => this.#createCandidate(entry)), zone, random)!
+    const { own, random } = this.#options
+    const best = pickLeastBusy(entries.map(entry => this.#createCandidate(entry)), own.zone, random)!
     return entries.find(entry => entry.id === best.id)!
   }
 
