Withdraw a request only if the process stood still since it was passed to its link

After a standstill each connection that opened within ten turns of the event loop withdrew its request, also one whose request had waited for the closes of callers. An attempt now knows how many standstills there were as it was passed to its link. Found by reading. Also by reading: brittle endpoints that name no places count as having one, as before places were dealt.

--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -85,7 +85,7 @@
     noticeTask: { recordSend: () => {} } as unknown as ProxyContext['noticeTask'],
     streamOrigins: { recordBegun: () => {}, recordEnded: () => {}, resolve: async () => ({ kind: 'unknown' as const, reason: 'no stream is taken up here', retryAfterMs: undefined }) },
     shutdown: { endsAtMs: Infinity, canComplete: () => true, recordServed: () => {} },
-    standstill: { isCatchingUp: false, waitForCloses: async () => {} },
+    standstill: { countStandstills: () => 0, isCatchingUp: () => false, waitForCloses: async () => {} },
     forwarder: { isStranded: () => false, selectPeer: () => undefined, recordFailure: () => {}, recordResponse: () => {} },
     random: () => 0,
     encodeRequestHeaders,
--- a/src/core/brittleEndpoints.ts
+++ b/src/core/brittleEndpoints.ts
@@ -21,25 +21,25 @@
 /**
  * Requests that one host may have at each endpoint of a plain service while it is brittle, by endpoint id. The places of all endpoints
  * are dealt to the hosts by turns, in an order that all hosts compute alike. Where there are fewer places than hosts, several hosts
- * share one, so that no host is left without.
+ * share one, so that no host is left without; an endpoint that names no places counts as one of one place.
  *
  * @example
  * computeBrittleShares([{ id: 'i-1', places: 2 }, { id: 'i-2', places: 2 }], ['h1', 'h2', 'h3'], 'h1') // Map { 'i-1' => 1, 'i-2' => 1 } for the first host
  */
 export function computeBrittleShares (endpoints: readonly Pick<EndpointEntry, 'id' | 'places'>[], hosts: readonly string[], ownHost: string): Map<string, number> {
   const ordered = [...endpoints].sort((left, right) => left.id < right.id ? -1 : 1)
-  const total = ordered.reduce((sum, { places }) => sum + places, 0)
+  const total = ordered.reduce((sum, { places }) => sum + Math.max(1, places), 0)
   const turns = Math.min(total, Math.max(1, hosts.length))
   const ownTurn = computeRank(hosts, ownHost) % turns
   let dealt = 0
   return new Map(ordered.map(({ id, places }) => {
     const before = countTurns(dealt, ownTurn, turns)
-    dealt += places
+    dealt += Math.max(1, places)
     return [id, countTurns(dealt, ownTurn, turns) - before]
   }))
 }
 
-/** Counts how often it was a turn's turn when so many places have been dealt. */
+/** Counts how many of the places that have been dealt went to one turn. */
 function countTurns (dealt: number, turn: number, turns: number): number {
   return Math.max(0, Math.ceil((dealt - turn) / turns))
 }
--- a/src/tasks/eventLoop/standstillMonitor.ts
+++ b/src/tasks/eventLoop/standstillMonitor.ts
@@ -28,8 +28,9 @@
   #options: StandstillMonitorOptions
   #lastCheck: ClockReadings
   #timer: Timer | undefined
+  #standstillCount = 0
   /** Standstills after which not everything has been read yet that arrived meanwhile. */
-  #standstills = 0
+  #recentCount = 0
 
   constructor (options: StandstillMonitorOptions) {
     this.#options = options
@@ -49,10 +50,16 @@
     this.#timer?.cancel()
   }
 
+  /** Counts the standstills so far, one that has just ended included. */
+  countStandstills (): number {
+    this.#detectStandstill()
+    return this.#standstillCount
+  }
+
   /** Whether requests may have been read whose callers' closes have not. */
-  get isCatchingUp (): boolean {
+  isCatchingUp (): boolean {
     this.#detectStandstill()
-    return this.#standstills > 0
+    return this.#recentCount > 0
   }
 
   /** Resolves when the closes are known of callers that have left before a request was read which is in hand now. */
@@ -75,9 +82,10 @@
   }
 
   async #catchUp (): Promise<void> {
-    this.#standstills++
+    this.#standstillCount++
+    this.#recentCount++
     for (let turn = 0; turn < catchUpTurns; turn++) await waitForTurn()
-    this.#standstills--
+    this.#recentCount--
   }
 
   #computeSinceCheck (): ClockReadings {
--- a/src/tasks/proxy/proxyContext.ts
+++ b/src/tasks/proxy/proxyContext.ts
@@ -50,7 +50,7 @@
   noticeTask: EndpointNoticeTask
   forwarder: Pick<RequestForwarder, 'isStranded' | 'selectPeer' | 'recordFailure' | 'recordResponse'>
   shutdown: Pick<ShutdownAdmission, 'endsAtMs' | 'canComplete' | 'recordServed'>
-  standstill: Pick<StandstillMonitor, 'isCatchingUp' | 'waitForCloses'>
+  standstill: Pick<StandstillMonitor, 'countStandstills' | 'isCatchingUp' | 'waitForCloses'>
   streamOrigins: Pick<StreamOrigins, 'recordBegun' | 'recordEnded' | 'resolve'>
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   random: () => number
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -40,6 +40,8 @@
   #options: RequestAttemptOptions
   #requestInFlight: RequestInFlight | undefined
   #startedAtMs = 0
+  /** Standstills of the process before the request was passed to its link. */
+  #standstillCount = 0
   #firstChunkMs = -1
   #lastChunkAtMs: number | undefined
   /** When the request was written to its connection; undefined before. */
@@ -99,8 +101,9 @@
     this.#startedAtMs = clock.readMonotonic()
     const result = new Promise<AttemptResult>(resolve => { this.#resolve = resolve })
     health.recordRequestStart(target.id)
-    if (standstill.isCatchingUp) await standstill.waitForCloses()
+    if (standstill.isCatchingUp()) await standstill.waitForCloses()
     if (!this.#isFinished) {
+      this.#standstillCount = standstill.countStandstills()
       this.#requestInFlight = target.link.send({
         id: request.requestId,
         method: request.method,
@@ -123,7 +126,7 @@
 
   confirmSend (): boolean {
     // The caller may have left while the connection was opened and the process stood still.
-    if (this.#context.standstill.isCatchingUp || !this.#options.target.isAvailable()) return false
+    if (this.#context.standstill.countStandstills() !== this.#standstillCount || !this.#options.target.isAvailable()) return false
     this.#sentAtMs = this.#context.clock.readMonotonic()
     return true
   }
