Play a host that is cut off while a software version joins

The report on streams that go on at another version was shown at its parts alone. Hosts of the stand-in can now be cut off from the store and the other hosts each by itself; for that the relay is a port of the host like the store.

Evidence: one of three hosts cut off, two engines of a second version, 24 streams begun at the other hosts and taken up there.

--- a/features/outOfStepHosts.feature
+++ b/features/outOfStepHosts.feature
@@ -21,6 +21,17 @@
       | is unavailable   | v1, v1, v1, ?       | goes on at version "v1"             |
       | is unavailable   | ?, ?, ?, ?          | is refused with a time to come back |
 
+  Scenario: Streams that began at a new version go on at the old one, at a host that was cut off as it joined
+    Given 3 hosts before a platform with 2 engines
+    When 8 streams run at all hosts
+    And host 3 is cut off from the store and the other hosts
+    And 2 engines of software version "v2" join
+    And 3500 ms pass
+    And callers lose 24 streams at hosts 1 and 2, and take them up at host 3
+    Then no stream holds events of two versions
+    And at least 4 of them began at version "v2"
+    And host 3 asked others for the versions, and got too few replies
+
   Scenario: Hosts of two builds understand each other's pings
     Then a host of the earlier build accepts a ping that asks for software versions
     And the reply of a host of the earlier build is accepted, and tells no software versions
--- a/features/steps/outOfStepHosts.ts
+++ b/features/steps/outOfStepHosts.ts
@@ -6,15 +6,19 @@
 import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
 import { ClusterView } from '../../src/core/clusterView.js'
 import { decodePlatformRow } from '../../src/platform/decodePlatformRow.js'
-import { encodeConfigurationRow, encodeEndpointRow } from '../../src/platform/standinWire.js'
+import { encodeConfigurationRow, encodeEndpointRow, encodeResumptionHeaders } from '../../src/platform/standinWire.js'
 import type { Store, StoreRow } from '../../src/ports/store.js'
 import type { CallerRequest } from '../../src/schemas/callerRequest.js'
 import { pingSchema, pongSchema } from '../../src/schemas/datagram.js'
 import { encodeHostsRow, formatServiceVersionsKey, hostsTable } from '../../src/schemas/hostRows.js'
+import { createRequestId, listEventIds } from '../../src/standin/fleet/fleetCaller.js'
 import { createConfiguration, engineService } from '../../src/standin/fleet/startFleet.js'
 import { PeerVersions } from '../../src/tasks/streams/peerVersions.js'
 import { StreamOrigins } from '../../src/tasks/streams/streamOrigins.js'
 import type { StreamResolution } from '../../src/tasks/streams/streamOrigins.js'
+import { setFaults } from '../support/hostsWorld.js'
+import type { HostsWorld } from '../support/hostsWorld.js'
+import { listStreamVersions, ResumingCaller } from '../support/resumingCaller.js'
 
 interface OutOfStepWorld {
   clusterView: ClusterView
@@ -25,6 +29,10 @@
   resolution: StreamResolution
 }
 
+interface CutOffWorld extends HostsWorld {
+  caller: ResumingCaller
+}
+
 Given('a host that knows software version {string} of a service, and {int} other hosts', function (this: OutOfStepWorld, version: string, peers: number) {
   this.clusterView = new ClusterView(decodePlatformRow)
   this.clusterView.applyRow({ ...encodeConfigurationRow(createConfiguration(1, 4)), version: 1 }, performance.now())
@@ -82,3 +90,36 @@
   assert.ok(Value.Check(pongSchema, earlierPong))
   assert.equal(Value.Cast(pongSchema, earlierPong).softwareVersions, undefined)
 })
+
+When('{int} streams run at all hosts', async function (this: CutOffWorld, count: number) {
+  this.answers = []
+  setFaults(this, endpoint => endpoint.engine !== undefined, { eventMs: 25 })
+  for (let index = 0; index < count; index++) await this.hostFleet.call({ kind: 'resumable', host: index % this.hostFleet.hosts.length + 1 })
+})
+
+When('host {int} is cut off from the store and the other hosts', function (this: CutOffWorld, host: number) {
+  const { hostName } = this.hostFleet.hosts[host - 1]!.settings
+  this.hostFleet.isCutOff = name => name === hostName
+})
+
+When('callers lose {int} streams at hosts 1 and 2, and take them up at host 3', { timeout: 30_000 }, async function (this: CutOffWorld, count: number) {
+  this.caller = new ResumingCaller(this)
+  setFaults(this, endpoint => endpoint.engine !== undefined, { eventMs: 25 })
+  await Promise.all(Array.from({ length: count }, async (_, index) => {
+    // Without an adapter, every engine can serve a stream.
+    const begun = await this.hostFleet.call({ kind: 'resumable', host: index % 2 + 1, requestId: createRequestId(), signal: AbortSignal.timeout(90) })
+    const lastEventId = listEventIds(begun).at(-1) ?? 0
+    const attempts = lastEventId === 0 ? [begun] : [begun, await this.hostFleet.call({ kind: 'resumable', host: 3, headers: encodeResumptionHeaders(begun.requestId, lastEventId) })]
+    this.caller.streams.push({ attempts, firstId: begun.requestId, lastEventId })
+  }))
+})
+
+Then('at least {int} of them began at version {string}', function (this: CutOffWorld, least: number, version: string) {
+  const begun = this.caller.streams.filter(stream => stream.attempts.length > 1 && listStreamVersions(this, stream)[0] === version)
+  assert.ok(begun.length >= least, `${begun.length} of ${this.caller.streams.length}`)
+})
+
+Then('host 3 asked others for the versions, and got too few replies', function (this: CutOffWorld) {
+  const { hostName } = this.hostFleet.hosts[2]!.settings
+  assert.ok(this.hostFleet.listLines('stream.versionsAsked').some(({ host, fields }) => host === hostName && fields.replies === 0 && fields.isEnough === false))
+})
--- a/features/support/hostFleet.ts
+++ b/features/support/hostFleet.ts
@@ -1,10 +1,12 @@
 /** Hosts of the platform's program in this process, on a stand-in of the platform, with callers that use them. */
 import { pack } from 'msgpackr'
 import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
+import { createHttpRelay } from '../../src/adapters/relay/httpRelay.js'
 import { openUdpDatagrams } from '../../src/adapters/datagrams/udpDatagrams.js'
 import type { RunningProcess } from '../../src/bin/processExit.js'
 import type { DecodedUpdate } from '../../src/core/clusterView.js'
 import { decodePlatformRow } from '../../src/platform/decodePlatformRow.js'
+import { createStoreClient } from '../../src/platform/storeClient.js'
 import { startHost } from '../../src/bin/startHost.js'
 import type { Datagrams } from '../../src/ports/datagrams.js'
 import type { EventFields } from '../../src/ports/eventLog.js'
@@ -15,6 +17,7 @@
 import { createHostSettings, findMetricsPort } from '../../src/standin/fleet/hostSettings.js'
 import { startFleet } from '../../src/standin/fleet/startFleet.js'
 import type { Fleet, FleetOptions } from '../../src/standin/fleet/startFleet.js'
+import { cutDatagrams, cutRelay, cutStore } from './cutLinks.js'
 import { waitUntil } from './waitUntil.js'
 
 export interface LogLine {
@@ -53,6 +56,8 @@
   readonly sent = new Map<string, SentBytes>()
   /** Whether the network loses a message that a host sends to another one. */
   isLost: (message: HostMessage, sender: string) => boolean = () => false
+  /** Whether a host is cut off from the store and the other hosts; callers and endpoints reach it. */
+  isCutOff: (host: string) => boolean = () => false
   /** Address at which a host reaches an endpoint. */
   findRoute: (host: string, endpointId: string, address: string) => string = (_host, _endpointId, address) => address
   #caller = new FleetCaller()
@@ -83,7 +88,9 @@
       metricsPort: findMetricsPort(basePort),
       ports: {
         decodeRow: (table, key, value) => this.#decodeRow(hostName, table, key, value),
-        openDatagrams: async options => countSent(await openUdpDatagrams(options), this.#findSent(hostName), message => this.isLost(message, hostName))
+        createStore: (...options) => cutStore(createStoreClient(...options), () => this.isCutOff(hostName)),
+        createRelay: () => cutRelay(createHttpRelay(), () => this.isCutOff(hostName)),
+        openDatagrams: async options => countSent(cutDatagrams(await openUdpDatagrams(options), () => this.isCutOff(hostName)), this.#findSent(hostName), message => this.isLost(message, hostName))
       },
       openLog: () => ({
         record: (kind, message, fields = {}) => { this.lines.push({ time: Date.now(), host: hostName, kind, message, fields }) },
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -52,12 +52,13 @@
 /** The adapters through which a host reaches the store, the engines and its peers. */
 export interface HostPorts {
   createStore: typeof createStoreClient
+  createRelay: typeof createHttpRelay
   openOrders: typeof createEngineOrders
   openDatagrams: typeof openUdpDatagrams
   decodeRow: DecodeUpdate
 }
 
-const platformPorts: HostPorts = Object.freeze({ createStore: createStoreClient, openOrders: createEngineOrders, openDatagrams: openUdpDatagrams, decodeRow: decodePlatformRow })
+const platformPorts: HostPorts = Object.freeze({ createStore: createStoreClient, createRelay: createHttpRelay, openOrders: createEngineOrders, openDatagrams: openUdpDatagrams, decodeRow: decodePlatformRow })
 
 export interface HostOptions {
   openLog?: OpenEventLog
@@ -206,7 +207,7 @@
   const log = createCountingLog(eventLog, (kind, fields) => metrics.recordEvent(kind, fields))
   const ports = { ...platformPorts, ...options.ports }
   const store = ports.createStore(settings.storeAddress, (call, verdict) => metrics.recordStoreCall(call, verdict))
-  const relay = createHttpRelay()
+  const relay = ports.createRelay()
   const datagrams = await ports.openDatagrams({ address: settings.address, port: settings.datagramPort, host: settings.hostName, session, log })
   const { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks } = createHostComponents({ settings, clock, log, own, store, relay, datagrams, ports })
   const { leaseTask, storeOutageDetector, isolationMonitor, renewalCollector, renewalClient } = leaseComponents
