Lose the streams of a test when they have begun, not after a fixed time

Traced: the callers left after 90 ms, while a request may wait for 120 ms at the silent owner of an engine, the host that is cut off, and the second version may not have been recorded yet.

Now the callers leave 60 ms after their run has begun, and begin once a host has written the second version. What is checked is as before.

--- a/features/steps/outOfStepHosts.ts
+++ b/features/steps/outOfStepHosts.ts
@@ -1,5 +1,6 @@
 /** Steps of hosts that may have missed a software version of a service. */
 import assert from 'node:assert/strict'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { Type } from '@sinclair/typebox'
 import { Value } from '@sinclair/typebox/value'
 import { Given, Then, When } from '@cucumber/cucumber'
@@ -12,6 +13,7 @@
 import { pingSchema, pongSchema } from '../../src/schemas/datagram.js'
 import { encodeHostsRow, formatServiceVersionsKey, hostsTable } from '../../src/schemas/hostRows.js'
 import { createRequestId, listEventIds } from '../../src/standin/fleet/fleetCaller.js'
+import type { FleetAnswer } from '../../src/standin/fleet/fleetCaller.js'
 import { createConfiguration, engineService } from '../../src/standin/fleet/startFleet.js'
 import { PeerVersions } from '../../src/tasks/streams/peerVersions.js'
 import { StreamOrigins } from '../../src/tasks/streams/streamOrigins.js'
@@ -19,6 +21,7 @@
 import { setFaults } from '../support/hostsWorld.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
 import { listStreamVersions, ResumingCaller } from '../support/resumingCaller.js'
+import { waitUntil } from '../support/waitUntil.js'
 
 interface OutOfStepWorld {
   clusterView: ClusterView
@@ -102,12 +105,25 @@
   this.hostFleet.isCutOff = name => name === hostName
 })
 
+/** Begins a stream, and closes its connection when the first events have come. */
+async function loseStream ({ hostFleet }: CutOffWorld, host: number): Promise<FleetAnswer> {
+  const requestId = createRequestId()
+  const leaving = new AbortController()
+  let isOver = false
+  const answered = hostFleet.call({ kind: 'resumable', host, requestId, signal: leaving.signal }).finally(() => { isOver = true })
+  await waitUntil(() => isOver || hostFleet.fleet.journal.listRuns(requestId).length > 0)
+  await sleep(60)
+  leaving.abort()
+  return await answered
+}
+
 When('callers lose {int} streams at hosts 1 and 2, and take them up at host 3', { timeout: 30_000 }, async function (this: CutOffWorld, count: number) {
   this.caller = new ResumingCaller(this)
+  await waitUntil(() => this.hostFleet.listLines('versions.written').some(({ fields }) => fields.verdict === 'applied' && (fields.versions as string[]).length > 1))
   setFaults(this, endpoint => endpoint.engine !== undefined, { eventMs: 25 })
   await Promise.all(Array.from({ length: count }, async (_, index) => {
     // Without an adapter, every engine can serve a stream.
-    const begun = await this.hostFleet.call({ kind: 'resumable', host: index % 2 + 1, requestId: createRequestId(), signal: AbortSignal.timeout(90) })
+    const begun = await loseStream(this, index % 2 + 1)
     const lastEventId = listEventIds(begun).at(-1) ?? 0
     const attempts = lastEventId === 0 ? [begun] : [begun, await this.hostFleet.call({ kind: 'resumable', host: 3, headers: encodeResumptionHeaders(begun.requestId, lastEventId) })]
     this.caller.streams.push({ attempts, firstId: begun.requestId, lastEventId })
