--- /dev/null
+++ b/review/lib/troubledRoute.mjs
@@ -0,0 +1,81 @@
+/**
+ * Stands before a worker of the fleet and passes everything on. While it is in trouble, it breaks off each new stream after two
+ * events, and answers a request that goes on with a stream with a failure whose body never ends.
+ */
+import { createServer, request as call } from 'node:http'
+
+/** To each host go 100 MB a second from all workers together, less than its link of 1,000 Mbit/s carries. */
+const bytesPerInterval = 1_000_000
+const intervalMs = 10
+/** Endless answers that are being sent, by the host that gets them; its number is the first digit of the request's id. */
+const endlessAnswers = new Map()
+const eventsBeforeEnd = 2
+
+export class TroubledRoute {
+  isTroubled = false
+  #server
+  #target
+  #record
+
+  static async start (target, record) {
+    const route = new TroubledRoute()
+    route.#target = target
+    route.#record = record
+    route.#server = createServer((request, response) => route.#receive(request, response))
+    route.#server.keepAliveTimeout = 60_000
+    await new Promise(resolve => route.#server.listen(0, '127.0.0.1', resolve))
+    return route
+  }
+
+  get address () {
+    return `127.0.0.1:${this.#server.address().port}`
+  }
+
+  async stop () {
+    this.#server.closeAllConnections()
+    await new Promise(resolve => this.#server.close(resolve))
+  }
+
+  #receive (request, response) {
+    const isStream = request.headers.model !== undefined
+    if (this.isTroubled && isStream && request.headers['last-event-id'] !== undefined) {
+      request.resume()
+      this.#sendEndless(request)
+      return
+    }
+    const [host, port] = this.#target.split(':')
+    const passed = call({ host, port, method: request.method, path: request.url, headers: request.headers }, answer => {
+      response.writeHead(answer.statusCode, answer.rawHeaders)
+      response.flushHeaders()
+      let events = 0
+      answer.on('data', chunk => {
+        response.write(chunk)
+        events += chunk.toString().split('\n\n').length - 1
+        if (this.isTroubled && isStream && answer.statusCode === 200 && events >= eventsBeforeEnd) request.socket.destroy()
+      })
+      answer.on('end', () => response.end())
+      answer.on('error', () => response.destroy())
+    })
+    passed.on('error', () => response.destroy())
+    response.on('close', () => passed.destroy())
+    request.pipe(passed)
+  }
+
+  #sendEndless ({ socket, headers }) {
+    const id = headers['attempt-id']
+    this.#record.write('worker', `request ${id}: a failure whose body never ends`)
+    socket.write(`HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`)
+    const host = id[0]
+    endlessAnswers.set(host, (endlessAnswers.get(host) ?? 0) + 1)
+    const timer = setInterval(() => {
+      const bytes = Math.floor(bytesPerInterval / endlessAnswers.get(host))
+      if (socket.writableLength < bytesPerInterval) socket.write(Buffer.concat([Buffer.from(`${bytes.toString(16)}\r\n`), Buffer.alloc(bytes, 0x78), Buffer.from('\r\n')]))
+    }, intervalMs)
+    const startedAtMs = performance.now()
+    socket.on('close', () => {
+      clearInterval(timer)
+      endlessAnswers.set(host, endlessAnswers.get(host) - 1)
+      this.#record.write('worker', `request ${id}: closed after ${(socket.bytesWritten / 1e6).toFixed(0)} MB and ${(performance.now() - startedAtMs).toFixed(0)} ms`)
+    })
+  }
+}
