--- a/review/lib/hosts.mjs
+++ b/review/lib/hosts.mjs
@@ -20,14 +20,20 @@
   #network = `127.${20 + Math.floor(Math.random() * 200)}.${1 + Math.floor(Math.random() * 250)}`
   #basePort
   #children = new Map()
+  /** When each host last answered on its readiness port. */
+  #answeredAtMs = new Map()
   #storeAddress
   #logDirectory = process.env.LOGS
   /** Ends of processes, the expected ones too. */
   ends = []
 
-  static async create (storeAddress) {
+  #seedIndexes
+
+  /** `seedIndexes`: the machines that the settings name as seeds; those that never start are stale. */
+  static async create (storeAddress, seedIndexes = [1, 2, 3]) {
     const hosts = new Hosts()
     hosts.#storeAddress = storeAddress
+    hosts.#seedIndexes = seedIndexes
     hosts.#basePort = await findFreePorts(`${hosts.#network}.1`)
     return hosts
   }
@@ -84,6 +90,7 @@
     return await new Promise(resolve => {
       const call = request({ host: this.address(index), port: this.#basePort + 1, path: '/sedgevalve/readiness', timeout: 500 }, response => {
         response.resume()
+        this.#answeredAtMs.set(index, performance.now())
         resolve(response.statusCode === 200)
       })
       call.on('timeout', () => call.destroy())
@@ -92,6 +99,10 @@
     })
   }
 
+  lastAnswerAtMs (index) {
+    return this.#answeredAtMs.get(index) ?? -Infinity
+  }
+
   async stop () {
     const ended = [...this.#children.values()].map(({ child, ended }) => {
       child.kill('SIGCONT')
@@ -116,7 +127,7 @@
       zones: { a: 'r', b: 'r' },
       listenAddresses: { frontend: `${address}:${this.#basePort}`, ready: `${address}:${this.#basePort + 1}`, controlPlane: `${address}:${this.#basePort + 2}` },
       internalPortRange: [this.#basePort + 3, this.#basePort + 18],
-      seedNodes: [1, 2, 3].map(seed => `${this.address(seed)}:${this.#basePort + 2}`),
+      seedNodes: this.#seedIndexes.map(seed => `${this.address(seed)}:${this.#basePort + 2}`),
       bootstrap: true,
       faultCounted: false,
       limits: { cpuShare: 0.675, cpuCores: 1, memoryMb: 350, fileDescriptors: 4100, linkMbps: 1000, diskMb: 0 },
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -4,12 +4,12 @@
 import { DrillStore } from './drillStore.mjs'
 import { Hosts } from './hosts.mjs'
 
-export async function startSystem ({ hosts: hostCount, engines, services, adapterSlots, record, openRoute, prepare }) {
+export async function startSystem ({ hosts: hostCount, engines, services, adapterSlots, record, openRoute, prepare, seedIndexes }) {
   const store = await DrillStore.start()
   const fleet = new Fleet({ ...defaultFleetOptions, random: createEvenDraws(), engines, services, adapterSlots, heartbeatMs: 1200, ...(openRoute && { openRoute }) }, store, store)
   await fleet.start()
   prepare?.(store)
-  const hosts = await Hosts.create(store.address)
+  const hosts = await Hosts.create(store.address, seedIndexes)
   for (let index = 1; index <= hostCount; index++) hosts.start(index)
   const ready = await Promise.all(Array.from({ length: hostCount }, async (_, index) => await hosts.waitUntilReady(index + 1)))
   record.write('start', `${hostCount} hosts, ${engines} engines, ${services} plain workers; ready: ${ready.join(' ')}`)
--- a/review/lib/troubledRoute.mjs
+++ b/review/lib/troubledRoute.mjs
@@ -1,6 +1,8 @@
 /**
- * Stands before a worker of the fleet and passes everything on. While it is in trouble, it breaks off each new stream after two
- * events, and answers a request that goes on with a stream with a failure whose body never ends.
+ * Stands before a worker of the fleet and passes everything on. While it is in trouble, it sends bodies without end:
+ * - `failures`: breaks off each new stream after two events, and answers a request that goes on with a stream with a failure
+ *   whose body never ends;
+ * - `lines`: answers each stream request with a success whose body has one short line a chunk, no event, and no end.
  */
 import { createServer, request as call } from 'node:http'
 
@@ -12,7 +14,8 @@
 const eventsBeforeEnd = 2
 
 export class TroubledRoute {
-  isTroubled = false
+  /** `failures`, `lines`, or undefined while the worker is sound. */
+  trouble
   #server
   #target
   #record
@@ -38,9 +41,14 @@
 
   #receive (request, response) {
     const isStream = request.headers.model !== undefined
-    if (this.isTroubled && isStream && request.headers['last-event-id'] !== undefined) {
+    if (isStream && this.trouble === 'lines') {
       request.resume()
-      this.#sendEndless(request)
+      this.#sendEndless(request, '200 OK', 'Server-Signature: by a worker in trouble\r\nContent-Type: text/event-stream\r\n', createLines)
+      return
+    }
+    if (isStream && this.trouble === 'failures' && request.headers['last-event-id'] !== undefined) {
+      request.resume()
+      this.#sendEndless(request, '500 Internal Server Error', '', createChunk)
       return
     }
     const [host, port] = this.#target.split(':')
@@ -51,7 +59,7 @@
       answer.on('data', chunk => {
         response.write(chunk)
         events += chunk.toString().split('\n\n').length - 1
-        if (this.isTroubled && isStream && answer.statusCode === 200 && events >= eventsBeforeEnd) request.socket.destroy()
+        if (this.trouble === 'failures' && isStream && answer.statusCode === 200 && events >= eventsBeforeEnd) request.socket.destroy()
       })
       answer.on('end', () => response.end())
       answer.on('error', () => response.destroy())
@@ -61,21 +69,31 @@
     request.pipe(passed)
   }
 
-  #sendEndless ({ socket, headers }) {
+  #sendEndless ({ socket, headers }, status, addedHeaders, createBytes) {
     const id = headers['attempt-id']
-    this.#record.write('worker', `request ${id}: a failure whose body never ends`)
-    socket.write(`HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`)
+    this.#record.write('worker', `request ${id}: status ${status} and a body that never ends`)
+    socket.write(`HTTP/1.1 ${status}\r\nAttempt-Id: ${id}\r\n${addedHeaders}Transfer-Encoding: chunked\r\n\r\n`)
     const host = id[0]
     endlessAnswers.set(host, (endlessAnswers.get(host) ?? 0) + 1)
     const timer = setInterval(() => {
-      const bytes = Math.floor(bytesPerInterval / endlessAnswers.get(host))
-      if (socket.writableLength < bytesPerInterval) socket.write(Buffer.concat([Buffer.from(`${bytes.toString(16)}\r\n`), Buffer.alloc(bytes, 0x78), Buffer.from('\r\n')]))
+      if (socket.writableLength < bytesPerInterval) socket.write(createBytes(Math.floor(bytesPerInterval / endlessAnswers.get(host))))
     }, intervalMs)
     const startedAtMs = performance.now()
+    socket.on('error', () => {})
     socket.on('close', () => {
       clearInterval(timer)
       endlessAnswers.set(host, endlessAnswers.get(host) - 1)
-      this.#record.write('worker', `request ${id}: closed after ${(socket.bytesWritten / 1e6).toFixed(0)} MB and ${(performance.now() - startedAtMs).toFixed(0)} ms`)
+      this.#record.write('worker', `request ${id}: closed after ${(socket.bytesWritten / 1e6).toFixed(1)} MB and ${(performance.now() - startedAtMs).toFixed(0)} ms`)
     })
   }
 }
+
+function createChunk (bytes) {
+  return Buffer.concat([Buffer.from(`${bytes.toString(16)}\r\n`), Buffer.alloc(bytes, 0x78), Buffer.from('\r\n')])
+}
+
+const line = Buffer.from('2\r\nx\n\r\n')
+
+function createLines (bytes) {
+  return Buffer.alloc(bytes - bytes % line.length, line)
+}
