--- a/review/lib/troubledRoute.mjs
+++ b/review/lib/troubledRoute.mjs
@@ -1,8 +1,9 @@
 /**
- * Stands before a worker of the fleet and passes everything on. While it is in trouble, it sends bodies without end:
+ * Stands before a worker of the fleet and passes everything on. While it is in trouble:
  * - `failures`: breaks off each new stream after two events, and answers a request that goes on with a stream with a failure
  *   whose body never ends;
- * - `lines`: answers each stream request with a success whose body has one short line a chunk, no event, and no end.
+ * - `lines`: answers each stream request with a success whose body has one short line a chunk, no event, and no end;
+ * - `wrongByte`: spoils one byte, in the id of the third event, of a part of the streams.
  */
 import { createServer, request as call } from 'node:http'
 
@@ -12,9 +13,11 @@
 /** Endless answers that are being sent, by the host that gets them; its number is the first digit of the request's id. */
 const endlessAnswers = new Map()
 const eventsBeforeEnd = 2
+/** Part of the answers that is spoiled, as `garble` does in the deployment. */
+const spoiledPart = 0.03
 
 export class TroubledRoute {
-  /** `failures`, `lines`, or undefined while the worker is sound. */
+  /** `failures`, `lines`, `wrongByte`, or undefined while the worker is sound. */
   trouble
   #server
   #target
@@ -55,9 +58,10 @@
     const passed = call({ host, port, method: request.method, path: request.url, headers: request.headers }, answer => {
       response.writeHead(answer.statusCode, answer.rawHeaders)
       response.flushHeaders()
+      const isSpoiled = isStream && this.trouble === 'wrongByte' && Math.random() < spoiledPart
       let events = 0
       answer.on('data', chunk => {
-        response.write(chunk)
+        response.write(isSpoiled ? this.#spoil(chunk, request) : chunk)
         events += chunk.toString().split('\n\n').length - 1
         if (this.trouble === 'failures' && isStream && answer.statusCode === 200 && events >= eventsBeforeEnd) request.socket.destroy()
       })
@@ -69,6 +73,13 @@
     request.pipe(passed)
   }
 
+  #spoil (chunk, request) {
+    const text = chunk.toString('latin1')
+    const spoiled = text.replace(/^id: 3$/m, 'id: 7')
+    if (spoiled !== text) this.#record.write('worker', `request ${request.headers['attempt-id']}: the id of its third event is spoiled`)
+    return Buffer.from(spoiled, 'latin1')
+  }
+
   #sendEndless ({ socket, headers }, status, addedHeaders, createBytes) {
     const id = headers['attempt-id']
     this.#record.write('worker', `request ${id}: status ${status} and a body that never ends`)
