Register under a condition, and let conflicts correct what a host knows of its row

Cause: within 2 s of a failed call a transaction goes to the store directly and through a peer at once. A registration checked nothing, so that both copies were applied. The host kept the version of the first answer, the row had that of the second; a conflict that showed the host's own row was ignored, as its renewal was confirmed already. Others left such a host its engines, as it answered a ping.

Change: a registration checks the renewal row that it replaces; a row of the own process corrects the known version wherever it is seen, also in a conflict of a claim; the removal of a host's rows at its stop has the same check; a host that has not renewed for 8 s loses its engines although it responds.

Why it works: copies of one transaction have one check that the first copy ends, so the second can't be applied; and any version that a host holds wrongly is corrected by the first conflict that it causes.

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -123,3 +123,63 @@
     And lease host 1 leaves and restarts 300 ms later
     And the lease hosts run for 12000 ms
     Then each engine can receive orders from exactly one host
+
+  # Guards against two applied copies of one registration, after which a host's checks never hold again.
+  Scenario Outline: All hosts restart while the store is busy, <apart> ms apart
+    Given <hosts> lease hosts and <engines> engines
+    When the lease hosts run for 12000 ms
+    And the store turns "busy"
+    And the lease hosts run for 1000 ms
+    And all lease hosts are killed
+    And the lease hosts run for 800 ms
+    And all killed lease hosts restart <apart> ms apart
+    And the lease hosts run for 2700 ms
+    And the store is healthy again
+    And the lease hosts run for 8000 ms
+    Then each engine can receive orders from exactly one host
+    And no lease host conflicts with its own row within 3000 ms
+
+    Examples:
+      | hosts | engines | apart |
+      | 4     | 6       | 0     |
+      | 4     | 6       | 450   |
+      | 40    | 6       | 0     |
+
+  Scenario: All hosts restart twice while the store changes between refusing calls and answering none
+    Given 4 lease hosts and 6 engines
+    When the lease hosts run for 12000 ms
+    And the store turns "busy"
+    And the lease hosts run for 1000 ms
+    And all lease hosts are killed
+    And the lease hosts run for 800 ms
+    And all killed lease hosts restart 0 ms apart
+    And the lease hosts run for 600 ms
+    And the store turns "lost"
+    And all lease hosts are killed
+    And all killed lease hosts restart 0 ms apart
+    And the lease hosts run for 1500 ms
+    And the store turns "busy"
+    And the lease hosts run for 700 ms
+    And the store is healthy again
+    And the lease hosts run for 9000 ms
+    Then each engine can receive orders from exactly one host
+    And no lease host conflicts with its own row within 3000 ms
+
+  # Its registration, sent before it left, must not bring its rows back, nor its leaving remove those of the next process.
+  Scenario: A host that owns nothing leaves while writes are applied late, and restarts
+    Given 7 lease hosts and 2 engines
+    When the lease hosts run for 12000 ms
+    And the store turns "lost"
+    And a lease host that owns nothing leaves and restarts
+    And the store is healthy again
+    And the lease hosts run for 8000 ms
+    Then each lease host that runs is registered
+
+  Scenario: A host that responds but has not renewed for long loses its engines
+    Given 4 lease hosts and 8 engines
+    When the lease hosts run for 12000 ms
+    And lease host 3 is cut off from the store
+    And datagrams to and from lease host 3 are lost
+    And the lease hosts run for 14000 ms
+    Then each engine can receive orders from exactly one host
+    And lease host 3 may order nothing
--- a/features/steps/leases.ts
+++ b/features/steps/leases.ts
@@ -1,6 +1,7 @@
 /** Steps for engine leases on a virtual clock. */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
+import { hostsTable, renewalsTable } from '../../src/schemas/hostRows.js'
 import { LeaseCluster } from '../support/leaseCluster.js'
 import type { StoreState } from '../support/leaseCluster.js'
 
@@ -102,6 +103,57 @@
   assert.ok(!isRunning, 'the host is still running')
 })
 
+When('all lease hosts are killed', function (this: LeasesWorld) {
+  for (const host of this.cluster.hosts) this.cluster.kill(host)
+})
+
+When('all killed lease hosts restart {int} ms apart', async function (this: LeasesWorld, apartMs: number) {
+  for (const host of this.cluster.listEnded()) {
+    this.cluster.restart(host)
+    await this.cluster.run(apartMs)
+  }
+})
+
+When('lease host {int} is cut off from the store', function (this: LeasesWorld, number: number) {
+  this.cluster.hosts[number - 1]!.isCutFromStore = true
+})
+
+When('a lease host that owns nothing leaves and restarts', async function (this: LeasesWorld) {
+  const host = this.cluster.hosts.findLast(({ owned }) => owned.size === 0)!
+  const leaving = this.cluster.leave(host)
+  await this.cluster.run(200)
+  this.cluster.kill(host)
+  this.cluster.restart(host)
+  await this.cluster.run(1500)
+  this.cluster.storeState = 'healthy'
+  await this.cluster.run(7000)
+  await leaving
+})
+
+Then('each lease host that runs is registered', function (this: LeasesWorld) {
+  const names = this.cluster.hosts.filter(({ isRunning }) => isRunning).map(({ name }) => name).sort()
+  for (const table of [hostsTable, renewalsTable]) {
+    const keys = this.cluster.rows.listRows(table).map(({ key }) => key.replace('host/', '')).filter(key => key.startsWith('host-'))
+    assert.deepEqual(keys.sort(), names)
+  }
+})
+
+Then('no lease host conflicts with its own row within {int} ms', async function (this: LeasesWorld, ms: number) {
+  const countConflicts = (): number => this.cluster.hosts.flatMap(({ logRecords }) => logRecords).filter(({ kind }) => kind === 'lease.conflict').length
+  const before = countConflicts()
+  await this.cluster.run(ms)
+  assert.equal(countConflicts() - before, 0)
+})
+
+Then('lease host {int} may order nothing', function (this: LeasesWorld, number: number) {
+  const { leases, owned } = this.cluster.hosts[number - 1]!
+  assert.deepEqual([...owned.keys()].filter(id => leases.findFencingToken(id) !== undefined), [])
+})
+
+When('the store turns {string}', function (this: LeasesWorld, state: StoreState) {
+  this.cluster.storeState = state
+})
+
 When('the store is healthy again', function (this: LeasesWorld) {
   this.cluster.storeState = 'healthy'
 })
--- a/features/support/leaseCluster.ts
+++ b/features/support/leaseCluster.ts
@@ -29,6 +29,8 @@
   isRunning: boolean
   /** Whether datagrams to and from the host are delivered. */
   isReachable: boolean
+  /** Whether its calls to the store fail. */
+  isCutFromStore: boolean
   owned: Map<string, number>
   logRecords: { kind: string, fields: Record<string, unknown> }[]
 }
@@ -108,6 +110,12 @@
     this.hosts.push(this.#createHost(former.name, former.address))
   }
 
+  /** Lists the hosts whose last process has ended. */
+  listEnded (): LeaseHost[] {
+    const names = new Set(this.hosts.map(({ name }) => name))
+    return [...names].map(name => this.hosts.findLast(host => host.name === name)!).filter(({ isRunning }) => !isRunning)
+  }
+
   kill (host: LeaseHost): void {
     host.isRunning = false
     host.leases.stop()
@@ -122,9 +130,9 @@
       const change = clusterView.applyRow(row, clock.readMonotonic())
       if (change) leases.receiveChange(change)
     }, (_row, error) => { throw error })
-    const host: LeaseHost = { name, address, leases: undefined!, renewalCollector: undefined!, isRunning: true, isReachable: true, owned: new Map(), logRecords: [] }
+    const host: LeaseHost = { name, address, leases: undefined!, renewalCollector: undefined!, isRunning: true, isReachable: true, isCutFromStore: false, owned: new Map(), logRecords: [] }
     const log = { record: (kind: string, _message: string, fields: Record<string, unknown> = {}) => { host.logRecords.push({ kind, fields }) } }
-    const transact = async (transaction: StoreTransaction): Promise<StoreOutcome> => await this.#transact(transaction)
+    const transact = async (transaction: StoreTransaction): Promise<StoreOutcome> => await this.#transact(transaction, host)
     const access = new StoreAccess({ clock, log, transact, transactViaPeer: async (_address, transaction) => await transact(transaction), listPeers: () => ['peer'], recordStoreResponse: () => {} })
     host.renewalCollector = new RenewalCollector({ clock, transact, isStoreReachable: () => true })
     const client = new RenewalClient({
@@ -143,7 +151,7 @@
       own,
       leaseMs,
       // Two hosts read the store, as in small deployments; the others get renewals from them.
-      isReadingStore: () => this.hosts.length < 2 || this.hosts.indexOf(host) < 2,
+      isReadingStore: () => !host.isCutFromStore && (this.hosts.length < 2 || this.hosts.filter(({ isRunning }) => isRunning).indexOf(host) < 2),
       hashPair: (endpointId, host) => {
         this.rankedPairCount++
         return this.#hashes.compute(endpointId, host)
@@ -169,7 +177,7 @@
     host.leases = leases
     const readUpdates = (): void => {
       if (!host.isRunning) return
-      for (const table of tables) mirror.replaceTable(table, this.rows.listRows(table), this.rows.version)
+      if (!host.isCutFromStore) for (const table of tables) mirror.replaceTable(table, this.rows.listRows(table), this.rows.version)
       clock.setTimer(readUpdates, updateIntervalMs)
     }
     readUpdates()
@@ -177,8 +185,9 @@
     return host
   }
 
-  async #transact (transaction: StoreTransaction): Promise<StoreOutcome> {
+  async #transact (transaction: StoreTransaction, { isCutFromStore }: LeaseHost): Promise<StoreOutcome> {
     this.storeCallCount++
+    if (isCutFromStore) return await this.#respond(() => ({ verdict: 'unknown', reason: 'no answer' }), 300)
     if (transaction.checks.length + transaction.writes.length + transaction.removals.length > maxTransactionEntries) {
       return await this.#respond(() => ({ verdict: 'notApplied', reason: 'the store answered with status 400' }), responseDelayMs)
     }
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -4,7 +4,7 @@
 import type { HashPair } from '../../core/ownershipAssignment.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
-import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
+import type { RowCheck, StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
 import { decodeRenewal, encodeHostsRow, formatHostKey, formatOwnerKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
 import type { HostRow, RenewalRow } from '../../schemas/hostRows.js'
 import type { RenewalResult } from '../../schemas/datagram.js'
@@ -59,6 +59,12 @@
 /** Delay between two attempts to release all endpoints, to limit the load on a store that is unavailable. */
 const releaseRetryDelayMs = 250
 
+interface SentRenewal {
+  readonly sentAtMs: number
+  /** Whether it was written together with this host's other row. */
+  readonly registers: boolean
+}
+
 export class LeaseTask {
   #options: LeaseTaskOptions
   #hostExpiry = new HostExpiryTracker()
@@ -70,10 +76,12 @@
   /** Whether a renewal was confirmed, however long ago, with no process pause and no other writer of the row since. */
   #hasConfirmedRenewal = false
   #renewalCounter = 0
-  /** When each renewal was sent whose result is not known. */
-  #unconfirmedRenewals = new Map<number, number>()
-  /** Version of this host's renewal row in the store; 0 before the host is registered. */
+  /** Renewals whose result is not known. */
+  #unconfirmedRenewals = new Map<number, SentRenewal>()
+  /** Version of this host's renewal row in the store; 0 if none is known. */
   #renewalVersion = 0
+  /** Whether the store has this host's rows, written by this process. */
+  #isRegistered = false
   /** Start of the current renewal interval: the last renewal, or an adjusted time that moves the next renewal. */
   #renewalIntervalStartedAtMs = -Infinity
   #isRenewing = false
@@ -99,9 +107,10 @@
       isRunning,
       transact,
       findRenewalVersion,
-      getOwnRenewalVersion: () => this.#renewalVersion,
+      getRegistrationCheck: () => this.#registrationCheck,
       findOwnFencingToken: endpointId => this.#ownedEndpoints.get(endpointId),
       applyRow,
+      receiveRenewalRow: row => this.#adoptRenewalRow(row),
       addOwned: (endpointId, fencing, hadNoOtherOwner) => this.#addOwned(endpointId, fencing, hadNoOtherOwner),
       removeOwned: (endpointId, reason) => this.#removeOwned(endpointId, reason),
       requestStep: () => this.#scheduleStep(0)
@@ -132,7 +141,9 @@
     for (;;) {
       const released = [...owned].slice(0, maxEndpointsPerTransaction)
       const isLast = released.length === owned.size
-      const outcome = await this.#options.transact({ ...this.#reconciler.createRelease(released), removals: isLast ? removals : [] })
+      const { checks, writes } = this.#reconciler.createRelease(released)
+      // Without the check, a write that is applied late would remove the rows of the next process of this host.
+      const outcome = await this.#options.transact(isLast ? { checks: [...checks, this.#registrationCheck], writes, removals } : { checks, writes, removals: [] })
       log.record('lease.left', 'Released endpoints because the host is shutting down.', { endpointIds: released.map(([endpointId]) => endpointId), verdict: outcome.verdict })
       if (outcome.verdict === 'applied') {
         if (isLast) return
@@ -142,6 +153,7 @@
       if (clock.readMonotonic() + releaseRetryDelayMs >= deadlineMs) return
       // A row changed since, by another host or by an earlier attempt whose response was lost, must not be released again.
       if (outcome.verdict === 'conflict') {
+        if (isLast && !this.#adoptConflict(outcome.rows) && owned.size === 0) return
         for (const [endpointId, fencing] of owned) if (outcome.rows.some(({ key, version }) => key === formatOwnerKey(endpointId) && version !== fencing)) owned.delete(endpointId)
       }
       await this.#delay(releaseRetryDelayMs)
@@ -153,14 +165,13 @@
    * store applied.
    */
   async #probeStore (): Promise<boolean> {
-    const { clock, own, transact } = this.#options
+    const { clock, transact } = this.#options
     const renewal = ++this.#renewalCounter
-    const startedAtMs = clock.readMonotonic()
-    this.#unconfirmedRenewals.set(renewal, startedAtMs)
-    const outcome = await transact({
-      checks: [{ table: renewalsTable, key: own.host, version: this.#renewalVersion }], writes: [this.#createRenewalWrite(renewal)], removals: []
-    })
-    if (outcome.verdict === 'applied') this.#recordConfirmedRenewal(renewal, outcome.version, startedAtMs)
+    const sent = { sentAtMs: clock.readMonotonic(), registers: false }
+    this.#unconfirmedRenewals.set(renewal, sent)
+    const outcome = await transact({ checks: [this.#registrationCheck], writes: [this.#createRenewalWrite(renewal)], removals: [] })
+    if (outcome.verdict === 'applied') this.#recordConfirmedRenewal(renewal, outcome.version, sent)
+    if (outcome.verdict === 'conflict') for (const row of outcome.rows) this.#adoptRenewalRow(row)
     return outcome.verdict === 'applied' || outcome.verdict === 'conflict'
   }
 
@@ -217,7 +228,7 @@
     if (change.kind === 'renewal') {
       if (change.renewal) this.#hostExpiry.recordRenewal(change.host, change.renewal, nowMs)
       else this.#hostExpiry.removeHost(change.host)
-      if (change.host === own.host && change.renewal) this.#confirmStoredRenewal(change.renewal, change.version)
+      if (change.host === own.host && change.renewal) this.#adoptStoredRenewal(change.renewal, change.version)
       return
     }
     if (this.#mayCreateUnowned(change)) this.#scheduleStep(0)
@@ -234,16 +245,36 @@
     return change.kind === 'configuration' || (change.kind === 'endpoint' && change.entry !== undefined && isUnowned(this.#options.clusterView.owners.get(change.id)?.row))
   }
 
-  /** Confirms a renewal that was read from the store, also if the response to its write was lost. */
-  #confirmStoredRenewal ({ session, renewal }: RenewalRow, version: number): void {
-    const sentAtMs = this.#unconfirmedRenewals.get(renewal)
-    if (session !== this.#options.own.session || sentAtMs === undefined || version <= this.#renewalVersion) return
-    this.#recordConfirmedRenewal(renewal, version, sentAtMs)
+  /** Adopts a renewal of this process that was read from the store, and confirms it if the response to its write was lost. */
+  #adoptStoredRenewal ({ session, renewal }: RenewalRow, version: number): void {
+    if (session !== this.#options.own.session || version <= this.#renewalVersion) return
+    this.#renewalVersion = version
+    const sent = this.#unconfirmedRenewals.get(renewal)
+    if (sent) this.#recordConfirmedRenewal(renewal, version, sent)
+  }
+
+  /** Adopts this host's renewal row as a conflict shows it. */
+  #adoptRenewalRow ({ table, key, value, version }: StoreRow): void {
+    const renewal = value && decodeRenewal(value)
+    if (renewal && table === renewalsTable && key === this.#options.own.host) this.#adoptStoredRenewal(renewal, version)
   }
 
-  #recordConfirmedRenewal (renewal: number, version: number, sentAtMs: number): void {
+  /** Adopts the version of this host's renewal row from a conflict; returns false if the row is not of this process, or gone. */
+  #adoptConflict (rows: readonly StoreRow[]): boolean {
+    const { own } = this.#options
+    const current = rows.find(row => row.table === renewalsTable && row.key === own.host)
+    const renewal = current?.value && decodeRenewal(current.value)
+    if (renewal?.session !== own.session) return false
+    this.#renewalVersion = current!.version
+    return true
+  }
+
+  #recordConfirmedRenewal (renewal: number, version: number, { sentAtMs, registers }: SentRenewal): void {
     for (const sent of this.#unconfirmedRenewals.keys()) if (sent <= renewal) this.#unconfirmedRenewals.delete(sent)
-    if (!this.#isRegistered()) this.#scheduleStep(0)
+    if (registers && !this.#isRegistered) {
+      this.#isRegistered = true
+      this.#scheduleStep(0)
+    }
     this.#failedRenewalCount = 0
     this.#renewalVersion = version
     this.#confirmedRenewalSentAtMs = Math.max(this.#confirmedRenewalSentAtMs, sentAtMs)
@@ -263,17 +294,17 @@
     const { clock } = this.#options
     const nowMs = clock.readMonotonic()
     if (!this.#options.isReadingStore()) this.#hostExpiry.recordStoreUnavailable(nowMs)
-    const interval = this.#ownedEndpoints.size > 0 || !this.#isRegistered() ? renewalIntervalMs : idleRenewalIntervalMs
+    const interval = this.#ownedEndpoints.size > 0 || !this.#isRegistered ? renewalIntervalMs : idleRenewalIntervalMs
     if (!this.#isLeaving && nowMs - this.#renewalIntervalStartedAtMs >= interval) this.#renew()
     this.#scheduleStep(this.#isIdle() ? idleStepIntervalMs : stepIntervalMs)
-    if (this.#isLeaving || this.#isReleasing || !this.#isRegistered()) return
+    if (this.#isLeaving || this.#isReleasing || !this.#isRegistered) return
     const { isIsolated, isStranded } = this.#options
     if (!isIsolated() && !isStranded()) this.#reconciler.step(nowMs)
     else if (this.#ownedEndpoints.size > 0) this.#releaseAll(isIsolated() ? 'this host is isolated from its peers' : 'this host reaches no endpoint')
   }
 
   #isIdle (): boolean {
-    return this.#isRegistered() && this.#ownedEndpoints.size === 0 && !this.#reconciler.hasUnownedEndpoints && !this.#options.isReadingStore()
+    return this.#isRegistered && this.#ownedEndpoints.size === 0 && !this.#reconciler.hasUnownedEndpoints && !this.#options.isReadingStore()
   }
 
   /** Schedules the next step `delayMs` from now, unless one is due sooner. */
@@ -288,8 +319,9 @@
     }, delayMs)
   }
 
-  #isRegistered (): boolean {
-    return this.#renewalVersion > 0
+  /** The check that this host's renewal row is as it was last written; fails where another host has removed it. */
+  get #registrationCheck (): RowCheck {
+    return { table: renewalsTable, key: this.#options.own.host, version: this.#renewalVersion }
   }
 
   // Renewal
@@ -302,13 +334,14 @@
   async #renew (): Promise<void> {
     if (this.#isRenewing) return
     this.#isRenewing = true
-    const { clock, own, log } = this.#options
+    const { clock, log } = this.#options
     const startedAtMs = clock.readMonotonic()
     this.#renewalIntervalStartedAtMs = startedAtMs
     const renewal = ++this.#renewalCounter
-    this.#unconfirmedRenewals.set(renewal, startedAtMs)
+    const sent = { sentAtMs: startedAtMs, registers: !this.#isRegistered }
+    this.#unconfirmedRenewals.set(renewal, sent)
     // Without a recent confirmed renewal, this host writes its own at once instead of waiting for the collector.
-    const canUseCollector = this.#isRegistered() && startedAtMs - this.#confirmedRenewalSentAtMs < 2 * renewalIntervalMs
+    const canUseCollector = this.#isRegistered && startedAtMs - this.#confirmedRenewalSentAtMs < 2 * renewalIntervalMs
     const reply = canUseCollector ? await this.#options.renewViaCollector(renewal, this.#renewalVersion) : undefined
     if (reply) {
       this.#isRenewing = false
@@ -317,21 +350,22 @@
     }
     const write = this.#createRenewalWrite(renewal)
     const hostWrite = this.#createHostWrite()
-    const outcome = await this.#options.transact(this.#isRegistered()
-      ? { checks: [{ table: renewalsTable, key: own.host, version: this.#renewalVersion }], writes: [write], removals: [] }
-      : { checks: [], writes: [write, hostWrite], removals: [] })
+    // Copies of one transaction have the same check, so that the store applies one of them at most.
+    const outcome = await this.#options.transact({ checks: [this.#registrationCheck], writes: sent.registers ? [write, hostWrite] : [write], removals: [] })
     this.#isRenewing = false
     if (outcome.verdict === 'applied') {
-      if (!this.#isRegistered()) this.#options.applyRow({ ...hostWrite, version: outcome.version })
-      if (this.#unconfirmedRenewals.has(renewal)) this.#recordConfirmedRenewal(renewal, outcome.version, startedAtMs)
+      if (sent.registers) this.#options.applyRow({ ...hostWrite, version: outcome.version })
+      if (this.#unconfirmedRenewals.has(renewal)) this.#recordConfirmedRenewal(renewal, outcome.version, sent)
       else this.#renewalVersion = Math.max(this.#renewalVersion, outcome.version)
       return
     }
     if (outcome.verdict === 'conflict') this.#handleRenewalConflict(outcome.rows)
     else if (outcome.verdict === 'unknown') this.#options.readRenewals()
     if (outcome.verdict !== 'conflict') log.record('lease.renewalFailed', 'The renewal of this host\'s row failed.', { verdict: outcome.verdict, reason: outcome.reason })
-    this.#failedRenewalCount++
+    // The first conflict of a host that registers only tells the version of the row that it replaces.
+    if (!(sent.registers && outcome.verdict === 'conflict' && this.#failedRenewalCount === 0)) this.#failedRenewalCount++
     this.#renewalIntervalStartedAtMs = startedAtMs - renewalIntervalMs + Math.min(maxRenewalRetryDelayMs, minRenewalRetryDelayMs * this.#failedRenewalCount)
+    this.#scheduleStep(0)
   }
 
   #handleCollectedRenewal ({ verdict, version, current }: RenewalResult, renewal: number, startedAtMs: number): void {
@@ -341,7 +375,7 @@
       this.#renewalIntervalStartedAtMs = startedAtMs - renewalIntervalMs + stepIntervalMs * 2
       return
     }
-    if (this.#unconfirmedRenewals.has(renewal)) this.#recordConfirmedRenewal(renewal, version, startedAtMs)
+    if (this.#unconfirmedRenewals.has(renewal)) this.#recordConfirmedRenewal(renewal, version, { sentAtMs: startedAtMs, registers: false })
     // Align the next renewal with the collector's batch: hosts in one batch then send their next renewals together.
     this.#renewalIntervalStartedAtMs = clock.readMonotonic() - stepIntervalMs
   }
@@ -352,15 +386,20 @@
    */
   #handleRenewalConflict (rows: readonly StoreRow[]): void {
     const { own, log } = this.#options
-    const current = rows.find(row => row.key === own.host)
+    const current = rows.find(row => row.table === renewalsTable && row.key === own.host)
     const renewal = current?.value && decodeRenewal(current.value)
     const isOwnWrite = renewal?.session === own.session
-    log.record('lease.conflict', 'This host\'s row was changed by another writer, or by a renewal whose response was lost.', { isOwnWrite })
+    log.record('lease.conflict', 'This host\'s row was changed by another writer, or by a renewal whose response was lost.', {
+      isOwnWrite, isRegistered: this.#isRegistered, version: current?.version, known: this.#renewalVersion
+    })
     if (isOwnWrite) {
-      this.#confirmStoredRenewal(renewal!, current!.version)
+      this.#adoptStoredRenewal(renewal!, current!.version)
       return
     }
-    this.#renewalVersion = 0
+    // The row of an earlier process of this host, which the next attempt replaces.
+    this.#renewalVersion = current?.version ?? 0
+    if (!this.#isRegistered) return
+    this.#isRegistered = false
     this.#hasConfirmedRenewal = false
     for (const endpointId of [...this.#ownedEndpoints.keys()]) this.#removeOwned(endpointId, 'this host was declared dead')
   }
--- a/src/tasks/leases/ownershipReconciler.ts
+++ b/src/tasks/leases/ownershipReconciler.ts
@@ -1,12 +1,12 @@
 /** Claims unowned endpoints, releases the endpoints of dead hosts, and hands over endpoints that exceed this host's share. */
-import { computeClaimDelayMs, isUnowned } from '../../core/ownershipLease.js'
+import { computeClaimDelayMs, hostExpiryMs, isUnowned } from '../../core/ownershipLease.js'
 import type { HostExpiryTracker } from '../../core/ownershipLease.js'
 import { findExcessEndpoint, rankEndpointClaims } from '../../core/ownershipAssignment.js'
 import type { HashPair, AssignmentEndpoint, AssignmentHost } from '../../core/ownershipAssignment.js'
 import type { ClusterView } from '../../core/clusterView.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
-import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
+import type { RowCheck, StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
 import { encodeHostsRow, formatHostKey, formatOwnerKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
 import type { HostRow, OwnerRow } from '../../schemas/hostRows.js'
 
@@ -29,11 +29,13 @@
   transact: (transaction: StoreTransaction) => Promise<StoreOutcome>
   /** Version of a host's renewal row, as last read. */
   findRenewalVersion: (host: string) => number | undefined
-  /** Version of this host's own renewal row in the store. */
-  getOwnRenewalVersion: () => number
+  /** Returns the check that no other host has removed this host's rows. */
+  getRegistrationCheck: () => RowCheck
   findOwnFencingToken: (endpointId: string) => number | undefined
   /** Applies a row of the store to the cluster view before a cluster update contains it. */
   applyRow: (row: StoreRow) => void
+  /** Called with a renewal row as a conflict shows it. */
+  receiveRenewalRow: (row: StoreRow) => void
   /** Called when this host becomes the owner; `hadNoOtherOwner`: no orders of another host can still be on their way. */
   addOwned: (endpointId: string, fencing: number, hadNoOtherOwner: boolean) => void
   removeOwned: (endpointId: string, reason: string) => void
@@ -66,6 +68,13 @@
  */
 export const maxEndpointsPerTransaction = 45
 
+/** A host that responded is not asked again for this long. */
+const pingIntervalMs = 1000
+/**
+ * A host that responds and has not renewed its row for this long has had no right to orders for most of it, whatever keeps it from
+ * renewing. It registers again once its rows are removed.
+ */
+const stalledHostMs = 2 * hostExpiryMs
 /** Added to the lease duration, for orders that arrive late. */
 const lateOrderMarginMs = 300
 
@@ -75,6 +84,8 @@
   /** When this host lost each endpoint that it no longer owns. */
   #lostAtMs = new Map<string, number>()
   #gainedAtMs = new Map<string, number>()
+  /** When each host that did not renew its row last responded to a question. */
+  #respondedAtMs = new Map<string, number>()
   #isTransactionRunning = false
   #hasUnownedEndpoints = true
   /** After a conflict, endpoints are claimed one at a time, so that one with another owner does not block the others. */
@@ -188,12 +199,12 @@
   }
 
   async #claimEndpoints (claims: UnownedEndpoint[]): Promise<StoreOutcome> {
-    const { own, log, transact, applyRow, addOwned, getOwnRenewalVersion } = this.#options
+    const { own, log, transact, applyRow, addOwned, getRegistrationCheck, receiveRenewalRow } = this.#options
     const writes = claims.map(({ endpointId }) => createOwnerWrite(endpointId, { ...own, formerHosts: this.#listFormerHosts(endpointId).filter(name => name !== own.host) }))
     const outcome = await transact({
       checks: [
         ...claims.map(({ endpointId, version }) => ({ table: hostsTable, key: formatOwnerKey(endpointId), version })),
-        { table: renewalsTable, key: own.host, version: getOwnRenewalVersion() }
+        getRegistrationCheck()
       ],
       writes,
       removals: []
@@ -203,8 +214,13 @@
       endpointIds: claims.map(({ endpointId }) => endpointId), versions: claims.map(({ version }) => version), verdict: outcome.verdict
     })
     for (const { endpointId } of claims) this.#unownedSinceMs.delete(endpointId)
-    // A claim whose response was lost becomes visible in the cluster updates. A conflict returns the current owner rows.
-    if (outcome.verdict === 'conflict') for (const row of outcome.rows) if (row.table === hostsTable) applyRow(row)
+    // A claim whose response was lost becomes visible in the cluster updates. A conflict returns the current rows.
+    if (outcome.verdict === 'conflict') {
+      for (const row of outcome.rows) {
+        if (row.table === hostsTable) applyRow(row)
+        else receiveRenewalRow(row)
+      }
+    }
     if (outcome.verdict !== 'applied') return outcome
     // No orders can be on their way to an endpoint that never had an owner.
     for (const { endpointId, version, wasOwned } of claims) addOwned(endpointId, outcome.version, wasOwned || version === 0)
@@ -241,15 +257,21 @@
       const host = clusterView.hosts.get(name)
       const renewalVersion = findRenewalVersion(name)
       const owned = [...clusterView.owners].filter(([, owner]) => owner.row.host === name).map(([id, { fencing }]): [string, number] => [id, fencing])
-      if (!host || renewalVersion === undefined || owned.length === 0 || name === own.host) continue
+      const hasJustResponded = nowMs - (this.#respondedAtMs.get(name) ?? -Infinity) < pingIntervalMs
+      if (!host || renewalVersion === undefined || owned.length === 0 || name === own.host || hasJustResponded) continue
       return this.#runTransaction(async () => await this.#expireHost(host.row, renewalVersion, owned))
     }
     return undefined
   }
 
   async #expireHost (row: HostRow, renewalVersion: number, owned: [string, number][]): Promise<StoreOutcome | undefined> {
-    const { log, isRunning, transact, applyRow } = this.#options
-    if (await isRunning(row)) return undefined
+    const { clock, log, hostExpiry, isRunning, transact, applyRow } = this.#options
+    const responds = await isRunning(row)
+    if (responds && hostExpiry.getStalledMs(row.host, clock.readMonotonic()) < stalledHostMs) {
+      this.#respondedAtMs.set(row.host, clock.readMonotonic())
+      return undefined
+    }
+    this.#respondedAtMs.delete(row.host)
     // The host's own rows are removed together with its last endpoints.
     const released = owned.slice(0, maxEndpointsPerTransaction)
     const release = this.createRelease(released)
@@ -258,7 +280,7 @@
       writes: release.writes,
       removals: released.length < owned.length ? [] : [{ table: hostsTable, key: formatHostKey(row.host) }, { table: renewalsTable, key: row.host }]
     })
-    log.record('lease.expired', 'A host did not renew its row and does not respond; releasing its endpoints.', { lostHost: row.host, endpointIds: released.map(([id]) => id), verdict: outcome.verdict })
+    log.record('lease.expired', 'A host did not renew its row; releasing its endpoints.', { lostHost: row.host, responds, endpointIds: released.map(([id]) => id), verdict: outcome.verdict })
     if (outcome.verdict === 'applied') for (const write of release.writes) applyRow({ ...write, version: outcome.version })
     if (outcome.verdict === 'conflict') for (const current of outcome.rows) if (current.table === hostsTable) applyRow(current)
     return outcome
