--- a/features/steps/hostFailures.ts
+++ b/features/steps/hostFailures.ts
@@ -177,6 +177,9 @@
   store.setFault('none')
 })
 
+/** Every host has a new configuration within this time. */
+const newsMs = 500
+
 function addRoute (world: HostsWorld): void {
   const { fleet } = world.hostFleet
   const [route] = fleet.defaultRoutes
@@ -187,6 +190,36 @@
   addRoute(this)
 })
 
+When('a route is dropped', function (this: HostsWorld) {
+  this.hostFleet.fleet.writeConfiguration({})
+})
+
+Then('the route is gone from every host within {int} ms', async function (this: HostsWorld, ms: number) {
+  const startedAtMs = performance.now()
+  for (const [index] of this.hostFleet.hosts.entries()) {
+    await waitUntil(async () => await this.hostFleet.readStatus(index + 1, '/added/x') === 404)
+  }
+  assert.ok(performance.now() - startedAtMs < ms, `it took ${Math.round(performance.now() - startedAtMs)} ms`)
+})
+
+When('the store is away for {int} ms and comes back from a copy that was made before {int} streams for {int} adapters and a new route', async function (this: HostsWorld, awayMs: number, streams: number, adapters: number) {
+  const { fleet } = this.hostFleet
+  const copy = fleet.rows.takeCopy()
+  await sendStreams(this, streams, adapters, 2500)
+  addRoute(this)
+  await sleep(newsMs)
+  fleet.store.setFault('reset')
+  await sleep(awayMs)
+  fleet.restoreStore(copy)
+  fleet.store.setFault('none')
+  this.hostFleet.lines.length = 0
+})
+
+Then('engines got orders since the restore', function (this: HostsWorld) {
+  const ordered = new Set(this.hostFleet.listLines('order.load').filter(({ fields }) => fields.verdict === 'accepted').map(({ fields }) => fields.endpointId))
+  assert.ok(ordered.size > 0)
+})
+
 When('the store forgets its history and a route is added', function (this: HostsWorld) {
   addRoute(this)
   this.hostFleet.fleet.rows.forgetHistory()
--- a/features/steps/lateConfigurations.ts
+++ b/features/steps/lateConfigurations.ts
@@ -56,6 +56,28 @@
   this.strike = async cluster => { for (const reader of cluster.readers) cluster.holdOpenCalls(reader, table) }
 })
 
+When('the store comes back from a copy that was made {int} ms before, after {int} ms, and a change is written 0 to 1500 ms later', function (this: ChangesWorld, lostMs: number, awayMs: number) {
+  this.strike = async cluster => {
+    const copy = cluster.takeCopy()
+    await cluster.run(lostMs / 2)
+    cluster.change()
+    await cluster.run(lostMs / 2)
+    await cluster.restore(copy, awayMs)
+  }
+})
+
+When('a store reader of an earlier build has missed that the store was restored {int} ms ago, and a change is written 0 to 1500 ms later', function (this: ChangesWorld, agoMs: number) {
+  this.strike = async cluster => {
+    const copy = cluster.takeCopy()
+    await cluster.run(5000)
+    const reader = cluster.readers[0]!
+    disturbHost(cluster, reader, 'loses the store')
+    reader.isEarlierBuild = true
+    await cluster.restore(copy, 500)
+    await cluster.run(agoMs)
+  }
+})
+
 Then(/^every host(?: that no fault touched)? has the change within the bounds, also from a store that takes 200 ms to answer$/, { timeout: 120_000 }, async function (this: ChangesWorld) {
   const problems: string[] = []
   const stepMs = this.createCluster().hosts.length > largeClusterHosts ? largeDelayStepMs : delayStepMs
--- a/features/steps/leases.ts
+++ b/features/steps/leases.ts
@@ -1,12 +1,14 @@
 /** Steps for engine leases on a virtual clock. */
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
+import type { RowStoreCopy } from '../../src/standin/fleet/rowStore.js'
 import { hostsTable, renewalsTable } from '../../src/schemas/hostRows.js'
 import { LeaseCluster } from '../support/leaseCluster.js'
 import type { StoreState } from '../support/leaseCluster.js'
 
 interface LeasesWorld {
   cluster: LeaseCluster
+  copy?: RowStoreCopy
 }
 
 /** Interval at which a host hands over an excess engine. */
@@ -103,10 +105,36 @@
   assert.ok(!isRunning, 'the host is still running')
 })
 
+When('the store is away for {int} ms and comes back from a copy that was made {int} ms before', async function (this: LeasesWorld, awayMs: number, lostMs: number) {
+  const copy = this.cluster.rows.takeCopy()
+  await this.cluster.run(lostMs)
+  await this.cluster.restore(copy, awayMs)
+})
+
+When('a copy of the store is made', function (this: LeasesWorld) {
+  this.copy = this.cluster.rows.takeCopy()
+})
+
+When('the store is away for {int} ms and comes back from the copy', async function (this: LeasesWorld, awayMs: number) {
+  await this.cluster.restore(this.copy!, awayMs)
+})
+
+When('lease host {int} is cut off from the store', function (this: LeasesWorld, number: number) {
+  this.cluster.hosts[number - 1]!.isCutFromStore = true
+})
+
+When('lease host {int} reaches the store again', function (this: LeasesWorld, number: number) {
+  this.cluster.hosts[number - 1]!.isCutFromStore = false
+})
+
 When('all lease hosts are killed', function (this: LeasesWorld) {
   for (const host of this.cluster.hosts) this.cluster.kill(host)
 })
 
+When('all killed lease hosts restart', function (this: LeasesWorld) {
+  this.cluster.restartEnded()
+})
+
 When('all killed lease hosts restart {int} ms apart', async function (this: LeasesWorld, apartMs: number) {
   for (const host of this.cluster.listEnded()) {
     this.cluster.restart(host)
@@ -114,10 +142,6 @@
   }
 })
 
-When('lease host {int} is cut off from the store', function (this: LeasesWorld, number: number) {
-  this.cluster.hosts[number - 1]!.isCutFromStore = true
-})
-
 When('a lease host that owns nothing leaves and restarts', async function (this: LeasesWorld) {
   const host = this.cluster.hosts.findLast(({ owned }) => owned.size === 0)!
   const leaving = this.cluster.leave(host)
@@ -150,14 +174,18 @@
   assert.deepEqual([...owned.keys()].filter(id => leases.findFencingToken(id) !== undefined), [])
 })
 
-When('the store turns {string}', function (this: LeasesWorld, state: StoreState) {
-  this.cluster.storeState = state
+When('an engine joins', function (this: LeasesWorld) {
+  this.cluster.addEngine()
 })
 
 When('the store is healthy again', function (this: LeasesWorld) {
   this.cluster.storeState = 'healthy'
 })
 
+When('the store turns {string}', function (this: LeasesWorld, state: StoreState) {
+  this.cluster.storeState = state
+})
+
 When('the store is slow', function (this: LeasesWorld) {
   this.cluster.storeState = 'slow'
 })
--- a/features/steps/outOfStepHosts.ts
+++ b/features/steps/outOfStepHosts.ts
@@ -8,7 +8,7 @@
 import { ClusterView } from '../../src/core/clusterView.js'
 import { decodePlatformRow } from '../../src/platform/decodePlatformRow.js'
 import { encodeConfigurationRow, encodeEndpointRow, encodeResumptionHeaders } from '../../src/platform/standinWire.js'
-import type { Store, StoreRow } from '../../src/ports/store.js'
+import type { StoreRow } from '../../src/ports/store.js'
 import type { CallerRequest } from '../../src/schemas/callerRequest.js'
 import { pingSchema, pongSchema } from '../../src/schemas/datagram.js'
 import { encodeHostsRow, formatServiceVersionsKey, hostsTable } from '../../src/schemas/hostRows.js'
@@ -17,7 +17,7 @@
 import { createConfiguration, engineService } from '../../src/standin/fleet/startFleet.js'
 import { PeerVersions } from '../../src/tasks/streams/peerVersions.js'
 import { StreamOrigins } from '../../src/tasks/streams/streamOrigins.js'
-import type { StreamResolution } from '../../src/tasks/streams/streamOrigins.js'
+import type { StreamOriginsOptions, StreamResolution } from '../../src/tasks/streams/streamOrigins.js'
 import { setFaults } from '../support/hostsWorld.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
 import { listStreamVersions, ResumingCaller } from '../support/resumingCaller.js'
@@ -25,7 +25,7 @@
 
 interface OutOfStepWorld {
   clusterView: ClusterView
-  store: Pick<Store, 'readRow'>
+  store: StreamOriginsOptions['store']
   isStoreUnavailable: boolean
   /** What each other host replies; undefined for one that does not. */
   replies: Array<string[] | undefined>
--- a/features/steps/relayedNews.ts
+++ b/features/steps/relayedNews.ts
@@ -8,6 +8,7 @@
 import { ClusterView } from '../../src/core/clusterView.js'
 import { selectStoreReaders, UpdateSourceList } from '../../src/core/updateSources.js'
 import { RowMirror } from '../../src/core/rowMirror.js'
+import { StoreEra } from '../../src/core/storeEra.js'
 import type { RelayedUpdates } from '../../src/ports/relay.js'
 import type { Store } from '../../src/ports/store.js'
 import { encodeHostsRow, formatHostKey, hostsTable, renewalsTable } from '../../src/schemas/hostRows.js'
@@ -47,7 +48,7 @@
   mirror.replaceTable('op', [{ table: 'op', key: 'routes', version: 3, value: this.written }], 3)
   const unusedStore = {} as Store
   this.relayServer = await startRelayServer({
-    address: relayAddress, clock: createSystemClock(), mirror, store: unusedStore, getStoreAgeMs: () => 5, listTableAges: () => ({ op: 5 }), isStoreReachable: () => true
+    address: relayAddress, clock: createSystemClock(), mirror, store: unusedStore, eras: new StoreEra(), getStoreAgeMs: () => 5, listTableAges: () => ({ op: 5 }), isStoreReachable: () => true
   })
   this.counter = await startByteCounter(relayAddress)
 })
@@ -106,6 +107,7 @@
   }
   const task = new ClusterViewTask({
     clock,
+    eras: new StoreEra(),
     log: { record: () => {} },
     store: {
       watchTable: async (table: string) => {
--- a/features/support/leaseCluster.ts
+++ b/features/support/leaseCluster.ts
@@ -3,13 +3,16 @@
 import { ClusterView } from '../../src/core/clusterView.js'
 import { PairHasher } from '../../src/core/rendezvousHash.js'
 import { RowMirror } from '../../src/core/rowMirror.js'
+import { StoreEra } from '../../src/core/storeEra.js'
 import { decodePlatformRow, endpointsTable, operatorsTable } from '../../src/platform/decodePlatformRow.js'
 import { encodeConfigurationRow, encodeEndpointRow } from '../../src/platform/standinWire.js'
-import type { StoreOutcome, StoreTransaction } from '../../src/ports/store.js'
+import type { Store, StoreOutcome, StoreTransaction } from '../../src/ports/store.js'
 import type { RenewalReply } from '../../src/schemas/datagram.js'
 import { hostsTable, renewalsTable } from '../../src/schemas/hostRows.js'
 import type { EndpointEntry, RoutingConfiguration } from '../../src/schemas/routing.js'
 import { RowStore } from '../../src/standin/fleet/rowStore.js'
+import type { RowStoreCopy } from '../../src/standin/fleet/rowStore.js'
+import { createEraCheckedStore } from '../../src/tasks/clusterView/eraChecks.js'
 import { LeaseTask } from '../../src/tasks/leases/leaseTask.js'
 import { RenewalClient } from '../../src/tasks/leases/renewalClient.js'
 import { RenewalCollector } from '../../src/tasks/leases/renewalCollector.js'
@@ -17,9 +20,9 @@
 
 /**
  * `busy`: rejects calls. `slow`: applies transactions one after another, 300 ms each, and rejects those that would wait for over a
- * second. `lost`: applies transactions late and sends no response.
+ * second. `lost`: applies transactions late and sends no response. `away`: neither reads nor writes, and sends no response.
  */
-export type StoreState = 'healthy' | 'busy' | 'slow' | 'lost'
+export type StoreState = 'healthy' | 'busy' | 'slow' | 'lost' | 'away'
 
 export interface LeaseHost {
   name: string
@@ -42,6 +45,8 @@
 const maxLeaveMs = 6000
 const slowResponseDelayMs = 300
 const updateIntervalMs = 50
+/** Hosts know after this time that the store is away for all of them. */
+const outageNoticedMs = 1800
 const lateWriteDelayMs = 3000
 /** Lease duration in the published deployments. */
 const leaseMs = 3000
@@ -60,6 +65,7 @@
   #hashes = new PairHasher()
   #stepCounts = new Map<LeaseHost, number>()
   #queueEndsAtMs = 0
+  #awaySinceMs = Infinity
   #lastFencing = new Map<string, number>()
   /** By engine, its successive owners and when each could last send it orders. */
   #ownerHistory = new Map<string, { owner: string, atMs: number }[]>()
@@ -110,12 +116,34 @@
     this.hosts.push(this.#createHost(former.name, former.address))
   }
 
+  /**
+   * The store is away for `awayMs` and comes back from a copy; operators and endpoints write again what it lost of theirs. Calls that
+   * were open get no response.
+   */
+  async restore (copy: RowStoreCopy, awayMs: number): Promise<void> {
+    this.storeState = 'away'
+    this.#awaySinceMs = this.clock.readMonotonic()
+    await this.run(awayMs)
+    const lost = this.rows.restore(copy)
+    this.storeState = 'healthy'
+    this.#awaySinceMs = Infinity
+    for (const { table, key, value } of lost) if (value && (table === operatorsTable || table === endpointsTable)) this.rows.write({ table, key, value })
+  }
+
+  addEngine (): void {
+    this.rows.write(encodeEndpointRow(createEntry(`engine-${this.rows.listRows(endpointsTable).length + 1}`)))
+  }
+
   /** Lists the hosts whose last process has ended. */
   listEnded (): LeaseHost[] {
     const names = new Set(this.hosts.map(({ name }) => name))
     return [...names].map(name => this.hosts.findLast(host => host.name === name)!).filter(({ isRunning }) => !isRunning)
   }
 
+  restartEnded (): void {
+    for (const host of this.listEnded()) this.restart(host)
+  }
+
   kill (host: LeaseHost): void {
     host.isRunning = false
     host.leases.stop()
@@ -125,18 +153,21 @@
     const { clock } = this
     const session = `${name}-incarnation-${this.hosts.length}`
     const own = { host: name, address, zone: 'zone-1', session }
-    const clusterView = new ClusterView(decodePlatformRow)
-    const mirror = new RowMirror(session, () => false, row => {
-      const change = clusterView.applyRow(row, clock.readMonotonic())
+    const eras = new StoreEra()
+    const clusterView = new ClusterView(decodePlatformRow, undefined, eras)
+    const mirror = new RowMirror(session, () => false, (row, _previous, mayBeRestored) => {
+      const change = clusterView.applyRow(row, clock.readMonotonic(), mayBeRestored)
       if (change) leases.receiveChange(change)
     }, (_row, error) => { throw error })
     const host: LeaseHost = { name, address, leases: undefined!, renewalCollector: undefined!, isRunning: true, isReachable: true, isCutFromStore: false, owned: new Map(), logRecords: [] }
     const log = { record: (kind: string, _message: string, fields: Record<string, unknown> = {}) => { host.logRecords.push({ kind, fields }) } }
-    const transact = async (transaction: StoreTransaction): Promise<StoreOutcome> => await this.#transact(transaction, host)
-    const access = new StoreAccess({ clock, log, transact, transactViaPeer: async (_address, transaction) => await transact(transaction), listPeers: () => ['peer'], recordStoreResponse: () => {} })
-    host.renewalCollector = new RenewalCollector({ clock, transact, isStoreReachable: () => true })
+    const store = createEraCheckedStore({ transact: async (transaction: StoreTransaction) => await this.#transact(transaction, host) } as unknown as Store, eras)
+    const transact = async (transaction: StoreTransaction): Promise<StoreOutcome> => await store.transact(transaction)
+    const access = new StoreAccess({ clock, log, eras, transact, transactViaPeer: async (_address, transaction) => await transact(transaction), listPeers: () => ['peer'], recordStoreResponse: () => {} })
+    host.renewalCollector = new RenewalCollector({ clock, eras, transact, isStoreReachable: () => true })
     const client = new RenewalClient({
       clock,
+      eras,
       findRenewalCollector: () => '10.0.0.1',
       send: (_address, ask) => {
         const collector = this.hosts[0]!
@@ -151,7 +182,9 @@
       own,
       leaseMs,
       // Two hosts read the store, as in small deployments; the others get renewals from them.
-      isReadingStore: () => !host.isCutFromStore && (this.hosts.length < 2 || this.hosts.filter(({ isRunning }) => isRunning).indexOf(host) < 2),
+      isUpToDate: () => this.storeState !== 'away' && !host.isCutFromStore,
+      areOwnersKnown: () => mirror.findTableVersion(hostsTable) !== undefined,
+      isReadingStore: () => (this.storeState !== 'away' && !host.isCutFromStore) && (this.hosts.length < 2 || this.hosts.filter(({ isRunning }) => isRunning).indexOf(host) < 2),
       hashPair: (endpointId, host) => {
         this.rankedPairCount++
         return this.#hashes.compute(endpointId, host)
@@ -168,26 +201,41 @@
       readRenewals: () => {},
       findRenewalVersion: other => mirror.findRow(renewalsTable, other)?.version,
       applyRow: row => mirror.applyLocalWrite(row),
-      isOutage: () => false,
+      isOutage: () => !host.isCutFromStore && clock.readMonotonic() - this.#awaySinceMs > outageNoticedMs,
       receiveOwnership: (endpointId, fencing) => {
         if (fencing === undefined) host.owned.delete(endpointId)
         else host.owned.set(endpointId, fencing)
       }
     })
     host.leases = leases
+    eras.onNewEra(() => {
+      leases.beginEra()
+      clusterView.beginEra(clock.readMonotonic())
+      mirror.beginEra()
+    })
     const readUpdates = (): void => {
       if (!host.isRunning) return
-      if (!host.isCutFromStore) for (const table of tables) mirror.replaceTable(table, this.rows.listRows(table), this.rows.version)
       clock.setTimer(readUpdates, updateIntervalMs)
+      if (this.storeState === 'away' || host.isCutFromStore) return
+      eras.observe(this.rows.era)
+      for (const table of tables) mirror.replaceTable(table, this.rows.listRows(table), this.rows.version)
     }
     readUpdates()
     leases.start()
     return host
   }
 
-  async #transact (transaction: StoreTransaction, { isCutFromStore }: LeaseHost): Promise<StoreOutcome> {
+  async #transact (transaction: StoreTransaction, host: LeaseHost): Promise<StoreOutcome> {
+    const { era } = this.rows
+    const outcome = await this.#answer(transaction, host)
+    // What was under way when the store went away has no response.
+    if (era !== this.rows.era) return { verdict: 'unknown', reason: 'no answer' }
+    return outcome.verdict === 'unknown' ? outcome : { ...outcome, era }
+  }
+
+  async #answer (transaction: StoreTransaction, host: LeaseHost): Promise<StoreOutcome> {
     this.storeCallCount++
-    if (isCutFromStore) return await this.#respond(() => ({ verdict: 'unknown', reason: 'no answer' }), 300)
+    if (this.storeState === 'away' || host.isCutFromStore) return await this.#respond(() => ({ verdict: 'unknown', reason: 'no answer' }), 300)
     if (transaction.checks.length + transaction.writes.length + transaction.removals.length > maxTransactionEntries) {
       return await this.#respond(() => ({ verdict: 'notApplied', reason: 'the store answered with status 400' }), responseDelayMs)
     }
--- a/features/support/suspectPartHosts.ts
+++ b/features/support/suspectPartHosts.ts
@@ -98,6 +98,6 @@
   #applyRow (tasks: SuspectTasks, key: string, value: Uint8Array | undefined, version: number): void {
     const decoded = value && decodeHostsRow(key, value)
     const name = parseHostsKey(key)!.name
-    tasks.applyChange({ kind: 'suspect', name, suspect: decoded?.kind === 'suspect' ? decoded.row : undefined, version })
+    tasks.applyChange({ kind: 'suspect', name, suspect: decoded?.kind === 'suspect' ? decoded.row : undefined, version, mayBeRestored: false })
   }
 }
--- a/features/support/updateCluster.ts
+++ b/features/support/updateCluster.ts
@@ -2,13 +2,16 @@
 import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
 import { ClusterView } from '../../src/core/clusterView.js'
 import { RowMirror } from '../../src/core/rowMirror.js'
+import { StoreEra } from '../../src/core/storeEra.js'
 import { selectStoreReaders, UpdateSourceList } from '../../src/core/updateSources.js'
 import type { UpdateSourceHost } from '../../src/core/updateSources.js'
 import type { Relay, RelayedUpdates } from '../../src/ports/relay.js'
 import type { Store, StoreChanges, StoreTableSnapshot } from '../../src/ports/store.js'
 import { encodeHostsRow, formatHostKey, hostsTable } from '../../src/schemas/hostRows.js'
 import { RowStore } from '../../src/standin/fleet/rowStore.js'
+import type { RowStoreCopy } from '../../src/standin/fleet/rowStore.js'
 import { ClusterViewTask } from '../../src/tasks/clusterView/clusterViewTask.js'
+import { createEraCheckedStore } from '../../src/tasks/clusterView/eraChecks.js'
 import { computeUpdateSchedule } from '../../src/tasks/clusterView/watchedTables.js'
 
 /** Times within which changes have to be in force, in milliseconds. */
@@ -21,6 +24,7 @@
   own: UpdateSourceHost
   mirror: RowMirror
   task: ClusterViewTask
+  eras: StoreEra
   /** Whether a fault has struck the host or its links. */
   isDisturbed: boolean
   /** Whether its calls to the store get no response; those that were open may get none even if later ones do. */
@@ -28,6 +32,8 @@
   isStoreRefusing: boolean
   hungCalls: Set<number>
   openCalls: Map<number, string>
+  /** Whether it is of a build that knows no eras of the store. */
+  isEarlierBuild: boolean
   /** Whether its relay takes calls and answers none. */
   isFrozen: boolean
   isKilled: boolean
@@ -51,6 +57,7 @@
   storeLatencyMs = 4
   storeCalls = 0
   #rows = new RowStore()
+  #isStoreAway = false
   #callCount = 0
 
   constructor (hostCount: number, zoneCount: number, bounds: UpdateBounds) {
@@ -88,6 +95,19 @@
     return versions
   }
 
+  takeCopy (): RowStoreCopy {
+    return this.#rows.takeCopy()
+  }
+
+  /** The store is away for `awayMs` and comes back from a copy; calls that were open get no response. */
+  async restore (copy: RowStoreCopy, awayMs: number): Promise<void> {
+    this.#isStoreAway = true
+    for (const { openCalls, hungCalls } of this.hosts) for (const call of openCalls.keys()) hungCalls.add(call)
+    await this.run(awayMs)
+    this.#rows.restore(copy)
+    this.#isStoreAway = false
+  }
+
   /** Calls of a host that are open get no response; later ones do. */
   holdOpenCalls (host: SimulatedHost, table: string): void {
     for (const [call, name] of host.openCalls) if (name === table) host.hungCalls.add(call)
@@ -99,13 +119,15 @@
 
   #repeatHeartbeat (id: string, delayMs: number): void {
     this.clock.setTimer(() => {
-      this.#rows.write({ table: endpointsTable, key: id, value: Buffer.from(`${this.clock.readMonotonic()}`) })
+      if (!this.#isStoreAway) this.#rows.write({ table: endpointsTable, key: id, value: Buffer.from(`${this.clock.readMonotonic()}`) })
       this.#repeatHeartbeat(id, heartbeatMs)
     }, delayMs)
   }
 
   #createHost (own: UpdateSourceHost, bounds: UpdateBounds): SimulatedHost {
-    const clusterView = new ClusterView(() => undefined)
+    const eras = new StoreEra()
+    const clusterView = new ClusterView(() => undefined, undefined, eras)
+    eras.onNewEra(() => mirror.beginEra())
     const mirror = new RowMirror(own.host, () => false, row => {
       if (row.table === hostsTable) clusterView.applyRow(row, this.clock.readMonotonic())
       else this.receivedAtMs.set(`${own.host} ${row.table} ${row.version}`, this.clock.readMonotonic())
@@ -113,7 +135,8 @@
     const task = new ClusterViewTask({
       clock: this.clock,
       log: { record: () => {} },
-      store: this.#createStore(() => host),
+      store: createEraCheckedStore(this.#createStore(() => host), eras),
+      eras,
       relay: this.#createRelay(() => host),
       mirror,
       clusterView,
@@ -124,22 +147,27 @@
       formatRelayAddress: address => address
     })
     const host: SimulatedHost = {
-      own, mirror, task, isDisturbed: false, isStoreSilent: false, isStoreRefusing: false, hungCalls: new Set(), openCalls: new Map(), isFrozen: false, isKilled: false
+      own, mirror, task, eras, isDisturbed: false, isEarlierBuild: false, isStoreSilent: false, isStoreRefusing: false, hungCalls: new Set(), openCalls: new Map(), isFrozen: false, isKilled: false
     }
     return host
   }
 
   #createStore (getHost: () => SimulatedHost): Store {
     const readTable = async (table: string): Promise<StoreTableSnapshot> =>
-      await this.#callStore(getHost(), table, 0, storeResponseMs, () => ({ rows: this.#rows.listRows(table), version: this.#rows.version }))
+      await this.#callStore(getHost(), table, 0, storeResponseMs, () => ({ rows: this.#rows.listRows(table), version: this.#rows.version, ...this.#nameEra(getHost()) }))
     const watchTable = async (table: string, after: number, waitMs: number, responseMs: number): Promise<StoreChanges> =>
       await this.#callStore(getHost(), table, waitMs, responseMs, isLast => {
-        const rows = this.#rows.listChanges(table, after)!
-        return rows.length > 0 || isLast ? { isComplete: true as const, rows, version: this.#rows.version } : undefined
+        const rows = this.#rows.listChanges(table, after)
+        if (!rows) return { isComplete: false as const, ...this.#nameEra(getHost()) }
+        return rows.length > 0 || isLast ? { isComplete: true as const, rows, version: this.#rows.version, ...this.#nameEra(getHost()) } : undefined
       })
     return { readTable, watchTable } as unknown as Store
   }
 
+  #nameEra ({ isEarlierBuild }: SimulatedHost): { era?: number } {
+    return isEarlierBuild ? {} : { era: this.#rows.era }
+  }
+
   /** Calls the store: `respond` is tried at each change until it returns something, at the latest after `waitMs`. */
   async #callStore<T> (host: SimulatedHost, table: string, waitMs: number, responseMs: number, respond: (isLast: boolean) => T | undefined): Promise<T> {
     const call = ++this.#callCount
@@ -164,13 +192,17 @@
       }
       this.clock.setTimer(() => close(() => reject(new Error('the store did not respond'))), waitMs + responseMs)
       this.clock.setTimer(() => {
-        if (host.isStoreRefusing) close(() => reject(new Error('the store answered with status 503')))
+        if (host.isStoreRefusing || this.#isStoreAway) close(() => reject(new Error('the store answered with status 503')))
         else answer(waitMs === 0)
       }, this.storeLatencyMs / 2)
       this.clock.setTimer(() => answer(true), waitMs + this.storeLatencyMs / 2)
     })
   }
 
+  #nameKnownEra ({ eras, isEarlierBuild }: SimulatedHost): { era?: number } {
+    return eras.current === undefined || isEarlierBuild ? {} : { era: eras.current }
+  }
+
   #createRelay (getHost: () => SimulatedHost): Relay {
     const readUpdates = async (address: string, logId: string, position: number, waitMs: number): Promise<RelayedUpdates> => {
       const [host, peer] = [getHost(), this.hosts.find(({ own }) => own.address === address)!]
@@ -180,7 +212,7 @@
         const answer = (): void => {
           if (isAnswered || isLost()) return
           isAnswered = true
-          const updates = { ...peer.mirror.getChangesSince(logId, position), storeAgeMs: peer.task.storeAgeMs, tableAgesMs: peer.task.listTableAges() }
+          const updates = { ...this.#nameKnownEra(peer), ...peer.mirror.getChangesSince(logId, position), storeAgeMs: peer.task.storeAgeMs, tableAgesMs: peer.task.listTableAges() }
           this.clock.setTimer(() => { if (!isLost()) resolve(updates) }, linkMs)
         }
         this.clock.setTimer(() => reject(new Error('the peer did not respond')), waitMs + relayResponseMs)
--- a/soak/soakEvents.ts
+++ b/soak/soakEvents.ts
@@ -40,6 +40,8 @@
 const minSizeOfPart = 0.5
 /** Shorter than the gap, so that the next request may meet the endpoint again. */
 const crashDownMs = 300
+/** The store is away for this long at most before it comes back from a copy. */
+const maxRestoreMs = 2000
 
 export class SoakEvents {
   #options: SoakEventsOptions
@@ -137,14 +139,15 @@
     }
   }
 
-  #createStoreInjections (): Record<'storeBusy' | 'storeSilent' | 'storeReset' | 'storeAnswersLost' | 'storeUnwritable', Inject> {
+  #createStoreInjections (): Record<'storeBusy' | 'storeSilent' | 'storeReset' | 'storeAnswersLost' | 'storeUnwritable' | 'storeRestored', Inject> {
     const injectStoreFault = (fault: StoreFault): Inject => async event => await this.#hold(event, undefined, this.#storeFaults, fault)
     return {
       storeBusy: injectStoreFault('busy'),
       storeSilent: injectStoreFault('silent'),
       storeReset: injectStoreFault('reset'),
       storeAnswersLost: injectStoreFault('lost'),
-      storeUnwritable: injectStoreFault('unwritable')
+      storeUnwritable: injectStoreFault('unwritable'),
+      storeRestored: async event => await this.#restoreStore(event)
     }
   }
 
@@ -187,6 +190,19 @@
     for (const { server } of this.#options.system.fleet.endpoints) server.setFaults({ crashBody: '', crashParts: [], ...faults, downMs })
   }
 
+  /** Restores the store from a copy that was made at the event's beginning; all that hosts wrote since is lost. */
+  async #restoreStore (event: PlannedEvent): Promise<void> {
+    const { fleet } = this.#options.system
+    const copy = fleet.rows.takeCopy()
+    await sleep(event.forMs)
+    const end = this.#beginSpan(event, undefined, performance.now())
+    const release = this.#storeFaults.add('reset')
+    await sleep(event.size * maxRestoreMs)
+    fleet.restoreStore(copy)
+    release()
+    end()
+  }
+
   async #replaceEndpoint (event: PlannedEvent): Promise<void> {
     const { fleet } = this.#options.system
     const endpoint = this.#pickEndpoint(event)
--- a/soak/soakPlan.ts
+++ b/soak/soakPlan.ts
@@ -12,9 +12,12 @@
 ] as const
 /** Drawn for seeds from `firstLateSeed` on, so that older seeds keep their events. */
 export const lateFaultKinds = ['endpointSaysLeaving', 'endpointWantsNothing'] as const
-export type FaultKind = typeof faultKinds[number] | typeof lateFaultKinds[number]
+/** Drawn for seeds from `firstRestoreSeed` on. */
+export const restoreFaultKinds = ['storeRestored'] as const
+export type FaultKind = typeof faultKinds[number] | typeof lateFaultKinds[number] | typeof restoreFaultKinds[number]
 
 const firstLateSeed = 1000
+const firstRestoreSeed = 20_000
 
 /** What operators and callers do that is no fault, but has promises of its own. */
 export const changeKinds = ['newConfiguration', 'newVersion', 'crashingRequest', 'burst'] as const
@@ -73,7 +76,7 @@
 }
 
 function listKinds (seed: number): (FaultKind | ChangeKind)[] {
-  return [...faultKinds, ...changeKinds, ...(seed >= firstLateSeed ? lateFaultKinds : [])]
+  return [...faultKinds, ...changeKinds, ...(seed >= firstLateSeed ? lateFaultKinds : []), ...(seed >= firstRestoreSeed ? restoreFaultKinds : [])]
 }
 
 /** Numbers from 0 to 1 that follow from a seed. */
--- a/src/adapters/relay/httpRelay.ts
+++ b/src/adapters/relay/httpRelay.ts
@@ -24,6 +24,8 @@
   rows: Type.Array(relayedRowSchema),
   versions: Type.Record(Type.String(), Type.Number()),
   storeAgeMs: Type.Number(),
+  /** Left out by hosts of an earlier version, and while the store has named none. */
+  era: Type.Optional(Type.Number()),
   /** Left out by hosts of an earlier version. */
   tableAgesMs: Type.Optional(Type.Record(Type.String(), Type.Number()))
 }))
@@ -50,10 +52,10 @@
       const tableAgesMs = updates.tableAgesMs ?? Object.fromEntries(Object.keys(updates.versions).map(table => [table, storeAgeMs]))
       return { ...updates, storeAgeMs, tableAgesMs, rows: await Promise.all(updates.rows.map(decodeRelayedRow)) }
     },
-    transact: async (address, transaction) => {
+    transact: async (address, transaction, era) => {
       try {
         const { statusCode, body } = await dispatcher.request({
-          origin: `http://${address}`, path: transactPath, method: 'POST', body: pack(transaction), signal: AbortSignal.timeout(responseTimeoutMs * 2)
+          origin: `http://${address}`, path: transactPath, method: 'POST', body: pack({ ...transaction, ...(era !== undefined && { era }) }), signal: AbortSignal.timeout(responseTimeoutMs * 2)
         })
         const bytes = Buffer.from(await body.arrayBuffer())
         if (statusCode === 200) return unpack(bytes) as StoreOutcome
--- a/src/bin/createLeaseComponents.ts
+++ b/src/bin/createLeaseComponents.ts
@@ -1,11 +1,12 @@
 /** Creates the components that keep a host's leases: store access, detection of outages and isolation, and renewals. */
 import type { ClusterView } from '../core/clusterView.js'
 import type { RowMirror } from '../core/rowMirror.js'
+import type { StoreEra } from '../core/storeEra.js'
 import type { Clock } from '../ports/clock.js'
 import type { EventLog } from '../ports/eventLog.js'
 import type { Relay } from '../ports/relay.js'
 import type { Store } from '../ports/store.js'
-import { renewalsTable } from '../schemas/hostRows.js'
+import { hostsTable, renewalsTable } from '../schemas/hostRows.js'
 import type { HostRow } from '../schemas/hostRows.js'
 import type { UpdateSourceList } from '../core/updateSources.js'
 import { PairHasher } from '../core/rendezvousHash.js'
@@ -30,6 +31,7 @@
   updateSources: UpdateSourceList
   peers: PeerTask
   store: Store
+  eras: StoreEra
   relay: Relay
   /** Addresses of relays to use before any host is known. */
   seeds: readonly string[]
@@ -49,13 +51,14 @@
 }
 
 export function createLeaseComponents (options: LeaseComponentsOptions): LeaseComponents {
-  const { clock, log, own, leaseMs, clusterView, mirror, clusterViewTask, updateSources, peers, store, relay, seeds, formatRelayAddress } = options
+  const { clock, log, own, leaseMs, clusterView, mirror, clusterViewTask, updateSources, peers, store, eras, relay, seeds, formatRelayAddress } = options
   const hashes = new PairHasher()
   const ownRelayAddress = formatRelayAddress(own.address)
   const listPeers = (): HostRow[] => [...clusterView.hosts.values()].map(host => host.row).filter(row => row.host !== own.host)
   const storeAccess = new StoreAccess({
     clock,
     log,
+    eras,
     transact: async transaction => await store.transact(transaction),
     transactViaPeer: async (address, transaction) => await relay.transact(address, transaction),
     listPeers: () => {
@@ -65,10 +68,11 @@
     recordStoreResponse: () => clusterViewTask.recordStoreResponse()
   })
   const renewalCollector = new RenewalCollector({
-    clock, transact: async transaction => await store.transact(transaction), isStoreReachable: () => clusterViewTask.isStoreReachable
+    clock, eras, transact: async transaction => await store.transact(transaction), isStoreReachable: () => clusterViewTask.isStoreReachable
   })
   const renewalClient = new RenewalClient({
     clock,
+    eras,
     findRenewalCollector: () => updateSources.getSources().renewalCollectorAddress,
     send: (address, request) => peers.sendRenewal(address, request)
   })
@@ -98,6 +102,8 @@
     own,
     leaseMs,
     isReadingStore: () => clusterViewTask.isReadingStore,
+    isUpToDate: () => !clusterViewTask.isStale,
+    areOwnersKnown: () => mirror.findTableVersion(hostsTable) !== undefined,
     hashPair: (endpointId, host) => hashes.compute(endpointId, host),
     isIsolated: () => isolationMonitor.isIsolated,
     isStranded: options.isStranded,
--- a/src/bin/createStreamTasks.ts
+++ b/src/bin/createStreamTasks.ts
@@ -38,6 +38,8 @@
   receiveRecords: (records: StreamRecords, reply: (saved: StreamRecordsSaved) => void) => void
   receiveSaved: (saved: StreamRecordsSaved) => void
   applyChange: (change: ClusterViewChange) => void
+  /** Called when the store has been restored from a copy. */
+  beginEra: () => void
   start: () => void
   stop: () => void
 }
@@ -68,7 +70,7 @@
     log, listPeers: () => listHosts().filter(({ host, isLeaving }) => host !== own.host && !isLeaving).map(({ address }) => address), askPeer, random: Math.random
   })
   const origins = new StreamOrigins({
-    clock, log, clusterView, store, isStoreUnavailable, findPeerVersions: async service => await peerVersions.find(service), saveRecords: records => client.record(records), entryDelayMs: entryDelayHeartbeats * heartbeatMs
+    clock, log, clusterView, store: { readRow: async (...options) => (await store.readRow(...options)).row }, isStoreUnavailable, findPeerVersions: async service => await peerVersions.find(service), saveRecords: records => client.record(records), entryDelayMs: entryDelayHeartbeats * heartbeatMs
   })
   const versionTask = new ServiceVersionTask({ clock, log, own, clusterView, transact, applyRow })
   const sweeper = new StreamRowSweeper({ clock, log, own, listHosts, store, isMixed: () => origins.hasMixedService, remove: keys => recorder.remove(keys) })
@@ -81,6 +83,10 @@
       if (change.kind === 'serviceVersions') origins.receiveServiceChange(change.service)
       if (change.kind === 'endpoint' || change.kind === 'serviceVersions' || change.kind === 'configuration') versionTask.check()
     },
+    beginEra: () => {
+      origins.beginEra()
+      sweeper.beginEra()
+    },
     start: () => {
       versionTask.start()
       sweeper.start()
--- a/src/bin/createSuspectTasks.ts
+++ b/src/bin/createSuspectTasks.ts
@@ -59,7 +59,7 @@
     return ranked[0]?.host === own.host
   }
   const rowStore = new SuspectRowStore({
-    clock, log, transact, notifyHosts, isCleanupHost, isProtected: fingerprint => partTask.isRefused(parsePartFingerprint(fingerprint) ?? '')
+    clock, log, transact, notifyHosts, isCleanupHost, random, isProtected: fingerprint => partTask.isRefused(parsePartFingerprint(fingerprint) ?? '')
   })
   const contentTask = new SuspectContentTask({
     clock, log, rowStore, notifyHosts, isStoreUnavailable, isExplained: crash => partTask.isExplained(crash), receiveCrash, receiveContentRefused: receiveRefused
@@ -93,9 +93,11 @@
       if (parsePartFingerprint(message.fingerprint) === undefined) contentTask.addSuspectRecord(message)
       else partTask.receiveMessage(message)
     },
-    applyChange: ({ name, suspect, version }) => {
+    applyChange: ({ name, suspect, version, mayBeRestored }) => {
       const { fingerprint, crash } = parseSuspectName(name)
-      if (suspect) rowStore.recordRow(suspect, version)
+      if (mayBeRestored) {
+        if (!rowStore.recordRestored(formatSuspectKey({ fingerprint, crash }), suspect, version)) return
+      } else if (suspect) rowStore.recordRow(suspect, version)
       else rowStore.recordRemoval(formatSuspectKey({ fingerprint, crash }))
       if (parsePartFingerprint(fingerprint) !== undefined) partTask.applyRow(fingerprint, crash, suspect)
       else if (suspect) contentTask.addSuspectRecord({ fingerprint, crashes: [crash] })
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -9,6 +9,7 @@
 import { listServiceVersions } from '../core/serviceVersions.js'
 import { UpdateSourceList } from '../core/updateSources.js'
 import { RowMirror } from '../core/rowMirror.js'
+import { StoreEra } from '../core/storeEra.js'
 import type { IsEquivalentValue } from '../core/rowMirror.js'
 import { decodePlatformRow, endpointsTable, isEquivalentEndpointValue, operatorsTable } from '../platform/decodePlatformRow.js'
 import { createEngineOrders } from '../platform/engineOrders.js'
@@ -28,6 +29,7 @@
 import type { LeaseTask } from '../tasks/leases/leaseTask.js'
 import { logClusterViewChange } from '../tasks/clusterView/logClusterViewChange.js'
 import { ClusterViewTask } from '../tasks/clusterView/clusterViewTask.js'
+import { createEraCheckedRelay, createEraCheckedStore } from '../tasks/clusterView/eraChecks.js'
 import { computeUpdateSchedule } from '../tasks/clusterView/watchedTables.js'
 import { startRelayServer } from '../tasks/clusterView/relayServer.js'
 import { PeerTask } from '../tasks/peers/peerTask.js'
@@ -86,28 +88,28 @@
   log: EventLog
   own: LeaseComponentsOptions['own']
   store: Store
+  eras: StoreEra
   relay: Relay
   datagrams: Datagrams
   ports: Pick<HostPorts, 'openOrders' | 'decodeRow'>
 }
 
 /** Creates the components of a host and connects them to each other; nothing is started yet. */
-function createHostComponents ({ settings, clock, log, own, store, relay, datagrams, ports }: HostComponentsOptions): HostComponents {
+function createHostComponents ({ settings, clock, log, own, store, eras, relay, datagrams, ports }: HostComponentsOptions): HostComponents {
   const formatRelayAddress = createRelayAddressFormatter(settings.peersAddress)
-  const clusterView = new ClusterView(ports.decodeRow, settings.heartbeatMs)
-  const mirror = new RowMirror(own.session, isEquivalentValue, row => {
-    const change = clusterView.applyRow(row, clock.readMonotonic())
-    if (!change) return
+  const clusterView = new ClusterView(ports.decodeRow, settings.heartbeatMs, eras)
+  const receiveViewChange = (change: ClusterViewChange): void => {
     logClusterViewChange(log, change, () => ({ source: clusterViewTask.updateSource, tableAgesMs: clusterViewTask.listTableAges() }))
     dispatchChange(change, { requestProxy, reservations, suspectTasks, leaseComponents, allocationTask, streamTasks })
-  }, ({ table, key }, error) => log.record('news.rowFailed', 'A row could not be applied; the rows beside it are.', { table, key, error: error.message }))
+  }
+  const mirror = createMirror({ clock, log, own, clusterView, receiveViewChange })
   const updateSources = new UpdateSourceList({
     own,
     listHosts: () => [...clusterView.hosts.values()].map(({ row }) => row).filter(row => !row.isLeaving),
     getHostsVersion: () => clusterView.hostsVersion
   })
   const clusterViewTask: ClusterViewTask = new ClusterViewTask({
-    clock, log, store, relay, mirror, clusterView, ...computeUpdateSchedule({ operatorsTable, endpointsTable }, settings), own, sources: updateSources, seeds: settings.seedAddresses, formatRelayAddress
+    clock, log, store, eras, relay, mirror, clusterView, receiveViewChange, ...computeUpdateSchedule({ operatorsTable, endpointsTable }, settings), own, sources: updateSources, seeds: settings.seedAddresses, formatRelayAddress
   })
   const context = { clock, log, own, clusterView, store }
   const transact = async (transaction: StoreTransaction): Promise<StoreOutcome> => await leaseComponents.storeAccess.transact(transaction)
@@ -148,6 +150,7 @@
     clusterViewTask,
     updateSources,
     peers,
+    eras,
     relay,
     seeds: settings.seedAddresses,
     leaseMs: settings.leaseMs,
@@ -173,6 +176,26 @@
   return { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks }
 }
 
+interface MirrorOptions extends Pick<HostComponentsOptions, 'clock' | 'log' | 'own'> {
+  clusterView: ClusterView
+  receiveViewChange: (change: ClusterViewChange) => void
+}
+
+function createMirror ({ clock, log, own, clusterView, receiveViewChange }: MirrorOptions): RowMirror {
+  return new RowMirror(own.session, isEquivalentValue, (row, _previous, mayBeRestored) => {
+    const change = clusterView.applyRow(row, clock.readMonotonic(), mayBeRestored)
+    if (change) receiveViewChange(change)
+  }, ({ table, key }, error) => log.record('news.rowFailed', 'A row could not be applied; the rows beside it are.', { table, key, error: error.message }))
+}
+
+/** Has the components take what they know by versions of the store for outdated. */
+function beginEra ({ leaseComponents, clusterView, mirror, streamTasks }: Pick<HostComponents, 'leaseComponents' | 'clusterView' | 'mirror' | 'streamTasks'>, nowMs: number): void {
+  leaseComponents.leaseTask.beginEra()
+  clusterView.beginEra(nowMs)
+  mirror.beginEra()
+  streamTasks.beginEra()
+}
+
 /** Passes a change of the cluster view to the components that it concerns. */
 function dispatchChange (
   change: ClusterViewChange,
@@ -206,15 +229,20 @@
   })
   const log = createCountingLog(eventLog, (kind, fields) => metrics.recordEvent(kind, fields))
   const ports = { ...platformPorts, ...options.ports }
-  const store = ports.createStore(settings.storeAddress, (call, verdict) => metrics.recordStoreCall(call, verdict))
-  const relay = ports.createRelay()
+  const eras = new StoreEra()
+  const store = createEraCheckedStore(ports.createStore(settings.storeAddress, (call, verdict) => metrics.recordStoreCall(call, verdict)), eras)
+  const relay = createEraCheckedRelay(ports.createRelay(), eras)
   const datagrams = await ports.openDatagrams({ address: settings.address, port: settings.datagramPort, host: settings.hostName, session, log })
-  const { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks } = createHostComponents({ settings, clock, log, own, store, relay, datagrams, ports })
+  const { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks } = createHostComponents({ settings, clock, log, own, store, eras, relay, datagrams, ports })
   const { leaseTask, storeOutageDetector, isolationMonitor, renewalCollector, renewalClient } = leaseComponents
+  eras.onNewEra((era, previous) => {
+    log.record('store.restored', 'The store was restored from a copy, which lacks its last writes; all tables are read again.', { era, previous })
+    beginEra({ leaseComponents, clusterView, mirror, streamTasks }, clock.readMonotonic())
+  })
   const countEndpoints = (): number => clusterView.endpoints.list(clock.readMonotonic()).length
 
   const relayServer = await startRelayServer({
-    address: settings.peersAddress, clock, mirror, store, getStoreAgeMs: () => clusterViewTask.storeAgeMs, listTableAges: () => clusterViewTask.listTableAges(), isStoreReachable: () => clusterViewTask.isStoreReachable
+    address: settings.peersAddress, clock, mirror, store, eras, getStoreAgeMs: () => clusterViewTask.storeAgeMs, listTableAges: () => clusterViewTask.listTableAges(), isStoreReachable: () => clusterViewTask.isStoreReachable
   })
   await requestProxy.callerListener.start()
   await requestProxy.forwardingListener.start()
--- a/src/core/clusterView.ts
+++ b/src/core/clusterView.ts
@@ -1,10 +1,12 @@
 /** A host's local view of the configuration, endpoints, owners, adapter versions and other hosts, built from store rows. */
 import type { StoreRow } from '../ports/store.js'
 import { decodeHostsRow, decodeRenewal, hostsTable, parseHostsKey, renewalsTable } from '../schemas/hostRows.js'
-import type { HostRow, OwnerRow, RenewalRow, ServiceVersionsRow, SuspectRow } from '../schemas/hostRows.js'
+import type { HostRow, OwnerRow, RenewalRow, ServiceVersionsRow, SuspectRow, WrittenInEra } from '../schemas/hostRows.js'
 import type { AdapterVersion, EndpointEntry, RoutingConfiguration } from '../schemas/routing.js'
+import { ConfigurationOrder } from './configurationOrder.js'
 import { EndpointDirectory } from './endpointDirectory.js'
 import { RouteTable } from './routeTable.js'
+import { StoreEra, computeFencingToken } from './storeEra.js'
 
 /** A decoded row of one of the tables that operators and endpoints write. */
 export type DecodedUpdate =
@@ -17,8 +19,8 @@
 
 export interface KnownOwner {
   readonly row: OwnerRow
-  /** Version of the owner row; serves as the owner's fencing token. */
-  readonly fencing: number
+  /** Version of the owner row in the store, in the latest era in which the table was read. */
+  readonly version: number
 }
 
 export interface KnownHost {
@@ -27,6 +29,21 @@
   readonly version: number
 }
 
+export interface KnownServiceVersions {
+  readonly row: ServiceVersionsRow
+  /** Version of the row in the store; 0 if the store has none. */
+  readonly version: number
+}
+
+interface HeldConfiguration {
+  readonly row: StoreRow
+  readonly configuration: RoutingConfiguration
+  readonly dueAtMs: number
+}
+
+/** After a restore operators write within this time what the store has lost of theirs. */
+const restoredConfigurationHoldMs = 5000
+
 /** A change of the cluster view. */
 export type ClusterViewChange =
   | { kind: 'configuration', version: number, previousVersion: number | undefined }
@@ -34,8 +51,8 @@
   | { kind: 'endpoint', id: string, entry: EndpointEntry | undefined }
   | { kind: 'owner', endpointId: string, owner: KnownOwner | undefined }
   | { kind: 'host', name: string, host: KnownHost | undefined }
-  /** `suspect` is undefined if the row was removed; `name` identifies the row. */
-  | { kind: 'suspect', name: string, suspect: SuspectRow | undefined, version: number }
+  /** `suspect` is undefined if the row was removed; `name` identifies the row. `mayBeRestored`: the store may only have lost a later change. */
+  | { kind: 'suspect', name: string, suspect: SuspectRow | undefined, version: number, mayBeRestored: boolean }
   | { kind: 'serviceVersions', service: string }
   | { kind: 'renewal', host: string, renewal: RenewalRow | undefined, version: number }
   | { kind: 'unreadable', table: string, key: string, sample: string }
@@ -45,16 +62,22 @@
   readonly owners = new Map<string, KnownOwner>()
   readonly hosts = new Map<string, KnownHost>()
   /** Rows with the software versions of services, by service. */
-  readonly serviceVersions = new Map<string, { row: ServiceVersionsRow, version: number }>()
+  readonly serviceVersions = new Map<string, KnownServiceVersions>()
   #hostsVersion = 0
   #decodeUpdate: DecodeUpdate
+  #eras: StoreEra
+  /** The earliest era that a row names as the first one. */
+  #firstEra: number | undefined
   #routes: RouteTable | undefined
+  #configurationOrder = new ConfigurationOrder()
+  #heldConfiguration: HeldConfiguration | undefined
   /** Newest declared adapter versions, keyed by `model/adapter`. */
   #versions = new Map<string, AdapterVersion>()
 
   /** `heartbeatMs`: interval at which an endpoint rewrites its entry in the store. */
-  constructor (decodeUpdate: DecodeUpdate, heartbeatMs?: number) {
+  constructor (decodeUpdate: DecodeUpdate, heartbeatMs?: number, eras = new StoreEra()) {
     this.#decodeUpdate = decodeUpdate
+    this.#eras = eras
     this.endpoints = new EndpointDirectory(heartbeatMs)
   }
 
@@ -73,15 +96,64 @@
     return this.#versions.get(`${model}/${adapter}`)?.version ?? 0
   }
 
-  /** Applies a changed row; returns the resulting change, or undefined if nothing relevant changed. */
-  applyRow (row: StoreRow, nowMs: number): ClusterViewChange | undefined {
-    if (row.table === hostsTable) return this.#applyHostsRow(row)
+  /** What this host writes into its rows about the era. */
+  get writtenInEra (): WrittenInEra {
+    const { current } = this.#eras
+    return current === undefined ? {} : { era: current, firstEra: this.firstEra! }
+  }
+
+  /** Era in which the deployment began to count eras; undefined while the store has named none. */
+  get firstEra (): number | undefined {
+    const { current } = this.#eras
+    return current === undefined ? undefined : Math.min(current, this.#firstEra ?? current)
+  }
+
+  /** Computes the fencing token of an owner row that was written in an era. */
+  computeFencingToken (version: number, era: number | undefined): number {
+    return computeFencingToken(version, era, this.firstEra)
+  }
+
+  /**
+   * Whether the store may have lost a later owner of an endpoint: the row, or its absence, is from before the latest era, and nobody
+   * has confirmed it since.
+   */
+  isUncertainOwner (owner: KnownOwner | undefined): boolean {
+    return this.isUncertainRow(owner?.row)
+  }
+
+  /** Whether the store may have lost a later change of a row of this deployment's hosts, or the row itself. */
+  isUncertainRow (row: WrittenInEra | undefined): boolean {
+    const { current } = this.#eras
+    return current !== undefined && current > this.firstEra! && row?.era !== current
+  }
+
+  /** Begins a new era of the store: rows that are read next may be older than those that are known. */
+  beginEra (nowMs: number): void {
+    this.#configurationOrder.beginEra()
+    this.endpoints.beginEra(nowMs)
+  }
+
+  /** Puts a configuration in force that was held back, if no operator has written another one in time. */
+  releaseHeldConfiguration (nowMs: number): ClusterViewChange | undefined {
+    const held = this.#heldConfiguration
+    if (!held || nowMs < held.dueAtMs) return undefined
+    this.#heldConfiguration = undefined
+    this.#configurationOrder.acceptHeld(held.row, held.configuration.version)
+    return this.#putInForce(held.configuration)
+  }
+
+  /**
+   * Applies a changed row; returns the resulting change, or undefined if nothing relevant changed. `mayBeRestored`: the row may be of a
+   * copy that the store was restored from.
+   */
+  applyRow (row: StoreRow, nowMs: number, mayBeRestored = false): ClusterViewChange | undefined {
+    if (row.table === hostsTable) return this.#applyHostsRow(row, mayBeRestored)
     if (row.table === renewalsTable) return { kind: 'renewal', host: row.key, renewal: row.value && decodeRenewal(row.value), version: row.version }
     const decoded = this.#decodeUpdate(row.table, row.key, row.value)
     if (!decoded) return row.value && createUnreadableChange(row)
-    if (decoded.kind === 'configuration') return this.#applyConfiguration(decoded.configuration)
+    if (decoded.kind === 'configuration') return this.#applyConfiguration(row, decoded.configuration, nowMs, mayBeRestored)
     if (decoded.kind === 'version') return this.#applyVersion(decoded.version)
-    if (decoded.entry) return this.#applyEntry(decoded.id, decoded.entry, nowMs)
+    if (decoded.entry) return mayBeRestored && this.endpoints.isOutdated(decoded.entry) ? undefined : this.#applyEntry(decoded.id, decoded.entry, nowMs)
     this.endpoints.recordRemoval(decoded.id, nowMs, row.value === undefined)
     return row.value ? createUnreadableChange(row) : decoded
   }
@@ -96,10 +168,15 @@
     return before && isEquivalentEntry(before, entry) ? undefined : { kind: 'endpoint', id, entry }
   }
 
-  #applyConfiguration (configuration: RoutingConfiguration): ClusterViewChange | undefined {
-    const previousVersion = this.#routes?.configuration.version
+  #applyConfiguration (row: StoreRow, configuration: RoutingConfiguration, nowMs: number, mayBeRestored: boolean): ClusterViewChange | undefined {
     // Rows may arrive in any order, so an older version never replaces a newer one.
-    if (previousVersion !== undefined && previousVersion >= configuration.version) return undefined
+    const decision = this.#configurationOrder.decide(row, configuration.version, mayBeRestored)
+    this.#heldConfiguration = decision === 'hold' ? { row, configuration, dueAtMs: nowMs + restoredConfigurationHoldMs } : undefined
+    return decision === 'apply' ? this.#putInForce(configuration) : undefined
+  }
+
+  #putInForce (configuration: RoutingConfiguration): ClusterViewChange {
+    const previousVersion = this.#routes?.configuration.version
     this.#routes = new RouteTable(configuration)
     return { kind: 'configuration', version: configuration.version, previousVersion }
   }
@@ -111,8 +188,9 @@
     return { kind: 'version', version }
   }
 
-  #applyHostsRow ({ key, version, value }: StoreRow): ClusterViewChange | undefined {
+  #applyHostsRow ({ key, version, value }: StoreRow, mayBeRestored: boolean): ClusterViewChange | undefined {
     const decoded = value && decodeHostsRow(key, value)
+    if (decoded && 'firstEra' in decoded.row) this.#firstEra = Math.min(this.#firstEra ?? Infinity, decoded.row.firstEra ?? Infinity)
     if (decoded?.kind === 'host') {
       const host = { row: decoded.row, version }
       this.hosts.set(decoded.name, host)
@@ -120,22 +198,20 @@
       return { kind: 'host', name: decoded.name, host }
     }
     if (decoded?.kind === 'owner') {
-      const owner = { row: decoded.row, fencing: version }
+      const owner = { row: decoded.row, version }
       this.owners.set(decoded.name, owner)
       return { kind: 'owner', endpointId: decoded.name, owner }
     }
-    if (decoded?.kind === 'suspect') return { kind: 'suspect', name: decoded.name, suspect: decoded.row, version }
-    if (decoded?.kind === 'versions') {
-      this.serviceVersions.set(decoded.name, { row: decoded.row, version })
-      return { kind: 'serviceVersions', service: decoded.name }
-    }
+    if (decoded?.kind === 'suspect') return { kind: 'suspect', name: decoded.name, suspect: decoded.row, version, mayBeRestored }
+    if (decoded?.kind === 'versions') return this.#applyServiceVersions(decoded.row, version, mayBeRestored)
     if (value) return createUnreadableChange({ table: hostsTable, key, version, value })
     const removed = parseHostsKey(key)
     if (removed?.kind === 'host' && this.hosts.delete(removed.name)) this.#hostsVersion++
     if (removed?.kind === 'owner') this.owners.delete(removed.name)
     if (!removed) return undefined
-    if (removed.kind === 'suspect') return { kind: 'suspect', name: removed.name, suspect: undefined, version }
+    if (removed.kind === 'suspect') return { kind: 'suspect', name: removed.name, suspect: undefined, version, mayBeRestored }
     if (removed.kind === 'versions') {
+      if (mayBeRestored) return this.#applyServiceVersions({ service: removed.name, versions: [] }, 0, mayBeRestored)
       this.serviceVersions.delete(removed.name)
       return { kind: 'serviceVersions', service: removed.name }
     }
@@ -143,6 +219,14 @@
       ? { kind: 'host', name: removed.name, host: undefined }
       : { kind: 'owner', endpointId: removed.name, owner: undefined }
   }
+
+  /** Versions that the store has lost are kept: streams may have begun at them. */
+  #applyServiceVersions (row: ServiceVersionsRow, version: number, mayBeRestored: boolean): ClusterViewChange {
+    const known = mayBeRestored ? this.serviceVersions.get(row.service)?.row.versions ?? [] : []
+    const versions = [...new Set([...row.versions, ...known])]
+    this.serviceVersions.set(row.service, { row: { ...row, versions }, version })
+    return { kind: 'serviceVersions', service: row.service }
+  }
 }
 
 /** Maximum size of the sample of an undecodable row that goes into the log. */
--- a/src/core/endpointDirectory.ts
+++ b/src/core/endpointDirectory.ts
@@ -10,6 +10,9 @@
 /** Heartbeat interval of the published deployments. */
 const defaultHeartbeatIntervalMs = 1200
 
+/** Endpoints that are gone and remembered, in case that the store is restored from a copy that has their entries. */
+const maxGoneEndpoints = 1024
+
 interface KnownEndpoint {
   entry: EndpointEntry
   /** When the entry was removed, if it may still reappear. */
@@ -18,6 +21,8 @@
 
 export class EndpointDirectory {
   #endpoints = new Map<string, KnownEndpoint>()
+  /** Start times of the processes of endpoints that are gone, by id. */
+  #gone = new Map<string, number>()
   #entryTtlMs: number
   /** When the store was last known to be unavailable for long enough that entries may have expired. */
   #lastLongOutageAtMs = -Infinity
@@ -31,7 +36,20 @@
     if (outageMs >= this.#entryTtlMs) this.#lastLongOutageAtMs = nowMs
   }
 
+  /** Entries that were written shortly before the store was restored from a copy reappear as after an outage. */
+  beginEra (nowMs: number): void {
+    this.#lastLongOutageAtMs = nowMs
+  }
+
+  /** Whether an entry that may be of a copy of the store is of a process that is known to be gone, to leave, or to have been replaced. */
+  isOutdated ({ id, startedAtMs, isLeaving }: EndpointEntry): boolean {
+    const known = this.#endpoints.get(id)?.entry
+    if (!known) return startedAtMs <= (this.#gone.get(id) ?? -Infinity)
+    return startedAtMs < known.startedAtMs || (startedAtMs === known.startedAtMs && known.isLeaving && !isLeaving)
+  }
+
   recordEntry (entry: EndpointEntry, _nowMs: number): void {
+    this.#gone.delete(entry.id)
     this.#endpoints.set(entry.id, { entry, removedAtMs: undefined })
   }
 
@@ -40,7 +58,7 @@
     const known = this.#endpoints.get(id)
     if (!known) return
     if (mayReappear && nowMs - this.#lastLongOutageAtMs <= expiryWindowMs && !known.entry.isLeaving) known.removedAtMs ??= nowMs
-    else this.#endpoints.delete(id)
+    else this.#remove(id, known)
   }
 
   /** Returns the entry of an endpoint if it exists or may still reappear after an outage. */
@@ -48,12 +66,18 @@
     const known = this.#endpoints.get(id)
     if (!known) return undefined
     if (known.removedAtMs !== undefined && nowMs - known.removedAtMs > expiredEntryRetentionMs && nowMs - this.#lastLongOutageAtMs > expiredEntryRetentionMs) {
-      this.#endpoints.delete(id)
+      this.#remove(id, known)
       return undefined
     }
     return known.entry
   }
 
+  #remove (id: string, { entry }: KnownEndpoint): void {
+    this.#endpoints.delete(id)
+    this.#gone.set(id, entry.startedAtMs)
+    if (this.#gone.size > maxGoneEndpoints) this.#gone.delete(this.#gone.keys().next().value!)
+  }
+
   list (nowMs: number): EndpointEntry[] {
     return [...this.#endpoints.keys()].flatMap(id => this.find(id, nowMs) ?? [])
   }
--- a/src/core/ownershipLease.ts
+++ b/src/core/ownershipLease.ts
@@ -10,6 +10,16 @@
  * endpoints. The margin beyond `orderLimitMs` covers the transmission of an order and a slow answer of the store.
  */
 export const hostExpiryMs = 4000
+/**
+ * When the store is restored from a copy, a host keeps an endpoint only if it last renewed within this time, by its own clock: until
+ * then no other host can have found that it expired. The margin covers clocks that run at different rates.
+ */
+export const keepLimitMs = hostExpiryMs - 400
+/**
+ * The same for a host that kept its endpoints as the store was unavailable to all hosts: the time since it last knew so. Others need
+ * `hostExpiryMs` from the store's return, which such a host may notice 1.2 s late.
+ */
+export const keepAfterOutageMs = 2000
 /** The monotonic clock and the time of day may drift apart by this much before a pause is suspected. */
 const maxClockDriftMs = 150
 
@@ -59,6 +69,11 @@
     return latestMs
   }
 
+  /** Forgets all hosts: counters that are read next may be older than those that are known. */
+  clear (): void {
+    this.#hosts.clear()
+  }
+
   removeHost (host: string): void {
     this.#hosts.delete(host)
   }
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -4,9 +4,9 @@
 import { Type } from '@sinclair/typebox'
 import type { Static } from '@sinclair/typebox'
 import VError from 'verror'
-import type { Store, StoreChanges, StoreOutcome, StoreTableSnapshot, StoreRow, StoreTransaction } from '../ports/store.js'
+import type { Store, StoreChanges, StoreOutcome, StoreRow, StoreRowRead, StoreTableSnapshot, StoreTransaction } from '../ports/store.js'
 import { createParser } from '../schemas/createParser.js'
-import { wirePaths } from './wireNames.js'
+import { wireHeaders, wirePaths } from './wireNames.js'
 
 /** Timeout of a call that the store is not asked to delay; it responds in 4 ms, or in 240 ms when slow. */
 const callTimeoutMs = 1000
@@ -22,6 +22,7 @@
 /** Error codes after which the store cannot have received the call. */
 const notSentErrorCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT'])
 const allRowsPart = ''
+const eraPattern = /^\d+$/
 
 const rowSchema = Type.Object({
   table: Type.String(),
@@ -76,43 +77,46 @@
 async function readTable (pool: Pool, table: string): Promise<StoreTableSnapshot> {
   const rows: StoreRow[] = []
   let from = ''
+  let firstEra: number | undefined
   for (;;) {
     const query = new URLSearchParams({ table, part: allRowsPart, ...(from !== '' && { from }) })
-    const { status, body } = await callStore(pool, 'GET', `${wirePaths.readRows}?${query}`, undefined, callTimeoutMs)
+    const { status, body, era } = await callStore(pool, 'GET', `${wirePaths.readRows}?${query}`, undefined, callTimeoutMs)
     if (status !== 200) throw createStatusError(`reading table "${table}"`, status)
+    if (from === '') firstEra = era
+    if (era !== firstEra) throw new VError('reading table "%s": the store was restored between two pages', table)
     const page = parseRead(body)
     rows.push(...page.rows.map(decodeRow))
-    if (!page.hasMore) return { rows, version: page.ver }
+    if (!page.hasMore) return { rows, version: page.ver, era }
     // The smallest key greater than the last one read.
     from = `${rows.at(-1)!.key}\0`
   }
 }
 
-async function readRow (pool: Pool, table: string, key: string, timeoutMs: number): Promise<StoreRow | undefined> {
+async function readRow (pool: Pool, table: string, key: string, timeoutMs: number): Promise<StoreRowRead> {
   // No other key lies between a key and its smallest extension.
   const query = new URLSearchParams({ table, part: allRowsPart, from: key, target: `${key}\0`, limit: '1' })
-  const { status, body } = await callStore(pool, 'GET', `${wirePaths.readRows}?${query}`, undefined, timeoutMs)
+  const { status, body, era } = await callStore(pool, 'GET', `${wirePaths.readRows}?${query}`, undefined, timeoutMs)
   if (status !== 200) throw createStatusError(`reading a row of table "${table}"`, status)
   const row = parseRead(body).rows.find(found => found.key === key)
-  return row && decodeRow(row)
+  return { row: row && decodeRow(row), era }
 }
 
 async function watchTable (pool: Pool, table: string, afterVersion: number, waitMs: number, responseMs: number): Promise<StoreChanges> {
   const query = new URLSearchParams({ table, after: String(afterVersion), waitMs: String(Math.round(waitMs)) })
-  const { status, body } = await callStore(pool, 'GET', `${wirePaths.followRows}?${query}`, undefined, waitMs + responseMs)
-  if (status === historyGoneStatus) return { isComplete: false }
+  const { status, body, era } = await callStore(pool, 'GET', `${wirePaths.followRows}?${query}`, undefined, waitMs + responseMs)
+  if (status === historyGoneStatus) return { isComplete: false, era }
   if (status !== 200) throw createStatusError(`watching table "${table}"`, status)
   const page = parseRead(body)
-  return { isComplete: true, rows: page.rows.map(decodeRow), version: page.ver }
+  return { isComplete: true, rows: page.rows.map(decodeRow), version: page.ver, era }
 }
 
 async function transact (pool: Pool, transaction: StoreTransaction): Promise<StoreOutcome> {
   try {
-    const { status, body } = await callStore(pool, 'POST', wirePaths.transact, encodeTransaction(transaction), callTimeoutMs)
-    if (status === 200) return { verdict: 'applied', version: parseApplied(body).ver }
-    if (status === conflictStatus) return { verdict: 'conflict', rows: (parseConflict(body).rows ?? []).map(decodeRow) }
+    const { status, body, era } = await callStore(pool, 'POST', wirePaths.transact, encodeTransaction(transaction), callTimeoutMs)
+    if (status === 200) return { verdict: 'applied', version: parseApplied(body).ver, era }
+    if (status === conflictStatus) return { verdict: 'conflict', rows: (parseConflict(body).rows ?? []).map(decodeRow), era }
     const reason = `the store answered with status ${status}`
-    return { verdict: notAppliedStatuses.has(status) ? 'notApplied' : 'unknown', reason }
+    return { verdict: notAppliedStatuses.has(status) ? 'notApplied' : 'unknown', reason, era }
   } catch (error) {
     const { code = '', message } = error as NodeJS.ErrnoException
     return { verdict: notSentErrorCodes.has(code) ? 'notApplied' : 'unknown', reason: message }
@@ -129,7 +133,7 @@
 
 async function callStore (
   pool: Pool, method: Dispatcher.HttpMethod, path: string, body: unknown, timeoutMs: number
-): Promise<{ status: number, body: unknown }> {
+): Promise<{ status: number, body: unknown, era: number | undefined }> {
   // The signal also aborts a call whose connection no longer delivers data, and closes that connection.
   const response = await pool.request({
     method,
@@ -138,7 +142,14 @@
     ...(body !== undefined && { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } })
   })
   const text = await response.body.text()
-  return { status: response.statusCode, body: text === '' || response.statusCode >= 500 ? {} : JSON.parse(text) }
+  return { status: response.statusCode, body: text === '' || response.statusCode >= 500 ? {} : JSON.parse(text), era: decodeEra(response.headers[wireHeaders.storeEra]) }
+}
+
+/** A missing or unreadable era is left out: the response counts as one of the latest era. */
+function decodeEra (value: string | string[] | undefined): number | undefined {
+  if (typeof value !== 'string' || !eraPattern.test(value)) return undefined
+  const era = Number(value)
+  return Number.isSafeInteger(era) ? era : undefined
 }
 
 function createStatusError (action: string, status: number): Error {
--- a/src/platform/wireNames.ts
+++ b/src/platform/wireNames.ts
@@ -24,6 +24,8 @@
   model: 'model',
   tokens: 'token-usage',
   priority: 'request-priority',
+  /** Rises by one each time that the store comes back from an earlier copy of itself; on every response of the store. */
+  storeEra: 'store-era',
   versions: 'weight-versions',
   expectVersion: 'expect-version',
   lengthHint: 'length-hint'
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -203,7 +203,9 @@
   id: Type.Integer(),
   renewal: Type.Integer(),
   /** Version of the host's renewal row in the store. */
-  version: Type.Integer()
+  version: Type.Integer(),
+  /** Era of the store in which the row has that version; hosts of earlier versions leave it out. */
+  era: Type.Optional(Type.Integer())
 })
 export type RenewalRequest = Static<typeof renewalRequestSchema>
 
@@ -221,6 +223,8 @@
   verdict: Type.Union([Type.Literal('applied'), Type.Literal('conflict'), Type.Literal('failed')]),
   /** Version of the renewal row in the store if it was written or differs from the expected one; 0 if there is none. */
   version: Type.Integer(),
+  /** Latest era of the store that the collector knows; hosts of earlier versions leave it out. */
+  era: Type.Optional(Type.Integer()),
   /** The row that is in the store instead. */
   current: Type.Optional(Type.Object({ session: Type.String(), renewal: Type.Integer() }))
 })
--- a/src/schemas/hostRows.ts
+++ b/src/schemas/hostRows.ts
@@ -14,7 +14,16 @@
 const serviceVersionsKeyPrefix = 'versions/'
 const partFingerprintPrefix = 'part:'
 
-export const hostRowSchema = Type.Object({
+/** Tells in which era of the store a row was written; hosts of earlier versions leave it out, as they know no eras. */
+const writtenInEraSchema = Type.Object({
+  /** Left out while the store has named no era. */
+  era: Type.Optional(Type.Integer()),
+  /** Era in which the deployment began to count eras; fencing tokens rise with each era after it. */
+  firstEra: Type.Optional(Type.Integer())
+})
+export type WrittenInEra = Static<typeof writtenInEraSchema>
+
+export const hostRowSchema = Type.Composite([writtenInEraSchema, Type.Object({
   host: Type.String(),
   address: Type.String(),
   zone: Type.String(),
@@ -22,7 +31,7 @@
   session: Type.String(),
   /** Whether the host is shutting down and claims no endpoints. */
   isLeaving: Type.Boolean()
-})
+})])
 export type HostRow = Static<typeof hostRowSchema>
 
 /** Shows that a host that owns endpoints is alive; the row's key is the host's name. */
@@ -33,8 +42,8 @@
 })
 export type RenewalRow = Static<typeof renewalRowSchema>
 
-/** The host that may send orders to an endpoint; the version of the row is the fencing token. */
-export const ownerRowSchema = Type.Object({
+/** The host that may send orders to an endpoint; its fencing token follows from the version and the era of the row. */
+export const ownerRowSchema = Type.Composite([writtenInEraSchema, Type.Object({
   endpointId: Type.String(),
   /** Empty if the endpoint has been released. */
   host: Type.String(),
@@ -42,7 +51,7 @@
   session: Type.String(),
   /** Previous owners, the latest one first; kept here because a restarted host does not know what it owned. */
   formerHosts: Type.Optional(Type.Array(Type.String()))
-})
+})])
 export type OwnerRow = Static<typeof ownerRowSchema>
 
 /**
@@ -60,10 +69,10 @@
 export type SuspectRow = Static<typeof suspectRowSchema>
 
 /** The software versions of a service that its endpoints have, or had so lately that their streams may be taken up. */
-export const serviceVersionsRowSchema = Type.Object({
+export const serviceVersionsRowSchema = Type.Composite([writtenInEraSchema, Type.Object({
   service: Type.String({ minLength: 1 }),
   versions: Type.Array(Type.String())
-})
+})])
 export type ServiceVersionsRow = Static<typeof serviceVersionsRowSchema>
 
 const hostRowCheck = TypeCompiler.Compile(hostRowSchema)
--- a/src/standin/fleet/fleetEngine.ts
+++ b/src/standin/fleet/fleetEngine.ts
@@ -43,6 +43,8 @@
   #unloading = new Set<string>()
   #count = 0
   #fencing = 0
+  /** The host that sent the highest fencing token. */
+  #holder: string | undefined
   /** When the model is there; undefined before its load was ordered. */
   #modelReadyAtMs: number | undefined
   #reported: EngineState | undefined
@@ -73,6 +75,7 @@
     this.#unloading.clear()
     this.#count = 0
     this.#fencing = 0
+    this.#holder = undefined
     this.#reported = this.#describe()
   }
 
@@ -86,6 +89,8 @@
   receiveOrder (order: EngineOrder, holder: OrderHolder): number {
     this.#finishLoads()
     if (holder.fencing < this.#fencing) this.violations.push({ rule: 'fencing', detail: `"${holder.host}" ordered with ${holder.fencing} after ${this.#fencing}` })
+    if (holder.fencing === this.#fencing && this.#holder !== undefined && holder.host !== this.#holder) this.violations.push({ rule: 'fencing', detail: `"${holder.host}" and "${this.#holder}" both ordered with ${holder.fencing}` })
+    if (holder.fencing >= this.#fencing) this.#holder = holder.host
     this.#fencing = Math.max(this.#fencing, holder.fencing)
     if (this.#unloading.size > 0 && !(order.kind === 'unload' && this.#unloading.has(order.adapter ?? ''))) return 409
     if (order.expectedCount !== undefined && order.expectedCount !== this.#count) return 409
--- a/src/standin/fleet/rowStore.ts
+++ b/src/standin/fleet/rowStore.ts
@@ -1,6 +1,13 @@
-/** A stand-in of the platform's store: rows with versions from one counter, and their history. */
+/** A stand-in of the platform's store: rows with versions from one counter, and their history, from which it can be restored. */
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
 
+/** The store as it was at one time. */
+export interface RowStoreCopy {
+  readonly rows: ReadonlyMap<string, StoreRow>
+  readonly history: readonly StoreRow[]
+  readonly version: number
+}
+
 export class RowStore {
   #rows = new Map<string, StoreRow>()
   #history: StoreRow[] = []
@@ -8,6 +15,12 @@
   /** Changes up to this version are forgotten. */
   #forgotten = 0
   #waiters = new Set<() => void>()
+  #era = 1
+
+  /** Rises with each restore. */
+  get era (): number {
+    return this.#era
+  }
 
   get version (): number {
     return this.#version
@@ -19,7 +32,7 @@
 
   /** Rows of a table that changed after a version; undefined where the history no longer reaches back. */
   listChanges (table: string, afterVersion: number): StoreRow[] | undefined {
-    if (afterVersion < this.#forgotten) return undefined
+    if (afterVersion < this.#forgotten || afterVersion > this.#version) return undefined
     const latest = new Map<string, StoreRow>()
     for (const row of this.#history) if (row.table === table && row.version > afterVersion) latest.set(row.key, row)
     return [...latest.values()].sort((left, right) => left.version - right.version)
@@ -47,6 +60,22 @@
     this.#history = []
   }
 
+  takeCopy (): RowStoreCopy {
+    return { rows: new Map(this.#rows), history: [...this.#history], version: this.#version }
+  }
+
+  /** Restores a copy: what was written since is lost, and versions start again from the copy's. Returns the rows that are lost. */
+  restore (copy: RowStoreCopy): StoreRow[] {
+    const lost = [...this.#rows.values()].filter(row => row.version > copy.version)
+    this.#rows = new Map(copy.rows)
+    this.#history = [...copy.history]
+    this.#version = copy.version
+    this.#era++
+    // Whoever waits for a change waited for one of the era before.
+    this.#waiters.clear()
+    return lost.sort((left, right) => left.version - right.version)
+  }
+
   waitForChange (wake: () => void): void {
     this.#waiters.add(wake)
   }
--- a/src/standin/fleet/startFleet.ts
+++ b/src/standin/fleet/startFleet.ts
@@ -1,12 +1,13 @@
 /** Starts a stand-in of the users' platform: its store, model engines and a plain service, each on a loopback address. */
 import type { RoutingConfiguration } from '../../schemas/routing.js'
 import { encodeConfigurationRow, encodeEndpointRow, encodeAdapterVersionRow } from '../../platform/standinWire.js'
-import { endpointsTable } from '../../platform/wireNames.js'
+import { endpointsTable, operatorsTable } from '../../platform/wireNames.js'
 import { createEvenDraws } from './createEvenDraws.js'
 import { startEndpointServer } from './endpointServer.js'
 import type { EndpointServer } from './endpointServer.js'
 import { FleetEngine } from './fleetEngine.js'
 import { RowStore } from './rowStore.js'
+import type { RowStoreCopy } from './rowStore.js'
 import { RunJournal } from './runJournal.js'
 import { startStoreServer } from './storeServer.js'
 import type { StoreServer } from './storeServer.js'
@@ -146,7 +147,19 @@
   async removeEndpoint (endpoint: FleetEndpoint): Promise<void> {
     endpoint.isTelling = false
     await endpoint.server.stop()
-    setTimeout(() => this.rows.transact({ checks: [], writes: [], removals: [{ table: endpointsTable, key: endpoint.id }] }), lapseHeartbeats * this.#options.heartbeatMs).unref()
+    this.#lapse(endpoint.id)
+  }
+
+  #lapse (key: string): void {
+    setTimeout(() => this.rows.transact({ checks: [], writes: [], removals: [{ table: endpointsTable, key }] }), lapseHeartbeats * this.#options.heartbeatMs).unref()
+  }
+
+  /** Restores the store from a copy; operators and endpoints write again what it lost of theirs, and entries of endpoints that are gone lapse. */
+  restoreStore (copy: RowStoreCopy): void {
+    const lost = this.rows.restore(copy)
+    for (const { table, key, value } of lost) if (value && (table === operatorsTable || table === endpointsTable)) this.rows.write({ table, key, value })
+    const telling = new Set(this.endpoints.filter(({ isTelling }) => isTelling).map(({ id }) => id))
+    for (const { key } of this.rows.listRows(endpointsTable)) if (!telling.has(key)) this.#lapse(key)
   }
 
   /** What endpoints saw that no system may do. */
--- a/src/standin/fleet/storeServer.ts
+++ b/src/standin/fleet/storeServer.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { decodeTransaction, encodeTransactionOutcome, encodeStoreRows } from '../../platform/standinWire.js'
-import { wirePaths } from '../../platform/wireNames.js'
+import { wireHeaders, wirePaths } from '../../platform/wireNames.js'
 import type { RowStore } from './rowStore.js'
 
 /** `silent`: takes calls and answers none; `busy`: 503; `reset`: closes connections; `lost`: writes are done and not answered; `unwritable`: writes get 503. */
@@ -28,6 +28,7 @@
       request.socket.resetAndDestroy()
       return
     }
+    response.setHeader(wireHeaders.storeEra, store.era)
     if (fault === 'busy' || (fault === 'unwritable' && request.method === 'POST')) {
       response.writeHead(503).end()
       return
@@ -79,9 +80,10 @@
 }
 
 function followTable (store: RowStore, table: string, after: number, waitMs: number, response: ServerResponse): void {
+  const { era } = store
   let isAnswered = false
   const answer = (isLast: boolean): void => {
-    if (isAnswered || response.destroyed) return
+    if (isAnswered || response.destroyed || store.era !== era) return
     const rows = store.listChanges(table, after)
     if (rows?.length === 0 && !isLast) {
       store.waitForChange(() => answer(false))
--- a/src/tasks/clusterView/clusterViewTask.ts
+++ b/src/tasks/clusterView/clusterViewTask.ts
@@ -1,7 +1,9 @@
 /** Keeps a host's cluster view current: store readers watch the store, other hosts watch a store reader, preferably in their zone. */
+import VError from 'verror'
 import type { UpdateSourceHost, UpdateSourceList } from '../../core/updateSources.js'
-import type { ClusterView } from '../../core/clusterView.js'
+import type { ClusterView, ClusterViewChange } from '../../core/clusterView.js'
 import type { RowMirror } from '../../core/rowMirror.js'
+import type { StoreEra } from '../../core/storeEra.js'
 import { TableFreshness } from '../../core/tableFreshness.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
@@ -29,9 +31,12 @@
   clock: Clock
   log: EventLog
   store: Store
+  eras: StoreEra
   relay: Relay
   mirror: RowMirror
   clusterView: ClusterView
+  /** Called with a change that takes effect although no row has arrived. */
+  receiveViewChange?: (change: ClusterViewChange) => void
   tables: readonly WatchedTable[]
   /** How long a relay may delay its response while nothing has changed. */
   relayWaitMs: number
@@ -141,6 +146,7 @@
       if (this.#isStopped) return
       this.#startLoops()
       this.#checkStaleness()
+      this.#releaseHeldConfiguration()
       this.#timer = clock.setTimer(check, checkIntervalMs)
     }
     check()
@@ -205,8 +211,9 @@
   }
 
   async #watchStore ({ table, minIntervalMs, waitMs, responseMs, initialDelayMs }: WatchedTable): Promise<void> {
-    const { clock, store, mirror, log } = this.#options
+    const { clock, store, mirror, log, eras } = this.#options
     const startedAtMs = clock.readMonotonic()
+    const { changeCount } = eras
     try {
       const after = mirror.findTableVersion(table)
       const changes = after === undefined ? undefined : await store.watchTable(table, after, waitMs, responseMs)
@@ -224,6 +231,8 @@
       await this.#pause((after === undefined ? initialDelayMs : minIntervalMs) - (clock.readMonotonic() - startedAtMs))
     } catch (error) {
       log.record('news.storeFailed', 'Call to the store failed; retrying.', { table, error: (error as Error).message })
+      // The store does respond: the whole table has to be read again.
+      if (eras.changeCount !== changeCount) return
       await this.#pause(this.#computeRetryDelayMs(table) * (1 + Math.random()))
     }
   }
@@ -237,7 +246,7 @@
   }
 
   async #watchRelay (): Promise<void> {
-    const { clock, relay, mirror, log, tables, relayWaitMs } = this.#options
+    const { clock, relay, mirror, log, tables, relayWaitMs, eras } = this.#options
     const address = this.#selectRelay()
     if (address === undefined) {
       await this.#pause(initialRetryMs)
@@ -246,6 +255,9 @@
     const { logId, position } = this.#relayPositions.get(address) ?? { logId: '', position: 0 }
     try {
       const updates = await relay.readUpdates(address, logId, position, relayWaitMs)
+      // Hosts of an earlier version name no era, so that what they relay may be from before the latest one.
+      const isOfLatestEra = eras.observe(updates.era) && (updates.era !== undefined || eras.changeCount === 0)
+      if (!isOfLatestEra) throw new VError('its updates are from before the store was restored from a copy')
       this.#recordPosition(address, { logId: updates.logId, position: updates.position })
       this.#applyUpdate(address, () => mirror.applyMirrorChanges(updates))
       this.#relayResponseAtMs = clock.readMonotonic()
@@ -300,6 +312,12 @@
     else log.record('store.regained', 'Updates from the store are current again.', {})
   }
 
+  #releaseHeldConfiguration (): void {
+    const { clusterView, clock, receiveViewChange } = this.#options
+    const change = clusterView.releaseHeldConfiguration(clock.readMonotonic())
+    if (change) receiveViewChange?.(change)
+  }
+
   async #pause (ms: number): Promise<void> {
     if (ms <= 0 || this.#isStopped) return
     await new Promise<void>(resolve => { this.#options.clock.setTimer(resolve, ms) })
--- a/src/tasks/clusterView/logClusterViewChange.ts
+++ b/src/tasks/clusterView/logClusterViewChange.ts
@@ -23,6 +23,6 @@
       endpointId: id, address: entry?.address, service: entry?.service, isLeaving: entry?.isLeaving, goneInMs: entry?.goneInMs, startedAtMs: entry?.startedAtMs, softwareVersion: entry?.softwareVersion, ...(!entry || entry.isLeaving ? getOrigin() : {})
     })
   } else if (change.kind === 'owner') {
-    log.record('owner.changed', 'Endpoint owner changed.', { endpointId: change.endpointId, owner: change.owner?.row.host, fencing: change.owner?.fencing })
+    log.record('owner.changed', 'Endpoint owner changed.', { endpointId: change.endpointId, owner: change.owner?.row.host, version: change.owner?.version, era: change.owner?.row.era })
   }
 }
--- a/src/tasks/clusterView/relayServer.ts
+++ b/src/tasks/clusterView/relayServer.ts
@@ -6,8 +6,9 @@
 import { unknownStoreAgeMs, updatesPath, transactPath } from '../../adapters/relay/httpRelay.js'
 import { encodeRelayedRow } from '../../adapters/relay/relayedRows.js'
 import type { RowMirror } from '../../core/rowMirror.js'
+import type { StoreEra } from '../../core/storeEra.js'
 import type { Clock } from '../../ports/clock.js'
-import type { Store, StoreTransaction } from '../../ports/store.js'
+import type { Store, StoreOutcome, StoreTransaction } from '../../ports/store.js'
 import { createParser } from '../../schemas/createParser.js'
 import { hostsTable, renewalsTable } from '../../schemas/hostRows.js'
 
@@ -17,6 +18,7 @@
   clock: Clock
   mirror: RowMirror
   store: Store
+  eras: StoreEra
   getStoreAgeMs: () => number
   /** Milliseconds since this host's copy of each table last matched the store, by table. */
   listTableAges: () => Readonly<Record<string, number>>
@@ -29,7 +31,9 @@
 const parseTransaction = createParser(Type.Object({
   checks: Type.Array(Type.Composite([rowNameSchema, Type.Object({ version: Type.Number() })])),
   writes: Type.Array(Type.Composite([rowNameSchema, Type.Object({ value: Type.Any() })])),
-  removals: Type.Array(rowNameSchema)
+  removals: Type.Array(rowNameSchema),
+  /** Era of the versions in `checks`; left out by hosts of an earlier version, and while the store has named none. */
+  era: Type.Optional(Type.Number())
 }))
 
 /** Starts the server. Its responses hold no rows until its host has read the store or another relay. */
@@ -42,23 +46,27 @@
 }
 
 async function serveUpdates (options: RelayServerOptions, query: URLSearchParams): Promise<HttpReply> {
-  const { clock, mirror, getStoreAgeMs, listTableAges } = options
+  const { clock, mirror, eras, getStoreAgeMs, listTableAges } = options
   const logId = query.get('logId') ?? ''
   const position = Number(query.get('position'))
   if (logId === mirror.logId && position === mirror.position) await waitForUpdate(options, Math.min(maxWaitMs, Number(query.get('waitMs'))))
   const changes = mirror.getChangesSince(logId, position)
+  const era = eras.current
   const readAtMs = clock.readMonotonic()
   const [storeAgeMs, ages] = [getStoreAgeMs(), listTableAges()]
   const rows = await Promise.all(changes.rows.map(encodeRelayedRow))
   const encodingMs = clock.readMonotonic() - readAtMs
   const tableAgesMs = Object.fromEntries(Object.entries(ages).map(([table, ageMs]) => [table, ageMs + encodingMs]))
-  return createReply({ ...changes, rows, storeAgeMs: Math.min(unknownStoreAgeMs, storeAgeMs + encodingMs), tableAgesMs })
+  return createReply({ ...changes, rows, ...(era !== undefined && { era }), storeAgeMs: Math.min(unknownStoreAgeMs, storeAgeMs + encodingMs), tableAgesMs })
 }
 
-async function runTransaction ({ store, isStoreReachable }: RelayServerOptions, body: Buffer): Promise<HttpReply> {
+async function runTransaction ({ store, eras, isStoreReachable }: RelayServerOptions, body: Buffer): Promise<HttpReply> {
   // Responds at once when this host cannot reach the store either, so that the caller tries another peer.
   if (!isStoreReachable()) return { status: 503 }
-  return createReply(await store.transact(parseTransaction(unpack(body)) as StoreTransaction))
+  const { era, ...transaction } = parseTransaction(unpack(body))
+  if (!eras.observe(era)) return createReply({ verdict: 'notApplied', reason: 'the store was restored from a copy', era: eras.current } satisfies StoreOutcome)
+  const outcome = await store.transact(transaction as StoreTransaction)
+  return createReply({ ...outcome, ...(eras.current !== undefined && { era: eras.current }) })
 }
 
 function createReply (message: unknown): HttpReply {
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -1,13 +1,16 @@
 /** Renews this host's lease in the store, tracks which endpoints the host owns, and decides whether it may send them orders. */
-import { isUnowned, mayOrder, PauseDetector, HostExpiryTracker, renewalIntervalMs } from '../../core/ownershipLease.js'
+import { isUnowned, keepAfterOutageMs, keepLimitMs, mayOrder, PauseDetector, HostExpiryTracker, renewalIntervalMs } from '../../core/ownershipLease.js'
 import type { ClusterViewChange, ClusterView } from '../../core/clusterView.js'
 import type { HashPair } from '../../core/ownershipAssignment.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
-import type { RowCheck, StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
-import { decodeRenewal, encodeHostsRow, formatHostKey, formatOwnerKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
-import type { HostRow, RenewalRow } from '../../schemas/hostRows.js'
+import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
+import { formatHostKey, formatOwnerKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
+import type { HostRow } from '../../schemas/hostRows.js'
 import type { RenewalResult } from '../../schemas/datagram.js'
+import { HostRegistration } from './hostRegistration.js'
+import { OwnedEndpoints } from './ownedEndpoints.js'
+import type { OwnedEndpoint } from './ownedEndpoints.js'
 import { OwnershipReconciler, maxEndpointsPerTransaction } from './ownershipReconciler.js'
 
 export interface LeaseTaskOptions {
@@ -22,6 +25,10 @@
   leaseMs: number
   /** Whether this host reads the store itself; only then does an unchanged renewal show that another host stopped renewing. */
   isReadingStore: () => boolean
+  /** Whether this host's view matched the store recently, read by itself or by a relay. */
+  isUpToDate: () => boolean
+  /** Whether the table of owners was read since the store was last restored, so that its versions can be checked. */
+  areOwnersKnown: () => boolean
   hashPair: HashPair
   /** Whether this host is isolated from its peers, so that other hosts should own the engines. */
   isIsolated: () => boolean
@@ -51,41 +58,20 @@
 const stepIntervalMs = 100
 /** Step interval of a host that owns no endpoints, has none to claim and watches no renewals; changes trigger a step at once. */
 const idleStepIntervalMs = 500
-/** Delay before a failed renewal is retried; grows with each failure up to half of the renewal interval. */
-const minRenewalRetryDelayMs = 100
-const maxRenewalRetryDelayMs = 500
 /** Renewal interval of a host that owns no endpoints, so that other hosts know that it is alive. */
 const idleRenewalIntervalMs = 20_000
 /** Delay between two attempts to release all endpoints, to limit the load on a store that is unavailable. */
 const releaseRetryDelayMs = 250
 
-interface SentRenewal {
-  readonly sentAtMs: number
-  /** Whether it was written together with this host's other row. */
-  readonly registers: boolean
-}
-
 export class LeaseTask {
   #options: LeaseTaskOptions
   #hostExpiry = new HostExpiryTracker()
   #pauseDetector = new PauseDetector()
   #reconciler: OwnershipReconciler
-  #ownedEndpoints = new Map<string, number>()
-  /** When the last confirmed renewal was sent; a renewal is confirmed once it is known to be in the store. */
-  #confirmedRenewalSentAtMs = -Infinity
-  /** Whether a renewal was confirmed, however long ago, with no process pause and no other writer of the row since. */
-  #hasConfirmedRenewal = false
-  #renewalCounter = 0
-  /** Renewals whose result is not known. */
-  #unconfirmedRenewals = new Map<number, SentRenewal>()
-  /** Version of this host's renewal row in the store; 0 if none is known. */
-  #renewalVersion = 0
-  /** Whether the store has this host's rows, written by this process. */
-  #isRegistered = false
-  /** Start of the current renewal interval: the last renewal, or an adjusted time that moves the next renewal. */
-  #renewalIntervalStartedAtMs = -Infinity
-  #isRenewing = false
-  #failedRenewalCount = 0
+  #ownedEndpoints = new OwnedEndpoints()
+  #registration: HostRegistration
+  /** When this host last knew that the store was unavailable to all hosts, so that it kept its endpoints without renewals. */
+  #outageKnownAtMs = -Infinity
   #isReleasing = false
   #isLeaving = false
   #isStarted = false
@@ -94,7 +80,19 @@
 
   constructor (options: LeaseTaskOptions) {
     this.#options = options
-    const { clock, log, clusterView, own, leaseMs, isReadingStore, hashPair, isRunning, transact, findRenewalVersion, applyRow } = options
+    const { clock, log, clusterView, own, leaseMs, isReadingStore, isUpToDate, areOwnersKnown, hashPair, isRunning, transact, renewViaCollector, readRenewals, findRenewalVersion, applyRow } = options
+    this.#registration = new HostRegistration({
+      clock,
+      log,
+      clusterView,
+      own,
+      transact,
+      renewViaCollector,
+      readRenewals,
+      applyRow,
+      receiveDeclaredDead: () => this.#removeAllOwned('this host was declared dead'),
+      requestStep: () => this.#scheduleStep(0)
+    })
     this.#reconciler = new OwnershipReconciler({
       clock,
       log,
@@ -103,15 +101,18 @@
       leaseMs,
       hostExpiry: this.#hostExpiry,
       isReadingStore,
+      isUpToDate,
+      areOwnersKnown,
       hashPair,
       isRunning,
       transact,
       findRenewalVersion,
-      getRegistrationCheck: () => this.#registrationCheck,
-      findOwnFencingToken: endpointId => this.#ownedEndpoints.get(endpointId),
+      getRegistrationCheck: () => this.#registration.check,
+      findOwned: endpointId => this.#ownedEndpoints.get(endpointId),
+      listKept: () => this.#ownedEndpoints.listKept(),
       applyRow,
-      receiveRenewalRow: row => this.#adoptRenewalRow(row),
-      addOwned: (endpointId, fencing, hadNoOtherOwner) => this.#addOwned(endpointId, fencing, hadNoOtherOwner),
+      receiveRenewalRow: row => this.#registration.adoptRow(row),
+      addOwned: (endpointId, version, hadNoOtherOwner) => this.#addOwned(endpointId, version, hadNoOtherOwner),
       removeOwned: (endpointId, reason) => this.#removeOwned(endpointId, reason),
       requestStep: () => this.#scheduleStep(0)
     })
@@ -130,12 +131,12 @@
     const { clock, log } = this.#options
     this.#isLeaving = true
     const deadlineMs = clock.readMonotonic() + maxWaitMs
-    while (this.#ownedEndpoints.size > 0 && !await this.#probeStore()) {
+    while (this.#ownedEndpoints.size > 0 && !await this.#registration.probeStore()) {
       if (clock.readMonotonic() + releaseRetryDelayMs >= deadlineMs) break
       await this.#delay(releaseRetryDelayMs)
     }
-    const owned = new Map(this.#ownedEndpoints)
-    for (const endpointId of owned.keys()) this.#removeOwned(endpointId, 'the host is shutting down')
+    const owned = new Map(this.#listReleasable())
+    this.#removeAllOwned('the host is shutting down')
     const { host } = this.#options.own
     const removals = [{ table: hostsTable, key: formatHostKey(host) }, { table: renewalsTable, key: host }]
     for (;;) {
@@ -143,7 +144,7 @@
       const isLast = released.length === owned.size
       const { checks, writes } = this.#reconciler.createRelease(released)
       // Without the check, a write that is applied late would remove the rows of the next process of this host.
-      const outcome = await this.#options.transact(isLast ? { checks: [...checks, this.#registrationCheck], writes, removals } : { checks, writes, removals: [] })
+      const outcome = await this.#options.transact(isLast ? { checks: [...checks, this.#registration.check], writes, removals } : { checks, writes, removals: [] })
       log.record('lease.left', 'Released endpoints because the host is shutting down.', { endpointIds: released.map(([endpointId]) => endpointId), verdict: outcome.verdict })
       if (outcome.verdict === 'applied') {
         if (isLast) return
@@ -153,26 +154,20 @@
       if (clock.readMonotonic() + releaseRetryDelayMs >= deadlineMs) return
       // A row changed since, by another host or by an earlier attempt whose response was lost, must not be released again.
       if (outcome.verdict === 'conflict') {
-        if (isLast && !this.#adoptConflict(outcome.rows) && owned.size === 0) return
-        for (const [endpointId, fencing] of owned) if (outcome.rows.some(({ key, version }) => key === formatOwnerKey(endpointId) && version !== fencing)) owned.delete(endpointId)
+        if (isLast && !this.#registration.adoptConflict(outcome.rows) && owned.size === 0) return
+        for (const [endpointId, known] of owned) if (outcome.rows.some(({ key, version }) => key === formatOwnerKey(endpointId) && version !== known)) owned.delete(endpointId)
       }
       await this.#delay(releaseRetryDelayMs)
     }
   }
 
-  /**
-   * Checks whether the store accepts writes, by writing a renewal. A conflict also counts: it results from another renewal that the
-   * store applied.
-   */
-  async #probeStore (): Promise<boolean> {
-    const { clock, transact } = this.#options
-    const renewal = ++this.#renewalCounter
-    const sent = { sentAtMs: clock.readMonotonic(), registers: false }
-    this.#unconfirmedRenewals.set(renewal, sent)
-    const outcome = await transact({ checks: [this.#registrationCheck], writes: [this.#createRenewalWrite(renewal)], removals: [] })
-    if (outcome.verdict === 'applied') this.#recordConfirmedRenewal(renewal, outcome.version, sent)
-    if (outcome.verdict === 'conflict') for (const row of outcome.rows) this.#adoptRenewalRow(row)
-    return outcome.verdict === 'applied' || outcome.verdict === 'conflict'
+  /** Lists the owned endpoints with the versions of their rows, without those whose row is not known since the store was restored. */
+  #listReleasable (): [string, number][] {
+    const { clusterView, areOwnersKnown } = this.#options
+    return this.#ownedEndpoints.list().flatMap(([endpointId, { version, keptRenewalSentAtMs }]): [string, number][] => {
+      if (keptRenewalSentAtMs === undefined) return [[endpointId, version]]
+      return areOwnersKnown() ? [[endpointId, clusterView.owners.get(endpointId)?.version ?? 0]] : []
+    })
   }
 
   async #delay (ms: number): Promise<void> {
@@ -191,14 +186,14 @@
 
   /** Milliseconds since this host sent its last confirmed renewal. */
   get confirmedRenewalAgeMs (): number {
-    return this.#options.clock.readMonotonic() - this.#confirmedRenewalSentAtMs
+    return this.#options.clock.readMonotonic() - this.#registration.confirmedSentAtMs
   }
 
   /** Releases all endpoints of this host. */
   async #releaseAll (reason: string): Promise<void> {
     this.#isReleasing = true
-    const owned = [...this.#ownedEndpoints]
-    for (const [endpointId] of owned) this.#removeOwned(endpointId, reason)
+    const owned = this.#listReleasable()
+    this.#removeAllOwned(reason)
     for (let start = 0; start < owned.length; start += maxEndpointsPerTransaction) {
       const released = owned.slice(start, start + maxEndpointsPerTransaction)
       const release = this.#reconciler.createRelease(released)
@@ -215,27 +210,71 @@
 
   /** Fencing token for orders to the endpoint; undefined if this host may not send it orders at this moment. */
   findFencingToken (endpointId: string): number | undefined {
+    const { clusterView } = this.#options
+    const nowMs = this.#readClock()
+    const owned = this.#ownedEndpoints.get(endpointId)
+    if (!owned || !this.#isLeaseValid(owned, nowMs)) return undefined
+    return clusterView.computeFencingToken(owned.version, owned.era)
+  }
+
+  #isLeaseValid ({ keptRenewalSentAtMs }: OwnedEndpoint, nowMs: number): boolean {
+    if (mayOrder(nowMs, keptRenewalSentAtMs ?? this.#registration.confirmedSentAtMs)) return true
+    return (keptRenewalSentAtMs !== undefined || this.#registration.hasConfirmed) && this.#isOutage(nowMs)
+  }
+
+  #isOutage (nowMs: number): boolean {
+    const isOutage = this.#options.isOutage()
+    if (isOutage) this.#outageKnownAtMs = nowMs
+    return isOutage
+  }
+
+  /** Returns the time, after a check whether the process was paused. */
+  #readClock (): number {
     const { clock } = this.#options
     const nowMs = clock.readMonotonic()
     if (this.#pauseDetector.checkPause(nowMs, clock.readWall())) this.#recordPause()
-    const isLeaseValid = mayOrder(nowMs, this.#confirmedRenewalSentAtMs) || (this.#hasConfirmedRenewal && this.#options.isOutage())
-    return isLeaseValid ? this.#ownedEndpoints.get(endpointId) : undefined
+    return nowMs
+  }
+
+  /**
+   * Begins a new era of the store, which was restored from a copy: renewals and claims since the copy are lost. This host keeps the
+   * endpoints that no other one can have taken over, and registers again.
+   */
+  beginEra (): void {
+    const { clock, clusterView, log } = this.#options
+    const nowMs = this.#readClock()
+    const isKeptAfterOutage = nowMs - this.#outageKnownAtMs < keepAfterOutageMs
+    for (const [endpointId, { keptRenewalSentAtMs }] of this.#ownedEndpoints.list()) {
+      const renewalSentAtMs = keptRenewalSentAtMs ?? this.#registration.confirmedSentAtMs
+      if (nowMs - renewalSentAtMs < keepLimitMs || isKeptAfterOutage) this.#ownedEndpoints.keep(endpointId, renewalSentAtMs)
+      else this.#removeOwned(endpointId, 'the store was restored from a copy, and this host had not renewed its lease in time before')
+    }
+    log.record('lease.eraBegan', 'The store was restored from a copy: this host registers again, and writes the rows of the endpoints that it keeps.', {
+      ...clusterView.writtenInEra, kept: this.#ownedEndpoints.listKept()
+    })
+    this.#registration.beginEra()
+    this.#hostExpiry.clear()
+    this.#reconciler.beginEra(clock.readMonotonic())
+    this.#scheduleStep(0)
   }
 
   receiveChange (change: ClusterViewChange): void {
-    const { clock, own } = this.#options
+    const { clock, clusterView, own } = this.#options
     const nowMs = clock.readMonotonic()
     if (change.kind === 'renewal') {
       if (change.renewal) this.#hostExpiry.recordRenewal(change.host, change.renewal, nowMs)
       else this.#hostExpiry.removeHost(change.host)
-      if (change.host === own.host && change.renewal) this.#adoptStoredRenewal(change.renewal, change.version)
+      if (change.host === own.host && change.renewal) this.#registration.adoptRenewal(change.renewal, change.version)
       return
     }
     if (this.#mayCreateUnowned(change)) this.#scheduleStep(0)
     if (change.kind !== 'owner') return
     const { endpointId, owner } = change
+    const owned = this.#ownedEndpoints.get(endpointId)
+    // A row of the copy neither gives an endpoint to this host nor takes one from it.
+    if (clusterView.isUncertainOwner(owner) && (!owned || owned.keptRenewalSentAtMs !== undefined)) return
     const isOwn = owner?.row.host === own.host && owner.row.session === own.session
-    if (isOwn) this.#addOwned(endpointId, owner.fencing)
+    if (isOwn) this.#addOwned(endpointId, owner.version)
     else this.#removeOwned(endpointId, owner ? `host "${owner.row.host}" is the owner now` : 'the owner row was removed')
   }
 
@@ -245,48 +284,9 @@
     return change.kind === 'configuration' || (change.kind === 'endpoint' && change.entry !== undefined && isUnowned(this.#options.clusterView.owners.get(change.id)?.row))
   }
 
-  /** Adopts a renewal of this process that was read from the store, and confirms it if the response to its write was lost. */
-  #adoptStoredRenewal ({ session, renewal }: RenewalRow, version: number): void {
-    if (session !== this.#options.own.session || version <= this.#renewalVersion) return
-    this.#renewalVersion = version
-    const sent = this.#unconfirmedRenewals.get(renewal)
-    if (sent) this.#recordConfirmedRenewal(renewal, version, sent)
-  }
-
-  /** Adopts this host's renewal row as a conflict shows it. */
-  #adoptRenewalRow ({ table, key, value, version }: StoreRow): void {
-    const renewal = value && decodeRenewal(value)
-    if (renewal && table === renewalsTable && key === this.#options.own.host) this.#adoptStoredRenewal(renewal, version)
-  }
-
-  /** Adopts the version of this host's renewal row from a conflict; returns false if the row is not of this process, or gone. */
-  #adoptConflict (rows: readonly StoreRow[]): boolean {
-    const { own } = this.#options
-    const current = rows.find(row => row.table === renewalsTable && row.key === own.host)
-    const renewal = current?.value && decodeRenewal(current.value)
-    if (renewal?.session !== own.session) return false
-    this.#renewalVersion = current!.version
-    return true
-  }
-
-  #recordConfirmedRenewal (renewal: number, version: number, { sentAtMs, registers }: SentRenewal): void {
-    for (const sent of this.#unconfirmedRenewals.keys()) if (sent <= renewal) this.#unconfirmedRenewals.delete(sent)
-    if (registers && !this.#isRegistered) {
-      this.#isRegistered = true
-      this.#scheduleStep(0)
-    }
-    this.#failedRenewalCount = 0
-    this.#renewalVersion = version
-    this.#confirmedRenewalSentAtMs = Math.max(this.#confirmedRenewalSentAtMs, sentAtMs)
-    this.#hasConfirmedRenewal = true
-  }
-
   #recordPause (): void {
-    this.#confirmedRenewalSentAtMs = -Infinity
-    this.#hasConfirmedRenewal = false
-    // A renewal that was sent before the pause does not confirm the lease after it.
-    this.#unconfirmedRenewals.clear()
-    this.#renewalIntervalStartedAtMs = -Infinity
+    this.#registration.forgetConfirmed()
+    for (const endpointId of this.#ownedEndpoints.listKept()) this.#removeOwned(endpointId, 'the process may have been paused since the store was restored')
     this.#options.log.record('lease.paused', 'The monotonic and wall clocks drifted apart, so the process may have been paused; no orders are sent before the next renewal.', {})
   }
 
@@ -294,17 +294,17 @@
     const { clock } = this.#options
     const nowMs = clock.readMonotonic()
     if (!this.#options.isReadingStore()) this.#hostExpiry.recordStoreUnavailable(nowMs)
-    const interval = this.#ownedEndpoints.size > 0 || !this.#isRegistered ? renewalIntervalMs : idleRenewalIntervalMs
-    if (!this.#isLeaving && nowMs - this.#renewalIntervalStartedAtMs >= interval) this.#renew()
+    if (this.#ownedEndpoints.size > 0) this.#isOutage(nowMs)
+    if (!this.#isLeaving) this.#registration.renewIfDue(nowMs, this.#ownedEndpoints.size > 0 || !this.#registration.isRegistered ? renewalIntervalMs : idleRenewalIntervalMs)
     this.#scheduleStep(this.#isIdle() ? idleStepIntervalMs : stepIntervalMs)
-    if (this.#isLeaving || this.#isReleasing || !this.#isRegistered) return
+    if (this.#isLeaving || this.#isReleasing || !this.#registration.isRegistered) return
     const { isIsolated, isStranded } = this.#options
     if (!isIsolated() && !isStranded()) this.#reconciler.step(nowMs)
     else if (this.#ownedEndpoints.size > 0) this.#releaseAll(isIsolated() ? 'this host is isolated from its peers' : 'this host reaches no endpoint')
   }
 
   #isIdle (): boolean {
-    return this.#isRegistered && this.#ownedEndpoints.size === 0 && !this.#reconciler.hasUnownedEndpoints && !this.#options.isReadingStore()
+    return this.#registration.isRegistered && this.#ownedEndpoints.size === 0 && !this.#reconciler.hasUnownedEndpoints && !this.#options.isReadingStore()
   }
 
   /** Schedules the next step `delayMs` from now, unless one is due sooner. */
@@ -319,105 +319,19 @@
     }, delayMs)
   }
 
-  /** The check that this host's renewal row is as it was last written; fails where another host has removed it. */
-  get #registrationCheck (): RowCheck {
-    return { table: renewalsTable, key: this.#options.own.host, version: this.#renewalVersion }
-  }
-
-  // Renewal
-
-  #createRenewalWrite (renewal: number): StoreTransaction['writes'][number] {
-    const { host, session } = this.#options.own
-    return { table: renewalsTable, key: host, value: encodeHostsRow({ session, renewal }) }
-  }
-
-  async #renew (): Promise<void> {
-    if (this.#isRenewing) return
-    this.#isRenewing = true
-    const { clock, log } = this.#options
-    const startedAtMs = clock.readMonotonic()
-    this.#renewalIntervalStartedAtMs = startedAtMs
-    const renewal = ++this.#renewalCounter
-    const sent = { sentAtMs: startedAtMs, registers: !this.#isRegistered }
-    this.#unconfirmedRenewals.set(renewal, sent)
-    // Without a recent confirmed renewal, this host writes its own at once instead of waiting for the collector.
-    const canUseCollector = this.#isRegistered && startedAtMs - this.#confirmedRenewalSentAtMs < 2 * renewalIntervalMs
-    const reply = canUseCollector ? await this.#options.renewViaCollector(renewal, this.#renewalVersion) : undefined
-    if (reply) {
-      this.#isRenewing = false
-      this.#handleCollectedRenewal(reply, renewal, startedAtMs)
-      return
-    }
-    const write = this.#createRenewalWrite(renewal)
-    const hostWrite = this.#createHostWrite()
-    // Copies of one transaction have the same check, so that the store applies one of them at most.
-    const outcome = await this.#options.transact({ checks: [this.#registrationCheck], writes: sent.registers ? [write, hostWrite] : [write], removals: [] })
-    this.#isRenewing = false
-    if (outcome.verdict === 'applied') {
-      if (sent.registers) this.#options.applyRow({ ...hostWrite, version: outcome.version })
-      if (this.#unconfirmedRenewals.has(renewal)) this.#recordConfirmedRenewal(renewal, outcome.version, sent)
-      else this.#renewalVersion = Math.max(this.#renewalVersion, outcome.version)
-      return
-    }
-    if (outcome.verdict === 'conflict') this.#handleRenewalConflict(outcome.rows)
-    else if (outcome.verdict === 'unknown') this.#options.readRenewals()
-    if (outcome.verdict !== 'conflict') log.record('lease.renewalFailed', 'The renewal of this host\'s row failed.', { verdict: outcome.verdict, reason: outcome.reason })
-    // The first conflict of a host that registers only tells the version of the row that it replaces.
-    if (!(sent.registers && outcome.verdict === 'conflict' && this.#failedRenewalCount === 0)) this.#failedRenewalCount++
-    this.#renewalIntervalStartedAtMs = startedAtMs - renewalIntervalMs + Math.min(maxRenewalRetryDelayMs, minRenewalRetryDelayMs * this.#failedRenewalCount)
-    this.#scheduleStep(0)
-  }
-
-  #handleCollectedRenewal ({ verdict, version, current }: RenewalResult, renewal: number, startedAtMs: number): void {
-    const { clock, own } = this.#options
-    if (verdict === 'conflict') {
-      this.#handleRenewalConflict(current ? [{ table: renewalsTable, key: own.host, version, value: encodeHostsRow(current) }] : [])
-      this.#renewalIntervalStartedAtMs = startedAtMs - renewalIntervalMs + stepIntervalMs * 2
-      return
-    }
-    if (this.#unconfirmedRenewals.has(renewal)) this.#recordConfirmedRenewal(renewal, version, { sentAtMs: startedAtMs, registers: false })
-    // Align the next renewal with the collector's batch: hosts in one batch then send their next renewals together.
-    this.#renewalIntervalStartedAtMs = clock.readMonotonic() - stepIntervalMs
-  }
-
-  /**
-   * Handles a row that differs from this host's last known write: an earlier renewal was written although its response was lost,
-   * or another host declared this one dead.
-   */
-  #handleRenewalConflict (rows: readonly StoreRow[]): void {
-    const { own, log } = this.#options
-    const current = rows.find(row => row.table === renewalsTable && row.key === own.host)
-    const renewal = current?.value && decodeRenewal(current.value)
-    const isOwnWrite = renewal?.session === own.session
-    log.record('lease.conflict', 'This host\'s row was changed by another writer, or by a renewal whose response was lost.', {
-      isOwnWrite, isRegistered: this.#isRegistered, version: current?.version, known: this.#renewalVersion
-    })
-    if (isOwnWrite) {
-      this.#adoptStoredRenewal(renewal!, current!.version)
-      return
-    }
-    // The row of an earlier process of this host, which the next attempt replaces.
-    this.#renewalVersion = current?.version ?? 0
-    if (!this.#isRegistered) return
-    this.#isRegistered = false
-    this.#hasConfirmedRenewal = false
-    for (const endpointId of [...this.#ownedEndpoints.keys()]) this.#removeOwned(endpointId, 'this host was declared dead')
-  }
-
-  #createHostWrite (): { table: string, key: string, value: Uint8Array } {
-    const { own } = this.#options
-    return { table: hostsTable, key: formatHostKey(own.host), value: encodeHostsRow({ ...own, isLeaving: false }) }
-  }
-
-  // Ownership
-
-  #addOwned (endpointId: string, fencing: number, hadNoOtherOwner = false): void {
-    if (this.#isLeaving || (this.#ownedEndpoints.get(endpointId) ?? 0) >= fencing) return
-    this.#ownedEndpoints.set(endpointId, fencing)
+  #addOwned (endpointId: string, version: number, hadNoOtherOwner = false): void {
+    const { clusterView } = this.#options
+    const { era } = clusterView.writtenInEra
+    if (this.#isLeaving || !this.#ownedEndpoints.add(endpointId, version, era)) return
+    const fencing = clusterView.computeFencingToken(version, era)
     this.#reconciler.recordGained(endpointId)
     this.#options.log.record('lease.gained', 'This host became the owner of an endpoint and sends it orders.', { endpointId, fencing })
     this.#options.receiveOwnership(endpointId, fencing, hadNoOtherOwner)
-    if (this.#options.clock.readMonotonic() - this.#confirmedRenewalSentAtMs > renewalIntervalMs) this.#renewalIntervalStartedAtMs = -Infinity
+    if (this.#options.clock.readMonotonic() - this.#registration.confirmedSentAtMs > renewalIntervalMs) this.#registration.requestRenewal()
+  }
+
+  #removeAllOwned (reason: string): void {
+    for (const [endpointId] of this.#ownedEndpoints.list()) this.#removeOwned(endpointId, reason)
   }
 
   #removeOwned (endpointId: string, reason: string): void {
--- a/src/tasks/leases/ownershipReconciler.ts
+++ b/src/tasks/leases/ownershipReconciler.ts
@@ -9,6 +9,7 @@
 import type { RowCheck, StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
 import { encodeHostsRow, formatHostKey, formatOwnerKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
 import type { HostRow, OwnerRow } from '../../schemas/hostRows.js'
+import type { OwnedEndpoint } from './ownedEndpoints.js'
 
 export interface OwnershipReconcilerOptions {
   clock: Clock
@@ -23,6 +24,10 @@
   hostExpiry: HostExpiryTracker
   /** Whether this host reads the store itself; only then does an unchanged renewal show that another host stopped renewing. */
   isReadingStore: () => boolean
+  /** Whether this host's view matched the store recently, read by itself or by a relay. */
+  isUpToDate: () => boolean
+  /** Whether the table of owners was read since the store was last restored, so that its versions can be checked. */
+  areOwnersKnown: () => boolean
   hashPair: HashPair
   /** Asks a host directly whether the process incarnation that wrote the row is still running. */
   isRunning: (row: HostRow) => Promise<boolean>
@@ -31,13 +36,15 @@
   findRenewalVersion: (host: string) => number | undefined
   /** Returns the check that no other host has removed this host's rows. */
   getRegistrationCheck: () => RowCheck
-  findOwnFencingToken: (endpointId: string) => number | undefined
+  findOwned: (endpointId: string) => OwnedEndpoint | undefined
+  /** Lists the endpoints that this host kept when the store was restored, and whose rows it has to write again. */
+  listKept: () => string[]
   /** Applies a row of the store to the cluster view before a cluster update contains it. */
   applyRow: (row: StoreRow) => void
   /** Called with a renewal row as a conflict shows it. */
   receiveRenewalRow: (row: StoreRow) => void
   /** Called when this host becomes the owner; `hadNoOtherOwner`: no orders of another host can still be on their way. */
-  addOwned: (endpointId: string, fencing: number, hadNoOtherOwner: boolean) => void
+  addOwned: (endpointId: string, version: number, hadNoOtherOwner: boolean) => void
   removeOwned: (endpointId: string, reason: string) => void
   /** Requests another step as soon as possible. */
   requestStep: () => void
@@ -49,6 +56,16 @@
   version: number
   /** Whether the owner row names this host, from before a restart or from a release that was not written. */
   wasOwned: boolean
+  /** Whether the store, which was restored from a copy, may have lost a later owner. */
+  isUncertain: boolean
+}
+
+/** An owner row that this host writes in its own name. */
+interface OwnershipClaim {
+  endpointId: string
+  /** Version of the owner row that the claim replaces; 0 if there is none. */
+  version: number
+  hadNoOtherOwner: boolean
 }
 
 /** Interval between two handovers for balance; each stops new requests on its endpoint for half a second. */
@@ -92,6 +109,8 @@
   #claimsSingly = false
   #lastHandoverAtMs: number
   #registeredAtMs: number | undefined
+  /** Since when this host's view has matched the store without a break, in the latest era of the store. */
+  #upToDateSinceMs: number | undefined
 
   constructor (options: OwnershipReconcilerOptions) {
     this.#options = options
@@ -112,15 +131,28 @@
     return this.#hasUnownedEndpoints
   }
 
-  /** Starts the next transaction that is due, unless one is running: claims first, then a dead host, then a handover. */
+  /** Begins a new era of the store; transactions under way decide nothing any more. */
+  beginEra (nowMs: number): void {
+    this.#upToDateSinceMs = nowMs
+    this.#unownedSinceMs.clear()
+    this.#claimsSingly = false
+  }
+
+  /** Starts the next transaction that is due, unless one is running: kept endpoints first, then claims, a dead host, and a handover. */
   step (nowMs: number): void {
-    if (this.#isTransactionRunning) return
     this.#registeredAtMs ??= nowMs
+    if (this.#upToDateSinceMs === undefined || !this.#options.isUpToDate()) this.#upToDateSinceMs = nowMs
+    if (this.#isTransactionRunning || !this.#options.areOwnersKnown()) return
+    const kept = this.#options.listKept()
+    if (kept.length > 0) {
+      this.#runTransaction(async () => await this.#confirmKept(kept.slice(0, this.#claimsSingly ? 1 : maxEndpointsPerTransaction)))
+      return
+    }
     const endpoints = this.#listEndpoints(nowMs)
     const unowned = this.#listUnowned(endpoints)
     this.#hasUnownedEndpoints = unowned.length > 0
     const dueClaims = this.#listDueClaims(endpoints, unowned, nowMs)
-    if (dueClaims.length > 0) this.#runTransaction(async () => await this.#claimEndpoints(dueClaims.slice(0, this.#claimsSingly ? 1 : maxEndpointsPerTransaction)))
+    if (dueClaims.length > 0) this.#runTransaction(async () => await this.#claimUnowned(dueClaims.slice(0, this.#claimsSingly ? 1 : maxEndpointsPerTransaction)))
     else this.#expireNextHost(nowMs) ?? this.#handOverExcessEndpoint(endpoints, nowMs)
   }
 
@@ -128,11 +160,15 @@
   createRelease (owned: Iterable<[string, number]>): Pick<StoreTransaction, 'checks' | 'writes'> {
     const list = [...owned]
     return {
-      checks: list.map(([endpointId, fencing]) => ({ table: hostsTable, key: formatOwnerKey(endpointId), version: fencing })),
-      writes: list.map(([endpointId]) => createOwnerWrite(endpointId, { ...noOwner, formerHosts: this.#listFormerHosts(endpointId) }))
+      checks: list.map(([endpointId, version]) => ({ table: hostsTable, key: formatOwnerKey(endpointId), version })),
+      writes: list.map(([endpointId]) => this.#createOwnerWrite(endpointId, { ...noOwner, formerHosts: this.#listFormerHosts(endpointId) }))
     }
   }
 
+  #createOwnerWrite (endpointId: string, row: Omit<OwnerRow, 'endpointId' | 'era' | 'firstEra'>): StoreTransaction['writes'][number] {
+    return createOwnerWrite(endpointId, { ...row, ...this.#options.clusterView.writtenInEra })
+  }
+
   /** Lists the owners of an endpoint, the current owner first. */
   #listFormerHosts (endpointId: string): string[] {
     const row = this.#options.clusterView.owners.get(endpointId)?.row
@@ -155,19 +191,27 @@
    * not written.
    */
   #listUnowned (endpoints: readonly AssignmentEndpoint[]): UnownedEndpoint[] {
-    const { clusterView, own, findOwnFencingToken } = this.#options
+    const { clusterView, own, findOwned } = this.#options
     const unowned: UnownedEndpoint[] = []
     for (const { endpointId, ownerId } of endpoints) {
       const owner = clusterView.owners.get(endpointId)
-      const wasOwned = ownerId === own.host && (owner?.row.session !== own.session || findOwnFencingToken(endpointId) === undefined)
-      if (ownerId === undefined || wasOwned) unowned.push({ endpointId, version: owner?.fencing ?? 0, wasOwned })
+      const wasOwned = ownerId === own.host && (owner?.row.session !== own.session || findOwned(endpointId) === undefined)
+      if (ownerId === undefined || wasOwned) unowned.push({ endpointId, version: owner?.version ?? 0, wasOwned, isUncertain: clusterView.isUncertainOwner(owner) })
     }
     return unowned
   }
 
+  /**
+   * Whether an owner that the store has lost may still send orders, or write its row again. It stops within `hostExpiryMs`, as any
+   * host that does not renew.
+   */
+  #isOwnerPossible ({ isUncertain }: UnownedEndpoint, nowMs: number): boolean {
+    return isUncertain && nowMs - this.#upToDateSinceMs! < Math.max(hostExpiryMs, this.#options.leaseMs + lateOrderMarginMs)
+  }
+
   #listDueClaims (endpoints: readonly AssignmentEndpoint[], unowned: readonly UnownedEndpoint[], nowMs: number): UnownedEndpoint[] {
     const isNewHost = nowMs - this.#registeredAtMs! < newHostClaimDelayMs
-    const claimable = unowned.filter(({ endpointId, wasOwned }) => wasOwned || !(isNewHost || this.#wasLostRecently(endpointId, nowMs)))
+    const claimable = unowned.filter(endpoint => !this.#isOwnerPossible(endpoint, nowMs) && (endpoint.wasOwned || !(isNewHost || this.#wasLostRecently(endpoint.endpointId, nowMs))))
     const unownedIds = new Set(unowned.map(({ endpointId }) => endpointId))
     for (const endpointId of [...this.#unownedSinceMs.keys()]) if (!unownedIds.has(endpointId)) this.#unownedSinceMs.delete(endpointId)
     for (const { endpointId } of claimable) if (!this.#unownedSinceMs.has(endpointId)) this.#unownedSinceMs.set(endpointId, nowMs)
@@ -198,9 +242,23 @@
     return nowMs - this.#registeredAtMs! < this.#options.leaseMs + lateOrderMarginMs
   }
 
-  async #claimEndpoints (claims: UnownedEndpoint[]): Promise<StoreOutcome> {
+  async #claimUnowned (unowned: UnownedEndpoint[]): Promise<StoreOutcome> {
+    // No orders can be on their way to an endpoint that never had an owner.
+    const claims = unowned.map(({ endpointId, version, wasOwned, isUncertain }) => ({ endpointId, version, hadNoOtherOwner: !isUncertain && (wasOwned || version === 0) }))
+    for (const { endpointId } of unowned) this.#unownedSinceMs.delete(endpointId)
+    return await this.#claimEndpoints(claims, 'Tried to claim unowned endpoints.')
+  }
+
+  /** Writes the rows of endpoints that this host owned when the store was restored, whatever owner the copy names. */
+  async #confirmKept (endpointIds: string[]): Promise<StoreOutcome> {
+    const { owners } = this.#options.clusterView
+    const claims = endpointIds.map(endpointId => ({ endpointId, version: owners.get(endpointId)?.version ?? 0, hadNoOtherOwner: true }))
+    return await this.#claimEndpoints(claims, 'Tried to confirm endpoints that this host kept when the store was restored.')
+  }
+
+  async #claimEndpoints (claims: OwnershipClaim[], message: string): Promise<StoreOutcome> {
     const { own, log, transact, applyRow, addOwned, getRegistrationCheck, receiveRenewalRow } = this.#options
-    const writes = claims.map(({ endpointId }) => createOwnerWrite(endpointId, { ...own, formerHosts: this.#listFormerHosts(endpointId).filter(name => name !== own.host) }))
+    const writes = claims.map(({ endpointId }) => this.#createOwnerWrite(endpointId, { ...own, formerHosts: this.#listFormerHosts(endpointId).filter(name => name !== own.host) }))
     const outcome = await transact({
       checks: [
         ...claims.map(({ endpointId, version }) => ({ table: hostsTable, key: formatOwnerKey(endpointId), version })),
@@ -210,10 +268,9 @@
       removals: []
     })
     this.#claimsSingly = outcome.verdict === 'conflict'
-    log.record('lease.claimed', 'Tried to claim unowned endpoints.', {
+    log.record('lease.claimed', message, {
       endpointIds: claims.map(({ endpointId }) => endpointId), versions: claims.map(({ version }) => version), verdict: outcome.verdict
     })
-    for (const { endpointId } of claims) this.#unownedSinceMs.delete(endpointId)
     // A claim whose response was lost becomes visible in the cluster updates. A conflict returns the current rows.
     if (outcome.verdict === 'conflict') {
       for (const row of outcome.rows) {
@@ -222,8 +279,7 @@
       }
     }
     if (outcome.verdict !== 'applied') return outcome
-    // No orders can be on their way to an endpoint that never had an owner.
-    for (const { endpointId, version, wasOwned } of claims) addOwned(endpointId, outcome.version, wasOwned || version === 0)
+    for (const { endpointId, hadNoOtherOwner } of claims) addOwned(endpointId, outcome.version, hadNoOtherOwner)
     for (const write of writes) applyRow({ ...write, version: outcome.version })
     return outcome
   }
@@ -249,16 +305,19 @@
       .map(({ row }) => ({ hostId: row.host, zone: row.zone }))
   }
 
-  /** Finds a host that owns endpoints but did not renew its row in time, and starts to release its endpoints. */
+  /**
+   * Finds a host that did not renew its row in time, and starts to release its endpoints. A host without endpoints renews rarely; it is
+   * looked at where its rows are from before the store was restored, as the store may have lost that it ended.
+   */
   #expireNextHost (nowMs: number): true | undefined {
     const { clusterView, own, hostExpiry, findRenewalVersion, isReadingStore } = this.#options
     if (!isReadingStore()) return undefined
     for (const name of hostExpiry.listExpired(nowMs)) {
       const host = clusterView.hosts.get(name)
       const renewalVersion = findRenewalVersion(name)
-      const owned = [...clusterView.owners].filter(([, owner]) => owner.row.host === name).map(([id, { fencing }]): [string, number] => [id, fencing])
+      const owned = [...clusterView.owners].filter(([, owner]) => owner.row.host === name).map(([id, { version }]): [string, number] => [id, version])
       const hasJustResponded = nowMs - (this.#respondedAtMs.get(name) ?? -Infinity) < pingIntervalMs
-      if (!host || renewalVersion === undefined || owned.length === 0 || name === own.host || hasJustResponded) continue
+      if (!host || renewalVersion === undefined || name === own.host || hasJustResponded || (owned.length === 0 && !clusterView.isUncertainRow(host.row))) continue
       return this.#runTransaction(async () => await this.#expireHost(host.row, renewalVersion, owned))
     }
     return undefined
@@ -267,7 +326,7 @@
   async #expireHost (row: HostRow, renewalVersion: number, owned: [string, number][]): Promise<StoreOutcome | undefined> {
     const { clock, log, hostExpiry, isRunning, transact, applyRow } = this.#options
     const responds = await isRunning(row)
-    if (responds && hostExpiry.getStalledMs(row.host, clock.readMonotonic()) < stalledHostMs) {
+    if (responds && hostExpiry.getStalledMs(row.host, clock.readMonotonic()) < (owned.length > 0 ? stalledHostMs : Infinity)) {
       this.#respondedAtMs.set(row.host, clock.readMonotonic())
       return undefined
     }
@@ -288,13 +347,13 @@
 
   /** Releases one endpoint if this host owns more than its share, so that a host that has joined can claim it. */
   #handOverExcessEndpoint (endpoints: readonly AssignmentEndpoint[], nowMs: number): void {
-    const { own, findOwnFencingToken, hashPair } = this.#options
+    const { own, findOwned, hashPair } = this.#options
     if (nowMs - this.#lastHandoverAtMs < handoverIntervalMs || !endpoints.some(({ ownerId }) => ownerId === own.host)) return
     const endpointId = findExcessEndpoint(own.host, endpoints, this.#listClaimants(nowMs), hashPair)
-    const fencing = endpointId === undefined ? undefined : findOwnFencingToken(endpointId)
-    if (endpointId === undefined || fencing === undefined || this.#wasGainedRecently(endpointId, nowMs)) return
+    const owned = endpointId === undefined ? undefined : findOwned(endpointId)
+    if (endpointId === undefined || owned === undefined || this.#wasGainedRecently(endpointId, nowMs)) return
     this.#lastHandoverAtMs = nowMs
-    this.#runTransaction(async () => await this.#handOverEndpoint(endpointId, fencing))
+    this.#runTransaction(async () => await this.#handOverEndpoint(endpointId, owned.version))
   }
 
   /** Whether this host gained the endpoint within the lease duration; the host that would claim it may be the former owner. */
@@ -302,10 +361,10 @@
     return nowMs - (this.#gainedAtMs.get(endpointId) ?? -Infinity) < this.#options.leaseMs + lateOrderMarginMs
   }
 
-  async #handOverEndpoint (endpointId: string, fencing: number): Promise<StoreOutcome> {
+  async #handOverEndpoint (endpointId: string, version: number): Promise<StoreOutcome> {
     const { log, removeOwned, transact, applyRow } = this.#options
     removeOwned(endpointId, 'another host has fewer endpoints')
-    const release = this.createRelease([[endpointId, fencing]])
+    const release = this.createRelease([[endpointId, version]])
     const outcome = await transact({ ...release, removals: [] })
     if (outcome.verdict === 'applied') for (const write of release.writes) applyRow({ ...write, version: outcome.version })
     log.record('lease.handedOver', 'Released an endpoint to balance endpoints between hosts.', { endpointId, verdict: outcome.verdict })
@@ -316,6 +375,7 @@
 /** Content of an owner row whose endpoint is unowned. */
 export const noOwner: Omit<OwnerRow, 'endpointId'> = Object.freeze({ host: '', address: '', session: '' })
 
-export function createOwnerWrite (endpointId: string, { host, address, session, formerHosts }: Omit<OwnerRow, 'endpointId'>): { table: string, key: string, value: Uint8Array } {
-  return { table: hostsTable, key: formatOwnerKey(endpointId), value: encodeHostsRow({ endpointId, host, address, session, ...(formerHosts && { formerHosts }) }) }
+export function createOwnerWrite (endpointId: string, { host, address, session, formerHosts, era, firstEra }: Omit<OwnerRow, 'endpointId'>): { table: string, key: string, value: Uint8Array } {
+  const row = { endpointId, host, address, session, ...(formerHosts && { formerHosts }), ...(era !== undefined && { era }), ...(firstEra !== undefined && { firstEra }) }
+  return { table: hostsTable, key: formatOwnerKey(endpointId), value: encodeHostsRow(row) }
 }
--- a/src/tasks/leases/renewalClient.ts
+++ b/src/tasks/leases/renewalClient.ts
@@ -1,9 +1,11 @@
 /** Sends this host's renewals to the renewal collector, the host that writes the renewals of many hosts in batches. */
+import type { StoreEra } from '../../core/storeEra.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { RenewalResult, RenewalRequest, RenewalReply } from '../../schemas/datagram.js'
 
 export interface RenewalClientOptions {
   clock: Clock
+  eras: StoreEra
   /** Address of the renewal collector; undefined if none is known. */
   findRenewalCollector: () => string | undefined
   send: (address: string, request: RenewalRequest) => void
@@ -37,11 +39,11 @@
 
   /** Returns the result of the renewal; undefined if no collector reported one, so that the renewal may still be written. */
   async renew (renewal: number, version: number): Promise<RenewalResult | undefined> {
-    const { clock, findRenewalCollector } = this.#options
+    const { clock, eras, findRenewalCollector } = this.#options
     const address = findRenewalCollector()
     if (address === undefined || clock.readMonotonic() < this.#avoidedUntilMs) return undefined
     const result = await new Promise<RenewalResult | undefined>(resolve => {
-      const pending: PendingRenewal = { request: { type: 'renew', id: this.#nextId++, renewal, version }, address, sendCount: 0, timer: undefined, settle: resolve }
+      const pending: PendingRenewal = { request: { type: 'renew', id: this.#nextId++, renewal, version, ...(eras.current !== undefined && { era: eras.current }) }, address, sendCount: 0, timer: undefined, settle: resolve }
       this.#pending = pending
       this.#send(pending)
     })
@@ -54,6 +56,8 @@
   receiveReply (reply: RenewalReply): void {
     const pending = this.#pending
     if (!pending || pending.request.id !== reply.id) return
+    // A reply from before the store was restored is ignored, and the renewal counts as unanswered.
+    if (reply.type === 'renewed' && !this.#options.eras.observe(reply.era)) return
     pending.timer?.cancel()
     if (reply.type === 'renewed') pending.settle(reply)
     else pending.timer = this.#options.clock.setTimer(() => pending.settle(undefined), reply.inMs + writeMarginMs)
--- a/src/tasks/leases/renewalCollector.ts
+++ b/src/tasks/leases/renewalCollector.ts
@@ -3,6 +3,7 @@
  * the store, and a slow store, which applies transactions one after another, cannot keep up with them.
  */
 import { renewalIntervalMs } from '../../core/ownershipLease.js'
+import type { StoreEra } from '../../core/storeEra.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { DatagramSender } from '../../ports/datagrams.js'
 import type { StoreOutcome, StoreTransaction } from '../../ports/store.js'
@@ -11,6 +12,7 @@
 
 export interface RenewalCollectorOptions {
   clock: Clock
+  eras: StoreEra
   transact: (transaction: StoreTransaction) => Promise<StoreOutcome>
   /** Whether the store responded to this host recently. */
   isStoreReachable: () => boolean
@@ -28,6 +30,8 @@
   session: string
   request: RenewalRequest
   reply: (reply: RenewalReply) => void
+  /** Number of eras of the store that had begun when it arrived. */
+  changeCount: number
 }
 
 export class RenewalCollector {
@@ -42,14 +46,15 @@
   }
 
   handleRequest (request: RenewalRequest, { host, session }: Pick<DatagramSender, 'host' | 'session'>, reply: (reply: RenewalReply) => void): void {
-    const { clock, isStoreReachable } = this.#options
-    if (!isStoreReachable()) {
-      reply({ type: 'renewed', id: request.id, verdict: 'failed', version: 0 })
+    const { clock, eras, isStoreReachable } = this.#options
+    const isOfLatestEra = eras.observe(request.era)
+    if (!isOfLatestEra || !isStoreReachable()) {
+      reply(this.#createReply(request, 'failed', 0))
       return
     }
     const nowMs = clock.readMonotonic()
     if (this.#queued.size === 0) this.#schedule(nowMs)
-    this.#queued.set(host, { host, session, request, reply })
+    this.#queued.set(host, { host, session, request, reply, changeCount: eras.changeCount })
     reply({ type: 'renewalQueued', id: request.id, inMs: this.#flushDueAtMs - nowMs })
   }
 
@@ -65,8 +70,11 @@
 
   #flush (): void {
     this.#flushedAtMs = this.#options.clock.readMonotonic()
-    const renewals = [...this.#queued.values()]
+    const queued = [...this.#queued.values()]
     this.#queued.clear()
+    const isCurrent = ({ changeCount }: QueuedRenewal): boolean => changeCount === this.#options.eras.changeCount
+    const renewals = queued.filter(isCurrent)
+    for (const renewal of queued) if (!isCurrent(renewal)) renewal.reply(this.#createReply(renewal.request, 'failed', 0))
     for (let start = 0; start < renewals.length; start += maxBatchSize) this.#writeBatch(renewals.slice(start, start + maxBatchSize))
   }
 
@@ -78,7 +86,7 @@
     })
     if (outcome.verdict !== 'conflict') {
       const version = outcome.verdict === 'applied' ? outcome.version : 0
-      for (const { request, reply } of batch) reply({ type: 'renewed', id: request.id, verdict: outcome.verdict === 'applied' ? 'applied' : 'failed', version })
+      for (const { request, reply } of batch) reply(this.#createReply(request, outcome.verdict === 'applied' ? 'applied' : 'failed', version))
       return
     }
     const current = new Map(outcome.rows.filter(row => row.table === renewalsTable).map(row => [row.key, row]))
@@ -86,11 +94,16 @@
     const remaining = batch.filter(renewal => !hasVersionConflict(renewal))
     // A row with an unexpected version fails the whole batch; the other renewals are written again without it.
     if (remaining.length > 0 && remaining.length < batch.length) this.#writeBatch(remaining)
-    for (const renewal of batch) if (hasVersionConflict(renewal) || remaining.length === batch.length) renewal.reply(createConflictReply(renewal.request, current.get(renewal.host)))
+    for (const renewal of batch) if (hasVersionConflict(renewal) || remaining.length === batch.length) renewal.reply(this.#createConflictReply(renewal.request, current.get(renewal.host)))
+  }
+
+  #createConflictReply (request: RenewalRequest, row: { version: number, value?: Uint8Array | undefined } | undefined): RenewalResult {
+    const current = row?.value && decodeRenewal(row.value)
+    return { ...this.#createReply(request, 'conflict', row?.version ?? 0), ...(current && { current }) }
   }
-}
 
-function createConflictReply (request: RenewalRequest, row: { version: number, value?: Uint8Array | undefined } | undefined): RenewalResult {
-  const current = row?.value && decodeRenewal(row.value)
-  return { type: 'renewed', id: request.id, verdict: 'conflict', version: row?.version ?? 0, ...(current && { current }) }
+  #createReply ({ id }: RenewalRequest, verdict: RenewalResult['verdict'], version: number): RenewalResult {
+    const era = this.#options.eras.current
+    return { type: 'renewed', id, verdict, version, ...(era !== undefined && { era }) }
+  }
 }
--- a/src/tasks/leases/storeAccess.ts
+++ b/src/tasks/leases/storeAccess.ts
@@ -1,4 +1,5 @@
 /** Sends transactions to the store directly, or through a peer while this host cannot reach the store. */
+import type { StoreEra } from '../../core/storeEra.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { StoreOutcome, StoreTransaction } from '../../ports/store.js'
@@ -6,6 +7,7 @@
 export interface StoreAccessOptions {
   clock: Clock
   log: EventLog
+  eras: StoreEra
   transact: (transaction: StoreTransaction) => Promise<StoreOutcome>
   transactViaPeer: (address: string, transaction: StoreTransaction) => Promise<StoreOutcome>
   /** Relay addresses of peers that may reach the store, in order of preference. */
@@ -33,7 +35,8 @@
   }
 
   async transact (transaction: StoreTransaction): Promise<StoreOutcome> {
-    const { clock } = this.#options
+    const { clock, eras } = this.#options
+    const { changeCount } = eras
     const peers = this.#options.listPeers().slice(0, maxPeers)
     const triesPeersAtOnce = clock.readMonotonic() - this.#directFailedAtMs < directFailureTtlMs && peers.length > 0
     const direct = this.#transactDirectly(transaction)
@@ -43,6 +46,8 @@
     }
     let mayBeApplied = false
     for (const address of peers) {
+      // The checks hold versions of the era before, which the store may give to other rows now.
+      if (eras.changeCount !== changeCount) return { verdict: 'unknown', reason: 'the store was restored from a copy' }
       const outcome = await Promise.race([direct.then(outcome => isDecided(outcome) ? outcome : new Promise<never>(() => {})), this.#options.transactViaPeer(address, transaction)])
       if (isDecided(outcome)) return outcome
       mayBeApplied ||= outcome.verdict === 'unknown'
--- a/src/tasks/peers/suspectRowStore.ts
+++ b/src/tasks/peers/suspectRowStore.ts
@@ -17,12 +17,13 @@
   isCleanupHost: () => boolean
   /** Whether a row has to stay although there are more rows than the limit. */
   isProtected: (fingerprint: string) => boolean
+  random: () => number
 }
 
 /** A row of the store that this host has read. */
 interface KnownRow {
   key: string
-  fingerprint: string
+  row: SuspectRow
   version: number
   readAtMs: number
 }
@@ -40,6 +41,11 @@
 /** Maximum number of rows kept in the store, as hosts read all of them when they start. */
 const maxStoredRows = 1024
 const cleanupIntervalMs = 60_000
+/** Removed rows whose keys are remembered, in case that the store is restored from a copy that has them. */
+const maxRemovedKeys = 1024
+/** After a restore of the store the cleanup host writes at once what is lost; the others check after this time whether it has. */
+const minRestoreDelayMs = 1000
+const restoreSpreadMs = 2000
 
 export class SuspectRowStore {
   #options: SuspectRowStoreOptions
@@ -47,6 +53,7 @@
   #rows = new Map<string, KnownRow>()
   /** Rows still to be written to the store or, where undefined, to be removed, by their key. */
   #unsavedRows = new Map<string, SuspectRow | undefined>()
+  #removedKeys = new Set<string>()
   #isSaving = false
   #isStopped = false
   #cleanupTimer: Timer | undefined
@@ -79,18 +86,48 @@
   /** Removes all rows of a fingerprint. */
   remove (fingerprint: string): void {
     for (const [key, row] of this.#unsavedRows) if (row?.fingerprint === fingerprint) this.#unsavedRows.delete(key)
-    for (const row of this.#rows.values()) if (row.fingerprint === fingerprint) this.#queue(row.key, undefined)
+    for (const row of this.#rows.values()) if (row.row.fingerprint === fingerprint) this.#queue(row.key, undefined)
     this.#saveRows()
   }
 
   /** Records a row that was read from the store. */
   recordRow (row: SuspectRow, version: number): void {
     const key = formatSuspectKey(row)
-    this.#rows.set(key, { key, fingerprint: row.fingerprint, version, readAtMs: this.#options.clock.readMonotonic() })
+    this.#rows.set(key, { key, row, version, readAtMs: this.#options.clock.readMonotonic() })
+    this.#removedKeys.delete(key)
   }
 
   recordRemoval (key: string): void {
     this.#rows.delete(key)
+    this.#removedKeys.add(key)
+    if (this.#removedKeys.size > maxRemovedKeys) this.#removedKeys.delete(this.#removedKeys.values().next().value!)
+  }
+
+  /**
+   * Records a row as the store has it since it was restored from a copy; `row` is undefined if the store has none. Returns false if the
+   * store has only lost the row, or its removal: nothing has changed then, and the row is written or removed again.
+   */
+  recordRestored (key: string, row: SuspectRow | undefined, version: number): boolean {
+    const lost = row ? undefined : this.#rows.get(key)
+    if (row && !this.#removedKeys.has(key)) {
+      this.recordRow(row, version)
+      return true
+    }
+    if (row) this.#rows.set(key, { key, row, version, readAtMs: this.#options.clock.readMonotonic() })
+    else this.#rows.delete(key)
+    if (!row && !lost) return true
+    this.#restoreLater(key, lost?.row)
+    return false
+  }
+
+  /** Writes or removes a row again unless another host does so first. */
+  #restoreLater (key: string, row: SuspectRow | undefined): void {
+    const { clock, isCleanupHost, random } = this.#options
+    clock.setTimer(() => {
+      if (this.#rows.has(key) === (row !== undefined)) return
+      this.#queue(key, row)
+      this.#saveRows()
+    }, isCleanupHost() ? 0 : minRestoreDelayMs + random() * restoreSpreadMs)
   }
 
   #queue (key: string, row: SuspectRow | undefined): void {
@@ -126,7 +163,7 @@
     if (!isCleanupHost()) return
     const nowMs = clock.readMonotonic()
     const excess = Math.max(0, this.#rows.size - maxStoredRows)
-    const unprotected = [...this.#rows.values()].filter(({ fingerprint }) => !isProtected(fingerprint)).sort((left, right) => left.version - right.version)
+    const unprotected = [...this.#rows.values()].filter(({ row }) => !isProtected(row.fingerprint)).sort((left, right) => left.version - right.version)
     const expired = [...this.#rows.values()].filter(({ readAtMs }) => nowMs - readAtMs > defaultSuspectOptions.ttlMs)
     const removed = [...new Set([...expired, ...unprotected.slice(0, excess)])].slice(0, maxRowsPerTransaction)
     if (removed.length === 0) return
--- a/src/tasks/streams/serviceVersionTask.ts
+++ b/src/tasks/streams/serviceVersionTask.ts
@@ -59,10 +59,12 @@
     let nextCheckMs = checkIntervalMs
     for (const service of listStreamServices(clusterView)) {
       const present = new Set(clusterView.endpoints.list(nowMs).filter(entry => entry.service === service).map(entry => entry.softwareVersion))
-      const recorded = clusterView.serviceVersions.get(service)?.row.versions ?? []
+      const row = clusterView.serviceVersions.get(service)?.row
+      const recorded = row?.versions ?? []
       for (const version of present) this.#presentAtMs.set(`${service} ${version}`, nowMs)
       const expired = recorded.filter(version => this.#hasExpired(service, version, nowMs))
-      if (expired.length === 0 && [...present].every(version => recorded.includes(version))) {
+      // A row from before the store was restored is written again, with the versions that the store may have lost.
+      if (expired.length === 0 && !clusterView.isUncertainRow(row) && [...present].every(version => recorded.includes(version))) {
         this.#outdatedSinceMs.delete(service)
         continue
       }
@@ -101,7 +103,7 @@
     this.#writing.add(service)
     const { clusterView, log, transact, applyRow } = this.#options
     const key = formatServiceVersionsKey(service)
-    const value = encodeHostsRow({ service, versions: [...versions] })
+    const value = encodeHostsRow({ service, versions: [...versions], ...clusterView.writtenInEra })
     const outcome = await transact({ checks: [{ table: hostsTable, key, version: clusterView.serviceVersions.get(service)?.version ?? 0 }], writes: [{ table: hostsTable, key, value }], removals: [] })
     if (outcome.verdict === 'applied') applyRow({ table: hostsTable, key, version: outcome.version, value })
     // Another host has written the row; the next check writes what it still lacks.
--- a/src/tasks/streams/streamOrigins.ts
+++ b/src/tasks/streams/streamOrigins.ts
@@ -5,7 +5,7 @@
 import { computeStreamKey } from '../../core/streamKey.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
-import type { Store } from '../../ports/store.js'
+import type { StoreRow } from '../../ports/store.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
 import { decodeHostsRow, formatServiceVersionsKey, hostsTable } from '../../schemas/hostRows.js'
 import type { EndpointEntry, Route } from '../../schemas/routing.js'
@@ -16,7 +16,7 @@
   clock: Clock
   log: EventLog
   clusterView: ClusterView
-  store: Pick<Store, 'readRow'>
+  store: { readRow: (table: string, key: string, timeoutMs: number) => Promise<StoreRow | undefined> }
   isStoreUnavailable: () => boolean
   /** Finds the software versions of a service that other hosts know; undefined if most of them do not reply. */
   findPeerVersions: (service: string) => Promise<string[] | undefined>
@@ -69,11 +69,20 @@
     if (!this.#isMixed(service)) this.#mixedServices.delete(service)
     else if (!this.#mixedServices.has(service)) {
       this.#mixedServices.add(service)
-      const records = this.#begun.listService(service, this.#options.clock.readMonotonic())
-      if (records.length > 0) this.#options.saveRecords(records)
+      this.#saveService(service)
     }
   }
 
+  #saveService (service: string): void {
+    const records = this.#begun.listService(service, this.#options.clock.readMonotonic())
+    if (records.length > 0) this.#options.saveRecords(records)
+  }
+
+  /** Saves the records of the streams of this host again, as the store was restored from a copy that may lack them. */
+  beginEra (): void {
+    for (const service of this.#mixedServices) this.#saveService(service)
+  }
+
   /** Records that the answer to a request was relayed to its end, so that its stream is hardly taken up. */
   recordEnded (request: CallerRequest, route: Route): void {
     if (request.requestId !== undefined) this.#begun.recordEnded(computeStreamKey(request.requestId, request, route), this.#options.clock.readMonotonic())
@@ -185,7 +194,7 @@
     if (service === undefined || others.length > 0) return undefined
     const row = await this.#options.store.readRow(hostsTable, formatServiceVersionsKey(service), readTimeoutMs)
     const decoded = row?.value && decodeHostsRow(row.key, row.value)
-    const versions = decoded?.kind === 'versions' ? decoded.row.versions : []
+    const versions = decoded?.kind === 'versions' && !this.#options.clusterView.isUncertainRow(decoded.row) ? decoded.row.versions : []
     return versions.length === 1 ? { service, version: versions[0]! } : undefined
   }
 
--- a/src/tasks/streams/streamRowSweeper.ts
+++ b/src/tasks/streams/streamRowSweeper.ts
@@ -42,6 +42,11 @@
     this.#timer?.cancel()
   }
 
+  /** Forgets what the last sweep found: after a restore of the store its versions may belong to other rows. */
+  beginEra (): void {
+    this.#found = undefined
+  }
+
   async #sweep (): Promise<void> {
     const { isMixed, listHosts, log, own, remove, store } = this.#options
     if (rankStreamRecorders('', listHosts())[0]?.host !== own.host || (this.#found?.size === 0 && !isMixed())) return
