Go on with a stream only after the event that its caller has

Cause: the last id that was read was taken for that of the last event that the caller has. Ids that could not be read were relayed unchecked, and the id of a first event was believed whatever it was.

Change: an event is relayed if it has data and one id that is a whole number to the letter, one more than the last; what precedes a defective event is relayed, nothing after it. A first event whose id is not 1 waits for the second one. A caller that has events without a certain id gets no second attempt: its stream is broken off.

Why it works: the last id is now advanced by the same step that passes the event on, so that it can't name what was not passed on.

--- a/src/core/retryRules.ts
+++ b/src/core/retryRules.ts
@@ -19,6 +19,8 @@
   timeLeftMs: number
   /** Whether part of the answer has been sent to the caller. */
   hasSentAnswer: boolean
+  /** Whether another attempt can go on with what the caller has: it has nothing, or a stream up to an event that is known. */
+  canBeFollowed: boolean
 }
 
 /** No further attempt is started with less time left than this. */
@@ -42,7 +44,7 @@
  * canRetryAttempt({ verdict: 'mayHaveRun', reason: 'the connection was lost', status: undefined }, context)
  */
 export function canRetryAttempt (failure: AttemptFailure, context: RetryContext): boolean {
-  if (context.timeLeftMs < minAttemptMs) return false
+  if (context.timeLeftMs < minAttemptMs || !context.canBeFollowed) return false
   if (failure.verdict === 'notRun') return !context.hasSentAnswer || isRetryable(context.kind, context.isResumable)
   if (!isRetryable(context.kind, context.isResumable) || context.possibleRuns >= context.maxAttempts) return false
   return !context.hasSentAnswer || context.kind === 'stream'
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -6,6 +6,8 @@
 import type { ReceivedHeaders } from '../../platform/standinWire.js'
 import { wirePaths } from '../../platform/wireNames.js'
 import type { FleetEngine } from './fleetEngine.js'
+import { spoilEvent } from './spoilEvent.js'
+import type { EventSpoiling } from './spoilEvent.js'
 import type { RunJournal, RunRecord } from './runJournal.js'
 
 /** Parts from 0 to 1 of the requests or orders that a fault strikes. */
@@ -30,6 +32,11 @@
   unframedCuts: number
   /** Unframed streams that end before their first event. */
   emptyStreams: number
+  /** Streams in which one event has a wrong id, and what is wrong about it. */
+  spoiledIds: number
+  spoiling: EventSpoiling
+  /** The event that is spoiled. */
+  spoiledEvent: number
   /** Whole answers after which a second one comes. */
   extras: number
   /** Orders that get no answer and are carried out late. */
@@ -63,7 +70,7 @@
   limit: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, spoiledIds: 0, spoiling: 'higher', spoiledEvent: 3, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -341,6 +348,8 @@
     const eventMs = this.faults.eventMs || engine.options.eventMs
     const { silenceMs } = this.faults
     const cutAfter = random() < this.faults.cuts ? run.fromEvent + Math.floor(random() * last) : Infinity
+    const { spoiling, spoiledEvent } = this.faults
+    const isSpoiled = random() < this.faults.spoiledIds
     let next = run.fromEvent + 1
     response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
     if (this.faults.trickleMs > 0) {
@@ -361,7 +370,8 @@
         response.end()
         return
       }
-      response.write(`id: ${next}\ndata: ${run.requestId} ${next}\n\n`)
+      const event = `id: ${next}\ndata: ${run.requestId} ${next}\n\n`
+      response.write(isSpoiled && next === spoiledEvent ? spoilEvent(event, spoiling) : event)
       next++
       setTimeout(send, next === eventsBeforeSilence + 1 ? eventMs + silenceMs : eventMs)
     }
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -255,7 +255,8 @@
       possibleRuns: this.#runCount,
       maxAttempts: route.maxAttempts,
       timeLeftMs: this.#getDeadlineAtMs() - this.#context.clock.readMonotonic(),
-      hasSentAnswer: this.#response.hasHead
+      hasSentAnswer: this.#response.hasHead,
+      canBeFollowed: this.#attempt?.canBeFollowed ?? true
     }
   }
 
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -90,11 +90,16 @@
     return this.#lastChunkAtMs
   }
 
-  /** Id of the last complete event that was relayed to the caller. */
+  /** Id of the last complete event that was relayed to the caller; undefined if none was, or if events have no ids. */
   get lastEventId (): number | undefined {
     return this.#eventSplitter?.lastId ?? this.#options.lastEventId
   }
 
+  /** Whether another attempt may follow: the caller has nothing of the response, or it is certain which event it got last. */
+  get canBeFollowed (): boolean {
+    return !this.#options.response.hasHead || this.lastEventId !== undefined
+  }
+
   async run (): Promise<AttemptResult> {
     const { request, target, timeLeftMs, lastEventId } = this.#options
     const { clock, health, standstill } = this.#context
@@ -170,7 +175,7 @@
     if (!head) {
       this.#fail({ verdict: 'mayHaveRun', reason: 'the endpoint ended its response without sending a head', status: undefined })
     } else if (this.#eventSplitter) {
-      if (this.#eventSplitter.bufferedBytes > 0) this.#fail({ verdict: 'mayHaveRun', reason: 'the stream ended in the middle of an event', status: undefined })
+      if (this.#eventSplitter.isIncomplete) this.#fail({ verdict: 'mayHaveRun', reason: 'the stream ended in the middle of an event, or before the id of its first one was confirmed', status: undefined })
       // An engine that crashes before its first event closes the connection just as one that has nothing more to send.
       else if (!head.isFramed && !this.#hasBegun) this.#fail({ verdict: 'mayHaveRun', reason: 'the connection ended before the first event of the stream', status: undefined })
       else this.#completeResponse(head)
@@ -186,15 +191,18 @@
 
   #relayEvents (eventSplitter: SseEventSplitter, chunk: Buffer): boolean {
     const events = eventSplitter.add(chunk)
-    if (!events.isInOrder) {
-      this.#failAndCancel('the events of the stream are out of order, or an event exceeds the size limit')
-      return true
-    }
-    if (events.count === 0) return true
+    const mayContinue = events.count === 0 || this.#relay(events.bytes)
+    if (events.defect === undefined) return mayContinue
+    this.#failAndCancel(events.defect)
+    return true
+  }
+
+  /** Relays complete events; returns false if the caller reads more slowly than they come. */
+  #relay (bytes: Buffer): boolean {
     if (!this.#options.response.hasHead) this.#writeHead(this.#head!)
     this.#lastChunkAtMs = this.#context.clock.readMonotonic()
     this.#recordBegun()
-    return this.#write(events.bytes)
+    return this.#write(bytes)
   }
 
   #recordBegun (): void {
@@ -238,7 +246,7 @@
 
   #completeResponse (head: ResponseHead): void {
     const { response, target } = this.#options
-    const body = this.#takeBufferedBody()
+    const body = this.#eventSplitter?.takeRest() ?? this.#takeBufferedBody()
     if (!response.hasHead) {
       response.writeHead(head.status, [...head.headers, ...this.#options.addedHeaders, 'Content-Length', String(body.length)])
       response.end(body)
