Examine each byte of a stream once, and limit what a stream sends without an event

What callers saw: an engine in trouble answered streams with short lines, no event and no end.

Cause: the splitter of events copied and searched the incomplete event anew with each chunk, so that the work grew with the square of the chunks, up to 1 MiB. Comments and empty lines had no limit at all and waited for the next event, so that callers with a limit on silence left sound streams as well.

Change: each byte is examined once. An event may have 1 MiB as before, what lies between two events 64 KiB, and a stream without an event may come in 16,384 pieces, in more if they have 16 bytes and more on average. Beyond that the connection is reset, request.cut gives the reason, and the stream goes on elsewhere. Comments are relayed at once after the first event; before it they wait, as the request may still be refused or run elsewhere.

Why it works: the work for a read of the socket is linear in its bytes, and what one answer can cost before it is closed is bounded.

--- a/features/steps/eventIds.ts
+++ b/features/steps/eventIds.ts
@@ -27,9 +27,13 @@
 })
 
 Given(/^a stream that (?:begins anew|goes on from (\d+))$/, function (this: EventsWorld, lastId: string | null) {
-  this.splitter = new SseEventSplitter(lastId === null ? undefined : Number(lastId))
+  this.splitter = createSplitter(lastId === null ? undefined : Number(lastId))
 })
 
+function createSplitter (lastId: number | undefined): SseEventSplitter {
+  return new SseEventSplitter({ lastId, isContinued: lastId !== undefined })
+}
+
 /** `-` stands for an event without an id, `:` for a comment. */
 function formatEvent (name: string): string {
   if (name === ':') return ': a comment\n\n'
@@ -40,7 +44,7 @@
   const bytes = Buffer.from(events.split(' ').map(formatEvent).join(''))
   // Every way to cut the bytes in two has to give the same.
   const results = Array.from({ length: bytes.length }, (_, cut) => {
-    const splitter = new SseEventSplitter(this.splitter.lastId)
+    const splitter = createSplitter(this.splitter.lastId)
     const first = splitter.add(bytes.subarray(0, cut))
     const parts = first.defect === undefined ? [first, splitter.add(bytes.subarray(cut))] : [first]
     const { defect } = parts.at(-1)!
--- /dev/null
+++ b/src/standin/fleet/endlessAnswer.ts
@@ -0,0 +1,53 @@
+/** Answers without end, as a faulty engine sends them until its connection is closed. */
+import type { Socket } from 'node:net'
+
+interface EndlessForm {
+  /** What precedes the endless bytes; the headers of a whole answer are put after the status line. */
+  readonly status: string
+  readonly head: string
+  /** Bytes that are repeated. */
+  readonly unit: string
+  /** Whether new streams break off after two events, and the answer to a request that goes on with one has no end. */
+  readonly isForResumed?: boolean
+}
+
+/** One chunk of a body without a length. */
+export function formatChunk (text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`
+}
+
+const events = 'content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n'
+
+export const endlessForms = Object.freeze({
+  bytes: { status: '200 OK', head: events, unit: formatChunk('x') },
+  lines: { status: '200 OK', head: events, unit: formatChunk('x\n') },
+  'line feeds and bytes': { status: '200 OK', head: events, unit: formatChunk('\nx') },
+  'carriage returns': { status: '200 OK', head: events, unit: formatChunk('data: x\r') },
+  comments: { status: '200 OK', head: events, unit: formatChunk(': x\n\n') },
+  'empty lines': { status: '200 OK', head: events, unit: formatChunk('\n\n') },
+  'ids without data': { status: '200 OK', head: events, unit: formatChunk('id: 1\n\n') },
+  'bytes of a resumed stream': { status: '200 OK', head: events, unit: formatChunk('x'), isForResumed: true }
+} satisfies Record<string, EndlessForm>)
+export type EndlessFormName = keyof typeof endlessForms
+
+const bytesPerInterval = 400_000
+const intervalMs = 4
+/** By then the receiver should have closed the connection; the rest of a test goes on without more bytes. */
+const maxBytes = 12_000_000
+
+export function isEndlessFor (name: EndlessFormName, fromEvent: number): boolean {
+  const form: EndlessForm = endlessForms[name]
+  return !form.isForResumed || fromEvent > 0
+}
+
+/** Sends an answer with these headers, lines with their ends, until the connection is closed. */
+export function sendEndless (socket: Socket, name: EndlessFormName, headers: string): void {
+  const form: EndlessForm = endlessForms[name]
+  const bytes = Buffer.alloc(bytesPerInterval - bytesPerInterval % form.unit.length, form.unit)
+  socket.write(`HTTP/1.1 ${form.status}\r\n${headers}${form.head}\r\n`)
+  const startBytes = socket.bytesWritten
+  const timer = setInterval(() => {
+    if (socket.writableLength < bytesPerInterval && socket.bytesWritten - startBytes < maxBytes) socket.write(bytes)
+  }, intervalMs)
+  socket.once('close', () => clearInterval(timer))
+}
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -6,6 +6,8 @@
 import type { ReceivedHeaders } from '../../platform/standinWire.js'
 import { wirePaths } from '../../platform/wireNames.js'
 import type { FleetEngine } from './fleetEngine.js'
+import { formatChunk, isEndlessFor, sendEndless } from './endlessAnswer.js'
+import type { EndlessFormName } from './endlessAnswer.js'
 import { spoilEvent } from './spoilEvent.js'
 import type { EventSpoiling } from './spoilEvent.js'
 import type { RunJournal, RunRecord } from './runJournal.js'
@@ -32,6 +34,10 @@
   unframedCuts: number
   /** Unframed streams that end before their first event. */
   emptyStreams: number
+  /** Interval of comments in the silence of a stream; 0 for none. */
+  commentMs: number
+  /** Streams are answered with bytes that never end; empty for none. */
+  endless: EndlessFormName | ''
   /** Streams in which one event has a wrong id, and what is wrong about it. */
   spoiledIds: number
   spoiling: EventSpoiling
@@ -70,7 +76,7 @@
   limit: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, spoiledIds: 0, spoiling: 'higher', spoiledEvent: 3, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, endless: '', spoiledIds: 0, spoiling: 'higher', spoiledEvent: 3, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, commentMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -93,6 +99,8 @@
   readonly isDown: boolean
   /** When the process crashed, in milliseconds of the monotonic clock. */
   readonly crashTimesMs: readonly number[]
+  /** Bytes of each answer without end whose connection was closed. */
+  readonly endlessBytes: readonly number[]
   setFaults: (faults: Partial<EndpointFaults>) => void
   /** Drops all connections and everything that the endpoint holds, as a crash does. */
   crash: () => void
@@ -100,6 +108,7 @@
 }
 
 const lateOrderMs = 1500
+const resetDelayMs = 20
 const readNow = (): number => performance.now()
 
 export async function startEndpointServer (options: EndpointServerOptions): Promise<EndpointServer> {
@@ -110,6 +119,7 @@
     get startedAtMs () { return endpoint.startedAtMs },
     get isDown () { return endpoint.isDown },
     crashTimesMs: endpoint.crashTimesMs,
+    endlessBytes: endpoint.endlessBytes,
     setFaults: faults => { endpoint.faults = { ...endpoint.faults, ...faults } },
     crash: () => endpoint.crash(),
     stop: async () => await endpoint.stop()
@@ -120,6 +130,7 @@
   faults: EndpointFaults = { ...noEndpointFaults }
   address: string
   readonly crashTimesMs: number[] = []
+  readonly endlessBytes: number[] = []
   #server: Server
   #options: EndpointServerOptions
   #running = 0
@@ -259,6 +270,7 @@
     }
     response.on('close', () => finish('left'))
     const headers = encodeEndpointResponseHeaders(run.requestId, `signed by ${id}`, { isLeaving: this.faults.isLeaving, limit: this.faults.limit, brittle: this.faults.brittle })
+    if (engine && this.#sendEndless(request, run, headers, finish)) return
     if (this.faults.silentRuns > 0 && random() < this.faults.silentRuns) return
     if (random() < this.faults.errors) {
       setTimeout(() => {
@@ -282,6 +294,28 @@
     }
   }
 
+  /** Returns whether the request is answered without end. */
+  #sendEndless ({ socket }: IncomingMessage, run: RunRecord, headers: Record<string, string>, finish: (outcome: RunRecord['outcome']) => void): boolean {
+    const { endless } = this.faults
+    if (endless === '') return false
+    if (!isEndlessFor(endless, run.fromEvent)) {
+      // The caller has two events of a stream that somebody else has to complete.
+      const broken = [1, 2].map(id => formatChunk(`id: ${id}\ndata: ${run.requestId} ${id}\n\n`)).join('')
+      socket.write(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n${broken}`)
+      // A reset at once would take the events along.
+      setTimeout(() => socket.resetAndDestroy(), resetDelayMs)
+      finish('broken')
+      return true
+    }
+    const startBytes = socket.bytesWritten
+    sendEndless(socket, endless, formatHeaders(headers))
+    socket.once('close', () => {
+      finish('broken')
+      this.endlessBytes.push(socket.bytesWritten - startBytes)
+    })
+    return true
+  }
+
   /** Ends the connection somewhere before the blank line that ends the head. */
   #cutHead ({ socket }: IncomingMessage, headers: Record<string, string>): void {
     const { random, engine } = this.#options
@@ -346,7 +380,7 @@
     const { random } = this.#options
     const last = countEvents(run.requestId)
     const eventMs = this.faults.eventMs || engine.options.eventMs
-    const { silenceMs } = this.faults
+    const { silenceMs, commentMs } = this.faults
     const cutAfter = random() < this.faults.cuts ? run.fromEvent + Math.floor(random() * last) : Infinity
     const { spoiling, spoiledEvent } = this.faults
     const isSpoiled = random() < this.faults.spoiledIds
@@ -373,7 +407,9 @@
       const event = `id: ${next}\ndata: ${run.requestId} ${next}\n\n`
       response.write(isSpoiled && next === spoiledEvent ? spoilEvent(event, spoiling) : event)
       next++
-      setTimeout(send, next === eventsBeforeSilence + 1 ? eventMs + silenceMs : eventMs)
+      const isSilent = next === eventsBeforeSilence + 1
+      setTimeout(send, isSilent ? eventMs + silenceMs : eventMs)
+      if (isSilent && commentMs > 0) sendComments(response, commentMs, silenceMs)
     }
     setTimeout(send, eventMs)
   }
@@ -382,6 +418,12 @@
 /** Events that come before the silence of a stream; every stream has one more at least. */
 const eventsBeforeSilence = 2
 
+/** Sends comments, which hold a quiet connection open. */
+function sendComments (response: ServerResponse, intervalMs: number, forMs: number): void {
+  const timer = setInterval(() => response.write(': quiet\n\n'), intervalMs)
+  setTimeout(() => clearInterval(timer), forMs)
+}
+
 /** Events of the stream that answers a request. */
 export function countEvents (requestId: string): number {
   return 3 + (Number.parseInt(requestId.slice(-2), 16) || 0) % 8
--- a/src/standin/fleet/fleetCaller.ts
+++ b/src/standin/fleet/fleetCaller.ts
@@ -33,13 +33,15 @@
   /** Prompt parts as they are written in the header, such as `aa01:100,bb02:50`; a part of its own if left out. */
   promptParts?: string
   signal?: AbortSignal
+  /** Time without a byte of the body after which the caller leaves. */
+  maxSilenceMs?: number
 }
 
 /** Keeps connections to hosts open between calls. */
 export class FleetCaller {
   #agent = new Agent({ connections: 64, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
 
-  async call ({ kind, address, adapter, timeLeftMs = 4000, requestId = createRequestId(), headers = {}, body = 'a question', promptParts, signal }: FleetCall): Promise<FleetAnswer> {
+  async call ({ kind, address, adapter, timeLeftMs = 4000, requestId = createRequestId(), headers = {}, body = 'a question', promptParts, signal, maxSilenceMs }: FleetCall): Promise<FleetAnswer> {
     const startedAtMs = performance.now()
     const answer: FleetAnswer = { requestId, kind, status: 0, body: '', signature: undefined, retryAfterS: undefined, error: undefined, tookMs: 0 }
     try {
@@ -48,7 +50,8 @@
         method: kind === 'idempotent' ? 'GET' : 'POST',
         headers: { ...encodeCallerRequestHeaders({ requestId, host: fleetHost, timeLeftMs, ...(isStreamed(kind) && { model: adapter ? `${fleetModel}/${adapter}` : fleetModel, ...(promptParts !== undefined && { promptParts }) }) }), ...headers },
         ...(kind !== 'idempotent' && { body }),
-        ...(signal && { signal })
+        ...(signal && { signal }),
+        ...(maxSilenceMs !== undefined && { bodyTimeout: maxSilenceMs })
       })
       const marks = decodeResponseHeaders(response.headers)
       answer.status = response.statusCode
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -154,7 +154,7 @@
     }
     this.#head = head
     if (route.kind !== 'stream' && status >= 200 && status < 300) this.#recordBegun()
-    if (route.kind === 'stream' && status >= 200 && status < 300) this.#eventSplitter = new SseEventSplitter(this.#options.lastEventId ?? request.lastEventId)
+    if (route.kind === 'stream' && status >= 200 && status < 300) this.#eventSplitter = new SseEventSplitter({ lastId: this.#options.lastEventId ?? request.lastEventId, isContinued: this.#options.response.hasHead })
   }
 
   receiveData (chunk: Buffer): boolean {
@@ -191,7 +191,7 @@
 
   #relayEvents (eventSplitter: SseEventSplitter, chunk: Buffer): boolean {
     const events = eventSplitter.add(chunk)
-    const mayContinue = events.count === 0 || this.#relay(events.bytes)
+    const mayContinue = events.count > 0 ? this.#relay(events.bytes) : this.#write(events.bytes)
     if (events.defect === undefined) return mayContinue
     this.#failAndCancel(events.defect)
     return true
