Keep at most 256 KiB of a failure that its caller cannot get

What callers saw: an engine that broke a stream off and answered its resumption with a failure without end filled its host's memory. The same answer to a first attempt was relayed without end, although another engine could have served the stream.

Cause: a response that is no event stream is buffered so that it can be retried, and relayed from 256 KiB on. Where the caller already had the head of an earlier attempt it could not be relayed, and the limit was skipped.

Change: beyond 256 KiB a response is relayed only if it can be the caller's. Where the caller has another head, where the endpoint states that it did not run the request, and where another endpoint may serve it, the connection is reset with a reason in request.cut, and the request goes on elsewhere. Pieces are copied into one buffer: a list of small ones takes many times their bytes.

Why it works: no path keeps more of a response than the limit, whatever the state of the caller's response is.

Evidence: six scenarios of features/endlessStreams.feature ("Endless failures" and those after it) fail on the code before and pass now.

--- a/features/endlessStreams.feature
+++ b/features/endlessStreams.feature
@@ -23,6 +23,25 @@
       | ids without data          | 1       | 22    |
       | bytes of a resumed stream | 3       | 0     |
 
+  # Guards against a failure or refusal that is kept in memory without a limit, or relayed in place of a stream that others can serve.
+  Scenario Outline: Endless <form>
+    Given 2 hosts before a platform with 3 engines
+    And <engines> engines answer streams with endless <form>
+    When 24 streams for 2 adapters come to its hosts within 3000 ms, and a plain request every 50 ms
+    Then no plain request takes 800 ms
+    And no incomplete stream ends as a whole one
+    And at least <whole> streams are whole
+    And each endless answer was closed after at most 8 MB
+
+    Examples:
+      | form                                  | engines | whole |
+      | failures                              | 1       | 22    |
+      | refusals                              | 1       | 22    |
+      | failures of a resumed stream          | 3       | 0     |
+      | small failures of a resumed stream    | 3       | 0     |
+      | refusals of a resumed stream          | 3       | 0     |
+      | unframed refusals of a resumed stream | 3       | 0     |
+
   # Guards against comments and incomplete events that are kept or relayed without a limit.
   Scenario Outline: A stream that sends <bytes> bytes of "<unit>" in pieces of <piece> bytes is given up
     When a stream sends <bytes> bytes of "<unit>" in pieces of <piece> bytes
--- a/src/standin/fleet/endlessAnswer.ts
+++ b/src/standin/fleet/endlessAnswer.ts
@@ -9,6 +9,8 @@
   readonly unit: string
   /** Whether new streams break off after two events, and the answer to a request that goes on with one has no end. */
   readonly isForResumed?: boolean
+  /** Whether the answer states that the request was not run. */
+  readonly isRefusal?: boolean
 }
 
 /** One chunk of a body without a length. */
@@ -16,7 +18,9 @@
   return `${text.length.toString(16)}\r\n${text}\r\n`
 }
 
-const events = 'content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n'
+const chunked = 'transfer-encoding: chunked\r\n'
+const events = `content-type: text/event-stream\r\n${chunked}`
+const bigChunk = formatChunk('x'.repeat(50_000))
 
 export const endlessForms = Object.freeze({
   bytes: { status: '200 OK', head: events, unit: formatChunk('x') },
@@ -26,7 +30,13 @@
   comments: { status: '200 OK', head: events, unit: formatChunk(': x\n\n') },
   'empty lines': { status: '200 OK', head: events, unit: formatChunk('\n\n') },
   'ids without data': { status: '200 OK', head: events, unit: formatChunk('id: 1\n\n') },
-  'bytes of a resumed stream': { status: '200 OK', head: events, unit: formatChunk('x'), isForResumed: true }
+  'bytes of a resumed stream': { status: '200 OK', head: events, unit: formatChunk('x'), isForResumed: true },
+  failures: { status: '500 Internal Server Error', head: chunked, unit: bigChunk },
+  refusals: { status: '503 Service Unavailable', head: chunked, unit: bigChunk, isRefusal: true },
+  'failures of a resumed stream': { status: '500 Internal Server Error', head: chunked, unit: bigChunk, isForResumed: true },
+  'small failures of a resumed stream': { status: '500 Internal Server Error', head: chunked, unit: formatChunk('x'), isForResumed: true },
+  'refusals of a resumed stream': { status: '503 Service Unavailable', head: chunked, unit: bigChunk, isForResumed: true, isRefusal: true },
+  'unframed refusals of a resumed stream': { status: '503 Service Unavailable', head: 'connection: close\r\n', unit: 'x'.repeat(50_000), isForResumed: true, isRefusal: true }
 } satisfies Record<string, EndlessForm>)
 export type EndlessFormName = keyof typeof endlessForms
 
@@ -40,6 +50,11 @@
   return !form.isForResumed || fromEvent > 0
 }
 
+export function isEndlessRefusal (name: EndlessFormName): boolean {
+  const form: EndlessForm = endlessForms[name]
+  return form.isRefusal === true
+}
+
 /** Sends an answer with these headers, lines with their ends, until the connection is closed. */
 export function sendEndless (socket: Socket, name: EndlessFormName, headers: string): void {
   const form: EndlessForm = endlessForms[name]
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -6,7 +6,7 @@
 import type { ReceivedHeaders } from '../../platform/standinWire.js'
 import { wirePaths } from '../../platform/wireNames.js'
 import type { FleetEngine } from './fleetEngine.js'
-import { formatChunk, isEndlessFor, sendEndless } from './endlessAnswer.js'
+import { formatChunk, isEndlessFor, isEndlessRefusal, sendEndless } from './endlessAnswer.js'
 import type { EndlessFormName } from './endlessAnswer.js'
 import { spoilEvent } from './spoilEvent.js'
 import type { EventSpoiling } from './spoilEvent.js'
@@ -308,7 +308,7 @@
       return true
     }
     const startBytes = socket.bytesWritten
-    sendEndless(socket, endless, formatHeaders(headers))
+    sendEndless(socket, endless, formatHeaders(isEndlessRefusal(endless) ? encodeEndpointResponseHeaders(run.requestId, undefined) : headers))
     socket.once('close', () => {
       finish('broken')
       this.endlessBytes.push(socket.bytesWritten - startBytes)
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -1,4 +1,6 @@
 /** One attempt to serve a request: sends it to one endpoint and relays the response, or reports how the attempt failed. */
+import { ByteBuffer } from '../../core/byteBuffer.js'
+import { isRetryable } from '../../core/retryRules.js'
 import type { AttemptFailure } from '../../core/retryRules.js'
 import { SseEventSplitter } from '../../core/sseEventSplitter.js'
 import type { ResponseReceiver, SendFailure, RequestInFlight } from '../../ports/endpointLink.js'
@@ -32,7 +34,10 @@
   retryAfterMs?: number
 } & ({ kind: 'answered', status: number } | { kind: 'failed', failure: AttemptFailure })
 
-/** Responses up to this size are buffered until they are complete, so that a truncated one can be followed by a retry. */
+/**
+ * Responses up to this size are buffered until they are complete, so that a truncated one can be followed by a retry. A larger one is
+ * relayed as it arrives, if its caller can get it at all.
+ */
 const maxBufferedBytes = 256 * 1024
 
 export class RequestAttempt implements ResponseReceiver {
@@ -51,8 +56,7 @@
   #hasWrittenHead = false
   #isFinished = false
   #head: ResponseHead | undefined
-  #bufferedChunks: Buffer[] = []
-  #bufferedBytes = 0
+  #bufferedBody = new ByteBuffer()
   #eventSplitter: SseEventSplitter | undefined
   #resolve: (result: AttemptResult) => void = () => {}
 
@@ -162,11 +166,14 @@
     if (this.#firstChunkMs < 0) this.#firstChunkMs = this.#context.clock.readMonotonic() - this.#startedAtMs
     if (this.#eventSplitter) return this.#relayEvents(this.#eventSplitter, chunk)
     if (this.#hasWrittenHead) return this.#write(chunk)
-    this.#bufferedChunks.push(chunk)
-    this.#bufferedBytes += chunk.length
-    if (this.#bufferedBytes <= maxBufferedBytes || this.#options.response.hasHead) return true
+    this.#bufferedBody.append(chunk)
+    if (this.#bufferedBody.length <= maxBufferedBytes) return true
+    if (!this.#canRelay(this.#head)) {
+      this.#failAndCancel(`the endpoint sent more than ${maxBufferedBytes} bytes with status ${this.#head.status}, which its caller cannot get`)
+      return true
+    }
     this.#writeHead(this.#head)
-    return this.#write(this.#takeBufferedBody())
+    return this.#write(this.#bufferedBody.take())
   }
 
   receiveEnd (): void {
@@ -221,10 +228,11 @@
     return this.#options.response.write(chunk, () => this.#requestInFlight?.resume())
   }
 
-  #takeBufferedBody (): Buffer {
-    const body = Buffer.concat(this.#bufferedChunks)
-    this.#bufferedChunks = []
-    return body
+  /** Whether the response can be the caller's, who may have another head already, or may still be served by another endpoint. */
+  #canRelay (head: ResponseHead): boolean {
+    const { response, route } = this.#options
+    if (response.hasHead || head.isNotRun) return false
+    return head.status < 500 || !isRetryable(route.kind, route.isResumable)
   }
 
   /** Handles a complete response that is not an event stream: relays a success, and reports a failure that may be retried. */
@@ -236,7 +244,7 @@
       this.#completeResponse(head)
       return
     }
-    const body = this.#takeBufferedBody()
+    const body = this.#bufferedBody.take()
     const reason = `the endpoint responded with status ${head.status}`
     const failure: AttemptFailure = { verdict: head.isNotRun ? 'notRun' : 'ran', reason, status: head.status }
     // The endpoint's statement that it did not run the request is not relayed: the proxy says so itself once it gives up.
@@ -246,7 +254,7 @@
 
   #completeResponse (head: ResponseHead): void {
     const { response, target } = this.#options
-    const body = this.#eventSplitter?.takeRest() ?? this.#takeBufferedBody()
+    const body = this.#eventSplitter?.takeRest() ?? this.#bufferedBody.take()
     if (!response.hasHead) {
       response.writeHead(head.status, [...head.headers, ...this.#options.addedHeaders, 'Content-Length', String(body.length)])
       response.end(body)
@@ -268,6 +276,7 @@
     const { target } = this.#options
     if (failure.verdict !== 'notRun' || failure.status === undefined) this.#context.health.recordFailure(target.id)
     this.#eventSplitter?.clear()
+    this.#bufferedBody.clear()
     this.#finish(this.#getOutcome(failure))
     this.#resolve({ kind: 'failed', failure, ...extra })
   }
