Handle signals from the first line of a program on

What callers saw: a host that got SIGHUP or SIGTERM within 120 ms of its start ended by the signal (real processes: SIGHUP at 20 to 120 ms, SIGTERM at 20 to 120 ms), so that a change of the settings file ended it, and a stop had no exit code 0.

Cause: handlers were set when the start was complete. Until then signals had their default action.

Change: runUntilStopped sets the handlers, then starts the program. A stop follows the start, with code 0, and a reload is reported then. The host loads its modules after the handlers are set.

Why it works: no code of the program runs without handlers any more.

--- /dev/null
+++ b/features/earlySignals.feature
@@ -0,0 +1,15 @@
+Feature: Signals while a process starts
+  The platform may stop a process, or report a change of its settings file, at any moment after its start.
+
+  # Guards against signals whose default action ends a process that has not finished its start.
+  Scenario Outline: <signals> while the <program> opens its first port
+    Given the <program> gets <signals> when it opens its first port
+    Then <result>
+
+    Examples:
+      | program    | signals                 | result                                                     |
+      | host       | SIGTERM                 | it ends with code 0                                        |
+      | host       | SIGHUP                  | it goes on, and reports that its settings file has changed |
+      | host       | SIGHUP, SIGTERM, SIGHUP | it ends with code 0                                        |
+      | quickstart | SIGTERM                 | it ends with code 0                                        |
+      | quickstart | SIGHUP, SIGINT          | it ends with code 0                                        |
--- a/soak/soakHost.ts
+++ b/soak/soakHost.ts
@@ -1,10 +1,8 @@
 /** The program of one host in a soak: the real host with a clock that can be made to jump. */
-import { createSystemClock } from '../src/adapters/clock/systemClock.js'
-import { stopOnSignals } from '../src/bin/processExit.js'
-import { startHost } from '../src/bin/startHost.js'
+import { runUntilStopped } from '../src/bin/processExit.js'
+import type { RunningProcess } from '../src/bin/processExit.js'
 import type { Clock } from '../src/ports/clock.js'
 import type { HostSettings } from '../src/schemas/hostSettings.js'
-import { mechanisms } from './mechanisms.js'
 
 /** Sent by the soak over the process's channel. */
 export interface HostCommand {
@@ -20,15 +18,21 @@
   without: string | undefined
 }
 
-const { settings, metricsPort, without } = JSON.parse(process.argv[2]!) as SoakHostStart
-const { ports, changeSettings, changeClock, endsAtOnce } = without === undefined ? {} as Partial<typeof mechanisms[string]> : mechanisms[without]!
-
-let jumpedMs = 0
-process.on('message', (command: HostCommand) => { jumpedMs += command.jumpMs })
 // A host without its soak has nothing to serve.
 process.on('disconnect', () => process.exit(1))
+await runUntilStopped(startSoakHost)
 
-const systemClock = createSystemClock()
-const clock: Clock = { ...systemClock, readWall: () => systemClock.readWall() + jumpedMs }
-const host = await startHost(changeSettings?.(settings) ?? settings, changeClock?.(clock) ?? clock, { metricsPort, ...(ports && { ports }) })
-stopOnSignals(endsAtOnce ? { stop: async () => {} } : host)
+/** Loads the host's modules only when signals are handled, as `sedgevalve-host` does. */
+async function startSoakHost (): Promise<RunningProcess> {
+  let jumpedMs = 0
+  process.on('message', (command: HostCommand) => { jumpedMs += command.jumpMs })
+  const [{ createSystemClock }, { startHost }, { mechanisms }] = await Promise.all([
+    import('../src/adapters/clock/systemClock.js'), import('../src/bin/startHost.js'), import('./mechanisms.js')
+  ])
+  const { settings, metricsPort, without } = JSON.parse(process.argv[2]!) as SoakHostStart
+  const { ports, changeSettings, changeClock, endsAtOnce } = without === undefined ? {} as Partial<typeof mechanisms[string]> : mechanisms[without]!
+  const systemClock = createSystemClock()
+  const clock: Clock = { ...systemClock, readWall: () => systemClock.readWall() + jumpedMs }
+  const host = await startHost(changeSettings?.(settings) ?? settings, changeClock?.(clock) ?? clock, { metricsPort, ...(ports && { ports }) })
+  return endsAtOnce ? { stop: async () => {} } : host
+}
--- a/src/bin/host.ts
+++ b/src/bin/host.ts
@@ -1,12 +1,11 @@
 #!/usr/bin/env node
 /** `sedgevalve-host`: the program that runs on every host of the users' platform. */
 import { parseArgs } from 'node:util'
-import { createSystemClock } from '../adapters/clock/systemClock.js'
 import { productVersion } from '../constants.js'
-import { readHostSettings } from '../platform/hostSettings.js'
 import { createSettingsError } from '../settings/settingsError.js'
-import { exitWithError, stopOnSignals } from './processExit.js'
-import { startHost } from './startHost.js'
+import { exitWithError, runUntilStopped } from './processExit.js'
+import type { RunningProcess } from './processExit.js'
+import type { HostOptions } from './startHost.js'
 
 const name = 'sedgevalve-host'
 const help = `${name}: serves callers on one host of the users' platform; the platform provides the path of the settings file
@@ -25,12 +24,20 @@
       return
     }
     const options = values.metrics === undefined ? {} : { metricsPort: parsePort(values.metrics) }
-    stopOnSignals(await startHost(readHostSettings(), createSystemClock(), options))
+    await runUntilStopped(async () => await loadAndStartHost(options))
   } catch (error) {
     exitWithError(name, error as Error)
   }
 }
 
+/** Loads the host's modules only when signals are handled, as that takes a large part of a start. */
+async function loadAndStartHost (options: HostOptions): Promise<RunningProcess> {
+  const [{ createSystemClock }, { readHostSettings }, { startHost }] = await Promise.all([
+    import('../adapters/clock/systemClock.js'), import('../platform/hostSettings.js'), import('./startHost.js')
+  ])
+  return await startHost(readHostSettings(), createSystemClock(), options)
+}
+
 function parsePort (text: string): number {
   const port = Number(text)
   if (!Number.isInteger(port) || port < 1 || port > maxPort) throw createSettingsError(`--metrics names no port: "${text}"; a port is a whole number from 1 to ${maxPort}`)
--- a/src/bin/processExit.ts
+++ b/src/bin/processExit.ts
@@ -1,4 +1,4 @@
-/** Ends a process: on a signal, or with an error. */
+/** Runs a process until it ends: on a signal, or with an error. */
 import { isSettingsError, invalidSettingsExitCode } from '../settings/settingsError.js'
 
 export interface RunningProcess {
@@ -10,24 +10,41 @@
   stop: () => Promise<void>
 }
 
+const signals = ['SIGHUP', 'SIGINT', 'SIGTERM', 'SIGUSR2'] as const
+
 /**
- * Stops the process gracefully on SIGINT or SIGTERM. A second SIGINT ends it at once; a second SIGTERM is ignored.
+ * Starts a program and stops it gracefully on SIGINT or SIGTERM. A second SIGINT ends it at once; a second SIGTERM is ignored.
  * SIGHUP reports that the settings file has changed. SIGUSR2 writes the state of the process to stderr as one line of JSON.
+ *
+ * Signals are handled from the call on, as their default action would end a process that has just begun to start: a stop that arrives
+ * before `start` has resolved follows then, with exit code 0.
+ *
+ * @example
+ * await runUntilStopped(async () => await startHost(settings, clock))
  */
-export function stopOnSignals (running: RunningProcess): void {
-  process.on('SIGUSR2', () => process.stderr.write(`${JSON.stringify(running.describeState?.() ?? {})}\n`))
-  process.on('SIGHUP', () => running.reload?.())
-  let isStopping = false
-  const stop = async (): Promise<void> => {
-    isStopping = true
-    await running.stop()
+export async function runUntilStopped (start: () => Promise<RunningProcess>): Promise<void> {
+  let [running, isStopping, isReloadDue]: [RunningProcess | undefined, boolean, boolean] = [undefined, false, false]
+  const stop = async (started: RunningProcess): Promise<void> => {
+    await started.stop()
     process.exit(0)
   }
-  process.on('SIGINT', () => {
-    if (isStopping) process.exit(1)
-    stop()
-  })
-  process.on('SIGTERM', () => { if (!isStopping) stop() })
+  const handleSignal = (signal: typeof signals[number]): void => {
+    if (signal === 'SIGUSR2') {
+      process.stderr.write(`${JSON.stringify(running?.describeState?.() ?? {})}\n`)
+    } else if (signal === 'SIGHUP') {
+      if (running) running.reload?.()
+      else isReloadDue = true
+    } else if (!isStopping) {
+      isStopping = true
+      if (running) stop(running)
+    } else if (signal === 'SIGINT') {
+      process.exit(1)
+    }
+  }
+  for (const signal of signals) process.on(signal, handleSignal)
+  running = await start()
+  if (isReloadDue) running.reload?.()
+  if (isStopping) await stop(running)
 }
 
 /** Prints the error on one line and exits; invalid settings have their own exit code. */
--- a/src/bin/quickstart.ts
+++ b/src/bin/quickstart.ts
@@ -6,13 +6,14 @@
 import { hashKey } from '../tasks/gateway/callerAccess.js'
 import { exampleCallerKey, exampleOperatorKey, exampleRecords } from './exampleRecords.js'
 import { registerRecords } from './registerRecords.js'
-import { exitWithError, stopOnSignals } from './processExit.js'
+import { exitWithError, runUntilStopped } from './processExit.js'
+import type { RunningProcess } from './processExit.js'
 import { startGateway, startScheduler } from './startGatewayAndScheduler.js'
 import { startStandins } from './startStandins.js'
 
 const peerKey = 'quick-start-peer-key'
 
-async function startQuickstart (): Promise<void> {
+async function startQuickstart (): Promise<RunningProcess> {
   const standins = await startStandins(parseSettings('quickstart', `
 [engines]
 count = 3
@@ -45,16 +46,15 @@
 [operators]
 port = ${process.env.SEDGEVALVE_OPERATORS_PORT ?? defaultOperatorsPort}
 keyHash = ${hashKey(exampleOperatorKey)}`, gatewaySettingsSchema), standins.platform)
-  stopOnSignals({
+  printWelcome(gateway.callersPort, gateway.operatorsPort)
+  return {
     describeState: () => ({ gateway: gateway.describeState?.(), scheduler: scheduler.describeState?.() }),
     stop: async () => {
       await gateway.stop()
       await scheduler.stop()
       await standins.stop()
     }
-  })
-  // Printed after the signal handlers are set, as a signal may follow as soon as the text has been read.
-  printWelcome(gateway.callersPort, gateway.operatorsPort)
+  }
 }
 
 function printWelcome (callersPort: number, operatorsPort: number): void {
@@ -74,5 +74,5 @@
 `)
 }
 
-startQuickstart().catch(error => exitWithError('sedgevalve', error))
+runUntilStopped(startQuickstart).catch(error => exitWithError('sedgevalve', error))
 enableLogs()
--- a/src/bin/runBinary.ts
+++ b/src/bin/runBinary.ts
@@ -8,7 +8,7 @@
 import type { SettingsSections } from '../settings/listenError.js'
 import { readSettings } from '../settings/readSettings.js'
 import { createSettingsError } from '../settings/settingsError.js'
-import { exitWithError, stopOnSignals } from './processExit.js'
+import { exitWithError, runUntilStopped } from './processExit.js'
 import type { RunningProcess } from './processExit.js'
 
 export interface BinaryOptions<T extends TObject> {
@@ -40,7 +40,7 @@
     }
     await checkPorts(file, settings as SettingsSections)
     enableLogs()
-    stopOnSignals(await startDaemon(file, options, settings))
+    await runUntilStopped(async () => await startDaemon(file, options, settings))
   } catch (error) {
     exitWithError(options.name, error as Error)
   }
