Give up answers that come in too many small pieces

What callers saw: while one of two plain services answered without end, one byte a chunk, 64 of 453 plain requests took more than their route's 800 ms, and the platform got no answer for 0.84 s (real processes; with failures 56 of 455, and 0.74 s).

Cause: each piece of an answer is handled, and relayed, by itself until the deadline, and costs as much as a large one.

Change: answers that are no event stream have the limit on pieces that streams got: 16,384, and more if they have 16 bytes and more on average.

Why it works: what one answer costs before its connection is reset is bounded.

Evidence: two scenarios of features/endlessStreams.feature fail on the code before and pass now.

--- a/features/endlessStreams.feature
+++ b/features/endlessStreams.feature
@@ -42,6 +42,19 @@
       | refusals of a resumed stream          | 3       | 0     |
       | unframed refusals of a resumed stream | 3       | 0     |
 
+  # Guards against answers in small pieces, each of which costs a host as much as a large one.
+  Scenario Outline: A plain service that answers with endless <form>
+    Given 2 hosts before a platform with 2 engines
+    And the endpoints of the plain services answer with endless <form>
+    When 12 streams for 2 adapters come to its hosts within 3000 ms, and a plain request every 300 ms
+    Then every answer is whole and signed
+    And each endless answer was closed after at most 8 MB
+
+    Examples:
+      | form                     |
+      | small pieces             |
+      | small pieces of failures |
+
   # Guards against the request body of a caller that fills a host's memory, as each small piece takes many times its bytes.
   Scenario: A caller that sends its body in small pieces without end
     Given 1 host before a platform with 2 engines
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -1,5 +1,6 @@
 /** One attempt to serve a request: sends it to one endpoint and relays the response, or reports how the attempt failed. */
 import { ByteBuffer } from '../../core/byteBuffer.js'
+import { PieceLimit } from '../../core/pieceLimit.js'
 import { isRetryable } from '../../core/retryRules.js'
 import type { AttemptFailure } from '../../core/retryRules.js'
 import { SseEventSplitter } from '../../core/sseEventSplitter.js'
@@ -57,6 +58,8 @@
   #isFinished = false
   #head: ResponseHead | undefined
   #bufferedBody = new ByteBuffer()
+  /** Pieces of a response that is no event stream. */
+  #pieces = new PieceLimit()
   #eventSplitter: SseEventSplitter | undefined
   #resolve: (result: AttemptResult) => void = () => {}
 
@@ -165,6 +168,10 @@
     if (this.#isFinished || !this.#head) return true
     if (this.#firstChunkMs < 0) this.#firstChunkMs = this.#context.clock.readMonotonic() - this.#startedAtMs
     if (this.#eventSplitter) return this.#relayEvents(this.#eventSplitter, chunk)
+    if (this.#pieces.add(chunk.length)) {
+      this.#failAndCancel('the endpoint sent its response in too many small pieces')
+      return true
+    }
     if (this.#hasWrittenHead) return this.#write(chunk)
     this.#bufferedBody.append(chunk)
     if (this.#bufferedBody.length <= maxBufferedBytes) return true
