Soak hosts with endless answers and with series of reloads

Seeds from 30,000 on draw endpointEndless (one of the forms of endlessAnswer.ts for up to 6 s) and hostReloads (SIGHUP every 50 ms, while the host runs, starts or stops, once it handles signals). Older seeds keep their events.

--- a/soak/hostProcess.ts
+++ b/soak/hostProcess.ts
@@ -33,6 +33,8 @@
   #asked: ProcessEnd['asked'] = 'nothing'
   #askedAtMs = 0
   #life = 0
+  /** Whether the process has said that it handles signals. */
+  #hasHandlers = false
 
   constructor (options: HostProcessOptions) {
     this.#options = options
@@ -57,9 +59,11 @@
     const output = logs === undefined ? 'ignore' as const : openSync(join(logs, `${settings.hostName}.log`), 'a')
     this.#life++
     this.#asked = 'nothing'
+    this.#hasHandlers = false
     const child = fork(program, [JSON.stringify(start)], { execArgv: nodeOptions, stdio: ['ignore', output, output === 'ignore' ? 'inherit' : output, 'ipc'] })
     if (output !== 'ignore') closeSync(output)
     this.#child = child
+    child.once('message', () => { this.#hasHandlers = true })
     this.#ended = new Promise(resolve => child.once('exit', (code, signal) => {
       this.#child = undefined
       this.#options.receiveEnd({
@@ -77,6 +81,11 @@
     this.#child?.kill('SIGCONT')
   }
 
+  /** Reports a change of the settings file. While Node.js itself starts, nothing can keep the signal from ending the process. */
+  reload (): void {
+    if (this.#hasHandlers) this.#child?.kill('SIGHUP')
+  }
+
   advanceClock (jumpMs: number): void {
     const command: HostCommand = { jumpMs }
     if (this.#child?.connected) this.#child.send(command, () => {})
--- a/soak/soakEvents.ts
+++ b/soak/soakEvents.ts
@@ -1,5 +1,7 @@
 /** Injects planned faults and changes into a running system and notes when each of them began and ended. */
 import { setTimeout as sleep } from 'node:timers/promises'
+import { endlessForms } from '../src/standin/fleet/endlessAnswer.js'
+import type { EndlessFormName } from '../src/standin/fleet/endlessAnswer.js'
 import type { EndpointFaults } from '../src/standin/fleet/endpointServer.js'
 import { createRequestId } from '../src/standin/fleet/fleetCaller.js'
 import type { FleetEndpoint } from '../src/standin/fleet/startFleet.js'
@@ -40,6 +42,9 @@
 const minSizeOfPart = 0.5
 /** Shorter than the gap, so that the next request may meet the endpoint again. */
 const crashDownMs = 300
+/** Signals of a series come this often. */
+const reloadGapMs = 50
+const endlessFormNames = Object.keys(endlessForms) as EndlessFormName[]
 /** The store is away for this long at most before it comes back from a copy. */
 const maxRestoreMs = 2000
 
@@ -66,6 +71,7 @@
         await this.#openStreams(this.#pickHost(event))
         await this.#injectHostFault(event, async host => await this.#restart(host, 'stop', event.forMs))
       },
+      hostReloads: async event => await this.#reloadHost(event),
       clockJump: async event => await this.#injectHostFault(event, async host => {
         const jumpMs = Math.round((event.size * 2 - 1) * maxJumpMs)
         host.advanceClock(jumpMs)
@@ -111,7 +117,7 @@
     }
   }
 
-  #createEndpointInjections (): Record<'engineCrash' | 'endpointDark' | 'endpointErrors' | 'endpointCuts' | 'lateOrders' | 'endpointLeaves' | 'endpointSaysLeaving' | 'endpointWantsNothing', Inject> {
+  #createEndpointInjections (): Record<'engineCrash' | 'endpointDark' | 'endpointErrors' | 'endpointCuts' | 'lateOrders' | 'endpointLeaves' | 'endpointSaysLeaving' | 'endpointWantsNothing' | 'endpointEndless', Inject> {
     const injectPartialFault = (field: 'errors' | 'cuts' | 'lateOrders'): Inject => async event => {
       const endpoint = this.#pickEndpoint(event)
       const part = minStruckPart + event.size * (1 - minStruckPart)
@@ -132,6 +138,10 @@
       endpointWantsNothing: async event => {
         await this.#hold(event, undefined, this.#findEndpointFault(this.#pickEndpoint(event), 'retryAfter', value => ({ retryAfter: value > 0 ? String(value) : '' })), event.size)
       },
+      endpointEndless: async event => {
+        const endless = endlessFormNames[Math.floor(event.size * endlessFormNames.length)]!
+        await this.#hold(event, undefined, this.#findEndpointFault(this.#pickEndpoint(event), 'endless', value => ({ endless: value > 0 ? endless : '' })), 1)
+      },
       endpointErrors: injectPartialFault('errors'),
       endpointCuts: injectPartialFault('cuts'),
       lateOrders: injectPartialFault('lateOrders'),
@@ -216,6 +226,17 @@
     this.#recordSpan(event, undefined, fromMs)
   }
 
+  /** Sends a host signals, whether it starts, stops or runs. */
+  async #reloadHost (event: PlannedEvent): Promise<void> {
+    const host = this.#pickHost(event)
+    const end = this.#beginSpan(event, host, performance.now())
+    for (let sentMs = 0; sentMs < event.forMs; sentMs += reloadGapMs) {
+      host.reload()
+      await sleep(reloadGapMs)
+    }
+    end()
+  }
+
   async #injectHostFault (event: PlannedEvent, run: (host: HostProcess) => Promise<void>): Promise<void> {
     const host = this.#pickHost(event)
     if (this.#busyHosts.has(host) || !host.isRunning) return
--- a/soak/soakHost.ts
+++ b/soak/soakHost.ts
@@ -24,6 +24,7 @@
 
 /** Loads the host's modules only when signals are handled, as `sedgevalve-host` does. */
 async function startSoakHost (): Promise<RunningProcess> {
+  process.send?.('signals are handled')
   let jumpedMs = 0
   process.on('message', (command: HostCommand) => { jumpedMs += command.jumpMs })
   const [{ createSystemClock }, { startHost }, { mechanisms }] = await Promise.all([
--- a/soak/soakPlan.ts
+++ b/soak/soakPlan.ts
@@ -14,10 +14,13 @@
 export const lateFaultKinds = ['endpointSaysLeaving', 'endpointWantsNothing'] as const
 /** Drawn for seeds from `firstRestoreSeed` on. */
 export const restoreFaultKinds = ['storeRestored'] as const
-export type FaultKind = typeof faultKinds[number] | typeof lateFaultKinds[number] | typeof restoreFaultKinds[number]
+/** Drawn for seeds from `firstEndlessSeed` on. */
+export const endlessFaultKinds = ['endpointEndless', 'hostReloads'] as const
+export type FaultKind = typeof faultKinds[number] | typeof lateFaultKinds[number] | typeof restoreFaultKinds[number] | typeof endlessFaultKinds[number]
 
 const firstLateSeed = 1000
 const firstRestoreSeed = 20_000
+const firstEndlessSeed = 30_000
 
 /** What operators and callers do that is no fault, but has promises of its own. */
 export const changeKinds = ['newConfiguration', 'newVersion', 'crashingRequest', 'burst'] as const
@@ -76,7 +79,7 @@
 }
 
 function listKinds (seed: number): (FaultKind | ChangeKind)[] {
-  return [...faultKinds, ...changeKinds, ...(seed >= firstLateSeed ? lateFaultKinds : []), ...(seed >= firstRestoreSeed ? restoreFaultKinds : [])]
+  return [...faultKinds, ...changeKinds, ...(seed >= firstLateSeed ? lateFaultKinds : []), ...(seed >= firstRestoreSeed ? restoreFaultKinds : []), ...(seed >= firstEndlessSeed ? endlessFaultKinds : [])]
 }
 
 /** Numbers from 0 to 1 that follow from a seed. */
