Log connections that end with requests unanswered

A request whose connection the host itself closes was logged as one whose caller had left, so that lines could not tell a lost request (LOST) from a departed caller. caller.connectionCut says who closed the connection and how many requests had no whole answer.

--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -60,8 +60,11 @@
     this.#server.on('connection', socket => {
       const endRequests = new Set<() => void>()
       this.#sockets.set(socket, endRequests)
+      let hasCallerEnded = false
+      socket.on('end', () => { hasCallerEnded = true })
       socket.on('close', () => {
         this.#sockets.delete(socket)
+        if (endRequests.size > 0) options.log.record('caller.connectionCut', 'A connection ended with requests that had no whole answer.', { closedBy: hasCallerEnded || socket.errored ? 'caller' : 'host', unanswered: endRequests.size, active: this.#activeRequests })
         // The response to a request that follows another one on its connection reports no close before its turn.
         for (const endRequest of endRequests) endRequest()
       })
