--- a/src/standin/fleet/rawCaller.ts
+++ b/src/standin/fleet/rawCaller.ts
@@ -1,4 +1,5 @@
 /** A caller that writes several requests to one connection before it has their answers, and goes on until the connection is closed. */
+import { once } from 'node:events'
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { decodeResponseHeaders, encodeCallerRequestHeaders } from '../../platform/standinWire.js'
@@ -87,22 +88,22 @@
     return this.#isClosed
   }
 
-  /** Writes all requests at once; resolves when each is answered or the connection has ended. */
-  async send (requests: readonly RawRequest[]): Promise<RawAnswer[]> {
-    const identified = requests.map(request => ({ requestId: createRequestId(), ...request }))
+  /** Writes all requests at once, or bytes in place of one; resolves when each is answered or the connection has ended. */
+  async send (requests: readonly (RawRequest | string)[]): Promise<RawAnswer[]> {
+    const identified = requests.map(request => typeof request === 'string' ? { kind: 'once' as const, requestId: '', bytes: request } : { requestId: createRequestId(), bytes: undefined, ...request })
     const answers = identified.map(async ({ requestId, kind }) => await new Promise<RawAnswer>(resolve => {
       const sentAtMs = performance.now()
       const answer: RawAnswer = { requestId, kind, status: 0, body: '', signature: undefined, retryAfterS: undefined, error: undefined, tookMs: 0, sentAtMs, endedAtMs: 0, isLast: false }
       if (this.#isClosed) finishAnswer({ answer, resolve }, closedError)
       else this.#pending.push({ answer, resolve })
     }))
-    if (!this.#isClosed) this.#socket.write(identified.map(formatRawRequest).join(''))
+    if (!this.#isClosed) this.#socket.write(identified.map(request => request.bytes ?? formatRawRequest(request)).join(''))
     return await Promise.all(answers)
   }
 
-  /** Writes bytes that need be no request. */
-  write (bytes: string): void {
-    this.#socket.write(bytes)
+  /** Resolves when all that was written has left for the host. */
+  async flushed (): Promise<void> {
+    if (this.#socket.writableLength > 0) await once(this.#socket, 'drain')
   }
 
   /** Stops or goes on reading, so that the host's buffers fill up. */
