Wait for ports that are in use when a host starts

A host ended with code 1 if one of its ports was in use at its start, and nothing started it again.

Cause: each port was opened once. A process that still ends has its ports until then, and the system may draw any of them for a connection, as they may lie in the range from which it draws.

Change: a host tries again every 100 ms while a port is in use, for 60 s in all, and says which one it waits for (start.portInUse, start.portFreed). After that, and at once for an address that is none of the machine or not permitted, it ends with the code of wrong settings and names the port. A stop ends the wait, with code 0.

--- a/features/support/runBinary.ts
+++ b/features/support/runBinary.ts
@@ -45,8 +45,8 @@
 }
 
 /** Starts a binary that runs on. */
-export function startBinary (binary: string, environment: Record<string, string>): BinaryProcess {
-  const child = spawn(process.execPath, [join(binFolder, `${binary}.js`)], { env: { ...process.env, ...environment } })
+export function startBinary (binary: string, environment: Record<string, string>, args: readonly string[] = []): BinaryProcess {
+  const child = spawn(process.execPath, [join(binFolder, `${binary}.js`), ...args], { env: { ...process.env, ...environment } })
   const ended = new Promise<void>(resolve => child.on('exit', () => resolve()))
   const running: BinaryProcess = {
     process: child,
--- a/soak/soakHost.ts
+++ b/soak/soakHost.ts
@@ -23,7 +23,7 @@
 await runUntilStopped(startSoakHost)
 
 /** Loads the host's modules only when signals are handled, as `sedgevalve-host` does. */
-async function startSoakHost (): Promise<RunningProcess> {
+async function startSoakHost (stopSignal: AbortSignal): Promise<RunningProcess> {
   process.send?.('signals are handled')
   let jumpedMs = 0
   process.on('message', (command: HostCommand) => { jumpedMs += command.jumpMs })
@@ -34,6 +34,6 @@
   const { ports, changeSettings, changeClock, endsAtOnce } = without === undefined ? {} as Partial<typeof mechanisms[string]> : mechanisms[without]!
   const systemClock = createSystemClock()
   const clock: Clock = { ...systemClock, readWall: () => systemClock.readWall() + jumpedMs }
-  const host = await startHost(changeSettings?.(settings) ?? settings, changeClock?.(clock) ?? clock, { metricsPort, ...(ports && { ports }) })
+  const host = await startHost(changeSettings?.(settings) ?? settings, changeClock?.(clock) ?? clock, { metricsPort, stopSignal, ...(ports && { ports }) })
   return endsAtOnce ? { stop: async () => {} } : host
 }
--- a/src/adapters/datagrams/udpDatagrams.ts
+++ b/src/adapters/datagrams/udpDatagrams.ts
@@ -31,7 +31,10 @@
   // All addresses are IP addresses. Without an asynchronous lookup, the last messages are sent before the socket closes.
   const socket = createSocket({ type: 'udp4', lookup: (address, _options, receiveAddress) => receiveAddress(null, address, 4) })
   await new Promise<void>((resolve, reject) => {
-    socket.once('error', reject)
+    socket.once('error', error => {
+      socket.close()
+      reject(error)
+    })
     socket.bind(options.port, options.address, () => resolve())
   })
   return new UdpDatagrams(socket, options)
--- a/src/adapters/httpServer/httpServer.ts
+++ b/src/adapters/httpServer/httpServer.ts
@@ -1,6 +1,7 @@
 /** A minimal HTTP server for a host's readiness, metrics and relay. A web framework would double a host's start time. */
 import { createServer } from 'node:http'
 import type { IncomingMessage } from 'node:http'
+import { listenOn } from '../tcp/openPort.js'
 
 export interface HttpReply {
   status: number
@@ -34,11 +35,7 @@
         response.writeHead(status, { 'content-type': contentType, 'content-length': Buffer.byteLength(body) }).end(body)
       })
   })
-  const [host, port] = address.split(':')
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(Number(port), host, resolve)
-  })
+  await listenOn(server, address)
   return {
     close: () => {
       server.close()
--- a/src/bin/host.ts
+++ b/src/bin/host.ts
@@ -24,7 +24,7 @@
       return
     }
     const options = values.metrics === undefined ? {} : { metricsPort: parsePort(values.metrics) }
-    await runUntilStopped(async () => await loadAndStartHost(options))
+    await runUntilStopped(async stopSignal => await loadAndStartHost({ ...options, stopSignal }))
   } catch (error) {
     exitWithError(name, error as Error)
   }
--- a/src/bin/processExit.ts
+++ b/src/bin/processExit.ts
@@ -17,12 +17,13 @@
  * SIGHUP reports that the settings file has changed. SIGUSR2 writes the state of the process to stderr as one line of JSON.
  *
  * Signals are handled from the call on, as their default action would end a process that has just begun to start: a stop that arrives
- * before `start` has resolved follows then, with exit code 0.
+ * before `start` has resolved follows then, with exit code 0. `stopSignal` lets `start` give up a wait for what it needs.
  *
  * @example
  * await runUntilStopped(async () => await startHost(settings, clock))
  */
-export async function runUntilStopped (start: () => Promise<RunningProcess>): Promise<void> {
+export async function runUntilStopped (start: (stopSignal: AbortSignal) => Promise<RunningProcess>): Promise<void> {
+  const stopController = new AbortController()
   let [running, isStopping, isReloadDue]: [RunningProcess | undefined, boolean, boolean] = [undefined, false, false]
   const stop = async (started: RunningProcess): Promise<void> => {
     await started.stop()
@@ -36,17 +37,28 @@
       else isReloadDue = true
     } else if (!isStopping) {
       isStopping = true
+      stopController.abort()
       if (running) stop(running)
     } else if (signal === 'SIGINT') {
       process.exit(1)
     }
   }
   for (const signal of signals) process.on(signal, handleSignal)
-  running = await start()
+  running = await startUnlessStopped(start, stopController.signal)
   if (isReloadDue) running.reload?.()
   if (isStopping) await stop(running)
 }
 
+/** A start that was given up because of a stop has nothing to stop. */
+async function startUnlessStopped (start: (stopSignal: AbortSignal) => Promise<RunningProcess>, stopSignal: AbortSignal): Promise<RunningProcess> {
+  try {
+    return await start(stopSignal)
+  } catch (error) {
+    if (error !== stopSignal.reason) throw error
+    return { stop: async () => {} }
+  }
+}
+
 /** Prints the error on one line and exits; invalid settings have their own exit code. */
 export function exitWithError (name: string, error: Error): never {
   process.stderr.write(`${name}: ${error.message}\n`)
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -3,6 +3,7 @@
 import { openUdpDatagrams } from '../adapters/datagrams/udpDatagrams.js'
 import { openEventLog } from '../adapters/eventLog/pinoEventLog.js'
 import type { OpenEventLog } from '../adapters/eventLog/pinoEventLog.js'
+import { openPort } from '../adapters/tcp/openPort.js'
 import { createHttpRelay } from '../adapters/relay/httpRelay.js'
 import { ClusterView } from '../core/clusterView.js'
 import type { ClusterViewChange, DecodeUpdate } from '../core/clusterView.js'
@@ -51,6 +52,9 @@
 /** Time reserved between the end of draining and SIGKILL, in which the process exits. */
 const exitMarginMs = 700
 
+/** A process that ends, or a connection for which the system drew one of the ports, has freed it after this time. */
+const maxPortWaitMs = 60_000
+
 /** The adapters through which a host reaches the store, the engines and its peers. */
 export interface HostPorts {
   createStore: typeof createStoreClient
@@ -68,6 +72,8 @@
   ports?: Partial<HostPorts>
   /** Port of the host's address on which metrics are served; without it, none are served. */
   metricsPort?: number
+  /** Ends a start that still waits for a port. */
+  stopSignal?: AbortSignal
 }
 
 interface HostComponents {
@@ -232,7 +238,12 @@
   const eras = new StoreEra()
   const store = createEraCheckedStore(ports.createStore(settings.storeAddress, (call, verdict) => metrics.recordStoreCall(call, verdict)), eras)
   const relay = createEraCheckedRelay(ports.createRelay(), eras)
-  const datagrams = await ports.openDatagrams({ address: settings.address, port: settings.datagramPort, host: settings.hostName, session, log })
+  const { stopSignal = new AbortController().signal } = options
+  const startedAtMs = clock.readMonotonic()
+  const open = async <Opened>(name: string, address: string, openOnce: () => Promise<Opened>): Promise<Opened> =>
+    await openPort(openOnce, { name, address, clock, log, signal: stopSignal, maxWaitMs: maxPortWaitMs - (clock.readMonotonic() - startedAtMs) })
+  const messagesAddress = `${settings.address}:${settings.datagramPort}`
+  const datagrams = await open('messages between hosts', messagesAddress, async () => await ports.openDatagrams({ address: settings.address, port: settings.datagramPort, host: settings.hostName, session, log }))
   const { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks } = createHostComponents({ settings, clock, log, own, store, eras, relay, datagrams, ports })
   const { leaseTask, storeOutageDetector, isolationMonitor, renewalCollector, renewalClient } = leaseComponents
   eras.onNewEra((era, previous) => {
@@ -241,13 +252,14 @@
   })
   const countEndpoints = (): number => clusterView.endpoints.list(clock.readMonotonic()).length
 
-  const relayServer = await startRelayServer({
+  const relayServer = await open('peers', settings.peersAddress, async () => await startRelayServer({
     address: settings.peersAddress, clock, mirror, store, eras, getStoreAgeMs: () => clusterViewTask.storeAgeMs, listTableAges: () => clusterViewTask.listTableAges(), isStoreReachable: () => clusterViewTask.isStoreReachable
-  })
-  await requestProxy.callerListener.start()
-  await requestProxy.forwardingListener.start()
-  const readinessServer = await startReadinessServer(settings.readinessAddress, () => clusterView.routes !== undefined && !isolationMonitor.isIsolated && countEndpoints() > 0)
-  const metricsServer = options.metricsPort === undefined ? undefined : await startMetricsServer(`${settings.address}:${options.metricsPort}`, metrics)
+  }))
+  await open('callers', settings.callersAddress, async () => await requestProxy.callerListener.start())
+  await open('requests of other hosts', messagesAddress, async () => await requestProxy.forwardingListener.start())
+  const readinessServer = await open('readiness', settings.readinessAddress, async () => await startReadinessServer(settings.readinessAddress, () => clusterView.routes !== undefined && !isolationMonitor.isIsolated && countEndpoints() > 0))
+  const metricsAddress = `${settings.address}:${options.metricsPort}`
+  const metricsServer = options.metricsPort === undefined ? undefined : await open('metrics', metricsAddress, async () => await startMetricsServer(metricsAddress, metrics))
   for (const task of [requestProxy.standstill, clusterViewTask, leaseTask, storeOutageDetector, isolationMonitor, requestProxy.reachability, requestProxy.forwarder, suspectTasks, streamTasks]) task.start()
   log.record('host.started', 'The host has started.', { zone: settings.zone, address: settings.address })
 
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { listenOn } from '../../adapters/tcp/openPort.js'
 import { ByteBuffer } from '../../core/byteBuffer.js'
 import { PieceLimit } from '../../core/pieceLimit.js'
 import type { Clock } from '../../ports/clock.js'
@@ -37,6 +38,8 @@
 const defaultLimits: CallerLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
 /** Node.js limit on the size of a request head; fixed at startup, so it exceeds the configured limit, which may change. */
 const maxHeadBytes = 64 * 1024
+/** Connections that the system holds for this process to accept. */
+const maxPendingConnections = 1024
 /** Time to write the last answers. */
 const answerMs = 200
 /** Interval at which `drain` checks the open connections. */
@@ -93,11 +96,7 @@
   }
 
   async start (): Promise<void> {
-    const [host, port] = this.#options.address.split(':')
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen({ host, port: Number(port), backlog: 1024 }, resolve)
-    })
+    await listenOn(this.#server, this.#options.address, maxPendingConnections)
   }
 
   /** From now on, callers are asked to open a new connection for their next request. */
