End processes whether or not their lines are read

A host whose output nobody reads, and whose pipe is full, did not end within its grace, so that the stop ended in SIGKILL.

Cause: the log wrote to the descriptor by blocking writes, in a thread while it served, and synchronously and without end in its last flush; the end of a process waits for its threads as well.

Change: lines to a pipe or a socket go through a stream that never blocks, as one write for each turn of the event loop.

--- /dev/null
+++ b/features/fullPipes.feature
@@ -0,0 +1,24 @@
+Feature: A reader of a host's output that stands still
+  Neither a host that serves nor one that stops waits for whoever reads its lines.
+
+  # Guards against a stop that lasts until its last lines have been read, and ends in SIGKILL.
+  Scenario Outline: A host whose output is a full <output> is stopped
+    Given a host whose output is a <output> that nobody reads, and that is full
+    When the host is ready, and is stopped
+    Then it ends with code 0 within its time for a stop
+
+    Examples:
+      | output |
+      | pipe   |
+      | socket |
+
+  Scenario Outline: The last lines of a host reach a reader of its <output> that is slow
+    Given a host whose output is a <output> that nobody reads
+    When the host is ready, and is stopped
+    Then it ends with code 0 within its time for a stop
+    And its lines say that it has stopped
+
+    Examples:
+      | output |
+      | pipe   |
+      | socket |
--- a/features/support/hostFleet.ts
+++ b/features/support/hostFleet.ts
@@ -94,7 +94,7 @@
       },
       openLog: () => ({
         record: (kind, message, fields = {}) => { this.lines.push({ time: Date.now(), host: hostName, kind, message, fields }) },
-        flush: () => {}
+        flush: async () => {}
       })
     })
   }
--- a/src/adapters/eventLog/pinoEventLog.ts
+++ b/src/adapters/eventLog/pinoEventLog.ts
@@ -4,6 +4,7 @@
 import { LogRateLimiter } from '../../core/logRateLimiter.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EventFields, EventLog } from '../../ports/eventLog.js'
+import { openLineOutput } from './lineOutput.js'
 
 export interface PinoEventLogOptions {
   clock: Clock
@@ -12,7 +13,7 @@
 }
 
 /** Opens a log whose buffered lines can be flushed before the process ends. */
-export type OpenEventLog = (options: PinoEventLogOptions) => EventLog & { flush: () => void }
+export type OpenEventLog = (options: PinoEventLogOptions) => EventLog & { flush: () => Promise<void> }
 
 /** Sustained rate for lines of one kind: three times the rate at which a host refuses requests in the published bursts. */
 const linesPerSecond = 60
@@ -20,8 +21,6 @@
 const burstLines = 200
 /** Interval of the lines that report how many lines were omitted or dropped. */
 const omittedIntervalMs = 5000
-/** Bytes buffered for a slow reader. Lines beyond that are dropped and counted. */
-const maxBufferedBytes = 1024 * 1024
 
 /**
  * Opens the log of a process.
@@ -31,17 +30,12 @@
  * log.record('store.lost', 'The store does not respond; the host continues with its local copy.', { ageMs: 900 })
  */
 export const openEventLog: OpenEventLog = options => {
-  const destination = pino.destination({ dest: 1, sync: false, minLength: 0, maxLength: maxBufferedBytes })
-  let dropped = 0
-  destination.on('drop', () => { dropped++ })
-  const logger = pino({ base: { host: options.host, session: options.session }, timestamp: pino.stdTimeFunctions.epochTime, messageKey: 'message' }, destination)
+  const output = openLineOutput()
+  const logger = pino({ base: { host: options.host, session: options.session }, timestamp: pino.stdTimeFunctions.epochTime, messageKey: 'message' }, output)
   const log = new PinoEventLog(logger, options.clock)
-  const timer = setInterval(() => {
-    log.reportOmitted(dropped)
-    dropped = 0
-  }, omittedIntervalMs)
+  const timer = setInterval(() => log.reportOmitted(output.collectDropped()), omittedIntervalMs)
   timer.unref()
-  return { record: (kind, message, fields) => log.record(kind, message, fields), flush: () => destination.flushSync() }
+  return { record: (kind, message, fields) => log.record(kind, message, fields), flush: async () => await output.flush() }
 }
 
 class PinoEventLog implements EventLog {
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -273,7 +273,7 @@
       relayServer.close()
       await Promise.all([store.close(), relay.close()])
       metricsServer?.close()
-      eventLog.flush()
+      await eventLog.flush()
     }
   }
 }
