--- a/features/steps/stoppingHosts.ts
+++ b/features/steps/stoppingHosts.ts
@@ -5,6 +5,7 @@
 import { RecentDurations } from '../../src/core/recentDurations.js'
 import { isWhole } from '../../src/standin/fleet/fleetCaller.js'
 import type { CallKind } from '../../src/standin/fleet/fleetCaller.js'
+import type { StoreFault } from '../../src/standin/fleet/storeServer.js'
 import { HostFleet } from '../support/hostFleet.js'
 import { call, setFaults } from '../support/hostsWorld.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
@@ -12,6 +13,7 @@
 
 interface StoppingWorld extends HostsWorld {
   sent: Array<Promise<void>>
+  stopMs: number
 }
 
 interface DurationsWorld {
@@ -58,6 +60,20 @@
   for (const { requestId } of this.answers) assert.equal(this.hostFleet.fleet.journal.listRuns(requestId).length, 1)
 })
 
+When('the store is {word}, and host 1 stops {int} ms later', { timeout: 20_000 }, async function (this: StoppingWorld, fault: StoreFault, ms: number) {
+  const { store } = this.hostFleet.fleet
+  store.setFault(fault)
+  await sleep(ms)
+  const startedAtMs = performance.now()
+  await this.hostFleet.stopHost(this.hostFleet.hosts[0]!)
+  this.stopMs = performance.now() - startedAtMs
+  store.setFault('none')
+})
+
+Then('the stop takes less than {int} ms', function (this: StoppingWorld, ms: number) {
+  assert.ok(this.stopMs < ms, `${this.stopMs} ms`)
+})
+
 When('streams take {int} ms at host 1, as several have shown', { timeout: 20_000 }, async function (this: StoppingWorld, ms: number) {
   await call(this, { kind: 'stream', host: 1, adapter: 'a1' })
   setFaults(this, endpoint => endpoint.engine !== undefined, { eventMs: ms / (eventCount + 1) })
--- a/features/stoppingHosts.feature
+++ b/features/stoppingHosts.feature
@@ -15,6 +15,19 @@
     Then the stream is refused within 500 ms with a time to come back, and never runs
     And the call is answered as a whole
 
+  # Guards against a call to the store that outlasts the stop, which then ends in SIGKILL.
+  Scenario Outline: A host whose store is <state> ends within its time for a stop
+    Given 1 hosts with <time> ms to stop before 2 engine and 1 services
+    When the store is <state>, and host 1 stops 700 ms later
+    Then the stop takes less than <time> ms
+
+    Examples:
+      | state  | time |
+      | silent | 3000 |
+      | silent | 4300 |
+      | silent | 8000 |
+      | busy   | 4300 |
+
   Scenario Outline: The time that a route's requests take is taken for shorter than it is
     Given <old> requests that took 9000 ms, and then <short> that took 100 ms and <long> that took 800 ms
     Then 95% of its requests end within <common> ms, and 99% within <rare> ms
