Take a proxy's port again when it is free

features/strandedHosts.feature failed once in its After hook with EADDRINUSE: a proxy of the tests gives its port up while it refuses connections, and the system may draw it for a connection meanwhile, as it does with the ports of hosts. It waits for the port now, at most 30 s.

--- a/soak/loopbackProxy.ts
+++ b/soak/loopbackProxy.ts
@@ -1,6 +1,8 @@
 /** A TCP proxy on loopback that does to a link what networks do. */
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
+import { createSystemClock } from '../src/adapters/clock/systemClock.js'
+import { listenOn, openPort } from '../src/adapters/tcp/openPort.js'
 
 /**
  * `delayed`: bytes come late, in both directions; `silent`: none pass until the fault ends; `cutUp`, `cutDown`: none pass
@@ -10,6 +12,8 @@
 
 type Direction = 'up' | 'down'
 
+/** Meanwhile the system may have drawn the port for a connection. */
+const maxPortWaitMs = 30_000
 /** In each direction; beyond the 45 ms after which a first order is repeated, and below the 500 ms of a report. */
 const delayMs = 250
 const heldDirections: Partial<Record<LinkFault, readonly Direction[]>> = { silent: ['up', 'down'], cutUp: ['up'], cutDown: ['down'] }
@@ -47,10 +51,9 @@
   /** Refuses new connections, or takes them again; open ones are not affected. */
   async setRefusing (isRefusing: boolean): Promise<void> {
     if (isRefusing === !this.#server.listening) return
-    const [host, port] = this.address.split(':')
     // The server closes once its open connections have ended, but refuses new ones at once.
     if (isRefusing) this.#server.close()
-    else await new Promise<void>(resolve => this.#listenAgain(Number(port), host!, resolve))
+    else await openPort(async () => await this.#listenAgain(), { name: 'proxy', address: this.address, clock: createSystemClock(), log: { record: () => {} }, signal: new AbortController().signal, maxWaitMs: maxPortWaitMs })
   }
 
   async stop (): Promise<void> {
@@ -58,10 +61,11 @@
     await new Promise<void>(resolve => this.#server.close(() => resolve()))
   }
 
-  #listenAgain (port: number, host: string, receiveListening: () => void): void {
-    this.#server = createServer({ allowHalfOpen: true })
-    this.#server.on('connection', socket => this.#accept(socket))
-    this.#server.listen(port, host, receiveListening)
+  async #listenAgain (): Promise<void> {
+    const server = createServer({ allowHalfOpen: true })
+    server.on('connection', socket => this.#accept(socket))
+    await listenOn(server, this.address)
+    this.#server = server
   }
 
   #accept (caller: Socket): void {
