Let requests beyond 64 on a connection wait outside the host

A caller that writes thousands of requests to a connection had all of them in a host's memory at once: 7,993 of 8,000 waited in the listener.

Cause: Node.js reads a connection as long as bytes come, whether or not the requests before have been answered.

Change: with 64 requests unanswered the connection is read no further until fewer are. What one turn of the event loop has read is kept. An answer of more than 64 KiB does not announce the close of a pipelined connection either, as its caller may send on while it is written.

--- a/features/pipelinedRequests.feature
+++ b/features/pipelinedRequests.feature
@@ -67,3 +67,9 @@
     Given a listener whose answers have 8000000 bytes
     When a caller asks for an answer, and reads it only 500 ms after the listener began to drain
     Then the whole answer arrives
+
+  # Guards against a caller that fills a host's memory with requests that wait for each other.
+  Scenario: Thousands of requests at once on a connection wait outside the host
+    Given a listener whose answers have 10 bytes and take 1 ms
+    When a caller sends 4000 requests at once
+    Then at most 2500 of them wait at a time, and all are answered in turn
--- a/features/steps/pipelinedRequests.ts
+++ b/features/steps/pipelinedRequests.ts
@@ -18,6 +18,7 @@
 interface PipelinedWorld extends HostsWorld {
   rawAnswers: RawAnswer[]
   finalAnswer: RawAnswer
+  mostActive: number
   largeAnswers: { listener: CallerListener, address: string, answer: RawAnswer }
 }
 
@@ -171,7 +172,7 @@
   assert.equal(this.rawAnswers[0]!.status, status, JSON.stringify(this.rawAnswers))
 })
 
-Given('a listener whose answers have {int} bytes', async function (this: PipelinedWorld, bytes: number) {
+async function startListener (world: PipelinedWorld, bytes: number, ms: number): Promise<void> {
   const address = `127.0.0.1:${await findFreePort()}`
   const listener = new CallerListener({
     address,
@@ -181,13 +182,39 @@
     getLimits: () => undefined,
     maxBufferedBytes: 1_000_000,
     handleRequest: (_request, response) => {
-      response.writeHead(200, ['Content-Length', String(bytes)])
-      response.end(Buffer.alloc(bytes, 'x'))
+      setTimeout(() => {
+        response.writeHead(200, ['Content-Length', String(bytes)])
+        response.end(Buffer.alloc(bytes, 'x'))
+      }, ms)
       return { receiveCallerDisconnect: () => {}, receiveStop: () => {} }
     }
   })
   await listener.start()
-  this.largeAnswers = { listener, address, answer: undefined as unknown as RawAnswer }
+  world.largeAnswers = { listener, address, answer: undefined as unknown as RawAnswer }
+}
+
+Given('a listener whose answers have {int} bytes', async function (this: PipelinedWorld, bytes: number) {
+  await startListener(this, bytes, 0)
+})
+
+Given('a listener whose answers have {int} bytes and take {int} ms', async function (this: PipelinedWorld, bytes: number, ms: number) {
+  await startListener(this, bytes, ms)
+})
+
+When('a caller sends {int} requests at once', { timeout: 60_000 }, async function (this: PipelinedWorld, count: number) {
+  const { listener, address } = this.largeAnswers
+  const caller = await RawCaller.open(address)
+  let most = 0
+  const timer = setInterval(() => { most = Math.max(most, listener.activeRequestCount) }, 1)
+  this.rawAnswers = await caller.send(createRequests(['idempotent'], count))
+  clearInterval(timer)
+  caller.close()
+  this.mostActive = most
+})
+
+Then('at most {int} of them wait at a time, and all are answered in turn', function (this: PipelinedWorld, most: number) {
+  assert.ok(this.mostActive <= most, `${this.mostActive} requests`)
+  assert.deepEqual(this.rawAnswers.filter(({ status }) => status !== 200), [])
 })
 
 async function findFreePort (): Promise<number> {
--- a/src/tasks/proxy/callerConnection.ts
+++ b/src/tasks/proxy/callerConnection.ts
@@ -25,6 +25,8 @@
 
 /** Time for a caller to receive its last response before the connection is reset because of bytes that nobody reads. */
 const lingerMs = 500
+/** Beyond these, requests of a connection stay with the system until others have been answered. */
+const maxWaitingRequests = 64
 const badRequestStatus = 400
 /** Statuses and phrases, by the codes of errors of Node.js, for bytes that are no request. */
 const unreadableStatuses: Readonly<Record<string, string>> = Object.freeze({
@@ -46,6 +48,8 @@
   /** Status line that follows the last response, as bytes arrived that are no request. */
   #finalStatus: string | undefined
   #isClosing = false
+  /** Whether nothing is read, as too many requests wait. */
+  #isPaused = false
   /** `bytesRead` when the connection became idle; a greater value now means that a request is arriving. */
   #bytesReadAtIdle = 0
   #linger: Timer | undefined
@@ -79,6 +83,7 @@
     if (this.#exchanges.length > 0) this.#isPipelined = true
     this.#exchanges.push(exchange)
     this.#isLastReceived ||= isLast
+    if (this.#exchanges.length >= maxWaitingRequests) this.#pause()
   }
 
   /** Begins the first request once it has been read; those behind it wait for its response, so that no close cuts them off at endpoints. */
@@ -95,16 +100,11 @@
     if (index < 0) return false
     this.#exchanges.splice(index, 1)
     if (index === 0) this.#hasBegunFirst = false
+    if (this.#isPaused && this.#exchanges.length < maxWaitingRequests) this.#resume()
     if (this.#exchanges.length === 0) this.#receiveIdle()
     return true
   }
 
-  #receiveIdle (): void {
-    this.#bytesReadAtIdle = this.#options.socket.bytesRead
-    if (this.#finalStatus !== undefined) this.#closeWithStatus(this.#finalStatus)
-    else if (this.#options.isClosingIdle() || (this.#options.isDraining() && this.#isPipelined)) this.closeGracefully()
-  }
-
   /**
    * Decides when a response's head is written whether it is the connection's last one. While a host stops, it is if no request was read
    * behind it; requests that arrive behind an unfinished one would be lost, so this needs a complete response, or a caller that waits for each.
@@ -154,6 +154,24 @@
     socket.end(() => { this.#linger = clock.setTimer(() => socket.destroy(), lingerMs) })
   }
 
+  #receiveIdle (): void {
+    this.#bytesReadAtIdle = this.#options.socket.bytesRead
+    if (this.#finalStatus !== undefined) this.#closeWithStatus(this.#finalStatus)
+    else if (this.#options.isClosingIdle() || (this.#options.isDraining() && this.#isPipelined)) this.closeGracefully()
+  }
+
+  /** Once the requests at hand have been set up, which makes Node.js read on. */
+  #pause (): void {
+    if (this.#isPaused) return
+    this.#isPaused = true
+    setImmediate(() => { if (this.#isPaused) this.#options.socket.pause() })
+  }
+
+  #resume (): void {
+    this.#isPaused = false
+    this.#options.socket.resume()
+  }
+
   #finish (status: string): void {
     this.#finalStatus = status
     if (this.#exchanges.length === 0) this.#closeWithStatus(status)
--- a/src/tasks/proxy/callerResponse.ts
+++ b/src/tasks/proxy/callerResponse.ts
@@ -1,10 +1,13 @@
 /** The response to one caller: writes it with backpressure and detects that the caller has disconnected. */
 import type { ServerResponse } from 'node:http'
 
+/** A body of this size goes out at once, whether or not its caller reads it. */
+const maxAtOnceBytes = 64 * 1024
+
 export interface CallerResponseOptions {
   response: ServerResponse
   onCallerDisconnect: () => void
-  /** Whether the caller is told that this is the last response on its connection; `isComplete`: whether it is written as a whole. */
+  /** Whether the caller is told that this is the last response on its connection; `isComplete`: whether it goes out as a whole. */
   decideClose: (isComplete: boolean) => boolean
 }
 
@@ -54,7 +57,7 @@
   end (chunk?: Buffer): void {
     if (this.#isEnded) return
     this.#isEnded = true
-    this.#flushHead(true)
+    this.#flushHead((chunk?.length ?? 0) <= maxAtOnceBytes)
     this.#response.end(chunk)
   }
 
