End with the code of wrong settings where a host cannot read its settings

A host whose settings file is missing, cut or invalid ended with code 1, like any fault of its own, so that FAULT could not be told from a wrong setting.

--- a/features/hostSettings.feature
+++ b/features/hostSettings.feature
@@ -25,6 +25,17 @@
     Given a settings file that is truncated in the middle
     Then the settings are rejected with "is not valid JSON"
 
+  # Guards against wrong settings that end a process like a fault of its own.
+  Scenario Outline: The program ends with the code of wrong settings for <file>
+    Given <file>
+    When the host's program is run with that file
+    Then the program exits with code 2 and prints "<reason>"
+
+    Examples:
+      | file                                            | reason            |
+      | a settings file that is truncated in the middle | is not valid JSON |
+      | a settings file that does not exist             | cannot be read    |
+
   Scenario: The program describes its command line and rejects an invalid one
     When the host's program is run with "--help"
     Then the program exits with code 0 and prints "--metrics PORT"
--- a/features/steps/hostSettings.ts
+++ b/features/steps/hostSettings.ts
@@ -5,7 +5,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import { readHostSettings } from '../../src/platform/hostSettings.js'
+import { readHostSettings, settingsFileVariable } from '../../src/platform/hostSettings.js'
 import type { HostSettings } from '../../src/schemas/hostSettings.js'
 import type { SystemWorld } from '../support/world.js'
 
@@ -89,6 +89,16 @@
   this.programOutput = stdout + stderr
 })
 
+When('the host\'s program is run with that file', function (this: SettingsWorld) {
+  const { status, stdout, stderr } = spawnSync(process.execPath, ['dist/src/bin/host.js'], { encoding: 'utf8', env: { ...process.env, [settingsFileVariable]: getSettingsPath(this) } })
+  this.programExitCode = status
+  this.programOutput = stdout + stderr
+})
+
+Given('a settings file that does not exist', function (this: SettingsWorld) {
+  this.settingsFolder = mkdtempSync(join(tmpdir(), 'sedgevalve-settings-'))
+})
+
 Then('the program exits with code {int} and prints {string}', function (this: SettingsWorld, code: number, text: string) {
   assert.equal(this.programExitCode, code, this.programOutput)
   assert.ok(this.programOutput.includes(text), this.programOutput)
--- a/src/platform/hostSettings.ts
+++ b/src/platform/hostSettings.ts
@@ -3,8 +3,8 @@
 import { Type } from '@sinclair/typebox'
 import type { Static } from '@sinclair/typebox'
 import { TypeCompiler } from '@sinclair/typebox/compiler'
-import VError from 'verror'
 import type { HostSettings } from '../schemas/hostSettings.js'
+import { createSettingsError } from '../settings/settingsError.js'
 
 /** Environment variable with the path of the settings file. */
 export const settingsFileVariable = 'SEDGEVALVE_SETTINGS'
@@ -51,27 +51,35 @@
 const defaultPassMs = 120
 
 /**
- * Reads the settings of this process. Throws an error that names the first invalid field.
+ * Reads the settings of this process. Throws an error of the settings that names the first invalid field.
  *
  * @example
  * readHostSettings().hostName // 'frontend-sala-unu-1'
  */
 export function readHostSettings (file = process.env[settingsFileVariable] ?? defaultSettingsFile): HostSettings {
-  return decodeSettings(validateSettings(file, parseJson(file, readFileSync(file, 'utf8'))))
+  return decodeSettings(validateSettings(file, parseJson(file, readFileText(file))))
+}
+
+function readFileText (file: string): string {
+  try {
+    return readFileSync(file, 'utf8')
+  } catch (error) {
+    throw createSettingsError(`the settings file "${file}" cannot be read (${(error as NodeJS.ErrnoException).code})`)
+  }
 }
 
 function parseJson (file: string, text: string): unknown {
   try {
     return JSON.parse(text)
   } catch (error) {
-    throw new VError(error as Error, 'the settings file "%s" is not valid JSON', file)
+    throw createSettingsError(`the settings file "${file}" is not valid JSON: ${(error as Error).message}`)
   }
 }
 
 function validateSettings (file: string, settings: unknown): Static<typeof settingsFileSchema> {
   if (settingsValidator.Check(settings)) return settings
   const error = settingsValidator.Errors(settings).First()
-  throw new VError('the settings file "%s" is invalid at "%s": %s', file, error?.path, error?.message)
+  throw createSettingsError(`the settings file "${file}" is invalid at "${error?.path}": ${error?.message}`)
 }
 
 function decodeSettings (file: Static<typeof settingsFileSchema>): HostSettings {
