End the request whose handling throws, and not the host

An exception thrown while one request is handled would end the host's process with all its requests: reading ran in an event handler, and nothing caught what serving rejected with.

Change: the listener reads and serves a request in one place that catches. The request ends with status 500, or its connection is closed if its answer has begun, and request.threw holds the exception. Exceptions in callbacks of timers and of connections to endpoints are not caught by this.

--- a/features/steps/pipelinedRequests.ts
+++ b/features/steps/pipelinedRequests.ts
@@ -1,7 +1,5 @@
 /** Steps of callers that write several requests to a connection before they have the answers. */
 import assert from 'node:assert/strict'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
@@ -11,6 +9,7 @@
 import { formatRawRequest, RawCaller } from '../../src/standin/fleet/rawCaller.js'
 import type { RawAnswer, RawRequest } from '../../src/standin/fleet/rawCaller.js'
 import { CallerListener } from '../../src/tasks/proxy/callerListener.js'
+import { findFreePort } from '../support/findFreePort.js'
 import { HostFleet } from '../support/hostFleet.js'
 import { setFaults } from '../support/hostsWorld.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
@@ -181,13 +180,16 @@
     decodeRequest,
     getLimits: () => undefined,
     maxBufferedBytes: 1_000_000,
-    handleRequest: (_request, response) => {
-      setTimeout(() => {
+    createHandle: (_request, response) => ({
+      serve: async () => {
+        if (ms > 0) await sleep(ms)
         response.writeHead(200, ['Content-Length', String(bytes)])
         response.end(Buffer.alloc(bytes, 'x'))
-      }, ms)
-      return { receiveCallerDisconnect: () => {}, receiveStop: () => {} }
-    }
+      },
+      receiveError: () => {},
+      receiveCallerDisconnect: () => {},
+      receiveStop: () => {}
+    })
   })
   await listener.start()
   world.largeAnswers = { listener, address, answer: undefined as unknown as RawAnswer }
@@ -217,14 +219,6 @@
   assert.deepEqual(this.rawAnswers.filter(({ status }) => status !== 200), [])
 })
 
-async function findFreePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise(resolve => server.close(resolve))
-  return port
-}
-
 When('a caller asks for an answer, and reads it only {int} ms after the listener began to drain', async function (this: PipelinedWorld, ms: number) {
   const { listener, address } = this.largeAnswers
   const caller = await RawCaller.open(address)
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -154,11 +154,6 @@
     clock,
     log,
     getLimits: () => clusterView.routes?.configuration.limits,
-    handleRequest: (request, response, mustRefuse) => {
-      const proxiedRequest = new ProxiedRequest(context, request, response)
-      if (mustRefuse) proxiedRequest.receiveStop()
-      else proxiedRequest.serve()
-      return proxiedRequest
-    }
+    createHandle: (request, response) => new ProxiedRequest(context, request, response)
   })
 }
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -23,11 +23,14 @@
   getLimits: () => CallerLimits | undefined
   /** Limit on the total size of all request bodies in memory. */
   maxBufferedBytes: number
-  /** `mustRefuse`: the request is left to other hosts, as this one stops. */
-  handleRequest: (request: CallerRequest, response: CallerResponse, mustRefuse: boolean) => RequestHandle
+  createHandle: (request: CallerRequest, response: CallerResponse) => RequestHandle
 }
 
 export interface RequestHandle {
+  /** Handles the request. Rejects if an exception ends that. */
+  serve: () => Promise<void>
+  /** Called when an exception ended the handling of the request. */
+  receiveError: () => void
   /** Called when the caller has disconnected. */
   receiveCallerDisconnect: () => void
   /** Called when this host stops; ends the request. */
@@ -189,13 +192,30 @@
     })
     this.#readBody(exchange, body => {
       exchange.begin = () => {
-        handle = this.#options.handleRequest(this.#options.decodeRequest(message, body, receivedAtMs), callerResponse, isBehindClose || this.#isStopping)
-        this.#handles.add(handle)
+        const handleRequest = async (): Promise<void> => {
+          handle = this.#options.createHandle(this.#options.decodeRequest(message, body, receivedAtMs), callerResponse)
+          this.#handles.add(handle)
+          // While this host stops, the request is left to other hosts.
+          if (isBehindClose || this.#isStopping) handle.receiveStop()
+          else await handle.serve()
+        }
+        handleRequest().catch((error: Error) => this.#receiveException(error, handle, callerResponse))
       }
       connection.advance()
     })
   }
 
+  /** Ends a request whose handling threw, so that neither the process nor other requests end with it. */
+  #receiveException (error: Error, handle: RequestHandle | undefined, response: CallerResponse): void {
+    this.#options.log.record('request.threw', 'An exception ended the handling of a request.', { error: error.message, stack: error.stack })
+    try {
+      handle?.receiveError()
+    } catch (secondError) {
+      this.#options.log.record('request.threw', 'An exception ended the handling of a request.', { error: (secondError as Error).message, stack: (secondError as Error).stack })
+    }
+    response.fail()
+  }
+
   #readBody (exchange: Exchange, onBody: (body: Buffer | undefined) => void): void {
     const { maxBodyBytes } = this.#options.getLimits() ?? defaultLimits
     const { message } = exchange
--- a/src/tasks/proxy/callerResponse.ts
+++ b/src/tasks/proxy/callerResponse.ts
@@ -11,6 +11,8 @@
   decideClose: (isComplete: boolean) => boolean
 }
 
+const internalErrorStatus = 500
+
 export class CallerResponse {
   #response: ServerResponse
   #options: CallerResponseOptions
@@ -68,6 +70,15 @@
     this.#response.destroy()
   }
 
+  /** Ends a response that has not ended with status 500, or its connection if its body has begun. */
+  fail (): void {
+    if (this.#response.headersSent) this.abort()
+    else {
+      this.writeHead(internalErrorStatus, ['Content-Length', '0'])
+      this.end()
+    }
+  }
+
   #flushHead (isComplete: boolean): void {
     if (!this.#pendingHead) return
     const { status, headers } = this.#pendingHead
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -34,6 +34,7 @@
 /** When callers may come back whose request this host cannot complete before it stops; other hosts can. */
 const stoppingRetryMs = 100
 const stoppingCode = 'stopping'
+const internalErrorReason = 'this host failed while it handled the request'
 /** What other hosts may serve that have sent the request here. */
 const elsewhereCodes: ReadonlySet<string> = new Set([unreachableCode, stoppingCode, 'no_configuration'])
 /** Interval at which a request checks again while this host is starting or the owner of an engine is changing. */
@@ -117,6 +118,13 @@
     this.#giveUp({ verdict: isSent ? 'mayHaveRun' : 'notRun', reason: 'this host has stopped', status: undefined }, stoppingRetryMs, stoppingCode)
   }
 
+  /** Called when an exception ended `serve`. */
+  receiveError (): void {
+    this.#attempt?.cancel()
+    if (this.#response.hasHead) this.#abort(internalErrorReason)
+    else this.#respond(500, 'internal_error', internalErrorReason)
+  }
+
   async serve (): Promise<void> {
     const { clusterView, clock, callerTimeouts, retryBudget, random, inFlightRequests } = this.#context
     const request = this.#request
@@ -234,8 +242,7 @@
       }
       const wasAttempted = this.#attemptedEndpointIds.includes(selection.target.endpoint.id)
       const failure = await this.#send(selection.target, route)
-      if (!failure || this.#hasEnded) return
-      if (this.#hasEnded || this.#refuseIfCrashing()) return
+      if (!failure || this.#hasEnded || this.#refuseIfCrashing()) return
       // Repeating a request that may have crashed its engine would take the next one along.
       if (this.#isPossibleCause || !canRetryAttempt(failure, this.#createRetryView(route))) {
         this.#giveUp(failure, undefined)
@@ -250,15 +257,8 @@
   }
 
   #createRetryView (route: Route): Parameters<typeof canRetryAttempt>[1] {
-    return {
-      kind: route.kind,
-      isResumable: route.isResumable,
-      possibleRuns: this.#runCount,
-      maxAttempts: route.maxAttempts,
-      timeLeftMs: this.#getDeadlineAtMs() - this.#context.clock.readMonotonic(),
-      hasSentAnswer: this.#response.hasHead,
-      canBeFollowed: this.#attempt?.canBeFollowed ?? true
-    }
+    const timeLeftMs = this.#getDeadlineAtMs() - this.#context.clock.readMonotonic()
+    return { kind: route.kind, isResumable: route.isResumable, possibleRuns: this.#runCount, maxAttempts: route.maxAttempts, timeLeftMs, hasSentAnswer: this.#response.hasHead, canBeFollowed: this.#attempt?.canBeFollowed ?? true }
   }
 
   /** Waits for one check interval; returns false once the limit on these waits is reached or the request has ended. */
