Run on when a caller asks for a tunnel and resets its connection

A caller that sent CONNECT and reset its connection ended the host's process.

Cause: since requests for a tunnel are answered, the server of Node.js hands their connections over and removes its own listeners, and an error without a listener ends the process.

Change: the listener has a listener of its own for the errors of each connection.

--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -143,6 +143,8 @@
     const connection = new CallerConnection({ socket, clock, isDraining: () => this.#isDraining, isClosingIdle: () => this.#isClosingIdle })
     this.#connections.set(socket, connection)
     let hasCallerEnded = false
+    // The server removes its listener at a request for a tunnel, and an error without one would end the process.
+    socket.on('error', () => {})
     socket.on('end', () => { hasCallerEnded = true })
     socket.on('close', () => {
       this.#connections.delete(socket)
