Begin no request whose connection ends before its turn

Requests ran although nobody could get their answers: those before half a head or half a body with which their caller left, those behind a request without a host (answered by Node.js itself, with a close), and those behind one of HTTP/1.0 that asked for its connection to be kept. A refused expectation behind a request got no answer at a host that stops, and a request for a tunnel behind one stalled an answer that is read slowly.

Cause: the server of Node.js answers some requests itself and ends, or does not end, their connections without the component that decides about them.

Change: a request without a host and a refused expectation are answered in their turn, an answer in HTTP/1.0 is the last one of its connection, the end of a connection is one whatever came before it, and nothing is begun after it.

--- a/src/tasks/proxy/callerConnection.ts
+++ b/src/tasks/proxy/callerConnection.ts
@@ -8,6 +8,8 @@
   readonly message: IncomingMessage
   /** Handles the request or rejects it; undefined until its body has been read or found unacceptable. */
   begin: (() => void) | undefined
+  /** Lets the response go on once its connection has room again. */
+  resume: () => void
   /** Rejects a request that cannot be read to its end. */
   reject: (status: number) => void
   /** Called once the response has been written, or the connection has closed. */
@@ -70,6 +72,11 @@
     for (const exchange of this.#exchanges.toReversed()) exchange.end()
   }
 
+  /** Passes on that the connection has room again. */
+  receiveDrain (): void {
+    this.#exchanges[0]?.resume()
+  }
+
   get unansweredCount (): number {
     return this.#exchanges.length
   }
@@ -89,7 +96,7 @@
   /** Begins the first request once it has been read; those behind it wait for its response, so that no close cuts them off at endpoints. */
   advance (): void {
     const begin = this.#exchanges[0]?.begin
-    if (!begin || this.#hasBegunFirst || this.#options.socket.destroyed) return
+    if (!begin || this.#hasBegunFirst || this.#options.socket.readableEnded || this.#options.socket.destroyed) return
     this.#hasBegunFirst = true
     begin()
   }
@@ -119,7 +126,8 @@
   /** Answers bytes that are no request with an error, after the responses to the requests before them. */
   receiveError (error: NodeJS.ErrnoException): void {
     const { socket } = this.#options
-    if (!parserErrorPattern.test(error.code ?? '')) {
+    // A caller that has left may have done so behind half a request.
+    if (socket.readableEnded || !parserErrorPattern.test(error.code ?? '')) {
       socket.destroy()
       return
     }
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -43,6 +43,8 @@
 const maxHeadBytes = 64 * 1024
 /** Connections that the system holds for this process to accept. */
 const maxPendingConnections = 1024
+const badRequestStatus = 400
+const expectationFailedStatus = 417
 /** Time to write the last answers. */
 const answerMs = 200
 /** Interval at which `drain` checks the open connections. */
@@ -64,7 +66,7 @@
 
   constructor (options: CallerListenerOptions) {
     this.#options = options
-    this.#server = createServer({ maxHeaderSize: maxHeadBytes, requestTimeout: 0 }, (message, response) => this.#receiveRequest(message, response))
+    this.#server = createServer({ maxHeaderSize: maxHeadBytes, requestTimeout: 0, requireHostHeader: false }, (message, response) => this.#receiveRequest(message, response))
     // The server's own `close` would cut responses that have ended and are still being written.
     this.#server.closeIdleConnections = () => {}
     this.#server.on('connection', (socket: Socket) => this.#receiveConnection(socket))
@@ -72,12 +74,17 @@
       if (!this.#connections.get(message.socket)?.isLastReceived) response.writeContinue()
       this.#receiveRequest(message, response)
     })
+    this.#server.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) => this.#receiveRequest(message, response, expectationFailedStatus))
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-      options.log.record('caller.unreadable', 'Failed to read a request.', { error: error.message })
-      this.#connections.get(socket)?.receiveError(error)
+      const connection = this.#connections.get(socket)
+      if (!connection?.isLastReceived) options.log.record('caller.unreadable', 'Failed to read a request.', { error: error.message })
+      connection?.receiveError(error)
     })
     this.#server.on('connect', (_message: IncomingMessage, socket: Socket) => {
-      this.#connections.get(socket)?.receiveUnsupported()
+      const connection = this.#connections.get(socket)
+      connection?.receiveUnsupported()
+      // The server has removed its own listener, which passes this on to the response in progress.
+      socket.on('drain', () => connection?.receiveDrain())
       socket.resume()
     })
     this.applyLimits()
@@ -145,7 +152,11 @@
     let hasCallerEnded = false
     // The server removes its listener at a request for a tunnel, and an error without one would end the process.
     socket.on('error', () => {})
-    socket.on('end', () => { hasCallerEnded = true })
+    socket.on('end', () => {
+      hasCallerEnded = true
+      // The server does not end a connection whose caller has left behind half a request.
+      socket.end()
+    })
     socket.on('close', () => {
       this.#connections.delete(socket)
       const { unansweredCount } = connection
@@ -154,7 +165,7 @@
     })
   }
 
-  #receiveRequest (message: IncomingMessage, response: ServerResponse): void {
+  #receiveRequest (message: IncomingMessage, response: ServerResponse, refusedStatus = findRefusedStatus(message)): void {
     const { clock } = this.#options
     const receivedAtMs = clock.readMonotonic()
     const { socket } = message
@@ -174,6 +185,7 @@
     const exchange: Exchange = {
       message,
       begin: undefined,
+      resume: () => { response.emit('drain') },
       reject: status => this.#prepareRejection(exchange, connection, callerResponse, status),
       end: () => {
         if (!connection.remove(exchange)) return
@@ -186,12 +198,14 @@
     }
     // A caller that always has a request unanswered would otherwise keep its connection for the whole time of the stop.
     const isBehindClose = this.#isClosingIdle && connection.unansweredCount > 0
-    connection.add(exchange, !response.shouldKeepAlive)
+    // The server closes connections of HTTP/1.0 after answers of unknown length.
+    connection.add(exchange, !response.shouldKeepAlive || message.httpVersionMinor === 0)
     response.on('close', exchange.end)
     message.on('data', (chunk: Buffer) => {
       bodyBytes += chunk.length
       this.#bufferedBytes += chunk.length
     })
+    if (refusedStatus !== undefined) exchange.reject(refusedStatus)
     this.#readBody(exchange, body => {
       exchange.begin = () => {
         const handleRequest = async (): Promise<void> => {
@@ -249,3 +263,8 @@
     connection.advance()
   }
 }
+
+/** Status of a request that is refused because of its head; HTTP/1.1 requires the name of a host. */
+function findRefusedStatus (message: IncomingMessage): number | undefined {
+  return message.headers.host === undefined && message.httpVersionMinor > 0 ? badRequestStatus : undefined
+}
