Leave no listeners behind at a port that is in use

A start that waited for a port for more than a second wrote a warning of Node.js to its output, as each attempt left a listener.

--- a/src/adapters/tcp/openPort.ts
+++ b/src/adapters/tcp/openPort.ts
@@ -63,11 +63,17 @@
 export async function listenOn (server: Server, address: string, backlog?: number): Promise<void> {
   const [host, port] = address.split(':')
   await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen({ host, port: Number(port), backlog }, () => {
-      server.removeListener('error', reject)
+    const receiveListening = (): void => {
+      server.removeListener('error', receiveError)
       resolve()
-    })
+    }
+    const receiveError = (error: Error): void => {
+      server.removeListener('listening', receiveListening)
+      reject(error)
+    }
+    server.once('listening', receiveListening)
+    server.once('error', receiveError)
+    server.listen({ host, port: Number(port), backlog })
   })
 }
 
