Close connections at a stop whose bytes become no request

A connection with an empty line or half a head behind its last answer held a stop up to its deadline: 3,000 ms of 3,000, where needed some 70 ms.

Cause: any byte since the last answer counted as a request that arrives, for as long as the stop lasts.

Change: a head has the time-out of heads to arrive, 3 s where the configuration does not say otherwise, and the connection is closed then.

Two scenarios.

--- a/features/connectionEnds.feature
+++ b/features/connectionEnds.feature
@@ -53,3 +53,14 @@
     Given a listener whose requests take 30000 ms
     When a caller writes 20000 requests without an answer for 2000 ms
     Then at most 2000 requests wait at the listener
+
+  # Guards against bytes between requests that hold a stop up to its deadline.
+  Scenario Outline: A connection with <what> and no request is closed by a listener that stops
+    Given a listener whose requests take 20 ms
+    When a caller has an answer and sends <what>, and the listener has 8000 ms to stop
+    Then it has stopped within 4500 ms
+
+    Examples:
+      | what            |
+      | an empty line   |
+      | half a head     |
--- a/features/steps/connectionEnds.ts
+++ b/features/steps/connectionEnds.ts
@@ -26,6 +26,7 @@
   endsCaller: Socket
   /** What the caller has received. */
   received: string
+  stopMs: number
   begun: string[]
   cancelled: string[]
 }
@@ -191,6 +192,21 @@
   await once(caller, 'end')
 })
 
+When(/^a caller has an answer and sends (an empty line|half a head), and the listener has (\d+) ms to stop$/, { timeout: 20_000 }, async function (this: EndsWorld, what: string, ms: string) {
+  const caller = await openCaller(this)
+  caller.write(formatGet('/first'))
+  await waitUntil(() => this.received.endsWith('0\r\n\r\n'))
+  caller.write(what === 'half a head' ? 'GET /half HT' : '\r\n')
+  await sleep(50)
+  const startedAtMs = performance.now()
+  await this.endsListener.drain(0, Number(ms))
+  this.stopMs = performance.now() - startedAtMs
+})
+
+Then('it has stopped within {int} ms', function (this: EndsWorld, ms: number) {
+  assert.ok(this.stopMs < ms, `${this.stopMs} ms`)
+})
+
 Then('both get an answer', function (this: EndsWorld) {
   assert.deepEqual([...this.received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(match => match[1]), ['200', '417'])
 })
--- a/src/tasks/proxy/callerConnection.ts
+++ b/src/tasks/proxy/callerConnection.ts
@@ -54,6 +54,8 @@
   #isPaused = false
   /** `bytesRead` when the connection became idle; a greater value now means that a request is arriving. */
   #bytesReadAtIdle = 0
+  /** When bytes were first seen on an idle connection that was to be closed, in monotonic milliseconds. */
+  #arrivingSinceMs: number | undefined
   #linger: Timer | undefined
 
   constructor (options: CallerConnectionOptions) {
@@ -90,24 +92,24 @@
     if (this.#exchanges.length > 0) this.#isPipelined = true
     this.#exchanges.push(exchange)
     this.#isLastReceived ||= isLast
-    if (this.#exchanges.length >= maxWaitingRequests) this.#pause()
+    this.#limitReading()
   }
 
   /** Begins the first request once it has been read; those behind it wait for its response, so that no close cuts them off at endpoints. */
   advance (): void {
     const begin = this.#exchanges[0]?.begin
-    if (!begin || this.#hasBegunFirst || this.#options.socket.readableEnded || this.#options.socket.destroyed) return
+    if (!begin || this.#hasBegunFirst || this.#isClosing || this.#options.socket.readableEnded || this.#options.socket.destroyed) return
     this.#hasBegunFirst = true
     begin()
   }
 
   /** Removes a request whose response has been written; returns false if it was removed before. */
   remove (exchange: Exchange): boolean {
-    const index = this.#exchanges.indexOf(exchange)
+    const index = this.#exchanges.lastIndexOf(exchange)
     if (index < 0) return false
     this.#exchanges.splice(index, 1)
     if (index === 0) this.#hasBegunFirst = false
-    if (this.#isPaused && this.#exchanges.length < maxWaitingRequests) this.#resume()
+    this.#limitReading()
     if (this.#exchanges.length === 0) this.#receiveIdle()
     return true
   }
@@ -147,10 +149,18 @@
     this.#finish('501 Not Implemented')
   }
 
-  /** Closes the connection if no request is in progress or arriving. The caller knows that a request which arrives then was not read. */
-  closeIfIdle (): void {
-    const { socket } = this.#options
-    if (this.#exchanges.length === 0 && !this.#isClosing && socket.bytesRead <= this.#bytesReadAtIdle) socket.destroy()
+  /**
+   * Closes the connection if no request is in progress or arriving; one whose head does not arrive within `headTimeoutMs` is none. The
+   * caller knows that a request which arrives then was not read.
+   */
+  closeIfIdle (headTimeoutMs: number): void {
+    const { socket, clock } = this.#options
+    if (this.#exchanges.length > 0 || this.#isClosing) return
+    if (socket.bytesRead > this.#bytesReadAtIdle) {
+      this.#arrivingSinceMs ??= clock.readMonotonic()
+      if (clock.readMonotonic() - this.#arrivingSinceMs < headTimeoutMs) return
+    }
+    socket.destroy()
   }
 
   /** Closes the connection in stages: ends it after what was written, and ignores what still arrives until the caller has closed it. */
@@ -168,16 +178,16 @@
     else if (this.#options.isClosingIdle() || (this.#options.isDraining() && this.#isPipelined)) this.closeGracefully()
   }
 
-  /** Once the requests at hand have been set up, which makes Node.js read on. */
-  #pause (): void {
-    if (this.#isPaused) return
-    this.#isPaused = true
-    setImmediate(() => { if (this.#isPaused) this.#options.socket.pause() })
-  }
-
-  #resume (): void {
-    this.#isPaused = false
-    this.#options.socket.resume()
+  /** Reads no further while too many requests wait. Node.js reads on at each request and response, so this follows them. */
+  #limitReading (): void {
+    const { socket } = this.#options
+    if (this.#exchanges.length >= maxWaitingRequests) {
+      this.#isPaused = true
+      setImmediate(() => { if (this.#isPaused) socket.pause() })
+    } else if (this.#isPaused) {
+      this.#isPaused = false
+      socket.resume()
+    }
   }
 
   #finish (status: string): void {
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -126,7 +126,8 @@
       if (elapsedMs >= quietMs) {
         this.#isClosingIdle = true
         this.#server.close()
-        for (const connection of this.#connections.values()) connection.closeIfIdle()
+        const { headerTimeoutMs } = this.#options.getLimits() ?? defaultLimits
+        for (const connection of this.#connections.values()) connection.closeIfIdle(headerTimeoutMs)
       }
       if (elapsedMs >= deadlineMs || (elapsedMs >= quietMs && this.#activeRequests === 0 && this.#connections.size === 0)) return
       await new Promise<void>(resolve => { clock.setTimer(resolve, drainCheckIntervalMs) })
