Report a stop that fails as a start that fails is reported

A stop after the start that rejected ended the process with code 1 as an unhandled rejection, whose dump of source and stack is no line of the program's; during the start it was reported on one line.

Cause: the handler of signals did not handle what the stop rejects with. Change: runUntilStopped rejects with it, so that its caller reports it.

--- a/src/bin/processExit.ts
+++ b/src/bin/processExit.ts
@@ -17,7 +17,8 @@
  * SIGHUP reports that the settings file has changed. SIGUSR2 writes the state of the process to stderr as one line of JSON.
  *
  * Signals are handled from the call on, as their default action would end a process that has just begun to start: a stop that arrives
- * before `start` has resolved follows then, with exit code 0. `stopSignal` lets `start` give up a wait for what it needs.
+ * before `start` has resolved follows then, with exit code 0. `stopSignal` lets `start` give up a wait for what it needs. Rejects if the start
+ * or the stop fails.
  *
  * @example
  * await runUntilStopped(async () => await startHost(settings, clock))
@@ -29,6 +30,7 @@
     await started.stop()
     process.exit(0)
   }
+  const { promise: stopFailed, reject: rejectStop } = createRejection()
   const handleSignal = (signal: typeof signals[number]): void => {
     if (signal === 'SIGUSR2') {
       process.stderr.write(`${JSON.stringify(running?.describeState?.() ?? {})}\n`)
@@ -38,7 +40,7 @@
     } else if (!isStopping) {
       isStopping = true
       stopController.abort()
-      if (running) stop(running)
+      if (running) stop(running).catch(rejectStop)
     } else if (signal === 'SIGINT') {
       process.exit(1)
     }
@@ -47,6 +49,13 @@
   running = await startUnlessStopped(start, stopController.signal)
   if (isReloadDue) running.reload?.()
   if (isStopping) await stop(running)
+  await stopFailed
+}
+
+function createRejection (): { promise: Promise<never>, reject: (error: Error) => void } {
+  let rejectPromise: (error: Error) => void = () => {}
+  const promise = new Promise<never>((_resolve, reject) => { rejectPromise = reject })
+  return { promise, reject: rejectPromise }
 }
 
 /** A start that was given up because of a stop has nothing to stop. */
