Read what has arrived before a stopping host closes connections

Cause: when a process had no processor for a while, its timers run before it reads. The close of idle connections, and of the port, then comes before connections are accepted and bytes are read that arrived meanwhile.

Change: the close waits until two turns of the event loop have brought neither a connection nor a request.

--- /dev/null
+++ b/features/arrivingRequests.feature
@@ -0,0 +1,18 @@
+Feature: Requests that arrive while a host closes its connections
+  A request that has reached the host when it closes idle connections is read and answered.
+
+  # Guards against a process that had no processor for a while and closes connections before it reads what has arrived on them.
+  Scenario Outline: Requests that arrived while the process stood still at the close are answered on <connections>
+    Given a listener that answers requests at once
+    When requests arrive on 4 <connections>, and its process stands still beyond the time of the close
+    Then each of these requests is answered
+
+    Examples:
+      | connections                            |
+      | connections with an earlier answer     |
+      | connections without an earlier request |
+
+  Scenario: Requests on connections that were opened while the process stood still at the close are answered
+    Given a listener that answers requests at once
+    When 8 connections are opened and send a request, and its process stands still beyond the time of the close
+    Then each of these requests is answered
--- /dev/null
+++ b/features/steps/arrivingRequests.ts
@@ -0,0 +1,85 @@
+/** Steps of requests that arrive while a host closes its connections. */
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Worker } from 'node:worker_threads'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
+import { decodeRequest } from '../../src/platform/requestWire.js'
+import { RawCaller } from '../../src/standin/fleet/rawCaller.js'
+import type { RawAnswer } from '../../src/standin/fleet/rawCaller.js'
+import { CallerListener } from '../../src/tasks/proxy/callerListener.js'
+import type { ArrivingOrder } from '../support/arrivingCaller.js'
+import { findFreePort } from '../support/findFreePort.js'
+
+interface ArrivingWorld {
+  listener: { listener: CallerListener, address: string }
+  arrivingAnswers: RawAnswer[]
+}
+
+/** From the start of the drain to the close of idle connections, and how long the process stands still across it. */
+const [quietMs, standstillMs] = [200, 400]
+
+After(function (this: Partial<ArrivingWorld>) {
+  this.listener?.listener.close()
+})
+
+Given('a listener that answers requests at once', async function (this: ArrivingWorld) {
+  const address = `127.0.0.1:${await findFreePort()}`
+  const listener = new CallerListener({
+    address,
+    clock: createSystemClock(),
+    log: { record: () => {} },
+    decodeRequest,
+    getLimits: () => undefined,
+    maxBufferedBytes: 1_000_000,
+    createHandle: (_request, response) => ({
+      serve: async () => {
+        response.writeHead(200, ['Content-Length', '0'])
+        response.end()
+      },
+      receiveError: () => {},
+      receiveCallerDisconnect: () => {},
+      receiveStop: () => {}
+    })
+  })
+  await listener.start()
+  this.listener = { listener, address }
+})
+
+When(/^requests arrive on (\d+) connections (with an earlier answer|without an earlier request), and its process stands still beyond the time of the close$/, async function (this: ArrivingWorld, count: string, earlier: string) {
+  const { listener, address } = this.listener
+  const callers = await Promise.all(Array.from({ length: Number(count) }, async () => await RawCaller.open(address)))
+  if (earlier === 'with an earlier answer') await Promise.all(callers.map(async caller => await caller.send([{ kind: 'once' }])))
+  await sleep(100)
+  const drained = listener.drain(quietMs, 5000)
+  // In this phase of the event loop, timers that are due run before anything is read; the bytes are with the system at once.
+  await new Promise(resolve => setImmediate(resolve))
+  const answers = callers.map(async caller => await caller.send([{ kind: 'once' }]))
+  standStill()
+  this.arrivingAnswers = (await Promise.all(answers)).flat()
+  await drained
+})
+
+When('{int} connections are opened and send a request, and its process stands still beyond the time of the close', async function (this: ArrivingWorld, count: number) {
+  const { listener, address } = this.listener
+  const caller = new Worker(new URL('../support/arrivingCaller.js', import.meta.url))
+  await once(caller, 'message')
+  const drained = listener.drain(quietMs, 5000)
+  await new Promise(resolve => setImmediate(resolve))
+  const order: ArrivingOrder = { address, count }
+  caller.postMessage(order)
+  standStill()
+  const [answers] = await once(caller, 'message') as [RawAnswer[]]
+  this.arrivingAnswers = answers
+  await drained
+  await caller.terminate()
+})
+
+function standStill (): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, standstillMs)
+}
+
+Then('each of these requests is answered', function (this: ArrivingWorld) {
+  assert.deepEqual(this.arrivingAnswers.map(({ status, error }) => `${status} ${error ?? ''}`), this.arrivingAnswers.map(() => '200 '))
+})
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -49,6 +49,8 @@
 const answerMs = 200
 /** Interval at which `drain` checks the open connections. */
 const drainCheckIntervalMs = 50
+/** Turns of the event loop without a connection or request after which none has arrived: one to accept a connection, and one to read it. */
+const quietTurns = 2
 
 export class CallerListener {
   #options: CallerListenerOptions
@@ -58,6 +60,8 @@
   #connections = new Map<Socket, CallerConnection>()
   #activeRequests = 0
   #bufferedBytes = 0
+  /** Connections and requests that have arrived so far. */
+  #arrivals = 0
   #isDraining = false
   /** Whether `drain` has stopped accepting connections, so that open ones are closed when they become idle. */
   #isClosingIdle = false
@@ -124,6 +128,7 @@
     for (;;) {
       const elapsedMs = clock.readMonotonic() - startedAtMs
       if (elapsedMs >= quietMs) {
+        await this.#waitForArrived()
         this.#isClosingIdle = true
         this.#server.close()
         const { headerTimeoutMs } = this.#options.getLimits() ?? defaultLimits
@@ -146,8 +151,18 @@
     for (const socket of this.#connections.keys()) socket.destroy()
   }
 
+  /** Resolves once what arrived while the process stood still has been accepted and read. */
+  async #waitForArrived (): Promise<void> {
+    for (let turn = 0, quiet = 0; quiet < quietTurns && turn < maxPendingConnections; turn++) {
+      const before = this.#arrivals
+      await new Promise(resolve => setImmediate(resolve))
+      quiet = this.#arrivals === before ? quiet + 1 : 0
+    }
+  }
+
   #receiveConnection (socket: Socket): void {
     const { clock, log } = this.#options
+    this.#arrivals++
     const connection = new CallerConnection({ socket, clock, isDraining: () => this.#isDraining, isClosingIdle: () => this.#isClosingIdle })
     this.#connections.set(socket, connection)
     let hasCallerEnded = false
@@ -175,6 +190,7 @@
       message.resume()
       return
     }
+    this.#arrivals++
     this.#activeRequests++
     let handle: RequestHandle | undefined
     let bodyBytes = 0
