Keep connections of other hosts open while they may not know of a stop

A request that may run once got 502, "other side closed", and had not run: its host reached no endpoints and sent it through another one, which began to stop 19 ms before.

Cause: the port for other hosts was closed, with its idle connections, at SIGTERM itself, unlike the port for callers. A request that crosses the close may have run for all that its host knows.

Change: that port stays open as long as the one for callers, with answers that ask for another connection. By then the other hosts have read that this one has left. The stop takes no longer, as it waits for the callers' port in any case.

That 502 no longer comes on real processes is not shown: it is too rare for that.

--- a/features/arrivingRequests.feature
+++ b/features/arrivingRequests.feature
@@ -16,3 +16,9 @@
     Given a listener that answers requests at once
     When 8 connections are opened and send a request, and its process stands still beyond the time of the close
     Then each of these requests is answered
+
+  # Guards against connections of other hosts that are cut before these have heard of the stop, with requests that cross the close.
+  Scenario: Requests that other hosts send to a host that has begun to stop are answered
+    Given 2 hosts before 1 engine and 2 services
+    When 4 connections to the port of host 2 for other hosts get a request as it begins to stop, and an idle and a new one 300 ms later
+    Then each of these requests is answered
--- a/features/steps/arrivingRequests.ts
+++ b/features/steps/arrivingRequests.ts
@@ -11,8 +11,9 @@
 import { CallerListener } from '../../src/tasks/proxy/callerListener.js'
 import type { ArrivingOrder } from '../support/arrivingCaller.js'
 import { findFreePort } from '../support/findFreePort.js'
+import type { HostsWorld } from '../support/hostsWorld.js'
 
-interface ArrivingWorld {
+interface ArrivingWorld extends HostsWorld {
   listener: { listener: CallerListener, address: string }
   arrivingAnswers: RawAnswer[]
 }
@@ -80,6 +81,22 @@
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, standstillMs)
 }
 
+When('{int} connections to the port of host 2 for other hosts get a request as it begins to stop, and an idle and a new one {int} ms later', { timeout: 20_000 }, async function (this: ArrivingWorld, count: number, ms: number) {
+  const host = this.hostFleet.hosts[1]!
+  const { address, datagramPort } = host.settings
+  const open = async (): Promise<RawCaller> => await RawCaller.open(`${address}:${datagramPort}`)
+  const callers = await Promise.all(Array.from({ length: count }, open))
+  for (const caller of callers) await caller.send([{ kind: 'once' }])
+  const idle = await open()
+  await sleep(100)
+  const crossing = callers.map(async caller => await caller.send([{ kind: 'once' }]))
+  const stopped = this.hostFleet.stopHost(host)
+  await sleep(ms)
+  const late = [idle, await open()].map(async caller => await caller.send([{ kind: 'once' }]))
+  this.arrivingAnswers = (await Promise.all([...crossing, ...late])).flat()
+  await stopped
+})
+
 Then('each of these requests is answered', function (this: ArrivingWorld) {
   assert.deepEqual(this.arrivingAnswers.map(({ status, error }) => `${status} ${error ?? ''}`), this.arrivingAnswers.map(() => '200 '))
 })
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -298,7 +298,7 @@
   requestProxy.shutdown.begin(clock.readMonotonic() + drainMs)
   // A call to a store that does not respond would last beyond the time that is left.
   const released = Promise.race([leaseTask.releaseForShutdown(drainMs), new Promise<void>(resolve => { clock.setTimer(resolve, drainMs) })])
-  await Promise.all([released, requestProxy.callerListener.drain(readinessPropagationMs, drainMs), requestProxy.forwardingListener.drain(0, drainMs)])
+  await Promise.all([released, requestProxy.callerListener.drain(readinessPropagationMs, drainMs), requestProxy.forwardingListener.drain(readinessPropagationMs, drainMs)])
   log.record('host.stopped', 'The host has stopped serving requests.', { active: requestProxy.callerListener.activeRequestCount })
   leaseTask.stop()
   await Promise.all([requestProxy.callerListener.stop(), requestProxy.forwardingListener.stop()])
