Count the bytes of request bodies for as long as they are held

Callers saw 503 for every request with a body, from any of them and for good, after a burst of large bodies at a host. Cause: the bytes of a refused body were given back when its response had ended, while chunks that arrived later went on being counted; a sum was given back before its last part was added.

Each body now has a share of the total, which is given back as a whole and takes nothing more after that. A refused body is dropped at once and its rest is not counted. A body whose stated length is too large is refused at its head, also where its caller expects to be told to send. sedgevalve_held_body_bytes shows what is held.

--- a/features/hostMetrics.feature
+++ b/features/hostMetrics.feature
@@ -29,5 +29,6 @@
     Then its metrics hold "sedgevalve_store_age_seconds 1.5"
     And its metrics hold "sedgevalve_table_age_seconds{table=\"op\"} 0.7"
     And its metrics hold "sedgevalve_active_requests 3"
+    And its metrics hold "sedgevalve_held_body_bytes 4096"
     And its metrics hold "sedgevalve_owned_endpoints 2"
     And its metrics hold "sedgevalve_known_endpoints 8"
--- a/features/steps/arrivingRequests.ts
+++ b/features/steps/arrivingRequests.ts
@@ -33,7 +33,7 @@
     log: { record: () => {} },
     decodeRequest,
     getLimits: () => undefined,
-    maxBufferedBytes: 1_000_000,
+    maxHeldBytes: 1_000_000,
     createHandle: (_request, response) => ({
       serve: async () => {
         response.writeHead(200, ['Content-Length', '0'])
--- a/features/steps/connectionEnds.ts
+++ b/features/steps/connectionEnds.ts
@@ -81,7 +81,7 @@
     log: { record: () => {} },
     decodeRequest,
     getLimits: () => undefined,
-    maxBufferedBytes: 100_000_000,
+    maxHeldBytes: 100_000_000,
     createHandle: ({ path }, response) => {
       let timer: NodeJS.Timeout | undefined
       return {
--- a/features/steps/pipelinedRequests.ts
+++ b/features/steps/pipelinedRequests.ts
@@ -179,7 +179,7 @@
     log: { record: () => {} },
     decodeRequest,
     getLimits: () => undefined,
-    maxBufferedBytes: 1_000_000,
+    maxHeldBytes: 1_000_000,
     createHandle: (_request, response) => ({
       serve: async () => {
         if (ms > 0) await sleep(ms)
--- a/features/steps/throwingRequests.ts
+++ b/features/steps/throwingRequests.ts
@@ -81,7 +81,7 @@
     log: { record: kind => { kinds.push(kind) } },
     decodeRequest,
     getLimits: () => undefined,
-    maxBufferedBytes: 1_000_000,
+    maxHeldBytes: 1_000_000,
     createHandle: (_request, response) => ({
       serve: async () => {
         response.writeHead(200, ['Content-Length', '10'])
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -124,9 +124,9 @@
     decodeAnswerHead,
     encodeRefusalHeaders
   }
-  const maxBufferedBytes = settings.memoryMb * 1024 * 1024 * bufferedBodiesMemoryFraction
-  const callerListener = createListener(context, { address: settings.callersAddress, decodeRequest, maxBufferedBytes })
-  const forwardingListener = createListener(context, { address: formatForwardingAddress(own.address), decodeRequest: createForwardedDecoder(decodeRequest), maxBufferedBytes })
+  const maxHeldBytes = settings.memoryMb * 1024 * 1024 * bufferedBodiesMemoryFraction
+  const callerListener = createListener(context, { address: settings.callersAddress, decodeRequest, maxHeldBytes })
+  const forwardingListener = createListener(context, { address: formatForwardingAddress(own.address), decodeRequest: createForwardedDecoder(decodeRequest), maxHeldBytes })
   return {
     callerListener,
     forwardingListener,
@@ -147,7 +147,7 @@
   }
 }
 
-function createListener (context: ProxyContext, options: Pick<CallerListenerOptions, 'address' | 'decodeRequest' | 'maxBufferedBytes'>): CallerListener {
+function createListener (context: ProxyContext, options: Pick<CallerListenerOptions, 'address' | 'decodeRequest' | 'maxHeldBytes'>): CallerListener {
   const { clock, log, clusterView } = context
   return new CallerListener({
     ...options,
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -230,6 +230,7 @@
     getStoreAgeMs: () => clusterViewTask.storeAgeMs,
     listTableAges: () => clusterViewTask.listTableAges(),
     getActiveRequestCount: () => requestProxy.callerListener.activeRequestCount + requestProxy.forwardingListener.activeRequestCount,
+    getHeldBodyBytes: () => requestProxy.callerListener.heldBytes + requestProxy.forwardingListener.heldBytes,
     getOwnedEndpointCount: () => leaseTask.ownedEndpointCount,
     getKnownEndpointCount: () => countEndpoints()
   })
--- a/src/tasks/hostMetrics/hostMetrics.ts
+++ b/src/tasks/hostMetrics/hostMetrics.ts
@@ -8,6 +8,8 @@
   /** Milliseconds since this host's copy of each table last matched the store, by table. */
   listTableAges: () => Readonly<Record<string, number>>
   getActiveRequestCount: () => number
+  /** Bytes of the request bodies in memory. */
+  getHeldBodyBytes: () => number
   getOwnedEndpointCount: () => number
   getKnownEndpointCount: () => number
 }
@@ -47,6 +49,7 @@
       collect: () => { for (const [table, ageMs] of Object.entries(sources.listTableAges())) tableAges.set({ table }, ageMs / 1000) }
     })
     this.#createGauge('active_requests', 'Requests that are being served.', sources.getActiveRequestCount)
+    this.#createGauge('held_body_bytes', 'Bytes of the request bodies in memory.', sources.getHeldBodyBytes)
     this.#createGauge('owned_endpoints', 'Engines that this host gives orders to.', sources.getOwnedEndpointCount)
     this.#createGauge('known_endpoints', 'Endpoints that this host knows.', sources.getKnownEndpointCount)
     this.#createGauge('resident_bytes', 'Memory of the process.', () => process.memoryUsage.rss())
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -3,8 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { listenOn } from '../../adapters/tcp/openPort.js'
-import { ByteBuffer } from '../../core/byteBuffer.js'
-import { PieceLimit } from '../../core/pieceLimit.js'
+import { HeldTotal } from '../../core/heldTotal.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
@@ -12,6 +11,7 @@
 import { CallerConnection } from './callerConnection.js'
 import type { Exchange } from './callerConnection.js'
 import { CallerResponse } from './callerResponse.js'
+import { RequestBody } from './requestBody.js'
 
 export interface CallerListenerOptions {
   /** `ip:port`. */
@@ -22,7 +22,7 @@
   /** Limits from the current configuration; undefined until the first configuration is known. */
   getLimits: () => CallerLimits | undefined
   /** Limit on the total size of all request bodies in memory. */
-  maxBufferedBytes: number
+  maxHeldBytes: number
   createHandle: (request: CallerRequest, response: CallerResponse) => RequestHandle
 }
 
@@ -44,6 +44,7 @@
 /** Connections that the system holds for this process to accept. */
 const maxPendingConnections = 1024
 const badRequestStatus = 400
+const contentTooLargeStatus = 413
 const expectationFailedStatus = 417
 /** Time to write the last answers. */
 const answerMs = 200
@@ -59,7 +60,8 @@
   #handles = new Set<RequestHandle>()
   #connections = new Map<Socket, CallerConnection>()
   #activeRequests = 0
-  #bufferedBytes = 0
+  /** Bytes of the request bodies in memory. */
+  #heldBytes = new HeldTotal()
   /** Connections and requests that have arrived so far. */
   #arrivals = 0
   #isDraining = false
@@ -75,7 +77,8 @@
     this.#server.closeIdleConnections = () => {}
     this.#server.on('connection', (socket: Socket) => this.#receiveConnection(socket))
     this.#server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => {
-      if (!this.#connections.get(message.socket)?.isLastReceived) response.writeContinue()
+      const isRead = this.#findRefusedStatus(message) === undefined && !this.#connections.get(message.socket)?.isLastReceived
+      if (isRead) response.writeContinue()
       this.#receiveRequest(message, response)
     })
     this.#server.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) => this.#receiveRequest(message, response, expectationFailedStatus))
@@ -98,13 +101,18 @@
     return this.#activeRequests
   }
 
+  /** Bytes of the request bodies in memory. */
+  get heldBytes (): number {
+    return this.#heldBytes.value
+  }
+
   get connectionCount (): number {
     return this.#connections.size
   }
 
   /** Applies the timeouts of the current configuration. Open connections stay open. */
   applyLimits (): void {
-    const limits = this.#options.getLimits() ?? defaultLimits
+    const limits = this.#getLimits()
     this.#server.headersTimeout = limits.headerTimeoutMs + 2000
     this.#server.keepAliveTimeout = limits.idleTimeoutMs
   }
@@ -131,7 +139,7 @@
         await this.#waitForArrived()
         this.#isClosingIdle = true
         this.#server.close()
-        const { headerTimeoutMs } = this.#options.getLimits() ?? defaultLimits
+        const { headerTimeoutMs } = this.#getLimits()
         for (const connection of this.#connections.values()) connection.closeIfIdle(headerTimeoutMs)
       }
       if (elapsedMs >= deadlineMs || (elapsedMs >= quietMs && this.#activeRequests === 0 && this.#connections.size === 0)) return
@@ -181,8 +189,8 @@
     })
   }
 
-  #receiveRequest (message: IncomingMessage, response: ServerResponse, refusedStatus = findRefusedStatus(message)): void {
-    const { clock } = this.#options
+  #receiveRequest (message: IncomingMessage, response: ServerResponse, refusedStatus = this.#findRefusedStatus(message)): void {
+    const { clock, maxHeldBytes } = this.#options
     const receivedAtMs = clock.readMonotonic()
     const { socket } = message
     const connection = this.#connections.get(socket)
@@ -193,7 +201,6 @@
     this.#arrivals++
     this.#activeRequests++
     let handle: RequestHandle | undefined
-    let bodyBytes = 0
     const callerResponse = new CallerResponse({
       response,
       onCallerDisconnect: () => handle?.receiveCallerDisconnect(),
@@ -203,11 +210,14 @@
       message,
       begin: undefined,
       resume: () => { response.emit('drain') },
-      reject: status => this.#prepareRejection(exchange, connection, callerResponse, status),
+      reject: status => {
+        body.release()
+        this.#prepareRejection(exchange, connection, callerResponse, status)
+      },
       end: () => {
         if (!connection.remove(exchange)) return
         this.#activeRequests--
-        this.#bufferedBytes -= bodyBytes
+        body.release()
         callerResponse.receiveClose()
         if (handle) this.#handles.delete(handle)
         connection.advance()
@@ -218,24 +228,28 @@
     // The server closes connections of HTTP/1.0 after answers of unknown length.
     connection.add(exchange, !response.shouldKeepAlive || message.httpVersionMinor === 0)
     response.on('close', exchange.end)
-    message.on('data', (chunk: Buffer) => {
-      bodyBytes += chunk.length
-      this.#bufferedBytes += chunk.length
+    message.on('error', error => {
+      this.#options.log.record('caller.unreadable', 'Failed to read a request.', { error: error.message })
     })
-    if (refusedStatus !== undefined) exchange.reject(refusedStatus)
-    this.#readBody(exchange, body => {
-      exchange.begin = () => {
-        const handleRequest = async (): Promise<void> => {
-          handle = this.#options.createHandle(this.#options.decodeRequest(message, body, receivedAtMs), callerResponse)
-          this.#handles.add(handle)
-          // While this host stops, the request is left to other hosts.
-          if (isBehindClose || this.#isStopping) handle.receiveStop()
-          else await handle.serve()
-        }
-        handleRequest().catch((error: Error) => this.#receiveException(error, handle, callerResponse))
-      }
-      connection.advance()
+    const handleRequest = async (bytes: Buffer | undefined): Promise<void> => {
+      handle = this.#options.createHandle(this.#options.decodeRequest(message, bytes, receivedAtMs), callerResponse)
+      this.#handles.add(handle)
+      // While this host stops, the request is left to other hosts.
+      if (isBehindClose || this.#isStopping) handle.receiveStop()
+      else await handle.serve()
+    }
+    const body = new RequestBody({
+      message,
+      maxBytes: this.#getLimits().maxBodyBytes,
+      heldBytes: this.#heldBytes,
+      maxHeldBytes,
+      onComplete: bytes => {
+        exchange.begin = () => { handleRequest(bytes).catch((error: Error) => this.#receiveException(error, handle, callerResponse)) }
+        connection.advance()
+      },
+      onExcess: status => exchange.reject(status)
     })
+    if (refusedStatus !== undefined) exchange.reject(refusedStatus)
   }
 
   /** Ends a request whose handling threw, so that neither the process nor other requests end with it. */
@@ -249,39 +263,24 @@
     response.fail()
   }
 
-  #readBody (exchange: Exchange, onBody: (body: Buffer | undefined) => void): void {
-    const { maxBodyBytes } = this.#options.getLimits() ?? defaultLimits
-    const { message } = exchange
-    const body = new ByteBuffer()
-    const pieces = new PieceLimit()
-    message.on('data', (chunk: Buffer) => {
-      if (exchange.begin) return
-      body.append(chunk)
-      if (body.length > maxBodyBytes) exchange.reject(413)
-      else if (pieces.add(chunk.length)) exchange.reject(400)
-      else if (this.#bufferedBytes > this.#options.maxBufferedBytes) exchange.reject(503)
-    })
-    message.on('end', () => {
-      if (!exchange.begin) onBody(body.length === 0 ? undefined : body.take())
-    })
-    message.on('error', error => {
-      this.#options.log.record('caller.unreadable', 'Failed to read a request.', { error: error.message })
-    })
-  }
-
   /** Rejects a request in its turn. */
   #prepareRejection (exchange: Exchange, connection: CallerConnection, response: CallerResponse, status: number): void {
     if (exchange.begin) return
-    this.#options.log.record('caller.refusedBody', 'Rejected a request because its body is too large, cannot be read or comes in too many small pieces, or because the request bodies in memory have reached their limit.', { status, heldBytes: this.#bufferedBytes })
+    this.#options.log.record('caller.refusedBody', 'Rejected a request because its body is too large, cannot be read or comes in too many small pieces, or because the request bodies in memory have reached their limit.', { status, heldBytes: this.#heldBytes.value })
     exchange.begin = () => {
       response.writeHead(status, status === 503 ? ['Retry-After', '1'] : [])
       response.end()
     }
     connection.advance()
   }
-}
 
-/** Status of a request that is refused because of its head; HTTP/1.1 requires the name of a host. */
-function findRefusedStatus (message: IncomingMessage): number | undefined {
-  return message.headers.host === undefined && message.httpVersionMinor > 0 ? badRequestStatus : undefined
+  /** Status of a request that is refused because of its head; HTTP/1.1 requires the name of a host. */
+  #findRefusedStatus ({ headers, httpVersionMinor }: IncomingMessage): number | undefined {
+    if (headers.host === undefined && httpVersionMinor > 0) return badRequestStatus
+    return Number(headers['content-length'] ?? 0) > this.#getLimits().maxBodyBytes ? contentTooLargeStatus : undefined
+  }
+
+  #getLimits (): CallerLimits {
+    return this.#options.getLimits() ?? defaultLimits
+  }
 }
