Keep signals while a program is loaded

Hosts ended by themselves (FAULT) where SIGHUP or SIGTERM came while they read their own modules: handlers were set behind that, which takes over half of the time that was put down to the start of Node.js, and grows with the load.

Signals are now kept before anything else is read, and passed on to the program's own handlers when it sets them: in the loader of the deployed host, in gateway, scheduler, stand-ins, quickstart and the hosts of the soak.

All eight new scenarios of earlySignals.feature fail on the code before.

--- a/deploy/buildHost.mjs
+++ b/deploy/buildHost.mjs
@@ -6,9 +6,10 @@
 const loader = 'target/sedgevalve-host.cjs'
 const warmUp = 'target/warmHost.mjs'
 const cacheFile = 'target/host/bundle.cache'
+const earlySignals = 'target/host/earlySignals.cjs'
 
 await build({
-  entryPoints: ['src/bin/host.ts'],
+  entryPoints: ['src/bin/runHost.ts'],
   outfile: 'target/host/bundle.js',
   bundle: true,
   minify: true,
@@ -23,6 +24,7 @@
   },
   logLevel: 'error'
 })
+await build({ entryPoints: ['src/bin/earlySignals.ts'], outfile: earlySignals, minify: true, platform: 'node', target: 'node20', format: 'cjs', logLevel: 'error' })
 mkdirSync('target', { recursive: true })
 copyFileSync('deploy/hostLoader.cjs', loader)
 
--- a/deploy/hostLoader.cjs
+++ b/deploy/hostLoader.cjs
@@ -1,4 +1,6 @@
 // Starts the host's bundle with its compiled code, so that a start does not compile it anew.
+// Signals are kept before anything else is read, as reading the bundle takes most of a start on a busy machine.
+require('./host/earlySignals.cjs').keepEarlySignals()
 const { readFileSync, writeFileSync } = require('node:fs')
 const { join } = require('node:path')
 const { Script } = require('node:vm')
--- a/features/earlySignals.feature
+++ b/features/earlySignals.feature
@@ -13,3 +13,19 @@
       | host       | SIGHUP, SIGTERM, SIGHUP | it ends with code 0                                        |
       | quickstart | SIGTERM                 | it ends with code 0                                        |
       | quickstart | SIGHUP, SIGINT          | it ends with code 0                                        |
+
+  # Guards against signals that end a process while it still reads its own modules.
+  Scenario Outline: <signals> while the <program> loads its modules
+    Given the <program> gets <signals> when it loads its modules
+    Then <result>
+
+    Examples:
+      | program       | signals                 | result                                                     |
+      | deployed host | SIGHUP                  | it goes on, and reports that its settings file has changed |
+      | deployed host | SIGTERM                 | it ends with code 0                                        |
+      | deployed host | SIGHUP, SIGTERM, SIGHUP | it ends with code 0                                        |
+      | host          | SIGHUP                  | it goes on, and reports that its settings file has changed |
+      | gateway       | SIGHUP, SIGTERM         | it ends with code 0                                        |
+      | scheduler     | SIGHUP, SIGTERM         | it ends with code 0                                        |
+      | standin       | SIGHUP, SIGTERM         | it ends with code 0                                        |
+      | quickstart    | SIGHUP, SIGINT          | it ends with code 0                                        |
--- a/features/steps/earlySignals.ts
+++ b/features/steps/earlySignals.ts
@@ -1,6 +1,7 @@
 /** Steps for signals that a process gets while it starts. */
 import assert from 'node:assert/strict'
 import { once } from 'node:events'
+import { spawnSync } from 'node:child_process'
 import { mkdtempSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -8,14 +9,21 @@
 import { encodeHostSettings, settingsFileVariable } from '../../src/platform/hostSettings.js'
 import { HostFleet } from '../support/hostFleet.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
-import { startBinary } from '../support/runBinary.js'
+import { formatGateway, formatScheduler, formatStandin, startProcesses } from '../support/processes.js'
+import { startBinary, startProgram, writeSettings } from '../support/runBinary.js'
 import type { BinaryProcess } from '../support/runBinary.js'
 import { waitUntil } from '../support/waitUntil.js'
 
 interface EarlySignalsWorld extends HostsWorld {
   startedProgram: BinaryProcess
+  stopProcesses: () => Promise<void>
 }
 
+const loader = 'target/sedgevalve-host.cjs'
+const buildTimeoutMs = 120_000
+/** Time in which a signal that a thread has sent to its process takes effect. */
+const deliveryMs = 50
+
 /** Option of Node.js for a module that sends the process signals as it begins to listen. */
 function formatSignalModule (signals: readonly string[]): string {
   const source = `import { Server } from 'node:net'
@@ -25,6 +33,36 @@
   for (const signal of ${JSON.stringify(signals)}) process.kill(process.pid, signal)
   return listen.apply(this, args)
 }`
+  return formatImport(source)
+}
+
+/** Option of Node.js for a module that sends the process signals as the loader of the deployed host reads the bundle. */
+function formatBundleSignalModule (signals: readonly string[]): string {
+  const source = `import fs from 'node:fs'
+const { readFileSync } = fs
+fs.readFileSync = function (path, ...args) {
+  if (String(path).endsWith('bundle.js')) for (const signal of ${JSON.stringify(signals)}) process.kill(process.pid, signal)
+  return readFileSync.call(this, path, ...args)
+}`
+  return formatImport(source)
+}
+
+/** Option of Node.js for a module that sends the process signals as it looks for the module that handles signals. */
+function formatLoadSignalModule (signals: readonly string[]): string {
+  const hooks = `let isSent = false
+export async function resolve (specifier, context, next) {
+  if (!isSent && specifier.endsWith('/processExit.js')) {
+    isSent = true
+    for (const signal of ${JSON.stringify(signals)}) process.kill(process.pid, signal)
+    await new Promise(resolve => setTimeout(resolve, ${deliveryMs}))
+  }
+  return await next(specifier, context)
+}`
+  return formatImport(`import { register } from 'node:module'
+register(${JSON.stringify(`data:text/javascript,${encodeURIComponent(hooks)}`)})`)
+}
+
+function formatImport (source: string): string {
   return `--import data:text/javascript,${encodeURIComponent(source)}`
 }
 
@@ -36,8 +74,9 @@
   return file
 }
 
-After(function (this: EarlySignalsWorld) {
+After(async function (this: Partial<EarlySignalsWorld>) {
   this.startedProgram?.process.kill('SIGKILL')
+  await this.stopProcesses?.()
 })
 
 Given(/^the (host|quickstart) gets (.+) when it opens its first port$/, async function (this: EarlySignalsWorld, program: string, signals: string) {
@@ -45,6 +84,26 @@
   this.startedProgram = startBinary(program, { ...settings, NODE_OPTIONS: formatSignalModule(signals.split(', ')) })
 })
 
+Given(/^the deployed host gets (.+) when it loads its modules$/, { timeout: buildTimeoutMs }, async function (this: EarlySignalsWorld, signals: string) {
+  const { status, stderr } = spawnSync(process.execPath, ['deploy/buildHost.mjs'], { encoding: 'utf8' })
+  assert.equal(status, 0, stderr)
+  this.startedProgram = startProgram(loader, { [settingsFileVariable]: await writeHostSettings(this), NODE_OPTIONS: formatBundleSignalModule(signals.split(', ')) })
+})
+
+Given(/^the (host|gateway|scheduler|standin|quickstart) gets (.+) when it loads its modules$/, async function (this: EarlySignalsWorld, program: string, signals: string) {
+  const options = { NODE_OPTIONS: formatLoadSignalModule(signals.split(', ')) }
+  if (program === 'host') {
+    this.startedProgram = startBinary(program, { ...options, [settingsFileVariable]: await writeHostSettings(this) })
+  } else if (program === 'quickstart') {
+    this.startedProgram = startBinary(program, { ...options, SEDGEVALVE_CALLERS_PORT: '0', SEDGEVALVE_OPERATORS_PORT: '0' })
+  } else {
+    const { platform, stop } = await startProcesses({ engines: 1, schedulers: 0, gateways: 0 })
+    this.stopProcesses = stop
+    const settings = { gateway: formatGateway(1, platform), scheduler: formatScheduler(1, platform), standin: formatStandin({ engines: 1, schedulers: 0, gateways: 0 }) }[program]!
+    this.startedProgram = startBinary(program, options, [writeSettings(settings)])
+  }
+})
+
 Then('it ends with code {int}', async function (this: EarlySignalsWorld, code: number) {
   const { process: child, errors } = this.startedProgram
   if (child.exitCode === null && child.signalCode === null) await once(child, 'exit')
--- a/features/support/processes.ts
+++ b/features/support/processes.ts
@@ -47,7 +47,7 @@
   }
 }
 
-function formatStandin ({ engines, engineSettings = '' }: ProcessCounts): string {
+export function formatStandin ({ engines, engineSettings = '' }: ProcessCounts): string {
   return `[platform]\nport = 0\nlistLagMs = 20\n[engines]\ncount = ${engines}\nfirstPort = 0\nstepBaseMs = 4\n${engineSettings}\n` +
     '[store]\nloadMs = 20\nloadsPerSecond = 200\nloadsAtFullSpeed = 20\n'
 }
@@ -56,11 +56,11 @@
   return `[host]\nid = ${name}-${index}\nzone = az-${index}\n[platform]\naddress = ${platform}\n`
 }
 
-function formatScheduler (index: number, platform: string): string {
+export function formatScheduler (index: number, platform: string): string {
   return `${formatHost('scheduler', index, platform)}[peers]\nport = 0\nkey = ${peerKey}\n[store]\nloadsPerSecond = 200\nloadsAtFullSpeed = 20\n`
 }
 
-function formatGateway (index: number, platform: string): string {
+export function formatGateway (index: number, platform: string): string {
   return `${formatHost('gateway', index, platform)}[peers]\nkey = ${peerKey}\n[callers]\nport = 0\n[operators]\nport = 0\n`
 }
 
--- a/features/support/runBinary.ts
+++ b/features/support/runBinary.ts
@@ -46,7 +46,12 @@
 
 /** Starts a binary that runs on. */
 export function startBinary (binary: string, environment: Record<string, string>, args: readonly string[] = []): BinaryProcess {
-  const child = spawn(process.execPath, [join(binFolder, `${binary}.js`), ...args], { env: { ...process.env, ...environment } })
+  return startProgram(join(binFolder, `${binary}.js`), environment, args)
+}
+
+/** Starts a program that runs on; `file` is the path of its first module. */
+export function startProgram (file: string, environment: Record<string, string>, args: readonly string[] = []): BinaryProcess {
+  const child = spawn(process.execPath, [file, ...args], { env: { ...process.env, ...environment } })
   const ended = new Promise<void>(resolve => child.on('exit', () => resolve()))
   const running: BinaryProcess = {
     process: child,
--- a/soak/soakHost.ts
+++ b/soak/soakHost.ts
@@ -1,5 +1,5 @@
 /** The program of one host in a soak: the real host with a clock that can be made to jump. */
-import { runUntilStopped } from '../src/bin/processExit.js'
+import { keepEarlySignals } from '../src/bin/earlySignals.js'
 import type { RunningProcess } from '../src/bin/processExit.js'
 import type { Clock } from '../src/ports/clock.js'
 import type { HostSettings } from '../src/schemas/hostSettings.js'
@@ -20,11 +20,12 @@
 
 // A host without its soak has nothing to serve.
 process.on('disconnect', () => process.exit(1))
+keepEarlySignals()
+process.send?.('signals are handled')
+const { runUntilStopped } = await import('../src/bin/processExit.js')
 await runUntilStopped(startSoakHost)
 
-/** Loads the host's modules only when signals are handled, as `sedgevalve-host` does. */
 async function startSoakHost (stopSignal: AbortSignal): Promise<RunningProcess> {
-  process.send?.('signals are handled')
   let jumpedMs = 0
   process.on('message', (command: HostCommand) => { jumpedMs += command.jumpMs })
   const [{ createSystemClock }, { startHost }, { mechanisms }] = await Promise.all([
--- a/src/bin/scheduler.ts
+++ b/src/bin/scheduler.ts
@@ -1,13 +1,6 @@
 #!/usr/bin/env node
 /** `sedgevalve-scheduler`: owns endpoints and runs requests on them. */
-import { createHttpPlatform } from '../adapters/httpPlatform/httpPlatform.js'
-import { schedulerSettingsSchema } from '../settings/settingsSchemas.js'
-import { runBinary } from './runBinary.js'
-import { startScheduler } from './startGatewayAndScheduler.js'
+import { keepEarlySignals } from './earlySignals.js'
 
-runBinary({
-  name: 'sedgevalve-scheduler',
-  purpose: 'owns endpoints by lease and runs requests on them',
-  schema: schedulerSettingsSchema,
-  start: async settings => await startScheduler(settings, createHttpPlatform(settings.platform.address))
-})
+keepEarlySignals()
+await import('./runScheduler.js')
