Answer callers that have ended their side of the connection

Callers that send a request, end their side (FIN) and read on got no answer (LOST), also where their request had run: the end of one direction was taken for the end of the exchange, by the HTTP server and by the host's own listener.

The connection now stays open for the responses.

Evidence: all 15 scenarios of halfClosedConnections.feature fail on the code before.

--- a/features/steps/arrivingRequests.ts
+++ b/features/steps/arrivingRequests.ts
@@ -41,6 +41,7 @@
       },
       receiveError: () => {},
       receiveCallerDisconnect: () => {},
+      receiveUnknownCaller: () => {},
       receiveStop: () => {}
     })
   })
--- a/features/steps/connectionEnds.ts
+++ b/features/steps/connectionEnds.ts
@@ -94,6 +94,7 @@
           clearTimeout(timer)
           world.cancelled.push(path)
         },
+        receiveUnknownCaller: () => {},
         receiveStop: () => {}
       }
     }
--- a/features/steps/pipelinedRequests.ts
+++ b/features/steps/pipelinedRequests.ts
@@ -188,6 +188,7 @@
       },
       receiveError: () => {},
       receiveCallerDisconnect: () => {},
+      receiveUnknownCaller: () => {},
       receiveStop: () => {}
     })
   })
--- a/features/steps/throwingRequests.ts
+++ b/features/steps/throwingRequests.ts
@@ -90,6 +90,7 @@
       },
       receiveError: () => { throw new Error('the error cannot be handled') },
       receiveCallerDisconnect: () => {},
+      receiveUnknownCaller: () => {},
       receiveStop: () => {}
     })
   })
--- a/features/support/testListener.ts
+++ b/features/support/testListener.ts
@@ -30,5 +30,5 @@
 
 /** A handle that does nothing but serve, unless `changes` say more. */
 export function createTestHandle (serve: () => Promise<void>, changes: Partial<RequestHandle> = {}): RequestHandle {
-  return { serve, receiveError: () => {}, receiveCallerDisconnect: () => {}, receiveStop: () => {}, ...changes }
+  return { serve, receiveError: () => {}, receiveCallerDisconnect: () => {}, receiveUnknownCaller: () => {}, receiveStop: () => {}, ...changes }
 }
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -47,6 +47,8 @@
   extras: number
   /** Orders that get no answer and are carried out late. */
   lateOrders: number
+  /** Time that plain answers take beyond the usual. */
+  extraMs: number
   /** Time between two events of streams that begin now; 0 for the engine's own. */
   eventMs: number
   /** Streams send nothing for this long after their second event, and then go on. */
@@ -76,7 +78,7 @@
   limit: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, endless: '', spoiledIds: 0, spoiling: 'higher', spoiledEvent: 3, extras: 0, lateOrders: 0, eventMs: 0, silenceMs: 0, commentMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, endless: '', spoiledIds: 0, spoiling: 'higher', spoiledEvent: 3, extras: 0, lateOrders: 0, extraMs: 0, eventMs: 0, silenceMs: 0, commentMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -290,7 +292,7 @@
     } else if (engine) {
       this.#stream(engine, response, run, headers, finish)
     } else {
-      setTimeout(() => this.#answer(request, response, run, headers, finish), workMs)
+      setTimeout(() => this.#answer(request, response, run, headers, finish), workMs + this.faults.extraMs)
     }
   }
 
--- a/src/standin/fleet/rawCaller.ts
+++ b/src/standin/fleet/rawCaller.ts
@@ -106,6 +106,11 @@
     if (this.#socket.writableLength > 0) await once(this.#socket, 'drain')
   }
 
+  /** Ends this side of the connection and reads on. */
+  endSide (): void {
+    this.#socket.end()
+  }
+
   /** Stops or goes on reading, so that the host's buffers fill up. */
   setReading (isReading: boolean): void {
     if (isReading) this.#socket.resume()
--- a/src/tasks/proxy/callerConnection.ts
+++ b/src/tasks/proxy/callerConnection.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock, Timer } from '../../ports/clock.js'
+import { CallerPresence } from './callerPresence.js'
 
 /** A request that was read from a connection, and the response to it. */
 export interface Exchange {
@@ -12,6 +13,10 @@
   resume: () => void
   /** Rejects a request that cannot be read to its end. */
   reject: (status: number) => void
+  /** Writes an interim response; returns false once the response has begun, and for callers that know none. */
+  writeInterim: () => boolean
+  /** Ends a request whose caller may have left. */
+  giveUp: () => void
   /** Called once the response has been written, or the connection has closed. */
   end: () => void
 }
@@ -57,12 +62,14 @@
   /** When bytes were first seen on an idle connection that was to be closed, in monotonic milliseconds. */
   #arrivingSinceMs: number | undefined
   #linger: Timer | undefined
+  /** Set once the caller has ended its side while requests were unanswered. */
+  #presence: CallerPresence | undefined
 
   constructor (options: CallerConnectionOptions) {
     this.#options = options
     const { socket } = options
     // Node.js closes a connection with this after the last response, which resets it if unread bytes have arrived.
-    socket.destroySoon = () => this.closeGracefully()
+    socket.destroySoon = () => { if (this.#finalStatus === undefined) this.closeGracefully() }
   }
 
   /** Ends what is left on a connection that has closed. */
@@ -70,10 +77,37 @@
     this.#isLastReceived = true
     this.#isClosing = true
     this.#linger?.cancel()
+    this.#presence?.stop()
     // The response to a request that follows another one on its connection reports no close before its turn.
     for (const exchange of this.#exchanges.toReversed()) exchange.end()
   }
 
+  /** Receives that the caller has ended its side: it has left, or reads the responses to what it has sent. */
+  receiveEnd (): void {
+    const { socket, clock } = this.#options
+    this.#isLastReceived = true
+    if (this.#exchanges.length === 0) {
+      socket.end()
+      return
+    }
+    this.#presence = new CallerPresence({
+      clock,
+      writeProbe: () => this.#exchanges[0]?.writeInterim() ?? false,
+      countWritten: () => socket.bytesWritten,
+      onUnknown: () => this.#exchanges[0]?.giveUp()
+    })
+  }
+
+  /** Whether the caller has ended its side and is not yet known to read on. */
+  get isCallerUncertain (): boolean {
+    return this.#presence?.isKnown === false
+  }
+
+  /** Resolves when the caller is known to read, or the connection has closed. */
+  async waitUntilCallerKnown (): Promise<void> {
+    await this.#presence?.waitUntilKnown()
+  }
+
   /** Passes on that the connection has room again. */
   receiveDrain (): void {
     this.#exchanges[0]?.resume()
@@ -97,10 +131,15 @@
 
   /** Begins the first request once it has been read; those behind it wait for its response, so that no close cuts them off at endpoints. */
   advance (): void {
-    const begin = this.#exchanges[0]?.begin
-    if (!begin || this.#hasBegunFirst || this.#isClosing || this.#options.socket.readableEnded || this.#options.socket.destroyed) return
+    const first = this.#exchanges[0]
+    if (!first?.begin || this.#hasBegunFirst || this.#isClosing || this.#options.socket.destroyed) return
+    if (this.isCallerUncertain && first.writeInterim()) {
+      this.waitUntilCallerKnown().then(() => this.advance())
+      return
+    }
     this.#hasBegunFirst = true
-    begin()
+    if (this.isCallerUncertain) first.giveUp()
+    else first.begin()
   }
 
   /** Removes a request whose response has been written; returns false if it was removed before. */
@@ -128,8 +167,7 @@
   /** Answers bytes that are no request with an error, after the responses to the requests before them. */
   receiveError (error: NodeJS.ErrnoException): void {
     const { socket } = this.#options
-    // A caller that has left may have done so behind half a request.
-    if (socket.readableEnded || !parserErrorPattern.test(error.code ?? '')) {
+    if (!parserErrorPattern.test(error.code ?? '')) {
       socket.destroy()
       return
     }
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -33,6 +33,8 @@
   receiveError: () => void
   /** Called when the caller has disconnected. */
   receiveCallerDisconnect: () => void
+  /** Called when the caller has ended its side of the connection and may have left; ends the request if it may be sent again. */
+  receiveUnknownCaller: () => void
   /** Called when this host stops; ends the request. */
   receiveStop: () => void
 }
@@ -46,6 +48,7 @@
 const badRequestStatus = 400
 const contentTooLargeStatus = 413
 const expectationFailedStatus = 417
+const unavailableStatus = 503
 /** Time to write the last answers. */
 const answerMs = 200
 /** Interval at which `drain` checks the open connections. */
@@ -75,6 +78,8 @@
     this.#server = createServer({ maxHeaderSize: maxHeadBytes, requestTimeout: 0, requireHostHeader: false }, (message, response) => this.#receiveRequest(message, response))
     // The server's own `close` would cut responses that have ended and are still being written.
     this.#server.closeIdleConnections = () => {}
+    // Connections whose callers have ended their side stay open for the responses.
+    Object.assign(this.#server, { httpAllowHalfOpen: true })
     this.#server.on('connection', (socket: Socket) => this.#receiveConnection(socket))
     this.#server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => {
       const isRead = this.#findRefusedStatus(message) === undefined && !this.#connections.get(message.socket)?.isLastReceived
@@ -178,8 +183,7 @@
     socket.on('error', () => {})
     socket.on('end', () => {
       hasCallerEnded = true
-      // The server does not end a connection whose caller has left behind half a request.
-      socket.end()
+      connection.receiveEnd()
     })
     socket.on('close', () => {
       this.#connections.delete(socket)
@@ -204,7 +208,9 @@
     const callerResponse = new CallerResponse({
       response,
       onCallerDisconnect: () => handle?.receiveCallerDisconnect(),
-      decideClose: isComplete => connection.decideClose(exchange, isComplete)
+      decideClose: isComplete => connection.decideClose(exchange, isComplete),
+      isCallerUncertain: () => connection.isCallerUncertain,
+      waitUntilCallerKnown: async () => await connection.waitUntilCallerKnown()
     })
     const exchange: Exchange = {
       message,
@@ -214,6 +220,15 @@
         body.release()
         this.#prepareRejection(exchange, connection, callerResponse, status)
       },
+      writeInterim: () => {
+        if (response.headersSent || message.httpVersionMinor === 0) return false
+        response.writeContinue()
+        return true
+      },
+      giveUp: () => {
+        if (handle) handle.receiveUnknownCaller()
+        else callerResponse.refuse(unavailableStatus)
+      },
       end: () => {
         if (!connection.remove(exchange)) return
         this.#activeRequests--
@@ -268,8 +283,7 @@
     if (exchange.begin) return
     this.#options.log.record('caller.refusedBody', 'Rejected a request because its body is too large, cannot be read or comes in too many small pieces, or because the request bodies in memory have reached their limit.', { status, heldBytes: this.#heldBytes.value })
     exchange.begin = () => {
-      response.writeHead(status, status === 503 ? ['Retry-After', '1'] : [])
-      response.end()
+      response.refuse(status)
     }
     connection.advance()
   }
--- a/src/tasks/proxy/callerResponse.ts
+++ b/src/tasks/proxy/callerResponse.ts
@@ -9,9 +9,14 @@
   onCallerDisconnect: () => void
   /** Whether the caller is told that this is the last response on its connection; `isComplete`: whether it goes out as a whole. */
   decideClose: (isComplete: boolean) => boolean
+  /** Whether the caller has ended its side of the connection and is not yet known to read on. */
+  isCallerUncertain: () => boolean
+  /** Resolves when the caller is known to read, or the connection has closed. */
+  waitUntilCallerKnown: () => Promise<void>
 }
 
 const internalErrorStatus = 500
+const unavailableStatus = 503
 
 export class CallerResponse {
   #response: ServerResponse
@@ -39,6 +44,14 @@
     return this.#isEnded
   }
 
+  get isCallerUncertain (): boolean {
+    return this.#options.isCallerUncertain()
+  }
+
+  async waitUntilCallerKnown (): Promise<void> {
+    await this.#options.waitUntilCallerKnown()
+  }
+
   get hasHead (): boolean {
     return this.#pendingHead !== undefined || this.#response.headersSent
   }
@@ -63,6 +76,12 @@
     this.#response.end(chunk)
   }
 
+  /** Rejects a request that has not been begun. */
+  refuse (status: number): void {
+    this.writeHead(status, status === unavailableStatus ? ['Retry-After', '1'] : [])
+    this.end()
+  }
+
   /** Closes the connection of a response that cannot be completed, so that the caller does not take it for complete. */
   abort (): void {
     if (this.#isEnded) return
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -1,5 +1,5 @@
 /** Serves one request of a caller: finds its route, sends it to endpoints until one responds, and relays the response. */
-import { canRetryAttempt, isInterrupted } from '../../core/retryRules.js'
+import { canRetryAttempt, isInterrupted, isRetryable } from '../../core/retryRules.js'
 import type { AttemptFailure } from '../../core/retryRules.js'
 import type { InFlightRequest } from '../../core/inFlightRequests.js'
 import { computeRequestFingerprint } from '../../core/requestFingerprint.js'
@@ -11,32 +11,20 @@
 import type { Route } from '../../schemas/routing.js'
 import { RequestAttempt } from './requestAttempt.js'
 import type { AttemptResult } from './requestAttempt.js'
-import { createReplyHeaders, createVerdictHeaders } from '../forwarding/forwardingHeaders.js'
+import { createReplyHeaders } from '../forwarding/forwardingHeaders.js'
 import type { ForwardingPeer } from '../forwarding/requestForwarder.js'
 import { createEndpointTarget } from './attemptTarget.js'
 import type { AttemptTarget } from './attemptTarget.js'
 import { logRequestEnd } from './logRequestEnd.js'
 import { isEndpointAvailable } from './endpointAvailability.js'
+import { createRefusal, defaultRetryAfterMs, internalErrorReason, stoppingCode, stoppingRetryMs, unreachableCode, unreachableRetryMs } from './refusals.js'
 import { RequestRetries } from './requestRetries.js'
-import { computeDueTimes, computeSpentMs } from './dueTimes.js'
+import { computeDueTimes, computeSpentMs, defaultTimeLeftMs } from './dueTimes.js'
 import { ForwardingAttempts } from './forwardingAttempts.js'
 import type { CallerResponse } from './callerResponse.js'
 import type { ProxyContext } from './proxyContext.js'
 import type { ReservationSearch, SelectedEndpoint } from './endpointSelector.js'
 
-/** Used if the caller does not state a timeout. */
-const defaultTimeLeftMs = 30_000
-/** Sent to callers if no better estimate is known. */
-const defaultRetryAfterMs = 200
-/** When callers may come back whose service no host reaches. */
-const unreachableRetryMs = 500
-const unreachableCode = 'unreachable'
-/** When callers may come back whose request this host cannot complete before it stops; other hosts can. */
-const stoppingRetryMs = 100
-const stoppingCode = 'stopping'
-const internalErrorReason = 'this host failed while it handled the request'
-/** What other hosts may serve that have sent the request here. */
-const elsewhereCodes: ReadonlySet<string> = new Set([unreachableCode, stoppingCode, 'no_configuration'])
 /** Interval at which a request checks again while this host is starting or the owner of an engine is changing. */
 const transientCheckIntervalMs = 50
 /** Other hosts object within this time if they know the prompt parts of an interrupted request to be sound. */
@@ -113,9 +101,23 @@
 
   /** Called when this host stops: tells the caller what has become of its request. */
   receiveStop (): void {
-    const isSent = this.#isSending && this.#attempt!.isSent
+    this.#withdraw('this host has stopped', stoppingRetryMs, stoppingCode)
+  }
+
+  /** Called when the caller has ended its side of the connection and may have left. A request that may not be repeated goes on once it was sent. */
+  receiveUnknownCaller (): void {
+    const mustComplete = this.#isSent && !isRetryable(this.#route!.kind, this.#route!.isResumable)
+    if (!mustComplete) this.#withdraw('its caller has ended its side of the connection and may have left', defaultRetryAfterMs)
+  }
+
+  get #isSent (): boolean {
+    return this.#isSending && this.#attempt!.isSent
+  }
+
+  #withdraw (reason: string, retryAfterMs: number, code?: string): void {
+    const verdict = this.#isSent ? 'mayHaveRun' : 'notRun'
     this.#attempt?.cancel()
-    this.#giveUp({ verdict: isSent ? 'mayHaveRun' : 'notRun', reason: 'this host has stopped', status: undefined }, stoppingRetryMs, stoppingCode)
+    this.#giveUp({ verdict, reason, status: undefined }, retryAfterMs, code)
   }
 
   /** Called when an exception ended `serve`. */
@@ -409,10 +411,8 @@
 
   #respond (status: number, code: string, reason: string, retryAfterMs?: number): void {
     if (this.#hasEnded) return
-    const body = Buffer.from(JSON.stringify({ error: code, message: reason }))
-    this.#response.writeHead(status, [
-      ...this.#context.encodeRefusalHeaders(this.#request.requestId, retryAfterMs), ...this.#request.forwarded ? createVerdictHeaders(status, elsewhereCodes.has(code)) : [], 'Content-Type', 'application/json', 'Content-Length', String(body.length)
-    ])
+    const { headers, body } = createRefusal(this.#context, this.#request, { status, code, reason, retryAfterMs })
+    this.#response.writeHead(status, headers)
     this.#response.end(body)
     this.#finish(status === 503 ? 'refused' : 'failed', reason, status, code)
   }
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -108,12 +108,13 @@
   }
 
   async run (): Promise<AttemptResult> {
-    const { request, target, timeLeftMs, lastEventId } = this.#options
+    const { request, response, target, timeLeftMs, lastEventId } = this.#options
     const { clock, health, standstill } = this.#context
     this.#startedAtMs = clock.readMonotonic()
     const result = new Promise<AttemptResult>(resolve => { this.#resolve = resolve })
     health.recordRequestStart(target.id)
     if (standstill.isCatchingUp()) await standstill.waitForCloses()
+    if (response.isCallerUncertain) await response.waitUntilCallerKnown()
     if (!this.#isFinished) {
       this.#standstillCount = standstill.countStandstills()
       this.#requestInFlight = target.link.send({
