Take callers that end their side late for ones that have left

A caller that ends its side within 50 ms of its request does so by habit and is served; of one that ends it later, only requests that run and may not be repeated go on, and others end with a status that says what became of them.

From the review: half a body with Connection: close behind whole requests is answered and ends (it held its bytes and wrote interim responses for ever); slow events cut no stream; 70 requests at once are all answered; no repeat waits for a caller that is not known; trials are given back; the time left counts the wait. The first three have scenarios. caller.endedSide tells of each such caller.

--- a/features/steps/halfClosedConnections.ts
+++ b/features/steps/halfClosedConnections.ts
@@ -25,17 +25,25 @@
 const partialRequests: Readonly<Record<string, string>> = Object.freeze({
   'half a head': 'GET /half HT',
   'half a body': 'POST /half HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nabc',
+  'half a body of a request with Connection: close': 'POST /half HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 100\r\n\r\nabc',
   'bytes that are no request': 'no request at all\r\n\r\n'
 })
 const answerTimeoutMs = 5000
+const requestTimeLeftMs = 12_000
 
 function getAddress (world: HalfClosedWorld): string {
   return world.hostFleet.hosts[0]!.settings.callersAddress
 }
 
+/** Expands "70 times once" as well as lists of kinds. */
+function expandKinds (kinds: string): string[] {
+  const [, count, kind] = /^(\d+) times (.+)$/.exec(kinds) ?? []
+  return kind === undefined ? kinds.split(', ') : Array.from({ length: Number(count) }, () => kind)
+}
+
 async function sendAndEnd (world: HalfClosedWorld, kinds: string, laterMs: number): Promise<void> {
   const caller = await RawCaller.open(getAddress(world))
-  const answers = caller.send(kinds.split(', ').map(kind => ({ kind: kind as CallKind, adapter: 'a1' })))
+  const answers = caller.send(expandKinds(kinds).map(kind => ({ kind: kind as CallKind, adapter: 'a1', timeLeftMs: requestTimeLeftMs })))
   if (laterMs > 0) await sleep(laterMs)
   caller.endSide()
   world.rawAnswers.push(...await answers)
@@ -60,9 +68,9 @@
   return [...world.halfClosedText.matchAll(/HTTP\/1\.1 (\d+) /g)].map(match => Number(match[1])).filter(status => status >= 200)
 }
 
-When(/^(\d+) callers send (.+) at once and end their side (at once|\d+ ms later)(?:, while (plain requests take \d+ ms|host 1 stops))?$/, { timeout: 20_000 }, async function (this: HalfClosedWorld, count: string, kinds: string, when: string, event: string | null) {
+When(/^(\d+) callers send (.+) at once and end their side (at once|\d+ ms later)(?:, while (plain requests take \d+ ms|streams take \d+ ms an event|host 1 stops))?$/, { timeout: 20_000 }, async function (this: HalfClosedWorld, count: string, kinds: string, when: string, event: string | null) {
   const takesMs = /take (\d+) ms/.exec(event ?? '')?.[1]
-  if (takesMs) setFaults(this, endpoint => endpoint.engine === undefined, { extraMs: Number(takesMs) })
+  if (takesMs) setFaults(this, () => true, event!.startsWith('streams') ? { eventMs: Number(takesMs) } : { extraMs: Number(takesMs) })
   const laterMs = when === 'at once' ? 0 : Number.parseInt(when, 10)
   const sending = Array.from({ length: Number(count) }, async () => await sendAndEnd(this, kinds, laterMs))
   if (event === 'host 1 stops') {
@@ -100,9 +108,9 @@
   assert.ok(performance.now() - this.leftAtMs <= ms, `${performance.now() - this.leftAtMs} ms`)
 })
 
-When(/^a caller of HTTP\/1\.0 sends a request that may (be repeated|run only once) and takes (\d+) ms, and ends its side$/, async function (this: HalfClosedWorld, kind: string, takesMs: string) {
+When(/^a caller of HTTP\/(1\.\d) sends a request that may (be repeated|run only once) and takes (\d+) ms, and ends its side after (\d+) ms$/, async function (this: HalfClosedWorld, version: string, kind: string, takesMs: string, afterMs: string) {
   setFaults(this, endpoint => endpoint.engine === undefined, { extraMs: Number(takesMs) })
-  const request = formatRawRequest({ kind: kind === 'be repeated' ? 'idempotent' : 'once' }).replace('HTTP/1.1', 'HTTP/1.0')
+  const request = formatRawRequest({ kind: kind === 'be repeated' ? 'idempotent' : 'once' }).replace('HTTP/1.1', `HTTP/${version}`)
   const [host, port] = getAddress(this).split(':')
   const socket = connect({ host, port: Number(port), allowHalfOpen: true })
   await once(socket, 'connect')
@@ -110,6 +118,7 @@
   socket.setEncoding('latin1').on('data', chunk => { this.halfClosedText += String(chunk) })
   socket.write(request)
   await waitUntil(() => this.hostFleet.fleet.journal.runs.some(run => run.outcome === 'running'))
+  await sleep(Number(afterMs))
   const startedAtMs = performance.now()
   socket.end()
   await Promise.race([once(socket, 'end'), sleep(answerTimeoutMs)])
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -148,12 +148,13 @@
 }
 
 function createListener (context: ProxyContext, options: Pick<CallerListenerOptions, 'address' | 'decodeRequest' | 'maxHeldBytes'>): CallerListener {
-  const { clock, log, clusterView } = context
+  const { clock, log, clusterView, standstill } = context
   return new CallerListener({
     ...options,
     clock,
     log,
     getLimits: () => clusterView.routes?.configuration.limits,
+    isCatchingUp: () => standstill.isCatchingUp(),
     createHandle: (request, response) => new ProxiedRequest(context, request, response)
   })
 }
--- a/src/tasks/proxy/callerConnection.ts
+++ b/src/tasks/proxy/callerConnection.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock, Timer } from '../../ports/clock.js'
+import type { EventLog } from '../../ports/eventLog.js'
 import { CallerPresence } from './callerPresence.js'
 
 /** A request that was read from a connection, and the response to it. */
@@ -9,13 +10,15 @@
   readonly message: IncomingMessage
   /** Handles the request or rejects it; undefined until its body has been read or found unacceptable. */
   begin: (() => void) | undefined
+  /** Whether `begin` rejects the request. */
+  isRejected: boolean
   /** Lets the response go on once its connection has room again. */
   resume: () => void
   /** Rejects a request that cannot be read to its end. */
   reject: (status: number) => void
-  /** Writes an interim response; returns false once the response has begun, and for callers that know none. */
-  writeInterim: () => boolean
-  /** Ends a request whose caller may have left. */
+  /** Writes an interim response; has no effect once the response has begun, and for callers that know none. */
+  writeInterim: () => void
+  /** Ends a request whose caller has probably left, unless it runs and may not be repeated. */
   giveUp: () => void
   /** Called once the response has been written, or the connection has closed. */
   end: () => void
@@ -24,14 +27,19 @@
 export interface CallerConnectionOptions {
   socket: Socket
   clock: Clock
+  log: EventLog
   /** Whether callers are to open other connections, as this host stops. */
   isDraining: () => boolean
+  /** Whether what arrives now may have arrived earlier, as the process stood still. */
+  isCatchingUp: () => boolean
   /** Whether connections are closed as soon as they are idle, also those whose callers were not asked to open another one. */
   isClosingIdle: () => boolean
 }
 
 /** Time for a caller to receive its last response before the connection is reset because of bytes that nobody reads. */
 const lingerMs = 500
+/** A caller that ends its side this soon after a request has hardly given it up: some clients do so with each request. */
+const promptEndMs = 50
 /** Beyond these, requests of a connection stay with the system until others have been answered. */
 const maxWaitingRequests = 64
 const badRequestStatus = 400
@@ -48,6 +56,8 @@
   /** Requests without a whole response, in the order in which they came. */
   #exchanges: Exchange[] = []
   #hasBegunFirst = false
+  /** When a request was last read to its end, in monotonic milliseconds. */
+  #lastReadAtMs = -Infinity
   /** Whether the caller has sent a request before it had the response to the one before. */
   #isPipelined = false
   /** Whether nothing that arrives from now on is a request of this connection. */
@@ -82,20 +92,35 @@
     for (const exchange of this.#exchanges.toReversed()) exchange.end()
   }
 
-  /** Receives that the caller has ended its side: it has left, or reads the responses to what it has sent. */
+  /**
+   * Receives that the caller has ended its side: it has left, or reads the responses to what it has sent. It counts as one that reads if it did so
+   * right behind its request and nothing that is written to it is reset. Nothing is sent to endpoints before that is known.
+   */
   receiveEnd (): void {
-    const { socket, clock } = this.#options
+    const { socket, clock, log, isCatchingUp } = this.#options
+    const sinceReadMs = clock.readMonotonic() - this.#lastReadAtMs
     this.#isLastReceived = true
+    const last = this.#exchanges.at(-1)
+    // Its parser reports no error behind a request that was announced as the last one.
+    if (last && !last.message.complete) last.reject(badRequestStatus)
+    const isTrusted = sinceReadMs <= promptEndMs && !isCatchingUp() && last?.message.httpVersionMinor !== 0
     if (this.#exchanges.length === 0) {
       socket.end()
       return
     }
+    log.record('caller.endedSide', 'A caller ended its side of its connection while requests were unanswered.', { unanswered: this.#exchanges.length, sinceReadMs: Math.round(sinceReadMs), isTrusted })
     this.#presence = new CallerPresence({
       clock,
-      writeProbe: () => this.#exchanges[0]?.writeInterim() ?? false,
-      countWritten: () => socket.bytesWritten,
-      onUnknown: () => this.#exchanges[0]?.giveUp()
+      isTrusted,
+      writeProbe: () => this.#exchanges[0]?.writeInterim(),
+      countWritten: () => socket.bytesWritten
     })
+    if (!isTrusted && this.#hasBegunFirst) this.#exchanges[0]?.giveUp()
+  }
+
+  /** Records that a request was read to its end. */
+  recordRead (): void {
+    this.#lastReadAtMs = this.#options.clock.readMonotonic()
   }
 
   /** Whether the caller has ended its side and is not yet known to read on. */
@@ -133,12 +158,12 @@
   advance (): void {
     const first = this.#exchanges[0]
     if (!first?.begin || this.#hasBegunFirst || this.#isClosing || this.#options.socket.destroyed) return
-    if (this.isCallerUncertain && first.writeInterim()) {
+    if (this.isCallerUncertain && this.#presence!.isTrusted) {
       this.waitUntilCallerKnown().then(() => this.advance())
       return
     }
     this.#hasBegunFirst = true
-    if (this.isCallerUncertain) first.giveUp()
+    if (this.isCallerUncertain && !first.isRejected) first.giveUp()
     else first.begin()
   }
 
@@ -224,6 +249,8 @@
       setImmediate(() => { if (this.#isPaused) socket.pause() })
     } else if (this.#isPaused) {
       this.#isPaused = false
+      // The end of the caller's side may have waited behind the requests that were read before.
+      this.recordRead()
       socket.resume()
     }
   }
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -23,6 +23,8 @@
   getLimits: () => CallerLimits | undefined
   /** Limit on the total size of all request bodies in memory. */
   maxHeldBytes: number
+  /** Whether what arrives now may have arrived earlier, as the process stood still; never if left out. */
+  isCatchingUp?: () => boolean
   createHandle: (request: CallerRequest, response: CallerResponse) => RequestHandle
 }
 
@@ -33,7 +35,7 @@
   receiveError: () => void
   /** Called when the caller has disconnected. */
   receiveCallerDisconnect: () => void
-  /** Called when the caller has ended its side of the connection and may have left; ends the request if it may be sent again. */
+  /** Called when the caller has ended its side of the connection and has probably left; ends the request unless it runs and may not be repeated. */
   receiveUnknownCaller: () => void
   /** Called when this host stops; ends the request. */
   receiveStop: () => void
@@ -176,7 +178,7 @@
   #receiveConnection (socket: Socket): void {
     const { clock, log } = this.#options
     this.#arrivals++
-    const connection = new CallerConnection({ socket, clock, isDraining: () => this.#isDraining, isClosingIdle: () => this.#isClosingIdle })
+    const connection = new CallerConnection({ socket, clock, log, isCatchingUp: () => this.#options.isCatchingUp?.() ?? false, isDraining: () => this.#isDraining, isClosingIdle: () => this.#isClosingIdle })
     this.#connections.set(socket, connection)
     let hasCallerEnded = false
     // The server removes its listener at a request for a tunnel, and an error without one would end the process.
@@ -215,15 +217,14 @@
     const exchange: Exchange = {
       message,
       begin: undefined,
+      isRejected: false,
       resume: () => { response.emit('drain') },
       reject: status => {
         body.release()
         this.#prepareRejection(exchange, connection, callerResponse, status)
       },
       writeInterim: () => {
-        if (response.headersSent || message.httpVersionMinor === 0) return false
-        response.writeContinue()
-        return true
+        if (!response.headersSent && message.httpVersionMinor === 1) response.writeContinue()
       },
       giveUp: () => {
         if (handle) handle.receiveUnknownCaller()
@@ -259,6 +260,7 @@
       heldBytes: this.#heldBytes,
       maxHeldBytes,
       onComplete: bytes => {
+        connection.recordRead()
         exchange.begin = () => { handleRequest(bytes).catch((error: Error) => this.#receiveException(error, handle, callerResponse)) }
         connection.advance()
       },
@@ -282,9 +284,8 @@
   #prepareRejection (exchange: Exchange, connection: CallerConnection, response: CallerResponse, status: number): void {
     if (exchange.begin) return
     this.#options.log.record('caller.refusedBody', 'Rejected a request because its body is too large, cannot be read or comes in too many small pieces, or because the request bodies in memory have reached their limit.', { status, heldBytes: this.#heldBytes.value })
-    exchange.begin = () => {
-      response.refuse(status)
-    }
+    exchange.isRejected = true
+    exchange.begin = () => response.refuse(status)
     connection.advance()
   }
 
--- a/src/tasks/proxy/callerPresence.ts
+++ b/src/tasks/proxy/callerPresence.ts
@@ -3,51 +3,52 @@
 
 export interface CallerPresenceOptions {
   clock: Clock
-  /** Writes bytes that a caller ignores and the system of one that has left answers with a reset; returns false if none can be written now. */
-  writeProbe: () => boolean
+  /** Whether the caller counts as present if nothing that is written to it is reset. */
+  isTrusted: boolean
+  /** Writes bytes that a caller ignores and the system of one that has left answers with a reset; has no effect if none can be written now. */
+  writeProbe: () => void
   /** Bytes written to the connection so far. */
   countWritten: () => number
-  /** Called once if nothing could be written for so long that the caller has to be taken for one that has left. */
-  onUnknown: () => void
 }
 
 /** Several round trips to callers in other places, within which the reset of a caller that has left fails the next write. */
 const checkIntervalMs = 50
-/** Writes without an error after which the caller is known to read; the first one only causes the reset. */
+/** Checks that found bytes written, without an error, after which a caller is known to read: two intervals without a reset. */
 const requiredWrites = 3
 /** How often a caller that is known to read is probed, as it may still leave. */
-const probeIntervalMs = 100
-/** Leaves time to cancel what runs within half a second of the caller's leaving. */
-const maxSilenceMs = 400
+const probeIntervalMs = 150
 
 /**
- * Watches one connection from the end of its caller's side on. `stop` is to be called when the connection closes, as after a reset.
+ * Watches one connection from the end of its caller's side on: writes probes, so that the connection closes if the caller has left. `stop` is
+ * to be called when the connection closes.
  *
  * @example
- * const presence = new CallerPresence({ clock, writeProbe, countWritten: () => socket.bytesWritten, onUnknown: () => exchange.withdraw() })
+ * const presence = new CallerPresence({ clock, isTrusted: true, writeProbe, countWritten: () => socket.bytesWritten })
  * await presence.waitUntilKnown()
  */
 export class CallerPresence {
   #options: CallerPresenceOptions
   #writtenBytes: number
-  /** When bytes were last seen to be written, at first the start, in monotonic milliseconds. */
-  #lastWrittenAtMs: number
+  /** When bytes were last seen to be written, in monotonic milliseconds. */
+  #lastWrittenAtMs = -Infinity
   #writes = 0
-  #hasGivenUp = false
   #timer: Timer | undefined
   #isStopped = false
   #waiting: (() => void)[] = []
 
   constructor (options: CallerPresenceOptions) {
     this.#options = options
-    this.#lastWrittenAtMs = options.clock.readMonotonic()
     this.#writtenBytes = options.countWritten()
     this.#check()
   }
 
+  get isTrusted (): boolean {
+    return this.#options.isTrusted
+  }
+
   /** Whether the caller has been written to since it ended its side, without a reset. */
   get isKnown (): boolean {
-    return this.#writes >= requiredWrites
+    return this.isTrusted && this.#writes >= requiredWrites
   }
 
   /** Resolves when the caller is known to read, or the connection has closed. */
@@ -64,16 +65,14 @@
 
   #check (): void {
     if (this.#isStopped) return
-    const { clock, writeProbe, onUnknown } = this.#options
+    const { clock, writeProbe } = this.#options
     const nowMs = clock.readMonotonic()
     this.#countWrite(nowMs)
-    const isProbeDue = !this.isKnown || nowMs - this.#lastWrittenAtMs >= probeIntervalMs
-    if (isProbeDue && writeProbe()) this.#countWrite(nowMs)
-    if (this.isKnown) this.#wakeWaiting()
-    else if (nowMs - this.#lastWrittenAtMs >= maxSilenceMs && !this.#hasGivenUp) {
-      this.#hasGivenUp = true
-      onUnknown()
+    if (this.#writes < requiredWrites || nowMs - this.#lastWrittenAtMs >= probeIntervalMs) {
+      writeProbe()
+      this.#countWrite(nowMs)
     }
+    if (this.isKnown) this.#wakeWaiting()
     this.#timer = clock.setTimer(() => this.#check(), checkIntervalMs)
   }
 
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -17,7 +17,9 @@
 import type { AttemptTarget } from './attemptTarget.js'
 import { logRequestEnd } from './logRequestEnd.js'
 import { isEndpointAvailable } from './endpointAvailability.js'
+import { recordInterruption } from './recordInterruption.js'
 import { createRefusal, defaultRetryAfterMs, internalErrorReason, stoppingCode, stoppingRetryMs, unreachableCode, unreachableRetryMs } from './refusals.js'
+import type { Refusal } from './refusals.js'
 import { RequestRetries } from './requestRetries.js'
 import { computeDueTimes, computeSpentMs, defaultTimeLeftMs } from './dueTimes.js'
 import { ForwardingAttempts } from './forwardingAttempts.js'
@@ -27,8 +29,6 @@
 
 /** Interval at which a request checks again while this host is starting or the owner of an engine is changing. */
 const transientCheckIntervalMs = 50
-/** Other hosts object within this time if they know the prompt parts of an interrupted request to be sound. */
-const objectionWaitMs = 100
 /** The takeover of an endpoint takes some 350 ms, as do the first cluster updates after a start. */
 const maxTransientWaitMs = 450
 
@@ -63,6 +63,8 @@
   #runCount = 0
   #sendCount = 0
   #hasEnded = false
+  /** Whether the caller has probably left, so that no further attempt follows. */
+  #isCallerUnknown = false
   /** Time spent waiting for transient conditions to end. */
   #transientWaitMs = 0
   /** Time spent selecting endpoints, including the wait for reservations. */
@@ -101,23 +103,30 @@
 
   /** Called when this host stops: tells the caller what has become of its request. */
   receiveStop (): void {
-    this.#withdraw('this host has stopped', stoppingRetryMs, stoppingCode)
+    const verdict = this.#isSent ? 'mayHaveRun' : 'notRun'
+    this.#attempt?.cancel()
+    this.#giveUp({ verdict, reason: 'this host has stopped', status: undefined }, stoppingRetryMs, stoppingCode)
   }
 
-  /** Called when the caller has ended its side of the connection and may have left. A request that may not be repeated goes on once it was sent. */
   receiveUnknownCaller (): void {
+    this.#isCallerUnknown = true
     const mustComplete = this.#isSent && !isRetryable(this.#route!.kind, this.#route!.isResumable)
-    if (!mustComplete) this.#withdraw('its caller has ended its side of the connection and may have left', defaultRetryAfterMs)
+    if (!mustComplete) this.#endForUnknownCaller()
   }
 
-  get #isSent (): boolean {
-    return this.#isSending && this.#attempt!.isSent
+  /** Ends the request like one whose caller has left; a caller that still reads is told what became of it. */
+  #endForUnknownCaller (): void {
+    if (this.#hasEnded) return
+    const reason = 'the caller has ended its side of the connection, and may have left'
+    const status = this.#isSent || this.#mayHaveRun ? 502 : 503
+    this.#attempt?.cancel()
+    this.#finish('left', reason, undefined, 'caller_left')
+    if (this.#response.hasHead) this.#response.abort()
+    else this.#writeRefusal({ status, code: 'caller_left', reason, retryAfterMs: status === 503 ? defaultRetryAfterMs : undefined })
   }
 
-  #withdraw (reason: string, retryAfterMs: number, code?: string): void {
-    const verdict = this.#isSent ? 'mayHaveRun' : 'notRun'
-    this.#attempt?.cancel()
-    this.#giveUp({ verdict, reason, status: undefined }, retryAfterMs, code)
+  get #isSent (): boolean {
+    return this.#isSending && this.#attempt!.isSent
   }
 
   /** Called when an exception ended `serve`. */
@@ -212,6 +221,7 @@
   async #run (route: Route): Promise<void> {
     const { clock } = this.#context
     while (!this.#refuseIfCrashing() && !this.#refuseIfStopping(route)) {
+      if (this.#isCallerUnknown) return this.#endForUnknownCaller()
       if (this.#context.forwarder.isStranded(this.#service)) {
         if (!await this.#forward(route)) return
         continue
@@ -297,7 +307,11 @@
       this.#isTrial = false
       this.#runCount++
     }
-    if (isInterrupted(result.failure)) await this.#recordInterruption(target, sentAtMs, result.failure.reason)
+    if (isInterrupted(result.failure)) {
+      this.#isPossibleCause = await recordInterruption(this.#context, target, {
+        requestId: this.#request.requestId, content: this.#fingerprint, parts: this.#suspectParts, hasBegun: this.#attempt!.hasBegun, sentAtMs, reason: result.failure.reason
+      })
+    }
     this.#retryAfterMs = result.retryAfterMs ?? this.#retryAfterMs
     return result.failure
   }
@@ -360,23 +374,6 @@
     return false
   }
 
-  /**
-   * Reports that a request ended without a complete response, as its endpoint may have crashed. A request that may be the cause
-   * is not retried before the first probe has shown whether this endpoint crashed.
-   */
-  async #recordInterruption ({ endpoint, link }: SelectedEndpoint, sentAtMs: number, reason: string): Promise<void> {
-    const { clock, log, crashDetection, suspects } = this.#context
-    const hasBegun = this.#attempt!.hasBegun
-    const interruption = { endpointId: endpoint.id, startedAtMs: endpoint.startedAtMs, content: this.#fingerprint, parts: this.#suspectParts, hasBegun, sentAtMs }
-    log.record('request.cut', 'The connection to an endpoint closed before its response was complete; the request may have run.', { requestId: this.#request.requestId, ...interruption, reason })
-    const firstProbe = crashDetection.receiveInterruption(interruption, link)
-    const mayBeCause = !hasBegun && this.#suspectParts.length > 0
-    if (mayBeCause || suspects.isSuspect(this.#fingerprint)) await firstProbe
-    // Other hosts may have seen answers begin on the parts.
-    if (mayBeCause && suspects.hasSuspectPart(this.#suspectParts)) await new Promise<void>(resolve => { clock.setTimer(resolve, objectionWaitMs) })
-    this.#isPossibleCause = mayBeCause && suspects.hasSuspectPart(this.#suspectParts)
-  }
-
   #receiveTimeout (): void {
     const isSent = this.#attempt?.isSent ?? false
     this.#attempt?.cancel()
@@ -411,19 +408,23 @@
 
   #respond (status: number, code: string, reason: string, retryAfterMs?: number): void {
     if (this.#hasEnded) return
-    const { headers, body } = createRefusal(this.#context, this.#request, { status, code, reason, retryAfterMs })
-    this.#response.writeHead(status, headers)
-    this.#response.end(body)
+    this.#writeRefusal({ status, code, reason, retryAfterMs })
     this.#finish(status === 503 ? 'refused' : 'failed', reason, status, code)
   }
 
+  #writeRefusal (refusal: Refusal): void {
+    const { headers, body } = createRefusal(this.#context, this.#request, refusal)
+    this.#response.writeHead(refusal.status, headers)
+    this.#response.end(body)
+  }
+
   #finish (outcome: string, reason: string, status?: number, code?: string): void {
     if (this.#hasEnded) return
     this.#hasEnded = true
     this.#timer?.cancel()
     const { clock, log, clusterView, inFlightRequests, suspects } = this.#context
     for (const fingerprint of this.#listFingerprints()) inFlightRequests.remove(fingerprint, this)
-    if (this.#isTrial && !this.#isSending) suspects.cancelTrial(this.#suspectParts)
+    if (this.#isTrial && !this.#isSent) suspects.cancelTrial(this.#suspectParts)
     logRequestEnd(log, outcome, {
       request: this.#request,
       fingerprint: this.#fingerprint,
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -121,7 +121,7 @@
         id: request.requestId,
         method: request.method,
         path: request.path,
-        headers: target.encodeHeaders(request, timeLeftMs, lastEventId),
+        headers: target.encodeHeaders(request, timeLeftMs - (clock.readMonotonic() - this.#startedAtMs), lastEventId),
         body: request.body
       }, this)
     }
