--- a/features/limits.feature
+++ b/features/limits.feature
@@ -43,6 +43,12 @@
       | 2        | 1000000 | 2    |
       | 100      | 220     | 2    |
 
+  Scenario: Requests behind an unanswered one on a connection that closes
+    Given a system whose callers' port takes 3 requests with 1000000 bytes in all at once
+    When a caller writes 3 streams to one connection and closes it once all run
+    Then the engine cancels every stream
+    And a caller asks for 5 tokens from "cluj-tax" until the answer has status 200
+
   Scenario: A connection without a request does not hold a gateway that stops
     Given a system whose callers' port takes requests that arrive within 250000 ms
     When somebody opens a connection to the callers' port and sends nothing
