Ignore messages about a reservation that arrive behind its release

A host sends its request for a reservation again, and datagrams may overtake each other. A request, or a report of running requests, that arrived after the release was counted anew at the engine's owner, for as long as the request could have run and 1 s more.

The allocator now knows the last 1,024 released keys, which no host uses again. Found by the audit of counts with a beginning and an end.

--- a/src/tasks/allocation/engineAllocator.ts
+++ b/src/tasks/allocation/engineAllocator.ts
@@ -5,6 +5,7 @@
 import { describeEngineLoad } from '../../core/allocation/describeEngineLoad.js'
 import type { AllocationPlan, AllocationDecision } from '../../core/allocation/allocationRequest.js'
 import { listLoadedAdapters } from '../../core/allocation/reportedAdapters.js'
+import { RecentKeys } from '../../core/recentKeys.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { EngineOrders, EngineState } from '../../ports/engineOrders.js'
@@ -40,6 +41,8 @@
 /** A reservation that its holder did not release is freed this long after its caller has left. */
 const lostReservationGraceMs = 1000
 const sweepIntervalMs = 500
+/** More than the requests that end at an engine within seconds, as long as a datagram may be on its way. */
+const maxEndedKeys = 1024
 /** How long one host's notice that an engine is leaving is in effect; later notices extend it, and a false one expires. */
 const leavingTtlMs = 5000
 /** Version of adapters for which none was declared. */
@@ -53,6 +56,8 @@
   #options: EngineAllocatorOptions
   #entry: EndpointEntry
   #reservations = new Map<string, ReservationEntry>()
+  /** Released reservations; messages about them that arrive late are ignored, as nothing would release them again. */
+  #ended = new RecentKeys(maxEndedKeys)
   #orderQueue: EngineOrderQueue
   #loader: AdapterLoader
   #stateMonitor: EngineStateMonitor
@@ -170,6 +175,7 @@
       if (known.lastReply) sendReply(known.lastReply)
       return
     }
+    if (this.#ended.has(key)) return
     const nowMs = this.#options.clock.readMonotonic()
     const reservation: ReservationEntry = {
       key, request, sendReply, version: this.#findVersion(request), receivedAtMs: nowMs, isGranted: false, lastReply: undefined
@@ -181,6 +187,7 @@
   }
 
   receiveRelease (key: string, release: ReservationRelease): void {
+    this.#ended.add(key)
     const reservation = this.#reservations.get(key)
     if (!reservation) return
     this.#reservations.delete(key)
@@ -204,7 +211,7 @@
     const nowMs = this.#options.clock.readMonotonic()
     for (const reported of running) {
       const key = `${session}.${reported.id}`
-      if (this.#reservations.has(key)) continue
+      if (this.#reservations.has(key) || this.#ended.has(key)) continue
       this.#reservations.set(key, createAdoptedReservation(this.endpointId, key, reported, nowMs))
       this.#planner.adopt(key, formatAdapterName(reported), reported.adapter === '', nowMs)
     }
