Answer what runs before a gateway closes a connection

Callers that send several requests at once lost answers to requests that had run when a gateway stopped, or when bytes that are no request came behind one. Callers that ended their side (FIN) and read on got no answer.

Cause: requests of a connection ran side by side, each answer during a stop and each error ended the connection, and the server took the end of the caller's side for its leaving.

The callers' server now uses the hosts' CallerConnection: requests begin one after the other, the last answer announces the close, errors are answered behind the answers before them with the same statuses and bodies, and the connection stays open for a caller that has ended its side. Interim responses find out one that has left. Callers of HTTP/1.0 whose answer has not begun are cut off soon after they end their side.

--- a/features/steps/gatewayStops.ts
+++ b/features/steps/gatewayStops.ts
@@ -6,6 +6,7 @@
 import { exampleCallerKey } from '../../src/bin/exampleRecords.js'
 import { readJournals } from '../support/processes.js'
 import type { ProcessSystem } from '../support/processes.js'
+import { waitUntil } from '../support/waitUntil.js'
 
 interface GatewayStopsWorld {
   processes: ProcessSystem
@@ -17,19 +18,26 @@
 
 const headEnd = '\r\n\r\n'
 const settleMs = 500
+const shortTokens = 8
+/** A step of the engine takes 4 ms or more. */
+const longTokens = 250
+const longerTokens = 2500
+/** Later than callers end their side that do so with each request. */
+const lateEndMs = 300
 
-function formatCompletion (isStream: boolean): string {
-  const body = JSON.stringify({ model: 'cluj-tax', stream: isStream, max_tokens: 8, messages: [{ role: 'user', content: 'Is the claim valid?' }] })
+function formatCompletion (isStream: boolean, maxTokens = shortTokens): string {
+  const body = JSON.stringify({ model: 'cluj-tax', stream: isStream, max_tokens: maxTokens, messages: [{ role: 'user', content: 'Is the claim valid?' }] })
   return `POST /v1/chat/completions HTTP/1.1\r\nhost: gateway\r\nauthorization: Bearer ${exampleCallerKey}\r\ncontent-type: application/json\r\ncontent-length: ${body.length}${headEnd}${body}`
 }
 
-/** Splits what a connection has received into answers; the last one may not be whole. */
+/** Splits what a connection has received into answers, without interim ones; the last one may not be whole. */
 function readAnswers (received: string): Array<{ id: string, status: number, isWhole: boolean }> {
   const answers = []
   let rest = received
   while (rest.includes(headEnd)) {
     const head = rest.slice(0, rest.indexOf(headEnd)).toLowerCase()
     rest = rest.slice(head.length + headEnd.length)
+    if (head.startsWith('http/1.1 100 ')) continue
     const isChunked = head.includes('transfer-encoding: chunked')
     const lastChunk = rest.indexOf(`0${headEnd}`)
     const length = isChunked ? lastChunk + 1 + headEnd.length : Number(/content-length: (\d+)/.exec(head)?.[1] ?? 0)
@@ -41,6 +49,19 @@
   return answers
 }
 
+/** Writes `bytes`, ends this side of the connection after `endAfterMs`, and returns what was received until the gateway ended its own. */
+async function sendAndEndSide (url: string, bytes: string, endAfterMs: number): Promise<string> {
+  const socket = connect({ host: '127.0.0.1', port: Number(new URL(url).port), allowHalfOpen: true })
+  let received = ''
+  socket.setEncoding('latin1').on('data', chunk => { received += String(chunk) })
+  socket.write(bytes)
+  if (endAfterMs > 0) await sleep(endAfterMs)
+  socket.end()
+  await new Promise<void>(resolve => socket.on('end', () => resolve()).on('close', () => resolve()).on('error', () => {}))
+  socket.destroy()
+  return received
+}
+
 async function listRunIds ({ engines }: ProcessSystem): Promise<Set<string>> {
   const journals = await readJournals(engines)
   return new Set(journals.flat().filter(({ kind }) => kind === 'started').map(({ requestId }) => requestId))
@@ -87,3 +108,28 @@
 Then('the connection ends with status {int} after the answer', function (this: GatewayStopsWorld, status: number) {
   assert.deepEqual(readAnswers(this.received[0]!).map(answer => answer.status), [200, status])
 })
+
+When(/^a caller sends (\d+) (long )?(completion|stream)s? at once to the gateway, and ends its side (at once|in its run)$/, async function (this: GatewayStopsWorld, count: string, long: string | null, kind: string, when: string) {
+  this.earlierIds = await listRunIds(this.processes)
+  const bytes = formatCompletion(kind === 'stream', long ? longTokens : shortTokens).repeat(Number(count))
+  this.received = [await sendAndEndSide(this.processes.urls[0]!, bytes, when === 'at once' ? 0 : lateEndMs)]
+})
+
+When('a caller sends 1 long completion to the gateway, ends its side and leaves', async function (this: GatewayStopsWorld) {
+  this.earlierIds = await listRunIds(this.processes)
+  const socket = connect({ host: '127.0.0.1', port: Number(new URL(this.processes.urls[0]!).port) })
+  socket.on('error', () => {}).write(formatCompletion(false, longerTokens))
+  await waitUntil(async () => (await listRunIds(this.processes)).size > this.earlierIds.size)
+  socket.destroy()
+})
+
+Then('the request that ran is cancelled within {int} ms', async function (this: GatewayStopsWorld, maxMs: number) {
+  const startedAtMs = performance.now()
+  await waitUntil(async () => (await readJournals(this.processes.engines)).flat().some(({ kind }) => kind === 'cancelled'))
+  const elapsedMs = performance.now() - startedAtMs
+  assert.ok(elapsedMs <= maxMs, `it was cancelled after ${elapsedMs} ms`)
+})
+
+Then('the caller has {int} answer(s), each with status {int}', function (this: GatewayStopsWorld, count: number, status: number) {
+  assert.deepEqual(readAnswers(this.received[0]!).filter(({ isWhole }) => isWhole).map(answer => answer.status), Array.from({ length: count }, () => status))
+})
--- /dev/null
+++ b/src/tasks/gateway/callerConnections.ts
@@ -0,0 +1,197 @@
+/** The callers' connections to a gateway: their requests are begun one after the other, and no close cuts off what runs. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, RequestListener, Server, ServerOptions, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { createLog } from '../../createLog.js'
+import type { Clock } from '../../ports/clock.js'
+import { createNotRunFailure } from '../../schemas/verdict.js'
+import type { RequestFailure } from '../../schemas/verdict.js'
+import { CallerConnection } from '../proxy/callerConnection.js'
+import type { Exchange } from '../proxy/callerConnection.js'
+import { renderErrorBody } from './callerError.js'
+import { createFailure, renderFinalHeaders, renderResponse } from './clientErrors.js'
+
+const log = createLog('callers')
+const badRequestStatus = 400
+const expectationFailedStatus = 417
+const unavailableStatus = 503
+
+export interface CallerConnectionsOptions {
+  clock: Clock
+  /** Time within which a request must be received completely, in milliseconds. */
+  maxArrivalMs: number
+  /** Receives what was refused before it became a request. */
+  receiveFailure: (failure: RequestFailure) => void
+}
+
+/** One connection, and the failure that its caller is told for bytes that are no request. */
+interface OpenConnection {
+  connection: CallerConnection
+  failure: RequestFailure
+}
+
+/**
+ * Creates the HTTP server of the callers' port and keeps its connections.
+ *
+ * @example
+ * const connections = new CallerConnections({ clock, maxArrivalMs, receiveFailure })
+ * fastify({ serverFactory: (handle, { http }) => connections.createServer(http, handle), clientErrorHandler: (error, socket) => connections.receiveError(error, socket) })
+ */
+export class CallerConnections {
+  #options: CallerConnectionsOptions
+  #connections = new Map<Socket, OpenConnection>()
+  #isStopping = false
+
+  constructor (options: CallerConnectionsOptions) {
+    this.#options = options
+  }
+
+  /** Creates the server that passes each request to `handle` in its turn. */
+  createServer (options: ServerOptions, handle: RequestListener): Server {
+    const server = createServer({ ...options, requireHostHeader: false }, (message, response) => this.#receiveRequest(message, response, handle))
+    // The server's own `close` would cut responses that have ended and are still being written.
+    server.closeIdleConnections = () => {}
+    // Connections whose callers have ended their side stay open for the responses.
+    Object.assign(server, { httpAllowHalfOpen: true })
+    server.on('connection', (socket: Socket) => this.#receiveConnection(socket))
+    server.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) => {
+      this.#receiveRequest(message, response, () => refuseBare(response, expectationFailedStatus))
+    })
+    server.on('connect', (_message: IncomingMessage, socket: Socket) => {
+      const connection = this.#connections.get(socket)?.connection
+      connection?.receiveUnsupported()
+      // The server has removed its own listener, which passes this on to the response in progress.
+      socket.on('drain', () => connection?.receiveDrain())
+      socket.resume()
+    })
+    return server
+  }
+
+  /** Answers bytes that are no request, and a request that is not received in time, behind the responses before them. */
+  receiveError (error: NodeJS.ErrnoException, socket: Socket): void {
+    const open = this.#connections.get(socket)
+    if (!open) return
+    // What follows the last request is ignored.
+    if (!open.connection.isLastReceived) log('Failed to read a request: %s.', error.message)
+    // A connection that was reset or has failed is not a bad request.
+    if (error.code !== 'ECONNRESET' && socket.writable && !open.connection.isLastReceived) {
+      open.failure = createFailure(error)
+      this.#options.receiveFailure(open.failure)
+    }
+    open.connection.receiveError(error)
+  }
+
+  /** From now on, each connection is closed once the requests that were read from it have been answered. */
+  stop (): void {
+    this.#isStopping = true
+  }
+
+  /** Closes the connections without a request. */
+  closeIdle (): void {
+    for (const { connection } of this.#connections.values()) connection.closeIfIdle(this.#options.maxArrivalMs)
+  }
+
+  #receiveConnection (socket: Socket): void {
+    const open: OpenConnection = {
+      connection: new CallerConnection({
+        socket,
+        clock: this.#options.clock,
+        isDraining: () => this.#isStopping,
+        isCatchingUp: () => false,
+        isClosingIdle: () => this.#isStopping,
+        renderFinal: () => renderResponse(open.failure)
+      }),
+      failure: createNotRunFailure('invalid_http', 'the request is not valid HTTP', badRequestStatus)
+    }
+    const { connection } = open
+    this.#connections.set(socket, open)
+    // The server removes its listener at a request for a tunnel, and an error without one would end the process.
+    socket.on('error', error => log('A connection of a caller failed: %s.', error.message))
+    socket.on('end', () => connection.receiveEnd())
+    socket.on('close', () => {
+      this.#connections.delete(socket)
+      if (connection.unansweredCount > 0) log('A connection ended with %d requests that had no whole response.', connection.unansweredCount)
+      connection.receiveClose()
+    })
+  }
+
+  #receiveRequest (message: IncomingMessage, response: ServerResponse, handle: RequestListener): void {
+    const { socket } = message
+    const open = this.#connections.get(socket)
+    if (!open || open.connection.isLastReceived) {
+      message.resume()
+      return
+    }
+    const { connection } = open
+    let hasBegun = false
+    const exchange: Exchange = {
+      message,
+      begin: () => {
+        hasBegun = true
+        handle(message, response)
+      },
+      resume: () => { response.emit('drain') },
+      reject: () => {
+        const refuse = (): void => refuseLast(response, open.failure)
+        exchange.begin = refuse
+        if (hasBegun) refuse()
+        else connection.advance()
+      },
+      writeInterim: () => {
+        if (response.headersSent || message.httpVersionMinor === 0) return false
+        response.writeContinue()
+        return true
+      },
+      giveUpUnsent: () => {
+        // What has begun may run; a caller that has left resets the connection once interim responses are written to it.
+        if (!hasBegun) refuseBare(response, unavailableStatus)
+      },
+      giveUp: () => {
+        // Nothing can be written before the response to callers of HTTP/1.0, so that their leaving would not be noticed.
+        if (!response.headersSent && message.httpVersionMinor === 0) socket.destroy()
+      },
+      end: () => {
+        if (connection.remove(exchange)) connection.advance()
+      }
+    }
+    const lacksHost = message.headers.host === undefined && message.httpVersionMinor > 0
+    if (lacksHost) exchange.begin = () => refuseBare(response, badRequestStatus)
+    // A caller that always has a request unanswered would otherwise keep its connection for the whole time of the stop.
+    const isBehindStop = this.#isStopping && connection.unansweredCount > 0
+    announceClose(response, isComplete => connection.decideClose(exchange, isComplete))
+    connection.add(exchange, !response.shouldKeepAlive || lacksHost || isBehindStop)
+    response.on('close', exchange.end)
+    message.on('end', () => connection.recordRead())
+    // A body that came with its head has been read by then, so that a refusal need not close the connection.
+    process.nextTick(() => {
+      if (message.complete) connection.recordRead()
+      connection.advance()
+    })
+  }
+}
+
+/** Has a response say that it is the last one of its connection if `decideClose` returns true when its head is written. */
+function announceClose (response: ServerResponse, decideClose: (isComplete: boolean) => boolean): void {
+  const writeHead = response.writeHead.bind(response) as (...values: unknown[]) => ServerResponse
+  response.writeHead = (...values: unknown[]) => {
+    const headers = values.at(-1)
+    const isComplete = response.hasHeader('content-length') || (typeof headers === 'object' && headers !== null && 'content-length' in headers)
+    if (decideClose(isComplete)) response.setHeader('connection', 'close')
+    // Fastify announces the close with each response while it stops.
+    else if (response.hasHeader('connection')) response.setHeader('connection', 'keep-alive')
+    return writeHead(...values)
+  }
+}
+
+function refuseBare (response: ServerResponse, status: number): void {
+  response.writeHead(status, { 'content-length': 0 })
+  response.end()
+}
+
+/** Refuses a request that cannot be read to its end. */
+function refuseLast (response: ServerResponse, failure: RequestFailure): void {
+  if (response.headersSent) return
+  const body = renderErrorBody(failure)
+  response.writeHead(failure.status, renderFinalHeaders(body))
+  response.end(body)
+}
--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -1,6 +1,6 @@
 /** HTTP server of the callers' port: the OpenAI API, and the routes that relay calls to plain services. */
 import { randomUUID } from 'node:crypto'
-import type { AddressInfo, Socket } from 'node:net'
+import type { AddressInfo } from 'node:net'
 import fastify from 'fastify'
 import type { FastifyError, FastifyInstance, FastifyReply, FastifyRequest } from 'fastify'
 import { maxHeaderBytes, maxRequestBodyBytes } from '../../constants.js'
@@ -8,10 +8,10 @@
 import type { RequestFailure } from '../../schemas/verdict.js'
 import { AnswerWriter } from './answerWriter.js'
 import { findCaller } from './callerAccess.js'
+import { CallerConnections } from './callerConnections.js'
 import { getKeyedRequest, readHeader, readRequestId, sendFailure } from './callersContext.js'
 import type { CallersContext } from './callersContext.js'
 import { runKeyedCompletion } from './keyedRequests.js'
-import { createClientErrorHandler } from './clientErrors.js'
 import { addJobsRoute } from './jobsRoute.js'
 import { addModelsRoute } from './modelsRoute.js'
 import { defaultOpenRequestLimits, OpenRequests } from './openRequests.js'
@@ -21,6 +21,8 @@
 
 const healthPath = '/healthz'
 const defaultMaxArrivalMs = 30_000
+/** Time after which a connection without a request is closed. */
+const keepAliveMs = 72_000
 /** Time between two closings of idle connections while the server stops. */
 const idleCloseIntervalMs = 100
 /** Longest time between two checks for requests that were not received in time. */
@@ -43,18 +45,23 @@
 /** Starts the server of the callers' port. Rejects if the port is in use. */
 export async function startCallersServer (options: CallersServerOptions): Promise<CallersServer> {
   const { maxArrivalMs = defaultMaxArrivalMs } = options
+  const connections = new CallerConnections({
+    clock: options.clock,
+    maxArrivalMs,
+    receiveFailure: failure => options.receiveRefusal({ requestId: '', callerName: undefined, failure })
+  })
   const server = fastify({
     bodyLimit: maxRequestBodyBytes,
-    http: {
+    serverFactory: handle => connections.createServer({
       maxHeaderSize: maxHeaderBytes,
       // A longer timeout for the headers would apply to the whole request instead of `requestTimeout`.
       headersTimeout: maxArrivalMs,
-      connectionsCheckingInterval: Math.min(maxArrivalMs, maxArrivalCheckIntervalMs)
-    },
-    requestTimeout: maxArrivalMs,
-    forceCloseConnections: 'idle',
+      requestTimeout: maxArrivalMs,
+      connectionsCheckingInterval: Math.min(maxArrivalMs, maxArrivalCheckIntervalMs),
+      keepAliveTimeout: keepAliveMs
+    }, handle),
     return503OnClosing: false,
-    clientErrorHandler: createClientErrorHandler(failure => options.receiveRefusal({ requestId: '', callerName: undefined, failure }))
+    clientErrorHandler: (error, socket) => connections.receiveError(error, socket)
   })
   server.decorate('receiveRefusal', options.receiveRefusal)
   addErrorHandlers(server)
@@ -65,20 +72,13 @@
   await addServicesRoute(server, options)
   await server.listen({ host: options.address, port: options.port })
   const { port } = server.server.address() as AddressInfo
-  const connections = new Set<Socket>()
-  server.server.on('connection', (socket: Socket) => {
-    connections.add(socket)
-    socket.once('close', () => connections.delete(socket))
-  })
   return { port, stop: async () => await stopServer(server, connections) }
 }
 
 /** Closes connections without a request, so that neither keep-alive connections nor ones opened in advance delay the stop. */
-async function stopServer (server: FastifyInstance, connections: Set<Socket>): Promise<void> {
-  const closeTimer = setInterval(() => {
-    server.server.closeIdleConnections()
-    for (const socket of connections) if (socket.bytesRead === 0) socket.destroy()
-  }, idleCloseIntervalMs)
+async function stopServer (server: FastifyInstance, connections: CallerConnections): Promise<void> {
+  connections.stop()
+  const closeTimer = setInterval(() => connections.closeIdle(), idleCloseIntervalMs)
   await server.close()
   clearInterval(closeTimer)
 }
