Fit the gateway's connections to the states of callers that end their side

Requests that wait behind an unanswered one no longer reach the gateway's routes before their turn, so that OpenResponses, which ended them when their connection closed, has nothing left to do and is removed. Its scenario waited until three streams of one connection ran side by side, which they no longer do: it now asks that the first one is cancelled and that no other has begun.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -45,8 +45,9 @@
 
   Scenario: Requests behind an unanswered one on a connection that closes
     Given a system whose callers' port takes 3 requests with 1000000 bytes in all at once
-    When a caller writes 3 streams to one connection and closes it once all run
+    When a caller writes 3 streams to one connection and closes it once the first runs
     Then the engine cancels every stream
+    And no other stream has begun
     And a caller asks for 5 tokens from "cluj-tax" until the answer has status 200
 
   Scenario: A connection without a request does not hold a gateway that stops
--- a/src/tasks/gateway/callerConnections.ts
+++ b/src/tasks/gateway/callerConnections.ts
@@ -96,6 +96,7 @@
       connection: new CallerConnection({
         socket,
         clock: this.#options.clock,
+        log: { record: (_kind, message, fields) => log('%s %o', message, fields) },
         isDraining: () => this.#isStopping,
         isCatchingUp: () => false,
         isClosingIdle: () => this.#isStopping,
@@ -124,6 +125,7 @@
     }
     const { connection } = open
     let hasBegun = false
+    const lacksHost = message.headers.host === undefined && message.httpVersionMinor > 0
     const exchange: Exchange = {
       message,
       begin: () => {
@@ -131,30 +133,27 @@
         handle(message, response)
       },
       resume: () => { response.emit('drain') },
+      isRejected: lacksHost,
       reject: () => {
+        exchange.isRejected = true
         const refuse = (): void => refuseLast(response, open.failure)
         exchange.begin = refuse
         if (hasBegun) refuse()
         else connection.advance()
       },
       writeInterim: () => {
-        if (response.headersSent || message.httpVersionMinor === 0) return false
-        response.writeContinue()
-        return true
+        if (!response.headersSent && message.httpVersionMinor === 1) response.writeContinue()
       },
-      giveUpUnsent: () => {
+      giveUp: () => {
         // What has begun may run; a caller that has left resets the connection once interim responses are written to it.
         if (!hasBegun) refuseBare(response, unavailableStatus)
-      },
-      giveUp: () => {
         // Nothing can be written before the response to callers of HTTP/1.0, so that their leaving would not be noticed.
-        if (!response.headersSent && message.httpVersionMinor === 0) socket.destroy()
+        else if (!response.headersSent && message.httpVersionMinor === 0) socket.destroy()
       },
       end: () => {
         if (connection.remove(exchange)) connection.advance()
       }
     }
-    const lacksHost = message.headers.host === undefined && message.httpVersionMinor > 0
     if (lacksHost) exchange.begin = () => refuseBare(response, badRequestStatus)
     // A caller that always has a request unanswered would otherwise keep its connection for the whole time of the stop.
     const isBehindStop = this.#isStopping && connection.unansweredCount > 0
--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -15,7 +15,6 @@
 import { addJobsRoute } from './jobsRoute.js'
 import { addModelsRoute } from './modelsRoute.js'
 import { defaultOpenRequestLimits, OpenRequests } from './openRequests.js'
-import { OpenResponses } from './openResponses.js'
 import { resolveRequest } from './resolveRequest.js'
 import { addServicesRoute } from './servicesRoute.js'
 
@@ -86,7 +85,6 @@
 /** Refuses requests without a known key, and those over the limits of open requests, before their body is read. */
 function addCallerCheck (server: FastifyInstance, context: CallersContext): void {
   const openRequests = new OpenRequests(context.openLimits ?? defaultOpenRequestLimits)
-  const openResponses = new OpenResponses()
   server.decorateRequest('caller', undefined)
   server.addHook('onRequest', async (request, reply) => {
     reply.header('sedgevalve-request-id', `req-${randomUUID()}`)
@@ -97,7 +95,6 @@
     const admission = openRequests.admit(request.headers)
     if (typeof admission !== 'function') return sendFailure(reply, admission)
     reply.raw.once('close', admission)
-    openResponses.add(request.raw.socket, reply.raw)
   })
   server.get(healthPath, (_request, reply) => {
     const isCurrent = context.configuration.isCurrent()
--- a/src/tasks/proxy/callerConnection.ts
+++ b/src/tasks/proxy/callerConnection.ts
@@ -34,6 +34,8 @@
   isCatchingUp: () => boolean
   /** Whether connections are closed as soon as they are idle, also those whose callers were not asked to open another one. */
   isClosingIdle: () => boolean
+  /** Renders the response to bytes that are no request from its status and phrase. Without it, the response has no body. */
+  renderFinal?: (status: string) => string
 }
 
 /** Time for a caller to receive its last response before the connection is reset because of bytes that nobody reads. */
@@ -261,7 +263,12 @@
   }
 
   #closeWithStatus (status: string): void {
-    this.#options.socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`)
+    const { socket, renderFinal = renderBareFinal } = this.#options
+    socket.write(renderFinal(status))
     this.closeGracefully()
   }
 }
+
+function renderBareFinal (status: string): string {
+  return `HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`
+}
