Tell of requests that are ignored behind the last one of a connection

No line distinguished a request that a host ignores from one that never arrived. caller.requestIgnored says why the request before it was the last one.

--- a/src/tasks/gateway/callerConnections.ts
+++ b/src/tasks/gateway/callerConnections.ts
@@ -120,6 +120,7 @@
     const { socket } = message
     const open = this.#connections.get(socket)
     if (!open || open.connection.isLastReceived) {
+      open?.connection.recordIgnored()
       message.resume()
       return
     }
--- a/src/tasks/proxy/callerConnection.ts
+++ b/src/tasks/proxy/callerConnection.ts
@@ -24,6 +24,12 @@
   end: () => void
 }
 
+/**
+ * Why requests that still arrive on a connection are ignored: a response has announced the close; its own request asked for it; the caller has
+ * ended its side; a request cannot be read to its end, or the bytes behind it are none; or the connection is being closed.
+ */
+type IgnoreReason = 'announced' | 'requested' | 'callerEnded' | 'unreadable' | 'closing'
+
 export interface CallerConnectionOptions {
   socket: Socket
   clock: Clock
@@ -62,8 +68,8 @@
   #lastReadAtMs = -Infinity
   /** Whether the caller has sent a request before it had the response to the one before. */
   #isPipelined = false
-  /** Whether nothing that arrives from now on is a request of this connection. */
-  #isLastReceived = false
+  /** Set once nothing that arrives is a request of this connection any more. */
+  #ignoreReason: IgnoreReason | undefined
   /** Status line that follows the last response, as bytes arrived that are no request. */
   #finalStatus: string | undefined
   #isClosing = false
@@ -86,7 +92,7 @@
 
   /** Ends what is left on a connection that has closed. */
   receiveClose (): void {
-    this.#isLastReceived = true
+    this.#ignoreReason ??= 'closing'
     this.#isClosing = true
     this.#linger?.cancel()
     this.#presence?.stop()
@@ -101,7 +107,7 @@
   receiveEnd (): void {
     const { socket, clock, log, isCatchingUp } = this.#options
     const sinceReadMs = clock.readMonotonic() - this.#lastReadAtMs
-    this.#isLastReceived = true
+    this.#ignoreReason ??= 'callerEnded'
     const last = this.#exchanges.at(-1)
     // Its parser reports no error behind a request that was announced as the last one.
     if (last && !last.message.complete) last.reject(badRequestStatus)
@@ -144,15 +150,20 @@
     return this.#exchanges.length
   }
 
-  /** Whether further requests are ignored, as the caller has been told that there are none on this connection. */
+  /** Whether further requests are ignored. */
   get isLastReceived (): boolean {
-    return this.#isLastReceived
+    return this.#ignoreReason !== undefined
+  }
+
+  /** Records a request that arrived behind the last one. */
+  recordIgnored (): void {
+    this.#options.log.record('caller.requestIgnored', 'Ignored a request that arrived behind the last one of its connection.', { reason: this.#ignoreReason, unanswered: this.#exchanges.length })
   }
 
   add (exchange: Exchange, isLast: boolean): void {
     if (this.#exchanges.length > 0) this.#isPipelined = true
     this.#exchanges.push(exchange)
-    this.#isLastReceived ||= isLast
+    if (isLast) this.#ignoreReason ??= 'requested'
     this.#limitReading()
   }
 
@@ -187,8 +198,9 @@
   decideClose (exchange: Exchange, isComplete: boolean): boolean {
     const isAlone = this.#exchanges.length === 1 && this.#finalStatus === undefined
     const isMoving = this.#options.isDraining() && isAlone && (isComplete || !this.#isPipelined)
-    if (isMoving || !exchange.message.complete) this.#isLastReceived = true
-    return this.#isLastReceived && isAlone
+    if (isMoving) this.#ignoreReason ??= 'announced'
+    if (!exchange.message.complete) this.#ignoreReason ??= 'unreadable'
+    return this.isLastReceived && isAlone
   }
 
   /** Answers bytes that are no request with an error, after the responses to the requests before them. */
@@ -199,8 +211,8 @@
       return
     }
     // What follows the last request is ignored.
-    if (this.#isLastReceived) return
-    this.#isLastReceived = true
+    if (this.isLastReceived) return
+    this.#ignoreReason = 'unreadable'
     const status = unreadableStatuses[error.code!] ?? `${badRequestStatus} Bad Request`
     const last = this.#exchanges.at(-1)
     if (last && !last.message.complete) last.reject(Number.parseInt(status, 10))
@@ -209,8 +221,8 @@
 
   /** Ends the connection with this status line once the requests before have their responses. */
   receiveUnsupported (): void {
-    if (this.#isLastReceived) return
-    this.#isLastReceived = true
+    if (this.isLastReceived) return
+    this.#ignoreReason = 'unreadable'
     this.#finish('501 Not Implemented')
   }
 
@@ -232,7 +244,7 @@
   closeGracefully (): void {
     if (this.#isClosing) return
     this.#isClosing = true
-    this.#isLastReceived = true
+    this.#ignoreReason ??= 'closing'
     const { socket, clock } = this.#options
     socket.end(() => { this.#linger = clock.setTimer(() => socket.destroy(), lingerMs) })
   }
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -201,6 +201,7 @@
     const { socket } = message
     const connection = this.#connections.get(socket)
     if (!connection || connection.isLastReceived) {
+      connection?.recordIgnored()
       message.resume()
       return
     }
