--- a/features/steps/gatewayStops.ts
+++ b/features/steps/gatewayStops.ts
@@ -25,13 +25,13 @@
 /** Later than callers end their side that do so with each request. */
 const lateEndMs = 300
 
-function formatCompletion (isStream: boolean, maxTokens = shortTokens): string {
+export function formatCompletion (isStream: boolean, maxTokens = shortTokens): string {
   const body = JSON.stringify({ model: 'cluj-tax', stream: isStream, max_tokens: maxTokens, messages: [{ role: 'user', content: 'Is the claim valid?' }] })
   return `POST /v1/chat/completions HTTP/1.1\r\nhost: gateway\r\nauthorization: Bearer ${exampleCallerKey}\r\ncontent-type: application/json\r\ncontent-length: ${body.length}${headEnd}${body}`
 }
 
 /** Splits what a connection has received into answers, without interim ones; the last one may not be whole. */
-function readAnswers (received: string): Array<{ id: string, status: number, isWhole: boolean }> {
+export function readAnswers (received: string): Array<{ id: string, status: number, isWhole: boolean }> {
   const answers = []
   let rest = received
   while (rest.includes(headEnd)) {
