Read what has arrived before a stopping host announces a close

A request that arrived while the process of a stopping host stood still got no answer if the response before it was written next: this response announced the close, and the request, which the system held by then, was ignored, more than 200 ms after it had been sent. While the host stops, a complete response now waits for two turns of the event loop, in which what has arrived is read.

--- a/features/arrivingRequests.feature
+++ b/features/arrivingRequests.feature
@@ -22,3 +22,9 @@
     Given 2 hosts before 1 engine and 2 services
     When 4 connections to the port of host 2 for other hosts get a request as it begins to stop, and an idle and a new one 300 ms later
     Then each of these requests is answered
+
+  # Guards against a close that is announced before what arrived during a standstill has been read.
+  Scenario: Requests that arrived while the process stood still before a response announced the close are answered
+    Given a draining listener whose process stands still before its first response on a connection
+    When 4 callers send a request, and another one during the standstill
+    Then each of these requests is answered
--- a/features/steps/arrivingRequests.ts
+++ b/features/steps/arrivingRequests.ts
@@ -4,17 +4,18 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Worker } from 'node:worker_threads'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
-import { decodeRequest } from '../../src/platform/requestWire.js'
 import { RawCaller } from '../../src/standin/fleet/rawCaller.js'
 import type { RawAnswer } from '../../src/standin/fleet/rawCaller.js'
-import { CallerListener } from '../../src/tasks/proxy/callerListener.js'
+import { fleetPaths } from '../../src/standin/fleet/startFleet.js'
 import type { ArrivingOrder } from '../support/arrivingCaller.js'
-import { findFreePort } from '../support/findFreePort.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
+import { createTestHandle, startTestListener } from '../support/testListener.js'
+import type { TestListener } from '../support/testListener.js'
 
 interface ArrivingWorld extends HostsWorld {
-  listener: { listener: CallerListener, address: string }
+  listener: TestListener
+  /** Sends the request that arrives during the standstill. */
+  sendDuringStandstill: () => void
   arrivingAnswers: RawAnswer[]
 }
 
@@ -26,27 +27,12 @@
 })
 
 Given('a listener that answers requests at once', async function (this: ArrivingWorld) {
-  const address = `127.0.0.1:${await findFreePort()}`
-  const listener = new CallerListener({
-    address,
-    clock: createSystemClock(),
-    log: { record: () => {} },
-    decodeRequest,
-    getLimits: () => undefined,
-    maxHeldBytes: 1_000_000,
-    createHandle: (_request, response) => ({
-      serve: async () => {
-        response.writeHead(200, ['Content-Length', '0'])
-        response.end()
-      },
-      receiveError: () => {},
-      receiveCallerDisconnect: () => {},
-      receiveUnknownCaller: () => {},
-      receiveStop: () => {}
+  this.listener = await startTestListener({
+    createHandle: (_request, response) => createTestHandle(async () => {
+      response.writeHead(200, ['Content-Length', '0'])
+      response.end()
     })
   })
-  await listener.start()
-  this.listener = { listener, address }
 })
 
 When(/^requests arrive on (\d+) connections (with an earlier answer|without an earlier request), and its process stands still beyond the time of the close$/, async function (this: ArrivingWorld, count: string, earlier: string) {
@@ -82,6 +68,32 @@
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, standstillMs)
 }
 
+Given('a draining listener whose process stands still before its first response on a connection', async function (this: ArrivingWorld) {
+  this.listener = await startTestListener({
+    createHandle: ({ path }, response) => createTestHandle(async () => {
+      if (path.startsWith(fleetPaths.idempotent)) {
+        this.sendDuringStandstill()
+        standStill()
+      }
+      response.writeHead(200, ['Content-Length', '0'])
+      response.end()
+    })
+  })
+  this.listener.listener.disableKeepAlive()
+})
+
+When('{int} callers send a request, and another one during the standstill', async function (this: ArrivingWorld, count: number) {
+  const callers = await Promise.all(Array.from({ length: count }, async () => await RawCaller.open(this.listener.address)))
+  const answers: Array<Promise<RawAnswer[]>> = []
+  for (const caller of callers) {
+    this.sendDuringStandstill = () => { answers.push(caller.send([{ kind: 'once' }])) }
+    answers.push(caller.send([{ kind: 'idempotent' }]))
+    await Promise.all(answers)
+  }
+  this.arrivingAnswers = (await Promise.all(answers)).flat()
+  for (const caller of callers) caller.close()
+})
+
 When('{int} connections to the port of host 2 for other hosts get a request as it begins to stop, and an idle and a new one {int} ms later', { timeout: 20_000 }, async function (this: ArrivingWorld, count: number, ms: number) {
   const host = this.hostFleet.hosts[1]!
   const { address, datagramPort } = host.settings
--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -95,7 +95,7 @@
   const callerRequest: CallerRequest = {
     requestId: 'r1', method: 'POST', callerKey: '', path: `${fleetPaths.stream}x`, host: fleetHost, headers: [], body: Buffer.from('a question'), receivedAtMs: clock.readMonotonic(), timeLeftMs: 4000, lastEventId: undefined, isResumption: false, resumedRequestId: undefined, model: fleetModel, adapter: 'a1', promptTokens: 100, maxTokens: 20, promptSegments: []
   }
-  const request = new ProxiedRequest(context, callerRequest, new CallerResponse({ response: response as unknown as ServerResponse, onCallerDisconnect: () => {}, decideClose: () => false, isCallerUncertain: () => false, waitUntilCallerKnown: async () => {} }))
+  const request = new ProxiedRequest(context, callerRequest, new CallerResponse({ response: response as unknown as ServerResponse, onCallerDisconnect: () => {}, decideClose: () => false, isDraining: () => false, isCallerUncertain: () => false, waitUntilCallerKnown: async () => {} }))
   request.serve()
   const activity = { lastContactAtMs: 0, waitingSinceMs: undefined, connectFailingSinceMs: undefined }
   const link = { busy: 0, hasRoom: true, activity, giveUpSilent: () => {}, close: () => {}, send: (_request: OutgoingRequest, sender: ResponseReceiver) => { sendCount++; receiver = sender; return { cancel: () => { cancelCount++ }, resume: () => {} } }, probe: async () => 'open' as const }
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -212,6 +212,7 @@
       response,
       onCallerDisconnect: () => handle?.receiveCallerDisconnect(),
       decideClose: isComplete => connection.decideClose(exchange, isComplete),
+      isDraining: () => this.#isDraining,
       isCallerUncertain: () => connection.isCallerUncertain,
       waitUntilCallerKnown: async () => await connection.waitUntilCallerKnown()
     })
--- a/src/tasks/proxy/callerResponse.ts
+++ b/src/tasks/proxy/callerResponse.ts
@@ -9,6 +9,8 @@
   onCallerDisconnect: () => void
   /** Whether the caller is told that this is the last response on its connection; `isComplete`: whether it goes out as a whole. */
   decideClose: (isComplete: boolean) => boolean
+  /** Whether the host stops, so that a complete response announces the close if nothing was read behind its request. */
+  isDraining: () => boolean
   /** Whether the caller has ended its side of the connection and is not yet known to read on. */
   isCallerUncertain: () => boolean
   /** Resolves when the caller is known to read, or the connection has closed. */
@@ -72,8 +74,10 @@
   end (chunk?: Buffer): void {
     if (this.#isEnded) return
     this.#isEnded = true
-    this.#flushHead((chunk?.length ?? 0) <= maxAtOnceBytes)
-    this.#response.end(chunk)
+    const isComplete = (chunk?.length ?? 0) <= maxAtOnceBytes
+    // What arrived while the process stood still counts when the close is decided.
+    if (isComplete && this.#pendingHead && this.#options.isDraining()) setImmediate(() => setImmediate(() => this.#finish(isComplete, chunk)))
+    else this.#finish(isComplete, chunk)
   }
 
   /** Rejects a request that has not been begun. */
@@ -98,6 +102,11 @@
     }
   }
 
+  #finish (isComplete: boolean, chunk: Buffer | undefined): void {
+    this.#flushHead(isComplete)
+    this.#response.end(chunk)
+  }
+
   #flushHead (isComplete: boolean): void {
     if (!this.#pendingHead) return
     const { status, headers } = this.#pendingHead
