--- a/deploy/buildHost.mjs
+++ b/deploy/buildHost.mjs
@@ -1,16 +1,18 @@
-// Builds the host's program into target/: one bundle, its compiled code, and the loader that starts both.
+// Builds the host's program into target/, or the folder that is given: one bundle, its compiled code, and the loader that starts both.
+// The folder lies in the repository, as the warm-up needs the installed packages.
 import { execFileSync } from 'node:child_process'
 import { copyFileSync, mkdirSync, readFileSync, rmSync, statSync } from 'node:fs'
 import { build } from 'esbuild'
 
-const loader = 'target/sedgevalve-host.cjs'
-const warmUp = 'target/warmHost.mjs'
-const cacheFile = 'target/host/bundle.cache'
-const earlySignals = 'target/host/earlySignals.cjs'
+const folder = process.argv[2] ?? 'target'
+const loader = `${folder}/sedgevalve-host.cjs`
+const warmUp = `${folder}/warmHost.mjs`
+const cacheFile = `${folder}/host/bundle.cache`
+const earlySignals = `${folder}/host/earlySignals.cjs`
 
 await build({
   entryPoints: ['src/bin/runHost.ts'],
-  outfile: 'target/host/bundle.js',
+  outfile: `${folder}/host/bundle.js`,
   bundle: true,
   minify: true,
   keepNames: true,
@@ -25,7 +27,7 @@
   logLevel: 'error'
 })
 await build({ entryPoints: ['src/bin/earlySignals.ts'], outfile: earlySignals, minify: true, platform: 'node', target: 'node20', format: 'cjs', logLevel: 'error' })
-mkdirSync('target', { recursive: true })
+mkdirSync(folder, { recursive: true })
 copyFileSync('deploy/hostLoader.cjs', loader)
 
 // Compiled code fits only the flags that it was made with. What a host runs while it serves is compiled too.
--- a/deploy/warmHost.ts
+++ b/deploy/warmHost.ts
@@ -5,7 +5,7 @@
 import { fork } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
 import { mkdirSync, rmSync, writeFileSync } from 'node:fs'
-import { join } from 'node:path'
+import { dirname, join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { encodeHostSettings, settingsFileVariable } from '../src/platform/hostSettings.js'
 import { FleetCaller } from '../src/standin/fleet/fleetCaller.js'
@@ -15,7 +15,7 @@
 import type { HostSettings } from '../src/schemas/hostSettings.js'
 
 const [loader = '', ...flags] = process.argv.slice(2)
-const folder = 'target/warm'
+const folder = join(dirname(loader), 'warm')
 /** Enough for every path of a calm day to run more than once. */
 const calls = 240
 const callGapMs = 8
--- a/features/endlessAnswers.feature
+++ b/features/endlessAnswers.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: Endless responses
   A faulty endpoint or store may send bytes without end. They take a bounded amount of memory, and the outcome of the request is
   reported correctly.
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -10,11 +10,13 @@
     Then the plans of seeds 7, 1001, 20001, 30001 and 39999 are those that they have always been
     And the plan of seed 40001 also names "portTaken" and "hostStopSeries"
 
+  @alone
   Scenario: Four hosts keep their promises while faults strike
     When seed 6 is soaked for 6 seconds
     Then the soak finds no broken promise
     And callers got at least 150 whole answers
 
+  @alone
   Scenario: A host that does not stop gracefully is noticed
     When seed 1 is soaked for 8 seconds without "gracefulStop"
     Then the soak finds "stopCutsNothing"
--- a/features/steps/earlySignals.ts
+++ b/features/steps/earlySignals.ts
@@ -2,11 +2,12 @@
 import assert from 'node:assert/strict'
 import { once } from 'node:events'
 import { spawnSync } from 'node:child_process'
-import { mkdtempSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { After, Given, Then } from '@cucumber/cucumber'
 import { encodeHostSettings, settingsFileVariable } from '../../src/platform/hostSettings.js'
+import { createBuildFolder } from '../support/buildFolder.js'
 import { HostFleet } from '../support/hostFleet.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
 import { formatGateway, formatScheduler, formatStandin, startProcesses } from '../support/processes.js'
@@ -16,10 +17,10 @@
 
 interface EarlySignalsWorld extends HostsWorld {
   startedProgram: BinaryProcess
+  buildFolder: string
   stopProcesses: () => Promise<void>
 }
 
-const loader = 'target/sedgevalve-host.cjs'
 const buildTimeoutMs = 120_000
 /** Time in which a signal that a thread has sent to its process takes effect. */
 const deliveryMs = 50
@@ -77,6 +78,7 @@
 After(async function (this: Partial<EarlySignalsWorld>) {
   this.startedProgram?.process.kill('SIGKILL')
   await this.stopProcesses?.()
+  if (this.buildFolder !== undefined) rmSync(this.buildFolder, { recursive: true })
 })
 
 Given(/^the (host|quickstart) gets (.+) when it opens its first port$/, async function (this: EarlySignalsWorld, program: string, signals: string) {
@@ -85,9 +87,10 @@
 })
 
 Given(/^the deployed host gets (.+) when it loads its modules$/, { timeout: buildTimeoutMs }, async function (this: EarlySignalsWorld, signals: string) {
-  const { status, stderr } = spawnSync(process.execPath, ['deploy/buildHost.mjs'], { encoding: 'utf8' })
+  this.buildFolder = createBuildFolder()
+  const { status, stderr } = spawnSync(process.execPath, ['deploy/buildHost.mjs', this.buildFolder], { encoding: 'utf8' })
   assert.equal(status, 0, stderr)
-  this.startedProgram = startProgram(loader, { [settingsFileVariable]: await writeHostSettings(this), NODE_OPTIONS: formatBundleSignalModule(signals.split(', ')) })
+  this.startedProgram = startProgram(join(this.buildFolder, 'sedgevalve-host.cjs'), { [settingsFileVariable]: await writeHostSettings(this), NODE_OPTIONS: formatBundleSignalModule(signals.split(', ')) })
 })
 
 Given(/^the (host|gateway|scheduler|standin|quickstart) gets (.+) when it loads its modules$/, async function (this: EarlySignalsWorld, program: string, signals: string) {
--- a/features/steps/hostSettings.ts
+++ b/features/steps/hostSettings.ts
@@ -7,6 +7,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { readHostSettings, settingsFileVariable } from '../../src/platform/hostSettings.js'
 import type { HostSettings } from '../../src/schemas/hostSettings.js'
+import { createBuildFolder } from '../support/buildFolder.js'
 import type { SystemWorld } from '../support/world.js'
 
 interface SettingsWorld extends SystemWorld {
@@ -105,7 +106,9 @@
 })
 
 When('the host\'s program is built', { timeout: buildTimeoutMs }, function (this: SettingsWorld) {
-  const { status, stdout, stderr } = spawnSync(process.execPath, ['deploy/buildHost.mjs'], { encoding: 'utf8' })
+  const folder = createBuildFolder()
+  const { status, stdout, stderr } = spawnSync(process.execPath, ['deploy/buildHost.mjs', folder], { encoding: 'utf8' })
+  rmSync(folder, { recursive: true })
   this.programExitCode = status
   this.programOutput = stdout + stderr
 })
