Leave requests that come late in a stop to other hosts

After listening has ended, requests on a connection that had a response since are refused as not run, like those behind an unanswered one.

--- a/src/tasks/proxy/callerConnection.ts
+++ b/src/tasks/proxy/callerConnection.ts
@@ -154,6 +154,11 @@
     return this.#exchanges.length
   }
 
+  /** Whether a request was read so late in a stop that its caller is better served by another host. */
+  get isLeftToOthers (): boolean {
+    return this.#isIdleLate || (this.#options.isClosingIdle() && this.#exchanges.length > 0)
+  }
+
   /** Whether further requests are ignored. */
   get isLastReceived (): boolean {
     return this.#ignoreReason !== undefined
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -242,7 +242,7 @@
       }
     }
     // A caller that always has a request unanswered would otherwise keep its connection for the whole time of the stop.
-    const isBehindClose = this.#isClosingIdle && connection.unansweredCount > 0
+    const { isLeftToOthers } = connection
     // The server closes connections of HTTP/1.0 after answers of unknown length.
     connection.add(exchange, !response.shouldKeepAlive || message.httpVersionMinor === 0)
     response.on('close', exchange.end)
@@ -253,7 +253,7 @@
       handle = this.#options.createHandle(this.#options.decodeRequest(message, bytes, receivedAtMs), callerResponse)
       this.#handles.add(handle)
       // While this host stops, the request is left to other hosts.
-      if (isBehindClose || this.#isStopping) handle.receiveStop()
+      if (isLeftToOthers || this.#isStopping) handle.receiveStop()
       else await handle.serve()
     }
     const body = new RequestBody({
