Refuse requests that reach a stopping gateway behind a stream's end

A gateway now refuses, as hosts do, what comes on a connection that had a response since the stop began.

--- a/features/steps/reviewFindings.ts
+++ b/features/steps/streamStops.ts
@@ -1,4 +1,4 @@
-/** Steps of the findings of the review of requests behind streams. */
+/** Steps of callers that go on with streams, or read one slowly, while a gateway or host stops. */
 import assert from 'node:assert/strict'
 import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -9,7 +9,7 @@
 import type { TestListener } from '../support/testListener.js'
 import { formatCompletion, readAnswers } from './gatewayStops.js'
 
-interface FindingsWorld {
+interface StreamStopsWorld {
   processes: ProcessSystem
   /** From the start of the stop to its end, or to the time at which the callers have left. */
   stoppedAfterMs: number
@@ -27,7 +27,7 @@
 /** Callers leave after this time, so that the gateway can end. */
 const maxStopMs = 8000
 
-When('{int} callers go on sending streams to the gateway, each {int} ms after the end of the one before, and it stops', { timeout: 30_000 }, async function (this: FindingsWorld, count: number, gapMs: number) {
+When('{int} callers go on sending streams to the gateway, each {int} ms after the end of the one before, and it stops', { timeout: 30_000 }, async function (this: StreamStopsWorld, count: number, gapMs: number) {
   const port = Number(new URL(this.processes.urls[0]!).port)
   const bytes = formatCompletion(true)
   let answers = 0
@@ -57,15 +57,15 @@
   await stopped
 })
 
-Then('the gateway has stopped within {int} ms', function (this: FindingsWorld, maxMs: number) {
+Then('the gateway has stopped within {int} ms', function (this: StreamStopsWorld, maxMs: number) {
   assert.ok(this.stoppedAfterMs <= maxMs, `${Math.round(this.stoppedAfterMs)} ms, with ${this.answersInStop} answers in this time`)
 })
 
-After(function (this: Partial<FindingsWorld>) {
+After(function (this: Partial<StreamStopsWorld>) {
   this.slowlyRead?.listener.close()
 })
 
-Given('a listener whose stream of {int} bytes begins after {int} ms and ends after {int} ms', async function (this: FindingsWorld, bytes: number, beginMs: number, endMs: number) {
+Given('a listener whose stream of {int} bytes begins after {int} ms and ends after {int} ms', async function (this: StreamStopsWorld, bytes: number, beginMs: number, endMs: number) {
   this.streamBytes = bytes
   this.slowlyRead = await startTestListener({
     createHandle: (_request, response) => createTestHandle(async () => {
@@ -79,7 +79,7 @@
   })
 })
 
-When('a caller that reads nothing for {int} ms sends a stream to the listener, which begins to drain, and a request after {int} ms', async function (this: FindingsWorld, readAfterMs: number, requestAfterMs: number) {
+When('a caller that reads nothing for {int} ms sends a stream to the listener, which begins to drain, and a request after {int} ms', async function (this: StreamStopsWorld, readAfterMs: number, requestAfterMs: number) {
   const { listener, address } = this.slowlyRead
   const [host, port] = address.split(':')
   const socket = connect({ host, port: Number(port) })
@@ -98,6 +98,6 @@
   await Promise.all([closed, drained])
 })
 
-Then('the caller has received the whole stream', function (this: FindingsWorld) {
+Then('the caller has received the whole stream', function (this: StreamStopsWorld) {
   assert.ok(this.receivedBytes >= this.streamBytes, `${this.receivedBytes} of ${this.streamBytes} bytes`)
 })
--- a/src/tasks/gateway/callerConnections.ts
+++ b/src/tasks/gateway/callerConnections.ts
@@ -158,8 +158,8 @@
       }
     }
     if (lacksHost) exchange.begin = () => refuseBare(response, badRequestStatus)
-    // A caller that always has a request unanswered would otherwise keep its connection for the whole time of the stop.
-    if (this.#isStopping && connection.unansweredCount > 0) {
+    // A caller that goes on sending would otherwise keep its connection, and hold the stop up.
+    if (connection.isLeftToOthers) {
       this.#options.receiveFailure(stoppingFailure)
       exchange.isRejected = true
       exchange.begin = () => refuseRead(response, stoppingFailure)
