Close connections in stages whose last response ended in a stop

Connections whose last response ended during a stop are now closed in stages. The scenario failed before.

--- a/features/requestsBehindStreams.feature
+++ b/features/requestsBehindStreams.feature
@@ -55,7 +55,6 @@
     Then the gateway has stopped within 4000 ms
 
   # Guards against a reset of a connection whose caller still receives a stream when listening ends.
-  @knownRed
   Scenario: A stream that is still received at the end of listening is whole, though its caller sends a request
     Given a listener whose stream of 1000000 bytes begins after 100 ms and ends after 220 ms
     When a caller that reads nothing for 580 ms sends a stream to the listener, which begins to drain, and a request after 480 ms
--- a/src/tasks/proxy/callerConnection.ts
+++ b/src/tasks/proxy/callerConnection.ts
@@ -79,7 +79,9 @@
   #bytesReadAtIdle = 0
   /** When the last response was written, in monotonic milliseconds. */
   #idleSinceMs = -Infinity
-  /** Whether that was after idle connections began to be closed, so that the caller may still be receiving it. */
+  /** Whether that was during a stop, so that the caller may still be receiving a response that did not announce the close. */
+  #isIdleInStop = false
+  /** Whether it was after idle connections began to be closed. */
   #isIdleLate = false
   /** When bytes were first seen on an idle connection that was to be closed, in monotonic milliseconds. */
   #arrivingSinceMs: number | undefined
@@ -244,7 +246,7 @@
       this.#arrivingSinceMs ??= clock.readMonotonic()
       if (clock.readMonotonic() - this.#arrivingSinceMs < headTimeoutMs) return
     }
-    if (this.#isIdleLate) this.closeGracefully()
+    if (this.#isIdleInStop) this.closeGracefully()
     else socket.destroy()
   }
 
@@ -258,9 +260,10 @@
   }
 
   #receiveIdle (): void {
-    const { socket, clock, isClosingIdle } = this.#options
+    const { socket, clock, isDraining, isClosingIdle } = this.#options
     this.#bytesReadAtIdle = socket.bytesRead
     this.#idleSinceMs = clock.readMonotonic()
+    this.#isIdleInStop = isDraining()
     this.#isIdleLate = isClosingIdle()
     if (this.#finalStatus !== undefined) this.#closeWithStatus(this.#finalStatus)
   }
