Wait for a settings file that is being replaced while a host starts

Cause: a host read its settings file once, when it started. If the platform wrote the file at that moment (emptied, in part, or gone until the new one was in its place), the host ended with code 2 and one line, which counts as a process that ended by itself.

Change: a start reads a file that cannot be read, or is not whole JSON, again every 50 ms for up to 2 s, says so once on stderr, and a stop ends the wait with code 0. A file that is whole but wrong still ends the start at once, and one that stays unreadable ends it with code 2 as before. The wait between two attempts is shared with the opening of ports.

--- a/features/hostSettings.feature
+++ b/features/hostSettings.feature
@@ -36,6 +36,21 @@
       | a settings file that is truncated in the middle | is not valid JSON |
       | a settings file that does not exist             | cannot be read    |
 
+  # Guards against a start that ends because it read the file while the platform replaced it.
+  Scenario Outline: A host starts with a settings file that <state> at first
+    Given a host whose settings file <state> when it is first read, and is whole from then on
+    Then the host starts, and ends with code 0 at SIGTERM
+
+    Examples:
+      | state                      |
+      | does not exist             |
+      | is empty                   |
+      | is truncated in the middle |
+
+  Scenario: A stop ends the wait for a settings file
+    Given a host whose settings file does not exist, and which gets SIGTERM when it has read it
+    Then the host's program ends with code 0
+
   Scenario: The program describes its command line and rejects an invalid one
     When the host's program is run with "--help"
     Then the program exits with code 0 and prints "--metrics PORT"
--- a/features/steps/hostSettings.ts
+++ b/features/steps/hostSettings.ts
@@ -1,16 +1,22 @@
 /** Steps for a host's settings and command line. */
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
 import { spawnSync } from 'node:child_process'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import { readHostSettings, settingsFileVariable } from '../../src/platform/hostSettings.js'
+import { encodeHostSettings, readHostSettings, settingsFileVariable } from '../../src/platform/hostSettings.js'
 import type { HostSettings } from '../../src/schemas/hostSettings.js'
 import { createBuildFolder } from '../support/buildFolder.js'
-import type { SystemWorld } from '../support/world.js'
-
-interface SettingsWorld extends SystemWorld {
+import { HostFleet } from '../support/hostFleet.js'
+import type { HostsWorld } from '../support/hostsWorld.js'
+import { startBinary } from '../support/runBinary.js'
+import type { BinaryProcess } from '../support/runBinary.js'
+import { waitUntil } from '../support/waitUntil.js'
+
+interface SettingsWorld extends HostsWorld {
+  startedHost: BinaryProcess
   settingsFolder: string
   settingsFields: Record<string, unknown>
   programExitCode: number | null
@@ -42,6 +48,39 @@
   writeFileSync(getSettingsPath(world), text)
 }
 
+/** Option of Node.js for a module that runs a statement after the process has first read, or failed to read, the file. */
+function formatFirstReadModule (file: string, statement: string): string {
+  const source = `import fs from 'node:fs'
+import { syncBuiltinESMExports } from 'node:module'
+const { readFileSync, writeFileSync } = fs
+fs.readFileSync = function (path, ...args) {
+  if (path !== ${JSON.stringify(file)}) return readFileSync.call(this, path, ...args)
+  fs.readFileSync = readFileSync
+  syncBuiltinESMExports()
+  try {
+    return readFileSync.call(this, path, ...args)
+  } finally {
+    ${statement}
+  }
+}
+syncBuiltinESMExports()`
+  return `--import data:text/javascript,${encodeURIComponent(source)}`
+}
+
+/** Starts a host with a file that is not whole yet, or does not exist if there is no text; the statement runs after the first read. */
+function startWithFile (world: SettingsWorld, text: string | undefined, createStatement: (file: string) => string): void {
+  world.settingsFolder = mkdtempSync(join(tmpdir(), 'sedgevalve-settings-'))
+  const file = getSettingsPath(world)
+  if (text !== undefined) writeFileSync(file, text)
+  world.startedHost = startBinary('host', { [settingsFileVariable]: file, NODE_OPTIONS: formatFirstReadModule(file, createStatement(file)) })
+}
+
+async function checkEnd ({ startedHost }: SettingsWorld): Promise<void> {
+  const { process: child } = startedHost
+  if (child.exitCode === null && child.signalCode === null) await once(child, 'exit')
+  assert.deepEqual({ code: child.exitCode, signal: child.signalCode }, { code: 0, signal: null }, startedHost.errors)
+}
+
 function getSettingsPath (world: SettingsWorld): string {
   return join(world.settingsFolder, 'settings.json')
 }
@@ -51,6 +90,7 @@
 }
 
 After(function (this: SettingsWorld) {
+  this.startedHost?.process.kill('SIGKILL')
   if (this.settingsFolder !== undefined) rmSync(this.settingsFolder, { recursive: true })
 })
 
@@ -122,3 +162,25 @@
   const [, startupBytes, totalBytes] = /(\d+) bytes for a start, (\d+) with/.exec(this.programOutput)!.map(Number)
   assert.ok(totalBytes! > startupBytes!, this.programOutput)
 })
+
+Given(/^a host whose settings file (does not exist|is empty|is truncated in the middle) when it is first read, and is whole from then on$/, async function (this: SettingsWorld, state: string) {
+  this.hostFleet = await HostFleet.prepare(1, { engines: 2 })
+  const whole = encodeHostSettings(this.hostFleet.hosts[0]!.settings)
+  const text = { 'does not exist': undefined, 'is empty': '', 'is truncated in the middle': whole.slice(0, whole.length / 2) }[state]
+  startWithFile(this, text, file => `writeFileSync(${JSON.stringify(file)}, ${JSON.stringify(whole)})`)
+})
+
+Given('a host whose settings file does not exist, and which gets SIGTERM when it has read it', function (this: SettingsWorld) {
+  startWithFile(this, undefined, () => 'process.kill(process.pid, \'SIGTERM\')')
+})
+
+Then('the host starts, and ends with code 0 at SIGTERM', async function (this: SettingsWorld) {
+  const { process: child } = this.startedHost
+  await waitUntil(() => this.startedHost.output.includes('host.started') || child.exitCode !== null)
+  child.kill('SIGTERM')
+  await checkEnd(this)
+})
+
+Then('the host\'s program ends with code 0', async function (this: SettingsWorld) {
+  await checkEnd(this)
+})
--- a/src/adapters/tcp/openPort.ts
+++ b/src/adapters/tcp/openPort.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import { createSettingsError } from '../../settings/settingsError.js'
+import { waitForRetry } from '../../waitForRetry.js'
 
 export interface OpenPortOptions {
   /** What the port is for, such as `readiness`. */
@@ -49,7 +50,7 @@
         reportedAtMs = nowMs
         log.record('start.portInUse', 'A port of this host is in use; the start waits for it.', { port: name, address, waitedMs: Math.round(nowMs - startedAtMs) })
       }
-      await waitForRetry(clock, signal)
+      await waitForRetry(clock, retryMs, signal)
     }
   }
 }
@@ -77,22 +78,6 @@
   })
 }
 
-/** Resolves after the interval; rejects once the signal has ended the wait. */
-async function waitForRetry (clock: Clock, signal: AbortSignal): Promise<void> {
-  if (!signal.aborted) {
-    await new Promise<void>(resolve => {
-      const timer = clock.setTimer(finish, retryMs)
-      signal.addEventListener('abort', finish)
-      function finish (): void {
-        timer.cancel()
-        signal.removeEventListener('abort', finish)
-        resolve()
-      }
-    })
-  }
-  signal.throwIfAborted()
-}
-
 function describePortError (name: string, address: string, error: NodeJS.ErrnoException): Error {
   const expected = expectations[error.code ?? '']
   return expected === undefined ? error : createSettingsError(`the address of ${name} is ${address}, which cannot be opened (${error.code}); expected ${expected}`)
--- a/src/bin/runHost.ts
+++ b/src/bin/runHost.ts
@@ -23,18 +23,19 @@
       return
     }
     const options = values.metrics === undefined ? {} : { metricsPort: parsePort(values.metrics) }
-    await runUntilStopped(async stopSignal => await loadAndStartHost({ ...options, stopSignal }))
+    await runUntilStopped(async stopSignal => await loadAndStartHost(stopSignal, options))
   } catch (error) {
     exitWithError(name, error as Error)
   }
 }
 
 /** Loads the host's modules only when a stop can end the start, as loading takes a large part of it. */
-async function loadAndStartHost (options: HostOptions): Promise<RunningProcess> {
-  const [{ createSystemClock }, { readHostSettings }, { startHost }] = await Promise.all([
+async function loadAndStartHost (stopSignal: AbortSignal, options: HostOptions): Promise<RunningProcess> {
+  const [{ createSystemClock }, { waitForHostSettings }, { startHost }] = await Promise.all([
     import('../adapters/clock/systemClock.js'), import('../platform/hostSettings.js'), import('./startHost.js')
   ])
-  return await startHost(readHostSettings(), createSystemClock(), options)
+  const clock = createSystemClock()
+  return await startHost(await waitForHostSettings(clock, stopSignal), clock, { ...options, stopSignal })
 }
 
 function parsePort (text: string): number {
--- a/src/platform/hostSettings.ts
+++ b/src/platform/hostSettings.ts
@@ -3,8 +3,10 @@
 import { Type } from '@sinclair/typebox'
 import type { Static } from '@sinclair/typebox'
 import { TypeCompiler } from '@sinclair/typebox/compiler'
+import type { Clock } from '../ports/clock.js'
 import type { HostSettings } from '../schemas/hostSettings.js'
 import { createSettingsError } from '../settings/settingsError.js'
+import { waitForRetry } from '../waitForRetry.js'
 
 /** Environment variable with the path of the settings file. */
 export const settingsFileVariable = 'SEDGEVALVE_SETTINGS'
@@ -50,30 +52,61 @@
 /** Hosts do not read this field; both deployments use this value. */
 const defaultPassMs = 120
 
+/** Interval between two attempts to read a file that is being replaced, and the time after which the file itself is taken for wrong. */
+const [rereadMs, maxRereadMs] = [50, 2000]
+
+/** What a file contains, or why that could not be read. */
+type FileReading = { content: unknown } | { problem: string }
+
 /**
  * Reads the settings of this process. Throws an error of the settings that names the first invalid field.
  *
  * @example
  * readHostSettings().hostName // 'frontend-sala-unu-1'
  */
-export function readHostSettings (file = process.env[settingsFileVariable] ?? defaultSettingsFile): HostSettings {
-  return decodeSettings(validateSettings(file, parseJson(file, readFileText(file))))
+export function readHostSettings (file = findSettingsFile()): HostSettings {
+  return decodeReading(file, readJson(file))
 }
 
-function readFileText (file: string): string {
-  try {
-    return readFileSync(file, 'utf8')
-  } catch (error) {
-    throw createSettingsError(`the settings file "${file}" cannot be read (${(error as NodeJS.ErrnoException).code})`)
+/**
+ * Reads the settings of a process that starts, at which moment the platform may replace the file: one that cannot be read, or is not whole,
+ * is read again for up to 2 s. Rejects as `readHostSettings` throws, or with the signal's reason once the signal has ended the wait.
+ *
+ * @example
+ * const settings = await waitForHostSettings(createSystemClock(), stopSignal)
+ */
+export async function waitForHostSettings (clock: Clock, signal: AbortSignal, file = findSettingsFile()): Promise<HostSettings> {
+  const startedAtMs = clock.readMonotonic()
+  let reading = readJson(file)
+  if ('problem' in reading) process.stderr.write(`sedgevalve-host: ${reading.problem}; it is read again for up to ${maxRereadMs} ms\n`)
+  while ('problem' in reading && clock.readMonotonic() - startedAtMs < maxRereadMs) {
+    await waitForRetry(clock, rereadMs, signal)
+    reading = readJson(file)
   }
+  return decodeReading(file, reading)
 }
 
-function parseJson (file: string, text: string): unknown {
+function findSettingsFile (): string {
+  return process.env[settingsFileVariable] ?? defaultSettingsFile
+}
+
+function readJson (file: string): FileReading {
+  let text: string
   try {
-    return JSON.parse(text)
+    text = readFileSync(file, 'utf8')
   } catch (error) {
-    throw createSettingsError(`the settings file "${file}" is not valid JSON: ${(error as Error).message}`)
+    return { problem: `the settings file "${file}" cannot be read (${(error as NodeJS.ErrnoException).code})` }
   }
+  try {
+    return { content: JSON.parse(text) }
+  } catch (error) {
+    return { problem: `the settings file "${file}" is not valid JSON: ${(error as Error).message}` }
+  }
+}
+
+function decodeReading (file: string, reading: FileReading): HostSettings {
+  if ('problem' in reading) throw createSettingsError(reading.problem)
+  return decodeSettings(validateSettings(file, reading.content))
 }
 
 function validateSettings (file: string, settings: unknown): Static<typeof settingsFileSchema> {
