Answer what operators have sent before a stop closes their connections

Cause: the operators' port cut all connections at a stop (forceCloseConnections), also those with a change of the configuration in progress, so that its operator could not know whether it was made; and an operator that ended its side behind a request got no answer at any time. Change: the port uses the connections of the callers' port. What was read is answered, further changes behind an unanswered one are refused with 503 and not made, and the stop waits 10 s at most. Live feeds end at once; a watcher that does not read is cut after 1 s, and nobody may watch once the feed has stopped. Watchers that end their side are watchers no more, as before.

--- a/features/steps/decisions.ts
+++ b/features/steps/decisions.ts
@@ -37,7 +37,7 @@
   constructor (isReading: boolean, filter: Record<string, string>) {
     this.isReading = isReading
     const read = (): number => this.unsent.length
-    this.stream = new WatchStream({ write: text => this.#write(text), end: () => {}, get writableLength () { return read() } }, filter)
+    this.stream = new WatchStream({ write: text => this.#write(text), end: () => {}, destroy: () => {}, get writableLength () { return read() } }, filter)
   }
 
   readAll (): void {
--- a/src/tasks/gateway/clientErrors.ts
+++ b/src/tasks/gateway/clientErrors.ts
@@ -1,5 +1,4 @@
 /** Responses to clients that send invalid HTTP, too large headers, or a request too slowly. */
-import type { Socket } from 'node:net'
 import { maxHeaderBytes } from '../../constants.js'
 import { createNotRunFailure } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
@@ -11,24 +10,6 @@
   431: '431 Request Header Fields Too Large'
 }
 
-/**
- * Creates the handler that a server calls for a connection whose request cannot be parsed or was not received in time.
- *
- * @example
- * fastify({ clientErrorHandler: createClientErrorHandler(failure => countBadInput(failure.code)) })
- */
-export function createClientErrorHandler (
-  receiveFailure: (failure: RequestFailure) => void
-): (error: NodeJS.ErrnoException, socket: Socket) => void {
-  return (error, socket) => {
-    // A reset connection is not a bad request.
-    if (error.code === 'ECONNRESET' || !socket.writable) return
-    const failure = createFailure(error)
-    receiveFailure(failure)
-    socket.end(renderResponse(failure))
-  }
-}
-
 /** Creates the failure that a client is told for an error of Node.js's HTTP parser or of its timeouts. */
 export function createFailure (error: NodeJS.ErrnoException): RequestFailure {
   if (error.code === 'HPE_HEADER_OVERFLOW') return createNotRunFailure('headers_too_large', `the headers are larger than ${maxHeaderBytes} bytes`, 431)
--- a/src/tasks/operators/liveFeed.ts
+++ b/src/tasks/operators/liveFeed.ts
@@ -13,6 +13,8 @@
 /** Subscriptions end 15 s after their last renewal. */
 const renewIntervalMs = 5000
 const heartbeatIntervalMs = 5000
+/** Time for a watcher to receive the end of its stream once the feed has stopped. */
+const maxEndMs = 1000
 
 export interface LiveFeedOptions {
   hostId: string
@@ -39,6 +41,7 @@
   #options: LiveFeedOptions
   #watchers = new Set<Watcher>()
   #renewals: Repetition | undefined
+  #isStopped = false
 
   constructor (options: LiveFeedOptions) {
     this.#options = options
@@ -48,6 +51,11 @@
     return this.#watchers.size
   }
 
+  /** Whether nobody may watch any more. */
+  get isStopped (): boolean {
+    return this.#isStopped
+  }
+
   /** Starts to send decisions to a stream; the result ends that. */
   addWatcher (stream: WatchStream, request: WatchRequest): () => void {
     const { clock, decisions, gateways } = this.#options
@@ -80,9 +88,11 @@
   }
 
   stop (): void {
+    this.#isStopped = true
     for (const watcher of [...this.#watchers]) {
       this.#removeWatcher(watcher)
       watcher.stream.close()
+      this.#options.clock.setTimer(() => watcher.stream.cut(), maxEndMs)
     }
   }
 
--- a/src/tasks/operators/operatorsServer.ts
+++ b/src/tasks/operators/operatorsServer.ts
@@ -3,9 +3,10 @@
 import fastify from 'fastify'
 import type { FastifyError, FastifyInstance } from 'fastify'
 import { maxHeaderBytes } from '../../constants.js'
+import { createLog } from '../../createLog.js'
 import { createNotRunFailure } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
-import { createClientErrorHandler } from '../gateway/clientErrors.js'
+import { CallerConnections } from '../gateway/callerConnections.js'
 import { addExplainRoute } from './explainRoute.js'
 import { checkOperator } from './operatorAccess.js'
 import { sendOperatorFailure } from './operatorsContext.js'
@@ -16,12 +17,20 @@
 import { addStatusRoutes } from './statusRoutes.js'
 import { addWatchRoute } from './watchRoute.js'
 
+const log = createLog('operators')
 /** Room for a registration of tens of thousands of adapters at once. */
 const maxOperatorBodyBytes = 16 * 1024 * 1024
 const maxRequestReadMs = 60_000
+/** Time after which a connection without a request is closed. */
+const keepAliveMs = 72_000
+/** Time between two closings of idle connections while the server stops. */
+const idleCloseIntervalMs = 100
+/** A change waits 5 s for the schedulers, and before that up to 2 s for each call of the platform. */
+const maxStopMs = 10_000
 
 export interface OperatorsServer {
   readonly port: number
+  /** Resolves once the requests that were read have been answered, or the time for this is over. */
   stop: () => Promise<void>
 }
 
@@ -29,19 +38,37 @@
 export async function startOperatorsServer (
   context: OperatorsContext, listen: { address: string, port: number }
 ): Promise<OperatorsServer> {
+  const connections = new CallerConnections({
+    clock: context.clock,
+    maxArrivalMs: maxRequestReadMs,
+    receiveFailure: failure => context.countBadInput(failure.code)
+  })
   const server = fastify({
     bodyLimit: maxOperatorBodyBytes,
-    http: { maxHeaderSize: maxHeaderBytes, headersTimeout: maxRequestReadMs },
-    requestTimeout: maxRequestReadMs,
-    forceCloseConnections: true,
-    clientErrorHandler: createClientErrorHandler(failure => context.countBadInput(failure.code))
+    serverFactory: handle => connections.createServer({
+      maxHeaderSize: maxHeaderBytes, headersTimeout: maxRequestReadMs, requestTimeout: maxRequestReadMs, keepAliveTimeout: keepAliveMs
+    }, handle),
+    return503OnClosing: false,
+    clientErrorHandler: (error, socket) => connections.receiveError(error, socket)
   })
   addErrorHandlers(server, context)
   addPageRoute(server)
   await server.register(async scope => addOperatorRoutes(scope, context))
   await server.listen({ host: listen.address, port: listen.port })
   const { port } = server.server.address() as AddressInfo
-  return { port, stop: async () => await server.close() }
+  return { port, stop: async () => await stopServer(server, connections) }
+}
+
+async function stopServer (server: FastifyInstance, connections: CallerConnections): Promise<void> {
+  connections.stop()
+  const closeTimer = setInterval(() => connections.closeIdle(), idleCloseIntervalMs)
+  const cutTimer = setTimeout(() => {
+    log('The connections of operators that are left after %d ms of the stop are cut.', maxStopMs)
+    server.server.closeAllConnections()
+  }, maxStopMs)
+  await server.close()
+  clearInterval(closeTimer)
+  clearTimeout(cutTimer)
 }
 
 /** Every path below `/api` takes an operator's key; it is checked before the body is read. */
--- a/src/tasks/operators/watchRoute.ts
+++ b/src/tasks/operators/watchRoute.ts
@@ -21,6 +21,9 @@
       const fields = Object.keys(decisionFilterSchema.properties).join(', ')
       return sendOperatorFailure(context, reply, createNotRunFailure('invalid_query', `the filter is wrong; it takes ${fields}, each once`, 400))
     }
+    if (context.feed.isStopped) {
+      return sendOperatorFailure(context, reply, createNotRunFailure('gateway_stopping', 'the gateway stops; watch on another one', 503))
+    }
     if (context.feed.watchers >= maxWatchers) {
       return sendOperatorFailure(context, reply, createNotRunFailure('too_many_watchers', `this host has ${maxWatchers} watchers; end one or ask another host`, 503))
     }
@@ -35,6 +38,14 @@
   reply.raw.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store' })
   const stream = new WatchStream(reply.raw, filter)
   const stop = context.feed.addWatcher(stream, { filter, scope, authorization: request.headers.authorization ?? '' })
-  reply.raw.on('close', stop)
+  const { socket } = request.raw
+  const endStream = (): void => stream.close()
+  reply.raw.on('close', () => {
+    socket.off('end', endStream)
+    stop()
+  })
   reply.raw.on('error', stop)
+  // A watcher that leaves ends its side; it would otherwise count as one until a heartbeat is reset.
+  if (socket.readableEnded) endStream()
+  else socket.on('end', endStream)
 }
--- a/src/tasks/operators/watchStream.ts
+++ b/src/tasks/operators/watchStream.ts
@@ -10,6 +10,7 @@
   readonly writableLength: number
   write: (text: string) => unknown
   end: () => void
+  destroy: () => void
 }
 
 export class WatchStream {
@@ -60,6 +61,11 @@
     this.#output.end()
   }
 
+  /** Ends the connection of a reader that has not read the whole stream; has no effect behind a stream that was sent. */
+  cut (): void {
+    this.#output.destroy()
+  }
+
   #sendMissed (): void {
     if (this.#missed === 0) return
     this.#output.write(renderEvent('missed', { count: this.#missed }))
