Answer transactions that a stopping host runs for others

Cause: a host that stops closed the connections of its relay together with the transactions of other hosts that the store was still deciding. These hosts took them for lost, and could not know whether they took effect. Change: before its connections are closed, the relay waits for these transactions, 250 ms at most, of the 500 ms that are left then. Reads of updates are not waited for.

--- a/src/adapters/httpServer/httpServer.ts
+++ b/src/adapters/httpServer/httpServer.ts
@@ -1,6 +1,6 @@
 /** A minimal HTTP server for a host's readiness, metrics and relay. A web framework would double a host's start time. */
 import { createServer } from 'node:http'
-import type { IncomingMessage } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { listenOn } from '../tcp/openPort.js'
 
 export interface HttpReply {
@@ -13,6 +13,8 @@
 export type HandleHttpRequest = (call: { method: string, url: URL, body: Buffer }) => HttpReply | Promise<HttpReply>
 
 export interface HttpServer {
+  /** Stops listening, and resolves once no request that may change something is unanswered, or after `maxMs`. Reads are not waited for. */
+  drain: (maxMs: number) => Promise<void>
   /** Stops listening and closes all connections, including those with a request in progress. */
   close: () => void
 }
@@ -27,7 +29,17 @@
  * const server = await startHttpServer('10.1.0.38:8141', () => ({ status: 200 }))
  */
 export async function startHttpServer (address: string, handleRequest: HandleHttpRequest): Promise<HttpServer> {
+  /** Responses that are due to requests which may change something. */
+  const due = new Set<ServerResponse>()
+  let receiveAnswered = (): void => {}
   const server = createServer((request, response) => {
+    if (request.method !== 'GET') {
+      due.add(response)
+      response.on('close', () => {
+        due.delete(response)
+        if (due.size === 0) receiveAnswered()
+      })
+    }
     readBody(request)
       .then(async body => await handleRequest({ method: request.method ?? 'GET', url: new URL(request.url ?? '/', 'http://host'), body }))
       .catch((error: Error): HttpReply => ({ status: 500, body: error.message }))
@@ -37,6 +49,17 @@
   })
   await listenOn(server, address)
   return {
+    drain: async maxMs => {
+      server.close()
+      if (due.size === 0) return
+      await new Promise<void>(resolve => {
+        const timer = setTimeout(resolve, maxMs)
+        receiveAnswered = () => {
+          clearTimeout(timer)
+          resolve()
+        }
+      })
+    },
     close: () => {
       server.close()
       server.closeAllConnections()
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -32,7 +32,7 @@
 import { ClusterViewTask } from '../tasks/clusterView/clusterViewTask.js'
 import { createEraCheckedRelay, createEraCheckedStore } from '../tasks/clusterView/eraChecks.js'
 import { computeUpdateSchedule } from '../tasks/clusterView/watchedTables.js'
-import { startRelayServer } from '../tasks/clusterView/relayServer.js'
+import { endRelay, startRelayServer } from '../tasks/clusterView/relayServer.js'
 import { PeerTask } from '../tasks/peers/peerTask.js'
 import { createSuspectTasks } from './createSuspectTasks.js'
 import type { SuspectTasks } from './createSuspectTasks.js'
@@ -271,7 +271,7 @@
       await drainHost({ settings, clock, log, readinessServer, requestProxy, leaseTask })
       for (const task of [requestProxy.standstill, storeOutageDetector, isolationMonitor, requestProxy.reachability, renewalCollector, renewalClient, clusterViewTask, reservations, suspectTasks, streamTasks, metrics]) task.stop()
       datagrams.close()
-      relayServer.close()
+      await endRelay(relayServer)
       await Promise.all([store.close(), relay.close()])
       metricsServer?.close()
       await eventLog.flush()
--- a/src/tasks/clusterView/relayServer.ts
+++ b/src/tasks/clusterView/relayServer.ts
@@ -27,6 +27,8 @@
 }
 
 const maxWaitMs = 5000
+/** Time for the store to decide transactions of other hosts at the end of a stop, which has 500 ms left then. */
+const maxDecisionMs = 250
 const rowNameSchema = Type.Object({ table: Type.Union([Type.Literal(hostsTable), Type.Literal(renewalsTable)]), key: Type.String() })
 const parseTransaction = createParser(Type.Object({
   checks: Type.Array(Type.Composite([rowNameSchema, Type.Object({ version: Type.Number() })])),
@@ -93,3 +95,15 @@
     check()
   })
 }
+
+/**
+ * Ends a relay once the store has decided the transactions that it runs for other hosts: without an answer, these could not know whether
+ * theirs took effect.
+ *
+ * @example
+ * await endRelay(relayServer)
+ */
+export async function endRelay (server: HttpServer): Promise<void> {
+  await server.drain(maxDecisionMs)
+  server.close()
+}
