Break off the stream of a scenario once its caller has a part of it

"A request behind a stream that breaks off is not at an endpoint" failed now and then, as the stream did not break off. Cause: the stand-in drew how many events come before the reset, none among them; the reset then takes the head along, and the host, which has passed on nothing, refuses the stream with 502 ("other side closed"). The scenario now waits until its caller has a part of the answer and lets the engine reset the stream inside its next event; it also asks for status 200. All checks that it had stay.

--- a/features/steps/pipelinedRequests.ts
+++ b/features/steps/pipelinedRequests.ts
@@ -8,11 +8,13 @@
 import type { CallKind } from '../../src/standin/fleet/fleetCaller.js'
 import { formatRawRequest, RawCaller } from '../../src/standin/fleet/rawCaller.js'
 import type { RawAnswer, RawRequest } from '../../src/standin/fleet/rawCaller.js'
+import type { FleetEndpoint } from '../../src/standin/fleet/startFleet.js'
 import { CallerListener } from '../../src/tasks/proxy/callerListener.js'
 import { findFreePort } from '../support/findFreePort.js'
 import { HostFleet } from '../support/hostFleet.js'
 import { setFaults } from '../support/hostsWorld.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
+import { waitUntil } from '../support/waitUntil.js'
 
 interface PipelinedWorld extends HostsWorld {
   rawAnswers: RawAnswer[]
@@ -91,14 +93,20 @@
 })
 
 When('a caller sends a stream that its endpoint breaks off, and two plain requests behind it', async function (this: PipelinedWorld) {
-  setFaults(this, endpoint => endpoint.engine !== undefined, { cuts: 1 })
+  const isEngine = (endpoint: FleetEndpoint): boolean => endpoint.engine !== undefined
+  setFaults(this, isEngine, { eventMs: 300 })
   const caller = await openCaller(this)
-  this.rawAnswers = await caller.send([{ kind: 'stream', adapter: 'a1' }, { kind: 'once' }, { kind: 'idempotent' }])
+  const answers = caller.send([{ kind: 'stream', adapter: 'a1' }, { kind: 'once' }, { kind: 'idempotent' }])
+  // A stream that breaks off before the caller has a part of it is refused with a status.
+  await waitUntil(() => caller.isReadingAnswer)
+  setFaults(this, isEngine, { breaksStreams: true })
+  this.rawAnswers = await answers
 })
 
 Then('no request that was passed on to a sound endpoint is without an answer', function (this: PipelinedWorld) {
   const [stream, ...behind] = this.rawAnswers
-  assert.ok(stream!.error !== undefined)
+  assert.ok(stream!.error !== undefined, JSON.stringify(stream))
+  assert.equal(stream!.status, 200)
   const { journal } = this.hostFleet.fleet
   assert.deepEqual(behind.filter(({ error, requestId }) => error !== undefined && journal.listRuns(requestId).length > 0), [])
 })
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -20,6 +20,8 @@
   errors: number
   /** Answers that break off by a reset. */
   cuts: number
+  /** Streams that run break off by a reset inside their next event. */
+  breaksStreams: boolean
   /** Requests that are run and never answered. */
   silentRuns: number
   /** Answers, streams too, that stop in the middle of their head. */
@@ -78,7 +80,7 @@
   limit: string
 }
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, endless: '', spoiledIds: 0, spoiling: 'higher', spoiledEvent: 3, extras: 0, lateOrders: 0, extraMs: 0, eventMs: 0, silenceMs: 0, commentMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, breaksStreams: false, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, endless: '', spoiledIds: 0, spoiling: 'higher', spoiledEvent: 3, extras: 0, lateOrders: 0, extraMs: 0, eventMs: 0, silenceMs: 0, commentMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
 
 export interface EndpointServerOptions {
   id: string
@@ -395,7 +397,7 @@
     }
     const send = (): void => {
       if (response.destroyed) return
-      if (next > cutAfter) {
+      if (next > cutAfter || this.faults.breaksStreams) {
         finish('broken')
         // Half an event shows whether only whole ones are passed on.
         response.write(`id: ${next}\nda`, () => response.socket?.resetAndDestroy())
--- a/src/standin/fleet/rawCaller.ts
+++ b/src/standin/fleet/rawCaller.ts
@@ -88,6 +88,11 @@
     return this.#isClosed
   }
 
+  /** Whether a part of an answer has come whose end has not. */
+  get isReadingAnswer (): boolean {
+    return this.#received !== ''
+  }
+
   /** Writes all requests at once, or bytes in place of one; resolves when each is answered or the connection has ended. */
   async send (requests: readonly (RawRequest | string)[]): Promise<RawAnswer[]> {
     const identified = requests.map(request => typeof request === 'string' ? { kind: 'once' as const, requestId: '', bytes: request } : { requestId: createRequestId(), bytes: undefined, ...request })
