Let each process of tests claim its ports

Ports followed from the id of the process, so that two runs side by side could meet, and those of hosts and of the soak reached into the range that the system gives out by itself, where listeners of other tests stand.

--- a/features/steps/datagrams.ts
+++ b/features/steps/datagrams.ts
@@ -4,6 +4,7 @@
 import { openUdpDatagrams } from '../../src/adapters/datagrams/udpDatagrams.js'
 import type { Datagrams } from '../../src/ports/datagrams.js'
 import type { HostMessage } from '../../src/schemas/datagram.js'
+import { hostsBasePort } from '../support/testPorts.js'
 import { waitUntil } from '../support/waitUntil.js'
 
 interface DatagramsWorld {
@@ -11,7 +12,6 @@
   received: string[]
 }
 
-const port = 18_000 + process.pid % 900
 const addresses = ['127.0.0.1', '127.0.0.2']
 const settleMs = 50
 
@@ -25,7 +25,7 @@
 
 Given('two hosts that exchange datagrams', async function (this: DatagramsWorld) {
   this.received = []
-  this.sockets = await Promise.all(addresses.map(async address => await openUdpDatagrams({ address, port, host: address, session: 'life', log: { record: () => {} } })))
+  this.sockets = await Promise.all(addresses.map(async address => await openUdpDatagrams({ address, port: hostsBasePort, host: address, session: 'life', log: { record: () => {} } })))
   this.sockets[1]!.receive(message => { if (message.type === 'suspect') this.received.push(message.fingerprint) })
 })
 
--- a/features/steps/relayedNews.ts
+++ b/features/steps/relayedNews.ts
@@ -16,6 +16,7 @@
 import { startRelayServer } from '../../src/tasks/clusterView/relayServer.js'
 import { startByteCounter } from '../support/byteCounter.js'
 import type { ByteCounter } from '../support/byteCounter.js'
+import { findFreePort } from '../support/findFreePort.js'
 
 interface UpdatesWorld {
   written: Buffer
@@ -34,8 +35,6 @@
   followCalls?: number
 }
 
-const relayAddress = `127.0.0.1:${19_000 + process.pid % 900}`
-
 After(async function (this: UpdatesWorld) {
   this.relayServer?.close()
   await this.counter?.stop()
@@ -47,6 +46,7 @@
   const mirror = new RowMirror('relay', () => false, () => {}, (_row, error) => { throw error })
   mirror.replaceTable('op', [{ table: 'op', key: 'routes', version: 3, value: this.written }], 3)
   const unusedStore = {} as Store
+  const relayAddress = `127.0.0.1:${await findFreePort()}`
   this.relayServer = await startRelayServer({
     address: relayAddress, clock: createSystemClock(), mirror, store: unusedStore, eras: new StoreEra(), getStoreAgeMs: () => 5, listTableAges: () => ({ op: 5 }), isStoreReachable: () => true
   })
--- a/features/support/findFreePort.ts
+++ b/features/support/findFreePort.ts
@@ -1,14 +1,13 @@
 /** Finds ports for tests. */
 import { createServer } from 'node:net'
+import { firstTestPort, testPortCount } from './testPorts.js'
 
-/** Below the ports that the system gives out by itself. Each process has some of its own, as a port that is free now may be taken before it is used. */
-const [firstPort, portsPerProcess, processes] = [10_000, 20, 400]
 let next = 0
 
 /** Returns a port of the loopback address that is free for now. */
 export async function findFreePort (): Promise<number> {
   for (;;) {
-    const port = firstPort + (process.pid % processes) * portsPerProcess + next++ % portsPerProcess
+    const port = firstTestPort + next++ % testPortCount
     if (await isFree(port)) return port
   }
 }
--- a/features/support/hostFleet.ts
+++ b/features/support/hostFleet.ts
@@ -18,6 +18,7 @@
 import { startFleet } from '../../src/standin/fleet/startFleet.js'
 import type { Fleet, FleetOptions } from '../../src/standin/fleet/startFleet.js'
 import { cutDatagrams, cutRelay, cutStore } from './cutLinks.js'
+import { hostsBasePort } from './testPorts.js'
 import { waitUntil } from './waitUntil.js'
 
 export interface LogLine {
@@ -44,8 +45,6 @@
   host: number
 }
 
-/** Ports are the same on all hosts; another run on this machine takes others. */
-const basePort = 20_000 + (process.pid % 3000) * 8
 let nextNetwork = 1
 
 export class HostFleet {
@@ -70,7 +69,7 @@
   /** Starts the platform alone; the hosts are given its address. */
   static async prepare (hosts: number, options: Partial<FleetOptions> = {}): Promise<HostFleet> {
     const world = new HostFleet(await startFleet(options))
-    for (let index = 1; index <= hosts; index++) world.hosts.push({ settings: createHostSettings({ index, network: world.#network, basePort, storeAddress: world.fleet.store.address }), process: undefined })
+    for (let index = 1; index <= hosts; index++) world.hosts.push({ settings: createHostSettings({ index, network: world.#network, basePort: hostsBasePort, storeAddress: world.fleet.store.address }), process: undefined })
     return world
   }
 
@@ -85,7 +84,7 @@
   async startHost (host: FleetHost): Promise<void> {
     const { hostName } = host.settings
     host.process = await startHost(host.settings, createSystemClock(), {
-      metricsPort: findMetricsPort(basePort),
+      metricsPort: findMetricsPort(hostsBasePort),
       ports: {
         decodeRow: (table, key, value) => this.#decodeRow(hostName, table, key, value),
         createStore: (...options) => cutStore(createStoreClient(...options), () => this.isCutOff(hostName)),
--- a/soak/soakSystem.ts
+++ b/soak/soakSystem.ts
@@ -3,6 +3,7 @@
 import type { Fleet } from '../src/standin/fleet/startFleet.js'
 import type { HostSettings } from '../src/schemas/hostSettings.js'
 import type { RoutingConfiguration } from '../src/schemas/routing.js'
+import { claimPorts } from '../src/standin/fleet/claimPorts.js'
 import { createHostSettings, findMetricsPort } from '../src/standin/fleet/hostSettings.js'
 import { HostProcess } from './hostProcess.js'
 import { LoopbackProxy } from './loopbackProxy.js'
@@ -18,8 +19,8 @@
   receiveEnd: (end: ProcessEnd) => void
 }
 
-/** Ports are the same on all hosts; another run on this machine takes others. */
-const basePort = 44_000 + (process.pid % 2000) * 8
+/** Ports are the same on all hosts; another process on this machine has others. */
+const basePort = await claimPorts()
 const adapterSlots = 4
 const network = `127.${210 + process.pid % 40}.0`
 /**
