Show that no request is lost at a host that stops and serves others

A stopping host closes idle connections of other hosts without an announcement since streams announce none.

--- a/features/steps/strandedHosts.ts
+++ b/features/steps/strandedHosts.ts
@@ -21,6 +21,8 @@
   links: Map<string, LoopbackProxy>
   streams: Array<Promise<void>>
   strandedHost: string
+  /** From the start of the stop to the end of the process, in wall-clock milliseconds. */
+  stopSpan: { beginMs: number, endMs: number }
 }
 
 interface ActivitiesWorld {
@@ -128,6 +130,37 @@
   await sent
 })
 
+When('{int} requests that may run once only are sent to host {int} within {int} ms, as host {int} begins to stop', { timeout: 20_000 }, async function (this: StrandedWorld, count: number, host: number, withinMs: number, stopping: number) {
+  const beginMs = Date.now()
+  const stopped = this.hostFleet.stopHost(this.hostFleet.hosts[stopping - 1]!).then(() => Date.now())
+  await Promise.all(Array.from({ length: count }, async (_, index) => {
+    await sleep(index * withinMs / count)
+    await call(this, { kind: 'once', host })
+  }))
+  this.stopSpan = { beginMs, endMs: await stopped }
+})
+
+function listSentThrough ({ hostFleet }: StrandedWorld, host: number, through: number): number[] {
+  const { hosts } = hostFleet
+  const { hostName } = hosts[host - 1]!.settings
+  const throughName = hosts[through - 1]!.settings.hostName
+  return hostFleet.listLines('request.served').filter(line => line.host === hostName && JSON.stringify(line.fields.via ?? '').includes(throughName)).map(({ time }) => time)
+}
+
+Then('host {int} has sent requests through host {int}', function (this: StrandedWorld, host: number, through: number) {
+  assert.ok(listSentThrough(this, host, through).length > 0)
+})
+
+Then('each of the last {int} requests is answered, or refused and not run', function (this: StrandedWorld, count: number) {
+  const wrong = this.answers.slice(-count).filter(answer => !isWhole(answer) && (answer.status !== 503 || this.hostFleet.fleet.journal.listRuns(answer.requestId).length > 0))
+  assert.deepEqual(wrong.map(({ status, error, body }) => `${status} ${error ?? ''} ${body.slice(0, 80)}`), [])
+})
+
+Then('host {int} has sent none through host {int} in the last {int} ms of its stop', function (this: StrandedWorld, host: number, through: number, ms: number) {
+  const { endMs } = this.stopSpan
+  assert.deepEqual(listSentThrough(this, host, through).filter(time => time > endMs - ms).map(time => endMs - time), [])
+})
+
 Then('at least {int} of the last {int} answers are whole, without a wait of {int} ms', function (this: StrandedWorld, least: number, count: number, ms: number) {
   const last = this.answers.slice(-count)
   const problems = last.filter(answer => !isWhole(answer) || answer.tookMs >= ms).map(({ kind, status, error, tookMs, body }) => `${kind} ${status} ${error ?? ''} ${Math.round(tookMs)} ms ${body.slice(0, 80)}`)
--- a/features/strandedHosts.feature
+++ b/features/strandedHosts.feature
@@ -31,6 +31,18 @@
       | hang                  |
       | are reset and refused |
 
+  # Guards against requests that cross the close of connections between hosts at the end of a stop.
+  Scenario: Requests that a host sends through one that stops are answered or refused as not run
+    Given 3 hosts with links of their own to 2 engines and 2 services
+    When the links of host 1 to all endpoints are reset and refused
+    And 2000 ms pass
+    And 48 requests of all kinds are sent to host 1 within 1200 ms
+    Then host 1 has sent requests through host 2
+    When 160 requests that may run once only are sent to host 1 within 4000 ms, as host 2 begins to stop
+    Then each of the last 160 requests is answered, or refused and not run
+    And host 1 has sent none through host 2 in the last 1000 ms of its stop
+    And no endpoint saw what no host may do
+
   Scenario: Engines of an owner that reaches none of them get another owner
     Given 3 hosts with links of their own to 2 engines and 2 services
     When the links of the first engine's owner to all endpoints hang
