Answer hosts that end their side of a relay's connection

Cause: the HTTP server of readiness, metrics and relay dropped the response to a request whose caller had ended its side before a handler was done. Change: the connection stays open for the responses that are due. Measured: the transaction of the new scenario of halfClosedConnections.feature brought no answer before, and status 200 now.

--- a/features/halfClosedConnections.feature
+++ b/features/halfClosedConnections.feature
@@ -77,3 +77,8 @@
     Given 1 host before 1 engine and 2 services
     When a caller of HTTP/1.0 sends a request that may run only once and takes 1500 ms, and ends its side after 0 ms
     Then it gets status 200 within 2500 ms
+
+  Scenario: A host that ends its side behind a transaction learns its outcome from the relay
+    Given a relay whose store decides in 100 ms
+    When a host sends it a transaction on a connection, and ends its side
+    Then the connection has brought an answer with status 200
--- a/features/steps/relayStops.ts
+++ b/features/steps/relayStops.ts
@@ -1,10 +1,13 @@
 /** Steps of hosts that stop while they run transactions for others. */
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
+import { pack } from 'msgpackr'
 import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
 import type { HttpServer } from '../../src/adapters/httpServer/httpServer.js'
-import { createHttpRelay } from '../../src/adapters/relay/httpRelay.js'
+import { createHttpRelay, transactPath } from '../../src/adapters/relay/httpRelay.js'
 import { RowMirror } from '../../src/core/rowMirror.js'
 import { StoreEra } from '../../src/core/storeEra.js'
 import type { Relay } from '../../src/ports/relay.js'
@@ -14,7 +17,7 @@
 import { waitUntil } from '../support/waitUntil.js'
 
 interface RelayStopsWorld {
-  stoppingRelay: { address: string, server: HttpServer, clients: Relay[], begun: number, outcomes: StoreOutcome[], stopMs: number } | undefined
+  stoppingRelay: { address: string, server: HttpServer, clients: Relay[], begun: number, outcomes: StoreOutcome[], stopMs: number, received: string } | undefined
 }
 
 Given('a relay whose store decides in {int} ms', async function (this: RelayStopsWorld, decisionMs: number) {
@@ -34,7 +37,7 @@
     listTableAges: () => ({}),
     isStoreReachable: () => true
   })
-  const state: NonNullable<RelayStopsWorld['stoppingRelay']> = { address, server, clients: [], begun: 0, outcomes: [], stopMs: NaN }
+  const state: NonNullable<RelayStopsWorld['stoppingRelay']> = { address, server, clients: [], begun: 0, outcomes: [], stopMs: NaN, received: '' }
   this.stoppingRelay = state
 })
 
@@ -69,6 +72,20 @@
   state.outcomes = await Promise.all(calls)
 })
 
+When('a host sends it a transaction on a connection, and ends its side', async function (this: RelayStopsWorld) {
+  const state = this.stoppingRelay!
+  const body = pack({ checks: [], writes: [], removals: [] })
+  const socket = connect({ host: '127.0.0.1', port: Number(state.address.split(':')[1]), allowHalfOpen: true })
+  socket.setEncoding('latin1').on('data', text => { state.received += String(text) })
+  socket.write(`POST ${transactPath} HTTP/1.1\r\nhost: relay\r\ncontent-length: ${body.length}\r\n\r\n`)
+  socket.end(body)
+  await once(socket, 'close')
+})
+
+Then('the connection has brought an answer with status {int}', function (this: RelayStopsWorld, status: number) {
+  assert.equal(this.stoppingRelay!.received.split(' ')[1], String(status))
+})
+
 Then('each of these hosts learns that its transaction was applied', function (this: RelayStopsWorld) {
   const { outcomes } = this.stoppingRelay!
   assert.deepEqual(outcomes.map(({ verdict }) => verdict), outcomes.map(() => 'applied'))
--- a/src/adapters/httpServer/httpServer.ts
+++ b/src/adapters/httpServer/httpServer.ts
@@ -47,6 +47,8 @@
         response.writeHead(status, { 'content-type': contentType, 'content-length': Buffer.byteLength(body) }).end(body)
       })
   })
+  // Callers that have ended their side get the responses that are due.
+  Object.assign(server, { httpAllowHalfOpen: true })
   await listenOn(server, address)
   return {
     drain: async maxMs => {
