--- a/features/soak.feature
+++ b/features/soak.feature
@@ -59,8 +59,8 @@
       | a stop cut off a request behind a stream that had been announced as the last | behindStreamAnswered |
       | a stop cut a request of a service off while the store was away               | stopCutsNothing      |
       | a stop cut a request off while another host was killed                       | stopCutsNothing      |
-      | a request was cut off while another endpoint was dark                          | stopCutsNothing      |
-      | a request was cut off while another endpoint was dark                          | halfClosedAnswered   |
+      | a request was cut off while another endpoint was dark                        | stopCutsNothing      |
+      | a request was cut off while another endpoint was dark                        | halfClosedAnswered   |
       | a crashing request ended another engine                                      | stopCutsNothing      |
       | a host closed four kept connections with requests at sound endpoints         | keptAnswered         |
       | a request with a body over the limit ran                                     | notRunMeansNotRun    |
