--- a/features/steps/takenPorts.ts
+++ b/features/steps/takenPorts.ts
@@ -13,7 +13,6 @@
 import { encodeHostSettings, settingsFileVariable } from '../../src/platform/hostSettings.js'
 import type { HostSettings } from '../../src/schemas/hostSettings.js'
 import { isSettingsError } from '../../src/settings/settingsError.js'
-import { findFreePort } from '../support/findFreePort.js'
 import { HostFleet } from '../support/hostFleet.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
 import { startBinary } from '../support/runBinary.js'
@@ -57,11 +56,11 @@
   return async () => { await new Promise(resolve => server.close(resolve)) }
 }
 
-/** Opens a connection from a port that no other process of tests uses, and returns its address. */
-async function openConnection (): Promise<{ address: string, free: () => Promise<unknown> }> {
+/** Opens a connection, and returns the address for which the system drew a port. */
+async function drawConnection (): Promise<{ address: string, free: () => Promise<unknown> }> {
   const server = createServer(socket => { socket.on('error', () => {}) })
   await listenOn(server, '127.0.0.1:0')
-  const socket = connect({ host: '127.0.0.1', port: (server.address() as AddressInfo).port, localAddress: '127.0.0.1', localPort: await findFreePort() })
+  const socket = connect({ host: '127.0.0.1', port: (server.address() as AddressInfo).port })
   await once(socket, 'connect')
   const address = `${socket.localAddress}:${socket.localPort}`
   return {
@@ -82,9 +81,9 @@
   this.portName = port
   let free: () => Promise<unknown>
   if (user === 'connection') {
-    const opened = await openConnection()
-    this.hostSettings = { ...this.hostSettings, [port === 'callers' ? 'callersAddress' : 'readinessAddress']: opened.address }
-    free = opened.free
+    const drawn = await drawConnection()
+    this.hostSettings = { ...this.hostSettings, [port === 'callers' ? 'callersAddress' : 'readinessAddress']: drawn.address }
+    free = drawn.free
   } else {
     free = await takePort(listAddresses(this.hostSettings)[port]!, port === 'messages between hosts')
   }
