Give hosts of a scenario the deployments' time to stop

Trace: a stream that its engine still sent was cut 2.3 s after the stop began, with a request behind it that had not run: the end of the time that this fleet gives its hosts, 3 s instead of the deployments' 8 s, before they have even stopped listening. The hosts now have 8 s, so that they take connections for longer and cut none of these streams.

--- a/features/requestsBehindStreams.feature
+++ b/features/requestsBehindStreams.feature
@@ -33,7 +33,7 @@
     Then the listener has drained within 500 ms of the last answer
 
   Scenario: Callers that send a request behind each stream are answered by a host that stops
-    Given 2 hosts before 2 engines and 2 services
+    Given 2 hosts with 8000 ms to stop before 2 engines and 2 services
     And streams send one event every 100 ms
     When 8 callers go on sending a stream and a request behind it to host 1, each pair on a new connection, and it stops after 500 ms
     Then no request is lost
--- a/features/steps/requestsBehindStreams.ts
+++ b/features/steps/requestsBehindStreams.ts
@@ -7,6 +7,7 @@
 import { RawCaller } from '../../src/standin/fleet/rawCaller.js'
 import type { RawAnswer } from '../../src/standin/fleet/rawCaller.js'
 import { fleetPaths } from '../../src/standin/fleet/startFleet.js'
+import { HostFleet } from '../support/hostFleet.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
 import type { ProcessSystem } from '../support/processes.js'
 import { createTestHandle, startTestListener } from '../support/testListener.js'
@@ -111,6 +112,17 @@
   assert.ok(this.drainedAfterMs <= maxMs, `${this.drainedAfterMs} ms`)
 })
 
+Given('{int} hosts with {int} ms to stop before {int} engines and {int} services', async function (this: BehindWorld, hosts: number, shutdownMs: number, engines: number, services: number) {
+  this.hostFleet = await HostFleet.prepare(hosts, { engines, services })
+  this.rawAnswers = []
+  for (const host of this.hostFleet.hosts) host.settings = { ...host.settings, shutdownMs }
+  await Promise.all(this.hostFleet.hosts.map(async host => await this.hostFleet.startHost(host)))
+  await this.hostFleet.waitForOwners()
+  const caller = await RawCaller.open(this.hostFleet.hosts[0]!.settings.callersAddress)
+  await caller.send([{ kind: 'stream', adapter: 'a1' }])
+  caller.close()
+})
+
 When('{int} callers go on sending a stream and a request behind it to host 1, each pair on a new connection, and it stops after {int} ms', { timeout: 30_000 }, async function (this: BehindWorld, callers: number, ms: number) {
   const host = this.hostFleet.hosts[0]!
   const sending = Array.from({ length: callers }, async () => {
