--- a/src/tasks/proxy/callerConnection.ts
+++ b/src/tasks/proxy/callerConnection.ts
@@ -156,7 +156,7 @@
     return this.#exchanges.length
   }
 
-  /** Whether a request was read so late in a stop that its caller is better served by another host. */
+  /** Whether a request that is read now is refused as not run, as the stop may cut it or would last as long as its caller goes on sending. */
   get isLeftToOthers (): boolean {
     return this.#isIdleLate || (this.#options.isClosingIdle() && this.#exchanges.length > 0)
   }
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -241,7 +241,7 @@
         connection.advance()
       }
     }
-    // A caller that always has a request unanswered would otherwise keep its connection for the whole time of the stop.
+    // Read before the request is added, as those behind an unanswered one count as late.
     const { isLeftToOthers } = connection
     // The server closes connections of HTTP/1.0 after answers of unknown length.
     connection.add(exchange, !response.shouldKeepAlive || message.httpVersionMinor === 0)
