--- a/src/tasks/gateway/callerConnections.ts
+++ b/src/tasks/gateway/callerConnections.ts
@@ -12,6 +12,10 @@
 import { createFailure, renderFinalHeaders, renderResponse } from './clientErrors.js'
 
 const log = createLog('callers')
+/** Time after which a connection without a request is closed. */
+export const keepAliveMs = 72_000
+/** Time between two closings of idle connections while the server stops. */
+const idleCloseIntervalMs = 100
 const badRequestStatus = 400
 const expectationFailedStatus = 417
 const unavailableStatus = 503
@@ -83,13 +87,18 @@
     open.connection.receiveError(error)
   }
 
-  /** From now on, each connection is closed once the requests that were read from it have been answered. */
-  stop (): void {
+  /**
+   * Closes each connection once the requests that were read from it have been answered, until `closeServer` resolves, so that neither kept
+   * connections nor ones opened in advance delay a stop.
+   */
+  async drain (closeServer: () => PromiseLike<unknown>): Promise<void> {
     this.#isStopping = true
+    const timer = setInterval(() => this.#closeIdle(), idleCloseIntervalMs)
+    await closeServer()
+    clearInterval(timer)
   }
 
-  /** Closes the connections without a request. */
-  closeIdle (): void {
+  #closeIdle (): void {
     for (const { connection } of this.#connections.values()) connection.closeIfIdle(this.#options.maxArrivalMs)
   }
 
--- a/src/tasks/gateway/callersServer.ts
+++ b/src/tasks/gateway/callersServer.ts
@@ -8,7 +8,7 @@
 import type { RequestFailure } from '../../schemas/verdict.js'
 import { AnswerWriter } from './answerWriter.js'
 import { findCaller } from './callerAccess.js'
-import { CallerConnections } from './callerConnections.js'
+import { CallerConnections, keepAliveMs } from './callerConnections.js'
 import { getKeyedRequest, readHeader, readRequestId, sendFailure } from './callersContext.js'
 import type { CallersContext } from './callersContext.js'
 import { runKeyedCompletion } from './keyedRequests.js'
@@ -20,10 +20,6 @@
 
 const healthPath = '/healthz'
 const defaultMaxArrivalMs = 30_000
-/** Time after which a connection without a request is closed. */
-const keepAliveMs = 72_000
-/** Time between two closings of idle connections while the server stops. */
-const idleCloseIntervalMs = 100
 /** Longest time between two checks for requests that were not received in time. */
 const maxArrivalCheckIntervalMs = 1000
 
@@ -71,15 +67,7 @@
   await addServicesRoute(server, options)
   await server.listen({ host: options.address, port: options.port })
   const { port } = server.server.address() as AddressInfo
-  return { port, stop: async () => await stopServer(server, connections) }
-}
-
-/** Closes connections without a request, so that neither keep-alive connections nor ones opened in advance delay the stop. */
-async function stopServer (server: FastifyInstance, connections: CallerConnections): Promise<void> {
-  connections.stop()
-  const closeTimer = setInterval(() => connections.closeIdle(), idleCloseIntervalMs)
-  await server.close()
-  clearInterval(closeTimer)
+  return { port, stop: async () => await connections.drain(async () => await server.close()) }
 }
 
 /** Refuses requests without a known key, and those over the limits of open requests, before their body is read. */
--- a/src/tasks/operators/operatorsServer.ts
+++ b/src/tasks/operators/operatorsServer.ts
@@ -6,7 +6,7 @@
 import { createLog } from '../../createLog.js'
 import { createNotRunFailure } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
-import { CallerConnections } from '../gateway/callerConnections.js'
+import { CallerConnections, keepAliveMs } from '../gateway/callerConnections.js'
 import { addExplainRoute } from './explainRoute.js'
 import { checkOperator } from './operatorAccess.js'
 import { sendOperatorFailure } from './operatorsContext.js'
@@ -21,10 +21,6 @@
 /** Room for a registration of tens of thousands of adapters at once. */
 const maxOperatorBodyBytes = 16 * 1024 * 1024
 const maxRequestReadMs = 60_000
-/** Time after which a connection without a request is closed. */
-const keepAliveMs = 72_000
-/** Time between two closings of idle connections while the server stops. */
-const idleCloseIntervalMs = 100
 /** A change waits 5 s for the schedulers, and before that up to 2 s for each call of the platform. */
 const maxStopMs = 10_000
 
@@ -60,14 +56,11 @@
 }
 
 async function stopServer (server: FastifyInstance, connections: CallerConnections): Promise<void> {
-  connections.stop()
-  const closeTimer = setInterval(() => connections.closeIdle(), idleCloseIntervalMs)
   const cutTimer = setTimeout(() => {
     log('The connections of operators that are left after %d ms of the stop are cut.', maxStopMs)
     server.server.closeAllConnections()
   }, maxStopMs)
-  await server.close()
-  clearInterval(closeTimer)
+  await connections.drain(async () => await server.close())
   clearTimeout(cutTimer)
 }
 
