--- a/features/steps/requestsBehindStreams.ts
+++ b/features/steps/requestsBehindStreams.ts
@@ -15,14 +15,14 @@
 import { formatCompletion, readAnswers } from './gatewayStops.js'
 
 interface BehindWorld extends HostsWorld {
-  behind: TestListener
+  streamListener: TestListener
   /** Answers of each connection, in the order of its requests. */
   connectionAnswers: RawAnswer[][]
   rawAnswers: RawAnswer[]
   /** From the last answer to the end of the drain. */
   drainedAfterMs: number
   processes: ProcessSystem
-  receivedBehind: string
+  received: string
 }
 
 /** From the start of the drain to the end of listening, and its longest time. */
@@ -35,11 +35,11 @@
 const stopAfterMs = 300
 
 After(async function (this: Partial<BehindWorld>) {
-  this.behind?.listener.close()
+  this.streamListener?.listener.close()
 })
 
 Given('a listener whose streams begin after {int} ms and have {int} events, {int} ms apart', async function (this: BehindWorld, beginMs: number, events: number, gapMs: number) {
-  this.behind = await startTestListener({
+  this.streamListener = await startTestListener({
     createHandle: ({ path }, response) => createTestHandle(async () => {
       if (!path.startsWith(fleetPaths.stream)) {
         response.writeHead(200, ['Content-Length', '2'])
@@ -59,7 +59,7 @@
 
 /** Lets callers send `stream` and then what `sendBehind` sends, while the listener drains. */
 async function sendBehindStreams (world: BehindWorld, callers: number, sendBehind: (caller: RawCaller, stream: Promise<RawAnswer[]>) => Promise<RawAnswer[]>): Promise<void> {
-  const { listener, address } = world.behind
+  const { listener, address } = world.streamListener
   const connections = await Promise.all(Array.from({ length: callers }, async () => await RawCaller.open(address)))
   const sent = connections.map(async caller => {
     const stream = caller.send([{ kind: 'stream' }])
@@ -143,8 +143,8 @@
 
 When('a caller sends 1 long stream to the gateway, which stops, and {int} completions behind it, {int} ms apart', { timeout: 30_000 }, async function (this: BehindWorld, count: number, gapMs: number) {
   const socket = connect({ host: '127.0.0.1', port: Number(new URL(this.processes.urls[0]!).port), allowHalfOpen: true })
-  this.receivedBehind = ''
-  socket.setEncoding('latin1').on('error', () => {}).on('data', chunk => { this.receivedBehind += String(chunk) })
+  this.received = ''
+  socket.setEncoding('latin1').on('error', () => {}).on('data', chunk => { this.received += String(chunk) })
   const ended = new Promise<void>(resolve => socket.on('end', () => socket.destroy()).on('close', () => resolve()))
   socket.write(formatCompletion(true, longTokens))
   await sleep(stopAfterMs)
@@ -157,6 +157,6 @@
 })
 
 Then('the caller has a whole answer to each of its {int} requests', function (this: BehindWorld, count: number) {
-  const answers = readAnswers(this.receivedBehind)
+  const answers = readAnswers(this.received)
   assert.deepEqual(answers.map(({ isWhole: isComplete }) => isComplete), Array.from({ length: count }, () => true), JSON.stringify(answers))
 })
