--- a/features/earlySignals.feature
+++ b/features/earlySignals.feature
@@ -29,3 +29,14 @@
       | scheduler     | SIGHUP, SIGTERM         | it ends with code 0                                        |
       | standin       | SIGHUP, SIGTERM         | it ends with code 0                                        |
       | quickstart    | SIGHUP, SIGINT          | it ends with code 0                                        |
+
+  # Node.js itself starts in this time, and no code of the program runs.
+  @knownRed
+  Scenario: Nine hosts that start at once go on when they get SIGHUP up to 64 ms after their spawn
+    Given 9 hosts that start at once and get SIGHUP, each 8 ms later after its spawn than the one before
+    Then all of them report that their settings files have changed
+
+  @knownRed
+  Scenario: Signals while a host waits for its port of messages
+    Given a host whose port of messages is in use, and which gets SIGHUP after 600 and 900 ms and SIGTERM after 1200 ms
+    Then it ends with code 0
--- a/features/steps/earlySignals.ts
+++ b/features/steps/earlySignals.ts
@@ -1,10 +1,13 @@
 /** Steps for signals that a process gets while it starts. */
 import assert from 'node:assert/strict'
+import { createSocket } from 'node:dgram'
+import type { Socket } from 'node:dgram'
 import { once } from 'node:events'
 import { spawnSync } from 'node:child_process'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { After, Given, Then } from '@cucumber/cucumber'
 import { encodeHostSettings, settingsFileVariable } from '../../src/platform/hostSettings.js'
 import { createBuildFolder } from '../support/buildFolder.js'
@@ -17,6 +20,8 @@
 
 interface EarlySignalsWorld extends HostsWorld {
   startedProgram: BinaryProcess
+  startedHosts: BinaryProcess[]
+  portHolder: Socket
   buildFolder: string
   stopProcesses: () => Promise<void>
 }
@@ -69,14 +74,22 @@
 
 /** Writes the settings of a host before a stand-in platform, and returns the path of the file. */
 async function writeHostSettings (world: HostsWorld): Promise<string> {
-  world.hostFleet = await HostFleet.prepare(1, { engines: 2 })
-  const file = join(mkdtempSync(join(tmpdir(), 'sedgevalve-test-')), 'host.json')
-  writeFileSync(file, encodeHostSettings(world.hostFleet.hosts[0]!.settings))
-  return file
+  return (await writeSettingsOfHosts(world, 1))[0]!
+}
+
+async function writeSettingsOfHosts (world: HostsWorld, count: number): Promise<string[]> {
+  world.hostFleet = await HostFleet.prepare(count, { engines: 2 })
+  return world.hostFleet.hosts.map(({ settings }) => {
+    const file = join(mkdtempSync(join(tmpdir(), 'sedgevalve-test-')), 'host.json')
+    writeFileSync(file, encodeHostSettings(settings))
+    return file
+  })
 }
 
 After(async function (this: Partial<EarlySignalsWorld>) {
   this.startedProgram?.process.kill('SIGKILL')
+  for (const { process: child } of this.startedHosts ?? []) child.kill('SIGKILL')
+  this.portHolder?.close()
   await this.stopProcesses?.()
   if (this.buildFolder !== undefined) rmSync(this.buildFolder, { recursive: true })
 })
@@ -107,6 +120,32 @@
   }
 })
 
+Given('{int} hosts that start at once and get SIGHUP, each {int} ms later after its spawn than the one before', async function (this: EarlySignalsWorld, count: number, stepMs: number) {
+  const files = await writeSettingsOfHosts(this, count)
+  this.startedHosts = files.map(file => startBinary('host', { [settingsFileVariable]: file }))
+  await Promise.all(this.startedHosts.map(async ({ process: child }, index) => {
+    await sleep(index * stepMs)
+    child.kill('SIGHUP')
+  }))
+})
+
+Then('all of them report that their settings files have changed', async function (this: EarlySignalsWorld) {
+  await waitUntil(() => this.startedHosts.every(({ process: child, output }) => output.includes('settings.reloaded') || child.signalCode !== null))
+  assert.deepEqual(this.startedHosts.map(({ process: child }) => child.signalCode), this.startedHosts.map(() => null))
+})
+
+Given('a host whose port of messages is in use, and which gets SIGHUP after 600 and 900 ms and SIGTERM after 1200 ms', async function (this: EarlySignalsWorld) {
+  const file = await writeHostSettings(this)
+  const { address, datagramPort } = this.hostFleet.hosts[0]!.settings
+  this.portHolder = createSocket('udp4')
+  await new Promise<void>(resolve => this.portHolder.bind(datagramPort, address, resolve))
+  this.startedProgram = startBinary('host', { [settingsFileVariable]: file })
+  for (const [waitMs, signal] of [[600, 'SIGHUP'], [300, 'SIGHUP'], [300, 'SIGTERM']] as const) {
+    await sleep(waitMs)
+    this.startedProgram.process.kill(signal)
+  }
+})
+
 Then('it ends with code {int}', async function (this: EarlySignalsWorld, code: number) {
   const { process: child, errors } = this.startedProgram
   if (child.exitCode === null && child.signalCode === null) await once(child, 'exit')
