--- a/features/support/parallelScenarios.ts
+++ b/features/support/parallelScenarios.ts
@@ -6,8 +6,8 @@
 
 type Scenario = Parameters<Parameters<typeof setParallelCanAssign>[0]>[0]
 
-function runsAlone ({ tags }: Scenario): boolean {
+function isAlone ({ tags }: Scenario): boolean {
   return tags.some(({ name }) => name === aloneTag)
 }
 
-setParallelCanAssign((next, running) => !running.some(runsAlone) && (running.length === 0 || !runsAlone(next)))
+setParallelCanAssign((next, running) => !running.some(isAlone) && (running.length === 0 || !isAlone(next)))
