Draw the faults of a stand-in endpoint apart from each other

Cause: all faults drew from one even sequence. It is the cause of unframedAnswers:31 again, which had been mended for that fault alone.

--- a/soak/soakSystem.ts
+++ b/soak/soakSystem.ts
@@ -53,6 +53,7 @@
       services,
       adapterSlots,
       random,
+      createDraws: () => random,
       openRoute: async (id, address) => {
         const link = await LoopbackProxy.start(address)
         endpointLinks.set(id, link)
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -9,7 +9,7 @@
 import type { FleetEngine } from './fleetEngine.js'
 import { formatChunk, isEndlessFor, isEndlessRefusal, sendEndless } from './endlessAnswer.js'
 import { noEndpointFaults } from './endpointFaults.js'
-import type { EndpointFaults } from './endpointFaults.js'
+import type { EndpointFaults, FaultShare } from './endpointFaults.js'
 import { spoilEvent } from './spoilEvent.js'
 import type { RunJournal, RunRecord } from './runJournal.js'
 
@@ -18,7 +18,10 @@
   service: string
   listenAddress: string
   journal: RunJournal
+  /** Draws that decide where an answer is cut. */
   random: () => number
+  /** Creates the draws that decide which requests a fault strikes; even ones where left out. */
+  createDraws?: () => () => number
   /** Undefined for a plain service. */
   engine: FleetEngine | undefined
   /** Requests that a plain service runs at once. */
@@ -62,8 +65,8 @@
 }
 
 class Endpoint {
-  /** Of its own, as the draws of other faults would decide which streams meet it. */
-  #drawUnframedCut = createEvenDraws()
+  /** One sequence for each fault, as draws of other faults would decide which requests meet it. */
+  #draws = new Map<FaultShare, () => number>()
   faults: EndpointFaults = { ...noEndpointFaults }
   address: string
   readonly crashTimesMs: number[] = []
@@ -133,7 +136,7 @@
 
   #receiveOrder (engine: FleetEngine, body: string, response: ServerResponse): void {
     const { order, holder } = decodeEngineOrder(body)
-    if (this.#options.random() < this.faults.lateOrders) {
+    if (this.#shouldStrike('lateOrders')) {
       const { startedAtMs } = engine
       setTimeout(() => {
         // An order that names its engine does not reach a later process of it.
@@ -192,7 +195,7 @@
   }
 
   #run (request: IncomingMessage, response: ServerResponse, marks: ReceivedHeaders): void {
-    const { id, service, journal, engine, workMs, random } = this.#options
+    const { id, service, journal, engine, workMs } = this.#options
     const run = journal.start({
       requestId: marks.requestId ?? '', endpointId: id, service, path: request.url ?? '', startedAtMs: readNow(), timeLeftMs: marks.timeLeftMs, fromEvent: marks.lastEventId, adapterVersion: marks.version
     })
@@ -208,13 +211,13 @@
     response.on('close', () => finish('left'))
     const headers = encodeEndpointResponseHeaders(run.requestId, `signed by ${id}`, { isLeaving: this.faults.isLeaving, limit: this.faults.limit, brittle: this.faults.brittle })
     if (this.#sendEndless(request, run, headers, finish)) return
-    if (this.faults.silentRuns > 0 && random() < this.faults.silentRuns) return
-    if (random() < this.faults.errors) {
+    if (this.#shouldStrike('silentRuns')) return
+    if (this.#shouldStrike('errors')) {
       setTimeout(() => {
         finish('broken')
         response.writeHead(500, headers).end('failed')
       }, workMs / 2)
-    } else if (this.faults.headCuts > 0 && random() < this.faults.headCuts) {
+    } else if (this.#shouldStrike('headCuts')) {
       setTimeout(() => {
         finish('broken')
         this.#cutHead(request, headers)
@@ -222,7 +225,7 @@
     } else if (engine && this.#isCrashedBy(marks)) {
       response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' }).flushHeaders()
       setTimeout(() => { if (!response.destroyed) this.crash() }, this.faults.eventMs || engine.options.eventMs)
-    } else if (engine && this.faults.unframed > 0 && random() < this.faults.unframed) {
+    } else if (engine && this.#shouldStrike('unframed')) {
       this.#streamUnframed(engine, response, run, headers, finish)
     } else if (engine) {
       this.#stream(engine, response, run, headers, finish)
@@ -231,6 +234,15 @@
     }
   }
 
+  #shouldStrike (fault: FaultShare): boolean {
+    let draw = this.#draws.get(fault)
+    if (!draw) {
+      draw = (this.#options.createDraws ?? createEvenDraws)()
+      this.#draws.set(fault, draw)
+    }
+    return draw() < this.faults[fault]
+  }
+
   /** Returns whether the request is answered without end. */
   #sendEndless ({ socket }: IncomingMessage, run: RunRecord, headers: Record<string, string>, finish: (outcome: RunRecord['outcome']) => void): boolean {
     const { endless } = this.faults
@@ -269,22 +281,21 @@
   }
 
   #answer (request: IncomingMessage, response: ServerResponse, run: RunRecord, headers: Record<string, string>, finish: (outcome: RunRecord['outcome']) => void): void {
-    const { random } = this.#options
     const body = `done ${run.requestId}`
-    if (random() < this.faults.cuts) {
+    if (this.#shouldStrike('cuts')) {
       finish('broken')
       response.writeHead(200, { ...headers, 'content-length': String(body.length) }).write(body.slice(0, 4))
       setImmediate(() => request.socket.resetAndDestroy())
-    } else if (this.#drawUnframedCut() < this.faults.unframedCuts) {
+    } else if (this.#shouldStrike('unframedCuts')) {
       finish('broken')
       request.socket.write(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}connection: close\r\n\r\n${body.slice(0, 4)}`, () => request.socket.resetAndDestroy())
-    } else if (random() < this.faults.unframed) {
+    } else if (this.#shouldStrike('unframed')) {
       finish('whole')
       request.socket.end(formatUnframedHead(this.faults.unframedVersion, headers) + body)
     } else {
       finish('whole')
       response.writeHead(200, { ...headers, 'content-length': String(body.length) }).end(body)
-      if (random() < this.faults.extras) setTimeout(() => request.socket.write(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}content-length: ${body.length}\r\n\r\n${body}`), 5)
+      if (this.#shouldStrike('extras')) setTimeout(() => request.socket.write(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}content-length: ${body.length}\r\n\r\n${body}`), 5)
     }
   }
 
@@ -293,8 +304,8 @@
     const { random } = this.#options
     const socket = response.socket!
     const last = countEvents(run.requestId)
-    const cutAfter = this.#drawUnframedCut() < this.faults.unframedCuts ? run.fromEvent + Math.floor(random() * last) : Infinity
-    const isEmpty = random() < this.faults.emptyStreams
+    const cutAfter = this.#shouldStrike('unframedCuts') ? run.fromEvent + Math.floor(random() * last) : Infinity
+    const isEmpty = this.#shouldStrike('emptyStreams')
     let next = run.fromEvent + 1
     socket.write(formatUnframedHead(this.faults.unframedVersion, { ...headers, 'content-type': 'text/event-stream' }))
     const send = (): void => {
@@ -318,9 +329,9 @@
     const last = countEvents(run.requestId)
     const eventMs = this.faults.eventMs || engine.options.eventMs
     const { silenceMs, commentMs } = this.faults
-    const cutAfter = random() < this.faults.cuts ? run.fromEvent + Math.floor(random() * last) : Infinity
+    const cutAfter = this.#shouldStrike('cuts') ? run.fromEvent + Math.floor(random() * last) : Infinity
     const { spoiling, spoiledEvent } = this.faults
-    const isSpoiled = random() < this.faults.spoiledIds
+    const isSpoiled = this.#shouldStrike('spoiledIds')
     let next = run.fromEvent + 1
     response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
     if (this.faults.trickleMs > 0) {
--- a/src/standin/fleet/startFleet.ts
+++ b/src/standin/fleet/startFleet.ts
@@ -20,8 +20,10 @@
   heartbeatMs: number
   /** Whether entries tell when their endpoint's process started. */
   tellsStart: boolean
-  /** Draws that decide which requests a fault strikes; even ones where left out. */
+  /** Draws that decide where an answer is cut; even ones where left out. */
   random: () => number
+  /** Creates the draws that decide which requests a fault strikes, for each endpoint and fault. */
+  createDraws: () => () => number
   /** Returns the address under which hosts reach an endpoint at `ip:port`. */
   openRoute: (id: string, address: string) => Promise<string>
 }
@@ -49,7 +51,7 @@
 export const fleetPaths = Object.freeze({ stream: '/stream/', once: '/once/', resumable: '/resumable/', idempotent: '/safe/' })
 
 export const defaultFleetOptions: Omit<FleetOptions, 'random'> = Object.freeze({
-  engines: 3, services: 2, adapterSlots: 4, zones: ['a', 'b'], heartbeatMs: 300, tellsStart: true, openRoute: async (_id: string, address: string) => address
+  engines: 3, services: 2, adapterSlots: 4, zones: ['a', 'b'], heartbeatMs: 300, tellsStart: true, createDraws: createEvenDraws, openRoute: async (_id: string, address: string) => address
 })
 
 /** Entries that were not written for this long are removed, in heartbeats. */
@@ -118,12 +120,12 @@
 
   /** `modelLoadMs`: an engine that starts without its model loads it in this time; `softwareVersion`: empty for an entry without one. */
   async addEndpoint (service: string, modelLoadMs = 0, softwareVersion = 'v1'): Promise<FleetEndpoint> {
-    const { adapterSlots, zones, random, openRoute } = this.#options
+    const { adapterSlots, zones, random, createDraws, openRoute } = this.#options
     const id = `i-${this.#nextId++}`
     const engine = service === engineService
       ? new FleetEngine({ id, model: fleetModel, adapterSlots, batchLimit: 16, coldLoadMs: 120, warmLoadMs: 12, reportLagMs: 100, eventMs: 15, modelLoadMs }, () => performance.now())
       : undefined
-    const server = await startEndpointServer({ id, service, listenAddress: '127.0.0.1:0', journal: this.journal, random, engine, places: 6, workMs: 20 })
+    const server = await startEndpointServer({ id, service, listenAddress: '127.0.0.1:0', journal: this.journal, random, createDraws, engine, places: 6, workMs: 20 })
     const endpoint: FleetEndpoint = { id, service, zone: zones[this.endpoints.length % zones.length]!, address: await openRoute(id, server.address), engine, server, isLeaving: false, softwareVersion, isTelling: true }
     this.endpoints.push(endpoint)
     this.softwareVersions.set(id, softwareVersion)
