Use an engine that says it has its model, whatever its reports show

Its engines take 2.1 s to load their model, longer than their owner waits for it; the owner then read a report without a model, ordered the load again, was told that the engine holds it, and read the same report again, every 350 ms to the end.

The owner's part: an answer that the model is there counted while the owner waited for the load, and for nothing afterwards, so that the order was repeated without end.

A report is at most its lag older than such an answer. If the report behind it denies the model again and the engine holds it again, the owner goes by the answer, with a line engine.modelUnreported. The new scenario failed before.

--- a/features/engineStateMonitor.feature
+++ b/features/engineStateMonitor.feature
@@ -20,3 +20,12 @@
     And the monitored engine restarts
     And 6000 ms pass at the engine
     Then the owner considers it ready
+
+  # Guards against an owner that orders the same load without end, as a report denies what each answer says.
+  Scenario: An engine that says that it has its model is used though its reports never show it
+    Given an engine without a model whose state reports lag 200 ms
+    And its reports never show its model
+    When its owner starts to monitor it and the load of its model takes 3000 ms
+    And 6000 ms pass at the engine
+    Then the owner considers it ready
+    And it has sent at most 1 orders in the last 2000 ms
--- a/features/steps/engineStateMonitor.ts
+++ b/features/steps/engineStateMonitor.ts
@@ -11,6 +11,9 @@
   readonly clock = new VirtualClock()
   reads = 0
   loadMs = 0
+  hidesModel = false
+  /** When each order arrived, on the engine's clock. */
+  readonly orderTimesMs: number[] = []
   #reportLagMs: number
   #count = 0
   #startedAtMs = 1
@@ -24,6 +27,7 @@
   }
 
   async send (order: { expectedCount?: number | undefined }): Promise<EngineOrderOutcome> {
+    this.orderTimesMs.push(this.clock.readMonotonic())
     if (this.#hasModel()) return { verdict: 'holds' }
     if (this.#modelLoadedAtMs !== undefined || order.expectedCount !== this.#count) return { verdict: 'refused', cause: 'conflict', reason: 'another order is in progress' }
     this.#count++
@@ -52,6 +56,7 @@
   }
 
   #scheduleReport (): void {
+    if (this.hidesModel) return
     this.#reports.push({ reportedFromMs: this.clock.readMonotonic() + this.#reportLagMs, state: this.#describeState() })
   }
 
@@ -71,6 +76,10 @@
   this.laggingEngine = new LaggingEngine(lagMs)
 })
 
+Given('its reports never show its model', function (this: EngineMonitorWorld) {
+  this.laggingEngine.hidesModel = true
+})
+
 When('its owner starts to monitor it and the load of its model takes {int} ms', async function (this: EngineMonitorWorld, loadMs: number) {
   const engine = this.laggingEngine
   engine.loadMs = loadMs
@@ -111,3 +120,9 @@
 Then('the owner has read its state again', function (this: EngineMonitorWorld) {
   assert.ok(this.laggingEngine.reads > 1)
 })
+
+Then('it has sent at most {int} orders in the last {int} ms', function (this: EngineMonitorWorld, count: number, ms: number) {
+  const { clock, orderTimesMs } = this.laggingEngine
+  const sinceMs = clock.readMonotonic() - ms
+  assert.ok(orderTimesMs.filter(timeMs => timeMs > sinceMs).length <= count)
+})
--- a/src/tasks/allocation/engineStateMonitor.ts
+++ b/src/tasks/allocation/engineStateMonitor.ts
@@ -44,6 +44,8 @@
   #lastOrderCount = 0
   #wasRestarted = false
   #isUnreachable = false
+  /** Whether the engine has just answered that it holds its model, which its report did not show. */
+  #isModelUnreported = false
 
   constructor (options: EngineStateMonitorOptions) {
     this.#options = options
@@ -133,6 +135,7 @@
         return state.isBusy ? retryIntervalMs : await this.#loadModel()
       }
       this.#isReady = true
+      this.#isModelUnreported = false
       // While orders are being sent, a lagging report shows only that the engine responds.
       if (!isCurrent) return undefined
       this.#options.receiveState(state, isRestarted || this.#wasRestarted)
@@ -158,6 +161,14 @@
     const outcome = await orderQueue.submit(order)
     log.record('engine.empty', 'An engine has no model; ordered a load of the model.', { endpointId, model: model.name, verdict: outcome.verdict })
     if (outcome.verdict === 'accepted' && await this.#waitForModel(order, model.loadMs)) return undefined
+    const isHeld = outcome.verdict === 'holds'
+    // A report may be older than the first such answer, but not than the second.
+    if (isHeld && this.#isModelUnreported) {
+      log.record('engine.modelUnreported', 'An engine says that it has its model, which its reports do not show; requests are sent to it.', { endpointId, model: model.name })
+      this.#receiveModel(model.name)
+      return undefined
+    }
+    this.#isModelUnreported = isHeld
     // The engine may have counted the order, so its state has to be read again before the next one.
     orderQueue.recordState(undefined)
     return reportLagMs
@@ -172,16 +183,22 @@
       const probe = await orderQueue.probe(order)
       if (probe.verdict !== 'holds') continue
       log.record('engine.modelLoaded', 'An engine has loaded its model and accepts requests.', { endpointId, model: order.model, tookMs: Math.round(clock.readMonotonic() - startedAtMs) })
-      this.#isReady = true
-      this.#options.receiveState({
-        startedAtMs: this.#engineStartedAtMs, models: [{ name: order.model, version: 0, adapters: [] }], loading: [], isBusy: false, orderCount: orderQueue.orderCount ?? 0, running: 0, waiting: 0
-      }, this.#wasRestarted)
-      this.#wasRestarted = false
+      this.#receiveModel(order.model)
       return true
     }
     return false
   }
 
+  /** Receives that the engine has its model, from an answer to an order. */
+  #receiveModel (model: string): void {
+    const { orderQueue, receiveState } = this.#options
+    this.#isReady = true
+    receiveState({
+      startedAtMs: this.#engineStartedAtMs, models: [{ name: model, version: 0, adapters: [] }], loading: [], isBusy: false, orderCount: orderQueue.orderCount ?? 0, running: 0, waiting: 0
+    }, this.#wasRestarted)
+    this.#wasRestarted = false
+  }
+
   async #delay (ms: number): Promise<void> {
     await new Promise<void>(resolve => { this.#timer = this.#options.clock.setTimer(resolve, ms) })
   }
