Show a stand-in engine's model in its reports though a timer ends early

A timer of Node.js may end up to a millisecond before performance.now() has reached the time that it was set for. The stand-in's engine reported its model once, in such a timer of just the load's time: if that came early, the report said that there was no model, and no later one followed.

The timer is set again until the clock agrees. Loads of adapters end with any later call, and were not struck.

--- a/src/standin/fleet/fleetEngine.ts
+++ b/src/standin/fleet/fleetEngine.ts
@@ -140,10 +140,18 @@
     if (this.#modelReadyAtMs !== undefined) return 409
     this.#count++
     this.#modelReadyAtMs = this.#readNow() + this.options.modelLoadMs
-    setTimeout(() => this.#report(), this.options.modelLoadMs).unref()
+    this.#reportModelIn(this.options.modelLoadMs)
     return 202
   }
 
+  /** A timer may end a moment before the clock says so. */
+  #reportModelIn (ms: number): void {
+    setTimeout(() => {
+      if (this.#hasModel()) this.#report()
+      else this.#reportModelIn(1)
+    }, ms).unref()
+  }
+
   #load (adapter: string, version: number): number {
     if (this.#adapters.get(adapter) === version) return 200
     const coming = this.#loading.get(adapter)
