Read what follows a request that asks for another protocol

Callers saw: a request that was sent at once behind one with "Connection: Upgrade" and "Upgrade" (any method, any protocol) got no answer, on hosts and gateways, with or without a stop. Worse, where only the head of such a request had come with the one before it, its body was read as a request, and ran.

Cause: the HTTP parser of Node.js stops behind a request that asks for another protocol. The server ignores the wish, as nothing listens for it, and drops the rest of what had arrived in that piece. What comes next is read from there on.

It works because the rest is given to the parser again, from the callback to which Node.js reports how far it has read. Only connections with such a request pay for it. An 'upgrade' listener would not do, as it takes the connection away from the responses that are still due.

--- a/src/standin/fleet/rawCaller.ts
+++ b/src/standin/fleet/rawCaller.ts
@@ -106,6 +106,11 @@
     return await Promise.all(answers)
   }
 
+  /** Writes the rest of a request that `send` has begun. */
+  write (bytes: string): void {
+    this.#socket.write(bytes)
+  }
+
   /** Resolves when all that was written has left for the host. */
   async flushed (): Promise<void> {
     if (this.#socket.writableLength > 0) await once(this.#socket, 'drain')
--- a/src/tasks/gateway/callerConnections.ts
+++ b/src/tasks/gateway/callerConnections.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, RequestListener, Server, ServerOptions, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { readBehindUpgrade } from '../../adapters/httpServer/readBehindUpgrade.js'
 import { createLog } from '../../createLog.js'
 import type { Clock } from '../../ports/clock.js'
 import { createNotRunFailure } from '../../schemas/verdict.js'
@@ -135,6 +136,7 @@
       message.resume()
       return
     }
+    if (message.headers.upgrade !== undefined) readBehindUpgrade(socket)
     const { connection } = open
     let hasBegun = false
     const lacksHost = message.headers.host === undefined && message.httpVersionMinor > 0
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { readBehindUpgrade } from '../../adapters/httpServer/readBehindUpgrade.js'
 import { listenOn } from '../../adapters/tcp/openPort.js'
 import { HeldTotal } from '../../core/heldTotal.js'
 import type { Clock } from '../../ports/clock.js'
@@ -205,6 +206,7 @@
       message.resume()
       return
     }
+    if (message.headers.upgrade !== undefined) readBehindUpgrade(socket)
     this.#arrivals++
     this.#activeRequests++
     let handle: RequestHandle | undefined
