Let no program end because its stderr cannot be written

Hosts saw: a host that waits for its settings file ended with code 1 instead, at the line that says so, where stderr is on a full disk or its reader is gone. A running host ended with code 1 at SIGUSR2 for the same reason. Programs whose settings are wrong ended with code 1 instead of 2 on a full disk.

Cause: a write to a file or device that is full throws, and one to a pipe whose reader is gone is reported by an event that ends a process which does not listen for it. Lines on stdout were safe where the reader is gone; a stdout on a full disk is another matter, not changed here.

It works because nothing depends on these lines: writeToStderr drops what cannot be written.

--- a/features/hostSettings.feature
+++ b/features/hostSettings.feature
@@ -51,6 +51,35 @@
     Given a host whose settings file does not exist, and which gets SIGTERM when it has read it
     Then the host's program ends with code 0
 
+  # Guards against a message on stderr that ends the process where it cannot be written.
+  Scenario Outline: A host whose stderr <stderr> waits for its settings file
+    Given a host whose stderr <stderr>, and whose settings file does not exist when it is first read
+    Then the host starts, and ends with code 0 at SIGTERM
+
+    Examples:
+      | stderr            |
+      | is on a full disk |
+      | has no reader     |
+
+  Scenario Outline: A host whose stderr <stderr> runs on when it is asked for its state
+    Given a host whose stderr <stderr>, and whose settings file exists when it is first read
+    When the host has started, and gets SIGUSR2
+    Then the host starts, and ends with code 0 at SIGTERM
+
+    Examples:
+      | stderr            |
+      | is on a full disk |
+      | has no reader     |
+
+  Scenario Outline: The code of wrong settings does not depend on a stderr that <stderr>
+    Given a host whose stderr <stderr>, and whose settings file is wrong
+    Then the host's program ends with code 2
+
+    Examples:
+      | stderr            |
+      | is on a full disk |
+      | has no reader     |
+
   Scenario: The program describes its command line and rejects an invalid one
     When the host's program is run with "--help"
     Then the program exits with code 0 and prints "--metrics PORT"
--- a/features/steps/hostSettings.ts
+++ b/features/steps/hostSettings.ts
@@ -5,6 +5,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { encodeHostSettings, readHostSettings, settingsFileVariable } from '../../src/platform/hostSettings.js'
 import type { HostSettings } from '../../src/schemas/hostSettings.js'
@@ -23,6 +24,10 @@
   programOutput: string
 }
 
+/** What a shell does so that a host cannot write to stderr. */
+const stderrPreludes: Readonly<Record<string, string>> = Object.freeze({ 'is on a full disk': 'exec 2> /dev/full', 'has no reader': 'exec 2> >(exec true); wait $!' })
+/** A process that an error ends has ended after this time. */
+const settleMs = 500
 /** The build takes about 8 s, and longer on a busy machine. */
 const buildTimeoutMs = 60_000
 
@@ -68,17 +73,17 @@
 }
 
 /** Starts a host with a file that is not whole yet, or does not exist if there is no text; the statement runs after the first read. */
-function startWithFile (world: SettingsWorld, text: string | undefined, createStatement: (file: string) => string): void {
+function startWithFile (world: SettingsWorld, text: string | undefined, createStatement: (file: string) => string, prelude = ''): void {
   world.settingsFolder = mkdtempSync(join(tmpdir(), 'sedgevalve-settings-'))
   const file = getSettingsPath(world)
   if (text !== undefined) writeFileSync(file, text)
-  world.startedHost = startBinary('host', { [settingsFileVariable]: file, NODE_OPTIONS: formatFirstReadModule(file, createStatement(file)) })
+  world.startedHost = startBinary('host', { [settingsFileVariable]: file, NODE_OPTIONS: formatFirstReadModule(file, createStatement(file)) }, [], prelude)
 }
 
-async function checkEnd ({ startedHost }: SettingsWorld): Promise<void> {
+async function checkEnd ({ startedHost }: SettingsWorld, code = 0): Promise<void> {
   const { process: child } = startedHost
   if (child.exitCode === null && child.signalCode === null) await once(child, 'exit')
-  assert.deepEqual({ code: child.exitCode, signal: child.signalCode }, { code: 0, signal: null }, startedHost.errors)
+  assert.deepEqual({ code: child.exitCode, signal: child.signalCode }, { code, signal: null }, startedHost.errors)
 }
 
 function getSettingsPath (world: SettingsWorld): string {
@@ -170,6 +175,26 @@
   startWithFile(this, text, file => `writeFileSync(${JSON.stringify(file)}, ${JSON.stringify(whole)})`)
 })
 
+Given(/^a host whose stderr (is on a full disk|has no reader), and whose settings file (exists|does not exist) when it is first read$/, async function (this: SettingsWorld, stderr: string, state: string) {
+  this.hostFleet = await HostFleet.prepare(1, { engines: 2 })
+  const whole = encodeHostSettings(this.hostFleet.hosts[0]!.settings)
+  startWithFile(this, state === 'exists' ? whole : undefined, file => `writeFileSync(${JSON.stringify(file)}, ${JSON.stringify(whole)})`, stderrPreludes[stderr]!)
+})
+
+Given(/^a host whose stderr (is on a full disk|has no reader), and whose settings file is wrong$/, function (this: SettingsWorld, stderr: string) {
+  startWithFile(this, '{}', () => '', stderrPreludes[stderr]!)
+})
+
+When('the host has started, and gets SIGUSR2', async function (this: SettingsWorld) {
+  await waitUntil(() => this.startedHost.output.includes('host.started'))
+  this.startedHost.process.kill('SIGUSR2')
+  await sleep(settleMs)
+})
+
+Then('the host\'s program ends with code {int}', async function (this: SettingsWorld, code: number) {
+  await checkEnd(this, code)
+})
+
 Given('a host whose settings file does not exist, and which gets SIGTERM when it has read it', function (this: SettingsWorld) {
   startWithFile(this, undefined, () => 'process.kill(process.pid, \'SIGTERM\')')
 })
@@ -180,7 +205,3 @@
   child.kill('SIGTERM')
   await checkEnd(this)
 })
-
-Then('the host\'s program ends with code 0', async function (this: SettingsWorld) {
-  await checkEnd(this)
-})
--- a/features/support/runBinary.ts
+++ b/features/support/runBinary.ts
@@ -44,14 +44,16 @@
   stop: () => Promise<void>
 }
 
-/** Starts a binary that runs on. */
-export function startBinary (binary: string, environment: Record<string, string>, args: readonly string[] = []): BinaryProcess {
-  return startProgram(join(binFolder, `${binary}.js`), environment, args)
+/** Starts a binary that runs on; `prelude` is what a shell does before it becomes the binary. */
+export function startBinary (binary: string, environment: Record<string, string>, args: readonly string[] = [], prelude = ''): BinaryProcess {
+  return startProgram(join(binFolder, `${binary}.js`), environment, args, prelude)
 }
 
 /** Starts a program that runs on; `file` is the path of its first module. */
-export function startProgram (file: string, environment: Record<string, string>, args: readonly string[] = []): BinaryProcess {
-  const child = spawn(process.execPath, [file, ...args], { env: { ...process.env, ...environment } })
+export function startProgram (file: string, environment: Record<string, string>, args: readonly string[] = [], prelude = ''): BinaryProcess {
+  const command = [process.execPath, file, ...args]
+  const [program, ...values] = prelude === '' ? command : ['bash', '-c', `${prelude}; exec "$0" "$@"`, ...command]
+  const child = spawn(program!, values, { env: { ...process.env, ...environment } })
   const ended = new Promise<void>(resolve => child.on('exit', () => resolve()))
   const running: BinaryProcess = {
     process: child,
--- a/src/bin/processExit.ts
+++ b/src/bin/processExit.ts
@@ -1,5 +1,6 @@
 /** Runs a process until it ends: on a signal, or with an error. */
 import { isSettingsError, invalidSettingsExitCode } from '../settings/settingsError.js'
+import { writeToStderr } from '../writeToStderr.js'
 
 export interface RunningProcess {
   /** Returns the state of every task for a dump, without secrets. */
@@ -33,7 +34,7 @@
   const { promise: stopFailed, reject: rejectStop } = createRejection()
   const handleSignal = (signal: typeof signals[number]): void => {
     if (signal === 'SIGUSR2') {
-      process.stderr.write(`${JSON.stringify(running?.describeState?.() ?? {})}\n`)
+      writeToStderr(`${JSON.stringify(running?.describeState?.() ?? {})}\n`)
     } else if (signal === 'SIGHUP') {
       if (running) running.reload?.()
       else isReloadDue = true
@@ -70,6 +71,6 @@
 
 /** Prints the error on one line and exits; invalid settings have their own exit code. */
 export function exitWithError (name: string, error: Error): never {
-  process.stderr.write(`${name}: ${error.message}\n`)
+  writeToStderr(`${name}: ${error.message}\n`)
   process.exit(isSettingsError(error) ? invalidSettingsExitCode : 1)
 }
--- a/src/platform/hostSettings.ts
+++ b/src/platform/hostSettings.ts
@@ -7,6 +7,7 @@
 import type { HostSettings } from '../schemas/hostSettings.js'
 import { createSettingsError } from '../settings/settingsError.js'
 import { waitForRetry } from '../waitForRetry.js'
+import { writeToStderr } from '../writeToStderr.js'
 
 /** Environment variable with the path of the settings file. */
 export const settingsFileVariable = 'SEDGEVALVE_SETTINGS'
@@ -78,7 +79,7 @@
 export async function waitForHostSettings (clock: Clock, signal: AbortSignal, file = findSettingsFile()): Promise<HostSettings> {
   const startedAtMs = clock.readMonotonic()
   let reading = readJson(file)
-  if ('problem' in reading) process.stderr.write(`sedgevalve-host: ${reading.problem}; it is read again for up to ${maxRereadMs} ms\n`)
+  if ('problem' in reading) writeToStderr(`sedgevalve-host: ${reading.problem}; it is read again for up to ${maxRereadMs} ms\n`)
   while ('problem' in reading && clock.readMonotonic() - startedAtMs < maxRereadMs) {
     await waitForRetry(clock, rereadMs, signal)
     reading = readJson(file)
--- /dev/null
+++ b/src/writeToStderr.ts
@@ -0,0 +1,17 @@
+/** Writes to stderr for programs that run on without it. */
+
+/**
+ * Writes a text to stderr. What cannot be written, as its reader is gone or its disk is full, is lost.
+ *
+ * @example
+ * writeToStderr('sedgevalve-host: the settings file cannot be read\n')
+ */
+export function writeToStderr (text: string): void {
+  try {
+    // Node.js reports a reader that is gone by an event, which ends a process that does not listen for it.
+    if (process.stderr.listenerCount('error') === 0) process.stderr.on('error', () => {})
+    process.stderr.write(text)
+  } catch {
+    // A file or device that takes nothing more.
+  }
+}
