Keep other processes from the ports of links that refuse connections

Cause: a LoopbackProxy that refuses connections closes its server, and with it gives up a port that the system had drawn on 127.0.0.1. Any server of another process may draw it. The host then connects, does not count as stranded, keeps or claims the engine, cannot read its state and waits 450 ms for another owner.

The proxies now listen on an address of their own process, so that no server on 127.0.0.1 can answer in their place. The check and its 300 ms are unchanged.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -103,3 +103,11 @@
       | cutUp   | no answer comes within 400 ms and the server has seen nothing until it heals |
       | cutDown | no answer comes within 400 ms and the server has seen the message            |
       | reset   | the connection is reset                                                      |
+
+  # Guards against links that count as refused while another process answers at their ports.
+  Scenario: No other process gets the port of a link that refuses connections
+    Given a link through the proxy to a server that answers
+    When the link refuses new connections, and another process listens on its port if the system lets it
+    Then a new connection to the link is refused
+    When the link takes new connections again
+    Then a new connection to the link is taken
--- a/features/steps/soak.ts
+++ b/features/steps/soak.ts
@@ -28,6 +28,8 @@
   seenByServer: string
   seenByCaller: string
   linkError: string
+  /** Server of a process that is not the link's. */
+  foreign: Server
   sentAtMs: number
 }
 
@@ -134,8 +136,32 @@
   await waitUntil(() => this.linkError === 'ECONNRESET')
 })
 
+When('the link refuses new connections, and another process listens on its port if the system lets it', async function (this: SoakWorld) {
+  await this.proxy.setRefusing(true)
+  this.foreign = createServer(socket => { socket.destroy() })
+  const port = Number(this.proxy.address.split(':')[1])
+  // The address on which servers of other processes get ports drawn by the system.
+  await new Promise<void>(resolve => this.foreign.once('error', () => resolve()).listen(port, '127.0.0.1', resolve))
+})
+
+When('the link takes new connections again', async function (this: SoakWorld) {
+  await this.proxy.setRefusing(false)
+})
+
+Then(/^a new connection to the link is (refused|taken)$/, async function (this: SoakWorld, fate: string) {
+  const [host, port] = this.proxy.address.split(':')
+  const socket = connect({ host: host!, port: Number(port) })
+  const outcome = await new Promise<string>(resolve => {
+    socket.once('connect', () => resolve('taken'))
+    socket.once('error', error => resolve((error as NodeJS.ErrnoException).code === 'ECONNREFUSED' ? 'refused' : error.message))
+  })
+  socket.destroy()
+  assert.equal(outcome, fate)
+})
+
 After(async function (this: SoakWorld) {
   this.proxied?.destroy()
   await this.proxy?.stop()
   this.echo?.close()
+  this.foreign?.close()
 })
--- a/soak/loopbackProxy.ts
+++ b/soak/loopbackProxy.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { createSystemClock } from '../src/adapters/clock/systemClock.js'
 import { listenOn, openPort } from '../src/adapters/tcp/openPort.js'
+import { computeProcessAddress } from '../src/standin/fleet/processAddress.js'
 
 /**
  * `delayed`: bytes come late, in both directions; `silent`: none pass until the fault ends; `cutUp`, `cutDown`: none pass
@@ -12,7 +13,7 @@
 
 type Direction = 'up' | 'down'
 
-/** Meanwhile the system may have drawn the port for a connection. */
+/** Sockets of this process may have the port meanwhile. */
 const maxPortWaitMs = 30_000
 /** In each direction; beyond the 45 ms after which a first order is repeated, and below the 500 ms of a report. */
 const delayMs = 250
@@ -33,10 +34,13 @@
     server.on('connection', socket => this.#accept(socket))
   }
 
-  /** Listens on a free port and forwards to `ip:port`. */
+  /**
+   * Listens on a free port and forwards to `ip:port`. The port is one of this process's own address, as another process that got it while
+   * the proxy refuses connections would answer in its place.
+   */
   static async start (target: string): Promise<LoopbackProxy> {
     const server = createServer({ allowHalfOpen: true })
-    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    await new Promise<void>(resolve => server.listen(0, computeProcessAddress(), resolve))
     return new LoopbackProxy(server, target)
   }
 
