Close connections behind another protocol where Node.js cannot read on

Reading on behind such a request uses a callback of Node.js's parser that is not documented. In a version without it, the call would have thrown in a listener of the server and ended the process.

The request is the last one of its connection there, and its response says so.

--- a/src/adapters/httpServer/readBehindUpgrade.ts
+++ b/src/adapters/httpServer/readBehindUpgrade.ts
@@ -17,17 +17,19 @@
 
 /**
  * To be called when a request that asks for another protocol has arrived on a connection. Node.js stops to read there and, as nothing takes the
- * connection over, drops what else has arrived: whole requests, or the head of one whose body it would then read as a request.
+ * connection over, drops what else has arrived: whole requests, or the head of one whose body it would then read as a request. Returns false
+ * if this version of Node.js does not let what follows be read, so that the request has to be the connection's last one.
  *
  * @example
- * if (message.headers.upgrade !== undefined) readBehindUpgrade(message.socket)
+ * const isLast = message.headers.upgrade !== undefined && !readBehindUpgrade(message.socket)
  */
-export function readBehindUpgrade (socket: Socket): void {
-  if (followed.has(socket)) return
+export function readBehindUpgrade (socket: Socket): boolean {
+  if (followed.has(socket)) return true
+  const { parser } = socket as Socket & { parser?: ConnectionParser }
+  const kOnExecute = parser?.constructor.kOnExecute
+  const receiveResult = kOnExecute === undefined ? undefined : parser?.[kOnExecute]
+  if (!parser || kOnExecute === undefined || !receiveResult || !('getCurrentBuffer' in parser)) return false
   followed.add(socket)
-  const { parser } = socket as Socket & { parser: ConnectionParser }
-  const { kOnExecute } = parser.constructor
-  const receiveResult = parser[kOnExecute]!
   let lastRead: IncomingMessage | null = null
   parser[kOnExecute] = result => {
     let rest = parser.getCurrentBuffer()
@@ -47,4 +49,5 @@
     if (parser.incoming?.complete) lastRead = parser.incoming
     receiveResult(result)
   }
+  return true
 }
--- a/src/tasks/gateway/callerConnections.ts
+++ b/src/tasks/gateway/callerConnections.ts
@@ -136,7 +136,7 @@
       message.resume()
       return
     }
-    if (message.headers.upgrade !== undefined) readBehindUpgrade(socket)
+    const isUnreadBehind = message.headers.upgrade !== undefined && !readBehindUpgrade(socket)
     const { connection } = open
     let hasBegun = false
     const lacksHost = message.headers.host === undefined && message.httpVersionMinor > 0
@@ -177,7 +177,7 @@
       message.resume()
     }
     announceClose(response, isComplete => connection.decideClose(exchange, isComplete))
-    connection.add(exchange, !response.shouldKeepAlive || lacksHost)
+    connection.add(exchange, !response.shouldKeepAlive || lacksHost || isUnreadBehind)
     response.on('close', exchange.end)
     message.on('end', () => connection.recordRead())
     // A body that came with its head has been read by then, so that a refusal need not close the connection.
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -206,7 +206,7 @@
       message.resume()
       return
     }
-    if (message.headers.upgrade !== undefined) readBehindUpgrade(socket)
+    const isUnreadBehind = message.headers.upgrade !== undefined && !readBehindUpgrade(socket)
     this.#arrivals++
     this.#activeRequests++
     let handle: RequestHandle | undefined
@@ -246,7 +246,7 @@
     // Read before the request is added, as those behind an unanswered one count as late.
     const { isLeftToOthers } = connection
     // The server closes connections of HTTP/1.0 after answers of unknown length.
-    connection.add(exchange, !response.shouldKeepAlive || message.httpVersionMinor === 0)
+    connection.add(exchange, !response.shouldKeepAlive || message.httpVersionMinor === 0 || isUnreadBehind)
     response.on('close', exchange.end)
     message.on('error', error => {
       this.#options.log.record('caller.unreadable', 'Failed to read a request.', { error: error.message })
