Read what has arrived before closing a connection whose idle time-out ran out

Callers saw requests on kept connections end without an answer, up to 1.5 s after they were sent and with no stop at all: three real hosts, 60 callers that send their next request as the idle time-out (1 to 3 s, and the second that Node.js adds) runs out.

Cause: the timer of the time-out runs before the turn in which sockets are read. Where the process has stood still across both, the server of Node.js closes the connection with the request unread. The listener read what had arrived at each close of its own, but the idle time-out was left to Node.js.

Now the listener waits for the turn in which what has arrived is read, and closes the connection only if nothing has come. A head that does not go on arriving is closed at the next time-out, as before.

--- a/features/arrivingRequests.feature
+++ b/features/arrivingRequests.feature
@@ -12,6 +12,17 @@
       | connections with an earlier answer     |
       | connections without an earlier request |
 
+  # Guards against an idle time-out that ran out during a standstill and closes connections before what arrived on them is read.
+  Scenario: Requests that arrived while the process stood still beyond the idle time-out are answered
+    Given a listener that answers requests at once, and closes connections that stay idle
+    When requests arrive on 4 connections with an earlier answer, and its process stands still beyond the idle time-out
+    Then each of these requests is answered
+
+  Scenario: Connections on which nothing arrived beyond the idle time-out are closed, a standstill or not
+    Given a listener that answers requests at once, and closes connections that stay idle
+    When 4 connections get an answer, one of them begins another request, and its process stands still beyond the idle time-out
+    Then each of these connections is closed within 1500 ms
+
   Scenario: Requests on connections that were opened while the process stood still at the close are answered
     Given a listener that answers requests at once
     When 8 connections are opened and send a request, and its process stands still beyond the time of the close
--- a/features/steps/arrivingRequests.ts
+++ b/features/steps/arrivingRequests.ts
@@ -17,17 +17,21 @@
   /** Sends the request that arrives during the standstill. */
   sendDuringStandstill: () => void
   arrivingAnswers: RawAnswer[]
+  idleCallers: RawCaller[]
 }
 
 /** From the start of the drain to the close of idle connections, and how long the process stands still across it. */
 const [quietMs, standstillMs] = [200, 400]
+/** Node.js closes an idle connection a second later than the time-out says; from an answer to the standstill that spans this time. */
+const [idleTimeoutMs, beforeIdleMs] = [1, 800]
 
 After(function (this: Partial<ArrivingWorld>) {
   this.listener?.listener.close()
 })
 
-Given('a listener that answers requests at once', async function (this: ArrivingWorld) {
+Given(/^a listener that answers requests at once(, and closes connections that stay idle)?$/, async function (this: ArrivingWorld, idle: string | null) {
   this.listener = await startTestListener({
+    ...(idle !== null && { getLimits: () => ({ maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs }) }),
     createHandle: (_request, response) => createTestHandle(async () => {
       response.writeHead(200, ['Content-Length', '0'])
       response.end()
@@ -49,6 +53,35 @@
   await drained
 })
 
+When('requests arrive on {int} connections with an earlier answer, and its process stands still beyond the idle time-out', async function (this: ArrivingWorld, count: number) {
+  const callers = await openAnsweredCallers(this, count)
+  await sleep(beforeIdleMs)
+  // In this phase of the event loop, timers that are due run before anything is read; the bytes are with the system at once.
+  await new Promise(resolve => setImmediate(resolve))
+  const answers = callers.map(async caller => await caller.send([{ kind: 'once' }]))
+  standStill()
+  this.arrivingAnswers = (await Promise.all(answers)).flat()
+  for (const caller of callers) caller.close()
+})
+
+When('{int} connections get an answer, one of them begins another request, and its process stands still beyond the idle time-out', async function (this: ArrivingWorld, count: number) {
+  this.idleCallers = await openAnsweredCallers(this, count)
+  this.idleCallers[0]!.send(['GET /safe/x HTTP/1.1\r\n'])
+  await sleep(beforeIdleMs)
+  standStill()
+})
+
+Then('each of these connections is closed within {int} ms', async function (this: ArrivingWorld, ms: number) {
+  await Promise.race([Promise.all(this.idleCallers.map(async ({ closed }) => await closed)), sleep(ms)])
+  assert.deepEqual(this.idleCallers.map(({ isClosed }) => isClosed), this.idleCallers.map(() => true))
+})
+
+async function openAnsweredCallers (world: ArrivingWorld, count: number): Promise<RawCaller[]> {
+  const callers = await Promise.all(Array.from({ length: count }, async () => await RawCaller.open(world.listener.address)))
+  await Promise.all(callers.map(async caller => await caller.send([{ kind: 'once' }])))
+  return callers
+}
+
 When('{int} connections are opened and send a request, and its process stands still beyond the time of the close', async function (this: ArrivingWorld, count: number) {
   const { listener, address } = this.listener
   const caller = new Worker(new URL('../support/arrivingCaller.js', import.meta.url))
--- a/src/tasks/proxy/callerConnection.ts
+++ b/src/tasks/proxy/callerConnection.ts
@@ -250,6 +250,15 @@
     else socket.destroy()
   }
 
+  /** Closes a connection whose idle time-out has run out, unless a request arrived meanwhile that is yet to be read, as the process stood still. */
+  async closeUnlessArriving (): Promise<void> {
+    const { socket } = this.#options
+    const { bytesRead } = socket
+    // In this turn of the event loop, what has arrived is read.
+    await new Promise(resolve => setImmediate(resolve))
+    if (socket.bytesRead === bytesRead) socket.destroy()
+  }
+
   /** Closes the connection in stages: ends it after what was written, and ignores what still arrives until the caller has closed it. */
   closeGracefully (): void {
     if (this.#isClosing) return
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -84,6 +84,8 @@
     // Connections whose callers have ended their side stay open for the responses.
     Object.assign(this.#server, { httpAllowHalfOpen: true })
     this.#server.on('connection', (socket: Socket) => this.#receiveConnection(socket))
+    // Without this, the server closes the connection at once.
+    this.#server.on('timeout', (socket: Socket) => { this.#connections.get(socket)?.closeUnlessArriving() })
     this.#server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => {
       const isRead = this.#findRefusedStatus(message) === undefined && !this.#connections.get(message.socket)?.isLastReceived
       if (isRead) response.writeContinue()
