Give the connections of takenPorts ports that no other connection shares

Seen: a scenario of a connection that has a host's port failed once in a whole run, that of callers in one of three: the host was not ready 45 s after its port was free.

Cause: the system draws one port of 127.0.0.1 for connections to several servers. One that was closed in order keeps it for 60 s more, and a host cannot listen there meanwhile, so that the port was not free.

They are no longer @knownRed.

--- a/features/steps/takenPorts.ts
+++ b/features/steps/takenPorts.ts
@@ -2,9 +2,9 @@
 import assert from 'node:assert/strict'
 import { createSocket } from 'node:dgram'
 import { once } from 'node:events'
-import { mkdtempSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
 import { connect, createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Server } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { After, Given, Then, When } from '@cucumber/cucumber'
@@ -13,6 +13,7 @@
 import { encodeHostSettings, settingsFileVariable } from '../../src/platform/hostSettings.js'
 import type { HostSettings } from '../../src/schemas/hostSettings.js'
 import { isSettingsError } from '../../src/settings/settingsError.js'
+import { computeProcessAddress } from '../../src/standin/fleet/processAddress.js'
 import { HostFleet } from '../support/hostFleet.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
 import { startBinary } from '../support/runBinary.js'
@@ -24,14 +25,17 @@
   waitingHost: BinaryProcess
   portName: string
   freePort: () => Promise<unknown>
+  portGuard: Server
   failure: { error: unknown, tookMs: number }
 }
 
 const metricsOffset = 4
+const maxDraws = 200
 
 After(async function (this: Partial<TakenPortsWorld>) {
   this.waitingHost?.process.kill('SIGKILL')
   await this.freePort?.()
+  this.portGuard?.close()
 })
 
 function listAddresses ({ address, callersAddress, readinessAddress, peersAddress, datagramPort }: HostSettings): Record<string, string> {
@@ -56,20 +60,47 @@
   return async () => { await new Promise(resolve => server.close(resolve)) }
 }
 
-/** Opens a connection, and returns the address for which the system drew a port. */
-async function drawConnection (): Promise<{ address: string, free: () => Promise<unknown> }> {
+interface DrawnConnection {
+  /** `ip:port` of the end for which the system drew the port. */
+  address: string
+  guard: Server
+  free: () => Promise<unknown>
+}
+
+/**
+ * Opens a connection whose port, which the system draws, no other one has or gets. The system draws a port for connections to several
+ * servers, and keeps one that was closed in order for a minute, so that a host would wait for strangers after this one is gone.
+ */
+async function drawConnection (): Promise<DrawnConnection> {
   const server = createServer(socket => { socket.on('error', () => {}) })
   await listenOn(server, '127.0.0.1:0')
-  const socket = connect({ host: '127.0.0.1', port: (server.address() as AddressInfo).port })
-  await once(socket, 'connect')
-  const address = `${socket.localAddress}:${socket.localPort}`
-  return {
-    address,
-    free: async () => {
+  for (let draw = 0; draw < maxDraws; draw++) {
+    const socket = connect({ host: '127.0.0.1', port: (server.address() as AddressInfo).port })
+    await once(socket, 'connect')
+    const port = socket.localPort!
+    const address = `${socket.localAddress}:${port}`
+    const guard = await guardPort(port)
+    const free = async (): Promise<void> => {
       socket.resetAndDestroy()
       await new Promise(resolve => server.close(resolve))
     }
+    if (guard && countConnections(port) === 1) return { address, guard, free }
+    socket.resetAndDestroy()
+    guard?.close()
   }
+  throw new Error(`each of ${maxDraws} ports was another connection's too`)
+}
+
+/** Keeps the system from drawing a port for further connections, which it does not for a port with a listener on any address. */
+async function guardPort (port: number): Promise<Server | undefined> {
+  const guard = createServer()
+  return await listenOn(guard, `${computeProcessAddress()}:${port}`).then(() => guard, () => undefined)
+}
+
+/** Connections from this port of 127.0.0.1, those closed in the last minute included. */
+function countConnections (port: number): number {
+  const address = `0100007F:${port.toString(16).toUpperCase().padStart(4, '0')}`
+  return readFileSync('/proc/net/tcp', 'utf8').split('\n').filter(line => line.trim().split(/\s+/)[1] === address).length
 }
 
 Given('the settings of a host', async function (this: TakenPortsWorld) {
@@ -84,6 +115,7 @@
     const drawn = await drawConnection()
     this.hostSettings = { ...this.hostSettings, [port === 'callers' ? 'callersAddress' : 'readinessAddress']: drawn.address }
     free = drawn.free
+    this.portGuard = drawn.guard
   } else {
     free = await takePort(listAddresses(this.hostSettings)[port]!, port === 'messages between hosts')
   }
--- a/features/takenPorts.feature
+++ b/features/takenPorts.feature
@@ -17,10 +17,6 @@
       | messages between hosts  | a process    |
       | requests of other hosts | a process    |
       | metrics                 | a process    |
-
-    @knownRed
-    Examples:
-      | port                    | user         |
       | callers                 | a connection |
       | readiness               | a connection |
 
