Send the sound requests beside crashing parts until there are enough to judge

Cause: the calm before the crashes and the traffic after them lasted for fixed times, and a standstill of the test's process took the sound requests out of one of the two windows that are judged. The process had standstills of up to 1.6 s in these minutes, mostly without any work of its own.

The calm now lasts 2 s and until 20 sound requests can be judged; the traffic 9 s, 8 s after the fifth crash, and until 20 were sent in the last 2 s of that. All bounds and counts are as before. What is judged cannot move later: only crashes within the 9 s count as the fifth. Requests with the part are counted for as long as before or longer. The message says which window it is about.

--- a/features/crashingPromptParts.feature
+++ b/features/crashingPromptParts.feature
@@ -6,7 +6,7 @@
     Given 3 hosts before a platform with 3 engines
     And crashed endpoints restart after 300 ms
     And the prompt part "bad1" crashes engines
-    When <kind> requests with the part come <rate> times a second for 9000 ms beside 40 sound ones a second
+    When <kind> requests with the part come <rate> times a second for 9000 ms, and until 8000 ms after the fifth crash, beside 40 sound ones a second
     Then at most 3 requests with the part reached engines later than 3000 ms after the fifth crash
     And sound requests sent later than 6000 ms after the fifth crash begin at least half as often as those before the first crash
     And no harmless request is refused permanently
@@ -21,7 +21,7 @@
     Given 3 hosts before a platform with 3 engines
     And crashed endpoints restart after 300 ms
     And the prompt parts "bad1,bad2" crash engines
-    When "resumable" requests with the parts come 8 times a second for 9000 ms beside 40 sound ones a second
+    When "resumable" requests with the parts come 8 times a second for 9000 ms, and until 8000 ms after the fifth crash, beside 40 sound ones a second
     Then at most 6 requests with the parts reached engines later than 3000 ms after the fifth crash
     And sound requests sent later than 6000 ms after the fifth crash begin at least half as often as those before the first crash
     And no harmless request is refused permanently
--- a/features/steps/crashingPromptParts.ts
+++ b/features/steps/crashingPromptParts.ts
@@ -10,6 +10,7 @@
 import type { CallOptions } from '../support/hostFleet.js'
 import { call, pickRunning, setFaults } from '../support/hostsWorld.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
+import { waitUntil } from '../support/waitUntil.js'
 
 interface SentRequest {
   requestId: string
@@ -24,10 +25,18 @@
   sound: SentRequest[]
   harmless: FleetAnswer[]
   sharedParts: string[]
+  /** End of the traffic but for its extension; later crashes do not move what is judged. */
+  plannedEndAtMs: number
 }
 
-/** Sound requests come alone for this long, so that it is known how often they begin without crashes. */
+/** Sound requests come alone for this long at least, so that it is known how often they begin without crashes. */
 const calmMs = 2000
+/** Those sent just before the first crash may meet it. */
+const beforeCrashMs = 500
+/** Sound requests that are needed to tell how often they begin. */
+const minJudged = 20
+/** Time at the end of the traffic in which they are sent. */
+const judgedMs = 2000
 const firstPart = 'aa01'
 /** Second parts of the sound requests, which a crashing part takes the place of. */
 const secondPartCount = 20
@@ -56,9 +65,13 @@
   sent.push({ requestId, adapter, sentAtMs: performance.now(), answer })
 }
 
-async function repeatDuring (ratePerS: number, forMs: number, act: () => void): Promise<void> {
-  const endAtMs = performance.now() + forMs
-  while (performance.now() < endAtMs) {
+/** Counts the sound requests that were sent at such times. */
+function countSound ({ sound }: PartsWorld, isCounted: (atMs: number) => boolean): number {
+  return sound.filter(({ sentAtMs }) => isCounted(sentAtMs)).length
+}
+
+async function repeatWhile (ratePerS: number, isDue: () => boolean, act: () => void): Promise<void> {
+  while (isDue()) {
     act()
     await sleep(1000 / ratePerS)
   }
@@ -70,11 +83,13 @@
   spellings: readonly string[]
   ratePerS: number
   forMs: number
+  /** The traffic lasts at least this long after the fifth crash, and until enough sound requests were sent at its end. */
+  afterCrashesMs?: number
   soundPerS: number
   restartAfterMs?: number
 }
 
-async function sendBoth (world: PartsWorld, { kind, spellings, ratePerS, forMs, soundPerS, restartAfterMs }: CrashingTraffic): Promise<void> {
+async function sendBoth (world: PartsWorld, { kind, spellings, ratePerS, forMs, afterCrashesMs = 0, soundPerS, restartAfterMs }: CrashingTraffic): Promise<void> {
   world.crashing = []
   world.sound = []
   const sendSound = (): void => sendEach(world, world.sound, index => ({ kind, promptParts: `${firstPart}:60,b${index % secondPartCount}:40,c${index}:30` }))
@@ -87,9 +102,21 @@
       await world.hostFleet.startHost(host)
     }
   }
+  world.plannedEndAtMs = Infinity
+  const isDue = (): boolean => {
+    const extendedEndAtMs = findFifthCrash(world) + afterCrashesMs
+    const isJudgeable = afterCrashesMs === 0 || countSound(world, atMs => atMs > extendedEndAtMs - judgedMs) >= minJudged
+    return performance.now() < Math.max(world.plannedEndAtMs, extendedEndAtMs) || !isJudgeable
+  }
+  const sendCrashingAfterCalm = async (): Promise<void> => {
+    await sleep(calmMs)
+    await waitUntil(() => countSound(world, atMs => atMs < performance.now() - beforeCrashMs) >= minJudged)
+    world.plannedEndAtMs = performance.now() + forMs
+    await repeatWhile(ratePerS, isDue, sendCrashing)
+  }
   await Promise.all([
-    repeatDuring(soundPerS, calmMs + forMs, sendSound),
-    sleep(calmMs).then(async () => await repeatDuring(ratePerS, forMs, sendCrashing)),
+    repeatWhile(soundPerS, isDue, sendSound),
+    sendCrashingAfterCalm(),
     restartAll()
   ])
   await Promise.all([...world.crashing, ...world.sound].map(async ({ answer }) => await answer))
@@ -100,6 +127,10 @@
   await sendBoth(this, { kind, spellings: this.crashParts.map(part => `${part}:50`), ratePerS, forMs, soundPerS })
 })
 
+When('{string} requests with the part(s) come {int} times a second for {int} ms, and until {int} ms after the fifth crash, beside {int} sound ones a second', { timeout: 90_000 }, async function (this: PartsWorld, kind: CallKind, ratePerS: number, forMs: number, afterCrashesMs: number, soundPerS: number) {
+  await sendBoth(this, { kind, spellings: this.crashParts.map(part => `${part}:50`), ratePerS, forMs, afterCrashesMs, soundPerS })
+})
+
 When('{string} requests with the part, as {string}, come {int} times a second for {int} ms beside {int} sound ones a second', { timeout: 60_000 }, async function (this: PartsWorld, kind: CallKind, spellings: string, ratePerS: number, forMs: number, soundPerS: number) {
   await sendBoth(this, { kind, spellings: spellings.split(','), ratePerS, forMs, soundPerS })
 })
@@ -122,11 +153,17 @@
   return world.hostFleet.fleet.engines.flatMap(({ server }) => server.crashTimesMs).sort((left, right) => left - right)
 }
 
+/** When the fifth engine crashed, or the last one where fewer have; -Infinity if none has. */
+function findFifthCrash (world: PartsWorld): number {
+  const crashTimes = listCrashTimes(world).filter(atMs => atMs <= world.plannedEndAtMs)
+  return crashTimes[4] ?? crashTimes.at(-1) ?? -Infinity
+}
+
 Then(/^at most (\d+) requests with the parts? reached engines( on that adapter)? later than (\d+) ms after the fifth crash$/, function (this: PartsWorld, atMost: number, onAdapter: string | null, windowMs: number) {
   const crashTimes = listCrashTimes(this)
   const ids = new Set(this.crashing.filter(({ adapter }) => onAdapter === null || adapter === 'a1').map(({ requestId }) => requestId))
   assert.ok(crashTimes.length > 0)
-  const boundMs = (crashTimes[4] ?? crashTimes.at(-1)!) + Number(windowMs)
+  const boundMs = findFifthCrash(this) + Number(windowMs)
   const late = this.hostFleet.fleet.journal.runs.filter(run => ids.has(run.requestId) && run.startedAtMs > boundMs)
   assert.ok(late.length <= Number(atMost), `${late.length} of ${ids.size}; ${crashTimes.length} crashes`)
 })
@@ -140,13 +177,13 @@
 
 Then('sound requests sent later than {int} ms after the fifth crash begin at least half as often as those before the first crash', async function (this: PartsWorld, settleMs: number) {
   const crashTimes = listCrashTimes(this)
-  const measureShare = async (requests: SentRequest[]): Promise<number> => {
+  const measureShare = async (requests: SentRequest[], when: string): Promise<number> => {
     const answers = await Promise.all(requests.map(async ({ answer }) => await answer))
-    assert.ok(answers.length >= 20, `${answers.length} requests`)
+    assert.ok(answers.length >= minJudged, `${answers.length} requests ${when}`)
     return answers.filter(({ status }) => status === 200).length / answers.length
   }
-  const before = await measureShare(this.sound.filter(({ sentAtMs }) => sentAtMs < crashTimes[0]! - 500))
-  const after = await measureShare(this.sound.filter(({ sentAtMs }) => sentAtMs > (crashTimes[4] ?? crashTimes.at(-1)!) + settleMs))
+  const before = await measureShare(this.sound.filter(({ sentAtMs }) => sentAtMs < crashTimes[0]! - beforeCrashMs), 'before the first crash')
+  const after = await measureShare(this.sound.filter(({ sentAtMs }) => sentAtMs > findFifthCrash(this) + settleMs), 'after the fifth crash')
   assert.ok(after >= before / 2, `${after} after ${before}`)
 })
 
