Drop lines that a full disk does not take

Hosts saw: a host whose stdout is a file on a full disk, or a device that takes nothing, stood still for good with all its ports open. It answered no caller and no readiness check, did not end at SIGTERM, and kept the process that followed it out of its ports (245 s, until it was killed).

Cause: pino's output reports a failed write by an event for which nothing listened, so that the process was to end; at its end the same output writes what is left, again and again, until that succeeds. The last lines of a stop are written in that way as well.

It works because the lines of one turn are written once, by a write that is awaited and whose failure counts them as dropped, as those beyond the buffer are. A later line is written once the disk has room again. What is left when the process ends is written by one attempt.

--- a/features/fullPipes.feature
+++ b/features/fullPipes.feature
@@ -22,3 +22,15 @@
       | output |
       | pipe   |
       | socket |
+
+  # Guards against a process that stands still for good, with its ports open, since a line could not be written to a full disk.
+  Scenario: A host whose output is on a full disk serves and is stopped
+    Given a host whose output is on a full disk
+    When the host is ready, and is stopped
+    Then it ends with code 0 within its time for a stop
+
+  Scenario: The last lines of a host reach a file
+    Given a host whose output is a file
+    When the host is ready, and is stopped
+    Then it ends with code 0 within its time for a stop
+    And its file says that it has started and stopped
--- a/features/steps/fullPipes.ts
+++ b/features/steps/fullPipes.ts
@@ -3,7 +3,7 @@
 import { execFileSync, spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
-import { closeSync, constants, mkdtempSync, openSync, readSync, writeFileSync } from 'node:fs'
+import { closeSync, constants, mkdtempSync, openSync, readFileSync, readSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -22,6 +22,7 @@
   /** Whether the output is read from the stop on. */
   isReadAtStop: boolean
   output: string
+  outputFolder: string
   ended: { code: number | null, signal: string | null, tookMs: number }
 }
 
@@ -29,6 +30,10 @@
 /** More than a pipe or a socket holds. */
 const fillingBytes = 2_000_000
 const fillingMs = 500
+/** A host that stands still does not answer at all. */
+const readinessMs = 1000
+/** Where the output goes of a host with a file. */
+const outputFile = 'lines'
 
 After(function (this: Partial<FullPipesWorld>) {
   if (this.unreadHost?.pid !== undefined && this.unreadHost.exitCode === null) this.unreadHost.kill('SIGKILL')
@@ -59,8 +64,19 @@
   if (pipe) closeSync(pipe.writeEnd)
 })
 
+Given(/^a host whose output is (on a full disk|a file)$/, async function (this: FullPipesWorld, kind: string) {
+  this.hostFleet = await HostFleet.prepare(1, { engines: 1 })
+  this.hostSettings = { ...this.hostFleet.hosts[0]!.settings, shutdownMs: 6000 }
+  this.outputFolder = mkdtempSync(join(tmpdir(), 'sedgevalve-test-'))
+  const file = join(this.outputFolder, 'host.json')
+  writeFileSync(file, encodeHostSettings(this.hostSettings))
+  const output = openSync(kind === 'a file' ? join(this.outputFolder, outputFile) : '/dev/full', 'w')
+  this.unreadHost = spawn(process.execPath, [program], { env: { ...process.env, [settingsFileVariable]: file }, stdio: ['ignore', output, 'inherit'] })
+  closeSync(output)
+})
+
 When('the host is ready, and is stopped', async function (this: FullPipesWorld) {
-  await waitUntil(async () => await fetch(`http://${this.hostSettings.readinessAddress}/`).then(({ status }) => status === 200, () => false))
+  await waitUntil(async () => await fetch(`http://${this.hostSettings.readinessAddress}/`, { signal: AbortSignal.timeout(readinessMs) }).then(({ status }) => status === 200, () => false))
   const stoppedAtMs = performance.now()
   this.output = ''
   if (this.isReadAtStop) this.unreadHost.stdout?.on('data', chunk => { this.output += String(chunk) })
@@ -81,6 +97,11 @@
   assert.match(lines, /"kind":"host.stopped"/)
 })
 
+Then('its file says that it has started and stopped', function (this: FullPipesWorld) {
+  const lines = readFileSync(join(this.outputFolder, outputFile), 'utf8')
+  assert.match(lines, /"kind":"host.started"[^]*"kind":"host.stopped"[^]*\n$/)
+})
+
 /** Reads what a pipe holds whose writers have ended. */
 function readPipe (descriptor: number): string {
   const chunk = Buffer.alloc(65_536)
--- a/src/adapters/eventLog/lineOutput.ts
+++ b/src/adapters/eventLog/lineOutput.ts
@@ -1,6 +1,8 @@
 /** Where log lines go: standard output, whose reader may be slow, stand still or be gone. */
+import { write, writeSync } from 'node:fs'
 import { Socket } from 'node:net'
-import { pino } from 'pino'
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises'
+import { promisify } from 'node:util'
 
 /** Receives whole lines, as pino writes them. */
 export interface LineOutput {
@@ -15,6 +17,10 @@
 const maxBufferedBytes = 1024 * 1024
 /** A process that ends waits no longer for a reader of its last lines. */
 const flushMs = 200
+/** Interval of attempts to write to a device that takes nothing for now. */
+const retryMs = 100
+const descriptor = 1
+const writeBytes = promisify(write)
 
 /**
  * Opens standard output. Neither a write nor the end of the process waits for a reader that stands still.
@@ -24,7 +30,7 @@
  * output.write('{"kind":"host.started"}\n')
  */
 export function openLineOutput (): LineOutput {
-  return process.stdout instanceof Socket && !process.stdout.isTTY ? new SocketLineOutput(process.stdout) : openFileLineOutput()
+  return process.stdout instanceof Socket && !process.stdout.isTTY ? new SocketLineOutput(process.stdout) : new FileLineOutput()
 }
 
 /** A pipe or socket. Its writes do not block, unlike those of a descriptor in a thread, which the end of the process would wait for. */
@@ -74,18 +80,68 @@
   }
 }
 
-/** A file, device or terminal. */
-function openFileLineOutput (): LineOutput {
-  const destination = pino.destination({ dest: 1, sync: false, minLength: 0, maxLength: maxBufferedBytes })
-  let dropped = 0
-  destination.on('drop', () => { dropped++ })
-  return {
-    write: line => { destination.write(line) },
-    collectDropped: () => {
-      const collected = dropped
-      dropped = 0
-      return collected
-    },
-    flush: async () => destination.flushSync()
+/** A file, device or terminal. A line that cannot be written, as the disk is full, is dropped: pino's own output waits for it without an end. */
+class FileLineOutput implements LineOutput {
+  #lines: string[] = []
+  #length = 0
+  #dropped = 0
+  #writing: Promise<void> | undefined
+
+  constructor () {
+    process.once('exit', () => this.#writeLast())
+  }
+
+  write (line: string): void {
+    if (this.#length + line.length > maxBufferedBytes) {
+      this.#dropped++
+      return
+    }
+    this.#lines.push(line)
+    this.#length += line.length
+    this.#writing ??= this.#writeLines()
+  }
+
+  collectDropped (): number {
+    const dropped = this.#dropped
+    this.#dropped = 0
+    return dropped
+  }
+
+  async flush (): Promise<void> {
+    if (this.#writing) await Promise.race([this.#writing, sleep(flushMs)])
+  }
+
+  async #writeLines (): Promise<void> {
+    // Lines of one turn of the event loop go out together.
+    await nextTurn()
+    while (this.#lines.length > 0) {
+      const lines = this.#takeLines()
+      await writeAll(Buffer.from(lines.join(''))).catch(() => { this.#dropped += lines.length })
+    }
+    this.#writing = undefined
+  }
+
+  #writeLast (): void {
+    try {
+      writeSync(descriptor, this.#takeLines().join(''))
+    } catch {
+      // Nobody is left who could be told.
+    }
+  }
+
+  #takeLines (): string[] {
+    this.#length = 0
+    return this.#lines.splice(0)
+  }
+}
+
+async function writeAll (bytes: Buffer): Promise<void> {
+  for (let written = 0; written < bytes.length;) {
+    try {
+      written += (await writeBytes(descriptor, bytes, written)).bytesWritten
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code !== 'EAGAIN') throw error
+      await sleep(retryMs)
+    }
   }
 }
