Announce no close at the head of a long response of a gateway

Callers saw: a request that was sent while its caller still received a long response of stated length from a gateway, or from its operators' port, that stops got no answer: all 4 of 4 callers of a response of 20,000,000 bytes, 0.9 s after the last byte of that request.

Cause: the head of any response with a length announced the close, and what arrived from then on was ignored, however long the response took.

Evidence: the new scenario of features/requestsBehindStreams.feature, with the connections of a gateway on a server of its own, failed before (4 of 4 second requests) and passes now with the other twelve of that feature. That such callers exist is not shown.

It works because a connection without the announcement stays open for 50 ms after its response, and a request that has arrived by then is refused as not run.

--- a/features/requestsBehindStreams.feature
+++ b/features/requestsBehindStreams.feature
@@ -59,3 +59,9 @@
     Given a listener whose stream of 1000000 bytes begins after 100 ms and ends after 220 ms
     When a caller that reads nothing for 580 ms sends a stream to the listener, which begins to drain, and a request after 480 ms
     Then the caller has received the whole stream
+
+  # Guards against a close that the head of a long response announces though its end is far.
+  Scenario: A request behind a long response that is still received is answered by a gateway's server that stops
+    Given a gateway's server whose responses begin after 200 ms and have 20000000 bytes
+    When 4 callers that read nothing for 600 ms send a request to the server, which begins to stop, and another one after 400 ms
+    Then each of these callers has two whole responses
--- a/features/steps/requestsBehindStreams.ts
+++ b/features/steps/requestsBehindStreams.ts
@@ -1,12 +1,17 @@
 /** Steps of callers that send requests while they still receive a stream from a host or gateway that stops. */
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import type { Server } from 'node:http'
 import { connect } from 'node:net'
+import type { AddressInfo } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { createRequestId, isWhole } from '../../src/standin/fleet/fleetCaller.js'
 import { RawCaller } from '../../src/standin/fleet/rawCaller.js'
 import type { RawAnswer } from '../../src/standin/fleet/rawCaller.js'
 import { fleetPaths } from '../../src/standin/fleet/startFleet.js'
+import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
+import { CallerConnections } from '../../src/tasks/gateway/callerConnections.js'
 import { HostFleet } from '../support/hostFleet.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
 import type { ProcessSystem } from '../support/processes.js'
@@ -23,6 +28,7 @@
   drainedAfterMs: number
   processes: ProcessSystem
   received: string
+  gatewayServer: { connections: CallerConnections, server: Server }
 }
 
 /** From the start of the drain to the end of listening, and its longest time. */
@@ -36,6 +42,7 @@
 
 After(async function (this: Partial<BehindWorld>) {
   this.streamListener?.listener.close()
+  this.gatewayServer?.server.closeAllConnections()
 })
 
 Given('a listener whose streams begin after {int} ms and have {int} events, {int} ms apart', async function (this: BehindWorld, beginMs: number, events: number, gapMs: number) {
@@ -160,3 +167,39 @@
   const answers = readAnswers(this.received)
   assert.deepEqual(answers.map(({ isWhole: isComplete }) => isComplete), Array.from({ length: count }, () => true), JSON.stringify(answers))
 })
+
+Given('a gateway\'s server whose responses begin after {int} ms and have {int} bytes', async function (this: BehindWorld, beginMs: number, bytes: number) {
+  const connections = new CallerConnections({ clock: createSystemClock(), maxArrivalMs: deadlineMs, receiveFailure: () => {} })
+  const server = connections.createServer({}, async (request, response) => {
+    request.resume()
+    await sleep(beginMs)
+    response.writeHead(200, { 'content-length': bytes }).end(Buffer.alloc(bytes, 'x'))
+  })
+  this.gatewayServer = { connections, server }
+  await once(server.listen(0, '127.0.0.1'), 'listening')
+})
+
+When('{int} callers that read nothing for {int} ms send a request to the server, which begins to stop, and another one after {int} ms', { timeout: 30_000 }, async function (this: BehindWorld, callers: number, unreadMs: number, behindMs: number) {
+  const { connections, server } = this.gatewayServer
+  const { port } = server.address() as AddressInfo
+  const sending = Array.from({ length: callers }, async () => {
+    const caller = await RawCaller.open(`127.0.0.1:${port}`)
+    caller.setReading(false)
+    const first = caller.send([{ kind: 'once' }])
+    await sleep(behindMs)
+    const second = caller.send([{ kind: 'once' }])
+    await sleep(unreadMs - behindMs)
+    caller.setReading(true)
+    const answers = [...await first, ...await second]
+    caller.close()
+    return answers
+  })
+  await sleep(readMs)
+  const stopped = connections.drain(async () => await new Promise<void>(resolve => server.close(() => resolve())))
+  this.connectionAnswers = await Promise.all(sending)
+  await stopped
+})
+
+Then('each of these callers has two whole responses', function (this: BehindWorld) {
+  assert.deepEqual(this.connectionAnswers.map(answers => answers.map(({ error }) => error)), this.connectionAnswers.map(() => [undefined, undefined]))
+})
--- a/src/tasks/gateway/callerConnections.ts
+++ b/src/tasks/gateway/callerConnections.ts
@@ -1,6 +1,6 @@
 /** The callers' connections to a gateway: their requests are begun one after the other, and no close cuts off what runs. */
 import { createServer } from 'node:http'
-import type { IncomingMessage, RequestListener, Server, ServerOptions, ServerResponse } from 'node:http'
+import type { IncomingMessage, OutgoingHttpHeaders, RequestListener, Server, ServerOptions, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { readBehindUpgrade } from '../../adapters/httpServer/readBehindUpgrade.js'
 import { createLog } from '../../createLog.js'
@@ -9,6 +9,7 @@
 import type { RequestFailure } from '../../schemas/verdict.js'
 import { CallerConnection } from '../proxy/callerConnection.js'
 import type { Exchange } from '../proxy/callerConnection.js'
+import { maxAtOnceBytes } from '../proxy/callerResponse.js'
 import { renderErrorBody, renderErrorHeaders } from './callerError.js'
 import { createFailure, renderFinalHeaders, renderResponse } from './clientErrors.js'
 
@@ -193,7 +194,9 @@
   const writeHead = response.writeHead.bind(response) as (...values: unknown[]) => ServerResponse
   response.writeHead = (...values: unknown[]) => {
     const headers = values.at(-1)
-    const isComplete = response.hasHeader('content-length') || (typeof headers === 'object' && headers !== null && 'content-length' in headers)
+    const length = response.getHeader('content-length') ?? (headers as OutgoingHttpHeaders | null)?.['content-length']
+    // Requests may arrive until the end of a longer response.
+    const isComplete = Number(length) <= maxAtOnceBytes
     if (decideClose(isComplete)) response.setHeader('connection', 'close')
     // Fastify announces the close with each response while it stops.
     else if (response.hasHeader('connection')) response.setHeader('connection', 'keep-alive')
--- a/src/tasks/proxy/callerResponse.ts
+++ b/src/tasks/proxy/callerResponse.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from 'node:http'
 
 /** A body of this size goes out at once, whether or not its caller reads it. */
-const maxAtOnceBytes = 64 * 1024
+export const maxAtOnceBytes = 64 * 1024
 
 export interface CallerResponseOptions {
   response: ServerResponse
