Don't take a copy of the store for all versions of a service

What callers saw, on stand-ins: a store came back from a copy made before a release, all hosts were killed while it was away, and the new version's engines wrote their entries again within 2 s of its return. Streams that had begun at the new version were taken up meanwhile and went on at the old one. Cause: a host that has started since has no record of these streams, and the service's row in the copy tells one version. That row was believed although its era shows that it is of the copy, and other hosts that had started confirmed it. A second after the return it was written again, as if it were certain. findOnlyOrigin and restores at hosts that live on had regarded the era already. Change: for its first 2.5 s a host does not believe such a row. It asks other hosts, and refuses the take-up with a time to come back if too few of them know; those that have started lately too do not tell versions. The row is written again no earlier than 2.5 s. Five of the ten first scenarios fail without the check of the era, and the one of the row that is written again fails with the former wait (1000 ms); they pass now. Why it works: entries that were lost come back within about two seconds, and from then on a second version shows, so that the records decide. Not covered: a copy that lacks the row altogether, entries that come back later than that.

--- a/features/outOfStepHosts.feature
+++ b/features/outOfStepHosts.feature
@@ -21,6 +21,41 @@
       | is unavailable   | v1, v1, v1, ?       | goes on at version "v1"             |
       | is unavailable   | ?, ?, ?, ?          | is refused with a time to come back |
 
+  # A version that the copy lacks shows as its endpoints write their entries again, within two seconds or so.
+  Scenario Outline: A stream goes on at the one version of a copy that the store was restored from
+    Given a host that knows software version "v1" of a service, and 4 other hosts
+    And it started <age> ms ago, after the store was restored from a copy
+    When the store tells "v1" as of <era>, and the other hosts know "<versions>"
+    And a caller takes up a stream that another host began
+    Then it <outcome>
+
+    Examples:
+      | age  | era           | versions            | outcome                             |
+      | 300  | the copy      | ?, ?, ?, ?          | is refused with a time to come back |
+      | 300  | the copy      | none                | is refused with a time to come back |
+      | 2300 | the copy      | ?, ?, ?, v1         | is refused with a time to come back |
+      | 300  | the copy      | v1, v1, ?, ?        | goes on at version "v1"             |
+      | 300  | the copy      | v1 v2, v1 v2, v1, ? | is refused                          |
+      | 2700 | the copy      | ?, ?, ?, ?          | goes on at version "v1"             |
+      | 300  | its own start | ?, ?, ?, ?          | goes on at version "v1"             |
+
+  Scenario Outline: A host that knows the versions of a copy alone does not tell them to others
+    Given a host that knows software version "v1" of a service, and 4 other hosts
+    And it started <age> ms ago, after the store was restored from a copy
+    When the store tells "v1" as of <era>, and the other hosts know "?, ?, ?, ?"
+    Then it tells other hosts <told>
+
+    Examples:
+      | age  | era           | told    |
+      | 300  | the copy      | nothing |
+      | 2700 | the copy      | "v1"    |
+      | 300  | its own start | "v1"    |
+
+  Scenario: A host that has started and has yet to read the versions of a service does not tell them to others
+    Given a host that knows software version "v1" of a service, and 4 other hosts
+    And it started 300 ms ago, after the store was restored from a copy
+    Then it tells other hosts nothing
+
   Scenario: Streams that began at a new version go on at the old one, at a host that was cut off as it joined
     Given 3 hosts before a platform with 2 engines
     When 8 streams run at all hosts
--- a/features/softwareVersions.feature
+++ b/features/softwareVersions.feature
@@ -82,6 +82,12 @@
       | 500   | 3        | 2       | 2100     | 2250   |
       | 500   | 1        | 2       | 0        | 0      |
 
+  # Written again at once, the copy's row told for certain that there was one version, although engines of another had yet to show.
+  Scenario: The versions in a copy that the store was restored from are confirmed before lost entries are back
+    Given a host that has run for 60000 ms, and 3 engines of a recorded version
+    When the store is restored from a copy
+    Then the host writes the versions again between 2400 and 2600 ms later
+
   Scenario: A version that shows after all hosts were replaced is used within seconds
     Given 3 hosts before a platform with 3 engines
     When all hosts are replaced
--- a/features/steps/outOfStepHosts.ts
+++ b/features/steps/outOfStepHosts.ts
@@ -6,8 +6,10 @@
 import { Given, Then, When } from '@cucumber/cucumber'
 import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
 import { ClusterView } from '../../src/core/clusterView.js'
+import { StoreEra } from '../../src/core/storeEra.js'
 import { decodePlatformRow } from '../../src/platform/decodePlatformRow.js'
 import { encodeConfigurationRow, encodeEndpointRow, encodeResumptionHeaders } from '../../src/platform/standinWire.js'
+import type { Clock } from '../../src/ports/clock.js'
 import type { StoreRow } from '../../src/ports/store.js'
 import type { CallerRequest } from '../../src/schemas/callerRequest.js'
 import { pingSchema, pongSchema } from '../../src/schemas/datagram.js'
@@ -25,6 +27,10 @@
 
 interface OutOfStepWorld {
   clusterView: ClusterView
+  eras: StoreEra
+  /** By which the host's clock is ahead. */
+  aheadMs: number
+  origins: StreamOrigins
   store: StreamOriginsOptions['store']
   isStoreUnavailable: boolean
   /** What each other host replies; undefined for one that does not. */
@@ -37,14 +43,49 @@
 }
 
 Given('a host that knows software version {string} of a service, and {int} other hosts', function (this: OutOfStepWorld, version: string, peers: number) {
-  this.clusterView = new ClusterView(decodePlatformRow)
+  this.eras = new StoreEra()
+  this.clusterView = new ClusterView(decodePlatformRow, undefined, this.eras)
   this.clusterView.applyRow({ ...encodeConfigurationRow(createConfiguration(1, 4)), version: 1 }, performance.now())
   this.clusterView.applyRow({
     ...encodeEndpointRow({ id: 'i-1', service: engineService, address: '127.0.0.1:1', zone: 'a', isLeaving: false, goneInMs: undefined, places: 16, softwareVersion: version, startedAtMs: 1, models: [], orderCount: 0 }), version: 2
   }, performance.now())
   this.replies = Array.from({ length: peers }, () => undefined)
+  this.aheadMs = 0
+  const log = { record: () => {} }
+  const peerVersions = new PeerVersions({
+    log, listPeers: () => this.replies.map((_, index) => String(index)), askPeer: async address => this.replies[Number(address)], random: Math.random
+  })
+  const clock: Clock = { ...createSystemClock(), readMonotonic: () => performance.now() + this.aheadMs }
+  this.origins = new StreamOrigins({
+    clock, log, clusterView: this.clusterView, store: { readRow: async (...options) => await this.store.readRow(...options) }, isStoreUnavailable: () => this.isStoreUnavailable, findPeerVersions: async service => await peerVersions.find(service), saveRecords: () => {}, entryDelayMs: 1000
+  })
+})
+
+const [copyEra, restoredEra] = [1, 2]
+
+Given('it started {int} ms ago, after the store was restored from a copy', function (this: OutOfStepWorld, ageMs: number) {
+  this.eras.observe(restoredEra)
+  this.origins.receiveEntry(this.clusterView.endpoints.list(performance.now())[0]!)
+  this.aheadMs = ageMs
+})
+
+When(/^the store tells "v1" as of (the copy|its own start), and the other hosts know "([^"]*)"$/, function (this: OutOfStepWorld, when: string, versions: string) {
+  const era = when === 'the copy' ? copyEra : restoredEra
+  const row: StoreRow = { table: hostsTable, key: formatServiceVersionsKey(engineService), version: 3, value: encodeHostsRow({ service: engineService, versions: ['v1'], era, firstEra: copyEra }) }
+  this.clusterView.applyRow(row, performance.now())
+  this.store = { readRow: async () => row }
+  this.replies = parseReplies(versions)
 })
 
+Then(/^it tells other hosts (?:nothing|"([^"]*)")$/, function (this: OutOfStepWorld, version: string | null) {
+  assert.deepEqual(this.origins.listKnownVersions(engineService), version ? [version] : undefined)
+})
+
+/** Reads what each other host replies, such as `v1 v2, ?`; `none` for no other hosts. */
+function parseReplies (text: string): Array<string[] | undefined> {
+  return text === 'none' ? [] : text.split(', ').map(reply => reply === '?' ? undefined : reply.split(' '))
+}
+
 When(/^the store (?:tells "([^"]*)"|is (silent|unavailable)), and the other hosts know "([^"]*)"$/, function (this: OutOfStepWorld, told: string | undefined, state: string | undefined, versions: string) {
   const row: StoreRow = { table: hostsTable, key: formatServiceVersionsKey(engineService), version: 3, value: encodeHostsRow({ service: engineService, versions: (told ?? '').split(' ') }) }
   this.store = {
@@ -54,20 +95,13 @@
     }
   }
   this.isStoreUnavailable = state === 'unavailable'
-  if (versions !== '') this.replies = versions.split(', ').map(reply => reply === '?' ? undefined : reply.split(' '))
+  if (versions !== '') this.replies = parseReplies(versions)
 })
 
 When('a caller takes up a stream that another host began', async function (this: OutOfStepWorld) {
-  const log = { record: () => {} }
-  const peerVersions = new PeerVersions({
-    log, listPeers: () => this.replies.map((_, index) => String(index)), askPeer: async address => this.replies[Number(address)], random: Math.random
-  })
-  const origins = new StreamOrigins({
-    clock: createSystemClock(), log, clusterView: this.clusterView, store: this.store, isStoreUnavailable: () => this.isStoreUnavailable, findPeerVersions: async service => await peerVersions.find(service), saveRecords: () => {}, entryDelayMs: 1000
-  })
   const route = this.clusterView.routes!.configuration.routes.find(({ name }) => name === 'resumable')!
   const request = { requestId: 'b', resumedRequestId: 'a', callerKey: '' } as unknown as CallerRequest
-  this.resolution = await origins.resolve(request, route, engineService)
+  this.resolution = await this.origins.resolve(request, route, engineService)
 })
 
 Then('it goes on at version {string}', function (this: OutOfStepWorld, version: string) {
--- a/features/steps/softwareVersions.ts
+++ b/features/steps/softwareVersions.ts
@@ -5,6 +5,7 @@
 import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
 import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
 import { ClusterView } from '../../src/core/clusterView.js'
+import { StoreEra } from '../../src/core/storeEra.js'
 import { computeStreamKey } from '../../src/core/streamKey.js'
 import { decodePlatformRow } from '../../src/platform/decodePlatformRow.js'
 import { encodeConfigurationRow, encodeEndpointRow, encodeResumptionHeaders } from '../../src/platform/standinWire.js'
@@ -34,6 +35,7 @@
 
 interface VersionTaskWorld {
   versionClock: VirtualClock
+  eras: StoreEra
   versionTask: ServiceVersionTask
   clusterView: ClusterView
   writtenAtMs: number[]
@@ -292,11 +294,13 @@
 Given('a host that has run for {int} ms, and {int} engines of a recorded version', async function (this: VersionTaskWorld, ageMs: number, count: number) {
   const own = { host: 'h1' }
   this.versionClock = new VirtualClock()
-  this.clusterView = new ClusterView(decodePlatformRow)
+  this.eras = new StoreEra()
+  this.eras.observe(1)
+  this.clusterView = new ClusterView(decodePlatformRow, undefined, this.eras)
   this.writtenAtMs = []
   this.clusterView.applyRow({ ...encodeConfigurationRow(createConfiguration(1, 4)), version: 1 }, 0)
   this.clusterView.applyRow({ table: hostsTable, key: formatHostKey(own.host), version: 1, value: encodeHostsRow({ ...own, address: '10.1.0.1:1', zone: 'a', session: 's1', isLeaving: false }) }, 0)
-  this.clusterView.applyRow({ table: hostsTable, key: formatServiceVersionsKey(engineService), version: 1, value: encodeHostsRow({ service: engineService, versions: ['v1'] }) }, 0)
+  this.clusterView.applyRow({ table: hostsTable, key: formatServiceVersionsKey(engineService), version: 1, value: encodeHostsRow({ service: engineService, versions: ['v1'], ...this.clusterView.writtenInEra }) }, 0)
   addEngines(this, count, 'v1')
   this.versionTask = new ServiceVersionTask({
     clock: this.versionClock,
@@ -313,16 +317,25 @@
   await this.versionClock.runUntilSettled(ageMs)
 })
 
+/** Runs the host for a while after something has shown. */
+async function runAfter (world: VersionTaskWorld, show: () => void): Promise<void> {
+  const shownAtMs = world.versionClock.readMonotonic()
+  show()
+  world.versionTask.check()
+  await world.versionClock.runUntilSettled(shownAtMs + 10_000)
+  world.versionTask.stop()
+  world.writtenAtMs = world.writtenAtMs.map(atMs => atMs - shownAtMs)
+}
+
 When('{int} engines of another version show', async function (this: VersionTaskWorld, count: number) {
-  const shownAtMs = this.versionClock.readMonotonic()
-  addEngines(this, count, 'v2')
-  this.versionTask.check()
-  await this.versionClock.runUntilSettled(shownAtMs + 10_000)
-  this.versionTask.stop()
-  this.writtenAtMs = this.writtenAtMs.map(atMs => atMs - shownAtMs)
+  await runAfter(this, () => addEngines(this, count, 'v2'))
+})
+
+When('the store is restored from a copy', async function (this: VersionTaskWorld) {
+  await runAfter(this, () => { this.eras.observe(2) })
 })
 
-Then('the host adds that version between {int} and {int} ms later', function (this: VersionTaskWorld, earliestMs: number, latestMs: number) {
+Then(/^the host (?:adds that version|writes the versions again) between (\d+) and (\d+) ms later$/, function (this: VersionTaskWorld, earliestMs: number, latestMs: number) {
   assert.equal(this.writtenAtMs.length, 1)
   assert.ok(this.writtenAtMs[0]! >= earliestMs && this.writtenAtMs[0]! <= latestMs, `${this.writtenAtMs[0]} ms`)
 })
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -7,7 +7,6 @@
 import { createHttpRelay } from '../adapters/relay/httpRelay.js'
 import { ClusterView } from '../core/clusterView.js'
 import type { ClusterViewChange, DecodeUpdate } from '../core/clusterView.js'
-import { listServiceVersions } from '../core/serviceVersions.js'
 import { UpdateSourceList } from '../core/updateSources.js'
 import { RowMirror } from '../core/rowMirror.js'
 import { StoreEra } from '../core/storeEra.js'
@@ -124,7 +123,7 @@
     clock,
     datagrams,
     own,
-    listServiceVersions: service => listServiceVersions(clusterView, service, clock.readMonotonic()),
+    listServiceVersions: service => streamTasks.origins.listKnownVersions(service),
     getStoreAgeMs: () => Math.min(clusterViewTask.directStoreAgeMs, clusterViewTask.storeAgeMs),
     receiveAllocationMessage: (message, sender, reply) => allocationTask.receiveMessage(message, sender, reply),
     receiveReservationReply: reply => reservations.receiveReply(reply),
--- a/src/core/clusterView.ts
+++ b/src/core/clusterView.ts
@@ -127,6 +127,12 @@
     return current !== undefined && current > this.firstEra! && row?.era !== current
   }
 
+  /** Whether a row comes from a copy that the store was restored from: it was written in an earlier era. */
+  isOfEarlierEra (row: WrittenInEra): boolean {
+    const { current } = this.#eras
+    return current !== undefined && row.era !== undefined && row.era < current
+  }
+
   /** Begins a new era of the store: rows that are read next may be older than those that are known. */
   beginEra (nowMs: number): void {
     this.#configurationOrder.beginEra()
--- a/src/core/serviceVersions.ts
+++ b/src/core/serviceVersions.ts
@@ -6,6 +6,8 @@
 const takeUpRatio = 2 / 3
 /** Endpoints of a new version are not left idle for longer than this. */
 const maxTakeUpMs = 10_000
+/** Endpoints whose entries the store has lost write them again within about two seconds of its return. */
+export const entryReturnMs = 2500
 
 /**
  * Lists the versions in the service's row and of its endpoints, leaving ones included. Streams of the service can be told apart
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -10,7 +10,7 @@
   own: { address: string, host: string, session: string }
   getStoreAgeMs: () => number
   /** Lists the software versions of a service that this host knows. */
-  listServiceVersions: (service: string) => string[]
+  listServiceVersions: (service: string) => string[] | undefined
   /** Passes a reservation message (request, release, report) to the allocators; `answer` sends a reply to its sender. */
   receiveAllocationMessage: (message: HostMessage, sender: DatagramSender, answer: (message: ReservationReply) => void) => void
   /** Receives an owner's reply to a reservation request of this host. */
@@ -127,8 +127,9 @@
     } else if (message.type === 'doneReceived') {
       receiveReleaseConfirmation(message.ids)
     } else if (message.type === 'ping') {
+      const softwareVersions = message.service === undefined ? undefined : this.#options.listServiceVersions(message.service)
       datagrams.send(sender.address, {
-        type: 'pong', echo: message.echo, session: own.session, storeAgeMs: this.#computeReportedAgeMs(), ...(message.service !== undefined && { softwareVersions: this.#options.listServiceVersions(message.service) })
+        type: 'pong', echo: message.echo, session: own.session, storeAgeMs: this.#computeReportedAgeMs(), ...(softwareVersions && { softwareVersions })
       })
     } else if (message.type === 'pong') {
       const { session, storeAgeMs, softwareVersions } = message
--- a/src/tasks/streams/serviceVersionTask.ts
+++ b/src/tasks/streams/serviceVersionTask.ts
@@ -5,7 +5,7 @@
 import type { ClusterView } from '../../core/clusterView.js'
 import { streamTtlMs } from '../../core/begunStreams.js'
 import { computeHash } from '../../core/rendezvousHash.js'
-import { computeTakeUpMs, hasEnoughRecorded, listServiceVersions, listStreamServices } from '../../core/serviceVersions.js'
+import { computeTakeUpMs, entryReturnMs, hasEnoughRecorded, listServiceVersions, listStreamServices } from '../../core/serviceVersions.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
@@ -87,6 +87,8 @@
   /** Milliseconds until this host writes an outdated row; 0 or less if it does so now. */
   #computeTurnMs (service: string, recorded: readonly string[], nowMs: number): number {
     const { clusterView, own } = this.#options
+    // What a copy of the store tells is confirmed once endpoints of versions that it lacks have shown.
+    const waitMs = clusterView.isUncertainRow(clusterView.serviceVersions.get(service)?.row) ? entryReturnMs : recordMs
     const sinceMs = this.#outdatedSinceMs.get(service) ?? nowMs
     this.#outdatedSinceMs.set(service, sinceMs)
     const ranked = [...clusterView.hosts.keys()].map(host => ({ host, hash: computeHash(`versions ${service} ${host}`) })).sort((left, right) => right.hash - left.hash)
@@ -94,7 +96,7 @@
     // Without enough endpoints of recorded versions, the others are needed now.
     const mayWait = recorded.length > 0 && hasEnoughRecorded(clusterView.endpoints.listUsable(service, nowMs), recorded)
     // All hosts may have ended before this one's start; while there was one version they recorded no streams.
-    const earliestMs = mayWait ? Math.max(sinceMs + recordMs, this.#startedAtMs + computeTakeUpMs(clusterView, service)) : sinceMs
+    const earliestMs = mayWait ? Math.max(sinceMs + waitMs, this.#startedAtMs + computeTakeUpMs(clusterView, service)) : sinceMs
     return rank < 0 ? Infinity : earliestMs + rank * writeStaggerMs - nowMs
   }
 
--- a/src/tasks/streams/streamOrigins.ts
+++ b/src/tasks/streams/streamOrigins.ts
@@ -1,7 +1,7 @@
 /** Finds the software version that began a stream which its caller takes up, whichever host had begun it. */
 import { BegunStreams } from '../../core/begunStreams.js'
 import type { ClusterView } from '../../core/clusterView.js'
-import { listServiceVersions } from '../../core/serviceVersions.js'
+import { entryReturnMs, listServiceVersions } from '../../core/serviceVersions.js'
 import { computeStreamKey } from '../../core/streamKey.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
@@ -51,6 +51,8 @@
   #lookupCount = 0
   /** Software version in the latest entry of each endpoint, by id. */
   #endpointVersions = new Map<string, string>()
+  /** When this host first received the entry of an endpoint. */
+  #firstEntryAtMs: number | undefined
 
   constructor (options: StreamOriginsOptions) {
     this.#options = options
@@ -90,6 +92,7 @@
 
   /** Called when an endpoint's entry has changed. */
   receiveEntry ({ id, service, softwareVersion }: EndpointEntry): void {
+    this.#firstEntryAtMs ??= this.#options.clock.readMonotonic()
     const previous = this.#endpointVersions.get(id)
     this.#endpointVersions.delete(id)
     this.#endpointVersions.set(id, softwareVersion)
@@ -140,6 +143,21 @@
     }
   }
 
+  /**
+   * Lists the versions that this host knows of a service for another one that asks; undefined if it has started lately and may know
+   * only what a copy tells that the store was restored from.
+   */
+  listKnownVersions (service: string): string[] | undefined {
+    const { clock, clusterView } = this.#options
+    const row = clusterView.serviceVersions.get(service)?.row
+    return this.#hasStartedLately() && (!row || clusterView.isOfEarlierEra(row)) ? undefined : listServiceVersions(clusterView, service, clock.readMonotonic())
+  }
+
+  /** Whether endpoints whose entries the store has lost may not have shown since this host started. */
+  #hasStartedLately (): boolean {
+    return this.#firstEntryAtMs === undefined || this.#options.clock.readMonotonic() - this.#firstEntryAtMs < entryReturnMs
+  }
+
   #isMixed (service: string): boolean {
     const { clock, clusterView } = this.#options
     return listServiceVersions(clusterView, service, clock.readMonotonic()).length > 1
@@ -153,17 +171,22 @@
     const { clock, clusterView, findPeerVersions } = this.#options
     if (this.#isMixed(service)) return listServiceVersions(clusterView, service, clock.readMonotonic())
     const confirmed = await this.#readVersions(service) ?? await findPeerVersions(service)
+    // Without other hosts to ask, this host may be the one that knows the copy alone.
+    if (confirmed?.length === 0 && this.listKnownVersions(service) === undefined) return undefined
     return confirmed && [...new Set([...confirmed, ...listServiceVersions(clusterView, service, clock.readMonotonic())])]
   }
 
   /** Reads the versions of a service from the store; undefined if it does not respond in time. */
   async #readVersions (service: string): Promise<string[] | undefined> {
-    const { isStoreUnavailable, log, store } = this.#options
+    const { clusterView, isStoreUnavailable, log, store } = this.#options
     if (isStoreUnavailable()) return undefined
     try {
       const row = await store.readRow(hostsTable, formatServiceVersionsKey(service), confirmTimeoutMs)
       const decoded = row?.value && decodeHostsRow(row.key, row.value)
-      return decoded?.kind === 'versions' ? [...decoded.row.versions] : []
+      if (decoded?.kind !== 'versions') return []
+      if (!this.#hasStartedLately() || !clusterView.isOfEarlierEra(decoded.row)) return [...decoded.row.versions]
+      log.record('stream.versionsOfCopy', 'The store tells the software versions of a service as of the copy that it was restored from; other hosts are asked.', { service, versions: [...decoded.row.versions] })
+      return undefined
     } catch (error) {
       log.record('stream.versionsUnconfirmed', 'Could not read the software versions of a service from the store; other hosts are asked.', { service, error: (error as Error).message })
       return undefined
