Leave failures of stderr to one listener

Node.js reports what cannot be written by an event in every case that was run, so that the try around it had nothing to catch. The six scenarios of a stderr that cannot be written pass.

--- a/src/writeToStderr.ts
+++ b/src/writeToStderr.ts
@@ -7,11 +7,7 @@
  * writeToStderr('sedgevalve-host: the settings file cannot be read\n')
  */
 export function writeToStderr (text: string): void {
-  try {
-    // Node.js reports a reader that is gone by an event, which ends a process that does not listen for it.
-    if (process.stderr.listenerCount('error') === 0) process.stderr.on('error', () => {})
-    process.stderr.write(text)
-  } catch {
-    // A file or device that takes nothing more.
-  }
+  // Node.js reports what cannot be written by an event, which ends a process that does not listen for it.
+  if (process.stderr.listenerCount('error') === 0) process.stderr.on('error', () => {})
+  process.stderr.write(text)
 }
