Start a host whose compiled code cannot be read

Where the compiled code does not fit the Node.js that runs it, and stderr is on a full disk, the line that says so ended the start too.

Cause: the loader read the compiled code without regard to its absence, although the bundle alone is enough, and wrote to a stderr whose errors nothing listened for.

The loader starts without the compiled code, and says so. The two new scenarios of features/hostSettings.feature failed before (code 1) and pass.

--- a/deploy/hostLoader.cjs
+++ b/deploy/hostLoader.cjs
@@ -9,8 +9,24 @@
 const cacheFile = join(__dirname, 'host', 'bundle.cache')
 
 const isCreating = process.env.SEDGEVALVE_CREATE_CODE_CACHE === '1'
-const cachedData = isCreating ? undefined : readFileSync(cacheFile)
+const cachedData = isCreating ? undefined : readCache()
 const script = new Script(readFileSync(bundleFile, 'utf8'), { filename: bundleFile, cachedData })
-if (script.cachedDataRejected) process.stderr.write('sedgevalve-host: the compiled code does not fit this Node.js and its flags; compiling the bundle anew\n')
+if (script.cachedDataRejected) warn('the compiled code does not fit this Node.js and its flags; compiling the bundle anew')
 if (isCreating) process.once('exit', () => writeFileSync(cacheFile, script.createCachedData()))
 script.runInThisContext()(require)
+
+/** Returns undefined if the compiled code cannot be read: a host starts without it, only later. */
+function readCache () {
+  try {
+    return readFileSync(cacheFile)
+  } catch (error) {
+    warn(`the compiled code cannot be read (${error.code}); compiling the bundle anew`)
+    return undefined
+  }
+}
+
+/** Without a listener, an error of stderr would end the process. */
+function warn (text) {
+  process.stderr.once('error', () => {})
+  process.stderr.write(`sedgevalve-host: ${text}\n`)
+}
--- a/features/hostSettings.feature
+++ b/features/hostSettings.feature
@@ -90,3 +90,13 @@
     When the host's program is built
     Then the build reports no failed warm-up
     And the program contains more compiled code than startup needs
+
+  # Guards against a start that ends because the compiled code cannot be read, or that cannot be said.
+  Scenario Outline: The deployed program, whose stderr <stderr>, starts without its compiled code
+    When the host's program is built, and run with "--help" and a stderr that <stderr>, without its compiled code
+    Then the program exits with code 0 and prints "--metrics PORT"
+
+    Examples:
+      | stderr            |
+      | is on a full disk |
+      | has no reader     |
--- a/features/steps/hostSettings.ts
+++ b/features/steps/hostSettings.ts
@@ -158,6 +158,16 @@
   this.programOutput = stdout + stderr
 })
 
+When(/^the host's program is built, and run with "([^"]*)" and a stderr that (is on a full disk|has no reader), without its compiled code$/, { timeout: buildTimeoutMs }, function (this: SettingsWorld, argument: string, stderr: string) {
+  const folder = createBuildFolder()
+  spawnSync(process.execPath, ['deploy/buildHost.mjs', folder])
+  rmSync(join(folder, 'host', 'bundle.cache'))
+  const { status, stdout } = spawnSync('bash', ['-c', `${stderrPreludes[stderr]}; exec "$0" "$@"`, process.execPath, join(folder, 'sedgevalve-host.cjs'), argument], { encoding: 'utf8' })
+  rmSync(folder, { recursive: true })
+  this.programExitCode = status
+  this.programOutput = stdout
+})
+
 Then('the build reports no failed warm-up', function (this: SettingsWorld) {
   assert.equal(this.programExitCode, 0, this.programOutput)
   assert.ok(!this.programOutput.includes('failed'), this.programOutput)
