Decode client accounts, the momentary speed of endpoints and the bounds of quotas

The configuration's accounts, the fourth figure of the load header and the settings' bounds for quotas are decoded into the project's own types. Nothing uses them yet. An invalid account or field is left out, and `accountDefects` says why.

--- a/features/steps/routes.ts
+++ b/features/steps/routes.ts
@@ -27,7 +27,7 @@
 function createConfiguration (names: string[]): RoutingConfiguration {
   const routes = names.map((name): Route => {
     const [hostname = '', prefix = ''] = name.split(' ')
-    return { name, hostname, prefix, kind: 'once', isResumable: false, timeoutMs: 1000, targetMs: 100, maxGapMs: undefined, patienceMs: 1000, rank: 0, maxAttempts: 1, targets: [] }
+    return { name, hostname, prefix, kind: 'once', isResumable: false, timeoutMs: 1000, targetMs: 100, maxGapMs: undefined, patienceMs: 1000, isPublic: false, rank: 0, maxAttempts: 1, targets: [] }
   })
   return { version: 1, routes, services: new Map(), limits }
 }
--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -3,6 +3,7 @@
 import type { Static } from '@sinclair/typebox'
 import { TypeCompiler } from '@sinclair/typebox/compiler'
 import type { AdapterVersion, EngineSpec, Route, RouteKind, RoutingConfiguration, ServiceSpec } from '../schemas/routing.js'
+import { decodeAccounts } from './decodeAccounts.js'
 import { decodeJson } from './decodeJson.js'
 
 const routeSchema = Type.Object({
@@ -17,6 +18,7 @@
   service: Type.Optional(Type.String()),
   trafficSplit: Type.Optional(Type.Array(Type.Object({ service: Type.String(), weight: Type.Number() }))),
   maxAttempts: Type.Optional(Type.Number()),
+  public: Type.Optional(Type.Boolean()),
   resumable: Type.Optional(Type.Boolean())
 })
 
@@ -48,7 +50,8 @@
     maxBodyBytes: Type.Number(),
     headerTimeoutMs: Type.Number(),
     idleTimeoutMs: Type.Number()
-  })
+  }),
+  tenants: Type.Optional(Type.Unknown())
 })
 
 const versionSchema = Type.Object({ model: Type.String(), adapter: Type.String(), version: Type.Number({ minimum: 0, maximum: Number.MAX_SAFE_INTEGER }) })
@@ -78,7 +81,8 @@
     version: configuration.version,
     routes: configuration.routes.map(decodeRoute),
     services: new Map(configuration.services.map(service => [service.name, decodeService(service)])),
-    limits: configuration.limits
+    limits: configuration.limits,
+    ...decodeAccounts(configuration.tenants)
   })
 }
 
@@ -112,6 +116,7 @@
     maxGapMs: route.targetGapMs,
     patienceMs: kind === 'stream' ? computePatienceMs(targetMs, route.targetGapMs ?? 0) : timeoutMs,
     rank: route.priority ?? 0,
+    isPublic: route.public ?? false,
     maxAttempts: Math.max(1, route.maxAttempts ?? 1),
     targets
   }
--- a/src/platform/hostSettings.ts
+++ b/src/platform/hostSettings.ts
@@ -4,7 +4,7 @@
 import type { Static } from '@sinclair/typebox'
 import { TypeCompiler } from '@sinclair/typebox/compiler'
 import type { Clock } from '../ports/clock.js'
-import type { HostSettings } from '../schemas/hostSettings.js'
+import type { HostSettings, QuotaBounds } from '../schemas/hostSettings.js'
 import { createSettingsError } from '../settings/settingsError.js'
 import { waitForRetry } from '../waitForRetry.js'
 import { writeToStderr } from '../writeToStderr.js'
@@ -41,7 +41,10 @@
     passMs: Type.Number(),
     version_ms: Type.Optional(Type.Number()),
     ceilingWindowS: Type.Optional(Type.Number()),
-    originRateOverrun: Type.Optional(Type.Number())
+    originRateOverrun: Type.Optional(Type.Number()),
+    quotaWindowS: Type.Optional(Type.Number()),
+    quotaOverrun: Type.Optional(Type.Number()),
+    quotaTolerance: Type.Optional(Type.Number())
   }),
   platform: Type.Object({ address: Type.String() })
 })
@@ -129,6 +132,8 @@
     seedAddresses: file.seedNodes,
     memoryMb: file.limits.memoryMb,
     maxDescriptors: file.limits.fileDescriptors,
+    processorShare: file.limits.cpuShare,
+    quotaBounds: decodeQuotaBounds(bounds),
     heartbeatMs: file.heartbeatIntervalMs,
     storeAddress: file.platform.address,
     drainMs: bounds.drainMs,
@@ -142,6 +147,10 @@
   })
 }
 
+function decodeQuotaBounds ({ quotaWindowS, quotaOverrun = 0, quotaTolerance = 0 }: Static<typeof settingsFileSchema>['bounds']): QuotaBounds | undefined {
+  return quotaWindowS === undefined ? undefined : { windowMs: quotaWindowS * 1000, overrunRatio: quotaOverrun, tolerance: quotaTolerance }
+}
+
 /** Encodes settings as the platform writes them, for programs that start hosts without the platform. */
 export function encodeHostSettings (settings: HostSettings): string {
   const file: Static<typeof settingsFileSchema> = {
@@ -151,7 +160,7 @@
     listenAddresses: { frontend: settings.callersAddress, ready: settings.readinessAddress, controlPlane: settings.peersAddress },
     internalPortRange: [settings.datagramPort, settings.datagramPort],
     seedNodes: [...settings.seedAddresses],
-    limits: { memoryMb: settings.memoryMb, fileDescriptors: settings.maxDescriptors },
+    limits: { memoryMb: settings.memoryMb, fileDescriptors: settings.maxDescriptors, ...(settings.processorShare !== undefined && { cpuShare: settings.processorShare }) },
     heartbeatIntervalMs: settings.heartbeatMs,
     bounds: {
       drainMs: settings.drainMs,
@@ -162,7 +171,8 @@
       retryBudgetExtra: settings.retryExtra,
       leaseMs: settings.leaseMs,
       passMs: defaultPassMs,
-      version_ms: settings.versionMs
+      version_ms: settings.versionMs,
+      ...(settings.quotaBounds && { quotaWindowS: settings.quotaBounds.windowMs / 1000, quotaOverrun: settings.quotaBounds.overrunRatio, quotaTolerance: settings.quotaBounds.tolerance })
     },
     platform: { address: settings.storeAddress }
   }
--- a/src/platform/requestWire.ts
+++ b/src/platform/requestWire.ts
@@ -143,8 +143,9 @@
 }
 
 function decodeLoad (value: string | undefined): EndpointLoad | undefined {
-  const [running, waiting, batchSlots] = (value ?? '').split(',').map(parseNumberOrZero)
-  return running === undefined || waiting === undefined || !batchSlots ? undefined : { running, waiting, places: batchSlots }
+  const [running, waiting, batchSlots, slownessPercent] = (value ?? '').split(',').map(parseNumberOrZero)
+  if (running === undefined || waiting === undefined || !batchSlots) return undefined
+  return { running, waiting, places: batchSlots, ...(slownessPercent !== undefined && slownessPercent > 0 && { slowness: slownessPercent / 100 }) }
 }
 
 /** Encodes the headers of the proxy's own responses. `Retry-After` is in seconds and may have a fraction. */
--- a/src/platform/standinWire.ts
+++ b/src/platform/standinWire.ts
@@ -3,7 +3,7 @@
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../ports/store.js'
 import type { EngineOrder, EngineState, OrderHolder } from '../ports/engineOrders.js'
 import { createParser } from '../schemas/createParser.js'
-import type { AdapterVersion, EndpointEntry, LoadedModel, Route, RoutingConfiguration, ServiceSpec } from '../schemas/routing.js'
+import type { AdapterVersion, ClientAccount, EndpointEntry, LoadedModel, Route, RoutingConfiguration, ServiceSpec } from '../schemas/routing.js'
 import { configurationKey, endpointsTable, operatorsTable, versionKeyPrefix, wireHeaders } from './wireNames.js'
 
 const rowNameSchema = Type.Object({ table: Type.String(), key: Type.String() })
@@ -86,14 +86,19 @@
     version: configuration.version,
     routes: configuration.routes.map(encodeRoute),
     services: [...configuration.services.values()].map(encodeService),
-    limits: configuration.limits
+    limits: configuration.limits,
+    ...(configuration.accounts && { tenants: configuration.accounts.map(encodeAccount) })
   }
   return { table: operatorsTable, key: configurationKey, value: Buffer.from(JSON.stringify(body)) }
 }
 
+function encodeAccount ({ name, keys, rank, quota }: ClientAccount): unknown {
+  return { name, apiKeys: keys, priority: rank, ...(quota && { unit: quota.unit, plainTokens: quota.plainTokens, ratePerS: quota.perSecond, burst: quota.burst }) }
+}
+
 function encodeRoute (route: Route): unknown {
-  const { name, hostname, prefix, kind, isResumable, timeoutMs, targetMs, maxGapMs, rank, maxAttempts, targets } = route
-  return { name, hostname, prefix, routeKind: routeKindNames[kind], resumable: isResumable, timeoutMs, targetLatencyMs: targetMs, targetGapMs: maxGapMs, priority: rank, maxAttempts, trafficSplit: targets }
+  const { name, hostname, prefix, kind, isResumable, timeoutMs, targetMs, maxGapMs, rank, isPublic, maxAttempts, targets } = route
+  return { name, hostname, prefix, routeKind: routeKindNames[kind], resumable: isResumable, timeoutMs, targetLatencyMs: targetMs, targetGapMs: maxGapMs, priority: rank, public: isPublic, maxAttempts, trafficSplit: targets }
 }
 
 function encodeService ({ name, maxConnections, engine }: ServiceSpec): unknown {
--- a/src/schemas/callerRequest.ts
+++ b/src/schemas/callerRequest.ts
@@ -36,6 +36,8 @@
   readonly running: number
   readonly waiting: number
   readonly places: number
+  /** How many times as long as usual work takes on the endpoint's machine at this moment; absent if the endpoint does not tell. */
+  readonly slowness?: number
 }
 
 export interface ResponseHead {
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -51,6 +51,8 @@
   isResumed: Type.Optional(Type.Boolean()),
   /** Whether the request is to the host that grants requests to a limited endpoint in place of its owner. */
   isForLimit: Type.Optional(Type.Boolean()),
+  /** Name of the client account that the request is of; absent if there are no accounts. */
+  account: Type.Optional(Type.String()),
   /** What the sender knows of the endpoint's limit, as the owner may have missed it; absent if it has named none. */
   limit: Type.Optional(limitStatementSchema)
 })
@@ -119,7 +121,9 @@
   endpointId: Type.String(),
   outcome: releaseOutcomeSchema,
   /** Milliseconds from sending the request to the first chunk of its response; -1 if none arrived. */
-  firstPartMs: Type.Number()
+  firstPartMs: Type.Number(),
+  /** How many times as long as usual work took on the endpoint's machine as its response began; absent if it did not tell. */
+  slowness: Type.Optional(Type.Number())
 })
 export type ReservationRelease = Static<typeof reservationReleaseSchema>
 
--- a/src/schemas/hostSettings.ts
+++ b/src/schemas/hostSettings.ts
@@ -1,5 +1,12 @@
 /** A host's own settings and the limits that it must keep; they never change while the process runs. */
 
+/** Within `windowMs`, (rate x window + burst) x (1 + `overrunRatio`) + `tolerance` may be used, in the unit of the quota. */
+export interface QuotaBounds {
+  readonly windowMs: number
+  readonly overrunRatio: number
+  readonly tolerance: number
+}
+
 export interface HostSettings {
   readonly hostName: string
   /** IP address at which peers reach this host. */
@@ -16,6 +23,10 @@
   readonly storeAddress: string
   readonly memoryMb: number
   readonly maxDescriptors: number
+  /** Part of a processor that the host may use; undefined if the settings do not say. */
+  readonly processorShare?: number | undefined
+  /** What the use of quotas of client accounts, summed over all hosts, may exceed them by; undefined if the settings set no bounds. */
+  readonly quotaBounds?: QuotaBounds | undefined
   /** Interval at which an endpoint updates its row in the store. */
   readonly heartbeatMs: number
   /** Time after which a leaving endpoint must receive no new requests. */
--- a/src/schemas/routing.ts
+++ b/src/schemas/routing.ts
@@ -24,8 +24,10 @@
   readonly maxGapMs: number | undefined
   /** Callers abandon a response after this time without a chunk of it. */
   readonly patienceMs: number
-  /** 0 is the most urgent. */
+  /** 0 is the most urgent. The rank of a client account goes before it. */
   readonly rank: number
+  /** Whether requests need no key of a client account. */
+  readonly isPublic: boolean
   /** Maximum number of endpoints that may run one request. */
   readonly maxAttempts: number
   readonly targets: readonly RouteTarget[]
@@ -68,11 +70,44 @@
   readonly idleTimeoutMs: number
 }
 
+/** `requests`: each request counts as one; `tokens`: as the tokens that it states. */
+export type QuotaUnit = 'requests' | 'tokens'
+
+/** What all hosts together may run for a client account. */
+export interface AccountQuota {
+  readonly unit: QuotaUnit
+  readonly perSecond: number
+  /** What may be used at once beyond the rate. */
+  readonly burst: number
+  /** Tokens of a request that states none. */
+  readonly plainTokens: number
+}
+
+export interface ClientAccount {
+  readonly name: string
+  readonly keys: readonly string[]
+  /** 0 is the most urgent; undefined if the ranks of the routes apply. */
+  readonly rank: number | undefined
+  /** Undefined if the account is not limited. */
+  readonly quota: AccountQuota | undefined
+}
+
+/** A part of a client account's entry that was left out, as it is invalid. */
+export interface AccountDefect {
+  /** Name of the account, or its position among the entries if it has no valid name. */
+  readonly account: string
+  readonly reason: string
+}
+
 export interface RoutingConfiguration {
   readonly version: number
   readonly routes: readonly Route[]
   readonly services: ReadonlyMap<string, ServiceSpec>
   readonly limits: CallerLimits
+  /** Undefined if the configuration has no accounts, so that no keys are checked. */
+  readonly accounts?: readonly ClientAccount[] | undefined
+  /** What was left out of `accounts`. */
+  readonly accountDefects?: readonly AccountDefect[]
 }
 
 /** One endpoint, as its own row in the store describes it. */
--- a/src/standin/fleet/startFleet.ts
+++ b/src/standin/fleet/startFleet.ts
@@ -196,7 +196,7 @@
 }
 
 export function createConfiguration (version: number, adapterSlots: number): RoutingConfiguration {
-  const base = { hostname: fleetHost, timeoutMs: 4000, targetMs: 500, maxGapMs: 400, patienceMs: 3200, rank: 0, maxAttempts: 2 }
+  const base = { hostname: fleetHost, timeoutMs: 4000, targetMs: 500, maxGapMs: 400, patienceMs: 3200, rank: 0, isPublic: false, maxAttempts: 2 }
   const toEngines = [{ service: engineService, weight: 1 }]
   const toServices = [{ service: plainService, weight: 1 }]
   return {
