Serve requests for client accounts and keep their keys from everything behind this host

Cause: a configuration with accounts was decoded but had no effect: every request was served, its key went to the endpoint and callers chose their own `Tenant`.

Change: `AccountDirectory` finds an account by its key, and `AccountAccess` decides for which account a request is served: 401 (`key_unknown`) without a known key, else a request without `Authorization` and the caller's `Tenant`, with the account's name and rank. The decision is repeated when a configuration is applied and before each attempt. Other hosts get the account's name in the forwarding header. Invalid parts of accounts are logged once per version. A rank of an account has to be an integer, as messages between hosts carry it as one. Configurations without accounts are served as before. `AttemptHistory` and `TransientWait` are moved out of `ProxiedRequest`.

--- a/features/steps/endpointLimits.ts
+++ b/features/steps/endpointLimits.ts
@@ -246,6 +246,7 @@
     request: { model: fleetModel, adapter: `a${index}`, promptTokens: 100, maxTokens: 20, promptSegments: [] } as unknown as CallerRequest,
     route,
     service: engineService,
+    account: undefined,
     softwareVersion: undefined,
     isResumed: false,
     attemptedEndpointIds: [],
--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -10,7 +10,7 @@
 import { HostRetryBudget } from '../../src/core/hostRetryBudget.js'
 import { createCrashRefusal } from '../../src/core/suspectRegistry.js'
 import { decodePlatformRow } from '../../src/platform/decodePlatformRow.js'
-import { decodeAnswerHead, encodeRefusalHeaders, encodeRequestHeaders } from '../../src/platform/requestWire.js'
+import { decodeAnswerHead, encodeRefusalHeaders, encodeRequestHeaders, removeAccountHeaders } from '../../src/platform/requestWire.js'
 import { encodeConfigurationRow, encodeEndpointRow } from '../../src/platform/standinWire.js'
 import type { OutgoingRequest, ResponseReceiver } from '../../src/ports/endpointLink.js'
 import type { CallerRequest } from '../../src/schemas/callerRequest.js'
@@ -90,7 +90,8 @@
     random: () => 0,
     encodeRequestHeaders,
     decodeAnswerHead,
-    encodeRefusalHeaders
+    encodeRefusalHeaders,
+    removeAccountHeaders
   } satisfies Partial<ProxyContext> as unknown as ProxyContext
   const callerRequest: CallerRequest = {
     requestId: 'r1', method: 'POST', callerKey: '', path: `${fleetPaths.stream}x`, host: fleetHost, headers: [], body: Buffer.from('a question'), receivedAtMs: clock.readMonotonic(), timeLeftMs: 4000, lastEventId: undefined, isResumption: false, resumedRequestId: undefined, model: fleetModel, adapter: 'a1', promptTokens: 100, maxTokens: 20, promptSegments: []
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -5,7 +5,7 @@
 import type { ClusterView } from '../core/clusterView.js'
 import { InFlightRequests } from '../core/inFlightRequests.js'
 import { HostRetryBudget } from '../core/hostRetryBudget.js'
-import { decodeAnswerHead, decodeRequest, encodeRefusalHeaders, encodeRequestHeaders } from '../platform/requestWire.js'
+import { decodeAnswerHead, decodeRequest, encodeRefusalHeaders, encodeRequestHeaders, removeAccountHeaders } from '../platform/requestWire.js'
 import type { Clock } from '../ports/clock.js'
 import type { EndpointLink } from '../ports/endpointLink.js'
 import type { EventLog } from '../ports/eventLog.js'
@@ -122,7 +122,8 @@
     random,
     encodeRequestHeaders,
     decodeAnswerHead,
-    encodeRefusalHeaders
+    encodeRefusalHeaders,
+    removeAccountHeaders
   }
   const maxHeldBytes = settings.memoryMb * 1024 * 1024 * bufferedBodiesMemoryFraction
   const callerListener = createListener(context, { address: settings.callersAddress, decodeRequest, maxHeldBytes })
@@ -143,6 +144,7 @@
       const routes = new Set(clusterView.routes?.configuration.routes.map(route => route.name))
       callerTimeouts.retainRoutes(routes)
       shutdown.retainRoutes(routes)
+      inFlightRequests.notifyConfiguration()
     }
   }
 }
--- a/src/core/clusterView.ts
+++ b/src/core/clusterView.ts
@@ -2,7 +2,7 @@
 import type { StoreRow } from '../ports/store.js'
 import { decodeHostsRow, decodeRenewal, hostsTable, parseHostsKey, renewalsTable } from '../schemas/hostRows.js'
 import type { HostRow, OwnerRow, RenewalRow, ServiceVersionsRow, SuspectRow, WrittenInEra } from '../schemas/hostRows.js'
-import type { AdapterVersion, EndpointEntry, RoutingConfiguration } from '../schemas/routing.js'
+import type { AccountDefect, AdapterVersion, EndpointEntry, RoutingConfiguration } from '../schemas/routing.js'
 import { ConfigurationOrder } from './configurationOrder.js'
 import { EndpointDirectory } from './endpointDirectory.js'
 import { RouteTable } from './routeTable.js'
@@ -46,7 +46,7 @@
 
 /** A change of the cluster view. */
 export type ClusterViewChange =
-  | { kind: 'configuration', version: number, previousVersion: number | undefined }
+  | { kind: 'configuration', version: number, previousVersion: number | undefined, accountDefects: readonly AccountDefect[] }
   | { kind: 'version', version: AdapterVersion }
   | { kind: 'endpoint', id: string, entry: EndpointEntry | undefined }
   | { kind: 'owner', endpointId: string, owner: KnownOwner | undefined }
@@ -184,7 +184,7 @@
   #putInForce (configuration: RoutingConfiguration): ClusterViewChange {
     const previousVersion = this.#routes?.configuration.version
     this.#routes = new RouteTable(configuration)
-    return { kind: 'configuration', version: configuration.version, previousVersion }
+    return { kind: 'configuration', version: configuration.version, previousVersion, accountDefects: configuration.accountDefects ?? [] }
   }
 
   #applyVersion (version: AdapterVersion): ClusterViewChange | undefined {
--- a/src/core/inFlightRequests.ts
+++ b/src/core/inFlightRequests.ts
@@ -3,6 +3,8 @@
 export interface InFlightRequest {
   /** Called when the request's fingerprint was found to crash endpoints. */
   receiveRefusal: () => void
+  /** Called when a new configuration has been applied; several times for a request with several fingerprints. */
+  receiveConfiguration: () => void
 }
 
 export class InFlightRequests {
@@ -23,4 +25,9 @@
   refuse (fingerprint: string): void {
     for (const request of [...this.#requests.get(fingerprint) ?? []]) request.receiveRefusal()
   }
+
+  /** Notifies every request in flight that a new configuration has been applied. */
+  notifyConfiguration (): void {
+    for (const request of [...this.#requests.values()].flatMap(requests => [...requests])) request.receiveConfiguration()
+  }
 }
--- a/src/core/routeTable.ts
+++ b/src/core/routeTable.ts
@@ -1,4 +1,5 @@
 /** Finds the route of a request by its host name and the longest matching path prefix. */
+import { AccountDirectory } from './accountDirectory.js'
 import type { Route, RouteTarget, RoutingConfiguration } from '../schemas/routing.js'
 
 /**
@@ -9,10 +10,13 @@
  */
 export class RouteTable {
   readonly configuration: RoutingConfiguration
+  /** Undefined if the configuration has no accounts, so that no keys are checked. */
+  readonly accounts: AccountDirectory | undefined
   #routes = new Map<string, Route>()
 
   constructor (configuration: RoutingConfiguration) {
     this.configuration = configuration
+    this.accounts = configuration.accounts && new AccountDirectory(configuration.accounts)
     for (const route of configuration.routes) this.#routes.set(`${route.hostname}${route.prefix}`, route)
   }
 
--- a/src/platform/decodeAccounts.ts
+++ b/src/platform/decodeAccounts.ts
@@ -3,6 +3,7 @@
 import type { Static } from '@sinclair/typebox'
 import { TypeCompiler } from '@sinclair/typebox/compiler'
 import type { AccountDefect, AccountQuota, ClientAccount, RoutingConfiguration } from '../schemas/routing.js'
+import { maxApiKeyLength } from './wireNames.js'
 
 const accountSchema = Type.Object({
   name: Type.String({ minLength: 1 }),
@@ -44,16 +45,24 @@
 }
 
 function decodeAccount (entry: AccountEntry, report: ReportDefect): ClientAccount {
-  const keys = (entry.apiKeys ?? []).filter(key => typeof key === 'string' && keyPattern.test(key)) as string[]
-  if (keys.length < (entry.apiKeys?.length ?? 0)) report(entry.name, 'a key is not a text without spaces')
+  const keys = (entry.apiKeys ?? []).filter(key => typeof key === 'string' && key.length <= maxApiKeyLength && keyPattern.test(key)) as string[]
+  if (keys.length < (entry.apiKeys?.length ?? 0)) report(entry.name, `a key is not a text without spaces of at most ${maxApiKeyLength} characters`)
   return {
     name: entry.name,
     keys: [...new Set(keys)],
-    rank: decodeAmount(entry, 'priority', report),
+    rank: decodeRank(entry, report),
     quota: decodeQuota(entry, report)
   }
 }
 
+/** Messages between hosts carry ranks as integers. */
+function decodeRank (entry: AccountEntry, report: ReportDefect): number | undefined {
+  const rank = decodeAmount(entry, 'priority', report)
+  if (rank === undefined || Number.isSafeInteger(rank)) return rank
+  report(entry.name, '"priority" is not an integer')
+  return undefined
+}
+
 /** A rate or burst that is 0 or left out sets no limit of its own. */
 function decodeQuota (entry: AccountEntry, report: ReportDefect): AccountQuota | undefined {
   const perSecond = decodeAmount(entry, 'ratePerS', report) ?? 0
--- a/src/platform/requestWire.ts
+++ b/src/platform/requestWire.ts
@@ -1,7 +1,7 @@
 /** Decodes callers' requests, encodes them for endpoints, and decodes the heads of the endpoints' responses. */
 import type { IncomingMessage } from 'node:http'
 import type { ResponseHead, CallerRequest, EndpointLoad, SystemRequestFields } from '../schemas/callerRequest.js'
-import { reservedHeaders, wireHeaders } from './wireNames.js'
+import { maxApiKeyLength, reservedHeaders, wireHeaders } from './wireNames.js'
 
 /** Hop-by-hop headers, which apply to a single connection and are not forwarded. */
 const hopByHopHeaders = new Set([
@@ -19,14 +19,16 @@
   const { headers } = message
   const modelName = joinHeaderValues(headers[wireHeaders.model])
   const slash = modelName.indexOf('/')
+  const { forwarded, credentials } = filterHeaders(message)
   const [promptTokens = 0, maxTokens = 0] = joinHeaderValues(headers[wireHeaders.tokens]).split(',').map(parseNumberOrZero)
   return {
     requestId: joinHeaderValues(headers[wireHeaders.requestId]) || undefined,
     method: message.method ?? 'GET',
     callerKey: joinHeaderValues(headers.authorization),
+    apiKey: decodeApiKey(credentials),
     path: message.url ?? '/',
     host: headers.host ?? '',
-    headers: filterHeaders(message),
+    headers: forwarded,
     body,
     receivedAtMs,
     timeLeftMs: parseOptionalNumber(headers[wireHeaders.timeLeftMs]),
@@ -55,16 +57,36 @@
   return pairs.map(([, id, tokens]) => ({ id: id!.toLowerCase(), tokens: Number(tokens) }))
 }
 
-function filterHeaders (message: IncomingMessage): string[] {
+/** Whitespace surrounds the key at most; one that holds any is of no account. */
+const apiKeyPattern = /^bearer +(\S+)\s*$/i
+
+/** Returns the key that identifies a client account; undefined if there is none, or more than one line that could hold it. */
+function decodeApiKey ([credentials, ...others]: readonly string[]): string | undefined {
+  const key = credentials === undefined || others.length > 0 ? undefined : apiKeyPattern.exec(credentials)?.[1]
+  return key !== undefined && key.length <= maxApiKeyLength ? key : undefined
+}
+
+/** Removes the credentials of a caller, and the account that it names itself, from headers that are names and values in turn. */
+export function removeAccountHeaders (headers: readonly string[]): string[] {
+  return headers.filter((_, index) => {
+    const name = headers[index - index % 2]!.toLowerCase()
+    return name !== wireHeaders.credentials && name !== wireHeaders.account
+  })
+}
+
+/** Returns the headers that are forwarded, and the values of all lines that hold credentials, of which Node.js keeps only the first. */
+function filterHeaders (message: IncomingMessage): { forwarded: string[], credentials: string[] } {
   const connectionHeaders = new Set(joinHeaderValues(message.headers.connection).toLowerCase().split(',').map(name => name.trim()))
   const forwarded: string[] = []
+  const credentials: string[] = []
   const { rawHeaders } = message
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index]!.toLowerCase()
+    if (name === wireHeaders.credentials) credentials.push(rawHeaders[index + 1]!)
     if (hopByHopHeaders.has(name) || reservedHeaders.has(name) || connectionHeaders.has(name)) continue
     forwarded.push(rawHeaders[index]!, rawHeaders[index + 1]!)
   }
-  return forwarded
+  return { forwarded, credentials }
 }
 
 /** Encodes the headers with which a request is sent to an endpoint. Returns names and values in turn. */
@@ -80,6 +102,7 @@
   if (systemFields.version > 0) headers.push(wireHeaders.expectVersion, String(systemFields.version))
   if (systemFields.priority !== undefined) headers.push(wireHeaders.priority, String(systemFields.priority))
   if (systemFields.lastEventId !== undefined) headers.push(wireHeaders.lastEventId, String(systemFields.lastEventId))
+  if (request.account) headers.push(wireHeaders.account, request.account)
   return headers
 }
 
--- a/src/platform/wireNames.ts
+++ b/src/platform/wireNames.ts
@@ -28,7 +28,11 @@
   storeEra: 'store-era',
   versions: 'weight-versions',
   expectVersion: 'expect-version',
-  lengthHint: 'length-hint'
+  lengthHint: 'length-hint',
+  /** Credentials of a caller; where the configuration has accounts, the key of one. */
+  credentials: 'authorization',
+  /** Name of the client account that a request is of. */
+  account: 'tenant'
 })
 
 /** Headers that only this system and its endpoints set; values that callers send under these names are not forwarded. */
@@ -38,6 +42,9 @@
   'pin-ms', 'hold', 'kv-backup', 'kv-from', 'kv-fetch'
 ])
 
+/** Longer keys of client accounts are invalid, in the configuration and in requests. */
+export const maxApiKeyLength = 4096
+
 export const wirePaths = Object.freeze({
   readiness: '/sedgevalve/readiness',
   order: '/sedgevalve/order',
--- a/src/schemas/callerRequest.ts
+++ b/src/schemas/callerRequest.ts
@@ -7,6 +7,10 @@
   readonly method: string
   /** Key that identifies the caller; empty if it sent none. */
   readonly callerKey: string
+  /** Key by which the caller's account is found; undefined if it sent none, or several. */
+  readonly apiKey?: string | undefined
+  /** Name of the caller's account; empty if it has none and needs none, undefined if no keys are checked. */
+  readonly account?: string | undefined
   readonly path: string
   readonly host: string
   /** Alternating names and values, without hop-by-hop headers and headers that only the system sets. */
--- a/src/schemas/forwarding.ts
+++ b/src/schemas/forwarding.ts
@@ -15,7 +15,9 @@
   /** Endpoints that the request was sent to. */
   attemptedEndpointIds: Type.Array(Type.String()),
   /** How often the request may have run. */
-  runs: Type.Integer({ minimum: 0 })
+  runs: Type.Integer({ minimum: 0 }),
+  /** Name of the client account that the sending host found by the caller's key; empty if the route needs none, absent if it checked no key. */
+  account: Type.Optional(Type.Union([Type.String(), Type.Undefined()]))
 })
 export type ForwardedFields = Static<typeof forwardedFieldsSchema>
 
--- a/src/tasks/clusterView/logClusterViewChange.ts
+++ b/src/tasks/clusterView/logClusterViewChange.ts
@@ -1,6 +1,7 @@
 /** Logs changes of a host's cluster view. */
 import type { ClusterViewChange } from '../../core/clusterView.js'
 import type { EventLog } from '../../ports/eventLog.js'
+import type { AccountDefect } from '../../schemas/routing.js'
 
 /** How a change reached this host. */
 export interface ClusterViewChangeOrigin {
@@ -13,6 +14,7 @@
 export function logClusterViewChange (log: EventLog, change: ClusterViewChange, getOrigin: () => ClusterViewChangeOrigin): void {
   if (change.kind === 'configuration') {
     log.record('configuration.applied', 'Configuration applied.', { version: change.version, before: change.previousVersion, ...getOrigin() })
+    if (change.accountDefects.length > 0) logAccountDefects(log, change.version, change.accountDefects)
   } else if (change.kind === 'version') {
     log.record('version.declared', 'New adapter version declared.', { ...change.version })
   } else if (change.kind === 'unreadable') {
@@ -26,3 +28,12 @@
     log.record('owner.changed', 'Endpoint owner changed.', { endpointId: change.endpointId, owner: change.owner?.row.host, version: change.owner?.version, era: change.owner?.row.era })
   }
 }
+
+/** A configuration may hold thousands of invalid accounts. */
+const maxListedDefects = 20
+
+function logAccountDefects (log: EventLog, version: number, defects: readonly AccountDefect[]): void {
+  log.record('configuration.accountInvalid', 'Parts of client accounts are invalid and were left out.', {
+    version, count: defects.length, defects: defects.slice(0, maxListedDefects).map(({ account, reason }) => `${account}: ${reason}`)
+  })
+}
--- a/src/tasks/proxy/attemptTarget.ts
+++ b/src/tasks/proxy/attemptTarget.ts
@@ -61,7 +61,7 @@
   { encodeRequestHeaders, decodeAnswerHead }: Pick<ProxyContext, 'encodeRequestHeaders' | 'decodeAnswerHead'>,
   { row, link }: ForwardingPeer,
   fields: ForwardedFields,
-  { receiveReply, receiveBegun }: Pick<AttemptTarget, 'receiveBegun'> & { receiveReply: (reply: ForwardingReply) => void }
+  { isAvailable, receiveReply, receiveBegun }: Pick<AttemptTarget, 'isAvailable' | 'receiveBegun'> & { receiveReply: (reply: ForwardingReply) => void }
 ): AttemptTarget {
   return {
     id: `host ${row.session}`,
@@ -72,7 +72,7 @@
       receiveReply(reply)
       return head
     },
-    isAvailable: () => true,
+    isAvailable,
     receiveBegun,
     release: () => {}
   }
--- a/src/tasks/proxy/endpointSelector.ts
+++ b/src/tasks/proxy/endpointSelector.ts
@@ -25,6 +25,8 @@
   request: CallerRequest
   route: Route
   service: string
+  /** Name of the client account that the request is of; undefined if it is of none. */
+  account: string | undefined
   /** Software version of the endpoints that may serve the request; undefined if all may. */
   softwareVersion: string | undefined
   /** Whether the request goes on with a stream. */
--- a/src/tasks/proxy/forwardingAttempts.ts
+++ b/src/tasks/proxy/forwardingAttempts.ts
@@ -44,10 +44,10 @@
     return this.#context.forwarder.selectPeer(this.#triedSessions)
   }
 
-  createTarget (peer: ForwardingPeer, fields: ForwardedFields, receiveBegun: () => void): AttemptTarget {
+  createTarget (peer: ForwardingPeer, fields: ForwardedFields, callbacks: Pick<AttemptTarget, 'isAvailable' | 'receiveBegun'>): AttemptTarget {
     this.#hosts.push(peer.row.host)
     this.#reply = {}
-    return createPeerTarget(this.#context, peer, fields, { receiveReply: reply => { this.#reply = reply }, receiveBegun })
+    return createPeerTarget(this.#context, peer, fields, { ...callbacks, receiveReply: reply => { this.#reply = reply } })
   }
 
   /** Records that an attempt through a host has failed. */
--- a/src/tasks/proxy/logRequestEnd.ts
+++ b/src/tasks/proxy/logRequestEnd.ts
@@ -3,7 +3,7 @@
 import type { EventFields, EventLog } from '../../ports/eventLog.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
 import type { Route } from '../../schemas/routing.js'
-import type { ReservationSearch } from './endpointSelector.js'
+import type { AttemptHistory } from './attemptHistory.js'
 
 export interface RequestSummary {
   readonly request: CallerRequest
@@ -17,14 +17,9 @@
   readonly code: string | undefined
   readonly reason: string
   readonly status: number | undefined
-  readonly attemptedEndpointIds: readonly string[]
-  readonly softwareVersions: readonly string[]
+  readonly history: AttemptHistory
   /** Hosts that the request was sent through. */
   readonly hosts: readonly string[]
-  readonly sendCount: number
-  readonly runCount: number
-  readonly searches: readonly ReservationSearch[]
-  readonly selectionMs: number
   /** -1 if no part of a response has arrived. */
   readonly firstChunkMs: number
   /** When the last attempt was written to its connection and its target was last heard; undefined where that is of no interest. */
@@ -34,12 +29,13 @@
 
 /** Records the end of a request; `outcome` is the last part of the line's kind. */
 export function logRequestEnd (log: EventLog, outcome: string, summary: RequestSummary): void {
-  const { request, route, hosts, lastAttempt } = summary
+  const { request, route, history, hosts, lastAttempt } = summary
   log.record(`request.${outcome}`, 'A request has ended.', {
     requestId: request.requestId,
     content: summary.fingerprint,
     route: route?.name,
     work: route?.kind,
+    ...(request.account && { account: request.account }),
     code: summary.code,
     service: summary.service,
     adapter: request.adapter,
@@ -51,14 +47,14 @@
     status: summary.status,
     lastEventId: request.lastEventId,
     resumedRequestId: request.resumedRequestId,
-    tried: [...summary.attemptedEndpointIds],
-    versions: [...summary.softwareVersions],
+    tried: [...history.endpointIds],
+    versions: [...history.softwareVersions],
     ...(hosts.length > 0 && { via: [...hosts] }),
     ...(request.forwarded && { isForwarded: true }),
-    sends: summary.sendCount,
-    runs: summary.runCount,
-    searches: [...summary.searches],
-    placeMs: Math.round(summary.selectionMs),
+    sends: history.sendCount,
+    runs: history.runCount,
+    searches: [...history.searches],
+    placeMs: Math.round(history.selectionMs),
     firstPartMs: Math.round(summary.firstChunkMs),
     ...(lastAttempt && describeLastAttempt(lastAttempt, summary.nowMs)),
     tookMs: Math.round(summary.nowMs - request.receivedAtMs),
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -13,24 +13,23 @@
 import type { AttemptResult } from './requestAttempt.js'
 import { createReplyHeaders } from '../forwarding/forwardingHeaders.js'
 import type { ForwardingPeer } from '../forwarding/requestForwarder.js'
+import { AttemptHistory } from './attemptHistory.js'
 import { createEndpointTarget } from './attemptTarget.js'
 import type { AttemptTarget } from './attemptTarget.js'
+import { AccountAccess } from './accountAccess.js'
+import type { Admission } from './accountAccess.js'
 import { logRequestEnd } from './logRequestEnd.js'
 import { isEndpointAvailable } from './endpointAvailability.js'
 import { recordInterruption } from './recordInterruption.js'
-import { createRefusal, defaultRetryAfterMs, internalErrorReason, stoppingCode, stoppingRetryMs, unreachableCode, unreachableRetryMs } from './refusals.js'
+import { createRefusal, defaultRetryAfterMs, internalErrorReason, stoppingCode, stoppingRetryMs, unauthorizedStatus, unknownKeyReason, unreachableCode, unreachableRetryMs } from './refusals.js'
 import type { Refusal } from './refusals.js'
 import { RequestRetries } from './requestRetries.js'
 import { computeDueTimes, computeSpentMs, defaultTimeLeftMs } from './dueTimes.js'
 import { ForwardingAttempts } from './forwardingAttempts.js'
+import { TransientWait } from './transientWait.js'
 import type { CallerResponse } from './callerResponse.js'
 import type { ProxyContext } from './proxyContext.js'
-import type { ReservationSearch, SelectedEndpoint } from './endpointSelector.js'
-
-/** Interval at which a request checks again while this host is starting or the owner of an engine is changing. */
-const transientCheckIntervalMs = 50
-/** The takeover of an endpoint takes some 350 ms, as do the first cluster updates after a start. */
-const maxTransientWaitMs = 450
+import type { SelectedEndpoint } from './endpointSelector.js'
 
 export class ProxiedRequest implements InFlightRequest {
   #context: ProxyContext
@@ -39,6 +38,8 @@
   #forwarding: ForwardingAttempts
   #retries: RequestRetries
   #route: Route | undefined
+  #access: AccountAccess | undefined
+  #admission: Admission | undefined
   #service = ''
   /** Software version of the endpoints that may go on with the stream; undefined before its first event. */
   #softwareVersion: string | undefined
@@ -57,22 +58,11 @@
   #timer: Timer | undefined
   #attempt: RequestAttempt | undefined
   #isSending = false
-  #attemptedEndpointIds: string[] = []
-  /** Software versions of these endpoints. */
-  #softwareVersions: string[] = []
-  #runCount = 0
-  #sendCount = 0
+  #history: AttemptHistory
   #hasEnded = false
   /** Whether the caller has probably left, so that no further attempt follows. */
   #isCallerUnknown = false
-  /** Time spent waiting for transient conditions to end. */
-  #transientWaitMs = 0
-  /** Time spent selecting endpoints, including the wait for reservations. */
-  #selectionMs = 0
-  #reservationSearches: ReservationSearch[] = []
-  /** Whether any endpoint may have run the request. */
-  #mayHaveRun = false
-  #retryAfterMs: number | undefined
+  #transientWait: TransientWait
   /** Error response of an endpoint, which is relayed to the caller if the request is given up. */
   #bufferedResponse: AttemptResult['bufferedResponse']
 
@@ -82,9 +72,9 @@
     this.#response = response
     this.#forwarding = new ForwardingAttempts(context, request)
     this.#retries = new RequestRetries(context)
+    this.#transientWait = new TransientWait(context.clock)
     this.#softwareVersion = request.forwarded?.softwareVersion
-    this.#attemptedEndpointIds = [...request.forwarded?.attemptedEndpointIds ?? []]
-    this.#runCount = request.forwarded?.runs ?? 0
+    this.#history = new AttemptHistory(request.forwarded)
   }
 
   receiveCallerDisconnect (): void {
@@ -108,6 +98,11 @@
     this.#giveUp({ verdict, reason: 'this host has stopped', status: undefined }, stoppingRetryMs, stoppingCode)
   }
 
+  /** Called when a new configuration has been applied, which may have removed the request's key. */
+  receiveConfiguration (): void {
+    if (!this.#isSent) this.#refuseIfKeyUnknown()
+  }
+
   receiveUnknownCaller (): void {
     this.#isCallerUnknown = true
     const mustComplete = this.#isSent && !isRetryable(this.#route!.kind, this.#route!.isResumable)
@@ -118,7 +113,7 @@
   #endForUnknownCaller (): void {
     if (this.#hasEnded) return
     const reason = 'the caller has ended its side of the connection, and may have left'
-    const status = this.#isSent || this.#mayHaveRun ? 502 : 503
+    const status = this.#isSent || this.#history.mayHaveRun ? 502 : 503
     this.#attempt?.cancel()
     this.#finish('left', reason, undefined, 'caller_left')
     if (this.#response.hasHead) this.#response.abort()
@@ -138,19 +133,21 @@
 
   async serve (): Promise<void> {
     const { clusterView, clock, callerTimeouts, retryBudget, random, inFlightRequests } = this.#context
-    const request = this.#request
-    while (!clusterView.routes && await this.#waitForTransient()) { /* A host that is starting receives its first cluster updates shortly. */ }
+    while (!clusterView.routes && !this.#hasEnded && await this.#transientWait.wait()) { /* A host that is starting receives its first cluster updates shortly. */ }
     if (this.#hasEnded) return
     if (!clusterView.routes) {
       this.#refuse('no_configuration', 'this host has no configuration yet', defaultRetryAfterMs)
       return
     }
-    const route = clusterView.routes.findRoute(request.host, request.path)
-    if (!route) {
+    const configuredRoute = clusterView.routes.findRoute(this.#request.host, this.#request.path)
+    if (!configuredRoute) {
       this.#respond(404, 'route_unknown', 'no route matches the host and path')
       return
     }
-    this.#route = route
+    this.#route = configuredRoute
+    this.#access = new AccountAccess(this.#context, this.#request, configuredRoute)
+    if (this.#refuseIfKeyUnknown()) return
+    const { request, route } = this.#admission!
     this.#fingerprint = computeRequestFingerprint(request)
     this.#suspectParts = listSuspectParts(request, clusterView.findAdapterVersion(request.model, request.adapter))
     this.#service = this.#request.forwarded?.service ?? pickService(route.targets, random()) ?? ''
@@ -198,11 +195,26 @@
     }
     if (this.#response.hasHead) this.#abort(refusal.message)
     else if (refusal.retryAfterMs === undefined) this.#respond(refusal.status, refusal.code, refusal.message)
-    else if (this.#mayHaveRun || this.#isSending) this.#respond(502, refusal.code, refusal.message)
+    else if (this.#history.mayHaveRun || this.#isSending) this.#respond(502, refusal.code, refusal.message)
     else this.#refuse(refusal.code, refusal.message, refusal.retryAfterMs)
     return true
   }
 
+  /** Refuses the request if it needs the key of an account and has none that is valid now; returns false if it may run. */
+  #refuseIfKeyUnknown (): boolean {
+    if (this.#hasEnded) return true
+    this.#admission = this.#access!.check(this.#context.clusterView.routes!)
+    if (this.#admission) {
+      this.#request = this.#admission.request
+      this.#route = this.#admission.route
+      return false
+    }
+    this.#attempt?.cancel()
+    if (this.#history.mayHaveRun || this.#response.hasHead) this.#giveUp({ verdict: 'notRun', reason: unknownKeyReason, status: undefined }, undefined)
+    else this.#respond(unauthorizedStatus, 'key_unknown', unknownKeyReason)
+    return true
+  }
+
   /** Gives the request up if it cannot be expected to end before this host stops; returns false if it may run. */
   #refuseIfStopping (route: Route): boolean {
     if (this.#hasEnded || this.#context.shutdown.canComplete(route, this.#deadlineAtMs)) return this.#hasEnded
@@ -220,7 +232,7 @@
 
   async #run (route: Route): Promise<void> {
     const { clock } = this.#context
-    while (!this.#refuseIfCrashing() && !this.#refuseIfStopping(route)) {
+    while (!this.#refuseIfKeyUnknown() && !this.#refuseIfCrashing() && !this.#refuseIfStopping(route)) {
       if (this.#isCallerUnknown) return this.#endForUnknownCaller()
       if (this.#context.forwarder.isStranded(this.#service)) {
         if (!await this.#forward(route)) return
@@ -228,15 +240,14 @@
       }
       const selectionStartedAtMs = clock.readMonotonic()
       const selection = await this.#context.endpointSelector.selectEndpoint({
-        request: this.#request, route, service: this.#service, softwareVersion: this.#softwareVersion, isResumed: this.#request.isResumption || this.#response.hasHead, attemptedEndpointIds: this.#attemptedEndpointIds, ...computeDueTimes({ request: this.#request, route, dueAtMs: this.#dueAtMs, lastChunkAtMs: this.#lastChunkAtMs }), deadlineAtMs: this.#getDeadlineAtMs(), hasEnded: () => this.#hasEnded
+        request: this.#request, route: this.#route!, service: this.#service, account: this.#request.account || undefined, softwareVersion: this.#softwareVersion, isResumed: this.#request.isResumption || this.#response.hasHead, attemptedEndpointIds: this.#history.endpointIds, ...computeDueTimes({ request: this.#request, route, dueAtMs: this.#dueAtMs, lastChunkAtMs: this.#lastChunkAtMs }), deadlineAtMs: this.#getDeadlineAtMs(), hasEnded: () => this.#hasEnded
       })
-      this.#selectionMs += clock.readMonotonic() - selectionStartedAtMs
-      if (selection.search) this.#reservationSearches.push(selection.search)
-      if (this.#hasEnded || this.#refuseIfCrashing() || this.#refuseIfStopping(route)) {
+      this.#history.recordSelection(selection, clock.readMonotonic() - selectionStartedAtMs)
+      if (this.#refuseIfKeyUnknown() || this.#refuseIfCrashing() || this.#refuseIfStopping(route)) {
         if (selection.kind === 'found') selection.target.release('withdrawn', -1)
         return
       }
-      if (selection.kind === 'none' && selection.isTransient && await this.#waitForTransient()) continue
+      if (selection.kind === 'none' && selection.isTransient && await this.#transientWait.wait()) continue
       if (this.#hasEnded) return
       if (selection.kind === 'none') {
         this.#giveUp({ verdict: 'notRun', reason: selection.message, status: undefined }, selection.retryAfterMs)
@@ -252,7 +263,7 @@
         this.#giveUp({ verdict: 'notRun', reason: 'the retry budget is exhausted', status: undefined }, undefined)
         return
       }
-      const wasAttempted = this.#attemptedEndpointIds.includes(selection.target.endpoint.id)
+      const wasAttempted = this.#history.endpointIds.includes(selection.target.endpoint.id)
       const failure = await this.#send(selection.target, route)
       if (!failure || this.#hasEnded || this.#refuseIfCrashing()) return
       // Repeating a request that may have crashed its engine would take the next one along.
@@ -261,35 +272,26 @@
         return
       }
       this.#context.log.record('request.retried', 'An attempt failed; the request is retried.', {
-        requestId: this.#request.requestId, content: this.#fingerprint, route: route.name, endpointId: selection.target.endpoint.id, verdict: failure.verdict, reason: failure.reason, runs: this.#runCount
+        requestId: this.#request.requestId, content: this.#fingerprint, route: route.name, endpointId: selection.target.endpoint.id, verdict: failure.verdict, reason: failure.reason, runs: this.#history.runCount
       })
       // While no endpoint takes connections, this host may have lost its links to all, which it knows shortly.
-      if (wasAttempted && !this.#attempt?.isSent) await new Promise<void>(resolve => { clock.setTimer(resolve, transientCheckIntervalMs) })
+      if (wasAttempted && !this.#attempt?.isSent) await this.#transientWait.waitInterval()
     }
   }
 
   #createRetryView (route: Route): Parameters<typeof canRetryAttempt>[1] {
     const timeLeftMs = this.#getDeadlineAtMs() - this.#context.clock.readMonotonic()
-    return { kind: route.kind, isResumable: route.isResumable, possibleRuns: this.#runCount, maxAttempts: route.maxAttempts, timeLeftMs, hasSentAnswer: this.#response.hasHead, canBeFollowed: this.#attempt?.canBeFollowed ?? true }
-  }
-
-  /** Waits for one check interval; returns false once the limit on these waits is reached or the request has ended. */
-  async #waitForTransient (): Promise<boolean> {
-    if (this.#transientWaitMs >= maxTransientWaitMs || this.#hasEnded) return false
-    this.#transientWaitMs += transientCheckIntervalMs
-    await new Promise<void>(resolve => { this.#context.clock.setTimer(resolve, transientCheckIntervalMs) })
-    return !this.#hasEnded
+    return { kind: route.kind, isResumable: route.isResumable, possibleRuns: this.#history.runCount, maxAttempts: route.maxAttempts, timeLeftMs, hasSentAnswer: this.#response.hasHead, canBeFollowed: this.#attempt?.canBeFollowed ?? true }
   }
 
   /** Runs one attempt; returns its failure, or undefined if the caller has received its response. */
   async #send (target: SelectedEndpoint, route: Route): Promise<AttemptFailure | undefined> {
-    this.#sendCount++
-    this.#attemptedEndpointIds.push(target.endpoint.id)
-    this.#softwareVersions.push(target.endpoint.softwareVersion)
+    this.#history.recordSend(target.endpoint)
     this.#context.noticeTask.recordSend(target.endpoint.id, target.isGranted)
     const sentAtMs = this.#context.clock.readMonotonic()
-    const result = await this.#runAttempt(route, createEndpointTarget(this.#context, this.#request, target, {
-      isAvailable: () => isEndpointAvailable(this.#context, target.endpoint),
+    const request = this.#request
+    const result = await this.#runAttempt(route, createEndpointTarget(this.#context, request, target, {
+      isAvailable: () => this.#request === request && isEndpointAvailable(this.#context, target.endpoint),
       receiveBegun: () => this.#receiveBegun(route, target)
     }), this.#request.forwarded ? createReplyHeaders({ softwareVersion: target.endpoint.softwareVersion }) : [])
     if (this.#attempt!.isSent) this.#retries.recordArrival()
@@ -303,16 +305,15 @@
     }
     this.#bufferedResponse = result.bufferedResponse ?? this.#bufferedResponse
     if (result.failure.verdict !== 'notRun') {
-      this.#mayHaveRun = true
+      this.#history.recordPossibleRun()
       this.#isTrial = false
-      this.#runCount++
     }
     if (isInterrupted(result.failure)) {
       this.#isPossibleCause = await recordInterruption(this.#context, target, {
         requestId: this.#request.requestId, content: this.#fingerprint, parts: this.#suspectParts, hasBegun: this.#attempt!.hasBegun, sentAtMs, reason: result.failure.reason
       })
     }
-    this.#retryAfterMs = result.retryAfterMs ?? this.#retryAfterMs
+    this.#history.retryAfterMs = result.retryAfterMs ?? this.#history.retryAfterMs
     return result.failure
   }
 
@@ -348,9 +349,13 @@
       this.#giveUp({ verdict: 'notRun', reason, status: undefined }, unreachableRetryMs, peer ? undefined : unreachableCode)
       return false
     }
-    const fields = { service: this.#service, softwareVersion: this.#softwareVersion, attemptedEndpointIds: this.#attemptedEndpointIds, runs: this.#runCount }
-    const result = await this.#runAttempt(route, this.#forwarding.createTarget(peer, fields, () => {
-      if (route.kind === 'stream') this.#softwareVersion = this.#forwarding.softwareVersion ?? this.#softwareVersion
+    const fields = { service: this.#service, softwareVersion: this.#softwareVersion, attemptedEndpointIds: this.#history.endpointIds, runs: this.#history.runCount, account: this.#request.account }
+    const request = this.#request
+    const result = await this.#runAttempt(route, this.#forwarding.createTarget(peer, fields, {
+      isAvailable: () => this.#request === request,
+      receiveBegun: () => {
+        if (route.kind === 'stream') this.#softwareVersion = this.#forwarding.softwareVersion ?? this.#softwareVersion
+      }
     }), [])
     if (result.kind === 'answered') {
       forwarder.recordResponse(peer)
@@ -364,9 +369,8 @@
   #receiveForwardingFailure (route: Route, peer: ForwardingPeer, { failure, bufferedResponse, retryAfterMs }: Extract<AttemptResult, { kind: 'failed' }>): boolean {
     const verdict = this.#forwarding.recordFailure(peer, failure)
     if (failure.verdict !== 'notRun') {
-      this.#mayHaveRun = true
+      this.#history.recordPossibleRun()
       this.#retries.recordArrival()
-      this.#runCount++
     }
     this.#bufferedResponse = bufferedResponse ?? this.#bufferedResponse
     if (verdict === 'elsewhere' && canRetryAttempt(failure, this.#createRetryView(route))) return true
@@ -378,8 +382,8 @@
     const isSent = this.#attempt?.isSent ?? false
     this.#attempt?.cancel()
     if (this.#response.hasHead) this.#abort('the deadline of the request has passed')
-    else if (isSent || this.#mayHaveRun) this.#respond(504, 'timed_out', 'the deadline of the request has passed')
-    else this.#refuse('timed_out', 'the deadline of the request passed before it was run', this.#retryAfterMs ?? defaultRetryAfterMs)
+    else if (isSent || this.#history.mayHaveRun) this.#respond(504, 'timed_out', 'the deadline of the request has passed')
+    else this.#refuse('timed_out', 'the deadline of the request passed before it was run', this.#history.retryAfterMs ?? defaultRetryAfterMs)
   }
 
   /** Reports a failure to the caller; the response distinguishes a request that was not run from one that may have run. */
@@ -387,7 +391,7 @@
     if (this.#hasEnded) return
     if (this.#response.hasHead) this.#abort(failure.reason)
     else if (this.#bufferedResponse) this.#relayBufferedResponse(this.#bufferedResponse, failure.reason)
-    else if (failure.verdict === 'notRun' && !this.#mayHaveRun) this.#refuse(code, failure.reason, retryAfterMs ?? this.#retryAfterMs ?? defaultRetryAfterMs)
+    else if (failure.verdict === 'notRun' && !this.#history.mayHaveRun) this.#refuse(code, failure.reason, retryAfterMs ?? this.#history.retryAfterMs ?? defaultRetryAfterMs)
     else this.#respond(502, 'endpoint_failed', failure.reason)
   }
 
@@ -435,13 +439,8 @@
       code,
       reason,
       status,
-      attemptedEndpointIds: this.#attemptedEndpointIds,
-      softwareVersions: this.#softwareVersions,
+      history: this.#history,
       hosts: this.#forwarding.hosts,
-      sendCount: this.#sendCount,
-      runCount: this.#runCount,
-      searches: this.#reservationSearches,
-      selectionMs: this.#selectionMs,
       firstChunkMs: this.#attempt?.firstChunkMs ?? -1,
       lastAttempt: outcome === 'left' ? this.#attempt : undefined,
       configurationVersion: clusterView.routes?.configuration.version
--- a/src/tasks/proxy/proxyContext.ts
+++ b/src/tasks/proxy/proxyContext.ts
@@ -57,4 +57,5 @@
   encodeRequestHeaders: (request: CallerRequest, systemFields: SystemRequestFields) => string[]
   decodeAnswerHead: (status: number, rawHeaders: readonly string[]) => ResponseHead
   encodeRefusalHeaders: (requestId: string | undefined, retryAfterMs: number | undefined) => string[]
+  removeAccountHeaders: (headers: readonly string[]) => string[]
 }
--- a/src/tasks/proxy/refusals.ts
+++ b/src/tasks/proxy/refusals.ts
@@ -11,6 +11,10 @@
 /** When callers may come back whose request this host cannot complete before it stops; other hosts can. */
 export const stoppingRetryMs = 100
 export const stoppingCode = 'stopping'
+/** The request has no key of a client account; HTTP requires to name the scheme by which keys are sent. */
+export const unauthorizedStatus = 401
+export const unknownKeyReason = 'the request has no key of a client account'
+const challengeHeaders = Object.freeze(['WWW-Authenticate', 'Bearer'])
 export const internalErrorReason = 'this host failed while it handled the request'
 /** What other hosts may serve that have sent the request here. */
 const elsewhereCodes: ReadonlySet<string> = new Set([unreachableCode, stoppingCode, 'no_configuration'])
@@ -27,7 +31,7 @@
   const body = Buffer.from(JSON.stringify({ error: code, message: reason }))
   const verdictHeaders = request.forwarded ? createVerdictHeaders(status, elsewhereCodes.has(code)) : []
   return {
-    headers: [...encodeRefusalHeaders(request.requestId, retryAfterMs), ...verdictHeaders, 'Content-Type', 'application/json', 'Content-Length', String(body.length)],
+    headers: [...encodeRefusalHeaders(request.requestId, retryAfterMs), ...verdictHeaders, ...(status === unauthorizedStatus ? challengeHeaders : []), 'Content-Type', 'application/json', 'Content-Length', String(body.length)],
     body
   }
 }
--- a/src/tasks/proxy/reservationDetails.ts
+++ b/src/tasks/proxy/reservationDetails.ts
@@ -27,6 +27,7 @@
     maxTokens: request.maxTokens,
     parts: request.promptSegments.map(({ id, tokens }) => [id, tokens]),
     mayDecline,
+    ...(query.account !== undefined && { account: query.account }),
     ...(query.isResumed && { isResumed: true })
   }
 }
