Grant requests to plain services whose endpoints report their slowness

With 80 hosts before 18 places, each host chose endpoints by what its own few responses had told, and endpoints rejected half of what they got. For each such endpoint one host, found by weighted rendezvous hashing, now grants requests by due time; it learns durations, slowness and foreign load from releases. Services whose endpoints tell no slowness, or with as many places as hosts, are served as before.

--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -18,6 +18,8 @@
 import { EngineSelector } from '../tasks/proxy/engineSelector.js'
 import type { ProxyContext } from '../tasks/proxy/proxyContext.js'
 import { ProxiedRequest } from '../tasks/proxy/proxiedRequest.js'
+import { DispatchClient } from '../tasks/proxy/dispatchClient.js'
+import { DispatchSelector } from '../tasks/proxy/dispatchSelector.js'
 import { LimitGrantClient } from '../tasks/proxy/limitGrantClient.js'
 import type { ReservationClient } from '../tasks/proxy/reservationClient.js'
 import { ServiceSelector } from '../tasks/proxy/serviceSelector.js'
@@ -91,7 +93,9 @@
   })
   const limitGrants = new LimitGrantClient({ clock, log, clusterView, reservations })
   const engineSelector = new EngineSelector({ clock, log, clusterView, health, reservations, notices, limitGrants, random, getLink })
-  const serviceSelector = new ServiceSelector({ clock, clusterView, health, notices, limitGrants, own, random, getLink })
+  const places = new DispatchClient({ clock, log, clusterView, reservations })
+  const dispatch = new DispatchSelector({ clock, clusterView, health, notices, places, own, random, getLink })
+  const serviceSelector = new ServiceSelector({ clock, clusterView, health, notices, limitGrants, dispatch, own, random, getLink })
   const endpointSelector = new EndpointSelector({
     clock, clusterView, notices, engineSelector, serviceSelector, isUnreachable: endpointId => reachability.isUnreachable(endpointId), isRecordedVersion: endpoint => streamOrigins.isRecordedVersion(endpoint), random, getLink
   })
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -223,7 +223,7 @@
  */
 export async function startHost (settings: HostSettings, clock: Clock, options: HostOptions = {}): Promise<RunningProcess> {
   const session = randomBytes(6).toString('hex')
-  const own = { host: settings.hostName, address: settings.address, zone: settings.zone, session }
+  const own = { host: settings.hostName, address: settings.address, zone: settings.zone, session, ...(settings.processorShare !== undefined && { processorShare: settings.processorShare }) }
   const eventLog = (options.openLog ?? openEventLog)({ clock, host: settings.hostName, session })
   const metrics: HostMetrics = new HostMetrics({
     getStoreAgeMs: () => clusterViewTask.storeAgeMs,
--- a/src/core/endpointHealth.ts
+++ b/src/core/endpointHealth.ts
@@ -20,6 +20,7 @@
   latencyMs: number
   load: EndpointLoad | undefined
   loadAtMs: number
+  reportsSlowness: boolean
   inFlight: number
   lastProbeAtMs: number
 }
@@ -40,6 +41,7 @@
     const health = this.#findOrAdd(id)
     health.load = load
     health.loadAtMs = nowMs
+    health.reportsSlowness ||= load.slowness !== undefined
   }
 
   recordSuccess (id: string, latencyMs: number): void {
@@ -66,6 +68,11 @@
     return Math.max(reported, health.inFlight) / Math.max(1, capacity)
   }
 
+  /** Whether a response of the endpoint has told how slow its machine is. */
+  reportsSlowness (id: string): boolean {
+    return this.#healths.get(id)?.reportsSlowness ?? false
+  }
+
   getLatencyMs (id: string): number {
     return this.#findOrAdd(id).latencyMs
   }
@@ -91,7 +98,7 @@
   #findOrAdd (id: string): Health {
     let health = this.#healths.get(id)
     if (!health) {
-      health = { failureRate: 0, consecutiveFailures: 0, latencyMs: 0, load: undefined, loadAtMs: 0, inFlight: 0, lastProbeAtMs: -Infinity }
+      health = { failureRate: 0, consecutiveFailures: 0, latencyMs: 0, load: undefined, loadAtMs: 0, reportsSlowness: false, inFlight: 0, lastProbeAtMs: -Infinity }
       this.#healths.set(id, health)
     }
     return health
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -51,6 +51,10 @@
   isResumed: Type.Optional(Type.Boolean()),
   /** Whether the request is to the host that grants requests to a limited endpoint in place of its owner. */
   isForLimit: Type.Optional(Type.Boolean()),
+  /** Whether the request is to the host that grants places at an endpoint of a plain service. */
+  isForDispatch: Type.Optional(Type.Boolean()),
+  /** Milliseconds in which the best of the endpoints that declined the request before would answer it; absent if none did. */
+  elsewhereMs: Type.Optional(Type.Number()),
   /** Name of the client account that the request is of; absent if there are no accounts. */
   account: Type.Optional(Type.String()),
   /** What the sender knows of the endpoint's limit, as the owner may have missed it; absent if it has named none. */
@@ -76,7 +80,9 @@
   /** Milliseconds that the reservation request waited at the owner. */
   waitedMs: Type.Number(),
   /** Version of the adapter that is loaded; 0 if unknown. */
-  version: Type.Integer()
+  version: Type.Integer(),
+  /** Milliseconds in which a request that comes now would be answered; only at endpoints of plain services. */
+  answerMs: Type.Optional(Type.Number())
 })
 
 export const reservationQueuedSchema = Type.Object({
@@ -123,8 +129,14 @@
   /** Milliseconds from sending the request to the first chunk of its response; -1 if none arrived. */
   firstPartMs: Type.Number(),
   /** How many times as long as usual work took on the endpoint's machine as its response began; absent if it did not tell. */
-  slowness: Type.Optional(Type.Number())
+  slowness: Type.Optional(Type.Number()),
+  /** Milliseconds from sending the request to the end of its response; absent if it was not served. */
+  tookMs: Type.Optional(Type.Number()),
+  /** Requests that ran and waited at the endpoint as its response began; absent if it did not tell its slowness. */
+  busy: Type.Optional(Type.Number())
 })
+/** What the holder of a reservation measured of the endpoint. */
+export type ReservationFigures = Pick<Static<typeof reservationReleaseSchema>, 'slowness' | 'tookMs' | 'busy'>
 export type ReservationRelease = Static<typeof reservationReleaseSchema>
 
 /** Reports to a new owner of an endpoint which requests of this host run there. */
--- a/src/schemas/hostRows.ts
+++ b/src/schemas/hostRows.ts
@@ -30,7 +30,9 @@
   /** Identifies one incarnation of the host's process. */
   session: Type.String(),
   /** Whether the host is shutting down and claims no endpoints. */
-  isLeaving: Type.Boolean()
+  isLeaving: Type.Boolean(),
+  /** Part of a processor that the host may use; absent if its settings do not say, and from hosts of earlier versions. */
+  processorShare: Type.Optional(Type.Number())
 })])
 export type HostRow = Static<typeof hostRowSchema>
 
--- a/src/tasks/allocation/allocationTask.ts
+++ b/src/tasks/allocation/allocationTask.ts
@@ -7,9 +7,11 @@
 import type { HostMessage, ReservationReply } from '../../schemas/datagram.js'
 import type { EndpointEntry } from '../../schemas/routing.js'
 import { EngineAllocator } from './engineAllocator.js'
+import { DispatchEndpoints } from './dispatchEndpoints.js'
+import type { DispatchEndpointsOptions } from './dispatchEndpoints.js'
 import { LimitedEndpoints } from './limitedEndpoints.js'
 
-export interface AllocationTaskOptions {
+export interface AllocationTaskOptions extends Pick<DispatchEndpointsOptions, 'createShares' | 'recordDispatch'> {
   clock: Clock
   log: EventLog
   host: string
@@ -30,10 +32,12 @@
   #allocators = new Map<string, EngineAllocator>()
   #ownedEndpointIds = new Set<string>()
   #limitedEndpoints: LimitedEndpoints
+  #dispatchEndpoints: DispatchEndpoints
 
   constructor (options: AllocationTaskOptions) {
     this.#options = options
     this.#limitedEndpoints = new LimitedEndpoints(options)
+    this.#dispatchEndpoints = new DispatchEndpoints(options)
   }
 
   /** `wasOwn`: this host owned the endpoint before it restarted, so no orders of another host can be in transit. */
@@ -70,6 +74,11 @@
     if (message.type === 'done') {
       allocator?.receiveRelease(key, message)
       this.#limitedEndpoints.receiveRelease(message.endpointId, key)
+      this.#dispatchEndpoints.receiveRelease(message.endpointId, key, message)
+      return
+    }
+    if (message.isForDispatch) {
+      this.#dispatchEndpoints.receiveRequest(key, message, sendReply)
       return
     }
     if (message.isForLimit) {
@@ -86,6 +95,7 @@
 
   #receiveEntry (id: string, entry: EndpointEntry | undefined): void {
     const allocator = this.#allocators.get(id)
+    this.#dispatchEndpoints.receiveEntry(id, entry)
     if (entry && allocator) allocator.receiveEntry(entry)
     else if (entry && this.#ownedEndpointIds.has(id)) this.#openAllocator(id)
     else if (!entry && allocator) this.#closeAllocator(id, 'its entry was removed')
--- a/src/tasks/leases/hostRegistration.ts
+++ b/src/tasks/leases/hostRegistration.ts
@@ -12,7 +12,7 @@
   clock: Clock
   log: EventLog
   clusterView: ClusterView
-  own: { host: string, address: string, zone: string, session: string }
+  own: { host: string, address: string, zone: string, session: string, processorShare?: number }
   /** Sends a transaction to the store, directly or through a peer. */
   transact: (transaction: StoreTransaction) => Promise<StoreOutcome>
   /** Sends a renewal to the renewal collector; resolves with undefined if it is not known whether the renewal was written. */
--- a/src/tasks/proxy/attemptTarget.ts
+++ b/src/tasks/proxy/attemptTarget.ts
@@ -1,7 +1,7 @@
 /** Where an attempt is sent: an endpoint, or another host that sends the request on. */
 import type { EndpointLink } from '../../ports/endpointLink.js'
 import type { CallerRequest, ResponseHead } from '../../schemas/callerRequest.js'
-import type { ReleaseOutcome } from '../../schemas/datagram.js'
+import type { ReleaseOutcome, ReservationFigures } from '../../schemas/datagram.js'
 import type { ForwardedFields, ForwardingReply } from '../../schemas/forwarding.js'
 import { addForwardedFields, splitForwardedHead } from '../forwarding/forwardingHeaders.js'
 import type { ForwardingPeer } from '../forwarding/requestForwarder.js'
@@ -20,7 +20,7 @@
   readonly isAvailable: () => boolean
   /** Called once when the answer has begun. */
   readonly receiveBegun: () => void
-  readonly release: (outcome: ReleaseOutcome, firstChunkMs: number) => void
+  readonly release: (outcome: ReleaseOutcome, firstChunkMs: number, figures?: ReservationFigures) => void
 }
 
 /** Whether a response belongs to a request, by the request's id that endpoints repeat. */
--- a/src/tasks/proxy/endpointSelector.ts
+++ b/src/tasks/proxy/endpointSelector.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../../ports/clock.js'
 import type { EndpointLink } from '../../ports/endpointLink.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
-import type { EngineLoad, ReleaseOutcome } from '../../schemas/datagram.js'
+import type { EngineLoad, ReleaseOutcome, ReservationFigures } from '../../schemas/datagram.js'
 import type { EndpointEntry, Route } from '../../schemas/routing.js'
 import type { EngineSelector } from './engineSelector.js'
 import type { ServiceSelector } from './serviceSelector.js'
@@ -18,7 +18,7 @@
   /** Whether another host, or this one as its owner, has granted the request at this endpoint. */
   readonly isGranted: boolean
   /** Releases the reservation, if there is one, and reports its outcome to the endpoint's owner. */
-  readonly release: (outcome: ReleaseOutcome, firstChunkMs: number) => void
+  readonly release: (outcome: ReleaseOutcome, firstChunkMs: number, figures?: ReservationFigures) => void
 }
 
 export interface EndpointQuery {
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -6,7 +6,7 @@
 import { SseEventSplitter } from '../../core/sseEventSplitter.js'
 import type { ResponseReceiver, SendFailure, RequestInFlight } from '../../ports/endpointLink.js'
 import type { ResponseHead, CallerRequest } from '../../schemas/callerRequest.js'
-import type { ReleaseOutcome } from '../../schemas/datagram.js'
+import type { ReleaseOutcome, ReservationFigures } from '../../schemas/datagram.js'
 import type { Route } from '../../schemas/routing.js'
 import type { CallerResponse } from './callerResponse.js'
 import type { ProxyContext } from './proxyContext.js'
@@ -298,6 +298,14 @@
   #finish (outcome: ReleaseOutcome): void {
     this.#isFinished = true
     this.#context.health.recordRequestEnd(this.#options.target.id)
-    this.#options.target.release(outcome, this.#firstChunkMs)
+    this.#options.target.release(outcome, this.#firstChunkMs, this.#measureFigures(outcome))
+  }
+
+  /** Undefined if the endpoint does not tell its slowness: the hosts of its service need no figures then. */
+  #measureFigures (outcome: ReleaseOutcome): ReservationFigures | undefined {
+    const load = this.#head?.load
+    if (load?.slowness === undefined) return undefined
+    const tookMs = outcome === 'served' && this.#sentAtMs !== undefined ? this.#context.clock.readMonotonic() - this.#sentAtMs : undefined
+    return { slowness: load.slowness, busy: load.running + load.waiting, ...(tookMs !== undefined && { tookMs }) }
   }
 }
--- a/src/tasks/proxy/reservationClient.ts
+++ b/src/tasks/proxy/reservationClient.ts
@@ -1,7 +1,7 @@
 /** Requests reservations from the owners of endpoints and reports the outcome of each reservation to its owner. */
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Datagrams } from '../../ports/datagrams.js'
-import type { EngineLoad, RunningRequestsReport, HostMessage, EndpointLeaving, EndpointLimitStatement, ServedElsewhere, ReservationReply, ReservationRequest, ReservationRelease, ReleaseOutcome } from '../../schemas/datagram.js'
+import type { EngineLoad, RunningRequestsReport, HostMessage, EndpointLeaving, EndpointLimitStatement, ServedElsewhere, ReservationReply, ReservationRequest, ReservationRelease, ReservationFigures, ReleaseOutcome } from '../../schemas/datagram.js'
 
 export interface ReservationClientOptions {
   clock: Clock
@@ -17,7 +17,7 @@
 export type ReservationDetails = Omit<ReservationRequest, 'type' | 'id' | 'limit'>
 
 export type ReservationOutcome =
-  | { readonly kind: 'granted', readonly load: EngineLoad, readonly waitedMs: number, readonly version: number, readonly reservation: Reservation }
+  | { readonly kind: 'granted', readonly load: EngineLoad, readonly waitedMs: number, readonly version: number, readonly answerMs?: number | undefined, readonly reservation: Reservation }
   | {
     readonly kind: 'refused'
     readonly code: string
@@ -34,7 +34,7 @@
 
 /** A granted reservation; to be released exactly once. */
 export interface Reservation {
-  release: (outcome: ReleaseOutcome, firstChunkMs: number) => void
+  release: (outcome: ReleaseOutcome, firstChunkMs: number, figures?: ReservationFigures) => void
 }
 
 export interface PendingReservation {
@@ -60,6 +60,8 @@
   request: ReservationRequest
   address: string
   sends: number
+  /** Times that the request is sent without a reply. */
+  maxSends: number
   timer: Timer | undefined
   settle: (outcome: ReservationOutcome) => void
 }
@@ -86,9 +88,9 @@
   }
 
   /** Requests a reservation at an endpoint from the host at `address`, which owns it. */
-  requestReservation (address: string, details: ReservationDetails): PendingReservation {
+  requestReservation (address: string, details: ReservationDetails, maxSends = maxRequestSends): PendingReservation {
     const id = this.#nextId++
-    const reservation: ClientReservation = { request: { type: 'ask', id, ...details }, address, sends: 0, timer: undefined, settle: () => {} }
+    const reservation: ClientReservation = { request: { type: 'ask', id, ...details }, address, sends: 0, maxSends, timer: undefined, settle: () => {} }
     const outcome = new Promise<ReservationOutcome>(resolve => {
       reservation.settle = result => {
         reservation.timer?.cancel()
@@ -111,7 +113,7 @@
   /** Makes a reservation without a grant and reports it to the endpoint's owner; `address` is empty if there is no owner. */
   reserveWithoutGrant (address: string, details: ReservationDetails): Reservation {
     const id = this.#nextId++
-    const reservation: ClientReservation = { request: { type: 'ask', id, ...details }, address, sends: 0, timer: undefined, settle: () => {} }
+    const reservation: ClientReservation = { request: { type: 'ask', id, ...details }, address, sends: 0, maxSends: maxRequestSends, timer: undefined, settle: () => {} }
     this.#active.set(id, reservation)
     if (address !== '') this.#reportRunning(address, details.endpointId, [reservation])
     return this.#createReservation(reservation)
@@ -156,7 +158,7 @@
       this.#startReplyTimer(reservation, reply.expectedMs + grantMarginMs)
     } else if (reply.type === 'grant') {
       this.#active.set(reservation.request.id, reservation)
-      reservation.settle({ kind: 'granted', load: reply.load, waitedMs: reply.waitedMs, version: reply.version, reservation: this.#createReservation(reservation) })
+      reservation.settle({ kind: 'granted', load: reply.load, waitedMs: reply.waitedMs, version: reply.version, answerMs: reply.answerMs, reservation: this.#createReservation(reservation) })
     } else {
       const { code, message, retryAfterMs, expectedMs, load, elsewhere } = reply
       reservation.settle({ kind: 'refused', code, message, retryAfterMs, expectedMs, load, elsewhere })
@@ -183,7 +185,7 @@
   #startReplyTimer (reservation: ClientReservation, delayMs: number): void {
     reservation.timer?.cancel()
     reservation.timer = this.#options.clock.setTimer(() => {
-      if (reservation.sends < maxRequestSends) this.#sendRequest(reservation)
+      if (reservation.sends < reservation.maxSends) this.#sendRequest(reservation)
       else {
         this.#release(reservation, 'withdrawn', -1)
         reservation.settle({ kind: 'silent' })
@@ -192,7 +194,7 @@
   }
 
   #createReservation (reservation: ClientReservation): Reservation {
-    return { release: (outcome, firstChunkMs) => this.#release(reservation, outcome, firstChunkMs) }
+    return { release: (outcome, firstChunkMs, figures) => this.#release(reservation, outcome, firstChunkMs, figures) }
   }
 
   #reportRunning (address: string, endpointId: string, reservations: readonly ClientReservation[]): void {
@@ -203,10 +205,10 @@
     }
   }
 
-  #release ({ request, address }: ClientReservation, outcome: ReleaseOutcome, firstChunkMs: number): void {
+  #release ({ request, address }: ClientReservation, outcome: ReleaseOutcome, firstChunkMs: number, figures?: ReservationFigures): void {
     this.#active.delete(request.id)
     if (address === '') return
-    const message: ReservationRelease = { type: 'done', id: request.id, endpointId: request.endpointId, outcome, firstPartMs: firstChunkMs }
+    const message: ReservationRelease = { type: 'done', id: request.id, endpointId: request.endpointId, outcome, firstPartMs: firstChunkMs, ...figures }
     if (address !== this.#options.ownAddress) {
       this.#unconfirmedReleases.set(request.id, { message, address, sends: 1 })
       this.#releaseRetryTimer ??= this.#options.clock.setTimer(() => this.#resendReleases(), releaseRetryIntervalMs)
--- a/src/tasks/proxy/serviceSelector.ts
+++ b/src/tasks/proxy/serviceSelector.ts
@@ -7,6 +7,7 @@
 import type { ClusterView } from '../../core/clusterView.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EndpointEntry } from '../../schemas/routing.js'
+import type { DispatchSelector } from './dispatchSelector.js'
 import type { EndpointQuery, EndpointSelection, GetEndpointLink, SelectedEndpoint } from './endpointSelector.js'
 import type { LimitGrantClient } from './limitGrantClient.js'
 import { createReservationDetails } from './reservationDetails.js'
@@ -18,6 +19,7 @@
   health: EndpointHealth
   notices: EndpointNotices
   limitGrants: Pick<LimitGrantClient, 'requestGrant'>
+  dispatch: Pick<DispatchSelector, 'isUsedFor' | 'selectEndpoint'>
   own: { host: string, zone: string }
   random: () => number
   getLink: GetEndpointLink
@@ -40,7 +42,8 @@
   }
 
   async selectEndpoint (query: EndpointQuery, accepting: readonly EndpointEntry[]): Promise<EndpointSelection> {
-    const { clock, notices, random } = this.#options
+    const { clock, notices, random, dispatch } = this.#options
+    if (dispatch.isUsedFor(query.service)) return await dispatch.selectEndpoint(query, accepting)
     const usable = this.#filterByRoom(query.service, accepting)
     if (usable.length === 0) return { kind: 'none', message: `all endpoints of service "${query.service}" are brittle and busy`, retryAfterMs: brittleRetryMs * (1 + random()), isTransient: true }
     const limited = usable.filter(entry => notices.getRate(entry, clock.readMonotonic()) !== undefined)
