--- a/features/support/dispatchTrial.ts
+++ b/features/support/dispatchTrial.ts
@@ -284,5 +284,5 @@
     requestId: `r${number}`, method: 'POST', callerKey: '', path: '/once/', host: 'fleet.example', headers: [], body: undefined, receivedAtMs: beganAtMs, timeLeftMs: timeoutMs, lastEventId: undefined, isResumption: false, resumedRequestId: undefined, model: '', adapter: '', promptTokens: 0, maxTokens: 0, promptSegments: []
   }
   const route: Route = { name: 'once', hostname: 'fleet.example', prefix: '/once/', kind: 'once', isResumable: false, timeoutMs, targetMs, maxGapMs: undefined, patienceMs: timeoutMs, rank: 0, isPublic: false, maxAttempts: 1, targets: [{ service, weight: 1 }] }
-  return { request, route, service, softwareVersion: undefined, isResumed: false, attemptedEndpointIds: [], dueAtMs: beganAtMs + targetMs, abandonAtMs: beganAtMs + timeoutMs, deadlineAtMs: beganAtMs + timeoutMs, hasEnded: () => false }
+  return { request, route, service, account: undefined, softwareVersion: undefined, isResumed: false, attemptedEndpointIds: [], dueAtMs: beganAtMs + targetMs, abandonAtMs: beganAtMs + timeoutMs, deadlineAtMs: beganAtMs + timeoutMs, hasEnded: () => false }
 }
