Grant requests of accounts over their share of an engine after all others

One account that sent many times its usual filled the backlogs of engines, so that requests of all accounts were late or refused. Requests without an account are treated as before.

--- a/src/core/accountShares.ts
+++ b/src/core/accountShares.ts
@@ -31,6 +31,8 @@
   /** Work that is granted for each unit of weight, decayed up to `#refreshedAtMs`; infinite while all demand is met. */
   #levelMs = Infinity
   #refreshedAtMs = -Infinity
+  /** Recorded work that the endpoint has not done yet, beyond what it may have ahead of others. */
+  #unfinishedMs = 0
 
   constructor (getWeight: (account: string) => number = () => 1) {
     this.#getWeight = getWeight
@@ -55,6 +57,14 @@
     if (work) work.wantedMs += workMs
   }
 
+  /**
+   * Records how much of the work given to the endpoint delays others as it is not done yet. It counts as unmet demand, so that the
+   * accounts with the largest use are over their shares before anything has to be refused.
+   */
+  recordUnfinished (workMs: number): void {
+    this.#unfinishedMs = Math.max(0, workMs)
+  }
+
   /**
    * Whether an account was given more than its share while others wanted more than they were given.
    *
@@ -100,7 +110,7 @@
       usedMs += work.usedMs * decay
       claims.push({ weight: this.#readWeight(account), wantedMs: Math.max(work.usedMs, work.wantedMs) * decay })
     }
-    this.#levelMs = computeLevel(claims, usedMs)
+    this.#levelMs = computeLevel(claims, Math.max(0, usedMs - this.#unfinishedMs))
     this.#refreshedAtMs = nowMs
   }
 }
--- a/src/core/allocation/allocationOrder.ts
+++ b/src/core/allocation/allocationOrder.ts
@@ -19,6 +19,8 @@
   isLate: boolean
   /** Time by which it has to be granted. */
   deadlineMs: number
+  /** Whether its account is over its share. */
+  isOverShare?: boolean
 }
 
 /** An adapter that requests wait for: the most urgent of these requests and their number. */
@@ -27,6 +29,8 @@
   count: number
   /** Whether a load that starts now completes too late for an answer by the due time. */
   isLate: boolean
+  /** Whether all accounts of these requests are over their shares. */
+  isOverShare: boolean
 }
 
 /** Time by which the load of a request's adapter has to start; after that the request is refused. */
@@ -36,11 +40,11 @@
 }
 
 /**
- * Orders loads for resumed streams first, then those that can still lead to an answer on time before the others, then by due time. A
+ * Orders loads for resumed streams first, then those of accounts within their shares, then those that can still lead to an answer on time before the others, then by due time. A
  * load for several requests is ordered before one for a single request that is due slightly earlier.
  */
 export function comparePendingLoads (left: PendingLoad, right: PendingLoad): number {
-  return Number(right.request.isResumed) - Number(left.request.isResumed) || Number(left.isLate) - Number(right.isLate) || (left.request.dueAtMs - left.count * perRequestBonusMs) - (right.request.dueAtMs - right.count * perRequestBonusMs)
+  return Number(right.request.isResumed) - Number(left.request.isResumed) || Number(left.isOverShare) - Number(right.isOverShare) || Number(left.isLate) - Number(right.isLate) || (left.request.dueAtMs - left.count * perRequestBonusMs) - (right.request.dueAtMs - right.count * perRequestBonusMs)
 }
 
 /** Orders requests by due time, with those that are past it after all others, and resumed streams before them. */
@@ -63,7 +67,7 @@
   return { isLate, deadlineMs: Math.min(abandonAtMs - prefillMs, latestMs) }
 }
 
-/** Orders requests that came on time before the others, as a late answer is worth less, then by deadline. */
+/** Orders requests of accounts within their shares first, then those that came on time, as a late answer is worth less, then by deadline. */
 export function compareLimitTurns (left: LimitTurn, right: LimitTurn): number {
-  return Number(left.isLate) - Number(right.isLate) || left.deadlineMs - right.deadlineMs
+  return Number(left.isOverShare ?? false) - Number(right.isOverShare ?? false) || Number(left.isLate) - Number(right.isLate) || left.deadlineMs - right.deadlineMs
 }
--- a/src/core/allocation/allocationPlanner.ts
+++ b/src/core/allocation/allocationPlanner.ts
@@ -14,6 +14,7 @@
 import { GrantLimiter } from './grantLimiter.js'
 import { PrefillBacklog } from './prefillBacklog.js'
 import { minRetryAfterMs, RetrySchedule } from './retrySchedule.js'
+import { computeOverShareWaitMs, maxOverShareBacklogMs, ShareRules } from './shareRules.js'
 
 /** Expected delay until a full batch accepts the next request. */
 const fullBatchDelayMs = 50
@@ -37,6 +38,8 @@
   slotDeadlineMs: number
   /** Its turn if the engine is limited. */
   turn: LimitTurn
+  /** Whether its account is over its share, as of the last plan. */
+  isOverShare: boolean
 }
 
 interface RunningEntry {
@@ -56,6 +59,7 @@
   #failedLoads = new Map<string, number>()
   #limiter: GrantLimiter
   #retries = new RetrySchedule()
+  #shareRules = new ShareRules()
   /** Moving average of the time from a grant to the end of the run. */
   #runMs = initialRunMs
 
@@ -74,6 +78,13 @@
     return this.#waiting.size
   }
 
+  /** Number of waiting requests whose accounts are over their shares. */
+  get waitingOverShare (): number {
+    let count = 0
+    for (const { isOverShare } of this.#waiting.values()) if (isOverShare) count++
+    return count
+  }
+
   getLoad (nowMs: number): EngineLoad {
     return { use: this.prefillBacklog.getUtilization(nowMs), backlogMs: this.prefillBacklog.getBacklogMs(nowMs), batchPart: (this.#running.size + this.#waiting.size) / this.#options.batchLimit }
   }
@@ -84,20 +95,22 @@
     this.adapters.recordRequest(request.adapter, nowMs)
     const uncachedTokens = this.#cache.countUncachedTokens(request.adapter, request.promptSegments, request.promptTokens)
     const prefillMs = this.prefillBacklog.computePrefillMs(uncachedTokens, request.promptTokens)
-    const expectedMs = this.#estimateStartMs(request, nowMs)
-    if (request.mayDecline) {
-      const reason = findReasonToDecline(request, this.#createDeclineFacts(request, expectedMs, prefillMs, nowMs), nowMs)
-      if (reason !== undefined) return { kind: 'declined', expectedMs: expectedMs + prefillMs, reason }
-    }
-    const turn = this.#limiter.computeTurn(request, prefillMs, nowMs)
-    const startDeadlineMs = Math.min(request.abandonAtMs, computeSlotDeadlineMs(request, nowMs)) - prefillMs
+    this.#shareRules.recordBacklog(this.prefillBacklog.getBacklogMs(nowMs))
+    const isOverShare = this.#shareRules.isOver(request, nowMs)
+    const expectedMs = this.#estimateStartMs(request, isOverShare, nowMs)
+    const reasonToDecline = request.mayDecline ? findReasonToDecline(request, this.#createDeclineFacts(request, expectedMs, prefillMs, isOverShare, nowMs), nowMs) : undefined
+    if (reasonToDecline !== undefined) return { kind: 'declined', expectedMs: expectedMs + prefillMs, reason: reasonToDecline }
+    this.#shareRules.recordArrival(request, prefillMs, nowMs)
+    const turn = { ...this.#limiter.computeTurn(request, prefillMs, nowMs), isOverShare }
+    const latestStartMs = isOverShare ? Math.max(nowMs + prefillMs, request.dueAtMs) : Infinity
+    const startDeadlineMs = Math.min(request.abandonAtMs, computeSlotDeadlineMs(request, nowMs), latestStartMs) - prefillMs
     const maxStartMs = Math.min(startDeadlineMs, this.#limiter.isLimited(nowMs) ? turn.deadlineMs : Infinity) - nowMs
     if (expectedMs > maxStartMs) {
       const reason = `it would start in ${Math.round(expectedMs)} ms and has to start within ${Math.round(maxStartMs)} ms`
-      const isLimited = this.#estimateLimitWaitMs(request, nowMs) > maxStartMs
-      return { kind: 'refused', retryAfterMs: this.#scheduleRetry(expectedMs - Math.max(0, request.dueAtMs - prefillMs - nowMs), nowMs), reason, isLimited }
+      const isLimited = this.#estimateLimitWaitMs(request, isOverShare, nowMs) > maxStartMs
+      return { kind: 'refused', retryAfterMs: this.#scheduleRetry(expectedMs - Math.max(0, request.dueAtMs - prefillMs - nowMs), nowMs), reason, isLimited, isOverShare }
     }
-    this.#waiting.set(request.key, { request, prefillMs, slotDeadlineMs: computeSlotDeadlineMs(request, nowMs), turn })
+    this.#waiting.set(request.key, { request, prefillMs, slotDeadlineMs: computeSlotDeadlineMs(request, nowMs), turn, isOverShare })
     return { kind: 'queued', expectedMs }
   }
 
@@ -180,7 +193,7 @@
    */
   plan (nowMs: number, mayOrder: boolean): AllocationPlan {
     const plan: AllocationPlan & { wakeAtMs: number | undefined } = { granted: [], refused: [], loads: [], unloads: [], wakeAtMs: undefined }
-    const sorted = [...this.#waiting.values()].sort(this.#limiter.isLimited(nowMs) ? (left, right) => compareLimitTurns(left.turn, right.turn) : (left, right) => compareByDueTime(left.request, right.request, nowMs))
+    const sorted = this.#sortWaiting(nowMs)
     const pendingLoads = new Map<string, PendingLoad>()
     for (const waiting of sorted) {
       const { request } = waiting
@@ -189,7 +202,7 @@
       } else {
         const pendingLoad = pendingLoads.get(request.adapter)
         if (pendingLoad) pendingLoad.count++
-        else pendingLoads.set(request.adapter, { request, count: 1, isLate: this.#isLoadLate(waiting, nowMs) })
+        else pendingLoads.set(request.adapter, { request, count: 1, isLate: this.#isLoadLate(waiting, nowMs), isOverShare: waiting.isOverShare })
       }
     }
     this.#refuseOverdue(plan, nowMs)
@@ -202,6 +215,15 @@
     return plan
   }
 
+  /** Sorts requests in the order of their grants, with those of accounts over their shares after the others. */
+  #sortWaiting (nowMs: number): QueuedEntry[] {
+    const waiting = [...this.#waiting.values()]
+    for (const entry of waiting) entry.isOverShare = entry.turn.isOverShare = this.#shareRules.isOver(entry.request, nowMs)
+    return waiting.sort(this.#limiter.isLimited(nowMs)
+      ? (left, right) => compareLimitTurns(left.turn, right.turn)
+      : (left, right) => Number(left.isOverShare) - Number(right.isOverShare) || compareByDueTime(left.request, right.request, nowMs))
+  }
+
   #hasSlot ({ adapter, isBase, version }: AllocationRequest): boolean {
     return isBase || (this.adapters.find(adapter)?.version ?? -1) >= version
   }
@@ -212,12 +234,12 @@
     return engineAdapter !== undefined && engineAdapter.state === 'loaded' && engineAdapter.version >= request.version && !engineAdapter.isClosing
   }
 
-  /** Whether a request that is late, or will be, waits so that requests that can be on time are granted first. */
-  #isDeferred ({ request: { dueAtMs, isResumed }, prefillMs }: QueuedEntry, plan: AllocationPlan & { wakeAtMs: number | undefined }, nowMs: number): boolean {
+  /** Whether a request that is late, or will be, or whose account is over its share, waits so that others are granted first. */
+  #isDeferred ({ request: { dueAtMs, isResumed }, prefillMs, isOverShare }: QueuedEntry, plan: AllocationPlan & { wakeAtMs: number | undefined }, nowMs: number): boolean {
     if (isResumed) return false
     const backlogMs = this.prefillBacklog.getBacklogMs(nowMs)
-    if (nowMs + backlogMs + prefillMs <= dueAtMs) return false
-    const excessMs = backlogMs - maxLateBacklogMs - lateAgingRatio * Math.max(0, nowMs - dueAtMs)
+    if (!isOverShare && nowMs + backlogMs + prefillMs <= dueAtMs) return false
+    const excessMs = isOverShare ? backlogMs - maxOverShareBacklogMs : backlogMs - maxLateBacklogMs - lateAgingRatio * Math.max(0, nowMs - dueAtMs)
     if (excessMs <= 0) return false
     plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, nowMs + Math.max(minReplanDelayMs, excessMs))
     return true
@@ -232,6 +254,7 @@
     this.#waiting.delete(request.key)
     this.#running.set(request.key, { adapter: request.adapter, isBase: request.isBase, expectedMs: this.prefillBacklog.getBacklogMs(nowMs) + prefillMs, grantedAtMs: nowMs })
     this.prefillBacklog.recordGranted(prefillMs, nowMs)
+    this.#shareRules.recordGranted(request, prefillMs, nowMs)
     this.adapters.recordPrefill(request.adapter, prefillMs, nowMs)
     this.#cache.recordPrefill(request.adapter, request.promptSegments)
     const engineAdapter = this.adapters.find(request.adapter)
@@ -243,16 +266,17 @@
   }
 
   #refuseOverdue (plan: AllocationPlan & { wakeAtMs: number | undefined }, nowMs: number): void {
-    for (const { request, slotDeadlineMs, prefillMs } of [...this.#waiting.values()]) {
-      const deadlineMs = this.#hasSlot(request)
-        ? request.abandonAtMs - prefillMs
+    for (const { request, slotDeadlineMs, prefillMs, isOverShare } of [...this.#waiting.values()]) {
+      const hasSlot = this.#hasSlot(request)
+      const deadlineMs = hasSlot
+        ? (isOverShare ? Math.min(request.dueAtMs, request.abandonAtMs) : request.abandonAtMs) - prefillMs
         : Math.min(request.abandonAtMs - prefillMs - this.#options.estimateLoadMs(request.adapter, request.version), slotDeadlineMs)
       if (deadlineMs > nowMs) {
         plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, deadlineMs)
         continue
       }
       this.#waiting.delete(request.key)
-      plan.refused.push({ key: request.key, retryAfterMs: this.#scheduleRetry(minRetryAfterMs, nowMs), reason: 'its adapter was not loaded in time', isLimited: false })
+      plan.refused.push({ key: request.key, retryAfterMs: this.#scheduleRetry(minRetryAfterMs, nowMs), reason: hasSlot && isOverShare ? 'its account is over its share of the engine' : 'its adapter was not loaded in time', isLimited: false, isOverShare: hasSlot && isOverShare })
     }
   }
 
@@ -321,18 +345,18 @@
   // Estimates
 
   /** Estimates the time until the engine starts a request, with its adapter's load and the prefill backlog included. */
-  #estimateStartMs (request: AllocationRequest, nowMs: number): number {
-    const backlogMs = this.prefillBacklog.getBacklogMs(nowMs)
+  #estimateStartMs (request: AllocationRequest, isOverShare: boolean, nowMs: number): number {
+    const backlogMs = this.prefillBacklog.getBacklogMs(nowMs) + (isOverShare ? this.#sumWaitingPrefillMs() : 0)
     const batchDelayMs = this.#running.size >= this.#options.batchLimit ? fullBatchDelayMs : 0
-    return Math.max(backlogMs, this.#estimateAdapterReadyMs(request, nowMs), this.#estimateLimitWaitMs(request, nowMs)) + batchDelayMs
+    return Math.max(backlogMs, this.#estimateAdapterReadyMs(request, isOverShare, nowMs), this.#estimateLimitWaitMs(request, isOverShare, nowMs)) + batchDelayMs
   }
 
   /** Estimates the time until a limited engine takes a request, after those that are more urgent and the order for its adapter. */
-  #estimateLimitWaitMs (request: AllocationRequest, nowMs: number): number {
-    return this.#limiter.estimateWaitMs(this.#limiter.computeTurn(request, 0, nowMs), this.#waiting.values(), this.#hasSlot(request) ? 0 : 1, nowMs)
+  #estimateLimitWaitMs (request: AllocationRequest, isOverShare: boolean, nowMs: number): number {
+    return this.#limiter.estimateWaitMs({ ...this.#limiter.computeTurn(request, 0, nowMs), isOverShare }, this.#waiting.values(), this.#hasSlot(request) ? 0 : 1, nowMs)
   }
 
-  #estimateAdapterReadyMs (request: AllocationRequest, nowMs: number): number {
+  #estimateAdapterReadyMs (request: AllocationRequest, isOverShare: boolean, nowMs: number): number {
     if (request.isBase) return 0
     const { estimateLoadMs, maxLoads } = this.#options
     const loadMs = estimateLoadMs(request.adapter, request.version)
@@ -341,22 +365,29 @@
       if (engineAdapter.state === 'loaded') return 0
       if (engineAdapter.state === 'loading') return Math.max(0, engineAdapter.readyAtMs - nowMs)
     }
-    const queued = this.#countQueuedAdapters()
+    const queued = this.#countQueuedAdapters(isOverShare)
     const rounds = Math.floor((queued + this.adapters.loadingCount) / maxLoads)
     const missingSlots = queued + 1 - this.adapters.freeSlots - this.adapters.idleCount
     return loadMs * (1 + rounds) + Math.max(0, missingSlots) * this.#estimateSlotFreeMs()
   }
 
   /** Number of loads that could start now in addition to those of the queued adapters. */
-  #countAvailableLoads (): number {
-    const queued = this.#countQueuedAdapters()
+  #countAvailableLoads (isOverShare: boolean): number {
+    const queued = this.#countQueuedAdapters(isOverShare)
     return Math.min(this.adapters.freeSlots + this.adapters.idleCount, this.#options.maxLoads - this.adapters.loadingCount) - queued
   }
 
-  /** Number of adapters that queued requests need and whose load has not started. */
-  #countQueuedAdapters (): number {
+  /** Prefill time of all requests that wait, which come before one of an account over its share. */
+  #sumWaitingPrefillMs (): number {
+    let sumMs = 0
+    for (const { prefillMs } of this.#waiting.values()) sumMs += prefillMs
+    return sumMs
+  }
+
+  /** Number of adapters that queued requests need and whose load has not started; those of accounts over their shares come last. */
+  #countQueuedAdapters (isOverShare: boolean): number {
     const queued = new Set<string>()
-    for (const { request } of this.#waiting.values()) if (!request.isBase && !this.adapters.find(request.adapter)) queued.add(request.adapter)
+    for (const { request, isOverShare: isAfter } of this.#waiting.values()) if ((isOverShare || !isAfter) && !request.isBase && !this.adapters.find(request.adapter)) queued.add(request.adapter)
     return queued.size
   }
 
@@ -365,7 +396,7 @@
     return this.#runMs / Math.max(1, this.adapters.nearlyIdleCount)
   }
 
-  #createDeclineFacts (request: AllocationRequest, startMs: number, prefillMs: number, nowMs: number): DeclineFacts {
+  #createDeclineFacts (request: AllocationRequest, startMs: number, prefillMs: number, isOverShare: boolean, nowMs: number): DeclineFacts {
     const { estimateLoadMs, estimateColdLoadMs } = this.#options
     return {
       load: this.getLoad(nowMs),
@@ -373,10 +404,11 @@
       prefillShare: request.isBase ? 1 : this.adapters.getPrefillShare(request.adapter, nowMs),
       loadMs: estimateLoadMs(request.adapter, request.version),
       coldLoadMs: estimateColdLoadMs(),
-      availableLoads: this.#countAvailableLoads(),
+      availableLoads: this.#countAvailableLoads(isOverShare),
+      overShareWaitMs: isOverShare ? computeOverShareWaitMs(this.prefillBacklog.getBacklogMs(nowMs), this.#sumWaitingPrefillMs()) : 0,
       startMs,
       prefillMs,
-      limit: this.#limiter.isLimited(nowMs) ? { waitMs: this.#estimateLimitWaitMs(request, nowMs), idleMs: this.#limiter.getIdleMs(nowMs) } : undefined
+      limit: this.#limiter.isLimited(nowMs) ? { waitMs: this.#estimateLimitWaitMs(request, isOverShare, nowMs), idleMs: this.#limiter.getIdleMs(nowMs) } : undefined
     }
   }
 
--- a/src/core/allocation/allocationRequest.ts
+++ b/src/core/allocation/allocationRequest.ts
@@ -20,6 +20,8 @@
   readonly isServedElsewhere: boolean
   /** Whether it goes on with a stream, of which the caller has the beginning. */
   readonly isResumed: boolean
+  /** Name of its client account; undefined if there are no accounts. */
+  readonly account?: string | undefined
 }
 
 export type AllocationDecision =
@@ -34,6 +36,8 @@
   readonly reason: string
   /** Whether the reason is the engine's limit, so that another engine may take the request. */
   readonly isLimited: boolean
+  /** Whether the reason is that its account is over its share of the engine. */
+  readonly isOverShare?: boolean
 }
 
 export interface AllocationPlan {
--- a/src/core/allocation/describeEngineLoad.ts
+++ b/src/core/allocation/describeEngineLoad.ts
@@ -1,14 +1,15 @@
 /** Summarizes an engine's load for log records. */
 import type { AllocationPlanner } from './allocationPlanner.js'
 
-/** Ratios are rounded to two decimals, times to whole milliseconds; `free` and `idle` count adapter slots. */
-export function describeEngineLoad ({ adapters, prefillBacklog, running, waiting }: AllocationPlanner, nowMs: number): Record<string, number> {
+/** Ratios are rounded to two decimals, times to whole milliseconds; `free` and `idle` count adapter slots, `overShare` the waiting requests of accounts over their shares. */
+export function describeEngineLoad ({ adapters, prefillBacklog, running, waiting, waitingOverShare }: AllocationPlanner, nowMs: number): Record<string, number> {
   return {
     use: roundRatio(prefillBacklog.getUtilization(nowMs)),
     pace: roundRatio(prefillBacklog.slowdown),
     backlogMs: Math.round(prefillBacklog.getBacklogMs(nowMs)),
     running,
     waiting,
+    ...(waitingOverShare > 0 && { overShare: waitingOverShare }),
     free: adapters.freeSlots,
     idle: adapters.idleCount,
     loading: adapters.loadingCount,
--- a/src/tasks/allocation/engineAllocator.ts
+++ b/src/tasks/allocation/engineAllocator.ts
@@ -271,6 +271,7 @@
       promptSegments: request.parts.map(([id, tokens]) => ({ id, tokens })),
       mayDecline: request.mayDecline,
       isResumed: request.isResumed ?? false,
+      account: request.account,
       isServedElsewhere: this.#adapterLocations.find(formatAdapterName(request), nowMs) !== undefined
     }, nowMs)
     this.#applyDecision(reservation, decision)
@@ -280,7 +281,7 @@
     if (decision.kind === 'declined') {
       this.#refuse(reservation, 'crowded', decision.reason, 0, decision.expectedMs)
     } else if (decision.kind === 'refused') {
-      this.#options.log.record('place.refused', 'Refused a reservation.', { requestId: reservation.request.requestId, endpointId: this.endpointId, reason: decision.reason, ...this.#describeLoad() })
+      this.#options.log.record(decision.isOverShare ? 'place.overShare' : 'place.refused', 'Refused a reservation.', { requestId: reservation.request.requestId, endpointId: this.endpointId, reason: decision.reason, ...this.#describeLoad() })
       this.#refuse(reservation, decision.isLimited ? 'limited' : 'out_of_reach', decision.reason, decision.retryAfterMs)
     } else {
       this.#plan()
@@ -333,10 +334,10 @@
   }
 
   #executePlan (plan: AllocationPlan, nowMs: number): void {
-    for (const { key, retryAfterMs, reason, isLimited } of plan.refused) {
+    for (const { key, retryAfterMs, reason, isLimited, isOverShare } of plan.refused) {
       const reservation = this.#reservations.get(key)
       if (!reservation) continue
-      this.#options.log.record('place.overdue', 'Refused a request that waited too long for its adapter.', { requestId: reservation.request.requestId, endpointId: this.endpointId, adapter: reservation.request.adapter, ...this.#describeLoad() })
+      this.#options.log.record(isOverShare ? 'place.overShare' : 'place.overdue', isOverShare ? 'Refused a request whose account is over its share.' : 'Refused a request that waited too long for its adapter.', { requestId: reservation.request.requestId, endpointId: this.endpointId, adapter: reservation.request.adapter, ...this.#describeLoad() })
       this.#refuse(reservation, isLimited ? 'limited' : 'overdue', reason, retryAfterMs)
     }
     const load = this.#planner.getLoad(nowMs)
