Estimate an engine's backlog with the slowness that its machine tells

Engines of very different speeds on machines that are slow for 600 ms at a time were given more than they could answer on time. The release of a reservation carries the slowness that the response told, and is unchanged where none is told.

--- a/features/steps/engineReplay.ts
+++ b/features/steps/engineReplay.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
 import { computeOnTimeShare, createRandom, drawArrivals, replayLoad } from '../support/engineReplay.js'
+import type { AllocationWorld } from './allocationPlanner.js'
 import type { ReplayOptions, ReplayRequest, ReplayResult } from '../support/engineReplay.js'
 
 interface EngineReplayWorld {
@@ -22,6 +23,9 @@
   this.options = { seed: 3, batchLimit: 48, speeds: Array.from({ length: engines }, () => 1) }
 })
 
+/** Orders in which engines are asked; a single one shows less than chance does. */
+const replaySeeds = [3, 4, 5]
+
 function measureOthers (results: ReplayResult[], requests: readonly ReplayRequest[]): number {
   return computeOnTimeShare(results.filter((_, index) => requests[index]!.account !== 'account-0'))
 }
@@ -39,3 +43,31 @@
   this.attach(`others ${measured}, all ${computeOnTimeShare(results)}`, 'text/plain')
   assert.ok(measured >= share, `${measured} of the others are on time`)
 })
+
+When('{int} engines, a quarter at 0.55 and the others at 1.2 of the usual speed, get {int} requests per second each for {int} s', function (this: EngineReplayWorld, engines: number, rate: number, seconds: number) {
+  this.requests = drawArrivals(rate * engines, 0, seconds * 1000, createRandom(7)).map(atMs => ({ atMs, kind: 'chat', targetMs: 600, patienceMs: 3000, promptTokens: 650 }))
+  this.options = { seed: 3, batchLimit: 48, speeds: Array.from({ length: engines }, (_, index) => index % 4 === 0 ? 0.55 : 1.2) }
+})
+
+When('their machines are slower by a factor of {float} for {int} ms at a time, {int}% of the time', function (this: EngineReplayWorld, factor: number, spanMs: number, percent: number) {
+  const random = createRandom(8)
+  const lastMs = Math.max(...this.requests.map(({ atMs }) => atMs)) + 10_000
+  const spans = this.options.speeds.map(() => drawArrivals(1000 / spanMs * percent / (100 - percent), 0, lastMs, random))
+  this.options.getSlowness = (engine, nowMs) => spans[engine]!.some(startMs => nowMs >= startMs && nowMs < startMs + spanMs) ? factor : 1
+})
+
+Then('at least {float} of the requests that are late without telling it are on time with it', function (this: EngineReplayWorld, part: number) {
+  const [late, lateTold] = [false, true].map(isSlownessTold => 1 - computeOnTimeShare(replaySeeds.flatMap(seed => replayLoad(this.requests, { ...this.options, seed, isSlownessTold }))))
+  this.attach(`late without ${late}, with ${lateTold}`, 'text/plain')
+  assert.ok(lateTold! <= late! * (1 - part), `${late} are late without, ${lateTold} with`)
+})
+
+When('the engine told {int} ms ago that its machine is slow by a factor of {float}', function (this: AllocationWorld, agoMs: number, factor: number) {
+  const { planner, nowMs } = this.allocator
+  planner.prefillBacklog.recordSlowness(factor, nowMs - agoMs, nowMs)
+})
+
+Then('the prefill backlog is about {int} ms', function (this: AllocationWorld, expectedMs: number) {
+  const measuredMs = this.allocator.planner.prefillBacklog.getBacklogMs(this.allocator.nowMs)
+  assert.ok(Math.abs(measuredMs - expectedMs) < 3, `${measuredMs} ms`)
+})
--- a/features/support/engineReplay.ts
+++ b/features/support/engineReplay.ts
@@ -127,10 +127,11 @@
       promptTokens,
       complete: () => {
         const nowMs = clock.readMonotonic()
+        const slowness = options.isSlownessTold ? getSlowness(index) : undefined
         result.firstMs = nowMs - atMs
         clock.setTimer(() => {
           const endMs = clock.readMonotonic()
-          engine.planner.recordFirstChunk(key, nowMs - sentAtMs)
+          engine.planner.recordFirstChunk(key, nowMs - sentAtMs, endMs, slowness)
           engine.planner.remove(key, endMs)
           engine.plan()
         }, decodeMs * getSlowness(index) / options.speeds[index]!)
--- a/src/core/allocation/allocationPlanner.ts
+++ b/src/core/allocation/allocationPlanner.ts
@@ -133,10 +133,15 @@
     if (engineAdapter && !running.isBase) engineAdapter.running = Math.max(0, engineAdapter.running - 1)
   }
 
-  /** Records the time from sending a request to the first chunk of its answer. */
-  recordFirstChunk (key: string, measuredMs: number): void {
+  /**
+   * Records the time from sending a request to the first chunk of its answer, and the slowness that the endpoint told with it. The
+   * age of the latter is the time since then.
+   */
+  recordFirstChunk (key: string, measuredMs: number, nowMs: number, slowness?: number): void {
     const running = this.#running.get(key)
-    if (running) this.prefillBacklog.recordFirstChunk(running.expectedMs, measuredMs)
+    if (!running) return
+    this.prefillBacklog.recordFirstChunk(running.expectedMs, measuredMs, slowness)
+    if (slowness !== undefined) this.prefillBacklog.recordSlowness(slowness, Math.min(nowMs, running.grantedAtMs + measuredMs), nowMs)
   }
 
   // Adapters
--- a/src/core/allocation/describeEngineLoad.ts
+++ b/src/core/allocation/describeEngineLoad.ts
@@ -3,9 +3,11 @@
 
 /** Ratios are rounded to two decimals, times to whole milliseconds; `free` and `idle` count adapter slots, `overShare` the waiting requests of accounts over their shares. */
 export function describeEngineLoad ({ adapters, prefillBacklog, running, waiting, waitingOverShare }: AllocationPlanner, nowMs: number): Record<string, number> {
+  const slowness = prefillBacklog.getSlowness(nowMs)
   return {
     use: roundRatio(prefillBacklog.getUtilization(nowMs)),
     pace: roundRatio(prefillBacklog.slowdown),
+    ...(slowness !== 1 && { slowness: roundRatio(slowness) }),
     backlogMs: Math.round(prefillBacklog.getBacklogMs(nowMs)),
     running,
     waiting,
--- a/src/core/allocation/prefillBacklog.ts
+++ b/src/core/allocation/prefillBacklog.ts
@@ -1,5 +1,7 @@
 /** Estimates an engine's prefill backlog as time; prefill is the resource that an engine exhausts first. */
 
+import { isPlausibleSlowness, MomentarySlowness } from './momentarySlowness.js'
+
 /** Prompt tokens that an engine processes in a millisecond; the published engines process 38.7. */
 const tokensPerMs = 38.7
 /** Milliseconds for a million token pairs in attention; the published engines take 0.737. */
@@ -13,6 +15,13 @@
 /** Ratios beyond these bounds have other causes than the engine's speed. */
 const minSlowdown = 0.8
 const maxSlowdown = 4
+/**
+ * The same three where the endpoint tells its momentary slowness: what is measured then shows the engine's own speed, which is
+ * between 0.55 and 1.2 of the usual in the published deployments.
+ */
+const toldSmoothing = 0.1
+const minToldSlowdown = 0.4
+const minToldMeasuredMs = 30
 /** Expected times below this say little about the slowdown, as one step of an engine takes up to 60 ms. */
 const minMeasuredMs = 60
 
@@ -22,6 +31,7 @@
   #updatedAtMs = 0
   /** Measured over expected time; above 1 for a slow engine. */
   #slowdown = 1
+  #slowness = new MomentarySlowness()
 
   /** Computes the time that this engine takes for the uncached tokens of a prompt. */
   computePrefillMs (uncachedTokens: number, promptTokens: number): number {
@@ -51,21 +61,37 @@
     this.#usedMs += prefillMs
   }
 
-  /** Updates the slowdown from the time to a first chunk and the time that was expected when the reservation was granted. */
-  recordFirstChunk (expectedMs: number, measuredMs: number): void {
-    if (expectedMs < minMeasuredMs) return
-    const ratio = measuredMs / expectedMs * this.#slowdown
-    this.#slowdown += smoothing * (Math.min(maxSlowdown, Math.max(minSlowdown, ratio)) - this.#slowdown)
+  /** How much longer than usual work takes there at the moment; 1 where the endpoint does not tell. */
+  getSlowness (nowMs: number): number {
+    return this.#slowness.estimate(nowMs)
+  }
+
+  /** Records the slowness that the endpoint told at a time. */
+  recordSlowness (slowness: number, toldAtMs: number, nowMs: number): void {
+    this.#update(nowMs)
+    this.#slowness.record(slowness, toldAtMs)
+  }
+
+  /**
+   * Updates the slowdown from the time to a first chunk and the time that was expected when the reservation was granted.
+   * `slowness`: what the endpoint told with that chunk.
+   */
+  recordFirstChunk (expectedMs: number, measuredMs: number, slowness?: number): void {
+    const isTold = slowness !== undefined && isPlausibleSlowness(slowness)
+    if (expectedMs < (isTold ? minToldMeasuredMs : minMeasuredMs)) return
+    const ratio = measuredMs / expectedMs * this.#slowdown / (isTold ? slowness : 1)
+    this.#slowdown += (isTold ? toldSmoothing : smoothing) * (Math.min(maxSlowdown, Math.max(isTold ? minToldSlowdown : minSlowdown, ratio)) - this.#slowdown)
   }
 
   clear (): void {
     this.#backlogMs = 0
     this.#usedMs = 0
+    this.#slowness.clear()
   }
 
   #update (nowMs: number): void {
     const elapsedMs = Math.max(0, nowMs - this.#updatedAtMs)
-    this.#backlogMs = Math.max(0, this.#backlogMs - elapsedMs * prefillTimeRatio)
+    this.#backlogMs = Math.max(0, this.#backlogMs - elapsedMs * prefillTimeRatio / this.#slowness.estimate(nowMs))
     this.#usedMs *= Math.exp(-elapsedMs / utilizationDecayMs)
     this.#updatedAtMs = nowMs
   }
--- a/src/tasks/allocation/engineAllocator.ts
+++ b/src/tasks/allocation/engineAllocator.ts
@@ -191,7 +191,7 @@
     const reservation = this.#reservations.get(key)
     if (!reservation) return
     this.#reservations.delete(key)
-    if (release.firstPartMs >= 0 && release.outcome === 'served') this.#planner.recordFirstChunk(key, release.firstPartMs)
+    if (release.firstPartMs >= 0 && release.outcome === 'served') this.#planner.recordFirstChunk(key, release.firstPartMs, this.#options.clock.readMonotonic(), release.slowness)
     this.#planner.remove(key, release.outcome === 'served' ? this.#options.clock.readMonotonic() : undefined)
     if (release.outcome === 'missing') this.#handleMissingAdapter(reservation)
     if (release.outcome === 'unreachable' || release.outcome === 'broken') this.#stateMonitor.checkReachability()
--- a/src/tasks/proxy/attemptTarget.ts
+++ b/src/tasks/proxy/attemptTarget.ts
@@ -20,7 +20,8 @@
   readonly isAvailable: () => boolean
   /** Called once when the answer has begun. */
   readonly receiveBegun: () => void
-  readonly release: (outcome: ReleaseOutcome, firstChunkMs: number) => void
+  /** `slowness`: what the endpoint told of its machine as its response began, if it did. */
+  readonly release: (outcome: ReleaseOutcome, firstChunkMs: number, slowness?: number) => void
 }
 
 /** Whether a response belongs to a request, by the request's id that endpoints repeat. */
--- a/src/tasks/proxy/endpointSelector.ts
+++ b/src/tasks/proxy/endpointSelector.ts
@@ -18,7 +18,7 @@
   /** Whether another host, or this one as its owner, has granted the request at this endpoint. */
   readonly isGranted: boolean
   /** Releases the reservation, if there is one, and reports its outcome to the endpoint's owner. */
-  readonly release: (outcome: ReleaseOutcome, firstChunkMs: number) => void
+  readonly release: (outcome: ReleaseOutcome, firstChunkMs: number, slowness?: number) => void
 }
 
 export interface EndpointQuery {
--- a/src/tasks/proxy/engineSelector.ts
+++ b/src/tasks/proxy/engineSelector.ts
@@ -132,7 +132,7 @@
       search.waitedMs = Math.round(outcome.waitedMs)
       search.load = outcome.load
       this.#grantedAdapters.set(`${rankingKey} ${endpoint.id}`, nowMs)
-      return { kind: 'found', target: this.#createTarget(endpoint, outcome.version, true, query, (result, firstChunkMs) => outcome.reservation.release(result, firstChunkMs)) }
+      return { kind: 'found', target: this.#createTarget(endpoint, outcome.version, true, query, (result, firstChunkMs, slowness) => outcome.reservation.release(result, firstChunkMs, slowness)) }
     }
     if (outcome.kind === 'refused') {
       if (outcome.code === 'no_orders' || outcome.code === 'not_owner') {
@@ -199,7 +199,7 @@
     }
     // The owner is notified nevertheless, because it may respond again or be replaced by another one.
     const reservation = reservations.reserveWithoutGrant(clusterView.owners.get(endpoint.id)?.row.address ?? '', details)
-    return { kind: 'found', target: this.#createTarget(endpoint, version, false, query, (outcome, firstChunkMs) => reservation.release(outcome, firstChunkMs)) }
+    return { kind: 'found', target: this.#createTarget(endpoint, version, false, query, (outcome, firstChunkMs, slowness) => reservation.release(outcome, firstChunkMs, slowness)) }
   }
 
   #createTarget (endpoint: EndpointEntry, version: number, isGranted: boolean, { route, isResumed }: EndpointQuery, release: SelectedEndpoint['release']): SelectedEndpoint {
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -298,6 +298,6 @@
   #finish (outcome: ReleaseOutcome): void {
     this.#isFinished = true
     this.#context.health.recordRequestEnd(this.#options.target.id)
-    this.#options.target.release(outcome, this.#firstChunkMs)
+    this.#options.target.release(outcome, this.#firstChunkMs, this.#head?.load?.slowness)
   }
 }
--- a/src/tasks/proxy/reservationClient.ts
+++ b/src/tasks/proxy/reservationClient.ts
@@ -34,7 +34,7 @@
 
 /** A granted reservation; to be released exactly once. */
 export interface Reservation {
-  release: (outcome: ReleaseOutcome, firstChunkMs: number) => void
+  release: (outcome: ReleaseOutcome, firstChunkMs: number, slowness?: number) => void
 }
 
 export interface PendingReservation {
@@ -192,7 +192,7 @@
   }
 
   #createReservation (reservation: ClientReservation): Reservation {
-    return { release: (outcome, firstChunkMs) => this.#release(reservation, outcome, firstChunkMs) }
+    return { release: (outcome, firstChunkMs, slowness) => this.#release(reservation, outcome, firstChunkMs, slowness) }
   }
 
   #reportRunning (address: string, endpointId: string, reservations: readonly ClientReservation[]): void {
@@ -203,10 +203,10 @@
     }
   }
 
-  #release ({ request, address }: ClientReservation, outcome: ReleaseOutcome, firstChunkMs: number): void {
+  #release ({ request, address }: ClientReservation, outcome: ReleaseOutcome, firstChunkMs: number, slowness?: number): void {
     this.#active.delete(request.id)
     if (address === '') return
-    const message: ReservationRelease = { type: 'done', id: request.id, endpointId: request.endpointId, outcome, firstPartMs: firstChunkMs }
+    const message: ReservationRelease = { type: 'done', id: request.id, endpointId: request.endpointId, outcome, firstPartMs: firstChunkMs, ...(slowness !== undefined && { slowness }) }
     if (address !== this.#options.ownAddress) {
       this.#unconfirmedReleases.set(request.id, { message, address, sends: 1 })
       this.#releaseRetryTimer ??= this.#options.clock.setTimer(() => this.#resendReleases(), releaseRetryIntervalMs)
