Weigh accounts by their quotas where they share endpoints

Accounts that use their usual part of a quota are at their share however large they are; with equal weights the largest account would have been the first to be refused whenever an endpoint was short of room.

--- a/features/steps/serviceDispatch.ts
+++ b/features/steps/serviceDispatch.ts
@@ -103,7 +103,7 @@
 }
 
 Given('an endpoint with 1 place that has granted all it may', function (this: DispatchWorld) {
-  this.queue = new DispatchQueue({ findPlaces: () => 1, shares: { record: () => {}, isOverShare: account => account === 'greedy' } })
+  this.queue = new DispatchQueue({ findPlaces: () => 1, shares: { record: () => {}, recordDemand: () => {}, isOverShare: account => account === 'greedy' } })
   this.queue.receiveRequest(createRequest('first', 500, ''), 0)
   this.queue.receiveRelease('first', { tookMs: 5, slowness: 1, busy: undefined }, 5)
   this.queue.receiveRequest(createRequest('earlier', 500, ''), 5)
--- a/src/core/allocation/allocationPlanner.ts
+++ b/src/core/allocation/allocationPlanner.ts
@@ -59,12 +59,13 @@
   #failedLoads = new Map<string, number>()
   #limiter: GrantLimiter
   #retries = new RetrySchedule()
-  #shareRules = new ShareRules()
+  #shareRules: ShareRules
   /** Moving average of the time from a grant to the end of the run. */
   #runMs = initialRunMs
 
   constructor (options: AllocationOptions) {
     this.#options = options
+    this.#shareRules = new ShareRules(options.getAccountWeight)
     this.adapters = new EngineAdapters(options.adapterSlots)
     this.#cache = new PrefixCacheEstimate(options.cacheTokens)
     this.#limiter = new GrantLimiter(options.findRate)
--- a/src/core/allocation/allocationRequest.ts
+++ b/src/core/allocation/allocationRequest.ts
@@ -62,4 +62,6 @@
   readonly estimateColdLoadMs: () => number
   /** Requests a second that the engine may get while it is limited; undefined if it is not. */
   readonly findRate: (nowMs: number) => number | undefined
+  /** Returns the weight by which an account shares the engine with others; all are equal if it is left out. */
+  readonly getAccountWeight?: (account: string) => number
 }
--- a/src/core/dispatch/dispatchQueue.ts
+++ b/src/core/dispatch/dispatchQueue.ts
@@ -2,13 +2,11 @@
 import { compareDispatchTurns, computeDispatchTurn } from './dispatchOrder.js'
 import type { DispatchTimesLeft, DispatchTurn } from './dispatchOrder.js'
 import { DispatchTimes } from './dispatchTimes.js'
+import type { AccountShares } from '../accountShares.js'
 import { RetrySchedule } from '../allocation/retrySchedule.js'
 
 /** Tells whether accounts had more of an endpoint than their fair share; see `core/accountShares.ts`. */
-export interface DispatchShares {
-  record: (account: string, workMs: number, nowMs: number) => void
-  isOverShare: (account: string, nowMs: number) => boolean
-}
+export type DispatchShares = Pick<AccountShares, 'record' | 'recordDemand' | 'isOverShare'>
 
 export interface DispatchQueueOptions {
   /** Returns how many requests this host may have at the endpoint at once, without the excess; 0 if another host grants them. */
@@ -104,15 +102,17 @@
     this.#lastRequestAtMs = nowMs
     const decisions = this.plan(nowMs)
     const { shares } = this.#options
-    const isOverShare = shares !== undefined && request.account !== undefined && shares.isOverShare(request.account, nowMs)
+    const isOverShare = shares !== undefined && shares.isOverShare(request.account, nowMs)
     const workMs = this.#getAnswerMs(nowMs)
     const turn = computeDispatchTurn(request, this.times.getLongWorkMs(nowMs) + this.times.overheadMs / 2, isOverShare, nowMs)
     const position = this.#waiting.findIndex(waiting => compareDispatchTurns(turn, waiting.turn) < 0)
     const ahead = position < 0 ? this.#waiting.length : position
     const waitMs = this.#estimateWaitMs(ahead, nowMs)
     const answerMs = waitMs + workMs
-    if (nowMs + waitMs > turn.deadlineMs) return [...decisions, { kind: 'refuse', key: request.key, answerMs, retryAfterMs: this.#computeRetryAfterMs(nowMs) }]
-    if (request.mayDecline && this.#isBetterElsewhere(request, answerMs)) return [...decisions, { kind: 'decline', key: request.key, answerMs, retryAfterMs: waitMs }]
+    const isTooLate = nowMs + waitMs > turn.deadlineMs
+    if (!isTooLate && request.mayDecline && this.#isBetterElsewhere(request, answerMs)) return [...decisions, { kind: 'decline', key: request.key, answerMs, retryAfterMs: waitMs }]
+    shares?.recordDemand(request.account, workMs, nowMs)
+    if (isTooLate) return [...decisions, { kind: 'refuse', key: request.key, answerMs, retryAfterMs: this.#computeRetryAfterMs(nowMs) }]
     this.#waiting.splice(ahead, 0, { request, turn, receivedAtMs: nowMs })
     decisions.push(...this.plan(nowMs))
     return this.#waiting.some(waiting => waiting.request === request) ? [...decisions, { kind: 'queue', key: request.key, waitMs }] : decisions
@@ -161,7 +161,7 @@
   #grant ({ request, receivedAtMs }: Waiting, decisions: DispatchDecision[], nowMs: number): void {
     const workMs = this.times.getWorkMs(nowMs)
     this.#running.set(request.key, { grantedAtMs: nowMs, expiresAtMs: receivedAtMs + request.leavesInMs + lostHolderGraceMs })
-    if (request.account !== undefined) this.#options.shares?.record(request.account, workMs, nowMs)
+    this.#options.shares?.record(request.account, workMs, nowMs)
     decisions.push({ kind: 'grant', key: request.key, waitedMs: nowMs - receivedAtMs, answerMs: this.#estimateWaitMs(this.#waiting.length, nowMs) + this.#getAnswerMs(nowMs) })
   }
 
--- a/src/tasks/allocation/allocationTask.ts
+++ b/src/tasks/allocation/allocationTask.ts
@@ -1,4 +1,5 @@
 /** The allocators of all endpoints that this host owns; passes messages from proxies to them. */
+import { AccountShares } from '../../core/accountShares.js'
 import type { ClusterViewChange, ClusterView } from '../../core/clusterView.js'
 import type { Clock } from '../../ports/clock.js'
 import type { DatagramSender } from '../../ports/datagrams.js'
@@ -11,7 +12,7 @@
 import type { DispatchEndpointsOptions } from './dispatchEndpoints.js'
 import { LimitedEndpoints } from './limitedEndpoints.js'
 
-export interface AllocationTaskOptions extends Pick<DispatchEndpointsOptions, 'createShares' | 'recordDispatch'> {
+export interface AllocationTaskOptions extends Pick<DispatchEndpointsOptions, 'recordDispatch'> {
   clock: Clock
   log: EventLog
   host: string
@@ -37,7 +38,7 @@
   constructor (options: AllocationTaskOptions) {
     this.#options = options
     this.#limitedEndpoints = new LimitedEndpoints(options)
-    this.#dispatchEndpoints = new DispatchEndpoints(options)
+    this.#dispatchEndpoints = new DispatchEndpoints({ ...options, createShares: () => new AccountShares(account => options.clusterView.routes?.accounts?.getWeight(account) ?? 1) })
   }
 
   /** `wasOwn`: this host owned the endpoint before it restarted, so no orders of another host can be in transit. */
@@ -117,6 +118,7 @@
       findFencingToken: () => this.#options.findFencingToken(endpointId),
       findRate: () => this.#options.findRate(endpointId),
       findVersion: (model, adapter) => clusterView.findAdapterVersion(model, adapter),
+      getAccountWeight: account => clusterView.routes?.accounts?.getWeight(account) ?? 1,
       takeoverDelayMs: delayMs
     })
     this.#allocators.set(endpointId, allocator)
--- a/src/tasks/allocation/engineAllocator.ts
+++ b/src/tasks/allocation/engineAllocator.ts
@@ -34,6 +34,8 @@
   findRate: () => number | undefined
   /** Returns the newest declared version of an adapter, or 0 if none was declared. */
   findVersion: (model: string, adapter: string) => number
+  /** Returns the weight by which an account shares the engine with others. */
+  getAccountWeight?: (account: string) => number
   /** Delay before the first order, in milliseconds, during which orders of the former owner may still arrive. */
   takeoverDelayMs: number
 }
@@ -94,7 +96,8 @@
       maxLoads: maxConcurrentLoads,
       estimateLoadMs: (adapter, version) => this.#loader.computeExpectedLoadMs(adapter, version),
       estimateColdLoadMs: () => this.#loader.coldLoadMs,
-      findRate: options.findRate
+      findRate: options.findRate,
+      ...(options.getAccountWeight && { getAccountWeight: options.getAccountWeight })
     })
     this.#loadLog = new EngineLoadLog({
       clock, log, endpointId: options.entry.id, describe: () => ({ isReady: this.#stateMonitor.isReady, isOpen: this.#orderQueue.canSendOrders, ...this.#describeLoad() })
