Count and log the dispatch to plain services, and test it with hosts

Stand-ins tell their load with its slowness if they are set to. Six hosts before 2 endpoints with 2 places never have more than 3 requests at one; endpoints that tell no slowness cause no message.

--- a/features/serviceDispatch.feature
+++ b/features/serviceDispatch.feature
@@ -46,3 +46,17 @@
     Given an endpoint with 1 place that has granted all it may
     When requests of an account over its share, of a late caller and of another account wait
     Then they are granted as "other, late, greedy"
+
+  Scenario: Hosts that serve requests at the same time meet at one endpoint
+    Given 6 hosts before 2 endpoints of a plain service with 2 places each that tell how slow they are
+    When each host has served a request
+    And 120 requests come to the hosts in bursts of 6 within 1200 ms
+    Then no endpoint runs more than 3 of them at once, and at least 95% of the answers are whole
+    And the lines of the hosts tell who grants, and how the requests were placed
+    And the metrics of the hosts count at least 100 grants
+
+  Scenario: Hosts ask each other for places at endpoints that tell no slowness
+    Given 6 hosts before 2 endpoints of a plain service with 2 places each that tell no slowness
+    When each host has served a request
+    And 24 requests come to the hosts in bursts of 6 within 400 ms
+    Then no host has asked another one for a place, and no release has more than its usual fields
--- a/features/steps/serviceDispatch.ts
+++ b/features/steps/serviceDispatch.ts
@@ -1,10 +1,19 @@
 /** Steps of requests to plain services that hosts grant to each other. */
 import assert from 'node:assert/strict'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { isDispatched } from '../../src/core/dispatch/dispatchChoice.js'
 import { rankDispatchGranters } from '../../src/core/dispatch/dispatchGranters.js'
 import { DispatchQueue } from '../../src/core/dispatch/dispatchQueue.js'
 import type { DispatchDecision } from '../../src/core/dispatch/dispatchQueue.js'
+import type { HostMessage } from '../../src/schemas/datagram.js'
+import { findMetricsPort } from '../../src/standin/fleet/hostSettings.js'
+import { isWhole } from '../../src/standin/fleet/fleetCaller.js'
+import { plainService } from '../../src/standin/fleet/startFleet.js'
+import { HostFleet } from '../support/hostFleet.js'
+import { hostsBasePort } from '../support/testPorts.js'
+import { call, setFaults } from '../support/hostsWorld.js'
+import type { HostsWorld } from '../support/hostsWorld.js'
 import { computeWaves, createCounts, DispatchTrial } from '../support/dispatchTrial.js'
 import type { DispatchCounts, DispatchTrialOptions } from '../support/dispatchTrial.js'
 
@@ -14,6 +23,11 @@
   queue: DispatchQueue
 }
 
+interface FleetWorld extends HostsWorld {
+  messages: HostMessage[]
+  servedBefore: number
+}
+
 const failureSeed = 7
 const atUsualRate: Omit<DispatchTrialOptions, 'seed' | 'isDispatched'> = { requestsPerSecond: 210, computeLoad: () => 1 }
 
@@ -125,3 +139,61 @@
   }
   assert.equal(granted.join(', '), order)
 })
+
+Given(/^(\d+) hosts before (\d+) endpoints of a plain service with (\d+) places each that tell (how slow they are|no slowness)$/, { timeout: 30_000 }, async function (this: FleetWorld, hosts: string, services: string, places: string, tells: string) {
+  this.hostFleet = await HostFleet.start(Number(hosts), { engines: 1, services: Number(services), servicePlaces: Number(places) })
+  this.answers = []
+  this.messages = []
+  this.hostFleet.isLost = message => {
+    this.messages.push(message)
+    return false
+  }
+  if (tells !== 'no slowness') setFaults(this, ({ service }) => service === plainService, { slowness: 1 })
+})
+
+When('each host has served a request', { timeout: 20_000 }, async function (this: FleetWorld) {
+  for (let host = 1; host <= this.hostFleet.hosts.length; host++) await call(this, { kind: 'once', host })
+  assert.ok(this.answers.every(isWhole))
+  this.answers = []
+  this.servedBefore = this.hostFleet.fleet.journal.runs.length
+})
+
+When('{int} requests come to the hosts in bursts of {int} within {int} ms', { timeout: 20_000 }, async function (this: FleetWorld, count: number, burst: number, withinMs: number) {
+  await Promise.all(Array.from({ length: count }, async (_, index) => {
+    await sleep(Math.floor(index / burst) * burst * withinMs / count)
+    await call(this, { kind: 'once', host: index % this.hostFleet.hosts.length + 1 })
+  }))
+})
+
+Then('no endpoint runs more than {int} of them at once, and at least {int}% of the answers are whole', function (this: FleetWorld, most: number, percent: number) {
+  const { journal, endpoints } = this.hostFleet.fleet
+  const runs = journal.runs.slice(this.servedBefore)
+  for (const { id } of endpoints) {
+    const ofEndpoint = runs.filter(({ endpointId }) => endpointId === id)
+    const counts = ofEndpoint.map(({ startedAtMs }) => ofEndpoint.filter(other => other.startedAtMs <= startedAtMs && (other.endedAtMs ?? Infinity) > startedAtMs).length)
+    assert.ok(Math.max(0, ...counts) <= most, `${id}: ${Math.max(...counts)} at once`)
+  }
+  const whole = this.answers.filter(isWhole).length
+  assert.ok(whole >= this.answers.length * percent / 100, `${whole} of ${this.answers.length}`)
+})
+
+Then('the lines of the hosts tell who grants, and how the requests were placed', function (this: FleetWorld) {
+  const endpointIds = this.hostFleet.listLines('dispatch.began').map(({ fields }) => fields.endpointId)
+  assert.deepEqual(new Set(endpointIds).size, 2)
+  const placed = this.hostFleet.listLines('request.served').filter(({ fields }) => fields.isDispatched === true)
+  assert.ok(placed.length >= 100 && placed.every(({ fields }) => JSON.stringify(fields.searches).includes('granted')))
+})
+
+Then('the metrics of the hosts count at least {int} grants', async function (this: FleetWorld, least: number) {
+  const counts = await Promise.all(this.hostFleet.hosts.map(async ({ settings }) => {
+    const text = await (await fetch(`http://${settings.address}:${findMetricsPort(hostsBasePort)}/metrics`)).text()
+    return Number(/^sedgevalve_dispatch_decisions_total\{decision="grant"\} (\d+)/m.exec(text)?.[1] ?? 0)
+  }))
+  assert.ok(counts.reduce((sum, count) => sum + count) >= least, `${counts}`)
+})
+
+Then('no host has asked another one for a place, and no release has more than its usual fields', function (this: FleetWorld) {
+  const asks = this.messages.filter(message => message.type === 'ask' && message.isForDispatch)
+  const releases = this.messages.filter(message => message.type === 'done' && ('slowness' in message || 'tookMs' in message || 'busy' in message))
+  assert.deepEqual([asks.length, releases.length, this.answers.filter(isWhole).length], [0, 0, 24])
+})
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -23,6 +23,7 @@
 import { renewalsTable } from '../schemas/hostRows.js'
 import { createPausableOrders } from '../tasks/allocation/pausableOrders.js'
 import { AllocationTask } from '../tasks/allocation/allocationTask.js'
+import type { RecordDispatch } from '../tasks/allocation/dispatchEndpoint.js'
 import { createCountingLog, HostMetrics } from '../tasks/hostMetrics/hostMetrics.js'
 import { startMetricsServer } from '../tasks/hostMetrics/metricsServer.js'
 import { ReservationClient } from '../tasks/proxy/reservationClient.js'
@@ -97,10 +98,11 @@
   relay: Relay
   datagrams: Datagrams
   ports: Pick<HostPorts, 'openOrders' | 'decodeRow'>
+  recordDispatch: RecordDispatch
 }
 
 /** Creates the components of a host and connects them to each other; nothing is started yet. */
-function createHostComponents ({ settings, clock, log, own, store, eras, relay, datagrams, ports }: HostComponentsOptions): HostComponents {
+function createHostComponents ({ settings, clock, log, own, store, eras, relay, datagrams, ports, recordDispatch }: HostComponentsOptions): HostComponents {
   const formatRelayAddress = createRelayAddressFormatter(settings.peersAddress)
   const clusterView = new ClusterView(ports.decodeRow, settings.heartbeatMs, eras)
   const receiveViewChange = (change: ClusterViewChange): void => {
@@ -164,10 +166,9 @@
     receiveOwnership: (endpointId, fencing, wasOwn) => allocationTask.receiveOwnership(endpointId, fencing, wasOwn)
   })
   const allocationTask = new AllocationTask({
-    clock,
-    log,
+    ...context,
     host: settings.hostName,
-    clusterView,
+    recordDispatch,
     openOrders: endpoint => createPausableOrders(ports.openOrders(endpoint.id, endpoint.address), clock, () => noticeComponents.getRemainingPauseMs(endpoint)),
     findRate: noticeComponents.findRate,
     findFencingToken: endpointId => leaseComponents.leaseTask.findFencingToken(endpointId)
@@ -244,7 +245,7 @@
     await openPort(openOnce, { name, address, clock, log, signal: stopSignal, maxWaitMs: maxPortWaitMs - (clock.readMonotonic() - startedAtMs) })
   const messagesAddress = `${settings.address}:${settings.datagramPort}`
   const datagrams = await open('messages between hosts', messagesAddress, async () => await ports.openDatagrams({ address: settings.address, port: settings.datagramPort, host: settings.hostName, session, log }))
-  const { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks } = createHostComponents({ settings, clock, log, own, store, eras, relay, datagrams, ports })
+  const { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks } = createHostComponents({ settings, clock, log, own, store, eras, relay, datagrams, ports, recordDispatch: (decision, waitedMs) => metrics.recordDispatch(decision, waitedMs) })
   const { leaseTask, storeOutageDetector, isolationMonitor, renewalCollector, renewalClient } = leaseComponents
   eras.onNewEra((era, previous) => {
     log.record('store.restored', 'The store was restored from a copy, which lacks its last writes; all tables are read again.', { era, previous })
--- a/src/platform/standinWire.ts
+++ b/src/platform/standinWire.ts
@@ -3,6 +3,7 @@
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../ports/store.js'
 import type { EngineOrder, EngineState, OrderHolder } from '../ports/engineOrders.js'
 import { createParser } from '../schemas/createParser.js'
+import type { EndpointLoad } from '../schemas/callerRequest.js'
 import type { AdapterVersion, ClientAccount, EndpointEntry, LoadedModel, Route, RoutingConfiguration, ServiceSpec } from '../schemas/routing.js'
 import { configurationKey, endpointsTable, operatorsTable, versionKeyPrefix, wireHeaders } from './wireNames.js'
 
@@ -157,14 +158,15 @@
 }
 
 /** Encodes the headers of an endpoint's response: a signature, or the guarantee that the request was not executed. */
-export function encodeEndpointResponseHeaders (requestId: string, signature: string | undefined, { isLeaving = false, retryAfter = '', limit = '', brittle = '' }: ResponseNotices = {}): Record<string, string> {
+export function encodeEndpointResponseHeaders (requestId: string, signature: string | undefined, { isLeaving = false, retryAfter = '', limit = '', brittle = '', load }: ResponseNotices = {}): Record<string, string> {
   return {
     [wireHeaders.requestId]: requestId,
     ...(signature === undefined ? { [wireHeaders.notRun]: '1' } : { [wireHeaders.signature]: signature }),
     ...(isLeaving && { [wireHeaders.leaving]: '1' }),
     ...(retryAfter !== '' && { [wireHeaders.retryAfter]: retryAfter }),
     ...(limit !== '' && { [wireHeaders.limit]: limit }),
-    ...(brittle !== '' && { [wireHeaders.brittle]: brittle })
+    ...(brittle !== '' && { [wireHeaders.brittle]: brittle }),
+    ...(load && { [wireHeaders.load]: encodeLoad(load) })
   }
 }
 
@@ -177,6 +179,12 @@
   limit?: string
   /** Rejections a second that it bears; empty string for one that is not brittle. */
   brittle?: string
+  /** Absent for an endpoint that does not tell its load. */
+  load?: EndpointLoad | undefined
+}
+
+function encodeLoad ({ running, waiting, places, slowness }: EndpointLoad): string {
+  return [running, waiting, places, ...(slowness === undefined ? [] : [Math.round(slowness * 100)])].join(',')
 }
 
 /** Encodes the headers of a caller's request, for load generators and tests. */
--- a/src/standin/fleet/endpointFaults.ts
+++ b/src/standin/fleet/endpointFaults.ts
@@ -68,9 +68,11 @@
   brittle: string
   /** Every answer names this as the requests a second that the endpoint takes; empty for none. */
   limit: string
+  /** Every answer of a plain service tells its load with this as how many times as long as usual work takes, as it then does; 0 for no load header. */
+  slowness: number
 }
 
 /** The faults that are given as a part of the requests or orders. */
 export type FaultShare = 'errors' | 'cuts' | 'silentRuns' | 'headCuts' | 'unframed' | 'unframedCuts' | 'emptyStreams' | 'spoiledIds' | 'extras' | 'lateOrders'
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, breaksStreams: false, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, endless: '', spoiledIds: 0, spoiling: 'higher', spoiledEvent: 3, extras: 0, lateOrders: 0, extraMs: 0, eventMs: 0, silenceMs: 0, commentMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '' })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, breaksStreams: false, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, endless: '', spoiledIds: 0, spoiling: 'higher', spoiledEvent: 3, extras: 0, lateOrders: 0, extraMs: 0, eventMs: 0, silenceMs: 0, commentMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '', slowness: 0 })
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { decodeReceivedHeaders, decodeEngineOrder, encodeEndpointResponseHeaders, encodeEngineReport } from '../../platform/standinWire.js'
 import type { ReceivedHeaders } from '../../platform/standinWire.js'
+import type { EndpointLoad } from '../../schemas/callerRequest.js'
 import { wirePaths } from '../../platform/wireNames.js'
 import { createEvenDraws } from './createEvenDraws.js'
 import type { FleetEngine } from './fleetEngine.js'
@@ -164,7 +165,7 @@
       ? 421
       : engine ? engine.findRefusal(marks.adapter, marks.version) : this.#running >= maxRunning ? 503 : undefined
     if (refusal !== undefined) {
-      response.writeHead(refusal, encodeEndpointResponseHeaders(requestId, undefined, { isLeaving, limit, brittle })).end()
+      response.writeHead(refusal, encodeEndpointResponseHeaders(requestId, undefined, { isLeaving, limit, brittle, load: this.#readLoad() })).end()
       if (refusal === 503 && brittle !== '') this.#recordRejection(Number(brittle))
       return
     }
@@ -173,6 +174,14 @@
     if (body !== '' && body === this.faults.crashBody) this.crash()
   }
 
+  /** Undefined where the endpoint tells no load. */
+  #readLoad (): EndpointLoad | undefined {
+    const { slowness } = this.faults
+    const { engine, places } = this.#options
+    if (engine || slowness === 0) return undefined
+    return { running: Math.min(places, this.#running), waiting: Math.max(0, this.#running - places), places, slowness }
+  }
+
   #recordRejection (maxPerSecond: number): void {
     this.#rejectionTimesMs = [...this.#rejectionTimesMs.filter(atMs => readNow() - atMs < 1000), readNow()]
     if (this.#rejectionTimesMs.length <= maxPerSecond || this.isDown) return
@@ -209,7 +218,7 @@
       engine?.recordRun(marks.adapter, -1)
     }
     response.on('close', () => finish('left'))
-    const headers = encodeEndpointResponseHeaders(run.requestId, `signed by ${id}`, { isLeaving: this.faults.isLeaving, limit: this.faults.limit, brittle: this.faults.brittle })
+    const headers = encodeEndpointResponseHeaders(run.requestId, `signed by ${id}`, { isLeaving: this.faults.isLeaving, limit: this.faults.limit, brittle: this.faults.brittle, load: this.#readLoad() })
     if (this.#sendEndless(request, run, headers, finish)) return
     if (this.#shouldStrike('silentRuns')) return
     if (this.#shouldStrike('errors')) {
@@ -230,7 +239,7 @@
     } else if (engine) {
       this.#stream(engine, response, run, headers, finish)
     } else {
-      setTimeout(() => this.#answer(request, response, run, headers, finish), workMs + this.faults.extraMs)
+      setTimeout(() => this.#answer(request, response, run, headers, finish), workMs * (this.faults.slowness || 1) + this.faults.extraMs)
     }
   }
 
--- a/src/standin/fleet/startFleet.ts
+++ b/src/standin/fleet/startFleet.ts
@@ -15,6 +15,8 @@
 export interface FleetOptions {
   engines: number
   services: number
+  /** Requests that an endpoint of the plain service runs at once. */
+  servicePlaces: number
   adapterSlots: number
   zones: readonly string[]
   heartbeatMs: number
@@ -51,7 +53,7 @@
 export const fleetPaths = Object.freeze({ stream: '/stream/', once: '/once/', resumable: '/resumable/', idempotent: '/safe/' })
 
 export const defaultFleetOptions: Omit<FleetOptions, 'random'> = Object.freeze({
-  engines: 3, services: 2, adapterSlots: 4, zones: ['a', 'b'], heartbeatMs: 300, tellsStart: true, createDraws: createEvenDraws, openRoute: async (_id: string, address: string) => address
+  engines: 3, services: 2, servicePlaces: 6, adapterSlots: 4, zones: ['a', 'b'], heartbeatMs: 300, tellsStart: true, createDraws: createEvenDraws, openRoute: async (_id: string, address: string) => address
 })
 
 /** Entries that were not written for this long are removed, in heartbeats. */
@@ -120,12 +122,12 @@
 
   /** `modelLoadMs`: an engine that starts without its model loads it in this time; `softwareVersion`: empty for an entry without one. */
   async addEndpoint (service: string, modelLoadMs = 0, softwareVersion = 'v1'): Promise<FleetEndpoint> {
-    const { adapterSlots, zones, random, createDraws, openRoute } = this.#options
+    const { adapterSlots, servicePlaces, zones, random, createDraws, openRoute } = this.#options
     const id = `i-${this.#nextId++}`
     const engine = service === engineService
       ? new FleetEngine({ id, model: fleetModel, adapterSlots, batchLimit: 16, coldLoadMs: 120, warmLoadMs: 12, reportLagMs: 100, eventMs: 15, modelLoadMs }, () => performance.now())
       : undefined
-    const server = await startEndpointServer({ id, service, listenAddress: '127.0.0.1:0', journal: this.journal, random, createDraws, engine, places: 6, workMs: 20 })
+    const server = await startEndpointServer({ id, service, listenAddress: '127.0.0.1:0', journal: this.journal, random, createDraws, engine, places: servicePlaces, workMs: 20 })
     const endpoint: FleetEndpoint = { id, service, zone: zones[this.endpoints.length % zones.length]!, address: await openRoute(id, server.address), engine, server, isLeaving: false, softwareVersion, isTelling: true }
     this.endpoints.push(endpoint)
     this.softwareVersions.set(id, softwareVersion)
@@ -187,7 +189,7 @@
       isLeaving,
       goneInMs: undefined,
       softwareVersion,
-      places: engine?.options.batchLimit ?? 6,
+      places: engine?.options.batchLimit ?? this.#options.servicePlaces,
       startedAtMs: this.#options.tellsStart ? server.startedAtMs : 0,
       models: engine?.describeModels() ?? [],
       orderCount: engine?.orderCount ?? 0
--- a/src/tasks/hostMetrics/hostMetrics.ts
+++ b/src/tasks/hostMetrics/hostMetrics.ts
@@ -36,6 +36,8 @@
   #requestDurations = this.#createHistogram('request_seconds', 'Time from a request\'s arrival to the end of its answer.', ['work', 'outcome'], latencyBucketsSeconds)
   #reservationWaits = this.#createHistogram('place_seconds', 'Time until a request had a place at an engine.', ['work'], latencyBucketsSeconds)
   #firstChunkTimes = this.#createHistogram('first_part_seconds', 'Time from sending a request to the first part of its answer.', ['work'], latencyBucketsSeconds)
+  #dispatches = this.#createCounter('dispatch_decisions_total', 'Decisions on requests to plain services that this host grants.', ['decision'])
+  #dispatchWaits = this.#createHistogram('dispatch_wait_seconds', 'Time that granted requests to plain services waited at this host.', [], latencyBucketsSeconds)
   #eventLoopLag = this.#createHistogram('event_loop_lag_seconds', 'How late timers ran.', [], lagBucketsSeconds)
   #lagTimer: NodeJS.Timeout
 
@@ -75,6 +77,12 @@
     else if (kind === 'adapter.loaded') this.#loadDurations.observe({ warm: String(fields.isWarm) }, Number(fields.tookMs) / 1000)
   }
 
+  /** Counts a decision on a request to a plain service that this host grants. */
+  recordDispatch (decision: string, waitedMs: number): void {
+    this.#dispatches.inc({ decision })
+    if (decision === 'grant') this.#dispatchWaits.observe(waitedMs / 1000)
+  }
+
   recordStoreCall (call: string, verdict: string): void {
     this.#storeCalls.inc({ call, verdict })
   }
@@ -84,7 +92,7 @@
     this.#requests.inc({ work, outcome, cause: String(fields.code ?? '') })
     this.#sends.inc({ work }, Number(fields.sends ?? 0))
     this.#requestDurations.observe({ work, outcome }, Number(fields.tookMs) / 1000)
-    if (work === 'stream') this.#reservationWaits.observe({ work }, Number(fields.placeMs) / 1000)
+    if (work === 'stream' || fields.isDispatched === true) this.#reservationWaits.observe({ work }, Number(fields.placeMs) / 1000)
     if (Number(fields.firstPartMs) >= 0) this.#firstChunkTimes.observe({ work }, Number(fields.firstPartMs) / 1000)
   }
 
--- a/src/tasks/proxy/dispatchSelector.ts
+++ b/src/tasks/proxy/dispatchSelector.ts
@@ -49,7 +49,7 @@
   async selectEndpoint (query: EndpointQuery, usable: readonly EndpointEntry[]): Promise<EndpointSelection> {
     const { clock, own, random } = this.#options
     const ranked = this.#choice.rank(usable.map(entry => this.#createCandidate(entry)), own.zone, clock.readMonotonic(), random)
-    const search: ReservationSearch = { answers: [], waitedMs: 0 }
+    const search: ReservationSearch = { answers: [], waitedMs: 0, isDispatched: true }
     const refusals: Refusal[] = []
     const silent: EndpointEntry[] = []
     let best: { endpoint: EndpointEntry, answerMs: number } | undefined
--- a/src/tasks/proxy/endpointSelector.ts
+++ b/src/tasks/proxy/endpointSelector.ts
@@ -51,6 +51,8 @@
   waitedMs: number
   /** Load of the engine as its owner knew it when it granted the reservation. */
   load?: EngineLoad
+  /** Whether the granters of a plain service's endpoints were asked. */
+  isDispatched?: boolean
 }
 
 export type EndpointSelection =
--- a/src/tasks/proxy/logRequestEnd.ts
+++ b/src/tasks/proxy/logRequestEnd.ts
@@ -58,6 +58,7 @@
     sends: summary.sendCount,
     runs: summary.runCount,
     searches: [...summary.searches],
+    ...(summary.searches.some(({ isDispatched }) => isDispatched) && { isDispatched: true }),
     placeMs: Math.round(summary.selectionMs),
     firstPartMs: Math.round(summary.firstChunkMs),
     ...(lastAttempt && describeLastAttempt(lastAttempt, summary.nowMs)),
