--- a/features/support/dispatchTrial.ts
+++ b/features/support/dispatchTrial.ts
@@ -159,9 +159,8 @@
       clock, datagrams: { send: (address, message) => this.#send(host, address, message), receive: () => {}, close: () => {} }, ownAddress: row.address, findLimitStatement: () => undefined, deliverLocally: message => this.#deliver(host, host, message)
     })
     const dispatch = new DispatchSelector({ clock, clusterView: view, health, notices, places: new DispatchClient({ clock, log, clusterView: view, reservations }), own, random: this.#random, getLink })
-    const isUsedFor = (): boolean => this.#options.isDispatched && dispatch.isUsedFor(service)
     const selector = new ServiceSelector({
-      clock, clusterView: view, health, notices, limitGrants: { requestGrant: async () => ({ kind: 'silent' }) }, dispatch: { isUsedFor, selectEndpoint: async (query, usable) => await dispatch.selectEndpoint(query, usable) }, own, random: this.#random, getLink
+      clock, clusterView: view, health, notices, limitGrants: { requestGrant: async () => ({ kind: 'silent' }) }, dispatch: { isUsedFor: (...query) => this.#options.isDispatched && dispatch.isUsedFor(...query), selectEndpoint: async (query, usable) => await dispatch.selectEndpoint(query, usable) }, own, random: this.#random, getLink
     })
     const host: TrialHost = { name: row.host, row, isDead: false, frozenUntilMs: 0, view, health, reservations, granters, selector }
     return host
--- a/src/tasks/proxy/dispatchSelector.ts
+++ b/src/tasks/proxy/dispatchSelector.ts
@@ -38,8 +38,9 @@
   }
 
   /** Whether requests to the service are granted; limited and brittle endpoints are selected by their own rules. */
-  isUsedFor (service: string): boolean {
+  isUsedFor (service: string, accepting: readonly EndpointEntry[]): boolean {
     const { clock, clusterView, health, notices } = this.#options
+    if (!accepting.some(({ id }) => health.reportsSlowness(id))) return false
     const nowMs = clock.readMonotonic()
     const known = clusterView.endpoints.listUsable(service, nowMs)
     if (known.some(entry => notices.getRate(entry, nowMs) !== undefined || notices.getMaxRejections(entry) !== undefined)) return false
--- a/src/tasks/proxy/serviceSelector.ts
+++ b/src/tasks/proxy/serviceSelector.ts
@@ -43,7 +43,7 @@
 
   async selectEndpoint (query: EndpointQuery, accepting: readonly EndpointEntry[]): Promise<EndpointSelection> {
     const { clock, notices, random, dispatch } = this.#options
-    if (dispatch.isUsedFor(query.service)) return await dispatch.selectEndpoint(query, accepting)
+    if (dispatch.isUsedFor(query.service, accepting)) return await dispatch.selectEndpoint(query, accepting)
     const usable = this.#filterByRoom(query.service, accepting)
     if (usable.length === 0) return { kind: 'none', message: `all endpoints of service "${query.service}" are brittle and busy`, retryAfterMs: brittleRetryMs * (1 + random()), isTransient: true }
     const limited = usable.filter(entry => notices.getRate(entry, clock.readMonotonic()) !== undefined)
