--- a/src/tasks/proxy/dispatchSelector.ts
+++ b/src/tasks/proxy/dispatchSelector.ts
@@ -38,8 +38,9 @@
   }
 
   /** Whether requests to the service are granted; limited and brittle endpoints are selected by their own rules. */
-  isUsedFor (service: string): boolean {
+  isUsedFor (service: string, accepting: readonly EndpointEntry[]): boolean {
     const { clock, clusterView, health, notices } = this.#options
+    if (!accepting.some(({ id }) => health.reportsSlowness(id))) return false
     const nowMs = clock.readMonotonic()
     const known = clusterView.endpoints.listUsable(service, nowMs)
     if (known.some(entry => notices.getRate(entry, nowMs) !== undefined || notices.getMaxRejections(entry) !== undefined)) return false
@@ -49,7 +50,7 @@
   async selectEndpoint (query: EndpointQuery, usable: readonly EndpointEntry[]): Promise<EndpointSelection> {
     const { clock, own, random } = this.#options
     const ranked = this.#choice.rank(usable.map(entry => this.#createCandidate(entry)), own.zone, clock.readMonotonic(), random)
-    const search: ReservationSearch = { answers: [], waitedMs: 0 }
+    const search: ReservationSearch = { answers: [], waitedMs: 0, isDispatched: true }
     const refusals: Refusal[] = []
     const silent: EndpointEntry[] = []
     let best: { endpoint: EndpointEntry, answerMs: number } | undefined
