Test client accounts on hosts, and log no key of a configuration that cannot be read

Cause: keys and accounts had no scenarios, and the log sample of an unreadable configuration could hold keys.

The stand-in fleet has accounts, and its endpoints record the headers that they get. The sample of an unreadable configuration ends where keys may begin.

--- a/src/core/clusterView.ts
+++ b/src/core/clusterView.ts
@@ -12,6 +12,8 @@
 export type DecodedUpdate =
   | { kind: 'configuration', configuration: RoutingConfiguration }
   | { kind: 'version', version: AdapterVersion }
+  /** `sample` is what may be logged of the row. */
+  | { kind: 'unreadable', sample: string }
   | { kind: 'endpoint', id: string, entry: EndpointEntry | undefined }
 
 /** Decodes a row; returns undefined if the row has no meaning for hosts or its value cannot be decoded. */
@@ -157,6 +159,7 @@
     if (row.table === renewalsTable) return { kind: 'renewal', host: row.key, renewal: row.value && decodeRenewal(row.value), version: row.version }
     const decoded = this.#decodeUpdate(row.table, row.key, row.value)
     if (!decoded) return row.value && createUnreadableChange(row)
+    if (decoded.kind === 'unreadable') return createUnreadableChange(row, Buffer.from(decoded.sample))
     if (decoded.kind === 'configuration') return this.#applyConfiguration(row, decoded.configuration, nowMs, mayBeRestored)
     if (decoded.kind === 'version') return this.#applyVersion(decoded.version)
     if (decoded.entry) return mayBeRestored && this.endpoints.isOutdated(decoded.entry) ? undefined : this.#applyEntry(decoded.id, decoded.entry, nowMs)
@@ -238,8 +241,8 @@
 /** Maximum size of the sample of an undecodable row that goes into the log. */
 const maxSampleBytes = 400
 
-function createUnreadableChange ({ table, key, value }: StoreRow): ClusterViewChange {
-  return { kind: 'unreadable', table, key, sample: Buffer.from(value ?? []).toString('utf8', 0, maxSampleBytes) }
+function createUnreadableChange ({ table, key, value }: StoreRow, sample = value): ClusterViewChange {
+  return { kind: 'unreadable', table, key, sample: Buffer.from(sample ?? []).toString('utf8', 0, maxSampleBytes) }
 }
 
 /** Whether two entries of an endpoint are equal, apart from the loaded models and the order count. */
--- a/src/platform/decodePlatformRow.ts
+++ b/src/platform/decodePlatformRow.ts
@@ -10,6 +10,8 @@
 export type PlatformUpdate =
   | { kind: 'configuration', configuration: RoutingConfiguration }
   | { kind: 'version', version: AdapterVersion }
+  /** A row whose sample may be logged, unlike the rest of it. */
+  | { kind: 'unreadable', sample: string }
   /** `entry` is undefined if the row does not describe a usable endpoint. */
   | { kind: 'endpoint', id: string, entry: EndpointEntry | undefined }
 
@@ -24,7 +26,7 @@
   if (table !== operatorsTable || !value) return undefined
   if (key === configurationKey) {
     const configuration = decodeConfiguration(value)
-    return configuration && { kind: 'configuration', configuration }
+    return configuration ? { kind: 'configuration', configuration } : { kind: 'unreadable', sample: findKeylessPart(value) }
   }
   if (!key.startsWith(versionKeyPrefix)) return undefined
   const version = decodeAdapterVersion(value)
@@ -40,3 +42,11 @@
   const [previousEntry, currentEntry] = [decodeEndpoint(key, previous), decodeEndpoint(key, current)]
   return previousEntry !== undefined && currentEntry !== undefined && isEquivalentEntry(previousEntry, currentEntry)
 }
+
+/** Where the keys of accounts may begin; a backslash may hide either name. */
+const keysPattern = /tenants|apikeys|\\/i
+
+/** Returns the beginning of a configuration that holds no key of an account. */
+function findKeylessPart (value: Uint8Array): string {
+  return Buffer.from(value).toString('utf8').split(keysPattern)[0]!
+}
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -152,9 +152,9 @@
     const marks = decodeReceivedHeaders(request.headers)
     const requestId = marks.requestId ?? ''
     const { isLeaving, retryAfter, limit } = this.faults
-    this.#options.journal.recordArrival(id, requestId, readNow())
+    this.#options.journal.recordArrival(id, requestId, readNow(), request.rawHeaders)
     if (retryAfter !== '') {
-      this.#options.journal.recordRejection(id, requestId, readNow())
+      this.#options.journal.recordRejection(id, requestId, readNow(), request.rawHeaders)
       response.writeHead(503, encodeEndpointResponseHeaders(requestId, undefined, { isLeaving, retryAfter, limit })).end()
       return
     }
--- a/src/standin/fleet/runJournal.ts
+++ b/src/standin/fleet/runJournal.ts
@@ -21,6 +21,8 @@
   requestId: string
   endpointId: string
   atMs: number
+  /** Alternating names and values, as the endpoint got them. */
+  rawHeaders: readonly string[]
 }
 
 export class RunJournal {
@@ -37,12 +39,12 @@
     return record
   }
 
-  recordRejection (endpointId: string, requestId: string, atMs: number): void {
-    this.rejections.push({ requestId, endpointId, atMs })
+  recordRejection (endpointId: string, requestId: string, atMs: number, rawHeaders: readonly string[]): void {
+    this.rejections.push({ requestId, endpointId, atMs, rawHeaders })
   }
 
-  recordArrival (endpointId: string, requestId: string, atMs: number): void {
-    this.arrivals.push({ requestId, endpointId, atMs })
+  recordArrival (endpointId: string, requestId: string, atMs: number, rawHeaders: readonly string[]): void {
+    this.arrivals.push({ requestId, endpointId, atMs, rawHeaders })
   }
 
   listRuns (requestId: string): RunRecord[] {
--- a/src/standin/fleet/startFleet.ts
+++ b/src/standin/fleet/startFleet.ts
@@ -20,6 +20,8 @@
   heartbeatMs: number
   /** Whether entries tell when their endpoint's process started. */
   tellsStart: boolean
+  /** Client accounts of the first configuration; undefined for none. */
+  accounts: RoutingConfiguration['accounts']
   /** Draws that decide where an answer is cut; even ones where left out. */
   random: () => number
   /** Creates the draws that decide which requests a fault strikes, for each endpoint and fault. */
@@ -51,7 +53,7 @@
 export const fleetPaths = Object.freeze({ stream: '/stream/', once: '/once/', resumable: '/resumable/', idempotent: '/safe/' })
 
 export const defaultFleetOptions: Omit<FleetOptions, 'random'> = Object.freeze({
-  engines: 3, services: 2, adapterSlots: 4, zones: ['a', 'b'], heartbeatMs: 300, tellsStart: true, createDraws: createEvenDraws, openRoute: async (_id: string, address: string) => address
+  engines: 3, services: 2, adapterSlots: 4, zones: ['a', 'b'], heartbeatMs: 300, tellsStart: true, accounts: undefined, createDraws: createEvenDraws, openRoute: async (_id: string, address: string) => address
 })
 
 /** Entries that were not written for this long are removed, in heartbeats. */
@@ -80,6 +82,8 @@
   readonly endpoints: FleetEndpoint[] = []
   /** Software version of each endpoint that ever was, by its id. */
   readonly softwareVersions = new Map<string, string>()
+  /** Client accounts of the next configuration; undefined for none. */
+  accounts: RoutingConfiguration['accounts']
   #options: FleetOptions
   #heartbeat: NodeJS.Timeout | undefined
   #nextId = 1
@@ -87,6 +91,7 @@
 
   constructor (options: FleetOptions, rows: RowStore, store: StoreServer) {
     this.#options = options
+    this.accounts = options.accounts
     this.rows = rows
     this.store = store
   }
@@ -110,7 +115,7 @@
   /** Writes the next version of the configuration. */
   writeConfiguration (changes: Partial<Pick<RoutingConfiguration, 'routes'>>): number {
     const configuration = createConfiguration(this.#version++, this.#options.adapterSlots)
-    this.rows.write(encodeConfigurationRow({ ...configuration, ...changes }))
+    this.rows.write(encodeConfigurationRow({ ...configuration, accounts: this.accounts, ...changes }))
     return configuration.version
   }
 
