Keep short prompts from waiting behind long ones at engines

Short requests waited for prefill of 0.2 to 2 s on engines that had taken a long prompt, while other engines were free, and prompts whose prefill takes more than twice their target were refused by all engines. Owners now decline what would wait behind a long prompt, hold long ones back for a bounded time while short ones find no other engine, and start the longest ones at intervals. Implausible token counts are replaced by the route's usual.

--- a/features/support/engineReplay.ts
+++ b/features/support/engineReplay.ts
@@ -23,6 +23,8 @@
   speeds: number[]
   /** Momentary slowness of an engine's machine; 1 is the usual. */
   getSlowness?: (engine: number, nowMs: number) => number
+  /** Whether long prompts are treated like short ones. */
+  isSizeBlind?: boolean
   /** Whether responses tell the slowness. */
   isSlownessTold?: boolean
 }
@@ -67,10 +69,10 @@
   #isStepping = false
   #planTimer: Timer | undefined
 
-  constructor (clock: VirtualClock, batchLimit: number, getFactor: () => number) {
+  constructor (clock: VirtualClock, batchLimit: number, isSizeBlind: boolean, getFactor: () => number) {
     this.#clock = clock
     this.#getFactor = getFactor
-    this.planner = new AllocationPlanner({ adapterSlots: 4, batchLimit, cacheTokens: 100_000, maxLoads: 4, estimateLoadMs: () => 250, estimateColdLoadMs: () => 250, findRate: () => undefined })
+    this.planner = new AllocationPlanner({ adapterSlots: 4, batchLimit, cacheTokens: 100_000, maxLoads: 4, estimateLoadMs: () => 250, estimateColdLoadMs: () => 250, findRate: () => undefined, isSizeBlind })
   }
 
   plan (): void {
@@ -113,7 +115,7 @@
   const clock = new VirtualClock()
   const random = createRandom(options.seed)
   const getSlowness = (index: number): number => options.getSlowness?.(index, clock.readMonotonic()) ?? 1
-  const engines = options.speeds.map((speed, index) => new ReplayEngine(clock, options.batchLimit, () => getSlowness(index) / speed))
+  const engines = options.speeds.map((speed, index) => new ReplayEngine(clock, options.batchLimit, options.isSizeBlind ?? false, () => getSlowness(index) / speed))
   const results = requests.map(request => ({ request, firstMs: undefined as number | undefined }))
   const retries = new Map<ReplayResult, number>()
   let nextKey = 0
--- a/src/core/allocation/allocationPlanner.ts
+++ b/src/core/allocation/allocationPlanner.ts
@@ -13,6 +13,8 @@
 import type { DeclineFacts } from './declineRules.js'
 import { GrantLimiter } from './grantLimiter.js'
 import { PrefillBacklog } from './prefillBacklog.js'
+import { LongPrompts } from './longPrompts.js'
+import type { PromptFacts } from './longPrompts.js'
 import { minRetryAfterMs, RetrySchedule } from './retrySchedule.js'
 import { computeOverShareWaitMs, maxOverShareBacklogMs, ShareRules } from './shareRules.js'
 
@@ -34,6 +36,7 @@
 interface QueuedEntry {
   request: AllocationRequest
   prefillMs: number
+  queuedAtMs: number
   /** Time by which the load of its adapter has to start. */
   slotDeadlineMs: number
   /** Its turn if the engine is limited. */
@@ -52,6 +55,7 @@
 export class AllocationPlanner {
   readonly adapters: EngineAdapters
   readonly prefillBacklog = new PrefillBacklog()
+  readonly longPrompts = new LongPrompts()
   #options: AllocationOptions
   #cache: PrefixCacheEstimate
   #waiting = new Map<string, QueuedEntry>()
@@ -98,19 +102,22 @@
     this.#shareRules.recordBacklog(this.prefillBacklog.getBacklogMs(nowMs))
     const isOverShare = this.#shareRules.isOver(request, nowMs)
     const expectedMs = this.#estimateStartMs(request, isOverShare, nowMs)
+    const facts = this.#createPromptFacts(request, prefillMs, nowMs)
+    this.longPrompts.recordArrival(facts, nowMs)
     const reasonToDecline = request.mayDecline ? findReasonToDecline(request, this.#createDeclineFacts(request, expectedMs, prefillMs, isOverShare, nowMs), nowMs) : undefined
     if (reasonToDecline !== undefined) return { kind: 'declined', expectedMs: expectedMs + prefillMs, reason: reasonToDecline }
     this.#shareRules.recordArrival(request, prefillMs, nowMs)
     const turn = { ...this.#limiter.computeTurn(request, prefillMs, nowMs), isOverShare }
     const latestStartMs = isOverShare ? Math.max(nowMs + prefillMs, request.dueAtMs) : Infinity
-    const startDeadlineMs = Math.min(request.abandonAtMs, computeSlotDeadlineMs(request, nowMs), latestStartMs) - prefillMs
+    const graceMs = this.#options.isSizeBlind ? -Infinity : this.longPrompts.computeStartGraceMs(prefillMs, nowMs)
+    const startDeadlineMs = Math.min(request.abandonAtMs - prefillMs, Math.max(computeSlotDeadlineMs(request, nowMs) - prefillMs, nowMs + graceMs), latestStartMs - prefillMs)
     const maxStartMs = Math.min(startDeadlineMs, this.#limiter.isLimited(nowMs) ? turn.deadlineMs : Infinity) - nowMs
     if (expectedMs > maxStartMs) {
       const reason = `it would start in ${Math.round(expectedMs)} ms and has to start within ${Math.round(maxStartMs)} ms`
       const isLimited = this.#estimateLimitWaitMs(request, isOverShare, nowMs) > maxStartMs
       return { kind: 'refused', retryAfterMs: this.#scheduleRetry(expectedMs - Math.max(0, request.dueAtMs - prefillMs - nowMs), nowMs), reason, isLimited, isOverShare }
     }
-    this.#waiting.set(request.key, { request, prefillMs, slotDeadlineMs: computeSlotDeadlineMs(request, nowMs), turn, isOverShare })
+    this.#waiting.set(request.key, { request, prefillMs, queuedAtMs: nowMs, slotDeadlineMs: computeSlotDeadlineMs(request, nowMs), turn, isOverShare })
     return { kind: 'queued', expectedMs }
   }
 
@@ -240,9 +247,15 @@
   }
 
   /** Whether a request that is late, or will be, or whose account is over its share, waits so that others are granted first. */
-  #isDeferred ({ request: { dueAtMs, isResumed }, prefillMs, isOverShare }: QueuedEntry, plan: AllocationPlan & { wakeAtMs: number | undefined }, nowMs: number): boolean {
+  #isDeferred ({ request, prefillMs, queuedAtMs, isOverShare }: QueuedEntry, plan: AllocationPlan & { wakeAtMs: number | undefined }, nowMs: number): boolean {
+    const { dueAtMs, isResumed } = request
     if (isResumed) return false
     const backlogMs = this.prefillBacklog.getBacklogMs(nowMs)
+    const holdMs = this.longPrompts.computeHoldMs(this.#createPromptFacts(request, prefillMs, nowMs), nowMs - queuedAtMs, backlogMs, nowMs)
+    if (holdMs > 0 && !this.#options.isSizeBlind) {
+      plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, nowMs + Math.max(minReplanDelayMs, holdMs))
+      return true
+    }
     if (!isOverShare && nowMs + backlogMs + prefillMs <= dueAtMs) return false
     const excessMs = isOverShare ? backlogMs - maxOverShareBacklogMs : backlogMs - maxLateBacklogMs - lateAgingRatio * Math.max(0, nowMs - dueAtMs)
     if (excessMs <= 0) return false
@@ -259,6 +272,7 @@
     this.#waiting.delete(request.key)
     this.#running.set(request.key, { adapter: request.adapter, isBase: request.isBase, expectedMs: this.prefillBacklog.getBacklogMs(nowMs) + prefillMs, grantedAtMs: nowMs })
     this.prefillBacklog.recordGranted(prefillMs, nowMs)
+    this.longPrompts.recordGranted(this.#createPromptFacts(request, prefillMs, nowMs), nowMs + this.prefillBacklog.getTimeMs(nowMs))
     this.#shareRules.recordGranted(request, prefillMs, nowMs)
     this.adapters.recordPrefill(request.adapter, prefillMs, nowMs)
     this.#cache.recordPrefill(request.adapter, request.promptSegments)
@@ -349,6 +363,17 @@
 
   // Estimates
 
+  #createPromptFacts ({ dueAtMs, mayDecline }: AllocationRequest, prefillMs: number, nowMs: number): PromptFacts {
+    return { prefillMs, remainingMs: dueAtMs - nowMs, mayDecline }
+  }
+
+  /** Computes the backlog above which a request is declined because of long prompts; another engine may have to load its adapter. */
+  #computeMaxBacklogMs (request: AllocationRequest, prefillMs: number, nowMs: number): number {
+    if (this.#options.isSizeBlind) return Infinity
+    const isOnlyHere = !request.isBase && this.adapters.find(request.adapter) !== undefined && !request.isServedElsewhere
+    return this.longPrompts.computeMaxBacklogMs(this.#createPromptFacts(request, prefillMs, nowMs), isOnlyHere ? this.#options.estimateColdLoadMs() : 0, nowMs)
+  }
+
   /** Estimates the time until the engine starts a request, with its adapter's load and the prefill backlog included. */
   #estimateStartMs (request: AllocationRequest, isOverShare: boolean, nowMs: number): number {
     const backlogMs = this.prefillBacklog.getBacklogMs(nowMs) + (isOverShare ? this.#sumWaitingPrefillMs() : 0)
@@ -410,6 +435,7 @@
       loadMs: estimateLoadMs(request.adapter, request.version),
       coldLoadMs: estimateColdLoadMs(),
       availableLoads: this.#countAvailableLoads(isOverShare),
+      maxBacklogMs: this.#computeMaxBacklogMs(request, prefillMs, nowMs),
       overShareWaitMs: isOverShare ? computeOverShareWaitMs(this.prefillBacklog.getBacklogMs(nowMs), this.#sumWaitingPrefillMs()) : 0,
       startMs,
       prefillMs,
--- a/src/core/allocation/allocationRequest.ts
+++ b/src/core/allocation/allocationRequest.ts
@@ -62,4 +62,6 @@
   readonly estimateColdLoadMs: () => number
   /** Requests a second that the engine may get while it is limited; undefined if it is not. */
   readonly findRate: (nowMs: number) => number | undefined
+  /** Whether long prompts are treated like short ones, as before; for comparisons. */
+  readonly isSizeBlind?: boolean
 }
--- a/src/core/allocation/declineRules.ts
+++ b/src/core/allocation/declineRules.ts
@@ -18,6 +18,8 @@
   /** Time until the engine would start the request, and that of its prefill. */
   readonly startMs: number
   readonly prefillMs: number
+  /** Prefill backlog above which it would wait for too long behind long prompts; infinite if there are none. */
+  readonly maxBacklogMs: number
   /** Time until the request may be granted if its account is over its share of the engine; otherwise 0. */
   readonly overShareWaitMs: number
   /** While the engine is limited: time until the request's turn, and time since a request was last granted. */
@@ -52,6 +54,7 @@
   if (limit && isPresent && limit.waitMs > maxRareBacklogMs) return `the engine takes few requests, and its turn would come in ${Math.round(limit.waitMs)} ms`
   if (limit && !isPresent && limit.idleMs < maxLimitedIdleMs) return 'the engine takes few requests and does not have its adapter'
   if (facts.overShareWaitMs > 0) return 'its account is over its share of the engine'
+  if (load.backlogMs > facts.maxBacklogMs) return `it would wait ${Math.round(load.backlogMs)} ms behind long prompts`
   // Another replica of a rare adapter would occupy a slot of another engine for little work.
   const isOverloaded = facts.prefillShare > hotPrefillShare ? isNearCapacity(load) : load.backlogMs > computeRareBacklogLimitMs(request, facts) || load.batchPart >= 1
   if (isOverloaded) return `prefill uses ${Math.round(load.use * 100)}% of the engine's time and ${Math.round(load.batchPart * 100)}% of the batch is in use`
--- a/src/core/allocation/describeEngineLoad.ts
+++ b/src/core/allocation/describeEngineLoad.ts
@@ -2,13 +2,15 @@
 import type { AllocationPlanner } from './allocationPlanner.js'
 
 /** Ratios are rounded to two decimals, times to whole milliseconds; `free` and `idle` count adapter slots, `overShare` the waiting requests of accounts over their shares. */
-export function describeEngineLoad ({ adapters, prefillBacklog, running, waiting, waitingOverShare }: AllocationPlanner, nowMs: number): Record<string, number> {
+export function describeEngineLoad ({ adapters, longPrompts, prefillBacklog, running, waiting, waitingOverShare }: AllocationPlanner, nowMs: number): Record<string, number> {
+  const longMs = Math.round(longPrompts.getReadingMs(nowMs))
   const slowness = prefillBacklog.getSlowness(nowMs)
   return {
     use: roundRatio(prefillBacklog.getUtilization(nowMs)),
     pace: roundRatio(prefillBacklog.slowdown),
     ...(slowness !== 1 && { slowness: roundRatio(slowness) }),
     backlogMs: Math.round(prefillBacklog.getBacklogMs(nowMs)),
+    ...(longMs > 0 && { longMs }),
     running,
     waiting,
     ...(waitingOverShare > 0 && { overShare: waitingOverShare }),
--- a/src/core/allocation/prefillBacklog.ts
+++ b/src/core/allocation/prefillBacklog.ts
@@ -7,7 +7,7 @@
 /** Milliseconds for a million token pairs in attention; the published engines take 0.737. */
 const msPerMillionPairs = 0.737
 /** Fraction of its time that an engine has for prefill; the rest is spent on decoding running requests. */
-const prefillTimeRatio = 0.8
+export const prefillTimeRatio = 0.8
 /** Time constant of the exponential decay of past prefill time in the utilization. */
 const utilizationDecayMs = 1000
 /** Weight of the newest measurement in the slowdown. */
@@ -45,6 +45,11 @@
     return this.#backlogMs
   }
 
+  /** Time that the engine takes for the backlog beside decoding, at its present slowness. */
+  getTimeMs (nowMs: number): number {
+    return this.getBacklogMs(nowMs) / prefillTimeRatio * this.#slowness.estimate(nowMs)
+  }
+
   /** Fraction of the engine's recent time that went into prefill; 1 where it did nothing else. */
   getUtilization (nowMs: number): number {
     this.#update(nowMs)
--- a/src/tasks/allocation/engineAllocator.ts
+++ b/src/tasks/allocation/engineAllocator.ts
@@ -4,6 +4,7 @@
 import { AllocationPlanner } from '../../core/allocation/allocationPlanner.js'
 import { describeEngineLoad } from '../../core/allocation/describeEngineLoad.js'
 import type { AllocationPlan, AllocationDecision } from '../../core/allocation/allocationRequest.js'
+import { PromptCounts } from '../../core/allocation/promptCounts.js'
 import { listLoadedAdapters } from '../../core/allocation/reportedAdapters.js'
 import { RecentKeys } from '../../core/recentKeys.js'
 import type { Clock, Timer } from '../../ports/clock.js'
@@ -62,6 +63,7 @@
   #loader: AdapterLoader
   #stateMonitor: EngineStateMonitor
   #planner: AllocationPlanner
+  #promptCounts: PromptCounts
   #untrackedRuns: UntrackedRuns
   #adapterLocations = new AdapterLocations()
   #isStopped = false
@@ -87,6 +89,7 @@
     this.#stateMonitor = new EngineStateMonitor({
       clock, log, orders, endpointId: options.entry.id, models: engine.models, orderQueue: this.#orderQueue, receiveState: (state, isRestarted) => this.#applyState(state, isRestarted), receiveInitialState: state => this.#applyInitialState(state)
     })
+    this.#promptCounts = new PromptCounts(engine.cacheTokens)
     this.#planner = new AllocationPlanner({
       adapterSlots: engine.adapterSlots,
       batchLimit: engine.batchLimit,
@@ -267,7 +270,7 @@
       version: reservation.version,
       dueAtMs: nowMs + request.dueInMs,
       abandonAtMs: nowMs + request.uselessInMs,
-      promptTokens: request.promptTokens,
+      promptTokens: this.#promptCounts.estimate(request.route, request.promptTokens),
       promptSegments: request.parts.map(([id, tokens]) => ({ id, tokens })),
       mayDecline: request.mayDecline,
       isResumed: request.isResumed ?? false,
