--- a/src/core/allocation/allocationRequest.ts
+++ b/src/core/allocation/allocationRequest.ts
@@ -64,4 +64,6 @@
   readonly findRate: (nowMs: number) => number | undefined
   /** Returns the weight by which an account shares the engine with others; all are equal if it is left out. */
   readonly getAccountWeight?: (account: string) => number
+  /** Whether long prompts are treated like short ones, as before; for comparisons. */
+  readonly isSizeBlind?: boolean
 }
--- a/src/standin/fleet/startFleet.ts
+++ b/src/standin/fleet/startFleet.ts
@@ -55,8 +55,7 @@
 export const fleetPaths = Object.freeze({ stream: '/stream/', once: '/once/', resumable: '/resumable/', idempotent: '/safe/' })
 
 export const defaultFleetOptions: Omit<FleetOptions, 'random'> = Object.freeze({
-  engines: 3, services: 2, servicePlaces: 6, adapterSlots: 4, zones: ['a', 'b'], heartbeatMs: 300, tellsStart: true, createDraws: createEvenDraws, openRoute: async (_id: string, address: string) => address
-  engines: 3, services: 2, adapterSlots: 4, zones: ['a', 'b'], heartbeatMs: 300, tellsStart: true, accounts: undefined, createDraws: createEvenDraws, openRoute: async (_id: string, address: string) => address
+  engines: 3, services: 2, servicePlaces: 6, adapterSlots: 4, zones: ['a', 'b'], heartbeatMs: 300, tellsStart: true, accounts: undefined, createDraws: createEvenDraws, openRoute: async (_id: string, address: string) => address
 })
 
 /** Entries that were not written for this long are removed, in heartbeats. */
