Let the soak's callers send keys of client accounts from seed 90000 on

Cause: no soak checked that endpoints get the account of a request and never its key.

Change: from seed 90000 on the fleet has accounts, callers send keys by the id of their request, one in 16 an unknown one, and some claim another account. `accountsKept` is broken by a wrong account or a key at an endpoint, an unknown key that runs and a known one that is refused. Older seeds keep their events and draws.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -16,6 +16,12 @@
     Then the soak finds no broken promise
     And callers got at least 150 whole answers
 
+  @alone
+  Scenario: Four hosts keep the promises of client accounts while faults strike
+    When seed 90003 is soaked for 6 seconds
+    Then the soak finds no broken promise
+    And callers got at least 150 whole answers
+
   @alone
   Scenario: A host that does not stop gracefully is noticed
     When seed 1 is soaked for 8 seconds without "gracefulStop"
@@ -53,6 +59,11 @@
       | a request went on crashing engines                                           | crashesBounded       |
       | a host did not serve after the faults                                        | servesAgain          |
       | a host ended by itself                                                       | keepsRunning         |
+      | an endpoint was told another account                                         | accountsKept         |
+      | an endpoint got a key                                                        | accountsKept         |
+      | a request with an unknown key ran                                            | accountsKept         |
+      | a known key was refused                                                      | accountsKept         |
+      | a public route got an account                                                | accountsKept         |
       | a host took too much memory                                                  | boundedResources     |
       | a caller that had ended its side got no answer to a request that ran         | halfClosedAnswered   |
       | a reload cut off a caller that had ended its side                            | halfClosedAnswered   |
--- a/features/support/soakRecords.ts
+++ b/features/support/soakRecords.ts
@@ -122,6 +122,14 @@
     for (let index = 0; index < 14; index++) maker.addCall({ id: `crash ${index}`, atMs: index * 500, answer: { kind: 'resumable', status: 502, body: '' }, call: { purpose: 'crashing' } })
   },
   'a host did not serve after the faults': maker => maker.addCall({ id: 'calm', atMs: 30_000, answer: { status: 503, retryAfterS: 1, body: '' }, runs: [], call: { purpose: 'calm' } }),
+  'an endpoint was told another account': maker => maker.addCall({ id: 'misled', atMs: 100, call: { account: 'harbor' }, run: { account: 'quarry' } }),
+  'an endpoint got a key': maker => maker.addCall({ id: 'leaked', atMs: 100, call: { account: 'harbor' }, run: { account: 'harbor', hasCredentials: true } }),
+  'a request with an unknown key ran': maker => maker.addCall({ id: 'unknown', atMs: 100, call: { account: '' } }),
+  'a known key was refused': maker => maker.addCall({ id: 'known', atMs: 100, answer: { status: 401, body: '' }, call: { account: 'harbor' }, runs: [] }),
+  'a public route got an account': maker => {
+    maker.record.probeIds.add('public')
+    maker.addRun('public', 100, { account: 'harbor' })
+  },
   'a host ended by itself': ({ record }) => record.ends.push({ host, code: 1, signal: undefined, asked: 'nothing', tookMs: 0 }),
   'a caller that had ended its side got no answer to a request that ran': maker => maker.addCall({ id: 'half', atMs: 100, answer: { status: 0, error: 'closed', tookMs: 300 }, call: { purpose: 'halfClosed' } }),
   'a reload cut off a caller that had ended its side': maker => {
--- a/soak/checkSoak.ts
+++ b/soak/checkSoak.ts
@@ -6,7 +6,7 @@
 export type PromiseName =
   | 'slotsKept' | 'oneHolder' | 'wholeAnswer' | 'eventsInOrder' | 'atMostOnce' | 'notRunMeansNotRun' | 'asked' | 'answeredInTime'
   | 'stopCutsNothing' | 'drained' | 'configurationInForce' | 'configurationHolds' | 'versionInUse' | 'repeatsBounded' | 'crashesBounded'
-  | 'servesAgain' | 'keepsRunning' | 'boundedResources' | 'halfClosedAnswered' | 'holdsNothing' | 'behindStreamAnswered' | 'keptAnswered'
+  | 'servesAgain' | 'keepsRunning' | 'boundedResources' | 'halfClosedAnswered' | 'holdsNothing' | 'behindStreamAnswered' | 'keptAnswered' | 'accountsKept'
 
 export interface BrokenPromise {
   promise: PromiseName
@@ -41,7 +41,7 @@
 export function checkSoak (record: SoakRecord): BrokenPromise[] {
   return [
     checkEngines, checkAnswers, checkRuns, checkTimes, checkStops, checkPipelines, checkHalfClosed, checkBehindStreams, checkKept, checkDrains, checkConfigurations, checkVersions, checkRepeats, checkCrashes, checkCalm,
-    checkProcesses, checkHeld
+    checkProcesses, checkHeld, checkAccounts
   ].flatMap(check => check(record))
 }
 
@@ -260,6 +260,21 @@
   .filter(({ bytes }) => bytes !== 0)
   .map(({ host, bytes }): BrokenPromise => ({ promise: 'holdsNothing', detail: `${host} held ${bytes ?? 'an unknown number of'} bytes of request bodies when no request was left` }))
 
+const unauthorizedStatus = 401
+
+/** Endpoints get the account of a request's key and no key, requests with unknown keys run nowhere, and known keys are never refused. */
+const checkAccounts: Check = ({ calls, runs, probeIds }) => {
+  const runsById = collectBy(runs, run => run.requestId)
+  const wrong = calls.filter(({ account }) => account !== undefined).flatMap(({ answer, account }) => {
+    const misled = (runsById.get(answer.requestId) ?? []).filter(run => account === '' || run.account !== account || run.hasCredentials)
+    if (misled.length > 0) return [`a request of "${account}" ran at ${misled[0]!.endpointId} as one of "${misled[0]!.account}"${misled[0]!.hasCredentials ? ', with its key' : ''}`]
+    return answer.status === unauthorizedStatus && account !== '' ? [`a request of "${account}" was refused: ${JSON.stringify(answer)}`] : []
+  })
+  // Routes of probes are public, and probes send no key.
+  const named = runs.filter(run => probeIds.has(run.requestId) && run.account !== undefined).map(run => `a request without a key ran at ${run.endpointId} as one of "${run.account}"`)
+  return [...wrong, ...named].map(detail => ({ promise: 'accountsKept', detail }))
+}
+
 function collectBy<Item> (items: readonly Item[], readKey: (item: Item) => string): Map<string, Item[]> {
   const groups = new Map<string, Item[]>()
   for (const item of items) {
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -5,7 +5,7 @@
 import type { BrokenPromise } from './checkSoak.js'
 import { SoakCallers } from './soakCallers.js'
 import { SoakEvents } from './soakEvents.js'
-import { createRandom, createSoakPlan, firstBehindStreamSeed, firstHalfClosedSeed, firstPipelinedSeed } from './soakPlan.js'
+import { createRandom, createSoakPlan, firstAccountsSeed, firstBehindStreamSeed, firstHalfClosedSeed, firstPipelinedSeed } from './soakPlan.js'
 import type { PlannedEvent } from './soakPlan.js'
 import { createSoakRecord } from './soakRecord.js'
 import type { SoakRecord } from './soakRecord.js'
@@ -60,10 +60,11 @@
   const plan = createSoakPlan({ seed, faultsMs, ...(kinds && { kinds }) })
   const random = createRandom(seed + loadSeedOffset)
   const ends: SoakRecord['ends'] = []
-  const system = await SoakSystem.start({ hosts, engines, services, random, without, logs, receiveEnd: end => ends.push(end) })
+  const hasAccounts = seed >= firstAccountsSeed
+  const system = await SoakSystem.start({ hosts, engines, services, hasAccounts, random, without, logs, receiveEnd: end => ends.push(end) })
   const record = createRecord(system)
   record.ends = ends
-  const callers = new SoakCallers({ hosts: system.hosts, record, random, sendsAhead: seed >= firstPipelinedSeed, endsSide: seed >= firstHalfClosedSeed, sendsBehindStreams: seed >= firstBehindStreamSeed })
+  const callers = new SoakCallers({ hosts: system.hosts, record, random, sendsAhead: seed >= firstPipelinedSeed, endsSide: seed >= firstHalfClosedSeed, sendsBehindStreams: seed >= firstBehindStreamSeed, sendsKeys: hasAccounts })
   const useTimer = setInterval(() => recordUse(system, record), useIntervalMs)
   const load = callers.run()
   try {
--- a/soak/soakCallers.ts
+++ b/soak/soakCallers.ts
@@ -4,6 +4,8 @@
 import type { CallKind, FleetCall } from '../src/standin/fleet/fleetCaller.js'
 import { RawCaller } from '../src/standin/fleet/rawCaller.js'
 import type { RawAnswer, RawRequest } from '../src/standin/fleet/rawCaller.js'
+import { pickCredentials } from './soakAccounts.js'
+import type { SoakCredentials } from './soakAccounts.js'
 import type { HostProcess } from './hostProcess.js'
 import type { SoakCall, SoakRecord } from './soakRecord.js'
 import { formatProbePath } from './soakSystem.js'
@@ -67,6 +69,8 @@
   endsSide: boolean
   /** Whether some callers send a request behind a stream, whatever the head of its answer says. */
   sendsBehindStreams: boolean
+  /** Whether callers send keys of client accounts, and some of them unknown ones. */
+  sendsKeys: boolean
 }
 
 export class SoakCallers {
@@ -114,9 +118,10 @@
     const requestId = createRequestId()
     const startedAtMs = performance.now()
     const promptParts = formatPromptParts(`b${Number.parseInt(requestId.slice(0, 2), 16) % sharedPartCount}`, requestId)
-    // Hosts know a request that crashes engines by what it asks, so no two callers ask the same.
-    const answer = await this.#caller.call({ kind, requestId, body: `question ${requestId}`, promptParts, ...(adapter !== undefined && { adapter }), timeLeftMs: this.#pick(callerTimes), signal: AbortSignal.timeout(callTimeoutMs), ...changes, address: settings.callersAddress })
-    const call: SoakCall = { answer, host: settings.hostName, life, adapter, startedAtMs, turnAtMs: startedAtMs, endedAtMs: performance.now(), purpose }
+    // Hosts know a request that crashes engines by its account and what it asks, so those that crash have one account and no two others ask the same.
+    const credentials = this.#pickCredentials(requestId, purpose === 'calm' || purpose === 'crashing')
+    const answer = await this.#caller.call({ kind, requestId, body: `question ${requestId}`, promptParts, ...(adapter !== undefined && { adapter }), timeLeftMs: this.#pick(callerTimes), signal: AbortSignal.timeout(callTimeoutMs), headers: credentials?.headers ?? {}, ...changes, address: settings.callersAddress })
+    const call: SoakCall = { answer, host: settings.hostName, life, adapter, account: credentials?.account, startedAtMs, turnAtMs: startedAtMs, endedAtMs: performance.now(), purpose }
     record.calls.push(call)
     return call
   }
@@ -126,6 +131,10 @@
     return `a${1 + Math.floor(adapterCount * this.#options.random() ** 2)}`
   }
 
+  #pickCredentials (requestId: string, mustBeKnown = false): SoakCredentials | undefined {
+    return this.#options.sendsKeys ? pickCredentials(requestId, mustBeKnown) : undefined
+  }
+
   #pick<Item> (items: readonly Item[]): Item {
     return items[Math.floor(this.#options.random() * items.length)]!
   }
@@ -165,7 +174,7 @@
         const timer = setTimeout(() => caller.close(), callTimeoutMs * shape.writers * shape.requests)
         for (const [index, answer] of (await caller.send(requests)).entries()) {
           const { sentAtMs: startedAtMs, endedAtMs } = answer
-          this.#options.record.calls.push({ answer, host: settings.hostName, life, adapter: requests[index]!.adapter, startedAtMs, turnAtMs: Math.max(startedAtMs, turnAtMs), endedAtMs, ...(cutBy !== undefined && { cutBy }), purpose: 'pipelined' })
+          this.#options.record.calls.push({ answer, host: settings.hostName, life, adapter: requests[index]!.adapter, account: this.#pickCredentials(answer.requestId)?.account, startedAtMs, turnAtMs: Math.max(startedAtMs, turnAtMs), endedAtMs, ...(cutBy !== undefined && { cutBy }), purpose: 'pipelined' })
           turnAtMs = endedAtMs
           if (answer.error !== undefined) cutBy ??= answer.requestId
         }
@@ -195,13 +204,14 @@
     const { life, settings } = host
     const caller = await RawCaller.open(settings.callersAddress).catch(() => undefined)
     if (!caller) return
-    const request: RawRequest = purpose === 'halfClosed' ? this.#createRawRequest() : { kind: 'once', body: 'x'.repeat(this.#pick(overLimitBytes)) }
+    const requestId = createRequestId()
+    const request: RawRequest = purpose === 'halfClosed' ? this.#createRawRequest() : { kind: 'once', requestId, headerLines: this.#createHeaderLines(requestId), body: 'x'.repeat(this.#pick(overLimitBytes)) }
     const timer = setTimeout(() => caller.close(), callTimeoutMs)
     const sent = caller.send([request])
     if (purpose === 'halfClosed') caller.endSide()
     const [answer] = await sent
     const { sentAtMs: startedAtMs, endedAtMs } = answer!
-    this.#options.record.calls.push({ answer: answer!, host: settings.hostName, life, adapter: request.adapter, startedAtMs, turnAtMs: startedAtMs, endedAtMs, purpose })
+    this.#options.record.calls.push({ answer: answer!, host: settings.hostName, life, adapter: request.adapter, account: this.#pickCredentials(answer!.requestId)?.account, startedAtMs, turnAtMs: startedAtMs, endedAtMs, purpose })
     clearTimeout(timer)
     caller.close()
   }
@@ -228,7 +238,7 @@
     const note = (answer: RawAnswer, purpose: SoakCall['purpose'], adapter?: string, before?: RawAnswer): void => {
       const { sentAtMs: startedAtMs, endedAtMs } = answer
       const cutBy = before?.error === undefined ? {} : { cutBy: before.requestId }
-      this.#options.record.calls.push({ answer, host: settings.hostName, life, adapter, startedAtMs, turnAtMs: Math.max(startedAtMs, before?.endedAtMs ?? 0), endedAtMs, ...cutBy, purpose })
+      this.#options.record.calls.push({ answer, host: settings.hostName, life, adapter, account: this.#pickCredentials(answer.requestId)?.account, startedAtMs, turnAtMs: Math.max(startedAtMs, before?.endedAtMs ?? 0), endedAtMs, ...cutBy, purpose })
     }
     if (isUsed) note((await caller.send([this.#createRawRequest('idempotent')]))[0]!, 'pipelined')
     const first = this.#createRawRequest('stream')
@@ -243,7 +253,11 @@
 
   #createRawRequest (kind = this.#pick(kinds)): RawRequest & { adapter?: string } {
     const requestId = createRequestId()
-    return { kind, requestId, body: `question ${requestId}`, timeLeftMs: this.#pick(callerTimes), ...(isStreamed(kind) && { adapter: this.pickAdapter() }) }
+    return { kind, requestId, headerLines: this.#createHeaderLines(requestId), body: `question ${requestId}`, timeLeftMs: this.#pick(callerTimes), ...(isStreamed(kind) && { adapter: this.pickAdapter() }) }
+  }
+
+  #createHeaderLines (requestId: string): string[] {
+    return Object.entries(this.#pickCredentials(requestId)?.headers ?? {}).map(([name, value]) => `${name}: ${value}`)
   }
 
   #track (work: Promise<unknown>): void {
--- a/soak/soakPlan.ts
+++ b/soak/soakPlan.ts
@@ -29,6 +29,8 @@
 export const firstHalfClosedSeed = 50_000
 /** From this seed on, callers also send a request behind a stream that is still read. */
 export const firstBehindStreamSeed = 60_000
+/** From this seed on, the configuration has client accounts, and callers send keys. */
+export const firstAccountsSeed = 90_000
 
 /** What operators and callers do that is no fault, but has promises of its own. */
 export const changeKinds = ['newConfiguration', 'newVersion', 'crashingRequest', 'burst'] as const
--- a/soak/soakRecord.ts
+++ b/soak/soakRecord.ts
@@ -10,6 +10,8 @@
   /** Which start of the host's process took it. */
   life: number
   adapter: string | undefined
+  /** Account that endpoints must see; empty if the key is unknown, undefined if there are no accounts. */
+  account?: string | undefined
   startedAtMs: number
   /** When the request before it on its connection had its answer; `startedAtMs` where there is none. */
   turnAtMs: number
--- a/soak/soakSystem.ts
+++ b/soak/soakSystem.ts
@@ -6,6 +6,7 @@
 import { claimPorts } from '../src/standin/fleet/claimPorts.js'
 import { createHostSettings, findMetricsPort } from '../src/standin/fleet/hostSettings.js'
 import { HostProcess } from './hostProcess.js'
+import { soakAccounts } from './soakAccounts.js'
 import { LoopbackProxy } from './loopbackProxy.js'
 import type { ProcessEnd } from './soakRecord.js'
 
@@ -13,6 +14,8 @@
   hosts: number
   engines: number
   services: number
+  /** Whether the configuration has client accounts. */
+  hasAccounts: boolean
   random: () => number
   without: string | undefined
   logs: string | undefined
@@ -46,12 +49,13 @@
   }
 
   /** Starts everything; hosts may not serve yet. */
-  static async start ({ hosts, engines, services, random, without, logs, receiveEnd }: SoakSystemOptions): Promise<SoakSystem> {
+  static async start ({ hosts, engines, services, hasAccounts, random, without, logs, receiveEnd }: SoakSystemOptions): Promise<SoakSystem> {
     const endpointLinks = new Map<string, LoopbackProxy>()
     const fleet = await startFleet({
       engines,
       services,
       adapterSlots,
+      accounts: hasAccounts ? soakAccounts : undefined,
       random,
       createDraws: () => random,
       openRoute: async (id, address) => {
@@ -75,7 +79,7 @@
     const routes: RoutingConfiguration['routes'] = this.fleet.defaultRoutes
     const plain = routes.find(route => route.kind === 'idempotent')!
     this.#probeRoutes++
-    const probed = Array.from({ length: this.#probeRoutes }, (_, index) => ({ ...plain, name: `probe-${index + 1}`, prefix: formatProbePath(index + 1) }))
+    const probed = Array.from({ length: this.#probeRoutes }, (_, index) => ({ ...plain, name: `probe-${index + 1}`, prefix: formatProbePath(index + 1), isPublic: true }))
     this.fleet.writeConfiguration({ routes: [...routes, ...probed] })
     return this.#probeRoutes
   }
--- a/src/platform/standinWire.ts
+++ b/src/platform/standinWire.ts
@@ -134,6 +134,9 @@
   lastEventId: number
   /** Ids of the prompt parts without the last one, with leading zeros removed and in lower case. */
   sharedParts: string[]
+  account: string | undefined
+  /** Whether a caller's key came along. */
+  hasCredentials: boolean
 }
 
 export function decodeReceivedHeaders (headers: Record<string, string | string[] | undefined>): ReceivedHeaders {
@@ -152,6 +155,8 @@
     model: slash < 0 ? modelName : modelName.slice(0, slash),
     adapter: slash < 0 ? '' : modelName.slice(slash + 1),
     lastEventId: Number(getHeader(wireHeaders.lastEventId) ?? 0),
+    account: getHeader(wireHeaders.account),
+    hasCredentials: headers[wireHeaders.credentials] !== undefined,
     sharedParts: (getHeader(wireHeaders.promptParts) ?? '').split(',').slice(0, -1).map(part => part.split(':')[0]!.trim().toLowerCase().replace(/^0+(?=.)/, ''))
   }
 }
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -197,7 +197,7 @@
   #run (request: IncomingMessage, response: ServerResponse, marks: ReceivedHeaders): void {
     const { id, service, journal, engine, workMs } = this.#options
     const run = journal.start({
-      requestId: marks.requestId ?? '', endpointId: id, service, path: request.url ?? '', startedAtMs: readNow(), timeLeftMs: marks.timeLeftMs, fromEvent: marks.lastEventId, adapterVersion: marks.version
+      requestId: marks.requestId ?? '', endpointId: id, service, path: request.url ?? '', startedAtMs: readNow(), timeLeftMs: marks.timeLeftMs, fromEvent: marks.lastEventId, adapterVersion: marks.version, account: marks.account, hasCredentials: marks.hasCredentials
     })
     this.#running++
     engine?.recordRun(marks.adapter, 1)
