--- a/features/engineReplay.feature
+++ b/features/engineReplay.feature
@@ -33,3 +33,7 @@
     And the engine has a prefill backlog of 400 ms
     And 100 ms pass without planning
     Then the prefill backlog is about 320 ms
+
+  Scenario: A proxy reports an engine's slowness only if the engine told it, so that messages of other deployments stay the same
+    When a proxy releases reservations of responses that told a slowness of 2.5, and none
+    Then the first release reports a slowness of 2.5, and the second has no such field
--- a/features/steps/engineReplay.ts
+++ b/features/steps/engineReplay.ts
@@ -1,6 +1,9 @@
 /** Steps for replays of loads against the planners of engines. */
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
+import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
+import type { HostMessage } from '../../src/schemas/datagram.js'
+import { ReservationClient } from '../../src/tasks/proxy/reservationClient.js'
 import { computeOnTimeShare, createRandom, drawArrivals, replayLoad } from '../support/engineReplay.js'
 import type { AllocationWorld } from './allocationPlanner.js'
 import type { ReplayOptions, ReplayRequest, ReplayResult } from '../support/engineReplay.js'
@@ -8,6 +11,7 @@
 interface EngineReplayWorld {
   requests: ReplayRequest[]
   options: ReplayOptions
+  releases: HostMessage[]
   attach: (text: string, mediaType: string) => void
 }
 
@@ -71,3 +75,22 @@
   const measuredMs = this.allocator.planner.prefillBacklog.getBacklogMs(this.allocator.nowMs)
   assert.ok(Math.abs(measuredMs - expectedMs) < 3, `${measuredMs} ms`)
 })
+
+When('a proxy releases reservations of responses that told a slowness of {float}, and none', function (this: EngineReplayWorld, slowness: number) {
+  this.releases = []
+  const client = new ReservationClient({
+    clock: new VirtualClock(),
+    datagrams: { send: (_address, message) => { if (message.type === 'done') this.releases.push(message) }, receive: () => {}, close: () => {} },
+    ownAddress: '10.1.0.1',
+    findLimitStatement: () => undefined,
+    deliverLocally: () => {}
+  })
+  const details = { endpointId: 'e1', requestId: 'r1', model: 'base', adapter: '', version: 0, route: 'stream', rank: 0, dueInMs: 500, uselessInMs: 3000, leavesInMs: 4000, promptTokens: 100, maxTokens: 20, parts: [], mayDecline: false }
+  for (const told of [slowness, undefined]) client.reserveWithoutGrant('10.1.0.2', details).release('served', 120, told)
+  client.stop()
+})
+
+Then('the first release reports a slowness of {float}, and the second has no such field', function (this: EngineReplayWorld, slowness: number) {
+  const usual = { type: 'done', endpointId: 'e1', outcome: 'served', firstPartMs: 120 }
+  assert.deepEqual(this.releases, [{ ...usual, id: 1, slowness }, { ...usual, id: 2 }])
+})
