--- /dev/null
+++ b/features/quotas.feature
@@ -0,0 +1,85 @@
+Feature: Quotas of client accounts that all hosts keep together
+  The limit of a window of 8 s is (rate x 8 s + burst) x 1.1 + 110,000 tokens, whatever fails.
+
+  Scenario Outline: An account below its limit is refused although nothing has failed
+    Given <hosts> hosts with accounts of 29000, 110000 and 330000 tokens per second
+    When the accounts use 55% of their rates for 20 s
+    Then no account is refused more than <refused>% of its tokens
+    And no host sends more than <messages> messages per second on average
+
+    Examples:
+      | hosts | refused | messages |
+      | 7     | 0.1     | 30       |
+      | 74    | 0.1     | 16       |
+      | 340   | 0.1     | 8        |
+
+  Scenario Outline: An account that asks for four times its limit stays far below it
+    Given <hosts> hosts with accounts of 29000, 110000 and 330000 tokens per second
+    When the account of 330000 asks for 400% of its rate for 20 s, and the others use 55%
+    Then the account of 330000 spends at least 93% of its rate
+    And no account spends more than its limit in any window
+
+    Examples:
+      | hosts |
+      | 7     |
+      | 74    |
+      | 340   |
+
+  Scenario Outline: Hosts that do not know of each other spend an account's rate more than once
+    Given <hosts> hosts with accounts of 29000, 110000 and 330000 tokens per second
+    When the accounts ask for 400% of their rates for 50 s while <failures>
+    Then no account spends more than its limit in any window
+
+    Examples:
+      | hosts | failures                                        |
+      | 7     | the granter dies                                |
+      | 74    | the granter dies                                |
+      | 340   | the granter dies                                |
+      | 7     | the granter and its deputy die together         |
+      | 7     | the granter is cut off                          |
+      | 74    | the granter is cut off                          |
+      | 7     | the granter and a third of the hosts are cut off |
+      | 74    | the granter and a third of the hosts are cut off |
+      | 340   | the granter and a third of the hosts are cut off |
+      | 7     | the granter and two thirds of the hosts are cut off |
+      | 74    | the granter and two thirds of the hosts are cut off |
+      | 7     | the granter is frozen                           |
+      | 74    | the granter is frozen                           |
+      | 7     | the deputy is frozen                            |
+      | 7     | all hosts restart at once                       |
+      | 74    | all hosts restart at once                       |
+      | 340   | all hosts restart at once                       |
+      | 7     | the store is unavailable                        |
+      | 74    | 30% of the messages are lost                    |
+
+  Scenario Outline: Sequences of failures
+    Given <hosts> hosts with accounts of 29000, 110000 and 330000 tokens per second
+    Then no account spends more than its limit in any window of <runs> random histories of failures
+
+    Examples:
+      | hosts | runs |
+      | 7     | 12   |
+      | 74    | 3    |
+
+  Scenario Outline: A lowered limit is not in force after 11 s
+    Given <hosts> hosts with accounts of 29000, 110000 and 330000 tokens per second
+    When the accounts ask for 400% of their rates for 40 s, and all rates are lowered to a quarter at 10 s
+    Then no account spends more than a quarter of its limit in any window from 21 s on
+
+    Examples:
+      | hosts |
+      | 7     |
+      | 74    |
+
+  Scenario Outline: Token counts that no request has
+    When a request of an account with 100 tokens for plain requests states "<counts>"
+    Then it costs <cost>
+
+    Examples:
+      | counts     | cost |
+      | 490,200    | 690  |
+      | 0,0        | 0    |
+      | none       | 100  |
+      | -5,200     | 100  |
+      | NaN,200    | 100  |
+      | Infinity,1 | 100  |
--- a/features/steps/peerAges.ts
+++ b/features/steps/peerAges.ts
@@ -34,7 +34,8 @@
     receiveSuspectMessage: () => {},
     receiveLimitStatement: () => {},
     receiveStreamRecords: () => {},
-    receiveStreamsSaved: () => {}
+    receiveStreamsSaved: () => {},
+    receiveQuotaMessage: () => {}
   })
 }
 
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -32,6 +32,7 @@
 import type { NoticeComponents } from './createNoticeComponents.js'
 
 export interface RequestProxyOptions {
+  quotas: ProxyContext['quotas']
   own: { host: string, address: string, zone: string }
   /** Whether the host at an IP address runs and responds. */
   isHostRunning: (address: string) => Promise<boolean>
@@ -69,7 +70,7 @@
 /** Connections to one other host for forwarded requests; a host serves fewer at a time. */
 const maxForwardingConnections = 512
 
-export function createRequestProxy ({ own, isHostRunning, settings, clock, log, clusterView, reservations, suspects, noticeComponents: { notices, noticeTask }, streamOrigins, reportCrash }: RequestProxyOptions): RequestProxy {
+export function createRequestProxy ({ quotas, own, isHostRunning, settings, clock, log, clusterView, reservations, suspects, noticeComponents: { notices, noticeTask }, streamOrigins, reportCrash }: RequestProxyOptions): RequestProxy {
   const random = Math.random
   const health = new EndpointHealth()
   const retryBudget = new HostRetryBudget({
@@ -119,6 +120,7 @@
     shutdown,
     standstill,
     streamOrigins,
+    quotas,
     random,
     encodeRequestHeaders,
     decodeAnswerHead,
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -26,6 +26,8 @@
 import { createCountingLog, HostMetrics } from '../tasks/hostMetrics/hostMetrics.js'
 import { startMetricsServer } from '../tasks/hostMetrics/metricsServer.js'
 import { ReservationClient } from '../tasks/proxy/reservationClient.js'
+import type { QuotaMeter } from '../tasks/quota/quotaClient.js'
+import type { QuotaTask } from '../tasks/quota/quotaTask.js'
 import type { LeaseTask } from '../tasks/leases/leaseTask.js'
 import { logClusterViewChange } from '../tasks/clusterView/logClusterViewChange.js'
 import { ClusterViewTask } from '../tasks/clusterView/clusterViewTask.js'
@@ -37,6 +39,7 @@
 import type { SuspectTasks } from './createSuspectTasks.js'
 import { createNoticeComponents } from './createNoticeComponents.js'
 import { createRequestProxy } from './createRequestProxy.js'
+import { createQuotaTask } from './createQuotaTask.js'
 import { createStreamTasks } from './createStreamTasks.js'
 import type { StreamTasks } from './createStreamTasks.js'
 import type { RequestProxy } from './createRequestProxy.js'
@@ -85,6 +88,8 @@
   leaseComponents: LeaseComponents
   suspectTasks: SuspectTasks
   streamTasks: StreamTasks
+  /** Undefined if the settings set no bounds for quotas. */
+  quotas: QuotaTask | undefined
 }
 
 interface HostComponentsOptions {
@@ -97,22 +102,19 @@
   relay: Relay
   datagrams: Datagrams
   ports: Pick<HostPorts, 'openOrders' | 'decodeRow'>
+  meter: QuotaMeter
 }
 
 /** Creates the components of a host and connects them to each other; nothing is started yet. */
-function createHostComponents ({ settings, clock, log, own, store, eras, relay, datagrams, ports }: HostComponentsOptions): HostComponents {
+function createHostComponents ({ settings, clock, log, own, store, eras, relay, datagrams, ports, meter }: HostComponentsOptions): HostComponents {
   const formatRelayAddress = createRelayAddressFormatter(settings.peersAddress)
   const clusterView = new ClusterView(ports.decodeRow, settings.heartbeatMs, eras)
   const receiveViewChange = (change: ClusterViewChange): void => {
     logClusterViewChange(log, change, () => ({ source: clusterViewTask.updateSource, tableAgesMs: clusterViewTask.listTableAges() }))
-    dispatchChange(change, { requestProxy, reservations, suspectTasks, leaseComponents, allocationTask, streamTasks })
+    dispatchChange(change, { requestProxy, reservations, suspectTasks, leaseComponents, allocationTask, streamTasks, quotas })
   }
   const mirror = createMirror({ clock, log, own, clusterView, receiveViewChange })
-  const updateSources = new UpdateSourceList({
-    own,
-    listHosts: () => [...clusterView.hosts.values()].map(({ row }) => row).filter(row => !row.isLeaving),
-    getHostsVersion: () => clusterView.hostsVersion
-  })
+  const updateSources = createUpdateSources(own, clusterView)
   const clusterViewTask: ClusterViewTask = new ClusterViewTask({
     clock, log, store, eras, relay, mirror, clusterView, receiveViewChange, ...computeUpdateSchedule({ operatorsTable, endpointsTable }, settings), own, sources: updateSources, seeds: settings.seedAddresses, formatRelayAddress
   })
@@ -133,6 +135,7 @@
     receiveSuspectMessage: message => suspectTasks.receiveMessage(message),
     receiveStreamRecords: (records, reply) => streamTasks.receiveRecords(records, reply),
     receiveStreamsSaved: saved => streamTasks.receiveSaved(saved),
+    receiveQuotaMessage: (message, sender) => quotas?.receiveMessage(message, sender),
     receiveLimitStatement: (endpointId, statement) => noticeComponents.noticeTask.receiveLimitStatement(endpointId, statement)
   })
   const suspectTasks = createSuspectTasks({
@@ -175,10 +178,21 @@
   const streamTasks = createStreamTasks({
     ...context, transact, isStoreUnavailable, applyRow: row => mirror.applyLocalWrite(row), send: (address, message) => datagrams.send(address, message), askPeer: async (address, service) => (await peers.pingHost(address, service))?.softwareVersions, heartbeatMs: settings.heartbeatMs
   })
+  const quotas: QuotaTask | undefined = createQuotaTask({
+    ...context, bounds: settings.quotaBounds, getTableAgeMs: table => clusterViewTask.listTableAges()[table] ?? Infinity, getOutageShare: () => leaseComponents.storeOutageDetector.findOutageShare(), send: (address, message) => datagrams.send(address, message), meter
+  })
   const requestProxy: RequestProxy = createRequestProxy({
-    own, isHostRunning: async address => await peers.pingHost(address) !== undefined, settings, clock, log, clusterView, reservations, suspects: suspectTasks.checks, noticeComponents, streamOrigins: streamTasks.origins, reportCrash: suspectTasks.reportCrash
+    quotas, own, isHostRunning: async address => await peers.pingHost(address) !== undefined, settings, clock, log, clusterView, reservations, suspects: suspectTasks.checks, noticeComponents, streamOrigins: streamTasks.origins, reportCrash: suspectTasks.reportCrash
+  })
+  return { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks, quotas }
+}
+
+function createUpdateSources (own: HostComponentsOptions['own'], clusterView: ClusterView): UpdateSourceList {
+  return new UpdateSourceList({
+    own,
+    listHosts: () => [...clusterView.hosts.values()].map(({ row }) => row).filter(row => !row.isLeaving),
+    getHostsVersion: () => clusterView.hostsVersion
   })
-  return { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks }
 }
 
 interface MirrorOptions extends Pick<HostComponentsOptions, 'clock' | 'log' | 'own'> {
@@ -204,9 +218,11 @@
 /** Passes a change of the cluster view to the components that it concerns. */
 function dispatchChange (
   change: ClusterViewChange,
-  { requestProxy, reservations, suspectTasks, leaseComponents, allocationTask, streamTasks }: Pick<HostComponents, 'requestProxy' | 'reservations' | 'suspectTasks' | 'leaseComponents' | 'allocationTask' | 'streamTasks'>
+  { requestProxy, reservations, suspectTasks, leaseComponents, allocationTask, streamTasks, quotas }: Pick<HostComponents, 'requestProxy' | 'reservations' | 'suspectTasks' | 'leaseComponents' | 'allocationTask' | 'streamTasks' | 'quotas'>
 ): void {
   if (change.kind === 'configuration') requestProxy.applyConfiguration()
+  if (change.kind === 'configuration') quotas?.applyAccounts()
+  if (change.kind === 'host') quotas?.applyHosts()
   if (change.kind === 'owner') reservations.receiveOwnerChange(change.endpointId, change.owner?.row.address ?? '')
   if (change.kind === 'suspect') suspectTasks.applyChange(change)
   if (change.kind === 'endpoint') requestProxy.receiveEntry(change.id, change.entry)
@@ -231,7 +247,8 @@
     getActiveRequestCount: () => requestProxy.callerListener.activeRequestCount + requestProxy.forwardingListener.activeRequestCount,
     getHeldBodyBytes: () => requestProxy.callerListener.heldBytes + requestProxy.forwardingListener.heldBytes,
     getOwnedEndpointCount: () => leaseTask.ownedEndpointCount,
-    getKnownEndpointCount: () => countEndpoints()
+    getKnownEndpointCount: () => countEndpoints(),
+    listQuotaReplyAges: () => quotas?.listReplyAges() ?? {}
   })
   const log = createCountingLog(eventLog, (kind, fields) => metrics.recordEvent(kind, fields))
   const ports = { ...platformPorts, ...options.ports }
@@ -244,7 +261,7 @@
     await openPort(openOnce, { name, address, clock, log, signal: stopSignal, maxWaitMs: maxPortWaitMs - (clock.readMonotonic() - startedAtMs) })
   const messagesAddress = `${settings.address}:${settings.datagramPort}`
   const datagrams = await open('messages between hosts', messagesAddress, async () => await ports.openDatagrams({ address: settings.address, port: settings.datagramPort, host: settings.hostName, session, log }))
-  const { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks } = createHostComponents({ settings, clock, log, own, store, eras, relay, datagrams, ports })
+  const { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks, quotas } = createHostComponents({ settings, clock, log, own, store, eras, relay, datagrams, ports, meter: metrics })
   const { leaseTask, storeOutageDetector, isolationMonitor, renewalCollector, renewalClient } = leaseComponents
   eras.onNewEra((era, previous) => {
     log.record('store.restored', 'The store was restored from a copy, which lacks its last writes; all tables are read again.', { era, previous })
@@ -269,6 +286,7 @@
     stop: async () => {
       await drainHost({ settings, clock, log, readinessServer, requestProxy, leaseTask })
       for (const task of [requestProxy.standstill, storeOutageDetector, isolationMonitor, requestProxy.reachability, renewalCollector, renewalClient, clusterViewTask, reservations, suspectTasks, streamTasks, metrics]) task.stop()
+      quotas?.stop()
       datagrams.close()
       await endRelay(relayServer)
       await Promise.all([store.close(), relay.close()])
--- /dev/null
+++ b/src/core/quota/granterShare.ts
@@ -0,0 +1,95 @@
+/** Decides which part of the rates of a group of accounts this host may grant, so that all hosts together grant at most the whole. */
+
+/** Without an acknowledged heartbeat for this long the granter halves its rate, and its deputy grants the other half. */
+const silenceMs = 600
+/** A copy of the hosts' table that is older may lack a change, so that another host may be granter by now. */
+export const maxViewAgeMs = 3200
+/** A pair counts once it has not changed for longer than another host may still hold the former one. */
+export const settlingMs = 3500
+/** A view that was not checked for this long, as the process stood still, counts as too old. */
+const maxCheckGapMs = 1000
+
+export interface GranterView {
+  readonly viewAgeMs: number
+  /** Part of the hosts that may use the rate with this one: 1, or less while others are cut off. */
+  readonly hostsShare: number
+}
+
+export class GranterShare {
+  #own: string
+  #granters: readonly string[] = []
+  /** Since when this host is one of the two, and since when the two are the same. */
+  #memberSinceMs: number
+  #pairSinceMs: number
+  #acknowledgedSentAtMs = -Infinity
+  #heartbeatAtMs = -Infinity
+  #checkedAtMs: number
+  #heldSinceMs = Infinity
+
+  constructor (own: string, nowMs: number) {
+    this.#own = own
+    this.#checkedAtMs = nowMs
+    this.#memberSinceMs = nowMs
+    this.#pairSinceMs = nowMs
+  }
+
+  /** Records which hosts are granter and deputy; called at each change of the hosts' table. */
+  setGranters (granters: readonly string[], nowMs: number): void {
+    if (granters.length === this.#granters.length && granters.every((host, index) => host === this.#granters[index])) return
+    if (!this.#granters.includes(this.#own)) this.#memberSinceMs = nowMs
+    this.#granters = granters
+    this.#pairSinceMs = nowMs
+    this.#acknowledgedSentAtMs = -Infinity
+  }
+
+  get isGranter (): boolean {
+    return this.#granters[0] === this.#own
+  }
+
+  get deputy (): string | undefined {
+    return this.#granters[1]
+  }
+
+  /** Since when this host has been granting without a break; what others granted before is unknown to it. */
+  get heldSinceMs (): number {
+    return this.#heldSinceMs
+  }
+
+  /** Receives the granter's heartbeat; returns whether it is acknowledged, which only the deputy of this granter does. */
+  receiveHeartbeat (sender: string, nowMs: number): boolean {
+    if (this.#granters[0] !== sender || this.deputy !== this.#own) return false
+    this.#heartbeatAtMs = nowMs
+    return true
+  }
+
+  /** Receives the deputy's acknowledgement of a heartbeat that was sent at a time of this host's clock. */
+  receiveAcknowledgement (sender: string, sentAtMs: number): void {
+    if (this.isGranter && this.deputy === sender) this.#acknowledgedSentAtMs = Math.max(this.#acknowledgedSentAtMs, sentAtMs)
+  }
+
+  /** Whether heartbeats are due: not before the pair has settled, as the deputy grants instead until then. */
+  shouldSendHeartbeats (nowMs: number): boolean {
+    return this.isGranter && this.deputy !== undefined && nowMs - this.#pairSinceMs >= settlingMs
+  }
+
+  /** Computes the part of the rates that this host may grant, from 0 to 1; has to be called several times a second. */
+  compute ({ viewAgeMs, hostsShare }: GranterView, nowMs: number): number {
+    // Other hosts may have been granters meanwhile, without a trace in this host's table.
+    if (viewAgeMs > maxViewAgeMs || nowMs - this.#checkedAtMs > maxCheckGapMs) {
+      this.#memberSinceMs = nowMs
+      this.#pairSinceMs = nowMs
+    }
+    this.#checkedAtMs = nowMs
+    const share = this.#computeShare(hostsShare, nowMs)
+    this.#heldSinceMs = share === 0 ? Infinity : Math.min(this.#heldSinceMs, nowMs)
+    return share
+  }
+
+  #computeShare (hostsShare: number, nowMs: number): number {
+    if (!this.#granters.includes(this.#own)) return 0
+    if (nowMs - this.#memberSinceMs < settlingMs || nowMs - this.#heartbeatAtMs < silenceMs) return 0
+    if (!this.isGranter) return hostsShare / 2
+    const isWhole = nowMs - this.#pairSinceMs >= settlingMs && (this.deputy === undefined || nowMs - this.#acknowledgedSentAtMs < silenceMs)
+    return isWhole ? hostsShare : hostsShare / 2
+  }
+}
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -235,9 +235,49 @@
 export type RenewalResult = Static<typeof renewalResultSchema>
 export type RenewalReply = Static<typeof renewalQueuedSchema> | RenewalResult
 
+/** A host reports what it spent of accounts, and what it needs, to the host that grants tokens of their quotas. */
+export const quotaReportSchema = Type.Object({
+  type: Type.Literal('quotaReport'),
+  id: Type.Integer(),
+  group: Type.Integer(),
+  accounts: Type.Array(Type.Object({
+    account: Type.String(),
+    /** Number of the lease that `spent` and `returned` are sums over; 0 if the host has none. */
+    epoch: Type.Integer(),
+    spent: Type.Number({ minimum: 0 }),
+    returned: Type.Number({ minimum: 0 }),
+    wanted: Type.Number({ minimum: 0 }),
+    target: Type.Number({ minimum: 0 }),
+    unit: Type.Number({ minimum: 0 })
+  }))
+})
+export type QuotaReport = Static<typeof quotaReportSchema>
+
+/** Reply to a report; `isGranter` is false and the list empty if the host grants none of the group at present. */
+export const quotaGrantSchema = Type.Object({
+  type: Type.Literal('quotaGrant'),
+  id: Type.Integer(),
+  isGranter: Type.Boolean(),
+  accounts: Type.Array(Type.Object({
+    account: Type.String(),
+    epoch: Type.Integer(),
+    /** Sum over the lease. */
+    granted: Type.Number(),
+    /** Milliseconds until the tokens return that were not granted; absent if all were. */
+    availableInMs: Type.Optional(Type.Number())
+  }))
+})
+export type QuotaGrant = Static<typeof quotaGrantSchema>
+
+/** A granter of quotas tells its deputy that it grants; `echo` returns with the acknowledgement. */
+export const quotaAliveSchema = Type.Object({ type: Type.Literal('quotaAlive'), group: Type.Integer(), echo: Type.Integer() })
+export const quotaAliveReceivedSchema = Type.Object({ type: Type.Literal('quotaAliveReceived'), group: Type.Integer(), echo: Type.Integer() })
+export type QuotaMessage = QuotaReport | QuotaGrant | Static<typeof quotaAliveSchema> | Static<typeof quotaAliveReceivedSchema>
+
 export const hostMessageSchema = Type.Union([
   reservationRequestSchema, reservationGrantSchema, reservationQueuedSchema, reservationRefusalSchema, reservationReleaseSchema, runningRequestsReportSchema, suspectMessageSchema, servedElsewhereSchema, endpointLeavingSchema, endpointLimitChangeSchema, streamRecordsSchema, streamRecordsSavedSchema, releaseConfirmationSchema, pingSchema, pongSchema,
-  renewalRequestSchema, renewalQueuedSchema, renewalResultSchema
+  renewalRequestSchema, renewalQueuedSchema, renewalResultSchema,
+  quotaReportSchema, quotaGrantSchema, quotaAliveSchema, quotaAliveReceivedSchema
 ])
 export type HostMessage = Static<typeof hostMessageSchema>
 export type ReservationReply = Static<typeof reservationGrantSchema> | Static<typeof reservationQueuedSchema> | Static<typeof reservationRefusalSchema>
--- a/src/tasks/hostMetrics/hostMetrics.ts
+++ b/src/tasks/hostMetrics/hostMetrics.ts
@@ -12,6 +12,8 @@
   getHeldBodyBytes: () => number
   getOwnedEndpointCount: () => number
   getKnownEndpointCount: () => number
+  /** Milliseconds since the granter of an account's quota last replied to this host, by account. */
+  listQuotaReplyAges: () => Readonly<Record<string, number>>
 }
 
 /** From a twentieth of the tightest published latency target to the longest deadline. */
@@ -19,6 +21,10 @@
 const lagBucketsSeconds = [0.001, 0.005, 0.02, 0.1, 0.5, 2]
 const lagIntervalMs = 500
 
+/** Accounts with a label of their own; each label value is kept for as long as the process runs. */
+const maxAccountLabels = 64
+const otherAccounts = 'other'
+
 /** Outcome label by the kind of event that ends a request. */
 const requestOutcomes: Readonly<Record<string, string>> = Object.freeze({
   'request.served': 'served', 'request.refused': 'refused', 'request.failed': 'failed', 'request.broken': 'broken', 'request.left': 'left'
@@ -36,6 +42,8 @@
   #requestDurations = this.#createHistogram('request_seconds', 'Time from a request\'s arrival to the end of its answer.', ['work', 'outcome'], latencyBucketsSeconds)
   #reservationWaits = this.#createHistogram('place_seconds', 'Time until a request had a place at an engine.', ['work'], latencyBucketsSeconds)
   #firstChunkTimes = this.#createHistogram('first_part_seconds', 'Time from sending a request to the first part of its answer.', ['work'], latencyBucketsSeconds)
+  #quotaUnits = this.#createCounter('quota_units_total', 'Tokens or requests charged to quotas of accounts, returned and refused.', ['account', 'what'])
+  #accountLabels = new Set<string>()
   #eventLoopLag = this.#createHistogram('event_loop_lag_seconds', 'How late timers ran.', [], lagBucketsSeconds)
   #lagTimer: NodeJS.Timeout
 
@@ -48,6 +56,21 @@
       registers: [this.registry],
       collect: () => { for (const [table, ageMs] of Object.entries(sources.listTableAges())) tableAges.set({ table }, ageMs / 1000) }
     })
+    const quotaAges = new Gauge({
+      name: 'sedgevalve_quota_reply_age_seconds',
+      help: 'Time since the granter of an account\'s quota last replied; the oldest of the accounts in one label.',
+      labelNames: ['account'],
+      registers: [this.registry],
+      collect: () => {
+        quotaAges.reset()
+        const oldest = new Map<string, number>()
+        for (const [account, ageMs] of Object.entries(sources.listQuotaReplyAges())) {
+          const label = this.#findAccountLabel(account)
+          if (Number.isFinite(ageMs)) oldest.set(label, Math.max(ageMs, oldest.get(label) ?? 0))
+        }
+        for (const [account, ageMs] of oldest) quotaAges.set({ account }, ageMs / 1000)
+      }
+    })
     this.#createGauge('active_requests', 'Requests that are being served.', sources.getActiveRequestCount)
     this.#createGauge('held_body_bytes', 'Bytes of the request bodies in memory.', sources.getHeldBodyBytes)
     this.#createGauge('owned_endpoints', 'Engines that this host gives orders to.', sources.getOwnedEndpointCount)
@@ -79,6 +102,17 @@
     this.#storeCalls.inc({ call, verdict })
   }
 
+  recordSpent = (account: string, cost: number): void => this.#quotaUnits.inc({ account: this.#findAccountLabel(account), what: 'spent' }, cost)
+
+  recordReturned = (account: string, cost: number): void => this.#quotaUnits.inc({ account: this.#findAccountLabel(account), what: 'returned' }, cost)
+
+  recordRefused = (account: string, cost: number): void => this.#quotaUnits.inc({ account: this.#findAccountLabel(account), what: 'refused' }, cost)
+
+  #findAccountLabel (account: string): string {
+    if (this.#accountLabels.size < maxAccountLabels) this.#accountLabels.add(account)
+    return this.#accountLabels.has(account) ? account : otherAccounts
+  }
+
   #recordRequest (outcome: string, fields: EventFields): void {
     const work = String(fields.work ?? 'unknown')
     this.#requests.inc({ work, outcome, cause: String(fields.code ?? '') })
--- a/src/tasks/leases/storeOutageDetector.ts
+++ b/src/tasks/leases/storeOutageDetector.ts
@@ -50,18 +50,24 @@
 
   /** Whether a majority of hosts report the store as unavailable, and no host reports it as available. */
   isOutage (): boolean {
+    return this.findOutageShare() !== undefined
+  }
+
+  /** Part of the known hosts that report the store as unavailable, this one included; undefined if there is no outage. */
+  findOutageShare (): number | undefined {
     const { clock, getStoreAgeMs, listPeers } = this.#options
-    if (getStoreAgeMs() <= unavailableAfterMs) return false
+    if (getStoreAgeMs() <= unavailableAfterMs) return undefined
     const nowMs = clock.readMonotonic()
     const peers = listPeers()
     let respondingHostCount = 1
     for (const { host } of peers) {
       const report = this.#reports.get(host)
       if (!report || nowMs - report.receivedAtMs > reportTtlMs) continue
-      if (report.storeAgeMs <= unavailableAfterMs) return false
+      if (report.storeAgeMs <= unavailableAfterMs) return undefined
       respondingHostCount++
     }
-    return respondingHostCount > (peers.length + 1) / 2
+    const share = respondingHostCount / (peers.length + 1)
+    return share > 0.5 ? share : undefined
   }
 
   #pollPeers (): void {
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -1,7 +1,7 @@
 /** Dispatches messages between hosts to the parts of this host that they are for, and pings other hosts. */
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Datagrams, DatagramSender } from '../../ports/datagrams.js'
-import type { EndpointLimitStatement, HostMessage, ReservationReply, RenewalRequest, RenewalReply, SuspectMessage } from '../../schemas/datagram.js'
+import type { EndpointLimitStatement, HostMessage, QuotaMessage, ReservationReply, RenewalRequest, RenewalReply, SuspectMessage } from '../../schemas/datagram.js'
 import type { StreamRecords, StreamRecordsSaved } from '../../schemas/streamRows.js'
 
 export interface PeerTaskOptions {
@@ -26,6 +26,7 @@
   /** Receives records of streams that this host is to write; `reply` sends the confirmation. */
   receiveStreamRecords: (records: StreamRecords, reply: (saved: StreamRecordsSaved) => void) => void
   receiveStreamsSaved: (saved: StreamRecordsSaved) => void
+  receiveQuotaMessage: (message: QuotaMessage, sender: DatagramSender) => void
 }
 
 /** A host's reply to a ping. */
@@ -146,6 +147,8 @@
       receiveRenewal(message, sender, reply => datagrams.send(sender.address, reply))
     } else if (message.type === 'renewed' || message.type === 'renewalQueued') {
       receiveRenewalReply(message)
+    } else if (message.type === 'quotaReport' || message.type === 'quotaGrant' || message.type === 'quotaAlive' || message.type === 'quotaAliveReceived') {
+      this.#options.receiveQuotaMessage(message, sender)
     } else {
       receiveReservationReply(message)
     }
--- a/src/tasks/proxy/proxyContext.ts
+++ b/src/tasks/proxy/proxyContext.ts
@@ -11,6 +11,7 @@
 import type { RequestFailure } from '../../schemas/verdict.js'
 import type { StandstillMonitor } from '../eventLoop/standstillMonitor.js'
 import type { RequestForwarder } from '../forwarding/requestForwarder.js'
+import type { QuotaTask } from '../quota/quotaTask.js'
 import type { StreamOrigins } from '../streams/streamOrigins.js'
 import type { CrashDetectionTask } from './crashDetectionTask.js'
 import type { EndpointNoticeTask } from './endpointNoticeTask.js'
@@ -52,6 +53,8 @@
   shutdown: Pick<ShutdownAdmission, 'endsAtMs' | 'canComplete' | 'recordServed'>
   standstill: Pick<StandstillMonitor, 'countStandstills' | 'isCatchingUp' | 'waitForCloses'>
   streamOrigins: Pick<StreamOrigins, 'recordBegun' | 'recordEnded' | 'resolve'>
+  /** Undefined if no quotas are kept. */
+  quotas: Pick<QuotaTask, 'charge'> | undefined
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   random: () => number
   encodeRequestHeaders: (request: CallerRequest, systemFields: SystemRequestFields) => string[]
--- /dev/null
+++ b/src/tasks/quota/quotaDirectory.ts
@@ -0,0 +1,76 @@
+/** The quotas of the configuration in force, and the hosts that grant their tokens. */
+import { rankLimitGranters } from '../../core/limitGranters.js'
+import { computeHash } from '../../core/rendezvousHash.js'
+import { computeQuotaTerms } from '../../core/quota/quotaTerms.js'
+import type { QuotaTerms } from '../../core/quota/quotaTerms.js'
+import type { HostRow } from '../../schemas/hostRows.js'
+import type { QuotaBounds } from '../../schemas/hostSettings.js'
+import type { AccountQuota, ClientAccount } from '../../schemas/routing.js'
+
+export type QuotaHost = Pick<HostRow, 'host' | 'address' | 'session' | 'isLeaving'>
+
+export interface KnownQuota {
+  readonly quota: AccountQuota
+  readonly terms: QuotaTerms
+  readonly group: number
+}
+
+/** Accounts for which one host grants tokens. */
+const accountsPerGroup = 64
+/** The highest number of hosts known within this time counts, as hosts that have left a table may still run. */
+const hostCountMemoryMs = 600_000
+
+export class QuotaDirectory {
+  #bounds: QuotaBounds
+  #listHosts: () => readonly QuotaHost[]
+  #quotas = new Map<string, KnownQuota>()
+  #groupCount = 0
+  #granters: QuotaHost[][] = []
+  #hostCount = 0
+  /** Highest number of hosts of the current and the former half of the memory. */
+  #highest = { current: 0, former: 0, startedAtMs: 0 }
+
+  constructor (bounds: QuotaBounds, listHosts: () => readonly QuotaHost[]) {
+    this.#bounds = bounds
+    this.#listHosts = listHosts
+  }
+
+  get groupCount (): number {
+    return this.#groupCount
+  }
+
+  find (account: string): KnownQuota | undefined {
+    return this.#quotas.get(account)
+  }
+
+  /** Returns the granter of a group and its deputy. */
+  listGranters (group: number): readonly QuotaHost[] {
+    return this.#granters[group] ?? []
+  }
+
+  applyAccounts (accounts: readonly ClientAccount[]): void {
+    const limited = accounts.filter(({ quota }) => quota)
+    this.#groupCount = Math.ceil(limited.length / accountsPerGroup)
+    this.#quotas = new Map(limited.map(({ name, quota }) => [name, { quota: quota!, terms: computeQuotaTerms(quota!, this.#bounds), group: computeHash(name) % this.#groupCount }]))
+  }
+
+  /** Ranks the hosts that the cluster view has now. */
+  applyHosts (nowMs: number): void {
+    const hosts = this.#listHosts()
+    this.#granters = Array.from({ length: this.#groupCount }, (_, group) => rankLimitGranters(`quota-group-${group}`, hosts, undefined))
+    this.#hostCount = hosts.length
+    this.getHighestHostCount(nowMs)
+    this.#highest.current = Math.max(this.#highest.current, hosts.length)
+  }
+
+  getHighestHostCount (nowMs: number): number {
+    if (nowMs - this.#highest.startedAtMs > hostCountMemoryMs / 2) this.#highest = { current: this.#hostCount, former: this.#highest.current, startedAtMs: nowMs }
+    return Math.max(this.#highest.current, this.#highest.former)
+  }
+
+  /** Part of the rates that the known hosts may use: if most hosts have left the table, they may go on apart from these. */
+  computeHostsShare (nowMs: number): number {
+    const highest = this.getHighestHostCount(nowMs)
+    return highest === 0 ? 0 : this.#hostCount > highest / 2 ? 1 : this.#hostCount / highest
+  }
+}
