--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -5,7 +5,7 @@
 import type { ClusterView } from '../core/clusterView.js'
 import { InFlightRequests } from '../core/inFlightRequests.js'
 import { HostRetryBudget } from '../core/hostRetryBudget.js'
-import { decodeAnswerHead, decodeRequest, encodeRefusalHeaders, encodeRequestHeaders } from '../platform/requestWire.js'
+import { decodeAnswerHead, decodeRequest, encodeRefusalHeaders, encodeRequestHeaders, removeAccountHeaders } from '../platform/requestWire.js'
 import type { Clock } from '../ports/clock.js'
 import type { EndpointLink } from '../ports/endpointLink.js'
 import type { EventLog } from '../ports/eventLog.js'
@@ -18,6 +18,8 @@
 import { EngineSelector } from '../tasks/proxy/engineSelector.js'
 import type { ProxyContext } from '../tasks/proxy/proxyContext.js'
 import { ProxiedRequest } from '../tasks/proxy/proxiedRequest.js'
+import { DispatchClient } from '../tasks/proxy/dispatchClient.js'
+import { DispatchSelector } from '../tasks/proxy/dispatchSelector.js'
 import { LimitGrantClient } from '../tasks/proxy/limitGrantClient.js'
 import type { ReservationClient } from '../tasks/proxy/reservationClient.js'
 import { ServiceSelector } from '../tasks/proxy/serviceSelector.js'
@@ -92,7 +94,9 @@
   })
   const limitGrants = new LimitGrantClient({ clock, log, clusterView, reservations })
   const engineSelector = new EngineSelector({ clock, log, clusterView, health, reservations, notices, limitGrants, random, getLink })
-  const serviceSelector = new ServiceSelector({ clock, clusterView, health, notices, limitGrants, own, random, getLink })
+  const places = new DispatchClient({ clock, log, clusterView, reservations })
+  const dispatch = new DispatchSelector({ clock, clusterView, health, notices, places, own, random, getLink })
+  const serviceSelector = new ServiceSelector({ clock, clusterView, health, notices, limitGrants, dispatch, own, random, getLink })
   const endpointSelector = new EndpointSelector({
     clock, clusterView, notices, engineSelector, serviceSelector, isUnreachable: endpointId => reachability.isUnreachable(endpointId), isRecordedVersion: endpoint => streamOrigins.isRecordedVersion(endpoint), random, getLink
   })
@@ -124,7 +128,8 @@
     random,
     encodeRequestHeaders,
     decodeAnswerHead,
-    encodeRefusalHeaders
+    encodeRefusalHeaders,
+    removeAccountHeaders
   }
   const maxHeldBytes = settings.memoryMb * 1024 * 1024 * bufferedBodiesMemoryFraction
   const callerListener = createListener(context, { address: settings.callersAddress, decodeRequest, maxHeldBytes })
@@ -145,6 +150,7 @@
       const routes = new Set(clusterView.routes?.configuration.routes.map(route => route.name))
       callerTimeouts.retainRoutes(routes)
       shutdown.retainRoutes(routes)
+      inFlightRequests.notifyConfiguration()
     }
   }
 }
