Refuse requests over the quota of their account

Cause: quotas were decoded but not applied. A request is charged by the host that received it, after its account is known; 429 (quota_exceeded) with the time at which tokens return and log fields that explain it; a request that did not run gives its cost back.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -83,3 +83,9 @@
       | -5,200     | 100  |
       | NaN,200    | 100  |
       | Infinity,1 | 100  |
+
+  Scenario: Each of several hosts lets an account spend its whole quota
+    Given 3 hosts before a platform whose account "acme" may spend 1000 tokens per second
+    When callers with the key of "acme" send 40 requests of 100 tokens per second through all hosts for 12000 ms
+    Then at most 99 of them ran in any window of 8 s, and at least 76 in the last one
+    And each of the others got 429 with a time to come back and did not run, and the lines tell why
--- a/features/steps/quotas.ts
+++ b/features/steps/quotas.ts
@@ -1,9 +1,11 @@
 /** Steps for quotas on a virtual clock. */
 import assert from 'node:assert/strict'
-import { Given, Then, When } from '@cucumber/cucumber'
+import { After, Given, Then, When } from '@cucumber/cucumber'
 import { rankLimitGranters } from '../../src/core/limitGranters.js'
 import { computeRequestCost } from '../../src/core/quota/quotaTerms.js'
 import type { ClientAccount } from '../../src/schemas/routing.js'
+import type { FleetAnswer } from '../../src/standin/fleet/fleetCaller.js'
+import { HostFleet } from '../support/hostFleet.js'
 import { QuotaCluster, quotaBounds } from '../support/quotaCluster.js'
 import type { QuotaNode } from '../support/quotaCluster.js'
 
@@ -13,6 +15,8 @@
   hosts: number
   durationMs: number
   cost: number
+  fleet: HostFleet | undefined
+  answers: { atMs: number, answer: FleetAnswer }[]
 }
 
 /** The hosts are steady and their balances filled from then on. */
@@ -104,6 +108,10 @@
   world.cluster = new QuotaCluster(world.hosts, world.accounts, createRandom(seed))
 }
 
+After(async function (this: QuotasWorld) {
+  await this.fleet?.stop()
+})
+
 Given('{int} hosts with accounts of {int}, {int} and {int} tokens per second', function (this: QuotasWorld, hosts: number, first: number, second: number, third: number) {
   this.hosts = hosts
   this.accounts = [first, second, third].map(rate => createAccount(rate))
@@ -205,3 +213,50 @@
 Then('it costs {int}', function (this: QuotasWorld, cost: number) {
   assert.equal(this.cost, cost)
 })
+
+Given('{int} hosts before a platform whose account {string} may spend {int} tokens per second', { timeout: 20_000 }, async function (this: QuotasWorld, hosts: number, name: string, perSecond: number) {
+  const fleet = await HostFleet.prepare(hosts)
+  this.fleet = fleet
+  fleet.fleet.writeConfiguration({ accounts: [{ name, keys: [`key-of-${name}`], rank: undefined, quota: { unit: 'tokens', perSecond, burst: perSecond, plainTokens: 100 } }] })
+  for (const host of fleet.hosts) host.settings = { ...host.settings, quotaBounds: { windowMs: 8000, overrunRatio: 0.1, tolerance: 0 } }
+  await Promise.all(fleet.hosts.map(async host => await fleet.startHost(host)))
+  await fleet.waitForOwners()
+  // Granters settle.
+  await new Promise<void>(resolve => { setTimeout(resolve, 4500) })
+})
+
+When('callers with the key of {string} send {int} requests of {int} tokens per second through all hosts for {int} ms', { timeout: 30_000 }, async function (this: QuotasWorld, name: string, perSecond: number, _tokens: number, durationMs: number) {
+  this.answers = []
+  const calls: Promise<void>[] = []
+  const startedAtMs = performance.now()
+  for (let sent = 0; sent < perSecond * durationMs / 1000; sent++) {
+    await new Promise<void>(resolve => { setTimeout(resolve, Math.max(0, startedAtMs + sent * 1000 / perSecond - performance.now())) })
+    const atMs = performance.now()
+    calls.push(this.fleet!.call({ kind: 'once', host: 1 + sent % this.fleet!.hosts.length, headers: { authorization: `Bearer key-of-${name}`, 'token-usage': '60,40' } }).then(answer => { this.answers.push({ atMs, answer }) }))
+  }
+  await Promise.all(calls)
+})
+
+Then('at most {int} of them ran in any window of 8 s, and at least {int} in the last one', function (this: QuotasWorld, limit: number, least: number) {
+  const ran = this.answers.filter(({ answer }) => answer.status === 200).map(({ atMs }) => atMs).sort((left, right) => left - right)
+  const counts = ran.map(untilMs => ran.filter(atMs => atMs <= untilMs && atMs > untilMs - 8000).length)
+  assert.ok(Math.max(...counts) <= limit, `${Math.max(...counts)} ran in a window`)
+  assert.ok(counts.at(-1)! >= least, `${counts.at(-1)} ran in the last window`)
+})
+
+Then('each of the others got 429 with a time to come back and did not run, and the lines tell why', function (this: QuotasWorld) {
+  const ran = new Set(this.fleet!.fleet.journal.runs.map(({ requestId }) => requestId))
+  const others = this.answers.filter(({ answer }) => answer.status !== 200)
+  const lines = new Map(this.fleet!.listLines('request.refused').map(({ fields }) => [fields.requestId, fields]))
+  assert.ok(others.length > 0)
+  for (const { answer } of others) {
+    assert.equal(answer.status, 429, answer.body)
+    assert.ok(answer.retryAfterS !== undefined && answer.retryAfterS > 0 && answer.retryAfterS <= 10)
+    assert.ok(!ran.has(answer.requestId))
+    const line = lines.get(answer.requestId)
+    assert.equal(line?.code, 'quota_exceeded')
+    assert.equal(line?.quotaAccount, 'acme')
+    assert.equal(line?.quotaCause, 'the account is at its limit')
+    assert.equal(typeof line?.quotaReplyAgeMs, 'number')
+  }
+})
--- a/src/bin/createLeaseComponents.ts
+++ b/src/bin/createLeaseComponents.ts
@@ -38,6 +38,8 @@
   /** Returns the relay address of the host with an IP address. */
   formatRelayAddress: (address: string) => string
   isStranded: LeaseTaskOptions['isStranded']
+  /** Whether this host may grant tokens of quotas. */
+  isGrantingQuotas: () => boolean
   receiveOwnership: LeaseTaskOptions['receiveOwnership']
 }
 
@@ -83,7 +85,7 @@
     getStoreAgeMs: () => Math.min(clusterViewTask.directStoreAgeMs, clusterViewTask.storeAgeMs, leaseTask.confirmedRenewalAgeMs),
     listPeers,
     requestStoreAge: async address => (await peers.pingHost(address))?.storeAgeMs,
-    isNeeded: () => leaseTask.ownedEndpointCount > 0
+    isNeeded: () => leaseTask.ownedEndpointCount > 0 || options.isGrantingQuotas()
   })
   const isolationMonitor: IsolationMonitor = new IsolationMonitor({
     clock,
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -75,9 +75,7 @@
 export function createRequestProxy ({ quotas, own, isHostRunning, settings, clock, log, clusterView, reservations, suspects, noticeComponents: { notices, noticeTask }, streamOrigins, reportCrash }: RequestProxyOptions): RequestProxy {
   const random = Math.random
   const health = new EndpointHealth()
-  const retryBudget = new HostRetryBudget({
-    retryRatio: settings.retryShare, extraRetries: settings.retryExtra, windowMs: settings.retryWindowMs, countHosts: () => clusterView.hosts.size
-  })
+  const retryBudget = new HostRetryBudget({ retryRatio: settings.retryShare, extraRetries: settings.retryExtra, windowMs: settings.retryWindowMs, countHosts: () => clusterView.hosts.size })
   const links = new EndpointLinks({ clock, clusterView })
   const getLink = (endpoint: EndpointEntry): EndpointLink => links.get(endpoint)
   const reachability = new ReachabilityTask({ clock, log, clusterView, links })
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -164,6 +164,7 @@
     leaseMs: settings.leaseMs,
     formatRelayAddress,
     isStranded: () => requestProxy.reachability.isHostStranded,
+    isGrantingQuotas: () => quotas?.isGranting ?? false,
     receiveOwnership: (endpointId, fencing, wasOwn) => allocationTask.receiveOwnership(endpointId, fencing, wasOwn)
   })
   const allocationTask = new AllocationTask({
@@ -181,9 +182,7 @@
   const quotas: QuotaTask | undefined = createQuotaTask({
     ...context, bounds: settings.quotaBounds, getTableAgeMs: table => clusterViewTask.listTableAges()[table] ?? Infinity, getOutageShare: () => leaseComponents.storeOutageDetector.findOutageShare(), send: (address, message) => datagrams.send(address, message), meter
   })
-  const requestProxy: RequestProxy = createRequestProxy({
-    quotas, own, isHostRunning: async address => await peers.pingHost(address) !== undefined, settings, clock, log, clusterView, reservations, suspects: suspectTasks.checks, noticeComponents, streamOrigins: streamTasks.origins, reportCrash: suspectTasks.reportCrash
-  })
+  const requestProxy: RequestProxy = createRequestProxy({ quotas, own, isHostRunning: async address => await peers.pingHost(address) !== undefined, settings, clock, log, clusterView, reservations, suspects: suspectTasks.checks, noticeComponents, streamOrigins: streamTasks.origins, reportCrash: suspectTasks.reportCrash })
   return { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks, quotas }
 }
 
--- a/src/core/quota/granterShare.ts
+++ b/src/core/quota/granterShare.ts
@@ -36,7 +36,7 @@
   /** Records which hosts are granter and deputy; called at each change of the hosts' table. */
   setGranters (granters: readonly string[], nowMs: number): void {
     if (granters.length === this.#granters.length && granters.every((host, index) => host === this.#granters[index])) return
-    if (!this.#granters.includes(this.#own)) this.#memberSinceMs = nowMs
+    if (!this.hasRole) this.#memberSinceMs = nowMs
     this.#granters = granters
     this.#pairSinceMs = nowMs
     this.#acknowledgedSentAtMs = -Infinity
@@ -46,6 +46,11 @@
     return this.#granters[0] === this.#own
   }
 
+  /** Whether this host is the granter or its deputy. */
+  get hasRole (): boolean {
+    return this.#granters.includes(this.#own)
+  }
+
   get deputy (): string | undefined {
     return this.#granters[1]
   }
@@ -86,7 +91,7 @@
   }
 
   #computeShare (hostsShare: number, nowMs: number): number {
-    if (!this.#granters.includes(this.#own)) return 0
+    if (!this.hasRole) return 0
     if (nowMs - this.#memberSinceMs < settlingMs || nowMs - this.#heartbeatAtMs < silenceMs) return 0
     if (!this.isGranter) return hostsShare / 2
     const isWhole = nowMs - this.#pairSinceMs >= settlingMs && (this.deputy === undefined || nowMs - this.#acknowledgedSentAtMs < silenceMs)
--- a/src/platform/requestWire.ts
+++ b/src/platform/requestWire.ts
@@ -20,7 +20,8 @@
   const modelName = joinHeaderValues(headers[wireHeaders.model])
   const slash = modelName.indexOf('/')
   const { forwarded, credentials } = filterHeaders(message)
-  const [promptTokens = 0, maxTokens = 0] = joinHeaderValues(headers[wireHeaders.tokens]).split(',').map(parseNumberOrZero)
+  const tokens = joinHeaderValues(headers[wireHeaders.tokens])
+  const [promptTokens = 0, maxTokens = 0] = tokens.split(',').map(parseNumberOrZero)
   return {
     requestId: joinHeaderValues(headers[wireHeaders.requestId]) || undefined,
     method: message.method ?? 'GET',
@@ -39,10 +40,14 @@
     adapter: slash < 0 ? '' : modelName.slice(slash + 1),
     promptTokens,
     maxTokens,
+    hasTokenCounts: tokenCountsPattern.test(tokens),
     promptSegments: decodePromptSegments(joinHeaderValues(headers[wireHeaders.promptParts]))
   }
 }
 
+/** Two numbers of 0 or more. */
+const tokenCountsPattern = /^\s*\d+(\.\d+)?\s*,\s*\d+(\.\d+)?\s*$/
+
 /**
  * An ID:TOKENS pair; the ID is hexadecimal. Leading zeros are not captured, as the same ID may be written with or without them. Whatever is
  * captured begins with another digit, or a search through a list of zeros would take time in proportion to the square of its length.
--- a/src/schemas/callerRequest.ts
+++ b/src/schemas/callerRequest.ts
@@ -30,6 +30,8 @@
   readonly adapter: string
   readonly promptTokens: number
   readonly maxTokens: number
+  /** Whether the request states both token counts; those that it does not state are 0. */
+  readonly hasTokenCounts?: boolean
   /** Prompt segments in order; requests share them, except for the last one, which belongs to the request or its session. */
   readonly promptSegments: readonly { readonly id: string, readonly tokens: number }[]
   /** What the host decided that sent the request through this one; undefined if the caller sent it. */
--- a/src/standin/fleet/startFleet.ts
+++ b/src/standin/fleet/startFleet.ts
@@ -108,7 +108,7 @@
   }
 
   /** Writes the next version of the configuration. */
-  writeConfiguration (changes: Partial<Pick<RoutingConfiguration, 'routes'>>): number {
+  writeConfiguration (changes: Partial<Pick<RoutingConfiguration, 'routes' | 'accounts'>>): number {
     const configuration = createConfiguration(this.#version++, this.#options.adapterSlots)
     this.rows.write(encodeConfigurationRow({ ...configuration, ...changes }))
     return configuration.version
--- a/src/tasks/proxy/logRequestEnd.ts
+++ b/src/tasks/proxy/logRequestEnd.ts
@@ -20,6 +20,8 @@
   readonly history: AttemptHistory
   /** Hosts that the request was sent through. */
   readonly hosts: readonly string[]
+  /** What a refusal by the quota of the account was decided by; undefined if there was none. */
+  readonly quotaDetails: EventFields | undefined
   /** -1 if no part of a response has arrived. */
   readonly firstChunkMs: number
   /** When the last attempt was written to its connection and its target was last heard; undefined where that is of no interest. */
@@ -57,6 +59,7 @@
     placeMs: Math.round(history.selectionMs),
     firstPartMs: Math.round(summary.firstChunkMs),
     ...(lastAttempt && describeLastAttempt(lastAttempt, summary.nowMs)),
+    ...summary.quotaDetails,
     tookMs: Math.round(summary.nowMs - request.receivedAtMs),
     configuration: summary.configurationVersion
   })
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -23,6 +23,7 @@
 import { recordInterruption } from './recordInterruption.js'
 import { createRefusal, defaultRetryAfterMs, internalErrorReason, stoppingCode, stoppingRetryMs, unauthorizedStatus, unknownKeyReason, unreachableCode, unreachableRetryMs } from './refusals.js'
 import type { Refusal } from './refusals.js'
+import { QuotaCharge, quotaExceededCode, quotaExceededStatus } from './quotaCharge.js'
 import { RequestRetries } from './requestRetries.js'
 import { computeDueTimes, computeSpentMs, defaultTimeLeftMs } from './dueTimes.js'
 import { ForwardingAttempts } from './forwardingAttempts.js'
@@ -40,6 +41,7 @@
   #route: Route | undefined
   #access: AccountAccess | undefined
   #admission: Admission | undefined
+  #quotaCharge: QuotaCharge
   #service = ''
   /** Software version of the endpoints that may go on with the stream; undefined before its first event. */
   #softwareVersion: string | undefined
@@ -72,6 +74,7 @@
     this.#response = response
     this.#forwarding = new ForwardingAttempts(context, request)
     this.#retries = new RequestRetries(context)
+    this.#quotaCharge = new QuotaCharge(context)
     this.#transientWait = new TransientWait(context.clock)
     this.#softwareVersion = request.forwarded?.softwareVersion
     this.#history = new AttemptHistory(request.forwarded)
@@ -160,6 +163,9 @@
     if (this.#deadlineAtMs <= clock.readMonotonic()) return this.#receiveTimeout()
     const isResolved = this.#softwareVersion !== undefined
     if (route.kind === 'stream' && request.isResumption && !isResolved && !await this.#resolveStream(route)) return
+    const charge = this.#quotaCharge.charge(this.#admission!.account, request)
+    const refusal = charge instanceof Promise ? await charge : charge
+    if (refusal) return this.#respond(quotaExceededStatus, quotaExceededCode, refusal.reason, refusal.retryAfterMs)
     await this.#run(route)
   }
 
@@ -309,9 +315,7 @@
       this.#isTrial = false
     }
     if (isInterrupted(result.failure)) {
-      this.#isPossibleCause = await recordInterruption(this.#context, target, {
-        requestId: this.#request.requestId, content: this.#fingerprint, parts: this.#suspectParts, hasBegun: this.#attempt!.hasBegun, sentAtMs, reason: result.failure.reason
-      })
+      this.#isPossibleCause = await recordInterruption(this.#context, target, { requestId: this.#request.requestId, content: this.#fingerprint, parts: this.#suspectParts, hasBegun: this.#attempt!.hasBegun, sentAtMs, reason: result.failure.reason })
     }
     this.#history.retryAfterMs = result.retryAfterMs ?? this.#history.retryAfterMs
     return result.failure
@@ -319,15 +323,8 @@
 
   /** Runs one attempt to its end; `addedHeaders` are added to a success response. */
   async #runAttempt (route: Route, target: AttemptTarget, addedHeaders: readonly string[]): Promise<AttemptResult> {
-    const attempt = new RequestAttempt(this.#context, {
-      request: this.#request,
-      response: this.#response,
-      route,
-      target,
-      timeLeftMs: this.#getDeadlineAtMs() - this.#context.clock.readMonotonic(),
-      lastEventId: this.#attempt?.lastEventId,
-      addedHeaders
-    })
+    const timeLeftMs = this.#getDeadlineAtMs() - this.#context.clock.readMonotonic()
+    const attempt = new RequestAttempt(this.#context, { request: this.#request, response: this.#response, route, target, timeLeftMs, lastEventId: this.#attempt?.lastEventId, addedHeaders })
     this.#attempt = attempt
     this.#isSending = true
     const result = await attempt.run()
@@ -413,7 +410,7 @@
   #respond (status: number, code: string, reason: string, retryAfterMs?: number): void {
     if (this.#hasEnded) return
     this.#writeRefusal({ status, code, reason, retryAfterMs })
-    this.#finish(status === 503 ? 'refused' : 'failed', reason, status, code)
+    this.#finish(status === 503 || status === quotaExceededStatus ? 'refused' : 'failed', reason, status, code)
   }
 
   #writeRefusal (refusal: Refusal): void {
@@ -426,6 +423,7 @@
     if (this.#hasEnded) return
     this.#hasEnded = true
     this.#timer?.cancel()
+    this.#quotaCharge.end(outcome === 'served' || this.#history.mayHaveRun || this.#isSent)
     const { clock, log, clusterView, inFlightRequests, suspects } = this.#context
     for (const fingerprint of this.#listFingerprints()) inFlightRequests.remove(fingerprint, this)
     if (this.#isTrial && !this.#isSent) suspects.cancelTrial(this.#suspectParts)
@@ -441,6 +439,7 @@
       status,
       history: this.#history,
       hosts: this.#forwarding.hosts,
+      quotaDetails: this.#quotaCharge.details,
       firstChunkMs: this.#attempt?.firstChunkMs ?? -1,
       lastAttempt: outcome === 'left' ? this.#attempt : undefined,
       configurationVersion: clusterView.routes?.configuration.version
--- a/src/tasks/quota/quotaGranterTask.ts
+++ b/src/tasks/quota/quotaGranterTask.ts
@@ -37,6 +37,11 @@
     this.#options = options
   }
 
+  /** Whether this host is the granter or the deputy of a group. */
+  get hasRole (): boolean {
+    return this.#groups.some(({ share }) => share.hasRole)
+  }
+
   /** Applies the groups and granters of the directory. With another number of groups, accounts may have changed their granter. */
   applyDirectory (): void {
     const { clock, ownHost, directory } = this.#options
--- a/src/tasks/quota/quotaTask.ts
+++ b/src/tasks/quota/quotaTask.ts
@@ -72,6 +72,11 @@
     })
   }
 
+  /** Whether this host may grant tokens of quotas, and has to know whether the store is unavailable to all hosts. */
+  get isGranting (): boolean {
+    return this.#granter.hasRole
+  }
+
   /** Charges a request; returns a promise only if it has to wait for tokens. */
   charge (account: ClientAccount, request: RequestTokens): ChargeResult | Promise<ChargeResult> {
     const result = this.#client.charge(account, request)
