--- a/features/steps/engineReplay.ts
+++ b/features/steps/engineReplay.ts
@@ -86,7 +86,7 @@
     deliverLocally: () => {}
   })
   const details = { endpointId: 'e1', requestId: 'r1', model: 'base', adapter: '', version: 0, route: 'stream', rank: 0, dueInMs: 500, uselessInMs: 3000, leavesInMs: 4000, promptTokens: 100, maxTokens: 20, parts: [], mayDecline: false }
-  for (const told of [slowness, undefined]) client.reserveWithoutGrant('10.1.0.2', details).release('served', 120, told)
+  for (const told of [slowness, undefined]) client.reserveWithoutGrant('10.1.0.2', details).release('served', 120, told === undefined ? undefined : { slowness: told })
   client.stop()
 })
 
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -34,6 +34,7 @@
 import type { NoticeComponents } from './createNoticeComponents.js'
 
 export interface RequestProxyOptions {
+  quotas: ProxyContext['quotas']
   own: { host: string, address: string, zone: string }
   /** Whether the host at an IP address runs and responds. */
   isHostRunning: (address: string) => Promise<boolean>
@@ -71,12 +72,10 @@
 /** Connections to one other host for forwarded requests; a host serves fewer at a time. */
 const maxForwardingConnections = 512
 
-export function createRequestProxy ({ own, isHostRunning, settings, clock, log, clusterView, reservations, suspects, noticeComponents: { notices, noticeTask }, streamOrigins, reportCrash }: RequestProxyOptions): RequestProxy {
+export function createRequestProxy ({ quotas, own, isHostRunning, settings, clock, log, clusterView, reservations, suspects, noticeComponents: { notices, noticeTask }, streamOrigins, reportCrash }: RequestProxyOptions): RequestProxy {
   const random = Math.random
   const health = new EndpointHealth()
-  const retryBudget = new HostRetryBudget({
-    retryRatio: settings.retryShare, extraRetries: settings.retryExtra, windowMs: settings.retryWindowMs, countHosts: () => clusterView.hosts.size
-  })
+  const retryBudget = new HostRetryBudget({ retryRatio: settings.retryShare, extraRetries: settings.retryExtra, windowMs: settings.retryWindowMs, countHosts: () => clusterView.hosts.size })
   const links = new EndpointLinks({ clock, clusterView })
   const getLink = (endpoint: EndpointEntry): EndpointLink => links.get(endpoint)
   const reachability = new ReachabilityTask({ clock, log, clusterView, links })
@@ -123,6 +122,7 @@
     shutdown,
     standstill,
     streamOrigins,
+    quotas,
     random,
     encodeRequestHeaders,
     decodeAnswerHead,
