Send messages about quotas in datagrams of their own

Hosts of earlier versions drop a datagram as a whole if it holds a message that they do not know, and with it whatever else was due to them in the same turn of the event loop.

--- a/src/adapters/datagrams/udpDatagrams.ts
+++ b/src/adapters/datagrams/udpDatagrams.ts
@@ -77,8 +77,8 @@
   #flush (): void {
     const { host, session, port, log } = this.#options
     for (const [address, messages] of this.#outgoing) {
-      for (let start = 0; start < messages.length; start += maxMessagesPerDatagram) {
-        const bytes = pack({ host, session, messages: messages.slice(start, start + maxMessagesPerDatagram) })
+      for (const batch of splitMessages(messages)) {
+        const bytes = pack({ host, session, messages: batch })
         this.#socket.send(bytes, port, address, error => {
           if (error) log.record('peers.notSent', 'Could not send messages to a host.', { address, error: error.message })
         })
@@ -98,6 +98,16 @@
   }
 }
 
+/** Hosts of earlier versions drop a datagram as a whole if they do not know one of its messages, so these go apart from the others. */
+function splitMessages (messages: readonly HostMessage[]): HostMessage[][] {
+  const batches: HostMessage[][] = []
+  for (const isQuota of [false, true]) {
+    const kind = messages.filter(({ type }) => type.startsWith('quota') === isQuota)
+    for (let start = 0; start < kind.length; start += maxMessagesPerDatagram) batches.push(kind.slice(start, start + maxMessagesPerDatagram))
+  }
+  return batches
+}
+
 function decodeDatagram (bytes: Buffer): unknown {
   try {
     return unpack(bytes)
