--- a/src/platform/requestWire.ts
+++ b/src/platform/requestWire.ts
@@ -1,7 +1,7 @@
 /** Decodes callers' requests, encodes them for endpoints, and decodes the heads of the endpoints' responses. */
 import type { IncomingMessage } from 'node:http'
 import type { ResponseHead, CallerRequest, EndpointLoad, SystemRequestFields } from '../schemas/callerRequest.js'
-import { maxApiKeyLength, reservedHeaders, wireHeaders } from './wireNames.js'
+import { credentialsHeader, maxApiKeyLength, reservedHeaders, wireHeaders } from './wireNames.js'
 
 /** Hop-by-hop headers, which apply to a single connection and are not forwarded. */
 const hopByHopHeaders = new Set([
@@ -70,7 +70,7 @@
 export function removeAccountHeaders (headers: readonly string[]): string[] {
   return headers.filter((_, index) => {
     const name = headers[index - index % 2]!.toLowerCase()
-    return name !== wireHeaders.credentials && name !== wireHeaders.account
+    return name !== credentialsHeader && name !== wireHeaders.account
   })
 }
 
@@ -82,7 +82,7 @@
   const { rawHeaders } = message
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index]!.toLowerCase()
-    if (name === wireHeaders.credentials) credentials.push(rawHeaders[index + 1]!)
+    if (name === credentialsHeader) credentials.push(rawHeaders[index + 1]!)
     if (hopByHopHeaders.has(name) || reservedHeaders.has(name) || connectionHeaders.has(name)) continue
     forwarded.push(rawHeaders[index]!, rawHeaders[index + 1]!)
   }
--- a/src/platform/standinWire.ts
+++ b/src/platform/standinWire.ts
@@ -4,7 +4,7 @@
 import type { EngineOrder, EngineState, OrderHolder } from '../ports/engineOrders.js'
 import { createParser } from '../schemas/createParser.js'
 import type { AdapterVersion, ClientAccount, EndpointEntry, LoadedModel, Route, RoutingConfiguration, ServiceSpec } from '../schemas/routing.js'
-import { configurationKey, endpointsTable, operatorsTable, versionKeyPrefix, wireHeaders } from './wireNames.js'
+import { configurationKey, credentialsHeader, endpointsTable, operatorsTable, versionKeyPrefix, wireHeaders } from './wireNames.js'
 
 const rowNameSchema = Type.Object({ table: Type.String(), key: Type.String() })
 const parseTransaction = createParser(Type.Object({
@@ -156,7 +156,7 @@
     adapter: slash < 0 ? '' : modelName.slice(slash + 1),
     lastEventId: Number(getHeader(wireHeaders.lastEventId) ?? 0),
     account: getHeader(wireHeaders.account),
-    hasCredentials: headers[wireHeaders.credentials] !== undefined,
+    hasCredentials: headers[credentialsHeader] !== undefined,
     sharedParts: (getHeader(wireHeaders.promptParts) ?? '').split(',').slice(0, -1).map(part => part.split(':')[0]!.trim().toLowerCase().replace(/^0+(?=.)/, ''))
   }
 }
--- a/src/platform/wireNames.ts
+++ b/src/platform/wireNames.ts
@@ -29,8 +29,6 @@
   versions: 'weight-versions',
   expectVersion: 'expect-version',
   lengthHint: 'length-hint',
-  /** Credentials of a caller; where the configuration has accounts, the key of one. */
-  credentials: 'authorization',
   /** Name of the client account that a request is of. */
   account: 'tenant'
 })
@@ -42,6 +40,8 @@
   'pin-ms', 'hold', 'kv-backup', 'kv-from', 'kv-fetch'
 ])
 
+/** HTTP's own header for a caller's credentials; where the configuration has accounts, it holds the key of one. */
+export const credentialsHeader = 'authorization'
 /** Longer keys of client accounts are invalid, in the configuration and in requests. */
 export const maxApiKeyLength = 4096
 
--- a/src/tasks/proxy/accountAccess.ts
+++ b/src/tasks/proxy/accountAccess.ts
@@ -44,6 +44,13 @@
     return this.#admission
   }
 
+  /** Why a request is refused that is not admitted; names no key. */
+  get refusalReason (): string {
+    const { apiKey, forwarded } = this.#received
+    if (forwarded?.account !== undefined) return `account "${forwarded.account}" was removed`
+    return apiKey === undefined ? 'the request has no key, or not exactly one' : 'no client account has the key of the request'
+  }
+
   #decide (routes: RouteTable): Admission | undefined {
     const { apiKey, forwarded } = this.#received
     if (forwarded?.account !== undefined) return this.#decideForwarded(routes, forwarded.account)
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -21,7 +21,7 @@
 import { logRequestEnd } from './logRequestEnd.js'
 import { isEndpointAvailable } from './endpointAvailability.js'
 import { recordInterruption } from './recordInterruption.js'
-import { createRefusal, defaultRetryAfterMs, internalErrorReason, stoppingCode, stoppingRetryMs, unauthorizedStatus, unknownKeyReason, unreachableCode, unreachableRetryMs } from './refusals.js'
+import { createRefusal, defaultRetryAfterMs, internalErrorReason, stoppingCode, stoppingRetryMs, unauthorizedStatus, unknownKeyCode, unreachableCode, unreachableRetryMs } from './refusals.js'
 import type { Refusal } from './refusals.js'
 import { RequestRetries } from './requestRetries.js'
 import { computeDueTimes, computeSpentMs, defaultTimeLeftMs } from './dueTimes.js'
@@ -210,8 +210,8 @@
       return false
     }
     this.#attempt?.cancel()
-    if (this.#history.mayHaveRun || this.#response.hasHead) this.#giveUp({ verdict: 'notRun', reason: unknownKeyReason, status: undefined }, undefined)
-    else this.#respond(unauthorizedStatus, 'key_unknown', unknownKeyReason)
+    if (this.#history.mayHaveRun || this.#response.hasHead) this.#giveUp({ verdict: 'notRun', reason: this.#access!.refusalReason, status: undefined }, undefined)
+    else this.#respond(unauthorizedStatus, unknownKeyCode, this.#access!.refusalReason)
     return true
   }
 
--- a/src/tasks/proxy/refusals.ts
+++ b/src/tasks/proxy/refusals.ts
@@ -13,7 +13,7 @@
 export const stoppingCode = 'stopping'
 /** The request has no key of a client account; HTTP requires to name the scheme by which keys are sent. */
 export const unauthorizedStatus = 401
-export const unknownKeyReason = 'the request has no key of a client account'
+export const unknownKeyCode = 'key_unknown'
 const challengeHeaders = Object.freeze(['WWW-Authenticate', 'Bearer'])
 export const internalErrorReason = 'this host failed while it handled the request'
 /** What other hosts may serve that have sent the request here. */
