--- a/src/standin/fleet/runJournal.ts
+++ b/src/standin/fleet/runJournal.ts
@@ -14,6 +14,10 @@
   /** Event after which a resumed stream goes on; 0 for a run from the start. */
   fromEvent: number
   adapterVersion: number | undefined
+  /** Client account that the endpoint was told; undefined if none. */
+  account?: string | undefined
+  /** Whether a caller's key came along. */
+  hasCredentials?: boolean
 }
 
 /** A request that an endpoint received, whether it ran it or not. */
@@ -21,6 +25,8 @@
   requestId: string
   endpointId: string
   atMs: number
+  /** Alternating names and values, as the endpoint got them. */
+  rawHeaders: readonly string[]
 }
 
 export class RunJournal {
@@ -37,12 +43,12 @@
     return record
   }
 
-  recordRejection (endpointId: string, requestId: string, atMs: number): void {
-    this.rejections.push({ requestId, endpointId, atMs })
+  recordRejection (endpointId: string, requestId: string, atMs: number, rawHeaders: readonly string[]): void {
+    this.rejections.push({ requestId, endpointId, atMs, rawHeaders })
   }
 
-  recordArrival (endpointId: string, requestId: string, atMs: number): void {
-    this.arrivals.push({ requestId, endpointId, atMs })
+  recordArrival (endpointId: string, requestId: string, atMs: number, rawHeaders: readonly string[]): void {
+    this.arrivals.push({ requestId, endpointId, atMs, rawHeaders })
   }
 
   listRuns (requestId: string): RunRecord[] {
--- a/src/tasks/allocation/engineAllocator.ts
+++ b/src/tasks/allocation/engineAllocator.ts
@@ -4,6 +4,7 @@
 import { AllocationPlanner } from '../../core/allocation/allocationPlanner.js'
 import { describeEngineLoad } from '../../core/allocation/describeEngineLoad.js'
 import type { AllocationPlan, AllocationDecision } from '../../core/allocation/allocationRequest.js'
+import { PromptCounts } from '../../core/allocation/promptCounts.js'
 import { listLoadedAdapters } from '../../core/allocation/reportedAdapters.js'
 import { RecentKeys } from '../../core/recentKeys.js'
 import type { Clock, Timer } from '../../ports/clock.js'
@@ -34,6 +35,8 @@
   findRate: () => number | undefined
   /** Returns the newest declared version of an adapter, or 0 if none was declared. */
   findVersion: (model: string, adapter: string) => number
+  /** Returns the weight by which an account shares the engine with others. */
+  getAccountWeight?: (account: string) => number
   /** Delay before the first order, in milliseconds, during which orders of the former owner may still arrive. */
   takeoverDelayMs: number
 }
@@ -62,6 +65,7 @@
   #loader: AdapterLoader
   #stateMonitor: EngineStateMonitor
   #planner: AllocationPlanner
+  #promptCounts: PromptCounts
   #untrackedRuns: UntrackedRuns
   #adapterLocations = new AdapterLocations()
   #isStopped = false
@@ -87,6 +91,7 @@
     this.#stateMonitor = new EngineStateMonitor({
       clock, log, orders, endpointId: options.entry.id, models: engine.models, orderQueue: this.#orderQueue, receiveState: (state, isRestarted) => this.#applyState(state, isRestarted), receiveInitialState: state => this.#applyInitialState(state)
     })
+    this.#promptCounts = new PromptCounts(engine.cacheTokens)
     this.#planner = new AllocationPlanner({
       adapterSlots: engine.adapterSlots,
       batchLimit: engine.batchLimit,
@@ -94,7 +99,8 @@
       maxLoads: maxConcurrentLoads,
       estimateLoadMs: (adapter, version) => this.#loader.computeExpectedLoadMs(adapter, version),
       estimateColdLoadMs: () => this.#loader.coldLoadMs,
-      findRate: options.findRate
+      findRate: options.findRate,
+      ...(options.getAccountWeight && { getAccountWeight: options.getAccountWeight })
     })
     this.#loadLog = new EngineLoadLog({
       clock, log, endpointId: options.entry.id, describe: () => ({ isReady: this.#stateMonitor.isReady, isOpen: this.#orderQueue.canSendOrders, ...this.#describeLoad() })
@@ -191,7 +197,7 @@
     const reservation = this.#reservations.get(key)
     if (!reservation) return
     this.#reservations.delete(key)
-    if (release.firstPartMs >= 0 && release.outcome === 'served') this.#planner.recordFirstChunk(key, release.firstPartMs)
+    if (release.firstPartMs >= 0 && release.outcome === 'served') this.#planner.recordFirstChunk(key, release.firstPartMs, this.#options.clock.readMonotonic(), release.slowness)
     this.#planner.remove(key, release.outcome === 'served' ? this.#options.clock.readMonotonic() : undefined)
     if (release.outcome === 'missing') this.#handleMissingAdapter(reservation)
     if (release.outcome === 'unreachable' || release.outcome === 'broken') this.#stateMonitor.checkReachability()
@@ -267,10 +273,11 @@
       version: reservation.version,
       dueAtMs: nowMs + request.dueInMs,
       abandonAtMs: nowMs + request.uselessInMs,
-      promptTokens: request.promptTokens,
+      promptTokens: this.#promptCounts.estimate(request.route, request.promptTokens),
       promptSegments: request.parts.map(([id, tokens]) => ({ id, tokens })),
       mayDecline: request.mayDecline,
       isResumed: request.isResumed ?? false,
+      account: request.account,
       isServedElsewhere: this.#adapterLocations.find(formatAdapterName(request), nowMs) !== undefined
     }, nowMs)
     this.#applyDecision(reservation, decision)
@@ -280,7 +287,7 @@
     if (decision.kind === 'declined') {
       this.#refuse(reservation, 'crowded', decision.reason, 0, decision.expectedMs)
     } else if (decision.kind === 'refused') {
-      this.#options.log.record('place.refused', 'Refused a reservation.', { requestId: reservation.request.requestId, endpointId: this.endpointId, reason: decision.reason, ...this.#describeLoad() })
+      this.#options.log.record(decision.isOverShare ? 'place.overShare' : 'place.refused', 'Refused a reservation.', { requestId: reservation.request.requestId, endpointId: this.endpointId, reason: decision.reason, ...this.#describeLoad() })
       this.#refuse(reservation, decision.isLimited ? 'limited' : 'out_of_reach', decision.reason, decision.retryAfterMs)
     } else {
       this.#plan()
@@ -333,10 +340,10 @@
   }
 
   #executePlan (plan: AllocationPlan, nowMs: number): void {
-    for (const { key, retryAfterMs, reason, isLimited } of plan.refused) {
+    for (const { key, retryAfterMs, reason, isLimited, isOverShare } of plan.refused) {
       const reservation = this.#reservations.get(key)
       if (!reservation) continue
-      this.#options.log.record('place.overdue', 'Refused a request that waited too long for its adapter.', { requestId: reservation.request.requestId, endpointId: this.endpointId, adapter: reservation.request.adapter, ...this.#describeLoad() })
+      this.#options.log.record(isOverShare ? 'place.overShare' : 'place.overdue', isOverShare ? 'Refused a request whose account is over its share.' : 'Refused a request that waited too long for its adapter.', { requestId: reservation.request.requestId, endpointId: this.endpointId, adapter: reservation.request.adapter, ...this.#describeLoad() })
       this.#refuse(reservation, isLimited ? 'limited' : 'overdue', reason, retryAfterMs)
     }
     const load = this.#planner.getLoad(nowMs)
--- a/src/tasks/proxy/logRequestEnd.ts
+++ b/src/tasks/proxy/logRequestEnd.ts
@@ -56,6 +56,7 @@
     sends: history.sendCount,
     runs: history.runCount,
     searches: [...history.searches],
+    ...(history.searches.some(({ isDispatched }) => isDispatched) && { isDispatched: true }),
     placeMs: Math.round(history.selectionMs),
     firstPartMs: Math.round(summary.firstChunkMs),
     ...(lastAttempt && describeLastAttempt(lastAttempt, summary.nowMs)),
--- a/src/tasks/quota/quotaDirectory.ts
+++ b/src/tasks/quota/quotaDirectory.ts
@@ -1,6 +1,6 @@
 /** The quotas of the configuration in force, and the hosts that grant their tokens. */
-import { rankLimitGranters } from '../../core/limitGranters.js'
-import { computeHash } from '../../core/rendezvousHash.js'
+import { rankQuotaGranters } from '../../core/quota/quotaGranters.js'
+import { computeHash, PairHasher } from '../../core/rendezvousHash.js'
 import { computeQuotaTerms } from '../../core/quota/quotaTerms.js'
 import type { QuotaTerms } from '../../core/quota/quotaTerms.js'
 import type { HostRow } from '../../schemas/hostRows.js'
@@ -15,8 +15,11 @@
   readonly group: number
 }
 
-/** Accounts for which one host grants tokens. */
-const accountsPerGroup = 64
+/**
+ * Number of groups of accounts, each with a granter: one host cannot answer the reports of all others beside its own requests. It is
+ * fixed, as accounts would move to other granters with it.
+ */
+const groupCount = 8
 /** The highest number of hosts known within this time counts, as hosts that have left a table may still run. */
 const hostCountMemoryMs = 600_000
 
@@ -24,6 +27,7 @@
   #bounds: QuotaBounds
   #listHosts: () => readonly QuotaHost[]
   #quotas = new Map<string, KnownQuota>()
+  #hasher = new PairHasher()
   #groupCount = 0
   #granters: QuotaHost[][] = []
   #hostCount = 0
@@ -50,14 +54,14 @@
 
   applyAccounts (accounts: readonly ClientAccount[]): void {
     const limited = accounts.filter(({ quota }) => quota)
-    this.#groupCount = Math.ceil(limited.length / accountsPerGroup)
-    this.#quotas = new Map(limited.map(({ name, quota }) => [name, { quota: quota!, terms: computeQuotaTerms(quota!, this.#bounds), group: computeHash(name) % this.#groupCount }]))
+    this.#groupCount = limited.length > 0 ? groupCount : 0
+    this.#quotas = new Map(limited.map(({ name, quota }) => [name, { quota: quota!, terms: computeQuotaTerms(quota!, this.#bounds), group: computeHash(name) % groupCount }]))
   }
 
   /** Ranks the hosts that the cluster view has now. */
   applyHosts (nowMs: number): void {
     const hosts = this.#listHosts()
-    this.#granters = Array.from({ length: this.#groupCount }, (_, group) => rankLimitGranters(`quota-group-${group}`, hosts, undefined))
+    this.#granters = Array.from({ length: this.#groupCount }, (_, group) => rankQuotaGranters(group, hosts, this.#hasher))
     this.#hostCount = hosts.length
     this.getHighestHostCount(nowMs)
     this.#highest.current = Math.max(this.#highest.current, hosts.length)
