Fail the granter of the largest account in the quota feature

Cause: the feature failed the granter of the former first group; with eight groups that host granted none of the accounts under test.

--- a/features/steps/quotas.ts
+++ b/features/steps/quotas.ts
@@ -1,9 +1,9 @@
 /** Steps for quotas on a virtual clock. */
 import assert from 'node:assert/strict'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import { rankLimitGranters } from '../../src/core/limitGranters.js'
 import { computeRequestCost } from '../../src/core/quota/quotaTerms.js'
 import type { ClientAccount } from '../../src/schemas/routing.js'
+import { QuotaDirectory } from '../../src/tasks/quota/quotaDirectory.js'
 import type { FleetAnswer } from '../../src/standin/fleet/fleetCaller.js'
 import { HostFleet } from '../support/hostFleet.js'
 import { QuotaCluster, quotaBounds } from '../support/quotaCluster.js'
@@ -51,9 +51,12 @@
   }
 }
 
-function listGranters ({ nodes }: QuotaCluster): QuotaNode[] {
-  const rows = nodes.map(node => ({ ...node, isLeaving: false }))
-  return rankLimitGranters('quota-group-0', rows, undefined).map(({ host }) => nodes.find(node => node.host === host)!)
+/** The granter and deputy of the account with the highest rate, whose slack is the shortest. */
+function listGranters ({ nodes }: QuotaCluster, accounts: readonly ClientAccount[]): QuotaNode[] {
+  const directory = new QuotaDirectory(quotaBounds, () => nodes.map(node => ({ ...node, isLeaving: false })))
+  directory.applyAccounts(accounts)
+  directory.applyHosts(0)
+  return directory.listGranters(directory.find(accounts.at(-1)!.name)!.group).map(({ host }) => nodes.find(node => node.host === host)!)
 }
 
 function assertWithinLimits ({ cluster, accounts }: QuotasWorld, describe: string): void {
@@ -99,8 +102,8 @@
   '30% of the messages are lost': cluster => ({ begin: () => { cluster.lossRate = 0.3 }, end: () => { cluster.lossRate = 0 } })
 }
 
-function orderNodes (cluster: QuotaCluster): QuotaNode[] {
-  const granters = listGranters(cluster)
+function orderNodes ({ cluster, accounts }: QuotasWorld): QuotaNode[] {
+  const granters = listGranters(cluster, accounts)
   return [...granters, ...cluster.nodes.filter(node => !granters.includes(node))]
 }
 
@@ -135,7 +138,7 @@
 
 When(/^the accounts ask for (\d+)% of their rates for (\d+) s while (.*)$/, function (this: QuotasWorld, percent: string, seconds: string, name: string) {
   this.durationMs = Number(seconds) * 1000
-  const { begin, end } = failures[name]!(this.cluster, orderNodes(this.cluster))
+  const { begin, end } = failures[name]!(this.cluster, orderNodes(this))
   sendAll(this, () => Number(percent) / 100, this.durationMs)
   this.cluster.clock.runUntil(15_000)
   begin()
@@ -192,7 +195,7 @@
       cluster.clock.runUntil(atMs)
       const names = Object.keys(failures)
       const name = names[Math.floor(random() * names.length)]!
-      const { begin, end } = failures[name]!(cluster, random() < 0.7 ? orderNodes(cluster) : [...cluster.nodes].sort(() => random() - 0.5))
+      const { begin, end } = failures[name]!(cluster, random() < 0.7 ? orderNodes(this) : [...cluster.nodes].sort(() => random() - 0.5))
       const lengthMs = 200 + random() ** 2 * 16_000
       history.push(`${name} at ${Math.round(atMs)} for ${Math.round(lengthMs)}`)
       begin()
