Count responses with a status outside 100 to 599 as failed attempts

Cause: the HTTP client passes on any three digits as a status, and a host relayed responses with status 600 and 999, with the endpoint's body, at once and through other hosts.

Change: a link ends such a response as a lost one, so its request may have run: it is retried where that is allowed, otherwise its caller gets 502. isStatusValid is the one check. The fault status of the stand-in endpoints sends a given status line, and cutsUploads resets a response without a length while the request's body arrives.

--- /dev/null
+++ b/features/steps/statusLines.ts
@@ -0,0 +1,132 @@
+/** Steps of endpoints whose status lines are invalid, or whose responses are reset during the upload. */
+import assert from 'node:assert/strict'
+import { createServer } from 'node:net'
+import type { AddressInfo, Server } from 'node:net'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { openHttpEndpointLink } from '../../src/adapters/endpointHttp/httpEndpointLink.js'
+import { createEngineOrders } from '../../src/platform/engineOrders.js'
+import { encodeEngineReport } from '../../src/platform/standinWire.js'
+import { createStoreClient } from '../../src/platform/storeClient.js'
+import { isWhole, listEventIds, looksWhole } from '../../src/standin/fleet/fleetCaller.js'
+import type { CallKind, FleetAnswer } from '../../src/standin/fleet/fleetCaller.js'
+import { call, setFaults } from '../support/hostsWorld.js'
+import type { HostsWorld } from '../support/hostsWorld.js'
+
+interface StatusWorld extends HostsWorld {
+  streams: Array<Promise<void>>
+  statusServer: Server | undefined
+  /** Results of calls by their names; an error where the call failed. */
+  results: Record<string, unknown>
+  tookMs: number
+}
+
+const kinds: readonly CallKind[] = ['resumable', 'once', 'idempotent', 'stream']
+const mayRunTwice = ({ kind }: FleetAnswer): boolean => kind === 'idempotent' || kind === 'resumable'
+const formatAnswer = ({ kind, status, error, tookMs, body }: FleetAnswer): string => `${kind} ${status} ${error ?? ''} ${Math.round(tookMs)} ms ${body.slice(0, 90)}`
+
+When('all endpoints answer with status {word}', function (this: StatusWorld, status: string) {
+  setFaults(this, () => true, { status: `${status} Odd` })
+})
+
+When('one endpoint of each service answers with status {word}', function (this: StatusWorld, status: string) {
+  const { endpoints } = this.hostFleet.fleet
+  setFaults(this, endpoint => endpoints.find(({ service }) => service === endpoint.service) === endpoint, { status: `${status} Odd` })
+})
+
+When('all endpoints break off their streams and answer with status {word}', function (this: StatusWorld, status: string) {
+  setFaults(this, () => true, { status: `${status} Odd`, breaksStreams: true })
+})
+
+When('all endpoints reset uploads after a response without a length', function (this: StatusWorld) {
+  setFaults(this, () => true, { cutsUploads: true })
+})
+
+When('{int} requests of all kinds with {int} bytes are sent to host {int}', async function (this: StatusWorld, count: number, bytes: number, host: number) {
+  await Promise.all(Array.from({ length: count }, async (_, index) => await call(this, { kind: kinds[index % kinds.length]!, host, body: 'x'.repeat(bytes) })))
+})
+
+Then('the last {int} callers got 502 and nothing of an endpoint\'s body within {int} ms', function (this: StatusWorld, count: number, ms: number) {
+  const wrong = this.answers.slice(-count).filter(({ status, body, signature, tookMs }) => status !== 502 || /^(done |id: )/.test(body) || signature !== undefined || tookMs >= ms)
+  assert.deepEqual(wrong.map(formatAnswer), [])
+})
+
+Then('the last {int} callers got whole answers or 502, and whole ones if their request may run twice', function (this: StatusWorld, count: number) {
+  const wrong = this.answers.slice(-count).filter(answer => !isWhole(answer) && (answer.status !== 502 || mayRunTwice(answer)))
+  assert.deepEqual(wrong.map(formatAnswer), [])
+})
+
+Then('the streams are broken off without an event of the later responses', { timeout: 20_000 }, async function (this: StatusWorld) {
+  await Promise.all(this.streams)
+  // Each stream has 8 events, the last of which only a later response has.
+  assert.deepEqual(this.answers.filter(answer => answer.error === undefined || listEventIds(answer).includes(8)).map(formatAnswer), [])
+})
+
+Then('none of the last {int} answers looks whole', function (this: StatusWorld, count: number) {
+  assert.deepEqual(this.answers.slice(-count).filter(looksWhole).map(formatAnswer), [])
+})
+
+const report = encodeEngineReport({ startedAtMs: 1, models: [{ name: 'base', version: 1, adapters: [] }], loading: [], isBusy: false, orderCount: 2, running: 0, waiting: 0 })
+
+Given(/^a server that answers everything with status (\d+) and (no body|a body|a report)$/, async function (this: StatusWorld, status: string, content: string) {
+  const body = { 'no body': '', 'a body': 'done', 'a report': report }[content]!
+  this.results = {}
+  this.statusServer = createServer(socket => {
+    socket.on('error', () => {})
+    socket.on('data', () => socket.write(`HTTP/1.1 ${status} Odd\r\ncontent-length: ${body.length}\r\n\r\n${body}`))
+  })
+  await new Promise<void>(resolve => this.statusServer!.listen(0, '127.0.0.1', resolve))
+})
+
+function findAddress ({ statusServer }: StatusWorld): string {
+  return `127.0.0.1:${(statusServer!.address() as AddressInfo).port}`
+}
+
+When('a link sends it a request', async function (this: StatusWorld) {
+  const link = openHttpEndpointLink({ address: findAddress(this), getMaxConnections: () => 1, readNow: () => performance.now() })
+  const startedAtMs = performance.now()
+  this.results.request = await new Promise(resolve => {
+    const timer = setTimeout(() => resolve('nothing'), 1000)
+    link.send({ id: 'first', method: 'GET', path: '/', headers: ['host', 'x'], body: undefined }, {
+      confirmSend: () => true,
+      receiveHead: status => resolve(status),
+      receiveData: () => true,
+      receiveEnd: () => resolve('end'),
+      receiveFailure: ({ kind }) => {
+        clearTimeout(timer)
+        resolve(kind)
+      }
+    })
+  })
+  this.tookMs = performance.now() - startedAtMs
+  link.close()
+})
+
+Then('the request is lost within {int} ms', function (this: StatusWorld, ms: number) {
+  assert.equal(this.results.request, 'lost')
+  assert.ok(this.tookMs < ms, `${Math.round(this.tookMs)} ms`)
+})
+
+When('it gets an order, a state read and calls of the store', async function (this: StatusWorld) {
+  const orders = createEngineOrders('i-1', findAddress(this))
+  const store = createStoreClient(findAddress(this))
+  const catchError = async (result: Promise<unknown>): Promise<unknown> => await result.catch((error: Error) => error)
+  const order = await orders.send({ kind: 'load', model: 'base', adapter: 'a1', version: 1, expectedCount: 2 }, { host: 'host-1', fencing: 3 }, 500)
+  const [state, table, row, changes, transaction] = await Promise.all([
+    catchError(orders.readState()), catchError(store.readTable('op')), catchError(store.readRow('op', 'a', 500)), catchError(store.watchTable('op', 0, 100, 500)), store.transact({ checks: [], writes: [], removals: [] })
+  ])
+  this.results = { order: order.verdict, transaction: transaction.verdict, state, table, row, changes }
+  orders.close()
+  await store.close()
+})
+
+Then('the order and the transaction are unknown, and all reads fail', function (this: StatusWorld) {
+  const { order, transaction, ...reads } = this.results
+  assert.deepEqual({ order, transaction }, { order: 'unknown', transaction: 'unknown' })
+  assert.deepEqual(Object.entries(reads).filter(([, result]) => !(result instanceof Error)), [])
+})
+
+After(async function (this: StatusWorld) {
+  const server = this.statusServer
+  this.statusServer = undefined
+  server?.close()
+})
--- a/src/adapters/endpointHttp/httpEndpointLink.ts
+++ b/src/adapters/endpointHttp/httpEndpointLink.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
+import { isStatusValid } from '../../core/isStatusValid.js'
 import type { EndpointLink, LinkActivity, OutgoingRequest, ResponseReceiver, ProbeResult, RequestInFlight } from '../../ports/endpointLink.js'
 import { resetSocket } from '../tcp/resetSocket.js'
 
@@ -287,8 +288,14 @@
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, statusCode: number): void {
+    if (this.#state === 'ended') return
+    if (!isStatusValid(statusCode)) {
+      this.#recordContact()
+      this.giveUp(`the endpoint sent a response with status ${statusCode}, which is not valid`)
+      return
+    }
     // Ignores interim (1xx) responses, which carry no result.
-    if (this.#state === 'ended' || statusCode < 200) return
+    if (statusCode < 200) return
     this.#recordContact()
     const raw = ((controller.rawHeaders ?? []) as (Buffer | string)[]).map(text => typeof text === 'string' ? text : text.toString('latin1'))
     this.#isFramed = raw.some((name, index) => index % 2 === 0 && framingHeaders.has(name.toLowerCase()))
--- a/src/standin/fleet/endpointFaults.ts
+++ b/src/standin/fleet/endpointFaults.ts
@@ -28,6 +28,10 @@
   emptyStreams: number
   /** Interval of comments in the silence of a stream; 0 for none. */
   commentMs: number
+  /** Status line that requests are answered with, after the HTTP version, such as `600 Odd`; empty for the usual one. */
+  status: string
+  /** Requests are answered with a success that has neither a length nor chunks, and is reset while their body still arrives. */
+  cutsUploads: boolean
   /** Requests are answered with bytes that never end; empty for none. */
   endless: EndlessFormName | ''
   /** Streams in which one event has a wrong id, and what is wrong about it. */
@@ -75,4 +79,4 @@
 /** The faults that are given as a part of the requests or orders. */
 export type FaultShare = 'errors' | 'cuts' | 'silentRuns' | 'headCuts' | 'unframed' | 'unframedCuts' | 'emptyStreams' | 'spoiledIds' | 'extras' | 'lateOrders'
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, breaksStreams: false, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, endless: '', spoiledIds: 0, spoiling: 'higher', spoiledEvent: 3, extras: 0, lateOrders: 0, extraMs: 0, eventMs: 0, silenceMs: 0, commentMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '', slowness: 0 })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, breaksStreams: false, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, status: '', cutsUploads: false, endless: '', spoiledIds: 0, spoiling: 'higher', spoiledEvent: 3, extras: 0, lateOrders: 0, extraMs: 0, eventMs: 0, silenceMs: 0, commentMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '', slowness: 0 })
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -127,6 +127,10 @@
   }
 
   async #receive (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.faults.cutsUploads && request.url !== wirePaths.order && request.url !== wirePaths.report) {
+      this.#cutUpload(request)
+      return
+    }
     const body = await readBody(request).catch(() => undefined)
     if (body === undefined || this.faults.isDark) return
     const { engine } = this.#options
@@ -220,6 +224,11 @@
     response.on('close', () => finish('left'))
     const headers = encodeEndpointResponseHeaders(run.requestId, `signed by ${id}`, { isLeaving: this.faults.isLeaving, limit: this.faults.limit, brittle: this.faults.brittle, load: this.#readLoad() })
     if (this.#sendEndless(request, run, headers, finish)) return
+    if (this.faults.status !== '') {
+      finish('broken')
+      this.#sendStatus(request, run, headers)
+      return
+    }
     if (this.#shouldStrike('silentRuns')) return
     if (this.#shouldStrike('errors')) {
       setTimeout(() => {
@@ -274,6 +283,31 @@
     return true
   }
 
+  /** Sends what would be a whole answer if its status were 200. */
+  #sendStatus ({ socket }: IncomingMessage, run: RunRecord, headers: Record<string, string>): void {
+    const { body, contentType } = this.#formatWhole(run.requestId, run.fromEvent)
+    socket.write(`HTTP/1.1 ${this.faults.status}\r\n${formatHeaders({ ...headers, ...contentType })}content-length: ${body.length}\r\n\r\n${body}`)
+  }
+
+  #cutUpload (request: IncomingMessage): void {
+    const { socket } = request
+    const { requestId = '', lastEventId } = decodeReceivedHeaders(request.headers)
+    const { body, contentType } = this.#formatWhole(requestId, lastEventId)
+    // A stream that ends after a whole event looks complete.
+    const part = this.#options.engine ? body.slice(0, body.indexOf('\n\n') + 2) : body.slice(0, body.length / 2)
+    request.pause()
+    socket.write(formatUnframedHead('1.1', { ...encodeEndpointResponseHeaders(requestId, `signed by ${this.#options.id}`), ...contentType }) + part)
+    // A reset at once would take the answer along.
+    setTimeout(() => socket.resetAndDestroy(), resetDelayMs)
+  }
+
+  /** Events after `fromEvent` for a model engine, otherwise the answer of a plain service. */
+  #formatWhole (requestId: string, fromEvent: number): { body: string, contentType: Record<string, string> } {
+    if (!this.#options.engine) return { body: `done ${requestId}`, contentType: {} }
+    const ids = Array.from({ length: countEvents(requestId) }, (_, index) => index + 1).filter(id => id > fromEvent)
+    return { body: ids.map(id => `id: ${id}\ndata: ${requestId} ${id}\n\n`).join(''), contentType: { 'content-type': 'text/event-stream' } }
+  }
+
   /** Ends the connection somewhere before the blank line that ends the head. */
   #cutHead ({ socket }: IncomingMessage, headers: Record<string, string>): void {
     const { random, engine } = this.#options
