Let the gateway reject responses with a status outside 100 to 599

Cause: the gateway passed such a response of a service on, took it for the refusal of an adapter order or for a readable report of an engine, and put the engine's body into its own error message.

Change: requireValidStatus ends these calls as failed ones: a request may have run (502), an order is unknown, and a report read fails. Generations check the status as their response starts.

Result: of the three new scenarios those with 600 and 999 failed before and pass now; status 000 was correct before.

--- a/features/statusLines.feature
+++ b/features/statusLines.feature
@@ -75,6 +75,17 @@
       | 600    |
       | 999    |
 
+  Scenario Outline: The gateway takes status <status> for a result of a service or an engine
+    Given a server that answers everything with status <status> and a report of an engine
+    When the gateway's clients send it a call, an order, a report read, a request and a request to go on
+    Then the order is unknown, the report read fails, and the others may have run, within 2000 ms
+
+    Examples:
+      | status |
+      | 000    |
+      | 600    |
+      | 999    |
+
   # Guards against the HTTP client's rule that the end of the connection is the end of such a response, also where it is a reset.
   Scenario Outline: A response without a length that is reset during a long upload looks complete <path>
     Given 3 hosts with links of their own to 2 engines and 2 services
--- a/features/steps/statusLines.ts
+++ b/features/steps/statusLines.ts
@@ -4,9 +4,13 @@
 import type { AddressInfo, Server } from 'node:net'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { openHttpEndpointLink } from '../../src/adapters/endpointHttp/httpEndpointLink.js'
+import { HttpServiceClient } from '../../src/adapters/httpService/httpServiceClient.js'
+import { OpenaiEngine } from '../../src/adapters/openaiEngine/openaiEngine.js'
 import { createEngineOrders } from '../../src/platform/engineOrders.js'
 import { encodeEngineReport } from '../../src/platform/standinWire.js'
 import { createStoreClient } from '../../src/platform/storeClient.js'
+import type { AdapterOrderOutcome, GenerateEvent } from '../../src/ports/engine.js'
+import type { ServiceOutcome } from '../../src/ports/serviceClient.js'
 import { isWhole, listEventIds, looksWhole } from '../../src/standin/fleet/fleetCaller.js'
 import type { CallKind, FleetAnswer } from '../../src/standin/fleet/fleetCaller.js'
 import { call, setFaults } from '../support/hostsWorld.js'
@@ -66,9 +70,10 @@
 })
 
 const report = encodeEngineReport({ startedAtMs: 1, models: [{ name: 'base', version: 1, adapters: [] }], loading: [], isBusy: false, orderCount: 2, running: 0, waiting: 0 })
+const gatewayReport = JSON.stringify({ incarnation: 'i-1', slots: 4, batchLimit: 8, running: 0, waiting: 0, adapters: [], lagMs: 0 })
 
-Given(/^a server that answers everything with status (\d+) and (no body|a body|a report)$/, async function (this: StatusWorld, status: string, content: string) {
-  const body = { 'no body': '', 'a body': 'done', 'a report': report }[content]!
+Given(/^a server that answers everything with status (\d+) and (no body|a body|a report|a report of an engine)$/, async function (this: StatusWorld, status: string, content: string) {
+  const body = { 'no body': '', 'a body': 'done', 'a report': report, 'a report of an engine': gatewayReport }[content]!
   this.results = {}
   this.statusServer = createServer(socket => {
     socket.on('error', () => {})
@@ -125,6 +130,35 @@
   assert.deepEqual(Object.entries(reads).filter(([, result]) => !(result instanceof Error)), [])
 })
 
+When('the gateway\'s clients send it a call, an order, a report read, a request and a request to go on', async function (this: StatusWorld) {
+  const address = findAddress(this)
+  const service = new HttpServiceClient()
+  const engine = new OpenaiEngine({ idleTimeoutMs: 1000 })
+  const startedAtMs = performance.now()
+  const generate = async (resume: { resumeFrom?: number }): Promise<GenerateEvent> => await new Promise(resolve => {
+    engine.generate(address, { requestId: 'r', attempt: 1, handle: 'h', model: 'a@1', priority: 1, path: '/v1/completions', body: '{}', isStream: true, ...resume }, resolve, () => true)
+  })
+  const [call, order, reading, request, resumed] = await Promise.all([
+    service.call(address, { requestId: 'r', attempt: 1, method: 'GET', path: '/', headers: {}, body: new Uint8Array() }, AbortSignal.timeout(1500)),
+    engine.unloadAdapter(address, { handle: 'h', adapter: 'a', version: '1', fencing: 1 }),
+    engine.readReport(address).catch((error: Error) => error),
+    generate({}),
+    generate({ resumeFrom: 2 })
+  ])
+  this.results = { order, reading, call, request, resumed }
+  this.tookMs = performance.now() - startedAtMs
+  await service.close()
+  await engine.close()
+})
+
+Then('the order is unknown, the report read fails, and the others may have run, within {int} ms', function (this: StatusWorld, ms: number) {
+  const { order, reading, ...requests } = this.results as { order: AdapterOrderOutcome, reading: unknown, call: ServiceOutcome, request: GenerateEvent, resumed: GenerateEvent }
+  const wrong = Object.entries(requests).filter(([, result]) => result.type !== 'failed' || result.failure.verdict !== 'mayHaveRun' || result.failure.status !== 502 || result.failure.message.includes('incarnation'))
+  const problems = [...(order.verdict === 'unknown' ? [] : [['order', order]]), ...(reading instanceof Error ? [] : [['report', reading]]), ...wrong]
+  assert.deepEqual(problems, [])
+  assert.ok(this.tookMs < ms, `${Math.round(this.tookMs)} ms`)
+})
+
 After(async function (this: StatusWorld) {
   const server = this.statusServer
   this.statusServer = undefined
--- a/src/adapters/httpService/httpServiceClient.ts
+++ b/src/adapters/httpService/httpServiceClient.ts
@@ -4,6 +4,7 @@
 import type { ServiceClient, ServiceCall, ServiceOutcome } from '../../ports/serviceClient.js'
 import { createMayHaveRunFailure, createNotRunFailure } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
+import { requireValidStatus } from '../endpointHttp/requireValidStatus.js'
 
 const responseTimeoutMs = 30_000
 const maxConnectionsPerService = 128
@@ -25,6 +26,7 @@
         bodyTimeout: responseTimeoutMs,
         signal
       })
+      requireValidStatus(response)
       const body = new Uint8Array(await response.body.arrayBuffer())
       return { type: 'answered', status: response.statusCode, headers: flattenHeaders(response.headers), body }
     } catch (error) {
--- a/src/adapters/openaiEngine/openaiEngine.ts
+++ b/src/adapters/openaiEngine/openaiEngine.ts
@@ -4,6 +4,7 @@
 import { engineReportSchema } from '../../ports/engine.js'
 import type { AdapterOrder, Engine, EngineReport, GenerationRequest, GenerateEvent, Generation, AdapterOrderOutcome } from '../../ports/engine.js'
 import { createParser } from '../../schemas/createParser.js'
+import { requireValidStatus } from '../endpointHttp/requireValidStatus.js'
 import { parseEngineError } from './engineError.js'
 import { runGeneration } from './runGeneration.js'
 
@@ -33,6 +34,7 @@
     const response = await this.#getPool(address).request({
       method: 'GET', path: '/report', headersTimeout: reportTimeoutMs, bodyTimeout: reportTimeoutMs
     })
+    requireValidStatus(response)
     return parseReport(await response.body.json())
   }
 
@@ -71,6 +73,7 @@
       const response = await this.#getPool(address).request({
         method: 'POST', path, body, headers: { 'content-type': 'application/json' }, headersTimeout: timeoutMs, bodyTimeout: timeoutMs
       })
+      requireValidStatus(response)
       return await readOrderOutcome(response)
     } catch (error) {
       return { verdict: 'unknown', message: (error as Error).message }
--- a/src/adapters/openaiEngine/runGeneration.ts
+++ b/src/adapters/openaiEngine/runGeneration.ts
@@ -1,6 +1,7 @@
 /** Runs a request on an engine, or resumes its response, and reports the response as events. */
 import { StringDecoder } from 'node:string_decoder'
 import type { Dispatcher, Pool } from 'undici'
+import { isStatusValid } from '../../core/isStatusValid.js'
 import type { GenerateEvent, GenerationRequest, Generation } from '../../ports/engine.js'
 import { createMayHaveRunFailure, createNotRunFailure } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
@@ -54,8 +55,12 @@
     if (this.#isClosed) controller.abort(new Error('the request was cancelled'))
   }
 
-  onResponseStart (_controller: Dispatcher.DispatchController, statusCode: number): void {
+  onResponseStart (controller: Dispatcher.DispatchController, statusCode: number): void {
     this.#status = statusCode
+    if (this.#isClosed || isStatusValid(statusCode)) return
+    const failure = createMayHaveRunFailure('endpoint_lost', `${this.#address} sent a response with status ${statusCode}, which is not valid`, 502)
+    this.#fail(failure, this.#request.resumeFrom !== undefined)
+    controller.abort(new Error(failure.message))
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
