--- a/features/steps/statusLines.ts
+++ b/features/steps/statusLines.ts
@@ -4,13 +4,19 @@
 import type { AddressInfo, Server } from 'node:net'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { openHttpEndpointLink } from '../../src/adapters/endpointHttp/httpEndpointLink.js'
+import { HttpServiceClient } from '../../src/adapters/httpService/httpServiceClient.js'
+import { OpenaiEngine } from '../../src/adapters/openaiEngine/openaiEngine.js'
 import { createEngineOrders } from '../../src/platform/engineOrders.js'
 import { encodeEngineReport } from '../../src/platform/standinWire.js'
 import { createStoreClient } from '../../src/platform/storeClient.js'
+import type { AdapterOrderOutcome, GenerateEvent } from '../../src/ports/engine.js'
+import type { ServiceOutcome } from '../../src/ports/serviceClient.js'
 import { isWhole, listEventIds, looksWhole } from '../../src/standin/fleet/fleetCaller.js'
 import type { CallKind, FleetAnswer } from '../../src/standin/fleet/fleetCaller.js'
+import { HostFleet } from '../support/hostFleet.js'
 import { call, setFaults } from '../support/hostsWorld.js'
 import type { HostsWorld } from '../support/hostsWorld.js'
+import { waitUntil } from '../support/waitUntil.js'
 
 interface StatusWorld extends HostsWorld {
   streams: Array<Promise<void>>
@@ -41,8 +47,26 @@
   setFaults(this, () => true, { cutsUploads: true })
 })
 
-When('{int} requests of all kinds with {int} bytes are sent to host {int}', async function (this: StatusWorld, count: number, bytes: number, host: number) {
-  await Promise.all(Array.from({ length: count }, async (_, index) => await call(this, { kind: kinds[index % kinds.length]!, host, body: 'x'.repeat(bytes) })))
+Given(/^3 hosts, the first of which reaches (all|no) endpoints$/, async function (this: StatusWorld, reach: string) {
+  this.hostFleet = await HostFleet.prepare(3, { engines: 2, services: 2 })
+  this.hostFleet.fleet.writeConfiguration({ limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 5000 } })
+  this.answers = []
+  const [first] = this.hostFleet.hosts
+  const closedAddress = '127.0.0.1:1'
+  if (reach === 'no') this.hostFleet.findRoute = (host, _endpointId, address) => host === first!.settings.hostName ? closedAddress : address
+  await Promise.all(this.hostFleet.hosts.map(async host => await this.hostFleet.startHost(host)))
+  await this.hostFleet.waitForOwners()
+  // The first requests show the host that it reaches no endpoint.
+  await waitUntil(async () => {
+    await Promise.all(kinds.map(async kind => await call(this, { kind, host: 1 })))
+    return this.answers.slice(-kinds.length).every(isWhole)
+  })
+})
+
+When('{int} requests with {int} bytes are sent to host {int}', { timeout: 30_000 }, async function (this: StatusWorld, count: number, bytes: number, host: number) {
+  const uploads = kinds.filter(kind => kind !== 'idempotent')
+  // At once, as a host that has broken off a stream is not asked again for a while.
+  await Promise.all(Array.from({ length: count }, async (_, index) => await call(this, { kind: uploads[index % uploads.length]!, host, body: 'x'.repeat(bytes) })))
 })
 
 Then('the last {int} callers got 502 and nothing of an endpoint\'s body within {int} ms', function (this: StatusWorld, count: number, ms: number) {
@@ -61,14 +85,18 @@
   assert.deepEqual(this.answers.filter(answer => answer.error === undefined || listEventIds(answer).includes(8)).map(formatAnswer), [])
 })
 
-Then('none of the last {int} answers looks whole', function (this: StatusWorld, count: number) {
-  assert.deepEqual(this.answers.slice(-count).filter(looksWhole).map(formatAnswer), [])
+Then('none of the last {int} answers looks whole, and at least {int} are broken off or 502', function (this: StatusWorld, count: number, least: number) {
+  const last = this.answers.slice(-count)
+  assert.deepEqual(last.filter(looksWhole).map(formatAnswer), [])
+  const broken = last.filter(({ status, error }) => status === 502 || (status === 200 && error !== undefined))
+  assert.ok(broken.length >= least, last.map(formatAnswer).join('\n'))
 })
 
 const report = encodeEngineReport({ startedAtMs: 1, models: [{ name: 'base', version: 1, adapters: [] }], loading: [], isBusy: false, orderCount: 2, running: 0, waiting: 0 })
+const gatewayReport = JSON.stringify({ incarnation: 'i-1', slots: 4, batchLimit: 8, running: 0, waiting: 0, adapters: [], lagMs: 0 })
 
-Given(/^a server that answers everything with status (\d+) and (no body|a body|a report)$/, async function (this: StatusWorld, status: string, content: string) {
-  const body = { 'no body': '', 'a body': 'done', 'a report': report }[content]!
+Given(/^a server that answers everything with status (\d+) and (no body|a body|a report|a report of an engine)$/, async function (this: StatusWorld, status: string, content: string) {
+  const body = { 'no body': '', 'a body': 'done', 'a report': report, 'a report of an engine': gatewayReport }[content]!
   this.results = {}
   this.statusServer = createServer(socket => {
     socket.on('error', () => {})
@@ -125,6 +153,35 @@
   assert.deepEqual(Object.entries(reads).filter(([, result]) => !(result instanceof Error)), [])
 })
 
+When('the gateway\'s clients send it a call, an order, a report read, a request and a request to go on', async function (this: StatusWorld) {
+  const address = findAddress(this)
+  const service = new HttpServiceClient()
+  const engine = new OpenaiEngine({ idleTimeoutMs: 1000 })
+  const startedAtMs = performance.now()
+  const generate = async (resume: { resumeFrom?: number }): Promise<GenerateEvent> => await new Promise(resolve => {
+    engine.generate(address, { requestId: 'r', attempt: 1, handle: 'h', model: 'a@1', priority: 1, path: '/v1/completions', body: '{}', isStream: true, ...resume }, resolve, () => true)
+  })
+  const [call, order, reading, request, resumed] = await Promise.all([
+    service.call(address, { requestId: 'r', attempt: 1, method: 'GET', path: '/', headers: {}, body: new Uint8Array() }, AbortSignal.timeout(1500)),
+    engine.unloadAdapter(address, { handle: 'h', adapter: 'a', version: '1', fencing: 1 }),
+    engine.readReport(address).catch((error: Error) => error),
+    generate({}),
+    generate({ resumeFrom: 2 })
+  ])
+  this.results = { order, reading, call, request, resumed }
+  this.tookMs = performance.now() - startedAtMs
+  await service.close()
+  await engine.close()
+})
+
+Then('the order is unknown, the report read fails, and the others may have run, within {int} ms', function (this: StatusWorld, ms: number) {
+  const { order, reading, ...requests } = this.results as { order: AdapterOrderOutcome, reading: unknown, call: ServiceOutcome, request: GenerateEvent, resumed: GenerateEvent }
+  const wrong = Object.entries(requests).filter(([, result]) => result.type !== 'failed' || result.failure.verdict !== 'mayHaveRun' || result.failure.status !== 502 || result.failure.message.includes('incarnation'))
+  const problems = [...(order.verdict === 'unknown' ? [] : [['order', order]]), ...(reading instanceof Error ? [] : [['report', reading]]), ...wrong]
+  assert.deepEqual(problems, [])
+  assert.ok(this.tookMs < ms, `${Math.round(this.tookMs)} ms`)
+})
+
 After(async function (this: StatusWorld) {
   const server = this.statusServer
   this.statusServer = undefined
