Let restarted hosts grant half of the quotas' rates after 1.6 s

A host whose former process still has its row in the table knows that this process has ended, and a host that was removed has lost the store 3 s before, so that its copy is too old within 1.2 s.

--- a/features/support/quotaCluster.ts
+++ b/features/support/quotaCluster.ts
@@ -58,7 +58,6 @@
 
   start (node: QuotaNode): void {
     node.session = `s${this.#sessions++}`
-    this.#register(node)
     const { session } = node
     node.task = new QuotaTask({
       clock: this.#createClock(node, session),
@@ -66,6 +65,7 @@
       own: { host: node.host, address: node.address, session },
       bounds: quotaBounds,
       listAccounts: () => node.accounts,
+      findOwnSession: () => node.view.get(node.host),
       listHosts: () => [...node.view].map(([host, known]) => ({ host, address: this.#findNode(host).address, session: known, isLeaving: false })),
       getViewAgeMs: () => this.clock.readMonotonic() - node.viewAtMs,
       getOutageShare: () => this.#findOutageShare(node),
@@ -77,6 +77,9 @@
       },
       random: this.random
     })
+    // A host reads the table, with the row of its former process, before it writes its own row.
+    this.#readTable(node)
+    this.#register(node)
     this.#readTable(node)
     node.accounts = this.#accounts
     node.task.applyAccounts()
--- a/src/bin/createQuotaTask.ts
+++ b/src/bin/createQuotaTask.ts
@@ -22,6 +22,7 @@
     ...options,
     bounds,
     listAccounts: () => clusterView.routes?.configuration.accounts ?? [],
+    findOwnSession: () => clusterView.hosts.get(options.own.host)?.row.session,
     listHosts: () => [...clusterView.hosts.values()].map(({ row }) => row),
     getViewAgeMs: () => getTableAgeMs(hostsTable),
     random: Math.random
--- a/src/core/quota/granterShare.ts
+++ b/src/core/quota/granterShare.ts
@@ -9,6 +9,11 @@
 export const maxViewAgeMs = 4200
 /** A pair counts once it has not changed for longer than another host may still hold the former one. */
 export const settlingMs = 4500
+/**
+ * A host whose row of a former process was still in the table as it started takes its role up sooner: that process has ended, and a
+ * host that was removed before lost the store 3 s earlier, so that its copy is too old within 1.2 s of that.
+ */
+export const restartSettlingMs = 1600
 
 export interface GranterView {
   readonly viewAgeMs: number
@@ -21,6 +26,7 @@
   #granters: readonly string[] = []
   /** Since when this host is one of the two, and since when the two are the same. */
   #memberSinceMs: number
+  #memberSettlingMs = settlingMs
   #pairSinceMs: number
   #acknowledgedSentAtMs = -Infinity
   #heartbeatAtMs = -Infinity
@@ -35,10 +41,16 @@
     this.#pairSinceMs = nowMs
   }
 
-  /** Records which hosts are granter and deputy; called at each change of the hosts' table. */
-  setGranters (granters: readonly string[], nowMs: number): void {
+  /**
+   * Records which hosts are granter and deputy; called at each change of the hosts' table. `isRestart`: this process has just followed
+   * another one of its host, whose row was still in the table.
+   */
+  setGranters (granters: readonly string[], nowMs: number, isRestart = false): void {
     if (granters.length === this.#granters.length && granters.every((host, index) => host === this.#granters[index])) return
-    if (!this.hasRole) this.#memberSinceMs = nowMs
+    if (!this.hasRole) {
+      this.#memberSinceMs = nowMs
+      this.#memberSettlingMs = isRestart ? restartSettlingMs : settlingMs
+    }
     this.#granters = granters
     this.#pairSinceMs = nowMs
     this.#acknowledgedSentAtMs = -Infinity
@@ -85,6 +97,7 @@
     const highestAgeMs = Math.max(viewAgeMs, this.#checkedViewAgeMs + nowMs - this.#checkedAtMs)
     if (highestAgeMs > maxViewAgeMs) {
       this.#memberSinceMs = nowMs
+      this.#memberSettlingMs = settlingMs
       this.#pairSinceMs = nowMs
     }
     this.#checkedAtMs = nowMs
@@ -96,7 +109,7 @@
 
   #computeShare (hostsShare: number, nowMs: number): number {
     if (!this.hasRole) return 0
-    if (nowMs - this.#memberSinceMs < settlingMs || nowMs - this.#heartbeatAtMs < silenceMs) return 0
+    if (nowMs - this.#memberSinceMs < this.#memberSettlingMs || nowMs - this.#heartbeatAtMs < silenceMs) return 0
     if (!this.isGranter) return hostsShare / 2
     const isWhole = nowMs - this.#pairSinceMs >= settlingMs && (this.deputy === undefined || nowMs - this.#acknowledgedSentAtMs < silenceMs)
     return isWhole ? hostsShare : hostsShare / 2
--- a/src/tasks/quota/quotaGranterTask.ts
+++ b/src/tasks/quota/quotaGranterTask.ts
@@ -42,15 +42,15 @@
     return this.#groups.some(({ share }) => share.hasRole)
   }
 
-  /** Applies the groups and granters of the directory. With another number of groups, accounts may have changed their granter. */
-  applyDirectory (): void {
+  /** Applies the groups and granters of the directory; see `GranterShare.setGranters` for `isRestart`. With another number of groups, accounts may have changed their granter. */
+  applyDirectory (isRestart: boolean): void {
     const { clock, ownHost, directory } = this.#options
     const nowMs = clock.readMonotonic()
     if (directory.groupCount !== this.#groups.length) {
       this.#groups = Array.from({ length: directory.groupCount }, () => ({ share: new GranterShare(ownHost, nowMs), accounts: new Map(), reportedAtMs: -Infinity, heartbeatSentAtMs: -Infinity }))
     }
     for (const [group, { share, accounts }] of this.#groups.entries()) {
-      share.setGranters(directory.listGranters(group).map(({ host }) => host), nowMs)
+      share.setGranters(directory.listGranters(group).map(({ host }) => host), nowMs, isRestart)
       for (const account of accounts.keys()) if (directory.find(account)?.group !== group) accounts.delete(account)
     }
   }
--- a/src/tasks/quota/quotaTask.ts
+++ b/src/tasks/quota/quotaTask.ts
@@ -20,6 +20,8 @@
   /** Accounts of the configuration in force. */
   listAccounts: () => readonly ClientAccount[]
   listHosts: () => readonly QuotaHost[]
+  /** Session in this host's own row of the hosts' table; undefined if there is none. */
+  findOwnSession: () => string | undefined
   /** Milliseconds since this host's copy of the hosts' table last matched the store. */
   getViewAgeMs: () => number
   /** Part of the hosts that reply to this one while the store is unavailable to all of them; undefined if it is not known to be. */
@@ -30,6 +32,8 @@
 }
 
 const checkIntervalMs = 200
+/** Within this time of its start a host has read the table and written its own row. */
+const startMs = 3000
 const reportCheckIntervalMs = 50
 
 export class QuotaTask {
@@ -43,9 +47,14 @@
   /** Whether the hosts' table has changed since the granters were ranked. */
   #areHostsChanged = false
 
+  /** Until when this host counts as one that has just been restarted. */
+  #restartUntilMs = -Infinity
+  #startedAtMs: number
+
   constructor (options: QuotaTaskOptions) {
     const { clock, log, own, bounds, listHosts, getViewAgeMs, getOutageShare, send, meter, random } = options
     this.#options = options
+    this.#startedAtMs = clock.readMonotonic()
     const directory = new QuotaDirectory(bounds, listHosts)
     this.#directory = directory
     this.#granter = new QuotaGranterTask({
@@ -97,6 +106,9 @@
 
   /** Called at each change of the hosts' table. Changes that arrive together are ranked once, as that takes a hash for each host and group. */
   applyHosts (): void {
+    const { own, findOwnSession } = this.#options
+    const session = findOwnSession()
+    if (session !== undefined && session !== own.session) this.#restartUntilMs = this.#startedAtMs + startMs
     this.#areHostsChanged = true
   }
 
@@ -104,7 +116,7 @@
     if (!this.#areHostsChanged) return
     this.#areHostsChanged = false
     this.#directory.applyHosts(this.#options.clock.readMonotonic())
-    this.#granter.applyDirectory()
+    this.#granter.applyDirectory(this.#options.clock.readMonotonic() < this.#restartUntilMs)
     this.#client.applyDirectory()
   }
 
