--- a/features/steps/longPrompts.ts
+++ b/features/steps/longPrompts.ts
@@ -83,20 +83,20 @@
 })
 
 Then('in {int} random states a long prompt is held back only while there is backlog, and for less than a tenth of its time or 250 ms', function (runs: number) {
-  const facts = { prefillMs: fc.double({ min: 1, max: 2500, noNaN: true }), remainingMs: fc.double({ min: -1000, max: 3000, noNaN: true }), mayDecline: fc.boolean() }
+  const facts = { prefillMs: fc.double({ min: 1, max: 2500, noNaN: true }), dueInMs: fc.double({ min: -1000, max: 3000, noNaN: true }), mayDecline: fc.boolean() }
   const history = fc.array(fc.record(facts), { maxLength: 80 })
   fc.assert(fc.property(history, fc.record(facts), fc.nat(1000), fc.nat(1000), (arrivals, request, waitedMs, backlogMs) => {
     const longPrompts = new LongPrompts()
     for (const arrival of arrivals) longPrompts.recordArrival(arrival, 1000)
     const holdMs = longPrompts.computeHoldMs(request, waitedMs, backlogMs, 1000)
     if (backlogMs <= 20) assert.equal(holdMs, 0)
-    assert.ok(holdMs >= 0 && (holdMs === 0 || waitedMs + holdMs <= Math.max(250, (request.remainingMs + waitedMs) / 10)))
+    assert.ok(holdMs >= 0 && (holdMs === 0 || waitedMs + holdMs <= Math.max(250, (request.dueInMs + waitedMs) / 10)))
   }), { numRuns: runs })
 })
 
 When('an engine has received {int} prompts of {int} tokens', function (this: LongPromptsWorld, count: number, tokens: number) {
   this.longPrompts ??= new LongPrompts()
-  for (let index = 0; index < count; index++) this.longPrompts.recordArrival({ prefillMs: tokens / 38.7, remainingMs: 500, mayDecline: true }, index)
+  for (let index = 0; index < count; index++) this.longPrompts.recordArrival({ prefillMs: tokens / 38.7, dueInMs: 500, mayDecline: true }, index)
 })
 
 Then(/^a prompt of (\d+) tokens (is|is not) long$/, function (this: LongPromptsWorld, tokens: string, verb: string) {
--- a/features/steps/takenPorts.ts
+++ b/features/steps/takenPorts.ts
@@ -144,7 +144,8 @@
   const { process: child } = this.waitingHost
   await waitUntil(async () => await fetch(`http://${this.hostSettings.readinessAddress}/`).then(({ status }) => status === 200, () => false))
     .catch((error: Error) => assert.fail(`${error.message}\n${this.waitingHost.output}${this.waitingHost.errors}`))
-  assert.ok(this.waitingHost.output.includes('start.portFreed'), this.waitingHost.output)
+  // Lines are gathered for some milliseconds, so that this one may come after the host has become ready.
+  await waitUntil(() => this.waitingHost.output.includes('start.portFreed')).catch((error: Error) => assert.fail(`${error.message}\n${this.waitingHost.output}`))
   await this.waitingHost.stop()
   assert.deepEqual({ code: child.exitCode, signal: child.signalCode }, { code: 0, signal: null }, this.waitingHost.errors)
 })
--- a/src/core/accountShares.ts
+++ b/src/core/accountShares.ts
@@ -123,10 +123,10 @@
 function computeLevel (claims: Claim[], capacityMs: number): number {
   claims.sort((left, right) => left.wantedMs / left.weight - right.wantedMs / right.weight)
   let weight = claims.reduce((sum, claim) => sum + claim.weight, 0)
-  let remainingMs = capacityMs
+  let unassignedMs = capacityMs
   for (const claim of claims) {
-    if (claim.wantedMs * weight > remainingMs * claim.weight * (1 + Number.EPSILON * claims.length)) return remainingMs / weight
-    remainingMs -= claim.wantedMs
+    if (claim.wantedMs * weight > unassignedMs * claim.weight * (1 + Number.EPSILON * claims.length)) return unassignedMs / weight
+    unassignedMs -= claim.wantedMs
     weight -= claim.weight
   }
   return Infinity
--- a/src/core/allocation/allocationPlanner.ts
+++ b/src/core/allocation/allocationPlanner.ts
@@ -365,7 +365,7 @@
   // Estimates
 
   #createPromptFacts ({ dueAtMs, mayDecline }: AllocationRequest, prefillMs: number, nowMs: number): PromptFacts {
-    return { prefillMs, remainingMs: dueAtMs - nowMs, mayDecline }
+    return { prefillMs, dueInMs: dueAtMs - nowMs, mayDecline }
   }
 
   /** Computes the backlog above which a request is declined because of long prompts; another engine may have to load its adapter. */
--- a/src/core/allocation/longPrompts.ts
+++ b/src/core/allocation/longPrompts.ts
@@ -35,7 +35,7 @@
 export interface PromptFacts {
   readonly prefillMs: number
   /** Time until its answer is due; negative if it is late. */
-  readonly remainingMs: number
+  readonly dueInMs: number
   readonly mayDecline: boolean
 }
 
@@ -50,12 +50,12 @@
   #lateUntilMs = -Infinity
 
   /** Records a request as it arrives, whatever is decided about it. */
-  recordArrival ({ prefillMs, remainingMs, mayDecline }: PromptFacts, nowMs: number): void {
+  recordArrival ({ prefillMs, dueInMs, mayDecline }: PromptFacts, nowMs: number): void {
     const log = Math.log(Math.max(1, prefillMs))
     this.#shortLog ??= log
     this.#shortLog += quantileStep * (log < this.#shortLog ? shortQuantile - 1 : log > this.#shortLog ? shortQuantile : 0)
-    if (this.isLong(prefillMs) || remainingMs <= 0) return
-    this.#shortTargetMs = this.#shortTargetMs === undefined ? remainingMs : this.#shortTargetMs + targetSmoothing * (remainingMs - this.#shortTargetMs)
+    if (this.isLong(prefillMs) || dueInMs <= 0) return
+    this.#shortTargetMs = this.#shortTargetMs === undefined ? dueInMs : this.#shortTargetMs + targetSmoothing * (dueInMs - this.#shortTargetMs)
     if (!mayDecline) this.#pressedAtMs = nowMs
   }
 
@@ -74,10 +74,10 @@
   }
 
   /** Records that a prompt was granted, with which the engine is busy until a time. */
-  recordGranted ({ prefillMs, remainingMs }: PromptFacts, busyUntilMs: number): void {
+  recordGranted ({ prefillMs, dueInMs }: PromptFacts, busyUntilMs: number): void {
     if (!this.isLong(prefillMs)) return
     this.#longUntilMs = Math.max(this.#longUntilMs, busyUntilMs)
-    if (remainingMs < prefillMs / prefillTimeRatio) this.#lateUntilMs = busyUntilMs
+    if (dueInMs < prefillMs / prefillTimeRatio) this.#lateUntilMs = busyUntilMs
   }
 
   /** Time until the engine has read the long prompts granted so far; 0 if there are none. */
@@ -95,22 +95,22 @@
    * takes it; infinite if there is none. `otherStartMs`: time that another engine needs before it can start the request.
    *
    * @example
-   * longPrompts.computeMaxBacklogMs({ prefillMs: 13, remainingMs: 500, mayDecline: true }, 0, nowMs) // 75 behind a long prompt
+   * longPrompts.computeMaxBacklogMs({ prefillMs: 13, dueInMs: 500, mayDecline: true }, 0, nowMs) // 75 behind a long prompt
    */
-  computeMaxBacklogMs ({ remainingMs }: PromptFacts, otherStartMs: number, nowMs: number): number {
+  computeMaxBacklogMs ({ dueInMs }: PromptFacts, otherStartMs: number, nowMs: number): number {
     if (!this.isReadingLong(nowMs)) return Infinity
-    return Math.max(idleBacklogMs, otherStartMs, maxWaitRatio * remainingMs)
+    return Math.max(idleBacklogMs, otherStartMs, maxWaitRatio * dueInMs)
   }
 
   /**
    * Computes the time for which a long prompt that waits may be held back: while short requests find no other engine, unless this
    * one would be idle or the prompt has waited for long enough. It then leaves the engine to short ones; 0 if it may start.
    */
-  computeHoldMs ({ prefillMs, remainingMs }: PromptFacts, waitedMs: number, backlogMs: number, nowMs: number): number {
+  computeHoldMs ({ prefillMs, dueInMs }: PromptFacts, waitedMs: number, backlogMs: number, nowMs: number): number {
     if (!this.isLong(prefillMs) || backlogMs <= idleBacklogMs) return 0
     const pressedForMs = this.#pressedAtMs + pressureMs - nowMs
-    const slackMs = remainingMs > 0 ? slackRatio * (remainingMs - (prefillMs + backlogMs) / prefillTimeRatio) : Infinity
-    const maxWaitMs = Math.max(minLongWaitMs, maxLongWaitRatio * (remainingMs + waitedMs))
+    const slackMs = dueInMs > 0 ? slackRatio * (dueInMs - (prefillMs + backlogMs) / prefillTimeRatio) : Infinity
+    const maxWaitMs = Math.max(minLongWaitMs, maxLongWaitRatio * (dueInMs + waitedMs))
     return Math.max(0, Math.min(pressedForMs, maxWaitMs - waitedMs, slackMs, backlogMs - idleBacklogMs))
   }
 }
