--- a/features/callerCrowds.feature
+++ b/features/callerCrowds.feature
@@ -20,14 +20,14 @@
       | relay port    | send requests ahead and read nothing                  |
       | relay port    | send bare request lines ahead and read nothing        |
       | relay port    | send bodies in one-byte chunks and hold them open     |
+      | callers' port | send bodies in one-byte chunks and hold them open     |
+      | peers' port   | send bodies in one-byte chunks and hold them open     |
 
     @knownRed
     Examples:
       | port          | crowd                                                 |
       | callers' port | send bodies in large chunks and hold them open        |
-      | callers' port | send bodies in one-byte chunks and hold them open     |
       | callers' port | read long responses slowly                            |
-      | peers' port   | send bodies in one-byte chunks and hold them open     |
       | peers' port   | send bodies in large chunks and hold them open        |
       | relay port    | open connections and send nothing                     |
       | relay port    | send bodies in large chunks and hold them open        |
