--- a/features/support/waitingRequest.ts
+++ b/features/support/waitingRequest.ts
@@ -126,7 +126,7 @@
   const callerRequest: CallerRequest = {
     requestId: 'r1', method: 'POST', callerKey: '', path: `${fleetPaths.stream}x`, host: fleetHost, headers: [], body: Buffer.from('a question'), receivedAtMs: clock.readMonotonic(), timeLeftMs: 4000, lastEventId: undefined, isResumption: false, resumedRequestId: undefined, model: fleetModel, adapter: 'a1', promptTokens: 100, maxTokens: 20, promptSegments: [], ...changes
   }
-  const request = new ProxiedRequest(context, callerRequest, new CallerResponse({ response: response as unknown as ServerResponse, onCallerDisconnect: () => {}, decideClose: () => false, isDraining: () => false, isCallerUncertain: () => false, waitUntilCallerKnown: async () => {} }))
+  const request = new ProxiedRequest(context, callerRequest, new CallerResponse({ response: response as unknown as ServerResponse, onCallerDisconnect: () => {}, decideClose: () => false, isDraining: () => false, isCallerUncertain: () => false, waitUntilCallerKnown: async () => {}, holdUnread: () => {} }))
   request.serve()
   const finishSelection = async (): Promise<void> => {
     resolveSelection({ kind: 'found', target: { endpoint: engine, link, version: 0, priority: undefined, isGranted: true, release: () => {} } })
--- a/src/tasks/proxy/callerConnection.ts
+++ b/src/tasks/proxy/callerConnection.ts
@@ -179,6 +179,11 @@
     this.#exchanges[0]?.resume()
   }
 
+  /** Counts memory of responses that the caller has not read yet; the connection is closed if it holds most where all hold too much. */
+  holdUnread (bytes: number): void {
+    this.#options.share.add(bytes)
+  }
+
   get unansweredCount (): number {
     return this.#exchanges.length
   }
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -236,7 +236,8 @@
       decideClose: isComplete => connection.decideClose(exchange, isComplete),
       isDraining: () => this.#isDraining,
       isCallerUncertain: () => connection.isCallerUncertain,
-      waitUntilCallerKnown: async () => await connection.waitUntilCallerKnown()
+      waitUntilCallerKnown: async () => await connection.waitUntilCallerKnown(),
+      holdUnread: bytes => connection.holdUnread(bytes)
     })
     const exchange: Exchange = {
       message,
--- a/src/tasks/proxy/callerResponse.ts
+++ b/src/tasks/proxy/callerResponse.ts
@@ -15,8 +15,12 @@
   isCallerUncertain: () => boolean
   /** Resolves when the caller is known to read, or the connection has closed. */
   waitUntilCallerKnown: () => Promise<void>
+  /** Counts memory of what the caller has not read yet; negative once it is free again. */
+  holdUnread: (bytes: number) => void
 }
 
+/** What an endpoint has sent beyond what it was asked to wait with: a read of the socket, and another one in the parser. */
+const pausedEndpointBytes = 128 * 1024
 const internalErrorStatus = 500
 const unavailableStatus = 503
 
@@ -26,6 +30,8 @@
   /** Status and headers that go out with the first bytes of the body, when it is known whether these are all. */
   #pendingHead: { status: number, headers: readonly string[] } | undefined
   #isEnded = false
+  /** Memory that counts as held for this response. */
+  #unreadBytes = 0
 
   constructor (options: CallerResponseOptions) {
     const { response } = options
@@ -33,10 +39,12 @@
     this.#options = options
     // The close that follows an error is passed to `receiveClose`.
     response.on('error', () => {})
+    response.on('drain', () => this.#holdUnread(0))
   }
 
   /** Receives that the connection has closed, or that the response has been sent. */
   receiveClose (): void {
+    this.#holdUnread(0)
     if (this.#isEnded) return
     this.#isEnded = true
     this.#options.onCallerDisconnect()
@@ -68,6 +76,7 @@
     this.#flushHead(false)
     if (this.#response.write(chunk)) return true
     this.#response.once('drain', resume)
+    this.#holdUnread(this.#response.writableLength + pausedEndpointBytes)
     return false
   }
 
@@ -105,6 +114,14 @@
   #finish (isComplete: boolean, chunk: Buffer | undefined): void {
     this.#flushHead(isComplete)
     this.#response.end(chunk)
+    this.#holdUnread(this.#response.writableLength)
+  }
+
+  #holdUnread (bytes: number): void {
+    if (bytes === this.#unreadBytes) return
+    const added = bytes - this.#unreadBytes
+    this.#unreadBytes = bytes
+    this.#options.holdUnread(added)
   }
 
   #flushHead (isComplete: boolean): void {
