--- a/src/core/allocation/allocationPlanner.ts
+++ b/src/core/allocation/allocationPlanner.ts
@@ -3,11 +3,13 @@
  * refused, and which adapters are loaded and unloaded for the queued ones. It does no I/O.
  */
 import type { EngineLoad } from '../../schemas/datagram.js'
+import { AdapterLoadPlanner } from './adapterLoadPlanner.js'
 import { EngineAdapters } from './engineAdapters.js'
-import type { AdapterState, EngineAdapter } from './engineAdapters.js'
+import type { AdapterState } from './engineAdapters.js'
 import { compareByDueTime, compareLimitTurns, comparePendingLoads, computeSlotDeadlineMs } from './allocationOrder.js'
 import type { LimitTurn, PendingLoad } from './allocationOrder.js'
-import type { AllocationOptions, AllocationPlan, AllocationRequest, AllocationDecision } from './allocationRequest.js'
+import type { AllocationOptions, AllocationPlan, AllocationRequest, AllocationDecision, MutablePlan } from './allocationRequest.js'
+import { wakeBy } from './allocationRequest.js'
 import { PrefixCacheEstimate } from './prefixCacheEstimate.js'
 import { findReasonToDecline } from './declineRules.js'
 import type { DeclineFacts } from './declineRules.js'
@@ -30,8 +32,6 @@
 const initialRunMs = 500
 /** Weight of the newest run in the moving average. */
 const runSmoothing = 0.05
-/** A failed load is not ordered again for this long, as most fail because the engine's state has to be read again. */
-const loadBackOffMs = 150
 
 interface QueuedEntry {
   request: AllocationRequest
@@ -60,7 +60,7 @@
   #cache: PrefixCacheEstimate
   #waiting = new Map<string, QueuedEntry>()
   #running = new Map<string, RunningEntry>()
-  #failedLoads = new Map<string, number>()
+  #loadPlanner: AdapterLoadPlanner
   #limiter: GrantLimiter
   #retries = new RetrySchedule()
   #shareRules: ShareRules
@@ -73,6 +73,9 @@
     this.adapters = new EngineAdapters(options.adapterSlots)
     this.#cache = new PrefixCacheEstimate(options.cacheTokens)
     this.#limiter = new GrantLimiter(options.findRate)
+    this.#loadPlanner = new AdapterLoadPlanner({
+      adapters: this.adapters, maxLoads: options.maxLoads, estimateLoadMs: options.estimateLoadMs, recordOrder: nowMs => this.#limiter.recordOrder(nowMs)
+    })
   }
 
   get running (): number {
@@ -177,7 +180,7 @@
 
   recordLoadFailed (adapter: string, nowMs: number): void {
     if (this.adapters.find(adapter)?.state === 'loading') this.adapters.remove(adapter)
-    this.#failedLoads.set(adapter, nowMs)
+    this.#loadPlanner.recordFailed(adapter, nowMs)
   }
 
   recordUnloaded (adapter: string): void {
@@ -205,7 +208,7 @@
    * orders may be sent to the engine now.
    */
   plan (nowMs: number, mayOrder: boolean): AllocationPlan {
-    const plan: AllocationPlan & { wakeAtMs: number | undefined } = { granted: [], refused: [], loads: [], unloads: [], wakeAtMs: undefined }
+    const plan: MutablePlan = { granted: [], refused: [], loads: [], unloads: [], wakeAtMs: undefined }
     const sorted = this.#sortWaiting(nowMs)
     const pendingLoads = new Map<string, PendingLoad>()
     for (const waiting of sorted) {
@@ -222,9 +225,7 @@
     this.#refuseBeyondLimit(sorted, plan, nowMs)
     const wanted = new Map([...pendingLoads].sort(([, left], [, right]) => comparePendingLoads(left, right)).map(([name, { request }]) => [name, request]))
     if (!mayOrder) return plan
-    // Slots that are being freed are reserved for the most urgent pending loads.
-    const freeing = { slots: this.adapters.unloadingCount }
-    for (const request of wanted.values()) if (this.#waiting.has(request.key)) this.#planLoad(request, wanted, freeing, plan, nowMs)
+    this.#loadPlanner.planLoads(wanted, key => this.#waiting.has(key), plan, nowMs)
     return plan
   }
 
@@ -248,19 +249,19 @@
   }
 
   /** Whether a request that is late, or will be, or whose account is over its share, waits so that others are granted first. */
-  #isDeferred ({ request, prefillMs, queuedAtMs, isOverShare }: QueuedEntry, plan: AllocationPlan & { wakeAtMs: number | undefined }, nowMs: number): boolean {
+  #isDeferred ({ request, prefillMs, queuedAtMs, isOverShare }: QueuedEntry, plan: MutablePlan, nowMs: number): boolean {
     const { dueAtMs, isResumed } = request
     if (isResumed) return false
     const backlogMs = this.prefillBacklog.getBacklogMs(nowMs)
     const holdMs = this.longPrompts.computeHoldMs(this.#createPromptFacts(request, prefillMs, nowMs), nowMs - queuedAtMs, backlogMs, nowMs)
     if (holdMs > 0 && !this.#options.isSizeBlind) {
-      plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, nowMs + Math.max(minReplanDelayMs, holdMs))
+      wakeBy(plan, nowMs + Math.max(minReplanDelayMs, holdMs))
       return true
     }
     if (!isOverShare && nowMs + backlogMs + prefillMs <= dueAtMs) return false
     const excessMs = isOverShare ? backlogMs - maxOverShareBacklogMs : backlogMs - maxLateBacklogMs - lateAgingRatio * Math.max(0, nowMs - dueAtMs)
     if (excessMs <= 0) return false
-    plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, nowMs + Math.max(minReplanDelayMs, excessMs))
+    wakeBy(plan, nowMs + Math.max(minReplanDelayMs, excessMs))
     return true
   }
 
@@ -285,14 +286,14 @@
     plan.granted.push(request.key)
   }
 
-  #refuseOverdue (plan: AllocationPlan & { wakeAtMs: number | undefined }, nowMs: number): void {
+  #refuseOverdue (plan: MutablePlan, nowMs: number): void {
     for (const { request, slotDeadlineMs, prefillMs, isOverShare } of [...this.#waiting.values()]) {
       const hasSlot = this.#hasSlot(request)
       const deadlineMs = hasSlot
         ? (isOverShare ? Math.min(request.dueAtMs, request.abandonAtMs) : request.abandonAtMs) - prefillMs
         : Math.min(request.abandonAtMs - prefillMs - this.#options.estimateLoadMs(request.adapter, request.version), slotDeadlineMs)
       if (deadlineMs > nowMs) {
-        plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, deadlineMs)
+        wakeBy(plan, deadlineMs)
         continue
       }
       this.#waiting.delete(request.key)
@@ -301,65 +302,13 @@
   }
 
   /** While the engine is limited: refuses requests whose turn would come too late, and wakes up for the next one. */
-  #refuseBeyondLimit (sorted: readonly QueuedEntry[], plan: AllocationPlan & { wakeAtMs: number | undefined }, nowMs: number): void {
+  #refuseBeyondLimit (sorted: readonly QueuedEntry[], plan: MutablePlan, nowMs: number): void {
     const { overdue, firstWaitMs } = this.#limiter.findOverdue(sorted.filter(({ request }) => this.#waiting.has(request.key)), nowMs)
     for (const { entry: { request }, waitMs } of overdue) {
       this.#waiting.delete(request.key)
       plan.refused.push({ key: request.key, retryAfterMs: this.#scheduleRetry(waitMs, nowMs), reason: 'the engine takes so few requests that its turn would come too late', isLimited: true })
     }
-    if (firstWaitMs !== undefined) plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, nowMs + Math.max(minReplanDelayMs, firstWaitMs))
-  }
-
-  /** Loads an adapter into a free slot, or evicts another adapter to free one. */
-  #planLoad (
-    request: AllocationRequest, wanted: Map<string, AllocationRequest>, freeing: { slots: number }, plan: AllocationPlan & { wakeAtMs: number | undefined }, nowMs: number
-  ): void {
-    const { adapters } = this
-    const engineAdapter = adapters.find(request.adapter)
-    if (engineAdapter) {
-      if (engineAdapter.version < request.version) this.#replaceVersion(engineAdapter, plan, nowMs)
-      return
-    }
-    if (adapters.loadingCount >= this.#options.maxLoads || this.#isBackingOff(request.adapter, plan, nowMs)) return
-    if (adapters.freeSlots > 0) {
-      adapters.add(request.adapter, request.version, 'loading', nowMs + this.#options.estimateLoadMs(request.adapter, request.version), nowMs)
-      this.#limiter.recordOrder(nowMs)
-      plan.loads.push({ adapter: request.adapter, version: request.version })
-      return
-    }
-    if (freeing.slots > 0) {
-      freeing.slots--
-      return
-    }
-    if (adapters.unloadingCount + adapters.loadingCount >= this.#options.maxLoads) return
-    const candidate = adapters.findEvictionCandidate(nowMs, name => wanted.has(name))
-    if (candidate) this.#unload(candidate, plan, nowMs)
-    else if (adapters.protectedUntilMs > nowMs) plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, adapters.protectedUntilMs)
-  }
-
-  /** Whether the last load of an adapter failed so recently that the next one has to wait. */
-  #isBackingOff (adapter: string, plan: AllocationPlan & { wakeAtMs: number | undefined }, nowMs: number): boolean {
-    const failedAtMs = this.#failedLoads.get(adapter)
-    if (failedAtMs === undefined) return false
-    if (nowMs - failedAtMs < loadBackOffMs) {
-      plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, failedAtMs + loadBackOffMs)
-      return true
-    }
-    this.#failedLoads.delete(adapter)
-    return false
-  }
-
-  /** An engine holds one version of an adapter at a time, so the old one is unloaded once no request runs on it. */
-  #replaceVersion (engineAdapter: EngineAdapter, plan: AllocationPlan, nowMs: number): void {
-    if (engineAdapter.state !== 'loaded') return
-    engineAdapter.isClosing = true
-    if (engineAdapter.running === 0) this.#unload(engineAdapter, plan, nowMs)
-  }
-
-  #unload (engineAdapter: EngineAdapter, plan: AllocationPlan, nowMs: number): void {
-    engineAdapter.state = 'unloading'
-    this.#limiter.recordOrder(nowMs)
-    plan.unloads.push(engineAdapter.name)
+    if (firstWaitMs !== undefined) wakeBy(plan, nowMs + Math.max(minReplanDelayMs, firstWaitMs))
   }
 
   // Estimates
--- a/src/core/allocation/allocationRequest.ts
+++ b/src/core/allocation/allocationRequest.ts
@@ -49,6 +49,14 @@
   readonly wakeAtMs: number | undefined
 }
 
+/** A plan that is being made. */
+export type MutablePlan = Omit<AllocationPlan, 'wakeAtMs'> & { wakeAtMs: number | undefined }
+
+/** Has the next plan made at this time at the latest. */
+export function wakeBy (plan: MutablePlan, atMs: number): void {
+  plan.wakeAtMs = Math.min(plan.wakeAtMs ?? Infinity, atMs)
+}
+
 export interface AllocationOptions {
   readonly adapterSlots: number
   readonly batchLimit: number
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -8,6 +8,7 @@
 import { wirePaths } from '../../platform/wireNames.js'
 import { createEvenDraws } from './createEvenDraws.js'
 import type { FleetEngine } from './fleetEngine.js'
+import { countEvents, formatHeaders, formatUnframedHead, formatWholeAnswer, readBody } from './endpointBytes.js'
 import { formatChunk, isEndlessFor, isEndlessRefusal, sendEndless } from './endlessAnswer.js'
 import { noEndpointFaults } from './endpointFaults.js'
 import type { EndpointFaults, FaultShare } from './endpointFaults.js'
@@ -285,14 +286,14 @@
 
   /** Sends what would be a whole answer if its status were 200. */
   #sendStatus ({ socket }: IncomingMessage, run: RunRecord, headers: Record<string, string>): void {
-    const { body, contentType } = this.#formatWhole(run.requestId, run.fromEvent)
+    const { body, contentType } = formatWholeAnswer(this.#options.engine !== undefined, run.requestId, run.fromEvent)
     socket.write(`HTTP/1.1 ${this.faults.status}\r\n${formatHeaders({ ...headers, ...contentType })}content-length: ${body.length}\r\n\r\n${body}`)
   }
 
   #cutUpload (request: IncomingMessage): void {
     const { socket } = request
     const { requestId = '', lastEventId } = decodeReceivedHeaders(request.headers)
-    const { body, contentType } = this.#formatWhole(requestId, lastEventId)
+    const { body, contentType } = formatWholeAnswer(this.#options.engine !== undefined, requestId, lastEventId)
     // A stream that ends after a whole event looks complete.
     const part = this.#options.engine ? body.slice(0, body.indexOf('\n\n') + 2) : body.slice(0, body.length / 2)
     request.pause()
@@ -301,13 +302,6 @@
     setTimeout(() => socket.resetAndDestroy(), resetDelayMs)
   }
 
-  /** Events after `fromEvent` for a model engine, otherwise the answer of a plain service. */
-  #formatWhole (requestId: string, fromEvent: number): { body: string, contentType: Record<string, string> } {
-    if (!this.#options.engine) return { body: `done ${requestId}`, contentType: {} }
-    const ids = Array.from({ length: countEvents(requestId) }, (_, index) => index + 1).filter(id => id > fromEvent)
-    return { body: ids.map(id => `id: ${id}\ndata: ${requestId} ${id}\n\n`).join(''), contentType: { 'content-type': 'text/event-stream' } }
-  }
-
   /** Ends the connection somewhere before the blank line that ends the head. */
   #cutHead ({ socket }: IncomingMessage, headers: Record<string, string>): void {
     const { random, engine } = this.#options
@@ -414,23 +408,3 @@
   const timer = setInterval(() => response.write(': quiet\n\n'), intervalMs)
   setTimeout(() => clearInterval(timer), forMs)
 }
-
-/** Events of the stream that answers a request. */
-export function countEvents (requestId: string): number {
-  return 3 + (Number.parseInt(requestId.slice(-2), 16) || 0) % 8
-}
-
-function formatUnframedHead (version: EndpointFaults['unframedVersion'], headers: Record<string, string>): string {
-  const connection = version === '1.1' ? 'connection: close\r\n' : ''
-  return `HTTP/${version} 200 OK\r\n${formatHeaders(headers)}${connection}\r\n`
-}
-
-function formatHeaders (headers: Record<string, string>): string {
-  return Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
-}
-
-async function readBody (request: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = []
-  for await (const chunk of request) chunks.push(chunk as Buffer)
-  return Buffer.concat(chunks).toString('utf8')
-}
--- a/src/standin/fleet/fleetCaller.ts
+++ b/src/standin/fleet/fleetCaller.ts
@@ -3,7 +3,7 @@
 import { Agent, request } from 'undici'
 import type { Dispatcher } from 'undici'
 import { encodeCallerRequestHeaders, decodeResponseHeaders } from '../../platform/standinWire.js'
-import { countEvents } from './endpointServer.js'
+import { countEvents } from './endpointBytes.js'
 import { fleetHost, fleetModel, fleetPaths } from './startFleet.js'
 
 export type CallKind = keyof typeof fleetPaths
