Revert "Keep idle connections to endpoints for as long as these announce"

Plain services are asked often enough to reuse theirs within 2.3 s, so that longer idle times gain nothing and add connections that endpoints may have dropped.

--- a/features/steps/announcedCloses.ts
+++ b/features/steps/announcedCloses.ts
@@ -54,7 +54,7 @@
     return { send, close: async () => await engine.close() }
   }
   const link = openHttpEndpointLink({ address, getMaxConnections: () => 4, readNow: () => performance.now() })
-  const request = { id: undefined, isRetryable: false, method: 'POST', path: '/', headers: [], body: Buffer.from('{}') }
+  const request = { id: undefined, method: 'POST', path: '/', headers: [], body: Buffer.from('{}') }
   const send: SendOne = async () => await new Promise(resolve => {
     link.send(request, { confirmSend: () => true, receiveHead: () => {}, receiveData: () => true, receiveEnd: () => resolve(true), receiveFailure: () => resolve(false) })
   })
--- a/features/steps/cutHeads.ts
+++ b/features/steps/cutHeads.ts
@@ -49,7 +49,7 @@
 async function receiveOutcome (link: EndpointLink, id: string): Promise<string[]> {
   const received: string[] = []
   return await new Promise(resolve => {
-    link.send({ id, isRetryable: false, method: 'GET', path: '/', headers: ['host', 'x'], body: undefined }, {
+    link.send({ id, method: 'GET', path: '/', headers: ['host', 'x'], body: undefined }, {
       confirmSend: () => true,
       receiveHead: () => { received.push('head') },
       receiveData: () => true,
--- a/features/steps/departedCallers.ts
+++ b/features/steps/departedCallers.ts
@@ -89,7 +89,7 @@
   const body = Buffer.alloc(bytes, 'x')
   let isWriting = false
   const receiver: ResponseReceiver = { confirmSend: () => { isWriting = true; return true }, receiveHead: () => {}, receiveData: () => true, receiveEnd: () => {}, receiveFailure: () => {} }
-  world.inFlight = world.hangingLink.send({ id: 'r1', isRetryable: false, method: 'POST', path: '/', headers: ['host', 'x', 'content-length', String(body.length)], body }, receiver)
+  world.inFlight = world.hangingLink.send({ id: 'r1', method: 'POST', path: '/', headers: ['host', 'x', 'content-length', String(body.length)], body }, receiver)
   await waitUntil(() => isWriting)
 }
 
--- a/features/steps/endlessAnswers.ts
+++ b/features/steps/endlessAnswers.ts
@@ -73,7 +73,7 @@
 When('a request is sent to it and cancelled after {int} ms', async function (this: EndlessWorld, ms: number) {
   const link = openHttpEndpointLink({ address: this.address, getMaxConnections: () => 4, readNow: () => performance.now() })
   this.verdict = 'incomplete'
-  const sending = link.send({ id: 'r1', isRetryable: false, method: 'POST', path: '/x', headers: [], body: Buffer.from('a question') }, {
+  const sending = link.send({ id: 'r1', method: 'POST', path: '/x', headers: [], body: Buffer.from('a question') }, {
     confirmSend: () => true,
     receiveHead: () => {},
     receiveData: () => true,
--- a/features/steps/endpointSigns.ts
+++ b/features/steps/endpointSigns.ts
@@ -213,7 +213,7 @@
 When('a request is sent to it and withdrawn as the connection opens', async function (this: WithdrawnWorld) {
   const { port } = this.countingServer!.address() as AddressInfo
   const link = openHttpEndpointLink({ address: `127.0.0.1:${port}`, getMaxConnections: () => 1, readNow: () => performance.now() })
-  this.failure = await new Promise<SendFailure>(resolve => link.send({ id: 'r1', isRetryable: false, method: 'POST', path: '/x', headers: [], body: Buffer.from('a question') }, {
+  this.failure = await new Promise<SendFailure>(resolve => link.send({ id: 'r1', method: 'POST', path: '/x', headers: [], body: Buffer.from('a question') }, {
     confirmSend: () => false, receiveHead: () => {}, receiveData: () => true, receiveEnd: () => {}, receiveFailure: resolve
   }))
   await sleep(50)
--- a/features/steps/statusLines.ts
+++ b/features/steps/statusLines.ts
@@ -114,7 +114,7 @@
   const startedAtMs = performance.now()
   this.results.request = await new Promise(resolve => {
     const timer = setTimeout(() => resolve('nothing'), 1000)
-    link.send({ id: 'first', isRetryable: false, method: 'GET', path: '/', headers: ['host', 'x'], body: undefined }, {
+    link.send({ id: 'first', method: 'GET', path: '/', headers: ['host', 'x'], body: undefined }, {
       confirmSend: () => true,
       receiveHead: status => resolve(status),
       receiveData: () => true,
--- a/src/adapters/endpointHttp/httpEndpointLink.ts
+++ b/src/adapters/endpointHttp/httpEndpointLink.ts
@@ -16,13 +16,8 @@
 
 /** Connecting takes 1 ms plus a round trip. A longer wait for an unresponsive host only uses up the caller's time. */
 const connectTimeoutMs = 500
-/**
- * This host closes idle connections after this time if the endpoint announces no keep-alive timeout. A connection that was idle
- * longer carries only retryable requests, as an endpoint may have dropped it without notice.
- */
+/** This host closes idle connections after this time, before the endpoint may do so. */
 const idleTimeoutMs = 3000
-/** Longest keep-alive timeout of an endpoint that this host makes use of. Each idle connection takes a descriptor at both ends. */
-const maxIdleTimeoutMs = 30_000
 /** This host closes an idle connection this long before the keep-alive timeout that the endpoint announces. */
 const idleMarginMs = 700
 
@@ -52,8 +47,6 @@
   socket: Socket | undefined
   /** Id of the last request on the connection. */
   lastRequestId: string | undefined
-  /** When its last response was complete; -Infinity before. */
-  idleSinceMs: number
 }
 
 const connectSocket = buildConnector({ timeout: connectTimeoutMs })
@@ -88,7 +81,7 @@
   }
 
   send (request: OutgoingRequest, receiver: ResponseReceiver): RequestInFlight {
-    const connection = this.#acquireConnection(request)
+    const connection = this.#acquireConnection(request.id)
     connection.lastRequestId = request.id
     const { readNow } = this.#options
     const exchange = new Exchange({
@@ -141,9 +134,8 @@
    * Reuses the connection that became idle last, which is the least likely to have timed out, or creates one. A request that is
    * sent again takes another connection than before, as a faulty endpoint may repeat its first response there.
    */
-  #acquireConnection ({ id, isRetryable }: OutgoingRequest): Connection {
-    const minIdleSinceMs = isRetryable ? -Infinity : this.#options.readNow() - idleTimeoutMs + idleMarginMs
-    const index = this.#idle.findLastIndex(({ lastRequestId, idleSinceMs }) => idleSinceMs >= minIdleSinceMs && (id === undefined || lastRequestId !== id))
+  #acquireConnection (requestId: string | undefined): Connection {
+    const index = this.#idle.findLastIndex(({ lastRequestId }) => requestId === undefined || lastRequestId !== requestId)
     const [idle] = index < 0 ? [] : this.#idle.splice(index, 1)
     if (idle) return idle
     const end: ConnectionEnd = { hasEnded: false, wasReset: false }
@@ -170,10 +162,10 @@
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: idleTimeoutMs,
-      keepAliveMaxTimeout: maxIdleTimeoutMs,
+      keepAliveMaxTimeout: idleTimeoutMs,
       keepAliveTimeoutThreshold: idleMarginMs
     })
-    const connection: Connection = { client, end, socket: undefined, lastRequestId: undefined, idleSinceMs: -Infinity }
+    const connection: Connection = { client, end, socket: undefined, lastRequestId: undefined }
     return connection
   }
 
@@ -186,10 +178,8 @@
   #release (connection: Connection, isReusable: boolean): void {
     if (!this.#busy.delete(connection)) return
     const shouldKeep = isReusable && !this.#isClosed && this.#idle.length < this.#options.getMaxConnections()
-    if (shouldKeep) {
-      connection.idleSinceMs = this.#options.readNow()
-      this.#idle.push(connection)
-    } else destroyClient(connection.client)
+    if (shouldKeep) this.#idle.push(connection)
+    else destroyClient(connection.client)
   }
 }
 
--- a/src/ports/endpointLink.ts
+++ b/src/ports/endpointLink.ts
@@ -20,8 +20,6 @@
 export interface OutgoingRequest {
   /** Id that the endpoint repeats in its response; undefined if the request has none. */
   readonly id: string | undefined
-  /** Whether the request may be sent again if its connection ends without a response. */
-  readonly isRetryable: boolean
   readonly method: string
   readonly path: string
   readonly headers: readonly string[]
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -108,7 +108,7 @@
   }
 
   async run (): Promise<AttemptResult> {
-    const { request, response, route, target, timeLeftMs, lastEventId } = this.#options
+    const { request, response, target, timeLeftMs, lastEventId } = this.#options
     const { clock, health, standstill } = this.#context
     this.#startedAtMs = clock.readMonotonic()
     const result = new Promise<AttemptResult>(resolve => { this.#resolve = resolve })
@@ -119,7 +119,6 @@
       this.#standstillCount = standstill.countStandstills()
       this.#requestInFlight = target.link.send({
         id: request.requestId,
-        isRetryable: isRetryable(route.kind, route.isResumable),
         method: request.method,
         path: request.path,
         headers: target.encodeHeaders(request, timeLeftMs - (clock.readMonotonic() - this.#startedAtMs), lastEventId),
