Share the constants and the connection share that limits of a configuration meet, and tell where an account's defect is

Cause: the limits that hosts apply beside the configured ones lay in the tasks that apply them, and a defect of an account did not say which field of which entry it is, so that a check of a configuration would have had to repeat both. Change: the fixed head limit, the assumed waiting time, the store's response limit and the division of connections move to modules that decisions may import; AccountDefect gets the path of its field.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -14,5 +14,10 @@
 export const maxBufferedResponseBytes = 4 * 1024 * 1024
 export const maxIdempotencyKeyBytes = 200
 
+/** Node.js limit on the size of a request head at hosts; fixed at startup, so it exceeds the configured limit, which may change. */
+export const maxHostHeadBytes = 64 * 1024
+/** Hosts take this for the time that a caller waits which states none. */
+export const defaultTimeLeftMs = 30_000
+
 /** Number of endpoints that one request may crash before every host refuses it. */
 export const maxCrashesPerRequest = 2
--- a/src/platform/decodeAccounts.ts
+++ b/src/platform/decodeAccounts.ts
@@ -5,7 +5,8 @@
 import type { AccountDefect, AccountQuota, ClientAccount, RoutingConfiguration } from '../schemas/routing.js'
 import { maxApiKeyLength } from './wireNames.js'
 
-const accountSchema = Type.Object({
+/** Entry of one account. Its fields are checked one by one, as an invalid one affects no other. */
+export const accountSchema = Type.Object({
   name: Type.String({ minLength: 1 }),
   apiKeys: Type.Optional(Type.Array(Type.Unknown())),
   priority: Type.Optional(Type.Unknown()),
@@ -21,7 +22,12 @@
 const namePattern = /^[\x21-\x7e]{1,200}$/
 const keyPattern = /^[\x21-\x7e]+$/
 
-type ReportDefect = (account: string, reason: string) => void
+/** Field of the configuration that holds the accounts. */
+export const accountsField = 'tenants'
+
+type ReportDefect = (account: string, path: string, reason: string) => void
+/** Reports a defect of one field of an entry. */
+type ReportField = (field: keyof AccountEntry, reason: string) => void
 
 /**
  * Decodes the accounts; `accounts` is undefined if the configuration names none.
@@ -32,21 +38,25 @@
 export function decodeAccounts (entries: unknown): Pick<RoutingConfiguration, 'accounts' | 'accountDefects'> {
   if (entries === undefined || entries === null) return {}
   const accountDefects: AccountDefect[] = []
-  const report: ReportDefect = (account, reason) => { accountDefects.push({ account, reason }) }
+  const report: ReportDefect = (account, path, reason) => { accountDefects.push({ account, path: `${accountsField}${path}`, reason }) }
   // With the field present, requests need a key even if no account can be read.
-  if (!Array.isArray(entries)) report('', 'the accounts are not a list')
+  if (!Array.isArray(entries)) report('', '', 'the accounts are not a list')
   const accounts = new Map<string, ClientAccount>()
+  const positions = new Map<string, number>()
   for (const [index, entry] of (Array.isArray(entries) ? entries : []).entries()) {
-    if (!accountCheck.Check(entry) || !namePattern.test(entry.name)) report(`#${index}`, 'the entry has no valid name or key list')
-    else if (accounts.has(entry.name)) report(entry.name, 'another account has this name')
-    else accounts.set(entry.name, decodeAccount(entry, report))
+    if (!accountCheck.Check(entry) || !namePattern.test(entry.name)) report(`#${index}`, `[${index}]`, 'the entry has no valid name or key list')
+    else if (accounts.has(entry.name)) report(entry.name, `[${index}].name`, 'another account has this name')
+    else {
+      accounts.set(entry.name, decodeAccount(entry, (field, reason) => report(entry.name, `[${index}].${field}`, reason)))
+      positions.set(entry.name, index)
+    }
   }
-  return { accounts: removeSharedKeys([...accounts.values()], report), accountDefects }
+  return { accounts: removeSharedKeys([...accounts.values()], name => report(name, `[${positions.get(name)}].apiKeys`, 'another account has the same key')), accountDefects }
 }
 
-function decodeAccount (entry: AccountEntry, report: ReportDefect): ClientAccount {
+function decodeAccount (entry: AccountEntry, report: ReportField): ClientAccount {
   const keys = (entry.apiKeys ?? []).filter(key => typeof key === 'string' && key.length <= maxApiKeyLength && keyPattern.test(key)) as string[]
-  if (keys.length < (entry.apiKeys?.length ?? 0)) report(entry.name, `a key is not a text without spaces of at most ${maxApiKeyLength} characters`)
+  if (keys.length < (entry.apiKeys?.length ?? 0)) report('apiKeys', `a key is not a text without spaces of at most ${maxApiKeyLength} characters`)
   return {
     name: entry.name,
     keys: [...new Set(keys)],
@@ -56,39 +66,39 @@
 }
 
 /** Messages between hosts carry ranks as integers. */
-function decodeRank (entry: AccountEntry, report: ReportDefect): number | undefined {
+function decodeRank (entry: AccountEntry, report: ReportField): number | undefined {
   const rank = decodeAmount(entry, 'priority', report)
   if (rank === undefined || Number.isSafeInteger(rank)) return rank
-  report(entry.name, '"priority" is not an integer')
+  report('priority', '"priority" is not an integer')
   return undefined
 }
 
 /** A rate or burst that is 0 or left out sets no limit of its own. */
-function decodeQuota (entry: AccountEntry, report: ReportDefect): AccountQuota | undefined {
+function decodeQuota (entry: AccountEntry, report: ReportField): AccountQuota | undefined {
   const perSecond = decodeAmount(entry, 'ratePerS', report) ?? 0
   const burst = decodeAmount(entry, 'burst', report) ?? 0
   const isUnitKnown = entry.unit === undefined || entry.unit === 'tokens' || entry.unit === 'requests'
-  if (!isUnitKnown) report(entry.name, 'the unit of the quota is unknown')
+  if (!isUnitKnown) report('unit', 'the unit of the quota is unknown')
   if (perSecond === 0 || !isUnitKnown) return undefined
   return { unit: entry.unit === 'tokens' ? 'tokens' : 'requests', perSecond, burst, plainTokens: decodeAmount(entry, 'plainTokens', report) ?? 0 }
 }
 
-function decodeAmount (entry: AccountEntry, field: 'priority' | 'plainTokens' | 'ratePerS' | 'burst', report: ReportDefect): number | undefined {
+function decodeAmount (entry: AccountEntry, field: 'priority' | 'plainTokens' | 'ratePerS' | 'burst', report: ReportField): number | undefined {
   const value = entry[field]
   if (value === undefined) return undefined
   if (typeof value === 'number' && Number.isFinite(value) && value >= 0) return value
-  report(entry.name, `"${field}" is not a number of 0 or more`)
+  report(field, `"${field}" is not a number of 0 or more`)
   return undefined
 }
 
 /** A key that two accounts have belongs to neither, as it does not tell whose request it is. */
-function removeSharedKeys (accounts: readonly ClientAccount[], report: ReportDefect): ClientAccount[] {
+function removeSharedKeys (accounts: readonly ClientAccount[], reportShared: (account: string) => void): ClientAccount[] {
   const owners = new Map<string, number>()
   for (const { keys } of accounts) for (const key of keys) owners.set(key, (owners.get(key) ?? 0) + 1)
   return accounts.map(account => {
     const keys = account.keys.filter(key => owners.get(key) === 1)
     if (keys.length === account.keys.length) return account
-    report(account.name, 'another account has the same key')
+    reportShared(account.name)
     return { ...account, keys }
   })
 }
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -6,13 +6,11 @@
 import VError from 'verror'
 import type { Store, StoreChanges, StoreOutcome, StoreRow, StoreRowRead, StoreTableSnapshot, StoreTransaction } from '../ports/store.js'
 import { createParser } from '../schemas/createParser.js'
-import { wireHeaders, wirePaths } from './wireNames.js'
+import { maxStoreResponseBytes, wireHeaders, wirePaths } from './wireNames.js'
 
 /** Timeout of a call that the store is not asked to delay; it responds in 4 ms, or in 240 ms when slow. */
 const callTimeoutMs = 1000
 const connectTimeoutMs = 500
-/** A larger response is an error. The store sends at most 1 MB of rows, which base64 and JSON make up to three times as long. */
-const maxResponseBytes = 4 * 1024 * 1024
 /** Concurrent calls of one host: three table watches, a renewal, a claim, and one spare. */
 const maxConnections = 6
 const historyGoneStatus = 410
@@ -48,7 +46,7 @@
  */
 export function createStoreClient (address: string, receiveCall: ReceiveStoreCall = () => {}): Store {
   const pool = new Pool(`http://${address}`, {
-    connections: maxConnections, pipelining: 1, connect: { timeout: connectTimeoutMs }, headersTimeout: 0, bodyTimeout: 0, maxResponseSize: maxResponseBytes
+    connections: maxConnections, pipelining: 1, connect: { timeout: connectTimeoutMs }, headersTimeout: 0, bodyTimeout: 0, maxResponseSize: maxStoreResponseBytes
   })
   return {
     readTable: async table => await reportCallResult('read', receiveCall, async () => await readTable(pool, table)),
--- a/src/platform/wireNames.ts
+++ b/src/platform/wireNames.ts
@@ -62,3 +62,6 @@
 export const configurationKey = 'config'
 /** Key prefix of rows that declare an adapter version; `MODEL.ADAPTER` follows it. */
 export const versionKeyPrefix = 'version/'
+
+/** A larger response of the store is an error. It sends at most 1 MB of rows, which base64 and JSON make up to three times as long. */
+export const maxStoreResponseBytes = 4 * 1024 * 1024
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net'
 import { readBehindUpgrade } from '../../adapters/httpServer/readBehindUpgrade.js'
 import { listenOn } from '../../adapters/tcp/openPort.js'
+import { maxHostHeadBytes } from '../../constants.js'
 import { ConnectionBudget } from '../../core/connectionBudget.js'
 import { HeldTotal } from '../../core/heldTotal.js'
 import type { Clock } from '../../ports/clock.js'
@@ -50,8 +51,6 @@
 
 /** Used until a configuration is known. The published configurations have the same values. */
 const defaultLimits: CallerLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
-/** Node.js limit on the size of a request head; fixed at startup, so it exceeds the configured limit, which may change. */
-const maxHeadBytes = 64 * 1024
 /** Connections that the system holds for this process to accept. */
 const maxPendingConnections = 1024
 const badRequestStatus = 400
@@ -89,7 +88,7 @@
     this.#heldBytes = options.heldBytes ?? new HeldTotal()
     this.#budget = options.budget ?? new ConnectionBudget({ maxBytes: Infinity, maxConnections: Infinity })
     this.#turns = new ReadingTurns(options.clock)
-    this.#server = createServer({ maxHeaderSize: maxHeadBytes, requestTimeout: 0, requireHostHeader: false }, (message, response) => this.#receiveRequest(message, response))
+    this.#server = createServer({ maxHeaderSize: maxHostHeadBytes, requestTimeout: 0, requireHostHeader: false }, (message, response) => this.#receiveRequest(message, response))
     // The server's own `close` would cut responses that have ended and are still being written.
     this.#server.closeIdleConnections = () => {}
     // Connections whose callers have ended their side stay open for the responses.
--- a/src/tasks/proxy/dueTimes.ts
+++ b/src/tasks/proxy/dueTimes.ts
@@ -3,9 +3,6 @@
 import type { CallerRequest } from '../../schemas/callerRequest.js'
 import type { Route } from '../../schemas/routing.js'
 
-/** Used if the caller does not state a timeout. */
-export const defaultTimeLeftMs = 30_000
-
 /**
  * Computes when the response is due and when its caller gives up, in monotonic milliseconds; for a resumed stream, relative to the
  * last chunk that its caller received.
--- a/src/tasks/proxy/endpointLinks.ts
+++ b/src/tasks/proxy/endpointLinks.ts
@@ -1,6 +1,7 @@
 /** Keeps one link to each endpoint. */
 import { openHttpEndpointLink } from '../../adapters/endpointHttp/httpEndpointLink.js'
 import type { ClusterView } from '../../core/clusterView.js'
+import { computeHostConnections } from '../../core/hostConnections.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EndpointLink } from '../../ports/endpointLink.js'
 import type { EndpointEntry } from '../../schemas/routing.js'
@@ -10,9 +11,6 @@
   clusterView: ClusterView
 }
 
-/** Fraction of an endpoint's connection limit that all hosts together use; its operators and health checks need the rest. */
-const usableConnectionsFraction = 0.9
-
 /** The links of one host. An endpoint's usable connections are divided evenly among the hosts. */
 export class EndpointLinks {
   #options: EndpointLinksOptions
@@ -31,7 +29,7 @@
       address: endpoint.address,
       getMaxConnections: () => {
         const maxConnections = clusterView.routes?.configuration.services.get(endpoint.service)?.maxConnections ?? 1
-        return Math.max(1, Math.floor(usableConnectionsFraction * maxConnections / Math.max(1, clusterView.hosts.size)))
+        return computeHostConnections(maxConnections, clusterView.hosts.size)
       },
       readNow: clock.readMonotonic
     })
--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -1,4 +1,5 @@
 /** Serves one request of a caller: finds its route, sends it to endpoints until one responds, and relays the response. */
+import { defaultTimeLeftMs } from '../../constants.js'
 import { canRetryAttempt, isInterrupted, isRetryable } from '../../core/retryRules.js'
 import type { AttemptFailure } from '../../core/retryRules.js'
 import type { InFlightRequest } from '../../core/inFlightRequests.js'
@@ -25,7 +26,7 @@
 import type { Refusal } from './refusals.js'
 import { QuotaCharge, quotaExceededCode, quotaExceededStatus } from './quotaCharge.js'
 import { RequestRetries } from './requestRetries.js'
-import { computeDueTimes, computeSpentMs, defaultTimeLeftMs } from './dueTimes.js'
+import { computeDueTimes, computeSpentMs } from './dueTimes.js'
 import { ForwardingAttempts } from './forwardingAttempts.js'
 import { TransientWait } from './transientWait.js'
 import type { CallerResponse } from './callerResponse.js'
