--- a/src/platform/decodeAccounts.ts
+++ b/src/platform/decodeAccounts.ts
@@ -24,6 +24,8 @@
 
 /** Field of the configuration that holds the accounts. */
 export const accountsField = 'tenants'
+/** Field of an account that holds its keys. */
+export const keysField = 'apiKeys'
 
 type ReportDefect = (account: string, path: string, reason: string) => void
 /** Reports a defect of one field of an entry. */
@@ -44,19 +46,24 @@
   const accounts = new Map<string, ClientAccount>()
   const positions = new Map<string, number>()
   for (const [index, entry] of (Array.isArray(entries) ? entries : []).entries()) {
-    if (!accountCheck.Check(entry) || !namePattern.test(entry.name)) report(`#${index}`, `[${index}]`, 'the entry has no valid name or key list')
+    if (!isAccountEntry(entry)) report(`#${index}`, `[${index}]`, 'the entry has no valid name or key list')
     else if (accounts.has(entry.name)) report(entry.name, `[${index}].name`, 'another account has this name')
     else {
       accounts.set(entry.name, decodeAccount(entry, (field, reason) => report(entry.name, `[${index}].${field}`, reason)))
       positions.set(entry.name, index)
     }
   }
-  return { accounts: removeSharedKeys([...accounts.values()], name => report(name, `[${positions.get(name)}].apiKeys`, 'another account has the same key')), accountDefects }
+  return { accounts: removeSharedKeys([...accounts.values()], name => report(name, `[${positions.get(name)}].${keysField}`, 'another account has the same key')), accountDefects }
+}
+
+/** Whether an entry has a valid name, so that it is decoded. */
+export function isAccountEntry (entry: unknown): entry is AccountEntry {
+  return accountCheck.Check(entry) && namePattern.test(entry.name)
 }
 
 function decodeAccount (entry: AccountEntry, report: ReportField): ClientAccount {
   const keys = (entry.apiKeys ?? []).filter(key => typeof key === 'string' && key.length <= maxApiKeyLength && keyPattern.test(key)) as string[]
-  if (keys.length < (entry.apiKeys?.length ?? 0)) report('apiKeys', `a key is not a text without spaces of at most ${maxApiKeyLength} characters`)
+  if (keys.length < (entry.apiKeys?.length ?? 0)) report(keysField, `a key is not a text without spaces of at most ${maxApiKeyLength} characters`)
   return {
     name: entry.name,
     keys: [...new Set(keys)],
--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -37,7 +37,8 @@
   })))
 })
 
-const configurationSchema = Type.Object({
+/** The configuration as operators write it. */
+export const configurationSchema = Type.Object({
   version: Type.Number(),
   routes: Type.Array(routeSchema),
   services: Type.Array(Type.Object({
@@ -56,6 +57,8 @@
 
 const versionSchema = Type.Object({ model: Type.String(), adapter: Type.String(), version: Type.Number({ minimum: 0, maximum: Number.MAX_SAFE_INTEGER }) })
 
+export type WireConfiguration = Static<typeof configurationSchema>
+
 const configurationValidator = TypeCompiler.Compile(configurationSchema)
 const versionValidator = TypeCompiler.Compile(versionSchema)
 
@@ -66,7 +69,8 @@
 /** Connection limit of a service that sets none: the smallest of the published limits. */
 const defaultMaxConnections = 100
 
-const routeKinds: Readonly<Record<string, RouteKind>> = Object.freeze({ idempotent: 'idempotent', non_idempotent: 'once', streaming: 'stream' })
+/** Kinds of routes by their names on the wire. */
+export const routeKinds: Readonly<Record<string, RouteKind>> = Object.freeze({ idempotent: 'idempotent', non_idempotent: 'once', streaming: 'stream' })
 
 /**
  * Decodes the configuration; undefined if the bytes do not hold a valid one.
@@ -76,7 +80,11 @@
  */
 export function decodeConfiguration (value: Uint8Array): RoutingConfiguration | undefined {
   const configuration = decodeJson(value)
-  if (!configurationValidator.Check(configuration)) return undefined
+  return isConfiguration(configuration) ? createConfiguration(configuration) : undefined
+}
+
+/** Converts a valid configuration. */
+export function createConfiguration (configuration: WireConfiguration): RoutingConfiguration {
   return Object.freeze({
     version: configuration.version,
     routes: configuration.routes.map(decodeRoute),
@@ -86,6 +94,24 @@
   })
 }
 
+/** Whether hosts can decode a configuration. */
+export function isConfiguration (document: unknown): document is WireConfiguration {
+  return configurationValidator.Check(document)
+}
+
+/**
+ * Lists what keeps hosts from decoding a configuration; `path` is a JSON pointer.
+ *
+ * @example
+ * listConfigurationErrors({ version: 1 })[0] // { path: '/routes', message: 'Expected required property' }
+ */
+export function listConfigurationErrors (document: unknown): { path: string, message: string }[] {
+  const errors = new Map<string, string>()
+  // A field that is missing is reported once more for its type.
+  for (const { path, message } of configurationValidator.Errors(document)) if (!errors.has(path)) errors.set(path, message)
+  return [...errors].map(([path, message]) => ({ path, message }))
+}
+
 /**
  * A caller of a streaming route leaves after a gap between chunks of this minimum, of 4 target latencies or of 8 target
  * gaps, whichever is longest. The platform's documentation for callers specifies the three values.
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net'
 import { readBehindUpgrade } from '../../adapters/httpServer/readBehindUpgrade.js'
 import { listenOn } from '../../adapters/tcp/openPort.js'
-import { maxHostHeadBytes } from '../../constants.js'
+import { extraHeadTimeMs, maxHostHeadBytes } from '../../constants.js'
 import { ConnectionBudget } from '../../core/connectionBudget.js'
 import { HeldTotal } from '../../core/heldTotal.js'
 import type { Clock } from '../../ports/clock.js'
@@ -133,7 +133,7 @@
   /** Applies the timeouts of the current configuration. Open connections stay open. */
   applyLimits (): void {
     const limits = this.#getLimits()
-    this.#server.headersTimeout = limits.headerTimeoutMs + 2000
+    this.#server.headersTimeout = limits.headerTimeoutMs + extraHeadTimeMs
     this.#server.keepAliveTimeout = limits.idleTimeoutMs
   }
 
