Close connections that stop in the middle of a head on every Node.js version

Node.js 20.19 ends the idle time-out of a connection at the first byte of a request, so that half a head kept it open for the time-out of heads, which Node.js checks every 30 s. The listener now sets the server's time-out to the idle time-out, too, and ignores it for connections with a request in progress and for those without an earlier request, whose heads have the time-out of heads alone.

--- a/features/arrivingRequests.feature
+++ b/features/arrivingRequests.feature
@@ -18,12 +18,33 @@
     When requests arrive on 4 connections with an earlier answer, and its process stands still beyond the idle time-out
     Then each of these requests is answered
 
-  @knownRed
+  # Guards against connections with a part of a head that stay open, as Node.js 20.19 ends their idle time-out at its first byte.
   Scenario: Connections on which nothing arrived beyond the idle time-out are closed, a standstill or not
     Given a listener that answers requests at once, and closes connections that stay idle
     When 4 connections get an answer, one of them begins another request, and its process stands still beyond the idle time-out
     Then each of these connections is closed within 1500 ms
 
+  # Guards against an idle time-out that closes connections on which a request is arriving or in progress.
+  Scenario Outline: Requests whose heads arrive in parts are answered, <connections> and <ms> ms between parts
+    Given a listener that answers requests at once, and closes connections that stay idle
+    When requests arrive in 4 parts on 4 <connections>, <ms> ms between them
+    Then each of these requests is answered
+
+    Examples:
+      | connections                            | ms   |
+      | connections with an earlier answer     | 600  |
+      | connections without an earlier request | 1300 |
+
+  Scenario: Requests whose heads' ends arrived while the process stood still beyond the idle time-out are answered
+    Given a listener that answers requests at once, and closes connections that stay idle
+    When the ends of 4 requests arrive on connections with an earlier answer, and its process stands still beyond the idle time-out
+    Then each of these requests is answered
+
+  Scenario: Responses that take longer than the idle time-out are whole
+    Given a listener that answers requests after 2500 ms, and closes connections that stay idle
+    When 4 callers send two requests each, one after the other
+    Then each of these requests is answered
+
   Scenario: Requests on connections that were opened while the process stood still at the close are answered
     Given a listener that answers requests at once
     When 8 connections are opened and send a request, and its process stands still beyond the time of the close
--- a/features/steps/arrivingRequests.ts
+++ b/features/steps/arrivingRequests.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Worker } from 'node:worker_threads'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import { RawCaller } from '../../src/standin/fleet/rawCaller.js'
+import { RawCaller, formatRawRequest } from '../../src/standin/fleet/rawCaller.js'
 import type { RawAnswer } from '../../src/standin/fleet/rawCaller.js'
 import { fleetPaths } from '../../src/standin/fleet/startFleet.js'
 import type { ArrivingOrder } from '../support/arrivingCaller.js'
@@ -29,10 +29,11 @@
   this.listener?.listener.close()
 })
 
-Given(/^a listener that answers requests at once(, and closes connections that stay idle)?$/, async function (this: ArrivingWorld, idle: string | null) {
+Given(/^a listener that answers requests (?:at once|after (\d+) ms)(, and closes connections that stay idle)?$/, async function (this: ArrivingWorld, delayMs: string | null, idle: string | null) {
   this.listener = await startTestListener({
     ...(idle !== null && { getLimits: () => ({ maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs }) }),
     createHandle: (_request, response) => createTestHandle(async () => {
+      if (delayMs !== null) await sleep(Number(delayMs))
       response.writeHead(200, ['Content-Length', '0'])
       response.end()
     })
@@ -64,6 +65,40 @@
   for (const caller of callers) caller.close()
 })
 
+When(/^requests arrive in (\d+) parts on (\d+) connections (with an earlier answer|without an earlier request), (\d+) ms between them$/, { timeout: 10_000 }, async function (this: ArrivingWorld, partCount: string, count: string, earlier: string, ms: string) {
+  const callers = earlier === 'with an earlier answer' ? await openAnsweredCallers(this, Number(count)) : await openCallers(this, Number(count))
+  const bytes = formatRawRequest({ kind: 'idempotent' })
+  const length = Math.ceil(bytes.length / Number(partCount))
+  const answers = callers.map(async caller => await caller.send([bytes.slice(0, length)]))
+  for (let start = length; start < bytes.length; start += length) {
+    await sleep(Number(ms))
+    for (const caller of callers) caller.write(bytes.slice(start, start + length))
+  }
+  this.arrivingAnswers = (await Promise.all(answers)).flat()
+  for (const caller of callers) caller.close()
+})
+
+When('the ends of {int} requests arrive on connections with an earlier answer, and its process stands still beyond the idle time-out', async function (this: ArrivingWorld, count: number) {
+  const callers = await openAnsweredCallers(this, count)
+  const [begin, end] = ['GET /safe/x HTTP/1.1\r\n', 'Host: x\r\n\r\n']
+  const answers = callers.map(async caller => await caller.send([begin]))
+  await sleep(beforeIdleMs)
+  // In this phase of the event loop, timers that are due run before anything is read; the bytes are with the system at once.
+  await new Promise(resolve => setImmediate(resolve))
+  for (const caller of callers) caller.write(end)
+  standStill()
+  this.arrivingAnswers = (await Promise.all(answers)).flat()
+  for (const caller of callers) caller.close()
+})
+
+When('{int} callers send two requests each, one after the other', { timeout: 10_000 }, async function (this: ArrivingWorld, count: number) {
+  const callers = await openCallers(this, count)
+  const first = await Promise.all(callers.map(async caller => await caller.send([{ kind: 'once' }])))
+  const second = await Promise.all(callers.map(async caller => await caller.send([{ kind: 'idempotent' }])))
+  this.arrivingAnswers = [...first, ...second].flat()
+  for (const caller of callers) caller.close()
+})
+
 When('{int} connections get an answer, one of them begins another request, and its process stands still beyond the idle time-out', async function (this: ArrivingWorld, count: number) {
   this.idleCallers = await openAnsweredCallers(this, count)
   this.idleCallers[0]!.send(['GET /safe/x HTTP/1.1\r\n'])
@@ -76,8 +111,12 @@
   assert.deepEqual(this.idleCallers.map(({ isClosed }) => isClosed), this.idleCallers.map(() => true))
 })
 
+async function openCallers (world: ArrivingWorld, count: number): Promise<RawCaller[]> {
+  return await Promise.all(Array.from({ length: count }, async () => await RawCaller.open(world.listener.address)))
+}
+
 async function openAnsweredCallers (world: ArrivingWorld, count: number): Promise<RawCaller[]> {
-  const callers = await Promise.all(Array.from({ length: count }, async () => await RawCaller.open(world.listener.address)))
+  const callers = await openCallers(world, count)
   await Promise.all(callers.map(async caller => await caller.send([{ kind: 'once' }])))
   return callers
 }
--- a/src/tasks/proxy/callerConnection.ts
+++ b/src/tasks/proxy/callerConnection.ts
@@ -299,9 +299,13 @@
     else socket.destroy()
   }
 
-  /** Closes a connection whose idle time-out has run out, unless a request arrived meanwhile that is yet to be read, as the process stood still. */
-  async closeUnlessArriving (): Promise<void> {
+  /**
+   * Receives that nothing has arrived or been written for the idle time-out. Closes the connection unless a request is in progress, or has arrived
+   * meanwhile and is yet to be read, as the process stood still. The first request of a connection has the time-out of heads alone.
+   */
+  async receiveIdleTimeout (): Promise<void> {
     const { socket } = this.#options
+    if (this.#exchanges.length > 0 || this.#idleSinceMs === -Infinity) return
     const { bytesRead } = socket
     // In this turn of the event loop, what has arrived is read.
     await new Promise(resolve => setImmediate(resolve))
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -54,6 +54,8 @@
 const maxHeadBytes = 64 * 1024
 /** Connections that the system holds for this process to accept. */
 const maxPendingConnections = 1024
+/** Time after the idle time-out at which Node.js closes an idle connection. */
+const keepAliveExtraMs = 1000
 const badRequestStatus = 400
 const contentTooLargeStatus = 413
 const expectationFailedStatus = 417
@@ -96,7 +98,7 @@
     Object.assign(this.#server, { httpAllowHalfOpen: true })
     this.#server.on('connection', (socket: Socket) => this.#receiveConnection(socket))
     // Without this, the server closes the connection at once.
-    this.#server.on('timeout', (socket: Socket) => { this.#connections.get(socket)?.closeUnlessArriving() })
+    this.#server.on('timeout', (socket: Socket) => { this.#connections.get(socket)?.receiveIdleTimeout() })
     this.#server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => {
       const isRead = this.#findRefusedStatus(message) === undefined && !this.#connections.get(message.socket)?.isLastReceived
       if (isRead) response.writeContinue()
@@ -136,6 +138,8 @@
     const limits = this.#getLimits()
     this.#server.headersTimeout = limits.headerTimeoutMs + 2000
     this.#server.keepAliveTimeout = limits.idleTimeoutMs
+    // Node.js 20.19 ends the idle time-out at the first byte of a request, and checks the time-out of heads every 30 s only.
+    this.#server.timeout = limits.idleTimeoutMs + keepAliveExtraMs
   }
 
   async start (): Promise<void> {
