Repeat the refusal of a reservation to a host that asks for it again

An owner forgot the reservations that it refused. A host sends its request again after 40 ms without a reply, so that on a busy machine it often arrives after the refusal: the owner decided anew, and what it granted or queued then was used and released by nobody. Its adapter counted as in use until the caller's time and one more second were over, and later requests were refused as they would start too late. Refusals are now kept as other grantors keep their replies; the class for it is shared. The new scenario of lateAsks counted 4 running requests of 3 before.

--- a/features/lateAsks.feature
+++ b/features/lateAsks.feature
@@ -19,3 +19,11 @@
     When the reservation is released
     And another one is released whose request arrives afterwards
     Then the allocator counts no running request
+
+  # Guards against reservations that no host uses or releases: their adapters count as in use until their callers' time is over.
+  Scenario: A request for a reservation that arrives once more after its refusal
+    Given an allocator of an engine that has granted a reservation
+    And 3 more fill the batch of the engine
+    When a request that may be declined arrives, and once more after the release of the reservation
+    Then the allocator counts 3 running requests
+    And its last 2 replies are the same refusal
--- a/features/steps/lateAsks.ts
+++ b/features/steps/lateAsks.ts
@@ -28,8 +28,8 @@
   return { type: 'done', id, endpointId, outcome: 'served', firstPartMs: 10 }
 }
 
-function receiveAsk ({ late }: LateAsksWorld, id: number): void {
-  late!.allocator.receiveRequest(`${session}.${id}`, createAsk(id), reply => late!.replies.push(reply))
+function receiveAsk ({ late }: LateAsksWorld, id: number, changes: Partial<ReservationRequest> = {}): void {
+  late!.allocator.receiveRequest(`${session}.${id}`, { ...createAsk(id), ...changes }, reply => late!.replies.push(reply))
 }
 
 Given('an allocator of an engine that has granted a reservation', async function (this: LateAsksWorld) {
@@ -69,6 +69,28 @@
   receiveAsk(this, 2)
 })
 
+Given('{int} more fill the batch of the engine', function (this: LateAsksWorld, count: number) {
+  for (let id = 2; id < 2 + count; id++) receiveAsk(this, id)
+  assert.deepEqual(this.late!.replies.map(({ type }) => type), Array.from({ length: 1 + count }, () => 'grant'))
+})
+
+When('a request that may be declined arrives, and once more after the release of the reservation', function (this: LateAsksWorld) {
+  receiveAsk(this, 9, { mayDecline: true })
+  this.late!.allocator.receiveRelease(`${session}.1`, createRelease(1))
+  receiveAsk(this, 9, { mayDecline: true })
+})
+
+Then('the allocator counts {int} running requests', function (this: LateAsksWorld, count: number) {
+  const { running, waiting } = this.late!.allocator.describeState() as { running: number, waiting: number }
+  assert.deepEqual({ running, waiting }, { running: count, waiting: 0 })
+})
+
+Then('its last {int} replies are the same refusal', function (this: LateAsksWorld, count: number) {
+  const last = this.late!.replies.slice(-count)
+  assert.deepEqual(last.map(({ type }) => type), last.map(() => 'refusal'))
+  assert.deepEqual(last, last.map(() => last[0]))
+})
+
 Then('the allocator counts no running request', function (this: LateAsksWorld) {
   const { running, waiting } = this.late!.allocator.describeState() as { running: number, waiting: number }
   assert.deepEqual({ running, waiting }, { running: 0, waiting: 0 })
--- a/src/tasks/allocation/dispatchEndpoint.ts
+++ b/src/tasks/allocation/dispatchEndpoint.ts
@@ -4,6 +4,7 @@
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { ReservationRelease, ReservationReply, ReservationRequest } from '../../schemas/datagram.js'
+import { RecentReplies } from './recentReplies.js'
 import type { SendReservationReply } from './reservationEntry.js'
 
 /** Called for each decision on a request, with the time that it waited if it was granted. */
@@ -19,8 +20,6 @@
   recordDecision: RecordDispatch
 }
 
-/** Replies that are kept for requests that are sent again; more than hosts send before they receive the reply. */
-const maxReplies = 512
 /** A grant tells the load of an engine, which endpoints of plain services do not have. */
 const noLoad = Object.freeze({ use: 0, backlogMs: 0, batchPart: 0 })
 const logIntervalMs = 5000
@@ -31,7 +30,7 @@
   #options: DispatchEndpointOptions
   #queue: DispatchQueue
   #pending = new Map<string, { id: number, sendReply: SendReservationReply, version: number }>()
-  #replies = new Map<string, ReservationReply>()
+  #replies = new RecentReplies()
   #timer: Timer | undefined
   #loggedAtMs: number
   #counts = { grant: 0, queue: 0, decline: 0, refuse: 0 }
@@ -45,7 +44,7 @@
   }
 
   receiveRequest (key: string, request: ReservationRequest, sendReply: SendReservationReply): void {
-    const known = this.#replies.get(key)
+    const known = this.#replies.find(key)
     if (known) {
       sendReply(known)
       return
@@ -58,7 +57,7 @@
 
   receiveRelease (key: string, { outcome, tookMs, slowness, busy }: ReservationRelease): void {
     this.#pending.delete(key)
-    this.#replies.delete(key)
+    this.#replies.remove(key)
     this.#apply(this.#queue.receiveRelease(key, { tookMs: outcome === 'served' ? tookMs : undefined, slowness, busy }, this.#options.clock.readMonotonic()))
   }
 
@@ -94,8 +93,7 @@
     const { id, version, sendReply } = pending
     if (decision.kind !== 'queue') this.#pending.delete(decision.key)
     const reply = this.#createReply(decision, id, version, refusalCode)
-    this.#replies.set(decision.key, reply)
-    if (this.#replies.size > maxReplies) this.#replies.delete(this.#replies.keys().next().value!)
+    this.#replies.add(decision.key, reply)
     sendReply(reply)
   }
 
--- a/src/tasks/allocation/engineAllocator.ts
+++ b/src/tasks/allocation/engineAllocator.ts
@@ -19,7 +19,8 @@
 import type { AdapterLoadOutcome } from './adapterLoader.js'
 import { EngineLoadLog } from './engineLoadLog.js'
 import { EngineOrderQueue } from './engineOrderQueue.js'
-import { createAdoptedReservation } from './reservationEntry.js'
+import { RecentReplies } from './recentReplies.js'
+import { createAdoptedReservation, createAllocationRequest } from './reservationEntry.js'
 import type { SendReservationReply, ReservationEntry } from './reservationEntry.js'
 
 export interface EngineAllocatorOptions {
@@ -61,6 +62,8 @@
   #reservations = new Map<string, ReservationEntry>()
   /** Released reservations; messages about them that arrive late are ignored, as nothing would release them again. */
   #ended = new RecentKeys(maxEndedKeys)
+  /** Refusals, which are repeated: a host that has received one would not use, nor release, what it is granted afterwards. */
+  #refusals = new RecentReplies()
   #orderQueue: EngineOrderQueue
   #loader: AdapterLoader
   #stateMonitor: EngineStateMonitor
@@ -176,12 +179,11 @@
   }
 
   receiveRequest (key: string, request: ReservationRequest, sendReply: SendReservationReply): void {
-    const known = this.#reservations.get(key)
-    if (known) {
-      if (known.lastReply) sendReply(known.lastReply)
-      return
-    }
     if (this.#ended.has(key)) return
+    const known = this.#reservations.get(key)
+    const lastReply = known ? known.lastReply : this.#refusals.find(key)
+    if (lastReply) sendReply(lastReply)
+    if (known || lastReply) return
     const nowMs = this.#options.clock.readMonotonic()
     const reservation: ReservationEntry = {
       key, request, sendReply, version: this.#findVersion(request), receivedAtMs: nowMs, isGranted: false, lastReply: undefined
@@ -266,20 +268,9 @@
 
   #submit (reservation: ReservationEntry, nowMs: number): void {
     const { request } = reservation
-    const decision = this.#planner.add({
-      key: reservation.key,
-      adapter: formatAdapterName(request),
-      isBase: request.adapter === '',
-      version: reservation.version,
-      dueAtMs: nowMs + request.dueInMs,
-      abandonAtMs: nowMs + request.uselessInMs,
-      promptTokens: this.#promptCounts.estimate(request.route, request.promptTokens),
-      promptSegments: request.parts.map(([id, tokens]) => ({ id, tokens })),
-      mayDecline: request.mayDecline,
-      isResumed: request.isResumed ?? false,
-      account: request.account,
-      isServedElsewhere: this.#adapterLocations.find(formatAdapterName(request), nowMs) !== undefined
-    }, nowMs)
+    const promptTokens = this.#promptCounts.estimate(request.route, request.promptTokens)
+    const isServedElsewhere = this.#adapterLocations.find(formatAdapterName(request), nowMs) !== undefined
+    const decision = this.#planner.add(createAllocationRequest(reservation, { promptTokens, isServedElsewhere }, nowMs), nowMs)
     this.#applyDecision(reservation, decision)
   }
 
@@ -307,7 +298,9 @@
   #refuse (reservation: ReservationEntry, code: string, message: string, retryAfterMs: number, expectedMs = -1): void {
     const nowMs = this.#options.clock.readMonotonic()
     const elsewhere = this.#adapterLocations.find(formatAdapterName(reservation.request), nowMs)
-    this.#reply(reservation, { type: 'refusal', id: reservation.request.id, code, message, retryAfterMs, expectedMs, load: this.#planner.getLoad(nowMs), ...(elsewhere !== undefined && { elsewhere }) })
+    const refusal: ReservationReply = { type: 'refusal', id: reservation.request.id, code, message, retryAfterMs, expectedMs, load: this.#planner.getLoad(nowMs), ...(elsewhere !== undefined && { elsewhere }) }
+    this.#reply(reservation, refusal)
+    this.#refusals.add(reservation.key, refusal)
     this.#reservations.delete(reservation.key)
   }
 
--- a/src/tasks/allocation/limitedEndpoint.ts
+++ b/src/tasks/allocation/limitedEndpoint.ts
@@ -5,6 +5,7 @@
 import { RetrySchedule } from '../../core/allocation/retrySchedule.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { ReservationReply, ReservationRequest } from '../../schemas/datagram.js'
+import { RecentReplies } from './recentReplies.js'
 import type { SendReservationReply } from './reservationEntry.js'
 
 export interface LimitedEndpointOptions {
@@ -21,8 +22,6 @@
   turn: LimitTurn
 }
 
-/** Replies that are kept for requests that are sent again; more than hosts send before they receive the reply. */
-const maxReplies = 512
 /** A grant tells the load of the engine; hosts that grant in place of an owner do not know it. */
 const noLoad = Object.freeze({ use: 0, backlogMs: 0, batchPart: 0 })
 
@@ -31,7 +30,7 @@
   #limiter: GrantLimiter
   #retries = new RetrySchedule()
   #waiting = new Map<string, WaitingRequest>()
-  #replies = new Map<string, ReservationReply>()
+  #replies = new RecentReplies()
   #timer: Timer | undefined
 
   constructor (options: LimitedEndpointOptions) {
@@ -40,7 +39,7 @@
   }
 
   receiveRequest (key: string, request: ReservationRequest, sendReply: SendReservationReply): void {
-    const known = this.#replies.get(key)
+    const known = this.#replies.find(key)
     if (known) {
       sendReply(known)
       return
@@ -60,7 +59,7 @@
 
   receiveRelease (key: string): void {
     this.#waiting.delete(key)
-    this.#replies.delete(key)
+    this.#replies.remove(key)
   }
 
   /** Grants and refuses waiting requests. Called also when the limit has changed. */
@@ -105,8 +104,7 @@
   }
 
   #reply (waiting: WaitingRequest, reply: ReservationReply): void {
-    this.#replies.set(waiting.key, reply)
-    if (this.#replies.size > maxReplies) this.#replies.delete(this.#replies.keys().next().value!)
+    this.#replies.add(waiting.key, reply)
     waiting.sendReply(reply)
   }
 }
--- a/src/tasks/allocation/reservationEntry.ts
+++ b/src/tasks/allocation/reservationEntry.ts
@@ -1,4 +1,6 @@
 /** An allocator's record of one reservation, from the request for it until it is released. */
+import { formatAdapterName } from '../../core/allocation/adapterName.js'
+import type { AllocationRequest } from '../../core/allocation/allocationRequest.js'
 import type { RunningRequestsReport, ReservationReply, ReservationRequest } from '../../schemas/datagram.js'
 
 export type SendReservationReply = (reply: ReservationReply) => void
@@ -25,3 +27,25 @@
   }
   return { key, request, sendReply: () => {}, version: reported.version, receivedAtMs, isGranted: true, lastReply: undefined }
 }
+
+/**
+ * Creates what the planner decides on from a reservation.
+ *
+ * @example
+ * planner.add(createAllocationRequest(reservation, { promptTokens: 650, isServedElsewhere: false }, nowMs), nowMs)
+ */
+export function createAllocationRequest ({ key, request, version }: ReservationEntry, estimates: Pick<AllocationRequest, 'promptTokens' | 'isServedElsewhere'>, nowMs: number): AllocationRequest {
+  return {
+    key,
+    adapter: formatAdapterName(request),
+    isBase: request.adapter === '',
+    version,
+    dueAtMs: nowMs + request.dueInMs,
+    abandonAtMs: nowMs + request.uselessInMs,
+    promptSegments: request.parts.map(([id, tokens]) => ({ id, tokens })),
+    mayDecline: request.mayDecline,
+    isResumed: request.isResumed ?? false,
+    account: request.account,
+    ...estimates
+  }
+}
