Count an adapter slot that is being freed as available

The estimate of when an engine starts a request took slots that are being unloaded for slots in use, although the planner reserves them for the next loads: a request was refused for the time of a whole run, some 500 to 1,000 ms, where the unload takes 15 ms. Such slots now count as available, less those of adapters that make way for their own next version. The new scenario failed before; the one beside it keeps a promised slot from being counted twice, and passes on both.

--- a/features/allocationPlanner.feature
+++ b/features/allocationPlanner.feature
@@ -28,6 +28,29 @@
     When request 2 ends
     Then the unload of "a2" is ordered
 
+  # Guards against a slot that counts as in use for the time of a whole run although its unload is almost done.
+  Scenario: A slot that is being freed for a request that has left is available to the next one
+    Given the engine has loaded "a1, a2, a3"
+    And requests 1 to 2 run on "a1, a2"
+    When 100 ms pass without planning
+    And request 3 needs "a4"
+    Then the unload of "a3" is ordered
+    When request 3 ends
+    And request 4 needs "a5" and became late 100 ms ago
+    Then request 4 is neither granted nor refused
+    When the unload of "a3" is done
+    Then the load of version 1 of "a5" is ordered
+
+  # Guards against a slot that is promised to more requests than it can serve.
+  Scenario: A slot that is being freed for a request that waits is not available to the next one
+    Given the engine has loaded "a1, a2, a3"
+    And requests 1 to 2 run on "a1, a2"
+    When 100 ms pass without planning
+    And request 3 needs "a4"
+    Then the unload of "a3" is ordered
+    When request 4 needs "a5" and became late 100 ms ago
+    Then request 4 is refused
+
   Scenario: The adapter with the fewest requests is evicted
     Given the engine has loaded "a1, a2, a3"
     And "a1" was requested 5 times
--- a/src/core/allocation/allocationPlanner.ts
+++ b/src/core/allocation/allocationPlanner.ts
@@ -347,14 +347,14 @@
     }
     const queued = this.#countQueuedAdapters(isOverShare)
     const rounds = Math.floor((queued + this.adapters.loadingCount) / maxLoads)
-    const missingSlots = queued + 1 - this.adapters.freeSlots - this.adapters.idleCount
+    const missingSlots = queued + 1 - this.adapters.availableSlots
     return loadMs * (1 + rounds) + Math.max(0, missingSlots) * this.#estimateSlotFreeMs()
   }
 
   /** Number of loads that could start now in addition to those of the queued adapters. */
   #countAvailableLoads (isOverShare: boolean): number {
     const queued = this.#countQueuedAdapters(isOverShare)
-    return Math.min(this.adapters.freeSlots + this.adapters.idleCount, this.#options.maxLoads - this.adapters.loadingCount) - queued
+    return Math.min(this.adapters.availableSlots, this.#options.maxLoads - this.adapters.loadingCount) - queued
   }
 
   /** Prefill time of all requests that wait, which come before one of an account over its share. */
--- a/src/core/allocation/engineAdapters.ts
+++ b/src/core/allocation/engineAdapters.ts
@@ -71,6 +71,11 @@
     return this.#count(adapter => adapter.state === 'loaded' && adapter.running === 0 && !adapter.isClosing)
   }
 
+  /** Slots that are free, can be freed immediately or are being freed; an adapter that makes way for its own next version frees none. */
+  get availableSlots (): number {
+    return this.freeSlots + this.idleCount + this.#count(adapter => adapter.state === 'unloading' && !adapter.isClosing)
+  }
+
   /** Adapters with exactly one running request. */
   get nearlyIdleCount (): number {
     return this.#count(adapter => adapter.state === 'loaded' && adapter.running === 1)
