--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -53,6 +53,8 @@
 const defaultLimits: CallerLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
 /** Connections that the system holds for this process to accept. */
 const maxPendingConnections = 1024
+/** Time after the idle time-out at which Node.js closes an idle connection. */
+const keepAliveExtraMs = 1000
 const badRequestStatus = 400
 const contentTooLargeStatus = 413
 const expectationFailedStatus = 417
@@ -95,7 +97,7 @@
     Object.assign(this.#server, { httpAllowHalfOpen: true })
     this.#server.on('connection', (socket: Socket) => this.#receiveConnection(socket))
     // Without this, the server closes the connection at once.
-    this.#server.on('timeout', (socket: Socket) => { this.#connections.get(socket)?.closeUnlessArriving() })
+    this.#server.on('timeout', (socket: Socket) => { this.#connections.get(socket)?.receiveIdleTimeout() })
     this.#server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => {
       const isRead = this.#findRefusedStatus(message) === undefined && !this.#connections.get(message.socket)?.isLastReceived
       if (isRead) response.writeContinue()
@@ -135,6 +137,8 @@
     const limits = this.#getLimits()
     this.#server.headersTimeout = limits.headerTimeoutMs + extraHeadTimeMs
     this.#server.keepAliveTimeout = limits.idleTimeoutMs
+    // Node.js 20.19 ends the idle time-out at the first byte of a request, and checks the time-out of heads every 30 s only.
+    this.#server.timeout = limits.idleTimeoutMs + keepAliveExtraMs
   }
 
   async start (): Promise<void> {
