Split the server of a stand-in endpoint from its answers and its draws of faults

Answers to requests that run are sent by endpointAnswers, answers with a wrong head, status or framing by brokenAnswers, and faultDraws decides what a fault strikes.

--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -8,11 +8,13 @@
 import { wirePaths } from '../../platform/wireNames.js'
 import { createEvenDraws } from './createEvenDraws.js'
 import type { FleetEngine } from './fleetEngine.js'
-import { countEvents, formatHeaders, formatUnframedHead, formatWholeAnswer, readBody } from './endpointBytes.js'
-import { formatChunk, isEndlessFor, isEndlessRefusal, sendEndless } from './endlessAnswer.js'
+import { answerWithoutEnd, cutHead, cutUpload, sendStatus } from './brokenAnswers.js'
+import { sendPlainAnswer, streamEvents, streamUnframed } from './endpointAnswers.js'
+import type { AnsweredRun } from './endpointAnswers.js'
+import { formatHeaders, readBody } from './endpointBytes.js'
 import { noEndpointFaults } from './endpointFaults.js'
 import type { EndpointFaults, FaultShare } from './endpointFaults.js'
-import { spoilEvent } from './spoilEvent.js'
+import { FaultDraws } from './faultDraws.js'
 import type { RunJournal, RunRecord } from './runJournal.js'
 
 export interface EndpointServerOptions {
@@ -48,7 +50,6 @@
 }
 
 const lateOrderMs = 1500
-const resetDelayMs = 20
 const readNow = (): number => performance.now()
 
 export async function startEndpointServer (options: EndpointServerOptions): Promise<EndpointServer> {
@@ -67,8 +68,7 @@
 }
 
 class Endpoint {
-  /** One sequence for each fault, as draws of other faults would decide which requests meet it. */
-  #draws = new Map<FaultShare, () => number>()
+  #draws: FaultDraws
   faults: EndpointFaults = { ...noEndpointFaults }
   address: string
   readonly crashTimesMs: number[] = []
@@ -85,6 +85,7 @@
 
   constructor (options: EndpointServerOptions) {
     this.#options = options
+    this.#draws = new FaultDraws(options.createDraws ?? createEvenDraws)
     this.address = options.listenAddress
     this.#server = createServer((request, response) => { this.#receive(request, response) })
     this.#server.keepAliveTimeout = 30_000
@@ -129,7 +130,7 @@
 
   async #receive (request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (this.faults.cutsUploads && request.url !== wirePaths.order && request.url !== wirePaths.report) {
-      this.#cutUpload(request)
+      cutUpload(request, this.#options.id, this.#options.engine !== undefined)
       return
     }
     const body = await readBody(request).catch(() => undefined)
@@ -209,7 +210,7 @@
   }
 
   #run (request: IncomingMessage, response: ServerResponse, marks: ReceivedHeaders): void {
-    const { id, service, journal, engine, workMs } = this.#options
+    const { id, service, journal, engine, workMs, random } = this.#options
     const run = journal.start({
       requestId: marks.requestId ?? '', endpointId: id, service, path: request.url ?? '', startedAtMs: readNow(), timeLeftMs: marks.timeLeftMs, fromEvent: marks.lastEventId, adapterVersion: marks.version, account: marks.account, hasCredentials: marks.hasCredentials
     })
@@ -224,13 +225,20 @@
     }
     response.on('close', () => finish('left'))
     const headers = encodeEndpointResponseHeaders(run.requestId, `signed by ${id}`, { isLeaving: this.faults.isLeaving, limit: this.faults.limit, brittle: this.faults.brittle, load: this.#readLoad() })
-    if (this.#sendEndless(request, run, headers, finish)) return
-    if (this.faults.status !== '') {
+    const { socket } = request
+    const { endless, status } = this.faults
+    const isStream = engine !== undefined
+    if (endless !== '') {
+      answerWithoutEnd(endless, { run, socket, headers, finish, receiveEnd: bytes => this.endlessBytes.push(bytes) })
+      return
+    }
+    if (status !== '') {
       finish('broken')
-      this.#sendStatus(request, run, headers)
+      sendStatus(socket, status, isStream, run, headers)
       return
     }
     if (this.#shouldStrike('silentRuns')) return
+    const answered: AnsweredRun = { run, socket, response, headers, finish, random, getFaults: () => this.faults, shouldStrike: fault => this.#shouldStrike(fault) }
     if (this.#shouldStrike('errors')) {
       setTimeout(() => {
         finish('broken')
@@ -239,172 +247,26 @@
     } else if (this.#shouldStrike('headCuts')) {
       setTimeout(() => {
         finish('broken')
-        this.#cutHead(request, headers)
+        cutHead(socket, { isStream, headers, random, isReset: this.faults.resetsHeads })
       }, workMs / 2)
     } else if (engine && this.#isCrashedBy(marks)) {
       response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' }).flushHeaders()
       setTimeout(() => { if (!response.destroyed) this.crash() }, this.faults.eventMs || engine.options.eventMs)
     } else if (engine && this.#shouldStrike('unframed')) {
-      this.#streamUnframed(engine, response, run, headers, finish)
+      streamUnframed(answered, engine.options.eventMs)
     } else if (engine) {
-      this.#stream(engine, response, run, headers, finish)
+      streamEvents(answered, engine.options.eventMs)
     } else {
-      setTimeout(() => this.#answer(request, response, run, headers, finish), workMs * (this.faults.slowness || 1) + this.faults.extraMs)
+      setTimeout(() => sendPlainAnswer(answered), workMs * (this.faults.slowness || 1) + this.faults.extraMs)
     }
   }
 
   #shouldStrike (fault: FaultShare): boolean {
-    let draw = this.#draws.get(fault)
-    if (!draw) {
-      draw = (this.#options.createDraws ?? createEvenDraws)()
-      this.#draws.set(fault, draw)
-    }
-    return draw() < this.faults[fault]
-  }
-
-  /** Returns whether the request is answered without end. */
-  #sendEndless ({ socket }: IncomingMessage, run: RunRecord, headers: Record<string, string>, finish: (outcome: RunRecord['outcome']) => void): boolean {
-    const { endless } = this.faults
-    if (endless === '') return false
-    if (!isEndlessFor(endless, run.fromEvent)) {
-      // The caller has two events of a stream that somebody else has to complete.
-      const broken = [1, 2].map(id => formatChunk(`id: ${id}\ndata: ${run.requestId} ${id}\n\n`)).join('')
-      socket.write(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n${broken}`)
-      // A reset at once would take the events along.
-      setTimeout(() => socket.resetAndDestroy(), resetDelayMs)
-      finish('broken')
-      return true
-    }
-    const startBytes = socket.bytesWritten
-    sendEndless(socket, endless, formatHeaders(isEndlessRefusal(endless) ? encodeEndpointResponseHeaders(run.requestId, undefined) : headers))
-    socket.once('close', () => {
-      finish('broken')
-      this.endlessBytes.push(socket.bytesWritten - startBytes)
-    })
-    return true
-  }
-
-  /** Sends what would be a whole answer if its status were 200. */
-  #sendStatus ({ socket }: IncomingMessage, run: RunRecord, headers: Record<string, string>): void {
-    const { body, contentType } = formatWholeAnswer(this.#options.engine !== undefined, run.requestId, run.fromEvent)
-    socket.write(`HTTP/1.1 ${this.faults.status}\r\n${formatHeaders({ ...headers, ...contentType })}content-length: ${body.length}\r\n\r\n${body}`)
-  }
-
-  #cutUpload (request: IncomingMessage): void {
-    const { socket } = request
-    const { requestId = '', lastEventId } = decodeReceivedHeaders(request.headers)
-    const { body, contentType } = formatWholeAnswer(this.#options.engine !== undefined, requestId, lastEventId)
-    // A stream that ends after a whole event looks complete.
-    const part = this.#options.engine ? body.slice(0, body.indexOf('\n\n') + 2) : body.slice(0, body.length / 2)
-    request.pause()
-    socket.write(formatUnframedHead('1.1', { ...encodeEndpointResponseHeaders(requestId, `signed by ${this.#options.id}`), ...contentType }) + part)
-    // A reset at once would take the answer along.
-    setTimeout(() => socket.resetAndDestroy(), resetDelayMs)
-  }
-
-  /** Ends the connection somewhere before the blank line that ends the head. */
-  #cutHead ({ socket }: IncomingMessage, headers: Record<string, string>): void {
-    const { random, engine } = this.#options
-    const framing: Record<string, string> = engine ? { 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' } : { 'content-length': '5' }
-    const head = `HTTP/1.1 200 OK\r\n${formatHeaders({ ...headers, ...framing })}`
-    const part = head.slice(0, 1 + Math.floor(random() * head.length))
-    if (this.faults.resetsHeads) socket.write(part, () => socket.resetAndDestroy())
-    else socket.end(part)
+    return this.#draws.shouldStrike(fault, this.faults)
   }
 
   #isCrashedBy ({ sharedParts, adapter }: ReceivedHeaders): boolean {
     const { crashParts, crashAdapter } = this.faults
     return sharedParts.some(part => crashParts.includes(part)) && (crashAdapter === '' || crashAdapter === adapter)
   }
-
-  #answer (request: IncomingMessage, response: ServerResponse, run: RunRecord, headers: Record<string, string>, finish: (outcome: RunRecord['outcome']) => void): void {
-    const body = `done ${run.requestId}`
-    if (this.#shouldStrike('cuts')) {
-      finish('broken')
-      response.writeHead(200, { ...headers, 'content-length': String(body.length) }).write(body.slice(0, 4))
-      setImmediate(() => request.socket.resetAndDestroy())
-    } else if (this.#shouldStrike('unframedCuts')) {
-      finish('broken')
-      request.socket.write(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}connection: close\r\n\r\n${body.slice(0, 4)}`, () => request.socket.resetAndDestroy())
-    } else if (this.#shouldStrike('unframed')) {
-      finish('whole')
-      request.socket.end(formatUnframedHead(this.faults.unframedVersion, headers) + body)
-    } else {
-      finish('whole')
-      response.writeHead(200, { ...headers, 'content-length': String(body.length) }).end(body)
-      if (this.#shouldStrike('extras')) setTimeout(() => request.socket.write(`HTTP/1.1 200 OK\r\n${formatHeaders(headers)}content-length: ${body.length}\r\n\r\n${body}`), 5)
-    }
-  }
-
-  /** Sends events over the bare connection, which ends the stream; a stream that is cut ends inside an event. */
-  #streamUnframed (engine: FleetEngine, response: ServerResponse, run: RunRecord, headers: Record<string, string>, finish: (outcome: RunRecord['outcome']) => void): void {
-    const { random } = this.#options
-    const socket = response.socket!
-    const last = countEvents(run.requestId)
-    const cutAfter = this.#shouldStrike('unframedCuts') ? run.fromEvent + Math.floor(random() * last) : Infinity
-    const isEmpty = this.#shouldStrike('emptyStreams')
-    let next = run.fromEvent + 1
-    socket.write(formatUnframedHead(this.faults.unframedVersion, { ...headers, 'content-type': 'text/event-stream' }))
-    const send = (): void => {
-      if (socket.destroyed) return
-      if (isEmpty || next > cutAfter || next > last) {
-        const isCut = !isEmpty && next > cutAfter
-        finish(isCut || isEmpty ? 'broken' : 'whole')
-        socket.end(isCut ? `id: ${next}\nda` : '')
-        return
-      }
-      socket.write(`id: ${next}\ndata: ${run.requestId} ${next}\n\n`)
-      next++
-      setTimeout(send, engine.options.eventMs)
-    }
-    setTimeout(send, engine.options.eventMs)
-  }
-
-  /** Sends events with rising ids; the number of them follows from the request's id. */
-  #stream (engine: FleetEngine, response: ServerResponse, run: RunRecord, headers: Record<string, string>, finish: (outcome: RunRecord['outcome']) => void): void {
-    const { random } = this.#options
-    const last = countEvents(run.requestId)
-    const eventMs = this.faults.eventMs || engine.options.eventMs
-    const { silenceMs, commentMs } = this.faults
-    const cutAfter = this.#shouldStrike('cuts') ? run.fromEvent + Math.floor(random() * last) : Infinity
-    const { spoiling, spoiledEvent } = this.faults
-    const isSpoiled = this.#shouldStrike('spoiledIds')
-    let next = run.fromEvent + 1
-    response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
-    if (this.faults.trickleMs > 0) {
-      const trickle = setInterval(() => response.write(':'), this.faults.trickleMs)
-      response.on('close', () => clearInterval(trickle))
-      return
-    }
-    const send = (): void => {
-      if (response.destroyed) return
-      if (next > cutAfter || this.faults.breaksStreams) {
-        finish('broken')
-        // Half an event shows whether only whole ones are passed on.
-        response.write(`id: ${next}\nda`, () => response.socket?.resetAndDestroy())
-        return
-      }
-      if (next > last) {
-        finish('whole')
-        response.end()
-        return
-      }
-      const event = `id: ${next}\ndata: ${run.requestId} ${next}\n\n`
-      response.write(isSpoiled && next === spoiledEvent ? spoilEvent(event, spoiling) : event)
-      next++
-      const isSilent = next === eventsBeforeSilence + 1
-      setTimeout(send, isSilent ? eventMs + silenceMs : eventMs)
-      if (isSilent && commentMs > 0) sendComments(response, commentMs, silenceMs)
-    }
-    setTimeout(send, eventMs)
-  }
-}
-
-/** Events that come before the silence of a stream; every stream has one more at least. */
-const eventsBeforeSilence = 2
-
-/** Sends comments, which hold a quiet connection open. */
-function sendComments (response: ServerResponse, intervalMs: number, forMs: number): void {
-  const timer = setInterval(() => response.write(': quiet\n\n'), intervalMs)
-  setTimeout(() => clearInterval(timer), forMs)
 }
