--- a/src/tasks/proxy/proxiedRequest.ts
+++ b/src/tasks/proxy/proxiedRequest.ts
@@ -2,12 +2,9 @@
 import { canRetryAttempt, isInterrupted, isRetryable } from '../../core/retryRules.js'
 import type { AttemptFailure } from '../../core/retryRules.js'
 import type { InFlightRequest } from '../../core/inFlightRequests.js'
-import { computeRequestFingerprint } from '../../core/requestFingerprint.js'
-import { listSuspectParts } from '../../core/sharedParts.js'
 import { pickService } from '../../core/routeTable.js'
 import type { Timer } from '../../ports/clock.js'
 import type { CallerRequest } from '../../schemas/callerRequest.js'
-import { formatPartFingerprint } from '../../schemas/hostRows.js'
 import type { Route } from '../../schemas/routing.js'
 import { RequestAttempt } from './requestAttempt.js'
 import type { AttemptResult } from './requestAttempt.js'
@@ -20,11 +17,12 @@
 import type { Admission } from './accountAccess.js'
 import { logRequestEnd } from './logRequestEnd.js'
 import { isEndpointAvailable } from './endpointAvailability.js'
-import { recordInterruption } from './recordInterruption.js'
-import { createRefusal, defaultRetryAfterMs, internalErrorReason, stoppingCode, stoppingRetryMs, unauthorizedStatus, unknownKeyCode, unreachableCode, unreachableRetryMs } from './refusals.js'
-import type { Refusal } from './refusals.js'
+import { defaultRetryAfterMs, internalErrorReason, stoppingCode, stoppingRetryMs, unauthorizedStatus, unknownKeyCode, unreachableCode, unreachableRetryMs } from './refusals.js'
 import { QuotaCharge, quotaExceededCode, quotaExceededStatus } from './quotaCharge.js'
+import { RequestReply } from './requestReply.js'
+import type { RequestEnd } from './requestReply.js'
 import { RequestRetries } from './requestRetries.js'
+import { RequestSuspicion } from './requestSuspicion.js'
 import { computeDueTimes, computeSpentMs, defaultTimeLeftMs } from './dueTimes.js'
 import { ForwardingAttempts } from './forwardingAttempts.js'
 import { TransientWait } from './transientWait.js'
@@ -45,14 +43,7 @@
   #service = ''
   /** Software version of the endpoints that may go on with the stream; undefined before its first event. */
   #softwareVersion: string | undefined
-  /** Hash of the request's content, by which requests that crash endpoints are recognized. */
-  #fingerprint = ''
-  /** Prompt parts that other requests may share, also together with the adapter version. */
-  #suspectParts: readonly string[] = []
-  /** Whether the request runs to find whether its parts still crash engines. */
-  #isTrial = false
-  /** Whether the last attempt's engine crashed before it began its answer on a prompt part that no engine has answered. */
-  #isPossibleCause = false
+  #suspicion: RequestSuspicion
   #dueAtMs = 0
   /** When the last chunk of a stream was written to the caller; undefined if none was. */
   #lastChunkAtMs: number | undefined
@@ -61,12 +52,10 @@
   #attempt: RequestAttempt | undefined
   #isSending = false
   #history: AttemptHistory
-  #hasEnded = false
+  #reply: RequestReply
   /** Whether the caller has probably left, so that no further attempt follows. */
   #isCallerUnknown = false
   #transientWait: TransientWait
-  /** Error response of an endpoint, which is relayed to the caller if the request is given up. */
-  #bufferedResponse: AttemptResult['bufferedResponse']
 
   constructor (context: ProxyContext, request: CallerRequest, response: CallerResponse) {
     this.#context = context
@@ -77,11 +66,13 @@
     this.#quotaCharge = new QuotaCharge(context)
     this.#transientWait = new TransientWait(context.clock)
     this.#softwareVersion = request.forwarded?.softwareVersion
+    this.#suspicion = new RequestSuspicion(context)
     this.#history = new AttemptHistory(request.forwarded)
+    this.#reply = new RequestReply({ context, response, history: this.#history, getRequest: () => this.#request, receiveEnd: end => this.#receiveEnd(end) })
   }
 
   receiveCallerDisconnect (): void {
-    this.#finish('left', 'the caller closed its connection', undefined, 'caller_left')
+    this.#reply.finish({ outcome: 'left', reason: 'the caller closed its connection', code: 'caller_left' })
     this.#attempt?.cancel()
   }
 
@@ -98,7 +89,7 @@
   receiveStop (): void {
     const verdict = this.#isSent ? 'mayHaveRun' : 'notRun'
     this.#attempt?.cancel()
-    this.#giveUp({ verdict, reason: 'this host has stopped', status: undefined }, stoppingRetryMs, stoppingCode)
+    this.#reply.giveUp({ verdict, reason: 'this host has stopped', status: undefined }, stoppingRetryMs, stoppingCode)
   }
 
   /** Called when a new configuration has been applied, which may have removed the request's key. */
@@ -112,15 +103,11 @@
     if (!mustComplete) this.#endForUnknownCaller()
   }
 
-  /** Ends the request like one whose caller has left; a caller that still reads is told what became of it. */
   #endForUnknownCaller (): void {
-    if (this.#hasEnded) return
-    const reason = 'the caller has ended its side of the connection, and may have left'
-    const status = this.#isSent || this.#history.mayHaveRun ? 502 : 503
+    if (this.#reply.hasEnded) return
+    const isSent = this.#isSent
     this.#attempt?.cancel()
-    this.#finish('left', reason, undefined, 'caller_left')
-    if (this.#response.hasHead) this.#response.abort()
-    else this.#writeRefusal({ status, code: 'caller_left', reason, retryAfterMs: status === 503 ? defaultRetryAfterMs : undefined })
+    this.#reply.endForUnknownCaller(isSent)
   }
 
   get #isSent (): boolean {
@@ -130,51 +117,50 @@
   /** Called when an exception ended `serve`. */
   receiveError (): void {
     this.#attempt?.cancel()
-    if (this.#response.hasHead) this.#abort(internalErrorReason)
-    else this.#respond(500, 'internal_error', internalErrorReason)
+    if (this.#response.hasHead) this.#reply.abort(internalErrorReason)
+    else this.#reply.respond(500, 'internal_error', internalErrorReason)
   }
 
   async serve (): Promise<void> {
     const { clusterView, clock, callerTimeouts, retryBudget, random, inFlightRequests } = this.#context
-    while (!clusterView.routes && !this.#hasEnded && await this.#transientWait.wait()) { /* A host that is starting receives its first cluster updates shortly. */ }
-    if (this.#hasEnded) return
+    while (!clusterView.routes && !this.#reply.hasEnded && await this.#transientWait.wait()) { /* A host that is starting receives its first cluster updates shortly. */ }
+    if (this.#reply.hasEnded) return
     if (!clusterView.routes) {
-      this.#refuse('no_configuration', 'this host has no configuration yet', defaultRetryAfterMs)
+      this.#reply.refuse('no_configuration', 'this host has no configuration yet', defaultRetryAfterMs)
       return
     }
     const configuredRoute = clusterView.routes.findRoute(this.#request.host, this.#request.path)
     if (!configuredRoute) {
-      this.#respond(404, 'route_unknown', 'no route matches the host and path')
+      this.#reply.respond(404, 'route_unknown', 'no route matches the host and path')
       return
     }
     this.#route = configuredRoute
     this.#access = new AccountAccess(this.#context, this.#request, configuredRoute)
     if (this.#refuseIfKeyUnknown()) return
     const { request, route } = this.#admission!
-    this.#fingerprint = computeRequestFingerprint(request)
-    this.#suspectParts = listSuspectParts(request, clusterView.findAdapterVersion(request.model, request.adapter))
+    this.#suspicion.receiveRequest(request)
     this.#service = this.#request.forwarded?.service ?? pickService(route.targets, random()) ?? ''
     this.#dueAtMs = request.receivedAtMs + route.targetMs - computeSpentMs(callerTimeouts, route, request)
     this.#deadlineAtMs = request.receivedAtMs + Math.min(request.timeLeftMs ?? defaultTimeLeftMs, route.timeoutMs)
     this.#timer = clock.setTimer(() => this.#receiveTimeout(), this.#deadlineAtMs - clock.readMonotonic())
     // The host that forwards a request counts it.
     if (!request.forwarded) retryBudget.recordRequest(this.#service, clock.readMonotonic())
-    for (const fingerprint of this.#listFingerprints()) inFlightRequests.add(fingerprint, this)
+    for (const fingerprint of this.#suspicion.fingerprints) inFlightRequests.add(fingerprint, this)
     if (this.#deadlineAtMs <= clock.readMonotonic()) return this.#receiveTimeout()
     const isResolved = this.#softwareVersion !== undefined
     if (route.kind === 'stream' && request.isResumption && !isResolved && !await this.#resolveStream(route)) return
     const charge = this.#quotaCharge.charge(this.#admission!.account, request)
     const refusal = charge instanceof Promise ? await charge : charge
-    if (refusal) return this.#respond(quotaExceededStatus, quotaExceededCode, refusal.reason, refusal.retryAfterMs)
+    if (refusal) return this.#reply.respond(quotaExceededStatus, quotaExceededCode, refusal.reason, refusal.retryAfterMs)
     await this.#run(route)
   }
 
   /** Finds the software version that began the stream which the caller takes up; refuses the request if it is unknown. */
   async #resolveStream (route: Route): Promise<boolean> {
     const resolution = await this.#context.streamOrigins.resolve(this.#request, route, this.#service)
-    if (this.#hasEnded) return false
+    if (this.#reply.hasEnded) return false
     if (resolution.kind === 'unknown') {
-      this.#respond(503, 'stream_unknown', resolution.reason, resolution.retryAfterMs)
+      this.#reply.respond(503, 'stream_unknown', resolution.reason, resolution.retryAfterMs)
       return false
     }
     this.#service = resolution.origin.service
@@ -183,7 +169,7 @@
   }
 
   #receiveBegun (route: Route, { endpoint }: SelectedEndpoint): void {
-    this.#context.suspects.recordBegun(this.#suspectParts)
+    this.#suspicion.recordBegun()
     if (route.kind !== 'stream') return
     this.#softwareVersion = endpoint.softwareVersion
     this.#context.streamOrigins.recordBegun(this.#request, route, endpoint)
@@ -191,24 +177,19 @@
 
   /** Refuses the request if its content or prompt parts are known to crash endpoints; returns false if it may run. */
   #refuseIfCrashing (): boolean {
-    const { suspects } = this.#context
-    if (this.#hasEnded || this.#isTrial) return this.#hasEnded
-    const refusal = suspects.findRefusal(this.#fingerprint, this.#suspectParts)
+    if (this.#reply.hasEnded) return true
+    const refusal = this.#suspicion.findRefusal(!this.#isSending)
     if (!refusal) return false
-    if (!this.#isSending && suspects.tryBeginTrial(this.#fingerprint, this.#suspectParts)) {
-      this.#isTrial = true
-      return false
-    }
-    if (this.#response.hasHead) this.#abort(refusal.message)
-    else if (refusal.retryAfterMs === undefined) this.#respond(refusal.status, refusal.code, refusal.message)
-    else if (this.#history.mayHaveRun || this.#isSending) this.#respond(502, refusal.code, refusal.message)
-    else this.#refuse(refusal.code, refusal.message, refusal.retryAfterMs)
+    if (this.#response.hasHead) this.#reply.abort(refusal.message)
+    else if (refusal.retryAfterMs === undefined) this.#reply.respond(refusal.status, refusal.code, refusal.message)
+    else if (this.#history.mayHaveRun || this.#isSending) this.#reply.respond(502, refusal.code, refusal.message)
+    else this.#reply.refuse(refusal.code, refusal.message, refusal.retryAfterMs)
     return true
   }
 
   /** Refuses the request if it needs the key of an account and has none that is valid now; returns false if it may run. */
   #refuseIfKeyUnknown (): boolean {
-    if (this.#hasEnded) return true
+    if (this.#reply.hasEnded) return true
     this.#admission = this.#access!.check(this.#context.clusterView.routes!)
     if (this.#admission) {
       this.#request = this.#admission.request
@@ -216,15 +197,15 @@
       return false
     }
     this.#attempt?.cancel()
-    if (this.#history.mayHaveRun || this.#response.hasHead) this.#giveUp({ verdict: 'notRun', reason: this.#access!.refusalReason, status: undefined }, undefined)
-    else this.#respond(unauthorizedStatus, unknownKeyCode, this.#access!.refusalReason)
+    if (this.#history.mayHaveRun || this.#response.hasHead) this.#reply.giveUp({ verdict: 'notRun', reason: this.#access!.refusalReason, status: undefined }, undefined)
+    else this.#reply.respond(unauthorizedStatus, unknownKeyCode, this.#access!.refusalReason)
     return true
   }
 
   /** Gives the request up if it cannot be expected to end before this host stops; returns false if it may run. */
   #refuseIfStopping (route: Route): boolean {
-    if (this.#hasEnded || this.#context.shutdown.canComplete(route, this.#deadlineAtMs)) return this.#hasEnded
-    this.#giveUp({ verdict: 'notRun', reason: 'this host stops before the request can be expected to end', status: undefined }, stoppingRetryMs, stoppingCode)
+    if (this.#reply.hasEnded || this.#context.shutdown.canComplete(route, this.#deadlineAtMs)) return this.#reply.hasEnded
+    this.#reply.giveUp({ verdict: 'notRun', reason: 'this host stops before the request can be expected to end', status: undefined }, stoppingRetryMs, stoppingCode)
     return true
   }
 
@@ -232,10 +213,6 @@
     return Math.min(this.#deadlineAtMs, this.#context.shutdown.endsAtMs)
   }
 
-  #listFingerprints (): string[] {
-    return [this.#fingerprint, ...this.#suspectParts.map(formatPartFingerprint)]
-  }
-
   async #run (route: Route): Promise<void> {
     const { clock } = this.#context
     while (!this.#refuseIfKeyUnknown() && !this.#refuseIfCrashing() && !this.#refuseIfStopping(route)) {
@@ -246,7 +223,7 @@
       }
       const selectionStartedAtMs = clock.readMonotonic()
       const selection = await this.#context.endpointSelector.selectEndpoint({
-        request: this.#request, route: this.#route!, service: this.#service, account: this.#request.account || undefined, softwareVersion: this.#softwareVersion, isResumed: this.#request.isResumption || this.#response.hasHead, attemptedEndpointIds: this.#history.endpointIds, ...computeDueTimes({ request: this.#request, route, dueAtMs: this.#dueAtMs, lastChunkAtMs: this.#lastChunkAtMs }), deadlineAtMs: this.#getDeadlineAtMs(), hasEnded: () => this.#hasEnded
+        request: this.#request, route: this.#route!, service: this.#service, account: this.#request.account || undefined, softwareVersion: this.#softwareVersion, isResumed: this.#request.isResumption || this.#response.hasHead, attemptedEndpointIds: this.#history.endpointIds, ...computeDueTimes({ request: this.#request, route, dueAtMs: this.#dueAtMs, lastChunkAtMs: this.#lastChunkAtMs }), deadlineAtMs: this.#getDeadlineAtMs(), hasEnded: () => this.#reply.hasEnded
       })
       this.#history.recordSelection(selection, clock.readMonotonic() - selectionStartedAtMs)
       if (this.#refuseIfKeyUnknown() || this.#refuseIfCrashing() || this.#refuseIfStopping(route)) {
@@ -254,9 +231,9 @@
         return
       }
       if (selection.kind === 'none' && selection.isTransient && await this.#transientWait.wait()) continue
-      if (this.#hasEnded) return
+      if (this.#reply.hasEnded) return
       if (selection.kind === 'none') {
-        this.#giveUp({ verdict: 'notRun', reason: selection.message, status: undefined }, selection.retryAfterMs)
+        this.#reply.giveUp({ verdict: 'notRun', reason: selection.message, status: undefined }, selection.retryAfterMs)
         return
       }
       // The endpoint may have left, paused or restarted while the request waited for its reservation.
@@ -266,19 +243,19 @@
       }
       if (!this.#retries.takeIfNeeded(this.#service)) {
         selection.target.release('withdrawn', -1)
-        this.#giveUp({ verdict: 'notRun', reason: 'the retry budget is exhausted', status: undefined }, undefined)
+        this.#reply.giveUp({ verdict: 'notRun', reason: 'the retry budget is exhausted', status: undefined }, undefined)
         return
       }
       const wasAttempted = this.#history.endpointIds.includes(selection.target.endpoint.id)
       const failure = await this.#send(selection.target, route)
-      if (!failure || this.#hasEnded || this.#refuseIfCrashing()) return
+      if (!failure || this.#reply.hasEnded || this.#refuseIfCrashing()) return
       // Repeating a request that may have crashed its engine would take the next one along.
-      if (this.#isPossibleCause || !canRetryAttempt(failure, this.#createRetryView(route))) {
-        this.#giveUp(failure, undefined)
+      if (this.#suspicion.isPossibleCause || !canRetryAttempt(failure, this.#createRetryView(route))) {
+        this.#reply.giveUp(failure, undefined)
         return
       }
       this.#context.log.record('request.retried', 'An attempt failed; the request is retried.', {
-        requestId: this.#request.requestId, content: this.#fingerprint, route: route.name, endpointId: selection.target.endpoint.id, verdict: failure.verdict, reason: failure.reason, runs: this.#history.runCount
+        requestId: this.#request.requestId, content: this.#suspicion.fingerprint, route: route.name, endpointId: selection.target.endpoint.id, verdict: failure.verdict, reason: failure.reason, runs: this.#history.runCount
       })
       // While no endpoint takes connections, this host may have lost its links to all, which it knows shortly.
       if (wasAttempted && !this.#attempt?.isSent) await this.#transientWait.waitInterval()
@@ -302,20 +279,19 @@
     }), this.#request.forwarded ? createReplyHeaders({ softwareVersion: target.endpoint.softwareVersion }) : [])
     if (this.#attempt!.isSent) this.#retries.recordArrival()
     if (result.kind === 'answered') {
-      this.#isTrial = false
-      this.#context.suspects.recordServed(this.#fingerprint)
+      this.#suspicion.recordServed()
       if (route.kind === 'stream') this.#context.streamOrigins.recordEnded(this.#request, route)
       this.#context.shutdown.recordServed(route, this.#context.clock.readMonotonic() - this.#request.receivedAtMs)
-      this.#finish('served', `endpoint "${target.endpoint.id}" responded with status ${result.status}`)
+      this.#reply.finish({ outcome: 'served', reason: `endpoint "${target.endpoint.id}" responded with status ${result.status}` })
       return undefined
     }
-    this.#bufferedResponse = result.bufferedResponse ?? this.#bufferedResponse
+    this.#reply.retainResponse(result.bufferedResponse)
     if (result.failure.verdict !== 'notRun') {
       this.#history.recordPossibleRun()
-      this.#isTrial = false
+      this.#suspicion.recordPossibleRun()
     }
     if (isInterrupted(result.failure)) {
-      this.#isPossibleCause = await recordInterruption(this.#context, target, { requestId: this.#request.requestId, content: this.#fingerprint, parts: this.#suspectParts, hasBegun: this.#attempt!.hasBegun, sentAtMs, reason: result.failure.reason })
+      await this.#suspicion.recordInterruption({ requestId: this.#request.requestId, target, hasBegun: this.#attempt!.hasBegun, sentAtMs, reason: result.failure.reason })
     }
     this.#history.retryAfterMs = result.retryAfterMs ?? this.#history.retryAfterMs
     return result.failure
@@ -343,7 +319,7 @@
     const isOverBudget = peer && !this.#retries.takeIfNeeded(this.#service)
     if (!peer || isOverBudget) {
       const reason = peer ? 'the retry budget is exhausted' : `no endpoint of service "${this.#service}" can be reached`
-      this.#giveUp({ verdict: 'notRun', reason, status: undefined }, unreachableRetryMs, peer ? undefined : unreachableCode)
+      this.#reply.giveUp({ verdict: 'notRun', reason, status: undefined }, unreachableRetryMs, peer ? undefined : unreachableCode)
       return false
     }
     const fields = { service: this.#service, softwareVersion: this.#softwareVersion, attemptedEndpointIds: this.#history.endpointIds, runs: this.#history.runCount, account: this.#request.account }
@@ -356,10 +332,10 @@
     }), [])
     if (result.kind === 'answered') {
       forwarder.recordResponse(peer)
-      this.#finish('served', `host "${peer.row.host}" responded with status ${result.status}`)
+      this.#reply.finish({ outcome: 'served', reason: `host "${peer.row.host}" responded with status ${result.status}` })
       return false
     }
-    return !this.#hasEnded && this.#receiveForwardingFailure(route, peer, result)
+    return !this.#reply.hasEnded && this.#receiveForwardingFailure(route, peer, result)
   }
 
   /** Returns whether a request that another host could not serve is to be tried once more. */
@@ -369,67 +345,29 @@
       this.#history.recordPossibleRun()
       this.#retries.recordArrival()
     }
-    this.#bufferedResponse = bufferedResponse ?? this.#bufferedResponse
+    this.#reply.retainResponse(bufferedResponse)
     if (verdict === 'elsewhere' && canRetryAttempt(failure, this.#createRetryView(route))) return true
-    this.#giveUp(failure, retryAfterMs)
+    this.#reply.giveUp(failure, retryAfterMs)
     return false
   }
 
   #receiveTimeout (): void {
     const isSent = this.#attempt?.isSent ?? false
     this.#attempt?.cancel()
-    if (this.#response.hasHead) this.#abort('the deadline of the request has passed')
-    else if (isSent || this.#history.mayHaveRun) this.#respond(504, 'timed_out', 'the deadline of the request has passed')
-    else this.#refuse('timed_out', 'the deadline of the request passed before it was run', this.#history.retryAfterMs ?? defaultRetryAfterMs)
-  }
-
-  /** Reports a failure to the caller; the response distinguishes a request that was not run from one that may have run. */
-  #giveUp (failure: AttemptFailure, retryAfterMs: number | undefined, code = 'not_run'): void {
-    if (this.#hasEnded) return
-    if (this.#response.hasHead) this.#abort(failure.reason)
-    else if (this.#bufferedResponse) this.#relayBufferedResponse(this.#bufferedResponse, failure.reason)
-    else if (failure.verdict === 'notRun' && !this.#history.mayHaveRun) this.#refuse(code, failure.reason, retryAfterMs ?? this.#history.retryAfterMs ?? defaultRetryAfterMs)
-    else this.#respond(502, 'endpoint_failed', failure.reason)
-  }
-
-  #relayBufferedResponse (buffered: NonNullable<AttemptResult['bufferedResponse']>, reason: string): void {
-    this.#response.writeHead(buffered.head.status, buffered.head.headers)
-    this.#response.end(buffered.body)
-    this.#finish('failed', `${reason}; the response of the endpoint with status ${buffered.head.status} is relayed`, buffered.head.status, 'endpoint_failed')
-  }
-
-  #abort (reason: string): void {
-    this.#response.abort()
-    this.#finish('broken', reason, undefined, 'broken_off')
-  }
-
-  #refuse (code: string, reason: string, retryAfterMs: number): void {
-    this.#respond(503, code, reason, retryAfterMs)
-  }
-
-  #respond (status: number, code: string, reason: string, retryAfterMs?: number): void {
-    if (this.#hasEnded) return
-    this.#writeRefusal({ status, code, reason, retryAfterMs })
-    this.#finish(status === 503 || status === quotaExceededStatus ? 'refused' : 'failed', reason, status, code)
-  }
-
-  #writeRefusal (refusal: Refusal): void {
-    const { headers, body } = createRefusal(this.#context, this.#request, refusal)
-    this.#response.writeHead(refusal.status, headers)
-    this.#response.end(body)
+    if (this.#response.hasHead) this.#reply.abort('the deadline of the request has passed')
+    else if (isSent || this.#history.mayHaveRun) this.#reply.respond(504, 'timed_out', 'the deadline of the request has passed')
+    else this.#reply.refuse('timed_out', 'the deadline of the request passed before it was run', this.#history.retryAfterMs ?? defaultRetryAfterMs)
   }
 
-  #finish (outcome: string, reason: string, status?: number, code?: string): void {
-    if (this.#hasEnded) return
-    this.#hasEnded = true
+  #receiveEnd ({ outcome, reason, status, code }: RequestEnd): void {
     this.#timer?.cancel()
     this.#quotaCharge.end(outcome === 'served' || this.#history.mayHaveRun || this.#isSent)
-    const { clock, log, clusterView, inFlightRequests, suspects } = this.#context
-    for (const fingerprint of this.#listFingerprints()) inFlightRequests.remove(fingerprint, this)
-    if (this.#isTrial && !this.#isSent) suspects.cancelTrial(this.#suspectParts)
+    const { clock, log, clusterView, inFlightRequests } = this.#context
+    for (const fingerprint of this.#suspicion.fingerprints) inFlightRequests.remove(fingerprint, this)
+    if (!this.#isSent) this.#suspicion.cancelTrial()
     logRequestEnd(log, outcome, {
       request: this.#request,
-      fingerprint: this.#fingerprint,
+      fingerprint: this.#suspicion.fingerprint,
       route: this.#route,
       service: this.#service,
       dueAtMs: this.#dueAtMs,
