Keep quota reports readable where a request states token counts beyond all bounds

A caller may state any finite number of tokens. The costs of requests that wait, and the use of an account, are summed: with several requests of 1e308 tokens the sum was not finite, and hosts drop a datagram with such a number as a whole, reports of other accounts included, so that these got 429 as if no granter responded. A request now costs 1e12 at most, beyond any quota.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -84,6 +84,11 @@
       | NaN,200    | 100  |
       | Infinity,1 | 100  |
 
+  Scenario: Reports with token counts beyond all bounds are dropped, those of other accounts in them too
+    Given 7 hosts with accounts of 29000, 110000 and 330000 tokens per second
+    When each host gets 10 requests of 1e308 tokens of the account of 29000, and then the accounts use 55% of their rates for 20 s
+    Then hosts can read all messages of each other
+
   Scenario: Each of several hosts lets an account spend its whole quota
     Given 3 hosts before a platform whose account "acme" may spend 1000 tokens per second
     When callers with the key of "acme" send 40 requests of 100 tokens per second through all hosts for 12000 ms
--- a/features/steps/quotas.ts
+++ b/features/steps/quotas.ts
@@ -208,6 +208,22 @@
   }
 })
 
+When(/^each host gets (\d+) requests of (\S+) tokens of the account of (\d+), and then the accounts use (\d+)% of their rates for (\d+) s$/, function (this: QuotasWorld, countText: string, tokensText: string, rate: string, percentText: string, secondsText: string) {
+  const [count, promptTokens, percent, seconds] = [countText, tokensText, percentText, secondsText].map(Number) as [number, number, number, number]
+  const { cluster, accounts } = this
+  this.durationMs = seconds * 1000
+  cluster.clock.runUntil(startedMs - 2000)
+  for (const { task } of cluster.nodes) {
+    for (let index = 0; index < count; index++) task!.charge(accounts.find(({ name }) => name === `account-${rate}`)!, { promptTokens, maxTokens: 0, hasTokenCounts: true })
+  }
+  sendAll(this, () => cluster.clock.readMonotonic() < startedMs ? 0.1 : percent / 100, startedMs + this.durationMs)
+  cluster.clock.runUntil(startedMs + this.durationMs)
+})
+
+Then('hosts can read all messages of each other', function (this: QuotasWorld) {
+  assert.equal(this.cluster.unreadableMessages, 0)
+})
+
 When('a request of an account with 100 tokens for plain requests states {string}', function (this: QuotasWorld, counts: string) {
   const [promptTokens = 0, maxTokens = 0] = counts.split(',').map(Number)
   this.cost = computeRequestCost(createAccount(1000).quota!, { promptTokens, maxTokens, hasTokenCounts: counts !== 'none' })
--- a/features/support/quotaCluster.ts
+++ b/features/support/quotaCluster.ts
@@ -1,6 +1,8 @@
 /** Hosts that keep quotas together on a virtual clock: a network and a table of hosts that fail as a history says. */
+import { TypeCompiler } from '@sinclair/typebox/compiler'
 import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
 import type { Clock, Timer } from '../../src/ports/clock.js'
+import { hostMessageSchema } from '../../src/schemas/datagram.js'
 import type { QuotaMessage } from '../../src/schemas/datagram.js'
 import type { ClientAccount } from '../../src/schemas/routing.js'
 import { QuotaTask } from '../../src/tasks/quota/quotaTask.js'
@@ -29,12 +31,15 @@
 const removalMs = 3000
 const tableIntervalMs = 100
 const maxTableLagMs = 600
+const messageCheck = TypeCompiler.Compile(hostMessageSchema)
 
 export class QuotaCluster {
   readonly clock = new VirtualClock()
   readonly nodes: QuotaNode[] = []
   readonly events: Event[] = []
   messages = 0
+  /** Messages that their receivers dropped, as they have no valid form. */
+  unreadableMessages = 0
   lossRate = 0
   isStoreAvailable = true
   random: () => number
@@ -176,6 +181,10 @@
     if (sender.island !== target.island || this.random() < this.lossRate) return
     const from = { host: sender.host, session: sender.session, address: sender.address }
     const copy = structuredClone(message)
+    if (!messageCheck.Check(copy)) {
+      this.unreadableMessages++
+      return
+    }
     this.clock.setTimer(() => {
       const deliver = (): void => target.task?.receiveMessage(copy, from)
       if (target.isFrozen) target.held.push(deliver)
--- a/src/tasks/quota/quotaClient.ts
+++ b/src/tasks/quota/quotaClient.ts
@@ -82,6 +82,8 @@
 /** Entries in one datagram, to stay within a few kilobytes. */
 const maxAccountsPerReport = 16
 const maxWaitingPerAccount = 256
+/** Requests that state more cost this much, beyond any quota: sums of their costs stay finite, and hosts drop messages with numbers that are not. */
+const maxCost = 1e12
 /** Callers come back within this part of the time later. */
 const retrySpread = 0.25
 /** When callers may come back while no granter responds. */
@@ -115,7 +117,7 @@
     const { clock, directory } = this.#options
     const known = directory.find(account.name)
     if (!known) return freeCharge
-    const cost = computeRequestCost(known.quota, request)
+    const cost = Math.min(maxCost, computeRequestCost(known.quota, request))
     if (cost === 0) return freeCharge
     const nowMs = clock.readMonotonic()
     const held = this.#findAccount(account.name, known, nowMs)
