Ignore prompt parts with a token count that is not finite

A count of 309 digits or more was decoded as infinite and sent to the engine's owner, which dropped the datagram as invalid, with the requests and releases of others in it. Such a list now counts as malformed. The new scenario of crashingPromptParts failed before (parts "ab cd" were kept) and passes; the outline of shared parts passes.

--- a/features/crashingPromptParts.feature
+++ b/features/crashingPromptParts.feature
@@ -96,3 +96,7 @@
       | ab:1,xyz:2,cd:3            |          |
       | ab:1,cd,ef:3               |          |
       | ab:1,,ef:3                 |          |
+
+  Scenario: Hosts drop messages with a token count that is not finite, and those beside it
+    Given a request whose prompt parts have counts of 1 and 310 digits
+    Then its shared parts are ""
--- a/features/steps/crashingPromptParts.ts
+++ b/features/steps/crashingPromptParts.ts
@@ -187,10 +187,18 @@
   assert.ok(after >= before / 2, `${after} after ${before}`)
 })
 
-Given(/^a request with the prompt parts "(.*)"$/, function (this: PartsWorld, header: string) {
+function readSharedParts (header: string): string[] {
   const headers: Record<string, string> = { 'attempt-id': 'r1', 'prompt-prefix': header }
   const message = { method: 'POST', url: '/a/x', headers, rawHeaders: Object.entries(headers).flat() } as unknown as IncomingMessage
-  this.sharedParts = listSharedParts(decodeRequest(message, undefined, 0))
+  return listSharedParts(decodeRequest(message, undefined, 0))
+}
+
+Given(/^a request with the prompt parts "(.*)"$/, function (this: PartsWorld, header: string) {
+  this.sharedParts = readSharedParts(header)
+})
+
+Given('a request whose prompt parts have counts of {int} and {int} digits', function (this: PartsWorld, first: number, second: number) {
+  this.sharedParts = readSharedParts(`ab:${'9'.repeat(first)},cd:${'9'.repeat(second)},ef:1`)
 })
 
 Then(/^its shared parts are "(.*)"$/, function (this: PartsWorld, parts: string) {
--- a/src/platform/requestWire.ts
+++ b/src/platform/requestWire.ts
@@ -59,7 +59,9 @@
   if (list.trim() === '') return []
   const pairs = list.split(',').map(pair => promptSegmentPattern.exec(pair))
   if (!pairs.every(pair => pair !== null)) return []
-  return pairs.map(([, id, tokens]) => ({ id: id!.toLowerCase(), tokens: Number(tokens) }))
+  const segments = pairs.map(([, id, tokens]) => ({ id: id!.toLowerCase(), tokens: Number(tokens) }))
+  // Hosts drop messages with numbers that are not finite, as those of very many digits are.
+  return segments.every(({ tokens }) => Number.isFinite(tokens)) ? segments : []
 }
 
 /** Whitespace surrounds the key at most; one that holds any is of no account. */
