Count prompts as stated at engines whose cache size is unknown

The size of an engine's cache is optional in the configuration and 0 if absent. It is also the limit on plausible token counts, so that all prompts of such an engine counted as empty, and its backlog as 0. The limit is now 10 million tokens there.

--- a/features/longPrompts.feature
+++ b/features/longPrompts.feature
@@ -37,3 +37,7 @@
   Scenario: Implausible token counts are replaced by the usual count of the route
     When prompts of route "chat" have 480 tokens, and those of route "files" 9000
     Then counts of 0, -5, NaN, Infinity and 200001 tokens count as 480 on route "chat" and as 9000 on route "files"
+
+  Scenario: Prompts count as empty at an engine whose cache size is unknown
+    When an engine's cache size is unknown
+    Then prompts of 480 tokens count as 480, those of 0 tokens as 500 and those of 1e308 tokens as 480
--- a/features/steps/longPrompts.ts
+++ b/features/steps/longPrompts.ts
@@ -111,6 +111,15 @@
   }
 })
 
+When("an engine's cache size is unknown", function (this: LongPromptsWorld) {
+  this.counts = new PromptCounts(0)
+})
+
+Then('prompts of 480 tokens count as {int}, those of 0 tokens as {int} and those of 1e308 tokens as {int}', function (this: LongPromptsWorld, stated: number, missing: number, implausible: number) {
+  const countsByRoute = [['other', 0], ['chat', 480], ['chat', 1e308]] as const
+  assert.deepEqual(countsByRoute.map(([route, tokens]) => this.counts.estimate(route, tokens)), [missing, stated, implausible])
+})
+
 Then('counts of 0, -5, NaN, Infinity and 200001 tokens count as {int} on route {string} and as {int} on route {string}', function (this: LongPromptsWorld, firstTokens: number, first: string, secondTokens: number, second: string) {
   for (const tokens of [0, -5, NaN, Infinity, 200_001]) {
     assert.equal(this.counts.estimate(first, tokens), firstTokens)
--- a/src/core/allocation/promptCounts.ts
+++ b/src/core/allocation/promptCounts.ts
@@ -5,14 +5,16 @@
 /** Count for a route of which no plausible one is known; the published prompts have some 500 tokens. */
 const initialTokens = 500
 const maxRoutes = 256
+/** Limit on plausible counts where the size of the cache is unknown; the longest published prompts have 39,600 tokens. */
+const defaultMaxTokens = 10_000_000
 
 export class PromptCounts {
   #maxTokens: number
   #usual = new Map<string, number>()
 
-  /** `maxTokens`: more than a prompt can have. */
+  /** `maxTokens`: more than a prompt can have; 0 if unknown. */
   constructor (maxTokens: number) {
-    this.#maxTokens = maxTokens
+    this.#maxTokens = maxTokens > 0 ? maxTokens : defaultMaxTokens
   }
 
   /**
