--- a/src/tasks/allocation/engineAllocator.ts
+++ b/src/tasks/allocation/engineAllocator.ts
@@ -1,6 +1,6 @@
 /** Allocates one engine's capacity: handles reservation requests, orders adapter loads and unloads, and grants reservations. */
 import { AdapterLocations } from '../../core/allocation/adapterLocations.js'
-import { formatAdapterName, parseAdapterName } from '../../core/allocation/adapterName.js'
+import { formatAdapterName } from '../../core/allocation/adapterName.js'
 import { AllocationPlanner } from '../../core/allocation/allocationPlanner.js'
 import { describeEngineLoad } from '../../core/allocation/describeEngineLoad.js'
 import type { AllocationPlan, AllocationDecision } from '../../core/allocation/allocationRequest.js'
@@ -15,11 +15,12 @@
 import { EngineStateMonitor } from './engineStateMonitor.js'
 import { UntrackedRuns } from './untrackedRuns.js'
 import { AdapterLoader } from './adapterLoader.js'
+import { AdapterOrders } from './adapterOrders.js'
 import { applyEngineState } from './applyEngineState.js'
-import type { AdapterLoadOutcome } from './adapterLoader.js'
+import { EngineLeaving } from './engineLeaving.js'
 import { EngineLoadLog } from './engineLoadLog.js'
 import { EngineOrderQueue } from './engineOrderQueue.js'
-import { createAdoptedReservation } from './reservationEntry.js'
+import { createAdoptedReservation, maxEndedKeys } from './reservationEntry.js'
 import type { SendReservationReply, ReservationEntry } from './reservationEntry.js'
 
 export interface EngineAllocatorOptions {
@@ -44,10 +45,6 @@
 /** A reservation that its holder did not release is freed this long after its caller has left. */
 const lostReservationGraceMs = 1000
 const sweepIntervalMs = 500
-/** More than the requests that end at an engine within seconds, as long as a datagram may be on its way. */
-const maxEndedKeys = 1024
-/** How long one host's notice that an engine is leaving is in effect; later notices extend it, and a false one expires. */
-const leavingTtlMs = 5000
 /** Version of adapters for which none was declared. */
 const defaultAdapterVersion = 1
 /** Number of loads that one engine accepts at a time. */
@@ -57,12 +54,14 @@
 
 export class EngineAllocator {
   #options: EngineAllocatorOptions
-  #entry: EndpointEntry
+  #endpointId: string
+  #leaving: EngineLeaving
   #reservations = new Map<string, ReservationEntry>()
   /** Released reservations; messages about them that arrive late are ignored, as nothing would release them again. */
   #ended = new RecentKeys(maxEndedKeys)
   #orderQueue: EngineOrderQueue
   #loader: AdapterLoader
+  #adapterOrders: AdapterOrders
   #stateMonitor: EngineStateMonitor
   #planner: AllocationPlanner
   #promptCounts: PromptCounts
@@ -75,12 +74,11 @@
   #sweepTimer: Timer | undefined
   #isPlanning = false
   #loadLog: EngineLoadLog
-  /** Until this time the engine counts as leaving because of its own responses. */
-  #leavingUntilMs = -Infinity
 
   constructor (options: EngineAllocatorOptions) {
     this.#options = options
-    this.#entry = options.entry
+    this.#endpointId = options.entry.id
+    this.#leaving = new EngineLeaving(options)
     const { clock, log, engine, orders } = options
     this.#orderQueue = new EngineOrderQueue({ ...options, endpointId: options.entry.id, receiveMismatch: reason => this.#stateMonitor.refreshState(reason) })
     this.#loader = new AdapterLoader({
@@ -102,6 +100,7 @@
       findRate: options.findRate,
       ...(options.getAccountWeight && { getAccountWeight: options.getAccountWeight })
     })
+    this.#adapterOrders = new AdapterOrders({ clock, orderQueue: this.#orderQueue, loader: this.#loader, planner: this.#planner, receiveOutcome: () => this.#plan() })
     this.#loadLog = new EngineLoadLog({
       clock, log, endpointId: options.entry.id, describe: () => ({ isReady: this.#stateMonitor.isReady, isOpen: this.#orderQueue.canSendOrders, ...this.#describeLoad() })
     })
@@ -111,7 +110,7 @@
   }
 
   get endpointId (): string {
-    return this.#entry.id
+    return this.#endpointId
   }
 
   start (): void {
@@ -126,6 +125,7 @@
 
   stop (reason: string): void {
     this.#isStopped = true
+    this.#adapterOrders.stop()
     this.#planTimer?.cancel()
     this.#sweepTimer?.cancel()
     this.#stateMonitor.stop()
@@ -136,25 +136,13 @@
 
   /** Called when the endpoint's row has changed. */
   receiveEntry (entry: EndpointEntry): void {
-    const isRestarted = entry.startedAtMs !== this.#entry.startedAtMs
-    this.#entry = entry
-    if (isRestarted) {
-      this.#leavingUntilMs = -Infinity
-      this.#orderQueue.invalidate('its entry shows a restart')
-    }
+    if (this.#leaving.receiveEntry(entry)) this.#orderQueue.invalidate('its entry shows a restart')
     if (entry.isLeaving) this.#refuseWaiting()
   }
 
   /** Called when a host has received the engine's own notice that it is leaving. */
-  receiveLeaving ({ startedAtMs }: EndpointLeaving): void {
-    if (startedAtMs !== this.#entry.startedAtMs) return
-    const { clock, log } = this.#options
-    const nowMs = clock.readMonotonic()
-    const wasLeaving = this.#isLeaving(nowMs)
-    this.#leavingUntilMs = nowMs + leavingTtlMs
-    if (wasLeaving) return
-    log.record('engine.leaving', 'An engine reports that it is leaving; it receives no loads, and no reservations are granted there for a while.', { endpointId: this.endpointId, startedAtMs, leftMs: leavingTtlMs })
-    this.#refuseWaiting()
+  receiveLeaving (notice: EndpointLeaving): void {
+    if (this.#leaving.receiveNotice(notice)) this.#refuseWaiting()
   }
 
   /** Called when the engine's limit has changed: requests may wait for longer, or no more. */
@@ -162,10 +150,6 @@
     this.#plan()
   }
 
-  #isLeaving (nowMs: number): boolean {
-    return this.#entry.isLeaving || nowMs < this.#leavingUntilMs
-  }
-
   /** Refuses waiting requests early, while there is time to load their adapters on other engines. */
   #refuseWaiting (): void {
     for (const reservation of [...this.#reservations.values()]) {
@@ -254,7 +238,7 @@
 
   /** Finds the reason why no reservation can be granted now, regardless of the engine's load. */
   #findRefusal ({ request }: ReservationEntry): { code: string, reason: string } | undefined {
-    if (this.#isLeaving(this.#options.clock.readMonotonic())) return { code: 'endpoint_leaving', reason: `endpoint "${this.endpointId}" is leaving` }
+    if (this.#leaving.isLeaving) return { code: 'endpoint_leaving', reason: `endpoint "${this.endpointId}" is leaving` }
     // Requests that arrive before the first state report wait for it.
     if (!this.#stateMonitor.isReady && !this.#stateMonitor.isStarting) return { code: 'endpoint_not_ready', reason: `the state of endpoint "${this.endpointId}" is unknown` }
     const hasAdapter = request.adapter === '' || this.#planner.adapters.find(formatAdapterName(request)) !== undefined
@@ -348,8 +332,8 @@
     }
     const load = this.#planner.getLoad(nowMs)
     for (const key of plan.granted) this.#grant(key, load, nowMs)
-    for (const adapter of plan.unloads) this.#executeUnload(adapter)
-    for (const { adapter, version } of plan.loads) this.#executeLoad(adapter, version)
+    for (const adapter of plan.unloads) this.#adapterOrders.unload(adapter)
+    for (const { adapter, version } of plan.loads) this.#adapterOrders.load(adapter, version)
   }
 
   #grant (key: string, load: ReturnType<AllocationPlanner['getLoad']>, nowMs: number): void {
@@ -361,32 +345,6 @@
     this.#reply(reservation, { type: 'grant', id: reservation.request.id, load, waitedMs: nowMs - reservation.receivedAtMs, version })
   }
 
-  // Orders
-
-  async #executeLoad (name: string, version: number): Promise<void> {
-    const { model, adapter } = parseAdapterName(name)
-    this.#handleLoadOutcome(name, version, await this.#loader.load({ kind: 'load', model, adapter, version }))
-  }
-
-  #handleLoadOutcome (name: string, version: number, outcome: AdapterLoadOutcome): void {
-    if (this.#isStopped) return
-    const nowMs = this.#options.clock.readMonotonic()
-    if (outcome === 'loaded') this.#planner.recordLoaded(name, version, nowMs)
-    else if (outcome === 'refused') this.#planner.recordLoadFailed(name, nowMs)
-    else if (outcome === 'unknown') this.#orderQueue.invalidate(`it is unknown whether adapter "${name}" was loaded`)
-    this.#plan()
-  }
-
-  async #executeUnload (name: string): Promise<void> {
-    const { clock } = this.#options
-    const { model, adapter } = parseAdapterName(name)
-    const outcome = await this.#orderQueue.submit({ kind: 'unload', model, adapter, version: undefined })
-    if (this.#isStopped) return
-    if (outcome.verdict === 'holds') this.#planner.recordUnloaded(name)
-    else this.#planner.recordUnloadFailed(name, clock.readMonotonic())
-    this.#plan()
-  }
-
   // State
 
   #applyInitialState (state: EngineState): void {
@@ -398,7 +356,7 @@
 
   #applyState (state: EngineState, isRestarted: boolean): void {
     applyEngineState(state, isRestarted, {
-      planner: this.#planner, loader: this.#loader, untrackedRuns: this.#untrackedRuns, receiveLoadOutcome: (name, version, outcome) => this.#handleLoadOutcome(name, version, outcome)
+      planner: this.#planner, loader: this.#loader, untrackedRuns: this.#untrackedRuns, receiveLoadOutcome: (name, version, outcome) => this.#adapterOrders.receiveLoadOutcome(name, version, outcome)
     }, this.#options.clock.readMonotonic())
     this.#plan()
   }
--- a/src/tasks/allocation/reservationEntry.ts
+++ b/src/tasks/allocation/reservationEntry.ts
@@ -1,6 +1,9 @@
 /** An allocator's record of one reservation, from the request for it until it is released. */
 import type { RunningRequestsReport, ReservationReply, ReservationRequest } from '../../schemas/datagram.js'
 
+/** Number of released reservations that an allocator remembers: more than end within seconds, as long as a datagram may be on its way. */
+export const maxEndedKeys = 1024
+
 export type SendReservationReply = (reply: ReservationReply) => void
 
 export interface ReservationEntry {
