Plan a dispatch queue again only when something is due

While requests waited and the last one had come within the first 150 ms of granting, the end of these counted as the next time to plan also once it was past, so that the host planned every 2 ms until the next request.

--- a/features/serviceDispatch.feature
+++ b/features/serviceDispatch.feature
@@ -61,3 +61,8 @@
     When each host has served a request
     And 24 requests come to the hosts in bursts of 6 within 400 ms
     Then no host has asked another one for a place, and no release has more than its usual fields
+
+  Scenario: A host that grants plans again every 2 ms while a request waits
+    Given a host that grants requests to an endpoint with 1 place since 100 ms
+    When a request runs there and another one waits
+    Then the host sets at most 5 timers within 1000 ms
--- a/src/core/dispatch/dispatchQueue.ts
+++ b/src/core/dispatch/dispatchQueue.ts
@@ -151,11 +151,12 @@
   }
 
   /** When `plan` is due if nothing else happens before; undefined if nothing waits. */
-  getNextPlanAtMs (): number | undefined {
+  getNextPlanAtMs (nowMs: number): number | undefined {
     if (this.#waiting.length === 0) return undefined
     const deadlines = this.#waiting.map(({ turn }) => turn.deadlineMs + graceMs)
     const expiries = [...this.#running.values()].map(({ expiresAtMs }) => expiresAtMs)
-    return Math.min(...deadlines, ...expiries, this.#beganAtMs + cautiousMs > this.#lastRequestAtMs ? this.#beganAtMs + cautiousMs : Infinity)
+    const cautiousUntilMs = this.#beganAtMs + cautiousMs
+    return Math.min(...deadlines, ...expiries, cautiousUntilMs > nowMs ? cautiousUntilMs : Infinity)
   }
 
   #grant ({ request, receivedAtMs }: Waiting, decisions: DispatchDecision[], nowMs: number): void {
--- a/src/tasks/allocation/dispatchEndpoint.ts
+++ b/src/tasks/allocation/dispatchEndpoint.ts
@@ -79,7 +79,7 @@
     for (const decision of decisions) this.#applyDecision(decision, refusalCode)
     this.#timer?.cancel()
     const { clock } = this.#options
-    const nextAtMs = this.#queue.getNextPlanAtMs()
+    const nextAtMs = this.#queue.getNextPlanAtMs(clock.readMonotonic())
     if (nextAtMs !== undefined) this.#timer = clock.setTimer(() => this.#plan(), Math.max(minPlanDelayMs, nextAtMs - clock.readMonotonic()))
   }
 
