Ignore copies of requests for places that arrive after their release

A request that is sent again while its grant is on its way may arrive after its release. It was granted a place that nobody released until the caller's deadline. Released requests are remembered, as the allocators of engines do. The new scenario of serviceDispatch failed before (the next request was queued) and passes.

--- a/features/serviceDispatch.feature
+++ b/features/serviceDispatch.feature
@@ -62,6 +62,11 @@
     And 24 requests come to the hosts in bursts of 6 within 400 ms
     Then no host has asked another one for a place, and no release has more than its usual fields
 
+  Scenario: A request that is repeated after its release takes a place that nobody frees
+    Given a host that grants requests to an endpoint with 1 place since 200 ms
+    When a request is granted and released, and arrives once more
+    Then the next request is granted immediately
+
   Scenario: A host that grants plans again every 2 ms while a request waits
     Given a host that grants requests to an endpoint with 1 place since 100 ms
     When a request runs there and another one waits
--- a/src/tasks/allocation/dispatchEndpoint.ts
+++ b/src/tasks/allocation/dispatchEndpoint.ts
@@ -1,9 +1,11 @@
 /** Grants requests to an endpoint of a plain service for all hosts: replies to them as the queue of the endpoint decides. */
 import { DispatchQueue } from '../../core/dispatch/dispatchQueue.js'
 import type { DispatchDecision, DispatchShares } from '../../core/dispatch/dispatchQueue.js'
+import { RecentKeys } from '../../core/recentKeys.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { ReservationRelease, ReservationReply, ReservationRequest } from '../../schemas/datagram.js'
+import { maxEndedKeys } from './reservationEntry.js'
 import type { SendReservationReply } from './reservationEntry.js'
 
 /** Called for each decision on a request, with the time that it waited if it was granted. */
@@ -32,6 +34,8 @@
   #queue: DispatchQueue
   #pending = new Map<string, { id: number, sendReply: SendReservationReply, version: number }>()
   #replies = new Map<string, ReservationReply>()
+  /** Released requests; copies of them that arrive late are ignored, as nothing would release their places again. */
+  #ended = new RecentKeys(maxEndedKeys)
   #timer: Timer | undefined
   #loggedAtMs: number
   #counts = { grant: 0, queue: 0, decline: 0, refuse: 0 }
@@ -50,6 +54,7 @@
       sendReply(known)
       return
     }
+    if (this.#ended.has(key)) return
     const { dueInMs, uselessInMs, leavesInMs, mayDecline, elsewhereMs, account } = request
     this.#pending.set(key, { id: request.id, sendReply, version: request.version })
     this.#apply(this.#queue.receiveRequest({ key, dueInMs, uselessInMs, leavesInMs, mayDecline, elsewhereMs, account }, this.#options.clock.readMonotonic()))
@@ -57,6 +62,7 @@
   }
 
   receiveRelease (key: string, { outcome, tookMs, slowness, busy }: ReservationRelease): void {
+    this.#ended.add(key)
     this.#pending.delete(key)
     this.#replies.delete(key)
     this.#apply(this.#queue.receiveRelease(key, { tookMs: outcome === 'served' ? tookMs : undefined, slowness, busy }, this.#options.clock.readMonotonic()))
