Keep the replies to requests that wait for a place

Of 512 replies the oldest was dropped, also that to a request which still waited. A copy of this request was then queued as another one, which was granted after the first had ended, and held its place until the caller's deadline. Replies to requests that wait are kept. The new scenario of serviceDispatch failed before (the next request was queued) and passes.

--- a/features/serviceDispatch.feature
+++ b/features/serviceDispatch.feature
@@ -67,6 +67,14 @@
     When a request is granted and released, and arrives once more
     Then the next request is granted immediately
 
+  Scenario: A copy of a request that waits makes its granter count it twice
+    Given a host that grants requests to an endpoint with 1 place since 200 ms
+    When a request runs there and another one waits
+    And 600 further requests are refused, as they cannot be on time
+    And the request that waits arrives once more
+    Then the request that waits got "queued, queued"
+    And the next request is granted immediately once both have ended
+
   Scenario: A host that grants plans again every 2 ms while a request waits
     Given a host that grants requests to an endpoint with 1 place since 100 ms
     When a request runs there and another one waits
--- a/src/tasks/allocation/dispatchEndpoint.ts
+++ b/src/tasks/allocation/dispatchEndpoint.ts
@@ -101,10 +101,18 @@
     if (decision.kind !== 'queue') this.#pending.delete(decision.key)
     const reply = this.#createReply(decision, id, version, refusalCode)
     this.#replies.set(decision.key, reply)
-    if (this.#replies.size > maxReplies) this.#replies.delete(this.#replies.keys().next().value!)
+    this.#dropOldReplies()
     sendReply(reply)
   }
 
+  /** Without its reply, a copy of a request that waits would be queued as another request, whose place nobody releases. */
+  #dropOldReplies (): void {
+    for (const key of this.#replies.keys()) {
+      if (this.#replies.size <= maxReplies) return
+      if (!this.#pending.has(key)) this.#replies.delete(key)
+    }
+  }
+
   #createReply (decision: DispatchDecision, id: number, version: number, refusalCode: string): ReservationReply {
     const { endpointId } = this.#options
     if (decision.kind === 'queue') return { type: 'queued', id, expectedMs: decision.waitMs }
