Tell callers when to come back where an endpoint left while it was asked

A request for a place that was withdrawn because its endpoint left or paused counted as a refusal with a retry time of 0, so that the caller was told to come back at once although the other endpoints were full. Such refusals no longer count; if there are no others, callers come back after 100 to 200 ms. The new examples of serviceDispatch failed before (0 instead of 120 and 150 ms) and pass.

--- a/features/serviceDispatch.feature
+++ b/features/serviceDispatch.feature
@@ -62,6 +62,16 @@
     And 24 requests come to the hosts in bursts of 6 within 400 ms
     Then no host has asked another one for a place, and no release has more than its usual fields
 
+  Scenario Outline: A caller is told to come back at once as an endpoint left while it was asked
+    Given endpoints of a plain service of which <leaving> leave while they are asked and <full> are full for 120 ms
+    When a host selects one of them
+    Then the caller may come back after <retry> ms
+
+    Examples:
+      | leaving | full | retry |
+      | 1       | 2    | 120   |
+      | 2       | 0    | 150   |
+
   Scenario: A request that is repeated after its release takes a place that nobody frees
     Given a host that grants requests to an endpoint with 1 place since 200 ms
     When a request is granted and released, and arrives once more
--- a/features/support/dispatchTrial.ts
+++ b/features/support/dispatchTrial.ts
@@ -274,11 +274,11 @@
   return Math.max(wave, burst)
 }
 
-function createEntry (number: number): EndpointEntry {
+export function createEntry (number: number): EndpointEntry {
   return { id: `i-${number}`, service, address: `10.1.0.${number}:80`, zone: number % 2 === 0 ? 'b' : 'a', isLeaving: false, goneInMs: undefined, places: trialPlaces, softwareVersion: '', startedAtMs: 1, models: [], orderCount: 0 }
 }
 
-function createQuery (number: number, beganAtMs: number): EndpointQuery {
+export function createQuery (number: number, beganAtMs: number): EndpointQuery {
   const request: CallerRequest = {
     requestId: `r${number}`, method: 'POST', callerKey: '', path: '/once/', host: 'fleet.example', headers: [], body: undefined, receivedAtMs: beganAtMs, timeLeftMs: timeoutMs, lastEventId: undefined, isResumption: false, resumedRequestId: undefined, model: '', adapter: '', promptTokens: 0, maxTokens: 0, promptSegments: []
   }
--- a/src/tasks/proxy/dispatchSelector.ts
+++ b/src/tasks/proxy/dispatchSelector.ts
@@ -28,6 +28,8 @@
 const ungrantedRetryMs = 100
 /** Requests that a host may always have at an endpoint while no host grants, however many hosts there are. */
 const minUngrantedRequests = 1
+/** An endpoint that left or paused while it was asked does not tell when to come back. */
+const leavingCode = 'endpoint_leaving'
 
 export class DispatchSelector {
   #options: DispatchSelectorOptions
@@ -92,8 +94,12 @@
   }
 
   #createRefusal (service: string, refusals: readonly Refusal[]): EndpointSelection & { kind: 'none' } {
-    if (refusals.length === 0) return { kind: 'none', message: `no host grants requests to endpoints of service "${service}"`, retryAfterMs: ungrantedRetryMs * (1 + this.#options.random()), isTransient: false }
-    const soonest = refusals.reduce((left, right) => left.retryAfterMs <= right.retryAfterMs ? left : right)
+    const decided = refusals.filter(({ code }) => code !== leavingCode)
+    if (decided.length === 0) {
+      const message = refusals[0]?.message ?? `no host grants requests to endpoints of service "${service}"`
+      return { kind: 'none', message, retryAfterMs: ungrantedRetryMs * (1 + this.#options.random()), isTransient: false }
+    }
+    const soonest = decided.reduce((left, right) => left.retryAfterMs <= right.retryAfterMs ? left : right)
     return { kind: 'none', message: soonest.message, retryAfterMs: soonest.retryAfterMs, isTransient: false }
   }
 
