Drop only those messages of a datagram that cannot be read

A datagram holds up to 8 messages of one turn of the event loop. One that is invalid, or of a type that this version does not know, made the receiver drop the others too: requests, grants and releases of other requests. Each is now checked by itself.

--- a/features/steps/datagrams.ts
+++ b/features/steps/datagrams.ts
@@ -10,6 +10,7 @@
 interface DatagramsWorld {
   sockets: Datagrams[]
   received: string[]
+  loggedKinds: string[]
 }
 
 const addresses = ['127.0.0.1', '127.0.0.2']
@@ -25,7 +26,8 @@
 
 Given('two hosts that exchange datagrams', async function (this: DatagramsWorld) {
   this.received = []
-  this.sockets = await Promise.all(addresses.map(async address => await openUdpDatagrams({ address, port: hostsBasePort, host: address, session: 'life', log: { record: () => {} } })))
+  this.loggedKinds = []
+  this.sockets = await Promise.all(addresses.map(async address => await openUdpDatagrams({ address, port: hostsBasePort, host: address, session: 'life', log: { record: kind => { this.loggedKinds.push(kind) } } })))
   this.sockets[1]!.receive(message => { if (message.type === 'suspect') this.received.push(message.fingerprint) })
 })
 
@@ -37,6 +39,18 @@
   await sleep(settleMs)
 })
 
+When('the first one sends {string}, a message with a number that is not finite, and {string} at once', async function (this: DatagramsWorld, before: string, after: string) {
+  const [first] = this.sockets
+  for (const message of [createMessage(before), { ...createMessage('unreadable'), sentAgoMs: Infinity }, createMessage(after)]) first!.send(addresses[1]!, message)
+  await sleep(settleMs)
+  first!.close()
+})
+
+Then('the second one has received {string} and logged {int} message that it cannot read', async function (this: DatagramsWorld, texts: string, count: number) {
+  await waitUntil(() => this.loggedKinds.length > 0)
+  assert.deepEqual([this.received.join(', '), this.loggedKinds.filter(kind => kind === 'peers.unreadable').length], [texts, count])
+})
+
 Then('the second one has received only {string}', async function (this: DatagramsWorld, text: string) {
   await waitUntil(() => this.received.length > 0)
   assert.deepEqual(this.received, [text])
--- a/src/adapters/datagrams/udpDatagrams.ts
+++ b/src/adapters/datagrams/udpDatagrams.ts
@@ -5,7 +5,7 @@
 import { pack, unpack } from 'msgpackr'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { Datagrams, ReceiveMessage } from '../../ports/datagrams.js'
-import { datagramSchema } from '../../schemas/datagram.js'
+import { datagramSchema, hostMessageSchema } from '../../schemas/datagram.js'
 import type { HostMessage } from '../../schemas/datagram.js'
 
 export interface UdpDatagramsOptions {
@@ -20,6 +20,7 @@
 /** Maximum messages in one datagram. 8 reservation requests take about 1,400 bytes, which fits into one Ethernet frame. */
 const maxMessagesPerDatagram = 8
 const datagramValidator = TypeCompiler.Compile(datagramSchema)
+const messageValidator = TypeCompiler.Compile(hostMessageSchema)
 
 /**
  * Binds the UDP port for messages between hosts. Rejects where the port cannot be bound.
@@ -94,7 +95,10 @@
       return
     }
     const sender = { host: datagram.host, session: datagram.session, address }
-    for (const message of datagram.messages) this.#receiveMessage(message, sender)
+    for (const message of datagram.messages) {
+      if (messageValidator.Check(message)) this.#receiveMessage(message, sender)
+      else this.#options.log.record('peers.unreadable', 'Dropped an invalid message of a host.', { address, host: sender.host })
+    }
   }
 }
 
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -301,6 +301,7 @@
 export const datagramSchema = Type.Object({
   host: Type.String(),
   session: Type.String(),
-  messages: Type.Array(hostMessageSchema)
+  /** Each is checked by itself against `hostMessageSchema`, so that one that is invalid or of a later version costs no others. */
+  messages: Type.Array(Type.Unknown())
 })
 export type Datagram = Static<typeof datagramSchema>
