--- a/features/steps/quotas.ts
+++ b/features/steps/quotas.ts
@@ -59,7 +59,7 @@
   return directory.listGranters(directory.find(accounts.at(-1)!.name)!.group).map(({ host }) => nodes.find(node => node.host === host)!)
 }
 
-function assertWithinLimits ({ cluster, accounts }: QuotasWorld, describe: string): void {
+function checkWithinLimits ({ cluster, accounts }: QuotasWorld, describe: string): void {
   for (const account of accounts) {
     const spent = cluster.computeMaxSpent(account.name)
     assert.ok(spent <= computeLimit(account), `${account.name} spent ${spent} in a window, its limit is ${computeLimit(account)} (${describe})`)
@@ -77,7 +77,7 @@
 }
 
 function freeze (cluster: QuotaCluster, node: QuotaNode): ReturnType<Failure> {
-  return { begin: () => { node.isFrozen = true }, end: () => cluster.thaw(node) }
+  return { begin: () => { node.isFrozen = true }, end: () => cluster.resume(node) }
 }
 
 function restartAll (cluster: QuotaCluster): ReturnType<Failure> {
@@ -103,7 +103,7 @@
   '30% of the messages are lost': cluster => ({ begin: () => { cluster.lossRate = 0.3 }, end: () => { cluster.lossRate = 0 } })
 }
 
-function orderNodes ({ cluster, accounts }: QuotasWorld): QuotaNode[] {
+function sortNodes ({ cluster, accounts }: QuotasWorld): QuotaNode[] {
   const granters = listGranters(cluster, accounts)
   return [...granters, ...cluster.nodes.filter(node => !granters.includes(node))]
 }
@@ -149,7 +149,7 @@
 
 When(/^the accounts ask for (\d+)% of their rates for (\d+) s while (.*)$/, function (this: QuotasWorld, percent: string, seconds: string, name: string) {
   this.durationMs = Number(seconds) * 1000
-  const { begin, end } = failures[name]!(this.cluster, orderNodes(this))
+  const { begin, end } = failures[name]!(this.cluster, sortNodes(this))
   sendAll(this, () => Number(percent) / 100, this.durationMs)
   this.cluster.clock.runUntil(15_000)
   begin()
@@ -191,7 +191,7 @@
 })
 
 Then('no account spends more than its limit in any window', function (this: QuotasWorld) {
-  assertWithinLimits(this, 'seed 7')
+  checkWithinLimits(this, 'seed 7')
 })
 
 Then(/^no account spends more than its limit in any window if bursts of (\d+)% begin (.*) s before (.*)$/, function (this: QuotasWorld, percent: string, leads: string, name: string) {
@@ -199,14 +199,14 @@
     createWorld(this, 200 + index)
     const { cluster } = this
     const failureAtMs = 20_000
-    const { begin, end } = failures[name]!(cluster, orderNodes(this))
+    const { begin, end } = failures[name]!(cluster, sortNodes(this))
     sendAll(this, () => cluster.clock.readMonotonic() < failureAtMs - Number(lead) * 1000 ? 0.3 : Number(percent) / 100, failureAtMs + 20_000)
     cluster.clock.runUntil(failureAtMs)
     begin()
     cluster.clock.runUntil(failureAtMs + 12_000)
     end()
     cluster.clock.runUntil(failureAtMs + 20_000)
-    assertWithinLimits(this, `bursts ${lead} s before`)
+    checkWithinLimits(this, `bursts ${lead} s before`)
   }
 })
 
@@ -223,7 +223,7 @@
       cluster.clock.runUntil(atMs)
       const names = Object.keys(failures)
       const name = names[Math.floor(random() * names.length)]!
-      const { begin, end } = failures[name]!(cluster, random() < 0.7 ? orderNodes(this) : [...cluster.nodes].sort(() => random() - 0.5))
+      const { begin, end } = failures[name]!(cluster, random() < 0.7 ? sortNodes(this) : [...cluster.nodes].sort(() => random() - 0.5))
       const lengthMs = 200 + random() ** 2 * 16_000
       history.push(`${name} at ${Math.round(atMs)} for ${Math.round(lengthMs)}`)
       begin()
@@ -232,10 +232,26 @@
       atMs += lengthMs + random() * 4000
     }
     cluster.clock.runUntil(untilMs)
-    assertWithinLimits(this, `seed ${seed}: ${history.join('; ')}`)
+    checkWithinLimits(this, `seed ${seed}: ${history.join('; ')}`)
   }
 })
 
+When(/^each host gets (\d+) requests of (\S+) tokens of the account of (\d+), and then the accounts use (\d+)% of their rates for (\d+) s$/, function (this: QuotasWorld, countText: string, tokensText: string, rate: string, percentText: string, secondsText: string) {
+  const [count, promptTokens, percent, seconds] = [countText, tokensText, percentText, secondsText].map(Number) as [number, number, number, number]
+  const { cluster, accounts } = this
+  this.durationMs = seconds * 1000
+  cluster.clock.runUntil(startedMs - 2000)
+  for (const { task } of cluster.nodes) {
+    for (let index = 0; index < count; index++) task!.charge(accounts.find(({ name }) => name === `account-${rate}`)!, { promptTokens, maxTokens: 0, hasTokenCounts: true })
+  }
+  sendAll(this, () => cluster.clock.readMonotonic() < startedMs ? 0.1 : percent / 100, startedMs + this.durationMs)
+  cluster.clock.runUntil(startedMs + this.durationMs)
+})
+
+Then('hosts can read all messages of each other', function (this: QuotasWorld) {
+  assert.equal(this.cluster.unreadableMessages, 0)
+})
+
 When('a request of an account with 100 tokens for plain requests states {string}', function (this: QuotasWorld, counts: string) {
   const [promptTokens = 0, maxTokens = 0] = counts.split(',').map(Number)
   this.cost = computeRequestCost(createAccount(1000).quota!, { promptTokens, maxTokens, hasTokenCounts: counts !== 'none' })
--- a/src/tasks/allocation/dispatchEndpoint.ts
+++ b/src/tasks/allocation/dispatchEndpoint.ts
@@ -1,10 +1,12 @@
 /** Grants requests to an endpoint of a plain service for all hosts: replies to them as the queue of the endpoint decides. */
 import { DispatchQueue } from '../../core/dispatch/dispatchQueue.js'
 import type { DispatchDecision, DispatchShares } from '../../core/dispatch/dispatchQueue.js'
+import { RecentKeys } from '../../core/recentKeys.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { ReservationRelease, ReservationReply, ReservationRequest } from '../../schemas/datagram.js'
 import { RecentReplies } from './recentReplies.js'
+import { maxEndedKeys } from './reservationEntry.js'
 import type { SendReservationReply } from './reservationEntry.js'
 
 /** Called for each decision on a request, with the time that it waited if it was granted. */
@@ -30,7 +32,10 @@
   #options: DispatchEndpointOptions
   #queue: DispatchQueue
   #pending = new Map<string, { id: number, sendReply: SendReservationReply, version: number }>()
-  #replies = new RecentReplies()
+  /** Without its reply, a copy of a request that waits would be queued as another request, whose place nobody releases. */
+  #replies = new RecentReplies(key => this.#pending.has(key))
+  /** Released requests; copies of them that arrive late are ignored, as nothing would release their places again. */
+  #ended = new RecentKeys(maxEndedKeys)
   #timer: Timer | undefined
   #loggedAtMs: number
   #counts = { grant: 0, queue: 0, decline: 0, refuse: 0 }
@@ -49,6 +54,7 @@
       sendReply(known)
       return
     }
+    if (this.#ended.has(key)) return
     const { dueInMs, uselessInMs, leavesInMs, mayDecline, elsewhereMs, account } = request
     this.#pending.set(key, { id: request.id, sendReply, version: request.version })
     this.#apply(this.#queue.receiveRequest({ key, dueInMs, uselessInMs, leavesInMs, mayDecline, elsewhereMs, account }, this.#options.clock.readMonotonic()))
@@ -56,6 +62,7 @@
   }
 
   receiveRelease (key: string, { outcome, tookMs, slowness, busy }: ReservationRelease): void {
+    this.#ended.add(key)
     this.#pending.delete(key)
     this.#replies.remove(key)
     this.#apply(this.#queue.receiveRelease(key, { tookMs: outcome === 'served' ? tookMs : undefined, slowness, busy }, this.#options.clock.readMonotonic()))
@@ -78,7 +85,7 @@
     for (const decision of decisions) this.#applyDecision(decision, refusalCode)
     this.#timer?.cancel()
     const { clock } = this.#options
-    const nextAtMs = this.#queue.getNextPlanAtMs()
+    const nextAtMs = this.#queue.getNextPlanAtMs(clock.readMonotonic())
     if (nextAtMs !== undefined) this.#timer = clock.setTimer(() => this.#plan(), Math.max(minPlanDelayMs, nextAtMs - clock.readMonotonic()))
   }
 
--- a/src/tasks/allocation/recentReplies.ts
+++ b/src/tasks/allocation/recentReplies.ts
@@ -5,7 +5,7 @@
 const maxReplies = 512
 
 /**
- * Knows a reply until `maxReplies` others were added after it.
+ * Knows a reply until `maxReplies` others were added after it, or for longer while it is needed.
  *
  * @example
  * const replies = new RecentReplies()
@@ -13,11 +13,19 @@
  * replies.find('front-1.7') // refusal
  */
 export class RecentReplies {
+  #isNeeded: (key: string) => boolean
   #replies = new Map<string, ReservationReply>()
 
+  constructor (isNeeded: (key: string) => boolean = () => false) {
+    this.#isNeeded = isNeeded
+  }
+
   add (key: string, reply: ReservationReply): void {
     this.#replies.set(key, reply)
-    if (this.#replies.size > maxReplies) this.#replies.delete(this.#replies.keys().next().value!)
+    for (const known of this.#replies.keys()) {
+      if (this.#replies.size <= maxReplies) return
+      if (!this.#isNeeded(known)) this.#replies.delete(known)
+    }
   }
 
   find (key: string): ReservationReply | undefined {
--- a/src/tasks/allocation/reservationEntry.ts
+++ b/src/tasks/allocation/reservationEntry.ts
@@ -3,6 +3,9 @@
 import type { AllocationRequest } from '../../core/allocation/allocationRequest.js'
 import type { RunningRequestsReport, ReservationReply, ReservationRequest } from '../../schemas/datagram.js'
 
+/** Number of released reservations that an allocator remembers: more than end within seconds, as long as a datagram may be on its way. */
+export const maxEndedKeys = 1024
+
 export type SendReservationReply = (reply: ReservationReply) => void
 
 export interface ReservationEntry {
--- a/src/tasks/proxy/dispatchSelector.ts
+++ b/src/tasks/proxy/dispatchSelector.ts
@@ -28,6 +28,8 @@
 const ungrantedRetryMs = 100
 /** Requests that a host may always have at an endpoint while no host grants, however many hosts there are. */
 const minUngrantedRequests = 1
+/** An endpoint that left or paused while it was asked does not tell when to come back. */
+const leavingCode = 'endpoint_leaving'
 
 export class DispatchSelector {
   #options: DispatchSelectorOptions
@@ -40,11 +42,11 @@
   /** Whether requests to the service are granted; limited and brittle endpoints are selected by their own rules. */
   isUsedFor (service: string, accepting: readonly EndpointEntry[]): boolean {
     const { clock, clusterView, health, notices } = this.#options
-    if (!accepting.some(({ id }) => health.reportsSlowness(id))) return false
+    if (!accepting.some(({ id }) => health.hasReportedSlowness(id))) return false
     const nowMs = clock.readMonotonic()
     const known = clusterView.endpoints.listUsable(service, nowMs)
     if (known.some(entry => notices.getRate(entry, nowMs) !== undefined || notices.getMaxRejections(entry) !== undefined)) return false
-    return isDispatched(known.map(({ id, places }) => ({ places, reportsSlowness: health.reportsSlowness(id) })), clusterView.hosts.size)
+    return isDispatched(known.map(({ id, places }) => ({ places, hasReportedSlowness: health.hasReportedSlowness(id) })), clusterView.hosts.size)
   }
 
   async selectEndpoint (query: EndpointQuery, usable: readonly EndpointEntry[]): Promise<EndpointSelection> {
@@ -92,8 +94,12 @@
   }
 
   #createRefusal (service: string, refusals: readonly Refusal[]): EndpointSelection & { kind: 'none' } {
-    if (refusals.length === 0) return { kind: 'none', message: `no host grants requests to endpoints of service "${service}"`, retryAfterMs: ungrantedRetryMs * (1 + this.#options.random()), isTransient: false }
-    const soonest = refusals.reduce((left, right) => left.retryAfterMs <= right.retryAfterMs ? left : right)
+    const decided = refusals.filter(({ code }) => code !== leavingCode)
+    if (decided.length === 0) {
+      const message = refusals[0]?.message ?? `no host grants requests to endpoints of service "${service}"`
+      return { kind: 'none', message, retryAfterMs: ungrantedRetryMs * (1 + this.#options.random()), isTransient: false }
+    }
+    const soonest = decided.reduce((left, right) => left.retryAfterMs <= right.retryAfterMs ? left : right)
     return { kind: 'none', message: soonest.message, retryAfterMs: soonest.retryAfterMs, isTransient: false }
   }
 
