Keep the parser of the HTTP client unoptimized

Cause: after some 100 responses V8 optimizes the parser of undici, which is WebAssembly, and takes 45 MB beside its heap meanwhile. A host of 160 MB that is under load by then came to 153 MB with 25 MB of array buffers, and fell by 36 MB once the compilation had ended.

Change: the modules of the clients set V8's flags against tier-up before the first connection.

--- a/src/adapters/endpointHttp/httpEndpointLink.ts
+++ b/src/adapters/endpointHttp/httpEndpointLink.ts
@@ -5,6 +5,7 @@
 import { isStatusValid } from '../../core/isStatusValid.js'
 import type { EndpointLink, LinkActivity, OutgoingRequest, ResponseReceiver, ProbeResult, RequestInFlight } from '../../ports/endpointLink.js'
 import { resetSocket } from '../tcp/resetSocket.js'
+import { disableParserOptimization } from './disableParserOptimization.js'
 
 export interface HttpEndpointLinkOptions {
   /** `ip:port`. */
@@ -21,6 +22,9 @@
 /** This host closes an idle connection this long before the keep-alive timeout that the endpoint announces. */
 const idleMarginMs = 700
 
+// Hosts load this module before any of their clients connects.
+disableParserOptimization()
+
 /**
  * Creates a link to an endpoint. Connections are opened on demand.
  *
--- a/src/adapters/httpPlatform/httpPlatform.ts
+++ b/src/adapters/httpPlatform/httpPlatform.ts
@@ -10,6 +10,7 @@
 import { createParser } from '../../schemas/createParser.js'
 import { hostListEntrySchema } from '../../schemas/hostList.js'
 import type { HostListEntry } from '../../schemas/hostList.js'
+import { disableParserOptimization } from '../endpointHttp/disableParserOptimization.js'
 
 const requestTimeoutMs = 2000
 const maxConnections = 16
@@ -19,6 +20,9 @@
 /** Connect errors: the platform has certainly not received the request. */
 const neverSentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT'])
 
+// Gateways and schedulers load this module before any of their clients connects.
+disableParserOptimization()
+
 export interface Platform {
   table: Table
   objects: ObjectStore
