Collect read buffers when much was read

Cause: chunks that the HTTP server's parser copies, and reads of the HTTP client, are garbage soon. V8 runs its young collection as the heap grows, which they hardly make it do, or once 32 MB of buffers lie there: array buffers of a host under a crowd of large chunks came to 53 MB, of which bodies hold 24 MB at most.

Change: listeners for callers and links to endpoints count the bytes of chunks. Each time these come to 2.5% of the memory limit, the host looks at its memory outside of the heap, and collects young garbage where it is above 10%. Below that nothing is done. The collector is only exposed when it is first needed, and the flag is cleared again, as compiled code depends on it.

--- a/features/support/testListener.ts
+++ b/features/support/testListener.ts
@@ -11,7 +11,7 @@
   address: string
 }
 
-type TestListenerOptions = Partial<Pick<CallerListenerOptions, 'getLimits' | 'maxHeldBytes' | 'log'>> & Pick<CallerListenerOptions, 'createHandle'>
+type TestListenerOptions = Partial<Pick<CallerListenerOptions, 'getLimits' | 'maxHeldBytes' | 'log' | 'receiveRead'>> & Pick<CallerListenerOptions, 'createHandle'>
 
 /**
  * Starts a listener; its limit on all bodies is 100 MB if none is given.
--- a/src/adapters/endpointHttp/httpEndpointLink.ts
+++ b/src/adapters/endpointHttp/httpEndpointLink.ts
@@ -13,6 +13,8 @@
   getMaxConnections: () => number
   /** Monotonic clock, in milliseconds. */
   readNow: () => number
+  /** Called with the size of each chunk of a body that was read; nothing is called if left out. */
+  receiveRead?: (bytes: number) => void
 }
 
 /** Connecting takes 1 ms plus a round trip. A longer wait for an unresponsive host only uses up the caller's time. */
@@ -87,9 +89,9 @@
   send (request: OutgoingRequest, receiver: ResponseReceiver): RequestInFlight {
     const connection = this.#acquireConnection(request.id)
     connection.lastRequestId = request.id
-    const { readNow } = this.#options
+    const { readNow, receiveRead } = this.#options
     const exchange = new Exchange({
-      receiver, end: connection.end, readNow, countConsumed: () => countConsumedBytes(connection.socket), release: isReusable => this.#release(connection, isReusable), reset: () => this.#reset(connection), recordContact: () => { this.#lastContactAtMs = readNow() }
+      receiver, end: connection.end, readNow, countConsumed: () => countConsumedBytes(connection.socket), release: isReusable => this.#release(connection, isReusable), reset: () => this.#reset(connection), recordContact: () => { this.#lastContactAtMs = readNow() }, receiveRead: bytes => receiveRead?.(bytes)
     })
     this.#busy.set(connection, exchange)
     connection.client.dispatch({
@@ -216,6 +218,8 @@
   reset: () => void
   /** Called whenever anything of the response arrives. */
   recordContact: () => void
+  /** Called with the size of each chunk of the body, also of one that is ignored. */
+  receiveRead: (bytes: number) => void
 }
 
 /** One request and its response. */
@@ -307,6 +311,7 @@
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#options.receiveRead(chunk.length)
     if (this.#state === 'ended') return
     this.#recordContact()
     this.#bodyBytes += chunk.length
--- a/src/bin/createRequestProxy.ts
+++ b/src/bin/createRequestProxy.ts
@@ -1,5 +1,6 @@
 /** Creates the components that accept callers' requests and relay them to endpoints. */
 import { openHttpEndpointLink } from '../adapters/endpointHttp/httpEndpointLink.js'
+import { collectYoungGarbage, measureExternalBytes } from '../adapters/v8/youngGarbage.js'
 import { ConnectionBudget } from '../core/connectionBudget.js'
 import { HeldTotal } from '../core/heldTotal.js'
 import { CallerTimeouts } from '../core/callerTimeouts.js'
@@ -7,6 +8,7 @@
 import type { ClusterView } from '../core/clusterView.js'
 import { InFlightRequests } from '../core/inFlightRequests.js'
 import { HostRetryBudget } from '../core/hostRetryBudget.js'
+import { ReadBufferLimit } from '../core/readBufferLimit.js'
 import { decodeAnswerHead, decodeRequest, encodeRefusalHeaders, encodeRequestHeaders, removeAccountHeaders } from '../platform/requestWire.js'
 import type { Clock } from '../ports/clock.js'
 import type { EndpointLink } from '../ports/endpointLink.js'
@@ -75,6 +77,8 @@
 const bufferedBodiesMemoryFraction = 0.15
 /** Fraction of the memory limit that requests read ahead may use, over all connections. */
 const waitingRequestsMemoryFraction = 0.1
+/** Fraction of the memory limit that buffers may use before those that are garbage are collected. */
+const buffersMemoryFraction = 0.1
 /** Fraction of the descriptors that callers' connections may use; the rest is for endpoints, other hosts and the store. */
 const callersDescriptorFraction = 0.6
 /** Connections to one other host for forwarded requests; a host serves fewer at a time. */
@@ -84,7 +88,8 @@
   const random = Math.random
   const health = new EndpointHealth()
   const retryBudget = new HostRetryBudget({ retryRatio: settings.retryShare, extraRetries: settings.retryExtra, windowMs: settings.retryWindowMs, countHosts: () => clusterView.hosts.size })
-  const links = new EndpointLinks({ clock, clusterView })
+  const limits = createListenerLimits(settings)
+  const links = new EndpointLinks({ clock, clusterView, receiveRead: limits.receiveRead })
   const getLink = (endpoint: EndpointEntry): EndpointLink => links.get(endpoint)
   const reachability = new ReachabilityTask({ clock, log, clusterView, links })
   // Messages between hosts use the port over UDP, forwarded requests over TCP.
@@ -95,7 +100,7 @@
     own,
     isStranded: service => reachability.isStranded(service),
     isRunning: isHostRunning,
-    openLink: address => openHttpEndpointLink({ address: formatForwardingAddress(address), getMaxConnections: () => maxForwardingConnections, readNow: clock.readMonotonic }),
+    openLink: address => openHttpEndpointLink({ address: formatForwardingAddress(address), getMaxConnections: () => maxForwardingConnections, readNow: clock.readMonotonic, receiveRead: limits.receiveRead }),
     random
   })
   const limitGrants = new LimitGrantClient({ clock, log, clusterView, reservations })
@@ -137,7 +142,6 @@
     encodeRefusalHeaders,
     removeAccountHeaders
   }
-  const limits = createListenerLimits(settings)
   const callerListener = createListener(context, { address: settings.callersAddress, decodeRequest, ...limits })
   const forwardingListener = createListener(context, { address: formatForwardingAddress(own.address), decodeRequest: createForwardedDecoder(decodeRequest), ...limits })
   return {
@@ -162,17 +166,21 @@
   }
 }
 
+type ListenerLimits = Pick<Required<CallerListenerOptions>, 'maxHeldBytes' | 'heldBytes' | 'budget' | 'receiveRead'>
+
 /** Limits that both listeners share, from the limits of the process. */
-function createListenerLimits ({ memoryMb, maxDescriptors }: HostSettings): { maxHeldBytes: number, heldBytes: HeldTotal, budget: ConnectionBudget } {
+function createListenerLimits ({ memoryMb, maxDescriptors }: HostSettings): ListenerLimits {
   const memoryBytes = memoryMb * 1024 * 1024
+  const readBuffers = new ReadBufferLimit({ maxBytes: memoryBytes * buffersMemoryFraction, measureBytes: measureExternalBytes, collect: collectYoungGarbage })
   return {
+    receiveRead: bytes => readBuffers.add(bytes),
     maxHeldBytes: memoryBytes * bufferedBodiesMemoryFraction,
     heldBytes: new HeldTotal(),
     budget: new ConnectionBudget({ maxBytes: memoryBytes * waitingRequestsMemoryFraction, maxConnections: Math.floor(maxDescriptors * callersDescriptorFraction) })
   }
 }
 
-function createListener (context: ProxyContext, options: Pick<CallerListenerOptions, 'address' | 'decodeRequest' | 'maxHeldBytes' | 'heldBytes' | 'budget'>): CallerListener {
+function createListener (context: ProxyContext, options: Pick<CallerListenerOptions, 'address' | 'decodeRequest'> & ListenerLimits): CallerListener {
   const { clock, log, clusterView, standstill } = context
   return new CallerListener({
     ...options,
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -30,6 +30,8 @@
   heldBytes?: HeldTotal
   /** Limits on what connections hold, which several listeners may share; none if left out. */
   budget?: ConnectionBudget
+  /** Called with the size of each chunk of a body that was read; nothing is called if left out. */
+  receiveRead?: (bytes: number) => void
   /** Whether what arrives now may have arrived earlier, as the process stood still; never if left out. */
   isCatchingUp?: () => boolean
   createHandle: (request: CallerRequest, response: CallerResponse) => RequestHandle
@@ -223,7 +225,7 @@
     if (socket.destroyed) return
     if (!connection || connection.isLastReceived) {
       connection?.recordIgnored()
-      message.resume()
+      message.on('data', (chunk: Buffer) => this.#options.receiveRead?.(chunk.length))
       return
     }
     const isUnreadBehind = message.headers.upgrade !== undefined && !readBehindUpgrade(socket)
@@ -284,6 +286,7 @@
       maxBytes: this.#getLimits().maxBodyBytes,
       heldBytes: this.#heldBytes,
       maxHeldBytes,
+      receiveRead: bytes => this.#options.receiveRead?.(bytes),
       onComplete: bytes => {
         connection.recordRead()
         exchange.begin = () => { handleRequest(bytes).catch((error: Error) => this.#receiveException(error, handle, callerResponse)) }
--- a/src/tasks/proxy/endpointLinks.ts
+++ b/src/tasks/proxy/endpointLinks.ts
@@ -8,6 +8,8 @@
 export interface EndpointLinksOptions {
   clock: Clock
   clusterView: ClusterView
+  /** Called with the size of each chunk of a response that was read. */
+  receiveRead: (bytes: number) => void
 }
 
 /** Fraction of an endpoint's connection limit that all hosts together use; its operators and health checks need the rest. */
@@ -26,14 +28,15 @@
   get (endpoint: EndpointEntry): EndpointLink {
     const existing = this.#links.get(endpoint.id)
     if (existing) return existing
-    const { clock, clusterView } = this.#options
+    const { clock, clusterView, receiveRead } = this.#options
     const link = openHttpEndpointLink({
       address: endpoint.address,
       getMaxConnections: () => {
         const maxConnections = clusterView.routes?.configuration.services.get(endpoint.service)?.maxConnections ?? 1
         return Math.max(1, Math.floor(usableConnectionsFraction * maxConnections / Math.max(1, clusterView.hosts.size)))
       },
-      readNow: clock.readMonotonic
+      readNow: clock.readMonotonic,
+      receiveRead
     })
     this.#links.set(endpoint.id, link)
     return link
--- a/src/tasks/proxy/requestBody.ts
+++ b/src/tasks/proxy/requestBody.ts
@@ -11,6 +11,8 @@
   heldBytes: HeldTotal
   /** Limit on these. */
   maxHeldBytes: number
+  /** Called with the size of each chunk, also of those that are ignored. */
+  receiveRead: (bytes: number) => void
   /** Called with the whole body; undefined if it is empty. */
   onComplete: (body: Buffer | undefined) => void
   /** Called each time a number of small chunks has arrived. */
@@ -59,6 +61,7 @@
   }
 
   #add (chunk: Buffer): void {
+    this.#options.receiveRead(chunk.length)
     if (!this.#isCollecting) return
     const status = this.#findExcess(chunk.length)
     if (status !== undefined) {
