Keep the platform's names out of the comparison, and cut long lines of the report

Cause: the comparison in src/core/ knew by which members entries are named, and a prefix of 1 MB was printed whole. Change: src/platform/ passes these names in; lines of the text report end after 1,000 characters.

--- a/src/bin/runCheck.ts
+++ b/src/bin/runCheck.ts
@@ -5,8 +5,7 @@
 import { checkConfiguration } from '../core/configurationCheck/checkConfiguration.js'
 import { renderReport } from '../core/configurationCheck/renderReport.js'
 import { formatCell } from '../ctl/renderTable.js'
-import { readConfigurationDocument } from '../platform/readConfigurationDocument.js'
-import { keysField } from '../platform/decodeAccounts.js'
+import { comparedNames, readConfigurationDocument } from '../platform/readConfigurationDocument.js'
 import { createSettingsError } from '../settings/settingsError.js'
 
 export interface CheckEnvironment {
@@ -46,7 +45,7 @@
     const [newBytes = Buffer.alloc(0), ...inForceBytes] = positionals.map(file => readBytes(file, environment.readFile))
     const checked = readConfigurationDocument(newBytes, inForceBytes)
     const inForce = inForceBytes.map(bytes => requireDecoded(inForceFile!, readConfigurationDocument(bytes, [newBytes])))[0]
-    const report = checkConfiguration(checked, inForce, keysField)
+    const report = checkConfiguration(checked, inForce, comparedNames)
     if (values.json) environment.print(JSON.stringify(report, undefined, 2))
     else for (const line of renderReport(newFile, report, checked.decoded !== undefined)) environment.print(formatCell(line))
     return report.errors.length === 0 ? exitCodes.noErrors : exitCodes.errors
--- a/src/core/configurationCheck/checkConfiguration.ts
+++ b/src/core/configurationCheck/checkConfiguration.ts
@@ -2,25 +2,26 @@
 import type { RoutingConfiguration } from '../../schemas/routing.js'
 import type { CheckedConfiguration, CheckFinding, CheckReport, ConfigurationField, DecodedConfiguration, FieldFinding } from './checkFinding.js'
 import { compareConfigurations } from './compareConfigurations.js'
+import type { ComparedNames } from './compareConfigurations.js'
 import { findContradictions } from './findContradictions.js'
 import { findNeverMatching } from './findNeverMatching.js'
 import { findUnservable, isTakenOver } from './findUnservable.js'
 
 /**
- * Checks a configuration and compares it with the version in force, if there is one. Of members `secretField` no value is reported.
+ * Checks a configuration and compares it with the version in force, if there is one.
  *
  * @example
- * checkConfiguration(readConfigurationDocument(bytes), undefined, 'apiKeys').errors.length // 0
+ * checkConfiguration(readConfigurationDocument(bytes), undefined, comparedNames).errors.length // 0
  */
-export function checkConfiguration ({ errors, decoded }: CheckedConfiguration, inForce: DecodedConfiguration | undefined, secretField: string): CheckReport {
+export function checkConfiguration ({ errors, decoded }: CheckedConfiguration, inForce: DecodedConfiguration | undefined, names: ComparedNames): CheckReport {
   if (!decoded) return { errors, neverMatching: [], contradictions: [], differences: undefined }
-  const { configuration, ineffective, effective, nameField } = decoded
-  const place = (findings: readonly FieldFinding[]): CheckFinding[] => findings.map(({ at, message }) => ({ path: nameField(at), name: findName(at, configuration), message }))
-  const differences = inForce && compareConfigurations(inForce.effective, effective, secretField)
+  const { configuration, ineffective, effective, describeField } = decoded
+  const resolve = (findings: readonly FieldFinding[]): CheckFinding[] => findings.map(({ at, message }) => ({ path: describeField(at), name: findName(at, configuration), message }))
+  const differences = inForce && compareConfigurations(inForce.effective, effective, names)
   return {
-    errors: [...errors, ...place(findUnservable(configuration)), ...place(differences && differences.length > 0 ? checkVersion(inForce!, decoded) : [])],
-    neverMatching: place(findNeverMatching(configuration)),
-    contradictions: [...place(findContradictions(configuration)), ...ineffective],
+    errors: [...errors, ...resolve(findUnservable(configuration)), ...resolve(differences && differences.length > 0 ? checkVersion(inForce!, decoded) : [])],
+    neverMatching: resolve(findNeverMatching(configuration)),
+    contradictions: [...resolve(findContradictions(configuration)), ...ineffective],
     differences
   }
 }
--- a/src/core/configurationCheck/checkFinding.ts
+++ b/src/core/configurationCheck/checkFinding.ts
@@ -39,7 +39,7 @@
   /** What hosts follow, by the platform's names and with all defaults. */
   readonly effective: unknown
   /** Names a field as the operator writes it. */
-  readonly nameField: (field: ConfigurationField) => string
+  readonly describeField: (field: ConfigurationField) => string
 }
 
 /** `before` and `after` are absent where the entry is added or removed as a whole. */
--- a/src/core/configurationCheck/renderReport.ts
+++ b/src/core/configurationCheck/renderReport.ts
@@ -3,6 +3,8 @@
 
 /** Lines of each section; the other findings are in the JSON document. */
 const maxLines = 100
+/** A prefix or name may be as long as the file. */
+const maxLineLength = 1000
 
 /**
  * Renders the lines of a report; `name` is the checked file.
@@ -27,7 +29,7 @@
 }
 
 function limitLines (lines: readonly string[]): string[] {
-  const shown = lines.slice(0, maxLines).map(line => `  ${line}`)
+  const shown = lines.slice(0, maxLines).map(line => `  ${line.length > maxLineLength ? `${line.slice(0, maxLineLength)}…` : line}`)
   return lines.length > maxLines ? [...shown, `  … and ${lines.length - maxLines} more, see --json`] : shown
 }
 
--- a/src/platform/readConfigurationDocument.ts
+++ b/src/platform/readConfigurationDocument.ts
@@ -1,6 +1,7 @@
 /** Reads a configuration as hosts do, and tells what they could not decode, would leave out or would ignore. */
 import { KindGuard } from '@sinclair/typebox'
 import type { TSchema } from '@sinclair/typebox'
+import type { ComparedNames } from '../core/configurationCheck/compareConfigurations.js'
 import type { CheckedConfiguration, CheckFinding } from '../core/configurationCheck/checkFinding.js'
 import { createFieldNaming, formatPath, isKnownPath, parsePointer } from './configurationPaths.js'
 import type { PathPart } from './configurationPaths.js'
@@ -40,7 +41,7 @@
       configuration,
       ineffective: listIneffective(document),
       effective: decodeJson(encodeConfigurationRow(configuration).value),
-      nameField: createFieldNaming(document)
+      describeField: createFieldNaming(document)
     }
   }
 }
@@ -73,6 +74,9 @@
   return Array.isArray(accounts) ? accounts : []
 }
 
+/** Entries are named by their own names, and the parts of a traffic split by their services. */
+export const comparedNames: ComparedNames = Object.freeze({ secretField: keysField, nameFields: ['name', 'service'] })
+
 /** The store sends values in base64. */
 function describeSize (bytes: Uint8Array): string | undefined {
   const encodedLength = Math.ceil(bytes.length / 3) * 4
