Drop a reason from the comment on the extra time for heads that nothing shows

Cause: the value had no documented reason before it became a named constant; the comment gave one. Change: the comment states what hosts do.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -16,7 +16,7 @@
 
 /** Node.js limit on the size of a request head at hosts; fixed at startup, so it exceeds the configured limit, which may change. */
 export const maxHostHeadBytes = 64 * 1024
-/** Hosts wait for a request's head for this much longer than the configuration says, as a head may be late in the network. */
+/** Hosts wait for a request's head for this much longer than the configuration says. */
 export const extraHeadTimeMs = 2000
 /** Hosts take this for the time that a caller waits which states none. */
 export const defaultTimeLeftMs = 30_000
