Take a negative idle time of a configuration for none

Below -1,000 ms Node.js threw after the first response on a connection, which ended the host. A time-out of 0 closed idle connections after a second. The scenario with -5,000 ms failed before.

--- a/features/arrivingRequests.feature
+++ b/features/arrivingRequests.feature
@@ -45,6 +45,18 @@
     When 4 callers send two requests each, one after the other
     Then each of these requests is answered
 
+  # Guards against an exception after a response, which ended the host.
+  Scenario Outline: Requests are answered with an idle time-out of <ms> ms, which sets none
+    Given a listener that answers requests at once, with an idle time-out of <ms> ms
+    When 4 callers send two requests each, one after the other
+    Then each of these requests is answered
+
+    Examples:
+      | ms    |
+      | 0     |
+      | -1    |
+      | -5000 |
+
   Scenario: Requests on connections that were opened while the process stood still at the close are answered
     Given a listener that answers requests at once
     When 8 connections are opened and send a request, and its process stands still beyond the time of the close
--- a/features/steps/arrivingRequests.ts
+++ b/features/steps/arrivingRequests.ts
@@ -29,9 +29,9 @@
   this.listener?.listener.close()
 })
 
-Given(/^a listener that answers requests (?:at once|after (\d+) ms)(, and closes connections that stay idle)?$/, async function (this: ArrivingWorld, delayMs: string | null, idle: string | null) {
+Given(/^a listener that answers requests (?:at once|after (\d+) ms)(, and closes connections that stay idle)?(?:, with an idle time-out of (\S+) ms)?$/, async function (this: ArrivingWorld, delayMs: string | null, idle: string | null, idleMs: string | null) {
   this.listener = await startTestListener({
-    ...(idle !== null && { getLimits: () => ({ maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs }) }),
+    ...((idle ?? idleMs) !== null && { getLimits: () => ({ maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: idleMs === null ? idleTimeoutMs : Number(idleMs) }) }),
     createHandle: (_request, response) => createTestHandle(async () => {
       if (delayMs !== null) await sleep(Number(delayMs))
       response.writeHead(200, ['Content-Length', '0'])
--- a/src/core/configurationCheck/findUnservable.ts
+++ b/src/core/configurationCheck/findUnservable.ts
@@ -12,8 +12,7 @@
 export function findUnservable (configuration: RoutingConfiguration): FieldFinding[] {
   const { limits, routes } = configuration
   const findings = routes.flatMap((route, index) => describeRoute(route, configuration).map(({ field, message }): FieldFinding => ({ at: { entry: 'route', index, field }, message })))
-  // Node.js throws below -1,000 ms, after the first response on a connection, and the exception ends the process.
-  if (limits.idleTimeoutMs < 0) findings.push({ at: { entry: 'limits', field: 'idleTimeoutMs' }, message: `${limits.idleTimeoutMs} ms is no time; below -1000 ms an exception ends each host after its first response` })
+  if (limits.idleTimeoutMs < 0) findings.push({ at: { entry: 'limits', field: 'idleTimeoutMs' }, message: `${limits.idleTimeoutMs} ms is no time; hosts set no limit then, and those of earlier versions end below -1000 ms` })
   return findings
 }
 
--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -138,9 +138,11 @@
   applyLimits (): void {
     const limits = this.#getLimits()
     this.#server.headersTimeout = limits.headerTimeoutMs + extraHeadTimeMs
-    this.#server.keepAliveTimeout = limits.idleTimeoutMs
+    // A time that is not positive sets no limit; Node.js throws after a response if its sum with the extra time is negative.
+    const idleTimeoutMs = Math.max(0, limits.idleTimeoutMs)
+    this.#server.keepAliveTimeout = idleTimeoutMs
     // Node.js 20.19 ends the idle time-out at the first byte of a request, and checks the time-out of heads every 30 s only.
-    this.#server.timeout = limits.idleTimeoutMs + keepAliveExtraMs
+    this.#server.timeout = idleTimeoutMs === 0 ? 0 : idleTimeoutMs + keepAliveExtraMs
   }
 
   async start (): Promise<void> {
