--- a/features/steps/accounts.ts
+++ b/features/steps/accounts.ts
@@ -59,7 +59,7 @@
   await waitUntil(() => hostFleet.listLines('configuration.applied').filter(({ fields }) => fields.version === version).length >= hostFleet.hosts.length)
 }
 
-async function configure (world: HostsWorld, accounts: RoutingConfiguration['accounts'], isPublic = false): Promise<void> {
+async function applyAccounts (world: HostsWorld, accounts: RoutingConfiguration['accounts'], isPublic = false): Promise<void> {
   const { fleet } = world.hostFleet
   fleet.accounts = accounts
   await waitForConfiguration(world, fleet.writeConfiguration({ routes: fleet.defaultRoutes.map(route => ({ ...route, isPublic })) }))
@@ -82,11 +82,11 @@
   return [...new Set(arrivals.map(({ rawHeaders }) => JSON.stringify(rawHeaders.filter((_, index) => index % 2 === 1 && rawHeaders[index - 1]!.toLowerCase() === name))))]
 }
 
-function assertWhole ({ sent }: AccountsWorld): void {
+function checkWhole ({ sent }: AccountsWorld): void {
   for (const answer of sent) assert.ok(isWhole(answer), `${answer.kind}: ${answer.status} ${answer.error} ${answer.body}`)
 }
 
-function assertWithoutKeys (text: string, place: string): void {
+function checkWithoutKeys (text: string, place: string): void {
   assert.doesNotMatch(text, /key-(acme|globex|unknown)/, place)
 }
 
@@ -97,11 +97,11 @@
 
 Given(/^(\d+) hosts? before a platform with accounts( whose routes are public)?$/, async function (this: AccountsWorld, hosts: string, isPublic: string | null) {
   await startWithAccounts(this, Number(hosts))
-  if (isPublic !== null) await configure(this, [acme, globex], true)
+  if (isPublic !== null) await applyAccounts(this, [acme, globex], true)
 })
 
 Given('accounts are configured', async function (this: AccountsWorld) {
-  await configure(this, [acme, globex])
+  await applyAccounts(this, [acme, globex])
 })
 
 Given('its plain services have no endpoint that is ready', async function (this: AccountsWorld) {
@@ -128,18 +128,18 @@
 })
 
 Then('each is answered, and the endpoint saw account {string} alone and no key', function (this: AccountsWorld, account: string) {
-  assertWhole(this)
+  checkWhole(this)
   assert.deepEqual([listReceived(this, 'tenant'), listReceived(this, 'authorization')], [[`["${account}"]`], ['[]']])
-  for (const { rawHeaders } of this.hostFleet.fleet.journal.arrivals) assertWithoutKeys(rawHeaders.join('\n'), 'the headers that an endpoint got')
+  for (const { rawHeaders } of this.hostFleet.fleet.journal.arrivals) checkWithoutKeys(rawHeaders.join('\n'), 'the headers that an endpoint got')
 })
 
 Then('each is answered, and the endpoint saw no account and no key', function (this: AccountsWorld) {
-  assertWhole(this)
+  checkWhole(this)
   assert.deepEqual([listReceived(this, 'tenant'), listReceived(this, 'authorization')], [['[]'], ['[]']])
 })
 
 Then('each is answered, and the endpoint saw the key and account {string}', function (this: AccountsWorld, account: string) {
-  assertWhole(this)
+  checkWhole(this)
   assert.deepEqual([listReceived(this, 'tenant'), listReceived(this, 'authorization')], [[`["${account}"]`], ['["Bearer key-acme"]']])
 })
 
@@ -149,11 +149,11 @@
 })
 
 When('account {string} has keys {string} in place of its own', async function (this: AccountsWorld, _account: string, key: string) {
-  await configure(this, [{ ...acme, keys: [key] }, globex])
+  await applyAccounts(this, [{ ...acme, keys: [key] }, globex])
 })
 
 When('account {string} is removed', async function (this: AccountsWorld, _account: string) {
-  await configure(this, [globex])
+  await applyAccounts(this, [globex])
 })
 
 Then('its answers have status {}', function (this: AccountsWorld, statuses: string) {
@@ -165,7 +165,7 @@
   const caller = await RawCaller.open(this.hostFleet.hosts[0]!.settings.callersAddress)
   const answers = caller.send([{ kind: 'once', headerLines: [`Authorization: Bearer ${key}`] }])
   await sleep(50)
-  await configure(this, [globex])
+  await applyAccounts(this, [globex])
   this.sent = await answers
   caller.close()
 })
@@ -247,7 +247,7 @@
 
 Then('another host gets it for account {string} without its key', function (this: AccountsWorld, account: string) {
   const headers = findHeaders(this.waiting)
-  assertWithoutKeys(JSON.stringify([...headers]), 'the headers that another host gets')
+  checkWithoutKeys(JSON.stringify([...headers]), 'the headers that another host gets')
   assert.equal((JSON.parse(decodeURIComponent(headers.get('sedgevalve-forwarding')!)) as { account: string }).account, account)
 })
 
@@ -278,14 +278,14 @@
 
 Then('no key is in any line, message, row or metric', async function (this: AccountsWorld) {
   const { hosts, fleet } = this.hostFleet
-  assertWithoutKeys(this.hostFleet.formatLines(), 'a line')
+  checkWithoutKeys(this.hostFleet.formatLines(), 'a line')
   assert.ok(this.messages.length > 0)
-  assertWithoutKeys(this.messages.join('\n'), 'a message between hosts')
-  for (const table of ['hosts', 'streams', 'servers']) assertWithoutKeys(fleet.rows.listRows(table).map(({ key, value }) => `${key} ${Buffer.from(value ?? []).toString('latin1')}`).join('\n'), `a row of ${table}`)
+  checkWithoutKeys(this.messages.join('\n'), 'a message between hosts')
+  for (const table of ['hosts', 'streams', 'servers']) checkWithoutKeys(fleet.rows.listRows(table).map(({ key, value }) => `${key} ${Buffer.from(value ?? []).toString('latin1')}`).join('\n'), `a row of ${table}`)
   for (const { settings } of hosts) {
     const metrics = await (await fetch(`http://${settings.address}:${findMetricsPort(hostsBasePort)}/metrics`)).text()
     assert.match(metrics, /sedgevalve/)
-    assertWithoutKeys(metrics, 'a metric')
+    checkWithoutKeys(metrics, 'a metric')
   }
 })
 
@@ -296,7 +296,7 @@
 })
 
 When('the configuration has no accounts any more', async function (this: AccountsWorld) {
-  await configure(this, undefined)
+  await applyAccounts(this, undefined)
 })
 
 When('a host starts, and a request with an unknown key is sent to it', async function (this: AccountsWorld) {
--- a/features/steps/quotas.ts
+++ b/features/steps/quotas.ts
@@ -59,7 +59,7 @@
   return directory.listGranters(directory.find(accounts.at(-1)!.name)!.group).map(({ host }) => nodes.find(node => node.host === host)!)
 }
 
-function assertWithinLimits ({ cluster, accounts }: QuotasWorld, describe: string): void {
+function checkWithinLimits ({ cluster, accounts }: QuotasWorld, describe: string): void {
   for (const account of accounts) {
     const spent = cluster.computeMaxSpent(account.name)
     assert.ok(spent <= computeLimit(account), `${account.name} spent ${spent} in a window, its limit is ${computeLimit(account)} (${describe})`)
@@ -77,7 +77,7 @@
 }
 
 function freeze (cluster: QuotaCluster, node: QuotaNode): ReturnType<Failure> {
-  return { begin: () => { node.isFrozen = true }, end: () => cluster.thaw(node) }
+  return { begin: () => { node.isFrozen = true }, end: () => cluster.resume(node) }
 }
 
 function restartAll (cluster: QuotaCluster): ReturnType<Failure> {
@@ -102,7 +102,7 @@
   '30% of the messages are lost': cluster => ({ begin: () => { cluster.lossRate = 0.3 }, end: () => { cluster.lossRate = 0 } })
 }
 
-function orderNodes ({ cluster, accounts }: QuotasWorld): QuotaNode[] {
+function sortNodes ({ cluster, accounts }: QuotasWorld): QuotaNode[] {
   const granters = listGranters(cluster, accounts)
   return [...granters, ...cluster.nodes.filter(node => !granters.includes(node))]
 }
@@ -138,7 +138,7 @@
 
 When(/^the accounts ask for (\d+)% of their rates for (\d+) s while (.*)$/, function (this: QuotasWorld, percent: string, seconds: string, name: string) {
   this.durationMs = Number(seconds) * 1000
-  const { begin, end } = failures[name]!(this.cluster, orderNodes(this))
+  const { begin, end } = failures[name]!(this.cluster, sortNodes(this))
   sendAll(this, () => Number(percent) / 100, this.durationMs)
   this.cluster.clock.runUntil(15_000)
   begin()
@@ -180,7 +180,7 @@
 })
 
 Then('no account spends more than its limit in any window', function (this: QuotasWorld) {
-  assertWithinLimits(this, 'seed 7')
+  checkWithinLimits(this, 'seed 7')
 })
 
 Then('no account spends more than its limit in any window of {int} random histories of failures', function (this: QuotasWorld, runs: number) {
@@ -195,7 +195,7 @@
       cluster.clock.runUntil(atMs)
       const names = Object.keys(failures)
       const name = names[Math.floor(random() * names.length)]!
-      const { begin, end } = failures[name]!(cluster, random() < 0.7 ? orderNodes(this) : [...cluster.nodes].sort(() => random() - 0.5))
+      const { begin, end } = failures[name]!(cluster, random() < 0.7 ? sortNodes(this) : [...cluster.nodes].sort(() => random() - 0.5))
       const lengthMs = 200 + random() ** 2 * 16_000
       history.push(`${name} at ${Math.round(atMs)} for ${Math.round(lengthMs)}`)
       begin()
@@ -204,7 +204,7 @@
       atMs += lengthMs + random() * 4000
     }
     cluster.clock.runUntil(untilMs)
-    assertWithinLimits(this, `seed ${seed}: ${history.join('; ')}`)
+    checkWithinLimits(this, `seed ${seed}: ${history.join('; ')}`)
   }
 })
 
--- a/features/steps/serviceDispatch.ts
+++ b/features/steps/serviceDispatch.ts
@@ -101,7 +101,7 @@
 })
 
 Then(/^requests to endpoints with (\d+) places that tell (slowness|nothing) are (granted|chosen as they are) by (\d+) hosts$/, function (places: string, tells: string, chosen: string, hosts: string) {
-  assert.equal(isDispatched([{ places: Number(places), reportsSlowness: tells === 'slowness' }], Number(hosts)), chosen === 'granted')
+  assert.equal(isDispatched([{ places: Number(places), hasReportedSlowness: tells === 'slowness' }], Number(hosts)), chosen === 'granted')
 })
 
 Then('of {int} endpoints, hosts with 4 times the processor time grant for {float} to {float} times as many', function (endpoints: number, least: number, most: number) {
--- a/features/support/dispatchTrial.ts
+++ b/features/support/dispatchTrial.ts
@@ -115,15 +115,15 @@
       for (const [index, endpoint] of this.endpoints.entries()) endpoint.isSlow = index === slow
       if (this.clock.readMonotonic() < endsAtMs) this.clock.setTimer(drawSlow, slowMs)
     }
-    const arrive = (): void => {
+    const addArrival = (): void => {
       if (this.clock.readMonotonic() >= endsAtMs) return
       const perMs = this.#options.requestsPerSecond * this.#options.computeLoad(this.clock.readMonotonic()) / 1000
-      this.clock.setTimer(arrive, -Math.log(1 - this.#random()) / perMs)
+      this.clock.setTimer(addArrival, -Math.log(1 - this.#random()) / perMs)
       this.counts.arrivals++
       this.#call(this.clock.readMonotonic(), 1)
     }
     drawSlow()
-    arrive()
+    addArrival()
     await this.clock.runUntilSettled(endsAtMs + timeoutMs * 2)
   }
 
@@ -209,7 +209,7 @@
     const host = this.#pickHost()
     const query = createQuery(this.#nextRequest++, beganAtMs)
     const selection = await host.selector.selectEndpoint(query, host.view.endpoints.listUsable(service, sentAtMs))
-    const retryAfterMs = selection.kind === 'found' ? await this.#attempt(host, selection.target, beganAtMs) : selection.retryAfterMs
+    const retryAfterMs = selection.kind === 'found' ? await this.#trySend(host, selection.target, beganAtMs) : selection.retryAfterMs
     if (retryAfterMs === undefined) return
     this.counts.refused++
     this.retryDelaysMs.push(retryAfterMs)
@@ -221,11 +221,11 @@
   }
 
   /** Sends a request to an endpoint; resolves with a delay if the endpoint rejects it. */
-  async #attempt ({ health }: TrialHost, { endpoint: { id }, release }: SelectedEndpoint, beganAtMs: number): Promise<number | undefined> {
+  async #trySend ({ health }: TrialHost, { endpoint: { id }, release }: SelectedEndpoint, beganAtMs: number): Promise<number | undefined> {
     const endpoint = this.endpoints.find(({ entry }) => entry.id === id)!
     const startedAtMs = this.clock.readMonotonic()
     health.recordRequestStart(id)
-    const isServed = await new Promise<boolean>(resolve => this.clock.setTimer(() => this.#arriveAt(endpoint, resolve), 0.3))
+    const isServed = await new Promise<boolean>(resolve => this.clock.setTimer(() => this.#receiveAt(endpoint, resolve), 0.3))
     const load = { running: endpoint.running, waiting: endpoint.queue.length, places: trialPlaces, slowness: endpoint.isSlow ? slowFactor : 1 }
     await new Promise<void>(resolve => this.clock.setTimer(resolve, this.#drawTripMs()))
     const nowMs = this.clock.readMonotonic()
@@ -239,7 +239,7 @@
     return undefined
   }
 
-  #arriveAt (endpoint: TrialEndpoint, end: (isServed: boolean) => void): void {
+  #receiveAt (endpoint: TrialEndpoint, end: (isServed: boolean) => void): void {
     this.counts.sent++
     const run = (): void => {
       endpoint.running++
--- a/features/support/engineReplay.ts
+++ b/features/support/engineReplay.ts
@@ -157,7 +157,7 @@
     return -1
   }
 
-  function place (result: ReplayResult): void {
+  function dispatch (result: ReplayResult): void {
     const order = engines.map((_, index) => ({ index, position: random() })).sort((left, right) => left.position - right.position)
     let best = { index: -1, expectedMs: Infinity }
     for (const { index } of order.slice(0, maxDeclines)) {
@@ -172,10 +172,10 @@
     const { atMs, patienceMs } = result.request
     const count = retries.get(result) ?? 0
     retries.set(result, count + 1)
-    if (count < maxRetries && clock.readMonotonic() + retryAfterMs < atMs + patienceMs) clock.setTimer(() => place(result), retryAfterMs)
+    if (count < maxRetries && clock.readMonotonic() + retryAfterMs < atMs + patienceMs) clock.setTimer(() => dispatch(result), retryAfterMs)
   }
 
-  for (const result of results) clock.setTimer(() => place(result), result.request.atMs)
+  for (const result of results) clock.setTimer(() => dispatch(result), result.request.atMs)
   clock.runUntil(Math.max(...requests.map(({ atMs }) => atMs)) + 20_000)
   return results
 }
--- a/features/support/quotaCluster.ts
+++ b/features/support/quotaCluster.ts
@@ -96,7 +96,7 @@
     node.held = []
   }
 
-  thaw (node: QuotaNode): void {
+  resume (node: QuotaNode): void {
     node.isFrozen = false
     for (const run of node.held.splice(0)) run()
   }
@@ -149,12 +149,12 @@
 
   /** As hosts find it by asking each other: only if all that they reach lack the store, and these are a majority. */
   #findOutageShare (node: QuotaNode): number | undefined {
-    if (this.#reachesStore(node) || this.clock.readMonotonic() - node.viewAtMs < 1800) return undefined
+    if (this.#canReachStore(node) || this.clock.readMonotonic() - node.viewAtMs < 1800) return undefined
     const reached = this.nodes.filter(({ task, island, host }) => task && island === node.island && node.view.has(host)).length
     return reached > node.view.size / 2 ? reached / node.view.size : undefined
   }
 
-  #reachesStore (node: QuotaNode): boolean {
+  #canReachStore (node: QuotaNode): boolean {
     return this.isStoreAvailable && node.island === 0
   }
 
@@ -194,13 +194,13 @@
 
   #register (node: QuotaNode): void {
     node.lastRenewalAtMs = this.clock.readMonotonic()
-    if (!this.#reachesStore(node) || this.#table.get(node.host) === node.session) return
+    if (!this.#canReachStore(node) || this.#table.get(node.host) === node.session) return
     this.#table.set(node.host, node.session)
     this.#version++
   }
 
   #readTable (node: QuotaNode): void {
-    if (!this.#reachesStore(node)) return
+    if (!this.#canReachStore(node)) return
     node.viewAtMs = this.clock.readMonotonic()
     if (node.viewVersion === this.#version) return
     node.viewVersion = this.#version
@@ -211,7 +211,7 @@
   #runTable (): void {
     const nowMs = this.clock.readMonotonic()
     const isRunning = (node: QuotaNode): boolean => node.task !== undefined && !node.isFrozen
-    for (const node of this.nodes) if (isRunning(node) && this.#reachesStore(node)) this.#register(node)
+    for (const node of this.nodes) if (isRunning(node) && this.#canReachStore(node)) this.#register(node)
     for (const node of this.nodes) {
       if (!this.isStoreAvailable || nowMs - node.lastRenewalAtMs < removalMs || !this.#table.delete(node.host)) continue
       this.#version++
--- a/src/core/dispatch/dispatchChoice.ts
+++ b/src/core/dispatch/dispatchChoice.ts
@@ -59,9 +59,9 @@
  * so that no host can have a place of its own.
  *
  * @example
- * isDispatched([{ places: 6, reportsSlowness: true }], 80) // true
+ * isDispatched([{ places: 6, hasReportedSlowness: true }], 80) // true
  */
-export function isDispatched (endpoints: readonly { readonly places: number, readonly reportsSlowness: boolean }[], hostCount: number): boolean {
-  if (!endpoints.some(({ reportsSlowness }) => reportsSlowness)) return false
+export function isDispatched (endpoints: readonly { readonly places: number, readonly hasReportedSlowness: boolean }[], hostCount: number): boolean {
+  if (!endpoints.some(({ hasReportedSlowness }) => hasReportedSlowness)) return false
   return hostCount > endpoints.reduce((sum, { places }) => sum + places, 0)
 }
--- a/src/core/endpointHealth.ts
+++ b/src/core/endpointHealth.ts
@@ -20,7 +20,7 @@
   latencyMs: number
   load: EndpointLoad | undefined
   loadAtMs: number
-  reportsSlowness: boolean
+  hasReportedSlowness: boolean
   inFlight: number
   lastProbeAtMs: number
 }
@@ -41,7 +41,7 @@
     const health = this.#findOrAdd(id)
     health.load = load
     health.loadAtMs = nowMs
-    health.reportsSlowness ||= load.slowness !== undefined
+    health.hasReportedSlowness ||= load.slowness !== undefined
   }
 
   recordSuccess (id: string, latencyMs: number): void {
@@ -69,8 +69,8 @@
   }
 
   /** Whether a response of the endpoint has told how slow its machine is. */
-  reportsSlowness (id: string): boolean {
-    return this.#healths.get(id)?.reportsSlowness ?? false
+  hasReportedSlowness (id: string): boolean {
+    return this.#healths.get(id)?.hasReportedSlowness ?? false
   }
 
   getLatencyMs (id: string): number {
@@ -98,7 +98,7 @@
   #findOrAdd (id: string): Health {
     let health = this.#healths.get(id)
     if (!health) {
-      health = { failureRate: 0, consecutiveFailures: 0, latencyMs: 0, load: undefined, loadAtMs: 0, reportsSlowness: false, inFlight: 0, lastProbeAtMs: -Infinity }
+      health = { failureRate: 0, consecutiveFailures: 0, latencyMs: 0, load: undefined, loadAtMs: 0, hasReportedSlowness: false, inFlight: 0, lastProbeAtMs: -Infinity }
       this.#healths.set(id, health)
     }
     return health
--- a/src/tasks/proxy/dispatchSelector.ts
+++ b/src/tasks/proxy/dispatchSelector.ts
@@ -42,11 +42,11 @@
   /** Whether requests to the service are granted; limited and brittle endpoints are selected by their own rules. */
   isUsedFor (service: string, accepting: readonly EndpointEntry[]): boolean {
     const { clock, clusterView, health, notices } = this.#options
-    if (!accepting.some(({ id }) => health.reportsSlowness(id))) return false
+    if (!accepting.some(({ id }) => health.hasReportedSlowness(id))) return false
     const nowMs = clock.readMonotonic()
     const known = clusterView.endpoints.listUsable(service, nowMs)
     if (known.some(entry => notices.getRate(entry, nowMs) !== undefined || notices.getMaxRejections(entry) !== undefined)) return false
-    return isDispatched(known.map(({ id, places }) => ({ places, reportsSlowness: health.reportsSlowness(id) })), clusterView.hosts.size)
+    return isDispatched(known.map(({ id, places }) => ({ places, hasReportedSlowness: health.hasReportedSlowness(id) })), clusterView.hosts.size)
   }
 
   async selectEndpoint (query: EndpointQuery, usable: readonly EndpointEntry[]): Promise<EndpointSelection> {
