--- a/src/core/quota/granterShare.ts
+++ b/src/core/quota/granterShare.ts
@@ -12,7 +12,7 @@
 /** With an older copy of the hosts' table, less than an overdraft's 1,200 ms would remain until another host may grant. */
 const maxOverdraftViewAgeMs = 3200
 /**
- * A copy of the hosts' table that is older may lack a change, so that another host may be granter by now. In calm a copy that was read
+ * A copy of the hosts' table that is older may lack a change, so that another host may be granter by now. Without failures a copy that was read
  * through another host gets 2.6 s old: a read of the store waits for up to 2 s, one of a relay for up to 0.6 s.
  */
 export const maxViewAgeMs = 4200
