Accept late requests of accounts over their shares where the engine can start them at once

A late request of such an account was refused at any prefill backlog above 0, with words like "it would start in 3 ms and has to start within 0 ms", although the engine had free slots and the planner grants these requests up to a backlog of 60 ms. The bound is now that backlog. The new example at 3 ms failed before; the one at 100 ms stays refused, before and after.

--- a/features/allocationPlanner.feature
+++ b/features/allocationPlanner.feature
@@ -51,6 +51,21 @@
     When request 4 needs "a5" and became late 100 ms ago
     Then request 4 is refused
 
+  # Guards against a late request of an account over its share that is refused although the engine would start it at once.
+  Scenario Outline: A late request of an account over its share is <outcome> at a backlog of <backlog> ms
+    Given the engine has loaded "a1, a2, a3"
+    When requests 1 to 3 of account "large" run on "a1, a2, a3"
+    And request 4 of account "small" needs "a4"
+    And 100 ms pass without planning
+    Given the engine has a prefill backlog of <backlog> ms
+    When request 5 of account "large" needs "a1" and became late 100 ms ago
+    Then request 5 is <outcome>
+
+    Examples:
+      | backlog | outcome |
+      | 3       | granted |
+      | 100     | refused |
+
   Scenario: The adapter with the fewest requests is evicted
     Given the engine has loaded "a1, a2, a3"
     And "a1" was requested 5 times
--- a/features/steps/allocationPlanner.ts
+++ b/features/steps/allocationPlanner.ts
@@ -113,6 +113,18 @@
   this.allocator.submit(String(key), adapter, { abandonAtMs: this.allocator.nowMs + ms })
 })
 
+When(/^requests (\d+) to \d+ of account "([^"]+)" run on "([^"]+)"$/, function (this: AllocationWorld, first: string, account: string, names: string) {
+  splitNames(names).forEach((name, index) => this.allocator.submit(String(Number(first) + index), name, { account }))
+})
+
+When('request {int} of account {string} needs {string}', function (this: AllocationWorld, key: number, account: string, adapter: string) {
+  this.allocator.submit(String(key), adapter, { account })
+})
+
+When('request {int} of account {string} needs {string} and became late {int} ms ago', function (this: AllocationWorld, key: number, account: string, adapter: string, ms: number) {
+  this.allocator.submit(String(key), adapter, { account, dueAtMs: this.allocator.nowMs - ms })
+})
+
 When('{int} ms pass without planning', function (this: AllocationWorld, ms: number) {
   this.allocator.nowMs += ms
 })
--- a/src/core/allocation/allocationPlanner.ts
+++ b/src/core/allocation/allocationPlanner.ts
@@ -112,7 +112,7 @@
     if (reasonToDecline !== undefined) return { kind: 'declined', expectedMs: expectedMs + prefillMs, reason: reasonToDecline }
     this.#shareRules.recordArrival(request, prefillMs, nowMs)
     const turn = { ...this.#limiter.computeTurn(request, prefillMs, nowMs), isOverShare }
-    const latestStartMs = isOverShare ? Math.max(nowMs + prefillMs, request.dueAtMs) : Infinity
+    const latestStartMs = isOverShare ? Math.max(nowMs + maxOverShareBacklogMs + prefillMs, request.dueAtMs) : Infinity
     const graceMs = this.#options.isSizeBlind ? -Infinity : this.longPrompts.computeStartGraceMs(prefillMs, nowMs)
     const startDeadlineMs = Math.min(request.abandonAtMs - prefillMs, Math.max(computeSlotDeadlineMs(request, nowMs) - prefillMs, nowMs + graceMs), latestStartMs - prefillMs)
     const maxStartMs = Math.min(startDeadlineMs, this.#limiter.isLimited(nowMs) ? turn.deadlineMs : Infinity) - nowMs
