--- a/src/tasks/hostMetrics/hostMetrics.ts
+++ b/src/tasks/hostMetrics/hostMetrics.ts
@@ -1,5 +1,6 @@
 /** Prometheus metrics of a host, updated by the same events as its log lines. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { measureExternalBytes } from '../../adapters/v8/youngGarbage.js'
 import type { EventFields, EventLog } from '../../ports/eventLog.js'
 
 /** Values that the gauges read at each scrape. */
@@ -83,6 +84,7 @@
     this.#createGauge('owned_endpoints', 'Engines that this host gives orders to.', sources.getOwnedEndpointCount)
     this.#createGauge('known_endpoints', 'Endpoints that this host knows.', sources.getKnownEndpointCount)
     this.#createGauge('resident_bytes', 'Memory of the process.', () => process.memoryUsage.rss())
+    this.#createGauge('external_bytes', 'Memory of buffers outside of the heap, with garbage that has not been collected.', measureExternalBytes)
     let dueAtMs = performance.now() + lagIntervalMs
     this.#lagTimer = setInterval(() => {
       const nowMs = performance.now()
