--- a/features/steps/endpointLimits.ts
+++ b/features/steps/endpointLimits.ts
@@ -24,7 +24,7 @@
 
 interface LimitWorld extends HostsWorld {
   /** When endpoints were last told to change their limits, in milliseconds of the monotonic clock. */
-  toldAtMs: number
+  reportedAtMs: number
   /** Since when the limits that were checked have had to be held to. */
   heldFromMs: number
   /** Requests of the last batch, with the time at which each was sent. */
@@ -54,12 +54,12 @@
 
 When('endpoint {int} of {string} names a limit of {string} requests a second', function (this: LimitWorld, number: number, service: string, limit: string) {
   findEndpoint(this, number, service).server.setFaults({ limit })
-  this.toldAtMs = performance.now()
+  this.reportedAtMs = performance.now()
 })
 
 When('endpoint {int} of {string} stops naming a limit', function (this: LimitWorld, number: number, service: string) {
   findEndpoint(this, number, service).server.setFaults({ limit: '' })
-  this.toldAtMs = performance.now()
+  this.reportedAtMs = performance.now()
 })
 
 When('half of the streams of endpoint {int} of {string} break off', function (this: HostsWorld, number: number, service: string) {
@@ -122,7 +122,7 @@
 
 /** When an endpoint named its limit first: as it answered a request, not as it was told to. */
 function findNamedAt (world: LimitWorld, endpointId: string): number {
-  return listArrivals(world, endpointId).find(atMs => atMs >= world.toldAtMs) ?? world.toldAtMs
+  return listArrivals(world, endpointId).find(atMs => atMs >= world.reportedAtMs) ?? world.reportedAtMs
 }
 
 Then('endpoint {int} of {string} got no more than its limit of {float} allows, from {int} ms after it named it', function (this: LimitWorld, number: number, service: string, limit: number, graceMs: number) {
@@ -169,7 +169,7 @@
 Then('endpoint {int} of {string} got at most {int} requests in the first {int} ms after that and at least {int} in the last {int} ms', function (this: LimitWorld, number: number, service: string, most: number, firstMs: number, least: number, lastMs: number) {
   const arrivals = listArrivals(this, findEndpoint(this, number, service).id)
   const lastSentAtMs = Math.max(...this.calls.map(({ sentAtMs }) => sentAtMs))
-  const early = arrivals.filter(atMs => atMs >= this.toldAtMs && atMs < this.toldAtMs + firstMs)
+  const early = arrivals.filter(atMs => atMs >= this.reportedAtMs && atMs < this.reportedAtMs + firstMs)
   const late = arrivals.filter(atMs => atMs > lastSentAtMs - lastMs)
   assert.ok(early.length <= most, `${early.length} requests at first`)
   assert.ok(late.length >= least, `${late.length} requests at last`)
--- a/features/support/dispatchTrial.ts
+++ b/features/support/dispatchTrial.ts
@@ -20,7 +20,7 @@
 
 export interface DispatchTrialOptions {
   seed: number
-  /** Whether requests are granted; otherwise each host chooses by itself, as it does where endpoints tell no slowness. */
+  /** Whether requests are granted; otherwise each host chooses by itself, as it does where endpoints report no slowness. */
   isDispatched: boolean
   requestsPerSecond: number
   /** Rate at a time, as a multiple of the usual one. */
--- a/features/support/engineReplay.ts
+++ b/features/support/engineReplay.ts
@@ -25,7 +25,7 @@
   getSlowness?: (engine: number, nowMs: number) => number
   /** Whether long prompts are treated like short ones. */
   isSizeBlind?: boolean
-  /** Whether responses tell the slowness. */
+  /** Whether responses report the slowness. */
   isSlownessTold?: boolean
 }
 
--- a/src/core/accountShares.ts
+++ b/src/core/accountShares.ts
@@ -1,5 +1,5 @@
 /**
- * Tracks the work that client accounts had done at an endpoint and wanted there, and tells which accounts are over their fair
+ * Tracks the work that client accounts had done at an endpoint and wanted there, and determines which accounts are over their fair
  * share of it. Shares are max-min fair by weight: capacity that an account doesn't want is divided among the others.
  */
 
--- a/src/core/allocation/allocationPlanner.ts
+++ b/src/core/allocation/allocationPlanner.ts
@@ -145,7 +145,7 @@
   }
 
   /**
-   * Records the time from sending a request to the first chunk of its answer, and the slowness that the endpoint told with it. The
+   * Records the time from sending a request to the first chunk of its answer, and the slowness that the endpoint reported with it. The
    * age of the latter is the time since then.
    */
   recordFirstChunk (key: string, measuredMs: number, nowMs: number, slowness?: number): void {
--- a/src/core/allocation/momentarySlowness.ts
+++ b/src/core/allocation/momentarySlowness.ts
@@ -1,4 +1,4 @@
-/** How much longer than usual an engine's work takes at the moment, as responses of its endpoint tell. */
+/** How much longer than usual an engine's work takes at the moment, as responses of its endpoint report. */
 
 /** Time constant with which a value approaches the usual 1; other load on a published machine lasts some 600 ms. */
 const validityMs = 400
--- a/src/core/allocation/prefillBacklog.ts
+++ b/src/core/allocation/prefillBacklog.ts
@@ -66,20 +66,20 @@
     this.#usedMs += prefillMs
   }
 
-  /** How much longer than usual work takes there at the moment; 1 where the endpoint does not tell. */
+  /** How much longer than usual work takes there at the moment; 1 where the endpoint does not report it. */
   getSlowness (nowMs: number): number {
     return this.#slowness.estimate(nowMs)
   }
 
-  /** Records the slowness that the endpoint told at a time. */
-  recordSlowness (slowness: number, toldAtMs: number, nowMs: number): void {
+  /** Records the slowness that the endpoint reported at a time. */
+  recordSlowness (slowness: number, reportedAtMs: number, nowMs: number): void {
     this.#update(nowMs)
-    this.#slowness.record(slowness, toldAtMs)
+    this.#slowness.record(slowness, reportedAtMs)
   }
 
   /**
    * Updates the slowdown from the time to a first chunk and the time that was expected when the reservation was granted.
-   * `slowness`: what the endpoint told with that chunk.
+   * `slowness`: what the endpoint reported with that chunk.
    */
   recordFirstChunk (expectedMs: number, measuredMs: number, slowness?: number): void {
     const isReported = slowness !== undefined && isPlausibleSlowness(slowness)
--- a/src/core/configurationCheck/compareConfigurations.ts
+++ b/src/core/configurationCheck/compareConfigurations.ts
@@ -5,7 +5,7 @@
 
 /** Names of members that are compared in a way of their own. */
 export interface ComparedNames {
-  /** Lists of which only how many values came and went is told. */
+  /** Lists of which only the number of added and removed values is reported. */
   readonly secretField: string
   /** Members that name an entry of a list; the first one that an entry has does. */
   readonly nameFields: readonly string[]
--- a/src/core/dispatch/dispatchChoice.ts
+++ b/src/core/dispatch/dispatchChoice.ts
@@ -57,7 +57,7 @@
 }
 
 /**
- * Whether requests to a service are granted one by one: its endpoints tell how slow they are, and there are more hosts than places,
+ * Whether requests to a service are granted one by one: its endpoints report how slow they are, and there are more hosts than places,
  * so that no host can have a place of its own.
  *
  * @example
--- a/src/core/dispatch/dispatchGranters.ts
+++ b/src/core/dispatch/dispatchGranters.ts
@@ -12,13 +12,13 @@
   readonly host: string
   /** Whether the host is shutting down. */
   readonly isLeaving: boolean
-  /** Part of a processor that the host may use; absent if it does not tell. */
+  /** Part of a processor that the host may use; absent if it is not reported. */
   readonly processorShare?: number
 }
 
 /** A granter and its deputy, which grants a part while the granter does not respond. */
 const maxGranters = 2
-/** Weight of hosts that do not tell their share of a processor. */
+/** Weight of hosts that do not report their share of a processor. */
 const defaultWeight = 1
 const hashRange = 2 ** 32
 
--- a/src/core/dispatch/dispatchQueue.ts
+++ b/src/core/dispatch/dispatchQueue.ts
@@ -38,7 +38,7 @@
   /** Undefined if the endpoint did not answer the request. */
   readonly tookMs: number | undefined
   readonly slowness: number | undefined
-  /** Requests that ran and waited at the endpoint as the response began; undefined if it did not tell. */
+  /** Requests that ran and waited at the endpoint as the response began; undefined if it did not report them. */
   readonly busy: number | undefined
 }
 
@@ -60,7 +60,7 @@
 const graceMs = 15
 /** Beyond the places, at most this part of them is granted to cover the time of the messages. */
 const maxExcessRatio = 0.5
-/** That excess, as a multiple of what ends during the time of the messages: 98.0% of requests were on time in trials, 96.4% with 1 and 98.1% with 2.5. */
+/** That excess, as a multiple of what usually ends during the time of the messages. */
 const excessRatio = 1.5
 /** A host that begins to grant gives this part of the places, as others may run what it does not know of. */
 const cautiousRatio = 0.5
--- a/src/core/endpointHealth.ts
+++ b/src/core/endpointHealth.ts
@@ -68,7 +68,7 @@
     return Math.max(reported, health.inFlight) / Math.max(1, capacity)
   }
 
-  /** Whether a response of the endpoint has told how slow its machine is. */
+  /** Whether a response of the endpoint has reported how slow its machine is. */
   hasReportedSlowness (id: string): boolean {
     return this.#healths.get(id)?.hasReportedSlowness ?? false
   }
--- a/src/core/quota/accountGranter.ts
+++ b/src/core/quota/accountGranter.ts
@@ -8,7 +8,7 @@
 const forgetMs = leaseMs + 500
 /** Fraction of the leases that may be unspent which is granted ahead of need; long prompts take up to a quarter of them each. */
 const aheadRatio = 0.6
-/** The last retry time that is told to a caller, as what lies further ahead cannot be foreseen. */
+/** The longest retry time that a caller gets, as what lies further ahead cannot be foreseen. */
 const maxRetryMs = 8000
 
 /** What a host reports of an account. */
--- a/src/platform/decodeAccounts.ts
+++ b/src/platform/decodeAccounts.ts
@@ -98,7 +98,7 @@
   return undefined
 }
 
-/** A key that two accounts have belongs to neither, as it does not tell whose request it is. */
+/** A key that two accounts have belongs to neither, as it does not identify the account of a request. */
 function removeSharedKeys (accounts: readonly ClientAccount[], reportShared: (account: string) => void): ClientAccount[] {
   const owners = new Map<string, number>()
   for (const { keys } of accounts) for (const key of keys) owners.set(key, (owners.get(key) ?? 0) + 1)
--- a/src/platform/readConfigurationDocument.ts
+++ b/src/platform/readConfigurationDocument.ts
@@ -1,4 +1,4 @@
-/** Reads a configuration as hosts do, and tells what they could not decode, would leave out or would ignore. */
+/** Reads a configuration as hosts do, and reports what they could not decode, would leave out or would ignore. */
 import { KindGuard } from '@sinclair/typebox'
 import type { TSchema } from '@sinclair/typebox'
 import type { ComparedNames } from '../core/configurationCheck/compareConfigurations.js'
--- a/src/platform/standinWire.ts
+++ b/src/platform/standinWire.ts
@@ -184,7 +184,7 @@
   limit?: string
   /** Rejections a second that it bears; empty string for one that is not brittle. */
   brittle?: string
-  /** Absent for an endpoint that does not tell its load. */
+  /** Absent for an endpoint that does not report its load. */
   load?: EndpointLoad | undefined
 }
 
--- a/src/schemas/callerRequest.ts
+++ b/src/schemas/callerRequest.ts
@@ -42,7 +42,7 @@
   readonly running: number
   readonly waiting: number
   readonly places: number
-  /** How many times as long as usual work takes on the endpoint's machine at this moment; absent if the endpoint does not tell. */
+  /** How many times as long as usual work takes on the endpoint's machine at this moment; absent if the endpoint does not report it. */
   readonly slowness?: number
 }
 
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -128,11 +128,11 @@
   outcome: releaseOutcomeSchema,
   /** Milliseconds from sending the request to the first chunk of its response; -1 if none arrived. */
   firstPartMs: Type.Number(),
-  /** How many times as long as usual work took on the endpoint's machine as its response began; absent if it did not tell. */
+  /** How many times as long as usual work took on the endpoint's machine as its response began; absent if it did not report it. */
   slowness: Type.Optional(Type.Number()),
   /** Milliseconds from sending the request to the end of its response; absent if it was not served. */
   tookMs: Type.Optional(Type.Number()),
-  /** Requests that ran and waited at the endpoint as its response began; absent if it did not tell its slowness. */
+  /** Requests that ran and waited at the endpoint as its response began; absent if it did not report its slowness. */
   busy: Type.Optional(Type.Number())
 })
 /** What the holder of a reservation measured of the endpoint. */
@@ -281,7 +281,7 @@
 })
 export type QuotaGrant = Static<typeof quotaGrantSchema>
 
-/** A granter of quotas tells its deputy that it grants; `echo` returns with the acknowledgement. */
+/** A granter of quotas notifies its deputy that it grants; `echo` returns with the acknowledgement. */
 export const quotaAliveSchema = Type.Object({ type: Type.Literal('quotaAlive'), group: Type.Integer(), echo: Type.Integer() })
 export const quotaAliveReceivedSchema = Type.Object({ type: Type.Literal('quotaAliveReceived'), group: Type.Integer(), echo: Type.Integer() })
 export type QuotaMessage = QuotaReport | QuotaGrant | Static<typeof quotaAliveSchema> | Static<typeof quotaAliveReceivedSchema>
--- a/src/schemas/routing.ts
+++ b/src/schemas/routing.ts
@@ -96,7 +96,7 @@
 export interface AccountDefect {
   /** Name of the account, or its position among the entries if it has no valid name. */
   readonly account: string
-  /** Position of the part in the configuration, such as `tenants[2].burst`. */
+  /** Position of the part in the configuration, by the platform's names. */
   readonly path: string
   readonly reason: string
 }
--- a/src/standin/fleet/endpointFaults.ts
+++ b/src/standin/fleet/endpointFaults.ts
@@ -72,7 +72,7 @@
   brittle: string
   /** Every answer names this as the requests a second that the endpoint takes; empty for none. */
   limit: string
-  /** Every answer of a plain service tells its load with this as how many times as long as usual work takes, as it then does; 0 for no load header. */
+  /** Every response of a plain service reports its load with this as how many times as long as usual work takes, as it then does; 0 for no load header. */
   slowness: number
 }
 
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -180,7 +180,7 @@
     if (body !== '' && body === this.faults.crashBody) this.crash()
   }
 
-  /** Undefined where the endpoint tells no load. */
+  /** Undefined where the endpoint reports no load. */
   #readLoad (): EndpointLoad | undefined {
     const { slowness } = this.faults
     const { engine, places } = this.#options
--- a/src/standin/fleet/runJournal.ts
+++ b/src/standin/fleet/runJournal.ts
@@ -14,7 +14,7 @@
   /** Event after which a resumed stream goes on; 0 for a run from the start. */
   fromEvent: number
   adapterVersion: number | undefined
-  /** Client account that the endpoint was told; undefined if none. */
+  /** Client account that the endpoint received; undefined if none. */
   account?: string | undefined
   /** Whether a caller's key came along. */
   hasCredentials?: boolean
--- a/src/tasks/allocation/adapterOrders.ts
+++ b/src/tasks/allocation/adapterOrders.ts
@@ -1,4 +1,4 @@
-/** Executes the loads and unloads of adapters that an engine's planner decided on, and tells the planner their outcomes. */
+/** Executes the loads and unloads of adapters that an engine's planner decided on, and reports their outcomes to the planner. */
 import { parseAdapterName } from '../../core/allocation/adapterName.js'
 import type { AllocationPlanner } from '../../core/allocation/allocationPlanner.js'
 import type { Clock } from '../../ports/clock.js'
--- a/src/tasks/allocation/dispatchEndpoint.ts
+++ b/src/tasks/allocation/dispatchEndpoint.ts
@@ -22,7 +22,7 @@
   recordDecision: RecordDispatch
 }
 
-/** A grant tells the load of an engine, which endpoints of plain services do not have. */
+/** A grant states the load of an engine, which endpoints of plain services do not have. */
 const noLoad = Object.freeze({ use: 0, backlogMs: 0, batchPart: 0 })
 const logIntervalMs = 5000
 /** The queue is planned no more often than this by its timer. */
--- a/src/tasks/gateway/createCallerBudget.ts
+++ b/src/tasks/gateway/createCallerBudget.ts
@@ -23,7 +23,7 @@
   })
 }
 
-/** Open files that the system allows this process; no limit is known where the system does not tell. */
+/** Open files that the system allows this process; no limit is known where the system does not report one. */
 function readMaxDescriptors (): number {
   try {
     return Number(/^Max open files\s+(\d+)/m.exec(readFileSync('/proc/self/limits', 'utf8'))?.[1] ?? Infinity)
--- a/src/tasks/proxy/dispatchSelector.ts
+++ b/src/tasks/proxy/dispatchSelector.ts
@@ -28,7 +28,7 @@
 const ungrantedRetryMs = 100
 /** Requests that a host may always have at an endpoint while no host grants, however many hosts there are. */
 const minUngrantedRequests = 1
-/** An endpoint that left or paused while it was asked does not tell when to come back. */
+/** An endpoint that left or paused while it was asked does not say when to come back. */
 const leavingCode = 'endpoint_leaving'
 
 export class DispatchSelector {
--- a/src/tasks/proxy/requestAttempt.ts
+++ b/src/tasks/proxy/requestAttempt.ts
@@ -301,7 +301,7 @@
     this.#options.target.release(outcome, this.#firstChunkMs, this.#measureFigures(outcome))
   }
 
-  /** Undefined if the endpoint does not tell its slowness: the hosts of its service need no figures then. */
+  /** Undefined if the endpoint does not report its slowness: the hosts of its service need no figures then. */
   #measureFigures (outcome: ReleaseOutcome): ReservationFigures | undefined {
     const load = this.#head?.load
     if (load?.slowness === undefined) return undefined
