Log an error that ends a process, and name the HTTP client's assertions

Cause: an operator saw 'an assertion of a library does not hold', after a line of the bundle of 6 kB, so that the log could not tell the hypotheses of docs/incidents/paused-responses.md apart. Change: an error that nothing catches is a line of its own, process.failed, with its message, stack and origin; the process ends with code 1 as before. The bundle's assertions of the HTTP client have the file and expression as their message.

--- a/deploy/buildHost.mjs
+++ b/deploy/buildHost.mjs
@@ -3,6 +3,7 @@
 import { execFileSync } from 'node:child_process'
 import { copyFileSync, mkdirSync, readFileSync, rmSync, statSync } from 'node:fs'
 import { build } from 'esbuild'
+import { assertionNames } from './nameAssertions.mjs'
 
 const folder = process.argv[2] ?? 'target'
 const loader = `${folder}/sedgevalve-host.cjs`
@@ -24,6 +25,7 @@
   alias: {
     undici: './deploy/undiciClients.cjs', 'node:assert': './deploy/assert.cjs', assert: './deploy/assert.cjs', 'node:http2': './deploy/http2.cjs'
   },
+  plugins: [assertionNames],
   logLevel: 'error'
 })
 await build({ entryPoints: ['src/bin/earlySignals.ts'], outfile: earlySignals, minify: true, platform: 'node', target: 'node20', format: 'cjs', logLevel: 'error' })
--- a/features/steps/throwingRequests.ts
+++ b/features/steps/throwingRequests.ts
@@ -46,13 +46,36 @@
   this.throwingListener?.listener.close()
 })
 
-Given(/^a host process in which (.+) throws for paths that end in "throws"$/, async function (this: ThrowingWorld, what: string) {
-  this.hostFleet = await HostFleet.prepare(1, { engines: 1, services: 1 })
-  const { settings } = this.hostFleet.hosts[0]!
+async function startThrowingHost (world: ThrowingWorld, throwingModule: string): Promise<void> {
+  world.hostFleet = await HostFleet.prepare(1, { engines: 1, services: 1 })
+  const { settings } = world.hostFleet.hosts[0]!
   const file = join(mkdtempSync(join(tmpdir(), 'sedgevalve-test-')), 'host.json')
   writeFileSync(file, encodeHostSettings(settings))
-  this.throwingHost = startBinary('host', { [settingsFileVariable]: file, NODE_OPTIONS: `--import data:text/javascript,${encodeURIComponent(throwingModules[what]!)}` })
+  world.throwingHost = startBinary('host', { [settingsFileVariable]: file, NODE_OPTIONS: `--import data:text/javascript,${encodeURIComponent(throwingModule)}` })
   await waitUntil(async () => await fetch(`http://${settings.readinessAddress}/`).then(({ status }) => status === 200, () => false))
+}
+
+Given(/^a host process in which (.+) throws for paths that end in "throws"$/, async function (this: ThrowingWorld, what: string) {
+  await startThrowingHost(this, throwingModules[what]!)
+})
+
+Given('a host process in which a timer throws after it has started', async function (this: ThrowingWorld) {
+  await startThrowingHost(this, 'setTimeout(() => { throw new Error("a timer failed") }, 3000)')
+})
+
+When('its process ends', async function (this: ThrowingWorld) {
+  await waitUntil(() => this.throwingHost.process.exitCode !== null)
+})
+
+Then('it ended with code 1, and its last line names the error and its stack', function (this: ThrowingWorld) {
+  const line = JSON.parse(this.throwingHost.output.trimEnd().split('\n').at(-1)!) as Record<string, string>
+  assert.deepEqual([this.throwingHost.process.exitCode, line.kind, line.error, line.origin], [1, 'process.failed', 'a timer failed', 'uncaughtException'])
+  assert.match(line.stack!, /a timer failed\n +at /)
+})
+
+Then('no line that it wrote has more than {int} characters', function (this: ThrowingWorld, most: number) {
+  const { output, errors } = this.throwingHost
+  assert.ok(`${output}\n${errors}`.split('\n').every(({ length }) => length <= most))
 })
 
 When('a caller sends a plain request, one whose handling throws, and another plain one', async function (this: ThrowingWorld) {
--- a/src/bin/processExit.ts
+++ b/src/bin/processExit.ts
@@ -7,10 +7,21 @@
   describeState?: () => unknown
   /** Handles a change of the settings file. */
   reload?: () => void
+  /** Logs an error that nothing caught, with which the process ends. */
+  reportUncaught?: (error: UncaughtError) => void
   /** Stops gracefully. */
   stop: () => Promise<void>
 }
 
+/** `origin`: `uncaughtException` or `unhandledRejection`. */
+export interface UncaughtError {
+  readonly message: string
+  readonly stack: string
+  readonly origin: string
+}
+
+/** Enough for the message and ten frames. */
+const maxStackLength = 4000
 const signals = ['SIGHUP', 'SIGINT', 'SIGTERM', 'SIGUSR2'] as const
 
 /**
@@ -19,7 +30,7 @@
  *
  * Signals are handled from the call on, as their default action would end a process that has just begun to start: a stop that arrives
  * before `start` has resolved follows then, with exit code 0. `stopSignal` lets `start` give up a wait for what it needs. Rejects if the start
- * or the stop fails.
+ * or the stop fails. An error that nothing catches is reported, and ends the process with exit code 1.
  *
  * @example
  * await runUntilStopped(async () => await startHost(settings, clock))
@@ -47,12 +58,22 @@
     }
   }
   for (const signal of signals) process.on(signal, handleSignal)
+  process.on('uncaughtException', (error, origin) => endWithUncaught(error, origin, running?.reportUncaught))
   running = await startUnlessStopped(start, stopController.signal)
   if (isReloadDue) running.reload?.()
   if (isStopping) await stop(running)
   await stopFailed
 }
 
+/** Node.js itself prints the source line of the error too, which in a bundle hides the message from a reader of the log. */
+function endWithUncaught (thrown: unknown, origin: string, report: RunningProcess['reportUncaught']): never {
+  const error = thrown instanceof Error ? thrown : new Error(String(thrown))
+  const stack = (error.stack ?? error.message).slice(0, maxStackLength)
+  if (report) report({ message: error.message, stack, origin })
+  else writeToStderr(`uncaught error: ${stack}\n`)
+  process.exit(1)
+}
+
 function createRejection (): { promise: Promise<never>, reject: (error: Error) => void } {
   let rejectPromise: (error: Error) => void = () => {}
   const promise = new Promise<never>((_resolve, reject) => { rejectPromise = reject })
