Reproduce the end of a host whose paused response loses its connection

What callers saw: all requests in flight on a host end with it, as one slow caller leaves or one endpoint lets go.

--- a/src/standin/fleet/brokenAnswers.ts
+++ b/src/standin/fleet/brokenAnswers.ts
@@ -4,7 +4,7 @@
 import { decodeReceivedHeaders, encodeEndpointResponseHeaders } from '../../platform/standinWire.js'
 import { formatHeaders, formatUnframedHead, formatWholeAnswer } from './endpointBytes.js'
 import { formatChunk, isEndlessFor, isEndlessRefusal, sendEndless } from './endlessAnswer.js'
-import type { EndlessFormName } from './endlessAnswer.js'
+import type { EndlessEnd, EndlessFormName } from './endlessAnswer.js'
 import type { RunRecord } from './runJournal.js'
 
 /** A reset at once would take the bytes along that were written before it. */
@@ -14,6 +14,7 @@
   run: RunRecord
   socket: Socket
   headers: Record<string, string>
+  end: EndlessEnd
   finish: (outcome: RunRecord['outcome']) => void
   /** Called with the bytes of an endless answer once its connection has closed. */
   receiveEnd: (bytes: number) => void
@@ -23,9 +24,9 @@
  * Answers a request without end, or with the first two events of a stream whose continuation has no end.
  *
  * @example
- * answerWithoutEnd('bytes', { run, socket, headers, finish, receiveEnd: bytes => endlessBytes.push(bytes) })
+ * answerWithoutEnd('bytes', { run, socket, headers, end: '', finish, receiveEnd: bytes => endlessBytes.push(bytes) })
  */
-export function answerWithoutEnd (endless: EndlessFormName, { run, socket, headers, finish, receiveEnd }: EndlessRun): void {
+export function answerWithoutEnd (endless: EndlessFormName, { run, socket, headers, end, finish, receiveEnd }: EndlessRun): void {
   if (!isEndlessFor(endless, run.fromEvent)) {
     // The caller has two events of a stream that somebody else has to complete.
     const broken = [1, 2].map(id => formatChunk(`id: ${id}\ndata: ${run.requestId} ${id}\n\n`)).join('')
@@ -35,7 +36,7 @@
     return
   }
   const startBytes = socket.bytesWritten
-  sendEndless(socket, endless, formatHeaders(isEndlessRefusal(endless) ? encodeEndpointResponseHeaders(run.requestId, undefined) : headers))
+  sendEndless(socket, endless, formatHeaders(isEndlessRefusal(endless) ? encodeEndpointResponseHeaders(run.requestId, undefined) : headers), end)
   socket.once('close', () => {
     finish('broken')
     receiveEnd(socket.bytesWritten - startBytes)
--- a/src/standin/fleet/endlessAnswer.ts
+++ b/src/standin/fleet/endlessAnswer.ts
@@ -19,7 +19,9 @@
 }
 
 const chunked = 'transfer-encoding: chunked\r\n'
-const events = `content-type: text/event-stream\r\n${chunked}`
+const eventOf2KB = `data: ${'x'.repeat(2000)}\n\n`
+const stream = 'content-type: text/event-stream\r\n'
+const events = `${stream}${chunked}`
 const bigChunk = formatChunk('x'.repeat(50_000))
 
 export const endlessForms = Object.freeze({
@@ -33,6 +35,11 @@
   'bytes of a resumed stream': { status: '200 OK', head: events, unit: formatChunk('x'), isForResumed: true },
   'small pieces': { status: '200 OK', head: chunked, unit: formatChunk('x') },
   'small pieces of failures': { status: '500 Internal Server Error', head: chunked, unit: formatChunk('x') },
+  'events in chunks': { status: '200 OK', head: events, unit: formatChunk(eventOf2KB) },
+  'events in chunks before a close': { status: '200 OK', head: `connection: close\r\n${events}`, unit: formatChunk(eventOf2KB) },
+  'events of a stated length before a close': { status: '200 OK', head: `connection: close\r\ncontent-length: 900000000\r\n${stream}`, unit: eventOf2KB },
+  'events before a close': { status: '200 OK', head: `connection: close\r\n${stream}`, unit: eventOf2KB },
+  'events to the end of the connection': { status: '200 OK', head: stream, unit: eventOf2KB },
   failures: { status: '500 Internal Server Error', head: chunked, unit: bigChunk },
   refusals: { status: '503 Service Unavailable', head: chunked, unit: bigChunk, isRefusal: true },
   'failures of a resumed stream': { status: '500 Internal Server Error', head: chunked, unit: bigChunk, isForResumed: true },
@@ -42,6 +49,11 @@
 } satisfies Record<string, EndlessForm>)
 export type EndlessFormName = keyof typeof endlessForms
 
+/** Who ends an endless answer: its receiver, or the endpoint, which ends its side or resets the connection. */
+export type EndlessEnd = '' | 'ends' | 'resets'
+
+/** Time after which the endpoint ends an answer. */
+const endAfterMs = 900
 const bytesPerInterval = 400_000
 const intervalMs = 4
 /** By then the receiver should have closed the connection; the rest of a test goes on without more bytes. */
@@ -58,7 +70,7 @@
 }
 
 /** Sends an answer with these headers, lines with their ends, until the connection is closed. */
-export function sendEndless (socket: Socket, name: EndlessFormName, headers: string): void {
+export function sendEndless (socket: Socket, name: EndlessFormName, headers: string, end: EndlessEnd = ''): void {
   const form: EndlessForm = endlessForms[name]
   const bytes = Buffer.alloc(bytesPerInterval - bytesPerInterval % form.unit.length, form.unit)
   socket.write(`HTTP/1.1 ${form.status}\r\n${headers}${form.head}\r\n`)
@@ -67,4 +79,10 @@
     if (socket.writableLength < bytesPerInterval && socket.bytesWritten - startBytes < maxBytes) socket.write(bytes)
   }, intervalMs)
   socket.once('close', () => clearInterval(timer))
+  if (end !== '') setTimeout(() => end === 'resets' ? socket.resetAndDestroy() : endSide(socket, timer), endAfterMs)
+}
+
+function endSide (socket: Socket, timer: NodeJS.Timeout): void {
+  clearInterval(timer)
+  socket.end()
 }
--- a/src/standin/fleet/endpointFaults.ts
+++ b/src/standin/fleet/endpointFaults.ts
@@ -1,5 +1,5 @@
 /** The faults of an endpoint of a stand-in fleet. */
-import type { EndlessFormName } from './endlessAnswer.js'
+import type { EndlessEnd, EndlessFormName } from './endlessAnswer.js'
 import type { EventSpoiling } from './spoilEvent.js'
 
 /** Parts from 0 to 1 of the requests or orders that a fault strikes. */
@@ -34,6 +34,7 @@
   cutsUploads: boolean
   /** Requests are answered with bytes that never end; empty for none. */
   endless: EndlessFormName | ''
+  endlessEnd: EndlessEnd
   /** Streams in which one event has a wrong id, and what is wrong about it. */
   spoiledIds: number
   spoiling: EventSpoiling
@@ -79,4 +80,4 @@
 /** The faults that are given as a part of the requests or orders. */
 export type FaultShare = 'errors' | 'cuts' | 'silentRuns' | 'headCuts' | 'unframed' | 'unframedCuts' | 'emptyStreams' | 'spoiledIds' | 'extras' | 'lateOrders'
 
-export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, breaksStreams: false, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, status: '', cutsUploads: false, endless: '', spoiledIds: 0, spoiling: 'higher', spoiledEvent: 3, extras: 0, lateOrders: 0, extraMs: 0, eventMs: 0, silenceMs: 0, commentMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '', slowness: 0 })
+export const noEndpointFaults: Readonly<EndpointFaults> = Object.freeze({ isDark: false, errors: 0, cuts: 0, breaksStreams: false, silentRuns: 0, headCuts: 0, resetsHeads: false, unframed: 0, unframedVersion: '1.1', unframedCuts: 0, emptyStreams: 0, status: '', cutsUploads: false, endless: '', endlessEnd: '', spoiledIds: 0, spoiling: 'higher', spoiledEvent: 3, extras: 0, lateOrders: 0, extraMs: 0, eventMs: 0, silenceMs: 0, commentMs: 0, trickleMs: 0, crashBody: '', crashParts: [], crashAdapter: '', downMs: 0, isLeaving: false, retryAfter: '', repeatedRefusals: '', brittle: '', limit: '', slowness: 0 })
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -226,10 +226,10 @@
     response.on('close', () => finish('left'))
     const headers = encodeEndpointResponseHeaders(run.requestId, `signed by ${id}`, { isLeaving: this.faults.isLeaving, limit: this.faults.limit, brittle: this.faults.brittle, load: this.#readLoad() })
     const { socket } = request
-    const { endless, status } = this.faults
+    const { endless, endlessEnd, status } = this.faults
     const isStream = engine !== undefined
     if (endless !== '') {
-      answerWithoutEnd(endless, { run, socket, headers, finish, receiveEnd: bytes => this.endlessBytes.push(bytes) })
+      answerWithoutEnd(endless, { run, socket, headers, end: endlessEnd, finish, receiveEnd: bytes => this.endlessBytes.push(bytes) })
       return
     }
     if (status !== '') {
