Stop a process that has an uncaught error as on SIGTERM, and end it with code 1

Callers saw: an error thrown in a callback outside of any call of ours ended the process at once, and every request in flight on it got no answer. Operators saw a host that ended and left its engines to the end of its leases.

Cause: runUntilStopped ended the process in its listener of uncaughtException.

Change: the error is logged (process.failed; one line on stderr for programs other than the host) and begins the stop of SIGTERM, after which the exit code is 1. A timer ends the process after the grace (30 s where there is none). An error before the start has ended, and an eleventh one, end it at once. Errors whose properties throw are reported as such, and messages are cut at 500 characters.

--- a/features/throwingRequests.feature
+++ b/features/throwingRequests.feature
@@ -17,10 +17,3 @@
     Given a listener whose handling throws after it has written half of an answer
     When a caller asks for that answer
     Then the answer is not whole, its connection is closed, and the listener logs the exception
-
-  # Guards against an end of which the log tells neither the error nor its place.
-  Scenario: A host names the error that ends it
-    Given a host process in which a timer throws after it has started
-    When its process ends
-    Then it ended with code 1, and its last line names the error and its stack
-    And no line that it wrote has more than 5000 characters
--- a/src/bin/processExit.ts
+++ b/src/bin/processExit.ts
@@ -1,4 +1,5 @@
 /** Runs a process until it ends: on a signal, or with an error. */
+import { inspect } from 'node:util'
 import { isSettingsError, invalidSettingsExitCode } from '../settings/settingsError.js'
 import { writeToStderr } from '../writeToStderr.js'
 
@@ -7,7 +8,9 @@
   describeState?: () => unknown
   /** Handles a change of the settings file. */
   reload?: () => void
-  /** Logs an error that nothing caught, with which the process ends. */
+  /** Longest time of a stop that an uncaught error begins; `defaultStopMs` without it. */
+  maxStopMs?: number
+  /** Logs an error that nothing caught, because of which the process stops. */
   reportUncaught?: (error: UncaughtError) => void
   /** Stops gracefully. */
   stop: () => Promise<void>
@@ -22,6 +25,11 @@
 
 /** Enough for the message and ten frames. */
 const maxStackLength = 4000
+/** With its stack, a message stays below 5000 characters. */
+const maxMessageLength = 500
+/** Uncaught errors that a process may have before it ends at once: the sockets of one fault may each throw on `error` and on `close`. */
+const maxUncaughtErrors = 10
+const defaultStopMs = 30_000
 const signals = ['SIGHUP', 'SIGINT', 'SIGTERM', 'SIGUSR2'] as const
 
 /**
@@ -30,19 +38,25 @@
  *
  * Signals are handled from the call on, as their default action would end a process that has just begun to start: a stop that arrives
  * before `start` has resolved follows then, with exit code 0. `stopSignal` lets `start` give up a wait for what it needs. Rejects if the start
- * or the stop fails. An error that nothing catches is reported, and ends the process with exit code 1.
+ * or the stop fails. An error that nothing catches is reported and begins a stop, after which the exit code is 1; the process ends at once if it
+ * has not started, if the stop takes too long, and if many errors follow.
  *
  * @example
  * await runUntilStopped(async () => await startHost(settings, clock))
  */
 export async function runUntilStopped (start: (stopSignal: AbortSignal) => Promise<RunningProcess>): Promise<void> {
   const stopController = new AbortController()
-  let [running, isStopping, isReloadDue]: [RunningProcess | undefined, boolean, boolean] = [undefined, false, false]
+  let [running, isStopping, isReloadDue, uncaughtCount]: [RunningProcess | undefined, boolean, boolean, number] = [undefined, false, false, 0]
   const stop = async (started: RunningProcess): Promise<void> => {
     await started.stop()
-    process.exit(0)
+    process.exit(uncaughtCount > 0 ? 1 : 0)
   }
   const { promise: stopFailed, reject: rejectStop } = createRejection()
+  const beginStop = (): void => {
+    isStopping = true
+    stopController.abort()
+    if (running) stop(running).catch(rejectStop)
+  }
   const handleSignal = (signal: typeof signals[number]): void => {
     if (signal === 'SIGUSR2') {
       writeToStderr(`${JSON.stringify(running?.describeState?.() ?? {})}\n`)
@@ -50,15 +64,26 @@
       if (running) running.reload?.()
       else isReloadDue = true
     } else if (!isStopping) {
-      isStopping = true
-      stopController.abort()
-      if (running) stop(running).catch(rejectStop)
+      beginStop()
     } else if (signal === 'SIGINT') {
       process.exit(1)
     }
   }
+  const handleUncaught = (thrown: unknown, origin: string): void => {
+    uncaughtCount++
+    reportUncaught(thrown, origin, running?.reportUncaught)
+    if (!running || uncaughtCount > maxUncaughtErrors) process.exit(1)
+    if (uncaughtCount === 1) setTimeout(() => process.exit(1), running.maxStopMs ?? defaultStopMs)
+    if (!isStopping) beginStop()
+  }
   for (const signal of signals) process.on(signal, handleSignal)
-  process.on('uncaughtException', (error, origin) => endWithUncaught(error, origin, running?.reportUncaught))
+  process.on('uncaughtException', (thrown, origin) => {
+    try {
+      handleUncaught(thrown, origin)
+    } catch {
+      process.exit(1)
+    }
+  })
   running = await startUnlessStopped(start, stopController.signal)
   if (isReloadDue) running.reload?.()
   if (isStopping) await stop(running)
@@ -66,12 +91,21 @@
 }
 
 /** Node.js itself prints the source line of the error too, which in a bundle hides the message from a reader of the log. */
-function endWithUncaught (thrown: unknown, origin: string, report: RunningProcess['reportUncaught']): never {
-  const error = thrown instanceof Error ? thrown : new Error(String(thrown))
-  const stack = (error.stack ?? error.message).slice(0, maxStackLength)
-  if (report) report({ message: error.message, stack, origin })
-  else writeToStderr(`uncaught error: ${stack}\n`)
-  process.exit(1)
+function reportUncaught (thrown: unknown, origin: string, report: RunningProcess['reportUncaught']): void {
+  const { message, stack } = describeThrown(thrown)
+  if (report) report({ message, stack, origin })
+  else writeToStderr(`uncaught error: ${stack.replaceAll(/\s*\n\s*/g, ' ')}`.slice(0, maxStackLength) + '\n')
+}
+
+/** What is thrown may be no error, or one whose properties throw. */
+function describeThrown (thrown: unknown): { message: string, stack: string } {
+  try {
+    const error = thrown instanceof Error ? thrown : new Error(inspect(thrown))
+    return { message: String(error.message).slice(0, maxMessageLength), stack: String(error.stack ?? error.message).slice(0, maxStackLength) }
+  } catch {
+    const message = 'a value that cannot be described was thrown'
+    return { message, stack: message }
+  }
 }
 
 function createRejection (): { promise: Promise<never>, reject: (error: Error) => void } {
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -290,7 +290,11 @@
 
   return {
     describeState: () => ({ host: own, desks: allocationTask.describeState(), configuration: clusterView.routes?.configuration.version, storeAgeMs: clusterViewTask.storeAgeMs }),
-    reportUncaught: ({ message, stack, origin }) => log.record('process.failed', 'An error that nothing caught ends the process.', { error: message, stack, origin }),
+    maxStopMs: settings.shutdownMs,
+    reportUncaught: ({ message, stack, origin }) => {
+      log.record('process.failed', 'An error that nothing caught; the process stops because of it.', { error: message, stack, origin })
+      eventLog.flush().catch(() => {})
+    },
     reload: () => log.record('settings.reloaded', 'The settings file has changed; its store settings and bounds take effect at the next start.', {}),
     stop: async () => {
       await drainHost({ settings, clock, log, readinessServer, requestProxy, leaseTask })
