--- a/features/libraryAssertions.feature
+++ b/features/libraryAssertions.feature
@@ -30,3 +30,8 @@
   Scenario: Every assertion of the HTTP client has a message
     When all files of the HTTP client are read as they are bundled
     Then each of their assertions is named or has a message, and nothing else differs
+
+  # Guards against a library that cannot tell what it finds wrong, as a part of node:assert that it uses is missing in the bundle.
+  Scenario: A library that creates its own assertion errors names what is wrong
+    When a library with checks of its own finds a number where it needs a text
+    Then the error is an AssertionError with the message "name (string) is required"
--- a/features/steps/libraryAssertions.ts
+++ b/features/steps/libraryAssertions.ts
@@ -5,9 +5,11 @@
 import { join, resolve } from 'node:path'
 import { pathToFileURL } from 'node:url'
 import { Given, Then, When } from '@cucumber/cucumber'
+import { build } from 'esbuild'
 
 interface AssertionsWorld {
   source: string
+  thrown: Error
   files: Array<{ path: string, source: string, named: string }>
 }
 
@@ -55,3 +57,21 @@
   }
   assert.ok(count > 100, `${count} assertions`)
 })
+
+When('a library with checks of its own finds a number where it needs a text', async function (this: AssertionsWorld) {
+  const { outputFiles } = await build({
+    stdin: { contents: 'module.exports = require("assert-plus")', resolveDir: '.' }, bundle: true, write: false, platform: 'node', format: 'cjs', alias: { assert: './deploy/assert.cjs' }
+  })
+  const bundled: { exports: { string: (value: unknown, name: string) => void } } = { exports: { string: () => {} } }
+  // eslint-disable-next-line no-new-func
+  new Function('module', 'require', outputFiles[0]!.text)(bundled, createRequire(import.meta.url))
+  try {
+    bundled.exports.string(1, 'name')
+  } catch (error) {
+    this.thrown = error as Error
+  }
+})
+
+Then('the error is an AssertionError with the message {string}', function (this: AssertionsWorld, message: string) {
+  assert.deepEqual([this.thrown.name, this.thrown.message], ['AssertionError', message])
+})
