Open the connections of feeds so that a reset of an unread one is an error

Operators: the process of a gateway that holds another gateway's feed, or of a command that holds one, ends with code 1 by the HTTP client's assertion `!this.paused` in `Parser.finish` when the feed is reset while its reader stands still. The cause is that of the hosts' ends (docs/incidents/paused-responses.md): the body of `request()` pauses the parser once 64 KB wait for its reader. The readers of today read on at once; what stays unread in them is the body of a feed that was refused, as `openFeed` drops it.

Both now take their client from src/adapters/httpClient/httpClients.ts, which opens connections with `createConnector`.

Measured: of the 16 scenarios of features/pausedClients.feature, 6 fail with the clients of before, each by that assertion after a reset of a response framed by its connection's end; none fails now. The scenarios whose sender ends its side pass before too. A refused feed was not run.

--- /dev/null
+++ b/features/pausedClients.feature
@@ -0,0 +1,27 @@
+Feature: Answers to HTTP clients whose connection ends
+  Whoever ends the connection of an answer, while its reader stands still or in its middle, the process goes on, a whole answer is read whole, and a part is an error.
+
+  # Guards against an assertion of the HTTP client that fails in a callback of the connection and ends the process.
+  Scenario Outline: A feed of <bytes> bytes to <client> framed by <framing>, whose sender <ends> while its reader stands still
+    Given a server of answers framed by <framing>
+    When <client> opens a feed of <bytes> bytes, reads no further, and the server <ends>
+    Then what it reads afterwards is <result>, and nothing is thrown outside of a call of the client
+
+    Examples:
+      | client                | framing                         | bytes | ends          | result    |
+      | another gateway       | its connection                  | 71000 | ends its side | whole     |
+      | another gateway       | its connection                  | 72000 | ends its side | whole     |
+      | another gateway       | its connection                  | 71000 | resets        | a failure |
+      | another gateway       | its connection                  | 72000 | resets        | a failure |
+      | another gateway       | its connection, which it closes | 71000 | ends its side | whole     |
+      | another gateway       | its connection, which it closes | 71000 | resets        | a failure |
+      | another gateway       | chunks, before a close          | 71000 | ends its side | a failure |
+      | another gateway       | chunks                          | 72000 | resets        | a failure |
+      | an operator's command | its connection                  | 71000 | ends its side | whole     |
+      | an operator's command | its connection                  | 72000 | ends its side | whole     |
+      | an operator's command | its connection                  | 71000 | resets        | a failure |
+      | an operator's command | its connection                  | 72000 | resets        | a failure |
+      | an operator's command | its connection, which it closes | 71000 | ends its side | whole     |
+      | an operator's command | its connection, which it closes | 71000 | resets        | a failure |
+      | an operator's command | chunks, before a close          | 71000 | ends its side | a failure |
+      | an operator's command | chunks                          | 72000 | resets        | a failure |
--- a/src/ctl/operatorsClient.ts
+++ b/src/ctl/operatorsClient.ts
@@ -1,6 +1,6 @@
 /** Talks to an operators' port. */
-import { request } from 'undici'
 import type { Dispatcher } from 'undici'
+import { createHttpAgent } from '../adapters/httpClient/httpClients.js'
 import type { ConfigurationKind, VersionedRecord } from '../schemas/configuration.js'
 import type { ChangeRequest, ChangeResult } from '../tasks/configuration/configurationChange.js'
 import { EventParser } from '../tasks/operators/eventParser.js'
@@ -19,6 +19,7 @@
 
 export class OperatorsClient {
   #settings: ClientSettings
+  #agent = createHttpAgent()
 
   constructor (settings: ClientSettings) {
     this.#settings = settings
@@ -85,7 +86,9 @@
   ): Promise<Dispatcher.ResponseData> {
     const { address, key } = this.#settings
     try {
-      return await request(`http://${address}${path}`, {
+      return await this.#agent.request({
+        origin: `http://${address}`,
+        path,
         method,
         headers: { authorization: `Bearer ${key}`, ...(body !== undefined && { 'content-type': 'application/json' }) },
         headersTimeout: timeoutMs,
--- a/src/tasks/operators/gatewayQueries.ts
+++ b/src/tasks/operators/gatewayQueries.ts
@@ -1,5 +1,6 @@
 /** Asks other gateways, on their operators' ports, with the key of the operator who asks. */
-import { Agent, request } from 'undici'
+import type { Dispatcher } from 'undici'
+import { createHttpAgent } from '../../adapters/httpClient/httpClients.js'
 import type { HostList } from '../../ports/hostList.js'
 import type { GatewayEntry } from '../../schemas/hostList.js'
 import type { HostAnswer } from './peerQueries.js'
@@ -14,7 +15,7 @@
 
 export class GatewayQueries {
   #options: GatewayQueriesOptions
-  #agent = new Agent({ headersTimeout: answerTimeoutMs, bodyTimeout: answerTimeoutMs, connectTimeout: answerTimeoutMs })
+  #agent = createHttpAgent({ headersTimeout: answerTimeoutMs, bodyTimeout: answerTimeoutMs, connectTimeoutMs: answerTimeoutMs })
 
   constructor (options: GatewayQueriesOptions) {
     this.#options = options
@@ -29,7 +30,7 @@
   /** Reads a path from one gateway; resolves to undefined where it gives no usable answer. */
   async request (entry: GatewayEntry, path: string, authorization: string): Promise<unknown> {
     try {
-      const response = await request(`http://${entry.address}${path}`, { headers: { authorization }, dispatcher: this.#agent })
+      const response = await this.#send(entry, path, { headers: { authorization } })
       const text = await readText(response.body)
       return response.statusCode === 200 ? JSON.parse(text) as unknown : undefined
     } catch {
@@ -46,9 +47,7 @@
   /** Opens a live feed; resolves to undefined where the gateway refuses or cannot be reached. */
   async openFeed (entry: GatewayEntry, path: string, authorization: string, signal: AbortSignal): Promise<AsyncIterable<Buffer> | undefined> {
     try {
-      const response = await request(`http://${entry.address}${path}`, {
-        headers: { authorization }, dispatcher: this.#agent, bodyTimeout: 0, signal
-      })
+      const response = await this.#send(entry, path, { headers: { authorization }, bodyTimeout: 0, signal })
       return response.statusCode === 200 ? response.body : undefined
     } catch {
       return undefined
@@ -58,6 +57,10 @@
   async close (): Promise<void> {
     await this.#agent.destroy()
   }
+
+  async #send (entry: GatewayEntry, path: string, options: Partial<Dispatcher.RequestOptions>): Promise<Dispatcher.ResponseData> {
+    return await this.#agent.request({ origin: `http://${entry.address}`, path, method: 'GET', ...options })
+  }
 }
 
 async function readText (body: AsyncIterable<Buffer>): Promise<string> {
