Fail an answer whose connection is reset where its length is not known

Callers of a gateway got a part of a service's answer, and of a completion that is not streamed, as a whole one with status 200; readers of the object store got a part of an object. The HTTP client takes a reset of a response that ends with its connection for its end.

--- a/features/pausedClients.feature
+++ b/features/pausedClients.feature
@@ -25,3 +25,18 @@
       | an operator's command | its connection, which it closes | 71000 | resets        | a failure |
       | an operator's command | chunks, before a close          | 71000 | ends its side | a failure |
       | an operator's command | chunks                          | 72000 | resets        | a failure |
+
+  Scenario Outline: An answer to <client> framed by its connection, which is reset in its middle
+    Given a server of answers framed by its connection
+    When <client> asks, and the server <ends> after 71000 bytes
+    Then it gets <result>, and nothing is thrown outside of a call of the client
+
+    Examples:
+      | client                   | ends          | result    |
+      | a service's client       | ends its side | whole     |
+      | a service's client       | resets        | a failure |
+      | the object store's       | ends its side | whole     |
+      | the object store's       | resets        | a failure |
+      | a completion's client    | ends its side | whole     |
+      | a completion's client    | resets        | a failure |
+      | the store's client       | ends its side | whole     |
--- a/src/adapters/httpPlatform/httpPlatform.ts
+++ b/src/adapters/httpPlatform/httpPlatform.ts
@@ -1,5 +1,4 @@
 /** HTTP client of the platform's table, object store and host list, with the API of the stand-in platform. */
-import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 import { Type } from '@sinclair/typebox'
 import type { HostList } from '../../ports/hostList.js'
@@ -11,6 +10,7 @@
 import { hostListEntrySchema } from '../../schemas/hostList.js'
 import type { HostListEntry } from '../../schemas/hostList.js'
 import { disableParserOptimization } from '../endpointHttp/disableParserOptimization.js'
+import { createHttpPool } from '../httpClient/httpClients.js'
 
 const requestTimeoutMs = 2000
 const maxConnections = 16
@@ -39,7 +39,7 @@
  * const platform = createHttpPlatform('127.0.0.1:7490')
  */
 export function createHttpPlatform (address: string): Platform {
-  const pool = new Pool(`http://${address}`, { connections: maxConnections, pipelining: 1 })
+  const pool = createHttpPool(address, { connections: maxConnections, pipelining: 1 })
   const sendRequest: SendRequest = async (method, path, body, headers = {}) => await pool.request({
     method,
     path,
--- a/src/adapters/httpService/httpServiceClient.ts
+++ b/src/adapters/httpService/httpServiceClient.ts
@@ -1,10 +1,11 @@
 /** Client of HTTP services that are not model engines. */
-import { Pool } from 'undici'
+import type { Pool } from 'undici'
 import { maxBufferedResponseBytes } from '../../constants.js'
 import type { ServiceClient, ServiceCall, ServiceOutcome } from '../../ports/serviceClient.js'
 import { createMayHaveRunFailure, createNotRunFailure } from '../../schemas/verdict.js'
 import type { RequestFailure } from '../../schemas/verdict.js'
 import { requireValidStatus } from '../endpointHttp/requireValidStatus.js'
+import { createHttpPool } from '../httpClient/httpClients.js'
 
 const responseTimeoutMs = 30_000
 const maxConnectionsPerService = 128
@@ -43,7 +44,7 @@
   #getPool (address: string): Pool {
     let pool = this.#pools.get(address)
     if (!pool) {
-      pool = new Pool(`http://${address}`, { connections: maxConnectionsPerService, pipelining: 1, maxResponseSize: maxBufferedResponseBytes })
+      pool = createHttpPool(address, { connections: maxConnectionsPerService, pipelining: 1, maxResponseSize: maxBufferedResponseBytes })
       this.#pools.set(address, pool)
     }
     return pool
--- a/src/adapters/openaiEngine/openaiEngine.ts
+++ b/src/adapters/openaiEngine/openaiEngine.ts
@@ -1,10 +1,10 @@
 /** Client of engines that serve the OpenAI API with endpoints to load and unload LoRA adapters. */
-import { Pool } from 'undici'
-import type { Dispatcher } from 'undici'
+import type { Dispatcher, Pool } from 'undici'
 import { engineReportSchema } from '../../ports/engine.js'
 import type { AdapterOrder, Engine, EngineReport, GenerationRequest, GenerateEvent, Generation, AdapterOrderOutcome } from '../../ports/engine.js'
 import { createParser } from '../../schemas/createParser.js'
 import { requireValidStatus } from '../endpointHttp/requireValidStatus.js'
+import { createHttpPool } from '../httpClient/httpClients.js'
 import { parseEngineError } from './engineError.js'
 import { runGeneration } from './runGeneration.js'
 
@@ -59,7 +59,7 @@
   #getPool (address: string): Pool {
     let pool = this.#pools.get(address)
     if (!pool) {
-      pool = new Pool(`http://${address}`, { connections: maxConnectionsPerEngine, pipelining: 1 })
+      pool = createHttpPool(address, { connections: maxConnectionsPerEngine, pipelining: 1 })
       this.#pools.set(address, pool)
     }
     return pool
