--- a/src/adapters/relay/httpRelay.ts
+++ b/src/adapters/relay/httpRelay.ts
@@ -1,11 +1,11 @@
 /** HTTP client for the relays of other hosts. */
 import { Type } from '@sinclair/typebox'
 import { pack, unpack } from 'msgpackr'
-import { Agent } from 'undici'
 import VError from 'verror'
 import type { Relay } from '../../ports/relay.js'
 import type { StoreOutcome } from '../../ports/store.js'
 import { createParser } from '../../schemas/createParser.js'
+import { createHttpAgent } from '../httpClient/httpClients.js'
 import { decodeRelayedRow, relayedRowSchema } from './relayedRows.js'
 
 export const updatesPath = '/news'
@@ -38,7 +38,7 @@
  * const updates = await relay.readUpdates('10.1.0.38:8144', '', 0, 1000)
  */
 export function createHttpRelay (): Relay {
-  const dispatcher = new Agent({ connections: 2, pipelining: 1, connect: { timeout: connectTimeoutMs }, headersTimeout: 0, bodyTimeout: 0 })
+  const dispatcher = createHttpAgent({ connections: 2, pipelining: 1, connectTimeoutMs, headersTimeout: 0, bodyTimeout: 0 })
   return {
     readUpdates: async (address, logId, position, waitMs) => {
       const query = new URLSearchParams({ logId, position: String(position), waitMs: String(waitMs) })
--- a/src/platform/engineOrders.ts
+++ b/src/platform/engineOrders.ts
@@ -1,8 +1,8 @@
 /** HTTP client that sends orders to an engine and reads its state reports. */
 import type { Socket } from 'node:net'
-import { buildConnector, Client } from 'undici'
-import type { Dispatcher } from 'undici'
+import type { Client, Dispatcher } from 'undici'
 import VError from 'verror'
+import { createHttpClient } from '../adapters/httpClient/httpClients.js'
 import { resetSocket } from '../adapters/tcp/resetSocket.js'
 import type { EngineOrder, EngineOrders, EngineState, OrderHolder, EngineOrderOutcome } from '../ports/engineOrders.js'
 import { decodeEngineReport } from './decodeEndpoint.js'
@@ -39,15 +39,10 @@
   #unanswered = new Set<AbortController>()
 
   constructor (address: string) {
-    const connectSocket = buildConnector({ timeout: connectTimeoutMs })
-    this.#client = new Client(`http://${address}`, {
+    this.#client = createHttpClient(address, {
       pipelining: 1,
-      connect: (options, callback) => {
-        connectSocket(options, (...result) => {
-          this.#socket = result[1] ?? undefined
-          callback(...result)
-        })
-      },
+      connectTimeoutMs,
+      receiveSocket: socket => { this.#socket = socket },
       headersTimeout: 0,
       bodyTimeout: 0,
       maxResponseSize: maxResponseBytes
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -1,9 +1,9 @@
 /** HTTP client of the platform's store. */
-import { Pool } from 'undici'
-import type { Dispatcher } from 'undici'
+import type { Dispatcher, Pool } from 'undici'
 import { Type } from '@sinclair/typebox'
 import type { Static } from '@sinclair/typebox'
 import VError from 'verror'
+import { createHttpPool } from '../adapters/httpClient/httpClients.js'
 import type { Store, StoreChanges, StoreOutcome, StoreRow, StoreRowRead, StoreTableSnapshot, StoreTransaction } from '../ports/store.js'
 import { createParser } from '../schemas/createParser.js'
 import { maxStoreResponseBytes, wireHeaders, wirePaths } from './wireNames.js'
@@ -45,8 +45,8 @@
  * const { rows, version } = await store.readTable('op')
  */
 export function createStoreClient (address: string, receiveCall: ReceiveStoreCall = () => {}): Store {
-  const pool = new Pool(`http://${address}`, {
-    connections: maxConnections, pipelining: 1, connect: { timeout: connectTimeoutMs }, headersTimeout: 0, bodyTimeout: 0, maxResponseSize: maxStoreResponseBytes
+  const pool = createHttpPool(address, {
+    connections: maxConnections, pipelining: 1, connectTimeoutMs, headersTimeout: 0, bodyTimeout: 0, maxResponseSize: maxStoreResponseBytes
   })
   return {
     readTable: async table => await reportCallResult('read', receiveCall, async () => await readTable(pool, table)),
