Take an answer of a peer that is no outcome for an unknown outcome

A host that has a peer run its transaction took whatever the peer answered with status 200 for an outcome. `null` made the call reject, and an outcome without its version or rows counted as decided, for code that reads them. The ownership reconciler awaits no rejection of its transactions (`work().then` without a second function), so that by the code such an answer ends the process; this end itself was not run.

The relay's client now checks the outcome by schema; what doesn't match is `unknown`, as a lost answer is.

--- a/features/relayedNews.feature
+++ b/features/relayedNews.feature
@@ -41,3 +41,21 @@
     When 5000 ms elapse for it
     Then it has read 2 tables of the store
     And it has followed the store with at most 1 calls
+
+  # Guards against an outcome without its fields, whose use rejects where nothing awaits it.
+  Scenario Outline: A peer that answers a transaction with <answer>
+    Given a peer that answers each transaction with <answer>
+    When a host that knows the store's era sends it a transaction
+    Then the outcome is "<verdict>"
+
+    Examples:
+      | answer                                              | verdict    |
+      | null                                                | unknown    |
+      | 7                                                   | unknown    |
+      | {"verdict":"conflict"}                              | unknown    |
+      | {"verdict":"conflict","rows":[null]}                | unknown    |
+      | {"verdict":"applied"}                               | unknown    |
+      | {"verdict":"done"}                                  | unknown    |
+      | {"verdict":"applied","version":4,"era":2}           | applied    |
+      | {"verdict":"notApplied","reason":"full"}            | notApplied |
+      | {"verdict":"conflict","rows":[{"table":"op","key":"a","version":3}]} | conflict   |
--- a/features/steps/relayedNews.ts
+++ b/features/steps/relayedNews.ts
@@ -1,7 +1,9 @@
 /** Steps for cluster updates that hosts relay to each other. */
 import assert from 'node:assert/strict'
 import { After, Given, Then, When } from '@cucumber/cucumber'
+import { pack } from 'msgpackr'
 import { createSystemClock } from '../../src/adapters/clock/systemClock.js'
+import { startHttpServer } from '../../src/adapters/httpServer/httpServer.js'
 import type { HttpServer } from '../../src/adapters/httpServer/httpServer.js'
 import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
 import { createHttpRelay } from '../../src/adapters/relay/httpRelay.js'
@@ -10,9 +12,10 @@
 import { RowMirror } from '../../src/core/rowMirror.js'
 import { StoreEra } from '../../src/core/storeEra.js'
 import type { RelayedUpdates } from '../../src/ports/relay.js'
-import type { Store } from '../../src/ports/store.js'
+import type { Store, StoreOutcome } from '../../src/ports/store.js'
 import { encodeHostsRow, formatHostKey, hostsTable, renewalsTable } from '../../src/schemas/hostRows.js'
 import { ClusterViewTask } from '../../src/tasks/clusterView/clusterViewTask.js'
+import { createEraCheckedRelay } from '../../src/tasks/clusterView/eraChecks.js'
 import { startRelayServer } from '../../src/tasks/clusterView/relayServer.js'
 import { startByteCounter } from '../support/byteCounter.js'
 import type { ByteCounter } from '../support/byteCounter.js'
@@ -33,6 +36,8 @@
   rankingCount?: number
   /** Number of calls that followed a table of the store. */
   followCalls?: number
+  peerAddress: string
+  outcome: StoreOutcome
 }
 
 After(async function (this: UpdatesWorld) {
@@ -231,3 +236,20 @@
   const calls = [...this.peerReads.values()].reduce((sum, peer) => sum + peer.calls, 0)
   assert.ok(calls <= maxCalls, `${calls} times`)
 })
+
+Given(/^a peer that answers each transaction with (.+)$/, async function (this: UpdatesWorld, answer: string) {
+  this.peerAddress = `127.0.0.1:${await findFreePort()}`
+  this.relayServer = await startHttpServer(this.peerAddress, () => ({ status: 200, body: pack(JSON.parse(answer)) }))
+})
+
+When('a host that knows the store\'s era sends it a transaction', async function (this: UpdatesWorld) {
+  const eras = new StoreEra()
+  eras.observe(2)
+  const relay = createEraCheckedRelay(createHttpRelay(), eras)
+  this.outcome = await relay.transact(this.peerAddress, { checks: [], writes: [], removals: [] })
+  await relay.close()
+})
+
+Then('the outcome is {string}', function (this: UpdatesWorld, verdict: string) {
+  assert.equal(this.outcome.verdict, verdict)
+})
--- a/src/adapters/relay/httpRelay.ts
+++ b/src/adapters/relay/httpRelay.ts
@@ -30,6 +30,14 @@
   tableAgesMs: Type.Optional(Type.Record(Type.String(), Type.Number()))
 }))
 
+const eraField = { era: Type.Optional(Type.Number()) }
+const outcomeRowSchema = Type.Object({ table: Type.String(), key: Type.String(), version: Type.Number(), value: Type.Optional(Type.Any()) })
+const parseOutcome = createParser(Type.Union([
+  Type.Object({ verdict: Type.Literal('applied'), version: Type.Number(), ...eraField }),
+  Type.Object({ verdict: Type.Literal('conflict'), rows: Type.Array(outcomeRowSchema), ...eraField }),
+  Type.Object({ verdict: Type.Union([Type.Literal('notApplied'), Type.Literal('unknown')]), reason: Type.String(), ...eraField })
+]))
+
 /**
  * Creates one client for the relays of all peers.
  *
@@ -58,7 +66,7 @@
           origin: `http://${address}`, path: transactPath, method: 'POST', body: pack({ ...transaction, ...(era !== undefined && { era }) }), signal: AbortSignal.timeout(responseTimeoutMs * 2)
         })
         const bytes = Buffer.from(await body.arrayBuffer())
-        if (statusCode === 200) return unpack(bytes) as StoreOutcome
+        if (statusCode === 200) return parseOutcome(unpack(bytes)) as StoreOutcome
         return { verdict: 'notApplied', reason: `the peer answered with status ${statusCode}` }
       } catch (error) {
         return { verdict: 'unknown', reason: (error as Error).message }
