Deliver a response that was received whole before its connection was reset

Callers that read slowly got a failure, or a second run, for a response whose bytes all lay in this host: the endpoint had sent it whole and then reset the connection, as one does that exits or has not read all of the request. An idle connection or a reader that keeps up shows nothing of this.

Cause: the socket's error overtakes the bytes that a paused parser has not read, and drops them. And whether an end was a reset was asked when the end was delivered, which may now be long after it came: a reset behind an orderly end made a failure of a whole response.

A failed read is now held back like the end, until everything before it has been read. Whether an end is a reset is asked when it arrives. Other errors, and closes of this host (deadline, cancel), take effect at once, so nothing is held longer than before its deadline. A part stays a failure: 900 of 1000 bytes, and a response framed by the end of a connection that was reset.

--- a/features/pausedResponses.feature
+++ b/features/pausedResponses.feature
@@ -29,6 +29,12 @@
       | a length, before a close          | 100  | ends its side | a failure      |
       | a length, before a close          | 900  | resets        | a failure      |
       | chunks, before a close            | 900  | resets        | a failure      |
+      | a length                          | 1000 | resets        | the whole body |
+      | chunks                            | 1000 | resets        | the whole body |
+      | a length, before a close          | 1000 | resets        | the whole body |
+      | chunks, before a close            | 1000 | resets        | the whole body |
+      | a length                          | 900  | resets        | a failure      |
+      | its connection                    | 1000 | ends its side, then resets | the whole body |
 
   Scenario Outline: A request whose response is framed by <framing> is <ended> while the response is paused
     Given a link to an endpoint that sends 900 bytes of a response framed by <framing>
--- a/features/steps/pausedResponses.ts
+++ b/features/steps/pausedResponses.ts
@@ -116,10 +116,11 @@
   return world.endpointSocket!
 }
 
-When(/^its receiver pauses at the first bytes, and the endpoint (ends its side|resets)$/, async function (this: PausedWorld, ends: string) {
+When(/^its receiver pauses at the first bytes, and the endpoint (ends its side|resets|ends its side, then resets)$/, async function (this: PausedWorld, ends: string) {
   const socket = await pauseResponse(this)
-  if (ends === 'resets') socket.resetAndDestroy()
-  else socket.end()
+  if (ends.startsWith('ends')) socket.end()
+  if (ends.includes('then')) await sleep(gapMs)
+  if (ends.endsWith('resets')) socket.resetAndDestroy()
 })
 
 When('its receiver pauses at the first bytes, and the request is cancelled', async function (this: PausedWorld) {
--- a/src/adapters/endpointHttp/httpEndpointLink.ts
+++ b/src/adapters/endpointHttp/httpEndpointLink.ts
@@ -154,11 +154,7 @@
         connectSocket(options, (error, socket) => {
           this.#recordConnection(!error)
           connection.socket = socket ?? undefined
-          socket?.on('end', () => {
-            end.hasEnded = true
-            // A reset that arrives together with data is reported as `end`. After a reset the socket has no remote address.
-            if (socket.remoteAddress === undefined) end.wasReset = true
-          })
+          socket?.on('end', () => { end.hasEnded = true })
           socket?.on('error', () => { end.wasReset = true })
           socket?.on('readable', () => this.#busy.get(connection)?.checkOverhead())
           // The connector passes either an error or a socket.
--- a/src/adapters/httpClient/createConnector.ts
+++ b/src/adapters/httpClient/createConnector.ts
@@ -8,8 +8,8 @@
  * `UND_ERR_CONNECT_TIMEOUT`.
  *
  * undici completes a response that is to end with its connection when the socket ends or closes, and asserts that its parser is not paused then. The assertion
- * fails in a callback of the socket, where nothing can catch it. With these connections `end` waits until everything has been read, and each other close is an
- * error, which undici reports to the request without asking the parser.
+ * fails in a callback of the socket, where nothing can catch it. With these connections `end`, and a reset by the other side, wait until everything has been
+ * read, and each other close is an error, which undici reports to the request without asking the parser.
  *
  * @example
  * const client = new Client('http://10.128.0.9:8080', { connect: createConnector(500) })
@@ -27,24 +27,37 @@
   }
 }
 
-/** Holds the end of a socket back while its client does not read. undici reads at each `readable` event unless its parser is paused. */
+/**
+ * Holds the end of a socket, or the error of its reading, back while its client does not read. undici reads at each `readable` event unless its parser is paused.
+ * All other errors, and our own closes, take effect at once.
+ */
 function holdEndUntilRead (socket: Socket): void {
-  const { push, read } = socket
-  let isEndHeld = false
+  const { push, read, destroy } = socket
+  let deliverEnd: (() => void) | undefined
   let hasReadAll = false
   const releaseEnd = (): void => {
-    if (!isEndHeld || socket.destroyed) return
+    if (!deliverEnd || socket.destroyed) return
     hasReadAll = false
     socket.emit('readable')
     if (!hasReadAll) return
-    isEndHeld = false
-    push.call(socket, null)
-    read.call(socket, 0)
+    const deliver = deliverEnd
+    deliverEnd = undefined
+    deliver()
+  }
+  const holdEnd = (deliver: () => void): void => {
+    deliverEnd ??= deliver
+    releaseEnd()
   }
   socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
     if (chunk !== null) return push.call(socket, chunk, encoding)
-    isEndHeld = true
-    releaseEnd()
+    // A reset that arrives together with data is reported as an end. After a reset the socket has no remote address.
+    if (socket.remoteAddress === undefined) holdEnd(() => destroy.call(socket, new VError('the connection was reset')))
+    else {
+      holdEnd(() => {
+        push.call(socket, null)
+        read.call(socket, 0)
+      })
+    }
     return false
   }
   socket.read = (size?: number): unknown => {
@@ -52,10 +65,15 @@
     if (size === undefined && chunk === null) {
       hasReadAll = true
       // A parser that goes on reads before it handles what it holds, which may pause it again.
-      if (isEndHeld) process.nextTick(releaseEnd)
+      if (deliverEnd) process.nextTick(releaseEnd)
     }
     return chunk
   }
+  socket.destroy = (error?: Error) => {
+    if ((error as NodeJS.ErrnoException | undefined)?.syscall !== 'read') return destroy.call(socket, error)
+    holdEnd(() => destroy.call(socket, error))
+    return socket
+  }
 }
 
 /** undici takes a close without an error, and a reset, for a possible end of the response. */
