Answer a request with 500 when the end of its response throws

A caller waited on an open connection for ever, and the requests behind it on that connection too: an exception while a response was ended, as from `writeHead`, was logged, and then nothing was sent.

Cause: a response counts as ended before it has been written, so that the answer of 500, and the close, that follow an exception were skipped.

Whether the response has been written decides now. One that has been is left alone, as is one whose end only waits for its turn.

throwingRequests.feature: the new scenario timed out at 60 s before the change.

--- a/features/steps/throwingRequests.ts
+++ b/features/steps/throwingRequests.ts
@@ -38,6 +38,16 @@
 prototype.update = function (text, ...args) {
   if (String(text).includes('throws')) throw new Error('the text cannot be hashed')
   return update.call(this, text, ...args)
+}`,
+  'the end of an answer': `import { ServerResponse } from 'node:http'
+const { writeHead } = ServerResponse.prototype
+const thrown = new WeakSet()
+ServerResponse.prototype.writeHead = function (...args) {
+  if (this.req.url.endsWith('throws') && !thrown.has(this)) {
+    thrown.add(this)
+    throw new Error('the head cannot be written')
+  }
+  return writeHead.call(this, ...args)
 }`
 })
 
--- a/features/throwingRequests.feature
+++ b/features/throwingRequests.feature
@@ -12,6 +12,7 @@
       | what                     |
       | the reading of a request |
       | the serving of a request |
+      | the end of an answer     |
 
   Scenario: The connection of an answer that has begun is closed if its handling throws
     Given a listener whose handling throws after it has written half of an answer
--- a/src/tasks/proxy/callerResponse.ts
+++ b/src/tasks/proxy/callerResponse.ts
@@ -104,6 +104,10 @@
 
   /** Ends a response that has not ended with status 500, or its connection if its body has begun. */
   fail (): void {
+    // An exception may also have come while the response was ended.
+    const isEndPending = this.#isEnded && this.#pendingHead !== undefined
+    if (this.#response.writableEnded || this.#response.destroyed || isEndPending) return
+    this.#isEnded = false
     if (this.#response.headersSent) this.abort()
     else {
       this.writeHead(internalErrorStatus, ['Content-Length', '0'])
