Keep sending through a host that has broken off a response it had begun

Callers of a host without links to endpoints got 503 "no endpoint of service ... can be reached" for every service, for half a second and more, after an engine had reset the streams that came to it through the other hosts: both others were skipped, though they served all else.

Cause: whatever broke a forwarded response was counted as the failure of the host that forwarded it, which is then not asked for 0.5 to 4 s. That host closes the connection of a stream that its engine breaks off, as it has no other way to tell.

A host that had sent the head of its response is no longer skipped for that. The request itself still goes to another one. A host that is gone fails at the next connection, and one that hangs is found by its pings, as before.

--- a/features/pausedHops.feature
+++ b/features/pausedHops.feature
@@ -12,6 +12,7 @@
     Examples:
       | framing                           | ends                     |
       | before a close                    | the callers reset        |
+      | of a stated length before a close | the engine resets        |
       | in chunks before a close          | the engine ends its side |
       | before a close                    | host 2 stops             |
 
--- a/src/tasks/proxy/forwardingAttempts.ts
+++ b/src/tasks/proxy/forwardingAttempts.ts
@@ -22,6 +22,8 @@
   #triedSessions: string[] = []
   #hosts: string[] = []
   #reply: ForwardingReply = {}
+  /** Whether the last host has sent the head of a response. */
+  #hasHead = false
 
   constructor (context: ProxyContext, request: CallerRequest) {
     this.#context = context
@@ -47,7 +49,14 @@
   createTarget (peer: ForwardingPeer, fields: ForwardedFields, callbacks: Pick<AttemptTarget, 'isAvailable' | 'receiveBegun'>): AttemptTarget {
     this.#hosts.push(peer.row.host)
     this.#reply = {}
-    return createPeerTarget(this.#context, peer, fields, { ...callbacks, receiveReply: reply => { this.#reply = reply } })
+    this.#hasHead = false
+    return createPeerTarget(this.#context, peer, fields, {
+      ...callbacks,
+      receiveReply: reply => {
+        this.#reply = reply
+        this.#hasHead = true
+      }
+    })
   }
 
   /** Records that an attempt through a host has failed. */
@@ -59,7 +68,8 @@
       forwarder.recordResponse(peer)
       return 'final'
     }
-    forwarder.recordFailure(peer)
+    // A host that breaks off a response it has begun may only pass on what its endpoint did.
+    if (failure.verdict === 'notRun' || !this.#hasHead) forwarder.recordFailure(peer)
     this.#triedSessions.push(peer.row.session)
     return 'elsewhere'
   }
