Let soak and stand-ins draw framing, who lets go and who is slow

Cause: no caller of the soak read slowly and left, and no stand-in sent a long body on a connection that ends with it, so that nothing met a paused response whose connection ended. An end of a host after a kill was sent, whatever its code, was no finding.

Change: src/standin/fleet/longAnswer.ts sends long bodies, sound or endless, in eight framings, as the path of a request asks. soak/slowCaller.ts draws the request, who ends it and how its caller reads, and compares what came byte by byte.

Measured: the 76 scenarios of features/soak.feature that are not @alone pass.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -9,6 +9,7 @@
   Scenario: Seeds keep their events when later ones have further kinds
     Then the plans of seeds 7, 1001, 20001, 30001 and 39999 are those that they have always been
     And the plan of seed 40001 also names "portTaken" and "hostStopSeries"
+    And the plan of seed 100001 also names "slowReaders" and "hostStopSeries"
 
   @alone
   Scenario: Four hosts keep their promises while faults strike
@@ -77,6 +78,13 @@
       | a request with a body over the limit ran                                     | notRunMeansNotRun    |
       | a host held bytes of bodies in the end                                       | holdsNothing         |
       | a host did not tell what it held                                             | holdsNothing         |
+      | a host that was to be killed had ended with code 1                           | keepsRunning         |
+      | a host that stopped ended with code 1                                        | keepsRunning         |
+      | a slow caller got other bytes                                                | wholeAnswer          |
+      | a long answer that its endpoint cut looks whole                              | wholeAnswer          |
+      | an unframed answer that its endpoint reset looks whole                       | wholeAnswer          |
+      | a slow caller got a part of a sound answer                                   | slowAnswered         |
+      | a stop cut a slow caller off                                                 | slowAnswered         |
 
   Scenario Outline: What a fault excuses is no finding: <excused>
     Given the record of a soak in which <excused>
@@ -100,6 +108,9 @@
       | a host cut off from the store knew no new configuration                             |
       | an endpoint that left got work while the store was away                             |
       | a caller that had ended its side got no answer, and its request had not run         |
+      | an endpoint ended an unframed answer in order                                       |
+      | a long answer broke off with its endpoint                                           |
+      | a slow caller got a long answer whole                                               |
 
   Scenario Outline: A link through the proxy that is <fault>
     Given a link through the proxy to a server that answers
--- a/features/support/soakRecords.ts
+++ b/features/support/soakRecords.ts
@@ -2,10 +2,14 @@
 import type { FleetAnswer } from '../../src/standin/fleet/fleetCaller.js'
 import type { RunRecord } from '../../src/standin/fleet/runJournal.js'
 import { createSoakRecord } from '../../soak/soakRecord.js'
+import type { SlowOutcome, SlowRequest } from '../../soak/slowCaller.js'
+import type { LongFramingName } from '../../src/standin/fleet/longAnswer.js'
 import type { SoakCall, SoakRecord } from '../../soak/soakRecord.js'
 
 const engineId = 'i-1'
 const host = 'host-1'
+/** What every end of a process has. */
+const ended = { host, at: '2026-12-07T00:00:00.000Z', lastLine: 'a line' }
 
 interface MadeCall {
   id: string
@@ -55,12 +59,19 @@
   for (let index = 0; index < count; index++) maker.addCall({ id: `kept ${index}`, atMs: 100 + index, answer: { status: 0, error: 'other side closed', body: '' } })
 }
 
+/** A call for a long answer of which one thing is not as usual; usually it is sound, framed by chunks, and arrives whole. */
+function addSlow (maker: RecordMaker, changes: Partial<SlowOutcome>, request: Partial<SlowRequest> = {}, framing: LongFramingName = 'closeChunks'): void {
+  const answer = { framing, status: 200, pieces: 100, end: '', trickles: false } as const
+  const slow: SlowOutcome = { request: { kind: 'once', leaver: 'nobody', reading: 'slowly', answer, ...request }, received: 'whole', bytes: 1000, isComplete: true, ...changes }
+  maker.addCall({ id: 'slow', atMs: 100, answer: { body: '', tookMs: 2000 }, call: { purpose: 'slow', slow } })
+}
+
 const fillers: Record<string, (maker: RecordMaker) => void> = {
   'nothing went wrong': maker => {
     maker.record.configurations.push({ version: 1, atMs: 1000 })
     maker.addProbe(1, 200, 3600)
     maker.record.heldBytes.push({ host, bytes: 0 })
-    maker.record.ends.push({ host, code: 0, signal: undefined, asked: 'stop', tookMs: 3000 }, { host, code: undefined, signal: 'SIGKILL', asked: 'kill', tookMs: 2 })
+    maker.record.ends.push({ ...ended, code: 0, signal: undefined, asked: 'stop', tookMs: 3000 }, { ...ended, code: undefined, signal: 'SIGKILL', asked: 'kill', tookMs: 2 })
   },
   'an engine was told to load beyond its slots': ({ record }) => record.violations.push({ rule: 'overfull', detail: 'load of "a1"' }),
   'an engine got an order from a former holder': ({ record }) => record.violations.push({ rule: 'fencing', detail: '"host-1" ordered with 3 after 5' }),
@@ -96,7 +107,7 @@
     maker.record.spans.push({ kind: 'hostStop', host, fromMs: 1000, toMs: 4000 })
     maker.addCall({ id: 'crossing', atMs: 1100, answer: { status: 0, error: 'closed', tookMs: 190 }, call: { purpose: 'pipelined' }, runs: [] })
   },
-  'a stop took too long': ({ record }) => record.ends.push({ host, code: undefined, signal: 'SIGKILL', asked: 'stop', tookMs: 10_000 }),
+  'a stop took too long': ({ record }) => record.ends.push({ ...ended, code: undefined, signal: 'SIGKILL', asked: 'stop', tookMs: 10_000 }),
   'an endpoint that left got work': maker => {
     maker.record.leaving.push({ endpointId: engineId, atMs: 1000 })
     maker.addCall({ id: 'drained', atMs: 2700 })
@@ -130,7 +141,7 @@
     maker.record.probeIds.add('public')
     maker.addRun('public', 100, { account: 'harbor' })
   },
-  'a host ended by itself': ({ record }) => record.ends.push({ host, code: 1, signal: undefined, asked: 'nothing', tookMs: 0 }),
+  'a host ended by itself': ({ record }) => record.ends.push({ ...ended, code: 1, signal: undefined, asked: 'nothing', tookMs: 0 }),
   'a caller that had ended its side got no answer to a request that ran': maker => maker.addCall({ id: 'half', atMs: 100, answer: { status: 0, error: 'closed', tookMs: 300 }, call: { purpose: 'halfClosed' } }),
   'a reload cut off a caller that had ended its side': maker => {
     maker.record.spans.push({ kind: 'hostReloads', host, fromMs: 200, toMs: 4000 })
@@ -199,6 +210,19 @@
   'a host held bytes of bodies in the end': ({ record }) => record.heldBytes.push({ host: 'host-2', bytes: 0 }, { host, bytes: 20 }),
   'a host did not tell what it held': ({ record }) => record.heldBytes.push({ host, bytes: undefined }),
   'a caller that had ended its side got no answer, and its request had not run': maker => maker.addCall({ id: 'half', atMs: 100, answer: { status: 0, error: 'closed', tookMs: 300 }, call: { purpose: 'halfClosed' }, runs: [] }),
+  'a host that was to be killed had ended with code 1': ({ record }) => record.ends.push({ ...ended, code: 1, signal: undefined, asked: 'kill', tookMs: 1 }),
+  'a host that stopped ended with code 1': ({ record }) => record.ends.push({ ...ended, code: 1, signal: undefined, asked: 'stop', tookMs: 100 }),
+  'a slow caller got other bytes': maker => addSlow(maker, { received: 'wrong' }),
+  'a long answer that its endpoint cut looks whole': maker => addSlow(maker, { received: 'part' }, { leaver: 'endpointEnds' }),
+  'an unframed answer that its endpoint reset looks whole': maker => addSlow(maker, { received: 'part' }, { leaver: 'endpointResets' }, 'end'),
+  'a slow caller got a part of a sound answer': maker => addSlow(maker, { received: 'part', isComplete: false }),
+  'a stop cut a slow caller off': maker => {
+    maker.record.spans.push({ kind: 'hostStop', host, fromMs: 500, toMs: 4000 })
+    addSlow(maker, { received: 'part', isComplete: false })
+  },
+  'an endpoint ended an unframed answer in order': maker => addSlow(maker, { received: 'part' }, { leaver: 'endpointEnds' }, 'end'),
+  'a long answer broke off with its endpoint': maker => addSlow(maker, { received: 'part', isComplete: false }, { leaver: 'endpointResets' }),
+  'a slow caller got a long answer whole': maker => addSlow(maker, {}),
   'a host took too much memory': ({ record }) => { record.peakMemoryMb = 251 },
   'a caller waited for a host that stood still': maker => {
     maker.record.spans.push({ kind: 'hostPause', host, fromMs: 200, toMs: 5500 })
--- a/soak/checkSoak.ts
+++ b/soak/checkSoak.ts
@@ -1,12 +1,13 @@
 /** The promises of the system, held against what a soak saw. */
 import type { RunRecord } from '../src/standin/fleet/runJournal.js'
 import { isStreamed, isWhole, listEventIds, looksWhole } from '../src/standin/fleet/fleetCaller.js'
-import type { FaultSpan, SoakCall, SoakRecord } from './soakRecord.js'
+import { longFramings } from '../src/standin/fleet/longAnswer.js'
+import type { FaultSpan, ProcessEnd, SoakCall, SoakRecord } from './soakRecord.js'
 
 export type PromiseName =
   | 'slotsKept' | 'oneHolder' | 'wholeAnswer' | 'eventsInOrder' | 'atMostOnce' | 'notRunMeansNotRun' | 'asked' | 'answeredInTime'
   | 'stopCutsNothing' | 'drained' | 'configurationInForce' | 'configurationHolds' | 'versionInUse' | 'repeatsBounded' | 'crashesBounded'
-  | 'servesAgain' | 'keepsRunning' | 'boundedResources' | 'halfClosedAnswered' | 'holdsNothing' | 'behindStreamAnswered' | 'keptAnswered' | 'accountsKept'
+  | 'servesAgain' | 'keepsRunning' | 'boundedResources' | 'halfClosedAnswered' | 'holdsNothing' | 'behindStreamAnswered' | 'keptAnswered' | 'accountsKept' | 'slowAnswered'
 
 export interface BrokenPromise {
   promise: PromiseName
@@ -40,8 +41,8 @@
 /** Returns every promise that was broken. */
 export function checkSoak (record: SoakRecord): BrokenPromise[] {
   return [
-    checkEngines, checkAnswers, checkRuns, checkTimes, checkStops, checkPipelines, checkHalfClosed, checkBehindStreams, checkKept, checkDrains, checkConfigurations, checkVersions, checkRepeats, checkCrashes, checkCalm,
-    checkProcesses, checkHeld, checkAccounts
+    checkProcesses, checkEngines, checkAnswers, checkRuns, checkTimes, checkStops, checkPipelines, checkHalfClosed, checkBehindStreams, checkKept, checkDrains, checkConfigurations, checkVersions, checkRepeats, checkCrashes, checkCalm,
+    checkHeld, checkAccounts, checkSlow
   ].flatMap(check => check(record))
 }
 
@@ -78,7 +79,7 @@
 
 const checkEngines: Check = ({ violations }) => violations.map(({ rule, detail }) => ({ promise: rule === 'overfull' ? 'slotsKept' : 'oneHolder', detail }))
 
-const checkAnswers: Check = ({ calls }) => calls.flatMap(({ answer }): BrokenPromise[] => {
+const checkAnswers: Check = ({ calls }) => calls.filter(call => call.slow === undefined).flatMap(({ answer }): BrokenPromise[] => {
   const isOrdered = listEventIds(answer).every((id, index) => id === index + 1)
   if (isStreamed(answer.kind) && !isOrdered) return [{ promise: 'eventsInOrder', detail: JSON.stringify(answer) }]
   return looksWhole(answer) && !isWhole(answer) ? [{ promise: 'wholeAnswer', detail: JSON.stringify(answer) }] : []
@@ -106,6 +107,8 @@
 
 const checkTimes: Check = ({ calls, spans, bounds }) => calls.flatMap(call => {
   const { kind, requestId } = call.answer
+  // How long it takes to read an answer is the slow caller's own matter.
+  if (call.purpose === 'slow') return []
   // A request behind another one on its connection waits for its turn.
   const tookMs = call.endedAtMs - call.turnAtMs
   // Streams that have begun end within the patience of their callers after the last event.
@@ -118,7 +121,7 @@
   const isHeld = createHoldCheck(record)
   const cut = calls.filter(call => {
     const stop = spans.find(span => stopKinds.includes(span.kind) && span.host === call.host && span.fromMs > call.startedAtMs + sentBeforeMs && span.fromMs < call.endedAtMs)
-    return !['pipelined', 'behindStream'].includes(call.purpose) && isCut(call) && stop !== undefined && isHeld(call)
+    return !['pipelined', 'behindStream', 'slow'].includes(call.purpose) && isCut(call) && stop !== undefined && isHeld(call)
   })
   const late = ends.filter(end => end.asked === 'stop' && (end.code !== 0 || end.tookMs > bounds.shutdownMs))
   return [
@@ -175,7 +178,7 @@
   const runsById = collectBy(record.runs, run => run.requestId)
   const findFaults = createFaultFinder(record)
   const lost = record.calls
-    .filter(({ answer, purpose }) => answer.status === 0 && purpose !== 'halfClosed' && purpose !== 'overLimit' && runsById.get(answer.requestId)?.every(run => run.outcome !== 'broken'))
+    .filter(({ answer, purpose }) => answer.status === 0 && !['halfClosed', 'overLimit', 'slow'].includes(purpose) && runsById.get(answer.requestId)?.every(run => run.outcome !== 'broken'))
     .filter(call => findFaults(call).every(span => span.kind === 'hostReloads'))
   return [...collectBy(lost, call => call.host)].filter(([, calls]) => calls.length > lostAtMost)
     .map(([host, calls]): BrokenPromise => ({ promise: 'keptAnswered', detail: `${host} closed ${calls.length} connections with requests that it had passed on, such as ${JSON.stringify(calls[0]!.answer)}` }))
@@ -245,12 +248,39 @@
   return late.length <= crashesAfterwards ? [] : [{ promise: 'crashesBounded', detail: `a request crashed ${late.length} engines after hosts had to know it` }]
 }
 
+/** What a slow caller got is right byte by byte, a cut answer does not look whole, and a sound one to a caller that stays is whole. */
+const checkSlow: Check = record => {
+  const { calls, runs, bounds } = record
+  const ran = new Set(runs.map(run => run.requestId))
+  const findFaults = createFaultFinder(record)
+  const isHeld = createHoldCheck(record)
+  return calls.flatMap((call): BrokenPromise[] => {
+    const { slow, host, answer } = call
+    if (!slow || slow.request.answer.status !== 200) return []
+    const { request, received, bytes, isComplete } = slow
+    const detail = `${host}, ${received} after ${bytes} bytes: ${JSON.stringify(request)} ${JSON.stringify(answer)}`
+    // An answer without a length or chunks is cut like a whole one ends, where its endpoint ends the connection in order.
+    const isUnframed = longFramings[request.answer.framing].body === 'end of the connection'
+    const mayLookWhole = isUnframed && (request.leaver === 'endpointEnds' || findFaults(call).length > 0)
+    if (received === 'wrong' || (received === 'part' && isComplete && !mayLookWhole)) return [{ promise: 'wholeAnswer', detail }]
+    const isDue = request.leaver === 'nobody' && ran.has(answer.requestId) && call.endedAtMs - call.startedAtMs < bounds.timeoutMs
+    return isDue && (received !== 'whole' || !isComplete) && isHeld(call) ? [{ promise: 'slowAnswered', detail }] : []
+  })
+}
+
 const checkCalm: Check = ({ calls }) => calls
   .filter(call => call.purpose === 'calm' && !isWhole(call.answer))
   .map(({ host, answer }): BrokenPromise => ({ promise: 'servesAgain', detail: `${host}: ${JSON.stringify(answer)}` }))
 
+/** Whether an end follows from a signal that the soak sent; a stop that takes too long ends in a kill. */
+function isAskedEnd ({ asked, code, signal }: ProcessEnd): boolean {
+  if (asked === 'kill') return signal === 'SIGKILL'
+  return asked === 'stop' && (code === 0 || signal === 'SIGTERM' || signal === 'SIGKILL')
+}
+
 const checkProcesses: Check = ({ ends, peakMemoryMb, peakDescriptors, bounds }) => {
-  const broken: BrokenPromise[] = ends.filter(end => end.asked === 'nothing').map(end => ({ promise: 'keepsRunning', detail: `${end.host} ended by itself with ${end.code ?? end.signal}` }))
+  const broken: BrokenPromise[] = ends.filter(end => !isAskedEnd(end))
+    .map(end => ({ promise: 'keepsRunning', detail: `${end.host} ended by itself at ${end.at} with ${end.code ?? end.signal}, after the line: ${end.lastLine}` }))
   if (peakMemoryMb > bounds.memoryMb) broken.push({ promise: 'boundedResources', detail: `a host took ${Math.round(peakMemoryMb)} MB` })
   if (peakDescriptors > bounds.maxDescriptors) broken.push({ promise: 'boundedResources', detail: `a host had ${peakDescriptors} descriptors open` })
   return broken
--- a/soak/hostProcess.ts
+++ b/soak/hostProcess.ts
@@ -1,7 +1,7 @@
 /** One host as a process of its own, which the soak starts, pauses and ends. */
 import { fork } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
-import { openSync, closeSync } from 'node:fs'
+import { closeSync, openSync, readFileSync } from 'node:fs'
 import { readdir, readFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -14,8 +14,8 @@
   settings: HostSettings
   metricsPort: number
   without: string | undefined
-  /** Directory for the host's lines; they are dropped where it is left out. */
-  logs: string | undefined
+  /** Directory for the host's lines. */
+  logs: string
   receiveEnd: (end: ProcessEnd) => void
 }
 
@@ -59,18 +59,19 @@
     if (this.#child) return
     const { settings, metricsPort, without, logs } = this.#options
     const start: SoakHostStart = { settings, metricsPort, without }
-    const output = logs === undefined ? 'ignore' as const : openSync(join(logs, `${settings.hostName}.log`), 'a')
+    const path = join(logs, `${settings.hostName}.log`)
+    const output = openSync(path, 'a')
     this.#life++
     this.#asked = 'nothing'
     this.#hasHandlers = false
-    const child = fork(program, [JSON.stringify(start)], { execArgv: nodeOptions, stdio: ['ignore', output, output === 'ignore' ? 'inherit' : output, 'ipc'] })
-    if (output !== 'ignore') closeSync(output)
+    const child = fork(program, [JSON.stringify(start)], { execArgv: nodeOptions, stdio: ['ignore', output, output, 'ipc'] })
+    closeSync(output)
     this.#child = child
     child.once('message', () => { this.#hasHandlers = true })
     this.#ended = new Promise(resolve => child.once('exit', (code, signal) => {
       this.#child = undefined
       this.#options.receiveEnd({
-        host: settings.hostName, code: code ?? undefined, signal: signal ?? undefined, asked: this.#asked, tookMs: performance.now() - this.#askedAtMs
+        host: settings.hostName, at: new Date().toISOString(), lastLine: readLastLine(path), code: code ?? undefined, signal: signal ?? undefined, asked: this.#asked, tookMs: performance.now() - this.#askedAtMs
       })
       resolve()
     }))
@@ -133,3 +134,8 @@
     }
   }
 }
+
+function readLastLine (path: string): string {
+  // Node.js writes its version behind an error that ends the process.
+  return readFileSync(path, 'utf8').split('\n').findLast(line => line !== '' && !line.startsWith('Node.js v')) ?? ''
+}
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -3,7 +3,7 @@
 import { mechanisms } from './mechanisms.js'
 import { runSoak } from './runSoak.js'
 import type { SoakReport } from './runSoak.js'
-import { changeKinds, endlessFaultKinds, faultKinds, lateFaultKinds, restartFaultKinds, restoreFaultKinds } from './soakPlan.js'
+import { changeKinds, endlessFaultKinds, faultKinds, lateFaultKinds, restartFaultKinds, restoreFaultKinds, slowFaultKinds } from './soakPlan.js'
 import type { PlannedEvent } from './soakPlan.js'
 
 const { values } = parseArgs({
@@ -26,7 +26,7 @@
 })
 
 const maxShownBroken = 8
-const knownKinds: readonly string[] = [...faultKinds, ...changeKinds, ...lateFaultKinds, ...restoreFaultKinds, ...endlessFaultKinds, ...restartFaultKinds]
+const knownKinds: readonly string[] = [...faultKinds, ...changeKinds, ...lateFaultKinds, ...restoreFaultKinds, ...endlessFaultKinds, ...restartFaultKinds, ...slowFaultKinds]
 
 function parseCount (name: 'seed' | 'seeds' | 'seconds' | 'hosts' | 'engines' | 'services'): number {
   const count = Number(values[name])
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -1,11 +1,14 @@
 /** Runs a soak: host processes before the stand-in platform, callers, and planned faults from outside. */
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { isWhole } from '../src/standin/fleet/fleetCaller.js'
 import { checkSoak } from './checkSoak.js'
 import type { BrokenPromise } from './checkSoak.js'
 import { SoakCallers } from './soakCallers.js'
 import { SoakEvents } from './soakEvents.js'
-import { createRandom, createSoakPlan, firstAccountsSeed, firstBehindStreamSeed, firstHalfClosedSeed, firstPipelinedSeed } from './soakPlan.js'
+import { createRandom, createSoakPlan, firstAccountsSeed, firstBehindStreamSeed, firstHalfClosedSeed, firstPipelinedSeed, firstSlowSeed } from './soakPlan.js'
 import type { PlannedEvent } from './soakPlan.js'
 import { createSoakRecord } from './soakRecord.js'
 import type { SoakRecord } from './soakRecord.js'
@@ -21,7 +24,7 @@
   kinds?: readonly PlannedEvent['kind'][]
   /** Name of a mechanism that is switched off. */
   without?: string
-  /** Directory for the hosts' lines. */
+  /** Directory for the hosts' lines; one that is removed in the end if left out. */
   logs?: string
 }
 
@@ -56,15 +59,16 @@
  * const { broken } = await runSoak({ seed: 7, faultsMs: 20_000, hosts: 4, engines: 3, services: 2 })
  */
 export async function runSoak (options: SoakOptions): Promise<SoakReport> {
-  const { seed, faultsMs, hosts, engines, services, kinds, without, logs } = options
+  const { seed, faultsMs, hosts, engines, services, kinds, without } = options
   const plan = createSoakPlan({ seed, faultsMs, ...(kinds && { kinds }) })
   const random = createRandom(seed + loadSeedOffset)
   const ends: SoakRecord['ends'] = []
   const hasAccounts = seed >= firstAccountsSeed
+  const logs = options.logs ?? await mkdtemp(join(tmpdir(), 'soak-'))
   const system = await SoakSystem.start({ hosts, engines, services, hasAccounts, random, without, logs, receiveEnd: end => ends.push(end) })
   const record = createRecord(system)
   record.ends = ends
-  const callers = new SoakCallers({ hosts: system.hosts, record, random, sendsAhead: seed >= firstPipelinedSeed, endsSide: seed >= firstHalfClosedSeed, sendsBehindStreams: seed >= firstBehindStreamSeed, sendsKeys: hasAccounts })
+  const callers = new SoakCallers({ hosts: system.hosts, record, random, sendsAhead: seed >= firstPipelinedSeed, endsSide: seed >= firstHalfClosedSeed, sendsBehindStreams: seed >= firstBehindStreamSeed, sendsKeys: hasAccounts, sendsSlowly: seed >= firstSlowSeed })
   const useTimer = setInterval(() => recordUse(system, record), useIntervalMs)
   const load = callers.run()
   try {
@@ -80,6 +84,7 @@
     await load
     await callers.close()
     await system.stop()
+    if (options.logs === undefined) await rm(logs, { recursive: true })
   }
   record.violations.push(...system.fleet.engines.flatMap(({ engine }) => engine!.violations))
   return {
--- a/soak/soakCallers.ts
+++ b/soak/soakCallers.ts
@@ -6,6 +6,8 @@
 import type { RawAnswer, RawRequest } from '../src/standin/fleet/rawCaller.js'
 import { pickCredentials } from './soakAccounts.js'
 import type { SoakCredentials } from './soakAccounts.js'
+import { drawSlowRequest, sendSlowRequest } from './slowCaller.js'
+import type { SlowRequest } from './slowCaller.js'
 import type { HostProcess } from './hostProcess.js'
 import type { SoakCall, SoakRecord } from './soakRecord.js'
 import { formatProbePath } from './soakSystem.js'
@@ -43,6 +45,8 @@
 const maxBehindStreamMs = 600
 /** Bounds how often these connections are opened. */
 const behindStreamGapMs = 100
+/** Between requests for long answers, of all hosts together. */
+const slowGapMs = 1000
 /** Above the limit of the fleet's routes, with a length that is stated. */
 const overLimitBytes = [1_100_000, 5_000_000]
 
@@ -71,6 +75,8 @@
   sendsBehindStreams: boolean
   /** Whether callers send keys of client accounts, and some of them unknown ones. */
   sendsKeys: boolean
+  /** Whether some callers ask for long answers, and read them slowly or not at all. */
+  sendsSlowly: boolean
 }
 
 export class SoakCallers {
@@ -87,7 +93,7 @@
 
   /** Sends until `finish` is called. */
   async run (): Promise<void> {
-    await Promise.all([this.#watchReadiness(), this.#sendLoad(), this.#probeConfigurations(), ...this.#sendAhead(), ...this.#sendSingles(), ...this.#sendBehindStreams()])
+    await Promise.all([this.#watchReadiness(), this.#sendLoad(), this.#probeConfigurations(), ...this.#sendAhead(), ...this.#sendSingles(), ...this.#sendBehindStreams(), this.#sendSlowly()])
   }
 
   startBurst (): void {
@@ -251,6 +257,24 @@
     caller.close()
   }
 
+  async #sendSlowly (): Promise<void> {
+    while (this.#options.sendsSlowly && this.#isSending) {
+      await sleep(slowGapMs)
+      const hosts = this.readyHosts
+      if (hosts.length > 0) this.callSlowly(this.#pick(hosts), drawSlowRequest(this.#options.random))
+    }
+  }
+
+  /** Asks a host for a long answer, without an adapter, as long streams would keep its slot from others, and notes what came of it. */
+  callSlowly (host: HostProcess, request: SlowRequest): void {
+    const { life, settings } = host
+    const requestId = createRequestId()
+    const sent = sendSlowRequest(settings.callersAddress, request, { requestId, headerLines: this.#createHeaderLines(requestId) })
+    this.#track(sent.then(result => {
+      if (result) this.#options.record.calls.push({ ...result, host: settings.hostName, life, adapter: undefined, account: this.#pickCredentials(requestId)?.account, turnAtMs: result.startedAtMs, purpose: 'slow' })
+    }))
+  }
+
   #createRawRequest (kind = this.#pick(kinds)): RawRequest & { adapter?: string } {
     const requestId = createRequestId()
     return { kind, requestId, headerLines: this.#createHeaderLines(requestId), body: `question ${requestId}`, timeLeftMs: this.#pick(callerTimes), ...(isStreamed(kind) && { adapter: this.pickAdapter() }) }
--- a/soak/soakEvents.ts
+++ b/soak/soakEvents.ts
@@ -11,8 +11,10 @@
 import type { LinkFault } from './loopbackProxy.js'
 import { formatPromptParts } from './soakCallers.js'
 import type { SoakCallers } from './soakCallers.js'
+import { createRandom } from './soakPlan.js'
 import type { PlannedEvent } from './soakPlan.js'
 import type { SoakRecord } from './soakRecord.js'
+import { drawSlowRequest } from './slowCaller.js'
 import type { SoakSystem } from './soakSystem.js'
 import { holdPort } from './takenPort.js'
 
@@ -51,6 +53,9 @@
 /** Signals of a stop that is asked for again come this far apart. */
 const minStopGapMs = 20
 const maxStopGapMs = 60
+/** Callers with long answers that a host has at once, and how long it has them before it is stopped or killed. */
+const slowReaders = 8
+const beforeSlowEndMs = 900
 /** The store is away for this long at most before it comes back from a copy. */
 const maxRestoreMs = 2000
 
@@ -82,6 +87,7 @@
         await this.#injectHostFault(event, async host => await this.#stopAgain(event, host))
       },
       portTaken: async event => await this.#injectHostFault(event, async host => await this.#startWithoutPort(event, host)),
+      slowReaders: async event => await this.#meetSlowReaders(event),
       hostReloads: async event => await this.#reloadHost(event),
       clockJump: async event => await this.#injectHostFault(event, async host => {
         const jumpMs = Math.round((event.size * 2 - 1) * maxJumpMs)
@@ -302,6 +308,16 @@
     await sleep(beforeStopMs)
   }
 
+  /** Lets several callers ask one host for long answers; the host stays, is stopped or is killed meanwhile. */
+  async #meetSlowReaders (event: PlannedEvent): Promise<void> {
+    const random = createRandom(event.target + Math.floor(event.size * 0x100000))
+    const host = this.#pickHost(event)
+    const kind = [undefined, 'hostStop', 'hostKill'][Math.floor(random() * 3)] as 'hostStop' | 'hostKill' | undefined
+    for (let index = 0; index < slowReaders; index++) this.#options.callers.callSlowly(host, drawSlowRequest(random))
+    await sleep(beforeSlowEndMs)
+    if (kind) await this.#injections[kind]({ ...event, kind })
+  }
+
   async #failEndpoints (event: PlannedEvent): Promise<void> {
     const endpoints = this.#options.system.fleet.endpoints.filter(endpoint => endpoint.isTelling)
     await Promise.all(endpoints.map(async endpoint => {
--- a/soak/soakPlan.ts
+++ b/soak/soakPlan.ts
@@ -18,7 +18,9 @@
 export const endlessFaultKinds = ['endpointEndless', 'hostReloads'] as const
 /** Drawn for seeds from `firstPipelinedSeed` on. */
 export const restartFaultKinds = ['portTaken', 'hostStopSeries'] as const
-export type FaultKind = typeof faultKinds[number] | typeof lateFaultKinds[number] | typeof restoreFaultKinds[number] | typeof endlessFaultKinds[number] | typeof restartFaultKinds[number]
+/** Drawn for seeds from `firstSlowSeed` on. */
+export const slowFaultKinds = ['slowReaders'] as const
+export type FaultKind = typeof faultKinds[number] | typeof lateFaultKinds[number] | typeof restoreFaultKinds[number] | typeof endlessFaultKinds[number] | typeof restartFaultKinds[number] | typeof slowFaultKinds[number]
 
 const firstLateSeed = 1000
 const firstRestoreSeed = 20_000
@@ -31,6 +33,8 @@
 export const firstBehindStreamSeed = 60_000
 /** From this seed on, the configuration has client accounts, and callers send keys. */
 export const firstAccountsSeed = 90_000
+/** From this seed on, some callers ask for long answers, read them slowly or not at all, and leave. */
+export const firstSlowSeed = 100_000
 
 /** What operators and callers do that is no fault, but has promises of its own. */
 export const changeKinds = ['newConfiguration', 'newVersion', 'crashingRequest', 'burst'] as const
@@ -89,7 +93,7 @@
 }
 
 function listKinds (seed: number): (FaultKind | ChangeKind)[] {
-  const laterKinds = [[firstLateSeed, lateFaultKinds], [firstRestoreSeed, restoreFaultKinds], [firstEndlessSeed, endlessFaultKinds], [firstPipelinedSeed, restartFaultKinds]] as const
+  const laterKinds = [[firstLateSeed, lateFaultKinds], [firstRestoreSeed, restoreFaultKinds], [firstEndlessSeed, endlessFaultKinds], [firstPipelinedSeed, restartFaultKinds], [firstSlowSeed, slowFaultKinds]] as const
   return [...faultKinds, ...changeKinds, ...laterKinds.flatMap(([firstSeed, kinds]) => seed >= firstSeed ? kinds : [])]
 }
 
--- a/soak/soakRecord.ts
+++ b/soak/soakRecord.ts
@@ -1,6 +1,7 @@
 /** What a soak saw from outside: callers' answers, endpoints' runs, and what struck the system when. */
 import type { FleetAnswer } from '../src/standin/fleet/fleetCaller.js'
 import type { RunRecord } from '../src/standin/fleet/runJournal.js'
+import type { SlowOutcome } from './slowCaller.js'
 import type { ChangeKind, FaultKind } from './soakPlan.js'
 
 /** All times are milliseconds of the soak's own steady clock. */
@@ -21,9 +22,11 @@
   /**
    * `calm`: sent after all faults, when the system must serve again; `crashing`: crashes the engine that runs it; `pipelined`: by a raw connection;
    * `halfClosed`: by one whose caller ended its side behind the request; `overLimit`: with a body that is too large;
-   * `behindStream`: on a connection on which a stream, noted as `pipelined`, is still read.
+   * `behindStream`: on a connection on which a stream, noted as `pipelined`, is still read; `slow`: for a long answer, by a caller with its own way of reading.
    */
-  purpose: 'load' | 'calm' | 'crashing' | 'pipelined' | 'halfClosed' | 'overLimit' | 'behindStream'
+  purpose: 'load' | 'calm' | 'crashing' | 'pipelined' | 'halfClosed' | 'overLimit' | 'behindStream' | 'slow'
+  /** Of slow callers; their answers hold no body. */
+  slow?: SlowOutcome
 }
 
 export interface FaultSpan {
@@ -48,6 +51,10 @@
 
 export interface ProcessEnd {
   host: string
+  /** Time of day, as in the host's lines. */
+  at: string
+  /** Last line that it wrote. */
+  lastLine: string
   /** Undefined where a signal ended it. */
   code: number | undefined
   signal: string | undefined
--- a/soak/soakSystem.ts
+++ b/soak/soakSystem.ts
@@ -18,7 +18,7 @@
   hasAccounts: boolean
   random: () => number
   without: string | undefined
-  logs: string | undefined
+  logs: string
   receiveEnd: (end: ProcessEnd) => void
 }
 
--- a/src/standin/fleet/endpointServer.ts
+++ b/src/standin/fleet/endpointServer.ts
@@ -12,6 +12,7 @@
 import { sendPlainAnswer, streamEvents, streamUnframed } from './endpointAnswers.js'
 import type { AnsweredRun } from './endpointAnswers.js'
 import { formatHeaders, readBody } from './endpointBytes.js'
+import { decodeLongPath, sendLongAnswer } from './longAnswer.js'
 import { noEndpointFaults } from './endpointFaults.js'
 import type { EndpointFaults, FaultShare } from './endpointFaults.js'
 import { FaultDraws } from './faultDraws.js'
@@ -239,7 +240,10 @@
     }
     if (this.#shouldStrike('silentRuns')) return
     const answered: AnsweredRun = { run, socket, response, headers, finish, random, getFaults: () => this.faults, shouldStrike: fault => this.#shouldStrike(fault) }
-    if (this.#shouldStrike('errors')) {
+    const long = decodeLongPath(run.path)
+    if (long) {
+      sendLongAnswer(answered, long, isStream)
+    } else if (this.#shouldStrike('errors')) {
       setTimeout(() => {
         finish('broken')
         response.writeHead(500, headers).end('failed')
--- a/src/standin/fleet/rawCaller.ts
+++ b/src/standin/fleet/rawCaller.ts
@@ -13,6 +13,8 @@
   timeLeftMs?: number
   requestId?: string
   body?: string
+  /** Follows the prefix of the kind's route. */
+  path?: string
   /** Added to the request's head, such as `Connection: close`. */
   headerLines?: readonly string[]
 }
@@ -40,11 +42,11 @@
  * @example
  * formatRawRequest({ kind: 'once', requestId: '9c41d07be2a35f68' }) // 'POST /once/x HTTP/1.1\r\n...'
  */
-export function formatRawRequest ({ kind, adapter, timeLeftMs = 4000, requestId = createRequestId(), body = 'a question', headerLines = [] }: RawRequest): string {
+export function formatRawRequest ({ kind, adapter, timeLeftMs = 4000, requestId = createRequestId(), body = 'a question', path = 'x', headerLines = [] }: RawRequest): string {
   const headers = encodeCallerRequestHeaders({ requestId, host: fleetHost, timeLeftMs, ...(isStreamed(kind) && { model: adapter === undefined ? fleetModel : `${fleetModel}/${adapter}` }) })
   const isPost = kind !== 'idempotent'
   const lines = [
-    `${isPost ? 'POST' : 'GET'} ${fleetPaths[kind]}x HTTP/1.1`, ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`), ...headerLines, ...(isPost ? [`content-length: ${Buffer.byteLength(body)}`] : [])
+    `${isPost ? 'POST' : 'GET'} ${fleetPaths[kind]}${path} HTTP/1.1`, ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`), ...headerLines, ...(isPost ? [`content-length: ${Buffer.byteLength(body)}`] : [])
   ]
   return lines.join('\r\n') + headEnd + (isPost ? body : '')
 }
@@ -137,7 +139,7 @@
       if (end < 0) return
       const [statusLine = '', ...headerLines] = this.#received.slice(0, end).split('\r\n')
       const headers = new Map(headerLines.map(line => [line.slice(0, line.indexOf(':')).toLowerCase(), line.slice(line.indexOf(':') + 1).trim()]))
-      const body = readBody(this.#received.slice(end + headEnd.length), headers)
+      const body = readRawBody(this.#received.slice(end + headEnd.length), headers)
       const { answer } = this.#pending[0]!
       answer.status = Number(statusLine.split(' ')[1])
       const { signature, retryAfterS } = decodeResponseHeaders(Object.fromEntries(headers))
@@ -159,8 +161,13 @@
   resolve(answer)
 }
 
-/** Reads a body of stated length or in chunks; `length` counts its characters with the framing. */
-function readBody (received: string, headers: ReadonlyMap<string, string>): { text: string, length: number, isWhole: boolean } {
+/**
+ * Reads a body of stated length or in chunks; `length` counts its characters with the framing.
+ *
+ * @example
+ * readRawBody('2\r\nok\r\n0\r\n\r\n', new Map([['transfer-encoding', 'chunked']])).text // 'ok'
+ */
+export function readRawBody (received: string, headers: ReadonlyMap<string, string>): { text: string, length: number, isWhole: boolean } {
   if (headers.get('transfer-encoding') !== 'chunked') {
     const length = Number(headers.get('content-length') ?? 0)
     return { text: received.slice(0, length), length, isWhole: received.length >= length }
