Reset connections in the soak's proxy without ending them in order first

What was seen: the soak took a response without a length, which its endpoint had reset, for one that came to its caller as whole (). Cause: resetAndDestroy of Node.js ends the stream in order and resets the connection behind that. A host that reads the end before the reset has a whole response by HTTP's rules. Change: the proxy resets at once.

--- a/soak/loopbackProxy.ts
+++ b/soak/loopbackProxy.ts
@@ -84,6 +84,12 @@
   }
 }
 
+/** `resetAndDestroy` ends the stream in order before it resets the connection, so that a response without a length looks whole. */
+function resetAtOnce (socket: Socket): void {
+  Object.assign(socket, { resetAndClosing: true })
+  socket.destroy()
+}
+
 interface HeldChunk {
   /** Undefined for the end of the stream. */
   bytes: Buffer | undefined
@@ -116,7 +122,7 @@
     for (const socket of [this.#caller, this.#server]) {
       // A reset while the end of the stream is on its way leaves a request that Node never completes, and a process that never ends.
       if (socket.writableEnded) socket.destroy()
-      else if (!socket.destroyed) socket.resetAndDestroy()
+      else if (!socket.destroyed) resetAtOnce(socket)
     }
   }
 
