Pass waiting connections on once a stopping listener accepts no more

Cause: a connection that was accepted while the drain waited for what had arrived could still wait for its first read when the drain looked for open connections. Found by reading. Change: the listener closes first and passes on what waits then, before it looks. Measured: crowdOrder, stoppingHosts and hostPath pass.

--- a/src/tasks/proxy/callerListener.ts
+++ b/src/tasks/proxy/callerListener.ts
@@ -188,10 +188,10 @@
     for (;;) {
       const elapsedMs = clock.readMonotonic() - startedAtMs
       if (elapsedMs >= quietMs) {
-        this.#firstReads.flush()
         await this.#waitForArrived()
         this.#isClosingIdle = true
         this.#server.close()
+        this.#firstReads.flush()
         const { headerTimeoutMs } = this.#getLimits()
         for (const connection of this.#connections.values()) connection.closeIfIdle(headerTimeoutMs)
       }
--- a/src/tasks/proxy/firstReads.ts
+++ b/src/tasks/proxy/firstReads.ts
@@ -168,7 +168,7 @@
     this.#accepted = 0
     this.#acceptingTurns = isAccepting ? this.#acceptingTurns + 1 : 0
     if (!isAccepting) this.#burst = 0
-    this.#restAfterLongRead()
+    this.#delayAfterLongRead()
     for (let count = 0; count < maxShortPerTurn; count++) {
       const short = this.#order.takeShort()
       if (!short) break
@@ -184,7 +184,7 @@
   }
 
   /** Leaves as much time to everything else as the last longer read took. */
-  #restAfterLongRead (): void {
+  #delayAfterLongRead (): void {
     if (this.#longReadAtMs === undefined) return
     const { clock } = this.#options
     const tookMs = clock.readMonotonic() - this.#longReadAtMs
