Name every option in the example of the order of first reads

Cause: the example of FirstReads left out a required option; found in the read-through. Change: a comment. Measured: the linter passes; nothing else was run.

--- a/src/tasks/proxy/firstReads.ts
+++ b/src/tasks/proxy/firstReads.ts
@@ -36,7 +36,7 @@
  * passed on at once, and the others one at a time, with as much time between them as their reads take.
  *
  * @example
- * const firstReads = new FirstReads({ clock, deliver: socket => server.emit('connection', socket) })
+ * const firstReads = new FirstReads({ clock, hold: (socket, bytes) => shares.get(socket)?.add(bytes), deliver: socket => accept(socket) })
  * firstReads.receive(socket)
  */
 export class FirstReads {
