--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,4 +1,4 @@
-/** While operators declare new versions of all adapters, the store forgets its history. A version that was acknowledged then stays unknown. */
+/** Two of three hosts lose the store and the third host together. Both sides give orders to the same engines. */
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { createEvenDraws } from '../../dist/src/standin/fleet/createEvenDraws.js'
@@ -6,92 +6,78 @@
 import { RowStore } from '../../dist/src/standin/fleet/rowStore.js'
 import { defaultFleetOptions, Fleet } from '../../dist/src/standin/fleet/startFleet.js'
 import { Hosts, wait } from '../lib-2/hosts.mjs'
+import { Links } from '../lib-2/links.mjs'
 import { PagedStore } from '../lib-2/pagedStore.mjs'
 import { runCase } from '../lib-2/runCase.mjs'
 
-/** As in both small deployments. */
-const adapterCount = 3000
-const hostCount = 2
-const declarationIntervalMs = 10
-const quietMs = 700
-const compactionsAtMs = [4000, 12_000, 20_000]
-/** Adapters whose versions were declared this long before and after a compaction are asked for. */
-const askedBeforeMs = 100
-const askedAfterMs = 400
-const askedUndisturbed = 60
-const versionMs = 5000
-const stabilityWindowMs = 3000
-const callers = 8
+const hostCount = 3
+/** A store reader. */
+const connectedHost = 1
+/** As in the day beside this script. */
+const cutMs = 12_000
+/** More than the engines have places for, so that there are orders all the time. */
+const adapters = 40
+const callersPerHost = 4
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ isTroubled, record, addCleanup }) => {
   const rows = new RowStore()
-  const store = new PagedStore(rows)
-  await store.start()
-  const fleet = new Fleet({ ...defaultFleetOptions, adapterSlots: 18, random: createEvenDraws(), heartbeatMs: 1200 }, rows, store)
-  addCleanup(async () => await fleet.stop())
-  for (let index = 1; index <= adapterCount; index++) fleet.declareVersion(`a${index}`, 2)
-  await fleet.start()
-  const hosts = new Hosts(store.address)
+  const stores = []
+  const hosts = new Hosts(index => stores[index - 1].address)
   addCleanup(async () => await hosts.stop())
-  for (let index = 1; index <= hostCount; index++) await hosts.start(index)
+  const indexes = Array.from({ length: hostCount }, (_, index) => index + 1)
+  const places = []
+  for (const index of indexes) places.push(await hosts.findPlace(index))
+  const links = new Links(places)
+  await links.open()
+  addCleanup(() => links.close())
+  for (const index of indexes) {
+    stores.push(new PagedStore(rows, row => links.rewrite(index, row)))
+    await stores.at(-1).start()
+    addCleanup(async () => await stores[index - 1].stop())
+  }
+  const fleet = new Fleet({ ...defaultFleetOptions, engines: 4, services: 1, random: createEvenDraws(), heartbeatMs: 1200 }, rows, { stop: async () => {} })
+  await fleet.start()
+  addCleanup(async () => await fleet.stop())
+  for (const { id, engine } of fleet.engines) watchOrders(id, engine, record)
+  for (const index of indexes) await hosts.start(index)
   for (const host of hosts.list) await hosts.waitUntilReady(host)
-  await wait(3000)
-  store.receiveRead = (table, from, count, version) => { if (table === 'op') record(`store read op from ${JSON.stringify(from)}: ${count} rows at version ${version}`) }
+  await wait(4000)
 
-  const declaredAtMs = await rollOut({ fleet, store, isTroubled, record })
-  await wait(Math.max(versionMs, stabilityWindowMs) + 1000)
-  const breaks = await askFor(declaredAtMs, { fleet, hosts, record })
-  for (const host of hosts.list) if (host.hasExited) breaks.push(`host ${host.index} ended by itself`)
-  return breaks
-})
-
-/** Declares version 3 of all adapters, in any order. Returns when the store acknowledged each, and the times of the compactions. */
-async function rollOut ({ fleet, store, isTroubled, record }) {
-  const order = Array.from({ length: adapterCount }, (_, index) => `a${index + 1}`).map(adapter => ({ adapter, rank: Math.random() })).sort((left, right) => left.rank - right.rank)
-  const startedAtMs = performance.now()
-  const compactedAtMs = []
-  const pending = [...compactionsAtMs]
-  const declaredAtMs = new Map()
-  for (const [index, { adapter }] of order.entries()) {
-    const dueMs = index * declarationIntervalMs - (performance.now() - startedAtMs)
-    if (dueMs > 0) await wait(dueMs)
-    if (pending.length > 0 && performance.now() - startedAtMs >= pending[0]) {
-      pending.shift()
-      const dropsAtMs = performance.now() + quietMs
-      compactedAtMs.push(dropsAtMs)
-      if (isTroubled) store.compact(quietMs).then(() => record('the store dropped its history'))
+  const load = { isOver: false, answered: 0 }
+  const callers = hosts.list.flatMap(host => Array.from({ length: callersPerHost }, async () => {
+    const caller = new FleetCaller()
+    while (!load.isOver) {
+      const { status } = await caller.call({ kind: 'stream', address: host.settings.callersAddress, adapter: `a${Math.floor(Math.random() * adapters)}` })
+      if (status === 200) load.answered++
+      else await wait(50)
+    }
+    await caller.close()
+  }))
+  await wait(3000)
+  const before = fleet.listViolations().length
+  if (isTroubled) {
+    for (const index of indexes) {
+      if (index === connectedHost) continue
+      links.cut(index, connectedHost)
+      stores[index - 1].isCut = true
     }
-    fleet.declareVersion(adapter, 3)
-    declaredAtMs.set(adapter, performance.now())
+    record('hosts 2 and 3 have lost the store and host 1')
   }
-  record(`declared version 3 of ${declaredAtMs.size} adapters`)
-  const isNear = atMs => compactedAtMs.some(dropsAtMs => atMs > dropsAtMs - askedBeforeMs && atMs < dropsAtMs + askedAfterMs)
-  const near = [...declaredAtMs].filter(([, atMs]) => isNear(atMs))
-  const others = [...declaredAtMs].filter(([, atMs]) => !isNear(atMs)).slice(0, askedUndisturbed)
-  return new Map([...near, ...others])
-}
+  await wait(cutMs)
+  load.isOver = true
+  await Promise.race([Promise.all(callers), wait(5000)])
+  record(`${load.answered} streams were answered; orders out of turn before: ${before}`)
+  if (load.answered === 0) throw new Error('no stream was answered')
+  const violations = fleet.listViolations().filter(text => text.includes('fencing'))
+  return violations.length > 0 ? [`ONE: ${violations.length} orders with a lower fencing token after a higher one, or of two holders with one; the first: ${violations[0]}`] : []
+})
 
-/** Asks for each adapter once, through the hosts by turns. Returns what ran on an older version than the one that was acknowledged. */
-async function askFor (declaredAtMs, { fleet, hosts, record }) {
-  const caller = new FleetCaller()
-  const waiting = [...declaredAtMs.keys()]
-  const breaks = []
-  let served = 0
-  const ask = async () => {
-    for (let adapter = waiting.shift(); adapter !== undefined; adapter = waiting.shift()) {
-      const host = hosts.list[waiting.length % hosts.list.length]
-      const answer = await caller.call({ kind: 'stream', address: host.settings.callersAddress, adapter })
-      if (answer.status === 200) served++
-      for (const run of fleet.journal.listRuns(answer.requestId)) {
-        const ageMs = Math.round(performance.now() - declaredAtMs.get(adapter))
-        record(`request ${answer.requestId} for ${adapter} through host ${host.index}: status ${answer.status}, ran at ${run.endpointId} on version ${run.adapterVersion}, version 3 acknowledged ${ageMs} ms ago`)
-        if (run.adapterVersion !== 3) breaks.push(`VERSION: ${adapter} ran on version ${run.adapterVersion} at ${run.endpointId}, ${ageMs} ms after the store acknowledged version 3`)
-      }
-    }
+/** Writes each order that an engine receives to the record. */
+function watchOrders (id, engine, record) {
+  const receiveOrder = engine.receiveOrder.bind(engine)
+  engine.receiveOrder = (order, holder) => {
+    const status = receiveOrder(order, holder)
+    record(`${id} got ${order.kind} ${order.adapter ?? 'model'} from ${holder.host}, fence ${holder.fencing}, answered ${status}`)
+    return status
   }
-  await Promise.all(Array.from({ length: callers }, ask))
-  await caller.close()
-  record(`asked for ${declaredAtMs.size} adapters, ${served} answers with status 200`)
-  if (served < declaredAtMs.size / 2) throw new Error('most requests were not served')
-  return breaks
 }
--- a/review/lib-2/hosts.mjs
+++ b/review/lib-2/hosts.mjs
@@ -46,6 +46,12 @@
     this.#storeAddress = typeof storeAddress === 'function' ? storeAddress : () => storeAddress
   }
 
+  /** Draws the ports of all hosts; returns the address and ports of host `index`. */
+  async findPlace (index) {
+    this.#basePort ??= await findFreePorts(`${this.#network}.1`)
+    return { network: this.#network, address: `${this.#network}.${index}`, relayPort: this.#basePort + 2, messagesPort: this.#basePort + 3 }
+  }
+
   /** Starts host `index`, from 1; the same index starts another process of the same host. */
   async start (index, changes = {}) {
     this.#basePort ??= await findFreePorts(`${this.#network}.1`)
--- a/review/lib-2/pagedStore.mjs
+++ b/review/lib-2/pagedStore.mjs
@@ -20,8 +20,14 @@
   /** Called with each read: the table, its first key, the number of rows and the store's version. */
   receiveRead = () => {}
 
-  constructor (rows) {
+  #rewrite
+  /** Whether calls get no answer, as the link of the host that this server is for is cut. */
+  isCut = false
+
+  /** `rewrite`: returns a row as the host that this server is for gets it; several servers may share the rows. */
+  constructor (rows, rewrite = row => row) {
     this.#rows = rows
+    this.#rewrite = rewrite
     this.#server = createServer((request, response) => { this.#receive(request, response) })
   }
 
@@ -49,12 +55,15 @@
     const chunks = []
     for await (const chunk of request) chunks.push(chunk)
     await new Promise(resolve => setTimeout(resolve, answerMs))
+    if (this.isCut) return
     const url = new URL(request.url, 'http://store')
     const table = url.searchParams.get('table') ?? ''
     if (url.pathname === wirePaths.readRows) this.#read(table, url.searchParams, response)
     else if (url.pathname === wirePaths.followRows) this.#follow(table, Number(url.searchParams.get('after')), Number(url.searchParams.get('waitMs')), response)
     else if (url.pathname === wirePaths.transact) {
-      const { status, body } = encodeTransactionOutcome(this.#rows.transact(decodeTransaction(Buffer.concat(chunks).toString('utf8'))), this.#rows.version)
+      const outcome = this.#rows.transact(decodeTransaction(Buffer.concat(chunks).toString('utf8')))
+      const seen = outcome.verdict === 'conflict' ? { ...outcome, rows: outcome.rows.map(this.#rewrite) } : outcome
+      const { status, body } = encodeTransactionOutcome(seen, this.#rows.version)
       send(response, status, body)
     } else response.writeHead(404).end()
   }
@@ -65,12 +74,12 @@
     const matching = this.#rows.listRows(table).filter(({ key }) => (from === null || key >= from) && (target === null || key < target))
     const rows = matching.slice(0, limit)
     this.receiveRead(table, from ?? '', rows.length, this.#rows.version)
-    send(response, 200, JSON.stringify({ rows: rows.map(encodeStoreRow), hasMore: matching.length > limit, ver: this.#rows.version, nowMs: Math.round(performance.now()) }))
+    send(response, 200, JSON.stringify({ rows: rows.map(this.#rewrite).map(encodeStoreRow), hasMore: matching.length > limit, ver: this.#rows.version, nowMs: Math.round(performance.now()) }))
   }
 
   #follow (table, after, waitMs, response) {
     const answer = isLast => {
-      if (this.#isQuiet || response.writableEnded || response.destroyed) return
+      if (this.#isQuiet || this.isCut || response.writableEnded || response.destroyed) return
       const rows = this.#rows.listChanges(table, after)
       if (rows?.length === 0 && !isLast) {
         this.#rows.waitForChange(() => answer(false))
@@ -78,7 +87,7 @@
       }
       this.#feeds.delete(answer)
       clearTimeout(timer)
-      if (rows) send(response, 200, JSON.stringify({ rows: rows.map(encodeStoreRow), ver: this.#rows.version, nowMs: Math.round(performance.now()) }))
+      if (rows) send(response, 200, JSON.stringify({ rows: rows.map(this.#rewrite).map(encodeStoreRow), ver: this.#rows.version, nowMs: Math.round(performance.now()) }))
       else response.writeHead(410).end()
     }
     const timer = setTimeout(() => answer(true), waitMs)
