Let owners go on through an outage only with a majority of their listed witnesses

Cause: an owner counted the hosts of its own view that lacked the store; the host that took its endpoints over counted none and went by time alone. A group that is cut off together can be a majority of what it knows.

Change: an owner's row lists its witnesses, which have to confirm an outage to the owner or the expiry of its lease to others, never both. Going on and taking over need majorities of that one list.

The tests' hosts now detect outages themselves in place of a stand-in that knew of them.

--- a/features/steps/leases.ts
+++ b/features/steps/leases.ts
@@ -5,6 +5,7 @@
 import { hostsTable, renewalsTable } from '../../src/schemas/hostRows.js'
 import { LeaseCluster } from '../support/leaseCluster.js'
 import type { StoreState } from '../support/leaseCluster.js'
+import { runLeaseHistory } from '../support/leaseHistories.js'
 
 interface LeasesWorld {
   cluster: LeaseCluster
@@ -127,6 +128,57 @@
   this.cluster.hosts[number - 1]!.isCutFromStore = false
 })
 
+When('lease hosts {int} to {int} are cut off together', function (this: LeasesWorld, first: number, last: number) {
+  for (const host of this.cluster.hosts.slice(first - 1, last)) this.cluster.cutOff(host, 1)
+})
+
+When('lease hosts {int} to {int} are cut off together, {int} ms apart', async function (this: LeasesWorld, first: number, last: number, apartMs: number) {
+  for (const host of this.cluster.hosts.slice(first - 1, last)) {
+    this.cluster.cutOff(host, 1)
+    await this.cluster.run(apartMs)
+  }
+})
+
+When('lease hosts {int} to {int} leave', async function (this: LeasesWorld, first: number, last: number) {
+  const leaving = Promise.all(this.cluster.hosts.slice(first - 1, last).map(async host => await this.cluster.leave(host)))
+  await this.cluster.run(3000)
+  await leaving
+})
+
+When('lease hosts {int} to {int} are killed', function (this: LeasesWorld, first: number, last: number) {
+  for (const host of this.cluster.hosts.slice(first - 1, last)) this.cluster.kill(host)
+})
+
+When('all lease hosts lose the store', function (this: LeasesWorld) {
+  for (const host of this.cluster.hosts) host.isCutFromStore = true
+})
+
+When('a lease host starts that reaches the store and none of the others', function (this: LeasesWorld) {
+  this.cluster.addHost()
+  this.cluster.hosts.at(-1)!.group = 2
+})
+
+When('lease host {int} reaches the store and none of the others', function (this: LeasesWorld, number: number) {
+  const host = this.cluster.hosts[number - 1]!
+  host.isCutFromStore = false
+  host.group = 2
+})
+
+When('all cuts end', function (this: LeasesWorld) {
+  this.cluster.heal()
+})
+
+Then('no engine could receive orders from two hosts', function (this: LeasesWorld) {
+  assert.deepEqual(this.cluster.violations, [])
+})
+
+Then('no engine could receive orders from two hosts in {int} random histories from seed {int} on', async function (count: number, firstSeed: number) {
+  for (let seed = firstSeed; seed < firstSeed + count; seed++) {
+    const { steps, violations } = await runLeaseHistory(seed)
+    assert.deepEqual(violations, [], `seed ${seed}: ${steps.join('; ')}`)
+  }
+})
+
 When('all lease hosts are killed', function (this: LeasesWorld) {
   for (const host of this.cluster.hosts) this.cluster.kill(host)
 })
--- a/features/steps/peerAges.ts
+++ b/features/steps/peerAges.ts
@@ -25,6 +25,8 @@
       close: () => {}
     },
     getStoreAgeMs: () => Infinity,
+    confirmOutage: () => false,
+    confirmExpiry: () => false,
     listServiceVersions: () => [],
     receiveAllocationMessage: () => {},
     receiveReservationReply: () => {},
--- a/features/support/leaseCluster.ts
+++ b/features/support/leaseCluster.ts
@@ -1,11 +1,14 @@
 /** Hosts that share engines through leases in one store, on a virtual clock. The store and the connections to it can fail. */
 import { VirtualClock } from '../../src/adapters/clock/virtualClock.js'
+import { WitnessRecord } from '../../src/core/leaseWitnesses.js'
+import type { HeldLease } from '../../src/core/leaseWitnesses.js'
 import { ClusterView } from '../../src/core/clusterView.js'
 import { PairHasher } from '../../src/core/rendezvousHash.js'
 import { RowMirror } from '../../src/core/rowMirror.js'
 import { StoreEra } from '../../src/core/storeEra.js'
 import { decodePlatformRow, endpointsTable, operatorsTable } from '../../src/platform/decodePlatformRow.js'
 import { encodeConfigurationRow, encodeEndpointRow } from '../../src/platform/standinWire.js'
+import type { EventLog } from '../../src/ports/eventLog.js'
 import type { Store, StoreOutcome, StoreTransaction } from '../../src/ports/store.js'
 import type { RenewalReply } from '../../src/schemas/datagram.js'
 import { hostsTable, renewalsTable } from '../../src/schemas/hostRows.js'
@@ -13,7 +16,9 @@
 import { RowStore } from '../../src/standin/fleet/rowStore.js'
 import type { RowStoreCopy } from '../../src/standin/fleet/rowStore.js'
 import { createEraCheckedStore } from '../../src/tasks/clusterView/eraChecks.js'
+import { LeaseExpiry } from '../../src/tasks/leases/leaseExpiry.js'
 import { LeaseTask } from '../../src/tasks/leases/leaseTask.js'
+import { OutageWitnesses } from '../../src/tasks/leases/outageWitnesses.js'
 import { RenewalClient } from '../../src/tasks/leases/renewalClient.js'
 import { RenewalCollector } from '../../src/tasks/leases/renewalCollector.js'
 import { StoreAccess } from '../../src/tasks/leases/storeAccess.js'
@@ -29,11 +34,18 @@
   address: string
   leases: LeaseTask
   renewalCollector: RenewalCollector
+  witnessRecord: WitnessRecord
+  outageWitnesses: OutageWitnesses
+  session: string
+  /** Milliseconds since the host last knew the state of the store. */
+  getStoreAgeMs: () => number
   isRunning: boolean
   /** Whether datagrams to and from the host are delivered. */
   isReachable: boolean
   /** Whether its calls to the store fail. */
   isCutFromStore: boolean
+  /** Hosts reach only those of the same group. */
+  group: number
   owned: Map<string, number>
   logRecords: { kind: string, fields: Record<string, unknown> }[]
 }
@@ -45,8 +57,9 @@
 const maxLeaveMs = 6000
 const slowResponseDelayMs = 300
 const updateIntervalMs = 50
-/** Hosts know after this time that the store is away for all of them. */
-const outageNoticedMs = 1800
+const datagramDelayMs = 1
+/** Time without a reply after which a host counts as not responding. */
+const pingTimeoutMs = 250
 const lateWriteDelayMs = 3000
 /** Lease duration in the published deployments. */
 const leaseMs = 3000
@@ -65,7 +78,6 @@
   #hashes = new PairHasher()
   #stepCounts = new Map<LeaseHost, number>()
   #queueEndsAtMs = 0
-  #awaySinceMs = Infinity
   #lastFencing = new Map<string, number>()
   /** By engine, its successive owners and when each could last send it orders. */
   #ownerHistory = new Map<string, { owner: string, atMs: number }[]>()
@@ -122,14 +134,26 @@
    */
   async restore (copy: RowStoreCopy, awayMs: number): Promise<void> {
     this.storeState = 'away'
-    this.#awaySinceMs = this.clock.readMonotonic()
     await this.run(awayMs)
     const lost = this.rows.restore(copy)
     this.storeState = 'healthy'
-    this.#awaySinceMs = Infinity
     for (const { table, key, value } of lost) if (value && (table === operatorsTable || table === endpointsTable)) this.rows.write({ table, key, value })
   }
 
+  /** Cuts a host off from the store and from all hosts but those that are cut off as the same group. */
+  cutOff (host: LeaseHost, group: number): void {
+    host.group = group
+    host.isCutFromStore = true
+  }
+
+  /** Ends all cuts. */
+  heal (): void {
+    for (const host of this.hosts) {
+      host.group = 0
+      host.isCutFromStore = false
+    }
+  }
+
   addEngine (): void {
     this.rows.write(encodeEndpointRow(createEntry(`engine-${this.rows.listRows(endpointsTable).length + 1}`)))
   }
@@ -147,6 +171,25 @@
   kill (host: LeaseHost): void {
     host.isRunning = false
     host.leases.stop()
+    host.outageWitnesses.stop()
+  }
+
+  /** Whether datagrams pass between two hosts. */
+  #areLinked (one: LeaseHost, other: LeaseHost): boolean {
+    return one.isRunning && other.isRunning && one.isReachable && other.isReachable && one.group === other.group
+  }
+
+  /** Asks the host at an address, as a ping does; undefined if it does not respond. */
+  async #ask<Reply> (asking: LeaseHost, address: string, answer: (asked: LeaseHost) => Reply): Promise<Reply | undefined> {
+    return await new Promise(resolve => {
+      this.clock.setTimer(() => resolve(undefined), pingTimeoutMs)
+      this.clock.setTimer(() => {
+        const asked = this.hosts.findLast(other => other.address === address && other.isRunning)
+        if (!asked || !this.#areLinked(asking, asked)) return
+        const reply = answer(asked)
+        this.clock.setTimer(() => { if (this.#areLinked(asking, asked)) resolve(reply) }, datagramDelayMs)
+      }, datagramDelayMs)
+    })
   }
 
   #createHost (name: string, address: string): LeaseHost {
@@ -159,7 +202,8 @@
       const change = clusterView.applyRow(row, clock.readMonotonic(), mayBeRestored)
       if (change) leases.receiveChange(change)
     }, (_row, error) => { throw error })
-    const host: LeaseHost = { name, address, leases: undefined!, renewalCollector: undefined!, isRunning: true, isReachable: true, isCutFromStore: false, owned: new Map(), logRecords: [] }
+    const host: LeaseHost = { name, address, session, leases: undefined!, renewalCollector: undefined!, outageWitnesses: undefined!, witnessRecord: new WitnessRecord(clock.readMonotonic()), getStoreAgeMs: () => clock.readMonotonic() - storeReadAtMs, isRunning: true, isReachable: true, isCutFromStore: false, group: 0, owned: new Map(), logRecords: [] }
+    let storeReadAtMs = -Infinity
     const log = { record: (kind: string, _message: string, fields: Record<string, unknown> = {}) => { host.logRecords.push({ kind, fields }) } }
     const store = createEraCheckedStore({ transact: async (transaction: StoreTransaction) => await this.#transact(transaction, host) } as unknown as Store, eras)
     const transact = async (transaction: StoreTransaction): Promise<StoreOutcome> => await store.transact(transaction)
@@ -172,10 +216,11 @@
       send: (_address, ask) => {
         const collector = this.hosts[0]!
         const answer = (reply: RenewalReply): void => { clock.setTimer(() => { if (host.isReachable) client.receiveReply(reply) }, 1) }
-        clock.setTimer(() => { if (collector.isRunning && collector.isReachable && host.isReachable) collector.renewalCollector.handleRequest(ask, { host: name, session }, answer) }, 1)
+        clock.setTimer(() => { if (this.#areLinked(collector, host)) collector.renewalCollector.handleRequest(ask, { host: name, session }, answer) }, 1)
       }
     })
-    const leases = new LeaseTask({
+    const { outageWitnesses, leaseExpiry } = this.#createWitnesses(host, log, own, clusterView)
+    const leases: LeaseTask = new LeaseTask({
       clock,
       log,
       clusterView,
@@ -184,7 +229,7 @@
       // Two hosts read the store, as in small deployments; the others get renewals from them.
       isUpToDate: () => this.storeState !== 'away' && !host.isCutFromStore,
       areOwnersKnown: () => mirror.findTableVersion(hostsTable) !== undefined,
-      isReadingStore: () => (this.storeState !== 'away' && !host.isCutFromStore) && (this.hosts.length < 2 || this.hosts.filter(({ isRunning }) => isRunning).indexOf(host) < 2),
+      isReadingStore: () => (this.storeState !== 'away' && !host.isCutFromStore) && (this.hosts.length < 2 || this.hosts.filter(({ isRunning, isCutFromStore }) => isRunning && !isCutFromStore).indexOf(host) < 2),
       hashPair: (endpointId, host) => {
         this.rankedPairCount++
         return this.#hashes.compute(endpointId, host)
@@ -195,19 +240,22 @@
         this.#stepCounts.set(host, this.countSteps(host) + 1)
         return false
       },
-      isRunning: async row => this.hosts.some(other => other.name === row.host && other.isRunning),
+      isRunning: async row => this.hosts.some(other => other.name === row.host && other.isRunning && other.group === host.group),
       transact: async transaction => await access.transact(transaction),
       renewViaCollector: async (renewal, version) => await client.renew(renewal, version),
       readRenewals: () => {},
-      findRenewalVersion: other => mirror.findRow(renewalsTable, other)?.version,
+      findRenewalRow: other => mirror.findRow(renewalsTable, other),
       applyRow: row => mirror.applyLocalWrite(row),
-      isOutage: () => !host.isCutFromStore && clock.readMonotonic() - this.#awaySinceMs > outageNoticedMs,
+      isOutage: () => outageWitnesses.isOutage(),
+      selectWitnesses: () => outageWitnesses.select(),
+      hasLeaseExpired: async (row, renewalRow, stalledMs) => await leaseExpiry.hasExpired(row, renewalRow, stalledMs),
       receiveOwnership: (endpointId, fencing) => {
         if (fencing === undefined) host.owned.delete(endpointId)
         else host.owned.set(endpointId, fencing)
       }
     })
     host.leases = leases
+    host.outageWitnesses = outageWitnesses
     eras.onNewEra(() => {
       leases.beginEra()
       clusterView.beginEra(clock.readMonotonic())
@@ -218,13 +266,41 @@
       clock.setTimer(readUpdates, updateIntervalMs)
       if (this.storeState === 'away' || host.isCutFromStore) return
       eras.observe(this.rows.era)
+      storeReadAtMs = clock.readMonotonic()
       for (const table of tables) mirror.replaceTable(table, this.rows.listRows(table), this.rows.version)
     }
     readUpdates()
     leases.start()
+    outageWitnesses.start()
     return host
   }
 
+  #createWitnesses (host: LeaseHost, log: EventLog, own: { host: string, session: string }, clusterView: ClusterView): { outageWitnesses: OutageWitnesses, leaseExpiry: LeaseExpiry } {
+    const { clock } = this
+    const outageWitnesses = new OutageWitnesses({
+      clock,
+      log,
+      own,
+      listHosts: () => [...clusterView.hosts.values()].map(({ row }) => row),
+      listPossibleWitnesses: () => host.leases.listPossibleWitnesses(),
+      getConfirmedRenewal: () => host.leases.confirmedRenewal,
+      getStoreAgeMs: () => Math.min(host.getStoreAgeMs(), host.leases.confirmedRenewalAgeMs),
+      askHost: async (address, renewal) => await this.#ask(host, address, ({ session, witnessRecord, getStoreAgeMs }) => (
+        { session, confirmsOutage: renewal !== undefined && witnessRecord.confirmOutage({ ...own, renewal }, getStoreAgeMs(), clock.readMonotonic()) }
+      )),
+      isNeeded: () => host.leases.ownedEndpointCount > 0
+    })
+    const confirmExpiry = ({ witnessRecord, getStoreAgeMs }: LeaseHost, lease: HeldLease): boolean => witnessRecord.confirmExpiry(lease, getStoreAgeMs(), clock.readMonotonic())
+    const leaseExpiry = new LeaseExpiry({
+      log,
+      own,
+      clusterView,
+      requestConfirmation: async (address, lease) => await this.#ask(host, address, asked => confirmExpiry(asked, lease)) ?? false,
+      confirmExpiry: lease => confirmExpiry(host, lease)
+    })
+    return { outageWitnesses, leaseExpiry }
+  }
+
   async #transact (transaction: StoreTransaction, host: LeaseHost): Promise<StoreOutcome> {
     const { era } = this.rows
     const outcome = await this.#answer(transaction, host)
--- a/src/bin/createLeaseComponents.ts
+++ b/src/bin/createLeaseComponents.ts
@@ -14,6 +14,10 @@
 import type { LeaseTaskOptions } from '../tasks/leases/leaseTask.js'
 import { RenewalClient } from '../tasks/leases/renewalClient.js'
 import { RenewalCollector } from '../tasks/leases/renewalCollector.js'
+import { WitnessRecord } from '../core/leaseWitnesses.js'
+import type { HeldLease } from '../core/leaseWitnesses.js'
+import { LeaseExpiry } from '../tasks/leases/leaseExpiry.js'
+import { OutageWitnesses } from '../tasks/leases/outageWitnesses.js'
 import { StoreOutageDetector } from '../tasks/leases/storeOutageDetector.js'
 import { StoreAccess } from '../tasks/leases/storeAccess.js'
 import type { ClusterViewTask } from '../tasks/clusterView/clusterViewTask.js'
@@ -50,6 +54,12 @@
   storeOutageDetector: StoreOutageDetector
   renewalCollector: RenewalCollector
   renewalClient: RenewalClient
+  outageWitnesses: OutageWitnesses
+  /** What this host answers as a witness of another host's lease; `storeAgeMs` is the time since it last knew the state of the store. */
+  witness: {
+    confirmOutage: (lease: HeldLease, storeAgeMs: number) => boolean
+    confirmExpiry: (lease: HeldLease, storeAgeMs: number) => boolean
+  }
 }
 
 export function createLeaseComponents (options: LeaseComponentsOptions): LeaseComponents {
@@ -78,15 +88,17 @@
     findRenewalCollector: () => updateSources.getSources().renewalCollectorAddress,
     send: (address, request) => peers.sendRenewal(address, request)
   })
+  // Renewals go through another host, and most hosts also get their cluster updates from another host. Both show that the store
+  // is available as reliably as a direct response does.
+  const getStoreAgeMs = (): number => Math.min(clusterViewTask.directStoreAgeMs, clusterViewTask.storeAgeMs, leaseTask.confirmedRenewalAgeMs)
   const storeOutageDetector: StoreOutageDetector = new StoreOutageDetector({
     clock,
-    // Renewals go through another host, and most hosts also get their cluster updates from another host. Both show that the
-    // store is available as reliably as a direct response does.
-    getStoreAgeMs: () => Math.min(clusterViewTask.directStoreAgeMs, clusterViewTask.storeAgeMs, leaseTask.confirmedRenewalAgeMs),
+    getStoreAgeMs,
     listPeers,
     requestStoreAge: async address => (await peers.pingHost(address))?.storeAgeMs,
-    isNeeded: () => leaseTask.ownedEndpointCount > 0 || options.isGrantingQuotas()
+    isNeeded: options.isGrantingQuotas
   })
+  const { outageWitnesses, leaseExpiry, witness } = createWitnessComponents(options, { listPeers, getStoreAgeMs, getLeaseTask: () => leaseTask })
   const isolationMonitor: IsolationMonitor = new IsolationMonitor({
     clock,
     log,
@@ -117,12 +129,54 @@
         .then(({ rows, version }) => mirror.replaceTable(renewalsTable, rows, version))
         .catch((error: Error) => log.record('news.storeFailed', 'The renewals could not be read; the next renewal will show whether the last one was written.', { error: error.message }))
     },
-    findRenewalVersion: host => mirror.findRow(renewalsTable, host)?.version,
+    findRenewalRow: host => mirror.findRow(renewalsTable, host),
     applyRow: row => mirror.applyLocalWrite(row),
-    isOutage: () => storeOutageDetector.isOutage(),
+    isOutage: () => outageWitnesses.isOutage(),
+    selectWitnesses: () => outageWitnesses.select(),
+    hasLeaseExpired: async (row, renewalRow, stalledMs) => await leaseExpiry.hasExpired(row, renewalRow, stalledMs),
     receiveOwnership: options.receiveOwnership
   })
-  return { storeAccess, leaseTask, storeOutageDetector, isolationMonitor, renewalCollector, renewalClient }
+  return { storeAccess, leaseTask, storeOutageDetector, isolationMonitor, renewalCollector, renewalClient, outageWitnesses, witness }
+}
+
+interface WitnessDependencies {
+  listPeers: () => HostRow[]
+  getStoreAgeMs: () => number
+  getLeaseTask: () => LeaseTask
+}
+
+interface WitnessComponents {
+  outageWitnesses: OutageWitnesses
+  leaseExpiry: LeaseExpiry
+  witness: LeaseComponents['witness']
+}
+
+/** Creates what this host needs as an owner with witnesses, as a host that takes endpoints over, and as a witness of others. */
+function createWitnessComponents ({ clock, log, own, clusterView, clusterViewTask, peers }: LeaseComponentsOptions, { listPeers, getStoreAgeMs, getLeaseTask }: WitnessDependencies): WitnessComponents {
+  const record = new WitnessRecord(clock.readMonotonic())
+  const witness: LeaseComponents['witness'] = {
+    confirmOutage: (lease, storeAgeMs) => record.confirmOutage(lease, storeAgeMs, clock.readMonotonic()),
+    confirmExpiry: (lease, storeAgeMs) => record.confirmExpiry(lease, storeAgeMs, clock.readMonotonic())
+  }
+  const outageWitnesses = new OutageWitnesses({
+    clock,
+    log,
+    own,
+    listHosts: listPeers,
+    listPossibleWitnesses: () => getLeaseTask().listPossibleWitnesses(),
+    getConfirmedRenewal: () => getLeaseTask().confirmedRenewal,
+    getStoreAgeMs,
+    askHost: async (address, renewal) => await peers.pingHost(address, renewal === undefined ? {} : { outage: { renewal } }),
+    isNeeded: () => getLeaseTask().ownedEndpointCount > 0
+  })
+  const leaseExpiry = new LeaseExpiry({
+    log,
+    own,
+    clusterView,
+    requestConfirmation: async (address, expiry) => (await peers.pingHost(address, { expiry }))?.confirmsExpiry ?? false,
+    confirmExpiry: lease => witness.confirmExpiry(lease, Math.min(clusterViewTask.directStoreAgeMs, clusterViewTask.storeAgeMs))
+  })
+  return { outageWitnesses, leaseExpiry, witness }
 }
 
 /** Returns the values in a random order, so that requests are spread over the peers. */
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -128,6 +128,8 @@
     clock,
     datagrams,
     own,
+    confirmOutage: (lease, storeAgeMs) => leaseComponents.witness.confirmOutage(lease, storeAgeMs),
+    confirmExpiry: (lease, storeAgeMs) => leaseComponents.witness.confirmExpiry(lease, storeAgeMs),
     listServiceVersions: service => streamTasks.origins.listKnownVersions(service),
     getStoreAgeMs: () => Math.min(clusterViewTask.directStoreAgeMs, clusterViewTask.storeAgeMs),
     receiveAllocationMessage: (message, sender, reply) => allocationTask.receiveMessage(message, sender, reply),
@@ -179,7 +181,7 @@
     findFencingToken: endpointId => leaseComponents.leaseTask.findFencingToken(endpointId)
   })
   const streamTasks = createStreamTasks({
-    ...context, transact, isStoreUnavailable, applyRow: row => mirror.applyLocalWrite(row), send: (address, message) => datagrams.send(address, message), askPeer: async (address, service) => (await peers.pingHost(address, service))?.softwareVersions, heartbeatMs: settings.heartbeatMs
+    ...context, transact, isStoreUnavailable, applyRow: row => mirror.applyLocalWrite(row), send: (address, message) => datagrams.send(address, message), askPeer: async (address, service) => (await peers.pingHost(address, { service }))?.softwareVersions, heartbeatMs: settings.heartbeatMs
   })
   const quotas: QuotaTask | undefined = createQuotaTask({
     ...context, bounds: settings.quotaBounds, getTableAgeMs: table => clusterViewTask.listTableAges()[table] ?? Infinity, getOutageShare: () => leaseComponents.storeOutageDetector.findOutageShare(), send: (address, message) => datagrams.send(address, message), meter
@@ -270,7 +272,7 @@
   const messagesAddress = `${settings.address}:${settings.datagramPort}`
   const datagrams = await open('messages between hosts', messagesAddress, async () => await ports.openDatagrams({ address: settings.address, port: settings.datagramPort, host: settings.hostName, session, log }))
   const { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks, quotas } = createHostComponents({ settings, clock, log, own, store, eras, relay, datagrams, ports, meter: metrics, recordDispatch: (decision, waitedMs) => metrics.recordDispatch(decision, waitedMs) })
-  const { leaseTask, storeOutageDetector, isolationMonitor, renewalCollector, renewalClient } = leaseComponents
+  const { leaseTask, storeOutageDetector, outageWitnesses, isolationMonitor, renewalCollector, renewalClient } = leaseComponents
   eras.onNewEra((era, previous) => {
     log.record('store.restored', 'The store was restored from a copy, which lacks its last writes; all tables are read again.', { era, previous })
     beginEra({ leaseComponents, clusterView, mirror, streamTasks }, clock.readMonotonic())
@@ -285,7 +287,7 @@
   const readinessServer = await open('readiness', settings.readinessAddress, async () => await startReadinessServer(settings.readinessAddress, () => clusterView.routes !== undefined && !isolationMonitor.isIsolated && countEndpoints() > 0))
   const metricsAddress = `${settings.address}:${options.metricsPort}`
   const metricsServer = options.metricsPort === undefined ? undefined : await open('metrics', metricsAddress, async () => await startMetricsServer(metricsAddress, metrics))
-  for (const task of [requestProxy.standstill, clusterViewTask, leaseTask, storeOutageDetector, isolationMonitor, requestProxy.reachability, requestProxy.forwarder, suspectTasks, streamTasks]) task.start()
+  for (const task of [requestProxy.standstill, clusterViewTask, leaseTask, storeOutageDetector, outageWitnesses, isolationMonitor, requestProxy.reachability, requestProxy.forwarder, suspectTasks, streamTasks]) task.start()
   log.record('host.started', 'The host has started.', { zone: settings.zone, address: settings.address })
 
   return {
@@ -298,7 +300,7 @@
     reload: () => log.record('settings.reloaded', 'The settings file has changed; its store settings and bounds take effect at the next start.', {}),
     stop: async () => {
       await drainHost({ settings, clock, log, readinessServer, requestProxy, leaseTask })
-      for (const task of [requestProxy.standstill, storeOutageDetector, isolationMonitor, requestProxy.reachability, renewalCollector, renewalClient, clusterViewTask, reservations, suspectTasks, streamTasks, metrics]) task.stop()
+      for (const task of [requestProxy.standstill, storeOutageDetector, outageWitnesses, isolationMonitor, requestProxy.reachability, renewalCollector, renewalClient, clusterViewTask, reservations, suspectTasks, streamTasks, metrics]) task.stop()
       quotas?.stop()
       datagrams.close()
       await endRelay(relayServer)
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -201,8 +201,13 @@
   type: Type.Literal('ping'),
   echo: Type.Integer(),
   /** A service whose software versions are asked for. */
-  service: Type.Optional(Type.String())
+  service: Type.Optional(Type.String()),
+  /** Asks a witness of the sender's lease to confirm an outage of the store; the sender's last confirmed renewal. */
+  outage: Type.Optional(Type.Object({ renewal: Type.Integer() })),
+  /** Asks a witness of another host's lease to confirm that it has expired. */
+  expiry: Type.Optional(Type.Object({ host: Type.String(), session: Type.String(), renewal: Type.Integer() }))
 })
+export type Ping = Static<typeof pingSchema>
 export const pongSchema = Type.Object({
   type: Type.Literal('pong'),
   echo: Type.Integer(),
@@ -210,7 +215,10 @@
   /** Milliseconds since the host itself last reached the store. */
   storeAgeMs: Type.Number(),
   /** Software versions of the service that was asked for, as the host knows them; hosts of earlier versions leave it out. */
-  softwareVersions: Type.Optional(Type.Array(Type.String()))
+  softwareVersions: Type.Optional(Type.Array(Type.String())),
+  /** Whether the host confirms the outage or the expiry; absent where it was not asked or does not. */
+  confirmsOutage: Type.Optional(Type.Boolean()),
+  confirmsExpiry: Type.Optional(Type.Boolean())
 })
 
 /** A host asks the renewal collector to write its renewal; a repeated request with the same id is written once. */
--- a/src/tasks/leases/hostRegistration.ts
+++ b/src/tasks/leases/hostRegistration.ts
@@ -6,7 +6,7 @@
 import type { RowCheck, StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
 import type { RenewalResult } from '../../schemas/datagram.js'
 import { decodeRenewal, encodeHostsRow, formatHostKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
-import type { RenewalRow } from '../../schemas/hostRows.js'
+import type { LeaseWitness, RenewalRow } from '../../schemas/hostRows.js'
 
 export interface HostRegistrationOptions {
   clock: Clock
@@ -21,6 +21,8 @@
   readRenewals: () => void
   /** Applies a row of the store to the cluster view before a cluster update contains it. */
   applyRow: (row: StoreRow) => void
+  /** Selects the witnesses that this host's row should list. */
+  selectWitnesses: () => LeaseWitness[]
   /** Called when another host has removed the rows of this one. */
   receiveDeclaredDead: () => void
   /** Requests another step of the lease task as soon as possible. */
@@ -32,11 +34,15 @@
 const maxRetryDelayMs = 500
 /** After a batch or a conflict of the renewal collector, the next renewal is sent this much earlier or later. */
 const collectorMarginMs = 100
+/** Minimum time between two changes of the witnesses, so that hosts that start or end together cost one. */
+const minWitnessChangeMs = 1000
 
 interface SentRenewal {
   readonly sentAtMs: number
-  /** Whether it was written together with this host's other row. */
+  /** Whether the store did not have this host's rows. */
   readonly registers: boolean
+  /** The witnesses in this host's other row, if that is written too. */
+  readonly witnesses: readonly LeaseWitness[] | undefined
 }
 
 export class HostRegistration {
@@ -46,6 +52,13 @@
   /** Whether a renewal was confirmed, however long ago, with no process pause and no other writer of the row since. */
   #hasConfirmed = false
   #renewalCounter = 0
+  /** The last renewal that was confirmed since the store was last restored; 0 if there is none. */
+  #confirmedRenewal = 0
+  /** Witnesses in this host's row, as last confirmed. */
+  #witnesses: readonly LeaseWitness[] | undefined
+  /** Witnesses of writes whose outcome is not known, by renewal. */
+  #unconfirmedWitnesses = new Map<number, readonly LeaseWitness[]>()
+  #witnessesSentAtMs = -Infinity
   /** Renewals whose result is not known. */
   #unconfirmed = new Map<number, SentRenewal>()
   /** Version of this host's renewal row in the store; 0 if none is known. */
@@ -75,6 +88,15 @@
     return this.#hasConfirmed
   }
 
+  get confirmedRenewal (): number {
+    return this.#confirmedRenewal
+  }
+
+  /** Lists of witnesses of which the store has one; none before this host has registered. */
+  listPossibleWitnesses (): Array<readonly LeaseWitness[]> {
+    return [...(this.#witnesses ? [this.#witnesses] : []), ...this.#unconfirmedWitnesses.values()]
+  }
+
   /** The check that this host's renewal row is as it was last written; fails where another host has removed it. */
   get check (): RowCheck {
     return { table: renewalsTable, key: this.#options.own.host, version: this.#version }
@@ -85,6 +107,17 @@
     if (nowMs - this.#intervalStartedAtMs >= intervalMs) this.#renew()
   }
 
+  /** Writes other witnesses into this host's row if those that it should list have changed. */
+  renewIfWitnessesChanged (nowMs: number): void {
+    if (this.#isRegistered && !this.#isRenewing && nowMs - this.#witnessesSentAtMs >= minWitnessChangeMs && this.#hasWitnessChange()) this.#renew(true)
+  }
+
+  #hasWitnessChange (): boolean {
+    if (this.#unconfirmedWitnesses.size > 0) return true
+    const serialize = (witnesses: readonly LeaseWitness[]): string => witnesses.map(({ host, session }) => `${host} ${session}`).sort().join()
+    return serialize(this.#witnesses ?? []) !== serialize(this.#options.selectWitnesses())
+  }
+
   /** Makes the next renewal due. */
   requestRenewal (): void {
     this.#intervalStartedAtMs = -Infinity
@@ -101,6 +134,7 @@
   /** Registers again, as the store was restored from a copy that may lack the rows, or have earlier ones. */
   beginEra (): void {
     this.forgetConfirmed()
+    this.#confirmedRenewal = 0
     this.#version = 0
     this.#isRegistered = false
     this.#isRenewing = false
@@ -115,7 +149,7 @@
   async probeStore (): Promise<boolean> {
     const { clock, transact } = this.#options
     const renewal = ++this.#renewalCounter
-    const sent = { sentAtMs: clock.readMonotonic(), registers: false }
+    const sent = { sentAtMs: clock.readMonotonic(), registers: false, witnesses: undefined }
     this.#unconfirmed.set(renewal, sent)
     const outcome = await transact({ checks: [this.check], writes: [this.#createRenewalWrite(renewal)], removals: [] })
     if (outcome.verdict === 'applied') this.#recordConfirmed(renewal, outcome.version, sent)
@@ -147,14 +181,19 @@
     if (renewal && table === renewalsTable && key === this.#options.own.host) this.adoptRenewal(renewal, version)
   }
 
-  #recordConfirmed (renewal: number, version: number, { sentAtMs, registers }: SentRenewal): void {
+  #recordConfirmed (renewal: number, version: number, { sentAtMs, registers, witnesses }: SentRenewal): void {
     for (const sent of this.#unconfirmed.keys()) if (sent <= renewal) this.#unconfirmed.delete(sent)
+    if (witnesses) {
+      this.#witnesses = witnesses
+      for (const sent of this.#unconfirmedWitnesses.keys()) if (sent <= renewal) this.#unconfirmedWitnesses.delete(sent)
+    }
     if (registers && !this.#isRegistered) {
       this.#isRegistered = true
       this.#options.requestStep()
     }
     this.#failureCount = 0
     this.#version = version
+    this.#confirmedRenewal = Math.max(this.#confirmedRenewal, renewal)
     this.#confirmedSentAtMs = Math.max(this.#confirmedSentAtMs, sentAtMs)
     this.#hasConfirmed = true
   }
@@ -164,23 +203,27 @@
     return { table: renewalsTable, key: host, value: encodeHostsRow({ session, renewal }) }
   }
 
-  #createHostWrite (): StoreTransaction['writes'][number] {
+  #createHostWrite (witnesses: readonly LeaseWitness[]): StoreTransaction['writes'][number] {
     const { own, clusterView } = this.#options
-    return { table: hostsTable, key: formatHostKey(own.host), value: encodeHostsRow({ ...own, isLeaving: false, ...clusterView.writtenInEra }) }
+    return { table: hostsTable, key: formatHostKey(own.host), value: encodeHostsRow({ ...own, isLeaving: false, witnesses: [...witnesses], ...clusterView.writtenInEra }) }
   }
 
-  async #renew (): Promise<void> {
+  async #renew (changesWitnesses = false): Promise<void> {
     if (this.#isRenewing) return
     this.#isRenewing = true
-    const { clock, renewViaCollector } = this.#options
+    const { clock, renewViaCollector, selectWitnesses } = this.#options
     const round = this.#round
     const startedAtMs = clock.readMonotonic()
     this.#intervalStartedAtMs = startedAtMs
     const renewal = ++this.#renewalCounter
-    const sent = { sentAtMs: startedAtMs, registers: !this.#isRegistered }
+    const sent = { sentAtMs: startedAtMs, registers: !this.#isRegistered, witnesses: changesWitnesses || !this.#isRegistered ? selectWitnesses() : undefined }
     this.#unconfirmed.set(renewal, sent)
+    if (sent.witnesses) {
+      this.#witnessesSentAtMs = startedAtMs
+      this.#unconfirmedWitnesses.set(renewal, sent.witnesses)
+    }
     // Without a recent confirmed renewal, this host writes its own at once instead of waiting for the collector.
-    const canUseCollector = this.#isRegistered && startedAtMs - this.#confirmedSentAtMs < 2 * renewalIntervalMs
+    const canUseCollector = !sent.witnesses && startedAtMs - this.#confirmedSentAtMs < 2 * renewalIntervalMs
     const reply = canUseCollector ? await renewViaCollector(renewal, this.#version) : undefined
     if (round !== this.#round) return
     if (reply) this.#handleCollected(reply, renewal, sent)
@@ -192,12 +235,12 @@
     const { transact, applyRow, readRenewals, log, requestStep } = this.#options
     const round = this.#round
     const write = this.#createRenewalWrite(renewal)
-    const hostWrite = this.#createHostWrite()
+    const hostWrites = sent.witnesses ? [this.#createHostWrite(sent.witnesses)] : []
     // Copies of one transaction have the same check, so that the store applies one of them at most.
-    const outcome = await transact({ checks: [this.check], writes: sent.registers ? [write, hostWrite] : [write], removals: [] })
+    const outcome = await transact({ checks: [this.check], writes: [write, ...hostWrites], removals: [] })
     if (round !== this.#round) return
     if (outcome.verdict === 'applied') {
-      if (sent.registers) applyRow({ ...hostWrite, version: outcome.version })
+      for (const hostWrite of hostWrites) applyRow({ ...hostWrite, version: outcome.version })
       if (this.#unconfirmed.has(renewal)) this.#recordConfirmed(renewal, outcome.version, sent)
       else this.#version = Math.max(this.#version, outcome.version)
       return
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -1,12 +1,13 @@
 /** Renews this host's lease in the store, tracks which endpoints the host owns, and decides whether it may send them orders. */
 import { isUnowned, keepAfterOutageMs, keepLimitMs, mayOrder, PauseDetector, HostExpiryTracker, renewalIntervalMs } from '../../core/ownershipLease.js'
+import { maxOutageMs } from '../../core/leaseWitnesses.js'
 import type { ClusterViewChange, ClusterView } from '../../core/clusterView.js'
 import type { HashPair } from '../../core/ownershipAssignment.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
 import { formatHostKey, formatOwnerKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
-import type { HostRow } from '../../schemas/hostRows.js'
+import type { HostRow, LeaseWitness } from '../../schemas/hostRows.js'
 import type { RenewalResult } from '../../schemas/datagram.js'
 import { HostRegistration } from './hostRegistration.js'
 import { OwnedEndpoints } from './ownedEndpoints.js'
@@ -42,12 +43,16 @@
   renewViaCollector: (renewal: number, version: number) => Promise<RenewalResult | undefined>
   /** Reads the renewals from the store; called after the store's response to a renewal was lost. */
   readRenewals: () => void
-  /** Version of a host's renewal row, as last read. */
-  findRenewalVersion: (host: string) => number | undefined
+  /** A host's renewal row, as last read. */
+  findRenewalRow: (host: string) => StoreRow | undefined
   /** Applies a row of the store to the cluster view before a cluster update contains it. */
   applyRow: (row: StoreRow) => void
-  /** Whether the store is unavailable to all hosts, so that no host can take over an endpoint. */
+  /** Whether the witnesses of this host's lease confirm that the store is unavailable, so that no host can take over its endpoints. */
   isOutage: () => boolean
+  /** Selects the witnesses that this host's row should list. */
+  selectWitnesses: () => LeaseWitness[]
+  /** Whether the lease of a host that has not renewed its row for so many milliseconds has expired, by its witnesses. */
+  hasLeaseExpired: (row: HostRow, renewalRow: StoreRow, stalledMs: number) => Promise<boolean>
   /**
    * Called when this host gains an endpoint, or loses it (`fencing` undefined). `hadNoOtherOwner` is true if no orders of another
    * host can still be on their way: this host was the last owner, or no host ever owned the endpoint.
@@ -70,7 +75,7 @@
   #reconciler: OwnershipReconciler
   #ownedEndpoints = new OwnedEndpoints()
   #registration: HostRegistration
-  /** When this host last knew that the store was unavailable to all hosts, so that it kept its endpoints without renewals. */
+  /** When the witnesses last confirmed an outage of the store, so that this host kept its endpoints without renewals. */
   #outageKnownAtMs = -Infinity
   #isReleasing = false
   #isLeaving = false
@@ -80,7 +85,7 @@
 
   constructor (options: LeaseTaskOptions) {
     this.#options = options
-    const { clock, log, clusterView, own, leaseMs, isReadingStore, isUpToDate, areOwnersKnown, hashPair, isRunning, transact, renewViaCollector, readRenewals, findRenewalVersion, applyRow } = options
+    const { clock, log, clusterView, own, leaseMs, isReadingStore, isUpToDate, areOwnersKnown, hashPair, isRunning, transact, renewViaCollector, readRenewals, findRenewalRow, applyRow, selectWitnesses, hasLeaseExpired } = options
     this.#registration = new HostRegistration({
       clock,
       log,
@@ -90,6 +95,7 @@
       renewViaCollector,
       readRenewals,
       applyRow,
+      selectWitnesses,
       receiveDeclaredDead: () => this.#removeAllOwned('this host was declared dead'),
       requestStep: () => this.#scheduleStep(0)
     })
@@ -106,7 +112,8 @@
       hashPair,
       isRunning,
       transact,
-      findRenewalVersion,
+      findRenewalRow,
+      hasLeaseExpired,
       getRegistrationCheck: () => this.#registration.check,
       findOwned: endpointId => this.#ownedEndpoints.get(endpointId),
       listKept: () => this.#ownedEndpoints.listKept(),
@@ -189,6 +196,16 @@
     return this.#options.clock.readMonotonic() - this.#registration.confirmedSentAtMs
   }
 
+  /** This host's last renewal that is known to be in the store. */
+  get confirmedRenewal (): number {
+    return this.#registration.confirmedRenewal
+  }
+
+  /** Lists of witnesses of which the store has one for this host. */
+  listPossibleWitnesses (): Array<readonly LeaseWitness[]> {
+    return this.#registration.listPossibleWitnesses()
+  }
+
   /** Releases all endpoints of this host. */
   async #releaseAll (reason: string): Promise<void> {
     this.#isReleasing = true
@@ -218,8 +235,9 @@
   }
 
   #isLeaseValid ({ keptRenewalSentAtMs }: OwnedEndpoint, nowMs: number): boolean {
-    if (mayOrder(nowMs, keptRenewalSentAtMs ?? this.#registration.confirmedSentAtMs)) return true
-    return (keptRenewalSentAtMs !== undefined || this.#registration.hasConfirmed) && this.#isOutage(nowMs)
+    const renewedAtMs = keptRenewalSentAtMs ?? this.#registration.confirmedSentAtMs
+    if (mayOrder(nowMs, renewedAtMs)) return true
+    return nowMs - renewedAtMs < maxOutageMs && (keptRenewalSentAtMs !== undefined || this.#registration.hasConfirmed) && this.#isOutage(nowMs)
   }
 
   #isOutage (nowMs: number): boolean {
@@ -296,6 +314,7 @@
     if (!this.#options.isReadingStore()) this.#hostExpiry.recordStoreUnavailable(nowMs)
     if (this.#ownedEndpoints.size > 0) this.#isOutage(nowMs)
     if (!this.#isLeaving) this.#registration.renewIfDue(nowMs, this.#ownedEndpoints.size > 0 || !this.#registration.isRegistered ? renewalIntervalMs : idleRenewalIntervalMs)
+    if (!this.#isLeaving && this.#ownedEndpoints.size > 0) this.#registration.renewIfWitnessesChanged(nowMs)
     this.#scheduleStep(this.#isIdle() ? idleStepIntervalMs : stepIntervalMs)
     if (this.#isLeaving || this.#isReleasing || !this.#registration.isRegistered) return
     const { isIsolated, isStranded } = this.#options
--- a/src/tasks/leases/ownershipReconciler.ts
+++ b/src/tasks/leases/ownershipReconciler.ts
@@ -3,7 +3,7 @@
 import type { HostExpiryTracker } from '../../core/ownershipLease.js'
 import { findExcessEndpoint, rankEndpointClaims } from '../../core/ownershipAssignment.js'
 import type { HashPair, AssignmentEndpoint, AssignmentHost } from '../../core/ownershipAssignment.js'
-import type { ClusterView } from '../../core/clusterView.js'
+import type { ClusterView, KnownHost } from '../../core/clusterView.js'
 import type { Clock } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { RowCheck, StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
@@ -32,8 +32,10 @@
   /** Asks a host directly whether the process incarnation that wrote the row is still running. */
   isRunning: (row: HostRow) => Promise<boolean>
   transact: (transaction: StoreTransaction) => Promise<StoreOutcome>
-  /** Version of a host's renewal row, as last read. */
-  findRenewalVersion: (host: string) => number | undefined
+  /** A host's renewal row, as last read. */
+  findRenewalRow: (host: string) => StoreRow | undefined
+  /** Whether the lease of a host that has not renewed its row for so many milliseconds has expired, by its witnesses. */
+  hasLeaseExpired: (row: HostRow, renewalRow: StoreRow, stalledMs: number) => Promise<boolean>
   /** Returns the check that no other host has removed this host's rows. */
   getRegistrationCheck: () => RowCheck
   findOwned: (endpointId: string) => OwnedEndpoint | undefined
@@ -85,8 +87,8 @@
  */
 export const maxEndpointsPerTransaction = 45
 
-/** A host that responded is not asked again for this long. */
-const pingIntervalMs = 1000
+/** A host that responded, or whose witnesses did not agree to its expiry, is not looked at again for this long. */
+const expiryRetryMs = 1000
 /**
  * A host that responds and has not renewed its row for this long has had no right to orders for most of it, whatever keeps it from
  * renewing. It registers again once its rows are removed.
@@ -101,8 +103,8 @@
   /** When this host lost each endpoint that it no longer owns. */
   #lostAtMs = new Map<string, number>()
   #gainedAtMs = new Map<string, number>()
-  /** When each host that did not renew its row last responded to a question. */
-  #respondedAtMs = new Map<string, number>()
+  /** When the expiry of each host that did not renew its row was last put off. */
+  #expiryDeferredAtMs = new Map<string, number>()
   #isTransactionRunning = false
   #hasUnownedEndpoints = true
   /** After a conflict, endpoints are claimed one at a time, so that one with another owner does not block the others. */
@@ -310,32 +312,35 @@
    * looked at where its rows are from before the store was restored, as the store may have lost that it ended.
    */
   #expireNextHost (nowMs: number): true | undefined {
-    const { clusterView, own, hostExpiry, findRenewalVersion, isReadingStore } = this.#options
+    const { clusterView, own, hostExpiry, findRenewalRow, isReadingStore } = this.#options
     if (!isReadingStore()) return undefined
     for (const name of hostExpiry.listExpired(nowMs)) {
       const host = clusterView.hosts.get(name)
-      const renewalVersion = findRenewalVersion(name)
+      const renewalRow = findRenewalRow(name)
       const owned = [...clusterView.owners].filter(([, owner]) => owner.row.host === name).map(([id, { version }]): [string, number] => [id, version])
-      const hasJustResponded = nowMs - (this.#respondedAtMs.get(name) ?? -Infinity) < pingIntervalMs
-      if (!host || renewalVersion === undefined || name === own.host || hasJustResponded || (owned.length === 0 && !clusterView.isUncertainRow(host.row))) continue
-      return this.#runTransaction(async () => await this.#expireHost(host.row, renewalVersion, owned))
+      const isDeferred = nowMs - (this.#expiryDeferredAtMs.get(name) ?? -Infinity) < expiryRetryMs
+      if (!host || !renewalRow || name === own.host || isDeferred || (owned.length === 0 && !clusterView.isUncertainRow(host.row))) continue
+      return this.#runTransaction(async () => await this.#expireHost(host, renewalRow, owned))
     }
     return undefined
   }
 
-  async #expireHost (row: HostRow, renewalVersion: number, owned: [string, number][]): Promise<StoreOutcome | undefined> {
-    const { clock, log, hostExpiry, isRunning, transact, applyRow } = this.#options
+  async #expireHost ({ row, version }: KnownHost, renewalRow: StoreRow, owned: [string, number][]): Promise<StoreOutcome | undefined> {
+    const { clock, log, hostExpiry, isRunning, hasLeaseExpired, transact, applyRow } = this.#options
     const responds = await isRunning(row)
-    if (responds && hostExpiry.getStalledMs(row.host, clock.readMonotonic()) < (owned.length > 0 ? stalledHostMs : Infinity)) {
-      this.#respondedAtMs.set(row.host, clock.readMonotonic())
+    const stalledMs = hostExpiry.getStalledMs(row.host, clock.readMonotonic())
+    const isAlive = responds && stalledMs < (owned.length > 0 ? stalledHostMs : Infinity)
+    if (isAlive || (owned.length > 0 && !await hasLeaseExpired(row, renewalRow, stalledMs))) {
+      this.#expiryDeferredAtMs.set(row.host, clock.readMonotonic())
       return undefined
     }
-    this.#respondedAtMs.delete(row.host)
+    this.#expiryDeferredAtMs.delete(row.host)
     // The host's own rows are removed together with its last endpoints.
     const released = owned.slice(0, maxEndpointsPerTransaction)
     const release = this.createRelease(released)
     const outcome = await transact({
-      checks: [{ table: renewalsTable, key: row.host, version: renewalVersion }, ...release.checks],
+      // The witnesses that were asked are those of the host's row only while neither row has changed.
+      checks: [{ table: renewalsTable, key: row.host, version: renewalRow.version }, { table: hostsTable, key: formatHostKey(row.host), version }, ...release.checks],
       writes: release.writes,
       removals: released.length < owned.length ? [] : [{ table: hostsTable, key: formatHostKey(row.host) }, { table: renewalsTable, key: row.host }]
     })
--- a/src/tasks/leases/storeOutageDetector.ts
+++ b/src/tasks/leases/storeOutageDetector.ts
@@ -48,11 +48,6 @@
     this.#timer?.cancel()
   }
 
-  /** Whether a majority of hosts report the store as unavailable, and no host reports it as available. */
-  isOutage (): boolean {
-    return this.findOutageShare() !== undefined
-  }
-
   /** Part of the known hosts that report the store as unavailable, this one included; undefined if there is no outage. */
   findOutageShare (): number | undefined {
     const { clock, getStoreAgeMs, listPeers } = this.#options
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -1,7 +1,8 @@
 /** Dispatches messages between hosts to the parts of this host that they are for, and pings other hosts. */
+import type { HeldLease } from '../../core/leaseWitnesses.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { Datagrams, DatagramSender } from '../../ports/datagrams.js'
-import type { EndpointLimitStatement, HostMessage, QuotaMessage, ReservationReply, RenewalRequest, RenewalReply, SuspectMessage } from '../../schemas/datagram.js'
+import type { EndpointLimitStatement, HostMessage, Ping, QuotaMessage, ReservationReply, RenewalRequest, RenewalReply, SuspectMessage } from '../../schemas/datagram.js'
 import type { StreamRecords, StreamRecordsSaved } from '../../schemas/streamRows.js'
 
 export interface PeerTaskOptions {
@@ -9,6 +10,10 @@
   datagrams: Datagrams
   own: { address: string, host: string, session: string }
   getStoreAgeMs: () => number
+  /** Whether this host, as a witness, confirms an outage of the store to the owner of a lease; `storeAgeMs` as it reports it. */
+  confirmOutage: (lease: HeldLease, storeAgeMs: number) => boolean
+  /** Whether this host, as a witness, confirms that a lease has expired. */
+  confirmExpiry: (lease: HeldLease, storeAgeMs: number) => boolean
   /** Lists the software versions of a service that this host knows. */
   listServiceVersions: (service: string) => string[] | undefined
   /** Passes a reservation message (request, release, report) to the allocators; `answer` sends a reply to its sender. */
@@ -29,6 +34,16 @@
   receiveQuotaMessage: (message: QuotaMessage, sender: DatagramSender) => void
 }
 
+/** What a ping asks for besides a reply. */
+export interface PingQuestion {
+  /** A service whose software versions are asked for. */
+  readonly service?: string
+  /** The last confirmed renewal of this host, for which the other one is to confirm an outage of the store. */
+  readonly outage?: { readonly renewal: number }
+  /** A lease of which the other host is to confirm that it has expired. */
+  readonly expiry?: HeldLease
+}
+
 /** A host's reply to a ping. */
 export interface HostPingReply {
   readonly session: string
@@ -36,6 +51,8 @@
   readonly storeAgeMs: number | undefined
   /** Software versions of the service that was asked for; undefined if none was, or if the host cannot say. */
   readonly softwareVersions: readonly string[] | undefined
+  readonly confirmsOutage: boolean
+  readonly confirmsExpiry: boolean
 }
 
 /** A host that replies to none of `pingCount` pings, sent at equal intervals within this time, counts as not running. */
@@ -83,8 +100,8 @@
     else datagrams.send(address, renewal)
   }
 
-  /** Pings the host at an IP address, and asks for the software versions of a service if one is named; undefined where it does not reply. */
-  async pingHost (address: string, service?: string): Promise<HostPingReply | undefined> {
+  /** Pings the host at an IP address, and asks it a question if there is one; undefined where it does not reply. */
+  async pingHost (address: string, question: PingQuestion = {}): Promise<HostPingReply | undefined> {
     const { clock, datagrams } = this.#options
     const echo = this.#nextEcho++
     return await new Promise<HostPingReply | undefined>(resolve => {
@@ -101,7 +118,7 @@
           return
         }
         sentCount++
-        datagrams.send(address, { type: 'ping', echo, ...(service !== undefined && { service }) })
+        datagrams.send(address, { type: 'ping', echo, ...question })
         timer = clock.setTimer(sendNext, pingTimeoutMs / pingCount)
       }
       this.#pendingPings.set(echo, settle)
@@ -116,9 +133,26 @@
     return uptimeMs > minUptimeMs ? uptimeMs : unknownAgeMs
   }
 
+  #answerPing ({ echo, service, outage, expiry }: Ping, { host, session, address }: DatagramSender): void {
+    const { datagrams, own, confirmOutage, confirmExpiry, listServiceVersions } = this.#options
+    const storeAgeMs = this.#computeReportedAgeMs()
+    const softwareVersions = service === undefined ? undefined : listServiceVersions(service)
+    // A host that has just started can tell neither that the store responds nor that it doesn't.
+    const isAgeKnown = storeAgeMs !== unknownAgeMs
+    datagrams.send(address, {
+      type: 'pong',
+      echo,
+      session: own.session,
+      storeAgeMs,
+      ...(softwareVersions && { softwareVersions }),
+      ...(isAgeKnown && outage && confirmOutage({ host, session, ...outage }, storeAgeMs) && { confirmsOutage: true }),
+      ...(isAgeKnown && expiry && confirmExpiry(expiry, storeAgeMs) && { confirmsExpiry: true })
+    })
+  }
+
   #receive (message: HostMessage, sender: DatagramSender): void {
     const {
-      datagrams, own, receiveAllocationMessage, receiveReservationReply, receiveReleaseConfirmation,
+      datagrams, receiveAllocationMessage, receiveReservationReply, receiveReleaseConfirmation,
       receiveRenewal, receiveRenewalReply
     } = this.#options
     if (message.type === 'ask' || message.type === 'done' || message.type === 'placed' || message.type === 'held' || message.type === 'leaving') {
@@ -128,13 +162,10 @@
     } else if (message.type === 'doneReceived') {
       receiveReleaseConfirmation(message.ids)
     } else if (message.type === 'ping') {
-      const softwareVersions = message.service === undefined ? undefined : this.#options.listServiceVersions(message.service)
-      datagrams.send(sender.address, {
-        type: 'pong', echo: message.echo, session: own.session, storeAgeMs: this.#computeReportedAgeMs(), ...(softwareVersions && { softwareVersions })
-      })
+      this.#answerPing(message, sender)
     } else if (message.type === 'pong') {
-      const { session, storeAgeMs, softwareVersions } = message
-      this.#pendingPings.get(message.echo)?.({ session, storeAgeMs: storeAgeMs === unknownAgeMs ? undefined : storeAgeMs, softwareVersions })
+      const { session, storeAgeMs, softwareVersions, confirmsOutage = false, confirmsExpiry = false } = message
+      this.#pendingPings.get(message.echo)?.({ session, storeAgeMs: storeAgeMs === unknownAgeMs ? undefined : storeAgeMs, softwareVersions, confirmsOutage, confirmsExpiry })
     } else if (message.type === 'limit') {
       this.#options.receiveLimitStatement(message.endpointId, message)
     } else if (message.type === 'streams') {
