Take streams up without the store only where no version can have been missed

Cause: without the store, a host took the versions that half of the other hosts knew for all there are. Hosts that are cut off together agree because they have missed the same endpoints.

Change: a take-up goes on where a host replies whose view matched the store within the last second, or where each other host replies or told within the last second that it had learned nothing newer.

--- a/features/outOfStepHosts.feature
+++ b/features/outOfStepHosts.feature
@@ -1,6 +1,6 @@
 Feature: Hosts that may have missed a software version
   A host that was cut off or stood still knows one software version of a service where there are two by now. A stream that another host
-  began is taken up there only if the store or most other hosts tell that there is one version.
+  began is taken up there only if the store, or a host that reaches it, tells that there is one version, or if no other host can know of a second.
 
   Scenario Outline: A take-up goes on at any version at a host that is out of step
     Given a host that knows software version "v1" of a service, and 4 other hosts
@@ -13,12 +13,18 @@
       | tells "v1"       |                     | goes on at version "v1"             |
       | tells "v1 v2"    |                     | is refused                          |
       | is silent        | v1, v1, v1, v1      | goes on at version "v1"             |
-      | is silent        | v1, v1, ?, ?        | goes on at version "v1"             |
+      | is silent        | v1, v1, ?, ?        | is refused with a time to come back |
+      | is silent        | v1, v1, v1, ?       | is refused with a time to come back |
+      | is silent        | v1, v1, gone, gone  | goes on at version "v1"             |
+      | is silent        | v1@store, ?, ?, ?   | goes on at version "v1"             |
+      | is silent        | v1 v2@store, ?, ?, ? | is refused                         |
       | is silent        | v1, v1, v1 v2, v1   | is refused                          |
       | is silent        | v2, v2, v2, v2      | is refused                          |
       | is silent        | v1, ?, ?, ?         | is refused with a time to come back |
       | is silent        | ?, ?, ?, ?          | is refused with a time to come back |
-      | is unavailable   | v1, v1, v1, ?       | goes on at version "v1"             |
+      | is unavailable   | v1, v1, v1, ?       | is refused with a time to come back |
+      | is unavailable   | v1, v1, v1, gone    | goes on at version "v1"             |
+      | is unavailable   | gone, gone, gone, ? | is refused with a time to come back |
       | is unavailable   | ?, ?, ?, ?          | is refused with a time to come back |
 
   # A version that the copy lacks shows as its endpoints write their entries again, within two seconds or so.
@@ -34,7 +40,8 @@
       | 300  | the copy      | ?, ?, ?, ?          | is refused with a time to come back |
       | 300  | the copy      | none                | is refused with a time to come back |
       | 2300 | the copy      | ?, ?, ?, v1         | is refused with a time to come back |
-      | 300  | the copy      | v1, v1, ?, ?        | goes on at version "v1"             |
+      | 300  | the copy      | v1, v1, ?, ?        | is refused with a time to come back |
+      | 300  | the copy      | v1@store, ?, ?, ?   | goes on at version "v1"             |
       | 300  | the copy      | v1 v2, v1 v2, v1, ? | is refused                          |
       | 2700 | the copy      | ?, ?, ?, ?          | goes on at version "v1"             |
       | 300  | its own start | ?, ?, ?, ?          | goes on at version "v1"             |
@@ -67,6 +74,14 @@
     And at least 4 of them began at version "v2"
     And host 3 asked others for the versions, and got too few replies
 
+  # Guards against refusing take-ups for want of a host that is known to have been without the store as well.
+  Scenario: Streams of a host that is lost in an outage of the store go on at the others
+    Given 3 hosts before a platform with 3 engines
+    When 9 streams run at all hosts
+    And the store falls silent for 5000 ms
+    And callers lose 20 streams at host 3, which then no host reaches, and take them up at hosts 1 and 2
+    Then at least 16 of the 20 streams go on
+
   Scenario: Hosts of two builds understand each other's pings
     Then a host of the earlier build accepts a ping that asks for software versions
     And the reply of a host of the earlier build is accepted, and tells no software versions
--- a/features/steps/outOfStepHosts.ts
+++ b/features/steps/outOfStepHosts.ts
@@ -14,10 +14,12 @@
 import type { CallerRequest } from '../../src/schemas/callerRequest.js'
 import { pingSchema, pongSchema } from '../../src/schemas/datagram.js'
 import { encodeHostsRow, formatServiceVersionsKey, hostsTable } from '../../src/schemas/hostRows.js'
-import { createRequestId, listEventIds } from '../../src/standin/fleet/fleetCaller.js'
+import { createRequestId, listEventIds, looksWhole } from '../../src/standin/fleet/fleetCaller.js'
 import type { FleetAnswer } from '../../src/standin/fleet/fleetCaller.js'
 import { createConfiguration, engineService } from '../../src/standin/fleet/startFleet.js'
+import type { StoreFault } from '../../src/standin/fleet/storeServer.js'
 import { PeerVersions } from '../../src/tasks/streams/peerVersions.js'
+import type { PeerVersionsReply } from '../../src/tasks/streams/peerVersions.js'
 import { StreamOrigins } from '../../src/tasks/streams/streamOrigins.js'
 import type { StreamOriginsOptions, StreamResolution } from '../../src/tasks/streams/streamOrigins.js'
 import { setFaults } from '../support/hostsWorld.js'
@@ -34,7 +36,9 @@
   store: StreamOriginsOptions['store']
   isStoreUnavailable: boolean
   /** What each other host replies; undefined for one that does not. */
-  replies: Array<string[] | undefined>
+  replies: Array<PeerVersionsReply | undefined>
+  /** Hosts that do not reply, and had told shortly before that they had learned nothing. */
+  accounted: Set<string>
   resolution: StreamResolution
 }
 
@@ -50,10 +54,15 @@
     ...encodeEndpointRow({ id: 'i-1', service: engineService, address: '127.0.0.1:1', zone: 'a', isLeaving: false, goneInMs: undefined, places: 16, softwareVersion: version, startedAtMs: 1, models: [], orderCount: 0 }), version: 2
   }, performance.now())
   this.replies = Array.from({ length: peers }, () => undefined)
+  this.accounted = new Set()
   this.aheadMs = 0
   const log = { record: () => {} }
   const peerVersions = new PeerVersions({
-    log, listPeers: () => this.replies.map((_, index) => String(index)), askPeer: async address => this.replies[Number(address)], random: Math.random
+    log,
+    listPeers: () => this.replies.map((_, index) => ({ host: String(index), address: String(index) })),
+    askPeer: async address => this.replies[Number(address)],
+    isAccountedFor: host => this.accounted.has(host),
+    random: Math.random
   })
   const clock: Clock = { ...createSystemClock(), readMonotonic: () => performance.now() + this.aheadMs }
   this.origins = new StreamOrigins({
@@ -74,16 +83,27 @@
   const row: StoreRow = { table: hostsTable, key: formatServiceVersionsKey(engineService), version: 3, value: encodeHostsRow({ service: engineService, versions: ['v1'], era, firstEra: copyEra }) }
   this.clusterView.applyRow(row, performance.now())
   this.store = { readRow: async () => row }
-  this.replies = parseReplies(versions)
+  receiveReplies(this, versions)
 })
 
 Then(/^it tells other hosts (?:nothing|"([^"]*)")$/, function (this: OutOfStepWorld, version: string | null) {
   assert.deepEqual(this.origins.listKnownVersions(engineService), version ? [version] : undefined)
 })
 
-/** Reads what each other host replies, such as `v1 v2, ?`; `none` for no other hosts. */
-function parseReplies (text: string): Array<string[] | undefined> {
-  return text === 'none' ? [] : text.split(', ').map(reply => reply === '?' ? undefined : reply.split(' '))
+/** View age of a host that reaches the store, and of one that lost it. */
+const [currentMs, lostMs] = [900, 1100]
+
+/**
+ * Sets what each other host replies, such as `v1 v2, v1@store, ?, gone`: the versions that it knows, `@store` if it reaches the store, `?` for no
+ * reply, `gone` for one that told shortly before that it had learned nothing. `none` for no other hosts.
+ */
+function receiveReplies (world: OutOfStepWorld, text: string): void {
+  const replies = text === 'none' ? [] : text.split(', ')
+  world.replies = replies.map(reply => {
+    const [versions = '', reach] = reply.split('@')
+    return reply === '?' || reply === 'gone' ? undefined : { versions: versions.split(' '), viewAgeMs: reach === 'store' ? currentMs : lostMs }
+  })
+  world.accounted = new Set(replies.flatMap((reply, index) => reply === 'gone' ? [String(index)] : []))
 }
 
 When(/^the store (?:tells "([^"]*)"|is (silent|unavailable)), and the other hosts know "([^"]*)"$/, function (this: OutOfStepWorld, told: string | undefined, state: string | undefined, versions: string) {
@@ -95,7 +115,7 @@
     }
   }
   this.isStoreUnavailable = state === 'unavailable'
-  if (versions !== '') this.replies = parseReplies(versions)
+  if (versions !== '') receiveReplies(this, versions)
 })
 
 When('a caller takes up a stream that another host began', async function (this: OutOfStepWorld) {
@@ -164,6 +184,29 @@
   }))
 })
 
+When('the store falls silent for {int} ms', { timeout: 20_000 }, async function (this: CutOffWorld, ms: number) {
+  this.hostFleet.fleet.store.setFault('silent' satisfies StoreFault)
+  await sleep(ms)
+})
+
+When('callers lose {int} streams at host 3, which then no host reaches, and take them up at hosts 1 and 2', { timeout: 30_000 }, async function (this: CutOffWorld, count: number) {
+  this.caller = new ResumingCaller(this)
+  setFaults(this, endpoint => endpoint.engine !== undefined, { eventMs: 25 })
+  const begun = await Promise.all(Array.from({ length: count }, async () => await loseStream(this, 3)))
+  const { hostName } = this.hostFleet.hosts[2]!.settings
+  this.hostFleet.isCutOff = name => name === hostName
+  await Promise.all(begun.map(async (first, index) => {
+    const lastEventId = listEventIds(first).at(-1) ?? 0
+    const attempts = lastEventId === 0 ? [first] : [first, await this.hostFleet.call({ kind: 'resumable', host: index % 2 + 1, headers: encodeResumptionHeaders(first.requestId, lastEventId) })]
+    this.caller.streams.push({ attempts, firstId: first.requestId, lastEventId })
+  }))
+})
+
+Then('at least {int} of the {int} streams go on', function (this: CutOffWorld, least: number, count: number) {
+  const continued = this.caller.streams.filter(({ attempts }) => attempts.length > 1 && looksWhole(attempts.at(-1)!))
+  assert.ok(continued.length >= least, `${continued.length} of ${count}: ${this.caller.streams.map(({ attempts }) => attempts.at(-1)!.status).join()}`)
+})
+
 Then('at least {int} of them began at version {string}', function (this: CutOffWorld, least: number, version: string) {
   const begun = this.caller.streams.filter(stream => stream.attempts.length > 1 && listStreamVersions(this, stream)[0] === version)
   assert.ok(begun.length >= least, `${begun.length} of ${this.caller.streams.length}`)
--- a/features/steps/peerAges.ts
+++ b/features/steps/peerAges.ts
@@ -25,6 +25,7 @@
       close: () => {}
     },
     getStoreAgeMs: () => Infinity,
+    getViewAgeMs: () => Infinity,
     confirmOutage: () => false,
     confirmExpiry: () => false,
     listServiceVersions: () => [],
--- a/src/bin/createLeaseComponents.ts
+++ b/src/bin/createLeaseComponents.ts
@@ -9,6 +9,7 @@
 import { hostsTable, renewalsTable } from '../schemas/hostRows.js'
 import type { HostRow } from '../schemas/hostRows.js'
 import type { UpdateSourceList } from '../core/updateSources.js'
+import { listStreamServices } from '../core/serviceVersions.js'
 import { PairHasher } from '../core/rendezvousHash.js'
 import { LeaseTask } from '../tasks/leases/leaseTask.js'
 import type { LeaseTaskOptions } from '../tasks/leases/leaseTask.js'
@@ -62,6 +63,9 @@
   }
 }
 
+/** Hosts of larger deployments do not poll all others in an outage to go on with streams: all hosts would, and N hosts send N² messages. */
+const maxPolledPeers = 100
+
 export function createLeaseComponents (options: LeaseComponentsOptions): LeaseComponents {
   const { clock, log, own, leaseMs, clusterView, mirror, clusterViewTask, updateSources, peers, store, eras, relay, seeds, formatRelayAddress } = options
   const hashes = new PairHasher()
@@ -96,7 +100,7 @@
     getStoreAgeMs,
     listPeers,
     requestStoreAge: async address => (await peers.pingHost(address))?.storeAgeMs,
-    isNeeded: options.isGrantingQuotas
+    isNeeded: peerCount => options.isGrantingQuotas() || (peerCount <= maxPolledPeers && listStreamServices(clusterView).length > 0)
   })
   const { outageWitnesses, leaseExpiry, witness } = createWitnessComponents(options, { listPeers, getStoreAgeMs, getLeaseTask: () => leaseTask })
   const isolationMonitor: IsolationMonitor = new IsolationMonitor({
--- a/src/bin/createStreamTasks.ts
+++ b/src/bin/createStreamTasks.ts
@@ -1,5 +1,6 @@
 /** Creates the tasks that keep which software version began a stream, and connects them to each other. */
 import type { ClusterView, ClusterViewChange } from '../core/clusterView.js'
+import { versionNoticeMs } from '../core/serviceVersions.js'
 import { countStreamRecorders } from '../core/streamRecorders.js'
 import type { Clock } from '../ports/clock.js'
 import type { EventLog } from '../ports/eventLog.js'
@@ -7,8 +8,8 @@
 import type { HostMessage } from '../schemas/datagram.js'
 import type { HostRow } from '../schemas/hostRows.js'
 import type { StreamRecords, StreamRecordsSaved } from '../schemas/streamRows.js'
+import type { HostPingReply } from '../tasks/peers/peerTask.js'
 import { PeerVersions } from '../tasks/streams/peerVersions.js'
-import type { PeerVersionsOptions } from '../tasks/streams/peerVersions.js'
 import { ServiceVersionTask } from '../tasks/streams/serviceVersionTask.js'
 import { StreamOrigins } from '../tasks/streams/streamOrigins.js'
 import { StreamRecordClient } from '../tasks/streams/streamRecordClient.js'
@@ -27,8 +28,12 @@
   /** Applies a row to this host's own view. */
   applyRow: (row: StoreRow) => void
   send: (address: string, message: HostMessage) => void
-  /** The software versions of a service that the host at an address knows; undefined if it does not reply, or cannot say. */
-  askPeer: PeerVersionsOptions['askPeer']
+  /** Asks the host at an address for the software versions of a service; undefined if it does not reply. */
+  pingHost: (address: string, question: { service: string }) => Promise<Pick<HostPingReply, 'softwareVersions' | 'viewAgeMs'> | undefined>
+  /** Milliseconds since this host's view last matched the store. */
+  getViewAgeMs: () => number
+  /** Whether a host was asked within the last `withinMs`, and had then learned nothing from the store since a time of this host's clock. */
+  hadNothingSince: (host: string, sinceMs: number, withinMs: number) => boolean
   /** Interval at which endpoints rewrite their entries. */
   heartbeatMs: number
 }
@@ -51,11 +56,11 @@
  * Creates the tasks of one host.
  *
  * @example
- * const tasks = createStreamTasks({ clock, log, own, clusterView, store, transact, isStoreUnavailable, applyRow, send, askPeer, heartbeatMs })
+ * const tasks = createStreamTasks({ clock, log, own, clusterView, store, transact, isStoreUnavailable, applyRow, send, pingHost, getViewAgeMs, hadNothingSince, heartbeatMs })
  * await tasks.origins.resolve(request, route, 'llm-pool') // { kind: 'version', origin: { service: 'llm-pool', version: 'v1.1' } }
  */
 export function createStreamTasks (options: StreamTasksOptions): StreamTasks {
-  const { clock, log, own, clusterView, store, transact, isStoreUnavailable, applyRow, send, askPeer, heartbeatMs } = options
+  const { clock, log, own, clusterView, store, transact, isStoreUnavailable, applyRow, send, pingHost, getViewAgeMs, hadNothingSince, heartbeatMs } = options
   const listHosts = (): HostRow[] => [...clusterView.hosts.values()].map(({ row }) => row)
   const recorder = new StreamRecorder({ clock, log, transact, countRecorders: () => countStreamRecorders(listHosts()) })
   const client: StreamRecordClient = new StreamRecordClient({
@@ -67,7 +72,15 @@
     }
   })
   const peerVersions = new PeerVersions({
-    log, listPeers: () => listHosts().filter(({ host, isLeaving }) => host !== own.host && !isLeaving).map(({ address }) => address), askPeer, random: Math.random
+    log,
+    listPeers: () => listHosts().filter(({ host }) => host !== own.host),
+    askPeer: async (address, service) => {
+      const { softwareVersions, viewAgeMs } = await pingHost(address, { service }) ?? {}
+      return softwareVersions && { versions: softwareVersions, viewAgeMs }
+    },
+    // A version that the host learned of in the notice time has no streams yet, and neither has one that it learned of since it was asked.
+    isAccountedFor: host => hadNothingSince(host, clock.readMonotonic() - getViewAgeMs() + versionNoticeMs, versionNoticeMs),
+    random: Math.random
   })
   const origins = new StreamOrigins({
     clock, log, clusterView, store: { readRow: async (...options) => (await store.readRow(...options)).row }, isStoreUnavailable, findPeerVersions: async service => await peerVersions.find(service), saveRecords: records => client.record(records), entryDelayMs: entryDelayHeartbeats * heartbeatMs
--- a/src/bin/startHost.ts
+++ b/src/bin/startHost.ts
@@ -40,6 +40,7 @@
 import { createSuspectTasks } from './createSuspectTasks.js'
 import type { SuspectTasks } from './createSuspectTasks.js'
 import { createNoticeComponents } from './createNoticeComponents.js'
+import type { NoticeComponents } from './createNoticeComponents.js'
 import { createRequestProxy } from './createRequestProxy.js'
 import { createQuotaTask } from './createQuotaTask.js'
 import { createStreamTasks } from './createStreamTasks.js'
@@ -124,25 +125,7 @@
   const context = { clock, log, own, clusterView, store }
   const transact = async (transaction: StoreTransaction): Promise<StoreOutcome> => await leaseComponents.storeAccess.transact(transaction)
   const isStoreUnavailable = (): boolean => clusterViewTask.isStale
-  const peers: PeerTask = new PeerTask({
-    clock,
-    datagrams,
-    own,
-    confirmOutage: (lease, storeAgeMs) => leaseComponents.witness.confirmOutage(lease, storeAgeMs),
-    confirmExpiry: (lease, storeAgeMs) => leaseComponents.witness.confirmExpiry(lease, storeAgeMs),
-    listServiceVersions: service => streamTasks.origins.listKnownVersions(service),
-    getStoreAgeMs: () => Math.min(clusterViewTask.directStoreAgeMs, clusterViewTask.storeAgeMs),
-    receiveAllocationMessage: (message, sender, reply) => allocationTask.receiveMessage(message, sender, reply),
-    receiveReservationReply: reply => reservations.receiveReply(reply),
-    receiveReleaseConfirmation: ids => reservations.receiveConfirmation(ids),
-    receiveRenewal: (request, sender, reply) => leaseComponents.renewalCollector.handleRequest(request, sender, reply),
-    receiveRenewalReply: reply => leaseComponents.renewalClient.receiveReply(reply),
-    receiveSuspectMessage: message => suspectTasks.receiveMessage(message),
-    receiveStreamRecords: (records, reply) => streamTasks.receiveRecords(records, reply),
-    receiveStreamsSaved: saved => streamTasks.receiveSaved(saved),
-    receiveQuotaMessage: (message, sender) => quotas?.receiveMessage(message, sender),
-    receiveLimitStatement: (endpointId, statement) => noticeComponents.noticeTask.receiveLimitStatement(endpointId, statement)
-  })
+  const peers: PeerTask = createPeerTask({ clock, datagrams, own }, () => receivers)
   const suspectTasks = createSuspectTasks({
     ...context,
     listHosts: () => [...clusterView.hosts.values()].map(host => host.row),
@@ -181,15 +164,50 @@
     findFencingToken: endpointId => leaseComponents.leaseTask.findFencingToken(endpointId)
   })
   const streamTasks = createStreamTasks({
-    ...context, transact, isStoreUnavailable, applyRow: row => mirror.applyLocalWrite(row), send: (address, message) => datagrams.send(address, message), askPeer: async (address, service) => (await peers.pingHost(address, { service }))?.softwareVersions, heartbeatMs: settings.heartbeatMs
+    ...context,
+    transact,
+    isStoreUnavailable,
+    applyRow: row => mirror.applyLocalWrite(row),
+    send: (address, message) => datagrams.send(address, message),
+    getViewAgeMs: () => clusterViewTask.storeAgeMs,
+    hadNothingSince: (host, sinceMs, withinMs) => leaseComponents.storeOutageDetector.hadNothingSince(host, sinceMs, withinMs),
+    pingHost: async (address, question) => await peers.pingHost(address, question),
+    heartbeatMs: settings.heartbeatMs
   })
   const quotas: QuotaTask | undefined = createQuotaTask({
     ...context, bounds: settings.quotaBounds, getTableAgeMs: table => clusterViewTask.listTableAges()[table] ?? Infinity, getOutageShare: () => leaseComponents.storeOutageDetector.findOutageShare(), send: (address, message) => datagrams.send(address, message), meter
   })
   const requestProxy: RequestProxy = createRequestProxy({ quotas, own, isHostRunning: async address => await peers.pingHost(address) !== undefined, settings, clock, log, clusterView, reservations, suspects: suspectTasks.checks, noticeComponents, streamOrigins: streamTasks.origins, reportCrash: suspectTasks.reportCrash })
+  const receivers: MessageReceivers = { clusterViewTask, reservations, allocationTask, leaseComponents, suspectTasks, streamTasks, quotas, noticeComponents }
   return { clusterView, mirror, clusterViewTask, reservations, allocationTask, requestProxy, leaseComponents, suspectTasks, streamTasks, quotas }
 }
 
+type MessageReceivers = Pick<HostComponents, 'clusterViewTask' | 'reservations' | 'allocationTask' | 'leaseComponents' | 'suspectTasks' | 'streamTasks' | 'quotas'> & { noticeComponents: NoticeComponents }
+
+/** Creates the task that passes messages of other hosts to the components, which are created after it. */
+function createPeerTask ({ clock, datagrams, own }: Pick<HostComponentsOptions, 'clock' | 'datagrams' | 'own'>, getReceivers: () => MessageReceivers): PeerTask {
+  return new PeerTask({
+    clock,
+    datagrams,
+    own,
+    confirmOutage: (lease, storeAgeMs) => getReceivers().leaseComponents.witness.confirmOutage(lease, storeAgeMs),
+    confirmExpiry: (lease, storeAgeMs) => getReceivers().leaseComponents.witness.confirmExpiry(lease, storeAgeMs),
+    listServiceVersions: service => getReceivers().streamTasks.origins.listKnownVersions(service),
+    getStoreAgeMs: () => Math.min(getReceivers().clusterViewTask.directStoreAgeMs, getReceivers().clusterViewTask.storeAgeMs),
+    getViewAgeMs: () => getReceivers().clusterViewTask.storeAgeMs,
+    receiveAllocationMessage: (message, sender, reply) => getReceivers().allocationTask.receiveMessage(message, sender, reply),
+    receiveReservationReply: reply => getReceivers().reservations.receiveReply(reply),
+    receiveReleaseConfirmation: ids => getReceivers().reservations.receiveConfirmation(ids),
+    receiveRenewal: (request, sender, reply) => getReceivers().leaseComponents.renewalCollector.handleRequest(request, sender, reply),
+    receiveRenewalReply: reply => getReceivers().leaseComponents.renewalClient.receiveReply(reply),
+    receiveSuspectMessage: message => getReceivers().suspectTasks.receiveMessage(message),
+    receiveStreamRecords: (records, reply) => getReceivers().streamTasks.receiveRecords(records, reply),
+    receiveStreamsSaved: saved => getReceivers().streamTasks.receiveSaved(saved),
+    receiveQuotaMessage: (message, sender) => getReceivers().quotas?.receiveMessage(message, sender),
+    receiveLimitStatement: (endpointId, statement) => getReceivers().noticeComponents.noticeTask.receiveLimitStatement(endpointId, statement)
+  })
+}
+
 function createUpdateSources (own: HostComponentsOptions['own'], clusterView: ClusterView): UpdateSourceList {
   return new UpdateSourceList({
     own,
--- a/src/core/serviceVersions.ts
+++ b/src/core/serviceVersions.ts
@@ -4,6 +4,11 @@
 
 /** In the last third of its time a stream can hardly be taken up and completed. */
 const takeUpRatio = 2 / 3
+/**
+ * Within this time after a version has shown, all hosts know of it and have saved the records of the streams that they run. It is added no
+ * earlier, as long as enough endpoints of other versions serve, so that no stream has begun at it.
+ */
+export const versionNoticeMs = 1000
 /** Endpoints of a new version are not left idle for longer than this. */
 const maxTakeUpMs = 10_000
 /** Endpoints whose entries the store has lost write them again within about two seconds of its return. */
--- a/src/schemas/datagram.ts
+++ b/src/schemas/datagram.ts
@@ -216,6 +216,8 @@
   storeAgeMs: Type.Number(),
   /** Software versions of the service that was asked for, as the host knows them; hosts of earlier versions leave it out. */
   softwareVersions: Type.Optional(Type.Array(Type.String())),
+  /** Milliseconds since the host's view last matched the store, where versions were asked for; hosts of earlier versions leave it out. */
+  viewAgeMs: Type.Optional(Type.Number()),
   /** Whether the host confirms the outage or the expiry; absent where it was not asked or does not. */
   confirmsOutage: Type.Optional(Type.Boolean()),
   confirmsExpiry: Type.Optional(Type.Boolean())
--- a/src/tasks/leases/storeOutageDetector.ts
+++ b/src/tasks/leases/storeOutageDetector.ts
@@ -1,4 +1,5 @@
 /** Detects whether the store is unavailable to all hosts or only to this one, by asking the other hosts. */
+import { storeOutageMs } from '../../core/leaseWitnesses.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 
 export interface StoreOutageDetectorOptions {
@@ -8,15 +9,10 @@
   listPeers: () => { host: string, address: string }[]
   /** Asks a host how long ago the store last responded to it, in milliseconds; undefined if the host does not respond. */
   requestStoreAge: (address: string) => Promise<number | undefined>
-  /** Whether this host needs the result; peers are polled only then. */
-  isNeeded: () => boolean
+  /** Whether this host needs the result with so many peers; they are polled only then. */
+  isNeeded: (peerCount: number) => boolean
 }
 
-/**
- * A store without a response for this long may be unavailable: one renewal interval and a response time. Two rounds of polls fit
- * in before `orderLimitMs`, after which owners send no orders unless the store is unavailable to all hosts.
- */
-const unavailableAfterMs = 1400
 /** Interval between two rounds of polls; each round asks all hosts. */
 const pollIntervalMs = 400
 /** How long a peer's report is valid. */
@@ -24,6 +20,7 @@
 
 interface StoreAgeReport {
   storeAgeMs: number
+  askedAtMs: number
   receivedAtMs: number
 }
 
@@ -38,7 +35,8 @@
 
   start (): void {
     const pollIfNeeded = (): void => {
-      if (this.#options.isNeeded() && this.#options.getStoreAgeMs() > unavailableAfterMs) this.#pollPeers()
+      const { isNeeded, getStoreAgeMs, listPeers } = this.#options
+      if (getStoreAgeMs() > storeOutageMs && isNeeded(listPeers().length)) this.#pollPeers()
       this.#timer = this.#options.clock.setTimer(pollIfNeeded, pollIntervalMs)
     }
     pollIfNeeded()
@@ -51,25 +49,37 @@
   /** Part of the known hosts that report the store as unavailable, this one included; undefined if there is no outage. */
   findOutageShare (): number | undefined {
     const { clock, getStoreAgeMs, listPeers } = this.#options
-    if (getStoreAgeMs() <= unavailableAfterMs) return undefined
+    if (getStoreAgeMs() <= storeOutageMs) return undefined
     const nowMs = clock.readMonotonic()
     const peers = listPeers()
     let respondingHostCount = 1
     for (const { host } of peers) {
       const report = this.#reports.get(host)
       if (!report || nowMs - report.receivedAtMs > reportTtlMs) continue
-      if (report.storeAgeMs <= unavailableAfterMs) return undefined
+      if (report.storeAgeMs <= storeOutageMs) return undefined
       respondingHostCount++
     }
     const share = respondingHostCount / (peers.length + 1)
     return share > 0.5 ? share : undefined
   }
 
+  /**
+   * Whether a host was asked within the last `withinMs`, and had then learned nothing from the store since a time of this host's clock.
+   *
+   * @example
+   * detector.hadNothingSince('front-3', clock.readMonotonic() - 4000, 1000) // true: a second ago it had not reached the store for longer
+   */
+  hadNothingSince (host: string, sinceMs: number, withinMs: number): boolean {
+    const report = this.#reports.get(host)
+    return report !== undefined && this.#options.clock.readMonotonic() - report.askedAtMs <= withinMs && report.receivedAtMs - report.storeAgeMs <= sinceMs
+  }
+
   #pollPeers (): void {
     const { clock, listPeers, requestStoreAge } = this.#options
+    const askedAtMs = clock.readMonotonic()
     for (const { host, address } of listPeers()) {
       requestStoreAge(address).then(storeAgeMs => {
-        if (storeAgeMs !== undefined) this.#reports.set(host, { storeAgeMs, receivedAtMs: clock.readMonotonic() })
+        if (storeAgeMs !== undefined) this.#reports.set(host, { storeAgeMs, askedAtMs, receivedAtMs: clock.readMonotonic() })
       })
     }
   }
--- a/src/tasks/peers/peerTask.ts
+++ b/src/tasks/peers/peerTask.ts
@@ -10,6 +10,8 @@
   datagrams: Datagrams
   own: { address: string, host: string, session: string }
   getStoreAgeMs: () => number
+  /** Milliseconds since this host's view last matched the store. */
+  getViewAgeMs: () => number
   /** Whether this host, as a witness, confirms an outage of the store to the owner of a lease; `storeAgeMs` as it reports it. */
   confirmOutage: (lease: HeldLease, storeAgeMs: number) => boolean
   /** Whether this host, as a witness, confirms that a lease has expired. */
@@ -51,6 +53,8 @@
   readonly storeAgeMs: number | undefined
   /** Software versions of the service that was asked for; undefined if none was, or if the host cannot say. */
   readonly softwareVersions: readonly string[] | undefined
+  /** Milliseconds since its view last matched the store; undefined if no versions were asked for, or if it never did. */
+  readonly viewAgeMs: number | undefined
   readonly confirmsOutage: boolean
   readonly confirmsExpiry: boolean
 }
@@ -134,9 +138,10 @@
   }
 
   #answerPing ({ echo, service, outage, expiry }: Ping, { host, session, address }: DatagramSender): void {
-    const { datagrams, own, confirmOutage, confirmExpiry, listServiceVersions } = this.#options
+    const { datagrams, own, confirmOutage, confirmExpiry, listServiceVersions, getViewAgeMs } = this.#options
     const storeAgeMs = this.#computeReportedAgeMs()
     const softwareVersions = service === undefined ? undefined : listServiceVersions(service)
+    const viewAgeMs = getViewAgeMs()
     // A host that has just started can tell neither that the store responds nor that it doesn't.
     const isAgeKnown = storeAgeMs !== unknownAgeMs
     datagrams.send(address, {
@@ -145,6 +150,7 @@
       session: own.session,
       storeAgeMs,
       ...(softwareVersions && { softwareVersions }),
+      ...(softwareVersions && Number.isFinite(viewAgeMs) && { viewAgeMs }),
       ...(isAgeKnown && outage && confirmOutage({ host, session, ...outage }, storeAgeMs) && { confirmsOutage: true }),
       ...(isAgeKnown && expiry && confirmExpiry(expiry, storeAgeMs) && { confirmsExpiry: true })
     })
@@ -164,8 +170,8 @@
     } else if (message.type === 'ping') {
       this.#answerPing(message, sender)
     } else if (message.type === 'pong') {
-      const { session, storeAgeMs, softwareVersions, confirmsOutage = false, confirmsExpiry = false } = message
-      this.#pendingPings.get(message.echo)?.({ session, storeAgeMs: storeAgeMs === unknownAgeMs ? undefined : storeAgeMs, softwareVersions, confirmsOutage, confirmsExpiry })
+      const { session, storeAgeMs, softwareVersions, viewAgeMs, confirmsOutage = false, confirmsExpiry = false } = message
+      this.#pendingPings.get(message.echo)?.({ session, storeAgeMs: storeAgeMs === unknownAgeMs ? undefined : storeAgeMs, softwareVersions, viewAgeMs, confirmsOutage, confirmsExpiry })
     } else if (message.type === 'limit') {
       this.#options.receiveLimitStatement(message.endpointId, message)
     } else if (message.type === 'streams') {
--- a/src/tasks/streams/serviceVersionTask.ts
+++ b/src/tasks/streams/serviceVersionTask.ts
@@ -5,7 +5,7 @@
 import type { ClusterView } from '../../core/clusterView.js'
 import { streamTtlMs } from '../../core/begunStreams.js'
 import { computeHash } from '../../core/rendezvousHash.js'
-import { computeTakeUpMs, entryReturnMs, hasEnoughRecorded, listServiceVersions, listStreamServices } from '../../core/serviceVersions.js'
+import { computeTakeUpMs, entryReturnMs, hasEnoughRecorded, listServiceVersions, listStreamServices, versionNoticeMs } from '../../core/serviceVersions.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
@@ -24,8 +24,7 @@
 const checkIntervalMs = 1000
 /** The hosts write a missing version in turn, in case that those before them are down. */
 const writeStaggerMs = 400
-/** Within this time after a version has shown, all hosts know of it and have saved the records of the streams that they run. */
-const recordMs = 1000
+
 export class ServiceVersionTask {
   #options: ServiceVersionTaskOptions
   #timer: Timer | undefined
@@ -88,7 +87,7 @@
   #computeTurnMs (service: string, recorded: readonly string[], nowMs: number): number {
     const { clusterView, own } = this.#options
     // What a copy of the store tells is confirmed once endpoints of versions that it lacks have shown.
-    const waitMs = clusterView.isUncertainRow(clusterView.serviceVersions.get(service)?.row) ? entryReturnMs : recordMs
+    const waitMs = clusterView.isUncertainRow(clusterView.serviceVersions.get(service)?.row) ? entryReturnMs : versionNoticeMs
     const sinceMs = this.#outdatedSinceMs.get(service) ?? nowMs
     this.#outdatedSinceMs.set(service, sinceMs)
     const ranked = [...clusterView.hosts.keys()].map(host => ({ host, hash: computeHash(`versions ${service} ${host}`) })).sort((left, right) => right.hash - left.hash)
