Read renewals whole when a follower begins to read the store

What callers saw: after two of three hosts were killed for good, two of four engines kept a dead owner to the end; requests for adapters that were not loaded there were refused.

Cause: relays leave renewals out but tell the version of their table, from which a follower went on once it read the store itself. Rows that had not changed since, those of the dead hosts, kept old versions, so that each expiry conflicted.

Change: followers take no version of such a table from relays.

Evidence: the new scenario of lateConfigurations.feature failed before, with all five renewals outdated at each follower.

--- a/features/lateConfigurations.feature
+++ b/features/lateConfigurations.feature
@@ -45,3 +45,9 @@
     Given 80 hosts in 3 zones with bounds of 2000 and 2000 ms
     When 10000 ms pass without a fault
     Then the store was called at most 9 times a second for each store reader
+
+  # Guards against engines that keep a dead owner, as the host that takes over checks a renewal of which it missed a change.
+  Scenario: Hosts begin to read the renewals of hosts that ended together with the store readers
+    Given 5 hosts in 1 zones with bounds of 2000 and 2000 ms
+    When all hosts renew their rows, and the store readers are killed after one more renewal
+    Then every host that runs knows the last renewals 6000 ms later
--- a/features/steps/lateConfigurations.ts
+++ b/features/steps/lateConfigurations.ts
@@ -56,6 +56,26 @@
   this.strike = async cluster => { for (const reader of cluster.readers) cluster.holdOpenCalls(reader, table) }
 })
 
+When('all hosts renew their rows, and the store readers are killed after one more renewal', function (this: ChangesWorld) {
+  this.strike = async cluster => {
+    for (const renewal of [1, 2]) {
+      cluster.renew(renewal)
+      await cluster.run(3000)
+    }
+    for (const reader of cluster.readers) disturbHost(cluster, reader, 'is killed')
+  }
+})
+
+Then('every host that runs knows the last renewals {int} ms later', async function (this: ChangesWorld, ms: number) {
+  const cluster = this.createCluster()
+  await cluster.start()
+  await this.strike(cluster)
+  await cluster.run(ms)
+  cluster.stop()
+  const outdated = cluster.hosts.filter(({ isKilled }) => !isKilled).map(host => ({ host: host.own.host, renewals: cluster.listOutdatedRenewals(host) }))
+  assert.deepEqual(outdated.filter(({ renewals }) => renewals.length > 0), [])
+})
+
 When('the store comes back from a copy that was made {int} ms before, after {int} ms, and a change is written 0 to 1500 ms later', function (this: ChangesWorld, lostMs: number, awayMs: number) {
   this.strike = async cluster => {
     const copy = cluster.takeCopy()
--- a/features/support/updateCluster.ts
+++ b/features/support/updateCluster.ts
@@ -7,7 +7,7 @@
 import type { UpdateSourceHost } from '../../src/core/updateSources.js'
 import type { Relay, RelayedUpdates } from '../../src/ports/relay.js'
 import type { Store, StoreChanges, StoreTableSnapshot } from '../../src/ports/store.js'
-import { encodeHostsRow, formatHostKey, hostsTable } from '../../src/schemas/hostRows.js'
+import { encodeHostsRow, formatHostKey, hostsTable, renewalsTable } from '../../src/schemas/hostRows.js'
 import { RowStore } from '../../src/standin/fleet/rowStore.js'
 import type { RowStoreCopy } from '../../src/standin/fleet/rowStore.js'
 import { ClusterViewTask } from '../../src/tasks/clusterView/clusterViewTask.js'
@@ -95,6 +95,16 @@
     return versions
   }
 
+  /** Each host renews its row once more. */
+  renew (renewal: number): void {
+    for (const { own: { host } } of this.hosts) this.#rows.write({ table: renewalsTable, key: host, value: encodeHostsRow({ session: 'life', renewal }) })
+  }
+
+  /** Lists the hosts whose renewal a host knows in another version than the store has. */
+  listOutdatedRenewals ({ mirror }: SimulatedHost): string[] {
+    return this.#rows.listRows(renewalsTable).filter(({ key, version }) => mirror.findRow(renewalsTable, key)?.version !== version).map(({ key }) => key)
+  }
+
   takeCopy (): RowStoreCopy {
     return this.#rows.takeCopy()
   }
@@ -128,7 +138,7 @@
     const eras = new StoreEra()
     const clusterView = new ClusterView(() => undefined, undefined, eras)
     eras.onNewEra(() => mirror.beginEra())
-    const mirror = new RowMirror(own.host, () => false, row => {
+    const mirror = new RowMirror(own.host, table => table === renewalsTable, row => {
       if (row.table === hostsTable) clusterView.applyRow(row, this.clock.readMonotonic())
       else this.receivedAtMs.set(`${own.host} ${row.table} ${row.version}`, this.clock.readMonotonic())
     }, (_row, error) => { throw error })
--- a/src/tasks/clusterView/clusterViewTask.ts
+++ b/src/tasks/clusterView/clusterViewTask.ts
@@ -259,7 +259,7 @@
       const isOfLatestEra = eras.observe(updates.era) && (updates.era !== undefined || eras.changeCount === 0)
       if (!isOfLatestEra) throw new VError('its updates are from before the store was restored from a copy')
       this.#recordPosition(address, { logId: updates.logId, position: updates.position })
-      this.#applyUpdate(address, () => mirror.applyMirrorChanges(updates))
+      this.#applyUpdate(address, () => mirror.applyMirrorChanges({ ...updates, versions: this.#selectRelayed(updates.versions) }))
       this.#relayResponseAtMs = clock.readMonotonic()
       this.#relayStoreAgeMs = updates.storeAgeMs
       for (const [table, ageMs] of Object.entries(updates.tableAgesMs)) this.#freshness.record(table, this.#relayResponseAtMs - ageMs)
@@ -273,6 +273,12 @@
     }
   }
 
+  /** Relays leave out changes of tables that only store readers need: that such a table is known up to a version is true of the relay alone. */
+  #selectRelayed (versions: Readonly<Record<string, number>>): Record<string, number> {
+    const { tables } = this.#options
+    return Object.fromEntries(Object.entries(versions).filter(([name]) => !tables.some(({ table, isForStoreReaders }) => table === name && isForStoreReaders)))
+  }
+
   #applyUpdate (source: string, apply: () => void): void {
     this.#updateSource = source
     try {
