Write no lists of witnesses while the store refuses renewals

Cause: during an outage each attempt to write a list of witnesses would add one whose outcome is unknown, and all of them have to confirm the outage: one more each second, in an hour 3,600 lists to compare at every step. The list was also selected anew at each step of an owner, from all hosts.

Change: after a failed renewal the list waits for one that succeeds; equal lists count once; the selection is kept until the hosts or their responses change.

--- a/features/support/leaseCluster.ts
+++ b/features/support/leaseCluster.ts
@@ -282,6 +282,7 @@
       log,
       own,
       listHosts: () => [...clusterView.hosts.values()].map(({ row }) => row),
+      getHostsVersion: () => clusterView.hostsVersion,
       listPossibleWitnesses: () => host.leases.listPossibleWitnesses(),
       getConfirmedRenewal: () => host.leases.confirmedRenewal,
       getStoreAgeMs: () => Math.min(host.getStoreAgeMs(), host.leases.confirmedRenewalAgeMs),
--- a/src/bin/createLeaseComponents.ts
+++ b/src/bin/createLeaseComponents.ts
@@ -167,6 +167,7 @@
     log,
     own,
     listHosts: listPeers,
+    getHostsVersion: () => clusterView.hostsVersion,
     listPossibleWitnesses: () => getLeaseTask().listPossibleWitnesses(),
     getConfirmedRenewal: () => getLeaseTask().confirmedRenewal,
     getStoreAgeMs,
--- a/src/tasks/leases/hostRegistration.ts
+++ b/src/tasks/leases/hostRegistration.ts
@@ -109,13 +109,9 @@
 
   /** Writes other witnesses into this host's row if those that it should list have changed. */
   renewIfWitnessesChanged (nowMs: number): void {
-    if (this.#isRegistered && !this.#isRenewing && nowMs - this.#witnessesSentAtMs >= minWitnessChangeMs && this.#hasWitnessChange()) this.#renew(true)
-  }
-
-  #hasWitnessChange (): boolean {
-    if (this.#unconfirmedWitnesses.size > 0) return true
-    const serialize = (witnesses: readonly LeaseWitness[]): string => witnesses.map(({ host, session }) => `${host} ${session}`).sort().join()
-    return serialize(this.#witnesses ?? []) !== serialize(this.#options.selectWitnesses())
+    // After a failure the next renewal shows first whether the store accepts writes again.
+    if (!this.#isRegistered || this.#isRenewing || this.#failureCount > 0 || nowMs - this.#witnessesSentAtMs < minWitnessChangeMs) return
+    if (this.#unconfirmedWitnesses.size > 0 || !isSameList(this.#witnesses ?? [], this.#options.selectWitnesses())) this.#renew(true)
   }
 
   /** Makes the next renewal due. */
@@ -220,6 +216,8 @@
     this.#unconfirmed.set(renewal, sent)
     if (sent.witnesses) {
       this.#witnessesSentAtMs = startedAtMs
+      // Attempts during an outage list the same witnesses over and over.
+      for (const [earlier, witnesses] of this.#unconfirmedWitnesses) if (isSameList(witnesses, sent.witnesses)) this.#unconfirmedWitnesses.delete(earlier)
       this.#unconfirmedWitnesses.set(renewal, sent.witnesses)
     }
     // Without a recent confirmed renewal, this host writes its own at once instead of waiting for the collector.
@@ -292,3 +290,9 @@
     receiveDeclaredDead()
   }
 }
+
+/** Whether two lists name the same witnesses, in any order. */
+function isSameList (left: readonly LeaseWitness[], right: readonly LeaseWitness[]): boolean {
+  const serialize = (witnesses: readonly LeaseWitness[]): string => witnesses.map(({ host, session }) => `${host} ${session}`).sort().join()
+  return serialize(left) === serialize(right)
+}
--- a/src/tasks/leases/outageWitnesses.ts
+++ b/src/tasks/leases/outageWitnesses.ts
@@ -13,6 +13,8 @@
   own: { host: string }
   /** Rows of all hosts that this host knows. */
   listHosts: () => readonly HostRow[]
+  /** Returns a number that changes whenever the result of `listHosts` changes. */
+  getHostsVersion: () => number
   /** Lists of witnesses of which the store has one. */
   listPossibleWitnesses: () => ReadonlyArray<readonly LeaseWitness[]>
   /** This host's last renewal that is known to be in the store. */
@@ -39,6 +41,8 @@
   /** Pings that failed since a host last responded, by host. */
   #failedPings = new Map<string, number>()
   #pingedAtMs = -Infinity
+  /** The witnesses that were selected last; undefined once other hosts respond than then. */
+  #selected: { witnesses: LeaseWitness[], hostsVersion: number } | undefined
   #wasOutage = false
   #timer: Timer | undefined
 
@@ -60,8 +64,12 @@
 
   /** Selects the witnesses that this host's row should list. */
   select (): LeaseWitness[] {
-    const { own, listHosts } = this.#options
-    return selectWitnesses(own.host, listHosts(), host => (this.#failedPings.get(host) ?? 0) < maxFailedPings)
+    const { own, listHosts, getHostsVersion } = this.#options
+    const hostsVersion = getHostsVersion()
+    if (this.#selected?.hostsVersion !== hostsVersion) {
+      this.#selected = { witnesses: selectWitnesses(own.host, listHosts(), host => this.#isResponding(host)), hostsVersion }
+    }
+    return this.#selected.witnesses
   }
 
   /** Whether the store is unavailable to so many witnesses of this host's lease that no other host can take its endpoints over. */
@@ -116,8 +124,14 @@
 
   async #ping ({ host, address }: HostRow): Promise<void> {
     const reply = await this.#options.askHost(address)
+    const wasResponding = this.#isResponding(host)
     if (reply) this.#failedPings.delete(host)
     else this.#failedPings.set(host, (this.#failedPings.get(host) ?? 0) + 1)
+    if (this.#isResponding(host) !== wasResponding) this.#selected = undefined
+  }
+
+  #isResponding (host: string): boolean {
+    return (this.#failedPings.get(host) ?? 0) < maxFailedPings
   }
 
   #listOthers (): HostRow[] {
