Expire no host whose renewals are forgotten while it is asked

Cause: after a restore of the store, or once its rows are gone, a host counts as stalled for ever, which is beyond the time after which no witness is asked. The transaction of an expiry that is under way then may meet equal versions in the new era.

Change: such an expiry ends. Confirmations of outages are dropped once the store responds, so that names of former hosts do not stay.

Found by reading the change; not reproduced. leaseWitnesses, leases and restoredStore pass.

--- a/src/tasks/leases/outageWitnesses.ts
+++ b/src/tasks/leases/outageWitnesses.ts
@@ -101,10 +101,12 @@
     if (getStoreAgeMs() > storeOutageMs) {
       const hosts = new Set(listPossibleWitnesses().flat().map(({ host }) => host))
       for (const row of this.#listOthers()) if (hosts.has(row.host)) this.#askForOutage(row, nowMs)
-    } else if (nowMs - this.#pingedAtMs >= pingIntervalMs) {
-      this.#pingedAtMs = nowMs
-      this.#pingCandidates()
+      return
     }
+    this.#confirmations.clear()
+    if (nowMs - this.#pingedAtMs < pingIntervalMs) return
+    this.#pingedAtMs = nowMs
+    this.#pingCandidates()
   }
 
   async #askForOutage ({ host, address }: HostRow, askedAtMs: number): Promise<void> {
--- a/src/tasks/leases/ownershipReconciler.ts
+++ b/src/tasks/leases/ownershipReconciler.ts
@@ -329,6 +329,8 @@
     const { clock, log, hostExpiry, isRunning, hasLeaseExpired, transact, applyRow } = this.#options
     const responds = await isRunning(row)
     const stalledMs = hostExpiry.getStalledMs(row.host, clock.readMonotonic())
+    // While it was asked, the host has left, or the store was restored from a copy.
+    if (!Number.isFinite(stalledMs)) return undefined
     const isAlive = responds && stalledMs < (owned.length > 0 ? stalledHostMs : Infinity)
     if (isAlive || (owned.length > 0 && !await hasLeaseExpired(row, renewalRow, stalledMs))) {
       this.#expiryDeferredAtMs.set(row.host, clock.readMonotonic())
