Keep lists of witnesses short, and write them less often

Cause: each owner wrote its list of up to 32 witnesses at every change of the hosts.

Change: a list names 12 hosts at most. It is written at once only when more than an eighth of its witnesses were lost or as many could be added, otherwise when it is 30 s old. Which hosts are listed does not decide whether two owners can be sure at once, as both sides go by the list in the row.

--- a/features/leaseWitnesses.feature
+++ b/features/leaseWitnesses.feature
@@ -117,6 +117,14 @@
     And lease host 2 may order nothing
     And lease host 3 may order nothing
 
+  # Guards against calls to the store that grow with the square of the hosts: every owner wrote its list at every change of the hosts.
+  Scenario: Owners list other witnesses only once an eighth of them was lost
+    Given 24 lease hosts and 24 engines
+    When the lease hosts run for 10000 ms
+    And lease hosts 16 to 24 restart, 1500 ms apart
+    And the lease hosts run for 2000 ms
+    Then no owner among lease hosts 1 to 15 has written its row more than 3 times meanwhile
+
   Scenario Outline: Hosts are cut off, killed and restarted in any order while the store comes and goes
     Then no engine could receive orders from two hosts in 25 random histories from seed <seed> on
 
--- a/features/steps/leases.ts
+++ b/features/steps/leases.ts
@@ -164,6 +164,20 @@
   host.group = 2
 })
 
+When('lease hosts {int} to {int} restart, {int} ms apart', async function (this: LeasesWorld, first: number, last: number, apartMs: number) {
+  this.cluster.hostRowWrites.clear()
+  for (const host of this.cluster.hosts.slice(first - 1, last)) {
+    this.cluster.kill(host)
+    this.cluster.restart(host)
+    await this.cluster.run(apartMs)
+  }
+})
+
+Then('no owner among lease hosts {int} to {int} has written its row more than {int} times meanwhile', function (this: LeasesWorld, first: number, last: number, most: number) {
+  const writes = this.cluster.hosts.slice(first - 1, last).filter(({ leases }) => leases.ownedEndpointCount > 0).map(host => this.cluster.hostRowWrites.get(host) ?? 0)
+  assert.ok(writes.length > 0 && writes.every(count => count <= most), writes.join())
+})
+
 When('all cuts end', function (this: LeasesWorld) {
   this.cluster.heal()
 })
--- a/features/support/leaseCluster.ts
+++ b/features/support/leaseCluster.ts
@@ -11,13 +11,14 @@
 import type { EventLog } from '../../src/ports/eventLog.js'
 import type { Store, StoreOutcome, StoreTransaction } from '../../src/ports/store.js'
 import type { RenewalReply } from '../../src/schemas/datagram.js'
-import { hostsTable, renewalsTable } from '../../src/schemas/hostRows.js'
+import { formatHostKey, hostsTable, renewalsTable } from '../../src/schemas/hostRows.js'
 import type { EndpointEntry, RoutingConfiguration } from '../../src/schemas/routing.js'
 import { RowStore } from '../../src/standin/fleet/rowStore.js'
 import type { RowStoreCopy } from '../../src/standin/fleet/rowStore.js'
 import { createEraCheckedStore } from '../../src/tasks/clusterView/eraChecks.js'
 import { LeaseExpiry } from '../../src/tasks/leases/leaseExpiry.js'
 import { LeaseTask } from '../../src/tasks/leases/leaseTask.js'
+import type { LeaseTaskOptions } from '../../src/tasks/leases/leaseTask.js'
 import { OutageWitnesses } from '../../src/tasks/leases/outageWitnesses.js'
 import { RenewalClient } from '../../src/tasks/leases/renewalClient.js'
 import { RenewalCollector } from '../../src/tasks/leases/renewalCollector.js'
@@ -50,6 +51,11 @@
   logRecords: { kind: string, fields: Record<string, unknown> }[]
 }
 
+interface WitnessComponents {
+  outageWitnesses: OutageWitnesses
+  witnessOptions: Pick<LeaseTaskOptions, 'isOutage' | 'selectWitnesses' | 'isWitnessListOutdated' | 'hasLeaseExpired'>
+}
+
 const responseDelayMs = 5
 /** Maximum number of entries that the store accepts in one transaction. */
 const maxTransactionEntries = 100
@@ -73,6 +79,8 @@
   storeState: StoreState = 'healthy'
   /** Number of transactions sent to the store. */
   storeCallCount = 0
+  /** How often each process has written its host's row. */
+  readonly hostRowWrites = new Map<LeaseHost, number>()
   /** Number of pairs of an engine and a host that were ranked, over all hosts. */
   rankedPairCount = 0
   #hashes = new PairHasher()
@@ -219,7 +227,7 @@
         clock.setTimer(() => { if (this.#areLinked(collector, host)) collector.renewalCollector.handleRequest(ask, { host: name, session }, answer) }, 1)
       }
     })
-    const { outageWitnesses, leaseExpiry } = this.#createWitnesses(host, log, own, clusterView)
+    const { outageWitnesses, witnessOptions } = this.#createWitnesses(host, log, own, clusterView)
     const leases: LeaseTask = new LeaseTask({
       clock,
       log,
@@ -246,9 +254,7 @@
       readRenewals: () => {},
       findRenewalRow: other => mirror.findRow(renewalsTable, other),
       applyRow: row => mirror.applyLocalWrite(row),
-      isOutage: () => outageWitnesses.isOutage(),
-      selectWitnesses: () => outageWitnesses.select(),
-      hasLeaseExpired: async (row, renewalRow, stalledMs) => await leaseExpiry.hasExpired(row, renewalRow, stalledMs),
+      ...witnessOptions,
       receiveOwnership: (endpointId, fencing) => {
         if (fencing === undefined) host.owned.delete(endpointId)
         else host.owned.set(endpointId, fencing)
@@ -275,7 +281,7 @@
     return host
   }
 
-  #createWitnesses (host: LeaseHost, log: EventLog, own: { host: string, session: string }, clusterView: ClusterView): { outageWitnesses: OutageWitnesses, leaseExpiry: LeaseExpiry } {
+  #createWitnesses (host: LeaseHost, log: EventLog, own: { host: string, session: string }, clusterView: ClusterView): WitnessComponents {
     const { clock } = this
     const outageWitnesses = new OutageWitnesses({
       clock,
@@ -299,7 +305,15 @@
       requestConfirmation: async (address, lease) => await this.#ask(host, address, asked => confirmExpiry(asked, lease)) ?? false,
       confirmExpiry: lease => confirmExpiry(host, lease)
     })
-    return { outageWitnesses, leaseExpiry }
+    return {
+      outageWitnesses,
+      witnessOptions: {
+        isOutage: () => outageWitnesses.isOutage(),
+        selectWitnesses: () => outageWitnesses.select(),
+        isWitnessListOutdated: (listed, ageMs) => outageWitnesses.isOutdated(listed, ageMs),
+        hasLeaseExpired: async (row, renewalRow, stalledMs) => await leaseExpiry.hasExpired(row, renewalRow, stalledMs)
+      }
+    }
   }
 
   async #transact (transaction: StoreTransaction, host: LeaseHost): Promise<StoreOutcome> {
@@ -312,6 +326,7 @@
 
   async #answer (transaction: StoreTransaction, host: LeaseHost): Promise<StoreOutcome> {
     this.storeCallCount++
+    if (transaction.writes.some(({ table, key }) => table === hostsTable && key === formatHostKey(host.name))) this.hostRowWrites.set(host, (this.hostRowWrites.get(host) ?? 0) + 1)
     if (this.storeState === 'away' || host.isCutFromStore) return await this.#respond(() => ({ verdict: 'unknown', reason: 'no answer' }), 300)
     if (transaction.checks.length + transaction.writes.length + transaction.removals.length > maxTransactionEntries) {
       return await this.#respond(() => ({ verdict: 'notApplied', reason: 'the store answered with status 400' }), responseDelayMs)
--- a/src/core/leaseWitnesses.ts
+++ b/src/core/leaseWitnesses.ts
@@ -28,8 +28,13 @@
 /** An owner that has not renewed for this long is replaced without the support of its witnesses. */
 export const unconditionalExpiryMs = maxOutageMs + 3000
 
-/** Keeps the list in a host's row below 2 KB. With fewer, a cut of a third of the hosts often takes most witnesses of an owner. */
-const maxWitnesses = 32
+/** Every host reads the rows of all others through relays; rows much larger than without a list fill the links of small hosts. */
+const maxWitnesses = 12
+
+/** A list is replaced at once when more than one in this many of its witnesses were lost, or as many more could be listed. */
+const urgentChangeRatio = 8
+/** Any other change waits until the list is this old: it is written by each owner, and read by all store readers. */
+const maxListAgeMs = 30_000
 
 const hasher = new PairHasher()
 
@@ -51,6 +56,29 @@
     .map(({ host, session }) => ({ host, session }))
 }
 
+/**
+ * Whether two lists name the same witnesses, in any order.
+ *
+ * @example
+ * isSameList([{ host: 'front-2', session: '5c1e' }], []) // false
+ */
+export function isSameList (left: readonly LeaseWitness[], right: readonly LeaseWitness[]): boolean {
+  const serialize = (witnesses: readonly LeaseWitness[]): string => witnesses.map(({ host, session }) => `${host} ${session}`).sort().join()
+  return serialize(left) === serialize(right)
+}
+
+/**
+ * Whether a list that was written `ageMs` ago should be replaced by the one that is selected now. `isUsable`: whether a listed witness still runs.
+ *
+ * @example
+ * isListOutdated(listed, selected, ({ host }) => host !== 'front-3', 2000) // false: one of 12 was lost two seconds after the list was written
+ */
+export function isListOutdated (listed: readonly LeaseWitness[], selected: readonly LeaseWitness[], isUsable: (witness: LeaseWitness) => boolean, ageMs: number): boolean {
+  if (isSameList(listed, selected)) return false
+  const fullCount = Math.max(listed.length, selected.length)
+  return ageMs >= maxListAgeMs || (fullCount - listed.filter(isUsable).length) * urgentChangeRatio > fullCount
+}
+
 /**
  * Whether an owner may go on through an outage: it and the witnesses that confirm the outage are a majority of all of them.
  *
--- a/src/tasks/leases/hostRegistration.ts
+++ b/src/tasks/leases/hostRegistration.ts
@@ -1,4 +1,5 @@
 /** Keeps this host's rows in the store: registers the host, renews its lease, and knows the version of its renewal row. */
+import { isSameList } from '../../core/leaseWitnesses.js'
 import { renewalIntervalMs } from '../../core/ownershipLease.js'
 import type { ClusterView } from '../../core/clusterView.js'
 import type { Clock } from '../../ports/clock.js'
@@ -23,6 +24,8 @@
   applyRow: (row: StoreRow) => void
   /** Selects the witnesses that this host's row should list. */
   selectWitnesses: () => LeaseWitness[]
+  /** Whether a list of witnesses that was written `ageMs` ago should be replaced. */
+  isWitnessListOutdated: (listed: readonly LeaseWitness[], ageMs: number) => boolean
   /** Called when another host has removed the rows of this one. */
   receiveDeclaredDead: () => void
   /** Requests another step of the lease task as soon as possible. */
@@ -107,11 +110,11 @@
     if (nowMs - this.#intervalStartedAtMs >= intervalMs) this.#renew()
   }
 
-  /** Writes other witnesses into this host's row if those that it should list have changed. */
-  renewIfWitnessesChanged (nowMs: number): void {
+  /** Writes other witnesses into this host's row if its list is outdated. */
+  renewIfWitnessesOutdated (nowMs: number): void {
     // After a failure the next renewal shows first whether the store accepts writes again.
     if (!this.#isRegistered || this.#isRenewing || this.#failureCount > 0 || nowMs - this.#witnessesSentAtMs < minWitnessChangeMs) return
-    if (this.#unconfirmedWitnesses.size > 0 || !isSameList(this.#witnesses ?? [], this.#options.selectWitnesses())) this.#renew(true)
+    if (this.#unconfirmedWitnesses.size > 0 || this.#options.isWitnessListOutdated(this.#witnesses ?? [], nowMs - this.#witnessesSentAtMs)) this.#renew(true)
   }
 
   /** Makes the next renewal due. */
@@ -290,9 +293,3 @@
     receiveDeclaredDead()
   }
 }
-
-/** Whether two lists name the same witnesses, in any order. */
-function isSameList (left: readonly LeaseWitness[], right: readonly LeaseWitness[]): boolean {
-  const serialize = (witnesses: readonly LeaseWitness[]): string => witnesses.map(({ host, session }) => `${host} ${session}`).sort().join()
-  return serialize(left) === serialize(right)
-}
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -51,6 +51,8 @@
   isOutage: () => boolean
   /** Selects the witnesses that this host's row should list. */
   selectWitnesses: () => LeaseWitness[]
+  /** Whether a list of witnesses that was written `ageMs` ago should be replaced. */
+  isWitnessListOutdated: (listed: readonly LeaseWitness[], ageMs: number) => boolean
   /** Whether the lease of a host that has not renewed its row for so many milliseconds has expired, by its witnesses. */
   hasLeaseExpired: (row: HostRow, renewalRow: StoreRow, stalledMs: number) => Promise<boolean>
   /**
@@ -85,7 +87,7 @@
 
   constructor (options: LeaseTaskOptions) {
     this.#options = options
-    const { clock, log, clusterView, own, leaseMs, isReadingStore, isUpToDate, areOwnersKnown, hashPair, isRunning, transact, renewViaCollector, readRenewals, findRenewalRow, applyRow, selectWitnesses, hasLeaseExpired } = options
+    const { clock, log, clusterView, own, leaseMs, isReadingStore, isUpToDate, areOwnersKnown, hashPair, isRunning, transact, renewViaCollector, readRenewals, findRenewalRow, applyRow, selectWitnesses, isWitnessListOutdated, hasLeaseExpired } = options
     this.#registration = new HostRegistration({
       clock,
       log,
@@ -96,6 +98,7 @@
       readRenewals,
       applyRow,
       selectWitnesses,
+      isWitnessListOutdated,
       receiveDeclaredDead: () => this.#removeAllOwned('this host was declared dead'),
       requestStep: () => this.#scheduleStep(0)
     })
@@ -314,7 +317,7 @@
     if (!this.#options.isReadingStore()) this.#hostExpiry.recordStoreUnavailable(nowMs)
     if (this.#ownedEndpoints.size > 0) this.#isOutage(nowMs)
     if (!this.#isLeaving) this.#registration.renewIfDue(nowMs, this.#ownedEndpoints.size > 0 || !this.#registration.isRegistered ? renewalIntervalMs : idleRenewalIntervalMs)
-    if (!this.#isLeaving && this.#ownedEndpoints.size > 0) this.#registration.renewIfWitnessesChanged(nowMs)
+    if (!this.#isLeaving && this.#ownedEndpoints.size > 0) this.#registration.renewIfWitnessesOutdated(nowMs)
     this.#scheduleStep(this.#isIdle() ? idleStepIntervalMs : stepIntervalMs)
     if (this.#isLeaving || this.#isReleasing || !this.#registration.isRegistered) return
     const { isIsolated, isStranded } = this.#options
--- a/src/tasks/leases/outageWitnesses.ts
+++ b/src/tasks/leases/outageWitnesses.ts
@@ -2,7 +2,7 @@
  * Asks the witnesses of this host's lease whether the store is unavailable to them too, so that its owner may go on without renewals, and
  * keeps track of which hosts respond and can be witnesses.
  */
-import { confirmationTtlMs, hasOutageMajority, selectWitnesses, storeOutageMs } from '../../core/leaseWitnesses.js'
+import { confirmationTtlMs, hasOutageMajority, isListOutdated, selectWitnesses, storeOutageMs } from '../../core/leaseWitnesses.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { HostRow, LeaseWitness } from '../../schemas/hostRows.js'
@@ -72,6 +72,13 @@
     return this.#selected.witnesses
   }
 
+  /** Whether this host's row, which was written `ageMs` ago with these witnesses, should list others. */
+  isOutdated (listed: readonly LeaseWitness[], ageMs: number): boolean {
+    const rows = this.#listOthers()
+    const isUsable = ({ host, session }: LeaseWitness): boolean => this.#isResponding(host) && rows.some(row => row.host === host && row.session === session && !row.isLeaving)
+    return isListOutdated(listed, this.select(), isUsable, ageMs)
+  }
+
   /** Whether the store is unavailable to so many witnesses of this host's lease that no other host can take its endpoints over. */
   isOutage (): boolean {
     const { getStoreAgeMs, listPossibleWitnesses, log } = this.#options
