--- a/features/accounts.feature
+++ b/features/accounts.feature
@@ -124,7 +124,7 @@
   # Guards against keys in what hosts write or tell each other.
   Scenario: No key is in a log line, a message between hosts, a row of the store or a metric
     Given 2 hosts before a platform with accounts
-    When requests of all kinds are sent with the key of account "acme" and headers none
+    When requests of all kinds are sent to each host with the key of account "acme"
     And requests of all kinds are sent with an unknown key
     And configurations are written that cannot be read
     Then no key is in any line, message, row or metric
--- a/features/steps/accounts.ts
+++ b/features/steps/accounts.ts
@@ -67,8 +67,12 @@
 
 /** Sends a request of each kind to the first host, each on a connection of its own. */
 async function sendAll (world: AccountsWorld, headerLines: readonly string[]): Promise<void> {
-  world.sent = await Promise.all(kinds.map(async kind => {
-    const caller = await RawCaller.open(world.hostFleet.hosts[0]!.settings.callersAddress)
+  world.sent = await sendToHost(world.hostFleet.hosts[0]!.settings.callersAddress, headerLines)
+}
+
+async function sendToHost (callersAddress: string, headerLines: readonly string[]): Promise<RawAnswer[]> {
+  return await Promise.all(kinds.map(async kind => {
+    const caller = await RawCaller.open(callersAddress)
     const [answer] = await caller.send([{ kind, headerLines, adapter: 'a1' }])
     caller.close()
     return answer!
@@ -119,6 +123,11 @@
   await sendAll(this, [`Authorization: Bearer key-${account}`, ...(headers === 'none' ? [] : headers.split(' | '))])
 })
 
+When('requests of all kinds are sent to each host with the key of account {string}', async function (this: AccountsWorld, account: string) {
+  const answers = await Promise.all(this.hostFleet.hosts.map(async ({ settings }) => await sendToHost(settings.callersAddress, [`Authorization: Bearer key-${account}`])))
+  this.sent = answers.flat()
+})
+
 Then('they are refused with 401 and code {string} within {int} ms, and no endpoint saw them', function (this: AccountsWorld, code: string, ms: number) {
   for (const { status, body, tookMs, kind } of this.sent) {
     assert.deepEqual([status, (JSON.parse(body) as { error: string }).error], [401, code], kind)
@@ -279,7 +288,8 @@
 Then('no key is in any line, message, row or metric', async function (this: AccountsWorld) {
   const { hosts, fleet } = this.hostFleet
   checkWithoutKeys(this.hostFleet.formatLines(), 'a line')
-  assert.ok(this.messages.length > 0)
+  // One of the hosts does not own the engine, and asks the other for it.
+  assert.ok(this.messages.some(message => message.includes('acme')), `${this.messages.length} messages, none of a request`)
   checkWithoutKeys(this.messages.join('\n'), 'a message between hosts')
   for (const table of ['hosts', 'streams', 'servers']) checkWithoutKeys(fleet.rows.listRows(table).map(({ key, value }) => `${key} ${Buffer.from(value ?? []).toString('latin1')}`).join('\n'), `a row of ${table}`)
   for (const { settings } of hosts) {
