List witnesses by the names of their hosts

Cause: rows of owners listed each witness with the session of its process. Relays send these rows to all hosts, and owners wrote their list again whenever a witness restarted, as its session had changed.

In the scenario with nine restarts each of 15 owners wrote its list one to three times.

The owner keeps the sessions itself, and accepts a confirmation only from the process that it knew when it sent its last confirmed renewal. That is as safe as a list with sessions: a takeover that a former process supported checks for the renewal before, and fails.

The scenarios "Owners keep their list of witnesses where these restart" failed before (1 to 3 lists, now 0); "Owners go on through an outage with witnesses that restarted" fails if sessions are not brought up to date. The scenario on an eighth of the witnesses kills hosts now, as restarts cost no list any more; its bound is as before.

--- a/features/leaseWitnesses.feature
+++ b/features/leaseWitnesses.feature
@@ -121,10 +121,34 @@
   Scenario: Owners list other witnesses only once an eighth of them was lost
     Given 24 lease hosts and 24 engines
     When the lease hosts run for 10000 ms
-    And lease hosts 16 to 24 restart, 1500 ms apart
+    And lease hosts 16 to 24 are killed, 1500 ms apart
     And the lease hosts run for 2000 ms
     Then no owner among lease hosts 1 to 15 has written its row more than 3 times meanwhile
 
+  # Guards against rows that all owners write and all hosts read whenever witnesses restart.
+  Scenario: Owners keep their list of witnesses where these restart
+    Given 24 lease hosts and 24 engines
+    When the lease hosts run for 10000 ms
+    And lease hosts 16 to 24 restart, 1500 ms apart
+    And the lease hosts run for 2000 ms
+    Then no owner among lease hosts 1 to 15 has written its row more than 0 times meanwhile
+
+  # Guards against owners that stop at an outage as they know the former processes of their witnesses only.
+  Scenario: Owners go on through an outage with witnesses that restarted after they were listed
+    Given 9 lease hosts and 6 engines
+    When the lease hosts run for 4000 ms
+    And lease hosts 4 to 9 restart, 500 ms apart
+    And the lease hosts run for 4000 ms
+    And all lease hosts lose the store
+    And the lease hosts run for 9000 ms while engines can receive orders at least 90% of the time
+    Then no engine could receive orders from two hosts
+
+  # Guards against lists that fill the links by which all hosts read each other's rows.
+  Scenario: A row with a full list of witnesses is little longer than one without
+    Given 24 lease hosts and 24 engines
+    When the lease hosts run for 10000 ms
+    Then the lists of witnesses add at most 20 bytes for each of 12 witnesses to the rows of hosts
+
   Scenario Outline: Hosts are cut off, killed and restarted in any order while the store comes and goes
     Then no engine could receive orders from two hosts in 25 random histories from seed <seed> on
 
--- a/features/steps/leases.ts
+++ b/features/steps/leases.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import type { RowStoreCopy } from '../../src/standin/fleet/rowStore.js'
-import { hostsTable, renewalsTable } from '../../src/schemas/hostRows.js'
+import { decodeHostsRow, hostsTable, renewalsTable } from '../../src/schemas/hostRows.js'
 import { LeaseCluster } from '../support/leaseCluster.js'
 import type { StoreState } from '../support/leaseCluster.js'
 import { runLeaseHistory } from '../support/leaseHistories.js'
@@ -173,6 +173,25 @@
   }
 })
 
+When('lease hosts {int} to {int} are killed, {int} ms apart', async function (this: LeasesWorld, first: number, last: number, apartMs: number) {
+  this.cluster.hostRowWrites.clear()
+  for (const host of this.cluster.hosts.slice(first - 1, last)) {
+    this.cluster.kill(host)
+    await this.cluster.run(apartMs)
+  }
+})
+
+Then('the lists of witnesses add at most {int} bytes for each of {int} witnesses to the rows of hosts', function (this: LeasesWorld, most: number, count: number) {
+  const lists = this.cluster.rows.listRows(hostsTable)
+    .flatMap(({ key, value }) => {
+      const decoded = value && decodeHostsRow(key, value)
+      return decoded?.kind === 'host' ? [decoded.row.witnesses ?? []] : []
+    })
+    .filter(({ length }) => length > 0)
+  assert.ok(lists.some(({ length }) => length === count), 'no list is full')
+  for (const list of lists) assert.ok(list.length <= count && JSON.stringify(list).length <= most * count, JSON.stringify(list))
+})
+
 Then('no owner among lease hosts {int} to {int} has written its row more than {int} times meanwhile', function (this: LeasesWorld, first: number, last: number, most: number) {
   const writes = this.cluster.hosts.slice(first - 1, last).filter(({ leases }) => leases.ownedEndpointCount > 0).map(host => this.cluster.hostRowWrites.get(host) ?? 0)
   assert.ok(writes.length > 0 && writes.every(count => count <= most), writes.join())
--- a/features/support/leaseCluster.ts
+++ b/features/support/leaseCluster.ts
@@ -53,7 +53,7 @@
 
 interface WitnessComponents {
   outageWitnesses: OutageWitnesses
-  witnessOptions: Pick<LeaseTaskOptions, 'isOutage' | 'selectWitnesses' | 'isWitnessListOutdated' | 'hasLeaseExpired'>
+  witnessOptions: Pick<LeaseTaskOptions, 'isOutage' | 'selectWitnesses' | 'updateWitnessSessions' | 'isWitnessListOutdated' | 'hasLeaseExpired'>
 }
 
 const responseDelayMs = 5
@@ -310,6 +310,7 @@
       witnessOptions: {
         isOutage: () => outageWitnesses.isOutage(),
         selectWitnesses: () => outageWitnesses.select(),
+        updateWitnessSessions: witnesses => outageWitnesses.updateSessions(witnesses),
         isWitnessListOutdated: (listed, ageMs) => outageWitnesses.isOutdated(listed, ageMs),
         hasLeaseExpired: async (row, renewalRow, stalledMs) => await leaseExpiry.hasExpired(row, renewalRow, stalledMs)
       }
--- a/src/bin/createLeaseComponents.ts
+++ b/src/bin/createLeaseComponents.ts
@@ -137,6 +137,7 @@
     applyRow: row => mirror.applyLocalWrite(row),
     isOutage: () => outageWitnesses.isOutage(),
     selectWitnesses: () => outageWitnesses.select(),
+    updateWitnessSessions: witnesses => outageWitnesses.updateSessions(witnesses),
     isWitnessListOutdated: (listed, ageMs) => outageWitnesses.isOutdated(listed, ageMs),
     hasLeaseExpired: async (row, renewalRow, stalledMs) => await leaseExpiry.hasExpired(row, renewalRow, stalledMs),
     receiveOwnership: options.receiveOwnership
--- a/src/core/leaseWitnesses.ts
+++ b/src/core/leaseWitnesses.ts
@@ -2,9 +2,16 @@
  * Excludes that an owner goes on through an outage of the store while another host takes its endpoints over: both need hosts of one list,
  * the owner's witnesses, and a witness never supports both.
  */
-import type { HostRow, LeaseWitness } from '../schemas/hostRows.js'
+import type { HostRow } from '../schemas/hostRows.js'
 import { PairHasher } from './rendezvousHash.js'
 
+/** A host that may confirm an outage of the store to the owner that lists it, and its process as the owner knows it. */
+export interface LeaseWitness {
+  readonly host: string
+  /** Another process of the host does not know whether this one has confirmed that the lease has expired. */
+  readonly session: string
+}
+
 /** A host's lease, up to and including one of its renewals. */
 export interface HeldLease {
   readonly host: string
@@ -57,28 +64,32 @@
 }
 
 /**
- * Whether two lists name the same witnesses, in any order.
+ * Whether two lists name the same processes, in any order.
  *
  * @example
- * isSameList([{ host: 'front-2', session: '5c1e' }], []) // false
+ * isSameList([{ host: 'front-2', session: '5c1e' }], [{ host: 'front-2', session: '07ab' }]) // false
  */
 export function isSameList (left: readonly LeaseWitness[], right: readonly LeaseWitness[]): boolean {
-  const serialize = (witnesses: readonly LeaseWitness[]): string => witnesses.map(({ host, session }) => `${host} ${session}`).sort().join()
-  return serialize(left) === serialize(right)
+  return serializeSorted(left.map(({ host, session }) => `${host} ${session}`)) === serializeSorted(right.map(({ host, session }) => `${host} ${session}`))
 }
 
 /**
- * Whether a list that was written `ageMs` ago should be replaced by the one that is selected now. `isUsable`: whether a listed witness still runs.
+ * Whether a list of hosts that was written `ageMs` ago should be replaced by the one that is selected now. `isUsable`: whether a listed host
+ * still runs.
  *
  * @example
- * isListOutdated(listed, selected, ({ host }) => host !== 'front-3', 2000) // false: one of 12 was lost two seconds after the list was written
+ * isListOutdated(listed, selected, host => host !== 'front-3', 2000) // false: one of 12 was lost two seconds after the list was written
  */
-export function isListOutdated (listed: readonly LeaseWitness[], selected: readonly LeaseWitness[], isUsable: (witness: LeaseWitness) => boolean, ageMs: number): boolean {
-  if (isSameList(listed, selected)) return false
+export function isListOutdated (listed: readonly string[], selected: readonly string[], isUsable: (host: string) => boolean, ageMs: number): boolean {
+  if (serializeSorted(listed) === serializeSorted(selected)) return false
   const fullCount = Math.max(listed.length, selected.length)
   return ageMs >= maxListAgeMs || (fullCount - listed.filter(isUsable).length) * urgentChangeRatio > fullCount
 }
 
+function serializeSorted (values: readonly string[]): string {
+  return [...values].sort().join()
+}
+
 /**
  * Whether an owner may go on through an outage: it and the witnesses that confirm the outage are a majority of all of them.
  *
--- a/src/schemas/hostRows.ts
+++ b/src/schemas/hostRows.ts
@@ -23,10 +23,6 @@
 })
 export type WrittenInEra = Static<typeof writtenInEraSchema>
 
-/** A process whose host may confirm an outage of the store to the owner that lists it. */
-export const leaseWitnessSchema = Type.Object({ host: Type.String(), session: Type.String() })
-export type LeaseWitness = Static<typeof leaseWitnessSchema>
-
 export const hostRowSchema = Type.Composite([writtenInEraSchema, Type.Object({
   host: Type.String(),
   address: Type.String(),
@@ -37,8 +33,8 @@
   isLeaving: Type.Boolean(),
   /** Part of a processor that the host may use; absent if its settings do not say, and from hosts of earlier versions. */
   processorShare: Type.Optional(Type.Number()),
-  /** Witnesses of this host's lease; hosts of earlier versions leave it out, and are replaced once they have not renewed in time. */
-  witnesses: Type.Optional(Type.Array(leaseWitnessSchema))
+  /** Hosts that are witnesses of this host's lease; hosts of earlier versions leave it out, and are replaced once they have not renewed in time. */
+  witnesses: Type.Optional(Type.Array(Type.String()))
 })])
 export type HostRow = Static<typeof hostRowSchema>
 
--- a/src/tasks/leases/hostRegistration.ts
+++ b/src/tasks/leases/hostRegistration.ts
@@ -1,5 +1,6 @@
 /** Keeps this host's rows in the store: registers the host, renews its lease, and knows the version of its renewal row. */
 import { isSameList } from '../../core/leaseWitnesses.js'
+import type { LeaseWitness } from '../../core/leaseWitnesses.js'
 import { renewalIntervalMs } from '../../core/ownershipLease.js'
 import type { ClusterView } from '../../core/clusterView.js'
 import type { Clock } from '../../ports/clock.js'
@@ -7,7 +8,7 @@
 import type { RowCheck, StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
 import type { RenewalResult } from '../../schemas/datagram.js'
 import { decodeRenewal, encodeHostsRow, formatHostKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
-import type { LeaseWitness, RenewalRow } from '../../schemas/hostRows.js'
+import type { RenewalRow } from '../../schemas/hostRows.js'
 
 export interface HostRegistrationOptions {
   clock: Clock
@@ -24,6 +25,8 @@
   applyRow: (row: StoreRow) => void
   /** Selects the witnesses that this host's row should list. */
   selectWitnesses: () => LeaseWitness[]
+  /** Returns the processes that the hosts of these witnesses have now. */
+  updateWitnessSessions: (witnesses: readonly LeaseWitness[]) => LeaseWitness[]
   /** Whether a list of witnesses that was written `ageMs` ago should be replaced. */
   isWitnessListOutdated: (listed: readonly LeaseWitness[], ageMs: number) => boolean
   /** Called when another host has removed the rows of this one. */
@@ -46,6 +49,8 @@
   readonly registers: boolean
   /** The witnesses in this host's other row, if that is written too. */
   readonly witnesses: readonly LeaseWitness[] | undefined
+  /** Processes of the listed witnesses when it was sent; what their former processes confirmed is void once it is in the store. */
+  readonly listedProcesses: readonly LeaseWitness[]
 }
 
 export class HostRegistration {
@@ -148,7 +153,7 @@
   async probeStore (): Promise<boolean> {
     const { clock, transact } = this.#options
     const renewal = ++this.#renewalCounter
-    const sent = { sentAtMs: clock.readMonotonic(), registers: false, witnesses: undefined }
+    const sent = { sentAtMs: clock.readMonotonic(), registers: false, witnesses: undefined, listedProcesses: [] }
     this.#unconfirmed.set(renewal, sent)
     const outcome = await transact({ checks: [this.check], writes: [this.#createRenewalWrite(renewal)], removals: [] })
     if (outcome.verdict === 'applied') this.#recordConfirmed(renewal, outcome.version, sent)
@@ -180,10 +185,10 @@
     if (renewal && table === renewalsTable && key === this.#options.own.host) this.adoptRenewal(renewal, version)
   }
 
-  #recordConfirmed (renewal: number, version: number, { sentAtMs, registers, witnesses }: SentRenewal): void {
+  #recordConfirmed (renewal: number, version: number, { sentAtMs, registers, witnesses, listedProcesses }: SentRenewal): void {
     for (const sent of this.#unconfirmed.keys()) if (sent <= renewal) this.#unconfirmed.delete(sent)
+    this.#witnesses = witnesses ?? this.#witnesses?.map(witness => listedProcesses.find(({ host }) => host === witness.host) ?? witness)
     if (witnesses) {
-      this.#witnesses = witnesses
       for (const sent of this.#unconfirmedWitnesses.keys()) if (sent <= renewal) this.#unconfirmedWitnesses.delete(sent)
     }
     if (registers && !this.#isRegistered) {
@@ -204,18 +209,23 @@
 
   #createHostWrite (witnesses: readonly LeaseWitness[]): StoreTransaction['writes'][number] {
     const { own, clusterView } = this.#options
-    return { table: hostsTable, key: formatHostKey(own.host), value: encodeHostsRow({ ...own, isLeaving: false, witnesses: [...witnesses], ...clusterView.writtenInEra }) }
+    return { table: hostsTable, key: formatHostKey(own.host), value: encodeHostsRow({ ...own, isLeaving: false, witnesses: witnesses.map(({ host: witness }) => witness), ...clusterView.writtenInEra }) }
   }
 
   async #renew (changesWitnesses = false): Promise<void> {
     if (this.#isRenewing) return
     this.#isRenewing = true
-    const { clock, renewViaCollector, selectWitnesses } = this.#options
+    const { clock, renewViaCollector, selectWitnesses, updateWitnessSessions } = this.#options
     const round = this.#round
     const startedAtMs = clock.readMonotonic()
     this.#intervalStartedAtMs = startedAtMs
     const renewal = ++this.#renewalCounter
-    const sent = { sentAtMs: startedAtMs, registers: !this.#isRegistered, witnesses: changesWitnesses || !this.#isRegistered ? selectWitnesses() : undefined }
+    const sent = {
+      sentAtMs: startedAtMs,
+      registers: !this.#isRegistered,
+      witnesses: changesWitnesses || !this.#isRegistered ? selectWitnesses() : undefined,
+      listedProcesses: updateWitnessSessions(this.#witnesses ?? [])
+    }
     this.#unconfirmed.set(renewal, sent)
     if (sent.witnesses) {
       this.#witnessesSentAtMs = startedAtMs
--- a/src/tasks/leases/leaseExpiry.ts
+++ b/src/tasks/leases/leaseExpiry.ts
@@ -5,7 +5,7 @@
 import type { EventLog } from '../../ports/eventLog.js'
 import type { StoreRow } from '../../ports/store.js'
 import { decodeRenewal } from '../../schemas/hostRows.js'
-import type { HostRow, LeaseWitness } from '../../schemas/hostRows.js'
+import type { HostRow } from '../../schemas/hostRows.js'
 
 export interface LeaseExpiryOptions {
   log: EventLog
@@ -43,7 +43,7 @@
   }
 
   /** Asks all witnesses at once; resolves with the number that confirm as soon as it is enough, or when all have responded or timed out. */
-  async #collectConfirmations (lease: HeldLease, witnesses: readonly LeaseWitness[]): Promise<number> {
+  async #collectConfirmations (lease: HeldLease, witnesses: readonly string[]): Promise<number> {
     return await new Promise(resolve => {
       let confirmations = 0
       const countReply = (isConfirmed: boolean): void => {
@@ -54,7 +54,7 @@
     })
   }
 
-  async #askWitness ({ host }: LeaseWitness, lease: HeldLease): Promise<boolean> {
+  async #askWitness (host: string, lease: HeldLease): Promise<boolean> {
     const { own, clusterView, requestConfirmation, confirmExpiry } = this.#options
     if (host === own.host) return confirmExpiry(lease)
     const address = clusterView.hosts.get(host)?.row.address
--- a/src/tasks/leases/leaseTask.ts
+++ b/src/tasks/leases/leaseTask.ts
@@ -1,13 +1,14 @@
 /** Renews this host's lease in the store, tracks which endpoints the host owns, and decides whether it may send them orders. */
 import { isUnowned, keepAfterOutageMs, keepLimitMs, mayOrder, PauseDetector, HostExpiryTracker, renewalIntervalMs } from '../../core/ownershipLease.js'
 import { maxOutageMs } from '../../core/leaseWitnesses.js'
+import type { LeaseWitness } from '../../core/leaseWitnesses.js'
 import type { ClusterViewChange, ClusterView } from '../../core/clusterView.js'
 import type { HashPair } from '../../core/ownershipAssignment.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
 import type { StoreOutcome, StoreRow, StoreTransaction } from '../../ports/store.js'
 import { formatHostKey, formatOwnerKey, hostsTable, renewalsTable } from '../../schemas/hostRows.js'
-import type { HostRow, LeaseWitness } from '../../schemas/hostRows.js'
+import type { HostRow } from '../../schemas/hostRows.js'
 import type { RenewalResult } from '../../schemas/datagram.js'
 import { HostRegistration } from './hostRegistration.js'
 import { OwnedEndpoints } from './ownedEndpoints.js'
@@ -51,6 +52,8 @@
   isOutage: () => boolean
   /** Selects the witnesses that this host's row should list. */
   selectWitnesses: () => LeaseWitness[]
+  /** Returns the processes that the hosts of these witnesses have now. */
+  updateWitnessSessions: (witnesses: readonly LeaseWitness[]) => LeaseWitness[]
   /** Whether a list of witnesses that was written `ageMs` ago should be replaced. */
   isWitnessListOutdated: (listed: readonly LeaseWitness[], ageMs: number) => boolean
   /** Whether the lease of a host that has not renewed its row for so many milliseconds has expired, by its witnesses. */
@@ -87,7 +90,7 @@
 
   constructor (options: LeaseTaskOptions) {
     this.#options = options
-    const { clock, log, clusterView, own, leaseMs, isReadingStore, isUpToDate, areOwnersKnown, hashPair, isRunning, transact, renewViaCollector, readRenewals, findRenewalRow, applyRow, selectWitnesses, isWitnessListOutdated, hasLeaseExpired } = options
+    const { clock, log, clusterView, own, leaseMs, isReadingStore, isUpToDate, areOwnersKnown, hashPair, isRunning, transact, renewViaCollector, readRenewals, findRenewalRow, applyRow, selectWitnesses, updateWitnessSessions, isWitnessListOutdated, hasLeaseExpired } = options
     this.#registration = new HostRegistration({
       clock,
       log,
@@ -98,6 +101,7 @@
       readRenewals,
       applyRow,
       selectWitnesses,
+      updateWitnessSessions,
       isWitnessListOutdated,
       receiveDeclaredDead: () => this.#removeAllOwned('this host was declared dead'),
       requestStep: () => this.#scheduleStep(0)
--- a/src/tasks/leases/outageWitnesses.ts
+++ b/src/tasks/leases/outageWitnesses.ts
@@ -3,9 +3,10 @@
  * keeps track of which hosts respond and can be witnesses.
  */
 import { confirmationTtlMs, hasOutageMajority, isListOutdated, selectWitnesses, storeOutageMs } from '../../core/leaseWitnesses.js'
+import type { LeaseWitness } from '../../core/leaseWitnesses.js'
 import type { Clock, Timer } from '../../ports/clock.js'
 import type { EventLog } from '../../ports/eventLog.js'
-import type { HostRow, LeaseWitness } from '../../schemas/hostRows.js'
+import type { HostRow } from '../../schemas/hostRows.js'
 
 export interface OutageWitnessesOptions {
   clock: Clock
@@ -62,6 +63,12 @@
     this.#timer?.cancel()
   }
 
+  /** Returns the processes that the hosts of these witnesses have now; a host that is not known keeps the one it had. */
+  updateSessions (witnesses: readonly LeaseWitness[]): LeaseWitness[] {
+    const sessions = new Map(this.#listOthers().map(({ host, session }) => [host, session]))
+    return witnesses.map(({ host, session }) => ({ host, session: sessions.get(host) ?? session }))
+  }
+
   /** Selects the witnesses that this host's row should list. */
   select (): LeaseWitness[] {
     const { own, listHosts, getHostsVersion } = this.#options
@@ -74,9 +81,9 @@
 
   /** Whether this host's row, which was written `ageMs` ago with these witnesses, should list others. */
   isOutdated (listed: readonly LeaseWitness[], ageMs: number): boolean {
-    const rows = this.#listOthers()
-    const isUsable = ({ host, session }: LeaseWitness): boolean => this.#isResponding(host) && rows.some(row => row.host === host && row.session === session && !row.isLeaving)
-    return isListOutdated(listed, this.select(), isUsable, ageMs)
+    const running = new Set(this.#listOthers().filter(({ isLeaving }) => !isLeaving).map(({ host }) => host))
+    const listHosts = (witnesses: readonly LeaseWitness[]): string[] => witnesses.map(({ host }) => host)
+    return isListOutdated(listHosts(listed), listHosts(this.select()), host => this.#isResponding(host) && running.has(host), ageMs)
   }
 
   /** Whether the store is unavailable to so many witnesses of this host's lease that no other host can take its endpoints over. */
