--- a/features/callerCrowds.feature
+++ b/features/callerCrowds.feature
@@ -17,7 +17,6 @@
       | callers' port | open connections and send nothing                     |
       | peers' port   | send requests ahead and read nothing                  |
       | peers' port   | send bare request lines ahead and read nothing        |
-      | relay port    | send requests ahead and read nothing                  |
       | relay port    | send bare request lines ahead and read nothing        |
       | relay port    | send bodies in one-byte chunks and hold them open     |
       | callers' port | send bodies in one-byte chunks and hold them open     |
@@ -31,6 +30,7 @@
     Examples:
       | port          | crowd                                                 |
       | relay port    | open connections and send nothing                     |
+      | relay port    | send requests ahead and read nothing                  |
 
   Scenario Outline: A gateway bears callers on its <port> that <crowd>
     Given a gateway of its own with a heap of 96 MB
